--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, leases, storage, snapshots and membership changes.
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers, backend servers, the platform and operators.
--- /dev/null
+++ b/crates/host/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tasks of an entry host.
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Batch jobs: item lifecycle, leases, scheduling and result storage.
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,1 @@
+//! Authenticated messages between hosts over nng.
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions: limits, routing, queues, retries and quarantine.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked host settings and fleet documents, read from INI.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in engines, plain services and the load generator.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated aggregates: configuration, keys and orders.
--- /dev/null
+++ b/crates/types/src/clock.rs
@@ -0,0 +1,77 @@
+//! Time as an interface.
+//!
+//! Decisions never read the system clock. They receive the current instant, or
+//! a [`ClockSource`], from the task that drives them, so tests can choose every
+//! schedule.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Supplies the current time.
+pub trait ClockSource: Send + Sync {
+    /// The monotonic time, for deadlines and leases.
+    fn now(&self) -> Instant;
+
+    /// The calendar time, for values that people read or that leave the process.
+    fn wall(&self) -> SystemTime;
+}
+
+/// The clock of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SystemClock;
+
+impl ClockSource for SystemClock {
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+/// A clock that moves only when told to, for tests and simulations.
+///
+/// Clones share one time.
+#[derive(Clone, Debug)]
+pub struct ManualClock {
+    origin: Instant,
+    elapsed: Arc<Mutex<Duration>>,
+}
+
+impl ManualClock {
+    /// A clock standing at its origin.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+            elapsed: Arc::default(),
+        }
+    }
+
+    /// Moves the clock forward by `step`.
+    pub fn advance(&self, step: Duration) {
+        let mut elapsed = self.elapsed.lock().unwrap_or_else(PoisonError::into_inner);
+        *elapsed += step;
+    }
+
+    fn elapsed(&self) -> Duration {
+        *self.elapsed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Default for ManualClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ClockSource for ManualClock {
+    fn now(&self) -> Instant {
+        self.origin + self.elapsed()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH + self.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/types/src/lib.rs
@@ -0,0 +1,27 @@
+//! Identifiers, verdicts, reasons and the clock shared by every package.
+//!
+//! This package sits at the bottom of the dependency graph: it performs no I/O
+//! and starts no task. Everything that crosses a module border in the other
+//! packages is expressed in these types, so that a host, a team or a request
+//! outcome cannot be confused with a plain string or number.
+
+mod clock;
+mod ids;
+mod names;
+pub mod prelude;
+mod reason;
+mod refusal;
+mod verdict;
+
+pub use clock::{ClockSource, ManualClock, SystemClock};
+pub use ids::{
+    FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
+    ServerGeneration, TermNumber,
+};
+pub use names::{
+    ClassName, HostName, ModelName, NameError, RouteName, ServerName, ServiceName, TeamName,
+    ZoneName,
+};
+pub use reason::{RefusalReason, RetryReason};
+pub use refusal::RequestRefusal;
+pub use verdict::RunVerdict;
--- /dev/null
+++ b/crates/types/src/names.rs
@@ -0,0 +1,115 @@
+//! Checked names that people choose: hosts, zones, teams, classes and so on.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::sync::Arc;
+
+/// The longest accepted name, in bytes.
+const NAME_MAX_BYTES: usize = 64;
+
+/// Why a text is not a valid name.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum NameError {
+    /// The text is empty.
+    #[error("a {kind} must not be empty")]
+    Empty {
+        /// The kind of name.
+        kind: &'static str,
+    },
+    /// The text is longer than 64 bytes.
+    #[error("a {kind} has at most {NAME_MAX_BYTES} bytes, this one has {length}")]
+    TooLong {
+        /// The kind of name.
+        kind: &'static str,
+        /// The length found, in bytes.
+        length: usize,
+    },
+    /// The text holds a character outside `[A-Za-z0-9._-]`.
+    #[error("a {kind} holds only letters, digits, '.', '_' and '-', found {found:?}")]
+    BadCharacter {
+        /// The kind of name.
+        kind: &'static str,
+        /// The first character refused.
+        found: char,
+    },
+}
+
+fn check_name(kind: &'static str, text: &str) -> Result<(), NameError> {
+    if text.is_empty() {
+        return Err(NameError::Empty { kind });
+    }
+    if text.len() > NAME_MAX_BYTES {
+        let length = text.len();
+        return Err(NameError::TooLong { kind, length });
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    match text.chars().find(|c| !allowed(*c)) {
+        Some(found) => Err(NameError::BadCharacter { kind, found }),
+        None => Ok(()),
+    }
+}
+
+macro_rules! checked_names {
+    ($($(#[$meta:meta])* $name:ident, $kind:literal;)*) => {$(
+        $(#[$meta])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl TryFrom<&str> for $name {
+            type Error = NameError;
+
+            fn try_from(text: &str) -> Result<Self, NameError> {
+                check_name($kind, text)?;
+                Ok(Self(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = NameError;
+
+            fn try_from(text: String) -> Result<Self, NameError> {
+                Self::try_from(text.as_str())
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(name: $name) -> Self {
+                name.0.as_ref().to_owned()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+checked_names! {
+    /// Names an entry host.
+    HostName, "host name";
+    /// Names an availability zone.
+    ZoneName, "zone name";
+    /// Names a team.
+    TeamName, "team name";
+    /// Names a class of work.
+    ClassName, "class name";
+    /// Names a route of the fleet document.
+    RouteName, "route name";
+    /// Names a plain service.
+    ServiceName, "service name";
+    /// Names a model.
+    ModelName, "model name";
+    /// Names a backend server.
+    ServerName, "server name";
+}
--- /dev/null
+++ b/crates/types/src/prelude.rs
@@ -0,0 +1,6 @@
+//! The types that nearly every module imports.
+
+pub use crate::{
+    ClassName, ClockSource, HostName, RefusalReason, RequestId, RequestRefusal, RetryReason,
+    RunVerdict, ServerName, TeamName, ZoneName,
+};
--- /dev/null
+++ b/src/bin/chicoryladder.rs
@@ -0,0 +1,3 @@
+//! The command line for operators and callers.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/chicoryladderd.rs
@@ -0,0 +1,3 @@
+//! The entry host daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Commands of the chicoryladder binaries.
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,1 @@
+//! Whole-system tests.
