--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,7 +5,9 @@
 //! packages is expressed in these types, so that a host, a team or a request
 //! outcome cannot be confused with a plain string or number.
 
+mod announcement;
 mod clock;
+pub mod headers;
 mod ids;
 mod names;
 pub mod prelude;
@@ -13,6 +15,7 @@
 mod refusal;
 mod verdict;
 
+pub use announcement::{ServerAnnouncement, ServerLoad};
 pub use clock::{ClockSource, ManualClock, SystemClock};
 pub use ids::{
     FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
