Count rate and burst over all hosts by token escrow

Cause: a team's rate and burst hold for all hosts together, in every window, though messages are lost, repeated and late and keepers change. Ruled out: a static share for each host (refuses inside the rate under a skewed balancer); counting after the fact (admits too much); grants without counters (a repeated grant counts twice). Change: TokenKeeper with level + outstanding <= burst, TokenStock with counters that only rise within a session, FleetKeeper that borrows what zones leave, TeamLimiter that waits only while a token can come in time, and KeeperLease with LeaseVoter for one keeper a shard by majority. Conclusion: strict under the faults tried; not yet wired to a host.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,4 +6,5 @@
 //! runs under thousands of schedules and faults in tests, and is measured
 //! alone.
 
+pub mod limits;
 pub mod retry;
--- /dev/null
+++ b/crates/policy/src/limits/limiter.rs
@@ -0,0 +1,307 @@
+//! Admission of one team's requests on one host.
+//!
+//! A request takes a token from the stock of the fleet's bucket, else from the
+//! stock of the zone's bucket. Without a token it waits only while it can
+//! still be admitted in time, and is refused at once when it cannot.
+
+use super::{
+    DemandMeter, RateLimit, StockGrant, StockHolder, StockRecall, StockRequest, StockSession,
+    TokenAmount, TokenPool, TokenStock,
+};
+use chicoryladder_types::prelude::*;
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// The wait for the fleet's bucket beyond which the zone's bucket is asked too.
+const ZONE_PATIENCE: Duration = Duration::from_millis(5);
+
+/// The time to come back after when no keeper was heard of lately.
+const SILENT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Names one waiting request of a limiter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct WaiterKey(u64);
+
+/// What happens to an arriving request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitAdmission {
+    /// It has its token.
+    Admitted,
+    /// It waits; [`TeamLimiter::poll`] will name it.
+    Waiting(WaiterKey),
+    /// It cannot be admitted in time.
+    Refused {
+        /// When a new attempt can succeed.
+        retry_after: Duration,
+    },
+}
+
+/// What a limiter asks of the task that drives it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LimiterAction {
+    /// Let the waiting request go on.
+    Admit(WaiterKey),
+    /// Refuse the waiting request now.
+    Refuse {
+        /// The request.
+        waiter: WaiterKey,
+        /// When a new attempt can succeed.
+        retry_after: Duration,
+    },
+    /// Send the request to the keeper of its bucket.
+    Send(StockRequest),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WaitingRequest {
+    key: WaiterKey,
+    give_up_at: Instant,
+}
+
+/// Admits one team's requests on one host.
+#[derive(Clone, Debug)]
+pub struct TeamLimiter {
+    limit: RateLimit,
+    fleet: TokenStock,
+    zone: Option<TokenStock>,
+    demand: DemandMeter,
+    waiters: VecDeque<WaitingRequest>,
+    last_key: u64,
+    starved_since: Option<Instant>,
+}
+
+impl TeamLimiter {
+    /// A limiter without tokens.
+    ///
+    /// `limit` is the whole limit of the team; `zone` is the zone whose bucket
+    /// may be used besides the fleet's. `session` is above each session of an
+    /// earlier process of the host.
+    #[must_use]
+    pub fn new(
+        team: &TeamName,
+        host: &HostName,
+        zone: Option<ZoneName>,
+        limit: RateLimit,
+        session: StockSession,
+    ) -> Self {
+        let batch = limit.burst() / 32;
+        let holder = StockHolder::Admission(host.clone());
+        let stock = |pool| TokenStock::new(team.clone(), pool, holder.clone(), session, batch);
+        Self {
+            limit,
+            fleet: stock(TokenPool::Fleet),
+            zone: zone.map(|zone| stock(TokenPool::Zone(zone))),
+            demand: DemandMeter::default(),
+            waiters: VecDeque::new(),
+            last_key: 0,
+            starved_since: None,
+        }
+    }
+
+    /// Puts another limit in force; it only serves estimates here.
+    pub fn set_limit(&mut self, limit: RateLimit) {
+        self.limit = limit;
+    }
+
+    /// Decides on an arriving request that must be admitted by `give_up_at`.
+    pub fn admit(&mut self, give_up_at: Instant, now: Instant) -> LimitAdmission {
+        self.demand.record(now);
+        if self.waiters.is_empty() && self.take_token(now) {
+            return LimitAdmission::Admitted;
+        }
+        let expected_at = self.expected_at(self.waiters.len(), now);
+        let queue_full = self.waiters.len() as u64 >= self.waiters_max();
+        if give_up_at <= now || queue_full || expected_at.is_some_and(|at| at > give_up_at) {
+            let retry_after = self.retry_after(self.waiters.len(), now);
+            return LimitAdmission::Refused { retry_after };
+        }
+        self.last_key += 1;
+        let key = WaiterKey(self.last_key);
+        self.waiters.push_back(WaitingRequest { key, give_up_at });
+        self.starved_since.get_or_insert(now);
+        LimitAdmission::Waiting(key)
+    }
+
+    /// Forgets a waiting request whose caller left.
+    pub fn cancel(&mut self, key: WaiterKey) {
+        self.waiters.retain(|waiter| waiter.key != key);
+    }
+
+    /// Takes over a grant of either keeper.
+    pub fn handle_grant(&mut self, grant: &StockGrant, now: Instant) {
+        if let Some(stock) = self.stock_mut(&grant.pool) {
+            stock.handle_grant(grant, now);
+        }
+    }
+
+    /// Gives idle tokens back; those that requests wait for are kept.
+    pub fn handle_recall(&mut self, recall: &StockRecall, now: Instant) {
+        if !self.waiters.is_empty() {
+            return;
+        }
+        if let Some(stock) = self.stock_mut(&recall.pool) {
+            stock.handle_recall(recall, now);
+        }
+    }
+
+    /// Everything that is due: admissions, refusals, then messages.
+    pub fn poll(&mut self, now: Instant) -> Vec<LimiterAction> {
+        let mut actions = Vec::new();
+        self.admit_waiters(now, &mut actions);
+        self.refuse_hopeless(now, &mut actions);
+        if self.waiters.is_empty() {
+            self.starved_since = None;
+        }
+        self.return_idle(now);
+        self.ask_fleet(now, &mut actions);
+        self.ask_zone(now, &mut actions);
+        actions
+    }
+
+    /// The next instant at which a waiting request is given up on.
+    #[must_use]
+    pub fn next_wakeup(&self) -> Option<Instant> {
+        self.waiters.iter().map(|waiter| waiter.give_up_at).min()
+    }
+
+    /// Whether nothing waits and no token is held.
+    pub fn is_idle(&mut self, now: Instant) -> bool {
+        let zone = self.zone.as_mut().map_or(0, |stock| stock.available(now));
+        self.waiters.is_empty() && zone + self.fleet.available(now) == 0
+    }
+
+    fn stock_mut(&mut self, pool: &TokenPool) -> Option<&mut TokenStock> {
+        match pool {
+            TokenPool::Fleet => Some(&mut self.fleet),
+            TokenPool::Zone(_) => self.zone.as_mut().filter(|stock| stock.pool() == pool),
+        }
+    }
+
+    fn take_token(&mut self, now: Instant) -> bool {
+        if self.fleet.take(1, now) == 1 {
+            return true;
+        }
+        let zone = self.zone.as_mut();
+        zone.is_some_and(|stock| stock.take(1, now) == 1)
+    }
+
+    fn admit_waiters(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
+        self.refuse_overdue(now, actions);
+        while let Some(waiter) = self.waiters.front().copied() {
+            if !self.take_token(now) {
+                return;
+            }
+            self.waiters.pop_front();
+            actions.push(LimiterAction::Admit(waiter.key));
+        }
+    }
+
+    fn refuse_overdue(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
+        let overdue = |waiter: &WaitingRequest| waiter.give_up_at <= now;
+        self.refuse_where(now, actions, |_, waiter| overdue(waiter));
+    }
+
+    /// Refuses requests whose token is now expected too late.
+    fn refuse_hopeless(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
+        let Some(first_at) = self.expected_at(0, now) else {
+            return;
+        };
+        let limit = self.limit;
+        self.refuse_where(now, actions, |position, waiter| {
+            let expected_at = first_at + limit.time_for(TokenAmount::whole(position));
+            expected_at > waiter.give_up_at
+        });
+    }
+
+    fn refuse_where(
+        &mut self,
+        now: Instant,
+        actions: &mut Vec<LimiterAction>,
+        hopeless: impl Fn(u64, &WaitingRequest) -> bool,
+    ) {
+        let waiters = std::mem::take(&mut self.waiters);
+        let mut position = 0;
+        let mut refused = Vec::new();
+        for waiter in waiters {
+            if hopeless(position, &waiter) {
+                refused.push(waiter.key);
+            } else {
+                position += 1;
+                self.waiters.push_back(waiter);
+            }
+        }
+        for waiter in refused {
+            let retry_after = self.retry_after(self.waiters.len(), now);
+            actions.push(LimiterAction::Refuse {
+                waiter,
+                retry_after,
+            });
+        }
+    }
+
+    /// When the request at `position` of the queue can have its token; `None`
+    /// if no keeper was heard of lately.
+    fn expected_at(&self, position: usize, now: Instant) -> Option<Instant> {
+        let zone = self
+            .zone
+            .as_ref()
+            .and_then(|stock| stock.next_token_at(now));
+        let fleet = self.fleet.next_token_at(now);
+        let first_at = match (fleet, zone) {
+            (Some(fleet), Some(zone)) => fleet.min(zone),
+            (fleet, zone) => fleet.or(zone)?,
+        };
+        let ahead = TokenAmount::whole(position as u64);
+        Some(first_at.max(now) + self.limit.time_for(ahead))
+    }
+
+    fn retry_after(&self, position: usize, now: Instant) -> Duration {
+        let expected_at = self.expected_at(position, now);
+        expected_at.map_or(SILENT_RETRY_AFTER, |at| at.saturating_duration_since(now))
+    }
+
+    /// More than a second's worth of requests never waits on one host.
+    fn waiters_max(&self) -> u64 {
+        self.limit.burst() + self.limit.rate_millis() / 1_000
+    }
+
+    fn return_idle(&mut self, now: Instant) {
+        let keep = self.demand.expected(now);
+        let stocks = [Some(&mut self.fleet), self.zone.as_mut()];
+        for stock in stocks.into_iter().flatten() {
+            let available = stock.available(now);
+            if available > keep * 2 {
+                stock.give_back(available - keep, now);
+            }
+        }
+    }
+
+    fn ask_fleet(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
+        let needed = self.waiters.len() as u64;
+        let ahead = self.demand.expected(now);
+        let available = self.fleet.available(now);
+        let ahead = if available * 2 < ahead {
+            ahead - available
+        } else {
+            0
+        };
+        let request = self.fleet.request(needed, ahead, now);
+        actions.extend(request.map(LimiterAction::Send));
+    }
+
+    fn ask_zone(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
+        let starved = self
+            .starved_since
+            .is_some_and(|since| now.saturating_duration_since(since) >= ZONE_PATIENCE);
+        let needed = if starved {
+            self.waiters.len() as u64
+        } else {
+            0
+        };
+        let Some(zone) = self.zone.as_mut() else {
+            return;
+        };
+        let request = zone.request(needed, 0, now);
+        actions.extend(request.map(LimiterAction::Send));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/limits/message.rs
@@ -0,0 +1,136 @@
+//! Messages between the keeper of a team's tokens and the hosts.
+
+use chicoryladder_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The bucket that a message is about.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum TokenPool {
+    /// The bucket for the whole fleet.
+    Fleet,
+    /// The bucket set aside for one availability zone.
+    Zone(ZoneName),
+}
+
+/// Who holds a stock.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum StockHolder {
+    /// A host that admits requests.
+    Admission(HostName),
+    /// The fleet keeper on this host, which borrows what a zone leaves.
+    Borrower(HostName),
+}
+
+impl StockHolder {
+    /// The host of the holder.
+    #[must_use]
+    pub const fn host(&self) -> &HostName {
+        match self {
+            Self::Admission(host) | Self::Borrower(host) => host,
+        }
+    }
+}
+
+/// Orders the keepers of one bucket; a later keeper has a higher epoch.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct KeeperEpoch(pub u64);
+
+/// Orders the stocks that one host holds one after the other.
+///
+/// A host begins a session only after the stock of the one before it ended.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct StockSession(pub u64);
+
+/// What became of the tokens of one session; each number only rises.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StockCounters {
+    /// Tokens granted to the host.
+    pub granted: u64,
+    /// Tokens that admitted a request.
+    pub spent: u64,
+    /// Tokens given back to the bucket.
+    pub returned: u64,
+}
+
+impl StockCounters {
+    /// Tokens neither spent nor returned.
+    #[must_use]
+    pub const fn unspent(self) -> u64 {
+        self.granted
+            .saturating_sub(self.spent.saturating_add(self.returned))
+    }
+
+    /// Whether no token was ever granted.
+    #[must_use]
+    pub const fn is_untouched(self) -> bool {
+        self.granted == 0 && self.spent == 0 && self.returned == 0
+    }
+}
+
+/// A host reports its counters and asks for tokens.
+///
+/// This one message also renews the stock and gives tokens back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StockRequest {
+    /// The team.
+    pub team: TeamName,
+    /// The bucket.
+    pub pool: TokenPool,
+    /// Who asks.
+    pub holder: StockHolder,
+    /// The session of the host's stock.
+    pub session: StockSession,
+    /// The epoch of the keeper that granted the stock.
+    pub epoch: KeeperEpoch,
+    /// Numbers the requests of a session.
+    pub sequence: u64,
+    /// The counters of the stock.
+    pub counters: StockCounters,
+    /// Tokens for requests that wait now.
+    pub needed: u64,
+    /// Tokens wanted ahead of demand.
+    pub ahead: u64,
+}
+
+/// The keeper grants tokens, or tells when there will be some.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StockGrant {
+    /// The team.
+    pub team: TeamName,
+    /// The bucket.
+    pub pool: TokenPool,
+    /// Who asked.
+    pub holder: StockHolder,
+    /// The session of the host's stock.
+    pub session: StockSession,
+    /// The epoch of the keeper.
+    pub epoch: KeeperEpoch,
+    /// The latest request that the keeper has seen.
+    pub sequence: u64,
+    /// All tokens granted in the session.
+    pub granted: u64,
+    /// How long the stock lasts after that request was sent.
+    pub stock_ttl: Duration,
+    /// The time until a token is free for the host's next request.
+    pub next_token_in: Duration,
+}
+
+/// The keeper asks a host to give idle tokens back.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StockRecall {
+    /// The team.
+    pub team: TeamName,
+    /// The bucket.
+    pub pool: TokenPool,
+    /// Who holds the tokens.
+    pub holder: StockHolder,
+    /// The session of the host's stock.
+    pub session: StockSession,
+    /// The epoch of the keeper.
+    pub epoch: KeeperEpoch,
+}
--- /dev/null
+++ b/crates/policy/tests/limits/fleet.rs
@@ -0,0 +1,445 @@
+//! Hosts, keepers and a faulty network under a simulated clock.
+
+use chicoryladder_policy::limits::{
+    FleetKeeper, KeeperAction, KeeperEpoch, KeeperTimes, LimitAdmission, LimiterAction, RateLimit,
+    SplitLimit, StockGrant, StockHolder, StockRecall, StockRequest, StockSession, TeamLimiter,
+    TokenKeeper, TokenPool, WaiterKey,
+};
+use chicoryladder_types::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::{Duration, Instant};
+
+const TICK: Duration = Duration::from_millis(2);
+
+/// What goes wrong in a run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Faults {
+    pub(crate) loss_percent: u32,
+    pub(crate) duplicate_percent: u32,
+    pub(crate) max_delay: Duration,
+}
+
+impl Faults {
+    pub(crate) const NONE: Self = Self {
+        loss_percent: 0,
+        duplicate_percent: 0,
+        max_delay: Duration::from_micros(1_500),
+    };
+}
+
+#[derive(Clone, Debug)]
+enum SimMessage {
+    Request(StockRequest),
+    Grant(StockGrant),
+    Recall(StockRecall),
+}
+
+#[derive(Clone, Debug)]
+enum SimEvent {
+    Arrival(usize),
+    Deliver(SimMessage),
+    Tick,
+}
+
+struct SimHost {
+    name: HostName,
+    zone: usize,
+    limiter: TeamLimiter,
+    waiting: BTreeMap<WaiterKey, usize>,
+}
+
+/// What became of one arrival, in order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    Open,
+    Admitted {
+        after: Duration,
+    },
+    Refused {
+        after: Duration,
+        retry_after: Duration,
+    },
+}
+
+pub(crate) struct Fleet {
+    pub(crate) limit: RateLimit,
+    pub(crate) admitted: Vec<Duration>,
+    pub(crate) arrivals: Vec<Duration>,
+    pub(crate) outcomes: Vec<Outcome>,
+    pub(crate) messages: u64,
+    faults: Faults,
+    rng: ChaCha8Rng,
+    base: Instant,
+    now: Duration,
+    patience: Duration,
+    hosts: Vec<SimHost>,
+    keeper: Option<FleetKeeper>,
+    zone_keepers: Vec<Option<TokenKeeper>>,
+    zones: Vec<ZoneName>,
+    split: SplitLimit,
+    epoch: u64,
+    cut_zone: Option<usize>,
+    queue: BinaryHeap<Reverse<(Duration, u64)>>,
+    events: BTreeMap<u64, SimEvent>,
+    next_event: u64,
+}
+
+impl Fleet {
+    pub(crate) fn new(hosts: usize, limit: RateLimit, faults: Faults, seed: u64) -> Self {
+        let base = Instant::now();
+        let team = team();
+        let zones: Vec<ZoneName> = ["a", "b", "c"].map(zone).to_vec();
+        let split = SplitLimit::new(limit, 3, 10);
+        let sim_host = |index: usize| {
+            let name = host(index);
+            let own_zone = split.zone.map(|_| zones[index % 3].clone());
+            SimHost {
+                limiter: TeamLimiter::new(&team, &name, own_zone, limit, StockSession(1)),
+                name,
+                zone: index % 3,
+                waiting: BTreeMap::new(),
+            }
+        };
+        let mut fleet = Self {
+            limit,
+            admitted: Vec::new(),
+            arrivals: Vec::new(),
+            outcomes: Vec::new(),
+            messages: 0,
+            faults,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            base,
+            now: Duration::ZERO,
+            patience: Duration::from_millis(50),
+            hosts: (0..hosts).map(sim_host).collect(),
+            keeper: None,
+            zone_keepers: vec![None, None, None],
+            zones,
+            split,
+            epoch: 0,
+            cut_zone: None,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            next_event: 0,
+        };
+        fleet.replace_keepers();
+        fleet.push(TICK, SimEvent::Tick);
+        fleet
+    }
+
+    pub(crate) fn set_patience(&mut self, patience: Duration) {
+        self.patience = patience;
+    }
+
+    /// Cuts one zone off from the others, or joins it again.
+    pub(crate) fn cut(&mut self, zone: Option<usize>) {
+        self.cut_zone = zone;
+    }
+
+    /// All keepers are lost and replaced in the next epoch.
+    pub(crate) fn replace_keepers(&mut self) {
+        self.epoch += 1;
+        let times = KeeperTimes::default();
+        let since = self.instant();
+        let epoch = KeeperEpoch(self.epoch);
+        let keeper = |pool, limit| TokenKeeper::new(team(), pool, epoch, limit, times, since);
+        let split = self.split;
+        let session = StockSession(self.epoch * 1_000_000);
+        let keeper_host = host(0);
+        self.keeper = Some(FleetKeeper::new(
+            keeper(TokenPool::Fleet, split.fleet),
+            &team(),
+            &keeper_host,
+            &self.zones,
+            split.zone,
+            session,
+        ));
+        for (index, zone) in self.zones.iter().enumerate() {
+            let pool = TokenPool::Zone(zone.clone());
+            self.zone_keepers[index] = split.zone.map(|limit| keeper(pool, limit));
+        }
+    }
+
+    /// The fleet keeper is lost and not replaced.
+    pub(crate) fn lose_fleet_keeper(&mut self) {
+        self.keeper = None;
+    }
+
+    pub(crate) fn arrive(&mut self, at: Duration, host: usize) {
+        self.push(at, SimEvent::Arrival(host));
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
+    pub(crate) fn run_until(&mut self, end: Duration) {
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            let event = self.events.remove(&id).expect("queued once");
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    /// The invariant of every bucket.
+    pub(crate) fn buckets_within_burst(&self) -> bool {
+        let within =
+            |keeper: &TokenKeeper| keeper.committed().whole_tokens() <= keeper.limit().burst();
+        let fleet = self.keeper.iter().map(FleetKeeper::keeper);
+        fleet.chain(self.zone_keepers.iter().flatten()).all(within)
+    }
+
+    fn instant(&self) -> Instant {
+        self.base + self.now
+    }
+
+    fn push(&mut self, at: Duration, event: SimEvent) {
+        self.next_event += 1;
+        self.queue.push(Reverse((at, self.next_event)));
+        self.events.insert(self.next_event, event);
+    }
+
+    fn handle(&mut self, event: SimEvent) {
+        match event {
+            SimEvent::Arrival(host) => self.handle_arrival(host),
+            SimEvent::Deliver(message) => self.handle_message(message),
+            SimEvent::Tick => {
+                self.push(self.now + TICK, SimEvent::Tick);
+                for host in 0..self.hosts.len() {
+                    self.poll_host(host);
+                }
+                self.poll_keepers();
+            }
+        }
+    }
+
+    fn handle_arrival(&mut self, host: usize) {
+        let now = self.instant();
+        let arrival = self.arrivals.len();
+        self.arrivals.push(self.now);
+        self.outcomes.push(Outcome::Open);
+        match self.hosts[host].limiter.admit(now + self.patience, now) {
+            LimitAdmission::Admitted => self.admitted(arrival),
+            LimitAdmission::Waiting(key) => {
+                self.hosts[host].waiting.insert(key, arrival);
+            }
+            LimitAdmission::Refused { retry_after } => self.refused(arrival, retry_after),
+        }
+        self.poll_host(host);
+    }
+
+    fn admitted(&mut self, arrival: usize) {
+        let after = self.now.saturating_sub(self.arrivals[arrival]);
+        self.outcomes[arrival] = Outcome::Admitted { after };
+        self.admitted.push(self.now);
+    }
+
+    fn refused(&mut self, arrival: usize, retry_after: Duration) {
+        let after = self.now.saturating_sub(self.arrivals[arrival]);
+        self.outcomes[arrival] = Outcome::Refused { after, retry_after };
+    }
+
+    fn poll_host(&mut self, host: usize) {
+        let now = self.instant();
+        for action in self.hosts[host].limiter.poll(now) {
+            match action {
+                LimiterAction::Admit(key) => {
+                    let arrival = self.hosts[host].waiting.remove(&key).expect("waits once");
+                    self.admitted(arrival);
+                }
+                LimiterAction::Refuse {
+                    waiter,
+                    retry_after,
+                } => {
+                    let arrival = self.hosts[host].waiting.remove(&waiter);
+                    self.refused(arrival.expect("waits once"), retry_after);
+                }
+                LimiterAction::Send(request) => self.send(&SimMessage::Request(request)),
+            }
+        }
+    }
+
+    fn poll_keepers(&mut self) {
+        let now = self.instant();
+        let fleet = self.keeper.as_mut().map(|keeper| keeper.poll(now));
+        self.dispatch(fleet.unwrap_or_default());
+        for zone in 0..self.zone_keepers.len() {
+            let actions = self.zone_keepers[zone]
+                .as_mut()
+                .map(|keeper| keeper.poll(now));
+            self.dispatch(actions.unwrap_or_default());
+        }
+    }
+
+    fn dispatch(&mut self, actions: Vec<KeeperAction>) {
+        for action in actions {
+            match action {
+                KeeperAction::Grant(grant) => self.send(&SimMessage::Grant(grant)),
+                KeeperAction::Recall(recall) => self.send(&SimMessage::Recall(recall)),
+                KeeperAction::Ask(request) => self.send(&SimMessage::Request(request)),
+            }
+        }
+    }
+
+    fn send(&mut self, message: &SimMessage) {
+        self.messages += 1;
+        let (pool, holder) = match message {
+            SimMessage::Request(m) => (&m.pool, &m.holder),
+            SimMessage::Grant(m) => (&m.pool, &m.holder),
+            SimMessage::Recall(m) => (&m.pool, &m.holder),
+        };
+        let holder_zone = self.host_index(holder) % 3;
+        let keeper_zone = match pool {
+            TokenPool::Fleet => 0,
+            TokenPool::Zone(zone) => self.zone_index(zone),
+        };
+        let crosses = holder_zone != keeper_zone;
+        let cut = [holder_zone, keeper_zone]
+            .map(Some)
+            .contains(&self.cut_zone);
+        if crosses && cut {
+            return;
+        }
+        let copies = if self.percent(self.faults.duplicate_percent) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            if !self.percent(self.faults.loss_percent) {
+                let delay = self.delay(crosses);
+                self.push(self.now + delay, SimEvent::Deliver(message.clone()));
+            }
+        }
+    }
+
+    fn delay(&mut self, crosses: bool) -> Duration {
+        if self.faults.max_delay > Duration::from_millis(2) {
+            return self
+                .rng
+                .random_range(Duration::ZERO..=self.faults.max_delay);
+        }
+        Duration::from_micros(if crosses { 1_500 } else { 200 })
+    }
+
+    fn percent(&mut self, percent: u32) -> bool {
+        percent > 0 && self.rng.random_range(0..100) < percent
+    }
+
+    fn handle_message(&mut self, message: SimMessage) {
+        let now = self.instant();
+        match message {
+            SimMessage::Request(request) => {
+                let actions = self.keeper_request(&request, now);
+                self.dispatch(actions);
+            }
+            SimMessage::Grant(grant) => self.deliver_grant(&grant, now),
+            SimMessage::Recall(recall) => {
+                let host = self.host_index(&recall.holder);
+                if matches!(recall.holder, StockHolder::Admission(_)) {
+                    self.hosts[host].limiter.handle_recall(&recall, now);
+                    self.poll_host(host);
+                }
+            }
+        }
+    }
+
+    fn keeper_request(&mut self, request: &StockRequest, now: Instant) -> Vec<KeeperAction> {
+        let actions = match &request.pool {
+            TokenPool::Fleet => {
+                let keeper = self.keeper.as_mut();
+                keeper.map(|keeper| keeper.handle_request(request, now))
+            }
+            TokenPool::Zone(zone) => {
+                let zone = self.zone_index(zone);
+                let keeper = self.zone_keepers[zone].as_mut();
+                keeper.map(|keeper| keeper.handle_request(request, now))
+            }
+        };
+        actions.unwrap_or_default()
+    }
+
+    fn deliver_grant(&mut self, grant: &StockGrant, now: Instant) {
+        match &grant.holder {
+            StockHolder::Admission(_) => {
+                let host = self.host_index(&grant.holder);
+                self.hosts[host].limiter.handle_grant(grant, now);
+                self.poll_host(host);
+            }
+            StockHolder::Borrower(_) => {
+                let keeper = self.keeper.as_mut();
+                let actions = keeper.map(|keeper| keeper.handle_grant(grant, now));
+                self.dispatch(actions.unwrap_or_default());
+            }
+        }
+    }
+
+    fn host_index(&self, holder: &StockHolder) -> usize {
+        let host = self
+            .hosts
+            .iter()
+            .position(|host| host.name == *holder.host());
+        host.expect("known host")
+    }
+
+    fn zone_index(&self, zone: &ZoneName) -> usize {
+        self.zones
+            .iter()
+            .position(|z| z == zone)
+            .expect("known zone")
+    }
+
+    /// The hosts of one zone.
+    pub(crate) fn hosts_of(&self, zone: usize) -> Vec<usize> {
+        let hosts = self.hosts.iter().enumerate();
+        let hosts = hosts.filter(|(_, host)| host.zone == zone);
+        hosts.map(|(index, _)| index).collect()
+    }
+}
+
+pub(crate) fn team() -> TeamName {
+    TeamName::try_from("park").expect("valid")
+}
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).expect("valid")
+}
+
+pub(crate) fn host(index: usize) -> HostName {
+    HostName::try_from(format!("host-{index}")).expect("valid")
+}
+
+/// Poisson arrivals at `rate` a second, spread over hosts by `weights`.
+pub(crate) fn poisson(
+    seed: u64,
+    rate: f64,
+    span: Duration,
+    weights: &[u32],
+) -> Vec<(Duration, usize)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let total: u32 = weights.iter().sum();
+    let mut arrivals = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        let draw: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        at += Duration::from_secs_f64(-draw.ln() / rate);
+        if at >= span {
+            return arrivals;
+        }
+        let mut pick = rng.random_range(0..total);
+        let host = weights.iter().position(|weight| {
+            let chosen = pick < *weight;
+            pick = pick.saturating_sub(*weight);
+            chosen
+        });
+        arrivals.push((at, host.expect("pick is below the total")));
+    }
+}
