Read host settings and fleet documents from INI

Cause: hosts and operators need checked settings, with every fault told at once and misspelt keys refused. Ruled out: one pass of rust-ini over the whole text, since it keeps no line numbers, stops at the first fault and lets a key without '=' swallow the next line; a grammar of our own, since the library's is enough. Change: the library parses each line alone; sections are read into checked types while faults are collected into one miette report with file, line and remedy. The fleet document prints back to a canonical text and is compared by section and key. Example settings of three hosts in three zones and one fleet document are parsed by a test.

--- /dev/null
+++ b/crates/settings/src/fleet/diff.rs
@@ -0,0 +1,103 @@
+//! Compares two fleet documents.
+
+use super::FleetDocument;
+use super::print::SectionEntries;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// One difference between two fleet documents.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "change", rename_all = "snake_case")]
+pub enum DocumentChange {
+    /// A section stands only in the newer document.
+    Added {
+        /// The header of the section.
+        section: String,
+    },
+    /// A section stands only in the older document.
+    Removed {
+        /// The header of the section.
+        section: String,
+    },
+    /// A key of a section has another value.
+    Changed {
+        /// The header of the section.
+        section: String,
+        /// The key.
+        key: String,
+        /// The older value; absent if the key is new.
+        before: Option<String>,
+        /// The newer value; absent if the key is gone.
+        after: Option<String>,
+    },
+}
+
+impl fmt::Display for DocumentChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let unset = "(unset)";
+        match self {
+            Self::Added { section } => write!(f, "+ [{section}]"),
+            Self::Removed { section } => write!(f, "- [{section}]"),
+            Self::Changed {
+                section,
+                key,
+                before,
+                after,
+            } => {
+                let before = before.as_deref().unwrap_or(unset);
+                let after = after.as_deref().unwrap_or(unset);
+                write!(f, "~ [{section}] {key}: {before} -> {after}")
+            }
+        }
+    }
+}
+
+impl FleetDocument {
+    /// What changes when `newer` takes the place of this document, by section.
+    #[must_use]
+    pub fn diff(&self, newer: &Self) -> Vec<DocumentChange> {
+        let older_sections = self.printed_sections();
+        let newer_sections = newer.printed_sections();
+        let mut changes = Vec::new();
+        for (section, entries) in &older_sections {
+            match newer_sections.get(section) {
+                Some(others) => compare_entries(section, entries, others, &mut changes),
+                None => changes.push(DocumentChange::Removed {
+                    section: section.clone(),
+                }),
+            }
+        }
+        for section in newer_sections.keys() {
+            if !older_sections.contains_key(section) {
+                changes.push(DocumentChange::Added {
+                    section: section.clone(),
+                });
+            }
+        }
+        changes
+    }
+}
+
+fn compare_entries(
+    section: &str,
+    older: &SectionEntries,
+    newer: &SectionEntries,
+    changes: &mut Vec<DocumentChange>,
+) {
+    let before: BTreeMap<&str, &String> = older.iter().map(|(k, v)| (*k, v)).collect();
+    let after: BTreeMap<&str, &String> = newer.iter().map(|(k, v)| (*k, v)).collect();
+    let mut keys: Vec<&str> = before.keys().chain(after.keys()).copied().collect();
+    keys.sort_unstable();
+    keys.dedup();
+    for key in keys {
+        if before.get(key) != after.get(key) {
+            changes.push(DocumentChange::Changed {
+                section: section.to_owned(),
+                key: key.to_owned(),
+                before: before.get(key).copied().cloned(),
+                after: after.get(key).copied().cloned(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/host.rs
@@ -0,0 +1,149 @@
+//! The settings of one entry host.
+
+mod read;
+
+use crate::fault::SettingsError;
+use chicoryladder_types::prelude::*;
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Identifies a voter's place in the replicated groups.
+///
+/// A replaced disk comes back under a new seat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct SeatId(pub u64);
+
+impl fmt::Display for SeatId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// The settings of one entry host, read from its INI file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostSettings {
+    /// Section `[host]`.
+    pub host: HostIdentity,
+    /// Section `[listen]`.
+    pub listen: ListenAddresses,
+    /// Section `[peers]`.
+    pub peers: PeerSettings,
+    /// Section `[voters]`: the peer addresses of the initial voters.
+    pub voters: BTreeMap<SeatId, SocketAddr>,
+    /// Section `[data]`; absent on a host without a disk.
+    pub data: Option<DataSettings>,
+    /// Section `[operators]`.
+    pub operators: OperatorSettings,
+    /// Section `[callers]`.
+    pub callers: CallerLimits,
+    /// Section `[shutdown]`.
+    pub shutdown: ShutdownSettings,
+    /// Section `[keys]`.
+    pub keys: KeySettings,
+}
+
+impl HostSettings {
+    /// Reads the settings file; its relative paths start from its own folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, or with every fault of its text.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let unreadable = |cause| SettingsError::Unreadable {
+            path: path.to_owned(),
+            cause,
+        };
+        let text = std::fs::read_to_string(path).map_err(unreadable)?;
+        let name = path.display().to_string();
+        let mut settings = Self::parse(&name, &text)?;
+        settings.resolve_paths(path.parent().unwrap_or(Path::new("")));
+        Ok(settings)
+    }
+
+    fn resolve_paths(&mut self, folder: &Path) {
+        let resolve = |path: &mut PathBuf| *path = folder.join(&path);
+        resolve(&mut self.peers.secret_file);
+        resolve(&mut self.operators.token_file);
+        if let Some(data) = &mut self.data {
+            resolve(&mut data.folder);
+        }
+    }
+}
+
+/// Who the host is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostIdentity {
+    /// The name of the host, unique in the fleet.
+    pub name: HostName,
+    /// The availability zone that the host stands in.
+    pub zone: ZoneName,
+    /// The least severe level that is logged.
+    pub log_level: log::LevelFilter,
+}
+
+/// The addresses that the host listens on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListenAddresses {
+    /// For callers and the platform's balancer.
+    pub callers: SocketAddr,
+    /// For backend servers.
+    pub servers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other entry hosts.
+    pub peers: SocketAddr,
+}
+
+/// How the host finds and authenticates other entry hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSettings {
+    /// The file with the secret that all entry hosts share.
+    pub secret_file: PathBuf,
+    /// Peer addresses to contact first; other hosts are learnt from them.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Where a host with a disk keeps its state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DataSettings {
+    /// The folder that holds all files.
+    pub folder: PathBuf,
+    /// The voter seat of this disk.
+    pub seat: SeatId,
+}
+
+/// How operators authenticate.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorSettings {
+    /// The file with the operators' bearer token.
+    pub token_file: PathBuf,
+}
+
+/// Bounds on what one caller's request may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// The largest request body, in bytes.
+    pub body_max_bytes: u64,
+    /// The largest header section, in bytes.
+    pub header_max_bytes: u64,
+    /// The time within which the whole body must arrive.
+    pub body_timeout: Duration,
+}
+
+/// How the host shuts down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ShutdownSettings {
+    /// The time that accepted requests are given to end.
+    pub drain_timeout: Duration,
+}
+
+/// How long a view of the keys is trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeySettings {
+    /// The time after the last word from the leader during which keyed
+    /// requests are served.
+    pub lease: Duration,
+}
--- /dev/null
+++ b/crates/settings/src/host/read.rs
@@ -0,0 +1,243 @@
+//! Reads host settings from their text.
+
+use super::{
+    CallerLimits, DataSettings, HostIdentity, HostSettings, KeySettings, ListenAddresses,
+    OperatorSettings, PeerSettings, SeatId, ShutdownSettings,
+};
+use crate::fault::{SettingsFault, SettingsReport};
+use crate::ini::{IniSection, SectionReader, TextPlace, split_sections};
+use crate::value::{MillisValue, SettingValue, ValueList, WholeNumber};
+use miette::SourceSpan;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const BODY_MAX_BYTES: u64 = 64 * 1024 * 1024;
+const HEADER_MAX_BYTES: u64 = 32 * 1024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+const KEY_LEASE: Duration = Duration::from_secs(5);
+
+/// The smallest and largest values that a byte limit may have.
+type ByteLimit = WholeNumber<1024, { 1 << 40 }>;
+
+type SeatNumber = WholeNumber<1, { u64::MAX }>;
+
+const SECTIONS: &[&str] = &[
+    "host",
+    "listen",
+    "peers",
+    "voters",
+    "data",
+    "operators",
+    "callers",
+    "shutdown",
+    "keys",
+];
+
+impl HostSettings {
+    /// Reads settings from `text`; `name` stands for it in reports.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of the text.
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsReport> {
+        let mut faults = Vec::new();
+        let sections = split_sections(text, &mut faults);
+        report_unknown_sections(&sections, &mut faults);
+        let mut reader = HostReader {
+            sections: &sections,
+            faults: &mut faults,
+        };
+        let settings = reader.settings();
+        match settings {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(SettingsReport::new(name, text, faults)),
+        }
+    }
+}
+
+fn report_unknown_sections(sections: &[IniSection], faults: &mut Vec<SettingsFault>) {
+    for section in sections {
+        if !SECTIONS.contains(&section.header.as_str()) {
+            let problem = format!("there is no section [{}]", section.header);
+            let remedy = format!("known sections are: {}", SECTIONS.join(", "));
+            faults.push(section.place.fault(problem, remedy));
+        }
+    }
+}
+
+struct HostReader<'a> {
+    sections: &'a [IniSection],
+    faults: &'a mut Vec<SettingsFault>,
+}
+
+impl HostReader<'_> {
+    fn settings(&mut self) -> Option<HostSettings> {
+        // Every section is read before the first absent one ends the function,
+        // so that the report is complete.
+        let host = self.host();
+        let listen = self.listen();
+        let peers = self.peers();
+        let voters = self.voters();
+        let data = self.data();
+        let operators = self.operators();
+        let callers = self.callers();
+        let shutdown = self.shutdown();
+        let keys = self.keys();
+        Some(HostSettings {
+            host: host?,
+            listen: listen?,
+            peers: peers?,
+            voters: voters?,
+            data,
+            operators: operators?,
+            callers,
+            shutdown,
+            keys,
+        })
+    }
+
+    fn optional_section(&mut self, header: &str) -> Option<SectionReader<'_>> {
+        let section = self.sections.iter().find(|s| s.header == header)?;
+        Some(SectionReader::new(section, self.faults))
+    }
+
+    fn required_section(&mut self, header: &str) -> Option<SectionReader<'_>> {
+        if !self.sections.iter().any(|s| s.header == header) {
+            let start = TextPlace {
+                line: 1,
+                span: SourceSpan::from((0, 0)),
+            };
+            let problem = format!("the section [{header}] is absent");
+            self.faults
+                .push(start.fault(problem, format!("add a section `[{header}]`")));
+        }
+        self.optional_section(header)
+    }
+
+    fn host(&mut self) -> Option<HostIdentity> {
+        let mut section = self.required_section("host")?;
+        let name = section.required("name");
+        let zone = section.required("zone");
+        let log_level = section.or_default("log_level", log::LevelFilter::Info);
+        section.finish();
+        Some(HostIdentity {
+            name: name?,
+            zone: zone?,
+            log_level,
+        })
+    }
+
+    fn listen(&mut self) -> Option<ListenAddresses> {
+        let mut section = self.required_section("listen")?;
+        let callers = section.required("callers");
+        let servers = section.required("servers");
+        let operators = section.required("operators");
+        let peers = section.required("peers");
+        section.finish();
+        Some(ListenAddresses {
+            callers: callers?,
+            servers: servers?,
+            operators: operators?,
+            peers: peers?,
+        })
+    }
+
+    fn peers(&mut self) -> Option<PeerSettings> {
+        let mut section = self.required_section("peers")?;
+        let secret_file = section.required("secret_file");
+        let seeds = section.optional::<ValueList<SocketAddr>>("seeds");
+        section.finish();
+        Some(PeerSettings {
+            secret_file: secret_file?,
+            seeds: seeds.map(|list| list.0).unwrap_or_default(),
+        })
+    }
+
+    fn voters(&mut self) -> Option<BTreeMap<SeatId, SocketAddr>> {
+        let section = self.required_section("voters")?;
+        let place = section.place();
+        let mut voters = BTreeMap::new();
+        let entries = self.sections.iter().find(|s| s.header == "voters")?;
+        for entry in &entries.entries {
+            let seat = SeatNumber::parse(&entry.key);
+            let address = SocketAddr::parse(&entry.value);
+            match (seat, address) {
+                (Ok(seat), Ok(address)) => {
+                    voters.insert(SeatId(seat.0), address);
+                }
+                (Err(problem), _) | (_, Err(problem)) => {
+                    let remedy = "write `SEAT = IP:PORT`, such as `1 = 10.0.0.1:7104`";
+                    self.faults.push(entry.place.fault(problem, remedy));
+                }
+            }
+        }
+        if entries.entries.is_empty() {
+            let remedy = "add the initial voters, `SEAT = IP:PORT` each";
+            self.faults.push(place.fault("there is no voter", remedy));
+        }
+        Some(voters)
+    }
+
+    /// The seat need not be an initial voter: a replaced disk joins later.
+    fn data(&mut self) -> Option<DataSettings> {
+        let mut section = self.optional_section("data")?;
+        let folder = section.required("folder");
+        let seat = section.required::<SeatNumber>("seat");
+        section.finish();
+        Some(DataSettings {
+            folder: folder?,
+            seat: SeatId(seat?.0),
+        })
+    }
+
+    fn operators(&mut self) -> Option<OperatorSettings> {
+        let mut section = self.required_section("operators")?;
+        let token_file = section.required("token_file");
+        section.finish();
+        Some(OperatorSettings {
+            token_file: token_file?,
+        })
+    }
+
+    fn callers(&mut self) -> CallerLimits {
+        let mut limits = CallerLimits {
+            body_max_bytes: BODY_MAX_BYTES,
+            header_max_bytes: HEADER_MAX_BYTES,
+            body_timeout: BODY_TIMEOUT,
+        };
+        if let Some(mut section) = self.optional_section("callers") {
+            let body =
+                section.or_default::<ByteLimit>("body_max_bytes", WholeNumber(BODY_MAX_BYTES));
+            let header =
+                section.or_default::<ByteLimit>("header_max_bytes", WholeNumber(HEADER_MAX_BYTES));
+            let timeout = section.or_default("body_timeout_ms", MillisValue(BODY_TIMEOUT));
+            limits.body_max_bytes = body.0;
+            limits.header_max_bytes = header.0;
+            limits.body_timeout = timeout.0;
+            section.finish();
+        }
+        limits
+    }
+
+    fn shutdown(&mut self) -> ShutdownSettings {
+        let mut drain_timeout = DRAIN_TIMEOUT;
+        if let Some(mut section) = self.optional_section("shutdown") {
+            drain_timeout = section
+                .or_default("drain_timeout_ms", MillisValue(DRAIN_TIMEOUT))
+                .0;
+            section.finish();
+        }
+        ShutdownSettings { drain_timeout }
+    }
+
+    fn keys(&mut self) -> KeySettings {
+        let mut lease = KEY_LEASE;
+        if let Some(mut section) = self.optional_section("keys") {
+            lease = section.or_default("lease_ms", MillisValue(KEY_LEASE)).0;
+            section.finish();
+        }
+        KeySettings { lease }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/ini.rs
@@ -0,0 +1,156 @@
+//! INI sections and entries with their places in the text.
+//!
+//! The grammar is that of `rust-ini` without escapes, quotes and continued
+//! lines. The library keeps no line numbers and stops at the first fault, so
+//! each line is given to it alone.
+
+mod section;
+
+pub(crate) use section::SectionReader;
+
+use crate::fault::SettingsFault;
+use ini::{Ini, ParseOption};
+use miette::SourceSpan;
+
+/// A place in the text.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TextPlace {
+    /// The line, counted from 1.
+    pub(crate) line: usize,
+    /// The bytes of the line without its surrounding white space.
+    pub(crate) span: SourceSpan,
+}
+
+impl TextPlace {
+    pub(crate) fn fault(
+        self,
+        problem: impl Into<String>,
+        remedy: impl Into<String>,
+    ) -> SettingsFault {
+        SettingsFault {
+            line: self.line,
+            problem: problem.into(),
+            remedy: remedy.into(),
+            span: self.span,
+        }
+    }
+}
+
+/// One `key = value`.
+#[derive(Clone, Debug)]
+pub(crate) struct IniEntry {
+    pub(crate) key: String,
+    pub(crate) value: String,
+    pub(crate) place: TextPlace,
+}
+
+/// One `[header]` with its entries.
+#[derive(Clone, Debug)]
+pub(crate) struct IniSection {
+    pub(crate) header: String,
+    pub(crate) place: TextPlace,
+    pub(crate) entries: Vec<IniEntry>,
+}
+
+enum IniLine {
+    Blank,
+    Header(String),
+    Entry(String, String),
+}
+
+/// Splits `text` into sections; faulty lines are added to `faults`.
+pub(crate) fn split_sections(text: &str, faults: &mut Vec<SettingsFault>) -> Vec<IniSection> {
+    let mut sections: Vec<IniSection> = Vec::new();
+    for (place, line) in numbered_lines(text) {
+        match parse_line(line) {
+            Some(IniLine::Blank) => {}
+            Some(IniLine::Header(header)) => {
+                check_repeated(&sections, &header, place, faults);
+                sections.push(IniSection {
+                    header,
+                    place,
+                    entries: Vec::new(),
+                });
+            }
+            Some(IniLine::Entry(key, value)) => {
+                let entry = IniEntry { key, value, place };
+                add_entry(&mut sections, entry, faults);
+            }
+            None => faults.push(place.fault(
+                "this is neither a section, an entry nor a comment",
+                "write `[section]`, `key = value` or `# comment`",
+            )),
+        }
+    }
+    sections
+}
+
+fn numbered_lines(text: &str) -> impl Iterator<Item = (TextPlace, &str)> {
+    let mut offset = 0;
+    text.split_inclusive('\n')
+        .enumerate()
+        .map(move |(index, raw)| {
+            let line = raw.trim();
+            let indent = raw.len() - raw.trim_start().len();
+            let start = if line.is_empty() { 0 } else { indent };
+            let span = SourceSpan::from((offset + start, line.len()));
+            offset += raw.len();
+            let line_number = index + 1;
+            (
+                TextPlace {
+                    line: line_number,
+                    span,
+                },
+                line,
+            )
+        })
+}
+
+fn parse_line(line: &str) -> Option<IniLine> {
+    let options = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        enabled_indented_mutiline_value: false,
+        enabled_preserve_key_leading_whitespace: false,
+    };
+    let parsed = Ini::load_from_str_opt(line, options).ok()?;
+    let header = parsed.sections().flatten().next().map(str::to_owned);
+    let entry = parsed.general_section().iter().next();
+    match (header, entry) {
+        (None, None) => Some(IniLine::Blank),
+        (Some(header), None) if line.ends_with(']') => Some(IniLine::Header(header)),
+        (None, Some((key, value))) => Some(IniLine::Entry(key.to_owned(), value.to_owned())),
+        _ => None,
+    }
+}
+
+fn check_repeated(
+    sections: &[IniSection],
+    header: &str,
+    place: TextPlace,
+    faults: &mut Vec<SettingsFault>,
+) {
+    if let Some(first) = sections.iter().find(|section| section.header == header) {
+        let line = first.place.line;
+        faults.push(place.fault(
+            format!("section [{header}] stands already on line {line}"),
+            "join the two sections into one",
+        ));
+    }
+}
+
+fn add_entry(sections: &mut [IniSection], entry: IniEntry, faults: &mut Vec<SettingsFault>) {
+    let Some(section) = sections.last_mut() else {
+        let problem = format!("key `{}` stands before the first section", entry.key);
+        faults.push(entry.place.fault(problem, "put it under a `[section]`"));
+        return;
+    };
+    let first = section.entries.iter().find(|known| known.key == entry.key);
+    if let Some(first) = first {
+        let line = first.place.line;
+        let problem = format!("key `{}` is set already on line {line}", entry.key);
+        faults.push(entry.place.fault(problem, "keep one of the two"));
+        return;
+    }
+    section.entries.push(entry);
+}
