Hold the fleet document and the callers' keys in a replicated machine

Cause: an accepted configuration must never revert, racing operators need one winner, resends need their first answer, and a withdrawn key must stay so. Ruled out: drawing salts or ids while applying, since hosts would differ; storing the key for resends, since then a disk would hold callers' keys; keeping heard withdrawals in the replicated state, since hosts hear them at different times. Change: FleetMachine applies documents under an expected revision, grants and withdrawals. A key's secret is derived from the hosts' shared secret and a logged salt, so a resent grant shows the same key; only its salted BLAKE3 hash is logged. Withdrawals heard early are a grow-only set that takes effect in the view.

--- /dev/null
+++ b/crates/state/src/history.rs
@@ -0,0 +1,81 @@
+//! Outcomes remembered for resent operations.
+
+use crate::command::{FleetCommand, FleetOutcome};
+use chicoryladder_types::OperationId;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Outcomes that are remembered; the oldest goes first.
+const OUTCOMES_MAX: usize = 4096;
+
+/// Identifies what an operation asked for, without what a host drew at random.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ContentHash([u8; 32]);
+
+impl ContentHash {
+    fn of(command: &FleetCommand) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        match command {
+            FleetCommand::ApplyDocument(command) => {
+                hasher.update(b"document");
+                hasher.update(&command.expected_revision.0.to_le_bytes());
+                hasher.update(command.text.as_bytes());
+            }
+            FleetCommand::GrantKey(command) => {
+                hasher.update(b"grant");
+                hasher.update(command.team.as_str().as_bytes());
+            }
+            FleetCommand::WithdrawKey(command) => {
+                hasher.update(b"withdraw");
+                hasher.update(&command.key_id.bits().to_le_bytes());
+            }
+        }
+        Self(*hasher.finalize().as_bytes())
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RecordedOutcome {
+    content: ContentHash,
+    outcome: FleetOutcome,
+}
+
+/// The first outcome of each recent operation, by operation id.
+///
+/// Part of the replicated state and of its snapshots, so a resend gets the
+/// first answer on any host, also after a leader change or a restart.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OutcomeHistory {
+    outcomes: BTreeMap<OperationId, RecordedOutcome>,
+    order: VecDeque<OperationId>,
+}
+
+impl OutcomeHistory {
+    /// The first outcome of an operation that came before.
+    pub(crate) fn recall(&self, command: &FleetCommand) -> Option<FleetOutcome> {
+        let recorded = self.outcomes.get(command.operation_id()?)?;
+        if recorded.content == ContentHash::of(command) {
+            Some(recorded.outcome.clone())
+        } else {
+            Some(FleetOutcome::OperationReused)
+        }
+    }
+
+    /// Remembers the first outcome of an operation.
+    pub(crate) fn record(&mut self, command: &FleetCommand, outcome: &FleetOutcome) {
+        let Some(id) = command.operation_id() else {
+            return;
+        };
+        let recorded = RecordedOutcome {
+            content: ContentHash::of(command),
+            outcome: outcome.clone(),
+        };
+        self.outcomes.insert(id.clone(), recorded);
+        self.order.push_back(id.clone());
+        if self.order.len() > OUTCOMES_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.outcomes.remove(&oldest);
+        }
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,1 +1,23 @@
-//! Replicated aggregates: configuration, keys and orders.
+//! Replicated aggregates: the fleet document and the callers' keys.
+//!
+//! [`FleetMachine`] turns the committed commands of group 0 into state. It
+//! reads no clock and draws no random number: salts, key ids and operation ids
+//! come within the command, so every host that applies the same log holds the
+//! same state, byte for byte. Requests are served from a [`FleetView`], which
+//! is cheap to clone and adds the key withdrawals that this host has heard of
+//! before they were logged.
+
+mod command;
+mod history;
+mod keys;
+mod machine;
+mod tombstones;
+mod view;
+
+pub use command::{
+    ApplyDocument, CommandError, FleetCommand, FleetOutcome, GrantKey, KeyRefusal, WithdrawKey,
+};
+pub use keys::{KeyError, KeyGrant, KeyId, KeyRecord, KeySalt, KeyState, KeyText, SecretHash};
+pub use machine::{FleetMachine, SnapshotError};
+pub use tombstones::KeyTombstones;
+pub use view::{FleetView, KeyDecision};
--- /dev/null
+++ b/crates/state/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the replicated aggregates.
+
+mod machine;
+mod races;
+mod support;
