--- /dev/null
+++ b/crates/link/src/settings.rs
@@ -0,0 +1,39 @@
+//! What a link needs to know of its host, and its timing.
+
+use chicoryladder_types::prelude::*;
+use std::time::Duration;
+
+/// Identifies the local host to its peers.
+#[derive(Clone, Debug)]
+pub struct LinkIdentity {
+    /// The name of the host.
+    pub host: HostName,
+    /// The availability zone of the host.
+    pub zone: ZoneName,
+    /// Numbers the starts of the process; a later start has a higher number.
+    pub incarnation: u64,
+}
+
+/// Timing of the probes that find silent connections.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkTiming {
+    /// The time between two probes of a peer.
+    pub probe_interval: Duration,
+    /// The time without an answer after which the connection is replaced.
+    pub silence_timeout: Duration,
+    /// The longest time to hand one message to the connection.
+    pub send_timeout: Duration,
+    /// The time without messages after which a connection is closed.
+    pub idle_timeout: Duration,
+}
+
+impl Default for LinkTiming {
+    fn default() -> Self {
+        Self {
+            probe_interval: Duration::from_secs(1),
+            silence_timeout: Duration::from_secs(3),
+            send_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(60),
+        }
+    }
+}
