--- /dev/null
+++ b/crates/gateway/src/operators.rs
@@ -0,0 +1,81 @@
+//! The port towards operators.
+
+use crate::answer::typed_answer;
+use crate::body::AnswerBody;
+use crate::credentials::bearer_key;
+use crate::listener::HttpService;
+use crate::ports::{AdminRequest, OperatorPort};
+use crate::readers::read_body;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response};
+use std::sync::Arc;
+use std::time::Duration;
+use subtle::ConstantTimeEq;
+
+/// The root of the administration API.
+const ADMIN_ROOT: &str = "/admin/v1/";
+
+/// The longest body of an operator's request, in bytes.
+const ADMIN_BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
+
+/// The longest time for an operator's body to arrive.
+const ADMIN_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves the operators' port.
+pub struct OperatorService {
+    /// Serves checked requests.
+    pub port: Arc<dyn OperatorPort>,
+    /// The credential that operators present.
+    pub token: String,
+}
+
+impl HttpService for OperatorService {
+    fn call(
+        &self,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'_, Result<Response<AnswerBody>, RequestRefusal>> {
+        self.route(request).boxed()
+    }
+}
+
+impl OperatorService {
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        self.authenticate(request.headers())?;
+        let path = request.uri().path().to_owned();
+        if path == "/metrics" {
+            let kind = "text/plain; version=0.0.4";
+            return Ok(typed_answer(200, kind, self.port.metrics().into_bytes()));
+        }
+        let Some(below) = path.strip_prefix(ADMIN_ROOT) else {
+            let detail = format!("this port has no path {path}");
+            return Err(RequestRefusal::not_run(RefusalReason::UnknownRoute, detail));
+        };
+        let method = request.method().clone();
+        let body = request.into_body();
+        let body = read_body(body, ADMIN_BODY_MAX_BYTES, ADMIN_BODY_TIMEOUT).await?;
+        let request = AdminRequest {
+            method,
+            path: below.to_owned(),
+            body,
+        };
+        self.port.admin(request).await
+    }
+
+    fn authenticate(&self, fields: &HeaderMap) -> Result<(), RequestRefusal> {
+        let presented = bearer_key(fields).ok_or_else(|| {
+            let detail = "operators present their token as a bearer key";
+            RequestRefusal::not_run(RefusalReason::MissingKey, detail)
+        })?;
+        if presented.as_bytes().ct_eq(self.token.as_bytes()).into() {
+            return Ok(());
+        }
+        let detail = "the operator token is wrong";
+        Err(RequestRefusal::not_run(RefusalReason::UnknownKey, detail))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/servers.rs
@@ -0,0 +1,81 @@
+//! The port towards backend servers.
+
+use crate::answer::json_answer;
+use crate::body::AnswerBody;
+use crate::listener::HttpService;
+use crate::ports::ServerPort;
+use crate::readers::read_body;
+use chicoryladder_types::ServerAnnouncement;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use serde::Serialize;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The longest announcement, in bytes.
+const ANNOUNCEMENT_MAX_BYTES: usize = 64 * 1024;
+
+/// The longest time for an announcement to arrive.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves the backend servers' port.
+pub struct ServerService {
+    /// Takes what the servers tell.
+    pub port: Arc<dyn ServerPort>,
+    /// The time within which a server has to announce itself again.
+    pub renew_within: Duration,
+}
+
+/// Tells a server when to announce itself again.
+#[derive(Serialize)]
+struct AnnounceAnswer {
+    renew_within_ms: u128,
+}
+
+impl HttpService for ServerService {
+    fn call(
+        &self,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'_, Result<Response<AnswerBody>, RequestRefusal>> {
+        self.route(request).boxed()
+    }
+}
+
+impl ServerService {
+    async fn route(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/servers/v1/announce") => self.announce(request).await,
+            (_, "/servers/v1/announce") => Err(RequestRefusal::not_run(
+                RefusalReason::WrongMethod,
+                "this path takes POST",
+            )),
+            (_, path) => Err(RequestRefusal::not_run(
+                RefusalReason::UnknownRoute,
+                format!("this port has no path {path}"),
+            )),
+        }
+    }
+
+    async fn announce(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let body = request.into_body();
+        let body = read_body(body, ANNOUNCEMENT_MAX_BYTES, ANNOUNCEMENT_TIMEOUT).await?;
+        let announcement: ServerAnnouncement = serde_json::from_slice(&body).map_err(|error| {
+            let detail = format!("the announcement is malformed: {error}");
+            RequestRefusal::not_run(RefusalReason::BadRequest, detail)
+        })?;
+        self.port.announce(announcement);
+        let answer = AnnounceAnswer {
+            renew_within_ms: self.renew_within.as_millis(),
+        };
+        Ok(json_answer(200, &answer))
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/stream_end.rs
@@ -0,0 +1,202 @@
+//! Watching an answer until its end.
+//!
+//! A stream that ends without its end marker is an error, never a short
+//! success. HTTP alone cannot tell: a server may close a chunked body cleanly
+//! in mid-answer. So event streams are watched for their last event.
+
+use crate::answer::refusal_json;
+use crate::body::{AnswerBody, BodyError};
+use bytes::Bytes;
+use chicoryladder_types::prelude::*;
+use futures_util::future::BoxFuture;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::time::{Instant, Sleep};
+
+/// The last event of an event stream.
+const END_MARKER: &[u8] = b"data: [DONE]";
+
+/// Bytes at the end of a stream in which the end marker must stand.
+const TAIL_BYTES: usize = END_MARKER.len() + 4;
+
+/// How an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The answer was whole.
+    Whole,
+    /// The server ended the answer early.
+    Truncated,
+    /// The server stopped sending.
+    Silent,
+    /// The system stopped the answer.
+    Stopped,
+    /// The caller left before the end.
+    CallerLeft,
+}
+
+/// What a watched answer has to keep to.
+pub struct StreamTerms {
+    /// Whether the answer has to end with the end marker of event streams.
+    pub needs_marker: bool,
+    /// The longest time between two chunks.
+    pub chunk_timeout: Duration,
+    /// Stops the answer with the refusal that it resolves to.
+    pub stop: BoxFuture<'static, RequestRefusal>,
+    /// Told once how the answer ended.
+    pub on_end: Box<dyn FnOnce(StreamEnd) + Send>,
+}
+
+/// Passes an answer on and watches its end.
+#[must_use]
+pub fn watch_stream(body: Incoming, terms: StreamTerms) -> AnswerBody {
+    let timer = tokio::time::sleep(terms.chunk_timeout);
+    let watched = WatchedBody {
+        body,
+        needs_marker: terms.needs_marker,
+        chunk_timeout: terms.chunk_timeout,
+        stop: terms.stop,
+        on_end: Some(terms.on_end),
+        timer: Box::pin(timer),
+        tail: Vec::new(),
+        state: WatchState::Open,
+    };
+    watched.boxed_unsync()
+}
+
+enum WatchState {
+    Open,
+    Failing(RequestRefusal),
+    Ended,
+}
+
+struct WatchedBody {
+    body: Incoming,
+    needs_marker: bool,
+    chunk_timeout: Duration,
+    stop: BoxFuture<'static, RequestRefusal>,
+    on_end: Option<Box<dyn FnOnce(StreamEnd) + Send>>,
+    timer: Pin<Box<Sleep>>,
+    tail: Vec<u8>,
+    state: WatchState,
+}
+
+type FramePoll = Poll<Option<Result<Frame<Bytes>, BodyError>>>;
+
+impl WatchedBody {
+    fn finish(&mut self, end: StreamEnd) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(end);
+        }
+    }
+
+    /// Tells the caller of the failure as a last event, where the answer is an
+    /// event stream, and then cuts the answer.
+    fn fail(&mut self, end: StreamEnd, refusal: RequestRefusal) -> FramePoll {
+        self.finish(end);
+        if !self.needs_marker {
+            self.state = WatchState::Ended;
+            return Poll::Ready(Some(Err(refusal.into())));
+        }
+        let mut event = b"\n\nevent: error\ndata: ".to_vec();
+        event.extend_from_slice(&refusal_json(&refusal));
+        event.extend_from_slice(b"\n\n");
+        self.state = WatchState::Failing(refusal);
+        Poll::Ready(Some(Ok(Frame::data(event.into()))))
+    }
+
+    fn note_chunk(&mut self, chunk: &[u8]) {
+        let deadline = Instant::now() + self.chunk_timeout;
+        self.timer.as_mut().reset(deadline);
+        let kept = chunk.len().saturating_sub(TAIL_BYTES);
+        self.tail.extend_from_slice(&chunk[kept..]);
+        let excess = self.tail.len().saturating_sub(TAIL_BYTES);
+        self.tail.drain(..excess);
+    }
+
+    fn has_marker(&self) -> bool {
+        self.tail.trim_ascii_end().ends_with(END_MARKER)
+    }
+
+    fn end(&mut self) -> FramePoll {
+        if self.needs_marker && !self.has_marker() {
+            let detail = "the answer ended before its end marker";
+            return self.fail(StreamEnd::Truncated, truncated(detail));
+        }
+        self.state = WatchState::Ended;
+        self.finish(StreamEnd::Whole);
+        Poll::Ready(None)
+    }
+
+    fn poll_open(&mut self, context: &mut Context<'_>) -> FramePoll {
+        if let Poll::Ready(refusal) = self.stop.as_mut().poll(context) {
+            return self.fail(StreamEnd::Stopped, refusal);
+        }
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if let Some(chunk) = frame.data_ref() {
+                    self.note_chunk(chunk);
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                let detail = format!("the answer ended early: {error}");
+                self.fail(StreamEnd::Truncated, truncated(detail))
+            }
+            Poll::Ready(None) => self.end(),
+            Poll::Pending => self.poll_timer(context),
+        }
+    }
+
+    fn poll_timer(&mut self, context: &mut Context<'_>) -> FramePoll {
+        if self.timer.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        let refusal = RequestRefusal::new(
+            RefusalReason::ServerSilent,
+            RunVerdict::MayHaveRun,
+            "the backend server stopped sending",
+        );
+        self.fail(StreamEnd::Silent, refusal)
+    }
+}
+
+fn truncated(detail: impl Into<String>) -> RequestRefusal {
+    RequestRefusal::new(
+        RefusalReason::AnswerTruncated,
+        RunVerdict::MayHaveRun,
+        detail,
+    )
+}
+
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> FramePoll {
+        match std::mem::replace(&mut self.state, WatchState::Ended) {
+            WatchState::Open => {
+                self.state = WatchState::Open;
+                self.poll_open(context)
+            }
+            WatchState::Failing(refusal) => Poll::Ready(Some(Err(refusal.into()))),
+            WatchState::Ended => Poll::Ready(None),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        if self.needs_marker {
+            // A failure adds an event to the stream.
+            return SizeHint::default();
+        }
+        self.body.size_hint()
+    }
+}
+
+impl Drop for WatchedBody {
+    fn drop(&mut self) {
+        self.finish(StreamEnd::CallerLeft);
+    }
+}
