Add stand-in engines and plain services with switchable faults

Cause: the thin whole path, the demo and the tests need backend servers that speak the public interfaces and fail on demand. Ruled out: an HTTP mock library, since it can neither go silent on open connections nor batch continuously. Change: EngineServer answers chat and text completions, whole and streamed, over a continuous batcher; PlainServer takes any method and counts the runs of each request. Both announce themselves every second, record what they receive, and crash, go silent, cross, truncate, delay or refuse answers by library call.

--- /dev/null
+++ b/crates/standin/src/engine/counters.rs
@@ -0,0 +1,56 @@
+//! What an engine counts about itself.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What a stand-in engine has done so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EngineCounters {
+    /// Completion requests that arrived.
+    pub received: u64,
+    /// Completion requests refused with the verdict `not-run`.
+    pub refused: u64,
+    /// Sequences that took a slot.
+    pub started: u64,
+    /// Sequences whose last token was generated.
+    pub completed: u64,
+    /// Sequences given up because their caller went away.
+    pub cancelled: u64,
+    /// Output tokens generated.
+    pub output_tokens: u64,
+    /// Crashes caused by the body of a request.
+    pub crashes: u64,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct CounterSet {
+    pub(super) received: AtomicU64,
+    pub(super) refused: AtomicU64,
+    pub(super) started: AtomicU64,
+    pub(super) completed: AtomicU64,
+    pub(super) cancelled: AtomicU64,
+    pub(super) output_tokens: AtomicU64,
+    pub(super) crashes: AtomicU64,
+}
+
+impl CounterSet {
+    pub(super) fn snapshot(&self) -> EngineCounters {
+        EngineCounters {
+            received: read(&self.received),
+            refused: read(&self.refused),
+            started: read(&self.started),
+            completed: read(&self.completed),
+            cancelled: read(&self.cancelled),
+            output_tokens: read(&self.output_tokens),
+            crashes: read(&self.crashes),
+        }
+    }
+}
+
+/// Adds one to a counter.
+pub(super) fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+fn read(counter: &AtomicU64) -> u64 {
+    counter.load(Ordering::Relaxed)
+}
--- /dev/null
+++ b/crates/standin/src/engine/handler.rs
@@ -0,0 +1,193 @@
+//! Turns HTTP requests to an engine into sequences and answers.
+
+use super::batcher::SequenceOrder;
+use super::completion::{CompletionKind, CompletionOrder, prompt_tokens};
+use super::counters::{CounterSet, count};
+use super::reply::CompletionReply;
+use crate::answer::{AnswerBody, add_header, error_answer, json_answer};
+use crate::listener::{ConnectionDrop, ListenerControl, RequestHandler};
+use crate::record::RequestRecord;
+use crate::{FaultPlan, ReceivedRequest};
+use chicoryladder_types::{ModelName, RunVerdict, ServerLoad, SystemClock, headers};
+use futures_util::future::BoxFuture;
+use hyper::{Method, Response, StatusCode};
+use serde_json::json;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::{mpsc, watch};
+
+/// The id of a crossed answer when no request came before.
+const FOREIGN_REQUEST_ID: &str = "ffffffffffffffffffffffffffffffff";
+
+/// The prompt of a crossed answer when no request came before.
+const FOREIGN_PROMPT: &str = "foreign";
+
+/// A request as the engine answers it.
+#[derive(Clone, Debug)]
+struct AcceptedRequest {
+    id: String,
+    order: CompletionOrder,
+}
+
+/// Answers the requests to one engine.
+#[derive(Debug)]
+pub(super) struct EngineHandler {
+    pub(super) models: Vec<ModelName>,
+    pub(super) default_output_tokens: u32,
+    pub(super) sequences: mpsc::UnboundedSender<SequenceOrder>,
+    pub(super) reported_load: watch::Receiver<ServerLoad>,
+    pub(super) faults: watch::Receiver<FaultPlan>,
+    pub(super) counters: Arc<CounterSet>,
+    pub(super) listener: ListenerControl,
+    pub(super) record: RequestRecord,
+    pub(super) previous: PreviousRequest,
+}
+
+/// The request before the present one, whose answer a crossing server sends.
+#[derive(Debug, Default)]
+pub(super) struct PreviousRequest(Mutex<Option<AcceptedRequest>>);
+
+impl PreviousRequest {
+    fn replace(&self, request: &AcceptedRequest) -> Option<AcceptedRequest> {
+        let mut previous = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        previous.replace(request.clone())
+    }
+}
+
+/// The engine's handler as its listener calls it.
+pub(super) struct SharedHandler(pub(super) Arc<EngineHandler>);
+
+impl RequestHandler for SharedHandler {
+    fn handle(
+        &self,
+        request: ReceivedRequest,
+    ) -> BoxFuture<'static, Result<Response<AnswerBody>, ConnectionDrop>> {
+        let handler = Arc::clone(&self.0);
+        Box::pin(async move { handler.answer(request).await })
+    }
+}
+
+impl EngineHandler {
+    async fn answer(
+        &self,
+        request: ReceivedRequest,
+    ) -> Result<Response<AnswerBody>, ConnectionDrop> {
+        self.record.push(&request);
+        let mut response = match (&request.method, request.route()) {
+            (&Method::POST, "/v1/chat/completions") => {
+                self.complete(CompletionKind::Chat, &request).await?
+            }
+            (&Method::POST, "/v1/completions") => {
+                self.complete(CompletionKind::Text, &request).await?
+            }
+            (&Method::GET, "/v1/models") => self.model_list(),
+            (&Method::GET, "/healthz") => json_answer(StatusCode::OK, &json!({ "status": "ok" })),
+            _ => error_answer(StatusCode::NOT_FOUND, "unknown_route", "no such route"),
+        };
+        let load = *self.reported_load.borrow();
+        let load = format!("running={};waiting={}", load.running, load.waiting);
+        add_header(&mut response, headers::SERVER_LOAD, &load);
+        Ok(response)
+    }
+
+    async fn complete(
+        &self,
+        kind: CompletionKind,
+        request: &ReceivedRequest,
+    ) -> Result<Response<AnswerBody>, ConnectionDrop> {
+        count(&self.counters.received);
+        let faults = self.faults.borrow().clone();
+        if faults.refuses {
+            count(&self.counters.refused);
+            return Ok(not_run_answer(request));
+        }
+        if faults.crashes_on(&request.body) {
+            count(&self.counters.crashes);
+            self.listener.crash().await;
+            return Err(ConnectionDrop);
+        }
+        let order = match CompletionOrder::try_from((kind, request.body.as_ref())) {
+            Ok(order) => order,
+            Err(error) => {
+                let message = error.to_string();
+                return Ok(error_answer(
+                    StatusCode::BAD_REQUEST,
+                    "bad_request",
+                    &message,
+                ));
+            }
+        };
+        let id = request.header(headers::REQUEST_ID).unwrap_or_default();
+        let accepted = AcceptedRequest {
+            id: id.to_owned(),
+            order,
+        };
+        let previous = self.previous.replace(&accepted);
+        let answered = if faults.crosses {
+            previous.unwrap_or_else(|| foreign_request(&accepted))
+        } else {
+            accepted
+        };
+        self.generate(answered, &faults).await
+    }
+
+    async fn generate(
+        &self,
+        accepted: AcceptedRequest,
+        faults: &FaultPlan,
+    ) -> Result<Response<AnswerBody>, ConnectionDrop> {
+        let AcceptedRequest { id, order } = accepted;
+        let output_tokens = order.output_tokens.unwrap_or(self.default_output_tokens);
+        let (sender, tokens) = mpsc::unbounded_channel();
+        let sequence = SequenceOrder {
+            prompt_tokens: prompt_tokens(&order.prompt),
+            first_token: 0,
+            output_tokens,
+            tokens: sender,
+        };
+        self.sequences.send(sequence).map_err(|_| ConnectionDrop)?;
+        if let Some(delay) = faults.delay {
+            tokio::time::sleep(delay).await;
+        }
+        let reply = CompletionReply::new(&order, &id, output_tokens, &SystemClock);
+        let truncates_after = faults.truncates_after;
+        let mut response = if order.stream {
+            reply.streamed(tokens, truncates_after)
+        } else {
+            reply
+                .whole(tokens, truncates_after)
+                .await
+                .ok_or(ConnectionDrop)?
+        };
+        add_header(&mut response, headers::REQUEST_ID, &id);
+        Ok(response)
+    }
+
+    fn model_list(&self) -> Response<AnswerBody> {
+        let models: Vec<_> = self
+            .models
+            .iter()
+            .map(|model| json!({ "id": model.as_str(), "object": "model" }))
+            .collect();
+        json_answer(StatusCode::OK, &json!({ "object": "list", "data": models }))
+    }
+}
+
+fn not_run_answer(request: &ReceivedRequest) -> Response<AnswerBody> {
+    let message = "the engine takes no request at present";
+    let mut response = error_answer(StatusCode::SERVICE_UNAVAILABLE, "not_run", message);
+    let verdict = RunVerdict::NotRun.as_str();
+    add_header(&mut response, headers::SERVER_VERDICT, verdict);
+    let id = request.header(headers::REQUEST_ID).unwrap_or_default();
+    add_header(&mut response, headers::REQUEST_ID, id);
+    response
+}
+
+fn foreign_request(accepted: &AcceptedRequest) -> AcceptedRequest {
+    AcceptedRequest {
+        id: FOREIGN_REQUEST_ID.to_owned(),
+        order: CompletionOrder {
+            prompt: FOREIGN_PROMPT.to_owned(),
+            ..accepted.order.clone()
+        },
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/options.rs
@@ -0,0 +1,111 @@
+//! What a stand-in engine is made of.
+
+use chicoryladder_types::{
+    ModelName, ServerAnnouncement, ServerGeneration, ServerLoad, ServerName, ZoneName,
+};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// The default time between two announcements.
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The default age of a load report.
+const LOAD_LAG: Duration = Duration::from_millis(100);
+
+/// The default number of requests kept for checks after a run.
+const RECORD_LIMIT: usize = 10_000;
+
+/// The default number of sequences decoded together.
+const DEFAULT_SLOTS: u32 = 8;
+
+/// The default length of an answer whose request names none.
+const DEFAULT_OUTPUT_TOKENS: u32 = 16;
+
+/// How fast an engine computes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EnginePace {
+    /// The time to process one prompt token that is not in the prefix cache.
+    pub prefill_per_token: Duration,
+    /// The time of one decoding step, which gives each sequence one token.
+    pub decode_step: Duration,
+    /// The time that each running sequence adds to a decoding step.
+    pub decode_per_sequence: Duration,
+}
+
+impl Default for EnginePace {
+    fn default() -> Self {
+        Self {
+            prefill_per_token: Duration::from_micros(20),
+            decode_step: Duration::from_millis(5),
+            decode_per_sequence: Duration::from_micros(50),
+        }
+    }
+}
+
+/// What a stand-in engine is made of.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// The name in announcements.
+    pub name: ServerName,
+    /// The availability zone in announcements.
+    pub zone: ZoneName,
+    /// The models served.
+    pub models: Vec<ModelName>,
+    /// The address to listen on; port 0 takes a free port.
+    pub address: SocketAddr,
+    /// The servers ports of the entry hosts that hear the announcements.
+    pub entry_hosts: Vec<SocketAddr>,
+    /// The time between two announcements.
+    pub announce_period: Duration,
+    /// The first incarnation announced.
+    pub generation: ServerGeneration,
+    /// Sequences decoded together; further requests wait inside the engine.
+    pub slots: u32,
+    /// How fast the engine computes.
+    pub pace: EnginePace,
+    /// The largest age of a load report; zero reports each change at once.
+    pub load_lag: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub checks_fencing: bool,
+    /// The length of an answer whose request names none, in tokens.
+    pub default_output_tokens: u32,
+    /// The number of requests kept for checks after a run.
+    pub record_limit: usize,
+}
+
+impl EngineOptions {
+    /// An engine with one model on a free loopback port, heard by no entry host.
+    #[must_use]
+    pub fn new(name: ServerName, zone: ZoneName, model: ModelName) -> Self {
+        Self {
+            name,
+            zone,
+            models: vec![model],
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            entry_hosts: Vec::new(),
+            announce_period: ANNOUNCE_PERIOD,
+            generation: ServerGeneration(1),
+            slots: DEFAULT_SLOTS,
+            pace: EnginePace::default(),
+            load_lag: LOAD_LAG,
+            checks_fencing: true,
+            default_output_tokens: DEFAULT_OUTPUT_TOKENS,
+            record_limit: RECORD_LIMIT,
+        }
+    }
+
+    pub(super) fn announcement(&self, address: SocketAddr) -> ServerAnnouncement {
+        ServerAnnouncement {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            address,
+            generation: self.generation,
+            slots: self.slots,
+            models: self.models.clone(),
+            services: Vec::new(),
+            checks_fencing: self.checks_fencing,
+            leaving: false,
+            load: ServerLoad::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/reply.rs
@@ -0,0 +1,191 @@
+//! Completions in the shape of the public API, whole and streamed.
+
+use super::completion::{AnswerWords, CompletionKind, CompletionOrder, prompt_tokens};
+use crate::answer::{AnswerBody, json_answer, stream_body};
+use bytes::Bytes;
+use chicoryladder_types::ClockSource;
+use hyper::body::Frame;
+use hyper::header::{CACHE_CONTROL, CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde_json::{Value, json};
+use std::io;
+use std::time::{Duration, SystemTime};
+use tokio::sync::mpsc;
+
+/// The last event of a streamed answer.
+const END_MARKER: &str = "data: [DONE]\n\n";
+
+/// Everything about an answer that is known before its first token.
+#[derive(Clone, Debug)]
+pub(super) struct CompletionReply {
+    kind: CompletionKind,
+    id: String,
+    model: String,
+    created_s: u64,
+    words: AnswerWords,
+    prompt_tokens: u32,
+    output_tokens: u32,
+}
+
+impl CompletionReply {
+    pub(super) fn new(
+        order: &CompletionOrder,
+        request_id: &str,
+        output_tokens: u32,
+        clock: &dyn ClockSource,
+    ) -> Self {
+        let prefix = match order.kind {
+            CompletionKind::Chat => "chatcmpl",
+            CompletionKind::Text => "cmpl",
+        };
+        let age = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        Self {
+            kind: order.kind,
+            id: format!("{prefix}-{request_id}"),
+            model: order.model.clone(),
+            created_s: age.unwrap_or(Duration::ZERO).as_secs(),
+            words: AnswerWords::new(&order.prompt),
+            prompt_tokens: prompt_tokens(&order.prompt),
+            output_tokens,
+        }
+    }
+
+    /// Waits for all tokens and answers at once; `None` when they end early.
+    pub(super) async fn whole(
+        self,
+        mut tokens: mpsc::UnboundedReceiver<u32>,
+        truncates_after: Option<u32>,
+    ) -> Option<Response<AnswerBody>> {
+        let mut text = String::new();
+        let mut generated = 0;
+        while let Some(number) = tokens.recv().await {
+            text.push_str(&self.words.token(number));
+            generated += 1;
+        }
+        if generated < self.output_tokens {
+            return None;
+        }
+        let value = self.whole_value(&text);
+        if truncates_after.is_some_and(|limit| limit < self.output_tokens) {
+            return Some(half_answer(&value));
+        }
+        Some(json_answer(StatusCode::OK, &value))
+    }
+
+    /// Answers with one server-sent event a token.
+    pub(super) fn streamed(
+        self,
+        tokens: mpsc::UnboundedReceiver<u32>,
+        truncates_after: Option<u32>,
+    ) -> Response<AnswerBody> {
+        let state = StreamState {
+            reply: self,
+            tokens,
+            truncates_after,
+            ended: false,
+        };
+        let chunks = futures_util::stream::unfold(state, StreamState::next_chunk);
+        let mut response = Response::new(stream_body(chunks));
+        let events = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(CONTENT_TYPE, events);
+        let uncached = HeaderValue::from_static("no-cache");
+        response.headers_mut().insert(CACHE_CONTROL, uncached);
+        response
+    }
+
+    fn whole_value(&self, text: &str) -> Value {
+        let choice = match self.kind {
+            CompletionKind::Chat => json!({
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": "stop",
+            }),
+            CompletionKind::Text => json!({
+                "index": 0, "text": text, "finish_reason": "stop",
+            }),
+        };
+        let object = match self.kind {
+            CompletionKind::Chat => "chat.completion",
+            CompletionKind::Text => "text_completion",
+        };
+        json!({
+            "id": self.id,
+            "object": object,
+            "created": self.created_s,
+            "model": self.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": self.prompt_tokens,
+                "completion_tokens": self.output_tokens,
+                "total_tokens": self.prompt_tokens + self.output_tokens,
+            },
+        })
+    }
+
+    fn token_event(&self, number: u32) -> String {
+        let text = self.words.token(number);
+        let last = number + 1 >= self.output_tokens;
+        let finish_reason = if last { json!("stop") } else { Value::Null };
+        let choice = match self.kind {
+            CompletionKind::Chat => json!({
+                "index": 0, "delta": { "content": text }, "finish_reason": finish_reason,
+            }),
+            CompletionKind::Text => json!({
+                "index": 0, "text": text, "finish_reason": finish_reason,
+            }),
+        };
+        let object = match self.kind {
+            CompletionKind::Chat => "chat.completion.chunk",
+            CompletionKind::Text => "text_completion",
+        };
+        let value = json!({
+            "id": self.id,
+            "object": object,
+            "created": self.created_s,
+            "model": self.model,
+            "choices": [choice],
+        });
+        format!("id: {number}\ndata: {value}\n\n")
+    }
+}
+
+struct StreamState {
+    reply: CompletionReply,
+    tokens: mpsc::UnboundedReceiver<u32>,
+    truncates_after: Option<u32>,
+    ended: bool,
+}
+
+impl StreamState {
+    async fn next_chunk(mut self) -> Option<(Result<Frame<Bytes>, io::Error>, Self)> {
+        if self.ended {
+            return None;
+        }
+        let chunk = match self.tokens.recv().await {
+            Some(number) if self.truncates_after.is_some_and(|limit| number >= limit) => {
+                return None;
+            }
+            Some(number) => self.reply.token_event(number),
+            None => {
+                self.ended = true;
+                END_MARKER.to_owned()
+            }
+        };
+        Some((Ok(Frame::data(Bytes::from(chunk))), self))
+    }
+}
+
+/// Names the whole length but sends half of the body before it closes.
+fn half_answer(value: &Value) -> Response<AnswerBody> {
+    let text = value.to_string();
+    let half = Bytes::copy_from_slice(&text.as_bytes()[..text.len() / 2]);
+    let closed = Err(io::Error::from(io::ErrorKind::ConnectionAborted));
+    let chunks = futures_util::stream::iter([Ok(Frame::data(half)), closed]);
+    let mut response = Response::new(stream_body(chunks));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+        .headers_mut()
+        .insert(CONTENT_LENGTH, HeaderValue::from(text.len()));
+    response
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,23 @@
 //! Stand-in engines, plain services and the load generator.
+//!
+//! The stand-ins speak the same HTTP interfaces as real backend servers and can
+//! be made to fail at run time, so that demos, tests and measurements need no
+//! accelerator. They model what the system can observe of a backend server and
+//! nothing else; `docs/design/standin.md` lists what is left out.
+
+mod announcer;
+mod answer;
+mod engine;
+mod error;
+mod fault;
+mod listener;
+mod record;
+mod service;
+
+pub use engine::{
+    EngineCounters, EngineHandle, EngineOptions, EnginePace, EngineServer, answer_text,
+};
+pub use error::StandinError;
+pub use fault::FaultPlan;
+pub use record::ReceivedRequest;
+pub use service::{PlainHandle, PlainOptions, PlainServer};
--- /dev/null
+++ b/crates/standin/tests/all/announcements.rs
@@ -0,0 +1,56 @@
+//! What the stand-ins tell entry hosts.
+
+use crate::support::{fast_engine, plain_service};
+use chicoryladder_standin::{EngineServer, PlainHandle, PlainServer};
+use chicoryladder_types::ServerAnnouncement;
+use std::time::Duration;
+
+/// The announcements heard by a plain service that stands for an entry host.
+fn heard(entry_host: &PlainHandle) -> Vec<ServerAnnouncement> {
+    let received = entry_host.received();
+    let announcements = received
+        .iter()
+        .filter(|request| request.path == "/servers/v1/announce");
+    announcements
+        .map(|request| serde_json::from_slice(&request.body).unwrap())
+        .collect()
+}
+
+async fn wait_for(entry_host: &PlainHandle, wanted: impl Fn(&ServerAnnouncement) -> bool) {
+    let found = async {
+        while !heard(entry_host).iter().any(&wanted) {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), found)
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn engine_announces_to_every_entry_host_and_leaves() {
+    let first = PlainServer::start(plain_service("h1")).await.unwrap();
+    let second = PlainServer::start(plain_service("h2")).await.unwrap();
+    let mut options = fast_engine("e");
+    options.entry_hosts = vec![first.address(), second.address()];
+    options.announce_period = Duration::from_millis(20);
+    let engine = EngineServer::start(options).await.unwrap();
+    let address = engine.address();
+    wait_for(&first, |a| a.address == address && !a.leaving).await;
+    wait_for(&second, |a| a.address == address && !a.leaving).await;
+    engine.stop(Duration::ZERO).await;
+    assert!(heard(&first).last().unwrap().leaving);
+    assert!(heard(&second).last().unwrap().leaving);
+}
+
+#[tokio::test]
+async fn recovered_engine_announces_a_higher_generation() {
+    let host = PlainServer::start(plain_service("h")).await.unwrap();
+    let mut options = fast_engine("e");
+    options.entry_hosts = vec![host.address()];
+    let engine = EngineServer::start(options).await.unwrap();
+    wait_for(&host, |a| a.generation.0 == 1).await;
+    engine.crash().await;
+    engine.recover().await;
+    wait_for(&host, |a| a.generation.0 == 2).await;
+}
--- /dev/null
+++ b/crates/standin/tests/all/faults.rs
@@ -0,0 +1,116 @@
+//! Faults switched on at run time.
+
+use crate::support::{TestClient, fast_engine, stream_text};
+use chicoryladder_standin::{EngineServer, FaultPlan};
+use std::time::Duration;
+
+const SILENCE_PATIENCE: Duration = Duration::from_millis(200);
+
+#[tokio::test]
+async fn crash_refuses_until_recovery() {
+    let engine = EngineServer::start(fast_engine("e")).await.unwrap();
+    let client = TestClient::new();
+    let address = engine.address();
+    client.chat(address, "1", "p", 1, false).await.unwrap();
+    engine.crash().await;
+    assert!(client.chat(address, "2", "p", 1, false).await.is_err());
+    engine.recover().await;
+    let answer = TestClient::new().chat(address, "3", "p", 1, false).await;
+    assert_eq!(answer.unwrap().status(), 200);
+}
+
+#[tokio::test]
+async fn only_the_marked_body_crashes() {
+    let engine = EngineServer::start(fast_engine("e")).await.unwrap();
+    engine.set_faults(FaultPlan {
+        crash_on: Some("poison".to_owned()),
+        ..FaultPlan::default()
+    });
+    let client = TestClient::new();
+    let address = engine.address();
+    client.chat(address, "1", "sound", 1, false).await.unwrap();
+    assert!(client.chat(address, "2", "poison", 1, false).await.is_err());
+    assert!(client.chat(address, "3", "sound", 1, false).await.is_err());
+    assert_eq!(engine.counters().crashes, 1);
+}
+
+#[tokio::test]
+async fn open_connections_go_silent_while_new_ones_work() {
+    let engine = EngineServer::start(fast_engine("e")).await.unwrap();
+    let address = engine.address();
+    let old = TestClient::new();
+    old.chat(address, "1", "p", 1, false).await.unwrap();
+    engine.silence_open().await;
+    let silent = old.chat(address, "2", "p", 1, false);
+    assert!(
+        tokio::time::timeout(SILENCE_PATIENCE, silent)
+            .await
+            .is_err()
+    );
+    let answer = TestClient::new().chat(address, "3", "p", 1, false).await;
+    assert_eq!(answer.unwrap().status(), 200);
+}
+
+#[tokio::test]
+async fn silence_of_all_lasts_until_recovery() {
+    let engine = EngineServer::start(fast_engine("e")).await.unwrap();
+    let address = engine.address();
+    engine.silence_all().await;
+    let client = TestClient::new();
+    let silent = client.chat(address, "1", "p", 1, false);
+    assert!(
+        tokio::time::timeout(SILENCE_PATIENCE, silent)
+            .await
+            .is_err()
+    );
+    engine.recover().await;
+    let answer = TestClient::new().chat(address, "2", "p", 1, false).await;
+    assert_eq!(answer.unwrap().status(), 200);
+}
+
+#[tokio::test]
+async fn crossed_answer_carries_the_id_before() {
+    let engine = EngineServer::start(fast_engine("e")).await.unwrap();
+    let address = engine.address();
+    let client = TestClient::new();
+    client.chat(address, "first", "p", 1, false).await.unwrap();
+    engine.set_faults(FaultPlan {
+        crosses: true,
+        ..FaultPlan::default()
+    });
+    let answer = client.chat(address, "second", "q", 1, false).await.unwrap();
+    assert_eq!(answer.headers()["x-request-id"], "first");
+}
+
+#[tokio::test]
+async fn truncated_stream_has_no_marker() {
+    let engine = EngineServer::start(fast_engine("e")).await.unwrap();
+    engine.set_faults(FaultPlan {
+        truncates_after: Some(3),
+        ..FaultPlan::default()
+    });
+    let client = TestClient::new();
+    let streamed = client.chat(engine.address(), "1", "a b", 9, true).await;
+    assert_eq!(
+        stream_text(streamed.unwrap().body()),
+        ("a b a".to_owned(), false)
+    );
+    let whole = client.chat(engine.address(), "2", "a b", 9, false).await;
+    assert!(whole.is_err());
+}
+
+#[tokio::test]
+async fn refusal_says_not_run_and_runs_nothing() {
+    let engine = EngineServer::start(fast_engine("e")).await.unwrap();
+    engine.set_faults(FaultPlan {
+        refuses: true,
+        ..FaultPlan::default()
+    });
+    let client = TestClient::new();
+    let answer = client.chat(engine.address(), "1", "p", 1, false).await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.headers()["chicoryladder-server-verdict"], "not-run");
+    let counters = engine.counters();
+    assert_eq!((counters.refused, counters.started), (1, 0));
+}
--- /dev/null
+++ b/crates/standin/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the stand-ins over loopback.
+
+#![allow(clippy::unwrap_used)]
+
+mod announcements;
+mod engine;
+mod faults;
+mod service;
+mod support;
