Add the replicated state machine of batch jobs

Batch work needs jobs that survive the loss of any host, end each item exactly once and stop when cancelled. The machine applies commands of a replicated log; it reads no clock and no randomness, so replicas agree. Items are aggregates: pending, leased or ended, the first terminal result wins, attempts are bounded, and a non-idempotent item is started at most once, by a log entry of its own.

Ruled out: resumable uploads keyed by the caller's idempotency key. The digest of a streamed body is known only at its end, so a resumed upload could mix two bodies. Uploads are independent, and the second to commit finds the first job.

Large jobs are several entries and visible after their commit.

--- /dev/null
+++ b/crates/jobs/src/job.rs
@@ -0,0 +1,332 @@
+//! One job with its items, as an aggregate with its own rules.
+//!
+//! The job keeps its items, their counts and the order in which they ended
+//! consistent. It ends when its last item does. Once cancelled, it hands out
+//! nothing more, and items that dispatchers give back end as cancelled.
+
+use crate::schedule::PaceMeter;
+use crate::{
+    AttemptEnd, FailureCause, ItemEnd, ItemRecord, ItemRef, ItemResult, JobHeader, JobSlack,
+    LeaseId, ReportEffect, UnixMillis,
+};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Where a job is in its lifecycle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobPhase {
+    /// Items are pending or leased.
+    Running,
+    /// The job is cancelled and dispatchers still hold items.
+    Cancelling,
+    /// Every item has ended.
+    Completed,
+    /// The job was cancelled and every item has ended.
+    Cancelled,
+}
+
+impl JobPhase {
+    /// Whether every item has ended.
+    #[must_use]
+    pub const fn is_ended(self) -> bool {
+        matches!(self, Self::Completed | Self::Cancelled)
+    }
+
+    /// The code in answers.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Running => "in_progress",
+            Self::Cancelling => "cancelling",
+            Self::Completed => "completed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// The number of items in each state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobCounts {
+    /// Items that wait for a dispatcher.
+    pub pending: u32,
+    /// Items that a dispatcher holds.
+    pub leased: u32,
+    /// Items that a backend server answered.
+    pub succeeded: u32,
+    /// Items that failed for good.
+    pub failed: u32,
+    /// Items that may have run and must not run again.
+    pub outcome_unknown: u32,
+    /// Items that the cancellation ended.
+    pub cancelled: u32,
+}
+
+impl JobCounts {
+    /// Items in a terminal state.
+    #[must_use]
+    pub const fn ended(&self) -> u32 {
+        self.succeeded + self.failed + self.outcome_unknown + self.cancelled
+    }
+
+    /// All items.
+    #[must_use]
+    pub const fn total(&self) -> u32 {
+        self.pending + self.leased + self.ended()
+    }
+
+    fn count_end(&mut self, end: ItemEnd) {
+        match end {
+            ItemEnd::Succeeded => self.succeeded += 1,
+            ItemEnd::Failed(_) => self.failed += 1,
+            ItemEnd::OutcomeUnknown => self.outcome_unknown += 1,
+            ItemEnd::Cancelled => self.cancelled += 1,
+        }
+    }
+}
+
+/// What a change did to one item, seen from outside the job.
+#[derive(Clone, Debug)]
+pub(crate) struct ItemChange {
+    /// The effect on the item.
+    pub(crate) effect: ReportEffect,
+    /// The lease that held the item before and does no more.
+    pub(crate) released: Option<LeaseId>,
+}
+
+/// An accepted job.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct BatchJob {
+    header: JobHeader,
+    order: u64,
+    phase: JobPhase,
+    counts: JobCounts,
+    items: Vec<ItemRecord>,
+    /// Items from here on were never leased.
+    fresh: u32,
+    /// Pending items before `fresh`.
+    returned: BTreeSet<u32>,
+    ended: Vec<u32>,
+    ended_at: Option<UnixMillis>,
+    meter: PaceMeter,
+}
+
+impl BatchJob {
+    pub(crate) fn new(header: JobHeader, items: Vec<ItemRecord>, order: u64) -> Self {
+        let pending = u32::try_from(items.len()).unwrap_or(u32::MAX);
+        Self {
+            header,
+            order,
+            phase: JobPhase::Running,
+            counts: JobCounts {
+                pending,
+                ..JobCounts::default()
+            },
+            items,
+            fresh: 0,
+            returned: BTreeSet::new(),
+            ended: Vec::new(),
+            ended_at: None,
+            meter: PaceMeter::default(),
+        }
+    }
+
+    pub(crate) const fn header(&self) -> &JobHeader {
+        &self.header
+    }
+
+    pub(crate) const fn order(&self) -> u64 {
+        self.order
+    }
+
+    pub(crate) const fn phase(&self) -> JobPhase {
+        self.phase
+    }
+
+    pub(crate) const fn counts(&self) -> &JobCounts {
+        &self.counts
+    }
+
+    pub(crate) const fn ended_at(&self) -> Option<UnixMillis> {
+        self.ended_at
+    }
+
+    /// The positions of ended items, in the order in which they ended.
+    pub(crate) fn ended(&self) -> &[u32] {
+        &self.ended
+    }
+
+    pub(crate) fn item(&self, item: u32) -> Option<&ItemRecord> {
+        self.items.get(item as usize)
+    }
+
+    /// Whether items can be leased.
+    pub(crate) fn has_work(&self) -> bool {
+        self.phase == JobPhase::Running && self.counts.pending > 0
+    }
+
+    /// The time that the items left need, by the pace of the job itself or else
+    /// the pace of the whole group.
+    pub(crate) fn work_left(&self, group: &PaceMeter) -> Duration {
+        let left = u64::from(self.counts.pending + self.counts.leased);
+        let own = self.meter.time_for(left);
+        own.or_else(|| group.time_for(left)).unwrap_or_default()
+    }
+
+    pub(crate) fn slack(&self, group: &PaceMeter, now: UnixMillis) -> JobSlack {
+        JobSlack::measure(now, self.header.deadline_at, self.work_left(group))
+    }
+
+    /// Hands out up to `limit` items.
+    pub(crate) fn grant(&mut self, lease: LeaseId, limit: u32, now: UnixMillis) -> Vec<ItemRef> {
+        let mut granted = Vec::new();
+        while granted.len() < limit as usize && self.has_work() {
+            let Some(item) = self.take_pending() else {
+                break;
+            };
+            let Some(attempt) = self.items[item as usize].grant(lease) else {
+                continue;
+            };
+            self.counts.pending -= 1;
+            self.counts.leased += 1;
+            let job = self.header.job;
+            granted.push(ItemRef { job, item, attempt });
+        }
+        self.meter.begin(now);
+        granted
+    }
+
+    /// Allows a leased attempt to run.
+    pub(crate) fn start(&mut self, lease: LeaseId, item: u32, attempt: u16) -> bool {
+        if self.phase != JobPhase::Running {
+            return false;
+        }
+        let record = self.items.get_mut(item as usize);
+        record.is_some_and(|record| record.start(lease, attempt))
+    }
+
+    /// Takes in the end of an attempt; nothing if the item does not exist.
+    pub(crate) fn report(
+        &mut self,
+        item: u32,
+        attempt: u16,
+        end: &AttemptEnd,
+        now: UnixMillis,
+    ) -> Option<ItemChange> {
+        self.change(item, now, |record| record.report(attempt, end))
+    }
+
+    /// Takes an item back from an expired lease.
+    pub(crate) fn expire_lease(
+        &mut self,
+        item: u32,
+        lease: LeaseId,
+        now: UnixMillis,
+    ) -> Option<ItemChange> {
+        self.change(item, now, |record| record.expire(lease))
+    }
+
+    /// Cancels the job and returns the results of its pending items.
+    pub(crate) fn cancel(&mut self, now: UnixMillis) -> Vec<(u32, ItemResult)> {
+        if self.phase != JobPhase::Running {
+            return Vec::new();
+        }
+        self.phase = JobPhase::Cancelling;
+        let results = self.abandon_pending(ItemEnd::Cancelled, "the job was cancelled");
+        self.end_if_done(now);
+        results
+    }
+
+    /// Gives up on the pending items of a job past its expiry.
+    pub(crate) fn expire(&mut self, now: UnixMillis) -> Vec<(u32, ItemResult)> {
+        if !self.has_work() || now < self.header.expires_at {
+            return Vec::new();
+        }
+        let end = ItemEnd::Failed(FailureCause::JobExpired);
+        let results = self.abandon_pending(end, "the job expired before the item ran");
+        self.end_if_done(now);
+        results
+    }
+
+    fn change(
+        &mut self,
+        item: u32,
+        now: UnixMillis,
+        change: impl FnOnce(&mut ItemRecord) -> ReportEffect,
+    ) -> Option<ItemChange> {
+        let record = self.items.get_mut(item as usize)?;
+        let before = record.lease();
+        let mut effect = change(record);
+        let released = before.filter(|_| record.lease().is_none());
+        if effect == ReportEffect::Returned && self.phase == JobPhase::Cancelling {
+            let result = record.abandon(ItemEnd::Cancelled, "the job was cancelled");
+            effect = result.map_or(effect, ReportEffect::Ended);
+        }
+        match &effect {
+            ReportEffect::Ended(result) => self.count_end(item, result.end, released, now),
+            ReportEffect::Returned => self.count_return(item),
+            ReportEffect::Late | ReportEffect::Fenced => {}
+        }
+        Some(ItemChange { effect, released })
+    }
+
+    fn count_end(&mut self, item: u32, end: ItemEnd, released: Option<LeaseId>, now: UnixMillis) {
+        if released.is_some() {
+            self.counts.leased -= 1;
+        } else {
+            // A late answer ended an item that was pending again.
+            self.returned.remove(&item);
+            self.counts.pending -= 1;
+        }
+        self.counts.count_end(end);
+        self.ended.push(item);
+        self.meter.record(1, now);
+        self.end_if_done(now);
+    }
+
+    fn count_return(&mut self, item: u32) {
+        self.counts.leased -= 1;
+        self.counts.pending += 1;
+        self.returned.insert(item);
+        if self.counts.leased == 0 {
+            self.meter.pause();
+        }
+    }
+
+    fn take_pending(&mut self) -> Option<u32> {
+        if let Some(item) = self.returned.pop_first() {
+            return Some(item);
+        }
+        let item = self.fresh;
+        if item as usize >= self.items.len() {
+            return None;
+        }
+        self.fresh += 1;
+        Some(item)
+    }
+
+    fn abandon_pending(&mut self, end: ItemEnd, detail: &str) -> Vec<(u32, ItemResult)> {
+        let mut results = Vec::new();
+        while let Some(item) = self.take_pending() {
+            let Some(result) = self.items[item as usize].abandon(end, detail) else {
+                continue;
+            };
+            self.counts.pending -= 1;
+            self.counts.count_end(end);
+            self.ended.push(item);
+            results.push((item, result));
+        }
+        results
+    }
+
+    fn end_if_done(&mut self, now: UnixMillis) {
+        if self.counts.pending + self.counts.leased > 0 || self.phase.is_ended() {
+            return;
+        }
+        self.phase = match self.phase {
+            JobPhase::Cancelling => JobPhase::Cancelled,
+            _ => JobPhase::Completed,
+        };
+        self.ended_at = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lease.rs
@@ -0,0 +1,33 @@
+//! Leases of item chunks to dispatchers.
+
+use crate::UnixMillis;
+use chicoryladder_types::{HostName, JobId};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Identifies a lease by the index of the log entry that granted it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct LeaseId(pub u64);
+
+impl fmt::Display for LeaseId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Items of one job in the hands of one dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChunkLease {
+    /// The entry host of the dispatcher.
+    pub host: HostName,
+    /// The job of the items.
+    pub job: JobId,
+    /// The end of the lease.
+    pub expires_at: UnixMillis,
+    /// The items granted, by position.
+    pub items: Vec<u32>,
+    /// The granted items still held; the lease ends when none is.
+    pub held: u32,
+}
--- /dev/null
+++ b/crates/jobs/src/machine/snapshot.rs
@@ -0,0 +1,96 @@
+//! Snapshots of the whole state, with the records of the store.
+//!
+//! A snapshot stands alone: a replica with an empty store can be restored from
+//! it, so the store itself never has to be durable before the log is truncated.
+
+use super::{JobMachine, MachineError, MachineState, encode};
+use crate::{BodyBytes, RecordKind, StoreError, StoreRecord};
+use chicoryladder_types::JobId;
+use serde::{Deserialize, Serialize};
+
+#[derive(Serialize, Deserialize)]
+struct SnapshotRecord {
+    job: JobId,
+    item: u32,
+    kind: RecordKind,
+    bytes: BodyBytes,
+}
+
+impl JobMachine {
+    /// The whole state as bytes.
+    ///
+    /// # Errors
+    ///
+    /// If a record of the store cannot be read.
+    pub fn snapshot(&self) -> Result<Vec<u8>, MachineError> {
+        let mut snapshot = encode(&self.state);
+        for job in self.known_jobs() {
+            for (item, kind) in self.known_records(job) {
+                let bytes = BodyBytes(self.store.get(job, item, kind)?);
+                let record = SnapshotRecord {
+                    job,
+                    item,
+                    kind,
+                    bytes,
+                };
+                snapshot.extend_from_slice(&encode(&record));
+            }
+        }
+        Ok(snapshot)
+    }
+
+    /// Replaces the state by that of a snapshot and adds its records to the
+    /// store.
+    ///
+    /// # Errors
+    ///
+    /// If the snapshot cannot be decoded, which leaves the state unchanged, or
+    /// the store fails.
+    pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
+        let (state, mut rest): (MachineState, &[u8]) = postcard::take_from_bytes(snapshot)?;
+        while !rest.is_empty() {
+            let (record, after): (SnapshotRecord, &[u8]) = postcard::take_from_bytes(rest)?;
+            rest = after;
+            let stored = StoreRecord {
+                item: record.item,
+                kind: record.kind,
+                bytes: record.bytes.as_slice(),
+            };
+            self.store.put(record.job, &[stored])?;
+        }
+        self.state = state;
+        self.failure = None;
+        self.drop_strays()?;
+        Ok(())
+    }
+
+    /// Drops records of jobs that the state does not know.
+    fn drop_strays(&mut self) -> Result<(), StoreError> {
+        let state = &self.state;
+        let known = |job: &JobId| state.jobs.contains_key(job) || state.uploads.contains_key(job);
+        let stored = self.store.jobs();
+        let strays: Vec<JobId> = stored.into_iter().filter(|job| !known(job)).collect();
+        for job in strays {
+            self.store.remove(job)?;
+        }
+        Ok(())
+    }
+
+    fn known_jobs(&self) -> impl Iterator<Item = JobId> {
+        let uploads = self.state.uploads.keys();
+        self.state.jobs.keys().chain(uploads).copied()
+    }
+
+    fn known_records(&self, job: JobId) -> Vec<(u32, RecordKind)> {
+        let accepted = self.state.jobs.get(&job);
+        let upload = self.state.uploads.get(&job);
+        let total = accepted.map(|accepted| accepted.counts().total());
+        let total = total.or(upload.map(super::submit::JobUpload::next_item));
+        let requests = (0..total.unwrap_or_default()).map(|item| (item, RecordKind::Request));
+        let ended = accepted
+            .map(crate::job::BatchJob::ended)
+            .unwrap_or_default();
+        let results = ended.iter().map(|item| (*item, RecordKind::Result));
+        requests.chain(results).collect()
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/machine/sweep.rs
@@ -0,0 +1,101 @@
+//! The passing of time: expired leases, uploads and jobs.
+
+use super::{JobMachine, TeamName};
+use crate::{ItemResult, JobOutcome, LeaseId, StoreError, UnixMillis};
+use chicoryladder_types::JobId;
+use std::time::Duration;
+
+/// The time for which results are kept after a job ended.
+const RETENTION: Duration = Duration::from_secs(7 * 24 * 60 * 60);
+
+/// The time after which an upload without new items is dropped.
+const UPLOAD_IDLE_MAX: Duration = Duration::from_secs(10 * 60);
+
+impl JobMachine {
+    pub(super) fn sweep(&mut self, now: UnixMillis) -> Result<JobOutcome, StoreError> {
+        let expired = self.expired_leases(now);
+        for lease in &expired {
+            self.end_lease(*lease, now)?;
+        }
+        self.expire_jobs(now)?;
+        let dropped = self.drop_uploads(now)? + self.drop_jobs(now)?;
+        let leases = u32::try_from(expired.len()).unwrap_or(u32::MAX);
+        Ok(JobOutcome::Swept { leases, dropped })
+    }
+
+    fn end_lease(&mut self, lease: LeaseId, now: UnixMillis) -> Result<(), StoreError> {
+        let Some(chunk) = self.state.leases.get(&lease) else {
+            return Ok(());
+        };
+        let job = chunk.job;
+        let items = chunk.items.clone();
+        let mut results: Vec<(u32, ItemResult)> = Vec::new();
+        for item in items {
+            let holder = self.state.jobs.get_mut(&job);
+            let change = holder.and_then(|holder| holder.expire_lease(item, lease, now));
+            let result = change.and_then(|change| self.take_change(job, change, now));
+            results.extend(result.map(|result| (item, result)));
+        }
+        self.state.leases.remove(&lease);
+        self.store_results(job, &results)
+    }
+
+    fn expire_jobs(&mut self, now: UnixMillis) -> Result<(), StoreError> {
+        let live: Vec<JobId> = self.state.live.iter().copied().collect();
+        for job in live {
+            let Some(expiring) = self.state.jobs.get_mut(&job) else {
+                continue;
+            };
+            let results = expiring.expire(now);
+            self.retire_if_ended(job);
+            self.store_results(job, &results)?;
+        }
+        Ok(())
+    }
+
+    fn drop_uploads(&mut self, now: UnixMillis) -> Result<u32, StoreError> {
+        let uploads = self.state.uploads.iter();
+        let idle: Vec<JobId> = uploads
+            .filter(|(_, upload)| now.since(upload.touched_at) >= UPLOAD_IDLE_MAX)
+            .map(|(job, _)| *job)
+            .collect();
+        for job in &idle {
+            self.state.uploads.remove(job);
+            self.store.remove(*job)?;
+        }
+        Ok(u32::try_from(idle.len()).unwrap_or(u32::MAX))
+    }
+
+    fn drop_jobs(&mut self, now: UnixMillis) -> Result<u32, StoreError> {
+        let jobs = self.state.jobs.iter();
+        let old: Vec<JobId> = jobs
+            .filter(|(_, job)| job.ended_at().is_some_and(|at| now.since(at) >= RETENTION))
+            .map(|(job, _)| *job)
+            .collect();
+        for job in &old {
+            self.drop_job(*job)?;
+        }
+        Ok(u32::try_from(old.len()).unwrap_or(u32::MAX))
+    }
+
+    fn drop_job(&mut self, job: JobId) -> Result<(), StoreError> {
+        let Some(dropped) = self.state.jobs.remove(&job) else {
+            return Ok(());
+        };
+        let header = dropped.header();
+        if let Some(key) = &header.key {
+            let owner = (header.team.clone(), key.clone());
+            self.state.keys.remove(&owner);
+        }
+        self.drop_service(&header.team);
+        self.store.remove(job)
+    }
+
+    /// Forgets the service of a team without jobs.
+    fn drop_service(&mut self, team: &TeamName) {
+        let mut jobs = self.state.jobs.values();
+        if !jobs.any(|job| job.header().team == *team) {
+            self.state.service.remove(team);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/store/file.rs
@@ -0,0 +1,327 @@
+//! A store with one file a job.
+//!
+//! A file is a sequence of records, each a fixed header (payload length, CRC32,
+//! kind, item) and the payload. Records are only appended, and a job is dropped
+//! by deleting its file. On opening, a file is scanned up to the first record
+//! that is cut short or fails its checksum and truncated there. Whatever is lost
+//! that way comes back when the replica restores its snapshot and replays its
+//! log. Memory holds the offset and length of each record.
+
+use super::{ItemStore, RecordKind, StoreError, StoreRecord};
+use chicoryladder_types::JobId;
+use std::collections::BTreeMap;
+use std::fs::{self, File, OpenOptions};
+use std::io::{BufReader, ErrorKind, Read, Seek, SeekFrom, Write};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+
+const HEADER_BYTES: usize = 13;
+const FILE_SUFFIX: &str = "items";
+
+/// The largest buffer filled before a write, in bytes.
+const WRITE_BUFFER_BYTES: usize = 256 * 1024;
+
+/// Where the payload of a record lies in its file; a zero offset is no record,
+/// since a header goes before each payload.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct RecordSpan {
+    offset: u64,
+    length: u32,
+}
+
+#[derive(Debug, Default)]
+struct JobFile {
+    length: u64,
+    unsynced: bool,
+    requests: Vec<RecordSpan>,
+    results: Vec<RecordSpan>,
+}
+
+impl JobFile {
+    fn spans(&self, kind: RecordKind) -> &[RecordSpan] {
+        match kind {
+            RecordKind::Request => &self.requests,
+            RecordKind::Result => &self.results,
+        }
+    }
+
+    fn span(&self, item: u32, kind: RecordKind) -> Option<RecordSpan> {
+        let span = self.spans(kind).get(item as usize)?;
+        (span.offset != 0).then_some(*span)
+    }
+
+    fn insert(&mut self, item: u32, kind: RecordKind, span: RecordSpan) {
+        let spans = match kind {
+            RecordKind::Request => &mut self.requests,
+            RecordKind::Result => &mut self.results,
+        };
+        let position = item as usize;
+        if spans.len() <= position {
+            spans.resize(position + 1, RecordSpan::default());
+        }
+        spans[position] = span;
+    }
+}
+
+/// The fixed part of a record.
+struct RecordHeader {
+    length: u32,
+    checksum: u32,
+    kind: u8,
+    item: u32,
+}
+
+impl RecordHeader {
+    fn new(record: &StoreRecord<'_>) -> Result<Self, StoreError> {
+        let bytes = record.bytes.len();
+        let length = u32::try_from(bytes).map_err(|_| StoreError::TooLarge { bytes })?;
+        let kind = kind_code(record.kind);
+        Ok(Self {
+            length,
+            checksum: checksum(kind, record.item, record.bytes),
+            kind,
+            item: record.item,
+        })
+    }
+
+    fn encode(&self) -> [u8; HEADER_BYTES] {
+        let mut bytes = [0; HEADER_BYTES];
+        bytes[0..4].copy_from_slice(&self.length.to_le_bytes());
+        bytes[4..8].copy_from_slice(&self.checksum.to_le_bytes());
+        bytes[8] = self.kind;
+        bytes[9..13].copy_from_slice(&self.item.to_le_bytes());
+        bytes
+    }
+
+    fn decode(bytes: [u8; HEADER_BYTES]) -> Self {
+        let word = |at: usize| {
+            u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
+        };
+        Self {
+            length: word(0),
+            checksum: word(4),
+            kind: bytes[8],
+            item: word(9),
+        }
+    }
+
+    fn matches(&self, payload: &[u8]) -> bool {
+        self.checksum == checksum(self.kind, self.item, payload)
+    }
+}
+
+/// Keeps the records of each job in one file of a folder.
+#[derive(Debug)]
+pub struct FileStore {
+    folder: PathBuf,
+    files: BTreeMap<JobId, JobFile>,
+}
+
+impl FileStore {
+    /// Opens the store in `folder`, which is created if it does not exist.
+    ///
+    /// # Errors
+    ///
+    /// If the folder or a file in it cannot be read or written.
+    pub fn open(folder: &Path) -> Result<Self, StoreError> {
+        fs::create_dir_all(folder)?;
+        let mut files = BTreeMap::new();
+        for entry in fs::read_dir(folder)? {
+            let path = entry?.path();
+            if let Some(job) = job_of(&path) {
+                files.insert(job, scan_file(&path, job)?);
+            }
+        }
+        let folder = folder.to_owned();
+        Ok(Self { folder, files })
+    }
+
+    fn path(&self, job: JobId) -> PathBuf {
+        self.folder.join(format!("{job}.{FILE_SUFFIX}"))
+    }
+}
+
+impl ItemStore for FileStore {
+    fn put(&mut self, job: JobId, records: &[StoreRecord<'_>]) -> Result<(), StoreError> {
+        let path = self.path(job);
+        let file = self.files.entry(job).or_default();
+        let mut writer = FileWriter::open(&path, file.length)?;
+        for record in records {
+            if file.span(record.item, record.kind).is_some() {
+                continue;
+            }
+            let span = writer.append(record)?;
+            file.insert(record.item, record.kind, span);
+        }
+        file.length = writer.finish()?;
+        file.unsynced = true;
+        Ok(())
+    }
+
+    fn get(&self, job: JobId, item: u32, kind: RecordKind) -> Result<Vec<u8>, StoreError> {
+        let span = self.files.get(&job).and_then(|file| file.span(item, kind));
+        let span = span.ok_or(StoreError::Missing { job, item })?;
+        let file = File::open(self.path(job))?;
+        let mut header = [0; HEADER_BYTES];
+        file.read_exact_at(&mut header, span.offset - HEADER_BYTES as u64)?;
+        let mut payload = vec![0; span.length as usize];
+        file.read_exact_at(&mut payload, span.offset)?;
+        let header = RecordHeader::decode(header);
+        let same = header.item == item && header.kind == kind_code(kind);
+        if !same || !header.matches(&payload) {
+            return Err(StoreError::Corrupt { job, item });
+        }
+        Ok(payload)
+    }
+
+    fn remove(&mut self, job: JobId) -> Result<(), StoreError> {
+        if self.files.remove(&job).is_none() {
+            return Ok(());
+        }
+        match fs::remove_file(self.path(job)) {
+            Err(error) if error.kind() != ErrorKind::NotFound => Err(error.into()),
+            _ => Ok(()),
+        }
+    }
+
+    fn jobs(&self) -> Vec<JobId> {
+        self.files.keys().copied().collect()
+    }
+
+    fn sync(&mut self) -> Result<(), StoreError> {
+        let unsynced: Vec<JobId> = self
+            .files
+            .iter()
+            .filter(|(_, file)| file.unsynced)
+            .map(|(job, _)| *job)
+            .collect();
+        for job in unsynced {
+            File::open(self.path(job))?.sync_data()?;
+            if let Some(file) = self.files.get_mut(&job) {
+                file.unsynced = false;
+            }
+        }
+        File::open(&self.folder)?.sync_all()?;
+        Ok(())
+    }
+}
+
+/// Appends records at a known end, over anything an earlier failure left there.
+struct FileWriter {
+    file: File,
+    position: u64,
+    buffer: Vec<u8>,
+}
+
+impl FileWriter {
+    fn open(path: &Path, end: u64) -> Result<Self, StoreError> {
+        let mut file = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(path)?;
+        file.seek(SeekFrom::Start(end))?;
+        Ok(Self {
+            file,
+            position: end,
+            buffer: Vec::new(),
+        })
+    }
+
+    fn append(&mut self, record: &StoreRecord<'_>) -> Result<RecordSpan, StoreError> {
+        let header = RecordHeader::new(record)?;
+        self.buffer.extend_from_slice(&header.encode());
+        self.buffer.extend_from_slice(record.bytes);
+        let span = RecordSpan {
+            offset: self.position + HEADER_BYTES as u64,
+            length: header.length,
+        };
+        self.position = span.offset + u64::from(span.length);
+        if self.buffer.len() >= WRITE_BUFFER_BYTES {
+            self.flush()?;
+        }
+        Ok(span)
+    }
+
+    fn flush(&mut self) -> Result<(), StoreError> {
+        self.file.write_all(&self.buffer)?;
+        self.buffer.clear();
+        Ok(())
+    }
+
+    fn finish(mut self) -> Result<u64, StoreError> {
+        self.flush()?;
+        Ok(self.position)
+    }
+}
+
+fn kind_code(kind: RecordKind) -> u8 {
+    match kind {
+        RecordKind::Request => 1,
+        RecordKind::Result => 2,
+    }
+}
+
+fn kind_of(code: u8) -> Option<RecordKind> {
+    match code {
+        1 => Some(RecordKind::Request),
+        2 => Some(RecordKind::Result),
+        _ => None,
+    }
+}
+
+fn checksum(kind: u8, item: u32, payload: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&[kind]);
+    hasher.update(&item.to_le_bytes());
+    hasher.update(payload);
+    hasher.finalize()
+}
+
+fn job_of(path: &Path) -> Option<JobId> {
+    if path.extension()? != FILE_SUFFIX {
+        return None;
+    }
+    JobId::try_from(path.file_stem()?.to_str()?).ok()
+}
+
+fn scan_file(path: &Path, job: JobId) -> Result<JobFile, StoreError> {
+    let file = OpenOptions::new().read(true).write(true).open(path)?;
+    let size = file.metadata()?.len();
+    let mut reader = BufReader::new(&file);
+    let mut scanned = JobFile::default();
+    while let Some((header, kind)) = read_record(&mut reader, size - scanned.length)? {
+        let offset = scanned.length + HEADER_BYTES as u64;
+        let length = header.length;
+        scanned.insert(header.item, kind, RecordSpan { offset, length });
+        scanned.length = offset + u64::from(length);
+    }
+    if scanned.length < size {
+        let lost = size - scanned.length;
+        log::warn!("batch: cut {lost} bytes off the torn file of job {job}");
+        file.set_len(scanned.length)?;
+    }
+    Ok(scanned)
+}
+
+/// Reads the next whole record, or nothing at the end or a torn record.
+fn read_record(
+    reader: &mut impl Read,
+    left: u64,
+) -> Result<Option<(RecordHeader, RecordKind)>, StoreError> {
+    if left < HEADER_BYTES as u64 {
+        return Ok(None);
+    }
+    let mut header = [0; HEADER_BYTES];
+    reader.read_exact(&mut header)?;
+    let header = RecordHeader::decode(header);
+    let Some(kind) = kind_of(header.kind) else {
+        return Ok(None);
+    };
+    if left - (HEADER_BYTES as u64) < u64::from(header.length) {
+        return Ok(None);
+    }
+    let mut payload = vec![0; header.length as usize];
+    reader.read_exact(&mut payload)?;
+    Ok(header.matches(&payload).then_some((header, kind)))
+}
--- /dev/null
+++ b/crates/jobs/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the job state machine and its parts.
+
+mod machine;
+mod parse;
+mod support;
