Serve online requests and batch jobs on entry hosts

Cause: everything grows on one whole path from a caller to a backend server and back. Change: tasks for the replica (a single voter with a synced log, all other hosts follow its tail), routing, static limits, the batch dispatcher, the administration API, drain on SIGTERM. Ruled out for now: elections; the consensus package replaces the single voter behind the same handle. Not proved yet: whole-system tests follow.

--- /dev/null
+++ b/crates/host/src/admin.rs
@@ -0,0 +1,79 @@
+//! The administration API.
+
+mod answers;
+mod fleet;
+mod keys;
+
+use crate::ids::RandomIds;
+use crate::metrics::HostMetrics;
+use crate::peers::PeerDirectory;
+use crate::replica::ReplicaHandle;
+use crate::routing::RoutingHandle;
+use answers::MembersAnswer;
+use chicoryladder_gateway::{AdminAnswer, AdminRequest, OperatorPort, json_answer};
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::Method;
+use serde::Deserialize;
+use std::sync::Arc;
+
+/// Serves operators.
+pub(crate) struct AdminService {
+    pub(crate) host: HostName,
+    pub(crate) zone: ZoneName,
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) routing: RoutingHandle,
+    pub(crate) peers: PeerDirectory,
+    pub(crate) ids: Arc<RandomIds>,
+    pub(crate) shared_secret: String,
+    pub(crate) metrics: Arc<HostMetrics>,
+    pub(crate) clock: Arc<dyn ClockSource>,
+}
+
+impl OperatorPort for AdminService {
+    fn admin(&self, request: AdminRequest) -> BoxFuture<'_, AdminAnswer> {
+        self.route(request).boxed()
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.render()
+    }
+}
+
+impl AdminService {
+    async fn route(&self, request: AdminRequest) -> AdminAnswer {
+        let path = request.path.clone();
+        match (&request.method, path.as_str()) {
+            (&Method::GET, "fleet") => Ok(self.get_fleet()),
+            (&Method::PUT, "fleet") => self.put_fleet(&request.body).await,
+            (&Method::GET, "keys") => Ok(self.list_keys()),
+            (&Method::POST, "keys") => self.grant_key(&request.body).await,
+            (&Method::GET, "members") => Ok(self.members()),
+            (&Method::GET, "servers") => Ok(json_answer(200, &self.routing.servers().await)),
+            (method, path) => match path.strip_prefix("keys/") {
+                Some(id) if method == Method::DELETE => self.withdraw_key(id).await,
+                _ => Err(unknown_path(method, path)),
+            },
+        }
+    }
+
+    fn members(&self) -> hyper::Response<chicoryladder_gateway::AnswerBody> {
+        let now = self.clock.now();
+        let mut answer = MembersAnswer::of_self(&self.host, &self.zone, self.peers.own_address());
+        answer.add_peers(self.peers.live(), now);
+        json_answer(200, &answer)
+    }
+}
+
+fn unknown_path(method: &Method, path: &str) -> RequestRefusal {
+    let detail = format!("the administration API has no {method} {path}");
+    RequestRefusal::not_run(RefusalReason::UnknownRoute, detail)
+}
+
+fn parse_body<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, RequestRefusal> {
+    serde_json::from_slice(body).map_err(|error| {
+        let detail = format!("the body is malformed: {error}");
+        RequestRefusal::not_run(RefusalReason::BadRequest, detail)
+    })
+}
--- /dev/null
+++ b/crates/host/src/admission.rs
@@ -0,0 +1,135 @@
+//! Who a request runs for and by which rules.
+
+use crate::replica::ReplicaHandle;
+use chicoryladder_settings::{ClassTarget, FleetRoute, RouteMatch, TeamTerms};
+use chicoryladder_state::{FleetView, KeyDecision, KeyId};
+use chicoryladder_types::prelude::*;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time after which a view of the keys may be fresh again.
+const STALE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The team that a key speaks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct KeyHolder {
+    pub(crate) team: TeamName,
+    pub(crate) key_id: KeyId,
+    pub(crate) terms: TeamTerms,
+}
+
+/// Checks keys against the view of this host.
+#[derive(Clone)]
+pub(crate) struct KeyChecker {
+    pub(crate) replica: ReplicaHandle,
+}
+
+impl KeyChecker {
+    /// The team that the key speaks for.
+    ///
+    /// # Errors
+    ///
+    /// Refuses absent, unknown and withdrawn keys, and every key while the view
+    /// is too old to know of withdrawals.
+    pub(crate) fn check(&self, key: Option<&str>) -> Result<KeyHolder, RequestRefusal> {
+        let Some(key) = key else {
+            let detail = "this route needs a key, sent as `Authorization: Bearer KEY`";
+            return Err(RequestRefusal::not_run(RefusalReason::MissingKey, detail));
+        };
+        let view = self.replica.view();
+        let decision = view.check_key(key);
+        if decision == KeyDecision::Withdrawn {
+            let detail = "the key was withdrawn";
+            return Err(RequestRefusal::not_run(RefusalReason::WithdrawnKey, detail));
+        }
+        let (team, key_id) = self.fresh_team(decision)?;
+        let terms = view.document.teams.get(&team).copied();
+        let terms = terms.ok_or_else(unknown_key)?;
+        if !self.replica.is_fresh() && !terms.serve_through_cut {
+            return Err(stale_view());
+        }
+        Ok(KeyHolder {
+            team,
+            key_id,
+            terms,
+        })
+    }
+
+    /// An unknown key may be one that this host has not heard of yet.
+    fn fresh_team(&self, decision: KeyDecision) -> Result<(TeamName, KeyId), RequestRefusal> {
+        match decision {
+            KeyDecision::Team { team, key_id } => Ok((team, key_id)),
+            _ if self.replica.is_fresh() => Err(unknown_key()),
+            _ => Err(stale_view()),
+        }
+    }
+}
+
+fn unknown_key() -> RequestRefusal {
+    RequestRefusal::not_run(RefusalReason::UnknownKey, "no team holds this key")
+}
+
+fn stale_view() -> RequestRefusal {
+    let detail = "this host has not heard of key withdrawals lately";
+    RequestRefusal::not_run(RefusalReason::KeyViewStale, detail).with_retry_after(STALE_RETRY_AFTER)
+}
+
+/// The rules for one request.
+pub(crate) struct WorkRules {
+    pub(crate) route: FleetRoute,
+    pub(crate) class: ClassName,
+    pub(crate) target: ClassTarget,
+}
+
+impl WorkRules {
+    /// The rules of the fleet document for a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses unknown paths, methods and classes.
+    pub(crate) fn find(
+        view: &Arc<FleetView>,
+        method: &str,
+        path: &str,
+        class: Option<&ClassName>,
+    ) -> Result<Self, RequestRefusal> {
+        let route = match view.document.match_route(method, path) {
+            RouteMatch::Found { route, .. } => route.clone(),
+            RouteMatch::WrongMethod => {
+                let detail = format!("the route of {path} does not take {method}");
+                return Err(RequestRefusal::not_run(RefusalReason::WrongMethod, detail));
+            }
+            RouteMatch::Unknown => {
+                let detail = format!("no route covers {path}");
+                return Err(RequestRefusal::not_run(RefusalReason::UnknownRoute, detail));
+            }
+        };
+        let class = Self::class(&route, class)?;
+        let known = view.document.classes.get(&class);
+        let target = known.map(|known| known.target).ok_or_else(|| {
+            let detail = format!("the fleet document has no class {class}");
+            RequestRefusal::not_run(RefusalReason::ClassForbidden, detail)
+        })?;
+        Ok(Self {
+            route,
+            class,
+            target,
+        })
+    }
+
+    fn class(route: &FleetRoute, chosen: Option<&ClassName>) -> Result<ClassName, RequestRefusal> {
+        let Some(chosen) = chosen else {
+            let detail = "the route has no class";
+            let missing = || RequestRefusal::not_run(RefusalReason::ClassForbidden, detail);
+            return route.classes.first().cloned().ok_or_else(missing);
+        };
+        if route.classes.contains(chosen) {
+            return Ok(chosen.clone());
+        }
+        let detail = format!("the route does not take the class {chosen}");
+        Err(RequestRefusal::not_run(
+            RefusalReason::ClassForbidden,
+            detail,
+        ))
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry_host.rs
@@ -0,0 +1,121 @@
+//! Starting and stopping an entry host.
+
+mod parts;
+
+use crate::ids::RandomIds;
+use crate::metrics::{HostMetrics, MetricsError};
+use crate::platform::DrainFlag;
+use crate::replica::ReplicaError;
+use chicoryladder_gateway::{HttpListener, ListenError};
+use chicoryladder_link::{LinkError, SecretError};
+use chicoryladder_settings::HostSettings;
+use chicoryladder_types::SystemClock;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// The time for which a host reports that it is not ready before it stops
+/// accepting connections, so that the balancer can take it out.
+const READINESS_NOTICE: Duration = Duration::from_millis(500);
+
+/// Why a host did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum HostError {
+    /// A file named in the settings cannot be read.
+    #[error("cannot read {}", path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The secret of the hosts is not usable.
+    #[error(transparent)]
+    Secret(#[from] SecretError),
+    /// The settings name no voter.
+    #[error("the settings name no voter, so nothing can be ordered")]
+    NoVoter,
+    /// The peers' port cannot be served.
+    #[error(transparent)]
+    Link(#[from] LinkError),
+    /// Another port cannot be served.
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The state cannot be read.
+    #[error(transparent)]
+    Replica(#[from] ReplicaError),
+    /// The metrics cannot be set up.
+    #[error(transparent)]
+    Metrics(#[from] MetricsError),
+    /// The operating system gives out no random bytes.
+    #[error("the operating system gives out no random bytes: {0}")]
+    Random(#[from] getrandom::Error),
+}
+
+/// The addresses that a host took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostAddresses {
+    /// For callers and the platform's balancer.
+    pub callers: SocketAddr,
+    /// For backend servers.
+    pub servers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other entry hosts.
+    pub peers: SocketAddr,
+}
+
+/// A running entry host.
+pub struct EntryHost {
+    /// The addresses that the host took.
+    pub addresses: HostAddresses,
+    drain: DrainFlag,
+    drain_timeout: Duration,
+    callers: HttpListener,
+    servers: HttpListener,
+    operators: HttpListener,
+    tasks: JoinSet<()>,
+}
+
+impl EntryHost {
+    /// Starts a host on the system clock.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file, port or folder of the settings cannot be used.
+    pub async fn start(settings: HostSettings) -> Result<Self, HostError> {
+        let ids = Arc::new(RandomIds::from_system()?);
+        let metrics = Arc::new(HostMetrics::new()?);
+        parts::start(settings, Arc::new(SystemClock), ids, metrics).await
+    }
+
+    /// Stops the host: readiness goes first, then every accepted request ends
+    /// whole, then the process may exit.
+    ///
+    /// Requests that are still running after the drain timeout are cut.
+    pub async fn shutdown(mut self) {
+        self.drain.raise();
+        log::info!("host: drains.");
+        tokio::time::sleep(READINESS_NOTICE).await;
+        let draining = async {
+            self.callers.drain().await;
+            self.servers.drain().await;
+            self.operators.drain().await;
+        };
+        match tokio::time::timeout(self.drain_timeout, draining).await {
+            Ok(()) => log::info!("host: drained, every request has ended."),
+            Err(_) => log::warn!("host: cuts the requests left at the drain timeout."),
+        }
+        self.tasks.shutdown().await;
+    }
+
+    /// Stops the host at once, as a crash would.
+    pub async fn kill(mut self) {
+        self.callers.abort();
+        self.servers.abort();
+        self.operators.abort();
+        self.tasks.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/host/src/entry_host/parts.rs
@@ -0,0 +1,303 @@
+//! Building the parts of a host and connecting them.
+
+use super::{EntryHost, HostAddresses, HostError};
+use crate::admin::AdminService;
+use crate::admission::KeyChecker;
+use crate::batch::BatchDispatcher;
+use crate::ids::RandomIds;
+use crate::job_service::JobService;
+use crate::limits::LimitHandle;
+use crate::metrics::HostMetrics;
+use crate::online::OnlineService;
+use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
+use crate::platform::{DrainFlag, PlatformService};
+use crate::replica::{ReplicaHandle, ReplicaInbox, ReplicaTask};
+use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle};
+use chicoryladder_gateway::{
+    CallerService, HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
+    ServerPort, ServerService,
+};
+use chicoryladder_link::{InboundMessage, LinkIdentity, LinkTiming, PeerLink, PeerSecret};
+use chicoryladder_settings::HostSettings;
+use chicoryladder_types::ServerAnnouncement;
+use chicoryladder_types::prelude::*;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+
+/// The longest time for the header fields of a request to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The longest body of a batch job, in bytes.
+const JOB_MAX_BYTES: usize = 512 * 1024 * 1024;
+
+/// Starts every part of a host.
+pub(super) async fn start(
+    settings: HostSettings,
+    clock: Arc<dyn ClockSource>,
+    ids: Arc<RandomIds>,
+    metrics: Arc<HostMetrics>,
+) -> Result<EntryHost, HostError> {
+    let shared_secret = read_text(&settings.peers.secret_file)?;
+    let operator_token = read_text(&settings.operators.token_file)?;
+    let (link, messages) = start_link(&settings, &shared_secret, clock.clone()).await?;
+    let parts = HostParts::start(settings, clock, ids, metrics, link, messages)?;
+    parts.listen(shared_secret, operator_token).await
+}
+
+async fn start_link(
+    settings: &HostSettings,
+    shared_secret: &str,
+    clock: Arc<dyn ClockSource>,
+) -> Result<(PeerLink, mpsc::Receiver<InboundMessage>), HostError> {
+    let identity = LinkIdentity {
+        host: settings.host.name.clone(),
+        zone: settings.host.zone.clone(),
+        incarnation: incarnation(clock.wall()),
+    };
+    let secret = PeerSecret::try_from(shared_secret)?;
+    let timing = LinkTiming::default();
+    let link = PeerLink::start(settings.listen.peers, identity, secret, timing, clock);
+    Ok(link.await?)
+}
+
+/// The tasks of a host, before its ports are open.
+struct HostParts {
+    settings: HostSettings,
+    clock: Arc<dyn ClockSource>,
+    ids: Arc<RandomIds>,
+    metrics: Arc<HostMetrics>,
+    directory: PeerDirectory,
+    replica: ReplicaHandle,
+    routing: RoutingHandle,
+    limits: LimitHandle,
+    drain: DrainFlag,
+    tasks: JoinSet<()>,
+}
+
+impl HostParts {
+    fn start(
+        settings: HostSettings,
+        clock: Arc<dyn ClockSource>,
+        ids: Arc<RandomIds>,
+        metrics: Arc<HostMetrics>,
+        link: PeerLink,
+        messages: mpsc::Receiver<InboundMessage>,
+    ) -> Result<Self, HostError> {
+        let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
+        let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
+        let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock)?;
+        let routing = RoutingHandle::start(settings.host.zone.clone(), clock.clone());
+        let limits = LimitHandle::start(directory.contact_count(), clock.clone());
+        let mut tasks = JoinSet::new();
+        tasks.spawn(replica_task.run());
+        let peer_task = PeerTask {
+            directory: directory.clone(),
+            messages,
+            replica: inbox,
+            routing: routing.clone(),
+        };
+        tasks.spawn(peer_task.run());
+        let dispatcher = BatchDispatcher {
+            host: settings.host.name.clone(),
+            replica: replica.clone(),
+            routing: routing.clone(),
+            client: ServerClient::new(),
+            clock: clock.clone(),
+            ids: ids.clone(),
+        };
+        tasks.spawn(dispatcher.run());
+        Ok(Self {
+            settings,
+            clock,
+            ids,
+            metrics,
+            directory,
+            replica,
+            routing,
+            limits,
+            drain: DrainFlag::default(),
+            tasks,
+        })
+    }
+
+    /// Opens the ports; from then on the host serves.
+    async fn listen(
+        self,
+        shared_secret: String,
+        operator_token: String,
+    ) -> Result<EntryHost, HostError> {
+        let listen = self.settings.listen;
+        let admin = self.admin_service(shared_secret);
+        let operator_service = OperatorService {
+            port: Arc::new(admin),
+            token: operator_token,
+        };
+        let callers = self
+            .open("callers", listen.callers, Arc::new(self.caller_service()))
+            .await?;
+        let servers = self
+            .open("servers", listen.servers, Arc::new(self.server_service()))
+            .await?;
+        let operators = self
+            .open("operators", listen.operators, Arc::new(operator_service))
+            .await?;
+        let addresses = HostAddresses {
+            callers: callers.address,
+            servers: servers.address,
+            operators: operators.address,
+            peers: self.directory.own_address(),
+        };
+        Ok(EntryHost {
+            addresses,
+            drain: self.drain,
+            drain_timeout: self.settings.shutdown.drain_timeout,
+            callers,
+            servers,
+            operators,
+            tasks: self.tasks,
+        })
+    }
+
+    async fn open(
+        &self,
+        part: &'static str,
+        address: SocketAddr,
+        service: Arc<dyn HttpService>,
+    ) -> Result<HttpListener, HostError> {
+        let limits = ListenerLimits {
+            header_max_bytes: clamp_bytes(self.settings.callers.header_max_bytes),
+            header_timeout: HEADER_TIMEOUT,
+        };
+        Ok(HttpListener::start(part, address, limits, service).await?)
+    }
+
+    fn caller_service(&self) -> CallerService {
+        let ids = self.ids.clone();
+        CallerService {
+            online: Arc::new(self.online_service()),
+            jobs: Arc::new(self.job_service()),
+            platform: Arc::new(PlatformService {
+                drain: self.drain.clone(),
+                replica: self.replica.clone(),
+            }),
+            clock: self.clock.clone(),
+            ids: Arc::new(move || ids.request()),
+            body_max_bytes: clamp_bytes(self.settings.callers.body_max_bytes),
+            job_max_bytes: JOB_MAX_BYTES,
+            body_timeout: self.settings.callers.body_timeout,
+        }
+    }
+
+    fn online_service(&self) -> OnlineService {
+        OnlineService {
+            keys: self.key_checker(),
+            replica: self.replica.clone(),
+            limits: self.limits.clone(),
+            routing: self.routing.clone(),
+            client: ServerClient::new(),
+            clock: self.clock.clone(),
+            metrics: self.metrics.clone(),
+            drain: self.drain.clone(),
+        }
+    }
+
+    fn job_service(&self) -> JobService {
+        JobService {
+            keys: self.key_checker(),
+            replica: self.replica.clone(),
+            ids: self.ids.clone(),
+            metrics: self.metrics.clone(),
+            drain: self.drain.clone(),
+        }
+    }
+
+    fn server_service(&self) -> ServerService {
+        ServerService {
+            port: Arc::new(AnnouncementRelay {
+                routing: self.routing.clone(),
+                directory: self.directory.clone(),
+            }),
+            renew_within: ANNOUNCEMENT_LEASE,
+        }
+    }
+
+    fn admin_service(&self, shared_secret: String) -> AdminService {
+        AdminService {
+            host: self.settings.host.name.clone(),
+            zone: self.settings.host.zone.clone(),
+            replica: self.replica.clone(),
+            routing: self.routing.clone(),
+            peers: self.directory.clone(),
+            ids: self.ids.clone(),
+            shared_secret,
+            metrics: self.metrics.clone(),
+            clock: self.clock.clone(),
+        }
+    }
+
+    fn key_checker(&self) -> KeyChecker {
+        KeyChecker {
+            replica: self.replica.clone(),
+        }
+    }
+}
+
+/// Takes announcements and passes them on to the other hosts.
+struct AnnouncementRelay {
+    routing: RoutingHandle,
+    directory: PeerDirectory,
+}
+
+impl ServerPort for AnnouncementRelay {
+    fn announce(&self, announcement: ServerAnnouncement) {
+        let message = PeerMessage::Announcement(announcement.clone());
+        self.directory.broadcast(&message);
+        self.routing.announce(announcement);
+    }
+}
+
+/// Opens the replica; the lowest seat of the settings orders the commands.
+fn open_replica(
+    settings: &HostSettings,
+    directory: &PeerDirectory,
+    clock: &Arc<dyn ClockSource>,
+) -> Result<(ReplicaTask, ReplicaHandle, ReplicaInbox), HostError> {
+    let (voter_seat, voter) = settings.voters.iter().next().ok_or(HostError::NoVoter)?;
+    let own = settings
+        .data
+        .as_ref()
+        .filter(|data| data.seat == *voter_seat);
+    let opened = ReplicaTask::open(
+        own.map(|data| data.folder.as_path()),
+        *voter,
+        directory.clone(),
+        clock.clone(),
+        settings.keys.lease,
+    );
+    Ok(opened?)
+}
+
+fn read_text(path: &Path) -> Result<String, HostError> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok(text.trim().to_owned()),
+        Err(source) => Err(HostError::File {
+            path: path.to_owned(),
+            source,
+        }),
+    }
+}
+
+fn incarnation(now: SystemTime) -> u64 {
+    let elapsed = now
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX)
+}
+
+fn clamp_bytes(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/host/src/ids.rs
@@ -0,0 +1,64 @@
+//! Random identifiers.
+
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{JobId, OperationId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+use std::sync::{Mutex, PoisonError};
+
+/// Draws random identifiers from a seeded generator.
+pub struct RandomIds {
+    generator: Mutex<ChaCha12Rng>,
+}
+
+impl RandomIds {
+    /// Identifiers from the seed of the operating system.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system gives out no random bytes.
+    pub fn from_system() -> Result<Self, getrandom::Error> {
+        let mut seed = [0; 32];
+        getrandom::fill(&mut seed)?;
+        Ok(Self::from_seed(seed))
+    }
+
+    /// Identifiers from the given seed.
+    #[must_use]
+    pub fn from_seed(seed: [u8; 32]) -> Self {
+        Self {
+            generator: Mutex::new(ChaCha12Rng::from_seed(seed)),
+        }
+    }
+
+    /// 128 random bits.
+    pub fn bits(&self) -> u128 {
+        let mut bytes = [0; 16];
+        self.fill(&mut bytes);
+        u128::from_le_bytes(bytes)
+    }
+
+    /// Fills `bytes` with random bits.
+    pub fn fill(&self, bytes: &mut [u8]) {
+        let mut generator = self
+            .generator
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        generator.fill_bytes(bytes);
+    }
+
+    /// An id for a request.
+    pub fn request(&self) -> RequestId {
+        RequestId::new(self.bits())
+    }
+
+    /// An id for a job.
+    pub fn job(&self) -> JobId {
+        JobId::new(self.bits())
+    }
+
+    /// An id for an operation that came without one.
+    pub fn operation(&self) -> Option<OperationId> {
+        OperationId::try_from(format!("{:032x}", self.bits())).ok()
+    }
+}
--- /dev/null
+++ b/crates/host/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Metrics of one host, in OpenTelemetry instruments.
+
+use chicoryladder_types::prelude::*;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use std::time::Duration;
+
+/// The instruments of one host.
+pub struct HostMetrics {
+    registry: Registry,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    answer_seconds: Histogram<f64>,
+    // Dropping the provider would end the instruments.
+    _provider: SdkMeterProvider,
+}
+
+/// Why the metrics could not be set up.
+#[derive(Debug, thiserror::Error)]
+#[error("the metrics cannot be set up: {0}")]
+pub struct MetricsError(String);
+
+impl HostMetrics {
+    /// The instruments, with every reason counted from zero.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be registered.
+    pub fn new() -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|error| MetricsError(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("chicoryladder");
+        let metrics = Self {
+            registry,
+            requests: meter.u64_counter("requests").build(),
+            refusals: meter.u64_counter("refusals").build(),
+            retries: meter.u64_counter("retries").build(),
+            answer_seconds: meter.f64_histogram("answer_seconds").build(),
+            _provider: provider,
+        };
+        metrics.show_all_reasons();
+        Ok(metrics)
+    }
+
+    /// Counts a request that was served.
+    pub fn count_served(&self, class: &ClassName, elapsed: Duration) {
+        let class = KeyValue::new("class", class.to_string());
+        self.requests.add(1, std::slice::from_ref(&class));
+        self.answer_seconds.record(elapsed.as_secs_f64(), &[class]);
+    }
+
+    /// Counts a refusal by its reason.
+    pub fn count_refusal(&self, reason: RefusalReason) {
+        self.refusals.add(1, &[reason_label(reason.as_str())]);
+    }
+
+    /// Counts a retry by its reason.
+    pub fn count_retry(&self, reason: RetryReason) {
+        self.retries.add(1, &[reason_label(reason.as_str())]);
+    }
+
+    /// All values in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_else(|error| format!("# the metrics cannot be encoded: {error}\n"))
+    }
+
+    /// Shows each reason from the start, so that a first refusal is a change.
+    fn show_all_reasons(&self) {
+        for reason in RefusalReason::ALL {
+            self.refusals.add(0, &[reason_label(reason.as_str())]);
+        }
+        for reason in RetryReason::ALL {
+            self.retries.add(0, &[reason_label(reason.as_str())]);
+        }
+    }
+}
+
+fn reason_label(text: &'static str) -> KeyValue {
+    KeyValue::new("reason", text)
+}
--- /dev/null
+++ b/crates/host/src/online.rs
@@ -0,0 +1,124 @@
+//! Online requests from admission to the end of the answer.
+
+use crate::admission::{KeyChecker, KeyHolder, WorkRules};
+use crate::limits::LimitHandle;
+use crate::metrics::HostMetrics;
+use crate::online_attempt::{AttemptPlan, OnlineAttempts};
+use crate::platform::DrainFlag;
+use crate::prompt::named_model;
+use crate::replica::ReplicaHandle;
+use crate::routing::{RoutingHandle, WorkTarget};
+use chicoryladder_gateway::{AnswerBody, OnlinePort, OnlineRequest, ServerClient};
+use chicoryladder_settings::{ClassTarget, RouteTarget};
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::Response;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Multiples of a class's target after which a request is given up on.
+const GIVE_UP_TARGETS: u32 = 4;
+
+/// Serves online requests.
+pub(crate) struct OnlineService {
+    pub(crate) keys: KeyChecker,
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) limits: LimitHandle,
+    pub(crate) routing: RoutingHandle,
+    pub(crate) client: ServerClient,
+    pub(crate) clock: Arc<dyn ClockSource>,
+    pub(crate) metrics: Arc<HostMetrics>,
+    pub(crate) drain: DrainFlag,
+}
+
+impl OnlinePort for OnlineService {
+    fn serve(
+        &self,
+        request: OnlineRequest,
+    ) -> BoxFuture<'_, Result<Response<AnswerBody>, RequestRefusal>> {
+        self.serve_counted(request).boxed()
+    }
+}
+
+impl OnlineService {
+    async fn serve_counted(
+        &self,
+        request: OnlineRequest,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let id = request.id;
+        let result = self.serve_admitted(request).await;
+        if let Err(refusal) = &result {
+            self.metrics.count_refusal(refusal.reason);
+            log::debug!("online: refused request {id}: {refusal}.");
+        }
+        result
+    }
+
+    async fn serve_admitted(
+        &self,
+        request: OnlineRequest,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        if self.drain.is_raised() {
+            let detail = "this host is shutting down";
+            return Err(RequestRefusal::not_run(RefusalReason::Draining, detail));
+        }
+        let view = self.replica.view();
+        let class = request.class.as_ref();
+        let rules = WorkRules::find(&view, request.method.as_str(), &request.path, class)?;
+        let holder = self.holder(&request, &rules)?;
+        let target = work_target(&rules.route.target, &request)?;
+        if let Some(holder) = &holder {
+            self.limits.admit(&holder.team, holder.terms).await?;
+        }
+        let plan = AttemptPlan {
+            target,
+            idempotent: rules.route.idempotent,
+            give_up: give_up_time(rules.target),
+            class: rules.class,
+            holder,
+        };
+        self.attempts().run(request, plan).await
+    }
+
+    /// The team of the request; none on a route open to all.
+    fn holder(
+        &self,
+        request: &OnlineRequest,
+        rules: &WorkRules,
+    ) -> Result<Option<KeyHolder>, RequestRefusal> {
+        if rules.route.open {
+            return Ok(None);
+        }
+        self.keys.check(request.key.as_deref()).map(Some)
+    }
+
+    fn attempts(&self) -> OnlineAttempts<'_> {
+        OnlineAttempts {
+            routing: &self.routing,
+            client: &self.client,
+            clock: &self.clock,
+            metrics: &self.metrics,
+            replica: &self.replica,
+        }
+    }
+}
+
+fn work_target(
+    target: &RouteTarget,
+    request: &OnlineRequest,
+) -> Result<WorkTarget, RequestRefusal> {
+    match target {
+        RouteTarget::Model(model) => Ok(WorkTarget::Model(model.clone())),
+        RouteTarget::AnyModel => named_model(&request.body).map(WorkTarget::Model),
+        RouteTarget::Service(service) => Ok(WorkTarget::Service(service.clone())),
+    }
+}
+
+/// The time after which a request of the class is given up on.
+fn give_up_time(target: ClassTarget) -> Duration {
+    match target {
+        ClassTarget::Online(target) => target.answer * GIVE_UP_TARGETS,
+        ClassTarget::Batch(target) => target.finish_within,
+    }
+}
--- /dev/null
+++ b/crates/host/src/online_attempt.rs
@@ -0,0 +1,288 @@
+//! The attempts at one online request.
+
+use crate::admission::KeyHolder;
+use crate::metrics::HostMetrics;
+use crate::replica::ReplicaHandle;
+use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+use chicoryladder_gateway::{
+    AnswerBody, BodyError, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
+    StreamTerms, bytes_body, watch_stream,
+};
+use chicoryladder_types::headers;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// The most attempts at one request.
+const ATTEMPTS_MAX: usize = 3;
+
+/// The longest answer that is held until it is whole, in bytes.
+const WHOLE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// The time after which a caller should come back when attempts ran out.
+const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Header fields of an answer that hold for the server's connection only.
+const CONNECTION_FIELDS: &[&str] = &["connection", "keep-alive", "proxy-connection", "upgrade"];
+
+/// What the attempts have to keep to.
+pub(crate) struct AttemptPlan {
+    pub(crate) target: WorkTarget,
+    pub(crate) idempotent: bool,
+    pub(crate) give_up: Duration,
+    pub(crate) class: ClassName,
+    pub(crate) holder: Option<KeyHolder>,
+}
+
+/// Runs attempts until one succeeds or none is left.
+pub(crate) struct OnlineAttempts<'a> {
+    pub(crate) routing: &'a RoutingHandle,
+    pub(crate) client: &'a ServerClient,
+    pub(crate) clock: &'a Arc<dyn ClockSource>,
+    pub(crate) metrics: &'a Arc<HostMetrics>,
+    pub(crate) replica: &'a ReplicaHandle,
+}
+
+/// An answer whose header fields have arrived.
+struct BegunAnswer {
+    response: Response<Incoming>,
+    grant: ServerGrant,
+}
+
+impl OnlineAttempts<'_> {
+    pub(crate) async fn run(
+        &self,
+        request: OnlineRequest,
+        plan: AttemptPlan,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let deadline = request.received + plan.give_up;
+        let mut excluded = Vec::new();
+        let mut verdict = RunVerdict::NotRun;
+        loop {
+            let grant = self.acquire(&plan, &excluded, deadline, verdict).await?;
+            excluded.push(grant.name.clone());
+            let attempt = self.attempt(&request, &plan, grant, deadline);
+            let failure = match attempt.await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            verdict = verdict.join(failure.verdict);
+            let repeatable = verdict == RunVerdict::NotRun || plan.idempotent;
+            if !repeatable || excluded.len() >= ATTEMPTS_MAX {
+                return Err(give_up(&failure, verdict));
+            }
+            self.metrics.count_retry(failure.reason);
+            log::debug!("online: retries request {}: {failure}.", request.id);
+        }
+    }
+
+    async fn acquire(
+        &self,
+        plan: &AttemptPlan,
+        excluded: &[ServerName],
+        deadline: Instant,
+        verdict: RunVerdict,
+    ) -> Result<ServerGrant, RequestRefusal> {
+        let wanted = SlotRequest {
+            target: plan.target.clone(),
+            kind: WorkKind::Online,
+            excluded: excluded.to_vec(),
+        };
+        let result = self.routing.acquire(wanted, deadline).await;
+        result.map_err(|mut refusal| {
+            refusal.verdict = refusal.verdict.join(verdict);
+            refusal
+        })
+    }
+
+    async fn attempt(
+        &self,
+        request: &OnlineRequest,
+        plan: &AttemptPlan,
+        grant: ServerGrant,
+        deadline: Instant,
+    ) -> Result<Response<AnswerBody>, ServerFailure> {
+        let left = deadline.saturating_duration_since(self.clock.now());
+        let message = ServerRequest {
+            address: grant.address,
+            id: request.id,
+            requires_id: matches!(plan.target, WorkTarget::Model(_)),
+            method: request.method.clone(),
+            path_and_query: path_and_query(request),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+            first_byte_timeout: left,
+        };
+        let response = self.client.send(&message).await?;
+        let answer = BegunAnswer { response, grant };
+        if is_event_stream(answer.response.headers()) {
+            return Ok(self.stream(request, plan, answer));
+        }
+        self.whole(request, plan, answer, deadline).await
+    }
+
+    /// Passes a stream on while it arrives.
+    fn stream(
+        &self,
+        request: &OnlineRequest,
+        plan: &AttemptPlan,
+        answer: BegunAnswer,
+    ) -> Response<AnswerBody> {
+        let (parts, body) = answer.response.into_parts();
+        let mut grant = answer.grant;
+        grant.load = reported_load(&parts.headers);
+        let metrics = self.metrics.clone();
+        let clock = self.clock.clone();
+        let class = plan.class.clone();
+        let received = request.received;
+        let terms = StreamTerms {
+            needs_marker: parts.status.is_success(),
+            chunk_timeout: plan.give_up,
+            stop: self.withdrawal(plan),
+            on_end: Box::new(move |end| {
+                drop(grant);
+                let elapsed = clock.now().saturating_duration_since(received);
+                count_end(&metrics, end, &class, elapsed);
+            }),
+        };
+        let mut response = Response::new(watch_stream(body, terms));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = answer_fields(&parts.headers);
+        response
+    }
+
+    /// Holds an answer until it is whole, so that a truncated one is an error.
+    async fn whole(
+        &self,
+        request: &OnlineRequest,
+        plan: &AttemptPlan,
+        answer: BegunAnswer,
+        deadline: Instant,
+    ) -> Result<Response<AnswerBody>, ServerFailure> {
+        let (parts, body) = answer.response.into_parts();
+        let mut grant = answer.grant;
+        grant.load = reported_load(&parts.headers);
+        let left = deadline.saturating_duration_since(self.clock.now());
+        let bytes = read_whole(body, left).await?;
+        drop(grant);
+        let elapsed = self.clock.now().saturating_duration_since(request.received);
+        self.metrics.count_served(&plan.class, elapsed);
+        let mut response = Response::new(bytes_body(bytes));
+        *response.status_mut() = parts.status;
+        *response.headers_mut() = answer_fields(&parts.headers);
+        Ok(response)
+    }
+
+    /// Resolves once the key of the request is withdrawn.
+    fn withdrawal(&self, plan: &AttemptPlan) -> BoxFuture<'static, RequestRefusal> {
+        let Some(holder) = plan.holder.clone() else {
+            return std::future::pending().boxed();
+        };
+        let mut replica = self.replica.clone();
+        let waiting = async move {
+            while !replica.view().is_withdrawn(holder.key_id) {
+                if !replica.changed().await {
+                    std::future::pending::<()>().await;
+                }
+            }
+            let detail = "the key was withdrawn";
+            RequestRefusal::new(RefusalReason::WithdrawnKey, RunVerdict::MayHaveRun, detail)
+        };
+        waiting.boxed()
+    }
+}
+
+fn give_up(failure: &ServerFailure, verdict: RunVerdict) -> RequestRefusal {
+    let reason = match failure.reason {
+        RetryReason::AnswerCrossed => RefusalReason::AnswerCrossed,
+        RetryReason::ServerSilent => RefusalReason::ServerSilent,
+        RetryReason::ConnectFailed
+        | RetryReason::ConnectionLost
+        | RetryReason::ServerRefused
+        | RetryReason::ServerCrashed => RefusalReason::ServerFailed,
+    };
+    RequestRefusal::new(reason, verdict, failure.detail.clone())
+        .with_retry_after(FAILED_RETRY_AFTER)
+}
+
+fn path_and_query(request: &OnlineRequest) -> String {
+    if request.query.is_empty() {
+        return request.path.clone();
+    }
+    format!("{}?{}", request.path, request.query)
+}
+
+fn is_event_stream(fields: &HeaderMap) -> bool {
+    let kind = fields.get(CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
+    let text = fields.get(headers::SERVER_LOAD)?.to_str().ok()?;
+    let mut load = chicoryladder_types::ServerLoad::default();
+    for part in text.split(';') {
+        let (name, count) = part.trim().split_once('=')?;
+        let count = count.parse().ok()?;
+        match name {
+            "running" => load.running = count,
+            "waiting" => load.waiting = count,
+            _ => {}
+        }
+    }
+    Some(load)
+}
+
+/// The header fields of a server's answer that reach the caller.
+fn answer_fields(fields: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::with_capacity(fields.len() + 1);
+    for (name, value) in fields {
+        let dropped = CONNECTION_FIELDS.contains(&name.as_str())
+            || *name == CONTENT_LENGTH
+            || *name == TRANSFER_ENCODING
+            || name.as_str() == headers::SERVER_LOAD
+            || name.as_str() == headers::SERVER_VERDICT;
+        if !dropped {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    let verdict = HeaderValue::from_static(RunVerdict::Ran.as_str());
+    kept.insert(headers::VERDICT, verdict);
+    kept
+}
+
+async fn read_whole(body: Incoming, left: Duration) -> Result<Bytes, ServerFailure> {
+    let limited = http_body_util::Limited::new(body, WHOLE_ANSWER_MAX_BYTES);
+    match tokio::time::timeout(left, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) => Err(truncated(&error)),
+        Err(_) => Err(ServerFailure {
+            verdict: RunVerdict::MayHaveRun,
+            reason: RetryReason::ServerSilent,
+            detail: "the backend server stopped sending".to_owned(),
+        }),
+    }
+}
+
+fn truncated(error: &BodyError) -> ServerFailure {
+    ServerFailure {
+        verdict: RunVerdict::MayHaveRun,
+        reason: RetryReason::ConnectionLost,
+        detail: format!("the answer ended early: {error}"),
+    }
+}
+
+fn count_end(metrics: &HostMetrics, end: StreamEnd, class: &ClassName, elapsed: Duration) {
+    match end {
+        StreamEnd::Whole => metrics.count_served(class, elapsed),
+        StreamEnd::Truncated => metrics.count_refusal(RefusalReason::AnswerTruncated),
+        StreamEnd::Silent => metrics.count_refusal(RefusalReason::ServerSilent),
+        StreamEnd::Stopped => metrics.count_refusal(RefusalReason::WithdrawnKey),
+        StreamEnd::CallerLeft => {}
+    }
+}
--- /dev/null
+++ b/crates/host/src/replica/handle.rs
@@ -0,0 +1,209 @@
+//! The handles that other tasks use.
+
+use super::command::{GroupCommand, GroupOutcome, ReplicaMessage};
+use chicoryladder_jobs::{
+    ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage, UnixMillis,
+};
+use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView};
+use chicoryladder_types::JobId;
+use chicoryladder_types::prelude::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// The longest time for a command to be ordered and applied.
+const PROPOSE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The time after which a caller should come back when no voter answers.
+const NO_QUORUM_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Why a command was not ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum ProposeError {
+    /// The command was refused before it was ordered.
+    #[error("the data folder cannot take the command")]
+    StorageFailed,
+    /// No answer came; the command may still be ordered.
+    #[error("no quorum of voters answered in time")]
+    NoQuorum,
+}
+
+impl ProposeError {
+    /// The refusal of a request that needed the command.
+    pub(crate) fn refusal(self) -> RequestRefusal {
+        let (reason, verdict) = match self {
+            Self::StorageFailed => (RefusalReason::StorageFailed, RunVerdict::NotRun),
+            Self::NoQuorum => (RefusalReason::NoQuorum, RunVerdict::MayHaveRun),
+        };
+        RequestRefusal::new(reason, verdict, self.to_string())
+            .with_retry_after(NO_QUORUM_RETRY_AFTER)
+    }
+}
+
+/// Reads of the job state.
+pub(crate) enum JobQuery {
+    Status(TeamName, JobId, oneshot::Sender<Option<JobStatus>>),
+    Results(
+        ResultQuery,
+        oneshot::Sender<Result<ResultPage, MachineError>>,
+    ),
+    Request(
+        JobId,
+        u32,
+        oneshot::Sender<Result<ItemRequest, MachineError>>,
+    ),
+    HasWork(oneshot::Sender<bool>),
+}
+
+/// Asks for results of a job.
+#[derive(Clone, Debug)]
+pub(crate) struct ResultQuery {
+    pub(crate) team: TeamName,
+    pub(crate) job: JobId,
+    pub(crate) from: u32,
+    pub(crate) limit: u32,
+}
+
+/// What the replica task is told.
+pub(super) enum ReplicaEvent {
+    Propose(
+        GroupCommand,
+        oneshot::Sender<Result<GroupOutcome, ProposeError>>,
+    ),
+    Query(JobQuery),
+    Peer(SocketAddr, ReplicaMessage),
+}
+
+/// What requests are served from.
+#[derive(Clone, Debug)]
+pub(super) struct ReplicaView {
+    pub(super) fleet: Arc<FleetView>,
+    /// When this host last was level with the voter.
+    pub(super) level_at: Option<Instant>,
+}
+
+/// Takes messages of other hosts for the replica.
+#[derive(Clone)]
+pub(crate) struct ReplicaInbox {
+    pub(super) events: mpsc::UnboundedSender<ReplicaEvent>,
+}
+
+impl ReplicaInbox {
+    pub(crate) fn deliver(&self, sender: SocketAddr, message: ReplicaMessage) {
+        // A closed channel means that the host has stopped.
+        let _ = self.events.send(ReplicaEvent::Peer(sender, message));
+    }
+}
+
+/// Talks to the replica task; clones share it.
+#[derive(Clone)]
+pub(crate) struct ReplicaHandle {
+    pub(super) events: mpsc::UnboundedSender<ReplicaEvent>,
+    pub(super) views: watch::Receiver<ReplicaView>,
+    pub(super) clock: Arc<dyn ClockSource>,
+    pub(super) lease: Duration,
+}
+
+impl ReplicaHandle {
+    /// The fleet document and the keys as this host has them.
+    pub(crate) fn view(&self) -> Arc<FleetView> {
+        self.views.borrow().fleet.clone()
+    }
+
+    /// Whether the view may serve keyed requests: its lease has not run out.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let level_at = self.views.borrow().level_at;
+        let now = self.clock.now();
+        level_at.is_some_and(|at| now.saturating_duration_since(at) <= self.lease)
+    }
+
+    /// Waits for the next change of the view or its freshness; false once the
+    /// replica has stopped.
+    pub(crate) async fn changed(&mut self) -> bool {
+        self.views.changed().await.is_ok()
+    }
+
+    /// Has a command on the fleet ordered and applied.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the voter cannot be reached or cannot store the command.
+    pub(crate) async fn propose_fleet(
+        &self,
+        command: FleetCommand,
+    ) -> Result<FleetOutcome, ProposeError> {
+        match self.propose(GroupCommand::Fleet(command)).await? {
+            GroupOutcome::Fleet(outcome) => Ok(outcome),
+            GroupOutcome::Jobs(_) => Err(ProposeError::NoQuorum),
+        }
+    }
+
+    /// Has a command on batch jobs ordered and applied.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the voter cannot be reached or cannot store the command.
+    pub(crate) async fn propose_jobs(
+        &self,
+        command: JobCommand,
+    ) -> Result<JobOutcome, ProposeError> {
+        match self.propose(GroupCommand::Jobs(command)).await? {
+            GroupOutcome::Jobs(outcome) => Ok(outcome),
+            GroupOutcome::Fleet(_) => Err(ProposeError::NoQuorum),
+        }
+    }
+
+    async fn propose(&self, command: GroupCommand) -> Result<GroupOutcome, ProposeError> {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.events.send(ReplicaEvent::Propose(command, sender));
+        match tokio::time::timeout(PROPOSE_TIMEOUT, receiver).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(ProposeError::NoQuorum),
+        }
+    }
+
+    /// The state of a job of the team.
+    pub(crate) async fn job_status(&self, team: &TeamName, job: JobId) -> Option<JobStatus> {
+        let query = |sender| JobQuery::Status(team.clone(), job, sender);
+        self.query(query).await.flatten()
+    }
+
+    /// Some results of a job.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the job is unknown or the results cannot be read.
+    pub(crate) async fn job_results(
+        &self,
+        query: ResultQuery,
+    ) -> Option<Result<ResultPage, MachineError>> {
+        self.query(|sender| JobQuery::Results(query, sender)).await
+    }
+
+    /// The request of an item.
+    pub(crate) async fn item_request(
+        &self,
+        job: JobId,
+        item: u32,
+    ) -> Option<Result<ItemRequest, MachineError>> {
+        self.query(|sender| JobQuery::Request(job, item, sender))
+            .await
+    }
+
+    /// Whether any item waits for a dispatcher.
+    pub(crate) async fn has_work(&self) -> bool {
+        self.query(JobQuery::HasWork).await.unwrap_or(false)
+    }
+
+    /// The calendar time, for commands.
+    pub(crate) fn wall(&self) -> UnixMillis {
+        UnixMillis::from(self.clock.wall())
+    }
+
+    async fn query<T>(&self, query: impl FnOnce(oneshot::Sender<T>) -> JobQuery) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.events.send(ReplicaEvent::Query(query(sender)));
+        receiver.await.ok()
+    }
+}
--- /dev/null
+++ b/src/daemon_run.rs
@@ -0,0 +1,43 @@
+//! Running an entry host until it is told to stop.
+
+use chicoryladder_host::{EntryHost, HostError};
+use chicoryladder_settings::HostSettings;
+use std::io;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Why the host did not run.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// The runtime or the signals are not available.
+    #[error("the operating system refused to start the daemon")]
+    System(#[from] io::Error),
+    /// The host did not start.
+    #[error(transparent)]
+    Host(#[from] HostError),
+}
+
+/// Runs a host until SIGTERM or SIGINT, then drains it.
+///
+/// # Errors
+///
+/// Fails if the host cannot start.
+pub fn run_host(settings: HostSettings) -> Result<(), RunError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: HostSettings) -> Result<(), RunError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let name = settings.host.name.clone();
+    let host = EntryHost::start(settings).await?;
+    log::info!("host: {name} is up.");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    host.shutdown().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,26 @@
+//! Structured logging of the binaries.
+
+use log::LevelFilter;
+use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+
+/// Libraries whose messages would hide our own.
+const QUIET_LIBRARIES: &[&str] = &["hyper", "mio", "want", "opentelemetry"];
+
+/// Logs to standard error from the given level on.
+///
+/// Each message begins with the part of the program that it comes from.
+///
+/// # Errors
+///
+/// Fails if logging was started before.
+pub fn start_logging(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    let mut config = ConfigBuilder::new();
+    config.set_time_format_rfc3339();
+    config.set_target_level(LevelFilter::Off);
+    config.set_thread_level(LevelFilter::Off);
+    for library in QUIET_LIBRARIES {
+        config.add_filter_ignore_str(library);
+    }
+    let config = config.build();
+    TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Auto)
+}
