Settle the daemon's command line, exit codes and admin bodies

Cause: the daemon, the commands and the admin routes need one set of names. Ruled out: JSON bodies defined twice, once in the host and once in the commands. Conclusion: the run path of the daemon can be filled in.

--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,6 +5,7 @@
 //! packages is expressed in these types, so that a host, a team or a request
 //! outcome cannot be confused with a plain string or number.
 
+pub mod admin;
 mod announcement;
 mod clock;
 pub mod headers;
--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,1 @@
+//! The command line of `chicoryladder`: one file a subcommand.
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,57 @@
+//! The command line of `chicoryladderd`.
+
+use crate::error::CommandError;
+use bpaf::Bpaf;
+use chicoryladder_settings::HostSettings;
+use std::path::{Path, PathBuf};
+
+/// The entry host daemon
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(daemon_options))]
+pub enum DaemonCommand {
+    /// Check a settings file and report every fault
+    #[bpaf(command("check"))]
+    Check {
+        /// The settings file of the host
+        #[bpaf(long("settings"), argument("FILE"))]
+        settings_file: PathBuf,
+    },
+    /// Run the host
+    Run {
+        /// The settings file of the host
+        #[bpaf(long("settings"), argument("FILE"))]
+        settings_file: PathBuf,
+    },
+}
+
+/// Checks a settings file, and that the files it names can be read.
+///
+/// # Errors
+///
+/// Fails with every fault of the settings, or with the file that is absent.
+pub fn check_settings(path: &Path) -> Result<HostSettings, CommandError> {
+    let settings = HostSettings::read(path)?;
+    for file in [&settings.peers.secret_file, &settings.operators.token_file] {
+        if let Err(cause) = std::fs::metadata(file) {
+            let path = file.clone();
+            return Err(CommandError::File { path, cause });
+        }
+    }
+    Ok(settings)
+}
+
+/// Runs `chicoryladderd check`.
+///
+/// # Errors
+///
+/// Fails as [`check_settings`] does.
+pub fn check(path: &Path) -> Result<(), CommandError> {
+    let settings = check_settings(path)?;
+    println!(
+        "{}: host {} in zone {} can start",
+        path.display(),
+        settings.host.name,
+        settings.host.zone
+    );
+    Ok(())
+}
