--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,15 @@
 //! Commands of the chicoryladder binaries.
+//!
+//! [`daemon`] is the command line of `chicoryladderd`, [`commands`] that of
+//! `chicoryladder`. Both turn every failure into a [`CommandError`], which
+//! knows its exit code and its remedy.
 
+pub mod commands;
+pub mod daemon;
 mod daemon_run;
+mod error;
 mod logging;
 
-pub use daemon_run::run_host;
+pub use daemon_run::{RunError, run_host};
+pub use error::{CommandError, CommandExit};
 pub use logging::start_logging;
