Give the stand-in engine a prefix cache, resumed streams and orders

Cause: prefix affinity, cancellation, fencing and cache hints can only be tested against engines that show them. Ruled out: export and import of KV cache, which no part of the system asks for yet. Change: LRU prefix cache by chained block hashes; cache events posted late and with numbered gaps; streams resumed after a Last-Event-ID or cancelled by request id; orders that check or ignore old fencing numbers. Both stand-ins share one ServerControl for their faults.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,27 +5,36 @@
 //! the slots, and its announcer tells the entry hosts about it.
 
 mod batcher;
+mod cache_events;
 mod completion;
 mod counters;
 mod handler;
 mod options;
+mod orders;
+mod prefix_cache;
 mod reply;
+mod streams;
 
+pub use cache_events::EventOptions;
 pub use completion::answer_text;
 pub use counters::EngineCounters;
 pub use options::{EngineOptions, EnginePace};
 
 use crate::announcer::{AnnouncerState, ServerAnnouncer};
-use crate::listener::{BoundListener, ListenerControl};
+use crate::entry_hosts::EntryHostClient;
+use crate::listener::BoundListener;
 use crate::record::RequestRecord;
-use crate::{FaultPlan, ReceivedRequest, StandinError};
+use crate::{FaultPlan, ReceivedRequest, ServerControl, StandinError};
 use batcher::SequenceBatcher;
+use cache_events::EventPublisher;
 use chicoryladder_types::ServerLoad;
 use counters::CounterSet;
 use handler::{EngineHandler, PreviousRequest, SharedHandler};
+use orders::OrderBook;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use streams::StreamStore;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -46,54 +55,67 @@
     pub async fn start(options: EngineOptions) -> Result<EngineHandle, StandinError> {
         let listener = BoundListener::bind(options.address).await?;
         let address = listener.address;
-        let control = listener.control.clone();
-        let state = watch::Sender::new(AnnouncerState {
-            announces: true,
-            leaving: false,
-            generation: options.generation,
-        });
+        let models = options.models.clone();
+        let state = watch::Sender::new(AnnouncerState::first(options.generation, models));
         let faults = watch::Sender::new(FaultPlan::default());
         let counters = Arc::new(CounterSet::default());
+        let hosts = EntryHostClient::new(options.entry_hosts.clone());
         let (sequences, incoming) = mpsc::unbounded_channel();
         let (load, current_load) = watch::channel(ServerLoad::default());
         let (reporter, reported_load) = watch::channel(ServerLoad::default());
-        let announcer = Arc::new(ServerAnnouncer::new(
-            options.entry_hosts.clone(),
-            options.announcement(address),
-            reported_load.clone(),
+        let mut tasks = JoinSet::new();
+
+        let changes = options.events.map(|events| {
+            let (sender, changes) = mpsc::unbounded_channel();
+            let publisher = EventPublisher {
+                server: options.name.clone(),
+                options: events,
+                hosts: hosts.clone(),
+                state: state.subscribe(),
+                changes,
+            };
+            tasks.spawn(publisher.run());
+            sender
+        });
+        let batcher = SequenceBatcher::new(&options, load, changes, Arc::clone(&counters));
+        tasks.spawn(batcher.run(incoming));
+        tasks.spawn(report_load(
+            options.load_lag,
+            current_load.clone(),
+            reporter,
         ));
-        let batcher = SequenceBatcher::new(&options, load, Arc::clone(&counters));
+
+        let template = options.announcement(address);
+        let announcer = Arc::new(ServerAnnouncer::new(hosts, template, reported_load.clone()));
+        let period = options.announce_period;
+        tasks.spawn(Arc::clone(&announcer).run(period, state.subscribe()));
+
         let handler = Arc::new(EngineHandler {
-            models: options.models.clone(),
+            models: options.models,
             default_output_tokens: options.default_output_tokens,
             sequences,
             reported_load,
             faults: faults.subscribe(),
             counters: Arc::clone(&counters),
-            listener: control.clone(),
+            listener: listener.control.clone(),
             record: RequestRecord::new(options.record_limit),
             previous: PreviousRequest::default(),
+            streams: StreamStore::new(options.resumable_streams),
+            orders: OrderBook::new(options.checks_fencing, state.clone()),
         });
-
-        let mut tasks = JoinSet::new();
-        tasks.spawn(batcher.run(incoming));
-        tasks.spawn(report_load(
-            options.load_lag,
-            current_load.clone(),
-            reporter,
-        ));
+        let control = ServerControl {
+            listener: listener.control.clone(),
+            state,
+            faults,
+            announcer,
+        };
         tasks.spawn(listener.run(Arc::new(SharedHandler(Arc::clone(&handler)))));
-        let period = options.announce_period;
-        tasks.spawn(Arc::clone(&announcer).run(period, state.subscribe()));
         log::info!("standin: engine {} listens on {address}", options.name);
         Ok(EngineHandle {
             address,
             control,
-            state,
-            faults,
             counters,
             handler,
-            announcer,
             load: current_load,
             _tasks: tasks,
         })
@@ -120,16 +142,13 @@
     }
 }
 
-/// Controls a running stand-in engine; dropping it kills the engine at once.
+/// A running stand-in engine; dropping it kills the engine at once.
 #[derive(Debug)]
 pub struct EngineHandle {
     address: SocketAddr,
-    control: ListenerControl,
-    state: watch::Sender<AnnouncerState>,
-    faults: watch::Sender<FaultPlan>,
+    control: ServerControl,
     counters: Arc<CounterSet>,
     handler: Arc<EngineHandler>,
-    announcer: Arc<ServerAnnouncer>,
     load: watch::Receiver<ServerLoad>,
     _tasks: JoinSet<()>,
 }
@@ -141,6 +160,12 @@
         self.address
     }
 
+    /// Controls the faults, the connections and the announcements.
+    #[must_use]
+    pub fn control(&self) -> &ServerControl {
+        &self.control
+    }
+
     /// What the engine has done so far.
     #[must_use]
     pub fn counters(&self) -> EngineCounters {
@@ -159,57 +184,17 @@
         self.handler.record.snapshot()
     }
 
-    /// Replaces the faults shown on requests from now on.
-    pub fn set_faults(&self, plan: FaultPlan) {
-        self.faults.send_replace(plan);
-    }
-
-    /// Drops every connection, refuses new ones and stops announcing.
-    pub async fn crash(&self) {
-        self.state.send_modify(|state| state.announces = false);
-        self.control.crash().await;
-    }
-
-    /// Listens, answers and announces again, as a new incarnation.
-    pub async fn recover(&self) {
-        self.control.recover().await;
-        self.state.send_modify(|state| {
-            state.announces = true;
-            state.leaving = false;
-            state.generation = state.generation.next();
-        });
-    }
-
-    /// Makes the open connections silent for good; new ones work.
-    pub async fn silence_open(&self) {
-        self.control.silence_open().await;
-    }
-
-    /// Makes every connection silent, new ones too, until [`Self::recover`].
-    pub async fn silence_all(&self) {
-        self.control.silence_all().await;
-    }
-
-    /// Announces that the engine takes no new work; it still serves requests.
-    pub fn leave(&self) {
-        self.state.send_modify(|state| state.leaving = true);
-    }
-
     /// Leaves, waits up to `grace` for the requests being served, and stops.
     pub async fn stop(self, grace: Duration) {
-        self.leave();
-        let state = *self.state.borrow();
-        self.announcer.announce(state).await;
+        self.control.leave_now().await;
         let idle = async {
             while self.load() != ServerLoad::default() {
                 sleep(STOP_POLL).await;
             }
         };
         if tokio::time::timeout(grace, idle).await.is_err() {
-            log::warn!(
-                "standin: engine at {} stops with requests running",
-                self.address
-            );
+            let address = self.address;
+            log::warn!("standin: engine at {address} stops with requests running");
         }
     }
 }
--- a/crates/standin/src/engine/batcher.rs
+++ b/crates/standin/src/engine/batcher.rs
@@ -1,11 +1,14 @@
 //! Continuous batching over a fixed number of slots.
 //!
 //! One task owns the running and the waiting sequences. Each step first admits
-//! waiting sequences in order of arrival, pays for their prompts, and then
-//! gives every running sequence one token. A sequence whose receiver is gone
-//! loses its slot at the next step.
+//! waiting sequences in order of arrival, pays for the prompt tokens that are
+//! not in the prefix cache, and then gives every running sequence one token. A
+//! sequence that is cancelled, or whose receiver is gone, loses its slot at the
+//! next step.
 
-use super::counters::{CounterSet, count};
+use super::counters::{CounterSet, add, count};
+use super::prefix_cache::{BLOCK_TOKENS, BlockChange, PrefixCache};
+use super::streams::CancelFlag;
 use super::{EngineOptions, EnginePace};
 use chicoryladder_types::ServerLoad;
 use std::collections::VecDeque;
@@ -17,26 +20,35 @@
 /// One request for tokens.
 #[derive(Debug)]
 pub(super) struct SequenceOrder {
-    /// The length of the prompt, in tokens.
+    /// The tokens to process before the first one to send.
     pub(super) prompt_tokens: u32,
+    /// The cache blocks of the prompt.
+    pub(super) blocks: Vec<u64>,
     /// The number of the first token to send.
     pub(super) first_token: u32,
     /// The number of tokens of the whole answer.
     pub(super) output_tokens: u32,
+    /// Ends the sequence when it is set.
+    pub(super) cancel: CancelFlag,
     /// Takes the number of each token as it is generated, then closes.
     pub(super) tokens: mpsc::UnboundedSender<u32>,
 }
 
+impl SequenceOrder {
+    fn cancelled(&self) -> bool {
+        self.cancel.is_set() || self.tokens.is_closed()
+    }
+}
+
 #[derive(Debug)]
 struct RunningSequence {
     next_token: u32,
-    output_tokens: u32,
-    tokens: mpsc::UnboundedSender<u32>,
+    order: SequenceOrder,
 }
 
 impl RunningSequence {
     fn ended(&self) -> bool {
-        self.next_token >= self.output_tokens
+        self.next_token >= self.order.output_tokens
     }
 }
 
@@ -44,6 +56,8 @@
 pub(super) struct SequenceBatcher {
     slots: usize,
     pace: EnginePace,
+    cache: PrefixCache,
+    changes: Option<mpsc::UnboundedSender<BlockChange>>,
     running: Vec<RunningSequence>,
     waiting: VecDeque<SequenceOrder>,
     load: watch::Sender<ServerLoad>,
@@ -54,11 +68,14 @@
     pub(super) fn new(
         options: &EngineOptions,
         load: watch::Sender<ServerLoad>,
+        changes: Option<mpsc::UnboundedSender<BlockChange>>,
         counters: Arc<CounterSet>,
     ) -> Self {
         Self {
             slots: options.slots as usize,
             pace: options.pace,
+            cache: PrefixCache::new(options.cache_blocks),
+            changes,
             running: Vec::new(),
             waiting: VecDeque::new(),
             load,
@@ -94,8 +111,8 @@
 
     fn drop_cancelled(&mut self) {
         let before = self.running.len() + self.waiting.len();
-        self.running.retain(|sequence| !sequence.tokens.is_closed());
-        self.waiting.retain(|order| !order.tokens.is_closed());
+        self.running.retain(|sequence| !sequence.order.cancelled());
+        self.waiting.retain(|order| !order.cancelled());
         let after = self.running.len() + self.waiting.len();
         for _ in after..before {
             count(&self.counters.cancelled);
@@ -109,17 +126,31 @@
             let Some(order) = self.waiting.pop_front() else {
                 break;
             };
-            prefill_time += self.pace.prefill_per_token * order.prompt_tokens;
+            prefill_time += self.prefill_time(&order);
             count(&self.counters.started);
             self.running.push(RunningSequence {
                 next_token: order.first_token,
-                output_tokens: order.output_tokens,
-                tokens: order.tokens,
+                order,
             });
         }
         prefill_time
     }
 
+    fn prefill_time(&mut self, order: &SequenceOrder) -> Duration {
+        let lookup = self.cache.look_up(&order.blocks);
+        let hits = u32::try_from(lookup.hits).unwrap_or(u32::MAX);
+        let cached = hits.saturating_mul(BLOCK_TOKENS);
+        add(&self.counters.prompt_tokens, order.prompt_tokens.into());
+        add(&self.counters.cached_tokens, cached.into());
+        if let Some(changes) = &self.changes {
+            for change in lookup.changes {
+                // Without a publisher the events are simply not sent.
+                let _ = changes.send(change);
+            }
+        }
+        self.pace.prefill_per_token * order.prompt_tokens.saturating_sub(cached)
+    }
+
     fn decode_time(&self) -> Duration {
         if self.running.is_empty() {
             return Duration::ZERO;
@@ -131,7 +162,8 @@
     fn send_tokens(&mut self) {
         for sequence in &mut self.running {
             // A closed receiver is noticed as a cancellation before the next step.
-            if !sequence.ended() && sequence.tokens.send(sequence.next_token).is_ok() {
+            let tokens = &sequence.order.tokens;
+            if !sequence.ended() && tokens.send(sequence.next_token).is_ok() {
                 count(&self.counters.output_tokens);
                 sequence.next_token += 1;
             }
--- /dev/null
+++ b/crates/standin/src/engine/cache_events.rs
@@ -0,0 +1,71 @@
+//! Publishes changes of the prefix cache, late and with gaps.
+
+use super::prefix_cache::BlockChange;
+use crate::announcer::AnnouncerState;
+use crate::entry_hosts::EntryHostClient;
+use chicoryladder_types::{CacheEvent, CacheReport, ServerName};
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+/// The path of the events on an entry host.
+const EVENTS_PATH: &str = "/servers/v1/cache-events";
+
+/// How an engine publishes the events of its prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventOptions {
+    /// The time between a change and its event, and between two reports.
+    pub delay: Duration,
+    /// Loses each event whose number is a multiple of this; 0 loses none.
+    pub loses_every: u64,
+}
+
+/// Numbers the changes of one engine's cache and posts them.
+pub(super) struct EventPublisher {
+    pub(super) server: ServerName,
+    pub(super) options: EventOptions,
+    pub(super) hosts: EntryHostClient,
+    pub(super) state: watch::Receiver<AnnouncerState>,
+    pub(super) changes: mpsc::UnboundedReceiver<BlockChange>,
+}
+
+impl EventPublisher {
+    /// Publishes until the engine's batcher is gone.
+    pub(super) async fn run(mut self) {
+        let mut number = 0;
+        while let Some(first) = self.changes.recv().await {
+            sleep(self.options.delay).await;
+            let mut events = Vec::new();
+            let mut next = Some(first);
+            while let Some(change) = next {
+                number += 1;
+                if !self.loses(number) {
+                    events.push(CacheEvent {
+                        number,
+                        change: change.change,
+                        block: change.block,
+                    });
+                }
+                next = self.changes.try_recv().ok();
+            }
+            self.publish(events).await;
+        }
+    }
+
+    fn loses(&self, number: u64) -> bool {
+        let every = self.options.loses_every;
+        every != 0 && number.is_multiple_of(every)
+    }
+
+    async fn publish(&self, events: Vec<CacheEvent>) {
+        if events.is_empty() {
+            return;
+        }
+        let report = CacheReport {
+            server: self.server.clone(),
+            generation: self.state.borrow().generation,
+            events,
+        };
+        self.hosts.post_all(EVENTS_PATH, &report).await;
+    }
+}
--- a/crates/standin/src/engine/completion.rs
+++ b/crates/standin/src/engine/completion.rs
@@ -10,7 +10,7 @@
 const EMPTY_PROMPT_WORD: &str = "empty";
 
 /// The bytes of prompt text that make one token.
-const BYTES_PER_TOKEN: usize = 4;
+pub(super) const BYTES_PER_TOKEN: usize = 4;
 
 /// Which of the two completion interfaces a request uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/standin/src/engine/counters.rs
+++ b/crates/standin/src/engine/counters.rs
@@ -15,6 +15,10 @@
     pub completed: u64,
     /// Sequences given up because their caller went away.
     pub cancelled: u64,
+    /// Prompt tokens of the sequences that took a slot.
+    pub prompt_tokens: u64,
+    /// Prompt tokens that were found in the prefix cache.
+    pub cached_tokens: u64,
     /// Output tokens generated.
     pub output_tokens: u64,
     /// Crashes caused by the body of a request.
@@ -28,6 +32,8 @@
     pub(super) started: AtomicU64,
     pub(super) completed: AtomicU64,
     pub(super) cancelled: AtomicU64,
+    pub(super) prompt_tokens: AtomicU64,
+    pub(super) cached_tokens: AtomicU64,
     pub(super) output_tokens: AtomicU64,
     pub(super) crashes: AtomicU64,
 }
@@ -40,6 +46,8 @@
             started: read(&self.started),
             completed: read(&self.completed),
             cancelled: read(&self.cancelled),
+            prompt_tokens: read(&self.prompt_tokens),
+            cached_tokens: read(&self.cached_tokens),
             output_tokens: read(&self.output_tokens),
             crashes: read(&self.crashes),
         }
@@ -48,7 +56,12 @@
 
 /// Adds one to a counter.
 pub(super) fn count(counter: &AtomicU64) {
-    counter.fetch_add(1, Ordering::Relaxed);
+    add(counter, 1);
+}
+
+/// Adds an amount to a counter.
+pub(super) fn add(counter: &AtomicU64, amount: u64) {
+    counter.fetch_add(amount, Ordering::Relaxed);
 }
 
 fn read(counter: &AtomicU64) -> u64 {
--- a/crates/standin/src/engine/handler.rs
+++ b/crates/standin/src/engine/handler.rs
@@ -3,7 +3,10 @@
 use super::batcher::SequenceOrder;
 use super::completion::{CompletionKind, CompletionOrder, prompt_tokens};
 use super::counters::{CounterSet, count};
+use super::orders::OrderBook;
+use super::prefix_cache::prompt_blocks;
 use super::reply::CompletionReply;
+use super::streams::{AcceptedRequest, CancelFlag, StreamStore};
 use crate::answer::{AnswerBody, add_header, error_answer, json_answer};
 use crate::listener::{ConnectionDrop, ListenerControl, RequestHandler};
 use crate::record::RequestRecord;
@@ -15,19 +18,18 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::{mpsc, watch};
 
+/// The path of a stream, before its request id.
+const STREAMS_PREFIX: &str = "/v1/streams/";
+
+/// Names the last event that a resuming caller has seen.
+const LAST_EVENT_ID: &str = "last-event-id";
+
 /// The id of a crossed answer when no request came before.
 const FOREIGN_REQUEST_ID: &str = "ffffffffffffffffffffffffffffffff";
 
 /// The prompt of a crossed answer when no request came before.
 const FOREIGN_PROMPT: &str = "foreign";
 
-/// A request as the engine answers it.
-#[derive(Clone, Debug)]
-struct AcceptedRequest {
-    id: String,
-    order: CompletionOrder,
-}
-
 /// Answers the requests to one engine.
 #[derive(Debug)]
 pub(super) struct EngineHandler {
@@ -40,6 +42,8 @@
     pub(super) listener: ListenerControl,
     pub(super) record: RequestRecord,
     pub(super) previous: PreviousRequest,
+    pub(super) streams: StreamStore,
+    pub(super) orders: OrderBook,
 }
 
 /// The request before the present one, whose answer a crossing server sends.
@@ -79,9 +83,15 @@
             (&Method::POST, "/v1/completions") => {
                 self.complete(CompletionKind::Text, &request).await?
             }
+            (&Method::GET, "/orders") => self.orders.read_back(),
+            (&Method::POST, "/orders") => self.orders.take(&request),
             (&Method::GET, "/v1/models") => self.model_list(),
             (&Method::GET, "/healthz") => json_answer(StatusCode::OK, &json!({ "status": "ok" })),
-            _ => error_answer(StatusCode::NOT_FOUND, "unknown_route", "no such route"),
+            (method, route) => match route.strip_prefix(STREAMS_PREFIX) {
+                Some(id) if method == Method::GET => self.resume(id, &request).await?,
+                Some(id) if method == Method::DELETE => self.cancel(id),
+                _ => unknown_answer("no such route"),
+            },
         };
         let load = *self.reported_load.borrow();
         let load = format!("running={};waiting={}", load.running, load.waiting);
@@ -120,6 +130,7 @@
         let accepted = AcceptedRequest {
             id: id.to_owned(),
             order,
+            cancel: CancelFlag::default(),
         };
         let previous = self.previous.replace(&accepted);
         let answered = if faults.crosses {
@@ -127,21 +138,54 @@
         } else {
             accepted
         };
-        self.generate(answered, &faults).await
+        self.generate(answered, 0, &faults).await
+    }
+
+    /// Streams the tokens after the last one that the caller has seen.
+    async fn resume(
+        &self,
+        id: &str,
+        request: &ReceivedRequest,
+    ) -> Result<Response<AnswerBody>, ConnectionDrop> {
+        let Some(mut accepted) = self.streams.get(id) else {
+            return Ok(unknown_answer("no such stream"));
+        };
+        let seen: Option<u32> = request
+            .header(LAST_EVENT_ID)
+            .and_then(|number| number.parse().ok());
+        let first_token = seen.map_or(0, |number| number.saturating_add(1));
+        accepted.cancel.set();
+        accepted.cancel = CancelFlag::default();
+        let faults = self.faults.borrow().clone();
+        self.generate(accepted, first_token, &faults).await
+    }
+
+    fn cancel(&self, id: &str) -> Response<AnswerBody> {
+        let Some(accepted) = self.streams.get(id) else {
+            return unknown_answer("no such stream");
+        };
+        accepted.cancel.set();
+        json_answer(StatusCode::OK, &json!({ "id": id, "cancelled": true }))
     }
 
     async fn generate(
         &self,
         accepted: AcceptedRequest,
+        first_token: u32,
         faults: &FaultPlan,
     ) -> Result<Response<AnswerBody>, ConnectionDrop> {
-        let AcceptedRequest { id, order } = accepted;
+        if accepted.order.stream {
+            self.streams.insert(&accepted);
+        }
+        let AcceptedRequest { id, order, cancel } = accepted;
         let output_tokens = order.output_tokens.unwrap_or(self.default_output_tokens);
         let (sender, tokens) = mpsc::unbounded_channel();
         let sequence = SequenceOrder {
-            prompt_tokens: prompt_tokens(&order.prompt),
-            first_token: 0,
+            prompt_tokens: prompt_tokens(&order.prompt).saturating_add(first_token),
+            blocks: prompt_blocks(&order.prompt),
+            first_token,
             output_tokens,
+            cancel,
             tokens: sender,
         };
         self.sequences.send(sequence).map_err(|_| ConnectionDrop)?;
@@ -151,7 +195,7 @@
         let reply = CompletionReply::new(&order, &id, output_tokens, &SystemClock);
         let truncates_after = faults.truncates_after;
         let mut response = if order.stream {
-            reply.streamed(tokens, truncates_after)
+            reply.streamed(tokens, first_token, truncates_after)
         } else {
             reply
                 .whole(tokens, truncates_after)
@@ -182,6 +226,10 @@
     response
 }
 
+fn unknown_answer(message: &str) -> Response<AnswerBody> {
+    error_answer(StatusCode::NOT_FOUND, "not_found", message)
+}
+
 fn foreign_request(accepted: &AcceptedRequest) -> AcceptedRequest {
     AcceptedRequest {
         id: FOREIGN_REQUEST_ID.to_owned(),
@@ -189,5 +237,6 @@
             prompt: FOREIGN_PROMPT.to_owned(),
             ..accepted.order.clone()
         },
+        cancel: CancelFlag::default(),
     }
 }
--- a/crates/standin/src/engine/options.rs
+++ b/crates/standin/src/engine/options.rs
@@ -1,5 +1,6 @@
 //! What a stand-in engine is made of.
 
+use super::cache_events::EventOptions;
 use chicoryladder_types::{
     ModelName, ServerAnnouncement, ServerGeneration, ServerLoad, ServerName, ZoneName,
 };
@@ -21,6 +22,12 @@
 /// The default length of an answer whose request names none.
 const DEFAULT_OUTPUT_TOKENS: u32 = 16;
 
+/// The default size of the prefix cache, in blocks of 16 tokens.
+const DEFAULT_CACHE_BLOCKS: usize = 4_096;
+
+/// The default number of streams that can be resumed.
+const DEFAULT_RESUMABLE_STREAMS: usize = 1_024;
+
 /// How fast an engine computes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EnginePace {
@@ -65,6 +72,12 @@
     pub pace: EnginePace,
     /// The largest age of a load report; zero reports each change at once.
     pub load_lag: Duration,
+    /// The size of the prefix cache, in blocks of 16 tokens.
+    pub cache_blocks: usize,
+    /// How cache events are published; `None` publishes none.
+    pub events: Option<EventOptions>,
+    /// The number of latest streams that can be resumed.
+    pub resumable_streams: usize,
     /// Whether orders with an old fencing number are refused.
     pub checks_fencing: bool,
     /// The length of an answer whose request names none, in tokens.
@@ -88,6 +101,9 @@
             slots: DEFAULT_SLOTS,
             pace: EnginePace::default(),
             load_lag: LOAD_LAG,
+            cache_blocks: DEFAULT_CACHE_BLOCKS,
+            events: None,
+            resumable_streams: DEFAULT_RESUMABLE_STREAMS,
             checks_fencing: true,
             default_output_tokens: DEFAULT_OUTPUT_TOKENS,
             record_limit: RECORD_LIMIT,
--- a/crates/standin/src/engine/reply.rs
+++ b/crates/standin/src/engine/reply.rs
@@ -72,16 +72,18 @@
         Some(json_answer(StatusCode::OK, &value))
     }
 
-    /// Answers with one server-sent event a token.
+    /// Answers with one server-sent event a token, from `next_token` on.
     pub(super) fn streamed(
         self,
         tokens: mpsc::UnboundedReceiver<u32>,
+        next_token: u32,
         truncates_after: Option<u32>,
     ) -> Response<AnswerBody> {
         let state = StreamState {
             reply: self,
             tokens,
             truncates_after,
+            next_token,
             ended: false,
         };
         let chunks = futures_util::stream::unfold(state, StreamState::next_chunk);
@@ -153,6 +155,7 @@
     reply: CompletionReply,
     tokens: mpsc::UnboundedReceiver<u32>,
     truncates_after: Option<u32>,
+    next_token: u32,
     ended: bool,
 }
 
@@ -161,17 +164,32 @@
         if self.ended {
             return None;
         }
-        let chunk = match self.tokens.recv().await {
-            Some(number) if self.truncates_after.is_some_and(|limit| number >= limit) => {
-                return None;
-            }
-            Some(number) => self.reply.token_event(number),
-            None => {
-                self.ended = true;
-                END_MARKER.to_owned()
-            }
+        let number = self.tokens.recv().await;
+        if self.truncates() {
+            return None;
+        }
+        let chunk = if let Some(number) = number {
+            self.next_token = number + 1;
+            Ok(self.reply.token_event(number))
+        } else {
+            self.ended = true;
+            self.end_marker()
         };
-        Some((Ok(Frame::data(Bytes::from(chunk))), self))
+        let frame = chunk.map(|chunk| Frame::data(Bytes::from(chunk)));
+        Some((frame, self))
+    }
+
+    fn truncates(&self) -> bool {
+        self.truncates_after
+            .is_some_and(|limit| self.next_token >= limit)
+    }
+
+    /// The end marker, or an error when the sequence was cancelled before its end.
+    fn end_marker(&self) -> Result<String, io::Error> {
+        if self.next_token < self.reply.output_tokens {
+            return Err(io::Error::from(io::ErrorKind::ConnectionAborted));
+        }
+        Ok(END_MARKER.to_owned())
     }
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,15 +7,19 @@
 
 mod announcer;
 mod answer;
+mod control;
 mod engine;
+mod entry_hosts;
 mod error;
 mod fault;
 mod listener;
 mod record;
 mod service;
 
+pub use control::ServerControl;
 pub use engine::{
-    EngineCounters, EngineHandle, EngineOptions, EnginePace, EngineServer, answer_text,
+    EngineCounters, EngineHandle, EngineOptions, EnginePace, EngineServer, EventOptions,
+    answer_text,
 };
 pub use error::StandinError;
 pub use fault::FaultPlan;
--- /dev/null
+++ b/crates/standin/src/service/options.rs
@@ -0,0 +1,75 @@
+//! What a stand-in plain service is made of.
+
+use chicoryladder_types::{
+    ServerAnnouncement, ServerGeneration, ServerLoad, ServerName, ServiceName, ZoneName,
+};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+/// The default time between two announcements.
+const ANNOUNCE_PERIOD: Duration = Duration::from_secs(1);
+
+/// The default number of requests kept for checks after a run.
+const RECORD_LIMIT: usize = 10_000;
+
+/// The default number of requests served together, as announced.
+const DEFAULT_SLOTS: u32 = 64;
+
+/// What a stand-in plain service is made of.
+#[derive(Clone, Debug)]
+pub struct PlainOptions {
+    /// The name in announcements.
+    pub name: ServerName,
+    /// The availability zone in announcements.
+    pub zone: ZoneName,
+    /// The services offered.
+    pub services: Vec<ServiceName>,
+    /// The address to listen on; port 0 takes a free port.
+    pub address: SocketAddr,
+    /// The servers ports of the entry hosts that hear the announcements.
+    pub entry_hosts: Vec<SocketAddr>,
+    /// The time between two announcements.
+    pub announce_period: Duration,
+    /// The first incarnation announced.
+    pub generation: ServerGeneration,
+    /// Requests served together, as announced.
+    pub slots: u32,
+    /// The time that each request takes.
+    pub service_time: Duration,
+    /// The number of requests kept for checks after a run.
+    pub record_limit: usize,
+}
+
+impl PlainOptions {
+    /// A service on a free loopback port, heard by no entry host.
+    #[must_use]
+    pub fn new(name: ServerName, zone: ZoneName, service: ServiceName) -> Self {
+        Self {
+            name,
+            zone,
+            services: vec![service],
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            entry_hosts: Vec::new(),
+            announce_period: ANNOUNCE_PERIOD,
+            generation: ServerGeneration(1),
+            slots: DEFAULT_SLOTS,
+            service_time: Duration::ZERO,
+            record_limit: RECORD_LIMIT,
+        }
+    }
+
+    pub(super) fn announcement(&self, address: SocketAddr) -> ServerAnnouncement {
+        ServerAnnouncement {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            address,
+            generation: self.generation,
+            slots: self.slots,
+            models: Vec::new(),
+            services: self.services.clone(),
+            checks_fencing: false,
+            leaving: false,
+            load: ServerLoad::default(),
+        }
+    }
+}
--- a/crates/standin/tests/all/announcements.rs
+++ b/crates/standin/tests/all/announcements.rs
@@ -50,7 +50,7 @@
     options.entry_hosts = vec![host.address()];
     let engine = EngineServer::start(options).await.unwrap();
     wait_for(&host, |a| a.generation.0 == 1).await;
-    engine.crash().await;
-    engine.recover().await;
+    engine.control().crash().await;
+    engine.control().recover().await;
     wait_for(&host, |a| a.generation.0 == 2).await;
 }
--- a/crates/standin/tests/all/faults.rs
+++ b/crates/standin/tests/all/faults.rs
@@ -12,9 +12,9 @@
     let client = TestClient::new();
     let address = engine.address();
     client.chat(address, "1", "p", 1, false).await.unwrap();
-    engine.crash().await;
+    engine.control().crash().await;
     assert!(client.chat(address, "2", "p", 1, false).await.is_err());
-    engine.recover().await;
+    engine.control().recover().await;
     let answer = TestClient::new().chat(address, "3", "p", 1, false).await;
     assert_eq!(answer.unwrap().status(), 200);
 }
@@ -22,7 +22,7 @@
 #[tokio::test]
 async fn only_the_marked_body_crashes() {
     let engine = EngineServer::start(fast_engine("e")).await.unwrap();
-    engine.set_faults(FaultPlan {
+    engine.control().set_faults(FaultPlan {
         crash_on: Some("poison".to_owned()),
         ..FaultPlan::default()
     });
@@ -40,7 +40,7 @@
     let address = engine.address();
     let old = TestClient::new();
     old.chat(address, "1", "p", 1, false).await.unwrap();
-    engine.silence_open().await;
+    engine.control().silence_open().await;
     let silent = old.chat(address, "2", "p", 1, false);
     assert!(
         tokio::time::timeout(SILENCE_PATIENCE, silent)
@@ -55,7 +55,7 @@
 async fn silence_of_all_lasts_until_recovery() {
     let engine = EngineServer::start(fast_engine("e")).await.unwrap();
     let address = engine.address();
-    engine.silence_all().await;
+    engine.control().silence_all().await;
     let client = TestClient::new();
     let silent = client.chat(address, "1", "p", 1, false);
     assert!(
@@ -63,7 +63,7 @@
             .await
             .is_err()
     );
-    engine.recover().await;
+    engine.control().recover().await;
     let answer = TestClient::new().chat(address, "2", "p", 1, false).await;
     assert_eq!(answer.unwrap().status(), 200);
 }
@@ -74,7 +74,7 @@
     let address = engine.address();
     let client = TestClient::new();
     client.chat(address, "first", "p", 1, false).await.unwrap();
-    engine.set_faults(FaultPlan {
+    engine.control().set_faults(FaultPlan {
         crosses: true,
         ..FaultPlan::default()
     });
@@ -85,7 +85,7 @@
 #[tokio::test]
 async fn truncated_stream_has_no_marker() {
     let engine = EngineServer::start(fast_engine("e")).await.unwrap();
-    engine.set_faults(FaultPlan {
+    engine.control().set_faults(FaultPlan {
         truncates_after: Some(3),
         ..FaultPlan::default()
     });
@@ -102,7 +102,7 @@
 #[tokio::test]
 async fn refusal_says_not_run_and_runs_nothing() {
     let engine = EngineServer::start(fast_engine("e")).await.unwrap();
-    engine.set_faults(FaultPlan {
+    engine.control().set_faults(FaultPlan {
         refuses: true,
         ..FaultPlan::default()
     });
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod announcements;
 mod engine;
 mod faults;
+mod model;
 mod service;
 mod support;
--- a/crates/standin/tests/all/service.rs
+++ b/crates/standin/tests/all/service.rs
@@ -27,7 +27,7 @@
 #[tokio::test]
 async fn crash_after_the_effect_still_counts_the_run() {
     let service = PlainServer::start(plain_service("p")).await.unwrap();
-    service.set_faults(FaultPlan {
+    service.control().set_faults(FaultPlan {
         crash_on: Some("rent".to_owned()),
         ..FaultPlan::default()
     });
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 //! outcome cannot be confused with a plain string or number.
 
 mod announcement;
+mod cache_event;
 mod clock;
 pub mod headers;
 mod ids;
@@ -16,6 +17,7 @@
 mod verdict;
 
 pub use announcement::{ServerAnnouncement, ServerLoad};
+pub use cache_event::{CacheChange, CacheEvent, CacheReport};
 pub use clock::{ClockSource, ManualClock, SystemClock};
 pub use ids::{
     FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
