Add the open-loop load generator, its reports and their comparison

Ruled out: a closed-loop generator, which waits for slow answers and so hides the requests that would have come meanwhile.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod error;
 mod fault;
 mod listener;
+pub mod load;
 mod record;
 mod service;
 
--- /dev/null
+++ b/crates/standin/src/load/report.rs
@@ -0,0 +1,216 @@
+//! The result of a run, as JSON and as plain text.
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Microseconds in a millisecond.
+const US_PER_MS: f64 = 1_000.0;
+
+/// The result of one run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// What the experiment is meant to show.
+    pub purpose: String,
+    /// The seed of arrivals and prompts.
+    pub seed: u64,
+    /// The time during which arrivals were sent, in seconds.
+    pub duration_s: f64,
+    /// The results by stream.
+    pub streams: BTreeMap<String, StreamReport>,
+    /// The results by team.
+    pub teams: BTreeMap<String, TeamReport>,
+}
+
+/// The result of one stream.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct StreamReport {
+    /// The team.
+    pub team: String,
+    /// Requests or jobs meant to be sent.
+    pub intended: u64,
+    /// Requests or jobs with a whole answer.
+    pub served: u64,
+    /// Refusals by reason code.
+    pub refused: BTreeMap<String, u64>,
+    /// Failures by kind.
+    pub failed: BTreeMap<String, u64>,
+    /// Output tokens received.
+    pub tokens: u64,
+    /// The time from the intended start to the first token.
+    pub first_token: LatencySummary,
+    /// The time from each token to the next one.
+    pub between_tokens: LatencySummary,
+    /// The time from the intended start to the end of the answer or job.
+    pub whole: LatencySummary,
+    /// The items of batch jobs.
+    pub items: ItemReport,
+}
+
+/// The items of the batch jobs of a stream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemReport {
+    /// Items with a result.
+    pub completed: u64,
+    /// Items that ended without a result.
+    pub failed: u64,
+    /// Items with no line or more than one in the results.
+    pub not_once: u64,
+}
+
+/// The result of one team over all of its streams.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TeamReport {
+    /// Requests meant to be sent.
+    pub intended: u64,
+    /// Requests with a whole answer.
+    pub served: u64,
+    /// Requests that an exact bucket with the team's rate and burst admits.
+    pub within_rate: u64,
+    /// Requests refused by rate beyond those that the exact bucket refuses.
+    pub refused_within_rate: u64,
+    /// Served requests per request within the rate.
+    pub served_share: f64,
+}
+
+/// A latency distribution, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LatencySummary {
+    /// Values recorded.
+    pub count: u64,
+    /// The mean.
+    pub mean_ms: f64,
+    /// The median.
+    pub p50_ms: f64,
+    /// The 95th percentile.
+    pub p95_ms: f64,
+    /// The 99th percentile.
+    pub p99_ms: f64,
+    /// The 99.9th percentile.
+    pub p999_ms: f64,
+    /// The largest value.
+    pub max_ms: f64,
+}
+
+impl LatencySummary {
+    /// Summarises a histogram of microseconds.
+    #[must_use]
+    pub fn of(histogram: &Histogram<u64>) -> Self {
+        if histogram.is_empty() {
+            return Self::default();
+        }
+        let at = |quantile| millis(histogram.value_at_quantile(quantile));
+        Self {
+            count: histogram.len(),
+            mean_ms: histogram.mean() / US_PER_MS,
+            p50_ms: at(0.5),
+            p95_ms: at(0.95),
+            p99_ms: at(0.99),
+            p999_ms: at(0.999),
+            max_ms: millis(histogram.max()),
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "latencies stay far below 2^52 us"
+)]
+fn millis(micros: u64) -> f64 {
+    micros as f64 / US_PER_MS
+}
+
+impl LoadReport {
+    /// The lowest served share of any team, and the team; `None` without teams.
+    #[must_use]
+    pub fn worst_team(&self) -> Option<(&str, f64)> {
+        self.teams
+            .iter()
+            .map(|(name, team)| (name.as_str(), team.served_share))
+            .min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    /// Items completed per second of the whole run, over all streams.
+    #[must_use]
+    pub fn items_per_s(&self) -> f64 {
+        let per_stream = self.streams.values().map(|stream| {
+            if stream.whole.max_ms == 0.0 {
+                return 0.0;
+            }
+            let completed = u32::try_from(stream.items.completed).unwrap_or(u32::MAX);
+            f64::from(completed) * US_PER_MS / stream.whole.max_ms
+        });
+        per_stream.sum()
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{} (seed {}, {} s)",
+            self.purpose, self.seed, self.duration_s
+        )?;
+        writeln!(
+            f,
+            "{:<16} {:>8} {:>8} {:>8} {:>8}  {:>9} {:>9} {:>9} {:>9}",
+            "stream",
+            "intended",
+            "served",
+            "refused",
+            "failed",
+            "ttft p50",
+            "ttft p99",
+            "p99",
+            "max"
+        )?;
+        for (name, stream) in &self.streams {
+            write_stream(f, name, stream)?;
+        }
+        for (name, team) in &self.teams {
+            writeln!(
+                f,
+                "team {name}: {} of {} served, {} within its rate, of these refused by rate: {}",
+                team.served, team.intended, team.within_rate, team.refused_within_rate
+            )?;
+        }
+        if let Some((name, share)) = self.worst_team() {
+            writeln!(f, "worst-served team: {name}, share {share:.3}")?;
+        }
+        Ok(())
+    }
+}
+
+fn write_stream(f: &mut fmt::Formatter<'_>, name: &str, stream: &StreamReport) -> fmt::Result {
+    writeln!(
+        f,
+        "{name:<16} {:>8} {:>8} {:>8} {:>8}  {:>9.2} {:>9.2} {:>9.2} {:>9.2}",
+        stream.intended,
+        stream.served,
+        stream.refused.values().sum::<u64>(),
+        stream.failed.values().sum::<u64>(),
+        stream.first_token.p50_ms,
+        stream.first_token.p99_ms,
+        stream.whole.p99_ms,
+        stream.whole.max_ms,
+    )?;
+    for (reason, count) in &stream.refused {
+        writeln!(f, "    refused {reason}: {count}")?;
+    }
+    for (kind, count) in &stream.failed {
+        writeln!(f, "    failed {kind}: {count}")?;
+    }
+    let ItemReport {
+        completed,
+        failed,
+        not_once,
+    } = stream.items;
+    if completed + failed + not_once > 0 {
+        writeln!(
+            f,
+            "    items completed {completed}, failed {failed}, not once {not_once}"
+        )?;
+    }
+    Ok(())
+}
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod announcements;
 mod engine;
 mod faults;
+mod load;
 mod model;
 mod service;
 mod support;
