--- /dev/null
+++ b/crates/jobs/tests/all/history/dispatcher.rs
@@ -0,0 +1,228 @@
+//! Dispatchers that lease, start, run and report items.
+
+use super::fleet::{FleetProposal, ProposalOwner};
+use crate::support::{LEASE, answered, host_name, refused};
+use chicoryladder_jobs::{
+    AttemptEnd, AttemptReport, ItemGrant, ItemRef, JobCommand, JobOutcome, LeaseId, LeaseRequest,
+    UnixMillis,
+};
+use chicoryladder_types::{RefusalReason, RunVerdict};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeldPhase {
+    Granted,
+    Ready,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeldItem {
+    lease: LeaseId,
+    grant: ItemGrant,
+    phase: HeldPhase,
+    expires_at: UnixMillis,
+}
+
+/// An attempt that a backend server is asked to run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DispatchedRun {
+    pub(crate) attempt: ItemRef,
+    pub(crate) idempotent: bool,
+}
+
+/// A dispatcher on one host, with a clock that is off by `skew`.
+pub(crate) struct ItemDispatcher {
+    host: usize,
+    pub(crate) incarnation: u64,
+    skew_millis: u64,
+    waiting: bool,
+    held: Vec<HeldItem>,
+    reports: Vec<AttemptReport>,
+}
+
+impl ItemDispatcher {
+    pub(crate) fn new(host: usize) -> Self {
+        Self {
+            host,
+            incarnation: 0,
+            skew_millis: host as u64 * 400,
+            waiting: false,
+            held: Vec::new(),
+            reports: Vec::new(),
+        }
+    }
+
+    pub(crate) fn name(&self) -> String {
+        format!("h{}", self.host)
+    }
+
+    fn owner(&self) -> ProposalOwner {
+        ProposalOwner::Dispatcher {
+            host: self.host,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Loses everything in memory.
+    pub(crate) fn restart(&mut self) {
+        let incarnation = self.incarnation + 1;
+        *self = Self::new(self.host);
+        self.incarnation = incarnation;
+    }
+
+    /// The next proposal, if the dispatcher waits for none.
+    pub(crate) fn propose(
+        &mut self,
+        rng: &mut ChaCha8Rng,
+        now: UnixMillis,
+    ) -> Option<FleetProposal> {
+        if self.waiting {
+            return None;
+        }
+        let now = UnixMillis(now.0 + self.skew_millis);
+        let command = self.next_command(rng, now);
+        self.waiting = true;
+        let owner = self.owner();
+        Some(FleetProposal { owner, command })
+    }
+
+    fn next_command(&mut self, rng: &mut ChaCha8Rng, now: UnixMillis) -> JobCommand {
+        if !self.reports.is_empty() && rng.random_bool(0.7) {
+            let reports = self.reports.clone();
+            return JobCommand::CompleteItems { reports, now };
+        }
+        let unstarted = self
+            .held
+            .iter()
+            .find(|held| held.phase == HeldPhase::Granted);
+        if let Some(held) = unstarted {
+            let attempts = vec![held.grant.attempt];
+            let lease = held.lease;
+            return JobCommand::StartItems {
+                lease,
+                attempts,
+                now,
+            };
+        }
+        JobCommand::LeaseItems(LeaseRequest {
+            host: host_name(&self.name()),
+            limit: rng.random_range(1..6),
+            now,
+            duration: LEASE,
+        })
+    }
+
+    /// Takes the answer to a proposal; nothing if it was lost.
+    pub(crate) fn answer(&mut self, command: Option<&JobCommand>, outcome: Option<&JobOutcome>) {
+        self.waiting = false;
+        match outcome {
+            Some(JobOutcome::Leased {
+                lease,
+                expires_at,
+                grants,
+            }) => {
+                for grant in grants {
+                    self.hold(*lease, *expires_at, *grant);
+                }
+            }
+            Some(JobOutcome::Started { attempts }) => self.take_started(attempts),
+            Some(JobOutcome::Reported(_)) => {
+                if let Some(JobCommand::CompleteItems { reports, .. }) = command {
+                    self.reports.retain(|report| !reports.contains(report));
+                }
+            }
+            _ => self.drop_unstarted(),
+        }
+    }
+
+    fn hold(&mut self, lease: LeaseId, expires_at: UnixMillis, grant: ItemGrant) {
+        let phase = if grant.idempotent {
+            HeldPhase::Ready
+        } else {
+            HeldPhase::Granted
+        };
+        self.held.push(HeldItem {
+            lease,
+            grant,
+            phase,
+            expires_at,
+        });
+    }
+
+    fn take_started(&mut self, attempts: &[ItemRef]) {
+        let asked = self
+            .held
+            .iter()
+            .position(|held| held.phase == HeldPhase::Granted);
+        let Some(asked) = asked else {
+            return;
+        };
+        if attempts.contains(&self.held[asked].grant.attempt) {
+            self.held[asked].phase = HeldPhase::Ready;
+        } else {
+            self.held.remove(asked);
+        }
+    }
+
+    /// Forgets a start whose answer was lost: it may have been granted.
+    fn drop_unstarted(&mut self) {
+        self.held.retain(|held| held.phase != HeldPhase::Granted);
+    }
+
+    /// Gives back what is held of revoked leases.
+    pub(crate) fn revoke(&mut self, revoked: &[LeaseId]) {
+        let is_revoked = |held: &HeldItem| revoked.contains(&held.lease);
+        let verdict = RunVerdict::NotRun;
+        let given_back = self.held.iter().filter(|held| is_revoked(held));
+        self.reports.extend(given_back.map(|held| AttemptReport {
+            attempt: held.grant.attempt,
+            end: AttemptEnd::Yielded { verdict },
+        }));
+        self.held.retain(|held| !is_revoked(held));
+    }
+
+    /// The next attempt to send to a backend server.
+    pub(crate) fn begin_run(&mut self, now: UnixMillis) -> Option<DispatchedRun> {
+        let now = UnixMillis(now.0 + self.skew_millis);
+        self.held.retain(|held| now < held.expires_at);
+        let ready = self
+            .held
+            .iter()
+            .position(|held| held.phase == HeldPhase::Ready)?;
+        let grant = self.held.remove(ready).grant;
+        let run = DispatchedRun {
+            attempt: grant.attempt,
+            idempotent: grant.idempotent,
+        };
+        Some(run)
+    }
+
+    /// Notes a run that a backend server has begun.
+    pub(crate) fn running(&mut self, run: DispatchedRun, number: u64) {
+        let attempt = run.attempt;
+        let end = answered(200, &number.to_string());
+        self.reports.push(AttemptReport { attempt, end });
+    }
+
+    /// Replaces the planned answer of the last run by a failure.
+    pub(crate) fn spoil_last(&mut self, rng: &mut ChaCha8Rng) {
+        let Some(report) = self.reports.last_mut() else {
+            return;
+        };
+        report.end = match rng.random_range(0..3) {
+            0 => answered(500, "boom"),
+            1 => refused(RunVerdict::MayHaveRun, RefusalReason::ServerSilent),
+            _ => AttemptEnd::Yielded {
+                verdict: RunVerdict::MayHaveRun,
+            },
+        };
+    }
+
+    /// Reports an attempt that no backend server took.
+    pub(crate) fn not_run(&mut self, run: DispatchedRun) {
+        let end = refused(RunVerdict::NotRun, RefusalReason::NoServer);
+        let attempt = run.attempt;
+        self.reports.push(AttemptReport { attempt, end });
+    }
+}
