--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admin;
 mod announcement;
+mod cache_event;
 mod clock;
 pub mod headers;
 mod ids;
@@ -17,6 +18,7 @@
 mod verdict;
 
 pub use announcement::{ServerAnnouncement, ServerLoad};
+pub use cache_event::{CacheChange, CacheEvent, CacheReport};
 pub use clock::{ClockSource, ManualClock, SystemClock};
 pub use ids::{
     FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
