Add the operators' and callers' commands

Cause: operators drive the fleet by documents and keys, callers submit jobs; both need exit codes that scripts can rely on and a way to resend. Ruled out: a pooled client, since a command sends one request or polls slowly; common options before the subcommand only, since people put them after it. Change: apply, get, diff, key, team, job, status, members and servers over one small hyper client that tries the given hosts in turn. Every change carries an operation id or idempotency key, and a lost answer tells how to resend it. Measured: 11 tests run the two binaries against a host with prepared answers and assert the exit codes 0 and 2 to 9 (cargo test -p chicoryladder).

--- a/src/bin/chicoryladder.rs
+++ b/src/bin/chicoryladder.rs
@@ -1,3 +1,7 @@
 //! The command line for operators and callers.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chicoryladder::commands::run()
+}
--- /dev/null
+++ b/src/client/answer.rs
@@ -0,0 +1,91 @@
+//! Answers of hosts and their refusals.
+
+use crate::error::CommandError;
+use chicoryladder_types::RefusalReason;
+use chicoryladder_types::admin::ConflictAnswer;
+use hyper::StatusCode;
+use hyper::body::Bytes;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+/// The whole answer of a host.
+#[derive(Clone, Debug)]
+pub struct ApiAnswer {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorDetail,
+}
+
+#[derive(Deserialize)]
+struct ErrorDetail {
+    message: String,
+    code: String,
+    conflict: Option<ConflictAnswer>,
+}
+
+impl ApiAnswer {
+    /// Passes a success on and turns everything else into an error.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal of the host.
+    pub fn checked(self) -> Result<Self, CommandError> {
+        if self.status.is_success() {
+            return Ok(self);
+        }
+        let status = self.status.as_u16();
+        let Ok(ErrorBody { error }) = serde_json::from_slice(&self.body) else {
+            return Err(CommandError::Refused {
+                status,
+                code: "unknown".to_owned(),
+                message: "the answer has no error object".to_owned(),
+                remedy: "check that the address is that of a chicoryladder host",
+            });
+        };
+        if let Some(conflict) = error.conflict {
+            let conflict = Box::new(conflict);
+            return Err(CommandError::Conflict { conflict });
+        }
+        let remedy = remedy_for(&error.code);
+        Err(CommandError::Refused {
+            status,
+            code: error.code,
+            message: error.message,
+            remedy,
+        })
+    }
+
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body has another shape.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, CommandError> {
+        serde_json::from_slice(&self.body)
+            .map_err(|error| CommandError::failed(format!("the answer cannot be read: {error}")))
+    }
+}
+
+fn remedy_for(code: &str) -> &'static str {
+    let reason = RefusalReason::ALL
+        .iter()
+        .find(|reason| reason.as_str() == code);
+    match reason {
+        Some(RefusalReason::MissingKey | RefusalReason::UnknownKey) => {
+            "check the token or key file"
+        }
+        Some(RefusalReason::WithdrawnKey) => "ask an operator for a new key",
+        Some(RefusalReason::NoQuorum) => {
+            "send the command again with the same operation id once voters can be reached"
+        }
+        Some(RefusalReason::UnknownJob) => "check the job id and that the key is of the same team",
+        Some(RefusalReason::RateExceeded | RefusalReason::QueueFull) => "try again later",
+        _ => "see docs/operators/commands.md",
+    }
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,1 +1,107 @@
 //! The command line of `chicoryladder`: one file a subcommand.
+//!
+//! Exit codes are those of [`CommandExit`]; `docs/operators/commands.md` lists
+//! them.
+
+pub mod apply;
+pub mod diff;
+pub mod get;
+pub mod job;
+pub mod key;
+pub mod members;
+pub mod servers;
+pub mod status;
+pub mod team;
+
+use crate::error::{CommandError, CommandExit};
+use bpaf::{Bpaf, ParseFailure};
+use std::process::ExitCode;
+
+/// Operate a chicoryladder fleet and use it
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(
+    options,
+    version,
+    generate(command_options),
+    footer(
+        "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 faulty file, 4 conflict, 5 refused, 6 no host answered, 7 not complete yet, 8 differences, 9 failed items."
+    )
+)]
+pub enum Command {
+    /// Bring a fleet document into force
+    #[bpaf(command("apply"))]
+    Apply(#[bpaf(external(apply::apply_options))] apply::ApplyOptions),
+    /// Print the fleet document in force
+    #[bpaf(command("get"))]
+    Get(#[bpaf(external(get::get_options))] get::GetOptions),
+    /// Compare a fleet document with the one in force
+    #[bpaf(command("diff"))]
+    Diff(#[bpaf(external(diff::diff_options))] diff::DiffOptions),
+    /// Grant, withdraw and list callers' keys
+    #[bpaf(command("key"))]
+    Key(#[bpaf(external(key::key_options))] key::KeyOptions),
+    /// Show the teams of the fleet document
+    #[bpaf(command("team"))]
+    Team(#[bpaf(external(team::team_options))] team::TeamOptions),
+    /// Submit, watch, read and cancel batch jobs
+    #[bpaf(command("job"))]
+    Job(#[bpaf(external(job::job_options))] job::JobOptions),
+    /// Show which classes are on target
+    #[bpaf(command("status"))]
+    Status(#[bpaf(external(status::status_options))] status::StatusOptions),
+    /// List the entry hosts
+    #[bpaf(command("members"))]
+    Members(#[bpaf(external(members::members_options))] members::MembersOptions),
+    /// List the backend servers
+    #[bpaf(command("servers"))]
+    Servers(#[bpaf(external(servers::servers_options))] servers::ServersOptions),
+}
+
+impl Command {
+    async fn run(self) -> Result<(), CommandError> {
+        match self {
+            Self::Apply(options) => options.run().await,
+            Self::Get(options) => options.run().await,
+            Self::Diff(options) => options.run().await,
+            Self::Key(options) => options.run().await,
+            Self::Team(options) => options.run().await,
+            Self::Job(options) => options.run().await,
+            Self::Status(options) => options.run().await,
+            Self::Members(options) => options.run().await,
+            Self::Servers(options) => options.run().await,
+        }
+    }
+}
+
+/// The width that help texts are wrapped to, in characters.
+const HELP_WIDTH: usize = 100;
+
+/// Parses the command line, runs the command and gives its exit code.
+#[must_use]
+pub fn run() -> ExitCode {
+    match command_options().run_inner(bpaf::Args::current_args()) {
+        Ok(command) => run_command(command).into(),
+        Err(failure) => {
+            failure.print_message(HELP_WIDTH);
+            exit_of(&failure).into()
+        }
+    }
+}
+
+fn exit_of(failure: &ParseFailure) -> CommandExit {
+    match failure {
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => CommandExit::Done,
+        ParseFailure::Stderr(_) => CommandExit::Usage,
+    }
+}
+
+fn run_command(command: Command) -> CommandExit {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let result = match runtime {
+        Ok(runtime) => runtime.block_on(command.run()),
+        Err(error) => Err(CommandError::failed(error.to_string())),
+    };
+    result.map_or_else(CommandError::report, |()| CommandExit::Done)
+}
--- /dev/null
+++ b/src/commands/apply.rs
@@ -0,0 +1,112 @@
+//! `chicoryladder apply`.
+
+use super::diff::{describe, read_document};
+use super::get::{fetch_fleet, read_fleet};
+use crate::access::{OperatorAccess, operator_access};
+use crate::client::{ApiClient, ApiRequest};
+use crate::error::CommandError;
+use crate::operation::{chosen_or_random, parse_id};
+use crate::output::{OutputOptions, output_options};
+use bpaf::Bpaf;
+use chicoryladder_settings::FleetDocument;
+use chicoryladder_types::admin::{ApplyAnswer, ApplyRequest, SpreadReport};
+use chicoryladder_types::{FleetRevision, OperationId};
+use hyper::Method;
+use std::path::PathBuf;
+
+/// The options of `apply`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(apply_options), ignore_rustdoc)]
+pub struct ApplyOptions {
+    #[bpaf(external(operator_access))]
+    access: OperatorAccess,
+    #[bpaf(external(output_options))]
+    output: OutputOptions,
+    /// The revision that the document replaces; that in force if absent
+    #[bpaf(long("expected-revision"), argument("NUMBER"))]
+    expected_revision: Option<u64>,
+    /// Names the operation; give the same id again to resend after a lost answer
+    #[bpaf(long("operation-id"), argument::<String>("ID"), parse(parse_id), optional)]
+    operation_id: Option<OperationId>,
+    /// The fleet document
+    #[bpaf(positional("FILE"))]
+    file: PathBuf,
+}
+
+impl ApplyOptions {
+    pub(super) async fn run(self) -> Result<(), CommandError> {
+        let document = read_document(&self.file)?;
+        let client = self.access.client()?;
+        let expected_revision = self.expected_revision(&client, &document).await?;
+        let request = ApplyRequest {
+            document: document.to_string(),
+            expected_revision,
+            operation_id: chosen_or_random(self.operation_id.as_ref())?,
+        };
+        let answer = put_fleet(&client, &request).await?;
+        self.output.print(&answer, describe_answer)?;
+        require_in_force(&answer.spread)
+    }
+
+    /// The revision to replace, after showing people what changes.
+    async fn expected_revision(
+        &self,
+        client: &ApiClient,
+        document: &FleetDocument,
+    ) -> Result<FleetRevision, CommandError> {
+        if let Some(revision) = self.expected_revision {
+            return Ok(FleetRevision(revision));
+        }
+        let in_force = fetch_fleet(client).await?;
+        if self.output.is_text() {
+            println!("{}", describe(&read_fleet(&in_force)?.diff(document)));
+        }
+        Ok(in_force.revision)
+    }
+}
+
+async fn put_fleet(
+    client: &ApiClient,
+    request: &ApplyRequest,
+) -> Result<ApplyAnswer, CommandError> {
+    let message = ApiRequest::new(Method::PUT, "/admin/v1/fleet").with_json(request)?;
+    let result = client.call(&message).await;
+    if let Err(CommandError::Unreachable { detail, .. }) = result {
+        let remedy = format!(
+            "send it again with --expected-revision {} --operation-id {}",
+            request.expected_revision, request.operation_id
+        );
+        return Err(CommandError::Unreachable { detail, remedy });
+    }
+    result
+}
+
+fn describe_answer(answer: &ApplyAnswer) -> String {
+    let spread = describe_spread(&answer.spread);
+    format!("revision {} is accepted and {spread}", answer.revision)
+}
+
+/// Tells how far a change has spread.
+pub(super) fn describe_spread(spread: &SpreadReport) -> String {
+    if spread.in_force {
+        return "in force on every host".to_owned();
+    }
+    let hosts: Vec<String> = spread
+        .hosts_not_heard
+        .iter()
+        .map(|place| format!("{} ({})", place.host, place.zone))
+        .collect();
+    format!("not heard of yet: {}", hosts.join(", "))
+}
+
+/// Turns a change that has not spread everywhere into its exit code.
+pub(super) fn require_in_force(spread: &SpreadReport) -> Result<(), CommandError> {
+    if spread.in_force {
+        return Ok(());
+    }
+    Err(CommandError::Incomplete {
+        message: "the change is accepted, but not yet in force everywhere".to_owned(),
+        remedy: "it spreads on its own; `chicoryladder members` shows each host's position"
+            .to_owned(),
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,12 @@
 //! `chicoryladder`. Both turn every failure into a [`CommandError`], which
 //! knows its exit code and its remedy.
 
+pub mod access;
+pub mod client;
 pub mod commands;
 pub mod daemon;
 mod error;
+mod operation;
+pub mod output;
 
 pub use error::{CommandError, CommandExit};
--- /dev/null
+++ b/tests/all/command_line.rs
@@ -0,0 +1,240 @@
+//! The two binaries, run as a user runs them: output, reports and exit codes.
+
+mod fake_host;
+
+use fake_host::FakeHost;
+use std::path::Path;
+use std::process::{Command, Output};
+
+const LADDER: &str = env!("CARGO_BIN_EXE_chicoryladder");
+const DAEMON: &str = env!("CARGO_BIN_EXE_chicoryladderd");
+const EXAMPLE: &str = include_str!("../../examples/fleet.ini");
+
+fn run(program: &str, folder: &Path, arguments: &[&str]) -> Output {
+    Command::new(program)
+        .args(arguments)
+        .current_dir(folder)
+        .env("NO_COLOR", "1")
+        .env_remove("CHICORYLADDER_OPERATORS")
+        .output()
+        .expect("the program starts")
+}
+
+fn code(output: &Output) -> i32 {
+    output.status.code().expect("the program exits")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).expect("the output is UTF-8")
+}
+
+/// A folder with a token, the example document and a faulty one.
+fn workspace() -> tempfile::TempDir {
+    let folder = tempfile::tempdir().expect("a folder");
+    let write = |name: &str, text: &str| {
+        std::fs::write(folder.path().join(name), text).expect("the file is written");
+    };
+    write("operator-token.txt", "token-1\n");
+    write("caller-key.txt", "key-1\n");
+    write("fleet.ini", EXAMPLE);
+    write("items.jsonl", "{}\n");
+    write("faulty.ini", "[team a]\nrate = much\nburts = 1\n");
+    folder
+}
+
+#[test]
+fn a_wrong_command_line_ends_with_2() {
+    let folder = workspace();
+    for arguments in [&["unknown"][..], &["apply"], &["key", "withdraw", "short"]] {
+        assert_eq!(code(&run(LADDER, folder.path(), arguments)), 2);
+    }
+    assert_eq!(code(&run(LADDER, folder.path(), &["--help"])), 0);
+}
+
+#[test]
+fn a_faulty_document_is_reported_whole_and_nothing_is_sent() {
+    let folder = workspace();
+    let host = FakeHost::start(Vec::new());
+    let arguments = ["apply", "--operators", &host.address, "faulty.ini"];
+    let output = run(LADDER, folder.path(), &arguments);
+    assert_eq!(code(&output), 3);
+    let report = text(&output.stderr);
+    for part in [
+        "line 2",
+        "line 3",
+        "lacks the key `burst`",
+        "has no key `burts`",
+    ] {
+        assert!(report.contains(part), "{part} is absent from {report}");
+    }
+    assert!(host.requests().is_empty());
+}
+
+#[test]
+fn apply_shows_the_changes_and_sends_the_revision_that_it_saw() {
+    let folder = workspace();
+    let old = r#"{"revision":4,"document":"[team gone]\nrate = 1\nburst = 1\n"}"#;
+    let accepted = r#"{"revision":5,"in_force":true,"hosts_not_heard":[],"zones_not_heard":[]}"#;
+    let host = FakeHost::start(vec![(200, old), (200, accepted)]);
+    let arguments = ["apply", "--operators", &host.address, "fleet.ini"];
+    let output = run(LADDER, folder.path(), &arguments);
+    let shown = text(&output.stdout);
+    assert_eq!(code(&output), 0, "{}", text(&output.stderr));
+    assert!(shown.contains("- [team gone]"), "{shown}");
+    assert!(shown.contains("revision 5 is accepted and in force on every host"));
+    let requests = host.requests();
+    assert!(requests[0].starts_with("GET /admin/v1/fleet "));
+    assert!(requests[1].starts_with("PUT /admin/v1/fleet "));
+    assert!(requests[1].contains("authorization: Bearer token-1"));
+    assert!(requests[1].contains(r#""expected_revision":4"#));
+}
+
+#[test]
+fn a_conflict_names_the_winner_and_ends_with_4() {
+    let folder = workspace();
+    let conflict = r#"{"error":{"message":"taken","type":"invalid_request_error",
+        "code":"revision_conflict","verdict":"not-run","conflict":{"expected_revision":4,
+        "current_revision":6,"winner":"op-winner","winner_host":"host-2"}}}"#;
+    let host = FakeHost::start(vec![(409, conflict)]);
+    let arguments = [
+        "apply",
+        "--operators",
+        &host.address,
+        "--expected-revision=4",
+        "fleet.ini",
+    ];
+    let output = run(LADDER, folder.path(), &arguments);
+    assert_eq!(code(&output), 4);
+    assert!(text(&output.stderr).contains("op-winner"));
+}
+
+#[test]
+fn a_lost_answer_tells_how_to_resend() {
+    let folder = workspace();
+    let arguments = [
+        "apply",
+        "--operators=127.0.0.1:1",
+        "--expected-revision=4",
+        "--operation-id=op-mine",
+        "fleet.ini",
+    ];
+    let output = run(LADDER, folder.path(), &arguments);
+    assert_eq!(code(&output), 6);
+    let report = text(&output.stderr);
+    assert!(report.contains("--operation-id op-mine"), "{report}");
+}
+
+#[test]
+fn the_next_host_is_tried_when_one_does_not_answer() {
+    let folder = workspace();
+    let host = FakeHost::start(vec![(200, r#"{"keys":[]}"#)]);
+    let addresses = format!("127.0.0.1:1,{}", host.address);
+    let output = run(
+        LADDER,
+        folder.path(),
+        &["key", "list", "--operators", &addresses],
+    );
+    assert_eq!(code(&output), 0, "{}", text(&output.stderr));
+}
+
+#[test]
+fn a_change_that_has_not_reached_a_host_ends_with_7_and_names_it() {
+    let folder = workspace();
+    let withdrawn = r#"{"key_id":"00000000000000ff","known":true,"logged":false,
+        "key_lease_ms":5000,"in_force":false,"zones_not_heard":["zone-c"],
+        "hosts_not_heard":[{"host":"host-3","zone":"zone-c"}]}"#;
+    let host = FakeHost::start(vec![(200, withdrawn)]);
+    let id = "00000000000000ff";
+    let arguments = ["key", "withdraw", "--operators", &host.address, id];
+    let output = run(LADDER, folder.path(), &arguments);
+    assert_eq!(code(&output), 7);
+    assert!(text(&output.stdout).contains("host-3 (zone-c)"));
+    assert!(host.requests()[0].starts_with("DELETE /admin/v1/keys/00000000000000ff "));
+}
+
+#[test]
+fn refusals_end_with_5_and_a_remedy() {
+    let folder = workspace();
+    let refusal = r#"{"error":{"message":"the operator token is wrong",
+        "type":"authentication_error","code":"unknown_key","verdict":"not-run"}}"#;
+    let host = FakeHost::start(vec![(401, refusal)]);
+    let output = run(
+        LADDER,
+        folder.path(),
+        &["get", "--operators", &host.address],
+    );
+    assert_eq!(code(&output), 5);
+    assert!(text(&output.stderr).contains("check the token or key file"));
+}
+
+#[test]
+fn differences_end_with_8_and_json_output_is_json() {
+    let folder = workspace();
+    let old = r#"{"revision":4,"document":""}"#;
+    let host = FakeHost::start(vec![(200, old)]);
+    let arguments = [
+        "diff",
+        "--output=json",
+        "--operators",
+        &host.address,
+        "fleet.ini",
+    ];
+    let output = run(LADDER, folder.path(), &arguments);
+    assert_eq!(code(&output), 8);
+    let changes: serde_json::Value =
+        serde_json::from_slice(&output.stdout).expect("the output is JSON");
+    assert_eq!(changes[0]["change"], "added");
+}
+
+#[test]
+fn a_watched_job_with_failed_items_ends_with_9() {
+    let folder = workspace();
+    let view = |status: &str, completed: u64| {
+        let counts = format!(r#"{{"total":2,"completed":{completed},"failed":1}}"#);
+        format!(
+            r#"{{"id":"j1","object":"batch","status":"{status}","class":"digest","request_counts":{counts}}}"#
+        )
+    };
+    let running = view("in_progress", 0);
+    let ended = view("completed", 1);
+    let host = FakeHost::start(vec![(200, &running), (200, &running), (200, &ended)]);
+    let arguments = [
+        "job",
+        "submit",
+        "--watch",
+        "--output=json",
+        "--idempotency-key=lot-1",
+        "--class=digest",
+        "--callers",
+        &host.address,
+        "items.jsonl",
+    ];
+    let output = run(LADDER, folder.path(), &arguments);
+    assert_eq!(code(&output), 9, "{}", text(&output.stderr));
+    let first = &host.requests()[0];
+    assert!(first.contains("idempotency-key: lot-1"), "{first}");
+    assert!(first.contains("chicoryladder-class: digest"));
+    assert!(first.contains("authorization: Bearer key-1"));
+}
+
+#[test]
+fn check_names_a_settings_fault_and_passes_a_whole_example() {
+    let folder = workspace();
+    let example = include_str!("../../examples/host-1.ini");
+    let write = |name: &str, text: &str| {
+        std::fs::write(folder.path().join(name), text).expect("the file is written");
+    };
+    write("host.ini", example);
+    write(
+        "bad.ini",
+        &example.replace("lease_ms = 5000", "lease = 5 s"),
+    );
+    let bad = run(DAEMON, folder.path(), &["check", "--settings", "bad.ini"]);
+    assert_eq!(code(&bad), 3);
+    assert!(text(&bad.stderr).contains("known keys are: lease_ms"));
+    let absent = run(DAEMON, folder.path(), &["check", "--settings", "host.ini"]);
+    assert_eq!(code(&absent), 3);
+    write("peer-secret.txt", "a secret that all entry hosts share\n");
+    let whole = run(DAEMON, folder.path(), &["check", "--settings", "host.ini"]);
+    assert_eq!(code(&whole), 0, "{}", text(&whole.stderr));
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,1 +1,3 @@
 //! Whole-system tests.
+
+mod command_line;
