--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,11 +4,15 @@
 //! `chicoryladder`. Both turn every failure into a [`CommandError`], which
 //! knows its exit code and its remedy.
 
+pub mod access;
+pub mod client;
 pub mod commands;
 pub mod daemon;
 mod daemon_run;
 mod error;
 mod logging;
+mod operation;
+pub mod output;
 
 pub use daemon_run::{RunError, run_host};
 pub use error::{CommandError, CommandExit};
