--- /dev/null
+++ b/crates/consensus/src/entry_log.rs
@@ -0,0 +1,88 @@
+//! The entries of a log that a seat holds in memory.
+
+use crate::LogEntry;
+use chicoryladder_types::{LogIndex, TermNumber};
+use std::collections::VecDeque;
+
+/// The entries after a base position, without gaps.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EntryLog {
+    base_index: LogIndex,
+    base_term: TermNumber,
+    entries: VecDeque<LogEntry>,
+}
+
+impl EntryLog {
+    pub(crate) fn new(base_index: LogIndex, base_term: TermNumber, entries: Vec<LogEntry>) -> Self {
+        Self {
+            base_index,
+            base_term,
+            entries: entries.into(),
+        }
+    }
+
+    pub(crate) fn base_index(&self) -> LogIndex {
+        self.base_index
+    }
+
+    pub(crate) fn last_index(&self) -> LogIndex {
+        LogIndex(self.base_index.0 + self.entries.len() as u64)
+    }
+
+    pub(crate) fn last_term(&self) -> TermNumber {
+        self.entries.back().map_or(self.base_term, |e| e.term)
+    }
+
+    pub(crate) fn get(&self, index: LogIndex) -> Option<&LogEntry> {
+        let offset = index.0.checked_sub(self.base_index.0 + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// The term of an entry, if the log still knows it.
+    pub(crate) fn term_at(&self, index: LogIndex) -> Option<TermNumber> {
+        if index == self.base_index {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    pub(crate) fn push(&mut self, entry: LogEntry) {
+        debug_assert_eq!(entry.index, self.last_index().next());
+        self.entries.push_back(entry);
+    }
+
+    /// Drops every entry from `from` on.
+    pub(crate) fn truncate_from(&mut self, from: LogIndex) {
+        let kept = from.0.saturating_sub(self.base_index.0 + 1);
+        let kept = usize::try_from(kept).unwrap_or(usize::MAX);
+        self.entries.truncate(kept);
+    }
+
+    /// Drops every entry up to `index`, which becomes the base.
+    pub(crate) fn compact_to(&mut self, index: LogIndex) {
+        while self.base_index < index {
+            let Some(entry) = self.entries.pop_front() else {
+                return;
+            };
+            self.base_index = entry.index;
+            self.base_term = entry.term;
+        }
+    }
+
+    /// Entries from `from` on, within the given bytes but at least one.
+    pub(crate) fn slice(&self, from: LogIndex, to: LogIndex, max_bytes: usize) -> Vec<LogEntry> {
+        let mut entries = Vec::new();
+        let mut bytes = 0;
+        let mut index = from;
+        while index <= to {
+            let Some(entry) = self.get(index) else { break };
+            bytes += entry.payload.weight();
+            if bytes > max_bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+            index = index.next();
+        }
+        entries
+    }
+}
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,1 +1,37 @@
 //! Replicated log: elections, leases, storage, snapshots and membership changes.
+//!
+//! [`RaftSeat`] decides and does nothing else; [`GroupReplica`] joins a seat with
+//! its [`LogStorage`] and [`StateMachine`]; [`TailObserver`] follows a group
+//! without a disk or a vote. None of them reads a clock, sends a message or starts
+//! a task, so each schedule of faults can be replayed from a seed.
+
+mod entry;
+mod entry_log;
+mod machine;
+mod membership;
+mod message;
+mod observer;
+mod replica;
+mod seat;
+mod settings;
+mod storage;
+mod tail;
+
+pub use entry::{CommandBytes, EntryPayload, HardState, LogEntry, SnapshotRecord};
+pub use machine::{RestoreError, StateMachine};
+pub use membership::{
+    GroupMembership, MemberRecord, MemberRole, MembershipChange, MembershipError,
+};
+pub use message::{
+    AppendOutcome, AppendReply, AppendRequest, ClockStamp, SeatEnvelope, SeatMessage,
+    SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
+};
+pub use observer::{ObserverSettings, TailObserver};
+pub use replica::{DroppedReason, GroupReplica, ProposalToken, ReplicaError, ReplicaOutput};
+pub use seat::{
+    BatchNumber, PersistBatch, PersistStep, ProposeError, ProposedEntry, RaftSeat, SeatAction,
+    SeatEvent, SeatRole,
+};
+pub use settings::SeatSettings;
+pub use storage::{FileStorage, LogStorage, MemoryDisk, MemoryStorage, StorageError, StoredState};
+pub use tail::{TailAnswer, TailContent, TailRequest};
--- /dev/null
+++ b/crates/consensus/src/seat.rs
@@ -0,0 +1,352 @@
+//! The state machine of one seat: elections, replication and commitment.
+//!
+//! The design follows the Raft family. A seat reads no clock and does no I/O: each
+//! call carries the current instant, and [`RaftSeat::take_actions`] tells what to
+//! store, send and apply. Calls between two takes share one batch, which is how
+//! several proposals share one sync.
+//!
+//! Invariants kept here:
+//! - a vote or an acknowledgement leaves only after the batch that holds it is
+//!   durable ([`durability`]);
+//! - a leader counts its own entries only when they are durable;
+//! - a leader answers reads only within its lease, and steps down once no quorum
+//!   confirmed it for an election timeout ([`leading`]);
+//! - a seat that heard from a leader gives no vote for an election timeout, also
+//!   after a restart, unless that leader asked for the election ([`election`]).
+
+mod action;
+mod durability;
+mod election;
+mod following;
+mod leading;
+mod lease;
+mod progress;
+mod snapshots;
+
+pub use action::{
+    BatchNumber, PersistBatch, PersistStep, ProposeError, ProposedEntry, SeatAction, SeatEvent,
+};
+
+use crate::entry_log::EntryLog;
+use crate::membership::MembershipHistory;
+use crate::storage::StoredState;
+use crate::{
+    ClockStamp, EntryPayload, GroupMembership, HardState, LogEntry, SeatEnvelope, SeatMessage,
+    SeatSettings, SnapshotRecord,
+};
+use chicoryladder_types::{LogIndex, SeatId, TermNumber};
+use durability::DurabilityQueue;
+use election::VoteTally;
+use following::IncomingSnapshot;
+use leading::LeaderState;
+use lease::FreshnessRecord;
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use std::time::{Duration, Instant};
+
+/// The bits of the random origin of the stamps.
+const STAMP_ORIGIN_BITS: u32 = 56;
+
+/// What a seat is doing in its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SeatRole {
+    /// Follows a leader or waits for one.
+    Follower,
+    /// Asks whether an election would succeed.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads the group.
+    Leader,
+}
+
+#[derive(Debug)]
+enum RoleState {
+    Follower,
+    PreCandidate(VoteTally),
+    Candidate(VoteTally),
+    Leader(Box<LeaderState>),
+}
+
+/// One seat of a replicated group.
+#[derive(Debug)]
+pub struct RaftSeat {
+    settings: SeatSettings,
+    rng: ChaCha8Rng,
+    origin: Instant,
+    stamp_origin: u64,
+    log: EntryLog,
+    hard_state: HardState,
+    snapshot: Option<SnapshotRecord>,
+    membership: MembershipHistory,
+    role: RoleState,
+    leader: Option<SeatId>,
+    commit: LogIndex,
+    delivered: LogIndex,
+    election_deadline: Instant,
+    last_contact: Option<Instant>,
+    freshness: FreshnessRecord,
+    incoming: Option<IncomingSnapshot>,
+    durability: DurabilityQueue,
+    actions: Vec<SeatAction>,
+}
+
+impl RaftSeat {
+    /// A seat with what its storage held.
+    ///
+    /// `initial` is the membership of the group's first start; it is empty on a
+    /// seat that joins later. `seed` must differ at each start.
+    #[must_use]
+    pub fn new(
+        settings: SeatSettings,
+        initial: GroupMembership,
+        stored: StoredState,
+        seed: u64,
+        now: Instant,
+    ) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let stamp_origin = rng.random::<u64>() >> (u64::BITS - STAMP_ORIGIN_BITS);
+        let StoredState {
+            hard_state,
+            snapshot,
+            entries,
+        } = stored;
+        let blank = hard_state == HardState::default() && snapshot.is_none() && entries.is_empty();
+        let (base_index, base_term, base) = match &snapshot {
+            Some(s) => (s.index, s.term, s.membership.clone()),
+            None => (LogIndex::default(), TermNumber::default(), initial),
+        };
+        let mut membership = MembershipHistory::new(base);
+        for entry in &entries {
+            membership.note(entry);
+        }
+        let log = EntryLog::new(base_index, base_term, entries);
+        let durability = DurabilityQueue::new(log.last_index());
+        let mut seat = Self {
+            settings,
+            rng,
+            origin: now,
+            stamp_origin,
+            log,
+            hard_state,
+            snapshot,
+            membership,
+            role: RoleState::Follower,
+            leader: None,
+            commit: base_index,
+            delivered: base_index,
+            election_deadline: now,
+            // The seat may have confirmed a lease just before it stopped.
+            last_contact: (!blank).then_some(now),
+            freshness: FreshnessRecord::default(),
+            incoming: None,
+            durability,
+            actions: Vec::new(),
+        };
+        seat.reset_election_deadline(now);
+        if seat.is_only_voter() {
+            seat.election_deadline = now;
+        }
+        seat
+    }
+
+    /// Handles one event and tells what to do about it.
+    pub fn step(&mut self, event: SeatEvent, now: Instant) -> Vec<SeatAction> {
+        match event {
+            SeatEvent::Tick => self.tick(now),
+            SeatEvent::Receive { from, message } => self.receive(from, message, now),
+            SeatEvent::Persisted(number) => self.persisted(number, now),
+        }
+        self.take_actions(now)
+    }
+
+    /// Handles one message.
+    pub fn receive(&mut self, from: SeatId, message: SeatMessage, now: Instant) {
+        match message {
+            SeatMessage::PreVote(request) => self.on_pre_vote(from, &request, now),
+            SeatMessage::PreVoteReply(reply) => self.on_pre_vote_reply(from, &reply, now),
+            SeatMessage::Vote(request) => self.on_vote(from, &request, now),
+            SeatMessage::VoteReply(reply) => self.on_vote_reply(from, &reply, now),
+            SeatMessage::Append(request) => self.on_append(from, request, now),
+            SeatMessage::AppendReply(reply) => self.on_append_reply(from, &reply, now),
+            SeatMessage::Snapshot(chunk) => self.on_snapshot(from, &chunk, now),
+            SeatMessage::SnapshotReply(reply) => self.on_snapshot_reply(from, &reply, now),
+            SeatMessage::TimeoutNow { term } => self.on_timeout_now(term, now),
+        }
+    }
+
+    /// Acts on timers that have run out.
+    pub fn tick(&mut self, now: Instant) {
+        match self.role {
+            RoleState::Leader(_) => self.tick_leader(now),
+            _ => self.tick_election(now),
+        }
+    }
+
+    /// Tells what to do about the calls since the last take.
+    ///
+    /// A [`SeatAction::Persist`] comes before everything that depends on it; its
+    /// completion has to be told by [`RaftSeat::persisted`].
+    pub fn take_actions(&mut self, now: Instant) -> Vec<SeatAction> {
+        self.replicate(now);
+        self.deliver();
+        if let Some(batch) = self.durability.seal(self.log.last_index()) {
+            self.note_self_vote(batch.number);
+            self.actions.push(SeatAction::Persist(batch));
+        }
+        let ready = self.durability.take_ready();
+        self.actions.extend(ready.into_iter().map(SeatAction::Send));
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Notes that a batch and all batches before it are durable.
+    pub fn persisted(&mut self, number: BatchNumber, now: Instant) {
+        self.durability.persisted(number);
+        self.count_self_vote(number, now);
+        self.advance_commit(now);
+    }
+
+    /// The group of the seat.
+    #[must_use]
+    pub fn settings(&self) -> &SeatSettings {
+        &self.settings
+    }
+
+    /// What the seat is doing.
+    #[must_use]
+    pub fn role(&self) -> SeatRole {
+        match self.role {
+            RoleState::Follower => SeatRole::Follower,
+            RoleState::PreCandidate(_) => SeatRole::PreCandidate,
+            RoleState::Candidate(_) => SeatRole::Candidate,
+            RoleState::Leader(_) => SeatRole::Leader,
+        }
+    }
+
+    /// The leader, as far as the seat knows.
+    #[must_use]
+    pub fn leader(&self) -> Option<SeatId> {
+        self.leader
+    }
+
+    /// The current term.
+    #[must_use]
+    pub fn term(&self) -> TermNumber {
+        self.hard_state.term
+    }
+
+    /// The last entry known to be committed.
+    #[must_use]
+    pub fn commit(&self) -> LogIndex {
+        self.commit
+    }
+
+    /// The last entry in the log.
+    #[must_use]
+    pub fn last_index(&self) -> LogIndex {
+        self.log.last_index()
+    }
+
+    /// The membership of the last entry, committed or not.
+    #[must_use]
+    pub fn membership(&self) -> &GroupMembership {
+        self.membership.current()
+    }
+
+    /// When [`RaftSeat::tick`] has something to do next.
+    #[must_use]
+    pub fn wake_at(&self) -> Instant {
+        match &self.role {
+            RoleState::Leader(state) => state.heartbeat_deadline,
+            _ => self.election_deadline,
+        }
+    }
+
+    fn seat(&self) -> SeatId {
+        self.settings.seat
+    }
+
+    fn is_voter(&self) -> bool {
+        self.membership().is_voter(self.seat())
+    }
+
+    fn is_only_voter(&self) -> bool {
+        self.membership().voters().eq([self.seat()])
+    }
+
+    fn peers(&self) -> Vec<SeatId> {
+        let members = self.membership().members().map(|(seat, _)| seat);
+        members.filter(|seat| *seat != self.seat()).collect()
+    }
+
+    fn stamp(&self, now: Instant) -> ClockStamp {
+        let elapsed = now.saturating_duration_since(self.origin);
+        let micros = u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX);
+        ClockStamp(self.stamp_origin.saturating_add(micros))
+    }
+
+    /// The instant of an own stamp; `None` if it is not from this start.
+    fn instant_of(&self, stamp: ClockStamp, now: Instant) -> Option<Instant> {
+        let micros = stamp.0.checked_sub(self.stamp_origin)?;
+        let instant = self.origin.checked_add(Duration::from_micros(micros))?;
+        (instant <= now).then_some(instant)
+    }
+
+    fn send(&mut self, to: SeatId, message: SeatMessage) {
+        let envelope = self.envelope(to, message);
+        self.durability.send_now(envelope);
+    }
+
+    /// Sends once everything up to this call is durable.
+    fn send_durable(&mut self, to: SeatId, message: SeatMessage) {
+        let envelope = self.envelope(to, message);
+        self.durability.send_after_sync(envelope);
+    }
+
+    fn envelope(&self, to: SeatId, message: SeatMessage) -> SeatEnvelope {
+        SeatEnvelope {
+            group: self.settings.group,
+            from: self.seat(),
+            to,
+            message,
+        }
+    }
+
+    fn set_hard_state(&mut self, hard_state: HardState) {
+        if hard_state != self.hard_state {
+            self.hard_state = hard_state;
+            self.durability.stage(PersistStep::HardState(hard_state));
+        }
+    }
+
+    fn append_entry(&mut self, entry: LogEntry) {
+        self.membership.note(&entry);
+        self.durability.stage_entry(entry.clone());
+        self.log.push(entry);
+    }
+
+    fn truncate_from(&mut self, from: LogIndex) {
+        self.log.truncate_from(from);
+        self.membership.truncate_from(from);
+        self.durability.truncate_from(from);
+    }
+
+    /// Hands newly committed entries to the state machine.
+    fn deliver(&mut self) {
+        if self.delivered >= self.commit {
+            return;
+        }
+        let from = self.delivered.next();
+        let entries = self.log.slice(from, self.commit, usize::MAX);
+        let last = entries.last().map_or(self.delivered, |entry| entry.index);
+        self.delivered = last;
+        let removed = entries.iter().any(|e| {
+            matches!(&e.payload, EntryPayload::Membership(m) if m.role(self.settings.seat).is_none())
+        });
+        self.actions.push(SeatAction::Commit(entries));
+        if removed && matches!(self.role, RoleState::Leader(_)) {
+            self.become_follower();
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/seat/election.rs
@@ -0,0 +1,219 @@
+//! Elections: pre-vote, votes, and the handover of leadership.
+
+use super::action::BatchNumber;
+use super::{RaftSeat, RoleState};
+use crate::{HardState, SeatMessage, VoteReply, VoteRequest};
+use chicoryladder_types::{SeatId, TermNumber};
+use rand::RngExt;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+/// The votes collected so far.
+#[derive(Debug, Default)]
+pub(super) struct VoteTally {
+    granted: BTreeSet<SeatId>,
+    /// The batch that makes the vote for oneself durable.
+    self_vote: Option<BatchNumber>,
+}
+
+impl RaftSeat {
+    pub(super) fn reset_election_deadline(&mut self, now: Instant) {
+        let least = self.settings.election_timeout;
+        let extra = self.rng.random_range(0.0..1.0);
+        self.election_deadline = now + least + least.mul_f64(extra);
+    }
+
+    pub(super) fn become_follower(&mut self) {
+        if let RoleState::Leader(_) = self.role {
+            let group = self.settings.group;
+            log::info!(
+                "replica: leads group {group} no longer in term {}.",
+                self.term()
+            );
+            self.leader = None;
+        }
+        self.role = RoleState::Follower;
+    }
+
+    /// Enters a higher term as a follower.
+    pub(super) fn enter_term(&mut self, term: TermNumber) {
+        debug_assert!(term > self.term());
+        self.become_follower();
+        self.leader = None;
+        self.incoming = None;
+        self.set_hard_state(HardState { term, vote: None });
+    }
+
+    pub(super) fn tick_election(&mut self, now: Instant) {
+        if now < self.election_deadline {
+            return;
+        }
+        self.leader = None;
+        self.reset_election_deadline(now);
+        if !self.is_voter() {
+            return;
+        }
+        if self.is_only_voter() {
+            self.campaign(false);
+            return;
+        }
+        let mut tally = VoteTally::default();
+        tally.granted.insert(self.seat());
+        self.role = RoleState::PreCandidate(tally);
+        let request = self.vote_request(self.term().next(), false);
+        for peer in self.peers() {
+            self.send(peer, SeatMessage::PreVote(request.clone()));
+        }
+    }
+
+    fn campaign(&mut self, transfer: bool) {
+        let term = self.term().next();
+        let vote = Some(self.seat());
+        self.set_hard_state(HardState { term, vote });
+        self.leader = None;
+        self.role = RoleState::Candidate(VoteTally::default());
+        let request = self.vote_request(term, transfer);
+        for peer in self.peers() {
+            self.send_durable(peer, SeatMessage::Vote(request.clone()));
+        }
+    }
+
+    fn vote_request(&self, term: TermNumber, transfer: bool) -> VoteRequest {
+        VoteRequest {
+            term,
+            last_index: self.log.last_index(),
+            last_term: self.log.last_term(),
+            transfer,
+        }
+    }
+
+    /// Ties the vote for oneself to the batch that stores it.
+    pub(super) fn note_self_vote(&mut self, number: BatchNumber) {
+        if let RoleState::Candidate(tally) = &mut self.role {
+            tally.self_vote.get_or_insert(number);
+        }
+    }
+
+    pub(super) fn count_self_vote(&mut self, number: BatchNumber, now: Instant) {
+        let seat = self.seat();
+        if let RoleState::Candidate(tally) = &mut self.role
+            && tally.self_vote.is_some_and(|vote| vote <= number)
+        {
+            tally.granted.insert(seat);
+            self.conclude_election(now);
+        }
+    }
+
+    /// Whether a leader may still rely on this seat giving no vote.
+    fn is_in_contact(&self, now: Instant) -> bool {
+        let contact = match self.role {
+            RoleState::Leader(_) => self.confirmed_at(now),
+            _ => self.last_contact,
+        };
+        contact.is_some_and(|at| now < at + self.settings.election_timeout)
+    }
+
+    fn is_up_to_date(&self, request: &VoteRequest) -> bool {
+        let theirs = (request.last_term, request.last_index);
+        theirs >= (self.log.last_term(), self.log.last_index())
+    }
+
+    /// Whether the seat may have lost its disk: it holds nothing of a group that
+    /// already wrote entries, so it can't know what it acknowledged.
+    fn is_suspiciously_blank(&self, request: &VoteRequest) -> bool {
+        self.log.last_index().0 == 0 && request.last_index.0 > 0
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: SeatId, request: &VoteRequest, now: Instant) {
+        if self.is_suspiciously_blank(request) {
+            return;
+        }
+        let granted =
+            request.term > self.term() && self.is_up_to_date(request) && !self.is_in_contact(now);
+        let term = if granted { request.term } else { self.term() };
+        let reply = VoteReply { term, granted };
+        self.send_durable(from, SeatMessage::PreVoteReply(reply));
+    }
+
+    pub(super) fn on_pre_vote_reply(&mut self, from: SeatId, reply: &VoteReply, now: Instant) {
+        if !reply.granted {
+            if reply.term > self.term() {
+                self.enter_term(reply.term);
+            }
+            return;
+        }
+        if reply.term != self.term().next() {
+            return;
+        }
+        let RoleState::PreCandidate(tally) = &mut self.role else {
+            return;
+        };
+        tally.granted.insert(from);
+        if self.has_quorum_of_votes() {
+            self.reset_election_deadline(now);
+            self.campaign(false);
+        }
+    }
+
+    pub(super) fn on_vote(&mut self, from: SeatId, request: &VoteRequest, now: Instant) {
+        let protected = !request.transfer && self.is_in_contact(now);
+        if request.term > self.term() && (protected || self.is_suspiciously_blank(request)) {
+            return;
+        }
+        if request.term > self.term() {
+            self.enter_term(request.term);
+        }
+        let free = self.hard_state.vote.is_none_or(|vote| vote == from);
+        let granted = request.term == self.term()
+            && free
+            && self.is_up_to_date(request)
+            && !matches!(self.role, RoleState::Leader(_));
+        if granted {
+            let term = self.term();
+            let vote = Some(from);
+            self.set_hard_state(HardState { term, vote });
+            self.reset_election_deadline(now);
+        }
+        let term = self.term();
+        let reply = VoteReply { term, granted };
+        self.send_durable(from, SeatMessage::VoteReply(reply));
+    }
+
+    pub(super) fn on_vote_reply(&mut self, from: SeatId, reply: &VoteReply, now: Instant) {
+        if reply.term > self.term() {
+            self.enter_term(reply.term);
+            return;
+        }
+        if reply.term < self.term() || !reply.granted {
+            return;
+        }
+        if let RoleState::Candidate(tally) = &mut self.role {
+            tally.granted.insert(from);
+            self.conclude_election(now);
+        }
+    }
+
+    fn has_quorum_of_votes(&self) -> bool {
+        let (RoleState::PreCandidate(tally) | RoleState::Candidate(tally)) = &self.role else {
+            return false;
+        };
+        let membership = self.membership();
+        let votes = membership.voters().filter(|v| tally.granted.contains(v));
+        votes.count() >= membership.quorum()
+    }
+
+    fn conclude_election(&mut self, now: Instant) {
+        if self.has_quorum_of_votes() {
+            self.become_leader(now);
+        }
+    }
+
+    /// Stands for election at once, as the leader asked.
+    pub(super) fn on_timeout_now(&mut self, term: TermNumber, now: Instant) {
+        let follows = !matches!(self.role, RoleState::Leader(_));
+        if term == self.term() && follows && self.is_voter() {
+            self.reset_election_deadline(now);
+            self.campaign(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/seat/following.rs
@@ -0,0 +1,154 @@
+//! What a follower does with the messages of its leader.
+
+use super::{RaftSeat, RoleState};
+use crate::{
+    AppendOutcome, AppendReply, AppendRequest, HardState, SeatMessage, SnapshotChunk, SnapshotReply,
+};
+use chicoryladder_types::{LogIndex, SeatId, TermNumber};
+use std::time::Instant;
+
+/// A snapshot of which some parts have come.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    index: LogIndex,
+    data: Vec<u8>,
+}
+
+impl RaftSeat {
+    /// Follows the sender of a message of a leader, unless its term is over.
+    fn accept_leader(&mut self, from: SeatId, term: TermNumber, now: Instant) -> bool {
+        if term < self.term() {
+            return false;
+        }
+        if term > self.term() {
+            self.enter_term(term);
+        }
+        if matches!(self.role, RoleState::Leader(_)) {
+            log::error!("replica: seat {from} claims to lead term {term} as well.");
+            return false;
+        }
+        self.become_follower();
+        if self.leader != Some(from) {
+            self.leader = Some(from);
+            let group = self.settings.group;
+            log::info!("replica: follows seat {from} in group {group} in term {term}.");
+        }
+        // Following counts as the vote of the term, so no second vote can be given.
+        if self.hard_state.vote.is_none() {
+            let vote = Some(from);
+            self.set_hard_state(HardState { term, vote });
+        }
+        self.last_contact = Some(now);
+        self.reset_election_deadline(now);
+        true
+    }
+
+    pub(super) fn on_append(&mut self, from: SeatId, request: AppendRequest, now: Instant) {
+        let echo = request.stamp;
+        let outcome = if self.accept_leader(from, request.term, now) {
+            self.merge(request, now)
+        } else {
+            self.mismatch(LogIndex::default())
+        };
+        let reply = AppendReply {
+            term: self.term(),
+            outcome,
+            echo,
+            stamp: self.stamp(now),
+        };
+        self.send_durable(from, SeatMessage::AppendReply(reply));
+    }
+
+    fn mismatch(&self, hint: LogIndex) -> AppendOutcome {
+        let last = self.log.last_index();
+        AppendOutcome::Mismatch { hint, last }
+    }
+
+    /// Takes over entries that fit the log.
+    fn merge(&mut self, mut request: AppendRequest, now: Instant) -> AppendOutcome {
+        let base = self.log.base_index();
+        let known = request.prev_index < base
+            || self.log.term_at(request.prev_index) == Some(request.prev_term);
+        if !known {
+            return self.mismatch(self.agreement_hint(request.prev_index));
+        }
+        let entries = std::mem::take(&mut request.entries);
+        let last = LogIndex(request.prev_index.0 + entries.len() as u64);
+        for entry in entries {
+            if entry.index <= base || self.log.term_at(entry.index) == Some(entry.term) {
+                continue;
+            }
+            if entry.index <= self.commit {
+                log::error!(
+                    "replica: entry {} contradicts a committed one.",
+                    entry.index
+                );
+                return self.mismatch(self.commit);
+            }
+            if entry.index <= self.log.last_index() {
+                self.truncate_from(entry.index);
+            }
+            self.append_entry(entry);
+        }
+        let matched = last.max(base);
+        self.commit = self.commit.max(request.commit.min(matched));
+        self.note_freshness(&request, now);
+        AppendOutcome::Matched(matched)
+    }
+
+    /// The highest entry on which the logs may agree, given that they differ at `prev`.
+    fn agreement_hint(&self, prev: LogIndex) -> LogIndex {
+        let last = self.log.last_index();
+        if prev > last {
+            return last;
+        }
+        let term = self.log.term_at(prev);
+        let mut hint = prev;
+        while hint > self.commit && self.log.term_at(hint) == term {
+            hint = LogIndex(hint.0 - 1);
+        }
+        hint
+    }
+
+    pub(super) fn on_snapshot(&mut self, from: SeatId, chunk: &SnapshotChunk, now: Instant) {
+        let echo = chunk.stamp;
+        let index = chunk.index;
+        let received = if self.accept_leader(from, chunk.term, now) {
+            self.collect(chunk)
+        } else {
+            0
+        };
+        let reply = SnapshotReply {
+            term: self.term(),
+            index,
+            received,
+            echo,
+        };
+        self.send_durable(from, SeatMessage::SnapshotReply(reply));
+    }
+
+    /// Adds one part of a snapshot and returns the bytes received so far.
+    fn collect(&mut self, chunk: &SnapshotChunk) -> u64 {
+        if chunk.index <= self.commit {
+            return chunk.total;
+        }
+        let fits = |incoming: &IncomingSnapshot| incoming.index == chunk.index;
+        let mut incoming = match self.incoming.take().filter(fits) {
+            Some(incoming) => incoming,
+            None => IncomingSnapshot {
+                index: chunk.index,
+                data: Vec::new(),
+            },
+        };
+        if incoming.data.len() as u64 == chunk.offset {
+            incoming.data.extend_from_slice(&chunk.data);
+        }
+        let received = incoming.data.len() as u64;
+        if received < chunk.total {
+            self.incoming = Some(incoming);
+        } else {
+            self.install(chunk, incoming.data);
+        }
+        received
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/seat/snapshots.rs
@@ -0,0 +1,119 @@
+//! Snapshots: compaction, and the way to a seat that lags behind the log's start.
+
+use super::action::{PersistStep, SeatAction};
+use super::progress::SnapshotProgress;
+use super::{RaftSeat, RoleState};
+use crate::entry_log::EntryLog;
+use crate::membership::MembershipHistory;
+use crate::{SeatMessage, SnapshotChunk, SnapshotRecord, SnapshotReply};
+use chicoryladder_types::{LogIndex, SeatId};
+use std::time::Instant;
+
+impl RaftSeat {
+    /// Takes a snapshot of the state after the last delivered entry, and drops
+    /// entries that no seat is expected to need.
+    pub fn compact(&mut self, data: &[u8]) {
+        let index = self.delivered;
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let snapshot = SnapshotRecord {
+            index,
+            term,
+            membership: self.membership.at(index).clone(),
+            data: data.into(),
+        };
+        self.membership.compact_to(index);
+        let kept = self.settings.kept_entries;
+        self.log.compact_to(LogIndex(index.0.saturating_sub(kept)));
+        self.durability
+            .stage(PersistStep::Snapshot(snapshot.clone()));
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Replaces log and state by a received snapshot.
+    pub(super) fn install(&mut self, chunk: &SnapshotChunk, data: Vec<u8>) {
+        let snapshot = SnapshotRecord {
+            index: chunk.index,
+            term: chunk.index_term,
+            membership: chunk.membership.clone(),
+            data: data.into(),
+        };
+        log::info!("replica: installed a snapshot up to entry {}.", chunk.index);
+        self.truncate_from(LogIndex::default());
+        self.log = EntryLog::new(snapshot.index, snapshot.term, Vec::new());
+        self.membership = MembershipHistory::new(snapshot.membership.clone());
+        self.commit = snapshot.index;
+        self.delivered = snapshot.index;
+        self.durability
+            .stage(PersistStep::Snapshot(snapshot.clone()));
+        self.actions.push(SeatAction::Restore(snapshot.clone()));
+        self.snapshot = Some(snapshot);
+    }
+
+    /// Sends the next part of the snapshot.
+    pub(super) fn send_snapshot(&mut self, to: SeatId, now: Instant) {
+        let Some(snapshot) = &self.snapshot else {
+            return;
+        };
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = state.peers.get_mut(&to) else {
+            return;
+        };
+        if peer.snapshot.index != snapshot.index {
+            peer.snapshot = SnapshotProgress {
+                index: snapshot.index,
+                received: 0,
+            };
+        }
+        let offset = peer.snapshot.received;
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let end = start
+            .saturating_add(self.settings.snapshot_chunk_bytes)
+            .min(snapshot.data.len());
+        let data = snapshot.data.get(start..end).unwrap_or_default().into();
+        let chunk = SnapshotChunk {
+            term: self.hard_state.term,
+            index: snapshot.index,
+            index_term: snapshot.term,
+            membership: snapshot.membership.clone(),
+            offset,
+            total: snapshot.data.len() as u64,
+            data,
+            stamp: self.stamp(now),
+        };
+        self.send(to, SeatMessage::Snapshot(chunk));
+    }
+
+    pub(super) fn on_snapshot_reply(&mut self, from: SeatId, reply: &SnapshotReply, now: Instant) {
+        if reply.term > self.term() {
+            self.enter_term(reply.term);
+            return;
+        }
+        let written_at = self.instant_of(reply.echo, now);
+        let total = self.snapshot.as_ref().map(|s| (s.index, s.data.len()));
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(peer) = state.peers.get_mut(&from) else {
+            return;
+        };
+        if reply.term < self.hard_state.term || peer.snapshot.index != reply.index {
+            return;
+        }
+        peer.confirm(written_at);
+        let advanced = reply.received > peer.snapshot.received;
+        peer.snapshot.received = reply.received;
+        let whole = total
+            .is_some_and(|(index, size)| index == reply.index && reply.received >= size as u64);
+        if whole {
+            peer.note_match(reply.index, reply.echo);
+        }
+        if advanced || whole {
+            self.send_next(from, now);
+        }
+        self.advance_commit(now);
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/storage/file.rs
@@ -0,0 +1,332 @@
+//! Storage in CRC-checked files under one folder.
+//!
+//! Changes go to numbered segment files, one frame for each sync. A new segment
+//! begins with the term and the vote, so older segments can be deleted once a
+//! snapshot covers their entries. Snapshots are separate files, written under
+//! another name, synced and renamed. The folder itself is synced after each file
+//! is created, renamed or deleted.
+
+use super::frame::{FrameFault, encode_frame, read_frame};
+use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
+use crate::{HardState, LogEntry, SnapshotRecord};
+use chicoryladder_types::LogIndex;
+use serde::Serialize;
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+/// The size at which a new segment is begun.
+const SEGMENT_MAX_BYTES: u64 = 8 * 1024 * 1024;
+
+const SEGMENT_PREFIX: &str = "segment-";
+const SNAPSHOT_PREFIX: &str = "snapshot-";
+const SNAPSHOT_DRAFT: &str = "draft-of-snapshot";
+
+#[derive(Debug)]
+struct SegmentRecord {
+    number: u64,
+    last_entry: LogIndex,
+}
+
+/// Storage in files under one folder.
+#[derive(Debug)]
+pub struct FileStorage {
+    folder: PathBuf,
+    segments: Vec<SegmentRecord>,
+    open: Option<File>,
+    open_bytes: u64,
+    hard_state: HardState,
+    pending: Vec<StorageRecord>,
+    failed: bool,
+}
+
+impl FileStorage {
+    /// Storage in the given folder, which is created if absent.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be created or synced.
+    pub fn open(folder: impl Into<PathBuf>) -> Result<Self, StorageError> {
+        let folder = folder.into();
+        fs::create_dir_all(&folder).map_err(|source| io_error(&folder, source))?;
+        if let Some(parent) = folder.parent().filter(|p| p.is_dir()) {
+            sync_folder(parent)?;
+        }
+        Ok(Self {
+            folder,
+            segments: Vec::new(),
+            open: None,
+            open_bytes: 0,
+            hard_state: HardState::default(),
+            pending: Vec::new(),
+            failed: false,
+        })
+    }
+
+    fn path(&self, prefix: &str, number: u64) -> PathBuf {
+        self.folder.join(format!("{prefix}{number:020}"))
+    }
+
+    fn record(&mut self, record: StorageRecord) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Stopped);
+        }
+        self.pending.push(record);
+        Ok(())
+    }
+
+    /// Runs one step; a failure stops the storage for good.
+    fn guard(
+        &mut self,
+        step: impl FnOnce(&mut Self) -> Result<(), StorageError>,
+    ) -> Result<(), StorageError> {
+        if self.failed {
+            return Err(StorageError::Stopped);
+        }
+        let outcome = step(self);
+        self.failed = outcome.is_err();
+        outcome
+    }
+
+    fn numbers(&self, prefix: &str) -> Result<Vec<u64>, StorageError> {
+        let listing = fs::read_dir(&self.folder).map_err(|e| io_error(&self.folder, e))?;
+        let mut numbers = Vec::new();
+        for item in listing {
+            let item = item.map_err(|e| io_error(&self.folder, e))?;
+            let name = item.file_name();
+            let number = name.to_str().and_then(|n| n.strip_prefix(prefix));
+            numbers.extend(number.and_then(|n| n.parse::<u64>().ok()));
+        }
+        numbers.sort_unstable();
+        Ok(numbers)
+    }
+
+    fn load_snapshot(&self) -> Result<Option<SnapshotRecord>, StorageError> {
+        let Some(number) = self.numbers(SNAPSHOT_PREFIX)?.pop() else {
+            return Ok(None);
+        };
+        let path = self.path(SNAPSHOT_PREFIX, number);
+        let bytes = fs::read(&path).map_err(|e| io_error(&path, e))?;
+        let damaged = || damage(&path, 0, "the snapshot fails its checksum");
+        let (payload, _) = read_frame(&bytes).map_err(|_| damaged())?;
+        let snapshot = postcard::from_bytes(payload).map_err(|_| damaged())?;
+        Ok(Some(snapshot))
+    }
+
+    fn load_segments(&mut self, state: &mut StoredState) -> Result<(), StorageError> {
+        let numbers = self.numbers(SEGMENT_PREFIX)?;
+        let last = numbers.last().copied();
+        for number in numbers {
+            let path = self.path(SEGMENT_PREFIX, number);
+            let previous = self.segments.last();
+            if previous.is_some_and(|previous| previous.number + 1 != number) {
+                return Err(damage(&path, 0, "the segment before it is missing"));
+            }
+            let last_entry = load_segment(&path, Some(number) == last, state)?;
+            self.segments.push(SegmentRecord { number, last_entry });
+        }
+        Ok(())
+    }
+
+    fn ensure_segment(&mut self) -> Result<(), StorageError> {
+        if self.open.is_some() && self.open_bytes < SEGMENT_MAX_BYTES {
+            return Ok(());
+        }
+        let number = self.segments.last().map_or(1, |last| last.number + 1);
+        let path = self.path(SEGMENT_PREFIX, number);
+        let file = OpenOptions::new()
+            .create_new(true)
+            .append(true)
+            .open(&path)
+            .map_err(|e| io_error(&path, e))?;
+        sync_folder(&self.folder)?;
+        self.open = Some(file);
+        self.open_bytes = 0;
+        let last_entry = LogIndex::default();
+        self.segments.push(SegmentRecord { number, last_entry });
+        let hard_state = StorageRecord::HardState(self.hard_state);
+        self.pending.insert(0, hard_state);
+        Ok(())
+    }
+
+    fn write_pending(&mut self) -> Result<(), StorageError> {
+        self.ensure_segment()?;
+        if self.pending.is_empty() {
+            return Ok(());
+        }
+        let records = std::mem::take(&mut self.pending);
+        let frame = encode(&self.folder, &records)?;
+        if let Some(file) = &mut self.open {
+            file.write_all(&frame)
+                .map_err(|e| io_error(&self.folder, e))?;
+            file.sync_data().map_err(StorageError::SyncFailed)?;
+        }
+        self.open_bytes += frame.len() as u64;
+        if let Some(segment) = self.segments.last_mut() {
+            let highest = records.iter().map(entry_index).max().unwrap_or_default();
+            segment.last_entry = segment.last_entry.max(highest);
+        }
+        Ok(())
+    }
+
+    fn write_snapshot(&self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
+        let path = self.path(SNAPSHOT_PREFIX, snapshot.index.0);
+        let draft = self.folder.join(SNAPSHOT_DRAFT);
+        let frame = encode(&path, snapshot)?;
+        let mut file = File::create(&draft).map_err(|e| io_error(&draft, e))?;
+        file.write_all(&frame).map_err(|e| io_error(&draft, e))?;
+        file.sync_all().map_err(StorageError::SyncFailed)?;
+        fs::rename(&draft, &path).map_err(|e| io_error(&path, e))?;
+        sync_folder(&self.folder)
+    }
+
+    /// Deletes what a snapshot covers, but never the segment that is written to:
+    /// it holds the newest term and vote.
+    fn delete_covered(&mut self, index: LogIndex) -> Result<(), StorageError> {
+        for number in self.numbers(SNAPSHOT_PREFIX)? {
+            if number < index.0 {
+                self.delete(SNAPSHOT_PREFIX, number)?;
+            }
+        }
+        while let [first, _, ..] = self.segments.as_slice() {
+            if first.last_entry > index {
+                break;
+            }
+            self.delete(SEGMENT_PREFIX, first.number)?;
+            self.segments.remove(0);
+        }
+        sync_folder(&self.folder)
+    }
+
+    fn delete(&self, prefix: &str, number: u64) -> Result<(), StorageError> {
+        let path = self.path(prefix, number);
+        fs::remove_file(&path).map_err(|e| io_error(&path, e))
+    }
+}
+
+impl LogStorage for FileStorage {
+    fn load(&mut self) -> Result<StoredState, StorageError> {
+        let mut state = StoredState {
+            snapshot: self.load_snapshot()?,
+            ..StoredState::default()
+        };
+        self.segments.clear();
+        self.load_segments(&mut state)?;
+        self.hard_state = state.hard_state;
+        if !reconcile(&mut state) {
+            return Err(damage(&self.folder, 0, "entries are missing"));
+        }
+        Ok(state)
+    }
+
+    fn set_hard_state(&mut self, state: HardState) -> Result<(), StorageError> {
+        self.record(StorageRecord::HardState(state))?;
+        self.hard_state = state;
+        Ok(())
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
+        for entry in entries {
+            self.record(StorageRecord::Append(entry.clone()))?;
+        }
+        Ok(())
+    }
+
+    fn truncate_suffix(&mut self, from: LogIndex) -> Result<(), StorageError> {
+        self.record(StorageRecord::Truncate(from))
+    }
+
+    fn save_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
+        self.guard(|storage| {
+            storage.write_snapshot(snapshot)?;
+            storage.write_pending()?;
+            storage.delete_covered(snapshot.index)
+        })
+    }
+
+    fn sync(&mut self) -> Result<(), StorageError> {
+        self.guard(|storage| {
+            if storage.pending.is_empty() {
+                return Ok(());
+            }
+            storage.write_pending()
+        })
+    }
+}
+
+/// Replays one segment and returns the highest entry index in it.
+fn load_segment(
+    path: &Path,
+    is_last: bool,
+    state: &mut StoredState,
+) -> Result<LogIndex, StorageError> {
+    let bytes = fs::read(path).map_err(|e| io_error(path, e))?;
+    let mut rest = bytes.as_slice();
+    let mut last_entry = LogIndex::default();
+    while !rest.is_empty() {
+        let offset = (bytes.len() - rest.len()) as u64;
+        let payload = match read_frame(rest) {
+            Ok((payload, after)) => {
+                rest = after;
+                payload
+            }
+            Err(FrameFault::Torn) if is_last => {
+                cut_file(path, offset)?;
+                break;
+            }
+            Err(_) => return Err(damage(path, offset, "a frame fails its checksum")),
+        };
+        let records: Vec<StorageRecord> = postcard::from_bytes(payload)
+            .map_err(|_| damage(path, offset, "a frame holds no records"))?;
+        for record in records {
+            last_entry = last_entry.max(entry_index(&record));
+            replay(state, record);
+        }
+    }
+    Ok(last_entry)
+}
+
+fn entry_index(record: &StorageRecord) -> LogIndex {
+    match record {
+        StorageRecord::Append(entry) => entry.index,
+        StorageRecord::HardState(_) | StorageRecord::Truncate(_) => LogIndex::default(),
+    }
+}
+
+fn encode(path: &Path, value: &(impl Serialize + ?Sized)) -> Result<Vec<u8>, StorageError> {
+    let payload = postcard::to_stdvec(value).map_err(|e| io_error(path, io::Error::other(e)))?;
+    let too_long = || io_error(path, io::ErrorKind::FileTooLarge.into());
+    encode_frame(&payload).ok_or_else(too_long)
+}
+
+fn io_error(path: &Path, source: io::Error) -> StorageError {
+    if source.kind() == io::ErrorKind::StorageFull {
+        return StorageError::DiskFull(source);
+    }
+    let path = path.to_owned();
+    StorageError::Io { path, source }
+}
+
+fn damage(path: &Path, offset: u64, detail: &'static str) -> StorageError {
+    StorageError::Damaged {
+        path: path.to_owned(),
+        offset,
+        detail,
+    }
+}
+
+fn sync_folder(folder: &Path) -> Result<(), StorageError> {
+    let file = File::open(folder).map_err(|e| io_error(folder, e))?;
+    file.sync_all().map_err(StorageError::SyncFailed)
+}
+
+/// Cuts off a frame that was never acknowledged.
+fn cut_file(path: &Path, length: u64) -> Result<(), StorageError> {
+    log::warn!("replica: cut the torn end of a log segment at byte {length}.");
+    let file = OpenOptions::new()
+        .write(true)
+        .open(path)
+        .map_err(|e| io_error(path, e))?;
+    file.set_len(length).map_err(|e| io_error(path, e))?;
+    file.sync_all().map_err(StorageError::SyncFailed)
+}
--- /dev/null
+++ b/crates/consensus/src/storage/memory.rs
@@ -0,0 +1,101 @@
+//! Storage in memory that can lose what was not synced, for tests.
+
+use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
+use crate::{HardState, LogEntry, SnapshotRecord};
+use chicoryladder_types::LogIndex;
+use std::io;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+#[derive(Debug, Default)]
+struct DiskContent {
+    durable: StoredState,
+    pending: Vec<StorageRecord>,
+    fail_sync: bool,
+    failed: bool,
+}
+
+/// The disk behind a [`MemoryStorage`]; it outlives the seat that uses it.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryDisk {
+    content: Arc<Mutex<DiskContent>>,
+}
+
+impl MemoryDisk {
+    /// Loses every change that was not synced, as a power loss does.
+    pub fn lose_unsynced(&self) {
+        let mut content = self.lock();
+        content.pending.clear();
+        content.failed = false;
+    }
+
+    /// Makes the next sync fail.
+    pub fn fail_next_sync(&self) {
+        self.lock().fail_sync = true;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, DiskContent> {
+        self.content.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Storage on a [`MemoryDisk`].
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStorage {
+    disk: MemoryDisk,
+}
+
+impl MemoryStorage {
+    /// Storage on the given disk.
+    #[must_use]
+    pub fn new(disk: MemoryDisk) -> Self {
+        Self { disk }
+    }
+
+    fn record(&self, records: impl IntoIterator<Item = StorageRecord>) -> Result<(), StorageError> {
+        let mut content = self.disk.lock();
+        if content.failed {
+            return Err(StorageError::Stopped);
+        }
+        content.pending.extend(records);
+        Ok(())
+    }
+}
+
+impl LogStorage for MemoryStorage {
+    fn load(&mut self) -> Result<StoredState, StorageError> {
+        let mut content = self.disk.lock();
+        reconcile(&mut content.durable);
+        Ok(content.durable.clone())
+    }
+
+    fn set_hard_state(&mut self, state: HardState) -> Result<(), StorageError> {
+        self.record([StorageRecord::HardState(state)])
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
+        self.record(entries.iter().cloned().map(StorageRecord::Append))
+    }
+
+    fn truncate_suffix(&mut self, from: LogIndex) -> Result<(), StorageError> {
+        self.record([StorageRecord::Truncate(from)])
+    }
+
+    fn save_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
+        self.record([])?;
+        self.disk.lock().durable.snapshot = Some(snapshot.clone());
+        self.sync()
+    }
+
+    fn sync(&mut self) -> Result<(), StorageError> {
+        self.record([])?;
+        let mut content = self.disk.lock();
+        if std::mem::take(&mut content.fail_sync) {
+            content.failed = true;
+            return Err(StorageError::SyncFailed(io::Error::other("injected fault")));
+        }
+        for record in std::mem::take(&mut content.pending) {
+            replay(&mut content.durable, record);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/all/cluster.rs
@@ -0,0 +1,305 @@
+//! A group of replicas on simulated time, disks and links.
+
+use crate::doubles::SyncSkippingStorage;
+use crate::kv::{KvCommand, KvMachine, KvState};
+use crate::network::{LinkFaults, TestNetwork};
+use chicoryladder_consensus::{
+    GroupMembership, GroupReplica, LogStorage, MembershipChange, MemoryDisk, MemoryStorage,
+    ProposalToken, ProposeError, ReplicaOutput, SeatRole, SeatSettings,
+};
+use chicoryladder_types::{GroupId, HostName, LogIndex, SeatId};
+use rand::RngExt;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+pub(crate) const STEP: Duration = Duration::from_millis(2);
+pub(crate) const ELECTION_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the disks of a cluster do on a sync.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SyncRule {
+    Honest,
+    Skipped,
+}
+
+pub(crate) struct TestSeat {
+    pub(crate) replica: Option<GroupReplica>,
+    pub(crate) disk: MemoryDisk,
+    pub(crate) frozen: bool,
+    /// How fast the seat's clock runs, in percent.
+    pub(crate) clock_percent: u32,
+    initial: GroupMembership,
+}
+
+pub(crate) struct TestCluster {
+    pub(crate) seats: BTreeMap<SeatId, TestSeat>,
+    pub(crate) network: TestNetwork,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) elapsed: Duration,
+    pub(crate) outputs: Vec<ReplicaOutput>,
+    pub(crate) snapshot_interval: u64,
+    sync_rule: SyncRule,
+    base: Instant,
+    next_token: u64,
+    chains: BTreeMap<LogIndex, u32>,
+}
+
+pub(crate) fn host(seat: u64) -> HostName {
+    HostName::try_from(format!("host-{seat}")).expect("a name")
+}
+
+impl TestCluster {
+    pub(crate) fn new(seed: u64, voters: u64, faults: LinkFaults) -> Self {
+        Self::with_rule(seed, voters, faults, SyncRule::Honest)
+    }
+
+    pub(crate) fn with_rule(
+        seed: u64,
+        voters: u64,
+        faults: LinkFaults,
+        sync_rule: SyncRule,
+    ) -> Self {
+        let mut cluster = Self {
+            seats: BTreeMap::new(),
+            network: TestNetwork::new(faults),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            elapsed: Duration::ZERO,
+            outputs: Vec::new(),
+            snapshot_interval: 40,
+            sync_rule,
+            base: Instant::now() + Duration::from_secs(3_600),
+            next_token: 0,
+            chains: BTreeMap::new(),
+        };
+        let initial = GroupMembership::of_voters((1..=voters).map(|n| (SeatId(n), host(n))));
+        for number in 1..=voters {
+            cluster.add_seat(SeatId(number), initial.clone());
+        }
+        cluster
+    }
+
+    /// Starts a seat on a new disk; a joining seat has an empty membership.
+    pub(crate) fn add_seat(&mut self, seat: SeatId, initial: GroupMembership) {
+        let record = TestSeat {
+            replica: None,
+            disk: MemoryDisk::default(),
+            frozen: false,
+            clock_percent: 100,
+            initial,
+        };
+        self.seats.insert(seat, record);
+        self.restart(seat);
+    }
+
+    pub(crate) fn now(&self, seat: SeatId) -> Instant {
+        let percent = self.seats[&seat].clock_percent;
+        self.base + self.elapsed * percent / 100
+    }
+
+    pub(crate) fn crash(&mut self, seat: SeatId) {
+        let record = self.seats.get_mut(&seat).expect("a seat");
+        record.replica = None;
+        record.frozen = false;
+        record.disk.lose_unsynced();
+    }
+
+    pub(crate) fn restart(&mut self, seat: SeatId) {
+        let mut settings = SeatSettings::new(GroupId(0), seat);
+        settings.election_timeout = ELECTION_TIMEOUT;
+        settings.heartbeat_interval = ELECTION_TIMEOUT / 5;
+        settings.snapshot_interval_entries = self.snapshot_interval;
+        settings.kept_entries = self.snapshot_interval / 2;
+        settings.snapshot_chunk_bytes = 16;
+        settings.clock_drift_percent = 10;
+        let now = self.now(seat);
+        let seed = self.rng.random();
+        let skips = self.sync_rule == SyncRule::Skipped;
+        let record = self.seats.get_mut(&seat).expect("a seat");
+        let honest = MemoryStorage::new(record.disk.clone());
+        let storage: Box<dyn LogStorage> = if skips {
+            Box::new(SyncSkippingStorage::new(honest))
+        } else {
+            Box::new(honest)
+        };
+        let machine = Box::new(KvMachine::default());
+        let initial = record.initial.clone();
+        let replica = GroupReplica::start(settings, initial, storage, machine, seed, now);
+        record.replica = Some(replica.expect("a replica"));
+    }
+
+    pub(crate) fn replica(&mut self, seat: SeatId) -> Option<&mut GroupReplica> {
+        let record = self.seats.get_mut(&seat)?;
+        record.replica.as_mut().filter(|_| !record.frozen)
+    }
+
+    pub(crate) fn running(&self) -> Vec<SeatId> {
+        let live = |record: &TestSeat| record.replica.is_some() && !record.frozen;
+        let seats = self.seats.iter().filter(|(_, record)| live(record));
+        seats.map(|(seat, _)| *seat).collect()
+    }
+
+    /// Moves time by one step.
+    pub(crate) fn step(&mut self) {
+        self.elapsed += STEP;
+        for envelope in self.network.take_due(self.elapsed) {
+            let seat = envelope.to;
+            if self.seats.contains_key(&seat) {
+                let now = self.now(seat);
+                if let Some(replica) = self.replica(seat) {
+                    replica.receive(envelope, now);
+                }
+            }
+        }
+        for seat in self.running() {
+            let now = self.now(seat);
+            if let Some(replica) = self.replica(seat) {
+                replica.tick(now);
+            }
+            self.flush(seat);
+        }
+    }
+
+    /// Flushes one seat; a failed one crashes.
+    pub(crate) fn flush(&mut self, seat: SeatId) {
+        let now = self.now(seat);
+        let Some(replica) = self.replica(seat) else {
+            return;
+        };
+        match replica.flush(now) {
+            Ok(outputs) => self.route(outputs),
+            Err(_) => self.crash(seat),
+        }
+        self.check_agreement(seat);
+    }
+
+    fn route(&mut self, outputs: Vec<ReplicaOutput>) {
+        for output in outputs {
+            match output {
+                ReplicaOutput::Send(envelope) => {
+                    self.network.send(envelope, self.elapsed, &mut self.rng);
+                }
+                other => self.outputs.push(other),
+            }
+        }
+    }
+
+    /// All replicas apply the same commands in the same order.
+    fn check_agreement(&mut self, seat: SeatId) {
+        if let Some(state) = self.state(seat) {
+            let known = *self.chains.entry(state.last).or_insert(state.chain);
+            if self.sync_rule == SyncRule::Honest {
+                assert_eq!(known, state.chain, "seat {seat} diverges at {}", state.last);
+            }
+        }
+    }
+
+    pub(crate) fn state(&mut self, seat: SeatId) -> Option<KvState> {
+        let replica = self.replica(seat)?;
+        Some(KvState::decode(&replica.machine().snapshot()))
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let until = self.elapsed + time;
+        while self.elapsed < until {
+            self.step();
+        }
+    }
+
+    /// The live leader of the highest term.
+    pub(crate) fn leader(&mut self) -> Option<SeatId> {
+        let mut leaders = Vec::new();
+        for seat in self.running() {
+            if let Some(replica) = self.replica(seat)
+                && replica.seat().role() == SeatRole::Leader
+            {
+                leaders.push((replica.seat().term(), seat));
+            }
+        }
+        leaders.into_iter().max().map(|(_, seat)| seat)
+    }
+
+    /// Runs until a leader may answer reads.
+    pub(crate) fn settle(&mut self) -> SeatId {
+        for _ in 0..5_000 {
+            self.step();
+            if let Some(seat) = self.leader() {
+                let now = self.now(seat);
+                if self.replica(seat).is_some_and(|r| r.can_read(now)) {
+                    return seat;
+                }
+            }
+        }
+        panic!("no leader after ten seconds");
+    }
+
+    pub(crate) fn propose(
+        &mut self,
+        seat: SeatId,
+        command: KvCommand,
+    ) -> Result<ProposalToken, ProposeError> {
+        self.next_token += 1;
+        let token = ProposalToken(self.next_token);
+        let bytes = postcard::to_stdvec(&command).expect("a command");
+        let replica = self.replica(seat);
+        let replica = replica.ok_or(ProposeError::NotLeader { leader: None })?;
+        replica.propose(token, bytes.into())?;
+        Ok(token)
+    }
+
+    /// Writes through the leader and runs until the write is acknowledged.
+    pub(crate) fn write(&mut self, key: u8, value: u32) {
+        for _ in 0..20 {
+            let leader = self.settle();
+            let Ok(token) = self.propose(leader, KvCommand::Write { key, value }) else {
+                continue;
+            };
+            if self.await_answer(token) {
+                return;
+            }
+        }
+        panic!("the write was not acknowledged");
+    }
+
+    pub(crate) fn change(&mut self, change: &MembershipChange) -> Result<(), ProposeError> {
+        let leader = self.settle();
+        self.next_token += 1;
+        let token = ProposalToken(self.next_token);
+        let now = self.now(leader);
+        let replica = self.replica(leader).expect("a leader");
+        replica.change_membership(token, change, now)?;
+        assert!(self.await_answer(token), "{change:?} was not acknowledged");
+        Ok(())
+    }
+
+    pub(crate) fn await_answer(&mut self, token: ProposalToken) -> bool {
+        for _ in 0..1_000 {
+            self.step();
+            if self.is_answered(token) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub(crate) fn is_answered(&self, token: ProposalToken) -> bool {
+        let answers = |output: &ReplicaOutput| matches!(output, ReplicaOutput::Answered { token: t, .. } if *t == token);
+        self.outputs.iter().any(answers)
+    }
+
+    /// Reads through the lease of the current leader.
+    pub(crate) fn read(&mut self, key: u8) -> u32 {
+        let leader = self.settle();
+        self.state(leader).expect("a state").get(key)
+    }
+
+    /// Cuts a seat off from all others, both ways.
+    pub(crate) fn isolate(&mut self, seat: SeatId) {
+        let others: Vec<SeatId> = self.seats.keys().copied().collect();
+        for other in others.into_iter().filter(|other| *other != seat) {
+            self.network.cut(seat, other);
+            self.network.cut(other, seat);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/all/doubles.rs
@@ -0,0 +1,80 @@
+//! Test doubles with one mechanism switched off each.
+
+use chicoryladder_consensus::{
+    HardState, LogEntry, LogStorage, MemoryStorage, SnapshotRecord, StorageError, StoredState,
+};
+use chicoryladder_types::LogIndex;
+use std::io;
+
+/// Storage that reports each sync as done without doing it.
+pub(crate) struct SyncSkippingStorage {
+    inner: MemoryStorage,
+}
+
+impl SyncSkippingStorage {
+    pub(crate) fn new(inner: MemoryStorage) -> Self {
+        Self { inner }
+    }
+}
+
+impl LogStorage for SyncSkippingStorage {
+    fn load(&mut self) -> Result<StoredState, StorageError> {
+        self.inner.load()
+    }
+
+    fn set_hard_state(&mut self, state: HardState) -> Result<(), StorageError> {
+        self.inner.set_hard_state(state)
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
+        self.inner.append(entries)
+    }
+
+    fn truncate_suffix(&mut self, from: LogIndex) -> Result<(), StorageError> {
+        self.inner.truncate_suffix(from)
+    }
+
+    fn save_snapshot(&mut self, _: &SnapshotRecord) -> Result<(), StorageError> {
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<(), StorageError> {
+        Ok(())
+    }
+}
+
+/// Storage on a disk that fills up after some syncs.
+pub(crate) struct FillingStorage {
+    pub(crate) inner: MemoryStorage,
+    pub(crate) syncs_left: u32,
+}
+
+impl LogStorage for FillingStorage {
+    fn load(&mut self) -> Result<StoredState, StorageError> {
+        self.inner.load()
+    }
+
+    fn set_hard_state(&mut self, state: HardState) -> Result<(), StorageError> {
+        self.inner.set_hard_state(state)
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
+        self.inner.append(entries)
+    }
+
+    fn truncate_suffix(&mut self, from: LogIndex) -> Result<(), StorageError> {
+        self.inner.truncate_suffix(from)
+    }
+
+    fn save_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
+        self.inner.save_snapshot(snapshot)
+    }
+
+    fn sync(&mut self) -> Result<(), StorageError> {
+        if self.syncs_left == 0 {
+            return Err(StorageError::DiskFull(io::ErrorKind::StorageFull.into()));
+        }
+        self.syncs_left -= 1;
+        self.inner.sync()
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/all/kv.rs
@@ -0,0 +1,70 @@
+//! A small key-value state machine and its sequential specification.
+
+use chicoryladder_consensus::{RestoreError, StateMachine};
+use chicoryladder_types::LogIndex;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum KvCommand {
+    Write { key: u8, value: u32 },
+    Swap { key: u8, from: u32, to: u32 },
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KvState {
+    pub(crate) values: BTreeMap<u8, u32>,
+    /// The last applied command and a checksum of all commands up to it.
+    pub(crate) last: LogIndex,
+    pub(crate) chain: u32,
+    pub(crate) count: u64,
+}
+
+impl KvState {
+    pub(crate) fn decode(bytes: &[u8]) -> Self {
+        postcard::from_bytes(bytes).expect("a state")
+    }
+
+    pub(crate) fn get(&self, key: u8) -> u32 {
+        self.values.get(&key).copied().unwrap_or_default()
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct KvMachine(pub KvState);
+
+impl StateMachine for KvMachine {
+    fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8> {
+        let state = &mut self.0;
+        state.last = index;
+        state.count += 1;
+        let mut hasher = crc32fast::Hasher::new_with_initial(state.chain);
+        hasher.update(command);
+        state.chain = hasher.finalize();
+        let applied = match postcard::from_bytes(command).expect("a command") {
+            KvCommand::Write { key, value } => {
+                state.values.insert(key, value);
+                true
+            }
+            KvCommand::Swap { key, from, to } => {
+                let equal = state.get(key) == from;
+                if equal {
+                    state.values.insert(key, to);
+                }
+                equal
+            }
+        };
+        vec![u8::from(applied)]
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.0).expect("a state")
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        self.0 = postcard::from_bytes(snapshot).map_err(|error| RestoreError {
+            detail: error.to_string(),
+        })?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/consensus/tests/all/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the replicated log under faults.
+
+mod cluster;
+mod doubles;
+mod elections;
+mod history;
+mod kv;
+mod linearizability;
+mod membership;
+mod network;
+mod observers;
+mod seeds;
+mod storage;
+mod survival;
--- /dev/null
+++ b/crates/consensus/tests/all/membership.rs
@@ -0,0 +1,93 @@
+//! Rules of membership changes.
+
+use crate::cluster::{ELECTION_TIMEOUT, TestCluster, host};
+use crate::network::LinkFaults;
+use chicoryladder_consensus::{GroupMembership, MembershipChange, MembershipError, ProposeError};
+use chicoryladder_types::SeatId;
+
+fn add(seat: u64, on: u64) -> MembershipChange {
+    let seat = SeatId(seat);
+    let host = host(on);
+    MembershipChange::AddLearner { seat, host }
+}
+
+#[test]
+fn replaced_disk_needs_a_new_seat_and_the_old_one_removed() {
+    let mut cluster = TestCluster::new(21, 3, LinkFaults::CALM);
+    let refused = cluster.change(&add(2, 9));
+    assert_eq!(refused, Err(MembershipError::SeatUsed(SeatId(2)).into()));
+    let refused = cluster.change(&add(4, 2));
+    let seated = MembershipError::HostSeated {
+        host: host(2),
+        seat: SeatId(2),
+    };
+    assert_eq!(refused, Err(seated.into()));
+    cluster
+        .change(&MembershipChange::Remove(SeatId(2)))
+        .expect("removed");
+    let refused = cluster.change(&add(2, 2));
+    assert_eq!(refused, Err(MembershipError::SeatUsed(SeatId(2)).into()));
+    cluster.change(&add(4, 2)).expect("added");
+}
+
+#[test]
+fn learner_counts_only_once_it_has_caught_up() {
+    let mut cluster = TestCluster::new(22, 3, LinkFaults::CALM);
+    for value in 1..=50 {
+        cluster.write(1, value);
+    }
+    cluster.change(&add(4, 4)).expect("added");
+    let refused = cluster.change(&MembershipChange::Promote(SeatId(4)));
+    let behind = MembershipError::NotCaughtUp(SeatId(4));
+    assert_eq!(refused, Err(behind.into()));
+    cluster.add_seat(SeatId(4), GroupMembership::default());
+    cluster.run(ELECTION_TIMEOUT * 10);
+    cluster
+        .change(&MembershipChange::Promote(SeatId(4)))
+        .expect("promoted");
+    let leader = cluster.settle();
+    let membership = cluster
+        .replica(leader)
+        .expect("a leader")
+        .seat()
+        .membership();
+    assert!(membership.is_voter(SeatId(4)));
+}
+
+#[test]
+fn one_change_at_a_time() {
+    let mut cluster = TestCluster::new(23, 3, LinkFaults::CALM);
+    let leader = cluster.settle();
+    let now = cluster.now(leader);
+    let replica = cluster.replica(leader).expect("a leader");
+    let token = chicoryladder_consensus::ProposalToken(1_000);
+    replica
+        .change_membership(token, &add(4, 4), now)
+        .expect("taken");
+    let refused = replica.change_membership(token, &add(5, 5), now);
+    assert_eq!(
+        refused,
+        Err(ProposeError::Membership(MembershipError::ChangePending))
+    );
+}
+
+#[test]
+fn removed_leader_steps_down_and_the_rest_go_on() {
+    let mut cluster = TestCluster::new(24, 3, LinkFaults::CALM);
+    let old = cluster.settle();
+    cluster
+        .change(&MembershipChange::Remove(old))
+        .expect("removed");
+    cluster.run(ELECTION_TIMEOUT * 4);
+    let new = cluster.settle();
+    assert_ne!(new, old);
+    cluster.write(3, 3);
+}
+
+#[test]
+fn last_voter_stays() {
+    let mut cluster = TestCluster::new(25, 1, LinkFaults::CALM);
+    let refused = cluster.change(&MembershipChange::Remove(SeatId(1)));
+    let last = MembershipError::LastVoter(SeatId(1));
+    assert_eq!(refused, Err(last.into()));
+}
--- /dev/null
+++ b/crates/consensus/tests/all/observers.rs
@@ -0,0 +1,128 @@
+//! Observers follow the committed tail and know how fresh they are.
+
+use crate::cluster::{ELECTION_TIMEOUT, TestCluster};
+use crate::kv::{KvMachine, KvState};
+use crate::network::LinkFaults;
+use chicoryladder_consensus::{ObserverSettings, TailObserver};
+use chicoryladder_types::{HostName, SeatId};
+use std::time::Instant;
+
+struct TestObserver {
+    observer: TailObserver,
+}
+
+impl TestObserver {
+    fn new(now: Instant) -> Self {
+        let sources = (1..=3).map(crate::cluster::host).collect();
+        let machine = Box::new(KvMachine::default());
+        let observer = TailObserver::new(ObserverSettings::default(), sources, machine, now);
+        Self { observer }
+    }
+
+    fn state(&self) -> KvState {
+        KvState::decode(&self.observer.machine().snapshot())
+    }
+
+    /// Runs the cluster and answers the observer from the seats within reach.
+    fn run(&mut self, cluster: &mut TestCluster, steps: u32, reach: &[u64]) {
+        for _ in 0..steps {
+            cluster.step();
+            let now = cluster.now(SeatId(1));
+            let Some((source, request)) = self.observer.tick(now) else {
+                continue;
+            };
+            let seat = reach.iter().find(|n| crate::cluster::host(**n) == source);
+            let Some(replica) = seat.and_then(|n| cluster.replica(SeatId(*n))) else {
+                continue;
+            };
+            let answer = replica.answer(&request, now);
+            cluster.step();
+            let now = cluster.now(SeatId(1));
+            self.observer.receive(answer.clone(), now).expect("taken");
+            // A doubled answer changes nothing.
+            self.observer.receive(answer, now).expect("taken");
+        }
+    }
+}
+
+#[test]
+fn observer_follows_and_turns_to_another_source() {
+    let mut cluster = TestCluster::new(31, 3, LinkFaults::CALM);
+    cluster.write(1, 1);
+    let mut observer = TestObserver::new(cluster.now(SeatId(1)));
+    observer.run(&mut cluster, 500, &[1, 2, 3]);
+    assert_eq!(observer.state().get(1), 1);
+    assert!(observer.observer.fresh_at().is_some());
+    cluster.crash(SeatId(1));
+    cluster.write(1, 2);
+    observer.run(&mut cluster, 1_500, &[2, 3]);
+    assert_eq!(observer.state().get(1), 2);
+}
+
+#[test]
+fn late_observer_gets_a_snapshot_and_then_the_tail() {
+    let mut cluster = TestCluster::new(32, 3, LinkFaults::CALM);
+    for value in 1..=1_100 {
+        cluster.write(1, value);
+    }
+    let mut observer = TestObserver::new(cluster.now(SeatId(1)));
+    observer.run(&mut cluster, 500, &[1, 2, 3]);
+    assert_eq!(observer.state().get(1), 1_100);
+    cluster.write(1, 1_101);
+    observer.run(&mut cluster, 500, &[1, 2, 3]);
+    assert_eq!(observer.state().get(1), 1_101);
+}
+
+#[test]
+fn freshness_stops_when_the_source_is_cut_off_from_the_quorum() {
+    let mut cluster = TestCluster::new(33, 3, LinkFaults::CALM);
+    cluster.write(1, 1);
+    let mut observer = TestObserver::new(cluster.now(SeatId(1)));
+    observer.run(&mut cluster, 500, &[1, 2, 3]);
+    cluster.isolate(SeatId(1));
+    let cut_at = cluster.now(SeatId(1));
+    cluster.run(ELECTION_TIMEOUT * 10);
+    observer.run(&mut cluster, 500, &[1]);
+    let fresh_at = observer.observer.fresh_at().expect("fresh once");
+    assert!(fresh_at <= cut_at + ELECTION_TIMEOUT / 10);
+    cluster.write(1, 2);
+    assert_eq!(observer.state().get(1), 1);
+}
+
+#[test]
+fn freshness_is_never_later_than_the_truth() {
+    for seed in 1..=10 {
+        let mut cluster = TestCluster::new(seed, 3, LinkFaults::ROUGH);
+        let mut written = Vec::new();
+        for value in 1..=60 {
+            cluster.write(1, value);
+            written.push((cluster.now(SeatId(1)), value));
+            for seat in cluster.running() {
+                let now = cluster.now(seat);
+                let Some(replica) = cluster.replica(seat) else {
+                    continue;
+                };
+                let Some(fresh_at) = replica.fresh_at(now) else {
+                    continue;
+                };
+                let known = written.iter().filter(|(at, _)| *at <= fresh_at);
+                let owed = known.map(|(_, value)| *value).max().unwrap_or_default();
+                let held = cluster.state(seat).expect("a state").get(1);
+                assert!(
+                    held >= owed,
+                    "seed {seed}: seat {seat} holds {held} of {owed}"
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn observer_without_a_source_is_never_fresh() {
+    let now = Instant::now();
+    let machine = Box::new(KvMachine::default());
+    let sources: Vec<HostName> = Vec::new();
+    let mut observer = TailObserver::new(ObserverSettings::default(), sources, machine, now);
+    assert!(observer.tick(now).is_none());
+    assert_eq!(observer.fresh_at(), None);
+}
--- /dev/null
+++ b/crates/consensus/tests/all/survival.rs
@@ -0,0 +1,188 @@
+//! What was acknowledged survives the loss of hosts, disks and processes.
+
+use crate::cluster::{ELECTION_TIMEOUT, TestCluster, host};
+use crate::doubles::FillingStorage;
+use crate::kv::{KvCommand, KvMachine};
+use crate::network::LinkFaults;
+use chicoryladder_consensus::{
+    GroupMembership, GroupReplica, MembershipChange, MemoryDisk, MemoryStorage, ProposalToken,
+    ReplicaError, SeatSettings, StorageError,
+};
+use chicoryladder_types::{GroupId, SeatId};
+use std::time::{Duration, Instant};
+
+#[test]
+fn write_survives_the_loss_of_the_leader_right_after_the_acknowledgement() {
+    for seed in 1..=20 {
+        let mut cluster = TestCluster::new(seed, 3, LinkFaults::ROUGH);
+        cluster.write(1, 7);
+        let leader = cluster.settle();
+        cluster.crash(leader);
+        assert_eq!(cluster.read(1), 7, "seed {seed}");
+    }
+}
+
+#[test]
+fn five_hundred_changes_survive_a_restart_of_all_seats() {
+    let mut cluster = TestCluster::new(11, 3, LinkFaults::CALM);
+    for value in 1..=500 {
+        cluster.write(1, value);
+    }
+    for seat in (1..=3).map(SeatId) {
+        cluster.crash(seat);
+    }
+    for seat in (1..=3).map(SeatId) {
+        cluster.restart(seat);
+        let now = cluster.now(seat);
+        let replica = cluster.replica(seat).expect("a replica");
+        // What the disk holds may be old: it is no ground to serve on yet.
+        assert_eq!(replica.fresh_at(now), None);
+        assert!(!replica.can_read(now));
+    }
+    assert_eq!(cluster.read(1), 500);
+    cluster.run(ELECTION_TIMEOUT * 2);
+    for seat in (1..=3).map(SeatId) {
+        let now = cluster.now(seat);
+        let replica = cluster.replica(seat).expect("a replica");
+        assert!(replica.fresh_at(now).is_some());
+        assert_eq!(cluster.state(seat).expect("a state").get(1), 500);
+    }
+}
+
+#[test]
+fn lagging_seat_is_brought_up_by_a_snapshot() {
+    let mut cluster = TestCluster::new(12, 3, LinkFaults::ROUGH);
+    let leader = cluster.settle();
+    let away = (1..=3).map(SeatId).find(|s| *s != leader).expect("a seat");
+    cluster.crash(away);
+    for value in 1..=200 {
+        cluster.write(2, value);
+    }
+    cluster.restart(away);
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(cluster.state(away).expect("a state").get(2), 200);
+}
+
+#[test]
+fn second_loss_right_after_a_repair_loses_nothing() {
+    for seed in 1..=10 {
+        let mut cluster = TestCluster::new(seed, 3, LinkFaults::CALM);
+        cluster.write(1, 1);
+        let leader = cluster.settle();
+        let lost = (1..=3).map(SeatId).find(|s| *s != leader).expect("a seat");
+        cluster.crash(lost);
+        cluster.write(1, 2);
+        cluster
+            .change(&MembershipChange::Remove(lost))
+            .expect("removed");
+        let seat = SeatId(4);
+        cluster.seats.remove(&lost);
+        cluster.add_seat(seat, GroupMembership::default());
+        let host = host(lost.0);
+        let add = MembershipChange::AddLearner { seat, host };
+        cluster.change(&add).expect("added");
+        promote(&mut cluster, seat);
+        cluster.write(1, 3);
+        let leader = cluster.settle();
+        cluster.crash(leader);
+        assert_eq!(cluster.read(1), 3, "seed {seed}");
+        cluster.write(1, 4);
+    }
+}
+
+fn promote(cluster: &mut TestCluster, seat: SeatId) {
+    for _ in 0..100 {
+        if cluster.change(&MembershipChange::Promote(seat)).is_ok() {
+            return;
+        }
+        cluster.run(ELECTION_TIMEOUT);
+    }
+    panic!("seat {seat} was not promoted");
+}
+
+#[test]
+fn failed_sync_acknowledges_nothing_and_stops_the_seat() {
+    let mut cluster = TestCluster::new(14, 3, LinkFaults::CALM);
+    cluster.write(1, 1);
+    let leader = cluster.settle();
+    cluster.seats[&leader].disk.fail_next_sync();
+    let write = KvCommand::Write { key: 1, value: 2 };
+    let token = cluster.propose(leader, write).expect("a proposal");
+    let now = cluster.now(leader);
+    let replica = cluster.replica(leader).expect("a replica");
+    let first = replica.flush(now);
+    let synced = matches!(
+        first,
+        Err(ReplicaError::Storage(StorageError::SyncFailed(_)))
+    );
+    assert!(synced);
+    assert!(matches!(replica.flush(now), Err(ReplicaError::Stopped)));
+    assert!(!replica.can_read(now));
+    assert!(!cluster.is_answered(token));
+    cluster.crash(leader);
+    assert_eq!(cluster.read(1), 1);
+}
+
+#[test]
+fn full_disk_is_told_and_stops_the_seat() {
+    let disk = MemoryDisk::default();
+    let storage = FillingStorage {
+        inner: MemoryStorage::new(disk),
+        syncs_left: 2,
+    };
+    let seat = SeatId(1);
+    let settings = SeatSettings::new(GroupId(0), seat);
+    let initial = GroupMembership::of_voters([(seat, host(1))]);
+    let now = Instant::now();
+    let machine = Box::new(KvMachine::default());
+    let replica = GroupReplica::start(settings, initial, Box::new(storage), machine, 1, now);
+    let mut replica = replica.expect("a replica");
+    replica.tick(now);
+    replica.flush(now).expect("elected");
+    let command = postcard::to_stdvec(&KvCommand::Write { key: 1, value: 1 }).expect("bytes");
+    let token = ProposalToken(1);
+    replica.propose(token, command.into()).expect("a proposal");
+    let outcome = replica.flush(now);
+    let full = matches!(
+        outcome,
+        Err(ReplicaError::Storage(StorageError::DiskFull(_)))
+    );
+    assert!(full);
+}
+
+#[test]
+fn single_voter_acknowledges_after_its_own_sync() {
+    let mut cluster = TestCluster::new(15, 1, LinkFaults::CALM);
+    cluster.write(1, 9);
+    cluster.crash(SeatId(1));
+    cluster.restart(SeatId(1));
+    assert_eq!(cluster.read(1), 9);
+}
+
+#[test]
+fn wiped_disk_under_its_old_seat_gives_no_vote() {
+    let mut cluster = TestCluster::new(16, 3, LinkFaults::CALM);
+    cluster.write(1, 5);
+    let leader = cluster.settle();
+    let others: Vec<SeatId> = (1..=3).map(SeatId).filter(|s| *s != leader).collect();
+    let [wiped, stale] = others.as_slice() else {
+        panic!("two followers");
+    };
+    cluster.isolate(*stale);
+    cluster.write(1, 6);
+    cluster.crash(leader);
+    let initial = cluster
+        .replica(*stale)
+        .expect("a replica")
+        .seat()
+        .membership()
+        .clone();
+    cluster.crash(*wiped);
+    cluster.add_seat(*wiped, initial);
+    cluster.network.heal();
+    cluster.run(ELECTION_TIMEOUT * 20);
+    // The write is only on the lost leader; to elect the stale seat would revert it.
+    assert_eq!(cluster.leader(), None);
+    cluster.restart(leader);
+    assert_eq!(cluster.read(1), 6);
+}
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -93,6 +93,8 @@
 counters! {
     /// Identifies one replicated group.
     GroupId(u32);
+    /// Identifies one place in a replicated group; a replaced disk gets a new one.
+    SeatId(u64);
     /// Numbers the terms of a replicated group.
     TermNumber(u64);
     /// Numbers the entries of a replicated log; the first entry is 1.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,7 +19,7 @@
 pub use clock::{ClockSource, ManualClock, SystemClock};
 pub use ids::{
     FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
-    ServerGeneration, TermNumber,
+    SeatId, ServerGeneration, TermNumber,
 };
 pub use names::{
     ClassName, HostName, ModelName, NameError, RouteName, ServerName, ServiceName, TeamName,
