--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,200 @@
+//! A stand-in model engine.
+//!
+//! It admits every request as it comes, batches continuously over its slots and
+//! knows no priorities. Its handler turns HTTP into sequences, its batcher owns
+//! the slots, and its announcer tells the entry hosts about it.
+
+mod batcher;
+mod cache_events;
+mod completion;
+mod counters;
+mod handler;
+mod options;
+mod orders;
+mod prefix_cache;
+mod reply;
+mod streams;
+
+pub use cache_events::EventOptions;
+pub use completion::answer_text;
+pub use counters::EngineCounters;
+pub use options::{EngineOptions, EnginePace};
+
+use crate::announcer::{AnnouncerState, ServerAnnouncer};
+use crate::entry_hosts::EntryHostClient;
+use crate::listener::BoundListener;
+use crate::record::RequestRecord;
+use crate::{FaultPlan, ReceivedRequest, ServerControl, StandinError};
+use batcher::SequenceBatcher;
+use cache_events::EventPublisher;
+use chicoryladder_types::ServerLoad;
+use counters::CounterSet;
+use handler::{EngineHandler, PreviousRequest, SharedHandler};
+use orders::OrderBook;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use streams::StreamStore;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+/// How often a stopping engine looks whether its requests have ended.
+const STOP_POLL: Duration = Duration::from_millis(5);
+
+/// Starts stand-in engines.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineServer;
+
+impl EngineServer {
+    /// Binds the engine's address and starts its tasks on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub async fn start(options: EngineOptions) -> Result<EngineHandle, StandinError> {
+        let listener = BoundListener::bind(options.address).await?;
+        let address = listener.address;
+        let models = options.models.clone();
+        let state = watch::Sender::new(AnnouncerState::first(options.generation, models));
+        let faults = watch::Sender::new(FaultPlan::default());
+        let counters = Arc::new(CounterSet::default());
+        let hosts = EntryHostClient::new(options.entry_hosts.clone());
+        let (sequences, incoming) = mpsc::unbounded_channel();
+        let (load, current_load) = watch::channel(ServerLoad::default());
+        let (reporter, reported_load) = watch::channel(ServerLoad::default());
+        let mut tasks = JoinSet::new();
+
+        let changes = options.events.map(|events| {
+            let (sender, changes) = mpsc::unbounded_channel();
+            let publisher = EventPublisher {
+                server: options.name.clone(),
+                options: events,
+                hosts: hosts.clone(),
+                state: state.subscribe(),
+                changes,
+            };
+            tasks.spawn(publisher.run());
+            sender
+        });
+        let batcher = SequenceBatcher::new(&options, load, changes, Arc::clone(&counters));
+        tasks.spawn(batcher.run(incoming));
+        tasks.spawn(report_load(
+            options.load_lag,
+            current_load.clone(),
+            reporter,
+        ));
+
+        let template = options.announcement(address);
+        let announcer = Arc::new(ServerAnnouncer::new(hosts, template, reported_load.clone()));
+        let period = options.announce_period;
+        tasks.spawn(Arc::clone(&announcer).run(period, state.subscribe()));
+
+        let handler = Arc::new(EngineHandler {
+            models: options.models,
+            default_output_tokens: options.default_output_tokens,
+            sequences,
+            reported_load,
+            faults: faults.subscribe(),
+            counters: Arc::clone(&counters),
+            listener: listener.control.clone(),
+            record: RequestRecord::new(options.record_limit),
+            previous: PreviousRequest::default(),
+            streams: StreamStore::new(options.resumable_streams),
+            orders: OrderBook::new(options.checks_fencing, state.clone()),
+        });
+        let control = ServerControl {
+            listener: listener.control.clone(),
+            state,
+            faults,
+            announcer,
+        };
+        tasks.spawn(listener.run(Arc::new(SharedHandler(Arc::clone(&handler)))));
+        log::info!("standin: engine {} listens on {address}", options.name);
+        Ok(EngineHandle {
+            address,
+            control,
+            counters,
+            handler,
+            load: current_load,
+            _tasks: tasks,
+        })
+    }
+}
+
+/// Copies the load to the reporter once per `lag`, so a report is up to one lag old.
+async fn report_load(
+    lag: Duration,
+    mut load: watch::Receiver<ServerLoad>,
+    reporter: watch::Sender<ServerLoad>,
+) {
+    if lag.is_zero() {
+        while load.changed().await.is_ok() {
+            reporter.send_replace(*load.borrow_and_update());
+        }
+        return;
+    }
+    let mut ticks = interval(lag);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        reporter.send_replace(*load.borrow());
+    }
+}
+
+/// A running stand-in engine; dropping it kills the engine at once.
+#[derive(Debug)]
+pub struct EngineHandle {
+    address: SocketAddr,
+    control: ServerControl,
+    counters: Arc<CounterSet>,
+    handler: Arc<EngineHandler>,
+    load: watch::Receiver<ServerLoad>,
+    _tasks: JoinSet<()>,
+}
+
+impl EngineHandle {
+    /// The address that takes requests.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Controls the faults, the connections and the announcements.
+    #[must_use]
+    pub fn control(&self) -> &ServerControl {
+        &self.control
+    }
+
+    /// What the engine has done so far.
+    #[must_use]
+    pub fn counters(&self) -> EngineCounters {
+        self.counters.snapshot()
+    }
+
+    /// The load at this moment, without the lag of the reports.
+    #[must_use]
+    pub fn load(&self) -> ServerLoad {
+        *self.load.borrow()
+    }
+
+    /// The requests received so far, up to the limit of the options.
+    #[must_use]
+    pub fn received(&self) -> Vec<ReceivedRequest> {
+        self.handler.record.snapshot()
+    }
+
+    /// Leaves, waits up to `grace` for the requests being served, and stops.
+    pub async fn stop(self, grace: Duration) {
+        self.control.leave_now().await;
+        let idle = async {
+            while self.load() != ServerLoad::default() {
+                sleep(STOP_POLL).await;
+            }
+        };
+        if tokio::time::timeout(grace, idle).await.is_err() {
+            let address = self.address;
+            log::warn!("standin: engine at {address} stops with requests running");
+        }
+    }
+}
