--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -22,7 +22,7 @@
 pub use clock::{ClockSource, ManualClock, SystemClock};
 pub use ids::{
     FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
-    ServerGeneration, TermNumber,
+    SeatId, ServerGeneration, TermNumber,
 };
 pub use names::{
     ClassName, HostName, ModelName, NameError, RouteName, ServerName, ServiceName, TeamName,
