--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -5,7 +5,9 @@
 //! packages is expressed in these types, so that a host, a team or a request
 //! outcome cannot be confused with a plain string or number.
 
+pub mod admin;
 mod announcement;
+mod cache_event;
 mod clock;
 pub mod headers;
 mod ids;
@@ -16,10 +18,11 @@
 mod verdict;
 
 pub use announcement::{ServerAnnouncement, ServerLoad};
+pub use cache_event::{CacheChange, CacheEvent, CacheReport};
 pub use clock::{ClockSource, ManualClock, SystemClock};
 pub use ids::{
     FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
-    ServerGeneration, TermNumber,
+    SeatId, ServerGeneration, TermNumber,
 };
 pub use names::{
     ClassName, HostName, ModelName, NameError, RouteName, ServerName, ServiceName, TeamName,
--- a/src/bin/chicoryladderd.rs
+++ b/src/bin/chicoryladderd.rs
@@ -1,22 +1,21 @@
 //! The entry host daemon.
 
-use bpaf::Bpaf;
-use chicoryladder_settings::HostSettings;
-use miette::{IntoDiagnostic, Report};
-use std::path::PathBuf;
+use chicoryladder::daemon::{DaemonCommand, check, check_settings, daemon_options};
+use chicoryladder::{CommandError, CommandExit, run_host, start_logging};
+use std::path::Path;
+use std::process::ExitCode;
 
-/// Runs an entry host.
-#[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version, generate(daemon_options))]
-struct DaemonOptions {
-    /// The settings file of the host
-    #[bpaf(long("settings"), argument("FILE"))]
-    settings: PathBuf,
+fn main() -> ExitCode {
+    let result = match daemon_options().run() {
+        DaemonCommand::Check { settings_file } => check(&settings_file),
+        DaemonCommand::Run { settings_file } => run(&settings_file),
+    };
+    let exit = result.map_or_else(CommandError::report, |()| CommandExit::Done);
+    exit.into()
 }
 
-fn main() -> Result<(), Report> {
-    let options = daemon_options().run();
-    let settings = HostSettings::read(&options.settings)?;
-    chicoryladder::start_logging(settings.host.log_level).into_diagnostic()?;
-    chicoryladder::run_host(settings).into_diagnostic()
+fn run(path: &Path) -> Result<(), CommandError> {
+    let settings = check_settings(path)?;
+    start_logging(settings.host.log_level).map_err(|error| CommandError::caused(&error))?;
+    run_host(settings).map_err(|error| CommandError::caused(&error))
 }
