--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -6,7 +6,7 @@
 use crate::batch::BatchDispatcher;
 use crate::ids::RandomIds;
 use crate::job_service::JobService;
-use crate::limits::LimitHandle;
+use crate::limits::{LimitHandle, LimitTask, LimitTaskSettings};
 use crate::metrics::HostMetrics;
 use crate::online::OnlineService;
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
@@ -91,14 +91,17 @@
         let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
         let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock)?;
         let routing = RoutingHandle::start(settings.host.zone.clone(), clock.clone());
-        let limits = LimitHandle::start(directory.contact_count(), clock.clone());
+        let limit_settings = limit_settings(&settings, &directory, &replica, &clock);
+        let (limit_task, limits, limit_inbox) = LimitTask::new(limit_settings);
         let mut tasks = JoinSet::new();
         tasks.spawn(replica_task.run());
+        tasks.spawn(limit_task.run());
         let peer_task = PeerTask {
             directory: directory.clone(),
             messages,
             replica: inbox,
             routing: routing.clone(),
+            limits: limit_inbox,
         };
         tasks.spawn(peer_task.run());
         let dispatcher = BatchDispatcher {
@@ -281,6 +284,23 @@
     Ok(opened?)
 }
 
+fn limit_settings(
+    settings: &HostSettings,
+    directory: &PeerDirectory,
+    replica: &ReplicaHandle,
+    clock: &Arc<dyn ClockSource>,
+) -> LimitTaskSettings {
+    let seat = settings.data.as_ref().map(|data| data.seat);
+    LimitTaskSettings {
+        host: settings.host.name.clone(),
+        voters: settings.voters.values().copied().collect(),
+        own_seat: seat.and_then(|seat| settings.voters.get(&seat).copied()),
+        directory: directory.clone(),
+        replica: replica.clone(),
+        clock: clock.clone(),
+    }
+}
+
 fn read_text(path: &Path) -> Result<String, HostError> {
     match std::fs::read_to_string(path) {
         Ok(text) => Ok(text.trim().to_owned()),
--- /dev/null
+++ b/crates/host/src/limits/limiters.rs
@@ -0,0 +1,149 @@
+//! The teams whose requests this host admits.
+
+use super::handle::{AdmissionEvent, AdmissionSender};
+use super::keepers::rate_limit;
+use chicoryladder_policy::limits::{
+    LimitAdmission, LimiterAction, StockGrant, StockRecall, StockRequest, StockSession,
+    TeamLimiter, WaiterKey,
+};
+use chicoryladder_types::prelude::*;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// The time after which a team without requests is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+struct TeamEntry {
+    limiter: TeamLimiter,
+    waiting: HashMap<WaiterKey, AdmissionSender>,
+    used_at: Instant,
+}
+
+/// The limiters of one host.
+pub(super) struct LimiterSet {
+    host: HostName,
+    session: StockSession,
+    teams: HashMap<TeamName, TeamEntry>,
+}
+
+impl LimiterSet {
+    /// `session` is above each session of an earlier process of the host.
+    pub(super) fn new(host: HostName, session: StockSession) -> Self {
+        Self {
+            host,
+            session,
+            teams: HashMap::new(),
+        }
+    }
+
+    /// Answers a request, or lets it wait; names the messages to send.
+    pub(super) fn admit(&mut self, event: AdmissionEvent, now: Instant) -> Vec<StockRequest> {
+        let Some(limit) = rate_limit(&event.terms) else {
+            let _ = event.answer.send(Err(beyond_rate(None)));
+            return Vec::new();
+        };
+        let (host, session) = (&self.host, self.session);
+        let team = event.team;
+        let entry = self.teams.entry(team.clone()).or_insert_with(|| TeamEntry {
+            limiter: TeamLimiter::new(&team, host, None, limit, session),
+            waiting: HashMap::new(),
+            used_at: now,
+        });
+        entry.used_at = now;
+        entry.limiter.set_limit(limit);
+        match entry.limiter.admit(event.give_up_at, now) {
+            LimitAdmission::Admitted => {
+                // A closed channel means that the caller has left.
+                let _ = event.answer.send(Ok(()));
+            }
+            LimitAdmission::Waiting(key) => {
+                entry.waiting.insert(key, event.answer);
+            }
+            LimitAdmission::Refused { retry_after } => {
+                let _ = event.answer.send(Err(beyond_rate(Some(retry_after))));
+            }
+        }
+        entry.poll(now)
+    }
+
+    pub(super) fn handle_grant(&mut self, grant: &StockGrant, now: Instant) -> Vec<StockRequest> {
+        let Some(entry) = self.teams.get_mut(&grant.team) else {
+            return Vec::new();
+        };
+        entry.limiter.handle_grant(grant, now);
+        entry.poll(now)
+    }
+
+    pub(super) fn handle_recall(
+        &mut self,
+        recall: &StockRecall,
+        now: Instant,
+    ) -> Vec<StockRequest> {
+        let Some(entry) = self.teams.get_mut(&recall.team) else {
+            return Vec::new();
+        };
+        entry.limiter.handle_recall(recall, now);
+        entry.poll(now)
+    }
+
+    pub(super) fn poll(&mut self, now: Instant) -> Vec<StockRequest> {
+        self.teams.retain(|_, entry| !entry.is_forgotten(now));
+        let requests = self.teams.values_mut().map(|entry| entry.poll(now));
+        requests.flatten().collect()
+    }
+
+    /// Whether any request waits for a token.
+    pub(super) fn is_busy(&self) -> bool {
+        self.teams.values().any(|entry| !entry.waiting.is_empty())
+    }
+}
+
+impl TeamEntry {
+    fn poll(&mut self, now: Instant) -> Vec<StockRequest> {
+        self.drop_left();
+        let mut requests = Vec::new();
+        for action in self.limiter.poll(now) {
+            match action {
+                LimiterAction::Admit(key) => self.answer(key, Ok(())),
+                LimiterAction::Refuse {
+                    waiter,
+                    retry_after,
+                } => self.answer(waiter, Err(beyond_rate(Some(retry_after)))),
+                LimiterAction::Send(request) => requests.push(request),
+            }
+        }
+        requests
+    }
+
+    fn answer(&mut self, key: WaiterKey, result: Result<(), RequestRefusal>) {
+        if let Some(sender) = self.waiting.remove(&key) {
+            // A caller that left in this instant has cost its team one token.
+            let _ = sender.send(result);
+        }
+    }
+
+    fn drop_left(&mut self) {
+        let limiter = &mut self.limiter;
+        self.waiting.retain(|key, sender| {
+            let left = sender.is_closed();
+            if left {
+                limiter.cancel(*key);
+            }
+            !left
+        });
+    }
+
+    fn is_forgotten(&mut self, now: Instant) -> bool {
+        let unused = now.saturating_duration_since(self.used_at) >= FORGET_AFTER;
+        unused && self.waiting.is_empty() && self.limiter.is_idle(now)
+    }
+}
+
+fn beyond_rate(retry_after: Option<Duration>) -> RequestRefusal {
+    let detail = "the team is beyond its rate and burst";
+    let refusal = RequestRefusal::not_run(RefusalReason::RateExceeded, detail);
+    match retry_after {
+        Some(retry_after) => refusal.with_retry_after(retry_after),
+        None => refusal,
+    }
+}
--- /dev/null
+++ b/crates/host/src/limits/message.rs
@@ -0,0 +1,48 @@
+//! Messages between the limits tasks of the hosts.
+
+use chicoryladder_policy::limits::{
+    LeaseClaim, LeaseVote, ShardClaim, StockGrant, StockRecall, StockRequest,
+};
+use chicoryladder_types::prelude::*;
+use serde::{Deserialize, Serialize};
+
+/// What the limits tasks tell one another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum LimitMessage {
+    /// A host asks for tokens.
+    Request(StockRequest),
+    /// A keeper grants tokens.
+    Grant(StockGrant),
+    /// A keeper wants idle tokens back.
+    Recall(StockRecall),
+    /// A host asks a voter for shards.
+    Claim(LeaseClaim),
+    /// A voter answers.
+    Vote(LeaseVote),
+    /// A host is up and keeps these shards.
+    Keeping(Vec<ShardClaim>),
+}
+
+/// Whom a message is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum LimitReceiver {
+    Host(HostName),
+    Voters,
+    Everyone,
+}
+
+/// A message to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct OutgoingMessage {
+    pub(super) receiver: LimitReceiver,
+    pub(super) message: LimitMessage,
+}
+
+impl OutgoingMessage {
+    pub(super) fn to_host(host: &HostName, message: LimitMessage) -> Self {
+        Self {
+            receiver: LimitReceiver::Host(host.clone()),
+            message,
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/limits/task.rs
@@ -0,0 +1,184 @@
+//! The limits task.
+
+use super::handle::{LimitEvent, LimitHandle, LimitInbox};
+use super::keepers::KeeperSet;
+use super::limiters::LimiterSet;
+use super::message::{LimitMessage, LimitReceiver, OutgoingMessage};
+use crate::peers::{PeerDirectory, PeerMessage};
+use crate::replica::ReplicaHandle;
+use chicoryladder_policy::limits::{StockRequest, StockSession};
+use chicoryladder_types::prelude::*;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::mpsc;
+
+/// The time between two looks while requests wait for tokens.
+const BUSY_INTERVAL: Duration = Duration::from_millis(2);
+
+/// The time between two looks while none does.
+const IDLE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// What the limits task needs of its host.
+pub(crate) struct LimitTaskSettings {
+    pub(crate) host: HostName,
+    /// The addresses of all voters, this host's own included.
+    pub(crate) voters: Vec<SocketAddr>,
+    /// The address of this host among the voters, if it is one.
+    pub(crate) own_seat: Option<SocketAddr>,
+    pub(crate) directory: PeerDirectory,
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) clock: Arc<dyn ClockSource>,
+}
+
+/// Owns the limits of one host.
+pub(crate) struct LimitTask {
+    settings: LimitTaskSettings,
+    events: mpsc::UnboundedReceiver<LimitEvent>,
+    keepers: KeeperSet,
+    limiters: LimiterSet,
+}
+
+impl LimitTask {
+    /// The task, and the handles to it.
+    pub(crate) fn new(settings: LimitTaskSettings) -> (Self, LimitHandle, LimitInbox) {
+        let (events_out, events) = mpsc::unbounded_channel();
+        let host = settings.host.clone();
+        let session = StockSession(unix_millis(settings.clock.wall()) << 20);
+        let keepers = KeeperSet::new(
+            host.clone(),
+            settings.replica.clone(),
+            settings.voters.len(),
+            settings.own_seat.is_some(),
+            settings.clock.now(),
+        );
+        let task = Self {
+            settings,
+            events,
+            keepers,
+            limiters: LimiterSet::new(host, session),
+        };
+        let handle = LimitHandle {
+            events: events_out.clone(),
+        };
+        (task, handle, LimitInbox { events: events_out })
+    }
+
+    pub(crate) async fn run(mut self) {
+        loop {
+            let busy = self.limiters.is_busy() || self.keepers.is_busy();
+            let interval = if busy { BUSY_INTERVAL } else { IDLE_INTERVAL };
+            tokio::select! {
+                event = self.events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                () = tokio::time::sleep(interval) => self.poll(),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: LimitEvent) {
+        let now = self.settings.clock.now();
+        match event {
+            LimitEvent::Admission(event) => {
+                let requests = self.limiters.admit(event, now);
+                let out = self.addressed(requests);
+                self.send_all(out);
+            }
+            LimitEvent::Peer(sender, message) => {
+                let out = self.receive(&sender, &message);
+                self.send_all(out);
+            }
+        }
+    }
+
+    fn poll(&mut self) {
+        let now = self.settings.clock.now();
+        let epoch_floor = unix_millis(self.settings.clock.wall());
+        let mut out = self.keepers.poll(epoch_floor, now);
+        let requests = self.limiters.poll(now);
+        out.extend(self.addressed(requests));
+        self.send_all(out);
+    }
+
+    fn receive(&mut self, sender: &HostName, message: &LimitMessage) -> Vec<OutgoingMessage> {
+        let now = self.settings.clock.now();
+        match message {
+            LimitMessage::Request(request) => self.keepers.handle_request(request, now),
+            LimitMessage::Claim(claim) => self.keepers.handle_claim(claim, now),
+            LimitMessage::Vote(vote) => self.keepers.handle_vote(vote, now),
+            LimitMessage::Keeping(kept) => {
+                self.keepers.handle_keeping(sender, kept, now);
+                Vec::new()
+            }
+            LimitMessage::Grant(grant) => {
+                let requests = self.limiters.handle_grant(grant, now);
+                self.addressed(requests)
+            }
+            LimitMessage::Recall(recall) => {
+                let requests = self.limiters.handle_recall(recall, now);
+                self.addressed(requests)
+            }
+        }
+    }
+
+    /// Addresses requests to the keepers known; the others are asked again.
+    fn addressed(&self, requests: Vec<StockRequest>) -> Vec<OutgoingMessage> {
+        let address = |request: StockRequest| {
+            let keeper = self.keepers.keeper_of(&request.team)?.clone();
+            Some(OutgoingMessage::to_host(
+                &keeper,
+                LimitMessage::Request(request),
+            ))
+        };
+        requests.into_iter().filter_map(address).collect()
+    }
+
+    /// Sends messages; those for this host are handled here, with their
+    /// answers.
+    fn send_all(&mut self, messages: Vec<OutgoingMessage>) {
+        let own = self.settings.host.clone();
+        let mut queue = VecDeque::from(messages);
+        while let Some(outgoing) = queue.pop_front() {
+            let local = match &outgoing.receiver {
+                LimitReceiver::Host(host) => *host == own,
+                LimitReceiver::Voters => self.settings.own_seat.is_some(),
+                LimitReceiver::Everyone => true,
+            };
+            self.send(&outgoing);
+            if local {
+                queue.extend(self.receive(&own, &outgoing.message));
+            }
+        }
+    }
+
+    fn send(&self, outgoing: &OutgoingMessage) {
+        let directory = &self.settings.directory;
+        let message = || PeerMessage::Limits(outgoing.message.clone());
+        match &outgoing.receiver {
+            LimitReceiver::Host(host) if *host == self.settings.host => {}
+            LimitReceiver::Host(host) => {
+                if let Some(address) = directory.address_of(host) {
+                    directory.send(address, &message());
+                }
+            }
+            LimitReceiver::Voters => {
+                let own = self.settings.own_seat;
+                let others = self.settings.voters.iter().filter(|one| Some(**one) != own);
+                for voter in others {
+                    directory.send(*voter, &message());
+                }
+            }
+            LimitReceiver::Everyone => directory.broadcast(&message()),
+        }
+    }
+}
+
+fn unix_millis(time: SystemTime) -> u64 {
+    let elapsed = time
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -69,7 +69,10 @@
         let holder = self.holder(&request, &rules)?;
         let target = work_target(&rules.route.target, &request)?;
         if let Some(holder) = &holder {
-            self.limits.admit(&holder.team, holder.terms).await?;
+            let give_up_at = request.received + token_wait(rules.target);
+            self.limits
+                .admit(&holder.team, holder.terms, give_up_at)
+                .await?;
         }
         let plan = AttemptPlan {
             target,
@@ -115,6 +118,11 @@
     }
 }
 
+/// The longest wait for a token: the rest of the time is for the answer.
+fn token_wait(target: ClassTarget) -> Duration {
+    give_up_time(target) / 2
+}
+
 /// The time after which a request of the class is given up on.
 fn give_up_time(target: ClassTarget) -> Duration {
     match target {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,5 +1,6 @@
 //! Messages between hosts and the directory of known hosts.
 
+use crate::limits::{LimitInbox, LimitMessage};
 use crate::replica::{ReplicaInbox, ReplicaMessage};
 use crate::routing::RoutingHandle;
 use chicoryladder_link::{InboundMessage, PeerLink};
@@ -27,6 +28,8 @@
     Announcement(ServerAnnouncement),
     /// Concerns the replicated state.
     Replica(ReplicaMessage),
+    /// Concerns the rates of the teams.
+    Limits(LimitMessage),
 }
 
 /// A host that was heard from.
@@ -67,12 +70,12 @@
         self.link.address()
     }
 
-    /// The number of hosts that the settings name, with this one.
-    pub(crate) fn contact_count(&self) -> usize {
-        let mut contacts = self.seeds.to_vec();
-        contacts.sort_unstable();
-        contacts.dedup();
-        contacts.len() + 1
+    /// The address of a host that was heard from lately.
+    pub(crate) fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
+        let heard = self.lock_heard();
+        let records = heard.values().filter(|peer| peer.host == *host);
+        let latest = records.max_by_key(|peer| peer.last_heard);
+        latest.map(|peer| peer.address)
     }
 
     /// Queues a message to one host; it may be lost.
@@ -131,6 +134,7 @@
     pub(crate) messages: mpsc::Receiver<InboundMessage>,
     pub(crate) replica: ReplicaInbox,
     pub(crate) routing: RoutingHandle,
+    pub(crate) limits: LimitInbox,
 }
 
 impl PeerTask {
@@ -155,6 +159,9 @@
             Ok(PeerMessage::Replica(content)) => {
                 self.replica.deliver(message.reply_address, content);
             }
+            Ok(PeerMessage::Limits(content)) => {
+                self.limits.deliver(message.sender.clone(), content);
+            }
             Err(error) => {
                 log::warn!(
                     "peers: cannot decode a message of {}: {error}.",
--- a/crates/policy/src/limits/keeper.rs
+++ b/crates/policy/src/limits/keeper.rs
@@ -25,8 +25,8 @@
 impl Default for KeeperTimes {
     fn default() -> Self {
         Self {
-            stock_ttl: Duration::from_millis(500),
-            drift_margin: Duration::from_millis(50),
+            stock_ttl: Duration::from_millis(400),
+            drift_margin: Duration::from_millis(25),
         }
     }
 }
--- a/crates/policy/src/limits/lease.rs
+++ b/crates/policy/src/limits/lease.rs
@@ -63,9 +63,9 @@
 impl Default for LeaseTimes {
     fn default() -> Self {
         Self {
-            vote_ttl: Duration::from_secs(1),
-            drift_margin: Duration::from_millis(50),
-            claim_every: Duration::from_millis(200),
+            vote_ttl: Duration::from_millis(800),
+            drift_margin: Duration::from_millis(25),
+            claim_every: Duration::from_millis(150),
         }
     }
 }
@@ -279,6 +279,18 @@
         actions
     }
 
+    /// The shards that this host keeps now.
+    #[must_use]
+    pub fn kept(&self, now: Instant) -> Vec<ShardClaim> {
+        let shards = self.claimed.keys();
+        let kept = shards.filter_map(|shard| {
+            let epoch = self.held_epoch(*shard, now)?;
+            let shard = *shard;
+            Some(ShardClaim { shard, epoch })
+        });
+        kept.collect()
+    }
+
     /// Takes over a vote.
     pub fn handle_vote(&mut self, vote: &LeaseVote, now: Instant) -> Vec<LeaseAction> {
         let mut actions = self.drop_lapsed(now);
--- a/crates/policy/src/limits/stock.rs
+++ b/crates/policy/src/limits/stock.rs
@@ -25,7 +25,7 @@
 const RENEW_AFTER: Duration = Duration::from_millis(150);
 
 /// The rest of a stock's life in which an empty session is not continued.
-const ENDS_SOON: Duration = Duration::from_millis(250);
+const ENDS_SOON: Duration = Duration::from_millis(150);
 
 /// Sent requests whose time is remembered.
 const SENT_MAX: usize = 64;
