--- /dev/null
+++ b/tests/all/fixture.rs
@@ -0,0 +1,303 @@
+//! Entry hosts in this process.
+
+mod http;
+mod ports;
+
+pub(crate) use http::{HttpAnswer, HttpRequest, send};
+pub(crate) use ports::free_address;
+
+use chicoryladder_host::EntryHost;
+use chicoryladder_settings::HostSettings;
+use chicoryladder_standin::{EngineHandle, EngineOptions, EngineServer};
+use chicoryladder_standin::{PlainHandle, PlainOptions, PlainServer};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// The longest wait for something that must happen.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The time between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+const OPERATOR_TOKEN: &str = "operator-token-of-tests";
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// The fleet document of the examples.
+pub(crate) const DOCUMENT: &str = include_str!("../../examples/fleet.ini");
+
+/// The ports of one host, fixed over its restarts.
+#[derive(Clone, Copy)]
+pub(crate) struct HostPorts {
+    pub(crate) callers: SocketAddr,
+    pub(crate) servers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    pub(crate) peers: SocketAddr,
+}
+
+/// A fleet of entry hosts, one zone each in turn; the first three have disks.
+pub(crate) struct FleetFixture {
+    folder: TempDir,
+    ports: Vec<HostPorts>,
+    hosts: Vec<Option<EntryHost>>,
+}
+
+impl FleetFixture {
+    /// Starts `count` hosts without a fleet document.
+    pub(crate) async fn start(count: usize) -> Self {
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("secret"), "a secret of the test hosts").unwrap();
+        std::fs::write(folder.path().join("token"), OPERATOR_TOKEN).unwrap();
+        let ports = (0..count).map(|_| HostPorts::take()).collect();
+        let mut fleet = Self {
+            folder,
+            ports,
+            hosts: (0..count).map(|_| None).collect(),
+        };
+        for host in 0..count {
+            fleet.start_host(host).await;
+        }
+        for host in 0..count {
+            fleet.wait_ready(host).await;
+        }
+        fleet
+    }
+
+    /// Starts `count` hosts and brings the document of the examples into force.
+    pub(crate) async fn with_document(count: usize) -> Self {
+        let fleet = Self::start(count).await;
+        let answer = fleet.put_document(0, DOCUMENT, 0, "first-document").await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        for host in 0..count {
+            let wanted = || async { fleet.revision(host).await >= Some(1) };
+            eventually("the document is in force", wanted).await;
+        }
+        fleet
+    }
+
+    pub(crate) fn ports(&self, host: usize) -> HostPorts {
+        self.ports[host]
+    }
+
+    /// The servers' ports of all hosts.
+    pub(crate) fn server_ports(&self) -> Vec<SocketAddr> {
+        self.ports.iter().map(|ports| ports.servers).collect()
+    }
+
+    /// Starts a host that is not running, with the data that it left.
+    pub(crate) async fn start_host(&mut self, host: usize) {
+        let settings = HostSettings::parse("test", &self.settings(host)).unwrap();
+        let started = EntryHost::start(settings).await.unwrap();
+        self.hosts[host] = Some(started);
+    }
+
+    /// Stops a host as a crash would.
+    pub(crate) async fn kill_host(&mut self, host: usize) {
+        self.hosts[host].take().unwrap().kill().await;
+    }
+
+    /// Takes a running host out of the fixture, to shut it down.
+    pub(crate) fn take_host(&mut self, host: usize) -> EntryHost {
+        self.hosts[host].take().unwrap()
+    }
+
+    pub(crate) async fn wait_ready(&self, host: usize) {
+        let callers = self.ports[host].callers;
+        let ready = || async move {
+            let answer = send(HttpRequest::get(callers, "/readyz")).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        };
+        eventually("the host is ready", ready).await;
+    }
+
+    /// Sends an operator's request to a host.
+    pub(crate) async fn admin(
+        &self,
+        host: usize,
+        method: &str,
+        path: &str,
+        body: &serde_json::Value,
+    ) -> HttpAnswer {
+        let address = self.ports[host].operators;
+        let request = HttpRequest::new(address, method, &format!("/admin/v1/{path}"))
+            .with_key(OPERATOR_TOKEN)
+            .with_body(body.to_string());
+        send(request).await.unwrap()
+    }
+
+    pub(crate) async fn put_document(
+        &self,
+        host: usize,
+        document: &str,
+        expected_revision: u64,
+        operation: &str,
+    ) -> HttpAnswer {
+        let body = serde_json::json!({
+            "document": document,
+            "expected_revision": expected_revision,
+            "operation_id": operation,
+        });
+        self.admin(host, "PUT", "fleet", &body).await
+    }
+
+    /// The revision in force on a host, if it answers.
+    pub(crate) async fn revision(&self, host: usize) -> Option<u64> {
+        let address = self.ports[host].operators;
+        let request = HttpRequest::get(address, "/admin/v1/fleet").with_key(OPERATOR_TOKEN);
+        send(request).await.ok()?.json()["revision"].as_u64()
+    }
+
+    /// Grants a key and returns its id and text.
+    pub(crate) async fn grant_key(&self, host: usize, team: &str) -> GrantedKey {
+        let body = serde_json::json!({ "team": team });
+        let answer = self.admin(host, "POST", "keys", &body).await;
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let answer = answer.json();
+        GrantedKey {
+            id: answer["key_id"].as_str().unwrap().to_owned(),
+            text: answer["key"].as_str().unwrap().to_owned(),
+        }
+    }
+
+    /// Starts an engine that announces itself to every host.
+    pub(crate) async fn start_engine(&self, name: &str, zone: &str) -> EngineHandle {
+        let options = EngineOptions {
+            entry_hosts: self.server_ports(),
+            announce_period: Duration::from_millis(100),
+            ..EngineOptions::new(
+                name.try_into().unwrap(),
+                zone.try_into().unwrap(),
+                "walks-7b".try_into().unwrap(),
+            )
+        };
+        let engine = EngineServer::start(options).await.unwrap();
+        self.wait_for_server(name).await;
+        engine
+    }
+
+    /// Starts a plain service that announces itself to every host.
+    pub(crate) async fn start_service(&self, name: &str, service: &str) -> PlainHandle {
+        let options = PlainOptions {
+            entry_hosts: self.server_ports(),
+            announce_period: Duration::from_millis(100),
+            ..PlainOptions::new(
+                name.try_into().unwrap(),
+                "zone-a".try_into().unwrap(),
+                service.try_into().unwrap(),
+            )
+        };
+        let server = PlainServer::start(options).await.unwrap();
+        self.wait_for_server(name).await;
+        server
+    }
+
+    /// Waits until every running host knows a backend server.
+    async fn wait_for_server(&self, name: &str) {
+        for (host, running) in self.hosts.iter().enumerate() {
+            if running.is_none() {
+                continue;
+            }
+            let address = self.ports[host].operators;
+            let known = || async move {
+                let request =
+                    HttpRequest::get(address, "/admin/v1/servers").with_key(OPERATOR_TOKEN);
+                let answer = send(request).await.unwrap();
+                answer.text().contains(&format!("\"{name}\""))
+            };
+            eventually("the host knows the server", known).await;
+        }
+    }
+
+    fn settings(&self, host: usize) -> String {
+        let ports = self.ports[host];
+        let zone = ZONES[host % ZONES.len()];
+        let path = |name: &str| -> PathBuf { self.folder.path().join(name) };
+        let mut text = format!(
+            "[host]\nname = host-{host}\nzone = {zone}\n\
+             [listen]\ncallers = {}\nservers = {}\noperators = {}\npeers = {}\n\
+             [operators]\ntoken_file = {}\n\
+             [peers]\nsecret_file = {}\nseeds = {}\n[voters]\n",
+            ports.callers,
+            ports.servers,
+            ports.operators,
+            ports.peers,
+            path("token").display(),
+            path("secret").display(),
+            self.seeds(),
+        );
+        let voters = self.ports.iter().take(3).enumerate();
+        for (seat, ports) in voters {
+            writeln!(text, "{} = {}", seat + 1, ports.peers).unwrap();
+        }
+        if host < 3 {
+            let data = path(&format!("data-{host}"));
+            write!(text, "[data]\nfolder = {}\n", data.display()).unwrap();
+            writeln!(text, "seat = {}", host + 1).unwrap();
+        }
+        text
+    }
+
+    fn seeds(&self) -> String {
+        let addresses = self.ports.iter().map(|ports| ports.peers.to_string());
+        addresses.collect::<Vec<_>>().join(", ")
+    }
+}
+
+/// A key as the operator got it.
+pub(crate) struct GrantedKey {
+    pub(crate) id: String,
+    pub(crate) text: String,
+}
+
+impl HostPorts {
+    fn take() -> Self {
+        Self {
+            callers: free_address(),
+            servers: free_address(),
+            operators: free_address(),
+            peers: free_address(),
+        }
+    }
+}
+
+/// Waits until `condition` holds.
+pub(crate) async fn eventually<F>(what: &str, condition: impl Fn() -> F)
+where
+    F: Future<Output = bool>,
+{
+    let waiting = async {
+        while !condition().await {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    };
+    let done = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(done.is_ok(), "not in {PATIENCE:?}: {what}");
+}
+
+/// A chat request of `tokens` tokens.
+pub(crate) fn chat_body(tokens: u32, stream: bool) -> String {
+    serde_json::json!({
+        "model": "walks-7b",
+        "max_tokens": tokens,
+        "stream": stream,
+        "messages": [{"role": "user", "content": "Plan a walk."}],
+    })
+    .to_string()
+}
+
+/// A batch job of `count` chat items, one a line.
+pub(crate) fn job_lines(count: usize) -> String {
+    let mut lines = String::new();
+    for item in 0..count {
+        let line = serde_json::json!({
+            "custom_id": format!("item-{item}"),
+            "method": "POST",
+            "url": "/v1/chat/completions",
+            "body": serde_json::from_str::<serde_json::Value>(&chat_body(2, false)).unwrap(),
+        });
+        writeln!(lines, "{line}").unwrap();
+    }
+    lines
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -1,3 +1,11 @@
 //! Whole-system tests.
+//!
+//! `fixture` starts entry hosts in this process, on free ports and in a folder
+//! of their own; every other module causes one kind of event and checks what
+//! callers and operators see.
+
+#![allow(clippy::unwrap_used)]
 
 mod command_line;
+mod fixture;
+mod whole_path;
