--- a/crates/host/src/limits/keepers.rs
+++ b/crates/host/src/limits/keepers.rs
@@ -24,6 +24,7 @@
 struct KnownKeeper {
     host: HostName,
     claim: ShardClaim,
+    heard_at: Instant,
 }
 
 /// Votes, leases and buckets of one host.
@@ -111,10 +112,15 @@
         self.heard.insert(sender.clone(), now);
         for claim in kept {
             let known = self.known.get(&claim.shard);
-            if known.is_none_or(|known| known.claim.epoch <= claim.epoch) {
+            let replaced = known.is_none_or(|known| {
+                let age = now.saturating_duration_since(known.heard_at);
+                known.claim.epoch <= claim.epoch || age >= NOTICE_LIVE_FOR
+            });
+            if replaced {
                 let keeper = KnownKeeper {
                     host: sender.clone(),
                     claim: *claim,
+                    heard_at: now,
                 };
                 self.known.insert(claim.shard, keeper);
             }
--- a/crates/policy/src/limits/lease.rs
+++ b/crates/policy/src/limits/lease.rs
@@ -202,6 +202,7 @@
 #[derive(Clone, Debug)]
 struct ClaimedShard {
     epoch: KeeperEpoch,
+    claimed_at: Instant,
     votes: BTreeMap<HostName, Instant>,
     held: bool,
 }
@@ -256,13 +257,13 @@
 
     /// Ends lapsed leases, and claims what this host should keep among the
     /// `live` hosts. New epochs start at `epoch_floor`, which rises over
-    /// restarts of all hosts, such as the milliseconds of the calendar.
+    /// time and over restarts, such as the milliseconds of the calendar.
     pub fn poll(&mut self, live: &[HostName], epoch_floor: u64, now: Instant) -> Vec<LeaseAction> {
         let mut actions = self.drop_lapsed(now);
         if !self.claim_due(now) {
             return actions;
         }
-        let shards = self.wanted(live, epoch_floor);
+        let shards = self.wanted(live, epoch_floor, now);
         if shards.is_empty() {
             return actions;
         }
@@ -359,13 +360,13 @@
     }
 
     /// Held shards are renewed; others are claimed if this host ranks first.
-    fn wanted(&mut self, live: &[HostName], epoch_floor: u64) -> Vec<ShardClaim> {
+    fn wanted(&mut self, live: &[HostName], epoch_floor: u64, now: Instant) -> Vec<ShardClaim> {
         let mut shards = Vec::new();
         for number in 0..self.shards {
             let shard = ShardNumber(number);
             let held = self.claimed.get(&shard).is_some_and(|claimed| claimed.held);
             if held || shard.first_ranked(live) == Some(&self.host) {
-                let epoch = self.claim_epoch(shard, epoch_floor);
+                let epoch = self.claim_epoch(shard, epoch_floor, now);
                 shards.push(ShardClaim { shard, epoch });
             } else {
                 self.claimed.remove(&shard);
@@ -374,16 +375,22 @@
         shards
     }
 
-    fn claim_epoch(&mut self, shard: ShardNumber, epoch_floor: u64) -> KeeperEpoch {
+    /// The epoch to claim with. A claim that found no majority for the life of
+    /// a vote begins again in a higher epoch, so that epochs rise even if the
+    /// voters forgot those in between.
+    fn claim_epoch(&mut self, shard: ShardNumber, epoch_floor: u64, now: Instant) -> KeeperEpoch {
         let highest = self.highest.get(&shard).copied().unwrap_or_default();
-        if let Some(claimed) = self.claimed.get(&shard)
-            && (claimed.held || claimed.epoch > highest)
-        {
-            return claimed.epoch;
+        if let Some(claimed) = self.claimed.get(&shard) {
+            let age = now.saturating_duration_since(claimed.claimed_at);
+            let current = claimed.epoch > highest && age < self.times.vote_ttl;
+            if claimed.held || current {
+                return claimed.epoch;
+            }
         }
         let epoch = KeeperEpoch(epoch_floor.max(highest.0 + 1));
         let fresh = ClaimedShard {
             epoch,
+            claimed_at: now,
             votes: BTreeMap::new(),
             held: false,
         };
--- a/crates/policy/src/limits/stock.rs
+++ b/crates/policy/src/limits/stock.rs
@@ -271,7 +271,7 @@
 
     fn begin_session(&mut self) {
         self.session = StockSession(self.session.0 + 1);
-        self.epoch = self.successor.take().unwrap_or(self.epoch);
+        self.epoch = self.successor.take().unwrap_or_default();
         self.counters = StockCounters::default();
         self.valid_until = None;
         self.sequence = 0;
--- a/crates/policy/tests/limits/lease.rs
+++ b/crates/policy/tests/limits/lease.rs
@@ -15,6 +15,7 @@
 struct Claims {
     holders: Vec<KeeperLease>,
     voters: Vec<LeaseVoter>,
+    start: Instant,
     rng: ChaCha8Rng,
     loss_percent: u32,
     highest: Vec<KeeperEpoch>,
@@ -28,6 +29,7 @@
         Self {
             holders: (0..hosts).map(holder).collect(),
             voters: (0..hosts).map(voter).collect(),
+            start: now,
             rng: ChaCha8Rng::seed_from_u64(seed),
             loss_percent,
             highest: vec![KeeperEpoch(0); usize::from(SHARDS)],
@@ -40,8 +42,10 @@
 
     /// Lets each host that is not cut off claim, with its own view of the fleet.
     fn step(&mut self, live: &[Vec<HostName>], reach: impl Fn(usize, usize) -> bool, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.start);
+        let floor = u64::try_from(elapsed.as_millis()).expect("short run");
         for (index, view) in live.iter().enumerate() {
-            for action in self.holders[index].poll(view, 1, now) {
+            for action in self.holders[index].poll(view, floor, now) {
                 if let LeaseAction::Claim(claim) = action {
                     self.spread(index, &claim, &reach, now);
                 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,4 +8,5 @@
 
 mod command_line;
 mod fixture;
+mod limits;
 mod whole_path;
