--- a/src/bin/chicoryladderd.rs
+++ b/src/bin/chicoryladderd.rs
@@ -1,7 +1,7 @@
 //! The entry host daemon.
 
 use chicoryladder::daemon::{DaemonCommand, check, check_settings, daemon_options};
-use chicoryladder::{CommandError, CommandExit};
+use chicoryladder::{CommandError, CommandExit, run_host, start_logging};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -15,6 +15,7 @@
 }
 
 fn run(path: &Path) -> Result<(), CommandError> {
-    let _settings = check_settings(path)?;
-    Err(CommandError::failed("the host cannot run yet"))
+    let settings = check_settings(path)?;
+    start_logging(settings.host.log_level).map_err(|error| CommandError::caused(&error))?;
+    run_host(settings).map_err(|error| CommandError::caused(&error))
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -137,6 +137,18 @@
         }
     }
 
+    /// A failure that had no other name, with all of its causes.
+    pub fn caused(error: &dyn std::error::Error) -> Self {
+        let mut message = error.to_string();
+        let mut source = error.source();
+        while let Some(cause) = source {
+            message.push_str(": ");
+            message.push_str(&cause.to_string());
+            source = cause.source();
+        }
+        Self::Failed { message }
+    }
+
     /// The exit code that goes with the failure.
     #[must_use]
     pub const fn exit(&self) -> CommandExit {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,8 +8,12 @@
 pub mod client;
 pub mod commands;
 pub mod daemon;
+mod daemon_run;
 mod error;
+mod logging;
 mod operation;
 pub mod output;
 
+pub use daemon_run::{RunError, run_host};
 pub use error::{CommandError, CommandExit};
+pub use logging::start_logging;
