Add the lease on the key view and reports on how far a change has spread

Cause: a withdrawn key must stop within seconds on hosts that nobody can reach, and an operator must learn where a change is not in force yet. Ruled out: counting the lease from the leader's answer, since an answer that was delayed would renew a view that is too old; calling a change in force while an address of the settings was never heard. Change: KeyLease counts from the question and waits for the told position to be applied; spread_report names hosts, zones and contacts not heard. Conclusion: the host can use both.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -10,7 +10,9 @@
 mod command;
 mod history;
 mod keys;
+mod lease;
 mod machine;
+mod spread;
 mod tombstones;
 mod view;
 
@@ -18,6 +20,8 @@
     ApplyDocument, CommandError, FleetCommand, FleetOutcome, GrantKey, KeyRefusal, WithdrawKey,
 };
 pub use keys::{KeyError, KeyGrant, KeyId, KeyRecord, KeySalt, KeyState, KeyText, SecretHash};
+pub use lease::{KeyLease, LeaseQuestion};
 pub use machine::{FleetMachine, SnapshotError};
+pub use spread::{HostPosition, KnownHost, SpreadGoal, spread_report};
 pub use tombstones::KeyTombstones;
 pub use view::{FleetView, KeyDecision};
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -1,6 +1,7 @@
 //! What requests are served from.
 
 use crate::keys::{KeyId, KeyRecord, KeyRegister, KeyState, KeyText, SecretHash};
+use crate::spread::HostPosition;
 use crate::tombstones::KeyTombstones;
 use chicoryladder_settings::FleetDocument;
 use chicoryladder_types::prelude::*;
@@ -67,8 +68,29 @@
     /// Whether the key is withdrawn, in the log or on this host.
     #[must_use]
     pub fn is_withdrawn(&self, id: KeyId) -> bool {
-        let logged = |record: &KeyRecord| record.state == KeyState::Withdrawn;
-        self.tombstones.contains(id) || self.keys.get(id).is_some_and(logged)
+        self.tombstones.contains(id) || self.is_withdrawal_logged(id)
+    }
+
+    /// Whether the withdrawal of the key is in the log.
+    #[must_use]
+    pub fn is_withdrawal_logged(&self, id: KeyId) -> bool {
+        let withdrawn = |record: &KeyRecord| record.state == KeyState::Withdrawn;
+        self.keys.get(id).is_some_and(withdrawn)
+    }
+
+    /// The team that the key speaks for, or spoke for.
+    #[must_use]
+    pub fn team_of(&self, id: KeyId) -> Option<&TeamName> {
+        self.keys.get(id)?.team.as_ref()
+    }
+
+    /// What this host says of itself to others.
+    #[must_use]
+    pub fn position(&self) -> HostPosition {
+        HostPosition {
+            applied: self.applied,
+            tombstones: KeyTombstones::clone(&self.tombstones),
+        }
     }
 
     /// All keys, in the order of their ids.
--- a/crates/state/tests/all/main.rs
+++ b/crates/state/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the replicated aggregates.
 
+mod lease;
 mod machine;
 mod races;
+mod spread;
 mod support;
--- a/crates/types/src/admin.rs
+++ b/crates/types/src/admin.rs
@@ -39,6 +39,9 @@
     pub hosts_not_heard: Vec<HostPlace>,
     /// The availability zones of which no host has said so yet.
     pub zones_not_heard: Vec<ZoneName>,
+    /// Addresses from the settings under which no host was ever heard.
+    #[serde(default)]
+    pub contacts_not_heard: Vec<SocketAddr>,
 }
 
 /// An entry host and its availability zone.
@@ -114,9 +117,10 @@
     /// Whether the withdrawal is in the replicated log already; if not, the
     /// answering host keeps trying.
     pub logged: bool,
-    /// The longest time, in milliseconds, for which a host that was not heard
-    /// may still take the key.
-    pub key_lease_ms: u64,
+    /// The longest time, in milliseconds, for which hosts that were not heard
+    /// may still take the key. Absent if there is no such bound: the withdrawal
+    /// is not logged yet, or the team is served through a cut.
+    pub stops_within_ms: Option<u64>,
     /// How far the withdrawal has spread.
     #[serde(flatten)]
     pub spread: SpreadReport,
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -91,12 +91,11 @@
     if spread.in_force {
         return "in force on every host".to_owned();
     }
-    let hosts: Vec<String> = spread
-        .hosts_not_heard
-        .iter()
-        .map(|place| format!("{} ({})", place.host, place.zone))
-        .collect();
-    format!("not heard of yet: {}", hosts.join(", "))
+    let hosts = spread.hosts_not_heard.iter();
+    let hosts = hosts.map(|place| format!("{} ({})", place.host, place.zone));
+    let contacts = spread.contacts_not_heard.iter().map(ToString::to_string);
+    let missing: Vec<String> = hosts.chain(contacts).collect();
+    format!("not heard from yet: {}", missing.join(", "))
 }
 
 /// Turns a change that has not spread everywhere into its exit code.
--- a/src/commands/key.rs
+++ b/src/commands/key.rs
@@ -135,16 +135,18 @@
     };
     let mut text = format!("key {} is withdrawn, {logged}, {spread}", answer.key_id);
     if !answer.spread.in_force {
-        let bound = format!(
-            "; a host that was not heard stops taking it after {} ms without the leader, unless \
-             the team is served through a cut",
-            answer.key_lease_ms
-        );
-        text.push_str(&bound);
+        text.push_str(&describe_bound(answer.stops_within_ms));
     }
     text
 }
 
+fn describe_bound(stops_within_ms: Option<u64>) -> String {
+    match stops_within_ms {
+        Some(millis) => format!("; hosts that were not heard stop taking it within {millis} ms"),
+        None => "; hosts that were not heard may take it until they are reached".to_owned(),
+    }
+}
+
 fn describe_keys(keys: &[KeyEntry]) -> String {
     let row = |entry: &KeyEntry| {
         let team = entry.team.as_ref().map_or("-", |team| team.as_str());
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -141,14 +141,15 @@
 fn a_change_that_has_not_reached_a_host_ends_with_7_and_names_it() {
     let folder = workspace();
     let withdrawn = r#"{"key_id":"00000000000000ff","known":true,"logged":false,
-        "key_lease_ms":5000,"in_force":false,"zones_not_heard":["zone-c"],
+        "stops_within_ms":null,"in_force":false,"zones_not_heard":["zone-c"],
         "hosts_not_heard":[{"host":"host-3","zone":"zone-c"}]}"#;
     let host = FakeHost::start(vec![(200, withdrawn)]);
     let id = "00000000000000ff";
     let arguments = ["key", "withdraw", "--operators", &host.address, id];
     let output = run(LADDER, folder.path(), &arguments);
     assert_eq!(code(&output), 7);
-    assert!(text(&output.stdout).contains("host-3 (zone-c)"));
+    let shown = text(&output.stdout);
+    assert!(shown.contains("host-3 (zone-c); hosts that were not heard may take it until"));
     assert!(host.requests()[0].starts_with("DELETE /admin/v1/keys/00000000000000ff "));
 }
 
