Make configuration and keys whole on the admin routes

Cause: the thin routes answered before a change was in force anywhere else, and a withdrawal needed the voter. Ruled out: every host telling every other of each change, n times n messages; instead the answering host asks, and each host answers once it is there. Change: PUT fleet, POST and DELETE keys wait up to 5 s and name hosts, zones and contacts not heard; a conflict names the winner in its body. A withdrawal is taken by any host as a tombstone that is kept in the data folder, told to other hosts and logged once a voter can be reached; the answer gives the bound on hosts not heard, or that there is none. The lease on the key view counts from the host's own question.

--- a/crates/host/src/admin.rs
+++ b/crates/host/src/admin.rs
@@ -1,16 +1,17 @@
 //! The administration API.
 
-mod answers;
 mod fleet;
 mod keys;
+mod members;
+mod spread;
 
 use crate::ids::RandomIds;
 use crate::metrics::HostMetrics;
 use crate::peers::PeerDirectory;
 use crate::replica::ReplicaHandle;
 use crate::routing::RoutingHandle;
-use answers::MembersAnswer;
-use chicoryladder_gateway::{AdminAnswer, AdminRequest, OperatorPort, json_answer};
+use crate::tombstones::TombstoneHandle;
+use chicoryladder_gateway::{AdminAnswer, AdminRequest, OperatorPort};
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -25,6 +26,7 @@
     pub(crate) replica: ReplicaHandle,
     pub(crate) routing: RoutingHandle,
     pub(crate) peers: PeerDirectory,
+    pub(crate) tombstones: TombstoneHandle,
     pub(crate) ids: Arc<RandomIds>,
     pub(crate) shared_secret: String,
     pub(crate) metrics: Arc<HostMetrics>,
@@ -50,20 +52,13 @@
             (&Method::GET, "keys") => Ok(self.list_keys()),
             (&Method::POST, "keys") => self.grant_key(&request.body).await,
             (&Method::GET, "members") => Ok(self.members()),
-            (&Method::GET, "servers") => Ok(json_answer(200, &self.routing.servers().await)),
+            (&Method::GET, "servers") => Ok(self.list_servers().await),
             (method, path) => match path.strip_prefix("keys/") {
                 Some(id) if method == Method::DELETE => self.withdraw_key(id).await,
                 _ => Err(unknown_path(method, path)),
             },
         }
     }
-
-    fn members(&self) -> hyper::Response<chicoryladder_gateway::AnswerBody> {
-        let now = self.clock.now();
-        let mut answer = MembersAnswer::of_self(&self.host, &self.zone, self.peers.own_address());
-        answer.add_peers(self.peers.live(), now);
-        json_answer(200, &answer)
-    }
 }
 
 fn unknown_path(method: &Method, path: &str) -> RequestRefusal {
--- a/crates/host/src/admin/fleet.rs
+++ b/crates/host/src/admin/fleet.rs
@@ -1,77 +1,105 @@
 //! The fleet document in the administration API.
 
-use super::answers::{FleetAnswer, PutFleetAnswer, PutFleetBody};
 use super::{AdminService, parse_body};
 use crate::replica::ProposeError;
 use chicoryladder_gateway::{AdminAnswer, AnswerBody, json_answer};
 use chicoryladder_settings::FleetDocument;
-use chicoryladder_state::{ApplyDocument, FleetCommand, FleetOutcome};
+use chicoryladder_state::{ApplyDocument, FleetCommand, FleetOutcome, SpreadGoal};
+use chicoryladder_types::admin::{
+    ApplyAnswer, ApplyRequest, ConflictAnswer, FleetAnswer, SpreadReport,
+};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{FleetRevision, OperationId};
 use hyper::Response;
+use serde::Serialize;
+
+/// A refusal that names the winner of a race, in the public error shape.
+#[derive(Serialize)]
+struct ConflictBody {
+    error: ConflictError,
+}
+
+#[derive(Serialize)]
+struct ConflictError {
+    message: String,
+    r#type: &'static str,
+    code: &'static str,
+    verdict: &'static str,
+    conflict: ConflictAnswer,
+}
 
 impl AdminService {
     pub(super) fn get_fleet(&self) -> Response<AnswerBody> {
         let view = self.replica.view();
         let answer = FleetAnswer {
-            revision: view.revision.0,
+            revision: view.revision,
             document: view.document.to_string(),
         };
         json_answer(200, &answer)
     }
 
+    /// Has a document accepted and waits until it is in force everywhere.
     pub(super) async fn put_fleet(&self, body: &[u8]) -> AdminAnswer {
-        let body: PutFleetBody = parse_body(body)?;
-        let document = FleetDocument::parse("document", &body.document).map_err(|report| {
+        let request: ApplyRequest = parse_body(body)?;
+        let document = FleetDocument::parse("document", &request.document).map_err(|report| {
             RequestRefusal::not_run(RefusalReason::BadRequest, report.to_lines())
         })?;
         let command = FleetCommand::ApplyDocument(ApplyDocument {
             text: document.to_string(),
-            expected_revision: FleetRevision(body.expected_revision),
-            operation_id: self.operation_id(body.operation_id)?,
+            expected_revision: request.expected_revision,
+            operation_id: request.operation_id,
             host: self.host.clone(),
         });
         let outcome = self.replica.propose_fleet(command).await;
         match outcome.map_err(ProposeError::refusal)? {
             FleetOutcome::Accepted { revision } => {
-                let answer = PutFleetAnswer {
-                    revision: revision.0,
-                };
-                Ok(json_answer(200, &answer))
+                log::info!("admin: revision {revision} is accepted.");
+                let spread = self.wait_until_applied().await;
+                Ok(json_answer(200, &ApplyAnswer { revision, spread }))
             }
+            FleetOutcome::Conflict {
+                expected,
+                current,
+                winner,
+                winner_host,
+            } => Ok(conflict_answer(ConflictAnswer {
+                expected_revision: expected,
+                current_revision: current,
+                winner,
+                winner_host,
+            })),
             outcome => Err(refused(&outcome)),
         }
     }
 
-    /// The operation id of the operator, or a new one.
-    pub(super) fn operation_id(&self, told: Option<String>) -> Result<OperationId, RequestRefusal> {
-        match told {
-            Some(text) => OperationId::try_from(text).map_err(|error| {
-                RequestRefusal::not_run(RefusalReason::BadRequest, error.to_string())
-            }),
-            None => self.ids.operation().ok_or_else(|| {
-                let detail = "no operation id could be drawn";
-                RequestRefusal::not_run(RefusalReason::BadRequest, detail)
-            }),
-        }
+    /// Waits until every host has applied what this host has applied now.
+    ///
+    /// A command is answered once it is applied here, so that includes it.
+    pub(super) async fn wait_until_applied(&self) -> SpreadReport {
+        let applied = self.replica.view().applied;
+        self.wait_for_spread(|_| SpreadGoal::Applied(applied)).await
     }
 }
 
+fn conflict_answer(conflict: ConflictAnswer) -> Response<AnswerBody> {
+    let reason = RefusalReason::RevisionConflict;
+    let message = format!(
+        "revision {} is in force, not {}",
+        conflict.current_revision, conflict.expected_revision
+    );
+    let body = ConflictBody {
+        error: ConflictError {
+            message,
+            r#type: "invalid_request_error",
+            code: reason.as_str(),
+            verdict: RunVerdict::NotRun.as_str(),
+            conflict,
+        },
+    };
+    json_answer(reason.status(), &body)
+}
+
 pub(super) fn refused(outcome: &FleetOutcome) -> RequestRefusal {
     let (reason, detail) = match outcome {
-        FleetOutcome::Conflict {
-            expected,
-            current,
-            winner,
-            winner_host,
-        } => {
-            let winner = winner.as_ref().map_or("none", OperationId::as_str);
-            let host = winner_host.as_ref().map_or("no host", HostName::as_str);
-            let detail = format!(
-                "revision {current} is in force, not {expected}; operation {winner} by {host} set it"
-            );
-            (RefusalReason::RevisionConflict, detail)
-        }
         FleetOutcome::Malformed { faults } => (RefusalReason::BadRequest, faults.clone()),
         FleetOutcome::NotGranted { refusal } => (RefusalReason::BadRequest, refusal.to_string()),
         FleetOutcome::OperationReused => (
@@ -79,6 +107,7 @@
             "the operation id was used for another operation".to_owned(),
         ),
         FleetOutcome::Accepted { .. }
+        | FleetOutcome::Conflict { .. }
         | FleetOutcome::Granted { .. }
         | FleetOutcome::Withdrawn { .. }
         | FleetOutcome::AlreadyApplied => {
--- a/crates/host/src/admin/keys.rs
+++ b/crates/host/src/admin/keys.rs
@@ -1,12 +1,14 @@
 //! Callers' keys in the administration API.
 
-use super::answers::{GrantKeyAnswer, GrantKeyBody, KeyAnswer, WithdrawKeyAnswer};
 use super::fleet::refused;
 use super::{AdminService, parse_body};
 use crate::replica::ProposeError;
 use chicoryladder_gateway::{AdminAnswer, AnswerBody, json_answer};
 use chicoryladder_state::{
-    FleetCommand, FleetOutcome, GrantKey, KeyGrant, KeyId, KeySalt, KeyState, WithdrawKey,
+    FleetCommand, FleetOutcome, FleetView, GrantKey, KeyGrant, KeyId, KeySalt, SpreadGoal,
+};
+use chicoryladder_types::admin::{
+    GrantAnswer, GrantRequest, KeyEntry, KeysAnswer, SpreadReport, WithdrawAnswer,
 };
 use chicoryladder_types::prelude::*;
 use hyper::Response;
@@ -14,36 +16,38 @@
 impl AdminService {
     pub(super) fn list_keys(&self) -> Response<AnswerBody> {
         let view = self.replica.view();
-        let keys = view.keys().map(|(id, record)| KeyAnswer {
+        let keys = view.keys().map(|(id, record)| KeyEntry {
             key_id: id.to_string(),
             team: record.team.clone(),
-            withdrawn: record.state == KeyState::Withdrawn || view.is_withdrawn(id),
+            withdrawn: view.is_withdrawn(id),
         });
-        json_answer(200, &keys.collect::<Vec<_>>())
+        let keys = keys.collect();
+        json_answer(200, &KeysAnswer { keys })
     }
 
     /// Grants a key. Its secret follows from the secret that all hosts share,
     /// so a resend of the operation shows the same key again although only its
     /// hash is stored.
     pub(super) async fn grant_key(&self, body: &[u8]) -> AdminAnswer {
-        let body: GrantKeyBody = parse_body(body)?;
+        let request: GrantRequest = parse_body(body)?;
         let key_id = KeyId::new(self.random_key_bits());
         let salt = self.random_salt();
-        let drawn = self.derive(&body.team, key_id, salt);
+        let drawn = self.derive(&request.team, key_id, salt);
         let command = FleetCommand::GrantKey(GrantKey {
-            team: body.team.clone(),
+            team: request.team,
             key_id,
             salt,
             secret_hash: drawn.secret_hash(),
-            operation_id: self.operation_id(body.operation_id)?,
+            operation_id: request.operation_id,
         });
         let outcome = self.replica.propose_fleet(command).await;
         match outcome.map_err(ProposeError::refusal)? {
             FleetOutcome::Granted { team, key_id, salt } => {
                 let granted = self.derive(&team, key_id, salt);
-                let answer = GrantKeyAnswer {
+                let answer = GrantAnswer {
                     key_id: key_id.to_string(),
                     key: granted.key_text(),
+                    spread: self.wait_until_applied().await,
                 };
                 Ok(json_answer(200, &answer))
             }
@@ -51,22 +55,51 @@
         }
     }
 
+    /// Withdraws a key on this host at once, then everywhere.
+    ///
+    /// That needs no voter: a withdrawal is a tombstone that hosts pass on, and
+    /// that is logged as soon as a voter can be reached.
     pub(super) async fn withdraw_key(&self, id: &str) -> AdminAnswer {
         let key_id = KeyId::try_from(id).map_err(|error| {
             RequestRefusal::not_run(RefusalReason::BadRequest, error.to_string())
         })?;
-        let command = FleetCommand::WithdrawKey(WithdrawKey { key_id });
-        let outcome = self.replica.propose_fleet(command).await;
-        match outcome.map_err(ProposeError::refusal)? {
-            FleetOutcome::Withdrawn { key_id, known } => {
-                let answer = WithdrawKeyAnswer {
-                    key_id: key_id.to_string(),
-                    known,
-                };
-                Ok(json_answer(200, &answer))
-            }
-            outcome => Err(refused(&outcome)),
+        let known = self.replica.view().team_of(key_id).is_some();
+        self.tombstones.withdraw(key_id).await?;
+        log::info!("admin: key {key_id} is withdrawn.");
+        let spread = self
+            .wait_for_spread(|view| withdrawal_goal(view, key_id))
+            .await;
+        let view = self.replica.view();
+        let logged = view.is_withdrawal_logged(key_id);
+        let answer = WithdrawAnswer {
+            key_id: key_id.to_string(),
+            known,
+            logged,
+            stops_within_ms: self.stops_within_ms(&view, key_id, &spread),
+            spread,
+        };
+        Ok(json_answer(200, &answer))
+    }
+
+    /// The bound on hosts that were not heard: the lease on their view of the
+    /// keys, which none of them can renew past a logged withdrawal.
+    fn stops_within_ms(
+        &self,
+        view: &FleetView,
+        key_id: KeyId,
+        spread: &SpreadReport,
+    ) -> Option<u64> {
+        if spread.in_force {
+            return Some(0);
+        }
+        let terms = view
+            .team_of(key_id)
+            .map(|team| view.document.teams.get(team));
+        let through_cut = terms.flatten().is_some_and(|terms| terms.serve_through_cut);
+        if through_cut || !view.is_withdrawal_logged(key_id) {
+            return None;
         }
+        u64::try_from(self.replica.lease().as_millis()).ok()
     }
 
     fn derive(&self, team: &TeamName, key_id: KeyId, salt: KeySalt) -> KeyGrant {
@@ -85,3 +118,11 @@
         KeySalt(bytes)
     }
 }
+
+fn withdrawal_goal(view: &FleetView, key_id: KeyId) -> SpreadGoal {
+    if view.is_withdrawal_logged(key_id) {
+        SpreadGoal::Applied(view.applied)
+    } else {
+        SpreadGoal::Withdrawn(key_id)
+    }
+}
--- /dev/null
+++ b/crates/host/src/admin/spread.rs
@@ -0,0 +1,76 @@
+//! Waiting until a change is in force everywhere.
+
+use super::AdminService;
+use crate::peers::{PeerMessage, PeerRecord};
+use chicoryladder_state::{FleetView, KnownHost, SpreadGoal, spread_report};
+use chicoryladder_types::admin::{HostPlace, SpreadReport};
+use std::time::Duration;
+
+/// The longest time that an operator waits for a change to be in force.
+const SPREAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The time after which hosts that have not answered are asked again.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+
+impl AdminService {
+    /// Waits until the goal, which may change with the view, is met by every
+    /// host; tells after [`SPREAD_TIMEOUT`] who was not heard.
+    pub(super) async fn wait_for_spread(
+        &self,
+        goal: impl Fn(&FleetView) -> SpreadGoal,
+    ) -> SpreadReport {
+        let deadline = tokio::time::Instant::now() + SPREAD_TIMEOUT;
+        let mut changes = self.peers.position_changes();
+        let mut ask_at = tokio::time::Instant::now();
+        loop {
+            let current_goal = goal(&self.replica.view());
+            let report = self.spread_now(current_goal);
+            if report.in_force || tokio::time::Instant::now() >= deadline {
+                return report;
+            }
+            if tokio::time::Instant::now() >= ask_at {
+                self.ask_positions(current_goal);
+                ask_at += ASK_INTERVAL;
+            }
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = tokio::time::sleep_until(ask_at.min(deadline)) => {}
+            }
+        }
+    }
+
+    fn spread_now(&self, goal: SpreadGoal) -> SpreadReport {
+        let own = KnownHost {
+            place: HostPlace {
+                host: self.host.clone(),
+                zone: self.zone.clone(),
+            },
+            position: Some(self.replica.view().position()),
+        };
+        let mut hosts: Vec<KnownHost> = self.peers.known().into_iter().map(known_host).collect();
+        hosts.push(own);
+        hosts.sort_by(|a, b| a.place.cmp(&b.place));
+        spread_report(goal, &hosts, self.peers.contacts_not_heard())
+    }
+
+    fn ask_positions(&self, goal: SpreadGoal) {
+        let message = match goal {
+            SpreadGoal::Applied(index) => PeerMessage::PositionRequest(index),
+            SpreadGoal::Withdrawn(_) => {
+                let tombstones = self.replica.view().position().tombstones;
+                PeerMessage::Tombstones(tombstones)
+            }
+        };
+        self.peers.broadcast(&message);
+    }
+}
+
+fn known_host(peer: PeerRecord) -> KnownHost {
+    KnownHost {
+        place: HostPlace {
+            host: peer.host,
+            zone: peer.zone,
+        },
+        position: peer.position,
+    }
+}
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -46,6 +46,9 @@
     /// The state cannot be read.
     #[error(transparent)]
     Replica(#[from] ReplicaError),
+    /// The withdrawals kept in the data folder cannot be read.
+    #[error("the key withdrawals in the data folder cannot be read")]
+    Withdrawals(#[source] std::io::Error),
     /// The metrics cannot be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -13,6 +13,9 @@
 use crate::platform::{DrainFlag, PlatformService};
 use crate::replica::{ReplicaHandle, ReplicaInbox, ReplicaTask};
 use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle};
+use crate::tombstones::{
+    FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
+};
 use chicoryladder_gateway::{
     CallerService, HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
     ServerPort, ServerService,
@@ -21,6 +24,7 @@
 use chicoryladder_settings::HostSettings;
 use chicoryladder_types::ServerAnnouncement;
 use chicoryladder_types::prelude::*;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -73,6 +77,7 @@
     directory: PeerDirectory,
     replica: ReplicaHandle,
     routing: RoutingHandle,
+    tombstones: TombstoneHandle,
     limits: LimitHandle,
     drain: DrainFlag,
     tasks: JoinSet<()>,
@@ -94,11 +99,19 @@
         let limits = LimitHandle::start(directory.contact_count(), clock.clone());
         let mut tasks = JoinSet::new();
         tasks.spawn(replica_task.run());
+        let store = tombstone_store(&settings);
+        let (tombstone_task, tombstones) =
+            TombstoneTask::open(replica.clone(), directory.clone(), store)
+                .map_err(HostError::Withdrawals)?;
+        tasks.spawn(tombstone_task.run());
         let peer_task = PeerTask {
             directory: directory.clone(),
             messages,
-            replica: inbox,
+            replica: replica.clone(),
+            inbox,
             routing: routing.clone(),
+            tombstones: tombstones.clone(),
+            waiting: HashMap::new(),
         };
         tasks.spawn(peer_task.run());
         let dispatcher = BatchDispatcher {
@@ -118,6 +131,7 @@
             directory,
             replica,
             routing,
+            tombstones,
             limits,
             drain: DrainFlag::default(),
             tasks,
@@ -131,6 +145,7 @@
         operator_token: String,
     ) -> Result<EntryHost, HostError> {
         let listen = self.settings.listen;
+        self.tombstones.ready().await;
         let admin = self.admin_service(shared_secret);
         let operator_service = OperatorService {
             port: Arc::new(admin),
@@ -232,6 +247,7 @@
             replica: self.replica.clone(),
             routing: self.routing.clone(),
             peers: self.directory.clone(),
+            tombstones: self.tombstones.clone(),
             ids: self.ids.clone(),
             shared_secret,
             metrics: self.metrics.clone(),
@@ -281,6 +297,13 @@
     Ok(opened?)
 }
 
+fn tombstone_store(settings: &HostSettings) -> Arc<dyn TombstoneStore> {
+    match &settings.data {
+        Some(data) => Arc::new(FileTombstones::new(&data.folder)),
+        None => Arc::new(NoTombstones),
+    }
+}
+
 fn read_text(path: &Path) -> Result<String, HostError> {
     match std::fs::read_to_string(path) {
         Ok(text) => Ok(text.trim().to_owned()),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -21,6 +21,7 @@
 mod prompt;
 mod replica;
 mod routing;
+mod tombstones;
 
 pub use entry_host::{EntryHost, HostAddresses, HostError};
 pub use ids::RandomIds;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,28 +1,39 @@
 //! Messages between hosts and the directory of known hosts.
 
-use crate::replica::{ReplicaInbox, ReplicaMessage};
-use crate::routing::RoutingHandle;
+mod task;
+
+pub(crate) use task::PeerTask;
+
+use crate::replica::ReplicaMessage;
 use chicoryladder_link::{InboundMessage, PeerLink};
-use chicoryladder_types::ServerAnnouncement;
+use chicoryladder_state::{HostPosition, KeyTombstones};
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{LogIndex, ServerAnnouncement};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
-
-/// The time between two greetings to each known host.
-const GREETING_INTERVAL: Duration = Duration::from_secs(1);
+use tokio::sync::watch;
 
 /// The time after its last message for which a host counts as live.
 pub(crate) const PEER_LIVE_FOR: Duration = Duration::from_secs(4);
 
+/// The time after its last message for which a host counts as part of the
+/// fleet.
+const PEER_FORGOTTEN_AFTER: Duration = Duration::from_secs(60 * 60);
+
 /// Everything that hosts tell one another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
-    /// Tells that the sender is up.
-    Greeting,
+    /// Tells that the sender is up and how far it is.
+    Greeting(HostPosition),
+    /// Asks for a [`PeerMessage::Position`] once the fleet command is applied.
+    PositionRequest(LogIndex),
+    /// Tells how far the sender is.
+    Position(HostPosition),
+    /// Passes on key withdrawals that the sender has not seen in the log.
+    Tombstones(KeyTombstones),
     /// Passes on what a backend server told the sender.
     Announcement(ServerAnnouncement),
     /// Concerns the replicated state.
@@ -36,6 +47,8 @@
     pub(crate) zone: ZoneName,
     pub(crate) address: SocketAddr,
     pub(crate) last_heard: Instant,
+    /// What the host said of itself last.
+    pub(crate) position: Option<HostPosition>,
 }
 
 /// Sends messages to hosts and knows which were heard from; clones share it.
@@ -45,6 +58,7 @@
     clock: Arc<dyn ClockSource>,
     seeds: Arc<[SocketAddr]>,
     heard: Arc<Mutex<BTreeMap<SocketAddr, PeerRecord>>>,
+    position_changes: watch::Sender<()>,
 }
 
 impl PeerDirectory {
@@ -59,6 +73,7 @@
             clock,
             seeds: seeds.into_iter().filter(|seed| *seed != own).collect(),
             heard: Arc::default(),
+            position_changes: watch::Sender::new(()),
         }
     }
 
@@ -102,6 +117,37 @@
         heard.values().filter(is_live).cloned().collect()
     }
 
+    /// Hosts heard from at any time since [`PEER_FORGOTTEN_AFTER`].
+    pub(crate) fn known(&self) -> Vec<PeerRecord> {
+        let now = self.clock.now();
+        let age = |peer: &PeerRecord| now.saturating_duration_since(peer.last_heard);
+        let mut heard = self.lock_heard();
+        heard.retain(|_, peer| age(peer) <= PEER_FORGOTTEN_AFTER);
+        heard.values().cloned().collect()
+    }
+
+    /// Addresses from the settings under which no host is known.
+    pub(crate) fn contacts_not_heard(&self) -> Vec<SocketAddr> {
+        let heard = self.lock_heard();
+        let mut contacts = self.seeds.to_vec();
+        contacts.retain(|contact| !heard.contains_key(contact));
+        contacts.sort_unstable();
+        contacts.dedup();
+        contacts
+    }
+
+    /// Wakes up whenever another host has told its position.
+    pub(crate) fn position_changes(&self) -> watch::Receiver<()> {
+        self.position_changes.subscribe()
+    }
+
+    fn note_position(&self, address: SocketAddr, position: HostPosition) {
+        if let Some(record) = self.lock_heard().get_mut(&address) {
+            record.position = Some(position);
+        }
+        self.position_changes.send_replace(());
+    }
+
     fn addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.seeds.to_vec();
         addresses.extend(self.live().iter().map(|peer| peer.address));
@@ -111,56 +157,19 @@
     }
 
     fn note_heard(&self, message: &InboundMessage) {
+        let mut heard = self.lock_heard();
+        let known = heard.remove(&message.reply_address);
         let record = PeerRecord {
             host: message.sender.clone(),
             zone: message.zone.clone(),
             address: message.reply_address,
             last_heard: self.clock.now(),
+            position: known.and_then(|known| known.position),
         };
-        self.lock_heard().insert(record.address, record);
+        heard.insert(record.address, record);
     }
 
     fn lock_heard(&self) -> std::sync::MutexGuard<'_, BTreeMap<SocketAddr, PeerRecord>> {
         self.heard.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// Hands each message from other hosts to the task that it concerns.
-pub(crate) struct PeerTask {
-    pub(crate) directory: PeerDirectory,
-    pub(crate) messages: mpsc::Receiver<InboundMessage>,
-    pub(crate) replica: ReplicaInbox,
-    pub(crate) routing: RoutingHandle,
-}
-
-impl PeerTask {
-    pub(crate) async fn run(mut self) {
-        let mut greetings = tokio::time::interval(GREETING_INTERVAL);
-        loop {
-            tokio::select! {
-                message = self.messages.recv() => match message {
-                    Some(message) => self.dispatch(&message),
-                    None => return,
-                },
-                _ = greetings.tick() => self.directory.broadcast(&PeerMessage::Greeting),
-            }
-        }
-    }
-
-    fn dispatch(&self, message: &InboundMessage) {
-        self.directory.note_heard(message);
-        match postcard::from_bytes(&message.payload) {
-            Ok(PeerMessage::Greeting) => {}
-            Ok(PeerMessage::Announcement(announcement)) => self.routing.announce(announcement),
-            Ok(PeerMessage::Replica(content)) => {
-                self.replica.deliver(message.reply_address, content);
-            }
-            Err(error) => {
-                log::warn!(
-                    "peers: cannot decode a message of {}: {error}.",
-                    message.sender
-                );
-            }
-        }
-    }
-}
--- a/crates/host/src/replica/command.rs
+++ b/crates/host/src/replica/command.rs
@@ -1,7 +1,7 @@
 //! Commands, outcomes and messages of the replicated group.
 
 use chicoryladder_jobs::{JobCommand, JobOutcome};
-use chicoryladder_state::{FleetCommand, FleetOutcome};
+use chicoryladder_state::{FleetCommand, FleetOutcome, LeaseQuestion};
 use chicoryladder_types::LogIndex;
 use serde::{Deserialize, Serialize};
 
@@ -51,6 +51,8 @@
     TailRequest {
         /// The last position that the sender has applied.
         after: LogIndex,
+        /// Numbers the question, for the sender's lease on the key view.
+        question: LeaseQuestion,
     },
     /// Commands of the log, in order.
     Tail {
@@ -60,5 +62,7 @@
         commands: Vec<Vec<u8>>,
         /// The last position that is safe.
         committed: LogIndex,
+        /// As in the request.
+        question: LeaseQuestion,
     },
 }
--- a/crates/host/src/replica/handle.rs
+++ b/crates/host/src/replica/handle.rs
@@ -4,7 +4,7 @@
 use chicoryladder_jobs::{
     ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage, UnixMillis,
 };
-use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView};
+use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView, KeyTombstones};
 use chicoryladder_types::JobId;
 use chicoryladder_types::prelude::*;
 use std::net::SocketAddr;
@@ -72,6 +72,7 @@
         oneshot::Sender<Result<GroupOutcome, ProposeError>>,
     ),
     Query(JobQuery),
+    Tombstones(KeyTombstones, oneshot::Sender<bool>),
     Peer(SocketAddr, ReplicaMessage),
 }
 
@@ -103,6 +104,7 @@
     pub(super) views: watch::Receiver<ReplicaView>,
     pub(super) clock: Arc<dyn ClockSource>,
     pub(super) lease: Duration,
+    pub(super) voter: SocketAddr,
 }
 
 impl ReplicaHandle {
@@ -124,6 +126,26 @@
         self.views.changed().await.is_ok()
     }
 
+    /// The peer address of the host that orders commands.
+    pub(crate) fn leader(&self) -> SocketAddr {
+        self.voter
+    }
+
+    /// The time for which a view of the keys is trusted.
+    pub(crate) fn lease(&self) -> Duration {
+        self.lease
+    }
+
+    /// Applies key withdrawals to the view of this host before they are logged;
+    /// tells whether any was news.
+    pub(crate) async fn merge_tombstones(&self, tombstones: KeyTombstones) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self
+            .events
+            .send(ReplicaEvent::Tombstones(tombstones, sender));
+        receiver.await.unwrap_or(false)
+    }
+
     /// Has a command on the fleet ordered and applied.
     ///
     /// # Errors
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -8,13 +8,14 @@
 use super::state::GroupState;
 use crate::peers::{PeerDirectory, PeerMessage};
 use chicoryladder_jobs::UnixMillis;
+use chicoryladder_state::{KeyLease, KeyTombstones, LeaseQuestion};
 use chicoryladder_types::LogIndex;
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// The time between two requests for the voter's tail.
@@ -58,6 +59,7 @@
     next_proposal: u64,
     proposals: HashMap<u64, OutcomeSender>,
     ordered: BTreeMap<LogIndex, OrderedProposal>,
+    lease: KeyLease,
 }
 
 impl ReplicaTask {
@@ -94,6 +96,7 @@
             views: receiver,
             clock: clock.clone(),
             lease,
+            voter,
         };
         let task = Self {
             state,
@@ -107,6 +110,7 @@
             next_proposal: 0,
             proposals: HashMap::new(),
             ordered: BTreeMap::new(),
+            lease: KeyLease::new(lease),
         };
         Ok((task, handle, ReplicaInbox { events: sender }))
     }
@@ -131,15 +135,23 @@
         if self.log.is_some() {
             self.note_level();
         } else {
-            let after = self.state.applied();
-            self.tell(self.voter, ReplicaMessage::TailRequest { after });
+            self.request_tail();
         }
     }
 
+    fn request_tail(&mut self) {
+        let after = self.state.applied();
+        let question = self.lease.ask(self.clock.now());
+        self.tell(self.voter, ReplicaMessage::TailRequest { after, question });
+    }
+
     fn handle(&mut self, event: ReplicaEvent) {
         match event {
             ReplicaEvent::Propose(command, sender) => self.propose(&command, sender),
             ReplicaEvent::Query(query) => self.answer(query),
+            ReplicaEvent::Tombstones(tombstones, sender) => {
+                let _ = sender.send(self.merge_tombstones(&tombstones));
+            }
             ReplicaEvent::Peer(peer, message) => self.receive(peer, message),
         }
     }
@@ -202,12 +214,18 @@
                     let _ = sender.send(Err(ProposeError::NoQuorum));
                 }
             }
-            ReplicaMessage::TailRequest { after } => self.send_tail(peer, after),
+            ReplicaMessage::TailRequest { after, question } => {
+                self.send_tail(peer, after, question);
+            }
             ReplicaMessage::Tail {
                 after,
                 commands,
                 committed,
-            } => self.follow(after, &commands, committed),
+                question,
+            } => {
+                self.lease.note_answer(question, committed);
+                self.follow(after, &commands, committed);
+            }
         }
     }
 
@@ -218,8 +236,7 @@
         self.ordered
             .insert(index, OrderedProposal { outcome, sender });
         self.settle_ordered();
-        let after = self.state.applied();
-        self.tell(self.voter, ReplicaMessage::TailRequest { after });
+        self.request_tail();
     }
 
     /// Answers proposals whose position is applied here, so that the proposer
@@ -232,7 +249,7 @@
         }
     }
 
-    fn send_tail(&self, peer: SocketAddr, after: LogIndex) {
+    fn send_tail(&self, peer: SocketAddr, after: LogIndex, question: LeaseQuestion) {
         if self.log.is_none() {
             return;
         }
@@ -252,6 +269,7 @@
             after,
             commands,
             committed,
+            question,
         };
         self.tell(peer, message);
     }
@@ -273,21 +291,34 @@
             }
         }
         self.settle_ordered();
-        if self.state.applied() >= committed {
-            self.note_level();
-        } else {
-            let after = self.state.applied();
-            self.tell(self.voter, ReplicaMessage::TailRequest { after });
+        self.lease.note_applied(self.state.applied());
+        self.publish(self.lease.level_since());
+        if self.state.applied() < committed {
+            self.request_tail();
         }
     }
 
+    /// The voter itself is always level with the log.
     fn note_level(&mut self) {
+        self.publish(Some(self.clock.now()));
+    }
+
+    fn publish(&mut self, level_at: Option<Instant>) {
         self.views.send_replace(ReplicaView {
             fleet: Arc::new(self.state.view()),
-            level_at: Some(self.clock.now()),
+            level_at,
         });
     }
 
+    fn merge_tombstones(&mut self, tombstones: &KeyTombstones) -> bool {
+        let news = self.state.fleet.merge_tombstones(tombstones);
+        if news {
+            let fleet = Arc::new(self.state.view());
+            self.views.send_modify(|view| view.fleet = fleet);
+        }
+        news
+    }
+
     fn answer(&self, query: JobQuery) {
         // A closed channel means that the asker has left.
         match query {
--- a/crates/host/src/routing.rs
+++ b/crates/host/src/routing.rs
@@ -9,4 +9,4 @@
 mod task;
 
 pub(crate) use handle::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
-pub(crate) use table::ANNOUNCEMENT_LEASE;
+pub(crate) use table::{ANNOUNCEMENT_LEASE, ServerView};
--- a/crates/types/src/admin.rs
+++ b/crates/types/src/admin.rs
@@ -3,8 +3,7 @@
 //! `docs/openapi.yaml` describes the paths that take and give them.
 
 use crate::{
-    ClassName, FleetRevision, HostName, LogIndex, ModelName, OperationId, ServerLoad, ServerName,
-    ServiceName, TeamName, ZoneName,
+    ClassName, FleetRevision, HostName, LogIndex, OperationId, ServerName, TeamName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -186,16 +185,16 @@
     pub server: ServerName,
     /// The availability zone of the server.
     pub zone: ZoneName,
+    /// The address that takes requests.
+    pub address: String,
     /// Requests that the server runs at the same time.
     pub slots: u32,
-    /// Models served.
-    pub models: Vec<ModelName>,
-    /// Plain services offered.
-    pub services: Vec<ServiceName>,
-    /// Whether the server takes new requests.
-    pub taking: bool,
-    /// The load that the server reported last.
-    pub load: ServerLoad,
+    /// Requests that the answering host has on the server.
+    pub in_flight: u32,
+    /// Whether the server has renewed its announcement in time.
+    pub live: bool,
+    /// Whether the server takes no new requests.
+    pub leaving: bool,
 }
 
 /// A numbered board: the same content under the same number on every host.
--- a/src/commands/servers.rs
+++ b/src/commands/servers.rs
@@ -29,25 +29,23 @@
 }
 
 fn describe(servers: &[ServerEntry]) -> String {
-    let headings = [
-        "SERVER", "ZONE", "SERVES", "STATE", "RUNNING", "WAITING", "SLOTS",
-    ];
+    let headings = ["SERVER", "ZONE", "ADDRESS", "STATE", "IN FLIGHT", "SLOTS"];
     let rows: Vec<Vec<String>> = servers.iter().map(cells).collect();
     table(&headings, &rows)
 }
 
 fn cells(entry: &ServerEntry) -> Vec<String> {
-    let models = entry.models.iter().map(ToString::to_string);
-    let services = entry.services.iter().map(ToString::to_string);
-    let serves: Vec<String> = models.chain(services).collect();
-    let state = if entry.taking { "taking" } else { "not taking" };
+    let state = match (entry.live, entry.leaving) {
+        (true, false) => "live",
+        (true, true) => "leaving",
+        (false, _) => "not heard",
+    };
     vec![
         entry.server.to_string(),
         entry.zone.to_string(),
-        serves.join(", "),
+        entry.address.clone(),
         state.to_owned(),
-        entry.load.running.to_string(),
-        entry.load.waiting.to_string(),
+        entry.in_flight.to_string(),
         entry.slots.to_string(),
     ]
 }
