Run items alone that were in flight at a server failure

A request that crashes each server that runs it takes the items beside it along. Two such crashes would fail items that are not at fault. After a failure the items in flight are suspects: the job leases one of them at a time and nothing beside it until each has ended.

Ruled out: a larger bound on crashes, which would let one request take down more than two servers. Not covered: two jobs with such requests on one server at once.

--- a/crates/host/src/batch.rs
+++ b/crates/host/src/batch.rs
@@ -55,6 +55,7 @@
         let request = LeaseRequest {
             host: self.host.clone(),
             limit: CHUNK_ITEMS,
+            excluded: Vec::new(),
             now: self.replica.wall(),
             duration: LEASE_DURATION,
         };
--- a/crates/jobs/examples/job_cost.rs
+++ b/crates/jobs/examples/job_cost.rs
@@ -153,6 +153,7 @@
         let request = LeaseRequest {
             host: host.clone(),
             limit: LEASE_ITEMS,
+            excluded: Vec::new(),
             now,
             duration: Duration::from_secs(5),
         };
--- a/crates/jobs/src/command.rs
+++ b/crates/jobs/src/command.rs
@@ -162,6 +162,8 @@
     pub host: HostName,
     /// The most items to lease.
     pub limit: u32,
+    /// Jobs that the dispatcher has no idle slot for.
+    pub excluded: Vec<JobId>,
     /// The time of the request.
     pub now: UnixMillis,
     /// The time for which the items are leased.
--- a/crates/jobs/src/item.rs
+++ b/crates/jobs/src/item.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Whether a backend server failed with the item in flight. Such an item runs
+    /// alone, so that it cannot take others of its job with it.
+    #[must_use]
+    pub const fn is_suspect(&self) -> bool {
+        self.crashes > 0
+    }
+
     /// Hands a pending item to a dispatcher and returns the attempt number.
     pub fn grant(&mut self, lease: LeaseId) -> Option<u16> {
         if self.state != ItemState::Pending {
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -104,8 +104,12 @@
     items: Vec<ItemRecord>,
     /// Items from here on were never leased.
     fresh: u32,
-    /// Pending items before `fresh`.
+    /// Pending items before `fresh`, without suspects.
     returned: BTreeSet<u32>,
+    /// Pending suspects.
+    suspects: BTreeSet<u32>,
+    /// The leased suspect; no other item is leased beside it.
+    leased_suspect: Option<u32>,
     ended: Vec<u32>,
     ended_at: Option<UnixMillis>,
     meter: PaceMeter,
@@ -125,6 +129,8 @@
             items,
             fresh: 0,
             returned: BTreeSet::new(),
+            suspects: BTreeSet::new(),
+            leased_suspect: None,
             ended: Vec::new(),
             ended_at: None,
             meter: PaceMeter::default(),
@@ -162,7 +168,8 @@
 
     /// Whether items can be leased.
     pub(crate) fn has_work(&self) -> bool {
-        self.phase == JobPhase::Running && self.counts.pending > 0
+        let waits = self.phase == JobPhase::Running && self.counts.pending > 0;
+        waits && self.leased_suspect.is_none()
     }
 
     /// The time that the items left need, by the pace of the job itself or else
@@ -177,11 +184,11 @@
         JobSlack::measure(now, self.header.deadline_at, self.work_left(group))
     }
 
-    /// Hands out up to `limit` items.
+    /// Hands out up to `limit` items, or one suspect while there are any.
     pub(crate) fn grant(&mut self, lease: LeaseId, limit: u32, now: UnixMillis) -> Vec<ItemRef> {
         let mut granted = Vec::new();
         while granted.len() < limit as usize && self.has_work() {
-            let Some(item) = self.take_pending() else {
+            let Some(item) = self.take_next(granted.is_empty()) else {
                 break;
             };
             let Some(attempt) = self.items[item as usize].grant(lease) else {
@@ -237,9 +244,15 @@
         results
     }
 
+    /// Whether pending items are to be given up on.
+    pub(crate) fn is_expired(&self, now: UnixMillis) -> bool {
+        let waits = self.phase == JobPhase::Running && self.counts.pending > 0;
+        waits && now >= self.header.expires_at
+    }
+
     /// Gives up on the pending items of a job past its expiry.
     pub(crate) fn expire(&mut self, now: UnixMillis) -> Vec<(u32, ItemResult)> {
-        if !self.has_work() || now < self.header.expires_at {
+        if !self.is_expired(now) {
             return Vec::new();
         }
         let end = ItemEnd::Failed(FailureCause::JobExpired);
@@ -272,10 +285,11 @@
 
     fn count_end(&mut self, item: u32, end: ItemEnd, released: Option<LeaseId>, now: UnixMillis) {
         if released.is_some() {
-            self.counts.leased -= 1;
+            self.leave_lease(item);
         } else {
             // A late answer ended an item that was pending again.
             self.returned.remove(&item);
+            self.suspects.remove(&item);
             self.counts.pending -= 1;
         }
         self.counts.count_end(end);
@@ -285,18 +299,45 @@
     }
 
     fn count_return(&mut self, item: u32) {
-        self.counts.leased -= 1;
+        self.leave_lease(item);
         self.counts.pending += 1;
-        self.returned.insert(item);
+        let is_suspect = self.items[item as usize].is_suspect();
+        if is_suspect {
+            self.suspects.insert(item);
+        } else {
+            self.returned.insert(item);
+        }
         if self.counts.leased == 0 {
             self.meter.pause();
         }
     }
 
+    fn leave_lease(&mut self, item: u32) {
+        self.counts.leased -= 1;
+        if self.leased_suspect == Some(item) {
+            self.leased_suspect = None;
+        }
+    }
+
+    /// The next item to lease; a suspect only if it is the first of its lease.
+    fn take_next(&mut self, is_first: bool) -> Option<u32> {
+        if self.suspects.is_empty() {
+            return self.take_pending();
+        }
+        if !is_first {
+            return None;
+        }
+        self.leased_suspect = self.suspects.pop_first();
+        self.leased_suspect
+    }
+
     fn take_pending(&mut self) -> Option<u32> {
         if let Some(item) = self.returned.pop_first() {
             return Some(item);
         }
+        if let Some(item) = self.suspects.pop_first() {
+            return Some(item);
+        }
         let item = self.fresh;
         if item as usize >= self.items.len() {
             return None;
--- a/crates/jobs/src/machine/leasing.rs
+++ b/crates/jobs/src/machine/leasing.rs
@@ -22,7 +22,9 @@
     pub(super) fn lease_items(&mut self, index: LogIndex, request: &LeaseRequest) -> JobOutcome {
         let lease = LeaseId(index.0);
         let expires_at = request.now.after(request.duration);
-        let attempts = match choose_job(self.candidates(), request.now) {
+        let candidates = self.candidates();
+        let allowed = candidates.filter(|candidate| !request.excluded.contains(&candidate.job));
+        let attempts = match choose_job(allowed, request.now) {
             Some(job) => self.grant_items(job, lease, request),
             None => Vec::new(),
         };
--- a/crates/jobs/src/machine/query.rs
+++ b/crates/jobs/src/machine/query.rs
@@ -1,10 +1,11 @@
 //! Reads of the state. They see committed commands only.
 
+use super::sweep::is_past_retention;
 use super::{JobMachine, MachineError};
 use crate::job::BatchJob;
 use crate::{
-    ItemRequest, ItemResult, ItemState, JobPhase, JobStatus, LeaseId, RecordKind, ResultLine,
-    ResultPage, SubmissionKey, UnixMillis,
+    DispatchView, ItemRequest, ItemResult, ItemState, JobPhase, JobStatus, LeaseId, RecordKind,
+    ResultLine, ResultPage, SubmissionKey, UnixMillis,
 };
 use chicoryladder_types::{HostName, JobId, TeamName};
 
@@ -113,12 +114,22 @@
             .collect()
     }
 
-    /// Whether a sweep at `now` would change anything soon: leases, uploads or
-    /// jobs exist.
+    /// What a dispatcher has to know of the state.
     #[must_use]
-    pub fn needs_sweep(&self) -> bool {
-        let state = &self.state;
-        !state.leases.is_empty() || !state.uploads.is_empty() || !state.jobs.is_empty()
+    pub fn dispatch_view(&self, host: &HostName) -> DispatchView {
+        DispatchView {
+            has_work: self.has_work(),
+            revoked: self.revoked_leases(host),
+        }
+    }
+
+    /// Whether a sweep at `now` would change anything.
+    #[must_use]
+    pub fn is_sweep_due(&self, now: UnixMillis) -> bool {
+        let due = |job: &BatchJob| job.is_expired(now) || is_past_retention(job, now);
+        !self.expired_leases(now).is_empty()
+            || self.idle_uploads(now).next().is_some()
+            || self.state.jobs.values().any(due)
     }
 
     fn owned(&self, team: &TeamName, job: JobId) -> Option<&BatchJob> {
--- a/crates/jobs/src/machine/sweep.rs
+++ b/crates/jobs/src/machine/sweep.rs
@@ -1,6 +1,7 @@
 //! The passing of time: expired leases, uploads and jobs.
 
 use super::{JobMachine, TeamName};
+use crate::job::BatchJob;
 use crate::{ItemResult, JobOutcome, LeaseId, StoreError, UnixMillis};
 use chicoryladder_types::JobId;
 use std::time::Duration;
@@ -54,11 +55,7 @@
     }
 
     fn drop_uploads(&mut self, now: UnixMillis) -> Result<u32, StoreError> {
-        let uploads = self.state.uploads.iter();
-        let idle: Vec<JobId> = uploads
-            .filter(|(_, upload)| now.since(upload.touched_at) >= UPLOAD_IDLE_MAX)
-            .map(|(job, _)| *job)
-            .collect();
+        let idle: Vec<JobId> = self.idle_uploads(now).collect();
         for job in &idle {
             self.state.uploads.remove(job);
             self.store.remove(*job)?;
@@ -66,10 +63,18 @@
         Ok(u32::try_from(idle.len()).unwrap_or(u32::MAX))
     }
 
+    /// The uploads without new items for too long.
+    pub(super) fn idle_uploads(&self, now: UnixMillis) -> impl Iterator<Item = JobId> {
+        let uploads = self.state.uploads.iter();
+        uploads
+            .filter(move |(_, upload)| now.since(upload.touched_at) >= UPLOAD_IDLE_MAX)
+            .map(|(job, _)| *job)
+    }
+
     fn drop_jobs(&mut self, now: UnixMillis) -> Result<u32, StoreError> {
         let jobs = self.state.jobs.iter();
         let old: Vec<JobId> = jobs
-            .filter(|(_, job)| job.ended_at().is_some_and(|at| now.since(at) >= RETENTION))
+            .filter(|(_, job)| is_past_retention(job, now))
             .map(|(job, _)| *job)
             .collect();
         for job in &old {
@@ -99,3 +104,9 @@
         }
     }
 }
+
+/// Whether the results of a job need not be kept any longer.
+pub(super) fn is_past_retention(job: &BatchJob, now: UnixMillis) -> bool {
+    let ended_at = job.ended_at();
+    ended_at.is_some_and(|at| now.since(at) >= RETENTION)
+}
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -1,6 +1,6 @@
 //! What callers see of jobs and results.
 
-use crate::{ItemEnd, ItemResult, JobCounts, JobPhase, JobSlack, UnixMillis};
+use crate::{ItemEnd, ItemResult, JobCounts, JobPhase, JobSlack, LeaseId, UnixMillis};
 use chicoryladder_types::{ClassName, JobId, TeamName};
 use serde::ser::SerializeStruct;
 use serde::{Deserialize, Serialize, Serializer};
@@ -29,6 +29,15 @@
     pub slack: JobSlack,
 }
 
+/// What a dispatcher has to know of the state.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DispatchView {
+    /// Whether a dispatcher that asked for items would get some.
+    pub has_work: bool,
+    /// Its leases on cancelled jobs.
+    pub revoked: Vec<LeaseId>,
+}
+
 /// The result of one item as the caller reads it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResultLine {
--- a/crates/jobs/tests/all/history/dispatcher.rs
+++ b/crates/jobs/tests/all/history/dispatcher.rs
@@ -108,6 +108,7 @@
         JobCommand::LeaseItems(LeaseRequest {
             host: host_name(&self.name()),
             limit: rng.random_range(1..6),
+            excluded: Vec::new(),
             now,
             duration: LEASE,
         })
--- a/crates/jobs/tests/all/machine.rs
+++ b/crates/jobs/tests/all/machine.rs
@@ -4,7 +4,8 @@
     LEASE, TestGroup, answered, drafts, header, host_name, refused, team, team_name,
 };
 use chicoryladder_jobs::{
-    ItemEnd, ItemState, JobCommand, JobMachine, JobOutcome, JobPhase, MachineError, MemoryStore,
+    ItemEnd, ItemState, JobCommand, JobMachine, JobOutcome, JobPhase, LeaseRequest, MachineError,
+    MemoryStore,
 };
 use chicoryladder_types::{JobId, RefusalReason, RunVerdict};
 use std::time::Duration;
@@ -163,6 +164,51 @@
     assert_eq!(ends(&group)[0].as_str(), "servers_crashed");
 }
 
+#[test]
+fn items_in_flight_at_a_crash_run_alone_afterwards() {
+    let mut group = TestGroup::new();
+    group.submit(&header(7, None, "b"), &drafts(10, true));
+    let (_, grants) = group.lease("h1", 4);
+    for grant in &grants {
+        let crash = refused(RunVerdict::MayHaveRun, RefusalReason::ServerFailed);
+        group.report(grant.attempt, crash);
+    }
+    // The first is at fault and crashes a server again, the others are not.
+    let (_, suspects) = group.lease("h1", 4);
+    assert_eq!(suspects.len(), 1);
+    assert!(group.lease("h2", 4).1.is_empty());
+    let crash = refused(RunVerdict::MayHaveRun, RefusalReason::ServerFailed);
+    group.report(suspects[0].attempt, crash);
+    for _ in 0..3 {
+        let (_, suspects) = group.lease("h1", 4);
+        assert_eq!(suspects.len(), 1);
+        group.report(suspects[0].attempt, answered(200, "{}"));
+    }
+    assert_eq!(group.lease("h1", 10).1.len(), 6);
+    assert_eq!(ends(&group)[0].as_str(), "servers_crashed");
+    assert_eq!(ends(&group)[1..], [ItemEnd::Succeeded; 3]);
+}
+
+#[test]
+fn an_excluded_job_is_passed_over() {
+    let mut group = TestGroup::new();
+    group.submit(&header(7, None, "b"), &drafts(1, true));
+    group.submit(&header(8, None, "b"), &drafts(1, true));
+    let request = LeaseRequest {
+        host: host_name("h1"),
+        limit: 5,
+        excluded: vec![JOB],
+        now: group.now,
+        duration: LEASE,
+    };
+    let outcome = group.apply(&JobCommand::LeaseItems(request));
+    let JobOutcome::Leased { grants, .. } = outcome else {
+        panic!("not leased: {outcome:?}");
+    };
+    let jobs: Vec<JobId> = grants.iter().map(|grant| grant.attempt.job).collect();
+    assert_eq!(jobs, [JobId::new(8)]);
+}
+
 #[test]
 fn an_attempt_that_did_not_run_is_tried_again() {
     let mut group = TestGroup::new();
@@ -291,12 +337,15 @@
 fn an_expired_job_ends_and_its_results_are_dropped_after_retention() {
     let mut group = TestGroup::new();
     group.submit(&header(7, Some("k"), "b"), &drafts(2, true));
-    group.sweep_after(Duration::from_secs(24 * 60 * 60));
+    assert!(!group.machine.is_sweep_due(group.now));
+    group.advance(Duration::from_secs(24 * 60 * 60));
+    assert!(group.machine.is_sweep_due(group.now));
+    group.sweep_after(Duration::ZERO);
     assert_eq!(phase(&group), JobPhase::Completed);
     assert_eq!(ends(&group)[0].as_str(), "job_expired");
     group.sweep_after(Duration::from_secs(7 * 24 * 60 * 60));
     assert!(group.machine.status(&team(), JOB, group.now).is_none());
-    assert!(!group.machine.needs_sweep());
+    assert!(!group.machine.is_sweep_due(group.now));
 }
 
 #[test]
--- a/crates/jobs/tests/all/support.rs
+++ b/crates/jobs/tests/all/support.rs
@@ -51,6 +51,7 @@
         let request = LeaseRequest {
             host: host_name(host),
             limit,
+            excluded: Vec::new(),
             now: self.now,
             duration: LEASE,
         };
