Dispatch batch items from every host in idle slots only

The thin dispatcher ran chunks one after another, took slots without regard to the load of other hosts, never gave them back and did not renew its leases.

Now each backend server has one dispatching host in its zone, by rendezvous hashing over the live hosts, so two hosts never fill the same idle slot. The dispatcher leases as slots fall idle, renews, stops revoked leases, and keeps a report until it is committed. A non-idempotent item is started by a commit after it has its slot, so a lost dispatcher leaves fewer outcomes unknown. An online request without a slot stops the youngest batch item here, or asks the dispatching host of the server to. A shutdown gives back what has not started and waits for what runs.

Ruled out: telling other hosts of each batch slot taken, since the messages grow with the hosts of a zone; asking all hosts to yield, since each would stop one.

--- /dev/null
+++ b/crates/host/src/batch/attempt.rs
@@ -0,0 +1,300 @@
+//! Running one item on a backend server.
+
+use super::holdings::{LeaseTerms, QueuedItem};
+use crate::ids::RandomIds;
+use crate::prompt::named_model;
+use crate::replica::ReplicaHandle;
+use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+use chicoryladder_gateway::{ServerClient, ServerFailure, ServerRequest};
+use chicoryladder_jobs::{
+    AttemptEnd, AttemptReport, BodyBytes, ItemRef, ItemRequest, JobCommand, JobOutcome,
+};
+use chicoryladder_settings::{RouteMatch, RouteTarget};
+use chicoryladder_types::headers;
+use chicoryladder_types::prelude::*;
+use http_body_util::{BodyExt, Limited};
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Method, Response};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// The longest time to wait for a slot before the item is given back.
+const SLOT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest time of an attempt at a backend server.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// The longest answer that is kept, in bytes.
+const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// What became of an item that the dispatcher ran.
+pub(super) struct FinishedRun {
+    pub(super) attempt: ItemRef,
+    /// How it ended; nothing if the job state did not let it start.
+    pub(super) report: Option<AttemptReport>,
+    /// Whether no server had a slot for it.
+    pub(super) found_no_slot: bool,
+}
+
+/// An item with the slot that it runs in.
+struct PlacedItem {
+    request: ItemRequest,
+    target: WorkTarget,
+    grant: ServerGrant,
+}
+
+/// Why an item that was about to run does not.
+enum StartRefusal {
+    /// The item is no longer leased to this dispatcher.
+    NotHeld,
+    /// The attempt ends without having run.
+    Ended(AttemptEnd),
+}
+
+/// Runs items; clones share everything.
+#[derive(Clone)]
+pub(crate) struct AttemptRunner {
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) routing: RoutingHandle,
+    pub(crate) client: ServerClient,
+    pub(crate) clock: Arc<dyn ClockSource>,
+    pub(crate) ids: Arc<RandomIds>,
+}
+
+impl AttemptRunner {
+    pub(super) async fn run(self, item: QueuedItem) -> FinishedRun {
+        let attempt = item.grant.attempt;
+        let mut terms = item.terms.clone();
+        let placed = tokio::select! {
+            placed = self.place(&item) => placed,
+            () = revocation(&mut terms) => Err(yielded(RunVerdict::NotRun)),
+        };
+        let placed = match placed {
+            Ok(placed) => placed,
+            Err(end) => return finished(attempt, end),
+        };
+        match self.start(&item).await {
+            Ok(()) => finished(attempt, self.send(&item, placed).await),
+            Err(StartRefusal::Ended(end)) => finished(attempt, end),
+            Err(StartRefusal::NotHeld) => FinishedRun {
+                attempt,
+                report: None,
+                found_no_slot: false,
+            },
+        }
+    }
+
+    /// Reads the item and waits for a slot.
+    async fn place(&self, item: &QueuedItem) -> Result<PlacedItem, AttemptEnd> {
+        let attempt = item.grant.attempt;
+        let read = self.replica.item_request(attempt.job, attempt.item).await;
+        // The records of another replica may still be whole.
+        let request = read
+            .and_then(Result::ok)
+            .ok_or(yielded(RunVerdict::NotRun))?;
+        let target = self.target(&request).map_err(refused)?;
+        let wanted = SlotRequest {
+            target: target.clone(),
+            kind: WorkKind::Batch {
+                stoppable: item.grant.idempotent,
+            },
+            excluded: Vec::new(),
+        };
+        let deadline = self.clock.now() + SLOT_TIMEOUT;
+        let grant = self.routing.acquire(wanted, deadline).await;
+        Ok(PlacedItem {
+            request,
+            target,
+            grant: grant.map_err(refused)?,
+        })
+    }
+
+    /// Makes sure that the item may start: by its lease, and for a
+    /// non-idempotent item by a commit as well.
+    async fn start(&self, item: &QueuedItem) -> Result<(), StartRefusal> {
+        let not_run = StartRefusal::Ended(yielded(RunVerdict::NotRun));
+        if item.grant.idempotent {
+            return if self.may_start(item) {
+                Ok(())
+            } else {
+                Err(not_run)
+            };
+        }
+        let command = JobCommand::StartItems {
+            lease: item.lease,
+            attempts: vec![item.grant.attempt],
+            now: self.replica.wall(),
+        };
+        match self.replica.propose_jobs(command).await {
+            Ok(JobOutcome::Started { attempts }) if attempts.is_empty() => {
+                Err(StartRefusal::NotHeld)
+            }
+            Ok(JobOutcome::Started { .. }) if self.may_start(item) => Ok(()),
+            // The start may be committed, but this host will not act on it.
+            _ => Err(not_run),
+        }
+    }
+
+    fn may_start(&self, item: &QueuedItem) -> bool {
+        item.terms.borrow().allow_start(self.clock.now())
+    }
+
+    /// Sends the item and waits for its answer, unless it has to stop.
+    async fn send(&self, item: &QueuedItem, placed: PlacedItem) -> AttemptEnd {
+        let PlacedItem {
+            request,
+            target,
+            mut grant,
+        } = placed;
+        let message = self.message(item.grant.attempt, &request, &target, &grant);
+        let mut terms = item.terms.clone();
+        let stopping = async {
+            if !item.grant.idempotent {
+                // Cutting it would only hide its outcome.
+                std::future::pending::<()>().await;
+            }
+            tokio::select! {
+                () = grant.stopped() => {}
+                () = revocation(&mut terms) => {}
+            }
+        };
+        tokio::select! {
+            end = self.exchange(&message) => end,
+            () = stopping => yielded(RunVerdict::MayHaveRun),
+        }
+    }
+
+    async fn exchange(&self, message: &ServerRequest) -> AttemptEnd {
+        let answered = async {
+            let response = self.client.send(message).await.map_err(failed)?;
+            read_answer(response).await
+        };
+        match tokio::time::timeout(ATTEMPT_TIMEOUT, answered).await {
+            Ok(Ok(end) | Err(end)) => end,
+            Err(_) => silent(),
+        }
+    }
+
+    fn message(
+        &self,
+        attempt: ItemRef,
+        request: &ItemRequest,
+        target: &WorkTarget,
+        grant: &ServerGrant,
+    ) -> ServerRequest {
+        ServerRequest {
+            address: grant.address,
+            id: self.ids.request(),
+            requires_id: matches!(target, WorkTarget::Model(_)),
+            method: Method::from_bytes(request.method.as_bytes()).unwrap_or(Method::POST),
+            path_and_query: request.url.clone(),
+            headers: item_fields(attempt),
+            body: request.body.0.clone().into(),
+            first_byte_timeout: ATTEMPT_TIMEOUT,
+        }
+    }
+
+    fn target(&self, item: &ItemRequest) -> Result<WorkTarget, RequestRefusal> {
+        let view = self.replica.view();
+        let RouteMatch::Found { route, .. } = view.document.match_route(&item.method, &item.url)
+        else {
+            let detail = format!("no route covers {} {}", item.method, item.url);
+            return Err(RequestRefusal::not_run(RefusalReason::UnknownRoute, detail));
+        };
+        match &route.target {
+            RouteTarget::Model(model) => Ok(WorkTarget::Model(model.clone())),
+            RouteTarget::AnyModel => named_model(item.body.as_slice()).map(WorkTarget::Model),
+            RouteTarget::Service(service) => Ok(WorkTarget::Service(service.clone())),
+        }
+    }
+}
+
+/// Resolves once the lease is revoked.
+async fn revocation(terms: &mut watch::Receiver<LeaseTerms>) {
+    if terms.wait_for(|terms| terms.revoked).await.is_err() {
+        // The dispatcher has let go of the lease without revoking it.
+        std::future::pending::<()>().await;
+    }
+}
+
+fn finished(attempt: ItemRef, end: AttemptEnd) -> FinishedRun {
+    let found_no_slot = matches!(
+        end,
+        AttemptEnd::Refused {
+            verdict: RunVerdict::NotRun,
+            reason: RefusalReason::NoServer | RefusalReason::DeadlineUnmet,
+            ..
+        }
+    );
+    FinishedRun {
+        attempt,
+        report: Some(AttemptReport { attempt, end }),
+        found_no_slot,
+    }
+}
+
+fn yielded(verdict: RunVerdict) -> AttemptEnd {
+    AttemptEnd::Yielded { verdict }
+}
+
+fn refused(refusal: RequestRefusal) -> AttemptEnd {
+    AttemptEnd::Refused {
+        verdict: refusal.verdict,
+        reason: refusal.reason,
+        detail: refusal.detail,
+    }
+}
+
+fn failed(failure: ServerFailure) -> AttemptEnd {
+    let reason = match failure.reason {
+        RetryReason::AnswerCrossed => RefusalReason::AnswerCrossed,
+        RetryReason::ServerSilent => RefusalReason::ServerSilent,
+        RetryReason::ConnectFailed
+        | RetryReason::ConnectionLost
+        | RetryReason::ServerRefused
+        | RetryReason::ServerCrashed => RefusalReason::ServerFailed,
+    };
+    AttemptEnd::Refused {
+        verdict: failure.verdict,
+        reason,
+        detail: failure.detail,
+    }
+}
+
+fn silent() -> AttemptEnd {
+    refused(RequestRefusal::new(
+        RefusalReason::ServerSilent,
+        RunVerdict::MayHaveRun,
+        "the backend server sent no whole answer in time",
+    ))
+}
+
+/// Header fields of an item; the idempotency key is that of the item, so that a
+/// backend server can recognise a second attempt.
+fn item_fields(attempt: ItemRef) -> HeaderMap {
+    let mut fields = HeaderMap::new();
+    let kind = HeaderValue::from_static("application/json");
+    fields.insert(CONTENT_TYPE, kind);
+    let key = format!("{}-{}", attempt.job, attempt.item);
+    if let Ok(key) = HeaderValue::from_str(&key) {
+        fields.insert(headers::IDEMPOTENCY_KEY, key);
+    }
+    fields
+}
+
+async fn read_answer(response: Response<hyper::body::Incoming>) -> Result<AttemptEnd, AttemptEnd> {
+    let status = response.status().as_u16();
+    let limited = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
+    match limited.collect().await {
+        Ok(collected) => Ok(AttemptEnd::Answered {
+            status,
+            body: BodyBytes(collected.to_bytes().to_vec()),
+        }),
+        Err(error) => Err(refused(RequestRefusal::new(
+            RefusalReason::ServerFailed,
+            RunVerdict::MayHaveRun,
+            format!("the answer ended early: {error}"),
+        ))),
+    }
+}
--- /dev/null
+++ b/crates/host/src/batch/dispatcher.rs
@@ -0,0 +1,303 @@
+//! The dispatcher task.
+//!
+//! It owns the leases of its host. Proposals run beside it, at most one of each
+//! kind at a time, so that a slow commit holds up neither running items nor the
+//! stop of revoked ones.
+
+use super::attempt::{AttemptRunner, FinishedRun};
+use super::holdings::LeaseHoldings;
+use crate::platform::DrainFlag;
+use crate::replica::{ProposeError, ReplicaHandle};
+use crate::routing::RoutingHandle;
+use chicoryladder_jobs::{AttemptReport, JobCommand, JobOutcome, LeaseId, LeaseRequest};
+use chicoryladder_types::JobId;
+use chicoryladder_types::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+/// The time between two looks at the job state and the idle slots.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The time for which items are leased.
+const LEASE_DURATION: Duration = Duration::from_secs(5);
+
+/// The time from the request of a lease for which its items may start.
+const START_WITHIN: Duration = Duration::from_millis(4500);
+
+/// The time between two renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1500);
+
+/// The most items in one lease.
+const LEASE_ITEMS_MAX: usize = 64;
+
+/// The most reports in one command.
+const REPORTS_MAX: usize = 128;
+
+/// The time for which a job without a slot is passed over.
+const NO_SLOT_PAUSE: Duration = Duration::from_secs(1);
+
+/// The answer to a proposal.
+enum ProposalAnswer {
+    Lease {
+        start_until: Instant,
+        outcome: Result<JobOutcome, ProposeError>,
+    },
+    Renewal {
+        start_until: Instant,
+        outcome: Result<JobOutcome, ProposeError>,
+    },
+    Report {
+        count: usize,
+        outcome: Result<JobOutcome, ProposeError>,
+    },
+}
+
+/// Which proposals are on their way.
+#[derive(Default)]
+struct ProposalsOut {
+    lease: bool,
+    renewal: bool,
+    report: bool,
+}
+
+/// Tells when a draining dispatcher holds nothing any more.
+#[derive(Clone)]
+pub(crate) struct DispatcherHandle {
+    idle: watch::Receiver<bool>,
+}
+
+impl DispatcherHandle {
+    /// Resolves once the dispatcher has drained or stopped.
+    pub(crate) async fn drained(&mut self) {
+        // A closed channel means that the task has stopped.
+        let _ = self.idle.wait_for(|idle| *idle).await;
+    }
+}
+
+/// Dispatches items of batch jobs.
+pub(crate) struct BatchDispatcher {
+    host: HostName,
+    replica: ReplicaHandle,
+    routing: RoutingHandle,
+    clock: Arc<dyn ClockSource>,
+    runner: AttemptRunner,
+    drain: DrainFlag,
+    idle: watch::Sender<bool>,
+    holdings: LeaseHoldings,
+    runs: JoinSet<FinishedRun>,
+    proposals: JoinSet<ProposalAnswer>,
+    out: ProposalsOut,
+    paused: BTreeMap<JobId, Instant>,
+    renewed_at: Instant,
+}
+
+impl BatchDispatcher {
+    pub(crate) fn new(
+        host: HostName,
+        runner: AttemptRunner,
+        drain: DrainFlag,
+    ) -> (Self, DispatcherHandle) {
+        let (idle, receiver) = watch::channel(false);
+        let clock = runner.clock.clone();
+        let dispatcher = Self {
+            host,
+            replica: runner.replica.clone(),
+            routing: runner.routing.clone(),
+            renewed_at: clock.now(),
+            clock,
+            runner,
+            drain,
+            idle,
+            holdings: LeaseHoldings::default(),
+            runs: JoinSet::new(),
+            proposals: JoinSet::new(),
+            out: ProposalsOut::default(),
+            paused: BTreeMap::new(),
+        };
+        (dispatcher, DispatcherHandle { idle: receiver })
+    }
+
+    pub(crate) async fn run(mut self) {
+        let mut ticks = tokio::time::interval(TICK_INTERVAL);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => self.tick().await,
+                Some(Ok(run)) = self.runs.join_next() => self.take_run(run),
+                Some(Ok(answer)) = self.proposals.join_next() => self.take_answer(answer),
+            }
+            self.report();
+        }
+    }
+
+    async fn tick(&mut self) {
+        let now = self.clock.now();
+        let view = self.replica.dispatch_view(&self.host).await;
+        self.holdings.revoke(&view.revoked);
+        self.renew(now);
+        if self.drain.is_raised() {
+            self.holdings.yield_queued();
+            let is_idle = self.holdings.is_empty() && !self.out.lease;
+            self.idle.send_replace(is_idle);
+            return;
+        }
+        let room = self.routing.batch_room().await;
+        // Runs that have no slot yet are about to take an idle one.
+        let placing = self.runs.len().saturating_sub(room.taken);
+        let idle = room.idle.saturating_sub(placing);
+        let started = self.start_runs(idle, now);
+        let wanted = idle.saturating_sub(started);
+        if view.has_work && wanted > 0 {
+            self.lease(wanted, now);
+        }
+    }
+
+    /// Starts as many queued items as there are idle slots; returns their number.
+    fn start_runs(&mut self, idle: usize, now: Instant) -> usize {
+        for started in 0..idle {
+            let Some(item) = self.holdings.next(now) else {
+                return started;
+            };
+            self.runs.spawn(self.runner.clone().run(item));
+        }
+        idle
+    }
+
+    fn lease(&mut self, wanted: usize, now: Instant) {
+        if self.out.lease {
+            return;
+        }
+        self.out.lease = true;
+        self.paused.retain(|_, until| now < *until);
+        let limit = wanted.min(LEASE_ITEMS_MAX);
+        let request = LeaseRequest {
+            host: self.host.clone(),
+            limit: u32::try_from(limit).unwrap_or(u32::MAX),
+            excluded: self.paused.keys().copied().collect(),
+            now: self.replica.wall(),
+            duration: LEASE_DURATION,
+        };
+        let replica = self.replica.clone();
+        let start_until = now + START_WITHIN;
+        self.proposals.spawn(async move {
+            let command = JobCommand::LeaseItems(request);
+            let outcome = replica.propose_jobs(command).await;
+            ProposalAnswer::Lease {
+                start_until,
+                outcome,
+            }
+        });
+    }
+
+    fn renew(&mut self, now: Instant) {
+        let leases = self.holdings.leases();
+        let is_due = now.saturating_duration_since(self.renewed_at) >= RENEW_INTERVAL;
+        if leases.is_empty() || !is_due || self.out.renewal {
+            return;
+        }
+        self.out.renewal = true;
+        self.renewed_at = now;
+        let command = JobCommand::RenewLeases {
+            host: self.host.clone(),
+            leases,
+            now: self.replica.wall(),
+            duration: LEASE_DURATION,
+        };
+        let replica = self.replica.clone();
+        let start_until = now + START_WITHIN;
+        self.proposals.spawn(async move {
+            let outcome = replica.propose_jobs(command).await;
+            ProposalAnswer::Renewal {
+                start_until,
+                outcome,
+            }
+        });
+    }
+
+    /// Proposes the reports that wait; they are kept until they are committed.
+    fn report(&mut self) {
+        let reports: Vec<AttemptReport> = self.holdings.reports(REPORTS_MAX);
+        if reports.is_empty() || self.out.report {
+            return;
+        }
+        self.out.report = true;
+        let count = reports.len();
+        let now = self.replica.wall();
+        let replica = self.replica.clone();
+        self.proposals.spawn(async move {
+            let command = JobCommand::CompleteItems { reports, now };
+            let outcome = replica.propose_jobs(command).await;
+            if let Err(error) = &outcome {
+                log::warn!("batch: cannot report {count} items yet: {error}.");
+                tokio::time::sleep(TICK_INTERVAL).await;
+            }
+            ProposalAnswer::Report { count, outcome }
+        });
+    }
+
+    fn take_run(&mut self, run: FinishedRun) {
+        if run.found_no_slot {
+            let until = self.clock.now() + NO_SLOT_PAUSE;
+            self.paused.insert(run.attempt.job, until);
+        }
+        match run.report {
+            Some(report) => self.holdings.add_report(report),
+            None => self.holdings.forget(run.attempt),
+        }
+    }
+
+    fn take_answer(&mut self, answer: ProposalAnswer) {
+        match answer {
+            ProposalAnswer::Lease {
+                start_until,
+                outcome,
+            } => {
+                self.out.lease = false;
+                self.take_lease(outcome, start_until);
+            }
+            ProposalAnswer::Renewal {
+                start_until,
+                outcome,
+            } => {
+                self.out.renewal = false;
+                if let Ok(JobOutcome::Renewed { leases, .. }) = outcome {
+                    self.take_renewal(&leases, start_until);
+                }
+            }
+            ProposalAnswer::Report { count, outcome } => {
+                self.out.report = false;
+                if matches!(outcome, Ok(JobOutcome::Reported(_))) {
+                    self.holdings.committed(count);
+                }
+            }
+        }
+    }
+
+    fn take_lease(&mut self, outcome: Result<JobOutcome, ProposeError>, start_until: Instant) {
+        match outcome {
+            Ok(outcome) => {
+                log_lease(&outcome);
+                self.holdings.add(&outcome, start_until);
+            }
+            // Items that were leased all the same come back with their lease.
+            Err(error) => log::debug!("batch: cannot lease items: {error}."),
+        }
+    }
+
+    fn take_renewal(&mut self, leases: &[LeaseId], start_until: Instant) {
+        self.holdings.extend(leases, start_until);
+    }
+}
+
+fn log_lease(outcome: &JobOutcome) {
+    if let JobOutcome::Leased { lease, grants, .. } = outcome
+        && let Some(first) = grants.first()
+    {
+        let job = first.attempt.job;
+        let count = grants.len();
+        log::debug!("batch: leased {count} items of job {job} as lease {lease}.");
+    }
+}
--- /dev/null
+++ b/crates/host/src/batch/holdings.rs
@@ -0,0 +1,166 @@
+//! The leases and items in the hands of a dispatcher.
+
+use chicoryladder_jobs::{AttemptEnd, AttemptReport, ItemGrant, ItemRef, JobOutcome, LeaseId};
+use chicoryladder_types::RunVerdict;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Instant;
+use tokio::sync::watch;
+
+/// Until when and whether items of a lease may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct LeaseTerms {
+    pub(super) start_until: Instant,
+    pub(super) revoked: bool,
+}
+
+impl LeaseTerms {
+    /// Whether an item may start now.
+    pub(super) fn allow_start(&self, now: Instant) -> bool {
+        !self.revoked && now < self.start_until
+    }
+}
+
+struct HeldLease {
+    terms: watch::Sender<LeaseTerms>,
+    /// Items that are queued, running or not reported yet.
+    unreported: usize,
+}
+
+/// An item that waits for a slot.
+pub(super) struct QueuedItem {
+    pub(super) lease: LeaseId,
+    pub(super) grant: ItemGrant,
+    pub(super) terms: watch::Receiver<LeaseTerms>,
+}
+
+/// The leases of one dispatcher.
+#[derive(Default)]
+pub(super) struct LeaseHoldings {
+    leases: BTreeMap<LeaseId, HeldLease>,
+    leases_of: BTreeMap<ItemRef, LeaseId>,
+    queue: VecDeque<QueuedItem>,
+    reports: Vec<AttemptReport>,
+}
+
+impl LeaseHoldings {
+    /// Takes in the outcome of a lease request.
+    pub(super) fn add(&mut self, outcome: &JobOutcome, start_until: Instant) {
+        let JobOutcome::Leased { lease, grants, .. } = outcome else {
+            return;
+        };
+        if grants.is_empty() {
+            return;
+        }
+        let revoked = false;
+        let (terms, receiver) = watch::channel(LeaseTerms {
+            start_until,
+            revoked,
+        });
+        for grant in grants {
+            self.leases_of.insert(grant.attempt, *lease);
+            self.queue.push_back(QueuedItem {
+                lease: *lease,
+                grant: *grant,
+                terms: receiver.clone(),
+            });
+        }
+        let unreported = grants.len();
+        self.leases.insert(*lease, HeldLease { terms, unreported });
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.leases.is_empty() && self.reports.is_empty()
+    }
+
+    /// The next item that may still start.
+    pub(super) fn next(&mut self, now: Instant) -> Option<QueuedItem> {
+        while let Some(item) = self.queue.pop_front() {
+            let terms = *item.terms.borrow();
+            if terms.allow_start(now) {
+                return Some(item);
+            }
+            self.yield_item(item.grant.attempt);
+        }
+        None
+    }
+
+    /// Gives back every item that has not started.
+    pub(super) fn yield_queued(&mut self) {
+        for item in std::mem::take(&mut self.queue) {
+            self.yield_item(item.grant.attempt);
+        }
+    }
+
+    /// Stops the leases of cancelled jobs.
+    pub(super) fn revoke(&mut self, revoked: &[LeaseId]) {
+        for lease in revoked {
+            if let Some(held) = self.leases.get(lease) {
+                held.terms.send_if_modified(|terms| {
+                    let changed = !terms.revoked;
+                    terms.revoked = true;
+                    changed
+                });
+            }
+        }
+        let is_revoked = |item: &QueuedItem| revoked.contains(&item.lease);
+        let queue = std::mem::take(&mut self.queue);
+        let (stopped, kept): (VecDeque<_>, VecDeque<_>) = queue.into_iter().partition(is_revoked);
+        self.queue = kept;
+        for item in stopped {
+            self.yield_item(item.grant.attempt);
+        }
+    }
+
+    /// The leases to renew.
+    pub(super) fn leases(&self) -> Vec<LeaseId> {
+        self.leases.keys().copied().collect()
+    }
+
+    /// Extends the renewed leases.
+    pub(super) fn extend(&mut self, renewed: &[LeaseId], start_until: Instant) {
+        for lease in renewed {
+            if let Some(held) = self.leases.get(lease) {
+                held.terms
+                    .send_modify(|terms| terms.start_until = start_until);
+            }
+        }
+    }
+
+    /// Notes how an attempt ended.
+    pub(super) fn add_report(&mut self, report: AttemptReport) {
+        self.reports.push(report);
+    }
+
+    /// Forgets an attempt that the job state did not let start.
+    pub(super) fn forget(&mut self, attempt: ItemRef) {
+        let Some(lease) = self.leases_of.remove(&attempt) else {
+            return;
+        };
+        let Some(held) = self.leases.get_mut(&lease) else {
+            return;
+        };
+        held.unreported -= 1;
+        if held.unreported == 0 {
+            self.leases.remove(&lease);
+        }
+    }
+
+    /// The oldest reports, up to `limit`; they stay until they are committed.
+    pub(super) fn reports(&self, limit: usize) -> Vec<AttemptReport> {
+        self.reports.iter().take(limit).cloned().collect()
+    }
+
+    /// Drops the `count` oldest reports, which are committed.
+    pub(super) fn committed(&mut self, count: usize) {
+        let committed: Vec<AttemptReport> = self.reports.drain(..count).collect();
+        for report in committed {
+            self.forget(report.attempt);
+        }
+    }
+
+    fn yield_item(&mut self, attempt: ItemRef) {
+        let verdict = RunVerdict::NotRun;
+        let end = AttemptEnd::Yielded { verdict };
+        self.reports.push(AttemptReport { attempt, end });
+    }
+}
--- /dev/null
+++ b/crates/host/src/batch/sweeper.rs
@@ -0,0 +1,41 @@
+//! Proposes sweeps of the job state when one is due.
+//!
+//! Any host may do so; a sweep that comes second changes nothing. A random wait
+//! keeps the hosts from proposing together.
+
+use crate::ids::RandomIds;
+use crate::replica::ReplicaHandle;
+use chicoryladder_jobs::JobCommand;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time between two looks.
+const LOOK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The longest random wait on top.
+const JITTER_MAX_MILLIS: u128 = 500;
+
+/// Keeps time for the job state.
+pub(crate) struct JobSweeper {
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) ids: Arc<RandomIds>,
+}
+
+impl JobSweeper {
+    pub(crate) async fn run(self) {
+        loop {
+            let jitter = u64::try_from(self.ids.bits() % JITTER_MAX_MILLIS).unwrap_or_default();
+            tokio::time::sleep(LOOK_INTERVAL + Duration::from_millis(jitter)).await;
+            if self.replica.is_sweep_due().await {
+                self.sweep().await;
+            }
+        }
+    }
+
+    async fn sweep(&self) {
+        let now = self.replica.wall();
+        if let Err(error) = self.replica.propose_jobs(JobCommand::Sweep { now }).await {
+            log::debug!("batch: cannot sweep the jobs: {error}.");
+        }
+    }
+}
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -2,6 +2,7 @@
 
 mod parts;
 
+use crate::batch::DispatcherHandle;
 use crate::ids::RandomIds;
 use crate::metrics::{HostMetrics, MetricsError};
 use crate::platform::DrainFlag;
@@ -72,6 +73,7 @@
     /// The addresses that the host took.
     pub addresses: HostAddresses,
     drain: DrainFlag,
+    batch: DispatcherHandle,
     drain_timeout: Duration,
     callers: HttpListener,
     servers: HttpListener,
@@ -91,8 +93,8 @@
         parts::start(settings, Arc::new(SystemClock), ids, metrics).await
     }
 
-    /// Stops the host: readiness goes first, then every accepted request ends
-    /// whole, then the process may exit.
+    /// Stops the host: readiness goes first, then every accepted request and
+    /// running batch item ends whole, then the process may exit.
     ///
     /// Requests that are still running after the drain timeout are cut.
     pub async fn shutdown(mut self) {
@@ -103,6 +105,7 @@
             self.callers.drain().await;
             self.servers.drain().await;
             self.operators.drain().await;
+            self.batch.drained().await;
         };
         match tokio::time::timeout(self.drain_timeout, draining).await {
             Ok(()) => log::info!("host: drained, every request has ended."),
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -3,7 +3,9 @@
 use super::{EntryHost, HostAddresses, HostError};
 use crate::admin::AdminService;
 use crate::admission::KeyChecker;
-use crate::batch::BatchDispatcher;
+use crate::batch::{
+    AttemptRunner, BatchDispatcher, DispatcherHandle, HomeTask, JobSweeper, SlotRelay,
+};
 use crate::ids::RandomIds;
 use crate::job_service::JobService;
 use crate::limits::LimitHandle;
@@ -12,7 +14,7 @@
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
 use crate::platform::{DrainFlag, PlatformService};
 use crate::replica::{ReplicaHandle, ReplicaInbox, ReplicaTask};
-use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle};
+use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
 use chicoryladder_gateway::{
     CallerService, HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
     ServerPort, ServerService,
@@ -75,6 +77,7 @@
     routing: RoutingHandle,
     limits: LimitHandle,
     drain: DrainFlag,
+    batch: DispatcherHandle,
     tasks: JoinSet<()>,
 }
 
@@ -90,7 +93,12 @@
         let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
         let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
         let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock)?;
-        let routing = RoutingHandle::start(settings.host.zone.clone(), clock.clone());
+        let place = RoutingPlace {
+            host: settings.host.name.clone(),
+            zone: settings.host.zone.clone(),
+        };
+        let (wish_sender, wishes) = mpsc::unbounded_channel();
+        let routing = RoutingHandle::start(place.clone(), clock.clone(), wish_sender);
         let limits = LimitHandle::start(directory.contact_count(), clock.clone());
         let mut tasks = JoinSet::new();
         tasks.spawn(replica_task.run());
@@ -101,15 +109,33 @@
             routing: routing.clone(),
         };
         tasks.spawn(peer_task.run());
-        let dispatcher = BatchDispatcher {
-            host: settings.host.name.clone(),
+        let slot_relay = SlotRelay {
+            directory: directory.clone(),
+            wishes,
+        };
+        tasks.spawn(slot_relay.run());
+        let home_task = HomeTask {
+            place,
+            directory: directory.clone(),
+            routing: routing.clone(),
+        };
+        tasks.spawn(home_task.run());
+        let runner = AttemptRunner {
             replica: replica.clone(),
             routing: routing.clone(),
             client: ServerClient::new(),
             clock: clock.clone(),
             ids: ids.clone(),
         };
+        let drain = DrainFlag::default();
+        let host = settings.host.name.clone();
+        let (dispatcher, batch) = BatchDispatcher::new(host, runner, drain.clone());
         tasks.spawn(dispatcher.run());
+        let sweeper = JobSweeper {
+            replica: replica.clone(),
+            ids: ids.clone(),
+        };
+        tasks.spawn(sweeper.run());
         Ok(Self {
             settings,
             clock,
@@ -119,7 +145,8 @@
             replica,
             routing,
             limits,
-            drain: DrainFlag::default(),
+            drain,
+            batch,
             tasks,
         })
     }
@@ -154,6 +181,7 @@
         Ok(EntryHost {
             addresses,
             drain: self.drain,
+            batch: self.batch,
             drain_timeout: self.settings.shutdown.drain_timeout,
             callers,
             servers,
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -25,6 +25,8 @@
     Greeting,
     /// Passes on what a backend server told the sender.
     Announcement(ServerAnnouncement),
+    /// Asks for a slot of a backend server that batch work takes up.
+    YieldSlot(ServerName),
     /// Concerns the replicated state.
     Replica(ReplicaMessage),
 }
@@ -152,6 +154,7 @@
         match postcard::from_bytes(&message.payload) {
             Ok(PeerMessage::Greeting) => {}
             Ok(PeerMessage::Announcement(announcement)) => self.routing.announce(announcement),
+            Ok(PeerMessage::YieldSlot(server)) => self.routing.yield_slot(server),
             Ok(PeerMessage::Replica(content)) => {
                 self.replica.deliver(message.reply_address, content);
             }
--- a/crates/host/src/replica/handle.rs
+++ b/crates/host/src/replica/handle.rs
@@ -2,7 +2,8 @@
 
 use super::command::{GroupCommand, GroupOutcome, ReplicaMessage};
 use chicoryladder_jobs::{
-    ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage, UnixMillis,
+    DispatchView, ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage,
+    UnixMillis,
 };
 use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView};
 use chicoryladder_types::JobId;
@@ -53,7 +54,8 @@
         u32,
         oneshot::Sender<Result<ItemRequest, MachineError>>,
     ),
-    HasWork(oneshot::Sender<bool>),
+    Dispatch(HostName, oneshot::Sender<DispatchView>),
+    SweepDue(oneshot::Sender<bool>),
 }
 
 /// Asks for results of a job.
@@ -191,9 +193,15 @@
             .await
     }
 
-    /// Whether any item waits for a dispatcher.
-    pub(crate) async fn has_work(&self) -> bool {
-        self.query(JobQuery::HasWork).await.unwrap_or(false)
+    /// What the dispatcher of the host has to know of the jobs.
+    pub(crate) async fn dispatch_view(&self, host: &HostName) -> DispatchView {
+        let query = |sender| JobQuery::Dispatch(host.clone(), sender);
+        self.query(query).await.unwrap_or_default()
+    }
+
+    /// Whether a sweep would change any job.
+    pub(crate) async fn is_sweep_due(&self) -> bool {
+        self.query(JobQuery::SweepDue).await.unwrap_or(false)
     }
 
     /// The calendar time, for commands.
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -303,8 +303,12 @@
             JobQuery::Request(job, item, sender) => {
                 let _ = sender.send(self.state.jobs.request(job, item));
             }
-            JobQuery::HasWork(sender) => {
-                let _ = sender.send(self.state.jobs.has_work());
+            JobQuery::Dispatch(host, sender) => {
+                let _ = sender.send(self.state.jobs.dispatch_view(&host));
+            }
+            JobQuery::SweepDue(sender) => {
+                let now = UnixMillis::from(self.clock.wall());
+                let _ = sender.send(self.state.jobs.is_sweep_due(now));
             }
         }
     }
--- a/crates/host/src/routing.rs
+++ b/crates/host/src/routing.rs
@@ -4,9 +4,13 @@
 //! have priorities: a server never holds more requests than it has slots, and
 //! batch work gets a slot only while no online request waits.
 
+mod batch_slots;
 mod handle;
+mod home;
 mod table;
 mod task;
 
-pub(crate) use handle::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+pub(crate) use handle::{
+    RoutingHandle, RoutingPlace, ServerGrant, SlotRequest, SlotWish, WorkKind, WorkTarget,
+};
 pub(crate) use table::ANNOUNCEMENT_LEASE;
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -1,5 +1,6 @@
 //! The handle that other tasks use to get a backend server.
 
+use super::batch_slots::GrantId;
 use super::table::{ServerKey, ServerView};
 use super::task::RoutingTask;
 use chicoryladder_types::prelude::*;
@@ -27,7 +28,10 @@
     /// A caller waits for the answer.
     Online,
     /// An item of a batch job.
-    Batch,
+    Batch {
+        /// Whether the item may be stopped in favour of online requests.
+        stoppable: bool,
+    },
 }
 
 /// A request for a slot on a backend server.
@@ -38,6 +42,29 @@
     pub(crate) excluded: Vec<ServerName>,
 }
 
+/// Asks the dispatching host of a server to stop a batch item there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct SlotWish {
+    pub(crate) home: HostName,
+    pub(crate) server: ServerName,
+}
+
+/// Where batch work of this host stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct BatchRoom {
+    /// Slots that batch items may take now.
+    pub(crate) idle: usize,
+    /// Slots that batch items take up.
+    pub(crate) taken: usize,
+}
+
+/// A host and its availability zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RoutingPlace {
+    pub(crate) host: HostName,
+    pub(crate) zone: ZoneName,
+}
+
 /// What the routing task is told.
 pub(crate) enum RoutingEvent {
     Announced(ServerAnnouncement),
@@ -48,7 +75,11 @@
     Released {
         server: ServerKey,
         load: Option<ServerLoad>,
+        batch: Option<GrantId>,
     },
+    Hosts(Vec<RoutingPlace>),
+    YieldSlot(ServerName),
+    Room(oneshot::Sender<BatchRoom>),
     List(oneshot::Sender<Vec<ServerView>>),
 }
 
@@ -58,14 +89,34 @@
     pub(crate) address: SocketAddr,
     pub(crate) load: Option<ServerLoad>,
     pub(super) server: ServerKey,
+    pub(super) batch: Option<BatchGrant>,
     pub(super) events: mpsc::UnboundedSender<RoutingEvent>,
 }
 
+/// The part of a grant that only batch items have.
+pub(super) struct BatchGrant {
+    pub(super) id: GrantId,
+    pub(super) stop: oneshot::Receiver<()>,
+}
+
+impl ServerGrant {
+    /// Resolves once a batch item has to give its slot back.
+    pub(crate) async fn stopped(&mut self) {
+        if let Some(batch) = &mut self.batch
+            && (&mut batch.stop).await.is_ok()
+        {
+            return;
+        }
+        std::future::pending::<()>().await;
+    }
+}
+
 impl Drop for ServerGrant {
     fn drop(&mut self) {
         let released = RoutingEvent::Released {
             server: self.server,
             load: self.load,
+            batch: self.batch.as_ref().map(|batch| batch.id),
         };
         // A closed channel means that the host has stopped.
         let _ = self.events.send(released);
@@ -80,14 +131,36 @@
 }
 
 impl RoutingHandle {
-    /// Starts the task of a host in the given availability zone.
-    pub(crate) fn start(zone: ZoneName, clock: Arc<dyn ClockSource>) -> Self {
+    /// Starts the task of a host; wishes for slots that other hosts dispatch to
+    /// go to `wishes`.
+    pub(crate) fn start(
+        place: RoutingPlace,
+        clock: Arc<dyn ClockSource>,
+        wishes: mpsc::UnboundedSender<SlotWish>,
+    ) -> Self {
         let (events, receiver) = mpsc::unbounded_channel();
-        let task = RoutingTask::new(zone, clock.clone(), events.clone(), receiver);
+        let task = RoutingTask::new(place, clock.clone(), wishes, events.clone(), receiver);
         tokio::spawn(task.run());
         Self { events, clock }
     }
 
+    /// Tells which hosts share the servers, this one among them.
+    pub(crate) fn set_hosts(&self, hosts: Vec<RoutingPlace>) {
+        let _ = self.events.send(RoutingEvent::Hosts(hosts));
+    }
+
+    /// Stops a batch item of this host on the server.
+    pub(crate) fn yield_slot(&self, server: ServerName) {
+        let _ = self.events.send(RoutingEvent::YieldSlot(server));
+    }
+
+    /// The slots that batch work of this host takes up and may take.
+    pub(crate) async fn batch_room(&self) -> BatchRoom {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.events.send(RoutingEvent::Room(sender));
+        receiver.await.unwrap_or_default()
+    }
+
     /// Takes what a backend server told.
     pub(crate) fn announce(&self, announcement: ServerAnnouncement) {
         let _ = self.events.send(RoutingEvent::Announced(announcement));
--- a/crates/host/src/routing/table.rs
+++ b/crates/host/src/routing/table.rs
@@ -1,6 +1,7 @@
 //! The backend servers known to a host.
 
-use super::handle::{SlotRequest, WorkTarget};
+use super::handle::{RoutingPlace, SlotRequest, SlotWish, WorkKind, WorkTarget};
+use super::home::home_of;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerAnnouncement, ServerLoad};
 use slotmap::{SlotMap, new_key_type};
@@ -13,6 +14,9 @@
 /// The time without a renewal after which a server is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// Slots of each server that batch work leaves free for the next online request.
+const BATCH_RESERVE_SLOTS: u32 = 1;
+
 new_key_type! {
     /// Identifies a server in the table of one host.
     pub(crate) struct ServerKey;
@@ -34,6 +38,10 @@
     announcement: ServerAnnouncement,
     heard: Instant,
     in_flight: u32,
+    /// Grants since the last report of the load, which does not show them.
+    unreported: u32,
+    /// The host that dispatches batch items to the server.
+    home: Option<HostName>,
 }
 
 impl ServerRecord {
@@ -48,6 +56,27 @@
         }
     }
 
+    /// Requests on the server, of all hosts, as far as this host can tell.
+    fn occupied(&self) -> u32 {
+        let load = self.announcement.load;
+        let reported = load.running + load.waiting + self.unreported;
+        reported.max(self.in_flight)
+    }
+
+    /// Slots that batch work may take.
+    fn idle(&self) -> u32 {
+        let usable = self.announcement.slots.saturating_sub(BATCH_RESERVE_SLOTS);
+        usable.saturating_sub(self.occupied())
+    }
+
+    /// Slots that a request of the kind may take.
+    fn free(&self, kind: WorkKind) -> u32 {
+        match kind {
+            WorkKind::Online => self.announcement.slots.saturating_sub(self.in_flight),
+            WorkKind::Batch { .. } => self.idle(),
+        }
+    }
+
     fn takes_work(&self, now: Instant) -> bool {
         self.is_live(now) && !self.announcement.leaving
     }
@@ -56,6 +85,7 @@
 /// The servers of one host's view.
 #[derive(Default)]
 pub(super) struct ServerTable {
+    hosts: Vec<RoutingPlace>,
     servers: SlotMap<ServerKey, ServerRecord>,
     by_name: HashMap<ServerName, ServerKey>,
 }
@@ -73,12 +103,15 @@
             Some(record) => {
                 record.announcement = announcement;
                 record.heard = now;
+                record.unreported = 0;
             }
             None => {
                 let key = self.servers.insert(ServerRecord {
+                    home: home_of(&announcement, &self.hosts),
                     announcement,
                     heard: now,
                     in_flight: 0,
+                    unreported: 0,
                 });
                 self.by_name.insert(name, key);
             }
@@ -103,26 +136,78 @@
         self.candidates(request, now).next().is_some()
     }
 
-    /// The server with the most free slots, those of `zone` first.
+    /// The server with the most free slots, those of the own zone first.
     pub(super) fn choose(
         &self,
         request: &SlotRequest,
-        zone: &ZoneName,
+        place: &RoutingPlace,
         now: Instant,
     ) -> Option<ServerKey> {
-        let free = self
-            .candidates(request, now)
-            .filter(|(_, record)| record.in_flight < record.announcement.slots);
-        free.max_by_key(|(_, record)| {
-            let local = record.announcement.zone == *zone;
-            (local, record.announcement.slots - record.in_flight)
+        let allowed = |record: &ServerRecord| match request.kind {
+            WorkKind::Online => true,
+            WorkKind::Batch { .. } => record.home.as_ref() == Some(&place.host),
+        };
+        self.candidates(request, now)
+            .filter(|(_, record)| allowed(record) && record.free(request.kind) > 0)
+            .max_by_key(|(_, record)| {
+                let local = record.announcement.zone == place.zone;
+                (local, record.free(request.kind))
+            })
+            .map(|(key, _)| key)
+    }
+
+    /// Notes which hosts share the servers.
+    pub(super) fn set_hosts(&mut self, hosts: Vec<RoutingPlace>) {
+        self.hosts = hosts;
+        for record in self.servers.values_mut() {
+            record.home = home_of(&record.announcement, &self.hosts);
+        }
+    }
+
+    /// The slots that batch work of the host may take now.
+    pub(super) fn idle_slots(&self, host: &HostName, now: Instant) -> usize {
+        let own = self
+            .servers
+            .values()
+            .filter(|record| record.takes_work(now) && record.home.as_ref() == Some(host));
+        own.map(|record| record.idle() as usize).sum()
+    }
+
+    pub(super) fn key_of(&self, name: &ServerName) -> Option<ServerKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Whether the server can serve the request, apart from its free slots.
+    pub(super) fn suits(&self, key: ServerKey, request: &SlotRequest, now: Instant) -> bool {
+        self.candidates(request, now).any(|(other, _)| other == key)
+    }
+
+    /// Whether requests on the server have to wait inside it.
+    pub(super) fn is_crowded(&self, key: ServerKey) -> bool {
+        let record = self.servers.get(key);
+        record.is_some_and(|record| record.occupied() > record.announcement.slots)
+    }
+
+    /// The dispatching host of a server, and its name.
+    pub(super) fn slot_wish(&self, key: ServerKey) -> Option<SlotWish> {
+        let record = self.servers.get(key)?;
+        Some(SlotWish {
+            home: record.home.clone()?,
+            server: record.announcement.name.clone(),
         })
-        .map(|(key, _)| key)
+    }
+
+    /// The least occupied server that could serve the request with a slot more.
+    pub(super) fn next_choice(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
+        self.candidates(request, now)
+            .min_by_key(|(_, record)| record.in_flight)
+            .map(|(key, _)| key)
     }
 
     pub(super) fn take_slot(&mut self, key: ServerKey) -> Option<&ServerAnnouncement> {
         let record = self.servers.get_mut(key)?;
         record.in_flight += 1;
+        record.unreported += 1;
         Some(&record.announcement)
     }
 
@@ -131,6 +216,7 @@
             record.in_flight = record.in_flight.saturating_sub(1);
             if let Some(load) = load {
                 record.announcement.load = load;
+                record.unreported = 0;
             }
         }
     }
