--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -36,6 +36,8 @@
     Tombstones(KeyTombstones),
     /// Passes on what a backend server told the sender.
     Announcement(ServerAnnouncement),
+    /// Asks for a slot of a backend server that batch work takes up.
+    YieldSlot(ServerName),
     /// Concerns the replicated state.
     Replica(ReplicaMessage),
 }
--- a/crates/host/src/peers/task.rs
+++ b/crates/host/src/peers/task.rs
@@ -68,6 +68,7 @@
             Ok(PeerMessage::Position(position)) => self.directory.note_position(sender, position),
             Ok(PeerMessage::Tombstones(tombstones)) => self.tombstones.heard(sender, tombstones),
             Ok(PeerMessage::Announcement(announcement)) => self.routing.announce(announcement),
+            Ok(PeerMessage::YieldSlot(server)) => self.routing.yield_slot(server),
             Ok(PeerMessage::Replica(content)) => self.inbox.deliver(sender, content),
             Err(error) => {
                 log::warn!(
