--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -120,9 +120,9 @@
             replica: replica.clone(),
             inbox,
             routing: routing.clone(),
-            limits: limit_inbox,
             tombstones: tombstones.clone(),
             waiting: HashMap::new(),
+            limits: limit_inbox,
         };
         tasks.spawn(peer_task.run());
         let slot_relay = SlotRelay {
@@ -328,6 +328,13 @@
     Ok(opened?)
 }
 
+fn tombstone_store(settings: &HostSettings) -> Arc<dyn TombstoneStore> {
+    match &settings.data {
+        Some(data) => Arc::new(FileTombstones::new(&data.folder)),
+        None => Arc::new(NoTombstones),
+    }
+}
+
 fn limit_settings(
     settings: &HostSettings,
     directory: &PeerDirectory,
@@ -345,13 +352,6 @@
     }
 }
 
-fn tombstone_store(settings: &HostSettings) -> Arc<dyn TombstoneStore> {
-    match &settings.data {
-        Some(data) => Arc::new(FileTombstones::new(&data.folder)),
-        None => Arc::new(NoTombstones),
-    }
-}
-
 fn read_text(path: &Path) -> Result<String, HostError> {
     match std::fs::read_to_string(path) {
         Ok(text) => Ok(text.trim().to_owned()),
--- a/crates/host/src/peers/task.rs
+++ b/crates/host/src/peers/task.rs
@@ -70,11 +70,11 @@
             Ok(PeerMessage::Position(position)) => self.directory.note_position(sender, position),
             Ok(PeerMessage::Tombstones(tombstones)) => self.tombstones.heard(sender, tombstones),
             Ok(PeerMessage::Announcement(announcement)) => self.routing.announce(announcement),
-            Ok(PeerMessage::YieldSlot(server)) => self.routing.yield_slot(server),
-            Ok(PeerMessage::Replica(content)) => self.inbox.deliver(sender, content),
             Ok(PeerMessage::Limits(content)) => {
                 self.limits.deliver(message.sender.clone(), content);
             }
+            Ok(PeerMessage::YieldSlot(server)) => self.routing.yield_slot(server),
+            Ok(PeerMessage::Replica(content)) => self.inbox.deliver(sender, content),
             Err(error) => {
                 log::warn!(
                     "peers: cannot decode a message of {}: {error}.",
