Prove the gateway's verdicts and the replacement of silent connections

Cause: verdicts, end markers, removed credentials and bad input were unproved, and so was the link's replacement of a silent connection. With the replacement switched off, the silent connection test fails after its guard time of 20 s.

--- /dev/null
+++ b/crates/gateway/tests/all/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the gateway against raw peers over loopback.
+
+#![allow(clippy::unwrap_used)]
+
+mod bad_input;
+mod credentials;
+mod raw;
+mod server_client;
+mod stream_end;
--- /dev/null
+++ b/crates/gateway/tests/all/raw.rs
@@ -0,0 +1,65 @@
+//! Peers that speak bytes, so that tests can send and answer anything.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// The longest wait for something that must happen.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What a raw server does with a connection after it has read a request.
+#[derive(Clone, Debug)]
+pub(crate) enum RawAnswer {
+    /// Sends these bytes and closes the connection.
+    Bytes(String),
+    /// Sends these bytes and keeps the connection open.
+    BytesThenSilence(String),
+    /// Closes the connection.
+    Close,
+}
+
+/// Starts a server that answers each connection in the same way.
+pub(crate) async fn raw_server(answer: RawAnswer) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, answer.clone()));
+        }
+    });
+    address
+}
+
+async fn serve(mut stream: TcpStream, answer: RawAnswer) {
+    let mut request = [0; 16 * 1024];
+    let _ = stream.read(&mut request).await;
+    match answer {
+        RawAnswer::Bytes(text) => {
+            let _ = stream.write_all(text.as_bytes()).await;
+            let _ = stream.shutdown().await;
+        }
+        RawAnswer::BytesThenSilence(text) => {
+            let _ = stream.write_all(text.as_bytes()).await;
+            std::future::pending::<()>().await;
+        }
+        RawAnswer::Close => {}
+    }
+}
+
+/// An address that refuses connections.
+pub(crate) async fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Sends bytes and returns all that comes back until the peer closes.
+pub(crate) async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    // The peer may close before it has read everything.
+    let _ = stream.write_all(bytes).await;
+    let mut answer = Vec::new();
+    let reading = stream.read_to_end(&mut answer);
+    let _ = tokio::time::timeout(PATIENCE, reading).await.unwrap();
+    String::from_utf8_lossy(&answer).into_owned()
+}
--- a/crates/link/tests/link.rs
+++ b/crates/link/tests/link.rs
@@ -7,7 +7,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
 
 const GUARD: Duration = Duration::from_secs(20);
 
@@ -24,6 +26,7 @@
     let secret = PeerSecret::try_from(secret).unwrap();
     let timing = LinkTiming {
         probe_interval: Duration::from_millis(50),
+        silence_timeout: Duration::from_millis(300),
         ..LinkTiming::default()
     };
     PeerLink::start(address, identity, secret, timing, Arc::new(SystemClock))
@@ -81,3 +84,88 @@
         .unwrap();
     assert_eq!(message.payload, b"kept");
 }
+
+/// Passes bytes on between a dialer and a listener; can stop doing so without
+/// closing anything.
+struct SilencingRelay {
+    address: SocketAddr,
+    frozen_up_to: watch::Sender<u64>,
+    accepted: watch::Receiver<u64>,
+}
+
+impl SilencingRelay {
+    async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (frozen_up_to, frozen) = watch::channel(0);
+        let (count, accepted) = watch::channel(0);
+        tokio::spawn(async move {
+            let mut number = 0;
+            while let Ok((near, _)) = listener.accept().await {
+                let far = TcpStream::connect(target).await.unwrap();
+                number += 1;
+                count.send_replace(number);
+                let (near_read, near_write) = near.into_split();
+                let (far_read, far_write) = far.into_split();
+                tokio::spawn(pass(near_read, far_write, number, frozen.clone()));
+                tokio::spawn(pass(far_read, near_write, number, frozen.clone()));
+            }
+        });
+        Self {
+            address,
+            frozen_up_to,
+            accepted,
+        }
+    }
+
+    /// Silences every connection of this moment; later ones work.
+    fn freeze(&self) {
+        let latest = *self.accepted.borrow();
+        self.frozen_up_to.send_replace(latest);
+    }
+}
+
+async fn pass(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    number: u64,
+    frozen_up_to: watch::Receiver<u64>,
+) {
+    let mut bytes = [0; 4096];
+    while let Ok(count) = from.read(&mut bytes).await {
+        if count == 0 {
+            return;
+        }
+        if *frozen_up_to.borrow() >= number {
+            std::future::pending::<()>().await;
+        }
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[tokio::test]
+async fn replaces_a_connection_that_went_silent() {
+    let (a, _a_messages) = start("a", "a shared secret text").await;
+    let (b, mut b_messages) = start("b", "a shared secret text").await;
+    let relay = SilencingRelay::start(b.address()).await;
+    a.send(relay.address, b"before".to_vec()).unwrap();
+    let before = tokio::time::timeout(GUARD, b_messages.recv()).await;
+    assert_eq!(before.unwrap().unwrap().payload, b"before");
+
+    relay.freeze();
+    let sending = async {
+        loop {
+            a.send(relay.address, b"after".to_vec()).unwrap();
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let after = tokio::select! {
+        message = b_messages.recv() => message.unwrap(),
+        () = sending => unreachable!(),
+        () = tokio::time::sleep(GUARD) => panic!("no message over a new connection"),
+    };
+    assert_eq!(after.payload, b"after");
+    assert!(a.stats().counts().replaced_silent >= 1);
+}
