--- a/crates/host/src/batch/homes.rs
+++ b/crates/host/src/batch/homes.rs
@@ -1,7 +1,7 @@
 //! Which host dispatches batch items to which backend server.
 
 use crate::peers::{PeerDirectory, PeerMessage};
-use crate::routing::{RoutingHandle, RoutingPlace, SlotWish};
+use crate::routing::{RoutingHandle, RoutingPlace, SlotContent, SlotNotice};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -43,19 +43,21 @@
     }
 }
 
-/// Asks the dispatching hosts of servers for slots that online requests need.
+/// Carries the messages on slots that batch work takes up.
 pub(crate) struct SlotRelay {
     pub(crate) directory: PeerDirectory,
-    pub(crate) wishes: mpsc::UnboundedReceiver<SlotWish>,
+    pub(crate) notices: mpsc::UnboundedReceiver<SlotNotice>,
 }
 
 impl SlotRelay {
     pub(crate) async fn run(mut self) {
-        while let Some(wish) = self.wishes.recv().await {
-            let live = self.directory.live();
-            if let Some(peer) = live.iter().find(|peer| peer.host == wish.home) {
-                let message = PeerMessage::YieldSlot(wish.server);
-                self.directory.send(peer.address, &message);
+        while let Some(notice) = self.notices.recv().await {
+            let message = match notice.content {
+                SlotContent::Wanted => PeerMessage::YieldSlot(notice.server),
+                SlotContent::Yielded => PeerMessage::SlotYielded(notice.server),
+            };
+            if let Some(address) = self.directory.address_of(&notice.receiver) {
+                self.directory.send(address, &message);
             }
         }
     }
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -14,6 +14,7 @@
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
 use crate::platform::{DrainFlag, PlatformService};
 use crate::replica::{ReplicaHandle, ReplicaInbox, ReplicaTask};
+use crate::retries::RetryRules;
 use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
 use crate::tombstones::{
     FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
@@ -102,8 +103,8 @@
             host: settings.host.name.clone(),
             zone: settings.host.zone.clone(),
         };
-        let (wish_sender, wishes) = mpsc::unbounded_channel();
-        let routing = RoutingHandle::start(place.clone(), clock.clone(), wish_sender);
+        let (notice_sender, notices) = mpsc::unbounded_channel();
+        let routing = RoutingHandle::start(place.clone(), clock.clone(), notice_sender, ids.seed());
         let limit_settings = limit_settings(&settings, &directory, &replica, &clock);
         let (limit_task, limits, limit_inbox) = LimitTask::new(limit_settings);
         let mut tasks = JoinSet::new();
@@ -127,7 +128,7 @@
         tasks.spawn(peer_task.run());
         let slot_relay = SlotRelay {
             directory: directory.clone(),
-            wishes,
+            notices,
         };
         tasks.spawn(slot_relay.run());
         let home_task = HomeTask {
@@ -244,6 +245,7 @@
             replica: self.replica.clone(),
             limits: self.limits.clone(),
             routing: self.routing.clone(),
+            retries: RetryRules::new(self.ids.seed()),
             client: ServerClient::new(),
             clock: self.clock.clone(),
             metrics: self.metrics.clone(),
--- a/crates/host/src/ids.rs
+++ b/crates/host/src/ids.rs
@@ -38,6 +38,13 @@
         u128::from_le_bytes(bytes)
     }
 
+    /// The seed of another generator.
+    pub fn seed(&self) -> [u8; 32] {
+        let mut seed = [0; 32];
+        self.fill(&mut seed);
+        seed
+    }
+
     /// Fills `bytes` with random bits.
     pub fn fill(&self, bytes: &mut [u8]) {
         let mut generator = self
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -20,6 +20,7 @@
 mod platform;
 mod prompt;
 mod replica;
+mod retries;
 mod routing;
 mod tombstones;
 
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -5,9 +5,10 @@
 use crate::metrics::HostMetrics;
 use crate::online_attempt::{AttemptPlan, OnlineAttempts};
 use crate::platform::DrainFlag;
-use crate::prompt::named_model;
+use crate::prompt::{named_model, prompt_prefixes};
 use crate::replica::ReplicaHandle;
-use crate::routing::{RoutingHandle, WorkTarget};
+use crate::retries::RetryRules;
+use crate::routing::{QueueTerms, RoutingHandle, WorkTarget};
 use chicoryladder_gateway::{AnswerBody, OnlinePort, OnlineRequest, ServerClient};
 use chicoryladder_settings::{ClassTarget, RouteTarget};
 use chicoryladder_types::prelude::*;
@@ -26,6 +27,7 @@
     pub(crate) replica: ReplicaHandle,
     pub(crate) limits: LimitHandle,
     pub(crate) routing: RoutingHandle,
+    pub(crate) retries: RetryRules,
     pub(crate) client: ServerClient,
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) metrics: Arc<HostMetrics>,
@@ -74,8 +76,17 @@
                 .admit(&holder.team, holder.terms, give_up_at)
                 .await?;
         }
+        let class = view.document.classes.get(&rules.class);
+        let queue = QueueTerms {
+            team: holder.as_ref().map(|holder| holder.team.clone()),
+            share: holder.as_ref().map_or(1, |holder| holder.terms.share),
+            class: rules.class.clone(),
+            class_max: class.and_then(|class| class.queue_max),
+            prefixes: prompt_prefixes(&target, &request.body),
+        };
         let plan = AttemptPlan {
             target,
+            queue,
             idempotent: rules.route.idempotent,
             give_up: give_up_time(rules.target),
             class: rules.class,
@@ -99,6 +110,7 @@
     fn attempts(&self) -> OnlineAttempts<'_> {
         OnlineAttempts {
             routing: &self.routing,
+            retries: &self.retries,
             client: &self.client,
             clock: &self.clock,
             metrics: &self.metrics,
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -3,11 +3,14 @@
 use crate::admission::KeyHolder;
 use crate::metrics::HostMetrics;
 use crate::replica::ReplicaHandle;
-use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+use crate::retries::RetryRules;
+use crate::routing::{QueueTerms, RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
 use chicoryladder_gateway::{
     AnswerBody, BodyError, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
     StreamTerms, bytes_body, watch_stream,
 };
+use chicoryladder_policy::retry::{AttemptFailure, RetryDecision};
+use chicoryladder_policy::routing::ServerOutcome;
 use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -19,9 +22,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The most attempts at one request.
-const ATTEMPTS_MAX: usize = 3;
-
 /// The longest answer that is held until it is whole, in bytes.
 const WHOLE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
 
@@ -34,6 +34,7 @@
 /// What the attempts have to keep to.
 pub(crate) struct AttemptPlan {
     pub(crate) target: WorkTarget,
+    pub(crate) queue: QueueTerms,
     pub(crate) idempotent: bool,
     pub(crate) give_up: Duration,
     pub(crate) class: ClassName,
@@ -43,6 +44,7 @@
 /// Runs attempts until one succeeds or none is left.
 pub(crate) struct OnlineAttempts<'a> {
     pub(crate) routing: &'a RoutingHandle,
+    pub(crate) retries: &'a RetryRules,
     pub(crate) client: &'a ServerClient,
     pub(crate) clock: &'a Arc<dyn ClockSource>,
     pub(crate) metrics: &'a Arc<HostMetrics>,
@@ -64,6 +66,7 @@
         let deadline = request.received + plan.give_up;
         let mut excluded = Vec::new();
         let mut verdict = RunVerdict::NotRun;
+        self.retries.record_first_attempt(&plan.class);
         loop {
             let grant = self.acquire(&plan, &excluded, deadline, verdict).await?;
             excluded.push(grant.name.clone());
@@ -73,15 +76,45 @@
                 Err(failure) => failure,
             };
             verdict = verdict.join(failure.verdict);
-            let repeatable = verdict == RunVerdict::NotRun || plan.idempotent;
-            if !repeatable || excluded.len() >= ATTEMPTS_MAX {
-                return Err(give_up(&failure, verdict));
-            }
+            let attempts = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
+            let failed = AttemptFailure {
+                reason: failure.reason,
+                verdict,
+                attempts,
+                idempotent: plan.idempotent,
+                deadline,
+            };
+            self.await_retry(&plan, &failed, &failure).await?;
             self.metrics.count_retry(failure.reason);
             log::debug!("online: retries request {}: {failure}.", request.id);
         }
     }
 
+    /// Waits for the time of the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Gives the final answer if there is none.
+    async fn await_retry(
+        &self,
+        plan: &AttemptPlan,
+        failed: &AttemptFailure,
+        failure: &ServerFailure,
+    ) -> Result<(), RequestRefusal> {
+        let now = self.clock.now();
+        match self.retries.decide(&plan.class, failed, now) {
+            RetryDecision::Retry { not_before, .. } => {
+                tokio::time::sleep(not_before.saturating_duration_since(now)).await;
+                Ok(())
+            }
+            RetryDecision::GiveUp { refusal, .. } => {
+                let detail = format!("{}: {}", failure.detail, refusal.detail);
+                let told = RequestRefusal { detail, ..refusal };
+                Err(told.with_retry_after(FAILED_RETRY_AFTER))
+            }
+        }
+    }
+
     async fn acquire(
         &self,
         plan: &AttemptPlan,
@@ -91,7 +124,7 @@
     ) -> Result<ServerGrant, RequestRefusal> {
         let wanted = SlotRequest {
             target: plan.target.clone(),
-            kind: WorkKind::Online,
+            kind: WorkKind::Online(plan.queue.clone()),
             excluded: excluded.to_vec(),
         };
         let result = self.routing.acquire(wanted, deadline).await;
@@ -105,7 +138,7 @@
         &self,
         request: &OnlineRequest,
         plan: &AttemptPlan,
-        grant: ServerGrant,
+        mut grant: ServerGrant,
         deadline: Instant,
     ) -> Result<Response<AnswerBody>, ServerFailure> {
         let left = deadline.saturating_duration_since(self.clock.now());
@@ -119,7 +152,10 @@
             body: request.body.clone(),
             first_byte_timeout: left,
         };
-        let response = self.client.send(&message).await?;
+        let sent = self.client.send(&message).await;
+        let response = sent.inspect_err(|failure| {
+            grant.outcome = failed_outcome(failure.reason);
+        })?;
         let answer = BegunAnswer { response, grant };
         if is_event_stream(answer.response.headers()) {
             return Ok(self.stream(request, plan, answer));
@@ -146,6 +182,7 @@
             chunk_timeout: plan.give_up,
             stop: self.withdrawal(plan),
             on_end: Box::new(move |end| {
+                grant.outcome = stream_outcome(end);
                 drop(grant);
                 let elapsed = clock.now().saturating_duration_since(received);
                 count_end(&metrics, end, &class, elapsed);
@@ -169,7 +206,12 @@
         let mut grant = answer.grant;
         grant.load = reported_load(&parts.headers);
         let left = deadline.saturating_duration_since(self.clock.now());
-        let bytes = read_whole(body, left).await?;
+        let read = read_whole(body, left).await;
+        grant.outcome = match &read {
+            Ok(_) => ServerOutcome::Answered,
+            Err(failure) => failed_outcome(failure.reason),
+        };
+        let bytes = read?;
         drop(grant);
         let elapsed = self.clock.now().saturating_duration_since(request.received);
         self.metrics.count_served(&plan.class, elapsed);
@@ -198,17 +240,26 @@
     }
 }
 
-fn give_up(failure: &ServerFailure, verdict: RunVerdict) -> RequestRefusal {
-    let reason = match failure.reason {
-        RetryReason::AnswerCrossed => RefusalReason::AnswerCrossed,
-        RetryReason::ServerSilent => RefusalReason::ServerSilent,
-        RetryReason::ConnectFailed
+/// What a failed attempt tells of the server.
+fn failed_outcome(reason: RetryReason) -> ServerOutcome {
+    match reason {
+        RetryReason::ServerRefused => ServerOutcome::Refused,
+        RetryReason::ServerSilent => ServerOutcome::Silent,
+        RetryReason::AnswerCrossed
+        | RetryReason::ConnectFailed
         | RetryReason::ConnectionLost
-        | RetryReason::ServerRefused
-        | RetryReason::ServerCrashed => RefusalReason::ServerFailed,
-    };
-    RequestRefusal::new(reason, verdict, failure.detail.clone())
-        .with_retry_after(FAILED_RETRY_AFTER)
+        | RetryReason::ServerCrashed => ServerOutcome::Failed,
+    }
+}
+
+/// What the end of a stream tells of the server.
+fn stream_outcome(end: StreamEnd) -> ServerOutcome {
+    match end {
+        StreamEnd::Whole => ServerOutcome::Answered,
+        StreamEnd::Truncated => ServerOutcome::Failed,
+        StreamEnd::Silent => ServerOutcome::Silent,
+        StreamEnd::Stopped | StreamEnd::CallerLeft => ServerOutcome::Cancelled,
+    }
 }
 
 fn path_and_query(request: &OnlineRequest) -> String {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -39,6 +39,8 @@
     Announcement(ServerAnnouncement),
     /// Asks for a slot of a backend server that batch work takes up.
     YieldSlot(ServerName),
+    /// Tells that a batch item has left the backend server.
+    SlotYielded(ServerName),
     /// Concerns the replicated state.
     Replica(ReplicaMessage),
     /// Concerns the rates of the teams.
--- a/crates/host/src/peers/task.rs
+++ b/crates/host/src/peers/task.rs
@@ -73,7 +73,10 @@
             Ok(PeerMessage::Limits(content)) => {
                 self.limits.deliver(message.sender.clone(), content);
             }
-            Ok(PeerMessage::YieldSlot(server)) => self.routing.yield_slot(server),
+            Ok(PeerMessage::YieldSlot(server)) => {
+                self.routing.yield_slot(message.sender.clone(), server);
+            }
+            Ok(PeerMessage::SlotYielded(server)) => self.routing.slot_yielded(server),
             Ok(PeerMessage::Replica(content)) => self.inbox.deliver(sender, content),
             Err(error) => {
                 log::warn!(
--- a/crates/host/src/prompt.rs
+++ b/crates/host/src/prompt.rs
@@ -1,10 +1,37 @@
 //! What the system reads of a prompt.
 
+use crate::routing::WorkTarget;
+use chicoryladder_policy::routing::PrefixHash;
 use chicoryladder_types::ModelName;
 use chicoryladder_types::prelude::*;
 use serde::Deserialize;
 use std::borrow::Cow;
 
+/// The lengths of the prompt prefixes by which servers are remembered, in bytes.
+const PREFIX_LENGTHS_BYTES: [usize; 2] = [512, 2048];
+
+/// Hashes of the first bytes of a request to an engine, the longest last.
+///
+/// Requests of one conversation, or with one long system prompt, share them.
+pub(crate) fn prompt_prefixes(target: &WorkTarget, body: &[u8]) -> Vec<PrefixHash> {
+    let WorkTarget::Model(model) = target else {
+        return Vec::new();
+    };
+    let prefixes = PREFIX_LENGTHS_BYTES
+        .iter()
+        .filter_map(|length| body.get(..*length));
+    prefixes.map(|prefix| prefix_hash(model, prefix)).collect()
+}
+
+fn prefix_hash(model: &ModelName, prefix: &[u8]) -> PrefixHash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(model.as_str().as_bytes()).update(&[0]);
+    hasher.update(prefix);
+    let mut head = [0; 8];
+    head.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    PrefixHash(u64::from_le_bytes(head))
+}
+
 /// The fields of a completion request that routing needs; all others pass
 /// through unread.
 #[derive(Deserialize)]
--- a/crates/host/src/routing.rs
+++ b/crates/host/src/routing.rs
@@ -1,16 +1,21 @@
 //! The task that owns the backend servers and the requests that wait for them.
 //!
 //! Engines admit all that they get, so the queue stands here, where requests
-//! have priorities: a server never holds more requests than it has slots, and
-//! batch work gets a slot only while no online request waits.
+//! have priorities. The decisions are those of `chicoryladder_policy`: the
+//! choice of a server, the order of teams and the batch items that make room.
+//! Batch work gets a slot only while no online request waits, from the one host
+//! that dispatches to the server.
 
 mod batch_slots;
 mod handle;
 mod home;
+mod queues;
 mod table;
 mod task;
 
+pub(crate) use chicoryladder_policy::routing::WorkTarget;
 pub(crate) use handle::{
-    RoutingHandle, RoutingPlace, ServerGrant, SlotRequest, SlotWish, WorkKind, WorkTarget,
+    QueueTerms, RoutingHandle, RoutingPlace, ServerGrant, SlotContent, SlotNotice, SlotRequest,
+    WorkKind,
 };
 pub(crate) use table::{ANNOUNCEMENT_LEASE, ServerView};
--- a/crates/host/src/routing/batch_slots.rs
+++ b/crates/host/src/routing/batch_slots.rs
@@ -1,24 +1,24 @@
 //! The slots that batch items of this host take up.
 
-use super::table::ServerKey;
-use std::collections::BTreeMap;
+use chicoryladder_policy::queue::{BatchStream, BatchStreams, StreamKey};
+use chicoryladder_policy::routing::ServerKey;
+use chicoryladder_types::prelude::*;
+use slotmap::SecondaryMap;
+use std::time::Instant;
 use tokio::sync::oneshot;
 
-/// Identifies a batch grant; later grants have higher numbers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) struct GrantId(u64);
-
 struct BatchSlot {
-    server: ServerKey,
-    /// Stops the item; absent once used, or if the item must not be stopped.
+    /// Stops the item; absent once used.
     stop: Option<oneshot::Sender<()>>,
+    /// The other host that wants the slot.
+    asker: Option<HostName>,
 }
 
-/// The batch grants of this host, oldest first.
+/// The batch grants of this host.
 #[derive(Default)]
 pub(super) struct BatchSlots {
-    next: u64,
-    slots: BTreeMap<GrantId, BatchSlot>,
+    streams: BatchStreams,
+    slots: SecondaryMap<StreamKey, BatchSlot>,
 }
 
 impl BatchSlots {
@@ -27,35 +27,48 @@
         &mut self,
         server: ServerKey,
         stoppable: bool,
-    ) -> (GrantId, oneshot::Receiver<()>) {
+        now: Instant,
+    ) -> (StreamKey, oneshot::Receiver<()>) {
         let (stop, receiver) = oneshot::channel();
-        let id = GrantId(self.next);
-        self.next += 1;
-        let stop = stoppable.then_some(stop);
-        self.slots.insert(id, BatchSlot { server, stop });
-        (id, receiver)
+        let key = self.streams.start(BatchStream {
+            server,
+            started_at: now,
+            idempotent: stoppable,
+        });
+        let slot = BatchSlot {
+            stop: Some(stop),
+            asker: None,
+        };
+        self.slots.insert(key, slot);
+        (key, receiver)
     }
 
-    pub(super) fn remove(&mut self, id: GrantId) {
-        self.slots.remove(&id);
+    /// Forgets a grant; names the other host that wanted its slot.
+    pub(super) fn remove(&mut self, key: StreamKey) -> Option<HostName> {
+        self.streams.finish(key);
+        self.slots.remove(key)?.asker
     }
 
     pub(super) fn count(&self) -> usize {
         self.slots.len()
     }
 
-    /// Stops the youngest item on one of the servers; false if there is none.
-    pub(super) fn stop_youngest(&mut self, allowed: impl Fn(ServerKey) -> bool) -> bool {
-        let youngest = self
-            .slots
-            .values_mut()
-            .rev()
-            .find(|slot| slot.stop.is_some() && allowed(slot.server));
-        let Some(stop) = youngest.and_then(|slot| slot.stop.take()) else {
+    /// Stops the youngest item on one of the servers, for another host or this
+    /// one; false if there is none.
+    pub(super) fn stop_youngest(
+        &mut self,
+        asker: Option<HostName>,
+        allowed: impl Fn(ServerKey) -> bool,
+    ) -> bool {
+        let youngest = self.streams.cancel_youngest(allowed);
+        let Some(slot) = youngest.and_then(|key| self.slots.get_mut(key)) else {
             return false;
         };
-        // An item that has just ended gives its slot back anyway.
-        let _ = stop.send(());
+        slot.asker = asker;
+        if let Some(stop) = slot.stop.take() {
+            // An item that has just ended gives its slot back anyway.
+            let _ = stop.send(());
+        }
         true
     }
 }
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -1,10 +1,11 @@
 //! The handle that other tasks use to get a backend server.
 
-use super::batch_slots::GrantId;
-use super::table::{ServerKey, ServerView};
-use super::task::RoutingTask;
+use super::table::ServerView;
+use super::task::{RoutingChannels, RoutingTask};
+use chicoryladder_policy::queue::StreamKey;
+use chicoryladder_policy::routing::{PrefixHash, ServerKey, ServerOutcome, WorkTarget};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ModelName, ServerAnnouncement, ServerLoad, ServiceName};
+use chicoryladder_types::{ServerAnnouncement, ServerLoad};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,20 +14,11 @@
 /// The time after which a caller should come back when no server is known.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// What a request needs.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(crate) enum WorkTarget {
-    /// An engine that serves the model.
-    Model(ModelName),
-    /// A plain service.
-    Service(ServiceName),
-}
-
 /// Whether a request goes before or behind others.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum WorkKind {
     /// A caller waits for the answer.
-    Online,
+    Online(QueueTerms),
     /// An item of a batch job.
     Batch {
         /// Whether the item may be stopped in favour of online requests.
@@ -34,6 +26,18 @@
     },
 }
 
+/// How an online request waits among others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct QueueTerms {
+    /// The team and its share; none on a route open to all.
+    pub(crate) team: Option<TeamName>,
+    pub(crate) share: u32,
+    pub(crate) class: ClassName,
+    pub(crate) class_max: Option<u32>,
+    /// Hashes of the prompt prefix, the longest last.
+    pub(crate) prefixes: Vec<PrefixHash>,
+}
+
 /// A request for a slot on a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct SlotRequest {
@@ -42,11 +46,21 @@
     pub(crate) excluded: Vec<ServerName>,
 }
 
-/// Asks the dispatching host of a server to stop a batch item there.
+/// A message to another host about a slot that batch work takes up.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct SlotWish {
-    pub(crate) home: HostName,
+pub(crate) struct SlotNotice {
+    pub(crate) receiver: HostName,
     pub(crate) server: ServerName,
+    pub(crate) content: SlotContent,
+}
+
+/// What a [`SlotNotice`] says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SlotContent {
+    /// An online request needs a slot of the server.
+    Wanted,
+    /// A batch item has left the server.
+    Yielded,
 }
 
 /// Where batch work of this host stands.
@@ -68,34 +82,52 @@
 /// What the routing task is told.
 pub(crate) enum RoutingEvent {
     Announced(ServerAnnouncement),
-    Wanted(
-        SlotRequest,
-        oneshot::Sender<Result<ServerGrant, RequestRefusal>>,
-    ),
-    Released {
-        server: ServerKey,
-        load: Option<ServerLoad>,
-        batch: Option<GrantId>,
-    },
+    Wanted(WantedSlot),
+    Released(ReleasedSlot),
     Hosts(Vec<RoutingPlace>),
-    YieldSlot(ServerName),
+    /// The named host has an online request for a slot of the server.
+    YieldSlot(HostName, ServerName),
+    /// A batch item of another host has left the server.
+    SlotYielded(ServerName),
     Room(oneshot::Sender<BatchRoom>),
     List(oneshot::Sender<Vec<ServerView>>),
 }
 
+pub(super) type GrantSender = oneshot::Sender<Result<ServerGrant, RequestRefusal>>;
+
+/// A request that wants a slot until its deadline.
+pub(crate) struct WantedSlot {
+    pub(super) request: SlotRequest,
+    pub(super) deadline: Instant,
+    pub(super) sender: GrantSender,
+}
+
+/// A slot that is given back.
+pub(crate) struct ReleasedSlot {
+    pub(super) server: ServerKey,
+    pub(super) started: Instant,
+    pub(super) outcome: ServerOutcome,
+    pub(super) load: Option<ServerLoad>,
+    pub(super) batch: Option<StreamKey>,
+}
+
 /// A slot on a backend server; dropping it gives the slot back.
 pub(crate) struct ServerGrant {
     pub(crate) name: ServerName,
     pub(crate) address: SocketAddr,
+    /// The load that the server reported with its answer.
     pub(crate) load: Option<ServerLoad>,
+    /// How the attempt ended, told when the slot is given back.
+    pub(crate) outcome: ServerOutcome,
     pub(super) server: ServerKey,
+    pub(super) started: Instant,
     pub(super) batch: Option<BatchGrant>,
     pub(super) events: mpsc::UnboundedSender<RoutingEvent>,
 }
 
 /// The part of a grant that only batch items have.
 pub(super) struct BatchGrant {
-    pub(super) id: GrantId,
+    pub(super) key: StreamKey,
     pub(super) stop: oneshot::Receiver<()>,
 }
 
@@ -113,13 +145,15 @@
 
 impl Drop for ServerGrant {
     fn drop(&mut self) {
-        let released = RoutingEvent::Released {
+        let released = ReleasedSlot {
             server: self.server,
+            started: self.started,
+            outcome: self.outcome,
             load: self.load,
-            batch: self.batch.as_ref().map(|batch| batch.id),
+            batch: self.batch.as_ref().map(|batch| batch.key),
         };
         // A closed channel means that the host has stopped.
-        let _ = self.events.send(released);
+        let _ = self.events.send(RoutingEvent::Released(released));
     }
 }
 
@@ -127,21 +161,26 @@
 #[derive(Clone)]
 pub(crate) struct RoutingHandle {
     events: mpsc::UnboundedSender<RoutingEvent>,
-    clock: Arc<dyn ClockSource>,
 }
 
 impl RoutingHandle {
-    /// Starts the task of a host; wishes for slots that other hosts dispatch to
-    /// go to `wishes`.
+    /// Starts the task of a host; messages on slots to other hosts go to
+    /// `notices`. `seed` starts the random choices.
     pub(crate) fn start(
         place: RoutingPlace,
         clock: Arc<dyn ClockSource>,
-        wishes: mpsc::UnboundedSender<SlotWish>,
+        notices: mpsc::UnboundedSender<SlotNotice>,
+        seed: [u8; 32],
     ) -> Self {
         let (events, receiver) = mpsc::unbounded_channel();
-        let task = RoutingTask::new(place, clock.clone(), wishes, events.clone(), receiver);
+        let channels = RoutingChannels {
+            notices,
+            events_out: events.clone(),
+            events: receiver,
+        };
+        let task = RoutingTask::new(place, clock, channels, seed);
         tokio::spawn(task.run());
-        Self { events, clock }
+        Self { events }
     }
 
     /// Tells which hosts share the servers, this one among them.
@@ -149,9 +188,14 @@
         let _ = self.events.send(RoutingEvent::Hosts(hosts));
     }
 
-    /// Stops a batch item of this host on the server.
-    pub(crate) fn yield_slot(&self, server: ServerName) {
-        let _ = self.events.send(RoutingEvent::YieldSlot(server));
+    /// Stops a batch item of this host on the server for another host.
+    pub(crate) fn yield_slot(&self, asker: HostName, server: ServerName) {
+        let _ = self.events.send(RoutingEvent::YieldSlot(asker, server));
+    }
+
+    /// Notes that a batch item of another host has left the server.
+    pub(crate) fn slot_yielded(&self, server: ServerName) {
+        let _ = self.events.send(RoutingEvent::SlotYielded(server));
     }
 
     /// The slots that batch work of this host takes up and may take.
@@ -170,27 +214,23 @@
     ///
     /// # Errors
     ///
-    /// Refuses at once when no server can take the request, and at the deadline.
+    /// Refuses as soon as it is known that no server can take the request in time.
     pub(crate) async fn acquire(
         &self,
         request: SlotRequest,
         deadline: Instant,
     ) -> Result<ServerGrant, RequestRefusal> {
         let (sender, receiver) = oneshot::channel();
-        let _ = self.events.send(RoutingEvent::Wanted(request, sender));
-        let left = deadline.saturating_duration_since(self.clock.now());
-        match tokio::time::timeout(left, receiver).await {
-            Ok(Ok(result)) => result,
-            Ok(Err(_)) => Err(RequestRefusal::not_run(
-                RefusalReason::Draining,
-                "the host is stopping",
-            )),
-            Err(_) => Err(RequestRefusal::not_run(
-                RefusalReason::DeadlineUnmet,
-                "no backend server had a free slot in time",
-            )
-            .with_retry_after(NO_SERVER_RETRY_AFTER)),
-        }
+        let wanted = WantedSlot {
+            request,
+            deadline,
+            sender,
+        };
+        let _ = self.events.send(RoutingEvent::Wanted(wanted));
+        receiver.await.unwrap_or_else(|_| {
+            let detail = "the host is stopping";
+            Err(RequestRefusal::not_run(RefusalReason::Draining, detail))
+        })
     }
 
     /// The servers known to this host.
--- /dev/null
+++ b/crates/host/src/routing/queues.rs
@@ -0,0 +1,150 @@
+//! The online requests of a host that wait for a slot.
+
+use super::handle::{GrantSender, QueueTerms, SlotRequest};
+use chicoryladder_policy::queue::{QueueRequest, QueueTicket, RequestQueue};
+use chicoryladder_policy::routing::WorkTarget;
+use chicoryladder_types::prelude::*;
+use slotmap::SecondaryMap;
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// The service time that a team is charged before any was measured.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
+
+/// A request that waits.
+pub(super) struct WaitingRequest {
+    pub(super) request: SlotRequest,
+    pub(super) sender: GrantSender,
+    /// Whether a batch item was stopped in favour of this request.
+    pub(super) asked: bool,
+}
+
+/// The requests that wait for one model or service.
+pub(super) struct TargetQueue {
+    queue: RequestQueue,
+    waiting: SecondaryMap<QueueTicket, WaitingRequest>,
+    service_time: Duration,
+}
+
+impl Default for TargetQueue {
+    fn default() -> Self {
+        Self {
+            queue: RequestQueue::new(),
+            waiting: SecondaryMap::new(),
+            service_time: FIRST_SERVICE_TIME,
+        }
+    }
+}
+
+impl TargetQueue {
+    pub(super) fn is_empty(&self) -> bool {
+        self.queue.is_empty()
+    }
+
+    /// Queues a request, or refuses it at once.
+    pub(super) fn enqueue(
+        &mut self,
+        terms: &QueueTerms,
+        give_up_at: Instant,
+        waiting: WaitingRequest,
+        now: Instant,
+    ) {
+        let request = QueueRequest {
+            team: terms.team.as_ref(),
+            share: terms.share,
+            class: &terms.class,
+            class_max: terms.class_max,
+            give_up_at,
+        };
+        match self.queue.enqueue(&request, now) {
+            Ok(ticket) => {
+                self.waiting.insert(ticket, waiting);
+            }
+            Err(refusal) => {
+                let answer = refusal_of(refusal.reason, refusal.retry_after);
+                // A closed channel means that the caller has left.
+                let _ = waiting.sender.send(Err(answer));
+            }
+        }
+    }
+
+    /// The first waiting request of each of the teams that are served next.
+    pub(super) fn heads(&self, count: usize) -> Vec<QueueTicket> {
+        self.queue.order().take(count).collect()
+    }
+
+    pub(super) fn get(&self, ticket: QueueTicket) -> Option<&WaitingRequest> {
+        self.waiting.get(ticket)
+    }
+
+    pub(super) fn waiting_mut(&mut self) -> impl Iterator<Item = &mut WaitingRequest> {
+        self.waiting.values_mut()
+    }
+
+    /// Takes a request out to grant it a slot.
+    pub(super) fn serve(&mut self, ticket: QueueTicket, now: Instant) -> Option<WaitingRequest> {
+        self.queue.serve(ticket, self.service_time, now);
+        self.waiting.remove(ticket)
+    }
+
+    /// Learns how long a request was on a server.
+    pub(super) fn note_service_time(&mut self, elapsed: Duration) {
+        const WEIGHT: u32 = 8;
+        self.service_time = (self.service_time * (WEIGHT - 1) + elapsed) / WEIGHT;
+    }
+
+    /// Refuses the requests whose time is over.
+    pub(super) fn expire(&mut self, now: Instant) {
+        for expired in self.queue.expire(now) {
+            let answer = refusal_of(RefusalReason::DeadlineUnmet, expired.retry_after);
+            self.refuse(expired.ticket, answer);
+        }
+    }
+
+    /// Drops the requests whose callers left, and refuses those that `lost`
+    /// names.
+    pub(super) fn sweep(&mut self, lost: impl Fn(&SlotRequest) -> Option<RequestRefusal>) {
+        let mut dropped = Vec::new();
+        for (ticket, waiting) in &mut self.waiting {
+            waiting.asked = false;
+            let refusal = lost(&waiting.request);
+            if waiting.sender.is_closed() || refusal.is_some() {
+                dropped.push((ticket, refusal));
+            }
+        }
+        for (ticket, refusal) in dropped {
+            self.queue.remove(ticket);
+            match refusal {
+                Some(refusal) => self.refuse(ticket, refusal),
+                None => drop(self.waiting.remove(ticket)),
+            }
+        }
+    }
+
+    /// Drops a request whose caller left.
+    pub(super) fn drop_left(&mut self, ticket: QueueTicket) {
+        self.queue.remove(ticket);
+        self.waiting.remove(ticket);
+    }
+
+    pub(super) fn next_wakeup(&self) -> Option<Instant> {
+        self.queue.next_wakeup()
+    }
+
+    fn refuse(&mut self, ticket: QueueTicket, refusal: RequestRefusal) {
+        if let Some(waiting) = self.waiting.remove(ticket) {
+            let _ = waiting.sender.send(Err(refusal));
+        }
+    }
+}
+
+/// The queues of all models and services.
+pub(super) type TargetQueues = HashMap<WorkTarget, TargetQueue>;
+
+fn refusal_of(reason: RefusalReason, retry_after: Duration) -> RequestRefusal {
+    let detail = match reason {
+        RefusalReason::QueueFull => "too many requests of the class wait",
+        _ => "no backend server can take the request in time",
+    };
+    RequestRefusal::not_run(reason, detail).with_retry_after(retry_after)
+}
--- a/crates/host/src/routing/table.rs
+++ b/crates/host/src/routing/table.rs
@@ -1,27 +1,22 @@
-//! The backend servers known to a host.
+//! The backend servers known to a host, and which host dispatches to each.
 
-use super::handle::{RoutingPlace, SlotRequest, SlotWish, WorkKind, WorkTarget};
+use super::handle::{RoutingPlace, SlotContent, SlotNotice, SlotRequest, WorkKind};
 use super::home::home_of;
+use chicoryladder_policy::routing::{
+    RouteChoice, RouteQuery, RouteTimes, ServerKey, ServerRecord, ServerTable,
+};
+use chicoryladder_types::ServerAnnouncement;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServerAnnouncement, ServerLoad};
-use slotmap::{SlotMap, new_key_type};
-use std::collections::HashMap;
+use rand_chacha::ChaCha12Rng;
+use slotmap::SecondaryMap;
 use std::time::{Duration, Instant};
 
 /// The time without a renewal after which a server gets no new work.
 pub(crate) const ANNOUNCEMENT_LEASE: Duration = Duration::from_secs(3);
 
-/// The time without a renewal after which a server is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
-
 /// Slots of each server that batch work leaves free for the next online request.
 const BATCH_RESERVE_SLOTS: u32 = 1;
 
-new_key_type! {
-    /// Identifies a server in the table of one host.
-    pub(crate) struct ServerKey;
-}
-
 /// A server as operators see it.
 #[derive(Clone, Debug, serde::Serialize)]
 pub(crate) struct ServerView {
@@ -34,101 +29,62 @@
     pub(crate) leaving: bool,
 }
 
-struct ServerRecord {
-    announcement: ServerAnnouncement,
-    heard: Instant,
-    in_flight: u32,
-    /// Grants since the last report of the load, which does not show them.
-    unreported: u32,
-    /// The host that dispatches batch items to the server.
-    home: Option<HostName>,
+/// The servers of one host's view.
+pub(super) struct RoutingTable {
+    place: RoutingPlace,
+    servers: ServerTable,
+    hosts: Vec<RoutingPlace>,
+    homes: SecondaryMap<ServerKey, HostName>,
+    rng: ChaCha12Rng,
 }
 
-impl ServerRecord {
-    fn is_live(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.heard) <= ANNOUNCEMENT_LEASE
-    }
-
-    fn serves(&self, target: &WorkTarget) -> bool {
-        match target {
-            WorkTarget::Model(name) => self.announcement.models.contains(name),
-            WorkTarget::Service(name) => self.announcement.services.contains(name),
+impl RoutingTable {
+    pub(super) fn new(place: RoutingPlace, rng: ChaCha12Rng) -> Self {
+        let times = RouteTimes {
+            server_lease: ANNOUNCEMENT_LEASE,
+            ..RouteTimes::default()
+        };
+        Self {
+            servers: ServerTable::new(place.zone.clone(), times),
+            place,
+            hosts: Vec::new(),
+            homes: SecondaryMap::new(),
+            rng,
         }
     }
 
-    /// Requests on the server, of all hosts, as far as this host can tell.
-    fn occupied(&self) -> u32 {
-        let load = self.announcement.load;
-        let reported = load.running + load.waiting + self.unreported;
-        reported.max(self.in_flight)
+    /// The servers themselves.
+    pub(super) const fn servers(&mut self) -> &mut ServerTable {
+        &mut self.servers
     }
 
-    /// Slots that batch work may take.
-    fn idle(&self) -> u32 {
-        let usable = self.announcement.slots.saturating_sub(BATCH_RESERVE_SLOTS);
-        usable.saturating_sub(self.occupied())
-    }
-
-    /// Slots that a request of the kind may take.
-    fn free(&self, kind: WorkKind) -> u32 {
-        match kind {
-            WorkKind::Online => self.announcement.slots.saturating_sub(self.in_flight),
-            WorkKind::Batch { .. } => self.idle(),
+    /// Takes an announcement; an older one is ignored.
+    pub(super) fn announce(&mut self, announcement: &ServerAnnouncement, now: Instant) {
+        self.servers.announce(announcement, now);
+        let key = self.servers.find(&announcement.name);
+        if let Some(key) = key.filter(|key| !self.homes.contains_key(*key)) {
+            self.find_home(key);
         }
     }
 
-    fn takes_work(&self, now: Instant) -> bool {
-        self.is_live(now) && !self.announcement.leaving
-    }
-}
-
-/// The servers of one host's view.
-#[derive(Default)]
-pub(super) struct ServerTable {
-    hosts: Vec<RoutingPlace>,
-    servers: SlotMap<ServerKey, ServerRecord>,
-    by_name: HashMap<ServerName, ServerKey>,
-}
-
-impl ServerTable {
-    /// Takes an announcement; an older incarnation is ignored.
-    pub(super) fn announce(&mut self, announcement: ServerAnnouncement, now: Instant) {
-        let name = announcement.name.clone();
-        let known = self
-            .by_name
-            .get(&name)
-            .and_then(|key| self.servers.get_mut(*key));
-        match known {
-            Some(record) if announcement.generation < record.announcement.generation => {}
-            Some(record) => {
-                record.announcement = announcement;
-                record.heard = now;
-                record.unreported = 0;
-            }
-            None => {
-                let key = self.servers.insert(ServerRecord {
-                    home: home_of(&announcement, &self.hosts),
-                    announcement,
-                    heard: now,
-                    in_flight: 0,
-                    unreported: 0,
-                });
-                self.by_name.insert(name, key);
-            }
+    /// Notes which hosts share the servers.
+    pub(super) fn set_hosts(&mut self, hosts: Vec<RoutingPlace>) {
+        self.servers
+            .set_live_hosts(u32::try_from(hosts.len()).unwrap_or(u32::MAX));
+        self.hosts = hosts;
+        let keys: Vec<ServerKey> = self.servers.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.find_home(key);
         }
     }
 
     /// Forgets servers that were not heard for long and hold no request.
     pub(super) fn forget_lost(&mut self, now: Instant) {
-        let by_name = &mut self.by_name;
-        self.servers.retain(|_, record| {
-            let silent = now.saturating_duration_since(record.heard) > FORGET_AFTER;
-            let kept = !silent || record.in_flight > 0;
-            if !kept {
-                by_name.remove(&record.announcement.name);
-            }
-            kept
-        });
+        for name in self.servers.expire(now) {
+            log::info!("routing: forgets the lost server {name}.");
+        }
+        let servers = &self.servers;
+        self.homes.retain(|key, _| servers.get(key).is_some());
     }
 
     /// Whether any server can take the request, now or later.
@@ -136,115 +92,152 @@
         self.candidates(request, now).next().is_some()
     }
 
-    /// The server with the most free slots, those of the own zone first.
-    pub(super) fn choose(
-        &self,
-        request: &SlotRequest,
-        place: &RoutingPlace,
-        now: Instant,
-    ) -> Option<ServerKey> {
-        let allowed = |record: &ServerRecord| match request.kind {
-            WorkKind::Online => true,
-            WorkKind::Batch { .. } => record.home.as_ref() == Some(&place.host),
-        };
-        self.candidates(request, now)
-            .filter(|(_, record)| allowed(record) && record.free(request.kind) > 0)
-            .max_by_key(|(_, record)| {
-                let local = record.announcement.zone == place.zone;
-                (local, record.free(request.kind))
-            })
-            .map(|(key, _)| key)
+    /// The server for a request, if one has a slot.
+    pub(super) fn choose(&mut self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
+        match &request.kind {
+            WorkKind::Online(terms) => {
+                let excluded = request.excluded.iter();
+                let avoid: Vec<ServerKey> = excluded
+                    .filter_map(|name| self.servers.find(name))
+                    .collect();
+                let query = RouteQuery {
+                    target: &request.target,
+                    prefixes: &terms.prefixes,
+                    avoid: &avoid,
+                    reserve: 0,
+                };
+                match self.servers.choose(&query, &mut self.rng, now) {
+                    RouteChoice::Server(key) => Some(key),
+                    RouteChoice::Busy | RouteChoice::NoServer => None,
+                }
+            }
+            WorkKind::Batch { .. } => self.idle_choice(request, now),
+        }
     }
 
-    /// Notes which hosts share the servers.
-    pub(super) fn set_hosts(&mut self, hosts: Vec<RoutingPlace>) {
-        self.hosts = hosts;
-        for record in self.servers.values_mut() {
-            record.home = home_of(&record.announcement, &self.hosts);
-        }
+    /// Notes that a request begins on the server.
+    pub(super) fn take_slot(&mut self, key: ServerKey) -> Option<&ServerAnnouncement> {
+        self.servers.start(key);
+        self.servers.get(key).map(ServerRecord::announcement)
     }
 
-    /// The slots that batch work of the host may take now.
-    pub(super) fn idle_slots(&self, host: &HostName, now: Instant) -> usize {
-        let own = self
-            .servers
-            .values()
-            .filter(|record| record.takes_work(now) && record.home.as_ref() == Some(host));
-        own.map(|record| record.idle() as usize).sum()
+    /// The slots that batch work of this host may take now.
+    pub(super) fn idle_slots(&self, now: Instant) -> usize {
+        let own = self.servers.iter().filter(|(key, _)| self.is_home(*key));
+        let open = own.filter(|(key, _)| self.servers.is_open(*key, now));
+        open.map(|(_, record)| idle(record) as usize).sum()
     }
 
     pub(super) fn key_of(&self, name: &ServerName) -> Option<ServerKey> {
-        self.by_name.get(name).copied()
+        self.servers.find(name)
     }
 
     /// Whether the server can serve the request, apart from its free slots.
     pub(super) fn suits(&self, key: ServerKey, request: &SlotRequest, now: Instant) -> bool {
-        self.candidates(request, now).any(|(other, _)| other == key)
+        let Some(record) = self.servers.get(key) else {
+            return false;
+        };
+        self.is_candidate(key, record, request, now)
     }
 
     /// Whether requests on the server have to wait inside it.
     pub(super) fn is_crowded(&self, key: ServerKey) -> bool {
         let record = self.servers.get(key);
-        record.is_some_and(|record| record.occupied() > record.announcement.slots)
-    }
-
-    /// The dispatching host of a server, and its name.
-    pub(super) fn slot_wish(&self, key: ServerKey) -> Option<SlotWish> {
-        let record = self.servers.get(key)?;
-        Some(SlotWish {
-            home: record.home.clone()?,
-            server: record.announcement.name.clone(),
+        record.is_some_and(|record| record.load() > record.announcement().slots)
+    }
+
+    /// Asks the dispatching host of the server for a slot; none if that is this
+    /// host.
+    pub(super) fn slot_wish(&self, key: ServerKey) -> Option<SlotNotice> {
+        let home = self.homes.get(key)?;
+        let server = self.servers.get(key)?.announcement().name.clone();
+        (*home != self.place.host).then(|| SlotNotice {
+            receiver: home.clone(),
+            server,
+            content: SlotContent::Wanted,
         })
     }
 
     /// The least occupied server that could serve the request with a slot more.
     pub(super) fn next_choice(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
-        self.candidates(request, now)
-            .min_by_key(|(_, record)| record.in_flight)
+        let candidates = self.candidates(request, now);
+        candidates
+            .min_by_key(|(_, record)| record.load())
             .map(|(key, _)| key)
     }
 
-    pub(super) fn take_slot(&mut self, key: ServerKey) -> Option<&ServerAnnouncement> {
-        let record = self.servers.get_mut(key)?;
-        record.in_flight += 1;
-        record.unreported += 1;
-        Some(&record.announcement)
-    }
-
-    pub(super) fn give_back(&mut self, key: ServerKey, load: Option<ServerLoad>) {
-        if let Some(record) = self.servers.get_mut(key) {
-            record.in_flight = record.in_flight.saturating_sub(1);
-            if let Some(load) = load {
-                record.announcement.load = load;
-                record.unreported = 0;
-            }
-        }
-    }
-
     pub(super) fn views(&self, now: Instant) -> Vec<ServerView> {
-        let view = |record: &ServerRecord| ServerView {
-            name: record.announcement.name.clone(),
-            zone: record.announcement.zone.clone(),
-            address: record.announcement.address.to_string(),
-            slots: record.announcement.slots,
-            in_flight: record.in_flight,
-            live: record.is_live(now),
-            leaving: record.announcement.leaving,
+        let view = |record: &ServerRecord| {
+            let announcement = record.announcement();
+            ServerView {
+                name: announcement.name.clone(),
+                zone: announcement.zone.clone(),
+                address: announcement.address.to_string(),
+                slots: announcement.slots,
+                in_flight: record.in_flight(),
+                live: now.saturating_duration_since(record.renewed_at()) < ANNOUNCEMENT_LEASE,
+                leaving: record.is_leaving(),
+            }
         };
-        let mut views: Vec<_> = self.servers.values().map(view).collect();
+        let mut views: Vec<_> = self
+            .servers
+            .iter()
+            .map(|(_, record)| view(record))
+            .collect();
         views.sort_by(|a, b| a.name.cmp(&b.name));
         views
     }
 
+    fn find_home(&mut self, key: ServerKey) {
+        let record = self.servers.get(key);
+        let home = record.and_then(|record| home_of(record.announcement(), &self.hosts));
+        match home {
+            Some(home) => self.homes.insert(key, home),
+            None => self.homes.remove(key),
+        };
+    }
+
+    fn is_home(&self, key: ServerKey) -> bool {
+        self.homes.get(key) == Some(&self.place.host)
+    }
+
+    /// The server of this host with the most slots idle for batch work.
+    fn idle_choice(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
+        let own = self
+            .candidates(request, now)
+            .filter(|(key, _)| self.is_home(*key));
+        let best = own.max_by_key(|(_, record)| idle(record));
+        best.filter(|(_, record)| idle(record) > 0)
+            .map(|(key, _)| key)
+    }
+
     fn candidates<'a>(
         &'a self,
         request: &'a SlotRequest,
         now: Instant,
     ) -> impl Iterator<Item = (ServerKey, &'a ServerRecord)> {
-        self.servers.iter().filter(move |(_, record)| {
-            record.takes_work(now)
-                && record.serves(&request.target)
-                && !request.excluded.contains(&record.announcement.name)
-        })
+        let servers = self.servers.iter();
+        servers.filter(move |(key, record)| self.is_candidate(*key, record, request, now))
+    }
+
+    fn is_candidate(
+        &self,
+        key: ServerKey,
+        record: &ServerRecord,
+        request: &SlotRequest,
+        now: Instant,
+    ) -> bool {
+        self.servers.is_open(key, now)
+            && record.offers(&request.target)
+            && !request.excluded.contains(&record.announcement().name)
     }
 }
+
+/// Slots that batch work may take.
+fn idle(record: &ServerRecord) -> u32 {
+    let usable = record
+        .announcement()
+        .slots
+        .saturating_sub(BATCH_RESERVE_SLOTS);
+    usable.saturating_sub(record.load())
+}
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -2,38 +2,50 @@
 
 use super::batch_slots::BatchSlots;
 use super::handle::{
-    BatchGrant, BatchRoom, RoutingEvent, RoutingPlace, ServerGrant, SlotRequest, SlotWish,
-    WorkKind, no_server,
+    BatchGrant, BatchRoom, GrantSender, ReleasedSlot, RoutingEvent, RoutingPlace, ServerGrant,
+    SlotContent, SlotNotice, SlotRequest, WantedSlot, WorkKind, no_server,
 };
-use super::table::{ServerKey, ServerTable};
+use super::queues::{TargetQueue, TargetQueues, WaitingRequest};
+use super::table::RoutingTable;
+use chicoryladder_policy::queue::QueueTicket;
+use chicoryladder_policy::routing::{ServerKey, ServerOutcome, WorkTarget};
 use chicoryladder_types::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha12Rng;
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
 
 /// The time between two looks for lost servers.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
-type GrantSender = oneshot::Sender<Result<ServerGrant, RequestRefusal>>;
+/// Teams whose first request is tried when a slot is free: the first ones may
+/// have to avoid just that server.
+const HEADS_MAX: usize = 4;
 
-struct WaitingRequest {
+/// How the routing task is reached and reaches others.
+pub(super) struct RoutingChannels {
+    pub(super) notices: mpsc::UnboundedSender<SlotNotice>,
+    pub(super) events_out: mpsc::UnboundedSender<RoutingEvent>,
+    pub(super) events: mpsc::UnboundedReceiver<RoutingEvent>,
+}
+
+/// A batch item that waits for an idle slot.
+struct WaitingItem {
     request: SlotRequest,
+    deadline: Instant,
     sender: GrantSender,
-    /// Whether a batch item was stopped in favour of this request.
-    asked: bool,
 }
 
 /// Owns the servers and the waiting requests of one host.
 pub(super) struct RoutingTask {
-    place: RoutingPlace,
+    host: HostName,
     clock: Arc<dyn ClockSource>,
-    wishes: mpsc::UnboundedSender<SlotWish>,
-    events_out: mpsc::UnboundedSender<RoutingEvent>,
-    events: mpsc::UnboundedReceiver<RoutingEvent>,
-    table: ServerTable,
-    online: VecDeque<WaitingRequest>,
-    batch: VecDeque<WaitingRequest>,
+    channels: RoutingChannels,
+    table: RoutingTable,
+    online: TargetQueues,
+    batch: VecDeque<WaitingItem>,
     batch_slots: BatchSlots,
 }
 
@@ -41,18 +53,15 @@
     pub(super) fn new(
         place: RoutingPlace,
         clock: Arc<dyn ClockSource>,
-        wishes: mpsc::UnboundedSender<SlotWish>,
-        events_out: mpsc::UnboundedSender<RoutingEvent>,
-        events: mpsc::UnboundedReceiver<RoutingEvent>,
+        channels: RoutingChannels,
+        seed: [u8; 32],
     ) -> Self {
         Self {
-            place,
+            host: place.host.clone(),
             clock,
-            wishes,
-            events_out,
-            events,
-            table: ServerTable::default(),
-            online: VecDeque::new(),
+            channels,
+            table: RoutingTable::new(place, ChaCha12Rng::from_seed(seed)),
+            online: TargetQueues::new(),
             batch: VecDeque::new(),
             batch_slots: BatchSlots::default(),
         }
@@ -61,40 +70,47 @@
     pub(super) async fn run(mut self) {
         let mut sweeps = tokio::time::interval(SWEEP_INTERVAL);
         loop {
+            let pause = self.pause();
             tokio::select! {
-                event = self.events.recv() => match event {
+                event = self.channels.events.recv() => match event {
                     Some(event) => self.handle(event),
                     None => return,
                 },
                 _ = sweeps.tick() => self.sweep(),
+                () = tokio::time::sleep(pause) => {}
             }
             self.serve_waiting();
         }
     }
 
+    /// The time until the next waiting request is given up on.
+    fn pause(&self) -> Duration {
+        let online = self.online.values().filter_map(TargetQueue::next_wakeup);
+        let batch = self.batch.iter().map(|item| item.deadline);
+        let next = online.chain(batch).min();
+        let now = self.clock.now();
+        next.map_or(SWEEP_INTERVAL, |at| at.saturating_duration_since(now))
+    }
+
     fn handle(&mut self, event: RoutingEvent) {
         let now = self.clock.now();
         match event {
-            RoutingEvent::Announced(announcement) => self.table.announce(announcement, now),
-            RoutingEvent::Released {
-                server,
-                load,
-                batch,
-            } => {
-                self.table.give_back(server, load);
-                if let Some(id) = batch {
-                    self.batch_slots.remove(id);
+            RoutingEvent::Announced(announcement) => self.table.announce(&announcement, now),
+            RoutingEvent::Released(released) => self.release(&released, now),
+            RoutingEvent::Hosts(hosts) => self.table.set_hosts(hosts),
+            RoutingEvent::YieldSlot(asker, name) => self.yield_slot(asker, &name),
+            RoutingEvent::SlotYielded(name) => {
+                if let Some(key) = self.table.key_of(&name) {
+                    self.table.servers().note_freed(key);
                 }
             }
-            RoutingEvent::Hosts(hosts) => self.table.set_hosts(hosts),
-            RoutingEvent::YieldSlot(name) => self.yield_slot(&name),
             RoutingEvent::Room(sender) => {
                 let _ = sender.send(BatchRoom {
-                    idle: self.table.idle_slots(&self.place.host, now),
+                    idle: self.table.idle_slots(now),
                     taken: self.batch_slots.count(),
                 });
             }
-            RoutingEvent::Wanted(request, sender) => self.enqueue(request, sender),
+            RoutingEvent::Wanted(wanted) => self.arrive(wanted, now),
             RoutingEvent::List(sender) => {
                 // A closed channel means that the asker has left.
                 let _ = sender.send(self.table.views(now));
@@ -102,71 +118,167 @@
         }
     }
 
-    fn enqueue(&mut self, request: SlotRequest, sender: GrantSender) {
-        if !self.table.can_serve(&request, self.clock.now()) {
+    fn arrive(&mut self, wanted: WantedSlot, now: Instant) {
+        let WantedSlot {
+            mut request,
+            deadline,
+            sender,
+        } = wanted;
+        if !self.table.can_serve(&request, now) {
+            // A server that failed the request before is better than none.
+            request.excluded.clear();
+        }
+        if !self.table.can_serve(&request, now) {
             let _ = sender.send(Err(no_server(&request.target)));
             return;
         }
-        let asked = false;
+        let WorkKind::Online(terms) = request.kind.clone() else {
+            self.batch.push_back(WaitingItem {
+                request,
+                deadline,
+                sender,
+            });
+            return;
+        };
+        let queue = self.online.entry(request.target.clone()).or_default();
+        if queue.is_empty()
+            && let Some(key) = self.table.choose(&request, now)
+        {
+            self.grant(key, &request, sender, now);
+            return;
+        }
         let waiting = WaitingRequest {
             request,
             sender,
-            asked,
+            asked: false,
         };
-        match waiting.request.kind {
-            WorkKind::Online => self.online.push_back(waiting),
-            WorkKind::Batch { .. } => self.batch.push_back(waiting),
+        queue.enqueue(&terms, deadline, waiting, now);
+    }
+
+    fn release(&mut self, released: &ReleasedSlot, now: Instant) {
+        let key = released.server;
+        let elapsed = now.saturating_duration_since(released.started);
+        if released.outcome == ServerOutcome::Answered && released.batch.is_none() {
+            self.note_service_time(key, elapsed);
+        }
+        let servers = self.table.servers();
+        servers.finish(key, released.outcome, elapsed, released.load, now);
+        let asker = released
+            .batch
+            .and_then(|batch| self.batch_slots.remove(batch));
+        let server = self.table.servers().get(key);
+        if let (Some(receiver), Some(record)) = (asker, server) {
+            let server = record.announcement().name.clone();
+            // A closed channel means that the host is stopping.
+            let _ = self.channels.notices.send(SlotNotice {
+                receiver,
+                server,
+                content: SlotContent::Yielded,
+            });
+        }
+    }
+
+    fn note_service_time(&mut self, key: ServerKey, elapsed: Duration) {
+        let Some(record) = self.table.servers().get(key) else {
+            return;
+        };
+        for (target, queue) in &mut self.online {
+            if record.offers(target) {
+                queue.note_service_time(elapsed);
+            }
         }
     }
 
     fn sweep(&mut self) {
         let now = self.clock.now();
         self.table.forget_lost(now);
-        for waiting in &mut self.online {
-            waiting.asked = false;
-        }
-        for queue in [&mut self.online, &mut self.batch] {
-            let (kept, lost): (VecDeque<_>, VecDeque<_>) = std::mem::take(queue)
-                .into_iter()
-                .partition(|waiting| self.table.can_serve(&waiting.request, now));
-            *queue = kept;
-            for waiting in lost {
-                let refusal = no_server(&waiting.request.target);
-                let _ = waiting.sender.send(Err(refusal));
-            }
+        let table = &self.table;
+        for queue in self.online.values_mut() {
+            queue.sweep(|request| {
+                let lost = !table.can_serve(request, now);
+                lost.then(|| no_server(&request.target))
+            });
         }
+        self.online.retain(|_, queue| !queue.is_empty());
     }
 
     /// Grants slots to online requests, then to batch items.
     fn serve_waiting(&mut self) {
-        let mut online = std::mem::take(&mut self.online);
-        online.retain_mut(|waiting| !self.try_grant(waiting));
-        for waiting in &mut online {
-            self.ask_for_slot(waiting);
+        let now = self.clock.now();
+        let targets: Vec<WorkTarget> = self.online.keys().cloned().collect();
+        for target in &targets {
+            if let Some(queue) = self.online.get_mut(target) {
+                queue.expire(now);
+            }
+            while self.serve_one(target, now) {}
+            self.ask_for_slots(target, now);
         }
-        self.online = online;
-        let mut batch = std::mem::take(&mut self.batch);
-        batch.retain_mut(|waiting| !self.try_grant(waiting));
-        self.batch = batch;
+        self.serve_batch(now);
     }
 
-    /// Stops a batch item for an online request that found no slot, once.
-    fn ask_for_slot(&mut self, waiting: &mut WaitingRequest) {
-        if waiting.asked {
-            return;
+    /// Grants a slot to one waiting request; false if none can have one.
+    fn serve_one(&mut self, target: &WorkTarget, now: Instant) -> bool {
+        let Some(queue) = self.online.get(target) else {
+            return false;
+        };
+        let heads = queue.heads(HEADS_MAX);
+        heads
+            .into_iter()
+            .any(|ticket| self.try_serve(target, ticket, now))
+    }
+
+    /// Whether the request was granted a slot or left.
+    fn try_serve(&mut self, target: &WorkTarget, ticket: QueueTicket, now: Instant) -> bool {
+        let Some(queue) = self.online.get_mut(target) else {
+            return false;
+        };
+        let Some(waiting) = queue.get(ticket) else {
+            return false;
+        };
+        if waiting.sender.is_closed() {
+            queue.drop_left(ticket);
+            return true;
         }
-        waiting.asked = true;
-        let now = self.clock.now();
-        let table = &self.table;
-        let request = &waiting.request;
-        let stopped = self
-            .batch_slots
-            .stop_youngest(|key| table.suits(key, request, now));
-        if stopped {
-            return;
+        let Some(key) = self.table.choose(&waiting.request, now) else {
+            return false;
+        };
+        if let Some(waiting) = queue.serve(ticket, now) {
+            self.grant(key, &waiting.request, waiting.sender, now);
         }
-        if let Some(key) = self.table.next_choice(request, now) {
-            self.wish_for_slot(key);
+        true
+    }
+
+    fn serve_batch(&mut self, now: Instant) {
+        for item in std::mem::take(&mut self.batch) {
+            if item.sender.is_closed() {
+                continue;
+            }
+            if let Some(key) = self.table.choose(&item.request, now) {
+                self.grant(key, &item.request, item.sender, now);
+            } else if item.deadline <= now || !self.table.can_serve(&item.request, now) {
+                let _ = item.sender.send(Err(no_server(&item.request.target)));
+            } else {
+                self.batch.push_back(item);
+            }
+        }
+    }
+
+    /// Stops a batch item for each online request that found no slot, once.
+    fn ask_for_slots(&mut self, target: &WorkTarget, now: Instant) {
+        let Some(queue) = self.online.get_mut(target) else {
+            return;
+        };
+        for waiting in queue.waiting_mut().filter(|waiting| !waiting.asked) {
+            waiting.asked = true;
+            let (table, request) = (&self.table, &waiting.request);
+            let suits = |key| table.suits(key, request, now);
+            if self.batch_slots.stop_youngest(None, suits) {
+                continue;
+            }
+            let wish = table.next_choice(request, now);
+            if let Some(wish) = wish.and_then(|key| table.slot_wish(key)) {
+                let _ = self.channels.notices.send(wish);
+            }
         }
     }
 
@@ -175,60 +287,52 @@
         if !self.table.is_crowded(key) {
             return;
         }
-        if !self.batch_slots.stop_youngest(|other| other == key) {
-            self.wish_for_slot(key);
+        if self.batch_slots.stop_youngest(None, |other| other == key) {
+            return;
         }
-    }
-
-    fn wish_for_slot(&self, key: ServerKey) {
-        let wish = self.table.slot_wish(key);
-        if let Some(wish) = wish.filter(|wish| wish.home != self.place.host) {
-            // A closed channel means that the host is stopping.
-            let _ = self.wishes.send(wish);
+        if let Some(wish) = self.table.slot_wish(key) {
+            let _ = self.channels.notices.send(wish);
         }
     }
 
-    fn yield_slot(&mut self, name: &ServerName) {
+    fn yield_slot(&mut self, asker: HostName, name: &ServerName) {
+        let asker = Some(asker).filter(|asker| *asker != self.host);
         if let Some(key) = self.table.key_of(name) {
-            self.batch_slots.stop_youngest(|other| other == key);
+            self.batch_slots.stop_youngest(asker, |other| other == key);
         }
     }
 
-    fn batch_grant(&mut self, key: ServerKey, kind: WorkKind) -> Option<BatchGrant> {
-        let WorkKind::Batch { stoppable } = kind else {
+    fn batch_grant(&mut self, key: ServerKey, kind: &WorkKind, now: Instant) -> Option<BatchGrant> {
+        let WorkKind::Batch { stoppable } = *kind else {
             self.relieve(key);
             return None;
         };
-        let (id, stop) = self.batch_slots.add(key, stoppable);
-        Some(BatchGrant { id, stop })
+        let (key, stop) = self.batch_slots.add(key, stoppable, now);
+        Some(BatchGrant { key, stop })
     }
 
-    /// Whether the request was granted a slot or left.
-    fn try_grant(&mut self, waiting: &mut WaitingRequest) -> bool {
-        if waiting.sender.is_closed() {
-            return true;
-        }
-        let now = self.clock.now();
-        let Some(key) = self.table.choose(&waiting.request, &self.place, now) else {
-            return false;
-        };
+    fn grant(&mut self, key: ServerKey, request: &SlotRequest, sender: GrantSender, now: Instant) {
         let Some(announcement) = self.table.take_slot(key) else {
-            return false;
+            return;
         };
         let name = announcement.name.clone();
         let address = announcement.address;
+        if let WorkKind::Online(terms) = &request.kind {
+            for prefix in &terms.prefixes {
+                self.table.servers().note_prefix(*prefix, key);
+            }
+        }
         let grant = ServerGrant {
             name,
             address,
             load: None,
+            outcome: ServerOutcome::Cancelled,
             server: key,
-            batch: self.batch_grant(key, waiting.request.kind),
-            events: self.events_out.clone(),
+            started: now,
+            batch: self.batch_grant(key, &request.kind, now),
+            events: self.channels.events_out.clone(),
         };
-        let (sender, _) = oneshot::channel();
-        let sender = std::mem::replace(&mut waiting.sender, sender);
         // An asker that has left drops the grant, which gives the slot back.
         let _ = sender.send(Ok(grant));
-        true
     }
 }
--- a/crates/policy/src/limits/lease.rs
+++ b/crates/policy/src/limits/lease.rs
@@ -63,9 +63,9 @@
 impl Default for LeaseTimes {
     fn default() -> Self {
         Self {
-            vote_ttl: Duration::from_millis(800),
-            drift_margin: Duration::from_millis(25),
-            claim_every: Duration::from_millis(150),
+            vote_ttl: Duration::from_millis(1_500),
+            drift_margin: Duration::from_millis(50),
+            claim_every: Duration::from_millis(250),
         }
     }
 }
--- a/crates/policy/src/limits/limiter.rs
+++ b/crates/policy/src/limits/limiter.rs
@@ -18,6 +18,9 @@
 /// The time to come back after when no keeper was heard of lately.
 const SILENT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Seconds of the rate that may wait on one host, beside the burst.
+const WAITERS_MAX_SECONDS: u64 = 4;
+
 /// Names one waiting request of a limiter.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WaiterKey(u64);
@@ -260,9 +263,10 @@
         expected_at.map_or(SILENT_RETRY_AFTER, |at| at.saturating_duration_since(now))
     }
 
-    /// More than a second's worth of requests never waits on one host.
+    /// Bounds what waits on one host while no keeper is heard of.
     fn waiters_max(&self) -> u64 {
-        self.limit.burst() + self.limit.rate_millis() / 1_000
+        let rate = self.limit.rate_millis() / 1_000;
+        self.limit.burst() + rate * WAITERS_MAX_SECONDS
     }
 
     fn return_idle(&mut self, now: Instant) {
--- a/crates/policy/src/queue/batch.rs
+++ b/crates/policy/src/queue/batch.rs
@@ -59,29 +59,17 @@
         streams.filter(|running| !running.cancelled).count()
     }
 
-    /// Names the youngest streams to cancel so that `slots` online requests
-    /// find room on servers that `wanted` accepts.
+    /// Names the youngest stream to cancel on a server that `wanted` accepts,
+    /// so that an online request finds room. Each stream is named once.
     ///
-    /// Cancellations under way count towards `slots`. Only idempotent items
-    /// are named, since another one would end without a known outcome.
-    pub fn reclaim(&mut self, slots: usize, wanted: impl Fn(ServerKey) -> bool) -> Vec<StreamKey> {
-        let fitting = |running: &RunningStream| wanted(running.stream.server);
-        let under_way = self.streams.values().filter(|running| running.cancelled);
-        let under_way = under_way.filter(|running| fitting(running)).count();
-        let free = self.streams.iter().filter(|(_, running)| {
-            running.stream.idempotent && !running.cancelled && fitting(running)
+    /// Only idempotent items are named, since another one would end without a
+    /// known outcome.
+    pub fn cancel_youngest(&mut self, wanted: impl Fn(ServerKey) -> bool) -> Option<StreamKey> {
+        let free = self.streams.iter_mut().filter(|(_, running)| {
+            running.stream.idempotent && !running.cancelled && wanted(running.stream.server)
         });
-        let mut free: Vec<(Instant, StreamKey)> = free
-            .map(|(key, running)| (running.stream.started_at, key))
-            .collect();
-        free.sort_unstable_by(|a, b| b.cmp(a));
-        free.truncate(slots.saturating_sub(under_way));
-        let named: Vec<StreamKey> = free.into_iter().map(|(_, key)| key).collect();
-        for key in &named {
-            if let Some(running) = self.streams.get_mut(*key) {
-                running.cancelled = true;
-            }
-        }
-        named
+        let (key, running) = free.max_by_key(|(_, running)| running.stream.started_at)?;
+        running.cancelled = true;
+        Some(key)
     }
 }
--- a/crates/policy/src/queue/fair.rs
+++ b/crates/policy/src/queue/fair.rs
@@ -16,7 +16,7 @@
 
 #[derive(Clone, Debug)]
 struct TeamService {
-    name: TeamName,
+    name: Option<TeamName>,
     share: u64,
     service: u64,
     waiting: u64,
@@ -26,7 +26,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct FairShares {
     teams: SlotMap<TeamKey, TeamService>,
-    names: HashMap<TeamName, TeamKey>,
+    names: HashMap<Option<TeamName>, TeamKey>,
     backlogged: BTreeSet<(u64, TeamKey)>,
     backlogged_share: u64,
     level: u64,
@@ -39,8 +39,9 @@
         Self::default()
     }
 
-    /// Counts a request of the team that begins to wait.
-    pub fn enter(&mut self, team: &TeamName, share: u32) -> TeamKey {
+    /// Counts a request of the team that begins to wait; requests without a
+    /// team count as those of one more team.
+    pub fn enter(&mut self, team: Option<&TeamName>, share: u32) -> TeamKey {
         let share = u64::from(share.max(1));
         let key = self.key_of(team);
         let Some(record) = self.teams.get_mut(key) else {
@@ -96,17 +97,19 @@
     /// The team's requests that wait, and one more, multiplied to all waiting
     /// teams by their shares: what is served before a new request of it.
     #[must_use]
-    pub fn turns_before(&self, team: &TeamName, share: u32) -> u64 {
+    pub fn turns_before(&self, team: Option<&TeamName>, share: u32) -> u64 {
         let share = u64::from(share.max(1));
-        let record = self.names.get(team).and_then(|key| self.teams.get(*key));
+        let record = self.names.get(&team.cloned());
+        let record = record.and_then(|key| self.teams.get(*key));
         let waiting = record.map_or(0, |record| record.waiting);
         let others = if waiting > 0 { 0 } else { share };
         let shares = self.backlogged_share + others;
         (waiting + 1).saturating_mul(shares).div_ceil(share)
     }
 
-    fn key_of(&mut self, team: &TeamName) -> TeamKey {
-        if let Some(key) = self.names.get(team) {
+    fn key_of(&mut self, team: Option<&TeamName>) -> TeamKey {
+        let team = team.cloned();
+        if let Some(key) = self.names.get(&team) {
             return *key;
         }
         let key = self.teams.insert(TeamService {
@@ -115,7 +118,7 @@
             service: 0,
             waiting: 0,
         });
-        self.names.insert(team.clone(), key);
+        self.names.insert(team, key);
         key
     }
 }
--- a/crates/policy/src/queue/waiting.rs
+++ b/crates/policy/src/queue/waiting.rs
@@ -18,8 +18,8 @@
 /// A request that found no free server.
 #[derive(Clone, Copy, Debug)]
 pub struct QueueRequest<'a> {
-    /// The team that the request runs for.
-    pub team: &'a TeamName,
+    /// The team that the request runs for; `None` on a route open to all.
+    pub team: Option<&'a TeamName>,
     /// The share of the team.
     pub share: u32,
     /// The class of work.
--- a/crates/policy/src/routing/server.rs
+++ b/crates/policy/src/routing/server.rs
@@ -88,6 +88,21 @@
         self.leaving
     }
 
+    /// When the server last renewed its announcement.
+    #[must_use]
+    pub const fn renewed_at(&self) -> Instant {
+        self.renewed_at
+    }
+
+    /// Whether the server offers the target.
+    #[must_use]
+    pub fn offers(&self, target: &WorkTarget) -> bool {
+        match target {
+            WorkTarget::Model(model) => self.announcement.models.contains(model),
+            WorkTarget::Service(service) => self.announcement.services.contains(service),
+        }
+    }
+
     /// Whether the server gets requests.
     #[must_use]
     pub const fn health(&self) -> ServerHealth {
@@ -154,6 +169,10 @@
         self.finished_since += 1;
     }
 
+    pub(super) fn note_freed(&mut self) {
+        self.finished_since += 1;
+    }
+
     pub(super) fn note_service_time(&mut self, elapsed: Duration) {
         const WEIGHT: u32 = 8;
         if self.service_time.is_zero() {
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -209,6 +209,14 @@
         }
     }
 
+    /// Notes that another host's request has left the server, which its next
+    /// report will show.
+    pub fn note_freed(&mut self, key: ServerKey) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.note_freed();
+        }
+    }
+
     /// Notes that a server has worked on a prompt prefix, or told so.
     pub fn note_prefix(&mut self, prefix: PrefixHash, key: ServerKey) {
         self.hints.note(prefix, key);
@@ -220,7 +228,8 @@
     }
 
     /// Whether the server may get new work, apart from its load.
-    pub(super) fn is_open(&self, key: ServerKey, now: Instant) -> bool {
+    #[must_use]
+    pub fn is_open(&self, key: ServerKey, now: Instant) -> bool {
         self.servers.get(key).is_some_and(|record| {
             let age = now.saturating_duration_since(record.renewed_at);
             !record.leaving && age < self.times.server_lease && record.health.takes_requests(now)
