--- a/crates/host/src/admin/fleet.rs
+++ b/crates/host/src/admin/fleet.rs
@@ -5,6 +5,7 @@
 use chicoryladder_gateway::{AdminAnswer, AnswerBody, json_answer};
 use chicoryladder_settings::FleetDocument;
 use chicoryladder_state::{ApplyDocument, FleetCommand, FleetOutcome, SpreadGoal};
+use chicoryladder_types::OperationId;
 use chicoryladder_types::admin::{
     ApplyAnswer, ApplyRequest, ConflictAnswer, FleetAnswer, SpreadReport,
 };
@@ -46,7 +47,7 @@
         let command = FleetCommand::ApplyDocument(ApplyDocument {
             text: document.to_string(),
             expected_revision: request.expected_revision,
-            operation_id: request.operation_id,
+            operation_id: self.operation_id(request.operation_id)?,
             host: self.host.clone(),
         });
         let outcome = self.replica.propose_fleet(command).await;
@@ -71,6 +72,17 @@
         }
     }
 
+    /// The operation id of the operator, or a new one.
+    pub(super) fn operation_id(
+        &self,
+        told: Option<OperationId>,
+    ) -> Result<OperationId, RequestRefusal> {
+        told.or_else(|| self.ids.operation()).ok_or_else(|| {
+            let detail = "no operation id could be drawn";
+            RequestRefusal::not_run(RefusalReason::BadRequest, detail)
+        })
+    }
+
     /// Waits until every host has applied what this host has applied now.
     ///
     /// A command is answered once it is applied here, so that includes it.
--- a/crates/host/src/admin/keys.rs
+++ b/crates/host/src/admin/keys.rs
@@ -38,7 +38,7 @@
             key_id,
             salt,
             secret_hash: drawn.secret_hash(),
-            operation_id: request.operation_id,
+            operation_id: self.operation_id(request.operation_id)?,
         });
         let outcome = self.replica.propose_fleet(command).await;
         match outcome.map_err(ProposeError::refusal)? {
--- a/crates/types/src/admin.rs
+++ b/crates/types/src/admin.rs
@@ -25,8 +25,10 @@
     pub document: String,
     /// The revision that the operator saw.
     pub expected_revision: FleetRevision,
-    /// Names the operation, so that a resend gets the first answer.
-    pub operation_id: OperationId,
+    /// Names the operation, so that a resend gets the first answer; drawn by
+    /// the host if absent.
+    #[serde(default)]
+    pub operation_id: Option<OperationId>,
 }
 
 /// How far an accepted change has spread.
@@ -81,8 +83,10 @@
 pub struct GrantRequest {
     /// The team that the key speaks for.
     pub team: TeamName,
-    /// Names the operation, so that a resend gets the same key.
-    pub operation_id: OperationId,
+    /// Names the operation, so that a resend gets the same key; drawn by the
+    /// host if absent.
+    #[serde(default)]
+    pub operation_id: Option<OperationId>,
 }
 
 /// A granted key.
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -38,12 +38,13 @@
         let document = read_document(&self.file)?;
         let client = self.access.client()?;
         let expected_revision = self.expected_revision(&client, &document).await?;
+        let operation_id = chosen_or_random(self.operation_id.as_ref())?;
         let request = ApplyRequest {
             document: document.to_string(),
             expected_revision,
-            operation_id: chosen_or_random(self.operation_id.as_ref())?,
+            operation_id: Some(operation_id.clone()),
         };
-        let answer = put_fleet(&client, &request).await?;
+        let answer = put_fleet(&client, &request, &operation_id).await?;
         self.output.print(&answer, describe_answer)?;
         require_in_force(&answer.spread)
     }
@@ -68,13 +69,14 @@
 async fn put_fleet(
     client: &ApiClient,
     request: &ApplyRequest,
+    operation_id: &OperationId,
 ) -> Result<ApplyAnswer, CommandError> {
     let message = ApiRequest::new(Method::PUT, "/admin/v1/fleet").with_json(request)?;
     let result = client.call(&message).await;
     if let Err(CommandError::Unreachable { detail, .. }) = result {
         let remedy = format!(
-            "send it again with --expected-revision {} --operation-id {}",
-            request.expected_revision, request.operation_id
+            "send it again with --expected-revision {} --operation-id {operation_id}",
+            request.expected_revision
         );
         return Err(CommandError::Unreachable { detail, remedy });
     }
--- a/src/commands/key.rs
+++ b/src/commands/key.rs
@@ -87,15 +87,16 @@
 
 impl GrantOptions {
     async fn run(&self) -> Result<(), CommandError> {
+        let operation_id = chosen_or_random(self.operation_id.as_ref())?;
         let grant = GrantRequest {
             team: self.team.clone(),
-            operation_id: chosen_or_random(self.operation_id.as_ref())?,
+            operation_id: Some(operation_id.clone()),
         };
         let client = self.access.client()?;
         let request = ApiRequest::new(Method::POST, "/admin/v1/keys").with_json(&grant)?;
         let answer: GrantAnswer = match client.call(&request).await {
             Err(CommandError::Unreachable { detail, .. }) => {
-                let remedy = format!("send it again with --operation-id {}", grant.operation_id);
+                let remedy = format!("send it again with --operation-id {operation_id}");
                 return Err(CommandError::Unreachable { detail, remedy });
             }
             other => other?,
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -89,8 +89,7 @@
     /// Starts a host that is not running, with the data that it left.
     pub(crate) async fn start_host(&mut self, host: usize) {
         let settings = HostSettings::parse("test", &self.settings(host)).unwrap();
-        let started = EntryHost::start(settings).await.unwrap();
-        self.hosts[host] = Some(started);
+        self.hosts[host] = Some(start_when_free(settings).await);
     }
 
     /// Stops a host as a crash would.
@@ -245,6 +244,24 @@
     }
 }
 
+/// Starts a host; a host killed just before may still hold its ports, since the
+/// process that would give them back at once goes on.
+async fn start_when_free(settings: HostSettings) -> EntryHost {
+    let starting = async {
+        loop {
+            match EntryHost::start(settings.clone()).await {
+                Ok(host) => return host,
+                Err(error) if format!("{error:?}").contains("AddrInUse") => {
+                    tokio::time::sleep(POLL_INTERVAL).await;
+                }
+                Err(error) => panic!("the host does not start: {error}"),
+            }
+        }
+    };
+    let started = tokio::time::timeout(PATIENCE, starting).await;
+    started.expect("the ports of the host come free")
+}
+
 /// A key as the operator got it.
 pub(crate) struct GrantedKey {
     pub(crate) id: String,
