--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -8,7 +8,7 @@
 };
 use crate::ids::RandomIds;
 use crate::job_service::JobService;
-use crate::limits::LimitHandle;
+use crate::limits::{LimitHandle, LimitTask, LimitTaskSettings};
 use crate::metrics::HostMetrics;
 use crate::online::OnlineService;
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
@@ -104,9 +104,11 @@
         };
         let (wish_sender, wishes) = mpsc::unbounded_channel();
         let routing = RoutingHandle::start(place.clone(), clock.clone(), wish_sender);
-        let limits = LimitHandle::start(directory.contact_count(), clock.clone());
+        let limit_settings = limit_settings(&settings, &directory, &replica, &clock);
+        let (limit_task, limits, limit_inbox) = LimitTask::new(limit_settings);
         let mut tasks = JoinSet::new();
         tasks.spawn(replica_task.run());
+        tasks.spawn(limit_task.run());
         let store = tombstone_store(&settings);
         let (tombstone_task, tombstones) =
             TombstoneTask::open(replica.clone(), directory.clone(), store)
@@ -120,6 +122,7 @@
             routing: routing.clone(),
             tombstones: tombstones.clone(),
             waiting: HashMap::new(),
+            limits: limit_inbox,
         };
         tasks.spawn(peer_task.run());
         let slot_relay = SlotRelay {
@@ -332,6 +335,23 @@
     }
 }
 
+fn limit_settings(
+    settings: &HostSettings,
+    directory: &PeerDirectory,
+    replica: &ReplicaHandle,
+    clock: &Arc<dyn ClockSource>,
+) -> LimitTaskSettings {
+    let seat = settings.data.as_ref().map(|data| data.seat);
+    LimitTaskSettings {
+        host: settings.host.name.clone(),
+        voters: settings.voters.values().copied().collect(),
+        own_seat: seat.and_then(|seat| settings.voters.get(&seat).copied()),
+        directory: directory.clone(),
+        replica: replica.clone(),
+        clock: clock.clone(),
+    }
+}
+
 fn read_text(path: &Path) -> Result<String, HostError> {
     match std::fs::read_to_string(path) {
         Ok(text) => Ok(text.trim().to_owned()),
