--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -26,7 +26,7 @@
     AppendOutcome, AppendReply, AppendRequest, ClockStamp, SeatEnvelope, SeatMessage,
     SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
 };
-pub use observer::{ObserverSettings, TailObserver};
+pub use observer::{ObserverRequest, ObserverSettings, TailObserver};
 pub use replica::{DroppedReason, GroupReplica, ProposalToken, ReplicaError, ReplicaOutput};
 pub use seat::{
     BatchNumber, PersistBatch, PersistStep, ProposeError, ProposedEntry, RaftSeat, SeatAction,
@@ -34,4 +34,4 @@
 };
 pub use settings::SeatSettings;
 pub use storage::{FileStorage, LogStorage, MemoryDisk, MemoryStorage, StorageError, StoredState};
-pub use tail::{TailAnswer, TailContent, TailRequest};
+pub use tail::{SnapshotPosition, TailAnswer, TailContent, TailRequest};
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -9,9 +9,10 @@
 
 pub(crate) use history::MembershipHistory;
 
-use chicoryladder_types::{HostName, SeatId};
+use chicoryladder_types::SeatId;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 /// Whether a seat counts in quorums.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,8 +26,8 @@
 /// One seat of a group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRecord {
-    /// The host that the seat runs on.
-    pub host: HostName,
+    /// Where the host of the seat takes messages of its peers.
+    pub address: SocketAddr,
     /// Whether the seat counts in quorums.
     pub role: MemberRole,
 }
@@ -38,8 +39,8 @@
     AddLearner {
         /// The new seat, higher than every id used before.
         seat: SeatId,
-        /// The host of the seat.
-        host: HostName,
+        /// Where the host of the seat takes messages of its peers.
+        address: SocketAddr,
     },
     /// Makes a learner that has caught up a voter.
     Promote(SeatId),
@@ -54,10 +55,10 @@
     #[error("seat {0} was used before; a replaced disk needs a new, higher seat id")]
     SeatUsed(SeatId),
     /// The host still has another seat in the group.
-    #[error("host {host} still holds seat {seat}; remove that seat first")]
+    #[error("the host at {address} still holds seat {seat}; remove that seat first")]
     HostSeated {
-        /// The host of the change.
-        host: HostName,
+        /// The address of the host.
+        address: SocketAddr,
         /// The seat that it still holds.
         seat: SeatId,
     },
@@ -88,11 +89,11 @@
 impl GroupMembership {
     /// A group of voters, as named by the settings of its first start.
     #[must_use]
-    pub fn of_voters(voters: impl IntoIterator<Item = (SeatId, HostName)>) -> Self {
+    pub fn of_voters(voters: impl IntoIterator<Item = (SeatId, SocketAddr)>) -> Self {
         let role = MemberRole::Voter;
         let members: BTreeMap<_, _> = voters
             .into_iter()
-            .map(|(seat, host)| (seat, MemberRecord { host, role }))
+            .map(|(seat, address)| (seat, MemberRecord { address, role }))
             .collect();
         let highest = members.keys().next_back().copied().unwrap_or_default();
         Self { members, highest }
@@ -122,10 +123,10 @@
         self.members.get(&seat).map(|record| record.role)
     }
 
-    /// The host of a seat, if it is a member.
+    /// The address of a seat's host, if it is a member.
     #[must_use]
-    pub fn host(&self, seat: SeatId) -> Option<&HostName> {
-        self.members.get(&seat).map(|record| &record.host)
+    pub fn address(&self, seat: SeatId) -> Option<SocketAddr> {
+        self.members.get(&seat).map(|record| record.address)
     }
 
     /// The number of voters that make a quorum.
@@ -154,24 +155,22 @@
     pub fn changed(&self, change: &MembershipChange) -> Result<Self, MembershipError> {
         let mut membership = self.clone();
         match change {
-            MembershipChange::AddLearner { seat, host } => membership.add(*seat, host)?,
+            MembershipChange::AddLearner { seat, address } => membership.add(*seat, *address)?,
             MembershipChange::Promote(seat) => membership.promote(*seat)?,
             MembershipChange::Remove(seat) => membership.remove(*seat)?,
         }
         Ok(membership)
     }
 
-    fn add(&mut self, seat: SeatId, host: &HostName) -> Result<(), MembershipError> {
+    fn add(&mut self, seat: SeatId, address: SocketAddr) -> Result<(), MembershipError> {
         if seat <= self.highest {
             return Err(MembershipError::SeatUsed(seat));
         }
-        if let Some((seat, _)) = self.members().find(|(_, record)| record.host == *host) {
-            let host = host.clone();
-            return Err(MembershipError::HostSeated { host, seat });
+        if let Some((seat, _)) = self.members().find(|(_, record)| record.address == address) {
+            return Err(MembershipError::HostSeated { address, seat });
         }
-        let host = host.clone();
         let role = MemberRole::Learner;
-        self.members.insert(seat, MemberRecord { host, role });
+        self.members.insert(seat, MemberRecord { address, role });
         self.highest = seat;
         Ok(())
     }
--- a/crates/consensus/src/observer.rs
+++ b/crates/consensus/src/observer.rs
@@ -1,25 +1,33 @@
 //! A follower of a group without a disk and without a vote.
 //!
 //! It asks one source at a time for the committed entries after its position, and
-//! turns to the next source when an answer fails to come. Its view is fresh up to
-//! the time at which it sent the answered request, less the age that the source
-//! gave; the time an answer travels can only make the claim more careful.
+//! turns to the next source when an answer fails to come or its view grows old.
+//! Its view is fresh up to the time at which it sent the answered request, less
+//! the age that the source gave; the time that an answer travels can only make
+//! the claim more careful.
 
 use crate::tail::CommittedTail;
-use crate::{EntryPayload, RestoreError, StateMachine, TailAnswer, TailContent, TailRequest};
-use chicoryladder_types::{HostName, LogIndex};
+use crate::{
+    EntryPayload, LogEntry, RestoreError, SnapshotPosition, StateMachine, TailAnswer, TailContent,
+    TailRequest,
+};
+use chicoryladder_types::LogIndex;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 const POLL_INTERVAL_MS: u64 = 200;
 const ANSWER_TIMEOUT_MS: u64 = 500;
+const STALE_AFTER_MS: u64 = 1_500;
 
 /// The timers of an observer.
 #[derive(Clone, Debug)]
 pub struct ObserverSettings {
     /// The time between two requests when there is nothing new.
     pub poll_interval: Duration,
-    /// The time after which the next source is asked.
+    /// The time without an answer after which the next source is asked.
     pub answer_timeout: Duration,
+    /// The age of the view at which the next source is asked.
+    pub stale_after: Duration,
 }
 
 impl Default for ObserverSettings {
@@ -27,44 +35,62 @@
         Self {
             poll_interval: Duration::from_millis(POLL_INTERVAL_MS),
             answer_timeout: Duration::from_millis(ANSWER_TIMEOUT_MS),
+            stale_after: Duration::from_millis(STALE_AFTER_MS),
         }
     }
 }
 
+/// A request to send to a source.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ObserverRequest {
+    /// The source.
+    pub source: SocketAddr,
+    /// The request.
+    pub request: TailRequest,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct OpenRequest {
     number: u64,
     sent_at: Instant,
 }
 
+#[derive(Debug)]
+struct PartialSnapshot {
+    index: LogIndex,
+    data: Vec<u8>,
+}
+
 /// Follows the committed entries of a group.
-pub struct TailObserver {
+pub struct TailObserver<M> {
     settings: ObserverSettings,
-    sources: Vec<HostName>,
-    source: usize,
-    machine: Box<dyn StateMachine>,
+    sources: Vec<SocketAddr>,
+    position: usize,
+    machine: M,
     tail: CommittedTail,
+    partial: Option<PartialSnapshot>,
     last_number: u64,
     open: Option<OpenRequest>,
     ask_at: Instant,
     fresh_at: Option<Instant>,
 }
 
-impl TailObserver {
+impl<M: StateMachine> TailObserver<M> {
     /// An observer that asks the given hosts, the preferred one first.
     #[must_use]
     pub fn new(
         settings: ObserverSettings,
-        sources: Vec<HostName>,
-        machine: Box<dyn StateMachine>,
+        sources: Vec<SocketAddr>,
+        machine: M,
         now: Instant,
     ) -> Self {
         Self {
             settings,
             sources,
-            source: 0,
+            position: 0,
             machine,
             tail: CommittedTail::default(),
+            partial: None,
             last_number: 0,
             open: None,
             ask_at: now,
@@ -72,22 +98,38 @@
         }
     }
 
-    /// The next request and the host to send it to, if one is due.
-    pub fn tick(&mut self, now: Instant) -> Option<(HostName, TailRequest)> {
+    /// Replaces the hosts to ask, the preferred one first.
+    pub fn set_sources(&mut self, sources: Vec<SocketAddr>) {
+        if sources != self.sources {
+            self.sources = sources;
+            self.position = 0;
+        }
+    }
+
+    /// The next request, if one is due.
+    pub fn tick(&mut self, now: Instant) -> Option<ObserverRequest> {
         if now < self.wake_at() {
             return None;
         }
         if self.open.take().is_some() {
-            self.source = self.source.wrapping_add(1);
+            self.turn_to_next_source();
         }
         let count = self.sources.len().max(1);
-        let source = self.sources.get(self.source % count)?.clone();
+        let source = self.sources.get(self.position % count).copied()?;
         self.last_number += 1;
         let number = self.last_number;
         let sent_at = now;
         self.open = Some(OpenRequest { number, sent_at });
-        let after = self.tail.applied();
-        Some((source, TailRequest { number, after }))
+        let partial = self.partial.as_ref().map(|partial| SnapshotPosition {
+            index: partial.index,
+            received: partial.data.len() as u64,
+        });
+        let request = TailRequest {
+            number,
+            after: self.tail.applied(),
+            partial,
+        };
+        Some(ObserverRequest { source, request })
     }
 
     /// When [`TailObserver::tick`] has something to do next.
@@ -99,46 +141,93 @@
         }
     }
 
+    /// Asks again at the next tick, since there is something new.
+    pub fn hasten(&mut self, now: Instant) {
+        self.ask_at = self.ask_at.min(now);
+    }
+
     /// Takes over an answer; late and doubled ones are ignored.
     ///
     /// # Errors
     ///
-    /// Fails if a snapshot cannot be restored; the view is then unchanged.
+    /// Fails if a snapshot cannot be restored; the position is then unchanged.
     pub fn receive(&mut self, answer: TailAnswer, now: Instant) -> Result<(), RestoreError> {
         let Some(open) = self.open.filter(|open| open.number == answer.number) else {
             return Ok(());
         };
         self.open = None;
         self.ask_at = now + self.settings.poll_interval;
-        match answer.content {
+        self.take_content(answer.content)?;
+        if self.tail.applied() < answer.position {
+            self.ask_at = now;
+            return Ok(());
+        }
+        let fresh_at = answer.age.and_then(|age| open.sent_at.checked_sub(age));
+        self.fresh_at = self.fresh_at.max(fresh_at);
+        let limit = self.settings.stale_after;
+        if self.fresh_at.is_none_or(|at| now > at + limit) {
+            self.turn_to_next_source();
+        }
+        Ok(())
+    }
+
+    fn turn_to_next_source(&mut self) {
+        self.position = self.position.wrapping_add(1);
+    }
+
+    fn take_content(&mut self, content: TailContent) -> Result<(), RestoreError> {
+        match content {
             TailContent::Entries(entries) => {
+                self.partial = None;
                 for entry in entries {
                     self.apply(entry);
                 }
+                Ok(())
             }
-            TailContent::Snapshot { index, data } if index > self.tail.applied() => {
-                self.machine.restore(&data)?;
-                self.tail.reset(index);
+            TailContent::Snapshot {
+                index,
+                offset,
+                total,
+                data,
+            } => {
+                self.collect(index, offset, &data);
+                self.restore_if_whole(total)
             }
-            TailContent::Snapshot { .. } => {}
         }
-        if self.tail.applied() < answer.position {
-            self.ask_at = now;
+    }
+
+    fn collect(&mut self, index: LogIndex, offset: u64, data: &[u8]) {
+        let partial = self.partial.take().filter(|p| p.index == index);
+        let mut partial = partial.unwrap_or(PartialSnapshot {
+            index,
+            data: Vec::new(),
+        });
+        if partial.data.len() as u64 == offset {
+            partial.data.extend_from_slice(data);
+        }
+        self.partial = Some(partial);
+    }
+
+    fn restore_if_whole(&mut self, total: u64) -> Result<(), RestoreError> {
+        let whole = |partial: &PartialSnapshot| partial.data.len() as u64 == total;
+        if !self.partial.as_ref().is_some_and(whole) {
             return Ok(());
         }
-        let fresh_at = answer.age.and_then(|age| open.sent_at.checked_sub(age));
-        self.fresh_at = self.fresh_at.max(fresh_at);
-        if fresh_at.is_none() {
-            self.source = self.source.wrapping_add(1);
+        if let Some(partial) = self.partial.take()
+            && partial.index > self.tail.applied()
+        {
+            self.machine.restore(&partial.data)?;
+            self.tail.reset(partial.index);
         }
         Ok(())
     }
 
-    fn apply(&mut self, entry: crate::LogEntry) {
+    fn apply(&mut self, entry: LogEntry) {
         if entry.index != self.tail.applied().next() {
             return;
         }
         if let EntryPayload::Command(command) = &entry.payload {
+            // Only the replica that took the proposal answers it.
             let _ = self.machine.apply(entry.index, command);
         }
         self.tail.push(entry);
@@ -147,7 +236,7 @@
     /// Answers another observer.
     pub fn answer(&mut self, request: &TailRequest, now: Instant) -> TailAnswer {
         let age = self.fresh_at.map(|at| now.saturating_duration_since(at));
-        self.tail.answer(request, age, self.machine.as_ref())
+        self.tail.answer(request, age, &self.machine)
     }
 
     /// The last applied entry; never lower than before.
@@ -165,7 +254,12 @@
 
     /// The state machine.
     #[must_use]
-    pub fn machine(&self) -> &dyn StateMachine {
-        self.machine.as_ref()
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// The state machine, for changes to state that is not replicated.
+    pub fn machine_mut(&mut self) -> &mut M {
+        &mut self.machine
     }
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -11,7 +11,7 @@
 use crate::{
     CommandBytes, EntryPayload, GroupMembership, LogEntry, LogStorage, MembershipChange,
     PersistBatch, PersistStep, ProposeError, RaftSeat, RestoreError, SeatAction, SeatEnvelope,
-    SeatSettings, SnapshotRecord, StateMachine, StorageError, TailAnswer, TailRequest,
+    SeatSettings, SnapshotRecord, StateMachine, StorageError, StoredState, TailAnswer, TailRequest,
 };
 use chicoryladder_types::{LogIndex, SeatId, TermNumber};
 use std::collections::BTreeMap;
@@ -74,10 +74,10 @@
 }
 
 /// One replica of a group.
-pub struct GroupReplica {
+pub struct GroupReplica<M> {
     seat: RaftSeat,
     storage: Box<dyn LogStorage>,
-    machine: Box<dyn StateMachine>,
+    machine: M,
     waiting: BTreeMap<LogIndex, WaitingProposal>,
     tail: CommittedTail,
     compacted: LogIndex,
@@ -85,7 +85,7 @@
     stopped: bool,
 }
 
-impl GroupReplica {
+impl<M: StateMachine> GroupReplica<M> {
     /// Reads the storage back and starts a replica.
     ///
     /// `initial` is the membership of the group's first start; it is empty on a
@@ -98,11 +98,14 @@
         settings: SeatSettings,
         initial: GroupMembership,
         mut storage: Box<dyn LogStorage>,
-        mut machine: Box<dyn StateMachine>,
+        mut machine: M,
         seed: u64,
         now: Instant,
     ) -> Result<Self, ReplicaError> {
         let stored = storage.load()?;
+        if stored == StoredState::default() && !initial.is_empty() {
+            storage.save_snapshot(&first_snapshot(&initial, &machine))?;
+        }
         let mut tail = CommittedTail::default();
         if let Some(snapshot) = &stored.snapshot {
             machine.restore(&snapshot.data)?;
@@ -303,7 +306,7 @@
     pub fn answer(&mut self, request: &TailRequest, now: Instant) -> TailAnswer {
         let fresh_at = self.seat.fresh_at(now);
         let age = fresh_at.map(|at| now.saturating_duration_since(at));
-        self.tail.answer(request, age, self.machine.as_ref())
+        self.tail.answer(request, age, &self.machine)
     }
 
     /// Whether the state machine may answer reads now.
@@ -326,8 +329,13 @@
 
     /// The state machine.
     #[must_use]
-    pub fn machine(&self) -> &dyn StateMachine {
-        self.machine.as_ref()
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    /// The state machine, for changes to state that is not replicated.
+    pub fn machine_mut(&mut self) -> &mut M {
+        &mut self.machine
     }
 
     /// The seat.
@@ -336,3 +344,14 @@
         &self.seat
     }
 }
+
+/// The state before the first entry. It keeps the membership of the first start,
+/// so that later changes of the settings can't replace it.
+fn first_snapshot(initial: &GroupMembership, machine: &impl StateMachine) -> SnapshotRecord {
+    SnapshotRecord {
+        index: LogIndex::default(),
+        term: TermNumber::default(),
+        membership: initial.clone(),
+        data: machine.snapshot().into(),
+    }
+}
--- a/crates/consensus/src/tail.rs
+++ b/crates/consensus/src/tail.rs
@@ -2,7 +2,8 @@
 //!
 //! An observer asks and gets an answer; it never has to be known to the leader.
 //! Any replica or observer can answer, so requests spread over the hosts of an
-//! availability zone instead of all reaching the leader.
+//! availability zone instead of all reaching the leader. A position that is too
+//! old is answered by parts of a snapshot, which stays the same while it is read.
 
 use crate::{CommandBytes, LogEntry, StateMachine};
 use chicoryladder_types::LogIndex;
@@ -13,6 +14,15 @@
 const TAIL_MAX_ENTRIES: usize = 1_024;
 const ANSWER_MAX_BYTES: usize = 256 * 1024;
 
+/// How much of a snapshot an observer has received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SnapshotPosition {
+    /// The last entry that the snapshot covers.
+    pub index: LogIndex,
+    /// The bytes received so far.
+    pub received: u64,
+}
+
 /// Asks for the committed entries after a position.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TailRequest {
@@ -20,6 +30,8 @@
     pub number: u64,
     /// The last entry that the observer has applied.
     pub after: LogIndex,
+    /// The snapshot that is being received.
+    pub partial: Option<SnapshotPosition>,
 }
 
 /// The content of an answer.
@@ -27,11 +39,15 @@
 pub enum TailContent {
     /// The entries after the asked position; empty if there are none.
     Entries(Vec<LogEntry>),
-    /// The whole state, as the asked position is too old.
+    /// A part of the whole state, as the asked position is too old.
     Snapshot {
         /// The last entry that the state covers.
         index: LogIndex,
-        /// The snapshot of the state machine.
+        /// The place of this part, in bytes.
+        offset: u64,
+        /// The size of the whole snapshot, in bytes.
+        total: u64,
+        /// The bytes of this part.
         data: CommandBytes,
     },
 }
@@ -49,12 +65,18 @@
     pub content: TailContent,
 }
 
+#[derive(Clone, Debug)]
+struct CachedSnapshot {
+    index: LogIndex,
+    data: CommandBytes,
+}
+
 /// The last applied entries of a replica or an observer.
 #[derive(Debug, Default)]
 pub(crate) struct CommittedTail {
     applied: LogIndex,
     entries: VecDeque<LogEntry>,
-    snapshot: Option<(LogIndex, CommandBytes)>,
+    snapshot: Option<CachedSnapshot>,
 }
 
 impl CommittedTail {
@@ -86,7 +108,7 @@
     ) -> TailAnswer {
         let content = match self.entries_after(request.after) {
             Some(entries) => TailContent::Entries(entries),
-            None => self.whole_state(machine),
+            None => self.snapshot_part(request.partial, machine),
         };
         TailAnswer {
             number: request.number,
@@ -118,11 +140,35 @@
         Some(entries)
     }
 
-    fn whole_state(&mut self, machine: &dyn StateMachine) -> TailContent {
-        let applied = self.applied;
-        let cached = self.snapshot.take().filter(|(index, _)| *index == applied);
-        let (index, data) = cached.unwrap_or_else(|| (applied, machine.snapshot().into()));
-        self.snapshot = Some((index, data.clone()));
-        TailContent::Snapshot { index, data }
+    fn snapshot_part(
+        &mut self,
+        partial: Option<SnapshotPosition>,
+        machine: &dyn StateMachine,
+    ) -> TailContent {
+        let CachedSnapshot { index, data } = self.usable_snapshot(machine);
+        let received = partial.filter(|p| p.index == index).map(|p| p.received);
+        let offset = received.unwrap_or_default();
+        let start = usize::try_from(offset)
+            .unwrap_or(usize::MAX)
+            .min(data.len());
+        let end = start.saturating_add(ANSWER_MAX_BYTES).min(data.len());
+        TailContent::Snapshot {
+            index,
+            offset,
+            total: data.len() as u64,
+            data: data.get(start..end).unwrap_or_default().into(),
+        }
+    }
+
+    /// A snapshot from which the kept entries lead on.
+    fn usable_snapshot(&mut self, machine: &dyn StateMachine) -> CachedSnapshot {
+        let cached = self.snapshot.take();
+        let usable = cached.filter(|cached| self.entries_after(cached.index).is_some());
+        let snapshot = usable.unwrap_or_else(|| CachedSnapshot {
+            index: self.applied,
+            data: machine.snapshot().into(),
+        });
+        self.snapshot = Some(snapshot.clone());
+        snapshot
     }
 }
--- a/crates/consensus/tests/all/cluster.rs
+++ b/crates/consensus/tests/all/cluster.rs
@@ -7,11 +7,12 @@
     GroupMembership, GroupReplica, LogStorage, MembershipChange, MemoryDisk, MemoryStorage,
     ProposalToken, ProposeError, ReplicaOutput, SeatRole, SeatSettings,
 };
-use chicoryladder_types::{GroupId, HostName, LogIndex, SeatId};
+use chicoryladder_types::{GroupId, LogIndex, SeatId};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 pub(crate) const STEP: Duration = Duration::from_millis(2);
@@ -25,7 +26,7 @@
 }
 
 pub(crate) struct TestSeat {
-    pub(crate) replica: Option<GroupReplica>,
+    pub(crate) replica: Option<GroupReplica<KvMachine>>,
     pub(crate) disk: MemoryDisk,
     pub(crate) frozen: bool,
     /// How fast the seat's clock runs, in percent.
@@ -46,8 +47,9 @@
     chains: BTreeMap<LogIndex, u32>,
 }
 
-pub(crate) fn host(seat: u64) -> HostName {
-    HostName::try_from(format!("host-{seat}")).expect("a name")
+pub(crate) fn address(seat: u64) -> SocketAddr {
+    let port = 7_000 + u16::try_from(seat).expect("a small number");
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
 impl TestCluster {
@@ -73,7 +75,7 @@
             next_token: 0,
             chains: BTreeMap::new(),
         };
-        let initial = GroupMembership::of_voters((1..=voters).map(|n| (SeatId(n), host(n))));
+        let initial = GroupMembership::of_voters((1..=voters).map(|n| (SeatId(n), address(n))));
         for number in 1..=voters {
             cluster.add_seat(SeatId(number), initial.clone());
         }
@@ -123,13 +125,13 @@
         } else {
             Box::new(honest)
         };
-        let machine = Box::new(KvMachine::default());
+        let machine = KvMachine::default();
         let initial = record.initial.clone();
         let replica = GroupReplica::start(settings, initial, storage, machine, seed, now);
         record.replica = Some(replica.expect("a replica"));
     }
 
-    pub(crate) fn replica(&mut self, seat: SeatId) -> Option<&mut GroupReplica> {
+    pub(crate) fn replica(&mut self, seat: SeatId) -> Option<&mut GroupReplica<KvMachine>> {
         let record = self.seats.get_mut(&seat)?;
         record.replica.as_mut().filter(|_| !record.frozen)
     }
@@ -197,7 +199,7 @@
 
     pub(crate) fn state(&mut self, seat: SeatId) -> Option<KvState> {
         let replica = self.replica(seat)?;
-        Some(KvState::decode(&replica.machine().snapshot()))
+        Some(replica.machine().0.clone())
     }
 
     pub(crate) fn run(&mut self, time: Duration) {
--- a/crates/consensus/tests/all/kv.rs
+++ b/crates/consensus/tests/all/kv.rs
@@ -21,10 +21,6 @@
 }
 
 impl KvState {
-    pub(crate) fn decode(bytes: &[u8]) -> Self {
-        postcard::from_bytes(bytes).expect("a state")
-    }
-
     pub(crate) fn get(&self, key: u8) -> u32 {
         self.values.get(&key).copied().unwrap_or_default()
     }
--- a/crates/consensus/tests/all/membership.rs
+++ b/crates/consensus/tests/all/membership.rs
@@ -1,14 +1,14 @@
 //! Rules of membership changes.
 
-use crate::cluster::{ELECTION_TIMEOUT, TestCluster, host};
+use crate::cluster::{ELECTION_TIMEOUT, TestCluster, address};
 use crate::network::LinkFaults;
 use chicoryladder_consensus::{GroupMembership, MembershipChange, MembershipError, ProposeError};
 use chicoryladder_types::SeatId;
 
 fn add(seat: u64, on: u64) -> MembershipChange {
     let seat = SeatId(seat);
-    let host = host(on);
-    MembershipChange::AddLearner { seat, host }
+    let address = address(on);
+    MembershipChange::AddLearner { seat, address }
 }
 
 #[test]
@@ -18,7 +18,7 @@
     assert_eq!(refused, Err(MembershipError::SeatUsed(SeatId(2)).into()));
     let refused = cluster.change(&add(4, 2));
     let seated = MembershipError::HostSeated {
-        host: host(2),
+        address: address(2),
         seat: SeatId(2),
     };
     assert_eq!(refused, Err(seated.into()));
--- a/crates/consensus/tests/all/observers.rs
+++ b/crates/consensus/tests/all/observers.rs
@@ -3,24 +3,25 @@
 use crate::cluster::{ELECTION_TIMEOUT, TestCluster};
 use crate::kv::{KvMachine, KvState};
 use crate::network::LinkFaults;
-use chicoryladder_consensus::{ObserverSettings, TailObserver};
-use chicoryladder_types::{HostName, SeatId};
+use chicoryladder_consensus::{ObserverRequest, ObserverSettings, TailObserver};
+use chicoryladder_types::SeatId;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 struct TestObserver {
-    observer: TailObserver,
+    observer: TailObserver<KvMachine>,
 }
 
 impl TestObserver {
     fn new(now: Instant) -> Self {
-        let sources = (1..=3).map(crate::cluster::host).collect();
-        let machine = Box::new(KvMachine::default());
+        let sources = (1..=3).map(crate::cluster::address).collect();
+        let machine = KvMachine::default();
         let observer = TailObserver::new(ObserverSettings::default(), sources, machine, now);
         Self { observer }
     }
 
     fn state(&self) -> KvState {
-        KvState::decode(&self.observer.machine().snapshot())
+        self.observer.machine().0.clone()
     }
 
     /// Runs the cluster and answers the observer from the seats within reach.
@@ -28,10 +29,12 @@
         for _ in 0..steps {
             cluster.step();
             let now = cluster.now(SeatId(1));
-            let Some((source, request)) = self.observer.tick(now) else {
+            let Some(ObserverRequest { source, request }) = self.observer.tick(now) else {
                 continue;
             };
-            let seat = reach.iter().find(|n| crate::cluster::host(**n) == source);
+            let seat = reach
+                .iter()
+                .find(|n| crate::cluster::address(**n) == source);
             let Some(replica) = seat.and_then(|n| cluster.replica(SeatId(*n))) else {
                 continue;
             };
@@ -120,8 +123,8 @@
 #[test]
 fn observer_without_a_source_is_never_fresh() {
     let now = Instant::now();
-    let machine = Box::new(KvMachine::default());
-    let sources: Vec<HostName> = Vec::new();
+    let machine = KvMachine::default();
+    let sources: Vec<SocketAddr> = Vec::new();
     let mut observer = TailObserver::new(ObserverSettings::default(), sources, machine, now);
     assert!(observer.tick(now).is_none());
     assert_eq!(observer.fresh_at(), None);
--- a/crates/consensus/tests/all/storage.rs
+++ b/crates/consensus/tests/all/storage.rs
@@ -1,6 +1,6 @@
 //! Log files: recovery, torn tails and damage.
 
-use crate::cluster::host;
+use crate::cluster::address;
 use chicoryladder_consensus::{
     EntryPayload, FileStorage, GroupMembership, HardState, LogEntry, LogStorage, SnapshotRecord,
     StorageError, StoredState,
@@ -23,7 +23,7 @@
     SnapshotRecord {
         index: LogIndex(index),
         term: TermNumber(1),
-        membership: GroupMembership::of_voters([(SeatId(1), host(1))]),
+        membership: GroupMembership::of_voters([(SeatId(1), address(1))]),
         data: vec![7; 100].into(),
     }
 }
--- a/crates/consensus/tests/all/survival.rs
+++ b/crates/consensus/tests/all/survival.rs
@@ -1,6 +1,6 @@
 //! What was acknowledged survives the loss of hosts, disks and processes.
 
-use crate::cluster::{ELECTION_TIMEOUT, TestCluster, host};
+use crate::cluster::{ELECTION_TIMEOUT, TestCluster, address};
 use crate::doubles::FillingStorage;
 use crate::kv::{KvCommand, KvMachine};
 use crate::network::LinkFaults;
@@ -78,8 +78,8 @@
         let seat = SeatId(4);
         cluster.seats.remove(&lost);
         cluster.add_seat(seat, GroupMembership::default());
-        let host = host(lost.0);
-        let add = MembershipChange::AddLearner { seat, host };
+        let address = address(lost.0);
+        let add = MembershipChange::AddLearner { seat, address };
         cluster.change(&add).expect("added");
         promote(&mut cluster, seat);
         cluster.write(1, 3);
@@ -132,9 +132,9 @@
     };
     let seat = SeatId(1);
     let settings = SeatSettings::new(GroupId(0), seat);
-    let initial = GroupMembership::of_voters([(seat, host(1))]);
+    let initial = GroupMembership::of_voters([(seat, address(1))]);
     let now = Instant::now();
-    let machine = Box::new(KvMachine::default());
+    let machine = KvMachine::default();
     let replica = GroupReplica::start(settings, initial, Box::new(storage), machine, 1, now);
     let mut replica = replica.expect("a replica");
     replica.tick(now);
