--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -18,7 +18,7 @@
 mod tail;
 
 pub use entry::{CommandBytes, EntryPayload, HardState, LogEntry, SnapshotRecord};
-pub use machine::{RestoreError, StateMachine};
+pub use machine::{RestoreError, SnapshotError, StateMachine};
 pub use membership::{
     GroupMembership, MemberRecord, MemberRole, MembershipChange, MembershipError,
 };
--- a/crates/consensus/src/machine.rs
+++ b/crates/consensus/src/machine.rs
@@ -10,13 +10,25 @@
     pub detail: String,
 }
 
+/// Why no snapshot could be taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("no snapshot can be taken: {detail}")]
+pub struct SnapshotError {
+    /// What went wrong.
+    pub detail: String,
+}
+
 /// A deterministic state machine: equal commands give equal states and answers.
 pub trait StateMachine: Send {
     /// Applies one committed command and returns its answer.
     fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8>;
 
     /// The whole state as bytes.
-    fn snapshot(&self) -> Vec<u8>;
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part of the state cannot be read.
+    fn snapshot(&self) -> Result<Vec<u8>, SnapshotError>;
 
     /// Replaces the state by that of a snapshot.
     ///
--- a/crates/consensus/src/observer.rs
+++ b/crates/consensus/src/observer.rs
@@ -8,8 +8,8 @@
 
 use crate::tail::CommittedTail;
 use crate::{
-    EntryPayload, LogEntry, RestoreError, SnapshotPosition, StateMachine, TailAnswer, TailContent,
-    TailRequest,
+    EntryPayload, LogEntry, RestoreError, SnapshotError, SnapshotPosition, StateMachine,
+    TailAnswer, TailContent, TailRequest,
 };
 use chicoryladder_types::LogIndex;
 use std::net::SocketAddr;
@@ -234,7 +234,15 @@
     }
 
     /// Answers another observer.
-    pub fn answer(&mut self, request: &TailRequest, now: Instant) -> TailAnswer {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a snapshot is needed and cannot be taken.
+    pub fn answer(
+        &mut self,
+        request: &TailRequest,
+        now: Instant,
+    ) -> Result<TailAnswer, SnapshotError> {
         let age = self.fresh_at.map(|at| now.saturating_duration_since(at));
         self.tail.answer(request, age, &self.machine)
     }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -11,7 +11,8 @@
 use crate::{
     CommandBytes, EntryPayload, GroupMembership, LogEntry, LogStorage, MembershipChange,
     PersistBatch, PersistStep, ProposeError, RaftSeat, RestoreError, SeatAction, SeatEnvelope,
-    SeatSettings, SnapshotRecord, StateMachine, StorageError, StoredState, TailAnswer, TailRequest,
+    SeatSettings, SnapshotError, SnapshotRecord, StateMachine, StorageError, StoredState,
+    TailAnswer, TailRequest,
 };
 use chicoryladder_types::{LogIndex, SeatId, TermNumber};
 use std::collections::BTreeMap;
@@ -59,6 +60,9 @@
     /// The storage failed.
     #[error(transparent)]
     Storage(#[from] StorageError),
+    /// A snapshot could not be taken.
+    #[error(transparent)]
+    Snapshot(#[from] SnapshotError),
     /// A snapshot could not be restored.
     #[error(transparent)]
     Restore(#[from] RestoreError),
@@ -104,7 +108,7 @@
     ) -> Result<Self, ReplicaError> {
         let stored = storage.load()?;
         if stored == StoredState::default() && !initial.is_empty() {
-            storage.save_snapshot(&first_snapshot(&initial, &machine))?;
+            storage.save_snapshot(&first_snapshot(&initial, &machine)?)?;
         }
         let mut tail = CommittedTail::default();
         if let Some(snapshot) = &stored.snapshot {
@@ -208,7 +212,7 @@
                 replica.storage.sync()?;
                 replica.seat.persisted(number, now);
                 outputs.extend(replica.run_actions(now)?);
-                replica.compact_if_due();
+                replica.compact_if_due()?;
                 outputs.extend(replica.run_actions(now)?);
             }
             Ok(outputs)
@@ -293,17 +297,26 @@
         Ok(covered.into_values().map(drop).collect())
     }
 
-    fn compact_if_due(&mut self) {
+    fn compact_if_due(&mut self) -> Result<(), SnapshotError> {
         let interval = self.seat.settings().snapshot_interval_entries;
         let applied = self.tail.applied();
         if applied.0 - self.compacted.0 >= interval {
             self.compacted = applied;
-            self.seat.compact(&self.machine.snapshot());
+            self.seat.compact(&self.machine.snapshot()?);
         }
+        Ok(())
     }
 
     /// Answers an observer.
-    pub fn answer(&mut self, request: &TailRequest, now: Instant) -> TailAnswer {
+    ///
+    /// # Errors
+    ///
+    /// Fails if a snapshot is needed and cannot be taken.
+    pub fn answer(
+        &mut self,
+        request: &TailRequest,
+        now: Instant,
+    ) -> Result<TailAnswer, SnapshotError> {
         let fresh_at = self.seat.fresh_at(now);
         let age = fresh_at.map(|at| now.saturating_duration_since(at));
         self.tail.answer(request, age, &self.machine)
@@ -347,11 +360,14 @@
 
 /// The state before the first entry. It keeps the membership of the first start,
 /// so that later changes of the settings can't replace it.
-fn first_snapshot(initial: &GroupMembership, machine: &impl StateMachine) -> SnapshotRecord {
-    SnapshotRecord {
+fn first_snapshot(
+    initial: &GroupMembership,
+    machine: &impl StateMachine,
+) -> Result<SnapshotRecord, SnapshotError> {
+    Ok(SnapshotRecord {
         index: LogIndex::default(),
         term: TermNumber::default(),
         membership: initial.clone(),
-        data: machine.snapshot().into(),
-    }
+        data: machine.snapshot()?.into(),
+    })
 }
--- a/crates/consensus/src/tail.rs
+++ b/crates/consensus/src/tail.rs
@@ -5,7 +5,7 @@
 //! availability zone instead of all reaching the leader. A position that is too
 //! old is answered by parts of a snapshot, which stays the same while it is read.
 
-use crate::{CommandBytes, LogEntry, StateMachine};
+use crate::{CommandBytes, LogEntry, SnapshotError, StateMachine};
 use chicoryladder_types::LogIndex;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -105,17 +105,17 @@
         request: &TailRequest,
         age: Option<Duration>,
         machine: &dyn StateMachine,
-    ) -> TailAnswer {
+    ) -> Result<TailAnswer, SnapshotError> {
         let content = match self.entries_after(request.after) {
             Some(entries) => TailContent::Entries(entries),
-            None => self.snapshot_part(request.partial, machine),
+            None => self.snapshot_part(request.partial, machine)?,
         };
-        TailAnswer {
+        Ok(TailAnswer {
             number: request.number,
             position: self.applied,
             age,
             content,
-        }
+        })
     }
 
     /// The entries after a position, or nothing if some of them are gone.
@@ -144,31 +144,37 @@
         &mut self,
         partial: Option<SnapshotPosition>,
         machine: &dyn StateMachine,
-    ) -> TailContent {
-        let CachedSnapshot { index, data } = self.usable_snapshot(machine);
+    ) -> Result<TailContent, SnapshotError> {
+        let CachedSnapshot { index, data } = self.usable_snapshot(machine)?;
         let received = partial.filter(|p| p.index == index).map(|p| p.received);
         let offset = received.unwrap_or_default();
         let start = usize::try_from(offset)
             .unwrap_or(usize::MAX)
             .min(data.len());
         let end = start.saturating_add(ANSWER_MAX_BYTES).min(data.len());
-        TailContent::Snapshot {
+        Ok(TailContent::Snapshot {
             index,
             offset,
             total: data.len() as u64,
             data: data.get(start..end).unwrap_or_default().into(),
-        }
+        })
     }
 
     /// A snapshot from which the kept entries lead on.
-    fn usable_snapshot(&mut self, machine: &dyn StateMachine) -> CachedSnapshot {
+    fn usable_snapshot(
+        &mut self,
+        machine: &dyn StateMachine,
+    ) -> Result<CachedSnapshot, SnapshotError> {
         let cached = self.snapshot.take();
         let usable = cached.filter(|cached| self.entries_after(cached.index).is_some());
-        let snapshot = usable.unwrap_or_else(|| CachedSnapshot {
-            index: self.applied,
-            data: machine.snapshot().into(),
-        });
+        let snapshot = match usable {
+            Some(snapshot) => snapshot,
+            None => CachedSnapshot {
+                index: self.applied,
+                data: machine.snapshot()?.into(),
+            },
+        };
         self.snapshot = Some(snapshot.clone());
-        snapshot
+        Ok(snapshot)
     }
 }
--- a/crates/consensus/tests/all/kv.rs
+++ b/crates/consensus/tests/all/kv.rs
@@ -1,6 +1,6 @@
 //! A small key-value state machine and its sequential specification.
 
-use chicoryladder_consensus::{RestoreError, StateMachine};
+use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
 use chicoryladder_types::LogIndex;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -53,8 +53,8 @@
         vec![u8::from(applied)]
     }
 
-    fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(&self.0).expect("a state")
+    fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        Ok(postcard::to_stdvec(&self.0).expect("a state"))
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
--- a/crates/consensus/tests/all/observers.rs
+++ b/crates/consensus/tests/all/observers.rs
@@ -38,7 +38,7 @@
             let Some(replica) = seat.and_then(|n| cluster.replica(SeatId(*n))) else {
                 continue;
             };
-            let answer = replica.answer(&request, now);
+            let answer = replica.answer(&request, now).expect("an answer");
             cluster.step();
             let now = cluster.now(SeatId(1));
             self.observer.receive(answer.clone(), now).expect("taken");
--- a/crates/host/src/admin.rs
+++ b/crates/host/src/admin.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod fleet;
 mod keys;
+mod seats;
 
 use crate::ids::RandomIds;
 use crate::metrics::HostMetrics;
@@ -50,6 +51,8 @@
             (&Method::GET, "keys") => Ok(self.list_keys()),
             (&Method::POST, "keys") => self.grant_key(&request.body).await,
             (&Method::GET, "members") => Ok(self.members()),
+            (&Method::GET, "seats") => Ok(self.list_seats()),
+            (&Method::POST, "seats") => self.change_seats(&request.body).await,
             (&Method::GET, "servers") => Ok(json_answer(200, &self.routing.servers().await)),
             (method, path) => match path.strip_prefix("keys/") {
                 Some(id) if method == Method::DELETE => self.withdraw_key(id).await,
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -5,7 +5,7 @@
 use crate::ids::RandomIds;
 use crate::metrics::{HostMetrics, MetricsError};
 use crate::platform::DrainFlag;
-use crate::replica::ReplicaError;
+use crate::replica::{ReplicaError, ReplicaHandle};
 use chicoryladder_gateway::{HttpListener, ListenError};
 use chicoryladder_link::{LinkError, SecretError};
 use chicoryladder_settings::HostSettings;
@@ -73,6 +73,7 @@
     pub addresses: HostAddresses,
     drain: DrainFlag,
     drain_timeout: Duration,
+    replica: ReplicaHandle,
     callers: HttpListener,
     servers: HttpListener,
     operators: HttpListener,
@@ -108,6 +109,7 @@
             Ok(()) => log::info!("host: drained, every request has ended."),
             Err(_) => log::warn!("host: cuts the requests left at the drain timeout."),
         }
+        self.replica.hand_over().await;
         self.tasks.shutdown().await;
     }
 
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -11,7 +11,7 @@
 use crate::online::OnlineService;
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
 use crate::platform::{DrainFlag, PlatformService};
-use crate::replica::{ReplicaHandle, ReplicaInbox, ReplicaTask};
+use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
 use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle};
 use chicoryladder_gateway::{
     CallerService, HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
@@ -89,7 +89,7 @@
     ) -> Result<Self, HostError> {
         let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
         let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
-        let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock)?;
+        let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock, &ids)?;
         let routing = RoutingHandle::start(settings.host.zone.clone(), clock.clone());
         let limits = LimitHandle::start(directory.contact_count(), clock.clone());
         let mut tasks = JoinSet::new();
@@ -155,6 +155,7 @@
             addresses,
             drain: self.drain,
             drain_timeout: self.settings.shutdown.drain_timeout,
+            replica: self.replica,
             callers,
             servers,
             operators,
@@ -260,24 +261,28 @@
     }
 }
 
-/// Opens the replica; the lowest seat of the settings orders the commands.
+/// Opens the replica, with the seat of the data folder if there is one.
 fn open_replica(
     settings: &HostSettings,
     directory: &PeerDirectory,
     clock: &Arc<dyn ClockSource>,
+    ids: &RandomIds,
 ) -> Result<(ReplicaTask, ReplicaHandle, ReplicaInbox), HostError> {
-    let (voter_seat, voter) = settings.voters.iter().next().ok_or(HostError::NoVoter)?;
-    let own = settings
-        .data
-        .as_ref()
-        .filter(|data| data.seat == *voter_seat);
-    let opened = ReplicaTask::open(
-        own.map(|data| data.folder.as_path()),
-        *voter,
-        directory.clone(),
-        clock.clone(),
-        settings.keys.lease,
-    );
+    if settings.voters.is_empty() {
+        return Err(HostError::NoVoter);
+    }
+    let disk = settings.data.as_ref().map(|data| ReplicaDisk {
+        folder: data.folder.clone(),
+        seat: data.seat,
+    });
+    let replica_settings = ReplicaSettings {
+        disk,
+        voters: settings.voters.clone(),
+        zone: settings.host.zone.clone(),
+        lease: settings.keys.lease,
+        seed: ids.word(),
+    };
+    let opened = ReplicaTask::open(replica_settings, directory.clone(), clock.clone());
     Ok(opened?)
 }
 
--- a/crates/host/src/ids.rs
+++ b/crates/host/src/ids.rs
@@ -38,6 +38,13 @@
         u128::from_le_bytes(bytes)
     }
 
+    /// 64 random bits.
+    pub fn word(&self) -> u64 {
+        let mut bytes = [0; 8];
+        self.fill(&mut bytes);
+        u64::from_le_bytes(bytes)
+    }
+
     /// Fills `bytes` with random bits.
     pub fn fill(&self, bytes: &mut [u8]) {
         let mut generator = self
--- a/crates/host/src/replica.rs
+++ b/crates/host/src/replica.rs
@@ -1,18 +1,22 @@
 //! The replicated state as one host holds it.
 //!
-//! One voter, the lowest seat of the settings, orders all commands and syncs
-//! them to its disk before it acknowledges them. Every other host follows its
-//! tail and applies the same commands in the same order. A host serves keyed
-//! routes only once it has caught up with a position heard from the voter, so a
-//! restart never brings old settings back.
+//! A host with a disk owns a seat of the group: it stores the log and may vote and
+//! lead. Every other host is an observer and follows the committed tail, through
+//! the first host of its availability zone where there is one. A command goes to
+//! the leader, wherever it was proposed. A host serves keyed routes only while its
+//! view is fresh: confirmed by a leader with a quorum since this start, within the
+//! lease. So a restart never brings old settings back.
 
 mod command;
 mod handle;
-mod log_file;
+mod proposals;
+mod role;
+mod sources;
 mod state;
 mod task;
 
-pub(crate) use command::ReplicaMessage;
+pub(crate) use command::{MembershipOutcome, ReplicaMessage};
 pub(crate) use handle::{ProposeError, ReplicaHandle, ReplicaInbox, ResultQuery};
-pub use task::ReplicaError;
+pub use role::ReplicaError;
+pub(crate) use role::{ReplicaDisk, ReplicaSettings};
 pub(crate) use task::ReplicaTask;
--- a/crates/host/src/replica/handle.rs
+++ b/crates/host/src/replica/handle.rs
@@ -1,12 +1,13 @@
 //! The handles that other tasks use.
 
-use super::command::{GroupCommand, GroupOutcome, ReplicaMessage};
+use super::command::{GroupCommand, GroupOutcome, MembershipOutcome, ReplicaMessage};
+use chicoryladder_consensus::{GroupMembership, MembershipChange};
 use chicoryladder_jobs::{
     ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage, UnixMillis,
 };
 use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView};
-use chicoryladder_types::JobId;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{JobId, LogIndex, TermNumber};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -18,12 +19,15 @@
 /// The time after which a caller should come back when no voter answers.
 const NO_QUORUM_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// The longest time for the leadership to move at a shutdown.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a command was not ordered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum ProposeError {
-    /// The command was refused before it was ordered.
-    #[error("the data folder cannot take the command")]
-    StorageFailed,
+    /// The command is too large for the log; it was not ordered.
+    #[error("the command is too large to be replicated")]
+    TooLarge,
     /// No answer came; the command may still be ordered.
     #[error("no quorum of voters answered in time")]
     NoQuorum,
@@ -33,7 +37,7 @@
     /// The refusal of a request that needed the command.
     pub(crate) fn refusal(self) -> RequestRefusal {
         let (reason, verdict) = match self {
-            Self::StorageFailed => (RefusalReason::StorageFailed, RunVerdict::NotRun),
+            Self::TooLarge => (RefusalReason::BodyTooLarge, RunVerdict::NotRun),
             Self::NoQuorum => (RefusalReason::NoQuorum, RunVerdict::MayHaveRun),
         };
         RequestRefusal::new(reason, verdict, self.to_string())
@@ -71,16 +75,35 @@
         GroupCommand,
         oneshot::Sender<Result<GroupOutcome, ProposeError>>,
     ),
+    Change(
+        MembershipChange,
+        oneshot::Sender<Result<GroupOutcome, ProposeError>>,
+    ),
     Query(JobQuery),
     Peer(SocketAddr, ReplicaMessage),
+    HandOver(oneshot::Sender<()>),
+}
+
+/// The group as this host knows it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct GroupView {
+    /// The leader.
+    pub(crate) leader: Option<SocketAddr>,
+    /// The term; unknown to observers.
+    pub(crate) term: Option<TermNumber>,
+    /// The seats; unknown to observers.
+    pub(crate) membership: Option<GroupMembership>,
 }
 
 /// What requests are served from.
 #[derive(Clone, Debug)]
 pub(super) struct ReplicaView {
     pub(super) fleet: Arc<FleetView>,
-    /// When this host last was level with the voter.
+    /// The last log position that the view holds.
+    pub(super) applied: LogIndex,
+    /// The instant up to which the view holds every acknowledged change.
     pub(super) level_at: Option<Instant>,
+    pub(super) group: Arc<GroupView>,
 }
 
 /// Takes messages of other hosts for the replica.
@@ -135,7 +158,7 @@
     ) -> Result<FleetOutcome, ProposeError> {
         match self.propose(GroupCommand::Fleet(command)).await? {
             GroupOutcome::Fleet(outcome) => Ok(outcome),
-            GroupOutcome::Jobs(_) => Err(ProposeError::NoQuorum),
+            GroupOutcome::Jobs(_) | GroupOutcome::Membership(_) => Err(ProposeError::NoQuorum),
         }
     }
 
@@ -150,13 +173,54 @@
     ) -> Result<JobOutcome, ProposeError> {
         match self.propose(GroupCommand::Jobs(command)).await? {
             GroupOutcome::Jobs(outcome) => Ok(outcome),
-            GroupOutcome::Fleet(_) => Err(ProposeError::NoQuorum),
+            GroupOutcome::Fleet(_) | GroupOutcome::Membership(_) => Err(ProposeError::NoQuorum),
         }
     }
 
     async fn propose(&self, command: GroupCommand) -> Result<GroupOutcome, ProposeError> {
         let (sender, receiver) = oneshot::channel();
         let _ = self.events.send(ReplicaEvent::Propose(command, sender));
+        Self::outcome(receiver).await
+    }
+
+    /// Has a membership change ordered.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no leader took the change in time.
+    pub(crate) async fn change_membership(
+        &self,
+        change: MembershipChange,
+    ) -> Result<MembershipOutcome, ProposeError> {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.events.send(ReplicaEvent::Change(change, sender));
+        match Self::outcome(receiver).await? {
+            GroupOutcome::Membership(outcome) => Ok(outcome),
+            GroupOutcome::Fleet(_) | GroupOutcome::Jobs(_) => Err(ProposeError::NoQuorum),
+        }
+    }
+
+    /// The last log position that the view holds.
+    pub(crate) fn applied(&self) -> LogIndex {
+        self.views.borrow().applied
+    }
+
+    /// The group as this host knows it.
+    pub(crate) fn group(&self) -> Arc<GroupView> {
+        self.views.borrow().group.clone()
+    }
+
+    /// Hands the leadership to another host, if this one has it.
+    pub(crate) async fn hand_over(&self) {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.events.send(ReplicaEvent::HandOver(sender));
+        // Without a successor the group elects one by itself.
+        let _ = tokio::time::timeout(HAND_OVER_TIMEOUT, receiver).await;
+    }
+
+    async fn outcome(
+        receiver: oneshot::Receiver<Result<GroupOutcome, ProposeError>>,
+    ) -> Result<GroupOutcome, ProposeError> {
         match tokio::time::timeout(PROPOSE_TIMEOUT, receiver).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) | Err(_) => Err(ProposeError::NoQuorum),
--- /dev/null
+++ b/crates/host/src/replica/proposals.rs
@@ -0,0 +1,204 @@
+//! Proposals under way on this host.
+//!
+//! A proposal that was certainly not ordered is sent again, to whoever leads now.
+//! One whose fate is unknown is sent again only if it is idempotent; otherwise its
+//! caller learns that it may have been ordered.
+
+use super::command::{GroupOutcome, ProposalContent};
+use super::handle::ProposeError;
+use chicoryladder_consensus::ProposalToken;
+use chicoryladder_types::LogIndex;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// The time without an answer after which an idempotent proposal is sent again.
+const RESEND_AFTER: Duration = Duration::from_millis(1_500);
+
+pub(super) type OutcomeSender = oneshot::Sender<Result<GroupOutcome, ProposeError>>;
+
+/// Numbers the proposals of this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(super) struct ProposalNumber(pub(super) u64);
+
+/// Where a proposal stands.
+enum ProposalStage {
+    /// No leader took it yet.
+    Waiting,
+    /// It is in the log of this host.
+    InLog,
+    /// It was sent to the leader.
+    Sent { at: Instant },
+    /// It is committed, and not applied here yet.
+    Ordered {
+        index: LogIndex,
+        outcome: GroupOutcome,
+    },
+}
+
+struct LocalProposal {
+    content: ProposalContent,
+    idempotent: bool,
+    sender: OutcomeSender,
+    stage: ProposalStage,
+}
+
+/// Who waits for an entry of this host's log.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum ProposalOrigin {
+    Local(ProposalNumber),
+    Peer { address: SocketAddr, proposal: u64 },
+}
+
+/// The proposals of this host, and those that it ordered for others.
+pub(super) struct ProposalBook {
+    next_number: u64,
+    local: HashMap<ProposalNumber, LocalProposal>,
+    next_token: u64,
+    origins: HashMap<ProposalToken, ProposalOrigin>,
+}
+
+impl ProposalBook {
+    /// An empty book; `seed` keeps late answers to an earlier start from matching.
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            next_number: seed >> 1,
+            local: HashMap::new(),
+            next_token: 0,
+            origins: HashMap::new(),
+        }
+    }
+
+    pub(super) fn open(
+        &mut self,
+        content: ProposalContent,
+        idempotent: bool,
+        sender: OutcomeSender,
+    ) -> ProposalNumber {
+        self.next_number += 1;
+        let number = ProposalNumber(self.next_number);
+        let proposal = LocalProposal {
+            content,
+            idempotent,
+            sender,
+            stage: ProposalStage::Waiting,
+        };
+        self.local.insert(number, proposal);
+        number
+    }
+
+    pub(super) fn content(&self, number: ProposalNumber) -> Option<ProposalContent> {
+        self.local.get(&number).map(|p| p.content.clone())
+    }
+
+    /// A token for an entry of this host's log.
+    pub(super) fn token(&mut self, origin: ProposalOrigin) -> ProposalToken {
+        self.next_token += 1;
+        let token = ProposalToken(self.next_token);
+        self.origins.insert(token, origin);
+        token
+    }
+
+    pub(super) fn take_origin(&mut self, token: ProposalToken) -> Option<ProposalOrigin> {
+        self.origins.remove(&token)
+    }
+
+    pub(super) fn note_in_log(&mut self, number: ProposalNumber) {
+        self.set_stage(number, ProposalStage::InLog);
+    }
+
+    pub(super) fn note_sent(&mut self, number: ProposalNumber, at: Instant) {
+        self.set_stage(number, ProposalStage::Sent { at });
+    }
+
+    /// Notes that a proposal was certainly not ordered.
+    pub(super) fn note_not_ordered(&mut self, number: ProposalNumber) {
+        let known = self.local.get(&number);
+        if known.is_some_and(|p| !matches!(p.stage, ProposalStage::Ordered { .. })) {
+            self.set_stage(number, ProposalStage::Waiting);
+        }
+    }
+
+    /// Notes that nobody will tell what became of a proposal.
+    pub(super) fn note_unknown(&mut self, number: ProposalNumber) {
+        if self.local.get(&number).is_some_and(|p| p.idempotent) {
+            self.set_stage(number, ProposalStage::Waiting);
+        } else {
+            self.finish(number, Err(ProposeError::NoQuorum));
+        }
+    }
+
+    pub(super) fn note_ordered(
+        &mut self,
+        number: ProposalNumber,
+        index: LogIndex,
+        outcome: GroupOutcome,
+    ) {
+        self.set_stage(number, ProposalStage::Ordered { index, outcome });
+    }
+
+    /// Forgets the log of this host, which can't be written any more.
+    pub(super) fn abandon_log(&mut self) {
+        self.origins.clear();
+        let in_log = |p: &LocalProposal| matches!(p.stage, ProposalStage::InLog);
+        let lost = self.local.iter().filter(|(_, p)| in_log(p));
+        let lost: Vec<ProposalNumber> = lost.map(|(number, _)| *number).collect();
+        for number in lost {
+            self.note_unknown(number);
+        }
+    }
+
+    /// The proposals to hand to the leader now.
+    pub(super) fn due(&mut self, now: Instant) -> Vec<ProposalNumber> {
+        self.local
+            .retain(|_, proposal| !proposal.sender.is_closed());
+        let is_due = |proposal: &LocalProposal| match proposal.stage {
+            ProposalStage::Waiting => true,
+            ProposalStage::Sent { at } => proposal.idempotent && now >= at + RESEND_AFTER,
+            ProposalStage::InLog | ProposalStage::Ordered { .. } => false,
+        };
+        let due = self.local.iter().filter(|(_, proposal)| is_due(proposal));
+        let mut due: Vec<ProposalNumber> = due.map(|(number, _)| *number).collect();
+        due.sort_unstable();
+        due
+    }
+
+    /// Whether an outcome waits until its position is applied here.
+    pub(super) fn awaits_apply(&self) -> bool {
+        let ordered = |p: &LocalProposal| matches!(p.stage, ProposalStage::Ordered { .. });
+        self.local.values().any(ordered)
+    }
+
+    /// Answers the proposals whose position is applied here, so that a caller
+    /// reads its own writes.
+    pub(super) fn settle(&mut self, applied: LogIndex) {
+        let is_applied = |proposal: &LocalProposal| matches!(proposal.stage, ProposalStage::Ordered { index, .. } if index <= applied);
+        let ready = self.local.iter().filter(|(_, p)| is_applied(p));
+        let ready: Vec<ProposalNumber> = ready.map(|(number, _)| *number).collect();
+        for number in ready {
+            if let Some(proposal) = self.local.remove(&number)
+                && let ProposalStage::Ordered { outcome, .. } = proposal.stage
+            {
+                // A closed channel means that the caller has left.
+                let _ = proposal.sender.send(Ok(outcome));
+            }
+        }
+    }
+
+    pub(super) fn finish(
+        &mut self,
+        number: ProposalNumber,
+        result: Result<GroupOutcome, ProposeError>,
+    ) {
+        if let Some(proposal) = self.local.remove(&number) {
+            let _ = proposal.sender.send(result);
+        }
+    }
+
+    fn set_stage(&mut self, number: ProposalNumber, stage: ProposalStage) {
+        if let Some(proposal) = self.local.get_mut(&number) {
+            proposal.stage = stage;
+        }
+    }
+}
--- /dev/null
+++ b/crates/host/src/replica/role.rs
@@ -0,0 +1,135 @@
+//! The part that this host plays in the group: a seat or an observer.
+
+use super::state::GroupState;
+use chicoryladder_consensus::{
+    FileStorage, GroupMembership, GroupReplica, ObserverSettings, SeatSettings, SnapshotError,
+    StorageError, TailAnswer, TailObserver, TailRequest,
+};
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{GroupId, LogIndex, SeatId};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+/// The group that holds the fleet document, the keys and the batch jobs.
+const FLEET_GROUP: GroupId = GroupId(0);
+
+/// Folder of the group's log within the data folder.
+const LOG_FOLDER: &str = "group-0";
+
+/// Why the replica did not start.
+#[derive(Debug, thiserror::Error)]
+pub enum ReplicaError {
+    /// The folder of the log cannot be used.
+    #[error("the log in the data folder cannot be opened")]
+    Log(#[from] StorageError),
+    /// The log cannot be read back.
+    #[error("the log in the data folder cannot be read")]
+    Start(#[from] chicoryladder_consensus::ReplicaError),
+    /// The items cannot be read.
+    #[error("the items in the data folder cannot be read")]
+    Items(#[from] chicoryladder_jobs::StoreError),
+}
+
+/// The disk of a host with a seat.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaDisk {
+    /// The data folder.
+    pub(crate) folder: PathBuf,
+    /// The seat of the disk.
+    pub(crate) seat: SeatId,
+}
+
+/// What a replica needs to know at its start.
+#[derive(Clone, Debug)]
+pub(crate) struct ReplicaSettings {
+    /// The disk; absent on an observer.
+    pub(crate) disk: Option<ReplicaDisk>,
+    /// The initial voters.
+    pub(crate) voters: BTreeMap<SeatId, SocketAddr>,
+    /// The availability zone of the host.
+    pub(crate) zone: ZoneName,
+    /// The time for which a confirmed view is trusted.
+    pub(crate) lease: Duration,
+    /// Random bits, other ones at each start.
+    pub(crate) seed: u64,
+}
+
+/// A seat of the group, or an observer of it.
+pub(super) enum ReplicaRole {
+    Seat(Box<GroupReplica<GroupState>>),
+    Observer(Box<TailObserver<GroupState>>),
+}
+
+impl ReplicaRole {
+    /// Opens the seat on the disk, or starts an observer.
+    pub(super) fn open(settings: &ReplicaSettings, now: Instant) -> Result<Self, ReplicaError> {
+        let Some(disk) = &settings.disk else {
+            let voters = settings.voters.values().copied().collect();
+            return Ok(Self::observer(voters, now));
+        };
+        let is_initial = settings.voters.contains_key(&disk.seat);
+        let initial = if is_initial {
+            GroupMembership::of_voters(settings.voters.clone())
+        } else {
+            GroupMembership::default()
+        };
+        let storage = FileStorage::open(disk.folder.join(LOG_FOLDER))?;
+        let replica = GroupReplica::start(
+            SeatSettings::new(FLEET_GROUP, disk.seat),
+            initial,
+            Box::new(storage),
+            GroupState::open(Some(&disk.folder))?,
+            settings.seed,
+            now,
+        );
+        Ok(Self::Seat(Box::new(replica?)))
+    }
+
+    /// An observer with an empty state.
+    pub(super) fn observer(sources: Vec<SocketAddr>, now: Instant) -> Self {
+        let state = GroupState::in_memory();
+        let observer = TailObserver::new(ObserverSettings::default(), sources, state, now);
+        Self::Observer(Box::new(observer))
+    }
+
+    pub(super) fn state(&self) -> &GroupState {
+        match self {
+            Self::Seat(replica) => replica.machine(),
+            Self::Observer(observer) => observer.machine(),
+        }
+    }
+
+    pub(super) fn applied(&self) -> LogIndex {
+        match self {
+            Self::Seat(replica) => replica.applied(),
+            Self::Observer(observer) => observer.applied(),
+        }
+    }
+
+    pub(super) fn fresh_at(&self, now: Instant) -> Option<Instant> {
+        match self {
+            Self::Seat(replica) => replica.fresh_at(now),
+            Self::Observer(observer) => observer.fresh_at(),
+        }
+    }
+
+    pub(super) fn wake_at(&self) -> Instant {
+        match self {
+            Self::Seat(replica) => replica.seat().wake_at(),
+            Self::Observer(observer) => observer.wake_at(),
+        }
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        request: &TailRequest,
+        now: Instant,
+    ) -> Result<TailAnswer, SnapshotError> {
+        match self {
+            Self::Seat(replica) => replica.answer(request, now),
+            Self::Observer(observer) => observer.answer(request, now),
+        }
+    }
+}
--- a/crates/host/src/replica/state.rs
+++ b/crates/host/src/replica/state.rs
@@ -1,9 +1,11 @@
 //! The state machines of the group, applied together.
 
 use super::command::{GroupCommand, GroupOutcome};
-use chicoryladder_jobs::{FileStore, ItemStore, JobMachine, MemoryStore};
+use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
+use chicoryladder_jobs::{FileStore, ItemStore, JobMachine, MemoryStore, StoreError};
 use chicoryladder_state::{FleetMachine, FleetView};
 use chicoryladder_types::LogIndex;
+use serde::{Deserialize, Serialize};
 use std::path::Path;
 
 /// Folder of the items' requests and results within the data folder.
@@ -13,38 +15,85 @@
 pub(super) struct GroupState {
     pub(super) fleet: FleetMachine,
     pub(super) jobs: JobMachine,
-    applied: LogIndex,
+}
+
+#[derive(Serialize, Deserialize)]
+struct GroupSnapshot {
+    fleet: Vec<u8>,
+    jobs: Vec<u8>,
 }
 
 impl GroupState {
     /// The empty state; items are kept in `folder` where there is a disk.
-    pub(super) fn open(folder: Option<&Path>) -> Result<Self, chicoryladder_jobs::StoreError> {
+    pub(super) fn open(folder: Option<&Path>) -> Result<Self, StoreError> {
         let store: Box<dyn ItemStore> = match folder {
             Some(folder) => Box::new(FileStore::open(&folder.join(ITEMS_FOLDER))?),
             None => Box::new(MemoryStore::default()),
         };
-        Ok(Self {
-            fleet: FleetMachine::new(),
-            jobs: JobMachine::new(store),
-            applied: LogIndex::default(),
-        })
+        Ok(Self::with_store(store))
     }
 
-    pub(super) fn applied(&self) -> LogIndex {
-        self.applied
+    /// The empty state, with its items in memory.
+    pub(super) fn in_memory() -> Self {
+        Self::with_store(Box::new(MemoryStore::default()))
+    }
+
+    fn with_store(store: Box<dyn ItemStore>) -> Self {
+        Self {
+            fleet: FleetMachine::new(),
+            jobs: JobMachine::new(store),
+        }
     }
 
     pub(super) fn view(&self) -> FleetView {
         self.fleet.view()
     }
 
-    /// Applies the command at the next position.
-    pub(super) fn apply(&mut self, command: &GroupCommand) -> GroupOutcome {
-        let index = self.applied.next();
-        self.applied = index;
+    fn apply_command(&mut self, index: LogIndex, command: &GroupCommand) -> GroupOutcome {
         match command {
             GroupCommand::Fleet(command) => GroupOutcome::Fleet(self.fleet.apply(index, command)),
             GroupCommand::Jobs(command) => GroupOutcome::Jobs(self.jobs.apply(index, command)),
         }
     }
 }
+
+impl StateMachine for GroupState {
+    /// Applies an encoded [`GroupCommand`]; the answer is its encoded outcome, or
+    /// empty for bytes that are no command, which then change nothing anywhere.
+    fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8> {
+        match postcard::from_bytes(command) {
+            Ok(command) => {
+                let outcome = self.apply_command(index, &command);
+                postcard::to_stdvec(&outcome).unwrap_or_default()
+            }
+            Err(error) => {
+                log::error!("replica: entry {index} is no command: {error}.");
+                Vec::new()
+            }
+        }
+    }
+
+    fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        let snapshot = GroupSnapshot {
+            fleet: self.fleet.snapshot().map_err(not_taken)?,
+            jobs: self.jobs.snapshot().map_err(not_taken)?,
+        };
+        postcard::to_stdvec(&snapshot).map_err(not_taken)
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let snapshot: GroupSnapshot = postcard::from_bytes(snapshot).map_err(not_restored)?;
+        self.fleet.restore(&snapshot.fleet).map_err(not_restored)?;
+        self.jobs.restore(&snapshot.jobs).map_err(not_restored)
+    }
+}
+
+fn not_taken(error: impl std::fmt::Display) -> SnapshotError {
+    let detail = error.to_string();
+    SnapshotError { detail }
+}
+
+fn not_restored(error: impl std::fmt::Display) -> RestoreError {
+    let detail = error.to_string();
+    RestoreError { detail }
+}
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -1,310 +1,310 @@
 //! The replica task.
 
-use super::command::{GroupCommand, GroupOutcome, ReplicaMessage};
+mod messages;
+mod ordering;
+
+use super::command::{GroupCommand, MembershipOutcome, ProposalContent, ReplicaMessage};
 use super::handle::{
-    JobQuery, ProposeError, ReplicaEvent, ReplicaHandle, ReplicaInbox, ReplicaView,
+    GroupView, JobQuery, ProposeError, ReplicaEvent, ReplicaHandle, ReplicaInbox, ReplicaView,
 };
-use super::log_file::LogFile;
-use super::state::GroupState;
+use super::proposals::{OutcomeSender, ProposalBook};
+use super::role::{ReplicaError, ReplicaRole, ReplicaSettings};
+use super::sources::tail_sources;
 use crate::peers::{PeerDirectory, PeerMessage};
+use chicoryladder_consensus::{ReplicaOutput, SeatRole};
 use chicoryladder_jobs::UnixMillis;
-use chicoryladder_types::LogIndex;
 use chicoryladder_types::prelude::*;
-use std::collections::{BTreeMap, HashMap};
+use chicoryladder_types::{LogIndex, SeatId};
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::runtime::{Handle, RuntimeFlavor};
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// The time between two requests for the voter's tail.
-const TAIL_INTERVAL: Duration = Duration::from_millis(100);
-
-/// The most command bytes in one answer to a request for the tail.
-const TAIL_MAX_BYTES: usize = 256 * 1024;
+/// The longest pause between two looks at the timers.
+const TICK_MAX: Duration = Duration::from_millis(50);
 
-/// Why the replica did not start.
-#[derive(Debug, thiserror::Error)]
-pub enum ReplicaError {
-    /// The log cannot be read.
-    #[error("the log in the data folder cannot be read")]
-    Log(#[source] std::io::Error),
-    /// The items cannot be read.
-    #[error("the items in the data folder cannot be read")]
-    Items(#[source] chicoryladder_jobs::StoreError),
-    /// The log holds a command that cannot be decoded.
-    #[error("the log holds a command that cannot be decoded")]
-    Command(#[source] postcard::Error),
-}
+/// The time between two views that differ in their freshness alone.
+const VIEW_INTERVAL: Duration = Duration::from_millis(100);
 
-type OutcomeSender = oneshot::Sender<Result<GroupOutcome, ProposeError>>;
+/// The most events that share one sync of the log.
+const BATCH_MAX_EVENTS: usize = 256;
 
-/// An ordered command whose position this host has not applied yet.
-struct OrderedProposal {
-    outcome: GroupOutcome,
-    sender: OutcomeSender,
-}
-
-/// Owns the state machines of one host and, on the voter, the log.
+/// Owns the state machines of one host and its part in the group.
 pub(crate) struct ReplicaTask {
-    state: GroupState,
-    log: Option<LogFile>,
-    commands: Vec<Vec<u8>>,
-    voter: SocketAddr,
+    role: ReplicaRole,
+    settings: ReplicaSettings,
     peers: PeerDirectory,
     clock: Arc<dyn ClockSource>,
     events: mpsc::UnboundedReceiver<ReplicaEvent>,
     views: watch::Sender<ReplicaView>,
-    next_proposal: u64,
-    proposals: HashMap<u64, OutcomeSender>,
-    ordered: BTreeMap<LogIndex, OrderedProposal>,
+    view_due_at: Instant,
+    proposals: ProposalBook,
+    /// The leader as told by others, for hosts that are no seat.
+    told_leader: Option<SocketAddr>,
+    /// Where seats were last heard from, for those that are not members yet.
+    seat_addresses: HashMap<SeatId, SocketAddr>,
+    handovers: Vec<oneshot::Sender<()>>,
 }
 
 impl ReplicaTask {
-    /// Opens the state; `folder` is given on the voter only.
+    /// Opens the state and the seat, if the host has one.
     ///
     /// # Errors
     ///
     /// Fails if the data folder cannot be read.
     pub(crate) fn open(
-        folder: Option<&Path>,
-        voter: SocketAddr,
+        settings: ReplicaSettings,
         peers: PeerDirectory,
         clock: Arc<dyn ClockSource>,
-        lease: Duration,
     ) -> Result<(Self, ReplicaHandle, ReplicaInbox), ReplicaError> {
-        let mut state = GroupState::open(folder).map_err(ReplicaError::Items)?;
-        let (log, commands) = match folder {
-            None => (None, Vec::new()),
-            Some(folder) => {
-                let (log, commands) = LogFile::open(folder).map_err(ReplicaError::Log)?;
-                (Some(log), commands)
-            }
-        };
-        for command in &commands {
-            state.apply(&decode(command).map_err(ReplicaError::Command)?);
-        }
+        let now = clock.now();
+        let role = ReplicaRole::open(&settings, now)?;
         let (sender, events) = mpsc::unbounded_channel();
         let (views, receiver) = watch::channel(ReplicaView {
-            fleet: Arc::new(state.view()),
-            level_at: log.is_some().then(|| clock.now()),
+            fleet: Arc::new(role.state().view()),
+            applied: role.applied(),
+            level_at: None,
+            group: Arc::default(),
         });
         let handle = ReplicaHandle {
             events: sender.clone(),
             views: receiver,
             clock: clock.clone(),
-            lease,
+            lease: settings.lease,
         };
         let task = Self {
-            state,
-            log,
-            commands,
-            voter,
+            role,
+            proposals: ProposalBook::new(settings.seed),
+            settings,
             peers,
             clock,
             events,
             views,
-            next_proposal: 0,
-            proposals: HashMap::new(),
-            ordered: BTreeMap::new(),
+            view_due_at: now,
+            told_leader: None,
+            seat_addresses: HashMap::new(),
+            handovers: Vec::new(),
         };
         Ok((task, handle, ReplicaInbox { events: sender }))
     }
 
     pub(crate) async fn run(mut self) {
-        let mut ticks = tokio::time::interval(TAIL_INTERVAL);
         loop {
+            self.turn();
+            let now = self.clock.now();
+            let pause = self.role.wake_at().saturating_duration_since(now);
             tokio::select! {
                 event = self.events.recv() => match event {
-                    Some(event) => self.handle(event),
+                    Some(event) => self.handle_batch(event),
                     None => return,
                 },
-                _ = ticks.tick() => self.tick(),
+                () = tokio::time::sleep(pause.min(TICK_MAX)) => {}
             }
         }
     }
 
-    fn tick(&mut self) {
-        self.proposals.retain(|_, sender| !sender.is_closed());
-        self.ordered
-            .retain(|_, proposal| !proposal.sender.is_closed());
-        if self.log.is_some() {
-            self.note_level();
-        } else {
-            let after = self.state.applied();
-            self.tell(self.voter, ReplicaMessage::TailRequest { after });
+    /// Handles an event and those that wait behind it; they share one sync.
+    fn handle_batch(&mut self, first: ReplicaEvent) {
+        self.handle(first);
+        for _ in 1..BATCH_MAX_EVENTS {
+            match self.events.try_recv() {
+                Ok(event) => self.handle(event),
+                Err(_) => return,
+            }
         }
     }
 
     fn handle(&mut self, event: ReplicaEvent) {
         match event {
-            ReplicaEvent::Propose(command, sender) => self.propose(&command, sender),
-            ReplicaEvent::Query(query) => self.answer(query),
+            ReplicaEvent::Propose(command, sender) => self.open_proposal(&command, sender),
+            ReplicaEvent::Change(change, sender) => {
+                let content = ProposalContent::Membership(change);
+                let number = self.proposals.open(content, false, sender);
+                self.submit(number);
+            }
+            ReplicaEvent::Query(query) => self.answer_query(query),
             ReplicaEvent::Peer(peer, message) => self.receive(peer, message),
+            ReplicaEvent::HandOver(sender) => self.hand_over(sender),
         }
     }
 
-    fn propose(&mut self, command: &GroupCommand, sender: OutcomeSender) {
-        let Ok(bytes) = postcard::to_stdvec(command) else {
-            let _ = sender.send(Err(ProposeError::StorageFailed));
-            return;
-        };
-        if self.log.is_some() {
-            let result = self.order(bytes).map(|(_, outcome)| outcome);
-            let _ = sender.send(result);
-            return;
+    /// Acts on timers and on what the events so far ask for.
+    fn turn(&mut self) {
+        let now = self.clock.now();
+        match &mut self.role {
+            ReplicaRole::Seat(replica) => replica.tick(now),
+            ReplicaRole::Observer(_) => self.follow_tail(now),
         }
-        self.next_proposal += 1;
-        let proposal = self.next_proposal;
-        self.proposals.insert(proposal, sender);
-        let message = ReplicaMessage::Propose {
-            proposal,
-            command: bytes,
-        };
-        self.tell(self.voter, message);
+        for number in self.proposals.due(now) {
+            self.submit(number);
+        }
+        self.flush();
+        self.proposals.settle(self.role.applied());
+        self.settle_handovers();
+        self.publish();
     }
 
-    /// Makes a command durable, then applies it.
-    fn order(&mut self, bytes: Vec<u8>) -> Result<(LogIndex, GroupOutcome), ProposeError> {
-        let command = decode(&bytes).map_err(|_| ProposeError::StorageFailed)?;
-        let log = self.log.as_mut().ok_or(ProposeError::NoQuorum)?;
-        if let Err(error) = log.append(&bytes) {
-            log::error!("replica: the log cannot be written, stops ordering: {error}.");
-            self.log = None;
-            return Err(ProposeError::NoQuorum);
+    fn follow_tail(&mut self, now: Instant) {
+        let live = self.peers.live();
+        let voters: Vec<SocketAddr> = self.settings.voters.values().copied().collect();
+        let own = self.peers.own_address();
+        let sources = tail_sources(own, &self.settings.zone, &live, &voters);
+        let hurry = self.proposals.awaits_apply();
+        let ReplicaRole::Observer(observer) = &mut self.role else {
+            return;
+        };
+        observer.set_sources(sources);
+        if hurry {
+            observer.hasten(now);
+        }
+        if let Some(due) = observer.tick(now) {
+            self.tell(due.source, ReplicaMessage::TailRequest(due.request));
         }
-        self.commands.push(bytes);
-        let outcome = self.state.apply(&command);
-        self.note_level();
-        Ok((self.state.applied(), outcome))
     }
 
-    fn receive(&mut self, peer: SocketAddr, message: ReplicaMessage) {
-        match message {
-            ReplicaMessage::Propose { proposal, command } => {
-                let answer = match self.order(command) {
-                    Ok((index, outcome)) => ReplicaMessage::Ordered {
-                        proposal,
-                        index,
-                        outcome,
-                    },
-                    Err(_) => ReplicaMessage::Failed { proposal },
+    /// Stores and syncs what the events so far ask for.
+    fn flush(&mut self) {
+        let now = self.clock.now();
+        let ReplicaRole::Seat(replica) = &mut self.role else {
+            return;
+        };
+        let written = replica.write(now);
+        let synced = match written {
+            Ok(outputs) => {
+                self.carry_out(outputs);
+                let ReplicaRole::Seat(replica) = &mut self.role else {
+                    return;
                 };
-                self.tell(peer, answer);
+                run_blocking(|| replica.flush(now))
             }
-            ReplicaMessage::Ordered {
-                proposal,
-                index,
-                outcome,
-            } => self.note_ordered(proposal, index, outcome),
-            ReplicaMessage::Failed { proposal } => {
-                if let Some(sender) = self.proposals.remove(&proposal) {
-                    let _ = sender.send(Err(ProposeError::NoQuorum));
-                }
+            Err(error) => Err(error),
+        };
+        match synced {
+            Ok(outputs) => self.carry_out(outputs),
+            Err(_) => self.become_observer(),
+        }
+        if let Some(error) = self.role.state().jobs.failure() {
+            log::error!("replica: the items of batch jobs cannot be stored: {error}.");
+            self.become_observer();
+        }
+    }
+
+    fn carry_out(&mut self, outputs: Vec<ReplicaOutput>) {
+        for output in outputs {
+            match output {
+                ReplicaOutput::Send(envelope) => self.send_seat(envelope),
+                ReplicaOutput::Answered {
+                    token,
+                    index,
+                    answer,
+                } => self.note_applied(token, index, &answer),
+                ReplicaOutput::Dropped { token, reason } => self.note_dropped(token, reason),
             }
-            ReplicaMessage::TailRequest { after } => self.send_tail(peer, after),
-            ReplicaMessage::Tail {
-                after,
-                commands,
-                committed,
-            } => self.follow(after, &commands, committed),
         }
     }
 
-    fn note_ordered(&mut self, proposal: u64, index: LogIndex, outcome: GroupOutcome) {
-        let Some(sender) = self.proposals.remove(&proposal) else {
+    /// Goes on without the disk, which failed; the seat stays silent from now on.
+    fn become_observer(&mut self) {
+        if matches!(self.role, ReplicaRole::Observer(_)) {
             return;
-        };
-        self.ordered
-            .insert(index, OrderedProposal { outcome, sender });
-        self.settle_ordered();
-        let after = self.state.applied();
-        self.tell(self.voter, ReplicaMessage::TailRequest { after });
+        }
+        log::error!("replica: goes on as an observer; replace the disk under a new seat.");
+        let voters = self.settings.voters.values().copied().collect();
+        self.role = ReplicaRole::observer(voters, self.clock.now());
+        self.proposals.abandon_log();
     }
 
-    /// Answers proposals whose position is applied here, so that the proposer
-    /// reads its own writes.
-    fn settle_ordered(&mut self) {
-        let applied = self.state.applied();
-        let later = self.ordered.split_off(&applied.next());
-        for (_, proposal) in std::mem::replace(&mut self.ordered, later) {
-            let _ = proposal.sender.send(Ok(proposal.outcome));
+    /// Shows the state to the other tasks; its position never falls.
+    fn publish(&mut self) {
+        let now = self.clock.now();
+        let applied = self.role.applied();
+        let shown = self.views.borrow().applied;
+        if applied < shown || (applied == shown && now < self.view_due_at) {
+            return;
         }
+        self.view_due_at = now + VIEW_INTERVAL;
+        self.views.send_replace(ReplicaView {
+            fleet: Arc::new(self.role.state().view()),
+            applied,
+            level_at: self.role.fresh_at(now),
+            group: Arc::new(self.group_view()),
+        });
     }
 
-    fn send_tail(&self, peer: SocketAddr, after: LogIndex) {
-        if self.log.is_none() {
-            return;
+    fn group_view(&self) -> GroupView {
+        let leader = self.leader_address();
+        match &self.role {
+            ReplicaRole::Seat(replica) => GroupView {
+                leader,
+                term: Some(replica.seat().term()),
+                membership: Some(replica.seat().membership().clone()),
+            },
+            ReplicaRole::Observer(_) => GroupView {
+                leader,
+                term: None,
+                membership: None,
+            },
         }
-        let begin = usize::try_from(after.0).unwrap_or(usize::MAX);
-        let mut bytes = 0;
-        let tail = self.commands.get(begin..).unwrap_or_default().iter();
-        let commands = tail
-            .take_while(|command| {
-                let first = bytes == 0;
-                bytes += command.len();
-                first || bytes <= TAIL_MAX_BYTES
-            })
-            .cloned()
-            .collect();
-        let committed = self.state.applied();
-        let message = ReplicaMessage::Tail {
-            after,
-            commands,
-            committed,
-        };
-        self.tell(peer, message);
     }
 
-    fn follow(&mut self, after: LogIndex, commands: &[Vec<u8>], committed: LogIndex) {
-        let Some(known) = self.state.applied().0.checked_sub(after.0) else {
-            return;
-        };
-        let known = usize::try_from(known).unwrap_or(usize::MAX);
-        for bytes in commands.iter().skip(known) {
-            match decode(bytes) {
-                Ok(command) => {
-                    self.state.apply(&command);
-                }
-                Err(error) => {
-                    log::error!("replica: cannot decode a command of the voter: {error}.");
-                    return;
-                }
-            }
+    fn leads(&self) -> bool {
+        match &self.role {
+            ReplicaRole::Seat(replica) => replica.seat().role() == SeatRole::Leader,
+            ReplicaRole::Observer(_) => false,
         }
-        self.settle_ordered();
-        if self.state.applied() >= committed {
-            self.note_level();
-        } else {
-            let after = self.state.applied();
-            self.tell(self.voter, ReplicaMessage::TailRequest { after });
+    }
+
+    fn leader_address(&self) -> Option<SocketAddr> {
+        match &self.role {
+            ReplicaRole::Seat(replica) => self.seat_address(replica.seat().leader()?),
+            ReplicaRole::Observer(_) => self.told_leader,
         }
     }
 
-    fn note_level(&mut self) {
-        self.views.send_replace(ReplicaView {
-            fleet: Arc::new(self.state.view()),
-            level_at: Some(self.clock.now()),
-        });
+    fn seat_address(&self, seat: SeatId) -> Option<SocketAddr> {
+        let ReplicaRole::Seat(replica) = &self.role else {
+            return None;
+        };
+        let address = replica.seat().membership().address(seat);
+        address.or_else(|| self.seat_addresses.get(&seat).copied())
+    }
+
+    fn hand_over(&mut self, sender: oneshot::Sender<()>) {
+        let now = self.clock.now();
+        if let ReplicaRole::Seat(replica) = &mut self.role {
+            // Without another voter the leader stays and the group waits for it.
+            let _ = replica.transfer(None, now);
+        }
+        self.handovers.push(sender);
+    }
+
+    fn settle_handovers(&mut self) {
+        if !self.leads() {
+            for sender in self.handovers.drain(..) {
+                let _ = sender.send(());
+            }
+        }
     }
 
-    fn answer(&self, query: JobQuery) {
+    fn answer_query(&self, query: JobQuery) {
+        let jobs = &self.role.state().jobs;
         // A closed channel means that the asker has left.
         match query {
             JobQuery::Status(team, job, sender) => {
                 let now = UnixMillis::from(self.clock.wall());
-                let _ = sender.send(self.state.jobs.status(&team, job, now));
+                let _ = sender.send(jobs.status(&team, job, now));
             }
             JobQuery::Results(query, sender) => {
-                let jobs = &self.state.jobs;
                 let page = jobs.results(&query.team, query.job, query.from, query.limit);
                 let _ = sender.send(page);
             }
             JobQuery::Request(job, item, sender) => {
-                let _ = sender.send(self.state.jobs.request(job, item));
+                let _ = sender.send(jobs.request(job, item));
             }
             JobQuery::HasWork(sender) => {
-                let _ = sender.send(self.state.jobs.has_work());
+                let _ = sender.send(jobs.has_work());
             }
         }
     }
@@ -314,6 +314,13 @@
     }
 }
 
-fn decode(bytes: &[u8]) -> Result<GroupCommand, postcard::Error> {
-    postcard::from_bytes(bytes)
+/// Runs a step that waits for the disk without holding up the other tasks.
+fn run_blocking<T>(step: impl FnOnce() -> T) -> T {
+    let threaded = Handle::try_current()
+        .is_ok_and(|handle| handle.runtime_flavor() == RuntimeFlavor::MultiThread);
+    if threaded {
+        tokio::task::block_in_place(step)
+    } else {
+        step()
+    }
 }
--- /dev/null
+++ b/crates/host/src/replica/task/messages.rs
@@ -0,0 +1,68 @@
+//! Messages from and to the replicas of other hosts.
+
+use super::{ReplicaMessage, ReplicaRole, ReplicaTask};
+use crate::replica::proposals::ProposalNumber;
+use chicoryladder_consensus::{SeatEnvelope, TailAnswer, TailRequest};
+use std::net::SocketAddr;
+
+impl ReplicaTask {
+    pub(super) fn receive(&mut self, peer: SocketAddr, message: ReplicaMessage) {
+        match message {
+            ReplicaMessage::Seat(envelope) => self.receive_seat(peer, envelope),
+            ReplicaMessage::Propose { proposal, content } => {
+                self.order_for(peer, proposal, &content);
+            }
+            ReplicaMessage::Ordered {
+                proposal,
+                index,
+                outcome,
+            } => {
+                let number = ProposalNumber(proposal);
+                self.proposals.note_ordered(number, index, outcome);
+            }
+            ReplicaMessage::NotOrdered { proposal, leader } => {
+                self.told_leader = leader.filter(|leader| *leader != peer);
+                self.proposals.note_not_ordered(ProposalNumber(proposal));
+            }
+            ReplicaMessage::TailRequest(request) => self.answer_tail(peer, &request),
+            ReplicaMessage::Tail { answer, leader } => self.take_tail(answer, leader),
+        }
+    }
+
+    fn receive_seat(&mut self, peer: SocketAddr, envelope: SeatEnvelope) {
+        self.seat_addresses.insert(envelope.from, peer);
+        let now = self.clock.now();
+        if let ReplicaRole::Seat(replica) = &mut self.role {
+            replica.receive(envelope, now);
+        }
+    }
+
+    pub(super) fn send_seat(&self, envelope: SeatEnvelope) {
+        if let Some(address) = self.seat_address(envelope.to) {
+            self.tell(address, ReplicaMessage::Seat(envelope));
+        }
+    }
+
+    fn answer_tail(&mut self, peer: SocketAddr, request: &TailRequest) {
+        let now = self.clock.now();
+        match self.role.answer(request, now) {
+            Ok(answer) => {
+                let leader = self.leader_address();
+                self.tell(peer, ReplicaMessage::Tail { answer, leader });
+            }
+            Err(error) => log::error!("replica: cannot serve an observer: {error}."),
+        }
+    }
+
+    fn take_tail(&mut self, answer: TailAnswer, leader: Option<SocketAddr>) {
+        let now = self.clock.now();
+        if leader.is_some() {
+            self.told_leader = leader;
+        }
+        if let ReplicaRole::Observer(observer) = &mut self.role
+            && let Err(error) = observer.receive(answer, now)
+        {
+            log::error!("replica: cannot take over a snapshot: {error}.");
+        }
+    }
+}
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -3,25 +3,13 @@
 mod read;
 
 use crate::fault::SettingsError;
+use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// Identifies a voter's place in the replicated groups.
-///
-/// A replaced disk comes back under a new seat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct SeatId(pub u64);
-
-impl fmt::Display for SeatId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
 /// The settings of one entry host, read from its INI file.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HostSettings {
--- a/crates/settings/src/host/read.rs
+++ b/crates/settings/src/host/read.rs
@@ -2,11 +2,12 @@
 
 use super::{
     CallerLimits, DataSettings, HostIdentity, HostSettings, KeySettings, ListenAddresses,
-    OperatorSettings, PeerSettings, SeatId, ShutdownSettings,
+    OperatorSettings, PeerSettings, ShutdownSettings,
 };
 use crate::fault::{SettingsFault, SettingsReport};
 use crate::ini::{IniSection, SectionReader, TextPlace, split_sections};
 use crate::value::{MillisValue, SettingValue, ValueList, WholeNumber};
+use chicoryladder_types::SeatId;
 use miette::SourceSpan;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -20,5 +20,5 @@
 };
 pub use host::{
     CallerLimits, DataSettings, HostIdentity, HostSettings, KeySettings, ListenAddresses,
-    OperatorSettings, PeerSettings, SeatId, ShutdownSettings,
+    OperatorSettings, PeerSettings, ShutdownSettings,
 };
--- a/crates/settings/tests/host.rs
+++ b/crates/settings/tests/host.rs
@@ -1,6 +1,7 @@
 //! Host settings: defaults, paths and reports of faults.
 
-use chicoryladder_settings::{HostSettings, SeatId, SettingsReport};
+use chicoryladder_settings::{HostSettings, SettingsReport};
+use chicoryladder_types::SeatId;
 use miette::{GraphicalReportHandler, GraphicalTheme};
 use std::path::Path;
 use std::time::Duration;
--- a/crates/types/src/admin.rs
+++ b/crates/types/src/admin.rs
@@ -2,6 +2,10 @@
 //!
 //! `docs/openapi.yaml` describes the paths that take and give them.
 
+mod seats;
+
+pub use seats::{SeatChangeAnswer, SeatChangeRequest, SeatEntry, SeatsAnswer};
+
 use crate::{
     ClassName, FleetRevision, HostName, LogIndex, ModelName, OperationId, ServerLoad, ServerName,
     ServiceName, TeamName, ZoneName,
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -9,6 +9,7 @@
 pub mod job;
 pub mod key;
 pub mod members;
+pub mod seats;
 pub mod servers;
 pub mod status;
 pub mod team;
@@ -52,6 +53,9 @@
     /// List the entry hosts
     #[bpaf(command("members"))]
     Members(#[bpaf(external(members::members_options))] members::MembersOptions),
+    /// List and change the seats of the replicated group
+    #[bpaf(command("seats"))]
+    Seats(#[bpaf(external(seats::seats_options))] seats::SeatsOptions),
     /// List the backend servers
     #[bpaf(command("servers"))]
     Servers(#[bpaf(external(servers::servers_options))] servers::ServersOptions),
@@ -68,6 +72,7 @@
             Self::Job(options) => options.run().await,
             Self::Status(options) => options.run().await,
             Self::Members(options) => options.run().await,
+            Self::Seats(options) => options.run().await,
             Self::Servers(options) => options.run().await,
         }
     }
