--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -271,17 +271,20 @@
         address.or_else(|| self.seat_addresses.get(&seat).copied())
     }
 
+    /// Hands the leadership over; the sender is dropped if there is nothing to wait
+    /// for.
     fn hand_over(&mut self, sender: oneshot::Sender<()>) {
         let now = self.clock.now();
-        if let ReplicaRole::Seat(replica) = &mut self.role {
-            // Without another voter the leader stays and the group waits for it.
-            let _ = replica.transfer(None, now);
+        if let ReplicaRole::Seat(replica) = &mut self.role
+            && replica.transfer(None, now).is_ok()
+        {
+            self.handovers.push(sender);
         }
-        self.handovers.push(sender);
     }
 
+    /// Tells that the leadership has moved, once the successor was heard from.
     fn settle_handovers(&mut self) {
-        if !self.leads() {
+        if !self.leads() && self.leader_address().is_some() {
             for sender in self.handovers.drain(..) {
                 let _ = sender.send(());
             }
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -48,7 +48,8 @@
     /// Starts `count` hosts without a fleet document.
     pub(crate) async fn start(count: usize) -> Self {
         let folder = tempfile::tempdir().unwrap();
-        std::fs::write(folder.path().join("secret"), "a secret of the test hosts").unwrap();
+        let secret = format!("a secret of {}", folder.path().display());
+        std::fs::write(folder.path().join("secret"), secret).unwrap();
         std::fs::write(folder.path().join("token"), OPERATOR_TOKEN).unwrap();
         let ports = (0..count).map(|_| HostPorts::take()).collect();
         let mut fleet = Self {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,4 +8,5 @@
 
 mod command_line;
 mod fixture;
+mod replicated_state;
 mod whole_path;
--- /dev/null
+++ b/tests/all/replicated_state.rs
@@ -0,0 +1,97 @@
+//! The replicated state: loss of hosts, observers, replacement of a seat.
+
+use crate::fixture::{DOCUMENT, FleetFixture, eventually};
+use serde_json::json;
+
+/// Waits until a host has the given revision in force.
+async fn wait_revision(fleet: &FleetFixture, host: usize, revision: u64) {
+    let reached = || async { fleet.revision(host).await >= Some(revision) };
+    eventually("the revision is in force on the host", reached).await;
+}
+
+/// The host that leads, as host `asked` sees it.
+async fn leader(fleet: &FleetFixture, asked: usize, hosts: usize) -> Option<usize> {
+    let answer = fleet.admin(asked, "GET", "seats", &json!({})).await.json();
+    let address = answer["leader"].as_str()?.to_owned();
+    (0..hosts).find(|host| fleet.ports(*host).peers.to_string() == address)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_change_survives_the_loss_of_the_leader() {
+    let mut fleet = FleetFixture::with_document(5).await;
+    let changed = DOCUMENT.replace("rate = 50", "rate = 51");
+    let answer = fleet.put_document(4, &changed, 1, "second-document").await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let lost = leader(&fleet, 0, 3).await.expect("a leader");
+    fleet.kill_host(lost).await;
+    for host in (0..5).filter(|host| *host != lost) {
+        wait_revision(&fleet, host, 2).await;
+        fleet.wait_ready(host).await;
+    }
+    let asked = (0..3).find(|host| *host != lost).expect("a host");
+    let again = fleet.put_document(4, &changed, 1, "second-document").await;
+    assert_eq!(again.json()["revision"], 2, "{}", again.text());
+    let other = fleet
+        .put_document(asked, DOCUMENT, 2, "third-document")
+        .await;
+    assert_eq!(other.status, 200, "{}", other.text());
+    fleet.start_host(lost).await;
+    for host in 0..5 {
+        wait_revision(&fleet, host, 3).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lone_voter_accepts_no_change_and_a_restart_brings_nothing_back() {
+    let mut fleet = FleetFixture::with_document(3).await;
+    fleet.kill_host(1).await;
+    fleet.kill_host(2).await;
+    let changed = DOCUMENT.replace("rate = 50", "rate = 51");
+    let refused = fleet.put_document(0, &changed, 1, "lone-document").await;
+    assert_eq!(refused.status, 503, "{}", refused.text());
+    assert_eq!(refused.reason(), Some("no_quorum"));
+    assert_eq!(fleet.revision(0).await, Some(1));
+    fleet.start_host(1).await;
+    fleet.start_host(2).await;
+    for host in 0..3 {
+        fleet.wait_ready(host).await;
+    }
+    let answer = fleet.put_document(1, &changed, 1, "lone-document").await;
+    assert_eq!(answer.json()["revision"], 2, "{}", answer.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn leadership_moves_before_the_leader_stops() {
+    let mut fleet = FleetFixture::with_document(3).await;
+    let old = leader(&fleet, 0, 3).await.expect("a leader");
+    let host = fleet.take_host(old);
+    host.shutdown().await;
+    let asked = (0..3).find(|host| *host != old).expect("a host");
+    let moved = || async {
+        let next = leader(&fleet, asked, 3).await;
+        next.is_some() && next != Some(old)
+    };
+    eventually("another host leads", moved).await;
+    let changed = DOCUMENT.replace("rate = 50", "rate = 51");
+    let answer = fleet
+        .put_document(asked, &changed, 1, "second-document")
+        .await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seat_changes_follow_the_rules() {
+    let fleet = FleetFixture::with_document(3).await;
+    let address = fleet.ports(2).peers;
+    let add = json!({"change": "add", "seat": 4, "address": address});
+    let refused = fleet.admin(0, "POST", "seats", &add).await;
+    assert_eq!(refused.status, 409, "{}", refused.text());
+    let remove = json!({"change": "remove", "seat": 3});
+    let removed = fleet.admin(0, "POST", "seats", &remove).await;
+    assert_eq!(removed.status, 200, "{}", removed.text());
+    let added = fleet.admin(1, "POST", "seats", &add).await;
+    assert_eq!(added.status, 200, "{}", added.text());
+    let promote = json!({"change": "promote", "seat": 4});
+    let behind = fleet.admin(1, "POST", "seats", &promote).await;
+    assert_eq!(behind.status, 409, "{}", behind.text());
+}
