--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -2,8 +2,10 @@
 
 mod parts;
 
+use crate::batch::DispatcherHandle;
 use crate::ids::RandomIds;
 use crate::metrics::{HostMetrics, MetricsError};
+use crate::peers::PeerDirectory;
 use crate::platform::DrainFlag;
 use crate::replica::{ReplicaError, ReplicaHandle};
 use chicoryladder_gateway::{HttpListener, ListenError};
@@ -46,6 +48,9 @@
     /// The state cannot be read.
     #[error(transparent)]
     Replica(#[from] ReplicaError),
+    /// The withdrawals kept in the data folder cannot be read.
+    #[error("the key withdrawals in the data folder cannot be read")]
+    Withdrawals(#[source] std::io::Error),
     /// The metrics cannot be set up.
     #[error(transparent)]
     Metrics(#[from] MetricsError),
@@ -72,8 +77,10 @@
     /// The addresses that the host took.
     pub addresses: HostAddresses,
     drain: DrainFlag,
+    batch: DispatcherHandle,
     drain_timeout: Duration,
     replica: ReplicaHandle,
+    peers: PeerDirectory,
     callers: HttpListener,
     servers: HttpListener,
     operators: HttpListener,
@@ -92,8 +99,8 @@
         parts::start(settings, Arc::new(SystemClock), ids, metrics).await
     }
 
-    /// Stops the host: readiness goes first, then every accepted request ends
-    /// whole, then the process may exit.
+    /// Stops the host: readiness goes first, then every accepted request and
+    /// running batch item ends whole, then the process may exit.
     ///
     /// Requests that are still running after the drain timeout are cut.
     pub async fn shutdown(mut self) {
@@ -104,6 +111,7 @@
             self.callers.drain().await;
             self.servers.drain().await;
             self.operators.drain().await;
+            self.batch.drained().await;
         };
         match tokio::time::timeout(self.drain_timeout, draining).await {
             Ok(()) => log::info!("host: drained, every request has ended."),
@@ -111,6 +119,7 @@
         }
         self.replica.hand_over().await;
         self.tasks.shutdown().await;
+        self.peers.port_freed().await;
     }
 
     /// Stops the host at once, as a crash would.
@@ -119,5 +128,6 @@
         self.servers.abort();
         self.operators.abort();
         self.tasks.shutdown().await;
+        self.peers.port_freed().await;
     }
 }
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -3,7 +3,9 @@
 use super::{EntryHost, HostAddresses, HostError};
 use crate::admin::AdminService;
 use crate::admission::KeyChecker;
-use crate::batch::BatchDispatcher;
+use crate::batch::{
+    AttemptRunner, BatchDispatcher, DispatcherHandle, HomeTask, JobSweeper, SlotRelay,
+};
 use crate::ids::RandomIds;
 use crate::job_service::JobService;
 use crate::limits::LimitHandle;
@@ -12,7 +14,10 @@
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
 use crate::platform::{DrainFlag, PlatformService};
 use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
-use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle};
+use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
+use crate::tombstones::{
+    FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
+};
 use chicoryladder_gateway::{
     CallerService, HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
     ServerPort, ServerService,
@@ -21,6 +26,7 @@
 use chicoryladder_settings::HostSettings;
 use chicoryladder_types::ServerAnnouncement;
 use chicoryladder_types::prelude::*;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -73,8 +79,10 @@
     directory: PeerDirectory,
     replica: ReplicaHandle,
     routing: RoutingHandle,
+    tombstones: TombstoneHandle,
     limits: LimitHandle,
     drain: DrainFlag,
+    batch: DispatcherHandle,
     tasks: JoinSet<()>,
 }
 
@@ -90,26 +98,57 @@
         let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
         let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
         let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock, &ids)?;
-        let routing = RoutingHandle::start(settings.host.zone.clone(), clock.clone());
+        let place = RoutingPlace {
+            host: settings.host.name.clone(),
+            zone: settings.host.zone.clone(),
+        };
+        let (wish_sender, wishes) = mpsc::unbounded_channel();
+        let routing = RoutingHandle::start(place.clone(), clock.clone(), wish_sender);
         let limits = LimitHandle::start(directory.contact_count(), clock.clone());
         let mut tasks = JoinSet::new();
         tasks.spawn(replica_task.run());
+        let store = tombstone_store(&settings);
+        let (tombstone_task, tombstones) =
+            TombstoneTask::open(replica.clone(), directory.clone(), store)
+                .map_err(HostError::Withdrawals)?;
+        tasks.spawn(tombstone_task.run());
         let peer_task = PeerTask {
             directory: directory.clone(),
             messages,
-            replica: inbox,
+            replica: replica.clone(),
+            inbox,
             routing: routing.clone(),
+            tombstones: tombstones.clone(),
+            waiting: HashMap::new(),
         };
         tasks.spawn(peer_task.run());
-        let dispatcher = BatchDispatcher {
-            host: settings.host.name.clone(),
+        let slot_relay = SlotRelay {
+            directory: directory.clone(),
+            wishes,
+        };
+        tasks.spawn(slot_relay.run());
+        let home_task = HomeTask {
+            place,
+            directory: directory.clone(),
+            routing: routing.clone(),
+        };
+        tasks.spawn(home_task.run());
+        let runner = AttemptRunner {
             replica: replica.clone(),
             routing: routing.clone(),
             client: ServerClient::new(),
             clock: clock.clone(),
             ids: ids.clone(),
         };
+        let drain = DrainFlag::default();
+        let host = settings.host.name.clone();
+        let (dispatcher, batch) = BatchDispatcher::new(host, runner, drain.clone());
         tasks.spawn(dispatcher.run());
+        let sweeper = JobSweeper {
+            replica: replica.clone(),
+            ids: ids.clone(),
+        };
+        tasks.spawn(sweeper.run());
         Ok(Self {
             settings,
             clock,
@@ -118,8 +157,10 @@
             directory,
             replica,
             routing,
+            tombstones,
             limits,
-            drain: DrainFlag::default(),
+            drain,
+            batch,
             tasks,
         })
     }
@@ -131,6 +172,7 @@
         operator_token: String,
     ) -> Result<EntryHost, HostError> {
         let listen = self.settings.listen;
+        self.tombstones.ready().await;
         let admin = self.admin_service(shared_secret);
         let operator_service = OperatorService {
             port: Arc::new(admin),
@@ -154,8 +196,10 @@
         Ok(EntryHost {
             addresses,
             drain: self.drain,
+            batch: self.batch,
             drain_timeout: self.settings.shutdown.drain_timeout,
             replica: self.replica,
+            peers: self.directory,
             callers,
             servers,
             operators,
@@ -233,6 +277,7 @@
             replica: self.replica.clone(),
             routing: self.routing.clone(),
             peers: self.directory.clone(),
+            tombstones: self.tombstones.clone(),
             ids: self.ids.clone(),
             shared_secret,
             metrics: self.metrics.clone(),
@@ -286,6 +331,13 @@
     Ok(opened?)
 }
 
+fn tombstone_store(settings: &HostSettings) -> Arc<dyn TombstoneStore> {
+    match &settings.data {
+        Some(data) => Arc::new(FileTombstones::new(&data.folder)),
+        None => Arc::new(NoTombstones),
+    }
+}
+
 fn read_text(path: &Path) -> Result<String, HostError> {
     match std::fs::read_to_string(path) {
         Ok(text) => Ok(text.trim().to_owned()),
--- a/crates/host/src/replica/role.rs
+++ b/crates/host/src/replica/role.rs
@@ -101,6 +101,13 @@
         }
     }
 
+    pub(super) fn state_mut(&mut self) -> &mut GroupState {
+        match self {
+            Self::Seat(replica) => replica.machine_mut(),
+            Self::Observer(observer) => observer.machine_mut(),
+        }
+    }
+
     pub(super) fn applied(&self) -> LogIndex {
         match self {
             Self::Seat(replica) => replica.applied(),
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -13,6 +13,7 @@
 use crate::peers::{PeerDirectory, PeerMessage};
 use chicoryladder_consensus::{ReplicaOutput, SeatRole};
 use chicoryladder_jobs::UnixMillis;
+use chicoryladder_state::KeyTombstones;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{LogIndex, SeatId};
 use std::collections::HashMap;
@@ -125,6 +126,9 @@
                 self.submit(number);
             }
             ReplicaEvent::Query(query) => self.answer_query(query),
+            ReplicaEvent::Tombstones(tombstones, sender) => {
+                let _ = sender.send(self.merge_tombstones(&tombstones));
+            }
             ReplicaEvent::Peer(peer, message) => self.receive(peer, message),
             ReplicaEvent::HandOver(sender) => self.hand_over(sender),
         }
@@ -212,7 +216,9 @@
         }
         log::error!("replica: goes on as an observer; replace the disk under a new seat.");
         let voters = self.settings.voters.values().copied().collect();
+        let tombstones = self.role.state().view().tombstones().clone();
         self.role = ReplicaRole::observer(voters, self.clock.now());
+        self.role.state_mut().fleet.merge_tombstones(&tombstones);
         self.proposals.abandon_log();
     }
 
@@ -233,6 +239,17 @@
         });
     }
 
+    /// Applies withdrawals to the view of this host before they are logged; tells
+    /// whether any was news.
+    fn merge_tombstones(&mut self, tombstones: &KeyTombstones) -> bool {
+        let news = self.role.state_mut().fleet.merge_tombstones(tombstones);
+        if news {
+            let fleet = Arc::new(self.role.state().view());
+            self.views.send_modify(|view| view.fleet = fleet);
+        }
+        news
+    }
+
     fn group_view(&self) -> GroupView {
         let leader = self.leader_address();
         match &self.role {
@@ -306,8 +323,12 @@
             JobQuery::Request(job, item, sender) => {
                 let _ = sender.send(jobs.request(job, item));
             }
-            JobQuery::HasWork(sender) => {
-                let _ = sender.send(jobs.has_work());
+            JobQuery::Dispatch(host, sender) => {
+                let _ = sender.send(jobs.dispatch_view(&host));
+            }
+            JobQuery::SweepDue(sender) => {
+                let now = UnixMillis::from(self.clock.wall());
+                let _ = sender.send(jobs.is_sweep_due(now));
             }
         }
     }
--- a/crates/types/src/admin.rs
+++ b/crates/types/src/admin.rs
@@ -7,8 +7,7 @@
 pub use seats::{SeatChangeAnswer, SeatChangeRequest, SeatEntry, SeatsAnswer};
 
 use crate::{
-    ClassName, FleetRevision, HostName, LogIndex, ModelName, OperationId, ServerLoad, ServerName,
-    ServiceName, TeamName, ZoneName,
+    ClassName, FleetRevision, HostName, LogIndex, OperationId, ServerName, TeamName, ZoneName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -43,6 +42,9 @@
     pub hosts_not_heard: Vec<HostPlace>,
     /// The availability zones of which no host has said so yet.
     pub zones_not_heard: Vec<ZoneName>,
+    /// Addresses from the settings under which no host was ever heard.
+    #[serde(default)]
+    pub contacts_not_heard: Vec<SocketAddr>,
 }
 
 /// An entry host and its availability zone.
@@ -118,9 +120,10 @@
     /// Whether the withdrawal is in the replicated log already; if not, the
     /// answering host keeps trying.
     pub logged: bool,
-    /// The longest time, in milliseconds, for which a host that was not heard
-    /// may still take the key.
-    pub key_lease_ms: u64,
+    /// The longest time, in milliseconds, for which hosts that were not heard
+    /// may still take the key. Absent if there is no such bound: the withdrawal
+    /// is not logged yet, or the team is served through a cut.
+    pub stops_within_ms: Option<u64>,
     /// How far the withdrawal has spread.
     #[serde(flatten)]
     pub spread: SpreadReport,
@@ -186,16 +189,16 @@
     pub server: ServerName,
     /// The availability zone of the server.
     pub zone: ZoneName,
+    /// The address that takes requests.
+    pub address: String,
     /// Requests that the server runs at the same time.
     pub slots: u32,
-    /// Models served.
-    pub models: Vec<ModelName>,
-    /// Plain services offered.
-    pub services: Vec<ServiceName>,
-    /// Whether the server takes new requests.
-    pub taking: bool,
-    /// The load that the server reported last.
-    pub load: ServerLoad,
+    /// Requests that the answering host has on the server.
+    pub in_flight: u32,
+    /// Whether the server has renewed its announcement in time.
+    pub live: bool,
+    /// Whether the server takes no new requests.
+    pub leaving: bool,
 }
 
 /// A numbered board: the same content under the same number on every host.
