--- a/crates/consensus/tests/all/kv.rs
+++ b/crates/consensus/tests/all/kv.rs
@@ -1,6 +1,6 @@
 //! A small key-value state machine and its sequential specification.
 
-use chicoryladder_consensus::{RestoreError, StateMachine};
+use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
 use chicoryladder_types::LogIndex;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -21,10 +21,6 @@
 }
 
 impl KvState {
-    pub(crate) fn decode(bytes: &[u8]) -> Self {
-        postcard::from_bytes(bytes).expect("a state")
-    }
-
     pub(crate) fn get(&self, key: u8) -> u32 {
         self.values.get(&key).copied().unwrap_or_default()
     }
@@ -57,8 +53,8 @@
         vec![u8::from(applied)]
     }
 
-    fn snapshot(&self) -> Vec<u8> {
-        postcard::to_stdvec(&self.0).expect("a state")
+    fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        Ok(postcard::to_stdvec(&self.0).expect("a state"))
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -95,6 +95,11 @@
         latest.map(|peer| peer.address)
     }
 
+    /// Waits until the peers' port is free again, after the host has stopped.
+    pub(crate) async fn port_freed(&self) {
+        self.link.closed().await;
+    }
+
     /// Queues a message to one host; it may be lost.
     pub(crate) fn send(&self, peer: SocketAddr, message: &PeerMessage) {
         match postcard::to_stdvec(message) {
--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -65,8 +65,15 @@
         }
     }
 
-    /// Runs until the receiver of the messages is dropped.
+    /// Runs until the receiver of the messages is dropped, then frees the port.
     pub(crate) async fn run(mut self) {
+        self.serve().await;
+        let link = self.link.clone();
+        drop(self);
+        link.shared().listening.send_replace(false);
+    }
+
+    async fn serve(&mut self) {
         loop {
             let received = tokio::select! {
                 received = self.socket.pull() => received,
