Add the demo, load and standin commands over a local fleet

Cause: a newcomer needs one command that shows both kinds of work on three entry hosts, and the measures need a fleet to run against. Ruled out: starting daemons as processes from the demo, since a process of the system starts no other one. Change: LocalFleet holds three entry hosts in three zones with stand-ins in one process; demo runs streams, charges and a job, crashes an engine, withdraws a key and holds the evidence against six promises; load run and load compare; standin engine and standin service as processes.

--- a/crates/standin/src/load/batch.rs
+++ b/crates/standin/src/load/batch.rs
@@ -18,9 +18,12 @@
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// A batch job to submit.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct BatchCall {
+    /// The items that an engine can do.
     pub(super) items: Vec<ChatCall>,
+    /// The number of further items, which have no messages.
+    pub(super) bad_items: usize,
 }
 
 #[derive(Debug, Deserialize)]
@@ -32,13 +35,15 @@
 impl BatchCall {
     /// The items as JSONL.
     pub(super) fn body(&self) -> Bytes {
+        let good = self.items.iter().map(ChatCall::body);
+        let bad = std::iter::repeat_n(json!({}), self.bad_items);
         let mut text = String::new();
-        for (number, item) in self.items.iter().enumerate() {
+        for (number, body) in good.chain(bad).enumerate() {
             let line = json!({
                 "custom_id": item_id(number),
                 "method": "POST",
                 "url": CHAT_PATH,
-                "body": item.body(),
+                "body": body,
             });
             text.push_str(&line.to_string());
             text.push('\n');
@@ -103,7 +108,7 @@
             *lines.entry(id.to_owned()).or_default() += 1;
             completed += u64::from(value["response"]["status_code"] == 200);
         }
-        let total = self.items.len();
+        let total = self.items.len() + self.bad_items;
         let once = (0..total).filter(|number| lines.get(&item_id(*number)) == Some(&1));
         let once = once.count() as u64;
         JobTimes {
--- a/crates/standin/src/load/experiment.rs
+++ b/crates/standin/src/load/experiment.rs
@@ -105,6 +105,8 @@
         model: ModelName,
         /// Items in one job.
         items: u32,
+        /// Further items that no engine can do.
+        bad_items: u32,
         /// The length of each prompt, in tokens.
         prompt_tokens: u32,
         /// The length of each answer, in tokens.
--- a/crates/standin/src/load/experiment/read.rs
+++ b/crates/standin/src/load/experiment/read.rs
@@ -22,6 +22,10 @@
 const DEFAULT_DECODE_STEP: Duration = Duration::from_millis(5);
 const DEFAULT_PREFILL_PER_TOKEN_US: u64 = 20;
 
+/// The terms of a team whose section names none.
+const DEFAULT_RATE_PER_S: f64 = 10_000.0;
+const DEFAULT_BURST: u32 = 10_000;
+
 /// The longest run, so that a tool left alone stops by itself.
 const DURATION_MAX: Duration = Duration::from_secs(600);
 
@@ -164,8 +168,8 @@
 fn read_team(section: &mut SectionReader<'_>) -> ExperimentTeam {
     ExperimentTeam {
         key: section.text("key").map(str::to_owned),
-        rate_per_s: section.rate("rate_per_s", f64::MAX),
-        burst: section.or_default("burst", u32::MAX),
+        rate_per_s: section.rate("rate_per_s", DEFAULT_RATE_PER_S),
+        burst: section.or_default("burst", DEFAULT_BURST),
     }
 }
 
@@ -248,6 +252,7 @@
         Some("batch") => Some(StreamWork::Batch {
             model: section.required_name("model")?,
             items: section.or_default("items", 100),
+            bad_items: section.or_default("bad_items", 0),
             prompt_tokens: section.or_default("prompt_tokens", 64),
             output_tokens: section.or_default("output_tokens", 16),
         }),
--- a/crates/standin/src/load/recorder.rs
+++ b/crates/standin/src/load/recorder.rs
@@ -3,7 +3,7 @@
 use super::experiment::{ExperimentTeam, LoadExperiment};
 use super::outcome::{JobTimes, LoadOutcome, RequestEnd, ServedTimes};
 use super::report::{LatencySummary, LoadReport, StreamReport, TeamReport};
-use chicoryladder_types::RefusalReason;
+use chicoryladder_types::{RefusalReason, RunVerdict};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -91,6 +91,8 @@
             RequestEnd::Served(times) => record.note_served(times),
             RequestEnd::JobDone(times) => record.note_job(times),
             RequestEnd::Refused(refused) => {
+                let not_run = refused.verdict == RunVerdict::NotRun.as_str();
+                record.report.refused_not_run += u64::from(not_run);
                 *record
                     .report
                     .refused
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -34,6 +34,8 @@
     pub served: u64,
     /// Refusals by reason code.
     pub refused: BTreeMap<String, u64>,
+    /// Refusals with the verdict `not-run`.
+    pub refused_not_run: u64,
     /// Failures by kind.
     pub failed: BTreeMap<String, u64>,
     /// Output tokens received.
--- a/crates/standin/src/load/runner.rs
+++ b/crates/standin/src/load/runner.rs
@@ -228,11 +228,12 @@
         let StreamWork::Batch {
             model,
             items,
+            bad_items,
             prompt_tokens,
             output_tokens,
         } = &self.stream().work
         else {
-            return BatchCall { items: Vec::new() };
+            return BatchCall::default();
         };
         let first = self.number * u64::from(*items);
         let item = |number: u32| ChatCall {
@@ -243,6 +244,7 @@
         };
         BatchCall {
             items: (0..*items).map(item).collect(),
+            bad_items: *bad_items as usize,
         }
     }
 
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -73,6 +73,14 @@
             }
         }
 
+        impl std::str::FromStr for $name {
+            type Err = NameError;
+
+            fn from_str(text: &str) -> Result<Self, NameError> {
+                Self::try_from(text)
+            }
+        }
+
         impl TryFrom<String> for $name {
             type Error = NameError;
 
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -4,12 +4,15 @@
 //! them.
 
 pub mod apply;
+pub mod demo;
 pub mod diff;
 pub mod get;
 pub mod job;
 pub mod key;
+pub mod load;
 pub mod members;
 pub mod servers;
+pub mod standin;
 pub mod status;
 pub mod team;
 
@@ -55,6 +58,15 @@
     /// List the backend servers
     #[bpaf(command("servers"))]
     Servers(#[bpaf(external(servers::servers_options))] servers::ServersOptions),
+    /// Show both kinds of work on three entry hosts in one process, with faults
+    #[bpaf(command("demo"))]
+    Demo(#[bpaf(external(demo::demo_options))] demo::DemoOptions),
+    /// Measure a fleet under open-loop load
+    #[bpaf(command("load"))]
+    Load(#[bpaf(external(load::load_options))] load::LoadOptions),
+    /// Run stand-in backend servers
+    #[bpaf(command("standin"))]
+    Standin(#[bpaf(external(standin::standin_options))] standin::StandinOptions),
 }
 
 impl Command {
@@ -69,6 +81,9 @@
             Self::Status(options) => options.run().await,
             Self::Members(options) => options.run().await,
             Self::Servers(options) => options.run().await,
+            Self::Demo(options) => options.run().await,
+            Self::Load(options) => options.run().await,
+            Self::Standin(options) => options.run().await,
         }
     }
 }
--- /dev/null
+++ b/src/commands/demo.rs
@@ -0,0 +1,122 @@
+//! `chicoryladder demo`: both kinds of work on three entry hosts, with faults.
+//!
+//! One process holds the entry hosts and the stand-ins. While online streams,
+//! charges and a batch job run, an engine crashes and a key is withdrawn. The
+//! evidence is then checked against the promises, one line a promise.
+
+mod checks;
+mod evidence;
+mod table;
+mod withdrawal;
+
+pub use checks::PromiseCheck;
+pub use evidence::DemoEvidence;
+
+use crate::error::CommandError;
+use crate::local_fleet::{EngineShape, LocalFleet, experiment_document};
+use crate::logging::start_logging;
+use bpaf::Bpaf;
+use chicoryladder_standin::load::{LoadExperiment, LoadRunner};
+use chicoryladder_types::TeamName;
+use log::LevelFilter;
+use std::path::Path;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+use withdrawal::WithdrawalProbe;
+
+/// The work of the demo.
+const EXPERIMENT: &str = include_str!("../../experiments/demo.ini");
+
+/// The longest time of the whole demo.
+const DEMO_TIMEOUT: Duration = Duration::from_secs(55);
+
+/// When the engine crashes, after the start of the work.
+const CRASH_AFTER: Duration = Duration::from_millis(2_500);
+
+/// When the key is withdrawn, after the crash.
+const WITHDRAW_AFTER: Duration = Duration::from_millis(500);
+
+/// The team whose key is withdrawn.
+const WITHDRAWN_TEAM: &str = "visitors";
+
+/// The options of `demo`.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(demo_options), ignore_rustdoc)]
+pub struct DemoOptions {
+    /// Log what the hosts and the stand-ins do
+    verbose: bool,
+}
+
+impl DemoOptions {
+    pub(super) async fn run(self) -> Result<(), CommandError> {
+        if self.verbose {
+            start_logging(LevelFilter::Debug)
+                .map_err(|error| CommandError::failed(error.to_string()))?;
+        }
+        let evidence = gather_evidence().await?;
+        let checks = checks::check_all(&evidence);
+        print!("{}", table::render(&evidence, &checks));
+        let broken = checks.iter().filter(|check| !check.held).count();
+        if broken > 0 {
+            let message = format!("{broken} of {} promises broke", checks.len());
+            return Err(CommandError::failed(message));
+        }
+        Ok(())
+    }
+}
+
+/// Runs the demo and gives what it left behind.
+///
+/// # Errors
+///
+/// Fails if the fleet does not start or the demo takes too long.
+pub async fn gather_evidence() -> Result<DemoEvidence, CommandError> {
+    let late = |_| CommandError::failed("the demo took too long");
+    timeout(DEMO_TIMEOUT, play()).await.map_err(late)?
+}
+
+/// The promises held against the evidence.
+#[must_use]
+pub fn check_promises(evidence: &DemoEvidence) -> Vec<PromiseCheck> {
+    checks::check_all(evidence)
+}
+
+async fn play() -> Result<DemoEvidence, CommandError> {
+    let mut experiment = LoadExperiment::parse(EXPERIMENT, Path::new(""))
+        .map_err(|error| CommandError::failed(error.to_string()))?;
+    let mut fleet = LocalFleet::start(&experiment_document(&experiment)).await?;
+    let shape = EngineShape::from(experiment.fleet);
+    fleet
+        .add_engines(experiment.fleet.engines_per_zone, shape)
+        .await?;
+    fleet.add_service().await?;
+    fleet.wait_for_servers().await?;
+    let mut keys = Vec::new();
+    for (name, team) in &mut experiment.teams {
+        let granted = fleet.grant(name).await?;
+        team.key = Some(granted.key.clone());
+        keys.push(granted.key);
+    }
+    let visitors = TeamName::try_from(WITHDRAWN_TEAM)
+        .map_err(|error| CommandError::failed(error.to_string()))?;
+    let withdrawn = fleet.grant(&visitors).await?;
+
+    let probe = WithdrawalProbe::start(fleet.callers(), &withdrawn.key);
+    let runner = LoadRunner::new(experiment, fleet.callers());
+    let faults = async {
+        sleep(CRASH_AFTER).await;
+        if let Some(engine) = fleet.engines().first() {
+            engine.control().crash().await;
+        }
+        sleep(WITHDRAW_AFTER).await;
+        fleet.withdraw(&withdrawn).await?;
+        probe.note_withdrawn();
+        Ok::<_, CommandError>(())
+    };
+    let (report, faulted) = tokio::join!(runner.run(), faults);
+    faulted?;
+    let withdrawal = probe.finish().await;
+    let evidence = DemoEvidence::collect(&fleet, report, keys, withdrawal).await;
+    fleet.stop().await;
+    evidence
+}
--- /dev/null
+++ b/src/commands/demo/checks.rs
@@ -0,0 +1,124 @@
+//! Holds the evidence of a run against the promises.
+
+use super::evidence::DemoEvidence;
+use super::withdrawal::WithdrawalRecord;
+use chicoryladder_standin::ReceivedRequest;
+use chicoryladder_standin::load::StreamReport;
+
+/// The stream of charges in the demo's experiment.
+const CHARGES_STREAM: &str = "charges";
+
+/// One promise and whether it held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromiseCheck {
+    /// The promise.
+    pub promise: &'static str,
+    /// Whether it held.
+    pub held: bool,
+    /// The figures behind the verdict.
+    pub detail: String,
+}
+
+/// Checks every promise of the demo.
+pub(super) fn check_all(evidence: &DemoEvidence) -> Vec<PromiseCheck> {
+    vec![
+        work_was_served(evidence),
+        answers_are_whole(evidence),
+        items_end_once(evidence),
+        charges_run_once(evidence),
+        keys_stay_inside(evidence),
+        withdrawn_key_ends(&evidence.withdrawal),
+    ]
+}
+
+fn sum(evidence: &DemoEvidence, read: impl Fn(&StreamReport) -> u64) -> u64 {
+    evidence.report.streams.values().map(read).sum()
+}
+
+fn work_was_served(evidence: &DemoEvidence) -> PromiseCheck {
+    let idle: Vec<&str> = evidence
+        .report
+        .streams
+        .iter()
+        .filter(|(_, stream)| stream.served == 0)
+        .map(|(name, _)| name.as_str())
+        .collect();
+    PromiseCheck {
+        promise: "every kind of work is served",
+        held: idle.is_empty(),
+        detail: format!("streams without a served request: {}", idle.len()),
+    }
+}
+
+fn answers_are_whole(evidence: &DemoEvidence) -> PromiseCheck {
+    let failed = sum(evidence, |stream| stream.failed.values().sum());
+    PromiseCheck {
+        promise: "a caller gets its own whole answer or a refusal",
+        held: failed == 0,
+        detail: format!("requests with neither: {failed}"),
+    }
+}
+
+fn items_end_once(evidence: &DemoEvidence) -> PromiseCheck {
+    let completed = sum(evidence, |stream| stream.items.completed);
+    let not_once = sum(evidence, |stream| stream.items.not_once);
+    PromiseCheck {
+        promise: "an accepted item ends exactly once",
+        held: completed > 0 && not_once == 0,
+        detail: format!("items completed: {completed}, not ended once: {not_once}"),
+    }
+}
+
+fn charges_run_once(evidence: &DemoEvidence) -> PromiseCheck {
+    let doubled = evidence
+        .charge_runs
+        .values()
+        .filter(|runs| **runs > 1)
+        .count();
+    let ran: u64 = evidence.charge_runs.values().sum();
+    let stream = evidence.report.streams.get(CHARGES_STREAM);
+    let served = stream.map_or(0, |stream| stream.served);
+    let may_have_run = stream.map_or(0, |stream| stream.intended - stream.refused_not_run);
+    PromiseCheck {
+        promise: "a charge runs at most once, and never after `not run`",
+        held: doubled == 0 && (served..=may_have_run).contains(&ran),
+        detail: format!("charges served: {served}, run: {ran}, run twice: {doubled}"),
+    }
+}
+
+fn keys_stay_inside(evidence: &DemoEvidence) -> PromiseCheck {
+    let shows_key =
+        |request: &&ReceivedRequest| evidence.keys.iter().any(|key| mentions(request, key));
+    let seen = evidence.received.iter().filter(shows_key).count();
+    PromiseCheck {
+        promise: "no backend server sees a caller's key",
+        held: seen == 0 && !evidence.received.is_empty(),
+        detail: format!(
+            "requests at backend servers: {}, with a key: {seen}",
+            evidence.received.len()
+        ),
+    }
+}
+
+fn mentions(request: &ReceivedRequest, key: &str) -> bool {
+    let holds = |bytes: &[u8]| String::from_utf8_lossy(bytes).contains(key);
+    request.path.contains(key)
+        || holds(&request.body)
+        || request
+            .headers
+            .values()
+            .any(|value| holds(value.as_bytes()))
+}
+
+fn withdrawn_key_ends(record: &WithdrawalRecord) -> PromiseCheck {
+    PromiseCheck {
+        promise: "a withdrawn key stops working within 3 seconds",
+        held: record.served_before > 0
+            && record.served_after_limit == 0
+            && record.refused_after_limit > 0,
+        detail: format!(
+            "served before: {}, within 3 s after: {}, later: {}",
+            record.served_before, record.served_within_limit, record.served_after_limit
+        ),
+    }
+}
--- /dev/null
+++ b/src/commands/demo/table.rs
@@ -0,0 +1,73 @@
+//! The demo's output.
+
+use super::checks::PromiseCheck;
+use super::evidence::DemoEvidence;
+use crate::output::table;
+use chicoryladder_standin::load::StreamReport;
+use std::collections::BTreeMap;
+
+/// The whole output of a run.
+pub(super) fn render(evidence: &DemoEvidence, checks: &[PromiseCheck]) -> String {
+    let parts = [
+        streams_table(evidence),
+        reasons_table("refused", &evidence.counts.refusals),
+        reasons_table("retried", &evidence.counts.retries),
+        checks_table(checks),
+    ];
+    let mut text = parts.join("\n\n");
+    text.push('\n');
+    text
+}
+
+fn streams_table(evidence: &DemoEvidence) -> String {
+    let headings = [
+        "stream", "sent", "served", "refused", "p50 ms", "p99 ms", "max ms", "items", "failed",
+    ];
+    let streams = &evidence.report.streams;
+    let rows: Vec<_> = streams
+        .iter()
+        .map(|(name, stream)| row(name, stream))
+        .collect();
+    table(&headings, &rows)
+}
+
+fn row(name: &str, stream: &StreamReport) -> Vec<String> {
+    let refused: u64 = stream.refused.values().sum();
+    vec![
+        name.to_owned(),
+        stream.intended.to_string(),
+        stream.served.to_string(),
+        refused.to_string(),
+        format!("{:.1}", stream.whole.p50_ms),
+        format!("{:.1}", stream.whole.p99_ms),
+        format!("{:.1}", stream.whole.max_ms),
+        stream.items.completed.to_string(),
+        stream.items.failed.to_string(),
+    ]
+}
+
+fn reasons_table(heading: &str, counts: &BTreeMap<String, u64>) -> String {
+    if counts.is_empty() {
+        return format!("{heading}: none");
+    }
+    let rows: Vec<_> = counts
+        .iter()
+        .map(|(reason, count)| vec![reason.clone(), count.to_string()])
+        .collect();
+    table(&[heading, "count"], &rows)
+}
+
+fn checks_table(checks: &[PromiseCheck]) -> String {
+    let rows: Vec<_> = checks
+        .iter()
+        .map(|check| {
+            let verdict = if check.held { "held" } else { "BROKEN" };
+            vec![
+                check.promise.to_owned(),
+                verdict.to_owned(),
+                check.detail.clone(),
+            ]
+        })
+        .collect();
+    table(&["promise", "verdict", "figures"], &rows)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod daemon;
 mod daemon_run;
 mod error;
+pub mod local_fleet;
 mod logging;
 mod operation;
 pub mod output;
--- /dev/null
+++ b/src/local_fleet.rs
@@ -0,0 +1,221 @@
+//! Three entry hosts and their backend servers in one process.
+//!
+//! The demo, the load tool and the whole-system tests run against it. The hosts
+//! are the same as in `chicoryladderd` and talk over loopback; only the process
+//! is shared. Their state lives in a temporary folder that goes with the fleet.
+
+mod admin;
+mod document;
+mod places;
+
+pub use admin::{GrantedKey, ReasonCounts};
+pub use document::experiment_document;
+pub use places::LocalZone;
+
+use crate::client::ApiClient;
+use crate::error::CommandError;
+use chicoryladder_host::{EntryHost, HostAddresses};
+use chicoryladder_standin::load::FleetPlan;
+use chicoryladder_standin::{
+    EngineHandle, EngineOptions, EngineServer, PlainHandle, PlainOptions, PlainServer,
+};
+use chicoryladder_types::{ModelName, ServerName, ServiceName};
+use places::FleetPlaces;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tempfile::TempDir;
+
+/// The model of the stand-in engines.
+pub const MODEL: &str = "assistant";
+
+/// The service of the stand-in plain service.
+pub const SERVICE: &str = "rent-ledger";
+
+/// The time given to running requests when the fleet stops.
+const STOP_GRACE: Duration = Duration::from_secs(2);
+
+/// How the stand-in engines compute.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineShape {
+    /// Sequences decoded together.
+    pub slots: u32,
+    /// The time of one decoding step.
+    pub decode_step: Duration,
+    /// The time to process one prompt token.
+    pub prefill_per_token: Duration,
+}
+
+impl From<FleetPlan> for EngineShape {
+    fn from(plan: FleetPlan) -> Self {
+        Self {
+            slots: plan.slots,
+            decode_step: plan.decode_step,
+            prefill_per_token: plan.prefill_per_token,
+        }
+    }
+}
+
+/// A running entry host of the fleet.
+struct LocalHost {
+    addresses: HostAddresses,
+    running: Option<EntryHost>,
+}
+
+/// Three entry hosts in three availability zones, and their backend servers.
+pub struct LocalFleet {
+    places: FleetPlaces,
+    hosts: Vec<LocalHost>,
+    engines: Vec<EngineHandle>,
+    services: Vec<PlainHandle>,
+    admin: ApiClient,
+    // Removed when the fleet is dropped, after its hosts.
+    _folder: TempDir,
+}
+
+impl LocalFleet {
+    /// Starts the hosts and brings a fleet document into force.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a host cannot start or the document is refused.
+    pub async fn start(document: &str) -> Result<Self, CommandError> {
+        let folder = tempfile::tempdir().map_err(failed)?;
+        let places = FleetPlaces::prepare(folder.path())?;
+        let mut hosts = Vec::new();
+        for zone in LocalZone::ALL {
+            let settings = places.settings(zone)?;
+            let host = EntryHost::start(settings).await.map_err(failed)?;
+            hosts.push(LocalHost {
+                addresses: host.addresses,
+                running: Some(host),
+            });
+        }
+        let admin = ApiClient {
+            addresses: hosts.iter().map(|host| host.addresses.operators).collect(),
+            credential: places.operator_token.clone(),
+            remedy: "the hosts of the local fleet have ended".to_owned(),
+        };
+        let fleet = Self {
+            places,
+            hosts,
+            engines: Vec::new(),
+            services: Vec::new(),
+            admin,
+            _folder: folder,
+        };
+        fleet.wait_until_ready().await?;
+        fleet.apply(document).await?;
+        Ok(fleet)
+    }
+
+    /// Starts `per_zone` engines in each availability zone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an engine cannot listen.
+    pub async fn add_engines(
+        &mut self,
+        per_zone: u32,
+        shape: EngineShape,
+    ) -> Result<(), CommandError> {
+        for zone in LocalZone::ALL {
+            for number in 1..=per_zone {
+                let name = format!("engine-{}-{number}", zone.name());
+                let name = ServerName::try_from(name).map_err(failed)?;
+                let model = ModelName::try_from(MODEL).map_err(failed)?;
+                let mut options = EngineOptions::new(name, zone.zone_name()?, model);
+                options.entry_hosts = self.servers_ports();
+                options.slots = shape.slots;
+                options.pace.decode_step = shape.decode_step;
+                options.pace.prefill_per_token = shape.prefill_per_token;
+                let engine = EngineServer::start(options).await.map_err(failed)?;
+                self.engines.push(engine);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts a plain service in the first availability zone.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the service cannot listen.
+    pub async fn add_service(&mut self) -> Result<(), CommandError> {
+        let name = ServerName::try_from("ledger-1").map_err(failed)?;
+        let service = ServiceName::try_from(SERVICE).map_err(failed)?;
+        let zone = LocalZone::ALL[0].zone_name()?;
+        let mut options = PlainOptions::new(name, zone, service);
+        options.entry_hosts = self.servers_ports();
+        let service = PlainServer::start(options).await.map_err(failed)?;
+        self.services.push(service);
+        Ok(())
+    }
+
+    /// The callers' ports of the running hosts.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        let running = self.hosts.iter().filter(|host| host.running.is_some());
+        running.map(|host| host.addresses.callers).collect()
+    }
+
+    /// The engines, in the order of their start.
+    #[must_use]
+    pub fn engines(&self) -> &[EngineHandle] {
+        &self.engines
+    }
+
+    /// The plain services, in the order of their start.
+    #[must_use]
+    pub fn services(&self) -> &[PlainHandle] {
+        &self.services
+    }
+
+    /// Stops a host at once, as a crash would.
+    pub async fn kill_host(&mut self, zone: LocalZone) {
+        if let Some(host) = self.hosts[zone.index()].running.take() {
+            host.kill().await;
+        }
+    }
+
+    /// Starts a killed host again on its folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the host cannot start.
+    pub async fn restart_host(&mut self, zone: LocalZone) -> Result<(), CommandError> {
+        let settings = self.places.settings(zone)?;
+        let host = EntryHost::start(settings).await.map_err(failed)?;
+        self.hosts[zone.index()] = LocalHost {
+            addresses: host.addresses,
+            running: Some(host),
+        };
+        let operators = self.hosts.iter().map(|host| host.addresses.operators);
+        self.admin.addresses = operators.collect();
+        Ok(())
+    }
+
+    /// Stops the backend servers and the hosts.
+    pub async fn stop(self) {
+        let engines = self
+            .engines
+            .into_iter()
+            .map(|engine| engine.stop(STOP_GRACE));
+        futures_util::future::join_all(engines).await;
+        for service in self.services {
+            service.stop().await;
+        }
+        let hosts = self.hosts.into_iter().filter_map(|host| host.running);
+        futures_util::future::join_all(hosts.map(EntryHost::shutdown)).await;
+    }
+
+    fn servers_ports(&self) -> Vec<SocketAddr> {
+        self.hosts
+            .iter()
+            .map(|host| host.addresses.servers)
+            .collect()
+    }
+}
+
+fn failed(error: impl std::fmt::Display) -> CommandError {
+    CommandError::failed(error.to_string())
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,5 +7,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod command_line;
+mod demo;
 mod fixture;
+mod streams;
 mod whole_path;
