--- a/crates/host/src/replica/handle.rs
+++ b/crates/host/src/replica/handle.rs
@@ -2,9 +2,10 @@
 
 use super::command::{GroupCommand, GroupOutcome, ReplicaMessage};
 use chicoryladder_jobs::{
-    ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage, UnixMillis,
+    DispatchView, ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage,
+    UnixMillis,
 };
-use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView};
+use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView, KeyTombstones};
 use chicoryladder_types::JobId;
 use chicoryladder_types::prelude::*;
 use std::net::SocketAddr;
@@ -53,7 +54,8 @@
         u32,
         oneshot::Sender<Result<ItemRequest, MachineError>>,
     ),
-    HasWork(oneshot::Sender<bool>),
+    Dispatch(HostName, oneshot::Sender<DispatchView>),
+    SweepDue(oneshot::Sender<bool>),
 }
 
 /// Asks for results of a job.
@@ -72,6 +74,7 @@
         oneshot::Sender<Result<GroupOutcome, ProposeError>>,
     ),
     Query(JobQuery),
+    Tombstones(KeyTombstones, oneshot::Sender<bool>),
     Peer(SocketAddr, ReplicaMessage),
 }
 
@@ -103,6 +106,7 @@
     pub(super) views: watch::Receiver<ReplicaView>,
     pub(super) clock: Arc<dyn ClockSource>,
     pub(super) lease: Duration,
+    pub(super) voter: SocketAddr,
 }
 
 impl ReplicaHandle {
@@ -124,6 +128,26 @@
         self.views.changed().await.is_ok()
     }
 
+    /// The peer address of the host that orders commands.
+    pub(crate) fn leader(&self) -> SocketAddr {
+        self.voter
+    }
+
+    /// The time for which a view of the keys is trusted.
+    pub(crate) fn lease(&self) -> Duration {
+        self.lease
+    }
+
+    /// Applies key withdrawals to the view of this host before they are logged;
+    /// tells whether any was news.
+    pub(crate) async fn merge_tombstones(&self, tombstones: KeyTombstones) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self
+            .events
+            .send(ReplicaEvent::Tombstones(tombstones, sender));
+        receiver.await.unwrap_or(false)
+    }
+
     /// Has a command on the fleet ordered and applied.
     ///
     /// # Errors
@@ -191,9 +215,15 @@
             .await
     }
 
-    /// Whether any item waits for a dispatcher.
-    pub(crate) async fn has_work(&self) -> bool {
-        self.query(JobQuery::HasWork).await.unwrap_or(false)
+    /// What the dispatcher of the host has to know of the jobs.
+    pub(crate) async fn dispatch_view(&self, host: &HostName) -> DispatchView {
+        let query = |sender| JobQuery::Dispatch(host.clone(), sender);
+        self.query(query).await.unwrap_or_default()
+    }
+
+    /// Whether a sweep would change any job.
+    pub(crate) async fn is_sweep_due(&self) -> bool {
+        self.query(JobQuery::SweepDue).await.unwrap_or(false)
     }
 
     /// The calendar time, for commands.
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -13,6 +13,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
 
@@ -22,6 +23,8 @@
 /// The time between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+static NEXT_OPERATION: AtomicU64 = AtomicU64::new(0);
+
 const OPERATOR_TOKEN: &str = "operator-token-of-tests";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -151,7 +154,11 @@
 
     /// Grants a key and returns its id and text.
     pub(crate) async fn grant_key(&self, host: usize, team: &str) -> GrantedKey {
-        let body = serde_json::json!({ "team": team });
+        let number = NEXT_OPERATION.fetch_add(1, Ordering::Relaxed);
+        let body = serde_json::json!({
+            "team": team,
+            "operation_id": format!("grant-{number}"),
+        });
         let answer = self.admin(host, "POST", "keys", &body).await;
         assert_eq!(answer.status, 200, "{}", answer.text());
         let answer = answer.json();
