--- a/crates/standin/tests/all/load.rs
+++ b/crates/standin/tests/all/load.rs
@@ -153,3 +153,20 @@
         .unwrap();
     assert_eq!(served.ratio(), Some(1.0));
 }
+
+#[test]
+fn every_experiment_file_is_sound_and_names_an_existing_baseline() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../experiments");
+    let mut checked = 0;
+    for entry in std::fs::read_dir(&folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.extension().is_none_or(|extension| extension != "ini") {
+            continue;
+        }
+        let experiment = LoadExperiment::read(&path).unwrap();
+        let baseline = experiment.baseline.map(|file| folder.join(file));
+        assert!(baseline.is_none_or(|file| file.exists()), "{path:?}");
+        checked += 1;
+    }
+    assert!(checked > 0);
+}
--- a/src/local_fleet/document.rs
+++ b/src/local_fleet/document.rs
@@ -5,7 +5,7 @@
 use std::fmt::Write;
 
 /// The classes and routes that all experiments share.
-const CLASSES_AND_ROUTES: &str = include_str!("../../experiments/fleet.ini");
+const CLASSES_AND_ROUTES: &str = include_str!("fleet.ini");
 
 /// Thousandths in one request a second.
 const MILLI_PER_UNIT: f64 = 1_000.0;
