--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,8 @@
 #![allow(clippy::unwrap_used)]
 
 mod command_line;
+mod demo;
 mod fixture;
 mod replicated_state;
+mod streams;
 mod whole_path;
