--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -8,7 +8,9 @@
 use anng::protocols::pipeline0::Pull0;
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::sync::mpsc;
 
 /// A pull socket and the address that it took.
@@ -17,8 +19,30 @@
     pub(crate) address: SocketAddr,
 }
 
+/// The longest wait for an address that a predecessor is still closing.
+const TAKEOVER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// The time between two attempts to take an address.
+const TAKEOVER_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Opens the listening socket.
+///
+/// A process that was stopped just before may still be closing its socket, so
+/// an address in use is tried again for a short time.
 pub(crate) async fn listen(address: SocketAddr) -> Result<BoundSocket, LinkError> {
+    let mut left = TAKEOVER_PATIENCE;
+    loop {
+        match try_listen(address).await {
+            Err(LinkError::Listen { source, .. })
+                if source.kind() == ErrorKind::AddrInUse && !left.is_zero() => {}
+            result => return result,
+        }
+        tokio::time::sleep(TAKEOVER_INTERVAL).await;
+        left = left.saturating_sub(TAKEOVER_INTERVAL);
+    }
+}
+
+async fn try_listen(address: SocketAddr) -> Result<BoundSocket, LinkError> {
     let failed = |source| LinkError::Listen { address, source };
     let socket = Pull0::socket().map_err(failed)?;
     let bound = socket
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod command_line;
 mod demo;
 mod fixture;
+mod limits;
 mod replicated_state;
 mod streams;
 mod whole_path;
