--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -18,7 +18,7 @@
 mod tail;
 
 pub use entry::{CommandBytes, EntryPayload, HardState, LogEntry, SnapshotRecord};
-pub use machine::{RestoreError, StateMachine};
+pub use machine::{RestoreError, SnapshotError, StateMachine};
 pub use membership::{
     GroupMembership, MemberRecord, MemberRole, MembershipChange, MembershipError,
 };
@@ -26,7 +26,7 @@
     AppendOutcome, AppendReply, AppendRequest, ClockStamp, SeatEnvelope, SeatMessage,
     SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
 };
-pub use observer::{ObserverSettings, TailObserver};
+pub use observer::{ObserverRequest, ObserverSettings, TailObserver};
 pub use replica::{DroppedReason, GroupReplica, ProposalToken, ReplicaError, ReplicaOutput};
 pub use seat::{
     BatchNumber, PersistBatch, PersistStep, ProposeError, ProposedEntry, RaftSeat, SeatAction,
@@ -34,4 +34,4 @@
 };
 pub use settings::SeatSettings;
 pub use storage::{FileStorage, LogStorage, MemoryDisk, MemoryStorage, StorageError, StoredState};
-pub use tail::{TailAnswer, TailContent, TailRequest};
+pub use tail::{SnapshotPosition, TailAnswer, TailContent, TailRequest};
--- a/crates/host/src/admin/members.rs
+++ b/crates/host/src/admin/members.rs
@@ -18,7 +18,7 @@
         members.sort_by(|a, b| a.host.cmp(&b.host));
         let leader = members
             .iter()
-            .find(|member| member.address == self.replica.leader())
+            .find(|member| Some(member.address) == self.replica.leader())
             .map(|member| member.host.clone());
         let answer = MembersAnswer {
             answering: self.host.clone(),
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -13,7 +13,7 @@
 use crate::online::OnlineService;
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
 use crate::platform::{DrainFlag, PlatformService};
-use crate::replica::{ReplicaHandle, ReplicaInbox, ReplicaTask};
+use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
 use crate::retries::RetryRules;
 use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
 use crate::tombstones::{
@@ -98,7 +98,7 @@
     ) -> Result<Self, HostError> {
         let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
         let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
-        let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock)?;
+        let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock, &ids)?;
         let place = RoutingPlace {
             host: settings.host.name.clone(),
             zone: settings.host.zone.clone(),
@@ -202,6 +202,8 @@
             drain: self.drain,
             batch: self.batch,
             drain_timeout: self.settings.shutdown.drain_timeout,
+            replica: self.replica,
+            peers: self.directory,
             callers,
             servers,
             operators,
@@ -309,24 +311,28 @@
     }
 }
 
-/// Opens the replica; the lowest seat of the settings orders the commands.
+/// Opens the replica, with the seat of the data folder if there is one.
 fn open_replica(
     settings: &HostSettings,
     directory: &PeerDirectory,
     clock: &Arc<dyn ClockSource>,
+    ids: &RandomIds,
 ) -> Result<(ReplicaTask, ReplicaHandle, ReplicaInbox), HostError> {
-    let (voter_seat, voter) = settings.voters.iter().next().ok_or(HostError::NoVoter)?;
-    let own = settings
-        .data
-        .as_ref()
-        .filter(|data| data.seat == *voter_seat);
-    let opened = ReplicaTask::open(
-        own.map(|data| data.folder.as_path()),
-        *voter,
-        directory.clone(),
-        clock.clone(),
-        settings.keys.lease,
-    );
+    if settings.voters.is_empty() {
+        return Err(HostError::NoVoter);
+    }
+    let disk = settings.data.as_ref().map(|data| ReplicaDisk {
+        folder: data.folder.clone(),
+        seat: data.seat,
+    });
+    let replica_settings = ReplicaSettings {
+        disk,
+        voters: settings.voters.clone(),
+        zone: settings.host.zone.clone(),
+        lease: settings.keys.lease,
+        seed: ids.word(),
+    };
+    let opened = ReplicaTask::open(replica_settings, directory.clone(), clock.clone());
     Ok(opened?)
 }
 
--- a/crates/host/src/ids.rs
+++ b/crates/host/src/ids.rs
@@ -45,6 +45,13 @@
         seed
     }
 
+    /// 64 random bits.
+    pub fn word(&self) -> u64 {
+        let mut bytes = [0; 8];
+        self.fill(&mut bytes);
+        u64::from_le_bytes(bytes)
+    }
+
     /// Fills `bytes` with random bits.
     pub fn fill(&self, bytes: &mut [u8]) {
         let mut generator = self
--- a/crates/link/src/handle.rs
+++ b/crates/link/src/handle.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// Messages that wait for one peer.
 const PEER_QUEUE_MESSAGES: usize = 1024;
@@ -61,6 +61,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) stats: LinkStats,
+    /// Whether the port is taken.
+    pub(crate) listening: watch::Sender<bool>,
     /// The number of the last message; never reused, also on a new connection.
     sequence: AtomicU64,
     peers: Mutex<HashMap<SocketAddr, PeerQueue>>,
@@ -101,6 +103,7 @@
             address: socket.address,
             clock,
             stats: LinkStats::default(),
+            listening: watch::Sender::new(true),
             sequence: AtomicU64::new(0),
             peers: Mutex::default(),
         });
@@ -117,6 +120,14 @@
         self.shared.address
     }
 
+    /// Waits until the port is free again, which it is some time after the
+    /// receiver of the messages was dropped.
+    pub async fn closed(&self) {
+        let mut listening = self.shared.listening.subscribe();
+        // The sender lives as long as this handle.
+        let _ = listening.wait_for(|listening| !listening).await;
+    }
+
     /// The counters of the link.
     #[must_use]
     pub fn stats(&self) -> &LinkStats {
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -4,12 +4,16 @@
 //! them.
 
 pub mod apply;
+pub mod demo;
 pub mod diff;
 pub mod get;
 pub mod job;
 pub mod key;
+pub mod load;
 pub mod members;
+pub mod seats;
 pub mod servers;
+pub mod standin;
 pub mod status;
 pub mod team;
 
@@ -52,9 +56,21 @@
     /// List the entry hosts
     #[bpaf(command("members"))]
     Members(#[bpaf(external(members::members_options))] members::MembersOptions),
+    /// List and change the seats of the replicated group
+    #[bpaf(command("seats"))]
+    Seats(#[bpaf(external(seats::seats_options))] seats::SeatsOptions),
     /// List the backend servers
     #[bpaf(command("servers"))]
     Servers(#[bpaf(external(servers::servers_options))] servers::ServersOptions),
+    /// Show both kinds of work on three entry hosts in one process, with faults
+    #[bpaf(command("demo"))]
+    Demo(#[bpaf(external(demo::demo_options))] demo::DemoOptions),
+    /// Measure a fleet under open-loop load
+    #[bpaf(command("load"))]
+    Load(#[bpaf(external(load::load_options))] load::LoadOptions),
+    /// Run stand-in backend servers
+    #[bpaf(command("standin"))]
+    Standin(#[bpaf(external(standin::standin_options))] standin::StandinOptions),
 }
 
 impl Command {
@@ -68,7 +84,11 @@
             Self::Job(options) => options.run().await,
             Self::Status(options) => options.run().await,
             Self::Members(options) => options.run().await,
+            Self::Seats(options) => options.run().await,
             Self::Servers(options) => options.run().await,
+            Self::Demo(options) => options.run().await,
+            Self::Load(options) => options.run().await,
+            Self::Standin(options) => options.run().await,
         }
     }
 }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,9 @@
 #![allow(clippy::unwrap_used)]
 
 mod command_line;
+mod demo;
 mod fixture;
 mod limits;
+mod replicated_state;
+mod streams;
 mod whole_path;
