Keep a reserve of each team's rate in every zone with a voter

Cause: a zone without the majority of voters had no tokens once its stocks ended. Ruled out: an elected keeper for each zone (needs the zone's members in the settings, and can fail to be elected). Change: each voter of the settings keeps a fixed tenth of rate and burst for good, without an election; hosts of its zone use it when the fleet's bucket does not answer; the fleet keeper borrows what the reserves leave. A keeper begins its borrowing sessions above those of its earlier epochs: reused numbers would have granted spent tokens again. Conclusion: zones go on within their part; a zone without a voter has none.

--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -352,6 +352,7 @@
     let seat = settings.data.as_ref().map(|data| data.seat);
     LimitTaskSettings {
         host: settings.host.name.clone(),
+        zone: settings.host.zone.clone(),
         voters: settings.voters.values().copied().collect(),
         own_seat: seat.and_then(|seat| settings.voters.get(&seat).copied()),
         directory: directory.clone(),
--- a/crates/host/src/limits.rs
+++ b/crates/host/src/limits.rs
@@ -9,6 +9,7 @@
 mod keepers;
 mod limiters;
 mod message;
+mod reserves;
 mod task;
 
 pub(crate) use handle::{LimitHandle, LimitInbox};
--- a/crates/host/src/limits/keepers.rs
+++ b/crates/host/src/limits/keepers.rs
@@ -1,12 +1,11 @@
 //! The shards that this host votes on and the buckets that it keeps.
 
-use super::message::{LimitMessage, LimitReceiver, OutgoingMessage};
-use crate::replica::ReplicaHandle;
+use super::message::{LimitMessage, LimitReceiver, OutgoingMessage, outgoing};
+use super::reserves::{ReserveSet, TermsReader, keeper_times};
 use chicoryladder_policy::limits::{
-    KeeperAction, KeeperLease, KeeperTimes, LeaseAction, LeaseClaim, LeaseTimes, LeaseVote,
-    LeaseVoter, RateLimit, ShardClaim, ShardNumber, StockRequest, TokenKeeper, TokenPool,
+    FleetKeeper, KeeperLease, LeaseAction, LeaseClaim, LeaseTimes, LeaseVote, LeaseVoter,
+    ShardClaim, ShardNumber, StockGrant, StockRequest, StockSession, TokenKeeper, TokenPool,
 };
-use chicoryladder_settings::TeamTerms;
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -14,6 +13,9 @@
 /// Shards that teams fall into.
 pub(super) const SHARDS: u16 = 64;
 
+/// Sessions that one keeper may begin in a millisecond, as a power of two.
+pub(super) const SESSION_BITS: u32 = 20;
+
 /// The time between two notices of what this host keeps.
 const NOTICE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -30,31 +32,37 @@
 /// Votes, leases and buckets of one host.
 pub(super) struct KeeperSet {
     host: HostName,
-    replica: ReplicaHandle,
+    terms: TermsReader,
     voter: Option<LeaseVoter>,
+    reserve: Option<ReserveSet>,
+    voters: Vec<HostName>,
     lease: KeeperLease,
     gained_at: HashMap<ShardNumber, Instant>,
-    keepers: HashMap<TeamName, TokenKeeper>,
+    keepers: HashMap<TeamName, FleetKeeper>,
     known: HashMap<ShardNumber, KnownKeeper>,
     heard: BTreeMap<HostName, Instant>,
     noticed_at: Option<Instant>,
 }
 
 impl KeeperSet {
+    /// `session` is above each session of an earlier process of the host.
     pub(super) fn new(
         host: HostName,
-        replica: ReplicaHandle,
-        voters: usize,
+        terms: TermsReader,
         is_voter: bool,
+        session: StockSession,
         now: Instant,
     ) -> Self {
         let times = LeaseTimes::default();
         let voter = is_voter.then(|| LeaseVoter::new(host.clone(), times, now));
+        let reserve = is_voter.then(|| ReserveSet::new(host.clone(), terms.clone(), session, now));
         Self {
-            lease: KeeperLease::new(host.clone(), voters, SHARDS, times),
+            lease: KeeperLease::new(host.clone(), terms.voter_count(), SHARDS, times),
             host,
-            replica,
+            terms,
             voter,
+            reserve,
+            voters: Vec::new(),
             gained_at: HashMap::new(),
             keepers: HashMap::new(),
             known: HashMap::new(),
@@ -81,8 +89,10 @@
 
     /// Whether a waiting host may be served soon.
     pub(super) fn is_busy(&self) -> bool {
+        let reserve = self.reserve.as_ref();
         let mut keepers = self.keepers.values();
-        keepers.any(|keeper| keeper.next_wakeup().is_some())
+        reserve.is_some_and(ReserveSet::is_busy)
+            || keepers.any(|keeper| keeper.next_wakeup().is_some())
     }
 
     pub(super) fn handle_claim(
@@ -98,6 +108,9 @@
     }
 
     pub(super) fn handle_vote(&mut self, vote: &LeaseVote, now: Instant) -> Vec<OutgoingMessage> {
+        if !self.voters.contains(&vote.voter) {
+            self.voters.push(vote.voter.clone());
+        }
         let actions = self.lease.handle_vote(vote, now);
         let changed = !actions.is_empty();
         let mut out = self.apply(actions, now);
@@ -132,32 +145,74 @@
         &mut self,
         request: &StockRequest,
         now: Instant,
+    ) -> Vec<OutgoingMessage> {
+        match &request.pool {
+            TokenPool::Fleet => self.handle_fleet_request(request, now),
+            TokenPool::Reserve(host) if *host == self.host => {
+                let reserve = self.reserve.as_mut();
+                reserve.map_or_else(Vec::new, |reserve| reserve.handle_request(request, now))
+            }
+            TokenPool::Reserve(_) => Vec::new(),
+        }
+    }
+
+    /// Takes borrowed tokens into a bucket that this host keeps.
+    pub(super) fn handle_borrowed(
+        &mut self,
+        grant: &StockGrant,
+        now: Instant,
+    ) -> Vec<OutgoingMessage> {
+        let shard = ShardNumber::of_team(&grant.team, SHARDS);
+        if self.lease.held_epoch(shard, now).is_none() {
+            return Vec::new();
+        }
+        let keeper = self.keepers.get_mut(&grant.team);
+        let actions = keeper.map(|keeper| keeper.handle_grant(grant, now));
+        outgoing(actions.unwrap_or_default()).collect()
+    }
+
+    fn handle_fleet_request(
+        &mut self,
+        request: &StockRequest,
+        now: Instant,
     ) -> Vec<OutgoingMessage> {
         let shard = ShardNumber::of_team(&request.team, SHARDS);
         let Some(epoch) = self.lease.held_epoch(shard, now) else {
             return Vec::new();
         };
-        let (Some(limit), Some(since)) = (self.limit_of(&request.team), self.gained_at.get(&shard))
+        let (Some(split), Some(since)) =
+            (self.terms.split(&request.team), self.gained_at.get(&shard))
         else {
             return Vec::new();
         };
         let keeper = self.keepers.entry(request.team.clone()).or_insert_with(|| {
-            let team = request.team.clone();
-            let times = KeeperTimes::default();
-            TokenKeeper::new(team, TokenPool::Fleet, epoch, limit, times, *since)
+            let team = &request.team;
+            let pool = TokenPool::Fleet;
+            let times = keeper_times();
+            let keeper = TokenKeeper::new(team.clone(), pool, epoch, split.fleet, times, *since);
+            FleetKeeper::new(
+                keeper,
+                team,
+                &self.host,
+                &self.voters,
+                split.reserve,
+                // Above each session that this host began as a keeper before.
+                StockSession(epoch.0 << SESSION_BITS),
+            )
         });
-        if keeper.limit() != limit {
-            keeper.set_limit(limit, now);
+        for voter in &self.voters {
+            keeper.add_reserve(voter);
+        }
+        if keeper.keeper().limit() != split.fleet {
+            keeper.set_limit(split.fleet, split.reserve, now);
         }
         outgoing(keeper.handle_request(request, now)).collect()
     }
 
-    fn limit_of(&self, team: &TeamName) -> Option<RateLimit> {
-        let view = self.replica.view();
-        view.document.teams.get(team).and_then(rate_limit)
-    }
-
     fn poll_buckets(&mut self, now: Instant, out: &mut Vec<OutgoingMessage>) {
+        if let Some(reserve) = &mut self.reserve {
+            reserve.poll(now, out);
+        }
         let lease = &self.lease;
         for (team, keeper) in &mut self.keepers {
             let shard = ShardNumber::of_team(team, SHARDS);
@@ -220,25 +275,3 @@
         live
     }
 }
-
-/// The limit of a team's terms; `None` if they admit nothing.
-pub(super) fn rate_limit(terms: &TeamTerms) -> Option<RateLimit> {
-    RateLimit::new(terms.rate.milli(), u64::from(terms.burst)).ok()
-}
-
-fn outgoing(actions: Vec<KeeperAction>) -> impl Iterator<Item = OutgoingMessage> {
-    actions.into_iter().map(|action| match action {
-        KeeperAction::Grant(grant) => {
-            let host = grant.holder.host().clone();
-            OutgoingMessage::to_host(&host, LimitMessage::Grant(grant))
-        }
-        KeeperAction::Recall(recall) => {
-            let host = recall.holder.host().clone();
-            OutgoingMessage::to_host(&host, LimitMessage::Recall(recall))
-        }
-        KeeperAction::Ask(request) => {
-            let host = request.holder.host().clone();
-            OutgoingMessage::to_host(&host, LimitMessage::Request(request))
-        }
-    })
-}
--- a/crates/host/src/limits/limiters.rs
+++ b/crates/host/src/limits/limiters.rs
@@ -1,7 +1,8 @@
 //! The teams whose requests this host admits.
 
 use super::handle::{AdmissionEvent, AdmissionSender};
-use super::keepers::rate_limit;
+use super::keepers::SESSION_BITS;
+use super::reserves::rate_limit;
 use chicoryladder_policy::limits::{
     LimitAdmission, LimiterAction, StockGrant, StockRecall, StockRequest, StockSession,
     TeamLimiter, WaiterKey,
@@ -23,26 +24,35 @@
 pub(super) struct LimiterSet {
     host: HostName,
     session: StockSession,
+    started: Instant,
     teams: HashMap<TeamName, TeamEntry>,
 }
 
 impl LimiterSet {
     /// `session` is above each session of an earlier process of the host.
-    pub(super) fn new(host: HostName, session: StockSession) -> Self {
+    pub(super) fn new(host: HostName, session: StockSession, started: Instant) -> Self {
         Self {
             host,
             session,
+            started,
             teams: HashMap::new(),
         }
     }
 
     /// Answers a request, or lets it wait; names the messages to send.
-    pub(super) fn admit(&mut self, event: AdmissionEvent, now: Instant) -> Vec<StockRequest> {
+    ///
+    /// `reserve` is the host that keeps the reserve of this zone, if known.
+    pub(super) fn admit(
+        &mut self,
+        event: AdmissionEvent,
+        reserve: Option<&HostName>,
+        now: Instant,
+    ) -> Vec<StockRequest> {
         let Some(limit) = rate_limit(&event.terms) else {
             let _ = event.answer.send(Err(beyond_rate(None)));
             return Vec::new();
         };
-        let (host, session) = (&self.host, self.session);
+        let (host, session) = (&self.host, self.next_session(now));
         let team = event.team;
         let entry = self.teams.entry(team.clone()).or_insert_with(|| TeamEntry {
             limiter: TeamLimiter::new(&team, host, None, limit, session),
@@ -51,6 +61,9 @@
         });
         entry.used_at = now;
         entry.limiter.set_limit(limit);
+        if let Some(reserve) = reserve {
+            entry.limiter.add_reserve(reserve);
+        }
         match entry.limiter.admit(event.give_up_at, now) {
             LimitAdmission::Admitted => {
                 // A closed channel means that the caller has left.
@@ -66,6 +79,13 @@
         entry.poll(now)
     }
 
+    /// Above each session that a forgotten limiter of the team began.
+    fn next_session(&self, now: Instant) -> StockSession {
+        let elapsed = now.saturating_duration_since(self.started).as_millis();
+        let elapsed = u64::try_from(elapsed).unwrap_or(u64::MAX >> SESSION_BITS);
+        StockSession(self.session.0 + (elapsed << SESSION_BITS))
+    }
+
     pub(super) fn handle_grant(&mut self, grant: &StockGrant, now: Instant) -> Vec<StockRequest> {
         let Some(entry) = self.teams.get_mut(&grant.team) else {
             return Vec::new();
--- a/crates/host/src/limits/message.rs
+++ b/crates/host/src/limits/message.rs
@@ -1,7 +1,8 @@
 //! Messages between the limits tasks of the hosts.
 
 use chicoryladder_policy::limits::{
-    LeaseClaim, LeaseVote, ShardClaim, StockGrant, StockRecall, StockRequest,
+    KeeperAction, LeaseClaim, LeaseVote, ShardClaim, StockGrant, StockRecall, StockRequest,
+    TokenPool,
 };
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -46,3 +47,29 @@
         }
     }
 }
+
+/// The messages for a keeper's actions.
+pub(super) fn outgoing(actions: Vec<KeeperAction>) -> impl Iterator<Item = OutgoingMessage> {
+    actions.into_iter().filter_map(|action| match action {
+        KeeperAction::Grant(grant) => {
+            let host = grant.holder.host().clone();
+            Some(OutgoingMessage::to_host(&host, LimitMessage::Grant(grant)))
+        }
+        KeeperAction::Recall(recall) => {
+            let host = recall.holder.host().clone();
+            Some(OutgoingMessage::to_host(
+                &host,
+                LimitMessage::Recall(recall),
+            ))
+        }
+        KeeperAction::Ask(request) => {
+            let TokenPool::Reserve(host) = request.pool.clone() else {
+                return None;
+            };
+            Some(OutgoingMessage::to_host(
+                &host,
+                LimitMessage::Request(request),
+            ))
+        }
+    })
+}
--- a/crates/host/src/limits/task.rs
+++ b/crates/host/src/limits/task.rs
@@ -1,12 +1,13 @@
 //! The limits task.
 
 use super::handle::{LimitEvent, LimitHandle, LimitInbox};
-use super::keepers::KeeperSet;
+use super::keepers::{KeeperSet, SESSION_BITS};
 use super::limiters::LimiterSet;
 use super::message::{LimitMessage, LimitReceiver, OutgoingMessage};
+use super::reserves::TermsReader;
 use crate::peers::{PeerDirectory, PeerMessage};
 use crate::replica::ReplicaHandle;
-use chicoryladder_policy::limits::{StockRequest, StockSession};
+use chicoryladder_policy::limits::{StockHolder, StockRequest, StockSession, TokenPool};
 use chicoryladder_types::prelude::*;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -23,6 +24,7 @@
 /// What the limits task needs of its host.
 pub(crate) struct LimitTaskSettings {
     pub(crate) host: HostName,
+    pub(crate) zone: ZoneName,
     /// The addresses of all voters, this host's own included.
     pub(crate) voters: Vec<SocketAddr>,
     /// The address of this host among the voters, if it is one.
@@ -45,19 +47,17 @@
     pub(crate) fn new(settings: LimitTaskSettings) -> (Self, LimitHandle, LimitInbox) {
         let (events_out, events) = mpsc::unbounded_channel();
         let host = settings.host.clone();
-        let session = StockSession(unix_millis(settings.clock.wall()) << 20);
-        let keepers = KeeperSet::new(
-            host.clone(),
-            settings.replica.clone(),
-            settings.voters.len(),
-            settings.own_seat.is_some(),
-            settings.clock.now(),
-        );
+        let session = StockSession(unix_millis(settings.clock.wall()) << SESSION_BITS);
+        let voters = u32::try_from(settings.voters.len()).unwrap_or(u32::MAX);
+        let terms = TermsReader::new(settings.replica.clone(), voters);
+        let is_voter = settings.own_seat.is_some();
+        let now = settings.clock.now();
+        let keepers = KeeperSet::new(host.clone(), terms, is_voter, session, now);
         let task = Self {
             settings,
             events,
             keepers,
-            limiters: LimiterSet::new(host, session),
+            limiters: LimiterSet::new(host, session, now),
         };
         let handle = LimitHandle {
             events: events_out.clone(),
@@ -83,7 +83,8 @@
         let now = self.settings.clock.now();
         match event {
             LimitEvent::Admission(event) => {
-                let requests = self.limiters.admit(event, now);
+                let reserve = self.zone_reserve();
+                let requests = self.limiters.admit(event, reserve.as_ref(), now);
                 let out = self.addressed(requests);
                 self.send_all(out);
             }
@@ -113,6 +114,9 @@
                 self.keepers.handle_keeping(sender, kept, now);
                 Vec::new()
             }
+            LimitMessage::Grant(grant) if matches!(grant.holder, StockHolder::Borrower(_)) => {
+                self.keepers.handle_borrowed(grant, now)
+            }
             LimitMessage::Grant(grant) => {
                 let requests = self.limiters.handle_grant(grant, now);
                 self.addressed(requests)
@@ -124,10 +128,25 @@
         }
     }
 
+    /// The voter whose reserve this host uses: itself, or one of its zone.
+    fn zone_reserve(&self) -> Option<HostName> {
+        if self.settings.own_seat.is_some() {
+            return Some(self.settings.host.clone());
+        }
+        let live = self.settings.directory.live();
+        let mut voters = live.into_iter().filter(|peer| {
+            peer.zone == self.settings.zone && self.settings.voters.contains(&peer.address)
+        });
+        voters.next().map(|peer| peer.host)
+    }
+
     /// Addresses requests to the keepers known; the others are asked again.
     fn addressed(&self, requests: Vec<StockRequest>) -> Vec<OutgoingMessage> {
         let address = |request: StockRequest| {
-            let keeper = self.keepers.keeper_of(&request.team)?.clone();
+            let keeper = match &request.pool {
+                TokenPool::Fleet => self.keepers.keeper_of(&request.team)?.clone(),
+                TokenPool::Reserve(host) => host.clone(),
+            };
             Some(OutgoingMessage::to_host(
                 &keeper,
                 LimitMessage::Request(request),
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -12,9 +12,11 @@
 //! keeper forgets it. A new keeper waits until every stock of the one before
 //! it has ended, and starts empty.
 //!
-//! A part of rate and burst is set aside for each availability zone in a
-//! bucket with a keeper of its own, so that a zone that is cut off goes on.
-//! While the zones are connected, the fleet keeper borrows what a zone leaves.
+//! A part of rate and burst is set aside in reserves, each kept for good by one
+//! host that the settings name, so that an availability zone with such a host
+//! goes on when it is cut off. No election is needed for a reserve, so none can
+//! fail. While the zones are connected, the fleet keeper borrows what the
+//! reserves leave.
 
 mod amount;
 mod demand;
--- a/crates/policy/src/limits/fleet.rs
+++ b/crates/policy/src/limits/fleet.rs
@@ -1,6 +1,6 @@
-//! The keeper of a team's fleet bucket, with what it borrows from the zones.
+//! The keeper of a team's fleet bucket, with what it borrows.
 //!
-//! A borrowed token leaves the zone's bucket as spent and enters the fleet's
+//! A borrowed token leaves the reserve as spent and enters the fleet's
 //! bucket within its own burst. So the bound of each bucket holds alone, and
 //! their sum is the bound of the team.
 
@@ -11,37 +11,52 @@
 use chicoryladder_types::prelude::*;
 use std::time::Instant;
 
-/// Owns the fleet bucket of one team and borrows from its zone buckets.
+/// Owns the fleet bucket of one team and borrows from the reserves.
 #[derive(Clone, Debug)]
 pub struct FleetKeeper {
     keeper: TokenKeeper,
-    zones: Vec<TokenStock>,
-    zone_burst: u64,
+    team: TeamName,
+    holder: StockHolder,
+    session: StockSession,
+    reserves: Vec<TokenStock>,
+    reserve_burst: u64,
 }
 
 impl FleetKeeper {
-    /// A keeper on `host` that borrows from the buckets of `zones`, each with
-    /// the limit `zone_limit`; none if the team has no zone buckets.
+    /// A keeper on `host` that borrows from the `reserves` of these hosts, each
+    /// with the limit `reserve_limit`; none if the team has no reserves.
     #[must_use]
     pub fn new(
         keeper: TokenKeeper,
         team: &TeamName,
         host: &HostName,
-        zones: &[ZoneName],
-        zone_limit: Option<RateLimit>,
+        reserves: &[HostName],
+        reserve_limit: Option<RateLimit>,
         session: StockSession,
     ) -> Self {
-        let holder = StockHolder::Borrower(host.clone());
-        let stock = |zone: &ZoneName| {
-            let pool = TokenPool::Zone(zone.clone());
-            TokenStock::new(team.clone(), pool, holder.clone(), session, 1)
-        };
-        let zones = if zone_limit.is_some() { zones } else { &[] };
-        Self {
+        let mut fleet = Self {
             keeper,
-            zones: zones.iter().map(stock).collect(),
-            zone_burst: zone_limit.map_or(0, RateLimit::burst),
+            team: team.clone(),
+            holder: StockHolder::Borrower(host.clone()),
+            session,
+            reserves: Vec::new(),
+            reserve_burst: reserve_limit.map_or(0, RateLimit::burst),
+        };
+        for reserve in reserves {
+            fleet.add_reserve(reserve);
+        }
+        fleet
+    }
+
+    /// Borrows from the reserve of this host too.
+    pub fn add_reserve(&mut self, host: &HostName) {
+        let pool = TokenPool::Reserve(host.clone());
+        if self.reserves.iter().any(|stock| *stock.pool() == pool) {
+            return;
         }
+        let (team, holder) = (self.team.clone(), self.holder.clone());
+        let stock = TokenStock::new(team, pool, holder, self.session, 1);
+        self.reserves.push(stock);
     }
 
     /// The bucket.
@@ -50,9 +65,10 @@
         &self.keeper
     }
 
-    /// Puts another limit of the fleet bucket in force.
-    pub fn set_limit(&mut self, limit: RateLimit, now: Instant) {
+    /// Puts another limit of the fleet bucket and of the reserves in force.
+    pub fn set_limit(&mut self, limit: RateLimit, reserve: Option<RateLimit>, now: Instant) {
         self.keeper.set_limit(limit, now);
+        self.reserve_burst = reserve.map_or(0, RateLimit::burst);
     }
 
     /// Answers a host.
@@ -65,9 +81,9 @@
     /// Takes borrowed tokens into the bucket.
     pub fn handle_grant(&mut self, grant: &StockGrant, now: Instant) -> Vec<KeeperAction> {
         let stock = self
-            .zones
+            .reserves
             .iter_mut()
-            .find(|zone| *zone.pool() == grant.pool);
+            .find(|reserve| *reserve.pool() == grant.pool);
         let Some(stock) = stock else {
             return Vec::new();
         };
@@ -99,8 +115,8 @@
     fn borrow(&mut self, now: Instant, actions: &mut Vec<KeeperAction>) {
         let short = self.keeper.is_short() && self.keeper.is_used();
         let room = if short { self.keeper.room(now) } else { 0 };
-        for zone in &mut self.zones {
-            let request = zone.request(0, room.min(self.zone_burst), now);
+        for reserve in &mut self.reserves {
+            let request = reserve.request(0, room.min(self.reserve_burst), now);
             actions.extend(request.map(KeeperAction::Ask));
         }
     }
--- a/crates/policy/src/limits/keeper.rs
+++ b/crates/policy/src/limits/keeper.rs
@@ -46,7 +46,7 @@
     Grant(StockGrant),
     /// Ask a holder for its idle tokens.
     Recall(StockRecall),
-    /// Ask the keeper of a zone's bucket for tokens to borrow.
+    /// Ask the keeper of a reserve for tokens to borrow.
     Ask(StockRequest),
 }
 
@@ -170,7 +170,7 @@
         self.ceiling().minus(self.level).whole_tokens()
     }
 
-    /// Whether the bucket is short enough to borrow from the zones.
+    /// Whether the bucket is short enough to borrow from the reserves.
     #[must_use]
     pub fn is_short(&self) -> bool {
         let half = TokenAmount::whole(self.limit.burst() / 2);
@@ -183,7 +183,7 @@
         !self.stocks.is_empty()
     }
 
-    /// Adds tokens borrowed from a zone; what the bucket cannot take is lost.
+    /// Adds tokens borrowed from a reserve; what the bucket cannot take is lost.
     pub fn add_borrowed(&mut self, tokens: u64, now: Instant) -> Vec<KeeperAction> {
         self.refill(now);
         self.add(TokenAmount::whole(tokens));
--- a/crates/policy/src/limits/limiter.rs
+++ b/crates/policy/src/limits/limiter.rs
@@ -1,8 +1,9 @@
 //! Admission of one team's requests on one host.
 //!
 //! A request takes a token from the stock of the fleet's bucket, else from the
-//! stock of the zone's bucket. Without a token it waits only while it can
-//! still be admitted in time, and is refused at once when it cannot.
+//! stock of the reserve in its availability zone. Without a token it waits only
+//! while it can still be admitted in time, and is refused at once when it
+//! cannot.
 
 use super::{
     DemandMeter, RateLimit, StockGrant, StockHolder, StockRecall, StockRequest, StockSession,
@@ -12,8 +13,8 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// The wait for the fleet's bucket beyond which the zone's bucket is asked too.
-const ZONE_PATIENCE: Duration = Duration::from_millis(5);
+/// The wait for the fleet's bucket beyond which the reserve is asked too.
+const RESERVE_PATIENCE: Duration = Duration::from_millis(5);
 
 /// The time to come back after when no keeper was heard of lately.
 const SILENT_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -66,7 +67,7 @@
 pub struct TeamLimiter {
     limit: RateLimit,
     fleet: TokenStock,
-    zone: Option<TokenStock>,
+    reserve: Option<TokenStock>,
     demand: DemandMeter,
     waiters: VecDeque<WaitingRequest>,
     last_key: u64,
@@ -76,14 +77,14 @@
 impl TeamLimiter {
     /// A limiter without tokens.
     ///
-    /// `limit` is the whole limit of the team; `zone` is the zone whose bucket
-    /// may be used besides the fleet's. `session` is above each session of an
+    /// `limit` is the whole limit of the team; `reserve` is the host whose
+    /// reserve may be used besides the fleet's bucket. `session` is above each session of an
     /// earlier process of the host.
     #[must_use]
     pub fn new(
         team: &TeamName,
         host: &HostName,
-        zone: Option<ZoneName>,
+        reserve: Option<HostName>,
         limit: RateLimit,
         session: StockSession,
     ) -> Self {
@@ -93,7 +94,7 @@
         Self {
             limit,
             fleet: stock(TokenPool::Fleet),
-            zone: zone.map(|zone| stock(TokenPool::Zone(zone))),
+            reserve: reserve.map(|reserve| stock(TokenPool::Reserve(reserve))),
             demand: DemandMeter::default(),
             waiters: VecDeque::new(),
             last_key: 0,
@@ -101,6 +102,12 @@
         }
     }
 
+    /// Uses the reserve of `host` from now on, if the limiter has none yet.
+    pub fn add_reserve(&mut self, host: &HostName) {
+        let pool = TokenPool::Reserve(host.clone());
+        self.reserve.get_or_insert_with(|| self.fleet.sibling(pool));
+    }
+
     /// Puts another limit in force; it only serves estimates here.
     pub fn set_limit(&mut self, limit: RateLimit) {
         self.limit = limit;
@@ -157,7 +164,7 @@
         }
         self.return_idle(now);
         self.ask_fleet(now, &mut actions);
-        self.ask_zone(now, &mut actions);
+        self.ask_reserve(now, &mut actions);
         actions
     }
 
@@ -169,14 +176,17 @@
 
     /// Whether nothing waits and no token is held.
     pub fn is_idle(&mut self, now: Instant) -> bool {
-        let zone = self.zone.as_mut().map_or(0, |stock| stock.available(now));
-        self.waiters.is_empty() && zone + self.fleet.available(now) == 0
+        let reserve = self
+            .reserve
+            .as_mut()
+            .map_or(0, |stock| stock.available(now));
+        self.waiters.is_empty() && reserve + self.fleet.available(now) == 0
     }
 
     fn stock_mut(&mut self, pool: &TokenPool) -> Option<&mut TokenStock> {
         match pool {
             TokenPool::Fleet => Some(&mut self.fleet),
-            TokenPool::Zone(_) => self.zone.as_mut().filter(|stock| stock.pool() == pool),
+            TokenPool::Reserve(_) => self.reserve.as_mut().filter(|stock| stock.pool() == pool),
         }
     }
 
@@ -184,8 +194,8 @@
         if self.fleet.take(1, now) == 1 {
             return true;
         }
-        let zone = self.zone.as_mut();
-        zone.is_some_and(|stock| stock.take(1, now) == 1)
+        let reserve = self.reserve.as_mut();
+        reserve.is_some_and(|stock| stock.take(1, now) == 1)
     }
 
     fn admit_waiters(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
@@ -245,14 +255,14 @@
     /// When the request at `position` of the queue can have its token; `None`
     /// if no keeper was heard of lately.
     fn expected_at(&self, position: usize, now: Instant) -> Option<Instant> {
-        let zone = self
-            .zone
+        let reserve = self
+            .reserve
             .as_ref()
             .and_then(|stock| stock.next_token_at(now));
         let fleet = self.fleet.next_token_at(now);
-        let first_at = match (fleet, zone) {
-            (Some(fleet), Some(zone)) => fleet.min(zone),
-            (fleet, zone) => fleet.or(zone)?,
+        let first_at = match (fleet, reserve) {
+            (Some(fleet), Some(reserve)) => fleet.min(reserve),
+            (fleet, reserve) => fleet.or(reserve)?,
         };
         let ahead = TokenAmount::whole(position as u64);
         Some(first_at.max(now) + self.limit.time_for(ahead))
@@ -271,7 +281,7 @@
 
     fn return_idle(&mut self, now: Instant) {
         let keep = self.demand.expected(now);
-        let stocks = [Some(&mut self.fleet), self.zone.as_mut()];
+        let stocks = [Some(&mut self.fleet), self.reserve.as_mut()];
         for stock in stocks.into_iter().flatten() {
             let available = stock.available(now);
             if available > keep * 2 {
@@ -293,19 +303,19 @@
         actions.extend(request.map(LimiterAction::Send));
     }
 
-    fn ask_zone(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
+    fn ask_reserve(&mut self, now: Instant, actions: &mut Vec<LimiterAction>) {
         let starved = self
             .starved_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= ZONE_PATIENCE);
+            .is_some_and(|since| now.saturating_duration_since(since) >= RESERVE_PATIENCE);
         let needed = if starved {
             self.waiters.len() as u64
         } else {
             0
         };
-        let Some(zone) = self.zone.as_mut() else {
+        let Some(reserve) = self.reserve.as_mut() else {
             return;
         };
-        let request = zone.request(needed, 0, now);
+        let request = reserve.request(needed, 0, now);
         actions.extend(request.map(LimiterAction::Send));
     }
 }
--- a/crates/policy/src/limits/message.rs
+++ b/crates/policy/src/limits/message.rs
@@ -9,8 +9,8 @@
 pub enum TokenPool {
     /// The bucket for the whole fleet.
     Fleet,
-    /// The bucket set aside for one availability zone.
-    Zone(ZoneName),
+    /// The reserve kept by one host for its availability zone.
+    Reserve(HostName),
 }
 
 /// Who holds a stock.
@@ -18,7 +18,7 @@
 pub enum StockHolder {
     /// A host that admits requests.
     Admission(HostName),
-    /// The fleet keeper on this host, which borrows what a zone leaves.
+    /// The fleet keeper on this host, which borrows what reserves leave.
     Borrower(HostName),
 }
 
--- a/crates/policy/src/limits/stock.rs
+++ b/crates/policy/src/limits/stock.rs
@@ -89,6 +89,13 @@
         }
     }
 
+    /// An empty stock of another bucket of the same team and holder.
+    #[must_use]
+    pub fn sibling(&self, pool: TokenPool) -> Self {
+        let (team, holder) = (self.team.clone(), self.holder.clone());
+        Self::new(team, pool, holder, self.session, self.report_batch)
+    }
+
     /// The bucket of the stock.
     #[must_use]
     pub const fn pool(&self) -> &TokenPool {
--- a/crates/policy/tests/limits/fleet.rs
+++ b/crates/policy/tests/limits/fleet.rs
@@ -78,7 +78,7 @@
     hosts: Vec<SimHost>,
     keeper: Option<FleetKeeper>,
     zone_keepers: Vec<Option<TokenKeeper>>,
-    zones: Vec<ZoneName>,
+    reserves: Vec<HostName>,
     split: SplitLimit,
     epoch: u64,
     cut_zone: Option<usize>,
@@ -91,13 +91,13 @@
     pub(crate) fn new(hosts: usize, limit: RateLimit, faults: Faults, seed: u64) -> Self {
         let base = Instant::now();
         let team = team();
-        let zones: Vec<ZoneName> = ["a", "b", "c"].map(zone).to_vec();
+        let reserves: Vec<HostName> = (0..3).map(host).collect();
         let split = SplitLimit::new(limit, 3, 10);
         let sim_host = |index: usize| {
             let name = host(index);
-            let own_zone = split.zone.map(|_| zones[index % 3].clone());
+            let reserve = split.reserve.map(|_| reserves[index % 3].clone());
             SimHost {
-                limiter: TeamLimiter::new(&team, &name, own_zone, limit, StockSession(1)),
+                limiter: TeamLimiter::new(&team, &name, reserve, limit, StockSession(1)),
                 name,
                 zone: index % 3,
                 waiting: BTreeMap::new(),
@@ -117,7 +117,7 @@
             hosts: (0..hosts).map(sim_host).collect(),
             keeper: None,
             zone_keepers: vec![None, None, None],
-            zones,
+            reserves,
             split,
             epoch: 0,
             cut_zone: None,
@@ -153,13 +153,13 @@
             keeper(TokenPool::Fleet, split.fleet),
             &team(),
             &keeper_host,
-            &self.zones,
-            split.zone,
+            &self.reserves,
+            split.reserve,
             session,
         ));
-        for (index, zone) in self.zones.iter().enumerate() {
-            let pool = TokenPool::Zone(zone.clone());
-            self.zone_keepers[index] = split.zone.map(|limit| keeper(pool, limit));
+        for (index, reserve) in self.reserves.iter().enumerate() {
+            let pool = TokenPool::Reserve(reserve.clone());
+            self.zone_keepers[index] = split.reserve.map(|limit| keeper(pool, limit));
         }
     }
 
@@ -299,7 +299,7 @@
         let holder_zone = self.host_index(holder) % 3;
         let keeper_zone = match pool {
             TokenPool::Fleet => 0,
-            TokenPool::Zone(zone) => self.zone_index(zone),
+            TokenPool::Reserve(reserve) => self.zone_index(reserve),
         };
         let crosses = holder_zone != keeper_zone;
         let cut = [holder_zone, keeper_zone]
@@ -358,8 +358,8 @@
                 let keeper = self.keeper.as_mut();
                 keeper.map(|keeper| keeper.handle_request(request, now))
             }
-            TokenPool::Zone(zone) => {
-                let zone = self.zone_index(zone);
+            TokenPool::Reserve(reserve) => {
+                let zone = self.zone_index(reserve);
                 let keeper = self.zone_keepers[zone].as_mut();
                 keeper.map(|keeper| keeper.handle_request(request, now))
             }
@@ -390,10 +390,10 @@
         host.expect("known host")
     }
 
-    fn zone_index(&self, zone: &ZoneName) -> usize {
-        self.zones
+    fn zone_index(&self, reserve: &HostName) -> usize {
+        self.reserves
             .iter()
-            .position(|z| z == zone)
+            .position(|host| host == reserve)
             .expect("known zone")
     }
 
@@ -409,10 +409,6 @@
     TeamName::try_from("park").expect("valid")
 }
 
-fn zone(name: &str) -> ZoneName {
-    ZoneName::try_from(name).expect("valid")
-}
-
 pub(crate) fn host(index: usize) -> HostName {
     HostName::try_from(format!("host-{index}")).expect("valid")
 }
--- a/crates/policy/tests/limits/lease.rs
+++ b/crates/policy/tests/limits/lease.rs
@@ -91,13 +91,20 @@
     (0..hosts).map(host).collect()
 }
 
+/// Steps in which every old promise ends and new claims find their majority.
+fn settle_steps() -> u128 {
+    let times = LeaseTimes::default();
+    let settled = (times.vote_ttl + times.drift_margin + times.claim_every) * 2;
+    settled.as_millis() / STEP.as_millis()
+}
+
 #[test]
 fn each_shard_gets_one_keeper_and_a_lost_one_is_replaced() {
     let start = Instant::now();
     let mut claims = Claims::new(5, 0, 1, start);
     let mut live = vec![all_hosts(5); 5];
     let mut now = start;
-    for _ in 0..150 {
+    for _ in 0..settle_steps() {
         now += STEP;
         claims.step(&live, |_, _| true, now);
     }
@@ -108,7 +115,7 @@
     for view in &mut live {
         view.retain(|name| *name != host(keeper));
     }
-    for _ in 0..150 {
+    for _ in 0..settle_steps() {
         now += STEP;
         claims.step(&live, |from, to| from != keeper && to != keeper, now);
         assert!(claims.holders_of(0, now).len() <= 1);
--- a/crates/policy/tests/limits/waiting.rs
+++ b/crates/policy/tests/limits/waiting.rs
@@ -52,14 +52,13 @@
 #[test]
 fn parts_never_exceed_the_whole() {
     for burst in 1..200 {
-        for zones in 0..22 {
+        for reserves in 0..22 {
             let whole = RateLimit::new(12_345, burst).expect("valid");
-            let split = SplitLimit::new(whole, zones, 4);
-            let zone = split
-                .zone
-                .map_or((0, 0), |zone| (zone.burst(), zone.rate_millis()));
-            assert!(split.fleet.burst() + zone.0 * zones <= burst);
-            assert!(split.fleet.rate_millis() + zone.1 * zones <= 12_345);
+            let split = SplitLimit::new(whole, reserves, 4);
+            let part = split.reserve;
+            let reserve = part.map_or((0, 0), |part| (part.burst(), part.rate_millis()));
+            assert!(split.fleet.burst() + reserve.0 * reserves <= burst);
+            assert!(split.fleet.rate_millis() + reserve.1 * reserves <= 12_345);
         }
     }
 }
--- a/tests/all/limits.rs
+++ b/tests/all/limits.rs
@@ -23,7 +23,7 @@
 
 /// The example document with a small team.
 fn document() -> String {
-    format!("{DOCUMENT}\n[team small]\nrate = {RATE}\nburst = {BURST}\nshare = 1\n")
+    format!("{DOCUMENT}\n[team small]\nrate = {RATE}\nburst = {BURST}\nserve_through_cut = yes\n")
 }
 
 async fn small_fleet(hosts: usize) -> FleetFixture {
@@ -164,3 +164,23 @@
     assert_strict(&served);
     assert!(served.len() >= 20, "served {}", served.len());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_zone_without_the_others_goes_on_within_its_reserve() {
+    let mut fleet = small_fleet(3).await;
+    let _engine = fleet.start_engine("engine-1", "zone-b").await;
+    let key = small_key(&fleet, 3).await;
+    fleet.kill_host(0).await;
+    fleet.kill_host(2).await;
+    // One voter of three is left, so the fleet's bucket has no keeper soon.
+    let gap = Duration::from_millis(100);
+    let offered = offer(&fleet, &key, 80, gap, |_| 1).await;
+    assert_strict(&offered.served);
+    let last = offered.served.iter().filter(|one| one.sent > gap * 50);
+    // The reserve has a tenth of the rate: two a second for three seconds.
+    let last = last.count();
+    assert!(
+        (2..=12).contains(&last),
+        "served {last} without the fleet's bucket"
+    );
+}
