Publish the view before a proposal is answered

Cause: the replica answered a granted key before it showed the view that holds it, so the very next request with the key was refused as unknown. Ruled out: the stream itself and the drain; the answer of the failing runs was 401 unknown_key.

--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -145,9 +145,10 @@
             self.submit(number);
         }
         self.flush();
+        // A caller that got its answer must find the change in the view.
+        self.publish();
         self.proposals.settle(self.role.applied());
         self.settle_handovers();
-        self.publish();
     }
 
     fn follow_tail(&mut self, now: Instant) {
--- a/tests/all/whole_path.rs
+++ b/tests/all/whole_path.rs
@@ -131,7 +131,9 @@
     let callers = fleet.ports(0).callers;
     let request = HttpRequest::post(callers, CHAT, chat_body(200, true)).with_key(&key.text);
     let streaming = tokio::spawn(send(request));
-    eventually("the stream runs", || async { engine.load().running > 0 }).await;
+    let runs = || async { engine.load().running > 0 || streaming.is_finished() };
+    eventually("the stream runs", runs).await;
+    assert!(!streaming.is_finished(), "{:?}", streaming.await);
     let host = fleet.take_host(0);
     host.shutdown().await;
     let answer = streaming.await.unwrap().unwrap();
