--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -4,6 +4,7 @@
 
 pub(crate) use task::PeerTask;
 
+use crate::limits::LimitMessage;
 use crate::replica::ReplicaMessage;
 use chicoryladder_link::{InboundMessage, PeerLink};
 use chicoryladder_state::{HostPosition, KeyTombstones};
@@ -40,6 +41,8 @@
     YieldSlot(ServerName),
     /// Concerns the replicated state.
     Replica(ReplicaMessage),
+    /// Concerns the rates of the teams.
+    Limits(LimitMessage),
 }
 
 /// A host that was heard from.
@@ -89,12 +92,12 @@
         self.link.closed().await;
     }
 
-    /// The number of hosts that the settings name, with this one.
-    pub(crate) fn contact_count(&self) -> usize {
-        let mut contacts = self.seeds.to_vec();
-        contacts.sort_unstable();
-        contacts.dedup();
-        contacts.len() + 1
+    /// The address of a host that was heard from lately.
+    pub(crate) fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
+        let heard = self.lock_heard();
+        let records = heard.values().filter(|peer| peer.host == *host);
+        let latest = records.max_by_key(|peer| peer.last_heard);
+        latest.map(|peer| peer.address)
     }
 
     /// Queues a message to one host; it may be lost.
--- a/crates/host/src/peers/task.rs
+++ b/crates/host/src/peers/task.rs
@@ -1,6 +1,7 @@
 //! The task that takes the messages of other hosts.
 
 use super::{PeerDirectory, PeerMessage};
+use crate::limits::LimitInbox;
 use crate::replica::{ReplicaHandle, ReplicaInbox};
 use crate::routing::RoutingHandle;
 use crate::tombstones::TombstoneHandle;
@@ -24,6 +25,7 @@
     pub(crate) replica: ReplicaHandle,
     pub(crate) inbox: ReplicaInbox,
     pub(crate) routing: RoutingHandle,
+    pub(crate) limits: LimitInbox,
     pub(crate) tombstones: TombstoneHandle,
     /// The positions that other hosts wait for this host to reach.
     pub(crate) waiting: HashMap<SocketAddr, LogIndex>,
@@ -68,6 +70,9 @@
             Ok(PeerMessage::Position(position)) => self.directory.note_position(sender, position),
             Ok(PeerMessage::Tombstones(tombstones)) => self.tombstones.heard(sender, tombstones),
             Ok(PeerMessage::Announcement(announcement)) => self.routing.announce(announcement),
+            Ok(PeerMessage::Limits(content)) => {
+                self.limits.deliver(message.sender.clone(), content);
+            }
             Ok(PeerMessage::YieldSlot(server)) => self.routing.yield_slot(server),
             Ok(PeerMessage::Replica(content)) => self.inbox.deliver(sender, content),
             Err(error) => {
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -145,9 +145,10 @@
             self.submit(number);
         }
         self.flush();
+        self.publish();
+        // Only now: a caller that has its answer finds the change in the view.
         self.proposals.settle(self.role.applied());
         self.settle_handovers();
-        self.publish();
     }
 
     fn follow_tail(&mut self, now: Instant) {
