--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -87,11 +87,6 @@
         self.link.address()
     }
 
-    /// Waits until the peers' port is free again, after the host has stopped.
-    pub(crate) async fn port_freed(&self) {
-        self.link.closed().await;
-    }
-
     /// The address of a host that was heard from lately.
     pub(crate) fn address_of(&self, host: &HostName) -> Option<SocketAddr> {
         let heard = self.lock_heard();
@@ -100,6 +95,11 @@
         latest.map(|peer| peer.address)
     }
 
+    /// Waits until the peers' port is free again, after the host has stopped.
+    pub(crate) async fn port_freed(&self) {
+        self.link.closed().await;
+    }
+
     /// Queues a message to one host; it may be lost.
     pub(crate) fn send(&self, peer: SocketAddr, message: &PeerMessage) {
         match postcard::to_stdvec(message) {
