Hold requests for the tail until there is news

Cause: an observer polled every 200 ms, so a command proposed on a host without a disk waited for up to that time before its proposer saw it applied. Ruled out: polling without a pause while an outcome is awaited, since a relay that lags would be asked a thousand times a second. Change: a host holds a request for up to 200 ms and answers as soon as an entry is applied; the observer asks again 10 ms after an answer. A caller's own change is in the view before its answer is given.

--- a/crates/consensus/src/observer.rs
+++ b/crates/consensus/src/observer.rs
@@ -15,14 +15,15 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-const POLL_INTERVAL_MS: u64 = 200;
+const POLL_INTERVAL_MS: u64 = 10;
 const ANSWER_TIMEOUT_MS: u64 = 500;
 const STALE_AFTER_MS: u64 = 1_500;
 
 /// The timers of an observer.
 #[derive(Clone, Debug)]
 pub struct ObserverSettings {
-    /// The time between two requests when there is nothing new.
+    /// The time from an answer to the next request. It can be short, since a source
+    /// may hold a request until there is something new.
     pub poll_interval: Duration,
     /// The time without an answer after which the next source is asked.
     pub answer_timeout: Duration,
@@ -115,7 +116,10 @@
             self.turn_to_next_source();
         }
         let count = self.sources.len().max(1);
-        let source = self.sources.get(self.position % count).copied()?;
+        let Some(source) = self.sources.get(self.position % count).copied() else {
+            self.ask_at = now + self.settings.answer_timeout;
+            return None;
+        };
         self.last_number += 1;
         let number = self.last_number;
         let sent_at = now;
@@ -141,11 +145,6 @@
         }
     }
 
-    /// Asks again at the next tick, since there is something new.
-    pub fn hasten(&mut self, now: Instant) {
-        self.ask_at = self.ask_at.min(now);
-    }
-
     /// Takes over an answer; late and doubled ones are ignored.
     ///
     /// # Errors
--- a/crates/host/src/replica/proposals.rs
+++ b/crates/host/src/replica/proposals.rs
@@ -164,12 +164,6 @@
         due
     }
 
-    /// Whether an outcome waits until its position is applied here.
-    pub(super) fn awaits_apply(&self) -> bool {
-        let ordered = |p: &LocalProposal| matches!(p.stage, ProposalStage::Ordered { .. });
-        self.local.values().any(ordered)
-    }
-
     /// Answers the proposals whose position is applied here, so that a caller
     /// reads its own writes.
     pub(super) fn settle(&mut self, applied: LogIndex) {
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -16,6 +16,7 @@
 use chicoryladder_state::KeyTombstones;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{LogIndex, SeatId};
+use messages::HeldRequest;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -47,6 +48,7 @@
     /// Where seats were last heard from, for those that are not members yet.
     seat_addresses: HashMap<SeatId, SocketAddr>,
     handovers: Vec<oneshot::Sender<()>>,
+    held: Vec<HeldRequest>,
 }
 
 impl ReplicaTask {
@@ -87,6 +89,7 @@
             told_leader: None,
             seat_addresses: HashMap::new(),
             handovers: Vec::new(),
+            held: Vec::new(),
         };
         Ok((task, handle, ReplicaInbox { events: sender }))
     }
@@ -149,6 +152,7 @@
         // Only now: a caller that has its answer finds the change in the view.
         self.proposals.settle(self.role.applied());
         self.settle_handovers();
+        self.answer_held();
     }
 
     fn follow_tail(&mut self, now: Instant) {
@@ -156,14 +160,10 @@
         let voters: Vec<SocketAddr> = self.settings.voters.values().copied().collect();
         let own = self.peers.own_address();
         let sources = tail_sources(own, &self.settings.zone, &live, &voters);
-        let hurry = self.proposals.awaits_apply();
         let ReplicaRole::Observer(observer) = &mut self.role else {
             return;
         };
         observer.set_sources(sources);
-        if hurry {
-            observer.hasten(now);
-        }
         if let Some(due) = observer.tick(now) {
             self.tell(due.source, ReplicaMessage::TailRequest(due.request));
         }
--- a/crates/host/src/replica/task/messages.rs
+++ b/crates/host/src/replica/task/messages.rs
@@ -4,6 +4,17 @@
 use crate::replica::proposals::ProposalNumber;
 use chicoryladder_consensus::{SeatEnvelope, TailAnswer, TailRequest};
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The longest time for which a request for the tail is held.
+const HOLD_MAX: Duration = Duration::from_millis(200);
+
+/// A request for the tail that waits for news.
+pub(super) struct HeldRequest {
+    peer: SocketAddr,
+    request: TailRequest,
+    until: Instant,
+}
 
 impl ReplicaTask {
     pub(super) fn receive(&mut self, peer: SocketAddr, message: ReplicaMessage) {
@@ -24,7 +35,7 @@
                 self.told_leader = leader.filter(|leader| *leader != peer);
                 self.proposals.note_not_ordered(ProposalNumber(proposal));
             }
-            ReplicaMessage::TailRequest(request) => self.answer_tail(peer, &request),
+            ReplicaMessage::TailRequest(request) => self.receive_tail_request(peer, request),
             ReplicaMessage::Tail { answer, leader } => self.take_tail(answer, leader),
         }
     }
@@ -43,6 +54,33 @@
         }
     }
 
+    /// Answers at once if there is something new, else holds the request for a
+    /// while: so news travel without delay, at the cost of few messages.
+    fn receive_tail_request(&mut self, peer: SocketAddr, request: TailRequest) {
+        self.held.retain(|held| held.peer != peer);
+        if request.after < self.role.applied() {
+            self.answer_tail(peer, &request);
+        } else {
+            let until = self.clock.now() + HOLD_MAX;
+            self.held.push(HeldRequest {
+                peer,
+                request,
+                until,
+            });
+        }
+    }
+
+    /// Answers held requests for which there is news, or whose time is up.
+    pub(super) fn answer_held(&mut self) {
+        let now = self.clock.now();
+        let applied = self.role.applied();
+        let is_due = |held: &mut HeldRequest| held.request.after < applied || now >= held.until;
+        let due: Vec<HeldRequest> = self.held.extract_if(.., is_due).collect();
+        for held in due {
+            self.answer_tail(held.peer, &held.request);
+        }
+    }
+
     fn answer_tail(&mut self, peer: SocketAddr, request: &TailRequest) {
         let now = self.clock.now();
         match self.role.answer(request, now) {
