--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -148,10 +148,11 @@
             self.submit(number);
         }
         self.flush();
-        // A caller that got its answer must find the change in the view.
         self.publish();
+        // Only now: a caller that has its answer finds the change in the view.
         self.proposals.settle(self.role.applied());
         self.settle_handovers();
+        self.answer_held();
     }
 
     fn follow_tail(&mut self, now: Instant) {
