--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -14,6 +14,7 @@
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
 use crate::platform::{DrainFlag, PlatformService};
 use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
+use crate::retries::RetryRules;
 use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
 use crate::tombstones::{
     FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
@@ -102,8 +103,8 @@
             host: settings.host.name.clone(),
             zone: settings.host.zone.clone(),
         };
-        let (wish_sender, wishes) = mpsc::unbounded_channel();
-        let routing = RoutingHandle::start(place.clone(), clock.clone(), wish_sender);
+        let (notice_sender, notices) = mpsc::unbounded_channel();
+        let routing = RoutingHandle::start(place.clone(), clock.clone(), notice_sender, ids.seed());
         let limit_settings = limit_settings(&settings, &directory, &replica, &clock);
         let (limit_task, limits, limit_inbox) = LimitTask::new(limit_settings);
         let mut tasks = JoinSet::new();
@@ -127,7 +128,7 @@
         tasks.spawn(peer_task.run());
         let slot_relay = SlotRelay {
             directory: directory.clone(),
-            wishes,
+            notices,
         };
         tasks.spawn(slot_relay.run());
         let home_task = HomeTask {
@@ -246,6 +247,7 @@
             replica: self.replica.clone(),
             limits: self.limits.clone(),
             routing: self.routing.clone(),
+            retries: RetryRules::new(self.ids.seed()),
             client: ServerClient::new(),
             clock: self.clock.clone(),
             metrics: self.metrics.clone(),
@@ -350,6 +352,7 @@
     let seat = settings.data.as_ref().map(|data| data.seat);
     LimitTaskSettings {
         host: settings.host.name.clone(),
+        zone: settings.host.zone.clone(),
         voters: settings.voters.values().copied().collect(),
         own_seat: seat.and_then(|seat| settings.voters.get(&seat).copied()),
         directory: directory.clone(),
