Quarantine requests that crash backend servers, fleet-wide

Cause: a request that crashes its server was retried on the next one, and again for each resend to another host. The fingerprint covers the path too. Conclusion: the bound holds for resends; copies sent at the same time before the first crash are not bounded, and a trial is alone only as far as other trials.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -3,6 +3,7 @@
 use crate::replica::ReplicaHandle;
 use chicoryladder_settings::{ClassTarget, FleetRoute, RouteMatch, TeamTerms};
 use chicoryladder_state::{FleetView, KeyDecision, KeyId};
+use chicoryladder_types::RouteName;
 use chicoryladder_types::prelude::*;
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,6 +77,7 @@
 
 /// The rules for one request.
 pub(crate) struct WorkRules {
+    pub(crate) name: RouteName,
     pub(crate) route: FleetRoute,
     pub(crate) class: ClassName,
     pub(crate) target: ClassTarget,
@@ -93,8 +95,8 @@
         path: &str,
         class: Option<&ClassName>,
     ) -> Result<Self, RequestRefusal> {
-        let route = match view.document.match_route(method, path) {
-            RouteMatch::Found { route, .. } => route.clone(),
+        let (name, route) = match view.document.match_route(method, path) {
+            RouteMatch::Found { name, route } => (name.clone(), route.clone()),
             RouteMatch::WrongMethod => {
                 let detail = format!("the route of {path} does not take {method}");
                 return Err(RequestRefusal::not_run(RefusalReason::WrongMethod, detail));
@@ -111,6 +113,7 @@
             RequestRefusal::not_run(RefusalReason::ClassForbidden, detail)
         })?;
         Ok(Self {
+            name,
             route,
             class,
             target,
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -13,6 +13,7 @@
 use crate::online::OnlineService;
 use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
 use crate::platform::{DrainFlag, PlatformService};
+use crate::quarantine::{QuarantineHandle, QuarantineTask, QuarantineTaskParts};
 use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
 use crate::retries::RetryRules;
 use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
@@ -82,6 +83,7 @@
     routing: RoutingHandle,
     tombstones: TombstoneHandle,
     limits: LimitHandle,
+    quarantine: QuarantineHandle,
     drain: DrainFlag,
     batch: DispatcherHandle,
     tasks: JoinSet<()>,
@@ -110,6 +112,11 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(replica_task.run());
         tasks.spawn(limit_task.run());
+        let (quarantine_task, quarantine) = QuarantineTask::new(QuarantineTaskParts {
+            directory: directory.clone(),
+            clock: clock.clone(),
+        });
+        tasks.spawn(quarantine_task.run());
         let store = tombstone_store(&settings);
         let (tombstone_task, tombstones) =
             TombstoneTask::open(replica.clone(), directory.clone(), store)
@@ -124,6 +131,7 @@
             tombstones: tombstones.clone(),
             waiting: HashMap::new(),
             limits: limit_inbox,
+            quarantine: quarantine.clone(),
         };
         tasks.spawn(peer_task.run());
         let slot_relay = SlotRelay {
@@ -163,6 +171,7 @@
             routing,
             tombstones,
             limits,
+            quarantine,
             drain,
             batch,
             tasks,
@@ -246,6 +255,7 @@
             keys: self.key_checker(),
             replica: self.replica.clone(),
             limits: self.limits.clone(),
+            quarantine: self.quarantine.clone(),
             routing: self.routing.clone(),
             retries: RetryRules::new(self.ids.seed()),
             client: ServerClient::new(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod platform;
 mod prompt;
+mod quarantine;
 mod replica;
 mod retries;
 mod routing;
--- a/crates/host/src/limits.rs
+++ b/crates/host/src/limits.rs
@@ -11,6 +11,7 @@
 mod message;
 mod reserves;
 mod task;
+mod trials;
 
 pub(crate) use handle::{LimitHandle, LimitInbox};
 pub(crate) use message::LimitMessage;
--- a/crates/host/src/limits/handle.rs
+++ b/crates/host/src/limits/handle.rs
@@ -1,6 +1,8 @@
 //! The handles of the limits task.
 
 use super::message::LimitMessage;
+use super::trials::ASK_AGAIN_AFTER;
+use chicoryladder_policy::quarantine::{RequestFingerprint, TrialDecision};
 use chicoryladder_settings::TeamTerms;
 use chicoryladder_types::prelude::*;
 use std::time::Instant;
@@ -8,6 +10,8 @@
 
 pub(super) type AdmissionSender = oneshot::Sender<Result<(), RequestRefusal>>;
 
+pub(super) type TrialSender = oneshot::Sender<TrialDecision>;
+
 /// A request that wants a token.
 pub(super) struct AdmissionEvent {
     pub(super) team: TeamName,
@@ -20,6 +24,9 @@
 pub(super) enum LimitEvent {
     Admission(AdmissionEvent),
     Peer(HostName, LimitMessage),
+    TrialBegin(RequestFingerprint, TrialSender),
+    TrialRenewal(RequestFingerprint),
+    TrialEnd(RequestFingerprint),
 }
 
 /// Asks the limits task for tokens; clones share it.
@@ -57,6 +64,30 @@
     }
 }
 
+/// Trials of suspects: one at a time in the fleet for each request.
+impl LimitHandle {
+    /// Asks for the permit of a trial.
+    pub(crate) async fn begin_trial(&self, fingerprint: RequestFingerprint) -> TrialDecision {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self
+            .events
+            .send(LimitEvent::TrialBegin(fingerprint, sender));
+        receiver.await.unwrap_or(TrialDecision::Busy {
+            retry_after: ASK_AGAIN_AFTER,
+        })
+    }
+
+    /// Renews the permit of a running trial.
+    pub(crate) fn renew_trial(&self, fingerprint: RequestFingerprint) {
+        let _ = self.events.send(LimitEvent::TrialRenewal(fingerprint));
+    }
+
+    /// Gives the permit back.
+    pub(crate) fn end_trial(&self, fingerprint: RequestFingerprint) {
+        let _ = self.events.send(LimitEvent::TrialEnd(fingerprint));
+    }
+}
+
 /// Takes messages of other hosts for the limits task.
 #[derive(Clone)]
 pub(crate) struct LimitInbox {
--- a/crates/host/src/limits/keepers.rs
+++ b/crates/host/src/limits/keepers.rs
@@ -2,10 +2,12 @@
 
 use super::message::{LimitMessage, LimitReceiver, OutgoingMessage, outgoing};
 use super::reserves::{ReserveSet, TermsReader, keeper_times};
+use super::trials::{TrialKeepers, TrialMessage};
 use chicoryladder_policy::limits::{
     FleetKeeper, KeeperLease, LeaseAction, LeaseClaim, LeaseTimes, LeaseVote, LeaseVoter,
     ShardClaim, ShardNumber, StockGrant, StockRequest, StockSession, TokenKeeper, TokenPool,
 };
+use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -39,6 +41,7 @@
     lease: KeeperLease,
     gained_at: HashMap<ShardNumber, Instant>,
     keepers: HashMap<TeamName, FleetKeeper>,
+    trials: TrialKeepers,
     known: HashMap<ShardNumber, KnownKeeper>,
     heard: BTreeMap<HostName, Instant>,
     noticed_at: Option<Instant>,
@@ -65,6 +68,7 @@
             voters: Vec::new(),
             gained_at: HashMap::new(),
             keepers: HashMap::new(),
+            trials: TrialKeepers::default(),
             known: HashMap::new(),
             heard: BTreeMap::new(),
             noticed_at: None,
@@ -156,6 +160,35 @@
         }
     }
 
+    /// The host that permits trials of the request, as far as this host knows.
+    pub(super) fn trial_keeper_of(&self, fingerprint: RequestFingerprint) -> Option<&HostName> {
+        let shard = fingerprint.shard(SHARDS);
+        self.known.get(&shard).map(|known| &known.host)
+    }
+
+    /// Decides on a trial, if this host keeps the shard.
+    pub(super) fn handle_trial(
+        &mut self,
+        holder: &HostName,
+        fingerprint: RequestFingerprint,
+        now: Instant,
+    ) -> Option<OutgoingMessage> {
+        self.lease.held_epoch(fingerprint.shard(SHARDS), now)?;
+        let keeper = self.trials.get(fingerprint)?;
+        let decision = keeper.request(fingerprint, holder, now);
+        let answer = TrialMessage::Answer(fingerprint, decision);
+        Some(OutgoingMessage::to_host(
+            holder,
+            LimitMessage::Trial(answer),
+        ))
+    }
+
+    pub(super) fn release_trial(&mut self, holder: &HostName, fingerprint: RequestFingerprint) {
+        if let Some(keeper) = self.trials.get(fingerprint) {
+            keeper.release(fingerprint, holder);
+        }
+    }
+
     /// Takes borrowed tokens into a bucket that this host keeps.
     pub(super) fn handle_borrowed(
         &mut self,
@@ -234,8 +267,12 @@
                 }),
                 LeaseAction::Gained(claim) => {
                     self.gained_at.insert(claim.shard, now);
+                    self.trials.gain(claim.shard, now);
+                }
+                LeaseAction::Lost(claim) => {
+                    self.trials.lose(claim.shard);
+                    lost.push(claim.shard);
                 }
-                LeaseAction::Lost(claim) => lost.push(claim.shard),
             }
         }
         if !lost.is_empty() {
--- a/crates/host/src/limits/message.rs
+++ b/crates/host/src/limits/message.rs
@@ -1,5 +1,6 @@
 //! Messages between the limits tasks of the hosts.
 
+use super::trials::TrialMessage;
 use chicoryladder_policy::limits::{
     KeeperAction, LeaseClaim, LeaseVote, ShardClaim, StockGrant, StockRecall, StockRequest,
     TokenPool,
@@ -20,6 +21,8 @@
     Claim(LeaseClaim),
     /// A voter answers.
     Vote(LeaseVote),
+    /// Concerns the trial of a suspect.
+    Trial(TrialMessage),
     /// A host is up and keeps these shards.
     Keeping(Vec<ShardClaim>),
 }
--- a/crates/host/src/limits/task.rs
+++ b/crates/host/src/limits/task.rs
@@ -5,14 +5,16 @@
 use super::limiters::LimiterSet;
 use super::message::{LimitMessage, LimitReceiver, OutgoingMessage};
 use super::reserves::TermsReader;
+use super::trials::{OwnTrials, TrialMessage};
 use crate::peers::{PeerDirectory, PeerMessage};
 use crate::replica::ReplicaHandle;
 use chicoryladder_policy::limits::{StockHolder, StockRequest, StockSession, TokenPool};
+use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::mpsc;
 
 /// The time between two looks while requests wait for tokens.
@@ -40,6 +42,7 @@
     events: mpsc::UnboundedReceiver<LimitEvent>,
     keepers: KeeperSet,
     limiters: LimiterSet,
+    trials: OwnTrials,
 }
 
 impl LimitTask {
@@ -58,6 +61,7 @@
             events,
             keepers,
             limiters: LimiterSet::new(host, session, now),
+            trials: OwnTrials::default(),
         };
         let handle = LimitHandle {
             events: events_out.clone(),
@@ -88,6 +92,20 @@
                 let out = self.addressed(requests);
                 self.send_all(out);
             }
+            LimitEvent::TrialBegin(fingerprint, sender) => {
+                if self.trials.begin(fingerprint, sender, now) {
+                    self.ask_for_trial(fingerprint);
+                }
+            }
+            LimitEvent::TrialRenewal(fingerprint) => {
+                if self.trials.is_running(fingerprint) {
+                    self.ask_for_trial(fingerprint);
+                }
+            }
+            LimitEvent::TrialEnd(fingerprint) => {
+                self.trials.end(fingerprint);
+                self.release_trial(fingerprint);
+            }
             LimitEvent::Peer(sender, message) => {
                 let out = self.receive(&sender, &message);
                 self.send_all(out);
@@ -98,6 +116,7 @@
     fn poll(&mut self) {
         let now = self.settings.clock.now();
         let epoch_floor = unix_millis(self.settings.clock.wall());
+        self.trials.expire(now);
         let mut out = self.keepers.poll(epoch_floor, now);
         let requests = self.limiters.poll(now);
         out.extend(self.addressed(requests));
@@ -114,6 +133,7 @@
                 self.keepers.handle_keeping(sender, kept, now);
                 Vec::new()
             }
+            LimitMessage::Trial(trial) => self.receive_trial(trial, now),
             LimitMessage::Grant(grant) if matches!(grant.holder, StockHolder::Borrower(_)) => {
                 self.keepers.handle_borrowed(grant, now)
             }
@@ -128,6 +148,44 @@
         }
     }
 
+    fn receive_trial(&mut self, message: &TrialMessage, now: Instant) -> Vec<OutgoingMessage> {
+        match message {
+            TrialMessage::Request(holder, fingerprint) => {
+                let answer = self.keepers.handle_trial(holder, *fingerprint, now);
+                answer.into_iter().collect()
+            }
+            TrialMessage::Answer(fingerprint, decision) => {
+                let unwanted = self.trials.decide(*fingerprint, *decision);
+                let release = unwanted.then(|| self.trial_release(*fingerprint)).flatten();
+                release.into_iter().collect()
+            }
+            TrialMessage::Release(holder, fingerprint) => {
+                self.keepers.release_trial(holder, *fingerprint);
+                Vec::new()
+            }
+        }
+    }
+
+    fn ask_for_trial(&mut self, fingerprint: RequestFingerprint) {
+        let host = self.settings.host.clone();
+        let wish = LimitMessage::Trial(TrialMessage::Request(host, fingerprint));
+        let keeper = self.keepers.trial_keeper_of(fingerprint);
+        let out = keeper.map(|keeper| OutgoingMessage::to_host(keeper, wish));
+        self.send_all(out.into_iter().collect());
+    }
+
+    fn release_trial(&mut self, fingerprint: RequestFingerprint) {
+        let out = self.trial_release(fingerprint);
+        self.send_all(out.into_iter().collect());
+    }
+
+    fn trial_release(&self, fingerprint: RequestFingerprint) -> Option<OutgoingMessage> {
+        let host = self.settings.host.clone();
+        let release = LimitMessage::Trial(TrialMessage::Release(host, fingerprint));
+        let keeper = self.keepers.trial_keeper_of(fingerprint)?;
+        Some(OutgoingMessage::to_host(keeper, release))
+    }
+
     /// The voter whose reserve this host uses: itself, or one of its zone.
     fn zone_reserve(&self) -> Option<HostName> {
         if self.settings.own_seat.is_some() {
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -3,13 +3,15 @@
 use crate::admission::{KeyChecker, KeyHolder, WorkRules};
 use crate::limits::LimitHandle;
 use crate::metrics::HostMetrics;
-use crate::online_attempt::{AttemptPlan, OnlineAttempts};
+use crate::online_attempt::{AttemptPlan, OnlineAttempts, path_and_query};
 use crate::platform::DrainFlag;
 use crate::prompt::{named_model, prompt_prefixes};
+use crate::quarantine::{QuarantineHandle, SuspectWatch};
 use crate::replica::ReplicaHandle;
 use crate::retries::RetryRules;
 use crate::routing::{QueueTerms, RoutingHandle, WorkTarget};
 use chicoryladder_gateway::{AnswerBody, OnlinePort, OnlineRequest, ServerClient};
+use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_settings::{ClassTarget, RouteTarget};
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -26,6 +28,7 @@
     pub(crate) keys: KeyChecker,
     pub(crate) replica: ReplicaHandle,
     pub(crate) limits: LimitHandle,
+    pub(crate) quarantine: QuarantineHandle,
     pub(crate) routing: RoutingHandle,
     pub(crate) retries: RetryRules,
     pub(crate) client: ServerClient,
@@ -70,6 +73,8 @@
         let rules = WorkRules::find(&view, request.method.as_str(), &request.path, class)?;
         let holder = self.holder(&request, &rules)?;
         let target = work_target(&rules.route.target, &request)?;
+        let watch = self.watch(&request, &rules, holder.as_ref());
+        watch.check().await?;
         if let Some(holder) = &holder {
             let give_up_at = request.received + token_wait(rules.target);
             self.limits
@@ -92,7 +97,19 @@
             class: rules.class,
             holder,
         };
-        self.attempts().run(request, plan).await
+        self.attempts().run(request, plan, watch).await
+    }
+
+    fn watch(
+        &self,
+        request: &OnlineRequest,
+        rules: &WorkRules,
+        holder: Option<&KeyHolder>,
+    ) -> SuspectWatch {
+        let team = holder.map(|holder| &holder.team);
+        let path = path_and_query(request);
+        let fingerprint = RequestFingerprint::new(team, &rules.name, &path, &request.body);
+        SuspectWatch::new(&self.quarantine, &self.limits, fingerprint)
     }
 
     /// The team of the request; none on a route open to all.
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::KeyHolder;
 use crate::metrics::HostMetrics;
+use crate::quarantine::SuspectWatch;
 use crate::replica::ReplicaHandle;
 use crate::retries::RetryRules;
 use crate::routing::{QueueTerms, RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
@@ -9,6 +10,7 @@
     AnswerBody, BodyError, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
     StreamTerms, bytes_body, watch_stream,
 };
+use chicoryladder_policy::quarantine::ServerCrash;
 use chicoryladder_policy::retry::{AttemptFailure, RetryDecision};
 use chicoryladder_policy::routing::ServerOutcome;
 use chicoryladder_types::headers;
@@ -62,19 +64,26 @@
         &self,
         request: OnlineRequest,
         plan: AttemptPlan,
+        mut watch: SuspectWatch,
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
         let deadline = request.received + plan.give_up;
         let mut excluded = Vec::new();
         let mut verdict = RunVerdict::NotRun;
         self.retries.record_first_attempt(&plan.class);
         loop {
+            let admitted = watch.admit(self.clock.as_ref(), deadline).await;
+            admitted.map_err(|refusal| joined(refusal, verdict))?;
             let grant = self.acquire(&plan, &excluded, deadline, verdict).await?;
             excluded.push(grant.name.clone());
-            let attempt = self.attempt(&request, &plan, grant, deadline);
+            let crash = possible_crash(&grant);
+            let attempt = self.attempt(&request, &plan, grant, &mut watch, deadline);
             let failure = match attempt.await {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
+            if is_server_lost(&failure) {
+                watch.report_crash(crash);
+            }
             verdict = verdict.join(failure.verdict);
             let attempts = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
             let failed = AttemptFailure {
@@ -128,10 +137,7 @@
             excluded: excluded.to_vec(),
         };
         let result = self.routing.acquire(wanted, deadline).await;
-        result.map_err(|mut refusal| {
-            refusal.verdict = refusal.verdict.join(verdict);
-            refusal
-        })
+        result.map_err(|refusal| joined(refusal, verdict))
     }
 
     async fn attempt(
@@ -139,6 +145,7 @@
         request: &OnlineRequest,
         plan: &AttemptPlan,
         mut grant: ServerGrant,
+        watch: &mut SuspectWatch,
         deadline: Instant,
     ) -> Result<Response<AnswerBody>, ServerFailure> {
         let left = deadline.saturating_duration_since(self.clock.now());
@@ -158,9 +165,11 @@
         })?;
         let answer = BegunAnswer { response, grant };
         if is_event_stream(answer.response.headers()) {
-            return Ok(self.stream(request, plan, answer));
+            return Ok(self.stream(request, plan, answer, watch.take()));
         }
-        self.whole(request, plan, answer, deadline).await
+        let whole = self.whole(request, plan, answer, deadline).await?;
+        watch.report_answer();
+        Ok(whole)
     }
 
     /// Passes a stream on while it arrives.
@@ -169,6 +178,7 @@
         request: &OnlineRequest,
         plan: &AttemptPlan,
         answer: BegunAnswer,
+        mut watch: SuspectWatch,
     ) -> Response<AnswerBody> {
         let (parts, body) = answer.response.into_parts();
         let mut grant = answer.grant;
@@ -183,6 +193,11 @@
             stop: self.withdrawal(plan),
             on_end: Box::new(move |end| {
                 grant.outcome = stream_outcome(end);
+                match end {
+                    StreamEnd::Whole => watch.report_answer(),
+                    StreamEnd::Truncated => watch.report_crash(possible_crash(&grant)),
+                    StreamEnd::Silent | StreamEnd::Stopped | StreamEnd::CallerLeft => {}
+                }
                 drop(grant);
                 let elapsed = clock.now().saturating_duration_since(received);
                 count_end(&metrics, end, &class, elapsed);
@@ -240,6 +255,30 @@
     }
 }
 
+fn joined(refusal: RequestRefusal, verdict: RunVerdict) -> RequestRefusal {
+    RequestRefusal {
+        verdict: refusal.verdict.join(verdict),
+        ..refusal
+    }
+}
+
+/// The incarnation that crashed, if the attempt loses its server.
+fn possible_crash(grant: &ServerGrant) -> ServerCrash {
+    ServerCrash {
+        server: grant.name.clone(),
+        generation: grant.generation,
+    }
+}
+
+/// Whether the server went away with the request on it.
+fn is_server_lost(failure: &ServerFailure) -> bool {
+    let lost = matches!(
+        failure.reason,
+        RetryReason::ConnectionLost | RetryReason::ServerCrashed
+    );
+    lost && failure.verdict == RunVerdict::MayHaveRun
+}
+
 /// What a failed attempt tells of the server.
 fn failed_outcome(reason: RetryReason) -> ServerOutcome {
     match reason {
@@ -262,7 +301,8 @@
     }
 }
 
-fn path_and_query(request: &OnlineRequest) -> String {
+/// The path of a request as it goes to the server.
+pub(crate) fn path_and_query(request: &OnlineRequest) -> String {
     if request.query.is_empty() {
         return request.path.clone();
     }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::limits::LimitMessage;
 use crate::replica::ReplicaMessage;
 use chicoryladder_link::{InboundMessage, PeerLink};
+use chicoryladder_policy::quarantine::SuspectUpdate;
 use chicoryladder_state::{HostPosition, KeyTombstones};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{LogIndex, ServerAnnouncement};
@@ -43,6 +44,8 @@
     SlotYielded(ServerName),
     /// Concerns the replicated state.
     Replica(ReplicaMessage),
+    /// Tells of requests that were on lost servers.
+    Suspects(Vec<SuspectUpdate>),
     /// Concerns the rates of the teams.
     Limits(LimitMessage),
 }
--- a/crates/host/src/peers/task.rs
+++ b/crates/host/src/peers/task.rs
@@ -2,6 +2,7 @@
 
 use super::{PeerDirectory, PeerMessage};
 use crate::limits::LimitInbox;
+use crate::quarantine::QuarantineHandle;
 use crate::replica::{ReplicaHandle, ReplicaInbox};
 use crate::routing::RoutingHandle;
 use crate::tombstones::TombstoneHandle;
@@ -26,6 +27,7 @@
     pub(crate) inbox: ReplicaInbox,
     pub(crate) routing: RoutingHandle,
     pub(crate) limits: LimitInbox,
+    pub(crate) quarantine: QuarantineHandle,
     pub(crate) tombstones: TombstoneHandle,
     /// The positions that other hosts wait for this host to reach.
     pub(crate) waiting: HashMap<SocketAddr, LogIndex>,
@@ -70,6 +72,7 @@
             Ok(PeerMessage::Position(position)) => self.directory.note_position(sender, position),
             Ok(PeerMessage::Tombstones(tombstones)) => self.tombstones.heard(sender, tombstones),
             Ok(PeerMessage::Announcement(announcement)) => self.routing.announce(announcement),
+            Ok(PeerMessage::Suspects(updates)) => self.quarantine.deliver(updates),
             Ok(PeerMessage::Limits(content)) => {
                 self.limits.deliver(message.sender.clone(), content);
             }
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -5,7 +5,7 @@
 use chicoryladder_policy::queue::StreamKey;
 use chicoryladder_policy::routing::{PrefixHash, ServerKey, ServerOutcome, WorkTarget};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServerAnnouncement, ServerLoad};
+use chicoryladder_types::{ServerAnnouncement, ServerGeneration, ServerLoad};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -114,6 +114,7 @@
 /// A slot on a backend server; dropping it gives the slot back.
 pub(crate) struct ServerGrant {
     pub(crate) name: ServerName,
+    pub(crate) generation: ServerGeneration,
     pub(crate) address: SocketAddr,
     /// The load that the server reported with its answer.
     pub(crate) load: Option<ServerLoad>,
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -317,6 +317,7 @@
         };
         let name = announcement.name.clone();
         let address = announcement.address;
+        let generation = announcement.generation;
         if let WorkKind::Online(terms) = &request.kind {
             for prefix in &terms.prefixes {
                 self.table.servers().note_prefix(*prefix, key);
@@ -324,6 +325,7 @@
         }
         let grant = ServerGrant {
             name,
+            generation,
             address,
             load: None,
             outcome: ServerOutcome::Cancelled,
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -9,7 +9,7 @@
 //! it reaches.
 //!
 //! The shared facts are two growing sets for each fingerprint: crashes, and
-//! crashes found not to be its fault. Their union is the same whatever the
+//! crashes after which it was answered. Their union is the same whatever the
 //! order, so updates may be lost, repeated and late.
 
 mod fingerprint;
--- a/crates/policy/src/quarantine/fingerprint.rs
+++ b/crates/policy/src/quarantine/fingerprint.rs
@@ -5,7 +5,7 @@
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
 
-/// Identifies a request by its team, route and body, so that a resend by its
+/// Identifies a request by its team, route, path and body, so that a resend by its
 /// caller to any host is recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestFingerprint([u8; 16]);
@@ -13,11 +13,11 @@
 impl RequestFingerprint {
     /// The fingerprint of a request; an open route has no team.
     #[must_use]
-    pub fn new(team: Option<&TeamName>, route: &RouteName, body: &[u8]) -> Self {
+    pub fn new(team: Option<&TeamName>, route: &RouteName, path: &str, body: &[u8]) -> Self {
         let team = team.map_or("", TeamName::as_str);
         let mut hasher = blake3::Hasher::new();
-        for name in [team, route.as_str()] {
-            // No name holds a line end, so the parts cannot run together.
+        for name in [team, route.as_str(), path] {
+            // Neither names nor paths hold a line end, so the parts cannot run together.
             hasher.update(name.as_bytes()).update(b"\n");
         }
         hasher.update(body);
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -38,7 +38,7 @@
     pub fingerprint: RequestFingerprint,
     /// Crashes with the request in flight.
     pub crashes: BTreeSet<ServerCrash>,
-    /// Crashes that were not its fault.
+    /// Crashes after which the request was answered.
     pub cleared: BTreeSet<ServerCrash>,
 }
 
@@ -132,18 +132,6 @@
         self.update_of(fingerprint)
     }
 
-    /// Takes back a crash: the incarnation was heard of afterwards.
-    pub fn report_alive(&mut self, crash: &ServerCrash) -> Vec<SuspectUpdate> {
-        let mut changed = Vec::new();
-        for (fingerprint, record) in &mut self.records {
-            if record.crashes.contains(crash) && record.cleared.insert(crash.clone()) {
-                changed.push(*fingerprint);
-            }
-        }
-        let updates = changed.into_iter().filter_map(|one| self.update_of(one));
-        updates.collect()
-    }
-
     /// Takes over what another host knows. Repeated and late updates change
     /// nothing.
     pub fn merge(&mut self, update: &SuspectUpdate, now: Instant) {
--- a/crates/policy/src/quarantine/trial.rs
+++ b/crates/policy/src/quarantine/trial.rs
@@ -2,11 +2,12 @@
 
 use super::RequestFingerprint;
 use chicoryladder_types::prelude::*;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 /// The answer to a host that wants to run a suspect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TrialDecision {
     /// The host may run it until the permit ends.
     Permitted,
@@ -35,8 +36,8 @@
 }
 
 impl TrialKeeper {
-    /// A keeper whose authority began at `since`. A permit lasts `permit_ttl`,
-    /// longer than any attempt of its holder.
+    /// A keeper whose authority began at `since`. A permit lasts `permit_ttl`
+    /// after its latest renewal.
     #[must_use]
     pub fn new(permit_ttl: Duration, since: Instant) -> Self {
         Self {
@@ -46,7 +47,7 @@
         }
     }
 
-    /// Decides on the trial of a suspect.
+    /// Decides on the trial of a suspect; the holder of a permit renews it.
     pub fn request(
         &mut self,
         fingerprint: RequestFingerprint,
@@ -54,8 +55,13 @@
         now: Instant,
     ) -> TrialDecision {
         self.permits.retain(|_, permit| permit.until > now);
-        let held_until = self.permits.get(&fingerprint).map(|permit| permit.until);
-        let busy_until = held_until.into_iter().chain([self.opens_at]).max();
+        let held = self.permits.get(&fingerprint);
+        let other = held.filter(|permit| permit.holder != *holder);
+        let busy_until = other
+            .map(|permit| permit.until)
+            .into_iter()
+            .chain([self.opens_at])
+            .max();
         let wait = busy_until.map(|until| until.saturating_duration_since(now));
         if let Some(retry_after) = wait.filter(|wait| !wait.is_zero()) {
             return TrialDecision::Busy { retry_after };
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod demo;
 mod fixture;
 mod limits;
+mod quarantine;
 mod replicated_state;
 mod streams;
 mod whole_path;
--- /dev/null
+++ b/tests/all/quarantine.rs
@@ -0,0 +1,81 @@
+//! Requests that crash the backend servers that run them.
+
+use crate::fixture::{FleetFixture, HttpRequest, chat_body, eventually, send};
+use chicoryladder_standin::{EngineHandle, FaultPlan};
+
+const CHAT: &str = "/v1/chat/completions";
+const POISON: &str = "poison";
+
+async fn start_engines(fleet: &FleetFixture, count: usize) -> Vec<EngineHandle> {
+    let mut engines = Vec::new();
+    for index in 0..count {
+        let zone = ["zone-a", "zone-b", "zone-c"][index % 3];
+        let engine = fleet.start_engine(&format!("engine-{index}"), zone).await;
+        engine.control().set_faults(FaultPlan {
+            crash_on: Some(POISON.to_owned()),
+            ..FaultPlan::default()
+        });
+        engines.push(engine);
+    }
+    engines
+}
+
+async fn wait_for_key(fleet: &FleetFixture, hosts: usize, key: &str) {
+    for host in 0..hosts {
+        let callers = fleet.ports(host).callers;
+        let known = || async {
+            let request = HttpRequest::post(callers, CHAT, chat_body(1, false)).with_key(key);
+            send(request).await.unwrap().status == 200
+        };
+        eventually("the key works on the host", known).await;
+    }
+}
+
+/// Engines that a killer reached: each crashes at its first one.
+fn lost(engines: &[EngineHandle], killer: &str) -> usize {
+    let reached = |engine: &&EngineHandle| {
+        let received = engine.received();
+        let mut bodies = received.iter().map(|one| &one.body);
+        bodies.any(|body| String::from_utf8_lossy(body).contains(killer))
+    };
+    engines.iter().filter(reached).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killer_resent_to_every_host_costs_two_servers() {
+    let fleet = FleetFixture::with_document(3).await;
+    let engines = start_engines(&fleet, 6).await;
+    let key = fleet.grant_key(0, "curepipe").await.text;
+    wait_for_key(&fleet, 3, &key).await;
+    let killer = format!("{POISON} of a caller that resends");
+    let body = chat_body(1, false).replace("Plan a walk.", &killer);
+    let mut reasons = Vec::new();
+    for resend in 0..9 {
+        let callers = fleet.ports(resend % 3).callers;
+        let request = HttpRequest::post(callers, CHAT, body.clone()).with_key(&key);
+        let answer = send(request).await.unwrap();
+        assert_ne!(answer.status, 200);
+        reasons.push(answer.reason().map(str::to_owned));
+    }
+    assert_eq!(lost(&engines, &killer), 2, "{reasons:?}");
+    let quarantined = reasons.iter().flatten();
+    let quarantined = quarantined.filter(|reason| *reason == "quarantined");
+    assert!(quarantined.count() >= 7, "{reasons:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_beside_a_crash_is_served_by_another_server() {
+    let fleet = FleetFixture::with_document(3).await;
+    let engines = start_engines(&fleet, 2).await;
+    let key = fleet.grant_key(0, "curepipe").await.text;
+    wait_for_key(&fleet, 3, &key).await;
+    let callers = fleet.ports(0).callers;
+    let request = HttpRequest::post(callers, CHAT, chat_body(200, false)).with_key(&key);
+    let waiting = tokio::spawn(send(request));
+    let busy = || async { engines.iter().any(|engine| engine.load().running > 0) };
+    eventually("the request runs", busy).await;
+    let running = engines.iter().find(|engine| engine.load().running > 0);
+    running.unwrap().control().crash().await;
+    let answer = waiting.await.unwrap().unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
