Measure decisions and compare the policy with its baselines

Cause: the goals for decision cost, refusals inside the rate and the wait for a server had no figures. The check whether a server may be ejected runs only after a failure: it looked at every server of the target on each answer.

--- /dev/null
+++ b/crates/policy/examples/compare/main.rs
@@ -0,0 +1,129 @@
+//! Compares the policy with its baselines in simulated runs.
+//!
+//! `cargo run --release -p chicoryladder-policy --example compare` prints two
+//! tables: refusals inside the rate under a skewed balancer, and the wait for a
+//! server under uneven request lengths. All seeds are fixed.
+
+#[path = "../../tests/limits/fleet.rs"]
+#[allow(dead_code)]
+mod fleet;
+mod routing;
+
+use chicoryladder_policy::limits::{RateLimit, TokenAmount};
+use fleet::{Faults, Fleet, Outcome, poisson};
+use std::time::Duration;
+
+const HOSTS: usize = 9;
+const WARM_UP: Duration = Duration::from_secs(2);
+const SPAN: Duration = Duration::from_secs(60);
+const PATIENCE: Duration = Duration::from_millis(50);
+
+/// The balancer sends four tenths of the requests to one host.
+const SKEWED: [u32; HOSTS] = [40, 15, 10, 10, 10, 5, 5, 3, 2];
+
+/// A bucket by its theoretical arrival time, in nanoseconds.
+struct PlainBucket {
+    interval: f64,
+    tolerance: f64,
+    next: f64,
+}
+
+impl PlainBucket {
+    fn new(rate: f64, burst: f64) -> Self {
+        let interval = 1.0 / rate;
+        Self {
+            interval,
+            tolerance: interval * (burst - 1.0).max(0.0),
+            next: 0.0,
+        }
+    }
+
+    /// Whether a request at `at` has its token within `patience` seconds.
+    fn admit(&mut self, at: f64, patience: f64) -> bool {
+        let ready = self.next - self.tolerance;
+        if ready > at + patience {
+            return false;
+        }
+        self.next = self.next.max(at) + self.interval;
+        true
+    }
+}
+
+fn main() {
+    compare_limits();
+    routing::compare();
+}
+
+fn compare_limits() {
+    println!("refusals inside the rate, 9 hosts, skewed balancer, 90 % of 200/s, 60 s");
+    println!("burst | one bucket refuses | static shares | escrow | messages/request");
+    for burst in [9, 18, 50, 200] {
+        let limit = RateLimit::new(200_000, burst).expect("valid");
+        let arrivals = poisson(17, 180.0, SPAN, &SKEWED);
+        let ideal = one_bucket(limit, &arrivals);
+        let shares = static_shares(limit, &arrivals);
+        let (escrow, messages) = escrow(limit, &arrivals);
+        let refused = ideal.iter().filter(|admitted| !**admitted).count();
+        println!(
+            "{burst:5} | {:18.3}% | {:12.3}% | {:5.3}% | {:.2}",
+            percent(refused, arrivals.len()),
+            wrongful(&ideal, &shares),
+            wrongful(&ideal, &escrow),
+            messages / count(arrivals.len()),
+        );
+    }
+}
+
+fn one_bucket(limit: RateLimit, arrivals: &[(Duration, usize)]) -> Vec<bool> {
+    let (rate, burst) = figures(limit);
+    let mut bucket = PlainBucket::new(rate, burst);
+    let admit = |(at, _): &(Duration, usize)| bucket.admit(at.as_secs_f64(), 0.0);
+    arrivals.iter().map(admit).collect()
+}
+
+fn static_shares(limit: RateLimit, arrivals: &[(Duration, usize)]) -> Vec<bool> {
+    let (rate, burst) = figures(limit);
+    let parts = count(HOSTS);
+    let bucket = || PlainBucket::new(rate / parts, burst / parts);
+    let mut buckets: Vec<PlainBucket> = (0..HOSTS).map(|_| bucket()).collect();
+    let patience = PATIENCE.as_secs_f64();
+    let admit = |(at, host): &(Duration, usize)| buckets[*host].admit(at.as_secs_f64(), patience);
+    arrivals.iter().map(admit).collect()
+}
+
+fn escrow(limit: RateLimit, arrivals: &[(Duration, usize)]) -> (Vec<bool>, f64) {
+    let mut fleet = Fleet::new(HOSTS, limit, Faults::NONE, 5);
+    fleet.set_patience(PATIENCE);
+    for (at, host) in arrivals {
+        fleet.arrive(WARM_UP + *at, *host);
+    }
+    fleet.run_until(WARM_UP + SPAN + Duration::from_secs(1));
+    let admitted = |outcome: &Outcome| matches!(outcome, Outcome::Admitted { .. });
+    let messages = u32::try_from(fleet.messages).expect("a short run");
+    (
+        fleet.outcomes.iter().map(admitted).collect(),
+        f64::from(messages),
+    )
+}
+
+/// The share of all requests that one bucket admits and the fleet refuses.
+fn wrongful(ideal: &[bool], fleet: &[bool]) -> f64 {
+    let both = ideal.iter().zip(fleet);
+    let refused = both.filter(|(ideal, fleet)| **ideal && !**fleet).count();
+    percent(refused, ideal.len())
+}
+
+fn figures(limit: RateLimit) -> (f64, f64) {
+    let second = limit.refill(Duration::from_secs(1));
+    let rate = count(usize::try_from(second.whole_tokens()).expect("small"));
+    let burst = TokenAmount::whole(limit.burst()).whole_tokens();
+    (rate, count(usize::try_from(burst).expect("small")))
+}
+
+fn percent(part: usize, whole: usize) -> f64 {
+    100.0 * count(part) / count(whole)
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).expect("a short run"))
+}
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -188,7 +188,8 @@
         load: Option<ServerLoad>,
         now: Instant,
     ) {
-        let may_eject = self.may_eject(key);
+        let failed = matches!(outcome, ServerOutcome::Failed | ServerOutcome::Silent);
+        let may_eject = failed && self.may_eject(key);
         let health_times = self.times.health;
         let Some(record) = self.servers.get_mut(key) else {
             return;
