Carry commands of several megabytes between hosts

Cause: the link took no message above 1 MB, so a job of some thousand items, or a batch of long answers, could not be replicated and was refused or retried forever. Ruled out: one larger nng message, as the binding sets no other limit. Change: the link cuts a long message into parts of 512 KiB, up to 16 MiB; a long job travels as an upload of entries of 512 KiB; reports of results are bounded by bytes. A command may hold 8 MiB. Submissions and uploads are sent again after a lost answer, since their job id makes them idempotent.

--- a/crates/host/src/batch/holdings.rs
+++ b/crates/host/src/batch/holdings.rs
@@ -6,6 +6,9 @@
 use std::time::Instant;
 use tokio::sync::watch;
 
+/// The answer bytes of one command; a single answer may be longer.
+const REPORTS_MAX_BYTES: usize = 2 * 1024 * 1024;
+
 /// Until when and whether items of a lease may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LeaseTerms {
@@ -145,9 +148,19 @@
         }
     }
 
-    /// The oldest reports, up to `limit`; they stay until they are committed.
+    /// The oldest reports, up to `limit` and to a few megabytes but at least one;
+    /// they stay until they are committed.
     pub(super) fn reports(&self, limit: usize) -> Vec<AttemptReport> {
-        self.reports.iter().take(limit).cloned().collect()
+        let mut bytes = 0;
+        let mut reports = Vec::new();
+        for report in self.reports.iter().take(limit) {
+            bytes += answer_bytes(report);
+            if bytes > REPORTS_MAX_BYTES && !reports.is_empty() {
+                break;
+            }
+            reports.push(report.clone());
+        }
+        reports
     }
 
     /// Drops the `count` oldest reports, which are committed.
@@ -164,3 +177,10 @@
         self.reports.push(AttemptReport { attempt, end });
     }
 }
+
+fn answer_bytes(report: &AttemptReport) -> usize {
+    match &report.end {
+        AttemptEnd::Answered { body, .. } => body.as_slice().len(),
+        AttemptEnd::Refused { .. } | AttemptEnd::Yielded { .. } => 0,
+    }
+}
--- a/crates/host/src/job_service.rs
+++ b/crates/host/src/job_service.rs
@@ -2,9 +2,10 @@
 
 use crate::admission::{KeyChecker, KeyHolder, WorkRules};
 use crate::ids::RandomIds;
+use crate::job_upload::submit_job;
 use crate::metrics::HostMetrics;
 use crate::platform::DrainFlag;
-use crate::replica::{ReplicaHandle, ResultQuery};
+use crate::replica::{ProposeError, ReplicaHandle, ResultQuery};
 use chicoryladder_gateway::{AnswerBody, ItemCounts, JobPort, JobView, SubmitRequest, bytes_body};
 use chicoryladder_jobs::{
     ItemDraft, ItemParser, ItemRequest, JobCommand, JobHeader, JobOutcome, JobShare, JobStatus,
@@ -118,9 +119,8 @@
             deadline_at: Some(deadline_at),
             expires_at: deadline_at.after(EXPIRY_AFTER_DEADLINE),
         };
-        let items = plan.items;
-        let command = JobCommand::Submit { header, items };
-        match self.propose(command).await? {
+        let submitted = submit_job(&self.replica, header, plan.items).await;
+        match submitted.map_err(ProposeError::refusal)? {
             JobOutcome::Submitted { job, .. } => self.view(&holder, job).await,
             outcome => Err(refused(&outcome)),
         }
@@ -185,7 +185,7 @@
 
     async fn propose(&self, command: JobCommand) -> Result<JobOutcome, RequestRefusal> {
         let result = self.replica.propose_jobs(command).await;
-        result.map_err(crate::replica::ProposeError::refusal)
+        result.map_err(ProposeError::refusal)
     }
 }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,6 +12,7 @@
 mod entry_host;
 mod ids;
 mod job_service;
+mod job_upload;
 mod limits;
 mod metrics;
 mod online;
--- a/crates/host/src/replica/command.rs
+++ b/crates/host/src/replica/command.rs
@@ -26,7 +26,11 @@
             Self::Fleet(_) => true,
             Self::Jobs(command) => matches!(
                 command,
-                JobCommand::CancelJob { .. }
+                JobCommand::Submit { .. }
+                    | JobCommand::BeginUpload { .. }
+                    | JobCommand::AppendItems { .. }
+                    | JobCommand::CommitUpload { .. }
+                    | JobCommand::CancelJob { .. }
                     | JobCommand::RenewLeases { .. }
                     | JobCommand::Sweep { .. }
             ),
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -152,6 +152,7 @@
         self.publish();
         self.proposals.settle(self.role.applied());
         self.settle_handovers();
+        self.answer_held();
     }
 
     fn follow_tail(&mut self, now: Instant) {
--- a/crates/host/src/replica/task/ordering.rs
+++ b/crates/host/src/replica/task/ordering.rs
@@ -9,8 +9,8 @@
 use chicoryladder_consensus::{DroppedReason, ProposalToken, ProposeError as SeatRefusal};
 use std::net::SocketAddr;
 
-/// The longest command, in bytes; the link takes no message above 1 MB.
-const COMMAND_MAX_BYTES: usize = 900_000;
+/// The longest command, in bytes; an append of it has to fit a message of the link.
+const COMMAND_MAX_BYTES: usize = 8 * 1024 * 1024;
 
 impl ReplicaTask {
     pub(super) fn open_proposal(&mut self, command: &GroupCommand, sender: OutcomeSender) {
--- a/crates/link/src/envelope.rs
+++ b/crates/link/src/envelope.rs
@@ -1,5 +1,6 @@
 //! The envelope around each message and its authentication.
 
+use crate::fragment::MessagePart;
 use crate::secret::{PeerSecret, TAG_BYTES};
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,8 @@
     ProbeAnswer(u64),
     /// A message of the parts above.
     Data(Vec<u8>),
+    /// A part of a long message of the parts above.
+    Part(MessagePart),
 }
 
 /// A message with its sender, before sealing.
--- a/crates/link/src/handle.rs
+++ b/crates/link/src/handle.rs
@@ -1,6 +1,7 @@
 //! The handle that other tasks use to send and receive.
 
 use crate::envelope::LinkFrame;
+use crate::fragment::{MESSAGE_MAX_BYTES, PART_MAX_BYTES, split};
 use crate::inbound::{self, InboundTask};
 use crate::outbound::{OutboundTask, PeerQueue};
 use crate::secret::PeerSecret;
@@ -38,6 +39,9 @@
     /// The queue to the peer is full.
     #[error("the queue to the peer is full")]
     QueueFull,
+    /// The message is longer than [`MESSAGE_MAX_BYTES`].
+    #[error("the message is longer than {MESSAGE_MAX_BYTES} bytes")]
+    TooLong,
 }
 
 /// A message from another host.
@@ -138,9 +142,19 @@
     ///
     /// # Errors
     ///
-    /// Fails at once if the queue to the peer is full.
+    /// Fails at once if the queue to the peer is full or the message too long.
     pub fn send(&self, peer: SocketAddr, payload: Vec<u8>) -> Result<(), SendError> {
-        self.send_frame(peer, LinkFrame::Data(payload))
+        if payload.len() <= PART_MAX_BYTES {
+            return self.send_frame(peer, LinkFrame::Data(payload));
+        }
+        if payload.len() > MESSAGE_MAX_BYTES {
+            return Err(SendError::TooLong);
+        }
+        let message = self.shared.next_sequence();
+        for part in split(message, &payload) {
+            self.send_frame(peer, LinkFrame::Part(part))?;
+        }
+        Ok(())
     }
 
     pub(crate) fn send_frame(&self, peer: SocketAddr, frame: LinkFrame) -> Result<(), SendError> {
--- a/crates/link/src/inbound.rs
+++ b/crates/link/src/inbound.rs
@@ -1,6 +1,7 @@
 //! The task that owns the listening socket.
 
 use crate::envelope::{LinkFrame, PeerEnvelope};
+use crate::fragment::PartJoiner;
 use crate::handle::{InboundMessage, LinkError, PeerLink};
 use crate::stats::{add, count};
 use anng::Socket;
@@ -73,6 +74,7 @@
     socket: Socket<Pull0>,
     messages: mpsc::Sender<InboundMessage>,
     marks: HashMap<StreamKey, SenderMark>,
+    joiners: HashMap<StreamKey, PartJoiner>,
 }
 
 impl InboundTask {
@@ -86,6 +88,7 @@
             socket: bound.socket,
             messages,
             marks: HashMap::new(),
+            joiners: HashMap::new(),
         }
     }
 
@@ -130,22 +133,31 @@
 
     async fn dispatch(&mut self, envelope: PeerEnvelope) {
         let peer = envelope.reply_address;
-        match envelope.frame {
+        let payload = match envelope.frame {
             LinkFrame::Probe(number) => {
                 // A full queue loses the answer; the peer probes again.
                 let _ = self.link.send_frame(peer, LinkFrame::ProbeAnswer(number));
+                None
             }
-            LinkFrame::ProbeAnswer(number) => self.link.note_answer(peer, number),
-            LinkFrame::Data(payload) => {
-                let message = InboundMessage {
-                    sender: envelope.sender,
-                    zone: envelope.zone,
-                    reply_address: peer,
-                    payload,
-                };
-                // A closed receiver ends the loop of `run`.
-                let _ = self.messages.send(message).await;
+            LinkFrame::ProbeAnswer(number) => {
+                self.link.note_answer(peer, number);
+                None
             }
+            LinkFrame::Data(payload) => Some(payload),
+            LinkFrame::Part(part) => {
+                let key = (envelope.sender.clone(), envelope.destination);
+                self.joiners.entry(key).or_default().take(&part)
+            }
+        };
+        if let Some(payload) = payload {
+            let message = InboundMessage {
+                sender: envelope.sender,
+                zone: envelope.zone,
+                reply_address: peer,
+                payload,
+            };
+            // A closed receiver ends the loop of `serve`.
+            let _ = self.messages.send(message).await;
         }
     }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -13,11 +13,14 @@
 //! secret that all hosts share. A message with a wrong tag, or with a number
 //! that its sender already used, is dropped and counted.
 //!
+//! A message that is longer than nng takes travels in parts.
+//!
 //! A connection can go silent for good while new ones work. So each sender
 //! probes its peer; when probes stay unanswered it drops the connection and
 //! dials a new one.
 
 mod envelope;
+mod fragment;
 mod handle;
 mod inbound;
 mod outbound;
@@ -26,6 +29,7 @@
 mod stats;
 
 pub use envelope::{EnvelopeError, PeerEnvelope, SEALED_MAX_BYTES};
+pub use fragment::MESSAGE_MAX_BYTES;
 pub use handle::{InboundMessage, LinkError, PeerLink, SendError};
 pub use secret::{PeerSecret, SecretError};
 pub use settings::{LinkIdentity, LinkTiming};
--- a/crates/link/src/outbound.rs
+++ b/crates/link/src/outbound.rs
@@ -103,7 +103,7 @@
                 frame = self.frames.recv() => match frame {
                     None => return std::ops::ControlFlow::Break(()),
                     Some(frame) => {
-                        if matches!(frame, LinkFrame::Data(_)) {
+                        if matches!(frame, LinkFrame::Data(_) | LinkFrame::Part(_)) {
                             last_frame = self.shared.clock.now();
                         }
                         self.push(&mut socket, frame).await
--- a/crates/link/tests/link.rs
+++ b/crates/link/tests/link.rs
@@ -2,7 +2,9 @@
 
 #![allow(clippy::unwrap_used)]
 
-use chicoryladder_link::{LinkIdentity, LinkTiming, PeerLink, PeerSecret};
+use chicoryladder_link::{
+    LinkIdentity, LinkTiming, MESSAGE_MAX_BYTES, PeerLink, PeerSecret, SendError,
+};
 use chicoryladder_types::SystemClock;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -169,3 +171,19 @@
     assert_eq!(after.payload, b"after");
     assert!(a.stats().counts().replaced_silent >= 1);
 }
+
+#[tokio::test]
+async fn long_messages_arrive_whole_among_short_ones() {
+    let (a, _a_messages) = start("a", "a shared secret text").await;
+    let (b, mut b_messages) = start("b", "a shared secret text").await;
+    let long: Vec<u8> = (0..5_000_000_u32).map(|n| n.to_le_bytes()[0]).collect();
+    a.send(b.address(), vec![1]).unwrap();
+    a.send(b.address(), long.clone()).unwrap();
+    a.send(b.address(), vec![2]).unwrap();
+    for expected in [vec![1], long, vec![2]] {
+        let message = tokio::time::timeout(GUARD, b_messages.recv()).await;
+        assert!(message.unwrap().unwrap().payload == expected);
+    }
+    let too_long = vec![0; MESSAGE_MAX_BYTES + 1];
+    assert_eq!(a.send(b.address(), too_long), Err(SendError::TooLong));
+}
--- a/tests/all/replicated_state.rs
+++ b/tests/all/replicated_state.rs
@@ -1,6 +1,6 @@
 //! The replicated state: loss of hosts, observers, replacement of a seat.
 
-use crate::fixture::{DOCUMENT, FleetFixture, eventually};
+use crate::fixture::{DOCUMENT, FleetFixture, HttpRequest, eventually, job_lines, send};
 use serde_json::json;
 
 /// Waits until a host has the given revision in force.
@@ -95,3 +95,21 @@
     let behind = fleet.admin(1, "POST", "seats", &promote).await;
     assert_eq!(behind.status, 409, "{}", behind.text());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn job_longer_than_a_message_is_accepted_by_any_host() {
+    let fleet = FleetFixture::with_document(4).await;
+    let key = fleet.grant_key(0, "curepipe").await;
+    let callers = fleet.ports(3).callers;
+    let known = || async {
+        let request = HttpRequest::get(callers, "/v1/batches/0").with_key(&key.text);
+        send(request).await.unwrap().status != 401
+    };
+    eventually("the key is known", known).await;
+    let items = job_lines(12_000);
+    assert!(items.len() > 1_500_000);
+    let request = HttpRequest::post(callers, "/v1/batches", items).with_key(&key.text);
+    let answer = send(request).await.unwrap();
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(answer.json()["request_counts"]["total"], 12_000);
+}
