--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -148,8 +148,8 @@
             self.submit(number);
         }
         self.flush();
-        // A caller that got its answer must find the change in the view.
         self.publish();
+        // Only now: a caller that has its answer finds the change in the view.
         self.proposals.settle(self.role.applied());
         self.settle_handovers();
         self.answer_held();
