Cause the faults of batch work on whole fleets, and mend what they showed

Tests with hosts in one process: resend to another host, cancel, partial results on every host, a dispatcher lost in mid-job, a restart of every host in mid-job, an item that crashes servers, non-idempotent charges over a lost dispatcher and over a shutdown, and online bursts beside batch work on the same and on another host.

Items that wait longer than 300 ms for a slot are given back. - A crashed server that still announces itself was chosen again and again, as it has the most free slots. It gets no batch item for a second after a failure. - An item whose task panicked would have stayed leased; it is reported now. - The load that answers report is used for batch too, and own requests that a late report still shows are no longer taken for those of other hosts.

--- a/crates/host/src/batch/attempt.rs
+++ b/crates/host/src/batch/attempt.rs
@@ -4,14 +4,16 @@
 use crate::ids::RandomIds;
 use crate::prompt::named_model;
 use crate::replica::ReplicaHandle;
-use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+use crate::routing::{
+    RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget, reported_load,
+};
 use chicoryladder_gateway::{ServerClient, ServerFailure, ServerRequest};
 use chicoryladder_jobs::{
     AttemptEnd, AttemptReport, BodyBytes, ItemRef, ItemRequest, JobCommand, JobOutcome,
 };
 use chicoryladder_settings::{RouteMatch, RouteTarget};
-use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServerLoad, headers};
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Response};
@@ -44,6 +46,12 @@
     grant: ServerGrant,
 }
 
+/// The end of an attempt and the load that its answer reported.
+struct ItemExchange {
+    end: AttemptEnd,
+    load: Option<ServerLoad>,
+}
+
 /// Why an item that was about to run does not.
 enum StartRefusal {
     /// The item is no longer leased to this dispatcher.
@@ -159,21 +167,25 @@
                 () = revocation(&mut terms) => {}
             }
         };
-        tokio::select! {
-            end = self.exchange(&message) => end,
-            () = stopping => yielded(RunVerdict::MayHaveRun),
-        }
+        let exchanged = tokio::select! {
+            exchanged = self.exchange(&message) => exchanged,
+            () = stopping => return yielded(RunVerdict::MayHaveRun),
+        };
+        grant.load = exchanged.load;
+        grant.failed = !matches!(exchanged.end, AttemptEnd::Answered { .. });
+        exchanged.end
     }
 
-    async fn exchange(&self, message: &ServerRequest) -> AttemptEnd {
+    async fn exchange(&self, message: &ServerRequest) -> ItemExchange {
         let answered = async {
             let response = self.client.send(message).await.map_err(failed)?;
-            read_answer(response).await
+            let load = reported_load(response.headers());
+            let end = read_answer(response).await;
+            Ok(ItemExchange { end, load })
         };
-        match tokio::time::timeout(ATTEMPT_TIMEOUT, answered).await {
-            Ok(Ok(end) | Err(end)) => end,
-            Err(_) => silent(),
-        }
+        let result = tokio::time::timeout(ATTEMPT_TIMEOUT, answered).await;
+        let result = result.unwrap_or_else(|_| Err(silent()));
+        result.unwrap_or_else(|end| ItemExchange { end, load: None })
     }
 
     fn message(
@@ -283,18 +295,18 @@
     fields
 }
 
-async fn read_answer(response: Response<hyper::body::Incoming>) -> Result<AttemptEnd, AttemptEnd> {
+async fn read_answer(response: Response<hyper::body::Incoming>) -> AttemptEnd {
     let status = response.status().as_u16();
     let limited = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
     match limited.collect().await {
-        Ok(collected) => Ok(AttemptEnd::Answered {
+        Ok(collected) => AttemptEnd::Answered {
             status,
             body: BodyBytes(collected.to_bytes().to_vec()),
-        }),
-        Err(error) => Err(refused(RequestRefusal::new(
+        },
+        Err(error) => refused(RequestRefusal::new(
             RefusalReason::ServerFailed,
             RunVerdict::MayHaveRun,
             format!("the answer ended early: {error}"),
-        ))),
+        )),
     }
 }
--- a/crates/host/src/batch/dispatcher.rs
+++ b/crates/host/src/batch/dispatcher.rs
@@ -9,14 +9,16 @@
 use crate::platform::DrainFlag;
 use crate::replica::{ProposeError, ReplicaHandle};
 use crate::routing::RoutingHandle;
-use chicoryladder_jobs::{AttemptReport, JobCommand, JobOutcome, LeaseId, LeaseRequest};
+use chicoryladder_jobs::{
+    AttemptEnd, AttemptReport, ItemRef, JobCommand, JobOutcome, LeaseId, LeaseRequest,
+};
 use chicoryladder_types::JobId;
 use chicoryladder_types::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::{Id as TaskId, JoinError, JoinSet};
 
 /// The time between two looks at the job state and the idle slots.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -36,6 +38,9 @@
 /// The most reports in one command.
 const REPORTS_MAX: usize = 128;
 
+/// The time after which reports that were not committed are proposed again.
+const REPORT_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The time for which a job without a slot is passed over.
 const NO_SLOT_PAUSE: Duration = Duration::from_secs(1);
 
@@ -88,6 +93,7 @@
     idle: watch::Sender<bool>,
     holdings: LeaseHoldings,
     runs: JoinSet<FinishedRun>,
+    running: HashMap<TaskId, ItemRef>,
     proposals: JoinSet<ProposalAnswer>,
     out: ProposalsOut,
     paused: BTreeMap<JobId, Instant>,
@@ -113,6 +119,7 @@
             idle,
             holdings: LeaseHoldings::default(),
             runs: JoinSet::new(),
+            running: HashMap::new(),
             proposals: JoinSet::new(),
             out: ProposalsOut::default(),
             paused: BTreeMap::new(),
@@ -126,7 +133,7 @@
         loop {
             tokio::select! {
                 _ = ticks.tick() => self.tick().await,
-                Some(Ok(run)) = self.runs.join_next() => self.take_run(run),
+                Some(run) = self.runs.join_next_with_id() => self.take_run(run),
                 Some(Ok(answer)) = self.proposals.join_next() => self.take_answer(answer),
             }
             self.report();
@@ -149,6 +156,7 @@
         let placing = self.runs.len().saturating_sub(room.taken);
         let idle = room.idle.saturating_sub(placing);
         let started = self.start_runs(idle, now);
+        self.holdings.yield_waiting(now);
         let wanted = idle.saturating_sub(started);
         if view.has_work && wanted > 0 {
             self.lease(wanted, now);
@@ -161,7 +169,9 @@
             let Some(item) = self.holdings.next(now) else {
                 return started;
             };
-            self.runs.spawn(self.runner.clone().run(item));
+            let attempt = item.grant.attempt;
+            let task = self.runs.spawn(self.runner.clone().run(item));
+            self.running.insert(task.id(), attempt);
         }
         idle
     }
@@ -230,15 +240,38 @@
         self.proposals.spawn(async move {
             let command = JobCommand::CompleteItems { reports, now };
             let outcome = replica.propose_jobs(command).await;
-            if let Err(error) = &outcome {
-                log::warn!("batch: cannot report {count} items yet: {error}.");
-                tokio::time::sleep(TICK_INTERVAL).await;
+            if !matches!(outcome, Ok(JobOutcome::Reported(_))) {
+                log::warn!("batch: cannot report {count} items yet: {outcome:?}.");
+                tokio::time::sleep(REPORT_RETRY_INTERVAL).await;
             }
             ProposalAnswer::Report { count, outcome }
         });
     }
 
-    fn take_run(&mut self, run: FinishedRun) {
+    fn take_run(&mut self, run: Result<(TaskId, FinishedRun), JoinError>) {
+        match run {
+            Ok((id, run)) => {
+                self.running.remove(&id);
+                self.take_finished(run);
+            }
+            Err(error) => self.take_panic(&error),
+        }
+    }
+
+    /// Reports an item whose task panicked, so that it does not stay leased.
+    fn take_panic(&mut self, error: &JoinError) {
+        log::error!("batch: an item's task failed: {error}.");
+        if let Some(attempt) = self.running.remove(&error.id()) {
+            let end = AttemptEnd::Refused {
+                verdict: RunVerdict::MayHaveRun,
+                reason: RefusalReason::ServerFailed,
+                detail: "the attempt failed inside its host".to_owned(),
+            };
+            self.holdings.add_report(AttemptReport { attempt, end });
+        }
+    }
+
+    fn take_finished(&mut self, run: FinishedRun) {
         if run.found_no_slot {
             let until = self.clock.now() + NO_SLOT_PAUSE;
             self.paused.insert(run.attempt.job, until);
@@ -280,7 +313,8 @@
         match outcome {
             Ok(outcome) => {
                 log_lease(&outcome);
-                self.holdings.add(&outcome, start_until);
+                let now = self.clock.now();
+                self.holdings.add(&outcome, start_until, now);
             }
             // Items that were leased all the same come back with their lease.
             Err(error) => log::debug!("batch: cannot lease items: {error}."),
--- a/crates/host/src/batch/holdings.rs
+++ b/crates/host/src/batch/holdings.rs
@@ -3,9 +3,12 @@
 use chicoryladder_jobs::{AttemptEnd, AttemptReport, ItemGrant, ItemRef, JobOutcome, LeaseId};
 use chicoryladder_types::RunVerdict;
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// The longest time that a leased item waits for an idle slot.
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(300);
+
 /// Until when and whether items of a lease may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LeaseTerms {
@@ -31,6 +34,7 @@
     pub(super) lease: LeaseId,
     pub(super) grant: ItemGrant,
     pub(super) terms: watch::Receiver<LeaseTerms>,
+    queued_at: Instant,
 }
 
 /// The leases of one dispatcher.
@@ -44,7 +48,7 @@
 
 impl LeaseHoldings {
     /// Takes in the outcome of a lease request.
-    pub(super) fn add(&mut self, outcome: &JobOutcome, start_until: Instant) {
+    pub(super) fn add(&mut self, outcome: &JobOutcome, start_until: Instant, now: Instant) {
         let JobOutcome::Leased { lease, grants, .. } = outcome else {
             return;
         };
@@ -62,6 +66,7 @@
                 lease: *lease,
                 grant: *grant,
                 terms: receiver.clone(),
+                queued_at: now,
             });
         }
         let unreported = grants.len();
@@ -84,6 +89,19 @@
         None
     }
 
+    /// Gives back the items that have waited too long for an idle slot, so that
+    /// other hosts can run them.
+    pub(super) fn yield_waiting(&mut self, now: Instant) {
+        while let Some(oldest) = self.queue.front() {
+            if now.saturating_duration_since(oldest.queued_at) < QUEUE_WAIT_MAX {
+                return;
+            }
+            let attempt = oldest.grant.attempt;
+            self.queue.pop_front();
+            self.yield_item(attempt);
+        }
+    }
+
     /// Gives back every item that has not started.
     pub(super) fn yield_queued(&mut self) {
         for item in std::mem::take(&mut self.queue) {
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -3,7 +3,9 @@
 use crate::admission::KeyHolder;
 use crate::metrics::HostMetrics;
 use crate::replica::ReplicaHandle;
-use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+use crate::routing::{
+    RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget, reported_load,
+};
 use chicoryladder_gateway::{
     AnswerBody, BodyError, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
     StreamTerms, bytes_body, watch_stream,
@@ -223,21 +225,6 @@
     kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
 }
 
-fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
-    let text = fields.get(headers::SERVER_LOAD)?.to_str().ok()?;
-    let mut load = chicoryladder_types::ServerLoad::default();
-    for part in text.split(';') {
-        let (name, count) = part.trim().split_once('=')?;
-        let count = count.parse().ok()?;
-        match name {
-            "running" => load.running = count,
-            "waiting" => load.waiting = count,
-            _ => {}
-        }
-    }
-    Some(load)
-}
-
 /// The header fields of a server's answer that reach the caller.
 fn answer_fields(fields: &HeaderMap) -> HeaderMap {
     let mut kept = HeaderMap::with_capacity(fields.len() + 1);
--- a/crates/host/src/routing.rs
+++ b/crates/host/src/routing.rs
@@ -7,10 +7,12 @@
 mod batch_slots;
 mod handle;
 mod home;
+mod server_load;
 mod table;
 mod task;
 
 pub(crate) use handle::{
     RoutingHandle, RoutingPlace, ServerGrant, SlotRequest, SlotWish, WorkKind, WorkTarget,
 };
+pub(crate) use server_load::reported_load;
 pub(crate) use table::ANNOUNCEMENT_LEASE;
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -75,6 +75,7 @@
     Released {
         server: ServerKey,
         load: Option<ServerLoad>,
+        failed: bool,
         batch: Option<GrantId>,
     },
     Hosts(Vec<RoutingPlace>),
@@ -88,6 +89,8 @@
     pub(crate) name: ServerName,
     pub(crate) address: SocketAddr,
     pub(crate) load: Option<ServerLoad>,
+    /// Whether the server failed the request.
+    pub(crate) failed: bool,
     pub(super) server: ServerKey,
     pub(super) batch: Option<BatchGrant>,
     pub(super) events: mpsc::UnboundedSender<RoutingEvent>,
@@ -116,6 +119,7 @@
         let released = RoutingEvent::Released {
             server: self.server,
             load: self.load,
+            failed: self.failed,
             batch: self.batch.as_ref().map(|batch| batch.id),
         };
         // A closed channel means that the host has stopped.
--- a/crates/host/src/routing/table.rs
+++ b/crates/host/src/routing/table.rs
@@ -2,6 +2,7 @@
 
 use super::handle::{RoutingPlace, SlotRequest, SlotWish, WorkKind, WorkTarget};
 use super::home::home_of;
+use super::server_load::LoadEstimate;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerAnnouncement, ServerLoad};
 use slotmap::{SlotMap, new_key_type};
@@ -17,6 +18,9 @@
 /// Slots of each server that batch work leaves free for the next online request.
 const BATCH_RESERVE_SLOTS: u32 = 1;
 
+/// The time for which a server that failed a batch item gets no other.
+const BATCH_PAUSE: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// Identifies a server in the table of one host.
     pub(crate) struct ServerKey;
@@ -30,6 +34,7 @@
     pub(crate) address: String,
     pub(crate) slots: u32,
     pub(crate) in_flight: u32,
+    pub(crate) occupied: u32,
     pub(crate) live: bool,
     pub(crate) leaving: bool,
 }
@@ -37,9 +42,8 @@
 struct ServerRecord {
     announcement: ServerAnnouncement,
     heard: Instant,
-    in_flight: u32,
-    /// Grants since the last report of the load, which does not show them.
-    unreported: u32,
+    load: LoadEstimate,
+    batch_paused_until: Option<Instant>,
     /// The host that dispatches batch items to the server.
     home: Option<HostName>,
 }
@@ -56,24 +60,23 @@
         }
     }
 
-    /// Requests on the server, of all hosts, as far as this host can tell.
-    fn occupied(&self) -> u32 {
-        let load = self.announcement.load;
-        let reported = load.running + load.waiting + self.unreported;
-        reported.max(self.in_flight)
-    }
-
     /// Slots that batch work may take.
-    fn idle(&self) -> u32 {
+    fn idle(&self, now: Instant) -> u32 {
+        if self.batch_paused_until.is_some_and(|until| now < until) {
+            return 0;
+        }
         let usable = self.announcement.slots.saturating_sub(BATCH_RESERVE_SLOTS);
-        usable.saturating_sub(self.occupied())
+        usable.saturating_sub(self.load.occupied())
     }
 
     /// Slots that a request of the kind may take.
-    fn free(&self, kind: WorkKind) -> u32 {
+    fn free(&self, kind: WorkKind, now: Instant) -> u32 {
         match kind {
-            WorkKind::Online => self.announcement.slots.saturating_sub(self.in_flight),
-            WorkKind::Batch { .. } => self.idle(),
+            WorkKind::Online => self
+                .announcement
+                .slots
+                .saturating_sub(self.load.in_flight()),
+            WorkKind::Batch { .. } => self.idle(now),
         }
     }
 
@@ -101,17 +104,17 @@
         match known {
             Some(record) if announcement.generation < record.announcement.generation => {}
             Some(record) => {
+                record.load.report(announcement.load, now);
                 record.announcement = announcement;
                 record.heard = now;
-                record.unreported = 0;
             }
             None => {
                 let key = self.servers.insert(ServerRecord {
                     home: home_of(&announcement, &self.hosts),
                     announcement,
                     heard: now,
-                    in_flight: 0,
-                    unreported: 0,
+                    load: LoadEstimate::new(now),
+                    batch_paused_until: None,
                 });
                 self.by_name.insert(name, key);
             }
@@ -123,7 +126,7 @@
         let by_name = &mut self.by_name;
         self.servers.retain(|_, record| {
             let silent = now.saturating_duration_since(record.heard) > FORGET_AFTER;
-            let kept = !silent || record.in_flight > 0;
+            let kept = !silent || record.load.in_flight() > 0;
             if !kept {
                 by_name.remove(&record.announcement.name);
             }
@@ -148,10 +151,10 @@
             WorkKind::Batch { .. } => record.home.as_ref() == Some(&place.host),
         };
         self.candidates(request, now)
-            .filter(|(_, record)| allowed(record) && record.free(request.kind) > 0)
+            .filter(|(_, record)| allowed(record) && record.free(request.kind, now) > 0)
             .max_by_key(|(_, record)| {
                 let local = record.announcement.zone == place.zone;
-                (local, record.free(request.kind))
+                (local, record.free(request.kind, now))
             })
             .map(|(key, _)| key)
     }
@@ -170,7 +173,7 @@
             .servers
             .values()
             .filter(|record| record.takes_work(now) && record.home.as_ref() == Some(host));
-        own.map(|record| record.idle() as usize).sum()
+        own.map(|record| record.idle(now) as usize).sum()
     }
 
     pub(super) fn key_of(&self, name: &ServerName) -> Option<ServerKey> {
@@ -185,7 +188,7 @@
     /// Whether requests on the server have to wait inside it.
     pub(super) fn is_crowded(&self, key: ServerKey) -> bool {
         let record = self.servers.get(key);
-        record.is_some_and(|record| record.occupied() > record.announcement.slots)
+        record.is_some_and(|record| record.load.occupied() > record.announcement.slots)
     }
 
     /// The dispatching host of a server, and its name.
@@ -200,24 +203,33 @@
     /// The least occupied server that could serve the request with a slot more.
     pub(super) fn next_choice(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
         self.candidates(request, now)
-            .min_by_key(|(_, record)| record.in_flight)
+            .min_by_key(|(_, record)| record.load.in_flight())
             .map(|(key, _)| key)
     }
 
-    pub(super) fn take_slot(&mut self, key: ServerKey) -> Option<&ServerAnnouncement> {
+    pub(super) fn take_slot(
+        &mut self,
+        key: ServerKey,
+        now: Instant,
+    ) -> Option<&ServerAnnouncement> {
         let record = self.servers.get_mut(key)?;
-        record.in_flight += 1;
-        record.unreported += 1;
+        record.load.take(now);
         Some(&record.announcement)
     }
 
-    pub(super) fn give_back(&mut self, key: ServerKey, load: Option<ServerLoad>) {
+    pub(super) fn give_back(&mut self, key: ServerKey, load: Option<ServerLoad>, now: Instant) {
         if let Some(record) = self.servers.get_mut(key) {
-            record.in_flight = record.in_flight.saturating_sub(1);
             if let Some(load) = load {
-                record.announcement.load = load;
-                record.unreported = 0;
+                record.load.report(load, now);
             }
+            record.load.give_back(now);
+        }
+    }
+
+    /// Gives the server no batch items for a while.
+    pub(super) fn pause_batch(&mut self, key: ServerKey, now: Instant) {
+        if let Some(record) = self.servers.get_mut(key) {
+            record.batch_paused_until = Some(now + BATCH_PAUSE);
         }
     }
 
@@ -227,7 +239,8 @@
             zone: record.announcement.zone.clone(),
             address: record.announcement.address.to_string(),
             slots: record.announcement.slots,
-            in_flight: record.in_flight,
+            in_flight: record.load.in_flight(),
+            occupied: record.load.occupied(),
             live: record.is_live(now),
             leaving: record.announcement.leaving,
         };
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -79,9 +79,13 @@
             RoutingEvent::Released {
                 server,
                 load,
+                failed,
                 batch,
             } => {
-                self.table.give_back(server, load);
+                self.table.give_back(server, load, now);
+                if failed {
+                    self.table.pause_batch(server, now);
+                }
                 if let Some(id) = batch {
                     self.batch_slots.remove(id);
                 }
@@ -212,7 +216,7 @@
         let Some(key) = self.table.choose(&waiting.request, &self.place, now) else {
             return false;
         };
-        let Some(announcement) = self.table.take_slot(key) else {
+        let Some(announcement) = self.table.take_slot(key, now) else {
             return false;
         };
         let name = announcement.name.clone();
@@ -221,6 +225,7 @@
             name,
             address,
             load: None,
+            failed: false,
             server: key,
             batch: self.batch_grant(key, waiting.request.kind),
             events: self.events_out.clone(),
--- /dev/null
+++ b/tests/all/batch.rs
@@ -0,0 +1,67 @@
+//! Batch jobs while hosts, backend servers and callers do their worst.
+
+mod caller;
+mod faults;
+mod sharing;
+
+use crate::fixture::{FleetFixture, eventually, job_lines};
+use caller::{BatchCaller, chat_items};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resend_to_another_host_finds_the_same_job() {
+    let fleet = FleetFixture::with_document(3).await;
+    let key = fleet.grant_key(0, "curepipe").await;
+    let items = job_lines(3);
+    let mut first = None;
+    for host in 0..3 {
+        let caller = BatchCaller::new(&fleet, host, &key);
+        caller.wait_until_known().await;
+        let job = caller.submit("weekly", &items).await;
+        assert_eq!(*first.get_or_insert(job.clone()), job);
+    }
+    let caller = BatchCaller::new(&fleet, 2, &key);
+    let other = caller.try_submit("weekly", &job_lines(4)).await;
+    assert_eq!(other.status, 409);
+    assert_eq!(other.reason(), Some("idempotency_key_reused"));
+    assert_eq!(other.verdict(), Some("not-run"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_starts_after_a_cancel_is_acknowledged() {
+    let fleet = FleetFixture::with_document(3).await;
+    let engine = fleet.start_engine("engine-1", "zone-b").await;
+    let key = fleet.grant_key(0, "curepipe").await;
+    let caller = BatchCaller::new(&fleet, 0, &key);
+    let job = caller.submit("lot", &chat_items(100, 100)).await;
+    eventually("items run", || async { engine.counters().started > 3 }).await;
+    let cancelled = caller.cancel(&job).await;
+    assert_eq!(cancelled["status"], "cancelled");
+    let received = engine.counters().received;
+    let counts = &cancelled["request_counts"];
+    assert!(counts["cancelled"].as_u64() > Some(50), "{cancelled}");
+    // A second job runs on the idle slots; of the first nothing arrives any more.
+    let second = caller.submit("second", &chat_items(10, 1)).await;
+    caller.wait_completed(&second).await;
+    assert_eq!(engine.counters().received, received + 10);
+    assert_eq!(caller.results(&job).await.len(), 100);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn partial_results_are_readable_on_every_host_and_stay_the_same() {
+    let fleet = FleetFixture::with_document(3).await;
+    let _engine = fleet.start_engine("engine-1", "zone-a").await;
+    let key = fleet.grant_key(0, "curepipe").await;
+    let caller = BatchCaller::new(&fleet, 0, &key);
+    let job = caller.submit("lot", &chat_items(60, 20)).await;
+    let begun = || async { !caller.results(&job).await.is_empty() };
+    eventually("first results", begun).await;
+    let partial = caller.results(&job).await;
+    caller.wait_completed(&job).await;
+    for host in 0..3 {
+        let reader = BatchCaller::new(&fleet, host, &key);
+        reader.wait_completed(&job).await;
+        let whole = reader.results(&job).await;
+        assert_eq!(whole[..partial.len()], partial);
+        assert_eq!(whole.len(), 60);
+    }
+}
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -6,7 +6,7 @@
 pub(crate) use http::{HttpAnswer, HttpRequest, send};
 pub(crate) use ports::free_address;
 
-use chicoryladder_host::EntryHost;
+use chicoryladder_host::{EntryHost, HostError};
 use chicoryladder_settings::HostSettings;
 use chicoryladder_standin::{EngineHandle, EngineOptions, EngineServer};
 use chicoryladder_standin::{PlainHandle, PlainOptions, PlainServer};
@@ -67,8 +67,13 @@
 
     /// Starts `count` hosts and brings the document of the examples into force.
     pub(crate) async fn with_document(count: usize) -> Self {
+        Self::with_text(count, DOCUMENT).await
+    }
+
+    /// Starts `count` hosts and brings a document into force.
+    pub(crate) async fn with_text(count: usize, document: &str) -> Self {
         let fleet = Self::start(count).await;
-        let answer = fleet.put_document(0, DOCUMENT, 0, "first-document").await;
+        let answer = fleet.put_document(0, document, 0, "first-document").await;
         assert_eq!(answer.status, 200, "{}", answer.text());
         for host in 0..count {
             let wanted = || async { fleet.revision(host).await >= Some(1) };
@@ -89,8 +94,21 @@
     /// Starts a host that is not running, with the data that it left.
     pub(crate) async fn start_host(&mut self, host: usize) {
         let settings = HostSettings::parse("test", &self.settings(host)).unwrap();
-        let started = EntryHost::start(settings).await.unwrap();
-        self.hosts[host] = Some(started);
+        // The ports of a host that was killed in this process are closed by its
+        // tasks, which may take a moment.
+        let starting = async {
+            loop {
+                match EntryHost::start(settings.clone()).await {
+                    Ok(started) => return started,
+                    Err(HostError::Link(_) | HostError::Listen(_)) => {
+                        tokio::time::sleep(POLL_INTERVAL).await;
+                    }
+                    Err(error) => panic!("the host does not start: {error}"),
+                }
+            }
+        };
+        let started = tokio::time::timeout(PATIENCE, starting).await;
+        self.hosts[host] = Some(started.expect("the ports are free in time"));
     }
 
     /// Stops a host as a crash would.
@@ -163,7 +181,28 @@
 
     /// Starts an engine that announces itself to every host.
     pub(crate) async fn start_engine(&self, name: &str, zone: &str) -> EngineHandle {
+        let slots = self.engine_options(name, zone).slots;
+        self.start_engine_with_slots(name, zone, slots).await
+    }
+
+    /// Starts an engine with the given number of slots.
+    pub(crate) async fn start_engine_with_slots(
+        &self,
+        name: &str,
+        zone: &str,
+        slots: u32,
+    ) -> EngineHandle {
         let options = EngineOptions {
+            slots,
+            ..self.engine_options(name, zone)
+        };
+        let engine = EngineServer::start(options).await.unwrap();
+        self.wait_for_server(name).await;
+        engine
+    }
+
+    fn engine_options(&self, name: &str, zone: &str) -> EngineOptions {
+        EngineOptions {
             entry_hosts: self.server_ports(),
             announce_period: Duration::from_millis(100),
             ..EngineOptions::new(
@@ -171,10 +210,7 @@
                 zone.try_into().unwrap(),
                 "walks-7b".try_into().unwrap(),
             )
-        };
-        let engine = EngineServer::start(options).await.unwrap();
-        self.wait_for_server(name).await;
-        engine
+        }
     }
 
     /// Starts a plain service that announces itself to every host.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod batch;
 mod command_line;
 mod fixture;
 mod whole_path;
