Take large jobs in parts and stream their results

A job of 410,000 items would have been one log entry of hundreds of megabytes, and its results one string in memory. Submissions are now proposed in entries of at most 512 items or 128 KiB, and an entry whose answer is lost is proposed again, which the job state recognises. A resend that this host knows of uploads nothing. A cancellation waits at most 20 s for the dispatchers and says so. Answers tell the deadline and whether the job is expected late.

--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -69,6 +69,10 @@
     pub status: &'static str,
     /// The class of the job.
     pub class: String,
+    /// The time by which the job is to finish, in seconds since the Unix epoch.
+    pub deadline_at: Option<u64>,
+    /// Whether the job is expected to miss its deadline, or has missed it.
+    pub expected_late: bool,
     /// Items by state.
     pub request_counts: ItemCounts,
 }
--- a/crates/host/src/job_service.rs
+++ b/crates/host/src/job_service.rs
@@ -1,33 +1,39 @@
 //! Batch jobs as callers see them.
 
-use crate::admission::{KeyChecker, KeyHolder, WorkRules};
+mod plan;
+mod results;
+mod upload;
+
+use crate::admission::{KeyChecker, KeyHolder};
 use crate::ids::RandomIds;
 use crate::metrics::HostMetrics;
 use crate::platform::DrainFlag;
-use crate::replica::{ReplicaHandle, ResultQuery};
-use chicoryladder_gateway::{AnswerBody, ItemCounts, JobPort, JobView, SubmitRequest, bytes_body};
+use crate::replica::ReplicaHandle;
+use chicoryladder_gateway::{AnswerBody, ItemCounts, JobPort, JobView, SubmitRequest};
 use chicoryladder_jobs::{
-    ItemDraft, ItemParser, ItemRequest, JobCommand, JobHeader, JobOutcome, JobShare, JobStatus,
-    SubmissionKey,
+    BodyDigest, ItemParser, JobCommand, JobHeader, JobOutcome, JobShare, JobStatus, SubmissionKey,
 };
-use chicoryladder_settings::ClassTarget;
-use chicoryladder_state::FleetView;
 use chicoryladder_types::JobId;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use plan::JobPlan;
+use results::ResultReader;
 use std::sync::Arc;
 use std::time::Duration;
+use upload::{JobUpload, UploadError};
 
 /// The time for which items of a job may wait after its deadline.
 const EXPIRY_AFTER_DEADLINE: Duration = Duration::from_secs(24 * 60 * 60);
 
-/// Results read from the replica at a time.
-const RESULT_PAGE_ITEMS: u32 = 1000;
+const MILLIS_PER_SECOND: u64 = 1000;
 
 /// The time between two looks at a job that is being cancelled.
 const CANCEL_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The longest wait of a cancellation for the dispatchers.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(20);
+
 /// Serves batch jobs.
 pub(crate) struct JobService {
     pub(crate) keys: KeyChecker,
@@ -97,14 +103,19 @@
             return Err(RequestRefusal::not_run(RefusalReason::Draining, detail));
         }
         let holder = self.keys.check(request.key.as_deref())?;
-        let (items, digest) = ItemParser::parse(&request.body).map_err(bad_request)?;
-        let view = self.replica.view();
-        let plan = JobPlan::new(&view, &items, request.class.as_ref())?;
         let key = request
             .idempotency_key
             .map(SubmissionKey::try_from)
             .transpose()
             .map_err(bad_request)?;
+        let digest = BodyDigest::of(&request.body);
+        if let Some(job) = self.earlier(&holder, key.as_ref(), digest).await? {
+            return self.view(&holder, job).await;
+        }
+        let (items, digest) = ItemParser::parse(&request.body).map_err(bad_request)?;
+        drop(request.body);
+        let view = self.replica.view();
+        let plan = JobPlan::new(&view, items, request.class.as_ref())?;
         let now = self.replica.wall();
         let deadline_at = now.after(plan.finish_within);
         let header = JobHeader {
@@ -118,11 +129,32 @@
             deadline_at: Some(deadline_at),
             expires_at: deadline_at.after(EXPIRY_AFTER_DEADLINE),
         };
-        let items = plan.items;
-        let command = JobCommand::Submit { header, items };
-        match self.propose(command).await? {
-            JobOutcome::Submitted { job, .. } => self.view(&holder, job).await,
-            outcome => Err(refused(&outcome)),
+        let upload = JobUpload {
+            replica: &self.replica,
+            header,
+        };
+        match upload.run(plan.items).await {
+            Ok(job) => self.view(&holder, job).await,
+            Err(UploadError::NotOrdered(error)) => Err(error.refusal()),
+            Err(UploadError::Refused(outcome)) => Err(refused(&outcome)),
+        }
+    }
+
+    /// The job of an earlier submission under the key, as far as this host knows;
+    /// spares the upload of a resend.
+    async fn earlier(
+        &self,
+        holder: &KeyHolder,
+        key: Option<&SubmissionKey>,
+        digest: BodyDigest,
+    ) -> Result<Option<JobId>, RequestRefusal> {
+        let Some(key) = key else {
+            return Ok(None);
+        };
+        match self.replica.first_submission(&holder.team, key).await {
+            Some(first) if first.digest == digest => Ok(Some(first.job)),
+            Some(_) => Err(refused(&JobOutcome::Refused(RefusalReason::KeyReused))),
+            None => Ok(None),
         }
     }
 
@@ -136,26 +168,12 @@
         holder: &KeyHolder,
         job: JobId,
     ) -> Result<AnswerBody, RequestRefusal> {
-        let mut text = String::new();
-        let mut from = 0;
-        loop {
-            let query = ResultQuery {
-                team: holder.team.clone(),
-                job,
-                from,
-                limit: RESULT_PAGE_ITEMS,
-            };
-            let page = self.replica.job_results(query).await;
-            let page = page.ok_or_else(unknown_job)?.map_err(unreadable)?;
-            for line in &page.lines {
-                text.push_str(&line.to_json().map_err(unreadable)?);
-                text.push('\n');
-            }
-            if page.lines.is_empty() {
-                return Ok(bytes_body(text));
-            }
-            from = page.next;
-        }
+        let reader = ResultReader {
+            replica: self.replica.clone(),
+            team: holder.team.clone(),
+            job,
+        };
+        reader.into_body().await
     }
 
     /// Cancels a job and waits until no dispatcher holds an item of it.
@@ -173,6 +191,12 @@
             JobOutcome::Cancelled { .. } => {}
             outcome => return Err(refused(&outcome)),
         }
+        let settled = self.wait_ended(holder, job);
+        let waited = tokio::time::timeout(CANCEL_TIMEOUT, settled).await;
+        waited.unwrap_or_else(|_| Err(still_held()))
+    }
+
+    async fn wait_ended(&self, holder: &KeyHolder, job: JobId) -> Result<JobView, RequestRefusal> {
         loop {
             let status = self.replica.job_status(&holder.team, job).await;
             let status = status.ok_or_else(unknown_job)?;
@@ -189,69 +213,6 @@
     }
 }
 
-/// What the fleet document says of a job.
-struct JobPlan {
-    class: ClassName,
-    finish_within: Duration,
-    items: Vec<ItemDraft>,
-}
-
-impl JobPlan {
-    fn new(
-        view: &Arc<FleetView>,
-        items: &[ItemRequest],
-        class: Option<&ClassName>,
-    ) -> Result<Self, RequestRefusal> {
-        let class = match class {
-            Some(class) => class.clone(),
-            None => default_class(view)?,
-        };
-        let known = view.document.classes.get(&class).map(|known| known.target);
-        let Some(ClassTarget::Batch(target)) = known else {
-            let detail = format!("the fleet document has no batch class {class}");
-            return Err(RequestRefusal::not_run(
-                RefusalReason::ClassForbidden,
-                detail,
-            ));
-        };
-        let items = items
-            .iter()
-            .map(|item| draft(view, item, &class))
-            .collect::<Result<_, _>>()?;
-        Ok(Self {
-            class,
-            finish_within: target.finish_within,
-            items,
-        })
-    }
-}
-
-fn draft(
-    view: &Arc<FleetView>,
-    item: &ItemRequest,
-    class: &ClassName,
-) -> Result<ItemDraft, RequestRefusal> {
-    let rules = WorkRules::find(view, &item.method, &item.url, Some(class));
-    let rules = rules.map_err(|mut refusal| {
-        refusal.detail = format!("item {}: {}", item.custom_id, refusal.detail);
-        refusal
-    })?;
-    Ok(ItemDraft {
-        idempotent: rules.route.idempotent,
-        request: item.clone(),
-    })
-}
-
-/// The first batch class of the fleet document.
-fn default_class(view: &Arc<FleetView>) -> Result<ClassName, RequestRefusal> {
-    let classes = view.document.classes.iter();
-    let mut batch = classes.filter(|(_, class)| !class.target.is_online());
-    batch.next().map(|(name, _)| name.clone()).ok_or_else(|| {
-        let detail = "the fleet document has no batch class";
-        RequestRefusal::not_run(RefusalReason::ClassForbidden, detail)
-    })
-}
-
 fn job_view(status: &JobStatus) -> JobView {
     let counts = &status.counts;
     JobView {
@@ -259,6 +220,10 @@
         object: "batch",
         status: status.phase.as_str(),
         class: status.class.to_string(),
+        deadline_at: status
+            .deadline_at
+            .map(|deadline| deadline.0 / MILLIS_PER_SECOND),
+        expected_late: status.slack.is_late(),
         request_counts: ItemCounts {
             total: counts.total().into(),
             completed: counts.succeeded.into(),
@@ -278,6 +243,13 @@
     }
 }
 
+fn still_held() -> RequestRefusal {
+    let detail = "the cancellation is logged, but a dispatcher has not let go of its items yet";
+    let reason = RefusalReason::StillRunning;
+    RequestRefusal::new(reason, RunVerdict::MayHaveRun, detail)
+        .with_retry_after(CANCEL_POLL_INTERVAL)
+}
+
 fn unknown_job() -> RequestRefusal {
     RequestRefusal::not_run(RefusalReason::UnknownJob, "no such job")
 }
@@ -285,8 +257,3 @@
 fn bad_request(error: impl std::fmt::Display) -> RequestRefusal {
     RequestRefusal::not_run(RefusalReason::BadRequest, error.to_string())
 }
-
-fn unreadable(error: impl std::fmt::Display) -> RequestRefusal {
-    let detail = format!("the results cannot be read: {error}");
-    RequestRefusal::not_run(RefusalReason::StorageFailed, detail)
-}
--- /dev/null
+++ b/crates/host/src/job_service/upload.rs
@@ -0,0 +1,112 @@
+//! Bringing a submitted job into the replicated log.
+//!
+//! A small job is one entry; a large one is uploaded in entries of bounded size
+//! and becomes visible with the last. Every entry may be proposed again when its
+//! answer is lost, since the job state recognises each by its job id and items.
+
+use crate::replica::{ProposeError, ReplicaHandle};
+use chicoryladder_jobs::{ItemDraft, JobCommand, JobHeader, JobOutcome};
+use chicoryladder_types::JobId;
+
+/// The most items in one entry.
+const ENTRY_ITEMS_MAX: usize = 512;
+
+/// The size at which an entry takes no further item, in bytes of the items.
+const ENTRY_BYTES_MAX: usize = 128 * 1024;
+
+/// How often an entry is proposed before the submission is given up.
+const PROPOSALS_MAX: usize = 3;
+
+/// Why a submission was not accepted.
+pub(super) enum UploadError {
+    /// No answer came to an entry.
+    NotOrdered(ProposeError),
+    /// The job state refused an entry.
+    Refused(JobOutcome),
+}
+
+/// Submits one job.
+pub(super) struct JobUpload<'a> {
+    pub(super) replica: &'a ReplicaHandle,
+    pub(super) header: JobHeader,
+}
+
+impl JobUpload<'_> {
+    /// Submits the job; returns its id, or that of an earlier submission.
+    pub(super) async fn run(self, items: Vec<ItemDraft>) -> Result<JobId, UploadError> {
+        let mut chunks = ItemChunks(items.into_iter().peekable());
+        let first = chunks.next().unwrap_or_default();
+        let Some(second) = chunks.next() else {
+            let header = self.header.clone();
+            let items = first;
+            return self.finish(JobCommand::Submit { header, items }).await;
+        };
+        let begin = JobCommand::BeginUpload {
+            job: self.header.job,
+            team: self.header.team.clone(),
+            now: self.replica.wall(),
+        };
+        self.propose(begin).await?;
+        let mut item_count = 0;
+        for items in [first, second].into_iter().chain(chunks) {
+            item_count = self.append(item_count, items).await?;
+        }
+        let header = self.header.clone();
+        let commit = JobCommand::CommitUpload { header, item_count };
+        self.finish(commit).await
+    }
+
+    async fn append(&self, first_item: u32, items: Vec<ItemDraft>) -> Result<u32, UploadError> {
+        let command = JobCommand::AppendItems {
+            job: self.header.job,
+            first_item,
+            items,
+            now: self.replica.wall(),
+        };
+        match self.propose(command).await? {
+            JobOutcome::UploadOpen { next_item } => Ok(next_item),
+            outcome => Err(UploadError::Refused(outcome)),
+        }
+    }
+
+    async fn finish(&self, command: JobCommand) -> Result<JobId, UploadError> {
+        match self.propose(command).await? {
+            JobOutcome::Submitted { job, .. } => Ok(job),
+            outcome => Err(UploadError::Refused(outcome)),
+        }
+    }
+
+    async fn propose(&self, command: JobCommand) -> Result<JobOutcome, UploadError> {
+        let mut proposals = 1;
+        loop {
+            match self.replica.propose_jobs(command.clone()).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(error) if proposals == PROPOSALS_MAX => {
+                    return Err(UploadError::NotOrdered(error));
+                }
+                Err(error) => log::debug!("batch: proposes an entry again: {error}."),
+            }
+            proposals += 1;
+        }
+    }
+}
+
+/// Cuts items into entries of bounded size.
+struct ItemChunks(std::iter::Peekable<std::vec::IntoIter<ItemDraft>>);
+
+impl Iterator for ItemChunks {
+    type Item = Vec<ItemDraft>;
+
+    fn next(&mut self) -> Option<Vec<ItemDraft>> {
+        let mut bytes = 0;
+        let mut chunk = Vec::new();
+        while bytes < ENTRY_BYTES_MAX && chunk.len() < ENTRY_ITEMS_MAX {
+            let Some(item) = self.0.next() else {
+                break;
+            };
+            bytes += item.request.body.as_slice().len() + item.request.custom_id.len();
+            chunk.push(item);
+        }
+        (!chunk.is_empty()).then_some(chunk)
+    }
+}
--- a/crates/host/src/replica/handle.rs
+++ b/crates/host/src/replica/handle.rs
@@ -3,8 +3,8 @@
 use super::command::{GroupCommand, GroupOutcome, MembershipOutcome, ReplicaMessage};
 use chicoryladder_consensus::{GroupMembership, MembershipChange};
 use chicoryladder_jobs::{
-    DispatchView, ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError, ResultPage,
-    UnixMillis,
+    DispatchView, FirstSubmission, ItemRequest, JobCommand, JobOutcome, JobStatus, MachineError,
+    ResultPage, SubmissionKey, UnixMillis,
 };
 use chicoryladder_state::{FleetCommand, FleetOutcome, FleetView, KeyTombstones};
 use chicoryladder_types::prelude::*;
@@ -60,6 +60,11 @@
     ),
     Dispatch(HostName, oneshot::Sender<DispatchView>),
     SweepDue(oneshot::Sender<bool>),
+    FirstSubmission(
+        TeamName,
+        SubmissionKey,
+        oneshot::Sender<Option<FirstSubmission>>,
+    ),
 }
 
 /// Asks for results of a job.
@@ -284,6 +289,16 @@
         self.query(query).await.unwrap_or_default()
     }
 
+    /// The job that a team submitted under a key, as far as this host knows.
+    pub(crate) async fn first_submission(
+        &self,
+        team: &TeamName,
+        key: &SubmissionKey,
+    ) -> Option<FirstSubmission> {
+        let query = |sender| JobQuery::FirstSubmission(team.clone(), key.clone(), sender);
+        self.query(query).await.flatten()
+    }
+
     /// Whether a sweep would change any job.
     pub(crate) async fn is_sweep_due(&self) -> bool {
         self.query(JobQuery::SweepDue).await.unwrap_or(false)
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -326,6 +326,9 @@
             JobQuery::Dispatch(host, sender) => {
                 let _ = sender.send(jobs.dispatch_view(&host));
             }
+            JobQuery::FirstSubmission(team, key, sender) => {
+                let _ = sender.send(jobs.first_submission(&team, &key));
+            }
             JobQuery::SweepDue(sender) => {
                 let now = UnixMillis::from(self.clock.wall());
                 let _ = sender.send(jobs.is_sweep_due(now));
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -38,4 +38,4 @@
 pub use schedule::{JobCandidate, JobSlack, choose_job};
 pub use store::{FileStore, ItemStore, MemoryStore, RecordKind, StoreError, StoreRecord};
 pub use time::UnixMillis;
-pub use view::{DispatchView, JobStatus, ResultLine, ResultPage};
+pub use view::{DispatchView, FirstSubmission, JobStatus, ResultLine, ResultPage};
--- a/crates/jobs/src/machine/query.rs
+++ b/crates/jobs/src/machine/query.rs
@@ -4,8 +4,8 @@
 use super::{JobMachine, MachineError};
 use crate::job::BatchJob;
 use crate::{
-    DispatchView, ItemRequest, ItemResult, ItemState, JobPhase, JobStatus, LeaseId, RecordKind,
-    ResultLine, ResultPage, SubmissionKey, UnixMillis,
+    DispatchView, FirstSubmission, ItemRequest, ItemResult, ItemState, JobPhase, JobStatus,
+    LeaseId, RecordKind, ResultLine, ResultPage, SubmissionKey, UnixMillis,
 };
 use chicoryladder_types::{HostName, JobId, TeamName};
 
@@ -32,9 +32,15 @@
 
     /// The job that a team submitted under a key.
     #[must_use]
-    pub fn find(&self, team: &TeamName, key: &SubmissionKey) -> Option<JobId> {
+    pub fn first_submission(
+        &self,
+        team: &TeamName,
+        key: &SubmissionKey,
+    ) -> Option<FirstSubmission> {
         let owner = (team.clone(), key.clone());
-        self.state.keys.get(&owner).copied()
+        let job = self.state.keys.get(&owner)?;
+        let digest = self.state.jobs.get(job)?.header().digest;
+        Some(FirstSubmission { job: *job, digest })
     }
 
     /// Up to `limit` results of a job from position `from` on, in the order in
--- a/crates/jobs/src/view.rs
+++ b/crates/jobs/src/view.rs
@@ -1,6 +1,6 @@
 //! What callers see of jobs and results.
 
-use crate::{ItemEnd, ItemResult, JobCounts, JobPhase, JobSlack, LeaseId, UnixMillis};
+use crate::{BodyDigest, ItemEnd, ItemResult, JobCounts, JobPhase, JobSlack, LeaseId, UnixMillis};
 use chicoryladder_types::{ClassName, JobId, TeamName};
 use serde::ser::SerializeStruct;
 use serde::{Deserialize, Serialize, Serializer};
@@ -29,6 +29,15 @@
     pub slack: JobSlack,
 }
 
+/// The job that was submitted first under an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FirstSubmission {
+    /// The job.
+    pub job: JobId,
+    /// The digest of its body.
+    pub digest: BodyDigest,
+}
+
 /// What a dispatcher has to know of the state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchView {
--- a/tests/all/batch.rs
+++ b/tests/all/batch.rs
@@ -65,3 +65,29 @@
         assert_eq!(whole.len(), 60);
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_large_job_is_accepted_in_parts_and_read_as_a_stream() {
+    let fleet = FleetFixture::with_document(3).await;
+    let _engines = [
+        fleet
+            .start_engine_with_slots("engine-1", "zone-a", 64)
+            .await,
+        fleet
+            .start_engine_with_slots("engine-2", "zone-b", 64)
+            .await,
+    ];
+    let key = fleet.grant_key(0, "curepipe").await;
+    let caller = BatchCaller::new(&fleet, 2, &key);
+    caller.wait_until_known().await;
+    let lines = chat_items(1_500, 1);
+    let job = caller.submit("large", &lines).await;
+    assert_eq!(caller.submit("large", &lines).await, job);
+    caller.wait_completed(&job).await;
+    let outcomes = caller.outcomes(&job).await;
+    assert_eq!(outcomes.len(), 1_500);
+    assert!(outcomes.values().all(String::is_empty));
+    let status = caller.status(&job).await.unwrap();
+    assert_eq!(status["expected_late"], false);
+    assert!(status["deadline_at"].is_u64());
+}
