--- a/crates/host/src/replica/task/ordering.rs
+++ b/crates/host/src/replica/task/ordering.rs
@@ -116,7 +116,7 @@
             }
         };
         match origin {
-            ProposalOrigin::Local(number) => self.proposals.finish(number, Ok(outcome)),
+            ProposalOrigin::Local(number) => self.proposals.note_ordered(number, index, outcome),
             ProposalOrigin::Peer { address, proposal } => {
                 let answer = ReplicaMessage::Ordered {
                     proposal,
