--- a/crates/host/src/replica/state.rs
+++ b/crates/host/src/replica/state.rs
@@ -2,7 +2,7 @@
 
 use super::command::{GroupCommand, GroupOutcome};
 use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
-use chicoryladder_jobs::{FileStore, ItemStore, JobMachine, MemoryStore, StoreError};
+use chicoryladder_jobs::{BodyBytes, FileStore, ItemStore, JobMachine, MemoryStore, StoreError};
 use chicoryladder_state::{FleetMachine, FleetView};
 use chicoryladder_types::LogIndex;
 use serde::{Deserialize, Serialize};
@@ -19,8 +19,8 @@
 
 #[derive(Serialize, Deserialize)]
 struct GroupSnapshot {
-    fleet: Vec<u8>,
-    jobs: Vec<u8>,
+    fleet: BodyBytes,
+    jobs: BodyBytes,
 }
 
 impl GroupState {
@@ -75,16 +75,20 @@
 
     fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
         let snapshot = GroupSnapshot {
-            fleet: self.fleet.snapshot().map_err(not_taken)?,
-            jobs: self.jobs.snapshot().map_err(not_taken)?,
+            fleet: BodyBytes(self.fleet.snapshot().map_err(not_taken)?),
+            jobs: BodyBytes(self.jobs.snapshot().map_err(not_taken)?),
         };
         postcard::to_stdvec(&snapshot).map_err(not_taken)
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
         let snapshot: GroupSnapshot = postcard::from_bytes(snapshot).map_err(not_restored)?;
-        self.fleet.restore(&snapshot.fleet).map_err(not_restored)?;
-        self.jobs.restore(&snapshot.jobs).map_err(not_restored)
+        self.fleet
+            .restore(snapshot.fleet.as_slice())
+            .map_err(not_restored)?;
+        self.jobs
+            .restore(snapshot.jobs.as_slice())
+            .map_err(not_restored)
     }
 }
 
