--- a/crates/host/src/admin/members.rs
+++ b/crates/host/src/admin/members.rs
@@ -66,6 +66,7 @@
         address: view.address,
         slots: view.slots,
         in_flight: view.in_flight,
+        occupied: view.occupied,
         live: view.live,
         leaving: view.leaving,
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -12,7 +12,6 @@
 mod entry_host;
 mod ids;
 mod job_service;
-mod job_upload;
 mod limits;
 mod metrics;
 mod online;
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -241,7 +241,8 @@
 }
 
 /// What a failed attempt tells of the server.
-fn failed_outcome(reason: RetryReason) -> ServerOutcome {
+/// What a failure tells of the health of the server.
+pub(crate) fn failed_outcome(reason: RetryReason) -> ServerOutcome {
     match reason {
         RetryReason::ServerRefused => ServerOutcome::Refused,
         RetryReason::ServerSilent => ServerOutcome::Silent,
@@ -274,7 +275,8 @@
     kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
 }
 
-fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
+/// The load that an answer reports in its header fields.
+pub(crate) fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
     let text = fields.get(headers::SERVER_LOAD)?.to_str().ok()?;
     let mut load = chicoryladder_types::ServerLoad::default();
     for part in text.split(';') {
--- a/crates/host/src/routing/table.rs
+++ b/crates/host/src/routing/table.rs
@@ -17,6 +17,9 @@
 /// Slots of each server that batch work leaves free for the next online request.
 const BATCH_RESERVE_SLOTS: u32 = 1;
 
+/// The time for which a server that failed a batch item gets no other.
+const BATCH_PAUSE: Duration = Duration::from_secs(1);
+
 /// A server as operators see it.
 #[derive(Clone, Debug, serde::Serialize)]
 pub(crate) struct ServerView {
@@ -25,6 +28,7 @@
     pub(crate) address: String,
     pub(crate) slots: u32,
     pub(crate) in_flight: u32,
+    pub(crate) occupied: u32,
     pub(crate) live: bool,
     pub(crate) leaving: bool,
 }
@@ -35,6 +39,8 @@
     servers: ServerTable,
     hosts: Vec<RoutingPlace>,
     homes: SecondaryMap<ServerKey, HostName>,
+    /// Until when servers that failed a batch item get no other.
+    batch_pauses: SecondaryMap<ServerKey, Instant>,
     rng: ChaCha12Rng,
 }
 
@@ -49,6 +55,7 @@
             place,
             hosts: Vec::new(),
             homes: SecondaryMap::new(),
+            batch_pauses: SecondaryMap::new(),
             rng,
         }
     }
@@ -85,6 +92,8 @@
         }
         let servers = &self.servers;
         self.homes.retain(|key, _| servers.get(key).is_some());
+        self.batch_pauses
+            .retain(|key, until| servers.get(key).is_some() && now < *until);
     }
 
     /// Whether any server can take the request, now or later.
@@ -123,7 +132,8 @@
 
     /// The slots that batch work of this host may take now.
     pub(super) fn idle_slots(&self, now: Instant) -> usize {
-        let own = self.servers.iter().filter(|(key, _)| self.is_home(*key));
+        let servers = self.servers.iter();
+        let own = servers.filter(|(key, _)| self.takes_batch(*key, now));
         let open = own.filter(|(key, _)| self.servers.is_open(*key, now));
         open.map(|(_, record)| idle(record) as usize).sum()
     }
@@ -175,6 +185,7 @@
                 address: announcement.address.to_string(),
                 slots: announcement.slots,
                 in_flight: record.in_flight(),
+                occupied: record.load(),
                 live: now.saturating_duration_since(record.renewed_at()) < ANNOUNCEMENT_LEASE,
                 leaving: record.is_leaving(),
             }
@@ -197,15 +208,26 @@
         };
     }
 
-    fn is_home(&self, key: ServerKey) -> bool {
-        self.homes.get(key) == Some(&self.place.host)
+    /// Gives the server no batch items for a while. Its ejection is not enough,
+    /// as it needs several failures and spares half of the servers.
+    pub(super) fn pause_batch(&mut self, key: ServerKey, now: Instant) {
+        if self.servers.get(key).is_some() {
+            self.batch_pauses.insert(key, now + BATCH_PAUSE);
+        }
+    }
+
+    /// Whether this host may dispatch batch items to the server.
+    fn takes_batch(&self, key: ServerKey, now: Instant) -> bool {
+        let is_home = self.homes.get(key) == Some(&self.place.host);
+        let pause = self.batch_pauses.get(key);
+        is_home && pause.is_none_or(|until| *until <= now)
     }
 
     /// The server of this host with the most slots idle for batch work.
     fn idle_choice(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
         let own = self
             .candidates(request, now)
-            .filter(|(key, _)| self.is_home(*key));
+            .filter(|(key, _)| self.takes_batch(*key, now));
         let best = own.max_by_key(|(_, record)| idle(record));
         best.filter(|(_, record)| idle(record) > 0)
             .map(|(key, _)| key)
