--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -68,6 +68,8 @@
 
 enum WatchState {
     Open,
+    /// The event that tells of the failure is handed out, maybe not yet sent.
+    Telling(RequestRefusal),
     Failing(RequestRefusal),
     Ended,
 }
@@ -103,7 +105,7 @@
         let mut event = b"\n\nevent: error\ndata: ".to_vec();
         event.extend_from_slice(&refusal_json(&refusal));
         event.extend_from_slice(b"\n\n");
-        self.state = WatchState::Failing(refusal);
+        self.state = WatchState::Telling(refusal);
         Poll::Ready(Some(Ok(Frame::data(event.into()))))
     }
 
@@ -181,6 +183,13 @@
                 self.state = WatchState::Open;
                 self.poll_open(context)
             }
+            WatchState::Telling(refusal) => {
+                // An error drops what is not sent yet; a pending body has the
+                // connection send it first.
+                self.state = WatchState::Failing(refusal);
+                context.waker().wake_by_ref();
+                Poll::Pending
+            }
             WatchState::Failing(refusal) => Poll::Ready(Some(Err(refusal.into()))),
             WatchState::Ended => Poll::Ready(None),
         }
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -94,7 +94,13 @@
             kind: WorkKind::Online,
             excluded: excluded.to_vec(),
         };
-        let result = self.routing.acquire(wanted, deadline).await;
+        let result = tokio::select! {
+            result = self.routing.acquire(wanted, deadline) => result,
+            refusal = self.withdrawal(plan) => Err(RequestRefusal {
+                verdict: RunVerdict::NotRun,
+                ..refusal
+            }),
+        };
         result.map_err(|mut refusal| {
             refusal.verdict = refusal.verdict.join(verdict);
             refusal
--- /dev/null
+++ b/tests/all/control.rs
@@ -0,0 +1,166 @@
+//! Configuration and keys over several hosts, with hosts lost in between.
+
+use crate::fixture::{
+    DOCUMENT, FleetFixture, GrantedKey, HttpAnswer, HttpRequest, chat_body, eventually, send,
+};
+use serde_json::json;
+use std::collections::BTreeSet;
+
+const CHAT: &str = "/v1/chat/completions";
+
+/// The host that orders commands.
+const VOTER: usize = 0;
+
+/// More requests than an engine of the fixture has slots.
+const REQUESTS: usize = 12;
+
+async fn chat(fleet: &FleetFixture, host: usize, key: &GrantedKey) -> HttpAnswer {
+    let request = HttpRequest::post(fleet.ports(host).callers, CHAT, chat_body(1, false));
+    send(request.with_key(&key.text)).await.unwrap()
+}
+
+async fn withdraw(fleet: &FleetFixture, host: usize, key: &GrantedKey) -> serde_json::Value {
+    let path = format!("keys/{}", key.id);
+    let answer = fleet.admin(host, "DELETE", &path, &json!(null)).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    answer.json()
+}
+
+async fn wait_refused(fleet: &FleetFixture, host: usize, key: &GrantedKey, reason: &str) {
+    let refused = || async { chat(fleet, host, key).await.reason() == Some(reason) };
+    eventually(reason, refused).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_told_to_be_in_force_is_in_force_on_every_host() {
+    let fleet = FleetFixture::with_document(3).await;
+    let document = DOCUMENT.replace("rate = 50", "rate = 51");
+    let answer = fleet.put_document(1, &document, 1, "op-1").await.json();
+    assert_eq!(answer["in_force"], true, "{answer}");
+    for host in 0..3 {
+        assert_eq!(fleet.revision(host).await, Some(2));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lost_host_is_named_with_its_zone() {
+    let mut fleet = FleetFixture::with_document(3).await;
+    fleet.kill_host(2).await;
+    let document = DOCUMENT.replace("rate = 50", "rate = 51");
+    let answer = fleet.put_document(1, &document, 1, "op-1").await.json();
+    assert_eq!(answer["revision"], 2);
+    assert_eq!(answer["in_force"], false);
+    assert_eq!(answer["hosts_not_heard"][0]["host"], "host-2");
+    assert_eq!(answer["zones_not_heard"], json!(["zone-c"]));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_operators_race_and_one_is_told_the_other() {
+    let fleet = FleetFixture::with_document(3).await;
+    let left = DOCUMENT.replace("rate = 50", "rate = 51");
+    let right = DOCUMENT.replace("rate = 50", "rate = 52");
+    let (left, right) = tokio::join!(
+        fleet.put_document(1, &left, 1, "op-left"),
+        fleet.put_document(2, &right, 1, "op-right"),
+    );
+    let (winner, loser, name) = if left.status == 200 {
+        (left, right, "op-left")
+    } else {
+        (right, left, "op-right")
+    };
+    assert_eq!((winner.status.as_u16(), loser.status.as_u16()), (200, 409));
+    let conflict = &loser.json()["error"]["conflict"];
+    assert_eq!(conflict["winner"], name);
+    assert_eq!(conflict["current_revision"], 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn resends_get_their_first_answer_from_any_host_and_after_a_restart() {
+    let mut fleet = FleetFixture::with_document(3).await;
+    let grant = json!({"team": "curepipe", "operation_id": "op-key"});
+    let first_key = fleet.admin(0, "POST", "keys", &grant).await.json();
+    let document = DOCUMENT.replace("rate = 50", "rate = 51");
+    fleet.put_document(1, &document, 1, "op-1").await;
+    fleet.put_document(1, DOCUMENT, 2, "op-2").await;
+    fleet.kill_host(VOTER).await;
+    fleet.start_host(VOTER).await;
+    fleet.wait_ready(2).await;
+    let resent = fleet.put_document(2, &document, 1, "op-1").await.json();
+    assert_eq!(resent["revision"], 2, "{resent}");
+    assert_eq!(fleet.revision(2).await, Some(3));
+    let resent_key = fleet.admin(2, "POST", "keys", &grant).await.json();
+    assert_eq!(resent_key["key"], first_key["key"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawal_without_the_voter_spreads_and_is_logged_later() {
+    let mut fleet = FleetFixture::with_document(3).await;
+    let _engine = fleet.start_engine("engine-1", "zone-b").await;
+    let key = fleet.grant_key(1, "curepipe").await;
+    assert_eq!(chat(&fleet, 1, &key).await.status, 200);
+    fleet.kill_host(VOTER).await;
+    let answer = withdraw(&fleet, 2, &key).await;
+    assert_eq!(answer["logged"], false);
+    assert_eq!(answer["stops_within_ms"], json!(null));
+    assert_eq!(answer["hosts_not_heard"][0]["host"], "host-0");
+    assert_eq!(answer["hosts_not_heard"][1], json!(null));
+    assert_eq!(chat(&fleet, 1, &key).await.reason(), Some("withdrawn_key"));
+    fleet.start_host(VOTER).await;
+    wait_refused(&fleet, VOTER, &key, "withdrawn_key").await;
+    let logged = || async { withdraw(&fleet, 1, &key).await["logged"] == true };
+    eventually("the withdrawal is logged", logged).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawal_outlives_a_restart_of_every_host_that_knows_it() {
+    let mut fleet = FleetFixture::with_document(3).await;
+    let key = fleet.grant_key(1, "curepipe").await;
+    fleet.kill_host(VOTER).await;
+    withdraw(&fleet, 2, &key).await;
+    fleet.kill_host(1).await;
+    fleet.kill_host(2).await;
+    fleet.start_host(VOTER).await;
+    fleet.start_host(2).await;
+    wait_refused(&fleet, VOTER, &key, "withdrawn_key").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn past_the_lease_a_cut_off_host_refuses_keys_but_for_teams_served_through_a_cut() {
+    let mut fleet = FleetFixture::with_document(3).await;
+    let _engine = fleet.start_engine("engine-1", "zone-b").await;
+    let key = fleet.grant_key(1, "curepipe").await;
+    let through_cut = fleet.grant_key(1, "rent-desk").await;
+    fleet.kill_host(VOTER).await;
+    wait_refused(&fleet, 1, &key, "key_view_stale").await;
+    let refused = chat(&fleet, 1, &key).await;
+    assert_eq!(refused.verdict(), Some("not-run"));
+    assert!(refused.field("retry-after").is_some());
+    assert_eq!(chat(&fleet, 1, &through_cut).await.status, 200);
+    fleet.start_host(VOTER).await;
+    let served = || async { chat(&fleet, 1, &key).await.status == 200 };
+    eventually("the key works again", served).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_and_waiting_requests_of_a_withdrawn_key_end() {
+    let fleet = FleetFixture::with_document(3).await;
+    let engine = fleet.start_engine("engine-1", "zone-a").await;
+    let key = fleet.grant_key(0, "curepipe").await;
+    let mut running = Vec::new();
+    for _ in 0..REQUESTS {
+        let request = HttpRequest::post(fleet.ports(0).callers, CHAT, chat_body(2000, true));
+        running.push(tokio::spawn(send(request.with_key(&key.text))));
+    }
+    eventually("streams run", || async { engine.load().running >= 8 }).await;
+    withdraw(&fleet, 2, &key).await;
+    let mut verdicts = BTreeSet::new();
+    for request in running {
+        let answer = request.await.unwrap().unwrap();
+        let text = answer.text();
+        assert!(text.contains("withdrawn_key"), "{} {text}", answer.status);
+        assert!(!text.contains("[DONE]"));
+        verdicts.insert(answer.verdict().unwrap().to_owned());
+    }
+    // A stream began, so its verdict is `ran`; a waiting request did not run.
+    assert_eq!(Vec::from_iter(verdicts), ["not-run", "ran"]);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,5 +7,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod command_line;
+mod control;
 mod fixture;
 mod whole_path;
