--- a/crates/host/src/admin.rs
+++ b/crates/host/src/admin.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod keys;
 mod members;
+mod seats;
 mod spread;
 
 use crate::ids::RandomIds;
@@ -52,6 +53,8 @@
             (&Method::GET, "keys") => Ok(self.list_keys()),
             (&Method::POST, "keys") => self.grant_key(&request.body).await,
             (&Method::GET, "members") => Ok(self.members()),
+            (&Method::GET, "seats") => Ok(self.list_seats()),
+            (&Method::POST, "seats") => self.change_seats(&request.body).await,
             (&Method::GET, "servers") => Ok(self.list_servers().await),
             (method, path) => match path.strip_prefix("keys/") {
                 Some(id) if method == Method::DELETE => self.withdraw_key(id).await,
