--- a/crates/host/src/ids.rs
+++ b/crates/host/src/ids.rs
@@ -38,6 +38,13 @@
         u128::from_le_bytes(bytes)
     }
 
+    /// The seed of another generator.
+    pub fn seed(&self) -> [u8; 32] {
+        let mut seed = [0; 32];
+        self.fill(&mut seed);
+        seed
+    }
+
     /// 64 random bits.
     pub fn word(&self) -> u64 {
         let mut bytes = [0; 8];
