--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 
 mod batch;
 mod command_line;
+mod control;
 mod demo;
 mod fixture;
 mod limits;
