Prove how faults of backend servers reach callers

Cause: the promises on crossed, truncated and late answers, crashes, silent connections and leaving servers had no test over the whole path. Ruled out: fakes inside the host, since the connections themselves fail.

--- a/crates/standin/src/load/outcome.rs
+++ b/crates/standin/src/load/outcome.rs
@@ -26,6 +26,18 @@
     Failed(FailureKind),
 }
 
+impl RequestEnd {
+    /// The kind of end, for logs.
+    pub(super) fn name(&self) -> &str {
+        match self {
+            Self::Served(_) => "served",
+            Self::JobDone(_) => "job done",
+            Self::Refused(refused) => &refused.reason,
+            Self::Failed(kind) => kind.as_str(),
+        }
+    }
+}
+
 /// The times of a served request, counted from its intended start.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ServedTimes {
--- a/crates/standin/src/load/runner.rs
+++ b/crates/standin/src/load/runner.rs
@@ -140,6 +140,7 @@
         requests.spawn(async move {
             let end = call.run().await;
             drop(permit);
+            call.log_end(&end);
             let _ = outcomes.send(LoadOutcome { end, ..outcome });
         });
     }
@@ -176,6 +177,14 @@
         }
     }
 
+    fn log_end(&self, end: &RequestEnd) {
+        let name = self.request_name();
+        let elapsed_ms = self.intended.elapsed().as_millis();
+        let end = end.name();
+        let target = self.target;
+        log::debug!("load: {name} to {target}: {end} after {elapsed_ms} ms");
+    }
+
     /// The stream's timeout, cut by the end of the run.
     fn limit(&self) -> Duration {
         let experiment = &self.runner.experiment;
--- a/src/commands/load.rs
+++ b/src/commands/load.rs
@@ -2,9 +2,11 @@
 
 use crate::error::CommandError;
 use crate::local_fleet::{EngineShape, LocalFleet, experiment_document};
+use crate::logging::start_logging;
 use crate::output::{OutputOptions, output_options};
 use bpaf::Bpaf;
 use chicoryladder_standin::load::{LoadComparison, LoadExperiment, LoadReport, LoadRunner};
+use log::LevelFilter;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -31,6 +33,8 @@
     /// experiment runs against stand-ins in this process
     #[bpaf(argument("ADDRESS"))]
     target: Vec<SocketAddr>,
+    /// Log each request, and what the hosts and the stand-ins do
+    verbose: bool,
     /// Writes the result as JSON
     #[bpaf(argument("FILE"))]
     save: Option<PathBuf>,
@@ -62,6 +66,10 @@
 
 impl RunArguments {
     async fn run(self) -> Result<(), CommandError> {
+        if self.verbose {
+            start_logging(LevelFilter::Debug)
+                .map_err(|error| CommandError::failed(error.to_string()))?;
+        }
         let experiment = LoadExperiment::read(&self.experiment)
             .map_err(|error| CommandError::failed(error.to_string()))?;
         let report = if self.target.is_empty() {
--- a/src/local_fleet/admin.rs
+++ b/src/local_fleet/admin.rs
@@ -7,6 +7,7 @@
 use chicoryladder_types::{FleetRevision, OperationId, TeamName};
 use hyper::Method;
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -16,6 +17,9 @@
 /// The longest wait for hosts to be ready or to know the backend servers.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// The status of a refusal that ends once voters can be reached.
+const UNAVAILABLE: u16 = 503;
+
 /// The time between two looks at a host.
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
@@ -46,7 +50,7 @@
             operation_id: Some(OperationId::try_from("local-fleet-document").map_err(failed)?),
         };
         let request = ApiRequest::new(Method::PUT, "/admin/v1/fleet").with_json(&change)?;
-        let _: Value = self.admin.call(&request).await?;
+        let _: Value = self.resend(&request).await?;
         self.wait_for("the document is in force", |client| async move {
             let request = ApiRequest::new(Method::GET, "/admin/v1/fleet");
             let answer: Value = client.call(&request).await?;
@@ -67,7 +71,7 @@
             operation_id: Some(OperationId::try_from(operation).map_err(failed)?),
         };
         let request = ApiRequest::new(Method::POST, "/admin/v1/keys").with_json(&grant)?;
-        let granted: GrantedKey = self.admin.call(&request).await?;
+        let granted: GrantedKey = self.resend(&request).await?;
         let key_id = granted.key_id.as_str();
         self.wait_for("the key is known", |client| async move {
             let request = ApiRequest::new(Method::GET, "/admin/v1/keys");
@@ -86,10 +90,32 @@
     pub async fn withdraw(&self, key: &GrantedKey) -> Result<(), CommandError> {
         let path = format!("/admin/v1/keys/{}", key.key_id);
         let request = ApiRequest::new(Method::DELETE, &path);
-        let _: Value = self.admin.call(&request).await?;
+        let _: Value = self.resend(&request).await?;
         Ok(())
     }
 
+    /// Sends an operator's request until it is accepted.
+    ///
+    /// A resend is safe: the request carries its operation id, or withdraws a
+    /// key, which cannot be undone.
+    async fn resend<T: DeserializeOwned>(
+        &self,
+        request: &ApiRequest<'_>,
+    ) -> Result<T, CommandError> {
+        let accepted = async {
+            loop {
+                match self.admin.call(request).await {
+                    Err(CommandError::Refused { status, .. }) if status == UNAVAILABLE => {
+                        sleep(POLL_PERIOD).await;
+                    }
+                    ended => return ended,
+                }
+            }
+        };
+        let late = |_| failed("the entry hosts accepted no change in time");
+        timeout(READY_TIMEOUT, accepted).await.map_err(late)?
+    }
+
     /// Waits until every host knows every backend server.
     ///
     /// # Errors
--- /dev/null
+++ b/tests/all/faults.rs
@@ -0,0 +1,173 @@
+//! Faults of backend servers, as callers see them.
+
+use crate::fixture::{HttpRequest, send};
+use chicoryladder::local_fleet::{EngineShape, LocalFleet, MODEL, experiment_document};
+use chicoryladder_standin::load::{LoadExperiment, LoadReport, LoadRunner};
+use chicoryladder_standin::{EngineHandle, FaultPlan};
+use std::path::Path;
+use std::time::Duration;
+
+/// The time within which a leaving server gets no new work any more.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+const CHAT: &str = "
+[experiment]
+seed = 5
+duration_ms = 1000
+drain_ms = 20000
+[fleet]
+decode_step_ms = 1
+[team park]
+[stream chat]
+team = park
+class = chat
+work = chat
+model = assistant
+streamed = no
+timeout_ms = 20000
+arrivals = poisson
+rate_per_s = 50
+";
+
+/// A fleet with one engine in each zone, and the chat stream to run on it.
+struct FaultScene {
+    fleet: LocalFleet,
+    experiment: LoadExperiment,
+}
+
+impl FaultScene {
+    async fn start() -> Self {
+        let mut experiment = LoadExperiment::parse(CHAT, Path::new("")).unwrap();
+        let document = experiment_document(&experiment);
+        let mut fleet = LocalFleet::start(&document).await.unwrap();
+        let shape = EngineShape::from(experiment.fleet);
+        fleet.add_engines(1, shape).await.unwrap();
+        fleet.wait_for_servers().await.unwrap();
+        for (name, team) in &mut experiment.teams {
+            team.key = Some(fleet.grant(name).await.unwrap().key);
+        }
+        Self { fleet, experiment }
+    }
+
+    async fn run(&self) -> LoadReport {
+        let runner = LoadRunner::new(self.experiment.clone(), self.fleet.callers());
+        runner.run().await
+    }
+
+    fn engine(&self) -> &EngineHandle {
+        &self.fleet.engines()[0]
+    }
+
+    fn fault_first(&self, plan: FaultPlan) {
+        self.engine().control().set_faults(plan);
+    }
+}
+
+fn assert_all_served(report: &LoadReport) {
+    let chat = &report.streams["chat"];
+    assert!(chat.intended > 0);
+    assert_eq!(chat.served, chat.intended, "{report}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_refused_as_not_run_are_served_elsewhere() {
+    let scene = FaultScene::start().await;
+    scene.fault_first(FaultPlan {
+        refuses: true,
+        ..FaultPlan::default()
+    });
+    assert_all_served(&scene.run().await);
+    assert!(scene.engine().counters().refused > 0);
+    scene.fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_crossed_answer_reaches_no_caller() {
+    let scene = FaultScene::start().await;
+    scene.fault_first(FaultPlan {
+        crosses: true,
+        ..FaultPlan::default()
+    });
+    assert_all_served(&scene.run().await);
+    let counts = scene.fleet.reason_counts().await.unwrap();
+    assert!(counts.retries["answer_crossed"] > 0);
+    scene.fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_truncated_whole_answer_is_never_a_success() {
+    let scene = FaultScene::start().await;
+    scene.fault_first(FaultPlan {
+        truncates_after: Some(2),
+        ..FaultPlan::default()
+    });
+    assert_all_served(&scene.run().await);
+    scene.fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn requests_on_a_crashed_server_are_served_elsewhere() {
+    let scene = FaultScene::start().await;
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        scene.engine().control().crash().await;
+    };
+    let (report, ()) = tokio::join!(scene.run(), crash);
+    assert_all_served(&report);
+    scene.fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn connections_that_fall_silent_lose_no_request() {
+    let scene = FaultScene::start().await;
+    assert_all_served(&scene.run().await);
+    for engine in scene.fleet.engines() {
+        engine.control().silence_open().await;
+    }
+    assert_all_served(&scene.run().await);
+    scene.fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leaving_server_gets_no_new_work() {
+    let scene = FaultScene::start().await;
+    scene.engine().control().leave();
+    tokio::time::sleep(LEAVE_LIMIT).await;
+    let received = scene.engine().counters().received;
+    assert_all_served(&scene.run().await);
+    assert_eq!(scene.engine().counters().received, received);
+    scene.fleet.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_crashes_servers_costs_at_most_two() {
+    let scene = FaultScene::start().await;
+    for engine in scene.fleet.engines() {
+        engine.control().set_faults(FaultPlan {
+            crash_on: Some("poison".to_owned()),
+            ..FaultPlan::default()
+        });
+    }
+    let key = scene.experiment.teams.values().next().unwrap().key.clone();
+    let body = serde_json::json!({
+        "model": MODEL, "max_tokens": 1,
+        "messages": [{ "role": "user", "content": "poison" }],
+    });
+    let mut crashes = 0;
+    // The caller resends to each host in turn, while crashed servers restart.
+    for callers in scene.fleet.callers() {
+        let request = HttpRequest::post(callers, "/v1/chat/completions", body.to_string());
+        let answer = send(request.with_key(key.as_deref().unwrap()))
+            .await
+            .unwrap();
+        assert!(!answer.status.is_success());
+        crashes = 0;
+        for engine in scene.fleet.engines() {
+            crashes += engine.counters().crashes;
+            engine.control().recover().await;
+        }
+        scene.fleet.wait_for_servers().await.unwrap();
+    }
+    assert!(crashes <= 2, "{crashes} crashes");
+    scene.fleet.stop().await;
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -8,6 +8,7 @@
 
 mod command_line;
 mod demo;
+mod faults;
 mod fixture;
 mod limits;
 mod replicated_state;
