--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// The models loaded.
+    pub(super) fn models(&self) -> Vec<ModelName> {
+        self.announcer.borrow().models.clone()
+    }
+
     /// Answers `GET /orders` with the state after the last order.
     pub(super) fn read_back(&self) -> Response<AnswerBody> {
         let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
@@ -130,7 +135,7 @@
             "fencing": state.fencing,
             "role": state.role,
             "taken": state.taken,
-            "models": self.announcer.borrow().models,
+            "models": self.models(),
         });
         json_answer(StatusCode::OK, &value)
     }
--- a/crates/standin/src/load/experiment.rs
+++ b/crates/standin/src/load/experiment.rs
@@ -16,6 +16,8 @@
     pub purpose: String,
     /// The seed of arrivals and prompts.
     pub seed: u64,
+    /// The time before the run during which arrivals are sent and not recorded.
+    pub warmup: Duration,
     /// The time during which arrivals are sent.
     pub duration: Duration,
     /// The time after the last arrival within which answers still count.
--- a/crates/standin/src/load/runner.rs
+++ b/crates/standin/src/load/runner.rs
@@ -51,8 +51,30 @@
         }
     }
 
-    /// Sends every arrival and waits for the answers, at most for the drain time.
+    /// Warms up, sends every arrival and waits for the answers, at most for the
+    /// drain time.
     pub async fn run(&self) -> LoadReport {
+        if !self.experiment.warmup.is_zero() {
+            self.warm_up().run_phase().await;
+        }
+        self.run_phase().await
+    }
+
+    /// A runner of the online streams alone, with other arrivals and prompts.
+    fn warm_up(&self) -> Self {
+        let mut experiment = LoadExperiment::clone(&self.experiment);
+        experiment.duration = experiment.warmup;
+        experiment.seed = experiment.seed.wrapping_add(1);
+        experiment
+            .streams
+            .retain(|stream| !matches!(stream.work, StreamWork::Batch { .. }));
+        Self {
+            experiment: Arc::new(experiment),
+            ..self.clone()
+        }
+    }
+
+    async fn run_phase(&self) -> LoadReport {
         let (outcomes, mut incoming) = mpsc::unbounded_channel();
         let permits = Arc::new(Semaphore::new(self.experiment.in_flight_max));
         let start = Instant::now();
--- a/src/commands/load.rs
+++ b/src/commands/load.rs
@@ -6,10 +6,15 @@
 use crate::output::{OutputOptions, output_options};
 use bpaf::Bpaf;
 use chicoryladder_standin::load::{LoadComparison, LoadExperiment, LoadReport, LoadRunner};
+use indicatif::ProgressBar;
 use log::LevelFilter;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// The time between two steps of the progress line.
+const PROGRESS_PERIOD: Duration = Duration::from_millis(200);
 
 /// What to do with load.
 #[derive(Clone, Debug, Bpaf)]
@@ -72,11 +77,13 @@
         }
         let experiment = LoadExperiment::read(&self.experiment)
             .map_err(|error| CommandError::failed(error.to_string()))?;
+        let progress = RunProgress::start(&experiment);
         let report = if self.target.is_empty() {
             run_on_stand_ins(experiment).await?
         } else {
             LoadRunner::new(experiment, self.target).run().await
         };
+        drop(progress);
         if let Some(path) = &self.save {
             save_report(path, &report)?;
         }
@@ -84,6 +91,25 @@
     }
 }
 
+/// Shows on a terminal that a run goes on; dropping it clears the line.
+struct RunProgress(ProgressBar);
+
+impl RunProgress {
+    fn start(experiment: &LoadExperiment) -> Self {
+        let bar = ProgressBar::new_spinner();
+        let seconds = experiment.duration.as_secs();
+        bar.set_message(format!("sending for {seconds} s: {}", experiment.purpose));
+        bar.enable_steady_tick(PROGRESS_PERIOD);
+        Self(bar)
+    }
+}
+
+impl Drop for RunProgress {
+    fn drop(&mut self) {
+        self.0.finish_and_clear();
+    }
+}
+
 impl CompareArguments {
     fn run(&self) -> Result<(), CommandError> {
         let baseline = read_report(&self.baseline)?;
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -1,9 +1,13 @@
 //! `chicoryladder standin`: stand-in backend servers as processes.
 
 use crate::error::CommandError;
+use crate::logging::start_logging;
 use bpaf::Bpaf;
 use chicoryladder_standin::{EngineOptions, EngineServer, PlainOptions, PlainServer, StandinError};
-use chicoryladder_types::{ModelName, ServerGeneration, ServerName, ServiceName, ZoneName};
+use chicoryladder_types::{
+    ClockSource, ModelName, ServerGeneration, ServerName, ServiceName, SystemClock, ZoneName,
+};
+use log::LevelFilter;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::{SignalKind, signal};
@@ -73,6 +77,8 @@
 
 impl StandinOptions {
     pub(super) async fn run(self) -> Result<(), CommandError> {
+        start_logging(LevelFilter::Info)
+            .map_err(|error| CommandError::failed(error.to_string()))?;
         match self {
             Self::Engine(arguments) => arguments.run().await,
             Self::Service(arguments) => arguments.run().await,
@@ -125,7 +131,7 @@
 
 /// A generation that rises with each start of the process.
 fn generation() -> ServerGeneration {
-    let age = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let age = SystemClock.wall().duration_since(SystemTime::UNIX_EPOCH);
     let millis = age.unwrap_or_default().as_millis();
     ServerGeneration(u64::try_from(millis).unwrap_or(u64::MAX))
 }
--- a/src/local_fleet/places.rs
+++ b/src/local_fleet/places.rs
@@ -17,9 +17,6 @@
 /// The number of ports in the range.
 const PORT_COUNT: u16 = 10_000;
 
-/// The length of the key lease, in milliseconds.
-const KEY_LEASE_MS: u64 = 2_000;
-
 /// An availability zone of a local fleet; each holds one entry host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LocalZone {
@@ -92,8 +89,7 @@
              [peers]\nsecret_file = {folder}/peer-secret.txt\nseeds = {}\n\
              [voters]\n{}\n\
              [data]\nfolder = {folder}/host-{name}\nseat = {seat}\n\
-             [operators]\ntoken_file = {folder}/operator-token.txt\n\
-             [keys]\nlease_ms = {KEY_LEASE_MS}\n",
+             [operators]\ntoken_file = {folder}/operator-token.txt\n",
             seeds.join(", "),
             voters.join("\n"),
         );
