Run the demo and the fault scenes one at a time

Cause: the demo shared the machine with a fault scene and once ran past its limit. Change: the truncated stream is one of the fault scenes, and the demo takes its turn among them; no check changes. Conclusion: the scenes depend less on the load of the machine.

--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -30,8 +30,8 @@
 rate_per_s = 50
 ";
 
-/// Lets one scene run at a time, so that the scenes do not slow each other.
-static TURN: Mutex<()> = Mutex::const_new(());
+/// Lets one scene or demo run at a time, so that they do not slow each other.
+pub(crate) static TURN: Mutex<()> = Mutex::const_new(());
 
 /// A fleet with one engine in each zone, and the chat stream to run on it.
 struct FaultScene {
@@ -42,8 +42,12 @@
 
 impl FaultScene {
     async fn start() -> Self {
+        Self::start_with(CHAT).await
+    }
+
+    async fn start_with(text: &str) -> Self {
         let turn = TURN.lock().await;
-        let mut experiment = LoadExperiment::parse(CHAT, Path::new("")).unwrap();
+        let mut experiment = LoadExperiment::parse(text, Path::new("")).unwrap();
         let document = experiment_document(&experiment);
         let mut fleet = LocalFleet::start(&document).await.unwrap();
         let shape = EngineShape::from(experiment.fleet);
@@ -115,6 +119,23 @@
     scene.fleet.stop().await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_truncated_stream_is_told_as_an_error() {
+    let scene = FaultScene::start_with(&CHAT.replace("streamed = no", "streamed = yes")).await;
+    for engine in scene.fleet.engines() {
+        engine.control().set_faults(FaultPlan {
+            truncates_after: Some(3),
+            ..FaultPlan::default()
+        });
+    }
+    let report = scene.run().await;
+    let chat = &report.streams["chat"];
+    assert!(chat.intended > 0);
+    let told = chat.refused.get("answer_truncated");
+    assert_eq!(told, Some(&chat.intended), "{report}");
+    scene.fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn requests_on_a_crashed_server_are_served_elsewhere() {
     let scene = FaultScene::start().await;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,5 +12,4 @@
 mod fixture;
 mod limits;
 mod replicated_state;
-mod streams;
 mod whole_path;
