--- a/crates/standin/src/load/runner.rs
+++ b/crates/standin/src/load/runner.rs
@@ -51,8 +51,30 @@
         }
     }
 
-    /// Sends every arrival and waits for the answers, at most for the drain time.
+    /// Warms up, sends every arrival and waits for the answers, at most for the
+    /// drain time.
     pub async fn run(&self) -> LoadReport {
+        if !self.experiment.warmup.is_zero() {
+            self.warm_up().run_phase().await;
+        }
+        self.run_phase().await
+    }
+
+    /// A runner of the online streams alone, with other arrivals and prompts.
+    fn warm_up(&self) -> Self {
+        let mut experiment = LoadExperiment::clone(&self.experiment);
+        experiment.duration = experiment.warmup;
+        experiment.seed = experiment.seed.wrapping_add(1);
+        experiment
+            .streams
+            .retain(|stream| !matches!(stream.work, StreamWork::Batch { .. }));
+        Self {
+            experiment: Arc::new(experiment),
+            ..self.clone()
+        }
+    }
+
+    async fn run_phase(&self) -> LoadReport {
         let (outcomes, mut incoming) = mpsc::unbounded_channel();
         let permits = Arc::new(Semaphore::new(self.experiment.in_flight_max));
         let start = Instant::now();
@@ -140,6 +162,7 @@
         requests.spawn(async move {
             let end = call.run().await;
             drop(permit);
+            call.log_end(&end);
             let _ = outcomes.send(LoadOutcome { end, ..outcome });
         });
     }
@@ -176,6 +199,14 @@
         }
     }
 
+    fn log_end(&self, end: &RequestEnd) {
+        let name = self.request_name();
+        let elapsed_ms = self.intended.elapsed().as_millis();
+        let end = end.name();
+        let target = self.target;
+        log::debug!("load: {name} to {target}: {end} after {elapsed_ms} ms");
+    }
+
     /// The stream's timeout, cut by the end of the run.
     fn limit(&self) -> Duration {
         let experiment = &self.runner.experiment;
