--- a/crates/host/src/batch/attempt.rs
+++ b/crates/host/src/batch/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::holdings::{LeaseTerms, QueuedItem};
 use crate::ids::RandomIds;
+use crate::online_attempt::{failed_outcome, reported_load};
 use crate::prompt::named_model;
 use crate::replica::ReplicaHandle;
 use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
@@ -9,9 +10,10 @@
 use chicoryladder_jobs::{
     AttemptEnd, AttemptReport, BodyBytes, ItemRef, ItemRequest, JobCommand, JobOutcome,
 };
+use chicoryladder_policy::routing::ServerOutcome;
 use chicoryladder_settings::{RouteMatch, RouteTarget};
-use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServerLoad, headers};
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Method, Response};
@@ -44,6 +46,20 @@
     grant: ServerGrant,
 }
 
+/// The end of an attempt and what it tells of the server.
+struct ItemExchange {
+    end: AttemptEnd,
+    outcome: ServerOutcome,
+    load: Option<ServerLoad>,
+}
+
+impl ItemExchange {
+    fn failed(end: AttemptEnd, outcome: ServerOutcome) -> Self {
+        let load = None;
+        Self { end, outcome, load }
+    }
+}
+
 /// Why an item that was about to run does not.
 enum StartRefusal {
     /// The item is no longer leased to this dispatcher.
@@ -159,21 +175,27 @@
                 () = revocation(&mut terms) => {}
             }
         };
-        tokio::select! {
-            end = self.exchange(&message) => end,
-            () = stopping => yielded(RunVerdict::MayHaveRun),
-        }
+        let exchanged = tokio::select! {
+            exchanged = self.exchange(&message) => exchanged,
+            () = stopping => return yielded(RunVerdict::MayHaveRun),
+        };
+        grant.load = exchanged.load;
+        grant.outcome = exchanged.outcome;
+        exchanged.end
     }
 
-    async fn exchange(&self, message: &ServerRequest) -> AttemptEnd {
+    async fn exchange(&self, message: &ServerRequest) -> ItemExchange {
         let answered = async {
-            let response = self.client.send(message).await.map_err(failed)?;
-            read_answer(response).await
+            match self.client.send(message).await {
+                Ok(response) => read_answer(response).await,
+                Err(failure) => {
+                    let outcome = failed_outcome(failure.reason);
+                    ItemExchange::failed(failed(failure), outcome)
+                }
+            }
         };
-        match tokio::time::timeout(ATTEMPT_TIMEOUT, answered).await {
-            Ok(Ok(end) | Err(end)) => end,
-            Err(_) => silent(),
-        }
+        let result = tokio::time::timeout(ATTEMPT_TIMEOUT, answered).await;
+        result.unwrap_or_else(|_| ItemExchange::failed(silent(), ServerOutcome::Silent))
     }
 
     fn message(
@@ -283,18 +305,24 @@
     fields
 }
 
-async fn read_answer(response: Response<hyper::body::Incoming>) -> Result<AttemptEnd, AttemptEnd> {
+async fn read_answer(response: Response<hyper::body::Incoming>) -> ItemExchange {
     let status = response.status().as_u16();
+    let load = reported_load(response.headers());
     let limited = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
     match limited.collect().await {
-        Ok(collected) => Ok(AttemptEnd::Answered {
-            status,
-            body: BodyBytes(collected.to_bytes().to_vec()),
-        }),
-        Err(error) => Err(refused(RequestRefusal::new(
-            RefusalReason::ServerFailed,
-            RunVerdict::MayHaveRun,
-            format!("the answer ended early: {error}"),
-        ))),
+        Ok(collected) => ItemExchange {
+            end: AttemptEnd::Answered {
+                status,
+                body: BodyBytes(collected.to_bytes().to_vec()),
+            },
+            outcome: ServerOutcome::Answered,
+            load,
+        },
+        Err(error) => {
+            let detail = format!("the answer ended early: {error}");
+            let refusal =
+                RequestRefusal::new(RefusalReason::ServerFailed, RunVerdict::MayHaveRun, detail);
+            ItemExchange::failed(refused(refusal), ServerOutcome::Failed)
+        }
     }
 }
--- a/crates/host/src/batch/holdings.rs
+++ b/crates/host/src/batch/holdings.rs
@@ -3,9 +3,15 @@
 use chicoryladder_jobs::{AttemptEnd, AttemptReport, ItemGrant, ItemRef, JobOutcome, LeaseId};
 use chicoryladder_types::RunVerdict;
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// The answer bytes of one command; a single answer may be longer.
+const REPORTS_MAX_BYTES: usize = 2 * 1024 * 1024;
+
+/// The longest time that a leased item waits for an idle slot.
+const QUEUE_WAIT_MAX: Duration = Duration::from_millis(300);
+
 /// Until when and whether items of a lease may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct LeaseTerms {
@@ -31,6 +37,7 @@
     pub(super) lease: LeaseId,
     pub(super) grant: ItemGrant,
     pub(super) terms: watch::Receiver<LeaseTerms>,
+    queued_at: Instant,
 }
 
 /// The leases of one dispatcher.
@@ -44,7 +51,7 @@
 
 impl LeaseHoldings {
     /// Takes in the outcome of a lease request.
-    pub(super) fn add(&mut self, outcome: &JobOutcome, start_until: Instant) {
+    pub(super) fn add(&mut self, outcome: &JobOutcome, start_until: Instant, now: Instant) {
         let JobOutcome::Leased { lease, grants, .. } = outcome else {
             return;
         };
@@ -62,6 +69,7 @@
                 lease: *lease,
                 grant: *grant,
                 terms: receiver.clone(),
+                queued_at: now,
             });
         }
         let unreported = grants.len();
@@ -84,6 +92,19 @@
         None
     }
 
+    /// Gives back the items that have waited too long for an idle slot, so that
+    /// other hosts can run them.
+    pub(super) fn yield_waiting(&mut self, now: Instant) {
+        while let Some(oldest) = self.queue.front() {
+            if now.saturating_duration_since(oldest.queued_at) < QUEUE_WAIT_MAX {
+                return;
+            }
+            let attempt = oldest.grant.attempt;
+            self.queue.pop_front();
+            self.yield_item(attempt);
+        }
+    }
+
     /// Gives back every item that has not started.
     pub(super) fn yield_queued(&mut self) {
         for item in std::mem::take(&mut self.queue) {
@@ -145,9 +166,19 @@
         }
     }
 
-    /// The oldest reports, up to `limit`; they stay until they are committed.
+    /// The oldest reports, up to `limit` and to a few megabytes but at least one;
+    /// they stay until they are committed.
     pub(super) fn reports(&self, limit: usize) -> Vec<AttemptReport> {
-        self.reports.iter().take(limit).cloned().collect()
+        let mut bytes = 0;
+        let mut reports = Vec::new();
+        for report in self.reports.iter().take(limit) {
+            bytes += answer_bytes(report);
+            if bytes > REPORTS_MAX_BYTES && !reports.is_empty() {
+                break;
+            }
+            reports.push(report.clone());
+        }
+        reports
     }
 
     /// Drops the `count` oldest reports, which are committed.
@@ -164,3 +195,10 @@
         self.reports.push(AttemptReport { attempt, end });
     }
 }
+
+fn answer_bytes(report: &AttemptReport) -> usize {
+    match &report.end {
+        AttemptEnd::Answered { body, .. } => body.as_slice().len(),
+        AttemptEnd::Refused { .. } | AttemptEnd::Yielded { .. } => 0,
+    }
+}
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -136,7 +136,13 @@
             kind: WorkKind::Online(plan.queue.clone()),
             excluded: excluded.to_vec(),
         };
-        let result = self.routing.acquire(wanted, deadline).await;
+        let result = tokio::select! {
+            result = self.routing.acquire(wanted, deadline) => result,
+            refusal = self.withdrawal(plan) => Err(RequestRefusal {
+                verdict: RunVerdict::NotRun,
+                ..refusal
+            }),
+        };
         result.map_err(|refusal| joined(refusal, verdict))
     }
 
@@ -279,8 +285,8 @@
     lost && failure.verdict == RunVerdict::MayHaveRun
 }
 
-/// What a failed attempt tells of the server.
-fn failed_outcome(reason: RetryReason) -> ServerOutcome {
+/// What a failure tells of the health of the server.
+pub(crate) fn failed_outcome(reason: RetryReason) -> ServerOutcome {
     match reason {
         RetryReason::ServerRefused => ServerOutcome::Refused,
         RetryReason::ServerSilent => ServerOutcome::Silent,
@@ -314,7 +320,8 @@
     kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
 }
 
-fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
+/// The load that an answer reports in its header fields.
+pub(crate) fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
     let text = fields.get(headers::SERVER_LOAD)?.to_str().ok()?;
     let mut load = chicoryladder_types::ServerLoad::default();
     for part in text.split(';') {
