--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -1,9 +1,11 @@
 //! The routing task.
 
+mod room;
+
 use super::batch_slots::BatchSlots;
 use super::handle::{
-    BatchGrant, BatchRoom, GrantSender, ReleasedSlot, RoutingEvent, RoutingPlace, ServerGrant,
-    SlotContent, SlotNotice, SlotRequest, WantedSlot, WorkKind, no_server,
+    BatchRoom, GrantSender, ReleasedSlot, RoutingEvent, RoutingPlace, ServerGrant, SlotContent,
+    SlotNotice, SlotRequest, WantedSlot, WorkKind, no_server,
 };
 use super::queues::{TargetQueue, TargetQueues, WaitingRequest};
 use super::table::RoutingTable;
@@ -270,54 +272,6 @@
         }
     }
 
-    /// Stops a batch item for each online request that found no slot, once.
-    fn ask_for_slots(&mut self, target: &WorkTarget, now: Instant) {
-        let Some(queue) = self.online.get_mut(target) else {
-            return;
-        };
-        for waiting in queue.waiting_mut().filter(|waiting| !waiting.asked) {
-            waiting.asked = true;
-            let (table, request) = (&self.table, &waiting.request);
-            let suits = |key| table.suits(key, request, now);
-            if self.batch_slots.stop_youngest(None, suits) {
-                continue;
-            }
-            let wish = table.next_choice(request, now);
-            if let Some(wish) = wish.and_then(|key| table.slot_wish(key)) {
-                let _ = self.channels.notices.send(wish);
-            }
-        }
-    }
-
-    /// Makes room on a server whose slots other hosts' requests take up.
-    fn relieve(&mut self, key: ServerKey) {
-        if !self.table.is_crowded(key) {
-            return;
-        }
-        if self.batch_slots.stop_youngest(None, |other| other == key) {
-            return;
-        }
-        if let Some(wish) = self.table.slot_wish(key) {
-            let _ = self.channels.notices.send(wish);
-        }
-    }
-
-    fn yield_slot(&mut self, asker: HostName, name: &ServerName) {
-        let asker = Some(asker).filter(|asker| *asker != self.host);
-        if let Some(key) = self.table.key_of(name) {
-            self.batch_slots.stop_youngest(asker, |other| other == key);
-        }
-    }
-
-    fn batch_grant(&mut self, key: ServerKey, kind: &WorkKind, now: Instant) -> Option<BatchGrant> {
-        let WorkKind::Batch { stoppable } = *kind else {
-            self.relieve(key);
-            return None;
-        };
-        let (key, stop) = self.batch_slots.add(key, stoppable, now);
-        Some(BatchGrant { key, stop })
-    }
-
     fn grant(&mut self, key: ServerKey, request: &SlotRequest, sender: GrantSender, now: Instant) {
         let Some(announcement) = self.table.take_slot(key) else {
             return;
--- /dev/null
+++ b/crates/host/src/routing/task/room.rs
@@ -0,0 +1,62 @@
+//! Making room for online requests on servers that batch items take up.
+
+use super::RoutingTask;
+use crate::routing::handle::{BatchGrant, WorkKind};
+use chicoryladder_policy::routing::{ServerKey, WorkTarget};
+use chicoryladder_types::prelude::*;
+use std::time::Instant;
+
+impl RoutingTask {
+    /// Stops a batch item for each online request that found no slot, once.
+    pub(super) fn ask_for_slots(&mut self, target: &WorkTarget, now: Instant) {
+        let Some(queue) = self.online.get_mut(target) else {
+            return;
+        };
+        for waiting in queue.waiting_mut().filter(|waiting| !waiting.asked) {
+            waiting.asked = true;
+            let (table, request) = (&self.table, &waiting.request);
+            let suits = |key| table.suits(key, request, now);
+            if self.batch_slots.stop_youngest(None, suits) {
+                continue;
+            }
+            let wish = table.next_choice(request, now);
+            if let Some(wish) = wish.and_then(|key| table.slot_wish(key)) {
+                let _ = self.channels.notices.send(wish);
+            }
+        }
+    }
+
+    /// Makes room on a server whose slots other hosts' requests take up.
+    fn relieve(&mut self, key: ServerKey) {
+        if !self.table.is_crowded(key) {
+            return;
+        }
+        if self.batch_slots.stop_youngest(None, |other| other == key) {
+            return;
+        }
+        if let Some(wish) = self.table.slot_wish(key) {
+            let _ = self.channels.notices.send(wish);
+        }
+    }
+
+    pub(super) fn yield_slot(&mut self, asker: HostName, name: &ServerName) {
+        let asker = Some(asker).filter(|asker| *asker != self.host);
+        if let Some(key) = self.table.key_of(name) {
+            self.batch_slots.stop_youngest(asker, |other| other == key);
+        }
+    }
+
+    pub(super) fn batch_grant(
+        &mut self,
+        key: ServerKey,
+        kind: &WorkKind,
+        now: Instant,
+    ) -> Option<BatchGrant> {
+        let WorkKind::Batch { stoppable } = *kind else {
+            self.relieve(key);
+            return None;
+        };
+        let (key, stop) = self.batch_slots.add(key, stoppable, now);
+        Some(BatchGrant { key, stop })
+    }
+}
--- a/crates/policy/src/limits/keeper.rs
+++ b/crates/policy/src/limits/keeper.rs
@@ -4,6 +4,8 @@
 //! that some holder may still spend. The refill stops at that sum, so tokens
 //! that lie unused in stocks do not add to the burst.
 
+mod service;
+
 use super::held::{HeldStock, RequestOrder};
 use super::{
     KeeperEpoch, RateLimit, StockGrant, StockHolder, StockRecall, StockRequest, TokenAmount,
@@ -220,130 +222,4 @@
     fn needed_by_all(&self) -> u64 {
         self.stocks.values().map(|held| held.needed).sum()
     }
-
-    /// Serves waiting requests first, one token for each holder in turn, then
-    /// wishes ahead of demand from the upper half of the bucket.
-    fn distribute(&mut self, now: Instant) -> Vec<StockHolder> {
-        let mut served = Vec::new();
-        if now < self.refilled_at {
-            return served;
-        }
-        let mut free = self.level.whole_tokens();
-        while free > 0 && self.needed_by_all() > 0 {
-            free -= self.serve_round(free, &mut served);
-        }
-        let reserve = self.limit.burst() / 2;
-        self.serve_ahead(free.saturating_sub(reserve), &mut served);
-        served
-    }
-
-    fn serve_round(&mut self, free: u64, served: &mut Vec<StockHolder>) -> u64 {
-        let mut left = free;
-        let needy = self.stocks.iter().filter(|(_, held)| held.needed > 0);
-        let mut holders: Vec<StockHolder> = needy.map(|(holder, _)| holder.clone()).collect();
-        if let Some(last) = &self.last_served {
-            let turn = holders.partition_point(|holder| holder <= last);
-            holders.rotate_left(turn);
-        }
-        for holder in holders {
-            if left == 0 {
-                break;
-            }
-            self.give(&holder, 1, served);
-            self.last_served = Some(holder);
-            left -= 1;
-        }
-        free - left
-    }
-
-    fn serve_ahead(&mut self, free: u64, served: &mut Vec<StockHolder>) {
-        let mut left = free;
-        let wishes = self.stocks.iter().filter(|(_, held)| held.ahead > 0);
-        let wishes: Vec<(StockHolder, u64)> = wishes
-            .map(|(holder, held)| (holder.clone(), held.ahead))
-            .collect();
-        for (holder, ahead) in wishes {
-            let tokens = ahead.min(left);
-            if tokens > 0 {
-                self.give(&holder, tokens, served);
-                left -= tokens;
-            }
-        }
-    }
-
-    fn give(&mut self, holder: &StockHolder, tokens: u64, served: &mut Vec<StockHolder>) {
-        let Some(held) = self.stocks.get_mut(holder) else {
-            return;
-        };
-        held.grant(tokens);
-        self.level = self.level.minus(TokenAmount::whole(tokens));
-        if !served.contains(holder) {
-            served.push(holder.clone());
-        }
-    }
-
-    fn actions(&mut self, served: &[StockHolder], now: Instant) -> Vec<KeeperAction> {
-        let grants = served
-            .iter()
-            .filter_map(|holder| self.grant_for(holder, now));
-        let mut actions: Vec<KeeperAction> = grants.collect();
-        if self.needed_by_all() > 0 && now >= self.refilled_at {
-            self.recall_idle(&mut actions);
-        }
-        actions
-    }
-
-    fn recall_idle(&mut self, actions: &mut Vec<KeeperAction>) {
-        for (holder, held) in &mut self.stocks {
-            let idle = held.needed == 0 && held.counters.unspent() > 0;
-            if !idle || held.recalled {
-                continue;
-            }
-            held.recalled = true;
-            actions.push(KeeperAction::Recall(StockRecall {
-                team: self.team.clone(),
-                pool: self.pool.clone(),
-                holder: holder.clone(),
-                session: held.session,
-                epoch: self.epoch,
-            }));
-        }
-    }
-
-    fn grant_for(&self, holder: &StockHolder, now: Instant) -> Option<KeeperAction> {
-        let held = self.stocks.get(holder)?;
-        let others = self.needed_by_all() - held.needed;
-        Some(KeeperAction::Grant(StockGrant {
-            team: self.team.clone(),
-            pool: self.pool.clone(),
-            holder: holder.clone(),
-            session: held.session,
-            epoch: self.epoch,
-            sequence: held.sequence,
-            granted: held.counters.granted,
-            stock_ttl: self.times.stock_ttl,
-            next_token_in: self.next_token_in(others, now),
-        }))
-    }
-
-    /// Tells a holder of another keeper's stock who the keeper is now.
-    fn introduce(&self, request: &StockRequest, now: Instant) -> KeeperAction {
-        KeeperAction::Grant(StockGrant {
-            team: self.team.clone(),
-            pool: self.pool.clone(),
-            holder: request.holder.clone(),
-            session: request.session,
-            epoch: self.epoch,
-            sequence: request.sequence,
-            granted: 0,
-            stock_ttl: self.times.stock_ttl,
-            next_token_in: self.next_token_in(self.needed_by_all(), now),
-        })
-    }
-
-    fn next_token_in(&self, others: u64, now: Instant) -> Duration {
-        let missing = TokenAmount::whole(others + 1).minus(self.level);
-        let closed = self.refilled_at.saturating_duration_since(now);
-        closed + self.limit.time_for(missing)
-    }
 }
