Measure what control costs a host

Cause: the size to design for bounds bytes, processor time and memory a node, and nothing measured them.

--- /dev/null
+++ b/crates/host/examples/control_cost/main.rs
@@ -0,0 +1,106 @@
+//! Prints what control costs a host: messages, bytes, processor time and memory
+//! while idle and under configuration changes, and how soon a change is in
+//! force on every host.
+//!
+//! ```sh
+//! cargo run --release -p chicoryladder-host --example control_cost -- 3 9 27
+//! ```
+//!
+//! All hosts share one process, so processor time and memory are means over the
+//! hosts, and the memory of the process itself counts as theirs. Three hosts
+//! have disks, whatever the number of hosts.
+
+mod fleet;
+mod process;
+
+use fleet::CostFleet;
+use process::ProcessUse;
+use std::time::{Duration, Instant};
+
+/// How long each state is measured.
+const SPAN: Duration = Duration::from_secs(15);
+
+/// The time for a fleet to settle before it is measured.
+const SETTLE: Duration = Duration::from_secs(3);
+
+/// Configuration changes a day that the system is designed for.
+const CHANGES_PER_DAY: f64 = 56_000.0;
+
+const SECONDS_PER_DAY: f64 = 86_400.0;
+
+/// The mean cost of one host over a span.
+struct HostCost {
+    messages_per_second: f64,
+    bytes_per_second: f64,
+    core_percent: f64,
+    memory_mib: f64,
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn std::error::Error>> {
+    println!("hosts  state     messages/s  bytes/s   core %  MiB   in force ms p50 / max");
+    for count in std::env::args().skip(1) {
+        let fleet = CostFleet::start(count.parse()?).await?;
+        tokio::time::sleep(SETTLE).await;
+        let idle = measure(&fleet, async { Ok(()) }).await?;
+        print_row(fleet.len(), "idle", &idle, "");
+        let mut delays = Vec::new();
+        let changing = measure(&fleet, apply_changes(&fleet, &mut delays)).await?;
+        delays.sort_unstable();
+        let middle = delays.get(delays.len() / 2).copied().unwrap_or_default();
+        let last = delays.last().copied().unwrap_or_default();
+        let text = format!("{} / {}", middle.as_millis(), last.as_millis());
+        print_row(fleet.len(), "changing", &changing, &text);
+        fleet.stop().await;
+    }
+    Ok(())
+}
+
+/// Runs `work` for one span and takes the means over the hosts.
+async fn measure(
+    fleet: &CostFleet,
+    work: impl Future<Output = Result<(), Box<dyn std::error::Error>>>,
+) -> Result<HostCost, Box<dyn std::error::Error>> {
+    let sent = fleet.sent();
+    let used = ProcessUse::now()?;
+    let started = Instant::now();
+    work.await?;
+    tokio::time::sleep(SPAN.saturating_sub(started.elapsed())).await;
+    let seconds = started.elapsed().as_secs_f64();
+    let sent = fleet.sent().since(sent);
+    let later = ProcessUse::now()?;
+    let hosts = as_f64(fleet.len() as u64);
+    Ok(HostCost {
+        messages_per_second: as_f64(sent.messages) / seconds / hosts,
+        bytes_per_second: as_f64(sent.bytes) / seconds / hosts,
+        core_percent: (later.core_seconds - used.core_seconds) / seconds / hosts * 100.0,
+        memory_mib: later.resident_mib / hosts,
+    })
+}
+
+/// Applies changes at the rate of the design for one span.
+async fn apply_changes(
+    fleet: &CostFleet,
+    delays: &mut Vec<Duration>,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let gap = Duration::from_secs_f64(SECONDS_PER_DAY / CHANGES_PER_DAY);
+    let started = Instant::now();
+    let mut ticks = tokio::time::interval(gap);
+    while started.elapsed() < SPAN {
+        ticks.tick().await;
+        delays.push(fleet.change().await?);
+    }
+    Ok(())
+}
+
+fn print_row(hosts: usize, state: &str, cost: &HostCost, delays: &str) {
+    println!(
+        "{hosts:>5}  {state:<8}  {:>10.1}  {:>7.0}  {:>6.2}  {:>5.1}   {delays}",
+        cost.messages_per_second, cost.bytes_per_second, cost.core_percent, cost.memory_mib,
+    );
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn as_f64(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -9,9 +9,9 @@
 use crate::platform::DrainFlag;
 use crate::replica::{ReplicaError, ReplicaHandle};
 use chicoryladder_gateway::{HttpListener, ListenError};
-use chicoryladder_link::{LinkError, SecretError};
+use chicoryladder_link::{LinkCounts, LinkError, SecretError};
 use chicoryladder_settings::HostSettings;
-use chicoryladder_types::SystemClock;
+use chicoryladder_types::{FleetRevision, SystemClock};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -99,6 +99,18 @@
         parts::start(settings, Arc::new(SystemClock), ids, metrics).await
     }
 
+    /// The revision of the fleet document in force on this host.
+    #[must_use]
+    pub fn revision(&self) -> FleetRevision {
+        self.replica.view().revision
+    }
+
+    /// What this host has exchanged with other hosts so far.
+    #[must_use]
+    pub fn link_counts(&self) -> LinkCounts {
+        self.peers.link_counts()
+    }
+
     /// Stops the host: readiness goes first, then every accepted request and
     /// running batch item ends whole, then the process may exit.
     ///
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,7 +6,7 @@
 
 use crate::limits::LimitMessage;
 use crate::replica::ReplicaMessage;
-use chicoryladder_link::{InboundMessage, PeerLink};
+use chicoryladder_link::{InboundMessage, LinkCounts, PeerLink};
 use chicoryladder_policy::quarantine::SuspectUpdate;
 use chicoryladder_state::{HostPosition, KeyTombstones};
 use chicoryladder_types::prelude::*;
@@ -100,6 +100,11 @@
         latest.map(|peer| peer.address)
     }
 
+    /// What the link of this host has exchanged so far.
+    pub(crate) fn link_counts(&self) -> LinkCounts {
+        self.link.stats().counts()
+    }
+
     /// Waits until the peers' port is free again, after the host has stopped.
     pub(crate) async fn port_freed(&self) {
         self.link.closed().await;
