--- a/crates/host/src/replica/proposals.rs
+++ b/crates/host/src/replica/proposals.rs
@@ -138,6 +138,15 @@
         self.set_stage(number, ProposalStage::Ordered { index, outcome });
     }
 
+    /// Notes that another host leads: what was sent to the one before may be lost.
+    pub(super) fn note_new_leader(&mut self) {
+        for proposal in self.local.values_mut() {
+            if proposal.idempotent && matches!(proposal.stage, ProposalStage::Sent { .. }) {
+                proposal.stage = ProposalStage::Waiting;
+            }
+        }
+    }
+
     /// Forgets the log of this host, which can't be written any more.
     pub(super) fn abandon_log(&mut self) {
         self.origins.clear();
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -49,6 +49,8 @@
     seat_addresses: HashMap<SeatId, SocketAddr>,
     handovers: Vec<oneshot::Sender<()>>,
     held: Vec<HeldRequest>,
+    /// The leader at the last look.
+    last_leader: Option<SocketAddr>,
 }
 
 impl ReplicaTask {
@@ -90,6 +92,7 @@
             seat_addresses: HashMap::new(),
             handovers: Vec::new(),
             held: Vec::new(),
+            last_leader: None,
         };
         Ok((task, handle, ReplicaInbox { events: sender }))
     }
@@ -144,6 +147,7 @@
             ReplicaRole::Seat(replica) => replica.tick(now),
             ReplicaRole::Observer(_) => self.follow_tail(now),
         }
+        self.note_leader();
         for number in self.proposals.due(now) {
             self.submit(number);
         }
@@ -155,6 +159,15 @@
         self.answer_held();
     }
 
+    /// Has proposals sent again that an earlier leader may have lost.
+    fn note_leader(&mut self) {
+        let leader = self.leader_address();
+        if leader.is_some() && leader != self.last_leader {
+            self.last_leader = leader;
+            self.proposals.note_new_leader();
+        }
+    }
+
     fn follow_tail(&mut self, now: Instant) {
         let live = self.peers.live();
         let voters: Vec<SocketAddr> = self.settings.voters.values().copied().collect();
--- a/tests/all/replicated_state.rs
+++ b/tests/all/replicated_state.rs
@@ -29,12 +29,10 @@
         fleet.wait_ready(host).await;
     }
     let asked = (0..3).find(|host| *host != lost).expect("a host");
-    let again = fleet.put_document(4, &changed, 1, "second-document").await;
-    assert_eq!(again.json()["revision"], 2, "{}", again.text());
-    let other = fleet
-        .put_document(asked, DOCUMENT, 2, "third-document")
-        .await;
-    assert_eq!(other.status, 200, "{}", other.text());
+    let again = fleet.change_document(4, &changed, 1, "second-document");
+    assert_eq!(again.await, 2);
+    let other = fleet.change_document(asked, DOCUMENT, 2, "third-document");
+    assert_eq!(other.await, 3);
     fleet.start_host(lost).await;
     for host in 0..5 {
         wait_revision(&fleet, host, 3).await;
