--- a/crates/host/src/job_service.rs
+++ b/crates/host/src/job_service.rs
@@ -8,7 +8,7 @@
 use crate::ids::RandomIds;
 use crate::metrics::HostMetrics;
 use crate::platform::DrainFlag;
-use crate::replica::ReplicaHandle;
+use crate::replica::{ProposeError, ReplicaHandle};
 use chicoryladder_gateway::{AnswerBody, ItemCounts, JobPort, JobView, SubmitRequest};
 use chicoryladder_jobs::{
     BodyDigest, ItemParser, JobCommand, JobHeader, JobOutcome, JobShare, JobStatus, SubmissionKey,
@@ -209,7 +209,7 @@
 
     async fn propose(&self, command: JobCommand) -> Result<JobOutcome, RequestRefusal> {
         let result = self.replica.propose_jobs(command).await;
-        result.map_err(crate::replica::ProposeError::refusal)
+        result.map_err(ProposeError::refusal)
     }
 }
 
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -335,6 +335,7 @@
         };
         let name = announcement.name.clone();
         let address = announcement.address;
+        let generation = announcement.generation;
         if let WorkKind::Online(terms) = &request.kind {
             for prefix in &terms.prefixes {
                 self.table.servers().note_prefix(*prefix, key);
@@ -342,6 +343,7 @@
         }
         let grant = ServerGrant {
             name,
+            generation,
             address,
             load: None,
             outcome: ServerOutcome::Cancelled,
