Refuse requests that wait once their key is revoked

Cause: a request that waits for a token or a slot was checked once, at its arrival. With the quorum lost, one was seen to wait for a token past the lease of the key view, for up to the class's time to give up. Ruled out: checking only when the wait ends, since the caller would learn late. Change: both waits end as soon as the key is withdrawn or the view grows stale, with the verdict not-run. Whole-system tests cover spread, races, resends, withdrawals without a quorum and over restarts, the key lease, and streams of a withdrawn key.

--- a/crates/host/src/admission.rs
+++ b/crates/host/src/admission.rs
@@ -10,6 +10,9 @@
 /// The time after which a view of the keys may be fresh again.
 const STALE_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// The time between two looks at the lease while a request waits.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+
 /// The team that a key speaks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct KeyHolder {
@@ -39,8 +42,7 @@
         let view = self.replica.view();
         let decision = view.check_key(key);
         if decision == KeyDecision::Withdrawn {
-            let detail = "the key was withdrawn";
-            return Err(RequestRefusal::not_run(RefusalReason::WithdrawnKey, detail));
+            return Err(withdrawn_key());
         }
         let (team, key_id) = self.fresh_team(decision)?;
         let terms = view.document.teams.get(&team).copied();
@@ -55,6 +57,32 @@
         })
     }
 
+    /// Resolves once a key that was checked may not be used any more: it was
+    /// withdrawn, or the view has grown too old to know.
+    pub(crate) async fn revoked(&self, holder: &KeyHolder) -> RequestRefusal {
+        let mut replica = self.replica.clone();
+        loop {
+            if let Err(refusal) = self.recheck(holder) {
+                return refusal;
+            }
+            // The view does not change when its lease runs out.
+            let change = tokio::time::timeout(RECHECK_INTERVAL, replica.changed());
+            if change.await == Ok(false) {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    fn recheck(&self, holder: &KeyHolder) -> Result<(), RequestRefusal> {
+        if self.replica.view().is_withdrawn(holder.key_id) {
+            return Err(withdrawn_key());
+        }
+        if !self.replica.is_fresh() && !holder.terms.serve_through_cut {
+            return Err(stale_view());
+        }
+        Ok(())
+    }
+
     /// An unknown key may be one that this host has not heard of yet.
     fn fresh_team(&self, decision: KeyDecision) -> Result<(TeamName, KeyId), RequestRefusal> {
         match decision {
@@ -69,6 +97,10 @@
     RequestRefusal::not_run(RefusalReason::UnknownKey, "no team holds this key")
 }
 
+fn withdrawn_key() -> RequestRefusal {
+    RequestRefusal::not_run(RefusalReason::WithdrawnKey, "the key was withdrawn")
+}
+
 fn stale_view() -> RequestRefusal {
     let detail = "this host has not heard of key withdrawals lately";
     RequestRefusal::not_run(RefusalReason::KeyViewStale, detail).with_retry_after(STALE_RETRY_AFTER)
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -72,9 +72,10 @@
         let target = work_target(&rules.route.target, &request)?;
         if let Some(holder) = &holder {
             let give_up_at = request.received + token_wait(rules.target);
-            self.limits
-                .admit(&holder.team, holder.terms, give_up_at)
-                .await?;
+            tokio::select! {
+                admitted = self.limits.admit(&holder.team, holder.terms, give_up_at) => admitted?,
+                refusal = self.keys.revoked(holder) => return Err(refusal),
+            }
         }
         let class = view.document.classes.get(&rules.class);
         let queue = QueueTerms {
@@ -114,6 +115,7 @@
             client: &self.client,
             clock: &self.clock,
             metrics: &self.metrics,
+            keys: &self.keys,
             replica: &self.replica,
         }
     }
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -1,6 +1,6 @@
 //! The attempts at one online request.
 
-use crate::admission::KeyHolder;
+use crate::admission::{KeyChecker, KeyHolder};
 use crate::metrics::HostMetrics;
 use crate::replica::ReplicaHandle;
 use crate::retries::RetryRules;
@@ -48,6 +48,7 @@
     pub(crate) client: &'a ServerClient,
     pub(crate) clock: &'a Arc<dyn ClockSource>,
     pub(crate) metrics: &'a Arc<HostMetrics>,
+    pub(crate) keys: &'a KeyChecker,
     pub(crate) replica: &'a ReplicaHandle,
 }
 
@@ -129,10 +130,7 @@
         };
         let result = tokio::select! {
             result = self.routing.acquire(wanted, deadline) => result,
-            refusal = self.withdrawal(plan) => Err(RequestRefusal {
-                verdict: RunVerdict::NotRun,
-                ..refusal
-            }),
+            refusal = self.revoked(plan) => Err(refusal),
         };
         result.map_err(|mut refusal| {
             refusal.verdict = refusal.verdict.join(verdict);
@@ -227,6 +225,14 @@
         Ok(response)
     }
 
+    /// Resolves once the key of the request may not be used any more.
+    async fn revoked(&self, plan: &AttemptPlan) -> RequestRefusal {
+        match &plan.holder {
+            Some(holder) => self.keys.revoked(holder).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Resolves once the key of the request is withdrawn.
     fn withdrawal(&self, plan: &AttemptPlan) -> BoxFuture<'static, RequestRefusal> {
         let Some(holder) = plan.holder.clone() else {
--- a/tests/all/control.rs
+++ b/tests/all/control.rs
@@ -8,8 +8,15 @@
 
 const CHAT: &str = "/v1/chat/completions";
 
-/// The host that orders commands.
-const VOTER: usize = 0;
+/// Two of the three hosts with a seat; without them there is no quorum.
+const QUORUM: [usize; 2] = [1, 2];
+
+/// The host with the third seat.
+const LONE_VOTER: usize = 0;
+
+/// A host without a disk, in the availability zone of the lone voter, as if that
+/// zone were cut off.
+const OBSERVER: usize = 3;
 
 /// More requests than an engine of the fixture has slots.
 const REQUESTS: usize = 12;
@@ -82,8 +89,12 @@
     let document = DOCUMENT.replace("rate = 50", "rate = 51");
     fleet.put_document(1, &document, 1, "op-1").await;
     fleet.put_document(1, DOCUMENT, 2, "op-2").await;
-    fleet.kill_host(VOTER).await;
-    fleet.start_host(VOTER).await;
+    for host in 0..3 {
+        fleet.kill_host(host).await;
+    }
+    for host in 0..3 {
+        fleet.start_host(host).await;
+    }
     fleet.wait_ready(2).await;
     let resent = fleet.put_document(2, &document, 1, "op-1").await.json();
     assert_eq!(resent["revision"], 2, "{resent}");
@@ -92,52 +103,73 @@
     assert_eq!(resent_key["key"], first_key["key"]);
 }
 
+async fn kill_quorum(fleet: &mut FleetFixture) {
+    for host in QUORUM {
+        fleet.kill_host(host).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
-async fn a_withdrawal_without_the_voter_spreads_and_is_logged_later() {
-    let mut fleet = FleetFixture::with_document(3).await;
+async fn a_withdrawal_without_a_quorum_spreads_and_is_logged_later() {
+    let mut fleet = FleetFixture::with_document(4).await;
     let _engine = fleet.start_engine("engine-1", "zone-b").await;
-    let key = fleet.grant_key(1, "curepipe").await;
-    assert_eq!(chat(&fleet, 1, &key).await.status, 200);
-    fleet.kill_host(VOTER).await;
-    let answer = withdraw(&fleet, 2, &key).await;
+    let key = fleet.grant_key(OBSERVER, "curepipe").await;
+    assert_eq!(chat(&fleet, LONE_VOTER, &key).await.status, 200);
+    kill_quorum(&mut fleet).await;
+    let answer = withdraw(&fleet, OBSERVER, &key).await;
     assert_eq!(answer["logged"], false);
     assert_eq!(answer["stops_within_ms"], json!(null));
-    assert_eq!(answer["hosts_not_heard"][0]["host"], "host-0");
-    assert_eq!(answer["hosts_not_heard"][1], json!(null));
-    assert_eq!(chat(&fleet, 1, &key).await.reason(), Some("withdrawn_key"));
-    fleet.start_host(VOTER).await;
-    wait_refused(&fleet, VOTER, &key, "withdrawn_key").await;
-    let logged = || async { withdraw(&fleet, 1, &key).await["logged"] == true };
+    let missing = answer["hosts_not_heard"].as_array().unwrap();
+    let missing: Vec<_> = missing.iter().map(|place| &place["host"]).collect();
+    assert_eq!(missing, ["host-1", "host-2"]);
+    let refused = chat(&fleet, LONE_VOTER, &key).await;
+    assert_eq!(refused.reason(), Some("withdrawn_key"));
+    for host in QUORUM {
+        fleet.start_host(host).await;
+    }
+    for host in QUORUM {
+        wait_refused(&fleet, host, &key, "withdrawn_key").await;
+    }
+    let logged = || async { withdraw(&fleet, LONE_VOTER, &key).await["logged"] == true };
     eventually("the withdrawal is logged", logged).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawal_outlives_a_restart_of_every_host_that_knows_it() {
-    let mut fleet = FleetFixture::with_document(3).await;
-    let key = fleet.grant_key(1, "curepipe").await;
-    fleet.kill_host(VOTER).await;
-    withdraw(&fleet, 2, &key).await;
-    fleet.kill_host(1).await;
-    fleet.kill_host(2).await;
-    fleet.start_host(VOTER).await;
-    fleet.start_host(2).await;
-    wait_refused(&fleet, VOTER, &key, "withdrawn_key").await;
+    let mut fleet = FleetFixture::with_document(4).await;
+    let key = fleet.grant_key(OBSERVER, "curepipe").await;
+    kill_quorum(&mut fleet).await;
+    withdraw(&fleet, OBSERVER, &key).await;
+    fleet.kill_host(OBSERVER).await;
+    fleet.kill_host(LONE_VOTER).await;
+    for host in [QUORUM[0], LONE_VOTER] {
+        fleet.start_host(host).await;
+    }
+    wait_refused(&fleet, QUORUM[0], &key, "withdrawn_key").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn past_the_lease_a_cut_off_host_refuses_keys_but_for_teams_served_through_a_cut() {
-    let mut fleet = FleetFixture::with_document(3).await;
+    let mut fleet = FleetFixture::with_document(4).await;
     let _engine = fleet.start_engine("engine-1", "zone-b").await;
-    let key = fleet.grant_key(1, "curepipe").await;
-    let through_cut = fleet.grant_key(1, "rent-desk").await;
-    fleet.kill_host(VOTER).await;
-    wait_refused(&fleet, 1, &key, "key_view_stale").await;
-    let refused = chat(&fleet, 1, &key).await;
-    assert_eq!(refused.verdict(), Some("not-run"));
-    assert!(refused.field("retry-after").is_some());
-    assert_eq!(chat(&fleet, 1, &through_cut).await.status, 200);
-    fleet.start_host(VOTER).await;
-    let served = || async { chat(&fleet, 1, &key).await.status == 200 };
+    let key = fleet.grant_key(OBSERVER, "curepipe").await;
+    let through_cut = fleet.grant_key(OBSERVER, "rent-desk").await;
+    kill_quorum(&mut fleet).await;
+    for host in [OBSERVER, LONE_VOTER] {
+        wait_refused(&fleet, host, &key, "key_view_stale").await;
+        let refused = chat(&fleet, host, &key).await;
+        assert_eq!(refused.verdict(), Some("not-run"));
+        assert!(refused.field("retry-after").is_some());
+        // Its rate is that of the reserve now, so a request may have to wait.
+        let served = || async {
+            let answer = chat(&fleet, host, &through_cut).await;
+            assert_ne!(answer.reason(), Some("key_view_stale"));
+            answer.status == 200
+        };
+        eventually("the team is served through the cut", served).await;
+    }
+    fleet.start_host(QUORUM[0]).await;
+    let served = || async { chat(&fleet, OBSERVER, &key).await.status == 200 };
     eventually("the key works again", served).await;
 }
 
