--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -163,6 +163,13 @@
         }
         let servers = self.table.servers();
         servers.finish(key, released.outcome, elapsed, released.load, now);
+        let went_well = matches!(
+            released.outcome,
+            ServerOutcome::Answered | ServerOutcome::Cancelled
+        );
+        if released.batch.is_some() && !went_well {
+            self.table.pause_batch(key, now);
+        }
         let asker = released
             .batch
             .and_then(|batch| self.batch_slots.remove(batch));
--- a/crates/types/src/admin.rs
+++ b/crates/types/src/admin.rs
@@ -199,6 +199,9 @@
     pub slots: u32,
     /// Requests that the answering host has on the server.
     pub in_flight: u32,
+    /// Requests of all hosts on the server, as the answering host estimates them.
+    #[serde(default)]
+    pub occupied: u32,
     /// Whether the server has renewed its announcement in time.
     pub live: bool,
     /// Whether the server takes no new requests.
