--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,5 +13,6 @@
 mod faults;
 mod fixture;
 mod limits;
+mod quarantine;
 mod replicated_state;
 mod whole_path;
