Make numbered boards from the counts of all hosts

Cause: everybody at the screens must see the same picture of which classes are on target, and no screen may go back. Ruled out: boards made by each host, since their content would differ under one number; a number from the clock, which may go back. Change: TallyWindow counts one host's requests over 30 slots; BoardMaker sums the reports of live hosts on the leader and numbers boards by term and sequence; BoardShelf keeps the highest. A request that the system failed did not keep its target; one refused for its caller's reason does not count.

--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -7,6 +7,7 @@
 //! is cheap to clone and adds the key withdrawals that this host has heard of
 //! before they were logged.
 
+mod board;
 mod command;
 mod history;
 mod keys;
@@ -15,6 +16,7 @@
 mod tombstones;
 mod view;
 
+pub use board::{BoardMaker, BoardShelf, ClassReport, TallyReport, TallyWindow};
 pub use command::{
     ApplyDocument, CommandError, FleetCommand, FleetOutcome, GrantKey, KeyRefusal, WithdrawKey,
 };
--- /dev/null
+++ b/crates/state/tests/all/board.rs
@@ -0,0 +1,131 @@
+//! Boards: what they count, and that no screen goes back.
+
+use crate::support::{Feeder, apply};
+use chicoryladder_state::{BoardMaker, BoardShelf, FleetCommand, FleetView, TallyWindow};
+use chicoryladder_types::{ClassName, HostName, RefusalReason, TermNumber};
+use std::time::{Duration, Instant, SystemTime};
+
+const CLASS: &str = "[class chat]\nkind = online\nfirst_token_ms = 100\nanswer_ms = 1000\n";
+
+fn view() -> FleetView {
+    let mut command = apply(0, "op", "curepipe");
+    if let FleetCommand::ApplyDocument(command) = &mut command {
+        CLASS.clone_into(&mut command.text);
+    }
+    let mut feeder = Feeder::default();
+    feeder.feed(&command);
+    feeder.machine.view()
+}
+
+fn host(name: &str) -> HostName {
+    HostName::try_from(name).expect("a valid name")
+}
+
+fn chat() -> ClassName {
+    ClassName::try_from("chat").expect("a valid name")
+}
+
+/// A window with `within` requests in time, `late` ones and `failed` ones.
+fn window(within: u64, late: u64, failed: u64) -> TallyWindow {
+    let mut window = TallyWindow::default();
+    for number in 0..within + late {
+        let in_time = number < within;
+        let answer = Duration::from_millis(if in_time { 500 } else { 2000 });
+        let first = Some(Duration::from_millis(50));
+        window.record_served(&chat(), first, answer, in_time);
+    }
+    for _ in 0..failed {
+        window.record_refused(&chat(), RefusalReason::ServerFailed);
+    }
+    window
+}
+
+fn on_target(windows: &[TallyWindow]) -> Option<bool> {
+    let now = Instant::now();
+    let mut maker = BoardMaker::default();
+    for (number, window) in windows.iter().enumerate() {
+        maker.take(host(&format!("host-{number}")), window.report(), now);
+    }
+    let board = maker.make(TermNumber(1), &view(), &[], now, SystemTime::UNIX_EPOCH);
+    board.classes[0].on_target
+}
+
+#[test]
+fn a_class_is_on_target_by_its_requests_on_all_hosts_together() {
+    assert_eq!(on_target(&[]), None);
+    assert_eq!(on_target(&[window(95, 5, 0)]), Some(true));
+    assert_eq!(on_target(&[window(94, 6, 0)]), Some(false));
+    assert_eq!(
+        on_target(&[window(94, 6, 0), window(100, 0, 0)]),
+        Some(true)
+    );
+    assert_eq!(on_target(&[window(95, 0, 6)]), Some(false));
+}
+
+#[test]
+fn refusals_for_a_reason_of_the_caller_do_not_miss_the_target() {
+    let mut window = window(10, 0, 0);
+    for _ in 0..90 {
+        window.record_refused(&chat(), RefusalReason::RateExceeded);
+    }
+    assert_eq!(on_target(&[window]), Some(true));
+}
+
+#[test]
+fn rows_show_the_percentile_of_merged_latencies() {
+    let now = Instant::now();
+    let mut maker = BoardMaker::default();
+    maker.take(host("host-1"), window(10, 0, 0).report(), now);
+    maker.take(host("host-2"), window(0, 10, 0).report(), now);
+    let hosts = [host("host-1"), host("host-2"), host("host-3")];
+    let board = maker.make(TermNumber(1), &view(), &hosts, now, SystemTime::UNIX_EPOCH);
+    let row = &board.classes[0];
+    assert_eq!((row.served, row.answer_target_ms), (20, Some(1000)));
+    let answer = row.answer_ms.expect("answers were counted");
+    assert!((2000..2030).contains(&answer), "{answer}");
+    assert_eq!(board.hosts_missing, [host("host-3")]);
+}
+
+#[test]
+fn old_slots_and_old_reports_are_not_counted() {
+    let mut window = window(10, 0, 0);
+    for _ in 0..30 {
+        window.advance();
+    }
+    assert!(window.report().classes.is_empty());
+    let now = Instant::now();
+    let mut maker = BoardMaker::default();
+    maker.take(host("host-1"), self::window(10, 0, 0).report(), now);
+    let later = now + Duration::from_secs(5);
+    let hosts = [host("host-1")];
+    let board = maker.make(
+        TermNumber(1),
+        &view(),
+        &hosts,
+        later,
+        SystemTime::UNIX_EPOCH,
+    );
+    assert_eq!(board.classes[0].served, 0);
+    assert_eq!(board.hosts_missing, hosts);
+}
+
+#[test]
+fn numbers_rise_over_terms_and_a_shelf_never_goes_back() {
+    let now = Instant::now();
+    let mut old_leader = BoardMaker::default();
+    let mut new_leader = BoardMaker::default();
+    let make = |maker: &mut BoardMaker, term| {
+        maker.make(TermNumber(term), &view(), &[], now, SystemTime::UNIX_EPOCH)
+    };
+    let first = make(&mut old_leader, 1);
+    let second = make(&mut old_leader, 1);
+    let successor = make(&mut new_leader, 2);
+    let late = make(&mut old_leader, 1);
+    assert!(first.number < second.number && second.number < successor.number);
+    let mut shelf = BoardShelf::default();
+    assert!(shelf.offer(second));
+    assert!(!shelf.offer(first));
+    assert!(shelf.offer(successor.clone()));
+    assert!(!shelf.offer(late));
+    assert_eq!(*shelf.board(), successor);
+}
--- a/crates/state/tests/all/main.rs
+++ b/crates/state/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the replicated aggregates.
 
+mod board;
 mod machine;
 mod races;
 mod spread;
