Report items a second over the span of the jobs, and gaps between tokens

Cause: the throughput of several jobs was reckoned from the longest one alone, and the plain report left out the time between tokens.

--- a/crates/standin/src/load/recorder.rs
+++ b/crates/standin/src/load/recorder.rs
@@ -24,11 +24,32 @@
 
 struct StreamRecord {
     report: StreamReport,
+    /// From the first submission to the end of the last job.
+    job_span: Option<JobSpan>,
     first_token: Histogram<u64>,
     between_tokens: Histogram<u64>,
     whole: Histogram<u64>,
 }
 
+#[derive(Clone, Copy)]
+struct JobSpan {
+    first_start: Duration,
+    last_end: Duration,
+}
+
+impl JobSpan {
+    fn join(self, other: Self) -> Self {
+        Self {
+            first_start: self.first_start.min(other.first_start),
+            last_end: self.last_end.max(other.last_end),
+        }
+    }
+
+    fn length(self) -> Duration {
+        self.last_end.saturating_sub(self.first_start)
+    }
+}
+
 impl StreamRecord {
     fn new(team: &str) -> Self {
         Self {
@@ -36,6 +57,7 @@
                 team: team.to_owned(),
                 ..StreamReport::default()
             },
+            job_span: None,
             first_token: latency_histogram(),
             between_tokens: latency_histogram(),
             whole: latency_histogram(),
@@ -54,7 +76,12 @@
         record(&mut self.whole, times.whole);
     }
 
-    fn note_job(&mut self, times: &JobTimes) {
+    fn note_job(&mut self, intended: Duration, times: &JobTimes) {
+        let span = JobSpan {
+            first_start: intended,
+            last_end: intended + times.whole,
+        };
+        self.job_span = Some(self.job_span.map_or(span, |known| known.join(span)));
         self.report.served += 1;
         self.report.items.completed += times.completed;
         self.report.items.failed += times.failed;
@@ -62,7 +89,10 @@
         record(&mut self.whole, times.whole);
     }
 
-    fn into_report(self) -> StreamReport {
+    fn into_report(mut self) -> StreamReport {
+        if let Some(span) = self.job_span {
+            self.report.items.span_s = span.length().as_secs_f64();
+        }
         StreamReport {
             first_token: LatencySummary::of(&self.first_token),
             between_tokens: LatencySummary::of(&self.between_tokens),
@@ -89,7 +119,7 @@
         record.report.intended += 1;
         match &outcome.end {
             RequestEnd::Served(times) => record.note_served(times),
-            RequestEnd::JobDone(times) => record.note_job(times),
+            RequestEnd::JobDone(times) => record.note_job(outcome.intended, times),
             RequestEnd::Refused(refused) => {
                 let not_run = refused.verdict == RunVerdict::NotRun.as_str();
                 record.report.refused_not_run += u64::from(not_run);
--- a/crates/standin/src/load/report.rs
+++ b/crates/standin/src/load/report.rs
@@ -5,6 +5,10 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
+/// The headings of the plain text report; times are in milliseconds.
+const HEADINGS: &str = "stream           intended   served  refused   failed  \
+    ttft p50  ttft p95  ttft p99   gap p95       p99       max";
+
 /// Microseconds in a millisecond.
 const US_PER_MS: f64 = 1_000.0;
 
@@ -51,7 +55,7 @@
 }
 
 /// The items of the batch jobs of a stream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ItemReport {
     /// Items with a result.
     pub completed: u64,
@@ -59,6 +63,24 @@
     pub failed: u64,
     /// Items with no line or more than one in the results.
     pub not_once: u64,
+    /// The time from the first submission to the end of the last job, in seconds.
+    pub span_s: f64,
+}
+
+impl ItemReport {
+    /// Items with a result per second of the span.
+    #[must_use]
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "item counts stay far below 2^52"
+    )]
+    pub fn per_s(&self) -> f64 {
+        if self.span_s > 0.0 {
+            self.completed as f64 / self.span_s
+        } else {
+            0.0
+        }
+    }
 }
 
 /// The result of one team over all of its streams.
@@ -133,17 +155,11 @@
             .min_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    /// Items completed per second of the whole run, over all streams.
+    /// Items completed per second, added up over the streams of batch work.
     #[must_use]
     pub fn items_per_s(&self) -> f64 {
-        let per_stream = self.streams.values().map(|stream| {
-            if stream.whole.max_ms == 0.0 {
-                return 0.0;
-            }
-            let completed = u32::try_from(stream.items.completed).unwrap_or(u32::MAX);
-            f64::from(completed) * US_PER_MS / stream.whole.max_ms
-        });
-        per_stream.sum()
+        let streams = self.streams.values();
+        streams.map(|stream| stream.items.per_s()).sum()
     }
 }
 
@@ -154,19 +170,7 @@
             "{} (seed {}, {} s)",
             self.purpose, self.seed, self.duration_s
         )?;
-        writeln!(
-            f,
-            "{:<16} {:>8} {:>8} {:>8} {:>8}  {:>9} {:>9} {:>9} {:>9}",
-            "stream",
-            "intended",
-            "served",
-            "refused",
-            "failed",
-            "ttft p50",
-            "ttft p99",
-            "p99",
-            "max"
-        )?;
+        writeln!(f, "{HEADINGS}")?;
         for (name, stream) in &self.streams {
             write_stream(f, name, stream)?;
         }
@@ -187,13 +191,15 @@
 fn write_stream(f: &mut fmt::Formatter<'_>, name: &str, stream: &StreamReport) -> fmt::Result {
     writeln!(
         f,
-        "{name:<16} {:>8} {:>8} {:>8} {:>8}  {:>9.2} {:>9.2} {:>9.2} {:>9.2}",
+        "{name:<16} {:>8} {:>8} {:>8} {:>8} {:>9.2} {:>9.2} {:>9.2} {:>9.2} {:>9.2} {:>9.2}",
         stream.intended,
         stream.served,
         stream.refused.values().sum::<u64>(),
         stream.failed.values().sum::<u64>(),
         stream.first_token.p50_ms,
+        stream.first_token.p95_ms,
         stream.first_token.p99_ms,
+        stream.between_tokens.p95_ms,
         stream.whole.p99_ms,
         stream.whole.max_ms,
     )?;
@@ -203,15 +209,18 @@
     for (kind, count) in &stream.failed {
         writeln!(f, "    failed {kind}: {count}")?;
     }
+    let items = stream.items;
     let ItemReport {
         completed,
         failed,
         not_once,
-    } = stream.items;
+        ..
+    } = items;
     if completed + failed + not_once > 0 {
+        let per_s = items.per_s();
         writeln!(
             f,
-            "    items completed {completed}, failed {failed}, not once {not_once}"
+            "    items completed {completed} ({per_s:.1} a second), failed {failed}, not once {not_once}"
         )?;
     }
     Ok(())
