--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,7 +6,9 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod batch;
 mod command_line;
+mod control;
 mod demo;
 mod faults;
 mod fixture;
