Leave time for another attempt when a connection falls silent

Ruled out: a probe over the silent connection, which HTTP/1 has no frame for; a fixed first-byte limit, which cuts long answers that are not streamed. Change: an attempt that may be repeated waits a third of the time left; a silent connection drops every idle one of the pool. Conclusion: a silent connection costs a third of the time, not the request.

--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -16,6 +16,7 @@
 use hyper_util::client::legacy::{Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// The longest time to open a connection to a backend server.
@@ -67,24 +68,28 @@
     }
 }
 
+type PooledClient = Client<HttpConnector, Full<Bytes>>;
+
 /// Sends requests to backend servers; clones share connections.
+///
+/// When a connection falls silent, every idle one is given up too: what made the
+/// one silent may have hit them all, and a new connection is cheap.
 #[derive(Clone)]
 pub struct ServerClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Arc<Mutex<PooledClient>>,
 }
 
 impl ServerClient {
     /// A client with a connection pool of its own.
     #[must_use]
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
-            .build(connector);
-        Self { client }
+        Self {
+            client: Arc::new(Mutex::new(pooled_client())),
+        }
+    }
+
+    fn pooled(&self) -> MutexGuard<'_, PooledClient> {
+        self.client.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sends one request and waits for the header fields of its answer.
@@ -94,10 +99,14 @@
     /// Fails if no answer to this request begins in time.
     pub async fn send(&self, request: &ServerRequest) -> Result<Response<Incoming>, ServerFailure> {
         let message = http_request(request)?;
-        let sending = self.client.request(message);
+        let client = self.pooled().clone();
+        let sending = client.request(message);
         let response = tokio::time::timeout(request.first_byte_timeout, sending)
             .await
-            .map_err(|_| silent(request.first_byte_timeout))?
+            .map_err(|_| {
+                *self.pooled() = pooled_client();
+                silent(request.first_byte_timeout)
+            })?
             .map_err(|error| failure(&error))?;
         check_refusal(&response)?;
         check_id(request, &response)?;
@@ -105,6 +114,17 @@
     }
 }
 
+/// A client with an empty connection pool.
+fn pooled_client() -> PooledClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
+        .build(connector)
+}
+
 impl Default for ServerClient {
     fn default() -> Self {
         Self::new()
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -1,6 +1,6 @@
 //! The attempts at one online request.
 
-use crate::admission::KeyHolder;
+use crate::admission::{KeyChecker, KeyHolder};
 use crate::metrics::HostMetrics;
 use crate::quarantine::SuspectWatch;
 use crate::replica::ReplicaHandle;
@@ -50,6 +50,7 @@
     pub(crate) client: &'a ServerClient,
     pub(crate) clock: &'a Arc<dyn ClockSource>,
     pub(crate) metrics: &'a Arc<HostMetrics>,
+    pub(crate) keys: &'a KeyChecker,
     pub(crate) replica: &'a ReplicaHandle,
 }
 
@@ -76,7 +77,9 @@
             let grant = self.acquire(&plan, &excluded, deadline, verdict).await?;
             excluded.push(grant.name.clone());
             let crash = possible_crash(&grant);
-            let attempt = self.attempt(&request, &plan, grant, &mut watch, deadline);
+            let now = self.clock.now();
+            let patience = first_byte_patience(&plan, excluded.len(), deadline, now);
+            let attempt = self.attempt(&request, &plan, grant, &mut watch, patience);
             let failure = match attempt.await {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
@@ -138,10 +141,7 @@
         };
         let result = tokio::select! {
             result = self.routing.acquire(wanted, deadline) => result,
-            refusal = self.withdrawal(plan) => Err(RequestRefusal {
-                verdict: RunVerdict::NotRun,
-                ..refusal
-            }),
+            refusal = self.revoked(plan) => Err(refusal),
         };
         result.map_err(|refusal| joined(refusal, verdict))
     }
@@ -152,9 +152,8 @@
         plan: &AttemptPlan,
         mut grant: ServerGrant,
         watch: &mut SuspectWatch,
-        deadline: Instant,
+        patience: AttemptPatience,
     ) -> Result<Response<AnswerBody>, ServerFailure> {
-        let left = deadline.saturating_duration_since(self.clock.now());
         let message = ServerRequest {
             address: grant.address,
             id: request.id,
@@ -163,7 +162,7 @@
             path_and_query: path_and_query(request),
             headers: request.headers.clone(),
             body: request.body.clone(),
-            first_byte_timeout: left,
+            first_byte_timeout: patience.first_byte,
         };
         let sent = self.client.send(&message).await;
         let response = sent.inspect_err(|failure| {
@@ -173,7 +172,7 @@
         if is_event_stream(answer.response.headers()) {
             return Ok(self.stream(request, plan, answer, watch.take()));
         }
-        let whole = self.whole(request, plan, answer, deadline).await?;
+        let whole = self.whole(request, plan, answer, patience.deadline).await?;
         watch.report_answer();
         Ok(whole)
     }
@@ -242,6 +241,14 @@
         Ok(response)
     }
 
+    /// Resolves once the key of the request may not be used any more.
+    async fn revoked(&self, plan: &AttemptPlan) -> RequestRefusal {
+        match &plan.holder {
+            Some(holder) => self.keys.revoked(holder).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Resolves once the key of the request is withdrawn.
     fn withdrawal(&self, plan: &AttemptPlan) -> BoxFuture<'static, RequestRefusal> {
         let Some(holder) = plan.holder.clone() else {
@@ -261,6 +268,32 @@
     }
 }
 
+/// How long one attempt may take.
+#[derive(Clone, Copy)]
+struct AttemptPatience {
+    /// The longest wait for the header fields of the answer.
+    first_byte: Duration,
+    /// The instant by which the whole answer is due.
+    deadline: Instant,
+}
+
+/// Leaves time for another attempt: one that may be repeated waits a third of
+/// the time left for its first byte, and the last one all of it.
+fn first_byte_patience(
+    plan: &AttemptPlan,
+    attempt: usize,
+    deadline: Instant,
+    now: Instant,
+) -> AttemptPatience {
+    const SHARES: u32 = 3;
+    let left = deadline.saturating_duration_since(now);
+    let repeatable = plan.idempotent && attempt < SHARES as usize;
+    AttemptPatience {
+        first_byte: if repeatable { left / SHARES } else { left },
+        deadline,
+    }
+}
+
 fn joined(refusal: RequestRefusal, verdict: RunVerdict) -> RequestRefusal {
     RequestRefusal {
         verdict: refusal.verdict.join(verdict),
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -101,6 +101,7 @@
             RoutingEvent::Released(released) => self.release(&released, now),
             RoutingEvent::Hosts(hosts) => self.table.set_hosts(hosts),
             RoutingEvent::YieldSlot(asker, name) => self.yield_slot(asker, &name),
+            RoutingEvent::OnlinePlaced(name) => self.note_placed(&name),
             RoutingEvent::SlotYielded(name) => {
                 if let Some(key) = self.table.key_of(&name) {
                     self.table.servers().note_freed(key);
@@ -165,6 +166,7 @@
         }
         let servers = self.table.servers();
         servers.finish(key, released.outcome, elapsed, released.load, now);
+        self.table.give_back(key, released.load, now);
         let went_well = matches!(
             released.outcome,
             ServerOutcome::Answered | ServerOutcome::Cancelled
@@ -273,7 +275,7 @@
     }
 
     fn grant(&mut self, key: ServerKey, request: &SlotRequest, sender: GrantSender, now: Instant) {
-        let Some(announcement) = self.table.take_slot(key) else {
+        let Some(announcement) = self.table.take_slot(key, now) else {
             return;
         };
         let name = announcement.name.clone();
--- a/crates/host/src/routing/task/room.rs
+++ b/crates/host/src/routing/task/room.rs
@@ -1,7 +1,7 @@
 //! Making room for online requests on servers that batch items take up.
 
 use super::RoutingTask;
-use crate::routing::handle::{BatchGrant, WorkKind};
+use crate::routing::handle::{BatchGrant, SlotContent, WorkKind};
 use chicoryladder_policy::routing::{ServerKey, WorkTarget};
 use chicoryladder_types::prelude::*;
 use std::time::Instant;
@@ -20,22 +20,31 @@
                 continue;
             }
             let wish = table.next_choice(request, now);
-            if let Some(wish) = wish.and_then(|key| table.slot_wish(key)) {
+            if let Some(wish) = wish.and_then(|key| table.slot_notice(key, SlotContent::Wanted)) {
                 let _ = self.channels.notices.send(wish);
             }
         }
     }
 
-    /// Makes room on a server whose slots other hosts' requests take up.
+    /// Makes room on the server of an online request, if batch items fill it.
+    ///
+    /// Only the dispatching host knows how many do: reports of the load lag.
     fn relieve(&mut self, key: ServerKey) {
-        if !self.table.is_crowded(key) {
-            return;
+        if let Some(notice) = self.table.slot_notice(key, SlotContent::Placed) {
+            // A closed channel means that the host is stopping.
+            let _ = self.channels.notices.send(notice);
+        } else if self.table.is_crowded(key) {
+            self.batch_slots.stop_youngest(None, |other| other == key);
         }
-        if self.batch_slots.stop_youngest(None, |other| other == key) {
+    }
+
+    pub(super) fn note_placed(&mut self, name: &ServerName) {
+        let Some(key) = self.table.key_of(name) else {
             return;
-        }
-        if let Some(wish) = self.table.slot_wish(key) {
-            let _ = self.channels.notices.send(wish);
+        };
+        self.table.note_placed(key);
+        if self.table.is_crowded(key) {
+            self.batch_slots.stop_youngest(None, |other| other == key);
         }
     }
 
