Prove that a charge which may have run is not sent again

Cause: the promise on non-idempotent requests had no test in which the effect takes place and the answer is lost. Change: two plain services that crash after the effect; the charge runs once in all and the caller is told that it may have run. The local fleet starts more than one plain service.

--- a/src/local_fleet.rs
+++ b/src/local_fleet.rs
@@ -135,15 +135,17 @@
         Ok(())
     }
 
-    /// Starts a plain service in the first availability zone.
+    /// Starts a plain service, in each availability zone in turn.
     ///
     /// # Errors
     ///
     /// Fails if the service cannot listen.
     pub async fn add_service(&mut self) -> Result<(), CommandError> {
-        let name = ServerName::try_from("ledger-1").map_err(failed)?;
+        let count = self.services.len();
+        let name = format!("ledger-{}", count + 1);
+        let name = ServerName::try_from(name).map_err(failed)?;
         let service = ServiceName::try_from(SERVICE).map_err(failed)?;
-        let zone = LocalZone::ALL[0].zone_name()?;
+        let zone = LocalZone::ALL[count % LocalZone::ALL.len()].zone_name()?;
         let mut options = PlainOptions::new(name, zone, service);
         options.entry_hosts = self.servers_ports();
         let service = PlainServer::start(options).await.map_err(failed)?;
--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -68,6 +68,11 @@
         runner.run().await
     }
 
+    fn key(&self) -> String {
+        let team = self.experiment.teams.values().next().unwrap();
+        team.key.clone().unwrap()
+    }
+
     fn engine(&self) -> &EngineHandle {
         &self.fleet.engines()[0]
     }
@@ -179,7 +184,7 @@
             ..FaultPlan::default()
         });
     }
-    let key = scene.experiment.teams.values().next().unwrap().key.clone();
+    let key = scene.key();
     let body = serde_json::json!({
         "model": MODEL, "max_tokens": 1,
         "messages": [{ "role": "user", "content": "poison" }],
@@ -188,9 +193,7 @@
     // The caller resends to each host in turn, while crashed servers restart.
     for callers in scene.fleet.callers() {
         let request = HttpRequest::post(callers, "/v1/chat/completions", body.to_string());
-        let answer = send(request.with_key(key.as_deref().unwrap()))
-            .await
-            .unwrap();
+        let answer = send(request.with_key(&key)).await.unwrap();
         assert!(!answer.status.is_success());
         crashes = 0;
         for engine in scene.fleet.engines() {
@@ -202,3 +205,30 @@
     assert!(crashes <= 2, "{crashes} crashes");
     scene.fleet.stop().await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_charge_that_may_have_run_is_not_sent_again() {
+    let mut scene = FaultScene::start().await;
+    for _ in 0..2 {
+        scene.fleet.add_service().await.unwrap();
+    }
+    scene.fleet.wait_for_servers().await.unwrap();
+    for service in scene.fleet.services() {
+        service.control().set_faults(FaultPlan {
+            crash_on: Some("rent".to_owned()),
+            ..FaultPlan::default()
+        });
+    }
+    let key = scene.key();
+    let callers = scene.fleet.callers()[0];
+    let request = HttpRequest::post(callers, "/services/rent-ledger/charges", "rent");
+    let answer = send(request.with_key(&key)).await.unwrap();
+    assert!(!answer.status.is_success());
+    assert_eq!(answer.verdict(), Some("may-have-run"));
+    let services = scene.fleet.services().iter();
+    let runs: u64 = services
+        .flat_map(|service| service.runs().into_values())
+        .sum();
+    assert_eq!(runs, 1);
+    scene.fleet.stop().await;
+}
