--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,7 +6,7 @@
 
 use crate::limits::LimitMessage;
 use crate::replica::ReplicaMessage;
-use chicoryladder_link::{InboundMessage, PeerLink};
+use chicoryladder_link::{InboundMessage, LinkCounts, PeerLink};
 use chicoryladder_policy::quarantine::SuspectUpdate;
 use chicoryladder_state::{HostPosition, KeyTombstones};
 use chicoryladder_types::prelude::*;
@@ -42,6 +42,9 @@
     YieldSlot(ServerName),
     /// Tells that a batch item has left the backend server.
     SlotYielded(ServerName),
+    /// Tells of an online request on a backend server that the receiver
+    /// dispatches batch items to.
+    OnlinePlaced(ServerName),
     /// Concerns the replicated state.
     Replica(ReplicaMessage),
     /// Tells of requests that were on lost servers.
@@ -100,6 +103,11 @@
         latest.map(|peer| peer.address)
     }
 
+    /// What the link of this host has exchanged so far.
+    pub(crate) fn link_counts(&self) -> LinkCounts {
+        self.link.stats().counts()
+    }
+
     /// Waits until the peers' port is free again, after the host has stopped.
     pub(crate) async fn port_freed(&self) {
         self.link.closed().await;
