Serve the same numbered board from every host

Cause: operators need one picture of which classes are on target, also after the loss of the host that makes it. Ruled out: the time of an answer's header fields as the time to the first token, since engines send those before it; the gateway now tells the first chunk of a stream. Left: batch classes show no verdict on their deadline yet.

--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -45,6 +45,8 @@
     pub chunk_timeout: Duration,
     /// Stops the answer with the refusal that it resolves to.
     pub stop: BoxFuture<'static, RequestRefusal>,
+    /// Told once that the first chunk has arrived.
+    pub on_first: Box<dyn FnOnce() + Send>,
     /// Told once how the answer ended.
     pub on_end: Box<dyn FnOnce(StreamEnd) + Send>,
 }
@@ -58,6 +60,7 @@
         needs_marker: terms.needs_marker,
         chunk_timeout: terms.chunk_timeout,
         stop: terms.stop,
+        on_first: Some(terms.on_first),
         on_end: Some(terms.on_end),
         timer: Box::pin(timer),
         tail: Vec::new(),
@@ -79,6 +82,7 @@
     needs_marker: bool,
     chunk_timeout: Duration,
     stop: BoxFuture<'static, RequestRefusal>,
+    on_first: Option<Box<dyn FnOnce() + Send>>,
     on_end: Option<Box<dyn FnOnce(StreamEnd) + Send>>,
     timer: Pin<Box<Sleep>>,
     tail: Vec<u8>,
@@ -110,6 +114,9 @@
     }
 
     fn note_chunk(&mut self, chunk: &[u8]) {
+        if let Some(on_first) = self.on_first.take() {
+            on_first();
+        }
         let deadline = Instant::now() + self.chunk_timeout;
         self.timer.as_mut().reset(deadline);
         let kept = chunk.len().saturating_sub(TAIL_BYTES);
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -36,6 +36,7 @@
     let body = body_of(answer).await;
     let (sender, end) = oneshot::channel();
     let terms = StreamTerms {
+        on_first: Box::new(|| {}),
         needs_marker: true,
         chunk_timeout: Duration::from_millis(300),
         stop,
--- a/crates/host/src/admin.rs
+++ b/crates/host/src/admin.rs
@@ -6,13 +6,14 @@
 mod seats;
 mod spread;
 
+use crate::board::BoardHandle;
 use crate::ids::RandomIds;
 use crate::metrics::HostMetrics;
 use crate::peers::PeerDirectory;
 use crate::replica::ReplicaHandle;
 use crate::routing::RoutingHandle;
 use crate::tombstones::TombstoneHandle;
-use chicoryladder_gateway::{AdminAnswer, AdminRequest, OperatorPort};
+use chicoryladder_gateway::{AdminAnswer, AdminRequest, OperatorPort, json_answer};
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -28,6 +29,7 @@
     pub(crate) routing: RoutingHandle,
     pub(crate) peers: PeerDirectory,
     pub(crate) tombstones: TombstoneHandle,
+    pub(crate) boards: BoardHandle,
     pub(crate) ids: Arc<RandomIds>,
     pub(crate) shared_secret: String,
     pub(crate) metrics: Arc<HostMetrics>,
@@ -52,6 +54,7 @@
             (&Method::PUT, "fleet") => self.put_fleet(&request.body).await,
             (&Method::GET, "keys") => Ok(self.list_keys()),
             (&Method::POST, "keys") => self.grant_key(&request.body).await,
+            (&Method::GET, "board") => Ok(json_answer(200, &self.boards.board())),
             (&Method::GET, "members") => Ok(self.members()),
             (&Method::GET, "seats") => Ok(self.list_seats()),
             (&Method::POST, "seats") => self.change_seats(&request.body).await,
--- /dev/null
+++ b/crates/host/src/board.rs
@@ -0,0 +1,194 @@
+//! The task that counts this host's requests and keeps the newest board.
+//!
+//! Every second each host reports its counts to the leader of group 0; the leader
+//! makes a board and sends it to all hosts.
+
+use crate::peers::{PeerDirectory, PeerMessage};
+use crate::replica::ReplicaHandle;
+use chicoryladder_settings::{ClassTarget, OnlineTarget};
+use chicoryladder_state::{BoardMaker, BoardShelf, TallyReport, TallyWindow};
+use chicoryladder_types::admin::FleetBoard;
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{LogIndex, TermNumber};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+
+/// The time between two boards, and the length of a slot of the window.
+const BOARD_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What the task is told.
+enum BoardEvent {
+    Served(ServedRequest),
+    Refused(ClassName, RefusalReason),
+    Tally(HostName, TallyReport),
+    Board(FleetBoard),
+}
+
+/// A request that was served to its end.
+#[derive(Clone, Debug)]
+pub(crate) struct ServedRequest {
+    pub(crate) class: ClassName,
+    /// The time until the first chunk of a stream; absent for whole answers.
+    pub(crate) first_token: Option<Duration>,
+    /// The time until the answer was whole.
+    pub(crate) answer: Duration,
+}
+
+/// Talks to the task; clones share it.
+#[derive(Clone)]
+pub(crate) struct BoardHandle {
+    events: mpsc::UnboundedSender<BoardEvent>,
+    boards: watch::Receiver<FleetBoard>,
+}
+
+impl BoardHandle {
+    /// Counts a request that was served.
+    pub(crate) fn served(&self, request: ServedRequest) {
+        self.tell(BoardEvent::Served(request));
+    }
+
+    /// Counts a request that was refused or given up on.
+    pub(crate) fn refused(&self, class: ClassName, reason: RefusalReason) {
+        self.tell(BoardEvent::Refused(class, reason));
+    }
+
+    /// Takes the counts of another host.
+    pub(crate) fn take_tally(&self, host: HostName, report: TallyReport) {
+        self.tell(BoardEvent::Tally(host, report));
+    }
+
+    /// Takes a board that another host made.
+    pub(crate) fn take_board(&self, board: FleetBoard) {
+        self.tell(BoardEvent::Board(board));
+    }
+
+    /// The newest board.
+    pub(crate) fn board(&self) -> FleetBoard {
+        self.boards.borrow().clone()
+    }
+
+    fn tell(&self, event: BoardEvent) {
+        // A closed channel means that the host has stopped.
+        let _ = self.events.send(event);
+    }
+}
+
+/// Counts, reports and makes boards.
+pub(crate) struct BoardTask {
+    host: HostName,
+    replica: ReplicaHandle,
+    peers: PeerDirectory,
+    clock: Arc<dyn ClockSource>,
+    events: mpsc::UnboundedReceiver<BoardEvent>,
+    boards: watch::Sender<FleetBoard>,
+    window: TallyWindow,
+    maker: BoardMaker,
+    shelf: BoardShelf,
+}
+
+impl BoardTask {
+    pub(crate) fn new(
+        host: HostName,
+        replica: ReplicaHandle,
+        peers: PeerDirectory,
+        clock: Arc<dyn ClockSource>,
+    ) -> (Self, BoardHandle) {
+        let (sender, events) = mpsc::unbounded_channel();
+        let (boards, receiver) = watch::channel(FleetBoard::default());
+        let task = Self {
+            host,
+            replica,
+            peers,
+            clock,
+            events,
+            boards,
+            window: TallyWindow::default(),
+            maker: BoardMaker::default(),
+            shelf: BoardShelf::default(),
+        };
+        let handle = BoardHandle {
+            events: sender,
+            boards: receiver,
+        };
+        (task, handle)
+    }
+
+    pub(crate) async fn run(mut self) {
+        let mut ticks = tokio::time::interval(BOARD_INTERVAL);
+        loop {
+            tokio::select! {
+                event = self.events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: BoardEvent) {
+        match event {
+            BoardEvent::Served(request) => self.count_served(&request),
+            BoardEvent::Refused(class, reason) => self.window.record_refused(&class, reason),
+            BoardEvent::Tally(host, report) => {
+                self.maker.take(host, report, self.clock.now());
+            }
+            BoardEvent::Board(board) => self.show(board),
+        }
+    }
+
+    fn count_served(&mut self, request: &ServedRequest) {
+        let view = self.replica.view();
+        let class = view.document.classes.get(&request.class);
+        let within = match class.map(|class| class.target) {
+            Some(ClassTarget::Online(target)) => keeps_target(request, target),
+            Some(ClassTarget::Batch(_)) | None => true,
+        };
+        let ServedRequest {
+            class,
+            first_token,
+            answer,
+        } = request;
+        self.window
+            .record_served(class, *first_token, *answer, within);
+    }
+
+    fn tick(&mut self) {
+        let report = self.window.report();
+        self.window.advance();
+        let group = self.replica.group();
+        let leads = group.leader == Some(self.peers.own_address());
+        match (leads, group.term, group.leader) {
+            (true, Some(term), _) => self.make(term, report),
+            (false, _, Some(leader)) => self.peers.send(leader, &PeerMessage::Tally(report)),
+            _ => {}
+        }
+    }
+
+    fn make(&mut self, term: TermNumber, report: TallyReport) {
+        let view = self.replica.view();
+        if view.applied == LogIndex::default() {
+            return;
+        }
+        let now = self.clock.now();
+        self.maker.take(self.host.clone(), report, now);
+        let mut hosts: Vec<HostName> = self.peers.known().into_iter().map(|p| p.host).collect();
+        hosts.sort();
+        let wall = self.clock.wall();
+        let board = self.maker.make(term, &view, &hosts, now, wall);
+        self.peers.broadcast(&PeerMessage::Board(board.clone()));
+        self.show(board);
+    }
+
+    fn show(&mut self, board: FleetBoard) {
+        if self.shelf.offer(board) {
+            self.boards.send_replace(self.shelf.board().clone());
+        }
+    }
+}
+
+fn keeps_target(request: &ServedRequest, target: OnlineTarget) -> bool {
+    let begun = request.first_token.unwrap_or_default();
+    begun <= target.first_token && request.answer <= target.answer
+}
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -6,6 +6,7 @@
 use crate::batch::{
     AttemptRunner, BatchDispatcher, DispatcherHandle, HomeTask, JobSweeper, SlotRelay,
 };
+use crate::board::{BoardHandle, BoardTask};
 use crate::ids::RandomIds;
 use crate::job_service::JobService;
 use crate::limits::{LimitHandle, LimitTask, LimitTaskSettings};
@@ -82,6 +83,7 @@
     replica: ReplicaHandle,
     routing: RoutingHandle,
     tombstones: TombstoneHandle,
+    boards: BoardHandle,
     limits: LimitHandle,
     quarantine: QuarantineHandle,
     drain: DrainFlag,
@@ -122,6 +124,13 @@
             TombstoneTask::open(replica.clone(), directory.clone(), store)
                 .map_err(HostError::Withdrawals)?;
         tasks.spawn(tombstone_task.run());
+        let (board_task, boards) = BoardTask::new(
+            settings.host.name.clone(),
+            replica.clone(),
+            directory.clone(),
+            clock.clone(),
+        );
+        tasks.spawn(board_task.run());
         let peer_task = PeerTask {
             directory: directory.clone(),
             messages,
@@ -129,6 +138,7 @@
             inbox,
             routing: routing.clone(),
             tombstones: tombstones.clone(),
+            boards: boards.clone(),
             waiting: HashMap::new(),
             limits: limit_inbox,
             quarantine: quarantine.clone(),
@@ -170,6 +180,7 @@
             replica,
             routing,
             tombstones,
+            boards,
             limits,
             quarantine,
             drain,
@@ -255,6 +266,7 @@
             keys: self.key_checker(),
             replica: self.replica.clone(),
             limits: self.limits.clone(),
+            boards: self.boards.clone(),
             quarantine: self.quarantine.clone(),
             routing: self.routing.clone(),
             retries: RetryRules::new(self.ids.seed()),
@@ -293,6 +305,7 @@
             routing: self.routing.clone(),
             peers: self.directory.clone(),
             tombstones: self.tombstones.clone(),
+            boards: self.boards.clone(),
             ids: self.ids.clone(),
             shared_secret,
             metrics: self.metrics.clone(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -9,6 +9,7 @@
 mod admin;
 mod admission;
 mod batch;
+mod board;
 mod entry_host;
 mod ids;
 mod job_service;
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -1,6 +1,7 @@
 //! Online requests from admission to the end of the answer.
 
 use crate::admission::{KeyChecker, KeyHolder, WorkRules};
+use crate::board::BoardHandle;
 use crate::limits::LimitHandle;
 use crate::metrics::HostMetrics;
 use crate::online_attempt::{AttemptPlan, OnlineAttempts, path_and_query};
@@ -13,6 +14,7 @@
 use chicoryladder_gateway::{AnswerBody, OnlinePort, OnlineRequest, ServerClient};
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_settings::{ClassTarget, RouteTarget};
+use chicoryladder_state::FleetView;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -28,6 +30,7 @@
     pub(crate) keys: KeyChecker,
     pub(crate) replica: ReplicaHandle,
     pub(crate) limits: LimitHandle,
+    pub(crate) boards: BoardHandle,
     pub(crate) quarantine: QuarantineHandle,
     pub(crate) routing: RoutingHandle,
     pub(crate) retries: RetryRules,
@@ -71,6 +74,20 @@
         let view = self.replica.view();
         let class = request.class.as_ref();
         let rules = WorkRules::find(&view, request.method.as_str(), &request.path, class)?;
+        let class = rules.class.clone();
+        let result = self.serve_by_rules(request, rules, &view).await;
+        if let Err(refusal) = &result {
+            self.boards.refused(class, refusal.reason);
+        }
+        result
+    }
+
+    async fn serve_by_rules(
+        &self,
+        request: OnlineRequest,
+        rules: WorkRules,
+        view: &FleetView,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
         let holder = self.holder(&request, &rules)?;
         let target = work_target(&rules.route.target, &request)?;
         let watch = self.watch(&request, &rules, holder.as_ref());
@@ -132,6 +149,7 @@
             client: &self.client,
             clock: &self.clock,
             metrics: &self.metrics,
+            boards: &self.boards,
             keys: &self.keys,
             replica: &self.replica,
         }
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -1,6 +1,7 @@
 //! The attempts at one online request.
 
 use crate::admission::{KeyChecker, KeyHolder};
+use crate::board::{BoardHandle, ServedRequest};
 use crate::metrics::HostMetrics;
 use crate::quarantine::SuspectWatch;
 use crate::replica::ReplicaHandle;
@@ -21,7 +22,7 @@
 use hyper::Response;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 /// The longest answer that is held until it is whole, in bytes.
@@ -50,6 +51,7 @@
     pub(crate) client: &'a ServerClient,
     pub(crate) clock: &'a Arc<dyn ClockSource>,
     pub(crate) metrics: &'a Arc<HostMetrics>,
+    pub(crate) boards: &'a BoardHandle,
     pub(crate) keys: &'a KeyChecker,
     pub(crate) replica: &'a ReplicaHandle,
 }
@@ -188,10 +190,19 @@
         let mut grant = answer.grant;
         grant.load = reported_load(&parts.headers);
         let metrics = self.metrics.clone();
+        let boards = self.boards.clone();
         let clock = self.clock.clone();
         let class = plan.class.clone();
         let received = request.received;
+        let first_token = Arc::new(OnceLock::new());
+        let first_clock = self.clock.clone();
+        let first_seen = Arc::clone(&first_token);
         let terms = StreamTerms {
+            on_first: Box::new(move || {
+                let elapsed = first_clock.now().saturating_duration_since(received);
+                // Called once, so the time is not set yet.
+                let _ = first_seen.set(elapsed);
+            }),
             needs_marker: parts.status.is_success(),
             chunk_timeout: plan.give_up,
             stop: self.withdrawal(plan),
@@ -205,6 +216,12 @@
                 drop(grant);
                 let elapsed = clock.now().saturating_duration_since(received);
                 count_end(&metrics, end, &class, elapsed);
+                let served = ServedRequest {
+                    class,
+                    first_token: first_token.get().copied(),
+                    answer: elapsed,
+                };
+                show_end(&boards, end, served);
             }),
         };
         let mut response = Response::new(watch_stream(body, terms));
@@ -234,6 +251,11 @@
         drop(grant);
         let elapsed = self.clock.now().saturating_duration_since(request.received);
         self.metrics.count_served(&plan.class, elapsed);
+        self.boards.served(ServedRequest {
+            class: plan.class.clone(),
+            first_token: None,
+            answer: elapsed,
+        });
         let mut response = Response::new(bytes_body(bytes));
         *response.status_mut() = parts.status;
         *response.headers_mut() = answer_fields(&parts.headers);
@@ -381,6 +403,18 @@
     }
 }
 
+/// Counts the end of a stream on the board; one ended for its caller's reason
+/// does not count.
+fn show_end(boards: &BoardHandle, end: StreamEnd, request: ServedRequest) {
+    let reason = match end {
+        StreamEnd::Whole => return boards.served(request),
+        StreamEnd::Truncated => RefusalReason::AnswerTruncated,
+        StreamEnd::Silent => RefusalReason::ServerSilent,
+        StreamEnd::Stopped | StreamEnd::CallerLeft => return,
+    };
+    boards.refused(request.class, reason);
+}
+
 fn count_end(metrics: &HostMetrics, end: StreamEnd, class: &ClassName, elapsed: Duration) {
     match end {
         StreamEnd::Whole => metrics.count_served(class, elapsed),
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -8,7 +8,8 @@
 use crate::replica::ReplicaMessage;
 use chicoryladder_link::{InboundMessage, PeerLink};
 use chicoryladder_policy::quarantine::SuspectUpdate;
-use chicoryladder_state::{HostPosition, KeyTombstones};
+use chicoryladder_state::{HostPosition, KeyTombstones, TallyReport};
+use chicoryladder_types::admin::FleetBoard;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{LogIndex, ServerAnnouncement};
 use serde::{Deserialize, Serialize};
@@ -46,6 +47,10 @@
     Replica(ReplicaMessage),
     /// Tells of requests that were on lost servers.
     Suspects(Vec<SuspectUpdate>),
+    /// Tells the leader what the sender has counted.
+    Tally(TallyReport),
+    /// Passes on the newest board.
+    Board(FleetBoard),
     /// Concerns the rates of the teams.
     Limits(LimitMessage),
 }
--- a/crates/host/src/peers/task.rs
+++ b/crates/host/src/peers/task.rs
@@ -1,6 +1,7 @@
 //! The task that takes the messages of other hosts.
 
 use super::{PeerDirectory, PeerMessage};
+use crate::board::BoardHandle;
 use crate::limits::LimitInbox;
 use crate::quarantine::QuarantineHandle;
 use crate::replica::{ReplicaHandle, ReplicaInbox};
@@ -29,6 +30,7 @@
     pub(crate) limits: LimitInbox,
     pub(crate) quarantine: QuarantineHandle,
     pub(crate) tombstones: TombstoneHandle,
+    pub(crate) boards: BoardHandle,
     /// The positions that other hosts wait for this host to reach.
     pub(crate) waiting: HashMap<SocketAddr, LogIndex>,
 }
@@ -72,6 +74,10 @@
             Ok(PeerMessage::Position(position)) => self.directory.note_position(sender, position),
             Ok(PeerMessage::Tombstones(tombstones)) => self.tombstones.heard(sender, tombstones),
             Ok(PeerMessage::Announcement(announcement)) => self.routing.announce(announcement),
+            Ok(PeerMessage::Tally(report)) => {
+                self.boards.take_tally(message.sender.clone(), report);
+            }
+            Ok(PeerMessage::Board(board)) => self.boards.take_board(board),
             Ok(PeerMessage::Suspects(updates)) => self.quarantine.deliver(updates),
             Ok(PeerMessage::Limits(content)) => {
                 self.limits.deliver(message.sender.clone(), content);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod batch;
+mod board;
 mod command_line;
 mod control;
 mod demo;
