Serve a page that shows the board

Cause: the screens of a control room show a page, not a terminal. Ruled out: data within the page, since a browser cannot send the bearer token for it; a cookie, since it would be one more credential to guard. Not done: no browser is installed here, so nobody has looked at the page.

--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -10,7 +10,7 @@
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Method, Request, Response};
 use std::sync::Arc;
 use std::time::Duration;
 use subtle::ConstantTimeEq;
@@ -24,6 +24,12 @@
 /// The longest time for an operator's body to arrive.
 const ADMIN_BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The path of the board's page.
+const BOARD_PATH: &str = "/board";
+
+/// The page; it holds no data, which its script reads with the token.
+const BOARD_PAGE: &str = include_str!("board.html");
+
 /// Serves the operators' port.
 pub struct OperatorService {
     /// Serves checked requests.
@@ -46,8 +52,11 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
-        self.authenticate(request.headers())?;
         let path = request.uri().path().to_owned();
+        if path == BOARD_PATH {
+            return board_page(request.method());
+        }
+        self.authenticate(request.headers())?;
         if path == "/metrics" {
             let kind = "text/plain; version=0.0.4";
             return Ok(typed_answer(200, kind, self.port.metrics().into_bytes()));
@@ -79,3 +88,12 @@
         Err(RequestRefusal::not_run(RefusalReason::UnknownKey, detail))
     }
 }
+
+fn board_page(method: &Method) -> Result<Response<AnswerBody>, RequestRefusal> {
+    if method == Method::GET {
+        let kind = "text/html; charset=utf-8";
+        return Ok(typed_answer(200, kind, BOARD_PAGE.as_bytes().to_vec()));
+    }
+    let detail = format!("this path takes GET, not {method}");
+    Err(RequestRefusal::not_run(RefusalReason::WrongMethod, detail))
+}
--- a/tests/all/board.rs
+++ b/tests/all/board.rs
@@ -55,6 +55,20 @@
     eventually("the next leader makes boards", goes_on).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_page_holds_no_data_and_the_board_needs_the_token() {
+    let fleet = FleetFixture::with_document(1).await;
+    let operators = fleet.ports(0).operators;
+    let page = send(HttpRequest::get(operators, "/board")).await.unwrap();
+    assert_eq!(page.status, 200);
+    assert_eq!(page.field("content-type"), Some("text/html; charset=utf-8"));
+    assert!(!page.text().contains("receipt"));
+    let keyless = send(HttpRequest::get(operators, "/admin/v1/board")).await;
+    assert_eq!(keyless.unwrap().status, 401);
+    let posted = send(HttpRequest::post(operators, "/board", "")).await;
+    assert_eq!(posted.unwrap().status, 405);
+}
+
 async fn leader(fleet: &FleetFixture) -> usize {
     let answer = fleet.admin(0, "GET", "members", &json!(null)).await.json();
     let name = answer["leader"].as_str().unwrap().to_owned();
