--- a/src/commands/status.rs
+++ b/src/commands/status.rs
@@ -63,6 +63,9 @@
 }
 
 fn describe(board: &FleetBoard, now: SystemTime) -> String {
+    if board.number == 0 {
+        return "no board has been made yet".to_owned();
+    }
     let made_at = UNIX_EPOCH + Duration::from_millis(board.made_at_ms);
     let age = now.duration_since(made_at).unwrap_or_default();
     let headings = [
