Report shared listen addresses and every absent file at once

Cause: two ports with one address failed only when the host started, and check named one absent file at a time. Change: a shared address is a fault of the settings, but for port 0; check names all files that cannot be read.

--- a/crates/settings/src/host/read.rs
+++ b/crates/settings/src/host/read.rs
@@ -68,6 +68,23 @@
     }
 }
 
+/// Port 0 takes a free port, so two keys may have it.
+fn report_shared_addresses(
+    section: &mut SectionReader<'_>,
+    addresses: &[(&'static str, Option<SocketAddr>)],
+) {
+    for (index, (key, address)) in addresses.iter().enumerate() {
+        let Some(address) = address.filter(|address| address.port() != 0) else {
+            continue;
+        };
+        let earlier = &addresses[..index];
+        if let Some((other, _)) = earlier.iter().find(|(_, known)| *known == Some(address)) {
+            let problem = format!("`{key}` has the address of `{other}`");
+            section.fault_at(key, problem, "give each its own port");
+        }
+    }
+}
+
 struct HostReader<'a> {
     sections: &'a [IniSection],
     faults: &'a mut Vec<SettingsFault>,
@@ -136,6 +153,15 @@
         let servers = section.required("servers");
         let operators = section.required("operators");
         let peers = section.required("peers");
+        report_shared_addresses(
+            &mut section,
+            &[
+                ("callers", callers),
+                ("servers", servers),
+                ("operators", operators),
+                ("peers", peers),
+            ],
+        );
         section.finish();
         Some(ListenAddresses {
             callers: callers?,
--- a/crates/settings/tests/host.rs
+++ b/crates/settings/tests/host.rs
@@ -76,6 +76,17 @@
     insta::assert_snapshot!("host_faults_rendered", render(&report));
 }
 
+#[test]
+fn two_ports_cannot_share_an_address_unless_it_is_free_to_choose() {
+    let shared = MINIMAL.replace("servers = 127.0.0.1:7102", "servers = 127.0.0.1:7101");
+    let report = HostSettings::parse("host.ini", &shared).expect_err("the address is shared");
+    insta::assert_snapshot!("host_shared_address", report.to_lines());
+    let free = MINIMAL
+        .replace("127.0.0.1:7101", "127.0.0.1:0")
+        .replace("127.0.0.1:7102", "127.0.0.1:0");
+    assert!(HostSettings::parse("host.ini", &free).is_ok());
+}
+
 #[test]
 fn an_empty_text_lacks_every_required_section() {
     let report = HostSettings::parse("host.ini", "").expect_err("sections are absent");
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -28,14 +28,14 @@
 ///
 /// # Errors
 ///
-/// Fails with every fault of the settings, or with the file that is absent.
+/// Fails with every fault of the settings, or with the files that cannot be read.
 pub fn check_settings(path: &Path) -> Result<HostSettings, CommandError> {
     let settings = HostSettings::read(path)?;
-    for file in [&settings.peers.secret_file, &settings.operators.token_file] {
-        if let Err(cause) = std::fs::metadata(file) {
-            let path = file.clone();
-            return Err(CommandError::File { path, cause });
-        }
+    let files = [&settings.peers.secret_file, &settings.operators.token_file];
+    let is_absent = |file: &&&PathBuf| std::fs::File::open(file).is_err();
+    let paths: Vec<PathBuf> = files.iter().filter(is_absent).copied().cloned().collect();
+    if !paths.is_empty() {
+        return Err(CommandError::AbsentFiles { paths });
     }
     Ok(settings)
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -61,6 +61,13 @@
         /// The error of the operating system.
         cause: std::io::Error,
     },
+    /// Files that settings name cannot be read.
+    #[error("{} cannot be read", names(paths))]
+    #[diagnostic(help("create them, or correct their paths in the settings"))]
+    AbsentFiles {
+        /// The paths.
+        paths: Vec<PathBuf>,
+    },
     /// Another change took the expected revision.
     #[error(
         "revision {} was taken by operation {}, revision {} is in force now",
@@ -153,7 +160,10 @@
     #[must_use]
     pub const fn exit(&self) -> CommandExit {
         match self {
-            Self::Settings(_) | Self::Document(_) | Self::File { .. } => CommandExit::Faulty,
+            Self::Settings(_)
+            | Self::Document(_)
+            | Self::File { .. }
+            | Self::AbsentFiles { .. } => CommandExit::Faulty,
             Self::Conflict { .. } => CommandExit::Conflict,
             Self::Refused { .. } => CommandExit::Refused,
             Self::Unreachable { .. } => CommandExit::Unreachable,
@@ -184,3 +194,8 @@
         Self::Document(Box::new(report))
     }
 }
+
+fn names(paths: &[PathBuf]) -> String {
+    let names: Vec<String> = paths.iter().map(|p| p.display().to_string()).collect();
+    names.join(" and ")
+}
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -235,6 +235,7 @@
     assert!(text(&bad.stderr).contains("known keys are: lease_ms"));
     let absent = run(DAEMON, folder.path(), &["check", "--settings", "host.ini"]);
     assert_eq!(code(&absent), 3);
+    assert!(text(&absent.stderr).contains("peer-secret.txt cannot be read"));
     write("peer-secret.txt", "a secret that all entry hosts share\n");
     let whole = run(DAEMON, folder.path(), &["check", "--settings", "host.ini"]);
     assert_eq!(code(&whole), 0, "{}", text(&whole.stderr));
