--- a/crates/jobs/src/store/file.rs
+++ b/crates/jobs/src/store/file.rs
@@ -7,15 +7,17 @@
 //! that way comes back when the replica restores its snapshot and replays its
 //! log. Memory holds the offset and length of each record.
 
+mod record;
+
 use super::{ItemStore, RecordKind, StoreError, StoreRecord};
 use chicoryladder_types::JobId;
+use record::{HEADER_BYTES, RecordHeader, read_record};
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
-use std::io::{BufReader, ErrorKind, Read, Seek, SeekFrom, Write};
+use std::io::{BufReader, ErrorKind, Seek, SeekFrom, Write};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
-const HEADER_BYTES: usize = 13;
 const FILE_SUFFIX: &str = "items";
 
 /// The largest buffer filled before a write, in bytes.
@@ -63,53 +65,6 @@
     }
 }
 
-/// The fixed part of a record.
-struct RecordHeader {
-    length: u32,
-    checksum: u32,
-    kind: u8,
-    item: u32,
-}
-
-impl RecordHeader {
-    fn new(record: &StoreRecord<'_>) -> Result<Self, StoreError> {
-        let bytes = record.bytes.len();
-        let length = u32::try_from(bytes).map_err(|_| StoreError::TooLarge { bytes })?;
-        let kind = kind_code(record.kind);
-        Ok(Self {
-            length,
-            checksum: checksum(kind, record.item, record.bytes),
-            kind,
-            item: record.item,
-        })
-    }
-
-    fn encode(&self) -> [u8; HEADER_BYTES] {
-        let mut bytes = [0; HEADER_BYTES];
-        bytes[0..4].copy_from_slice(&self.length.to_le_bytes());
-        bytes[4..8].copy_from_slice(&self.checksum.to_le_bytes());
-        bytes[8] = self.kind;
-        bytes[9..13].copy_from_slice(&self.item.to_le_bytes());
-        bytes
-    }
-
-    fn decode(bytes: [u8; HEADER_BYTES]) -> Self {
-        let word = |at: usize| {
-            u32::from_le_bytes([bytes[at], bytes[at + 1], bytes[at + 2], bytes[at + 3]])
-        };
-        Self {
-            length: word(0),
-            checksum: word(4),
-            kind: bytes[8],
-            item: word(9),
-        }
-    }
-
-    fn matches(&self, payload: &[u8]) -> bool {
-        self.checksum == checksum(self.kind, self.item, payload)
-    }
-}
-
 /// Keeps the records of each job in one file of a folder.
 #[derive(Debug)]
 pub struct FileStore {
@@ -167,8 +122,7 @@
         let mut payload = vec![0; span.length as usize];
         file.read_exact_at(&mut payload, span.offset)?;
         let header = RecordHeader::decode(header);
-        let same = header.item == item && header.kind == kind_code(kind);
-        if !same || !header.matches(&payload) {
+        if !header.names(item, kind) || !header.matches(&payload) {
             return Err(StoreError::Corrupt { job, item });
         }
         Ok(payload)
@@ -255,29 +209,6 @@
     }
 }
 
-fn kind_code(kind: RecordKind) -> u8 {
-    match kind {
-        RecordKind::Request => 1,
-        RecordKind::Result => 2,
-    }
-}
-
-fn kind_of(code: u8) -> Option<RecordKind> {
-    match code {
-        1 => Some(RecordKind::Request),
-        2 => Some(RecordKind::Result),
-        _ => None,
-    }
-}
-
-fn checksum(kind: u8, item: u32, payload: &[u8]) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(&[kind]);
-    hasher.update(&item.to_le_bytes());
-    hasher.update(payload);
-    hasher.finalize()
-}
-
 fn job_of(path: &Path) -> Option<JobId> {
     if path.extension()? != FILE_SUFFIX {
         return None;
@@ -303,25 +234,3 @@
     }
     Ok(scanned)
 }
-
-/// Reads the next whole record, or nothing at the end or a torn record.
-fn read_record(
-    reader: &mut impl Read,
-    left: u64,
-) -> Result<Option<(RecordHeader, RecordKind)>, StoreError> {
-    if left < HEADER_BYTES as u64 {
-        return Ok(None);
-    }
-    let mut header = [0; HEADER_BYTES];
-    reader.read_exact(&mut header)?;
-    let header = RecordHeader::decode(header);
-    let Some(kind) = kind_of(header.kind) else {
-        return Ok(None);
-    };
-    if left - (HEADER_BYTES as u64) < u64::from(header.length) {
-        return Ok(None);
-    }
-    let mut payload = vec![0; header.length as usize];
-    reader.read_exact(&mut payload)?;
-    Ok(header.matches(&payload).then_some((header, kind)))
-}
