Halve the heartbeats of a leader and hold tail requests for longer

Cause: an idle fleet of four daemons sent and received 12 to 19 KB/s a host. Change: heartbeats every 200 ms instead of 100, requests for the tail held for 300 ms instead of 200; a source is left after 800 ms without an answer.

--- a/crates/consensus/src/observer.rs
+++ b/crates/consensus/src/observer.rs
@@ -16,8 +16,8 @@
 use std::time::{Duration, Instant};
 
 const POLL_INTERVAL_MS: u64 = 10;
-const ANSWER_TIMEOUT_MS: u64 = 500;
-const STALE_AFTER_MS: u64 = 1_500;
+const ANSWER_TIMEOUT_MS: u64 = 800;
+const STALE_AFTER_MS: u64 = 2_500;
 
 /// The timers of an observer.
 #[derive(Clone, Debug)]
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -3,7 +3,7 @@
 use chicoryladder_types::{GroupId, SeatId};
 use std::time::Duration;
 
-const HEARTBEAT_INTERVAL_MS: u64 = 100;
+const HEARTBEAT_INTERVAL_MS: u64 = 200;
 const ELECTION_TIMEOUT_MS: u64 = 1_000;
 const CLOCK_DRIFT_PERCENT: u32 = 5;
 const APPEND_MAX_BYTES: usize = 256 * 1024;
--- a/crates/host/src/replica/task/messages.rs
+++ b/crates/host/src/replica/task/messages.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 /// The longest time for which a request for the tail is held.
-const HOLD_MAX: Duration = Duration::from_millis(200);
+const HOLD_MAX: Duration = Duration::from_millis(300);
 
 /// A request for the tail that waits for news.
 pub(super) struct HeldRequest {
