Check the id of an answer before its refusal is believed

Cause: a documented not-run refusal was taken before its id was compared, so the refusal of another request, crossed, could make a request that ran count as not run. That breaks 'a refusal that says not run is true'.

--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -108,8 +108,9 @@
                 silent(request.first_byte_timeout)
             })?
             .map_err(|error| failure(&error))?;
-        check_refusal(&response)?;
+        // An answer to another request says nothing of this one, so the id first.
         check_id(request, &response)?;
+        check_refusal(&response)?;
         Ok(response)
     }
 }
