Run a non-idempotent request once, whichever host a resend reaches

Ruled out: memory of one host and an owner by hash of the key, which lose the claim with their host. Change: a request on a non-idempotent route claims its idempotency key in the replicated log before it is sent on and records its end; a resend gets the recorded answer, or is told that the first runs, ran or may have run. Two reasons are new: already_ran and outcome_unknown. Left: the cost of the two commits is not measured.

--- a/crates/host/src/admin/fleet.rs
+++ b/crates/host/src/admin/fleet.rs
@@ -122,6 +122,8 @@
         | FleetOutcome::Conflict { .. }
         | FleetOutcome::Granted { .. }
         | FleetOutcome::Withdrawn { .. }
+        | FleetOutcome::Claimed(_)
+        | FleetOutcome::Settled
         | FleetOutcome::AlreadyApplied => {
             (RefusalReason::BadRequest, "unexpected outcome".to_owned())
         }
--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -18,6 +18,7 @@
 use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
 use crate::retries::RetryRules;
 use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
+use crate::single_runs::SingleRuns;
 use crate::tombstones::{
     FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
 };
@@ -270,6 +271,10 @@
             quarantine: self.quarantine.clone(),
             routing: self.routing.clone(),
             retries: RetryRules::new(self.ids.seed()),
+            single_runs: SingleRuns {
+                replica: self.replica.clone(),
+                clock: self.clock.clone(),
+            },
             client: ServerClient::new(),
             clock: self.clock.clone(),
             metrics: self.metrics.clone(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,7 @@
 mod replica;
 mod retries;
 mod routing;
+mod single_runs;
 mod tombstones;
 
 pub use entry_host::{EntryHost, HostAddresses, HostError};
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -11,6 +11,7 @@
 use crate::replica::ReplicaHandle;
 use crate::retries::RetryRules;
 use crate::routing::{QueueTerms, RoutingHandle, WorkTarget};
+use crate::single_runs::{RunPermit, SingleRuns};
 use chicoryladder_gateway::{AnswerBody, OnlinePort, OnlineRequest, ServerClient};
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_settings::{ClassTarget, RouteTarget};
@@ -34,6 +35,7 @@
     pub(crate) quarantine: QuarantineHandle,
     pub(crate) routing: RoutingHandle,
     pub(crate) retries: RetryRules,
+    pub(crate) single_runs: SingleRuns,
     pub(crate) client: ServerClient,
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) metrics: Arc<HostMetrics>,
@@ -115,7 +117,19 @@
             class: rules.class,
             holder,
         };
-        self.attempts().run(request, plan, watch).await
+        let permit = if plan.idempotent {
+            RunPermit::Run(None)
+        } else {
+            let holder = plan.holder.as_ref();
+            self.single_runs.permit(&request, holder).await?
+        };
+        match permit {
+            RunPermit::Answer(response) => Ok(response),
+            RunPermit::Run(claim) => {
+                let result = self.attempts().run(request, plan, watch).await;
+                self.single_runs.settle(claim, result).await
+            }
+        }
     }
 
     fn watch(
--- /dev/null
+++ b/crates/host/src/single_runs.rs
@@ -0,0 +1,268 @@
+//! Non-idempotent requests run at most once, whichever host a resend reaches.
+//!
+//! A request on a non-idempotent route that carries an idempotency key claims it
+//! in the replicated log before it is sent on. A resend finds the claim. So such
+//! a request needs a quorum: a zone that is cut off refuses it as not run.
+
+use crate::admission::KeyHolder;
+use crate::online_attempt::path_and_query;
+use crate::replica::{ProposeError, ReplicaHandle};
+use chicoryladder_gateway::{AnswerBody, BodyError, OnlineRequest, bytes_body};
+use chicoryladder_state::{
+    ClaimOutcome, ClaimRequest, FleetCommand, FleetOutcome, RECORDED_BODY_MAX_BYTES,
+    RecordedAnswer, RequestDigest, SettleRequest, SingleRunEnd, SingleRunName,
+};
+use chicoryladder_types::headers;
+use chicoryladder_types::prelude::*;
+use http_body_util::BodyExt;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::{Response, StatusCode};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+
+/// The time after which a caller may ask again for a request that still runs.
+const RUNNING_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The longest time for which an answer waits until its record is safe.
+const SETTLE_WAIT: Duration = Duration::from_millis(500);
+
+/// Attempts to record how a request ended.
+const SETTLE_ATTEMPTS: u32 = 10;
+
+/// The pause between two of these attempts.
+const SETTLE_PAUSE: Duration = Duration::from_millis(500);
+
+/// Claims requests and records how they ended.
+#[derive(Clone)]
+pub(crate) struct SingleRuns {
+    pub(crate) replica: ReplicaHandle,
+    pub(crate) clock: Arc<dyn ClockSource>,
+}
+
+/// Names one claim.
+#[derive(Clone)]
+struct ClaimName {
+    name: SingleRunName,
+    request: RequestId,
+}
+
+/// The right to run a request.
+///
+/// A claim that is dropped before it is settled, because the caller left, counts
+/// as one that may have run.
+pub(crate) struct RunClaim {
+    runs: SingleRuns,
+    claim: Option<ClaimName>,
+}
+
+impl Drop for RunClaim {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            let record = self.runs.clone().record(claim, SingleRunEnd::MayHaveRun);
+            tokio::spawn(record);
+        }
+    }
+}
+
+/// What a host does with a request.
+pub(crate) enum RunPermit {
+    /// It runs; the claim, if there is one, has to be settled.
+    Run(Option<RunClaim>),
+    /// It ran before; this is its answer.
+    Answer(Response<AnswerBody>),
+}
+
+impl SingleRuns {
+    /// Decides whether a request on a non-idempotent route may run.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that runs or may have run under the same key, and every
+    /// request with a key while no quorum of voters answers.
+    pub(crate) async fn permit(
+        &self,
+        request: &OnlineRequest,
+        holder: Option<&KeyHolder>,
+    ) -> Result<RunPermit, RequestRefusal> {
+        let (Some(holder), Some(key)) = (holder, &request.idempotency_key) else {
+            return Ok(RunPermit::Run(None));
+        };
+        let name = SingleRunName {
+            team: holder.team.clone(),
+            key: key.clone(),
+        };
+        let path = path_and_query(request);
+        let claim = ClaimRequest {
+            name: name.clone(),
+            digest: RequestDigest::of(request.method.as_str(), &path, &request.body),
+            request: request.id,
+            now: self.wall(),
+        };
+        let claimed = ClaimName {
+            name,
+            request: request.id,
+        };
+        let command = FleetCommand::ClaimRequest(claim);
+        match self.replica.propose_fleet(command).await {
+            Ok(FleetOutcome::Claimed(outcome)) => self.found(outcome, claimed),
+            Ok(_) => Err(self.give_back(claimed, ProposeError::NoQuorum)),
+            Err(error) => Err(self.give_back(claimed, error)),
+        }
+    }
+
+    /// Records how a request ended, and hands its result on.
+    pub(crate) async fn settle(
+        &self,
+        claim: Option<RunClaim>,
+        result: Result<Response<AnswerBody>, RequestRefusal>,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let Some(mut claim) = claim else {
+            return result;
+        };
+        let (end, result) = match result {
+            Ok(response) => read_answer(response).await,
+            Err(refusal) => (refused_end(refusal.verdict), Err(refusal)),
+        };
+        if let Some(claim) = claim.claim.take() {
+            let recording = tokio::spawn(self.clone().record(claim, end));
+            // Beyond this time the record goes on in the background.
+            let _ = tokio::time::timeout(SETTLE_WAIT, recording).await;
+        }
+        result
+    }
+
+    fn found(&self, outcome: ClaimOutcome, claim: ClaimName) -> Result<RunPermit, RequestRefusal> {
+        let refused =
+            |reason, verdict, detail: &str| Err(RequestRefusal::new(reason, verdict, detail));
+        match outcome {
+            ClaimOutcome::Claimed => Ok(RunPermit::Run(Some(RunClaim {
+                runs: self.clone(),
+                claim: Some(claim),
+            }))),
+            ClaimOutcome::Ended(SingleRunEnd::Answered(answer)) => {
+                Ok(RunPermit::Answer(recorded_answer(answer)))
+            }
+            ClaimOutcome::Ended(SingleRunEnd::Ran) => refused(
+                RefusalReason::AlreadyRan,
+                RunVerdict::Ran,
+                "the request under this idempotency key ran; its answer was not recorded",
+            ),
+            ClaimOutcome::Ended(SingleRunEnd::MayHaveRun | SingleRunEnd::NotRun) => refused(
+                RefusalReason::OutcomeUnknown,
+                RunVerdict::MayHaveRun,
+                "the request under this idempotency key may have run",
+            ),
+            ClaimOutcome::StillRunning => refused(
+                RefusalReason::StillRunning,
+                RunVerdict::MayHaveRun,
+                "a request under this idempotency key still runs",
+            )
+            .map_err(|refusal: RequestRefusal| refusal.with_retry_after(RUNNING_RETRY_AFTER)),
+            ClaimOutcome::OtherContent => refused(
+                RefusalReason::KeyReused,
+                RunVerdict::NotRun,
+                "the idempotency key was used for another request",
+            ),
+        }
+    }
+
+    /// Frees a name whose claim may have been ordered although no answer came.
+    fn give_back(&self, claim: ClaimName, error: ProposeError) -> RequestRefusal {
+        tokio::spawn(self.clone().record(claim, SingleRunEnd::NotRun));
+        RequestRefusal {
+            verdict: RunVerdict::NotRun,
+            ..error.refusal()
+        }
+    }
+
+    async fn record(self, claim: ClaimName, end: SingleRunEnd) {
+        let command = FleetCommand::SettleRequest(SettleRequest {
+            name: claim.name,
+            request: claim.request,
+            end,
+        });
+        for _ in 0..SETTLE_ATTEMPTS {
+            if self.replica.propose_fleet(command.clone()).await.is_ok() {
+                return;
+            }
+            tokio::time::sleep(SETTLE_PAUSE).await;
+        }
+        log::warn!(
+            "online: could not record how request {} ended.",
+            claim.request
+        );
+    }
+
+    fn wall(&self) -> Duration {
+        let now = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        now.unwrap_or_default()
+    }
+}
+
+fn refused_end(verdict: RunVerdict) -> SingleRunEnd {
+    match verdict {
+        RunVerdict::NotRun => SingleRunEnd::NotRun,
+        RunVerdict::MayHaveRun => SingleRunEnd::MayHaveRun,
+        RunVerdict::Ran => SingleRunEnd::Ran,
+    }
+}
+
+type AnswerResult = Result<Response<AnswerBody>, RequestRefusal>;
+
+/// Reads an answer that is held whole already; streams pass unread.
+async fn read_answer(response: Response<AnswerBody>) -> (SingleRunEnd, AnswerResult) {
+    let (parts, body) = response.into_parts();
+    let kind = text_of(&parts.headers);
+    if kind.as_deref().is_some_and(is_event_stream) {
+        return (SingleRunEnd::Ran, Ok(Response::from_parts(parts, body)));
+    }
+    match body.collect().await {
+        Ok(collected) => {
+            let bytes = collected.to_bytes();
+            let end = answered_end(parts.status, kind, &bytes);
+            (end, Ok(Response::from_parts(parts, bytes_body(bytes))))
+        }
+        Err(error) => (SingleRunEnd::MayHaveRun, Err(truncated(&error))),
+    }
+}
+
+fn answered_end(status: StatusCode, content_type: Option<String>, body: &[u8]) -> SingleRunEnd {
+    if body.len() > RECORDED_BODY_MAX_BYTES {
+        return SingleRunEnd::Ran;
+    }
+    SingleRunEnd::Answered(RecordedAnswer {
+        status: status.as_u16(),
+        content_type,
+        body: body.to_vec(),
+    })
+}
+
+fn recorded_answer(answer: RecordedAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(bytes_body(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let fields = response.headers_mut();
+    let verdict = HeaderValue::from_static(RunVerdict::Ran.as_str());
+    fields.insert(headers::VERDICT, verdict);
+    let kind = answer.content_type.as_deref();
+    if let Some(Ok(kind)) = kind.map(HeaderValue::from_str) {
+        fields.insert(CONTENT_TYPE, kind);
+    }
+    response
+}
+
+fn text_of(fields: &HeaderMap) -> Option<String> {
+    let kind = fields.get(CONTENT_TYPE)?.to_str().ok()?;
+    Some(kind.to_owned())
+}
+
+fn is_event_stream(kind: &str) -> bool {
+    kind.starts_with("text/event-stream")
+}
+
+fn truncated(error: &BodyError) -> RequestRefusal {
+    RequestRefusal::new(
+        RefusalReason::AnswerTruncated,
+        RunVerdict::MayHaveRun,
+        format!("the answer ended early: {error}"),
+    )
+}
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -1,6 +1,7 @@
 //! Commands of group 0 and their outcomes.
 
 use crate::keys::{KeyId, KeySalt, SecretHash};
+use crate::ledger::{ClaimOutcome, ClaimRequest, SettleRequest};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{FleetRevision, OperationId};
 use serde::{Deserialize, Serialize};
@@ -14,6 +15,10 @@
     GrantKey(GrantKey),
     /// Withdraws a key for good.
     WithdrawKey(WithdrawKey),
+    /// Claims the name of a request that may run at most once.
+    ClaimRequest(ClaimRequest),
+    /// Tells how a claimed request ended.
+    SettleRequest(SettleRequest),
 }
 
 /// Replaces the fleet document if nobody else did since `expected_revision`.
@@ -78,13 +83,13 @@
 
     /// The id under which the outcome is remembered, where there is one.
     ///
-    /// Withdrawals need none: they are idempotent.
+    /// The others need none: they are idempotent.
     #[must_use]
     pub fn operation_id(&self) -> Option<&OperationId> {
         match self {
             Self::ApplyDocument(command) => Some(&command.operation_id),
             Self::GrantKey(command) => Some(&command.operation_id),
-            Self::WithdrawKey(_) => None,
+            Self::WithdrawKey(_) | Self::ClaimRequest(_) | Self::SettleRequest(_) => None,
         }
     }
 }
@@ -136,6 +141,10 @@
     },
     /// The operation id was used for another operation.
     OperationReused,
+    /// What a claim found.
+    Claimed(ClaimOutcome),
+    /// The end of a request is taken in.
+    Settled,
     /// The log entry was applied before.
     AlreadyApplied,
 }
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -29,6 +29,14 @@
                 hasher.update(b"withdraw");
                 hasher.update(&command.key_id.bits().to_le_bytes());
             }
+            FleetCommand::ClaimRequest(command) => {
+                hasher.update(b"claim");
+                hasher.update(&command.request.bits().to_le_bytes());
+            }
+            FleetCommand::SettleRequest(command) => {
+                hasher.update(b"settle");
+                hasher.update(&command.request.bits().to_le_bytes());
+            }
         }
         Self(*hasher.finalize().as_bytes())
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,4 +1,5 @@
-//! Replicated aggregates: the fleet document and the callers' keys.
+//! Replicated aggregates: the fleet document, the callers' keys and the requests
+//! that may run at most once.
 //!
 //! [`FleetMachine`] turns the committed commands of group 0 into state. It
 //! reads no clock and draws no random number: salts, key ids and operation ids
@@ -11,6 +12,7 @@
 mod command;
 mod history;
 mod keys;
+mod ledger;
 mod machine;
 mod spread;
 mod tombstones;
@@ -21,6 +23,10 @@
     ApplyDocument, CommandError, FleetCommand, FleetOutcome, GrantKey, KeyRefusal, WithdrawKey,
 };
 pub use keys::{KeyError, KeyGrant, KeyId, KeyRecord, KeySalt, KeyState, KeyText, SecretHash};
+pub use ledger::{
+    ClaimOutcome, ClaimRequest, RECORDED_BODY_MAX_BYTES, RecordedAnswer, RequestDigest,
+    SettleRequest, SingleRunEnd, SingleRunName,
+};
 pub use machine::{FleetMachine, SnapshotError};
 pub use spread::{HostPosition, KnownHost, SpreadGoal, spread_report};
 pub use tombstones::KeyTombstones;
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -9,6 +9,7 @@
 };
 use crate::history::OutcomeHistory;
 use crate::keys::{KeyId, KeyRegister};
+use crate::ledger::RequestLedger;
 use crate::tombstones::KeyTombstones;
 use crate::view::FleetView;
 use chicoryladder_settings::FleetDocument;
@@ -41,6 +42,7 @@
     document: Arc<FleetDocument>,
     keys: Arc<KeyRegister>,
     history: OutcomeHistory,
+    ledger: RequestLedger,
     tombstones: Arc<KeyTombstones>,
 }
 
@@ -74,6 +76,11 @@
             FleetCommand::ApplyDocument(command) => self.apply_document(command),
             FleetCommand::GrantKey(command) => self.grant_key(command),
             FleetCommand::WithdrawKey(command) => self.withdraw_key(command),
+            FleetCommand::ClaimRequest(claim) => FleetOutcome::Claimed(self.ledger.claim(claim)),
+            FleetCommand::SettleRequest(settle) => {
+                self.ledger.settle(settle);
+                FleetOutcome::Settled
+            }
         };
         self.history.record(command, &outcome);
         outcome
--- a/crates/state/src/machine/snapshot.rs
+++ b/crates/state/src/machine/snapshot.rs
@@ -3,6 +3,7 @@
 use super::{DocumentAuthor, FleetMachine};
 use crate::history::OutcomeHistory;
 use crate::keys::{KeyRegister, KeyState};
+use crate::ledger::RequestLedger;
 use chicoryladder_settings::FleetDocument;
 use chicoryladder_types::{FleetRevision, LogIndex};
 use serde::{Deserialize, Serialize};
@@ -10,7 +11,7 @@
 use std::sync::Arc;
 
 /// The layout of the bytes; a changed layout takes another number.
-const SNAPSHOT_FORMAT: u8 = 1;
+const SNAPSHOT_FORMAT: u8 = 2;
 
 /// Why a snapshot cannot be taken or restored.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -43,6 +44,7 @@
     document: String,
     keys: Arc<KeyRegister>,
     history: OutcomeHistory,
+    ledger: RequestLedger,
 }
 
 impl FleetMachine {
@@ -61,6 +63,7 @@
             document: self.document.to_string(),
             keys: Arc::clone(&self.keys),
             history: self.history.clone(),
+            ledger: self.ledger.clone(),
         };
         Ok(postcard::to_stdvec(&content)?)
     }
@@ -93,6 +96,7 @@
         self.document = Arc::new(document);
         self.keys = content.keys;
         self.history = content.history;
+        self.ledger = content.ledger;
         self.settle_tombstones();
         Ok(())
     }
--- /dev/null
+++ b/crates/state/tests/ledger.rs
@@ -0,0 +1,121 @@
+//! Names of requests that may run at most once.
+
+#![allow(clippy::unwrap_used)]
+
+use chicoryladder_state::{
+    ClaimOutcome, ClaimRequest, FleetCommand, FleetMachine, FleetOutcome, RecordedAnswer,
+    RequestDigest, SettleRequest, SingleRunEnd, SingleRunName,
+};
+use chicoryladder_types::{LogIndex, RequestId};
+use std::time::Duration;
+
+const HOUR: Duration = Duration::from_secs(3600);
+
+fn name() -> SingleRunName {
+    SingleRunName {
+        team: "rent-desk".try_into().unwrap(),
+        key: "charge-1".to_owned(),
+    }
+}
+
+/// Applies commands at successive positions.
+#[derive(Default)]
+struct Ledger {
+    machine: FleetMachine,
+    index: LogIndex,
+}
+
+impl Ledger {
+    fn apply(&mut self, command: &FleetCommand) -> FleetOutcome {
+        self.index = self.index.next();
+        self.machine.apply(self.index, command)
+    }
+
+    fn claim(&mut self, request: u128, body: &[u8], now: Duration) -> ClaimOutcome {
+        let command = FleetCommand::ClaimRequest(ClaimRequest {
+            name: name(),
+            digest: RequestDigest::of("POST", "/charges", body),
+            request: RequestId::new(request),
+            now,
+        });
+        match self.apply(&command) {
+            FleetOutcome::Claimed(outcome) => outcome,
+            outcome => panic!("{outcome:?}"),
+        }
+    }
+
+    fn settle(&mut self, request: u128, end: SingleRunEnd) {
+        let command = FleetCommand::SettleRequest(SettleRequest {
+            name: name(),
+            request: RequestId::new(request),
+            end,
+        });
+        assert_eq!(self.apply(&command), FleetOutcome::Settled);
+    }
+
+    fn restart(&mut self) {
+        let bytes = self.machine.snapshot().unwrap();
+        self.machine = FleetMachine::new();
+        self.machine.restore(&bytes).unwrap();
+    }
+}
+
+fn answer() -> SingleRunEnd {
+    SingleRunEnd::Answered(RecordedAnswer {
+        status: 201,
+        content_type: Some("application/json".to_owned()),
+        body: b"{}".to_vec(),
+    })
+}
+
+#[test]
+fn one_request_holds_a_name_and_its_answer_stays() {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.claim(1, b"a", HOUR), ClaimOutcome::Claimed);
+    assert_eq!(ledger.claim(1, b"a", HOUR), ClaimOutcome::Claimed);
+    assert_eq!(ledger.claim(2, b"a", HOUR), ClaimOutcome::StillRunning);
+    assert_eq!(ledger.claim(2, b"b", HOUR), ClaimOutcome::OtherContent);
+    // Only the holder can end the run, and only once.
+    ledger.settle(2, SingleRunEnd::NotRun);
+    assert_eq!(ledger.claim(2, b"a", HOUR), ClaimOutcome::StillRunning);
+    ledger.settle(1, answer());
+    ledger.settle(1, SingleRunEnd::NotRun);
+    ledger.restart();
+    assert_eq!(ledger.claim(2, b"a", HOUR), ClaimOutcome::Ended(answer()));
+    assert_eq!(ledger.claim(2, b"b", HOUR), ClaimOutcome::OtherContent);
+}
+
+#[test]
+fn a_request_that_did_not_run_frees_its_name() {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.claim(1, b"a", HOUR), ClaimOutcome::Claimed);
+    ledger.settle(1, SingleRunEnd::NotRun);
+    assert_eq!(ledger.claim(2, b"a", HOUR), ClaimOutcome::Claimed);
+    ledger.settle(1, answer());
+    assert_eq!(ledger.claim(3, b"a", HOUR), ClaimOutcome::StillRunning);
+}
+
+#[test]
+fn the_claim_of_a_lost_host_is_never_given_out_again() {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.claim(1, b"a", HOUR), ClaimOutcome::Claimed);
+    let unknown = ClaimOutcome::Ended(SingleRunEnd::MayHaveRun);
+    assert_eq!(ledger.claim(2, b"a", HOUR * 2), unknown);
+    ledger.settle(1, answer());
+    assert_eq!(
+        ledger.claim(2, b"a", HOUR * 3),
+        ClaimOutcome::Ended(answer())
+    );
+}
+
+#[test]
+fn names_are_forgotten_after_a_day() {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.claim(1, b"a", HOUR), ClaimOutcome::Claimed);
+    ledger.settle(1, answer());
+    assert_eq!(
+        ledger.claim(2, b"a", HOUR * 24),
+        ClaimOutcome::Ended(answer())
+    );
+    assert_eq!(ledger.claim(2, b"a", HOUR * 26), ClaimOutcome::Claimed);
+}
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -65,6 +65,10 @@
         KeyReused => "idempotency_key_reused", 409;
         /// A request with the same idempotency key is still running.
         StillRunning => "still_running", 409;
+        /// The request under this idempotency key ran; its answer was not recorded.
+        AlreadyRan => "already_ran", 409;
+        /// The request under this idempotency key may have run.
+        OutcomeUnknown => "outcome_unknown", 409;
         /// Another change took the expected revision.
         RevisionConflict => "revision_conflict", 409;
         /// The body is larger than the limit.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,4 +16,5 @@
 mod limits;
 mod quarantine;
 mod replicated_state;
+mod single_runs;
 mod whole_path;
