--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -7,6 +7,11 @@
 use prometheus::{Registry, TextEncoder};
 use std::time::Duration;
 
+/// The upper bounds of the classes that answers are counted in, in seconds.
+const ANSWER_SECONDS_BOUNDARIES: &[f64] = &[
+    0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0,
+];
+
 /// The instruments of one host.
 pub struct HostMetrics {
     registry: Registry,
@@ -42,7 +47,10 @@
             requests: meter.u64_counter("requests").build(),
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
-            answer_seconds: meter.f64_histogram("answer_seconds").build(),
+            answer_seconds: meter
+                .f64_histogram("answer_seconds")
+                .with_boundaries(ANSWER_SECONDS_BOUNDARIES.to_vec())
+                .build(),
             _provider: provider,
         };
         metrics.show_all_reasons();
