Pass on answers that are too long to be held

Cause: an answer over 4 MiB that is no event stream counted as truncated: the caller got server_failed, the server got the blame, and the request became a suspect of the quarantine. Ruled out: a larger limit, which only moves the fault and holds more memory. Change: what was read goes first, the rest follows as it arrives; an early end cuts the answer. Before: the new test with 9 MiB gets 502 server_failed.

--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -39,6 +39,8 @@
 
 /// What a watched answer has to keep to.
 pub struct StreamTerms {
+    /// What was read of the answer already; it goes first.
+    pub begun: Bytes,
     /// Whether the answer has to end with the end marker of event streams.
     pub needs_marker: bool,
     /// The longest time between two chunks.
@@ -57,6 +59,7 @@
     let timer = tokio::time::sleep(terms.chunk_timeout);
     let watched = WatchedBody {
         body,
+        begun: terms.begun,
         needs_marker: terms.needs_marker,
         chunk_timeout: terms.chunk_timeout,
         stop: terms.stop,
@@ -79,6 +82,7 @@
 
 struct WatchedBody {
     body: Incoming,
+    begun: Bytes,
     needs_marker: bool,
     chunk_timeout: Duration,
     stop: BoxFuture<'static, RequestRefusal>,
@@ -143,6 +147,11 @@
         if let Poll::Ready(refusal) = self.stop.as_mut().poll(context) {
             return self.fail(StreamEnd::Stopped, refusal);
         }
+        if !self.begun.is_empty() {
+            let begun = std::mem::take(&mut self.begun);
+            self.note_chunk(&begun);
+            return Poll::Ready(Some(Ok(Frame::data(begun))));
+        }
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => {
                 if let Some(chunk) = frame.data_ref() {
@@ -207,7 +216,9 @@
             // A failure adds an event to the stream.
             return SizeHint::default();
         }
-        self.body.size_hint()
+        let begun = self.begun.len() as u64;
+        let rest = self.body.size_hint().exact();
+        rest.map_or_else(SizeHint::default, |rest| SizeHint::with_exact(begun + rest))
     }
 }
 
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -37,6 +37,7 @@
     let (sender, end) = oneshot::channel();
     let terms = StreamTerms {
         on_first: Box::new(|| {}),
+        begun: Bytes::new(),
         needs_marker: true,
         chunk_timeout: Duration::from_millis(300),
         stop,
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -1,5 +1,11 @@
 //! The attempts at one online request.
 
+mod answer;
+mod outcome;
+
+pub(crate) use answer::reported_load;
+pub(crate) use outcome::failed_outcome;
+
 use crate::admission::{KeyChecker, KeyHolder};
 use crate::board::{BoardHandle, ServedRequest};
 use crate::metrics::HostMetrics;
@@ -7,33 +13,26 @@
 use crate::replica::ReplicaHandle;
 use crate::retries::RetryRules;
 use crate::routing::{QueueTerms, RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+use answer::{AnswerRead, answer_fields, is_event_stream, read_whole};
 use chicoryladder_gateway::{
-    AnswerBody, BodyError, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
-    StreamTerms, bytes_body, watch_stream,
+    AnswerBody, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd, StreamTerms,
+    bytes_body, watch_stream,
 };
-use chicoryladder_policy::quarantine::ServerCrash;
 use chicoryladder_policy::retry::{AttemptFailure, RetryDecision};
 use chicoryladder_policy::routing::ServerOutcome;
-use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use outcome::{count_end, is_server_lost, possible_crash, show_end, stream_outcome};
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-/// The longest answer that is held until it is whole, in bytes.
-const WHOLE_ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
-
 /// The time after which a caller should come back when attempts ran out.
 const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Header fields of an answer that hold for the server's connection only.
-const CONNECTION_FIELDS: &[&str] = &["connection", "keep-alive", "proxy-connection", "upgrade"];
-
 /// What the attempts have to keep to.
 pub(crate) struct AttemptPlan {
     pub(crate) target: WorkTarget,
@@ -56,12 +55,32 @@
     pub(crate) replica: &'a ReplicaHandle,
 }
 
-/// An answer whose header fields have arrived.
+/// Marks a response whose body goes on to arrive from the server.
+#[derive(Clone, Copy)]
+pub(crate) struct StreamedAnswer;
+
+/// An answer that is passed on while it arrives.
 struct BegunAnswer {
-    response: Response<Incoming>,
+    parts: Parts,
+    /// What was read of the body already.
+    begun: Bytes,
+    body: Incoming,
+    needs_marker: bool,
     grant: ServerGrant,
 }
 
+impl BegunAnswer {
+    fn event_stream(parts: Parts, body: Incoming, grant: ServerGrant) -> Self {
+        Self {
+            begun: Bytes::new(),
+            body,
+            needs_marker: parts.status.is_success(),
+            grant,
+            parts,
+        }
+    }
+}
+
 impl OnlineAttempts<'_> {
     pub(crate) async fn run(
         &self,
@@ -170,13 +189,37 @@
         let response = sent.inspect_err(|failure| {
             grant.outcome = failed_outcome(failure.reason);
         })?;
-        let answer = BegunAnswer { response, grant };
-        if is_event_stream(answer.response.headers()) {
+        let (parts, body) = response.into_parts();
+        grant.load = reported_load(&parts.headers);
+        if is_event_stream(&parts.headers) {
+            let answer = BegunAnswer::event_stream(parts, body, grant);
             return Ok(self.stream(request, plan, answer, watch.take()));
         }
-        let whole = self.whole(request, plan, answer, patience.deadline).await?;
-        watch.report_answer();
-        Ok(whole)
+        let left = patience
+            .deadline
+            .saturating_duration_since(self.clock.now());
+        let read = read_whole(body, left).await;
+        let read = read.inspect_err(|failure| {
+            grant.outcome = failed_outcome(failure.reason);
+        })?;
+        match read {
+            AnswerRead::Whole(bytes) => {
+                grant.outcome = ServerOutcome::Answered;
+                drop(grant);
+                watch.report_answer();
+                Ok(self.whole(request, plan, &parts, bytes))
+            }
+            AnswerRead::Begun(begun, body) => {
+                let answer = BegunAnswer {
+                    parts,
+                    begun,
+                    body,
+                    needs_marker: false,
+                    grant,
+                };
+                Ok(self.stream(request, plan, answer, watch.take()))
+            }
+        }
     }
 
     /// Passes a stream on while it arrives.
@@ -187,9 +230,8 @@
         answer: BegunAnswer,
         mut watch: SuspectWatch,
     ) -> Response<AnswerBody> {
-        let (parts, body) = answer.response.into_parts();
+        let parts = answer.parts;
         let mut grant = answer.grant;
-        grant.load = reported_load(&parts.headers);
         let metrics = self.metrics.clone();
         let boards = self.boards.clone();
         let clock = self.clock.clone();
@@ -204,7 +246,8 @@
                 // Called once, so the time is not set yet.
                 let _ = first_seen.set(elapsed);
             }),
-            needs_marker: parts.status.is_success(),
+            begun: answer.begun,
+            needs_marker: answer.needs_marker,
             chunk_timeout: plan.give_up,
             stop: self.withdrawal(plan),
             on_end: Box::new(move |end| {
@@ -225,31 +268,21 @@
                 show_end(&boards, end, served);
             }),
         };
-        let mut response = Response::new(watch_stream(body, terms));
+        let mut response = Response::new(watch_stream(answer.body, terms));
         *response.status_mut() = parts.status;
         *response.headers_mut() = answer_fields(&parts.headers);
+        response.extensions_mut().insert(StreamedAnswer);
         response
     }
 
-    /// Holds an answer until it is whole, so that a truncated one is an error.
-    async fn whole(
+    /// Hands on an answer that was read to its end.
+    fn whole(
         &self,
         request: &OnlineRequest,
         plan: &AttemptPlan,
-        answer: BegunAnswer,
-        deadline: Instant,
-    ) -> Result<Response<AnswerBody>, ServerFailure> {
-        let (parts, body) = answer.response.into_parts();
-        let mut grant = answer.grant;
-        grant.load = reported_load(&parts.headers);
-        let left = deadline.saturating_duration_since(self.clock.now());
-        let read = read_whole(body, left).await;
-        grant.outcome = match &read {
-            Ok(_) => ServerOutcome::Answered,
-            Err(failure) => failed_outcome(failure.reason),
-        };
-        let bytes = read?;
-        drop(grant);
+        parts: &Parts,
+        bytes: Bytes,
+    ) -> Response<AnswerBody> {
         let elapsed = self.clock.now().saturating_duration_since(request.received);
         self.metrics.count_served(&plan.class, elapsed);
         self.boards.served(ServedRequest {
@@ -260,7 +293,7 @@
         let mut response = Response::new(bytes_body(bytes));
         *response.status_mut() = parts.status;
         *response.headers_mut() = answer_fields(&parts.headers);
-        Ok(response)
+        response
     }
 
     /// Resolves once the key of the request may not be used any more.
@@ -323,45 +356,6 @@
     }
 }
 
-/// The incarnation that crashed, if the attempt loses its server.
-fn possible_crash(grant: &ServerGrant) -> ServerCrash {
-    ServerCrash {
-        server: grant.name.clone(),
-        generation: grant.generation,
-    }
-}
-
-/// Whether the server went away with the request on it.
-fn is_server_lost(failure: &ServerFailure) -> bool {
-    let lost = matches!(
-        failure.reason,
-        RetryReason::ConnectionLost | RetryReason::ServerCrashed
-    );
-    lost && failure.verdict == RunVerdict::MayHaveRun
-}
-
-/// What a failure tells of the health of the server.
-pub(crate) fn failed_outcome(reason: RetryReason) -> ServerOutcome {
-    match reason {
-        RetryReason::ServerRefused => ServerOutcome::Refused,
-        RetryReason::ServerSilent => ServerOutcome::Silent,
-        RetryReason::AnswerCrossed
-        | RetryReason::ConnectFailed
-        | RetryReason::ConnectionLost
-        | RetryReason::ServerCrashed => ServerOutcome::Failed,
-    }
-}
-
-/// What the end of a stream tells of the server.
-fn stream_outcome(end: StreamEnd) -> ServerOutcome {
-    match end {
-        StreamEnd::Whole => ServerOutcome::Answered,
-        StreamEnd::Truncated => ServerOutcome::Failed,
-        StreamEnd::Silent => ServerOutcome::Silent,
-        StreamEnd::Stopped | StreamEnd::CallerLeft => ServerOutcome::Cancelled,
-    }
-}
-
 /// The path of a request as it goes to the server.
 pub(crate) fn path_and_query(request: &OnlineRequest) -> String {
     if request.query.is_empty() {
@@ -369,85 +363,3 @@
     }
     format!("{}?{}", request.path, request.query)
 }
-
-fn is_event_stream(fields: &HeaderMap) -> bool {
-    let kind = fields.get(CONTENT_TYPE);
-    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
-}
-
-/// The load that an answer reports in its header fields.
-pub(crate) fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
-    let text = fields.get(headers::SERVER_LOAD)?.to_str().ok()?;
-    let mut load = chicoryladder_types::ServerLoad::default();
-    for part in text.split(';') {
-        let (name, count) = part.trim().split_once('=')?;
-        let count = count.parse().ok()?;
-        match name {
-            "running" => load.running = count,
-            "waiting" => load.waiting = count,
-            _ => {}
-        }
-    }
-    Some(load)
-}
-
-/// The header fields of a server's answer that reach the caller.
-fn answer_fields(fields: &HeaderMap) -> HeaderMap {
-    let mut kept = HeaderMap::with_capacity(fields.len() + 1);
-    for (name, value) in fields {
-        let dropped = CONNECTION_FIELDS.contains(&name.as_str())
-            || *name == CONTENT_LENGTH
-            || *name == TRANSFER_ENCODING
-            || name.as_str() == headers::SERVER_LOAD
-            || name.as_str() == headers::SERVER_VERDICT;
-        if !dropped {
-            kept.append(name.clone(), value.clone());
-        }
-    }
-    let verdict = HeaderValue::from_static(RunVerdict::Ran.as_str());
-    kept.insert(headers::VERDICT, verdict);
-    kept
-}
-
-async fn read_whole(body: Incoming, left: Duration) -> Result<Bytes, ServerFailure> {
-    let limited = http_body_util::Limited::new(body, WHOLE_ANSWER_MAX_BYTES);
-    match tokio::time::timeout(left, limited.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) => Err(truncated(&error)),
-        Err(_) => Err(ServerFailure {
-            verdict: RunVerdict::MayHaveRun,
-            reason: RetryReason::ServerSilent,
-            detail: "the backend server stopped sending".to_owned(),
-        }),
-    }
-}
-
-fn truncated(error: &BodyError) -> ServerFailure {
-    ServerFailure {
-        verdict: RunVerdict::MayHaveRun,
-        reason: RetryReason::ConnectionLost,
-        detail: format!("the answer ended early: {error}"),
-    }
-}
-
-/// Counts the end of a stream on the board; one ended for its caller's reason
-/// does not count.
-fn show_end(boards: &BoardHandle, end: StreamEnd, request: ServedRequest) {
-    let reason = match end {
-        StreamEnd::Whole => return boards.served(request),
-        StreamEnd::Truncated => RefusalReason::AnswerTruncated,
-        StreamEnd::Silent => RefusalReason::ServerSilent,
-        StreamEnd::Stopped | StreamEnd::CallerLeft => return,
-    };
-    boards.refused(request.class, reason);
-}
-
-fn count_end(metrics: &HostMetrics, end: StreamEnd, class: &ClassName, elapsed: Duration) {
-    match end {
-        StreamEnd::Whole => metrics.count_served(class, elapsed),
-        StreamEnd::Truncated => metrics.count_refusal(RefusalReason::AnswerTruncated),
-        StreamEnd::Silent => metrics.count_refusal(RefusalReason::ServerSilent),
-        StreamEnd::Stopped => metrics.count_refusal(RefusalReason::WithdrawnKey),
-        StreamEnd::CallerLeft => {}
-    }
-}
--- a/crates/host/src/single_runs.rs
+++ b/crates/host/src/single_runs.rs
@@ -5,7 +5,7 @@
 //! a request needs a quorum: a zone that is cut off refuses it as not run.
 
 use crate::admission::KeyHolder;
-use crate::online_attempt::path_and_query;
+use crate::online_attempt::{StreamedAnswer, path_and_query};
 use crate::replica::{ProposeError, ReplicaHandle};
 use chicoryladder_gateway::{AnswerBody, BodyError, OnlineRequest, bytes_body};
 use chicoryladder_state::{
@@ -213,7 +213,7 @@
 async fn read_answer(response: Response<AnswerBody>) -> (SingleRunEnd, AnswerResult) {
     let (parts, body) = response.into_parts();
     let kind = text_of(&parts.headers);
-    if kind.as_deref().is_some_and(is_event_stream) {
+    if parts.extensions.get::<StreamedAnswer>().is_some() {
         return (SingleRunEnd::Ran, Ok(Response::from_parts(parts, body)));
     }
     match body.collect().await {
@@ -255,10 +255,6 @@
     Some(kind.to_owned())
 }
 
-fn is_event_stream(kind: &str) -> bool {
-    kind.starts_with("text/event-stream")
-}
-
 fn truncated(error: &BodyError) -> RequestRefusal {
     RequestRefusal::new(
         RefusalReason::AnswerTruncated,
--- a/tests/all/whole_path.rs
+++ b/tests/all/whole_path.rs
@@ -1,6 +1,8 @@
 //! The whole path: from a caller to a backend server and back.
 
 use crate::fixture::{FleetFixture, HttpRequest, chat_body, eventually, job_lines, send};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 const CHAT: &str = "/v1/chat/completions";
 
@@ -165,3 +167,48 @@
         eventually("the key still works", served).await;
     }
 }
+
+/// Starts a plain service whose answers have `length` bytes, and keeps it
+/// announced to a host.
+async fn start_long_service(servers: std::net::SocketAddr, service: &str, length: usize) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).await;
+            let _ = stream.write_all(answer.as_bytes()).await;
+            let _ = stream.write_all(&vec![b'x'; length]).await;
+        }
+    });
+    let announcement = serde_json::json!({
+        "name": "long-1", "zone": "zone-a", "address": address, "generation": 1,
+        "slots": 4, "services": [service],
+    });
+    tokio::spawn(async move {
+        loop {
+            let body = announcement.to_string();
+            let _ = send(HttpRequest::post(servers, "/servers/v1/announce", body)).await;
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_too_long_to_be_held_arrives_whole() {
+    const LENGTH: usize = 9 * 1024 * 1024;
+    let fleet = FleetFixture::with_document(1).await;
+    start_long_service(fleet.ports(0).servers, "park-rules", LENGTH).await;
+    let callers = fleet.ports(0).callers;
+    let served = || async {
+        let answer = send(HttpRequest::get(callers, "/services/park-rules/all")).await;
+        answer.unwrap().status != 503
+    };
+    eventually("the service is known", served).await;
+    let answer = send(HttpRequest::get(callers, "/services/park-rules/all")).await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status, 200, "{:?}", answer.reason());
+    assert!(!answer.cut);
+    assert_eq!(answer.body.len(), LENGTH);
+}
