Bound the wait for a token by the class's target

Cause: a greedy team's requests waited 5.4 s at the median for tokens in a class that wants its answers in 3 s: the wait was half of the give-up time, twice the target. Such an answer comes too late to be of use, and the team could have been told at once. Ruled out: the keeper's estimates; refusals left as soon as they passed the old bound. Change: a request waits at most half of the class's target. Probes between hosts go each 1.5 s. The wiring of a host's services stands in a file of its own.

--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -1,34 +1,28 @@
 //! Building the parts of a host and connecting them.
 
+mod services;
+
 use super::{EntryHost, HostAddresses, HostError};
-use crate::admin::AdminService;
-use crate::admission::KeyChecker;
 use crate::batch::{
     AttemptRunner, BatchDispatcher, DispatcherHandle, HomeTask, JobSweeper, SlotRelay,
 };
 use crate::board::{BoardHandle, BoardTask};
 use crate::ids::RandomIds;
-use crate::job_service::JobService;
 use crate::limits::{LimitHandle, LimitTask, LimitTaskSettings};
 use crate::metrics::HostMetrics;
-use crate::online::OnlineService;
-use crate::peers::{PeerDirectory, PeerMessage, PeerTask};
-use crate::platform::{DrainFlag, PlatformService};
+use crate::peers::{PeerDirectory, PeerTask};
+use crate::platform::DrainFlag;
 use crate::quarantine::{QuarantineHandle, QuarantineTask, QuarantineTaskParts};
 use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
-use crate::retries::RetryRules;
-use crate::routing::{ANNOUNCEMENT_LEASE, RoutingHandle, RoutingPlace};
-use crate::single_runs::SingleRuns;
+use crate::routing::{RoutingHandle, RoutingPlace, SlotNotice};
 use crate::tombstones::{
     FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
 };
 use chicoryladder_gateway::{
-    CallerService, HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
-    ServerPort, ServerService,
+    HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
 };
 use chicoryladder_link::{InboundMessage, LinkIdentity, LinkTiming, PeerLink, PeerSecret};
 use chicoryladder_settings::HostSettings;
-use chicoryladder_types::ServerAnnouncement;
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -74,6 +68,51 @@
     Ok(link.await?)
 }
 
+/// What the tasks of batch work are made of.
+struct BatchParts<'a> {
+    settings: &'a HostSettings,
+    place: RoutingPlace,
+    notices: mpsc::UnboundedReceiver<SlotNotice>,
+    directory: &'a PeerDirectory,
+    replica: &'a ReplicaHandle,
+    routing: &'a RoutingHandle,
+    clock: &'a Arc<dyn ClockSource>,
+    ids: &'a Arc<RandomIds>,
+    drain: &'a DrainFlag,
+}
+
+impl BatchParts<'_> {
+    fn start(self, tasks: &mut JoinSet<()>) -> DispatcherHandle {
+        let slot_relay = SlotRelay {
+            directory: self.directory.clone(),
+            notices: self.notices,
+        };
+        tasks.spawn(slot_relay.run());
+        let home_task = HomeTask {
+            place: self.place,
+            directory: self.directory.clone(),
+            routing: self.routing.clone(),
+        };
+        tasks.spawn(home_task.run());
+        let sweeper = JobSweeper {
+            replica: self.replica.clone(),
+            ids: self.ids.clone(),
+        };
+        tasks.spawn(sweeper.run());
+        let runner = AttemptRunner {
+            replica: self.replica.clone(),
+            routing: self.routing.clone(),
+            client: ServerClient::new(),
+            clock: self.clock.clone(),
+            ids: self.ids.clone(),
+        };
+        let host = self.settings.host.name.clone();
+        let (dispatcher, batch) = BatchDispatcher::new(host, runner, self.drain.clone());
+        tasks.spawn(dispatcher.run());
+        batch
+    }
+}
+
 /// The tasks of a host, before its ports are open.
 struct HostParts {
     settings: HostSettings,
@@ -145,33 +184,19 @@
             quarantine: quarantine.clone(),
         };
         tasks.spawn(peer_task.run());
-        let slot_relay = SlotRelay {
-            directory: directory.clone(),
-            notices,
-        };
-        tasks.spawn(slot_relay.run());
-        let home_task = HomeTask {
-            place,
-            directory: directory.clone(),
-            routing: routing.clone(),
-        };
-        tasks.spawn(home_task.run());
-        let runner = AttemptRunner {
-            replica: replica.clone(),
-            routing: routing.clone(),
-            client: ServerClient::new(),
-            clock: clock.clone(),
-            ids: ids.clone(),
-        };
         let drain = DrainFlag::default();
-        let host = settings.host.name.clone();
-        let (dispatcher, batch) = BatchDispatcher::new(host, runner, drain.clone());
-        tasks.spawn(dispatcher.run());
-        let sweeper = JobSweeper {
-            replica: replica.clone(),
-            ids: ids.clone(),
+        let batch_parts = BatchParts {
+            settings: &settings,
+            place,
+            notices,
+            directory: &directory,
+            replica: &replica,
+            routing: &routing,
+            clock: &clock,
+            ids: &ids,
+            drain: &drain,
         };
-        tasks.spawn(sweeper.run());
+        let batch = batch_parts.start(&mut tasks);
         Ok(Self {
             settings,
             clock,
@@ -244,99 +269,6 @@
         };
         Ok(HttpListener::start(part, address, limits, service).await?)
     }
-
-    fn caller_service(&self) -> CallerService {
-        let ids = self.ids.clone();
-        CallerService {
-            online: Arc::new(self.online_service()),
-            jobs: Arc::new(self.job_service()),
-            platform: Arc::new(PlatformService {
-                drain: self.drain.clone(),
-                replica: self.replica.clone(),
-            }),
-            clock: self.clock.clone(),
-            ids: Arc::new(move || ids.request()),
-            body_max_bytes: clamp_bytes(self.settings.callers.body_max_bytes),
-            job_max_bytes: JOB_MAX_BYTES,
-            body_timeout: self.settings.callers.body_timeout,
-        }
-    }
-
-    fn online_service(&self) -> OnlineService {
-        OnlineService {
-            keys: self.key_checker(),
-            replica: self.replica.clone(),
-            limits: self.limits.clone(),
-            boards: self.boards.clone(),
-            quarantine: self.quarantine.clone(),
-            routing: self.routing.clone(),
-            retries: RetryRules::new(self.ids.seed()),
-            single_runs: SingleRuns {
-                replica: self.replica.clone(),
-                clock: self.clock.clone(),
-            },
-            client: ServerClient::new(),
-            clock: self.clock.clone(),
-            metrics: self.metrics.clone(),
-            drain: self.drain.clone(),
-        }
-    }
-
-    fn job_service(&self) -> JobService {
-        JobService {
-            keys: self.key_checker(),
-            replica: self.replica.clone(),
-            ids: self.ids.clone(),
-            metrics: self.metrics.clone(),
-            drain: self.drain.clone(),
-        }
-    }
-
-    fn server_service(&self) -> ServerService {
-        ServerService {
-            port: Arc::new(AnnouncementRelay {
-                routing: self.routing.clone(),
-                directory: self.directory.clone(),
-            }),
-            renew_within: ANNOUNCEMENT_LEASE,
-        }
-    }
-
-    fn admin_service(&self, shared_secret: String) -> AdminService {
-        AdminService {
-            host: self.settings.host.name.clone(),
-            zone: self.settings.host.zone.clone(),
-            replica: self.replica.clone(),
-            routing: self.routing.clone(),
-            peers: self.directory.clone(),
-            tombstones: self.tombstones.clone(),
-            boards: self.boards.clone(),
-            ids: self.ids.clone(),
-            shared_secret,
-            metrics: self.metrics.clone(),
-            clock: self.clock.clone(),
-        }
-    }
-
-    fn key_checker(&self) -> KeyChecker {
-        KeyChecker {
-            replica: self.replica.clone(),
-        }
-    }
-}
-
-/// Takes announcements and passes them on to the other hosts.
-struct AnnouncementRelay {
-    routing: RoutingHandle,
-    directory: PeerDirectory,
-}
-
-impl ServerPort for AnnouncementRelay {
-    fn announce(&self, announcement: ServerAnnouncement) {
-        let message = PeerMessage::Announcement(announcement.clone());
-        self.directory.broadcast(&message);
-        self.routing.announce(announcement);
-    }
 }
 
 /// Opens the replica, with the seat of the data folder if there is one.
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -181,9 +181,13 @@
     }
 }
 
-/// The longest wait for a token: the rest of the time is for the answer.
+/// The longest wait for a token: half of the class's target, so that an answer
+/// after it can still meet the target.
 fn token_wait(target: ClassTarget) -> Duration {
-    give_up_time(target) / 2
+    match target {
+        ClassTarget::Online(target) => target.answer / 2,
+        ClassTarget::Batch(target) => target.finish_within / 2,
+    }
 }
 
 /// The time after which a request of the class is given up on.
--- a/crates/link/src/settings.rs
+++ b/crates/link/src/settings.rs
@@ -30,7 +30,7 @@
 impl Default for LinkTiming {
     fn default() -> Self {
         Self {
-            probe_interval: Duration::from_secs(1),
+            probe_interval: Duration::from_millis(1_500),
             silence_timeout: Duration::from_secs(3),
             send_timeout: Duration::from_secs(1),
             idle_timeout: Duration::from_secs(60),
