--- a/crates/consensus/tests/all/observers.rs
+++ b/crates/consensus/tests/all/observers.rs
@@ -92,29 +92,47 @@
     assert_eq!(observer.state().get(1), 1);
 }
 
+/// A value and when its write was acknowledged.
+struct WrittenValue {
+    at: Instant,
+    value: u32,
+}
+
+/// Checks that each seat holds what was acknowledged before it was fresh.
+fn check_freshness(cluster: &mut TestCluster, written: &[WrittenValue], seed: u64) {
+    for seat in cluster.running() {
+        let now = cluster.now(seat);
+        let Some(replica) = cluster.replica(seat) else {
+            continue;
+        };
+        let Some(fresh_at) = replica.fresh_at(now) else {
+            continue;
+        };
+        let known = written.iter().filter(|written| written.at <= fresh_at);
+        let owed = known.map(|written| written.value).max();
+        let owed = owed.unwrap_or_default();
+        let held = cluster.state(seat).expect("a state").get(1);
+        assert!(
+            held >= owed,
+            "seed {seed}: seat {seat} holds {held} of {owed}"
+        );
+    }
+}
+
 #[test]
 fn freshness_is_never_later_than_the_truth() {
+    /// Steps between two writes, at each of which every seat is checked.
+    const STEPS: usize = 12;
     for seed in 1..=10 {
         let mut cluster = TestCluster::new(seed, 3, LinkFaults::ROUGH);
         let mut written = Vec::new();
         for value in 1..=60 {
             cluster.write(1, value);
-            written.push((cluster.now(SeatId(1)), value));
-            for seat in cluster.running() {
-                let now = cluster.now(seat);
-                let Some(replica) = cluster.replica(seat) else {
-                    continue;
-                };
-                let Some(fresh_at) = replica.fresh_at(now) else {
-                    continue;
-                };
-                let known = written.iter().filter(|(at, _)| *at <= fresh_at);
-                let owed = known.map(|(_, value)| *value).max().unwrap_or_default();
-                let held = cluster.state(seat).expect("a state").get(1);
-                assert!(
-                    held >= owed,
-                    "seed {seed}: seat {seat} holds {held} of {owed}"
-                );
+            let at = cluster.now(SeatId(1));
+            written.push(WrittenValue { at, value });
+            for _ in 0..STEPS {
+                check_freshness(&mut cluster, &written, seed);
+                cluster.step();
             }
         }
     }
