Give load reports, calendar time and stand-in handlers one place each

Cause, found in a read of the whole change: the text of a load report was written in two stand-ins and read by hand in the host; the time since the epoch was worked out in four places; two wrappers did nothing but clone an Arc for the stand-ins' listener; two methods of the fleet machine had no caller. Change: ServerLoad writes and reads itself, ClockSource tells the time since the epoch, a handler takes its own Arc, the unused methods are gone. Behaviour is the same and no test changed.

--- a/crates/host/src/entry_host/parts.rs
+++ b/crates/host/src/entry_host/parts.rs
@@ -28,7 +28,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 
@@ -60,7 +60,7 @@
     let identity = LinkIdentity {
         host: settings.host.name.clone(),
         zone: settings.host.zone.clone(),
-        incarnation: incarnation(clock.wall()),
+        incarnation: incarnation(clock.since_epoch()),
     };
     let secret = PeerSecret::try_from(shared_secret)?;
     let timing = LinkTiming::default();
@@ -331,11 +331,8 @@
     }
 }
 
-fn incarnation(now: SystemTime) -> u64 {
-    let elapsed = now
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_nanos()).unwrap_or(u64::MAX)
+fn incarnation(since_epoch: Duration) -> u64 {
+    u64::try_from(since_epoch.as_nanos()).unwrap_or(u64::MAX)
 }
 
 fn clamp_bytes(bytes: u64) -> usize {
--- a/crates/host/src/limits/task.rs
+++ b/crates/host/src/limits/task.rs
@@ -14,7 +14,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// The time between two looks while requests wait for tokens.
@@ -50,7 +50,7 @@
     pub(crate) fn new(settings: LimitTaskSettings) -> (Self, LimitHandle, LimitInbox) {
         let (events_out, events) = mpsc::unbounded_channel();
         let host = settings.host.clone();
-        let session = StockSession(unix_millis(settings.clock.wall()) << SESSION_BITS);
+        let session = StockSession(whole_millis(settings.clock.since_epoch()) << SESSION_BITS);
         let voters = u32::try_from(settings.voters.len()).unwrap_or(u32::MAX);
         let terms = TermsReader::new(settings.replica.clone(), voters);
         let is_voter = settings.own_seat.is_some();
@@ -115,7 +115,7 @@
 
     fn poll(&mut self) {
         let now = self.settings.clock.now();
-        let epoch_floor = unix_millis(self.settings.clock.wall());
+        let epoch_floor = whole_millis(self.settings.clock.since_epoch());
         self.trials.expire(now);
         let mut out = self.keepers.poll(epoch_floor, now);
         let requests = self.limiters.poll(now);
@@ -253,9 +253,6 @@
     }
 }
 
-fn unix_millis(time: SystemTime) -> u64 {
-    let elapsed = time
-        .duration_since(SystemTime::UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+fn whole_millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/host/src/online_attempt/answer.rs
+++ b/crates/host/src/online_attempt/answer.rs
@@ -2,8 +2,8 @@
 
 use bytes::BytesMut;
 use chicoryladder_gateway::ServerFailure;
-use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServerLoad, headers};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -21,19 +21,9 @@
 }
 
 /// The load that an answer reports in its header fields.
-pub(crate) fn reported_load(fields: &HeaderMap) -> Option<chicoryladder_types::ServerLoad> {
+pub(crate) fn reported_load(fields: &HeaderMap) -> Option<ServerLoad> {
     let text = fields.get(headers::SERVER_LOAD)?.to_str().ok()?;
-    let mut load = chicoryladder_types::ServerLoad::default();
-    for part in text.split(';') {
-        let (name, count) = part.trim().split_once('=')?;
-        let count = count.parse().ok()?;
-        match name {
-            "running" => load.running = count,
-            "waiting" => load.waiting = count,
-            _ => {}
-        }
-    }
-    Some(load)
+    ServerLoad::try_from(text).ok()
 }
 
 /// The header fields of a server's answer that reach the caller.
--- a/crates/host/src/single_runs.rs
+++ b/crates/host/src/single_runs.rs
@@ -18,7 +18,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 /// The time after which a caller may ask again for a request that still runs.
 const RUNNING_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -96,7 +96,7 @@
             name: name.clone(),
             digest: RequestDigest::of(request.method.as_str(), &path, &request.body),
             request: request.id,
-            now: self.wall(),
+            now: self.clock.since_epoch(),
         };
         let claimed = ClaimName {
             name,
@@ -192,11 +192,6 @@
             claim.request
         );
     }
-
-    fn wall(&self) -> Duration {
-        let now = self.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
-        now.unwrap_or_default()
-    }
 }
 
 fn refused_end(verdict: RunVerdict) -> SingleRunEnd {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -29,7 +29,7 @@
 use cache_events::EventPublisher;
 use chicoryladder_types::{ClockSource, ServerLoad, SystemClock};
 use counters::CounterSet;
-use handler::{EngineHandler, PreviousRequest, SharedHandler};
+use handler::{EngineHandler, PreviousRequest};
 use orders::OrderBook;
 use std::fmt;
 use std::net::SocketAddr;
@@ -122,7 +122,7 @@
             faults,
             announcer,
         };
-        tasks.spawn(listener.run(Arc::new(SharedHandler(Arc::clone(&handler)))));
+        tasks.spawn(listener.run(handler.clone()));
         log::info!("standin: engine {} listens on {address}", options.name);
         Ok(EngineHandle {
             address,
--- a/crates/standin/src/engine/handler.rs
+++ b/crates/standin/src/engine/handler.rs
@@ -56,16 +56,12 @@
     }
 }
 
-/// The engine's handler as its listener calls it.
-pub(super) struct SharedHandler(pub(super) Arc<EngineHandler>);
-
-impl RequestHandler for SharedHandler {
+impl RequestHandler for EngineHandler {
     fn handle(
-        &self,
+        self: Arc<Self>,
         request: ReceivedRequest,
     ) -> BoxFuture<'static, Result<Response<AnswerBody>, ConnectionDrop>> {
-        let handler = Arc::clone(&self.0);
-        Box::pin(async move { handler.answer(request).await })
+        Box::pin(async move { self.answer(request).await })
     }
 }
 
@@ -93,8 +89,7 @@
             },
         };
         let load = *self.reported_load.borrow();
-        let load = format!("running={};waiting={}", load.running, load.waiting);
-        add_header(&mut response, headers::SERVER_LOAD, &load);
+        add_header(&mut response, headers::SERVER_LOAD, &load.to_string());
         Ok(response)
     }
 
--- a/crates/standin/src/engine/reply.rs
+++ b/crates/standin/src/engine/reply.rs
@@ -9,7 +9,6 @@
 use hyper::{Response, StatusCode};
 use serde_json::{Value, json};
 use std::io;
-use std::time::{Duration, SystemTime};
 use tokio::sync::mpsc;
 
 /// The last event of a streamed answer.
@@ -38,12 +37,11 @@
             CompletionKind::Chat => "chatcmpl",
             CompletionKind::Text => "cmpl",
         };
-        let age = clock.wall().duration_since(SystemTime::UNIX_EPOCH);
         Self {
             kind: order.kind,
             id: format!("{prefix}-{request_id}"),
             model: order.model.clone(),
-            created_s: age.unwrap_or(Duration::ZERO).as_secs(),
+            created_s: clock.since_epoch().as_secs(),
             words: AnswerWords::new(&order.prompt),
             prompt_tokens: prompt_tokens(&order.prompt),
             output_tokens,
--- a/crates/standin/src/listener.rs
+++ b/crates/standin/src/listener.rs
@@ -31,7 +31,7 @@
 pub(crate) trait RequestHandler: Send + Sync + 'static {
     /// Answers one request; an error closes the connection without an answer.
     fn handle(
-        &self,
+        self: Arc<Self>,
         request: ReceivedRequest,
     ) -> BoxFuture<'static, Result<Response<AnswerBody>, ConnectionDrop>>;
 }
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -14,7 +14,7 @@
 use crate::record::RequestRecord;
 use crate::{FaultPlan, ReceivedRequest, ServerControl, StandinError};
 use chicoryladder_types::ServerLoad;
-use handler::{PlainHandler, SharedHandler};
+use handler::PlainHandler;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -59,7 +59,7 @@
             faults,
             announcer,
         };
-        tasks.spawn(listener.run(Arc::new(SharedHandler(Arc::clone(&handler)))));
+        tasks.spawn(listener.run(handler.clone()));
         let name = options.name;
         log::info!("standin: plain service {name} listens on {address}");
         Ok(PlainHandle {
--- a/crates/standin/src/service/handler.rs
+++ b/crates/standin/src/service/handler.rs
@@ -27,16 +27,12 @@
     pub(super) runs: Mutex<HashMap<String, u64>>,
 }
 
-/// The service's handler as its listener calls it.
-pub(super) struct SharedHandler(pub(super) Arc<PlainHandler>);
-
-impl RequestHandler for SharedHandler {
+impl RequestHandler for PlainHandler {
     fn handle(
-        &self,
+        self: Arc<Self>,
         request: ReceivedRequest,
     ) -> BoxFuture<'static, Result<Response<AnswerBody>, ConnectionDrop>> {
-        let handler = Arc::clone(&self.0);
-        Box::pin(async move { handler.answer(request).await })
+        Box::pin(async move { self.answer(request).await })
     }
 }
 
@@ -56,8 +52,7 @@
             response?
         };
         let load = *self.load.borrow();
-        let load = format!("running={};waiting={}", load.running, load.waiting);
-        add_header(&mut response, headers::SERVER_LOAD, &load);
+        add_header(&mut response, headers::SERVER_LOAD, &load.to_string());
         add_header(&mut response, headers::REQUEST_ID, id);
         Ok(response)
     }
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -86,17 +86,6 @@
         outcome
     }
 
-    /// Moves the position over a log entry that carries no command.
-    pub fn skip(&mut self, index: LogIndex) {
-        self.applied = self.applied.max(index);
-    }
-
-    /// The recorded outcome of an operation that is sent again.
-    #[must_use]
-    pub fn recall(&self, command: &FleetCommand) -> Option<FleetOutcome> {
-        self.history.recall(command)
-    }
-
     /// Withdraws a key on this host alone, before the log does; tells whether
     /// that was news.
     pub fn withdraw_locally(&mut self, key_id: KeyId) -> bool {
--- a/crates/types/src/announcement.rs
+++ b/crates/types/src/announcement.rs
@@ -2,6 +2,7 @@
 
 use crate::{ModelName, ServerGeneration, ServerName, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 use std::net::SocketAddr;
 
 /// The load of a backend server at the moment of its report.
@@ -13,6 +14,37 @@
     pub waiting: u32,
 }
 
+/// Why a text is not a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a load report reads `running=<count>;waiting=<count>`")]
+pub struct LoadError;
+
+impl fmt::Display for ServerLoad {
+    /// Writes the load as it stands in [`crate::headers::SERVER_LOAD`].
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "running={};waiting={}", self.running, self.waiting)
+    }
+}
+
+impl TryFrom<&str> for ServerLoad {
+    type Error = LoadError;
+
+    /// Reads a load report; counts of other names are passed over.
+    fn try_from(text: &str) -> Result<Self, LoadError> {
+        let mut load = Self::default();
+        for part in text.split(';') {
+            let (name, count) = part.trim().split_once('=').ok_or(LoadError)?;
+            let count = count.parse().map_err(|_| LoadError)?;
+            match name {
+                "running" => load.running = count,
+                "waiting" => load.waiting = count,
+                _ => {}
+            }
+        }
+        Ok(load)
+    }
+}
+
 /// Announces a backend server, or renews its announcement.
 ///
 /// Sent as the JSON body of `POST /servers/v1/announce`, at least every second.
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -14,6 +14,12 @@
 
     /// The calendar time, for values that people read or that leave the process.
     fn wall(&self) -> SystemTime;
+
+    /// The calendar time since the Unix epoch; zero for a clock set before it.
+    fn since_epoch(&self) -> Duration {
+        let elapsed = self.wall().duration_since(SystemTime::UNIX_EPOCH);
+        elapsed.unwrap_or_default()
+    }
 }
 
 /// The clock of the operating system.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,7 +17,7 @@
 mod refusal;
 mod verdict;
 
-pub use announcement::{ServerAnnouncement, ServerLoad};
+pub use announcement::{LoadError, ServerAnnouncement, ServerLoad};
 pub use cache_event::{CacheChange, CacheEvent, CacheReport};
 pub use clock::{ClockSource, ManualClock, SystemClock};
 pub use ids::{
