--- /dev/null
+++ b/crates/batch/src/machine.rs
@@ -0,0 +1,361 @@
+//! The replicated state of batch jobs.
+
+use crate::spec::{ItemSpec, JobSpec};
+use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{LogIndex, RouteName};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// How an item ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ItemOutcome {
+    /// It ran to its end and made this text.
+    Completed(Arc<str>),
+    /// It was given up.
+    GivenUp,
+}
+
+/// A change of the batch state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BatchCommand {
+    /// Takes a job, if its tokens fit.
+    Submit {
+        /// The job.
+        job: Box<JobSpec>,
+        /// The most tokens of the team that may wait on the route; 0 is no limit.
+        waiting_tokens_max: u64,
+    },
+    /// Lists an item's result.
+    Finish {
+        /// The job.
+        job: String,
+        /// The place of the item in the job.
+        item: u32,
+        /// How it ended.
+        outcome: ItemOutcome,
+    },
+    /// Counts a failed run of an item.
+    CountFailure {
+        /// The job.
+        job: String,
+        /// The place of the item in the job.
+        item: u32,
+    },
+    /// Ends a job.
+    End {
+        /// The job.
+        job: String,
+        /// The team that asks.
+        team: Option<TeamName>,
+    },
+    /// Drops a job that nobody will ask for any more.
+    Forget {
+        /// The job.
+        job: String,
+    },
+}
+
+/// The answer to a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SubmitAnswer {
+    /// The job is taken.
+    Accepted,
+    /// The same job was taken before.
+    Repeated,
+    /// The tokens of the team that wait leave no room.
+    NoRoom,
+}
+
+/// The answer to a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BatchAnswer {
+    /// Answers [`BatchCommand::Submit`].
+    Submitted(SubmitAnswer),
+    /// The command took effect.
+    Done,
+    /// The job or item does not exist, or had ended before.
+    NoEffect,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum ItemState {
+    Waiting { spec: Arc<ItemSpec>, failures: u32 },
+    Ended { id: String, outcome: ItemOutcome },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct JobRecord {
+    /// The job, without its items.
+    terms: JobSpec,
+    items: Vec<ItemState>,
+    /// The places of the items that have a result, in the order of their results.
+    listed: Vec<u32>,
+    ended: bool,
+}
+
+impl JobRecord {
+    fn is_open(&self) -> bool {
+        !self.ended && self.listed.len() < self.items.len()
+    }
+
+    fn waiting_tokens(&self) -> u64 {
+        if self.ended {
+            return 0;
+        }
+        let tokens = |item: &ItemState| match item {
+            ItemState::Waiting { spec, .. } => spec.tokens,
+            ItemState::Ended { .. } => 0,
+        };
+        self.items.iter().map(tokens).sum()
+    }
+}
+
+/// One result.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemResult {
+    /// The id of the item.
+    pub id: String,
+    /// How it ended.
+    pub outcome: ItemOutcome,
+}
+
+/// Some results of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobPage {
+    /// The number of items of the job.
+    pub total: u64,
+    /// The position after the last result of this page.
+    pub next: u64,
+    /// The results.
+    pub results: Vec<ItemResult>,
+}
+
+/// An item that has no result yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenItem {
+    /// The job, without its items.
+    pub terms: Arc<JobSpec>,
+    /// The place of the item in the job.
+    pub item: u32,
+    /// The item.
+    pub spec: Arc<ItemSpec>,
+    /// Its failed runs.
+    pub failures: u32,
+}
+
+/// The replicated state of batch jobs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchMachine {
+    jobs: BTreeMap<String, JobRecord>,
+}
+
+impl BatchMachine {
+    /// The results of a job from a position on, up to about `max_bytes` of text.
+    ///
+    /// `None` if the team has no such job.
+    #[must_use]
+    pub fn page(
+        &self,
+        team: Option<&TeamName>,
+        job: &str,
+        after: u64,
+        max_bytes: usize,
+    ) -> Option<JobPage> {
+        let record = self.job_of(team, job)?;
+        let from = usize::try_from(after).unwrap_or(usize::MAX);
+        let mut page = JobPage {
+            total: record.items.len() as u64,
+            next: after,
+            results: Vec::new(),
+        };
+        let mut bytes = 0;
+        for place in record.listed.iter().skip(from) {
+            let Some(ItemState::Ended { id, outcome }) = record.items.get(*place as usize) else {
+                break;
+            };
+            let length = match outcome {
+                ItemOutcome::Completed(text) => text.len(),
+                ItemOutcome::GivenUp => 0,
+            };
+            if bytes + length > max_bytes && !page.results.is_empty() {
+                break;
+            }
+            bytes += length;
+            page.next += 1;
+            page.results.push(ItemResult {
+                id: id.clone(),
+                outcome: outcome.clone(),
+            });
+        }
+        Some(page)
+    }
+
+    /// The body of an item that has no result yet.
+    #[must_use]
+    pub fn body(&self, team: Option<&TeamName>, job: &str, id: &str) -> Option<Arc<ItemSpec>> {
+        let record = self.job_of(team, job).filter(|record| !record.ended)?;
+        record.items.iter().find_map(|item| match item {
+            ItemState::Waiting { spec, .. } if spec.id == id => Some(spec.clone()),
+            ItemState::Waiting { .. } | ItemState::Ended { .. } => None,
+        })
+    }
+
+    /// Every item that has no result yet.
+    #[must_use]
+    pub fn open_items(&self) -> Vec<OpenItem> {
+        let open = self.jobs.values().filter(|record| record.is_open());
+        open.flat_map(|record| {
+            let terms = Arc::new(record.terms.clone());
+            record
+                .items
+                .iter()
+                .zip(0..)
+                .filter_map(move |(state, item)| {
+                    let ItemState::Waiting { spec, failures } = state else {
+                        return None;
+                    };
+                    Some(OpenItem {
+                        terms: terms.clone(),
+                        item,
+                        spec: spec.clone(),
+                        failures: *failures,
+                    })
+                })
+        })
+        .collect()
+    }
+
+    /// The ids of all jobs, and whether each is open.
+    #[must_use]
+    pub fn jobs(&self) -> Vec<(String, bool)> {
+        let job = |(id, record): (&String, &JobRecord)| (id.clone(), record.is_open());
+        self.jobs.iter().map(job).collect()
+    }
+
+    fn job_of(&self, team: Option<&TeamName>, job: &str) -> Option<&JobRecord> {
+        let record = self.jobs.get(job)?;
+        (record.terms.team.as_ref() == team).then_some(record)
+    }
+
+    fn waiting_tokens(&self, team: Option<&TeamName>, route: &RouteName) -> u64 {
+        let of_route = |record: &&JobRecord| {
+            record.terms.team.as_ref() == team && record.terms.route == *route
+        };
+        let jobs = self.jobs.values().filter(of_route);
+        jobs.map(JobRecord::waiting_tokens).sum()
+    }
+
+    fn run(&mut self, command: BatchCommand) -> BatchAnswer {
+        match command {
+            BatchCommand::Submit {
+                job,
+                waiting_tokens_max,
+            } => BatchAnswer::Submitted(self.submit(*job, waiting_tokens_max)),
+            BatchCommand::Finish { job, item, outcome } => self.finish(&job, item, outcome),
+            BatchCommand::CountFailure { job, item } => self.count_failure(&job, item),
+            BatchCommand::End { job, team } => self.end(&job, team.as_ref()),
+            BatchCommand::Forget { job } => match self.jobs.remove(&job) {
+                Some(_) => BatchAnswer::Done,
+                None => BatchAnswer::NoEffect,
+            },
+        }
+    }
+
+    fn submit(&mut self, mut job: JobSpec, waiting_tokens_max: u64) -> SubmitAnswer {
+        if self.jobs.contains_key(&job.id) {
+            return SubmitAnswer::Repeated;
+        }
+        let tokens: u64 = job.items.iter().map(|item| item.tokens).sum();
+        let waiting = self.waiting_tokens(job.team.as_ref(), &job.route);
+        if waiting_tokens_max > 0 && waiting + tokens > waiting_tokens_max {
+            return SubmitAnswer::NoRoom;
+        }
+        let waiting = |spec| ItemState::Waiting {
+            spec: Arc::new(spec),
+            failures: 0,
+        };
+        let items = std::mem::take(&mut job.items).into_iter().map(waiting);
+        let record = JobRecord {
+            items: items.collect(),
+            listed: Vec::new(),
+            ended: false,
+            terms: job,
+        };
+        self.jobs.insert(record.terms.id.clone(), record);
+        SubmitAnswer::Accepted
+    }
+
+    /// The first result of an item counts; its body is not needed any more.
+    fn finish(&mut self, job: &str, item: u32, outcome: ItemOutcome) -> BatchAnswer {
+        let Some(record) = self.jobs.get_mut(job).filter(|record| !record.ended) else {
+            return BatchAnswer::NoEffect;
+        };
+        match record.items.get_mut(item as usize) {
+            Some(state @ ItemState::Waiting { .. }) => {
+                let ItemState::Waiting { spec, .. } = &*state else {
+                    return BatchAnswer::NoEffect;
+                };
+                let id = spec.id.clone();
+                *state = ItemState::Ended { id, outcome };
+                record.listed.push(item);
+                BatchAnswer::Done
+            }
+            Some(ItemState::Ended { .. }) | None => BatchAnswer::NoEffect,
+        }
+    }
+
+    fn count_failure(&mut self, job: &str, item: u32) -> BatchAnswer {
+        let record = self.jobs.get_mut(job);
+        match record.and_then(|record| record.items.get_mut(item as usize)) {
+            Some(ItemState::Waiting { failures, .. }) => {
+                *failures += 1;
+                BatchAnswer::Done
+            }
+            Some(ItemState::Ended { .. }) | None => BatchAnswer::NoEffect,
+        }
+    }
+
+    fn end(&mut self, job: &str, team: Option<&TeamName>) -> BatchAnswer {
+        let of_team = |record: &&mut JobRecord| record.terms.team.as_ref() == team;
+        match self.jobs.get_mut(job).filter(of_team) {
+            Some(record) => {
+                record.ended = true;
+                BatchAnswer::Done
+            }
+            None => BatchAnswer::NoEffect,
+        }
+    }
+}
+
+impl StateMachine for BatchMachine {
+    fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8> {
+        let answer = match postcard::from_bytes(command) {
+            Ok(command) => self.run(command),
+            Err(error) => {
+                log_unreadable(index, &error);
+                BatchAnswer::NoEffect
+            }
+        };
+        // An answer is a plain enum, which always encodes.
+        postcard::to_stdvec(&answer).unwrap_or_default()
+    }
+
+    fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        postcard::to_stdvec(self).map_err(|error| SnapshotError {
+            detail: error.to_string(),
+        })
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        *self = postcard::from_bytes(snapshot).map_err(|error| RestoreError {
+            detail: error.to_string(),
+        })?;
+        Ok(())
+    }
+}
+
+fn log_unreadable(index: LogIndex, error: &postcard::Error) {
+    log::error!("batch: entry {index} holds no command of this version: {error}.");
+}
--- /dev/null
+++ b/crates/broker/src/directory.rs
@@ -0,0 +1,127 @@
+//! The backend servers, by what they said of themselves.
+
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServerLoad, ServiceName};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Whether a server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum ServerPhase {
+    /// Takes new work.
+    Ready,
+    /// Finishes what it has.
+    Leaving,
+}
+
+/// What a server says of itself at a check-in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerCheckIn {
+    /// The name of the server.
+    pub name: ServerName,
+    /// When this incarnation of the server started, in milliseconds since the epoch.
+    pub born: u64,
+    /// Counts the check-ins of one incarnation.
+    pub sequence: u64,
+    /// The service.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub phase: ServerPhase,
+    /// How much longer it stays slow after its start.
+    pub cold_for: Duration,
+}
+
+/// What became of a check-in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CheckInOutcome {
+    /// A server that was not known.
+    Added,
+    /// A known server, as before.
+    Renewed,
+    /// A known server that begins to leave.
+    Leaving,
+    /// An older check-in than the last one, or one of an earlier incarnation.
+    Stale,
+}
+
+/// A server as the broker knows it.
+#[derive(Clone, Debug)]
+pub struct ServerRecord {
+    /// The last check-in.
+    pub told: ServerCheckIn,
+    /// When it arrived.
+    pub told_at: Instant,
+    /// Until when the server gets no work, since it failed.
+    pub suspended_until: Option<Instant>,
+    /// Failures since the last success.
+    pub failures: u32,
+    /// The load of the last answer, and when it was told.
+    pub load: Option<(ServerLoad, Instant)>,
+    /// Prompt parts that the server has read, and when they were last used.
+    pub warm: HashMap<u64, Instant>,
+}
+
+impl ServerRecord {
+    /// A server at its first check-in.
+    #[must_use]
+    pub fn new(told: ServerCheckIn, now: Instant) -> Self {
+        Self {
+            told,
+            told_at: now,
+            suspended_until: None,
+            failures: 0,
+            load: None,
+            warm: HashMap::new(),
+        }
+    }
+
+    /// Whether the server may get new work.
+    #[must_use]
+    pub fn is_open(&self, now: Instant) -> bool {
+        let suspended = self.suspended_until.is_some_and(|until| now < until);
+        self.told.phase == ServerPhase::Ready && !suspended
+    }
+
+    /// Takes over a newer check-in.
+    pub fn renew(&mut self, told: ServerCheckIn, now: Instant) -> CheckInOutcome {
+        let newer = (told.born, told.sequence) > (self.told.born, self.told.sequence);
+        if !newer {
+            return CheckInOutcome::Stale;
+        }
+        if told.born != self.told.born {
+            // It starts with empty memory, and nothing before counts against it.
+            *self = Self::new(told, now);
+            return CheckInOutcome::Added;
+        }
+        let leaves = told.phase == ServerPhase::Leaving && self.told.phase == ServerPhase::Ready;
+        // One that began to leave never comes back under the same start.
+        let phase = match self.told.phase {
+            ServerPhase::Leaving => ServerPhase::Leaving,
+            ServerPhase::Ready => told.phase,
+        };
+        self.told = ServerCheckIn { phase, ..told };
+        self.told_at = now;
+        if leaves {
+            CheckInOutcome::Leaving
+        } else {
+            CheckInOutcome::Renewed
+        }
+    }
+}
+
+/// A server as entry hosts see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerView {
+    /// The last check-in.
+    pub told: ServerCheckIn,
+    /// How long ago it arrived.
+    pub told_ago: Duration,
+}
--- /dev/null
+++ b/crates/broker/src/grants.rs
@@ -0,0 +1,124 @@
+//! The slots that are given out.
+
+use crate::ask::{AskerId, WorkKind};
+use chicoryladder_types::ServerLoad;
+use chicoryladder_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+new_key_type! {
+    /// Finds a server of a broker.
+    pub(crate) struct ServerKey;
+    /// Finds a grant of a broker.
+    pub(crate) struct GrantKey;
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RunOutcome {
+    /// The server answered.
+    Served,
+    /// Nothing was sent, or the asker stopped the run.
+    Stopped,
+    /// The server could not be connected to.
+    Unreachable,
+    /// The server refused the request before it ran.
+    Shed,
+    /// Another server answered at the address.
+    WrongServer,
+    /// The server broke off, or answered what was not asked.
+    Failed,
+}
+
+/// What an asker tells of an ended run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// The ticket of the slot.
+    pub ticket: u64,
+    /// How the run ended.
+    pub outcome: RunOutcome,
+    /// The load that the server told.
+    pub load: Option<ServerLoad>,
+    /// The time from sending to the beginning of the answer.
+    pub first_answer: Option<Duration>,
+    /// Whether the payer gets the request back, since it never ran.
+    pub refund: bool,
+}
+
+/// A run that an asker has under way.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ActiveRun {
+    /// The ticket of the slot.
+    pub ticket: u64,
+    /// The server.
+    pub server: ServerName,
+    /// What the slot is for.
+    pub kind: WorkKind,
+    /// The tokens that the run will hold in an engine's memory at its end.
+    pub tokens: u64,
+    /// Whether the asker chose the server without the broker.
+    pub unasked: bool,
+}
+
+/// One slot that is given out.
+#[derive(Clone, Debug)]
+pub(crate) struct SlotGrant {
+    pub(crate) asker: AskerId,
+    pub(crate) ticket: u64,
+    pub(crate) server: ServerKey,
+    pub(crate) kind: WorkKind,
+    pub(crate) tokens: u64,
+    pub(crate) payer: Option<TeamName>,
+    pub(crate) granted_at: Instant,
+    /// The asker was told to stop the run; its slot is given to another.
+    pub(crate) stopping: bool,
+}
+
+/// All slots that are given out.
+#[derive(Debug, Default)]
+pub(crate) struct GrantBook {
+    grants: SlotMap<GrantKey, SlotGrant>,
+    by_ticket: HashMap<AskerId, HashMap<u64, GrantKey>>,
+}
+
+impl GrantBook {
+    pub(crate) fn insert(&mut self, grant: SlotGrant) -> GrantKey {
+        let asker = grant.asker.clone();
+        let ticket = grant.ticket;
+        let key = self.grants.insert(grant);
+        self.by_ticket.entry(asker).or_default().insert(ticket, key);
+        key
+    }
+
+    pub(crate) fn get_mut(&mut self, key: GrantKey) -> Option<&mut SlotGrant> {
+        self.grants.get_mut(key)
+    }
+
+    pub(crate) fn remove(&mut self, asker: &AskerId, ticket: u64) -> Option<SlotGrant> {
+        let key = self.by_ticket.get_mut(asker)?.remove(&ticket)?;
+        self.grants.remove(key)
+    }
+
+    pub(crate) fn holds(&self, asker: &AskerId, ticket: u64) -> bool {
+        let tickets = self.by_ticket.get(asker);
+        tickets.is_some_and(|tickets| tickets.contains_key(&ticket))
+    }
+
+    /// The tickets of an asker, with the time of their grant.
+    pub(crate) fn tickets_of(&self, asker: &AskerId) -> Vec<(u64, Instant)> {
+        let Some(tickets) = self.by_ticket.get(asker) else {
+            return Vec::new();
+        };
+        let grant = |(ticket, key): (&u64, &GrantKey)| {
+            let grant = self.grants.get(*key)?;
+            Some((*ticket, grant.granted_at))
+        };
+        tickets.iter().filter_map(grant).collect()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (GrantKey, &SlotGrant)> {
+        self.grants.iter()
+    }
+}
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -135,6 +135,12 @@
         self.voters().count() / 2 + 1
     }
 
+    /// The id that the next seat has to take.
+    #[must_use]
+    pub fn next_seat(&self) -> SeatId {
+        self.highest.next()
+    }
+
     /// The number of seats.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/consensus/src/seat/lease.rs
+++ b/crates/consensus/src/seat/lease.rs
@@ -89,6 +89,25 @@
         confirmed && self.is_settled() && self.delivered >= self.commit
     }
 
+    /// Until when a leader may answer reads without another confirmation.
+    ///
+    /// `None` on a seat that does not lead, or that has not committed an entry of
+    /// its own term.
+    #[must_use]
+    pub fn lease_until(&self, now: Instant) -> Option<Instant> {
+        let confirmed = self.quorum_at(now).filter(|_| self.is_settled())?;
+        Some(confirmed + self.settings.lease_duration())
+    }
+
+    /// When a leader last got an acknowledgement of a member, if ever.
+    #[must_use]
+    pub fn contact_with(&self, member: chicoryladder_types::SeatId) -> Option<Instant> {
+        let RoleState::Leader(state) = &self.role else {
+            return None;
+        };
+        state.peers.get(&member).and_then(|peer| peer.confirmed_at)
+    }
+
     /// The instant up to which the applied state holds every acknowledged change.
     ///
     /// `None` until a committed position was heard from a leader backed by a
--- /dev/null
+++ b/crates/plan/src/checked.rs
@@ -0,0 +1,219 @@
+//! A checked plan with its indexes.
+
+use crate::error::PlanError;
+use crate::raw::{CallerBounds, PlanVersion, RawPlan, RawRoute, RawService, RawTeam};
+use chicoryladder_types::{ServiceName, TeamName};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// A route of a checked plan.
+pub type PlanRoute = Arc<RawRoute>;
+
+/// A service of a checked plan.
+pub type PlanService = Arc<RawService>;
+
+/// A team of a checked plan.
+pub type PlanTeam = Arc<RawTeam>;
+
+/// Finds the team of a key.
+#[derive(Clone, Debug, Default)]
+pub struct TeamIndex {
+    by_key: HashMap<String, PlanTeam>,
+}
+
+impl TeamIndex {
+    /// The team that holds the key.
+    #[must_use]
+    pub fn team_of(&self, key: &str) -> Option<&PlanTeam> {
+        self.by_key.get(key)
+    }
+}
+
+/// A plan that keeps every rule of [`PlanError`].
+#[derive(Clone, Debug, Default)]
+pub struct ServicePlan {
+    raw: RawPlan,
+    routes: HashMap<String, HashMap<String, PlanRoute>>,
+    services: HashMap<ServiceName, PlanService>,
+    teams: HashMap<TeamName, PlanTeam>,
+    keys: TeamIndex,
+}
+
+impl ServicePlan {
+    /// The version.
+    #[must_use]
+    pub fn version(&self) -> PlanVersion {
+        self.raw.version
+    }
+
+    /// The limits on callers.
+    #[must_use]
+    pub fn bounds(&self) -> CallerBounds {
+        self.raw.bounds
+    }
+
+    /// The plan as it was read.
+    #[must_use]
+    pub fn raw(&self) -> &RawPlan {
+        &self.raw
+    }
+
+    /// Whether callers need a key on routes that are not open.
+    #[must_use]
+    pub fn has_teams(&self) -> bool {
+        !self.teams.is_empty()
+    }
+
+    /// The route of the longest prefix that begins the path.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&PlanRoute> {
+        let prefixes = self.routes.get(&host_key(host))?;
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(route) = prefixes.get(&path[..=slash]) {
+                return Some(route);
+            }
+            end = slash;
+        }
+        None
+    }
+
+    /// The service of the given name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&PlanService> {
+        self.services.get(name)
+    }
+
+    /// The team of the given name.
+    #[must_use]
+    pub fn team(&self, name: &TeamName) -> Option<&PlanTeam> {
+        self.teams.get(name)
+    }
+
+    /// The teams by their keys.
+    #[must_use]
+    pub fn keys(&self) -> &TeamIndex {
+        &self.keys
+    }
+}
+
+impl TryFrom<RawPlan> for ServicePlan {
+    type Error = PlanError;
+
+    fn try_from(raw: RawPlan) -> Result<Self, PlanError> {
+        let services = index_services(&raw)?;
+        let routes = index_routes(&raw, &services)?;
+        let (teams, keys) = index_teams(&raw)?;
+        Ok(Self {
+            raw,
+            routes,
+            services,
+            teams,
+            keys,
+        })
+    }
+}
+
+fn host_key(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    name.to_ascii_lowercase()
+}
+
+fn index_services(raw: &RawPlan) -> Result<HashMap<ServiceName, PlanService>, PlanError> {
+    let mut services = HashMap::new();
+    for service in &raw.services {
+        let name = service.name.clone();
+        if services.insert(name, Arc::new(service.clone())).is_some() {
+            return Err(PlanError::Repeated {
+                kind: "service",
+                name: service.name.to_string(),
+            });
+        }
+    }
+    Ok(services)
+}
+
+type RouteIndex = HashMap<String, HashMap<String, PlanRoute>>;
+
+fn index_routes(
+    raw: &RawPlan,
+    services: &HashMap<ServiceName, PlanService>,
+) -> Result<RouteIndex, PlanError> {
+    let mut routes = RouteIndex::new();
+    let mut names = std::collections::HashSet::new();
+    for route in &raw.routes {
+        check_route(route, services)?;
+        if !names.insert(&route.name) {
+            return Err(PlanError::Repeated {
+                kind: "route",
+                name: route.name.to_string(),
+            });
+        }
+        let prefixes = routes.entry(host_key(&route.host)).or_default();
+        let known = prefixes.insert(route.prefix.clone(), Arc::new(route.clone()));
+        if let Some(first) = known {
+            return Err(PlanError::SharedPlace {
+                first: first.name.clone(),
+                second: route.name.clone(),
+            });
+        }
+    }
+    Ok(routes)
+}
+
+fn check_route(
+    route: &RawRoute,
+    services: &HashMap<ServiceName, PlanService>,
+) -> Result<(), PlanError> {
+    let unknown = |target: &&crate::RouteTarget| !services.contains_key(&target.service);
+    if let Some(target) = route.targets.iter().find(unknown) {
+        return Err(PlanError::UnknownService {
+            route: route.name.clone(),
+            service: target.service.clone(),
+        });
+    }
+    if route.targets.iter().all(|target| target.weight == 0) {
+        return Err(PlanError::NoWeight(route.name.clone()));
+    }
+    if route.timeout.is_zero() {
+        return Err(PlanError::NoTimeout(route.name.clone()));
+    }
+    let prefix = &route.prefix;
+    if !prefix.starts_with('/') || !prefix.ends_with('/') {
+        return Err(PlanError::BadPrefix(route.name.clone()));
+    }
+    Ok(())
+}
+
+type Teams = (HashMap<TeamName, PlanTeam>, TeamIndex);
+
+fn index_teams(raw: &RawPlan) -> Result<Teams, PlanError> {
+    let mut teams = HashMap::new();
+    let mut by_key: HashMap<String, PlanTeam> = HashMap::new();
+    for team in &raw.teams {
+        let counts = [team.rate, team.burst];
+        if counts
+            .iter()
+            .any(|count| !count.is_finite() || *count < 0.0)
+        {
+            return Err(PlanError::BadRate(team.name.clone()));
+        }
+        let record = Arc::new(team.clone());
+        if teams.insert(team.name.clone(), record.clone()).is_some() {
+            return Err(PlanError::Repeated {
+                kind: "team",
+                name: team.name.to_string(),
+            });
+        }
+        for key in &team.keys {
+            let known = by_key.insert(key.clone(), record.clone());
+            if let Some(first) = known.filter(|first| first.name != team.name) {
+                return Err(PlanError::SharedKey {
+                    first: first.name.clone(),
+                    second: team.name.clone(),
+                });
+            }
+        }
+    }
+    Ok((teams, TeamIndex { by_key }))
+}
--- /dev/null
+++ b/crates/roles/src/control/host.rs
@@ -0,0 +1,790 @@
+//! A running control host.
+
+use super::leader::{AskerMessage, LeaderState};
+use super::machine::{ControlCommand, ControlMachine};
+use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
+use crate::entry::serve;
+use crate::event_log::EventLog;
+use crate::fleet_view::FleetView;
+use crate::leader_client::LeaderClient;
+use crate::message::{
+    Call, ControlAnswer, ControlCall, GroupReply, JoinAnswer, JoinRequest, Notice,
+};
+use crate::metrics::{MetricsService, RoleMetrics};
+use crate::process::{ProcessBase, ProcessError, RETRY_PAUSE};
+use crate::seat_opener::{FounderMap, SeatOpener};
+use bytes::Bytes;
+use chicoryladder_broker::{
+    AskSlot, AskerId, BrokerSettings, CheckInOutcome, RateTolerance, ServerCheckIn, ServerPhase,
+};
+use chicoryladder_gateway::{HttpListener, ListenerLimits};
+use chicoryladder_group::{GroupHandle, GroupStatus, ProposeFailure};
+use chicoryladder_plan::{PlanVersion, ServicePlan};
+use chicoryladder_rpc::{PeerIdentity, RpcHandler};
+use chicoryladder_settings::ProcessSettings;
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{GroupId, SeatId};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde_json::json;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// The number of the control group.
+pub(crate) const CONTROL_GROUP: GroupId = GroupId(0);
+
+/// The time between two looks at timers of the leader.
+const LEADER_TICK: Duration = Duration::from_millis(25);
+
+/// The time for one try of a call that is passed on to the leader.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The time within which a call that is passed on has to find the leader; servers
+/// and operators wait for a second.
+const RELAY_PATIENCE: Duration = Duration::from_millis(850);
+
+/// The time without a leader after which a seat asks whether it still counts.
+const SEAT_DOUBT: Duration = Duration::from_millis(1_500);
+
+/// The check-ins that a server may miss before it gets no work; check-ins may be
+/// late by seconds.
+const MISSED_CHECK_INS: u32 = 5;
+
+/// The silence after which a server is forgotten.
+const SERVER_FORGOTTEN_AFTER: Duration = Duration::from_secs(40);
+
+/// The silence after which the slots of a host are taken back; several syncs.
+const ASKER_LOST_AFTER: Duration = Duration::from_millis(2_500);
+
+/// The part of the rate slack that the buckets use; the rest stays for what a new
+/// leader starts with and for differences between clocks.
+const SLACK_SHARE: f64 = 0.5;
+
+/// A running control host.
+pub struct ControlHost {
+    shared: Arc<ControlShared>,
+    listener: HttpListener,
+    tasks: JoinSet<()>,
+}
+
+/// What the tasks and handlers of a control host share.
+struct ControlShared {
+    base: ProcessBase,
+    client: LeaderClient,
+    log: EventLog,
+    view: FleetView,
+    group: RwLock<Option<GroupHandle<ControlMachine>>>,
+    state: Mutex<LeaderState>,
+    control_port: u16,
+}
+
+impl ControlHost {
+    /// Starts a control host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address or the data folder cannot be used.
+    pub async fn start(
+        settings: ProcessSettings,
+        service: Arc<dyn ControlService>,
+        clock: Arc<dyn ClockSource>,
+    ) -> Result<Self, ProcessError> {
+        let address = settings
+            .listen
+            .control
+            .ok_or(ProcessError::Absent("listen", "control"))?;
+        let folder = settings
+            .data_folder
+            .clone()
+            .ok_or(ProcessError::Absent("data", "folder"))?;
+        let base = ProcessBase::new(settings, clock)?;
+        let log = EventLog::start("control")?;
+        let now = base.clock.now();
+        let shared = Arc::new(ControlShared {
+            client: base.control_client(),
+            view: FleetView::new(),
+            group: RwLock::new(None),
+            state: Mutex::new(LeaderState::new(broker_settings(&base.settings), now)),
+            control_port: address.port(),
+            log,
+            base,
+        });
+        shared
+            .base
+            .serve(Arc::new(ControlHandler(shared.clone())))
+            .await?;
+        let opener = SeatOpener {
+            group: CONTROL_GROUP,
+            folder,
+            rpc: shared.base.rpc.clone(),
+            clock: shared.base.clock.clone(),
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(keep_seat(shared.clone(), opener));
+        tasks.spawn(lead(shared.clone()));
+        tasks.spawn(crate::fleet_view::follow(
+            shared.base.clone(),
+            shared.client.clone(),
+            shared.view.clone(),
+            crate::fleet_view::SyncReporter::control(),
+        ));
+        let limits = ListenerLimits {
+            header_max_bytes: 64 * 1024,
+            header_timeout: Duration::from_secs(60),
+        };
+        serve_metrics(&shared, &mut tasks, limits).await?;
+        let port: Arc<dyn ControlPort> = Arc::new(ControlRelay(shared.clone()));
+        let listener =
+            HttpListener::start("control", address, limits, service.control(port)).await?;
+        shared.log.note(
+            "started",
+            &json!({ "host": shared.base.settings.host.name }),
+        );
+        Ok(Self {
+            shared,
+            listener,
+            tasks,
+        })
+    }
+
+    /// Gives the leadership away and stops.
+    pub async fn shutdown(mut self) {
+        self.shared.log.note("stopping", &json!({}));
+        if let Some(group) = self.shared.group() {
+            group.hand_over();
+        }
+        // Calls in flight end within the time that their callers wait.
+        let draining = self.listener.drain();
+        if tokio::time::timeout(RELAY_PATIENCE, draining)
+            .await
+            .is_err()
+        {
+            log::info!("control: cuts the calls that are left.");
+        }
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn serve_metrics(
+    shared: &Arc<ControlShared>,
+    tasks: &mut JoinSet<()>,
+    limits: ListenerLimits,
+) -> Result<(), ProcessError> {
+    let Some(address) = shared.base.settings.listen.metrics else {
+        return Ok(());
+    };
+    let levels_of = shared.clone();
+    let service = MetricsService {
+        metrics: Arc::new(RoleMetrics::new()?),
+        levels: Box::new(move || {
+            let mut levels = levels_of.status().levels(levels_of.now());
+            levels.extend(levels_of.state().levels(levels_of.now()));
+            levels
+        }),
+    };
+    serve(tasks, "metrics", address, limits, Arc::new(service)).await
+}
+
+fn broker_settings(settings: &ProcessSettings) -> BrokerSettings {
+    let interval = settings.promises.check_in_interval;
+    BrokerSettings {
+        check_in_interval: interval,
+        lost_after: interval * MISSED_CHECK_INS,
+        forget_after: SERVER_FORGOTTEN_AFTER,
+        asker_lost_after: ASKER_LOST_AFTER,
+        tolerance: RateTolerance {
+            requests: settings.promises.rate_slack * SLACK_SHARE,
+        },
+    }
+}
+
+impl ControlShared {
+    fn group(&self) -> Option<GroupHandle<ControlMachine>> {
+        let group = self.group.read().unwrap_or_else(PoisonError::into_inner);
+        group.clone()
+    }
+
+    fn set_group(&self, handle: Option<GroupHandle<ControlMachine>>) {
+        *self.group.write().unwrap_or_else(PoisonError::into_inner) = handle;
+    }
+
+    fn state(&self) -> MutexGuard<'_, LeaderState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Instant {
+        self.base.clock.now()
+    }
+
+    fn status(&self) -> GroupStatus {
+        self.group().map(|group| group.status()).unwrap_or_default()
+    }
+
+    /// Whether this host leads, has begun to act on it, and holds the lease.
+    fn leads(&self) -> bool {
+        let status = self.status();
+        status.holds_lease(self.now()) && self.state().term == Some(status.term)
+    }
+
+    fn not_leader<T>(&self) -> GroupReply<T> {
+        let own = self.base.rpc.identity().address;
+        let leader = self.status().leader.filter(|leader| *leader != own);
+        GroupReply::NotLeader { leader }
+    }
+
+    /// Carries out what the broker decided.
+    fn settle(&self, state: &mut LeaderState) {
+        for message in state.settle(self.now()) {
+            let AskerMessage::Stop { address, ticket } = message;
+            self.base.notify(address, &Notice::Stop { ticket });
+        }
+    }
+
+    async fn propose(&self, command: &ControlCommand) -> Result<(), ProposeFailure> {
+        let group = self.group().ok_or(ProposeFailure::NotLeader)?;
+        let command = postcard::to_stdvec(command)
+            .map_err(|error| ProposeFailure::Refused(error.to_string()))?;
+        group.propose(command).await.map(|_| ())
+    }
+
+    /// Takes what changed in the state machine into the leader's state.
+    async fn refresh(&self) {
+        let Some(group) = self.group() else {
+            return;
+        };
+        let Ok(machine) = group.read(ControlMachine::clone).await else {
+            return;
+        };
+        let now = self.now();
+        let mut state = self.state();
+        if state.term.is_some() && state.refresh(&machine, now) {
+            let version = state.plan.version();
+            let hosts: Vec<SocketAddr> = state.hosts.values().map(|h| h.address).collect();
+            drop(state);
+            self.log
+                .note("plan_in_force", &json!({ "version": version.0 }));
+            for host in hosts {
+                self.base.notify(host, &Notice::Changed);
+            }
+        }
+    }
+
+    async fn answer(self: Arc<Self>, call: ControlCall) -> GroupReply<ControlAnswer> {
+        if !self.leads() {
+            return self.not_leader();
+        }
+        match call {
+            ControlCall::Ask { asker, plan, ask } => self.ask(&asker, plan, *ask).await,
+            ControlCall::Sync(request) => {
+                let now = self.now();
+                let mut state = self.state();
+                let answer = state.sync(&request, now);
+                self.settle(&mut state);
+                drop(state);
+                // A leader that lost its lease meanwhile may have said what is old.
+                if self.leads() {
+                    GroupReply::Answer(ControlAnswer::Synced(Box::new(answer)))
+                } else {
+                    self.not_leader()
+                }
+            }
+            ControlCall::ReplacePlan { document, plan } => {
+                self.replace_plan(document, plan.version, plan).await
+            }
+            ControlCall::ReadPlan => {
+                let Some(group) = self.group() else {
+                    return self.not_leader();
+                };
+                let document = group.read(|machine| {
+                    let stored = machine.plan();
+                    stored.map(|stored| stored.document.clone())
+                });
+                match document.await {
+                    Ok(document) => GroupReply::Answer(ControlAnswer::Document(document)),
+                    Err(_) => self.not_leader(),
+                }
+            }
+            ControlCall::CheckIn(told) => self.check_in(*told).await,
+            ControlCall::Leave { name, born } => {
+                let born = born.or_else(|| self.state().broker.born(&name));
+                match born {
+                    Some(born) => self.record_departure(name, born).await,
+                    None => GroupReply::Answer(ControlAnswer::Done),
+                }
+            }
+            ControlCall::BeginRetire { host } => self.begin_retire(host).await,
+            ControlCall::RetireState { host } => {
+                let state = self.state();
+                GroupReply::Answer(match state.retiring.get(&host) {
+                    Some((_, is_empty)) => ControlAnswer::Retired(*is_empty),
+                    None => ControlAnswer::UnknownHost,
+                })
+            }
+            ControlCall::Join(request) => {
+                GroupReply::Answer(ControlAnswer::Seat(self.join(&request)))
+            }
+        }
+    }
+
+    /// Asks the broker before the future is first polled, so that calls and notices
+    /// of one asker take effect in the order in which they came.
+    fn ask(
+        self: &Arc<Self>,
+        asker: &AskerId,
+        plan: PlanVersion,
+        ask: AskSlot,
+    ) -> BoxFuture<'static, GroupReply<ControlAnswer>> {
+        let now = self.now();
+        let mut state = self.state();
+        if plan < state.plan.version() {
+            return std::future::ready(GroupReply::Answer(ControlAnswer::OldPlan)).boxed();
+        }
+        let decision = state.ask(asker, ask, now);
+        self.settle(&mut state);
+        drop(state);
+        let shared = self.clone();
+        async move {
+            match decision.await {
+                Ok(decision) => GroupReply::Answer(ControlAnswer::Slot(decision)),
+                Err(_) => shared.not_leader(),
+            }
+        }
+        .boxed()
+    }
+
+    async fn replace_plan(
+        &self,
+        document: Vec<u8>,
+        version: PlanVersion,
+        plan: Box<chicoryladder_plan::RawPlan>,
+    ) -> GroupReply<ControlAnswer> {
+        let command = ControlCommand::ReplacePlan { document, plan };
+        match self.propose(&command).await {
+            Ok(()) => {
+                self.refresh().await;
+                self.log
+                    .note("plan_accepted", &json!({ "version": version.0 }));
+                GroupReply::Answer(ControlAnswer::Done)
+            }
+            Err(ProposeFailure::NotLeader) => self.not_leader(),
+            Err(failure) => {
+                self.log.note(
+                    "plan_undecided",
+                    &json!({ "version": version.0, "cause": failure.to_string() }),
+                );
+                GroupReply::Unknown
+            }
+        }
+    }
+
+    async fn check_in(&self, told: ServerCheckIn) -> GroupReply<ControlAnswer> {
+        let now = self.now();
+        let (name, born) = (told.name.clone(), told.born);
+        let leaves = told.phase == ServerPhase::Leaving;
+        let address = told.address;
+        let outcome = {
+            let mut state = self.state();
+            let outcome = state.broker.check_in(told, now);
+            if state.departed.contains(&(name.clone(), born)) {
+                state.broker.leave(&name, Some(born));
+            }
+            self.settle(&mut state);
+            outcome
+        };
+        if outcome == CheckInOutcome::Added {
+            self.log.note(
+                "server_added",
+                &json!({ "server": name, "address": address, "born": born }),
+            );
+        }
+        if leaves && outcome != CheckInOutcome::Stale {
+            return self.record_departure(name, born).await;
+        }
+        GroupReply::Answer(ControlAnswer::Done)
+    }
+
+    /// Records durably that a server leaves: a later leader gives it no work either.
+    async fn record_departure(&self, name: ServerName, born: u64) -> GroupReply<ControlAnswer> {
+        let departure = (name.clone(), born);
+        let known = {
+            let mut state = self.state();
+            state.broker.leave(&name, Some(born));
+            state.departed.contains(&departure)
+        };
+        if known {
+            return GroupReply::Answer(ControlAnswer::Done);
+        }
+        let command = ControlCommand::ServerLeaves {
+            name: name.clone(),
+            born,
+        };
+        match self.propose(&command).await {
+            Ok(()) => {
+                self.state().departed.insert(departure);
+                self.log
+                    .note("server_leaves", &json!({ "server": name, "born": born }));
+                GroupReply::Answer(ControlAnswer::Done)
+            }
+            Err(ProposeFailure::NotLeader) => self.not_leader(),
+            Err(_) => GroupReply::Unknown,
+        }
+    }
+
+    async fn begin_retire(&self, host: HostName) -> GroupReply<ControlAnswer> {
+        let voters = self.base.settings.control.voters();
+        let now = self.now();
+        let address = {
+            let state = self.state();
+            if state.retiring.contains_key(&host) {
+                return GroupReply::Answer(ControlAnswer::Done);
+            }
+            match state.may_retire(&host, voters, now) {
+                Ok(address) => address,
+                Err(ControlFailure::TooFewHosts) => {
+                    return GroupReply::Answer(ControlAnswer::TooFewHosts);
+                }
+                Err(_) => return GroupReply::Answer(ControlAnswer::UnknownHost),
+            }
+        };
+        let command = ControlCommand::BeginRetire {
+            host: host.clone(),
+            address,
+        };
+        match self.propose(&command).await {
+            Ok(()) => {
+                self.refresh().await;
+                self.log.note("retire_begins", &json!({ "host": host }));
+                self.base.notify(address, &Notice::Changed);
+                GroupReply::Answer(ControlAnswer::Done)
+            }
+            Err(ProposeFailure::NotLeader) => self.not_leader(),
+            Err(_) => GroupReply::Unknown,
+        }
+    }
+
+    fn join(&self, request: &JoinRequest) -> JoinAnswer {
+        let status = self.status();
+        let now = self.now();
+        self.state().care.answer_join(&status, request, now)
+    }
+}
+
+/// Takes the calls of other hosts.
+struct ControlHandler(Arc<ControlShared>);
+
+impl RpcHandler for ControlHandler {
+    fn call(&self, _: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        let shared = self.0.clone();
+        match postcard::from_bytes(&payload) {
+            Ok(Call::Control(ControlCall::Ask { asker, plan, ask })) => {
+                let answering = if shared.leads() {
+                    shared.ask(&asker, plan, *ask)
+                } else {
+                    std::future::ready(shared.not_leader()).boxed()
+                };
+                async move { encode_reply(&answering.await) }.boxed()
+            }
+            Ok(Call::Control(call)) => {
+                async move { encode_reply(&shared.answer(call).await) }.boxed()
+            }
+            Ok(Call::Batch(_)) => std::future::ready(None).boxed(),
+            Err(error) => {
+                log::warn!("control: a call cannot be read: {error}.");
+                std::future::ready(None).boxed()
+            }
+        }
+    }
+
+    fn notice(&self, peer: &PeerIdentity, payload: Bytes) {
+        match postcard::from_bytes(&payload) {
+            Ok(Notice::Seat(envelope)) => {
+                if let Some(group) = self.0.group() {
+                    group.deliver(envelope, peer.address);
+                }
+            }
+            Ok(Notice::Release { asker, report }) => {
+                let now = self.0.now();
+                let mut state = self.0.state();
+                if state.term.is_some() {
+                    state.release(&asker, &report, now);
+                    self.0.settle(&mut state);
+                }
+            }
+            Ok(Notice::Changed | Notice::Stop { .. }) => self.0.view.wake(),
+            Err(error) => log::warn!("control: a notice cannot be read: {error}."),
+        }
+    }
+}
+
+fn encode_reply<T: serde::Serialize>(reply: &GroupReply<T>) -> Option<Bytes> {
+    match postcard::to_stdvec(reply) {
+        Ok(bytes) => Some(bytes.into()),
+        Err(error) => {
+            log::error!("control: a reply cannot be encoded: {error}.");
+            None
+        }
+    }
+}
+
+/// Passes the calls of operators and servers to the leader.
+struct ControlRelay(Arc<ControlShared>);
+
+impl ControlRelay {
+    async fn relay(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
+        let shared = &self.0;
+        if shared.leads()
+            && let GroupReply::Answer(answer) = shared.clone().answer(call.clone()).await
+        {
+            return Ok(answer);
+        }
+        // Every call may be repeated: versions, births and names make them idempotent.
+        let answer = shared
+            .client
+            .call(&Call::Control(call), RELAY_TIMEOUT, RELAY_PATIENCE, true)
+            .await;
+        answer.map_err(|_| ControlFailure::Unavailable)
+    }
+
+    async fn done(&self, call: ControlCall) -> Result<(), ControlFailure> {
+        match self.relay(call).await? {
+            ControlAnswer::Done => Ok(()),
+            ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
+            ControlAnswer::TooFewHosts => Err(ControlFailure::TooFewHosts),
+            _ => Err(ControlFailure::Unavailable),
+        }
+    }
+}
+
+impl ControlPort for ControlRelay {
+    fn replace_plan(
+        &self,
+        document: Vec<u8>,
+        plan: ServicePlan,
+    ) -> BoxFuture<'_, Result<(), ControlFailure>> {
+        let plan = Box::new(plan.raw().clone());
+        self.done(ControlCall::ReplacePlan { document, plan })
+            .boxed()
+    }
+
+    fn read_plan(&self) -> BoxFuture<'_, Result<Option<Vec<u8>>, ControlFailure>> {
+        async move {
+            match self.relay(ControlCall::ReadPlan).await? {
+                ControlAnswer::Document(document) => Ok(document),
+                _ => Err(ControlFailure::Unavailable),
+            }
+        }
+        .boxed()
+    }
+
+    fn check_in(&self, told: ServerCheckIn) -> BoxFuture<'_, Result<ServerHint, ControlFailure>> {
+        async move {
+            self.done(ControlCall::CheckIn(Box::new(told))).await?;
+            let leader = self.0.status().leader;
+            let port = self.0.control_port;
+            let address = leader.map(|leader| SocketAddr::new(leader.ip(), port));
+            Ok(ServerHint { address })
+        }
+        .boxed()
+    }
+
+    fn leave(
+        &self,
+        name: ServerName,
+        born: Option<u64>,
+    ) -> BoxFuture<'_, Result<(), ControlFailure>> {
+        self.done(ControlCall::Leave { name, born }).boxed()
+    }
+
+    fn begin_retire(&self, host: HostName) -> BoxFuture<'_, Result<(), ControlFailure>> {
+        self.done(ControlCall::BeginRetire { host }).boxed()
+    }
+
+    fn is_retired(&self, host: HostName) -> BoxFuture<'_, Result<bool, ControlFailure>> {
+        async move {
+            match self.relay(ControlCall::RetireState { host }).await? {
+                ControlAnswer::Retired(is_empty) => Ok(is_empty),
+                ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
+                _ => Err(ControlFailure::Unavailable),
+            }
+        }
+        .boxed()
+    }
+}
+
+/// Founds the group, resumes the seat of the folder or asks for a seat, and asks
+/// for another one when the seat was removed.
+async fn keep_seat(shared: Arc<ControlShared>, opener: SeatOpener) {
+    let control = &shared.base.settings.control;
+    let founders = shared.base.control_founders();
+    let mut first_start = control.first_start;
+    loop {
+        match opener.open(Some(&founders), first_start) {
+            Ok(Some(handle)) => shared.set_group(Some(handle)),
+            Ok(None) => match join(&shared, &opener).await {
+                Ok(handle) => shared.set_group(Some(handle)),
+                Err(error) => {
+                    log::error!("control: the data folder cannot be used: {error}.");
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+            },
+            Err(error) => {
+                log::error!("control: the data folder cannot be used: {error}.");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        }
+        let seat = shared.status().seat;
+        shared.log.note("seat_opened", &json!({ "seat": seat.0 }));
+        first_start = false;
+        until_removed(&shared, seat).await;
+        shared.log.note("seat_removed", &json!({ "seat": seat.0 }));
+        shared.set_group(None);
+        if let Err(error) = opener.clear() {
+            log::error!("control: the files of a removed seat stay: {error}.");
+        }
+    }
+}
+
+async fn join(
+    shared: &ControlShared,
+    opener: &SeatOpener,
+) -> std::io::Result<GroupHandle<ControlMachine>> {
+    loop {
+        if let Some(JoinAnswer::Granted(seat)) = ask_for_seat(shared, None).await {
+            return opener.take(seat);
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn ask_for_seat(shared: &ControlShared, seat: Option<SeatId>) -> Option<JoinAnswer> {
+    let request = shared.base.join_request(seat);
+    let call = Call::Control(ControlCall::Join(request));
+    match shared.client.call_once(&call, RELAY_TIMEOUT).await {
+        Ok(ControlAnswer::Seat(answer)) => Some(answer),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+/// Waits until the leader says that the seat was removed.
+async fn until_removed(shared: &ControlShared, seat: SeatId) {
+    let mut led_at = shared.now();
+    loop {
+        tokio::time::sleep(RETRY_PAUSE).await;
+        let status = shared.status();
+        let now = shared.now();
+        if status.leader.is_some() && status.members.iter().any(|m| m.seat == seat) {
+            led_at = now;
+            continue;
+        }
+        if now.saturating_duration_since(led_at) < SEAT_DOUBT {
+            continue;
+        }
+        if let Some(JoinAnswer::Removed) = ask_for_seat(shared, Some(seat)).await {
+            return;
+        }
+    }
+}
+
+/// Acts as the leader while this host is it.
+async fn lead(shared: Arc<ControlShared>) {
+    let mut repairing: Option<tokio::task::JoinHandle<()>> = None;
+    loop {
+        tokio::time::sleep(LEADER_TICK).await;
+        let status = shared.status();
+        let now = shared.now();
+        let begun = shared.state().term;
+        if !status.leads {
+            if begun.is_some() {
+                shared.state().end();
+                shared
+                    .log
+                    .note("leadership_lost", &json!({ "term": status.term.0 }));
+            }
+            // The pause of a host that has nothing to do but to watch its role.
+            tokio::time::sleep(LEADER_TICK).await;
+            continue;
+        }
+        if !status.holds_lease(now) {
+            continue;
+        }
+        if begun == Some(status.term) {
+            let mut state = shared.state();
+            state.broker.tick(now);
+            shared.settle(&mut state);
+        } else {
+            take_over(&shared, &status).await;
+        }
+        if repairing
+            .as_ref()
+            .is_none_or(tokio::task::JoinHandle::is_finished)
+        {
+            repairing = repair(&shared, &status);
+        }
+    }
+}
+
+async fn take_over(shared: &ControlShared, status: &GroupStatus) {
+    let Some(group) = shared.group() else {
+        return;
+    };
+    if let Ok(machine) = group.read(ControlMachine::clone).await {
+        let directory = shared.view.servers(shared.now());
+        let servers = directory.len();
+        let now = shared.now();
+        shared.state().begin(status.term, &machine, directory, now);
+        let fields = json!({ "term": status.term.0, "servers": servers });
+        shared.log.note("leadership_begins", &fields);
+    }
+}
+
+/// Starts the next change of the fleet's membership, if one is due.
+fn repair(
+    shared: &Arc<ControlShared>,
+    status: &GroupStatus,
+) -> Option<tokio::task::JoinHandle<()>> {
+    let voters = shared.base.settings.control.voters();
+    let now = shared.now();
+    let mut state = shared.state();
+    let change = state.care.next_change(status, &HashSet::new(), voters, now);
+    let founders = state.store_to_found(voters, now);
+    let emptied = state.emptied_host();
+    drop(state);
+    let shared = shared.clone();
+    if let Some(change) = change {
+        let group = shared.group()?;
+        return Some(tokio::spawn(async move {
+            let outcome = group.change(change.clone()).await;
+            let result = outcome.map_or_else(|failure| failure.to_string(), |()| "done".to_owned());
+            let fields = json!({ "change": format!("{change:?}"), "result": result });
+            shared.log.note("membership_changes", &fields);
+        }));
+    }
+    let command = match (founders, emptied) {
+        (Some(founders), _) => ControlCommand::FoundStore { founders },
+        (None, Some(host)) => ControlCommand::CompleteRetire { host },
+        (None, None) => return None,
+    };
+    Some(tokio::spawn(async move {
+        let fields = json!({ "command": format!("{command:?}") });
+        match shared.propose(&command).await {
+            Ok(()) => {
+                shared.refresh().await;
+                shared.log.note("fleet_changes", &fields);
+            }
+            Err(error) => log::warn!("control: a change of the fleet failed: {error}."),
+        }
+    }))
+}
+
+/// The founders of the control group, in the order of their addresses.
+pub(crate) fn founders_of(addresses: &[SocketAddr]) -> FounderMap {
+    let mut sorted = addresses.to_vec();
+    sorted.sort_unstable();
+    sorted.dedup();
+    (1..).map(SeatId).zip(sorted).collect()
+}
--- /dev/null
+++ b/crates/roles/src/control/leader.rs
@@ -0,0 +1,401 @@
+//! What the leader of the control group knows and decides.
+//!
+//! All of it is held in memory and begins anew with each leadership, but for what
+//! the state machine holds: hosts and servers report within a second or two.
+
+use super::machine::{ControlMachine, StoredPlan};
+use crate::message::{HostRole, StoreReport, StoreView, SyncAnswer, SyncRequest};
+use crate::seat_care::SeatCare;
+use chicoryladder_broker::{
+    AskSlot, AskerId, BrokerEvent, BrokerSettings, RunOutcome, RunReport, ServerView, SlotBroker,
+    SlotDecision,
+};
+use chicoryladder_plan::ServicePlan;
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{SeatId, TermNumber};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// The silence after which a host is no longer told to others.
+const HOST_FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+
+/// The silence after which a host does not count as running.
+const HOST_SILENT_AFTER: Duration = Duration::from_secs(3);
+
+/// The wait for more store hosts before the job group is founded with fewer.
+const FOUNDING_PATIENCE: Duration = Duration::from_secs(4);
+
+/// The age of the system up to which team buckets start full: nothing can have
+/// been admitted before.
+const FIRST_TERM: TermNumber = TermNumber(1);
+
+/// A host that the leader heard from.
+#[derive(Clone, Debug)]
+pub(crate) struct HostRecord {
+    pub(crate) role: HostRole,
+    pub(crate) address: SocketAddr,
+    pub(crate) heard_at: Instant,
+    store: Option<StoreReport>,
+}
+
+/// A message for the asker of a slot.
+pub(crate) enum AskerMessage {
+    /// Its run has to stop.
+    Stop { address: SocketAddr, ticket: u64 },
+}
+
+/// What the leader of the control group knows.
+pub(crate) struct LeaderState {
+    /// The term of this leadership; `None` while another host leads.
+    pub(crate) term: Option<TermNumber>,
+    pub(crate) broker: SlotBroker,
+    pub(crate) plan: Arc<ServicePlan>,
+    pub(crate) stored: Option<Arc<StoredPlan>>,
+    pub(crate) care: SeatCare,
+    pub(crate) hosts: HashMap<HostName, HostRecord>,
+    pub(crate) founders: Option<BTreeMap<SeatId, SocketAddr>>,
+    pub(crate) retiring: BTreeMap<HostName, (SocketAddr, bool)>,
+    pub(crate) departed: HashSet<(ServerName, u64)>,
+    waiting: HashMap<(AskerId, u64), oneshot::Sender<SlotDecision>>,
+    settings: BrokerSettings,
+    leads_since: Instant,
+    first_store_at: Option<Instant>,
+}
+
+impl LeaderState {
+    pub(crate) fn new(settings: BrokerSettings, now: Instant) -> Self {
+        Self {
+            term: None,
+            broker: SlotBroker::new(settings),
+            plan: Arc::default(),
+            stored: None,
+            care: SeatCare::default(),
+            hosts: HashMap::new(),
+            founders: None,
+            retiring: BTreeMap::new(),
+            departed: HashSet::new(),
+            waiting: HashMap::new(),
+            settings,
+            leads_since: now,
+            first_store_at: None,
+        }
+    }
+
+    /// Begins a leadership with what the state machine holds and what this host
+    /// heard of the directory before.
+    pub(crate) fn begin(
+        &mut self,
+        term: TermNumber,
+        machine: &ControlMachine,
+        directory: Vec<ServerView>,
+        now: Instant,
+    ) {
+        self.term = Some(term);
+        self.broker = SlotBroker::new(self.settings);
+        self.care.restart();
+        self.hosts.clear();
+        self.waiting.clear();
+        self.leads_since = now;
+        self.first_store_at = None;
+        self.plan = Arc::default();
+        self.stored = None;
+        self.departed = machine.departures().iter().cloned().collect();
+        for view in directory {
+            self.broker.adopt(view, now);
+        }
+        for (name, born) in machine.departures() {
+            self.broker.leave(name, Some(*born));
+        }
+        self.refresh(machine, now);
+    }
+
+    /// Ends a leadership; askers learn that at once.
+    pub(crate) fn end(&mut self) {
+        self.term = None;
+        self.waiting.clear();
+    }
+
+    /// Takes over what changed in the state machine; tells whether the plan did.
+    pub(crate) fn refresh(&mut self, machine: &ControlMachine, now: Instant) -> bool {
+        self.founders = machine.store_founders().cloned();
+        let retirement = |(host, record): (&HostName, &super::machine::RetireRecord)| {
+            (host.clone(), (record.address, record.is_empty))
+        };
+        self.retiring = machine.retirements().iter().map(retirement).collect();
+        let stored = machine.plan();
+        let version = |stored: &Option<Arc<StoredPlan>>| stored.as_ref().map(|s| s.plan.version);
+        if version(&stored) == version(&self.stored) {
+            return false;
+        }
+        let Some(stored) = stored else {
+            return false;
+        };
+        match ServicePlan::try_from(stored.plan.clone()) {
+            Ok(plan) => {
+                self.broker.set_plan(&plan, now);
+                if self.stored.is_none() && self.term == Some(FIRST_TERM) {
+                    self.broker.rates().start_full();
+                }
+                self.plan = Arc::new(plan);
+                self.stored = Some(stored);
+                true
+            }
+            Err(error) => {
+                log::error!("control: the plan in the log breaks a rule: {error}.");
+                false
+            }
+        }
+    }
+
+    /// The levels that metrics show.
+    pub(crate) fn levels(&self, now: Instant) -> Vec<(&'static str, f64)> {
+        if self.term.is_none() {
+            return Vec::new();
+        }
+        let count = |value: usize| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
+        let mut levels = vec![
+            ("hosts", count(self.hosts.len())),
+            ("servers", count(self.broker.servers(now).len())),
+        ];
+        let (mut running, mut slots, mut online, mut batch) = (0, 0, 0, 0);
+        for service in &self.plan.raw().services {
+            let load = self.broker.load_of(&service.name, now);
+            running += load.0;
+            slots += load.1;
+            online += load.2;
+            batch += load.3;
+        }
+        levels.extend([
+            ("slots_used", f64::from(running)),
+            ("slots_open", f64::from(slots)),
+            ("online_waiting", count(online)),
+            ("batch_waiting", count(batch)),
+        ]);
+        levels
+    }
+
+    /// Asks the broker for a slot; the receiver gets the answer.
+    pub(crate) fn ask(
+        &mut self,
+        asker: &AskerId,
+        ask: AskSlot,
+        now: Instant,
+    ) -> oneshot::Receiver<SlotDecision> {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = ask.ticket;
+        self.waiting.insert((asker.clone(), ticket), sender);
+        self.broker.ask(asker, ask, now);
+        receiver
+    }
+
+    /// Carries out what the broker decided; returns what has to be sent.
+    pub(crate) fn settle(&mut self, now: Instant) -> Vec<AskerMessage> {
+        let mut messages = Vec::new();
+        loop {
+            let events = self.broker.take_events();
+            if events.is_empty() {
+                return messages;
+            }
+            for event in events {
+                match event {
+                    BrokerEvent::Decided {
+                        asker,
+                        ticket,
+                        decision,
+                    } => self.answer(&asker, ticket, decision, now),
+                    BrokerEvent::Stop { asker, ticket } => {
+                        if let Some(host) = self.hosts.get(&asker.host) {
+                            let address = host.address;
+                            messages.push(AskerMessage::Stop { address, ticket });
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, asker: &AskerId, ticket: u64, decision: SlotDecision, now: Instant) {
+        let sender = self.waiting.remove(&(asker.clone(), ticket));
+        let granted = matches!(decision, SlotDecision::Granted { .. });
+        let sent = sender.is_some_and(|sender| sender.send(decision).is_ok());
+        if granted && !sent {
+            // The asker has left.
+            let report = RunReport {
+                ticket,
+                outcome: RunOutcome::Stopped,
+                load: None,
+                first_answer: None,
+                refund: true,
+            };
+            self.broker.release(asker, &report, now);
+        }
+    }
+
+    pub(crate) fn release(&mut self, asker: &AskerId, report: &RunReport, now: Instant) {
+        self.waiting.remove(&(asker.clone(), report.ticket));
+        self.broker.release(asker, report, now);
+    }
+
+    /// Exchanges what a host and the leader know.
+    pub(crate) fn sync(&mut self, request: &SyncRequest, now: Instant) -> SyncAnswer {
+        self.note_host(request, now);
+        self.broker.reconcile(&request.asker, &request.active, now);
+        let term = self.term.unwrap_or_default().0;
+        let number = (term, self.broker.directory_version());
+        let directory = (number != request.directory).then(|| (number, self.broker.servers(now)));
+        let plan = self
+            .stored
+            .as_ref()
+            .filter(|stored| stored.plan.version > request.plan)
+            .map(|stored| Box::new(stored.plan.clone()));
+        SyncAnswer {
+            hosts: self.addresses(HostRole::Control, now),
+            plan,
+            directory,
+            reserves: self.top_up(request, now),
+            store: self.store_view(now),
+        }
+    }
+
+    fn note_host(&mut self, request: &SyncRequest, now: Instant) {
+        let record = HostRecord {
+            role: request.role,
+            address: request.address,
+            heard_at: now,
+            store: request.store.clone(),
+        };
+        if request.role == HostRole::Store {
+            self.first_store_at.get_or_insert(now);
+        }
+        self.care.note_zone(request.address, &request.zone);
+        self.hosts.insert(request.asker.host.clone(), record);
+        self.hosts
+            .retain(|_, host| now.saturating_duration_since(host.heard_at) < HOST_FORGOTTEN_AFTER);
+        let is_entry = |host: &&HostRecord| host.role == HostRole::Entry;
+        let entries = self.hosts.values().filter(is_entry).count();
+        self.broker.rates().set_holders(entries);
+    }
+
+    fn top_up(&mut self, request: &SyncRequest, now: Instant) -> Vec<(TeamName, u32)> {
+        if request.role != HostRole::Entry {
+            return Vec::new();
+        }
+        let held: HashMap<&TeamName, u32> = request
+            .reserves
+            .iter()
+            .map(|(team, count)| (team, *count))
+            .collect();
+        let plan = self.plan.clone();
+        let mut added = Vec::new();
+        for raw in &plan.raw().teams {
+            let Some(team) = plan.team(&raw.name) else {
+                continue;
+            };
+            let count = held.get(&raw.name).copied().unwrap_or_default();
+            let more = self.broker.top_up(team, count, now);
+            if more > 0 {
+                added.push((raw.name.clone(), more));
+            }
+        }
+        added
+    }
+
+    pub(crate) fn addresses(&self, role: HostRole, now: Instant) -> Vec<SocketAddr> {
+        let of_role = |host: &&HostRecord| {
+            host.role == role && now.saturating_duration_since(host.heard_at) < HOST_FORGOTTEN_AFTER
+        };
+        let hosts = self.hosts.values().filter(of_role);
+        hosts.map(|host| host.address).collect()
+    }
+
+    fn store_view(&self, now: Instant) -> StoreView {
+        let leader = self
+            .hosts
+            .values()
+            .filter_map(|host| Some((host.store.as_ref()?.leads_term?, host.address)))
+            .max();
+        let retiring = self.retiring.values().filter(|(_, is_empty)| !is_empty);
+        StoreView {
+            founders: self.founders.clone(),
+            leader: leader.map(|(_, address)| address),
+            hosts: self.addresses(HostRole::Store, now),
+            retiring: retiring.map(|(address, _)| *address).collect(),
+        }
+    }
+
+    /// The founders of the job group, once enough store hosts have reported.
+    pub(crate) fn store_to_found(
+        &self,
+        voters: usize,
+        now: Instant,
+    ) -> Option<BTreeMap<SeatId, SocketAddr>> {
+        if self.founders.is_some() {
+            return None;
+        }
+        let is_new = |host: &&HostRecord| {
+            let report = host.store.as_ref();
+            report.is_some_and(|report| report.first_start && report.seat.is_none())
+        };
+        let mut addresses: Vec<SocketAddr> = self
+            .hosts
+            .values()
+            .filter(is_new)
+            .map(|host| host.address)
+            .collect();
+        addresses.sort_unstable();
+        let waited = now.saturating_duration_since(self.first_store_at?);
+        if addresses.len() < voters {
+            if waited < FOUNDING_PATIENCE || addresses.is_empty() {
+                return None;
+            }
+            // An even number bears no more losses than the odd one below it.
+            let odd = addresses.len() - usize::from(addresses.len().is_multiple_of(2));
+            addresses.truncate(odd);
+        }
+        addresses.truncate(voters);
+        let seats = (1..).map(SeatId);
+        Some(seats.zip(addresses).collect())
+    }
+
+    /// A retiring host that the job group holds no seat on any more.
+    pub(crate) fn emptied_host(&self) -> Option<HostName> {
+        let leaders = self.hosts.values().filter_map(|host| host.store.as_ref());
+        let report = leaders.max_by_key(|report| report.leads_term)?;
+        report.leads_term?;
+        let is_emptied = |(address, is_empty): &(SocketAddr, bool)| {
+            !is_empty && report.retiring.contains(address) && !report.members.contains(address)
+        };
+        let emptied = self.retiring.iter().find(|(_, record)| is_emptied(record));
+        emptied.map(|(host, _)| host.clone())
+    }
+
+    /// Whether a store host may be emptied.
+    pub(crate) fn may_retire(
+        &self,
+        host: &HostName,
+        voters: usize,
+        now: Instant,
+    ) -> Result<SocketAddr, crate::control::ControlFailure> {
+        let record = self
+            .hosts
+            .get(host)
+            .filter(|host| host.role == HostRole::Store);
+        let record = record.ok_or(crate::control::ControlFailure::UnknownHost)?;
+        let stays = |(name, other): (&HostName, &HostRecord)| {
+            let running = now.saturating_duration_since(other.heard_at) < HOST_SILENT_AFTER;
+            let is_store = other.role == HostRole::Store;
+            running && is_store && name != host && !self.retiring.contains_key(name)
+        };
+        let staying = self
+            .hosts
+            .iter()
+            .filter(|(name, other)| stays((name, other)));
+        if staying.count() < voters {
+            return Err(crate::control::ControlFailure::TooFewHosts);
+        }
+        Ok(record.address)
+    }
+}
--- /dev/null
+++ b/crates/roles/src/control/machine.rs
@@ -0,0 +1,137 @@
+//! The replicated state of the control group.
+
+use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
+use chicoryladder_plan::{PlanVersion, RawPlan};
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{LogIndex, SeatId};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Departed servers that are remembered. A server that left sends nothing for long,
+/// so only the newest departures can matter to a new leader.
+const DEPARTURES_MAX: usize = 512;
+
+/// A change of the control state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum ControlCommand {
+    /// Replaces the plan if its version is higher.
+    ReplacePlan {
+        document: Vec<u8>,
+        plan: Box<RawPlan>,
+    },
+    /// Records that an incarnation of a server leaves.
+    ServerLeaves { name: ServerName, born: u64 },
+    /// Decides on the founders of the job group, once.
+    FoundStore {
+        founders: BTreeMap<SeatId, SocketAddr>,
+    },
+    /// Has a store host emptied.
+    BeginRetire { host: HostName, address: SocketAddr },
+    /// Records that a store host is empty.
+    CompleteRetire { host: HostName },
+}
+
+/// How far a host is emptied.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RetireRecord {
+    pub(crate) address: SocketAddr,
+    pub(crate) is_empty: bool,
+}
+
+/// The plan in force and the document that it was read from.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct StoredPlan {
+    pub(crate) document: Vec<u8>,
+    pub(crate) plan: RawPlan,
+}
+
+/// The replicated state of the control group.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ControlMachine {
+    plan: Option<Arc<StoredPlan>>,
+    departures: VecDeque<(ServerName, u64)>,
+    store_founders: Option<BTreeMap<SeatId, SocketAddr>>,
+    retirements: BTreeMap<HostName, RetireRecord>,
+}
+
+impl ControlMachine {
+    pub(crate) fn plan(&self) -> Option<Arc<StoredPlan>> {
+        self.plan.clone()
+    }
+
+    pub(crate) fn departures(&self) -> &VecDeque<(ServerName, u64)> {
+        &self.departures
+    }
+
+    pub(crate) fn store_founders(&self) -> Option<&BTreeMap<SeatId, SocketAddr>> {
+        self.store_founders.as_ref()
+    }
+
+    pub(crate) fn retirements(&self) -> &BTreeMap<HostName, RetireRecord> {
+        &self.retirements
+    }
+
+    fn version(&self) -> PlanVersion {
+        let stored = self.plan.as_ref();
+        stored.map_or(PlanVersion::default(), |stored| stored.plan.version)
+    }
+
+    fn run(&mut self, command: ControlCommand) {
+        match command {
+            ControlCommand::ReplacePlan { document, plan } => {
+                if self.plan.is_none() || plan.version > self.version() {
+                    let plan = *plan;
+                    self.plan = Some(Arc::new(StoredPlan { document, plan }));
+                }
+            }
+            ControlCommand::ServerLeaves { name, born } => {
+                self.departures.push_back((name, born));
+                if self.departures.len() > DEPARTURES_MAX {
+                    self.departures.pop_front();
+                }
+            }
+            ControlCommand::FoundStore { founders } => {
+                self.store_founders.get_or_insert(founders);
+            }
+            ControlCommand::BeginRetire { host, address } => {
+                let record = RetireRecord {
+                    address,
+                    is_empty: false,
+                };
+                self.retirements.entry(host).or_insert(record);
+            }
+            ControlCommand::CompleteRetire { host } => {
+                if let Some(record) = self.retirements.get_mut(&host) {
+                    record.is_empty = true;
+                }
+            }
+        }
+    }
+}
+
+impl StateMachine for ControlMachine {
+    fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8> {
+        match postcard::from_bytes(command) {
+            Ok(command) => self.run(command),
+            Err(error) => {
+                log::error!("control: entry {index} holds no command of this version: {error}.");
+            }
+        }
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        postcard::to_stdvec(self).map_err(|error| SnapshotError {
+            detail: error.to_string(),
+        })
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        *self = postcard::from_bytes(snapshot).map_err(|error| RestoreError {
+            detail: error.to_string(),
+        })?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/roles/src/entry/forward.rs
@@ -0,0 +1,586 @@
+//! Forwarding one request of a caller to backend servers.
+
+use super::matching::{MatchedRequest, RequestMatcher};
+use super::relay::{EventRelay, RelayTerms, relay_body};
+use crate::event_log::EventLog;
+use crate::metrics::RoleMetrics;
+use crate::ports::{CallerHead, RunTerms};
+use crate::server_run::{RunFailure, ServerAnswer, ServerRequest, ServerRunner};
+use crate::slot_client::{AskFailure, SlotClient, SlotLease};
+use bytes::Bytes;
+use chicoryladder_broker::{AskSlot, RefuseReason, RunOutcome, WorkKind};
+use chicoryladder_gateway::{AnswerBody, bytes_body};
+use chicoryladder_plan::{PlanRoute, RouteKind};
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{RouteName, ServiceName};
+use http_body_util::BodyExt;
+use hyper::header::CONTENT_LENGTH;
+use hyper::http::response;
+use hyper::{HeaderMap, Method, Response, StatusCode};
+use serde_json::json;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The least time in which a server can answer anything; with less left, a request
+/// is not sent any more.
+const SEND_MIN: Duration = Duration::from_millis(20);
+
+/// The wait for the head of an answer, in latency targets, before a request that
+/// may run again is sent to another server.
+const RESEND_AFTER_TARGETS: u32 = 2;
+
+/// The part of the longest time that callers of a route gave, below which a
+/// request counts as one that was refused before.
+const RETURN_SHARE: f64 = 0.93;
+
+/// The most slots that one request may ask for; servers that refuse without
+/// running do not count as attempts.
+const ASKS_MAX: u32 = 6;
+
+/// The longest answer that is read whole before it is passed on, in bytes.
+const WHOLE_ANSWER_MAX_BYTES: u64 = 1024 * 1024;
+
+/// A request of a caller, read whole.
+pub(super) struct ForwardRequest {
+    pub(super) id: String,
+    pub(super) method: Method,
+    pub(super) path: String,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) head: CallerHead,
+    pub(super) arrived_at: Instant,
+}
+
+/// Forwards requests.
+pub(super) struct RequestForwarder {
+    pub(super) slots: SlotClient,
+    pub(super) runner: ServerRunner,
+    pub(super) matcher: RequestMatcher,
+    pub(super) clock: Arc<dyn ClockSource>,
+    pub(super) zone: ZoneName,
+    pub(super) log: EventLog,
+    pub(super) metrics: Arc<RoleMetrics>,
+    /// The longest time that callers of each route gave.
+    pub(super) longest: Mutex<HashMap<RouteName, Duration>>,
+}
+
+/// What is known of one request while it is forwarded.
+pub(super) struct RequestState {
+    pub(super) request: ForwardRequest,
+    pub(super) matched: MatchedRequest,
+    /// When the final answer has to be there.
+    pub(super) answer_by: Instant,
+    /// Whether the caller was refused before, as far as its time left tells.
+    is_return: bool,
+    /// Attempts that may have run.
+    pub(super) runs: u32,
+    asks: u32,
+    paid: bool,
+    avoid: Vec<ServerName>,
+    last_failure: Option<RunFailure>,
+    service: ServiceName,
+}
+
+impl RequestState {
+    fn route(&self) -> &PlanRoute {
+        &self.matched.route
+    }
+
+    fn may_repeat(&self) -> bool {
+        let route = self.route();
+        match route.kind {
+            RouteKind::Idempotent => true,
+            RouteKind::Stream => route.resumable,
+            RouteKind::SingleRun | RouteKind::Batch => false,
+        }
+    }
+
+    /// Whether the request may be sent to another server after a failure.
+    pub(super) fn may_run_again(&self, now: Instant) -> bool {
+        let unrun = self.runs == 0;
+        let has_attempts = self.runs < self.route().max_attempts.max(1);
+        let has_time = now + SEND_MIN < self.answer_by && self.asks < ASKS_MAX;
+        has_time && (unrun || (self.may_repeat() && has_attempts))
+    }
+
+    fn verdict(&self) -> RunVerdict {
+        if self.runs == 0 {
+            RunVerdict::NotRun
+        } else {
+            RunVerdict::MayHaveRun
+        }
+    }
+
+    /// The refusal of a request that is given up.
+    fn give_up(&self) -> RequestRefusal {
+        let cause = self
+            .last_failure
+            .as_ref()
+            .map_or("no server was tried", |f| f.cause);
+        let reason = match self.verdict() {
+            RunVerdict::NotRun => RefusalReason::NoServer,
+            RunVerdict::MayHaveRun | RunVerdict::Ran => RefusalReason::ServerFailed,
+        };
+        let refusal = RequestRefusal::new(reason, self.verdict(), cause);
+        if self.runs == 0 {
+            refusal.with_retry_after(self.route().latency_target)
+        } else {
+            refusal
+        }
+    }
+
+    fn too_late(&self) -> RequestRefusal {
+        let detail = "the request ran out of time";
+        RequestRefusal::new(RefusalReason::DeadlineUnmet, self.verdict(), detail)
+    }
+
+    /// Notes a failed attempt.
+    pub(super) fn note_failure(&mut self, server: &ServerName, failure: RunFailure) {
+        if failure.verdict != RunVerdict::NotRun {
+            self.runs += 1;
+        }
+        self.avoid.push(server.clone());
+        self.last_failure = Some(failure);
+    }
+}
+
+impl RequestForwarder {
+    /// Forwards a request until a server has answered it or it is given up.
+    pub(super) async fn forward(
+        self: Arc<Self>,
+        matched: MatchedRequest,
+        request: ForwardRequest,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let mut state = self.begin(matched, request);
+        let deadline = self.sleep_until(state.answer_by);
+        tokio::pin!(deadline);
+        loop {
+            let attempt = tokio::select! {
+                attempt = self.attempt(&mut state) => attempt,
+                () = &mut deadline => return Err(state.too_late()),
+            };
+            let (answer, lease) = match attempt {
+                Ok(Some(found)) => found,
+                Ok(None) => continue,
+                Err(refusal) => return Err(refusal),
+            };
+            if let Some(response) = self.pass_on(&mut state, answer, lease).await {
+                return response;
+            }
+        }
+    }
+
+    fn sleep_until(&self, at: Instant) -> tokio::time::Sleep {
+        let left = at.saturating_duration_since(self.clock.now());
+        tokio::time::sleep(left)
+    }
+
+    fn begin(&self, matched: MatchedRequest, request: ForwardRequest) -> RequestState {
+        let route = &matched.route;
+        let told = request.head.time_left;
+        let time = told.map_or(route.timeout, |left| left.min(route.timeout));
+        let is_return = told.is_some_and(|left| self.is_return(&route.name, left));
+        let service = choose_service(route, &request.id);
+        RequestState {
+            answer_by: request.arrived_at + time,
+            is_return,
+            runs: 0,
+            asks: 0,
+            paid: false,
+            avoid: Vec::new(),
+            last_failure: None,
+            service,
+            matched,
+            request,
+        }
+    }
+
+    /// Whether a caller gives notably less time than the others of its route.
+    fn is_return(&self, route: &RouteName, left: Duration) -> bool {
+        let mut longest = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = longest.entry(route.clone()).or_insert(left);
+        *known = left.max(*known);
+        left < known.mul_f64(RETURN_SHARE)
+    }
+
+    /// Makes one attempt; `None` if another one should follow.
+    pub(super) async fn attempt(
+        &self,
+        state: &mut RequestState,
+    ) -> Result<Option<(ServerAnswer, SlotLease)>, RequestRefusal> {
+        let now = self.clock.now();
+        if !state.may_run_again(now) {
+            return Err(if now + SEND_MIN < state.answer_by {
+                state.give_up()
+            } else {
+                state.too_late()
+            });
+        }
+        let Some(mut lease) = self.ask(state, now).await? else {
+            return Ok(None);
+        };
+        let now = self.clock.now();
+        // Keys may have been withdrawn while the request waited.
+        if state.matched.team.is_some() && !self.matcher.keys_are_fresh(now) {
+            lease.end(RunOutcome::Stopped);
+            let detail = "the view of the keys grew too old while the request waited";
+            let refusal = RequestRefusal::new(RefusalReason::KeyViewStale, state.verdict(), detail);
+            return Err(refusal);
+        }
+        let request = self.server_request(state, &lease, None, now);
+        // From here on the request may run, also if this future is dropped.
+        state.runs += 1;
+        let sent = self.runner.send(&request).await;
+        state.runs -= 1;
+        match sent {
+            Ok(answer) => {
+                let elapsed = self.clock.now().saturating_duration_since(now);
+                lease.note_first_answer(elapsed);
+                lease.note_load(answer.head.load);
+                Ok(Some((answer, lease)))
+            }
+            Err(failure) => {
+                self.note_failure(state, &lease, &failure);
+                lease.note_load(failure.load);
+                state.note_failure(&lease.server, failure.clone());
+                lease.end(failure.outcome);
+                Ok(None)
+            }
+        }
+    }
+
+    fn note_failure(&self, state: &RequestState, lease: &SlotLease, failure: &RunFailure) {
+        self.metrics.count_retry(failure.outcome);
+        let fields = json!({
+            "request": state.request.id,
+            "server": lease.server,
+            "outcome": format!("{:?}", failure.outcome),
+            "verdict": failure.verdict.as_str(),
+            "cause": failure.cause,
+            "runs": state.runs,
+            "without_broker": lease.unasked,
+        });
+        self.log.note("attempt_failed", &fields);
+    }
+
+    /// Gets a slot; `None` if the plan has changed and the request was matched anew.
+    async fn ask(
+        &self,
+        state: &mut RequestState,
+        now: Instant,
+    ) -> Result<Option<SlotLease>, RequestRefusal> {
+        state.asks += 1;
+        let ask = self.slot_question(state, now);
+        match self.slots.ask(state.matched.plan.version(), ask).await {
+            Ok(lease) => {
+                state.paid = true;
+                Ok(Some(lease))
+            }
+            Err(AskFailure::OldPlan) => {
+                self.match_again(state).await?;
+                Ok(None)
+            }
+            Err(AskFailure::Refused {
+                reason,
+                retry_after,
+            }) => {
+                let (reason, detail) = match reason {
+                    RefuseReason::RateExceeded => (
+                        RefusalReason::RateExceeded,
+                        "the team is beyond its rate and burst",
+                    ),
+                    RefuseReason::NoSlot => (RefusalReason::NoServer, "no slot comes free in time"),
+                    RefuseReason::NoServer => {
+                        (RefusalReason::NoServer, "no server of the service is known")
+                    }
+                };
+                let refusal = RequestRefusal::new(reason, state.verdict(), detail);
+                Err(refusal.with_retry_after(retry_after))
+            }
+        }
+    }
+
+    /// Matches a request again under the plan that has come into force meanwhile.
+    async fn match_again(&self, state: &mut RequestState) -> Result<(), RequestRefusal> {
+        self.matcher.renew().await;
+        let host = state.route().host.clone();
+        let path = state.request.path.clone();
+        let path = path.split('?').next().unwrap_or_default();
+        state.matched = self.matcher.find(&host, path, &state.request.head).await?;
+        state.service = choose_service(state.route(), &state.request.id);
+        Ok(())
+    }
+
+    fn slot_question(&self, state: &RequestState, now: Instant) -> AskSlot {
+        let route = state.route();
+        let left = state.answer_by.saturating_duration_since(now);
+        let waited = now.saturating_duration_since(state.request.arrived_at);
+        let in_time = route.latency_target.saturating_sub(waited);
+        // A caller that was refused before does not come back again: late is better
+        // than never.
+        let within = if state.is_return || state.runs > 0 {
+            left / 2
+        } else {
+            in_time
+        };
+        let team = state.matched.team.as_ref();
+        let payer = team.filter(|team| team.rate > 0.0 && !state.paid);
+        AskSlot {
+            ticket: 0,
+            service: state.service.clone(),
+            kind: WorkKind::Online,
+            rank: team.and_then(|team| team.rank).unwrap_or(route.rank),
+            zone: self.zone.clone(),
+            payer: payer.map(|team| team.name.clone()),
+            prompt: state.request.head.prompt.parts.clone(),
+            tokens: state.request.head.prompt.tokens,
+            avoid: state.avoid.clone(),
+            first_answer_within: within,
+            wait_max: within.min(left),
+        }
+    }
+
+    fn server_request(
+        &self,
+        state: &RequestState,
+        lease: &SlotLease,
+        last_event: Option<u64>,
+        now: Instant,
+    ) -> ServerRequest {
+        let left = state.answer_by.saturating_duration_since(now);
+        let request = &state.request;
+        let team = state.matched.team.as_ref();
+        let terms = RunTerms {
+            id: &request.id,
+            server: &lease.server,
+            team: team.map(|team| &team.name),
+            time_left: left,
+            last_event: last_event.or(request.head.last_event),
+        };
+        let may_resend = state.may_repeat() && state.runs + 1 < state.route().max_attempts;
+        let patience = state.route().latency_target * RESEND_AFTER_TARGETS;
+        ServerRequest {
+            address: lease.address,
+            id: request.id.clone(),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            headers: self
+                .runner
+                .dialect
+                .request_headers(&request.headers, &terms),
+            body: request.body.clone(),
+            once: !state.may_repeat(),
+            head_timeout: if may_resend { patience.min(left) } else { left },
+        }
+    }
+
+    /// Passes an answer on; `None` if it broke and the request may run again.
+    async fn pass_on(
+        self: &Arc<Self>,
+        state: &mut RequestState,
+        answer: ServerAnswer,
+        lease: SlotLease,
+    ) -> Option<Result<Response<AnswerBody>, RequestRefusal>> {
+        let is_stream = state.route().kind == RouteKind::Stream;
+        let status = answer.parts.status;
+        let length = content_length(&answer.parts);
+        let is_long = length.is_some_and(|length| length > WHOLE_ANSWER_MAX_BYTES);
+        if status.is_success() && (is_stream || is_long) {
+            return Some(Ok(self.relay(state, answer, lease)));
+        }
+        let now = self.clock.now();
+        let may_again = state.runs + 1 < state.route().max_attempts && state.may_repeat();
+        let left = state.answer_by.saturating_duration_since(now);
+        let ServerAnswer {
+            parts,
+            body,
+            connection,
+            ..
+        } = answer;
+        let collected = tokio::time::timeout(left, body.collect()).await;
+        let Ok(Ok(collected)) = collected else {
+            let failure = RunFailure {
+                verdict: RunVerdict::MayHaveRun,
+                outcome: RunOutcome::Failed,
+                load: None,
+                cause: "the answer broke off",
+            };
+            self.note_failure(state, &lease, &failure);
+            state.note_failure(&lease.server, failure);
+            lease.end(RunOutcome::Failed);
+            return None;
+        };
+        connection.put_back();
+        if status == StatusCode::INTERNAL_SERVER_ERROR && may_again {
+            let failure = RunFailure {
+                verdict: RunVerdict::MayHaveRun,
+                outcome: RunOutcome::Served,
+                load: None,
+                cause: "the server answered that it failed",
+            };
+            self.note_failure(state, &lease, &failure);
+            state.note_failure(&lease.server, failure);
+            lease.end(RunOutcome::Served);
+            return None;
+        }
+        self.note_served(state, &lease, status);
+        lease.end(RunOutcome::Served);
+        let mut response = Response::new(bytes_body(collected.to_bytes()));
+        *response.status_mut() = status;
+        *response.headers_mut() = self.runner.dialect.answer_headers(&parts.headers);
+        Some(Ok(response))
+    }
+
+    /// Answers with a body that is passed on as it arrives.
+    fn relay(
+        self: &Arc<Self>,
+        state: &mut RequestState,
+        answer: ServerAnswer,
+        lease: SlotLease,
+    ) -> Response<AnswerBody> {
+        let mut headers = self.runner.dialect.answer_headers(&answer.parts.headers);
+        let resumable = state.route().kind == RouteKind::Stream && state.may_repeat();
+        if resumable {
+            headers.remove(CONTENT_LENGTH);
+        }
+        let status = answer.parts.status;
+        let taken = RequestState {
+            request: state.request.take(),
+            matched: MatchedRequest {
+                plan: state.matched.plan.clone(),
+                route: state.matched.route.clone(),
+                team: state.matched.team.clone(),
+            },
+            answer_by: state.answer_by,
+            is_return: state.is_return,
+            runs: state.runs + 1,
+            asks: state.asks,
+            paid: state.paid,
+            avoid: std::mem::take(&mut state.avoid),
+            last_failure: state.last_failure.take(),
+            service: state.service.clone(),
+        };
+        let terms = RelayTerms {
+            forwarder: self.clone(),
+            state: taken,
+            resumable,
+        };
+        let mut response = Response::new(relay_body(EventRelay::new(terms, answer, lease)));
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Continues a stream behind `last_event` at another server.
+    pub(super) async fn resume(
+        &self,
+        state: &mut RequestState,
+        last_event: Option<u64>,
+    ) -> Option<(ServerAnswer, SlotLease)> {
+        loop {
+            let now = self.clock.now();
+            if !state.may_run_again(now) {
+                return None;
+            }
+            let mut lease = match self.ask(state, now).await {
+                Ok(Some(lease)) => lease,
+                Ok(None) => continue,
+                Err(_) => return None,
+            };
+            let request = self.server_request(state, &lease, last_event, self.clock.now());
+            match self.runner.send(&request).await {
+                Ok(answer) if answer.parts.status.is_success() => {
+                    lease.note_load(answer.head.load);
+                    state.runs += 1;
+                    return Some((answer, lease));
+                }
+                Ok(_) => {
+                    state.runs += 1;
+                    lease.end(RunOutcome::Served);
+                }
+                Err(failure) => {
+                    self.note_failure(state, &lease, &failure);
+                    state.note_failure(&lease.server, failure.clone());
+                    lease.end(failure.outcome);
+                }
+            }
+        }
+    }
+
+    pub(super) fn note_served(&self, state: &RequestState, lease: &SlotLease, status: StatusCode) {
+        let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(state.request.arrived_at);
+        self.metrics.count_served(&state.route().name, elapsed);
+        let fields = json!({
+            "request": state.request.id,
+            "route": state.route().name,
+            "team": state.matched.team.as_ref().map(|team| &team.name),
+            "server": lease.server,
+            "status": status.as_u16(),
+            "elapsed_ms": elapsed.as_millis(),
+            "runs": state.runs + 1,
+            "asks": state.asks,
+            "plan": state.matched.plan.version().0,
+            "without_broker": lease.unasked,
+        });
+        self.log.routine("served", &fields);
+    }
+
+    pub(super) fn note_broken(&self, state: &RequestState, cause: &str, last_event: Option<u64>) {
+        self.metrics.count_refusal(RefusalReason::AnswerTruncated);
+        let now = self.clock.now();
+        let elapsed = now.saturating_duration_since(state.request.arrived_at);
+        let fields = json!({
+            "request": state.request.id,
+            "route": state.route().name,
+            "cause": cause,
+            "last_event": last_event,
+            "elapsed_ms": elapsed.as_millis(),
+            "runs": state.runs,
+        });
+        self.log.note("stream_broken", &fields);
+    }
+}
+
+impl ForwardRequest {
+    /// Moves the request out; what is left is empty.
+    fn take(&mut self) -> Self {
+        Self {
+            id: std::mem::take(&mut self.id),
+            method: self.method.clone(),
+            path: std::mem::take(&mut self.path),
+            headers: std::mem::take(&mut self.headers),
+            body: std::mem::take(&mut self.body),
+            head: std::mem::take(&mut self.head),
+            arrived_at: self.arrived_at,
+        }
+    }
+}
+
+fn content_length(parts: &response::Parts) -> Option<u64> {
+    let told = parts.headers.get(CONTENT_LENGTH)?;
+    told.to_str().ok()?.parse().ok()
+}
+
+/// Splits requests over the services of a route by their weights.
+fn choose_service(route: &PlanRoute, id: &str) -> ServiceName {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let total: u64 = route
+        .targets
+        .iter()
+        .map(|target| u64::from(target.weight))
+        .sum();
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    let mut place = hasher.finish() % total.max(1);
+    for target in &route.targets {
+        let weight = u64::from(target.weight);
+        if place < weight {
+            return target.service.clone();
+        }
+        place -= weight;
+    }
+    // A checked plan has a target with a weight on every route.
+    route.targets[0].service.clone()
+}
--- /dev/null
+++ b/crates/roles/src/entry/host.rs
@@ -0,0 +1,269 @@
+//! A running entry host.
+
+use super::forward::RequestForwarder;
+use super::jobs::JobGateway;
+use super::matching::RequestMatcher;
+use super::service::EntryService;
+use crate::event_log::EventLog;
+use crate::fleet_view::{FleetView, SyncReporter, ViewNews, follow};
+use crate::leader_client::LeaderClient;
+use crate::message::{HostRole, Notice};
+use crate::metrics::{LevelReader, MetricsService, RoleMetrics};
+use crate::ports::{CallerDialect, ServerDialect};
+use crate::process::{ProcessBase, ProcessError};
+use crate::server_connections::ServerConnections;
+use crate::server_run::ServerRunner;
+use crate::slot_client::SlotClient;
+use bytes::Bytes;
+use chicoryladder_gateway::{AnswerBody, HttpListener, HttpService, ListenerLimits};
+use chicoryladder_rpc::{PeerIdentity, RpcHandler};
+use chicoryladder_settings::ProcessSettings;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use serde_json::json;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio::task::JoinSet;
+
+/// The longest request head that a connection takes; plans set lower limits.
+const HEAD_MAX_BYTES: usize = 64 * 1024;
+
+/// The time for which a connection may stand unused; longer than any plan's, so
+/// that callers close first.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+
+/// The age of the view up to which the host takes callers. It outlasts an election;
+/// behind a cut, callers are better served by other hosts.
+const READY_AGE: Duration = Duration::from_millis(2_600);
+
+/// The time after a stop is asked for during which new connections are still taken:
+/// the balancer needs two questions to notice.
+const READINESS_NOTICE: Duration = Duration::from_millis(2_600);
+
+/// The part of the drain timeout that is kept for closing down.
+const DRAIN_RESERVE: Duration = Duration::from_millis(400);
+
+/// A running entry host.
+pub struct EntryHost {
+    draining: Arc<AtomicBool>,
+    drain_timeout: Duration,
+    callers: HttpListener,
+    log: EventLog,
+    tasks: JoinSet<()>,
+}
+
+impl EntryHost {
+    /// Starts an entry host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address cannot be used.
+    pub async fn start(
+        settings: ProcessSettings,
+        callers: Arc<dyn CallerDialect>,
+        servers: Arc<dyn ServerDialect>,
+        clock: Arc<dyn ClockSource>,
+    ) -> Result<Self, ProcessError> {
+        let absent = |key| ProcessError::Absent("listen", key);
+        let caller_address = settings.listen.callers.ok_or(absent("callers"))?;
+        let readiness_address = settings.listen.readiness.ok_or(absent("readiness"))?;
+        let base = ProcessBase::new(settings, clock)?;
+        let log = EventLog::start("entry")?;
+        let metrics = Arc::new(RoleMetrics::new()?);
+        let view = FleetView::new();
+        let client = base.control_client();
+        let slots = SlotClient::new(base.clone(), client.clone(), view.clone());
+        let levels_of = (slots.clone(), view.clone());
+        let draining = Arc::new(AtomicBool::new(false));
+        let handler = EntryHandler {
+            slots: slots.clone(),
+            view: view.clone(),
+        };
+        base.serve(Arc::new(handler)).await?;
+        let mut tasks = JoinSet::new();
+        let reporter = reporter(&slots, &log);
+        tasks.spawn(follow(base.clone(), client, view.clone(), reporter));
+        let matcher = RequestMatcher {
+            view: view.clone(),
+            clock: base.clock.clone(),
+            key_withdrawal: base.settings.promises.key_withdrawal,
+        };
+        let runner = ServerRunner {
+            connections: ServerConnections::new(base.clock.clone()),
+            dialect: servers,
+        };
+        let forwarder = RequestForwarder {
+            slots,
+            runner,
+            matcher: matcher.clone(),
+            clock: base.clock.clone(),
+            zone: base.settings.host.zone.clone(),
+            log: log.clone(),
+            metrics: metrics.clone(),
+            longest: Mutex::new(HashMap::new()),
+        };
+        let jobs = JobGateway {
+            client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
+            view: view.clone(),
+            log: log.clone(),
+        };
+        let service = EntryService {
+            dialect: callers.clone(),
+            matcher,
+            forwarder: Arc::new(forwarder),
+            jobs,
+            clock: base.clock.clone(),
+            log: log.clone(),
+            metrics: metrics.clone(),
+            draining: draining.clone(),
+        };
+        let limits = ListenerLimits {
+            header_max_bytes: HEAD_MAX_BYTES,
+            header_timeout: IDLE_TIMEOUT,
+        };
+        let readiness = ReadinessService {
+            dialect: callers,
+            view,
+            clock: base.clock.clone(),
+            draining: draining.clone(),
+        };
+        let readiness = Arc::new(readiness);
+        serve(
+            &mut tasks,
+            "readiness",
+            readiness_address,
+            limits,
+            readiness,
+        )
+        .await?;
+        if let Some(address) = base.settings.listen.metrics {
+            let levels = levels(&levels_of, &base);
+            let service = Arc::new(MetricsService { metrics, levels });
+            serve(&mut tasks, "metrics", address, limits, service).await?;
+        }
+        let callers =
+            HttpListener::start("callers", caller_address, limits, Arc::new(service)).await?;
+        log.note("started", &json!({ "host": base.settings.host.name }));
+        Ok(Self {
+            draining,
+            drain_timeout: base.settings.promises.drain_timeout,
+            callers,
+            log,
+            tasks,
+        })
+    }
+
+    /// Stops: readiness goes first, new connections are taken until the balancer
+    /// has noticed, and every accepted request ends whole.
+    pub async fn shutdown(mut self) {
+        self.draining.store(true, Ordering::Relaxed);
+        self.log.note("stopping", &json!({}));
+        tokio::time::sleep(READINESS_NOTICE.min(self.drain_timeout / 2)).await;
+        let left = self
+            .drain_timeout
+            .saturating_sub(READINESS_NOTICE + DRAIN_RESERVE);
+        let drained = tokio::time::timeout(left, self.callers.drain())
+            .await
+            .is_ok();
+        self.log.note("stopped", &json!({ "drained": drained }));
+        // The log is written a moment later.
+        tokio::time::sleep(DRAIN_RESERVE / 2).await;
+        self.tasks.shutdown().await;
+    }
+}
+
+/// Serves a port until the tasks end.
+pub(crate) async fn serve(
+    tasks: &mut JoinSet<()>,
+    part: &'static str,
+    address: std::net::SocketAddr,
+    limits: ListenerLimits,
+    service: Arc<dyn HttpService>,
+) -> Result<(), ProcessError> {
+    let listener = HttpListener::start(part, address, limits, service).await?;
+    tasks.spawn(async move {
+        let _listener = listener;
+        std::future::pending::<()>().await;
+    });
+    Ok(())
+}
+
+fn levels((slots, view): &(SlotClient, FleetView), base: &ProcessBase) -> LevelReader {
+    let (slots, view, clock) = (slots.clone(), view.clone(), base.clock.clone());
+    Box::new(move || {
+        let age = view.age(clock.now());
+        vec![
+            ("runs", slots.active_count()),
+            ("without_broker", f64::from(u8::from(slots.is_detached()))),
+            (
+                "view_age_seconds",
+                age.map_or(-1.0, |age| age.as_secs_f64()),
+            ),
+        ]
+    })
+}
+
+fn reporter(slots: &SlotClient, log: &EventLog) -> SyncReporter {
+    let slots = slots.clone();
+    let log = log.clone();
+    SyncReporter {
+        role: HostRole::Entry,
+        active: Box::new(move || slots.active()),
+        store: Box::new(|| None),
+        on_news: Box::new(move |news| note_news(&log, news)),
+    }
+}
+
+/// Writes a line on a change of what the process knows.
+pub(crate) fn note_news(log: &EventLog, news: ViewNews) {
+    match news {
+        ViewNews::Plan(version) => log.note("plan_in_force", &json!({ "version": version.0 })),
+        ViewNews::LeaderLost => log.note("control_lost", &json!({})),
+        ViewNews::LeaderFound => log.note("control_found", &json!({})),
+    }
+}
+
+struct EntryHandler {
+    slots: SlotClient,
+    view: FleetView,
+}
+
+impl RpcHandler for EntryHandler {
+    fn call(&self, _: Arc<PeerIdentity>, _: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        std::future::ready(None).boxed()
+    }
+
+    fn notice(&self, _: &PeerIdentity, payload: Bytes) {
+        match postcard::from_bytes(&payload) {
+            Ok(Notice::Changed) => self.view.wake(),
+            Ok(Notice::Stop { ticket }) => self.slots.stop(ticket),
+            Ok(Notice::Seat(_) | Notice::Release { .. }) => {}
+            Err(error) => log::warn!("entry: a notice cannot be read: {error}."),
+        }
+    }
+}
+
+/// Answers the balancer's question whether the host takes callers.
+struct ReadinessService {
+    dialect: Arc<dyn CallerDialect>,
+    view: FleetView,
+    clock: Arc<dyn ClockSource>,
+    draining: Arc<AtomicBool>,
+}
+
+impl HttpService for ReadinessService {
+    fn call(
+        &self,
+        _: Request<Incoming>,
+    ) -> BoxFuture<'_, Result<Response<AnswerBody>, RequestRefusal>> {
+        let age = self.view.age(self.clock.now());
+        let fresh = age.is_some_and(|age| age < READY_AGE);
+        let ready = fresh && !self.draining.load(Ordering::Relaxed);
+        std::future::ready(Ok(self.dialect.readiness(ready))).boxed()
+    }
+}
--- /dev/null
+++ b/crates/roles/src/entry/jobs.rs
@@ -0,0 +1,182 @@
+//! Batch jobs at an entry host: each call is passed to the leader of the job group.
+
+use super::matching::MatchedRequest;
+use crate::event_log::EventLog;
+use crate::fleet_view::FleetView;
+use crate::leader_client::{LeaderClient, LeaderError};
+use crate::message::{BatchCall, BatchReply, Call};
+use crate::ports::{CallerDialect, CallerHead, JobCall};
+use chicoryladder_batch::{BatchAnswer, BatchCommand, JobSpec, SubmitAnswer};
+use chicoryladder_gateway::{AnswerBody, bytes_body};
+use chicoryladder_plan::PlanTeam;
+use chicoryladder_types::prelude::*;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde_json::json;
+use std::time::Duration;
+
+/// The time for one try of a call.
+const TRY_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The time within which a call has to find the leader. An election takes longer;
+/// callers return to another host by themselves.
+const PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// When a caller should return that found no leader.
+const NO_LEADER_RETRY: Duration = Duration::from_millis(500);
+
+/// When a caller should return whose job does not fit; items end all the time.
+const NO_ROOM_RETRY: Duration = Duration::from_secs(1);
+
+/// What stands in for times that a route does not set.
+const DEFAULT_DUE: Duration = Duration::from_secs(3_600);
+
+/// Passes the calls on batch jobs to the job group.
+#[derive(Clone)]
+pub(super) struct JobGateway {
+    pub(super) client: LeaderClient,
+    pub(super) view: FleetView,
+    pub(super) log: EventLog,
+}
+
+impl JobGateway {
+    /// Submits a job; it is the system's to keep once the answer says so.
+    pub(super) async fn submit(
+        &self,
+        matched: &MatchedRequest,
+        host: &str,
+        head: &CallerHead,
+        body: &[u8],
+        dialect: &dyn CallerDialect,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let bad = |detail: String| RequestRefusal::not_run(RefusalReason::BadRequest, detail);
+        let items = dialect.read_items(body).map_err(bad)?;
+        let id = head
+            .id
+            .clone()
+            .ok_or_else(|| bad("the job has no id".to_owned()))?;
+        let route = &matched.route;
+        let target = route.targets.iter().max_by_key(|target| target.weight);
+        let target = target.ok_or_else(|| bad("the route leads nowhere".to_owned()))?;
+        let due_in = route.completion_target.unwrap_or(DEFAULT_DUE);
+        let job = JobSpec {
+            id: id.clone(),
+            team: matched.team.as_ref().map(|team| team.name.clone()),
+            route: route.name.clone(),
+            host: host.to_owned(),
+            service: target.service.clone(),
+            rank: rank(matched),
+            due_in,
+            give_up_in: route.give_up_after.unwrap_or(due_in),
+            max_attempts: route.max_attempts.max(1),
+            items,
+        };
+        let command = BatchCommand::Submit {
+            job: Box::new(job),
+            waiting_tokens_max: route.waiting_tokens_max,
+        };
+        match self.reach(BatchCall::Change(command)).await? {
+            BatchReply::Changed(BatchAnswer::Submitted(answer)) => {
+                self.log.note(
+                    "job_submitted",
+                    &json!({ "request": id, "answer": format!("{answer:?}") }),
+                );
+                match answer {
+                    SubmitAnswer::Accepted | SubmitAnswer::Repeated => {
+                        Ok(plain(StatusCode::ACCEPTED))
+                    }
+                    SubmitAnswer::NoRoom => {
+                        let detail = "the tokens of the team that wait leave no room";
+                        Err(RequestRefusal::not_run(RefusalReason::QueueFull, detail)
+                            .with_retry_after(NO_ROOM_RETRY))
+                    }
+                }
+            }
+            _ => Err(undecided()),
+        }
+    }
+
+    /// Carries out a call about a job.
+    pub(super) async fn call(
+        &self,
+        call: &JobCall,
+        team: Option<&PlanTeam>,
+        dialect: &dyn CallerDialect,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let team = team.map(|team| team.name.clone());
+        let unknown = || RequestRefusal::not_run(RefusalReason::UnknownJob, "there is no such job");
+        match call.clone() {
+            JobCall::Page { job, after } => {
+                match self.reach(BatchCall::Page { team, job, after }).await? {
+                    BatchReply::Page(Some(page)) => {
+                        let mut response = Response::new(bytes_body(dialect.write_page(&page)));
+                        let kind = HeaderValue::from_static("application/json");
+                        response.headers_mut().insert(CONTENT_TYPE, kind);
+                        Ok(response)
+                    }
+                    BatchReply::Page(None) => Err(unknown()),
+                    _ => Err(undecided()),
+                }
+            }
+            JobCall::Body { job, item } => {
+                match self.reach(BatchCall::Body { team, job, item }).await? {
+                    BatchReply::Body(Some(body)) => Ok(Response::new(bytes_body(body))),
+                    BatchReply::Body(None) => Err(unknown()),
+                    _ => Err(undecided()),
+                }
+            }
+            JobCall::End { job } => {
+                let command = BatchCommand::End {
+                    job: job.clone(),
+                    team,
+                };
+                let reply = self.reach(BatchCall::Change(command)).await?;
+                self.log.note(
+                    "job_ended",
+                    &json!({ "job": job, "answer": format!("{reply:?}") }),
+                );
+                match reply {
+                    BatchReply::Changed(BatchAnswer::Done) => Ok(plain(StatusCode::OK)),
+                    BatchReply::Changed(_) => Err(unknown()),
+                    _ => Err(undecided()),
+                }
+            }
+        }
+    }
+
+    /// Calls the leader of the job group; every call may be repeated.
+    async fn reach(&self, call: BatchCall) -> Result<BatchReply, RequestRefusal> {
+        let store = self.view.store();
+        self.client.set_hosts(&store.hosts);
+        if self.client.leader().is_none() {
+            self.client.set_leader(store.leader);
+        }
+        let call = Call::Batch(call);
+        match self.client.call(&call, TRY_TIMEOUT, PATIENCE, true).await {
+            Ok(reply) => Ok(reply),
+            Err(LeaderError::NoLeader) => {
+                let detail = "no leader of the job group was found";
+                Err(RequestRefusal::not_run(RefusalReason::NoQuorum, detail)
+                    .with_retry_after(NO_LEADER_RETRY))
+            }
+            Err(LeaderError::Unknown) => Err(undecided()),
+        }
+    }
+}
+
+fn rank(matched: &MatchedRequest) -> u32 {
+    let team = matched.team.as_ref().and_then(|team| team.rank);
+    team.unwrap_or(matched.route.rank)
+}
+
+/// The call may have taken effect, so nothing is promised.
+fn undecided() -> RequestRefusal {
+    let detail = "the leader of the job group was lost during the call";
+    RequestRefusal::new(RefusalReason::ServerSilent, RunVerdict::MayHaveRun, detail)
+}
+
+fn plain(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(bytes_body(Vec::new()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/roles/src/entry/service.rs
@@ -0,0 +1,157 @@
+//! The HTTP service of an entry host.
+
+use super::forward::{ForwardRequest, RequestForwarder};
+use super::jobs::JobGateway;
+use super::matching::{MatchedRequest, RequestMatcher};
+use crate::event_log::EventLog;
+use crate::metrics::RoleMetrics;
+use crate::ports::{CallerDialect, CallerHead};
+use bytes::Bytes;
+use chicoryladder_gateway::{AnswerBody, HttpService};
+use chicoryladder_plan::RouteKind;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::http::request;
+use hyper::{Method, Request, Response};
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Instant;
+
+/// Takes the requests of callers.
+pub(super) struct EntryService {
+    pub(super) dialect: Arc<dyn CallerDialect>,
+    pub(super) matcher: RequestMatcher,
+    pub(super) forwarder: Arc<RequestForwarder>,
+    pub(super) jobs: JobGateway,
+    pub(super) clock: Arc<dyn ClockSource>,
+    pub(super) log: EventLog,
+    pub(super) metrics: Arc<RoleMetrics>,
+    pub(super) draining: Arc<AtomicBool>,
+}
+
+impl EntryService {
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived_at = self.clock.now();
+        let (parts, body) = request.into_parts();
+        let head = self.dialect.read_head(&parts);
+        let result = self.serve(&parts, body, &head, arrived_at).await;
+        let mut response = result.unwrap_or_else(|refusal| {
+            self.note_refusal(&parts, &head, &refusal, arrived_at);
+            self.dialect.refusal(&refusal)
+        });
+        if self.draining.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
+    }
+
+    async fn serve(
+        &self,
+        parts: &request::Parts,
+        body: Incoming,
+        head: &CallerHead,
+        arrived_at: Instant,
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let host = host_of(parts);
+        if let Some(call) = self.dialect.read_job_call(parts) {
+            let team = self.matcher.team_of_key(head).await?;
+            return self.jobs.call(&call, team.as_ref(), &*self.dialect).await;
+        }
+        let matched = self.matcher.find(&host, parts.uri.path(), head).await?;
+        let body = self.read_body(&matched, body).await?;
+        if matched.route.kind == RouteKind::Batch && parts.method == Method::POST {
+            return self
+                .jobs
+                .submit(&matched, &host, head, &body, &*self.dialect)
+                .await;
+        }
+        let request = ForwardRequest {
+            id: head.id.clone().ok_or_else(no_id)?,
+            method: parts.method.clone(),
+            path: path_of(parts),
+            headers: parts.headers.clone(),
+            body,
+            head: head.clone(),
+            arrived_at,
+        };
+        self.forwarder.clone().forward(matched, request).await
+    }
+
+    async fn read_body(
+        &self,
+        matched: &MatchedRequest,
+        body: Incoming,
+    ) -> Result<Bytes, RequestRefusal> {
+        let bounds = matched.plan.bounds();
+        let reading = Limited::new(body, bounds.body_max_bytes).collect();
+        match tokio::time::timeout(matched.route.timeout, reading).await {
+            Ok(Ok(collected)) => Ok(collected.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                let detail = format!("the body has more than {} bytes", bounds.body_max_bytes);
+                Err(RequestRefusal::not_run(RefusalReason::BodyTooLarge, detail))
+            }
+            Ok(Err(error)) => {
+                let detail = format!("the body could not be read: {error}");
+                Err(RequestRefusal::not_run(RefusalReason::BadRequest, detail))
+            }
+            Err(_) => {
+                let detail = "the body did not arrive in time";
+                Err(RequestRefusal::not_run(RefusalReason::SlowBody, detail))
+            }
+        }
+    }
+
+    fn note_refusal(
+        &self,
+        parts: &request::Parts,
+        head: &CallerHead,
+        refusal: &RequestRefusal,
+        arrived_at: Instant,
+    ) {
+        let now = self.clock.now();
+        self.metrics.count_refusal(refusal.reason);
+        let view_age = self.matcher.view.age(now).map(|age| age.as_millis());
+        let fields = json!({
+            "request": head.id,
+            "path": parts.uri.path(),
+            "reason": refusal.reason.as_str(),
+            "verdict": refusal.verdict.as_str(),
+            "detail": refusal.detail,
+            "retry_after_ms": refusal.retry_after.map(|after| after.as_millis()),
+            "held_ms": now.saturating_duration_since(arrived_at).as_millis(),
+            "plan": self.matcher.view.plan().version().0,
+            "view_age_ms": view_age,
+        });
+        self.log.note("refused", &fields);
+    }
+}
+
+impl HttpService for EntryService {
+    fn call(
+        &self,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'_, Result<Response<AnswerBody>, RequestRefusal>> {
+        self.answer(request).map(Ok).boxed()
+    }
+}
+
+fn no_id() -> RequestRefusal {
+    RequestRefusal::not_run(RefusalReason::BadRequest, "the request has no id")
+}
+
+fn host_of(parts: &request::Parts) -> String {
+    let told = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = told.or_else(|| parts.uri.host());
+    host.unwrap_or_default().to_owned()
+}
+
+fn path_of(parts: &request::Parts) -> String {
+    let path = parts.uri.path_and_query();
+    path.map_or_else(|| "/".to_owned(), |path| path.as_str().to_owned())
+}
--- /dev/null
+++ b/crates/roles/src/event_stream.rs
@@ -0,0 +1,89 @@
+//! Reading event streams.
+
+use bytes::{Bytes, BytesMut};
+
+/// The longest event that is read, in bytes.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
+/// One whole event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StreamEvent {
+    /// The id, if the event has one.
+    pub id: Option<u64>,
+    /// The lines of data, joined by line feeds.
+    pub data: String,
+    /// The event as it was sent, with the blank line that ends it.
+    pub raw: Bytes,
+}
+
+/// Cuts a stream into events.
+#[derive(Debug, Default)]
+pub struct EventParser {
+    buffer: BytesMut,
+    /// Bytes of the buffer that hold no end of an event.
+    searched: usize,
+}
+
+impl EventParser {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether bytes are left that make no whole event.
+    #[must_use]
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Whether the bytes that are left are longer than any event may be.
+    #[must_use]
+    pub fn is_overlong(&self) -> bool {
+        self.buffer.len() > EVENT_MAX_BYTES
+    }
+
+    /// The next whole event.
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
+        let end = self.find_end()?;
+        let raw = self.buffer.split_to(end).freeze();
+        self.searched = 0;
+        Some(parse_event(raw))
+    }
+
+    /// The place behind the blank line that ends the first event.
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let bytes = &self.buffer[..];
+        let mut at = from;
+        while let Some(offset) = bytes[at..].iter().position(|byte| *byte == b'\n') {
+            let newline = at + offset;
+            let rest = &bytes[newline + 1..];
+            if rest.starts_with(b"\n") {
+                return Some(newline + 2);
+            }
+            if rest.starts_with(b"\r\n") {
+                return Some(newline + 3);
+            }
+            at = newline + 1;
+        }
+        self.searched = bytes.len();
+        None
+    }
+}
+
+fn parse_event(raw: Bytes) -> StreamEvent {
+    let text = String::from_utf8_lossy(&raw);
+    let mut id = None;
+    let mut data: Vec<&str> = Vec::new();
+    for line in text.lines() {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => id = value.parse().ok(),
+            "data" => data.push(value),
+            _ => {}
+        }
+    }
+    let data = data.join("\n");
+    StreamEvent { id, data, raw }
+}
--- /dev/null
+++ b/crates/roles/src/leader_client.rs
@@ -0,0 +1,183 @@
+//! Calls to the leader of a group, wherever it is.
+
+use crate::message::GroupReply;
+use chicoryladder_rpc::{RpcClient, RpcError};
+use chicoryladder_types::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The pause before the hosts of a group are asked again.
+const ROUND_PAUSE: Duration = Duration::from_millis(60);
+
+/// Why a call to a leader has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum LeaderError {
+    /// No leader was found; the call took no effect.
+    #[error("no leader was found")]
+    NoLeader,
+    /// The call may have taken effect.
+    #[error("the leader was lost during the call")]
+    Unknown,
+}
+
+#[derive(Debug, Default)]
+struct KnownHosts {
+    hosts: Vec<SocketAddr>,
+    leader: Option<SocketAddr>,
+    next: usize,
+}
+
+/// Finds the leader of a group and calls it; clones share what they know.
+#[derive(Clone)]
+pub(crate) struct LeaderClient {
+    rpc: RpcClient,
+    clock: Arc<dyn ClockSource>,
+    known: Arc<Mutex<KnownHosts>>,
+}
+
+impl LeaderClient {
+    pub(crate) fn new(rpc: RpcClient, clock: Arc<dyn ClockSource>, hosts: Vec<SocketAddr>) -> Self {
+        let known = KnownHosts {
+            hosts,
+            ..KnownHosts::default()
+        };
+        Self {
+            rpc,
+            clock,
+            known: Arc::new(Mutex::new(known)),
+        }
+    }
+
+    fn known(&self) -> MutexGuard<'_, KnownHosts> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The leader, as far as known.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        self.known().leader
+    }
+
+    pub(crate) fn set_leader(&self, leader: Option<SocketAddr>) {
+        if leader.is_some() {
+            self.known().leader = leader;
+        }
+    }
+
+    /// Takes over newer addresses; an empty list is no news.
+    pub(crate) fn set_hosts(&self, hosts: &[SocketAddr]) {
+        if !hosts.is_empty() {
+            self.known().hosts = hosts.to_vec();
+        }
+    }
+
+    /// The leader if known, else the hosts by turns.
+    fn next_host(&self) -> Option<SocketAddr> {
+        let mut known = self.known();
+        if let Some(leader) = known.leader {
+            return Some(leader);
+        }
+        let count = known.hosts.len();
+        known.next = known.next.wrapping_add(1);
+        let next = known.next;
+        (count > 0).then(|| known.hosts[next % count])
+    }
+
+    fn forget_leader(&self, leader: SocketAddr) {
+        let mut known = self.known();
+        if known.leader == Some(leader) {
+            known.leader = None;
+        }
+    }
+
+    /// Calls the leader that is known, once.
+    pub(crate) async fn call_once<T: DeserializeOwned>(
+        &self,
+        call: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T, LeaderError> {
+        let host = self.next_host().ok_or(LeaderError::NoLeader)?;
+        self.try_host(host, call, timeout).await
+    }
+
+    /// Calls the leader, and looks for it until `patience` has passed.
+    ///
+    /// A call that may have taken effect is only sent again if `repeatable`.
+    pub(crate) async fn call<T: DeserializeOwned>(
+        &self,
+        call: &impl Serialize,
+        timeout: Duration,
+        patience: Duration,
+        repeatable: bool,
+    ) -> Result<T, LeaderError> {
+        let until = self.clock.now() + patience;
+        let mut unknown = false;
+        loop {
+            let left = until.saturating_duration_since(self.clock.now());
+            if let Some(host) = self.next_host()
+                && !left.is_zero()
+            {
+                match self.try_host(host, call, timeout.min(left)).await {
+                    Ok(answer) => return Ok(answer),
+                    Err(LeaderError::NoLeader) => {}
+                    Err(LeaderError::Unknown) if repeatable => unknown = true,
+                    Err(LeaderError::Unknown) => return Err(LeaderError::Unknown),
+                }
+            }
+            if self.is_over(until) {
+                return Err(if unknown {
+                    LeaderError::Unknown
+                } else {
+                    LeaderError::NoLeader
+                });
+            }
+            if self.leader().is_none() {
+                tokio::time::sleep(ROUND_PAUSE).await;
+            }
+        }
+    }
+
+    fn is_over(&self, until: Instant) -> bool {
+        self.clock.now() + ROUND_PAUSE >= until
+    }
+
+    async fn try_host<T: DeserializeOwned>(
+        &self,
+        host: SocketAddr,
+        call: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<T, LeaderError> {
+        let payload = match postcard::to_stdvec(call) {
+            Ok(payload) => payload,
+            Err(error) => {
+                log::error!("leader client: a call cannot be encoded: {error}.");
+                return Err(LeaderError::NoLeader);
+            }
+        };
+        let reply = match self.rpc.call(host, payload, timeout).await {
+            Ok(reply) => reply,
+            Err(RpcError::Unreachable | RpcError::TimedOut) => {
+                self.forget_leader(host);
+                return Err(LeaderError::Unknown);
+            }
+        };
+        match postcard::from_bytes(&reply) {
+            Ok(GroupReply::Answer(answer)) => {
+                self.known().leader = Some(host);
+                Ok(answer)
+            }
+            Ok(GroupReply::NotLeader { leader }) => {
+                self.forget_leader(host);
+                self.known().leader = leader.filter(|leader| *leader != host);
+                Err(LeaderError::NoLeader)
+            }
+            Ok(GroupReply::Unknown) => Err(LeaderError::Unknown),
+            Err(error) => {
+                log::warn!("leader client: {host} answered what cannot be read: {error}.");
+                Err(LeaderError::Unknown)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/message.rs
@@ -0,0 +1,223 @@
+//! What the processes of a fleet tell each other.
+
+use chicoryladder_batch::{BatchCommand, JobPage};
+use chicoryladder_broker::{
+    ActiveRun, AskSlot, AskerId, RunReport, ServerCheckIn, ServerView, SlotDecision,
+};
+use chicoryladder_consensus::SeatEnvelope;
+use chicoryladder_plan::{PlanVersion, RawPlan};
+use chicoryladder_types::SeatId;
+use chicoryladder_types::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A message that needs no answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Notice {
+    /// A message between two seats of a group.
+    Seat(SeatEnvelope),
+    /// To the broker: a run ended.
+    Release { asker: AskerId, report: RunReport },
+    /// To an asker: a run has to stop, since its slot is needed.
+    Stop { ticket: u64 },
+    /// To a host: the plan or the directory changed.
+    Changed,
+}
+
+/// A call; each goes to the leader of a group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum Call {
+    /// To the control group.
+    Control(ControlCall),
+    /// To the job group.
+    Batch(BatchCall),
+}
+
+/// A call to the control group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum ControlCall {
+    /// Asks for a slot under a plan.
+    Ask {
+        asker: AskerId,
+        plan: PlanVersion,
+        ask: Box<AskSlot>,
+    },
+    /// Exchanges what a host and the leader know.
+    Sync(Box<SyncRequest>),
+    /// Replaces the plan.
+    ReplacePlan {
+        document: Vec<u8>,
+        plan: Box<RawPlan>,
+    },
+    /// Reads the document of the plan.
+    ReadPlan,
+    /// Passes on the check-in of a server.
+    CheckIn(Box<ServerCheckIn>),
+    /// Passes on that a server leaves.
+    Leave { name: ServerName, born: Option<u64> },
+    /// Has a host emptied.
+    BeginRetire { host: HostName },
+    /// Asks whether a host is empty.
+    RetireState { host: HostName },
+    /// Asks for a seat in the control group.
+    Join(JoinRequest),
+}
+
+/// A host without a seat asks for one, or one with a seat whether it still counts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct JoinRequest {
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+    /// The seat that the host has and may have lost; `None` to get one.
+    pub(crate) seat: Option<SeatId>,
+}
+
+/// What a host does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum HostRole {
+    Entry,
+    Control,
+    Store,
+}
+
+/// What a store host tells of its seat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StoreReport {
+    /// The seat, if it has one.
+    pub(crate) seat: Option<SeatId>,
+    /// Whether the whole system starts for the first time.
+    pub(crate) first_start: bool,
+    /// Whether it leads the job group, and in which term.
+    pub(crate) leads_term: Option<u64>,
+    /// The addresses of the job group's members, if it leads.
+    pub(crate) members: Vec<SocketAddr>,
+    /// The hosts that it knows to be emptied, and gives no seat.
+    pub(crate) retiring: Vec<SocketAddr>,
+}
+
+/// What a host knows and has under way.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SyncRequest {
+    pub(crate) asker: AskerId,
+    pub(crate) role: HostRole,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: ZoneName,
+    pub(crate) plan: PlanVersion,
+    /// The term and number of the directory held.
+    pub(crate) directory: (u64, u64),
+    pub(crate) active: Vec<ActiveRun>,
+    pub(crate) reserves: Vec<(TeamName, u32)>,
+    pub(crate) store: Option<StoreReport>,
+}
+
+/// What all hosts need to know of the job group.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StoreView {
+    /// The members of its first start, once that is decided.
+    pub(crate) founders: Option<BTreeMap<SeatId, SocketAddr>>,
+    /// The host that leads it, as far as known.
+    pub(crate) leader: Option<SocketAddr>,
+    /// All store hosts that were heard from.
+    pub(crate) hosts: Vec<SocketAddr>,
+    /// The store hosts that are to be emptied.
+    pub(crate) retiring: Vec<SocketAddr>,
+}
+
+/// What the leader tells a host.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SyncAnswer {
+    /// All control hosts that were heard from.
+    pub(crate) hosts: Vec<SocketAddr>,
+    /// The plan, if it is newer than the one held.
+    pub(crate) plan: Option<Box<RawPlan>>,
+    /// The directory, if it differs from the one held.
+    pub(crate) directory: Option<((u64, u64), Vec<ServerView>)>,
+    /// What is added to the reserves of the host.
+    pub(crate) reserves: Vec<(TeamName, u32)>,
+    pub(crate) store: StoreView,
+}
+
+/// The answer of a leader of the control group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum ControlAnswer {
+    /// Answers [`ControlCall::Ask`].
+    Slot(SlotDecision),
+    /// The plan that an ask was made under is not in force any more.
+    OldPlan,
+    /// Answers [`ControlCall::Sync`].
+    Synced(Box<SyncAnswer>),
+    /// The call took effect.
+    Done,
+    /// Answers [`ControlCall::ReadPlan`].
+    Document(Option<Vec<u8>>),
+    /// Answers [`ControlCall::RetireState`]: whether the host is empty.
+    Retired(bool),
+    /// There is no such host.
+    UnknownHost,
+    /// Too few hosts would be left.
+    TooFewHosts,
+    /// Answers [`ControlCall::Join`].
+    Seat(JoinAnswer),
+}
+
+/// The answer to a host that asks for a seat.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum JoinAnswer {
+    /// The host has this seat from now on.
+    Granted(SeatId),
+    /// No seat is free now.
+    Wait,
+    /// The seat that the host has belongs to the group.
+    Member,
+    /// The seat that the host has was removed for good.
+    Removed,
+}
+
+/// A call to the job group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum BatchCall {
+    /// Changes the state.
+    Change(BatchCommand),
+    /// Reads results.
+    Page {
+        team: Option<TeamName>,
+        job: String,
+        after: u64,
+    },
+    /// Reads the body of an item.
+    Body {
+        team: Option<TeamName>,
+        job: String,
+        item: String,
+    },
+    /// Asks for a seat in the job group.
+    Join(JoinRequest),
+}
+
+/// The answer of a leader of the job group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum BatchReply {
+    /// Answers [`BatchCall::Change`].
+    Changed(chicoryladder_batch::BatchAnswer),
+    /// Answers [`BatchCall::Page`].
+    Page(Option<JobPage>),
+    /// Answers [`BatchCall::Body`].
+    Body(Option<Vec<u8>>),
+    /// Answers [`BatchCall::Join`].
+    Seat(JoinAnswer),
+}
+
+/// The answer of any host of a group.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum GroupReply<T> {
+    /// The host does not lead; nothing was done.
+    NotLeader {
+        /// The host that leads, as far as known.
+        leader: Option<SocketAddr>,
+    },
+    /// The leadership was lost meanwhile; the call may have taken effect.
+    Unknown,
+    /// The answer of the leader.
+    Answer(T),
+}
--- /dev/null
+++ b/crates/roles/src/metrics.rs
@@ -0,0 +1,120 @@
+//! Counters and latency histograms of a process.
+
+use chicoryladder_broker::RunOutcome;
+use chicoryladder_gateway::{AnswerBody, HttpService, text_answer};
+use chicoryladder_types::RouteName;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The upper bounds of the classes that answers are counted in, in seconds.
+const ANSWER_SECONDS_BOUNDARIES: &[f64] = &[
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0,
+];
+
+/// The instruments of a process.
+pub(crate) struct RoleMetrics {
+    registry: Registry,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    answer_seconds: Histogram<f64>,
+    levels: Gauge<f64>,
+    // Dropping the provider would end the instruments.
+    _provider: SdkMeterProvider,
+}
+
+impl RoleMetrics {
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be registered.
+    pub(crate) fn new() -> std::io::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(std::io::Error::other)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("chicoryladder");
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("requests").build(),
+            refusals: meter.u64_counter("refusals").build(),
+            retries: meter.u64_counter("retries").build(),
+            answer_seconds: meter
+                .f64_histogram("answer_seconds")
+                .with_boundaries(ANSWER_SECONDS_BOUNDARIES.to_vec())
+                .build(),
+            levels: meter.f64_gauge("level").build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that was served.
+    pub(crate) fn count_served(&self, route: &RouteName, elapsed: Duration) {
+        let route = [KeyValue::new("route", route.to_string())];
+        self.requests.add(1, &route);
+        self.answer_seconds.record(elapsed.as_secs_f64(), &route);
+    }
+
+    /// Counts a refusal by its reason.
+    pub(crate) fn count_refusal(&self, reason: RefusalReason) {
+        self.refusals
+            .add(1, &[KeyValue::new("reason", reason.as_str())]);
+    }
+
+    /// Counts an attempt that failed at its server.
+    pub(crate) fn count_retry(&self, outcome: RunOutcome) {
+        let reason = match outcome {
+            RunOutcome::Served => "server_error",
+            RunOutcome::Stopped => "stopped",
+            RunOutcome::Unreachable => "connect_failed",
+            RunOutcome::Shed => "server_refused",
+            RunOutcome::WrongServer => "wrong_server",
+            RunOutcome::Failed => "server_failed",
+        };
+        self.retries.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    /// Shows a level, such as the number of runs under way.
+    fn show(&self, name: &'static str, value: f64) {
+        self.levels.record(value, &[KeyValue::new("name", name)]);
+    }
+
+    fn render(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new()
+            .encode_to_string(&families)
+            .unwrap_or_else(|error| format!("# the metrics cannot be encoded: {error}\n"))
+    }
+}
+
+/// Reads the levels of a process at a scrape.
+pub(crate) type LevelReader = Box<dyn Fn() -> Vec<(&'static str, f64)> + Send + Sync>;
+
+/// Serves the metrics as text at every path.
+pub(crate) struct MetricsService {
+    pub(crate) metrics: Arc<RoleMetrics>,
+    pub(crate) levels: LevelReader,
+}
+
+impl HttpService for MetricsService {
+    fn call(
+        &self,
+        _: Request<Incoming>,
+    ) -> BoxFuture<'_, Result<Response<AnswerBody>, RequestRefusal>> {
+        for (name, value) in (self.levels)() {
+            self.metrics.show(name, value);
+        }
+        let text = self.metrics.render();
+        std::future::ready(Ok(text_answer(200, &text))).boxed()
+    }
+}
--- /dev/null
+++ b/crates/roles/src/seat_care.rs
@@ -0,0 +1,139 @@
+//! What the leader of a group does for its membership.
+
+use crate::message::{JoinAnswer, JoinRequest};
+use chicoryladder_consensus::{MemberRole, MembershipChange};
+use chicoryladder_group::{
+    GroupStatus, MemberView, RepairLimits, RepairView, StandbyHost, plan_repair,
+};
+use chicoryladder_types::SeatId;
+use chicoryladder_types::prelude::*;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The silence after which a voter is replaced where another host can take its
+/// place. A shorter one would replace hosts that only restart, and each
+/// replacement has to copy the log.
+const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// The silence up to which a member counts as answering; a few heartbeats.
+const ANSWERS_WITHIN: Duration = Duration::from_millis(600);
+
+/// The time for which a host that asked for a seat counts as waiting.
+const STANDBY_FOR: Duration = Duration::from_millis(1_200);
+
+#[derive(Debug)]
+struct StandbyRecord {
+    zone: ZoneName,
+    asked_at: Instant,
+}
+
+/// The hosts that ask for seats, and what else the repair of a group depends on.
+#[derive(Debug, Default)]
+pub(crate) struct SeatCare {
+    standbys: HashMap<SocketAddr, StandbyRecord>,
+    zones: HashMap<SocketAddr, ZoneName>,
+    first_seen: HashMap<SeatId, Instant>,
+}
+
+impl SeatCare {
+    /// Forgets what an earlier leadership saw.
+    pub(crate) fn restart(&mut self) {
+        self.standbys.clear();
+        self.first_seen.clear();
+    }
+
+    pub(crate) fn note_zone(&mut self, address: SocketAddr, zone: &ZoneName) {
+        self.zones.insert(address, zone.clone());
+    }
+
+    /// Answers a host that asks for a seat, or whether it still has one.
+    pub(crate) fn answer_join(
+        &mut self,
+        status: &GroupStatus,
+        request: &JoinRequest,
+        now: Instant,
+    ) -> JoinAnswer {
+        self.note_zone(request.address, &request.zone);
+        if let Some(seat) = request.seat {
+            let is_member = status.members.iter().any(|member| member.seat == seat);
+            return if is_member {
+                JoinAnswer::Member
+            } else {
+                JoinAnswer::Removed
+            };
+        }
+        let member = status.members.iter().find(|m| m.address == request.address);
+        if let Some(member) = member
+            && member.role == MemberRole::Learner
+            && member.contact_at.is_none()
+        {
+            self.standbys.remove(&request.address);
+            return JoinAnswer::Granted(member.seat);
+        }
+        let record = StandbyRecord {
+            zone: request.zone.clone(),
+            asked_at: now,
+        };
+        self.standbys.insert(request.address, record);
+        JoinAnswer::Wait
+    }
+
+    /// The next change of the membership, if one is due.
+    pub(crate) fn next_change(
+        &mut self,
+        status: &GroupStatus,
+        retiring: &HashSet<SocketAddr>,
+        voters: usize,
+        now: Instant,
+    ) -> Option<MembershipChange> {
+        self.standbys
+            .retain(|_, record| now.saturating_duration_since(record.asked_at) < STANDBY_FOR);
+        let view = self.view(status, retiring, now);
+        let limits = RepairLimits {
+            voters,
+            replace_after: REPLACE_AFTER,
+            answers_within: ANSWERS_WITHIN,
+        };
+        let change = plan_repair(&view, &limits)?;
+        Some(match change {
+            MembershipChange::AddLearner { address, .. } => MembershipChange::AddLearner {
+                seat: status.next_seat,
+                address,
+            },
+            other => other,
+        })
+    }
+
+    fn view(
+        &mut self,
+        status: &GroupStatus,
+        retiring: &HashSet<SocketAddr>,
+        now: Instant,
+    ) -> RepairView {
+        let mut members = Vec::new();
+        for member in &status.members {
+            let first_seen = *self.first_seen.entry(member.seat).or_insert(now);
+            let since = member.contact_at.unwrap_or(first_seen).max(first_seen);
+            members.push(MemberView {
+                seat: member.seat,
+                address: member.address,
+                role: member.role,
+                silent_for: now.saturating_duration_since(since),
+                heard: member.contact_at.is_some(),
+                retiring: retiring.contains(&member.address),
+                zone: self.zones.get(&member.address).cloned(),
+            });
+        }
+        let standby = |(address, record): (&SocketAddr, &StandbyRecord)| StandbyHost {
+            address: *address,
+            zone: record.zone.clone(),
+            retiring: retiring.contains(address),
+        };
+        RepairView {
+            leader: status.seat,
+            members,
+            standbys: self.standbys.iter().map(standby).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/seat_opener.rs
@@ -0,0 +1,147 @@
+//! Opening the seat of a data folder, and getting one for a folder without.
+
+use crate::message::Notice;
+use chicoryladder_consensus::{GroupMembership, SeatEnvelope, SeatSettings, StateMachine};
+use chicoryladder_group::{GroupHandle, GroupSettings, GroupThread, SeatFile, SeatTransport};
+use chicoryladder_rpc::RpcClient;
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{GroupId, SeatId};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time between two heartbeats of a leader; a third of a second covers a lost
+/// one on a link with losses.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The silence after which a follower stands for election; five heartbeats.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(750);
+
+/// The entries applied between two snapshots; a snapshot holds every open job, so
+/// it is not taken often.
+const SNAPSHOT_INTERVAL_ENTRIES: u64 = 2_048;
+
+/// The entries kept in memory behind a snapshot.
+const KEPT_ENTRIES: u64 = 256;
+
+/// Opens the seat of one group on this host.
+#[derive(Clone)]
+pub(crate) struct SeatOpener {
+    pub(crate) group: GroupId,
+    pub(crate) folder: PathBuf,
+    pub(crate) rpc: RpcClient,
+    pub(crate) clock: Arc<dyn ClockSource>,
+}
+
+/// The members of a group's first start.
+pub(crate) type FounderMap = BTreeMap<SeatId, SocketAddr>;
+
+impl SeatOpener {
+    /// Opens the seat that the folder has, or a founder's seat at the first start.
+    ///
+    /// Returns `None` if the host has to ask for a seat.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be used.
+    pub(crate) fn open<M: StateMachine + Default + 'static>(
+        &self,
+        founders: Option<&FounderMap>,
+        first_start: bool,
+    ) -> io::Result<Option<GroupHandle<M>>> {
+        let file = SeatFile::new(&self.folder);
+        let own = self.rpc.identity().address;
+        let founded = founders.and_then(|founders| {
+            let seat = founders.iter().find(|(_, address)| **address == own);
+            seat.map(|(seat, _)| *seat)
+        });
+        let seat = match (file.read()?, founded) {
+            (Some(seat), _) => seat,
+            (None, Some(seat)) if first_start => {
+                file.write(seat)?;
+                seat
+            }
+            (None, _) => return Ok(None),
+        };
+        let is_founder = founded == Some(seat);
+        let founders = founders.filter(|_| is_founder);
+        self.start(seat, founders).map(Some)
+    }
+
+    /// Takes a seat that the leader has given out.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be used.
+    pub(crate) fn take<M: StateMachine + Default + 'static>(
+        &self,
+        seat: SeatId,
+    ) -> io::Result<GroupHandle<M>> {
+        SeatFile::new(&self.folder).write(seat)?;
+        self.start(seat, None)
+    }
+
+    /// Deletes what a removed seat has left behind.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the files cannot be deleted.
+    pub(crate) fn clear(&self) -> io::Result<()> {
+        match std::fs::remove_dir_all(&self.folder) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
+    fn start<M: StateMachine + Default + 'static>(
+        &self,
+        seat: SeatId,
+        founders: Option<&FounderMap>,
+    ) -> io::Result<GroupHandle<M>> {
+        let timers = SeatSettings {
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            election_timeout: ELECTION_TIMEOUT,
+            snapshot_interval_entries: SNAPSHOT_INTERVAL_ENTRIES,
+            kept_entries: KEPT_ENTRIES,
+            ..SeatSettings::new(self.group, seat)
+        };
+        let founders = founders.cloned().unwrap_or_default();
+        let settings = GroupSettings {
+            seat: timers,
+            founders: GroupMembership::of_voters(founders),
+            folder: self.folder.join("log"),
+            address: self.rpc.identity().address,
+            seed: random_word()?,
+        };
+        let carrier = SeatCarrier {
+            rpc: self.rpc.clone(),
+        };
+        GroupThread::start(settings, M::default, carrier, self.clock.clone())
+    }
+}
+
+/// A random number of the operating system.
+///
+/// # Errors
+///
+/// Fails if the operating system gives out no random bytes.
+pub(crate) fn random_word() -> io::Result<u64> {
+    getrandom::u64().map_err(io::Error::other)
+}
+
+/// Carries the messages of seats.
+struct SeatCarrier {
+    rpc: RpcClient,
+}
+
+impl SeatTransport for SeatCarrier {
+    fn send(&self, address: SocketAddr, envelope: SeatEnvelope) {
+        match postcard::to_stdvec(&Notice::Seat(envelope)) {
+            Ok(payload) => self.rpc.notify(address, payload),
+            Err(error) => log::error!("seat: a message cannot be encoded: {error}."),
+        }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/slot_client.rs
@@ -0,0 +1,366 @@
+//! Getting slots from the broker, or choosing a server without it.
+
+use crate::fleet_view::FleetView;
+use crate::leader_client::{LeaderClient, LeaderError};
+use crate::message::{Call, ControlAnswer, ControlCall, Notice};
+use crate::process::ProcessBase;
+use chicoryladder_broker::{
+    ActiveRun, AskSlot, RefuseReason, RunOutcome, RunReport, ServerPhase, ServerView, SlotDecision,
+    WorkKind,
+};
+use chicoryladder_plan::PlanVersion;
+use chicoryladder_types::ServerLoad;
+use chicoryladder_types::prelude::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+
+/// How much longer than the wait for a slot the answer of the broker may take; a
+/// few round trips between zones and the time of a busy leader.
+const ASK_MARGIN: Duration = Duration::from_millis(150);
+
+/// When a caller should return that found no slot while the broker was away.
+const DETACHED_RETRY: Duration = Duration::from_millis(700);
+
+/// The check-ins that a server may miss before it is no longer chosen.
+const MISSED_CHECK_INS: u32 = 4;
+
+/// Why there is no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AskFailure {
+    /// The request has to be refused.
+    Refused {
+        reason: RefuseReason,
+        retry_after: Duration,
+    },
+    /// The plan that the ask was made under is not in force any more.
+    OldPlan,
+}
+
+struct HeldRun {
+    run: ActiveRun,
+    stop: Arc<Notify>,
+}
+
+struct SlotShared {
+    base: ProcessBase,
+    client: LeaderClient,
+    view: FleetView,
+    runs: Mutex<HashMap<u64, HeldRun>>,
+    next_ticket: AtomicU64,
+    /// When the broker did not answer; it counts as away until the next sync.
+    lost_at: Mutex<Option<Instant>>,
+}
+
+/// Gets slots; clones share what is under way.
+#[derive(Clone)]
+pub(crate) struct SlotClient {
+    shared: Arc<SlotShared>,
+}
+
+impl SlotClient {
+    pub(crate) fn new(base: ProcessBase, client: LeaderClient, view: FleetView) -> Self {
+        let shared = SlotShared {
+            base,
+            client,
+            view,
+            runs: Mutex::default(),
+            next_ticket: AtomicU64::new(1),
+            lost_at: Mutex::new(None),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    fn runs(&self) -> MutexGuard<'_, HashMap<u64, HeldRun>> {
+        let runs = self.shared.runs.lock();
+        runs.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The runs under way, for the next sync.
+    pub(crate) fn active(&self) -> Vec<ActiveRun> {
+        self.runs().values().map(|held| held.run.clone()).collect()
+    }
+
+    /// The number of runs under way, for metrics.
+    pub(crate) fn active_count(&self) -> f64 {
+        let count = u32::try_from(self.runs().len()).unwrap_or(u32::MAX);
+        f64::from(count)
+    }
+
+    /// Tells a run that it has to stop.
+    pub(crate) fn stop(&self, ticket: u64) {
+        if let Some(held) = self.runs().get(&ticket) {
+            held.stop.notify_one();
+        }
+    }
+
+    /// Whether the broker is away, as far as known.
+    pub(crate) fn is_detached(&self) -> bool {
+        let lost_at = self.shared.lost_at.lock();
+        let lost_at = *lost_at.unwrap_or_else(PoisonError::into_inner);
+        let fresh_at = self.shared.view.fresh_at();
+        fresh_at.is_none() || lost_at.is_some_and(|lost| fresh_at <= Some(lost))
+    }
+
+    fn note_lost(&self) {
+        let now = self.shared.base.clock.now();
+        let mut lost_at = self
+            .shared
+            .lost_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *lost_at = Some(now);
+        drop(lost_at);
+        self.shared.view.wake();
+    }
+
+    /// Gets a slot; the ticket of `ask` is set here.
+    pub(crate) async fn ask(
+        &self,
+        plan: PlanVersion,
+        mut ask: AskSlot,
+    ) -> Result<SlotLease, AskFailure> {
+        ask.ticket = self.shared.next_ticket.fetch_add(1, Ordering::Relaxed);
+        if !self.is_detached()
+            && let Some(leader) = self.shared.client.leader()
+        {
+            match self.ask_broker(leader, plan, &ask).await {
+                Ok(result) => return result,
+                Err(LeaderError::NoLeader | LeaderError::Unknown) => self.note_lost(),
+            }
+        }
+        if ask.kind == WorkKind::Batch {
+            return Err(AskFailure::Refused {
+                reason: RefuseReason::NoServer,
+                retry_after: DETACHED_RETRY,
+            });
+        }
+        self.choose(&ask)
+    }
+
+    async fn ask_broker(
+        &self,
+        leader: SocketAddr,
+        plan: PlanVersion,
+        ask: &AskSlot,
+    ) -> Result<Result<SlotLease, AskFailure>, LeaderError> {
+        let pending = PendingAsk {
+            client: self.clone(),
+            leader,
+            ticket: ask.ticket,
+            settled: false,
+        };
+        let call = Call::Control(ControlCall::Ask {
+            asker: self.shared.base.asker(),
+            plan,
+            ask: Box::new(ask.clone()),
+        });
+        let timeout = ask.wait_max + ASK_MARGIN;
+        let answer = self.shared.client.call_once(&call, timeout).await?;
+        let result = match answer {
+            ControlAnswer::Slot(SlotDecision::Granted {
+                server, address, ..
+            }) => Ok(self.lease(ask, server, address, false)),
+            ControlAnswer::Slot(SlotDecision::Refused {
+                reason,
+                retry_after,
+            }) => Err(AskFailure::Refused {
+                reason,
+                retry_after,
+            }),
+            ControlAnswer::OldPlan => Err(AskFailure::OldPlan),
+            _ => return Err(LeaderError::Unknown),
+        };
+        pending.settle();
+        Ok(result)
+    }
+
+    fn lease(
+        &self,
+        ask: &AskSlot,
+        server: ServerName,
+        address: SocketAddr,
+        unasked: bool,
+    ) -> SlotLease {
+        let stop = Arc::new(Notify::new());
+        let run = ActiveRun {
+            ticket: ask.ticket,
+            server: server.clone(),
+            kind: ask.kind,
+            tokens: ask.tokens,
+            unasked,
+        };
+        let held = HeldRun {
+            run,
+            stop: stop.clone(),
+        };
+        self.runs().insert(ask.ticket, held);
+        SlotLease {
+            server,
+            address,
+            unasked,
+            stop,
+            ticket: ask.ticket,
+            client: self.clone(),
+            report: None,
+        }
+    }
+
+    /// Chooses a server by what this host knows alone.
+    fn choose(&self, ask: &AskSlot) -> Result<SlotLease, AskFailure> {
+        let shared = &self.shared;
+        let now = shared.base.clock.now();
+        let refused = |reason| AskFailure::Refused {
+            reason,
+            retry_after: DETACHED_RETRY,
+        };
+        let servers = shared.view.servers(now);
+        let lost_after = shared.base.settings.promises.check_in_interval * MISSED_CHECK_INS;
+        let age = shared.view.age(now).unwrap_or_default();
+        // While nobody takes check-ins, all servers look silent.
+        let is_usable = |view: &&ServerView| {
+            view.told.service == ask.service
+                && view.told.phase == ServerPhase::Ready
+                && view.told_ago < lost_after + age
+                && !ask.avoid.contains(&view.told.name)
+        };
+        let loads = self.own_loads();
+        let load = |view: &ServerView| loads.get(&view.told.name).copied().unwrap_or_default();
+        let has_room = |view: &&ServerView| load(view) < view.told.slots;
+        let order = |view: &ServerView| {
+            let is_far = view.told.zone != ask.zone;
+            (load(view), is_far, mix(ask.ticket, view.told.name.as_str()))
+        };
+        let chosen = servers.iter().filter(is_usable).filter(has_room);
+        let Some(chosen) = chosen.min_by_key(|view| order(view)) else {
+            return Err(refused(RefuseReason::NoSlot));
+        };
+        if let Some(team) = &ask.payer
+            && !shared.view.spend_reserve(team)
+        {
+            return Err(refused(RefuseReason::RateExceeded));
+        }
+        let told = &chosen.told;
+        Ok(self.lease(ask, told.name.clone(), told.address, true))
+    }
+
+    fn own_loads(&self) -> HashMap<ServerName, u32> {
+        let mut loads = HashMap::new();
+        for held in self.runs().values() {
+            *loads.entry(held.run.server.clone()).or_insert(0) += 1;
+        }
+        loads
+    }
+
+    fn release(&self, leader: Option<SocketAddr>, report: RunReport) {
+        self.runs().remove(&report.ticket);
+        let Some(leader) = leader else {
+            // The next sync tells the broker that the run has ended.
+            return;
+        };
+        let notice = Notice::Release {
+            asker: self.shared.base.asker(),
+            report,
+        };
+        self.shared.base.notify(leader, &notice);
+    }
+}
+
+/// Spreads equal choices of many hosts over the servers.
+fn mix(ticket: u64, name: &str) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    (ticket, name).hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A question that is withdrawn if its asker does not wait for the answer.
+struct PendingAsk {
+    client: SlotClient,
+    leader: SocketAddr,
+    ticket: u64,
+    settled: bool,
+}
+
+impl PendingAsk {
+    fn settle(mut self) {
+        self.settled = true;
+    }
+}
+
+impl Drop for PendingAsk {
+    fn drop(&mut self) {
+        if !self.settled {
+            let report = stopped(self.ticket);
+            self.client.release(Some(self.leader), report);
+        }
+    }
+}
+
+fn stopped(ticket: u64) -> RunReport {
+    RunReport {
+        ticket,
+        outcome: RunOutcome::Stopped,
+        load: None,
+        first_answer: None,
+        refund: true,
+    }
+}
+
+/// A slot on a server, given back when it is dropped.
+pub(crate) struct SlotLease {
+    pub(crate) server: ServerName,
+    pub(crate) address: SocketAddr,
+    /// Whether this host chose the server without the broker.
+    pub(crate) unasked: bool,
+    stop: Arc<Notify>,
+    ticket: u64,
+    client: SlotClient,
+    report: Option<RunReport>,
+}
+
+impl SlotLease {
+    /// Resolves when the slot is needed for other work.
+    pub(crate) fn stop_signal(&self) -> Arc<Notify> {
+        self.stop.clone()
+    }
+
+    /// Notes when the answer began.
+    pub(crate) fn note_first_answer(&mut self, elapsed: Duration) {
+        self.report_mut().first_answer = Some(elapsed);
+    }
+
+    /// Notes the load that the server told.
+    pub(crate) fn note_load(&mut self, load: Option<ServerLoad>) {
+        self.report_mut().load = load;
+    }
+
+    /// Gives the slot back with how the run ended.
+    pub(crate) fn end(mut self, outcome: RunOutcome) {
+        let report = self.report_mut();
+        report.outcome = outcome;
+        report.refund = false;
+    }
+
+    /// A run that is dropped was stopped by its caller's leaving; it may have run.
+    fn report_mut(&mut self) -> &mut RunReport {
+        let ticket = self.ticket;
+        self.report.get_or_insert_with(|| RunReport {
+            refund: false,
+            ..stopped(ticket)
+        })
+    }
+}
+
+impl Drop for SlotLease {
+    fn drop(&mut self) {
+        let report = self.report_mut().clone();
+        let leader = self.client.shared.client.leader();
+        self.client.release(leader, report);
+    }
+}
--- /dev/null
+++ b/crates/roles/src/store/host.rs
@@ -0,0 +1,424 @@
+//! A running store host.
+
+use super::leader::{JobLeader, lead};
+use crate::entry::{note_news, serve};
+use crate::event_log::EventLog;
+use crate::fleet_view::{FleetView, SyncReporter, follow};
+use crate::leader_client::LeaderClient;
+use crate::message::{
+    BatchCall, BatchReply, Call, GroupReply, HostRole, JoinAnswer, Notice, StoreReport,
+};
+use crate::metrics::{MetricsService, RoleMetrics};
+use crate::ports::ServerDialect;
+use crate::process::{ProcessBase, ProcessError, RETRY_PAUSE};
+use crate::seat_care::SeatCare;
+use crate::seat_opener::{FounderMap, SeatOpener};
+use crate::server_connections::ServerConnections;
+use crate::server_run::ServerRunner;
+use crate::slot_client::SlotClient;
+use bytes::Bytes;
+use chicoryladder_batch::{BatchAnswer, BatchCommand, BatchMachine};
+use chicoryladder_gateway::ListenerLimits;
+use chicoryladder_group::{GroupHandle, GroupStatus, ProposeFailure};
+use chicoryladder_rpc::{PeerIdentity, RpcHandler};
+use chicoryladder_settings::ProcessSettings;
+use chicoryladder_types::prelude::*;
+use chicoryladder_types::{GroupId, SeatId};
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde_json::json;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::time::{Duration, Instant};
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+/// The number of the job group.
+const JOB_GROUP: GroupId = GroupId(1);
+
+/// The time for one try to ask for a seat.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The time without a leader after which a seat asks whether it still counts.
+const SEAT_DOUBT: Duration = Duration::from_millis(1_500);
+
+/// The time that a stopping host gives its successor as a leader.
+const HAND_OVER_TIME: Duration = Duration::from_millis(600);
+
+/// A running store host.
+pub struct StoreHost {
+    shared: Arc<StoreShared>,
+    tasks: JoinSet<()>,
+}
+
+/// What the tasks and handlers of a store host share.
+pub(super) struct StoreShared {
+    pub(super) base: ProcessBase,
+    pub(super) view: FleetView,
+    pub(super) slots: SlotClient,
+    pub(super) runner: ServerRunner,
+    pub(super) log: EventLog,
+    /// Wakes the task of the leader.
+    pub(super) work_due: Notify,
+    job_client: LeaderClient,
+    group: RwLock<Option<GroupHandle<BatchMachine>>>,
+    leader: Mutex<JobLeader>,
+    care: Mutex<SeatCare>,
+    is_repairing: Arc<AtomicBool>,
+}
+
+impl StoreHost {
+    /// Starts a store host.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address or the data folder cannot be used.
+    pub async fn start(
+        settings: ProcessSettings,
+        servers: Arc<dyn ServerDialect>,
+        clock: Arc<dyn ClockSource>,
+    ) -> Result<Self, ProcessError> {
+        let folder = settings
+            .data_folder
+            .clone()
+            .ok_or(ProcessError::Absent("data", "folder"))?;
+        let base = ProcessBase::new(settings, clock)?;
+        let client = base.control_client();
+        let view = FleetView::new();
+        let runner = ServerRunner {
+            connections: ServerConnections::new(base.clock.clone()),
+            dialect: servers,
+        };
+        let shared = Arc::new(StoreShared {
+            slots: SlotClient::new(base.clone(), client.clone(), view.clone()),
+            job_client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
+            log: EventLog::start("store")?,
+            work_due: Notify::new(),
+            group: RwLock::new(None),
+            leader: Mutex::new(JobLeader::new()),
+            care: Mutex::default(),
+            is_repairing: Arc::default(),
+            view,
+            runner,
+            base,
+        });
+        let base = &shared.base;
+        base.serve(Arc::new(StoreHandler(shared.clone()))).await?;
+        let opener = SeatOpener {
+            group: JOB_GROUP,
+            folder,
+            rpc: base.rpc.clone(),
+            clock: base.clock.clone(),
+        };
+        let mut tasks = JoinSet::new();
+        let reporter = reporter(&shared);
+        tasks.spawn(follow(base.clone(), client, shared.view.clone(), reporter));
+        tasks.spawn(keep_seat(shared.clone(), opener));
+        tasks.spawn(lead(shared.clone()));
+        serve_metrics(&shared, &mut tasks).await?;
+        shared
+            .log
+            .note("started", &json!({ "host": base.settings.host.name }));
+        Ok(Self { shared, tasks })
+    }
+
+    /// Gives the leadership away and stops.
+    pub async fn shutdown(mut self) {
+        self.shared.log.note("stopping", &json!({}));
+        if let Some(group) = self.shared.group()
+            && group.status().leads
+        {
+            group.hand_over();
+            tokio::time::sleep(HAND_OVER_TIME).await;
+        }
+        self.tasks.shutdown().await;
+    }
+}
+
+async fn serve_metrics(
+    shared: &Arc<StoreShared>,
+    tasks: &mut JoinSet<()>,
+) -> Result<(), ProcessError> {
+    let Some(address) = shared.base.settings.listen.metrics else {
+        return Ok(());
+    };
+    let limits = ListenerLimits {
+        header_max_bytes: 16 * 1024,
+        header_timeout: Duration::from_secs(60),
+    };
+    let levels_of = shared.clone();
+    let service = MetricsService {
+        metrics: Arc::new(RoleMetrics::new()?),
+        levels: Box::new(move || {
+            let now = levels_of.now();
+            let mut levels = levels_of.status().levels(now);
+            levels.extend([
+                ("runs", levels_of.slots.active_count()),
+                ("items_waiting", levels_of.leader().items_waiting(now)),
+            ]);
+            levels
+        }),
+    };
+    serve(tasks, "metrics", address, limits, Arc::new(service)).await
+}
+
+impl StoreShared {
+    fn group(&self) -> Option<GroupHandle<BatchMachine>> {
+        let group = self.group.read().unwrap_or_else(PoisonError::into_inner);
+        group.clone()
+    }
+
+    fn set_group(&self, handle: Option<GroupHandle<BatchMachine>>) {
+        *self.group.write().unwrap_or_else(PoisonError::into_inner) = handle;
+    }
+
+    pub(super) fn leader(&self) -> MutexGuard<'_, JobLeader> {
+        self.leader.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn care(&self) -> MutexGuard<'_, SeatCare> {
+        self.care.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn now(&self) -> Instant {
+        self.base.clock.now()
+    }
+
+    pub(super) fn status(&self) -> GroupStatus {
+        self.group().map(|group| group.status()).unwrap_or_default()
+    }
+
+    /// Whether this host leads, has begun to act on it, and holds the lease.
+    pub(super) fn leads(&self) -> bool {
+        let status = self.status();
+        status.holds_lease(self.now()) && self.leader().term == Some(status.term)
+    }
+
+    pub(super) fn not_leader<T>(&self) -> GroupReply<T> {
+        let own = self.base.rpc.identity().address;
+        let leader = self.status().leader.filter(|leader| *leader != own);
+        GroupReply::NotLeader { leader }
+    }
+
+    pub(super) async fn propose(
+        &self,
+        command: &BatchCommand,
+    ) -> Result<BatchAnswer, ProposeFailure> {
+        let refused = |error: postcard::Error| ProposeFailure::Refused(error.to_string());
+        let group = self.group().ok_or(ProposeFailure::NotLeader)?;
+        let command = postcard::to_stdvec(command).map_err(refused)?;
+        let answer = group.propose(command).await?;
+        postcard::from_bytes(&answer).map_err(refused)
+    }
+
+    /// Reads the state as the leader; `None` if this host is not it.
+    pub(super) async fn read<R: Send + 'static>(
+        &self,
+        query: impl FnOnce(&BatchMachine) -> R + Send + 'static,
+    ) -> Option<R> {
+        self.group()?.read(query).await.ok()
+    }
+
+    /// Starts the next change of the membership, if one is due.
+    pub(super) fn repair(&self, status: &GroupStatus) {
+        if self.is_repairing.load(Ordering::Relaxed) {
+            return;
+        }
+        let retiring: HashSet<SocketAddr> = self.view.store().retiring.into_iter().collect();
+        let voters = self.base.settings.control.voters();
+        let now = self.now();
+        let change = self.care().next_change(status, &retiring, voters, now);
+        let Some(group) = self.group() else {
+            return;
+        };
+        if retiring.contains(&self.base.rpc.identity().address) {
+            let is_replaced = status.members.iter().filter(|m| is_voter(m)).count() > voters;
+            if is_replaced {
+                group.hand_over();
+                return;
+            }
+        }
+        let Some(change) = change else {
+            return;
+        };
+        self.is_repairing.store(true, Ordering::Relaxed);
+        let done = self.is_repairing.clone();
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            let outcome = group.change(change.clone()).await;
+            let result = outcome.map_or_else(|failure| failure.to_string(), |()| "done".to_owned());
+            let fields = json!({ "change": format!("{change:?}"), "result": result });
+            log.note("membership_changes", &fields);
+            done.store(false, Ordering::Relaxed);
+        });
+    }
+
+    fn report(&self, first_start: bool) -> StoreReport {
+        let group = self.group();
+        let status = self.status();
+        let leads = status.holds_lease(self.now());
+        let members = status.members.iter().map(|member| member.address);
+        StoreReport {
+            seat: group.map(|_| status.seat),
+            first_start,
+            leads_term: leads.then_some(status.term.0),
+            members: if leads { members.collect() } else { Vec::new() },
+            retiring: self.view.store().retiring,
+        }
+    }
+
+    /// Takes over where the job group is, as far as the control group knows.
+    fn find_group(&self) {
+        let store = self.view.store();
+        let own = self.base.rpc.identity().address;
+        let others: Vec<SocketAddr> = store
+            .hosts
+            .iter()
+            .copied()
+            .filter(|host| *host != own)
+            .collect();
+        self.job_client.set_hosts(&others);
+        if self.job_client.leader().is_none() {
+            self.job_client
+                .set_leader(store.leader.filter(|leader| *leader != own));
+        }
+    }
+}
+
+fn is_voter(member: &chicoryladder_group::MemberStatus) -> bool {
+    member.role == chicoryladder_consensus::MemberRole::Voter
+}
+
+fn reporter(shared: &Arc<StoreShared>) -> SyncReporter {
+    let slots = shared.slots.clone();
+    let log = shared.log.clone();
+    let shared = shared.clone();
+    let first_start = shared.base.settings.control.first_start;
+    SyncReporter {
+        role: HostRole::Store,
+        active: Box::new(move || slots.active()),
+        store: Box::new(move || Some(shared.report(first_start))),
+        on_news: Box::new(move |news| note_news(&log, news)),
+    }
+}
+
+/// Takes the calls of other hosts.
+struct StoreHandler(Arc<StoreShared>);
+
+impl RpcHandler for StoreHandler {
+    fn call(&self, _: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        let shared = self.0.clone();
+        match postcard::from_bytes(&payload) {
+            Ok(Call::Batch(call)) => async move {
+                let reply: GroupReply<BatchReply> = shared.answer(call).await;
+                match postcard::to_stdvec(&reply) {
+                    Ok(bytes) => Some(bytes.into()),
+                    Err(error) => {
+                        log::error!("store: a reply cannot be encoded: {error}.");
+                        None
+                    }
+                }
+            }
+            .boxed(),
+            Ok(Call::Control(_)) => std::future::ready(None).boxed(),
+            Err(error) => {
+                log::warn!("store: a call cannot be read: {error}.");
+                std::future::ready(None).boxed()
+            }
+        }
+    }
+
+    fn notice(&self, peer: &PeerIdentity, payload: Bytes) {
+        match postcard::from_bytes(&payload) {
+            Ok(Notice::Seat(envelope)) => {
+                if let Some(group) = self.0.group() {
+                    group.deliver(envelope, peer.address);
+                }
+            }
+            Ok(Notice::Stop { ticket }) => self.0.slots.stop(ticket),
+            Ok(Notice::Changed) => self.0.view.wake(),
+            Ok(Notice::Release { .. }) => {}
+            Err(error) => log::warn!("store: a notice cannot be read: {error}."),
+        }
+    }
+}
+
+/// Founds the group, resumes the seat of the folder or asks for a seat, and asks
+/// for another one when the seat was removed.
+async fn keep_seat(shared: Arc<StoreShared>, opener: SeatOpener) {
+    let mut first_start = shared.base.settings.control.first_start;
+    loop {
+        let founders = shared.view.store().founders;
+        match open(&shared, &opener, founders.as_ref(), first_start).await {
+            Ok(Some(handle)) => shared.set_group(Some(handle)),
+            Ok(None) => {
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+            Err(error) => {
+                log::error!("store: the data folder cannot be used: {error}.");
+                tokio::time::sleep(RETRY_PAUSE).await;
+                continue;
+            }
+        }
+        let seat = shared.status().seat;
+        shared.log.note("seat_opened", &json!({ "seat": seat.0 }));
+        first_start = false;
+        until_removed(&shared, seat).await;
+        shared.log.note("seat_removed", &json!({ "seat": seat.0 }));
+        shared.set_group(None);
+        if let Err(error) = opener.clear() {
+            log::error!("store: the files of a removed seat stay: {error}.");
+        }
+    }
+}
+
+async fn open(
+    shared: &StoreShared,
+    opener: &SeatOpener,
+    founders: Option<&FounderMap>,
+    first_start: bool,
+) -> std::io::Result<Option<GroupHandle<BatchMachine>>> {
+    if let Some(handle) = opener.open(founders, first_start)? {
+        return Ok(Some(handle));
+    }
+    // Before the founders are decided on, a seat can only come from that.
+    if founders.is_none() {
+        return Ok(None);
+    }
+    match ask_for_seat(shared, None).await {
+        Some(JoinAnswer::Granted(seat)) => opener.take(seat).map(Some),
+        _ => Ok(None),
+    }
+}
+
+async fn ask_for_seat(shared: &StoreShared, seat: Option<SeatId>) -> Option<JoinAnswer> {
+    shared.find_group();
+    let call = Call::Batch(BatchCall::Join(shared.base.join_request(seat)));
+    match shared.job_client.call_once(&call, JOIN_TIMEOUT).await {
+        Ok(BatchReply::Seat(answer)) => Some(answer),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+/// Waits until the leader says that the seat was removed.
+async fn until_removed(shared: &StoreShared, seat: SeatId) {
+    let mut led_at = shared.now();
+    loop {
+        tokio::time::sleep(RETRY_PAUSE).await;
+        let status = shared.status();
+        let now = shared.now();
+        if status.leader.is_some() && status.members.iter().any(|m| m.seat == seat) {
+            led_at = now;
+            continue;
+        }
+        if now.saturating_duration_since(led_at) < SEAT_DOUBT {
+            continue;
+        }
+        if let Some(JoinAnswer::Removed) = ask_for_seat(shared, Some(seat)).await {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/store/leader.rs
@@ -0,0 +1,440 @@
+//! What the leader of the job group does: it has the items run.
+
+use super::host::StoreShared;
+use super::run::{ItemEnd, ItemRun, run_item};
+use crate::message::{BatchCall, BatchReply, GroupReply};
+use crate::slot_client::SlotLease;
+use chicoryladder_batch::{
+    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemOutcome, ItemSchedule, OpenItem,
+    ScheduledItem, SubmitAnswer,
+};
+use chicoryladder_broker::{AskSlot, WorkKind};
+use chicoryladder_group::{GroupStatus, ProposeFailure};
+use chicoryladder_types::TermNumber;
+use chicoryladder_types::prelude::*;
+use serde_json::json;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::AbortHandle;
+
+/// Questions for slots that are open at the same time. More would only wait in the
+/// broker's queue, where their order is fixed.
+const ASKS_MAX: usize = 12;
+
+/// How long a question for a slot waits; an item that became more urgent meanwhile
+/// takes the slot.
+const ASK_WAIT: Duration = Duration::from_secs(2);
+
+/// The pause after a question was refused.
+const ASK_PAUSE: Duration = Duration::from_millis(100);
+
+/// The most bytes of results in one page, besides the first one.
+const PAGE_MAX_BYTES: usize = 700 * 1024;
+
+/// The time between two looks for jobs that nobody needs any more.
+const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+
+/// What the leader of the job group has in memory.
+pub(super) struct JobLeader {
+    /// The term of this leadership; `None` while another host leads.
+    pub(super) term: Option<TermNumber>,
+    pub(super) schedule: ItemSchedule,
+    asks: usize,
+    ask_again_at: Option<Instant>,
+    runs: HashMap<ItemKey, AbortHandle>,
+    /// When each job that is known was first seen by this leader.
+    seen_at: HashMap<String, Instant>,
+    forget_at: Option<Instant>,
+}
+
+impl JobLeader {
+    pub(super) fn new() -> Self {
+        Self {
+            term: None,
+            schedule: ItemSchedule::default(),
+            asks: 0,
+            ask_again_at: None,
+            runs: HashMap::new(),
+            seen_at: HashMap::new(),
+            forget_at: None,
+        }
+    }
+
+    /// Begins a leadership with the items that have no result yet.
+    fn begin(&mut self, term: TermNumber, items: Vec<OpenItem>, now: Instant) {
+        self.end();
+        self.term = Some(term);
+        for item in items {
+            self.schedule.add(item, now);
+        }
+    }
+
+    /// Ends a leadership; its runs stop.
+    pub(super) fn end(&mut self) {
+        for (_, run) in self.runs.drain() {
+            run.abort();
+        }
+        self.term = None;
+        self.schedule = ItemSchedule::default();
+        self.seen_at.clear();
+    }
+
+    /// The items that could start now, for metrics.
+    pub(super) fn items_waiting(&self, now: Instant) -> f64 {
+        let count = u32::try_from(self.schedule.waiting(now)).unwrap_or(u32::MAX);
+        f64::from(count)
+    }
+
+    fn stop_job(&mut self, job: &str) {
+        for key in self.schedule.drop_job(job) {
+            if let Some(run) = self.runs.remove(&key) {
+                run.abort();
+            }
+        }
+    }
+}
+
+impl StoreShared {
+    /// Answers a call to the job group.
+    pub(super) async fn answer(self: Arc<Self>, call: BatchCall) -> GroupReply<BatchReply> {
+        if !self.leads() {
+            return self.not_leader();
+        }
+        match call {
+            BatchCall::Change(command) => self.change(command).await,
+            BatchCall::Page { team, job, after } => {
+                let query = move |machine: &BatchMachine| {
+                    machine.page(team.as_ref(), &job, after, PAGE_MAX_BYTES)
+                };
+                self.read(query).await.map_or_else(
+                    || self.not_leader(),
+                    |page| GroupReply::Answer(BatchReply::Page(page)),
+                )
+            }
+            BatchCall::Body { team, job, item } => {
+                let query = move |machine: &BatchMachine| {
+                    let spec = machine.body(team.as_ref(), &job, &item);
+                    spec.map(|spec| spec.body.clone())
+                };
+                self.read(query).await.map_or_else(
+                    || self.not_leader(),
+                    |body| GroupReply::Answer(BatchReply::Body(body)),
+                )
+            }
+            BatchCall::Join(request) => {
+                let status = self.status();
+                let now = self.now();
+                let answer = self.care().answer_join(&status, &request, now);
+                GroupReply::Answer(BatchReply::Seat(answer))
+            }
+        }
+    }
+
+    async fn change(self: &Arc<Self>, command: BatchCommand) -> GroupReply<BatchReply> {
+        let now = self.now();
+        let answer = match self.propose(&command).await {
+            Ok(answer) => answer,
+            Err(ProposeFailure::NotLeader) => return self.not_leader(),
+            Err(_) => return GroupReply::Unknown,
+        };
+        match (&command, answer) {
+            (BatchCommand::Submit { job, .. }, BatchAnswer::Submitted(SubmitAnswer::Accepted)) => {
+                let mut terms = (**job).clone();
+                let items = std::mem::take(&mut terms.items);
+                let terms = Arc::new(terms);
+                let mut leader = self.leader();
+                if leader.term.is_some() && !leader.schedule.knows(&terms.id) {
+                    for (spec, item) in items.into_iter().zip(0..) {
+                        let open = OpenItem {
+                            terms: terms.clone(),
+                            item,
+                            spec: Arc::new(spec),
+                            failures: 0,
+                        };
+                        leader.schedule.add(open, now);
+                    }
+                }
+                drop(leader);
+                self.work_due.notify_one();
+            }
+            (BatchCommand::End { job, .. }, BatchAnswer::Done) => self.leader().stop_job(job),
+            _ => {}
+        }
+        GroupReply::Answer(BatchReply::Changed(answer))
+    }
+}
+
+/// Acts as the leader while this host is it.
+pub(super) async fn lead(shared: Arc<StoreShared>) {
+    loop {
+        // Either ends the pause.
+        let _ = tokio::time::timeout(LEADER_TICK, shared.work_due.notified()).await;
+        let status = shared.status();
+        let begun = shared.leader().term;
+        if !status.leads {
+            if begun.is_some() {
+                shared.leader().end();
+                shared
+                    .log
+                    .note("leadership_lost", &json!({ "term": status.term.0 }));
+            }
+            continue;
+        }
+        if !status.holds_lease(shared.now()) {
+            continue;
+        }
+        if begun != Some(status.term) {
+            take_over(&shared, &status).await;
+        }
+        shared.repair(&status);
+        give_up_overdue(&shared);
+        forget_old_jobs(&shared).await;
+        ask_for_slots(&shared);
+    }
+}
+
+/// The time between two looks at timers of the leader.
+const LEADER_TICK: Duration = Duration::from_millis(50);
+
+async fn take_over(shared: &StoreShared, status: &GroupStatus) {
+    let Some(items) = shared.read(BatchMachine::open_items).await else {
+        return;
+    };
+    let count = items.len();
+    let now = shared.now();
+    shared.care().restart();
+    shared.leader().begin(status.term, items, now);
+    let fields = json!({ "term": status.term.0, "open_items": count });
+    shared.log.note("leadership_begins", &fields);
+}
+
+/// Asks for as many slots as there are items to run, within bounds.
+fn ask_for_slots(shared: &Arc<StoreShared>) {
+    let now = shared.now();
+    let mut leader = shared.leader();
+    if leader.ask_again_at.is_some_and(|at| now < at) {
+        return;
+    }
+    leader.ask_again_at = None;
+    let wanted = leader.schedule.waiting(now).min(ASKS_MAX);
+    let asks = wanted.saturating_sub(leader.asks);
+    let Some(term) = leader.term else {
+        return;
+    };
+    leader.asks += asks;
+    drop(leader);
+    for _ in 0..asks {
+        tokio::spawn(ask_and_run(shared.clone(), term));
+    }
+}
+
+/// Gets a slot and gives it to the item that should run next.
+async fn ask_and_run(shared: Arc<StoreShared>, term: TermNumber) {
+    let question = {
+        let leader = shared.leader();
+        let next = leader.schedule.peek_next(shared.now());
+        next.map(|item| slot_question(&shared, item))
+    };
+    let lease = match question {
+        Some(question) => {
+            let plan = shared.view.plan().version();
+            Some(shared.slots.ask(plan, question).await)
+        }
+        None => None,
+    };
+    let now = shared.now();
+    let mut leader = shared.leader();
+    leader.asks = leader.asks.saturating_sub(1);
+    match lease {
+        Some(Ok(lease)) => {
+            if leader.term != Some(term) {
+                return;
+            }
+            let Some(key) = leader.schedule.start_next(now) else {
+                return;
+            };
+            let Some(item) = leader.schedule.get(key).cloned() else {
+                return;
+            };
+            let run = tokio::spawn(run_and_settle(shared.clone(), key, item, lease));
+            leader.runs.insert(key, run.abort_handle());
+            drop(leader);
+            shared.work_due.notify_one();
+        }
+        Some(Err(_)) => leader.ask_again_at = Some(now + ASK_PAUSE),
+        None => {}
+    }
+}
+
+fn slot_question(shared: &StoreShared, item: &ScheduledItem) -> AskSlot {
+    let shape = shared.runner.dialect.item_shape(&item.open.spec);
+    AskSlot {
+        ticket: 0,
+        service: item.open.terms.service.clone(),
+        kind: WorkKind::Batch,
+        rank: item.open.terms.rank,
+        zone: shared.base.settings.host.zone.clone(),
+        payer: None,
+        prompt: shape.parts,
+        tokens: shape.tokens,
+        avoid: Vec::new(),
+        first_answer_within: ASK_WAIT,
+        wait_max: ASK_WAIT,
+    }
+}
+
+async fn run_and_settle(
+    shared: Arc<StoreShared>,
+    key: ItemKey,
+    item: ScheduledItem,
+    lease: SlotLease,
+) {
+    let server = lease.server.clone();
+    let started_at = shared.now();
+    let run = run_item(&shared.runner, &item, lease, &*shared.base.clock).await;
+    let now = shared.now();
+    shared.leader().runs.remove(&key);
+    note_run(
+        &shared,
+        &item,
+        &server,
+        &run,
+        now.saturating_duration_since(started_at),
+    );
+    match run.end {
+        ItemEnd::Complete => {
+            let whole = item.progress.last_event.is_none();
+            let took = whole.then(|| now.saturating_duration_since(started_at));
+            let outcome = ItemOutcome::Completed(run.progress.text.into());
+            finish(&shared, key, &item, outcome, took).await;
+        }
+        ItemEnd::Impossible => finish(&shared, key, &item, ItemOutcome::GivenUp, None).await,
+        ItemEnd::Stopped => shared.leader().schedule.stopped(key, run.progress),
+        ItemEnd::Broken => shared.leader().schedule.failed(key, run.progress, now),
+        ItemEnd::Failed => {
+            let failures = shared.leader().schedule.count_failure(key);
+            if failures >= item.open.terms.max_attempts {
+                finish(&shared, key, &item, ItemOutcome::GivenUp, None).await;
+            } else {
+                let command = BatchCommand::CountFailure {
+                    job: item.open.terms.id.clone(),
+                    item: item.open.item,
+                };
+                if let Err(failure) = shared.propose(&command).await {
+                    log::warn!("store: a failed run was not recorded: {failure}.");
+                }
+                // The failed run made nothing that counts.
+                shared.leader().schedule.failed(key, item.progress, now);
+            }
+        }
+    }
+    shared.work_due.notify_one();
+}
+
+fn note_run(
+    shared: &StoreShared,
+    item: &ScheduledItem,
+    server: &ServerName,
+    run: &ItemRun,
+    took: Duration,
+) {
+    let fields = json!({
+        "job": item.open.terms.id,
+        "item": item.open.spec.id,
+        "server": server,
+        "end": format!("{:?}", run.end),
+        "cause": run.cause,
+        "from_event": item.progress.last_event,
+        "last_event": run.progress.last_event,
+        "took_ms": took.as_millis(),
+    });
+    match run.end {
+        ItemEnd::Complete | ItemEnd::Stopped => shared.log.routine("item_run", &fields),
+        ItemEnd::Broken | ItemEnd::Failed | ItemEnd::Impossible => {
+            shared.log.note("item_run", &fields);
+        }
+    }
+}
+
+/// Lists the result of an item; tried again while this host leads.
+async fn finish(
+    shared: &Arc<StoreShared>,
+    key: ItemKey,
+    item: &ScheduledItem,
+    outcome: ItemOutcome,
+    took: Option<Duration>,
+) {
+    shared.leader().schedule.ending(key);
+    let command = BatchCommand::Finish {
+        job: item.open.terms.id.clone(),
+        item: item.open.item,
+        outcome,
+    };
+    match shared.propose(&command).await {
+        Ok(_) => shared.leader().schedule.ended(key, took),
+        Err(failure) => {
+            // The next leader runs the item again.
+            log::warn!("store: a result was not recorded: {failure}.");
+        }
+    }
+}
+
+fn give_up_overdue(shared: &Arc<StoreShared>) {
+    let now = shared.now();
+    let mut leader = shared.leader();
+    let overdue = leader.schedule.overdue(now);
+    let items: Vec<(ItemKey, ScheduledItem)> = overdue
+        .into_iter()
+        .filter_map(|key| Some((key, leader.schedule.get(key)?.clone())))
+        .collect();
+    for (key, _) in &items {
+        leader.schedule.ending(*key);
+    }
+    drop(leader);
+    for (key, item) in items {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            finish(&shared, key, &item, ItemOutcome::GivenUp, None).await;
+        });
+    }
+}
+
+/// Drops jobs that have ended and that nobody may read any more.
+async fn forget_old_jobs(shared: &Arc<StoreShared>) {
+    let now = shared.now();
+    let is_due = {
+        let mut leader = shared.leader();
+        let is_due = leader.forget_at.is_none_or(|at| now >= at);
+        if is_due {
+            leader.forget_at = Some(now + FORGET_INTERVAL);
+        }
+        is_due
+    };
+    if !is_due {
+        return;
+    }
+    let Some(jobs) = shared.read(BatchMachine::jobs).await else {
+        return;
+    };
+    let retention = shared.base.settings.promises.job_retention;
+    let old: Vec<String> = {
+        let mut leader = shared.leader();
+        leader
+            .seen_at
+            .retain(|job, _| jobs.iter().any(|(id, _)| id == job));
+        let mut old = Vec::new();
+        for (job, is_open) in jobs {
+            let seen_at = *leader.seen_at.entry(job.clone()).or_insert(now);
+            if !is_open && now.saturating_duration_since(seen_at) > retention + FORGET_INTERVAL {
+                old.push(job);
+            }
+        }
+        old
+    };
+    for job in old {
+        if let Err(failure) = shared.propose(&BatchCommand::Forget { job }).await {
+            log::warn!("store: an old job was not dropped: {failure}.");
+        }
+    }
+}
