--- /dev/null
+++ b/crates/roles/src/store/run.rs
@@ -0,0 +1,176 @@
+//! One run of a batch item.
+
+use crate::event_stream::EventParser;
+use crate::ports::RunTerms;
+use crate::server_run::{ServerRequest, ServerRunner};
+use crate::slot_client::SlotLease;
+use chicoryladder_batch::{RunProgress, ScheduledItem};
+use chicoryladder_broker::RunOutcome;
+use chicoryladder_types::prelude::*;
+use http_body_util::BodyExt;
+use hyper::{Method, StatusCode};
+use std::time::{Duration, Instant};
+
+/// The longest silence of a run that is under way; an engine answers every step.
+const SILENCE_MAX: Duration = Duration::from_secs(3);
+
+/// The longest time of one run.
+const RUN_MAX: Duration = Duration::from_secs(60);
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ItemEnd {
+    /// The item is complete.
+    Complete,
+    /// The slot was needed for other work.
+    Stopped,
+    /// The run broke off; nothing is known against the item.
+    Broken,
+    /// The server answered that the run failed.
+    Failed,
+    /// The server answered that the item can never be done.
+    Impossible,
+}
+
+/// A finished run.
+#[derive(Clone, Debug)]
+pub(super) struct ItemRun {
+    pub(super) end: ItemEnd,
+    pub(super) progress: RunProgress,
+    pub(super) cause: &'static str,
+}
+
+/// Runs an item on the server of its slot, from where it was stopped before.
+pub(super) async fn run_item(
+    runner: &ServerRunner,
+    item: &ScheduledItem,
+    mut lease: SlotLease,
+    clock: &dyn ClockSource,
+) -> ItemRun {
+    let stop = lease.stop_signal();
+    let started_at = clock.now();
+    let mut reader = ItemReader {
+        progress: item.progress.clone(),
+        parser: EventParser::default(),
+    };
+    let running = run(runner, item, &mut lease, &mut reader, started_at, clock);
+    let (end, outcome, cause) = tokio::select! {
+        ended = running => ended,
+        () = stop.notified() => (ItemEnd::Stopped, RunOutcome::Stopped, "its slot was needed"),
+    };
+    lease.end(outcome);
+    ItemRun {
+        end,
+        progress: reader.progress,
+        cause,
+    }
+}
+
+type RunEnd = (ItemEnd, RunOutcome, &'static str);
+
+async fn run(
+    runner: &ServerRunner,
+    item: &ScheduledItem,
+    lease: &mut SlotLease,
+    reader: &mut ItemReader,
+    started_at: Instant,
+    clock: &dyn ClockSource,
+) -> RunEnd {
+    let request = request(runner, item, lease);
+    let answer = match runner.send(&request).await {
+        Ok(answer) => answer,
+        Err(failure) => {
+            lease.note_load(failure.load);
+            return (ItemEnd::Broken, failure.outcome, failure.cause);
+        }
+    };
+    lease.note_first_answer(clock.now().saturating_duration_since(started_at));
+    lease.note_load(answer.head.load);
+    let status = answer.parts.status;
+    if !status.is_success() {
+        let end = match status {
+            StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
+            StatusCode::INTERNAL_SERVER_ERROR => ItemEnd::Failed,
+            _ => ItemEnd::Broken,
+        };
+        return (
+            end,
+            RunOutcome::Served,
+            "the server answered that it failed",
+        );
+    }
+    let mut body = answer.body;
+    loop {
+        let frame = match tokio::time::timeout(SILENCE_MAX, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(_))) => return broken("the server broke off"),
+            Ok(None) => break,
+            Err(_) => return broken("the server fell silent"),
+        };
+        if let Ok(chunk) = frame.into_data()
+            && let Err(cause) = reader.take(&chunk)
+        {
+            return broken(cause);
+        }
+    }
+    if reader.parser.has_rest() || reader.progress.last_event.is_none() {
+        return broken("the server ended within an event");
+    }
+    answer.connection.put_back();
+    (ItemEnd::Complete, RunOutcome::Served, "complete")
+}
+
+fn broken(cause: &'static str) -> RunEnd {
+    (ItemEnd::Broken, RunOutcome::Failed, cause)
+}
+
+fn request(runner: &ServerRunner, item: &ScheduledItem, lease: &SlotLease) -> ServerRequest {
+    let spec = &item.open.spec;
+    let terms = RunTerms {
+        id: &spec.id,
+        server: &lease.server,
+        team: item.open.terms.team.as_ref(),
+        time_left: RUN_MAX,
+        last_event: item.progress.last_event,
+    };
+    let host = &item.open.terms.host;
+    ServerRequest {
+        address: lease.address,
+        id: spec.id.clone(),
+        method: Method::POST,
+        path: spec.path.clone(),
+        headers: runner.dialect.item_headers(spec, host, &terms),
+        body: spec.body.clone().into(),
+        once: false,
+        head_timeout: SILENCE_MAX,
+    }
+}
+
+/// Adds the events of a run to what earlier runs made.
+struct ItemReader {
+    progress: RunProgress,
+    parser: EventParser,
+}
+
+impl ItemReader {
+    fn take(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
+        self.parser.push(chunk);
+        while let Some(event) = self.parser.next_event() {
+            let Some(id) = event.id else {
+                return Err("an event has no id");
+            };
+            if self.progress.last_event.is_some_and(|last| id != last + 1) {
+                return Err("an event is missing or came twice");
+            }
+            if self.progress.last_event.is_some() {
+                self.progress.text.push('\n');
+            }
+            self.progress.text.push_str(&event.data);
+            self.progress.last_event = Some(id);
+        }
+        if self.parser.is_overlong() {
+            return Err("an event is too long");
+        }
+        Ok(())
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod host;
 mod ini;
+mod process;
 mod value;
 
 pub use fault::{SettingsError, SettingsFault, SettingsReport};
@@ -22,3 +23,6 @@
     CallerLimits, DataSettings, HostIdentity, HostSettings, KeySettings, ListenAddresses,
     OperatorSettings, PeerSettings, ShutdownSettings,
 };
+pub use process::{
+    ControlSettings, ProcessAddresses, ProcessIdentity, ProcessSettings, ServicePromises,
+};
--- /dev/null
+++ b/crates/settings/src/process/read.rs
@@ -0,0 +1,189 @@
+//! Reads process settings from their text.
+
+use super::{ControlSettings, ProcessAddresses, ProcessIdentity, ProcessSettings, ServicePromises};
+use crate::fault::{SettingsFault, SettingsReport};
+use crate::ini::{IniSection, SectionReader, TextPlace, split_sections};
+use crate::value::{AmountValue, MillisValue, ValueList, WholeNumber};
+use miette::SourceSpan;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Callers of the brief expect a withdrawn key to stop within seconds.
+const KEY_WITHDRAWAL: Duration = Duration::from_secs(5);
+
+/// The brief asks for a change to be in force everywhere within seconds.
+const PLAN_APPLIES: Duration = Duration::from_secs(2);
+
+/// The brief asks for no new work at a leaving server after a few seconds.
+const SERVER_DRAIN: Duration = Duration::from_secs(2);
+
+/// The interval of announcements in the product's own interface.
+const CHECK_IN_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The default of entry hosts; see `[shutdown]` of host settings.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// An hour, so that a caller that was away finds its results.
+const JOB_RETENTION: Duration = Duration::from_secs(3_600);
+
+/// The losses that a group of three voters bears.
+const LOSSES_BORNE: u64 = 1;
+
+/// The most losses that may be asked for; nine voters bear four.
+type LossCount = WholeNumber<0, 4>;
+
+const SECTIONS: &[&str] = &["host", "listen", "control", "data", "promises"];
+
+impl ProcessSettings {
+    /// Reads settings from `text`; `name` stands for it in reports.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every fault of the text.
+    pub fn parse(name: &str, text: &str) -> Result<Self, SettingsReport> {
+        let mut faults = Vec::new();
+        let sections = split_sections(text, &mut faults);
+        for section in &sections {
+            if !SECTIONS.contains(&section.header.as_str()) {
+                let problem = format!("there is no section [{}]", section.header);
+                let remedy = format!("known sections are: {}", SECTIONS.join(", "));
+                faults.push(section.place.fault(problem, remedy));
+            }
+        }
+        let mut reader = ProcessReader {
+            sections: &sections,
+            faults: &mut faults,
+        };
+        match reader.settings() {
+            Some(settings) if faults.is_empty() => Ok(settings),
+            _ => Err(SettingsReport::new(name, text, faults)),
+        }
+    }
+}
+
+struct ProcessReader<'a> {
+    sections: &'a [IniSection],
+    faults: &'a mut Vec<SettingsFault>,
+}
+
+impl ProcessReader<'_> {
+    fn settings(&mut self) -> Option<ProcessSettings> {
+        // Every section is read before an absent one ends the function, so that
+        // the report is complete.
+        let host = self.host();
+        let listen = self.listen();
+        let control = self.control();
+        let data_folder = self.data();
+        let promises = self.promises();
+        Some(ProcessSettings {
+            host: host?,
+            listen: listen?,
+            control: control?,
+            data_folder,
+            promises,
+        })
+    }
+
+    fn section(&mut self, header: &str) -> Option<SectionReader<'_>> {
+        let section = self.sections.iter().find(|s| s.header == header)?;
+        Some(SectionReader::new(section, self.faults))
+    }
+
+    fn required_section(&mut self, header: &str) -> Option<SectionReader<'_>> {
+        if !self.sections.iter().any(|s| s.header == header) {
+            let start = TextPlace {
+                line: 1,
+                span: SourceSpan::from((0, 0)),
+            };
+            let problem = format!("the section [{header}] is absent");
+            let remedy = format!("add a section `[{header}]`");
+            self.faults.push(start.fault(problem, remedy));
+        }
+        self.section(header)
+    }
+
+    fn host(&mut self) -> Option<ProcessIdentity> {
+        let mut section = self.required_section("host")?;
+        let name = section.required("name");
+        let zone = section.required("zone");
+        let log_level = section.or_default("log_level", log::LevelFilter::Info);
+        section.finish();
+        Some(ProcessIdentity {
+            name: name?,
+            zone: zone?,
+            log_level,
+        })
+    }
+
+    fn listen(&mut self) -> Option<ProcessAddresses> {
+        let mut section = self.required_section("listen")?;
+        let peers = section.required("peers");
+        let addresses = ProcessAddresses {
+            peers: SocketAddr::from(([0, 0, 0, 0], 0)),
+            callers: section.optional("callers"),
+            readiness: section.optional("readiness"),
+            control: section.optional("control"),
+            metrics: section.optional("metrics"),
+        };
+        section.finish();
+        Some(ProcessAddresses {
+            peers: peers?,
+            ..addresses
+        })
+    }
+
+    fn control(&mut self) -> Option<ControlSettings> {
+        let mut section = self.required_section("control")?;
+        let seeds = section.required::<ValueList<SocketAddr>>("seeds");
+        let first_start = section.or_default("first_start", false);
+        let losses = section.or_default::<LossCount>("losses_borne", WholeNumber(LOSSES_BORNE));
+        section.finish();
+        Some(ControlSettings {
+            seeds: seeds?.0,
+            first_start,
+            losses_borne: u32::try_from(losses.0).unwrap_or_default(),
+        })
+    }
+
+    fn data(&mut self) -> Option<PathBuf> {
+        let mut section = self.section("data")?;
+        let folder = section.required("folder");
+        section.finish();
+        folder
+    }
+
+    fn promises(&mut self) -> ServicePromises {
+        let mut promises = ServicePromises {
+            key_withdrawal: KEY_WITHDRAWAL,
+            plan_applies: PLAN_APPLIES,
+            server_drain: SERVER_DRAIN,
+            check_in_interval: CHECK_IN_INTERVAL,
+            drain_timeout: DRAIN_TIMEOUT,
+            rate_slack: 0.0,
+            job_retention: JOB_RETENTION,
+        };
+        let Some(mut section) = self.section("promises") else {
+            return promises;
+        };
+        let mut millis = |key, value: &mut Duration| {
+            *value = section.or_default(key, MillisValue(*value)).0;
+        };
+        millis("key_withdrawal_ms", &mut promises.key_withdrawal);
+        millis("plan_applies_ms", &mut promises.plan_applies);
+        millis("server_drain_ms", &mut promises.server_drain);
+        millis("check_in_interval_ms", &mut promises.check_in_interval);
+        let mut seconds = |key, value: &mut Duration| {
+            let amount: Option<AmountValue> = section.optional(key);
+            if let Some(AmountValue(amount)) = amount {
+                *value = Duration::from_secs_f64(amount);
+            }
+        };
+        seconds("drain_timeout_s", &mut promises.drain_timeout);
+        seconds("job_retention_s", &mut promises.job_retention);
+        let slack = section.or_default("rate_slack", AmountValue(promises.rate_slack));
+        promises.rate_slack = slack.0;
+        section.finish();
+        promises
+    }
+}
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -147,3 +147,24 @@
         Ok(Self(values))
     }
 }
+
+/// An amount from 0 to a million, which may have a fraction.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AmountValue(pub(crate) f64);
+
+/// The largest accepted amount.
+const AMOUNT_MAX: f64 = 1e6;
+
+impl SettingValue for AmountValue {
+    const EXPECTED: &'static str = "AMOUNT";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let amount: f64 = text
+            .parse()
+            .map_err(|_| format!("`{text}` is not a number"))?;
+        if !(0.0..=AMOUNT_MAX).contains(&amount) {
+            return Err(format!("{amount} is not within 0 to {AMOUNT_MAX}"));
+        }
+        Ok(Self(amount))
+    }
+}
--- a/crates/types/src/clock.rs
+++ b/crates/types/src/clock.rs
@@ -36,6 +36,51 @@
     }
 }
 
+/// A monotonic clock that also counts the time for which the machine was suspended.
+///
+/// A lease that is held over a suspension must have run out afterwards; the plain
+/// monotonic clock of Linux stands still meanwhile.
+#[derive(Clone, Copy, Debug)]
+pub struct BootClock {
+    origin: Instant,
+    boot_origin: Duration,
+}
+
+impl BootClock {
+    /// A clock that starts at the present instant.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+            boot_origin: since_boot(),
+        }
+    }
+}
+
+impl Default for BootClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ClockSource for BootClock {
+    fn now(&self) -> Instant {
+        self.origin + since_boot().saturating_sub(self.boot_origin)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
+
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    // The kernel's time since boot is never negative.
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
+
 /// A clock that moves only when told to, for tests and simulations.
 ///
 /// Clones share one time.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use announcement::{LoadError, ServerAnnouncement, ServerLoad};
 pub use cache_event::{CacheChange, CacheEvent, CacheReport};
-pub use clock::{ClockSource, ManualClock, SystemClock};
+pub use clock::{BootClock, ClockSource, ManualClock, SystemClock};
 pub use ids::{
     FencingNumber, FleetRevision, GroupId, IdError, JobId, LogIndex, OperationId, RequestId,
     SeatId, ServerGeneration, TermNumber,
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::error::CommandError;
 use bpaf::Bpaf;
-use chicoryladder_settings::HostSettings;
+use chicoryladder_settings::{HostSettings, ProcessSettings};
 use std::path::{Path, PathBuf};
 
 /// The entry host daemon
@@ -16,6 +16,34 @@
         #[bpaf(long("settings"), argument("FILE"))]
         settings_file: PathBuf,
     },
+    /// Run the process of an entry host
+    #[bpaf(command("entry"))]
+    Entry {
+        /// The settings file of the process
+        #[bpaf(long("settings"), argument("FILE"))]
+        settings_file: PathBuf,
+    },
+    /// Run the process of a control host
+    #[bpaf(command("control"))]
+    Control {
+        /// The settings file of the process
+        #[bpaf(long("settings"), argument("FILE"))]
+        settings_file: PathBuf,
+    },
+    /// Run the process of a store host
+    #[bpaf(command("store"))]
+    Store {
+        /// The settings file of the process
+        #[bpaf(long("settings"), argument("FILE"))]
+        settings_file: PathBuf,
+    },
+    /// Check the settings file of the process of a role
+    #[bpaf(command("check-process"))]
+    CheckProcess {
+        /// The settings file of the process
+        #[bpaf(long("settings"), argument("FILE"))]
+        settings_file: PathBuf,
+    },
     /// Run the host
     Run {
         /// The settings file of the host
@@ -55,3 +83,19 @@
     );
     Ok(())
 }
+
+/// Runs `chicoryladderd check-process`.
+///
+/// # Errors
+///
+/// Fails with every fault of the settings.
+pub fn check_process(path: &Path) -> Result<(), CommandError> {
+    let settings = ProcessSettings::read(path)?;
+    println!(
+        "{}: host {} in zone {} can start",
+        path.display(),
+        settings.host.name,
+        settings.host.zone
+    );
+    Ok(())
+}
--- a/src/daemon_run.rs
+++ b/src/daemon_run.rs
@@ -1,6 +1,7 @@
 //! Running an entry host until it is told to stop.
 
 use chicoryladder_host::{EntryHost, HostError};
+use chicoryladder_roles::ProcessError;
 use chicoryladder_settings::HostSettings;
 use std::io;
 use tokio::signal::unix::{SignalKind, signal};
@@ -14,6 +15,9 @@
     /// The host did not start.
     #[error(transparent)]
     Host(#[from] HostError),
+    /// The process of a role did not start.
+    #[error(transparent)]
+    Process(#[from] ProcessError),
 }
 
 /// Runs a host until SIGTERM or SIGINT, then drains it.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,9 @@
 mod logging;
 mod operation;
 pub mod output;
+mod role_commands;
 
 pub use daemon_run::{RunError, run_host};
 pub use error::{CommandError, CommandExit};
 pub use logging::start_logging;
+pub use role_commands::{ProcessRole, run_process};
