--- a/crates/batch/src/machine.rs
+++ b/crates/batch/src/machine.rs
@@ -8,6 +8,30 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+/// What the runs of an item have made so far.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunProgress {
+    /// The data of the events so far, joined by line feeds.
+    pub text: String,
+    /// The id of the last whole event, if there was one.
+    pub last_event: Option<u64>,
+}
+
+/// What the runs of an item have made since it was recorded last.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemAdvance {
+    /// The job.
+    pub job: String,
+    /// The place of the item in the job.
+    pub item: u32,
+    /// The last event that was recorded before.
+    pub after: Option<u64>,
+    /// The text to append.
+    pub text: String,
+    /// The last event of that text.
+    pub last_event: Option<u64>,
+}
+
 /// How an item ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemOutcome {
@@ -27,14 +51,17 @@
         /// The most tokens of the team that may wait on the route; 0 is no limit.
         waiting_tokens_max: u64,
     },
-    /// Lists an item's result.
-    Finish {
+    /// Records what runs have made, so that a later leader goes on from there.
+    Advance(Vec<ItemAdvance>),
+    /// Lists the result of a complete item, which is all that was recorded of it
+    /// with this last advance.
+    Complete(ItemAdvance),
+    /// Lists an item as given up.
+    GiveUp {
         /// The job.
         job: String,
         /// The place of the item in the job.
         item: u32,
-        /// How it ended.
-        outcome: ItemOutcome,
     },
     /// Counts a failed run of an item.
     CountFailure {
@@ -81,8 +108,15 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum ItemState {
-    Waiting { spec: Arc<ItemSpec>, failures: u32 },
-    Ended { id: String, outcome: ItemOutcome },
+    Waiting {
+        spec: Arc<ItemSpec>,
+        failures: u32,
+        progress: RunProgress,
+    },
+    Ended {
+        id: String,
+        outcome: ItemOutcome,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -143,6 +177,8 @@
     pub spec: Arc<ItemSpec>,
     /// Its failed runs.
     pub failures: u32,
+    /// What its runs have made so far.
+    pub progress: RunProgress,
 }
 
 /// The replicated state of batch jobs.
@@ -213,7 +249,12 @@
                 .iter()
                 .zip(0..)
                 .filter_map(move |(state, item)| {
-                    let ItemState::Waiting { spec, failures } = state else {
+                    let ItemState::Waiting {
+                        spec,
+                        failures,
+                        progress,
+                    } = state
+                    else {
                         return None;
                     };
                     Some(OpenItem {
@@ -221,6 +262,7 @@
                         item,
                         spec: spec.clone(),
                         failures: *failures,
+                        progress: progress.clone(),
                     })
                 })
         })
@@ -253,7 +295,14 @@
                 job,
                 waiting_tokens_max,
             } => BatchAnswer::Submitted(self.submit(*job, waiting_tokens_max)),
-            BatchCommand::Finish { job, item, outcome } => self.finish(&job, item, outcome),
+            BatchCommand::Advance(advances) => {
+                for advance in &advances {
+                    self.advance(advance);
+                }
+                BatchAnswer::Done
+            }
+            BatchCommand::Complete(advance) => self.complete(&advance),
+            BatchCommand::GiveUp { job, item } => self.finish(&job, item, ItemOutcome::GivenUp),
             BatchCommand::CountFailure { job, item } => self.count_failure(&job, item),
             BatchCommand::End { job, team } => self.end(&job, team.as_ref()),
             BatchCommand::Forget { job } => match self.jobs.remove(&job) {
@@ -275,6 +324,7 @@
         let waiting = |spec| ItemState::Waiting {
             spec: Arc::new(spec),
             failures: 0,
+            progress: RunProgress::default(),
         };
         let items = std::mem::take(&mut job.items).into_iter().map(waiting);
         let record = JobRecord {
@@ -287,6 +337,36 @@
         SubmitAnswer::Accepted
     }
 
+    /// Appends to what is recorded of an item; tells whether it fitted.
+    fn advance(&mut self, advance: &ItemAdvance) -> bool {
+        let record = self
+            .jobs
+            .get_mut(&advance.job)
+            .filter(|record| !record.ended);
+        let item = record.and_then(|record| record.items.get_mut(advance.item as usize));
+        match item {
+            Some(ItemState::Waiting { progress, .. }) if progress.last_event == advance.after => {
+                progress.text.push_str(&advance.text);
+                progress.last_event = advance.last_event;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    fn complete(&mut self, advance: &ItemAdvance) -> BatchAnswer {
+        if !self.advance(advance) {
+            return BatchAnswer::NoEffect;
+        }
+        let record = self.jobs.get(&advance.job);
+        let item = record.and_then(|record| record.items.get(advance.item as usize));
+        let Some(ItemState::Waiting { progress, .. }) = item else {
+            return BatchAnswer::NoEffect;
+        };
+        let text = progress.text.as_str().into();
+        self.finish(&advance.job, advance.item, ItemOutcome::Completed(text))
+    }
+
     /// The first result of an item counts; its body is not needed any more.
     fn finish(&mut self, job: &str, item: u32, outcome: ItemOutcome) -> BatchAnswer {
         let Some(record) = self.jobs.get_mut(job).filter(|record| !record.ended) else {
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -4,7 +4,7 @@
 //! the others; items that are late anyway follow. What a stopped run has made is
 //! kept, so that the next run only continues it.
 
-use crate::machine::OpenItem;
+use crate::machine::{ItemAdvance, OpenItem, RunProgress};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -26,15 +26,6 @@
 /// The longest such pause.
 const FAILURE_PAUSE_MAX: Duration = Duration::from_secs(2);
 
-/// What the runs of an item have made so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RunProgress {
-    /// The data of the events so far, joined by line feeds.
-    pub text: String,
-    /// The id of the last whole event, if there was one.
-    pub last_event: Option<u64>,
-}
-
 /// What an item is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ItemPhase {
@@ -55,6 +46,8 @@
     pub due_at: Instant,
     /// When it may be given up.
     pub give_up_at: Instant,
+    /// The last event and the bytes of text that are recorded in the log.
+    recorded: (Option<u64>, usize),
     phase: ItemPhase,
     not_before: Instant,
     failures_in_row: u32,
@@ -85,7 +78,8 @@
         let key = self.items.insert(ScheduledItem {
             due_at: submitted_at + open.terms.due_in,
             give_up_at: submitted_at + open.terms.give_up_in,
-            progress: RunProgress::default(),
+            recorded: (open.progress.last_event, open.progress.text.len()),
+            progress: open.progress.clone(),
             phase: ItemPhase::Waiting,
             not_before: submitted_at,
             failures_in_row: 0,
@@ -186,6 +180,32 @@
         item.open.failures
     }
 
+    /// What an item has made since it was recorded last, given what its present run
+    /// has made; the caller records it at once.
+    pub fn advance(&mut self, key: ItemKey, live: &RunProgress) -> Option<ItemAdvance> {
+        let item = self.items.get_mut(key)?;
+        let (after, bytes) = item.recorded;
+        let text = live.text.get(bytes..)?.to_owned();
+        item.recorded = (live.last_event, live.text.len());
+        Some(ItemAdvance {
+            job: item.open.terms.id.clone(),
+            item: item.open.item,
+            after,
+            text,
+            last_event: live.last_event,
+        })
+    }
+
+    /// The items that have made something which is not recorded, and do not run.
+    #[must_use]
+    pub fn unrecorded(&self) -> Vec<ItemKey> {
+        let is_ahead = |item: &ScheduledItem| {
+            item.phase == ItemPhase::Waiting && item.progress.last_event != item.recorded.0
+        };
+        let ahead = self.items.iter().filter(|(_, item)| is_ahead(item));
+        ahead.map(|(key, _)| key).collect()
+    }
+
     /// Notes that the result of an item is being committed.
     pub fn ending(&mut self, key: ItemKey) {
         if let Some(item) = self.items.get_mut(key) {
--- /dev/null
+++ b/crates/batch/tests/batch.rs
@@ -0,0 +1,343 @@
+//! The state of batch jobs and the order of their items.
+
+use chicoryladder_batch::{
+    BatchAnswer, BatchCommand, BatchMachine, ItemAdvance, ItemOutcome, ItemSchedule, ItemSpec,
+    JobSpec, OpenItem, RunProgress, SubmitAnswer,
+};
+use chicoryladder_consensus::StateMachine;
+use chicoryladder_types::{LogIndex, RouteName, ServiceName, TeamName};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+fn item(id: &str, tokens: u64) -> ItemSpec {
+    ItemSpec {
+        id: id.to_owned(),
+        path: "/digest/1".to_owned(),
+        headers: Vec::new(),
+        body: id.as_bytes().to_vec(),
+        tokens,
+    }
+}
+
+fn job(id: &str, items: &[&str]) -> JobSpec {
+    JobSpec {
+        id: id.to_owned(),
+        team: Some(TeamName::try_from("curepipe").unwrap()),
+        route: RouteName::try_from("digest").unwrap(),
+        host: "walks.example".to_owned(),
+        service: ServiceName::try_from("engine").unwrap(),
+        rank: 0,
+        due_in: Duration::from_secs(18),
+        give_up_in: Duration::from_secs(60),
+        max_attempts: 3,
+        items: items.iter().map(|id| item(id, 100)).collect(),
+    }
+}
+
+#[derive(Default)]
+struct Group {
+    machine: BatchMachine,
+    index: u64,
+}
+
+impl Group {
+    fn run(&mut self, command: &BatchCommand) -> BatchAnswer {
+        self.index += 1;
+        let command = postcard::to_stdvec(command).unwrap();
+        let answer = self.machine.apply(LogIndex(self.index), &command);
+        postcard::from_bytes(&answer).unwrap()
+    }
+
+    fn submit(&mut self, job: JobSpec, waiting_tokens_max: u64) -> SubmitAnswer {
+        let job = Box::new(job);
+        match self.run(&BatchCommand::Submit {
+            job,
+            waiting_tokens_max,
+        }) {
+            BatchAnswer::Submitted(answer) => answer,
+            other => panic!("unexpected answer {other:?}"),
+        }
+    }
+
+    fn finish(&mut self, job: &str, item: u32, text: &str) -> BatchAnswer {
+        self.run(&BatchCommand::Complete(advance(job, item, None, text, 1)))
+    }
+
+    fn end(&mut self, job: &str) -> BatchAnswer {
+        self.run(&BatchCommand::End {
+            job: job.to_owned(),
+            team: team(),
+        })
+    }
+
+    fn texts(&self, job: &str, after: u64) -> Vec<String> {
+        let page = self
+            .machine
+            .page(team().as_ref(), job, after, usize::MAX)
+            .unwrap();
+        let text = |outcome: &ItemOutcome| match outcome {
+            ItemOutcome::Completed(text) => text.to_string(),
+            ItemOutcome::GivenUp => "given up".to_owned(),
+        };
+        page.results
+            .iter()
+            .map(|result| text(&result.outcome))
+            .collect()
+    }
+}
+
+fn advance(job: &str, item: u32, after: Option<u64>, text: &str, last: u64) -> ItemAdvance {
+    ItemAdvance {
+        job: job.to_owned(),
+        item,
+        after,
+        text: text.to_owned(),
+        last_event: Some(last),
+    }
+}
+
+fn team() -> Option<TeamName> {
+    Some(TeamName::try_from("curepipe").unwrap())
+}
+
+#[test]
+fn a_job_is_taken_once_however_often_it_comes() {
+    let mut group = Group::default();
+    assert_eq!(
+        group.submit(job("a", &["1", "2"]), 0),
+        SubmitAnswer::Accepted
+    );
+    assert_eq!(
+        group.submit(job("a", &["1", "2"]), 0),
+        SubmitAnswer::Repeated
+    );
+    assert_eq!(group.machine.open_items().len(), 2);
+}
+
+#[test]
+fn the_first_result_of_an_item_keeps_its_position() {
+    let mut group = Group::default();
+    group.submit(job("a", &["1", "2", "3"]), 0);
+    assert_eq!(group.finish("a", 2, "third"), BatchAnswer::Done);
+    assert_eq!(group.finish("a", 0, "first"), BatchAnswer::Done);
+    assert_eq!(group.finish("a", 2, "other"), BatchAnswer::NoEffect);
+    assert_eq!(group.texts("a", 0), ["third", "first"]);
+    assert_eq!(group.texts("a", 1), ["first"]);
+    assert_eq!(group.texts("a", 9), Vec::<String>::new());
+}
+
+#[test]
+fn a_page_holds_one_result_at_least() {
+    let mut group = Group::default();
+    group.submit(job("a", &["1", "2"]), 0);
+    group.finish("a", 0, "a long text");
+    group.finish("a", 1, "another");
+    let page = group.machine.page(team().as_ref(), "a", 0, 1).unwrap();
+    assert_eq!((page.total, page.next, page.results.len()), (2, 1, 1));
+}
+
+#[test]
+fn tokens_that_wait_are_bounded_by_team_and_route() {
+    let mut group = Group::default();
+    assert_eq!(
+        group.submit(job("a", &["1", "2"]), 300),
+        SubmitAnswer::Accepted
+    );
+    assert_eq!(
+        group.submit(job("b", &["1", "2"]), 300),
+        SubmitAnswer::NoRoom
+    );
+    // A job that was refused is looked at anew when it comes again.
+    group.finish("a", 0, "done");
+    assert_eq!(
+        group.submit(job("b", &["1", "2"]), 300),
+        SubmitAnswer::Accepted
+    );
+    // What is left of an ended job waits no longer.
+    group.end("b");
+    assert_eq!(
+        group.submit(job("c", &["1", "2"]), 300),
+        SubmitAnswer::Accepted
+    );
+}
+
+#[test]
+fn other_teams_see_nothing_of_a_job() {
+    let mut group = Group::default();
+    group.submit(job("a", &["1"]), 0);
+    let other = Some(TeamName::try_from("flic").unwrap());
+    assert!(group.machine.page(other.as_ref(), "a", 0, 1000).is_none());
+    assert!(group.machine.body(other.as_ref(), "a", "1").is_none());
+    let end = BatchCommand::End {
+        job: "a".to_owned(),
+        team: other,
+    };
+    assert_eq!(group.run(&end), BatchAnswer::NoEffect);
+    assert_eq!(group.machine.open_items().len(), 1);
+}
+
+#[test]
+fn a_body_is_kept_until_its_result_is_listed() {
+    let mut group = Group::default();
+    group.submit(job("a", &["1", "2"]), 0);
+    let body = |group: &Group, id| {
+        group
+            .machine
+            .body(team().as_ref(), "a", id)
+            .map(|s| s.body.clone())
+    };
+    assert_eq!(body(&group, "1"), Some(b"1".to_vec()));
+    group.finish("a", 0, "done");
+    assert_eq!(body(&group, "1"), None);
+    assert_eq!(body(&group, "2"), Some(b"2".to_vec()));
+}
+
+/// A leader that takes over finds what the runs of the former one had made.
+#[test]
+fn recorded_progress_is_continued_and_never_doubled() {
+    let mut group = Group::default();
+    group.submit(job("a", &["1", "2"]), 0);
+    let first = vec![
+        advance("a", 0, None, "one\ntwo", 1),
+        advance("a", 1, None, "x", 0),
+    ];
+    group.run(&BatchCommand::Advance(first));
+    // The same again, or a record with a gap before it, changes nothing.
+    group.run(&BatchCommand::Advance(vec![advance(
+        "a", 0, None, "one\ntwo", 1,
+    )]));
+    group.run(&BatchCommand::Advance(vec![advance(
+        "a",
+        0,
+        Some(2),
+        "\nfour",
+        3,
+    )]));
+    let open = group.machine.open_items();
+    assert_eq!(open[0].progress.text, "one\ntwo");
+    assert_eq!(open[0].progress.last_event, Some(1));
+    let gap = BatchCommand::Complete(advance("a", 0, Some(4), "\nsix", 5));
+    assert_eq!(group.run(&gap), BatchAnswer::NoEffect);
+    let rest = BatchCommand::Complete(advance("a", 0, Some(1), "\nthree", 2));
+    assert_eq!(group.run(&rest), BatchAnswer::Done);
+    assert_eq!(group.texts("a", 0), ["one\ntwo\nthree"]);
+}
+
+#[test]
+fn a_schedule_records_each_event_once() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("a", 30), now);
+    let key = schedule.start_next(now).unwrap();
+    let made = |text: &str, last| RunProgress {
+        text: text.to_owned(),
+        last_event: Some(last),
+    };
+    let first = schedule.advance(key, &made("one", 0)).unwrap();
+    assert_eq!((first.after, first.text.as_str()), (None, "one"));
+    let second = schedule.advance(key, &made("one\ntwo", 1)).unwrap();
+    assert_eq!((second.after, second.text.as_str()), (Some(0), "\ntwo"));
+    schedule.stopped(key, made("one\ntwo\nthree", 2));
+    assert_eq!(schedule.unrecorded(), [key]);
+}
+
+#[test]
+fn an_ended_job_keeps_what_is_listed_and_takes_no_more() {
+    let mut group = Group::default();
+    group.submit(job("a", &["1", "2"]), 0);
+    group.finish("a", 0, "done");
+    assert_eq!(group.end("a"), BatchAnswer::Done);
+    assert_eq!(group.end("a"), BatchAnswer::Done);
+    assert_eq!(group.finish("a", 1, "late"), BatchAnswer::NoEffect);
+    assert_eq!(group.texts("a", 0), ["done"]);
+    assert!(group.machine.open_items().is_empty());
+}
+
+#[test]
+fn a_snapshot_holds_everything() {
+    let mut group = Group::default();
+    group.submit(job("a", &["1", "2"]), 0);
+    group.finish("a", 1, "done");
+    group.run(&BatchCommand::CountFailure {
+        job: "a".to_owned(),
+        item: 0,
+    });
+    let mut restored = BatchMachine::default();
+    restored
+        .restore(&group.machine.snapshot().unwrap())
+        .unwrap();
+    assert_eq!(restored, group.machine);
+    assert_eq!(restored.open_items()[0].failures, 1);
+}
+
+fn open(job_id: &str, due_in_s: u64) -> OpenItem {
+    let mut terms = job(job_id, &[]);
+    terms.due_in = Duration::from_secs(due_in_s);
+    OpenItem {
+        terms: Arc::new(terms),
+        item: 0,
+        spec: Arc::new(item("1", 100)),
+        failures: 0,
+        progress: RunProgress::default(),
+    }
+}
+
+fn started(schedule: &mut ItemSchedule, now: Instant) -> String {
+    let key = schedule.start_next(now).unwrap();
+    schedule.get(key).unwrap().open.terms.id.clone()
+}
+
+/// Load pattern: more items wait than can be done in time.
+#[test]
+fn items_that_can_still_be_in_time_go_before_those_that_cannot() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("late", 1), now);
+    schedule.add(open("relaxed", 30), now);
+    schedule.add(open("urgent", 10), now);
+    assert_eq!(started(&mut schedule, now), "urgent");
+    assert_eq!(started(&mut schedule, now), "relaxed");
+    assert_eq!(started(&mut schedule, now), "late");
+    assert!(schedule.start_next(now).is_none());
+}
+
+#[test]
+fn a_stopped_item_goes_on_with_what_it_has_made() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("a", 30), now);
+    let key = schedule.start_next(now).unwrap();
+    let progress = RunProgress {
+        text: "one\ntwo".to_owned(),
+        last_event: Some(1),
+    };
+    schedule.stopped(key, progress.clone());
+    let again = schedule.start_next(now).unwrap();
+    assert_eq!(schedule.get(again).unwrap().progress, progress);
+}
+
+#[test]
+fn an_item_that_fails_in_a_row_pauses_longer_each_time() {
+    let mut now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("a", 30), now);
+    let mut pauses = Vec::new();
+    for _ in 0..3 {
+        let key = schedule.start_next(now).unwrap();
+        schedule.failed(key, RunProgress::default(), now);
+        let wake_at = schedule.wake_at(now).unwrap();
+        pauses.push(wake_at - now);
+        assert!(schedule.start_next(now).is_none());
+        now = wake_at;
+    }
+    assert!(pauses.is_sorted() && pauses[0] < pauses[2], "{pauses:?}");
+}
+
+#[test]
+fn an_item_is_given_up_only_when_its_time_is_over() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("a", 30), now);
+    assert!(schedule.overdue(now + Duration::from_secs(59)).is_empty());
+    assert_eq!(schedule.overdue(now + Duration::from_secs(60)).len(), 1);
+}
--- a/crates/broker/src/rate.rs
+++ b/crates/broker/src/rate.rs
@@ -2,8 +2,8 @@
 //!
 //! A team with rate R and burst B has one bucket. Entry hosts hold small reserves
 //! taken from it, for the time in which they cannot reach the broker. The bucket
-//! is as deep as B and the tolerance less all reserves that may be out, so in a
-//! window of length t no more than B + R t and the tolerance are admitted,
+//! is as deep as B and a part of the tolerance less all reserves that may be out,
+//! so in a window of length t no more than B + R t and the tolerance are admitted,
 //! whatever the hosts do.
 
 use chicoryladder_plan::{PlanTeam, ServicePlan};
@@ -17,14 +17,30 @@
 /// Reserves cover this much of a team's rate, in seconds.
 const RESERVE_SECONDS: f64 = 3.0;
 
-/// The part of the tolerance that a new broker starts with.
-const START_SHARE: f64 = 0.25;
+/// The part of the tolerance by which a bucket is deeper than the burst, for
+/// differences in the time that requests travel.
+const DEPTH_SHARE: f64 = 0.3;
 
-/// By how much the admitted requests may exceed rate and burst.
+/// The part of the tolerance that a new broker starts with: it does not know what
+/// the one before has admitted. Two may follow each other within a window.
+const START_SHARE: f64 = 0.3;
+
+/// By how much the admitted requests may exceed rate and burst in a window.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct RateTolerance {
-    /// Requests in any window, besides those of rate and burst.
+    /// Requests, whatever the team's rate.
     pub requests: f64,
+    /// The part of what rate and burst allow in a window.
+    pub share: f64,
+    /// The window.
+    pub window: Duration,
+}
+
+impl RateTolerance {
+    /// The requests of a team that may be admitted too many.
+    fn of(&self, rate: f64, burst: f64) -> f64 {
+        self.requests + self.share * (rate * self.window.as_secs_f64() + burst)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -58,7 +74,11 @@
         for team in &plan.raw().teams {
             let known = self.buckets.contains_key(&team.name);
             self.fill(&team.name, now);
-            let start = if known { 0.0 } else { self.start_level() };
+            let start = if known {
+                0.0
+            } else {
+                self.tolerance.of(team.rate, team.burst) * START_SHARE
+            };
             let bucket = self.buckets.entry(team.name.clone()).or_insert(TeamBucket {
                 rate: team.rate,
                 burst: team.burst,
@@ -139,7 +159,7 @@
             return 0;
         }
         let holders = count(self.holders);
-        let affordable = (burst + self.tolerance.requests) * RESERVE_SHARE / holders;
+        let affordable = burst * RESERVE_SHARE / holders;
         let useful = (rate * RESERVE_SECONDS / holders).ceil();
         whole(affordable.min(useful).floor())
     }
@@ -149,11 +169,8 @@
             return 0.0;
         };
         let reserves = f64::from(self.reserve(bucket.rate, bucket.burst)) * count(self.holders);
-        (bucket.burst + self.tolerance.requests - reserves).max(1.0)
-    }
-
-    fn start_level(&self) -> f64 {
-        self.tolerance.requests * START_SHARE
+        let tolerance = self.tolerance.of(bucket.rate, bucket.burst) * DEPTH_SHARE;
+        (bucket.burst + tolerance - reserves).max(1.0)
     }
 
     fn fill(&mut self, team: &TeamName, now: Instant) {
--- /dev/null
+++ b/crates/broker/tests/all/directory.rs
@@ -0,0 +1,92 @@
+//! Check-ins: late, repeated, foreign and reborn.
+
+use crate::support::{World, check_in, granted};
+use chicoryladder_broker::{CheckInOutcome, ServerPhase};
+use chicoryladder_types::ServiceName;
+use chicoryladder_types::prelude::*;
+use std::time::Duration;
+
+fn leaving(sequence: u64) -> chicoryladder_broker::ServerCheckIn {
+    let mut told = check_in("a1", "a", sequence);
+    told.phase = ServerPhase::Leaving;
+    told
+}
+
+#[test]
+fn a_leaving_server_gets_no_new_work_and_never_comes_back() {
+    let mut world = World::new(&[("a1", "a")], Vec::new());
+    let now = world.now;
+    assert_eq!(
+        world.broker.check_in(leaving(2), now),
+        CheckInOutcome::Leaving
+    );
+    assert!(granted(&world.ask_online()).is_none());
+    // An older word of the same start arrives late, or a newer one lies.
+    assert_eq!(
+        world.broker.check_in(check_in("a1", "a", 1), now),
+        CheckInOutcome::Stale
+    );
+    world.broker.check_in(check_in("a1", "a", 3), now);
+    assert!(granted(&world.ask_online()).is_none());
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_name_is_new() {
+    let mut world = World::new(&[("a1", "a")], Vec::new());
+    world.broker.check_in(leaving(2), world.now);
+    let mut reborn = check_in("a1", "a", 1);
+    reborn.born = 2;
+    assert_eq!(
+        world.broker.check_in(reborn, world.now),
+        CheckInOutcome::Added
+    );
+    assert!(granted(&world.ask_online()).is_some());
+    // What the former start still had under way is late.
+    assert_eq!(
+        world.broker.check_in(check_in("a1", "a", 9), world.now),
+        CheckInOutcome::Stale
+    );
+}
+
+#[test]
+fn a_server_that_says_nothing_gets_no_work() {
+    let mut world = World::new(&[("a1", "a")], Vec::new());
+    for _ in 0..51 {
+        world.tick(Duration::from_millis(100));
+    }
+    assert!(granted(&world.ask_online()).is_none());
+    world.broker.check_in(check_in("a1", "a", 2), world.now);
+    assert!(granted(&world.ask_online()).is_some());
+}
+
+#[test]
+fn a_departure_concerns_the_start_that_it_names() {
+    let mut world = World::new(&[("a1", "a")], Vec::new());
+    let name = ServerName::try_from("a1").unwrap();
+    world.broker.leave(&name, Some(7));
+    assert!(granted(&world.ask_online()).is_some());
+    world.broker.leave(&name, Some(1));
+    assert!(granted(&world.ask_online()).is_none());
+}
+
+#[test]
+fn a_server_that_moved_to_another_service_serves_only_that() {
+    let mut world = World::new(&[("a1", "a")], Vec::new());
+    let mut moved = check_in("a1", "a", 1);
+    moved.born = 2;
+    moved.service = ServiceName::try_from("app").unwrap();
+    world.broker.check_in(moved, world.now);
+    assert!(granted(&world.ask_online()).is_none());
+}
+
+#[test]
+fn thousands_of_check_ins_leave_one_record_a_server() {
+    let mut world = World::new(&[], Vec::new());
+    for sequence in 1..=20 {
+        for server in 0..200 {
+            let told = check_in(&format!("s{server}"), "a", sequence);
+            world.broker.check_in(told, world.now);
+        }
+    }
+    assert_eq!(world.broker.servers(world.now).len(), 200);
+}
--- /dev/null
+++ b/crates/broker/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the broker.
+
+mod bursts;
+mod directory;
+mod rates;
+mod slots;
+mod support;
--- /dev/null
+++ b/crates/broker/tests/all/support.rs
@@ -0,0 +1,195 @@
+//! A broker with servers and askers for tests.
+
+use chicoryladder_broker::{
+    AskSlot, AskerId, BrokerEvent, BrokerSettings, PromptPart, RateTolerance, RunOutcome,
+    RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, WorkKind,
+};
+use chicoryladder_plan::{
+    CallerBounds, EngineShape, PlanVersion, RawPlan, RawService, RawTeam, ServicePlan,
+};
+use chicoryladder_types::ServiceName;
+use chicoryladder_types::prelude::*;
+use std::time::{Duration, Instant};
+
+pub const ENGINE: &str = "engine";
+pub const APP: &str = "app";
+
+pub fn settings() -> BrokerSettings {
+    BrokerSettings {
+        check_in_interval: Duration::from_secs(1),
+        lost_after: Duration::from_secs(5),
+        forget_after: Duration::from_secs(30),
+        asker_lost_after: Duration::from_secs(2),
+        tolerance: RateTolerance {
+            requests: 10.0,
+            ..RateTolerance::default()
+        },
+    }
+}
+
+pub fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).unwrap()
+}
+
+pub fn team_name(name: &str) -> TeamName {
+    TeamName::try_from(name).unwrap()
+}
+
+pub fn asker(name: &str) -> AskerId {
+    AskerId {
+        host: HostName::try_from(name).unwrap(),
+        incarnation: 1,
+    }
+}
+
+pub fn team(name: &str, rate: f64, burst: f64) -> RawTeam {
+    RawTeam {
+        name: team_name(name),
+        keys: vec![format!("key-{name}")],
+        rank: None,
+        rate,
+        burst,
+    }
+}
+
+pub fn plan(teams: Vec<RawTeam>) -> ServicePlan {
+    let service = |name: &str, engine| RawService {
+        name: ServiceName::try_from(name).unwrap(),
+        connections_max: 100,
+        engine,
+    };
+    let engine = EngineShape {
+        slots: 8,
+        memory_tokens: 100_000,
+    };
+    let raw = RawPlan {
+        version: PlanVersion(1),
+        routes: Vec::new(),
+        services: vec![service(ENGINE, Some(engine)), service(APP, None)],
+        teams,
+        bounds: CallerBounds::default(),
+    };
+    ServicePlan::try_from(raw).unwrap()
+}
+
+pub fn check_in(name: &str, zone_name: &str, sequence: u64) -> ServerCheckIn {
+    ServerCheckIn {
+        name: ServerName::try_from(name).unwrap(),
+        born: 1,
+        sequence,
+        service: ServiceName::try_from(ENGINE).unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: zone(zone_name),
+        slots: 8,
+        phase: ServerPhase::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
+/// A broker whose clock is moved by hand.
+pub struct World {
+    pub broker: SlotBroker,
+    pub now: Instant,
+    pub next_ticket: u64,
+}
+
+impl World {
+    pub fn new(servers: &[(&str, &str)], teams: Vec<RawTeam>) -> Self {
+        let now = Instant::now();
+        let mut broker = SlotBroker::new(settings());
+        broker.set_plan(&plan(teams), now);
+        broker.rates().start_full();
+        for (name, zone) in servers {
+            broker.check_in(check_in(name, zone, 1), now);
+        }
+        Self {
+            broker,
+            now,
+            next_ticket: 1,
+        }
+    }
+
+    pub fn question(&mut self, kind: WorkKind) -> AskSlot {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        AskSlot {
+            ticket,
+            service: ServiceName::try_from(ENGINE).unwrap(),
+            kind,
+            rank: 0,
+            zone: zone("a"),
+            payer: None,
+            prompt: Vec::new(),
+            tokens: 100,
+            avoid: Vec::new(),
+            first_answer_within: Duration::from_millis(300),
+            wait_max: Duration::from_millis(300),
+        }
+    }
+
+    pub fn ask(&mut self, question: AskSlot) -> Vec<BrokerEvent> {
+        self.broker.ask(&asker("entry-1"), question, self.now);
+        self.broker.take_events()
+    }
+
+    pub fn ask_online(&mut self) -> Vec<BrokerEvent> {
+        let question = self.question(WorkKind::Online);
+        self.ask(question)
+    }
+
+    pub fn ask_batch(&mut self) -> Vec<BrokerEvent> {
+        let mut question = self.question(WorkKind::Batch);
+        question.wait_max = Duration::from_secs(60);
+        self.ask(question)
+    }
+
+    pub fn release(&mut self, ticket: u64, outcome: RunOutcome) -> Vec<BrokerEvent> {
+        let report = RunReport {
+            ticket,
+            outcome,
+            load: None,
+            first_answer: None,
+            refund: false,
+        };
+        self.broker.release(&asker("entry-1"), &report, self.now);
+        self.broker.take_events()
+    }
+
+    pub fn tick(&mut self, step: Duration) -> Vec<BrokerEvent> {
+        self.now += step;
+        self.broker.tick(self.now);
+        self.broker.take_events()
+    }
+}
+
+pub fn part(id: u64, tokens: u32) -> PromptPart {
+    PromptPart { id, tokens }
+}
+
+/// The server of the only decision among the events.
+pub fn granted(events: &[BrokerEvent]) -> Option<String> {
+    events.iter().find_map(|event| match event {
+        BrokerEvent::Decided {
+            decision: SlotDecision::Granted { server, .. },
+            ..
+        } => Some(server.to_string()),
+        _ => None,
+    })
+}
+
+pub fn refused_after(events: &[BrokerEvent]) -> Option<Duration> {
+    events.iter().find_map(|event| match event {
+        BrokerEvent::Decided {
+            decision: SlotDecision::Refused { retry_after, .. },
+            ..
+        } => Some(*retry_after),
+        _ => None,
+    })
+}
+
+pub fn stopped(events: &[BrokerEvent]) -> Option<u64> {
+    events.iter().find_map(|event| match event {
+        BrokerEvent::Stop { ticket, .. } => Some(*ticket),
+        BrokerEvent::Decided { .. } => None,
+    })
+}
--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -80,6 +80,19 @@
             .await
     }
 
+    /// Proposes a command whose answer nobody needs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the thread of the seat has ended.
+    pub fn propose_now(&self, command: Vec<u8>) -> Result<(), ProposeFailure> {
+        let (sender, _) = oneshot::channel();
+        let event = GroupEvent::Propose(command, sender);
+        self.events
+            .send(event)
+            .map_err(|_| ProposeFailure::NotLeader)
+    }
+
     /// Changes the membership and waits until that is committed.
     ///
     /// # Errors
--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -200,7 +200,8 @@
 
     /// Removes learners that are dead, retiring or not needed.
     fn remove_spare_learner(&self) -> Option<MembershipChange> {
-        let complete = self.voters().count() >= self.wanted_voters();
+        let standing = self.voters().filter(|m| !m.retiring && !self.is_dead(m));
+        let complete = standing.count() >= self.limits.voters;
         let is_spare = |m: &&MemberView| m.retiring || self.is_dead(m) || complete;
         let spare = self.learners().find(is_spare)?;
         Some(MembershipChange::Remove(spare.seat))
--- /dev/null
+++ b/crates/plan/tests/plan.rs
@@ -0,0 +1,134 @@
+//! Rules and lookups of service plans.
+
+use chicoryladder_plan::{
+    CallerBounds, PlanError, PlanVersion, RawPlan, RawRoute, RawService, RawTeam, RouteKind,
+    RouteTarget, ServicePlan,
+};
+use chicoryladder_types::{RouteName, ServiceName, TeamName};
+use std::time::Duration;
+
+fn route(name: &str, prefix: &str, service: &str) -> RawRoute {
+    RawRoute {
+        name: RouteName::try_from(name).unwrap(),
+        host: "walks.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(5),
+        latency_target: Duration::from_millis(300),
+        gap_target: None,
+        rank: 0,
+        targets: vec![RouteTarget {
+            service: ServiceName::try_from(service).unwrap(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        open: false,
+        resumable: false,
+        completion_target: None,
+        give_up_after: None,
+        waiting_tokens_max: 0,
+    }
+}
+
+fn service(name: &str) -> RawService {
+    RawService {
+        name: ServiceName::try_from(name).unwrap(),
+        connections_max: 100,
+        engine: None,
+    }
+}
+
+fn team(name: &str, keys: &[&str]) -> RawTeam {
+    RawTeam {
+        name: TeamName::try_from(name).unwrap(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        rank: None,
+        rate: 10.0,
+        burst: 10.0,
+    }
+}
+
+fn plan() -> RawPlan {
+    RawPlan {
+        version: PlanVersion(7),
+        routes: vec![
+            route("all", "/", "app"),
+            route("walks", "/walks/", "app"),
+            route("plans", "/walks/plans/", "app"),
+        ],
+        services: vec![service("app")],
+        teams: vec![team("curepipe", &["k1", "k2"]), team("flic", &["k3"])],
+        bounds: CallerBounds::default(),
+    }
+}
+
+fn fault(change: impl FnOnce(&mut RawPlan)) -> PlanError {
+    let mut raw = plan();
+    change(&mut raw);
+    ServicePlan::try_from(raw).unwrap_err()
+}
+
+#[test]
+fn the_longest_prefix_that_begins_the_path_wins() {
+    let plan = ServicePlan::try_from(plan()).unwrap();
+    let found = |path| {
+        plan.route("walks.example", path)
+            .map(|r| r.name.to_string())
+    };
+    assert_eq!(found("/walks/plans/1"), Some("plans".to_owned()));
+    assert_eq!(found("/walks/plans"), Some("walks".to_owned()));
+    assert_eq!(found("/walks/"), Some("walks".to_owned()));
+    assert_eq!(found("/walksy/1"), Some("all".to_owned()));
+    assert!(plan.route("other.example", "/walks/").is_none());
+}
+
+#[test]
+fn a_host_is_found_whatever_its_case_and_port() {
+    let plan = ServicePlan::try_from(plan()).unwrap();
+    assert!(plan.route("Walks.Example:8080", "/walks/1").is_some());
+}
+
+#[test]
+fn every_key_of_a_team_finds_it() {
+    let plan = ServicePlan::try_from(plan()).unwrap();
+    let team = |key| plan.keys().team_of(key).map(|team| team.name.to_string());
+    assert_eq!(team("k1"), Some("curepipe".to_owned()));
+    assert_eq!(team("k2"), Some("curepipe".to_owned()));
+    assert_eq!(team("k3"), Some("flic".to_owned()));
+    assert_eq!(team("k4"), None);
+}
+
+#[test]
+fn each_rule_refuses_the_plan_that_breaks_it() {
+    let unknown = fault(|plan| plan.routes[1] = route("walks", "/walks/", "none"));
+    assert!(matches!(unknown, PlanError::UnknownService { .. }));
+    let shared = fault(|plan| plan.routes.push(route("again", "/walks/", "app")));
+    assert!(matches!(shared, PlanError::SharedPlace { .. }));
+    let weight = fault(|plan| plan.routes[0].targets[0].weight = 0);
+    assert!(matches!(weight, PlanError::NoWeight(_)));
+    let nowhere = fault(|plan| plan.routes[0].targets.clear());
+    assert!(matches!(nowhere, PlanError::NoWeight(_)));
+    let timeout = fault(|plan| plan.routes[0].timeout = Duration::ZERO);
+    assert!(matches!(timeout, PlanError::NoTimeout(_)));
+    let prefix = fault(|plan| plan.routes[0].prefix = "walks".to_owned());
+    assert!(matches!(prefix, PlanError::BadPrefix(_)));
+    let key = fault(|plan| plan.teams[1].keys.push("k1".to_owned()));
+    assert!(matches!(key, PlanError::SharedKey { .. }));
+    let service_twice = fault(|plan| plan.services.push(service("app")));
+    assert!(matches!(
+        service_twice,
+        PlanError::Repeated {
+            kind: "service",
+            ..
+        }
+    ));
+    let rate = fault(|plan| plan.teams[0].rate = f64::NAN);
+    assert!(matches!(rate, PlanError::BadRate(_)));
+}
+
+#[test]
+fn a_key_that_one_team_lists_twice_is_no_fault() {
+    let mut raw = plan();
+    raw.teams[0].keys.push("k1".to_owned());
+    assert!(ServicePlan::try_from(raw).is_ok());
+}
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -4,7 +4,7 @@
 use super::machine::{ControlCommand, ControlMachine};
 use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
 use crate::entry::serve;
-use crate::event_log::EventLog;
+use crate::event_log::{EventLog, LineWeight};
 use crate::fleet_view::FleetView;
 use crate::leader_client::LeaderClient;
 use crate::message::{
@@ -46,6 +46,10 @@
 /// and operators wait for a second.
 const RELAY_PATIENCE: Duration = Duration::from_millis(850);
 
+/// The time from which on a check-in that was passed on is written down; most take
+/// a few round trips.
+const SLOW_RELAY: Duration = Duration::from_millis(100);
+
 /// The time without a leader after which a seat asks whether it still counts.
 const SEAT_DOUBT: Duration = Duration::from_millis(1_500);
 
@@ -59,10 +63,6 @@
 /// The silence after which the slots of a host are taken back; several syncs.
 const ASKER_LOST_AFTER: Duration = Duration::from_millis(2_500);
 
-/// The part of the rate slack that the buckets use; the rest stays for what a new
-/// leader starts with and for differences between clocks.
-const SLACK_SHARE: f64 = 0.5;
-
 /// A running control host.
 pub struct ControlHost {
     shared: Arc<ControlShared>,
@@ -196,7 +196,9 @@
         forget_after: SERVER_FORGOTTEN_AFTER,
         asker_lost_after: ASKER_LOST_AFTER,
         tolerance: RateTolerance {
-            requests: settings.promises.rate_slack * SLACK_SHARE,
+            requests: settings.promises.rate_slack,
+            share: settings.promises.rate_overshoot,
+            window: settings.promises.rate_window,
         },
     }
 }
@@ -533,7 +535,32 @@
 struct ControlRelay(Arc<ControlShared>);
 
 impl ControlRelay {
+    /// Has a call answered by the leader, and writes down what became of it.
     async fn relay(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
+        let name = call.name();
+        let is_routine = matches!(call, ControlCall::CheckIn(_));
+        let started_at = self.0.now();
+        let result = self.reach_leader(call).await;
+        let took = self.0.now().saturating_duration_since(started_at);
+        let fields = json!({
+            "call": name,
+            "leads": self.0.leads(),
+            "leader": self.0.status().leader,
+            "took_ms": took.as_millis(),
+            "failure": result.as_ref().err().map(ToString::to_string),
+        });
+        let weight = if is_routine && result.is_ok() {
+            LineWeight::Routine
+        } else {
+            LineWeight::Notable
+        };
+        if weight == LineWeight::Notable || took > SLOW_RELAY {
+            self.0.log.write(weight, "call_relayed", &fields);
+        }
+        result
+    }
+
+    async fn reach_leader(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
         let shared = &self.0;
         if shared.leads()
             && let GroupReply::Answer(answer) = shared.clone().answer(call.clone()).await
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -64,6 +64,23 @@
     Join(JoinRequest),
 }
 
+impl ControlCall {
+    /// The name of the call in logs.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Ask { .. } => "ask",
+            Self::Sync(_) => "sync",
+            Self::ReplacePlan { .. } => "replace_plan",
+            Self::ReadPlan => "read_plan",
+            Self::CheckIn(_) => "check_in",
+            Self::Leave { .. } => "leave",
+            Self::BeginRetire { .. } => "begin_retire",
+            Self::RetireState { .. } => "retire_state",
+            Self::Join(_) => "join",
+        }
+    }
+}
+
 /// A host without a seat asks for one, or one with a seat whether it still counts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct JoinRequest {
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -213,6 +213,14 @@
         postcard::from_bytes(&answer).map_err(refused)
     }
 
+    /// Proposes a command at once, in order with other proposals of this thread,
+    /// without waiting for the answer.
+    pub(super) fn propose_now(&self, command: &BatchCommand) -> Result<(), ProposeFailure> {
+        let refused = |error: postcard::Error| ProposeFailure::Refused(error.to_string());
+        let group = self.group().ok_or(ProposeFailure::NotLeader)?;
+        group.propose_now(postcard::to_stdvec(command).map_err(refused)?)
+    }
+
     /// Reads the state as the leader; `None` if this host is not it.
     pub(super) async fn read<R: Send + 'static>(
         &self,
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -1,12 +1,12 @@
 //! What the leader of the job group does: it has the items run.
 
 use super::host::StoreShared;
-use super::run::{ItemEnd, ItemRun, run_item};
+use super::run::{ItemEnd, ItemRun, LiveProgress, run_item};
 use crate::message::{BatchCall, BatchReply, GroupReply};
 use crate::slot_client::SlotLease;
 use chicoryladder_batch::{
-    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemOutcome, ItemSchedule, OpenItem,
-    ScheduledItem, SubmitAnswer,
+    BatchAnswer, BatchCommand, BatchMachine, ItemAdvance, ItemKey, ItemSchedule, OpenItem,
+    RunProgress, ScheduledItem, SubmitAnswer,
 };
 use chicoryladder_broker::{AskSlot, WorkKind};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
@@ -14,7 +14,7 @@
 use chicoryladder_types::prelude::*;
 use serde_json::json;
 use std::collections::HashMap;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
@@ -35,6 +35,16 @@
 /// The time between two looks for jobs that nobody needs any more.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 
+/// The time between two records of what runs have made; what a new leader has to
+/// have made again is at most this much of each item.
+const RECORD_INTERVAL: Duration = Duration::from_millis(500);
+
+/// A run under way.
+struct RunningItem {
+    task: AbortHandle,
+    live: LiveProgress,
+}
+
 /// What the leader of the job group has in memory.
 pub(super) struct JobLeader {
     /// The term of this leadership; `None` while another host leads.
@@ -42,7 +52,8 @@
     pub(super) schedule: ItemSchedule,
     asks: usize,
     ask_again_at: Option<Instant>,
-    runs: HashMap<ItemKey, AbortHandle>,
+    runs: HashMap<ItemKey, RunningItem>,
+    record_at: Option<Instant>,
     /// When each job that is known was first seen by this leader.
     seen_at: HashMap<String, Instant>,
     forget_at: Option<Instant>,
@@ -56,6 +67,7 @@
             asks: 0,
             ask_again_at: None,
             runs: HashMap::new(),
+            record_at: None,
             seen_at: HashMap::new(),
             forget_at: None,
         }
@@ -73,7 +85,7 @@
     /// Ends a leadership; its runs stop.
     pub(super) fn end(&mut self) {
         for (_, run) in self.runs.drain() {
-            run.abort();
+            run.task.abort();
         }
         self.term = None;
         self.schedule = ItemSchedule::default();
@@ -86,10 +98,25 @@
         f64::from(count)
     }
 
+    /// What all items have made since they were recorded last.
+    fn take_advances(&mut self) -> Vec<ItemAdvance> {
+        let mut advances = Vec::new();
+        for (key, run) in &self.runs {
+            let live = run.live.lock().unwrap_or_else(PoisonError::into_inner);
+            advances.extend(self.schedule.advance(*key, &live));
+        }
+        for key in self.schedule.unrecorded() {
+            let made = self.schedule.get(key).map(|item| item.progress.clone());
+            advances.extend(made.and_then(|made| self.schedule.advance(key, &made)));
+        }
+        advances.retain(|advance| advance.last_event != advance.after);
+        advances
+    }
+
     fn stop_job(&mut self, job: &str) {
         for key in self.schedule.drop_job(job) {
             if let Some(run) = self.runs.remove(&key) {
-                run.abort();
+                run.task.abort();
             }
         }
     }
@@ -151,6 +178,7 @@
                             item,
                             spec: Arc::new(spec),
                             failures: 0,
+                            progress: RunProgress::default(),
                         };
                         leader.schedule.add(open, now);
                     }
@@ -190,6 +218,7 @@
         shared.repair(&status);
         give_up_overdue(&shared);
         forget_old_jobs(&shared).await;
+        record_progress(&shared);
         ask_for_slots(&shared);
     }
 }
@@ -257,8 +286,10 @@
             let Some(item) = leader.schedule.get(key).cloned() else {
                 return;
             };
-            let run = tokio::spawn(run_and_settle(shared.clone(), key, item, lease));
-            leader.runs.insert(key, run.abort_handle());
+            let live: LiveProgress = Arc::new(Mutex::new(item.progress.clone()));
+            let run = run_and_settle(shared.clone(), key, item, lease, live.clone());
+            let task = tokio::spawn(run).abort_handle();
+            leader.runs.insert(key, RunningItem { task, live });
             drop(leader);
             shared.work_due.notify_one();
         }
@@ -289,10 +320,11 @@
     key: ItemKey,
     item: ScheduledItem,
     lease: SlotLease,
+    live: LiveProgress,
 ) {
     let server = lease.server.clone();
     let started_at = shared.now();
-    let run = run_item(&shared.runner, &item, lease, &*shared.base.clock).await;
+    let run = run_item(&shared.runner, &item, lease, live, &*shared.base.clock).await;
     let now = shared.now();
     shared.leader().runs.remove(&key);
     note_run(
@@ -306,16 +338,15 @@
         ItemEnd::Complete => {
             let whole = item.progress.last_event.is_none();
             let took = whole.then(|| now.saturating_duration_since(started_at));
-            let outcome = ItemOutcome::Completed(run.progress.text.into());
-            finish(&shared, key, &item, outcome, took).await;
+            complete(&shared, key, &run.progress, took).await;
         }
-        ItemEnd::Impossible => finish(&shared, key, &item, ItemOutcome::GivenUp, None).await,
+        ItemEnd::Impossible => give_up(&shared, key, &item).await,
         ItemEnd::Stopped => shared.leader().schedule.stopped(key, run.progress),
         ItemEnd::Broken => shared.leader().schedule.failed(key, run.progress, now),
         ItemEnd::Failed => {
             let failures = shared.leader().schedule.count_failure(key);
             if failures >= item.open.terms.max_attempts {
-                finish(&shared, key, &item, ItemOutcome::GivenUp, None).await;
+                give_up(&shared, key, &item).await;
             } else {
                 let command = BatchCommand::CountFailure {
                     job: item.open.terms.id.clone(),
@@ -357,21 +388,68 @@
     }
 }
 
-/// Lists the result of an item; tried again while this host leads.
-async fn finish(
+/// Records what runs have made, so that a later leader goes on from there.
+fn record_progress(shared: &Arc<StoreShared>) {
+    let now = shared.now();
+    let mut leader = shared.leader();
+    if leader.record_at.is_some_and(|at| now < at) {
+        return;
+    }
+    leader.record_at = Some(now + RECORD_INTERVAL);
+    let advances = leader.take_advances();
+    drop(leader);
+    if advances.is_empty() {
+        return;
+    }
+    // Proposed in order with the results that follow; the answer tells nothing.
+    if let Err(failure) = shared.propose_now(&BatchCommand::Advance(advances)) {
+        log::warn!("store: progress was not recorded: {failure}.");
+    }
+}
+
+/// Lists the result of a complete item.
+async fn complete(
     shared: &Arc<StoreShared>,
     key: ItemKey,
-    item: &ScheduledItem,
-    outcome: ItemOutcome,
+    made: &RunProgress,
     took: Option<Duration>,
 ) {
+    let advance = {
+        let mut leader = shared.leader();
+        leader.schedule.ending(key);
+        leader.schedule.advance(key, made)
+    };
+    if let Some(advance) = advance {
+        let command = BatchCommand::Complete(advance);
+        list_result(shared, key, &command, took).await;
+    }
+}
+
+/// Lists an item as given up.
+async fn give_up(shared: &Arc<StoreShared>, key: ItemKey, item: &ScheduledItem) {
     shared.leader().schedule.ending(key);
-    let command = BatchCommand::Finish {
+    let command = BatchCommand::GiveUp {
         job: item.open.terms.id.clone(),
         item: item.open.item,
-        outcome,
     };
-    match shared.propose(&command).await {
+    list_result(shared, key, &command, None).await;
+}
+
+async fn list_result(
+    shared: &Arc<StoreShared>,
+    key: ItemKey,
+    command: &BatchCommand,
+    took: Option<Duration>,
+) {
+    match shared.propose(command).await {
+        Ok(BatchAnswer::NoEffect) => {
+            let mut leader = shared.leader();
+            if leader.schedule.get(key).is_some() {
+                // What is in memory does not fit the log; begin again from the log.
+                log::warn!("store: a result did not fit what is recorded of its item.");
+                leader.end();
+            }
+        }
         Ok(_) => shared.leader().schedule.ended(key, took),
         Err(failure) => {
             // The next leader runs the item again.
@@ -395,7 +473,7 @@
     for (key, item) in items {
         let shared = shared.clone();
         tokio::spawn(async move {
-            finish(&shared, key, &item, ItemOutcome::GivenUp, None).await;
+            give_up(&shared, key, &item).await;
         });
     }
 }
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -9,6 +9,7 @@
 use chicoryladder_types::prelude::*;
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// The longest silence of a run that is under way; an engine answers every step.
@@ -40,17 +41,21 @@
     pub(super) cause: &'static str,
 }
 
+/// What a run has made so far, for those who look on.
+pub(super) type LiveProgress = Arc<Mutex<RunProgress>>;
+
 /// Runs an item on the server of its slot, from where it was stopped before.
 pub(super) async fn run_item(
     runner: &ServerRunner,
     item: &ScheduledItem,
     mut lease: SlotLease,
+    live: LiveProgress,
     clock: &dyn ClockSource,
 ) -> ItemRun {
     let stop = lease.stop_signal();
     let started_at = clock.now();
     let mut reader = ItemReader {
-        progress: item.progress.clone(),
+        progress: live,
         parser: EventParser::default(),
     };
     let running = run(runner, item, &mut lease, &mut reader, started_at, clock);
@@ -61,7 +66,7 @@
     lease.end(outcome);
     ItemRun {
         end,
-        progress: reader.progress,
+        progress: reader.progress().clone(),
         cause,
     }
 }
@@ -113,7 +118,7 @@
             return broken(cause);
         }
     }
-    if reader.parser.has_rest() || reader.progress.last_event.is_none() {
+    if reader.parser.has_rest() || reader.progress().last_event.is_none() {
         return broken("the server ended within an event");
     }
     answer.connection.put_back();
@@ -148,25 +153,30 @@
 
 /// Adds the events of a run to what earlier runs made.
 struct ItemReader {
-    progress: RunProgress,
+    progress: LiveProgress,
     parser: EventParser,
 }
 
 impl ItemReader {
+    fn progress(&self) -> MutexGuard<'_, RunProgress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn take(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
         self.parser.push(chunk);
         while let Some(event) = self.parser.next_event() {
             let Some(id) = event.id else {
                 return Err("an event has no id");
             };
-            if self.progress.last_event.is_some_and(|last| id != last + 1) {
+            let mut progress = self.progress();
+            if progress.last_event.is_some_and(|last| id != last + 1) {
                 return Err("an event is missing or came twice");
             }
-            if self.progress.last_event.is_some() {
-                self.progress.text.push('\n');
+            if progress.last_event.is_some() {
+                progress.text.push('\n');
             }
-            self.progress.text.push_str(&event.data);
-            self.progress.last_event = Some(id);
+            progress.text.push_str(&event.data);
+            progress.last_event = Some(id);
         }
         if self.parser.is_overlong() {
             return Err("an event is too long");
--- /dev/null
+++ b/crates/roles/tests/event_stream.rs
@@ -0,0 +1,56 @@
+//! Cutting streams into events.
+
+use chicoryladder_roles::{EventParser, StreamEvent};
+
+fn events(parser: &mut EventParser) -> Vec<StreamEvent> {
+    std::iter::from_fn(|| parser.next_event()).collect()
+}
+
+#[test]
+fn events_are_cut_wherever_the_chunks_end() {
+    let stream = b"id: 0\ndata: one\n\nid: 1\ndata: two\ndata: three\n\n";
+    for length in 1..stream.len() {
+        let mut parser = EventParser::default();
+        let mut found = Vec::new();
+        for chunk in stream.chunks(length) {
+            parser.push(chunk);
+            found.extend(events(&mut parser));
+        }
+        let read: Vec<_> = found.iter().map(|e| (e.id, e.data.as_str())).collect();
+        assert_eq!(
+            read,
+            [(Some(0), "one"), (Some(1), "two\nthree")],
+            "chunks of {length}"
+        );
+        let raw: Vec<u8> = found.iter().flat_map(|e| e.raw.to_vec()).collect();
+        assert_eq!(raw, stream);
+        assert!(!parser.has_rest());
+    }
+}
+
+#[test]
+fn lines_may_end_with_a_carriage_return() {
+    let mut parser = EventParser::default();
+    parser.push(b"id: 4\r\ndata: one\r\n\r\nid: 5\r\n");
+    let found = events(&mut parser);
+    assert_eq!((found[0].id, found[0].data.as_str()), (Some(4), "one"));
+    assert!(parser.has_rest());
+}
+
+#[test]
+fn fields_of_other_names_are_no_data() {
+    let mut parser = EventParser::default();
+    parser.push(b"x-weight-versions: 3\nid: 4\ndata: one\n\n");
+    let found = events(&mut parser);
+    assert_eq!((found[0].id, found[0].data.as_str()), (Some(4), "one"));
+}
+
+#[test]
+fn an_event_without_an_end_is_held_back() {
+    let mut parser = EventParser::default();
+    parser.push(b"id: 1\ndata: half");
+    assert!(parser.next_event().is_none());
+    assert!(parser.has_rest() && !parser.is_overlong());
+    parser.push(&vec![b'x'; 2 * 1024 * 1024]);
+    assert!(parser.is_overlong());
+}
--- /dev/null
+++ b/crates/rpc/tests/rpc.rs
@@ -0,0 +1,184 @@
+//! Calls and notices over real sockets.
+
+use bytes::Bytes;
+use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcError, RpcHandler, RpcServer};
+use chicoryladder_types::SystemClock;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+fn identity(name: &str) -> PeerIdentity {
+    PeerIdentity {
+        host: HostName::try_from(name).unwrap(),
+        zone: ZoneName::try_from("zone-a").unwrap(),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 7,
+    }
+}
+
+fn client(name: &str) -> RpcClient {
+    RpcClient::new(identity(name), Arc::new(SystemClock))
+}
+
+/// Answers with the caller's name and what it sent; waits if that is a number.
+#[derive(Default)]
+struct EchoHandler {
+    notices: Mutex<Vec<Bytes>>,
+}
+
+impl RpcHandler for EchoHandler {
+    fn call(&self, peer: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        async move {
+            let text = String::from_utf8_lossy(&payload).into_owned();
+            if let Ok(wait_ms) = text.parse() {
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            }
+            Some(format!("{}:{text}", peer.host).into())
+        }
+        .boxed()
+    }
+
+    fn notice(&self, _: &PeerIdentity, payload: Bytes) {
+        self.notices.lock().unwrap().push(payload);
+    }
+}
+
+async fn server(handler: Arc<EchoHandler>) -> RpcServer {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    RpcServer::start(address, handler).await.unwrap()
+}
+
+#[tokio::test]
+async fn a_call_is_answered_and_tells_who_called() {
+    let server = server(Arc::default()).await;
+    let answer = client("entry-1")
+        .call(server.address, "hello", TIMEOUT)
+        .await;
+    assert_eq!(answer.unwrap(), "entry-1:hello");
+}
+
+#[tokio::test]
+async fn a_slow_call_does_not_hold_up_others() {
+    let server = server(Arc::default()).await;
+    let client = client("entry-1");
+    let slow = client.call(server.address, "400", TIMEOUT);
+    let fast = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let started = Instant::now();
+        client.call(server.address, "fast", TIMEOUT).await.unwrap();
+        started.elapsed()
+    };
+    let (slow, fast) = tokio::join!(slow, fast);
+    assert_eq!(slow.unwrap(), "entry-1:400");
+    assert!(fast < Duration::from_millis(200), "{fast:?}");
+}
+
+#[tokio::test]
+async fn long_payloads_travel_whole() {
+    let server = server(Arc::default()).await;
+    let text = "x".repeat(3_000_000);
+    let answer = client("e")
+        .call(server.address, text.clone(), TIMEOUT)
+        .await;
+    assert_eq!(answer.unwrap().len(), text.len() + 2);
+}
+
+#[tokio::test]
+async fn notices_arrive_in_their_order() {
+    let handler = Arc::<EchoHandler>::default();
+    let server = server(handler.clone()).await;
+    let client = client("entry-1");
+    for number in 0..100 {
+        client.notify(server.address, number.to_string());
+    }
+    client.call(server.address, "end", TIMEOUT).await.unwrap();
+    let notices = handler.notices.lock().unwrap();
+    let expected: Vec<String> = (0..100).map(|number| number.to_string()).collect();
+    assert_eq!(*notices, expected);
+}
+
+#[tokio::test]
+async fn a_peer_that_is_not_there_is_found_out_at_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let started = Instant::now();
+    let result = client("e").call(address, "hello", TIMEOUT).await;
+    assert_eq!(result, Err(RpcError::Unreachable));
+    assert!(started.elapsed() < Duration::from_secs(1));
+}
+
+/// A connection that takes everything and answers nothing, as one behind a middlebox
+/// that has forgotten it.
+#[tokio::test]
+async fn a_silent_connection_is_replaced() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = Arc::new(Mutex::new(0));
+    let counted = accepted.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            *counted.lock().unwrap() += 1;
+            tokio::spawn(async move {
+                let mut buffer = [0; 1024];
+                while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {}
+            });
+        }
+    });
+    let client = client("e");
+    let first = client.call(address, "hello", Duration::from_secs(4)).await;
+    assert_eq!(first, Err(RpcError::Unreachable));
+    let second = client
+        .call(address, "hello", Duration::from_millis(300))
+        .await;
+    assert_eq!(second, Err(RpcError::TimedOut));
+    assert_eq!(*accepted.lock().unwrap(), 2);
+}
+
+#[tokio::test]
+async fn a_peer_that_comes_back_is_reached_again() {
+    let handler = Arc::<EchoHandler>::default();
+    let first = server(handler.clone()).await;
+    let address = first.address;
+    let client = client("e");
+    client.call(address, "a", TIMEOUT).await.unwrap();
+    first.stop();
+    let until = Instant::now() + Duration::from_secs(5);
+    let again = loop {
+        match RpcServer::start(address, handler.clone()).await {
+            Ok(server) => break server,
+            Err(error) if Instant::now() > until => panic!("{error}"),
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    };
+    let answer = loop {
+        match client.call(again.address, "b", TIMEOUT).await {
+            Ok(answer) => break answer,
+            Err(error) if Instant::now() > until => panic!("{error}"),
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    };
+    assert_eq!(answer, "e:b");
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_frames_close_the_connection() {
+    use tokio::io::AsyncWriteExt;
+    let server = server(Arc::default()).await;
+    let mut stream = tokio::net::TcpStream::connect(server.address)
+        .await
+        .unwrap();
+    stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    let mut rest = Vec::new();
+    let read = tokio::time::timeout(TIMEOUT, stream.read_to_end(&mut rest)).await;
+    assert!(read.is_ok(), "the connection stays open");
+    assert!(rest.is_empty());
+}
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -104,8 +104,12 @@
     pub check_in_interval: Duration,
     /// The time that accepted requests are given to end at a stop.
     pub drain_timeout: Duration,
-    /// Requests of a team that may be admitted beyond its rate and burst.
+    /// Requests of a team that may be admitted in a window beyond its rate and burst.
     pub rate_slack: f64,
+    /// The part of what rate and burst allow in a window that may be admitted too.
+    pub rate_overshoot: f64,
+    /// The window in which requests are counted.
+    pub rate_window: Duration,
     /// The time for which an ended job can be read.
     pub job_retention: Duration,
 }
--- a/crates/settings/src/process/read.rs
+++ b/crates/settings/src/process/read.rs
@@ -27,6 +27,9 @@
 /// An hour, so that a caller that was away finds its results.
 const JOB_RETENTION: Duration = Duration::from_secs(3_600);
 
+/// Long enough to hold several refills of a bucket.
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+
 /// The losses that a group of three voters bears.
 const LOSSES_BORNE: u64 = 1;
 
@@ -161,6 +164,8 @@
             check_in_interval: CHECK_IN_INTERVAL,
             drain_timeout: DRAIN_TIMEOUT,
             rate_slack: 0.0,
+            rate_overshoot: 0.0,
+            rate_window: RATE_WINDOW,
             job_retention: JOB_RETENTION,
         };
         let Some(mut section) = self.section("promises") else {
@@ -181,8 +186,11 @@
         };
         seconds("drain_timeout_s", &mut promises.drain_timeout);
         seconds("job_retention_s", &mut promises.job_retention);
+        seconds("rate_window_s", &mut promises.rate_window);
         let slack = section.or_default("rate_slack", AmountValue(promises.rate_slack));
+        let overshoot = section.or_default("rate_overshoot", AmountValue(0.0));
         promises.rate_slack = slack.0;
+        promises.rate_overshoot = overshoot.0;
         section.finish();
         promises
     }
