Keep requests in their zone, remember unreachable servers, notice a cut

Change: an online request takes a batch item's slot in its zone before a free one elsewhere; without the broker near servers go first and unreachable ones are passed over; a host that hears less than half of the control hosts is not ready after 1 s; elections after 0.5 s.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -413,24 +413,34 @@
     }
 
     /// Grants a slot if one is free, or can be taken from a batch item.
+    ///
+    /// An online request takes the slot of a batch item in its own zone rather than
+    /// a free one elsewhere: the item goes on there as well, whereas the request
+    /// would be lost with the link between the zones.
     fn place(&mut self, asker: &AskerId, ask: &AskSlot, now: Instant) -> bool {
-        if let Some(key) = self.free_server(ask, now) {
-            self.grant(asker, ask, key, now);
-            return true;
-        }
-        if ask.kind == WorkKind::Batch {
-            return false;
-        }
-        let Some(victim) = self.batch_victim(ask, now) else {
-            return false;
+        let free = self.free_server(ask, now);
+        let is_near = free.is_some_and(|key| self.is_in_zone(key, &ask.zone));
+        let victim = match ask.kind {
+            WorkKind::Online if !is_near => self.batch_victim(ask, now),
+            WorkKind::Online | WorkKind::Batch => None,
+        };
+        let victim = victim.filter(|(_, near)| *near || free.is_none());
+        let key = match victim {
+            Some((victim, _)) => self.stop(victim),
+            None => free,
         };
-        let Some(key) = self.stop(victim) else {
+        let Some(key) = key else {
             return false;
         };
         self.grant(asker, ask, key, now);
         true
     }
 
+    fn is_in_zone(&self, key: ServerKey, zone: &ZoneName) -> bool {
+        let entry = self.servers.get(key);
+        entry.is_some_and(|entry| entry.record.told.zone == *zone)
+    }
+
     /// The cheapest server with a free slot.
     fn free_server(&self, ask: &AskSlot, now: Instant) -> Option<ServerKey> {
         let pool = self.services.get(&ask.service)?;
@@ -463,9 +473,9 @@
         best.map(|(_, key)| key)
     }
 
-    /// The batch item whose slot an online request takes: one in the asker's zone
-    /// if there is one, and of these the one that began last.
-    fn batch_victim(&self, ask: &AskSlot, now: Instant) -> Option<GrantKey> {
+    /// The batch item whose slot an online request takes, and whether it runs in the
+    /// asker's zone: one there if there is one, and of these the one that began last.
+    fn batch_victim(&self, ask: &AskSlot, now: Instant) -> Option<(GrantKey, bool)> {
         let pool = self.services.get(&ask.service)?;
         let candidates = self.grants.iter().filter(|(_, grant)| {
             let entry = self.servers.get(grant.server);
@@ -476,14 +486,9 @@
                     self.is_open(entry, now) && !ask.avoid.contains(&entry.record.told.name)
                 })
         });
-        let order = |grant: &SlotGrant| {
-            let entry = self.servers.get(grant.server);
-            let is_near = entry.is_some_and(|entry| entry.record.told.zone == ask.zone);
-            (is_near, grant.granted_at)
-        };
-        candidates
-            .max_by_key(|(_, grant)| order(grant))
-            .map(|(key, _)| key)
+        let near = |grant: &SlotGrant| self.is_in_zone(grant.server, &ask.zone);
+        let victim = candidates.max_by_key(|(_, grant)| (near(grant), grant.granted_at));
+        victim.map(|(key, grant)| (key, near(grant)))
     }
 
     /// Has a run stopped; its slot is free for another from now on.
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -37,10 +37,17 @@
 /// that callers close first.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
 
-/// The age of the view up to which the host takes callers. It outlasts an election;
-/// behind a cut, callers are better served by other hosts.
+/// The age of the view up to which the host takes callers; it outlasts an election.
 const READY_AGE: Duration = Duration::from_millis(2_600);
 
+/// The age of the view from which on a host that is cut off takes no callers: they
+/// are better served by the hosts of other zones.
+const ISOLATED_AGE: Duration = Duration::from_millis(1_000);
+
+/// The time within which half of the control hosts must have answered something,
+/// for a host that does not count as cut off.
+const ISOLATION_PERIOD: Duration = Duration::from_millis(1_600);
+
 /// The time after a stop is asked for during which new connections are still taken:
 /// the balancer needs two questions to notice.
 const READINESS_NOTICE: Duration = Duration::from_millis(2_600);
@@ -78,6 +85,7 @@
         let view = FleetView::new();
         let client = base.control_client();
         let slots = SlotClient::new(base.clone(), client.clone(), view.clone());
+        let control_client = client.clone();
         let levels_of = (slots.clone(), view.clone());
         let draining = Arc::new(AtomicBool::new(false));
         let handler = EntryHandler {
@@ -129,6 +137,7 @@
         let readiness = ReadinessService {
             dialect: callers,
             view,
+            control: control_client,
             clock: base.clock.clone(),
             draining: draining.clone(),
         };
@@ -252,6 +261,7 @@
 struct ReadinessService {
     dialect: Arc<dyn CallerDialect>,
     view: FleetView,
+    control: LeaderClient,
     clock: Arc<dyn ClockSource>,
     draining: Arc<AtomicBool>,
 }
@@ -262,7 +272,8 @@
         _: Request<Incoming>,
     ) -> BoxFuture<'_, Result<Response<AnswerBody>, RequestRefusal>> {
         let age = self.view.age(self.clock.now());
-        let fresh = age.is_some_and(|age| age < READY_AGE);
+        let isolated = || self.control.is_isolated(ISOLATION_PERIOD);
+        let fresh = age.is_some_and(|age| age < ISOLATED_AGE || (age < READY_AGE && !isolated()));
         let ready = fresh && !self.draining.load(Ordering::Relaxed);
         std::future::ready(Ok(self.dialect.readiness(ready))).boxed()
     }
--- a/crates/roles/src/leader_client.rs
+++ b/crates/roles/src/leader_client.rs
@@ -5,6 +5,7 @@
 use chicoryladder_types::prelude::*;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -28,6 +29,8 @@
     hosts: Vec<SocketAddr>,
     leader: Option<SocketAddr>,
     next: usize,
+    /// When hosts last answered anything.
+    answered_at: HashMap<SocketAddr, Instant>,
 }
 
 /// Finds the leader of a group and calls it; clones share what they know.
@@ -73,6 +76,16 @@
         }
     }
 
+    /// Whether fewer than half of the hosts have answered within `period`, so that
+    /// this process is likely to be cut off from the others.
+    pub(crate) fn is_isolated(&self, period: Duration) -> bool {
+        let now = self.clock.now();
+        let known = self.known();
+        let recent = |at: &Instant| now.saturating_duration_since(*at) < period;
+        let heard = |host: &&SocketAddr| known.answered_at.get(*host).is_some_and(recent);
+        known.hosts.iter().filter(heard).count() * 2 < known.hosts.len()
+    }
+
     /// The leader if known, else the hosts by turns.
     fn next_host(&self) -> Option<SocketAddr> {
         let mut known = self.known();
@@ -163,6 +176,7 @@
                 return Err(LeaderError::Unknown);
             }
         };
+        self.known().answered_at.insert(host, self.clock.now());
         match postcard::from_bytes(&reply) {
             Ok(GroupReply::Answer(answer)) => {
                 self.known().leader = Some(host);
--- a/crates/roles/src/seat_opener.rs
+++ b/crates/roles/src/seat_opener.rs
@@ -13,12 +13,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The time between two heartbeats of a leader; a third of a second covers a lost
-/// one on a link with losses.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+/// The time between two heartbeats of a leader.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// The silence after which a follower stands for election; five heartbeats.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(750);
+/// The silence after which a follower stands for election: five heartbeats, and the
+/// least time in which TCP repeats a lost segment twice over.
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The entries applied between two snapshots; a snapshot holds every open job, so
 /// it is not taken often.
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -11,7 +11,7 @@
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -25,6 +25,9 @@
 /// When a caller should return that found no slot while the broker was away.
 const DETACHED_RETRY: Duration = Duration::from_millis(700);
 
+/// The time for which a server that could not be reached is passed over.
+const PASSED_OVER_FOR: Duration = Duration::from_secs(2);
+
 /// The check-ins that a server may miss before it is no longer chosen.
 const MISSED_CHECK_INS: u32 = 4;
 
@@ -51,6 +54,8 @@
     view: FleetView,
     runs: Mutex<HashMap<u64, HeldRun>>,
     next_ticket: AtomicU64,
+    /// When servers could not be reached.
+    unreachable_at: Mutex<HashMap<ServerName, Instant>>,
     /// When the broker did not answer; it counts as away until the next sync.
     lost_at: Mutex<Option<Instant>>,
 }
@@ -69,6 +74,7 @@
             view,
             runs: Mutex::default(),
             next_ticket: AtomicU64::new(1),
+            unreachable_at: Mutex::default(),
             lost_at: Mutex::new(None),
         };
         Self {
@@ -232,11 +238,15 @@
         let loads = self.own_loads();
         let load = |view: &ServerView| loads.get(&view.told.name).copied().unwrap_or_default();
         let has_room = |view: &&ServerView| load(view) < view.told.slots;
+        // Where the broker is out of reach, so may be the other zones.
         let order = |view: &ServerView| {
             let is_far = view.told.zone != ask.zone;
-            (load(view), is_far, mix(ask.ticket, view.told.name.as_str()))
+            (is_far, load(view), mix(ask.ticket, view.told.name.as_str()))
         };
-        let chosen = servers.iter().filter(is_usable).filter(has_room);
+        let passed_over = self.passed_over(now);
+        let is_reached = |view: &&ServerView| !passed_over.contains(&view.told.name);
+        let usable = servers.iter().filter(is_usable).filter(is_reached);
+        let chosen = usable.filter(has_room);
         let Some(chosen) = chosen.min_by_key(|view| order(view)) else {
             return Err(refused(RefuseReason::NoSlot));
         };
@@ -249,6 +259,28 @@
         Ok(self.lease(ask, told.name.clone(), told.address, true))
     }
 
+    /// The servers that could not be reached a moment ago.
+    fn passed_over(&self, now: Instant) -> HashSet<ServerName> {
+        let unreachable = self.shared.unreachable_at.lock();
+        let mut unreachable = unreachable.unwrap_or_else(PoisonError::into_inner);
+        unreachable.retain(|_, at| now.saturating_duration_since(*at) < PASSED_OVER_FOR);
+        unreachable.keys().cloned().collect()
+    }
+
+    fn note_outcome(&self, server: &ServerName, outcome: RunOutcome) {
+        let unreachable = self.shared.unreachable_at.lock();
+        let mut unreachable = unreachable.unwrap_or_else(PoisonError::into_inner);
+        match outcome {
+            RunOutcome::Unreachable => {
+                unreachable.insert(server.clone(), self.shared.base.clock.now());
+            }
+            RunOutcome::Served => {
+                unreachable.remove(server);
+            }
+            _ => {}
+        }
+    }
+
     fn own_loads(&self) -> HashMap<ServerName, u32> {
         let mut loads = HashMap::new();
         for held in self.runs().values() {
@@ -360,6 +392,7 @@
 impl Drop for SlotLease {
     fn drop(&mut self) {
         let report = self.report_mut().clone();
+        self.client.note_outcome(&self.server, report.outcome);
         let leader = self.client.shared.client.leader();
         self.client.release(leader, report);
     }
