--- a/crates/consensus/src/seat/snapshots.rs
+++ b/crates/consensus/src/seat/snapshots.rs
@@ -5,14 +5,14 @@
 use super::{RaftSeat, RoleState};
 use crate::entry_log::EntryLog;
 use crate::membership::MembershipHistory;
-use crate::{SeatMessage, SnapshotChunk, SnapshotRecord, SnapshotReply};
+use crate::{CommandBytes, SeatMessage, SnapshotChunk, SnapshotRecord, SnapshotReply};
 use chicoryladder_types::{LogIndex, SeatId};
 use std::time::Instant;
 
 impl RaftSeat {
     /// Takes a snapshot of the state after the last delivered entry, and drops
     /// entries that no seat is expected to need.
-    pub fn compact(&mut self, data: &[u8]) {
+    pub fn compact(&mut self, data: CommandBytes) {
         let index = self.delivered;
         let Some(term) = self.log.term_at(index) else {
             return;
@@ -21,7 +21,7 @@
             index,
             term,
             membership: self.membership.at(index).clone(),
-            data: data.into(),
+            data,
         };
         self.membership.compact_to(index);
         let kept = self.settings.kept_entries;
--- a/crates/consensus/src/storage/file.rs
+++ b/crates/consensus/src/storage/file.rs
@@ -8,9 +8,9 @@
 
 use super::frame::{FrameFault, encode_frame, read_frame};
 use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
-use crate::{HardState, LogEntry, SnapshotRecord};
-use chicoryladder_types::LogIndex;
-use serde::Serialize;
+use crate::{GroupMembership, HardState, LogEntry, SnapshotRecord};
+use chicoryladder_types::{LogIndex, TermNumber};
+use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -28,6 +28,17 @@
     last_entry: LogIndex,
 }
 
+/// What a snapshot file begins with; the state follows as it is, since a copy of it
+/// in a frame would double the memory that a snapshot takes.
+#[derive(Debug, Serialize, Deserialize)]
+struct SnapshotHead {
+    index: LogIndex,
+    term: TermNumber,
+    membership: GroupMembership,
+    data_bytes: u64,
+    data_crc: u32,
+}
+
 /// Storage in files under one folder.
 #[derive(Debug)]
 pub struct FileStorage {
@@ -108,9 +119,17 @@
         let path = self.path(SNAPSHOT_PREFIX, number);
         let bytes = fs::read(&path).map_err(|e| io_error(&path, e))?;
         let damaged = || damage(&path, 0, "the snapshot fails its checksum");
-        let (payload, _) = read_frame(&bytes).map_err(|_| damaged())?;
-        let snapshot = postcard::from_bytes(payload).map_err(|_| damaged())?;
-        Ok(Some(snapshot))
+        let (payload, data) = read_frame(&bytes).map_err(|_| damaged())?;
+        let head: SnapshotHead = postcard::from_bytes(payload).map_err(|_| damaged())?;
+        if data.len() as u64 != head.data_bytes || crc32fast::hash(data) != head.data_crc {
+            return Err(damaged());
+        }
+        Ok(Some(SnapshotRecord {
+            index: head.index,
+            term: head.term,
+            membership: head.membership,
+            data: data.into(),
+        }))
     }
 
     fn load_segments(&mut self, state: &mut StoredState) -> Result<(), StorageError> {
@@ -172,9 +191,18 @@
     fn write_snapshot(&self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
         let path = self.path(SNAPSHOT_PREFIX, snapshot.index.0);
         let draft = self.folder.join(SNAPSHOT_DRAFT);
-        let frame = encode(&path, snapshot)?;
+        let head = SnapshotHead {
+            index: snapshot.index,
+            term: snapshot.term,
+            membership: snapshot.membership.clone(),
+            data_bytes: snapshot.data.len() as u64,
+            data_crc: crc32fast::hash(&snapshot.data),
+        };
+        let frame = encode(&path, &head)?;
         let mut file = File::create(&draft).map_err(|e| io_error(&draft, e))?;
         file.write_all(&frame).map_err(|e| io_error(&draft, e))?;
+        file.write_all(&snapshot.data)
+            .map_err(|e| io_error(&draft, e))?;
         file.sync_all().map_err(StorageError::SyncFailed)?;
         fs::rename(&draft, &path).map_err(|e| io_error(&path, e))?;
         sync_folder(&self.folder)
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -44,6 +44,10 @@
 /// The time without a leader after which a seat asks whether it still counts.
 const SEAT_DOUBT: Duration = Duration::from_millis(1_500);
 
+/// The time between two changes of the membership; a member that has to catch up
+/// takes longer.
+const REPAIR_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The time that a stopping host gives its successor as a leader.
 const HAND_OVER_TIME: Duration = Duration::from_millis(600);
 
@@ -67,6 +71,7 @@
     leader: Mutex<JobLeader>,
     care: Mutex<SeatCare>,
     is_repairing: Arc<AtomicBool>,
+    repaired_at: Mutex<Option<Instant>>,
 }
 
 impl StoreHost {
@@ -100,6 +105,7 @@
             leader: Mutex::new(JobLeader::new()),
             care: Mutex::default(),
             is_repairing: Arc::default(),
+            repaired_at: Mutex::new(None),
             view,
             runner,
             base,
@@ -231,7 +237,7 @@
 
     /// Starts the next change of the membership, if one is due.
     pub(super) fn repair(&self, status: &GroupStatus) {
-        if self.is_repairing.load(Ordering::Relaxed) {
+        if self.is_repairing.load(Ordering::Relaxed) || !self.may_repair() {
             return;
         }
         let retiring: HashSet<SocketAddr> = self.view.store().retiring.into_iter().collect();
@@ -263,6 +269,20 @@
         });
     }
 
+    /// Whether the last change of the membership was long enough ago.
+    fn may_repair(&self) -> bool {
+        let now = self.now();
+        let mut repaired_at = self
+            .repaired_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let is_due = repaired_at.is_none_or(|at| now >= at + REPAIR_INTERVAL);
+        if is_due {
+            *repaired_at = Some(now);
+        }
+        is_due
+    }
+
     fn report(&self, first_start: bool) -> StoreReport {
         let group = self.group();
         let status = self.status();
