--- a/crates/roles/src/process.rs
+++ b/crates/roles/src/process.rs
@@ -66,7 +66,8 @@
     ///
     /// Fails if the address cannot be listened on.
     pub(crate) async fn serve(&self, handler: Arc<dyn RpcHandler>) -> Result<(), ProcessError> {
-        let address = self.settings.listen.peers;
+        let listen = &self.settings.listen;
+        let address = listen.peers_bind.unwrap_or(listen.peers);
         let failed = |source| ListenError { address, source };
         // The port is served until the process ends.
         RpcServer::start(address, handler).await.map_err(failed)?;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -59,8 +59,10 @@
 /// The addresses that the process listens on; which are needed depends on the role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessAddresses {
-    /// For other processes of the fleet.
+    /// Where other processes of the fleet reach this one.
     pub peers: SocketAddr,
+    /// The address to listen on for them, where that is another one.
+    pub peers_bind: Option<SocketAddr>,
     /// For callers.
     pub callers: Option<SocketAddr>,
     /// For the balancer's question whether the host takes callers.
--- a/crates/settings/src/process/read.rs
+++ b/crates/settings/src/process/read.rs
@@ -124,6 +124,7 @@
         let peers = section.required("peers");
         let addresses = ProcessAddresses {
             peers: SocketAddr::from(([0, 0, 0, 0], 0)),
+            peers_bind: section.optional("peers_bind"),
             callers: section.optional("callers"),
             readiness: section.optional("readiness"),
             control: section.optional("control"),
--- /dev/null
+++ b/tests/fleet/main.rs
@@ -0,0 +1,9 @@
+//! Whole fleets of real processes, met through the platform's protocol.
+
+mod calm;
+mod client;
+mod proxy;
+mod servers;
+mod soak;
+mod trouble;
+mod world;
--- /dev/null
+++ b/tests/fleet/servers.rs
@@ -0,0 +1,215 @@
+//! Stand-ins of backend servers, which remember what they ran.
+
+use crate::client::Call;
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Method, Request, Response};
+use hyper_util::rt::TokioIo;
+use serde_json::json;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+
+/// The time between two check-ins, as the settings of the processes have it.
+pub(crate) const CHECK_IN_INTERVAL: Duration = Duration::from_millis(300);
+
+/// The time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Requests that a server runs at the same time.
+const SLOTS: u32 = 8;
+
+/// One run of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) id: String,
+    pub(crate) server: String,
+    pub(crate) team: Option<String>,
+    pub(crate) at: Instant,
+    pub(crate) had_key: bool,
+}
+
+/// What all servers of a test ran.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RunLog {
+    runs: Arc<Mutex<Vec<Run>>>,
+}
+
+impl RunLog {
+    pub(crate) fn all(&self) -> Vec<Run> {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.clone()
+    }
+
+    pub(crate) fn of(&self, id: &str) -> Vec<Run> {
+        self.all().into_iter().filter(|run| run.id == id).collect()
+    }
+
+    fn note(&self, run: Run) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.push(run);
+    }
+}
+
+/// A server that checks in with the control hosts.
+#[derive(Clone)]
+pub(crate) struct Server {
+    pub(crate) name: String,
+    service: &'static str,
+    zone: String,
+    address: SocketAddr,
+    born: u64,
+    log: RunLog,
+    leaving: Arc<AtomicBool>,
+    /// Whether the control hosts have acknowledged that it leaves.
+    pub(crate) leaving_known: Arc<AtomicBool>,
+}
+
+type AnswerBody = UnsyncBoxBody<Bytes, Infallible>;
+
+impl Server {
+    /// Starts a server of a service at a free port.
+    pub(crate) async fn start(
+        name: &str,
+        service: &'static str,
+        zone: &str,
+        control: Vec<SocketAddr>,
+        log: RunLog,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let server = Self {
+            name: name.to_owned(),
+            service,
+            zone: zone.to_owned(),
+            address: listener.local_addr().expect("an address"),
+            born: 1,
+            log,
+            leaving: Arc::default(),
+            leaving_known: Arc::default(),
+        };
+        tokio::spawn(server.clone().listen(listener));
+        tokio::spawn(server.clone().check_in(control));
+        server
+    }
+
+    /// Begins to leave at the next check-in.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    async fn listen(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                continue;
+            };
+            let server = self.clone();
+            let service = service_fn(move |request| {
+                let server = server.clone();
+                async move { Ok::<_, Infallible>(server.answer(request).await) }
+            });
+            let connection = hyper::server::conn::http1::Builder::new();
+            tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
+        }
+    }
+
+    async fn check_in(self, control: Vec<SocketAddr>) {
+        for sequence in 1u64.. {
+            let leaving = self.leaving.load(Ordering::Relaxed);
+            let body = json!({
+                "service": self.service, "address": self.address, "zone": self.zone,
+                "version": "v1", "slots": SLOTS, "cold-remaining-ms": 0, "sequence": sequence,
+                "state": if leaving { "draining" } else { "ready" }, "born": self.born,
+            });
+            let path = format!("/instances/{}/heartbeat", self.name);
+            for address in &control {
+                let mut call = Call::new(*address, Method::POST, &path).body(body.to_string());
+                call.timeout = Duration::from_secs(1);
+                if call
+                    .send()
+                    .await
+                    .is_some_and(|answer| answer.status.is_success())
+                {
+                    self.leaving_known.fetch_or(leaving, Ordering::Relaxed);
+                    break;
+                }
+            }
+            tokio::time::sleep(CHECK_IN_INTERVAL).await;
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let (head, body) = request.into_parts();
+        let text = |name: &str| text(&head.headers, name);
+        let id = text("x-request-id").unwrap_or_default();
+        if text("x-expect-instance").as_deref() != Some(&self.name) {
+            return plain(421, "another server");
+        }
+        let Ok(body) = body.collect().await else {
+            return plain(400, "no body");
+        };
+        self.log.note(Run {
+            id: id.clone(),
+            server: self.name.clone(),
+            team: text("x-tenant"),
+            at: Instant::now(),
+            had_key: head.headers.contains_key("authorization"),
+        });
+        let response = Response::builder()
+            .header("x-request-id", &id)
+            .header("x-server-stamp", format!("stamp-{}", self.name));
+        let answer = if self.service == "engine" {
+            let first = text("last-event-id").and_then(|last| last.parse::<u64>().ok());
+            let path = head.uri.path();
+            let count = path.rsplit('/').next().and_then(|last| last.parse().ok());
+            response
+                .header("content-type", "text/event-stream")
+                .body(events(
+                    id,
+                    first.map_or(0, |last| last + 1),
+                    count.unwrap_or(5),
+                ))
+        } else {
+            let echo = format!("{id}:{}", body.to_bytes().len());
+            response.body(Full::new(echo.into()).boxed_unsync())
+        };
+        answer.expect("it is valid")
+    }
+}
+
+/// The data of one event.
+pub(crate) fn event_data(id: &str, number: u64) -> String {
+    format!("{id}-{number}")
+}
+
+fn events(id: String, first: u64, count: u64) -> AnswerBody {
+    let stream = unfold(first, move |number| {
+        let event = format!("id: {number}\ndata: {}\n\n", event_data(&id, number));
+        async move {
+            if number >= count {
+                return None;
+            }
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            Some((Ok(Frame::data(Bytes::from(event))), number + 1))
+        }
+    });
+    StreamBody::new(stream).boxed_unsync()
+}
+
+fn text(fields: &HeaderMap, name: &str) -> Option<String> {
+    Some(fields.get(name)?.to_str().ok()?.to_owned())
+}
+
+fn plain(status: u16, text: &'static str) -> Response<AnswerBody> {
+    let body = Full::new(Bytes::from_static(text.as_bytes())).boxed_unsync();
+    let response = Response::builder()
+        .status(status)
+        .header("x-not-executed", "1");
+    response.body(body).expect("it is valid")
+}
--- /dev/null
+++ b/tests/fleet/world.rs
@@ -0,0 +1,459 @@
+//! A fleet of processes on loopback addresses of its own.
+
+use crate::client::{Answer, Call};
+use crate::proxy::{LinkFaults, run_proxy};
+use crate::servers::{CHECK_IN_INTERVAL, RunLog, Server};
+use hyper::Method;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_chicoryladderd");
+
+const PEERS_PORT: u16 = 7700;
+const PEERS_BIND_PORT: u16 = 7710;
+const CALLERS_PORT: u16 = 7701;
+const READINESS_PORT: u16 = 7702;
+const CONTROL_PORT: u16 = 7703;
+const METRICS_PORT: u16 = 7704;
+
+/// The longest wait for something that a healthy fleet does within seconds.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The time after which a withdrawn key opens nothing, as the settings promise.
+pub(crate) const KEY_WITHDRAWAL: Duration = Duration::from_secs(4);
+
+/// Gives each fleet of this test process addresses of its own.
+static NEXT_NET: AtomicU8 = AtomicU8::new(1);
+
+/// What a process does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Role {
+    Control,
+    Store,
+    Entry,
+}
+
+impl Role {
+    fn command(self) -> &'static str {
+        match self {
+            Self::Control => "control",
+            Self::Store => "store",
+            Self::Entry => "entry",
+        }
+    }
+}
+
+struct Host {
+    role: Role,
+    ip: Ipv4Addr,
+    zone: String,
+    child: Option<Child>,
+}
+
+/// A running fleet with its servers.
+pub(crate) struct World {
+    folder: TempDir,
+    net: (u8, u8),
+    hosts: BTreeMap<String, Host>,
+    pub(crate) faults: LinkFaults,
+    pub(crate) runs: RunLog,
+    pub(crate) servers: Vec<Server>,
+    version: u64,
+}
+
+impl World {
+    /// Starts control, store and entry hosts, three of each, in three zones, with
+    /// engines and a plain service, and brings a plan into force.
+    pub(crate) async fn start() -> Self {
+        let mut world = Self {
+            folder: TempDir::new().expect("a folder"),
+            net: (
+                u8::try_from(std::process::id() % 200).expect("a byte") + 20,
+                NEXT_NET.fetch_add(1, Ordering::Relaxed),
+            ),
+            hosts: BTreeMap::new(),
+            faults: LinkFaults::default(),
+            runs: RunLog::default(),
+            servers: Vec::new(),
+            version: 0,
+        };
+        for number in 1..=3 {
+            for role in [Role::Control, Role::Store, Role::Entry] {
+                world.add_host(role, number, true);
+            }
+        }
+        for number in 1..=3 {
+            let zone = format!("zone-{number}");
+            let control = world.addresses(Role::Control, CONTROL_PORT);
+            let runs = world.runs.clone();
+            let name = format!("engine-{number}");
+            let engine = Server::start(&name, "engine", &zone, control.clone(), runs.clone());
+            world.servers.push(engine.await);
+            let name = format!("app-{number}");
+            let app = Server::start(&name, "app", &zone, control, runs).await;
+            world.servers.push(app);
+        }
+        let plan = world.plan(&["k1"]);
+        world.apply(&plan).await;
+        world
+            .until("every entry host serves", || async {
+                world.all_ready().await
+            })
+            .await;
+        world
+            .until("a job is taken", || async { world.takes_jobs().await })
+            .await;
+        world
+    }
+
+    /// Adds a host and starts its process.
+    pub(crate) fn add_host(&mut self, role: Role, number: u8, first_start: bool) -> String {
+        let name = format!("{}-{number}", role.command());
+        let place = match role {
+            Role::Control => 10,
+            Role::Store => 20,
+            Role::Entry => 30,
+        };
+        let host = Host {
+            role,
+            ip: Ipv4Addr::new(127, self.net.0, self.net.1, place + number),
+            zone: format!("zone-{}", (number - 1) % 3 + 1),
+            child: None,
+        };
+        let listen = SocketAddr::from((host.ip, PEERS_PORT));
+        let target = SocketAddr::from((host.ip, PEERS_BIND_PORT));
+        tokio::spawn(run_proxy(name.clone(), listen, target, self.faults.clone()));
+        self.hosts.insert(name.clone(), host);
+        self.launch(&name, first_start);
+        name
+    }
+
+    /// Starts the process of a host.
+    pub(crate) fn launch(&mut self, name: &str, first_start: bool) {
+        let settings = self.folder.path().join(format!("{name}.ini"));
+        std::fs::write(&settings, self.settings(name, first_start)).expect("a file");
+        let log = self.folder.path().join(format!("{name}.log"));
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("a file");
+        let errors = log.try_clone().expect("a file");
+        let host = self.hosts.get_mut(name).expect("a host");
+        let child = Command::new(DAEMON)
+            .arg(host.role.command())
+            .arg("--settings")
+            .arg(&settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .expect("the daemon starts");
+        host.child = Some(child);
+    }
+
+    fn settings(&self, name: &str, first_start: bool) -> String {
+        let host = &self.hosts[name];
+        let at = |port: u16| SocketAddr::from((host.ip, port));
+        let seeds: Vec<String> = (1..=3)
+            .map(|n| Ipv4Addr::new(127, self.net.0, self.net.1, 10 + n))
+            .map(|ip| format!("{ip}:{CONTROL_PORT}"))
+            .collect();
+        let first_start = if first_start { "yes" } else { "no" };
+        let mut text = format!(
+            "[host]\nname = {name}\nzone = {}\n\n[listen]\npeers = {}\npeers_bind = {}\n\
+             metrics = {}\n",
+            host.zone,
+            at(PEERS_PORT),
+            at(PEERS_BIND_PORT),
+            at(METRICS_PORT),
+        );
+        match host.role {
+            Role::Entry => {
+                text += &format!("callers = {}\n", at(CALLERS_PORT));
+                text += &format!("readiness = {}\n", at(READINESS_PORT));
+            }
+            Role::Control => text += &format!("control = {}\n", at(CONTROL_PORT)),
+            Role::Store => {}
+        }
+        text += &format!(
+            "\n[control]\nseeds = {}\nfirst_start = {first_start}\nlosses_borne = 1\n",
+            seeds.join(", ")
+        );
+        if host.role != Role::Entry {
+            text += &format!("\n[data]\nfolder = {}\n", self.data(name).display());
+        }
+        text += &format!(
+            "\n[promises]\nkey_withdrawal_ms = {}\ncheck_in_interval_ms = {}\n\
+             drain_timeout_s = 8\nrate_slack = 20\n",
+            KEY_WITHDRAWAL.as_millis(),
+            CHECK_IN_INTERVAL.as_millis(),
+        );
+        text
+    }
+
+    fn data(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("data-{name}"))
+    }
+
+    /// What a host has written so far.
+    pub(crate) fn log_of(&self, name: &str) -> String {
+        let path = self.folder.path().join(format!("{name}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Sends a signal to the process of a host, by its number.
+    pub(crate) fn signal(&self, name: &str, signal: &str) {
+        if let Some(child) = &self.hosts[name].child {
+            let status = Command::new("kill")
+                .arg(format!("-{signal}"))
+                .arg(child.id().to_string())
+                .status();
+            assert!(status.is_ok_and(|status| status.success()), "kill {name}");
+        }
+    }
+
+    /// Ends the process of a host at once.
+    pub(crate) fn kill(&mut self, name: &str) {
+        let host = self.hosts.get_mut(name).expect("a host");
+        if let Some(mut child) = host.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Deletes the disk of a host whose process does not run.
+    pub(crate) fn wipe(&self, name: &str) {
+        std::fs::remove_dir_all(self.data(name)).expect("the folder is there");
+    }
+
+    /// Waits until the process of a host has ended; returns how long that took.
+    pub(crate) async fn until_ended(&mut self, name: &str) -> Duration {
+        let started = Instant::now();
+        let host = self.hosts.get_mut(name).expect("a host");
+        let mut child = host.child.take().expect("a process");
+        while child.try_wait().expect("a process").is_none() {
+            assert!(started.elapsed() < PATIENCE, "{name} does not end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        started.elapsed()
+    }
+
+    pub(crate) fn names(&self, role: Role) -> Vec<String> {
+        let of_role = self.hosts.iter().filter(|(_, host)| host.role == role);
+        of_role.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn addresses(&self, role: Role, port: u16) -> Vec<SocketAddr> {
+        let of_role = self.hosts.values().filter(|host| host.role == role);
+        of_role
+            .map(|host| SocketAddr::from((host.ip, port)))
+            .collect()
+    }
+
+    pub(crate) fn callers_address(&self, name: &str) -> SocketAddr {
+        SocketAddr::from((self.hosts[name].ip, CALLERS_PORT))
+    }
+
+    pub(crate) fn control_address(&self, name: &str) -> SocketAddr {
+        SocketAddr::from((self.hosts[name].ip, CONTROL_PORT))
+    }
+
+    pub(crate) async fn metrics(&self, name: &str) -> String {
+        let address = SocketAddr::from((self.hosts[name].ip, METRICS_PORT));
+        let answer = Call::new(address, Method::GET, "/metrics").send().await;
+        answer.expect("an answer").text()
+    }
+
+    /// The host that has written last that it leads.
+    pub(crate) fn leader(&self, role: Role) -> Option<String> {
+        let begun = |name: &String| {
+            let log = self.log_of(name);
+            let last = log.lines().rfind(|line| line.contains("\"leadership_"))?;
+            if !last.contains("leadership_begins") {
+                return None;
+            }
+            let line: Value = serde_json::from_str(last).ok()?;
+            line["term"].as_u64()
+        };
+        let names = self.names(role);
+        let leaders = names.iter().filter_map(|name| Some((begun(name)?, name)));
+        leaders.max().map(|(_, name)| name.clone())
+    }
+
+    /// The next plan: routes of each kind, and one team that holds the given keys.
+    pub(crate) fn plan(&mut self, keys: &[&str]) -> Value {
+        self.version += 1;
+        let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+            json!({
+                "name": name, "host": "walks.example", "path-prefix": format!("/{name}/"),
+                "type": kind, "timeout-ms": 5000, "target-latency-ms": 1000, "priority": 0,
+                "service": service, "max-attempts": attempts, "public": false,
+                "resumable": resumable, "gap-target-ms": 500,
+                "completion-target-ms": 20000, "max-queue-s": 120, "cap": 0,
+            })
+        };
+        json!({
+            "version": self.version,
+            "routes": [
+                route("walk", "streaming", "engine", 1, false),
+                route("rules", "streaming", "engine", 3, true),
+                route("ping", "idempotent", "app", 3, false),
+                route("charge", "non_idempotent", "app", 1, false),
+                route("digest", "bulk", "engine", 3, true),
+            ],
+            "services": [
+                {"name": "engine", "max-connections": 200,
+                 "engine": {"slots": 8, "kv-capacity-tokens": 100_000}},
+                {"name": "app", "max-connections": 200},
+            ],
+            "tenants": [{"name": "curepipe", "api-keys": keys, "rate-per-s": 500, "burst": 500}],
+        })
+    }
+
+    /// Sends a plan to control hosts by turns until one acknowledges it.
+    pub(crate) async fn apply(&self, plan: &Value) {
+        let addresses = self.addresses(Role::Control, CONTROL_PORT);
+        let started = Instant::now();
+        for address in addresses.iter().cycle() {
+            let call = Call::new(*address, Method::POST, "/config/replace").body(plan.to_string());
+            if call
+                .send()
+                .await
+                .is_some_and(|answer| answer.status.is_success())
+            {
+                return;
+            }
+            assert!(started.elapsed() < PATIENCE, "no plan is taken");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Reads the version in force at one control host; `None` if it can't be sure.
+    pub(crate) async fn read_version(&self, name: &str) -> Option<u64> {
+        let mut call = Call::new(self.control_address(name), Method::GET, "/config/get");
+        call.timeout = Duration::from_secs(3);
+        let answer = call
+            .send()
+            .await
+            .filter(|answer| answer.status.is_success())?;
+        answer.json()["version"].as_u64()
+    }
+
+    async fn all_ready(&self) -> bool {
+        for address in self.addresses(Role::Entry, READINESS_PORT) {
+            let answer = Call::new(address, Method::GET, "/readyz").send().await;
+            if !answer.is_some_and(|answer| answer.status.is_success()) {
+                return false;
+            }
+        }
+        for name in self.names(Role::Entry) {
+            for path in ["/ping/1", "/rules/2"] {
+                let answer = self.ask(&name, path, "probe").send().await;
+                if !answer.is_some_and(|answer| answer.status.is_success() && answer.whole) {
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    async fn takes_jobs(&self) -> bool {
+        let entry = &self.names(Role::Entry)[0];
+        let answer = self.submit(entry, "probe-job", &[], 1).await;
+        answer.is_some_and(|answer| answer.status.as_u16() == 202)
+    }
+
+    /// A caller's request at an entry host, with the first key.
+    pub(crate) fn ask(&self, entry: &str, path: &str, id: &str) -> Call {
+        Call::new(self.callers_address(entry), Method::POST, path)
+            .field("x-request-id", id)
+            .field("x-deadline-ms", 5000)
+            .key("k1")
+            .body("a question")
+    }
+
+    /// Submits a job whose items make `events` events each.
+    pub(crate) async fn submit(
+        &self,
+        entry: &str,
+        job: &str,
+        items: &[String],
+        events: u64,
+    ) -> Option<Answer> {
+        let item = |id: &String| {
+            json!({"id": id, "path": format!("/digest/{events}"), "headers": {},
+                   "body": "Ym9keQ==", "token-count": 100})
+        };
+        let items: Vec<Value> = items.iter().map(item).collect();
+        let body = json!({ "requests": items }).to_string();
+        let call = Call::new(self.callers_address(entry), Method::POST, "/digest/submit");
+        let call = call.field("x-request-id", job).key("k1").body(body);
+        call.send().await
+    }
+
+    /// Reads all results of a job; `None` if the host can't tell.
+    pub(crate) async fn results(&self, entry: &str, job: &str) -> Option<Vec<(String, String)>> {
+        let path = format!("/lots/{job}?after=0");
+        let call = Call::new(self.callers_address(entry), Method::GET, &path).key("k1");
+        let answer = call.send().await?;
+        if !answer.status.is_success() {
+            return None;
+        }
+        let page = answer.json();
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+        let results = page["results"].as_array()?.iter();
+        Some(
+            results
+                .map(|r| (text(&r["id"]), text(&r["text"])))
+                .collect(),
+        )
+    }
+
+    /// Waits for something that a healthy fleet comes to.
+    pub(crate) async fn until<F, Fut>(&self, what: &str, check: F)
+    where
+        F: Fn() -> Fut,
+        Fut: Future<Output = bool>,
+    {
+        let started = Instant::now();
+        while !check().await {
+            if started.elapsed() > PATIENCE {
+                self.keep_logs();
+                panic!("waited in vain: {what}");
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Keeps the logs of a fleet whose test fails, and tells where.
+    pub(crate) fn keep_logs(&self) {
+        let kept = std::env::temp_dir().join(format!("fleet-logs-{}", std::process::id()));
+        std::fs::create_dir_all(&kept).expect("a folder");
+        for name in self.hosts.keys() {
+            let file = kept.join(format!("{name}-{}.log", self.net.1));
+            std::fs::write(file, self.log_of(name)).expect("a file");
+        }
+        eprintln!("the logs are kept in {}", kept.display());
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let names: Vec<String> = self.hosts.keys().cloned().collect();
+        for name in names {
+            self.kill(&name);
+        }
+        if std::thread::panicking() {
+            self.keep_logs();
+        }
+    }
+}
