Refuse requests that crash the servers that run them, over all entry hosts

The broker's leader keeps the quarantine table of crates/policy. Entry hosts tell which request a server broke off at; the second crash quarantines it.

--- a/crates/broker/src/ask.rs
+++ b/crates/broker/src/ask.rs
@@ -69,6 +69,8 @@
     NoSlot,
     /// No server of the service is known.
     NoServer,
+    /// The request crashed the servers that ran it.
+    Quarantined,
 }
 
 /// The answer to a question for a slot.
--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -101,6 +101,11 @@
         self.grants.remove(key)
     }
 
+    pub(crate) fn find(&self, asker: &AskerId, ticket: u64) -> Option<&SlotGrant> {
+        let key = self.by_ticket.get(asker)?.get(&ticket)?;
+        self.grants.get(*key)
+    }
+
     pub(crate) fn holds(&self, asker: &AskerId, ticket: u64) -> bool {
         let tickets = self.by_ticket.get(asker);
         tickets.is_some_and(|tickets| tickets.contains_key(&ticket))
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -302,6 +302,14 @@
         self.dispatch(&service, now);
     }
 
+    /// The server of a slot and its incarnation.
+    #[must_use]
+    pub fn server_of(&self, asker: &AskerId, ticket: u64) -> Option<(ServerName, u64)> {
+        let grant = self.grants.find(asker, ticket)?;
+        let told = &self.servers.get(grant.server)?.record.told;
+        Some((told.name.clone(), told.born))
+    }
+
     /// Matches the slots of an asker with what it has under way.
     pub fn reconcile(&mut self, asker: &AskerId, active: &[ActiveRun], now: Instant) {
         self.askers.insert(asker.clone(), now);
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -20,6 +20,7 @@
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
 use chicoryladder_group::{GroupHandle, GroupStatus, ProposeFailure};
 use chicoryladder_plan::{PlanVersion, ServicePlan};
+use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
@@ -279,7 +280,12 @@
             return self.not_leader();
         }
         match call {
-            ControlCall::Ask { asker, plan, ask } => self.ask(&asker, plan, *ask).await,
+            ControlCall::Ask {
+                asker,
+                plan,
+                ask,
+                request,
+            } => self.ask(&asker, plan, *ask, request).await,
             ControlCall::Sync(request) => {
                 let now = self.now();
                 let mut state = self.state();
@@ -338,13 +344,14 @@
         asker: &AskerId,
         plan: PlanVersion,
         ask: AskSlot,
+        request: Option<RequestFingerprint>,
     ) -> BoxFuture<'static, GroupReply<ControlAnswer>> {
         let now = self.now();
         let mut state = self.state();
         if plan < state.plan.version() {
             return std::future::ready(GroupReply::Answer(ControlAnswer::OldPlan)).boxed();
         }
-        let decision = state.ask(asker, ask, now);
+        let decision = state.ask(asker, ask, request, now);
         self.settle(&mut state);
         drop(state);
         let shared = self.clone();
@@ -481,9 +488,14 @@
     fn call(&self, _: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
         let shared = self.0.clone();
         match postcard::from_bytes(&payload) {
-            Ok(Call::Control(ControlCall::Ask { asker, plan, ask })) => {
+            Ok(Call::Control(ControlCall::Ask {
+                asker,
+                plan,
+                ask,
+                request,
+            })) => {
                 let answering = if shared.leads() {
-                    shared.ask(&asker, plan, *ask)
+                    shared.ask(&asker, plan, *ask, request)
                 } else {
                     std::future::ready(shared.not_leader()).boxed()
                 };
@@ -507,10 +519,17 @@
                     group.deliver(envelope, peer.address);
                 }
             }
-            Ok(Notice::Release { asker, report }) => {
+            Ok(Notice::Release {
+                asker,
+                report,
+                crashed,
+            }) => {
                 let now = self.0.now();
                 let mut state = self.0.state();
                 if state.term.is_some() {
+                    if let Some(request) = crashed {
+                        state.note_crash(&asker, report.ticket, request, now);
+                    }
                     state.release(&asker, &report, now);
                     self.0.settle(&mut state);
                 }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -7,12 +7,15 @@
 use crate::message::{HostRole, StoreReport, StoreView, SyncAnswer, SyncRequest};
 use crate::seat_care::SeatCare;
 use chicoryladder_broker::{
-    AskSlot, AskerId, BrokerEvent, BrokerSettings, RunOutcome, RunReport, ServerView, SlotBroker,
-    SlotDecision,
+    AskSlot, AskerId, BrokerEvent, BrokerSettings, RefuseReason, RunOutcome, RunReport, ServerView,
+    SlotBroker, SlotDecision,
 };
 use chicoryladder_plan::ServicePlan;
+use chicoryladder_policy::quarantine::{
+    CrashReport, QuarantineTable, RequestFingerprint, ServerCrash, SuspectStatus,
+};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{SeatId, TermNumber};
+use chicoryladder_types::{SeatId, ServerGeneration, TermNumber};
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +35,9 @@
 /// been admitted before.
 const FIRST_TERM: TermNumber = TermNumber(1);
 
+/// The time for which a request that crashed servers is refused.
+const QUARANTINE: Duration = Duration::from_secs(60);
+
 /// A host that the leader heard from.
 #[derive(Clone, Debug)]
 pub(crate) struct HostRecord {
@@ -59,6 +65,7 @@
     pub(crate) founders: Option<BTreeMap<SeatId, SocketAddr>>,
     pub(crate) retiring: BTreeMap<HostName, (SocketAddr, bool)>,
     pub(crate) departed: HashSet<(ServerName, u64)>,
+    quarantine: QuarantineTable,
     waiting: HashMap<(AskerId, u64), oneshot::Sender<SlotDecision>>,
     settings: BrokerSettings,
     leads_since: Instant,
@@ -77,6 +84,7 @@
             founders: None,
             retiring: BTreeMap::new(),
             departed: HashSet::new(),
+            quarantine: QuarantineTable::new(QUARANTINE),
             waiting: HashMap::new(),
             settings,
             leads_since: now,
@@ -182,9 +190,20 @@
         &mut self,
         asker: &AskerId,
         ask: AskSlot,
+        request: Option<RequestFingerprint>,
         now: Instant,
     ) -> oneshot::Receiver<SlotDecision> {
         let (sender, receiver) = oneshot::channel();
+        let status = request.map(|request| self.quarantine.status(request, now));
+        if let Some(SuspectStatus::Quarantined { retry_after }) = status {
+            let reason = RefuseReason::Quarantined;
+            // The receiver is here.
+            let _ = sender.send(SlotDecision::Refused {
+                reason,
+                retry_after,
+            });
+            return receiver;
+        }
         let ticket = ask.ticket;
         self.waiting.insert((asker.clone(), ticket), sender);
         self.broker.ask(asker, ask, now);
@@ -234,6 +253,26 @@
         }
     }
 
+    /// Notes that a server broke off while it ran a request of an asker.
+    pub(crate) fn note_crash(
+        &mut self,
+        asker: &AskerId,
+        ticket: u64,
+        request: RequestFingerprint,
+        now: Instant,
+    ) {
+        let Some((server, born)) = self.broker.server_of(asker, ticket) else {
+            return;
+        };
+        let crash = ServerCrash {
+            server,
+            generation: ServerGeneration(born),
+        };
+        let in_flight = vec![request];
+        self.quarantine
+            .report_crash(&CrashReport { crash, in_flight }, now);
+    }
+
     pub(crate) fn release(&mut self, asker: &AskerId, report: &RunReport, now: Instant) {
         self.waiting.remove(&(asker.clone(), report.ticket));
         self.broker.release(asker, report, now);
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -11,6 +11,7 @@
 use chicoryladder_broker::{AskSlot, RefuseReason, RunOutcome, WorkKind};
 use chicoryladder_gateway::{AnswerBody, bytes_body};
 use chicoryladder_plan::{PlanRoute, RouteKind};
+use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{RouteName, ServiceName};
 use http_body_util::BodyExt;
@@ -80,6 +81,8 @@
     avoid: Vec<ServerName>,
     last_failure: Option<RunFailure>,
     service: ServiceName,
+    /// Identifies the request when it comes again.
+    pub(super) fingerprint: RequestFingerprint,
 }
 
 impl RequestState {
@@ -182,7 +185,10 @@
         let time = told.map_or(route.timeout, |left| left.min(route.timeout));
         let is_return = told.is_some_and(|left| self.is_return(&route.name, left));
         let service = choose_service(route, &request.id);
+        let team = matched.team.as_ref().map(|team| &team.name);
+        let fingerprint = RequestFingerprint::new(team, &route.name, &request.path, &request.body);
         RequestState {
+            fingerprint,
             answer_by: request.arrived_at + time,
             is_return,
             runs: 0,
@@ -243,6 +249,9 @@
             Err(failure) => {
                 self.note_failure(state, &lease, &failure);
                 lease.note_load(failure.load);
+                if failure.broke_off {
+                    lease.note_crash(state.fingerprint);
+                }
                 state.note_failure(&lease.server, failure.clone());
                 lease.end(failure.outcome);
                 Ok(None)
@@ -272,7 +281,8 @@
     ) -> Result<Option<SlotLease>, RequestRefusal> {
         state.asks += 1;
         let ask = self.slot_question(state, now);
-        match self.slots.ask(state.matched.plan.version(), ask).await {
+        let plan = state.matched.plan.version();
+        match self.slots.ask(plan, ask, Some(state.fingerprint)).await {
             Ok(lease) => {
                 state.paid = true;
                 Ok(Some(lease))
@@ -291,6 +301,10 @@
                         "the team is beyond its rate and burst",
                     ),
                     RefuseReason::NoSlot => (RefusalReason::NoServer, "no slot comes free in time"),
+                    RefuseReason::Quarantined => (
+                        RefusalReason::Quarantined,
+                        "the request crashed the servers that ran it",
+                    ),
                     RefuseReason::NoServer => {
                         (RefusalReason::NoServer, "no server of the service is known")
                     }
@@ -380,7 +394,7 @@
         self: &Arc<Self>,
         state: &mut RequestState,
         answer: ServerAnswer,
-        lease: SlotLease,
+        mut lease: SlotLease,
     ) -> Option<Result<Response<AnswerBody>, RequestRefusal>> {
         let is_stream = state.route().kind == RouteKind::Stream;
         let status = answer.parts.status;
@@ -400,25 +414,20 @@
         } = answer;
         let collected = tokio::time::timeout(left, body.collect()).await;
         let Ok(Ok(collected)) = collected else {
-            let failure = RunFailure {
-                verdict: RunVerdict::MayHaveRun,
-                outcome: RunOutcome::Failed,
-                load: None,
-                cause: "the answer broke off",
-            };
+            let failure = RunFailure::broke_off("the answer broke off");
             self.note_failure(state, &lease, &failure);
             state.note_failure(&lease.server, failure);
+            lease.note_crash(state.fingerprint);
             lease.end(RunOutcome::Failed);
             return None;
         };
         connection.put_back();
         if status == StatusCode::INTERNAL_SERVER_ERROR && may_again {
-            let failure = RunFailure {
-                verdict: RunVerdict::MayHaveRun,
-                outcome: RunOutcome::Served,
-                load: None,
-                cause: "the server answered that it failed",
-            };
+            let failure = RunFailure::new(
+                RunVerdict::MayHaveRun,
+                RunOutcome::Served,
+                "the server answered that it failed",
+            );
             self.note_failure(state, &lease, &failure);
             state.note_failure(&lease.server, failure);
             lease.end(RunOutcome::Served);
@@ -460,6 +469,7 @@
             avoid: std::mem::take(&mut state.avoid),
             last_failure: state.last_failure.take(),
             service: state.service.clone(),
+            fingerprint: state.fingerprint,
         };
         let terms = RelayTerms {
             forwarder: self.clone(),
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -23,6 +23,9 @@
 /// a stream that may be resumed goes on elsewhere.
 const SILENCE_GAPS: u32 = 3;
 
+/// The cause of an end that may be the crash of the server.
+const BROKE_OFF: &str = "the server broke off";
+
 /// What a relay needs beside the answer.
 pub(super) struct RelayTerms {
     pub(super) forwarder: Arc<RequestForwarder>,
@@ -107,7 +110,7 @@
         loop {
             let frame = match tokio::time::timeout(patience, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return RelayStep::Broken("the server broke off"),
+                Ok(Some(Err(_))) => return RelayStep::Broken(BROKE_OFF),
                 Ok(None) => return RelayStep::End,
                 Err(_) if patience < left => return RelayStep::Broken("the server fell silent"),
                 Err(_) => return RelayStep::Broken("the request ran out of time"),
@@ -152,7 +155,10 @@
 
     /// Goes on behind the last whole event at another server.
     async fn go_on_elsewhere(&mut self, cause: &'static str) -> bool {
-        if let Some((_, lease)) = self.run.take() {
+        if let Some((_, mut lease)) = self.run.take() {
+            if cause == BROKE_OFF {
+                lease.note_crash(self.terms.state.fingerprint);
+            }
             lease.end(RunOutcome::Failed);
         }
         let now = self.terms.forwarder.clock.now();
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -6,6 +6,7 @@
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_plan::{PlanVersion, RawPlan};
+use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -18,7 +19,12 @@
     /// A message between two seats of a group.
     Seat(SeatEnvelope),
     /// To the broker: a run ended.
-    Release { asker: AskerId, report: RunReport },
+    Release {
+        asker: AskerId,
+        report: RunReport,
+        /// The request, if the server broke off while it ran.
+        crashed: Option<RequestFingerprint>,
+    },
     /// To an asker: a run has to stop, since its slot is needed.
     Stop { ticket: u64 },
     /// To a host: the plan or the directory changed.
@@ -42,6 +48,8 @@
         asker: AskerId,
         plan: PlanVersion,
         ask: Box<AskSlot>,
+        /// Identifies the request, whichever host it is sent to again.
+        request: Option<RequestFingerprint>,
     },
     /// Exchanges what a host and the leader know.
     Sync(Box<SyncRequest>),
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -41,15 +41,26 @@
     pub(crate) load: Option<ServerLoad>,
     /// The cause.
     pub(crate) cause: &'static str,
+    /// Whether the server may have crashed with the request on it.
+    pub(crate) broke_off: bool,
 }
 
 impl RunFailure {
-    fn new(verdict: RunVerdict, outcome: RunOutcome, cause: &'static str) -> Self {
+    pub(crate) fn new(verdict: RunVerdict, outcome: RunOutcome, cause: &'static str) -> Self {
         Self {
             verdict,
             outcome,
             load: None,
             cause,
+            broke_off: false,
+        }
+    }
+
+    /// A run whose connection broke while the server had the request.
+    pub(crate) fn broke_off(cause: &'static str) -> Self {
+        Self {
+            broke_off: true,
+            ..Self::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause)
         }
     }
 }
@@ -186,11 +197,7 @@
 }
 
 fn broken() -> RunFailure {
-    RunFailure::new(
-        RunVerdict::MayHaveRun,
-        RunOutcome::Failed,
-        "the connection broke before the answer began",
-    )
+    RunFailure::broke_off("the connection broke before the answer began")
 }
 
 fn http_request(request: &ServerRequest) -> Result<Request<Full<Bytes>>, RunFailure> {
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -9,6 +9,7 @@
     WorkKind,
 };
 use chicoryladder_plan::PlanVersion;
+use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -130,12 +131,13 @@
         &self,
         plan: PlanVersion,
         mut ask: AskSlot,
+        request: Option<RequestFingerprint>,
     ) -> Result<SlotLease, AskFailure> {
         ask.ticket = self.shared.next_ticket.fetch_add(1, Ordering::Relaxed);
         if !self.is_detached()
             && let Some(leader) = self.shared.client.leader()
         {
-            match self.ask_broker(leader, plan, &ask).await {
+            match self.ask_broker(leader, plan, &ask, request).await {
                 Ok(result) => return result,
                 Err(LeaderError::NoLeader | LeaderError::Unknown) => self.note_lost(),
             }
@@ -154,6 +156,7 @@
         leader: SocketAddr,
         plan: PlanVersion,
         ask: &AskSlot,
+        request: Option<RequestFingerprint>,
     ) -> Result<Result<SlotLease, AskFailure>, LeaderError> {
         let pending = PendingAsk {
             client: self.clone(),
@@ -165,6 +168,7 @@
             asker: self.shared.base.asker(),
             plan,
             ask: Box::new(ask.clone()),
+            request,
         });
         let timeout = ask.wait_max + ASK_MARGIN;
         let answer = self.shared.client.call_once(&call, timeout).await?;
@@ -214,6 +218,7 @@
             ticket: ask.ticket,
             client: self.clone(),
             report: None,
+            crashed: None,
         }
     }
 
@@ -289,7 +294,12 @@
         loads
     }
 
-    fn release(&self, leader: Option<SocketAddr>, report: RunReport) {
+    fn release(
+        &self,
+        leader: Option<SocketAddr>,
+        report: RunReport,
+        crashed: Option<RequestFingerprint>,
+    ) {
         self.runs().remove(&report.ticket);
         let Some(leader) = leader else {
             // The next sync tells the broker that the run has ended.
@@ -298,6 +308,7 @@
         let notice = Notice::Release {
             asker: self.shared.base.asker(),
             report,
+            crashed,
         };
         self.shared.base.notify(leader, &notice);
     }
@@ -329,7 +340,7 @@
     fn drop(&mut self) {
         if !self.settled {
             let report = stopped(self.ticket);
-            self.client.release(Some(self.leader), report);
+            self.client.release(Some(self.leader), report, None);
         }
     }
 }
@@ -354,6 +365,7 @@
     ticket: u64,
     client: SlotClient,
     report: Option<RunReport>,
+    crashed: Option<RequestFingerprint>,
 }
 
 impl SlotLease {
@@ -372,6 +384,11 @@
         self.report_mut().load = load;
     }
 
+    /// Notes that the server broke off while it ran a request.
+    pub(crate) fn note_crash(&mut self, request: RequestFingerprint) {
+        self.crashed = Some(request);
+    }
+
     /// Gives the slot back with how the run ended.
     pub(crate) fn end(mut self, outcome: RunOutcome) {
         let report = self.report_mut();
@@ -394,6 +411,6 @@
         let report = self.report_mut().clone();
         self.client.note_outcome(&self.server, report.outcome);
         let leader = self.client.shared.client.leader();
-        self.client.release(leader, report);
+        self.client.release(leader, report, self.crashed);
     }
 }
--- a/tests/fleet/calm.rs
+++ b/tests/fleet/calm.rs
@@ -1,16 +1,11 @@
 //! A calm day: every kind of request, keys, plans and jobs.
 
 use crate::client::Call;
-use crate::servers::event_data;
+use crate::servers::{event_data, stream_text};
 use crate::world::{KEY_WITHDRAWAL, Role, World};
 use hyper::Method;
 use std::time::{Duration, Instant};
 
-fn stream_text(id: &str, count: u64) -> String {
-    let event = |n| format!("id: {n}\ndata: {}\n\n", event_data(id, n));
-    (0..count).map(event).collect()
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn every_kind_of_request_is_served() {
     let world = World::start().await;
--- a/tests/fleet/client.rs
+++ b/tests/fleet/client.rs
@@ -56,13 +56,13 @@
         }
     }
 
-    pub(crate) fn field(mut self, name: &'static str, value: impl ToString) -> Self {
+    pub(crate) fn field(mut self, name: &'static str, value: &str) -> Self {
         self.fields.push((name, value.to_string()));
         self
     }
 
     pub(crate) fn key(self, key: &str) -> Self {
-        self.field("authorization", format!("Bearer {key}"))
+        self.field("authorization", &format!("Bearer {key}"))
     }
 
     pub(crate) fn body(mut self, body: impl Into<Bytes>) -> Self {
--- a/tests/fleet/proxy.rs
+++ b/tests/fleet/proxy.rs
@@ -89,25 +89,25 @@
 }
 
 async fn pass(host: String, caller: TcpStream, target: SocketAddr, faults: LinkFaults) {
-    let Ok(callee) = TcpStream::connect(target).await else {
+    let Ok(host_side) = TcpStream::connect(target).await else {
         return;
     };
     // Neither end may wait for more bytes before it sends.
-    let _ = (caller.set_nodelay(true), callee.set_nodelay(true));
+    let _ = (caller.set_nodelay(true), host_side.set_nodelay(true));
     let (mut from_caller, to_caller) = caller.into_split();
-    let (from_callee, mut to_callee) = callee.into_split();
+    let (from_host, mut to_host) = host_side.into_split();
     let mut first = vec![0; 1024];
     let Ok(count) = from_caller.read(&mut first).await else {
         return;
     };
     first.truncate(count);
     let name = name_in(&first).unwrap_or_default();
-    if to_callee.write_all(&first).await.is_err() {
+    if to_host.write_all(&first).await.is_err() {
         return;
     }
     let resets = faults.resets_of(&name, &host);
-    let forth = copy(from_caller, to_callee, (&name, &host), &faults);
-    let back = copy(from_callee, to_caller, (&host, &name), &faults);
+    let forth = copy(from_caller, to_host, (&name, &host), &faults);
+    let back = copy(from_host, to_caller, (&host, &name), &faults);
     let reset = async {
         while faults.resets_of(&name, &host) == resets {
             tokio::time::sleep(BLOCKED_POLL).await;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -23,6 +24,9 @@
 /// The time between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// The end of paths at which a server breaks off.
+pub(crate) const CRASH_PATH: &str = "/crash";
+
 /// Requests that a server runs at the same time.
 const SLOTS: u32 = 8;
 
@@ -112,7 +116,7 @@
             let server = self.clone();
             let service = service_fn(move |request| {
                 let server = server.clone();
-                async move { Ok::<_, Infallible>(server.answer(request).await) }
+                async move { server.answer(request).await }
             });
             let connection = hyper::server::conn::http1::Builder::new();
             tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
@@ -144,15 +148,16 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    /// Answers a request; an error closes the connection, as a crash would.
+    async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<AnswerBody>> {
         let (head, body) = request.into_parts();
         let text = |name: &str| text(&head.headers, name);
         let id = text("x-request-id").unwrap_or_default();
         if text("x-expect-instance").as_deref() != Some(&self.name) {
-            return plain(421, "another server");
+            return Ok(plain(421, "another server"));
         }
         let Ok(body) = body.collect().await else {
-            return plain(400, "no body");
+            return Ok(plain(400, "no body"));
         };
         self.log.note(Run {
             id: id.clone(),
@@ -161,6 +166,9 @@
             at: Instant::now(),
             had_key: head.headers.contains_key("authorization"),
         });
+        if head.uri.path().ends_with(CRASH_PATH) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         let response = Response::builder()
             .header("x-request-id", &id)
             .header("x-server-stamp", format!("stamp-{}", self.name));
@@ -179,7 +187,7 @@
             let echo = format!("{id}:{}", body.to_bytes().len());
             response.body(Full::new(echo.into()).boxed_unsync())
         };
-        answer.expect("it is valid")
+        Ok(answer.expect("it is valid"))
     }
 }
 
@@ -188,9 +196,22 @@
     format!("{id}-{number}")
 }
 
+/// A whole stream.
+pub(crate) fn stream_text(id: &str, count: u64) -> String {
+    let mut text = String::new();
+    for number in 0..count {
+        text.push_str(&event_text(id, number));
+    }
+    text
+}
+
+fn event_text(id: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {}\n\n", event_data(id, number))
+}
+
 fn events(id: String, first: u64, count: u64) -> AnswerBody {
     let stream = unfold(first, move |number| {
-        let event = format!("id: {number}\ndata: {}\n\n", event_data(&id, number));
+        let event = event_text(&id, number);
         async move {
             if number >= count {
                 return None;
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -5,7 +5,7 @@
 //! `FLEET_SOAK_SECONDS` the length of each run. Without them one short run is played.
 //! `REGRESSIONS` are the seeds that failed once.
 
-use crate::servers::event_data;
+use crate::servers::{event_data, stream_text};
 use crate::world::{Role, World};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -109,9 +109,7 @@
         return;
     };
     let expected = match kind {
-        "walk" | "rules" => (0..STREAM_EVENTS)
-            .map(|n| format!("id: {n}\ndata: {}\n\n", event_data(id, n)))
-            .collect(),
+        "walk" | "rules" => stream_text(id, STREAM_EVENTS),
         _ => format!("{id}:10"),
     };
     let text = answer.text();
@@ -128,17 +126,17 @@
 async fn soak(seed: u64, length: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut world = World::start().await;
-    let seen = Seen::default();
+    let record = Seen::default();
     let until = Instant::now() + length;
     let mut callers = JoinSet::new();
-    start_callers(&world, &seen, until, &mut callers);
+    start_callers(&world, &record, until, &mut callers);
     let mut jobs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     let mut acknowledged = 0;
     let mut wiped_at: HashMap<&str, Instant> = HashMap::new();
     let mut trail = Vec::new();
     while Instant::now() < until {
         submit_job(&world, &mut jobs).await;
-        acknowledged = change_plan(&mut world, acknowledged, &seen).await;
+        acknowledged = change_plan(&mut world, acknowledged, &record).await;
         let trouble = draw_trouble(&mut rng);
         trail.push(format!("{trouble:?}"));
         make_trouble(&mut world, trouble, &mut rng, &mut wiped_at).await;
@@ -148,13 +146,13 @@
     }
     while callers.join_next().await.is_some() {}
     world.faults.heal();
-    check_end(&world, &jobs, acknowledged, &seen).await;
-    let faults = lock(&seen.faults).clone();
+    check_end(&world, &jobs, acknowledged, &record).await;
+    let faults = lock(&record.faults).clone();
     if !faults.is_empty() {
         world.keep_logs();
         panic!("seed {seed}: {faults:#?}\nafter {trail:#?}");
     }
-    let served = *lock(&seen.served);
+    let served = *lock(&record.served);
     assert!(served > 0, "seed {seed}: nothing was served");
     println!(
         "seed {seed}: {served} served, {} jobs, {} troubles",
--- a/tests/fleet/trouble.rs
+++ b/tests/fleet/trouble.rs
@@ -1,5 +1,6 @@
 //! Lost processes and disks, stops and departures.
 
+use crate::servers::CRASH_PATH;
 use crate::world::{PATIENCE, Role, World};
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -193,6 +194,36 @@
     assert_eq!(new.count(), 0);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_servers_reaches_two_whichever_host_it_comes_to() {
+    let world = World::start().await;
+    let path = format!("/ping{CRASH_PATH}");
+    for number in 0..9 {
+        let entry = &world.names(Role::Entry)[number % 3];
+        let id = format!("killer-{number}");
+        let answer = world
+            .ask(entry, &path, &id)
+            .send()
+            .await
+            .expect("an answer");
+        assert!(!answer.status.is_success());
+        if number > 2 {
+            assert!(answer.promises_not_run(), "{answer:?}");
+        }
+    }
+    let runs = world.runs.all();
+    let killers = runs.iter().filter(|run| run.id.starts_with("killer"));
+    assert_eq!(killers.count(), 2);
+    // Others are served all the while.
+    let entry = &world.names(Role::Entry)[0];
+    let answer = world
+        .ask(entry, "/ping/1", "other")
+        .send()
+        .await
+        .expect("an answer");
+    assert!(answer.status.is_success());
+}
+
 /// Entry hosts that hear nothing of the control group go on, and stop before a key
 /// could have been withdrawn without their knowing.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -57,6 +57,11 @@
     child: Option<Child>,
 }
 
+fn append(text: &mut String, more: std::fmt::Arguments<'_>) {
+    use std::fmt::Write;
+    text.write_fmt(more).expect("a string takes everything");
+}
+
 /// A running fleet with its servers.
 pub(crate) struct World {
     folder: TempDir,
@@ -177,24 +182,39 @@
         );
         match host.role {
             Role::Entry => {
-                text += &format!("callers = {}\n", at(CALLERS_PORT));
-                text += &format!("readiness = {}\n", at(READINESS_PORT));
+                let (callers, readiness) = (at(CALLERS_PORT), at(READINESS_PORT));
+                append(
+                    &mut text,
+                    format_args!("callers = {callers}\nreadiness = {readiness}\n"),
+                );
+            }
+            Role::Control => {
+                append(&mut text, format_args!("control = {}\n", at(CONTROL_PORT)));
             }
-            Role::Control => text += &format!("control = {}\n", at(CONTROL_PORT)),
             Role::Store => {}
         }
-        text += &format!(
-            "\n[control]\nseeds = {}\nfirst_start = {first_start}\nlosses_borne = 1\n",
-            seeds.join(", ")
+        let seeds = seeds.join(", ");
+        append(
+            &mut text,
+            format_args!(
+                "\n[control]\nseeds = {seeds}\nfirst_start = {first_start}\nlosses_borne = 1\n"
+            ),
         );
         if host.role != Role::Entry {
-            text += &format!("\n[data]\nfolder = {}\n", self.data(name).display());
+            let folder = self.data(name);
+            append(
+                &mut text,
+                format_args!("\n[data]\nfolder = {}\n", folder.display()),
+            );
         }
-        text += &format!(
-            "\n[promises]\nkey_withdrawal_ms = {}\ncheck_in_interval_ms = {}\n\
-             drain_timeout_s = 8\nrate_slack = 20\n",
-            KEY_WITHDRAWAL.as_millis(),
-            CHECK_IN_INTERVAL.as_millis(),
+        append(
+            &mut text,
+            format_args!(
+                "\n[promises]\nkey_withdrawal_ms = {}\ncheck_in_interval_ms = {}\n\
+                 drain_timeout_s = 8\nrate_slack = 20\n",
+                KEY_WITHDRAWAL.as_millis(),
+                CHECK_IN_INTERVAL.as_millis(),
+            ),
         );
         text
     }
@@ -376,7 +396,7 @@
     pub(crate) fn ask(&self, entry: &str, path: &str, id: &str) -> Call {
         Call::new(self.callers_address(entry), Method::POST, path)
             .field("x-request-id", id)
-            .field("x-deadline-ms", 5000)
+            .field("x-deadline-ms", "5000")
             .key("k1")
             .body("a question")
     }
