Explain from logs what became of a request, job or item

chicoryladder explain walks the logs of many processes: the lines on an id, and what their writers had begun to believe shortly before. Tests play a refused, a timed out and a broken request and find each cause by it. A routine line tells of each send.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -235,6 +235,7 @@
             return Err(refusal);
         }
         let request = self.server_request(state, &lease, None, now);
+        self.note_sent(state, &lease, now);
         // From here on the request may run, also if this future is dropped.
         state.runs += 1;
         let sent = self.runner.send(&request).await;
@@ -259,6 +260,21 @@
         }
     }
 
+    fn note_sent(&self, state: &RequestState, lease: &SlotLease, now: Instant) {
+        let waited = now.saturating_duration_since(state.request.arrived_at);
+        let left = state.answer_by.saturating_duration_since(now);
+        let fields = json!({
+            "request": state.request.id,
+            "route": state.route().name,
+            "server": lease.server,
+            "address": lease.address,
+            "waited_ms": waited.as_millis(),
+            "left_ms": left.as_millis(),
+            "without_broker": lease.unasked,
+        });
+        self.log.routine("sent", &fields);
+    }
+
     fn note_failure(&self, state: &RequestState, lease: &SlotLease, failure: &RunFailure) {
         self.metrics.count_retry(failure.outcome);
         let fields = json!({
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -6,6 +6,7 @@
 pub mod apply;
 pub mod demo;
 pub mod diff;
+pub mod explain;
 pub mod get;
 pub mod job;
 pub mod key;
@@ -41,6 +42,9 @@
     /// Compare a fleet document with the one in force
     #[bpaf(command("diff"))]
     Diff(#[bpaf(external(diff::diff_options))] diff::DiffOptions),
+    /// Tell from the logs of processes what became of a request, job or item
+    #[bpaf(command("explain"))]
+    Explain(#[bpaf(external(explain::explain_options))] explain::ExplainOptions),
     /// Grant, withdraw and list callers' keys
     #[bpaf(command("key"))]
     Key(#[bpaf(external(key::key_options))] key::KeyOptions),
@@ -79,6 +83,7 @@
             Self::Apply(options) => options.run().await,
             Self::Get(options) => options.run().await,
             Self::Diff(options) => options.run().await,
+            Self::Explain(options) => options.run(),
             Self::Key(options) => options.run().await,
             Self::Team(options) => options.run().await,
             Self::Job(options) => options.run().await,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod calm;
 mod client;
+mod explain;
 mod proxy;
 mod servers;
 mod soak;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -27,6 +27,9 @@
 /// The end of paths at which a server breaks off.
 pub(crate) const CRASH_PATH: &str = "/crash";
 
+/// The end of paths at which a server never answers.
+pub(crate) const SILENT_PATH: &str = "/silent";
+
 /// Requests that a server runs at the same time.
 const SLOTS: u32 = 8;
 
@@ -166,6 +169,9 @@
             at: Instant::now(),
             had_key: head.headers.contains_key("authorization"),
         });
+        if head.uri.path().ends_with(SILENT_PATH) {
+            std::future::pending::<()>().await;
+        }
         if head.uri.path().ends_with(CRASH_PATH) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -223,6 +223,12 @@
         self.folder.path().join(format!("data-{name}"))
     }
 
+    /// The files that the hosts write to.
+    pub(crate) fn log_files(&self) -> Vec<PathBuf> {
+        let file = |name: &String| self.folder.path().join(format!("{name}.log"));
+        self.hosts.keys().map(file).collect()
+    }
+
     /// What a host has written so far.
     pub(crate) fn log_of(&self, name: &str) -> String {
         let path = self.folder.path().join(format!("{name}.log"));
