Let a new broker and detached hosts use the servers that were known

The directory that hosts hold kept the age of check-ins from when it was last sent, so everything in it looked lost. Ruled out: slots held by lost runs (none were listed), servers that had really left.

Change: the leader tells which servers it counts as lost; hosts take the others as they are, and a new broker counts them as heard from now. Tests: a_new_broker_gives_out_the_slots..., a_silent_server_leaves_the_directory...

--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -42,7 +42,7 @@
 /// What became of a check-in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CheckInOutcome {
-    /// A server that was not known.
+    /// A server that was not known, or was lost.
     Added,
     /// A known server, as before.
     Renewed,
@@ -59,6 +59,8 @@
     pub told: ServerCheckIn,
     /// When it arrived.
     pub told_at: Instant,
+    /// Whether it has been silent for so long that it gets no work.
+    pub is_lost: bool,
     /// Until when the server gets no work, since it failed.
     pub suspended_until: Option<Instant>,
     /// Failures since the last success.
@@ -76,6 +78,7 @@
         Self {
             told,
             told_at: now,
+            is_lost: false,
             suspended_until: None,
             failures: 0,
             load: None,
@@ -87,7 +90,7 @@
     #[must_use]
     pub fn is_open(&self, now: Instant) -> bool {
         let suspended = self.suspended_until.is_some_and(|until| now < until);
-        self.told.phase == ServerPhase::Ready && !suspended
+        self.told.phase == ServerPhase::Ready && !suspended && !self.is_lost
     }
 
     /// Takes over a newer check-in.
@@ -109,19 +112,11 @@
         };
         self.told = ServerCheckIn { phase, ..told };
         self.told_at = now;
-        if leaves {
-            CheckInOutcome::Leaving
-        } else {
-            CheckInOutcome::Renewed
+        let returns = std::mem::take(&mut self.is_lost);
+        match (leaves, returns) {
+            (true, _) => CheckInOutcome::Leaving,
+            (false, true) => CheckInOutcome::Added,
+            (false, false) => CheckInOutcome::Renewed,
         }
     }
 }
-
-/// A server as entry hosts see it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerView {
-    /// The last check-in.
-    pub told: ServerCheckIn,
-    /// How long ago it arrived.
-    pub told_ago: Duration,
-}
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -24,7 +24,7 @@
 mod slots;
 
 pub use ask::{AskSlot, AskerId, BrokerEvent, PromptPart, RefuseReason, SlotDecision, WorkKind};
-pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord, ServerView};
+pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 pub use grants::{ActiveRun, RunOutcome, RunReport};
 pub use rate::{RateLedger, RateTolerance};
 pub use slots::{BrokerSettings, SlotBroker};
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -1,7 +1,7 @@
 //! The broker itself.
 
 use crate::ask::{AskSlot, AskerId, BrokerEvent, RefuseReason, SlotDecision, WorkKind};
-use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord, ServerView};
+use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantBook, GrantKey, RunOutcome, RunReport, ServerKey, SlotGrant};
 use crate::placement::{note_prompt, server_cost};
 use crate::pool::{ServicePool, WaitingAsk};
@@ -132,27 +132,25 @@
         &mut self.rates
     }
 
-    /// Changes whenever a server is added, leaves or is forgotten.
+    /// Changes whenever a server is added, leaves or is lost.
     #[must_use]
     pub fn directory_version(&self) -> u64 {
         self.directory_version
     }
 
-    /// The servers, for hosts that have to choose without the broker.
+    /// The servers that are not lost, for hosts that have to choose without the
+    /// broker, and for the next broker.
     #[must_use]
-    pub fn servers(&self, now: Instant) -> Vec<ServerView> {
-        let view = |entry: &ServerEntry| ServerView {
-            told: entry.record.told.clone(),
-            told_ago: now.saturating_duration_since(entry.record.told_at),
-        };
-        self.servers.values().map(view).collect()
+    pub fn servers(&self) -> Vec<ServerCheckIn> {
+        let alive = self.servers.values().filter(|entry| !entry.record.is_lost);
+        alive.map(|entry| entry.record.told.clone()).collect()
     }
 
-    /// Takes over what an earlier broker knew of a server.
-    pub fn adopt(&mut self, view: ServerView, now: Instant) {
-        let told_at = now.checked_sub(view.told_ago).unwrap_or(now);
-        if !self.by_name.contains_key(&view.told.name) {
-            self.add_server(view.told, told_at);
+    /// Takes over a server that an earlier broker knew. It counts as heard from now:
+    /// nobody has taken check-ins since the earlier broker did.
+    pub fn adopt(&mut self, told: ServerCheckIn, now: Instant) {
+        if !self.by_name.contains_key(&told.name) {
+            self.add_server(told, now);
         }
     }
 
@@ -169,8 +167,9 @@
             return CheckInOutcome::Stale;
         };
         let moved = entry.record.told.service != service;
+        let is_reborn = told.born > entry.record.told.born;
         let outcome = entry.record.renew(told, now);
-        if outcome == CheckInOutcome::Added {
+        if is_reborn {
             self.forget_grants_of(key);
             if moved {
                 for pool in self.services.values_mut() {
@@ -218,7 +217,7 @@
             self.refuse(asker, ask.ticket, RefuseReason::RateExceeded, retry_after);
             return;
         }
-        if !self.has_servers(&ask.service, now) {
+        if !self.has_servers(&ask.service) {
             self.refund(ask.payer.as_ref());
             self.refuse(asker, ask.ticket, RefuseReason::NoServer, NO_SERVER_RETRY);
             return;
@@ -343,6 +342,7 @@
     /// Acts on timers.
     pub fn tick(&mut self, now: Instant) {
         self.drop_lost_askers(now);
+        self.note_lost_servers(now);
         self.forget_servers(now);
         self.expire_waiting(now);
         self.dispatch_all(now);
@@ -394,20 +394,12 @@
         self.directory_version += 1;
     }
 
-    fn is_open(&self, entry: &ServerEntry, now: Instant) -> bool {
-        let silent = now.saturating_duration_since(entry.record.told_at);
-        entry.record.is_open(now) && silent <= self.settings.lost_after
-    }
-
-    fn has_servers(&self, service: &ServiceName, now: Instant) -> bool {
+    fn has_servers(&self, service: &ServiceName) -> bool {
         let Some(pool) = self.services.get(service) else {
             return false;
         };
-        let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        entries.into_iter().any(|entry| {
-            let silent = now.saturating_duration_since(entry.record.told_at);
-            entry.record.told.phase == ServerPhase::Ready && silent <= self.settings.lost_after
-        })
+        let mut entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
+        entries.any(|entry| entry.record.told.phase == ServerPhase::Ready && !entry.record.is_lost)
     }
 
     fn open_slots(&self, service: &ServiceName, now: Instant) -> u32 {
@@ -416,7 +408,7 @@
         };
         let is_engine = pool.engine_tokens.is_some();
         let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        let open = entries.filter(|entry| self.is_open(entry, now));
+        let open = entries.filter(|entry| entry.record.is_open(now));
         open.map(|entry| entry.capacity(is_engine, now)).sum()
     }
 
@@ -468,7 +460,7 @@
             let fits = pool
                 .engine_tokens
                 .is_none_or(|max| entry.tokens + ask.tokens <= max);
-            let usable = self.is_open(entry, now) && !ask.avoid.contains(&entry.record.told.name);
+            let usable = entry.record.is_open(now) && !ask.avoid.contains(&entry.record.told.name);
             if free <= headroom || !fits || !usable {
                 continue;
             }
@@ -491,7 +483,7 @@
                 && !grant.stopping
                 && pool.servers.contains(&grant.server)
                 && entry.is_some_and(|entry| {
-                    self.is_open(entry, now) && !ask.avoid.contains(&entry.record.told.name)
+                    entry.record.is_open(now) && !ask.avoid.contains(&entry.record.told.name)
                 })
         });
         let near = |grant: &SlotGrant| self.is_in_zone(grant.server, &ask.zone);
@@ -618,6 +610,17 @@
         }
     }
 
+    fn note_lost_servers(&mut self, now: Instant) {
+        let limit = self.settings.lost_after;
+        for entry in self.servers.values_mut() {
+            let silent = now.saturating_duration_since(entry.record.told_at);
+            if silent > limit && !entry.record.is_lost {
+                entry.record.is_lost = true;
+                self.directory_version += 1;
+            }
+        }
+    }
+
     fn forget_servers(&mut self, now: Instant) {
         let limit = self.settings.forget_after;
         let is_gone =
--- a/crates/broker/tests/all/bursts.rs
+++ b/crates/broker/tests/all/bursts.rs
@@ -144,8 +144,8 @@
             self.end_runs();
             if at.as_millis().is_multiple_of(1_000) {
                 sequence += 1;
-                for view in self.world.broker.servers(self.world.now) {
-                    let told = check_in(view.told.name.as_str(), "a", sequence);
+                for server in self.world.broker.servers() {
+                    let told = check_in(server.name.as_str(), "a", sequence);
                     self.world.broker.check_in(told, self.world.now);
                 }
             }
--- a/crates/broker/tests/all/directory.rs
+++ b/crates/broker/tests/all/directory.rs
@@ -59,6 +59,39 @@
     assert!(granted(&world.ask_online()).is_some());
 }
 
+/// Hosts that choose without the broker, and the next broker, hear of it.
+#[test]
+fn a_silent_server_leaves_the_directory_until_it_is_heard_again() {
+    let mut world = World::new(&[("a1", "a"), ("a2", "a")], Vec::new());
+    let before = world.broker.directory_version();
+    for step in 0..51 {
+        world.tick(Duration::from_millis(100));
+        let told = check_in("a2", "a", 2 + step);
+        world.broker.check_in(told, world.now);
+    }
+    assert_eq!(world.broker.servers().len(), 1);
+    let lost = world.broker.directory_version();
+    assert!(lost > before);
+    world.broker.check_in(check_in("a1", "a", 2), world.now);
+    assert_eq!(world.broker.servers().len(), 2);
+    assert!(world.broker.directory_version() > lost);
+}
+
+/// Load pattern: the broker is replaced in the middle of a day. Servers check in with
+/// the new one a second or two later; until then it serves with those it took over.
+#[test]
+fn a_new_broker_gives_out_the_slots_of_the_servers_it_takes_over() {
+    let old = World::new(&[("a1", "a"), ("b1", "b")], Vec::new());
+    let mut new = World::new(&[], Vec::new());
+    new.now += Duration::from_secs(60);
+    for told in old.broker.servers() {
+        new.broker.adopt(told, new.now);
+    }
+    for _ in 0..16 {
+        assert!(granted(&new.ask_online()).is_some());
+    }
+}
+
 #[test]
 fn a_departure_concerns_the_start_that_it_names() {
     let mut world = World::new(&[("a1", "a")], Vec::new());
@@ -88,5 +121,5 @@
             world.broker.check_in(told, world.now);
         }
     }
-    assert_eq!(world.broker.servers(world.now).len(), 200);
+    assert_eq!(world.broker.servers().len(), 200);
 }
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -779,10 +779,10 @@
         return;
     };
     if let Ok(machine) = group.read(ControlMachine::clone).await {
-        let directory = shared.view.servers(shared.now());
+        let directory = shared.view.servers();
         let servers = directory.len();
         let now = shared.now();
-        shared.state().begin(status.term, &machine, directory, now);
+        shared.state().begin(status.term, &machine, &directory, now);
         let fields = json!({ "term": status.term.0, "servers": servers });
         shared.log.note("leadership_begins", &fields);
     }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -7,8 +7,8 @@
 use crate::message::{HostRole, StoreReport, StoreView, SyncAnswer, SyncRequest};
 use crate::seat_care::SeatCare;
 use chicoryladder_broker::{
-    AskSlot, AskerId, BrokerEvent, BrokerSettings, RefuseReason, RunOutcome, RunReport, ServerView,
-    SlotBroker, SlotDecision,
+    AskSlot, AskerId, BrokerEvent, BrokerSettings, RefuseReason, RunOutcome, RunReport,
+    ServerCheckIn, SlotBroker, SlotDecision,
 };
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_policy::quarantine::{
@@ -98,7 +98,7 @@
         &mut self,
         term: TermNumber,
         machine: &ControlMachine,
-        directory: Vec<ServerView>,
+        directory: &[ServerCheckIn],
         now: Instant,
     ) {
         self.term = Some(term);
@@ -111,8 +111,8 @@
         self.plan = Arc::default();
         self.stored = None;
         self.departed = machine.departures().iter().cloned().collect();
-        for view in directory {
-            self.broker.adopt(view, now);
+        for server in directory {
+            self.broker.adopt(server.clone(), now);
         }
         for (name, born) in machine.departures() {
             self.broker.leave(name, Some(*born));
@@ -166,7 +166,7 @@
         let count = |value: usize| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
         let mut levels = vec![
             ("hosts", count(self.hosts.len())),
-            ("servers", count(self.broker.servers(now).len())),
+            ("servers", count(self.broker.servers().len())),
         ];
         let (mut running, mut slots, mut online, mut batch) = (0, 0, 0, 0);
         for service in &self.plan.raw().services {
@@ -284,7 +284,7 @@
         self.broker.reconcile(&request.asker, &request.active, now);
         let term = self.term.unwrap_or_default().0;
         let number = (term, self.broker.directory_version());
-        let directory = (number != request.directory).then(|| (number, self.broker.servers(now)));
+        let directory = (number != request.directory).then(|| (number, self.broker.servers()));
         let plan = self
             .stored
             .as_ref()
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -9,7 +9,7 @@
     Call, ControlAnswer, ControlCall, HostRole, StoreReport, StoreView, SyncAnswer, SyncRequest,
 };
 use crate::process::ProcessBase;
-use chicoryladder_broker::{ActiveRun, ServerView};
+use chicoryladder_broker::{ActiveRun, ServerCheckIn};
 use chicoryladder_plan::{PlanVersion, ServicePlan};
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
@@ -31,8 +31,7 @@
     plan: Arc<ServicePlan>,
     fresh_at: Option<Instant>,
     directory: (u64, u64),
-    servers: Arc<Vec<ServerView>>,
-    servers_at: Option<Instant>,
+    servers: Arc<Vec<ServerCheckIn>>,
     reserves: HashMap<TeamName, u32>,
     store: StoreView,
 }
@@ -74,17 +73,9 @@
         self.state().store.clone()
     }
 
-    /// The servers, with the age of what they told.
-    pub(crate) fn servers(&self, now: Instant) -> Vec<ServerView> {
-        let state = self.state();
-        let held_for = state
-            .servers_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let aged = |view: &ServerView| ServerView {
-            told_ago: view.told_ago + held_for,
-            ..view.clone()
-        };
-        state.servers.iter().map(aged).collect()
+    /// The servers that the leader did not count as lost.
+    pub(crate) fn servers(&self) -> Arc<Vec<ServerCheckIn>> {
+        self.state().servers.clone()
     }
 
     /// Pays for a request of a team from the reserve of this host.
@@ -133,7 +124,7 @@
         }
     }
 
-    fn apply(&self, answer: SyncAnswer, sent_at: Instant, now: Instant) -> Option<PlanVersion> {
+    fn apply(&self, answer: SyncAnswer, sent_at: Instant) -> Option<PlanVersion> {
         let mut state = self.state();
         let mut news = None;
         if let Some(raw) = answer.plan.filter(|raw| raw.version > state.plan.version()) {
@@ -151,7 +142,6 @@
         if let Some((number, servers)) = answer.directory {
             state.directory = number;
             state.servers = Arc::new(servers);
-            state.servers_at = Some(now);
         }
         for (team, count) in answer.reserves {
             *state.reserves.entry(team).or_default() += count;
@@ -217,7 +207,7 @@
                 found = true;
                 (reporter.on_news)(ViewNews::LeaderFound);
             }
-            if let Some(version) = view.apply(*answer, sent_at, base.clock.now()) {
+            if let Some(version) = view.apply(*answer, sent_at) {
                 (reporter.on_news)(ViewNews::Plan(version));
             }
             SYNC_INTERVAL
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -1,9 +1,7 @@
 //! What the processes of a fleet tell each other.
 
 use chicoryladder_batch::{BatchCommand, JobPage};
-use chicoryladder_broker::{
-    ActiveRun, AskSlot, AskerId, RunReport, ServerCheckIn, ServerView, SlotDecision,
-};
+use chicoryladder_broker::{ActiveRun, AskSlot, AskerId, RunReport, ServerCheckIn, SlotDecision};
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::RequestFingerprint;
@@ -157,7 +155,7 @@
     /// The plan, if it is newer than the one held.
     pub(crate) plan: Option<Box<RawPlan>>,
     /// The directory, if it differs from the one held.
-    pub(crate) directory: Option<((u64, u64), Vec<ServerView>)>,
+    pub(crate) directory: Option<((u64, u64), Vec<ServerCheckIn>)>,
     /// What is added to the reserves of the host.
     pub(crate) reserves: Vec<(TeamName, u32)>,
     pub(crate) store: StoreView,
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -5,8 +5,8 @@
 use crate::message::{Call, ControlAnswer, ControlCall, Notice};
 use crate::process::ProcessBase;
 use chicoryladder_broker::{
-    ActiveRun, AskSlot, RefuseReason, RunOutcome, RunReport, ServerPhase, ServerView, SlotDecision,
-    WorkKind,
+    ActiveRun, AskSlot, RefuseReason, RunOutcome, RunReport, ServerCheckIn, ServerPhase,
+    SlotDecision, WorkKind,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::RequestFingerprint;
@@ -29,9 +29,6 @@
 /// The time for which a server that could not be reached is passed over.
 const PASSED_OVER_FOR: Duration = Duration::from_secs(2);
 
-/// The check-ins that a server may miss before it is no longer chosen.
-const MISSED_CHECK_INS: u32 = 4;
-
 /// Why there is no slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AskFailure {
@@ -230,29 +227,25 @@
             reason,
             retry_after: DETACHED_RETRY,
         };
-        let servers = shared.view.servers(now);
-        let lost_after = shared.base.settings.promises.check_in_interval * MISSED_CHECK_INS;
-        let age = shared.view.age(now).unwrap_or_default();
-        // While nobody takes check-ins, all servers look silent.
-        let is_usable = |view: &&ServerView| {
-            view.told.service == ask.service
-                && view.told.phase == ServerPhase::Ready
-                && view.told_ago < lost_after + age
-                && !ask.avoid.contains(&view.told.name)
+        let servers = shared.view.servers();
+        let is_usable = |told: &&ServerCheckIn| {
+            told.service == ask.service
+                && told.phase == ServerPhase::Ready
+                && !ask.avoid.contains(&told.name)
         };
         let loads = self.own_loads();
-        let load = |view: &ServerView| loads.get(&view.told.name).copied().unwrap_or_default();
-        let has_room = |view: &&ServerView| load(view) < view.told.slots;
+        let load = |told: &ServerCheckIn| loads.get(&told.name).copied().unwrap_or_default();
+        let has_room = |told: &&ServerCheckIn| load(told) < told.slots;
         // Where the broker is out of reach, so may be the other zones.
-        let order = |view: &ServerView| {
-            let is_far = view.told.zone != ask.zone;
-            (is_far, load(view), mix(ask.ticket, view.told.name.as_str()))
+        let order = |told: &ServerCheckIn| {
+            let is_far = told.zone != ask.zone;
+            (is_far, load(told), mix(ask.ticket, told.name.as_str()))
         };
         let passed_over = self.passed_over(now);
-        let is_reached = |view: &&ServerView| !passed_over.contains(&view.told.name);
+        let is_reached = |told: &&ServerCheckIn| !passed_over.contains(&told.name);
         let usable = servers.iter().filter(is_usable).filter(is_reached);
         let chosen = usable.filter(has_room);
-        let Some(chosen) = chosen.min_by_key(|view| order(view)) else {
+        let Some(told) = chosen.min_by_key(|told| order(told)) else {
             return Err(refused(RefuseReason::NoSlot));
         };
         if let Some(team) = &ask.payer
@@ -260,7 +253,6 @@
         {
             return Err(refused(RefuseReason::RateExceeded));
         }
-        let told = &chosen.told;
         Ok(self.lease(ask, told.name.clone(), told.address, true))
     }
 
