--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -11,7 +11,8 @@
     Call, ControlAnswer, ControlCall, GroupReply, JoinAnswer, JoinRequest, Notice,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
-use crate::process::{ProcessBase, ProcessError, RETRY_PAUSE};
+use crate::process::{ProcessBase, ProcessError};
+use crate::seat_keeper::{SeatKeeper, SeatSlot, SeatSource};
 use crate::seat_opener::{FounderMap, SeatOpener};
 use bytes::Bytes;
 use chicoryladder_broker::{
@@ -30,7 +31,7 @@
 use serde_json::json;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
@@ -51,9 +52,6 @@
 /// a few round trips.
 const SLOW_RELAY: Duration = Duration::from_millis(100);
 
-/// The time without a leader after which a seat asks whether it still counts.
-const SEAT_DOUBT: Duration = Duration::from_millis(1_500);
-
 /// The check-ins that a server may miss before it gets no work; check-ins may be
 /// late by seconds.
 const MISSED_CHECK_INS: u32 = 5;
@@ -77,7 +75,7 @@
     client: LeaderClient,
     log: EventLog,
     view: FleetView,
-    group: RwLock<Option<GroupHandle<ControlMachine>>>,
+    seat: SeatSlot<ControlMachine>,
     state: Mutex<LeaderState>,
     control_port: u16,
 }
@@ -107,7 +105,7 @@
         let shared = Arc::new(ControlShared {
             client: base.control_client(),
             view: FleetView::new(),
-            group: RwLock::new(None),
+            seat: SeatSlot::default(),
             state: Mutex::new(LeaderState::new(broker_settings(&base.settings), now)),
             control_port: address.port(),
             log,
@@ -206,12 +204,7 @@
 
 impl ControlShared {
     fn group(&self) -> Option<GroupHandle<ControlMachine>> {
-        let group = self.group.read().unwrap_or_else(PoisonError::into_inner);
-        group.clone()
-    }
-
-    fn set_group(&self, handle: Option<GroupHandle<ControlMachine>>) {
-        *self.group.write().unwrap_or_else(PoisonError::into_inner) = handle;
+        self.seat.group()
     }
 
     fn state(&self) -> MutexGuard<'_, LeaderState> {
@@ -223,7 +216,7 @@
     }
 
     fn status(&self) -> GroupStatus {
-        self.group().map(|group| group.status()).unwrap_or_default()
+        self.seat.status()
     }
 
     /// Whether this host leads, has begun to act on it, and holds the lease.
@@ -233,9 +226,7 @@
     }
 
     fn not_leader<T>(&self) -> GroupReply<T> {
-        let own = self.base.rpc.identity().address;
-        let leader = self.status().leader.filter(|leader| *leader != own);
-        GroupReply::NotLeader { leader }
+        GroupReply::not_leader(&self.status(), self.base.rpc.identity().address)
     }
 
     /// Carries out what the broker decided.
@@ -660,80 +651,42 @@
     }
 }
 
-/// Founds the group, resumes the seat of the folder or asks for a seat, and asks
-/// for another one when the seat was removed.
-async fn keep_seat(shared: Arc<ControlShared>, opener: SeatOpener) {
-    let control = &shared.base.settings.control;
-    let founders = shared.base.control_founders();
-    let mut first_start = control.first_start;
-    loop {
-        match opener.open(Some(&founders), first_start) {
-            Ok(Some(handle)) => shared.set_group(Some(handle)),
-            Ok(None) => match join(&shared, &opener).await {
-                Ok(handle) => shared.set_group(Some(handle)),
-                Err(error) => {
-                    log::error!("control: the data folder cannot be used: {error}.");
-                    tokio::time::sleep(RETRY_PAUSE).await;
-                    continue;
-                }
-            },
-            Err(error) => {
-                log::error!("control: the data folder cannot be used: {error}.");
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
-        }
-        let seat = shared.status().seat;
-        shared.log.note("seat_opened", &json!({ "seat": seat.0 }));
-        first_start = false;
-        until_removed(&shared, seat).await;
-        shared.log.note("seat_removed", &json!({ "seat": seat.0 }));
-        shared.set_group(None);
-        if let Err(error) = opener.clear() {
-            log::error!("control: the files of a removed seat stay: {error}.");
-        }
-    }
+/// How a control host gets a seat.
+struct ControlSeats {
+    base: ProcessBase,
+    client: LeaderClient,
 }
 
-async fn join(
-    shared: &ControlShared,
-    opener: &SeatOpener,
-) -> std::io::Result<GroupHandle<ControlMachine>> {
-    loop {
-        if let Some(JoinAnswer::Granted(seat)) = ask_for_seat(shared, None).await {
-            return opener.take(seat);
-        }
-        tokio::time::sleep(RETRY_PAUSE).await;
+impl SeatSource for ControlSeats {
+    fn founders(&self) -> Option<FounderMap> {
+        Some(self.base.control_founders())
     }
-}
 
-async fn ask_for_seat(shared: &ControlShared, seat: Option<SeatId>) -> Option<JoinAnswer> {
-    let request = shared.base.join_request(seat);
-    let call = Call::Control(ControlCall::Join(request));
-    match shared.client.call_once(&call, RELAY_TIMEOUT).await {
-        Ok(ControlAnswer::Seat(answer)) => Some(answer),
-        Ok(_) | Err(_) => None,
+    fn ask(&self, seat: Option<SeatId>) -> BoxFuture<'_, Option<JoinAnswer>> {
+        let call = Call::Control(ControlCall::Join(self.base.join_request(seat)));
+        async move {
+            match self.client.call_once(&call, RELAY_TIMEOUT).await {
+                Ok(ControlAnswer::Seat(answer)) => Some(answer),
+                Ok(_) | Err(_) => None,
+            }
+        }
+        .boxed()
     }
 }
 
-/// Waits until the leader says that the seat was removed.
-async fn until_removed(shared: &ControlShared, seat: SeatId) {
-    let mut led_at = shared.now();
-    loop {
-        tokio::time::sleep(RETRY_PAUSE).await;
-        let status = shared.status();
-        let now = shared.now();
-        if status.leader.is_some() && status.members.iter().any(|m| m.seat == seat) {
-            led_at = now;
-            continue;
-        }
-        if now.saturating_duration_since(led_at) < SEAT_DOUBT {
-            continue;
-        }
-        if let Some(JoinAnswer::Removed) = ask_for_seat(shared, Some(seat)).await {
-            return;
-        }
-    }
+async fn keep_seat(shared: Arc<ControlShared>, opener: SeatOpener) {
+    let source = ControlSeats {
+        base: shared.base.clone(),
+        client: shared.client.clone(),
+    };
+    let keeper = SeatKeeper {
+        slot: &shared.seat,
+        source: &source,
+        opener,
+        log: shared.log.clone(),
+        first_start: shared.base.settings.control.first_start,
+    };
+    keeper.run().await;
 }
 
 /// Acts as the leader while this host is it.
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ports;
 mod process;
 mod seat_care;
+mod seat_keeper;
 mod seat_opener;
 mod server_connections;
 mod server_run;
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -3,6 +3,7 @@
 use chicoryladder_batch::{BatchCommand, JobPage};
 use chicoryladder_broker::{ActiveRun, AskSlot, AskerId, RunReport, ServerCheckIn, SlotDecision};
 use chicoryladder_consensus::SeatEnvelope;
+use chicoryladder_group::GroupStatus;
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::SeatId;
@@ -244,3 +245,11 @@
     /// The answer of the leader.
     Answer(T),
 }
+
+impl<T> GroupReply<T> {
+    /// The answer of a host that does not lead, from what it knows of its group.
+    pub(crate) fn not_leader(status: &GroupStatus, own: SocketAddr) -> Self {
+        let leader = status.leader.filter(|leader| *leader != own);
+        Self::NotLeader { leader }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/seat_keeper.rs
@@ -0,0 +1,130 @@
+//! Keeps the seat of a process open while the process runs.
+
+use crate::event_log::EventLog;
+use crate::message::JoinAnswer;
+use crate::process::RETRY_PAUSE;
+use crate::seat_opener::{FounderMap, SeatOpener};
+use chicoryladder_consensus::StateMachine;
+use chicoryladder_group::{GroupHandle, GroupStatus};
+use chicoryladder_types::SeatId;
+use futures_util::future::BoxFuture;
+use serde_json::json;
+use std::io;
+use std::sync::{PoisonError, RwLock};
+use std::time::Duration;
+
+/// The time without a leader after which a seat asks whether it still counts.
+const SEAT_DOUBT: Duration = Duration::from_millis(1_500);
+
+/// The seat of a process, once it has one.
+pub(crate) struct SeatSlot<M> {
+    group: RwLock<Option<GroupHandle<M>>>,
+}
+
+impl<M> Default for SeatSlot<M> {
+    fn default() -> Self {
+        Self {
+            group: RwLock::new(None),
+        }
+    }
+}
+
+impl<M: Send + 'static> SeatSlot<M> {
+    /// Reaches the group; `None` without a seat.
+    pub(crate) fn group(&self) -> Option<GroupHandle<M>> {
+        let group = self.group.read().unwrap_or_else(PoisonError::into_inner);
+        group.clone()
+    }
+
+    /// What is known of the group.
+    pub(crate) fn status(&self) -> GroupStatus {
+        self.group().map(|group| group.status()).unwrap_or_default()
+    }
+
+    fn set(&self, handle: Option<GroupHandle<M>>) {
+        *self.group.write().unwrap_or_else(PoisonError::into_inner) = handle;
+    }
+}
+
+/// How a process gets a seat of its group.
+pub(crate) trait SeatSource: Send + Sync {
+    /// The members of the group's first start, once they are decided on.
+    fn founders(&self) -> Option<FounderMap>;
+
+    /// Asks the leader for a seat, or whether the given one still counts.
+    fn ask(&self, seat: Option<SeatId>) -> BoxFuture<'_, Option<JoinAnswer>>;
+}
+
+/// Keeps the seat of a process open.
+pub(crate) struct SeatKeeper<'a, M> {
+    pub(crate) slot: &'a SeatSlot<M>,
+    pub(crate) source: &'a dyn SeatSource,
+    pub(crate) opener: SeatOpener,
+    pub(crate) log: EventLog,
+    pub(crate) first_start: bool,
+}
+
+impl<M: StateMachine + Default + 'static> SeatKeeper<'_, M> {
+    /// Founds the group, resumes the seat of the folder or asks for a seat, and asks
+    /// for another one when the seat was removed.
+    pub(crate) async fn run(mut self) {
+        loop {
+            match self.open().await {
+                Ok(Some(handle)) => self.slot.set(Some(handle)),
+                Ok(None) => {
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+                Err(error) => {
+                    let fields = json!({ "cause": error.to_string() });
+                    self.log.note("seat_not_opened", &fields);
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+            }
+            let seat = self.slot.status().seat;
+            self.log.note("seat_opened", &json!({ "seat": seat.0 }));
+            self.first_start = false;
+            self.until_removed(seat).await;
+            self.log.note("seat_removed", &json!({ "seat": seat.0 }));
+            self.slot.set(None);
+            if let Err(error) = self.opener.clear() {
+                log::error!("seat: the files of a removed seat stay: {error}.");
+            }
+        }
+    }
+
+    async fn open(&self) -> io::Result<Option<GroupHandle<M>>> {
+        let founders = self.source.founders();
+        let opened = self.opener.open(founders.as_ref(), self.first_start)?;
+        // Before the founders are decided on, a seat can only come from that.
+        if opened.is_some() || founders.is_none() {
+            return Ok(opened);
+        }
+        match self.source.ask(None).await {
+            Some(JoinAnswer::Granted(seat)) => self.opener.take(seat).map(Some),
+            _ => Ok(None),
+        }
+    }
+
+    /// Waits until the leader says that the seat was removed.
+    async fn until_removed(&self, seat: SeatId) {
+        let clock = &self.opener.clock;
+        let mut led_at = clock.now();
+        loop {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            let status = self.slot.status();
+            let now = clock.now();
+            if status.leader.is_some() && status.members.iter().any(|m| m.seat == seat) {
+                led_at = now;
+                continue;
+            }
+            if now.saturating_duration_since(led_at) < SEAT_DOUBT {
+                continue;
+            }
+            if let Some(JoinAnswer::Removed) = self.source.ask(Some(seat)).await {
+                return;
+            }
+        }
+    }
+}
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -10,8 +10,9 @@
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::ports::ServerDialect;
-use crate::process::{ProcessBase, ProcessError, RETRY_PAUSE};
+use crate::process::{ProcessBase, ProcessError};
 use crate::seat_care::SeatCare;
+use crate::seat_keeper::{SeatKeeper, SeatSlot, SeatSource};
 use crate::seat_opener::{FounderMap, SeatOpener};
 use crate::server_connections::ServerConnections;
 use crate::server_run::ServerRunner;
@@ -30,7 +31,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
@@ -41,9 +42,6 @@
 /// The time for one try to ask for a seat.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The time without a leader after which a seat asks whether it still counts.
-const SEAT_DOUBT: Duration = Duration::from_millis(1_500);
-
 /// The time between two changes of the membership; a member that has to catch up
 /// takes longer.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(50);
@@ -67,7 +65,7 @@
     /// Wakes the task of the leader.
     pub(super) work_due: Notify,
     job_client: LeaderClient,
-    group: RwLock<Option<GroupHandle<BatchMachine>>>,
+    seat: SeatSlot<BatchMachine>,
     leader: Mutex<JobLeader>,
     care: Mutex<SeatCare>,
     is_repairing: Arc<AtomicBool>,
@@ -101,7 +99,7 @@
             job_client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
             log: EventLog::start("store")?,
             work_due: Notify::new(),
-            group: RwLock::new(None),
+            seat: SeatSlot::default(),
             leader: Mutex::new(JobLeader::new()),
             care: Mutex::default(),
             is_repairing: Arc::default(),
@@ -172,12 +170,7 @@
 
 impl StoreShared {
     fn group(&self) -> Option<GroupHandle<BatchMachine>> {
-        let group = self.group.read().unwrap_or_else(PoisonError::into_inner);
-        group.clone()
-    }
-
-    fn set_group(&self, handle: Option<GroupHandle<BatchMachine>>) {
-        *self.group.write().unwrap_or_else(PoisonError::into_inner) = handle;
+        self.seat.group()
     }
 
     pub(super) fn leader(&self) -> MutexGuard<'_, JobLeader> {
@@ -193,7 +186,7 @@
     }
 
     pub(super) fn status(&self) -> GroupStatus {
-        self.group().map(|group| group.status()).unwrap_or_default()
+        self.seat.status()
     }
 
     /// Whether this host leads, has begun to act on it, and holds the lease.
@@ -203,9 +196,7 @@
     }
 
     pub(super) fn not_leader<T>(&self) -> GroupReply<T> {
-        let own = self.base.rpc.identity().address;
-        let leader = self.status().leader.filter(|leader| *leader != own);
-        GroupReply::NotLeader { leader }
+        GroupReply::not_leader(&self.status(), self.base.rpc.identity().address)
     }
 
     pub(super) async fn propose(
@@ -373,80 +364,35 @@
     }
 }
 
-/// Founds the group, resumes the seat of the folder or asks for a seat, and asks
-/// for another one when the seat was removed.
-async fn keep_seat(shared: Arc<StoreShared>, opener: SeatOpener) {
-    let mut first_start = shared.base.settings.control.first_start;
-    loop {
-        let founders = shared.view.store().founders;
-        match open(&shared, &opener, founders.as_ref(), first_start).await {
-            Ok(Some(handle)) => shared.set_group(Some(handle)),
-            Ok(None) => {
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
-            Err(error) => {
-                log::error!("store: the data folder cannot be used: {error}.");
-                tokio::time::sleep(RETRY_PAUSE).await;
-                continue;
-            }
-        }
-        let seat = shared.status().seat;
-        shared.log.note("seat_opened", &json!({ "seat": seat.0 }));
-        first_start = false;
-        until_removed(&shared, seat).await;
-        shared.log.note("seat_removed", &json!({ "seat": seat.0 }));
-        shared.set_group(None);
-        if let Err(error) = opener.clear() {
-            log::error!("store: the files of a removed seat stay: {error}.");
-        }
-    }
-}
+/// How a store host gets a seat.
+struct StoreSeats(Arc<StoreShared>);
 
-async fn open(
-    shared: &StoreShared,
-    opener: &SeatOpener,
-    founders: Option<&FounderMap>,
-    first_start: bool,
-) -> std::io::Result<Option<GroupHandle<BatchMachine>>> {
-    if let Some(handle) = opener.open(founders, first_start)? {
-        return Ok(Some(handle));
+impl SeatSource for StoreSeats {
+    fn founders(&self) -> Option<FounderMap> {
+        self.0.view.store().founders
     }
-    // Before the founders are decided on, a seat can only come from that.
-    if founders.is_none() {
-        return Ok(None);
-    }
-    match ask_for_seat(shared, None).await {
-        Some(JoinAnswer::Granted(seat)) => opener.take(seat).map(Some),
-        _ => Ok(None),
-    }
-}
 
-async fn ask_for_seat(shared: &StoreShared, seat: Option<SeatId>) -> Option<JoinAnswer> {
-    shared.find_group();
-    let call = Call::Batch(BatchCall::Join(shared.base.join_request(seat)));
-    match shared.job_client.call_once(&call, JOIN_TIMEOUT).await {
-        Ok(BatchReply::Seat(answer)) => Some(answer),
-        Ok(_) | Err(_) => None,
+    fn ask(&self, seat: Option<SeatId>) -> BoxFuture<'_, Option<JoinAnswer>> {
+        self.0.find_group();
+        let call = Call::Batch(BatchCall::Join(self.0.base.join_request(seat)));
+        async move {
+            match self.0.job_client.call_once(&call, JOIN_TIMEOUT).await {
+                Ok(BatchReply::Seat(answer)) => Some(answer),
+                Ok(_) | Err(_) => None,
+            }
+        }
+        .boxed()
     }
 }
 
-/// Waits until the leader says that the seat was removed.
-async fn until_removed(shared: &StoreShared, seat: SeatId) {
-    let mut led_at = shared.now();
-    loop {
-        tokio::time::sleep(RETRY_PAUSE).await;
-        let status = shared.status();
-        let now = shared.now();
-        if status.leader.is_some() && status.members.iter().any(|m| m.seat == seat) {
-            led_at = now;
-            continue;
-        }
-        if now.saturating_duration_since(led_at) < SEAT_DOUBT {
-            continue;
-        }
-        if let Some(JoinAnswer::Removed) = ask_for_seat(shared, Some(seat)).await {
-            return;
-        }
-    }
+async fn keep_seat(shared: Arc<StoreShared>, opener: SeatOpener) {
+    let source = StoreSeats(shared.clone());
+    let keeper = SeatKeeper {
+        slot: &shared.seat,
+        source: &source,
+        opener,
+        log: shared.log.clone(),
+        first_start: shared.base.settings.control.first_start,
+    };
+    keeper.run().await;
 }
