--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -15,6 +15,7 @@
 //! Nothing here reads a clock or does I/O: calls carry the time, and
 //! [`SlotBroker::take_events`] tells what to send.
 
+mod alone;
 mod ask;
 mod directory;
 mod grants;
@@ -23,6 +24,7 @@
 mod rate;
 mod slots;
 
+pub use alone::LoneView;
 pub use ask::{AskSlot, AskerId, BrokerEvent, PromptPart, RefuseReason, SlotDecision, WorkKind};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 pub use grants::{ActiveRun, RunOutcome, RunReport};
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the broker.
 
+mod alone;
 mod bursts;
 mod directory;
 mod rates;
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -5,8 +5,7 @@
 use crate::message::{Call, ControlAnswer, ControlCall, Notice};
 use crate::process::ProcessBase;
 use chicoryladder_broker::{
-    ActiveRun, AskSlot, RefuseReason, RunOutcome, RunReport, ServerCheckIn, ServerPhase,
-    SlotDecision, WorkKind,
+    ActiveRun, AskSlot, LoneView, RefuseReason, RunOutcome, RunReport, SlotDecision, WorkKind,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::RequestFingerprint;
@@ -228,24 +227,12 @@
             retry_after: DETACHED_RETRY,
         };
         let servers = shared.view.servers();
-        let is_usable = |told: &&ServerCheckIn| {
-            told.service == ask.service
-                && told.phase == ServerPhase::Ready
-                && !ask.avoid.contains(&told.name)
+        let view = LoneView {
+            servers: &servers,
+            own_runs: &self.own_runs(),
+            passed_over: &self.passed_over(now),
         };
-        let loads = self.own_loads();
-        let load = |told: &ServerCheckIn| loads.get(&told.name).copied().unwrap_or_default();
-        let has_room = |told: &&ServerCheckIn| load(told) < told.slots;
-        // Where the broker is out of reach, so may be the other zones.
-        let order = |told: &ServerCheckIn| {
-            let is_far = told.zone != ask.zone;
-            (is_far, load(told), mix(ask.ticket, told.name.as_str()))
-        };
-        let passed_over = self.passed_over(now);
-        let is_reached = |told: &&ServerCheckIn| !passed_over.contains(&told.name);
-        let usable = servers.iter().filter(is_usable).filter(is_reached);
-        let chosen = usable.filter(has_room);
-        let Some(told) = chosen.min_by_key(|told| order(told)) else {
+        let Some(told) = view.choose(ask) else {
             return Err(refused(RefuseReason::NoSlot));
         };
         if let Some(team) = &ask.payer
@@ -278,7 +265,7 @@
         }
     }
 
-    fn own_loads(&self) -> HashMap<ServerName, u32> {
+    fn own_runs(&self) -> HashMap<ServerName, u32> {
         let mut loads = HashMap::new();
         for held in self.runs().values() {
             *loads.entry(held.run.server.clone()).or_insert(0) += 1;
@@ -306,14 +293,6 @@
     }
 }
 
-/// Spreads equal choices of many hosts over the servers.
-fn mix(ticket: u64, name: &str) -> u64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    (ticket, name).hash(&mut hasher);
-    hasher.finish()
-}
-
 /// A question that is withdrawn if its asker does not wait for the answer.
 struct PendingAsk {
     client: SlotClient,
