--- a/crates/broker/src/ask.rs
+++ b/crates/broker/src/ask.rs
@@ -65,6 +65,8 @@
 pub enum RefuseReason {
     /// The team is beyond its rate and burst.
     RateExceeded,
+    /// The host cannot reach the broker, and has no reserve of the team's rate left.
+    NoReserve,
     /// No slot comes free in time.
     NoSlot,
     /// No server of the service is known.
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -316,6 +316,10 @@
                         RefusalReason::RateExceeded,
                         "the team is beyond its rate and burst",
                     ),
+                    RefuseReason::NoReserve => (
+                        RefusalReason::NoQuorum,
+                        "the broker is out of reach and the reserve of the team's rate is spent",
+                    ),
                     RefuseReason::NoSlot => (RefusalReason::NoServer, "no slot comes free in time"),
                     RefuseReason::Quarantined => (
                         RefusalReason::Quarantined,
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -238,7 +238,7 @@
         if let Some(team) = &ask.payer
             && !shared.view.spend_reserve(team)
         {
-            return Err(refused(RefuseReason::RateExceeded));
+            return Err(refused(RefuseReason::NoReserve));
         }
         Ok(self.lease(ask, told.name.clone(), told.address, true))
     }
