Keep nothing of ended runs in the broker

Each server kept the keys of all slots that were ever given out on it, in a set that nobody read, and each start of a host left an empty map behind: memory of the control leader grew with every request. The set is gone and empty maps are dropped; no decision reads either.

--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -84,12 +84,11 @@
 }
 
 impl GrantBook {
-    pub(crate) fn insert(&mut self, grant: SlotGrant) -> GrantKey {
+    pub(crate) fn insert(&mut self, grant: SlotGrant) {
         let asker = grant.asker.clone();
         let ticket = grant.ticket;
         let key = self.grants.insert(grant);
         self.by_ticket.entry(asker).or_default().insert(ticket, key);
-        key
     }
 
     pub(crate) fn get_mut(&mut self, key: GrantKey) -> Option<&mut SlotGrant> {
@@ -97,7 +96,11 @@
     }
 
     pub(crate) fn remove(&mut self, asker: &AskerId, ticket: u64) -> Option<SlotGrant> {
-        let key = self.by_ticket.get_mut(asker)?.remove(&ticket)?;
+        let tickets = self.by_ticket.get_mut(asker)?;
+        let key = tickets.remove(&ticket)?;
+        if tickets.is_empty() {
+            self.by_ticket.remove(asker);
+        }
         self.grants.remove(key)
     }
 
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -61,7 +61,6 @@
 #[derive(Debug)]
 struct ServerEntry {
     record: ServerRecord,
-    grants: HashSet<GrantKey>,
     running_online: u32,
     running_batch: u32,
     tokens: u64,
@@ -384,7 +383,6 @@
         let service = told.service.clone();
         let key = self.servers.insert(ServerEntry {
             record: ServerRecord::new(told, now),
-            grants: HashSet::new(),
             running_online: 0,
             running_batch: 0,
             tokens: 0,
@@ -494,14 +492,14 @@
     /// Has a run stopped; its slot is free for another from now on.
     fn stop(&mut self, key: GrantKey) -> Option<ServerKey> {
         let grant = self.grants.get_mut(key)?;
+        let grant_before = grant.clone();
         grant.stopping = true;
-        let grant = grant.clone();
-        self.uncount(key, &grant);
+        self.discount(&grant_before);
         self.events.push(BrokerEvent::Stop {
-            asker: grant.asker,
-            ticket: grant.ticket,
+            asker: grant_before.asker,
+            ticket: grant_before.ticket,
         });
-        Some(grant.server)
+        Some(grant_before.server)
     }
 
     fn grant(&mut self, asker: &AskerId, ask: &AskSlot, key: ServerKey, now: Instant) {
@@ -536,9 +534,8 @@
         let server = grant.server;
         let kind = grant.kind;
         let tokens = grant.tokens;
-        let key = self.grants.insert(grant);
+        self.grants.insert(grant);
         if let Some(entry) = self.servers.get_mut(server) {
-            entry.grants.insert(key);
             entry.tokens += tokens;
             match kind {
                 WorkKind::Online => entry.running_online += 1,
@@ -568,18 +565,6 @@
         }
     }
 
-    /// Takes a run that is told to stop out of the counts of its server.
-    fn uncount(&mut self, key: GrantKey, grant: &SlotGrant) {
-        let counted = SlotGrant {
-            stopping: false,
-            ..grant.clone()
-        };
-        self.discount(&counted);
-        if let Some(entry) = self.servers.get_mut(grant.server) {
-            entry.grants.remove(&key);
-        }
-    }
-
     /// A restarted server runs nothing of before.
     fn forget_grants_of(&mut self, key: ServerKey) {
         let of_server: Vec<(AskerId, u64)> = self
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -254,3 +254,36 @@
         assert_eq!(granted(&world.ask(question)).is_some(), expected);
     }
 }
+
+/// A broker runs for months: what it keeps must not grow with the requests it served.
+#[test]
+fn ended_runs_leave_nothing_behind() {
+    let mut world = World::new(&[("a1", "a")], Vec::new());
+    let serve = |world: &mut World, incarnations: std::ops::Range<u64>| {
+        for incarnation in incarnations {
+            let mut host = asker("entry-1");
+            host.incarnation = incarnation;
+            let question = world.question(WorkKind::Online);
+            let report = RunReport {
+                ticket: question.ticket,
+                outcome: RunOutcome::Served,
+                load: None,
+                first_answer: None,
+                refund: false,
+            };
+            world.broker.ask(&host, question, world.now);
+            world.broker.release(&host, &report, world.now);
+            world.broker.take_events();
+        }
+        world.now += Duration::from_secs(3);
+        world.broker.tick(world.now);
+        format!("{:?}", world.broker).len()
+    };
+    let after_hundred = serve(&mut world, 0..100);
+    let after_thousand = serve(&mut world, 100..1_000);
+    // Numbers have a few more digits.
+    assert!(
+        after_thousand < after_hundred + 500,
+        "{after_hundred} characters grew to {after_thousand}"
+    );
+}
