--- /dev/null
+++ b/crates/settings/tests/process.rs
@@ -0,0 +1,77 @@
+//! Settings of the processes of roles.
+
+use chicoryladder_settings::ProcessSettings;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const STORE: &str = "\
+[host]
+name = store-1
+zone = zone-a
+
+[listen]
+peers = 10.0.0.5:7660
+
+[control]
+seeds = 10.0.0.9:8407, 10.1.0.7:8407
+first_start = yes
+losses_borne = 2
+
+[data]
+folder = /data/store
+
+[promises]
+key_withdrawal_ms = 4000
+drain_timeout_s = 7.5
+rate_slack = 20
+rate_overshoot = 0.1
+rate_window_s = 5
+";
+
+#[test]
+fn every_key_is_read() {
+    let settings = ProcessSettings::parse("store.ini", STORE).expect("it is valid");
+    assert_eq!(settings.host.name.as_str(), "store-1");
+    assert_eq!(settings.listen.peers.port(), 7660);
+    assert_eq!(settings.listen.callers, None);
+    assert_eq!(settings.control.seeds.len(), 2);
+    assert!(settings.control.first_start);
+    assert_eq!(settings.control.voters(), 5);
+    assert_eq!(settings.data_folder, Some(PathBuf::from("/data/store")));
+    let promises = settings.promises;
+    assert_eq!(promises.key_withdrawal, Duration::from_secs(4));
+    assert_eq!(promises.drain_timeout, Duration::from_millis(7_500));
+    assert!((promises.rate_overshoot - 0.1).abs() < 1e-9);
+}
+
+#[test]
+fn every_fault_is_told_at_once_with_its_line() {
+    let text = "\
+[host]
+name = store 1
+zone = zone-a
+
+[listen]
+peers = nowhere
+callers = 10.0.0.5:8405
+
+[promises]
+rate_slack = -3
+grace = 4
+
+[extra]
+";
+    let report = ProcessSettings::parse("store.ini", text).expect_err("it has faults");
+    let lines = report.to_lines();
+    for part in [
+        "store.ini:2: `name`",
+        "store.ini:6: `peers`",
+        "store.ini:10: `rate_slack`",
+        "store.ini:11: section [promises] has no key `grace`",
+        "store.ini:13: there is no section [extra]",
+        "the section [control] is absent",
+    ] {
+        assert!(lines.contains(part), "{part} is not in\n{lines}");
+    }
+    assert_eq!(report.faults.len(), 6, "{lines}");
+}
