--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -1,7 +1,7 @@
 //! The backend servers, by what they said of themselves.
 
+use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServerLoad, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -65,8 +65,6 @@
     pub suspended_until: Option<Instant>,
     /// Failures since the last success.
     pub failures: u32,
-    /// The load of the last answer, and when it was told.
-    pub load: Option<(ServerLoad, Instant)>,
     /// Prompt parts that the server has read, and when they were last used.
     pub warm: HashMap<u64, Instant>,
 }
@@ -81,7 +79,6 @@
             is_lost: false,
             suspended_until: None,
             failures: 0,
-            load: None,
             warm: HashMap::new(),
         }
     }
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -699,9 +699,6 @@
 
 /// Takes over what a run showed of its server.
 fn note_outcome(record: &mut ServerRecord, report: &RunReport, now: Instant) {
-    if let Some(load) = report.load {
-        record.load = Some((load, now));
-    }
     match report.outcome {
         RunOutcome::Served => {
             record.failures = 0;
--- a/crates/roles/src/control/port.rs
+++ b/crates/roles/src/control/port.rs
@@ -1,11 +1,10 @@
 //! What operators and backend servers ask of a control host.
 
 use chicoryladder_broker::ServerCheckIn;
-use chicoryladder_gateway::{AnswerBody, HttpService};
+use chicoryladder_gateway::HttpService;
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
 use futures_util::future::BoxFuture;
-use hyper::Response;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -64,7 +63,4 @@
 pub trait ControlService: Send + Sync {
     /// The service of the operators' and servers' address.
     fn control(&self, port: Arc<dyn ControlPort>) -> Arc<dyn HttpService>;
-
-    /// The answer to a question for readiness.
-    fn readiness(&self, ready: bool) -> Response<AnswerBody>;
 }
--- a/crates/settings/src/host/read.rs
+++ b/crates/settings/src/host/read.rs
@@ -4,11 +4,10 @@
     CallerLimits, DataSettings, HostIdentity, HostSettings, KeySettings, ListenAddresses,
     OperatorSettings, PeerSettings, ShutdownSettings,
 };
-use crate::fault::{SettingsFault, SettingsReport};
-use crate::ini::{IniSection, SectionReader, TextPlace, split_sections};
+use crate::fault::SettingsReport;
+use crate::ini::{SectionReader, SectionTable, split_sections};
 use crate::value::{MillisValue, SettingValue, ValueList, WholeNumber};
 use chicoryladder_types::SeatId;
-use miette::SourceSpan;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -45,10 +44,8 @@
     pub fn parse(name: &str, text: &str) -> Result<Self, SettingsReport> {
         let mut faults = Vec::new();
         let sections = split_sections(text, &mut faults);
-        report_unknown_sections(&sections, &mut faults);
         let mut reader = HostReader {
-            sections: &sections,
-            faults: &mut faults,
+            sections: SectionTable::new(&sections, SECTIONS, &mut faults),
         };
         let settings = reader.settings();
         match settings {
@@ -58,16 +55,6 @@
     }
 }
 
-fn report_unknown_sections(sections: &[IniSection], faults: &mut Vec<SettingsFault>) {
-    for section in sections {
-        if !SECTIONS.contains(&section.header.as_str()) {
-            let problem = format!("there is no section [{}]", section.header);
-            let remedy = format!("known sections are: {}", SECTIONS.join(", "));
-            faults.push(section.place.fault(problem, remedy));
-        }
-    }
-}
-
 /// Port 0 takes a free port, so two keys may have it.
 fn report_shared_addresses(
     section: &mut SectionReader<'_>,
@@ -86,8 +73,7 @@
 }
 
 struct HostReader<'a> {
-    sections: &'a [IniSection],
-    faults: &'a mut Vec<SettingsFault>,
+    sections: SectionTable<'a>,
 }
 
 impl HostReader<'_> {
@@ -116,26 +102,8 @@
         })
     }
 
-    fn optional_section(&mut self, header: &str) -> Option<SectionReader<'_>> {
-        let section = self.sections.iter().find(|s| s.header == header)?;
-        Some(SectionReader::new(section, self.faults))
-    }
-
-    fn required_section(&mut self, header: &str) -> Option<SectionReader<'_>> {
-        if !self.sections.iter().any(|s| s.header == header) {
-            let start = TextPlace {
-                line: 1,
-                span: SourceSpan::from((0, 0)),
-            };
-            let problem = format!("the section [{header}] is absent");
-            self.faults
-                .push(start.fault(problem, format!("add a section `[{header}]`")));
-        }
-        self.optional_section(header)
-    }
-
     fn host(&mut self) -> Option<HostIdentity> {
-        let mut section = self.required_section("host")?;
+        let mut section = self.sections.required("host")?;
         let name = section.required("name");
         let zone = section.required("zone");
         let log_level = section.or_default("log_level", log::LevelFilter::Info);
@@ -148,7 +116,7 @@
     }
 
     fn listen(&mut self) -> Option<ListenAddresses> {
-        let mut section = self.required_section("listen")?;
+        let mut section = self.sections.required("listen")?;
         let callers = section.required("callers");
         let servers = section.required("servers");
         let operators = section.required("operators");
@@ -172,7 +140,7 @@
     }
 
     fn peers(&mut self) -> Option<PeerSettings> {
-        let mut section = self.required_section("peers")?;
+        let mut section = self.sections.required("peers")?;
         let secret_file = section.required("secret_file");
         let seeds = section.optional::<ValueList<SocketAddr>>("seeds");
         section.finish();
@@ -183,10 +151,10 @@
     }
 
     fn voters(&mut self) -> Option<BTreeMap<SeatId, SocketAddr>> {
-        let section = self.required_section("voters")?;
+        let section = self.sections.required("voters")?;
         let place = section.place();
         let mut voters = BTreeMap::new();
-        let entries = self.sections.iter().find(|s| s.header == "voters")?;
+        let entries = self.sections.raw("voters")?;
         for entry in &entries.entries {
             let seat = SeatNumber::parse(&entry.key);
             let address = SocketAddr::parse(&entry.value);
@@ -196,20 +164,21 @@
                 }
                 (Err(problem), _) | (_, Err(problem)) => {
                     let remedy = "write `SEAT = IP:PORT`, such as `1 = 10.0.0.1:7104`";
-                    self.faults.push(entry.place.fault(problem, remedy));
+                    self.sections.report(entry.place.fault(problem, remedy));
                 }
             }
         }
         if entries.entries.is_empty() {
             let remedy = "add the initial voters, `SEAT = IP:PORT` each";
-            self.faults.push(place.fault("there is no voter", remedy));
+            self.sections
+                .report(place.fault("there is no voter", remedy));
         }
         Some(voters)
     }
 
     /// The seat need not be an initial voter: a replaced disk joins later.
     fn data(&mut self) -> Option<DataSettings> {
-        let mut section = self.optional_section("data")?;
+        let mut section = self.sections.optional("data")?;
         let folder = section.required("folder");
         let seat = section.required::<SeatNumber>("seat");
         section.finish();
@@ -220,7 +189,7 @@
     }
 
     fn operators(&mut self) -> Option<OperatorSettings> {
-        let mut section = self.required_section("operators")?;
+        let mut section = self.sections.required("operators")?;
         let token_file = section.required("token_file");
         section.finish();
         Some(OperatorSettings {
@@ -234,7 +203,7 @@
             header_max_bytes: HEADER_MAX_BYTES,
             body_timeout: BODY_TIMEOUT,
         };
-        if let Some(mut section) = self.optional_section("callers") {
+        if let Some(mut section) = self.sections.optional("callers") {
             let body =
                 section.or_default::<ByteLimit>("body_max_bytes", WholeNumber(BODY_MAX_BYTES));
             let header =
@@ -250,7 +219,7 @@
 
     fn shutdown(&mut self) -> ShutdownSettings {
         let mut drain_timeout = DRAIN_TIMEOUT;
-        if let Some(mut section) = self.optional_section("shutdown") {
+        if let Some(mut section) = self.sections.optional("shutdown") {
             drain_timeout = section
                 .or_default("drain_timeout_ms", MillisValue(DRAIN_TIMEOUT))
                 .0;
@@ -261,7 +230,7 @@
 
     fn keys(&mut self) -> KeySettings {
         let mut lease = KEY_LEASE;
-        if let Some(mut section) = self.optional_section("keys") {
+        if let Some(mut section) = self.sections.optional("keys") {
             lease = section.or_default("lease_ms", MillisValue(KEY_LEASE)).0;
             section.finish();
         }
--- a/crates/settings/src/ini.rs
+++ b/crates/settings/src/ini.rs
@@ -52,6 +52,60 @@
     pub(crate) entries: Vec<IniEntry>,
 }
 
+/// The sections of one text, by their headers.
+pub(crate) struct SectionTable<'a> {
+    sections: &'a [IniSection],
+    faults: &'a mut Vec<SettingsFault>,
+}
+
+impl<'a> SectionTable<'a> {
+    /// The sections of a text, of which only the `known` ones may stand there.
+    pub(crate) fn new(
+        sections: &'a [IniSection],
+        known: &[&str],
+        faults: &'a mut Vec<SettingsFault>,
+    ) -> Self {
+        for section in sections {
+            if !known.contains(&section.header.as_str()) {
+                let problem = format!("there is no section [{}]", section.header);
+                let remedy = format!("known sections are: {}", known.join(", "));
+                faults.push(section.place.fault(problem, remedy));
+            }
+        }
+        Self { sections, faults }
+    }
+
+    /// A section as it was split.
+    pub(crate) fn raw(&self, header: &str) -> Option<&'a IniSection> {
+        self.sections.iter().find(|s| s.header == header)
+    }
+
+    /// Adds a fault.
+    pub(crate) fn report(&mut self, fault: SettingsFault) {
+        self.faults.push(fault);
+    }
+
+    /// A section that may be absent.
+    pub(crate) fn optional(&mut self, header: &str) -> Option<SectionReader<'_>> {
+        let section = self.raw(header)?;
+        Some(SectionReader::new(section, self.faults))
+    }
+
+    /// A section that must be present.
+    pub(crate) fn required(&mut self, header: &str) -> Option<SectionReader<'_>> {
+        if self.raw(header).is_none() {
+            let start = TextPlace {
+                line: 1,
+                span: SourceSpan::from((0, 0)),
+            };
+            let problem = format!("the section [{header}] is absent");
+            let remedy = format!("add a section `[{header}]`");
+            self.report(start.fault(problem, remedy));
+        }
+        self.optional(header)
+    }
+}
+
 enum IniLine {
     Blank,
     Header(String),
--- a/crates/settings/src/process/read.rs
+++ b/crates/settings/src/process/read.rs
@@ -1,10 +1,9 @@
 //! Reads process settings from their text.
 
 use super::{ControlSettings, ProcessAddresses, ProcessIdentity, ProcessSettings, ServicePromises};
-use crate::fault::{SettingsFault, SettingsReport};
-use crate::ini::{IniSection, SectionReader, TextPlace, split_sections};
+use crate::fault::SettingsReport;
+use crate::ini::{SectionTable, split_sections};
 use crate::value::{AmountValue, MillisValue, ValueList, WholeNumber};
-use miette::SourceSpan;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -47,16 +46,8 @@
     pub fn parse(name: &str, text: &str) -> Result<Self, SettingsReport> {
         let mut faults = Vec::new();
         let sections = split_sections(text, &mut faults);
-        for section in &sections {
-            if !SECTIONS.contains(&section.header.as_str()) {
-                let problem = format!("there is no section [{}]", section.header);
-                let remedy = format!("known sections are: {}", SECTIONS.join(", "));
-                faults.push(section.place.fault(problem, remedy));
-            }
-        }
         let mut reader = ProcessReader {
-            sections: &sections,
-            faults: &mut faults,
+            sections: SectionTable::new(&sections, SECTIONS, &mut faults),
         };
         match reader.settings() {
             Some(settings) if faults.is_empty() => Ok(settings),
@@ -66,8 +57,7 @@
 }
 
 struct ProcessReader<'a> {
-    sections: &'a [IniSection],
-    faults: &'a mut Vec<SettingsFault>,
+    sections: SectionTable<'a>,
 }
 
 impl ProcessReader<'_> {
@@ -88,26 +78,8 @@
         })
     }
 
-    fn section(&mut self, header: &str) -> Option<SectionReader<'_>> {
-        let section = self.sections.iter().find(|s| s.header == header)?;
-        Some(SectionReader::new(section, self.faults))
-    }
-
-    fn required_section(&mut self, header: &str) -> Option<SectionReader<'_>> {
-        if !self.sections.iter().any(|s| s.header == header) {
-            let start = TextPlace {
-                line: 1,
-                span: SourceSpan::from((0, 0)),
-            };
-            let problem = format!("the section [{header}] is absent");
-            let remedy = format!("add a section `[{header}]`");
-            self.faults.push(start.fault(problem, remedy));
-        }
-        self.section(header)
-    }
-
     fn host(&mut self) -> Option<ProcessIdentity> {
-        let mut section = self.required_section("host")?;
+        let mut section = self.sections.required("host")?;
         let name = section.required("name");
         let zone = section.required("zone");
         let log_level = section.or_default("log_level", log::LevelFilter::Info);
@@ -120,7 +92,7 @@
     }
 
     fn listen(&mut self) -> Option<ProcessAddresses> {
-        let mut section = self.required_section("listen")?;
+        let mut section = self.sections.required("listen")?;
         let peers = section.required("peers");
         let addresses = ProcessAddresses {
             peers: SocketAddr::from(([0, 0, 0, 0], 0)),
@@ -138,7 +110,7 @@
     }
 
     fn control(&mut self) -> Option<ControlSettings> {
-        let mut section = self.required_section("control")?;
+        let mut section = self.sections.required("control")?;
         let seeds = section.required::<ValueList<SocketAddr>>("seeds");
         let first_start = section.or_default("first_start", false);
         let losses = section.or_default::<LossCount>("losses_borne", WholeNumber(LOSSES_BORNE));
@@ -151,7 +123,7 @@
     }
 
     fn data(&mut self) -> Option<PathBuf> {
-        let mut section = self.section("data")?;
+        let mut section = self.sections.optional("data")?;
         let folder = section.required("folder");
         section.finish();
         folder
@@ -169,7 +141,7 @@
             rate_window: RATE_WINDOW,
             job_retention: JOB_RETENTION,
         };
-        let Some(mut section) = self.section("promises") else {
+        let Some(mut section) = self.sections.optional("promises") else {
             return promises;
         };
         let mut millis = |key, value: &mut Duration| {
