--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -3,16 +3,22 @@
 //! [`GroupThread`] owns one seat with its disk. It runs on a thread of its own,
 //! so that a disk that hangs stops nothing but the seat. [`GroupHandle`] reaches
 //! it from asynchronous tasks. [`plan_repair`] decides which membership change
-//! the leader makes next; it does no I/O.
+//! the leader makes next, and [`plan_founding`] which hosts begin a group; they do
+//! no I/O.
 
+mod address_file;
+mod durable_file;
+mod founding;
 mod handle;
 mod repair;
 mod seat_file;
 mod status;
 mod thread;
 
+pub use address_file::AddressFile;
+pub use founding::{FoundingStep, alone, founders_of, plan_founding};
 pub use handle::{GroupHandle, ProposeFailure, ReadFailure};
 pub use repair::{MemberView, RepairLimits, RepairView, StandbyHost, plan_repair};
-pub use seat_file::SeatFile;
+pub use seat_file::{FounderMap, SeatFile, SeatRecord};
 pub use status::{GroupStatus, MemberStatus};
 pub use thread::{GroupSettings, GroupThread, SeatTransport};
--- a/crates/group/src/seat_file.rs
+++ b/crates/group/src/seat_file.rs
@@ -4,15 +4,30 @@
 //! folder without it has lost its disk, or never had a seat: whatever it holds,
 //! it must join as a new seat.
 
+use crate::durable_file::{read_file, replace_file};
 use chicoryladder_types::SeatId;
-use std::fs::{self, File};
-use std::io::{self, Write};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 const FILE_NAME: &str = "seat";
-const DRAFT_NAME: &str = "seat-draft";
 
-/// The file that names the seat of a data folder.
+/// The members of a group's first start.
+pub type FounderMap = BTreeMap<SeatId, SocketAddr>;
+
+/// A seat, and what it starts from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeatRecord {
+    /// The seat.
+    pub seat: SeatId,
+    /// The members of the group's first start; empty on a seat that joined later.
+    pub founders: FounderMap,
+}
+
+/// The file that names the seat of a data folder: the seat on the first line, and a
+/// founder with its address on each of the others.
 #[derive(Clone, Debug)]
 pub struct SeatFile {
     folder: PathBuf,
@@ -32,15 +47,14 @@
     /// # Errors
     ///
     /// Fails if the file cannot be read or holds no seat.
-    pub fn read(&self) -> io::Result<Option<SeatId>> {
-        match fs::read_to_string(self.folder.join(FILE_NAME)) {
-            Ok(text) => {
-                let seat = text.trim().parse().map_err(io::Error::other)?;
-                Ok(Some(SeatId(seat)))
-            }
-            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-            Err(error) => Err(error),
-        }
+    pub fn read(&self) -> io::Result<Option<SeatRecord>> {
+        let Some(text) = read_file(&self.folder, FILE_NAME)? else {
+            return Ok(None);
+        };
+        let mut lines = text.lines();
+        let seat = parse_seat(lines.next().unwrap_or_default())?;
+        let founders = lines.map(parse_founder).collect::<io::Result<_>>()?;
+        Ok(Some(SeatRecord { seat, founders }))
     }
 
     /// Records the seat durably.
@@ -48,17 +62,35 @@
     /// # Errors
     ///
     /// Fails if the file cannot be made durable.
-    pub fn write(&self, seat: SeatId) -> io::Result<()> {
-        fs::create_dir_all(&self.folder)?;
-        let draft = self.folder.join(DRAFT_NAME);
-        let mut file = File::create(&draft)?;
-        writeln!(file, "{seat}")?;
-        file.sync_all()?;
-        fs::rename(&draft, self.folder.join(FILE_NAME))?;
-        File::open(&self.folder)?.sync_all()?;
-        if let Some(parent) = self.folder.parent().filter(|parent| parent.is_dir()) {
-            File::open(parent)?.sync_all()?;
+    pub fn write(&self, record: &SeatRecord) -> io::Result<()> {
+        let founders = record.founders.iter();
+        let lines = founders.map(|(seat, address)| format!("{seat} {address}\n"));
+        let text = format!("{}\n{}", record.seat, lines.collect::<String>());
+        replace_file(&self.folder, FILE_NAME, &text)
+    }
+
+    /// Deletes the file, so that the folder has no seat.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file is there and cannot be deleted.
+    pub fn delete(&self) -> io::Result<()> {
+        match fs::remove_file(self.folder.join(FILE_NAME)) {
+            Ok(()) => fs::File::open(&self.folder)?.sync_all(),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(()),
+            Err(error) => Err(error),
         }
-        Ok(())
     }
 }
+
+fn parse_seat(text: &str) -> io::Result<SeatId> {
+    text.trim().parse().map(SeatId).map_err(io::Error::other)
+}
+
+fn parse_founder(line: &str) -> io::Result<(SeatId, SocketAddr)> {
+    let (seat, address) = line
+        .split_once(' ')
+        .ok_or_else(|| io::Error::other("a founder has no address"))?;
+    let address = address.parse().map_err(io::Error::other)?;
+    Ok((parse_seat(seat)?, address))
+}
--- /dev/null
+++ b/crates/group/tests/founding.rs
@@ -0,0 +1,154 @@
+//! Which hosts form a group, and what they keep of it on their disks.
+
+use chicoryladder_group::{
+    AddressFile, FounderMap, FoundingStep, SeatFile, SeatRecord, alone, founders_of, plan_founding,
+};
+use chicoryladder_types::SeatId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+fn host(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7700))
+}
+
+fn seeds(numbers: &[u8]) -> BTreeSet<SocketAddr> {
+    numbers.iter().copied().map(host).collect()
+}
+
+fn told(answers: &[(u8, bool)]) -> BTreeMap<SocketAddr, bool> {
+    answers
+        .iter()
+        .map(|(n, holds)| (host(*n), *holds))
+        .collect()
+}
+
+#[test]
+fn seeds_with_seats_are_the_founders_without_waiting_for_the_last() {
+    let seeds = seeds(&[1, 2, 3]);
+    let map = FounderMap::from([
+        (SeatId(1), host(1)),
+        (SeatId(2), host(2)),
+        (SeatId(3), host(3)),
+    ]);
+    let one = told(&[(1, true)]);
+    assert_eq!(plan_founding(host(1), &seeds, &one), FoundingStep::Wait);
+    let two = told(&[(1, true), (3, true)]);
+    assert_eq!(
+        plan_founding(host(1), &seeds, &two),
+        FoundingStep::Found(map.clone())
+    );
+    let mixed = told(&[(1, true), (2, false), (3, true)]);
+    assert_eq!(
+        plan_founding(host(3), &seeds, &mixed),
+        FoundingStep::Found(map)
+    );
+    assert_eq!(plan_founding(host(9), &seeds, &mixed), FoundingStep::Join);
+}
+
+#[test]
+fn one_host_founds_the_group_where_half_of_the_seeds_hold_no_seat() {
+    let three = seeds(&[1, 2, 3]);
+    let first_holds = told(&[(1, true), (2, false), (3, false)]);
+    assert_eq!(
+        plan_founding(host(1), &three, &first_holds),
+        FoundingStep::Found(alone(host(1)))
+    );
+    assert_eq!(
+        plan_founding(host(9), &three, &first_holds),
+        FoundingStep::AskFor(host(1))
+    );
+    let none_holds = told(&[(2, false), (3, false)]);
+    assert_eq!(
+        plan_founding(host(9), &three, &none_holds),
+        FoundingStep::AskFor(host(1))
+    );
+    let pair = seeds(&[4, 5]);
+    let last_holds = told(&[(4, false), (5, true)]);
+    assert_eq!(
+        plan_founding(host(5), &pair, &last_holds),
+        FoundingStep::AskFor(host(4))
+    );
+    assert_eq!(
+        plan_founding(host(5), &seeds(&[]), &told(&[])),
+        FoundingStep::Wait
+    );
+}
+
+/// Whatever part of the answers two hosts have, they never found two groups.
+#[test]
+fn no_two_hosts_decide_on_different_groups() {
+    for count in 1..=5_u8 {
+        let numbers: Vec<u8> = (1..=count).collect();
+        let seeds = seeds(&numbers);
+        for roles in 0..1_u32 << count {
+            let holds = |n: u8| roles >> (n - 1) & 1 == 1;
+            let mut decided = BTreeSet::new();
+            for known in 0..1_u32 << count {
+                let known = numbers.iter().filter(|n| known >> (**n - 1) & 1 == 1);
+                let answers: Vec<(u8, bool)> = known.map(|n| (*n, holds(*n))).collect();
+                let told = told(&answers);
+                let with_seats = numbers.iter().copied().filter(|n| holds(*n));
+                for own in with_seats.chain([9]) {
+                    match plan_founding(host(own), &seeds, &told) {
+                        FoundingStep::Found(map) => {
+                            decided.insert(map.into_values().collect::<Vec<_>>());
+                        }
+                        // A host that is a seed founds alone itself, or appoints one.
+                        FoundingStep::AskFor(seed) => {
+                            decided.insert(vec![seed]);
+                        }
+                        FoundingStep::Wait | FoundingStep::Join => {}
+                    }
+                }
+            }
+            assert!(
+                decided.len() <= 1,
+                "{count} seeds, roles {roles:b}: {decided:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_seat_is_read_back_with_its_founders() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = SeatFile::new(&folder.path().join("data"));
+    assert_eq!(file.read().expect("no fault"), None);
+    let founder = SeatRecord {
+        seat: SeatId(2),
+        founders: founders_of(&seeds(&[1, 2, 3])),
+    };
+    let joined = SeatRecord {
+        seat: SeatId(7),
+        founders: FounderMap::new(),
+    };
+    for record in [founder, joined] {
+        file.write(&record).expect("it is written");
+        assert_eq!(file.read().expect("no fault"), Some(record));
+    }
+    file.delete().expect("it is deleted");
+    file.delete().expect("there is none");
+    assert_eq!(file.read().expect("no fault"), None);
+}
+
+#[test]
+fn a_damaged_seat_is_an_error_and_no_new_seat() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = SeatFile::new(folder.path());
+    for text in ["", "x\n", "2\n1 10.0.0.1\n", "2\n10.0.0.1:7700\n"] {
+        std::fs::write(folder.path().join("seat"), text).expect("it is written");
+        assert!(file.read().is_err(), "{text:?}");
+    }
+}
+
+#[test]
+fn addresses_are_read_back() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = AddressFile::new(folder.path(), "hosts");
+    assert!(file.read().expect("no fault").is_empty());
+    let addresses = [host(3), host(1)];
+    file.write(&addresses).expect("it is written");
+    assert_eq!(file.read().expect("no fault"), addresses);
+    std::fs::write(folder.path().join("hosts"), "nowhere\n").expect("it is written");
+    assert!(file.read().is_err());
+}
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -2,25 +2,29 @@
 
 use super::leader::{AskerMessage, LeaderState};
 use super::machine::{ControlCommand, ControlMachine};
-use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
+use super::port::{ControlFailure, ControlService};
+use super::relay::{ControlRelay, LocalSeat, RELAY_LIMITS, RELAY_TIMEOUT, drain_relay};
 use crate::entry::serve;
-use crate::event_log::{EventLog, LineWeight};
+use crate::event_log::EventLog;
 use crate::fleet_view::FleetView;
+use crate::founding::{decide_founders, encode_founding};
 use crate::leader_client::LeaderClient;
 use crate::message::{
-    Call, ControlAnswer, ControlCall, GroupReply, JoinAnswer, JoinRequest, Notice,
+    Call, ControlAnswer, ControlCall, FoundingAnswer, FoundingCall, GroupReply, HostRole,
+    JoinAnswer, JoinRequest, Notice, encode_reply,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::process::{ProcessBase, ProcessError};
 use crate::seat_keeper::{SeatKeeper, SeatSlot, SeatSource};
-use crate::seat_opener::{FounderMap, SeatOpener};
+use crate::seat_opener::SeatOpener;
 use bytes::Bytes;
 use chicoryladder_broker::{
     AskSlot, AskerId, BrokerSettings, CheckInOutcome, RateTolerance, ServerCheckIn, ServerPhase,
 };
-use chicoryladder_gateway::{HttpListener, ListenerLimits};
-use chicoryladder_group::{GroupHandle, GroupStatus, ProposeFailure};
-use chicoryladder_plan::{PlanVersion, ServicePlan};
+use chicoryladder_consensus::MemberRole;
+use chicoryladder_gateway::HttpListener;
+use chicoryladder_group::{FounderMap, GroupHandle, GroupStatus, ProposeFailure};
+use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
@@ -31,7 +35,7 @@
 use serde_json::json;
 use std::collections::HashSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
@@ -41,16 +45,9 @@
 /// The time between two looks at timers of the leader.
 const LEADER_TICK: Duration = Duration::from_millis(25);
 
-/// The time for one try of a call that is passed on to the leader.
-const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// The time within which a call that is passed on has to find the leader; servers
-/// and operators wait for a second.
-const RELAY_PATIENCE: Duration = Duration::from_millis(850);
-
-/// The time from which on a check-in that was passed on is written down; most take
-/// a few round trips.
-const SLOW_RELAY: Duration = Duration::from_millis(100);
+/// The time for which a new leader waits for a full group before it takes the first
+/// plan of a fleet: a silent founder is replaced within it.
+const FULL_GROUP_PATIENCE: Duration = Duration::from_secs(5);
 
 /// The check-ins that a server may miss before it gets no work; check-ins may be
 /// late by seconds.
@@ -77,7 +74,6 @@
     view: FleetView,
     seat: SeatSlot<ControlMachine>,
     state: Mutex<LeaderState>,
-    control_port: u16,
 }
 
 impl ControlHost {
@@ -107,7 +103,6 @@
             view: FleetView::new(),
             seat: SeatSlot::default(),
             state: Mutex::new(LeaderState::new(broker_settings(&base.settings), now)),
-            control_port: address.port(),
             log,
             base,
         });
@@ -130,17 +125,21 @@
             shared.view.clone(),
             crate::fleet_view::SyncReporter::control(),
         ));
-        let limits = ListenerLimits {
-            header_max_bytes: 64 * 1024,
-            header_timeout: Duration::from_secs(60),
+        serve_metrics(&shared, &mut tasks).await?;
+        let relay = ControlRelay {
+            base: shared.base.clone(),
+            client: shared.client.clone(),
+            log: shared.log.clone(),
+            port: address.port(),
+            seat: Some(shared.clone()),
         };
-        serve_metrics(&shared, &mut tasks, limits).await?;
-        let port: Arc<dyn ControlPort> = Arc::new(ControlRelay(shared.clone()));
-        let listener =
-            HttpListener::start("control", address, limits, service.control(port)).await?;
+        let listener = relay.listen(address, &*service).await?;
         shared.log.note(
             "started",
-            &json!({ "host": shared.base.settings.host.name }),
+            &json!({
+                "host": shared.base.settings.host.name,
+                "seeds": shared.base.settings.control.seeds,
+            }),
         );
         Ok(Self {
             shared,
@@ -155,14 +154,7 @@
         if let Some(group) = self.shared.group() {
             group.hand_over();
         }
-        // Calls in flight end within the time that their callers wait.
-        let draining = self.listener.drain();
-        if tokio::time::timeout(RELAY_PATIENCE, draining)
-            .await
-            .is_err()
-        {
-            log::info!("control: cuts the calls that are left.");
-        }
+        drain_relay(self.listener).await;
         self.tasks.shutdown().await;
     }
 }
@@ -170,7 +162,6 @@
 async fn serve_metrics(
     shared: &Arc<ControlShared>,
     tasks: &mut JoinSet<()>,
-    limits: ListenerLimits,
 ) -> Result<(), ProcessError> {
     let Some(address) = shared.base.settings.listen.metrics else {
         return Ok(());
@@ -184,7 +175,7 @@
             levels
         }),
     };
-    serve(tasks, "metrics", address, limits, Arc::new(service)).await
+    serve(tasks, "metrics", address, RELAY_LIMITS, Arc::new(service)).await
 }
 
 fn broker_settings(settings: &ProcessSettings) -> BrokerSettings {
@@ -361,6 +352,12 @@
         version: PlanVersion,
         plan: Box<chicoryladder_plan::RawPlan>,
     ) -> GroupReply<ControlAnswer> {
+        if !self.may_begin() {
+            let members = self.status().members.len();
+            let fields = json!({ "version": version.0, "members": members });
+            self.log.note("plan_waits_for_members", &fields);
+            return GroupReply::Answer(ControlAnswer::TooFewMembers);
+        }
         let command = ControlCommand::ReplacePlan { document, plan };
         match self.propose(&command).await {
             Ok(()) => {
@@ -380,6 +377,23 @@
         }
     }
 
+    /// Whether as many voters answer as the settings ask for, or the group has kept a
+    /// plan before. A fleet with fewer control hosts is taken as it is after a while.
+    fn may_begin(&self) -> bool {
+        let voters = self.base.settings.control.voters();
+        let status = self.status();
+        let answering = status.members.iter().filter(|member| {
+            let is_heard = member.seat == status.seat || member.contact_at.is_some();
+            member.role == MemberRole::Voter && is_heard
+        });
+        if answering.count() >= voters {
+            return true;
+        }
+        let state = self.state();
+        let led_for = self.now().saturating_duration_since(state.leads_since);
+        state.stored.is_some() || led_for >= FULL_GROUP_PATIENCE
+    }
+
     async fn check_in(&self, told: ServerCheckIn) -> GroupReply<ControlAnswer> {
         let now = self.now();
         let (name, born) = (told.name.clone(), told.born);
@@ -490,10 +504,19 @@
                 } else {
                     std::future::ready(shared.not_leader()).boxed()
                 };
-                async move { encode_reply(&answering.await) }.boxed()
+                async move { encode_reply("control", &answering.await) }.boxed()
             }
             Ok(Call::Control(call)) => {
-                async move { encode_reply(&shared.answer(call).await) }.boxed()
+                async move { encode_reply("control", &shared.answer(call).await) }.boxed()
+            }
+            Ok(Call::Founding(call)) => {
+                let answer = match call {
+                    FoundingCall::Role => FoundingAnswer::Role(HostRole::Control),
+                    FoundingCall::Founder => {
+                        FoundingAnswer::Founder(Some(shared.base.rpc.identity().address))
+                    }
+                };
+                std::future::ready(encode_founding(answer)).boxed()
             }
             Ok(Call::Batch(_)) => std::future::ready(None).boxed(),
             Err(error) => {
@@ -531,123 +554,25 @@
     }
 }
 
-fn encode_reply<T: serde::Serialize>(reply: &GroupReply<T>) -> Option<Bytes> {
-    match postcard::to_stdvec(reply) {
-        Ok(bytes) => Some(bytes.into()),
-        Err(error) => {
-            log::error!("control: a reply cannot be encoded: {error}.");
-            None
-        }
-    }
-}
-
-/// Passes the calls of operators and servers to the leader.
-struct ControlRelay(Arc<ControlShared>);
-
-impl ControlRelay {
-    /// Has a call answered by the leader, and writes down what became of it.
-    async fn relay(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
-        let name = call.name();
-        let is_routine = matches!(call, ControlCall::CheckIn(_));
-        let started_at = self.0.now();
-        let result = self.reach_leader(call).await;
-        let took = self.0.now().saturating_duration_since(started_at);
-        let fields = json!({
-            "call": name,
-            "leads": self.0.leads(),
-            "leader": self.0.status().leader,
-            "took_ms": took.as_millis(),
-            "failure": result.as_ref().err().map(ToString::to_string),
-        });
-        let weight = if is_routine && result.is_ok() {
-            LineWeight::Routine
-        } else {
-            LineWeight::Notable
-        };
-        if weight == LineWeight::Notable || took > SLOW_RELAY {
-            self.0.log.write(weight, "call_relayed", &fields);
-        }
-        result
-    }
-
-    async fn reach_leader(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
-        let shared = &self.0;
-        if shared.leads()
-            && let GroupReply::Answer(answer) = shared.clone().answer(call.clone()).await
-        {
-            return Ok(answer);
-        }
-        // Every call may be repeated: versions, births and names make them idempotent.
-        let answer = shared
-            .client
-            .call(&Call::Control(call), RELAY_TIMEOUT, RELAY_PATIENCE, true)
-            .await;
-        answer.map_err(|_| ControlFailure::Unavailable)
-    }
-
-    async fn done(&self, call: ControlCall) -> Result<(), ControlFailure> {
-        match self.relay(call).await? {
-            ControlAnswer::Done => Ok(()),
-            ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
-            ControlAnswer::TooFewHosts => Err(ControlFailure::TooFewHosts),
-            _ => Err(ControlFailure::Unavailable),
-        }
-    }
-}
-
-impl ControlPort for ControlRelay {
-    fn replace_plan(
-        &self,
-        document: Vec<u8>,
-        plan: ServicePlan,
-    ) -> BoxFuture<'_, Result<(), ControlFailure>> {
-        let plan = Box::new(plan.raw().clone());
-        self.done(ControlCall::ReplacePlan { document, plan })
-            .boxed()
-    }
-
-    fn read_plan(&self) -> BoxFuture<'_, Result<Option<Vec<u8>>, ControlFailure>> {
+impl LocalSeat for ControlShared {
+    fn answer_here(
+        self: Arc<Self>,
+        call: ControlCall,
+    ) -> BoxFuture<'static, Option<ControlAnswer>> {
         async move {
-            match self.relay(ControlCall::ReadPlan).await? {
-                ControlAnswer::Document(document) => Ok(document),
-                _ => Err(ControlFailure::Unavailable),
+            if !self.leads() {
+                return None;
+            }
+            match self.answer(call).await {
+                GroupReply::Answer(answer) => Some(answer),
+                GroupReply::NotLeader { .. } | GroupReply::Unknown => None,
             }
         }
         .boxed()
     }
 
-    fn check_in(&self, told: ServerCheckIn) -> BoxFuture<'_, Result<ServerHint, ControlFailure>> {
-        async move {
-            self.done(ControlCall::CheckIn(Box::new(told))).await?;
-            let leader = self.0.status().leader;
-            let port = self.0.control_port;
-            let address = leader.map(|leader| SocketAddr::new(leader.ip(), port));
-            Ok(ServerHint { address })
-        }
-        .boxed()
-    }
-
-    fn leave(
-        &self,
-        name: ServerName,
-        born: Option<u64>,
-    ) -> BoxFuture<'_, Result<(), ControlFailure>> {
-        self.done(ControlCall::Leave { name, born }).boxed()
-    }
-
-    fn begin_retire(&self, host: HostName) -> BoxFuture<'_, Result<(), ControlFailure>> {
-        self.done(ControlCall::BeginRetire { host }).boxed()
-    }
-
-    fn is_retired(&self, host: HostName) -> BoxFuture<'_, Result<bool, ControlFailure>> {
-        async move {
-            match self.relay(ControlCall::RetireState { host }).await? {
-                ControlAnswer::Retired(is_empty) => Ok(is_empty),
-                ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
-                _ => Err(ControlFailure::Unavailable),
-            }
-        }
-        .boxed()
+    fn leader(&self) -> Option<SocketAddr> {
+        self.status().leader
     }
 }
 
@@ -655,11 +580,13 @@
 struct ControlSeats {
     base: ProcessBase,
     client: LeaderClient,
+    /// Empty before they are decided on.
+    founders: Arc<OnceLock<FounderMap>>,
 }
 
 impl SeatSource for ControlSeats {
     fn founders(&self) -> Option<FounderMap> {
-        Some(self.base.control_founders())
+        self.founders.get().cloned()
     }
 
     fn ask(&self, seat: Option<SeatId>) -> BoxFuture<'_, Option<JoinAnswer>> {
@@ -675,18 +602,34 @@
 }
 
 async fn keep_seat(shared: Arc<ControlShared>, opener: SeatOpener) {
+    let founders: Arc<OnceLock<FounderMap>> = Arc::default();
     let source = ControlSeats {
         base: shared.base.clone(),
         client: shared.client.clone(),
+        founders: founders.clone(),
+    };
+    let first_start = shared.base.settings.control.first_start;
+    let deciding = async {
+        let decided = if first_start {
+            decide_founders(&shared.base, &shared.client).await
+        } else {
+            FounderMap::new()
+        };
+        let addresses: Vec<SocketAddr> = decided.values().copied().collect();
+        if first_start {
+            let fields = json!({ "founders": addresses });
+            shared.log.note("founders_decided", &fields);
+        }
+        founders.get_or_init(|| decided);
     };
     let keeper = SeatKeeper {
         slot: &shared.seat,
         source: &source,
         opener,
         log: shared.log.clone(),
-        first_start: shared.base.settings.control.first_start,
+        first_start,
     };
-    keeper.run().await;
+    tokio::join!(deciding, keeper.run());
 }
 
 /// Acts as the leader while this host is it.
@@ -779,11 +722,3 @@
         }
     }))
 }
-
-/// The founders of the control group, in the order of their addresses.
-pub(crate) fn founders_of(addresses: &[SocketAddr]) -> FounderMap {
-    let mut sorted = addresses.to_vec();
-    sorted.sort_unstable();
-    sorted.dedup();
-    (1..).map(SeatId).zip(sorted).collect()
-}
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -68,7 +68,7 @@
     quarantine: QuarantineTable,
     waiting: HashMap<(AskerId, u64), oneshot::Sender<SlotDecision>>,
     settings: BrokerSettings,
-    leads_since: Instant,
+    pub(crate) leads_since: Instant,
     first_store_at: Option<Instant>,
 }
 
--- /dev/null
+++ b/crates/roles/src/control/relay.rs
@@ -0,0 +1,190 @@
+//! Passing the calls of operators and servers to the leader.
+//!
+//! Control hosts and store hosts take these calls, so that operators and servers
+//! find a running host while some stand still.
+
+use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
+use crate::event_log::{EventLog, LineWeight};
+use crate::leader_client::LeaderClient;
+use crate::message::{Call, ControlAnswer, ControlCall};
+use crate::process::{ProcessBase, ProcessError};
+use chicoryladder_broker::ServerCheckIn;
+use chicoryladder_gateway::{HttpListener, ListenerLimits};
+use chicoryladder_plan::ServicePlan;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The time for one try of a call that is passed on to the leader.
+pub(super) const RELAY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The time within which a call that is passed on has to find the leader; servers
+/// and operators wait for a second.
+const RELAY_PATIENCE: Duration = Duration::from_millis(850);
+
+/// The time from which on a check-in that was passed on is written down; most take
+/// a few round trips.
+const SLOW_RELAY: Duration = Duration::from_millis(100);
+
+/// The limits on connections of operators and servers.
+pub(crate) const RELAY_LIMITS: ListenerLimits = ListenerLimits {
+    header_max_bytes: 64 * 1024,
+    header_timeout: Duration::from_secs(60),
+};
+
+/// A seat of the control group in this process.
+pub(crate) trait LocalSeat: Send + Sync {
+    /// Answers a call if this host leads.
+    fn answer_here(self: Arc<Self>, call: ControlCall)
+    -> BoxFuture<'static, Option<ControlAnswer>>;
+
+    /// The leader, as far as the seat knows.
+    fn leader(&self) -> Option<SocketAddr>;
+}
+
+/// Passes the calls of operators and servers to the leader.
+pub(crate) struct ControlRelay {
+    pub(crate) base: ProcessBase,
+    pub(crate) client: LeaderClient,
+    pub(crate) log: EventLog,
+    pub(crate) port: u16,
+    /// The seat of this host, on a control host.
+    pub(crate) seat: Option<Arc<dyn LocalSeat>>,
+}
+
+impl ControlRelay {
+    /// Takes calls at the address of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub(crate) async fn listen(
+        self,
+        address: SocketAddr,
+        service: &dyn ControlService,
+    ) -> Result<HttpListener, ProcessError> {
+        let service = service.control(Arc::new(self));
+        Ok(HttpListener::start("control", address, RELAY_LIMITS, service).await?)
+    }
+
+    fn leader(&self) -> Option<SocketAddr> {
+        let known_here = self.seat.as_ref().and_then(|seat| seat.leader());
+        known_here.or_else(|| self.client.leader())
+    }
+
+    /// Has a call answered by the leader, and writes down what became of it.
+    async fn relay(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
+        let name = call.name();
+        let is_routine = matches!(call, ControlCall::CheckIn(_));
+        let started_at = self.base.clock.now();
+        let result = self.reach_leader(call).await;
+        let took = self.base.clock.now().saturating_duration_since(started_at);
+        let fields = json!({
+            "call": name,
+            "leader": self.leader(),
+            "took_ms": took.as_millis(),
+            "failure": result.as_ref().err().map(ToString::to_string),
+        });
+        let weight = if is_routine && result.is_ok() {
+            LineWeight::Routine
+        } else {
+            LineWeight::Notable
+        };
+        if weight == LineWeight::Notable || took > SLOW_RELAY {
+            self.log.write(weight, "call_relayed", &fields);
+        }
+        result
+    }
+
+    async fn reach_leader(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
+        if let Some(seat) = self.seat.clone()
+            && let Some(answer) = seat.answer_here(call.clone()).await
+        {
+            return Ok(answer);
+        }
+        // Every call may be repeated: versions, births and names make them idempotent.
+        let answer = self
+            .client
+            .call(&Call::Control(call), RELAY_TIMEOUT, RELAY_PATIENCE, true)
+            .await;
+        answer.map_err(|_| ControlFailure::Unavailable)
+    }
+
+    async fn done(&self, call: ControlCall) -> Result<(), ControlFailure> {
+        match self.relay(call).await? {
+            ControlAnswer::Done => Ok(()),
+            ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
+            ControlAnswer::TooFewHosts => Err(ControlFailure::TooFewHosts),
+            _ => Err(ControlFailure::Unavailable),
+        }
+    }
+}
+
+impl ControlPort for ControlRelay {
+    fn replace_plan(
+        &self,
+        document: Vec<u8>,
+        plan: ServicePlan,
+    ) -> BoxFuture<'_, Result<(), ControlFailure>> {
+        let plan = Box::new(plan.raw().clone());
+        self.done(ControlCall::ReplacePlan { document, plan })
+            .boxed()
+    }
+
+    fn read_plan(&self) -> BoxFuture<'_, Result<Option<Vec<u8>>, ControlFailure>> {
+        async move {
+            match self.relay(ControlCall::ReadPlan).await? {
+                ControlAnswer::Document(document) => Ok(document),
+                _ => Err(ControlFailure::Unavailable),
+            }
+        }
+        .boxed()
+    }
+
+    fn check_in(&self, told: ServerCheckIn) -> BoxFuture<'_, Result<ServerHint, ControlFailure>> {
+        async move {
+            self.done(ControlCall::CheckIn(Box::new(told))).await?;
+            let leader = self.leader();
+            let address = leader.map(|leader| SocketAddr::new(leader.ip(), self.port));
+            Ok(ServerHint { address })
+        }
+        .boxed()
+    }
+
+    fn leave(
+        &self,
+        name: ServerName,
+        born: Option<u64>,
+    ) -> BoxFuture<'_, Result<(), ControlFailure>> {
+        self.done(ControlCall::Leave { name, born }).boxed()
+    }
+
+    fn begin_retire(&self, host: HostName) -> BoxFuture<'_, Result<(), ControlFailure>> {
+        self.done(ControlCall::BeginRetire { host }).boxed()
+    }
+
+    fn is_retired(&self, host: HostName) -> BoxFuture<'_, Result<bool, ControlFailure>> {
+        async move {
+            match self.relay(ControlCall::RetireState { host }).await? {
+                ControlAnswer::Retired(is_empty) => Ok(is_empty),
+                ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
+                _ => Err(ControlFailure::Unavailable),
+            }
+        }
+        .boxed()
+    }
+}
+
+/// Lets calls in flight end within the time that their callers wait.
+pub(crate) async fn drain_relay(listener: HttpListener) {
+    if tokio::time::timeout(RELAY_PATIENCE, listener.drain())
+        .await
+        .is_err()
+    {
+        log::info!("control: cuts the calls that are left.");
+    }
+}
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -224,6 +224,7 @@
         role: HostRole::Entry,
         active: Box::new(move || slots.active()),
         store: Box::new(|| None),
+        on_hosts: Box::new(|_| {}),
         on_news: Box::new(move |news| note_news(&log, news)),
     }
 }
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -13,6 +13,7 @@
 use chicoryladder_plan::{PlanVersion, ServicePlan};
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -154,6 +155,9 @@
     }
 }
 
+/// Told where control hosts are.
+type HostsListener = Box<dyn Fn(&[SocketAddr]) + Send + Sync>;
+
 /// What a process reports at each sync.
 pub(crate) struct SyncReporter {
     pub(crate) role: HostRole,
@@ -161,6 +165,8 @@
     pub(crate) active: Box<dyn Fn() -> Vec<ActiveRun> + Send + Sync>,
     /// What a store host tells of its seat.
     pub(crate) store: Box<dyn Fn() -> Option<StoreReport> + Send + Sync>,
+    /// Told where control hosts are.
+    pub(crate) on_hosts: HostsListener,
     /// Told of a new plan, and whether the leader is lost or found again.
     pub(crate) on_news: Box<dyn Fn(ViewNews) + Send + Sync>,
 }
@@ -183,6 +189,7 @@
             role: HostRole::Control,
             active: Box::new(Vec::new),
             store: Box::new(|| None),
+            on_hosts: Box::new(|_| {}),
             on_news: Box::new(|_| {}),
         }
     }
@@ -203,6 +210,7 @@
         let answer = client.call_once(&call, SYNC_TIMEOUT).await;
         let pause = if let Ok(ControlAnswer::Synced(answer)) = answer {
             client.set_hosts(&answer.hosts);
+            (reporter.on_hosts)(&answer.hosts);
             if !found {
                 found = true;
                 (reporter.on_news)(ViewNews::LeaderFound);
--- /dev/null
+++ b/crates/roles/src/founding.rs
@@ -0,0 +1,172 @@
+//! How the control group comes into being, and how hosts find it later.
+//!
+//! Settings name a few hosts that take control calls. Each of them is a control
+//! host, or a store host that passes calls on. At the first start control hosts
+//! ask which is which before they found their group. Store hosts keep the addresses
+//! of control hosts on disk, so that they can point to them after any restart.
+
+use crate::leader_client::LeaderClient;
+use crate::message::{Call, FoundingAnswer, FoundingCall, HostRole};
+use crate::process::{ProcessBase, RETRY_PAUSE};
+use bytes::Bytes;
+use chicoryladder_group::{AddressFile, FounderMap, FoundingStep, alone, plan_founding};
+use futures_util::future::join_all;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// The time for one question to a seed.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The file of the control host that founds the group alone.
+const APPOINTED_FILE: &str = "control-founder";
+
+/// The file of the control hosts that were heard of last.
+const HOSTS_FILE: &str = "control-hosts";
+
+/// Asks the seeds until it is decided which hosts found the control group; none of
+/// them is this host if it has to join.
+pub(crate) async fn decide_founders(base: &ProcessBase, client: &LeaderClient) -> FounderMap {
+    let own = base.rpc.identity().address;
+    let seeds: BTreeSet<SocketAddr> = base.control_seeds().into_iter().collect();
+    let mut holds_seat = BTreeMap::from([(own, true)]);
+    loop {
+        let unknown = seeds.iter().filter(|seed| !holds_seat.contains_key(*seed));
+        let asked = join_all(unknown.map(|seed| async move {
+            match ask(base, *seed, &FoundingCall::Role).await {
+                Some(FoundingAnswer::Role(role)) => Some((*seed, role == HostRole::Control)),
+                _ => None,
+            }
+        }));
+        let answers = asked.await;
+        holds_seat.extend(answers.into_iter().flatten());
+        match plan_founding(own, &seeds, &holds_seat) {
+            FoundingStep::Found(founders) => return founders,
+            FoundingStep::Join => return FounderMap::new(),
+            FoundingStep::AskFor(seed) => {
+                if let Some(FoundingAnswer::Founder(Some(founder))) =
+                    ask(base, seed, &FoundingCall::Founder).await
+                {
+                    client.add_hosts(&[founder]);
+                    return if founder == own {
+                        alone(own)
+                    } else {
+                        FounderMap::new()
+                    };
+                }
+            }
+            FoundingStep::Wait => {}
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// A seed that does not answer is asked again.
+async fn ask(base: &ProcessBase, seed: SocketAddr, call: &FoundingCall) -> Option<FoundingAnswer> {
+    let payload = match postcard::to_stdvec(&Call::Founding(*call)) {
+        Ok(payload) => payload,
+        Err(error) => {
+            log::error!("founding: a call cannot be encoded: {error}.");
+            return None;
+        }
+    };
+    let answer = base.rpc.call(seed, payload, ASK_TIMEOUT).await.ok()?;
+    match postcard::from_bytes(&answer) {
+        Ok(answer) => Some(answer),
+        Err(error) => {
+            log::warn!("founding: {seed} answered what cannot be read: {error}.");
+            None
+        }
+    }
+}
+
+/// Encodes an answer to a host of a first start.
+pub(crate) fn encode_founding(answer: FoundingAnswer) -> Option<Bytes> {
+    match postcard::to_stdvec(&answer) {
+        Ok(bytes) => Some(bytes.into()),
+        Err(error) => {
+            log::error!("founding: an answer cannot be encoded: {error}.");
+            None
+        }
+    }
+}
+
+/// What a store host keeps of the control hosts.
+pub(crate) struct ControlBook {
+    founder_file: AddressFile,
+    founder: Mutex<Option<SocketAddr>>,
+    hosts_file: AddressFile,
+    hosts: Mutex<BTreeSet<SocketAddr>>,
+    is_writing: AtomicBool,
+}
+
+impl ControlBook {
+    /// Reads what is kept in a data folder.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file is damaged or cannot be read.
+    pub(crate) fn open(folder: &Path) -> io::Result<Self> {
+        let founder_file = AddressFile::new(folder, APPOINTED_FILE);
+        let hosts_file = AddressFile::new(folder, HOSTS_FILE);
+        Ok(Self {
+            founder: Mutex::new(founder_file.read()?.first().copied()),
+            founder_file,
+            hosts: Mutex::new(hosts_file.read()?.into_iter().collect()),
+            hosts_file,
+            is_writing: AtomicBool::new(false),
+        })
+    }
+
+    /// Where control hosts were last.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let founder = *lock(&self.founder);
+        lock(&self.hosts).iter().copied().chain(founder).collect()
+    }
+
+    /// The control host that founds the group alone: the first that asked. Blocks on
+    /// the disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the choice cannot be made durable; it may be another one then.
+    pub(crate) fn appoint(&self, candidate: SocketAddr) -> io::Result<SocketAddr> {
+        let mut founder = lock(&self.founder);
+        if let Some(founder) = *founder {
+            return Ok(founder);
+        }
+        self.founder_file.write(&[candidate])?;
+        *founder = Some(candidate);
+        Ok(candidate)
+    }
+
+    /// Keeps the addresses of control hosts, if they are news, on a thread that may
+    /// wait for the disk.
+    pub(crate) fn keep(self: &Arc<Self>, hosts: &[SocketAddr]) {
+        let hosts: BTreeSet<SocketAddr> = hosts.iter().copied().collect();
+        if hosts.is_empty() || *lock(&self.hosts) == hosts {
+            return;
+        }
+        if self.is_writing.swap(true, Ordering::Relaxed) {
+            // What is heard next is compared with what this write kept.
+            return;
+        }
+        let book = self.clone();
+        tokio::task::spawn_blocking(move || {
+            let addresses: Vec<SocketAddr> = hosts.iter().copied().collect();
+            match book.hosts_file.write(&addresses) {
+                Ok(()) => *lock(&book.hosts) = hosts,
+                Err(error) => log::warn!("store: the control hosts cannot be kept: {error}."),
+            }
+            book.is_writing.store(false, Ordering::Relaxed);
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/roles/src/leader_client.rs
+++ b/crates/roles/src/leader_client.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// Adds hosts of the group to those that are known.
+    pub(crate) fn add_hosts(&self, hosts: &[SocketAddr]) {
+        let mut known = self.known();
+        for host in hosts {
+            if !known.hosts.contains(host) {
+                known.hosts.push(*host);
+            }
+        }
+    }
+
     /// Whether fewer than half of the hosts have answered within `period`, so that
     /// this process is likely to be cut off from the others.
     pub(crate) fn is_isolated(&self, period: Duration) -> bool {
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -14,6 +14,7 @@
 mod event_log;
 mod event_stream;
 mod fleet_view;
+mod founding;
 mod leader_client;
 mod message;
 mod metrics;
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -1,5 +1,6 @@
 //! What the processes of a fleet tell each other.
 
+use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobPage};
 use chicoryladder_broker::{ActiveRun, AskSlot, AskerId, RunReport, ServerCheckIn, SlotDecision};
 use chicoryladder_consensus::SeatEnvelope;
@@ -30,13 +31,33 @@
     Changed,
 }
 
-/// A call; each goes to the leader of a group.
+/// A call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum Call {
-    /// To the control group.
+    /// To the leader of the control group.
     Control(ControlCall),
-    /// To the job group.
+    /// To the leader of the job group.
     Batch(BatchCall),
+    /// To a host that the settings name, at the first start.
+    Founding(FoundingCall),
+}
+
+/// What a control host asks before the control group exists.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum FoundingCall {
+    /// What the host does.
+    Role,
+    /// Which control host founds the group alone.
+    Founder,
+}
+
+/// The answer of a host that the settings name.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum FoundingAnswer {
+    /// Answers [`FoundingCall::Role`].
+    Role(HostRole),
+    /// Answers [`FoundingCall::Founder`]; `None` if that could not be recorded.
+    Founder(Option<SocketAddr>),
 }
 
 /// A call to the control group.
@@ -173,6 +194,8 @@
     Synced(Box<SyncAnswer>),
     /// The call took effect.
     Done,
+    /// The group has too few members yet to keep a first plan safe.
+    TooFewMembers,
     /// Answers [`ControlCall::ReadPlan`].
     Document(Option<Vec<u8>>),
     /// Answers [`ControlCall::RetireState`]: whether the host is empty.
@@ -253,3 +276,14 @@
         Self::NotLeader { leader }
     }
 }
+
+/// Encodes a reply; `part` of the program tells of it if it cannot be encoded.
+pub(crate) fn encode_reply<T: Serialize>(part: &str, reply: &GroupReply<T>) -> Option<Bytes> {
+    match postcard::to_stdvec(reply) {
+        Ok(bytes) => Some(bytes.into()),
+        Err(error) => {
+            log::error!("{part}: a reply cannot be encoded: {error}.");
+            None
+        }
+    }
+}
--- a/crates/roles/src/process.rs
+++ b/crates/roles/src/process.rs
@@ -1,9 +1,8 @@
 //! What every process of a fleet has, whatever its role.
 
-use crate::control::founders_of;
 use crate::leader_client::LeaderClient;
 use crate::message::{JoinRequest, Notice};
-use crate::seat_opener::{FounderMap, random_word};
+use crate::seat_opener::random_word;
 use chicoryladder_broker::AskerId;
 use chicoryladder_gateway::ListenError;
 use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcHandler, RpcServer};
@@ -74,8 +73,8 @@
         Ok(())
     }
 
-    /// Where the control hosts that the settings name take calls.
-    fn control_seeds(&self) -> Vec<SocketAddr> {
+    /// Where the hosts that the settings name take calls of other hosts.
+    pub(crate) fn control_seeds(&self) -> Vec<SocketAddr> {
         let port = self.settings.listen.peers.port();
         let seeds = self.settings.control.seeds.iter();
         seeds.map(|seed| SocketAddr::new(seed.ip(), port)).collect()
@@ -85,10 +84,6 @@
         LeaderClient::new(self.rpc.clone(), self.clock.clone(), self.control_seeds())
     }
 
-    pub(crate) fn control_founders(&self) -> FounderMap {
-        founders_of(&self.control_seeds())
-    }
-
     pub(crate) fn asker(&self) -> AskerId {
         let identity = self.rpc.identity();
         AskerId {
--- a/crates/roles/src/seat_keeper.rs
+++ b/crates/roles/src/seat_keeper.rs
@@ -3,9 +3,9 @@
 use crate::event_log::EventLog;
 use crate::message::JoinAnswer;
 use crate::process::RETRY_PAUSE;
-use crate::seat_opener::{FounderMap, SeatOpener};
+use crate::seat_opener::SeatOpener;
 use chicoryladder_consensus::StateMachine;
-use chicoryladder_group::{GroupHandle, GroupStatus};
+use chicoryladder_group::{FounderMap, GroupHandle, GroupStatus};
 use chicoryladder_types::SeatId;
 use futures_util::future::BoxFuture;
 use serde_json::json;
@@ -97,7 +97,7 @@
     async fn open(&self) -> io::Result<Option<GroupHandle<M>>> {
         let founders = self.source.founders();
         let opened = self.opener.open(founders.as_ref(), self.first_start)?;
-        // Before the founders are decided on, a seat can only come from that.
+        // Before the founders are decided on, nobody can give out a seat.
         if opened.is_some() || founders.is_none() {
             return Ok(opened);
         }
--- a/crates/roles/src/seat_opener.rs
+++ b/crates/roles/src/seat_opener.rs
@@ -2,11 +2,12 @@
 
 use crate::message::Notice;
 use chicoryladder_consensus::{GroupMembership, SeatEnvelope, SeatSettings, StateMachine};
-use chicoryladder_group::{GroupHandle, GroupSettings, GroupThread, SeatFile, SeatTransport};
+use chicoryladder_group::{
+    FounderMap, GroupHandle, GroupSettings, GroupThread, SeatFile, SeatRecord, SeatTransport,
+};
 use chicoryladder_rpc::RpcClient;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{GroupId, SeatId};
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -40,9 +41,6 @@
     pub(crate) clock: Arc<dyn ClockSource>,
 }
 
-/// The members of a group's first start.
-pub(crate) type FounderMap = BTreeMap<SeatId, SocketAddr>;
-
 impl SeatOpener {
     /// Opens the seat that the folder has, or a founder's seat at the first start.
     ///
@@ -57,22 +55,27 @@
         first_start: bool,
     ) -> io::Result<Option<GroupHandle<M>>> {
         let file = SeatFile::new(&self.folder);
-        let own = self.rpc.identity().address;
-        let founded = founders.and_then(|founders| {
-            let seat = founders.iter().find(|(_, address)| **address == own);
-            seat.map(|(seat, _)| *seat)
-        });
-        let seat = match (file.read()?, founded) {
-            (Some(seat), _) => seat,
-            (None, Some(seat)) if first_start => {
-                file.write(seat)?;
-                seat
-            }
-            (None, _) => return Ok(None),
+        if let Some(record) = file.read()? {
+            return self.start(record).map(Some);
+        }
+        let Some(founded) = founders.and_then(|founders| self.founded(founders)) else {
+            return Ok(None);
         };
-        let is_founder = founded == Some(seat);
-        let founders = founders.filter(|_| is_founder);
-        self.start(seat, founders).map(Some)
+        if !first_start {
+            return Ok(None);
+        }
+        file.write(&founded)?;
+        self.start(founded).map(Some)
+    }
+
+    /// The seat of this host if it is a founder.
+    fn founded(&self, founders: &FounderMap) -> Option<SeatRecord> {
+        let own = self.rpc.identity().address;
+        let (seat, _) = founders.iter().find(|(_, address)| **address == own)?;
+        Some(SeatRecord {
+            seat: *seat,
+            founders: founders.clone(),
+        })
     }
 
     /// Takes a seat that the leader has given out.
@@ -84,8 +87,12 @@
         &self,
         seat: SeatId,
     ) -> io::Result<GroupHandle<M>> {
-        SeatFile::new(&self.folder).write(seat)?;
-        self.start(seat, None)
+        let joined = SeatRecord {
+            seat,
+            founders: FounderMap::new(),
+        };
+        SeatFile::new(&self.folder).write(&joined)?;
+        self.start(joined)
     }
 
     /// Deletes what a removed seat has left behind.
@@ -94,16 +101,21 @@
     ///
     /// Fails if the files cannot be deleted.
     pub(crate) fn clear(&self) -> io::Result<()> {
-        match std::fs::remove_dir_all(&self.folder) {
+        // Without its file no start takes the seat for one whose log is whole.
+        SeatFile::new(&self.folder).delete()?;
+        match std::fs::remove_dir_all(self.log_folder()) {
             Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
             _ => Ok(()),
         }
     }
 
+    fn log_folder(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
     fn start<M: StateMachine + Default + 'static>(
         &self,
-        seat: SeatId,
-        founders: Option<&FounderMap>,
+        record: SeatRecord,
     ) -> io::Result<GroupHandle<M>> {
         let timers = SeatSettings {
             heartbeat_interval: HEARTBEAT_INTERVAL,
@@ -113,13 +125,12 @@
             applied_max_bytes: APPLIED_MAX_BYTES,
             // Hosts without a seat ask the leader instead of following the log.
             tail_max_entries: 0,
-            ..SeatSettings::new(self.group, seat)
+            ..SeatSettings::new(self.group, record.seat)
         };
-        let founders = founders.cloned().unwrap_or_default();
         let settings = GroupSettings {
             seat: timers,
-            founders: GroupMembership::of_voters(founders),
-            folder: self.folder.join("log"),
+            founders: GroupMembership::of_voters(record.founders),
+            folder: self.log_folder(),
             address: self.rpc.identity().address,
             seed: random_word()?,
         };
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -1,26 +1,29 @@
 //! A running store host.
 
 use super::leader::{JobLeader, lead};
+use crate::control::{ControlRelay, ControlService, drain_relay};
 use crate::entry::{note_news, serve};
 use crate::event_log::EventLog;
 use crate::fleet_view::{FleetView, SyncReporter, follow};
+use crate::founding::{ControlBook, encode_founding};
 use crate::leader_client::LeaderClient;
 use crate::message::{
-    BatchCall, BatchReply, Call, GroupReply, HostRole, JoinAnswer, Notice, StoreReport,
+    BatchCall, BatchReply, Call, ControlAnswer, FoundingAnswer, FoundingCall, GroupReply, HostRole,
+    JoinAnswer, Notice, StoreReport, encode_reply,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::ports::ServerDialect;
 use crate::process::{ProcessBase, ProcessError};
 use crate::seat_care::SeatCare;
 use crate::seat_keeper::{SeatKeeper, SeatSlot, SeatSource};
-use crate::seat_opener::{FounderMap, SeatOpener};
+use crate::seat_opener::SeatOpener;
 use crate::server_connections::ServerConnections;
 use crate::server_run::ServerRunner;
 use crate::slot_client::SlotClient;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchAnswer, BatchCommand, BatchMachine};
-use chicoryladder_gateway::ListenerLimits;
-use chicoryladder_group::{GroupHandle, GroupStatus, ProposeFailure};
+use chicoryladder_gateway::{HttpListener, ListenerLimits};
+use chicoryladder_group::{FounderMap, GroupHandle, GroupStatus, ProposeFailure};
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
@@ -52,6 +55,8 @@
 /// A running store host.
 pub struct StoreHost {
     shared: Arc<StoreShared>,
+    /// Takes the calls of operators and servers, if it has an address for them.
+    relay: Option<HttpListener>,
     tasks: JoinSet<()>,
 }
 
@@ -65,6 +70,9 @@
     /// Wakes the task of the leader.
     pub(super) work_due: Notify,
     job_client: LeaderClient,
+    /// Finds the leader of the control group.
+    control_client: LeaderClient,
+    control_book: Arc<ControlBook>,
     seat: SeatSlot<BatchMachine>,
     leader: Mutex<JobLeader>,
     care: Mutex<SeatCare>,
@@ -81,6 +89,7 @@
     pub async fn start(
         settings: ProcessSettings,
         servers: Arc<dyn ServerDialect>,
+        control: Arc<dyn ControlService>,
         clock: Arc<dyn ClockSource>,
     ) -> Result<Self, ProcessError> {
         let folder = settings
@@ -89,6 +98,8 @@
             .ok_or(ProcessError::Absent("data", "folder"))?;
         let base = ProcessBase::new(settings, clock)?;
         let client = base.control_client();
+        let control_book = Arc::new(ControlBook::open(&folder)?);
+        client.add_hosts(&control_book.addresses());
         let view = FleetView::new();
         let runner = ServerRunner {
             connections: ServerConnections::new(base.clock.clone()),
@@ -99,6 +110,8 @@
             job_client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
             log: EventLog::start("store")?,
             work_due: Notify::new(),
+            control_client: client.clone(),
+            control_book,
             seat: SeatSlot::default(),
             leader: Mutex::new(JobLeader::new()),
             care: Mutex::default(),
@@ -122,10 +135,18 @@
         tasks.spawn(keep_seat(shared.clone(), opener));
         tasks.spawn(lead(shared.clone()));
         serve_metrics(&shared, &mut tasks).await?;
+        let relay = match base.settings.listen.control {
+            Some(address) => Some(start_relay(&shared, address, &*control).await?),
+            None => None,
+        };
         shared
             .log
             .note("started", &json!({ "host": base.settings.host.name }));
-        Ok(Self { shared, tasks })
+        Ok(Self {
+            shared,
+            relay,
+            tasks,
+        })
     }
 
     /// Gives the leadership away and stops.
@@ -137,10 +158,28 @@
             group.hand_over();
             tokio::time::sleep(HAND_OVER_TIME).await;
         }
+        if let Some(relay) = self.relay {
+            drain_relay(relay).await;
+        }
         self.tasks.shutdown().await;
     }
 }
 
+async fn start_relay(
+    shared: &Arc<StoreShared>,
+    address: SocketAddr,
+    service: &dyn ControlService,
+) -> Result<HttpListener, ProcessError> {
+    let relay = ControlRelay {
+        base: shared.base.clone(),
+        client: shared.control_client.clone(),
+        log: shared.log.clone(),
+        port: address.port(),
+        seat: None,
+    };
+    relay.listen(address, service).await
+}
+
 async fn serve_metrics(
     shared: &Arc<StoreShared>,
     tasks: &mut JoinSet<()>,
@@ -274,6 +313,25 @@
         is_due
     }
 
+    /// Records which control host founds its group alone; `None` if that fails.
+    async fn appoint(&self, candidate: SocketAddr) -> Option<SocketAddr> {
+        let book = self.control_book.clone();
+        let appointed = tokio::task::spawn_blocking(move || book.appoint(candidate)).await;
+        match appointed.map_err(std::io::Error::other).flatten() {
+            Ok(founder) => {
+                self.control_client.add_hosts(&[founder]);
+                let fields = json!({ "candidate": candidate, "founder": founder });
+                self.log.note("founder_appointed", &fields);
+                Some(founder)
+            }
+            Err(error) => {
+                let fields = json!({ "candidate": candidate, "cause": error.to_string() });
+                self.log.note("founder_not_recorded", &fields);
+                None
+            }
+        }
+    }
+
     fn report(&self, first_start: bool) -> StoreReport {
         let group = self.group();
         let status = self.status();
@@ -318,6 +376,10 @@
     SyncReporter {
         role: HostRole::Store,
         active: Box::new(move || slots.active()),
+        on_hosts: {
+            let book = shared.control_book.clone();
+            Box::new(move |hosts| book.keep(hosts))
+        },
         store: Box::new(move || Some(shared.report(first_start))),
         on_news: Box::new(move |news| note_news(&log, news)),
     }
@@ -327,21 +389,30 @@
 struct StoreHandler(Arc<StoreShared>);
 
 impl RpcHandler for StoreHandler {
-    fn call(&self, _: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+    fn call(&self, peer: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
         let shared = self.0.clone();
         match postcard::from_bytes(&payload) {
+            Ok(Call::Founding(call)) => async move {
+                let answer = match call {
+                    FoundingCall::Role => FoundingAnswer::Role(HostRole::Store),
+                    FoundingCall::Founder => {
+                        FoundingAnswer::Founder(shared.appoint(peer.address).await)
+                    }
+                };
+                encode_founding(answer)
+            }
+            .boxed(),
             Ok(Call::Batch(call)) => async move {
                 let reply: GroupReply<BatchReply> = shared.answer(call).await;
-                match postcard::to_stdvec(&reply) {
-                    Ok(bytes) => Some(bytes.into()),
-                    Err(error) => {
-                        log::error!("store: a reply cannot be encoded: {error}.");
-                        None
-                    }
-                }
+                encode_reply("store", &reply)
             }
             .boxed(),
-            Ok(Call::Control(_)) => std::future::ready(None).boxed(),
+            // A host that was told of this one as a control host looks for the leader.
+            Ok(Call::Control(_)) => {
+                let leader = shared.control_client.leader();
+                let reply = GroupReply::<ControlAnswer>::NotLeader { leader };
+                std::future::ready(encode_reply("store", &reply)).boxed()
+            }
             Err(error) => {
                 log::warn!("store: a call cannot be read: {error}.");
                 std::future::ready(None).boxed()
--- a/src/role_commands.rs
+++ b/src/role_commands.rs
@@ -30,16 +30,18 @@
     async fn start(role: ProcessRole, settings: ProcessSettings) -> Result<Self, ProcessError> {
         let clock: Arc<dyn ClockSource> = Arc::new(BootClock::new());
         let servers = Arc::new(ServerAdapter);
+        let control = Arc::new(ControlAdapter);
         Ok(match role {
             ProcessRole::Entry => {
                 let callers = Arc::new(CallerAdapter);
                 Self::Entry(EntryHost::start(settings, callers, servers, clock).await?)
             }
             ProcessRole::Control => {
-                let service = Arc::new(ControlAdapter);
-                Self::Control(ControlHost::start(settings, service, clock).await?)
+                Self::Control(ControlHost::start(settings, control, clock).await?)
+            }
+            ProcessRole::Store => {
+                Self::Store(StoreHost::start(settings, servers, control, clock).await?)
             }
-            ProcessRole::Store => Self::Store(StoreHost::start(settings, servers, clock).await?),
         })
     }
 
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod calm;
 mod client;
 mod explain;
+mod first_contact;
 mod proxy;
 mod servers;
 mod soak;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -66,6 +66,8 @@
 pub(crate) struct World {
     folder: TempDir,
     net: (u8, u8),
+    /// The hosts that settings name as control hosts.
+    seeds: Vec<(Role, u8)>,
     hosts: BTreeMap<String, Host>,
     pub(crate) faults: LinkFaults,
     pub(crate) runs: RunLog,
@@ -77,12 +79,19 @@
     /// Starts control, store and entry hosts, three of each, in three zones, with
     /// engines and a plain service, and brings a plan into force.
     pub(crate) async fn start() -> Self {
+        let seeds = [1, 2, 3].map(|number| (Role::Control, number));
+        Self::start_with_seeds(&seeds).await
+    }
+
+    /// Starts a fleet whose settings name the given hosts as control hosts.
+    pub(crate) async fn start_with_seeds(seeds: &[(Role, u8)]) -> Self {
         let mut world = Self {
             folder: TempDir::new().expect("a folder"),
             net: (
                 u8::try_from(std::process::id() % 200).expect("a byte") + 20,
                 NEXT_NET.fetch_add(1, Ordering::Relaxed),
             ),
+            seeds: seeds.to_vec(),
             hosts: BTreeMap::new(),
             faults: LinkFaults::default(),
             runs: RunLog::default(),
@@ -121,14 +130,9 @@
     /// Adds a host and starts its process.
     pub(crate) fn add_host(&mut self, role: Role, number: u8, first_start: bool) -> String {
         let name = format!("{}-{number}", role.command());
-        let place = match role {
-            Role::Control => 10,
-            Role::Store => 20,
-            Role::Entry => 30,
-        };
         let host = Host {
             role,
-            ip: Ipv4Addr::new(127, self.net.0, self.net.1, place + number),
+            ip: self.ip(role, number),
             zone: format!("zone-{}", (number - 1) % 3 + 1),
             child: None,
         };
@@ -140,6 +144,20 @@
         name
     }
 
+    fn ip(&self, role: Role, number: u8) -> Ipv4Addr {
+        let place = match role {
+            Role::Control => 10,
+            Role::Store => 20,
+            Role::Entry => 30,
+        };
+        Ipv4Addr::new(127, self.net.0, self.net.1, place + number)
+    }
+
+    /// Has later starts name the given hosts as control hosts.
+    pub(crate) fn set_seeds(&mut self, seeds: &[(Role, u8)]) {
+        self.seeds = seeds.to_vec();
+    }
+
     /// Starts the process of a host.
     pub(crate) fn launch(&mut self, name: &str, first_start: bool) {
         let settings = self.folder.path().join(format!("{name}.ini"));
@@ -167,9 +185,8 @@
     fn settings(&self, name: &str, first_start: bool) -> String {
         let host = &self.hosts[name];
         let at = |port: u16| SocketAddr::from((host.ip, port));
-        let seeds: Vec<String> = (1..=3)
-            .map(|n| Ipv4Addr::new(127, self.net.0, self.net.1, 10 + n))
-            .map(|ip| format!("{ip}:{CONTROL_PORT}"))
+        let seeds: Vec<String> = (self.seeds.iter())
+            .map(|(role, number)| format!("{}:{CONTROL_PORT}", self.ip(*role, *number)))
             .collect();
         let first_start = if first_start { "yes" } else { "no" };
         let mut text = format!(
@@ -188,10 +205,9 @@
                     format_args!("callers = {callers}\nreadiness = {readiness}\n"),
                 );
             }
-            Role::Control => {
+            Role::Control | Role::Store => {
                 append(&mut text, format_args!("control = {}\n", at(CONTROL_PORT)));
             }
-            Role::Store => {}
         }
         let seeds = seeds.join(", ");
         append(
