--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -1,6 +1,7 @@
 //! What a replicated log holds and what a seat keeps on disk.
 
 use crate::GroupMembership;
+use bytes::Bytes;
 use chicoryladder_types::{LogIndex, SeatId, TermNumber};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -54,7 +55,7 @@
 }
 
 /// The state of a group up to one log index.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SnapshotRecord {
     /// The last entry that the snapshot covers.
     pub index: LogIndex,
@@ -62,6 +63,6 @@
     pub term: TermNumber,
     /// The membership at that entry.
     pub membership: GroupMembership,
-    /// The snapshot of the state machine.
-    pub data: CommandBytes,
+    /// The snapshot of the state machine, shared with what writes and sends it.
+    pub data: Bytes,
 }
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -313,6 +313,7 @@
 
     fn compact(&mut self) -> Result<(), SnapshotError> {
         self.compacted = self.tail.applied();
+        self.seat.release_snapshot();
         self.seat.compact(self.machine.snapshot()?.into());
         Ok(())
     }
--- a/crates/consensus/src/seat/snapshots.rs
+++ b/crates/consensus/src/seat/snapshots.rs
@@ -5,14 +5,15 @@
 use super::{RaftSeat, RoleState};
 use crate::entry_log::EntryLog;
 use crate::membership::MembershipHistory;
-use crate::{CommandBytes, SeatMessage, SnapshotChunk, SnapshotRecord, SnapshotReply};
+use crate::{SeatMessage, SnapshotChunk, SnapshotRecord, SnapshotReply};
+use bytes::Bytes;
 use chicoryladder_types::{LogIndex, SeatId};
 use std::time::Instant;
 
 impl RaftSeat {
     /// Takes a snapshot of the state after the last delivered entry, and drops
     /// entries that no seat is expected to need.
-    pub fn compact(&mut self, data: CommandBytes) {
+    pub fn compact(&mut self, data: Bytes) {
         let index = self.delivered;
         let Some(term) = self.log.term_at(index) else {
             return;
@@ -31,6 +32,11 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// Drops the last snapshot from memory; the next one has to follow at once.
+    pub fn release_snapshot(&mut self) {
+        self.snapshot = None;
+    }
+
     /// Replaces log and state by a received snapshot.
     pub(super) fn install(&mut self, chunk: &SnapshotChunk, data: Vec<u8>) {
         let snapshot = SnapshotRecord {
--- a/crates/consensus/src/storage/file.rs
+++ b/crates/consensus/src/storage/file.rs
@@ -9,6 +9,7 @@
 use super::frame::{FrameFault, encode_frame, read_frame};
 use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
 use crate::{GroupMembership, HardState, LogEntry, SnapshotRecord};
+use bytes::Bytes;
 use chicoryladder_types::{LogIndex, TermNumber};
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
@@ -119,6 +120,7 @@
         let path = self.path(SNAPSHOT_PREFIX, number);
         let bytes = fs::read(&path).map_err(|e| io_error(&path, e))?;
         let damaged = || damage(&path, 0, "the snapshot fails its checksum");
+        let bytes = Bytes::from(bytes);
         let (payload, data) = read_frame(&bytes).map_err(|_| damaged())?;
         let head: SnapshotHead = postcard::from_bytes(payload).map_err(|_| damaged())?;
         if data.len() as u64 != head.data_bytes || crc32fast::hash(data) != head.data_crc {
@@ -128,7 +130,7 @@
             index: head.index,
             term: head.term,
             membership: head.membership,
-            data: data.into(),
+            data: bytes.slice_ref(data),
         }))
     }
 
--- /dev/null
+++ b/crates/consensus/tests/snapshot_memory.rs
@@ -0,0 +1,80 @@
+//! What a snapshot of a large state costs in memory. The file has one test, since
+//! the peak is that of its process.
+
+use chicoryladder_consensus::{
+    CommandBytes, FileStorage, GroupMembership, GroupReplica, ProposalToken, RestoreError,
+    SeatSettings, SnapshotError, StateMachine,
+};
+use chicoryladder_types::{GroupId, LogIndex, SeatId};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// The size of the state, far above what else the process holds.
+const STATE_BYTES: usize = 64 * 1024 * 1024;
+
+struct LargeMachine;
+
+impl StateMachine for LargeMachine {
+    fn apply(&mut self, _: LogIndex, _: &[u8]) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
+        Ok(vec![7; STATE_BYTES])
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        assert_eq!(snapshot.len(), STATE_BYTES);
+        Ok(())
+    }
+}
+
+/// The largest memory that the process has had, in bytes.
+fn peak() -> usize {
+    let status = std::fs::read_to_string("/proc/self/status").expect("the process has a status");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1));
+    kib.and_then(|kib| kib.parse::<usize>().ok())
+        .expect("a number of KiB")
+        * 1024
+}
+
+fn open(folder: &std::path::Path, now: Instant) -> GroupReplica<LargeMachine> {
+    let address = SocketAddr::from(([10, 0, 0, 1], 7700));
+    let settings = SeatSettings {
+        snapshot_interval_entries: 4,
+        ..SeatSettings::new(GroupId(0), SeatId(1))
+    };
+    let alone = GroupMembership::of_voters([(SeatId(1), address)]);
+    let storage = FileStorage::open(folder).expect("the folder is there");
+    GroupReplica::start(settings, alone, Box::new(storage), LargeMachine, 1, now)
+        .expect("it starts")
+}
+
+/// The state, one snapshot of it that is written, and the one that is kept to send:
+/// never two of them at once, and no copies on the way to the disk and back.
+#[test]
+fn a_snapshot_is_held_once() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let before = peak();
+    let mut now = Instant::now();
+    let mut replica = open(folder.path(), now);
+    for number in 0..16 {
+        now += Duration::from_secs(1);
+        replica.tick(now);
+        replica.flush(now).expect("it is stored");
+        let command: CommandBytes = vec![number].into();
+        replica
+            .propose(ProposalToken(u64::from(number)), command)
+            .expect("the only voter leads");
+        replica.flush(now).expect("it is stored");
+    }
+    drop(replica);
+    let replica = open(folder.path(), now);
+    assert!(replica.applied() > LogIndex(4), "{:?}", replica.applied());
+    let grown = peak() - before;
+    assert!(
+        grown < STATE_BYTES + STATE_BYTES / 2,
+        "grew by {grown} bytes"
+    );
+}
