--- a/crates/consensus/src/seat/progress.rs
+++ b/crates/consensus/src/seat/progress.rs
@@ -2,7 +2,7 @@
 
 use crate::ClockStamp;
 use chicoryladder_types::LogIndex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// What a leader knows about one other seat.
 #[derive(Clone, Debug)]
@@ -28,6 +28,29 @@
 pub(super) struct SnapshotProgress {
     pub(super) index: LogIndex,
     pub(super) received: u64,
+    /// The part that was sent last: its offset, and when it was sent.
+    sent: Option<(u64, Instant)>,
+}
+
+impl SnapshotProgress {
+    pub(super) fn new(index: LogIndex) -> Self {
+        Self {
+            index,
+            ..Self::default()
+        }
+    }
+
+    /// Whether the next part has to be sent: for the first time, or again since no
+    /// answer to it came within `resend_after`.
+    pub(super) fn is_due(&self, resend_after: Duration, now: Instant) -> bool {
+        self.sent.is_none_or(|(offset, at)| {
+            offset != self.received || now.saturating_duration_since(at) >= resend_after
+        })
+    }
+
+    pub(super) fn note_sent(&mut self, now: Instant) {
+        self.sent = Some((self.received, now));
+    }
 }
 
 impl PeerProgress {
--- a/crates/consensus/src/seat/snapshots.rs
+++ b/crates/consensus/src/seat/snapshots.rs
@@ -74,14 +74,20 @@
             return;
         };
         if peer.snapshot.index != snapshot.index {
-            peer.snapshot = SnapshotProgress {
-                index: snapshot.index,
-                received: 0,
-            };
+            peer.snapshot = SnapshotProgress::new(snapshot.index);
         }
         let offset = peer.snapshot.received;
+        // A message without data keeps the seat from standing for election.
+        let is_due = peer.snapshot.is_due(self.settings.election_timeout, now);
+        if is_due {
+            peer.snapshot.note_sent(now);
+        }
         let rest = usize::try_from(snapshot.size.saturating_sub(offset)).unwrap_or(usize::MAX);
-        let length = rest.min(self.settings.snapshot_chunk_bytes);
+        let length = if is_due {
+            rest.min(self.settings.snapshot_chunk_bytes)
+        } else {
+            0
+        };
         let chunk = SnapshotChunk {
             term: self.hard_state.term,
             index: snapshot.index,
@@ -92,6 +98,10 @@
             data: CommandBytes::default(),
             stamp: self.stamp(now),
         };
+        if length == 0 {
+            self.send(to, SeatMessage::Snapshot(chunk));
+            return;
+        }
         let envelope = self.envelope(to, SeatMessage::Snapshot(chunk));
         self.actions
             .push(SeatAction::SendSnapshot { envelope, length });
--- a/crates/consensus/tests/all/cluster.rs
+++ b/crates/consensus/tests/all/cluster.rs
@@ -5,7 +5,7 @@
 use crate::network::{LinkFaults, TestNetwork};
 use chicoryladder_consensus::{
     GroupMembership, GroupReplica, LogStorage, MembershipChange, MemoryDisk, MemoryStorage,
-    ProposalToken, ProposeError, ReplicaOutput, SeatRole, SeatSettings,
+    ProposalToken, ProposeError, ReplicaOutput, SeatMessage, SeatRole, SeatSettings,
 };
 use chicoryladder_types::{GroupId, LogIndex, SeatId};
 use rand::RngExt;
@@ -42,6 +42,8 @@
     pub(crate) outputs: Vec<ReplicaOutput>,
     pub(crate) snapshot_interval: u64,
     pub(crate) applied_max_bytes: usize,
+    /// The size of each snapshot that was sent to a seat, and the bytes sent of it.
+    pub(crate) snapshots_sent: BTreeMap<(SeatId, LogIndex), (u64, u64)>,
     sync_rule: SyncRule,
     base: Instant,
     next_token: u64,
@@ -72,6 +74,7 @@
             outputs: Vec::new(),
             snapshot_interval: 40,
             applied_max_bytes: usize::MAX,
+            snapshots_sent: BTreeMap::new(),
             sync_rule,
             base: Instant::now() + Duration::from_secs(3_600),
             next_token: 0,
@@ -183,6 +186,11 @@
         for output in outputs {
             match output {
                 ReplicaOutput::Send(envelope) => {
+                    if let SeatMessage::Snapshot(chunk) = &envelope.message {
+                        let sent = self.snapshots_sent.entry((envelope.to, chunk.index));
+                        let (_, bytes) = sent.or_insert((chunk.total, 0));
+                        *bytes += chunk.data.len() as u64;
+                    }
                     self.network.send(envelope, self.elapsed, &mut self.rng);
                 }
                 other => self.outputs.push(other),
--- a/crates/consensus/tests/all/survival.rs
+++ b/crates/consensus/tests/all/survival.rs
@@ -99,6 +99,34 @@
     assert_eq!(cluster.state(away).expect("a state").get(2), 200);
 }
 
+/// Each entry that is written meanwhile is told to the lagging seat, but no part of
+/// the snapshot is sent again for it.
+#[test]
+fn parts_of_a_snapshot_are_sent_once_beside_many_writes() {
+    let mut cluster = TestCluster::new(13, 3, LinkFaults::CALM);
+    let leader = cluster.settle();
+    let away = (1..=3).map(SeatId).find(|s| *s != leader).expect("a seat");
+    cluster.crash(away);
+    for value in 1..=200 {
+        cluster.write(2, value);
+    }
+    cluster.restart(away);
+    for value in 201..=600 {
+        let write = KvCommand::Write { key: 2, value };
+        cluster.propose(leader, write).expect("it leads");
+        cluster.step();
+    }
+    cluster.run(Duration::from_secs(5));
+    assert_eq!(cluster.state(away).expect("a state").get(2), 600);
+    assert!(!cluster.snapshots_sent.is_empty());
+    for ((seat, index), (size, sent)) in &cluster.snapshots_sent {
+        assert!(
+            sent <= size,
+            "{sent} bytes of {size} up to {index} to {seat}"
+        );
+    }
+}
+
 #[test]
 fn second_loss_right_after_a_repair_loses_nothing() {
     for seed in 1..=10 {
