Promote a learner once it has caught up, and one that has before one that lags

The check wanted a learner to hold all that is committed at that very moment, which in a busy group is on its way.

Change: the status tells which learners have caught up, up to 64 entries; plan_repair promotes only those. Safety does not depend on the lag: a voter that lags counts for nothing it does not hold.

Test: the_learner_that_has_caught_up_is_promoted_before_one_that_lags (it did not compile before, the view had no such field; with the field and the old rule the lagging learner is promoted).

--- a/crates/consensus/src/seat/leading.rs
+++ b/crates/consensus/src/seat/leading.rs
@@ -11,6 +11,10 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+/// The entries by which a learner may lag when it becomes a voter: what a busy group
+/// commits within a round trip, which is on its way to it already.
+const PROMOTION_LAG_ENTRIES: u64 = 64;
+
 /// A handover of leadership under way.
 #[derive(Clone, Copy, Debug)]
 struct LeadershipTransfer {
@@ -79,8 +83,10 @@
             return Err(MembershipError::ChangePending.into());
         }
         let membership = self.membership().changed(change)?;
-        if let MembershipChange::Promote(seat) = change {
-            self.check_caught_up(*seat, now)?;
+        if let MembershipChange::Promote(seat) = change
+            && !self.has_caught_up(*seat, now)
+        {
+            return Err(MembershipError::NotCaughtUp(*seat).into());
         }
         let entry = self.append_payload(EntryPayload::Membership(membership));
         self.refresh_peers();
@@ -97,19 +103,18 @@
         }
     }
 
-    /// Checks that a learner holds what is committed and still answers.
-    fn check_caught_up(&self, seat: SeatId, now: Instant) -> Result<(), MembershipError> {
+    /// Whether this seat leads, and a learner lags by no more than what is on its way
+    /// to it, and still answers.
+    #[must_use]
+    pub fn has_caught_up(&self, learner: SeatId, now: Instant) -> bool {
         let RoleState::Leader(state) = &self.role else {
-            return Err(MembershipError::NotCaughtUp(seat));
+            return false;
         };
         let timeout = self.settings.election_timeout;
         let answers = |peer: &PeerProgress| peer.confirmed_at.is_some_and(|at| now < at + timeout);
-        let caught_up = |peer: &PeerProgress| peer.matched >= self.commit && answers(peer);
-        if state.peers.get(&seat).is_some_and(caught_up) {
-            Ok(())
-        } else {
-            Err(MembershipError::NotCaughtUp(seat))
-        }
+        let lag = |peer: &PeerProgress| self.commit.0.saturating_sub(peer.matched.0);
+        let caught_up = |peer: &PeerProgress| lag(peer) <= PROMOTION_LAG_ENTRIES && answers(peer);
+        state.peers.get(&learner).is_some_and(caught_up)
     }
 
     /// Hands the leadership to a voter once it has the whole log.
--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -28,6 +28,8 @@
     pub silent_for: Duration,
     /// Whether the leader ever heard from it.
     pub heard: bool,
+    /// Whether it holds the log but for what is on its way.
+    pub caught_up: bool,
     /// Whether the operator wants the host emptied.
     pub retiring: bool,
     /// The zone of the host, where known.
@@ -156,7 +158,9 @@
         if self.voters().count() >= self.wanted_voters() {
             return None;
         }
-        let ready = self.learners().find(|m| !m.retiring && self.answers(m))?;
+        let ready = self
+            .learners()
+            .find(|m| !m.retiring && m.caught_up && self.answers(m))?;
         Some(MembershipChange::Promote(ready.seat))
     }
 
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -16,6 +16,8 @@
     pub role: MemberRole,
     /// When a leader last heard from it.
     pub contact_at: Option<Instant>,
+    /// Whether a leader may make it a voter, if it is a learner.
+    pub caught_up: bool,
 }
 
 /// What a process knows of its group.
--- a/crates/group/src/thread.rs
+++ b/crates/group/src/thread.rs
@@ -290,6 +290,7 @@
                 address: record.address,
                 role: record.role,
                 contact_at: seat.contact_with(id),
+                caught_up: seat.has_caught_up(id, now),
             };
         let leader = seat.leader().and_then(|leader| {
             let known = seat.membership().address(leader);
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -24,6 +24,7 @@
         role,
         silent_for: Duration::from_millis(50),
         heard: true,
+        caught_up: true,
         retiring: false,
         zone: ZoneName::try_from(format!("z{host}")).ok(),
     }
@@ -210,3 +211,15 @@
         assert_eq!(voters.count(), 3);
     }
 }
+
+#[test]
+fn the_learner_that_has_caught_up_is_promoted_before_one_that_lags() {
+    let mut lagging = learner(4, 4);
+    lagging.caught_up = false;
+    let members = || vec![voter(1, 1), voter(2, 2), lagging.clone()];
+    assert_eq!(next(members(), Vec::new()), None);
+    let mut with_ready = members();
+    with_ready.push(learner(5, 5));
+    let promote = MembershipChange::Promote(SeatId(5));
+    assert_eq!(next(with_ready, Vec::new()), Some(promote));
+}
--- a/crates/roles/src/seat_care.rs
+++ b/crates/roles/src/seat_care.rs
@@ -121,6 +121,7 @@
                 role: member.role,
                 silent_for: now.saturating_duration_since(since),
                 heard: member.contact_at.is_some(),
+                caught_up: member.caught_up,
                 retiring: retiring.contains(&member.address),
                 zone: self.zones.get(&member.address).cloned(),
             });
