--- a/crates/group/src/founding.rs
+++ b/crates/group/src/founding.rs
@@ -46,7 +46,7 @@
         return FoundingStep::Wait;
     }
     match seeds.first() {
-        Some(first) if *first == own => FoundingStep::Found(alone(own)),
+        Some(first) if *first == own => FoundingStep::Found(sole_founder(own)),
         Some(first) => FoundingStep::AskFor(*first),
         None => FoundingStep::Wait,
     }
@@ -54,7 +54,7 @@
 
 /// The only founder of a group.
 #[must_use]
-pub fn alone(own: SocketAddr) -> FounderMap {
+pub fn sole_founder(own: SocketAddr) -> FounderMap {
     FounderMap::from([(SeatId(1), own)])
 }
 
--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -16,7 +16,7 @@
 mod thread;
 
 pub use address_file::AddressFile;
-pub use founding::{FoundingStep, alone, founders_of, plan_founding};
+pub use founding::{FoundingStep, founders_of, plan_founding, sole_founder};
 pub use handle::{GroupHandle, ProposeFailure, ReadFailure};
 pub use repair::{MemberView, RepairLimits, RepairView, StandbyHost, plan_repair};
 pub use seat_file::{FounderMap, SeatFile, SeatRecord};
--- a/crates/group/tests/founding.rs
+++ b/crates/group/tests/founding.rs
@@ -1,7 +1,8 @@
 //! Which hosts form a group, and what they keep of it on their disks.
 
 use chicoryladder_group::{
-    AddressFile, FounderMap, FoundingStep, SeatFile, SeatRecord, alone, founders_of, plan_founding,
+    AddressFile, FounderMap, FoundingStep, SeatFile, SeatRecord, founders_of, plan_founding,
+    sole_founder,
 };
 use chicoryladder_types::SeatId;
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,7 +52,7 @@
     let first_holds = told(&[(1, true), (2, false), (3, false)]);
     assert_eq!(
         plan_founding(host(1), &three, &first_holds),
-        FoundingStep::Found(alone(host(1)))
+        FoundingStep::Found(sole_founder(host(1)))
     );
     assert_eq!(
         plan_founding(host(9), &three, &first_holds),
--- a/crates/roles/src/founding.rs
+++ b/crates/roles/src/founding.rs
@@ -9,7 +9,7 @@
 use crate::message::{Call, FoundingAnswer, FoundingCall, HostRole};
 use crate::process::{ProcessBase, RETRY_PAUSE};
 use bytes::Bytes;
-use chicoryladder_group::{AddressFile, FounderMap, FoundingStep, alone, plan_founding};
+use chicoryladder_group::{AddressFile, FounderMap, FoundingStep, plan_founding, sole_founder};
 use futures_util::future::join_all;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -53,7 +53,7 @@
                 {
                     client.add_hosts(&[founder]);
                     return if founder == own {
-                        alone(own)
+                        sole_founder(own)
                     } else {
                         FounderMap::new()
                     };
