--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -7,7 +7,7 @@
 use crate::entry::serve;
 use crate::event_log::EventLog;
 use crate::fleet_view::FleetView;
-use crate::founding::{decide_founders, encode_founding};
+use crate::founding::decide_founders;
 use crate::leader_client::LeaderClient;
 use crate::message::{
     Call, ControlAnswer, ControlCall, FoundingAnswer, FoundingCall, GroupReply, HostRole,
@@ -516,7 +516,7 @@
                         FoundingAnswer::Founder(Some(shared.base.rpc.identity().address))
                     }
                 };
-                std::future::ready(encode_founding(answer)).boxed()
+                std::future::ready(encode_reply("control", &answer)).boxed()
             }
             Ok(Call::Batch(_)) => std::future::ready(None).boxed(),
             Err(error) => {
--- a/crates/roles/src/founding.rs
+++ b/crates/roles/src/founding.rs
@@ -8,7 +8,6 @@
 use crate::leader_client::LeaderClient;
 use crate::message::{Call, FoundingAnswer, FoundingCall, HostRole};
 use crate::process::{ProcessBase, RETRY_PAUSE};
-use bytes::Bytes;
 use chicoryladder_group::{AddressFile, FounderMap, FoundingStep, plan_founding, sole_founder};
 use futures_util::future::join_all;
 use std::collections::{BTreeMap, BTreeSet};
@@ -84,17 +83,6 @@
     }
 }
 
-/// Encodes an answer to a host of a first start.
-pub(crate) fn encode_founding(answer: FoundingAnswer) -> Option<Bytes> {
-    match postcard::to_stdvec(&answer) {
-        Ok(bytes) => Some(bytes.into()),
-        Err(error) => {
-            log::error!("founding: an answer cannot be encoded: {error}.");
-            None
-        }
-    }
-}
-
 /// What a store host keeps of the control hosts.
 pub(crate) struct ControlBook {
     founder_file: AddressFile,
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -278,7 +278,7 @@
 }
 
 /// Encodes a reply; `part` of the program tells of it if it cannot be encoded.
-pub(crate) fn encode_reply<T: Serialize>(part: &str, reply: &GroupReply<T>) -> Option<Bytes> {
+pub(crate) fn encode_reply(part: &str, reply: &impl Serialize) -> Option<Bytes> {
     match postcard::to_stdvec(reply) {
         Ok(bytes) => Some(bytes.into()),
         Err(error) => {
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -5,7 +5,7 @@
 use crate::entry::{note_news, serve};
 use crate::event_log::EventLog;
 use crate::fleet_view::{FleetView, SyncReporter, follow};
-use crate::founding::{ControlBook, encode_founding};
+use crate::founding::ControlBook;
 use crate::leader_client::LeaderClient;
 use crate::message::{
     BatchCall, BatchReply, Call, ControlAnswer, FoundingAnswer, FoundingCall, GroupReply, HostRole,
@@ -399,7 +399,7 @@
                         FoundingAnswer::Founder(shared.appoint(peer.address).await)
                     }
                 };
-                encode_founding(answer)
+                encode_reply("store", &answer)
             }
             .boxed(),
             Ok(Call::Batch(call)) => async move {
