--- a/crates/consensus/tests/all/survival.rs
+++ b/crates/consensus/tests/all/survival.rs
@@ -85,9 +85,9 @@
     }
 }
 
-#[test]
-fn lagging_seat_is_brought_up_by_a_snapshot() {
-    let mut cluster = TestCluster::new(12, 3, LinkFaults::ROUGH);
+/// A cluster, its leader, and a seat that comes back after 200 writes.
+fn cluster_with_a_lagging_seat(seed: u64, faults: LinkFaults) -> (TestCluster, SeatId, SeatId) {
+    let mut cluster = TestCluster::new(seed, 3, faults);
     let leader = cluster.settle();
     let away = (1..=3).map(SeatId).find(|s| *s != leader).expect("a seat");
     cluster.crash(away);
@@ -95,6 +95,12 @@
         cluster.write(2, value);
     }
     cluster.restart(away);
+    (cluster, leader, away)
+}
+
+#[test]
+fn lagging_seat_is_brought_up_by_a_snapshot() {
+    let (mut cluster, _, away) = cluster_with_a_lagging_seat(12, LinkFaults::ROUGH);
     cluster.run(Duration::from_secs(5));
     assert_eq!(cluster.state(away).expect("a state").get(2), 200);
 }
@@ -103,14 +109,7 @@
 /// the snapshot is sent again for it.
 #[test]
 fn parts_of_a_snapshot_are_sent_once_beside_many_writes() {
-    let mut cluster = TestCluster::new(13, 3, LinkFaults::CALM);
-    let leader = cluster.settle();
-    let away = (1..=3).map(SeatId).find(|s| *s != leader).expect("a seat");
-    cluster.crash(away);
-    for value in 1..=200 {
-        cluster.write(2, value);
-    }
-    cluster.restart(away);
+    let (mut cluster, leader, away) = cluster_with_a_lagging_seat(13, LinkFaults::CALM);
     for value in 201..=600 {
         let write = KvCommand::Write { key: 2, value };
         cluster.propose(leader, write).expect("it leads");
