Use one piece where the change had several

- The status of a group was copied with all its members for every question for a slot, to see whether this host leads; GroupHandle::leading_term looks at it in place.
It replaces holds_lease, which nothing called.
- A control host that does not lead copied each call with its document before it saw that, and one that does looked at its leadership twice.
- Five places encoded a message and told of a failure, two made a change of the membership and wrote it down, two handed messages to a seat, two told that a settings file is good: one function each.
- The founders were behind a shared pointer in one task.
- Known jobs were searched as a list once for each job; they are a set.

--- a/crates/group/src/handle.rs
+++ b/crates/group/src/handle.rs
@@ -3,6 +3,7 @@
 use crate::status::GroupStatus;
 use crate::thread::GroupEvent;
 use chicoryladder_consensus::{MembershipChange, SeatEnvelope};
+use chicoryladder_types::TermNumber;
 use chicoryladder_types::prelude::*;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
@@ -55,12 +56,12 @@
         status.clone()
     }
 
-    /// Whether the local seat may answer as the leader now.
+    /// The term in which the local seat leads, if it may answer as the leader now.
     #[must_use]
-    pub fn holds_lease(&self) -> bool {
+    pub fn leading_term(&self) -> Option<TermNumber> {
         let now = self.clock.now();
         let status = self.status.lock().unwrap_or_else(PoisonError::into_inner);
-        status.holds_lease(now)
+        status.holds_lease(now).then_some(status.term)
     }
 
     /// Changes whenever the role, the leader or the applied entry did.
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -11,10 +11,11 @@
 use crate::leader_client::LeaderClient;
 use crate::message::{
     Call, ControlAnswer, ControlCall, FoundingAnswer, FoundingCall, GroupReply, HostRole,
-    JoinAnswer, JoinRequest, Notice, encode_reply,
+    JoinAnswer, JoinRequest, Notice, encode,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::process::{ProcessBase, ProcessError};
+use crate::seat_care::make_change;
 use crate::seat_keeper::{SeatKeeper, SeatSlot, SeatSource};
 use crate::seat_opener::SeatOpener;
 use bytes::Bytes;
@@ -212,8 +213,8 @@
 
     /// Whether this host leads, has begun to act on it, and holds the lease.
     fn leads(&self) -> bool {
-        let status = self.status();
-        status.holds_lease(self.now()) && self.state().term == Some(status.term)
+        let term = self.seat.leading_term();
+        term.is_some() && self.state().term == term
     }
 
     fn not_leader<T>(&self) -> GroupReply<T> {
@@ -504,10 +505,10 @@
                 } else {
                     std::future::ready(shared.not_leader()).boxed()
                 };
-                async move { encode_reply("control", &answering.await) }.boxed()
+                async move { encode("control", &answering.await) }.boxed()
             }
             Ok(Call::Control(call)) => {
-                async move { encode_reply("control", &shared.answer(call).await) }.boxed()
+                async move { encode("control", &shared.answer(call).await) }.boxed()
             }
             Ok(Call::Founding(call)) => {
                 let answer = match call {
@@ -516,7 +517,7 @@
                         FoundingAnswer::Founder(Some(shared.base.rpc.identity().address))
                     }
                 };
-                std::future::ready(encode_reply("control", &answer)).boxed()
+                std::future::ready(encode("control", &answer)).boxed()
             }
             Ok(Call::Batch(_)) => std::future::ready(None).boxed(),
             Err(error) => {
@@ -529,9 +530,7 @@
     fn notice(&self, peer: &PeerIdentity, payload: Bytes) {
         match postcard::from_bytes(&payload) {
             Ok(Notice::Seat(envelope)) => {
-                if let Some(group) = self.0.group() {
-                    group.deliver(envelope, peer.address);
-                }
+                self.0.seat.deliver(envelope, peer.address);
             }
             Ok(Notice::Release {
                 asker,
@@ -555,14 +554,15 @@
 }
 
 impl LocalSeat for ControlShared {
+    fn leads(&self) -> bool {
+        ControlShared::leads(self)
+    }
+
     fn answer_here(
         self: Arc<Self>,
         call: ControlCall,
     ) -> BoxFuture<'static, Option<ControlAnswer>> {
         async move {
-            if !self.leads() {
-                return None;
-            }
             match self.answer(call).await {
                 GroupReply::Answer(answer) => Some(answer),
                 GroupReply::NotLeader { .. } | GroupReply::Unknown => None,
@@ -577,14 +577,14 @@
 }
 
 /// How a control host gets a seat.
-struct ControlSeats {
-    base: ProcessBase,
-    client: LeaderClient,
+struct ControlSeats<'a> {
+    base: &'a ProcessBase,
+    client: &'a LeaderClient,
     /// Empty before they are decided on.
-    founders: Arc<OnceLock<FounderMap>>,
+    founders: &'a OnceLock<FounderMap>,
 }
 
-impl SeatSource for ControlSeats {
+impl SeatSource for ControlSeats<'_> {
     fn founders(&self) -> Option<FounderMap> {
         self.founders.get().cloned()
     }
@@ -602,24 +602,22 @@
 }
 
 async fn keep_seat(shared: Arc<ControlShared>, opener: SeatOpener) {
-    let founders: Arc<OnceLock<FounderMap>> = Arc::default();
+    let founders = OnceLock::new();
     let source = ControlSeats {
-        base: shared.base.clone(),
-        client: shared.client.clone(),
-        founders: founders.clone(),
+        base: &shared.base,
+        client: &shared.client,
+        founders: &founders,
     };
     let first_start = shared.base.settings.control.first_start;
     let deciding = async {
-        let decided = if first_start {
-            decide_founders(&shared.base, &shared.client).await
-        } else {
-            FounderMap::new()
-        };
-        let addresses: Vec<SocketAddr> = decided.values().copied().collect();
-        if first_start {
-            let fields = json!({ "founders": addresses });
-            shared.log.note("founders_decided", &fields);
+        if !first_start {
+            founders.get_or_init(FounderMap::new);
+            return;
         }
+        let decided = decide_founders(&shared.base, &shared.client).await;
+        let addresses: Vec<&SocketAddr> = decided.values().collect();
+        let fields = json!({ "founders": addresses });
+        shared.log.note("founders_decided", &fields);
         founders.get_or_init(|| decided);
     };
     let keeper = SeatKeeper {
@@ -700,10 +698,7 @@
     if let Some(change) = change {
         let group = shared.group()?;
         return Some(tokio::spawn(async move {
-            let outcome = group.change(change.clone()).await;
-            let result = outcome.map_or_else(|failure| failure.to_string(), |()| "done".to_owned());
-            let fields = json!({ "change": format!("{change:?}"), "result": result });
-            shared.log.note("membership_changes", &fields);
+            make_change(&group, change, &shared.log).await;
         }));
     }
     let command = match (founders, emptied) {
--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -38,7 +38,10 @@
 
 /// A seat of the control group in this process.
 pub(crate) trait LocalSeat: Send + Sync {
-    /// Answers a call if this host leads.
+    /// Whether this host leads and may answer.
+    fn leads(&self) -> bool;
+
+    /// Answers a call as the leader; `None` if this host is not it.
     fn answer_here(self: Arc<Self>, call: ControlCall)
     -> BoxFuture<'static, Option<ControlAnswer>>;
 
@@ -101,7 +104,7 @@
     }
 
     async fn reach_leader(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
-        if let Some(seat) = self.seat.clone()
+        if let Some(seat) = self.seat.clone().filter(|seat| seat.leads())
             && let Some(answer) = seat.answer_here(call.clone()).await
         {
             return Ok(answer);
--- a/crates/roles/src/founding.rs
+++ b/crates/roles/src/founding.rs
@@ -6,7 +6,7 @@
 //! of control hosts on disk, so that they can point to them after any restart.
 
 use crate::leader_client::LeaderClient;
-use crate::message::{Call, FoundingAnswer, FoundingCall, HostRole};
+use crate::message::{Call, FoundingAnswer, FoundingCall, HostRole, encode};
 use crate::process::{ProcessBase, RETRY_PAUSE};
 use chicoryladder_group::{AddressFile, FounderMap, FoundingStep, plan_founding, sole_founder};
 use futures_util::future::join_all;
@@ -66,13 +66,7 @@
 
 /// A seed that does not answer is asked again.
 async fn ask(base: &ProcessBase, seed: SocketAddr, call: &FoundingCall) -> Option<FoundingAnswer> {
-    let payload = match postcard::to_stdvec(&Call::Founding(*call)) {
-        Ok(payload) => payload,
-        Err(error) => {
-            log::error!("founding: a call cannot be encoded: {error}.");
-            return None;
-        }
-    };
+    let payload = encode("founding", &Call::Founding(*call))?;
     let answer = base.rpc.call(seed, payload, ASK_TIMEOUT).await.ok()?;
     match postcard::from_bytes(&answer) {
         Ok(answer) => Some(answer),
--- a/crates/roles/src/leader_client.rs
+++ b/crates/roles/src/leader_client.rs
@@ -1,6 +1,6 @@
 //! Calls to the leader of a group, wherever it is.
 
-use crate::message::GroupReply;
+use crate::message::{GroupReply, encode};
 use chicoryladder_rpc::{RpcClient, RpcError};
 use chicoryladder_types::prelude::*;
 use serde::Serialize;
@@ -172,13 +172,7 @@
         call: &impl Serialize,
         timeout: Duration,
     ) -> Result<T, LeaderError> {
-        let payload = match postcard::to_stdvec(call) {
-            Ok(payload) => payload,
-            Err(error) => {
-                log::error!("leader client: a call cannot be encoded: {error}.");
-                return Err(LeaderError::NoLeader);
-            }
-        };
+        let payload = encode("leader client", call).ok_or(LeaderError::NoLeader)?;
         let reply = match self.rpc.call(host, payload, timeout).await {
             Ok(reply) => reply,
             Err(RpcError::Unreachable | RpcError::TimedOut) => {
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -277,12 +277,12 @@
     }
 }
 
-/// Encodes a reply; `part` of the program tells of it if it cannot be encoded.
-pub(crate) fn encode_reply(part: &str, reply: &impl Serialize) -> Option<Bytes> {
-    match postcard::to_stdvec(reply) {
+/// Encodes a message; `part` of the program tells of it if that fails.
+pub(crate) fn encode(part: &str, message: &impl Serialize) -> Option<Bytes> {
+    match postcard::to_stdvec(message) {
         Ok(bytes) => Some(bytes.into()),
         Err(error) => {
-            log::error!("{part}: a reply cannot be encoded: {error}.");
+            log::error!("{part}: a message cannot be encoded: {error}.");
             None
         }
     }
--- a/crates/roles/src/process.rs
+++ b/crates/roles/src/process.rs
@@ -1,7 +1,7 @@
 //! What every process of a fleet has, whatever its role.
 
 use crate::leader_client::LeaderClient;
-use crate::message::{JoinRequest, Notice};
+use crate::message::{JoinRequest, Notice, encode};
 use crate::seat_opener::random_word;
 use chicoryladder_broker::AskerId;
 use chicoryladder_gateway::ListenError;
@@ -102,9 +102,8 @@
     }
 
     pub(crate) fn notify(&self, address: SocketAddr, notice: &Notice) {
-        match postcard::to_stdvec(notice) {
-            Ok(payload) => self.rpc.notify(address, payload),
-            Err(error) => log::error!("process: a notice cannot be encoded: {error}."),
+        if let Some(payload) = encode("process", notice) {
+            self.rpc.notify(address, payload);
         }
     }
 }
--- a/crates/roles/src/seat_care.rs
+++ b/crates/roles/src/seat_care.rs
@@ -1,12 +1,14 @@
 //! What the leader of a group does for its membership.
 
+use crate::event_log::EventLog;
 use crate::message::{JoinAnswer, JoinRequest};
 use chicoryladder_consensus::{MemberRole, MembershipChange};
 use chicoryladder_group::{
-    GroupStatus, MemberView, RepairLimits, RepairView, StandbyHost, plan_repair,
+    GroupHandle, GroupStatus, MemberView, RepairLimits, RepairView, StandbyHost, plan_repair,
 };
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
+use serde_json::json;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -28,6 +30,21 @@
     asked_at: Instant,
 }
 
+/// Makes a change of a group's membership, and writes down what became of it.
+pub(crate) async fn make_change<M: Send + 'static>(
+    group: &GroupHandle<M>,
+    change: MembershipChange,
+    log: &EventLog,
+) {
+    let shown = format!("{change:?}");
+    let outcome = group.change(change).await;
+    let result = outcome.map_or_else(|failure| failure.to_string(), |()| "done".to_owned());
+    log.note(
+        "membership_changes",
+        &json!({ "change": shown, "result": result }),
+    );
+}
+
 /// The hosts that ask for seats, and what else the repair of a group depends on.
 #[derive(Debug, Default)]
 pub(crate) struct SeatCare {
--- a/crates/roles/src/seat_keeper.rs
+++ b/crates/roles/src/seat_keeper.rs
@@ -4,12 +4,13 @@
 use crate::message::JoinAnswer;
 use crate::process::RETRY_PAUSE;
 use crate::seat_opener::SeatOpener;
-use chicoryladder_consensus::StateMachine;
+use chicoryladder_consensus::{SeatEnvelope, StateMachine};
 use chicoryladder_group::{FounderMap, GroupHandle, GroupStatus};
-use chicoryladder_types::SeatId;
+use chicoryladder_types::{SeatId, TermNumber};
 use futures_util::future::BoxFuture;
 use serde_json::json;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{PoisonError, RwLock};
 use std::time::Duration;
 
@@ -41,6 +42,18 @@
         self.group().map(|group| group.status()).unwrap_or_default()
     }
 
+    /// The term in which this process leads, if it may answer as the leader now.
+    pub(crate) fn leading_term(&self) -> Option<TermNumber> {
+        self.group()?.leading_term()
+    }
+
+    /// Hands a message of another seat to the own one; it is lost without one.
+    pub(crate) fn deliver(&self, envelope: SeatEnvelope, sender: SocketAddr) {
+        if let Some(group) = self.group() {
+            group.deliver(envelope, sender);
+        }
+    }
+
     fn set(&self, handle: Option<GroupHandle<M>>) {
         *self.group.write().unwrap_or_else(PoisonError::into_inner) = handle;
     }
--- a/crates/roles/src/seat_opener.rs
+++ b/crates/roles/src/seat_opener.rs
@@ -1,6 +1,6 @@
 //! Opening the seat of a data folder, and getting one for a folder without.
 
-use crate::message::Notice;
+use crate::message::{Notice, encode};
 use chicoryladder_consensus::{GroupMembership, SeatEnvelope, SeatSettings, StateMachine};
 use chicoryladder_group::{
     FounderMap, GroupHandle, GroupSettings, GroupThread, SeatFile, SeatRecord, SeatTransport,
@@ -157,9 +157,8 @@
 
 impl SeatTransport for SeatCarrier {
     fn send(&self, address: SocketAddr, envelope: SeatEnvelope) {
-        match postcard::to_stdvec(&Notice::Seat(envelope)) {
-            Ok(payload) => self.rpc.notify(address, payload),
-            Err(error) => log::error!("seat: a message cannot be encoded: {error}."),
+        if let Some(payload) = encode("seat", &Notice::Seat(envelope)) {
+            self.rpc.notify(address, payload);
         }
     }
 }
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -9,12 +9,12 @@
 use crate::leader_client::LeaderClient;
 use crate::message::{
     BatchCall, BatchReply, Call, ControlAnswer, FoundingAnswer, FoundingCall, GroupReply, HostRole,
-    JoinAnswer, Notice, StoreReport, encode_reply,
+    JoinAnswer, Notice, StoreReport, encode,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::ports::ServerDialect;
 use crate::process::{ProcessBase, ProcessError};
-use crate::seat_care::SeatCare;
+use crate::seat_care::{SeatCare, make_change};
 use crate::seat_keeper::{SeatKeeper, SeatSlot, SeatSource};
 use crate::seat_opener::SeatOpener;
 use crate::server_connections::ServerConnections;
@@ -230,8 +230,8 @@
 
     /// Whether this host leads, has begun to act on it, and holds the lease.
     pub(super) fn leads(&self) -> bool {
-        let status = self.status();
-        status.holds_lease(self.now()) && self.leader().term == Some(status.term)
+        let term = self.seat.leading_term();
+        term.is_some() && self.leader().term == term
     }
 
     pub(super) fn not_leader<T>(&self) -> GroupReply<T> {
@@ -291,10 +291,7 @@
         let done = self.is_repairing.clone();
         let log = self.log.clone();
         tokio::spawn(async move {
-            let outcome = group.change(change.clone()).await;
-            let result = outcome.map_or_else(|failure| failure.to_string(), |()| "done".to_owned());
-            let fields = json!({ "change": format!("{change:?}"), "result": result });
-            log.note("membership_changes", &fields);
+            make_change(&group, change, &log).await;
             done.store(false, Ordering::Relaxed);
         });
     }
@@ -399,19 +396,19 @@
                         FoundingAnswer::Founder(shared.appoint(peer.address).await)
                     }
                 };
-                encode_reply("store", &answer)
+                encode("store", &answer)
             }
             .boxed(),
             Ok(Call::Batch(call)) => async move {
                 let reply: GroupReply<BatchReply> = shared.answer(call).await;
-                encode_reply("store", &reply)
+                encode("store", &reply)
             }
             .boxed(),
             // A host that was told of this one as a control host looks for the leader.
             Ok(Call::Control(_)) => {
                 let leader = shared.control_client.leader();
                 let reply = GroupReply::<ControlAnswer>::NotLeader { leader };
-                std::future::ready(encode_reply("store", &reply)).boxed()
+                std::future::ready(encode("store", &reply)).boxed()
             }
             Err(error) => {
                 log::warn!("store: a call cannot be read: {error}.");
@@ -423,9 +420,7 @@
     fn notice(&self, peer: &PeerIdentity, payload: Bytes) {
         match postcard::from_bytes(&payload) {
             Ok(Notice::Seat(envelope)) => {
-                if let Some(group) = self.0.group() {
-                    group.deliver(envelope, peer.address);
-                }
+                self.0.seat.deliver(envelope, peer.address);
             }
             Ok(Notice::Stop { ticket }) => self.0.slots.stop(ticket),
             Ok(Notice::Changed) => self.0.view.wake(),
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -13,7 +13,7 @@
 use chicoryladder_types::TermNumber;
 use chicoryladder_types::prelude::*;
 use serde_json::json;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
@@ -498,9 +498,8 @@
     let retention = shared.base.settings.promises.job_retention;
     let old: Vec<String> = {
         let mut leader = shared.leader();
-        leader
-            .seen_at
-            .retain(|job, _| jobs.iter().any(|(id, _)| id == job));
+        let known: HashSet<&String> = jobs.iter().map(|(id, _)| id).collect();
+        leader.seen_at.retain(|job, _| known.contains(job));
         let mut old = Vec::new();
         for (job, is_open) in jobs {
             let seen_at = *leader.seen_at.entry(job.clone()).or_insert(now);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -3,6 +3,7 @@
 use crate::error::CommandError;
 use bpaf::Bpaf;
 use chicoryladder_settings::{HostSettings, ProcessSettings};
+use chicoryladder_types::prelude::*;
 use std::path::{Path, PathBuf};
 
 /// The entry host daemon
@@ -75,12 +76,7 @@
 /// Fails as [`check_settings`] does.
 pub fn check(path: &Path) -> Result<(), CommandError> {
     let settings = check_settings(path)?;
-    println!(
-        "{}: host {} in zone {} can start",
-        path.display(),
-        settings.host.name,
-        settings.host.zone
-    );
+    tell_can_start(path, &settings.host.name, &settings.host.zone);
     Ok(())
 }
 
@@ -91,11 +87,10 @@
 /// Fails with every fault of the settings.
 pub fn check_process(path: &Path) -> Result<(), CommandError> {
     let settings = ProcessSettings::read(path)?;
-    println!(
-        "{}: host {} in zone {} can start",
-        path.display(),
-        settings.host.name,
-        settings.host.zone
-    );
+    tell_can_start(path, &settings.host.name, &settings.host.zone);
     Ok(())
 }
+
+fn tell_can_start(path: &Path, host: &HostName, zone: &ZoneName) {
+    println!("{}: host {host} in zone {zone} can start", path.display());
+}
