Hold reserves of team rates by zone, and spread a new plan over the syncs of hosts

A reserve was divided among all entry hosts. A new plan was cloned and encoded for each of 300 hosts, all of which synced at the same moment since they were notified together, and each slot request under the plan before was sent back.

Change: one entry host of a zone holds the reserve of a team there, found by consistent hashing over the zone's hosts, which the broker tells. A holder that lost the broker also admits its zone's share of the rate, which the broker withholds from the bucket once the holder is silent. Plans are encoded once; hosts are told 8 at a tick and accept that slot requests are made under the plan before for a quarter of the time within which plans apply. Syncs without a freed slot no longer try to dispatch, and the views that all hosts share are computed once in 50 ms.

Ruled out: a change of the leader (there was none until the loss of all power) and slow commits.

Tests: broker reserves (zone cut, lost broker, both sides of a cut, hot teams); seen failing without the earned share and without the withheld share. roles plan_notices.

--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -2,8 +2,8 @@
 
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -67,8 +67,9 @@
     pub suspended_until: Option<Instant>,
     /// Consecutive failures since the last success.
     pub failures: u32,
-    /// Prompt segments in the prefix cache of the server, with their last use.
-    pub cached_segments: HashMap<u64, Instant>,
+    /// Prompt segments in the prefix cache of the server, with their last use. Every slot
+    /// request looks its segments up for every server, and their ids are hashes already.
+    pub cached_segments: FxHashMap<u64, Instant>,
 }
 
 impl ServerRecord {
@@ -81,7 +82,7 @@
             is_lost: false,
             suspended_until: None,
             failures: 0,
-            cached_segments: HashMap::new(),
+            cached_segments: FxHashMap::default(),
         }
     }
 
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -21,6 +21,8 @@
 mod pool;
 mod rate;
 mod request;
+mod reserves;
+mod roster;
 mod slots;
 
 pub use brokerless::BrokerlessView;
@@ -30,4 +32,8 @@
 pub use request::{
     BrokerEvent, PromptSegment, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
+pub use reserves::{HeldReserves, ReserveTerms, SELF_REFILL_AFTER};
+pub use roster::{
+    EntryRoster, HolderRing, ReserveHolders, RosterMember, RosterSettings, ZoneRoster,
+};
 pub use slots::{BrokerSettings, SlotBroker};
--- a/crates/broker/src/rate.rs
+++ b/crates/broker/src/rate.rs
@@ -1,20 +1,32 @@
 //! Rate limits of teams.
 //!
-//! A team with rate R and burst B has one token bucket. Entry hosts hold small
-//! reserves drawn from it, for times at which they cannot reach the broker. The
+//! A team with rate R and burst B has one token bucket. In each zone, one entry host holds
+//! a small reserve drawn from it, for times at which the zone cannot reach the broker. The
 //! capacity of the bucket is B plus a share of the tolerance, minus all reserves that
 //! hosts may hold. Within a window of length t, at most B + R t requests plus the
-//! tolerance are therefore admitted, regardless of how hosts spend their reserves.
+//! tolerance are therefore admitted, regardless of how hosts spend their reserves. A
+//! holder out of touch with the broker also admits its zone's share of R, by which the
+//! bucket fills more slowly meanwhile.
 
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-/// The largest share of a team's burst that the reserves of all hosts hold together.
-const RESERVE_SHARE: f64 = 0.4;
+/// The share of the tolerance that the reserves of all zones hold together: the share by
+/// which the bucket capacity exceeds the burst.
+const RESERVE_SHARE: f64 = CAPACITY_SHARE;
 
-/// The time for which the reserves of all hosts together sustain a team's rate, in seconds.
+/// The share that the reserves of all zones hold of the burst beyond what random arrivals
+/// need. A small team needs all of its burst while the broker can be reached.
+const RESERVE_BURST_SHARE: f64 = 0.4;
+
+/// What random arrivals need of a burst, in standard deviations of the arrivals of one
+/// second.
+const ARRIVAL_DEVIATIONS: f64 = 4.0;
+
+/// The time for which the reserves of all zones together sustain a team's rate at most, in
+/// seconds.
 const RESERVE_SECONDS: f64 = 3.0;
 
 /// The share of the tolerance by which the bucket capacity exceeds the burst, to
@@ -48,10 +60,19 @@
 struct TeamBucket {
     rate: f64,
     burst: f64,
+    /// The share of the rate that detached holders may admit on their own.
+    detached_share: f64,
     level: f64,
     refilled_at: Instant,
 }
 
+impl TeamBucket {
+    /// The part of the rate that no detached holder may admit.
+    fn refill_rate(&self) -> f64 {
+        self.rate * (1.0 - self.detached_share).max(0.0)
+    }
+}
+
 /// The token buckets of all teams.
 #[derive(Clone, Debug, Default)]
 pub struct RateLedger {
@@ -84,6 +105,7 @@
             let bucket = self.buckets.entry(team.name.clone()).or_insert(TeamBucket {
                 rate: team.rate,
                 burst: team.burst,
+                detached_share: 0.0,
                 level: initial,
                 refilled_at: now,
             });
@@ -94,10 +116,29 @@
         self.clamp_levels();
     }
 
-    /// Sets the number of hosts that hold reserves.
+    /// Sets the number of hosts that hold a reserve of each team: one a zone.
     pub fn set_holders(&mut self, holders: usize) {
-        self.holders = holders;
-        self.clamp_levels();
+        if holders != self.holders {
+            self.holders = holders;
+            self.clamp_levels();
+        }
+    }
+
+    /// Sets the share of each team's rate that detached holders may admit on their own;
+    /// zero for teams that are not listed.
+    pub fn set_detached_shares(&mut self, shares: &HashMap<TeamName, f64>, now: Instant) {
+        let names: Vec<TeamName> = self.buckets.keys().cloned().collect();
+        for name in names {
+            let share = shares.get(&name).copied().unwrap_or_default();
+            let is_same = |bucket: &TeamBucket| bucket.detached_share.total_cmp(&share).is_eq();
+            if self.buckets.get(&name).is_some_and(is_same) {
+                continue;
+            }
+            self.refill(&name, now);
+            if let Some(bucket) = self.buckets.get_mut(&name) {
+                bucket.detached_share = share;
+            }
+        }
     }
 
     /// Fills all buckets, for a fleet that has not admitted any request yet.
@@ -128,7 +169,11 @@
             bucket.level -= 1.0;
             return Ok(());
         }
-        Err(Duration::from_secs_f64((1.0 - bucket.level) / bucket.rate))
+        let refill_rate = bucket.refill_rate();
+        if refill_rate <= 0.0 {
+            return Err(Duration::MAX);
+        }
+        Err(Duration::from_secs_f64((1.0 - bucket.level) / refill_rate))
     }
 
     /// Puts the token of a request that did not run back into the bucket.
@@ -139,8 +184,8 @@
         }
     }
 
-    /// Moves tokens from the bucket of a team into the reserve of a host, up to the
-    /// target reserve, and returns their number. `held` is the number that the host holds.
+    /// Moves tokens from the bucket of a team into the reserve of a zone, up to the target
+    /// reserve, and returns their number. `held` is the number that its holder has left.
     ///
     /// Half of the capacity stays in the bucket for current requests.
     pub fn top_up(&mut self, team: &PlanTeam, held: u32, now: Instant) -> u32 {
@@ -158,13 +203,15 @@
         to_count(granted)
     }
 
-    /// The target reserve of one host, in tokens.
+    /// The target reserve of one zone, in tokens.
     fn target_reserve(&self, rate: f64, burst: f64) -> u32 {
         if self.holders == 0 || rate <= 0.0 {
             return 0;
         }
         let holders = host_count(self.holders);
-        let affordable = burst * RESERVE_SHARE / holders;
+        let spare_burst = (burst - ARRIVAL_DEVIATIONS * rate.sqrt()).max(0.0);
+        let tolerated = self.tolerance.excess_of(rate, burst) * RESERVE_SHARE;
+        let affordable = (tolerated + spare_burst * RESERVE_BURST_SHARE) / holders;
         let needed = (rate * RESERVE_SECONDS / holders).ceil();
         to_count(affordable.min(needed).floor())
     }
@@ -183,7 +230,8 @@
         let capacity = self.capacity(team);
         if let Some(bucket) = self.buckets.get_mut(team) {
             let elapsed = now.saturating_duration_since(bucket.refilled_at);
-            bucket.level = (bucket.level + bucket.rate * elapsed.as_secs_f64()).min(capacity);
+            let refilled = bucket.level + bucket.refill_rate() * elapsed.as_secs_f64();
+            bucket.level = refilled.min(capacity);
             bucket.refilled_at = now;
         }
     }
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -170,7 +170,9 @@
         };
         let service_changed = entry.record.check_in.service != service;
         let is_restarted = check_in.incarnation > entry.record.check_in.incarnation;
+        let was_open = entry.record.is_open(now);
         let outcome = entry.record.renew(check_in, now);
+        let opens = !was_open && entry.record.is_open(now);
         if is_restarted {
             self.remove_grants_of(key);
             if service_changed {
@@ -183,7 +185,9 @@
         if matches!(outcome, CheckInOutcome::Added | CheckInOutcome::Leaving) {
             self.directory_version += 1;
         }
-        self.dispatch(&service, now);
+        if opens || is_restarted {
+            self.dispatch(&service, now);
+        }
         outcome
     }
 
@@ -334,10 +338,12 @@
     pub fn reconcile(&mut self, requester: &RequesterId, active: &[ActiveRun], now: Instant) {
         self.requesters.insert(requester.clone(), now);
         let listed: HashSet<u64> = active.iter().map(|run| run.ticket).collect();
+        let mut has_freed_slots = false;
         for (ticket, granted_at) in self.grants.tickets_of(requester) {
             let must_be_listed = now.saturating_duration_since(granted_at) > GRANT_GRACE_PERIOD;
             if must_be_listed && !listed.contains(&ticket) {
                 self.remove_grant(requester, ticket);
+                has_freed_slots = true;
             }
         }
         for run in active {
@@ -357,7 +363,11 @@
                 });
             }
         }
-        self.dispatch_all(now);
+        // Without free slots there is nothing to dispatch, and each of hundreds of hosts
+        // syncs several times a second.
+        if has_freed_slots {
+            self.dispatch_all(now);
+        }
     }
 
     /// Processes timeouts.
@@ -508,14 +518,13 @@
     /// requester's zone. Items in that zone are preferred, then the most recently
     /// started.
     fn preemption_victim(&self, request: &SlotRequest, now: Instant) -> Option<(GrantKey, bool)> {
-        let pool = self.services.get(&request.service)?;
         let candidates = self.grants.iter().filter(|(_, grant)| {
             let entry = self.servers.get(grant.server);
             grant.kind == WorkKind::Batch
                 && !grant.stopping
-                && pool.servers.contains(&grant.server)
                 && entry.is_some_and(|entry| {
-                    entry.record.is_open(now)
+                    entry.record.check_in.service == request.service
+                        && entry.record.is_open(now)
                         && !request.avoid.contains(&entry.record.check_in.name)
                 })
         });
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -4,5 +4,6 @@
 mod bursts;
 mod directory;
 mod rates;
+mod reserves;
 mod slots;
 mod support;
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -1,7 +1,7 @@
 //! The control host: RPC handler, leader task and membership repair of the control
 //! group.
 
-use super::leader::{LeaderState, RequesterMessage};
+use super::leader::{EarlierView, LeaderState, RequesterMessage};
 use super::machine::{ControlCommand, ControlMachine};
 use super::port::{ControlFailure, ControlService};
 use super::relay::{ControlRelay, LocalSeat, RELAY_LIMITS, RELAY_TIMEOUT, drain_relay};
@@ -21,8 +21,8 @@
 use crate::seat_opener::SeatOpener;
 use bytes::Bytes;
 use chicoryladder_broker::{
-    BrokerSettings, CheckInOutcome, RateTolerance, RequesterId, ServerCheckIn, ServerPhase,
-    SlotRequest,
+    BrokerSettings, CheckInOutcome, RateTolerance, RequesterId, RosterSettings, ServerCheckIn,
+    ServerPhase, SlotRequest,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
@@ -62,6 +62,14 @@
 /// The silence after which the slots of a host are reclaimed: several syncs.
 const REQUESTER_LOST_AFTER: Duration = Duration::from_millis(2_500);
 
+/// The part of the time within which plans apply, for which slot requests under the plan
+/// before are still granted: one in this number.
+const PLAN_GRACE_DIVISOR: u32 = 4;
+
+/// The silence after which an entry host may admit requests on its own: more than the
+/// interval of its syncs.
+const DETACHED_AFTER: Duration = Duration::from_millis(400);
+
 /// A running control host.
 pub struct ControlHost {
     shared: Arc<ControlShared>,
@@ -105,7 +113,11 @@
             client: base.control_client(),
             view: FleetView::new(),
             seat: SeatCell::default(),
-            state: Mutex::new(LeaderState::new(broker_settings(&base.settings), now)),
+            state: Mutex::new(LeaderState::new(
+                broker_settings(&base.settings),
+                roster_settings(&base.settings),
+                now,
+            )),
             log,
             base,
         });
@@ -196,6 +208,13 @@
     }
 }
 
+fn roster_settings(settings: &ProcessSettings) -> RosterSettings {
+    RosterSettings {
+        detached_after: DETACHED_AFTER,
+        remove_after: settings.bounds.key_withdrawal,
+    }
+}
+
 impl ControlShared {
     fn group(&self) -> Option<GroupHandle<ControlMachine>> {
         self.seat.group()
@@ -238,8 +257,7 @@
         group.propose(command).await.map(|_| ())
     }
 
-    /// Applies changes of the replicated state to the leader's state. Notifies the hosts
-    /// if the plan changed.
+    /// Applies changes of the replicated state to the leader's state.
     async fn refresh(&self) {
         let Some(group) = self.group() else {
             return;
@@ -251,13 +269,9 @@
         let mut state = self.state();
         if state.term.is_some() && state.refresh(&machine, now) {
             let version = state.plan.version();
-            let hosts: Vec<SocketAddr> = state.hosts.values().map(|h| h.address).collect();
             drop(state);
             self.log
                 .note("plan_in_force", &json!({ "version": version.0 }));
-            for host in hosts {
-                self.base.notify(host, &Notice::Changed);
-            }
         }
     }
 
@@ -277,8 +291,10 @@
             }
             ControlCall::Sync(request) => {
                 let now = self.now();
+                let status = self.status();
+                let members: Vec<SocketAddr> = status.members.iter().map(|m| m.address).collect();
                 let mut state = self.state();
-                let answer = state.sync(&request, now);
+                let answer = state.sync(&request, &members, now);
                 self.process_broker_events(&mut state);
                 drop(state);
                 // A leader that lost its lease meanwhile may have replied with stale state.
@@ -337,7 +353,8 @@
     ) -> BoxFuture<'static, GroupReply<ControlAnswer>> {
         let now = self.now();
         let mut state = self.state();
-        if plan < state.plan.version() {
+        let grace = self.base.settings.bounds.plan_applies / PLAN_GRACE_DIVISOR;
+        if !state.accepts_plan(plan, grace, now) {
             return std::future::ready(GroupReply::Answer(ControlAnswer::StalePlan)).boxed();
         }
         let decision = state.request_slot(requester, slot_request, fingerprint, now);
@@ -532,7 +549,7 @@
                 };
                 std::future::ready(encode("control", &answer)).boxed()
             }
-            Ok(Call::Batch(_)) => std::future::ready(None).boxed(),
+            Ok(Call::Batch(_) | Call::Reserve(_)) => std::future::ready(None).boxed(),
             Err(error) => {
                 log::warn!("control: failed to decode a call: {error}.");
                 std::future::ready(None).boxed()
@@ -668,8 +685,13 @@
         }
         if active_term == Some(status.term) {
             let mut state = shared.state();
-            state.broker.tick(now);
+            state.tick(now);
             shared.process_broker_events(&mut state);
+            let outdated = state.take_plan_notices();
+            drop(state);
+            for host in outdated {
+                shared.base.notify(host, &Notice::Changed);
+            }
         } else {
             begin_leadership(&shared, &status).await;
         }
@@ -687,11 +709,17 @@
         return;
     };
     if let Ok(machine) = group.read(ControlMachine::clone).await {
-        let directory = shared.view.servers();
-        let servers = directory.len();
+        let earlier = EarlierView {
+            servers: shared.view.servers(),
+            entry_hosts: shared.view.entry_hosts(),
+        };
         let now = shared.now();
-        shared.state().begin(status.term, &machine, &directory, now);
-        let fields = json!({ "term": status.term.0, "servers": servers });
+        let fields = json!({
+            "term": status.term.0,
+            "servers": earlier.servers.len(),
+            "entry_hosts": earlier.entry_hosts.len(),
+        });
+        shared.state().begin(status.term, &machine, &earlier, now);
         shared.log.note("leadership_begins", &fields);
     }
 }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -5,12 +5,16 @@
 
 use super::machine::{ControlMachine, StoredPlan};
 use crate::membership_repair::MembershipRepair;
-use crate::message::{HostRole, StoreReport, StoreView, SyncAnswer, SyncRequest};
+use crate::message::{
+    EncodedPlan, HostRole, RosterUpdate, StoreReport, StoreView, SyncAnswer, SyncRequest,
+};
+use crate::plan_notices::PlanNotices;
 use chicoryladder_broker::{
-    BrokerEvent, BrokerSettings, RequesterId, RunOutcome, RunReport, ServerCheckIn, SlotBroker,
-    SlotDecision, SlotRefusalReason, SlotRequest,
+    BrokerEvent, BrokerSettings, EntryRoster, RequesterId, ReserveHolders, RosterMember,
+    RosterSettings, RunOutcome, RunReport, ServerCheckIn, SlotBroker, SlotDecision,
+    SlotRefusalReason, SlotRequest, ZoneRoster,
 };
-use chicoryladder_plan::ServicePlan;
+use chicoryladder_plan::{PlanVersion, ServicePlan};
 use chicoryladder_policy::quarantine::{
     CrashReport, QuarantineTable, RequestFingerprint, ServerCrash, SuspectStatus,
 };
@@ -38,12 +42,33 @@
 /// The time for which a request that crashed servers is quarantined.
 const QUARANTINE_PERIOD: Duration = Duration::from_secs(60);
 
+/// The interval at which the leader checks which entry hosts are silent.
+const ROSTER_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The time for which the views that all hosts share are kept.
+const VIEWS_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The parts of the reply to a sync that are the same for all hosts.
+#[derive(Default)]
+struct SharedViews {
+    computed_at: Option<Instant>,
+    control_hosts: Vec<SocketAddr>,
+    store: StoreView,
+}
+
+/// What a new leader learned from the leader before it.
+pub(crate) struct EarlierView {
+    pub(crate) servers: Arc<Vec<ServerCheckIn>>,
+    pub(crate) entry_hosts: Vec<RosterMember>,
+}
+
 /// A host that reports to the leader.
 #[derive(Clone, Debug)]
 pub(crate) struct HostRecord {
     pub(crate) role: HostRole,
     pub(crate) address: SocketAddr,
     pub(crate) last_sync_at: Instant,
+    plan: PlanVersion,
     store: Option<StoreReport>,
 }
 
@@ -60,6 +85,11 @@
     pub(crate) broker: SlotBroker,
     pub(crate) plan: Arc<ServicePlan>,
     pub(crate) stored: Option<Arc<StoredPlan>>,
+    encoded: Option<EncodedPlan>,
+    /// When the plan replaced an earlier one in this leadership.
+    replaced_plan_at: Option<Instant>,
+    notices: PlanNotices,
+    views: SharedViews,
     pub(crate) repair: MembershipRepair,
     pub(crate) hosts: HashMap<HostName, HostRecord>,
     pub(crate) store_bootstrap_members: Option<BTreeMap<SeatId, SocketAddr>>,
@@ -67,40 +97,59 @@
     pub(crate) retiring: BTreeMap<HostName, (SocketAddr, bool)>,
     /// The server incarnations that announced that they are leaving.
     pub(crate) departed: HashSet<(ServerName, u64)>,
+    roster: EntryRoster,
+    holders: ReserveHolders,
+    /// The versions of the roster and the plan that `holders` was computed from.
+    holders_of: (u64, PlanVersion),
+    next_roster_check: Instant,
     quarantine: QuarantineTable,
     pending: HashMap<(RequesterId, u64), oneshot::Sender<SlotDecision>>,
     settings: BrokerSettings,
+    roster_settings: RosterSettings,
     pub(crate) leads_since: Instant,
     first_store_seen_at: Option<Instant>,
 }
 
 impl LeaderState {
-    pub(crate) fn new(settings: BrokerSettings, now: Instant) -> Self {
+    pub(crate) fn new(
+        settings: BrokerSettings,
+        roster_settings: RosterSettings,
+        now: Instant,
+    ) -> Self {
         Self {
             term: None,
             broker: SlotBroker::new(settings),
             plan: Arc::default(),
             stored: None,
+            encoded: None,
+            replaced_plan_at: None,
+            notices: PlanNotices::default(),
+            views: SharedViews::default(),
             repair: MembershipRepair::default(),
             hosts: HashMap::new(),
             store_bootstrap_members: None,
             retiring: BTreeMap::new(),
             departed: HashSet::new(),
+            roster: EntryRoster::new(roster_settings),
+            holders: ReserveHolders::default(),
+            holders_of: (0, PlanVersion::default()),
+            next_roster_check: now,
             quarantine: QuarantineTable::new(QUARANTINE_PERIOD),
             pending: HashMap::new(),
             settings,
+            roster_settings,
             leads_since: now,
             first_store_seen_at: None,
         }
     }
 
-    /// Begins a leadership from the replicated state and the last directory of servers
-    /// that this host synced.
+    /// Begins a leadership from the replicated state and from what this host synced with
+    /// the leader before.
     pub(crate) fn begin(
         &mut self,
         term: TermNumber,
         machine: &ControlMachine,
-        directory: &[ServerCheckIn],
+        earlier: &EarlierView,
         now: Instant,
     ) {
         self.term = Some(term);
@@ -112,14 +161,48 @@
         self.first_store_seen_at = None;
         self.plan = Arc::default();
         self.stored = None;
+        self.encoded = None;
+        self.notices = PlanNotices::default();
+        self.views = SharedViews::default();
         self.departed = machine.departures().iter().cloned().collect();
-        for server in directory {
+        for server in earlier.servers.iter() {
             self.broker.restore_server(server.clone(), now);
         }
         for (name, incarnation) in machine.departures() {
             self.broker.mark_leaving(name, Some(*incarnation));
         }
+        self.roster = EntryRoster::new(self.roster_settings);
+        self.roster.restore(&earlier.entry_hosts, now);
+        self.holders_of = (0, PlanVersion::default());
         self.refresh(machine, now);
+        self.check_roster(now);
+    }
+
+    /// Processes timeouts.
+    pub(crate) fn tick(&mut self, now: Instant) {
+        self.broker.tick(now);
+        if now >= self.next_roster_check {
+            self.check_roster(now);
+        }
+    }
+
+    /// Removes silent entry hosts and withholds the shares of detached ones.
+    fn check_roster(&mut self, now: Instant) {
+        self.next_roster_check = now + ROSTER_INTERVAL;
+        self.roster.remove_silent(now);
+        self.assign_holders();
+        let shares = self.holders.detached_shares(&self.roster, now);
+        self.broker.rates().set_detached_shares(&shares, now);
+    }
+
+    /// Computes the holders of reserves again if the roster or the plan has changed.
+    fn assign_holders(&mut self) {
+        let computed_from = (self.roster.version(), self.plan.version());
+        if self.holders_of != computed_from {
+            self.holders_of = computed_from;
+            self.holders = ReserveHolders::assign(&self.roster, &self.plan);
+            self.broker.rates().set_holders(self.holders.zone_count());
+        }
     }
 
     /// Ends a leadership; pending slot requests fail at once.
@@ -150,6 +233,9 @@
                     self.broker.rates().fill_all();
                 }
                 self.plan = Arc::new(plan);
+                self.replaced_plan_at = self.stored.as_ref().map(|_| now);
+                self.encoded = EncodedPlan::new(&stored.plan);
+                self.notices.begin(self.hosts.keys().cloned());
                 self.stored = Some(stored);
                 true
             }
@@ -288,26 +374,67 @@
         self.broker.release(requester, report, now);
     }
 
-    /// Handles a sync: records the state of a host and replies with newer state.
-    pub(crate) fn sync(&mut self, request: &SyncRequest, now: Instant) -> SyncAnswer {
+    /// Handles a sync: records the state of a host and replies with newer state. `members`
+    /// are the hosts of the control group; some may not have synced with this leader yet.
+    pub(crate) fn sync(
+        &mut self,
+        request: &SyncRequest,
+        members: &[SocketAddr],
+        now: Instant,
+    ) -> SyncAnswer {
         self.record_host(request, now);
         self.broker
             .reconcile(&request.requester, &request.active, now);
         let term = self.term.unwrap_or_default().0;
         let number = (term, self.broker.directory_version());
         let directory = (number != request.directory).then(|| (number, self.broker.servers()));
-        let plan = self
-            .stored
-            .as_ref()
-            .filter(|stored| stored.plan.version > request.plan)
-            .map(|stored| Box::new(stored.plan.clone()));
+        let is_outdated = request.plan < self.plan.version();
+        let plan = self.encoded.clone().filter(|_| is_outdated);
+        let views = self.views(members, now);
+        let (hosts, store) = (views.control_hosts.clone(), views.store.clone());
         SyncAnswer {
-            hosts: self.addresses(HostRole::Control, now),
+            hosts,
             plan,
             directory,
             reserves: self.refill_reserves(request, now),
-            store: self.store_view(now),
+            roster: self.roster_update(request),
+            store,
+        }
+    }
+
+    /// The views that are the same for all hosts, as of at most [`VIEWS_INTERVAL`] ago.
+    fn views(&mut self, members: &[SocketAddr], now: Instant) -> &SharedViews {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < VIEWS_INTERVAL;
+        if !self.views.computed_at.is_some_and(is_recent) {
+            self.hosts
+                .retain(|_, host| now.saturating_duration_since(host.last_sync_at) < HOST_EXPIRY);
+            let mut control_hosts = self.addresses(HostRole::Control, now);
+            control_hosts.extend(members);
+            control_hosts.sort_unstable();
+            control_hosts.dedup();
+            self.views = SharedViews {
+                computed_at: Some(now),
+                control_hosts,
+                store: self.store_view(now),
+            };
         }
+        &self.views
+    }
+
+    /// The addresses of the next hosts to tell that a new plan is in force.
+    pub(crate) fn take_plan_notices(&mut self) -> Vec<SocketAddr> {
+        let (hosts, version) = (&self.hosts, self.plan.version());
+        let is_outdated = |name: &HostName| hosts.get(name).is_some_and(|h| h.plan < version);
+        let outdated = self.notices.take(is_outdated);
+        let records = outdated.iter().filter_map(|name| hosts.get(name));
+        records.map(|host| host.address).collect()
+    }
+
+    /// Whether a slot request may be made under a plan: the plan in force, or an older one
+    /// as long as hosts are still fetching the one in force.
+    pub(crate) fn accepts_plan(&self, plan: PlanVersion, grace: Duration, now: Instant) -> bool {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < grace;
+        plan >= self.plan.version() || self.replaced_plan_at.is_some_and(is_recent)
     }
 
     fn record_host(&mut self, request: &SyncRequest, now: Instant) {
@@ -315,6 +442,7 @@
             role: request.role,
             address: request.address,
             last_sync_at: now,
+            plan: request.plan,
             store: request.store.clone(),
         };
         if request.role == HostRole::Store {
@@ -322,11 +450,29 @@
         }
         self.repair.record_zone(request.address, &request.zone);
         self.hosts.insert(request.requester.host.clone(), record);
-        self.hosts
-            .retain(|_, host| now.saturating_duration_since(host.last_sync_at) < HOST_EXPIRY);
-        let is_entry = |host: &&HostRecord| host.role == HostRole::Entry;
-        let entries = self.hosts.values().filter(is_entry).count();
-        self.broker.rates().set_holders(entries);
+        if request.role == HostRole::Entry {
+            let zone = &request.zone;
+            self.roster
+                .record(request.address, zone, request.detached, now);
+        }
+    }
+
+    /// The entry hosts that a host needs to know, if it holds an older roster.
+    fn roster_update(&self, request: &SyncRequest) -> Option<RosterUpdate> {
+        let number = (self.term.unwrap_or_default().0, self.holders.version());
+        if number == request.roster {
+            return None;
+        }
+        let (zone, members) = match request.role {
+            HostRole::Entry => (self.holders.zone(&request.zone), Vec::new()),
+            HostRole::Control => (ZoneRoster::default(), self.holders.members()),
+            HostRole::Store => return None,
+        };
+        Some(RosterUpdate {
+            number,
+            zone,
+            members,
+        })
     }
 
     fn refill_reserves(&mut self, request: &SyncRequest, now: Instant) -> Vec<(TeamName, u32)> {
@@ -338,16 +484,15 @@
             .iter()
             .map(|(team, count)| (team, *count))
             .collect();
-        let plan = self.plan.clone();
         let mut added = Vec::new();
-        for raw in &plan.raw().teams {
-            let Some(team) = plan.team(&raw.name) else {
+        for name in self.holders.teams_of(request.address) {
+            let Some(team) = self.plan.team(name) else {
                 continue;
             };
-            let count = held.get(&raw.name).copied().unwrap_or_default();
+            let count = held.get(name).copied().unwrap_or_default();
             let more = self.broker.top_up(team, count, now);
             if more > 0 {
-                added.push((raw.name.clone(), more));
+                added.push((name.clone(), more));
             }
         }
         added
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -8,7 +8,7 @@
 use crate::event_log::EventLog;
 use crate::fleet_view::{FleetView, SyncReporter, ViewChange, run_sync};
 use crate::leader_client::LeaderClient;
-use crate::message::{HostRole, Notice};
+use crate::message::{Call, HostRole, Notice, ReserveCall, encode};
 use crate::metrics::{GaugeReader, MetricsService, RoleMetrics};
 use crate::ports::{CallerDialect, ServerDialect};
 use crate::process::{ProcessBase, ProcessError};
@@ -248,8 +248,18 @@
 }
 
 impl RpcHandler for EntryHandler {
-    fn call(&self, _: Arc<PeerIdentity>, _: Bytes) -> BoxFuture<'static, Option<Bytes>> {
-        std::future::ready(None).boxed()
+    fn call(&self, _: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        let reply = match postcard::from_bytes(&payload) {
+            Ok(Call::Reserve(ReserveCall::Take { team })) => {
+                encode("entry", &self.slots.take_held_reserve(&team))
+            }
+            Ok(Call::Control(_) | Call::Batch(_) | Call::Bootstrap(_)) => None,
+            Err(error) => {
+                log::warn!("entry: failed to decode a call: {error}.");
+                None
+            }
+        };
+        std::future::ready(reply).boxed()
     }
 
     fn notice(&self, _: &PeerIdentity, payload: Bytes) {
--- a/crates/roles/src/entry/matching.rs
+++ b/crates/roles/src/entry/matching.rs
@@ -1,16 +1,12 @@
 //! Matching of requests to routes and teams.
 
-use crate::fleet_view::FleetView;
+use crate::fleet_view::{FleetView, key_lease};
 use crate::ports::CallerHead;
 use chicoryladder_plan::{PlanRoute, PlanTeam, ServicePlan};
 use chicoryladder_types::prelude::*;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The share of the key withdrawal bound for which a view of the keys is trusted. The
-/// rest covers requests in flight and clock drift.
-const KEY_LEASE_SHARE: f64 = 0.75;
-
 /// The age above which a view is refreshed before a request is refused on its basis.
 const REFUSAL_AGE: Duration = Duration::from_millis(50);
 
@@ -40,14 +36,10 @@
 }
 
 impl RequestMatcher {
-    /// The time for which a view of the keys is trusted.
-    pub(super) fn key_lease(&self) -> Duration {
-        self.key_withdrawal.mul_f64(KEY_LEASE_SHARE)
-    }
-
     /// Whether the view of the keys is recent enough to serve requests with keys.
     pub(super) fn keys_are_fresh(&self, now: Instant) -> bool {
-        self.view.age(now).is_some_and(|age| age < self.key_lease())
+        let lease = key_lease(self.key_withdrawal);
+        self.view.age(now).is_some_and(|age| age < lease)
     }
 
     /// Waits for a newer view.
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -6,13 +6,16 @@
 
 use crate::leader_client::LeaderClient;
 use crate::message::{
-    Call, ControlAnswer, ControlCall, HostRole, StoreReport, StoreView, SyncAnswer, SyncRequest,
+    Call, ControlAnswer, ControlCall, EncodedPlan, HostRole, ReserveAnswer, RosterUpdate,
+    StoreReport, StoreView, SyncAnswer, SyncRequest,
 };
 use crate::process::ProcessBase;
-use chicoryladder_broker::{ActiveRun, ServerCheckIn};
+use chicoryladder_broker::{
+    ActiveRun, HeldReserves, HolderRing, ReserveTerms, RosterMember, SELF_REFILL_AFTER,
+    ServerCheckIn, ZoneRoster,
+};
 use chicoryladder_plan::{PlanVersion, ServicePlan};
 use chicoryladder_types::prelude::*;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -27,13 +30,47 @@
 /// The pause after a sync that reached no leader.
 const SYNC_RETRY_PAUSE: Duration = Duration::from_millis(60);
 
+/// The share of the key withdrawal bound for which a view of the keys is trusted. The
+/// rest covers requests in flight and clock drift.
+const KEY_LEASE_SHARE: f64 = 0.75;
+
+/// The time for which a view of the keys is trusted.
+pub(crate) fn key_lease(key_withdrawal: Duration) -> Duration {
+    key_withdrawal.mul_f64(KEY_LEASE_SHARE)
+}
+
+/// The entry hosts of this host's zone and the reserves that this host holds for them.
+#[derive(Default)]
+struct ReserveState {
+    number: (u64, u64),
+    roster: ZoneRoster,
+    ring: HolderRing,
+    /// The entry hosts of all zones, on control hosts.
+    members: Vec<RosterMember>,
+    held: HeldReserves,
+}
+
+impl ReserveState {
+    fn apply(&mut self, update: RosterUpdate, own_address: SocketAddr) {
+        self.number = update.number;
+        self.members = update.members;
+        if self.roster != update.zone {
+            self.ring = HolderRing::new(&update.zone.hosts);
+            self.roster = update.zone;
+            let ring = &self.ring;
+            self.held
+                .retain(|team| ring.holder(team) == Some(own_address));
+        }
+    }
+}
+
 #[derive(Default)]
 struct ViewState {
     plan: Arc<ServicePlan>,
     fresh_at: Option<Instant>,
     directory: (u64, u64),
     servers: Arc<Vec<ServerCheckIn>>,
-    reserves: HashMap<TeamName, u32>,
+    reserves: ReserveState,
     store: StoreView,
 }
 
@@ -79,14 +116,36 @@
         self.state().servers.clone()
     }
 
-    /// Charges a request to this host's reserve of the team; `false` if it is spent.
-    pub(crate) fn spend_reserve(&self, team: &TeamName) -> bool {
-        match self.state().reserves.get_mut(team) {
-            Some(count) if *count > 0 => {
-                *count -= 1;
-                true
-            }
-            Some(_) | None => false,
+    /// The entry hosts of all zones, on control hosts.
+    pub(crate) fn entry_hosts(&self) -> Vec<RosterMember> {
+        self.state().reserves.members.clone()
+    }
+
+    /// The entry host that holds the reserve of a team in this host's zone.
+    pub(crate) fn reserve_holder(&self, team: &TeamName) -> Option<SocketAddr> {
+        self.state().reserves.ring.holder(team)
+    }
+
+    /// Charges a request to the reserve of a team, if this host holds it.
+    pub(crate) fn take_reserve(
+        &self,
+        team: &TeamName,
+        own_address: SocketAddr,
+        lease: Duration,
+        now: Instant,
+    ) -> ReserveAnswer {
+        let mut state = self.state();
+        let rate = state.plan.team(team).map(|team| team.rate);
+        let reserves = &mut state.reserves;
+        let is_holder = reserves.ring.holder(team) == Some(own_address);
+        let share = reserves.roster.share();
+        let (Some(rate), Some(fresh_at), true) = (rate, state.fresh_at, is_holder) else {
+            return ReserveAnswer::Spent { retry_after: None };
+        };
+        let terms = ReserveTerms { rate, share, lease };
+        match state.reserves.held.take(team, terms, fresh_at, now) {
+            Ok(()) => ReserveAnswer::Taken,
+            Err(retry_after) => ReserveAnswer::Spent { retry_after },
         }
     }
 
@@ -104,6 +163,7 @@
     }
 
     fn request(&self, base: &ProcessBase, reporter: &SyncReporter) -> SyncRequest {
+        let now = base.clock.now();
         let active = (reporter.active)();
         let store = (reporter.store)();
         let state = self.state();
@@ -116,36 +176,40 @@
             plan: state.plan.version(),
             directory: state.directory,
             active,
-            reserves: state
-                .reserves
-                .iter()
-                .map(|(team, count)| (team.clone(), *count))
-                .collect(),
+            reserves: state.reserves.held.granted(),
+            detached: state.fresh_at.is_some_and(|fresh_at| {
+                now.saturating_duration_since(fresh_at) >= SELF_REFILL_AFTER
+            }),
+            roster: state.reserves.number,
             store,
         }
     }
 
-    fn apply(&self, reply: SyncAnswer, sent_at: Instant) -> Option<PlanVersion> {
+    fn apply(
+        &self,
+        reply: SyncAnswer,
+        own_address: SocketAddr,
+        sent_at: Instant,
+    ) -> Option<PlanVersion> {
         let mut state = self.state();
         let mut new_version = None;
-        if let Some(raw) = reply.plan.filter(|raw| raw.version > state.plan.version()) {
-            match ServicePlan::try_from(*raw) {
-                Ok(plan) => {
-                    new_version = Some(plan.version());
-                    state.plan = Arc::new(plan);
-                }
-                Err(error) => {
-                    log::error!("view: the plan from the leader is invalid: {error}.");
-                    return None;
-                }
+        if let Some(encoded) = &reply.plan {
+            let plan = decode_plan(encoded)?;
+            if plan.version() > state.plan.version() {
+                new_version = Some(plan.version());
+                state.plan = Arc::new(plan);
             }
         }
         if let Some((number, servers)) = reply.directory {
             state.directory = number;
             state.servers = Arc::new(servers);
         }
+        state.reserves.held.end_self_refill();
+        if let Some(update) = reply.roster {
+            state.reserves.apply(update, own_address);
+        }
         for (team, count) in reply.reserves {
-            *state.reserves.entry(team).or_default() += count;
+            state.reserves.held.add(team, count);
         }
         state.store = reply.store;
         state.fresh_at = state.fresh_at.max(Some(sent_at));
@@ -155,6 +219,24 @@
     }
 }
 
+/// Decodes and checks a plan from the leader; logs why it is unusable.
+fn decode_plan(encoded: &EncodedPlan) -> Option<ServicePlan> {
+    let raw = match encoded.decode() {
+        Ok(raw) => raw,
+        Err(error) => {
+            log::error!("view: failed to decode the plan from the leader: {error}.");
+            return None;
+        }
+    };
+    match ServicePlan::try_from(raw) {
+        Ok(plan) => Some(plan),
+        Err(error) => {
+            log::error!("view: the plan from the leader is invalid: {error}.");
+            None
+        }
+    }
+}
+
 /// Called with the addresses of the control hosts.
 type HostsListener = Box<dyn Fn(&[SocketAddr]) + Send + Sync>;
 
@@ -216,7 +298,7 @@
                 has_leader = true;
                 (reporter.on_change)(ViewChange::LeaderFound);
             }
-            if let Some(version) = view.apply(*reply, sent_at) {
+            if let Some(version) = view.apply(*reply, base.rpc.identity().address, sent_at) {
                 (reporter.on_change)(ViewChange::Plan(version));
             }
             SYNC_INTERVAL
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobPage};
 use chicoryladder_broker::{
-    ActiveRun, RequesterId, RunReport, ServerCheckIn, SlotDecision, SlotRequest,
+    ActiveRun, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision, SlotRequest,
+    ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::GroupStatus;
@@ -14,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// A one-way message; it gets no reply and may be lost.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -42,6 +44,27 @@
     Batch(BatchCall),
     /// A query to a seed of the settings, at the first start of a fleet.
     Bootstrap(BootstrapCall),
+    /// A call to the entry host that holds the reserve of a team in a zone.
+    Reserve(ReserveCall),
+}
+
+/// A call to the holder of a reserve, by a host that cannot reach the broker.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) enum ReserveCall {
+    /// Takes one request from the reserve of a team.
+    Take { team: TeamName },
+}
+
+/// The reply of the holder of a reserve.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) enum ReserveAnswer {
+    /// The request is charged to the reserve.
+    Taken,
+    /// The reserve is spent, or this host does not hold it.
+    Spent {
+        /// When the next request is earned, if the holder can tell.
+        retry_after: Option<Duration>,
+    },
 }
 
 /// The query of a control host to a seed before the control group exists.
@@ -158,9 +181,12 @@
     /// The leader's term and the version of the directory that the host holds.
     pub(crate) directory: (u64, u64),
     pub(crate) active: Vec<ActiveRun>,
-    /// The requests left in the host's reserve of each team, which it may admit without
-    /// the broker.
+    /// The requests left in the reserves that the host holds.
     pub(crate) reserves: Vec<(TeamName, u32)>,
+    /// Whether the host's view is so old that it may have admitted requests on its own.
+    pub(crate) detached: bool,
+    /// The leader's term and the version of the roster that the host holds.
+    pub(crate) roster: (u64, u64),
     pub(crate) store: Option<StoreReport>,
 }
 
@@ -183,14 +209,42 @@
     /// All control hosts that synced recently.
     pub(crate) hosts: Vec<SocketAddr>,
     /// The plan, if it is newer than the one that the host holds.
-    pub(crate) plan: Option<Box<RawPlan>>,
+    pub(crate) plan: Option<EncodedPlan>,
     /// The directory of servers, if it differs from the one that the host holds.
     pub(crate) directory: Option<((u64, u64), Vec<ServerCheckIn>)>,
-    /// Requests added to the host's reserve of each team.
+    /// Requests added to the reserves that the host holds.
     pub(crate) reserves: Vec<(TeamName, u32)>,
+    /// The entry hosts, if they differ from those that the host knows.
+    pub(crate) roster: Option<RosterUpdate>,
     pub(crate) store: StoreView,
 }
 
+/// A plan that is encoded once for all hosts that sync. A large plan takes the leader
+/// longer to encode than the rest of a sync.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct EncodedPlan(Bytes);
+
+impl EncodedPlan {
+    pub(crate) fn new(plan: &RawPlan) -> Option<Self> {
+        encode("plan", plan).map(Self)
+    }
+
+    pub(crate) fn decode(&self) -> Result<RawPlan, postcard::Error> {
+        postcard::from_bytes(&self.0)
+    }
+}
+
+/// The entry hosts that a host needs to know.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct RosterUpdate {
+    /// The leader's term and the version of its roster.
+    pub(crate) number: (u64, u64),
+    /// The hosts of the receiver's zone, if it is an entry host.
+    pub(crate) zone: ZoneRoster,
+    /// The hosts of all zones, if the receiver is a control host, which may lead next.
+    pub(crate) members: Vec<RosterMember>,
+}
+
 /// The reply of the leader of the control group.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum ControlAnswer {
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -1,8 +1,10 @@
 //! Acquisition of slots from the broker, or by a local choice while it is unreachable.
 
-use crate::fleet_view::FleetView;
+use crate::fleet_view::{FleetView, key_lease};
 use crate::leader_client::{LeaderClient, LeaderError};
-use crate::message::{Call, ControlAnswer, ControlCall, Notice};
+use crate::message::{
+    Call, ControlAnswer, ControlCall, Notice, ReserveAnswer, ReserveCall, encode,
+};
 use crate::process::ProcessBase;
 use chicoryladder_broker::{
     ActiveRun, BrokerlessView, RunOutcome, RunReport, SlotDecision, SlotRefusalReason, SlotRequest,
@@ -26,6 +28,9 @@
 /// The suggested retry delay when no slot was found while the broker is unreachable.
 const BROKERLESS_RETRY: Duration = Duration::from_millis(700);
 
+/// The timeout of a call to the holder of a reserve, which is in the same zone.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// The time for which a server that could not be reached is excluded from local
 /// choices.
 const UNREACHABLE_PERIOD: Duration = Duration::from_secs(2);
@@ -154,7 +159,7 @@
                 retry_after: BROKERLESS_RETRY,
             });
         }
-        self.choose(&slot_request)
+        self.choose(&slot_request).await
     }
 
     async fn call_broker(
@@ -229,13 +234,21 @@
     }
 
     /// Chooses a server from this host's view, without the broker.
-    fn choose(&self, slot_request: &SlotRequest) -> Result<SlotLease, SlotError> {
+    async fn choose(&self, slot_request: &SlotRequest) -> Result<SlotLease, SlotError> {
         let shared = &self.shared;
         let now = shared.base.clock.now();
         let refused = |reason| SlotError::Refused {
             reason,
             retry_after: BROKERLESS_RETRY,
         };
+        if let Some(team) = &slot_request.charged_team
+            && let ReserveAnswer::Spent { retry_after } = self.take_reserve(team).await
+        {
+            return Err(SlotError::Refused {
+                reason: SlotRefusalReason::NoReserve,
+                retry_after: retry_after.unwrap_or(BROKERLESS_RETRY),
+            });
+        }
         let servers = shared.view.servers();
         let view = BrokerlessView {
             servers: &servers,
@@ -245,14 +258,42 @@
         let Some(check_in) = view.choose(slot_request) else {
             return Err(refused(SlotRefusalReason::NoSlot));
         };
-        if let Some(team) = &slot_request.charged_team
-            && !shared.view.spend_reserve(team)
-        {
-            return Err(refused(SlotRefusalReason::NoReserve));
-        }
         Ok(self.lease(slot_request, check_in.name.clone(), check_in.address, true))
     }
 
+    /// Takes one request from the zone's reserve of a team, at the host that holds it.
+    async fn take_reserve(&self, team: &TeamName) -> ReserveAnswer {
+        let spent = ReserveAnswer::Spent { retry_after: None };
+        let Some(holder) = self.shared.view.reserve_holder(team) else {
+            return spent;
+        };
+        if holder == self.shared.base.rpc.identity().address {
+            return self.take_held_reserve(team);
+        }
+        let call = Call::Reserve(ReserveCall::Take { team: team.clone() });
+        let Some(payload) = encode("slot client", &call) else {
+            return spent;
+        };
+        let reply = self.shared.base.rpc.call(holder, payload, RESERVE_TIMEOUT);
+        match reply.await.map(|reply| postcard::from_bytes(&reply)) {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                log::warn!("slot client: failed to decode the reply of {holder}: {error}.");
+                spent
+            }
+            Err(_) => spent,
+        }
+    }
+
+    /// Takes one request from a reserve that this host holds.
+    pub(crate) fn take_held_reserve(&self, team: &TeamName) -> ReserveAnswer {
+        let base = &self.shared.base;
+        let lease = key_lease(base.settings.bounds.key_withdrawal);
+        let own_address = base.rpc.identity().address;
+        let view = &self.shared.view;
+        view.take_reserve(team, own_address, lease, base.clock.now())
+    }
+
     /// The servers that could not be reached within [`UNREACHABLE_PERIOD`].
     fn recently_unreachable(&self, now: Instant) -> HashSet<ServerName> {
         let unreachable = self.shared.unreachable_at.lock();
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -419,6 +419,7 @@
                 let reply = GroupReply::<ControlAnswer>::NotLeader { leader };
                 std::future::ready(encode("store", &reply)).boxed()
             }
+            Ok(Call::Reserve(_)) => std::future::ready(None).boxed(),
             Err(error) => {
                 log::warn!("store: failed to decode a call: {error}.");
                 std::future::ready(None).boxed()
