Spread the voters of the job group over the zones

Cause: the bootstrap members of the job group were the store hosts with the lowest addresses. Repair looked at zones only when it replaced a lost voter.

Change: bootstrap members are spread over the zones. Repair moves a working voter out of a zone whose loss would leave no quorum, in the way in which a retiring one is replaced.

Ruled out: slow elections; no seat was elected during the whole cut.

Tests: group repair (bootstrap, crowded zone, no room elsewhere); the old choice by address cannot pass the first of them.

--- a/crates/group/src/lib.rs
+++ b/crates/group/src/lib.rs
@@ -14,6 +14,7 @@
 mod seat_file;
 mod status;
 mod thread;
+mod zones;
 
 pub use address_file::AddressFile;
 pub use bootstrap::{BootstrapStep, number_members, plan_bootstrap, sole_bootstrap_member};
@@ -22,3 +23,4 @@
 pub use seat_file::{BootstrapMembers, SeatFile, SeatRecord};
 pub use status::{GroupStatus, MemberStatus};
 pub use thread::{GroupSettings, GroupThread, SeatTransport};
+pub use zones::{spread_over_zones, zone_voters_max};
--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -5,9 +5,13 @@
 //! unresponsive voter is replaced only if another host can take its place, since
 //! removing it without a replacement would not let the group tolerate more failures.
 //!
+//! A zone that holds so many voters that its loss would leave no quorum gives up one as
+//! soon as a host of another zone can take its place.
+//!
 //! A voter is removed only if a quorum of the remaining voters is responsive, so that
 //! no step can make the group unavailable.
 
+use crate::zones::zone_voters_max;
 use chicoryladder_consensus::{MemberRole, MembershipChange};
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
@@ -149,15 +153,45 @@
         {
             return self.remove(failed);
         }
-        let retiring = self
+        let leaving = self
             .voters()
-            .find(|m| m.retiring && m.seat != self.view.leader)?;
+            .find(|m| self.is_leaving(m) && m.seat != self.view.leader)?;
         if voters > self.limits.voters {
-            return self.remove(retiring);
+            return self.remove(leaving);
         }
         None
     }
 
+    /// Whether a voter is replaced although it works: its host retires, or its zone holds
+    /// too many voters.
+    fn is_leaving(&self, member: &MemberView) -> bool {
+        member.retiring || self.crowding_voter() == Some(member.seat)
+    }
+
+    /// A voter in a zone with too many of them, if a host of another zone can take its
+    /// place and no other repair is needed.
+    fn crowding_voter(&self) -> Option<SeatId> {
+        let voters_max = zone_voters_max(self.limits.voters);
+        let is_well = |m: &MemberView| !m.retiring && self.is_responsive(m);
+        if !self.voters().all(is_well) || self.voters().count() < self.limits.voters {
+            return None;
+        }
+        let in_crowded_zone = |member: &&MemberView| {
+            let zone = member.zone.as_ref();
+            zone.is_some_and(|zone| self.voters_in(zone) > voters_max)
+        };
+        let mut crowding = self.voters().filter(in_crowded_zone);
+        let crowding = crowding.find(|member| member.seat != self.view.leader)?;
+        let has_room = |zone: &ZoneName| self.voters_in(zone) < voters_max;
+        let standbys = self.view.standbys.iter().filter(|host| !host.retiring);
+        let learners = self.learners().filter(|m| !m.retiring);
+        let mut zones = standbys
+            .map(|host| &host.zone)
+            .chain(learners.filter_map(|m| m.zone.as_ref()));
+        let is_replaced = self.voters().count() > self.limits.voters;
+        (is_replaced || zones.any(has_room)).then_some(crowding.seat)
+    }
+
     fn promote(&self) -> Option<MembershipChange> {
         if self.voters().count() >= self.target_voters() {
             return None;
@@ -168,14 +202,16 @@
         Some(MembershipChange::Promote(ready.seat))
     }
 
-    /// The target number of voters, plus one while a retiring voter is being replaced.
+    /// The target number of voters, plus one while a working voter is being replaced.
     fn target_voters(&self) -> usize {
-        let retires = self.voters().any(|m| m.retiring);
-        self.limits.voters + usize::from(retires)
+        let leaves = self.voters().any(|m| self.is_leaving(m));
+        self.limits.voters + usize::from(leaves)
     }
 
     fn add_learner(&self) -> Option<MembershipChange> {
-        let healthy = self.voters().filter(|m| !m.retiring && !self.has_failed(m));
+        let healthy = self
+            .voters()
+            .filter(|m| !self.is_leaving(m) && !self.has_failed(m));
         let joining = self
             .learners()
             .filter(|m| !m.retiring && !self.has_failed(m));
@@ -210,7 +246,9 @@
 
     /// Removes a learner that has failed, is retiring or is not needed.
     fn remove_surplus_learner(&self) -> Option<MembershipChange> {
-        let healthy = self.voters().filter(|m| !m.retiring && !self.has_failed(m));
+        let healthy = self
+            .voters()
+            .filter(|m| !self.is_leaving(m) && !self.has_failed(m));
         let is_complete = healthy.count() >= self.limits.voters;
         let is_surplus = |m: &&MemberView| m.retiring || self.has_failed(m) || is_complete;
         let surplus = self.learners().find(is_surplus)?;
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -1,7 +1,10 @@
 //! Membership repair: the next membership change of a leader.
 
 use chicoryladder_consensus::{MemberRole, MembershipChange};
-use chicoryladder_group::{MemberView, RepairLimits, RepairView, StandbyHost, plan_repair};
+use chicoryladder_group::{
+    MemberView, RepairLimits, RepairView, StandbyHost, plan_repair, spread_over_zones,
+    zone_voters_max,
+};
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
 use std::net::SocketAddr;
@@ -223,3 +226,114 @@
     let promote = MembershipChange::Promote(SeatId(5));
     assert_eq!(next_change(with_ready, Vec::new()), Some(promote));
 }
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).expect("it is valid")
+}
+
+/// Candidates with the given number of hosts in each of five zones.
+fn candidates(per_zone: [u8; 5]) -> Vec<(SocketAddr, ZoneName)> {
+    let zones = per_zone.into_iter().zip(0u8..);
+    let hosts = zones.flat_map(|(count, zone_number)| {
+        (0..count).map(move |host| {
+            (
+                SocketAddr::from(([10, zone_number, 0, host], 7000)),
+                zone_number,
+            )
+        })
+    });
+    hosts
+        .map(|(host, number)| (host, zone(&format!("z{number}"))))
+        .collect()
+}
+
+fn zones_of(chosen: &[SocketAddr], candidates: &[(SocketAddr, ZoneName)]) -> Vec<ZoneName> {
+    let zone_of = |host| candidates.iter().find(|(known, _)| known == host);
+    let mut zones: Vec<_> = chosen
+        .iter()
+        .filter_map(zone_of)
+        .map(|(_, z)| z.clone())
+        .collect();
+    zones.sort_unstable();
+    zones
+}
+
+/// Pattern: a zone is cut off in a fleet with more store hosts in each zone than voters. The
+/// lowest addresses are all in one zone there.
+#[test]
+fn bootstrap_members_of_a_large_fleet_are_in_different_zones() {
+    let many = candidates([9; 5]);
+    let chosen = spread_over_zones(&many, 5);
+    assert_eq!(
+        zones_of(&chosen, &many),
+        ["z0", "z1", "z2", "z3", "z4"].map(zone)
+    );
+    let uneven = candidates([9, 1, 1, 0, 0]);
+    let chosen = spread_over_zones(&uneven, 5);
+    assert_eq!(
+        zones_of(&chosen, &uneven),
+        ["z0", "z0", "z0", "z1", "z2"].map(zone)
+    );
+    assert_eq!(spread_over_zones(&candidates([1, 1, 0, 0, 0]), 5).len(), 2);
+    assert!(spread_over_zones(&[], 5).is_empty());
+    assert_eq!([3, 5, 7].map(zone_voters_max), [1, 2, 3]);
+}
+
+/// Applies changes to a group until none is due. Each new learner catches up at once.
+fn settle(mut members: Vec<MemberView>, standbys: &[StandbyHost]) -> (Vec<MemberView>, usize) {
+    let mut changes = 0;
+    loop {
+        let is_member = |host: &StandbyHost| members.iter().any(|m| m.address == host.address);
+        let free: Vec<_> = standbys.iter().filter(|h| !is_member(h)).cloned().collect();
+        let Some(change) = next_change(members.clone(), free) else {
+            return (members, changes);
+        };
+        changes += 1;
+        assert!(changes < 20, "the changes do not end");
+        match change {
+            MembershipChange::AddLearner { address, .. } => {
+                let host = standbys.iter().find(|host| host.address == address);
+                let seat = 100 + u64::try_from(changes).expect("a small count");
+                let mut learner = learner(seat, 0);
+                learner.address = address;
+                learner.zone = host.map(|host| host.zone.clone());
+                members.push(learner);
+            }
+            MembershipChange::Promote(seat) => {
+                let member = members.iter_mut().find(|m| m.seat == seat);
+                member.expect("a member").role = MemberRole::Voter;
+            }
+            MembershipChange::Remove(seat) => members.retain(|m| m.seat != seat),
+        }
+    }
+}
+
+#[test]
+fn a_zone_with_too_many_voters_gives_them_up() {
+    let mut members = three();
+    for member in &mut members {
+        member.zone = Some(zone("z1"));
+    }
+    let (members, changes) = settle(members, &[standby(4), standby(5), standby(6)]);
+    let mut zones: Vec<_> = members.iter().filter_map(|m| m.zone.clone()).collect();
+    zones.sort_unstable();
+    assert_eq!(zones, ["z1", "z4", "z5"].map(zone));
+    assert!(members.iter().all(|m| m.role == MemberRole::Voter));
+    // Two voters are each added, promoted and replaced.
+    assert_eq!(changes, 6);
+}
+
+#[test]
+fn a_crowded_zone_keeps_its_voters_without_a_host_elsewhere_or_while_one_is_silent() {
+    let mut members = three();
+    members[1].zone = Some(zone("z1"));
+    let mut neighbour = standby(4);
+    neighbour.zone = zone("z1");
+    assert_eq!(next_change(members.clone(), vec![neighbour]), None);
+    assert_eq!(next_change(members.clone(), vec![standby(4)]), Some(add(4)));
+    members[2] = MemberView {
+        silent_for: Duration::from_secs(1),
+        ..members[2].clone()
+    };
+    assert_eq!(next_change(members, vec![standby(4)]), None);
+}
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -14,6 +14,7 @@
     RosterSettings, RunOutcome, RunReport, ServerCheckIn, SlotBroker, SlotDecision,
     SlotRefusalReason, SlotRequest, ZoneRoster,
 };
+use chicoryladder_group::{spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, ServicePlan};
 use chicoryladder_policy::quarantine::{
     CrashReport, QuarantineTable, RequestFingerprint, ServerCrash, SuspectStatus,
@@ -35,6 +36,9 @@
 /// The wait for more store hosts before the job group is bootstrapped with fewer.
 const BOOTSTRAP_WAIT: Duration = Duration::from_secs(4);
 
+/// The wait for store hosts of other zones, so that the job group survives the loss of one.
+const ZONES_WAIT: Duration = Duration::from_secs(1);
+
 /// The term in which team buckets start full: no request can have been admitted before
 /// the first leadership.
 const FIRST_TERM: TermNumber = TermNumber(1);
@@ -67,6 +71,7 @@
 pub(crate) struct HostRecord {
     pub(crate) role: HostRole,
     pub(crate) address: SocketAddr,
+    zone: ZoneName,
     pub(crate) last_sync_at: Instant,
     plan: PlanVersion,
     store: Option<StoreReport>,
@@ -441,6 +446,7 @@
         let record = HostRecord {
             role: request.role,
             address: request.address,
+            zone: request.zone.clone(),
             last_sync_at: now,
             plan: request.plan,
             store: request.store.clone(),
@@ -535,14 +541,19 @@
             let report = host.store.as_ref();
             report.is_some_and(|report| report.first_start && report.seat.is_none())
         };
-        let mut addresses: Vec<SocketAddr> = self
+        let candidates: Vec<(SocketAddr, ZoneName)> = self
             .hosts
             .values()
             .filter(is_new)
-            .map(|host| host.address)
+            .map(|host| (host.address, host.zone.clone()))
             .collect();
-        addresses.sort_unstable();
+        let mut addresses = spread_over_zones(&candidates, voters);
         let elapsed = now.saturating_duration_since(self.first_store_seen_at?);
+        if most_in_one_zone(&candidates, &addresses) > zone_voters_max(voters)
+            && elapsed < ZONES_WAIT
+        {
+            return None;
+        }
         if addresses.len() < voters {
             if elapsed < BOOTSTRAP_WAIT || addresses.is_empty() {
                 return None;
@@ -551,7 +562,6 @@
             let odd = addresses.len() - usize::from(addresses.len().is_multiple_of(2));
             addresses.truncate(odd);
         }
-        addresses.truncate(voters);
         let seats = (1..).map(SeatId);
         Some(seats.zip(addresses).collect())
     }
@@ -600,3 +610,12 @@
         Ok(record.address)
     }
 }
+
+/// The most of the chosen hosts that are in one zone.
+fn most_in_one_zone(candidates: &[(SocketAddr, ZoneName)], chosen: &[SocketAddr]) -> usize {
+    let mut zones: HashMap<&ZoneName, usize> = HashMap::new();
+    for (_, zone) in candidates.iter().filter(|(host, _)| chosen.contains(host)) {
+        *zones.entry(zone).or_default() += 1;
+    }
+    zones.into_values().max().unwrap_or_default()
+}
