Tell the load of the servers in refusals for want of a slot

The line of a refused request named no input of the broker's decision. It tells now how many runs hold how many slots, for how long on average, and how many requests wait.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -30,7 +30,8 @@
 pub use grants::{ActiveRun, RunOutcome, RunReport};
 pub use rate::{RateLedger, RateTolerance};
 pub use request::{
-    BrokerEvent, PromptSegment, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
+    BrokerEvent, PoolLoad, PromptSegment, RequesterId, SlotDecision, SlotRefusalReason,
+    SlotRequest, WorkKind,
 };
 pub use reserves::{HeldReserves, ReserveTerms, SELF_REFILL_AFTER};
 pub use roster::{
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -60,6 +60,19 @@
     pub wait_max: Duration,
 }
 
+/// The load of the servers of a service at a decision.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PoolLoad {
+    /// The runs on all servers, with those that accept no new work.
+    pub running: u32,
+    /// The slots of the servers that accept new work.
+    pub slots: u32,
+    /// The online requests that are queued.
+    pub waiting: u32,
+    /// The average time that a run holds its slot, in milliseconds.
+    pub hold_ms: u32,
+}
+
 /// The reason for which a slot is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum SlotRefusalReason {
@@ -69,7 +82,7 @@
     /// rate.
     NoReserve,
     /// No slot becomes free in time.
-    NoSlot,
+    NoSlot(PoolLoad),
     /// The service has no known server.
     NoServer,
     /// Earlier runs of the request crashed their servers.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -6,7 +6,7 @@
 use crate::pool::{ServicePool, WaitingRequest};
 use crate::rate::{RateLedger, RateTolerance};
 use crate::request::{
-    BrokerEvent, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
+    BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_types::ServiceName;
@@ -255,11 +255,12 @@
             wait_max = wait_max.min(request.first_answer_within.saturating_sub(first_answer));
             if wait > wait_max {
                 let retry_after = jittered_delay(wait, request.ticket);
+                let load = self.pool_load(&request.service, now);
                 self.refund(request.charged_team.as_ref());
                 self.refuse(
                     requester,
                     request.ticket,
-                    SlotRefusalReason::NoSlot,
+                    SlotRefusalReason::NoSlot(load),
                     retry_after,
                 );
                 return;
@@ -397,6 +398,18 @@
         (running, slots, pool.online.len(), pool.batch.len())
     }
 
+    fn pool_load(&self, service: &ServiceName, now: Instant) -> PoolLoad {
+        let (running, slots, waiting, _) = self.load_of(service, now);
+        let averages = self.services.get(service).map(|pool| pool.averages);
+        let hold = averages.map_or(0.0, |averages| averages.hold_seconds);
+        PoolLoad {
+            running,
+            slots,
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            hold_ms: u32::try_from(Duration::from_secs_f64(hold).as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Tops up the reserve of a host for a team and returns the number of tokens
     /// granted.
     pub fn top_up(&mut self, team: &PlanTeam, held: u32, now: Instant) -> u32 {
@@ -697,10 +710,11 @@
                 Duration::from_secs_f64(self.pool(&waiting.request.service).averages.hold_seconds);
             self.refund(waiting.request.charged_team.as_ref());
             let retry_after = jittered_delay(wait, ticket);
+            let load = self.pool_load(&waiting.request.service, now);
             self.refuse(
                 &waiting.requester,
                 ticket,
-                SlotRefusalReason::NoSlot,
+                SlotRefusalReason::NoSlot(load),
                 retry_after,
             );
         }
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -325,22 +325,33 @@
                 let (reason, detail) = match reason {
                     SlotRefusalReason::RateExceeded => (
                         RefusalReason::RateExceeded,
-                        "the team is beyond its rate and burst",
+                        "the team is beyond its rate and burst".to_owned(),
                     ),
                     SlotRefusalReason::NoReserve => (
                         RefusalReason::NoQuorum,
-                        "the broker is out of reach and the reserve of the team's rate is spent",
+                        "the broker is out of reach and the reserve of the team's rate is spent"
+                            .to_owned(),
+                    ),
+                    SlotRefusalReason::NoSlot(load) if load.slots == 0 => (
+                        RefusalReason::NoServer,
+                        "no slot comes free in time: no server accepts new work".to_owned(),
+                    ),
+                    SlotRefusalReason::NoSlot(load) => (
+                        RefusalReason::NoServer,
+                        format!(
+                            "no slot comes free in time: {} run in {} slots, held for {} ms on \
+                             average, and {} wait",
+                            load.running, load.slots, load.hold_ms, load.waiting
+                        ),
                     ),
-                    SlotRefusalReason::NoSlot => {
-                        (RefusalReason::NoServer, "no slot comes free in time")
-                    }
                     SlotRefusalReason::Quarantined => (
                         RefusalReason::Quarantined,
-                        "the request crashed the servers that ran it",
+                        "the request crashed the servers that ran it".to_owned(),
+                    ),
+                    SlotRefusalReason::NoServer => (
+                        RefusalReason::NoServer,
+                        "no server of the service is known".to_owned(),
                     ),
-                    SlotRefusalReason::NoServer => {
-                        (RefusalReason::NoServer, "no server of the service is known")
-                    }
                 };
                 let refusal = RequestRefusal::new(reason, state.verdict(), detail);
                 Err(refusal.with_retry_after(retry_after))
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -7,8 +7,8 @@
 };
 use crate::process::ProcessBase;
 use chicoryladder_broker::{
-    ActiveRun, BrokerlessView, RunOutcome, RunReport, SlotDecision, SlotRefusalReason, SlotRequest,
-    WorkKind,
+    ActiveRun, BrokerlessView, PoolLoad, RunOutcome, RunReport, SlotDecision, SlotRefusalReason,
+    SlotRequest, WorkKind,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::RequestFingerprint;
@@ -264,7 +264,7 @@
             unreachable: &self.recently_unreachable(now),
         };
         let Some(check_in) = view.choose(slot_request) else {
-            return Err(refused(SlotRefusalReason::NoSlot));
+            return Err(refused(SlotRefusalReason::NoSlot(PoolLoad::default())));
         };
         Ok(self.lease(slot_request, check_in.name.clone(), check_in.address, true))
     }
