Give no work to silent servers that cannot be reached, and lift their suspension at a check-in

Change: a server whose check-ins are overdue and that could not be reached gets no work until it checks in; that check-in lifts the suspension.

Tests: broker slots, two of them seen failing before the change.

--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -93,6 +93,18 @@
         self.check_in.phase == ServerPhase::Ready && !suspended && !self.is_lost
     }
 
+    /// Whether no check-in has arrived for longer than `overdue_after`.
+    #[must_use]
+    pub fn is_overdue(&self, overdue_after: Duration, now: Instant) -> bool {
+        now.saturating_duration_since(self.checked_in_at) > overdue_after
+    }
+
+    /// Ends a suspension and forgets the failures that led to it.
+    pub fn lift_suspension(&mut self) {
+        self.failures = 0;
+        self.suspended_until = None;
+    }
+
     /// Applies a check-in, unless it is stale.
     pub fn renew(&mut self, check_in: ServerCheckIn, now: Instant) -> CheckInOutcome {
         let newer = (check_in.incarnation, check_in.sequence)
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -60,6 +60,13 @@
     pub tolerance: RateTolerance,
 }
 
+impl BrokerSettings {
+    /// The time without check-ins after which a server is probably partitioned.
+    fn overdue_after(&self) -> Duration {
+        self.check_in_interval * 2
+    }
+}
+
 #[derive(Debug)]
 struct ServerEntry {
     record: ServerRecord,
@@ -170,9 +177,15 @@
         };
         let service_changed = entry.record.check_in.service != service;
         let is_restarted = check_in.incarnation > entry.record.check_in.incarnation;
+        let overdue_after = self.settings.overdue_after();
         let was_open = entry.record.is_open(now);
+        let was_overdue = entry.record.is_overdue(overdue_after, now);
         let outcome = entry.record.renew(check_in, now);
-        let opens = !was_open && entry.record.is_open(now);
+        if was_overdue && outcome != CheckInOutcome::Stale {
+            // The silence and the failures meanwhile had the same cause.
+            entry.record.lift_suspension();
+        }
+        let opens = (!was_open || was_overdue) && entry.record.is_open(now);
         if is_restarted {
             self.remove_grants_of(key);
             if service_changed {
@@ -448,13 +461,21 @@
             .any(|entry| entry.record.check_in.phase == ServerPhase::Ready && !entry.record.is_lost)
     }
 
+    /// Whether a server may be given new work. One that is silent and could not be reached
+    /// gets none until it checks in again.
+    fn accepts_work(&self, record: &ServerRecord, now: Instant) -> bool {
+        let is_unreachable =
+            record.failures > 0 && record.is_overdue(self.settings.overdue_after(), now);
+        record.is_open(now) && !is_unreachable
+    }
+
     fn open_slots(&self, service: &ServiceName, now: Instant) -> u32 {
         let Some(pool) = self.services.get(service) else {
             return 0;
         };
         let is_engine = pool.engine_tokens.is_some();
         let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        let open = entries.filter(|entry| entry.record.is_open(now));
+        let open = entries.filter(|entry| self.accepts_work(&entry.record, now));
         open.map(|entry| entry.capacity(is_engine, now)).sum()
     }
 
@@ -495,7 +516,7 @@
             WorkKind::Batch if is_engine => BATCH_HEADROOM,
             WorkKind::Batch | WorkKind::Online => 0,
         };
-        let overdue_after = self.settings.check_in_interval * 2;
+        let overdue_after = self.settings.overdue_after();
         let mut best: Option<(f64, ServerKey)> = None;
         for key in &pool.servers {
             let Some(entry) = self.servers.get(*key) else {
@@ -506,8 +527,8 @@
             let fits = pool
                 .engine_tokens
                 .is_none_or(|max| entry.tokens + request.tokens <= max);
-            let usable =
-                entry.record.is_open(now) && !request.avoid.contains(&entry.record.check_in.name);
+            let usable = self.accepts_work(&entry.record, now)
+                && !request.avoid.contains(&entry.record.check_in.name);
             if free <= headroom || !fits || !usable {
                 continue;
             }
@@ -537,7 +558,7 @@
                 && !grant.stopping
                 && entry.is_some_and(|entry| {
                     entry.record.check_in.service == request.service
-                        && entry.record.is_open(now)
+                        && self.accepts_work(&entry.record, now)
                         && !request.avoid.contains(&entry.record.check_in.name)
                 })
         });
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -1,9 +1,10 @@
 //! Grants, queueing, preemption and refusals.
 
 use crate::support::{
-    APP, BrokerFixture, granted, refused_after, requester, segment, stopped, team, team_name, zone,
+    APP, BrokerFixture, check_in, granted, refused_after, requester, segment, stopped, team,
+    team_name, zone,
 };
-use chicoryladder_broker::{ActiveRun, RunOutcome, RunReport, WorkKind};
+use chicoryladder_broker::{ActiveRun, CheckInOutcome, RunOutcome, RunReport, WorkKind};
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::time::Duration;
@@ -296,3 +297,44 @@
         "{after_hundred} characters grew to {after_thousand}"
     );
 }
+
+/// Pattern: a zone is cut off for seconds while the others are busy. Its servers fall silent
+/// and cannot be reached; requests that try them are lost time.
+#[test]
+fn a_silent_server_that_was_unreachable_gets_no_work_until_it_checks_in() {
+    let mut fixture = BrokerFixture::new(&[("far", "b")], Vec::new());
+    // The server misses two check-ins, but does not count as lost yet.
+    fixture.tick(Duration::from_secs(3));
+    assert_eq!(granted(&fixture.request_online()).as_deref(), Some("far"));
+    fixture.release(1, RunOutcome::Unreachable);
+    fixture.tick(Duration::from_secs(1));
+    assert_eq!(granted(&fixture.request_online()), None);
+    let outcome = fixture
+        .broker
+        .check_in(check_in("far", "b", 2), fixture.now);
+    assert_eq!(outcome, CheckInOutcome::Renewed);
+    assert_eq!(granted(&fixture.request_online()).as_deref(), Some("far"));
+}
+
+#[test]
+fn a_server_back_from_a_cut_is_not_suspended_for_its_failures_meanwhile() {
+    let mut fixture = BrokerFixture::new(&[("far", "b")], Vec::new());
+    fixture.tick(Duration::from_secs(3));
+    fixture.request_online();
+    fixture.release(1, RunOutcome::Unreachable);
+    fixture
+        .broker
+        .check_in(check_in("far", "b", 2), fixture.now);
+    assert_eq!(granted(&fixture.request_online()).as_deref(), Some("far"));
+}
+
+#[test]
+fn a_failing_server_that_checks_in_regularly_stays_suspended() {
+    let mut fixture = BrokerFixture::new(&[("grey", "a")], Vec::new());
+    fixture.request_online();
+    fixture.release(1, RunOutcome::Failed);
+    fixture
+        .broker
+        .check_in(check_in("grey", "a", 2), fixture.now);
+    assert_eq!(granted(&fixture.request_online()), None);
+}
