Refuse pre-votes while an election is in progress

Cause: a seat whose log is ahead refuses its vote and keeps its own timer. If that expires between the votes for another seat and the first message of the new leader, the other seats still grant its pre-vote, and the leader follows its higher term.

Change: a seat that has just voted for another one, or was just elected, grants no pre-vote for half an election timeout. Votes are not touched.

--- a/crates/consensus/src/seat.rs
+++ b/crates/consensus/src/seat.rs
@@ -89,6 +89,8 @@
     election_deadline: Instant,
     /// When the seat last accepted a message of a leader.
     last_contact: Option<Instant>,
+    /// When the seat last voted for another one, or was elected.
+    last_election: Option<Instant>,
     freshness: FreshnessRecord,
     incoming: Option<IncomingSnapshot>,
     durability: DurabilityQueue,
@@ -145,6 +147,7 @@
             election_deadline: now,
             // The seat may have confirmed a leader's lease just before it stopped.
             last_contact: (!is_new).then_some(now),
+            last_election: None,
             freshness: FreshnessRecord::default(),
             incoming: None,
             durability,
--- a/crates/consensus/src/seat/election.rs
+++ b/crates/consensus/src/seat/election.rs
@@ -115,6 +115,14 @@
         contact.is_some_and(|at| now < at + self.settings.election_timeout)
     }
 
+    /// Whether an election that this seat took part in may still be in progress or has just
+    /// ended. A pre-vote that succeeded now would depose the new leader before its first
+    /// message arrives.
+    fn is_election_recent(&self, now: Instant) -> bool {
+        let period = self.settings.election_timeout / 2;
+        self.last_election.is_some_and(|at| now < at + period)
+    }
+
     fn is_up_to_date(&self, request: &VoteRequest) -> bool {
         let candidate_log = (request.last_term, request.last_index);
         candidate_log >= (self.log.last_term(), self.log.last_index())
@@ -132,7 +140,8 @@
         }
         let granted = request.term > self.term()
             && self.is_up_to_date(request)
-            && !self.has_leader_contact(now);
+            && !self.has_leader_contact(now)
+            && !self.is_election_recent(now);
         let term = if granted { request.term } else { self.term() };
         let reply = VoteReply { term, granted };
         self.send_durable(from, SeatMessage::PreVoteReply(reply));
@@ -175,6 +184,7 @@
             let term = self.term();
             let vote = Some(from);
             self.set_hard_state(HardState { term, vote });
+            self.last_election = Some(now);
             self.reset_election_deadline(now);
         }
         let term = self.term();
@@ -207,6 +217,7 @@
 
     fn conclude_election(&mut self, now: Instant) {
         if self.has_quorum_of_votes() {
+            self.last_election = Some(now);
             self.become_leader(now);
         }
     }
--- a/crates/consensus/tests/all/elections.rs
+++ b/crates/consensus/tests/all/elections.rs
@@ -1,6 +1,7 @@
 //! Elections, leases and leadership transfer.
 
 use crate::cluster::{ELECTION_TIMEOUT, STEP, TestCluster};
+use crate::kv::KvCommand;
 use crate::network::LinkFaults;
 use chicoryladder_consensus::SeatRole;
 use chicoryladder_types::SeatId;
@@ -53,6 +54,42 @@
     assert_eq!(replica.seat().term(), term);
 }
 
+/// Pattern: all hosts lose power and start again together, and one of them had entries that
+/// no other one stored. It refuses its vote to the others and runs for election itself. The
+/// fleet has no broker until one seat leads for good.
+#[test]
+fn the_first_leader_after_a_restart_of_all_seats_keeps_its_lead() {
+    let mut deposed = Vec::new();
+    for seed in 1..=300 {
+        let mut cluster = TestCluster::new(seed, 5, LinkFaults::RELIABLE);
+        let ahead = cluster.wait_for_leader();
+        cluster.write(1, 1);
+        cluster.isolate(ahead);
+        let write = KvCommand::Write { key: 1, value: 2 };
+        cluster.propose(ahead, write).expect("a leader");
+        cluster.run(STEP * 5);
+        let seats: Vec<SeatId> = (1..=5).map(SeatId).collect();
+        for seat in &seats {
+            cluster.crash(*seat);
+        }
+        cluster.network.heal();
+        for seat in &seats {
+            cluster.restart(*seat);
+        }
+        let first = loop {
+            cluster.step();
+            if let Some(leader) = cluster.leader() {
+                break leader;
+            }
+        };
+        cluster.run(ELECTION_TIMEOUT * 2);
+        if cluster.leader() != Some(first) {
+            deposed.push(seed);
+        }
+    }
+    assert!(deposed.is_empty(), "the leader was deposed with seeds {deposed:?}");
+}
+
 #[test]
 fn leases_of_two_leaders_never_overlap_under_clock_drift() {
     for faults in [LinkFaults::RELIABLE, LinkFaults::LOSSY] {
