Give the slots of a lost job leader to the next one

Cause: the slots of a host are reclaimed after 2.5 s of silence. When the leader of the job group is lost, the next one leads after 0.5 to 0.9 s, but the items of the first one keep their slots for two seconds more.

Change: a requester of slots for batch items supersedes the one before, once that one has been silent for 0.6 s; its batch slots are reclaimed at once.

Test: broker slots, seen failing before the change.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -36,6 +36,11 @@
 /// since the list may have been compiled before the grant arrived.
 const GRANT_GRACE_PERIOD: Duration = Duration::from_secs(1);
 
+/// The silence after which a host that runs batch items loses their slots to the next one
+/// that asks for some: more than the interval of its syncs. Only the leader of the job
+/// group runs items, and one that cannot reach the broker is about to lose its lead.
+const SUPERSEDED_AFTER: Duration = Duration::from_millis(600);
+
 /// The shortest delay after which a refused request should be retried.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 
@@ -103,6 +108,8 @@
     grants: GrantTable,
     rates: RateLedger,
     requesters: HashMap<RequesterId, Instant>,
+    /// The requester that runs batch items.
+    batch_requester: Option<RequesterId>,
     events: Vec<BrokerEvent>,
     arrivals: u64,
     directory_version: u64,
@@ -120,6 +127,7 @@
             by_name: HashMap::new(),
             grants: GrantTable::default(),
             requesters: HashMap::new(),
+            batch_requester: None,
             events: Vec::new(),
             arrivals: 0,
             directory_version: 0,
@@ -230,6 +238,9 @@
     /// Requests a slot. The decision is emitted as an event, at once or later.
     pub fn request_slot(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
         self.requesters.insert(requester.clone(), now);
+        if request.kind == WorkKind::Batch {
+            self.supersede_batch_requester(requester, now);
+        }
         if let Some(team) = &request.charged_team
             && let Err(retry_after) = self.rates.take(team, now)
         {
@@ -258,6 +269,47 @@
         self.enqueue_or_refuse(requester, request, now);
     }
 
+    /// Reclaims the slots of the requester that ran batch items before, once it is silent.
+    fn supersede_batch_requester(&mut self, requester: &RequesterId, now: Instant) {
+        let Some(earlier) = self.batch_requester.clone() else {
+            self.batch_requester = Some(requester.clone());
+            return;
+        };
+        if earlier == *requester {
+            return;
+        }
+        let heard_at = self.requesters.get(&earlier);
+        let is_silent =
+            heard_at.is_none_or(|at| now.saturating_duration_since(*at) >= SUPERSEDED_AFTER);
+        if is_silent {
+            self.batch_requester = Some(requester.clone());
+            self.remove_batch_grants_of(&earlier);
+        }
+    }
+
+    /// Lets the requester of a queued batch item supersede the one before.
+    fn supersede_for_waiting(&mut self, now: Instant) {
+        let earlier = self.batch_requester.as_ref();
+        let waiting = self.services.values().flat_map(|pool| pool.batch.values());
+        let mut requesters = waiting.map(|waiting| &waiting.requester);
+        let next = requesters.find(|requester| Some(*requester) != earlier);
+        if let Some(next) = next.cloned() {
+            self.supersede_batch_requester(&next, now);
+        }
+    }
+
+    fn remove_batch_grants_of(&mut self, requester: &RequesterId) {
+        let is_batch = |grant: &SlotGrant| grant.kind == WorkKind::Batch;
+        let grants = self.grants.iter().filter(|(_, grant)| is_batch(grant));
+        let tickets: Vec<u64> = grants
+            .filter(|(_, grant)| grant.requester == *requester)
+            .map(|(_, grant)| grant.ticket)
+            .collect();
+        for ticket in tickets {
+            self.remove_grant(requester, ticket);
+        }
+    }
+
     fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
         let slots = self.open_slots(&request.service, now);
         let pool = self.pool(&request.service);
@@ -390,6 +442,7 @@
         self.mark_lost_servers(now);
         self.remove_expired_servers(now);
         self.expire_waiting(now);
+        self.supersede_for_waiting(now);
         self.dispatch_all(now);
     }
 
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -338,3 +338,26 @@
         .check_in(check_in("grey", "a", 2), fixture.now);
     assert_eq!(granted(&fixture.request_online()), None);
 }
+
+/// Pattern: the leader of the job group is lost with the items that it runs, and the next
+/// one has to start them again while their deadline comes nearer.
+#[test]
+fn the_next_runner_of_items_gets_the_slots_of_the_one_that_is_lost() {
+    let mut fixture = BrokerFixture::new(&[("a1", "a")], Vec::new());
+    let request_from = |fixture: &mut BrokerFixture, host: &str| {
+        let mut request = fixture.slot_request(WorkKind::Batch);
+        request.wait_max = Duration::from_secs(2);
+        let now = fixture.now;
+        fixture.broker.request_slot(&requester(host), request, now);
+        granted(&fixture.broker.take_events()).is_some()
+    };
+    assert!((0..7).all(|_| request_from(&mut fixture, "store-1")));
+    // While the first one is heard of, its items keep their slots.
+    fixture.tick(Duration::from_millis(300));
+    assert!(!request_from(&mut fixture, "store-2"));
+    let events = fixture.tick(Duration::from_millis(500));
+    assert!(granted(&events).is_some(), "the queued item starts");
+    let events = fixture.request_online();
+    assert!(granted(&events).is_some() && stopped(&events).is_none());
+    assert!((0..5).all(|_| request_from(&mut fixture, "store-2")));
+}
--- a/crates/consensus/tests/all/elections.rs
+++ b/crates/consensus/tests/all/elections.rs
@@ -87,7 +87,10 @@
             deposed.push(seed);
         }
     }
-    assert!(deposed.is_empty(), "the leader was deposed with seeds {deposed:?}");
+    assert!(
+        deposed.is_empty(),
+        "the leader was deposed with seeds {deposed:?}"
+    );
 }
 
 #[test]
