--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -6,7 +6,7 @@
 use crate::pool::{ServicePool, WaitingRequest};
 use crate::rate::{RateLedger, RateTolerance};
 use crate::request::{
-    BrokerEvent, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
+    BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_types::ServiceName;
@@ -36,6 +36,11 @@
 /// since the list may have been compiled before the grant arrived.
 const GRANT_GRACE_PERIOD: Duration = Duration::from_secs(1);
 
+/// The silence after which a host that runs batch items loses their slots to the next one
+/// that asks for some: more than the interval of its syncs. Only the leader of the job
+/// group runs items, and one that cannot reach the broker is about to lose its lead.
+const SUPERSEDED_AFTER: Duration = Duration::from_millis(600);
+
 /// The shortest delay after which a refused request should be retried.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 
@@ -60,6 +65,13 @@
     pub tolerance: RateTolerance,
 }
 
+impl BrokerSettings {
+    /// The time without check-ins after which a server is probably partitioned.
+    fn overdue_after(&self) -> Duration {
+        self.check_in_interval * 2
+    }
+}
+
 #[derive(Debug)]
 struct ServerEntry {
     record: ServerRecord,
@@ -96,6 +108,8 @@
     grants: GrantTable,
     rates: RateLedger,
     requesters: HashMap<RequesterId, Instant>,
+    /// The requester that runs batch items.
+    batch_requester: Option<RequesterId>,
     events: Vec<BrokerEvent>,
     arrivals: u64,
     directory_version: u64,
@@ -113,6 +127,7 @@
             by_name: HashMap::new(),
             grants: GrantTable::default(),
             requesters: HashMap::new(),
+            batch_requester: None,
             events: Vec::new(),
             arrivals: 0,
             directory_version: 0,
@@ -170,9 +185,15 @@
         };
         let service_changed = entry.record.check_in.service != service;
         let is_restarted = check_in.incarnation > entry.record.check_in.incarnation;
+        let overdue_after = self.settings.overdue_after();
         let was_open = entry.record.is_open(now);
+        let was_overdue = entry.record.is_overdue(overdue_after, now);
         let outcome = entry.record.renew(check_in, now);
-        let opens = !was_open && entry.record.is_open(now);
+        if was_overdue && outcome != CheckInOutcome::Stale {
+            // The silence and the failures meanwhile had the same cause.
+            entry.record.lift_suspension();
+        }
+        let opens = (!was_open || was_overdue) && entry.record.is_open(now);
         if is_restarted {
             self.remove_grants_of(key);
             if service_changed {
@@ -217,6 +238,9 @@
     /// Requests a slot. The decision is emitted as an event, at once or later.
     pub fn request_slot(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
         self.requesters.insert(requester.clone(), now);
+        if request.kind == WorkKind::Batch {
+            self.supersede_batch_requester(requester, now);
+        }
         if let Some(team) = &request.charged_team
             && let Err(retry_after) = self.rates.take(team, now)
         {
@@ -245,6 +269,47 @@
         self.enqueue_or_refuse(requester, request, now);
     }
 
+    /// Reclaims the slots of the requester that ran batch items before, once it is silent.
+    fn supersede_batch_requester(&mut self, requester: &RequesterId, now: Instant) {
+        let Some(earlier) = self.batch_requester.clone() else {
+            self.batch_requester = Some(requester.clone());
+            return;
+        };
+        if earlier == *requester {
+            return;
+        }
+        let heard_at = self.requesters.get(&earlier);
+        let is_silent =
+            heard_at.is_none_or(|at| now.saturating_duration_since(*at) >= SUPERSEDED_AFTER);
+        if is_silent {
+            self.batch_requester = Some(requester.clone());
+            self.remove_batch_grants_of(&earlier);
+        }
+    }
+
+    /// Lets the requester of a queued batch item supersede the one before.
+    fn supersede_for_waiting(&mut self, now: Instant) {
+        let earlier = self.batch_requester.as_ref();
+        let waiting = self.services.values().flat_map(|pool| pool.batch.values());
+        let mut requesters = waiting.map(|waiting| &waiting.requester);
+        let next = requesters.find(|requester| Some(*requester) != earlier);
+        if let Some(next) = next.cloned() {
+            self.supersede_batch_requester(&next, now);
+        }
+    }
+
+    fn remove_batch_grants_of(&mut self, requester: &RequesterId) {
+        let is_batch = |grant: &SlotGrant| grant.kind == WorkKind::Batch;
+        let grants = self.grants.iter().filter(|(_, grant)| is_batch(grant));
+        let tickets: Vec<u64> = grants
+            .filter(|(_, grant)| grant.requester == *requester)
+            .map(|(_, grant)| grant.ticket)
+            .collect();
+        for ticket in tickets {
+            self.remove_grant(requester, ticket);
+        }
+    }
+
     fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
         let slots = self.open_slots(&request.service, now);
         let pool = self.pool(&request.service);
@@ -255,11 +320,12 @@
             wait_max = wait_max.min(request.first_answer_within.saturating_sub(first_answer));
             if wait > wait_max {
                 let retry_after = jittered_delay(wait, request.ticket);
+                let load = self.pool_load(&request.service, now);
                 self.refund(request.charged_team.as_ref());
                 self.refuse(
                     requester,
                     request.ticket,
-                    SlotRefusalReason::NoSlot,
+                    SlotRefusalReason::NoSlot(load),
                     retry_after,
                 );
                 return;
@@ -376,6 +442,7 @@
         self.mark_lost_servers(now);
         self.remove_expired_servers(now);
         self.expire_waiting(now);
+        self.supersede_for_waiting(now);
         self.dispatch_all(now);
     }
 
@@ -397,6 +464,18 @@
         (running, slots, pool.online.len(), pool.batch.len())
     }
 
+    fn pool_load(&self, service: &ServiceName, now: Instant) -> PoolLoad {
+        let (running, slots, waiting, _) = self.load_of(service, now);
+        let averages = self.services.get(service).map(|pool| pool.averages);
+        let hold = averages.map_or(0.0, |averages| averages.hold_seconds);
+        PoolLoad {
+            running,
+            slots,
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            hold_ms: u32::try_from(Duration::from_secs_f64(hold).as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Tops up the reserve of a host for a team and returns the number of tokens
     /// granted.
     pub fn top_up(&mut self, team: &PlanTeam, held: u32, now: Instant) -> u32 {
@@ -435,13 +514,21 @@
             .any(|entry| entry.record.check_in.phase == ServerPhase::Ready && !entry.record.is_lost)
     }
 
+    /// Whether a server may be given new work. One that is silent and could not be reached
+    /// gets none until it checks in again.
+    fn accepts_work(&self, record: &ServerRecord, now: Instant) -> bool {
+        let is_unreachable =
+            record.failures > 0 && record.is_overdue(self.settings.overdue_after(), now);
+        record.is_open(now) && !is_unreachable
+    }
+
     fn open_slots(&self, service: &ServiceName, now: Instant) -> u32 {
         let Some(pool) = self.services.get(service) else {
             return 0;
         };
         let is_engine = pool.engine_tokens.is_some();
         let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        let open = entries.filter(|entry| entry.record.is_open(now));
+        let open = entries.filter(|entry| self.accepts_work(&entry.record, now));
         open.map(|entry| entry.capacity(is_engine, now)).sum()
     }
 
@@ -482,7 +569,7 @@
             WorkKind::Batch if is_engine => BATCH_HEADROOM,
             WorkKind::Batch | WorkKind::Online => 0,
         };
-        let overdue_after = self.settings.check_in_interval * 2;
+        let overdue_after = self.settings.overdue_after();
         let mut best: Option<(f64, ServerKey)> = None;
         for key in &pool.servers {
             let Some(entry) = self.servers.get(*key) else {
@@ -493,8 +580,8 @@
             let fits = pool
                 .engine_tokens
                 .is_none_or(|max| entry.tokens + request.tokens <= max);
-            let usable =
-                entry.record.is_open(now) && !request.avoid.contains(&entry.record.check_in.name);
+            let usable = self.accepts_work(&entry.record, now)
+                && !request.avoid.contains(&entry.record.check_in.name);
             if free <= headroom || !fits || !usable {
                 continue;
             }
@@ -524,7 +611,7 @@
                 && !grant.stopping
                 && entry.is_some_and(|entry| {
                     entry.record.check_in.service == request.service
-                        && entry.record.is_open(now)
+                        && self.accepts_work(&entry.record, now)
                         && !request.avoid.contains(&entry.record.check_in.name)
                 })
         });
@@ -697,10 +784,11 @@
                 Duration::from_secs_f64(self.pool(&waiting.request.service).averages.hold_seconds);
             self.refund(waiting.request.charged_team.as_ref());
             let retry_after = jittered_delay(wait, ticket);
+            let load = self.pool_load(&waiting.request.service, now);
             self.refuse(
                 &waiting.requester,
                 ticket,
-                SlotRefusalReason::NoSlot,
+                SlotRefusalReason::NoSlot(load),
                 retry_after,
             );
         }
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -1,9 +1,10 @@
 //! Grants, queueing, preemption and refusals.
 
 use crate::support::{
-    APP, BrokerFixture, granted, refused_after, requester, segment, stopped, team, team_name, zone,
+    APP, BrokerFixture, check_in, granted, refused_after, requester, segment, stopped, team,
+    team_name, zone,
 };
-use chicoryladder_broker::{ActiveRun, RunOutcome, RunReport, WorkKind};
+use chicoryladder_broker::{ActiveRun, CheckInOutcome, RunOutcome, RunReport, WorkKind};
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::time::Duration;
@@ -296,3 +297,67 @@
         "{after_hundred} characters grew to {after_thousand}"
     );
 }
+
+/// Pattern: a zone is cut off for seconds while the others are busy. Its servers fall silent
+/// and cannot be reached; requests that try them are lost time.
+#[test]
+fn a_silent_server_that_was_unreachable_gets_no_work_until_it_checks_in() {
+    let mut fixture = BrokerFixture::new(&[("far", "b")], Vec::new());
+    // The server misses two check-ins, but does not count as lost yet.
+    fixture.tick(Duration::from_secs(3));
+    assert_eq!(granted(&fixture.request_online()).as_deref(), Some("far"));
+    fixture.release(1, RunOutcome::Unreachable);
+    fixture.tick(Duration::from_secs(1));
+    assert_eq!(granted(&fixture.request_online()), None);
+    let outcome = fixture
+        .broker
+        .check_in(check_in("far", "b", 2), fixture.now);
+    assert_eq!(outcome, CheckInOutcome::Renewed);
+    assert_eq!(granted(&fixture.request_online()).as_deref(), Some("far"));
+}
+
+#[test]
+fn a_server_back_from_a_cut_is_not_suspended_for_its_failures_meanwhile() {
+    let mut fixture = BrokerFixture::new(&[("far", "b")], Vec::new());
+    fixture.tick(Duration::from_secs(3));
+    fixture.request_online();
+    fixture.release(1, RunOutcome::Unreachable);
+    fixture
+        .broker
+        .check_in(check_in("far", "b", 2), fixture.now);
+    assert_eq!(granted(&fixture.request_online()).as_deref(), Some("far"));
+}
+
+#[test]
+fn a_failing_server_that_checks_in_regularly_stays_suspended() {
+    let mut fixture = BrokerFixture::new(&[("grey", "a")], Vec::new());
+    fixture.request_online();
+    fixture.release(1, RunOutcome::Failed);
+    fixture
+        .broker
+        .check_in(check_in("grey", "a", 2), fixture.now);
+    assert_eq!(granted(&fixture.request_online()), None);
+}
+
+/// Pattern: the leader of the job group is lost with the items that it runs, and the next
+/// one has to start them again while their deadline comes nearer.
+#[test]
+fn the_next_runner_of_items_gets_the_slots_of_the_one_that_is_lost() {
+    let mut fixture = BrokerFixture::new(&[("a1", "a")], Vec::new());
+    let request_from = |fixture: &mut BrokerFixture, host: &str| {
+        let mut request = fixture.slot_request(WorkKind::Batch);
+        request.wait_max = Duration::from_secs(2);
+        let now = fixture.now;
+        fixture.broker.request_slot(&requester(host), request, now);
+        granted(&fixture.broker.take_events()).is_some()
+    };
+    assert!((0..7).all(|_| request_from(&mut fixture, "store-1")));
+    // While the first one is heard of, its items keep their slots.
+    fixture.tick(Duration::from_millis(300));
+    assert!(!request_from(&mut fixture, "store-2"));
+    let events = fixture.tick(Duration::from_millis(500));
+    assert!(granted(&events).is_some(), "the queued item starts");
+    let events = fixture.request_online();
+    assert!(granted(&events).is_some() && stopped(&events).is_none());
+    assert!((0..5).all(|_| request_from(&mut fixture, "store-2")));
+}
