Split the slot broker by decision

The choice of a server or of an item to preempt, and what happens by the passage of time, are files of their own beside the broker. No change of behaviour: functions moved only.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -1,8 +1,13 @@
 //! The slot broker, which grants, queues, refuses and preempts.
+//!
+//! [`assignment`] chooses the server of a request or the item that it preempts, and
+//! [`expiry`] reclaims what hosts and servers leave behind that are lost.
+
+mod assignment;
+mod expiry;
 
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
-use crate::grants::{ActiveRun, GrantKey, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
-use crate::placement::{record_prompt, server_cost};
+use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
 use crate::pool::{ServicePool, WaitingRequest};
 use crate::rate::{RateLedger, RateTolerance};
 use crate::request::{
@@ -19,10 +24,6 @@
 /// one queues at the server for the duration of a short response.
 const PLAIN_SLOT_FACTOR: u32 = 2;
 
-/// The number of slots per engine that batch items leave free, so that an online
-/// request need not wait for a preemption.
-const BATCH_HEADROOM: u32 = 1;
-
 /// The first suspension of a failed server; it doubles with each further failure.
 const SUSPENSION: Duration = Duration::from_millis(250);
 
@@ -36,11 +37,6 @@
 /// since the list may have been compiled before the grant arrived.
 const GRANT_GRACE_PERIOD: Duration = Duration::from_secs(1);
 
-/// The silence after which a host that runs batch items loses their slots to the next one
-/// that asks for some: more than the interval of its syncs. Only the leader of the job
-/// group runs items, and one that cannot reach the broker is about to lose its lead.
-const SUPERSEDED_AFTER: Duration = Duration::from_millis(600);
-
 /// The shortest delay after which a refused request should be retried.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
 
@@ -269,47 +265,6 @@
         self.enqueue_or_refuse(requester, request, now);
     }
 
-    /// Reclaims the slots of the requester that ran batch items before, once it is silent.
-    fn supersede_batch_requester(&mut self, requester: &RequesterId, now: Instant) {
-        let Some(earlier) = self.batch_requester.clone() else {
-            self.batch_requester = Some(requester.clone());
-            return;
-        };
-        if earlier == *requester {
-            return;
-        }
-        let heard_at = self.requesters.get(&earlier);
-        let is_silent =
-            heard_at.is_none_or(|at| now.saturating_duration_since(*at) >= SUPERSEDED_AFTER);
-        if is_silent {
-            self.batch_requester = Some(requester.clone());
-            self.remove_batch_grants_of(&earlier);
-        }
-    }
-
-    /// Lets the requester of a queued batch item supersede the one before.
-    fn supersede_for_waiting(&mut self, now: Instant) {
-        let earlier = self.batch_requester.as_ref();
-        let waiting = self.services.values().flat_map(|pool| pool.batch.values());
-        let mut requesters = waiting.map(|waiting| &waiting.requester);
-        let next = requesters.find(|requester| Some(*requester) != earlier);
-        if let Some(next) = next.cloned() {
-            self.supersede_batch_requester(&next, now);
-        }
-    }
-
-    fn remove_batch_grants_of(&mut self, requester: &RequesterId) {
-        let is_batch = |grant: &SlotGrant| grant.kind == WorkKind::Batch;
-        let grants = self.grants.iter().filter(|(_, grant)| is_batch(grant));
-        let tickets: Vec<u64> = grants
-            .filter(|(_, grant)| grant.requester == *requester)
-            .map(|(_, grant)| grant.ticket)
-            .collect();
-        for ticket in tickets {
-            self.remove_grant(requester, ticket);
-        }
-    }
-
     fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
         let slots = self.open_slots(&request.service, now);
         let pool = self.pool(&request.service);
@@ -532,141 +487,6 @@
         open.map(|entry| entry.capacity(is_engine, now)).sum()
     }
 
-    /// Grants a slot if one is free or a batch item can be preempted.
-    ///
-    /// An online request preempts a batch item in its own zone rather than use a free
-    /// slot in another one. The item can resume in the other zone, whereas the request
-    /// would fail if the link between the zones went down.
-    fn try_grant(&mut self, requester: &RequesterId, request: &SlotRequest, now: Instant) -> bool {
-        let free = self.free_server(request, now);
-        let is_same_zone = free.is_some_and(|key| self.is_in_zone(key, &request.zone));
-        let victim = match request.kind {
-            WorkKind::Online if !is_same_zone => self.preemption_victim(request, now),
-            WorkKind::Online | WorkKind::Batch => None,
-        };
-        let victim = victim.filter(|(_, in_zone)| *in_zone || free.is_none());
-        let key = match victim {
-            Some((victim, _)) => self.preempt(victim),
-            None => free,
-        };
-        let Some(key) = key else {
-            return false;
-        };
-        self.grant(requester, request, key, now);
-        true
-    }
-
-    fn is_in_zone(&self, key: ServerKey, zone: &ZoneName) -> bool {
-        let entry = self.servers.get(key);
-        entry.is_some_and(|entry| entry.record.check_in.zone == *zone)
-    }
-
-    /// The server with a free slot and the lowest cost.
-    fn free_server(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
-        let pool = self.services.get(&request.service)?;
-        let is_engine = pool.engine_tokens.is_some();
-        let headroom = match request.kind {
-            WorkKind::Batch if is_engine => BATCH_HEADROOM,
-            WorkKind::Batch | WorkKind::Online => 0,
-        };
-        let overdue_after = self.settings.overdue_after();
-        let mut best: Option<(f64, ServerKey)> = None;
-        for key in &pool.servers {
-            let Some(entry) = self.servers.get(*key) else {
-                continue;
-            };
-            let capacity = entry.capacity(is_engine, now);
-            let free = capacity.saturating_sub(entry.running());
-            let fits = pool
-                .engine_tokens
-                .is_none_or(|max| entry.tokens + request.tokens <= max);
-            let usable = self.accepts_work(&entry.record, now)
-                && !request.avoid.contains(&entry.record.check_in.name);
-            if free <= headroom || !fits || !usable {
-                continue;
-            }
-            let record = &entry.record;
-            let cost = server_cost(
-                record,
-                entry.running(),
-                capacity,
-                request,
-                overdue_after,
-                now,
-            );
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, *key));
-            }
-        }
-        best.map(|(_, key)| key)
-    }
-
-    /// The batch item that an online request preempts, and whether it runs in the
-    /// requester's zone. Items in that zone are preferred, then the most recently
-    /// started.
-    fn preemption_victim(&self, request: &SlotRequest, now: Instant) -> Option<(GrantKey, bool)> {
-        let candidates = self.grants.iter().filter(|(_, grant)| {
-            let entry = self.servers.get(grant.server);
-            grant.kind == WorkKind::Batch
-                && !grant.stopping
-                && entry.is_some_and(|entry| {
-                    entry.record.check_in.service == request.service
-                        && self.accepts_work(&entry.record, now)
-                        && !request.avoid.contains(&entry.record.check_in.name)
-                })
-        });
-        let in_zone = |grant: &SlotGrant| self.is_in_zone(grant.server, &request.zone);
-        let victim = candidates.max_by_key(|(_, grant)| (in_zone(grant), grant.granted_at));
-        victim.map(|(key, grant)| (key, in_zone(grant)))
-    }
-
-    /// Preempts a run; its slot is available immediately.
-    fn preempt(&mut self, key: GrantKey) -> Option<ServerKey> {
-        let grant = self.grants.get_mut(key)?;
-        let grant_before = grant.clone();
-        grant.stopping = true;
-        self.subtract_run(&grant_before);
-        self.events.push(BrokerEvent::Stop {
-            requester: grant_before.requester,
-            ticket: grant_before.ticket,
-        });
-        Some(grant_before.server)
-    }
-
-    fn grant(
-        &mut self,
-        requester: &RequesterId,
-        request: &SlotRequest,
-        key: ServerKey,
-        now: Instant,
-    ) {
-        let Some(entry) = self.servers.get_mut(key) else {
-            return;
-        };
-        record_prompt(&mut entry.record, &request.prompt, now);
-        let check_in = &entry.record.check_in;
-        let decision = SlotDecision::Granted {
-            server: check_in.name.clone(),
-            address: check_in.address,
-            zone: check_in.zone.clone(),
-        };
-        self.events.push(BrokerEvent::Decided {
-            requester: requester.clone(),
-            ticket: request.ticket,
-            decision,
-        });
-        self.insert_grant(SlotGrant {
-            requester: requester.clone(),
-            ticket: request.ticket,
-            server: key,
-            kind: request.kind,
-            tokens: request.tokens,
-            charged_team: request.charged_team.clone(),
-            granted_at: now,
-            stopping: false,
-        });
-    }
-
     fn insert_grant(&mut self, grant: SlotGrant) {
         let server = grant.server;
         let kind = grant.kind;
@@ -716,84 +536,6 @@
         }
     }
 
-    fn remove_lost_requesters(&mut self, now: Instant) {
-        let limit = self.settings.requester_lost_after;
-        let is_lost = |at: &Instant| now.saturating_duration_since(*at) > limit;
-        let lost: Vec<RequesterId> = self
-            .requesters
-            .iter()
-            .filter(|(_, at)| is_lost(at))
-            .map(|(requester, _)| requester.clone())
-            .collect();
-        for requester in lost {
-            self.requesters.remove(&requester);
-            for (ticket, _) in self.grants.tickets_of(&requester) {
-                self.remove_grant(&requester, ticket);
-            }
-        }
-    }
-
-    fn mark_lost_servers(&mut self, now: Instant) {
-        let limit = self.settings.lost_after;
-        for entry in self.servers.values_mut() {
-            let age = now.saturating_duration_since(entry.record.checked_in_at);
-            if age > limit && !entry.record.is_lost {
-                entry.record.is_lost = true;
-                self.directory_version += 1;
-            }
-        }
-    }
-
-    fn remove_expired_servers(&mut self, now: Instant) {
-        let limit = self.settings.remove_after;
-        let is_expired =
-            |entry: &ServerEntry| now.saturating_duration_since(entry.record.checked_in_at) > limit;
-        let expired: Vec<ServerKey> = self
-            .servers
-            .iter()
-            .filter(|(_, entry)| is_expired(entry))
-            .map(|(key, _)| key)
-            .collect();
-        for key in expired {
-            self.remove_grants_of(key);
-            if let Some(entry) = self.servers.remove(key) {
-                self.by_name.remove(&entry.record.check_in.name);
-                self.directory_version += 1;
-            }
-            for pool in self.services.values_mut() {
-                pool.servers.retain(|known| *known != key);
-            }
-        }
-    }
-
-    fn expire_waiting(&mut self, now: Instant) {
-        let mut expired = Vec::new();
-        for pool in self.services.values_mut() {
-            for queue in [&mut pool.online, &mut pool.batch] {
-                let due: Vec<_> = queue
-                    .iter()
-                    .filter(|(_, waiting)| waiting.until <= now)
-                    .map(|(position, _)| *position)
-                    .collect();
-                expired.extend(due.iter().filter_map(|position| queue.remove(position)));
-            }
-        }
-        for waiting in expired {
-            let ticket = waiting.request.ticket;
-            let wait =
-                Duration::from_secs_f64(self.pool(&waiting.request.service).averages.hold_seconds);
-            self.refund(waiting.request.charged_team.as_ref());
-            let retry_after = jittered_delay(wait, ticket);
-            let load = self.pool_load(&waiting.request.service, now);
-            self.refuse(
-                &waiting.requester,
-                ticket,
-                SlotRefusalReason::NoSlot(load),
-                retry_after,
-            );
-        }
-    }
-
     fn dispatch_all(&mut self, now: Instant) {
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
