Keep requests from servers that answer only errors

Cause: an error counted as a served run. It ended at once, so that such a server always had free slots and got most requests of a burst.

Change: errors count as failures of the server. From the third in a row on it is suspended, ever longer, and then on probation: it runs one request at a time, online or a batch item, until it serves one.

--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -20,6 +20,8 @@
 pub enum RunOutcome {
     /// The server completed its response.
     Served,
+    /// The server responded that it failed.
+    Errored,
     /// Nothing was sent, or the requester stopped the run.
     Stopped,
     /// No connection to the server could be established.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -30,6 +30,11 @@
 /// The longest suspension.
 const SUSPENSION_MAX: Duration = Duration::from_secs(4);
 
+/// The number of consecutive failures from which a server is on probation: it runs one
+/// request at a time until it serves one. A server that answers each request with an error
+/// at once has more free slots than the others, and would otherwise get most requests.
+const PROBATION_FAILURES: u32 = 3;
+
 /// The suspension of a server that shed a request because it is at capacity.
 const SHED_SUSPENSION: Duration = Duration::from_millis(100);
 
@@ -81,8 +86,16 @@
         self.running_online + self.running_batch
     }
 
-    /// The number of requests that the server may run; halved during warm-up.
+    fn is_on_probation(&self) -> bool {
+        self.record.failures >= PROBATION_FAILURES
+    }
+
+    /// The number of requests that the server may run; halved during warm-up, and one on
+    /// probation.
     fn capacity(&self, is_engine: bool, now: Instant) -> u32 {
+        if self.is_on_probation() {
+            return 1;
+        }
         let check_in = &self.record.check_in;
         let slots = if is_engine {
             check_in.slots
@@ -592,6 +605,14 @@
             record.suspended_until = None;
         }
         RunOutcome::Stopped => {}
+        RunOutcome::Errored => {
+            // Single errors may be due to the requests.
+            record.failures += 1;
+            if let Some(repeated) = record.failures.checked_sub(PROBATION_FAILURES) {
+                let pause = SUSPENSION * 2u32.pow(repeated.min(8));
+                record.suspended_until = Some(now + pause.min(SUSPENSION_MAX));
+            }
+        }
         RunOutcome::Shed => record.suspended_until = Some(now + SHED_SUSPENSION),
         RunOutcome::Unreachable | RunOutcome::WrongServer | RunOutcome::Failed => {
             let doublings = record.failures.min(8);
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -67,6 +67,8 @@
                 .is_none_or(|max| entry.tokens + request.tokens <= max);
             let usable = self.accepts_work(&entry.record, now)
                 && !request.avoid.contains(&entry.record.check_in.name);
+            // Without online requests, only an item can end a server's probation.
+            let headroom = if entry.is_on_probation() { 0 } else { headroom };
             if free <= headroom || !fits || !usable {
                 continue;
             }
--- a/crates/broker/tests/all/bursts.rs
+++ b/crates/broker/tests/all/bursts.rs
@@ -18,10 +18,12 @@
     retry_delays: Vec<Duration>,
     batch_completed: usize,
     max_running: usize,
+    errored: usize,
 }
 
 struct Run {
     kind: WorkKind,
+    outcome: RunOutcome,
     ends_at: Instant,
 }
 
@@ -33,6 +35,8 @@
     runs: BTreeMap<u64, Run>,
     batch_left: Vec<Duration>,
     pending_batch: usize,
+    /// Servers that answer each request with an error at once.
+    lying: Vec<String>,
     statistics: RunStatistics,
 }
 
@@ -46,6 +50,7 @@
             runs: BTreeMap::new(),
             batch_left: vec![BATCH_RUN; batch_items],
             pending_batch: 0,
+            lying: Vec::new(),
             statistics: RunStatistics::default(),
         }
     }
@@ -101,8 +106,24 @@
                 None => return self.release(ticket, RunOutcome::Stopped),
             },
         };
+        let is_lying = match decision {
+            SlotDecision::Granted { server, .. } => {
+                self.lying.iter().any(|name| server.as_str() == name)
+            }
+            SlotDecision::Refused { .. } => false,
+        };
+        let (run, outcome) = if is_lying {
+            (STEP, RunOutcome::Errored)
+        } else {
+            (run, RunOutcome::Served)
+        };
         let ends_at = now + run;
-        self.runs.insert(ticket, Run { kind, ends_at });
+        let run = Run {
+            kind,
+            outcome,
+            ends_at,
+        };
+        self.runs.insert(ticket, run);
     }
 
     fn stop(&mut self, ticket: u64) {
@@ -167,7 +188,8 @@
         for ticket in ended {
             if let Some(run) = self.runs.remove(&ticket) {
                 self.statistics.batch_completed += usize::from(run.kind == WorkKind::Batch);
-                self.release(ticket, RunOutcome::Served);
+                self.statistics.errored += usize::from(run.outcome == RunOutcome::Errored);
+                self.release(ticket, run.outcome);
             }
         }
     }
@@ -233,3 +255,15 @@
     assert_eq!(simulation.statistics.online_refused, 0);
     assert!(simulation.statistics.waits.iter().all(|wait| *wait <= STEP));
 }
+
+/// Two of twelve engines pass their health checks and answer each request with an error at
+/// once, so that they have free slots while the others are full. Each may get its slots full
+/// once and then single requests, ever more rarely.
+#[test]
+fn servers_that_answer_only_errors_get_few_requests() {
+    let mut simulation = Simulation::new(12, 0);
+    simulation.lying = vec!["s0".to_owned(), "s5".to_owned()];
+    simulation.run(Duration::from_secs(10), |_| 120.0);
+    let errored = simulation.statistics.errored;
+    assert!(errored <= 2 * (8 + 6), "{errored} requests got an error");
+}
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -477,16 +477,16 @@
         if status == StatusCode::INTERNAL_SERVER_ERROR && retryable {
             let failure = RunFailure::new(
                 RunVerdict::MayHaveRun,
-                RunOutcome::Served,
+                RunOutcome::Errored,
                 "the server answered that it failed",
             );
             self.record_failure(state, &lease, &failure);
             state.record_failure(&lease.server, failure);
-            lease.end(RunOutcome::Served);
+            lease.end(RunOutcome::Errored);
             return None;
         }
         self.record_served(state, &lease, status);
-        lease.end(RunOutcome::Served);
+        lease.end(outcome_of(status));
         let mut response = Response::new(bytes_body(collected.to_bytes()));
         *response.status_mut() = status;
         *response.headers_mut() = self.runner.dialect.answer_headers(&parts.headers);
@@ -557,9 +557,9 @@
                     state.runs += 1;
                     return Some((answer, lease));
                 }
-                Ok(_) => {
+                Ok(answer) => {
                     state.runs += 1;
-                    lease.end(RunOutcome::Served);
+                    lease.end(outcome_of(answer.parts.status));
                 }
                 Err(failure) => {
                     self.record_failure(state, &lease, &failure);
@@ -630,6 +630,15 @@
     }
 }
 
+/// The outcome of a run whose response is complete.
+fn outcome_of(status: StatusCode) -> RunOutcome {
+    if status.is_server_error() {
+        RunOutcome::Errored
+    } else {
+        RunOutcome::Served
+    }
+}
+
 fn content_length(parts: &response::Parts) -> Option<u64> {
     let announced = parts.headers.get(CONTENT_LENGTH)?;
     announced.to_str().ok()?.parse().ok()
--- a/crates/roles/src/metrics.rs
+++ b/crates/roles/src/metrics.rs
@@ -74,7 +74,8 @@
     /// Counts a failed attempt at a server by its outcome.
     pub(crate) fn count_retry(&self, outcome: RunOutcome) {
         let reason = match outcome {
-            RunOutcome::Served => "server_error",
+            RunOutcome::Served => "served",
+            RunOutcome::Errored => "server_error",
             RunOutcome::Stopped => "stopped",
             RunOutcome::Unreachable => "connect_failed",
             RunOutcome::Shed => "server_refused",
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -93,16 +93,12 @@
     lease.record_load(response.head.load);
     let status = response.parts.status;
     if !status.is_success() {
-        let end = match status {
-            StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
-            StatusCode::INTERNAL_SERVER_ERROR => ItemEnd::Failed,
-            _ => ItemEnd::Broken,
+        let (end, outcome) = match status {
+            StatusCode::UNPROCESSABLE_ENTITY => (ItemEnd::Impossible, RunOutcome::Served),
+            StatusCode::INTERNAL_SERVER_ERROR => (ItemEnd::Failed, RunOutcome::Errored),
+            _ => (ItemEnd::Broken, RunOutcome::Errored),
         };
-        return (
-            end,
-            RunOutcome::Served,
-            "the server answered that it failed",
-        );
+        return (end, outcome, "the server answered that it failed");
     }
     let mut body = response.body;
     loop {
