Send the directory of servers by zone, encoded once and at a bounded rate

Cause: each sync of each host that held an older directory got the whole one, cloned and encoded for it alone: about 270 KB to 300 hosts. The leader was full, check-ins came late, servers were lost and added again, and the directory changed once more.

Change: entry hosts get the servers that they may choose without the broker: those of their zone and of small services. Store hosts, which choose none, get no directory. The leader encodes a directory once for all hosts that need the same, and takes a new one at most every millisecond for each server, 0.7 s at most.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -7,10 +7,31 @@
 
 use crate::directory::{ServerCheckIn, ServerPhase};
 use crate::request::SlotRequest;
+use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+/// The number of servers up to which all hosts know every server of a service.
+const SMALL_SERVICE_SERVERS: usize = 16;
+
+/// The servers that the hosts of a zone need to choose by themselves: those of small
+/// services, those in the zone, and all of a service that has none there.
+#[must_use]
+pub fn servers_for_zone(servers: &[ServerCheckIn], zone: &ZoneName) -> Vec<ServerCheckIn> {
+    let mut counts: HashMap<&ServiceName, (usize, usize)> = HashMap::new();
+    for server in servers {
+        let (all, in_zone) = counts.entry(&server.service).or_default();
+        *all += 1;
+        *in_zone += usize::from(server.zone == *zone);
+    }
+    let is_needed = |server: &&ServerCheckIn| {
+        let (all, in_zone) = counts[&server.service];
+        server.zone == *zone || all <= SMALL_SERVICE_SERVERS || in_zone == 0
+    };
+    servers.iter().filter(is_needed).cloned().collect()
+}
+
 /// The local state from which a host selects a server without the broker.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokerlessView<'a> {
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -25,7 +25,7 @@
 mod roster;
 mod slots;
 
-pub use brokerless::BrokerlessView;
+pub use brokerless::{BrokerlessView, servers_for_zone};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 pub use grants::{ActiveRun, RunOutcome, RunReport};
 pub use rate::{RateLedger, RateTolerance};
--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{BrokerFixture, check_in};
 use chicoryladder_broker::{BrokerlessView, ServerCheckIn, ServerPhase, WorkKind};
+use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
 
@@ -78,3 +79,29 @@
     }
     assert!(first.len() >= 6, "{first:?}");
 }
+
+/// Pattern: hundreds of entry hosts and thousands of servers, whose directory changes.
+#[test]
+fn the_hosts_of_a_zone_learn_of_its_servers_and_of_small_services() {
+    use crate::support::{check_in, zone};
+    use chicoryladder_broker::servers_for_zone;
+    let zones = ["a", "b", "c", "d", "e"];
+    let mut servers: Vec<_> = (0..3_000)
+        .map(|n| check_in(&format!("engine-{n}"), zones[n % 5], 1))
+        .collect();
+    let plain = ServiceName::try_from(crate::support::APP).expect("it is valid");
+    servers.extend((0..5).map(|n| {
+        let mut server = check_in(&format!("app-{n}"), zones[n], 1);
+        server.service = plain.clone();
+        server
+    }));
+    let known = servers_for_zone(&servers, &zone("b"));
+    assert_eq!(known.len(), 600 + 5);
+    assert!(
+        known
+            .iter()
+            .all(|s| s.zone == zone("b") || s.service == plain)
+    );
+    // A zone without servers of a service needs those of the others.
+    assert_eq!(servers_for_zone(&servers, &zone("f")).len(), servers.len());
+}
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -6,13 +6,14 @@
 use super::machine::{ControlMachine, StoredPlan};
 use crate::membership_repair::MembershipRepair;
 use crate::message::{
-    EncodedPlan, HostRole, RosterUpdate, StoreReport, StoreView, SyncAnswer, SyncRequest,
+    EncodedDirectory, EncodedPlan, HostRole, RosterUpdate, StoreReport, StoreView, SyncAnswer,
+    SyncRequest,
 };
 use crate::plan_notices::PlanNotices;
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, EntryRoster, RequesterId, ReserveHolders, RosterMember,
     RosterSettings, RunOutcome, RunReport, ServerCheckIn, SlotBroker, SlotDecision,
-    SlotRefusalReason, SlotRequest, ZoneRoster,
+    SlotRefusalReason, SlotRequest, ZoneRoster, servers_for_zone,
 };
 use chicoryladder_group::{spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, ServicePlan};
@@ -60,6 +61,51 @@
     store: StoreView,
 }
 
+/// The time for which a directory is sent unchanged, for each server in it. A large
+/// directory that changes all the time, as at a start, would fill the leader's link.
+const DIRECTORY_INTERVAL_PER_SERVER: Duration = Duration::from_millis(1);
+
+/// The longest time for which a directory is sent unchanged.
+const DIRECTORY_INTERVAL_MAX: Duration = Duration::from_millis(700);
+
+/// The directory of servers as sent to hosts, as of a version of the broker's directory.
+#[derive(Default)]
+struct DirectorySnapshot {
+    version: u64,
+    next_at: Option<Instant>,
+    servers: Vec<ServerCheckIn>,
+    all: Option<EncodedDirectory>,
+    by_zone: HashMap<ZoneName, Option<EncodedDirectory>>,
+}
+
+impl DirectorySnapshot {
+    /// Takes a new snapshot if the directory has changed and the last one is old enough.
+    fn refresh(&mut self, broker: &SlotBroker, now: Instant) {
+        let version = broker.directory_version();
+        if version == self.version || self.next_at.is_some_and(|at| now < at) {
+            return;
+        }
+        let servers = broker.servers();
+        let count = u32::try_from(servers.len()).unwrap_or(u32::MAX);
+        let interval = DIRECTORY_INTERVAL_PER_SERVER.saturating_mul(count);
+        *self = Self {
+            version,
+            next_at: Some(now + interval.min(DIRECTORY_INTERVAL_MAX)),
+            all: EncodedDirectory::new(&servers),
+            by_zone: HashMap::new(),
+            servers,
+        };
+    }
+
+    /// The servers that entry hosts of a zone need.
+    fn of_zone(&mut self, zone: &ZoneName) -> Option<EncodedDirectory> {
+        let servers = &self.servers;
+        let encode = || EncodedDirectory::new(&servers_for_zone(servers, zone));
+        let known = self.by_zone.entry(zone.clone());
+        known.or_insert_with(encode).clone()
+    }
+}
+
 /// What a new leader learned from the leader before it.
 pub(crate) struct EarlierView {
     pub(crate) servers: Arc<Vec<ServerCheckIn>>,
@@ -95,6 +141,7 @@
     replaced_plan_at: Option<Instant>,
     notices: PlanNotices,
     views: SharedViews,
+    directory: DirectorySnapshot,
     pub(crate) repair: MembershipRepair,
     pub(crate) hosts: HashMap<HostName, HostRecord>,
     pub(crate) store_bootstrap_members: Option<BTreeMap<SeatId, SocketAddr>>,
@@ -130,6 +177,7 @@
             replaced_plan_at: None,
             notices: PlanNotices::default(),
             views: SharedViews::default(),
+            directory: DirectorySnapshot::default(),
             repair: MembershipRepair::default(),
             hosts: HashMap::new(),
             store_bootstrap_members: None,
@@ -169,6 +217,7 @@
         self.encoded = None;
         self.notices = PlanNotices::default();
         self.views = SharedViews::default();
+        self.directory = DirectorySnapshot::default();
         self.departed = machine.departures().iter().cloned().collect();
         for server in earlier.servers.iter() {
             self.broker.restore_server(server.clone(), now);
@@ -391,8 +440,16 @@
         self.broker
             .reconcile(&request.requester, &request.active, now);
         let term = self.term.unwrap_or_default().0;
-        let number = (term, self.broker.directory_version());
-        let directory = (number != request.directory).then(|| (number, self.broker.servers()));
+        self.directory.refresh(&self.broker, now);
+        let number = (term, self.directory.version);
+        let directory = match request.role {
+            _ if number == request.directory => None,
+            HostRole::Entry => self.directory.of_zone(&request.zone),
+            HostRole::Control => self.directory.all.clone(),
+            // Store hosts run nothing without the broker.
+            HostRole::Store => None,
+        };
+        let directory = directory.map(|servers| (number, servers));
         let is_outdated = request.plan < self.plan.version();
         let plan = self.encoded.clone().filter(|_| is_outdated);
         let views = self.views(members, now);
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -215,9 +215,16 @@
                 state.plan = Arc::new(plan);
             }
         }
-        if let Some((number, servers)) = reply.directory {
-            state.directory = number;
-            state.servers = Arc::new(servers);
+        if let Some((number, encoded)) = reply.directory {
+            match encoded.decode() {
+                Ok(servers) => {
+                    state.directory = number;
+                    state.servers = Arc::new(servers);
+                }
+                Err(error) => {
+                    log::error!("view: failed to decode the directory of servers: {error}.");
+                }
+            }
         }
         state.reserves.held.end_self_refill();
         if let Some(update) = reply.roster {
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -211,7 +211,7 @@
     /// The plan, if it is newer than the one that the host holds.
     pub(crate) plan: Option<EncodedPlan>,
     /// The directory of servers, if it differs from the one that the host holds.
-    pub(crate) directory: Option<((u64, u64), Vec<ServerCheckIn>)>,
+    pub(crate) directory: Option<((u64, u64), EncodedDirectory)>,
     /// Requests added to the reserves that the host holds.
     pub(crate) reserves: Vec<(TeamName, u32)>,
     /// The entry hosts, if they differ from those that the host knows.
@@ -234,6 +234,20 @@
     }
 }
 
+/// Servers of the directory, encoded once for all hosts that need the same ones.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct EncodedDirectory(Bytes);
+
+impl EncodedDirectory {
+    pub(crate) fn new(servers: &[ServerCheckIn]) -> Option<Self> {
+        encode("directory", &servers).map(Self)
+    }
+
+    pub(crate) fn decode(&self) -> Result<Vec<ServerCheckIn>, postcard::Error> {
+        postcard::from_bytes(&self.0)
+    }
+}
+
 /// The entry hosts that a host needs to know.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct RosterUpdate {
