Log how a server's response was framed and whether it ended within an event

Both lines now do, and the counter answer_ends_total has them as labels. No decision changes.

Also mended in the line: `runs` of a relayed response was one too high, as the relay had counted the run already.

--- /dev/null
+++ b/crates/gateway/src/completeness.rs
@@ -0,0 +1,96 @@
+//! Whether the body of a backend server's response is complete.
+//!
+//! A body with neither a length nor chunks ends with its connection, so HTTP can't tell
+//! the end of the response from a crash of the server. Only the content can: an event
+//! stream must not end within an event.
+
+use hyper::Response;
+use hyper::body::Body;
+use hyper::header::TRANSFER_ENCODING;
+
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// The length is known in advance, or there is no body.
+    Length,
+    /// The body is sent in chunks, the last of which is marked.
+    Chunks,
+    /// The body ends when the server closes the connection.
+    UntilClose,
+}
+
+impl BodyFraming {
+    /// Returns the framing of a response whose body has not been read yet.
+    pub fn of(response: &Response<impl Body>) -> Self {
+        if response.body().size_hint().exact().is_some() {
+            return Self::Length;
+        }
+        let codings = response.headers().get_all(TRANSFER_ENCODING);
+        let last = codings.iter().next_back();
+        let last = last.and_then(|value| value.as_bytes().rsplit(|byte| *byte == b',').next());
+        if last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked")) {
+            Self::Chunks
+        } else {
+            Self::UntilClose
+        }
+    }
+
+    /// The name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum LineContent {
+    #[default]
+    Nothing,
+    Comment,
+    Field,
+}
+
+/// Tracks whether a stream of server-sent events is within an event.
+#[derive(Clone, Debug, Default)]
+pub struct EventBoundary {
+    line: LineContent,
+    has_fields: bool,
+    /// Whether the last byte was a carriage return, which a line feed may follow.
+    after_return: bool,
+}
+
+impl EventBoundary {
+    /// Reads the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            let ends_return = *byte == b'\n' && self.after_return;
+            self.after_return = *byte == b'\r';
+            match byte {
+                _ if ends_return => {}
+                b'\n' | b'\r' => self.end_line(),
+                b':' if self.line == LineContent::Nothing => self.line = LineContent::Comment,
+                _ if self.line == LineContent::Nothing => self.line = LineContent::Field,
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether the bytes read so far end within an event or within a line.
+    #[must_use]
+    pub fn is_within_event(&self) -> bool {
+        self.has_fields || self.line != LineContent::Nothing
+    }
+
+    fn end_line(&mut self) {
+        match self.line {
+            LineContent::Nothing => self.has_fields = false,
+            LineContent::Comment => {}
+            LineContent::Field => self.has_fields = true,
+        }
+        self.line = LineContent::Nothing;
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/all/completeness.rs
@@ -0,0 +1,73 @@
+//! Tests of the end of bodies: their framing, and events that are cut off.
+
+use bytes::Bytes;
+use chicoryladder_gateway::{BodyFraming, EventBoundary};
+use futures_util::stream;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::Response;
+use hyper::body::Frame;
+use std::convert::Infallible;
+
+type TestBody = UnsyncBoxBody<Bytes, Infallible>;
+
+fn unsized_body() -> TestBody {
+    let frame = Ok(Frame::data(Bytes::from_static(b"text")));
+    StreamBody::new(stream::iter([frame])).boxed_unsync()
+}
+
+fn is_within_event(chunks: &[&[u8]]) -> bool {
+    let mut boundary = EventBoundary::default();
+    for chunk in chunks {
+        boundary.push(chunk);
+    }
+    boundary.is_within_event()
+}
+
+#[test]
+fn a_body_without_length_and_chunks_ends_with_its_connection() {
+    let with_length = Response::new(Full::new(Bytes::from_static(b"text")).boxed_unsync());
+    assert_eq!(BodyFraming::of(&with_length), BodyFraming::Length);
+    let unframed = Response::new(unsized_body());
+    assert_eq!(BodyFraming::of(&unframed), BodyFraming::UntilClose);
+    let expected = [
+        ("chunked", BodyFraming::Chunks),
+        ("gzip, Chunked", BodyFraming::Chunks),
+        // Only the last coding marks the end of the body.
+        ("chunked, gzip", BodyFraming::UntilClose),
+    ];
+    for (codings, framing) in expected {
+        let response = Response::builder().header("transfer-encoding", codings);
+        let response = response.body(unsized_body()).expect("a valid response");
+        assert_eq!(BodyFraming::of(&response), framing, "{codings}");
+    }
+}
+
+#[test]
+fn a_stream_is_within_an_event_until_its_blank_line() {
+    for end in ["\n", "\r\n", "\r"] {
+        let event = format!("id: 1{end}data: one{end}{end}").into_bytes();
+        for length in 1..event.len() {
+            let is_whole = event.len() - length <= end.len() - 1;
+            assert_eq!(
+                is_within_event(&[&event[..length]]),
+                !is_whole,
+                "{length} bytes, lines end with {end:?}"
+            );
+        }
+        for length in 1..=event.len() {
+            let chunks: Vec<&[u8]> = event.chunks(length).collect();
+            assert!(!is_within_event(&chunks), "chunks of {length}, {end:?}");
+        }
+    }
+}
+
+#[test]
+fn an_empty_stream_and_whole_comments_are_not_within_an_event() {
+    assert!(!is_within_event(&[]));
+    assert!(!is_within_event(&[b"\n\n: keep-alive\n"]));
+    assert!(!is_within_event(&[b"data: one\n\n: done\n"]));
+    // A comment within an event, and one that is cut off.
+    assert!(is_within_event(&[b"data: one\n: keep-alive\n"]));
+    assert!(is_within_event(&[b"data: one\n\n: keep-a"]));
+}
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod bad_input;
+mod completeness;
 mod credentials;
 mod raw;
 mod server_client;
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -9,13 +9,13 @@
 use crate::slot_client::{SlotClient, SlotError, SlotLease};
 use bytes::Bytes;
 use chicoryladder_broker::{RunOutcome, SlotRefusalReason, SlotRequest, WorkKind};
-use chicoryladder_gateway::{AnswerBody, bytes_body};
+use chicoryladder_gateway::{AnswerBody, BodyFraming, EventBoundary, bytes_body};
 use chicoryladder_plan::{PlanRoute, RouteKind};
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{RouteName, ServiceName};
 use http_body_util::BodyExt;
-use hyper::header::CONTENT_LENGTH;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Response, StatusCode};
 use serde_json::json;
@@ -54,6 +54,18 @@
     pub(super) arrived_at: Instant,
 }
 
+/// Where the body of a server's response ended.
+#[derive(Clone, Debug)]
+pub(super) struct AnswerEnd {
+    pub(super) framing: BodyFraming,
+    /// Whether the body ended within an event; `None` if it has no events.
+    pub(super) within_event: Option<bool>,
+    /// The last complete event of a resumable stream.
+    pub(super) last_event: Option<u64>,
+    /// The server, unless its slot was returned before.
+    pub(super) server: Option<ServerName>,
+}
+
 /// Forwards requests to backend servers.
 pub(super) struct RequestForwarder {
     pub(super) slots: SlotClient,
@@ -460,6 +472,7 @@
         let left = state.answer_by.saturating_duration_since(now);
         let ServerAnswer {
             parts,
+            framing,
             body,
             connection,
             ..
@@ -485,9 +498,16 @@
             lease.end(RunOutcome::Errored);
             return None;
         }
-        self.record_served(state, &lease, status);
+        let bytes = collected.to_bytes();
+        let end = AnswerEnd {
+            framing,
+            within_event: has_events(&parts).then(|| ends_within_event(&bytes)),
+            last_event: None,
+            server: Some(lease.server.clone()),
+        };
+        self.record_served(state, &lease, status, state.runs + 1, &end);
         lease.end(outcome_of(status));
-        let mut response = Response::new(bytes_body(collected.to_bytes()));
+        let mut response = Response::new(bytes_body(bytes));
         *response.status_mut() = status;
         *response.headers_mut() = self.runner.dialect.answer_headers(&parts.headers);
         Some(Ok(response))
@@ -575,10 +595,13 @@
         state: &RequestState,
         lease: &SlotLease,
         status: StatusCode,
+        runs: u32,
+        end: &AnswerEnd,
     ) {
         let now = self.clock.now();
         let elapsed = now.saturating_duration_since(state.request.arrived_at);
         self.metrics.count_served(&state.route().name, elapsed);
+        self.metrics.count_answer_end(end.framing, end.within_event);
         let fields = json!({
             "request": state.request.id,
             "route": state.route().name,
@@ -586,7 +609,9 @@
             "server": lease.server,
             "status": status.as_u16(),
             "elapsed_ms": elapsed.as_millis(),
-            "runs": state.runs + 1,
+            "runs": runs,
+            "framing": end.framing.as_str(),
+            "within_event": end.within_event,
             "asks": state.slot_requests,
             "plan": state.matched.plan.version().0,
             "without_broker": lease.brokerless,
@@ -594,20 +619,19 @@
         self.log.routine("served", &fields);
     }
 
-    pub(super) fn record_broken_stream(
-        &self,
-        state: &RequestState,
-        cause: &str,
-        last_event: Option<u64>,
-    ) {
+    pub(super) fn record_broken_stream(&self, state: &RequestState, cause: &str, end: &AnswerEnd) {
         self.metrics.count_refusal(RefusalReason::AnswerTruncated);
+        self.metrics.count_answer_end(end.framing, end.within_event);
         let now = self.clock.now();
         let elapsed = now.saturating_duration_since(state.request.arrived_at);
         let fields = json!({
             "request": state.request.id,
             "route": state.route().name,
+            "server": end.server,
             "cause": cause,
-            "last_event": last_event,
+            "framing": end.framing.as_str(),
+            "within_event": end.within_event,
+            "last_event": end.last_event,
             "elapsed_ms": elapsed.as_millis(),
             "runs": state.runs,
         });
@@ -639,6 +663,18 @@
     }
 }
 
+/// Whether a response is a stream of server-sent events.
+pub(super) fn has_events(parts: &response::Parts) -> bool {
+    let kind = parts.headers.get(CONTENT_TYPE);
+    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
+}
+
+fn ends_within_event(body: &[u8]) -> bool {
+    let mut boundary = EventBoundary::default();
+    boundary.push(body);
+    boundary.is_within_event()
+}
+
 fn content_length(parts: &response::Parts) -> Option<u64> {
     let announced = parts.headers.get(CONTENT_LENGTH)?;
     announced.to_str().ok()?.parse().ok()
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -5,13 +5,13 @@
 //! server's response is truncated, so is the caller's: an incomplete response must
 //! never look complete.
 
-use super::forward::{RequestForwarder, RequestState};
+use super::forward::{AnswerEnd, RequestForwarder, RequestState, has_events};
 use crate::event_stream::EventParser;
 use crate::server_run::{PooledConnection, ServerAnswer};
 use crate::slot_client::SlotLease;
 use bytes::{Bytes, BytesMut};
 use chicoryladder_broker::RunOutcome;
-use chicoryladder_gateway::{AnswerBody, BodyError};
+use chicoryladder_gateway::{AnswerBody, BodyError, BodyFraming, EventBoundary};
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::StatusCode;
@@ -38,9 +38,12 @@
 pub(super) struct EventRelay {
     context: RelayContext,
     status: StatusCode,
+    framing: BodyFraming,
     body: Incoming,
     run: Option<(PooledConnection, SlotLease)>,
     parser: EventParser,
+    /// The position in the server's events; `None` if the response has none.
+    boundary: Option<EventBoundary>,
     last_event: Option<u64>,
     ended: bool,
 }
@@ -67,6 +70,8 @@
             last_event: context.state.request.head.last_event,
             context,
             status: answer.parts.status,
+            framing: answer.framing,
+            boundary: has_events(&answer.parts).then(EventBoundary::default),
             body: answer.body,
             run: Some((answer.connection, lease)),
             parser: EventParser::default(),
@@ -116,6 +121,9 @@
                 Err(_) => return RelayStep::Broken("the request ran out of time"),
             };
             if let Ok(chunk) = frame.into_data() {
+                if let Some(boundary) = &mut self.boundary {
+                    boundary.push(&chunk);
+                }
                 return RelayStep::Chunk(chunk);
             }
         }
@@ -157,6 +165,7 @@
 
     /// Resumes the stream after the last complete event on another server.
     async fn fail_over(&mut self, cause: &'static str) -> bool {
+        let end = self.answer_end();
         if let Some((_, mut lease)) = self.run.take() {
             if cause == CONNECTION_LOST {
                 lease.record_crash(self.context.state.fingerprint);
@@ -168,13 +177,15 @@
             return false;
         }
         let forwarder = self.context.forwarder.clone();
-        forwarder.record_broken_stream(&self.context.state, cause, self.last_event);
+        forwarder.record_broken_stream(&self.context.state, cause, &end);
         let resumed = forwarder
             .resume(&mut self.context.state, self.last_event)
             .await;
         let Some((answer, lease)) = resumed else {
             return false;
         };
+        self.framing = answer.framing;
+        self.boundary = has_events(&answer.parts).then(EventBoundary::default);
         self.body = answer.body;
         self.run = Some((answer.connection, lease));
         self.parser = EventParser::default();
@@ -186,22 +197,34 @@
             return Some(self.truncate("the server ended within an event"));
         }
         self.ended = true;
+        let end = self.answer_end();
         if let Some((connection, lease)) = self.run.take() {
-            self.context
-                .forwarder
-                .record_served(&self.context.state, &lease, self.status);
+            let state = &self.context.state;
+            let forwarder = &self.context.forwarder;
+            forwarder.record_served(state, &lease, self.status, state.runs, &end);
             connection.return_to_pool();
             lease.end(RunOutcome::Served);
         }
         None
     }
 
+    fn answer_end(&self) -> AnswerEnd {
+        let within_event = self.boundary.as_ref().map(EventBoundary::is_within_event);
+        AnswerEnd {
+            framing: self.framing,
+            within_event,
+            last_event: self.last_event,
+            server: self.run.as_ref().map(|(_, lease)| lease.server.clone()),
+        }
+    }
+
     /// Aborts the response, so that the caller can tell that it is incomplete.
     fn truncate(&mut self, cause: &'static str) -> Result<Frame<Bytes>, BodyError> {
         self.ended = true;
+        let end = self.answer_end();
         self.context
             .forwarder
-            .record_broken_stream(&self.context.state, cause, self.last_event);
+            .record_broken_stream(&self.context.state, cause, &end);
         if let Some((_, lease)) = self.run.take() {
             lease.end(RunOutcome::Failed);
         }
--- a/crates/roles/src/metrics.rs
+++ b/crates/roles/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Prometheus metrics of a process: counters, latency histograms and gauges.
 
 use chicoryladder_broker::RunOutcome;
-use chicoryladder_gateway::{AnswerBody, HttpService, text_answer};
+use chicoryladder_gateway::{AnswerBody, BodyFraming, HttpService, text_answer};
 use chicoryladder_types::RouteName;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -26,6 +26,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    answer_ends: Counter<u64>,
     answer_seconds: Histogram<f64>,
     level_gauge: Gauge<f64>,
     // Dropping the provider would shut the instruments down.
@@ -49,6 +50,7 @@
             requests: meter.u64_counter("requests").build(),
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
+            answer_ends: meter.u64_counter("answer_ends").build(),
             answer_seconds: meter
                 .f64_histogram("answer_seconds")
                 .with_boundaries(ANSWER_SECONDS_BOUNDARIES.to_vec())
@@ -65,6 +67,20 @@
         self.answer_seconds.record(elapsed.as_secs_f64(), &route);
     }
 
+    /// Counts the end of a server's response by its framing and position in its events.
+    pub(crate) fn count_answer_end(&self, framing: BodyFraming, within_event: Option<bool>) {
+        let position = match within_event {
+            None => "no_events",
+            Some(false) => "between_events",
+            Some(true) => "within_event",
+        };
+        let labels = [
+            KeyValue::new("framing", framing.as_str()),
+            KeyValue::new("position", position),
+        ];
+        self.answer_ends.add(1, &labels);
+    }
+
     /// Counts a refusal by its reason.
     pub(crate) fn count_refusal(&self, reason: RefusalReason) {
         self.refusals
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -4,6 +4,7 @@
 use crate::ports::{AnswerHead, ServerDialect};
 use bytes::Bytes;
 use chicoryladder_broker::RunOutcome;
+use chicoryladder_gateway::BodyFraming;
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
 use http_body_util::Full;
@@ -70,6 +71,7 @@
 pub(crate) struct ServerAnswer {
     pub(crate) parts: response::Parts,
     pub(crate) head: AnswerHead,
+    pub(crate) framing: BodyFraming,
     pub(crate) body: Incoming,
     pub(crate) connection: PooledConnection,
 }
@@ -151,6 +153,7 @@
         sender: RequestSender,
         response: hyper::Response<Incoming>,
     ) -> Result<ServerAnswer, RunFailure> {
+        let framing = BodyFraming::of(&response);
         let (parts, body) = response.into_parts();
         let head = self.dialect.read_answer(&parts);
         // Check the id first: the response to another request says nothing about this
@@ -192,6 +195,7 @@
         Ok(ServerAnswer {
             parts,
             head,
+            framing,
             body,
             connection,
         })
