Break off responses whose connection ends within an event or a JSON text

Callers got streams that a crash had cut off as complete responses (status 200, last chunk sent), and half of a JSON body likewise.

Cause: a body with neither a length nor chunks ends with its connection. A server that crashes closes the connection in order, which HTTP can't tell from the end of the response, and hyper reports as the end of the body. Only resumable streams were checked for whole events; other streams were relayed chunk by chunk, and buffered bodies were not checked at all.

The class of fault is taking the end of the input for the end of the message. Changed wherever a response is read: - the relay tracks whether the server's bytes end within an event, whatever the framing and whether or not the stream is resumable; - such an end fails over like a lost connection, so a resumable stream goes on at another server, where it was broken off before; without framing it also counts as a possible crash for the quarantine of requests; - buffered bodies, of entry hosts and of the daemon's online and batch work, are checked: events always, JSON if only the connection ended it; - event streams go to callers without a length, since with one a broken-off stream would look complete; - a comment after the last event of a resumable stream is relayed, and no longer taken for a cut. Streams of the daemon's model engines were safe: they need their end marker.

A whole stream without framing still arrives as complete.

What can't be noticed: a stream that is cut exactly between two events, and unframed content of other types, if the connection is closed in order.

--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -2,11 +2,13 @@
 //!
 //! A body with neither a length nor chunks ends with its connection, so HTTP can't tell
 //! the end of the response from a crash of the server. Only the content can: an event
-//! stream must not end within an event.
+//! stream must not end within an event, and a JSON text must be whole. Any other content
+//! is taken as complete if its connection is closed in order.
 
 use hyper::Response;
 use hyper::body::Body;
-use hyper::header::TRANSFER_ENCODING;
+use hyper::header::{CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
+use serde::de::IgnoredAny;
 
 /// How the end of a body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +48,54 @@
     }
 }
 
+/// Whether header fields declare a stream of server-sent events.
+#[must_use]
+pub fn is_event_stream(fields: &HeaderMap) -> bool {
+    media_type(fields).is_some_and(|kind| kind.eq_ignore_ascii_case(b"text/event-stream"))
+}
+
+/// Checks a body that was read to its end without an error.
+///
+/// # Errors
+///
+/// Fails with the cause if the body is incomplete: if an event stream ends within an
+/// event, or if a JSON text that ended with its connection is not whole.
+pub fn check_whole_body(
+    framing: BodyFraming,
+    fields: &HeaderMap,
+    body: &[u8],
+) -> Result<(), &'static str> {
+    if is_event_stream(fields) {
+        let mut boundary = EventBoundary::default();
+        boundary.push(body);
+        return if boundary.is_within_event() {
+            Err("the server ended within an event")
+        } else {
+            Ok(())
+        };
+    }
+    let is_unverified_json = framing == BodyFraming::UntilClose && is_json(fields);
+    if is_unverified_json && serde_json::from_slice::<IgnoredAny>(body).is_err() {
+        return Err("the connection ended within a JSON text");
+    }
+    Ok(())
+}
+
+fn is_json(fields: &HeaderMap) -> bool {
+    media_type(fields).is_some_and(|kind| {
+        let kind = kind.to_ascii_lowercase();
+        kind == b"application/json" || kind.ends_with(b"+json")
+    })
+}
+
+/// The media type of the content, without its parameters.
+fn media_type(fields: &HeaderMap) -> Option<&[u8]> {
+    let kind = fields.get(CONTENT_TYPE)?.as_bytes();
+    kind.split(|byte| *byte == b';')
+        .next()
+        .map(<[u8]>::trim_ascii)
+}
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum LineContent {
     #[default]
--- a/crates/gateway/tests/all/completeness.rs
+++ b/crates/gateway/tests/all/completeness.rs
@@ -1,12 +1,13 @@
 //! Tests of the end of bodies: their framing, and events that are cut off.
 
 use bytes::Bytes;
-use chicoryladder_gateway::{BodyFraming, EventBoundary};
+use chicoryladder_gateway::{BodyFraming, EventBoundary, check_whole_body};
 use futures_util::stream;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::Response;
 use hyper::body::Frame;
+use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use std::convert::Infallible;
 
 type TestBody = UnsyncBoxBody<Bytes, Infallible>;
@@ -48,7 +49,7 @@
     for end in ["\n", "\r\n", "\r"] {
         let event = format!("id: 1{end}data: one{end}{end}").into_bytes();
         for length in 1..event.len() {
-            let is_whole = event.len() - length <= end.len() - 1;
+            let is_whole = event.len() - length < end.len();
             assert_eq!(
                 is_within_event(&[&event[..length]]),
                 !is_whole,
@@ -71,3 +72,34 @@
     assert!(is_within_event(&[b"data: one\n: keep-alive\n"]));
     assert!(is_within_event(&[b"data: one\n\n: keep-a"]));
 }
+
+/// Guards against bodies that a crash cut off and that count as complete, since the end of
+/// the connection is the only mark of their end.
+#[test]
+fn a_body_that_its_connection_ends_is_checked_by_its_content() {
+    let is_whole = |framing, kind: &'static str, body: &str| {
+        let mut fields = HeaderMap::new();
+        fields.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+        check_whole_body(framing, &fields, body.as_bytes()).is_ok()
+    };
+    let close = BodyFraming::UntilClose;
+    for kind in [
+        "application/json",
+        "Application/JSON; charset=utf-8",
+        "application/problem+json",
+    ] {
+        assert!(is_whole(close, kind, r#"{"a":[1,2]}"#), "{kind}");
+        assert!(!is_whole(close, kind, r#"{"a":[1,"#), "{kind}");
+        // Framed bodies are whole as far as the server is concerned.
+        assert!(is_whole(BodyFraming::Length, kind, r#"{"a":[1,"#), "{kind}");
+    }
+    for framing in [close, BodyFraming::Chunks, BodyFraming::Length] {
+        assert!(is_whole(framing, "text/event-stream", "data: one\n\n"));
+        assert!(!is_whole(
+            framing,
+            "text/event-stream",
+            "data: one\n\ndata: t"
+        ));
+    }
+    assert!(is_whole(close, "text/plain", "any text"));
+}
--- a/crates/host/src/batch/attempt.rs
+++ b/crates/host/src/batch/attempt.rs
@@ -6,7 +6,9 @@
 use crate::prompt::named_model;
 use crate::replica::ReplicaHandle;
 use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
-use chicoryladder_gateway::{ServerClient, ServerFailure, ServerRequest};
+use chicoryladder_gateway::{
+    BodyFraming, ServerClient, ServerFailure, ServerRequest, check_whole_body,
+};
 use chicoryladder_jobs::{
     AttemptEnd, AttemptReport, BodyBytes, ItemRef, ItemRequest, JobCommand, JobOutcome,
 };
@@ -313,18 +315,28 @@
 async fn read_answer(response: Response<hyper::body::Incoming>) -> ItemExchange {
     let status = response.status().as_u16();
     let load = reported_load(response.headers());
-    let limited = Limited::new(response.into_body(), ANSWER_MAX_BYTES);
-    match limited.collect().await {
-        Ok(collected) => ItemExchange {
+    let framing = BodyFraming::of(&response);
+    let (parts, body) = response.into_parts();
+    let collected = match Limited::new(body, ANSWER_MAX_BYTES).collect().await {
+        Ok(collected) => {
+            let bytes = collected.to_bytes();
+            check_whole_body(framing, &parts.headers, &bytes)
+                .map(|()| bytes)
+                .map_err(str::to_owned)
+        }
+        Err(error) => Err(error.to_string()),
+    };
+    match collected {
+        Ok(bytes) => ItemExchange {
             end: AttemptEnd::Answered {
                 status,
-                body: BodyBytes(collected.to_bytes().to_vec()),
+                body: BodyBytes(bytes.to_vec()),
             },
             outcome: ServerOutcome::Answered,
             load,
         },
-        Err(error) => {
-            let detail = format!("the answer ended early: {error}");
+        Err(cause) => {
+            let detail = format!("the answer ended early: {cause}");
             let refusal =
                 RequestRefusal::new(RefusalReason::ServerFailed, RunVerdict::MayHaveRun, detail);
             ItemExchange::failed(refused(refusal), ServerOutcome::Failed)
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -15,10 +15,10 @@
 use crate::routing::{
     QueueParameters, RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget,
 };
-use answer::{AnswerRead, answer_fields, is_event_stream, read_body};
+use answer::{AnswerRead, answer_fields, read_body};
 use chicoryladder_gateway::{
-    AnswerBody, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
-    StreamOptions, bytes_body, watch_stream,
+    AnswerBody, BodyFraming, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
+    StreamOptions, bytes_body, is_event_stream, watch_stream,
 };
 use chicoryladder_policy::retry::{AttemptFailure, RetryDecision};
 use chicoryladder_policy::routing::ServerOutcome;
@@ -191,6 +191,7 @@
         let response = sent.inspect_err(|failure| {
             grant.outcome = failed_outcome(failure.reason);
         })?;
+        let framing = BodyFraming::of(&response);
         let (parts, body) = response.into_parts();
         grant.load = reported_load(&parts.headers);
         if is_event_stream(&parts.headers) {
@@ -200,7 +201,7 @@
         let remaining = timeouts
             .deadline
             .saturating_duration_since(self.clock.now());
-        let read = read_body(body, remaining).await;
+        let read = read_body(body, framing, &parts.headers, remaining).await;
         let read = read.inspect_err(|failure| {
             grant.outcome = failed_outcome(failure.reason);
         })?;
--- a/crates/host/src/online_attempt/answer.rs
+++ b/crates/host/src/online_attempt/answer.rs
@@ -1,12 +1,12 @@
 //! Responses of backend servers: header fields and buffered bodies.
 
 use bytes::BytesMut;
-use chicoryladder_gateway::ServerFailure;
+use chicoryladder_gateway::{BodyFraming, ServerFailure, check_whole_body};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerLoad, headers};
 use http_body_util::BodyExt;
 use hyper::body::{Bytes, Incoming};
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderMap, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use std::time::Duration;
 
 /// The longest response that is buffered until it is complete, in bytes.
@@ -15,11 +15,6 @@
 /// Header fields of a response that concern only the connection to the server.
 const CONNECTION_FIELDS: &[&str] = &["connection", "keep-alive", "proxy-connection", "upgrade"];
 
-pub(super) fn is_event_stream(fields: &HeaderMap) -> bool {
-    let kind = fields.get(CONTENT_TYPE);
-    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
-}
-
 /// Returns the load that a response reports in its header fields.
 pub(crate) fn reported_load(fields: &HeaderMap) -> Option<ServerLoad> {
     let text = fields.get(headers::SERVER_LOAD)?.to_str().ok()?;
@@ -60,12 +55,14 @@
 /// Fails if the body is truncated or does not end within `remaining`.
 pub(super) async fn read_body(
     mut body: Incoming,
+    framing: BodyFraming,
+    fields: &HeaderMap,
     remaining: Duration,
 ) -> Result<AnswerRead, ServerFailure> {
     let reading = async {
         let mut prefix = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| truncated(&error))?;
+            let frame = frame.map_err(|error| truncated(&error.to_string()))?;
             if let Some(chunk) = frame.data_ref() {
                 prefix.extend_from_slice(chunk);
             }
@@ -73,6 +70,7 @@
                 return Ok(AnswerRead::Partial(prefix.freeze(), body));
             }
         }
+        check_whole_body(framing, fields, &prefix).map_err(truncated)?;
         Ok(AnswerRead::Complete(prefix.freeze()))
     };
     let read = tokio::time::timeout(remaining, reading).await;
@@ -87,10 +85,10 @@
     }
 }
 
-fn truncated(error: &hyper::Error) -> ServerFailure {
+fn truncated(cause: &str) -> ServerFailure {
     ServerFailure {
         verdict: RunVerdict::MayHaveRun,
         reason: RetryReason::ConnectionLost,
-        detail: format!("the answer ended early: {error}"),
+        detail: format!("the answer ended early: {cause}"),
     }
 }
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -9,13 +9,15 @@
 use crate::slot_client::{SlotClient, SlotError, SlotLease};
 use bytes::Bytes;
 use chicoryladder_broker::{RunOutcome, SlotRefusalReason, SlotRequest, WorkKind};
-use chicoryladder_gateway::{AnswerBody, BodyFraming, EventBoundary, bytes_body};
+use chicoryladder_gateway::{
+    AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream,
+};
 use chicoryladder_plan::{PlanRoute, RouteKind};
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{RouteName, ServiceName};
 use http_body_util::BodyExt;
-use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Response, StatusCode};
 use serde_json::json;
@@ -103,6 +105,10 @@
         &self.matched.route
     }
 
+    pub(super) fn kind(&self) -> RouteKind {
+        self.route().kind
+    }
+
     fn is_repeatable(&self) -> bool {
         let route = self.route();
         match route.kind {
@@ -478,13 +484,23 @@
             ..
         } = answer;
         let collected = tokio::time::timeout(left, body.collect()).await;
-        let Ok(Ok(collected)) = collected else {
-            let failure = RunFailure::connection_lost("the answer broke off");
-            self.record_failure(state, &lease, &failure);
-            state.record_failure(&lease.server, failure);
-            lease.record_crash(state.fingerprint);
-            lease.end(RunOutcome::Failed);
-            return None;
+        let whole_body = match collected {
+            Ok(Ok(collected)) => {
+                let bytes = collected.to_bytes();
+                check_whole_body(framing, &parts.headers, &bytes).map(|()| bytes)
+            }
+            Ok(Err(_)) | Err(_) => Err("the answer broke off"),
+        };
+        let bytes = match whole_body {
+            Ok(bytes) => bytes,
+            Err(cause) => {
+                let failure = RunFailure::connection_lost(cause);
+                self.record_failure(state, &lease, &failure);
+                state.record_failure(&lease.server, failure);
+                lease.record_crash(state.fingerprint);
+                lease.end(RunOutcome::Failed);
+                return None;
+            }
         };
         connection.return_to_pool();
         if status == StatusCode::INTERNAL_SERVER_ERROR && retryable {
@@ -498,10 +514,9 @@
             lease.end(RunOutcome::Errored);
             return None;
         }
-        let bytes = collected.to_bytes();
         let end = AnswerEnd {
             framing,
-            within_event: has_events(&parts).then(|| ends_within_event(&bytes)),
+            within_event: is_event_stream(&parts.headers).then_some(false),
             last_event: None,
             server: Some(lease.server.clone()),
         };
@@ -522,7 +537,9 @@
     ) -> Response<AnswerBody> {
         let mut headers = self.runner.dialect.answer_headers(&answer.parts.headers);
         let resumable = state.route().kind == RouteKind::Stream && state.is_repeatable();
-        if resumable {
+        // With a length, a response would look complete to the caller although it ends
+        // within an event.
+        if resumable || is_event_stream(&answer.parts.headers) {
             headers.remove(CONTENT_LENGTH);
         }
         let status = answer.parts.status;
@@ -663,18 +680,6 @@
     }
 }
 
-/// Whether a response is a stream of server-sent events.
-pub(super) fn has_events(parts: &response::Parts) -> bool {
-    let kind = parts.headers.get(CONTENT_TYPE);
-    kind.is_some_and(|kind| kind.as_bytes().starts_with(b"text/event-stream"))
-}
-
-fn ends_within_event(body: &[u8]) -> bool {
-    let mut boundary = EventBoundary::default();
-    boundary.push(body);
-    boundary.is_within_event()
-}
-
 fn content_length(parts: &response::Parts) -> Option<u64> {
     let announced = parts.headers.get(CONTENT_LENGTH)?;
     announced.to_str().ok()?.parse().ok()
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -3,19 +3,22 @@
 //! A resumable stream is relayed in whole events, so that another server can continue
 //! it after the last one. Any other response is relayed as its chunks arrive. If the
 //! server's response is truncated, so is the caller's: an incomplete response must
-//! never look complete.
+//! never look complete. A response whose only end mark is the end of its connection is
+//! truncated if it ends within an event.
 
-use super::forward::{AnswerEnd, RequestForwarder, RequestState, has_events};
+use super::forward::{AnswerEnd, RequestForwarder, RequestState};
 use crate::event_stream::EventParser;
 use crate::server_run::{PooledConnection, ServerAnswer};
 use crate::slot_client::SlotLease;
 use bytes::{Bytes, BytesMut};
 use chicoryladder_broker::RunOutcome;
-use chicoryladder_gateway::{AnswerBody, BodyError, BodyFraming, EventBoundary};
+use chicoryladder_gateway::{AnswerBody, BodyError, BodyFraming, EventBoundary, is_event_stream};
+use chicoryladder_plan::RouteKind;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
+use hyper::header::CONTENT_TYPE;
+use hyper::{HeaderMap, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,8 +26,41 @@
 /// fails over to another server.
 const GAP_MAX_TARGETS: u32 = 3;
 
-/// The cause recorded when the connection is lost, as in a crash of the server.
-const CONNECTION_LOST: &str = "the server broke off";
+/// Why a response is incomplete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BreakCause {
+    ConnectionLost,
+    EndedWithinEvent,
+    ServerSilent,
+    DeadlinePassed,
+    EventSequence,
+    EventTooLong,
+}
+
+impl BreakCause {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::ConnectionLost => "the server broke off",
+            Self::EndedWithinEvent => "the server ended within an event",
+            Self::ServerSilent => "the server fell silent",
+            Self::DeadlinePassed => "the request ran out of time",
+            Self::EventSequence => "an event is missing or came twice",
+            Self::EventTooLong => "an event is too long",
+        }
+    }
+
+    /// Whether the server may have crashed while it ran the request.
+    fn suggests_crash(self, framing: BodyFraming) -> bool {
+        match self {
+            Self::ConnectionLost => true,
+            Self::EndedWithinEvent => framing == BodyFraming::UntilClose,
+            Self::ServerSilent
+            | Self::DeadlinePassed
+            | Self::EventSequence
+            | Self::EventTooLong => false,
+        }
+    }
+}
 
 /// The request and the forwarder of a relayed response.
 pub(super) struct RelayContext {
@@ -52,7 +88,7 @@
 enum RelayStep {
     Chunk(Bytes),
     End,
-    Broken(&'static str),
+    Broken(BreakCause),
 }
 
 /// Builds the response body of a relay.
@@ -66,12 +102,13 @@
 
 impl EventRelay {
     pub(super) fn new(context: RelayContext, answer: ServerAnswer, lease: SlotLease) -> Self {
+        let boundary = event_boundary(&answer.parts.headers, context.state.kind());
         Self {
             last_event: context.state.request.head.last_event,
             context,
             status: answer.parts.status,
             framing: answer.framing,
-            boundary: has_events(&answer.parts).then(EventBoundary::default),
+            boundary,
             body: answer.body,
             run: Some((answer.connection, lease)),
             parser: EventParser::default(),
@@ -84,29 +121,27 @@
             return None;
         }
         loop {
-            match self.read().await {
-                RelayStep::Chunk(chunk) => {
-                    let output = self.take_events(chunk);
-                    match output {
-                        Ok(bytes) if bytes.is_empty() => {}
-                        Ok(bytes) => return Some(Ok(Frame::data(bytes))),
-                        Err(cause) => {
-                            if !self.fail_over(cause).await {
-                                return Some(self.truncate(cause));
-                            }
-                        }
-                    }
-                }
+            let cause = match self.read().await {
+                RelayStep::Chunk(chunk) => match self.take_events(chunk) {
+                    Ok(bytes) if bytes.is_empty() => continue,
+                    Ok(bytes) => return Some(Ok(Frame::data(bytes))),
+                    Err(cause) => cause,
+                },
+                RelayStep::End if self.is_within_event() => BreakCause::EndedWithinEvent,
                 RelayStep::End => return self.end(),
-                RelayStep::Broken(cause) => {
-                    if !self.fail_over(cause).await {
-                        return Some(self.truncate(cause));
-                    }
-                }
+                RelayStep::Broken(cause) => cause,
+            };
+            if !self.fail_over(cause).await {
+                return Some(self.truncate(cause));
             }
         }
     }
 
+    fn is_within_event(&self) -> bool {
+        let boundary = self.boundary.as_ref();
+        boundary.is_some_and(EventBoundary::is_within_event)
+    }
+
     /// Reads the next chunk, within the maximum gap and the request's deadline.
     async fn read(&mut self) -> RelayStep {
         let now = self.context.forwarder.clock.now();
@@ -115,10 +150,10 @@
         loop {
             let frame = match tokio::time::timeout(max_gap, self.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return RelayStep::Broken(CONNECTION_LOST),
+                Ok(Some(Err(_))) => return RelayStep::Broken(BreakCause::ConnectionLost),
                 Ok(None) => return RelayStep::End,
-                Err(_) if max_gap < left => return RelayStep::Broken("the server fell silent"),
-                Err(_) => return RelayStep::Broken("the request ran out of time"),
+                Err(_) if max_gap < left => return RelayStep::Broken(BreakCause::ServerSilent),
+                Err(_) => return RelayStep::Broken(BreakCause::DeadlinePassed),
             };
             if let Ok(chunk) = frame.into_data() {
                 if let Some(boundary) = &mut self.boundary {
@@ -137,7 +172,7 @@
 
     /// Returns the bytes that may be relayed after a chunk: complete events in sequence,
     /// or the chunk itself if the stream is not resumable.
-    fn take_events(&mut self, chunk: Bytes) -> Result<Bytes, &'static str> {
+    fn take_events(&mut self, chunk: Bytes) -> Result<Bytes, BreakCause> {
         if !self.context.resumable {
             return Ok(chunk);
         }
@@ -152,22 +187,22 @@
                     // the next event.
                     break;
                 }
-                return Err("an event is missing or came twice");
+                return Err(BreakCause::EventSequence);
             }
             self.last_event = event.id.or(self.last_event);
             output.extend_from_slice(&event.raw);
         }
         if self.parser.exceeds_max_size() {
-            return Err("an event is too long");
+            return Err(BreakCause::EventTooLong);
         }
         Ok(output.freeze())
     }
 
     /// Resumes the stream after the last complete event on another server.
-    async fn fail_over(&mut self, cause: &'static str) -> bool {
+    async fn fail_over(&mut self, cause: BreakCause) -> bool {
         let end = self.answer_end();
         if let Some((_, mut lease)) = self.run.take() {
-            if cause == CONNECTION_LOST {
+            if cause.suggests_crash(self.framing) {
                 lease.record_crash(self.context.state.fingerprint);
             }
             lease.end(RunOutcome::Failed);
@@ -177,7 +212,7 @@
             return false;
         }
         let forwarder = self.context.forwarder.clone();
-        forwarder.record_broken_stream(&self.context.state, cause, &end);
+        forwarder.record_broken_stream(&self.context.state, cause.as_str(), &end);
         let resumed = forwarder
             .resume(&mut self.context.state, self.last_event)
             .await;
@@ -185,17 +220,15 @@
             return false;
         };
         self.framing = answer.framing;
-        self.boundary = has_events(&answer.parts).then(EventBoundary::default);
+        self.boundary = event_boundary(&answer.parts.headers, self.context.state.kind());
         self.body = answer.body;
         self.run = Some((answer.connection, lease));
         self.parser = EventParser::default();
         true
     }
 
+    /// Ends the response. Returns what follows the last event, such as a comment.
     fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
-        if self.parser.has_partial_event() {
-            return Some(self.truncate("the server ended within an event"));
-        }
         self.ended = true;
         let end = self.answer_end();
         if let Some((connection, lease)) = self.run.take() {
@@ -205,7 +238,8 @@
             connection.return_to_pool();
             lease.end(RunOutcome::Served);
         }
-        None
+        let rest = self.parser.take_rest();
+        (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
     }
 
     fn answer_end(&self) -> AnswerEnd {
@@ -219,15 +253,22 @@
     }
 
     /// Aborts the response, so that the caller can tell that it is incomplete.
-    fn truncate(&mut self, cause: &'static str) -> Result<Frame<Bytes>, BodyError> {
+    fn truncate(&mut self, cause: BreakCause) -> Result<Frame<Bytes>, BodyError> {
         self.ended = true;
         let end = self.answer_end();
         self.context
             .forwarder
-            .record_broken_stream(&self.context.state, cause, &end);
+            .record_broken_stream(&self.context.state, cause.as_str(), &end);
         if let Some((_, lease)) = self.run.take() {
             lease.end(RunOutcome::Failed);
         }
-        Err(cause.into())
+        Err(cause.as_str().into())
     }
 }
+
+/// The boundary tracker of a response with events. A response without a type has events
+/// if its route is for streams.
+fn event_boundary(fields: &HeaderMap, kind: RouteKind) -> Option<EventBoundary> {
+    let is_untyped_stream = kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE);
+    (is_untyped_stream || is_event_stream(fields)).then(EventBoundary::default)
+}
--- a/crates/roles/src/event_stream.rs
+++ b/crates/roles/src/event_stream.rs
@@ -43,6 +43,12 @@
         self.buffer.len() > EVENT_MAX_BYTES
     }
 
+    /// Removes and returns the bytes after the last complete event.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.searched_bytes = 0;
+        self.buffer.split().freeze()
+    }
+
     /// Removes and returns the next complete event.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
         let end = self.find_end()?;
