Keep a gap in a resumable stream until it is resumed

A resumable stream could end as complete after an event was missing: if the event after the gap arrived together with those before it, it was taken from the parser and dropped while the events before were relayed. The gap was to be noticed at the next event; if there was none, the end of the body counted as the end of the stream, and the caller got a short stream framed as complete.

The whole-system test a_stream_whose_last_event_follows_a_gap_is_resumed failed before: the caller got events 0 to 2 of 5, complete.

The order of events is now a type of its own, EventSequencer, which needs no network and keeps its first fault; the relay fails over at it.

--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -7,10 +7,10 @@
 //! truncated if it ends within an event.
 
 use super::forward::{AnswerEnd, RequestForwarder, RequestState};
-use crate::event_stream::EventParser;
+use crate::event_stream::{EventSequencer, SequenceFault};
 use crate::server_run::{PooledConnection, ServerAnswer};
 use crate::slot_client::SlotLease;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use chicoryladder_broker::RunOutcome;
 use chicoryladder_gateway::{AnswerBody, BodyError, BodyFraming, EventBoundary, is_event_stream};
 use chicoryladder_plan::RouteKind;
@@ -77,10 +77,10 @@
     framing: BodyFraming,
     body: Incoming,
     run: Option<(PooledConnection, SlotLease)>,
-    parser: EventParser,
+    /// The events of a resumable stream.
+    sequencer: EventSequencer,
     /// The position in the server's events; `None` if the response has none.
     boundary: Option<EventBoundary>,
-    last_event: Option<u64>,
     ended: bool,
 }
 
@@ -104,14 +104,13 @@
     pub(super) fn new(context: RelayContext, answer: ServerAnswer, lease: SlotLease) -> Self {
         let boundary = event_boundary(&answer.parts.headers, context.state.kind());
         Self {
-            last_event: context.state.request.head.last_event,
+            sequencer: EventSequencer::resume_after(context.state.request.head.last_event),
             context,
             status: answer.parts.status,
             framing: answer.framing,
             boundary,
             body: answer.body,
             run: Some((answer.connection, lease)),
-            parser: EventParser::default(),
             ended: false,
         }
     }
@@ -122,11 +121,13 @@
         }
         loop {
             let cause = match self.read().await {
-                RelayStep::Chunk(chunk) => match self.take_events(chunk) {
-                    Ok(bytes) if bytes.is_empty() => continue,
-                    Ok(bytes) => return Some(Ok(Frame::data(bytes))),
-                    Err(cause) => cause,
-                },
+                RelayStep::Chunk(chunk) => {
+                    let bytes = self.take_events(chunk);
+                    if bytes.is_empty() {
+                        continue;
+                    }
+                    return Some(Ok(Frame::data(bytes)));
+                }
                 RelayStep::End if self.is_within_event() => BreakCause::EndedWithinEvent,
                 RelayStep::End => return self.end(),
                 RelayStep::Broken(cause) => cause,
@@ -144,6 +145,15 @@
 
     /// Reads the next chunk, within the maximum gap and the request's deadline.
     async fn read(&mut self) -> RelayStep {
+        match self.sequencer.fault() {
+            Some(SequenceFault::OutOfSequence) => {
+                return RelayStep::Broken(BreakCause::EventSequence);
+            }
+            Some(SequenceFault::EventTooLong) => {
+                return RelayStep::Broken(BreakCause::EventTooLong);
+            }
+            None => {}
+        }
         let now = self.context.forwarder.clock.now();
         let left = self.context.state.answer_by.saturating_duration_since(now);
         let max_gap = self.max_gap().min(left);
@@ -172,30 +182,12 @@
 
     /// Returns the bytes that may be relayed after a chunk: complete events in sequence,
     /// or the chunk itself if the stream is not resumable.
-    fn take_events(&mut self, chunk: Bytes) -> Result<Bytes, BreakCause> {
-        if !self.context.resumable {
-            return Ok(chunk);
-        }
-        self.parser.push(&chunk);
-        let mut output = BytesMut::new();
-        while let Some(event) = self.parser.next_event() {
-            if let (Some(last), Some(id)) = (self.last_event, event.id)
-                && id != last + 1
-            {
-                if !output.is_empty() {
-                    // Relay the events before the gap first; a gap is detected again at
-                    // the next event.
-                    break;
-                }
-                return Err(BreakCause::EventSequence);
-            }
-            self.last_event = event.id.or(self.last_event);
-            output.extend_from_slice(&event.raw);
-        }
-        if self.parser.exceeds_max_size() {
-            return Err(BreakCause::EventTooLong);
+    fn take_events(&mut self, chunk: Bytes) -> Bytes {
+        if self.context.resumable {
+            self.sequencer.push(&chunk)
+        } else {
+            chunk
         }
-        Ok(output.freeze())
     }
 
     /// Resumes the stream after the last complete event on another server.
@@ -213,9 +205,8 @@
         }
         let forwarder = self.context.forwarder.clone();
         forwarder.record_broken_stream(&self.context.state, cause.as_str(), &end);
-        let resumed = forwarder
-            .resume(&mut self.context.state, self.last_event)
-            .await;
+        let last_event = self.sequencer.last_event();
+        let resumed = forwarder.resume(&mut self.context.state, last_event).await;
         let Some((answer, lease)) = resumed else {
             return false;
         };
@@ -223,7 +214,7 @@
         self.boundary = event_boundary(&answer.parts.headers, self.context.state.kind());
         self.body = answer.body;
         self.run = Some((answer.connection, lease));
-        self.parser = EventParser::default();
+        self.sequencer = EventSequencer::resume_after(last_event);
         true
     }
 
@@ -238,7 +229,7 @@
             connection.return_to_pool();
             lease.end(RunOutcome::Served);
         }
-        let rest = self.parser.take_rest();
+        let rest = self.sequencer.take_rest();
         (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
     }
 
@@ -247,7 +238,7 @@
         AnswerEnd {
             framing: self.framing,
             within_event,
-            last_event: self.last_event,
+            last_event: self.sequencer.last_event(),
             server: self.run.as_ref().map(|(_, lease)| lease.server.clone()),
         }
     }
--- a/crates/roles/src/event_stream.rs
+++ b/crates/roles/src/event_stream.rs
@@ -1,4 +1,4 @@
-//! An incremental parser of server-sent event streams.
+//! Parsing of server-sent event streams, and the order of their events.
 
 use bytes::{Bytes, BytesMut};
 
@@ -95,3 +95,74 @@
     let data = data.join("\n");
     StreamEvent { id, data, raw }
 }
+
+/// Why a stream can't continue with the events that were received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SequenceFault {
+    /// An event is missing or came twice.
+    OutOfSequence,
+    /// An event exceeds the maximum size of 1 MiB.
+    EventTooLong,
+}
+
+/// Passes on the whole events of a stream as long as their ids are consecutive.
+#[derive(Debug, Default)]
+pub struct EventSequencer {
+    parser: EventParser,
+    last_event: Option<u64>,
+    fault: Option<SequenceFault>,
+}
+
+impl EventSequencer {
+    /// Creates a sequencer of a run that continues after `last_event`.
+    #[must_use]
+    pub fn resume_after(last_event: Option<u64>) -> Self {
+        Self {
+            last_event,
+            ..Self::default()
+        }
+    }
+
+    /// The id of the last event passed on.
+    #[must_use]
+    pub fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// The fault after which no more events are passed on.
+    #[must_use]
+    pub fn fault(&self) -> Option<SequenceFault> {
+        self.fault
+    }
+
+    /// Reads bytes of the stream, and returns the whole events up to the first fault.
+    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        let mut output = BytesMut::new();
+        if self.fault.is_some() {
+            return output.freeze();
+        }
+        self.parser.push(bytes);
+        while let Some(event) = self.parser.next_event() {
+            if let (Some(last), Some(id)) = (self.last_event, event.id)
+                && id != last + 1
+            {
+                self.fault = Some(SequenceFault::OutOfSequence);
+                return output.freeze();
+            }
+            self.last_event = event.id.or(self.last_event);
+            output.extend_from_slice(&event.raw);
+        }
+        if self.parser.exceeds_max_size() {
+            self.fault = Some(SequenceFault::EventTooLong);
+        }
+        output.freeze()
+    }
+
+    /// Returns the bytes after the last whole event of a stream that ended without a fault.
+    pub fn take_rest(&mut self) -> Bytes {
+        if self.fault.is_some() {
+            return Bytes::new();
+        }
+        self.parser.take_rest()
+    }
+}
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -33,7 +33,7 @@
 pub use control::{ControlFailure, ControlHost, ControlPort, ControlService, ServerHint};
 pub use entry::EntryHost;
 pub use event_log::{EventLog, EventPriority};
-pub use event_stream::{EventParser, StreamEvent};
+pub use event_stream::{EventParser, EventSequencer, SequenceFault, StreamEvent};
 pub use known_hosts::KnownHosts;
 pub use plan_notices::{PLAN_NOTICES_PER_TICK, PlanNotices};
 pub use process::ProcessError;
--- a/crates/roles/tests/event_stream.rs
+++ b/crates/roles/tests/event_stream.rs
@@ -1,6 +1,6 @@
 //! Tests of the parser of server-sent event streams.
 
-use chicoryladder_roles::{EventParser, StreamEvent};
+use chicoryladder_roles::{EventParser, EventSequencer, SequenceFault, StreamEvent};
 
 fn events(parser: &mut EventParser) -> Vec<StreamEvent> {
     std::iter::from_fn(|| parser.next_event()).collect()
@@ -54,3 +54,37 @@
     parser.push(&vec![b'x'; 2 * 1024 * 1024]);
     assert!(parser.exceeds_max_size());
 }
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: {id}\n\n")
+}
+
+/// Guards against a gap that is forgotten when the event after it is the last one.
+#[test]
+fn nothing_is_passed_on_after_a_gap_for_any_chunk_length() {
+    let before = event(4) + &event(5);
+    for next in [4, 5, 7] {
+        let stream = before.clone() + &event(next) + ": end\n";
+        for length in 1..=stream.len() {
+            let mut sequencer = EventSequencer::resume_after(Some(3));
+            let chunks = stream.as_bytes().chunks(length);
+            let passed: Vec<u8> = chunks.flat_map(|chunk| sequencer.push(chunk)).collect();
+            assert_eq!(passed, before.as_bytes(), "{next} in chunks of {length}");
+            assert_eq!(sequencer.fault(), Some(SequenceFault::OutOfSequence));
+            assert_eq!(sequencer.last_event(), Some(5));
+            assert!(sequencer.take_rest().is_empty());
+        }
+    }
+}
+
+#[test]
+fn whole_events_and_a_last_comment_are_passed_on() {
+    let mut sequencer = EventSequencer::resume_after(None);
+    let stream = event(0) + &event(1) + ": end\n";
+    let mut passed = sequencer.push(stream.as_bytes()).to_vec();
+    passed.extend(sequencer.take_rest());
+    assert_eq!(passed, stream.as_bytes());
+    assert_eq!((sequencer.fault(), sequencer.last_event()), (None, Some(1)));
+    sequencer.push(&vec![b'x'; 2 * 1024 * 1024]);
+    assert_eq!(sequencer.fault(), Some(SequenceFault::EventTooLong));
+}
--- a/tests/fleet/broken_streams.rs
+++ b/tests/fleet/broken_streams.rs
@@ -1,7 +1,7 @@
 //! Responses that end with their connection: complete, broken off and reset ones.
 
 use crate::servers::{event_data, stream_text};
-use crate::unframed::{CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, RESET_PATH};
+use crate::unframed::{CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, GAP_PATH, RESET_PATH};
 use crate::world::{ProcessFleet, Role};
 
 /// Starts a fleet with routes to two servers whose responses have no framing.
@@ -64,6 +64,18 @@
     assert_eq!(fleet.runs.runs_of("resumed").len(), 2);
 }
 
+/// Guards against resumable streams that end as complete after an event is missing, if the
+/// event after the gap is the last one and arrives together with those before the gap.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_last_event_follows_a_gap_is_resumed() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/raw-rules/{}{GAP_PATH}", EVENTS_BEFORE_CUT + 2);
+    let call = fleet.caller_request(&entry, &path, "gap");
+    let answer = call.send().await.expect("an answer");
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.text(), stream_text("gap", EVENTS_BEFORE_CUT + 2));
+}
+
 /// Guards against JSON bodies that a crash broke off and that callers got as complete.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_json_body_that_its_connection_ends_early_is_not_delivered() {
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -15,6 +15,9 @@
 /// The path suffix at which a response other than a stream is cut off in the same way.
 pub(crate) const CUT_JSON_PATH: &str = "/cut-json";
 
+/// The path suffix at which the first run of a stream omits an event before its last one.
+pub(crate) const GAP_PATH: &str = "/gap";
+
 /// The path suffix at which the server resets the connection after a whole event.
 pub(crate) const RESET_PATH: &str = "/reset";
 
@@ -103,5 +106,10 @@
         let within_event = before_cut.len() + "id: ".len();
         return stream.write_all(&text.as_bytes()[..within_event]).await;
     }
+    if request.path.ends_with(GAP_PATH) && first == 0 {
+        let after_gap = stream_text(&id, EVENTS_BEFORE_CUT + 1).len();
+        let events = before_cut + &text[after_gap..];
+        return stream.write_all(events.as_bytes()).await;
+    }
     stream.write_all(&text.as_bytes()[skipped..]).await
 }
