End a broken run before its stream is resumed elsewhere

While a stream was resumed, its former server kept working on it: the relay held the body of the old response, and so its connection, until the response of the new run began. If the former server was only silent, two servers ran the request until then, which takes as long as the new one needs for its first event.

Body, connection and slot of a run are now one value, which the relay drops before it asks for another slot.

--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -75,8 +75,7 @@
     context: RelayContext,
     status: StatusCode,
     framing: BodyFraming,
-    body: Incoming,
-    run: Option<(PooledConnection, SlotLease)>,
+    run: Option<RelayedRun>,
     /// The events of a resumable stream.
     sequencer: EventSequencer,
     /// The position in the server's events; `None` if the response has none.
@@ -84,6 +83,14 @@
     ended: bool,
 }
 
+/// A run whose response is being read. Dropping it closes the connection, which ends the
+/// run on the server.
+struct RelayedRun {
+    body: Incoming,
+    connection: PooledConnection,
+    lease: SlotLease,
+}
+
 /// The result of one read from the response.
 enum RelayStep {
     Chunk(Bytes),
@@ -109,8 +116,11 @@
             status: answer.parts.status,
             framing: answer.framing,
             boundary,
-            body: answer.body,
-            run: Some((answer.connection, lease)),
+            run: Some(RelayedRun {
+                body: answer.body,
+                connection: answer.connection,
+                lease,
+            }),
             ended: false,
         }
     }
@@ -157,8 +167,11 @@
         let now = self.context.forwarder.clock.now();
         let left = self.context.state.answer_by.saturating_duration_since(now);
         let max_gap = self.max_gap().min(left);
+        let Some(run) = &mut self.run else {
+            return RelayStep::Broken(BreakCause::ConnectionLost);
+        };
         loop {
-            let frame = match tokio::time::timeout(max_gap, self.body.frame()).await {
+            let frame = match tokio::time::timeout(max_gap, run.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(_))) => return RelayStep::Broken(BreakCause::ConnectionLost),
                 Ok(None) => return RelayStep::End,
@@ -193,7 +206,8 @@
     /// Resumes the stream after the last complete event on another server.
     async fn fail_over(&mut self, cause: BreakCause) -> bool {
         let end = self.answer_end();
-        if let Some((_, mut lease)) = self.run.take() {
+        // The connection must be closed before another server gets the stream.
+        if let Some(RelayedRun { mut lease, .. }) = self.run.take() {
             if cause.suggests_crash(self.framing) {
                 lease.record_crash(self.context.state.fingerprint);
             }
@@ -212,8 +226,11 @@
         };
         self.framing = answer.framing;
         self.boundary = event_boundary(&answer.parts.headers, self.context.state.kind());
-        self.body = answer.body;
-        self.run = Some((answer.connection, lease));
+        self.run = Some(RelayedRun {
+            body: answer.body,
+            connection: answer.connection,
+            lease,
+        });
         self.sequencer = EventSequencer::resume_after(last_event);
         true
     }
@@ -222,7 +239,10 @@
     fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         self.ended = true;
         let end = self.answer_end();
-        if let Some((connection, lease)) = self.run.take() {
+        if let Some(RelayedRun {
+            connection, lease, ..
+        }) = self.run.take()
+        {
             let state = &self.context.state;
             let forwarder = &self.context.forwarder;
             forwarder.record_served(state, &lease, self.status, state.runs, &end);
@@ -239,7 +259,7 @@
             framing: self.framing,
             within_event,
             last_event: self.sequencer.last_event(),
-            server: self.run.as_ref().map(|(_, lease)| lease.server.clone()),
+            server: self.run.as_ref().map(|run| run.lease.server.clone()),
         }
     }
 
@@ -250,7 +270,7 @@
         self.context
             .forwarder
             .record_broken_stream(&self.context.state, cause.as_str(), &end);
-        if let Some((_, lease)) = self.run.take() {
+        if let Some(RelayedRun { lease, .. }) = self.run.take() {
             lease.end(RunOutcome::Failed);
         }
         Err(cause.as_str().into())
--- a/tests/fleet/broken_streams.rs
+++ b/tests/fleet/broken_streams.rs
@@ -1,8 +1,11 @@
 //! Responses that end with their connection: complete, broken off and reset ones.
 
 use crate::servers::{event_data, stream_text};
-use crate::unframed::{CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, GAP_PATH, RESET_PATH};
+use crate::unframed::{
+    CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, GAP_PATH, RESET_PATH, STALL_PATH,
+};
 use crate::world::{ProcessFleet, Role};
+use std::time::Duration;
 
 /// Starts a fleet with routes to two servers whose responses have no framing.
 async fn start_fleet() -> (ProcessFleet, String) {
@@ -61,7 +64,24 @@
     let answer = call.send().await.expect("an answer");
     assert!(answer.complete, "{answer:?}");
     assert_eq!(answer.text(), stream_text("resumed", 7));
-    assert_eq!(fleet.runs.runs_of("resumed").len(), 2);
+    let runs = fleet.runs.runs_of("resumed");
+    assert_eq!(runs.len(), 2);
+    assert_ne!(runs[0].server, runs[1].server);
+}
+
+/// Guards against a silent server that still works on a stream while another one has
+/// resumed it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stalled_run_is_ended_before_its_stream_is_resumed() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/raw-rules/7{STALL_PATH}");
+    let call = fleet.caller_request(&entry, &path, "stalled");
+    let answer = call.send().await.expect("an answer");
+    assert_eq!(answer.text(), stream_text("stalled", 7));
+    let resumed_at = fleet.runs.runs_of("stalled")[1].at;
+    let closed = fleet.runs.runs_of("stalled-closed");
+    let overlap = closed[0].at.saturating_duration_since(resumed_at);
+    assert!(overlap < Duration::from_millis(400), "{overlap:?}");
 }
 
 /// Guards against resumable streams that end as complete after an event is missing, if the
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -18,6 +18,13 @@
 /// The path suffix at which the first run of a stream omits an event before its last one.
 pub(crate) const GAP_PATH: &str = "/gap";
 
+/// The path suffix at which the stream of a first run stalls, and that of a later run
+/// begins only after [`SLOW_START`].
+pub(crate) const STALL_PATH: &str = "/stall";
+
+/// How long a server works on a resumed run before its response begins.
+const SLOW_START: Duration = Duration::from_millis(1_000);
+
 /// The path suffix at which the server resets the connection after a whole event.
 pub(crate) const RESET_PATH: &str = "/reset";
 
@@ -75,6 +82,9 @@
         at: Instant::now(),
         had_key: request.fields.contains_key("authorization"),
     });
+    if request.path.ends_with(STALL_PATH) && request.fields.contains_key("last-event-id") {
+        tokio::time::sleep(SLOW_START).await;
+    }
     let is_json = request.path.ends_with(CUT_JSON_PATH);
     let kind = if is_json {
         "application/json"
@@ -102,6 +112,19 @@
         tokio::time::sleep(RESET_DELAY).await;
         return stream.set_zero_linger();
     }
+    if request.path.ends_with(STALL_PATH) && first == 0 {
+        stream.write_all(before_cut.as_bytes()).await?;
+        // Reads until the client closes the connection.
+        let _ = stream.read(&mut [0]).await;
+        log.record(Run {
+            id: format!("{id}-closed"),
+            server: server.to_owned(),
+            team: None,
+            at: Instant::now(),
+            had_key: false,
+        });
+        return Ok(());
+    }
     if request.path.ends_with(CUT_PATH) && first == 0 {
         let within_event = before_cut.len() + "id: ".len();
         return stream.write_all(&text.as_bytes()[..within_event]).await;
