Count the crashes of resumed runs, and resume on another server

A request whose resumed runs lost their connection before the response began was never quarantined: resume() recorded no crash, as attempt() does, so each resend cost further servers. The server that broke the stream off was not excluded from the resumption either, nor one that answered it with a failure.

Both paths end a failed attempt by one function now.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -158,12 +158,17 @@
         RequestRefusal::new(RefusalReason::DeadlineUnmet, self.verdict(), detail)
     }
 
+    /// Excludes a server from further attempts.
+    pub(super) fn avoid_server(&mut self, server: &ServerName) {
+        self.avoid.push(server.clone());
+    }
+
     /// Records a failed attempt and excludes its server from further ones.
     pub(super) fn record_failure(&mut self, server: &ServerName, failure: RunFailure) {
         if failure.verdict != RunVerdict::NotRun {
             self.runs += 1;
         }
-        self.avoid.push(server.clone());
+        self.avoid_server(server);
         self.last_failure = Some(failure);
     }
 }
@@ -272,13 +277,7 @@
                 Ok(Some((answer, lease)))
             }
             Err(failure) => {
-                self.record_failure(state, &lease, &failure);
-                lease.record_load(failure.load);
-                if failure.connection_lost {
-                    lease.record_crash(state.fingerprint);
-                }
-                state.record_failure(&lease.server, failure.clone());
-                lease.end(failure.outcome);
+                self.end_failed_attempt(state, lease, failure);
                 Ok(None)
             }
         }
@@ -596,17 +595,31 @@
                 }
                 Ok(answer) => {
                     state.runs += 1;
+                    state.avoid_server(&lease.server);
                     lease.end(outcome_of(answer.parts.status));
                 }
-                Err(failure) => {
-                    self.record_failure(state, &lease, &failure);
-                    state.record_failure(&lease.server, failure.clone());
-                    lease.end(failure.outcome);
-                }
+                Err(failure) => self.end_failed_attempt(state, lease, failure),
             }
         }
     }
 
+    /// Ends an attempt whose response did not begin.
+    fn end_failed_attempt(
+        &self,
+        state: &mut RequestState,
+        mut lease: SlotLease,
+        failure: RunFailure,
+    ) {
+        self.record_failure(state, &lease, &failure);
+        lease.record_load(failure.load);
+        if failure.connection_lost {
+            lease.record_crash(state.fingerprint);
+        }
+        let outcome = failure.outcome;
+        state.record_failure(&lease.server, failure);
+        lease.end(outcome);
+    }
+
     pub(super) fn record_served(
         &self,
         state: &RequestState,
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -211,6 +211,7 @@
             if cause.suggests_crash(self.framing) {
                 lease.record_crash(self.context.state.fingerprint);
             }
+            self.context.state.avoid_server(&lease.server);
             lease.end(RunOutcome::Failed);
         }
         let now = self.context.forwarder.clock.now();
--- a/tests/fleet/broken_streams.rs
+++ b/tests/fleet/broken_streams.rs
@@ -2,7 +2,7 @@
 
 use crate::servers::{event_data, stream_text};
 use crate::unframed::{
-    CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, GAP_PATH, RESET_PATH, STALL_PATH,
+    CRASH_TWICE_PATH, CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, GAP_PATH, RESET_PATH, STALL_PATH,
 };
 use crate::world::{ProcessFleet, Role};
 use std::time::Duration;
@@ -69,6 +69,25 @@
     assert_ne!(runs[0].server, runs[1].server);
 }
 
+/// Guards against requests whose resumed runs crash servers without being counted.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_of_resumed_runs_count_for_the_quarantine() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/raw-rules/7{CRASH_TWICE_PATH}");
+    let first = fleet.caller_request(&entry, &path, "crash-first");
+    assert!(!first.send().await.expect("an answer").complete);
+    fleet
+        .wait_until("the request is quarantined", || async {
+            let again = fleet.caller_request(&entry, &path, "crash-again");
+            again.send().await;
+            let log = fleet.read_log(&entry);
+            let mut lines = log.lines().filter(|line| line.contains("crash-again"));
+            lines.any(|line| line.contains("\"quarantined\""))
+        })
+        .await;
+    assert_eq!(fleet.runs.runs_of("crash-again").len(), 0);
+}
+
 /// Guards against a silent server that still works on a stream while another one has
 /// resumed it.
 #[tokio::test(flavor = "multi_thread")]
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -18,12 +18,16 @@
 /// The path suffix at which the first run of a stream omits an event before its last one.
 pub(crate) const GAP_PATH: &str = "/gap";
 
+/// The path suffix at which the stream of a first run ends within an event, and later runs
+/// end before their response.
+pub(crate) const CRASH_TWICE_PATH: &str = "/crash-twice";
+
 /// The path suffix at which the stream of a first run stalls, and that of a later run
 /// begins only after [`SLOW_START`].
 pub(crate) const STALL_PATH: &str = "/stall";
 
 /// How long a server works on a resumed run before its response begins.
-const SLOW_START: Duration = Duration::from_millis(1_000);
+const SLOW_START: Duration = Duration::from_secs(1);
 
 /// The path suffix at which the server resets the connection after a whole event.
 pub(crate) const RESET_PATH: &str = "/reset";
@@ -82,6 +86,9 @@
         at: Instant::now(),
         had_key: request.fields.contains_key("authorization"),
     });
+    if request.path.ends_with(CRASH_TWICE_PATH) && request.fields.contains_key("last-event-id") {
+        return Ok(());
+    }
     if request.path.ends_with(STALL_PATH) && request.fields.contains_key("last-event-id") {
         tokio::time::sleep(SLOW_START).await;
     }
@@ -125,6 +132,11 @@
         });
         return Ok(());
     }
+    if request.path.ends_with(CRASH_TWICE_PATH) && first == 0 {
+        return stream
+            .write_all(&text.as_bytes()[..=before_cut.len()])
+            .await;
+    }
     if request.path.ends_with(CUT_PATH) && first == 0 {
         let within_event = before_cut.len() + "id: ".len();
         return stream.write_all(&text.as_bytes()[..within_event]).await;
