Tell a body that misses its deadline from a crash

Requests whose server was slow with the body of its response were refused as quarantined for a minute: entry hosts recorded a missed deadline as a lost connection, so two callers that gave a server too little time sufficed.

a_body_that_misses_the_deadline_is_no_crash failed before: the third caller of a slow response got 503 with reason quarantined and Retry-After 59.998 instead of 504. Only a lost or incomplete body counts as a possible crash now.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -17,6 +17,7 @@
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{RouteName, ServiceName};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Response, StatusCode};
@@ -463,7 +464,7 @@
         self: &Arc<Self>,
         state: &mut RequestState,
         answer: ServerAnswer,
-        mut lease: SlotLease,
+        lease: SlotLease,
     ) -> Option<Result<Response<AnswerBody>, RequestRefusal>> {
         let is_stream = state.route().kind == RouteKind::Stream;
         let status = answer.parts.status;
@@ -482,22 +483,10 @@
             connection,
             ..
         } = answer;
-        let collected = tokio::time::timeout(left, body.collect()).await;
-        let whole_body = match collected {
-            Ok(Ok(collected)) => {
-                let bytes = collected.to_bytes();
-                check_whole_body(framing, &parts.headers, &bytes).map(|()| bytes)
-            }
-            Ok(Err(_)) | Err(_) => Err("the answer broke off"),
-        };
-        let bytes = match whole_body {
+        let bytes = match read_whole_body(body, framing, &parts.headers, left).await {
             Ok(bytes) => bytes,
-            Err(cause) => {
-                let failure = RunFailure::connection_lost(cause);
-                self.record_failure(state, &lease, &failure);
-                state.record_failure(&lease.server, failure);
-                lease.record_crash(state.fingerprint);
-                lease.end(RunOutcome::Failed);
+            Err(failure) => {
+                self.end_failed_attempt(state, lease, failure);
                 return None;
             }
         };
@@ -693,6 +682,29 @@
     }
 }
 
+/// Reads a body to its end and checks that it is complete.
+async fn read_whole_body(
+    body: Incoming,
+    framing: BodyFraming,
+    fields: &HeaderMap,
+    timeout: Duration,
+) -> Result<Bytes, RunFailure> {
+    match tokio::time::timeout(timeout, body.collect()).await {
+        Ok(Ok(collected)) => {
+            let bytes = collected.to_bytes();
+            check_whole_body(framing, fields, &bytes)
+                .map(|()| bytes)
+                .map_err(RunFailure::connection_lost)
+        }
+        Ok(Err(_)) => Err(RunFailure::connection_lost("the answer broke off")),
+        Err(_) => Err(RunFailure::new(
+            RunVerdict::MayHaveRun,
+            RunOutcome::Failed,
+            "the answer was not complete in time",
+        )),
+    }
+}
+
 fn content_length(parts: &response::Parts) -> Option<u64> {
     let announced = parts.headers.get(CONTENT_LENGTH)?;
     announced.to_str().ok()?.parse().ok()
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -411,9 +411,10 @@
         self.report_mut().first_answer = Some(elapsed);
     }
 
-    /// Records the load that the server reported.
+    /// Records the load that the server reported, if it did.
     pub(crate) fn record_load(&mut self, load: Option<ServerLoad>) {
-        self.report_mut().load = load;
+        let report = self.report_mut();
+        report.load = load.or(report.load);
     }
 
     /// Records that the connection to the server was lost while it ran a request.
--- a/tests/fleet/broken_streams.rs
+++ b/tests/fleet/broken_streams.rs
@@ -1,10 +1,12 @@
 //! Responses that end with their connection: complete, broken off and reset ones.
 
+use crate::client::Call;
 use crate::servers::{event_data, stream_text};
 use crate::unframed::{
     CRASH_TWICE_PATH, CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, GAP_PATH, RESET_PATH, STALL_PATH,
 };
 use crate::world::{ProcessFleet, Role};
+use hyper::Method;
 use std::time::Duration;
 
 /// Starts a fleet with routes to two servers whose responses have no framing.
@@ -145,3 +147,19 @@
         })
         .await;
 }
+
+/// Guards against slow servers that count as crashed, so that their requests are
+/// quarantined.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_misses_the_deadline_is_no_crash() {
+    let (fleet, entry) = start_fleet().await;
+    for number in 0..3 {
+        let path = format!("/raw-ping/1{STALL_PATH}");
+        let call = Call::new(fleet.callers_address(&entry), Method::POST, &path)
+            .field("x-request-id", &format!("slow-{number}"))
+            .field("x-deadline-ms", "600")
+            .key("k1");
+        let answer = call.send().await.expect("an answer");
+        assert_eq!(answer.status.as_u16(), 504, "{answer:?}");
+    }
+}
