Keep items owed although servers crashed under them

Users of a similar system report that a sound item was never placed again after several servers had died under it in a burst of crashes. It could happen here, in the daemon's own jobs: an item ended as servers_crashed at its second crash, and crashes also used up its three attempts.

A crash now leaves the item pending and costs no attempt. So that an item which does crash its servers costs few of them, and holds up no other item, it pauses after the second crash for 1 s, and twice as long after each further one up to 60 s; others of its job run meanwhile. If its job expires first, it ends as servers_crashed.

--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -342,7 +342,8 @@
                 let _ = sender.send(jobs.request(job, item));
             }
             JobQuery::Dispatch(host, sender) => {
-                let _ = sender.send(jobs.dispatch_view(&host));
+                let now = UnixMillis::from(self.clock.wall());
+                let _ = sender.send(jobs.dispatch_view(&host, now));
             }
             JobQuery::FirstSubmission(team, key, sender) => {
                 let _ = sender.send(jobs.first_submission(&team, &key));
--- a/crates/jobs/src/ended.rs
+++ b/crates/jobs/src/ended.rs
@@ -11,7 +11,7 @@
     ErrorAnswer,
     /// Every allowed attempt failed.
     AttemptsExhausted,
-    /// Backend servers crashed while they ran the request.
+    /// Backend servers crashed while they ran the request, until its job expired.
     ServersCrashed,
     /// The system refused the request for a permanent reason.
     Refused(RefusalReason),
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -10,7 +10,7 @@
     LeaseId, ReportEffect, UnixMillis,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// The lifecycle phase of a job.
@@ -108,6 +108,10 @@
     returned: BTreeSet<u32>,
     /// Pending suspects.
     suspects: BTreeSet<u32>,
+    /// The time until which a pending suspect pauses. Snapshots hold it as separate
+    /// records, which earlier versions of the format lack.
+    #[serde(skip)]
+    paused_until: BTreeMap<u32, UnixMillis>,
     /// The leased suspect; while it is leased, no other item of the job is granted.
     leased_suspect: Option<u32>,
     ended: Vec<u32>,
@@ -130,6 +134,7 @@
             next_unleased: 0,
             returned: BTreeSet::new(),
             suspects: BTreeSet::new(),
+            paused_until: BTreeMap::new(),
             leased_suspect: None,
             ended: Vec::new(),
             ended_at: None,
@@ -167,9 +172,22 @@
     }
 
     /// Whether items can be leased.
-    pub(crate) fn has_work(&self) -> bool {
-        let has_pending = self.phase == JobPhase::Running && self.counts.pending > 0;
-        has_pending && self.leased_suspect.is_none()
+    pub(crate) fn has_work(&self, now: UnixMillis) -> bool {
+        let is_open = self.phase == JobPhase::Running && self.leased_suspect.is_none();
+        let has_pending = self.counts.pending as usize > self.suspects.len();
+        is_open && (has_pending || self.next_suspect(now).is_some())
+    }
+
+    /// The pending items that pause after crashes, and until when.
+    pub(crate) fn pauses(&self) -> impl Iterator<Item = (u32, UnixMillis)> {
+        self.paused_until
+            .iter()
+            .map(|(item, until)| (*item, *until))
+    }
+
+    /// Restores a pause from a snapshot.
+    pub(crate) fn restore_pause(&mut self, item: u32, until: UnixMillis) {
+        self.paused_until.insert(item, until);
     }
 
     /// The estimated time for the remaining items, by the throughput of the job or,
@@ -188,8 +206,8 @@
     /// Grants up to `limit` items, or a single suspect while there are any.
     pub(crate) fn grant(&mut self, lease: LeaseId, limit: u32, now: UnixMillis) -> Vec<ItemRef> {
         let mut granted = Vec::new();
-        while granted.len() < limit as usize && self.has_work() {
-            let Some(item) = self.take_next(granted.is_empty()) else {
+        while granted.len() < limit as usize && self.has_work(now) {
+            let Some(item) = self.take_next(granted.is_empty(), now) else {
                 break;
             };
             let Some(attempt) = self.items[item as usize].grant(lease) else {
@@ -257,7 +275,7 @@
             return Vec::new();
         }
         let end = ItemEnd::Failed(FailureCause::JobExpired);
-        let results = self.abandon_pending(end, "the job expired before the item ran");
+        let results = self.abandon_pending(end, "the job expired before the item completed");
         self.end_if_done(now);
         results
     }
@@ -270,7 +288,9 @@
     ) -> Option<ItemChange> {
         let record = self.items.get_mut(item as usize)?;
         let previous = record.lease();
+        let crashes = record.crashes();
         let mut effect = change(record);
+        let has_crashed = record.crashes() > crashes;
         let released = previous.filter(|_| record.lease().is_none());
         if effect == ReportEffect::Returned && self.phase == JobPhase::Cancelling {
             let result = record.abandon(ItemEnd::Cancelled, "the job was cancelled");
@@ -278,7 +298,12 @@
         }
         match &effect {
             ReportEffect::Ended(result) => self.count_end(item, result.end, released, now),
-            ReportEffect::Returned => self.count_return(item),
+            ReportEffect::Returned => {
+                self.count_return(item);
+                if has_crashed {
+                    self.pause(item, now);
+                }
+            }
             ReportEffect::Late | ReportEffect::Fenced => {}
         }
         Some(ItemChange { effect, released })
@@ -291,6 +316,7 @@
             // A late response ended an item that had returned to pending.
             self.returned.remove(&item);
             self.suspects.remove(&item);
+            self.paused_until.remove(&item);
             self.counts.pending -= 1;
         }
         self.counts.count_end(end);
@@ -313,6 +339,14 @@
         }
     }
 
+    /// Pauses an item after a crash.
+    fn pause(&mut self, item: u32, now: UnixMillis) {
+        let pause = self.items[item as usize].crash_pause();
+        if !pause.is_zero() {
+            self.paused_until.insert(item, now.after(pause));
+        }
+    }
+
     fn release_leased(&mut self, item: u32) {
         self.counts.leased -= 1;
         if self.leased_suspect == Some(item) {
@@ -320,23 +354,41 @@
         }
     }
 
-    /// Takes the next item to lease; a suspect only as the first item of a lease.
-    fn take_next(&mut self, is_first: bool) -> Option<u32> {
-        if self.suspects.is_empty() {
-            return self.take_pending();
-        }
+    /// Takes the next item to lease; a suspect only as the first item of a lease. Other
+    /// items are leased while all suspects pause.
+    fn take_next(&mut self, is_first: bool, now: UnixMillis) -> Option<u32> {
+        let Some(suspect) = self.next_suspect(now) else {
+            return self.take_unsuspected();
+        };
         if !is_first {
             return None;
         }
-        self.leased_suspect = self.suspects.pop_first();
+        self.suspects.remove(&suspect);
+        self.paused_until.remove(&suspect);
+        self.leased_suspect = Some(suspect);
         self.leased_suspect
     }
 
+    /// The first pending suspect that does not pause.
+    fn next_suspect(&self, now: UnixMillis) -> Option<u32> {
+        let pauses = |item: &u32| {
+            self.paused_until
+                .get(item)
+                .is_some_and(|until| now < *until)
+        };
+        self.suspects.iter().copied().find(|item| !pauses(item))
+    }
+
     fn take_pending(&mut self) -> Option<u32> {
-        if let Some(item) = self.returned.pop_first() {
+        if let Some(item) = self.suspects.pop_first() {
+            self.paused_until.remove(&item);
             return Some(item);
         }
-        if let Some(item) = self.suspects.pop_first() {
+        self.take_unsuspected()
+    }
+
+    fn take_unsuspected(&mut self) -> Option<u32> {
+        if let Some(item) = self.returned.pop_first() {
             return Some(item);
         }
         let item = self.next_unleased;
@@ -350,11 +402,12 @@
     fn abandon_pending(&mut self, end: ItemEnd, detail: &str) -> Vec<(u32, ItemResult)> {
         let mut results = Vec::new();
         while let Some(item) = self.take_pending() {
-            let Some(result) = self.items[item as usize].abandon(end, detail) else {
+            let record = &mut self.items[item as usize];
+            let Some(result) = record.abandon(end, detail) else {
                 continue;
             };
             self.counts.pending -= 1;
-            self.counts.count_end(end);
+            self.counts.count_end(result.end);
             self.ended.push(item);
             results.push((item, result));
         }
--- a/crates/jobs/src/machine/leasing.rs
+++ b/crates/jobs/src/machine/leasing.rs
@@ -23,7 +23,7 @@
     pub(super) fn lease_items(&mut self, index: LogIndex, request: &LeaseRequest) -> JobOutcome {
         let lease = LeaseId(index.0);
         let expires_at = request.now.after(request.duration);
-        let candidates = self.candidates();
+        let candidates = self.candidates(request.now);
         let allowed = candidates.filter(|candidate| !request.excluded.contains(&candidate.job));
         let attempts = match choose_job(allowed, request.now) {
             Some(job) => self.grant_items(job, lease, request),
@@ -148,13 +148,13 @@
         *service = (*service).max(minimum.unwrap_or_default());
     }
 
-    fn candidates(&self) -> impl Iterator<Item = JobCandidate> {
+    fn candidates(&self, now: UnixMillis) -> impl Iterator<Item = JobCandidate> {
         let live = self
             .state
             .live
             .iter()
             .filter_map(|job| self.state.jobs.get(job));
-        live.filter(|job| job.has_work()).map(|job| {
+        live.filter(move |job| job.has_work(now)).map(|job| {
             let header = job.header();
             JobCandidate {
                 job: header.job,
--- a/crates/jobs/src/machine/query.rs
+++ b/crates/jobs/src/machine/query.rs
@@ -97,13 +97,13 @@
 
     /// Whether any job has items to lease.
     #[must_use]
-    pub fn has_work(&self) -> bool {
+    pub fn has_work(&self, now: UnixMillis) -> bool {
         let mut live = self
             .state
             .live
             .iter()
             .filter_map(|job| self.state.jobs.get(job));
-        live.any(BatchJob::has_work)
+        live.any(|job| job.has_work(now))
     }
 
     /// The leases of a dispatcher on cancelled jobs. The dispatcher must start no
@@ -123,9 +123,9 @@
 
     /// The part of the state that a dispatcher needs.
     #[must_use]
-    pub fn dispatch_view(&self, host: &HostName) -> DispatchView {
+    pub fn dispatch_view(&self, host: &HostName, now: UnixMillis) -> DispatchView {
         DispatchView {
-            has_work: self.has_work(),
+            has_work: self.has_work(now),
             revoked: self.revoked_leases(host),
         }
     }
--- a/crates/jobs/src/machine/snapshot.rs
+++ b/crates/jobs/src/machine/snapshot.rs
@@ -8,11 +8,31 @@
 use chicoryladder_types::JobId;
 use serde::{Deserialize, Serialize};
 
+/// What a record of a snapshot holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum SnapshotKind {
+    /// The request of an item, for the store.
+    Request,
+    /// The result of an item, for the store.
+    Result,
+    /// The time until which an item pauses, as an encoded [`UnixMillis`].
+    Pause,
+}
+
+impl From<RecordKind> for SnapshotKind {
+    fn from(kind: RecordKind) -> Self {
+        match kind {
+            RecordKind::Request => Self::Request,
+            RecordKind::Result => Self::Result,
+        }
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 struct SnapshotRecord {
     job: JobId,
     item: u32,
-    kind: RecordKind,
+    kind: SnapshotKind,
     bytes: BodyBytes,
 }
 
@@ -30,12 +50,23 @@
                 let record = SnapshotRecord {
                     job,
                     item,
-                    kind,
+                    kind: kind.into(),
                     bytes,
                 };
                 snapshot.extend_from_slice(&encode(&record));
             }
         }
+        for (job, record) in &self.state.jobs {
+            for (item, until) in record.pauses() {
+                let record = SnapshotRecord {
+                    job: *job,
+                    item,
+                    kind: SnapshotKind::Pause,
+                    bytes: BodyBytes(encode(&until)),
+                };
+                snapshot.extend_from_slice(&encode(&record));
+            }
+        }
         Ok(snapshot)
     }
 
@@ -47,13 +78,24 @@
     /// Fails if the snapshot cannot be decoded, which leaves the state unchanged, or
     /// if the store fails.
     pub fn restore(&mut self, snapshot: &[u8]) -> Result<(), MachineError> {
-        let (state, mut rest): (MachineState, &[u8]) = postcard::take_from_bytes(snapshot)?;
+        let (mut state, mut rest): (MachineState, &[u8]) = postcard::take_from_bytes(snapshot)?;
         while !rest.is_empty() {
             let (record, after): (SnapshotRecord, &[u8]) = postcard::take_from_bytes(rest)?;
             rest = after;
+            let kind = match record.kind {
+                SnapshotKind::Request => RecordKind::Request,
+                SnapshotKind::Result => RecordKind::Result,
+                SnapshotKind::Pause => {
+                    let until = postcard::from_bytes(record.bytes.as_slice())?;
+                    if let Some(job) = state.jobs.get_mut(&record.job) {
+                        job.restore_pause(record.item, until);
+                    }
+                    continue;
+                }
+            };
             let stored = StoreRecord {
                 item: record.item,
-                kind: record.kind,
+                kind,
                 bytes: record.bytes.as_slice(),
             };
             self.store.put(record.job, &[stored])?;
