Stop using servers that say in their answers that they leave

A server was known to leave by its check-ins only, which a cut, a lost call or a server that never tells keeps from a host. A server can now say so in the head of any answer (the platform's header Server-Leaving: 1, given twice or in a list too; other values are ignored).

The host reports a mark once, with the next slot request or sync that it sends anyway, again if that call fails.

Lines server_leaving and server_leaves tell server, incarnation, request or reporting host, and source (answer, check_in, notice); servers_leaving_total counts by source, and explain shows both lines.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -1,10 +1,11 @@
 //! Server selection on a host that cannot reach the broker.
 //!
-//! Such a host uses the last server directory that it received, its own runs, and
-//! the servers that it recently failed to reach. When the broker is unreachable,
+//! Such a host uses the last server directory that it received, its own runs, the
+//! servers that it recently failed to reach, and those that told it that they leave. When the broker is unreachable,
 //! other zones may be as well, so servers of the host's own zone are preferred
 //! while one of them has a free slot.
 
+use crate::departures::LeavingServers;
 use crate::directory::{ServerCheckIn, ServerPhase};
 use crate::request::SlotRequest;
 use chicoryladder_types::ServiceName;
@@ -41,6 +42,8 @@
     pub own_runs: &'a HashMap<ServerName, u32>,
     /// The servers to which a connection recently failed.
     pub unreachable: &'a HashSet<ServerName>,
+    /// The servers that said in their responses that they leave.
+    pub leaving: &'a LeavingServers,
 }
 
 impl<'a> BrokerlessView<'a> {
@@ -66,6 +69,7 @@
             && server.phase == ServerPhase::Ready
             && !request.avoid.contains(&server.name)
             && !self.unreachable.contains(&server.name)
+            && !self.leaving.is_leaving(&server.name, server.incarnation)
             && self.runs_at(server) < server.slots
     }
 
--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -8,9 +8,10 @@
 use std::time::{Duration, Instant};
 
 /// Whether a server accepts new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ServerPhase {
     /// Accepts new work.
+    #[default]
     Ready,
     /// Finishes its active work and accepts no more.
     Leaving,
--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -32,6 +32,8 @@
     WrongServer,
     /// The server aborted the response, or the response did not match the request.
     Failed,
+    /// Nothing was sent, since the server said in a response that it leaves.
+    Leaving,
 }
 
 /// The report of a requester on an ended run.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`SlotBroker::take_events`] returns the messages to send.
 
 mod brokerless;
+mod departures;
 mod directory;
 mod grants;
 mod placement;
@@ -26,6 +27,7 @@
 mod slots;
 
 pub use brokerless::{BrokerlessView, servers_for_zone};
+pub use departures::{DepartureReport, DepartureSource, LeavingServers};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 pub use grants::{ActiveRun, RunOutcome, RunReport};
 pub use rate::{RateLedger, RateTolerance};
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -96,6 +96,8 @@
     Granted {
         /// The assigned server.
         server: ServerName,
+        /// Its incarnation.
+        incarnation: u64,
         /// The address at which the server accepts requests.
         address: SocketAddr,
         /// The availability zone of the server.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -222,19 +222,23 @@
     }
 
     /// Records that an incarnation of a server leaves or has left; `None` refers to the
-    /// known incarnation.
-    pub fn mark_leaving(&mut self, name: &ServerName, incarnation: Option<u64>) {
+    /// known incarnation. Returns whether this was not known before.
+    pub fn mark_leaving(&mut self, name: &ServerName, incarnation: Option<u64>) -> bool {
         let Some(entry) = self
             .by_name
             .get(name)
             .and_then(|key| self.servers.get_mut(*key))
         else {
-            return;
+            return false;
         };
-        if incarnation.is_none_or(|incarnation| incarnation == entry.record.check_in.incarnation) {
-            entry.record.check_in.phase = ServerPhase::Leaving;
-            self.directory_version += 1;
+        let check_in = &mut entry.record.check_in;
+        let is_known_incarnation = incarnation.is_none_or(|known| known == check_in.incarnation);
+        if !is_known_incarnation || check_in.phase == ServerPhase::Leaving {
+            return false;
         }
+        check_in.phase = ServerPhase::Leaving;
+        self.directory_version += 1;
+        true
     }
 
     /// The known incarnation of a server.
@@ -347,6 +351,13 @@
             return;
         };
         record_outcome(&mut entry.record, report, now);
+        if report.outcome == RunOutcome::Leaving {
+            let name = entry.record.check_in.name.clone();
+            self.mark_leaving(&name, None);
+        }
+        let Some(entry) = self.servers.get(grant.server) else {
+            return;
+        };
         let service = entry.record.check_in.service.clone();
         let pool = self.pool(&service);
         if let Some(first_answer) = report.first_answer {
@@ -604,7 +615,7 @@
             record.failures = 0;
             record.suspended_until = None;
         }
-        RunOutcome::Stopped => {}
+        RunOutcome::Stopped | RunOutcome::Leaving => {}
         RunOutcome::Errored => {
             // Single errors may be due to the requests.
             record.failures += 1;
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -134,6 +134,7 @@
         let check_in = &entry.record.check_in;
         let decision = SlotDecision::Granted {
             server: check_in.name.clone(),
+            incarnation: check_in.incarnation,
             address: check_in.address,
             zone: check_in.zone.clone(),
         };
--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -1,7 +1,7 @@
 //! Server selection without the broker, as after a zone is cut off during a burst.
 
 use crate::support::{BrokerFixture, check_in};
-use chicoryladder_broker::{BrokerlessView, ServerCheckIn, ServerPhase, WorkKind};
+use chicoryladder_broker::{BrokerlessView, LeavingServers, ServerCheckIn, ServerPhase, WorkKind};
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -21,6 +21,7 @@
             servers,
             own_runs: &own_runs,
             unreachable: &unreachable,
+            leaving: &LeavingServers::default(),
         };
         if let Some(server) = view.choose(&request) {
             chosen.push(server.name.to_string());
@@ -73,6 +74,7 @@
             servers: &servers,
             own_runs: &own_runs,
             unreachable: &unreachable,
+            leaving: &LeavingServers::default(),
         };
         let request = fixture.slot_request(WorkKind::Online);
         first.extend(view.choose(&request).map(|server| server.name.clone()));
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod brokerless;
 mod bursts;
+mod departures;
 mod directory;
 mod rates;
 mod reserves;
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -21,8 +21,8 @@
 use crate::seat_opener::SeatOpener;
 use bytes::Bytes;
 use chicoryladder_broker::{
-    BrokerSettings, CheckInOutcome, RateTolerance, RequesterId, RosterSettings, ServerCheckIn,
-    ServerPhase, SlotRequest,
+    BrokerSettings, CheckInOutcome, DepartureReport, DepartureSource, RateTolerance, RequesterId,
+    RosterSettings, ServerCheckIn, ServerPhase, SlotRequest,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
@@ -82,6 +82,7 @@
     base: ProcessBase,
     client: LeaderClient,
     log: EventLog,
+    metrics: Arc<RoleMetrics>,
     view: FleetView,
     seat: SeatCell<ControlMachine>,
     state: Mutex<LeaderState>,
@@ -108,6 +109,7 @@
             .ok_or(ProcessError::MissingSetting("data", "folder"))?;
         let base = ProcessBase::new(settings, clock)?;
         let log = EventLog::start("control")?;
+        let metrics = Arc::new(RoleMetrics::new()?);
         let now = base.clock.now();
         let shared = Arc::new(ControlShared {
             client: base.control_client(),
@@ -119,6 +121,7 @@
                 now,
             )),
             log,
+            metrics,
             base,
         });
         shared
@@ -183,7 +186,7 @@
     };
     let gauge_source = shared.clone();
     let service = MetricsService {
-        metrics: Arc::new(RoleMetrics::new()?),
+        metrics: shared.metrics.clone(),
         gauges: Box::new(move || {
             let mut gauges = gauge_source.status().gauges(gauge_source.now());
             gauges.extend(gauge_source.state().gauges(gauge_source.now()));
@@ -285,11 +288,15 @@
                 plan,
                 slot_request,
                 fingerprint,
+                departures,
             } => {
+                self.accept_reports(&requester, departures);
                 self.request_slot(&requester, plan, *slot_request, fingerprint)
                     .await
             }
-            ControlCall::Sync(request) => {
+            ControlCall::Sync(mut request) => {
+                let departures = std::mem::take(&mut request.departures);
+                self.accept_reports(&request.requester, departures);
                 let now = self.now();
                 let status = self.status();
                 let members: Vec<SocketAddr> = status.members.iter().map(|m| m.address).collect();
@@ -324,7 +331,10 @@
             ControlCall::Leave { name, incarnation } => {
                 let incarnation = incarnation.or_else(|| self.state().broker.incarnation(&name));
                 match incarnation {
-                    Some(incarnation) => self.record_departure(name, incarnation).await,
+                    Some(incarnation) => {
+                        self.record_departure(name, incarnation, DepartureSource::Notice)
+                            .await
+                    }
                     None => GroupReply::Answer(ControlAnswer::Done),
                 }
             }
@@ -439,17 +449,48 @@
             );
         }
         if is_leaving && outcome != CheckInOutcome::Stale {
-            return self.record_departure(name, incarnation).await;
+            let source = DepartureSource::CheckIn;
+            return self.record_departure(name, incarnation, source).await;
         }
         GroupReply::Answer(ControlAnswer::Done)
     }
 
+    /// Takes the servers out of use that a host reports as leaving, before the call that
+    /// brought the report is processed. They are recorded durably afterwards.
+    fn accept_reports(self: &Arc<Self>, requester: &RequesterId, reports: Vec<DepartureReport>) {
+        for DepartureReport {
+            server,
+            incarnation,
+        } in reports
+        {
+            if !self.state().accept_report(&server, incarnation) {
+                continue;
+            }
+            let fields = json!({
+                "server": server,
+                "born": incarnation,
+                "reported_by": requester.host,
+                "source": DepartureSource::Answer.as_str(),
+            });
+            self.log.note("server_leaving", &fields);
+            let shared = self.clone();
+            tokio::spawn(async move {
+                let departure = (server.clone(), incarnation);
+                let source = DepartureSource::Answer;
+                // A lost proposal is made up for by the server's own notice.
+                let _ = shared.record_departure(server, incarnation, source).await;
+                shared.state().departing.remove(&departure);
+            });
+        }
+    }
+
     /// Records durably that a server is leaving, so that later leaders give it no work
     /// either.
     async fn record_departure(
         &self,
         name: ServerName,
         incarnation: u64,
+        source: DepartureSource,
     ) -> GroupReply<ControlAnswer> {
         let departure = (name.clone(), incarnation);
         let known = {
@@ -466,11 +507,13 @@
         };
         match self.propose(&command).await {
             Ok(()) => {
-                self.state().departed.insert(departure);
-                self.log.note(
-                    "server_leaves",
-                    &json!({ "server": name, "born": incarnation }),
-                );
+                let is_new = self.state().departed.insert(departure);
+                if is_new {
+                    self.metrics.count_departure(source);
+                }
+                let source = source.as_str();
+                let fields = json!({ "server": name, "born": incarnation, "source": source });
+                self.log.note("server_leaves", &fields);
                 GroupReply::Answer(ControlAnswer::Done)
             }
             Err(ProposeFailure::NotLeader) => self.not_leader(),
@@ -529,8 +572,10 @@
                 plan,
                 slot_request,
                 fingerprint,
+                departures,
             })) => {
                 let reply = if shared.leads() {
+                    shared.accept_reports(&requester, departures);
                     shared.request_slot(&requester, plan, *slot_request, fingerprint)
                 } else {
                     std::future::ready(shared.not_leader()).boxed()
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -149,6 +149,8 @@
     pub(crate) retiring: BTreeMap<HostName, (SocketAddr, bool)>,
     /// The server incarnations that announced that they are leaving.
     pub(crate) departed: HashSet<(ServerName, u64)>,
+    /// Reported departures that are being recorded.
+    pub(crate) departing: HashSet<(ServerName, u64)>,
     roster: EntryRoster,
     holders: ReserveHolders,
     /// The versions of the roster and the plan that `holders` was computed from.
@@ -183,6 +185,7 @@
             store_bootstrap_members: None,
             retiring: BTreeMap::new(),
             departed: HashSet::new(),
+            departing: HashSet::new(),
             roster: EntryRoster::new(roster_settings),
             holders: ReserveHolders::default(),
             holders_of: (0, PlanVersion::default()),
@@ -219,6 +222,7 @@
         self.views = SharedViews::default();
         self.directory = DirectorySnapshot::default();
         self.departed = machine.departures().iter().cloned().collect();
+        self.departing.clear();
         for server in earlier.servers.iter() {
             self.broker.restore_server(server.clone(), now);
         }
@@ -402,6 +406,19 @@
         }
     }
 
+    /// Takes a server out of use that a host reports as leaving. Returns whether the
+    /// departure has to be recorded: it may concern the known incarnation of the server or
+    /// one that has not checked in yet, never an earlier one.
+    pub(crate) fn accept_report(&mut self, server: &ServerName, incarnation: u64) -> bool {
+        let known = self.broker.incarnation(server);
+        let departure = (server.clone(), incarnation);
+        if known.is_some_and(|known| known > incarnation) || self.departed.contains(&departure) {
+            return false;
+        }
+        self.broker.mark_leaving(server, Some(incarnation));
+        self.departing.insert(departure)
+    }
+
     /// Records that the connection to a server broke while it ran a request, which may
     /// have crashed it.
     pub(crate) fn record_crash(
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -440,6 +440,7 @@
         let may_resend = state.is_repeatable() && state.runs + 1 < state.route().max_attempts;
         let resend_after = state.route().latency_target * RESEND_AFTER_TARGETS;
         ServerRequest {
+            server: lease.identity(),
             address: lease.address,
             id: request.id.clone(),
             method: request.method.clone(),
@@ -605,6 +606,10 @@
             lease.record_crash(state.fingerprint);
         }
         let outcome = failure.outcome;
+        if outcome == RunOutcome::Leaving {
+            // The server was never tried, so the request may ask for another slot instead.
+            state.slot_requests = state.slot_requests.saturating_sub(1);
+        }
         state.record_failure(&lease.server, failure);
         lease.end(outcome);
     }
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -18,6 +18,7 @@
 mod fleet_view;
 mod known_hosts;
 mod leader_client;
+mod leaving_servers;
 mod membership_repair;
 mod message;
 mod metrics;
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -3,8 +3,8 @@
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobPage};
 use chicoryladder_broker::{
-    ActiveRun, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision, SlotRequest,
-    ZoneRoster,
+    ActiveRun, DepartureReport, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision,
+    SlotRequest, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::GroupStatus;
@@ -96,6 +96,8 @@
         slot_request: Box<SlotRequest>,
         /// Identifies the caller's request across retries through other hosts.
         fingerprint: Option<RequestFingerprint>,
+        /// The servers that said since the last call that they leave.
+        departures: Vec<DepartureReport>,
     },
     /// Reports the state of a host; the reply holds the newer state of the leader.
     Sync(Box<SyncRequest>),
@@ -181,6 +183,8 @@
     /// The leader's term and the version of the directory that the host holds.
     pub(crate) directory: (u64, u64),
     pub(crate) active: Vec<ActiveRun>,
+    /// The servers that said since the last call that they leave.
+    pub(crate) departures: Vec<DepartureReport>,
     /// The requests left in the reserves that the host holds.
     pub(crate) reserves: Vec<(TeamName, u32)>,
     /// Whether the host's view is so old that it may have admitted requests on its own.
--- a/crates/roles/src/metrics.rs
+++ b/crates/roles/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Prometheus metrics of a process: counters, latency histograms and gauges.
 
-use chicoryladder_broker::RunOutcome;
+use chicoryladder_broker::{DepartureSource, RunOutcome};
 use chicoryladder_gateway::{AnswerBody, BodyFraming, HttpService, text_answer};
 use chicoryladder_types::RouteName;
 use chicoryladder_types::prelude::*;
@@ -27,6 +27,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     answer_ends: Counter<u64>,
+    servers_leaving: Counter<u64>,
     answer_seconds: Histogram<f64>,
     level_gauge: Gauge<f64>,
     // Dropping the provider would shut the instruments down.
@@ -51,6 +52,7 @@
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
             answer_ends: meter.u64_counter("answer_ends").build(),
+            servers_leaving: meter.u64_counter("servers_leaving").build(),
             answer_seconds: meter
                 .f64_histogram("answer_seconds")
                 .with_boundaries(ANSWER_SECONDS_BOUNDARIES.to_vec())
@@ -67,6 +69,12 @@
         self.answer_seconds.record(elapsed.as_secs_f64(), &route);
     }
 
+    /// Counts a server that is newly known to leave, by how that became known.
+    pub(crate) fn count_departure(&self, source: DepartureSource) {
+        let label = KeyValue::new("source", source.as_str());
+        self.servers_leaving.add(1, &[label]);
+    }
+
     /// Counts the end of a server's response by its framing and position in its events.
     pub(crate) fn count_answer_end(&self, framing: BodyFraming, within_event: Option<bool>) {
         let position = match within_event {
@@ -97,6 +105,7 @@
             RunOutcome::Shed => "server_refused",
             RunOutcome::WrongServer => "wrong_server",
             RunOutcome::Failed => "server_failed",
+            RunOutcome::Leaving => "server_leaving",
         };
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -4,7 +4,7 @@
 //! below and builds responses from them.
 
 use chicoryladder_batch::{ItemSpec, JobPage};
-use chicoryladder_broker::PromptSegment;
+use chicoryladder_broker::{PromptSegment, ServerPhase};
 use chicoryladder_gateway::AnswerBody;
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
@@ -87,12 +87,24 @@
     pub not_run: bool,
     /// Whether a server other than the intended one responded.
     pub wrong_server: bool,
+    /// Whether the server accepts new work, as it states itself.
+    pub phase: ServerPhase,
     /// The load that the server reports.
     pub load: Option<ServerLoad>,
     /// How long the server keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
 }
 
+impl AnswerHead {
+    /// Whether the response states that the server a request was sent to leaves. A response
+    /// to another request, or of another server at the address, says nothing about it.
+    #[must_use]
+    pub fn announces_departure(&self, request: &str) -> bool {
+        let is_own = self.id.as_deref() == Some(request) && !self.wrong_server;
+        is_own && self.phase == ServerPhase::Leaving
+    }
+}
+
 /// The protocol spoken to callers.
 pub trait CallerDialect: Send + Sync {
     /// Reads the head of a request.
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -1,6 +1,7 @@
 //! A single attempt to run a request on a backend server.
 
 use crate::connection_pool::{ConnectionPool, RequestSender};
+use crate::leaving_servers::{DepartureMarks, ServerIdentity};
 use crate::ports::{AnswerHead, ServerDialect};
 use bytes::Bytes;
 use chicoryladder_broker::RunOutcome;
@@ -18,6 +19,7 @@
 /// A request to a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerRequest {
+    pub(crate) server: ServerIdentity,
     pub(crate) address: SocketAddr,
     pub(crate) id: String,
     pub(crate) method: Method,
@@ -97,10 +99,12 @@
 pub(crate) struct ServerRunner {
     pub(crate) pool: ConnectionPool,
     pub(crate) dialect: Arc<dyn ServerDialect>,
+    pub(crate) departures: DepartureMarks,
 }
 
 impl ServerRunner {
-    /// Sends a request and waits for the head of its response.
+    /// Sends a request and waits for the head of its response. Nothing is sent to a server
+    /// that said before that it leaves.
     pub(crate) async fn send(&self, request: &ServerRequest) -> Result<ServerAnswer, RunFailure> {
         let timeout = tokio::time::timeout(request.head_timeout, self.try_send(request));
         if let Ok(result) = timeout.await {
@@ -116,6 +120,7 @@
 
     async fn try_send(&self, request: &ServerRequest) -> Result<ServerAnswer, RunFailure> {
         let mut message = http_request(request)?;
+        self.check_leaving(request)?;
         if let Some(mut sender) = self.pool.take_idle(request.address, request.at_most_once) {
             match sender.try_send_request(message).await {
                 Ok(response) => return self.read(request, sender, response),
@@ -134,6 +139,8 @@
                 "no connection could be opened",
             ));
         };
+        // The server may have said so while the connection was opened.
+        self.check_leaving(request)?;
         match sender.try_send_request(message).await {
             Ok(response) => self.read(request, sender, response),
             Err(mut error) => match error.take_message() {
@@ -147,6 +154,17 @@
         }
     }
 
+    fn check_leaving(&self, request: &ServerRequest) -> Result<(), RunFailure> {
+        if self.departures.is_leaving(&request.server) {
+            return Err(RunFailure::new(
+                RunVerdict::NotRun,
+                RunOutcome::Leaving,
+                "the server is leaving",
+            ));
+        }
+        Ok(())
+    }
+
     fn read(
         &self,
         request: &ServerRequest,
@@ -165,6 +183,10 @@
                 "the answer belongs to another request",
             ));
         }
+        if head.announces_departure(&request.id) {
+            self.departures
+                .mark(&request.server, request.address, &request.id);
+        }
         if head.not_run || head.wrong_server {
             let outcome = if head.wrong_server {
                 RunOutcome::WrongServer
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -2,6 +2,7 @@
 
 use crate::fleet_view::{FleetView, key_lease};
 use crate::leader_client::{LeaderClient, LeaderError};
+use crate::leaving_servers::{DepartureMarks, PendingReports, ServerIdentity};
 use crate::message::{
     Call, ControlAnswer, ControlCall, Notice, ReserveAnswer, ReserveCall, encode,
 };
@@ -60,6 +61,7 @@
     base: ProcessBase,
     client: LeaderClient,
     view: FleetView,
+    departures: DepartureMarks,
     runs: Mutex<HashMap<u64, RunHandle>>,
     next_ticket: AtomicU64,
     /// When each server was last found unreachable.
@@ -76,11 +78,17 @@
 }
 
 impl SlotClient {
-    pub(crate) fn new(base: ProcessBase, client: LeaderClient, view: FleetView) -> Self {
+    pub(crate) fn new(
+        base: ProcessBase,
+        client: LeaderClient,
+        view: FleetView,
+        departures: DepartureMarks,
+    ) -> Self {
         let shared = SlotShared {
             base,
             client,
             view,
+            departures,
             runs: Mutex::default(),
             next_ticket: AtomicU64::new(1),
             unreachable_at: Mutex::default(),
@@ -178,12 +186,14 @@
             leader,
             ticket: slot_request.ticket,
             answered: false,
+            departures: self.shared.departures.take_reports(),
         };
         let call = Call::Control(ControlCall::RequestSlot {
             requester: self.shared.base.requester(),
             plan,
             slot_request: Box::new(slot_request.clone()),
             fingerprint: request_fingerprint,
+            departures: pending.departures.reports().to_vec(),
         });
         let timeout = slot_request.wait_max + BROKER_REPLY_MARGIN;
         let calling = self
@@ -193,8 +203,17 @@
         let answer = calling.await?;
         let result = match answer {
             ControlAnswer::Slot(SlotDecision::Granted {
-                server, address, ..
-            }) => Ok(self.lease(slot_request, server, address, false)),
+                server,
+                incarnation,
+                address,
+                ..
+            }) => {
+                let server = ServerIdentity {
+                    name: server,
+                    incarnation,
+                };
+                Ok(self.lease(slot_request, server, address, false))
+            }
             ControlAnswer::Slot(SlotDecision::Refused {
                 reason,
                 retry_after,
@@ -212,10 +231,18 @@
     fn lease(
         &self,
         slot_request: &SlotRequest,
-        server: ServerName,
+        server: ServerIdentity,
         address: SocketAddr,
         brokerless: bool,
     ) -> SlotLease {
+        let ServerIdentity {
+            name: server,
+            incarnation,
+        } = server;
+        self.shared
+            .departures
+            .servers()
+            .observe(&server, incarnation);
         let stop = Arc::new(Notify::new());
         let run = ActiveRun {
             ticket: slot_request.ticket,
@@ -231,6 +258,7 @@
         self.runs().insert(slot_request.ticket, handle);
         SlotLease {
             server,
+            incarnation,
             address,
             brokerless,
             stop,
@@ -258,15 +286,22 @@
             });
         }
         let servers = shared.view.servers();
+        let leaving = shared.departures.servers();
         let view = BrokerlessView {
             servers: &servers,
             own_runs: &self.count_own_runs(),
             unreachable: &self.recently_unreachable(now),
+            leaving: &leaving,
         };
-        let Some(check_in) = view.choose(slot_request) else {
+        let Some(check_in) = view.choose(slot_request).cloned() else {
             return Err(refused(SlotRefusalReason::NoSlot(PoolLoad::default())));
         };
-        Ok(self.lease(slot_request, check_in.name.clone(), check_in.address, true))
+        drop(leaving);
+        let server = ServerIdentity {
+            name: check_in.name,
+            incarnation: check_in.incarnation,
+        };
+        Ok(self.lease(slot_request, server, check_in.address, true))
     }
 
     /// Takes one request from the zone's reserve of a team, at the host that holds it.
@@ -360,11 +395,13 @@
     leader: SocketAddr,
     ticket: u64,
     answered: bool,
+    departures: PendingReports,
 }
 
 impl PendingRequest {
     fn mark_answered(mut self) {
         self.answered = true;
+        self.departures.mark_arrived();
     }
 }
 
@@ -390,6 +427,7 @@
 /// A slot on a server, released when it is dropped.
 pub(crate) struct SlotLease {
     pub(crate) server: ServerName,
+    incarnation: u64,
     pub(crate) address: SocketAddr,
     /// Whether this host chose the server without the broker.
     pub(crate) brokerless: bool,
@@ -401,6 +439,14 @@
 }
 
 impl SlotLease {
+    /// The server as requests are addressed to it.
+    pub(crate) fn identity(&self) -> ServerIdentity {
+        ServerIdentity {
+            name: self.server.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+
     /// Returns the signal that is notified when the slot is needed for other work.
     pub(crate) fn stop_signal(&self) -> Arc<Notify> {
         self.stop.clone()
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -8,6 +8,7 @@
 use crate::event_log::EventLog;
 use crate::fleet_view::{FleetView, SyncReporter, run_sync};
 use crate::leader_client::LeaderClient;
+use crate::leaving_servers::DepartureMarks;
 use crate::membership_repair::{MembershipRepair, apply_change};
 use crate::message::{
     BatchCall, BatchReply, BootstrapAnswer, BootstrapCall, Call, ControlAnswer, GroupReply,
@@ -67,6 +68,7 @@
     pub(super) slots: SlotClient,
     pub(super) runner: ServerRunner,
     pub(super) log: EventLog,
+    metrics: Arc<RoleMetrics>,
     /// Wakes the task of the leader.
     pub(super) work_due: Notify,
     job_client: LeaderClient,
@@ -101,14 +103,19 @@
         let control_addresses = Arc::new(ControlAddresses::open(&folder)?);
         client.add_seeds(&control_addresses.addresses());
         let view = FleetView::new();
+        let log = EventLog::start("store")?;
+        let metrics = Arc::new(RoleMetrics::new()?);
+        let departures = DepartureMarks::new(base.clock.clone(), log.clone(), metrics.clone());
         let runner = ServerRunner {
             pool: ConnectionPool::new(base.clock.clone()),
             dialect: servers,
+            departures: departures.clone(),
         };
         let shared = Arc::new(StoreShared {
-            slots: SlotClient::new(base.clone(), client.clone(), view.clone()),
+            slots: SlotClient::new(base.clone(), client.clone(), view.clone(), departures),
             job_client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
-            log: EventLog::start("store")?,
+            log,
+            metrics,
             work_due: Notify::new(),
             control_client: client.clone(),
             control_addresses,
@@ -198,7 +205,7 @@
     };
     let gauge_source = shared.clone();
     let service = MetricsService {
-        metrics: Arc::new(RoleMetrics::new()?),
+        metrics: shared.metrics.clone(),
         gauges: Box::new(move || {
             let now = gauge_source.now();
             let mut gauges = gauge_source.status().gauges(now);
@@ -385,6 +392,7 @@
             let addresses = shared.control_addresses.clone();
             Box::new(move |hosts| addresses.save_hosts(hosts))
         },
+        departures: Some(shared.runner.departures.clone()),
         store: Box::new(move || Some(shared.report(first_start))),
         on_change: Box::new(move |change| log_view_change(&log, change)),
     }
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -23,7 +23,8 @@
 pub(super) enum ItemEnd {
     /// The item is complete.
     Complete,
-    /// The run was stopped, since its slot was needed for other work.
+    /// The run was stopped, since its slot was needed for other work, or not started, since
+    /// its server is leaving.
     Stopped,
     /// The run was interrupted; this does not count as a failure of the item.
     Broken,
@@ -86,7 +87,11 @@
         Ok(response) => response,
         Err(failure) => {
             lease.record_load(failure.load);
-            return (ItemEnd::Broken, failure.outcome, failure.cause);
+            let end = match failure.outcome {
+                RunOutcome::Leaving => ItemEnd::Stopped,
+                _ => ItemEnd::Broken,
+            };
+            return (end, failure.outcome, failure.cause);
         }
     };
     lease.record_first_answer(clock.now().saturating_duration_since(started_at));
@@ -136,6 +141,7 @@
     };
     let host = &item.open.job_spec.host;
     ServerRequest {
+        server: lease.identity(),
         address: lease.address,
         id: spec.id.clone(),
         method: Method::POST,
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -27,6 +27,7 @@
     "seat_removed",
     "server_added",
     "server_leaves",
+    "server_leaving",
     "started",
     "stopped",
     "stopping",
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod broken_streams;
 mod calm;
 mod client;
+mod departures;
 mod explain;
 mod first_contact;
 mod proxy;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -14,7 +14,7 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -31,6 +31,9 @@
 /// The path suffix at which a server never responds.
 pub(crate) const STALL_PATH: &str = "/silent";
 
+/// The header field by which a server says that it leaves.
+pub(crate) const LEAVING_FIELD: &str = "server-leaving";
+
 /// The number of concurrent requests that a server declares.
 const SLOTS: u32 = 8;
 
@@ -73,9 +76,11 @@
     service: &'static str,
     zone: String,
     address: SocketAddr,
-    incarnation: u64,
+    incarnation: Arc<AtomicU64>,
     pub(crate) log: RunLog,
     leaving: Arc<AtomicBool>,
+    /// Whether every response says that the server leaves; its check-ins do not.
+    leaving_in_answers: Arc<AtomicBool>,
     /// Whether a control host has acknowledged a check-in as draining.
     pub(crate) leaving_acknowledged: Arc<AtomicBool>,
 }
@@ -123,9 +128,10 @@
             service,
             zone: zone.to_owned(),
             address: listener.local_addr().expect("an address"),
-            incarnation: 1,
+            incarnation: Arc::new(AtomicU64::new(1)),
             log,
             leaving: Arc::default(),
+            leaving_in_answers: Arc::default(),
             leaving_acknowledged: Arc::default(),
         };
         (server, listener)
@@ -136,6 +142,18 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Says in every response from now on that the server leaves. Its check-ins still
+    /// report the state `ready`.
+    pub(crate) fn start_leaving_in_answers(&self) {
+        self.leaving_in_answers.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns as a new incarnation, under the same name and at the same address.
+    pub(crate) fn restart(&self) {
+        self.leaving_in_answers.store(false, Ordering::Relaxed);
+        self.incarnation.fetch_add(1, Ordering::Relaxed);
+    }
+
     async fn listen(self, listener: TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -157,7 +175,7 @@
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
                 "version": "v1", "slots": SLOTS, "cold-remaining-ms": 0, "sequence": sequence,
-                "state": if leaving { "draining" } else { "ready" }, "born": self.incarnation,
+                "state": if leaving { "draining" } else { "ready" }, "born": self.incarnation.load(Ordering::Relaxed),
             });
             let path = format!("/instances/{}/heartbeat", self.name);
             for address in &control {
@@ -201,9 +219,12 @@
         if head.uri.path().ends_with(CRASH_PATH) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        let response = Response::builder()
+        let mut response = Response::builder()
             .header("x-request-id", &id)
             .header("x-server-stamp", format!("stamp-{}", self.name));
+        if self.leaving_in_answers.load(Ordering::Relaxed) {
+            response = response.header(LEAVING_FIELD, "1");
+        }
         let answer = if self.service == "engine" {
             let first = text("last-event-id").and_then(|last| last.parse::<u64>().ok());
             let path = head.uri.path();
