Stop using the daemon's servers that say in their answers that they leave

The product's own interface gets the header chicoryladder-server-leaving: 1, with the same meaning as the platform's. The daemon's hosts knew a departure from announcements only, which a server may not send and a cut keeps from hosts.

Online and batch attempts read it from the head of each answer, refusals too. The routing task marks the generation, which no announcement revokes, and sends the announcement with leaving set to the other hosts, once. The header isn't passed on to callers.

a_server_that_says_in_its_responses_that_it_leaves_gets_no_new_work needs hosts and engines over loopback; the mark alone has a test in policy.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,6 @@
     AdminAnswer, AdminRequest, ItemCounts, JobPort, JobView, OnlinePort, OnlineRequest,
     OperatorPort, PlatformPort, ServerPort, SubmitRequest,
 };
-pub use server_client::{ServerClient, ServerFailure, ServerRequest};
+pub use server_client::{ServerClient, ServerFailure, ServerRequest, says_leaving};
 pub use servers::ServerService;
 pub use stream_end::{StreamEnd, StreamOptions, watch_stream};
--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -57,14 +57,18 @@
     pub reason: RetryReason,
     /// A description of the cause, in one sentence.
     pub detail: String,
+    /// Whether the server states in its response that it leaves.
+    pub is_leaving: bool,
 }
 
 impl ServerFailure {
-    fn new(verdict: RunVerdict, reason: RetryReason, detail: impl Into<String>) -> Self {
+    /// Creates the failure of an attempt at a server that does not state that it leaves.
+    pub fn new(verdict: RunVerdict, reason: RetryReason, detail: impl Into<String>) -> Self {
         Self {
             verdict,
             reason,
             detail: detail.into(),
+            is_leaving: false,
         }
     }
 }
@@ -181,15 +185,24 @@
     let not_run = verdict.is_some_and(|value| value == RunVerdict::NotRun.as_str());
     if response.status() == StatusCode::SERVICE_UNAVAILABLE && not_run {
         let detail = "the backend server refused the request before it ran";
-        return Err(ServerFailure::new(
-            RunVerdict::NotRun,
-            RetryReason::ServerRefused,
-            detail,
-        ));
+        let failure = ServerFailure::new(RunVerdict::NotRun, RetryReason::ServerRefused, detail);
+        return Err(ServerFailure {
+            is_leaving: says_leaving(response.headers()),
+            ..failure
+        });
     }
     Ok(())
 }
 
+/// Whether a server states in a response that it leaves: by the value `1`, also if the
+/// field occurs more than once or holds a list.
+#[must_use]
+pub fn says_leaving(fields: &HeaderMap) -> bool {
+    let values = fields.get_all(headers::SERVER_LEAVING).iter();
+    let mut items = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
+    items.any(|item| item.trim_ascii() == b"1")
+}
+
 /// Rejects a response with the id of another request, or without a required id.
 fn check_id(request: &ServerRequest, response: &Response<Incoming>) -> Result<(), ServerFailure> {
     let id = response.headers().get(headers::REQUEST_ID);
--- a/crates/host/src/batch/attempt.rs
+++ b/crates/host/src/batch/attempt.rs
@@ -5,7 +5,9 @@
 use crate::online_attempt::{failed_outcome, reported_load};
 use crate::prompt::named_model;
 use crate::replica::ReplicaHandle;
-use crate::routing::{RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget};
+use crate::routing::{
+    DepartureReporter, RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget,
+};
 use chicoryladder_gateway::{
     BodyFraming, ServerClient, ServerFailure, ServerRequest, check_whole_body,
 };
@@ -167,6 +169,7 @@
             mut grant,
         } = placed;
         let message = self.message(item.grant.attempt, &request, &target, &grant);
+        let departure_reporter = grant.departure_reporter();
         let mut validity = item.validity.clone();
         let stopping = async {
             if !item.grant.idempotent {
@@ -179,7 +182,7 @@
             }
         };
         let exchanged = tokio::select! {
-            exchanged = self.exchange(&message) => exchanged,
+            exchanged = self.exchange(&message, &departure_reporter) => exchanged,
             () = stopping => return yielded(RunVerdict::MayHaveRun),
         };
         grant.load = exchanged.load;
@@ -187,9 +190,15 @@
         exchanged.end
     }
 
-    async fn exchange(&self, message: &ServerRequest) -> ItemExchange {
+    async fn exchange(
+        &self,
+        message: &ServerRequest,
+        departure_reporter: &DepartureReporter,
+    ) -> ItemExchange {
         let answered = async {
-            match self.client.send(message).await {
+            let sent = self.client.send(message).await;
+            departure_reporter.read(message.id, &sent);
+            match sent {
                 Ok(response) => read_answer(response).await,
                 Err(failure) => {
                     let outcome = failed_outcome(failure.reason);
--- a/crates/host/src/batch/slot_relay.rs
+++ b/crates/host/src/batch/slot_relay.rs
@@ -4,7 +4,7 @@
 //! which backend server.
 
 use crate::peers::{PeerDirectory, PeerMessage};
-use crate::routing::{RoutingHandle, RoutingLocation, SlotEvent, SlotNotice};
+use crate::routing::{RoutingHandle, RoutingLocation, RoutingNotice, SlotEvent};
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -46,15 +46,23 @@
     }
 }
 
-/// Sends notices about slots that batch items occupy to the hosts concerned.
+/// Sends the notices of the routing task to the hosts concerned.
 pub(crate) struct SlotRelay {
     pub(crate) directory: PeerDirectory,
-    pub(crate) notices: mpsc::UnboundedReceiver<SlotNotice>,
+    pub(crate) notices: mpsc::UnboundedReceiver<RoutingNotice>,
 }
 
 impl SlotRelay {
     pub(crate) async fn run(mut self) {
         while let Some(notice) = self.notices.recv().await {
+            let notice = match notice {
+                RoutingNotice::Slot(notice) => notice,
+                RoutingNotice::Departure(announcement) => {
+                    let message = PeerMessage::Announcement(announcement);
+                    self.directory.broadcast(&message);
+                    continue;
+                }
+            };
             let message = match notice.event {
                 SlotEvent::Requested => PeerMessage::PreemptBatchItem(notice.server),
                 SlotEvent::Released => PeerMessage::SlotReleased(notice.server),
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -14,7 +14,7 @@
 use crate::platform::DrainFlag;
 use crate::quarantine::{QuarantineHandle, QuarantineTask, QuarantineTaskParts};
 use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
-use crate::routing::{RoutingHandle, RoutingLocation, SlotNotice};
+use crate::routing::{RoutingHandle, RoutingLocation, RoutingNotice};
 use crate::tombstones::{
     FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
 };
@@ -72,7 +72,7 @@
 struct BatchComponents<'a> {
     settings: &'a HostSettings,
     location: RoutingLocation,
-    notices: mpsc::UnboundedReceiver<SlotNotice>,
+    notices: mpsc::UnboundedReceiver<RoutingNotice>,
     directory: &'a PeerDirectory,
     replica: &'a ReplicaHandle,
     routing: &'a RoutingHandle,
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -188,6 +188,7 @@
             first_byte_timeout: timeouts.first_byte,
         };
         let sent = self.client.send(&message).await;
+        grant.departure_reporter().read(request.id, &sent);
         let response = sent.inspect_err(|failure| {
             grant.outcome = failed_outcome(failure.reason);
         })?;
--- a/crates/host/src/online_attempt/answer.rs
+++ b/crates/host/src/online_attempt/answer.rs
@@ -30,6 +30,7 @@
             || *name == CONTENT_LENGTH
             || *name == TRANSFER_ENCODING
             || name.as_str() == headers::SERVER_LOAD
+            || name.as_str() == headers::SERVER_LEAVING
             || name.as_str() == headers::SERVER_VERDICT;
         if !excluded {
             forwarded.append(name.clone(), value.clone());
@@ -78,17 +79,11 @@
 }
 
 fn stalled() -> ServerFailure {
-    ServerFailure {
-        verdict: RunVerdict::MayHaveRun,
-        reason: RetryReason::ServerSilent,
-        detail: "the backend server stopped sending".to_owned(),
-    }
+    let detail = "the backend server stopped sending";
+    ServerFailure::new(RunVerdict::MayHaveRun, RetryReason::ServerSilent, detail)
 }
 
 fn truncated(cause: &str) -> ServerFailure {
-    ServerFailure {
-        verdict: RunVerdict::MayHaveRun,
-        reason: RetryReason::ConnectionLost,
-        detail: format!("the answer ended early: {cause}"),
-    }
+    let detail = format!("the answer ended early: {cause}");
+    ServerFailure::new(RunVerdict::MayHaveRun, RetryReason::ConnectionLost, detail)
 }
--- a/crates/host/src/routing.rs
+++ b/crates/host/src/routing.rs
@@ -17,7 +17,7 @@
 
 pub(crate) use chicoryladder_policy::routing::WorkTarget;
 pub(crate) use handle::{
-    QueueParameters, RoutingHandle, RoutingLocation, ServerGrant, SlotEvent, SlotNotice,
-    SlotRequest, WorkKind,
+    DepartureReporter, QueueParameters, RoutingHandle, RoutingLocation, RoutingNotice, ServerGrant,
+    SlotEvent, SlotRequest, WorkKind,
 };
 pub(crate) use table::{ANNOUNCEMENT_LEASE, ServerView};
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -2,10 +2,13 @@
 
 use super::table::ServerView;
 use super::task::{RoutingChannels, RoutingTask};
+use chicoryladder_gateway::{ServerFailure, says_leaving};
 use chicoryladder_policy::queue::StreamKey;
 use chicoryladder_policy::routing::{PrefixHash, ServerKey, ServerOutcome, WorkTarget};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerAnnouncement, ServerGeneration, ServerLoad};
+use hyper::Response;
+use hyper::body::Incoming;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -55,6 +58,15 @@
     pub(crate) event: SlotEvent,
 }
 
+/// A message to other hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum RoutingNotice {
+    /// A message to one host about a slot.
+    Slot(SlotNotice),
+    /// To all hosts: a server said in a response that it leaves.
+    Departure(ServerAnnouncement),
+}
+
 /// The event that a [`SlotNotice`] reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SlotEvent {
@@ -87,6 +99,8 @@
     Announced(ServerAnnouncement),
     Requested(PendingSlot),
     Released(ReleasedSlot),
+    /// The server said in its response to a request that it leaves.
+    Departing(ServerKey, RequestId),
     Hosts(Vec<RoutingLocation>),
     /// The named host has an online request that needs a slot on the server.
     PreemptBatchItem(HostName, ServerName),
@@ -137,7 +151,41 @@
     pub(super) stop: oneshot::Receiver<()>,
 }
 
+/// Reports what the responses of one server say about it.
+#[derive(Clone)]
+pub(crate) struct DepartureReporter {
+    server: ServerKey,
+    events: mpsc::UnboundedSender<RoutingEvent>,
+}
+
+impl DepartureReporter {
+    /// Reads from the head of the response to a request whether the server leaves.
+    pub(crate) fn read(
+        &self,
+        request: RequestId,
+        sent: &Result<Response<Incoming>, ServerFailure>,
+    ) {
+        let is_leaving = match sent {
+            Ok(response) => says_leaving(response.headers()),
+            Err(failure) => failure.is_leaving,
+        };
+        if is_leaving {
+            // The channel is closed only after the host has stopped.
+            let _ = self
+                .events
+                .send(RoutingEvent::Departing(self.server, request));
+        }
+    }
+}
+
 impl ServerGrant {
+    pub(crate) fn departure_reporter(&self) -> DepartureReporter {
+        DepartureReporter {
+            server: self.server,
+            events: self.events.clone(),
+        }
+    }
+
     /// Resolves once a batch item is preempted and has to release its slot; never for
     /// an online request.
     pub(crate) async fn preempted(&mut self) {
@@ -176,7 +224,7 @@
     pub(crate) fn start(
         location: RoutingLocation,
         clock: Arc<dyn ClockSource>,
-        notices: mpsc::UnboundedSender<SlotNotice>,
+        notices: mpsc::UnboundedSender<RoutingNotice>,
         seed: [u8; 32],
     ) -> Self {
         let (events, receiver) = mpsc::unbounded_channel();
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -5,7 +5,7 @@
 use super::batch_slots::BatchSlots;
 use super::handle::{
     BatchCapacity, GrantSender, PendingSlot, ReleasedSlot, RoutingEvent, RoutingLocation,
-    ServerGrant, SlotEvent, SlotNotice, SlotRequest, WorkKind, no_server,
+    RoutingNotice, ServerGrant, SlotEvent, SlotNotice, SlotRequest, WorkKind, no_server,
 };
 use super::queues::{TargetQueue, TargetQueues, WaitingRequest};
 use super::table::RoutingTable;
@@ -28,7 +28,7 @@
 
 /// The channels of the routing task.
 pub(super) struct RoutingChannels {
-    pub(super) notices: mpsc::UnboundedSender<SlotNotice>,
+    pub(super) notices: mpsc::UnboundedSender<RoutingNotice>,
     pub(super) event_sender: mpsc::UnboundedSender<RoutingEvent>,
     pub(super) events: mpsc::UnboundedReceiver<RoutingEvent>,
 }
@@ -99,6 +99,7 @@
         match event {
             RoutingEvent::Announced(announcement) => self.table.announce(&announcement, now),
             RoutingEvent::Released(released) => self.release(&released, now),
+            RoutingEvent::Departing(key, request) => self.record_departure(key, request),
             RoutingEvent::Hosts(hosts) => self.table.set_hosts(hosts),
             RoutingEvent::PreemptBatchItem(requester, name) => self.preempt(requester, &name),
             RoutingEvent::OnlineDispatched(name) => self.record_online_dispatch(&name),
@@ -181,14 +182,31 @@
         if let (Some(receiver), Some(record)) = (requester, server) {
             let server = record.announcement().name.clone();
             // The channel is closed only while the host is stopping.
-            let _ = self.channels.notices.send(SlotNotice {
+            let notice = SlotNotice {
                 receiver,
                 server,
                 event: SlotEvent::Released,
-            });
+            };
+            let _ = self.channels.notices.send(RoutingNotice::Slot(notice));
         }
     }
 
+    /// Gives a server no more work that said that it leaves, and tells the other hosts.
+    fn record_departure(&mut self, key: ServerKey, request: RequestId) {
+        let Some(announcement) = self.table.servers().mark_leaving(key) else {
+            return;
+        };
+        log::info!(
+            "routing: server {} (generation {}) said in its answer to request {request} that \
+             it leaves.",
+            announcement.name,
+            announcement.generation.0
+        );
+        let notice = RoutingNotice::Departure(announcement);
+        // The channel is closed only while the host is stopping.
+        let _ = self.channels.notices.send(notice);
+    }
+
     fn record_service_time(&mut self, key: ServerKey, elapsed: Duration) {
         let Some(record) = self.table.servers().get(key) else {
             return;
--- a/crates/host/src/routing/task/preemption.rs
+++ b/crates/host/src/routing/task/preemption.rs
@@ -1,7 +1,7 @@
 //! Preemption of batch items in favour of online requests.
 
 use super::RoutingTask;
-use crate::routing::handle::{BatchGrant, SlotEvent, WorkKind};
+use crate::routing::handle::{BatchGrant, RoutingNotice, SlotEvent, WorkKind};
 use chicoryladder_policy::routing::{ServerKey, WorkTarget};
 use chicoryladder_types::prelude::*;
 use std::time::Instant;
@@ -27,7 +27,7 @@
             if let Some(notice) =
                 server.and_then(|key| table.slot_notice(key, SlotEvent::Requested))
             {
-                let _ = self.channels.notices.send(notice);
+                let _ = self.channels.notices.send(RoutingNotice::Slot(notice));
             }
         }
     }
@@ -40,7 +40,7 @@
     fn make_room(&mut self, key: ServerKey) {
         if let Some(notice) = self.table.slot_notice(key, SlotEvent::OnlineDispatched) {
             // The channel is closed only while the host is stopping.
-            let _ = self.channels.notices.send(notice);
+            let _ = self.channels.notices.send(RoutingNotice::Slot(notice));
         } else if self.table.is_overcommitted(key) {
             self.batch_slots
                 .preempt_youngest(None, |other| other == key);
--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -134,6 +134,17 @@
         AnnounceOutcome::Renewed
     }
 
+    /// Records that a server said itself that it leaves. Returns its announcement with that
+    /// change, unless it was known.
+    pub fn mark_leaving(&mut self, key: ServerKey) -> Option<ServerAnnouncement> {
+        let record = self.servers.get_mut(key).filter(|record| !record.leaving)?;
+        record.leaving = true;
+        Some(ServerAnnouncement {
+            leaving: true,
+            ..record.announcement.clone()
+        })
+    }
+
     /// Removes idle servers without a recent renewal and returns their names.
     pub fn expire(&mut self, now: Instant) -> Vec<ServerName> {
         let remove_after = self.times.remove_after;
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -117,6 +117,28 @@
     assert_eq!(fixture.choose(), RouteChoice::NoServer);
 }
 
+#[test]
+fn a_server_that_says_itself_that_it_leaves_gets_no_work_until_it_restarts() {
+    let mut fixture = Fixture::new(&[("a", 4), ("a", 4)]);
+    let key = fixture.key(0);
+    let known = fixture.table.mark_leaving(key).expect("the first mark");
+    assert!(known.leaving);
+    assert_eq!(fixture.table.mark_leaving(key), None);
+    // Its next announcement still says that it is ready.
+    fixture
+        .table
+        .announce(&announcement(0, "a", 4), fixture.now);
+    let used: HashSet<_> = (0..4).filter_map(|_| fixture.start()).collect();
+    assert_eq!(used, HashSet::from([1]));
+    let mut restarted = announcement(0, "a", 4);
+    restarted.generation = ServerGeneration(2);
+    fixture.table.announce(&restarted, fixture.now);
+    assert_eq!(fixture.table.mark_leaving(key), None);
+    // The other server is full by now.
+    let used: HashSet<_> = (0..4).filter_map(|_| fixture.start()).collect();
+    assert_eq!(used, HashSet::from([0]));
+}
+
 #[test]
 fn restart_replaces_the_server_and_old_incarnations_are_ignored() {
     let mut fixture = Fixture::new(&[("a", 4)]);
--- a/crates/standin/src/engine/handler.rs
+++ b/crates/standin/src/engine/handler.rs
@@ -91,6 +91,9 @@
         };
         let load = *self.reported_load.borrow();
         add_header(&mut response, headers::SERVER_LOAD, &load.to_string());
+        if self.faults.borrow().says_leaving {
+            add_header(&mut response, headers::SERVER_LEAVING, "1");
+        }
         Ok(response)
     }
 
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -12,6 +12,8 @@
     pub crash_on: Option<String>,
     /// Refuses each request with 503 and the verdict `not-run`.
     pub refuses: bool,
+    /// Says in each response that the server leaves, which its announcements do not.
+    pub says_leaving: bool,
     /// Responds to each request with the id and content of the previous request.
     pub mismatches_response: bool,
     /// Waits this long before each response.
--- a/crates/standin/src/service/handler.rs
+++ b/crates/standin/src/service/handler.rs
@@ -54,6 +54,9 @@
         let load = *self.load.borrow();
         add_header(&mut response, headers::SERVER_LOAD, &load.to_string());
         add_header(&mut response, headers::REQUEST_ID, id);
+        if self.faults.borrow().says_leaving {
+            add_header(&mut response, headers::SERVER_LEAVING, "1");
+        }
         Ok(response)
     }
 
--- a/crates/types/src/headers.rs
+++ b/crates/types/src/headers.rs
@@ -25,6 +25,10 @@
 /// `running=<count>;waiting=<count>`.
 pub const SERVER_LOAD: &str = "chicoryladder-load";
 
+/// Set to `1` by a backend server on every response while it leaves: it finishes its
+/// requests and is to be given no new ones. Other values are ignored.
+pub const SERVER_LEAVING: &str = "chicoryladder-server-leaving";
+
 /// The fencing number of a command to a backend server; see
 /// [`crate::FencingNumber`].
 pub const FENCING_NUMBER: &str = "chicoryladder-fencing";
--- a/src/commands/standin.rs
+++ b/src/commands/standin.rs
@@ -3,7 +3,9 @@
 use crate::error::CommandError;
 use crate::logging::start_logging;
 use bpaf::Bpaf;
-use chicoryladder_standin::{EngineOptions, EngineServer, PlainOptions, PlainServer, StandinError};
+use chicoryladder_standin::{
+    EngineOptions, EngineServer, FaultPlan, PlainOptions, PlainServer, StandinError,
+};
 use chicoryladder_types::{
     ClockSource, ModelName, ServerGeneration, ServerName, ServiceName, SystemClock, ZoneName,
 };
@@ -43,6 +45,8 @@
     /// Servers' port of an entry host to announce the server to; may be repeated
     #[bpaf(argument("ADDRESS"), some("name at least one --entry-host ADDRESS"))]
     entry_host: Vec<SocketAddr>,
+    /// Say in every response, but not in announcements, that the server leaves
+    says_leaving: bool,
 }
 
 /// The options of `standin engine`.
@@ -93,6 +97,7 @@
             zone,
             listen,
             entry_host,
+            says_leaving,
         } = self.server;
         let mut options = EngineOptions::new(name, zone, self.model);
         options.address = listen;
@@ -104,6 +109,7 @@
         let engine = EngineServer::start(options)
             .await
             .map_err(to_command_error)?;
+        engine.control().set_faults(fault_plan(says_leaving));
         println!("listening on {}", engine.address());
         wait_for_stop_signal().await?;
         engine.stop(STOP_GRACE).await;
@@ -118,6 +124,7 @@
             zone,
             listen,
             entry_host,
+            says_leaving,
         } = self.server;
         let mut options = PlainOptions::new(name, zone, self.service);
         options.address = listen;
@@ -126,6 +133,7 @@
         let service = PlainServer::start(options)
             .await
             .map_err(to_command_error)?;
+        service.control().set_faults(fault_plan(says_leaving));
         println!("listening on {}", service.address());
         wait_for_stop_signal().await?;
         service.stop().await;
@@ -133,6 +141,13 @@
     }
 }
 
+fn fault_plan(says_leaving: bool) -> FaultPlan {
+    FaultPlan {
+        says_leaving,
+        ..FaultPlan::default()
+    }
+}
+
 /// Returns the wall-clock time in milliseconds as a generation that increases with
 /// each start of the process.
 fn generation_from_clock() -> ServerGeneration {
--- a/tests/all/faults.rs
+++ b/tests/all/faults.rs
@@ -176,6 +176,25 @@
     fixture.fleet.stop().await;
 }
 
+/// Guards against a server that gets requests although its responses say that it leaves, as
+/// long as its announcements do not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_server_that_says_in_its_responses_that_it_leaves_gets_no_new_work() {
+    let fixture = FaultFixture::start().await;
+    fixture.engine().control().set_faults(FaultPlan {
+        says_leaving: true,
+        ..FaultPlan::default()
+    });
+    let before = fixture.engine().counters().received;
+    assert_all_served(&fixture.run().await);
+    tokio::time::sleep(LEAVE_LIMIT).await;
+    let received = fixture.engine().counters().received;
+    assert!(received > before, "no response said that the server leaves");
+    assert_all_served(&fixture.run().await);
+    assert_eq!(fixture.engine().counters().received, received);
+    fixture.fleet.stop().await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_request_that_crashes_servers_crashes_at_most_two() {
     let fixture = FaultFixture::start().await;
