--- a/crates/broker/src/departures.rs
+++ b/crates/broker/src/departures.rs
@@ -24,7 +24,7 @@
     Answer,
     /// A check-in of the server.
     CheckIn,
-    /// The call by which the server deregisters.
+    /// The call by which the server announces that it is gone.
     Notice,
 }
 
