Reset the connection of a caller without chunks when a body breaks off

To an HTTP/1.0 caller, a response of unknown length ends with its connection. Not seen in a record; the platform's callers speak HTTP/1.1.

a_broken_body_without_chunks_ends_with_a_reset failed before (the read ended without an error). A body that fails now sets a switch on the caller's stream, which then ends with a reset instead of an orderly close. Callers that know chunks see the missing last chunk, as before, and keep what was sent.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod body;
 mod body_reader;
 mod caller_requests;
+mod caller_stream;
 mod callers;
 mod completeness;
 mod credentials;
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -2,11 +2,13 @@
 
 use crate::answer::refusal_answer;
 use crate::body::AnswerBody;
+use crate::caller_stream::{CallerStream, ResetSwitch};
 use chicoryladder_types::prelude::*;
 use futures_util::future::BoxFuture;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use std::convert::Infallible;
@@ -149,7 +151,9 @@
         // are acknowledged.
         let _ = stream.set_nodelay(true);
         let service = self.service.clone();
-        let handler = service_fn(move |request| handle(service.clone(), request));
+        let switch = ResetSwitch::default();
+        let stream = CallerStream::new(stream, switch.clone());
+        let handler = service_fn(move |request| handle(service.clone(), request, switch.clone()));
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.header_timeout)
@@ -168,7 +172,20 @@
 async fn handle(
     service: Arc<dyn HttpService>,
     request: Request<Incoming>,
+    switch: ResetSwitch,
 ) -> Result<Response<AnswerBody>, Infallible> {
+    let knows_chunks = request.version() > Version::HTTP_10;
     let result = service.call(request).await;
-    Ok(result.unwrap_or_else(|refusal| refusal_answer(&refusal)))
+    let response = result.unwrap_or_else(|refusal| refusal_answer(&refusal));
+    if knows_chunks {
+        return Ok(response);
+    }
+    let reset_at_failure = move |body: AnswerBody| {
+        let body = body.map_err(move |error| {
+            switch.set();
+            error
+        });
+        body.boxed_unsync()
+    };
+    Ok(response.map(reset_at_failure))
 }
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used)]
 
 mod bad_input;
+mod broken_body;
 mod completeness;
 mod credentials;
 mod raw;
