Log whether a broken-off stream is resumed, and at which server it broke

stream_broken named no server for streams that can't be resumed, since their slot had been returned before; and a stream that went on at another server was counted as a refusal with reason answer_truncated, and logged like one that the caller lost. A resumed one is now logged as stream_interrupted and not counted as a refusal. The first test of broken_streams checks the line.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -643,9 +643,23 @@
         self.log.routine("served", &fields);
     }
 
+    /// Counts the end of a server's response that broke off.
+    pub(super) fn count_answer_end(&self, end: &AnswerEnd) {
+        self.metrics.count_answer_end(end.framing, end.within_event);
+    }
+
+    /// Records that a stream broke off and is to be resumed on another server.
+    pub(super) fn record_interruption(&self, state: &RequestState, cause: &str, end: &AnswerEnd) {
+        self.log_broken_stream("stream_interrupted", state, cause, end);
+    }
+
+    /// Records that a caller's response broke off.
     pub(super) fn record_broken_stream(&self, state: &RequestState, cause: &str, end: &AnswerEnd) {
         self.metrics.count_refusal(RefusalReason::AnswerTruncated);
-        self.metrics.count_answer_end(end.framing, end.within_event);
+        self.log_broken_stream("stream_broken", state, cause, end);
+    }
+
+    fn log_broken_stream(&self, event: &str, state: &RequestState, cause: &str, end: &AnswerEnd) {
         let now = self.clock.now();
         let elapsed = now.saturating_duration_since(state.request.arrived_at);
         let fields = json!({
@@ -659,7 +673,7 @@
             "elapsed_ms": elapsed.as_millis(),
             "runs": state.runs,
         });
-        self.log.note("stream_broken", &fields);
+        self.log.note(event, &fields);
     }
 }
 
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -142,8 +142,11 @@
                 RelayStep::End => return self.end(),
                 RelayStep::Broken(cause) => cause,
             };
-            if !self.fail_over(cause).await {
-                return Some(self.truncate(cause));
+            let end = self.answer_end();
+            self.context.forwarder.count_answer_end(&end);
+            self.end_broken_run(cause);
+            if !self.fail_over(cause, &end).await {
+                return Some(self.truncate(cause, &end));
             }
         }
     }
@@ -203,10 +206,9 @@
         }
     }
 
-    /// Resumes the stream after the last complete event on another server.
-    async fn fail_over(&mut self, cause: BreakCause) -> bool {
-        let end = self.answer_end();
-        // The connection must be closed before another server gets the stream.
+    /// Closes the connection to the server and returns its slot, before another server
+    /// gets the stream.
+    fn end_broken_run(&mut self, cause: BreakCause) {
         if let Some(RelayedRun { mut lease, .. }) = self.run.take() {
             if cause.suggests_crash(self.framing) {
                 lease.record_crash(self.context.state.fingerprint);
@@ -214,12 +216,16 @@
             self.context.state.avoid_server(&lease.server);
             lease.end(RunOutcome::Failed);
         }
+    }
+
+    /// Resumes the stream after the last complete event on another server.
+    async fn fail_over(&mut self, cause: BreakCause, end: &AnswerEnd) -> bool {
         let now = self.context.forwarder.clock.now();
         if !self.context.resumable || !self.context.state.may_retry(now) {
             return false;
         }
         let forwarder = self.context.forwarder.clone();
-        forwarder.record_broken_stream(&self.context.state, cause.as_str(), &end);
+        forwarder.record_interruption(&self.context.state, cause.as_str(), end);
         let last_event = self.sequencer.last_event();
         let resumed = forwarder.resume(&mut self.context.state, last_event).await;
         let Some((answer, lease)) = resumed else {
@@ -265,15 +271,10 @@
     }
 
     /// Aborts the response, so that the caller can tell that it is incomplete.
-    fn truncate(&mut self, cause: BreakCause) -> Result<Frame<Bytes>, BodyError> {
+    fn truncate(&mut self, cause: BreakCause, end: &AnswerEnd) -> Result<Frame<Bytes>, BodyError> {
         self.ended = true;
-        let end = self.answer_end();
-        self.context
-            .forwarder
-            .record_broken_stream(&self.context.state, cause.as_str(), &end);
-        if let Some(RelayedRun { lease, .. }) = self.run.take() {
-            lease.end(RunOutcome::Failed);
-        }
+        let forwarder = &self.context.forwarder;
+        forwarder.record_broken_stream(&self.context.state, cause.as_str(), end);
         Err(cause.as_str().into())
     }
 }
--- a/tests/fleet/broken_streams.rs
+++ b/tests/fleet/broken_streams.rs
@@ -33,6 +33,18 @@
     let answer = call.send().await.expect("an answer");
     assert!(!answer.complete, "{answer:?}");
     assert_eq!(fleet.runs.runs_of("cut").len(), 1);
+    fleet
+        .wait_until("the line tells the server and how it ended", || async {
+            let log = fleet.read_log(&entry);
+            let mut lines = log.lines().filter(|line| line.contains("stream_broken"));
+            let fields = [
+                r#""server":"raw-"#,
+                r#""until_close""#,
+                r#""within_event":true"#,
+            ];
+            lines.any(|line| fields.iter().all(|field| line.contains(field)))
+        })
+        .await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
