Let servers leave by their answers in the soak

All along the run one server at a time says in its answers that it leaves and restarts 1 to 2.5 s later, while its check-ins say that it is ready. At the end no request may have reached that incarnation more than 500 ms after its entry host had passed such an answer on, unless the host was paused or restarted since.

--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -42,6 +42,7 @@
 pub(crate) struct Run {
     pub(crate) id: String,
     pub(crate) server: String,
+    pub(crate) incarnation: u64,
     pub(crate) team: Option<String>,
     pub(crate) at: Instant,
     pub(crate) had_key: bool,
@@ -142,12 +143,21 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// The signature of the server's responses, which names its incarnation.
+    pub(crate) fn stamp(&self) -> String {
+        format!("stamp-{}-{}", self.name, self.incarnation())
+    }
+
     /// Says in every response from now on that the server leaves. Its check-ins still
     /// report the state `ready`.
     pub(crate) fn start_leaving_in_answers(&self) {
         self.leaving_in_answers.store(true, Ordering::Relaxed);
     }
 
+    pub(crate) fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Relaxed)
+    }
+
     /// Returns as a new incarnation, under the same name and at the same address.
     pub(crate) fn restart(&self) {
         self.leaving_in_answers.store(false, Ordering::Relaxed);
@@ -175,7 +185,7 @@
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
                 "version": "v1", "slots": SLOTS, "cold-remaining-ms": 0, "sequence": sequence,
-                "state": if leaving { "draining" } else { "ready" }, "born": self.incarnation.load(Ordering::Relaxed),
+                "state": if leaving { "draining" } else { "ready" }, "born": self.incarnation(),
             });
             let path = format!("/instances/{}/heartbeat", self.name);
             for address in &control {
@@ -209,6 +219,7 @@
         self.log.record(Run {
             id: id.clone(),
             server: self.name.clone(),
+            incarnation: self.incarnation(),
             team: text("x-tenant"),
             at: Instant::now(),
             had_key: head.headers.contains_key("authorization"),
@@ -221,7 +232,7 @@
         }
         let mut response = Response::builder()
             .header("x-request-id", &id)
-            .header("x-server-stamp", format!("stamp-{}", self.name));
+            .header("x-server-stamp", self.stamp());
         if self.leaving_in_answers.load(Ordering::Relaxed) {
             response = response.header(LEAVING_FIELD, "1");
         }
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -6,7 +6,7 @@
 //! `FLEET_SOAK_SECONDS` the duration per seed. By default, `SHORT_SEED` and the seeds in
 //! `REGRESSIONS`, which failed before, run for `SHORT_SECONDS` each.
 
-use crate::servers::{event_data, stream_text};
+use crate::servers::{LEAVING_FIELD, Server, event_data, stream_text};
 use crate::world::{ProcessFleet, Role};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -30,6 +30,10 @@
 const STREAM_EVENTS: u64 = 12;
 const ITEM_EVENTS: u64 = 40;
 
+/// The time within which requests that wait when a host learns of a departure may still
+/// reach the server.
+const DRAIN_TIME: Duration = Duration::from_millis(500);
+
 /// A fault to inject.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -65,6 +69,11 @@
     at_most_once: Arc<Mutex<Vec<(String, bool)>>>,
     violations: Arc<Mutex<Vec<String>>>,
     served: Arc<Mutex<u32>>,
+    /// The responses that said that their server leaves: the entry host, the signature of
+    /// the server and the time.
+    departures: Arc<Mutex<Vec<(String, String, Instant)>>>,
+    /// The entry hosts that were paused or restarted, which may forget departures.
+    interruptions: Arc<Mutex<Vec<(String, Instant)>>>,
 }
 
 impl Observations {
@@ -102,6 +111,7 @@
                     let mut call = template.clone();
                     call.fields.retain(|(name, _)| *name != "x-request-id");
                     let answer = call.field("x-request-id", &id).send().await;
+                    record_departure(&observations, &entry, answer.as_ref());
                     check_answer(&observations, kind, &id, answer.as_ref());
                     tokio::time::sleep(Duration::from_millis(30)).await;
                 }
@@ -110,6 +120,52 @@
     }
 }
 
+fn record_departure(
+    observations: &Observations,
+    entry: &str,
+    answer: Option<&crate::client::Answer>,
+) {
+    let leaving = answer.filter(|answer| answer.headers.contains_key(LEAVING_FIELD));
+    let stamp = leaving.and_then(|answer| answer.headers.get("x-server-stamp"));
+    if let Some(stamp) = stamp.and_then(|stamp| stamp.to_str().ok()) {
+        let departure = (entry.to_owned(), stamp.to_owned(), Instant::now());
+        lock(&observations.departures).push(departure);
+    }
+}
+
+/// Lets one server at a time say in its responses that it leaves, and restarts it.
+async fn run_departures(servers: Vec<Server>, seed: u64, deadline: Instant) {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    while Instant::now() < deadline {
+        let server = &servers[rng.random_range(0..servers.len())];
+        server.start_leaving_in_answers();
+        tokio::time::sleep(Duration::from_millis(rng.random_range(1_000..2_500))).await;
+        server.restart();
+    }
+}
+
+/// Checks that no request reached a server after its entry host had passed on a response
+/// that said that the server leaves, unless the host was interrupted since.
+fn check_departures(fleet: &ProcessFleet, observations: &Observations) {
+    let interruptions = lock(&observations.interruptions).clone();
+    for (entry, stamp, passed_at) in lock(&observations.departures).iter() {
+        let is_late = |run: &&crate::servers::Run| {
+            run.id.starts_with(entry)
+                && *stamp == format!("stamp-{}-{}", run.server, run.incarnation)
+                && run.at > *passed_at + DRAIN_TIME
+        };
+        for run in fleet.runs.all().iter().filter(is_late) {
+            let is_excused = interruptions
+                .iter()
+                .any(|(host, at)| host == entry && (*passed_at..run.at).contains(at));
+            if !is_excused {
+                let text = format!("{} reached the leaving {stamp}", run.id);
+                observations.record_violation(text);
+            }
+        }
+    }
+}
+
 fn check_answer(
     observations: &Observations,
     kind: &str,
@@ -145,6 +201,7 @@
     let deadline = Instant::now() + length;
     let mut callers = JoinSet::new();
     start_callers(&fleet, &observations, deadline, &mut callers);
+    callers.spawn(run_departures(fleet.servers.clone(), seed, deadline));
     let mut jobs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     let mut acknowledged = 0;
     let mut wiped_at: HashMap<&str, Instant> = HashMap::new();
@@ -154,7 +211,9 @@
         acknowledged = change_plan(&mut fleet, acknowledged, &observations).await;
         let fault = draw_fault(&mut rng);
         injected.push(format!("{fault:?}"));
-        inject_fault(&mut fleet, fault, &mut rng, &mut wiped_at).await;
+        let interrupted = inject_fault(&mut fleet, fault, &mut rng, &mut wiped_at).await;
+        let interrupted = interrupted.map(|host| (host, Instant::now()));
+        lock(&observations.interruptions).extend(interrupted);
         let pause = rng.random_range(100..900);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         fleet.faults.heal();
@@ -162,6 +221,7 @@
     while callers.join_next().await.is_some() {}
     fleet.faults.heal();
     check_final_state(&fleet, &jobs, acknowledged, &observations).await;
+    check_departures(&fleet, &observations);
     let violations = lock(&observations.violations).clone();
     if !violations.is_empty() {
         fleet.save_logs();
@@ -215,12 +275,13 @@
     acknowledged
 }
 
+/// Injects a fault. Returns the host that it paused or restarted.
 async fn inject_fault(
     fleet: &mut ProcessFleet,
     fault: Fault,
     rng: &mut ChaCha8Rng,
     wiped_at: &mut HashMap<&'static str, Instant>,
-) {
+) -> Option<String> {
     let mut pick = |fleet: &ProcessFleet, role| {
         let names = fleet.host_names(role);
         names[rng.random_range(0..names.len())].clone()
@@ -231,6 +292,7 @@
             fleet.kill(&name);
             tokio::time::sleep(Duration::from_millis(200)).await;
             fleet.start_process(&name, false);
+            return Some(name);
         }
         Fault::Wipe(role) => {
             // Each group tolerates the loss of one disk at a time and needs time to repair
@@ -254,6 +316,7 @@
             fleet.send_signal(&name, "STOP");
             tokio::time::sleep(Duration::from_millis(1_500)).await;
             fleet.send_signal(&name, "CONT");
+            return Some(name);
         }
         Fault::Stop(role) => {
             let name = pick(fleet, role);
@@ -265,6 +328,7 @@
                 fleet.kill(&name);
             }
             fleet.start_process(&name, false);
+            return Some(name);
         }
         Fault::Cut { both_ways } => {
             let role = [Role::Control, Role::Store][usize::from(both_ways)];
@@ -280,6 +344,7 @@
         }
         Fault::Delay => fleet.faults.delay(Duration::from_millis(40)),
     }
+    None
 }
 
 /// Checks the final state: every item of every job has one correct result, no plan is
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -82,6 +82,7 @@
     log.record(Run {
         id: id.clone(),
         server: server.to_owned(),
+        incarnation: 1,
         team: None,
         at: Instant::now(),
         had_key: request.fields.contains_key("authorization"),
@@ -126,6 +127,7 @@
         log.record(Run {
             id: format!("{id}-closed"),
             server: server.to_owned(),
+            incarnation: 1,
             team: None,
             at: Instant::now(),
             had_key: false,
