Keep the departures to report apart from the marks

Each slot request looked through all marks of the host, up to 4,096, for those that the broker had not been told of. They are a list of their own now, bounded as well, which is empty for nearly every request.

--- a/crates/broker/src/departures.rs
+++ b/crates/broker/src/departures.rs
@@ -53,13 +53,14 @@
 struct LeavingMark {
     incarnation: u64,
     seen_at: Instant,
-    is_reported: bool,
 }
 
 /// The servers that said in their responses that they leave.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingServers {
     marks: HashMap<ServerName, LeavingMark>,
+    /// The marks that the broker has not been told of.
+    unreported: Vec<DepartureReport>,
 }
 
 impl LeavingServers {
@@ -79,9 +80,14 @@
         let mark = LeavingMark {
             incarnation,
             seen_at: now,
-            is_reported: false,
         };
         self.marks.insert(server.clone(), mark);
+        if self.unreported.len() < MARKS_MAX {
+            self.unreported.push(DepartureReport {
+                server: server.clone(),
+                incarnation,
+            });
+        }
         true
     }
 
@@ -104,30 +110,20 @@
         }
     }
 
-    /// Returns the marks that the broker has not been told of, and counts them as reported.
+    /// Takes the reports that the broker has not received.
     pub fn take_reports(&mut self) -> Vec<DepartureReport> {
-        let mut reports = Vec::new();
-        for (server, mark) in &mut self.marks {
-            if !mark.is_reported {
-                mark.is_reported = true;
-                reports.push(DepartureReport {
-                    server: server.clone(),
-                    incarnation: mark.incarnation,
-                });
-            }
-        }
-        reports
+        std::mem::take(&mut self.unreported)
     }
 
-    /// Returns reports that did not arrive, for the next message.
+    /// Returns reports that did not arrive, for the next message. Those of marks that ended
+    /// meanwhile are dropped.
     pub fn return_reports(&mut self, reports: &[DepartureReport]) {
-        for report in reports {
-            if let Some(mark) = self.marks.get_mut(&report.server)
-                && mark.incarnation == report.incarnation
-            {
-                mark.is_reported = false;
-            }
-        }
+        let is_current = |report: &&DepartureReport| {
+            let mark = self.marks.get(&report.server);
+            mark.is_some_and(|mark| mark.incarnation == report.incarnation)
+        };
+        let current: Vec<_> = reports.iter().filter(is_current).cloned().collect();
+        self.unreported.extend(current);
     }
 
     /// The number of marks.
