--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -593,7 +593,7 @@
         }
     }
 
-    /// Ends an attempt whose response did not begin.
+    /// Ends an attempt that got no complete response.
     fn end_failed_attempt(
         &self,
         state: &mut RequestState,
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -83,14 +83,18 @@
     address: SocketAddr,
     sender: RequestSender,
     idle_timeout: Option<Duration>,
+    /// Whether the connection outlasts the response.
+    is_reusable: bool,
     pool: ConnectionPool,
 }
 
 impl PooledConnection {
-    /// Returns the connection for reuse. Call only after the response was read completely.
+    /// Returns the connection for reuse, if it can be reused. Call only after the response was read completely.
     pub(crate) fn return_to_pool(self) {
-        self.pool
-            .put_idle(self.address, self.sender, self.idle_timeout);
+        if self.is_reusable {
+            self.pool
+                .put_idle(self.address, self.sender, self.idle_timeout);
+        }
     }
 }
 
@@ -212,6 +216,7 @@
             address: request.address,
             sender,
             idle_timeout: head.idle_timeout,
+            is_reusable: framing != BodyFraming::UntilClose,
             pool: self.pool.clone(),
         };
         Ok(ServerAnswer {
