Refuse waiting requests at once when the last server leaves

Requests that waited for a slot of a service whose last server left or was lost waited on until their time to the first answer was over, though new requests were refused at once with no_server.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -420,6 +420,7 @@
         self.remove_lost_requesters(now);
         self.mark_lost_servers(now);
         self.remove_expired_servers(now);
+        self.refuse_unservable();
         self.expire_waiting(now);
         self.supersede_for_waiting(now);
         self.dispatch_all(now);
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -1,9 +1,11 @@
 //! What happens by the passage of time: silent hosts and servers, and requests that waited
 //! for too long.
 
-use super::{ServerEntry, SlotBroker, jittered_delay};
+use super::{NO_SERVER_RETRY, ServerEntry, SlotBroker, jittered_delay};
 use crate::grants::{ServerKey, SlotGrant};
+use crate::pool::ServicePool;
 use crate::request::{RequesterId, SlotRefusalReason, WorkKind};
+use chicoryladder_types::ServiceName;
 use std::time::{Duration, Instant};
 
 /// The silence after which a host that runs batch items loses their slots to the next one
@@ -103,6 +105,26 @@
         }
     }
 
+    /// Refuses the online requests that wait for a service whose last server has left or
+    /// was lost, as new ones are.
+    pub(super) fn refuse_unservable(&mut self) {
+        let has_waiting = |pool: &ServicePool| !pool.online.is_empty();
+        let waiting = self.services.iter().filter(|(_, pool)| has_waiting(pool));
+        let services: Vec<ServiceName> = waiting.map(|(name, _)| name.clone()).collect();
+        for service in services {
+            if self.has_servers(&service) {
+                continue;
+            }
+            let queue = std::mem::take(&mut self.pool(&service).online);
+            for waiting in queue.into_values() {
+                self.refund(waiting.request.charged_team.as_ref());
+                let reason = SlotRefusalReason::NoServer;
+                let ticket = waiting.request.ticket;
+                self.refuse(&waiting.requester, ticket, reason, NO_SERVER_RETRY);
+            }
+        }
+    }
+
     pub(super) fn expire_waiting(&mut self, now: Instant) {
         let mut expired = Vec::new();
         for pool in self.services.values_mut() {
--- a/crates/broker/tests/all/departures.rs
+++ b/crates/broker/tests/all/departures.rs
@@ -2,7 +2,7 @@
 //! the broker makes of its reports. Pattern: many servers replaced at once, while check-ins
 //! are late and hosts out of touch.
 
-use crate::support::{BrokerFixture, check_in, granted};
+use crate::support::{BrokerFixture, check_in, granted, refused_after};
 use chicoryladder_broker::{BrokerlessView, LeavingServers, RunOutcome, ServerCheckIn, WorkKind};
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -118,6 +118,18 @@
     assert_eq!(granted(&events).as_deref(), Some("a2"));
 }
 
+/// Pattern: all servers of a service leave during a burst. Requests that wait for one of
+/// their slots are refused at once, as new ones are.
+#[test]
+fn waiting_requests_are_refused_when_the_last_server_leaves() {
+    let mut fixture = BrokerFixture::new(&[("a1", "a"), ("a2", "a")], Vec::new());
+    while granted(&fixture.request_online()).is_some() {}
+    fixture.broker.mark_leaving(&name("a1"), Some(1));
+    assert_eq!(refused_after(&fixture.tick(Duration::ZERO)), None);
+    fixture.broker.mark_leaving(&name("a2"), Some(1));
+    assert!(refused_after(&fixture.tick(Duration::ZERO)).is_some());
+}
+
 #[test]
 fn a_returned_slot_tells_the_broker_that_its_server_leaves() {
     let mut fixture = BrokerFixture::new(&[("a1", "a")], Vec::new());
