--- a/tests/fleet/broken_streams.rs
+++ b/tests/fleet/broken_streams.rs
@@ -1,6 +1,6 @@
 //! Responses that end with their connection: complete, broken off and reset ones.
 
-use crate::client::Call;
+use crate::client::{Answer, Call};
 use crate::servers::{event_data, stream_text};
 use crate::unframed::{
     CRASH_TWICE_PATH, CUT_JSON_PATH, CUT_PATH, EVENTS_BEFORE_CUT, GAP_PATH, RESET_PATH, STALL_PATH,
@@ -16,21 +16,24 @@
     let entry = fleet.host_names(Role::Entry)[0].clone();
     fleet
         .wait_until("the servers without framing are known", || async {
-            let probe = fleet.caller_request(&entry, "/raw-walk/1", "probe");
-            let answer = probe.send().await;
-            answer.is_some_and(|answer| answer.status.is_success())
+            let answer = send(&fleet, &entry, "/raw-walk/1", "probe").await;
+            answer.status.is_success()
         })
         .await;
     (fleet, entry)
 }
 
+async fn send(fleet: &ProcessFleet, entry: &str, path: &str, id: &str) -> Answer {
+    let call = fleet.caller_request(entry, path, id);
+    call.send().await.expect("an answer")
+}
+
 /// Guards against streams that a crash broke off and that callers got as complete.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_its_connection_ends_within_an_event_is_not_complete() {
     let (fleet, entry) = start_fleet().await;
     let path = format!("/raw-walk/7{CUT_PATH}");
-    let call = fleet.caller_request(&entry, &path, "cut");
-    let answer = call.send().await.expect("an answer");
+    let answer = send(&fleet, &entry, &path, "cut").await;
     assert!(!answer.complete, "{answer:?}");
     assert_eq!(fleet.runs.runs_of("cut").len(), 1);
     fleet
@@ -51,8 +54,7 @@
 async fn a_stream_that_its_connection_ends_between_events_is_complete() {
     let (fleet, entry) = start_fleet().await;
     for route in ["raw-walk", "raw-rules"] {
-        let call = fleet.caller_request(&entry, &format!("/{route}/7"), route);
-        let answer = call.send().await.expect("an answer");
+        let answer = send(&fleet, &entry, &format!("/{route}/7"), route).await;
         assert!(answer.complete, "{answer:?}");
         assert_eq!(answer.text(), stream_text(route, 7));
     }
@@ -62,8 +64,7 @@
 async fn a_stream_whose_connection_is_reset_is_not_complete() {
     let (fleet, entry) = start_fleet().await;
     let path = format!("/raw-walk/7{RESET_PATH}");
-    let call = fleet.caller_request(&entry, &path, "reset");
-    let answer = call.send().await.expect("an answer");
+    let answer = send(&fleet, &entry, &path, "reset").await;
     assert!(!answer.complete, "{answer:?}");
     assert_eq!(answer.text(), stream_text("reset", EVENTS_BEFORE_CUT));
 }
@@ -74,8 +75,7 @@
 async fn a_resumable_stream_that_its_connection_ends_within_an_event_is_resumed() {
     let (fleet, entry) = start_fleet().await;
     let path = format!("/raw-rules/7{CUT_PATH}");
-    let call = fleet.caller_request(&entry, &path, "resumed");
-    let answer = call.send().await.expect("an answer");
+    let answer = send(&fleet, &entry, &path, "resumed").await;
     assert!(answer.complete, "{answer:?}");
     assert_eq!(answer.text(), stream_text("resumed", 7));
     let runs = fleet.runs.runs_of("resumed");
@@ -88,12 +88,11 @@
 async fn crashes_of_resumed_runs_count_for_the_quarantine() {
     let (fleet, entry) = start_fleet().await;
     let path = format!("/raw-rules/7{CRASH_TWICE_PATH}");
-    let first = fleet.caller_request(&entry, &path, "crash-first");
-    assert!(!first.send().await.expect("an answer").complete);
+    let first = send(&fleet, &entry, &path, "crash-first").await;
+    assert!(!first.complete);
     fleet
         .wait_until("the request is quarantined", || async {
-            let again = fleet.caller_request(&entry, &path, "crash-again");
-            again.send().await;
+            send(&fleet, &entry, &path, "crash-again").await;
             let log = fleet.read_log(&entry);
             let mut lines = log.lines().filter(|line| line.contains("crash-again"));
             lines.any(|line| line.contains("\"quarantined\""))
@@ -108,8 +107,7 @@
 async fn a_stalled_run_is_ended_before_its_stream_is_resumed() {
     let (fleet, entry) = start_fleet().await;
     let path = format!("/raw-rules/7{STALL_PATH}");
-    let call = fleet.caller_request(&entry, &path, "stalled");
-    let answer = call.send().await.expect("an answer");
+    let answer = send(&fleet, &entry, &path, "stalled").await;
     assert_eq!(answer.text(), stream_text("stalled", 7));
     let resumed_at = fleet.runs.runs_of("stalled")[1].at;
     let closed = fleet.runs.runs_of("stalled-closed");
@@ -123,8 +121,7 @@
 async fn a_stream_whose_last_event_follows_a_gap_is_resumed() {
     let (fleet, entry) = start_fleet().await;
     let path = format!("/raw-rules/{}{GAP_PATH}", EVENTS_BEFORE_CUT + 2);
-    let call = fleet.caller_request(&entry, &path, "gap");
-    let answer = call.send().await.expect("an answer");
+    let answer = send(&fleet, &entry, &path, "gap").await;
     assert!(answer.complete, "{answer:?}");
     assert_eq!(answer.text(), stream_text("gap", EVENTS_BEFORE_CUT + 2));
 }
@@ -134,8 +131,7 @@
 async fn a_json_body_that_its_connection_ends_early_is_not_delivered() {
     let (fleet, entry) = start_fleet().await;
     let path = format!("/raw-ping/1{CUT_JSON_PATH}");
-    let call = fleet.caller_request(&entry, &path, "json");
-    let answer = call.send().await.expect("an answer");
+    let answer = send(&fleet, &entry, &path, "json").await;
     assert_eq!(answer.status.as_u16(), 502, "{answer:?}");
 }
 
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for backend servers that record every request they run.
 
 use crate::client::Call;
-use crate::unframed;
+use crate::unframed::{self, UNFRAMED_SERVICE};
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -97,32 +97,6 @@
         control: Vec<SocketAddr>,
         log: RunLog,
     ) -> Self {
-        let (server, listener) = Self::bind(name, service, zone, log).await;
-        tokio::spawn(server.clone().listen(listener));
-        tokio::spawn(server.clone().check_in(control));
-        server
-    }
-
-    /// Starts a server whose responses have neither a length nor chunks.
-    pub(crate) async fn start_unframed(
-        name: &str,
-        service: &'static str,
-        zone: &str,
-        control: Vec<SocketAddr>,
-        log: RunLog,
-    ) -> Self {
-        let (server, listener) = Self::bind(name, service, zone, log).await;
-        tokio::spawn(unframed::listen(listener, server.clone()));
-        tokio::spawn(server.clone().check_in(control));
-        server
-    }
-
-    async fn bind(
-        name: &str,
-        service: &'static str,
-        zone: &str,
-        log: RunLog,
-    ) -> (Self, TcpListener) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let server = Self {
             name: name.to_owned(),
@@ -135,7 +109,13 @@
             leaving_in_answers: Arc::default(),
             leaving_acknowledged: Arc::default(),
         };
-        (server, listener)
+        if service == UNFRAMED_SERVICE {
+            tokio::spawn(unframed::listen(listener, server.clone()));
+        } else {
+            tokio::spawn(server.clone().listen(listener));
+        }
+        tokio::spawn(server.clone().check_in(control));
+        server
     }
 
     /// Reports the state `draining` from the next check-in on.
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -8,6 +8,9 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 
+/// The service whose servers these are.
+pub(crate) const UNFRAMED_SERVICE: &str = "raw";
+
 /// The path suffix at which the stream of a first run ends within an event, and the server
 /// closes the connection in order.
 pub(crate) const CUT_PATH: &str = "/cut";
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -3,6 +3,7 @@
 use crate::client::{Answer, Call};
 use crate::proxy::{LinkFaults, run_proxy};
 use crate::servers::{CHECK_IN_INTERVAL, RunLog, Server};
+use crate::unframed::UNFRAMED_SERVICE;
 use hyper::Method;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -477,18 +478,18 @@
             let name = format!("raw-{number}");
             let zone = format!("zone-{number}");
             let runs = self.runs.clone();
-            let server = Server::start_unframed(&name, "raw", &zone, control, runs).await;
+            let server = Server::start(&name, UNFRAMED_SERVICE, &zone, control, runs).await;
             self.servers.push(server);
         }
         let mut plan = self.next_plan(&["k1"]);
         let services = plan["services"].as_array_mut().expect("a list");
-        services.push(json!({"name": "raw", "max-connections": 200}));
+        services.push(json!({"name": UNFRAMED_SERVICE, "max-connections": 200}));
         let routes = plan["routes"].as_array().expect("a list").clone();
         let raw_routes = routes.into_iter().map(|mut route| {
             let name = format!("raw-{}", route["name"].as_str().expect("a name"));
             route["path-prefix"] = json!(format!("/{name}/"));
             route["name"] = json!(name);
-            route["service"] = json!("raw");
+            route["service"] = json!(UNFRAMED_SERVICE);
             route
         });
         let raw_routes: Vec<Value> = raw_routes.collect();
