--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -477,9 +477,14 @@
             tokio::spawn(async move {
                 let departure = (server.clone(), incarnation);
                 let source = DepartureSource::Answer;
-                // A lost proposal is made up for by the server's own notice.
-                let _ = shared.record_departure(server, incarnation, source).await;
+                let reply = shared.record_departure(server, incarnation, source).await;
                 shared.state().departing.remove(&departure);
+                if !matches!(reply, GroupReply::Answer(_)) {
+                    // The next leader learns it from the server or from another report.
+                    let (server, incarnation) = departure;
+                    let fields = json!({ "server": server, "born": incarnation });
+                    shared.log.note("departure_not_recorded", &fields);
+                }
             });
         }
     }
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -89,7 +89,8 @@
 }
 
 impl PooledConnection {
-    /// Returns the connection for reuse, if it can be reused. Call only after the response was read completely.
+    /// Returns the connection for reuse, if it outlasts the response. Call only after the
+    /// response was read completely.
     pub(crate) fn return_to_pool(self) {
         if self.is_reusable {
             self.pool
