Read a server's statement that it leaves by one function

The adapter and the gateway parsed the header in the same way, each under its own name. The gateway's function takes the name now; values are read as before (adapter test and whole-system tests of both interfaces unchanged).

--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -187,18 +187,19 @@
         let detail = "the backend server refused the request before it ran";
         let failure = ServerFailure::new(RunVerdict::NotRun, RetryReason::ServerRefused, detail);
         return Err(ServerFailure {
-            is_leaving: says_leaving(response.headers()),
+            is_leaving: says_leaving(response.headers(), headers::SERVER_LEAVING),
             ..failure
         });
     }
     Ok(())
 }
 
-/// Whether a server states in a response that it leaves: by the value `1`, also if the
-/// field occurs more than once or holds a list.
+/// Whether a server states in a response that it leaves: by the value `1` of the field
+/// `name`, also if the field occurs more than once or holds a list. Any other value is
+/// ignored.
 #[must_use]
-pub fn says_leaving(fields: &HeaderMap) -> bool {
-    let values = fields.get_all(headers::SERVER_LEAVING).iter();
+pub fn says_leaving(fields: &HeaderMap, name: &str) -> bool {
+    let values = fields.get_all(name).iter();
     let mut items = values.flat_map(|value| value.as_bytes().split(|byte| *byte == b','));
     items.any(|item| item.trim_ascii() == b"1")
 }
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -6,7 +6,7 @@
 use chicoryladder_policy::queue::StreamKey;
 use chicoryladder_policy::routing::{PrefixHash, ServerKey, ServerOutcome, WorkTarget};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServerAnnouncement, ServerGeneration, ServerLoad};
+use chicoryladder_types::{ServerAnnouncement, ServerGeneration, ServerLoad, headers};
 use hyper::Response;
 use hyper::body::Incoming;
 use std::net::SocketAddr;
@@ -166,7 +166,7 @@
         sent: &Result<Response<Incoming>, ServerFailure>,
     ) {
         let is_leaving = match sent {
-            Ok(response) => says_leaving(response.headers()),
+            Ok(response) => says_leaving(response.headers(), headers::SERVER_LEAVING),
             Err(failure) => failure.is_leaving,
         };
         if is_leaving {
