Look servers up once when a slot is released or a queue refused

release() looked the server up again after marking it as leaving, and refuse_unservable listed services only to skip most of them. Two comments are made true: a mark's age counts only when there is no room, and a line over the width. No behaviour changes.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -1,9 +1,9 @@
 //! Server selection on a host that cannot reach the broker.
 //!
 //! Such a host uses the last server directory that it received, its own runs, the
-//! servers that it recently failed to reach, and those that told it that they leave. When the broker is unreachable,
-//! other zones may be as well, so servers of the host's own zone are preferred
-//! while one of them has a free slot.
+//! servers that it recently failed to reach, and those that told it that they leave.
+//! When the broker is unreachable, other zones may be as well, so servers of the host's
+//! own zone are preferred while one of them has a free slot.
 
 use crate::departures::LeavingServers;
 use crate::directory::{ServerCheckIn, ServerPhase};
--- a/crates/broker/src/departures.rs
+++ b/crates/broker/src/departures.rs
@@ -13,8 +13,8 @@
 /// The maximum number of marks; the oldest are dropped first.
 const MARKS_MAX: usize = 4_096;
 
-/// The time after the latest response of a leaving server for which its mark is kept. A
-/// server that leaves ends within seconds.
+/// The time after the latest response of a leaving server from which its mark is dropped if
+/// there is no room for another one. A server that leaves ends within seconds.
 const MARK_MAX_AGE: Duration = Duration::from_secs(600);
 
 /// How it became known that a server leaves.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -351,14 +351,11 @@
             return;
         };
         record_outcome(&mut entry.record, report, now);
+        let service = entry.record.check_in.service.clone();
         if report.outcome == RunOutcome::Leaving {
             let name = entry.record.check_in.name.clone();
             self.mark_leaving(&name, None);
         }
-        let Some(entry) = self.servers.get(grant.server) else {
-            return;
-        };
-        let service = entry.record.check_in.service.clone();
         let pool = self.pool(&service);
         if let Some(first_answer) = report.first_answer {
             pool.averages.record_first_answer(first_answer);
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -3,7 +3,6 @@
 
 use super::{NO_SERVER_RETRY, ServerEntry, SlotBroker, jittered_delay};
 use crate::grants::{ServerKey, SlotGrant};
-use crate::pool::ServicePool;
 use crate::request::{RequesterId, SlotRefusalReason, WorkKind};
 use chicoryladder_types::ServiceName;
 use std::time::{Duration, Instant};
@@ -108,13 +107,10 @@
     /// Refuses the online requests that wait for a service whose last server has left or
     /// was lost, as new ones are.
     pub(super) fn refuse_unservable(&mut self) {
-        let has_waiting = |pool: &ServicePool| !pool.online.is_empty();
-        let waiting = self.services.iter().filter(|(_, pool)| has_waiting(pool));
-        let services: Vec<ServiceName> = waiting.map(|(name, _)| name.clone()).collect();
+        let waiting = self.services.iter().filter(|(_, p)| !p.online.is_empty());
+        let unservable = waiting.filter(|(name, _)| !self.has_servers(name));
+        let services: Vec<ServiceName> = unservable.map(|(name, _)| name.clone()).collect();
         for service in services {
-            if self.has_servers(&service) {
-                continue;
-            }
             let queue = std::mem::take(&mut self.pool(&service).online);
             for waiting in queue.into_values() {
                 self.refund(waiting.request.charged_team.as_ref());
