Keep all state of a relayed run in one value

The relay kept framing and position of a response beside its run, set them at two places in the same way, and carried a flag for the end next to the run that was gone by then. A run now owns them and is built by one function; that there is none is the end of the response, and the server in the log line of a broken stream is always known.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -65,8 +65,7 @@
     pub(super) within_event: Option<bool>,
     /// The last complete event of a resumable stream.
     pub(super) last_event: Option<u64>,
-    /// The server, unless its slot was returned before.
-    pub(super) server: Option<ServerName>,
+    pub(super) server: ServerName,
 }
 
 /// Forwards requests to backend servers.
@@ -507,7 +506,7 @@
             framing,
             within_event: is_event_stream(&parts.headers).then_some(false),
             last_event: None,
-            server: Some(lease.server.clone()),
+            server: lease.server.clone(),
         };
         self.record_served(state, &lease, status, state.runs + 1, &end);
         lease.end(outcome_of(status));
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -16,9 +16,9 @@
 use chicoryladder_plan::RouteKind;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
+use hyper::StatusCode;
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_TYPE;
-use hyper::{HeaderMap, StatusCode};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -74,23 +74,53 @@
 pub(super) struct EventRelay {
     context: RelayContext,
     status: StatusCode,
-    framing: BodyFraming,
+    /// The run that is relayed; `None` once the response has ended.
     run: Option<RelayedRun>,
     /// The events of a resumable stream.
     sequencer: EventSequencer,
-    /// The position in the server's events; `None` if the response has none.
-    boundary: Option<EventBoundary>,
-    ended: bool,
 }
 
 /// A run whose response is being read. Dropping it closes the connection, which ends the
 /// run on the server.
 struct RelayedRun {
     body: Incoming,
+    framing: BodyFraming,
+    /// The position in the server's events; `None` if the response has none.
+    boundary: Option<EventBoundary>,
     connection: PooledConnection,
     lease: SlotLease,
 }
 
+impl RelayedRun {
+    /// A response without a type has events if its route is for streams.
+    fn new(answer: ServerAnswer, lease: SlotLease, kind: RouteKind) -> Self {
+        let fields = &answer.parts.headers;
+        let is_untyped_stream = kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE);
+        let has_events = is_untyped_stream || is_event_stream(fields);
+        Self {
+            body: answer.body,
+            framing: answer.framing,
+            boundary: has_events.then(EventBoundary::default),
+            connection: answer.connection,
+            lease,
+        }
+    }
+
+    fn is_within_event(&self) -> bool {
+        let boundary = self.boundary.as_ref();
+        boundary.is_some_and(EventBoundary::is_within_event)
+    }
+
+    fn answer_end(&self, last_event: Option<u64>) -> AnswerEnd {
+        AnswerEnd {
+            framing: self.framing,
+            within_event: self.boundary.as_ref().map(EventBoundary::is_within_event),
+            last_event,
+            server: self.lease.server.clone(),
+        }
+    }
+}
+
 /// The result of one read from the response.
 enum RelayStep {
     Chunk(Bytes),
@@ -109,55 +139,42 @@
 
 impl EventRelay {
     pub(super) fn new(context: RelayContext, answer: ServerAnswer, lease: SlotLease) -> Self {
-        let boundary = event_boundary(&answer.parts.headers, context.state.kind());
         Self {
             sequencer: EventSequencer::resume_after(context.state.request.head.last_event),
-            context,
             status: answer.parts.status,
-            framing: answer.framing,
-            boundary,
-            run: Some(RelayedRun {
-                body: answer.body,
-                connection: answer.connection,
-                lease,
-            }),
-            ended: false,
+            run: Some(RelayedRun::new(answer, lease, context.state.kind())),
+            context,
         }
     }
 
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
-        if self.ended {
-            return None;
-        }
+        let mut run = self.run.take()?;
         loop {
-            let cause = match self.read().await {
+            let cause = match self.read(&mut run).await {
                 RelayStep::Chunk(chunk) => {
                     let bytes = self.take_events(chunk);
                     if bytes.is_empty() {
                         continue;
                     }
+                    self.run = Some(run);
                     return Some(Ok(Frame::data(bytes)));
                 }
-                RelayStep::End if self.is_within_event() => BreakCause::EndedWithinEvent,
-                RelayStep::End => return self.end(),
+                RelayStep::End if run.is_within_event() => BreakCause::EndedWithinEvent,
+                RelayStep::End => return self.end(run),
                 RelayStep::Broken(cause) => cause,
             };
-            let end = self.answer_end();
+            let end = run.answer_end(self.sequencer.last_event());
             self.context.forwarder.count_answer_end(&end);
-            self.end_broken_run(cause);
-            if !self.fail_over(cause, &end).await {
-                return Some(self.truncate(cause, &end));
+            self.end_broken_run(run, cause);
+            match self.fail_over(cause, &end).await {
+                Some(resumed) => run = resumed,
+                None => return Some(self.truncate(cause, &end)),
             }
         }
     }
 
-    fn is_within_event(&self) -> bool {
-        let boundary = self.boundary.as_ref();
-        boundary.is_some_and(EventBoundary::is_within_event)
-    }
-
     /// Reads the next chunk, within the maximum gap and the request's deadline.
-    async fn read(&mut self) -> RelayStep {
+    async fn read(&self, run: &mut RelayedRun) -> RelayStep {
         match self.sequencer.fault() {
             Some(SequenceFault::OutOfSequence) => {
                 return RelayStep::Broken(BreakCause::EventSequence);
@@ -170,9 +187,6 @@
         let now = self.context.forwarder.clock.now();
         let left = self.context.state.answer_by.saturating_duration_since(now);
         let max_gap = self.max_gap().min(left);
-        let Some(run) = &mut self.run else {
-            return RelayStep::Broken(BreakCause::ConnectionLost);
-        };
         loop {
             let frame = match tokio::time::timeout(max_gap, run.body.frame()).await {
                 Ok(Some(Ok(frame))) => frame,
@@ -182,7 +196,7 @@
                 Err(_) => return RelayStep::Broken(BreakCause::DeadlinePassed),
             };
             if let Ok(chunk) = frame.into_data() {
-                if let Some(boundary) = &mut self.boundary {
+                if let Some(boundary) = &mut run.boundary {
                     boundary.push(&chunk);
                 }
                 return RelayStep::Chunk(chunk);
@@ -208,80 +222,48 @@
 
     /// Closes the connection to the server and returns its slot, before another server
     /// gets the stream.
-    fn end_broken_run(&mut self, cause: BreakCause) {
-        if let Some(RelayedRun { mut lease, .. }) = self.run.take() {
-            if cause.suggests_crash(self.framing) {
-                lease.record_crash(self.context.state.fingerprint);
-            }
-            self.context.state.avoid_server(&lease.server);
-            lease.end(RunOutcome::Failed);
+    fn end_broken_run(&mut self, run: RelayedRun, cause: BreakCause) {
+        let RelayedRun {
+            mut lease, framing, ..
+        } = run;
+        if cause.suggests_crash(framing) {
+            lease.record_crash(self.context.state.fingerprint);
         }
+        self.context.state.avoid_server(&lease.server);
+        lease.end(RunOutcome::Failed);
     }
 
     /// Resumes the stream after the last complete event on another server.
-    async fn fail_over(&mut self, cause: BreakCause, end: &AnswerEnd) -> bool {
+    async fn fail_over(&mut self, cause: BreakCause, end: &AnswerEnd) -> Option<RelayedRun> {
         let now = self.context.forwarder.clock.now();
         if !self.context.resumable || !self.context.state.may_retry(now) {
-            return false;
+            return None;
         }
         let forwarder = self.context.forwarder.clone();
         forwarder.record_interruption(&self.context.state, cause.as_str(), end);
         let last_event = self.sequencer.last_event();
         let resumed = forwarder.resume(&mut self.context.state, last_event).await;
-        let Some((answer, lease)) = resumed else {
-            return false;
-        };
-        self.framing = answer.framing;
-        self.boundary = event_boundary(&answer.parts.headers, self.context.state.kind());
-        self.run = Some(RelayedRun {
-            body: answer.body,
-            connection: answer.connection,
-            lease,
-        });
+        let (answer, lease) = resumed?;
         self.sequencer = EventSequencer::resume_after(last_event);
-        true
+        Some(RelayedRun::new(answer, lease, self.context.state.kind()))
     }
 
     /// Ends the response. Returns what follows the last event, such as a comment.
-    fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
-        self.ended = true;
-        let end = self.answer_end();
-        if let Some(RelayedRun {
-            connection, lease, ..
-        }) = self.run.take()
-        {
-            let state = &self.context.state;
-            let forwarder = &self.context.forwarder;
-            forwarder.record_served(state, &lease, self.status, state.runs, &end);
-            connection.return_to_pool();
-            lease.end(RunOutcome::Served);
-        }
+    fn end(&mut self, run: RelayedRun) -> Option<Result<Frame<Bytes>, BodyError>> {
+        let end = run.answer_end(self.sequencer.last_event());
+        let state = &self.context.state;
+        let forwarder = &self.context.forwarder;
+        forwarder.record_served(state, &run.lease, self.status, state.runs, &end);
+        run.connection.return_to_pool();
+        run.lease.end(RunOutcome::Served);
         let rest = self.sequencer.take_rest();
         (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
     }
 
-    fn answer_end(&self) -> AnswerEnd {
-        let within_event = self.boundary.as_ref().map(EventBoundary::is_within_event);
-        AnswerEnd {
-            framing: self.framing,
-            within_event,
-            last_event: self.sequencer.last_event(),
-            server: self.run.as_ref().map(|run| run.lease.server.clone()),
-        }
-    }
-
     /// Aborts the response, so that the caller can tell that it is incomplete.
-    fn truncate(&mut self, cause: BreakCause, end: &AnswerEnd) -> Result<Frame<Bytes>, BodyError> {
-        self.ended = true;
+    fn truncate(&self, cause: BreakCause, end: &AnswerEnd) -> Result<Frame<Bytes>, BodyError> {
         let forwarder = &self.context.forwarder;
         forwarder.record_broken_stream(&self.context.state, cause.as_str(), end);
         Err(cause.as_str().into())
     }
 }
-
-/// The boundary tracker of a response with events. A response without a type has events
-/// if its route is for streams.
-fn event_boundary(fields: &HeaderMap, kind: RouteKind) -> Option<EventBoundary> {
-    let is_untyped_stream = kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE);
-    (is_untyped_stream || is_event_stream(fields)).then(EventBoundary::default)
-}
