Send the parts of a slot request as one value, and encode shared values by one type

RequestSlot was taken apart at two places, each of which had to accept the reports of leaving servers before it asked for the slot; request_slot() does it now for both. EncodedPlan and EncodedDirectory did the same for different types; Encoded<T> serves both. The encoding of the messages is the same byte for byte: a boxed struct with the fields in their order, and a single field of bytes.

--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -13,7 +13,7 @@
 use crate::membership_repair::apply_change;
 use crate::message::{
     BootstrapAnswer, BootstrapCall, Call, ControlAnswer, ControlCall, GroupReply, HostRole,
-    JoinAnswer, JoinRequest, Notice, encode,
+    JoinAnswer, JoinRequest, Notice, SlotCall, encode,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::process::{ProcessBase, ProcessError};
@@ -22,13 +22,12 @@
 use bytes::Bytes;
 use chicoryladder_broker::{
     BrokerSettings, CheckInOutcome, DepartureReport, DepartureSource, RateTolerance, RequesterId,
-    RosterSettings, ServerCheckIn, ServerPhase, SlotRequest,
+    RosterSettings, ServerCheckIn, ServerPhase,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
 use chicoryladder_group::{BootstrapMembers, GroupHandle, GroupStatus, ProposeFailure};
 use chicoryladder_plan::PlanVersion;
-use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
@@ -283,17 +282,7 @@
             return self.not_leader();
         }
         match call {
-            ControlCall::RequestSlot {
-                requester,
-                plan,
-                slot_request,
-                fingerprint,
-                departures,
-            } => {
-                self.accept_reports(&requester, departures);
-                self.request_slot(&requester, plan, *slot_request, fingerprint)
-                    .await
-            }
+            ControlCall::RequestSlot(call) => self.request_slot(*call).await,
             ControlCall::Sync(mut request) => {
                 let departures = std::mem::take(&mut request.departures);
                 self.accept_reports(&request.requester, departures);
@@ -356,18 +345,17 @@
     /// and notices of one requester take effect in the order of their arrival.
     fn request_slot(
         self: &Arc<Self>,
-        requester: &RequesterId,
-        plan: PlanVersion,
-        slot_request: SlotRequest,
-        fingerprint: Option<RequestFingerprint>,
+        call: SlotCall,
     ) -> BoxFuture<'static, GroupReply<ControlAnswer>> {
+        self.accept_reports(&call.requester, call.departures);
         let now = self.now();
         let mut state = self.state();
         let grace = self.base.settings.bounds.plan_applies / PLAN_GRACE_DIVISOR;
-        if !state.accepts_plan(plan, grace, now) {
+        if !state.accepts_plan(call.plan, grace, now) {
             return std::future::ready(GroupReply::Answer(ControlAnswer::StalePlan)).boxed();
         }
-        let decision = state.request_slot(requester, slot_request, fingerprint, now);
+        let decision =
+            state.request_slot(&call.requester, call.slot_request, call.fingerprint, now);
         self.process_broker_events(&mut state);
         drop(state);
         let shared = self.clone();
@@ -572,16 +560,9 @@
     fn call(&self, _: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
         let shared = self.0.clone();
         match postcard::from_bytes(&payload) {
-            Ok(Call::Control(ControlCall::RequestSlot {
-                requester,
-                plan,
-                slot_request,
-                fingerprint,
-                departures,
-            })) => {
+            Ok(Call::Control(ControlCall::RequestSlot(call))) => {
                 let reply = if shared.leads() {
-                    shared.accept_reports(&requester, departures);
-                    shared.request_slot(&requester, plan, *slot_request, fingerprint)
+                    shared.request_slot(*call)
                 } else {
                     std::future::ready(shared.not_leader()).boxed()
                 };
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -6,7 +6,7 @@
 use super::machine::{ControlMachine, StoredPlan};
 use crate::membership_repair::MembershipRepair;
 use crate::message::{
-    EncodedDirectory, EncodedPlan, HostRole, RosterUpdate, StoreReport, StoreView, SyncAnswer,
+    Encoded, EncodedDirectory, HostRole, RosterUpdate, StoreReport, StoreView, SyncAnswer,
     SyncRequest,
 };
 use crate::plan_notices::PlanNotices;
@@ -16,7 +16,7 @@
     SlotRefusalReason, SlotRequest, ZoneRoster, servers_for_zone,
 };
 use chicoryladder_group::{spread_over_zones, zone_voters_max};
-use chicoryladder_plan::{PlanVersion, ServicePlan};
+use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
 use chicoryladder_policy::quarantine::{
     CrashReport, QuarantineTable, RequestFingerprint, ServerCrash, SuspectStatus,
 };
@@ -91,7 +91,7 @@
         *self = Self {
             version,
             next_at: Some(now + interval.min(DIRECTORY_INTERVAL_MAX)),
-            all: EncodedDirectory::new(&servers),
+            all: Encoded::new("directory", &servers),
             by_zone: HashMap::new(),
             servers,
         };
@@ -100,7 +100,7 @@
     /// The servers that entry hosts of a zone need.
     fn of_zone(&mut self, zone: &ZoneName) -> Option<EncodedDirectory> {
         let servers = &self.servers;
-        let encode = || EncodedDirectory::new(&servers_for_zone(servers, zone));
+        let encode = || Encoded::new("directory", &servers_for_zone(servers, zone));
         let known = self.by_zone.entry(zone.clone());
         known.or_insert_with(encode).clone()
     }
@@ -136,7 +136,7 @@
     pub(crate) broker: SlotBroker,
     pub(crate) plan: Arc<ServicePlan>,
     pub(crate) stored: Option<Arc<StoredPlan>>,
-    encoded: Option<EncodedPlan>,
+    encoded: Option<Encoded<RawPlan>>,
     /// When the plan replaced an earlier one in this leadership.
     replaced_plan_at: Option<Instant>,
     notices: PlanNotices,
@@ -292,7 +292,7 @@
                 }
                 self.plan = Arc::new(plan);
                 self.replaced_plan_at = self.stored.as_ref().map(|_| now);
-                self.encoded = EncodedPlan::new(&stored.plan);
+                self.encoded = Encoded::new("plan", &stored.plan);
                 self.notices.begin(self.hosts.keys().cloned());
                 self.stored = Some(stored);
                 true
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -7,15 +7,15 @@
 use crate::leader_client::LeaderClient;
 use crate::leaving_servers::DepartureMarks;
 use crate::message::{
-    Call, ControlAnswer, ControlCall, EncodedPlan, HostRole, ReserveAnswer, RosterUpdate,
-    StoreReport, StoreView, SyncAnswer, SyncRequest,
+    Call, ControlAnswer, ControlCall, Encoded, HostRole, ReserveAnswer, RosterUpdate, StoreReport,
+    StoreView, SyncAnswer, SyncRequest,
 };
 use crate::process::ProcessBase;
 use chicoryladder_broker::{
     ActiveRun, DepartureReport, HeldReserves, HolderRing, ReserveTerms, RosterMember,
     SELF_REFILL_AFTER, ServerCheckIn, ZoneRoster,
 };
-use chicoryladder_plan::{PlanVersion, ServicePlan};
+use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
 use chicoryladder_types::prelude::*;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -249,7 +249,7 @@
 }
 
 /// Decodes and checks a plan from the leader; logs why it is unusable.
-fn decode_plan(encoded: &EncodedPlan) -> Option<ServicePlan> {
+fn decode_plan(encoded: &Encoded<RawPlan>) -> Option<ServicePlan> {
     let raw = match encoded.decode() {
         Ok(raw) => raw,
         Err(error) => {
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -12,8 +12,10 @@
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -90,15 +92,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum ControlCall {
     /// Requests a slot under a version of the plan.
-    RequestSlot {
-        requester: RequesterId,
-        plan: PlanVersion,
-        slot_request: Box<SlotRequest>,
-        /// Identifies the caller's request across retries through other hosts.
-        fingerprint: Option<RequestFingerprint>,
-        /// The servers that said since the last call that they leave.
-        departures: Vec<DepartureReport>,
-    },
+    RequestSlot(Box<SlotCall>),
     /// Reports the state of a host; the reply holds the newer state of the leader.
     Sync(Box<SyncRequest>),
     /// Replaces the plan.
@@ -127,7 +121,7 @@
     /// The name of the call in the event log.
     pub(crate) fn name(&self) -> &'static str {
         match self {
-            Self::RequestSlot { .. } => "ask",
+            Self::RequestSlot(_) => "ask",
             Self::Sync(_) => "sync",
             Self::ReplacePlan { .. } => "replace_plan",
             Self::ReadPlan => "read_plan",
@@ -140,6 +134,18 @@
     }
 }
 
+/// A request for a slot under a version of the plan.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SlotCall {
+    pub(crate) requester: RequesterId,
+    pub(crate) plan: PlanVersion,
+    pub(crate) slot_request: SlotRequest,
+    /// Identifies the caller's request across retries through other hosts.
+    pub(crate) fingerprint: Option<RequestFingerprint>,
+    /// The servers that said since the last call that they leave.
+    pub(crate) departures: Vec<DepartureReport>,
+}
+
 /// The request of a host for a seat, or to check that its seat is still a member.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct JoinRequest {
@@ -213,7 +219,7 @@
     /// All control hosts that synced recently.
     pub(crate) hosts: Vec<SocketAddr>,
     /// The plan, if it is newer than the one that the host holds.
-    pub(crate) plan: Option<EncodedPlan>,
+    pub(crate) plan: Option<Encoded<RawPlan>>,
     /// The directory of servers, if it differs from the one that the host holds.
     pub(crate) directory: Option<((u64, u64), EncodedDirectory)>,
     /// Requests added to the reserves that the host holds.
@@ -223,35 +229,31 @@
     pub(crate) store: StoreView,
 }
 
-/// A plan that is encoded once for all hosts that sync. A large plan takes the leader
-/// longer to encode than the rest of a sync.
+/// A value that is encoded once for all hosts to which it goes. A large plan or directory
+/// takes the leader longer to encode than the rest of a sync.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct EncodedPlan(Bytes);
-
-impl EncodedPlan {
-    pub(crate) fn new(plan: &RawPlan) -> Option<Self> {
-        encode("plan", plan).map(Self)
-    }
-
-    pub(crate) fn decode(&self) -> Result<RawPlan, postcard::Error> {
-        postcard::from_bytes(&self.0)
-    }
+pub(crate) struct Encoded<T> {
+    bytes: Bytes,
+    #[serde(skip)]
+    kind: PhantomData<T>,
 }
 
-/// Servers of the directory, encoded once for all hosts that need the same ones.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct EncodedDirectory(Bytes);
-
-impl EncodedDirectory {
-    pub(crate) fn new(servers: &[ServerCheckIn]) -> Option<Self> {
-        encode("directory", &servers).map(Self)
+impl<T: Serialize + DeserializeOwned> Encoded<T> {
+    /// Encodes a value; returns `None` and logs under `part` if that fails.
+    pub(crate) fn new(part: &str, value: &T) -> Option<Self> {
+        let bytes = encode(part, value)?;
+        let kind = PhantomData;
+        Some(Self { bytes, kind })
     }
 
-    pub(crate) fn decode(&self) -> Result<Vec<ServerCheckIn>, postcard::Error> {
-        postcard::from_bytes(&self.0)
+    pub(crate) fn decode(&self) -> Result<T, postcard::Error> {
+        postcard::from_bytes(&self.bytes)
     }
 }
 
+/// The servers of a directory.
+pub(crate) type EncodedDirectory = Encoded<Vec<ServerCheckIn>>;
+
 /// The entry hosts that a host needs to know.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct RosterUpdate {
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -4,7 +4,7 @@
 use crate::leader_client::{LeaderClient, LeaderError};
 use crate::leaving_servers::{DepartureMarks, PendingReports, ServerIdentity};
 use crate::message::{
-    Call, ControlAnswer, ControlCall, Notice, ReserveAnswer, ReserveCall, encode,
+    Call, ControlAnswer, ControlCall, Notice, ReserveAnswer, ReserveCall, SlotCall, encode,
 };
 use crate::process::ProcessBase;
 use chicoryladder_broker::{
@@ -188,13 +188,14 @@
             answered: false,
             departures: self.shared.departures.take_reports(),
         };
-        let call = Call::Control(ControlCall::RequestSlot {
+        let call = SlotCall {
             requester: self.shared.base.requester(),
             plan,
-            slot_request: Box::new(slot_request.clone()),
+            slot_request: slot_request.clone(),
             fingerprint: request_fingerprint,
             departures: pending.departures.reports().to_vec(),
-        });
+        };
+        let call = Call::Control(ControlCall::RequestSlot(Box::new(call)));
         let timeout = slot_request.wait_max + BROKER_REPLY_MARGIN;
         let calling = self
             .shared
