--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -3,6 +3,7 @@
 
 use super::{NO_SERVER_RETRY, ServerEntry, SlotBroker, jittered_delay};
 use crate::grants::{ServerKey, SlotGrant};
+use crate::pool::WaitingRequest;
 use crate::request::{RequesterId, SlotRefusalReason, WorkKind};
 use chicoryladder_types::ServiceName;
 use std::time::{Duration, Instant};
@@ -113,10 +114,7 @@
         for service in services {
             let queue = std::mem::take(&mut self.pool(&service).online);
             for waiting in queue.into_values() {
-                self.refund(waiting.request.charged_team.as_ref());
-                let reason = SlotRefusalReason::NoServer;
-                let ticket = waiting.request.ticket;
-                self.refuse(&waiting.requester, ticket, reason, NO_SERVER_RETRY);
+                self.refuse_waiting(&waiting, SlotRefusalReason::NoServer, NO_SERVER_RETRY);
             }
         }
     }
@@ -137,15 +135,20 @@
             let ticket = waiting.request.ticket;
             let wait =
                 Duration::from_secs_f64(self.pool(&waiting.request.service).averages.hold_seconds);
-            self.refund(waiting.request.charged_team.as_ref());
             let retry_after = jittered_delay(wait, ticket);
             let load = self.pool_load(&waiting.request.service, now);
-            self.refuse(
-                &waiting.requester,
-                ticket,
-                SlotRefusalReason::NoSlot(load),
-                retry_after,
-            );
+            self.refuse_waiting(&waiting, SlotRefusalReason::NoSlot(load), retry_after);
         }
     }
+
+    fn refuse_waiting(
+        &mut self,
+        waiting: &WaitingRequest,
+        reason: SlotRefusalReason,
+        retry_after: Duration,
+    ) {
+        let request = &waiting.request;
+        self.refund(request.charged_team.as_ref());
+        self.refuse(&waiting.requester, request.ticket, reason, retry_after);
+    }
 }
