--- a/crates/broker/tests/all/reserves.rs
+++ b/crates/broker/tests/all/reserves.rs
@@ -300,18 +300,30 @@
     Duration::from_millis(millis)
 }
 
+/// Simulates a fleet in which each team sends `load` times its rate, and checks what was
+/// admitted in every window.
+fn simulate(
+    length: Duration,
+    load: f64,
+    events: &[(Duration, FleetEvent)],
+    seed: u64,
+) -> FleetSimulation {
+    let mut fleet = FleetSimulation::new(teams());
+    fleet.run(length, load, events, seed);
+    fleet.check_windows();
+    fleet
+}
+
 /// Pattern: a zone is cut off for longer than the key lease, in a fleet with more hosts
 /// than a team has requests a second. A reserve divided among all hosts is less than one
 /// request per host there.
 #[test]
 fn a_zone_that_is_cut_off_serves_teams_within_their_rates() {
-    let mut fleet = FleetSimulation::new(teams());
     let events = [
         (ms(3_000), FleetEvent::Cut(2)),
         (ms(9_000), FleetEvent::Heal),
     ];
-    fleet.run(ms(12_000), 0.6, &events, 1);
-    fleet.check_windows();
+    let fleet = simulate(ms(12_000), 0.6, &events, 1);
     let share = fleet.admitted_share(ms(3_000), ms(6_000));
     assert!(share > 0.95, "{share} admitted while the zone was cut off");
     let after = fleet.admitted_share(ms(9_100), ms(12_000));
@@ -321,13 +333,11 @@
 /// Pattern: the broker is lost, and the next one is elected 1.2 s later.
 #[test]
 fn a_lost_broker_leaves_most_requests_within_their_rates_admitted() {
-    let mut fleet = FleetSimulation::new(teams());
     let events = [
         (ms(3_000), FleetEvent::LoseBroker),
         (ms(4_200), FleetEvent::ReplaceBroker),
     ];
-    fleet.run(ms(8_000), 0.6, &events, 2);
-    fleet.check_windows();
+    let fleet = simulate(ms(8_000), 0.6, &events, 2);
     let share = fleet.admitted_share(ms(3_000), ms(4_200));
     assert!(share > 0.5, "{share} admitted without a broker");
     let after = fleet.admitted_share(ms(4_600), ms(8_000));
@@ -349,9 +359,7 @@
         (ms(14_000), FleetEvent::Heal),
     ];
     for seed in 0..4 {
-        let mut fleet = FleetSimulation::new(teams());
-        fleet.run(ms(18_000), 10.0, &events, seed);
-        fleet.check_windows();
+        simulate(ms(18_000), 10.0, &events, seed);
     }
 }
 
@@ -365,9 +373,7 @@
         (ms(12_000), FleetEvent::Heal),
     ];
     for seed in 0..4 {
-        let mut fleet = FleetSimulation::new(teams());
-        fleet.run(ms(16_000), 10.0, &events, seed);
-        fleet.check_windows();
+        simulate(ms(16_000), 10.0, &events, seed);
     }
 }
 
