Log crashes that hosts report, and the prompt segments of broken runs

For that, segments keep the ids that the platform gives them. The broker combines them with the segments before when it looks for cached ones, as the adapter did. No decision changes.

--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -68,7 +68,7 @@
     pub suspended_until: Option<Instant>,
     /// Consecutive failures since the last success.
     pub failures: u32,
-    /// Prompt segments in the prefix cache of the server, with their last use. Every slot
+    /// Prompt prefixes in the prefix cache of the server, with their last use. Every slot
     /// request looks its segments up for every server, and their ids are hashes already.
     pub cached_segments: FxHashMap<u64, Instant>,
 }
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -27,7 +27,7 @@
 /// A segment of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PromptSegment {
-    /// Identifies the text of this segment and of all segments before it.
+    /// Identifies the text of this segment, whatever precedes it.
     pub id: u64,
     /// The length of the segment, in tokens.
     pub tokens: u32,
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -2,7 +2,7 @@
 
 use super::SlotBroker;
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
-use crate::placement::{record_prompt, server_cost};
+use crate::placement::{prompt_prefixes, record_prompt, server_cost};
 use crate::request::{BrokerEvent, RequesterId, SlotDecision, SlotRequest, WorkKind};
 use chicoryladder_types::prelude::*;
 use std::time::Instant;
@@ -55,6 +55,7 @@
             WorkKind::Batch | WorkKind::Online => 0,
         };
         let overdue_after = self.settings.overdue_after();
+        let prefixes = prompt_prefixes(&request.prompt);
         let mut best: Option<(f64, ServerKey)> = None;
         for key in &pool.servers {
             let Some(entry) = self.servers.get(*key) else {
@@ -78,6 +79,7 @@
                 entry.running(),
                 capacity,
                 request,
+                &prefixes,
                 overdue_after,
                 now,
             );
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -36,6 +36,19 @@
     }
 }
 
+#[test]
+fn a_cached_segment_counts_only_after_the_same_segments() {
+    let mut fixture = BrokerFixture::new(&[("a1", "a"), ("a2", "a")], Vec::new());
+    let submit = |fixture: &mut BrokerFixture, first: u64| {
+        let mut request = fixture.slot_request(WorkKind::Online);
+        request.prompt = vec![segment(first, 10), segment(2, 2_000), segment(3, 10)];
+        granted(&fixture.submit(request)).expect("it is valid")
+    };
+    let cached = submit(&mut fixture, 1);
+    assert_ne!(submit(&mut fixture, 9), cached);
+    assert_eq!(submit(&mut fixture, 1), cached);
+}
+
 #[test]
 fn batch_items_leave_one_slot_of_each_engine_free() {
     let mut fixture = BrokerFixture::new(&[("a1", "a")], Vec::new());
--- a/crates/policy/src/quarantine/fingerprint.rs
+++ b/crates/policy/src/quarantine/fingerprint.rs
@@ -4,12 +4,22 @@
 use chicoryladder_types::RouteName;
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
+use std::fmt::{self, Display, Formatter};
 
 /// A hash of the team, route, path and body of a request. It identifies a request
 /// that its caller resends to any host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestFingerprint([u8; 16]);
 
+impl Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let bytes = self.0.iter();
+        bytes
+            .into_iter()
+            .try_for_each(|byte| write!(formatter, "{byte:02x}"))
+    }
+}
+
 impl RequestFingerprint {
     /// Computes the fingerprint of a request; `team` is `None` on a public route.
     #[must_use]
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -28,6 +28,7 @@
 use chicoryladder_gateway::HttpListener;
 use chicoryladder_group::{BootstrapMembers, GroupHandle, GroupStatus, ProposeFailure};
 use chicoryladder_plan::PlanVersion;
+use chicoryladder_policy::quarantine::{RequestFingerprint, ServerCrash};
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
@@ -252,6 +253,24 @@
         }
     }
 
+    /// Logs a reported crash, and how many the request has had so far. The slot may have
+    /// been unknown.
+    fn log_crash(
+        &self,
+        requester: &RequesterId,
+        request: RequestFingerprint,
+        recorded: Option<&(ServerCrash, usize)>,
+    ) {
+        let fields = json!({
+            "reported_by": requester.host,
+            "request_hash": request.to_string(),
+            "server": recorded.map(|(crash, _)| &crash.server),
+            "born": recorded.map(|(crash, _)| crash.generation.0),
+            "crashes": recorded.map(|(_, count)| count),
+        });
+        self.log.note("crash_reported", &fields);
+    }
+
     async fn propose(&self, command: &ControlCommand) -> Result<(), ProposeFailure> {
         let group = self.group().ok_or(ProposeFailure::NotLeader)?;
         let command = postcard::to_stdvec(command)
@@ -602,7 +621,8 @@
                 let mut state = self.0.state();
                 if state.term.is_some() {
                     if let Some(request) = crashed {
-                        state.record_crash(&requester, report.ticket, request, now);
+                        let recorded = state.record_crash(&requester, report.ticket, request, now);
+                        self.0.log_crash(&requester, request, recorded.as_ref());
                     }
                     state.release(&requester, &report, now);
                     self.0.process_broker_events(&mut state);
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -420,24 +420,26 @@
     }
 
     /// Records that the connection to a server broke while it ran a request, which may
-    /// have crashed it.
+    /// have crashed it. Returns the crash and the number of crashes of the request, or
+    /// `None` if the slot is not known any more.
     pub(crate) fn record_crash(
         &mut self,
         requester: &RequesterId,
         ticket: u64,
         request: RequestFingerprint,
         now: Instant,
-    ) {
-        let Some((server, incarnation)) = self.broker.server_of(requester, ticket) else {
-            return;
-        };
+    ) -> Option<(ServerCrash, usize)> {
+        let (server, incarnation) = self.broker.server_of(requester, ticket)?;
         let crash = ServerCrash {
             server,
             generation: ServerGeneration(incarnation),
         };
-        let in_flight = vec![request];
-        self.quarantine
-            .report_crash(&CrashReport { crash, in_flight }, now);
+        let report = CrashReport {
+            crash: crash.clone(),
+            in_flight: vec![request],
+        };
+        self.quarantine.report_crash(&report, now);
+        Some((crash, self.quarantine.crashes_of(request)))
     }
 
     pub(crate) fn release(&mut self, requester: &RequesterId, report: &RunReport, now: Instant) {
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -101,6 +101,14 @@
 }
 
 impl RequestState {
+    /// The ids of the prompt segments, in order, as the log shows them.
+    fn segment_ids(&self) -> Vec<String> {
+        let segments = self.request.head.prompt.segments.iter();
+        segments
+            .map(|segment| format!("{:x}", segment.id))
+            .collect()
+    }
+
     fn route(&self) -> &PlanRoute {
         &self.matched.route
     }
@@ -306,6 +314,9 @@
             "outcome": format!("{:?}", failure.outcome),
             "verdict": failure.verdict.as_str(),
             "cause": failure.cause,
+            "connection_lost": failure.connection_lost,
+            "request_hash": state.fingerprint.to_string(),
+            "segments": state.segment_ids(),
             "runs": state.runs,
             "without_broker": lease.brokerless,
         });
@@ -669,6 +680,8 @@
             "framing": end.framing.as_str(),
             "within_event": end.within_event,
             "last_event": end.last_event,
+            "request_hash": state.fingerprint.to_string(),
+            "segments": state.segment_ids(),
             "elapsed_ms": elapsed.as_millis(),
             "runs": state.runs,
         });
