Do not count servers that cannot be reached as attempts (daemon)

What callers saw: beside six of eight engines that had just crashed, online requests were refused with 502 server_failed and the verdict not-run, although two engines were sound.

Cause: each server that refused the connection counted as one of three attempts, and hosts notice a crash by their own failures only. Nothing is sent on such a connection, so up to eight of them are not counted now; the deadline and the retry budget still bound them.

--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -32,6 +32,10 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+/// The number of servers that a request may find unreachable without an attempt being
+/// counted: nothing was sent to them.
+const UNREACHABLE_SERVERS_MAX: usize = 8;
+
 /// The retry hint for callers when no attempt is left.
 const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -92,6 +96,7 @@
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
         let deadline = request.received + plan.timeout;
         let mut excluded = Vec::new();
+        let mut unreachable = 0;
         let mut verdict = RunVerdict::NotRun;
         self.retries.record_first_attempt(&plan.class);
         loop {
@@ -101,7 +106,8 @@
             excluded.push(grant.name.clone());
             let crash = possible_crash(&grant);
             let now = self.clock.now();
-            let timeouts = attempt_timeouts(&plan, excluded.len(), deadline, now);
+            let attempts = excluded.len() - unreachable;
+            let timeouts = attempt_timeouts(&plan, attempts, deadline, now);
             let attempt = self.attempt(&request, &plan, grant, &mut watch, timeouts);
             let failure = match attempt.await {
                 Ok(response) => return Ok(response),
@@ -111,7 +117,12 @@
                 watch.report_crash(crash);
             }
             verdict = verdict.join(failure.verdict);
-            let attempts = u32::try_from(excluded.len()).unwrap_or(u32::MAX);
+            if failure.reason == RetryReason::ConnectFailed && unreachable < UNREACHABLE_SERVERS_MAX
+            {
+                unreachable += 1;
+            }
+            let attempts = excluded.len() - unreachable;
+            let attempts = u32::try_from(attempts).unwrap_or(u32::MAX);
             let attempt_failure = AttemptFailure {
                 reason: failure.reason,
                 verdict,
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -79,3 +79,22 @@
     let answer = waiting.await.unwrap().unwrap();
     assert_eq!(answer.status, 200, "{}", answer.text());
 }
+
+/// Guards against requests that are refused as servers crash faster than hosts notice,
+/// although sound ones are left.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_served_beside_many_servers_that_just_crashed() {
+    let fleet = FleetFixture::with_document(3).await;
+    let engines = start_engines(&fleet, 8).await;
+    let key = fleet.grant_key(0, "curepipe").await.text;
+    wait_until_key_known(&fleet, 3, &key).await;
+    for engine in &engines[..6] {
+        engine.control().crash().await;
+    }
+    for number in 0..9 {
+        let callers = fleet.ports(number % 3).callers;
+        let request = HttpRequest::post(callers, CHAT, chat_body(1, false)).with_key(&key);
+        let answer = send(request).await.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    }
+}
