Hold requests that share a crashing prompt segment in the daemon too

Daemons count crashes by the same ledger. The segments of a prompt are its messages but the last, and the paragraphs of the last but its own last one. Hosts broadcast each lost server with the request and its segments, and the completed runs that clear a suspect segment. A held segment runs by trial, with the permit that trials of requests use, so that there is one in the fleet; a request whose crashes a segment explains is cleared of them.

Not covered: items of the daemon's jobs, whose pauses bound their crashes.

--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -15,10 +15,10 @@
     /// longer run are refused. Returns what counts against the request.
     pub fn record_crash(&mut self, run: &CrashedRun, now: Instant) -> CrashCounts {
         let (service, traits) = (&run.service, &run.traits);
-        let counts = self.crashes.record_crash(service, &run.crash, traits, now);
+        let finding = self.crashes.record_crash(service, &run.crash, traits, now);
         self.emit_quarantine_changes();
         self.refuse_quarantined(service, now);
-        counts
+        finding.counts
     }
 
     /// Records whether the run in a slot completed.
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -7,13 +7,13 @@
 use crate::metrics::HostMetrics;
 use crate::online_attempt::{AttemptPlan, OnlineAttempts, path_and_query};
 use crate::platform::DrainFlag;
-use crate::prompt::{named_model, prompt_prefixes};
-use crate::quarantine::{QuarantineHandle, SuspectWatch};
+use crate::prompt::{named_model, prompt_prefixes, shared_segments};
+use crate::quarantine::{QuarantineHandle, SuspectWatch, WatchedRequest};
 use crate::replica::ReplicaHandle;
 use crate::retries::RetryRules;
 use crate::routing::{QueueParameters, RoutingHandle, WorkTarget};
 use chicoryladder_gateway::{AnswerBody, OnlinePort, OnlineRequest, ServerClient};
-use chicoryladder_policy::quarantine::RequestFingerprint;
+use chicoryladder_policy::quarantine::{RequestFingerprint, RequestTraits};
 use chicoryladder_settings::{ClassTarget, RouteTarget};
 use chicoryladder_state::FleetView;
 use chicoryladder_types::prelude::*;
@@ -93,7 +93,7 @@
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
         let holder = self.holder(&request, &resolved)?;
         let target = work_target(&resolved.route.target, &request)?;
-        let watch = self.watch(&request, &resolved, holder.as_ref());
+        let watch = self.watch(&request, &resolved, holder.as_ref(), &target);
         watch.check().await?;
         if let Some(holder) = &holder {
             let deadline = request.received + token_timeout(resolved.target);
@@ -138,11 +138,20 @@
         request: &OnlineRequest,
         resolved: &ResolvedRoute,
         holder: Option<&KeyHolder>,
+        target: &WorkTarget,
     ) -> SuspectWatch {
         let team = holder.map(|holder| &holder.team);
         let path = path_and_query(request);
         let fingerprint = RequestFingerprint::new(team, &resolved.name, &path, &request.body);
-        SuspectWatch::new(&self.quarantine, &self.limits, fingerprint)
+        let watched = WatchedRequest {
+            id: request.id,
+            pool: target.pool(),
+            traits: RequestTraits {
+                request: fingerprint,
+                segments: shared_segments(target, &request.body),
+            },
+        };
+        SuspectWatch::new(&self.quarantine, &self.limits, watched)
     }
 
     /// Returns the key holder of the request; `None` on a route open to all.
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -198,6 +198,7 @@
             body: request.body.clone(),
             first_byte_timeout: timeouts.first_byte,
         };
+        let sent_at = self.clock.now();
         let sent = self.client.send(&message).await;
         grant.departure_reporter().read(request.id, &sent);
         let response = sent.inspect_err(|failure| {
@@ -208,7 +209,7 @@
         grant.load = reported_load(&parts.headers);
         if is_event_stream(&parts.headers) {
             let answer = PartialAnswer::event_stream(parts, body, grant);
-            return Ok(self.stream_response(request, plan, answer, watch.take()));
+            return Ok(self.stream_response(request, plan, answer, watch.take(), sent_at));
         }
         let remaining = timeouts
             .deadline
@@ -220,8 +221,14 @@
         match read {
             AnswerRead::Complete(bytes) => {
                 grant.outcome = ServerOutcome::Answered;
+                let server = possible_crash(&grant);
                 drop(grant);
-                watch.report_answer();
+                if parts.status.is_success() {
+                    let took = self.clock.now().saturating_duration_since(sent_at);
+                    watch.report_completion(server, took);
+                } else {
+                    watch.report_answer();
+                }
                 Ok(self.buffered_response(request, plan, &parts, bytes))
             }
             AnswerRead::Partial(prefix, body) => {
@@ -232,7 +239,7 @@
                     needs_end_marker: false,
                     grant,
                 };
-                Ok(self.stream_response(request, plan, answer, watch.take()))
+                Ok(self.stream_response(request, plan, answer, watch.take(), sent_at))
             }
         }
     }
@@ -244,8 +251,10 @@
         plan: &AttemptPlan,
         answer: PartialAnswer,
         mut watch: SuspectWatch,
+        sent_at: Instant,
     ) -> Response<AnswerBody> {
         let parts = answer.parts;
+        let is_success = parts.status.is_success();
         let mut grant = answer.grant;
         let metrics = self.metrics.clone();
         let boards = self.boards.clone();
@@ -268,6 +277,10 @@
             on_end: Box::new(move |end| {
                 grant.outcome = stream_outcome(end);
                 match end {
+                    StreamEnd::Complete if is_success => {
+                        let took = clock.now().saturating_duration_since(sent_at);
+                        watch.report_completion(possible_crash(&grant), took);
+                    }
                     StreamEnd::Complete => watch.report_answer(),
                     StreamEnd::Truncated => watch.report_crash(possible_crash(&grant)),
                     StreamEnd::Stalled | StreamEnd::Stopped | StreamEnd::CallerDisconnected => {}
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -5,9 +5,10 @@
 pub(crate) use task::PeerTask;
 
 use crate::limits::LimitMessage;
+use crate::quarantine::{CompletionReport, CrashReport};
 use crate::replica::ReplicaMessage;
 use chicoryladder_link::{InboundMessage, LinkCounts, PeerLink};
-use chicoryladder_policy::quarantine::SuspectUpdate;
+use chicoryladder_policy::quarantine::{QuarantinedSegments, SuspectUpdate};
 use chicoryladder_state::{HostPosition, KeyTombstones, StatisticsReport};
 use chicoryladder_types::admin::FleetBoard;
 use chicoryladder_types::prelude::*;
@@ -50,6 +51,12 @@
     Replica(ReplicaMessage),
     /// Reports requests that were in flight on lost servers.
     Suspects(Vec<SuspectUpdate>),
+    /// Reports that a server was lost while it processed a request.
+    ServerCrash(CrashReport),
+    /// Reports that a request with a suspect prompt segment completed.
+    RunCompleted(CompletionReport),
+    /// Reports the prompt segments that the sender has in quarantine.
+    QuarantinedSegments(Vec<QuarantinedSegments>),
     /// Reports the sender's request statistics to the leader.
     Statistics(StatisticsReport),
     /// Distributes the latest board.
--- a/crates/host/src/peers/task.rs
+++ b/crates/host/src/peers/task.rs
@@ -3,7 +3,7 @@
 use super::{PeerDirectory, PeerMessage};
 use crate::board::BoardHandle;
 use crate::limits::LimitInbox;
-use crate::quarantine::QuarantineHandle;
+use crate::quarantine::{PeerReport, QuarantineHandle};
 use crate::replica::{ReplicaHandle, ReplicaInbox};
 use crate::routing::RoutingHandle;
 use crate::tombstones::TombstoneHandle;
@@ -79,7 +79,18 @@
                 self.boards.receive_report(message.sender.clone(), report);
             }
             Ok(PeerMessage::Board(board)) => self.boards.receive_board(board),
-            Ok(PeerMessage::Suspects(updates)) => self.quarantine.deliver(updates),
+            Ok(PeerMessage::Suspects(updates)) => {
+                self.quarantine.deliver(PeerReport::Suspects(updates));
+            }
+            Ok(PeerMessage::ServerCrash(report)) => {
+                self.quarantine.deliver(PeerReport::Crash(report));
+            }
+            Ok(PeerMessage::RunCompleted(report)) => {
+                self.quarantine.deliver(PeerReport::Completion(report));
+            }
+            Ok(PeerMessage::QuarantinedSegments(segments)) => {
+                self.quarantine.deliver(PeerReport::Segments(segments));
+            }
             Ok(PeerMessage::Limits(content)) => {
                 self.limits.deliver(message.sender.clone(), content);
             }
--- a/crates/host/src/quarantine/handle.rs
+++ b/crates/host/src/quarantine/handle.rs
@@ -1,16 +1,48 @@
 //! The handle to the quarantine task.
 
+use super::report::{CompletionReport, CrashReport};
 use chicoryladder_policy::quarantine::{
-    RequestFingerprint, ServerCrash, SuspectStatus, SuspectUpdate,
+    QuarantineCause, QuarantinedSegments, RequestFingerprint, RequestTraits, SuspectUpdate,
 };
+use chicoryladder_types::ServiceName;
+use chicoryladder_types::prelude::*;
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
+/// How a request must be handled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunAdmission {
+    /// The request runs normally.
+    Clear,
+    /// The request runs only with the permit for a trial.
+    Trial {
+        /// Identifies the trial: the request or a segment of its prompt.
+        permit: RequestFingerprint,
+    },
+    /// The request is refused.
+    Quarantined {
+        /// The part of the request to which the crashes are attributed.
+        cause: QuarantineCause,
+        /// The time until the quarantine ends.
+        retry_after: Duration,
+    },
+}
+
+/// What other hosts report to the quarantine task.
+pub(crate) enum PeerReport {
+    Suspects(Vec<SuspectUpdate>),
+    Crash(CrashReport),
+    Completion(CompletionReport),
+    Segments(Vec<QuarantinedSegments>),
+}
+
 /// An event for the quarantine task.
 pub(super) enum QuarantineEvent {
-    Check(RequestFingerprint, oneshot::Sender<SuspectStatus>),
-    Crashed(ServerCrash, RequestFingerprint),
+    Check(RequestTraits, ServiceName, oneshot::Sender<RunAdmission>),
+    Crashed(RequestId, CrashReport),
+    Completed(CompletionReport),
     Answered(RequestFingerprint),
-    Peer(Vec<SuspectUpdate>),
+    Peer(PeerReport),
 }
 
 /// Sends events to the quarantine task; clones refer to the same task.
@@ -20,17 +52,22 @@
 }
 
 impl QuarantineHandle {
-    /// Returns the quarantine status of a request.
-    pub(crate) async fn status(&self, fingerprint: RequestFingerprint) -> SuspectStatus {
+    /// Returns how a request to the servers of a pool must be handled.
+    pub(crate) async fn admission(&self, traits: RequestTraits, pool: ServiceName) -> RunAdmission {
         let (sender, receiver) = oneshot::channel();
-        self.send(QuarantineEvent::Check(fingerprint, sender));
+        self.send(QuarantineEvent::Check(traits, pool, sender));
         // The channel is closed without a reply only while the host is stopping.
-        receiver.await.unwrap_or(SuspectStatus::Clear)
+        receiver.await.unwrap_or(RunAdmission::Clear)
     }
 
     /// Reports that a server was lost while it processed the request.
-    pub(crate) fn report_crash(&self, crash: ServerCrash, fingerprint: RequestFingerprint) {
-        self.send(QuarantineEvent::Crashed(crash, fingerprint));
+    pub(crate) fn report_crash(&self, request: RequestId, report: CrashReport) {
+        self.send(QuarantineEvent::Crashed(request, report));
+    }
+
+    /// Reports that a server processed a request to its end.
+    pub(crate) fn report_completion(&self, report: CompletionReport) {
+        self.send(QuarantineEvent::Completed(report));
     }
 
     /// Reports that a suspect request was answered.
@@ -38,9 +75,9 @@
         self.send(QuarantineEvent::Answered(fingerprint));
     }
 
-    /// Delivers updates from another host.
-    pub(crate) fn deliver(&self, updates: Vec<SuspectUpdate>) {
-        self.send(QuarantineEvent::Peer(updates));
+    /// Delivers a report of another host.
+    pub(crate) fn deliver(&self, report: PeerReport) {
+        self.send(QuarantineEvent::Peer(report));
     }
 
     fn send(&self, event: QuarantineEvent) {
--- a/crates/host/src/quarantine/watch.rs
+++ b/crates/host/src/quarantine/watch.rs
@@ -1,8 +1,10 @@
 //! The quarantine state of one request in progress.
 
-use super::{QuarantineHandle, TrialGuard};
+use super::report::{CompletionReport, CrashReport};
+use super::{QuarantineHandle, RunAdmission, TrialGuard};
 use crate::limits::LimitHandle;
-use chicoryladder_policy::quarantine::{RequestFingerprint, ServerCrash, SuspectStatus};
+use chicoryladder_policy::quarantine::{QuarantineCause, RequestTraits, ServerCrash};
+use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::time::{Duration, Instant};
 
@@ -13,11 +15,20 @@
 /// The longest pause between two requests for a permit.
 const PERMIT_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// The request that a watch follows.
+#[derive(Clone, Debug)]
+pub(crate) struct WatchedRequest {
+    pub(crate) id: RequestId,
+    /// The servers that may run the request.
+    pub(crate) pool: ServiceName,
+    pub(crate) traits: RequestTraits,
+}
+
 /// Applies the quarantine to the attempts at one request.
 pub(crate) struct SuspectWatch {
     quarantine: QuarantineHandle,
     limits: LimitHandle,
-    fingerprint: RequestFingerprint,
+    request: WatchedRequest,
     trial: Option<TrialGuard>,
 }
 
@@ -25,12 +36,12 @@
     pub(crate) fn new(
         quarantine: &QuarantineHandle,
         limits: &LimitHandle,
-        fingerprint: RequestFingerprint,
+        request: WatchedRequest,
     ) -> Self {
         Self {
             quarantine: quarantine.clone(),
             limits: limits.clone(),
-            fingerprint,
+            request,
             trial: None,
         }
     }
@@ -40,18 +51,30 @@
     pub(crate) fn take(&mut self) -> Self {
         Self {
             trial: self.trial.take(),
-            ..Self::new(&self.quarantine, &self.limits, self.fingerprint)
+            ..Self::new(&self.quarantine, &self.limits, self.request.clone())
         }
     }
 
-    /// Returns the status of the request, or refuses it if it is quarantined.
-    pub(crate) async fn check(&self) -> Result<SuspectStatus, RequestRefusal> {
-        let status = self.quarantine.status(self.fingerprint).await;
-        if let SuspectStatus::Quarantined { retry_after } = status {
-            let detail = "the request crashed backend servers and is quarantined";
-            return Err(quarantine_refusal(detail, retry_after));
+    /// Returns how the request must be handled, or refuses it if it is quarantined.
+    pub(crate) async fn check(&self) -> Result<RunAdmission, RequestRefusal> {
+        let WatchedRequest { pool, traits, .. } = &self.request;
+        let admission = self
+            .quarantine
+            .admission(traits.clone(), pool.clone())
+            .await;
+        if let RunAdmission::Quarantined { cause, retry_after } = admission {
+            let detail = match cause {
+                QuarantineCause::Request => {
+                    "the request crashed backend servers and is quarantined".to_owned()
+                }
+                QuarantineCause::Segment(segment) => format!(
+                    "requests with prompt segment {segment} crashed backend servers and are \
+                     quarantined"
+                ),
+            };
+            return Err(quarantine_refusal(&detail, retry_after));
         }
-        Ok(status)
+        Ok(admission)
     }
 
     /// Admits an attempt: immediately or, for a suspect request, once it has the
@@ -66,8 +89,10 @@
         clock: &dyn ClockSource,
         deadline: Instant,
     ) -> Result<(), RequestRefusal> {
-        while self.check().await? == SuspectStatus::Suspect && self.trial.is_none() {
-            match TrialGuard::acquire(&self.limits, self.fingerprint).await {
+        while let RunAdmission::Trial { permit } = self.check().await?
+            && self.trial.is_none()
+        {
+            match TrialGuard::acquire(&self.limits, permit).await {
                 // The loop checks the status again, because the previous trial may
                 // have ended in a crash.
                 Ok(trial) => self.trial = Some(trial),
@@ -84,13 +109,30 @@
     /// Reports that the attempt was answered, if it was a trial.
     pub(crate) fn report_answer(&mut self) {
         if self.trial.take().is_some() {
-            self.quarantine.report_answer(self.fingerprint);
+            self.quarantine.report_answer(self.request.traits.request);
         }
     }
 
+    /// Reports that a server processed the request to its end and responded with success.
+    pub(crate) fn report_completion(&mut self, server: ServerCrash, took: Duration) {
+        self.quarantine.report_completion(CompletionReport {
+            pool: self.request.pool.clone(),
+            server,
+            segments: self.request.traits.segments.clone(),
+            took,
+        });
+        self.report_answer();
+    }
+
     /// Reports that the server was lost during the attempt.
     pub(crate) fn report_crash(&mut self, crash: ServerCrash) {
-        self.quarantine.report_crash(crash, self.fingerprint);
+        let WatchedRequest { id, pool, traits } = self.request.clone();
+        let report = CrashReport {
+            pool,
+            crash,
+            traits,
+        };
+        self.quarantine.report_crash(id, report);
         if let Some(trial) = self.trial.take() {
             tokio::spawn(async move {
                 tokio::time::sleep(PROPAGATION_DELAY).await;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -19,8 +19,9 @@
 
 pub use fingerprint::RequestFingerprint;
 pub use ledger::{
-    Admission, CrashCounts, CrashLedger, QuarantineCause, QuarantineChange, QuarantineStep,
-    QuarantinedSegments, RequestTraits, SegmentCrashCount, SegmentFingerprint,
+    Admission, CrashCounts, CrashFinding, CrashLedger, QuarantineCause, QuarantineChange,
+    QuarantineStep, QuarantinedSegments, RequestTraits, SegmentCrashCount, SegmentFingerprint,
+    SegmentStatus,
 };
 pub use table::{CrashReport, QuarantineTable, ServerCrash, SuspectStatus, SuspectUpdate};
 pub use trial::{TrialCoordinator, TrialDecision};
--- a/crates/policy/src/quarantine/fingerprint.rs
+++ b/crates/policy/src/quarantine/fingerprint.rs
@@ -1,5 +1,6 @@
 //! Fingerprints that identify identical requests.
 
+use super::SegmentFingerprint;
 use crate::limits::ShardNumber;
 use chicoryladder_types::RouteName;
 use chicoryladder_types::prelude::*;
@@ -36,6 +37,14 @@
         Self(head)
     }
 
+    /// The fingerprint by which trials of a prompt segment are coordinated.
+    #[must_use]
+    pub fn of_segment(segment: SegmentFingerprint) -> Self {
+        let mut head = [0; 16];
+        head.copy_from_slice(&blake3::hash(&segment.0.to_le_bytes()).as_bytes()[..16]);
+        Self(head)
+    }
+
     /// Returns the shard whose owner coordinates trials of the request.
     #[must_use]
     pub fn shard(self, shards: u16) -> ShardNumber {
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -48,6 +48,15 @@
     pub segments: Vec<SegmentFingerprint>,
 }
 
+/// What a reported crash shows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashFinding {
+    /// The crashes that count against the request.
+    pub counts: CrashCounts,
+    /// Requests that did not cause crashes which counted against them.
+    pub exonerated: Vec<(RequestFingerprint, ServerCrash)>,
+}
+
 /// The crashes that count against a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashCounts {
@@ -84,6 +93,22 @@
     },
 }
 
+/// How the segments of a request are to be treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SegmentStatus {
+    /// The request runs normally.
+    Clear,
+    /// The request runs only as the trial of a segment, one at a time.
+    Held(SegmentFingerprint),
+    /// The request is refused.
+    Quarantined {
+        /// The segment to which the crashes are attributed.
+        segment: SegmentFingerprint,
+        /// The time until the quarantine ends.
+        left: Duration,
+    },
+}
+
 /// The part of a request to which crashes are attributed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum QuarantineCause {
@@ -220,15 +245,15 @@
             .segment_quarantine(segments, now)
     }
 
-    /// Records that a server was lost while it ran a request. Returns the crashes that count
-    /// against the request, before those that are explained by a segment are left out.
+    /// Records that a server was lost while it ran a request. The returned counts include
+    /// crashes that a segment explains from now on.
     pub fn record_crash(
         &mut self,
         service: &ServiceName,
         crash: &ServerCrash,
         traits: &RequestTraits,
         now: Instant,
-    ) -> CrashCounts {
+    ) -> CrashFinding {
         let ledger = self.services.entry(service.clone()).or_default();
         ledger.evidence.expire(now);
         let explaining = ledger
@@ -236,6 +261,7 @@
             .iter_mut()
             .find(|hold| hold.matches(&traits.segments));
         let counts;
+        let mut exonerated = Vec::new();
         if let Some(hold) = explaining {
             let is_new = hold.record_crash(crash, now);
             if is_new {
@@ -246,16 +272,18 @@
             let segments = hold.segments.clone();
             ledger.evidence.record(crash, traits, now);
             counts = ledger.evidence.counts(traits);
-            ledger.evidence.explain(crash, &segments);
+            exonerated = ledger.evidence.explain(crash, &segments);
         } else {
-            ledger.evidence.record(crash, traits, now);
+            if !ledger.evidence.record(crash, traits, now) {
+                exonerated.push((traits.request, crash.clone()));
+            }
             counts = ledger.evidence.counts(traits);
             if let Some(hold) = ledger.evidence.conclude(traits, now) {
                 self.changes
                     .push(hold.change(service, QuarantineStep::Held, now));
                 self.version += 1;
                 for crash in hold.crashes() {
-                    ledger.evidence.explain(crash, &hold.segments);
+                    exonerated.extend(ledger.evidence.explain(crash, &hold.segments));
                 }
                 // Fewer segments are as good an explanation.
                 ledger.holds.retain(|known| !known.matches_all_of(&hold));
@@ -263,7 +291,38 @@
             }
         }
         self.lift_unfounded(service, now);
-        counts
+        CrashFinding { counts, exonerated }
+    }
+
+    /// How a request with these segments is to be treated by a host that grants trials by
+    /// itself.
+    #[must_use]
+    pub fn segment_status(
+        &self,
+        service: &ServiceName,
+        segments: &[SegmentFingerprint],
+        now: Instant,
+    ) -> SegmentStatus {
+        let ledger = self.services.get(service);
+        let holds = ledger.into_iter().flat_map(|ledger| &ledger.holds);
+        let matching = holds.filter(|hold| hold.matches(segments));
+        let Some(hold) = matching.max_by_key(|hold| hold.quarantine_left(now)) else {
+            return SegmentStatus::Clear;
+        };
+        match (hold.segments.first().copied(), hold.quarantine_left(now)) {
+            (None, _) => SegmentStatus::Clear,
+            (Some(segment), None) => SegmentStatus::Held(segment),
+            (Some(segment), Some(left)) => SegmentStatus::Quarantined { segment, left },
+        }
+    }
+
+    /// Whether crashes count against one of the segments.
+    #[must_use]
+    pub fn is_suspect(&self, service: &ServiceName, segments: &[SegmentFingerprint]) -> bool {
+        let is_held = |hold: &SegmentHold| hold.segments.iter().any(|s| segments.contains(s));
+        self.services.get(service).is_some_and(|ledger| {
+            ledger.evidence.is_suspect(segments) || ledger.holds.iter().any(is_held)
+        })
     }
 
     /// Records that a request which was sent at `sent_at` completed on a server.
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -108,8 +108,14 @@
         (!left.is_zero()).then_some(left)
     }
 
-    /// Records a crash for one of the runs that were in flight.
-    pub(super) fn record(&mut self, crash: &ServerCrash, traits: &RequestTraits, now: Instant) {
+    /// Records a crash for one of the runs that were in flight. Returns whether it counts
+    /// against the run: the cause may be known already.
+    pub(super) fn record(
+        &mut self,
+        crash: &ServerCrash,
+        traits: &RequestTraits,
+        now: Instant,
+    ) -> bool {
         self.rotate_counts(now);
         if !self.crashes.contains_key(crash) {
             self.order.push_back(crash.clone());
@@ -125,13 +131,13 @@
             runs: Vec::new(),
             is_explained: false,
         });
+        if record.is_explained {
+            return false;
+        }
         if record.runs.len() >= RUNS_PER_CRASH_MAX {
-            return;
+            return true;
         }
         record.runs.push(traits.clone());
-        if record.is_explained {
-            return;
-        }
         self.lost_runs += 1;
         let crashes = self.requests.entry(traits.request).or_default();
         crashes.insert(crash.clone());
@@ -139,6 +145,7 @@
             let crashes = self.segments.entry(*segment).or_default();
             crashes.insert(crash.clone(), traits.request);
         }
+        true
     }
 
     fn rotate_counts(&mut self, now: Instant) {
@@ -147,24 +154,38 @@
     }
 
     /// Records that segments caused a crash: it no longer counts against runs that do not
-    /// have all of them.
-    pub(super) fn explain(&mut self, crash: &ServerCrash, cause: &[SegmentFingerprint]) {
+    /// have all of them. Returns these runs.
+    pub(super) fn explain(
+        &mut self,
+        crash: &ServerCrash,
+        cause: &[SegmentFingerprint],
+    ) -> Vec<(RequestFingerprint, ServerCrash)> {
         let Some(record) = self.crashes.get_mut(crash) else {
-            return;
+            return Vec::new();
         };
         if !record.is_explained {
             record.is_explained = true;
             self.lost_runs -= record.runs.len();
         }
         let is_cause = |run: &RequestTraits| cause.iter().all(|s| run.segments.contains(s));
+        let mut others = Vec::new();
         for run in &record.runs {
             if !is_cause(run) {
                 remove_crash(&mut self.requests, run.request, crash);
+                others.push((run.request, crash.clone()));
             }
             for segment in run.segments.iter().filter(|s| !cause.contains(s)) {
                 remove_segment_crash(&mut self.segments, *segment, crash);
             }
         }
+        others
+    }
+
+    /// Whether crashes count against one of the segments.
+    pub(super) fn is_suspect(&self, segments: &[SegmentFingerprint]) -> bool {
+        segments
+            .iter()
+            .any(|segment| self.segments.contains_key(segment))
     }
 
     /// The crashes that count against a request.
--- a/crates/policy/src/quarantine/ledger/hold.rs
+++ b/crates/policy/src/quarantine/ledger/hold.rs
@@ -89,6 +89,12 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// The time until the quarantine ends; `None` outside of one.
+    pub(super) fn quarantine_left(&self, now: Instant) -> Option<Duration> {
+        let left = self.quarantined_until.saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     pub(super) fn begin_trial(&mut self, now: Instant) {
         self.next_trial_at = now + TRIAL_INTERVAL;
     }
--- a/crates/policy/src/quarantine/table.rs
+++ b/crates/policy/src/quarantine/table.rs
@@ -132,6 +132,22 @@
         self.update_of(fingerprint)
     }
 
+    /// Clears a request of one crash, which it did not cause; returns the update to send, if
+    /// the crash counted against it.
+    pub fn clear_crash(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        crash: &ServerCrash,
+        now: Instant,
+    ) -> Option<SuspectUpdate> {
+        let record = self.records.get_mut(&fingerprint)?;
+        if !record.crashes.contains(crash) || !record.cleared.insert(crash.clone()) {
+            return None;
+        }
+        record.changed_at = now;
+        self.update_of(fingerprint)
+    }
+
     /// Merges the state received from another host. Duplicate and outdated updates
     /// have no effect.
     pub fn merge(&mut self, update: &SuspectUpdate, now: Instant) {
--- a/crates/policy/src/routing/server.rs
+++ b/crates/policy/src/routing/server.rs
@@ -15,6 +15,17 @@
     Service(ServiceName),
 }
 
+impl WorkTarget {
+    /// The name under which crashes of the servers are counted.
+    #[must_use]
+    pub fn pool(&self) -> ServiceName {
+        match self {
+            Self::Model(model) => model.into(),
+            Self::Service(service) => service.clone(),
+        }
+    }
+}
+
 impl fmt::Display for WorkTarget {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -121,3 +121,10 @@
     /// The name of a backend server.
     ServerName, "server name";
 }
+
+impl From<&ModelName> for ServiceName {
+    /// The service of the servers that run a model; both kinds of names obey the same rules.
+    fn from(model: &ModelName) -> Self {
+        Self(model.0.clone())
+    }
+}
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -2,10 +2,20 @@
 
 use crate::fixture::{FleetFixture, HttpRequest, chat_body, eventually, send};
 use chicoryladder_standin::{EngineHandle, FaultPlan};
+use serde_json::json;
+use std::sync::Arc;
+use std::time::Duration;
 
 const CHAT: &str = "/v1/chat/completions";
 const POISON: &str = "poison";
 
+/// The runs that one shared message may crash: five until the cause counts as known, and
+/// three until all hosts know it.
+const RUNS_MAX: usize = 8;
+
+/// The interval at which crashed engines are restarted.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(200);
+
 async fn start_engines(fleet: &FleetFixture, count: usize) -> Vec<EngineHandle> {
     let mut engines = Vec::new();
     for index in 0..count {
@@ -63,6 +73,71 @@
     assert!(quarantined.count() >= 7, "{reasons:?}");
 }
 
+/// Counts the runs of requests that contain a text.
+fn run_count(engines: &[EngineHandle], marker: &str) -> usize {
+    let contains = |engine: &EngineHandle| {
+        let received = engine.received();
+        let bodies = received
+            .iter()
+            .map(|one| String::from_utf8_lossy(&one.body));
+        bodies.filter(|body| body.contains(marker)).count()
+    };
+    engines.iter().map(contains).sum()
+}
+
+/// Guards against requests that differ, but share a message under which servers crash, and
+/// that crash one server after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_crashing_message_stop_reaching_servers() {
+    let fleet = FleetFixture::with_document(3).await;
+    let engines = Arc::new(start_engines(&fleet, 8).await);
+    let key = fleet.grant_key(0, "curepipe").await.text;
+    wait_until_key_known(&fleet, 3, &key).await;
+    let recovering = tokio::spawn(recover_crashed(engines.clone()));
+    let body = |system: &str, question: usize| {
+        let messages = json!([
+            {"role": "system", "content": system},
+            {"role": "user", "content": format!("Question {question}.")},
+        ]);
+        let mut body: serde_json::Value = serde_json::from_str(&chat_body(1, false)).unwrap();
+        body["messages"] = messages;
+        body.to_string()
+    };
+    let mut lost = Vec::new();
+    for round in 0..30 {
+        let callers = fleet.ports(round % 3).callers;
+        let crashing = format!("A {POISON} in the shared instructions.");
+        let request = HttpRequest::post(callers, CHAT, body(&crashing, round)).with_key(&key);
+        let answer = send(request).await.unwrap();
+        assert_ne!(answer.status, 200);
+        let sound = body("Be brief.", round);
+        let request = HttpRequest::post(callers, CHAT, sound).with_key(&key);
+        let answer = send(request).await.unwrap();
+        if answer.status != 200 {
+            lost.push((round, answer.status, answer.text()));
+        }
+    }
+    recovering.abort();
+    let runs = run_count(&engines, POISON);
+    assert!(runs <= RUNS_MAX, "{runs} runs crashed servers");
+    assert!(lost.is_empty(), "{lost:?}");
+}
+
+/// Restarts each engine some time after each of its crashes.
+async fn recover_crashed(engines: Arc<Vec<EngineHandle>>) {
+    let mut recovered = vec![0; engines.len()];
+    loop {
+        tokio::time::sleep(RECOVERY_INTERVAL).await;
+        for (engine, recovered) in engines.iter().zip(&mut recovered) {
+            let crashes = run_count(std::slice::from_ref(engine), POISON);
+            if crashes > *recovered {
+                *recovered = crashes;
+                engine.control().recover().await;
+            }
+        }
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_interrupted_by_a_server_crash_is_served_by_another_server() {
     let fleet = FleetFixture::with_document(3).await;
