Do not hold a segment for servers that end together

Cause: items of a job share a segment, run for seconds, and sit on most servers. When a third of the servers end at once, the items that were on them look like three or four crashes of the segment in a row, and none of its runs completes in between.

Now crashes within 50 ms count once, as they may have a common cause; a run whose response has arrived for two seconds does not crash its server as the response begins, so it clears its segments while it goes on, and its later crash does not count against them. Hosts tell the broker which runs those are with each sync.

Not covered: a segment whose requests crash servers later than two seconds into the response; the quarantine of whole requests still bounds each of these.

--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -50,19 +50,19 @@
     pub first_answer: Option<Duration>,
     /// Whether the charged team is refunded, since the request never ran.
     pub refund: bool,
-    /// Whether the server ran a request to its end and responded with success.
-    pub completion: RunCompletion,
+    /// The work that the server ran to its end, responding with success.
+    pub completed: ProvenWork,
 }
 
-/// Whether a run completed.
+/// Work that turned out not to crash its server.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum RunCompletion {
-    /// No request completed.
+pub enum ProvenWork {
+    /// None yet.
     #[default]
     None,
-    /// The request for which the slot was granted completed.
+    /// The request for which the slot was granted.
     Requested,
-    /// Another request ran in the slot and completed.
+    /// Another request that ran in the slot.
     Other {
         /// The segments of its prompt that other requests may share.
         segments: Vec<SegmentFingerprint>,
@@ -93,6 +93,8 @@
     pub tokens: u64,
     /// Whether the requester selected the server without the broker.
     pub brokerless: bool,
+    /// The work, if its response has arrived for some time.
+    pub proven: ProvenWork,
 }
 
 /// A granted slot.
@@ -142,6 +144,11 @@
         self.grants.remove(key)
     }
 
+    pub(crate) fn get(&self, requester: &RequesterId, ticket: u64) -> Option<&SlotGrant> {
+        let key = self.by_ticket.get(requester)?.get(&ticket)?;
+        self.grants.get(*key)
+    }
+
     pub(crate) fn contains(&self, requester: &RequesterId, ticket: u64) -> bool {
         let tickets = self.by_ticket.get(requester);
         tickets.is_some_and(|tickets| tickets.contains_key(&ticket))
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -29,7 +29,7 @@
 pub use brokerless::{BrokerlessView, servers_for_zone};
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
-pub use grants::{ActiveRun, CrashedRun, RunCompletion, RunOutcome, RunReport};
+pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
 pub use rate::{RateLedger, RateTolerance};
 pub use request::{
     BrokerEvent, PoolLoad, PromptSegment, RequesterId, SlotDecision, SlotRefusalReason,
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -357,7 +357,7 @@
             self.refund(grant.charged_team.as_ref());
         }
         self.subtract_run(&grant);
-        self.record_completion(&grant, &report.completion, now);
+        self.record_completion(&grant, &report.completed, now);
         let Some(entry) = self.servers.get_mut(grant.server) else {
             return;
         };
@@ -393,6 +393,7 @@
         }
         for run in active {
             if self.grants.contains(requester, run.ticket) {
+                self.record_progress(requester, run, now);
                 continue;
             }
             if let Some(key) = self.by_name.get(&run.server).copied() {
--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -1,11 +1,13 @@
 //! Requests under which servers crash: what is recorded, and which requests are refused.
 
 use super::SlotBroker;
-use crate::grants::{CrashedRun, RunCompletion, SlotGrant};
+use crate::grants::{ActiveRun, CrashedRun, ProvenWork, SlotGrant};
 use crate::pool::{QueuePosition, WaitingRequest};
-use crate::request::{BrokerEvent, SlotRefusalReason, SlotRequest, WorkKind, shared_segments};
+use crate::request::{
+    BrokerEvent, RequesterId, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
+};
 use chicoryladder_policy::quarantine::{
-    Admission, CrashCounts, QuarantineCause, QuarantinedSegments, ServerCrash,
+    Admission, CrashCounts, QuarantineCause, QuarantinedSegments, SegmentFingerprint, ServerCrash,
 };
 use chicoryladder_types::{ServerGeneration, ServiceName};
 use std::time::{Duration, Instant};
@@ -25,13 +27,11 @@
     pub(super) fn record_completion(
         &mut self,
         grant: &SlotGrant,
-        completion: &RunCompletion,
+        completed: &ProvenWork,
         now: Instant,
     ) {
-        let segments = match completion {
-            RunCompletion::None => return,
-            RunCompletion::Requested => &grant.segments,
-            RunCompletion::Other { segments } => segments,
+        let Some(segments) = proven_segments(grant, completed) else {
+            return;
         };
         let Some(entry) = self.servers.get(grant.server) else {
             return;
@@ -47,6 +47,24 @@
         self.emit_quarantine_changes();
     }
 
+    /// Records whether an active run has gone on long enough not to crash its server.
+    pub(super) fn record_progress(
+        &mut self,
+        requester: &RequesterId,
+        run: &ActiveRun,
+        now: Instant,
+    ) {
+        let Some(grant) = self.grants.get(requester, run.ticket) else {
+            return;
+        };
+        let entry = self.servers.get(grant.server);
+        if let (Some(entry), Some(segments)) = (entry, proven_segments(grant, &run.proven)) {
+            let service = &entry.record.check_in.service;
+            self.crashes.record_progress(service, segments, now);
+            self.emit_quarantine_changes();
+        }
+    }
+
     /// Why a request must not run, and for how long. An item of a batch job is owed although
     /// servers crashed under it, but waits while other requests show that a segment of its
     /// prompt crashes servers.
@@ -116,3 +134,15 @@
         self.events.extend(events);
     }
 }
+
+/// The segments of the work that a run has proven harmless; `None` if it has not.
+fn proven_segments<'a>(
+    grant: &'a SlotGrant,
+    proven: &'a ProvenWork,
+) -> Option<&'a [SegmentFingerprint]> {
+    match proven {
+        ProvenWork::None => None,
+        ProvenWork::Requested => Some(&grant.segments),
+        ProvenWork::Other { segments } => Some(segments),
+    }
+}
--- a/crates/broker/tests/all/bursts.rs
+++ b/crates/broker/tests/all/bursts.rs
@@ -3,7 +3,7 @@
 
 use crate::support::{BrokerFixture, check_in, requester};
 use chicoryladder_broker::{
-    BrokerEvent, RunCompletion, RunOutcome, RunReport, SlotDecision, WorkKind,
+    BrokerEvent, ProvenWork, RunOutcome, RunReport, SlotDecision, WorkKind,
 };
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
@@ -143,7 +143,7 @@
             load: None,
             first_answer: Some(Duration::from_millis(40)),
             refund: false,
-            completion: RunCompletion::None,
+            completed: ProvenWork::None,
         };
         let now = self.fixture.now;
         self.fixture
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -3,8 +3,8 @@
 
 use crate::support::{BrokerFixture, check_in, fingerprint, requester, segment};
 use chicoryladder_broker::{
-    BrokerEvent, CrashedRun, RunCompletion, RunOutcome, RunReport, SlotDecision, SlotRefusalReason,
-    SlotRequest, WorkKind, shared_segments,
+    ActiveRun, BrokerEvent, CrashedRun, ProvenWork, RunOutcome, RunReport, SlotDecision,
+    SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 use chicoryladder_policy::quarantine::{QuarantineCause, QuarantineStep, ServerCrash};
 use chicoryladder_types::ServerGeneration;
@@ -34,6 +34,14 @@
 const SESSIONS: u64 = 264;
 const CRASHING: u64 = 0xdead;
 
+/// The segments of jobs, how long an item takes, and its pause after a failure.
+const FIRST_JOB: u64 = 0x10_0000;
+const ITEM_RUN: Duration = Duration::from_secs(6);
+const ITEM_PAUSE: Duration = Duration::from_millis(200);
+
+const SYNC_INTERVAL: Duration = Duration::from_millis(350);
+const PROVEN_AFTER: Duration = Duration::from_secs(2);
+
 /// Why servers end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Trouble {
@@ -44,15 +52,25 @@
     PowerLosses,
     /// None ends, but connections are lost.
     Resets,
+    /// A third of all end together, five times in a row, again and again.
+    Bursts,
+    /// All end together, every eight seconds.
+    Outages,
 }
 
 struct Run {
     server: String,
     ends_at: Instant,
     request: SlotRequest,
+    began_at: Instant,
     is_crashing: bool,
 }
 
+/// Whether a request is an item of a job.
+fn is_item(request: &SlotRequest) -> bool {
+    request.kind == WorkKind::Batch
+}
+
 #[derive(Default)]
 struct Outcomes {
     sound_sent: usize,
@@ -62,6 +80,7 @@
     /// When requests with the crashing segment reached servers.
     crashing_runs: Vec<Instant>,
     steps: Vec<QuarantineStep>,
+    items_left: usize,
 }
 
 impl Outcomes {
@@ -90,8 +109,12 @@
     started: usize,
     trouble: Trouble,
     next_power_loss: Instant,
+    bursts: usize,
     /// The crash reports on their way to the broker.
     reports: Vec<(Instant, u64, CrashedRun)>,
+    /// Items with the times at which they ask for a slot again.
+    waiting_items: Vec<(Instant, SlotRequest)>,
+    next_sync: Instant,
     outcomes: Outcomes,
 }
 
@@ -109,7 +132,10 @@
             started: 0,
             trouble,
             next_power_loss: now + Duration::from_secs(4),
+            bursts: 0,
             reports: Vec::new(),
+            waiting_items: Vec::new(),
+            next_sync: now,
             outcomes: Outcomes::default(),
             fixture,
         };
@@ -143,6 +169,55 @@
         self.submit(request, is_sound);
     }
 
+    /// Sends an item of a job, whose items share a segment.
+    fn send_item(&mut self, job: u64) {
+        let mut request = self.fixture.slot_request(WorkKind::Batch);
+        let own = 1_000_000 + request.ticket;
+        request.prompt = vec![segment(FIRST_JOB + job, 100), segment(own, 100)];
+        request.wait_max = Duration::from_secs(2);
+        self.outcomes.items_left += 1;
+        self.submit(request, true);
+    }
+
+    /// Lets items ask for slots again that wait to do so.
+    fn resend_items(&mut self) {
+        let now = self.fixture.now;
+        let waiting = std::mem::take(&mut self.waiting_items);
+        let (due, later): (Vec<_>, Vec<_>) = waiting.into_iter().partition(|(at, _)| *at <= now);
+        self.waiting_items = later;
+        for (_, request) in due {
+            let again = self.fixture.slot_request(WorkKind::Batch);
+            let ticket = again.ticket;
+            self.submit(SlotRequest { ticket, ..request }, true);
+        }
+    }
+
+    /// Reports the active runs, with those that have gone on for some time.
+    fn sync(&mut self) {
+        let now = self.fixture.now;
+        if now < self.next_sync {
+            return;
+        }
+        self.next_sync = now + SYNC_INTERVAL;
+        let active = self.runs.iter().map(|(ticket, run)| ActiveRun {
+            ticket: *ticket,
+            server: ServerName::try_from(run.server.as_str()).expect("it is valid"),
+            kind: run.request.kind,
+            tokens: run.request.tokens,
+            brokerless: false,
+            proven: if now - run.began_at >= PROVEN_AFTER {
+                ProvenWork::Requested
+            } else {
+                ProvenWork::None
+            },
+        });
+        let active: Vec<ActiveRun> = active.collect();
+        let broker = &mut self.fixture.broker;
+        broker.reconcile(&requester("entry-1"), &active, now);
+        let events = broker.take_events();
+        self.handle(events);
+    }
+
     fn submit(&mut self, request: SlotRequest, is_sound: bool) {
         self.pending
             .insert(request.ticket, (request.clone(), is_sound));
@@ -156,7 +231,7 @@
                 BrokerEvent::Decided {
                     ticket, decision, ..
                 } => self.decide(ticket, &decision),
-                BrokerEvent::Stop { .. } => {}
+                BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => self.outcomes.steps.push(change.step),
             }
         }
@@ -173,18 +248,26 @@
                     && self.zone_of(server.as_str()) == Some("a")
                     && self.random.random_bool(0.3);
                 if self.zone_of(server.as_str()).is_none() {
-                    self.release(ticket, RunOutcome::Unreachable, RunCompletion::None);
+                    self.release(ticket, RunOutcome::Unreachable, ProvenWork::None);
+                    if is_item(&request) {
+                        self.waiting_items.push((now + ITEM_PAUSE, request));
+                    }
                     return;
                 }
                 if !is_sound {
                     self.outcomes.crashing_runs.push(now);
                 }
                 let is_crashing = !is_sound || crashes_zone;
-                let length = if is_crashing { CRASH_AFTER } else { RUN };
+                let length = match is_crashing {
+                    true => CRASH_AFTER,
+                    false if is_item(&request) => ITEM_RUN,
+                    false => RUN,
+                };
                 let run = Run {
                     server: server.to_string(),
                     ends_at: now + length,
                     request,
+                    began_at: now,
                     is_crashing,
                 };
                 self.runs.insert(ticket, run);
@@ -197,10 +280,22 @@
                     )
                 );
                 self.outcomes.sound_quarantined += usize::from(is_sound && is_quarantined);
+                if is_item(&request) {
+                    self.waiting_items.push((now + ITEM_PAUSE, request));
+                }
             }
         }
     }
 
+    /// Ends the run of an item whose slot is needed.
+    fn stop(&mut self, ticket: u64) {
+        if let Some(run) = self.runs.remove(&ticket) {
+            self.release(ticket, RunOutcome::Stopped, ProvenWork::None);
+            self.waiting_items
+                .push((self.fixture.now + ITEM_PAUSE, run.request));
+        }
+    }
+
     fn zone_of(&self, server: &str) -> Option<&'static str> {
         let known = self.servers.iter().find(|(name, ..)| name == server);
         known.map(|(_, zone, _)| *zone)
@@ -241,6 +336,11 @@
         let delay = Duration::from_millis(self.random.random_range(1..30));
         self.reports
             .push((self.fixture.now + delay, ticket, crashed));
+        if is_item(&run.request) {
+            self.waiting_items
+                .push((self.fixture.now + ITEM_PAUSE, run.request));
+            return;
+        }
         let is_crashing = shared_segments(&run.request.prompt)
             .iter()
             .any(|s| s.0 == CRASHING);
@@ -254,14 +354,14 @@
         }
     }
 
-    fn release(&mut self, ticket: u64, outcome: RunOutcome, completion: RunCompletion) {
+    fn release(&mut self, ticket: u64, outcome: RunOutcome, completed: ProvenWork) {
         let report = RunReport {
             ticket,
             outcome,
             load: None,
             first_answer: Some(Duration::from_millis(40)),
             refund: false,
-            completion,
+            completed,
         };
         let now = self.fixture.now;
         let broker = &mut self.fixture.broker;
@@ -285,6 +385,32 @@
         }
     }
 
+    /// Ends servers together, as the trouble has it.
+    fn crash_together(&mut self) {
+        let now = self.fixture.now;
+        if now < self.next_power_loss {
+            return;
+        }
+        let (share, pause) = match self.trouble {
+            Trouble::PowerLosses => (1.0, 4_000),
+            Trouble::Bursts if self.bursts % 5 == 4 => (0.3, 4_400),
+            Trouble::Bursts => (0.3, 400),
+            Trouble::Outages => (1.0, 8_000),
+            Trouble::None | Trouble::CrashingZone | Trouble::Resets => return,
+        };
+        self.bursts += 1;
+        self.next_power_loss = now + Duration::from_millis(pause);
+        let is_in_zone = |zone: &str| self.trouble != Trouble::PowerLosses || zone == "a";
+        let servers = self.servers.iter();
+        let running = servers.filter(|(_, zone, at)| *at <= now && is_in_zone(zone));
+        let running: Vec<String> = running.map(|(name, ..)| name.clone()).collect();
+        for server in running {
+            if self.random.random_bool(share) {
+                self.crash(&server);
+            }
+        }
+    }
+
     fn end_runs(&mut self) {
         let now = self.fixture.now;
         while let Some((ticket, is_crashing)) = self
@@ -300,21 +426,10 @@
             } else if self.trouble == Trouble::Resets && self.random.random_bool(0.2) {
                 self.lose_connection(ticket);
             } else {
-                self.runs.remove(&ticket);
+                let run = self.runs.remove(&ticket).expect("it is known");
+                self.outcomes.items_left -= usize::from(is_item(&run.request));
                 self.outcomes.sound_served += 1;
-                self.release(ticket, RunOutcome::Served, RunCompletion::Requested);
-            }
-        }
-        if self.trouble == Trouble::PowerLosses && now >= self.next_power_loss {
-            self.next_power_loss += Duration::from_secs(4);
-            let lost: Vec<String> = self
-                .servers
-                .iter()
-                .filter(|(_, zone, at)| *zone == "a" && *at <= now)
-                .map(|(name, ..)| name.clone())
-                .collect();
-            for server in lost {
-                self.crash(&server);
+                self.release(ticket, RunOutcome::Served, ProvenWork::Requested);
             }
         }
         let (due, later) = std::mem::take(&mut self.reports)
@@ -324,7 +439,7 @@
         let due: Vec<(Instant, u64, CrashedRun)> = due;
         for (_, ticket, run) in due {
             self.fixture.broker.record_crash(&run, now);
-            self.release(ticket, RunOutcome::Failed, RunCompletion::None);
+            self.release(ticket, RunOutcome::Failed, ProvenWork::None);
         }
     }
 
@@ -339,7 +454,10 @@
         let mut due = 0.0;
         while self.fixture.now < until {
             self.check_in_servers();
+            self.crash_together();
             self.end_runs();
+            self.resend_items();
+            self.sync();
             due += sound_per_second * STEP.as_secs_f64();
             while due >= 1.0 {
                 due -= 1.0;
@@ -356,6 +474,9 @@
 }
 
 const SOUND_RATE: f64 = 60.0;
+
+/// The time within which items have to be complete after the last trouble.
+const FINISH: Duration = Duration::from_secs(18);
 const SEEDS: std::ops::Range<u64> = 0..10;
 
 /// Decides whether one of `per_second` requests is due in this step.
@@ -490,7 +611,13 @@
 /// any request, end together, or only lose connections.
 #[test]
 fn servers_in_trouble_put_no_segment_in_quarantine() {
-    for trouble in [Trouble::CrashingZone, Trouble::PowerLosses, Trouble::Resets] {
+    for trouble in [
+        Trouble::CrashingZone,
+        Trouble::PowerLosses,
+        Trouble::Resets,
+        Trouble::Bursts,
+        Trouble::Outages,
+    ] {
         for seed in SEEDS {
             let mut simulation = Simulation::new(seed, trouble);
             simulation.run(Duration::from_secs(30), SOUND_RATE, |_| Vec::new());
@@ -506,6 +633,27 @@
     }
 }
 
+/// Guards against items of jobs that are never started again after several servers ended
+/// under them at once: a hunt found one left (crash-bursts on lonja-rents, 311062453517).
+#[test]
+fn items_are_completed_after_servers_ended_together() {
+    for trouble in [Trouble::Bursts, Trouble::Outages] {
+        for seed in SEEDS {
+            let mut simulation = Simulation::new(seed, trouble);
+            for _ in 0..20 {
+                for job in 0..4 {
+                    simulation.send_item(job);
+                }
+                simulation.run(Duration::from_secs(1), SOUND_RATE / 4.0, |_| Vec::new());
+            }
+            simulation.trouble = Trouble::None;
+            simulation.run(FINISH, SOUND_RATE / 4.0, |_| Vec::new());
+            let left = simulation.outcomes.items_left;
+            assert_eq!(left, 0, "{trouble:?}, seed {seed}");
+        }
+    }
+}
+
 /// Guards against a queue that still holds requests of a segment when it is held.
 #[test]
 fn waiting_requests_of_a_held_segment_are_refused() {
@@ -535,6 +683,7 @@
             traits,
         };
         fixture.broker.record_crash(&run, fixture.now);
+        fixture.now += Duration::from_secs(1);
     }
     let refused = fixture.broker.take_events().into_iter().any(|event| {
         let BrokerEvent::Decided {
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -5,7 +5,7 @@
     team_name, zone,
 };
 use chicoryladder_broker::{
-    ActiveRun, CheckInOutcome, RunCompletion, RunOutcome, RunReport, WorkKind,
+    ActiveRun, CheckInOutcome, ProvenWork, RunOutcome, RunReport, WorkKind,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -214,6 +214,7 @@
         kind: WorkKind::Online,
         tokens: 100,
         brokerless: true,
+        proven: ProvenWork::None,
     };
     let active: Vec<_> = (100..108).map(run).collect();
     fixture
@@ -245,7 +246,7 @@
         load: None,
         first_answer: None,
         refund: true,
-        completion: RunCompletion::None,
+        completed: ProvenWork::None,
     };
     fixture
         .broker
@@ -296,7 +297,7 @@
                 load: None,
                 first_answer: None,
                 refund: false,
-                completion: RunCompletion::None,
+                completed: ProvenWork::None,
             };
             fixture.broker.request_slot(&host, request, fixture.now);
             fixture.broker.release(&host, &report, fixture.now);
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -1,9 +1,8 @@
 //! A broker with servers and requesters for tests.
 
 use chicoryladder_broker::{
-    BrokerEvent, BrokerSettings, PromptSegment, RateTolerance, RequesterId, RunCompletion,
-    RunOutcome, RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, SlotRequest,
-    WorkKind,
+    BrokerEvent, BrokerSettings, PromptSegment, ProvenWork, RateTolerance, RequesterId, RunOutcome,
+    RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, SlotRequest, WorkKind,
 };
 use chicoryladder_plan::{
     CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawService, RawTeam, ServicePlan,
@@ -154,7 +153,7 @@
             load: None,
             first_answer: None,
             refund: false,
-            completion: RunCompletion::None,
+            completed: ProvenWork::None,
         };
         self.broker
             .release(&requester("entry-1"), &report, self.now);
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -12,7 +12,8 @@
 //! crashes, and the more runs with the segment completed recently, the more crashes it
 //! takes: so many in a row have to be unlikely by chance.
 //!
-//! A completed run clears the segments of its prompt. A run that began on an incarnation
+//! A completed run clears the segments of its prompt, and so does one that has gone on for
+//! some time, as those of batch jobs take long. A run that began on an incarnation
 //! after its supposed crash and completed there shows that only a connection was lost. A
 //! crash under a held segment is explained by it, and no longer counts against the other
 //! runs on that server.
@@ -127,7 +128,7 @@
     pub segments: Vec<SegmentFingerprint>,
     /// What changed.
     pub step: QuarantineStep,
-    /// The crashes that count against the segments.
+    /// The crashes under the segments.
     pub crashes: usize,
     /// The crashes that were required.
     pub required: usize,
@@ -344,6 +345,26 @@
         self.lift_unfounded(service, now);
     }
 
+    /// Records that a run with these segments has gone on long enough not to crash its
+    /// server.
+    pub fn record_progress(
+        &mut self,
+        service: &ServiceName,
+        segments: &[SegmentFingerprint],
+        now: Instant,
+    ) {
+        if !self.is_suspect(service, segments) {
+            return;
+        }
+        if let Some(ledger) = self.services.get_mut(service) {
+            ledger.evidence.record_progress(segments);
+            for hold in &mut ledger.holds {
+                hold.clear(segments);
+            }
+        }
+        self.lift_unfounded(service, now);
+    }
+
     /// Removes the holds without a segment, and those whose crashes have another
     /// explanation by now.
     fn lift_unfounded(&mut self, service: &ServiceName, now: Instant) {
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -9,6 +9,10 @@
 /// The time for which a crash counts.
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(60);
 
+/// Crashes of several servers within this time count once against a segment: they may have a
+/// common cause, such as a loss of power.
+pub(super) const INCIDENT_LENGTH: Duration = Duration::from_millis(50);
+
 /// The maximum number of crashes that are kept; the oldest are dropped first.
 const CRASHES_MAX: usize = 512;
 
@@ -192,7 +196,7 @@
     pub(super) fn counts(&self, traits: &RequestTraits) -> CrashCounts {
         let count = |segment: &SegmentFingerprint| SegmentCrashCount {
             segment: *segment,
-            crashes: self.segments.get(segment).map_or(0, independent_crashes),
+            crashes: self.crash_count(*segment),
             required: self.required_segment_crashes(*segment),
         };
         CrashCounts {
@@ -206,7 +210,7 @@
         let candidates = traits.segments.iter().filter_map(|segment| {
             let crashes = self.segments.get(segment)?;
             let required = self.required_segment_crashes(*segment);
-            let excess = independent_crashes(crashes).checked_sub(required)?;
+            let excess = self.crash_count(*segment).checked_sub(required)?;
             Some((excess, *segment, required, crashes))
         });
         let candidates: Vec<_> = candidates.collect();
@@ -225,11 +229,29 @@
 
     /// Whether the crashes still suffice for a hold.
     pub(super) fn supports(&self, hold: &SegmentHold) -> bool {
-        let is_supported = |segment: &SegmentFingerprint| {
-            let crashes = self.segments.get(segment);
-            crashes.is_some_and(|crashes| independent_crashes(crashes) >= hold.required())
+        let mut segments = hold.segments.iter();
+        segments.any(|segment| self.crash_count(*segment) >= hold.required())
+    }
+
+    /// The number of crashes that count against a segment. Crashes under the same request,
+    /// and those within [`INCIDENT_LENGTH`], count once.
+    fn crash_count(&self, segment: SegmentFingerprint) -> usize {
+        let Some(crashes) = self.segments.get(&segment) else {
+            return 0;
         };
-        hold.segments.iter().any(is_supported)
+        let requests: HashSet<&RequestFingerprint> = crashes.values().collect();
+        let records = crashes.keys().filter_map(|crash| self.crashes.get(crash));
+        let mut times: Vec<Instant> = records.map(|record| record.at).collect();
+        times.sort_unstable();
+        let mut incidents = 0;
+        let mut ends_at = None;
+        for at in times {
+            if ends_at.is_none_or(|ends_at| at >= ends_at) {
+                incidents += 1;
+                ends_at = Some(at + INCIDENT_LENGTH);
+            }
+        }
+        requests.len().min(incidents)
     }
 
     /// The number of crashes at which a segment is held. By chance, several crashes in a row
@@ -255,6 +277,14 @@
         as_float(lost) / as_float((lost + completed).max(1))
     }
 
+    /// Records that a run with these segments has gone on long enough not to crash its
+    /// server.
+    pub(super) fn record_progress(&mut self, segments: &[SegmentFingerprint]) {
+        for segment in segments {
+            self.segments.remove(segment);
+        }
+    }
+
     /// Records a completed run: its segments are sound, and so is the server.
     pub(super) fn record_completion(
         &mut self,
@@ -308,12 +338,6 @@
     }
 }
 
-/// The number of crashes, counting those in the same request once.
-fn independent_crashes(crashes: &SegmentCrashes) -> usize {
-    let requests: HashSet<&RequestFingerprint> = crashes.values().collect();
-    requests.len()
-}
-
 /// The number of crashes in a row that is as unlikely by chance, at a loss rate, as
 /// `at_least` of them at the lowest one.
 fn required_crashes(at_least: usize, loss_rate: f64) -> usize {
--- a/crates/policy/src/quarantine/ledger/hold.rs
+++ b/crates/policy/src/quarantine/ledger/hold.rs
@@ -1,5 +1,6 @@
 //! The hold of a segment: trials first, then quarantine.
 
+use super::evidence::INCIDENT_LENGTH;
 use super::{QuarantineChange, QuarantineStep, QuarantinedSegments, SegmentFingerprint};
 use crate::quarantine::ServerCrash;
 use chicoryladder_types::ServiceName;
@@ -10,10 +11,10 @@
 const TRIAL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The first quarantine of a segment; it doubles with each further one.
-const QUARANTINE: Duration = Duration::from_secs(600);
+const QUARANTINE: Duration = Duration::from_secs(30);
 
 /// The most doublings of the quarantine.
-const DOUBLINGS_MAX: u32 = 5;
+const DOUBLINGS_MAX: u32 = 7;
 
 /// Segments whose runs crash servers. Several segments are held together if no crash tells
 /// them apart.
@@ -24,6 +25,8 @@
     crashes: BTreeSet<ServerCrash>,
     required: usize,
     first_crash_at: Instant,
+    /// The begin of the latest incident.
+    incident_at: Instant,
     next_trial_at: Instant,
     /// The end of the quarantine; the start of the hold before the first one.
     quarantined_until: Instant,
@@ -43,6 +46,7 @@
             crashes,
             required,
             first_crash_at,
+            incident_at: now,
             next_trial_at: now + TRIAL_INTERVAL,
             quarantined_until: now,
             quarantines: 0,
@@ -103,7 +107,11 @@
     /// flight before do not prolong one.
     pub(super) fn record_crash(&mut self, crash: &ServerCrash, now: Instant) -> bool {
         let is_new = self.crashes.insert(crash.clone());
-        if !is_new || now < self.quarantined_until {
+        if !is_new || now < self.incident_at + INCIDENT_LENGTH {
+            return false;
+        }
+        self.incident_at = now;
+        if now < self.quarantined_until {
             return false;
         }
         let doublings = self.quarantines.min(DOUBLINGS_MAX);
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -11,8 +11,8 @@
 };
 use crate::plan_notices::PlanNotices;
 use chicoryladder_broker::{
-    BrokerEvent, BrokerSettings, EntryRoster, RequesterId, ReserveHolders, RosterMember,
-    RosterSettings, RunCompletion, RunOutcome, RunReport, ServerCheckIn, SlotBroker, SlotDecision,
+    BrokerEvent, BrokerSettings, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
+    RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, SlotBroker, SlotDecision,
     SlotRequest, ZoneRoster, servers_for_zone,
 };
 use chicoryladder_group::{spread_over_zones, zone_voters_max};
@@ -389,7 +389,7 @@
                 load: None,
                 first_answer: None,
                 refund: true,
-                completion: RunCompletion::None,
+                completed: ProvenWork::None,
             };
             self.broker.release(requester, &report, now);
         }
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -89,6 +89,8 @@
     boundary: Option<EventBoundary>,
     connection: PooledConnection,
     lease: SlotLease,
+    /// Whether a part of the body has arrived.
+    has_data: bool,
 }
 
 impl RelayedRun {
@@ -103,6 +105,7 @@
             boundary: has_events.then(EventBoundary::default),
             connection: answer.connection,
             lease,
+            has_data: false,
         }
     }
 
@@ -185,6 +188,9 @@
             None => {}
         }
         let now = self.context.forwarder.clock.now();
+        if run.has_data {
+            run.lease.record_data(now);
+        }
         let left = self.context.state.answer_by.saturating_duration_since(now);
         let max_gap = self.max_gap().min(left);
         loop {
@@ -199,6 +205,7 @@
                 if let Some(boundary) = &mut run.boundary {
                     boundary.push(&chunk);
                 }
+                run.has_data = true;
                 return RelayStep::Chunk(chunk);
             }
         }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -8,7 +8,7 @@
 };
 use crate::process::ProcessBase;
 use chicoryladder_broker::{
-    ActiveRun, BrokerlessView, CrashedRun, PoolLoad, RunCompletion, RunOutcome, RunReport,
+    ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
     SlotDecision, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
@@ -36,6 +36,10 @@
 /// The timeout of a call to the holder of a reserve, which is in the same zone.
 const RESERVE_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// The time for which a response has to arrive until its run counts as one that does not
+/// crash its server.
+const PROVEN_AFTER: Duration = Duration::from_secs(2);
+
 /// The time for which a server that could not be reached is excluded from local
 /// choices.
 const UNREACHABLE_PERIOD: Duration = Duration::from_secs(2);
@@ -245,6 +249,7 @@
             kind: slot_request.kind,
             tokens: slot_request.tokens,
             brokerless,
+            proven: ProvenWork::None,
         };
         let handle = RunHandle {
             run,
@@ -261,6 +266,8 @@
             service: slot_request.service.clone(),
             traits: slot_request.traits(),
             other_work: None,
+            first_data_at: None,
+            is_proven: false,
             client: self.clone(),
             report: None,
             crashed: None,
@@ -429,7 +436,7 @@
         load: None,
         first_answer: None,
         refund: true,
-        completion: RunCompletion::None,
+        completed: ProvenWork::None,
     }
 }
 
@@ -447,6 +454,9 @@
     traits: RequestTraits,
     /// The work that runs instead.
     other_work: Option<RequestTraits>,
+    first_data_at: Option<Instant>,
+    /// Whether the response has arrived for [`PROVEN_AFTER`].
+    is_proven: bool,
     client: SlotClient,
     report: Option<RunReport>,
     crashed: Option<Box<CrashedRun>>,
@@ -479,25 +489,44 @@
 
     /// Records that the connection to the server was lost while it ran a request.
     pub(crate) fn record_crash(&mut self) {
+        let mut traits = self.other_work.as_ref().unwrap_or(&self.traits).clone();
+        if self.is_proven {
+            // No segment of the prompt crashes servers as their response begins.
+            traits.segments.clear();
+        }
         self.crashed = Some(Box::new(CrashedRun {
             service: self.service.clone(),
             crash: ServerCrash {
                 server: self.server.clone(),
                 generation: ServerGeneration(self.incarnation),
             },
-            traits: self.other_work.as_ref().unwrap_or(&self.traits).clone(),
+            traits,
         }));
     }
 
     /// Records that the server ran the request to its end and responded with success.
     pub(crate) fn record_completion(&mut self) {
-        let completion = match &self.other_work {
-            None => RunCompletion::Requested,
-            Some(traits) => RunCompletion::Other {
-                segments: traits.segments.clone(),
-            },
-        };
-        self.report_mut().completion = completion;
+        self.report_mut().completed = self.work();
+    }
+
+    fn work(&self) -> ProvenWork {
+        let other = self.other_work.as_ref();
+        other.map_or(ProvenWork::Requested, |traits| ProvenWork::Other {
+            segments: traits.segments.clone(),
+        })
+    }
+
+    /// Records that a part of the response has arrived.
+    pub(crate) fn record_data(&mut self, now: Instant) {
+        let first_data_at = *self.first_data_at.get_or_insert(now);
+        let is_proven = now.saturating_duration_since(first_data_at) >= PROVEN_AFTER;
+        if is_proven && !self.is_proven {
+            self.is_proven = true;
+            let work = self.work();
+            if let Some(handle) = self.client.runs().get_mut(&self.ticket) {
+                handle.run.proven = work;
+            }
+        }
     }
 
     /// Uses the slot for other work than it was requested for.
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -120,6 +120,7 @@
             Ok(None) => break,
             Err(_) => return run_broken("the server fell silent"),
         };
+        lease.record_data(clock.now());
         if let Ok(chunk) = frame.into_data()
             && let Err(cause) = reader.read_chunk(&chunk)
         {
