Do not take bytes that are no answer for a crash under the request

What callers saw: a head without end is cut at the limit of the parser, but it counted as a crash of the server under the request. After two of them the request was refused as quarantined for a minute, though nothing was wrong with it.

Cause: every error before the whole answer counted as a lost connection. A response that violates HTTP, in its head or in the chunks of its body, is the server's fault; it suspends the server and says nothing about the request. Entry hosts and items alike.

--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -9,6 +9,7 @@
 use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 use serde::de::IgnoredAny;
+use std::io::ErrorKind;
 
 /// How the end of a body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +49,17 @@
     }
 }
 
+/// Whether a response failed since the server sent bytes that are no HTTP, rather than since
+/// the connection was lost.
+#[must_use]
+pub fn is_malformed(error: &hyper::Error) -> bool {
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<std::io::Error>());
+    let kind = source.map(std::io::Error::kind);
+    let is_invalid = matches!(kind, Some(ErrorKind::InvalidInput | ErrorKind::InvalidData));
+    error.is_parse() || is_invalid
+}
+
 /// Whether header fields declare a stream of server-sent events.
 #[must_use]
 pub fn is_event_stream(fields: &HeaderMap) -> bool {
@@ -111,6 +123,9 @@
     has_fields: bool,
     /// Whether the last byte was a carriage return, which a line feed may follow.
     after_return: bool,
+    events: u64,
+    /// The bytes since the last event or line outside of an event.
+    event_bytes: usize,
 }
 
 impl EventBoundary {
@@ -119,6 +134,7 @@
         for byte in bytes {
             let ends_return = *byte == b'\n' && self.after_return;
             self.after_return = *byte == b'\r';
+            self.event_bytes += 1;
             match byte {
                 _ if ends_return => {}
                 b'\n' | b'\r' => self.end_line(),
@@ -135,12 +151,30 @@
         self.has_fields || self.line != LineContent::Nothing
     }
 
+    /// The number of whole events so far.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        self.events
+    }
+
+    /// The size of the event that is being read, in bytes.
+    #[must_use]
+    pub fn event_bytes(&self) -> usize {
+        self.event_bytes
+    }
+
     fn end_line(&mut self) {
         match self.line {
-            LineContent::Nothing => self.has_fields = false,
+            LineContent::Nothing => {
+                self.events += u64::from(self.has_fields);
+                self.has_fields = false;
+            }
             LineContent::Comment => {}
             LineContent::Field => self.has_fields = true,
         }
+        if !self.has_fields {
+            self.event_bytes = 0;
+        }
         self.line = LineContent::Nothing;
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,7 +28,9 @@
 pub use answer::{json_answer, refusal_answer, text_answer};
 pub use body::{AnswerBody, BodyError, bytes_body, empty_body};
 pub use callers::{CallerService, IdSource};
-pub use completeness::{BodyFraming, EventBoundary, check_whole_body, is_event_stream};
+pub use completeness::{
+    BodyFraming, EventBoundary, check_whole_body, is_event_stream, is_malformed,
+};
 pub use credentials::{bearer_key, forwarded_headers, forwarded_query};
 pub use listener::{HttpListener, HttpService, ListenError, ListenerLimits};
 pub use operators::OperatorService;
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -5,7 +5,7 @@
 use crate::ports::{AnswerHead, ServerDialect};
 use bytes::Bytes;
 use chicoryladder_broker::RunOutcome;
-use chicoryladder_gateway::BodyFraming;
+use chicoryladder_gateway::{BodyFraming, is_malformed};
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
 use http_body_util::Full;
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Creates the failure of a run whose response is no valid one: a fault of the server, not
+    /// of the request.
+    pub(crate) fn malformed(cause: &'static str) -> Self {
+        Self::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause)
+    }
+
     /// Creates the failure of a run whose connection was lost while the server had the
     /// request.
     pub(crate) fn connection_lost(cause: &'static str) -> Self {
@@ -132,7 +138,7 @@
                 Err(mut error) => match error.take_message() {
                     // Nothing was written, so another connection may be tried.
                     Some(unsent) => message = unsent,
-                    None => return Err(broken_connection()),
+                    None => return Err(broken_response(error.error())),
                 },
             }
         }
@@ -154,7 +160,7 @@
                     RunOutcome::Unreachable,
                     "the connection closed before the request was written",
                 )),
-                None => Err(broken_connection()),
+                None => Err(broken_response(error.error())),
             },
         }
     }
@@ -230,8 +236,13 @@
     }
 }
 
-fn broken_connection() -> RunFailure {
-    RunFailure::connection_lost("the connection broke before the answer began")
+/// The failure of a response whose head could not be read.
+fn broken_response(error: &hyper::Error) -> RunFailure {
+    if is_malformed(error) {
+        RunFailure::malformed("the server sent bytes that are no answer")
+    } else {
+        RunFailure::connection_lost("the connection broke before the answer began")
+    }
 }
 
 fn http_request(request: &ServerRequest) -> Result<Request<Full<Bytes>>, RunFailure> {
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -6,7 +6,7 @@
 use crate::slot_client::SlotLease;
 use chicoryladder_batch::{RunProgress, ScheduledItem};
 use chicoryladder_broker::RunOutcome;
-use chicoryladder_gateway::BodyFraming;
+use chicoryladder_gateway::{BodyFraming, is_malformed};
 use chicoryladder_types::prelude::*;
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
@@ -113,8 +113,10 @@
     loop {
         let frame = match tokio::time::timeout(SILENCE_MAX, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(_))) => {
-                lease.record_crash();
+            Ok(Some(Err(error))) => {
+                if !is_malformed(&error) {
+                    lease.record_crash();
+                }
                 return run_broken("the server broke off");
             }
             Ok(None) => break,
--- a/tests/fleet/broken_streams.rs
+++ b/tests/fleet/broken_streams.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Starts a fleet with routes to two servers whose responses have no framing.
-async fn start_fleet() -> (ProcessFleet, String) {
+pub(crate) async fn start_fleet() -> (ProcessFleet, String) {
     let mut fleet = ProcessFleet::start().await;
     fleet.add_unframed_servers(2).await;
     let entry = fleet.host_names(Role::Entry)[0].clone();
@@ -23,7 +23,7 @@
     (fleet, entry)
 }
 
-async fn send(fleet: &ProcessFleet, entry: &str, path: &str, id: &str) -> Answer {
+pub(crate) async fn send(fleet: &ProcessFleet, entry: &str, path: &str, id: &str) -> Answer {
     let call = fleet.caller_request(entry, path, id);
     call.send().await.expect("an answer")
 }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod calm;
 mod client;
 mod departures;
+mod endless;
 mod explain;
 mod first_contact;
 mod proxy;
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -39,6 +39,32 @@
 /// last of the prompt.
 pub(crate) const CRASHING_SEGMENT: &str = "dead";
 
+/// The path suffix at which the head of the response never ends.
+pub(crate) const ENDLESS_HEAD_PATH: &str = "/endless-head";
+
+/// The path suffix at which the body of the response never ends.
+pub(crate) const ENDLESS_BODY_PATH: &str = "/endless-body";
+
+/// The path suffix at which an event of a stream never ends.
+pub(crate) const ENDLESS_EVENT_PATH: &str = "/endless-event";
+
+/// The path suffix at which the first run of a stream sends a byte of a comment now and then
+/// after some events.
+pub(crate) const TRICKLE_PATH: &str = "/trickle";
+
+/// The path suffix at which a stream pauses before each event.
+pub(crate) const SLOW_PATH: &str = "/slow";
+
+/// The interval between the bytes of a trickle.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The pause before each event of a slow stream: less than the gap of three targets at which
+/// its route resumes it.
+const SLOW_PAUSE: Duration = Duration::from_millis(1_200);
+
+/// The bytes of one write of an endless response.
+const ENDLESS_WRITE_BYTES: usize = 64 * 1024;
+
 /// The number of whole events before a cut.
 pub(crate) const EVENTS_BEFORE_CUT: u64 = 3;
 
@@ -82,6 +108,13 @@
     Ok(RawRequest { path, fields })
 }
 
+/// Writes until the other end closes the connection.
+async fn write_endlessly(stream: &mut TcpStream) -> io::Result<()> {
+    loop {
+        stream.write_all(&[b'a'; ENDLESS_WRITE_BYTES]).await?;
+    }
+}
+
 fn crashes_on_prompt(segments: &str) -> bool {
     let ids = segments
         .split(',')
@@ -110,7 +143,12 @@
     if request.path.ends_with(STALL_PATH) && request.fields.contains_key("last-event-id") {
         tokio::time::sleep(SLOW_START).await;
     }
-    let is_json = request.path.ends_with(CUT_JSON_PATH);
+    if request.path.ends_with(ENDLESS_HEAD_PATH) {
+        stream.write_all(b"HTTP/1.1 200 OK\r\nx-padding: ").await?;
+        return write_endlessly(&mut stream).await;
+    }
+    let is_endless_body = request.path.ends_with(ENDLESS_BODY_PATH);
+    let is_json = is_endless_body || request.path.ends_with(CUT_JSON_PATH);
     let kind = if is_json {
         "application/json"
     } else {
@@ -125,6 +163,9 @@
         instance.restart();
         return stream.write_all(b"id: 0\nda").await;
     }
+    if is_endless_body {
+        return write_endlessly(&mut stream).await;
+    }
     if is_json {
         return stream.write_all(b"{\"plan\":[\"a walk\",").await;
     }
@@ -135,6 +176,24 @@
     let text = stream_text(&id, count.unwrap_or(5));
     let skipped = stream_text(&id, first).len();
     let before_cut = stream_text(&id, EVENTS_BEFORE_CUT);
+    if request.path.ends_with(ENDLESS_EVENT_PATH) {
+        stream.write_all(b"id: 0\ndata: ").await?;
+        return write_endlessly(&mut stream).await;
+    }
+    if request.path.ends_with(TRICKLE_PATH) && first == 0 {
+        stream.write_all(before_cut.as_bytes()).await?;
+        loop {
+            tokio::time::sleep(TRICKLE_INTERVAL).await;
+            stream.write_all(b":").await?;
+        }
+    }
+    if request.path.ends_with(SLOW_PATH) {
+        for event in text[skipped..].split_inclusive("\n\n") {
+            tokio::time::sleep(SLOW_PAUSE).await;
+            stream.write_all(event.as_bytes()).await?;
+        }
+        return Ok(());
+    }
     if request.path.ends_with(RESET_PATH) {
         stream.write_all(before_cut.as_bytes()).await?;
         stream.flush().await?;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -264,6 +264,16 @@
         }
     }
 
+    /// The largest resident set of the process of a host, in bytes.
+    pub(crate) fn peak_memory(&self, name: &str) -> usize {
+        let child = self.hosts[name].child.as_ref().expect("a process");
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<usize>().ok());
+        kilobytes.expect("a figure") * 1024
+    }
+
     /// Kills the process of a host.
     pub(crate) fn kill(&mut self, name: &str) {
         let host = self.hosts.get_mut(name).expect("a host");
