Bound responses without end, and measure progress of streams in events

What callers saw of an entry host: a body without a length that never ends was read into memory until the host was killed for it or the caller's time was over; an event that never ends was relayed for as long as the caller read; a resumable stream whose server sent a byte of a comment now and then was never resumed, and broke off at the caller's deadline.

Cause: buffered bodies had a time but no size, events of streams that can't be resumed had no size, and each chunk counted as progress. Now the first MiB of a body is buffered and the rest is relayed, up to 64 MiB without events; an event has at most 1 MiB; the gap after which a stream is resumed is the time spent waiting for the server since the last whole event. A slow caller does not count against the server.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -7,10 +7,10 @@
 use crate::ports::{CallerHead, RunContext};
 use crate::server_run::{RunFailure, ServerAnswer, ServerRequest, ServerRunner};
 use crate::slot_client::{SlotClient, SlotError, SlotLease};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chicoryladder_broker::{RunOutcome, SlotRefusalReason, SlotRequest, WorkKind};
 use chicoryladder_gateway::{
-    AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream,
+    AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream, is_malformed,
 };
 use chicoryladder_plan::{PlanRoute, RouteKind};
 use chicoryladder_policy::quarantine::{QuarantineCause, RequestFingerprint};
@@ -483,20 +483,35 @@
         let length = content_length(&answer.parts);
         let is_long = length.is_some_and(|length| length > BUFFERED_ANSWER_MAX_BYTES);
         if status.is_success() && (is_stream || is_long) {
-            return Some(Ok(self.relay(state, answer, lease)));
+            return Some(Ok(self.relay(state, answer, lease, Bytes::new())));
         }
         let now = self.clock.now();
         let retryable = state.runs + 1 < state.route().max_attempts && state.is_repeatable();
         let left = state.answer_by.saturating_duration_since(now);
         let ServerAnswer {
             parts,
+            head,
             framing,
             body,
             connection,
-            ..
         } = answer;
         let bytes = match read_whole_body(body, framing, &parts.headers, left).await {
-            Ok(bytes) => bytes,
+            Ok(BufferedBody::Whole(bytes)) => bytes,
+            Ok(BufferedBody::Partial(prefix, body)) if status.is_success() => {
+                let answer = ServerAnswer {
+                    parts,
+                    head,
+                    framing,
+                    body,
+                    connection,
+                };
+                return Some(Ok(self.relay(state, answer, lease, prefix)));
+            }
+            Ok(BufferedBody::Partial(..)) => {
+                let failure = RunFailure::malformed("the server's error is too long");
+                self.end_failed_attempt(state, lease, failure);
+                return None;
+            }
             Err(failure) => {
                 self.end_failed_attempt(state, lease, failure);
                 return None;
@@ -531,12 +546,14 @@
         Some(Ok(response))
     }
 
-    /// Builds a response whose body is relayed as it arrives.
+    /// Builds a response whose body is relayed as it arrives, after the part of it that was
+    /// read before.
     fn relay(
         self: &Arc<Self>,
         state: &mut RequestState,
         answer: ServerAnswer,
         lease: SlotLease,
+        prefix: Bytes,
     ) -> Response<AnswerBody> {
         let mut headers = self.runner.dialect.answer_headers(&answer.parts.headers);
         let resumable = state.route().kind == RouteKind::Stream && state.is_repeatable();
@@ -568,7 +585,8 @@
             state: relayed,
             resumable,
         };
-        let mut response = Response::new(relay_body(EventRelay::new(context, answer, lease)));
+        let mut response =
+            Response::new(relay_body(EventRelay::new(context, answer, lease, prefix)));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
         response
@@ -717,20 +735,41 @@
     }
 }
 
-/// Reads a body to its end and checks that it is complete.
+/// The part of a body that was read into memory.
+enum BufferedBody {
+    Whole(Bytes),
+    /// The first part of a long body, and the rest.
+    Partial(Bytes, Incoming),
+}
+
+/// Reads a body to its end and checks that it is complete, or reads the first part of one
+/// that exceeds [`BUFFERED_ANSWER_MAX_BYTES`].
 async fn read_whole_body(
-    body: Incoming,
+    mut body: Incoming,
     framing: BodyFraming,
     fields: &HeaderMap,
     timeout: Duration,
-) -> Result<Bytes, RunFailure> {
-    match tokio::time::timeout(timeout, body.collect()).await {
-        Ok(Ok(collected)) => {
-            let bytes = collected.to_bytes();
-            check_whole_body(framing, fields, &bytes)
-                .map(|()| bytes)
-                .map_err(RunFailure::connection_lost)
+) -> Result<BufferedBody, RunFailure> {
+    let reading = async {
+        let mut prefix = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            if let Ok(chunk) = frame?.into_data() {
+                prefix.extend_from_slice(&chunk);
+            }
+            if prefix.len() as u64 > BUFFERED_ANSWER_MAX_BYTES {
+                return Ok(BufferedBody::Partial(prefix.freeze(), body));
+            }
         }
+        Ok(BufferedBody::Whole(prefix.freeze()))
+    };
+    match tokio::time::timeout(timeout, reading).await {
+        Ok(Ok(BufferedBody::Whole(bytes))) => check_whole_body(framing, fields, &bytes)
+            .map(|()| BufferedBody::Whole(bytes))
+            .map_err(RunFailure::connection_lost),
+        Ok(Ok(partial)) => Ok(partial),
+        Ok(Err(error)) if is_malformed(&error) => Err(RunFailure::malformed(
+            "the server sent bytes that are no answer",
+        )),
         Ok(Err(_)) => Err(RunFailure::connection_lost("the answer broke off")),
         Err(_) => Err(RunFailure::new(
             RunVerdict::MayHaveRun,
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -12,7 +12,9 @@
 use crate::slot_client::SlotLease;
 use bytes::Bytes;
 use chicoryladder_broker::RunOutcome;
-use chicoryladder_gateway::{AnswerBody, BodyError, BodyFraming, EventBoundary, is_event_stream};
+use chicoryladder_gateway::{
+    AnswerBody, BodyError, BodyFraming, EventBoundary, is_event_stream, is_malformed,
+};
 use chicoryladder_plan::RouteKind;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
@@ -22,10 +24,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The time without data, in gap targets of the route, after which a resumable stream
-/// fails over to another server.
+/// The time without a whole event, in gap targets of the route, after which a resumable
+/// stream fails over to another server.
 const GAP_MAX_TARGETS: u32 = 3;
 
+/// The maximum size of one event, in bytes.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
+/// The maximum size of a response without events, in bytes.
+const ANSWER_MAX_BYTES: u64 = 64 * 1024 * 1024;
+
 /// Why a response is incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BreakCause {
@@ -35,6 +43,8 @@
     DeadlinePassed,
     EventSequence,
     EventTooLong,
+    AnswerTooLong,
+    Malformed,
 }
 
 impl BreakCause {
@@ -46,6 +56,8 @@
             Self::DeadlinePassed => "the request ran out of time",
             Self::EventSequence => "an event is missing or came twice",
             Self::EventTooLong => "an event is too long",
+            Self::AnswerTooLong => "the answer is too long",
+            Self::Malformed => "the server sent bytes that are no answer",
         }
     }
 
@@ -57,7 +69,9 @@
             Self::ServerSilent
             | Self::DeadlinePassed
             | Self::EventSequence
-            | Self::EventTooLong => false,
+            | Self::EventTooLong
+            | Self::AnswerTooLong
+            | Self::Malformed => false,
         }
     }
 }
@@ -89,13 +103,17 @@
     boundary: Option<EventBoundary>,
     connection: PooledConnection,
     lease: SlotLease,
-    /// Whether a part of the body has arrived.
-    has_data: bool,
+    /// The part of the body that was read before.
+    prefix: Bytes,
+    /// The bytes of the body so far.
+    body_bytes: u64,
+    /// How long the server was waited for since the last whole event.
+    waited: Duration,
 }
 
 impl RelayedRun {
     /// A response without a type has events if its route is for streams.
-    fn new(answer: ServerAnswer, lease: SlotLease, kind: RouteKind) -> Self {
+    fn new(answer: ServerAnswer, lease: SlotLease, kind: RouteKind, prefix: Bytes) -> Self {
         let fields = &answer.parts.headers;
         let is_untyped_stream = kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE);
         let has_events = is_untyped_stream || is_event_stream(fields);
@@ -105,8 +123,27 @@
             boundary: has_events.then(EventBoundary::default),
             connection: answer.connection,
             lease,
-            has_data: false,
+            prefix,
+            body_bytes: 0,
+            waited: Duration::ZERO,
+        }
+    }
+
+    /// Records a chunk that arrived after a wait for it. Returns why the response can't go on,
+    /// if it is too long.
+    fn record_chunk(&mut self, chunk: &[u8], waited: Duration) -> Option<BreakCause> {
+        self.body_bytes += chunk.len() as u64;
+        self.waited += waited;
+        let Some(boundary) = &mut self.boundary else {
+            self.waited = Duration::ZERO;
+            return (self.body_bytes > ANSWER_MAX_BYTES).then_some(BreakCause::AnswerTooLong);
+        };
+        let events = boundary.events();
+        boundary.push(chunk);
+        if boundary.events() > events {
+            self.waited = Duration::ZERO;
         }
+        (boundary.event_bytes() > EVENT_MAX_BYTES).then_some(BreakCause::EventTooLong)
     }
 
     fn is_within_event(&self) -> bool {
@@ -141,11 +178,16 @@
 }
 
 impl EventRelay {
-    pub(super) fn new(context: RelayContext, answer: ServerAnswer, lease: SlotLease) -> Self {
+    pub(super) fn new(
+        context: RelayContext,
+        answer: ServerAnswer,
+        lease: SlotLease,
+        prefix: Bytes,
+    ) -> Self {
         Self {
             sequencer: EventSequencer::resume_after(context.state.request.head.last_event),
             status: answer.parts.status,
-            run: Some(RelayedRun::new(answer, lease, context.state.kind())),
+            run: Some(RelayedRun::new(answer, lease, context.state.kind(), prefix)),
             context,
         }
     }
@@ -188,25 +230,38 @@
             None => {}
         }
         let now = self.context.forwarder.clock.now();
-        if run.has_data {
+        if run.body_bytes > 0 {
             run.lease.record_data(now);
         }
+        if !run.prefix.is_empty() {
+            let prefix = std::mem::take(&mut run.prefix);
+            let cause = run.record_chunk(&prefix, Duration::ZERO);
+            return cause.map_or(RelayStep::Chunk(prefix), RelayStep::Broken);
+        }
         let left = self.context.state.answer_by.saturating_duration_since(now);
-        let max_gap = self.max_gap().min(left);
+        let max_wait = self.max_gap().saturating_sub(run.waited).min(left);
+        let deadline = tokio::time::sleep(max_wait);
+        tokio::pin!(deadline);
         loop {
-            let frame = match tokio::time::timeout(max_gap, run.body.frame()).await {
+            let read = tokio::select! {
+                frame = run.body.frame() => Ok(frame),
+                () = &mut deadline => Err(()),
+            };
+            let frame = match read {
                 Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) if is_malformed(&error) => {
+                    return RelayStep::Broken(BreakCause::Malformed);
+                }
                 Ok(Some(Err(_))) => return RelayStep::Broken(BreakCause::ConnectionLost),
                 Ok(None) => return RelayStep::End,
-                Err(_) if max_gap < left => return RelayStep::Broken(BreakCause::ServerSilent),
-                Err(_) => return RelayStep::Broken(BreakCause::DeadlinePassed),
+                Err(()) if max_wait < left => return RelayStep::Broken(BreakCause::ServerSilent),
+                Err(()) => return RelayStep::Broken(BreakCause::DeadlinePassed),
             };
             if let Ok(chunk) = frame.into_data() {
-                if let Some(boundary) = &mut run.boundary {
-                    boundary.push(&chunk);
-                }
-                run.has_data = true;
-                return RelayStep::Chunk(chunk);
+                let read_at = self.context.forwarder.clock.now();
+                let waited = read_at.saturating_duration_since(now);
+                let cause = run.record_chunk(&chunk, waited);
+                return cause.map_or(RelayStep::Chunk(chunk), RelayStep::Broken);
             }
         }
     }
@@ -252,7 +307,8 @@
         let resumed = forwarder.resume(&mut self.context.state, last_event).await;
         let (answer, lease) = resumed?;
         self.sequencer = EventSequencer::resume_after(last_event);
-        Some(RelayedRun::new(answer, lease, self.context.state.kind()))
+        let kind = self.context.state.kind();
+        Some(RelayedRun::new(answer, lease, kind, Bytes::new()))
     }
 
     /// Ends the response. Returns what follows the last event, such as a comment.
--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -2,12 +2,25 @@
 //! ones.
 
 use crate::broken_streams::{send, start_fleet};
-use crate::unframed::ENDLESS_HEAD_PATH;
-use std::time::Duration;
+use crate::servers::stream_text;
+use crate::unframed::{
+    ENDLESS_BODY_PATH, ENDLESS_EVENT_PATH, ENDLESS_HEAD_PATH, SLOW_PATH, TRICKLE_PATH,
+};
+use std::time::{Duration, Instant};
+
+/// The time within which a response that can't be an answer has to end, at most: the time
+/// that the caller gives.
+const CALLER_TIME: Duration = Duration::from_secs(5);
 
 /// The pause after a failure, in which a server may be suspended.
 const SUSPENSION: Duration = Duration::from_millis(200);
 
+/// The greatest part of a response without events that callers may get, in bytes.
+const ANSWER_MAX_BYTES: usize = 64 * 1024 * 1024;
+
+/// The greatest part of one event that callers may get, in bytes, with what is in buffers.
+const EVENT_MAX_BYTES: usize = 2 * 1024 * 1024;
+
 /// Guards against a head without end that counts as a crash of the request.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_head_without_end_is_the_servers_fault() {
@@ -31,3 +44,49 @@
     let log = fleet.read_log(&entry);
     assert!(!log.contains("\"quarantined\""));
 }
+
+/// Guards against a body without end that fills the memory of the host.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_without_end_is_broken_off() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/raw-ping/1{ENDLESS_BODY_PATH}");
+    let started = Instant::now();
+    let answer = send(&fleet, &entry, &path, "body").await;
+    assert!(!answer.complete && answer.body.len() <= ANSWER_MAX_BYTES);
+    assert!(started.elapsed() < CALLER_TIME + Duration::from_secs(1));
+    let peak = fleet.peak_memory(&entry);
+    assert!(peak < ANSWER_MAX_BYTES, "{peak} bytes");
+}
+
+/// Guards against an event without end that is relayed for as long as the caller reads.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_event_without_end_is_broken_off() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/raw-walk/7{ENDLESS_EVENT_PATH}");
+    let answer = send(&fleet, &entry, &path, "event").await;
+    let length = answer.body.len();
+    assert!(
+        !answer.complete && length <= EVENT_MAX_BYTES,
+        "{length} bytes"
+    );
+}
+
+/// Guards against a stalled stream that goes on for ever since bytes, but no events, arrive.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_only_trickles_is_resumed() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/raw-rules/7{TRICKLE_PATH}");
+    let answer = send(&fleet, &entry, &path, "trickle").await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.text(), stream_text("trickle", 7));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_but_sound_stream_is_not_cut() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/raw-rules/3{SLOW_PATH}");
+    let answer = send(&fleet, &entry, &path, "slow").await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.text(), stream_text("slow", 3));
+    assert_eq!(fleet.runs.runs_of("slow").len(), 1);
+}
