Bound responses without end in the daemon

What callers saw of a daemon (measured by the users' developers): a JSON body without end and an event without end were relayed for as long as the caller read (3.3 and 3.5 GB in 25 s), a stream of one byte a second went on after 60 s, and heads without end counted as crashes, so that an innocent request was quarantined for ten minutes.

Cause: the only bound was the time between two chunks. Now a stream has to complete an event within its time limit, at most 30 s, counted only while the server is waited for; an event has at most 1 MiB; a body without events ends at the request's deadline and has at most 64 MiB. Bytes that violate HTTP are a fault of the server (`response_mismatched`), not a crash under the request.

A sound stream with pauses of two thirds of the bound, longer than the bound of other bodies, is whole (new, not run before).

--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -6,6 +6,7 @@
 //! or if the server refused it with status 503 and the verdict `not-run`. After any
 //! other failure it may have run.
 
+use crate::completeness::is_malformed;
 use bytes::Bytes;
 use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
@@ -174,6 +175,13 @@
         let detail = "the connection could not be opened";
         return ServerFailure::new(RunVerdict::NotRun, RetryReason::ConnectFailed, detail);
     }
+    let source = std::error::Error::source(error);
+    let source = source.and_then(|source| source.downcast_ref::<hyper::Error>());
+    if source.is_some_and(is_malformed) {
+        let detail = format!("the server sent bytes that are no answer: {error}");
+        let reason = RetryReason::ResponseMismatched;
+        return ServerFailure::new(RunVerdict::MayHaveRun, reason, detail);
+    }
     let detail = format!("the connection was lost: {error}");
     ServerFailure::new(RunVerdict::MayHaveRun, RetryReason::ConnectionLost, detail)
 }
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -4,9 +4,14 @@
 //! a short success. HTTP framing alone is not enough: a server may terminate a
 //! chunked body cleanly in the middle of a response. Event streams are
 //! therefore checked for their last event.
+//!
+//! Bytes alone are no progress of an event stream: a server may send one now and then, or
+//! an event without end. Only the time spent waiting for the server counts, so that a
+//! slow caller does not end a stream.
 
 use crate::answer::refusal_json;
 use crate::body::{AnswerBody, BodyError};
+use crate::completeness::{EventBoundary, is_malformed};
 use bytes::Bytes;
 use chicoryladder_types::prelude::*;
 use futures_util::future::BoxFuture;
@@ -23,6 +28,12 @@
 /// Number of bytes at the end of a stream that are searched for the end marker.
 const TAIL_BYTES: usize = END_MARKER.len() + 4;
 
+/// The maximum size of one event, in bytes.
+const EVENT_MAX_BYTES: usize = 1024 * 1024;
+
+/// The maximum size of a response without events, in bytes.
+const ANSWER_MAX_BYTES: u64 = 64 * 1024 * 1024;
+
 /// How a response stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StreamEnd {
@@ -30,8 +41,10 @@
     Complete,
     /// The response ended before it was complete.
     Truncated,
-    /// The server sent nothing within the chunk timeout.
+    /// The server made no progress in time.
     Stalled,
+    /// The server sent bytes that are no response, or too many.
+    Malformed,
     /// The host stopped the response, with the refusal of [`StreamOptions::stop`].
     Stopped,
     /// The caller disconnected before the response was complete.
@@ -42,10 +55,15 @@
 pub struct StreamOptions {
     /// Bytes of the body that were already read; they are sent first.
     pub prefix: Bytes,
+    /// Whether the body is a stream of events.
+    pub has_events: bool,
     /// Whether the body has to end with the end marker of event streams.
     pub needs_end_marker: bool,
-    /// The maximum time between two chunks.
-    pub chunk_timeout: Duration,
+    /// The longest wait for the next whole event, or for the next chunk of a body without
+    /// events.
+    pub progress_timeout: Duration,
+    /// The time by which a body without events has to end.
+    pub total_timeout: Duration,
     /// Stops the response with the refusal that this future resolves to.
     pub stop: BoxFuture<'static, RequestRefusal>,
     /// Called once, when the first chunk has arrived.
@@ -57,16 +75,21 @@
 /// Forwards a response body and checks how it ends.
 #[must_use]
 pub fn watch_stream(body: Incoming, options: StreamOptions) -> AnswerBody {
-    let timer = tokio::time::sleep(options.chunk_timeout);
+    let now = Instant::now();
     let checked = CheckedBody {
         body,
         prefix: options.prefix,
+        boundary: options.has_events.then(EventBoundary::default),
+        body_bytes: 0,
         needs_end_marker: options.needs_end_marker,
-        chunk_timeout: options.chunk_timeout,
+        progress_timeout: options.progress_timeout,
+        ends_at: (!options.has_events).then(|| now + options.total_timeout),
+        waited: Duration::ZERO,
+        waiting_since: None,
         stop: options.stop,
         on_first_chunk: Some(options.on_first_chunk),
         on_end: Some(options.on_end),
-        timer: Box::pin(timer),
+        timer: Box::pin(tokio::time::sleep_until(now)),
         tail: Vec::new(),
         state: StreamState::Open,
     };
@@ -85,8 +108,14 @@
 struct CheckedBody {
     body: Incoming,
     prefix: Bytes,
+    boundary: Option<EventBoundary>,
+    body_bytes: u64,
     needs_end_marker: bool,
-    chunk_timeout: Duration,
+    progress_timeout: Duration,
+    ends_at: Option<Instant>,
+    /// The time spent waiting for the server since the last progress.
+    waited: Duration,
+    waiting_since: Option<Instant>,
     stop: BoxFuture<'static, RequestRefusal>,
     on_first_chunk: Option<Box<dyn FnOnce() + Send>>,
     on_end: Option<Box<dyn FnOnce(StreamEnd) + Send>>,
@@ -119,16 +148,37 @@
         Poll::Ready(Some(Ok(Frame::data(event.into()))))
     }
 
-    fn record_chunk(&mut self, chunk: &[u8]) {
+    /// Records a chunk; returns the fault of a response that is too long.
+    fn record_chunk(&mut self, chunk: &[u8]) -> Option<&'static str> {
         if let Some(on_first_chunk) = self.on_first_chunk.take() {
             on_first_chunk();
         }
-        let deadline = Instant::now() + self.chunk_timeout;
-        self.timer.as_mut().reset(deadline);
+        if let Some(since) = self.waiting_since.take() {
+            self.waited += since.elapsed();
+        }
         let kept = chunk.len().saturating_sub(TAIL_BYTES);
         self.tail.extend_from_slice(&chunk[kept..]);
         let excess = self.tail.len().saturating_sub(TAIL_BYTES);
         self.tail.drain(..excess);
+        self.body_bytes += chunk.len() as u64;
+        let Some(boundary) = &mut self.boundary else {
+            self.waited = Duration::ZERO;
+            return (self.body_bytes > ANSWER_MAX_BYTES).then_some("the answer is too long");
+        };
+        let events = boundary.events();
+        boundary.push(chunk);
+        if boundary.events() > events {
+            self.waited = Duration::ZERO;
+        }
+        (boundary.event_bytes() > EVENT_MAX_BYTES).then_some("an event is too long")
+    }
+
+    fn forward(&mut self, frame: Frame<Bytes>) -> FramePoll {
+        let fault = frame.data_ref().and_then(|chunk| self.record_chunk(chunk));
+        match fault {
+            None => Poll::Ready(Some(Ok(frame))),
+            Some(detail) => self.fail(StreamEnd::Malformed, truncated(detail)),
+        }
     }
 
     fn has_marker(&self) -> bool {
@@ -151,19 +201,18 @@
         }
         if !self.prefix.is_empty() {
             let prefix = std::mem::take(&mut self.prefix);
-            self.record_chunk(&prefix);
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+            return self.forward(Frame::data(prefix));
         }
         match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => {
-                if let Some(chunk) = frame.data_ref() {
-                    self.record_chunk(chunk);
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
+            Poll::Ready(Some(Ok(frame))) => self.forward(frame),
             Poll::Ready(Some(Err(error))) => {
                 let detail = format!("the answer ended early: {error}");
-                self.fail(StreamEnd::Truncated, truncated(detail))
+                let end = if is_malformed(&error) {
+                    StreamEnd::Malformed
+                } else {
+                    StreamEnd::Truncated
+                };
+                self.fail(end, truncated(detail))
             }
             Poll::Ready(None) => self.end(),
             Poll::Pending => self.poll_timer(context),
@@ -171,13 +220,20 @@
     }
 
     fn poll_timer(&mut self, context: &mut Context<'_>) -> FramePoll {
+        if self.waiting_since.is_none() {
+            let now = Instant::now();
+            self.waiting_since = Some(now);
+            let progress_by = now + self.progress_timeout.saturating_sub(self.waited);
+            let deadline = self.ends_at.map_or(progress_by, |at| at.min(progress_by));
+            self.timer.as_mut().reset(deadline);
+        }
         if self.timer.as_mut().poll(context).is_pending() {
             return Poll::Pending;
         }
         let refusal = RequestRefusal::new(
             RefusalReason::ServerSilent,
             RunVerdict::MayHaveRun,
-            "the backend server stopped sending",
+            "the backend server made no progress in time",
         );
         self.fail(StreamEnd::Stalled, refusal)
     }
--- a/crates/gateway/tests/all/raw.rs
+++ b/crates/gateway/tests/all/raw.rs
@@ -15,6 +15,15 @@
     Bytes(String),
     /// Sends these bytes and keeps the connection open.
     BytesThenStall(String),
+    /// Sends `text` again and again with pauses between, then `last`, and closes the
+    /// connection.
+    Paced {
+        head: String,
+        text: String,
+        pause: Duration,
+        count: u32,
+        last: String,
+    },
     /// Closes the connection.
     Close,
 }
@@ -43,6 +52,22 @@
             let _ = stream.write_all(text.as_bytes()).await;
             std::future::pending::<()>().await;
         }
+        RawAnswer::Paced {
+            head,
+            text,
+            pause,
+            count,
+            last,
+        } => {
+            let _ = stream.write_all(head.as_bytes()).await;
+            for _ in 0..count {
+                tokio::time::sleep(pause).await;
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+            let _ = stream.write_all(last.as_bytes()).await;
+        }
         RawAnswer::Close => {}
     }
 }
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -14,6 +14,12 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(300);
+const TOTAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The greatest part of one event that may be forwarded, with what is in buffers.
+const EVENT_MAX_BYTES: usize = 2 * 1024 * 1024;
+
 const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n";
 
 async fn body_of(answer: RawAnswer) -> Incoming {
@@ -33,13 +39,23 @@
 }
 
 async fn watch(answer: RawAnswer, stop: BoxFuture<'static, RequestRefusal>) -> ReceivedStream {
+    watch_with(answer, stop, true).await
+}
+
+async fn watch_with(
+    answer: RawAnswer,
+    stop: BoxFuture<'static, RequestRefusal>,
+    has_events: bool,
+) -> ReceivedStream {
     let body = body_of(answer).await;
     let (sender, end) = oneshot::channel();
     let options = StreamOptions {
         on_first_chunk: Box::new(|| {}),
         prefix: Bytes::new(),
-        needs_end_marker: true,
-        chunk_timeout: Duration::from_millis(300),
+        has_events,
+        needs_end_marker: has_events,
+        progress_timeout: PROGRESS_TIMEOUT,
+        total_timeout: TOTAL_TIMEOUT,
         stop,
         on_end: Box::new(move |end| {
             let _ = sender.send(end);
@@ -116,3 +132,66 @@
     assert!(received.failed);
     assert!(received.text.contains("withdrawn_key"));
 }
+
+/// Guards against an event without end that is forwarded for as long as the caller reads.
+#[tokio::test]
+async fn an_event_without_end_ends_with_an_error() {
+    let answer = RawAnswer::Paced {
+        head: HEAD.to_owned(),
+        text: "data: zzzzzzzz".repeat(4_096),
+        pause: Duration::ZERO,
+        count: u32::MAX,
+        last: String::new(),
+    };
+    let received = watch(answer, never()).await;
+    assert_eq!(received.end, StreamEnd::Malformed);
+    assert!(received.failed && received.text.len() < EVENT_MAX_BYTES);
+    assert!(received.text.contains("answer_truncated"));
+}
+
+/// Guards against a stalled stream that never ends since a byte arrives now and then.
+#[tokio::test]
+async fn a_stream_of_single_bytes_is_stalled() {
+    let answer = RawAnswer::Paced {
+        head: format!("{HEAD}data: a\n\n"),
+        text: ":".to_owned(),
+        pause: PROGRESS_TIMEOUT / 6,
+        count: u32::MAX,
+        last: String::new(),
+    };
+    let received = watch(answer, never()).await;
+    assert_eq!(received.end, StreamEnd::Stalled);
+    assert!(received.failed);
+}
+
+/// Guards against a body without end that arrives slowly but steadily.
+#[tokio::test]
+async fn a_body_without_end_ends_at_its_deadline() {
+    let answer = RawAnswer::Paced {
+        head: "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        text: " ".to_owned(),
+        pause: PROGRESS_TIMEOUT / 6,
+        count: u32::MAX,
+        last: String::new(),
+    };
+    let received = watch_with(answer, never(), false).await;
+    assert_eq!(received.end, StreamEnd::Stalled);
+    assert!(received.failed);
+}
+
+#[tokio::test]
+async fn a_slow_but_sound_stream_is_not_cut() {
+    let events = 12;
+    let pause = PROGRESS_TIMEOUT * 2 / 3;
+    assert!(pause * events > TOTAL_TIMEOUT);
+    let answer = RawAnswer::Paced {
+        head: HEAD.to_owned(),
+        text: "data: a\n\n".to_owned(),
+        pause,
+        count: events,
+        last: "data: [DONE]\n\n".to_owned(),
+    };
+    let received = watch(answer, never()).await;
+    assert_eq!(received.end, StreamEnd::Complete);
+    assert!(!received.failed);
+}
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -36,6 +36,9 @@
 /// counted: nothing was sent to them.
 const UNREACHABLE_SERVERS_MAX: usize = 8;
 
+/// The longest wait for the next event of a stream.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The retry hint for callers when no attempt is left.
 const FAILED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -71,6 +74,7 @@
     /// The part of the body that has been read already.
     prefix: Bytes,
     body: Incoming,
+    has_events: bool,
     needs_end_marker: bool,
     grant: ServerGrant,
 }
@@ -80,6 +84,7 @@
         Self {
             prefix: Bytes::new(),
             body,
+            has_events: true,
             needs_end_marker: parts.status.is_success(),
             grant,
             parts,
@@ -236,6 +241,7 @@
                     parts,
                     prefix,
                     body,
+                    has_events: false,
                     needs_end_marker: false,
                     grant,
                 };
@@ -264,6 +270,7 @@
         let first_token = Arc::new(OnceLock::new());
         let first_clock = self.clock.clone();
         let first_seen = Arc::clone(&first_token);
+        let elapsed = self.clock.now().saturating_duration_since(received);
         let options = StreamOptions {
             on_first_chunk: Box::new(move || {
                 let elapsed = first_clock.now().saturating_duration_since(received);
@@ -272,7 +279,9 @@
             }),
             prefix: answer.prefix,
             needs_end_marker: answer.needs_end_marker,
-            chunk_timeout: plan.timeout,
+            has_events: answer.has_events,
+            progress_timeout: plan.timeout.min(PROGRESS_TIMEOUT),
+            total_timeout: plan.timeout.saturating_sub(elapsed),
             stop: self.key_withdrawn(plan),
             on_end: Box::new(move |end| {
                 grant.outcome = stream_outcome(end);
@@ -283,7 +292,10 @@
                     }
                     StreamEnd::Complete => watch.report_answer(),
                     StreamEnd::Truncated => watch.report_crash(possible_crash(&grant)),
-                    StreamEnd::Stalled | StreamEnd::Stopped | StreamEnd::CallerDisconnected => {}
+                    StreamEnd::Stalled
+                    | StreamEnd::Malformed
+                    | StreamEnd::Stopped
+                    | StreamEnd::CallerDisconnected => {}
                 }
                 drop(grant);
                 let elapsed = clock.now().saturating_duration_since(received);
--- a/crates/host/src/online_attempt/answer.rs
+++ b/crates/host/src/online_attempt/answer.rs
@@ -1,7 +1,7 @@
 //! Responses of backend servers: header fields and buffered bodies.
 
 use bytes::BytesMut;
-use chicoryladder_gateway::{BodyFraming, ServerFailure, check_whole_body};
+use chicoryladder_gateway::{BodyFraming, ServerFailure, check_whole_body, is_malformed};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerLoad, headers};
 use http_body_util::BodyExt;
@@ -63,7 +63,7 @@
     let reading = async {
         let mut prefix = BytesMut::new();
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| truncated(&error.to_string()))?;
+            let frame = frame.map_err(|error| body_failure(&error))?;
             if let Some(chunk) = frame.data_ref() {
                 prefix.extend_from_slice(chunk);
             }
@@ -83,6 +83,15 @@
     ServerFailure::new(RunVerdict::MayHaveRun, RetryReason::ServerSilent, detail)
 }
 
+fn body_failure(error: &hyper::Error) -> ServerFailure {
+    if is_malformed(error) {
+        let detail = format!("the server sent bytes that are no answer: {error}");
+        let reason = RetryReason::ResponseMismatched;
+        return ServerFailure::new(RunVerdict::MayHaveRun, reason, detail);
+    }
+    truncated(&error.to_string())
+}
+
 fn truncated(cause: &str) -> ServerFailure {
     let detail = format!("the answer ended early: {cause}");
     ServerFailure::new(RunVerdict::MayHaveRun, RetryReason::ConnectionLost, detail)
--- a/crates/host/src/online_attempt/outcome.rs
+++ b/crates/host/src/online_attempt/outcome.rs
@@ -43,7 +43,7 @@
 pub(super) fn stream_outcome(end: StreamEnd) -> ServerOutcome {
     match end {
         StreamEnd::Complete => ServerOutcome::Answered,
-        StreamEnd::Truncated => ServerOutcome::Failed,
+        StreamEnd::Truncated | StreamEnd::Malformed => ServerOutcome::Failed,
         StreamEnd::Stalled => ServerOutcome::Silent,
         StreamEnd::Stopped | StreamEnd::CallerDisconnected => ServerOutcome::Cancelled,
     }
@@ -54,7 +54,7 @@
 pub(super) fn report_end(boards: &BoardHandle, end: StreamEnd, request: ServedRequest) {
     let reason = match end {
         StreamEnd::Complete => return boards.record_served(request),
-        StreamEnd::Truncated => RefusalReason::AnswerTruncated,
+        StreamEnd::Truncated | StreamEnd::Malformed => RefusalReason::AnswerTruncated,
         StreamEnd::Stalled => RefusalReason::ServerSilent,
         StreamEnd::Stopped | StreamEnd::CallerDisconnected => return,
     };
@@ -69,7 +69,9 @@
 ) {
     match end {
         StreamEnd::Complete => metrics.count_served(class, elapsed),
-        StreamEnd::Truncated => metrics.count_refusal(RefusalReason::AnswerTruncated),
+        StreamEnd::Truncated | StreamEnd::Malformed => {
+            metrics.count_refusal(RefusalReason::AnswerTruncated);
+        }
         StreamEnd::Stalled => metrics.count_refusal(RefusalReason::ServerSilent),
         StreamEnd::Stopped => metrics.count_refusal(RefusalReason::WithdrawnKey),
         StreamEnd::CallerDisconnected => {}
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -63,7 +63,7 @@
 const SLOW_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// The bytes of one write of an endless response.
-const ENDLESS_WRITE_BYTES: usize = 64 * 1024;
+const ENDLESS_WRITE_BYTES: usize = 16 * 1024;
 
 /// The number of whole events before a cut.
 pub(crate) const EVENTS_BEFORE_CUT: u64 = 3;
@@ -176,23 +176,10 @@
     let text = stream_text(&id, count.unwrap_or(5));
     let skipped = stream_text(&id, first).len();
     let before_cut = stream_text(&id, EVENTS_BEFORE_CUT);
-    if request.path.ends_with(ENDLESS_EVENT_PATH) {
-        stream.write_all(b"id: 0\ndata: ").await?;
-        return write_endlessly(&mut stream).await;
-    }
-    if request.path.ends_with(TRICKLE_PATH) && first == 0 {
-        stream.write_all(before_cut.as_bytes()).await?;
-        loop {
-            tokio::time::sleep(TRICKLE_INTERVAL).await;
-            stream.write_all(b":").await?;
-        }
-    }
-    if request.path.ends_with(SLOW_PATH) {
-        for event in text[skipped..].split_inclusive("\n\n") {
-            tokio::time::sleep(SLOW_PAUSE).await;
-            stream.write_all(event.as_bytes()).await?;
-        }
-        return Ok(());
+    if first == 0
+        && let Some(stream_end) = write_unsound(&mut stream, &request.path, &text).await
+    {
+        return stream_end;
     }
     if request.path.ends_with(RESET_PATH) {
         stream.write_all(before_cut.as_bytes()).await?;
@@ -230,3 +217,41 @@
     }
     stream.write_all(&text.as_bytes()[skipped..]).await
 }
+
+/// Writes the stream of a path at which it never ends or is slow; `None` for other paths.
+async fn write_unsound(stream: &mut TcpStream, path: &str, text: &str) -> Option<io::Result<()>> {
+    if path.ends_with(ENDLESS_EVENT_PATH) {
+        let written = stream.write_all(b"id: 0\ndata: ").await;
+        return Some(match written {
+            Ok(()) => write_endlessly(stream).await,
+            failed => failed,
+        });
+    }
+    if path.ends_with(TRICKLE_PATH) {
+        return Some(trickle(stream, text).await);
+    }
+    if path.ends_with(SLOW_PATH) {
+        return Some(write_slowly(stream, text).await);
+    }
+    None
+}
+
+/// Writes some events, and then a byte of a comment now and then.
+async fn trickle(stream: &mut TcpStream, text: &str) -> io::Result<()> {
+    let events = usize::try_from(EVENTS_BEFORE_CUT).expect("it fits");
+    for event in text.split_inclusive("\n\n").take(events) {
+        stream.write_all(event.as_bytes()).await?;
+    }
+    loop {
+        tokio::time::sleep(TRICKLE_INTERVAL).await;
+        stream.write_all(b":").await?;
+    }
+}
+
+async fn write_slowly(stream: &mut TcpStream, text: &str) -> io::Result<()> {
+    for event in text.split_inclusive("\n\n") {
+        tokio::time::sleep(SLOW_PAUSE).await;
+        stream.write_all(event.as_bytes()).await?;
+    }
+    Ok(())
+}
