Serve callers of the daemon during the notice of a planned stop

What callers saw: for half a second after SIGTERM a daemon answered every request with 503 draining, and then ended each kept connection (255 refusals in 0.55 s under 16 connections, measured by the users' developers).

Cause: the flag that withdraws readiness also refused requests, and no answer asked callers to leave. A daemon that stops now withdraws readiness, serves for a notice (`[shutdown] notice_ms`, 2.5 s by default: more than two probes of a balancer), and ends each connection with its next answer (`connection: close`); then it accepts no more and completes what it has accepted, as before. Job submissions alike.

A request that reaches an idle connection at the moment at which it is closed can still be lost unread.

--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -7,6 +7,7 @@
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,6 +15,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -57,6 +59,7 @@
 pub struct HttpListener {
     /// The address that the listener is bound to.
     pub address: SocketAddr,
+    closing: Arc<AtomicBool>,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
@@ -79,22 +82,31 @@
         let socket = TcpListener::bind(address).await.map_err(failed)?;
         let address = socket.local_addr().map_err(failed)?;
         let (stop, stopped) = watch::channel(false);
+        let closing = Arc::<AtomicBool>::default();
         let task = AcceptTask {
             component,
             socket,
             limits,
             service,
+            closing: closing.clone(),
             stopped,
         };
         let task = tokio::spawn(task.run());
         log::info!("{component}: listening on {address}.");
         Ok(Self {
             address,
+            closing,
             stop,
             task,
         })
     }
 
+    /// Asks callers to close their connections: each response ends its connection from now
+    /// on. Connections and requests are still accepted.
+    pub fn announce_close(&self) {
+        self.closing.store(true, Ordering::Relaxed);
+    }
+
     /// Stops accepting connections and waits until all requests in flight have
     /// completed.
     pub async fn drain(self) {
@@ -114,6 +126,7 @@
     socket: TcpListener,
     limits: ListenerLimits,
     service: Arc<dyn HttpService>,
+    closing: Arc<AtomicBool>,
     stopped: watch::Receiver<bool>,
 }
 
@@ -151,9 +164,21 @@
         // are acknowledged.
         let _ = stream.set_nodelay(true);
         let service = self.service.clone();
+        let closing = self.closing.clone();
         let switch = ResetSwitch::default();
         let stream = CallerStream::new(stream, switch.clone());
-        let handler = service_fn(move |request| handle(service.clone(), request, switch.clone()));
+        let handler = service_fn(move |request| {
+            let handling = handle(service.clone(), request, switch.clone());
+            let closing = closing.clone();
+            async move {
+                let mut response = handling.await?;
+                if closing.load(Ordering::Relaxed) {
+                    let value = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, value);
+                }
+                Ok::<_, Infallible>(response)
+            }
+        });
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.header_timeout)
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -10,18 +10,13 @@
 use crate::replica::{ReplicaError, ReplicaHandle};
 use chicoryladder_gateway::{HttpListener, ListenError};
 use chicoryladder_link::{LinkCounts, LinkError, SecretError};
-use chicoryladder_settings::HostSettings;
+use chicoryladder_settings::{HostSettings, ShutdownSettings};
 use chicoryladder_types::{FleetRevision, SystemClock};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::task::JoinSet;
 
-/// The time for which a host reports that it is not ready before it stops
-/// accepting connections, so that the load balancer can remove it.
-const READINESS_GRACE_PERIOD: Duration = Duration::from_millis(500);
-
 /// Why a host did not start.
 #[derive(Debug, thiserror::Error)]
 pub enum HostError {
@@ -78,7 +73,7 @@
     pub addresses: HostAddresses,
     drain: DrainFlag,
     batch: DispatcherHandle,
-    drain_timeout: Duration,
+    shutdown: ShutdownSettings,
     replica: ReplicaHandle,
     peers: PeerDirectory,
     callers: HttpListener,
@@ -111,21 +106,24 @@
         self.peers.link_counts()
     }
 
-    /// Shuts the host down: it first reports that it is not ready, then completes
-    /// every accepted request and running batch item, then stops its tasks.
+    /// Shuts the host down. It first reports that it is not ready, and still serves callers
+    /// for the notice, asking them to close their connections. Then it stops accepting
+    /// connections, completes every accepted request and running batch item, and stops its
+    /// tasks.
     ///
     /// Requests that are still running after the drain timeout are aborted.
     pub async fn shutdown(mut self) {
         self.drain.raise();
         log::info!("host: draining.");
-        tokio::time::sleep(READINESS_GRACE_PERIOD).await;
+        self.callers.announce_close();
+        tokio::time::sleep(self.shutdown.notice).await;
         let draining = async {
             self.callers.drain().await;
             self.servers.drain().await;
             self.operators.drain().await;
             self.batch.drained().await;
         };
-        match tokio::time::timeout(self.drain_timeout, draining).await {
+        match tokio::time::timeout(self.shutdown.drain_timeout, draining).await {
             Ok(()) => log::info!("host: drained; all requests have completed."),
             Err(_) => log::warn!("host: drain timeout expired; aborting the remaining requests."),
         }
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -248,7 +248,7 @@
             addresses,
             drain: self.drain,
             batch: self.batch,
-            drain_timeout: self.settings.shutdown.drain_timeout,
+            shutdown: self.settings.shutdown,
             replica: self.replica,
             peers: self.directory,
             callers,
--- a/crates/host/src/entry_host/components/services.rs
+++ b/crates/host/src/entry_host/components/services.rs
@@ -48,7 +48,6 @@
             client: ServerClient::new(),
             clock: self.clock.clone(),
             metrics: self.metrics.clone(),
-            drain: self.drain.clone(),
         }
     }
 
@@ -58,7 +57,6 @@
             replica: self.replica.clone(),
             ids: self.ids.clone(),
             metrics: self.metrics.clone(),
-            drain: self.drain.clone(),
         }
     }
 
--- a/crates/host/src/job_service.rs
+++ b/crates/host/src/job_service.rs
@@ -7,7 +7,6 @@
 use crate::admission::{KeyChecker, KeyHolder};
 use crate::ids::RandomIds;
 use crate::metrics::HostMetrics;
-use crate::platform::DrainFlag;
 use crate::replica::{ProposeError, ReplicaHandle};
 use chicoryladder_gateway::{AnswerBody, ItemCounts, JobPort, JobView, SubmitRequest};
 use chicoryladder_jobs::{
@@ -40,7 +39,6 @@
     pub(crate) replica: ReplicaHandle,
     pub(crate) ids: Arc<RandomIds>,
     pub(crate) metrics: Arc<HostMetrics>,
-    pub(crate) drain: DrainFlag,
 }
 
 impl JobPort for JobService {
@@ -98,10 +96,6 @@
     }
 
     async fn submit_checked(&self, request: SubmitRequest) -> Result<JobView, RequestRefusal> {
-        if self.drain.is_raised() {
-            let detail = "this host is shutting down";
-            return Err(RequestRefusal::not_run(RefusalReason::Draining, detail));
-        }
         let holder = self.keys.check(request.key.as_deref())?;
         let key = request
             .idempotency_key
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -6,7 +6,6 @@
 use crate::limits::LimitHandle;
 use crate::metrics::HostMetrics;
 use crate::online_attempt::{AttemptPlan, OnlineAttempts, path_and_query};
-use crate::platform::DrainFlag;
 use crate::prompt::{named_model, prompt_prefixes, shared_segments};
 use crate::quarantine::{QuarantineHandle, SuspectWatch, WatchedRequest};
 use crate::replica::ReplicaHandle;
@@ -39,7 +38,6 @@
     pub(crate) client: ServerClient,
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) metrics: Arc<HostMetrics>,
-    pub(crate) drain: DrainFlag,
 }
 
 impl OnlinePort for OnlineService {
@@ -69,10 +67,6 @@
         &self,
         request: OnlineRequest,
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
-        if self.drain.is_raised() {
-            let detail = "this host is shutting down";
-            return Err(RequestRefusal::not_run(RefusalReason::Draining, detail));
-        }
         let view = self.replica.view();
         let class = request.class.as_ref();
         let resolved =
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -124,7 +124,10 @@
 /// How the host shuts down.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ShutdownSettings {
-    /// How long accepted requests may take to complete.
+    /// How long the host serves callers after it has reported that it is not ready, so that
+    /// the load balancer can remove it.
+    pub notice: Duration,
+    /// How long accepted requests may take to complete after that.
     pub drain_timeout: Duration,
 }
 
--- a/crates/settings/src/host/read.rs
+++ b/crates/settings/src/host/read.rs
@@ -12,6 +12,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// The default notice of a shutdown: more than two probes of a load balancer, one a second.
+const DEFAULT_NOTICE: Duration = Duration::from_millis(2_500);
+
 const DEFAULT_BODY_MAX_BYTES: u64 = 64 * 1024 * 1024;
 const DEFAULT_HEADER_MAX_BYTES: u64 = 32 * 1024;
 const DEFAULT_BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -220,14 +223,21 @@
     }
 
     fn shutdown(&mut self) -> ShutdownSettings {
+        let mut notice = DEFAULT_NOTICE;
         let mut drain_timeout = DEFAULT_DRAIN_TIMEOUT;
         if let Some(mut section) = self.sections.optional("shutdown") {
+            notice = section
+                .or_default("notice_ms", MillisValue(DEFAULT_NOTICE))
+                .0;
             drain_timeout = section
                 .or_default("drain_timeout_ms", MillisValue(DEFAULT_DRAIN_TIMEOUT))
                 .0;
             section.finish();
         }
-        ShutdownSettings { drain_timeout }
+        ShutdownSettings {
+            notice,
+            drain_timeout,
+        }
     }
 
     fn keys(&mut self) -> KeySettings {
--- a/crates/settings/tests/host.rs
+++ b/crates/settings/tests/host.rs
@@ -63,6 +63,7 @@
 fn missing_keys_have_default_values() {
     let settings = HostSettings::parse("host.ini", MINIMAL).expect("the text has no fault");
     assert_eq!(settings.host.log_level, log::LevelFilter::Info);
+    assert_eq!(settings.shutdown.notice, Duration::from_millis(2_500));
     assert_eq!(settings.shutdown.drain_timeout, Duration::from_secs(30));
     assert_eq!(settings.keys.lease, Duration::from_secs(5));
     assert_eq!(settings.data, None);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -19,3 +19,4 @@
 mod limits;
 mod quarantine;
 mod replicated_state;
+mod shutdown;
