--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for backend servers that record every request they run.
 
 use crate::client::Call;
-use crate::unframed::{self, UNFRAMED_SERVICE};
+use crate::unframed::{self, UNFRAMED_SERVICE, crashes_on_prompt};
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::combinators::UnsyncBoxBody;
@@ -204,6 +204,10 @@
             at: Instant::now(),
             had_key: head.headers.contains_key("authorization"),
         });
+        if crashes_on_prompt(&text("x-prompt-prefix").unwrap_or_default()) {
+            self.restart();
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         if head.uri.path().ends_with(STALL_PATH) {
             std::future::pending::<()>().await;
         }
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -7,6 +7,7 @@
 //! `REGRESSIONS`, which failed before, run for `SHORT_SECONDS` each.
 
 use crate::servers::{LEAVING_FIELD, Server, event_data, stream_text};
+use crate::unframed::CRASHING_SEGMENT;
 use crate::world::{ProcessFleet, Role};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -94,12 +95,12 @@
     tasks: &mut JoinSet<()>,
 ) {
     for entry in fleet.host_names(Role::Entry) {
-        for kind in ["walk", "rules", "ping", "charge"] {
-            let events = match kind {
-                "walk" | "rules" => STREAM_EVENTS,
-                _ => 1,
+        for kind in ["walk", "rules", "ping", "charge", "crash"] {
+            let path = match kind {
+                "walk" | "rules" => format!("/{kind}/{STREAM_EVENTS}"),
+                "crash" => format!("/walk/{STREAM_EVENTS}"),
+                _ => format!("/{kind}/1"),
             };
-            let path = format!("/{kind}/{events}");
             let template = fleet.caller_request(&entry, &path, "");
             let (observations, entry) = (observations.clone(), entry.clone());
             tasks.spawn(async move {
@@ -110,6 +111,10 @@
                     let id = format!("{entry}-{kind}-{number}");
                     let mut call = template.clone();
                     call.fields.retain(|(name, _)| *name != "x-request-id");
+                    let mut call = call.field("x-prompt-prefix", &prompt(kind, number));
+                    if kind == "crash" {
+                        call = call.body(format!("crashing question {number}"));
+                    }
                     let answer = call.field("x-request-id", &id).send().await;
                     record_departure(&observations, &entry, answer.as_ref());
                     check_answer(&observations, kind, &id, answer.as_ref());
@@ -120,6 +125,17 @@
     }
 }
 
+/// The segments of a prompt. Requests of the kind `crash` differ, but share one on which
+/// servers crash.
+fn prompt(kind: &str, number: u32) -> String {
+    let shared = if kind == "crash" {
+        CRASHING_SEGMENT
+    } else {
+        "5"
+    };
+    format!("1:10,{shared}:10,a{number:x}:10")
+}
+
 fn record_departure(
     observations: &Observations,
     entry: &str,
@@ -173,14 +189,17 @@
     answer: Option<&crate::client::Answer>,
 ) {
     let not_run = answer.is_some_and(crate::client::Answer::guarantees_not_run);
-    if matches!(kind, "walk" | "charge") {
+    if kind != "crash" && answer.is_some_and(|answer| answer.text().contains("\"quarantined\"")) {
+        observations.record_violation(format!("{id} is sound, but was quarantined"));
+    }
+    if matches!(kind, "walk" | "charge" | "crash") {
         lock(&observations.at_most_once).push((id.to_owned(), not_run));
     }
     let Some(answer) = answer.filter(|answer| answer.status.is_success()) else {
         return;
     };
     let expected = match kind {
-        "walk" | "rules" => stream_text(id, STREAM_EVENTS),
+        "walk" | "rules" | "crash" => stream_text(id, STREAM_EVENTS),
         _ => format!("{id}:10"),
     };
     let text = answer.text();
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -115,7 +115,8 @@
     }
 }
 
-fn crashes_on_prompt(segments: &str) -> bool {
+/// Whether a prompt has the crashing segment, other than as its last one.
+pub(crate) fn crashes_on_prompt(segments: &str) -> bool {
     let ids = segments
         .split(',')
         .filter_map(|entry| entry.split(':').next());
