Log and report the limits on requests that servers name

Decisions are unchanged. Hosts read the limit in the heads of responses, log each change (server_limit), and report it with the next call to the broker, with the age of the response, since reports of two hosts may arrive out of order. The broker logs what it believes (server_limit, age_ms, reported_by) and shows the number of limited servers in metrics.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -24,6 +24,7 @@
 mod request;
 mod reserves;
 mod roster;
+mod server_limits;
 mod slots;
 
 pub use brokerless::{BrokerlessView, servers_for_zone};
@@ -39,4 +40,5 @@
 pub use roster::{
     EntryRoster, HolderRing, ReserveHolders, RosterMember, RosterSettings, ZoneRoster,
 };
+pub use server_limits::{InvalidLimit, LimitReport, LimitStatement, NamedLimits, ServerLimit};
 pub use slots::{BrokerSettings, SlotBroker};
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -15,6 +15,7 @@
 use crate::request::{
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
+use crate::server_limits::{BelievedLimit, LimitReport};
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
 use chicoryladder_types::ServiceName;
@@ -82,6 +83,7 @@
     running_online: u32,
     running_batch: u32,
     tokens: u64,
+    limit: BelievedLimit,
 }
 
 impl ServerEntry {
@@ -209,6 +211,7 @@
         }
         let opens = (!was_open || was_overdue) && entry.record.is_open(now);
         if is_restarted {
+            entry.limit = BelievedLimit::default();
             self.remove_grants_of(key);
             if service_changed {
                 for pool in self.services.values_mut() {
@@ -246,6 +249,24 @@
         true
     }
 
+    /// Records the limit that a server names, as a host reports it. Returns whether the
+    /// limit changed. A report on another incarnation changes nothing.
+    pub fn record_limit(&mut self, report: &LimitReport, now: Instant) -> bool {
+        let key = self.by_name.get(&report.server);
+        let Some(entry) = key.and_then(|key| self.servers.get_mut(*key)) else {
+            return false;
+        };
+        let is_known = entry.record.check_in.incarnation == report.incarnation;
+        is_known && entry.limit.apply(report, now)
+    }
+
+    /// The number of servers with a limit.
+    #[must_use]
+    pub fn limited_servers(&self) -> usize {
+        let limits = self.servers.values().map(|entry| entry.limit.get());
+        limits.flatten().count()
+    }
+
     /// The known incarnation of a server.
     #[must_use]
     pub fn incarnation(&self, name: &ServerName) -> Option<u64> {
@@ -481,6 +502,7 @@
             running_online: 0,
             running_batch: 0,
             tokens: 0,
+            limit: BelievedLimit::default(),
         });
         self.by_name.insert(name, key);
         self.pool(&service).servers.push(key);
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -19,10 +19,11 @@
 use crate::process::{ProcessBase, ProcessError};
 use crate::seat_manager::{SeatCell, SeatManager, SeatSource};
 use crate::seat_opener::SeatOpener;
+use crate::server_marks::ServerReports;
 use bytes::Bytes;
 use chicoryladder_broker::{
     BrokerSettings, CheckInOutcome, CrashedRun, DepartureReport, DepartureSource, RateTolerance,
-    RequesterId, RosterSettings, ServerCheckIn, ServerPhase,
+    RequesterId, RosterSettings, ServerCheckIn, ServerLimit, ServerPhase,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
@@ -324,8 +325,8 @@
         match call {
             ControlCall::RequestSlot(call) => self.request_slot(*call).await,
             ControlCall::Sync(mut request) => {
-                let departures = std::mem::take(&mut request.departures);
-                self.accept_reports(&request.requester, departures);
+                let reports = std::mem::take(&mut request.reports);
+                self.accept_reports(&request.requester, reports);
                 let now = self.now();
                 let status = self.status();
                 let members: Vec<SocketAddr> = status.members.iter().map(|m| m.address).collect();
@@ -387,7 +388,7 @@
         self: &Arc<Self>,
         call: SlotCall,
     ) -> BoxFuture<'static, GroupReply<ControlAnswer>> {
-        self.accept_reports(&call.requester, call.departures);
+        self.accept_reports(&call.requester, call.reports);
         let now = self.now();
         let mut state = self.state();
         let grace = self.base.settings.bounds.plan_applies / PLAN_GRACE_DIVISOR;
@@ -482,9 +483,30 @@
         GroupReply::Answer(ControlAnswer::Done)
     }
 
-    /// Takes the servers out of use that a host reports as leaving, before the call that
-    /// brought the report is processed. They are recorded durably afterwards.
-    fn accept_reports(self: &Arc<Self>, requester: &RequesterId, reports: Vec<DepartureReport>) {
+    /// Applies what a host reports of servers, before the call that brought the reports is
+    /// processed.
+    fn accept_reports(self: &Arc<Self>, requester: &RequesterId, reports: ServerReports) {
+        self.accept_departures(requester, reports.departures);
+        for report in reports.limits {
+            let now = self.now();
+            if !self.state().broker.record_limit(&report, now) {
+                continue;
+            }
+            let fields = json!({
+                "server": report.server,
+                "born": report.incarnation,
+                "per_second": report.limit.map(ServerLimit::per_second),
+                "age_ms": report.age.as_millis(),
+                "reported_by": requester.host,
+                "source": "report",
+            });
+            self.log.note("server_limit", &fields);
+        }
+    }
+
+    /// Takes the servers out of use that a host reports as leaving. They are recorded
+    /// durably afterwards.
+    fn accept_departures(self: &Arc<Self>, requester: &RequesterId, reports: Vec<DepartureReport>) {
         for DepartureReport {
             server,
             incarnation,
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -310,6 +310,7 @@
         let mut gauges = vec![
             ("hosts", count(self.hosts.len())),
             ("servers", count(self.broker.servers().len())),
+            ("servers_limited", count(self.broker.limited_servers())),
         ];
         let (mut running, mut slots, mut online, mut batch) = (0, 0, 0, 0);
         for service in &self.plan.raw().services {
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -8,11 +8,11 @@
 use crate::event_log::EventLog;
 use crate::fleet_view::{FleetView, SyncReporter, ViewChange, run_sync};
 use crate::leader_client::LeaderClient;
-use crate::leaving_servers::DepartureMarks;
 use crate::message::{Call, HostRole, Notice, ReserveCall, encode};
 use crate::metrics::{GaugeReader, MetricsService, RoleMetrics};
 use crate::ports::{CallerDialect, ServerDialect};
 use crate::process::{ProcessBase, ProcessError};
+use crate::server_marks::ServerMarks;
 use crate::server_run::ServerRunner;
 use crate::slot_client::SlotClient;
 use bytes::Bytes;
@@ -86,13 +86,8 @@
         let metrics = Arc::new(RoleMetrics::new()?);
         let view = FleetView::new();
         let client = base.control_client();
-        let departures = DepartureMarks::new(base.clock.clone(), log.clone(), metrics.clone());
-        let slots = SlotClient::new(
-            base.clone(),
-            client.clone(),
-            view.clone(),
-            departures.clone(),
-        );
+        let marks = ServerMarks::new(base.clock.clone(), log.clone(), metrics.clone());
+        let slots = SlotClient::new(base.clone(), client.clone(), view.clone(), marks.clone());
         let control_client = client.clone();
         let gauge_sources = (slots.clone(), view.clone());
         let draining = Arc::new(AtomicBool::new(false));
@@ -102,7 +97,7 @@
         };
         base.serve(Arc::new(handler)).await?;
         let mut tasks = JoinSet::new();
-        let reporter = reporter(&slots, &departures, &log);
+        let reporter = reporter(&slots, &marks, &log);
         tasks.spawn(run_sync(base.clone(), client, view.clone(), reporter));
         let matcher = RequestMatcher {
             view: view.clone(),
@@ -113,7 +108,7 @@
         let runner = ServerRunner {
             pool: ConnectionPool::new(base.clock.clone()),
             dialect: servers,
-            departures,
+            marks,
         };
         let forwarder = RequestForwarder {
             slots,
@@ -230,15 +225,15 @@
     })
 }
 
-fn reporter(slots: &SlotClient, departures: &DepartureMarks, log: &EventLog) -> SyncReporter {
+fn reporter(slots: &SlotClient, marks: &ServerMarks, log: &EventLog) -> SyncReporter {
     let slots = slots.clone();
-    let departures = departures.clone();
+    let marks = marks.clone();
     let log = log.clone();
     SyncReporter {
         role: HostRole::Entry,
         active: Box::new(move || slots.active()),
         store: Box::new(|| None),
-        departures: Some(departures),
+        marks: Some(marks),
         on_hosts: Box::new(|_| {}),
         on_change: Box::new(move |change| log_view_change(&log, change)),
     }
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -5,15 +5,15 @@
 //! held its lease after that. A view never goes back to an older state.
 
 use crate::leader_client::LeaderClient;
-use crate::leaving_servers::DepartureMarks;
 use crate::message::{
     Call, ControlAnswer, ControlCall, Encoded, HostRole, QuarantineUpdate, ReserveAnswer,
     RosterUpdate, StoreReport, StoreView, SyncAnswer, SyncRequest,
 };
 use crate::process::ProcessBase;
+use crate::server_marks::{ServerMarks, ServerReports};
 use chicoryladder_broker::{
-    ActiveRun, DepartureReport, HeldReserves, HolderRing, ReserveTerms, RosterMember,
-    SELF_REFILL_AFTER, ServerCheckIn, ZoneRoster,
+    ActiveRun, HeldReserves, HolderRing, ReserveTerms, RosterMember, SELF_REFILL_AFTER,
+    ServerCheckIn, ZoneRoster,
 };
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
 use chicoryladder_policy::quarantine::{QuarantinedSegments, SegmentFingerprint};
@@ -241,7 +241,7 @@
         &self,
         base: &ProcessBase,
         reporter: &SyncReporter,
-        departures: Vec<DepartureReport>,
+        reports: ServerReports,
     ) -> SyncRequest {
         let now = base.clock.now();
         let active = (reporter.active)();
@@ -256,7 +256,7 @@
             plan: state.plan.version(),
             directory: state.directory,
             active,
-            departures,
+            reports,
             reserves: state.reserves.held.granted(),
             detached: state.fresh_at.is_some_and(|fresh_at| {
                 now.saturating_duration_since(fresh_at) >= SELF_REFILL_AFTER
@@ -344,8 +344,8 @@
     pub(crate) active: Box<dyn Fn() -> Vec<ActiveRun> + Send + Sync>,
     /// Returns the report of a store host about its seat; `None` on other hosts.
     pub(crate) store: Box<dyn Fn() -> Option<StoreReport> + Send + Sync>,
-    /// The servers that said that they leave; `None` on hosts that send to none.
-    pub(crate) departures: Option<DepartureMarks>,
+    /// What servers said in their responses; `None` on hosts that send to none.
+    pub(crate) marks: Option<ServerMarks>,
     /// Called with the addresses of the control hosts after each sync.
     pub(crate) on_hosts: HostsListener,
     /// Called when a new plan takes effect or the leader is lost or found.
@@ -370,7 +370,7 @@
             role: HostRole::Control,
             active: Box::new(Vec::new),
             store: Box::new(|| None),
-            departures: None,
+            marks: None,
             on_hosts: Box::new(|_| {}),
             on_change: Box::new(|_| {}),
         }
@@ -386,21 +386,19 @@
 ) {
     loop {
         let sent_at = base.clock.now();
-        let mut departures = reporter
-            .departures
+        let mut pending = reporter.marks.as_ref().map(ServerMarks::take_reports);
+        let reports = pending
             .as_ref()
-            .map(DepartureMarks::take_reports);
-        let reports = departures
-            .as_ref()
-            .map_or_else(Vec::new, |pending| pending.reports().to_vec());
+            .map(|pending| pending.reports().clone())
+            .unwrap_or_default();
         let request = view.request(&base, &reporter, reports);
         let call = Call::Control(ControlCall::Sync(Box::new(request)));
         let reply = client
             .call_once(&call, SYNC_TIMEOUT, SYNC_SILENCE_MAX)
             .await;
         let pause = if let Ok(ControlAnswer::Synced(reply)) = reply {
-            if let Some(departures) = &mut departures {
-                departures.mark_arrived();
+            if let Some(pending) = &mut pending {
+                pending.mark_arrived();
             }
             client.set_hosts(&reply.hosts);
             (reporter.on_hosts)(&reply.hosts);
@@ -418,7 +416,7 @@
             }
             SYNC_RETRY_PAUSE
         };
-        drop(departures);
+        drop(pending);
         // The pause ends early when a sync is requested.
         let _ = tokio::time::timeout(pause, view.sync_due.notified()).await;
     }
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -1,10 +1,11 @@
 //! Messages between the processes of a fleet, encoded with postcard.
 
+use crate::server_marks::ServerReports;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobPage};
 use chicoryladder_broker::{
-    ActiveRun, CrashedRun, DepartureReport, RequesterId, RosterMember, RunReport, ServerCheckIn,
-    SlotDecision, SlotRequest, ZoneRoster,
+    ActiveRun, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision,
+    SlotRequest, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::GroupStatus;
@@ -140,8 +141,8 @@
     pub(crate) requester: RequesterId,
     pub(crate) plan: PlanVersion,
     pub(crate) slot_request: SlotRequest,
-    /// The servers that said since the last call that they leave.
-    pub(crate) departures: Vec<DepartureReport>,
+    /// What servers said in their responses since the last call.
+    pub(crate) reports: ServerReports,
 }
 
 /// The request of a host for a seat, or to check that its seat is still a member.
@@ -187,8 +188,8 @@
     /// The leader's term and the version of the directory that the host holds.
     pub(crate) directory: (u64, u64),
     pub(crate) active: Vec<ActiveRun>,
-    /// The servers that said since the last call that they leave.
-    pub(crate) departures: Vec<DepartureReport>,
+    /// What servers said in their responses since the last call.
+    pub(crate) reports: ServerReports,
     /// The requests left in the reserves that the host holds.
     pub(crate) reserves: Vec<(TeamName, u32)>,
     /// Whether the host's view is so old that it may have admitted requests on its own.
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -4,7 +4,7 @@
 //! below and builds responses from them.
 
 use chicoryladder_batch::{ItemSpec, JobPage};
-use chicoryladder_broker::{PromptSegment, ServerPhase};
+use chicoryladder_broker::{LimitStatement, PromptSegment, ServerPhase};
 use chicoryladder_gateway::AnswerBody;
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
@@ -89,6 +89,8 @@
     pub wrong_server: bool,
     /// Whether the server accepts new work, as it states itself.
     pub phase: ServerPhase,
+    /// The limit on requests that the server names.
+    pub limit: LimitStatement,
     /// The load that the server reports.
     pub load: Option<ServerLoad>,
     /// How long the server keeps an idle connection open.
@@ -100,8 +102,19 @@
     /// to another request, or of another server at the address, says nothing about it.
     #[must_use]
     pub fn announces_departure(&self, request: &str) -> bool {
-        let is_own = self.id.as_deref() == Some(request) && !self.wrong_server;
-        is_own && self.phase == ServerPhase::Leaving
+        self.is_own(request) && self.phase == ServerPhase::Leaving
+    }
+
+    /// What the response states of the limit of the server that a request was sent to;
+    /// `None` if it says nothing about that server.
+    #[must_use]
+    pub fn limit_statement(&self, request: &str) -> Option<LimitStatement> {
+        self.is_own(request).then_some(self.limit)
+    }
+
+    /// Whether the intended server responded, and to this request.
+    fn is_own(&self, request: &str) -> bool {
+        self.id.as_deref() == Some(request) && !self.wrong_server
     }
 }
 
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -1,8 +1,8 @@
 //! A single attempt to run a request on a backend server.
 
 use crate::connection_pool::{ConnectionPool, RequestSender};
-use crate::leaving_servers::{DepartureMarks, ServerIdentity};
 use crate::ports::{AnswerHead, ServerDialect};
+use crate::server_marks::{ServerIdentity, ServerMarks};
 use bytes::Bytes;
 use chicoryladder_broker::RunOutcome;
 use chicoryladder_gateway::{BodyFraming, is_malformed};
@@ -110,7 +110,7 @@
 pub(crate) struct ServerRunner {
     pub(crate) pool: ConnectionPool,
     pub(crate) dialect: Arc<dyn ServerDialect>,
-    pub(crate) departures: DepartureMarks,
+    pub(crate) marks: ServerMarks,
 }
 
 impl ServerRunner {
@@ -166,7 +166,7 @@
     }
 
     fn check_leaving(&self, request: &ServerRequest) -> Result<(), RunFailure> {
-        if self.departures.is_leaving(&request.server) {
+        if self.marks.is_leaving(&request.server) {
             return Err(RunFailure::new(
                 RunVerdict::NotRun,
                 RunOutcome::Leaving,
@@ -195,8 +195,12 @@
             ));
         }
         if head.announces_departure(&request.id) {
-            self.departures
-                .mark(&request.server, request.address, &request.id);
+            self.marks
+                .mark_leaving(&request.server, request.address, &request.id);
+        }
+        if let Some(statement) = head.limit_statement(&request.id) {
+            self.marks
+                .record_limit(&request.server, statement, &request.id);
         }
         if head.not_run || head.wrong_server {
             let outcome = if head.wrong_server {
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -2,11 +2,11 @@
 
 use crate::fleet_view::{FleetView, key_lease};
 use crate::leader_client::{LeaderClient, LeaderError};
-use crate::leaving_servers::{DepartureMarks, PendingReports, ServerIdentity};
 use crate::message::{
     Call, ControlAnswer, ControlCall, Notice, ReserveAnswer, ReserveCall, SlotCall, encode,
 };
 use crate::process::ProcessBase;
+use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
     ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
     SlotDecision, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
@@ -65,7 +65,7 @@
     base: ProcessBase,
     client: LeaderClient,
     view: FleetView,
-    departures: DepartureMarks,
+    marks: ServerMarks,
     runs: Mutex<HashMap<u64, RunHandle>>,
     next_ticket: AtomicU64,
     /// When each server was last found unreachable.
@@ -86,13 +86,13 @@
         base: ProcessBase,
         client: LeaderClient,
         view: FleetView,
-        departures: DepartureMarks,
+        marks: ServerMarks,
     ) -> Self {
         let shared = SlotShared {
             base,
             client,
             view,
-            departures,
+            marks,
             runs: Mutex::default(),
             next_ticket: AtomicU64::new(1),
             unreachable_at: Mutex::default(),
@@ -185,13 +185,13 @@
             leader,
             ticket: slot_request.ticket,
             answered: false,
-            departures: self.shared.departures.take_reports(),
+            reports: self.shared.marks.take_reports(),
         };
         let call = SlotCall {
             requester: self.shared.base.requester(),
             plan,
             slot_request: slot_request.clone(),
-            departures: pending.departures.reports().to_vec(),
+            reports: pending.reports.reports().clone(),
         };
         let call = Call::Control(ControlCall::RequestSlot(Box::new(call)));
         let timeout = slot_request.wait_max + BROKER_REPLY_MARGIN;
@@ -238,10 +238,7 @@
             name: server,
             incarnation,
         } = server;
-        self.shared
-            .departures
-            .servers()
-            .observe(&server, incarnation);
+        self.shared.marks.leaving().observe(&server, incarnation);
         let stop = Arc::new(Notify::new());
         let run = ActiveRun {
             ticket: slot_request.ticket,
@@ -301,7 +298,7 @@
             });
         }
         let servers = shared.view.servers();
-        let leaving = shared.departures.servers();
+        let leaving = shared.marks.leaving();
         let view = BrokerlessView {
             servers: &servers,
             own_runs: &self.count_own_runs(),
@@ -410,13 +407,13 @@
     leader: SocketAddr,
     ticket: u64,
     answered: bool,
-    departures: PendingReports,
+    reports: PendingReports,
 }
 
 impl PendingRequest {
     fn mark_answered(mut self) {
         self.answered = true;
-        self.departures.mark_arrived();
+        self.reports.mark_arrived();
     }
 }
 
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -8,7 +8,6 @@
 use crate::event_log::EventLog;
 use crate::fleet_view::{FleetView, SyncReporter, run_sync};
 use crate::leader_client::LeaderClient;
-use crate::leaving_servers::DepartureMarks;
 use crate::membership_repair::{MembershipRepair, apply_change};
 use crate::message::{
     BatchCall, BatchReply, BootstrapAnswer, BootstrapCall, Call, ControlAnswer, GroupReply,
@@ -19,6 +18,7 @@
 use crate::process::{ProcessBase, ProcessError};
 use crate::seat_manager::{SeatCell, SeatManager, SeatSource};
 use crate::seat_opener::SeatOpener;
+use crate::server_marks::ServerMarks;
 use crate::server_run::ServerRunner;
 use crate::slot_client::SlotClient;
 use bytes::Bytes;
@@ -105,14 +105,14 @@
         let view = FleetView::new();
         let log = EventLog::start("store")?;
         let metrics = Arc::new(RoleMetrics::new()?);
-        let departures = DepartureMarks::new(base.clock.clone(), log.clone(), metrics.clone());
+        let marks = ServerMarks::new(base.clock.clone(), log.clone(), metrics.clone());
         let runner = ServerRunner {
             pool: ConnectionPool::new(base.clock.clone()),
             dialect: servers,
-            departures: departures.clone(),
+            marks: marks.clone(),
         };
         let shared = Arc::new(StoreShared {
-            slots: SlotClient::new(base.clone(), client.clone(), view.clone(), departures),
+            slots: SlotClient::new(base.clone(), client.clone(), view.clone(), marks),
             job_client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
             log,
             metrics,
@@ -392,7 +392,7 @@
             let addresses = shared.control_addresses.clone();
             Box::new(move |hosts| addresses.save_hosts(hosts))
         },
-        departures: Some(shared.runner.departures.clone()),
+        marks: Some(shared.runner.marks.clone()),
         store: Box::new(move || Some(shared.report(first_start))),
         on_change: Box::new(move |change| log_view_change(&log, change)),
     }
--- a/crates/roles/tests/answer_head.rs
+++ b/crates/roles/tests/answer_head.rs
@@ -1,6 +1,6 @@
 //! Tests of what the head of a response tells about its server.
 
-use chicoryladder_broker::ServerPhase;
+use chicoryladder_broker::{LimitStatement, ServerLimit, ServerPhase};
 use chicoryladder_roles::ports::AnswerHead;
 
 fn leaving(id: Option<&str>) -> AnswerHead {
@@ -41,3 +41,22 @@
         assert!(!head.announces_departure("r1"), "{head:?}");
     }
 }
+
+/// Guards against a limit that is taken from the response of another server.
+#[test]
+fn only_own_responses_name_a_limit() {
+    let limit = ServerLimit::try_from(2.0).expect("it is valid");
+    let named = AnswerHead {
+        id: Some("r1".to_owned()),
+        limit: LimitStatement::Limited(limit),
+        ..AnswerHead::default()
+    };
+    let statement = named.limit_statement("r1");
+    assert_eq!(statement, Some(LimitStatement::Limited(limit)));
+    let misdirected = AnswerHead {
+        wrong_server: true,
+        ..named.clone()
+    };
+    assert_eq!(misdirected.limit_statement("r1"), None);
+    assert_eq!(named.limit_statement("r2"), None);
+}
