Pace the requests to servers that name a limit

Cause: the broker bounds what a server gets by slots, memory and failures, which count what runs at one moment. Nothing counted requests over time. The simulation limited_servers got 45 requests in 4 s at a limit of 2 a second (17 allowed). Change: grants on a limited server follow the generic cell rate algorithm at its limit, with a burst of 2 s; the predicted wait counts limits; hosts without the broker keep to a share. Why it works: one place grants all requests, so spacing there bounds the sum over all hosts; in 4 s a server gets at most its limit times 6.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -8,14 +8,21 @@
 use crate::departures::LeavingServers;
 use crate::directory::{ServerCheckIn, ServerPhase};
 use crate::request::SlotRequest;
+use crate::roster::ZoneRoster;
+use crate::server_limits::NamedLimits;
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Instant;
 
 /// The number of servers up to which all hosts know every server of a service.
 const SMALL_SERVICE_SERVERS: usize = 16;
 
+/// The part of a server's limit that the hosts of its zone share without the broker. The
+/// hosts of all other zones together have as much at most, so that all stay within the limit.
+const BROKERLESS_LIMIT_SHARE: f64 = 0.5;
+
 /// The servers that the hosts of a zone need to choose by themselves: those of small
 /// services, those in the zone, and all of a service that has none there.
 #[must_use]
@@ -44,6 +51,12 @@
     pub unreachable: &'a HashSet<ServerName>,
     /// The servers that said in their responses that they leave.
     pub leaving: &'a LeavingServers,
+    /// The limits that servers named in their responses.
+    pub limits: &'a NamedLimits,
+    /// The entry hosts of this host's zone.
+    pub roster: &'a ZoneRoster,
+    /// The time of the choice.
+    pub now: Instant,
 }
 
 impl<'a> BrokerlessView<'a> {
@@ -70,9 +83,21 @@
             && !request.avoid.contains(&server.name)
             && !self.unreachable.contains(&server.name)
             && !self.leaving.is_leaving(&server.name, server.incarnation)
+            && self.is_within_limit(server, request)
             && self.runs_at(server) < server.slots
     }
 
+    fn is_within_limit(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
+        let hosts = if server.zone == request.zone {
+            u32::try_from(self.roster.hosts.len()).unwrap_or(u32::MAX)
+        } else {
+            self.roster.fleet_hosts
+        };
+        let share = BROKERLESS_LIMIT_SHARE / f64::from(hosts.max(1));
+        self.limits
+            .admits_alone(&server.name, server.incarnation, share, self.now)
+    }
+
     fn runs_at(&self, server: &ServerCheckIn) -> u32 {
         self.own_runs.get(&server.name).copied().unwrap_or_default()
     }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -18,6 +18,7 @@
 mod departures;
 mod directory;
 mod grants;
+mod pacing;
 mod placement;
 mod pool;
 mod rate;
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -49,11 +49,11 @@
     prompt.iter().map(prefix).collect()
 }
 
-/// The cost of running a request on a server; the lowest cost is selected.
+/// The cost of running a request on a server; the lowest cost is selected. `used_share` is
+/// the used share of its slots, or of a burst within its limit.
 pub(crate) fn server_cost(
     record: &ServerRecord,
-    running: u32,
-    capacity: u32,
+    used_share: f64,
     request: &SlotRequest,
     prefixes: &[PromptPrefix],
     overdue_after: Duration,
@@ -64,7 +64,7 @@
         cost += OTHER_ZONE_COST;
     }
     cost += f64::from(uncached_tokens(record, prefixes)) * UNCACHED_TOKEN_COST;
-    cost += f64::from(running) / f64::from(capacity.max(1)) * LOAD_COST;
+    cost += used_share * LOAD_COST;
     cost += f64::from(record.failures) * FAILURE_COST;
     if now.saturating_duration_since(record.checked_in_at) > overdue_after {
         cost += OVERDUE_COST;
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -82,16 +82,12 @@
     pub(crate) fn queued_ahead(&self, rank: u32) -> usize {
         self.online.range(..=(rank, u64::MAX)).count()
     }
+}
 
-    /// The expected wait of a request behind `ahead` others that are served by `slots`
-    /// slots.
-    pub(crate) fn predicted_wait(&self, ahead: usize, slots: u32) -> Duration {
-        if slots == 0 {
-            return Duration::MAX;
-        }
-        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        let wait =
-            f64::from(ahead.saturating_add(1)) * self.averages.hold_seconds / f64::from(slots);
-        Duration::from_secs_f64(wait)
-    }
+/// The expected wait of a request behind `ahead` others, of which `per_second` are taken up
+/// a second.
+pub(crate) fn predicted_wait(ahead: usize, per_second: f64) -> Duration {
+    let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+    let wait = f64::from(ahead.saturating_add(1)) / per_second;
+    Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
 }
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -1,5 +1,6 @@
 //! Slot requests to the broker and its decisions.
 
+use crate::server_limits::ServerLimit;
 use chicoryladder_policy::quarantine::{
     QuarantineCause, QuarantineChange, RequestFingerprint, RequestTraits, SegmentFingerprint,
 };
@@ -129,6 +130,8 @@
         address: SocketAddr,
         /// The availability zone of the server.
         zone: ZoneName,
+        /// The limit on requests that the server names, as the broker knows it.
+        limit: Option<ServerLimit>,
     },
     /// No slot is granted.
     Refused {
--- a/crates/broker/src/server_limits.rs
+++ b/crates/broker/src/server_limits.rs
@@ -5,6 +5,8 @@
 //! send. Reports carry the age of the response, since those of two hosts may arrive in
 //! another order than the server wrote the responses.
 
+use crate::pacing::RequestPacer;
+use crate::request::WorkKind;
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -98,14 +100,31 @@
 /// What the broker believes of the limit of an incarnation of a server.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct BelievedLimit {
-    limit: Option<ServerLimit>,
+    pacer: Option<RequestPacer>,
     /// When the response was read that the belief rests on.
     read_at: Option<Instant>,
 }
 
 impl BelievedLimit {
     pub(crate) fn get(self) -> Option<ServerLimit> {
-        self.limit
+        self.pacer.map(|pacer| pacer.limit())
+    }
+
+    /// Whether a request may be sent.
+    pub(crate) fn admits(self, kind: WorkKind, now: Instant) -> bool {
+        self.pacer.is_none_or(|pacer| pacer.admits(kind, now))
+    }
+
+    /// The share of a burst that was sent; 0 without a limit.
+    pub(crate) fn used_share(self, now: Instant) -> f64 {
+        self.pacer.map_or(0.0, |pacer| pacer.used_share(now))
+    }
+
+    /// Charges a request that is sent.
+    pub(crate) fn charge(&mut self, now: Instant) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.charge(now);
+        }
     }
 
     /// Applies a report, unless it is older than the belief. Returns whether the belief
@@ -114,7 +133,7 @@
         let Some(read_at) = now.checked_sub(report.age) else {
             return false;
         };
-        let margin = if report.limit.is_none() && self.limit.is_some() {
+        let margin = if report.limit.is_none() && self.pacer.is_some() {
             REORDERING_MAX
         } else {
             Duration::ZERO
@@ -123,7 +142,12 @@
             return false;
         }
         self.read_at = Some(read_at);
-        std::mem::replace(&mut self.limit, report.limit) != report.limit
+        let changed = self.get() != report.limit;
+        match (&mut self.pacer, report.limit) {
+            (Some(pacer), Some(limit)) => pacer.set_limit(limit, now),
+            (pacer, limit) => *pacer = limit.map(|limit| RequestPacer::new(limit, now)),
+        }
+        changed
     }
 }
 
@@ -134,6 +158,8 @@
     read_at: Instant,
     /// When the limit was last put into a report; `None` if a report is due.
     reported_at: Option<Instant>,
+    /// When this host last sent a request to the server, or learned of the limit.
+    sent_at: Instant,
 }
 
 /// The limits that servers named in their responses, as one host knows them.
@@ -185,6 +211,59 @@
         known.limit.filter(|_| known.incarnation == incarnation)
     }
 
+    /// Takes over what the broker believed when it granted a slot on a server. A response
+    /// that was read about that time may be newer.
+    pub fn adopt(
+        &mut self,
+        server: &ServerName,
+        incarnation: u64,
+        limit: Option<ServerLimit>,
+        now: Instant,
+    ) {
+        let known = self.limit(server, incarnation);
+        if limit == known {
+            return;
+        }
+        let is_recent = self
+            .limits
+            .get(server)
+            .is_some_and(|known| now.saturating_duration_since(known.read_at) < REPORT_INTERVAL);
+        if is_recent {
+            return;
+        }
+        self.make_room();
+        self.insert(server, incarnation, limit, now);
+        if let Some(adopted) = self.limits.get_mut(server) {
+            adopted.reported_at = Some(now);
+        }
+    }
+
+    /// Records that this host sends a request to a server.
+    pub fn record_sent(&mut self, server: &ServerName, now: Instant) {
+        if let Some(known) = self.limits.get_mut(server) {
+            known.sent_at = now;
+        }
+    }
+
+    /// Whether this host may send a request to a server without the broker, within a share
+    /// of the server's limit.
+    #[must_use]
+    pub fn admits_alone(
+        &self,
+        server: &ServerName,
+        incarnation: u64,
+        share: f64,
+        now: Instant,
+    ) -> bool {
+        let Some(limit) = self.limit(server, incarnation) else {
+            return true;
+        };
+        let elapsed = self.limits.get(server).map_or(Duration::ZERO, |known| {
+            now.saturating_duration_since(known.sent_at)
+        });
+        elapsed.as_secs_f64() * share >= limit.interval().as_secs_f64()
+    }
+
     /// Takes the reports that are due.
     pub fn take_reports(&mut self, now: Instant) -> Vec<LimitReport> {
         let due = self.limits.iter_mut();
@@ -222,6 +301,7 @@
             limit,
             read_at: now,
             reported_at: None,
+            sent_at: now,
         };
         self.limits.insert(server.clone(), named);
     }
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -10,7 +10,7 @@
 
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
-use crate::pool::{ServicePool, WaitingRequest};
+use crate::pool::{ServicePool, WaitingRequest, predicted_wait};
 use crate::rate::{RateLedger, RateTolerance};
 use crate::request::{
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
@@ -314,11 +314,11 @@
     }
 
     fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
-        let slots = self.open_slots(&request.service, now);
+        let request_rate = self.request_rate(&request.service, now);
         let pool = self.pool(&request.service);
         let mut wait_max = request.wait_max;
         if request.kind == WorkKind::Online {
-            let wait = pool.predicted_wait(pool.queued_ahead(request.rank), slots);
+            let wait = predicted_wait(pool.queued_ahead(request.rank), request_rate);
             let first_answer = Duration::from_secs_f64(pool.averages.first_answer_seconds);
             wait_max = wait_max.min(request.first_answer_within.saturating_sub(first_answer));
             if wait > wait_max {
@@ -418,6 +418,11 @@
                 continue;
             }
             if let Some(key) = self.by_name.get(&run.server).copied() {
+                if run.brokerless
+                    && let Some(entry) = self.servers.get_mut(key)
+                {
+                    entry.limit.charge(now);
+                }
                 self.insert_grant(SlotGrant {
                     requester: requester.clone(),
                     ticket: run.ticket,
@@ -536,6 +541,23 @@
         open.map(|entry| entry.capacity(is_engine, now)).sum()
     }
 
+    /// The requests a second that the servers of a service can take up, by their slots and
+    /// by the limits that they name.
+    fn request_rate(&self, service: &ServiceName, now: Instant) -> f64 {
+        let Some(pool) = self.services.get(service) else {
+            return 0.0;
+        };
+        let is_engine = pool.engine_tokens.is_some();
+        let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
+        let open = entries.filter(|entry| self.accepts_work(&entry.record, now));
+        let rates = open.map(|entry| {
+            let by_slots = f64::from(entry.capacity(is_engine, now)) / pool.averages.hold_seconds;
+            let limit = entry.limit.get();
+            limit.map_or(by_slots, |limit| by_slots.min(limit.per_second()))
+        });
+        rates.sum()
+    }
+
     fn insert_grant(&mut self, grant: SlotGrant) {
         let server = grant.server;
         let kind = grant.kind;
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -72,19 +72,14 @@
                 && !request.avoid.contains(&entry.record.check_in.name);
             // Without online requests, only an item can end a server's probation.
             let headroom = if entry.is_on_probation() { 0 } else { headroom };
-            if free <= headroom || !fits || !usable {
+            let within_limit = entry.limit.admits(request.kind, now);
+            if free <= headroom || !fits || !usable || !within_limit {
                 continue;
             }
             let record = &entry.record;
-            let cost = server_cost(
-                record,
-                entry.running(),
-                capacity,
-                request,
-                &prefixes,
-                overdue_after,
-                now,
-            );
+            let used_slots = f64::from(entry.running()) / f64::from(capacity.max(1));
+            let used_share = used_slots.max(entry.limit.used_share(now));
+            let cost = server_cost(record, used_share, request, &prefixes, overdue_after, now);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *key));
             }
@@ -103,6 +98,7 @@
                 && entry.is_some_and(|entry| {
                     entry.record.check_in.service == request.service
                         && self.accepts_work(&entry.record, now)
+                        && entry.limit.admits(request.kind, now)
                         && !request.avoid.contains(&entry.record.check_in.name)
                 })
         });
@@ -134,6 +130,7 @@
         let Some(entry) = self.servers.get_mut(key) else {
             return;
         };
+        entry.limit.charge(now);
         record_prompt(&mut entry.record, &request.prompt, now);
         let check_in = &entry.record.check_in;
         let decision = SlotDecision::Granted {
@@ -141,6 +138,7 @@
             incarnation: check_in.incarnation,
             address: check_in.address,
             zone: check_in.zone.clone(),
+            limit: entry.limit.get(),
         };
         self.events.push(BrokerEvent::Decided {
             requester: requester.clone(),
--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -1,7 +1,9 @@
 //! Server selection without the broker, as after a zone is cut off during a burst.
 
 use crate::support::{BrokerFixture, check_in};
-use chicoryladder_broker::{BrokerlessView, LeavingServers, ServerCheckIn, ServerPhase, WorkKind};
+use chicoryladder_broker::{
+    BrokerlessView, LeavingServers, NamedLimits, ServerCheckIn, ServerPhase, WorkKind, ZoneRoster,
+};
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -22,6 +24,9 @@
             own_runs: &own_runs,
             unreachable: &unreachable,
             leaving: &LeavingServers::default(),
+            limits: &NamedLimits::default(),
+            roster: &ZoneRoster::default(),
+            now: fixture.now,
         };
         if let Some(server) = view.choose(&request) {
             chosen.push(server.name.to_string());
@@ -75,6 +80,9 @@
             own_runs: &own_runs,
             unreachable: &unreachable,
             leaving: &LeavingServers::default(),
+            limits: &NamedLimits::default(),
+            roster: &ZoneRoster::default(),
+            now: fixture.now,
         };
         let request = fixture.slot_request(WorkKind::Online);
         first.extend(view.choose(&request).map(|server| server.name.clone()));
--- a/crates/broker/tests/all/departures.rs
+++ b/crates/broker/tests/all/departures.rs
@@ -3,7 +3,9 @@
 //! are late and hosts out of touch.
 
 use crate::support::{BrokerFixture, check_in, granted, refused_after};
-use chicoryladder_broker::{BrokerlessView, LeavingServers, RunOutcome, ServerCheckIn, WorkKind};
+use chicoryladder_broker::{
+    BrokerlessView, LeavingServers, NamedLimits, RunOutcome, ServerCheckIn, WorkKind, ZoneRoster,
+};
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -83,6 +85,9 @@
             own_runs: &HashMap::new(),
             unreachable: &HashSet::new(),
             leaving,
+            limits: &NamedLimits::default(),
+            roster: &ZoneRoster::default(),
+            now: Instant::now(),
         };
         view.choose(&request).map(|server| server.name.clone())
     };
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -2,13 +2,13 @@
 //! limited for many seconds, while online requests come in bursts and batch items take every
 //! free slot between them.
 
-use crate::support::{BrokerFixture, check_in, requester};
+use crate::support::{BrokerFixture, check_in, granted, refused_after, requester};
 use chicoryladder_broker::{
-    BrokerEvent, LimitReport, ProvenWork, RunOutcome, RunReport, ServerLimit, SlotDecision,
-    WorkKind,
+    BrokerEvent, BrokerlessView, LeavingServers, LimitReport, LimitStatement, NamedLimits,
+    ProvenWork, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 const STEP: Duration = Duration::from_millis(5);
@@ -34,15 +34,11 @@
     }
 }
 
-struct Run {
-    kind: WorkKind,
-    ends_at: Instant,
-}
-
 /// Simulates hosts that report what servers name, and servers that run all they are given.
 struct Simulation {
     fixture: BrokerFixture,
-    runs: BTreeMap<u64, Run>,
+    /// When each run ends.
+    runs: BTreeMap<u64, Instant>,
     kinds: BTreeMap<u64, WorkKind>,
     sent: BTreeMap<String, Vec<Instant>>,
     items_waiting: usize,
@@ -123,7 +119,7 @@
             WorkKind::Batch => Duration::from_secs(5),
         };
         let ends_at = now + time;
-        self.runs.insert(ticket, Run { kind, ends_at });
+        self.runs.insert(ticket, ends_at);
     }
 
     fn end(&mut self, ticket: u64, outcome: RunOutcome) {
@@ -155,7 +151,7 @@
             let events = self.fixture.tick(STEP);
             self.process(events);
             let now = self.fixture.now;
-            let due = self.runs.iter().filter(|(_, run)| run.ends_at <= now);
+            let due = self.runs.iter().filter(|(_, ends_at)| **ends_at <= now);
             let due: Vec<u64> = due.map(|(ticket, _)| *ticket).collect();
             for ticket in due {
                 self.end(ticket, RunOutcome::Served);
@@ -219,3 +215,101 @@
     }
     assert!(simulation.granted > 0);
 }
+
+/// Guards against requests that are refused although unlimited servers have free slots, and
+/// against limits that are left unused.
+#[test]
+fn limits_cost_no_request_while_other_servers_have_slots() {
+    let mut simulation = Simulation::new();
+    for number in 0..8 {
+        simulation.report(&limit_report(number, Some(2.5)));
+    }
+    let limited_at = simulation.fixture.now;
+    simulation.advance(Duration::from_secs(20), 45);
+    assert_eq!(simulation.refused, 0);
+    for number in 0..8 {
+        let most = simulation.most_in_window(number, limited_at);
+        assert!(
+            most >= 8,
+            "s{number} got {most} requests in 4 s, allowed 10"
+        );
+    }
+}
+
+/// Guards against a limit that outlasts the responses that name it.
+#[test]
+fn a_server_gets_as_many_requests_as_before_once_it_names_no_limit() {
+    let mut simulation = Simulation::new();
+    for number in 0..SERVERS {
+        simulation.report(&limit_report(number, Some(1.0)));
+    }
+    simulation.advance(Duration::from_secs(4), 60);
+    assert!(simulation.refused > 0);
+    for number in 0..SERVERS {
+        simulation.report(&limit_report(number, None));
+    }
+    simulation.refused = 0;
+    simulation.advance(Duration::from_secs(4), 60);
+    assert_eq!(simulation.refused, 0);
+}
+
+/// Pattern: all servers are limited and a few requests come at once. Those that wait are
+/// served as the limits allow; one that cannot be served in time is refused at once.
+#[test]
+fn requests_wait_for_a_limit_only_if_it_serves_them_in_time() {
+    let mut fixture = BrokerFixture::new(&[("s0", "a")], Vec::new());
+    let now = fixture.now;
+    fixture
+        .broker
+        .record_limit(&limit_report(0, Some(5.0)), now);
+    assert_eq!(granted(&fixture.request_online()), None);
+    let second = fixture.request_online();
+    assert!(refused_after(&second).is_some(), "{second:?}");
+    assert!(granted(&fixture.tick(Duration::from_millis(200))).is_some());
+}
+
+/// Guards against hosts without the broker that together exceed a limit, or one that sends
+/// a server nothing.
+#[test]
+fn hosts_without_the_broker_stay_within_a_limit_together() {
+    let hosts = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"];
+    let roster = ZoneRoster {
+        hosts: hosts
+            .iter()
+            .map(|host| host.parse().expect("it is valid"))
+            .collect(),
+        fleet_hosts: 9,
+    };
+    let start = Instant::now();
+    let limit = ServerLimit::try_from(4.0).expect("it is valid");
+    let mut limits = NamedLimits::default();
+    let server = check_in("s0", "a", 1);
+    let statement = LimitStatement::Limited(limit);
+    limits.record(&server.name, server.incarnation, statement, start);
+    let mut hosts: Vec<(&str, NamedLimits)> = (0..9)
+        .map(|host| (ZONES[host % ZONES.len()], limits.clone()))
+        .collect();
+    let mut fixture = BrokerFixture::new(&[], Vec::new());
+    let mut sent = 0;
+    for step in 0..800u32 {
+        let now = start + STEP * step;
+        for (zone, limits) in &mut hosts {
+            let mut request = fixture.slot_request(WorkKind::Online);
+            request.zone = crate::support::zone(zone);
+            let view = BrokerlessView {
+                servers: std::slice::from_ref(&server),
+                own_runs: &HashMap::new(),
+                unreachable: &HashSet::new(),
+                leaving: &LeavingServers::default(),
+                limits,
+                roster: &roster,
+                now,
+            };
+            if view.choose(&request).is_some() {
+                sent += 1;
+                limits.record_sent(&server.name, now);
+            }
+        }
+    }
+    assert!((3..=16).contains(&sent), "{sent} requests in 4 s");
+}
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -174,6 +174,11 @@
         self.state().reserves.members.clone()
     }
 
+    /// The entry hosts of this host's zone.
+    pub(crate) fn zone_roster(&self) -> ZoneRoster {
+        self.state().reserves.roster.clone()
+    }
+
     /// The prompt segments in quarantine.
     pub(crate) fn quarantined(&self, now: Instant) -> Vec<QuarantinedSegments> {
         self.state().quarantine.current(now)
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -205,12 +205,18 @@
                 server,
                 incarnation,
                 address,
+                limit,
                 ..
             }) => {
                 let server = ServerIdentity {
                     name: server,
                     incarnation,
                 };
+                let now = self.shared.base.clock.now();
+                let mut limits = self.shared.marks.limits();
+                limits.adopt(&server.name, incarnation, limit, now);
+                limits.record_sent(&server.name, now);
+                drop(limits);
                 Ok(self.lease(slot_request, server, address, false))
             }
             ControlAnswer::Slot(SlotDecision::Refused {
@@ -298,16 +304,23 @@
             });
         }
         let servers = shared.view.servers();
+        let roster = shared.view.zone_roster();
         let leaving = shared.marks.leaving();
+        let mut limits = shared.marks.limits();
         let view = BrokerlessView {
             servers: &servers,
             own_runs: &self.count_own_runs(),
             unreachable: &self.recently_unreachable(now),
             leaving: &leaving,
+            limits: &limits,
+            roster: &roster,
+            now,
         };
         let Some(check_in) = view.choose(slot_request).cloned() else {
             return Err(refused(SlotRefusalReason::NoSlot(PoolLoad::default())));
         };
+        limits.record_sent(&check_in.name, now);
+        drop(limits);
         drop(leaving);
         let server = ServerIdentity {
             name: check_in.name,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod explain;
 mod first_contact;
+mod limited;
 mod proxy;
 mod servers;
 mod shared_segments;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -34,6 +34,9 @@
 /// The header field by which a server says that it leaves.
 pub(crate) const LEAVING_FIELD: &str = "server-leaving";
 
+/// The header field by which a server limits its requests a second.
+pub(crate) const LIMIT_FIELD: &str = "server-limit";
+
 /// The number of concurrent requests that a server declares.
 const SLOTS: u32 = 8;
 
@@ -82,6 +85,8 @@
     leaving: Arc<AtomicBool>,
     /// Whether every response says that the server leaves; its check-ins do not.
     leaving_in_answers: Arc<AtomicBool>,
+    /// The limit on requests a second that every response names; 0 for none.
+    limit: Arc<AtomicU64>,
     /// Whether a control host has acknowledged a check-in as draining.
     pub(crate) leaving_acknowledged: Arc<AtomicBool>,
 }
@@ -107,6 +112,7 @@
             log,
             leaving: Arc::default(),
             leaving_in_answers: Arc::default(),
+            limit: Arc::default(),
             leaving_acknowledged: Arc::default(),
         };
         if service == UNFRAMED_SERVICE {
@@ -134,6 +140,11 @@
         self.leaving_in_answers.store(true, Ordering::Relaxed);
     }
 
+    /// Names a limit on requests a second in every response from now on; 0 for none.
+    pub(crate) fn name_limit(&self, per_second: u64) {
+        self.limit.store(per_second, Ordering::Relaxed);
+    }
+
     pub(crate) fn incarnation(&self) -> u64 {
         self.incarnation.load(Ordering::Relaxed)
     }
@@ -220,6 +231,10 @@
         if self.leaving_in_answers.load(Ordering::Relaxed) {
             response = response.header(LEAVING_FIELD, "1");
         }
+        let limit = self.limit.load(Ordering::Relaxed);
+        if limit > 0 {
+            response = response.header(LIMIT_FIELD, limit);
+        }
         let answer = if self.service == "engine" {
             let first = text("last-event-id").and_then(|last| last.parse::<u64>().ok());
             let path = head.uri.path();
