Read the software versions of servers, and log those of streams

Check-ins carry the version of the server's software to the broker, and grants tell it to hosts. Slot requests say which part of a stream they ask for, by the attempt that brought its first event. sent, served, stream_interrupted, stream_broken and stream_resumed log the version. No decision uses them yet.

--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -1,5 +1,6 @@
 //! The directory of backend servers, built from their check-ins.
 
+use crate::streams::SoftwareVersion;
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use rustc_hash::FxHashMap;
@@ -33,6 +34,8 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// The version of its software.
+    pub version: SoftwareVersion,
     /// The number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new work.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -27,6 +27,7 @@
 mod roster;
 mod server_limits;
 mod slots;
+mod streams;
 
 pub use brokerless::{BrokerlessView, servers_for_zone};
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
@@ -43,3 +44,4 @@
 };
 pub use server_limits::{InvalidLimit, LimitReport, LimitStatement, NamedLimits, ServerLimit};
 pub use slots::{BrokerSettings, SlotBroker};
+pub use streams::{SoftwareVersion, StreamId, StreamPart};
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -1,6 +1,7 @@
 //! Slot requests to the broker and its decisions.
 
 use crate::server_limits::ServerLimit;
+use crate::streams::{SoftwareVersion, StreamPart};
 use chicoryladder_policy::quarantine::{
     QuarantineCause, QuarantineChange, RequestFingerprint, RequestTraits, SegmentFingerprint,
 };
@@ -58,6 +59,8 @@
     pub fingerprint: RequestFingerprint,
     /// The tokens of engine memory that the request occupies when it completes.
     pub tokens: u64,
+    /// The part of a stream that is requested; `None` for other requests.
+    pub stream: Option<StreamPart>,
     /// Servers that must not be selected.
     pub avoid: Vec<ServerName>,
     /// The time within which the response has to begin to meet the latency target.
@@ -130,6 +133,8 @@
         address: SocketAddr,
         /// The availability zone of the server.
         zone: ZoneName,
+        /// The version of its software.
+        version: SoftwareVersion,
         /// The limit on requests that the server names, as the broker knows it.
         limit: Option<ServerLimit>,
     },
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -138,6 +138,7 @@
             incarnation: check_in.incarnation,
             address: check_in.address,
             zone: check_in.zone.clone(),
+            version: check_in.version.clone(),
             limit: entry.limit.get(),
         };
         self.events.push(BrokerEvent::Decided {
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -2,7 +2,8 @@
 
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, PromptSegment, ProvenWork, RateTolerance, RequesterId, RunOutcome,
-    RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, SlotRequest, WorkKind,
+    RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, SlotRequest, SoftwareVersion,
+    WorkKind,
 };
 use chicoryladder_plan::{
     CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawService, RawTeam, ServicePlan,
@@ -81,6 +82,7 @@
         service: ServiceName::try_from(ENGINE).expect("it is valid"),
         address: "127.0.0.1:9000".parse().expect("it is valid"),
         zone: zone(zone_name),
+        version: SoftwareVersion::from("v1"),
         slots: 8,
         phase: ServerPhase::Ready,
         warmup_remaining: Duration::ZERO,
@@ -123,6 +125,7 @@
             prompt: Vec::new(),
             fingerprint: fingerprint(ticket),
             tokens: 100,
+            stream: None,
             avoid: Vec::new(),
             first_answer_within: Duration::from_millis(300),
             wait_max: Duration::from_millis(300),
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -8,7 +8,9 @@
 use crate::server_run::{RunFailure, ServerAnswer, ServerRequest, ServerRunner};
 use crate::slot_client::{SlotClient, SlotError, SlotLease};
 use bytes::{Bytes, BytesMut};
-use chicoryladder_broker::{RunOutcome, SlotRefusalReason, SlotRequest, WorkKind};
+use chicoryladder_broker::{
+    RunOutcome, SlotRefusalReason, SlotRequest, SoftwareVersion, StreamId, StreamPart, WorkKind,
+};
 use chicoryladder_gateway::{
     AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream, is_malformed,
 };
@@ -96,6 +98,8 @@
     avoid: Vec<ServerName>,
     last_failure: Option<RunFailure>,
     service: ServiceName,
+    /// The version of the server whose response is relayed.
+    version: Option<SoftwareVersion>,
     /// Identifies the request when the caller sends it again.
     pub(super) fingerprint: RequestFingerprint,
 }
@@ -117,6 +121,25 @@
         self.route().kind
     }
 
+    /// The part of a stream that follows `last_event`; `None` if the route has no streams.
+    fn stream_part(&self, last_event: Option<u64>) -> Option<StreamPart> {
+        if self.kind() != RouteKind::Stream {
+            return None;
+        }
+        let head = &self.request.head;
+        let stream = match (head.last_event, &head.resumed_attempt) {
+            (Some(_), resumed) => resumed.as_deref().map(StreamId::of_attempt),
+            (None, _) => Some(StreamId::of_attempt(&self.request.id)),
+        };
+        Some(match (last_event, stream) {
+            (None, Some(stream)) => StreamPart::Beginning(stream),
+            (_, stream) => StreamPart::Rest {
+                stream,
+                version: self.version.clone(),
+            },
+        })
+    }
+
     fn is_repeatable(&self) -> bool {
         let route = self.route();
         match route.kind {
@@ -230,6 +253,7 @@
             avoid: Vec::new(),
             last_failure: None,
             service,
+            version: None,
             matched,
             request,
         }
@@ -260,7 +284,8 @@
                 state.deadline_refusal()
             });
         }
-        let Some(mut lease) = self.acquire_slot(state, now).await? else {
+        let last_event = state.request.head.last_event;
+        let Some(mut lease) = self.acquire_slot(state, last_event, now).await? else {
             return Ok(None);
         };
         let now = self.clock.now();
@@ -298,6 +323,8 @@
             "request": state.request.id,
             "route": state.route().name,
             "server": lease.server,
+            "version": lease.version,
+            "takes_up": state.request.head.resumed_attempt,
             "address": lease.address,
             "waited_ms": waited.as_millis(),
             "left_ms": left.as_millis(),
@@ -328,10 +355,11 @@
     async fn acquire_slot(
         &self,
         state: &mut RequestState,
+        last_event: Option<u64>,
         now: Instant,
     ) -> Result<Option<SlotLease>, RequestRefusal> {
         state.slot_requests += 1;
-        let request = self.build_slot_request(state, now);
+        let request = self.build_slot_request(state, last_event, now);
         let plan = state.matched.plan.version();
         match self.slots.request_slot(plan, request).await {
             Ok(lease) => {
@@ -401,7 +429,12 @@
         Ok(())
     }
 
-    fn build_slot_request(&self, state: &RequestState, now: Instant) -> SlotRequest {
+    fn build_slot_request(
+        &self,
+        state: &RequestState,
+        last_event: Option<u64>,
+        now: Instant,
+    ) -> SlotRequest {
         let route = state.route();
         let left = state.answer_by.saturating_duration_since(now);
         let waited = now.saturating_duration_since(state.request.arrived_at);
@@ -425,6 +458,7 @@
             prompt: state.request.head.prompt.segments.clone(),
             fingerprint: state.fingerprint,
             tokens: state.request.head.prompt.tokens,
+            stream: state.stream_part(last_event),
             avoid: state.avoid.clone(),
             first_answer_within: within,
             wait_max: within.min(left),
@@ -578,6 +612,7 @@
             avoid: std::mem::take(&mut state.avoid),
             last_failure: state.last_failure.take(),
             service: state.service.clone(),
+            version: Some(lease.version.clone()),
             fingerprint: state.fingerprint,
         };
         let context = RelayContext {
@@ -603,7 +638,7 @@
             if !state.may_retry(now) {
                 return None;
             }
-            let mut lease = match self.acquire_slot(state, now).await {
+            let mut lease = match self.acquire_slot(state, last_event, now).await {
                 Ok(Some(lease)) => lease,
                 Ok(None) => continue,
                 Err(_) => return None,
@@ -613,6 +648,8 @@
                 Ok(answer) if answer.parts.status.is_success() => {
                     lease.record_load(answer.head.load);
                     state.runs += 1;
+                    self.log_resumed(state, &lease, last_event);
+                    state.version = Some(lease.version.clone());
                     return Some((answer, lease));
                 }
                 Ok(answer) => {
@@ -625,6 +662,17 @@
         }
     }
 
+    fn log_resumed(&self, state: &RequestState, lease: &SlotLease, last_event: Option<u64>) {
+        let fields = json!({
+            "request": state.request.id,
+            "server": lease.server,
+            "version": lease.version,
+            "version_before": state.version,
+            "last_event": last_event,
+        });
+        self.log.note("stream_resumed", &fields);
+    }
+
     /// Ends an attempt that got no complete response.
     fn end_failed_attempt(
         &self,
@@ -663,6 +711,7 @@
             "route": state.route().name,
             "team": state.matched.team.as_ref().map(|team| &team.name),
             "server": lease.server,
+            "version": lease.version,
             "status": status.as_u16(),
             "elapsed_ms": elapsed.as_millis(),
             "runs": runs,
@@ -698,6 +747,7 @@
             "request": state.request.id,
             "route": state.route().name,
             "server": end.server,
+            "version": state.version,
             "cause": cause,
             "framing": end.framing.as_str(),
             "within_event": end.within_event,
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -23,6 +23,8 @@
     pub key: Option<String>,
     /// The last event that the caller received in an earlier attempt.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that this one takes up.
+    pub resumed_attempt: Option<String>,
     /// The size of the prompt and the output, if the request is for an engine.
     pub prompt: PromptShape,
 }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -9,7 +9,7 @@
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
     ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    SlotDecision, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
+    SlotDecision, SlotRefusalReason, SlotRequest, SoftwareVersion, WorkKind, shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
@@ -205,6 +205,7 @@
                 server,
                 incarnation,
                 address,
+                version,
                 limit,
                 ..
             }) => {
@@ -217,7 +218,7 @@
                 limits.adopt(&server.name, incarnation, limit, now);
                 limits.record_sent(&server.name, now);
                 drop(limits);
-                Ok(self.lease(slot_request, server, address, false))
+                Ok(self.lease(slot_request, server, version, address, false))
             }
             ControlAnswer::Slot(SlotDecision::Refused {
                 reason,
@@ -237,6 +238,7 @@
         &self,
         slot_request: &SlotRequest,
         server: ServerIdentity,
+        version: SoftwareVersion,
         address: SocketAddr,
         brokerless: bool,
     ) -> SlotLease {
@@ -262,6 +264,7 @@
         SlotLease {
             server,
             incarnation,
+            version,
             address,
             brokerless,
             stop,
@@ -326,7 +329,13 @@
             name: check_in.name,
             incarnation: check_in.incarnation,
         };
-        Ok(self.lease(slot_request, server, check_in.address, true))
+        Ok(self.lease(
+            slot_request,
+            server,
+            check_in.version,
+            check_in.address,
+            true,
+        ))
     }
 
     /// Takes one request from the zone's reserve of a team, at the host that holds it.
@@ -454,6 +463,8 @@
 pub(crate) struct SlotLease {
     pub(crate) server: ServerName,
     incarnation: u64,
+    /// The version of the server's software.
+    pub(crate) version: SoftwareVersion,
     pub(crate) address: SocketAddr,
     /// Whether this host chose the server without the broker.
     pub(crate) brokerless: bool,
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -353,6 +353,7 @@
         prompt: shape.segments,
         fingerprint: item_fingerprint(item),
         tokens: shape.tokens,
+        stream: None,
         avoid: Vec::new(),
         first_answer_within: SLOT_WAIT,
         wait_max: SLOT_WAIT,
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -87,6 +87,8 @@
     leaving_in_answers: Arc<AtomicBool>,
     /// The limit on requests a second that every response names; 0 for none.
     limit: Arc<AtomicU64>,
+    /// The version of its software, in check-ins.
+    version: Arc<Mutex<&'static str>>,
     /// Whether a control host has acknowledged a check-in as draining.
     pub(crate) leaving_acknowledged: Arc<AtomicBool>,
 }
@@ -113,6 +115,7 @@
             leaving: Arc::default(),
             leaving_in_answers: Arc::default(),
             limit: Arc::default(),
+            version: Arc::new(Mutex::new("v1")),
             leaving_acknowledged: Arc::default(),
         };
         if service == UNFRAMED_SERVICE {
@@ -145,6 +148,11 @@
         self.limit.store(per_second, Ordering::Relaxed);
     }
 
+    /// The version of the server's software.
+    pub(crate) fn version(&self) -> &'static str {
+        *self.version.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn incarnation(&self) -> u64 {
         self.incarnation.load(Ordering::Relaxed)
     }
@@ -175,7 +183,7 @@
             let leaving = self.leaving.load(Ordering::Relaxed);
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": SLOTS, "cold-remaining-ms": 0, "sequence": sequence,
+                "version": self.version(), "slots": SLOTS, "cold-remaining-ms": 0, "sequence": sequence,
                 "state": if leaving { "draining" } else { "ready" }, "born": self.incarnation(),
             });
             let path = format!("/instances/{}/heartbeat", self.name);
