Reproduce streams that go on at another software version

Four tests of the broker, without network, fail: streams that callers take up at another host (v1-0 to v1.2-0), streams that a host resumes (v1 to v2), streams of a version that is gone, and streams of an unknown version while there are several.

--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod directory;
 mod limited_servers;
+mod mixed_versions;
 mod named_limits;
 mod rates;
 mod reserves;
--- /dev/null
+++ b/crates/broker/tests/all/mixed_versions.rs
@@ -0,0 +1,147 @@
+//! Streams while servers of several software versions serve side by side. Pattern: entry
+//! hosts die and servers crash under many streams at once, so that callers and hosts take the
+//! streams up at a time at which other versions have more free slots.
+
+use crate::support::{BrokerFixture, check_in, granted, refused_after, requester, zone};
+use chicoryladder_broker::{
+    BrokerEvent, ServerCheckIn, SlotRequest, SoftwareVersion, StreamId, StreamPart, WorkKind,
+};
+use std::time::Duration;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// The version of a server by its name: `v1-0`, `v2-3` and so on.
+fn version_of(server: &str) -> &str {
+    server.split('-').next().unwrap_or_default()
+}
+
+fn versioned(name: &str, zone: &str, sequence: u64) -> ServerCheckIn {
+    ServerCheckIn {
+        version: SoftwareVersion::from(version_of(name)),
+        ..check_in(name, zone, sequence)
+    }
+}
+
+/// A broker with servers of several versions, as many of each as given.
+fn mixed_fixture(versions: &[(&str, usize)]) -> BrokerFixture {
+    let mut fixture = BrokerFixture::new(&[], Vec::new());
+    for (version, count) in versions {
+        for number in 0..*count {
+            let name = format!("{version}-{number}");
+            let zone = ZONES[number % ZONES.len()];
+            fixture
+                .broker
+                .check_in(versioned(&name, zone, 1), fixture.now);
+        }
+    }
+    fixture
+}
+
+fn attempt(number: u64) -> StreamId {
+    StreamId::of_attempt(&format!("attempt-{number}"))
+}
+
+fn beginning(fixture: &mut BrokerFixture, number: u64) -> SlotRequest {
+    SlotRequest {
+        stream: Some(StreamPart::Beginning(attempt(number))),
+        zone: zone(ZONES[usize::try_from(number).expect("it fits") % ZONES.len()]),
+        ..fixture.slot_request(WorkKind::Online)
+    }
+}
+
+/// The rest of a stream as another host asks for it, which does not know its version.
+fn taken_up(fixture: &mut BrokerFixture, number: u64, from_zone: &str) -> SlotRequest {
+    SlotRequest {
+        stream: Some(StreamPart::Rest {
+            stream: Some(attempt(number)),
+            version: None,
+        }),
+        zone: zone(from_zone),
+        ..fixture.slot_request(WorkKind::Online)
+    }
+}
+
+fn submit_from(fixture: &mut BrokerFixture, host: &str, request: SlotRequest) -> Vec<BrokerEvent> {
+    let requester = requester(host);
+    fixture
+        .broker
+        .request_slot(&requester, request, fixture.now);
+    fixture.broker.take_events()
+}
+
+/// Guards against streams that callers take up at another version, after the entry host died
+/// that had relayed their first events.
+#[test]
+fn streams_that_callers_take_up_go_on_at_their_version() {
+    let mut fixture = mixed_fixture(&[("v1", 6), ("v1.1", 4), ("v1.2", 2)]);
+    let mut began = Vec::new();
+    for number in 0..40 {
+        let request = beginning(&mut fixture, number);
+        let server = granted(&submit_from(&mut fixture, "entry-1", request));
+        began.push(server.expect("a slot"));
+    }
+    // The broker has not noticed yet that the host died, so its slots are still taken.
+    for (number, server) in (0..).zip(&began) {
+        for from_zone in ZONES {
+            let request = taken_up(&mut fixture, number, from_zone);
+            let events = submit_from(&mut fixture, "entry-2", request);
+            if let Some(next) = granted(&events) {
+                let versions = (version_of(server), version_of(&next));
+                assert_eq!(versions.0, versions.1, "{server} to {next}");
+            }
+        }
+    }
+}
+
+/// Guards against streams that a host resumes at another version within one response.
+#[test]
+fn streams_that_hosts_resume_go_on_at_their_version() {
+    let mut fixture = mixed_fixture(&[("v1", 2), ("v2", 6)]);
+    for number in 0..12 {
+        let request = beginning(&mut fixture, number);
+        let server = granted(&submit_from(&mut fixture, "entry-1", request)).expect("a slot");
+        let version = SoftwareVersion::from(version_of(&server));
+        let request = SlotRequest {
+            stream: Some(StreamPart::Rest {
+                stream: Some(attempt(number)),
+                version: Some(version),
+            }),
+            avoid: vec![server.as_str().try_into().expect("it is valid")],
+            ..fixture.slot_request(WorkKind::Online)
+        };
+        let next = granted(&submit_from(&mut fixture, "entry-1", request)).expect("a slot");
+        assert_eq!(version_of(&server), version_of(&next));
+    }
+}
+
+/// Guards against a stream that waits until its deadline for a version that no server has
+/// any more, or that goes on at another one.
+#[test]
+fn streams_of_a_version_that_is_gone_are_refused_at_once() {
+    let mut fixture = mixed_fixture(&[("v1", 1)]);
+    let request = beginning(&mut fixture, 1);
+    assert!(granted(&submit_from(&mut fixture, "entry-1", request)).is_some());
+    fixture
+        .broker
+        .check_in(versioned("v2-0", "a", 1), fixture.now);
+    let name = "v1-0".try_into().expect("it is valid");
+    fixture.broker.mark_leaving(&name, Some(1));
+    let request = taken_up(&mut fixture, 1, "a");
+    let events = submit_from(&mut fixture, "entry-2", request);
+    assert!(refused_after(&events).is_some(), "{events:?}");
+    assert_eq!(granted(&fixture.tick(Duration::ZERO)), None);
+}
+
+/// Guards against a stream of an unknown version that goes on at any of several.
+#[test]
+fn streams_of_unknown_versions_go_on_only_while_there_is_one() {
+    let mut fixture = mixed_fixture(&[("v1", 2)]);
+    let request = taken_up(&mut fixture, 1, "a");
+    assert!(granted(&submit_from(&mut fixture, "entry-2", request)).is_some());
+    fixture
+        .broker
+        .check_in(versioned("v2-0", "a", 1), fixture.now);
+    let request = taken_up(&mut fixture, 2, "a");
+    let events = submit_from(&mut fixture, "entry-2", request);
+    assert!(refused_after(&events).is_some(), "{events:?}");
+}
