Continue streams only at the software version that began them

Cause: the choice of a server knew no versions; check-ins name them, and nothing read them. Change: the broker remembers the version of each stream for 30 s from its last grant, by the attempt that the caller names, and grants the rest of the stream only on servers of that version. Hosts know the versions of their own streams and tell a new broker. A request that waits for one version does not hold those behind it up; one whose version is gone, or unknown while servers have several, is refused at once (no_version). All attempts at a stream go to the same service of a split route. Why it works: every run is granted by the broker or by a host without it, and both bind the stream before anything is sent, so the version outlives the host that relayed the events.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -80,6 +80,9 @@
     fn is_usable(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
         server.service == request.service
             && server.phase == ServerPhase::Ready
+            && request
+                .required_version()
+                .is_none_or(|version| *version == server.version)
             && !request.avoid.contains(&server.name)
             && !self.unreachable.contains(&server.name)
             && !self.leaving.is_leaving(&server.name, server.incarnation)
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -2,6 +2,7 @@
 
 use crate::grants::ServerKey;
 use crate::request::{RequesterId, SlotRequest, WorkKind};
+use crate::streams::SeenVersions;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -53,6 +54,8 @@
     pub(crate) online: BTreeMap<QueuePosition, WaitingRequest>,
     pub(crate) batch: BTreeMap<QueuePosition, WaitingRequest>,
     pub(crate) averages: RunAverages,
+    /// The versions of the servers.
+    pub(crate) versions: SeenVersions,
     /// The token capacity of an engine's memory; `None` for services without engines.
     pub(crate) engine_tokens: Option<u64>,
 }
@@ -67,6 +70,7 @@
                 hold_seconds: INITIAL_HOLD_SECONDS,
                 first_answer_seconds: INITIAL_FIRST_ANSWER_SECONDS,
             },
+            versions: SeenVersions::default(),
             engine_tokens: None,
         }
     }
@@ -84,10 +88,10 @@
     }
 }
 
-/// The expected wait of a request behind `ahead` others, of which `per_second` are taken up
-/// a second.
-pub(crate) fn predicted_wait(ahead: usize, per_second: f64) -> Duration {
+/// The expected wait of a request behind `ahead` others, of which servers take up
+/// `all_per_second` a second, if those that may run this one take up `own_per_second`.
+pub(crate) fn predicted_wait(ahead: usize, all_per_second: f64, own_per_second: f64) -> Duration {
     let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-    let wait = f64::from(ahead.saturating_add(1)) / per_second;
+    let wait = f64::from(ahead) / all_per_second + own_per_second.recip();
     Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
 }
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -1,7 +1,7 @@
 //! Slot requests to the broker and its decisions.
 
 use crate::server_limits::ServerLimit;
-use crate::streams::{SoftwareVersion, StreamPart};
+use crate::streams::{SoftwareVersion, StreamId, StreamPart};
 use chicoryladder_policy::quarantine::{
     QuarantineCause, QuarantineChange, RequestFingerprint, RequestTraits, SegmentFingerprint,
 };
@@ -70,6 +70,25 @@
 }
 
 impl SlotRequest {
+    /// The only version of servers that may run the request, if it is bound to one.
+    #[must_use]
+    pub fn required_version(&self) -> Option<&SoftwareVersion> {
+        match &self.stream {
+            Some(StreamPart::Rest { version, .. }) => version.as_ref(),
+            Some(StreamPart::Beginning(_)) | None => None,
+        }
+    }
+
+    /// The stream that the request is a part of, if it is known.
+    #[must_use]
+    pub fn stream_id(&self) -> Option<StreamId> {
+        match &self.stream {
+            Some(StreamPart::Beginning(stream)) => Some(*stream),
+            Some(StreamPart::Rest { stream, .. }) => *stream,
+            None => None,
+        }
+    }
+
     /// What a crash of the server that runs the request may be attributed to.
     #[must_use]
     pub fn traits(&self) -> RequestTraits {
@@ -115,6 +134,10 @@
     NoSlot(PoolLoad),
     /// The service has no known server.
     NoServer,
+    /// The stream goes on only at a version that no known server has.
+    VersionGone,
+    /// The version that began the stream is not known, and the servers have several.
+    VersionUnknown,
     /// Earlier runs of the request, or of others with the same prompt segment, crashed their
     /// servers.
     Quarantined(QuarantineCause),
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -16,6 +16,7 @@
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
 use crate::server_limits::{BelievedLimit, LimitReport};
+use crate::streams::{SoftwareVersion, StreamPart, StreamReport, StreamVersions};
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
 use chicoryladder_types::ServiceName;
@@ -122,6 +123,7 @@
     grants: GrantTable,
     rates: RateLedger,
     crashes: CrashLedger,
+    streams: StreamVersions,
     requesters: HashMap<RequesterId, Instant>,
     /// The requester that runs batch items.
     batch_requester: Option<RequesterId>,
@@ -137,6 +139,7 @@
         Self {
             rates: RateLedger::new(settings.tolerance),
             crashes: CrashLedger::default(),
+            streams: StreamVersions::default(),
             settings,
             services: BTreeMap::new(),
             servers: SlotMap::with_key(),
@@ -196,6 +199,7 @@
             return CheckInOutcome::Added;
         };
         let service = check_in.service.clone();
+        let version = check_in.version.clone();
         let Some(entry) = self.servers.get_mut(key) else {
             return CheckInOutcome::Stale;
         };
@@ -220,6 +224,9 @@
                 self.pool(&service).servers.push(key);
             }
         }
+        if outcome != CheckInOutcome::Stale {
+            self.pool(&service).versions.record(&version, now);
+        }
         if matches!(outcome, CheckInOutcome::Added | CheckInOutcome::Leaving) {
             self.directory_version += 1;
         }
@@ -275,7 +282,12 @@
     }
 
     /// Requests a slot. The decision is emitted as an event, at once or later.
-    pub fn request_slot(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
+    pub fn request_slot(
+        &mut self,
+        requester: &RequesterId,
+        mut request: SlotRequest,
+        now: Instant,
+    ) {
         self.requesters.insert(requester.clone(), now);
         if request.kind == WorkKind::Batch {
             self.supersede_batch_requester(requester, now);
@@ -285,6 +297,11 @@
             self.refuse(requester, request.ticket, reason, retry_after);
             return;
         }
+        if !self.bind_version(&mut request, now) {
+            let reason = SlotRefusalReason::VersionUnknown;
+            self.refuse(requester, request.ticket, reason, NO_SERVER_RETRY);
+            return;
+        }
         if let Some(team) = &request.charged_team
             && let Err(retry_after) = self.rates.take(team, now)
         {
@@ -297,14 +314,9 @@
             );
             return;
         }
-        if !self.has_servers(&request.service) {
+        if let Some((reason, retry_after)) = self.unservable(&request) {
             self.refund(request.charged_team.as_ref());
-            self.refuse(
-                requester,
-                request.ticket,
-                SlotRefusalReason::NoServer,
-                NO_SERVER_RETRY,
-            );
+            self.refuse(requester, request.ticket, reason, retry_after);
             return;
         }
         if self.try_grant(requester, &request, now) {
@@ -314,11 +326,15 @@
     }
 
     fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
-        let request_rate = self.request_rate(&request.service, now);
+        let all_rate = self.request_rate(&request.service, None, now);
+        let own_rate = match request.required_version() {
+            Some(version) => self.request_rate(&request.service, Some(version), now),
+            None => all_rate,
+        };
         let pool = self.pool(&request.service);
         let mut wait_max = request.wait_max;
         if request.kind == WorkKind::Online {
-            let wait = predicted_wait(pool.queued_ahead(request.rank), request_rate);
+            let wait = predicted_wait(pool.queued_ahead(request.rank), all_rate, own_rate);
             let first_answer = Duration::from_secs_f64(pool.averages.first_answer_seconds);
             wait_max = wait_max.min(request.first_answer_within.saturating_sub(first_answer));
             if wait > wait_max {
@@ -502,6 +518,7 @@
     fn add_server(&mut self, check_in: ServerCheckIn, now: Instant) {
         let name = check_in.name.clone();
         let service = check_in.service.clone();
+        let version = check_in.version.clone();
         let key = self.servers.insert(ServerEntry {
             record: ServerRecord::new(check_in, now),
             running_online: 0,
@@ -510,17 +527,52 @@
             limit: BelievedLimit::default(),
         });
         self.by_name.insert(name, key);
-        self.pool(&service).servers.push(key);
+        let pool = self.pool(&service);
+        pool.servers.push(key);
+        pool.versions.record(&version, now);
         self.directory_version += 1;
     }
 
-    fn has_servers(&self, service: &ServiceName) -> bool {
+    fn has_servers(&self, service: &ServiceName, version: Option<&SoftwareVersion>) -> bool {
         let Some(pool) = self.services.get(service) else {
             return false;
         };
         let mut entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        entries
-            .any(|entry| entry.record.check_in.phase == ServerPhase::Ready && !entry.record.is_lost)
+        entries.any(|entry| {
+            let record = &entry.record;
+            let is_ready = record.check_in.phase == ServerPhase::Ready && !record.is_lost;
+            is_ready && has_version(record, version)
+        })
+    }
+
+    /// Why no server will run a request, whatever it waits for.
+    fn unservable(&self, request: &SlotRequest) -> Option<(SlotRefusalReason, Duration)> {
+        let service = &request.service;
+        if !self.has_servers(service, None) {
+            return Some((SlotRefusalReason::NoServer, NO_SERVER_RETRY));
+        }
+        let version = request.required_version();
+        let is_gone = version.is_some() && !self.has_servers(service, version);
+        is_gone.then_some((SlotRefusalReason::VersionGone, RETRY_AFTER_MAX))
+    }
+
+    /// Finds out the version that the rest of a stream is bound to. Returns whether it is
+    /// known, or the request bound to none.
+    fn bind_version(&self, request: &mut SlotRequest, now: Instant) -> bool {
+        let Some(StreamPart::Rest { stream, version }) = &mut request.stream else {
+            return true;
+        };
+        if version.is_none() {
+            let bound = stream.and_then(|stream| self.streams.version(stream, now));
+            let sole = || self.services.get(&request.service)?.versions.sole(now);
+            *version = bound.or_else(sole).cloned();
+        }
+        version.is_some()
+    }
+
+    /// Records the version that a stream is bound to, as a host reports it.
+    pub fn record_stream(&mut self, report: &StreamReport, now: Instant) {
+        self.streams.apply(report, now);
     }
 
     /// Whether a server may be given new work. One that is silent and could not be reached
@@ -542,14 +594,21 @@
     }
 
     /// The requests a second that the servers of a service can take up, by their slots and
-    /// by the limits that they name.
-    fn request_rate(&self, service: &ServiceName, now: Instant) -> f64 {
+    /// by the limits that they name; of one version only if it is given.
+    fn request_rate(
+        &self,
+        service: &ServiceName,
+        version: Option<&SoftwareVersion>,
+        now: Instant,
+    ) -> f64 {
         let Some(pool) = self.services.get(service) else {
             return 0.0;
         };
         let is_engine = pool.engine_tokens.is_some();
         let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        let open = entries.filter(|entry| self.accepts_work(&entry.record, now));
+        let open = entries.filter(|entry| {
+            self.accepts_work(&entry.record, now) && has_version(&entry.record, version)
+        });
         let rates = open.map(|entry| {
             let by_slots = f64::from(entry.capacity(is_engine, now)) / pool.averages.hold_seconds;
             let limit = entry.limit.get();
@@ -617,16 +676,23 @@
     /// Grants free slots to queued requests, online requests first.
     fn dispatch(&mut self, service: &ServiceName, now: Instant) {
         for kind in [WorkKind::Online, WorkKind::Batch] {
+            let mut bound_to_version = Vec::new();
             loop {
                 let first = self.pool(service).queue(kind).pop_first();
                 let Some((position, waiting)) = first else {
                     break;
                 };
-                if !self.try_grant(&waiting.requester, &waiting.request, now) {
-                    self.pool(service).queue(kind).insert(position, waiting);
+                if self.try_grant(&waiting.requester, &waiting.request, now) {
+                    continue;
+                }
+                // Servers of other versions may have slots for those behind it.
+                let is_bound = waiting.request.required_version().is_some();
+                bound_to_version.push((position, waiting));
+                if !is_bound {
                     break;
                 }
             }
+            self.pool(service).queue(kind).extend(bound_to_version);
         }
     }
 
@@ -655,6 +721,11 @@
     }
 }
 
+/// Whether a server has the given version, if there is one.
+fn has_version(record: &ServerRecord, version: Option<&SoftwareVersion>) -> bool {
+    version.is_none_or(|version| *version == record.check_in.version)
+}
+
 /// Updates the record of a server by the outcome of a run.
 fn record_outcome(record: &mut ServerRecord, report: &RunReport, now: Instant) {
     match report.outcome {
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -1,6 +1,6 @@
 //! The choice of a server for a request: a free slot, or that of a preempted batch item.
 
-use super::SlotBroker;
+use super::{SlotBroker, has_version};
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
 use crate::placement::{prompt_prefixes, record_prompt, server_cost};
 use crate::request::{
@@ -69,6 +69,7 @@
                 .engine_tokens
                 .is_none_or(|max| entry.tokens + request.tokens <= max);
             let usable = self.accepts_work(&entry.record, now)
+                && has_version(&entry.record, request.required_version())
                 && !request.avoid.contains(&entry.record.check_in.name);
             // Without online requests, only an item can end a server's probation.
             let headroom = if entry.is_on_probation() { 0 } else { headroom };
@@ -98,6 +99,7 @@
                 && entry.is_some_and(|entry| {
                     entry.record.check_in.service == request.service
                         && self.accepts_work(&entry.record, now)
+                        && has_version(&entry.record, request.required_version())
                         && entry.limit.admits(request.kind, now)
                         && !request.avoid.contains(&entry.record.check_in.name)
                 })
@@ -133,6 +135,9 @@
         entry.limit.charge(now);
         record_prompt(&mut entry.record, &request.prompt, now);
         let check_in = &entry.record.check_in;
+        if let Some(stream) = request.stream_id() {
+            self.streams.bind(stream, &check_in.version, true, now);
+        }
         let decision = SlotDecision::Granted {
             server: check_in.name.clone(),
             incarnation: check_in.incarnation,
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -1,11 +1,10 @@
 //! What happens by the passage of time: silent hosts and servers, and requests that waited
 //! for too long.
 
-use super::{NO_SERVER_RETRY, ServerEntry, SlotBroker, jittered_delay};
+use super::{ServerEntry, SlotBroker, jittered_delay};
 use crate::grants::{ServerKey, SlotGrant};
 use crate::pool::WaitingRequest;
-use crate::request::{RequesterId, SlotRefusalReason, WorkKind};
-use chicoryladder_types::ServiceName;
+use crate::request::{RequesterId, SlotRefusalReason, SlotRequest, WorkKind};
 use std::time::{Duration, Instant};
 
 /// The silence after which a host that runs batch items loses their slots to the next one
@@ -105,16 +104,23 @@
         }
     }
 
-    /// Refuses the online requests that wait for a service whose last server has left or
-    /// was lost, as new ones are.
+    /// Refuses the online requests that wait for a service, or for a version of it, whose
+    /// last server has left or was lost, as new ones are.
     pub(super) fn refuse_unservable(&mut self) {
-        let waiting = self.services.iter().filter(|(_, p)| !p.online.is_empty());
-        let unservable = waiting.filter(|(name, _)| !self.has_servers(name));
-        let services: Vec<ServiceName> = unservable.map(|(name, _)| name.clone()).collect();
-        for service in services {
-            let queue = std::mem::take(&mut self.pool(&service).online);
-            for waiting in queue.into_values() {
-                self.refuse_waiting(&waiting, SlotRefusalReason::NoServer, NO_SERVER_RETRY);
+        let mut unservable = Vec::new();
+        for (name, pool) in self.services.iter().filter(|(_, p)| !p.online.is_empty()) {
+            let has_servers = self.has_servers(name, None);
+            let bound = |request: &SlotRequest| request.required_version().is_some();
+            let waiting = pool.online.iter();
+            let checked = waiting.filter(|(_, w)| !has_servers || bound(&w.request));
+            unservable.extend(checked.filter_map(|(position, waiting)| {
+                let (reason, retry_after) = self.unservable(&waiting.request)?;
+                Some((name.clone(), *position, reason, retry_after))
+            }));
+        }
+        for (service, position, reason, retry_after) in unservable {
+            if let Some(waiting) = self.pool(&service).online.remove(&position) {
+                self.refuse_waiting(&waiting, reason, retry_after);
             }
         }
     }
--- a/crates/broker/src/streams.rs
+++ b/crates/broker/src/streams.rs
@@ -3,8 +3,11 @@
 //! What two versions write does not fit together, so a stream goes on only at the version
 //! that began it.
 
+use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// The version of the software of a server. Versions have no order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -51,3 +54,164 @@
         version: Option<SoftwareVersion>,
     },
 }
+
+/// The time for which the version of a stream is remembered after its last run began. The
+/// caller of an older stream has given up.
+const STREAM_MEMORY: Duration = Duration::from_secs(30);
+
+/// The maximum number of streams that are remembered; the oldest are dropped first.
+const STREAMS_MAX: usize = 65_536;
+
+/// The report of a host to the broker on the version of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamReport {
+    /// The stream.
+    pub stream: StreamId,
+    /// The version that it is bound to.
+    pub version: SoftwareVersion,
+    /// The time since its last run began.
+    pub age: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct BoundStream {
+    version: SoftwareVersion,
+    began_at: Instant,
+    /// Whether the broker knows the version.
+    is_reported: bool,
+}
+
+/// The versions that streams are bound to, as the broker or a host knows them.
+#[derive(Clone, Debug, Default)]
+pub struct StreamVersions {
+    bound: FxHashMap<StreamId, BoundStream>,
+    /// The streams by the beginning of each run, the oldest first.
+    by_age: VecDeque<(Instant, StreamId)>,
+}
+
+impl StreamVersions {
+    /// Binds a stream to the version of the server that a run of it is sent to. An earlier
+    /// run that wrote events was of the same version.
+    pub fn bind(
+        &mut self,
+        stream: StreamId,
+        version: &SoftwareVersion,
+        is_reported: bool,
+        now: Instant,
+    ) {
+        self.drop_old(now);
+        let bound = BoundStream {
+            version: version.clone(),
+            began_at: now,
+            is_reported,
+        };
+        self.bound.insert(stream, bound);
+        self.by_age.push_back((now, stream));
+    }
+
+    /// Takes over what a host reports, unless a later run is known.
+    pub fn apply(&mut self, report: &StreamReport, now: Instant) {
+        let Some(began_at) = now.checked_sub(report.age) else {
+            return;
+        };
+        let known = self.bound.get(&report.stream);
+        if known.is_none_or(|known| known.began_at < began_at) {
+            self.bind(report.stream, &report.version, true, now);
+        }
+    }
+
+    /// The version that a stream is bound to.
+    #[must_use]
+    pub fn version(&self, stream: StreamId, now: Instant) -> Option<&SoftwareVersion> {
+        let bound = self.bound.get(&stream)?;
+        let age = now.saturating_duration_since(bound.began_at);
+        (age < STREAM_MEMORY).then_some(&bound.version)
+    }
+
+    /// Takes the reports that the broker has not received.
+    pub fn take_reports(&mut self, now: Instant) -> Vec<StreamReport> {
+        let unreported = self
+            .bound
+            .iter_mut()
+            .filter(|(_, bound)| !bound.is_reported);
+        unreported
+            .map(|(stream, bound)| {
+                bound.is_reported = true;
+                StreamReport {
+                    stream: *stream,
+                    version: bound.version.clone(),
+                    age: now.saturating_duration_since(bound.began_at),
+                }
+            })
+            .collect()
+    }
+
+    /// Makes reports due again that did not arrive.
+    pub fn return_reports(&mut self, reports: &[StreamReport]) {
+        for report in reports {
+            if let Some(bound) = self.bound.get_mut(&report.stream) {
+                bound.is_reported = false;
+            }
+        }
+    }
+
+    /// Makes all reports due, for a new broker.
+    pub fn report_all(&mut self, now: Instant) {
+        self.drop_old(now);
+        for bound in self.bound.values_mut() {
+            bound.is_reported = false;
+        }
+    }
+
+    /// The number of streams.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.bound.len()
+    }
+
+    /// Whether there are no streams.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bound.is_empty()
+    }
+
+    fn drop_old(&mut self, now: Instant) {
+        while let Some((at, stream)) = self.by_age.front().copied() {
+            let is_old = now.saturating_duration_since(at) >= STREAM_MEMORY;
+            if !is_old && self.by_age.len() < STREAMS_MAX {
+                return;
+            }
+            self.by_age.pop_front();
+            if self.bound.get(&stream).is_some_and(|b| b.began_at == at) {
+                self.bound.remove(&stream);
+            }
+        }
+    }
+}
+
+/// The versions of the servers of a service, by when each was last seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SeenVersions {
+    seen_at: BTreeMap<SoftwareVersion, Instant>,
+}
+
+impl SeenVersions {
+    pub(crate) fn record(&mut self, version: &SoftwareVersion, now: Instant) {
+        if let Some(seen_at) = self.seen_at.get_mut(version) {
+            *seen_at = now;
+            return;
+        }
+        let is_recent = |seen_at: &Instant| now.saturating_duration_since(*seen_at) < STREAM_MEMORY;
+        self.seen_at.retain(|_, seen_at| is_recent(seen_at));
+        self.seen_at.insert(version.clone(), now);
+    }
+
+    /// The only version that can have begun a stream; `None` if there are several.
+    pub(crate) fn sole(&self, now: Instant) -> Option<&SoftwareVersion> {
+        let recent = self.seen_at.iter();
+        let mut recent =
+            recent.filter(|(_, seen_at)| now.saturating_duration_since(**seen_at) < STREAM_MEMORY);
+        let (version, _) = recent.next()?;
+        recent.next().is_none().then_some(version)
+    }
+}
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -483,10 +483,17 @@
         GroupReply::Answer(ControlAnswer::Done)
     }
 
-    /// Applies what a host reports of servers, before the call that brought the reports is
+    /// Applies what a host reports of servers and streams, before the call that brought the reports is
     /// processed.
     fn accept_reports(self: &Arc<Self>, requester: &RequesterId, reports: ServerReports) {
         self.accept_departures(requester, reports.departures);
+        if !reports.streams.is_empty() {
+            let now = self.now();
+            let mut state = self.state();
+            for report in &reports.streams {
+                state.broker.record_stream(report, now);
+            }
+        }
         for report in reports.limits {
             let now = self.now();
             if !self.state().broker.record_limit(&report, now) {
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -127,10 +127,8 @@
             return None;
         }
         let head = &self.request.head;
-        let stream = match (head.last_event, &head.resumed_attempt) {
-            (Some(_), resumed) => resumed.as_deref().map(StreamId::of_attempt),
-            (None, _) => Some(StreamId::of_attempt(&self.request.id)),
-        };
+        let is_named = head.last_event.is_none() || head.resumed_attempt.is_some();
+        let stream = is_named.then(|| StreamId::of_attempt(self.request.first_attempt()));
         Some(match (last_event, stream) {
             (None, Some(stream)) => StreamPart::Beginning(stream),
             (_, stream) => StreamPart::Rest {
@@ -240,7 +238,7 @@
         let announced = request.head.time_left;
         let time = announced.map_or(route.timeout, |left| left.min(route.timeout));
         let is_caller_retry = announced.is_some_and(|left| self.is_caller_retry(&route.name, left));
-        let service = choose_service(route, &request.id);
+        let service = choose_service(route, request.first_attempt());
         let team = matched.team.as_ref().map(|team| &team.name);
         let fingerprint = RequestFingerprint::new(team, &route.name, &request.path, &request.body);
         RequestState {
@@ -404,6 +402,15 @@
                         RefusalReason::Quarantined,
                         format!("requests with prompt segment {segment} crashed their servers"),
                     ),
+                    SlotRefusalReason::VersionGone => (
+                        RefusalReason::NoVersion,
+                        "no server of the version that began the stream accepts work".to_owned(),
+                    ),
+                    SlotRefusalReason::VersionUnknown => (
+                        RefusalReason::NoVersion,
+                        "the version that began the stream is not known, and servers have several"
+                            .to_owned(),
+                    ),
                     SlotRefusalReason::NoServer => (
                         RefusalReason::NoServer,
                         "no server of the service is known".to_owned(),
@@ -425,7 +432,7 @@
             .matcher
             .resolve(&host, path, &state.request.head)
             .await?;
-        state.service = choose_service(state.route(), &state.request.id);
+        state.service = choose_service(state.route(), state.request.first_attempt());
         Ok(())
     }
 
@@ -762,6 +769,14 @@
 }
 
 impl ForwardRequest {
+    /// The attempt of the caller that brought the first event of the stream, or this one.
+    /// All attempts at a stream go to the same service.
+    fn first_attempt(&self) -> &str {
+        let resumed = self.head.resumed_attempt.as_deref();
+        let resumed = resumed.filter(|_| self.head.last_event.is_some());
+        resumed.unwrap_or(&self.id)
+    }
+
     /// Moves the request out. Its id, path, headers and body are left empty.
     fn take(&mut self) -> Self {
         Self {
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -144,6 +144,11 @@
         self.state().plan.clone()
     }
 
+    /// The term of the leader that the directory is from.
+    fn term(&self) -> u64 {
+        self.state().directory.0
+    }
+
     /// Whether the last sync reached the leader.
     pub(crate) fn has_leader(&self) -> bool {
         self.state().has_leader
@@ -411,9 +416,14 @@
                 (reporter.on_change)(ViewChange::LeaderFound);
             }
             let own_address = base.rpc.identity().address;
+            let term = view.term();
             if let Some(version) = view.apply(*reply, own_address, sent_at, base.clock.now()) {
                 (reporter.on_change)(ViewChange::Plan(version));
             }
+            if let Some(marks) = reporter.marks.as_ref().filter(|_| view.term() != term) {
+                marks.report_all_streams();
+                view.request_sync();
+            }
             SYNC_INTERVAL
         } else {
             if view.set_has_leader(false) {
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -141,7 +141,7 @@
     pub(crate) requester: RequesterId,
     pub(crate) plan: PlanVersion,
     pub(crate) slot_request: SlotRequest,
-    /// What servers said in their responses since the last call.
+    /// What the host learned of servers and streams since the last call.
     pub(crate) reports: ServerReports,
 }
 
@@ -188,7 +188,7 @@
     /// The leader's term and the version of the directory that the host holds.
     pub(crate) directory: (u64, u64),
     pub(crate) active: Vec<ActiveRun>,
-    /// What servers said in their responses since the last call.
+    /// What the host learned of servers and streams since the last call.
     pub(crate) reports: ServerReports,
     /// The requests left in the reserves that the host holds.
     pub(crate) reserves: Vec<(TeamName, u32)>,
--- a/crates/roles/src/server_marks.rs
+++ b/crates/roles/src/server_marks.rs
@@ -1,5 +1,5 @@
-//! What servers said in their responses of their departures and limits, as known to one
-//! process.
+//! What one process knows of servers from their responses, and the versions that its streams
+//! are bound to.
 //!
 //! Everything in a process that sends to servers shares these marks: the runner sets and
 //! checks them, the slot client returns slots of servers that leave and reports the marks
@@ -9,7 +9,7 @@
 use crate::metrics::RoleMetrics;
 use chicoryladder_broker::{
     DepartureReport, DepartureSource, LeavingServers, LimitReport, LimitStatement, NamedLimits,
-    ServerLimit,
+    ServerLimit, StreamReport, StreamVersions,
 };
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,7 @@
 struct MarksShared {
     leaving: Mutex<LeavingServers>,
     limits: Mutex<NamedLimits>,
+    streams: Mutex<StreamVersions>,
     clock: Arc<dyn ClockSource>,
     log: EventLog,
     metrics: Arc<RoleMetrics>,
@@ -47,6 +48,7 @@
         let shared = MarksShared {
             leaving: Mutex::default(),
             limits: Mutex::default(),
+            streams: Mutex::default(),
             clock,
             log,
             metrics,
@@ -66,6 +68,16 @@
         limits.unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn streams(&self) -> MutexGuard<'_, StreamVersions> {
+        let streams = self.shared.streams.lock();
+        streams.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Makes the versions of all streams due for a report, to a broker that knows none.
+    pub(crate) fn report_all_streams(&self) {
+        self.streams().report_all(self.shared.clock.now());
+    }
+
     /// Marks a server as leaving by the response to a request.
     pub(crate) fn mark_leaving(&self, server: &ServerIdentity, address: SocketAddr, request: &str) {
         let now = self.shared.clock.now();
@@ -119,6 +131,7 @@
         let reports = ServerReports {
             departures: self.leaving().take_reports(),
             limits: self.limits().take_reports(now),
+            streams: self.streams().take_reports(now),
         };
         PendingReports {
             reports,
@@ -128,11 +141,13 @@
     }
 }
 
-/// What a host learned of servers from their responses since its last call to the broker.
+/// What a host learned since its last call to the broker.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub(crate) struct ServerReports {
     pub(crate) departures: Vec<DepartureReport>,
     pub(crate) limits: Vec<LimitReport>,
+    /// The versions of streams that were begun without the broker, or under an earlier one.
+    pub(crate) streams: Vec<StreamReport>,
 }
 
 /// Reports on their way to the broker, which are due again unless they arrive.
@@ -157,12 +172,19 @@
         if self.arrived {
             return;
         }
-        let ServerReports { departures, limits } = &self.reports;
+        let ServerReports {
+            departures,
+            limits,
+            streams,
+        } = &self.reports;
         if !departures.is_empty() {
             self.marks.leaving().return_reports(departures);
         }
         if !limits.is_empty() {
             self.marks.limits().return_reports(limits);
         }
+        if !streams.is_empty() {
+            self.marks.streams().return_reports(streams);
+        }
     }
 }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -9,7 +9,8 @@
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
     ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    SlotDecision, SlotRefusalReason, SlotRequest, SoftwareVersion, WorkKind, shared_segments,
+    ServerCheckIn, SlotDecision, SlotRefusalReason, SlotRequest, SoftwareVersion, StreamPart,
+    WorkKind, shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
@@ -40,6 +41,9 @@
 /// crash its server.
 const PROVEN_AFTER: Duration = Duration::from_secs(2);
 
+/// The age of the view up to which its directory tells whether all servers have one version.
+const SOLE_VERSION_AGE_MAX: Duration = Duration::from_secs(3);
+
 /// The time for which a server that could not be reached is excluded from local
 /// choices.
 const UNREACHABLE_PERIOD: Duration = Duration::from_secs(2);
@@ -157,6 +161,7 @@
         mut slot_request: SlotRequest,
     ) -> Result<SlotLease, SlotError> {
         slot_request.ticket = self.shared.next_ticket.fetch_add(1, Ordering::Relaxed);
+        self.bind_known_stream(&mut slot_request);
         if !self.is_brokerless()
             && let Some(leader) = self.shared.client.leader()
         {
@@ -171,7 +176,41 @@
                 retry_after: BROKERLESS_RETRY,
             });
         }
-        self.choose(&slot_request).await
+        self.choose(slot_request).await
+    }
+
+    /// Binds the rest of a stream to its version if this host knows it.
+    fn bind_known_stream(&self, slot_request: &mut SlotRequest) {
+        let Some(StreamPart::Rest {
+            stream: Some(stream),
+            version: version @ None,
+        }) = &mut slot_request.stream
+        else {
+            return;
+        };
+        let now = self.shared.base.clock.now();
+        *version = self.shared.marks.streams().version(*stream, now).cloned();
+    }
+
+    /// Binds the rest of a stream that this host does not know to the only version that the
+    /// servers of its directory have, if it is recent. Returns whether the version is known.
+    fn bind_sole_version(&self, slot_request: &mut SlotRequest, now: Instant) -> bool {
+        let Some(StreamPart::Rest { version, .. }) = &mut slot_request.stream else {
+            return true;
+        };
+        let view = &self.shared.view;
+        let is_recent = view.age(now).is_some_and(|age| age < SOLE_VERSION_AGE_MAX);
+        if version.is_none() && is_recent {
+            let servers = view.servers();
+            let of_service = |server: &&ServerCheckIn| server.service == slot_request.service;
+            let mut versions = servers.iter().filter(of_service).map(|s| &s.version);
+            if let Some(first) = versions.next()
+                && versions.all(|other| other == first)
+            {
+                *version = Some(first.clone());
+            }
+        }
+        version.is_some()
     }
 
     async fn call_broker(
@@ -247,6 +286,11 @@
             incarnation,
         } = server;
         self.shared.marks.leaving().observe(&server, incarnation);
+        if let Some(stream) = slot_request.stream_id() {
+            let now = self.shared.base.clock.now();
+            let mut streams = self.shared.marks.streams();
+            streams.bind(stream, &version, !brokerless, now);
+        }
         let stop = Arc::new(Notify::new());
         let run = ActiveRun {
             ticket: slot_request.ticket,
@@ -281,7 +325,7 @@
     }
 
     /// Chooses a server from this host's view, without the broker.
-    async fn choose(&self, slot_request: &SlotRequest) -> Result<SlotLease, SlotError> {
+    async fn choose(&self, mut slot_request: SlotRequest) -> Result<SlotLease, SlotError> {
         let shared = &self.shared;
         let now = shared.base.clock.now();
         let refused = |reason| SlotError::Refused {
@@ -298,6 +342,9 @@
                 retry_after: quarantine.left,
             });
         }
+        if !self.bind_sole_version(&mut slot_request, now) {
+            return Err(refused(SlotRefusalReason::VersionUnknown));
+        }
         if let Some(team) = &slot_request.charged_team
             && let ReserveAnswer::Spent { retry_after } = self.take_reserve(team).await
         {
@@ -319,7 +366,7 @@
             roster: &roster,
             now,
         };
-        let Some(check_in) = view.choose(slot_request).cloned() else {
+        let Some(check_in) = view.choose(&slot_request).cloned() else {
             return Err(refused(SlotRefusalReason::NoSlot(PoolLoad::default())));
         };
         limits.record_sent(&check_in.name, now);
@@ -330,7 +377,7 @@
             incarnation: check_in.incarnation,
         };
         Ok(self.lease(
-            slot_request,
+            &slot_request,
             server,
             check_in.version,
             check_in.address,
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -91,6 +91,8 @@
         Draining => "draining", 503;
         /// No backend server offers the model or service.
         NoServer => "no_server", 503;
+        /// No backend server has the version that began the stream.
+        NoVersion => "no_version", 503;
         /// The host's view of the keys is too old to authenticate requests.
         KeyViewStale => "key_view_stale", 503;
         /// No quorum of voters is reachable.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -14,4 +14,5 @@
 mod soak;
 mod trouble;
 mod unframed;
+mod versions;
 mod world;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -15,9 +15,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
 
 /// The interval between two check-ins, as set for the processes of the fleet.
 pub(crate) const CHECK_IN_INTERVAL: Duration = Duration::from_millis(300);
@@ -87,6 +88,7 @@
     leaving_in_answers: Arc<AtomicBool>,
     /// The limit on requests a second that every response names; 0 for none.
     limit: Arc<AtomicU64>,
+    connections: Arc<Mutex<Vec<AbortHandle>>>,
     /// The version of its software, in check-ins.
     version: Arc<Mutex<&'static str>>,
     /// Whether a control host has acknowledged a check-in as draining.
@@ -115,6 +117,7 @@
             leaving: Arc::default(),
             leaving_in_answers: Arc::default(),
             limit: Arc::default(),
+            connections: Arc::default(),
             version: Arc::new(Mutex::new("v1")),
             leaving_acknowledged: Arc::default(),
         };
@@ -163,6 +166,24 @@
         self.incarnation.fetch_add(1, Ordering::Relaxed);
     }
 
+    fn connections(&self) -> MutexGuard<'_, Vec<AbortHandle>> {
+        let connections = self.connections.lock();
+        connections.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes all connections, like a crash.
+    pub(crate) fn break_connections(&self) {
+        for connection in self.connections().drain(..) {
+            connection.abort();
+        }
+    }
+
+    /// Returns as a new incarnation of another software version.
+    pub(crate) fn restart_as(&self, version: &'static str) {
+        *self.version.lock().unwrap_or_else(PoisonError::into_inner) = version;
+        self.restart();
+    }
+
     async fn listen(self, listener: TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -174,7 +195,9 @@
                 async move { server.answer(request).await }
             });
             let connection = hyper::server::conn::http1::Builder::new();
-            tokio::spawn(connection.serve_connection(TokioIo::new(stream), service));
+            let serving = connection.serve_connection(TokioIo::new(stream), service);
+            let task = tokio::spawn(serving).abort_handle();
+            self.connections().push(task);
         }
     }
 
--- /dev/null
+++ b/tests/fleet/versions.rs
@@ -0,0 +1,187 @@
+//! Streams over whole fleets whose engines have several software versions.
+
+use crate::client::Answer;
+use crate::servers::{CHECK_IN_INTERVAL, Server};
+use crate::world::{ProcessFleet, Role};
+use futures_util::future::join_all;
+use std::time::Duration;
+
+/// A stream of three seconds.
+const LONG_STREAM: &str = "/rules/200";
+
+/// The time after which all long streams have brought events.
+const BEGIN_TIME: Duration = Duration::from_millis(700);
+
+/// The streams that are begun together.
+const STREAMS: usize = 12;
+
+fn engines(fleet: &ProcessFleet) -> Vec<Server> {
+    let servers = fleet.servers.iter();
+    let engines = servers.filter(|server| server.name.starts_with("engine"));
+    engines.cloned().collect()
+}
+
+/// Starts a fleet with two engines of version v1 and one of v2.
+async fn mixed_fleet() -> ProcessFleet {
+    let fleet = ProcessFleet::start().await;
+    engines(&fleet)[2].restart_as("v2");
+    tokio::time::sleep(CHECK_IN_INTERVAL * 3).await;
+    fleet
+}
+
+/// The versions that ran an attempt.
+fn versions_of(fleet: &ProcessFleet, attempt: &str) -> Vec<&'static str> {
+    let engines = engines(fleet);
+    let version = |name: &str| engines.iter().find(|e| e.name == name).map(Server::version);
+    let runs = fleet.runs.runs_of(attempt);
+    runs.iter().filter_map(|run| version(&run.server)).collect()
+}
+
+/// The number of the last whole event of a response that broke off.
+fn last_event(answer: &Answer) -> Option<u64> {
+    let text = answer.text();
+    let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
+    let mut ids = whole
+        .lines()
+        .rev()
+        .filter_map(|line| line.strip_prefix("id:"));
+    ids.next()?.trim().parse().ok()
+}
+
+/// Takes streams that broke off up at an entry host; returns how many went on, all of them
+/// at the version that began them.
+async fn take_up(fleet: &ProcessFleet, entry: &str, broken: &[(String, Answer)]) -> usize {
+    let calls = broken.iter().map(|(attempt, answer)| async move {
+        let last = last_event(answer).expect("an event");
+        let next = format!("{attempt}-again");
+        let call = fleet
+            .caller_request(entry, LONG_STREAM, &next)
+            .field("last-event-id", &last.to_string())
+            .field("resumes", attempt);
+        let answer = call.send().await.expect("an answer");
+        (attempt, next, answer)
+    });
+    let mut gone_on = 0;
+    for (attempt, next, answer) in join_all(calls).await {
+        if !answer.status.is_success() {
+            assert!(answer.guarantees_not_run(), "{answer:?}");
+            continue;
+        }
+        gone_on += 1;
+        let before = versions_of(fleet, attempt);
+        for version in versions_of(fleet, &next) {
+            assert_eq!(
+                before.last(),
+                Some(&version),
+                "{attempt} began at {before:?}"
+            );
+        }
+    }
+    gone_on
+}
+
+/// Begins streams at an entry host that is killed under them.
+async fn break_streams(fleet: &mut ProcessFleet, entry: &str, name: &str) -> Vec<(String, Answer)> {
+    let ids: Vec<String> = (0..STREAMS)
+        .map(|number| format!("{name}-{number}"))
+        .collect();
+    let calls: Vec<_> = ids
+        .iter()
+        .map(|id| fleet.caller_request(entry, LONG_STREAM, id))
+        .collect();
+    let sending = calls
+        .into_iter()
+        .map(|call| tokio::spawn(async move { call.send().await }));
+    let sending: Vec<_> = sending.collect();
+    tokio::time::sleep(BEGIN_TIME).await;
+    fleet.kill(entry);
+    let mut broken = Vec::new();
+    for (id, call) in ids.into_iter().zip(sending) {
+        let answer = call
+            .await
+            .expect("no panic")
+            .expect("the head of an answer");
+        assert!(!answer.complete, "{id}: {answer:?}");
+        broken.push((id, answer));
+    }
+    broken
+}
+
+/// Guards against streams that callers take up at another version after their entry host
+/// died.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_taken_up_after_the_death_of_an_entry_host_keep_their_version() {
+    let mut fleet = mixed_fleet().await;
+    let entries = fleet.host_names(Role::Entry);
+    let broken = break_streams(&mut fleet, &entries[0], "dead").await;
+    let gone_on = take_up(&fleet, &entries[2], &broken).await;
+    assert!(
+        gone_on >= STREAMS / 2,
+        "{gone_on} of {STREAMS} streams went on"
+    );
+}
+
+/// Guards against streams whose version is lost with the leader of the control group: the
+/// host that relayed them tells the next one.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_taken_up_under_a_new_leader_keep_their_version() {
+    let mut fleet = mixed_fleet().await;
+    let entries = fleet.host_names(Role::Entry);
+    let leader = fleet.leader(Role::Control).expect("a leader");
+    let ids: Vec<String> = (0..STREAMS).map(|number| format!("led-{number}")).collect();
+    // Complete for the entry host, but not for callers that lost their connections.
+    let calls = ids
+        .iter()
+        .map(|id| fleet.caller_request(&entries[0], "/rules/20", id));
+    let answers = join_all(calls.map(|call| async move { call.send().await })).await;
+    fleet.kill(&leader);
+    fleet
+        .wait_until("another host leads", || async {
+            fleet
+                .leader(Role::Control)
+                .is_some_and(|next| next != leader)
+        })
+        .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let answers = answers.into_iter().map(|answer| answer.expect("an answer"));
+    let broken: Vec<(String, Answer)> = ids.into_iter().zip(answers).collect();
+    let gone_on = take_up(&fleet, &entries[2], &broken).await;
+    assert!(
+        gone_on >= STREAMS / 2,
+        "{gone_on} of {STREAMS} streams went on"
+    );
+}
+
+/// Guards against streams that go on at another version within one response, after their
+/// engine crashed.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_resumed_within_a_response_keep_their_version() {
+    let fleet = mixed_fleet().await;
+    let entry = fleet.host_names(Role::Entry)[0].clone();
+    let ids: Vec<String> = (0..STREAMS)
+        .map(|number| format!("crash-{number}"))
+        .collect();
+    let calls: Vec<_> = ids
+        .iter()
+        .map(|id| fleet.caller_request(&entry, LONG_STREAM, id))
+        .collect();
+    let sending: Vec<_> = calls
+        .into_iter()
+        .map(|call| tokio::spawn(async move { call.send().await }))
+        .collect();
+    tokio::time::sleep(BEGIN_TIME).await;
+    engines(&fleet)[0].break_connections();
+    let mut resumed = 0;
+    for (id, call) in ids.iter().zip(sending) {
+        call.await
+            .expect("no panic")
+            .expect("the head of an answer");
+        let versions = versions_of(&fleet, id);
+        resumed += usize::from(versions.len() > 1);
+        assert!(
+            versions.windows(2).all(|v| v[0] == v[1]),
+            "{id}: {versions:?}"
+        );
+    }
+    assert!(resumed > 0);
+}
