Continue the output of items only at the software version that wrote it

The same cause as for streams of callers, found by looking for it elsewhere: an item that was interrupted went on at whatever version got the next slot, so one result held the output of two. Change: an item with output asks for slots at the version that wrote it. Each pending request for a slot is for another item, so that items of a busy version do not take all requests; a slot goes to the most urgent item that fits its version. If no server has the version any more, or eight runs in a row bring no event, the output is discarded and the item begins anew; a new command of the job group records that and the version. While hosts of two builds run side by side, those of the earlier one cannot apply the command. Conclusion: stopping points and discards are logged (item_output_discarded).

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use machine::{
     BatchAnswer, BatchCommand, BatchMachine, ItemOutcome, ItemResult, JobPage, OpenItem,
-    ProgressDelta, RunProgress, SubmitAnswer,
+    OutputStart, ProgressDelta, RunProgress, SubmitAnswer,
 };
 pub use schedule::{ItemKey, ItemSchedule, ScheduledItem};
 pub use spec::{ItemSpec, JobSpec};
--- a/crates/batch/src/machine.rs
+++ b/crates/batch/src/machine.rs
@@ -3,7 +3,7 @@
 use crate::spec::{ItemSpec, JobSpec};
 use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{LogIndex, RouteName};
+use chicoryladder_types::{LogIndex, RouteName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -83,6 +83,20 @@
         /// The job.
         job: String,
     },
+    /// Discards the recorded output of items, which a version of the servers' software writes
+    /// anew.
+    BeginOutput(Vec<OutputStart>),
+}
+
+/// The beginning of the output of an item.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutputStart {
+    /// The job.
+    pub job: String,
+    /// The index of the item in the job.
+    pub item: u32,
+    /// The version of the software that writes it.
+    pub version: SoftwareVersion,
 }
 
 /// The reply to a submission.
@@ -181,12 +195,17 @@
     pub failures: u32,
     /// The output that its runs have produced so far.
     pub progress: RunProgress,
+    /// The version of the software that wrote it, if it is known.
+    pub version: Option<SoftwareVersion>,
 }
 
 /// The replicated state machine of batch jobs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchMachine {
     jobs: BTreeMap<String, JobRecord>,
+    /// The version that wrote the output of each item, by job and index. Snapshots of earlier
+    /// builds end before it.
+    written_by: BTreeMap<String, BTreeMap<u32, SoftwareVersion>>,
 }
 
 impl BatchMachine {
@@ -266,6 +285,7 @@
                         spec: spec.clone(),
                         failures: *failures,
                         progress: progress.clone(),
+                        version: self.version_of(&record.job_spec.id, item),
                     })
                 })
         })
@@ -279,6 +299,10 @@
         self.jobs.iter().map(job).collect()
     }
 
+    fn version_of(&self, job: &str, item: u32) -> Option<SoftwareVersion> {
+        self.written_by.get(job)?.get(&item).cloned()
+    }
+
     fn job_of(&self, team: Option<&TeamName>, job: &str) -> Option<&JobRecord> {
         let record = self.jobs.get(job)?;
         (record.job_spec.team.as_ref() == team).then_some(record)
@@ -308,10 +332,19 @@
             BatchCommand::GiveUp { job, item } => self.finish(&job, item, ItemOutcome::GivenUp),
             BatchCommand::CountFailure { job, item } => self.count_failure(&job, item),
             BatchCommand::End { job, team } => self.end(&job, team.as_ref()),
-            BatchCommand::Remove { job } => match self.jobs.remove(&job) {
-                Some(_) => BatchAnswer::Done,
-                None => BatchAnswer::NoEffect,
-            },
+            BatchCommand::Remove { job } => {
+                self.written_by.remove(&job);
+                match self.jobs.remove(&job) {
+                    Some(_) => BatchAnswer::Done,
+                    None => BatchAnswer::NoEffect,
+                }
+            }
+            BatchCommand::BeginOutput(starts) => {
+                for start in starts {
+                    self.begin_output(start);
+                }
+                BatchAnswer::Done
+            }
         }
     }
 
@@ -340,6 +373,16 @@
         SubmitAnswer::Accepted
     }
 
+    fn begin_output(&mut self, start: OutputStart) {
+        let record = self.jobs.get_mut(&start.job).filter(|record| !record.ended);
+        let item = record.and_then(|record| record.items.get_mut(start.item as usize));
+        if let Some(ItemState::Waiting { progress, .. }) = item {
+            *progress = RunProgress::default();
+            let versions = self.written_by.entry(start.job).or_default();
+            versions.insert(start.item, start.version);
+        }
+    }
+
     /// Appends to the recorded output of an item. Returns `false` if the delta does not
     /// follow the last recorded event.
     fn append_progress(&mut self, delta: &ProgressDelta) -> bool {
@@ -382,6 +425,9 @@
                 let id = spec.id.clone();
                 *state = ItemState::Ended { id, outcome };
                 record.result_order.push(item);
+                if let Some(versions) = self.written_by.get_mut(job) {
+                    versions.remove(&item);
+                }
                 BatchAnswer::Done
             }
             Some(ItemState::Ended { .. }) | None => BatchAnswer::NoEffect,
@@ -404,6 +450,7 @@
         match self.jobs.get_mut(job).filter(of_team) {
             Some(record) => {
                 record.ended = true;
+                self.written_by.remove(job);
                 BatchAnswer::Done
             }
             None => BatchAnswer::NoEffect,
@@ -431,7 +478,12 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
-        *self = postcard::from_bytes(snapshot).map_err(|error| RestoreError {
+        let restored = postcard::from_bytes(snapshot).or_else(|_| {
+            let jobs = postcard::from_bytes(snapshot)?;
+            let written_by = BTreeMap::new();
+            Ok(Self { jobs, written_by })
+        });
+        *self = restored.map_err(|error: postcard::Error| RestoreError {
             detail: error.to_string(),
         })?;
         Ok(())
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -5,7 +5,8 @@
 //! follow. The partial output of a stopped run is retained, and the next run continues
 //! from it.
 
-use crate::machine::{OpenItem, ProgressDelta, RunProgress};
+use crate::machine::{OpenItem, OutputStart, ProgressDelta, RunProgress};
+use chicoryladder_types::SoftwareVersion;
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -27,6 +28,10 @@
 /// The longest backoff.
 const FAILURE_BACKOFF_MAX: Duration = Duration::from_secs(2);
 
+/// The number of runs without an event, one after the other, after which the output of an item
+/// is discarded: the servers of the version that wrote it may all be faulty.
+const FRUITLESS_RUNS_MAX: u32 = 8;
+
 /// The state of an item in the schedule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ItemPhase {
@@ -50,6 +55,10 @@
     /// The last event and the length of the text, in bytes, that were handed out by
     /// [`ItemSchedule::take_delta`] or were recorded in the replicated log before.
     recorded: (Option<u64>, usize),
+    /// The version of the software that writes the output.
+    version: Option<SoftwareVersion>,
+    /// The version that is recorded in the replicated log for the recorded output.
+    recorded_version: Option<SoftwareVersion>,
     phase: ItemPhase,
     /// The end of the backoff.
     not_before: Instant,
@@ -83,6 +92,8 @@
             give_up_at: submitted_at + open.job_spec.give_up_in,
             recorded: (open.progress.last_event, open.progress.text.len()),
             progress: open.progress.clone(),
+            version: open.version.clone(),
+            recorded_version: open.version.clone(),
             phase: ItemPhase::Waiting,
             not_before: submitted_at,
             consecutive_failures: 0,
@@ -126,35 +137,86 @@
     /// Returns the key of the item to run next.
     #[must_use]
     pub fn next_key(&self, now: Instant) -> Option<ItemKey> {
+        self.next_matching(now, |_, _| true)
+    }
+
+    /// Returns the key of the item to request a slot for next, if others are requested.
+    #[must_use]
+    pub fn next_unrequested(&self, now: Instant, requested: &[ItemKey]) -> Option<ItemKey> {
+        self.next_matching(now, |key, _| !requested.contains(&key))
+            .or_else(|| self.next_key(now))
+    }
+
+    /// Returns the key of the item to run next on a server of the given version.
+    #[must_use]
+    pub fn next_for_version(&self, now: Instant, version: &SoftwareVersion) -> Option<ItemKey> {
+        let fits = |item: &ScheduledItem| item.required_version().is_none_or(|v| v == version);
+        self.next_matching(now, |_, item| fits(item))
+    }
+
+    fn next_matching(
+        &self,
+        now: Instant,
+        matches: impl Fn(ItemKey, &ScheduledItem) -> bool,
+    ) -> Option<ItemKey> {
         let run = Duration::from_secs_f64(self.average_run_seconds);
         let order = |item: &ScheduledItem| {
             let is_late = now + run > item.due_at;
             (item.open.job_spec.rank, is_late, item.due_at)
         };
-        let startable = self.items.iter().filter(|(_, item)| item.may_start(now));
+        let startable = self.items.iter();
+        let startable = startable.filter(|(key, item)| item.may_start(now) && matches(*key, item));
         startable
             .min_by_key(|(_, item)| order(item))
             .map(|(key, _)| key)
     }
 
-    /// Returns the item to run next.
-    #[must_use]
-    pub fn peek_next(&self, now: Instant) -> Option<&ScheduledItem> {
-        self.items.get(self.next_key(now)?)
-    }
-
-    /// Marks the item to run next as running, and returns it.
-    pub fn start_next(&mut self, now: Instant) -> Option<ItemKey> {
-        let key = self.next_key(now)?;
-        self.start(key);
+    /// Marks the item to run next on a server of the given version as running, and returns it.
+    pub fn start_next(&mut self, now: Instant, version: &SoftwareVersion) -> Option<ItemKey> {
+        let key = self.next_for_version(now, version)?;
+        self.start(key, version);
         Some(key)
     }
 
-    /// Marks an item as running.
-    pub fn start(&mut self, key: ItemKey) {
+    /// Marks an item as running on a server of the given version, which writes its output
+    /// from here on.
+    pub fn start(&mut self, key: ItemKey, version: &SoftwareVersion) {
         if let Some(item) = self.items.get_mut(key) {
             item.phase = ItemPhase::Running;
+            item.version = Some(version.clone());
+        }
+    }
+
+    /// Discards the output of a waiting item, as no server has the version that wrote it.
+    pub fn discard_output(&mut self, key: ItemKey) {
+        let item = self.items.get_mut(key);
+        if let Some(item) = item.filter(|item| item.phase == ItemPhase::Waiting) {
+            item.progress = RunProgress::default();
+            item.version = None;
+            // What is recorded has to be discarded, too, whichever version writes next.
+            item.recorded_version = None;
+        }
+    }
+
+    /// Returns the beginning of the output of an item that runs, if the replicated log holds
+    /// another one or none. The caller has to record it before the next delta, since it is not
+    /// returned again.
+    pub fn take_output_start(&mut self, key: ItemKey) -> Option<OutputStart> {
+        let item = self.items.get_mut(key)?;
+        let version = item.version.clone()?;
+        let is_recorded = item.recorded_version.as_ref() == Some(&version);
+        // The result of an item needs no version beside it.
+        let is_result = item.phase == ItemPhase::Committing && item.recorded.0.is_none();
+        if is_recorded || is_result {
+            return None;
         }
+        item.recorded_version = Some(version.clone());
+        item.recorded = (None, 0);
+        Some(OutputStart {
+            job: item.open.job_spec.id.clone(),
+            item: item.open.item,
+            version,
+        })
     }
 
     /// Keeps an item that does not run from starting until `until`.
@@ -187,6 +249,9 @@
             item.not_before = now + backoff.min(FAILURE_BACKOFF_MAX);
             item.progress = progress;
             item.phase = ItemPhase::Waiting;
+            if item.consecutive_failures >= FRUITLESS_RUNS_MAX {
+                self.discard_output(key);
+            }
         }
     }
 
@@ -272,6 +337,13 @@
 }
 
 impl ScheduledItem {
+    /// The only version that may go on with the output of the item, if it has any.
+    #[must_use]
+    pub fn required_version(&self) -> Option<&SoftwareVersion> {
+        let has_output = self.progress.last_event.is_some();
+        self.version.as_ref().filter(|_| has_output)
+    }
+
     fn may_start(&self, now: Instant) -> bool {
         self.phase == ItemPhase::Waiting && now >= self.not_before && now < self.give_up_at
     }
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -5,7 +5,7 @@
     OpenItem, ProgressDelta, RunProgress, SubmitAnswer,
 };
 use chicoryladder_consensus::StateMachine;
-use chicoryladder_types::{LogIndex, RouteName, ServiceName, TeamName};
+use chicoryladder_types::{LogIndex, RouteName, ServiceName, SoftwareVersion, TeamName};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -231,7 +231,7 @@
     let now = Instant::now();
     let mut schedule = ItemSchedule::default();
     schedule.add(open("a", 30), now);
-    let key = schedule.start_next(now).expect("it is valid");
+    let key = schedule.start_next(now, &version()).expect("it is valid");
     let output = |text: &str, last| RunProgress {
         text: text.to_owned(),
         last_event: Some(last),
@@ -277,6 +277,10 @@
     assert_eq!(restored.open_items()[0].failures, 1);
 }
 
+fn version() -> SoftwareVersion {
+    SoftwareVersion::from("v1")
+}
+
 fn open(job_id: &str, due_in_s: u64) -> OpenItem {
     let mut job_spec = job(job_id, &[]);
     job_spec.due_in = Duration::from_secs(due_in_s);
@@ -286,11 +290,12 @@
         spec: Arc::new(item("1", 100)),
         failures: 0,
         progress: RunProgress::default(),
+        version: None,
     }
 }
 
 fn start_next_job(schedule: &mut ItemSchedule, now: Instant) -> String {
-    let key = schedule.start_next(now).expect("it is valid");
+    let key = schedule.start_next(now, &version()).expect("it is valid");
     schedule
         .get(key)
         .expect("it is valid")
@@ -311,7 +316,7 @@
     assert_eq!(start_next_job(&mut schedule, now), "urgent");
     assert_eq!(start_next_job(&mut schedule, now), "relaxed");
     assert_eq!(start_next_job(&mut schedule, now), "late");
-    assert!(schedule.start_next(now).is_none());
+    assert!(schedule.start_next(now, &version()).is_none());
 }
 
 #[test]
@@ -319,13 +324,13 @@
     let now = Instant::now();
     let mut schedule = ItemSchedule::default();
     schedule.add(open("a", 30), now);
-    let key = schedule.start_next(now).expect("it is valid");
+    let key = schedule.start_next(now, &version()).expect("it is valid");
     let progress = RunProgress {
         text: "one\ntwo".to_owned(),
         last_event: Some(1),
     };
     schedule.mark_stopped(key, progress.clone());
-    let again = schedule.start_next(now).expect("it is valid");
+    let again = schedule.start_next(now, &version()).expect("it is valid");
     assert_eq!(schedule.get(again).expect("it is valid").progress, progress);
 }
 
@@ -336,11 +341,11 @@
     schedule.add(open("a", 30), now);
     let mut backoffs = Vec::new();
     for _ in 0..3 {
-        let key = schedule.start_next(now).expect("it is valid");
+        let key = schedule.start_next(now, &version()).expect("it is valid");
         schedule.mark_failed(key, RunProgress::default(), now);
         let retry_at = schedule.next_retry_at(now).expect("it is valid");
         backoffs.push(retry_at - now);
-        assert!(schedule.start_next(now).is_none());
+        assert!(schedule.start_next(now, &version()).is_none());
         now = retry_at;
     }
     assert!(
@@ -367,7 +372,9 @@
     schedule.add(open("a", 30), now);
     let mut starts = 0;
     while schedule.expired(now).is_empty() {
-        let key = schedule.start_next(now).expect("a startable item");
+        let key = schedule
+            .start_next(now, &version())
+            .expect("a startable item");
         starts += 1;
         schedule.mark_failed(key, RunProgress::default(), now);
         let retry_at = schedule.next_retry_at(now).expect("a backoff");
@@ -376,3 +383,82 @@
     }
     assert!(now - submitted_at >= Duration::from_secs(60), "{starts}");
 }
+
+/// Appends an event to the output of an item.
+fn with_event(progress: &RunProgress, number: u64) -> RunProgress {
+    RunProgress {
+        text: format!("{}{number};", progress.text),
+        last_event: Some(number),
+    }
+}
+
+/// Guards against an item whose recorded output was begun by another version than the one
+/// that completes it.
+#[test]
+fn an_item_that_begins_anew_replaces_its_recorded_output() {
+    let (now, v2) = (Instant::now(), SoftwareVersion::from("v2"));
+    let mut group = TestGroup::default();
+    let mut schedule = ItemSchedule::default();
+    group.submit(job("j1", &["1"]), 0);
+    let item = group.machine.open_items().remove(0);
+    schedule.add(item, now);
+    let key = schedule.start_next(now, &version()).expect("an item");
+    let written = with_event(&RunProgress::default(), 0);
+    let starts = schedule.take_output_start(key).into_iter().collect();
+    group.run(&BatchCommand::BeginOutput(starts));
+    let delta = schedule.take_delta(key, &written).expect("a delta");
+    group.run(&BatchCommand::AppendProgress(vec![delta]));
+    assert_eq!(group.machine.open_items()[0].version, Some(version()));
+    schedule.mark_stopped(key, written);
+    // The item waits for its version until that is gone.
+    assert!(schedule.start_next(now, &v2).is_none());
+    schedule.discard_output(key);
+    assert_eq!(schedule.start_next(now, &v2), Some(key));
+    schedule.mark_committing(key);
+    let whole = with_event(&RunProgress::default(), 0);
+    let start = schedule.take_output_start(key).expect("a start");
+    group.run(&BatchCommand::BeginOutput(vec![start]));
+    let delta = schedule.take_delta(key, &whole).expect("a delta");
+    assert_eq!(delta.after, None);
+    let answer = group.run(&BatchCommand::Complete(delta));
+    assert_eq!(answer, BatchAnswer::Done);
+    let page = group
+        .machine
+        .page(Some(&team()), "j1", 0, 1_000)
+        .expect("a page");
+    assert_eq!(page.results[0].outcome, ItemOutcome::Completed("0;".into()));
+}
+
+/// Guards against an item that no other version may go on with although all servers of its
+/// version fail.
+#[test]
+fn an_item_that_fails_again_and_again_begins_anew() {
+    let (mut now, v2) = (Instant::now(), SoftwareVersion::from("v2"));
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("j1", 60), now);
+    let mut output = with_event(&RunProgress::default(), 0);
+    let key = schedule.start_next(now, &version()).expect("an item");
+    schedule.mark_stopped(key, output.clone());
+    for _ in 0..8 {
+        assert!(schedule.start_next(now, &v2).is_none());
+        now += Duration::from_secs(3);
+        assert_eq!(schedule.start_next(now, &version()), Some(key));
+        output = schedule.get(key).expect("an item").progress.clone();
+        schedule.mark_failed(key, output.clone(), now);
+    }
+    now += Duration::from_secs(3);
+    assert_eq!(schedule.start_next(now, &v2), Some(key));
+}
+
+/// Guards against a host that cannot read the snapshots of an earlier build.
+#[test]
+fn snapshots_without_versions_are_read() {
+    let mut group = TestGroup::default();
+    group.submit(job("j1", &["1"]), 0);
+    let snapshot = group.machine.snapshot().expect("a snapshot");
+    // An empty map of versions is one byte.
+    let earlier = &snapshot[..snapshot.len() - 1];
+    let mut restored = BatchMachine::default();
+    restored.restore(earlier).expect("a snapshot");
+    assert_eq!(restored, group.machine);
+}
--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -1,8 +1,7 @@
 //! The directory of backend servers, built from their check-ins.
 
-use crate::streams::SoftwareVersion;
-use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -44,4 +44,4 @@
 };
 pub use server_limits::{InvalidLimit, LimitReport, LimitStatement, NamedLimits, ServerLimit};
 pub use slots::{BrokerSettings, SlotBroker};
-pub use streams::{SoftwareVersion, StreamId, StreamPart, StreamReport, StreamVersions};
+pub use streams::{StreamId, StreamPart, StreamReport, StreamVersions};
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -1,12 +1,12 @@
 //! Slot requests to the broker and its decisions.
 
 use crate::server_limits::ServerLimit;
-use crate::streams::{SoftwareVersion, StreamId, StreamPart};
+use crate::streams::{StreamId, StreamPart};
 use chicoryladder_policy::quarantine::{
     QuarantineCause, QuarantineChange, RequestFingerprint, RequestTraits, SegmentFingerprint,
 };
-use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -16,11 +16,11 @@
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
 use crate::server_limits::{BelievedLimit, LimitReport};
-use crate::streams::{SoftwareVersion, StreamPart, StreamReport, StreamVersions};
+use crate::streams::{StreamPart, StreamReport, StreamVersions};
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
-use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
--- a/crates/broker/src/streams.rs
+++ b/crates/broker/src/streams.rs
@@ -1,32 +1,14 @@
-//! The software versions of servers, and the streams that are bound to one of them.
+//! The streams that are bound to a software version.
 //!
 //! What two versions write does not fit together, so a stream goes on only at the version
 //! that began it.
 
+use chicoryladder_types::SoftwareVersion;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// The version of the software of a server. Versions have no order.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct SoftwareVersion(Arc<str>);
-
-impl SoftwareVersion {
-    /// The version as text.
-    #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl From<&str> for SoftwareVersion {
-    fn from(text: &str) -> Self {
-        Self(text.into())
-    }
-}
-
 /// Identifies a stream by the attempt of its caller that brought the first event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct StreamId(u64);
--- a/crates/broker/tests/all/mixed_versions.rs
+++ b/crates/broker/tests/all/mixed_versions.rs
@@ -4,8 +4,9 @@
 
 use crate::support::{BrokerFixture, check_in, granted, refused_after, requester, zone};
 use chicoryladder_broker::{
-    BrokerEvent, ServerCheckIn, SlotRequest, SoftwareVersion, StreamId, StreamPart, WorkKind,
+    BrokerEvent, ServerCheckIn, SlotRequest, StreamId, StreamPart, WorkKind,
 };
+use chicoryladder_types::SoftwareVersion;
 use std::time::Duration;
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -2,15 +2,14 @@
 
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, PromptSegment, ProvenWork, RateTolerance, RequesterId, RunOutcome,
-    RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, SlotRequest, SoftwareVersion,
-    WorkKind,
+    RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, SlotRequest, WorkKind,
 };
 use chicoryladder_plan::{
     CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawService, RawTeam, ServicePlan,
 };
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{RouteName, ServiceName};
+use chicoryladder_types::{RouteName, ServiceName, SoftwareVersion};
 use std::time::{Duration, Instant};
 
 pub(crate) const ENGINE: &str = "engine";
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -9,7 +9,7 @@
 use crate::slot_client::{SlotClient, SlotError, SlotLease};
 use bytes::{Bytes, BytesMut};
 use chicoryladder_broker::{
-    RunOutcome, SlotRefusalReason, SlotRequest, SoftwareVersion, StreamId, StreamPart, WorkKind,
+    RunOutcome, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
 };
 use chicoryladder_gateway::{
     AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream, is_malformed,
@@ -17,7 +17,7 @@
 use chicoryladder_plan::{PlanRoute, RouteKind};
 use chicoryladder_policy::quarantine::{QuarantineCause, RequestFingerprint};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{RouteName, ServiceName};
+use chicoryladder_types::{RouteName, ServiceName, SoftwareVersion};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -9,13 +9,13 @@
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
     ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    ServerCheckIn, SlotDecision, SlotRefusalReason, SlotRequest, SoftwareVersion, StreamPart,
-    WorkKind, shared_segments,
+    ServerCheckIn, SlotDecision, SlotRefusalReason, SlotRequest, StreamPart, WorkKind,
+    shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName};
+use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName, SoftwareVersion};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -5,14 +5,14 @@
 use crate::message::{BatchCall, BatchReply, GroupReply};
 use crate::slot_client::{SlotError, SlotLease};
 use chicoryladder_batch::{
-    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, OpenItem, ProgressDelta,
-    RunProgress, ScheduledItem, SubmitAnswer,
+    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, OpenItem, OutputStart,
+    ProgressDelta, RunProgress, ScheduledItem, SubmitAnswer,
 };
-use chicoryladder_broker::{SlotRefusalReason, SlotRequest, WorkKind, shared_segments};
+use chicoryladder_broker::{SlotRefusalReason, SlotRequest, StreamPart, WorkKind, shared_segments};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
 use chicoryladder_policy::quarantine::RequestFingerprint;
-use chicoryladder_types::TermNumber;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{SoftwareVersion, TermNumber};
 use serde_json::json;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -51,7 +51,9 @@
     /// The term of this leadership; `None` while another host leads.
     pub(super) term: Option<TermNumber>,
     pub(super) schedule: ItemSchedule,
-    pending_requests: usize,
+    /// The items that slots are requested for; each slot goes to the item that is most urgent
+    /// when it is granted.
+    requested: Vec<ItemKey>,
     next_request_at: Option<Instant>,
     runs: HashMap<ItemKey, RunningItem>,
     next_record_at: Option<Instant>,
@@ -65,7 +67,7 @@
         Self {
             term: None,
             schedule: ItemSchedule::default(),
-            pending_requests: 0,
+            requested: Vec::new(),
             next_request_at: None,
             runs: HashMap::new(),
             next_record_at: None,
@@ -90,6 +92,7 @@
         }
         self.term = None;
         self.schedule = ItemSchedule::default();
+        self.requested.clear();
         self.first_seen_at.clear();
     }
 
@@ -99,19 +102,25 @@
         f64::from(count)
     }
 
-    /// The progress of all items since it was recorded last.
-    fn take_deltas(&mut self) -> Vec<ProgressDelta> {
+    /// The output of all items since it was recorded last, and the items whose output begins
+    /// anew before that.
+    fn take_deltas(&mut self) -> (Vec<OutputStart>, Vec<ProgressDelta>) {
+        let mut starts = Vec::new();
         let mut deltas = Vec::new();
         for (key, run) in &self.runs {
             let live = run.live.lock().unwrap_or_else(PoisonError::into_inner);
+            if live.last_event.is_some() {
+                starts.extend(self.schedule.take_output_start(*key));
+            }
             deltas.extend(self.schedule.take_delta(*key, &live));
         }
         for key in self.schedule.unrecorded() {
+            starts.extend(self.schedule.take_output_start(key));
             let progress = self.schedule.get(key).map(|item| item.progress.clone());
             deltas.extend(progress.and_then(|progress| self.schedule.take_delta(key, &progress)));
         }
         deltas.retain(|delta| delta.last_event != delta.after);
-        deltas
+        (starts, deltas)
     }
 
     fn stop_job(&mut self, job: &str) {
@@ -180,6 +189,7 @@
                             spec: Arc::new(spec),
                             failures: 0,
                             progress: RunProgress::default(),
+                            version: None,
                         };
                         leader.schedule.add(open, now);
                     }
@@ -251,45 +261,50 @@
     }
     leader.next_request_at = None;
     let wanted = leader.schedule.ready_count(now).min(PENDING_REQUESTS_MAX);
-    let new_requests = wanted.saturating_sub(leader.pending_requests);
+    let new_requests = wanted.saturating_sub(leader.requested.len());
     let Some(term) = leader.term else {
         return;
     };
-    leader.pending_requests += new_requests;
-    drop(leader);
     for _ in 0..new_requests {
-        tokio::spawn(request_and_run(shared.clone(), term));
+        let Some(key) = leader.schedule.next_unrequested(now, &leader.requested) else {
+            return;
+        };
+        leader.requested.push(key);
+        tokio::spawn(request_and_run(shared.clone(), term, key));
     }
 }
 
 /// Requests a slot and runs the item that is next when the slot is granted.
-async fn request_and_run(shared: Arc<StoreShared>, term: TermNumber) {
-    let next = {
+async fn request_and_run(shared: Arc<StoreShared>, term: TermNumber, requested: ItemKey) {
+    let slot_request = {
         let leader = shared.leader();
-        let key = leader.schedule.next_key(shared.now());
-        let item = key.and_then(|key| Some((key, leader.schedule.get(key)?)));
-        item.map(|(key, item)| (key, build_slot_request(&shared, item)))
+        let item = leader.schedule.get(requested);
+        item.map(|item| build_slot_request(&shared, item))
     };
-    let (requested, lease) = match next {
-        Some((key, slot_request)) => {
+    let lease = match slot_request {
+        Some(slot_request) => {
             let plan = shared.view.plan().version();
-            let lease = shared.slots.request_slot(plan, slot_request).await;
-            (Some(key), Some(lease))
+            Some(shared.slots.request_slot(plan, slot_request).await)
         }
-        None => (None, None),
+        None => None,
     };
     let now = shared.now();
     let mut leader = shared.leader();
-    leader.pending_requests = leader.pending_requests.saturating_sub(1);
+    if leader.term == Some(term)
+        && let Some(position) = leader.requested.iter().position(|key| *key == requested)
+    {
+        leader.requested.swap_remove(position);
+    }
     match lease {
         Some(Ok(mut lease)) => {
             if leader.term != Some(term) {
                 return;
             }
-            let Some((key, item)) = start_next(&shared, &mut leader, requested, now) else {
+            let next = start_next(&shared, &mut leader, requested, &lease.version, now);
+            let Some((key, item)) = next else {
                 return;
             };
-            if requested != Some(key) {
+            if requested != key {
                 lease.run_instead(build_slot_request(&shared, &item).traits());
             }
             let live: LiveProgress = Arc::new(Mutex::new(item.progress.clone()));
@@ -303,10 +318,17 @@
             reason: SlotRefusalReason::Quarantined(_),
             retry_after,
         })) => {
-            if let Some(key) = requested {
-                let pause = retry_after.min(QUARANTINE_RECHECK);
-                leader.schedule.postpone(key, now + pause);
-            }
+            let pause = retry_after.min(QUARANTINE_RECHECK);
+            leader.schedule.postpone(requested, now + pause);
+        }
+        Some(Err(SlotError::Refused {
+            reason: SlotRefusalReason::VersionGone,
+            ..
+        })) => {
+            log_discarded(&shared, leader.schedule.get(requested));
+            leader.schedule.discard_output(requested);
+            drop(leader);
+            shared.work_due.notify_one();
         }
         Some(Err(_)) => leader.next_request_at = Some(now + REFUSED_PAUSE),
         None => {}
@@ -318,13 +340,14 @@
 fn start_next(
     shared: &StoreShared,
     leader: &mut JobLeader,
-    requested: Option<ItemKey>,
+    requested: ItemKey,
+    version: &SoftwareVersion,
     now: Instant,
 ) -> Option<(ItemKey, ScheduledItem)> {
     loop {
-        let key = leader.schedule.next_key(now)?;
+        let key = leader.schedule.next_for_version(now, version)?;
         let item = leader.schedule.get(key)?.clone();
-        let quarantine = if requested == Some(key) {
+        let quarantine = if requested == key {
             None
         } else {
             let service = &item.open.job_spec.service;
@@ -333,7 +356,7 @@
             shared.view.quarantine_of(service, &segments, now)
         };
         let Some(quarantine) = quarantine else {
-            leader.schedule.start(key);
+            leader.schedule.start(key, version);
             return Some((key, item));
         };
         let pause = quarantine.left.min(QUARANTINE_RECHECK);
@@ -353,13 +376,30 @@
         prompt: shape.segments,
         fingerprint: item_fingerprint(item),
         tokens: shape.tokens,
-        stream: None,
+        stream: item.required_version().map(|version| StreamPart::Rest {
+            stream: None,
+            version: Some(version.clone()),
+        }),
         avoid: Vec::new(),
         first_answer_within: SLOT_WAIT,
         wait_max: SLOT_WAIT,
     }
 }
 
+/// Logs that the output of an item is discarded, as no server has the version that wrote it.
+fn log_discarded(shared: &StoreShared, item: Option<&ScheduledItem>) {
+    let Some(item) = item else {
+        return;
+    };
+    let fields = json!({
+        "job": item.open.job_spec.id,
+        "item": item.open.spec.id,
+        "version": item.required_version(),
+        "last_event": item.progress.last_event,
+    });
+    shared.log.note("item_output_discarded", &fields);
+}
+
 /// Identifies an item across its runs.
 fn item_fingerprint(item: &ScheduledItem) -> RequestFingerprint {
     let job = &item.open.job_spec;
@@ -451,8 +491,9 @@
         return;
     }
     leader.next_record_at = Some(now + RECORD_INTERVAL);
-    let deltas = leader.take_deltas();
+    let (starts, deltas) = leader.take_deltas();
     drop(leader);
+    record_output_starts(shared, starts);
     if deltas.is_empty() {
         return;
     }
@@ -463,6 +504,15 @@
     }
 }
 
+fn record_output_starts(shared: &Arc<StoreShared>, starts: Vec<OutputStart>) {
+    if starts.is_empty() {
+        return;
+    }
+    if let Err(failure) = shared.propose_detached(&BatchCommand::BeginOutput(starts)) {
+        log::warn!("store: failed to record which items begin anew: {failure}.");
+    }
+}
+
 /// Commits the result of a completed item.
 async fn complete(
     shared: &Arc<StoreShared>,
@@ -470,11 +520,13 @@
     progress: &RunProgress,
     elapsed: Option<Duration>,
 ) {
-    let delta = {
+    let (start, delta) = {
         let mut leader = shared.leader();
         leader.schedule.mark_committing(key);
-        leader.schedule.take_delta(key, progress)
+        let start = leader.schedule.take_output_start(key);
+        (start, leader.schedule.take_delta(key, progress))
     };
+    record_output_starts(shared, start.into_iter().collect());
     if let Some(delta) = delta {
         let command = BatchCommand::Complete(delta);
         commit_result(shared, key, &command, elapsed).await;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod prelude;
 mod reason;
 mod refusal;
+mod software;
 mod verdict;
 
 pub use announcement::{LoadError, ServerAnnouncement, ServerLoad};
@@ -29,4 +30,5 @@
 };
 pub use reason::{RefusalReason, RetryReason};
 pub use refusal::RequestRefusal;
+pub use software::SoftwareVersion;
 pub use verdict::RunVerdict;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -50,6 +50,8 @@
     pub(crate) team: Option<String>,
     pub(crate) at: Instant,
     pub(crate) had_key: bool,
+    /// The event after which the run goes on.
+    pub(crate) last_event: Option<u64>,
 }
 
 /// The executions by all servers of a test; clones share it.
@@ -245,6 +247,7 @@
             team: text("x-tenant"),
             at: Instant::now(),
             had_key: head.headers.contains_key("authorization"),
+            last_event: text("last-event-id").and_then(|last| last.parse().ok()),
         });
         if crashes_on_prompt(&text("x-prompt-prefix").unwrap_or_default()) {
             self.restart();
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -137,6 +137,7 @@
         team: None,
         at: Instant::now(),
         had_key: request.fields.contains_key("authorization"),
+        last_event: None,
     });
     if request.path.ends_with(CRASH_TWICE_PATH) && request.fields.contains_key("last-event-id") {
         return Ok(());
@@ -199,6 +200,7 @@
             team: None,
             at: Instant::now(),
             had_key: false,
+            last_event: None,
         });
         return Ok(());
     }
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -185,3 +185,35 @@
     }
     assert!(resumed > 0);
 }
+
+/// Guards against items whose output two versions wrote, after their runs were interrupted.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_go_on_only_at_the_version_that_wrote_their_output() {
+    let fleet = mixed_fleet().await;
+    let entry = fleet.host_names(Role::Entry)[0].clone();
+    let ids: Vec<String> = (0..24).map(|number| format!("item-{number}")).collect();
+    let answer = fleet.submit(&entry, "job-mixed", &ids, 150).await;
+    assert_eq!(answer.expect("an answer").status.as_u16(), 202);
+    for round in 0..12 {
+        tokio::time::sleep(BEGIN_TIME / 2).await;
+        engines(&fleet)[round % 3].break_connections();
+    }
+    fleet
+        .wait_until("the job is complete", || async {
+            let results = fleet.read_results(&entry, "job-mixed").await;
+            results.is_some_and(|results| results.len() == ids.len())
+        })
+        .await;
+    let mut resumed = 0;
+    for id in &ids {
+        let runs = fleet.runs.runs_of(id);
+        let versions = versions_of(&fleet, id);
+        for (run, pair) in runs.iter().skip(1).zip(versions.windows(2)) {
+            if run.last_event.is_some() {
+                resumed += 1;
+                assert_eq!(pair[0], pair[1], "{id}: {versions:?}");
+            }
+        }
+    }
+    assert!(resumed > 0);
+}
