Tell a new broker all limits of servers with the first call to it

What servers saw: up to twice the requests that the limit allows for 0.7 s after each change of the control group's leader. Cause: hosts reported an unchanged limit each second, and only by a new answer, so that a new broker gave a limited server all it had slots for until then. Change: a host puts all limits, and the versions of its streams, into its first call to a broker that it has not reported to. The burst is 1 s instead of 2, so that what two brokers grant in one window stays within the rule as well.

--- a/crates/broker/src/pacing.rs
+++ b/crates/broker/src/pacing.rs
@@ -6,7 +6,7 @@
 
 /// The time for which unused requests accumulate, so that a burst need not wait. The average
 /// over any longer span stays near the limit.
-const BURST_TIME: Duration = Duration::from_secs(2);
+const BURST_TIME: Duration = Duration::from_secs(1);
 
 /// The fewest requests that accumulate: one for an online request while an item takes the
 /// other one.
--- a/crates/broker/src/server_limits.rs
+++ b/crates/broker/src/server_limits.rs
@@ -280,6 +280,15 @@
         .collect()
     }
 
+    /// Makes all limits due for a report, to a broker that knows none.
+    pub fn report_all(&mut self) {
+        for known in self.limits.values_mut() {
+            if known.limit.is_some() {
+                known.reported_at = None;
+            }
+        }
+    }
+
     /// Makes reports due again that did not arrive.
     pub fn return_reports(&mut self, reports: &[LimitReport]) {
         for report in reports {
--- a/crates/broker/tests/all/named_limits.rs
+++ b/crates/broker/tests/all/named_limits.rs
@@ -72,6 +72,19 @@
     assert_eq!(limits.take_reports(later), [report(None, 0)]);
 }
 
+/// Guards against a new broker that learns no limits until servers name them again.
+#[test]
+fn a_new_broker_gets_all_limits_at_once() {
+    let now = Instant::now();
+    let mut limits = NamedLimits::default();
+    limits.record(&name("a1"), 1, limited(2.0), now);
+    limits.adopt(&name("a2"), 1, Some(limit(3.0)), now);
+    limits.take_reports(now);
+    assert!(limits.take_reports(now).is_empty());
+    limits.report_all();
+    assert_eq!(limits.take_reports(now).len(), 2);
+}
+
 #[test]
 fn remembered_limits_are_bounded() {
     let start = Instant::now();
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -396,7 +396,11 @@
 ) {
     loop {
         let sent_at = base.clock.now();
-        let mut pending = reporter.marks.as_ref().map(ServerMarks::take_reports);
+        let leader = client.leader();
+        let mut pending = reporter
+            .marks
+            .as_ref()
+            .map(|marks| marks.take_reports(leader));
         let reports = pending
             .as_ref()
             .map(|pending| pending.reports().clone())
@@ -421,7 +425,8 @@
                 (reporter.on_change)(ViewChange::Plan(version));
             }
             if let Some(marks) = reporter.marks.as_ref().filter(|_| view.term() != term) {
-                marks.report_all_streams();
+                // The reports of this sync may have gone to the leader before.
+                marks.forget_broker();
                 view.request_sync();
             }
             SYNC_INTERVAL
--- a/crates/roles/src/server_marks.rs
+++ b/crates/roles/src/server_marks.rs
@@ -28,6 +28,8 @@
     leaving: Mutex<LeavingServers>,
     limits: Mutex<NamedLimits>,
     streams: Mutex<StreamVersions>,
+    /// The broker that the last reports went to.
+    reported_to: Mutex<Option<SocketAddr>>,
     clock: Arc<dyn ClockSource>,
     log: EventLog,
     metrics: Arc<RoleMetrics>,
@@ -49,6 +51,7 @@
             leaving: Mutex::default(),
             limits: Mutex::default(),
             streams: Mutex::default(),
+            reported_to: Mutex::default(),
             clock,
             log,
             metrics,
@@ -73,9 +76,15 @@
         streams.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Makes the versions of all streams due for a report, to a broker that knows none.
-    pub(crate) fn report_all_streams(&self) {
-        self.streams().report_all(self.shared.clock.now());
+    /// Forgets which broker knows the limits and versions. All of them are in the next
+    /// reports.
+    pub(crate) fn forget_broker(&self) {
+        *self.reported_to() = None;
+    }
+
+    fn reported_to(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        let reported_to = self.shared.reported_to.lock();
+        reported_to.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Marks a server as leaving by the response to a request.
@@ -125,9 +134,16 @@
         self.shared.log.note("server_limit", &fields);
     }
 
-    /// Takes the reports for a call to the broker. They are due again if the call fails.
-    pub(crate) fn take_reports(&self) -> PendingReports {
+    /// Takes the reports for a call to the broker. They are due again if the call fails. A
+    /// broker that had none from this host gets all limits and versions.
+    pub(crate) fn take_reports(&self, broker: Option<SocketAddr>) -> PendingReports {
         let now = self.shared.clock.now();
+        let is_known = broker.is_some() && *self.reported_to() == broker;
+        if !is_known {
+            *self.reported_to() = broker;
+            self.limits().report_all();
+            self.streams().report_all(now);
+        }
         let reports = ServerReports {
             departures: self.leaving().take_reports(),
             limits: self.limits().take_reports(now),
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -151,6 +151,7 @@
             .unwrap_or_else(PoisonError::into_inner);
         *broker_lost_at = Some(now);
         drop(broker_lost_at);
+        self.shared.marks.forget_broker();
         self.shared.view.request_sync();
     }
 
@@ -224,7 +225,7 @@
             leader,
             ticket: slot_request.ticket,
             answered: false,
-            reports: self.shared.marks.take_reports(),
+            reports: self.shared.marks.take_reports(Some(leader)),
         };
         let call = SlotCall {
             requester: self.shared.base.requester(),
--- a/tests/fleet/limited.rs
+++ b/tests/fleet/limited.rs
@@ -96,3 +96,23 @@
         );
     }
 }
+
+/// Guards against a new broker that gives a limited server all it has slots for until one of
+/// its responses is reported.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_outlasts_the_leader_of_the_control_group() {
+    let mut fleet = ProcessFleet::start().await;
+    let limited = fleet.servers[0].clone();
+    limited.name_limit(LIMIT);
+    send_streams(&fleet, "before", REPORT_TIME).await;
+    let since = Instant::now();
+    for round in 0..3 {
+        send_streams(&fleet, &format!("round-{round}"), WINDOW / 4).await;
+        let leader = fleet.leader(Role::Control).expect("a leader");
+        fleet.kill(&leader);
+        fleet.start_process(&leader, false);
+    }
+    send_streams(&fleet, "end", WINDOW / 2).await;
+    let most = most_in_window(&fleet, &limited, since);
+    assert!(most <= ALLOWED, "{most} requests in 4 s");
+}
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -50,6 +50,8 @@
     pub(crate) team: Option<String>,
     pub(crate) at: Instant,
     pub(crate) had_key: bool,
+    /// The version of the server's software.
+    pub(crate) version: &'static str,
     /// The event after which the run goes on.
     pub(crate) last_event: Option<u64>,
 }
@@ -247,6 +249,7 @@
             team: text("x-tenant"),
             at: Instant::now(),
             had_key: head.headers.contains_key("authorization"),
+            version: self.version(),
             last_event: text("last-event-id").and_then(|last| last.parse().ok()),
         });
         if crashes_on_prompt(&text("x-prompt-prefix").unwrap_or_default()) {
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -6,8 +6,10 @@
 //! `FLEET_SOAK_SECONDS` the duration per seed. By default, `SHORT_SEED` and the seeds in
 //! `REGRESSIONS`, which failed before, run for `SHORT_SECONDS` each.
 
-use crate::servers::{LEAVING_FIELD, Server, event_data, stream_text};
+use crate::client::{Answer, Call};
+use crate::servers::{LEAVING_FIELD, LIMIT_FIELD, Run, Server, event_data, stream_text};
 use crate::unframed::CRASHING_SEGMENT;
+use crate::versions::last_event;
 use crate::world::{ProcessFleet, Role};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -18,10 +20,16 @@
 use tokio::task::JoinSet;
 
 /// Seeds that failed before, with the causes.
-const REGRESSIONS: &[(u64, &str)] = &[(
-    302,
-    "a control host that a new leader listed alone never asked the seeds again",
-)];
+const REGRESSIONS: &[(u64, &str)] = &[
+    (
+        302,
+        "a control host that a new leader listed alone never asked the seeds again",
+    ),
+    (
+        5007,
+        "a new leader knew no limits of servers until they named them again",
+    ),
+];
 
 /// The default seed and duration, as run in CI.
 const SHORT_SEED: u64 = 1;
@@ -35,6 +43,24 @@
 /// reach the server.
 const DRAIN_TIME: Duration = Duration::from_millis(500);
 
+/// The versions of servers, and what ends the ids of attempts that take a stream up.
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+const TAKEN_UP: &str = "-again";
+
+/// The limit that one server names all the time, in requests a second.
+const LIMIT: u64 = 6;
+
+/// The time from which the limit binds, the time within which it binds a host that has passed
+/// it on, and the span over which requests are counted, as in the users' rules.
+const LIMIT_CONTACT: Duration = Duration::from_secs(3);
+const LIMIT_HOST_TIME: Duration = Duration::from_millis(500);
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// The requests to the limited server within a window, one and a half times the limit and 5,
+/// and the streams at two versions, that the users' rules allow.
+const LIMIT_ALLOWED: usize = 41;
+const MIXED_STREAMS_ALLOWED: usize = 2;
+
 /// A fault to inject.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -73,6 +99,8 @@
     /// The responses that said that their server leaves: the entry host, the signature of
     /// the server and the time.
     departures: Arc<Mutex<Vec<(String, String, Instant)>>>,
+    /// The entry hosts that passed on a response with a limit, and when.
+    limits: Arc<Mutex<Vec<(String, Instant)>>>,
     /// The entry hosts that were paused or restarted, which may forget departures.
     interruptions: Arc<Mutex<Vec<(String, Instant)>>>,
 }
@@ -94,7 +122,10 @@
     deadline: Instant,
     tasks: &mut JoinSet<()>,
 ) {
-    for entry in fleet.host_names(Role::Entry) {
+    let entries = fleet.host_names(Role::Entry);
+    for (index, entry) in entries.iter().enumerate() {
+        let entry = entry.clone();
+        let next_entry = entries[(index + 1) % entries.len()].clone();
         for kind in ["walk", "rules", "ping", "charge", "crash"] {
             let path = match kind {
                 "walk" | "rules" => format!("/{kind}/{STREAM_EVENTS}"),
@@ -102,6 +133,7 @@
                 _ => format!("/{kind}/1"),
             };
             let template = fleet.caller_request(&entry, &path, "");
+            let next_address = fleet.callers_address(&next_entry);
             let (observations, entry) = (observations.clone(), entry.clone());
             tasks.spawn(async move {
                 for number in 0u32.. {
@@ -111,13 +143,17 @@
                     let id = format!("{entry}-{kind}-{number}");
                     let mut call = template.clone();
                     call.fields.retain(|(name, _)| *name != "x-request-id");
-                    let mut call = call.field("x-prompt-prefix", &prompt(kind, number));
+                    call = call.field("x-prompt-prefix", &prompt(kind, number));
                     if kind == "crash" {
                         call = call.body(format!("crashing question {number}"));
                     }
-                    let answer = call.field("x-request-id", &id).send().await;
-                    record_departure(&observations, &entry, answer.as_ref());
+                    let answer = call.clone().field("x-request-id", &id).send().await;
+                    record_fields(&observations, &entry, answer.as_ref());
                     check_answer(&observations, kind, &id, answer.as_ref());
+                    if kind == "rules" {
+                        call.address = next_address;
+                        take_up(call, &id, answer.as_ref()).await;
+                    }
                     tokio::time::sleep(Duration::from_millis(30)).await;
                 }
             });
@@ -136,11 +172,23 @@
     format!("1:10,{shared}:10,a{number:x}:10")
 }
 
-fn record_departure(
-    observations: &Observations,
-    entry: &str,
-    answer: Option<&crate::client::Answer>,
-) {
+/// Takes a stream that broke off up at another entry host.
+async fn take_up(call: Call, id: &str, answer: Option<&Answer>) {
+    let broken = answer.filter(|answer| answer.status.is_success() && !answer.complete);
+    if let Some(last) = broken.and_then(last_event) {
+        let again = call
+            .field("x-request-id", &format!("{id}{TAKEN_UP}"))
+            .field("last-event-id", &last.to_string())
+            .field("resumes", id);
+        // Only what the servers ran is checked.
+        let _ = again.send().await;
+    }
+}
+
+fn record_fields(observations: &Observations, entry: &str, answer: Option<&Answer>) {
+    if answer.is_some_and(|answer| answer.headers.contains_key(LIMIT_FIELD)) {
+        lock(&observations.limits).push((entry.to_owned(), Instant::now()));
+    }
     let leaving = answer.filter(|answer| answer.headers.contains_key(LEAVING_FIELD));
     let stamp = leaving.and_then(|answer| answer.headers.get("x-server-stamp"));
     if let Some(stamp) = stamp.and_then(|stamp| stamp.to_str().ok()) {
@@ -149,14 +197,15 @@
     }
 }
 
-/// Lets one server at a time say in its responses that it leaves, and restarts it.
+/// Lets one server at a time say in its responses that it leaves, and restarts it, perhaps with
+/// another software version.
 async fn run_departures(servers: Vec<Server>, seed: u64, deadline: Instant) {
     let mut rng = ChaCha8Rng::seed_from_u64(!seed);
     while Instant::now() < deadline {
         let server = &servers[rng.random_range(0..servers.len())];
         server.start_leaving_in_answers();
         tokio::time::sleep(Duration::from_millis(rng.random_range(1_000..2_500))).await;
-        server.restart();
+        server.restart_as(VERSIONS[rng.random_range(0..VERSIONS.len())]);
     }
 }
 
@@ -165,7 +214,7 @@
 fn check_departures(fleet: &ProcessFleet, observations: &Observations) {
     let interruptions = lock(&observations.interruptions).clone();
     for (entry, stamp, passed_at) in lock(&observations.departures).iter() {
-        let is_late = |run: &&crate::servers::Run| {
+        let is_late = |run: &&Run| {
             run.id.starts_with(entry)
                 && *stamp == format!("stamp-{}-{}", run.server, run.incarnation)
                 && run.at > *passed_at + DRAIN_TIME
@@ -182,13 +231,64 @@
     }
 }
 
-fn check_answer(
-    observations: &Observations,
-    kind: &str,
-    id: &str,
-    answer: Option<&crate::client::Answer>,
-) {
-    let not_run = answer.is_some_and(crate::client::Answer::guarantees_not_run);
+/// Checks that the limited server got no more requests than it names, from the hosts that had
+/// passed its limit on and were not interrupted since.
+fn check_limit(fleet: &ProcessFleet, observations: &Observations, limited: &Server) {
+    let interruptions = lock(&observations.interruptions).clone();
+    let passed = lock(&observations.limits).clone();
+    let Some(binds_at) = passed.iter().map(|(_, at)| *at + LIMIT_CONTACT).min() else {
+        return;
+    };
+    let knows_limit = |run: &Run| {
+        passed.iter().any(|(host, at)| {
+            let is_interrupted =
+                |(other, when): &(String, Instant)| other == host && (*at..run.at).contains(when);
+            run.id.starts_with(host)
+                && *at + LIMIT_HOST_TIME <= run.at
+                && !interruptions.iter().any(is_interrupted)
+        })
+    };
+    let runs = fleet.runs.all();
+    let counted = runs
+        .iter()
+        .filter(|run| run.server == limited.name && run.at >= binds_at);
+    let counted: Vec<Instant> = counted
+        .filter(|run| knows_limit(run))
+        .map(|run| run.at)
+        .collect();
+    for first in &counted {
+        let window = *first..*first + LIMIT_WINDOW;
+        let count = counted.iter().filter(|at| window.contains(at)).count();
+        if count > LIMIT_ALLOWED {
+            let text = format!("{} got {count} requests in {LIMIT_WINDOW:?}", limited.name);
+            observations.record_violation(text);
+            return;
+        }
+    }
+}
+
+/// Checks that streams went on only at the version that began them, also when their callers
+/// took them up.
+fn check_versions(fleet: &ProcessFleet, observations: &Observations) {
+    let mut streams: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+    for run in fleet.runs.all() {
+        let stream = run.id.strip_suffix(TAKEN_UP).unwrap_or(&run.id);
+        if stream.contains("-rules-") {
+            streams.entry(stream.to_owned()).or_default().push(run);
+        }
+    }
+    let is_mixed = |runs: &&Vec<Run>| {
+        let mut pairs = runs.windows(2);
+        pairs.any(|pair| pair[1].last_event.is_some() && pair[0].version != pair[1].version)
+    };
+    let mixed: Vec<&Vec<Run>> = streams.values().filter(is_mixed).collect();
+    if mixed.len() > MIXED_STREAMS_ALLOWED {
+        observations.record_violation(format!("streams of several versions: {mixed:#?}"));
+    }
+}
+
+fn check_answer(observations: &Observations, kind: &str, id: &str, answer: Option<&Answer>) {
+    let not_run = answer.is_some_and(Answer::guarantees_not_run);
     if kind != "crash" && answer.is_some_and(|answer| answer.text().contains("\"quarantined\"")) {
         observations.record_violation(format!("{id} is sound, but was quarantined"));
     }
@@ -220,7 +320,10 @@
     let deadline = Instant::now() + length;
     let mut callers = JoinSet::new();
     start_callers(&fleet, &observations, deadline, &mut callers);
-    callers.spawn(run_departures(fleet.servers.clone(), seed, deadline));
+    let mut servers = fleet.servers.clone();
+    let limited = servers.pop().expect("a server");
+    limited.name_limit(LIMIT);
+    callers.spawn(run_departures(servers, seed, deadline));
     let mut jobs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     let mut acknowledged = 0;
     let mut wiped_at: HashMap<&str, Instant> = HashMap::new();
@@ -241,6 +344,8 @@
     fleet.faults.heal();
     check_final_state(&fleet, &jobs, acknowledged, &observations).await;
     check_departures(&fleet, &observations);
+    check_limit(&fleet, &observations, &limited);
+    check_versions(&fleet, &observations);
     let violations = lock(&observations.violations).clone();
     if !violations.is_empty() {
         fleet.save_logs();
@@ -248,10 +353,15 @@
     }
     let served = *lock(&observations.served);
     assert!(served > 0, "seed {seed}: nothing was served");
+    let runs = fleet.runs.all();
+    let taken_up = runs.iter().filter(|run| run.id.ends_with(TAKEN_UP));
     println!(
-        "seed {seed}: {served} served, {} jobs, {} faults",
+        "seed {seed}: {served} served, {} jobs, {} faults, {} runs of streams taken up, {} at the \
+         limited server",
         jobs.len(),
-        injected.len()
+        injected.len(),
+        taken_up.count(),
+        runs.iter().filter(|run| run.server == limited.name).count(),
     );
 }
 
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -137,6 +137,7 @@
         team: None,
         at: Instant::now(),
         had_key: request.fields.contains_key("authorization"),
+        version: "v1",
         last_event: None,
     });
     if request.path.ends_with(CRASH_TWICE_PATH) && request.fields.contains_key("last-event-id") {
@@ -200,6 +201,7 @@
             team: None,
             at: Instant::now(),
             had_key: false,
+            version: "v1",
             last_event: None,
         });
         return Ok(());
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -31,14 +31,12 @@
 
 /// The versions that ran an attempt.
 fn versions_of(fleet: &ProcessFleet, attempt: &str) -> Vec<&'static str> {
-    let engines = engines(fleet);
-    let version = |name: &str| engines.iter().find(|e| e.name == name).map(Server::version);
     let runs = fleet.runs.runs_of(attempt);
-    runs.iter().filter_map(|run| version(&run.server)).collect()
+    runs.iter().map(|run| run.version).collect()
 }
 
 /// The number of the last whole event of a response that broke off.
-fn last_event(answer: &Answer) -> Option<u64> {
+pub(crate) fn last_event(answer: &Answer) -> Option<u64> {
     let text = answer.text();
     let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
     let mut ids = whole
