--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -1,11 +1,13 @@
 //! The slot broker, which grants, queues, refuses and preempts.
 //!
 //! [`assignment`] chooses the server of a request or the item that it preempts,
-//! [`expiry`] reclaims what hosts and servers leave behind that are lost, and [`crashes`]
-//! refuses the requests under which servers crash.
+//! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
+//! hosts and servers leave behind that are lost, and [`crashes`] refuses the requests under
+//! which servers crash.
 
 mod assignment;
 mod crashes;
+mod eligibility;
 mod expiry;
 
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
@@ -15,12 +17,12 @@
 use crate::request::{
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
-use crate::server_limits::{BelievedLimit, LimitReport};
-use crate::streams::{StreamPart, StreamReport, StreamVersions};
+use crate::server_limits::BelievedLimit;
+use crate::streams::StreamVersions;
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
+use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServiceName, SoftwareVersion};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -256,24 +258,6 @@
         true
     }
 
-    /// Records the limit that a server names, as a host reports it. Returns whether the
-    /// limit changed. A report on another incarnation changes nothing.
-    pub fn record_limit(&mut self, report: &LimitReport, now: Instant) -> bool {
-        let key = self.by_name.get(&report.server);
-        let Some(entry) = key.and_then(|key| self.servers.get_mut(*key)) else {
-            return false;
-        };
-        let is_known = entry.record.check_in.incarnation == report.incarnation;
-        is_known && entry.limit.apply(report, now)
-    }
-
-    /// The number of servers with a limit.
-    #[must_use]
-    pub fn limited_servers(&self) -> usize {
-        let limits = self.servers.values().map(|entry| entry.limit.get());
-        limits.flatten().count()
-    }
-
     /// The known incarnation of a server.
     #[must_use]
     pub fn incarnation(&self, name: &ServerName) -> Option<u64> {
@@ -533,48 +517,6 @@
         self.directory_version += 1;
     }
 
-    fn has_servers(&self, service: &ServiceName, version: Option<&SoftwareVersion>) -> bool {
-        let Some(pool) = self.services.get(service) else {
-            return false;
-        };
-        let mut entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        entries.any(|entry| {
-            let record = &entry.record;
-            let is_ready = record.check_in.phase == ServerPhase::Ready && !record.is_lost;
-            is_ready && has_version(record, version)
-        })
-    }
-
-    /// Why no server will run a request, whatever it waits for.
-    fn unservable(&self, request: &SlotRequest) -> Option<(SlotRefusalReason, Duration)> {
-        let service = &request.service;
-        if !self.has_servers(service, None) {
-            return Some((SlotRefusalReason::NoServer, NO_SERVER_RETRY));
-        }
-        let version = request.required_version();
-        let is_gone = version.is_some() && !self.has_servers(service, version);
-        is_gone.then_some((SlotRefusalReason::VersionGone, RETRY_AFTER_MAX))
-    }
-
-    /// Finds out the version that the rest of a stream is bound to. Returns whether it is
-    /// known, or the request bound to none.
-    fn bind_version(&self, request: &mut SlotRequest, now: Instant) -> bool {
-        let Some(StreamPart::Rest { stream, version }) = &mut request.stream else {
-            return true;
-        };
-        if version.is_none() {
-            let bound = stream.and_then(|stream| self.streams.version(stream, now));
-            let sole = || self.services.get(&request.service)?.versions.sole(now);
-            *version = bound.or_else(sole).cloned();
-        }
-        version.is_some()
-    }
-
-    /// Records the version that a stream is bound to, as a host reports it.
-    pub fn record_stream(&mut self, report: &StreamReport, now: Instant) {
-        self.streams.apply(report, now);
-    }
-
     /// Whether a server may be given new work. One that is silent and could not be reached
     /// gets none until it checks in again.
     fn accepts_work(&self, record: &ServerRecord, now: Instant) -> bool {
@@ -593,30 +535,6 @@
         open.map(|entry| entry.capacity(is_engine, now)).sum()
     }
 
-    /// The requests a second that the servers of a service can take up, by their slots and
-    /// by the limits that they name; of one version only if it is given.
-    fn request_rate(
-        &self,
-        service: &ServiceName,
-        version: Option<&SoftwareVersion>,
-        now: Instant,
-    ) -> f64 {
-        let Some(pool) = self.services.get(service) else {
-            return 0.0;
-        };
-        let is_engine = pool.engine_tokens.is_some();
-        let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
-        let open = entries.filter(|entry| {
-            self.accepts_work(&entry.record, now) && has_version(&entry.record, version)
-        });
-        let rates = open.map(|entry| {
-            let by_slots = f64::from(entry.capacity(is_engine, now)) / pool.averages.hold_seconds;
-            let limit = entry.limit.get();
-            limit.map_or(by_slots, |limit| by_slots.min(limit.per_second()))
-        });
-        rates.sum()
-    }
-
     fn insert_grant(&mut self, grant: SlotGrant) {
         let server = grant.server;
         let kind = grant.kind;
@@ -721,11 +639,6 @@
     }
 }
 
-/// Whether a server has the given version, if there is one.
-fn has_version(record: &ServerRecord, version: Option<&SoftwareVersion>) -> bool {
-    version.is_none_or(|version| *version == record.check_in.version)
-}
-
 /// Updates the record of a server by the outcome of a run.
 fn record_outcome(record: &mut ServerRecord, report: &RunReport, now: Instant) {
     match report.outcome {
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -1,6 +1,7 @@
 //! The choice of a server for a request: a free slot, or that of a preempted batch item.
 
-use super::{SlotBroker, has_version};
+use super::SlotBroker;
+use super::eligibility::has_version;
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
 use crate::placement::{prompt_prefixes, record_prompt, server_cost};
 use crate::request::{
--- /dev/null
+++ b/crates/broker/src/slots/eligibility.rs
@@ -0,0 +1,107 @@
+//! Which servers may run a request at all, by their versions and by the limits they name.
+
+use super::{NO_SERVER_RETRY, RETRY_AFTER_MAX, SlotBroker};
+use crate::directory::{ServerPhase, ServerRecord};
+use crate::request::{SlotRefusalReason, SlotRequest};
+use crate::server_limits::LimitReport;
+use crate::streams::{StreamPart, StreamReport};
+use chicoryladder_types::{ServiceName, SoftwareVersion};
+use std::time::{Duration, Instant};
+
+impl SlotBroker {
+    /// Records the limit that a server names, as a host reports it. Returns whether the
+    /// limit changed. A report on another incarnation changes nothing.
+    pub fn record_limit(&mut self, report: &LimitReport, now: Instant) -> bool {
+        let key = self.by_name.get(&report.server);
+        let Some(entry) = key.and_then(|key| self.servers.get_mut(*key)) else {
+            return false;
+        };
+        let is_known = entry.record.check_in.incarnation == report.incarnation;
+        is_known && entry.limit.apply(report, now)
+    }
+
+    /// The number of servers with a limit.
+    #[must_use]
+    pub fn limited_servers(&self) -> usize {
+        let limits = self.servers.values().map(|entry| entry.limit.get());
+        limits.flatten().count()
+    }
+
+    pub(super) fn has_servers(
+        &self,
+        service: &ServiceName,
+        version: Option<&SoftwareVersion>,
+    ) -> bool {
+        let Some(pool) = self.services.get(service) else {
+            return false;
+        };
+        let mut entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
+        entries.any(|entry| {
+            let record = &entry.record;
+            let is_ready = record.check_in.phase == ServerPhase::Ready && !record.is_lost;
+            is_ready && has_version(record, version)
+        })
+    }
+
+    /// Why no server will run a request, whatever it waits for.
+    pub(super) fn unservable(
+        &self,
+        request: &SlotRequest,
+    ) -> Option<(SlotRefusalReason, Duration)> {
+        let service = &request.service;
+        if !self.has_servers(service, None) {
+            return Some((SlotRefusalReason::NoServer, NO_SERVER_RETRY));
+        }
+        let version = request.required_version();
+        let is_gone = version.is_some() && !self.has_servers(service, version);
+        is_gone.then_some((SlotRefusalReason::VersionGone, RETRY_AFTER_MAX))
+    }
+
+    /// Finds out the version that the rest of a stream is bound to. Returns whether it is
+    /// known, or the request bound to none.
+    pub(super) fn bind_version(&self, request: &mut SlotRequest, now: Instant) -> bool {
+        let Some(StreamPart::Rest { stream, version }) = &mut request.stream else {
+            return true;
+        };
+        if version.is_none() {
+            let bound = stream.and_then(|stream| self.streams.version(stream, now));
+            let sole = || self.services.get(&request.service)?.versions.sole(now);
+            *version = bound.or_else(sole).cloned();
+        }
+        version.is_some()
+    }
+
+    /// Records the version that a stream is bound to, as a host reports it.
+    pub fn record_stream(&mut self, report: &StreamReport, now: Instant) {
+        self.streams.apply(report, now);
+    }
+
+    /// The requests a second that the servers of a service can take up, by their slots and
+    /// by the limits that they name; of one version only if it is given.
+    pub(super) fn request_rate(
+        &self,
+        service: &ServiceName,
+        version: Option<&SoftwareVersion>,
+        now: Instant,
+    ) -> f64 {
+        let Some(pool) = self.services.get(service) else {
+            return 0.0;
+        };
+        let is_engine = pool.engine_tokens.is_some();
+        let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
+        let open = entries.filter(|entry| {
+            self.accepts_work(&entry.record, now) && has_version(&entry.record, version)
+        });
+        let rates = open.map(|entry| {
+            let by_slots = f64::from(entry.capacity(is_engine, now)) / pool.averages.hold_seconds;
+            let limit = entry.limit.get();
+            limit.map_or(by_slots, |limit| by_slots.min(limit.per_second()))
+        });
+        rates.sum()
+    }
+}
+
+/// Whether a server has the given version, if there is one.
+pub(super) fn has_version(record: &ServerRecord, version: Option<&SoftwareVersion>) -> bool {
+    version.is_none_or(|version| *version == record.check_in.version)
+}
