Give a slot only to an item of the service that it is for

Found while reading, not seen by anyone: the leader of the job group requests a slot for one item and starts the item that is most urgent when the slot is granted, of whatever service. With jobs on two services an item could run on a server of the other one, which no plan allows. Change: the choice is among the items of the slot's service. The new test fails without that condition (checked by hand).

--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -6,7 +6,7 @@
 //! from it.
 
 use crate::machine::{OpenItem, OutputStart, ProgressDelta, RunProgress};
-use chicoryladder_types::SoftwareVersion;
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
@@ -147,11 +147,18 @@
             .or_else(|| self.next_key(now))
     }
 
-    /// Returns the key of the item to run next on a server of the given version.
+    /// Returns the key of the item to run next on a server of the given service and version.
     #[must_use]
-    pub fn next_for_version(&self, now: Instant, version: &SoftwareVersion) -> Option<ItemKey> {
-        let fits = |item: &ScheduledItem| item.required_version().is_none_or(|v| v == version);
-        self.next_matching(now, |_, item| fits(item))
+    pub fn next_for_server(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+    ) -> Option<ItemKey> {
+        self.next_matching(now, |_, item| {
+            let fits_version = item.required_version().is_none_or(|v| v == version);
+            item.open.job_spec.service == *service && fits_version
+        })
     }
 
     fn next_matching(
@@ -171,9 +178,15 @@
             .map(|(key, _)| key)
     }
 
-    /// Marks the item to run next on a server of the given version as running, and returns it.
-    pub fn start_next(&mut self, now: Instant, version: &SoftwareVersion) -> Option<ItemKey> {
-        let key = self.next_for_version(now, version)?;
+    /// Marks the item to run next on a server of the given service and version as running, and
+    /// returns it.
+    pub fn start_next(
+        &mut self,
+        now: Instant,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+    ) -> Option<ItemKey> {
+        let key = self.next_for_server(now, service, version)?;
         self.start(key, version);
         Some(key)
     }
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -231,7 +231,9 @@
     let now = Instant::now();
     let mut schedule = ItemSchedule::default();
     schedule.add(open("a", 30), now);
-    let key = schedule.start_next(now, &version()).expect("it is valid");
+    let key = schedule
+        .start_next(now, &engine(), &version())
+        .expect("it is valid");
     let output = |text: &str, last| RunProgress {
         text: text.to_owned(),
         last_event: Some(last),
@@ -277,6 +279,10 @@
     assert_eq!(restored.open_items()[0].failures, 1);
 }
 
+fn engine() -> ServiceName {
+    ServiceName::try_from("engine").expect("it is valid")
+}
+
 fn version() -> SoftwareVersion {
     SoftwareVersion::from("v1")
 }
@@ -295,7 +301,9 @@
 }
 
 fn start_next_job(schedule: &mut ItemSchedule, now: Instant) -> String {
-    let key = schedule.start_next(now, &version()).expect("it is valid");
+    let key = schedule
+        .start_next(now, &engine(), &version())
+        .expect("it is valid");
     schedule
         .get(key)
         .expect("it is valid")
@@ -316,7 +324,7 @@
     assert_eq!(start_next_job(&mut schedule, now), "urgent");
     assert_eq!(start_next_job(&mut schedule, now), "relaxed");
     assert_eq!(start_next_job(&mut schedule, now), "late");
-    assert!(schedule.start_next(now, &version()).is_none());
+    assert!(schedule.start_next(now, &engine(), &version()).is_none());
 }
 
 #[test]
@@ -324,13 +332,17 @@
     let now = Instant::now();
     let mut schedule = ItemSchedule::default();
     schedule.add(open("a", 30), now);
-    let key = schedule.start_next(now, &version()).expect("it is valid");
+    let key = schedule
+        .start_next(now, &engine(), &version())
+        .expect("it is valid");
     let progress = RunProgress {
         text: "one\ntwo".to_owned(),
         last_event: Some(1),
     };
     schedule.mark_stopped(key, progress.clone());
-    let again = schedule.start_next(now, &version()).expect("it is valid");
+    let again = schedule
+        .start_next(now, &engine(), &version())
+        .expect("it is valid");
     assert_eq!(schedule.get(again).expect("it is valid").progress, progress);
 }
 
@@ -341,11 +353,13 @@
     schedule.add(open("a", 30), now);
     let mut backoffs = Vec::new();
     for _ in 0..3 {
-        let key = schedule.start_next(now, &version()).expect("it is valid");
+        let key = schedule
+            .start_next(now, &engine(), &version())
+            .expect("it is valid");
         schedule.mark_failed(key, RunProgress::default(), now);
         let retry_at = schedule.next_retry_at(now).expect("it is valid");
         backoffs.push(retry_at - now);
-        assert!(schedule.start_next(now, &version()).is_none());
+        assert!(schedule.start_next(now, &engine(), &version()).is_none());
         now = retry_at;
     }
     assert!(
@@ -373,7 +387,7 @@
     let mut starts = 0;
     while schedule.expired(now).is_empty() {
         let key = schedule
-            .start_next(now, &version())
+            .start_next(now, &engine(), &version())
             .expect("a startable item");
         starts += 1;
         schedule.mark_failed(key, RunProgress::default(), now);
@@ -402,7 +416,9 @@
     group.submit(job("j1", &["1"]), 0);
     let item = group.machine.open_items().remove(0);
     schedule.add(item, now);
-    let key = schedule.start_next(now, &version()).expect("an item");
+    let key = schedule
+        .start_next(now, &engine(), &version())
+        .expect("an item");
     let written = with_event(&RunProgress::default(), 0);
     let starts = schedule.take_output_start(key).into_iter().collect();
     group.run(&BatchCommand::BeginOutput(starts));
@@ -411,9 +427,9 @@
     assert_eq!(group.machine.open_items()[0].version, Some(version()));
     schedule.mark_stopped(key, written);
     // The item waits for its version until that is gone.
-    assert!(schedule.start_next(now, &v2).is_none());
+    assert!(schedule.start_next(now, &engine(), &v2).is_none());
     schedule.discard_output(key);
-    assert_eq!(schedule.start_next(now, &v2), Some(key));
+    assert_eq!(schedule.start_next(now, &engine(), &v2), Some(key));
     schedule.mark_committing(key);
     let whole = with_event(&RunProgress::default(), 0);
     let start = schedule.take_output_start(key).expect("a start");
@@ -437,17 +453,19 @@
     let mut schedule = ItemSchedule::default();
     schedule.add(open("j1", 60), now);
     let mut output = with_event(&RunProgress::default(), 0);
-    let key = schedule.start_next(now, &version()).expect("an item");
+    let key = schedule
+        .start_next(now, &engine(), &version())
+        .expect("an item");
     schedule.mark_stopped(key, output.clone());
     for _ in 0..8 {
-        assert!(schedule.start_next(now, &v2).is_none());
+        assert!(schedule.start_next(now, &engine(), &v2).is_none());
         now += Duration::from_secs(3);
-        assert_eq!(schedule.start_next(now, &version()), Some(key));
+        assert_eq!(schedule.start_next(now, &engine(), &version()), Some(key));
         output = schedule.get(key).expect("an item").progress.clone();
         schedule.mark_failed(key, output.clone(), now);
     }
     now += Duration::from_secs(3);
-    assert_eq!(schedule.start_next(now, &v2), Some(key));
+    assert_eq!(schedule.start_next(now, &engine(), &v2), Some(key));
 }
 
 /// Guards against a host that cannot read the snapshots of an earlier build.
@@ -462,3 +480,19 @@
     restored.restore(earlier).expect("a snapshot");
     assert_eq!(restored, group.machine);
 }
+
+/// Guards against an item that runs on a server of another service, since the slot was
+/// requested for another item.
+#[test]
+fn a_slot_goes_to_an_item_of_its_service() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    let mut other = open("other", 10);
+    Arc::make_mut(&mut other.job_spec).service = ServiceName::try_from("app").expect("valid");
+    schedule.add(other, now);
+    schedule.add(open("engine", 60), now);
+    let key = schedule.start_next(now, &engine(), &version());
+    let item = schedule.get(key.expect("an item")).expect("an item");
+    assert_eq!(item.open.job_spec.id, "engine");
+    assert!(schedule.start_next(now, &engine(), &version()).is_none());
+}
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -518,7 +518,7 @@
     pub(crate) brokerless: bool,
     stop: Arc<Notify>,
     ticket: u64,
-    service: ServiceName,
+    pub(crate) service: ServiceName,
     /// The work for which the slot was requested.
     traits: RequestTraits,
     /// The work that runs instead.
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -11,8 +11,8 @@
 use chicoryladder_broker::{SlotRefusalReason, SlotRequest, StreamPart, WorkKind, shared_segments};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
 use chicoryladder_policy::quarantine::RequestFingerprint;
+use chicoryladder_types::TermNumber;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{SoftwareVersion, TermNumber};
 use serde_json::json;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -300,7 +300,7 @@
             if leader.term != Some(term) {
                 return;
             }
-            let next = start_next(&shared, &mut leader, requested, &lease.version, now);
+            let next = start_next(&shared, &mut leader, requested, &lease, now);
             let Some((key, item)) = next else {
                 return;
             };
@@ -335,17 +335,18 @@
     }
 }
 
-/// Starts the item that is next. The broker has decided only on the requested one, so any
+/// Starts the item that is next for the server of a slot. The broker has decided only on the requested one, so any
 /// other one is postponed if a segment of its prompt is in quarantine.
 fn start_next(
     shared: &StoreShared,
     leader: &mut JobLeader,
     requested: ItemKey,
-    version: &SoftwareVersion,
+    lease: &SlotLease,
     now: Instant,
 ) -> Option<(ItemKey, ScheduledItem)> {
+    let (service, version) = (&lease.service, &lease.version);
     loop {
-        let key = leader.schedule.next_for_version(now, version)?;
+        let key = leader.schedule.next_for_server(now, service, version)?;
         let item = leader.schedule.get(key)?.clone();
         let quarantine = if requested == key {
             None
