--- a/crates/broker/src/server_limits.rs
+++ b/crates/broker/src/server_limits.rs
@@ -19,7 +19,8 @@
 /// The maximum number of servers whose limits a host remembers.
 const LIMITS_MAX: usize = 4_096;
 
-/// The interval at which an unchanged limit is reported again. A new broker knows no limits.
+/// The interval at which an unchanged limit is reported again, in case that the broker gave it
+/// up by the report of an earlier response.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The most by which the response of a server that named no limit may have overtaken an
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -460,7 +460,7 @@
         let now = self.now();
         let (name, incarnation) = (check_in.name.clone(), check_in.incarnation);
         let is_leaving = check_in.phase == ServerPhase::Leaving;
-        let address = check_in.address;
+        let (address, version) = (check_in.address, check_in.version.clone());
         let outcome = {
             let mut state = self.state();
             let outcome = state.broker.check_in(check_in, now);
@@ -473,7 +473,12 @@
         if outcome == CheckInOutcome::Added {
             self.log.note(
                 "server_added",
-                &json!({ "server": name, "address": address, "born": incarnation }),
+                &json!({
+                    "server": name,
+                    "address": address,
+                    "born": incarnation,
+                    "version": version,
+                }),
             );
         }
         if is_leaving && outcome != CheckInOutcome::Stale {
@@ -483,8 +488,8 @@
         GroupReply::Answer(ControlAnswer::Done)
     }
 
-    /// Applies what a host reports of servers and streams, before the call that brought the reports is
-    /// processed.
+    /// Applies what a host reports of servers and streams, before the call that brought the
+    /// reports is processed.
     fn accept_reports(self: &Arc<Self>, requester: &RequesterId, reports: ServerReports) {
         self.accept_departures(requester, reports.departures);
         if !reports.streams.is_empty() {
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -28,13 +28,15 @@
     "server_added",
     "server_leaves",
     "server_leaving",
+    "server_limit",
     "started",
     "stopped",
     "stopping",
 ];
 
-/// Fields that contain the id of the request, job or item.
-const ID_FIELDS: &[&str] = &["request", "job", "item"];
+/// Fields that contain the id of the request, job or item, or of the attempt whose stream a
+/// request takes up.
+const ID_FIELDS: &[&str] = &["request", "job", "item", "takes_up"];
 
 /// The options of `explain`.
 #[derive(Clone, Debug, Bpaf)]
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -35,8 +35,9 @@
 const SHORT_SEED: u64 = 1;
 const SHORT_SECONDS: u64 = 8;
 
-/// The number of events per stream and per batch item.
+/// The number of events per stream, per resumable stream, and per batch item.
 const STREAM_EVENTS: u64 = 12;
+const RESUMABLE_EVENTS: u64 = 60;
 const ITEM_EVENTS: u64 = 40;
 
 /// The time within which requests that wait when a host learns of a departure may still
@@ -126,9 +127,13 @@
     for (index, entry) in entries.iter().enumerate() {
         let entry = entry.clone();
         let next_entry = entries[(index + 1) % entries.len()].clone();
-        for kind in ["walk", "rules", "ping", "charge", "crash"] {
+        // Many long streams are under way whenever an entry host or a server fails.
+        let kinds = ["walk", "ping", "charge", "crash"];
+        let kinds = kinds.into_iter().chain(["rules"; 4]);
+        for (caller, kind) in kinds.enumerate() {
             let path = match kind {
-                "walk" | "rules" => format!("/{kind}/{STREAM_EVENTS}"),
+                "walk" => format!("/{kind}/{STREAM_EVENTS}"),
+                "rules" => format!("/{kind}/{RESUMABLE_EVENTS}"),
                 "crash" => format!("/walk/{STREAM_EVENTS}"),
                 _ => format!("/{kind}/1"),
             };
@@ -140,7 +145,7 @@
                     if Instant::now() > deadline {
                         return;
                     }
-                    let id = format!("{entry}-{kind}-{number}");
+                    let id = format!("{entry}-{kind}-{caller}-{number}");
                     let mut call = template.clone();
                     call.fields.retain(|(name, _)| *name != "x-request-id");
                     call = call.field("x-prompt-prefix", &prompt(kind, number));
@@ -299,7 +304,8 @@
         return;
     };
     let expected = match kind {
-        "walk" | "rules" | "crash" => stream_text(id, STREAM_EVENTS),
+        "walk" | "crash" => stream_text(id, STREAM_EVENTS),
+        "rules" => stream_text(id, RESUMABLE_EVENTS),
         _ => format!("{id}:10"),
     };
     let text = answer.text();
