Keep the streams that a broker was not told of in a list of their own

Work on a hot path: each slot request looked through all streams of the last 30 s for those to report, which are none as a rule. Behaviour stays as it is; the new test of what is reported and when passes with the code before as well. The count of streams, which nothing asked for, goes. The cost was read off the code, not measured.

--- a/crates/broker/src/streams.rs
+++ b/crates/broker/src/streams.rs
@@ -59,8 +59,6 @@
 struct BoundStream {
     version: SoftwareVersion,
     began_at: Instant,
-    /// Whether the broker knows the version.
-    is_reported: bool,
 }
 
 /// The versions that streams are bound to, as the broker or a host knows them.
@@ -69,6 +67,8 @@
     bound: FxHashMap<StreamId, BoundStream>,
     /// The streams by the beginning of each run, the oldest first.
     by_age: VecDeque<(Instant, StreamId)>,
+    /// The streams whose versions the broker does not know.
+    unreported: Vec<StreamId>,
 }
 
 impl StreamVersions {
@@ -85,9 +85,11 @@
         let bound = BoundStream {
             version: version.clone(),
             began_at: now,
-            is_reported,
         };
         self.bound.insert(stream, bound);
+        if !is_reported {
+            self.unreported.push(stream);
+        }
         self.by_age.push_back((now, stream));
     }
 
@@ -112,49 +114,30 @@
 
     /// Takes the reports that the broker has not received.
     pub fn take_reports(&mut self, now: Instant) -> Vec<StreamReport> {
-        let unreported = self
-            .bound
-            .iter_mut()
-            .filter(|(_, bound)| !bound.is_reported);
-        unreported
-            .map(|(stream, bound)| {
-                bound.is_reported = true;
-                StreamReport {
-                    stream: *stream,
-                    version: bound.version.clone(),
-                    age: now.saturating_duration_since(bound.began_at),
-                }
+        let mut unreported = std::mem::take(&mut self.unreported);
+        unreported.sort_unstable();
+        unreported.dedup();
+        let report = |stream: StreamId| {
+            let bound = self.bound.get(&stream)?;
+            Some(StreamReport {
+                stream,
+                version: bound.version.clone(),
+                age: now.saturating_duration_since(bound.began_at),
             })
-            .collect()
+        };
+        unreported.into_iter().filter_map(report).collect()
     }
 
     /// Makes reports due again that did not arrive.
     pub fn return_reports(&mut self, reports: &[StreamReport]) {
-        for report in reports {
-            if let Some(bound) = self.bound.get_mut(&report.stream) {
-                bound.is_reported = false;
-            }
-        }
+        let streams = reports.iter().map(|report| report.stream);
+        self.unreported.extend(streams);
     }
 
     /// Makes all reports due, for a new broker.
     pub fn report_all(&mut self, now: Instant) {
         self.drop_old(now);
-        for bound in self.bound.values_mut() {
-            bound.is_reported = false;
-        }
-    }
-
-    /// The number of streams.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.bound.len()
-    }
-
-    /// Whether there are no streams.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.bound.is_empty()
+        self.unreported = self.bound.keys().copied().collect();
     }
 
     fn drop_old(&mut self, now: Instant) {
--- a/crates/broker/tests/all/mixed_versions.rs
+++ b/crates/broker/tests/all/mixed_versions.rs
@@ -4,10 +4,10 @@
 
 use crate::support::{BrokerFixture, check_in, granted, refused_after, requester, zone};
 use chicoryladder_broker::{
-    BrokerEvent, ServerCheckIn, SlotRequest, StreamId, StreamPart, WorkKind,
+    BrokerEvent, ServerCheckIn, SlotRequest, StreamId, StreamPart, StreamVersions, WorkKind,
 };
 use chicoryladder_types::SoftwareVersion;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
 
@@ -146,3 +146,25 @@
     let events = submit_from(&mut fixture, "entry-2", request);
     assert!(refused_after(&events).is_some(), "{events:?}");
 }
+
+/// Guards against a version that the broker is not told, or is told again with each call.
+#[test]
+fn versions_are_reported_once_to_each_broker_unless_a_report_is_lost() {
+    let now = Instant::now();
+    let version = SoftwareVersion::from("v1");
+    let mut streams = StreamVersions::default();
+    streams.bind(attempt(1), &version, true, now);
+    streams.bind(attempt(2), &version, false, now);
+    streams.bind(attempt(2), &version, false, now);
+    let reports = streams.take_reports(now);
+    assert_eq!(reports.len(), 1);
+    assert!(streams.take_reports(now).is_empty());
+    streams.return_reports(&reports);
+    assert_eq!(streams.take_reports(now), reports);
+    streams.report_all(now);
+    assert_eq!(streams.take_reports(now).len(), 2);
+    // Callers have given up streams that are older.
+    let later = now + Duration::from_secs(31);
+    streams.report_all(later);
+    assert!(streams.take_reports(later).is_empty());
+}
