Share the report on a run among the simulations of the broker

limited_servers.rs wrote again what bursts.rs and crashing_segments.rs did: build a report, release the slot, take the events. The fixture does it for all three. No assertion changes.

--- a/crates/broker/tests/all/bursts.rs
+++ b/crates/broker/tests/all/bursts.rs
@@ -1,10 +1,8 @@
 //! Simulations of bursts of online requests, with batch items in the slots that are free
 //! between the bursts.
 
-use crate::support::{BrokerFixture, check_in, requester};
-use chicoryladder_broker::{
-    BrokerEvent, ProvenWork, RunOutcome, RunReport, SlotDecision, WorkKind,
-};
+use crate::support::{BrokerFixture, check_in, run_report};
+use chicoryladder_broker::{BrokerEvent, RunOutcome, RunReport, SlotDecision, WorkKind};
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
@@ -137,19 +135,10 @@
     }
 
     fn release(&mut self, ticket: u64, outcome: RunOutcome) {
-        let report = RunReport {
-            ticket,
-            outcome,
-            load: None,
+        let events = self.fixture.report(&RunReport {
             first_answer: Some(Duration::from_millis(40)),
-            refund: false,
-            completed: ProvenWork::None,
-        };
-        let now = self.fixture.now;
-        self.fixture
-            .broker
-            .release(&requester("entry-1"), &report, now);
-        let events = self.fixture.broker.take_events();
+            ..run_report(ticket, outcome)
+        });
         self.handle(events);
     }
 
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -1,7 +1,7 @@
 //! Simulations of servers that crash: under requests that share a prompt segment, among
 //! sound requests that share their other segments, and under any request.
 
-use crate::support::{BrokerFixture, check_in, fingerprint, requester, segment};
+use crate::support::{BrokerFixture, check_in, fingerprint, requester, run_report, segment};
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, CrashedRun, ProvenWork, RunOutcome, RunReport, SlotDecision,
     SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
@@ -361,18 +361,11 @@
     }
 
     fn release(&mut self, ticket: u64, outcome: RunOutcome, completed: ProvenWork) {
-        let report = RunReport {
-            ticket,
-            outcome,
-            load: None,
+        let events = self.fixture.report(&RunReport {
             first_answer: Some(Duration::from_millis(40)),
-            refund: false,
             completed,
-        };
-        let now = self.fixture.now;
-        let broker = &mut self.fixture.broker;
-        broker.release(&requester("entry-1"), &report, now);
-        let events = broker.take_events();
+            ..run_report(ticket, outcome)
+        });
         self.handle(events);
     }
 
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -2,10 +2,10 @@
 //! limited for many seconds, while online requests come in bursts and batch items take every
 //! free slot between them.
 
-use crate::support::{BrokerFixture, check_in, granted, refused_after, requester};
+use crate::support::{BrokerFixture, check_in, granted, refused_after, run_report};
 use chicoryladder_broker::{
     BrokerEvent, BrokerlessView, LeavingServers, LimitReport, LimitStatement, NamedLimits,
-    ProvenWork, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneRoster,
+    RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -126,19 +126,10 @@
         if self.runs.remove(&ticket).is_none() {
             return;
         }
-        let report = RunReport {
-            ticket,
-            outcome,
-            load: None,
+        let events = self.fixture.report(&RunReport {
             first_answer: Some(Duration::from_millis(50)),
-            refund: false,
-            completed: ProvenWork::None,
-        };
-        let now = self.fixture.now;
-        self.fixture
-            .broker
-            .release(&requester("entry-1"), &report, now);
-        let events = self.fixture.broker.take_events();
+            ..run_report(ticket, outcome)
+        });
         self.process(events);
     }
 
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -149,16 +149,11 @@
     }
 
     pub(crate) fn release(&mut self, ticket: u64, outcome: RunOutcome) -> Vec<BrokerEvent> {
-        let report = RunReport {
-            ticket,
-            outcome,
-            load: None,
-            first_answer: None,
-            refund: false,
-            completed: ProvenWork::None,
-        };
-        self.broker
-            .release(&requester("entry-1"), &report, self.now);
+        self.report(&run_report(ticket, outcome))
+    }
+
+    pub(crate) fn report(&mut self, report: &RunReport) -> Vec<BrokerEvent> {
+        self.broker.release(&requester("entry-1"), report, self.now);
         self.broker.take_events()
     }
 
@@ -169,6 +164,18 @@
     }
 }
 
+/// The report on a run of which nothing but its outcome is known.
+pub(crate) fn run_report(ticket: u64, outcome: RunOutcome) -> RunReport {
+    RunReport {
+        ticket,
+        outcome,
+        load: None,
+        first_answer: None,
+        refund: false,
+        completed: ProvenWork::None,
+    }
+}
+
 /// The fingerprint of the request with a number.
 pub(crate) fn fingerprint(number: u64) -> RequestFingerprint {
     let route = RouteName::try_from("chat").expect("it is valid");
