--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -594,7 +594,7 @@
     /// Grants free slots to queued requests, online requests first.
     fn dispatch(&mut self, service: &ServiceName, now: Instant) {
         for kind in [WorkKind::Online, WorkKind::Batch] {
-            let mut bound_to_version = Vec::new();
+            let mut not_granted = Vec::new();
             loop {
                 let first = self.pool(service).queue(kind).pop_first();
                 let Some((position, waiting)) = first else {
@@ -605,12 +605,12 @@
                 }
                 // Servers of other versions may have slots for those behind it.
                 let is_bound = waiting.request.required_version().is_some();
-                bound_to_version.push((position, waiting));
+                not_granted.push((position, waiting));
                 if !is_bound {
                     break;
                 }
             }
-            self.pool(service).queue(kind).extend(bound_to_version);
+            self.pool(service).queue(kind).extend(not_granted);
         }
     }
 
