Log the suspensions of servers with who reported and who else is answered

The log could not tell a broker that takes one host's word for the state of a server from load that moves to other hosts. The broker now remembers the last two hosts that a server answered, and the leader logs each suspension (server_suspended). When servers are suspended is unchanged; the code moved to a module of its own.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -35,8 +35,8 @@
 pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
 pub use rate::{RateLedger, RateTolerance};
 pub use request::{
-    BrokerEvent, PoolLoad, PromptSegment, RequesterId, SlotDecision, SlotRefusalReason,
-    SlotRequest, WorkKind, shared_segments,
+    BrokerEvent, PoolLoad, PromptSegment, RequesterId, ServerSuspension, SlotDecision,
+    SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 pub use reserves::{HeldReserves, ReserveTerms, SELF_REFILL_AFTER};
 pub use roster::{
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -1,5 +1,6 @@
 //! Slot requests to the broker and its decisions.
 
+use crate::grants::RunOutcome;
 use crate::server_limits::ServerLimit;
 use crate::streams::{StreamId, StreamPart};
 use chicoryladder_policy::quarantine::{
@@ -191,4 +192,23 @@
     },
     /// Reports that the quarantine of a prompt segment changed.
     Quarantine(QuarantineChange),
+    /// Reports that a server gets no work for a time.
+    Suspended(ServerSuspension),
+}
+
+/// The suspension of a server by the report of a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerSuspension {
+    /// The server.
+    pub server: ServerName,
+    /// The host that reported.
+    pub reported_by: RequesterId,
+    /// The outcome that it reported.
+    pub outcome: RunOutcome,
+    /// Consecutive failures, this one included.
+    pub failures: u32,
+    /// The length of the suspension.
+    pub pause: Duration,
+    /// How long ago the server last responded to another host.
+    pub other_contact_age: Option<Duration>,
 }
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -2,13 +2,14 @@
 //!
 //! [`assignment`] chooses the server of a request or the item that it preempts,
 //! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
-//! hosts and servers leave behind that are lost, and [`crashes`] refuses the requests under
-//! which servers crash.
+//! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
+//! of hosts, and [`crashes`] refuses the requests under which servers crash.
 
 mod assignment;
 mod crashes;
 mod eligibility;
 mod expiry;
+mod failures;
 
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
@@ -23,6 +24,7 @@
 use chicoryladder_policy::quarantine::CrashLedger;
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use failures::ContactHistory;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -87,6 +89,7 @@
     running_batch: u32,
     tokens: u64,
     limit: BelievedLimit,
+    contacts: ContactHistory,
 }
 
 impl ServerEntry {
@@ -218,6 +221,7 @@
         let opens = (!was_open || was_overdue) && entry.record.is_open(now);
         if is_restarted {
             entry.limit = BelievedLimit::default();
+            entry.contacts = ContactHistory::default();
             self.remove_grants_of(key);
             if service_changed {
                 for pool in self.services.values_mut() {
@@ -379,13 +383,13 @@
         }
         self.subtract_run(&grant);
         self.record_completion(&grant, &report.completed, now);
-        let Some(entry) = self.servers.get_mut(grant.server) else {
+        let Some(entry) = self.servers.get(grant.server) else {
             return;
         };
-        record_outcome(&mut entry.record, report, now);
         let service = entry.record.check_in.service.clone();
+        let name = entry.record.check_in.name.clone();
+        self.record_outcome(&grant, report, now);
         if report.outcome == RunOutcome::Leaving {
-            let name = entry.record.check_in.name.clone();
             self.mark_leaving(&name, None);
         }
         let pool = self.pool(&service);
@@ -509,6 +513,7 @@
             running_batch: 0,
             tokens: 0,
             limit: BelievedLimit::default(),
+            contacts: ContactHistory::default(),
         });
         self.by_name.insert(name, key);
         let pool = self.pool(&service);
@@ -639,32 +644,6 @@
     }
 }
 
-/// Updates the record of a server by the outcome of a run.
-fn record_outcome(record: &mut ServerRecord, report: &RunReport, now: Instant) {
-    match report.outcome {
-        RunOutcome::Served => {
-            record.failures = 0;
-            record.suspended_until = None;
-        }
-        RunOutcome::Stopped | RunOutcome::Leaving => {}
-        RunOutcome::Errored => {
-            // Single errors may be due to the requests.
-            record.failures += 1;
-            if let Some(repeated) = record.failures.checked_sub(PROBATION_FAILURES) {
-                let pause = SUSPENSION * 2u32.pow(repeated.min(8));
-                record.suspended_until = Some(now + pause.min(SUSPENSION_MAX));
-            }
-        }
-        RunOutcome::Shed => record.suspended_until = Some(now + SHED_SUSPENSION),
-        RunOutcome::Unreachable | RunOutcome::WrongServer | RunOutcome::Failed => {
-            let doublings = record.failures.min(8);
-            let pause = SUSPENSION * 2u32.pow(doublings);
-            record.failures += 1;
-            record.suspended_until = Some(now + pause.min(SUSPENSION_MAX));
-        }
-    }
-}
-
 /// Adds a jitter of up to the same delay, derived from the ticket, so that refused requests
 /// do not retry simultaneously.
 fn jittered_delay(wait: Duration, ticket: u64) -> Duration {
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -251,6 +251,7 @@
                 } => self.decide(ticket, &decision),
                 BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => self.outcomes.steps.push(change.step),
+                BrokerEvent::Suspended(_) => {}
             }
         }
     }
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -23,7 +23,7 @@
 use bytes::Bytes;
 use chicoryladder_broker::{
     BrokerSettings, CheckInOutcome, CrashedRun, DepartureReport, DepartureSource, RateTolerance,
-    RequesterId, RosterSettings, ServerCheckIn, ServerLimit, ServerPhase,
+    RequesterId, RosterSettings, ServerCheckIn, ServerLimit, ServerPhase, ServerSuspension,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
@@ -254,6 +254,7 @@
                     self.base.notify(address, &Notice::Stop { ticket });
                 }
                 BrokerAction::LogQuarantine(change) => self.log_quarantine(&change),
+                BrokerAction::LogSuspension(suspension) => self.log_suspension(&suspension),
             }
         }
     }
@@ -293,6 +294,21 @@
         self.log.note("segment_quarantine", &fields);
     }
 
+    /// Logs a suspension with how long ago another host was served, which tells a failed
+    /// server from a host that has no path to it.
+    fn log_suspension(&self, suspension: &ServerSuspension) {
+        let age = suspension.other_contact_age;
+        let fields = json!({
+            "server": suspension.server,
+            "reported_by": suspension.reported_by.host,
+            "outcome": format!("{:?}", suspension.outcome),
+            "failures": suspension.failures,
+            "pause_ms": suspension.pause.as_millis(),
+            "other_contact_age_ms": age.map(|age| age.as_millis()),
+        });
+        self.log.routine("server_suspended", &fields);
+    }
+
     async fn propose(&self, command: &ControlCommand) -> Result<(), ProposeFailure> {
         let group = self.group().ok_or(ProposeFailure::NotLeader)?;
         let command = postcard::to_stdvec(command)
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -12,8 +12,8 @@
 use crate::plan_notices::PlanNotices;
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
-    RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, SlotBroker, SlotDecision,
-    SlotRequest, ZoneRoster, servers_for_zone,
+    RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
+    SlotBroker, SlotDecision, SlotRequest, ZoneRoster, servers_for_zone,
 };
 use chicoryladder_group::{spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
@@ -125,6 +125,8 @@
     Stop { address: SocketAddr, ticket: u64 },
     /// The quarantine of a prompt segment changed.
     LogQuarantine(QuarantineChange),
+    /// A server gets no work for a time.
+    LogSuspension(ServerSuspension),
 }
 
 /// The state of the control group's leader.
@@ -367,6 +369,9 @@
                     BrokerEvent::Quarantine(change) => {
                         actions.push(BrokerAction::LogQuarantine(change));
                     }
+                    BrokerEvent::Suspended(suspension) => {
+                        actions.push(BrokerAction::LogSuspension(suspension));
+                    }
                 }
             }
         }
