Reproduce hosts that reach no backend server

[listen] servers_from sets the local address of connections to servers, for hosts with several addresses. An address that the host lost is a real case of the fault, and the way to cause it.

--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod brokerless;
 mod bursts;
 mod crashing_segments;
+mod cut_off_hosts;
 mod departures;
 mod directory;
 mod limited_servers;
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -9,10 +9,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// The timeout for opening a connection. If the server's accept queue is full, the SYN
 /// is dropped, and TCP resends it only after a second.
@@ -45,13 +45,16 @@
 #[derive(Clone)]
 pub(crate) struct ConnectionPool {
     clock: Arc<dyn ClockSource>,
+    /// The local address of new connections; `None` for any.
+    source: Option<IpAddr>,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
 impl ConnectionPool {
-    pub(crate) fn new(clock: Arc<dyn ClockSource>) -> Self {
+    pub(crate) fn new(clock: Arc<dyn ClockSource>, source: Option<IpAddr>) -> Self {
         Self {
             clock,
+            source,
             idle: Arc::default(),
         }
     }
@@ -78,7 +81,7 @@
     ///
     /// Fails if the server does not accept it within [`CONNECT_TIMEOUT`].
     pub(crate) async fn open(&self, address: SocketAddr) -> std::io::Result<RequestSender> {
-        let connecting = TcpStream::connect(address);
+        let connecting = connect_from(self.source, address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
         stream.set_nodelay(true)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
@@ -126,3 +129,16 @@
         idle.remove(&address);
     }
 }
+
+/// Connects from a local address, or from any.
+async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -106,7 +106,7 @@
             started_at: base.clock.now(),
         };
         let runner = ServerRunner {
-            pool: ConnectionPool::new(base.clock.clone()),
+            pool: ConnectionPool::new(base.clock.clone(), base.settings.listen.servers_from),
             dialect: servers,
             marks,
         };
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -107,7 +107,7 @@
         let metrics = Arc::new(RoleMetrics::new()?);
         let marks = ServerMarks::new(base.clock.clone(), log.clone(), metrics.clone());
         let runner = ServerRunner {
-            pool: ConnectionPool::new(base.clock.clone()),
+            pool: ConnectionPool::new(base.clock.clone(), base.settings.listen.servers_from),
             dialect: servers,
             marks: marks.clone(),
         };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -4,7 +4,7 @@
 
 use crate::fault::SettingsError;
 use chicoryladder_types::prelude::*;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -72,6 +72,9 @@
     pub control: Option<SocketAddr>,
     /// The address for metrics scrapers.
     pub metrics: Option<SocketAddr>,
+    /// The local address of connections to backend servers; the operating system chooses
+    /// one if it is absent.
+    pub servers_from: Option<IpAddr>,
 }
 
 /// How the process finds the control group, and the size of consensus groups.
--- a/crates/settings/src/process/read.rs
+++ b/crates/settings/src/process/read.rs
@@ -108,6 +108,7 @@
             readiness: section.optional("readiness"),
             control: section.optional("control"),
             metrics: section.optional("metrics"),
+            servers_from: section.optional("servers_from"),
         };
         section.finish();
         Some(ProcessAddresses {
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -3,7 +3,7 @@
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ModelName, ServiceName};
 use std::fmt::Display;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::Duration;
@@ -47,6 +47,15 @@
     }
 }
 
+impl SettingValue for IpAddr {
+    const EXPECTED: &'static str = "IP";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        text.parse()
+            .map_err(|_| format!("`{text}` is not an IP address"))
+    }
+}
+
 impl SettingValue for PathBuf {
     const EXPECTED: &'static str = "PATH";
 
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -11,6 +11,7 @@
 
 [listen]
 peers = 10.0.0.5:7660
+servers_from = 10.0.1.5
 
 [control]
 seeds = 10.0.0.9:8407, 10.1.0.7:8407
@@ -34,6 +35,7 @@
     assert_eq!(settings.host.name.as_str(), "store-1");
     assert_eq!(settings.listen.peers.port(), 7660);
     assert_eq!(settings.listen.callers, None);
+    assert_eq!(settings.listen.servers_from, "10.0.1.5".parse().ok());
     assert_eq!(settings.control.seeds.len(), 2);
     assert!(settings.control.first_start);
     assert_eq!(settings.control.voters(), 5);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod servers;
 mod shared_segments;
 mod soak;
+mod stranded;
 mod trouble;
 mod unframed;
 mod versions;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -56,6 +56,8 @@
     ip: Ipv4Addr,
     zone: String,
     child: Option<Child>,
+    /// The local address of its connections to servers, if it is set.
+    servers_from: Option<Ipv4Addr>,
 }
 
 fn append(text: &mut String, more: std::fmt::Arguments<'_>) {
@@ -137,6 +139,7 @@
             ip: self.ip(role, number),
             zone: format!("zone-{}", (number - 1) % 3 + 1),
             child: None,
+            servers_from: None,
         };
         let listen = SocketAddr::from((host.ip, PEERS_PORT));
         let target = SocketAddr::from((host.ip, PEERS_BIND_PORT));
@@ -160,6 +163,16 @@
         self.seeds = seeds.to_vec();
     }
 
+    /// Starts a host again, with or without a path to servers: from an address that the
+    /// machine does not have, no connection to a server can be opened.
+    pub(crate) fn restart_with_path(&mut self, name: &str, reaches_servers: bool) {
+        const FOREIGN_ADDRESS: Ipv4Addr = Ipv4Addr::new(192, 0, 2, 1);
+        self.kill(name);
+        let host = self.hosts.get_mut(name).expect("a host");
+        host.servers_from = (!reaches_servers).then_some(FOREIGN_ADDRESS);
+        self.start_process(name, false);
+    }
+
     /// Starts the process of a host.
     pub(crate) fn start_process(&mut self, name: &str, first_start: bool) {
         let settings = self.folder.path().join(format!("{name}.ini"));
@@ -187,6 +200,7 @@
     fn settings(&self, name: &str, first_start: bool) -> String {
         let host = &self.hosts[name];
         let at = |port: u16| SocketAddr::from((host.ip, port));
+        let servers_from = host.servers_from;
         let seeds: Vec<String> = (self.seeds.iter())
             .map(|(role, number)| format!("{}:{CONTROL_PORT}", self.ip(*role, *number)))
             .collect();
@@ -199,6 +213,9 @@
             at(PEERS_BIND_PORT),
             at(METRICS_PORT),
         );
+        if let Some(address) = servers_from {
+            append(&mut text, format_args!("servers_from = {address}\n"));
+        }
         match host.role {
             Role::Entry => {
                 let (callers, readiness) = (at(CALLERS_PORT), at(READINESS_PORT));
@@ -413,13 +430,21 @@
         answer.json()["version"].as_u64()
     }
 
-    async fn all_ready(&self) -> bool {
+    /// Whether all entry hosts answer readiness probes with success.
+    pub(crate) async fn all_report_ready(&self) -> bool {
         for address in self.addresses(Role::Entry, READINESS_PORT) {
             let answer = Call::new(address, Method::GET, "/readyz").send().await;
             if !answer.is_some_and(|answer| answer.status.is_success()) {
                 return false;
             }
         }
+        true
+    }
+
+    async fn all_ready(&self) -> bool {
+        if !self.all_report_ready().await {
+            return false;
+        }
         for name in self.host_names(Role::Entry) {
             for path in ["/ping/1", "/rules/2"] {
                 let answer = self.caller_request(&name, path, "probe").send().await;
