Disbelieve hosts that report servers which others reach

Cause: the broker took the report of one host for the state of the server. Each report of Unreachable suspends the server for all hosts, up to 4 s; hosts without a path report every server.

Now a response of a server to another host that came after the futile attempt began refutes the report. A host with refuted reports on two servers within 5 s counts as cut off: its reports are not evidence, and the suspensions by its reports end.

--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -194,6 +194,13 @@
     Quarantine(QuarantineChange),
     /// Reports that a server gets no work for a time.
     Suspended(ServerSuspension),
+    /// Reports that a host reaches so few servers that its reports on them do not count.
+    CutOff {
+        /// The host.
+        requester: RequesterId,
+        /// The servers whose suspensions ended, since it had reported them.
+        restored: Vec<ServerName>,
+    },
 }
 
 /// The suspension of a server by the report of a host.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -3,13 +3,14 @@
 //! [`assignment`] chooses the server of a request or the item that it preempts,
 //! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
-//! of hosts, and [`crashes`] refuses the requests under which servers crash.
+//! of hosts, which [`path_reports`] tells from those of hosts without a path, and [`crashes`] refuses the requests under which servers crash.
 
 mod assignment;
 mod crashes;
 mod eligibility;
 mod expiry;
 mod failures;
+mod path_reports;
 
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
@@ -25,6 +26,7 @@
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use failures::ContactHistory;
+use path_reports::PathReports;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, Instant};
@@ -90,6 +92,8 @@
     tokens: u64,
     limit: BelievedLimit,
     contacts: ContactHistory,
+    /// The host whose report led to the latest suspension.
+    suspended_by: Option<RequesterId>,
 }
 
 impl ServerEntry {
@@ -129,6 +133,7 @@
     rates: RateLedger,
     crashes: CrashLedger,
     streams: StreamVersions,
+    path_reports: PathReports,
     requesters: HashMap<RequesterId, Instant>,
     /// The requester that runs batch items.
     batch_requester: Option<RequesterId>,
@@ -145,6 +150,7 @@
             rates: RateLedger::new(settings.tolerance),
             crashes: CrashLedger::default(),
             streams: StreamVersions::default(),
+            path_reports: PathReports::default(),
             settings,
             services: BTreeMap::new(),
             servers: SlotMap::with_key(),
@@ -222,6 +228,7 @@
         if is_restarted {
             entry.limit = BelievedLimit::default();
             entry.contacts = ContactHistory::default();
+            self.path_reports.forget_server(key);
             self.remove_grants_of(key);
             if service_changed {
                 for pool in self.services.values_mut() {
@@ -514,6 +521,7 @@
             tokens: 0,
             limit: BelievedLimit::default(),
             contacts: ContactHistory::default(),
+            suspended_by: None,
         });
         self.by_name.insert(name, key);
         let pool = self.pool(&service);
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -65,6 +65,7 @@
             .collect();
         for requester in lost {
             self.requesters.remove(&requester);
+            self.path_reports.forget_host(&requester);
             for (ticket, _) in self.grants.tickets_of(&requester) {
                 self.remove_grant(&requester, ticket);
             }
@@ -94,6 +95,7 @@
             .collect();
         for key in expired {
             self.remove_grants_of(key);
+            self.path_reports.forget_server(key);
             if let Some(entry) = self.servers.remove(key) {
                 self.by_name.remove(&entry.record.check_in.name);
                 self.directory_version += 1;
--- a/crates/broker/src/slots/failures.rs
+++ b/crates/broker/src/slots/failures.rs
@@ -46,13 +46,15 @@
 impl SlotBroker {
     /// Updates the record of a server by the outcome of a run.
     pub(super) fn record_outcome(&mut self, grant: &SlotGrant, report: &RunReport, now: Instant) {
+        if let Some(at) = contact_of(report, grant, now) {
+            self.record_contact(grant, at, now);
+        }
+        if !self.is_evidence(grant, report.outcome, now) {
+            return;
+        }
         let Some(entry) = self.servers.get_mut(grant.server) else {
             return;
         };
-        let requester = &grant.requester;
-        if let Some(at) = contact_of(report, grant, now) {
-            entry.contacts.record(requester, at);
-        }
         let record = &mut entry.record;
         let pause = match report.outcome {
             RunOutcome::Served => {
@@ -75,18 +77,68 @@
             }
         };
         record.suspended_until = Some(now + pause);
-        let others = entry.contacts.with_other(requester);
+        entry.suspended_by = Some(grant.requester.clone());
+        if report.outcome == RunOutcome::Shed {
+            return;
+        }
+        let others = entry.contacts.with_other(&grant.requester);
         let suspension = ServerSuspension {
             server: record.check_in.name.clone(),
-            reported_by: requester.clone(),
+            reported_by: grant.requester.clone(),
             outcome: report.outcome,
             failures: record.failures,
             pause,
             other_contact_age: others.map(|at| now.saturating_duration_since(at)),
         };
-        if report.outcome != RunOutcome::Shed {
-            self.events.push(BrokerEvent::Suspended(suspension));
+        self.events.push(BrokerEvent::Suspended(suspension));
+    }
+
+    fn record_contact(&mut self, grant: &SlotGrant, at: Instant, now: Instant) {
+        let requester = &grant.requester;
+        if let Some(entry) = self.servers.get_mut(grant.server) {
+            entry.contacts.record(requester, at);
+        }
+        let reports = &mut self.path_reports;
+        for host in reports.record_contact(requester, grant.server, at, now) {
+            self.disbelieve(host);
+        }
+    }
+
+    /// Whether a failure says something of the server, and not of the host that reports it.
+    fn is_evidence(&mut self, grant: &SlotGrant, outcome: RunOutcome, now: Instant) -> bool {
+        let requester = &grant.requester;
+        match outcome {
+            RunOutcome::Unreachable => {}
+            RunOutcome::Failed => return !self.path_reports.is_cut_off(requester, now),
+            _ => return true,
+        }
+        let contacts = self.servers.get(grant.server).map(|entry| &entry.contacts);
+        let others = contacts.and_then(|contacts| contacts.with_other(requester));
+        if others.is_some_and(|at| at >= grant.granted_at) {
+            if self.path_reports.refute(requester, grant.server, now) {
+                self.disbelieve(requester.clone());
+            }
+            return false;
+        }
+        let reports = &mut self.path_reports;
+        reports.record_unreached(requester, grant.server, now);
+        !reports.is_cut_off(requester, now)
+    }
+
+    /// Ends the suspensions by reports of a host that turns out to be cut off.
+    fn disbelieve(&mut self, requester: RequesterId) {
+        let mut restored = Vec::new();
+        for entry in self.servers.values_mut() {
+            if entry.suspended_by.as_ref() == Some(&requester) {
+                entry.suspended_by = None;
+                entry.record.lift_suspension();
+                restored.push(entry.record.check_in.name.clone());
+            }
         }
+        self.events.push(BrokerEvent::CutOff {
+            requester,
+            restored,
+        });
     }
 }
 
--- a/crates/broker/tests/all/bursts.rs
+++ b/crates/broker/tests/all/bursts.rs
@@ -75,7 +75,7 @@
                 } => self.handle_decision(ticket, &decision),
                 BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => panic!("unexpected: {change:?}"),
-                BrokerEvent::Suspended(_) => {}
+                BrokerEvent::Suspended(_) | BrokerEvent::CutOff { .. } => {}
             }
         }
         self.statistics.max_running = self.statistics.max_running.max(self.runs.len());
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -251,7 +251,7 @@
                 } => self.decide(ticket, &decision),
                 BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => self.outcomes.steps.push(change.step),
-                BrokerEvent::Suspended(_) => {}
+                BrokerEvent::Suspended(_) | BrokerEvent::CutOff { .. } => {}
             }
         }
     }
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -97,7 +97,9 @@
                     ticket, decision, ..
                 } => self.decide(ticket, decision),
                 BrokerEvent::Stop { ticket, .. } => self.end(ticket, RunOutcome::Stopped),
-                BrokerEvent::Quarantine(_) | BrokerEvent::Suspended(_) => {}
+                BrokerEvent::Quarantine(_)
+                | BrokerEvent::Suspended(_)
+                | BrokerEvent::CutOff { .. } => {}
             }
         }
     }
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -210,8 +210,6 @@
 pub(crate) fn stopped(events: &[BrokerEvent]) -> Option<u64> {
     events.iter().find_map(|event| match event {
         BrokerEvent::Stop { ticket, .. } => Some(*ticket),
-        BrokerEvent::Decided { .. } | BrokerEvent::Quarantine(_) | BrokerEvent::Suspended(_) => {
-            None
-        }
+        _ => None,
     })
 }
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -255,6 +255,10 @@
                 }
                 BrokerAction::LogQuarantine(change) => self.log_quarantine(&change),
                 BrokerAction::LogSuspension(suspension) => self.log_suspension(&suspension),
+                BrokerAction::LogCutOff { host, restored } => {
+                    let fields = json!({ "host": host, "restored": restored });
+                    self.log.note("host_cut_off", &fields);
+                }
             }
         }
     }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -127,6 +127,11 @@
     LogQuarantine(QuarantineChange),
     /// A server gets no work for a time.
     LogSuspension(ServerSuspension),
+    /// A host reaches few servers; the suspensions of these by its reports ended.
+    LogCutOff {
+        host: HostName,
+        restored: Vec<ServerName>,
+    },
 }
 
 /// The state of the control group's leader.
@@ -372,6 +377,13 @@
                     BrokerEvent::Suspended(suspension) => {
                         actions.push(BrokerAction::LogSuspension(suspension));
                     }
+                    BrokerEvent::CutOff {
+                        requester,
+                        restored,
+                    } => {
+                        let host = requester.host;
+                        actions.push(BrokerAction::LogCutOff { host, restored });
+                    }
                 }
             }
         }
