--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -35,6 +35,8 @@
     Failed,
     /// Nothing was sent, since the server said in a response that it leaves.
     Leaving,
+    /// The host lost its path to the server, which other hosts reach.
+    PathLost,
 }
 
 /// The report of a requester on an ended run.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -28,6 +28,7 @@
 mod server_limits;
 mod slots;
 mod streams;
+mod tunnel_hosts;
 
 pub use brokerless::{BrokerlessView, servers_for_zone};
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
@@ -45,3 +46,4 @@
 pub use server_limits::{InvalidLimit, LimitReport, LimitStatement, NamedLimits, ServerLimit};
 pub use slots::{BrokerSettings, SlotBroker};
 pub use streams::{StreamId, StreamPart, StreamReport, StreamVersions};
+pub use tunnel_hosts::choose_tunnel_hosts;
--- a/crates/broker/src/slots/failures.rs
+++ b/crates/broker/src/slots/failures.rs
@@ -39,7 +39,8 @@
         | RunOutcome::Unreachable
         | RunOutcome::WrongServer
         | RunOutcome::Failed
-        | RunOutcome::Leaving => report.first_answer.map(|after| grant.granted_at + after),
+        | RunOutcome::Leaving
+        | RunOutcome::PathLost => report.first_answer.map(|after| grant.granted_at + after),
     }
 }
 
@@ -61,7 +62,7 @@
                 record.lift_suspension();
                 return;
             }
-            RunOutcome::Stopped | RunOutcome::Leaving => return,
+            RunOutcome::Stopped | RunOutcome::Leaving | RunOutcome::PathLost => return,
             RunOutcome::Errored => {
                 // Single errors may be due to the requests.
                 record.failures += 1;
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -13,3 +13,4 @@
 mod reserves;
 mod slots;
 mod support;
+mod tunnel_hosts;
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -3,20 +3,21 @@
 //! A connection carries one request at a time and is reused for the next. Any
 //! irregularity closes it: bytes that arrive without a request belong to none.
 
+use crate::server_dialer::{ServerDialer, ServerStream};
 use bytes::Bytes;
 use chicoryladder_types::prelude::*;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::io::{AsyncRead, AsyncWrite};
 
-/// The timeout for opening a connection. If the server's accept queue is full, the SYN
-/// is dropped, and TCP resends it only after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// The time within which it is found out whether a lost connection is due to a lost path.
+const PATH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// The time for which an idle connection is kept if the server announces no timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
@@ -35,8 +36,25 @@
 /// The sending half of a connection.
 pub(crate) type RequestSender = SendRequest<Full<Bytes>>;
 
+/// The path that a connection takes to its server.
+#[derive(Clone, Debug)]
+pub(crate) enum ConnectionPath {
+    Direct,
+    Tunnel {
+        host: SocketAddr,
+        /// Set once the connection to `host` is lost.
+        host_lost: Arc<AtomicBool>,
+    },
+}
+
+/// A connection that no request uses.
+pub(crate) struct OpenConnection {
+    pub(crate) sender: RequestSender,
+    pub(crate) path: ConnectionPath,
+}
+
 struct IdleConnection {
-    sender: RequestSender,
+    connection: OpenConnection,
     idle_since: Instant,
     usable_until: Instant,
 }
@@ -45,64 +63,96 @@
 #[derive(Clone)]
 pub(crate) struct ConnectionPool {
     clock: Arc<dyn ClockSource>,
-    /// The local address of new connections; `None` for any.
-    source: Option<IpAddr>,
+    dialer: ServerDialer,
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
 impl ConnectionPool {
-    pub(crate) fn new(clock: Arc<dyn ClockSource>, source: Option<IpAddr>) -> Self {
+    pub(crate) fn new(clock: Arc<dyn ClockSource>, dialer: ServerDialer) -> Self {
         Self {
             clock,
-            source,
+            dialer,
             idle: Arc::default(),
         }
     }
 
+    pub(crate) fn dialer(&self) -> &ServerDialer {
+        &self.dialer
+    }
+
     /// Takes the most recently used idle connection to a server.
     ///
     /// With `fresh`, only one that was idle for less than [`FRESH_MAX_AGE`].
-    pub(crate) fn take_idle(&self, address: SocketAddr, fresh: bool) -> Option<RequestSender> {
+    pub(crate) fn take_idle(&self, address: SocketAddr, fresh: bool) -> Option<OpenConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        connections.retain(|c| !c.sender.is_closed() && now < c.usable_until);
+        connections.retain(|c| !c.connection.sender.is_closed() && now < c.usable_until);
         let last = connections.last()?;
         let is_fresh = now.saturating_duration_since(last.idle_since) < FRESH_MAX_AGE;
-        if !last.sender.is_ready() || (fresh && !is_fresh) {
+        if !last.connection.sender.is_ready() || (fresh && !is_fresh) {
             return None;
         }
-        connections.pop().map(|connection| connection.sender)
+        connections.pop().map(|idle| idle.connection)
     }
 
     /// Opens a connection.
     ///
     /// # Errors
     ///
-    /// Fails if the server does not accept it within [`CONNECT_TIMEOUT`].
-    pub(crate) async fn open(&self, address: SocketAddr) -> std::io::Result<RequestSender> {
-        let connecting = connect_from(self.source, address);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await??;
-        stream.set_nodelay(true)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(std::io::Error::other)?;
-        tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!("server connection: connection to {address} failed: {error}.");
+    /// Fails if no path leads to the server.
+    pub(crate) async fn open(&self, address: SocketAddr) -> std::io::Result<OpenConnection> {
+        let was_cut_off = self.dialer.paths().is_cut_off();
+        let (sender, path) = match self.dialer.open(address).await? {
+            ServerStream::Direct(stream) => (
+                start_connection(address, stream).await?,
+                ConnectionPath::Direct,
+            ),
+            ServerStream::Tunnel(host, stream) => {
+                let host_lost = stream.peer_lost();
+                let path = ConnectionPath::Tunnel { host, host_lost };
+                (start_connection(address, stream).await?, path)
             }
-        });
-        Ok(sender)
+        };
+        if !was_cut_off && self.dialer.paths().is_cut_off() {
+            self.close_idle_on_lost_paths();
+        }
+        Ok(OpenConnection { sender, path })
+    }
+
+    /// Whether a connection to a server was lost, or fell silent, since the path to the server
+    /// was lost: another host reaches it.
+    pub(crate) async fn is_path_lost(&self, address: SocketAddr, path: &ConnectionPath) -> bool {
+        match path {
+            ConnectionPath::Tunnel { host, host_lost } => {
+                let is_lost = host_lost.load(Ordering::Relaxed);
+                if is_lost {
+                    let now = self.clock.now();
+                    self.dialer.paths().record_host_failure(*host, now);
+                }
+                is_lost
+            }
+            ConnectionPath::Direct if self.dialer.paths().is_detoured(address) => true,
+            ConnectionPath::Direct => {
+                let opening = tokio::time::timeout(PATH_CHECK_TIMEOUT, self.open(address));
+                let Ok(Ok(connection)) = opening.await else {
+                    return false;
+                };
+                let is_detour = matches!(connection.path, ConnectionPath::Tunnel { .. });
+                self.put_idle(address, connection, None);
+                is_detour
+            }
+        }
     }
 
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn put_idle(
         &self,
         address: SocketAddr,
-        sender: RequestSender,
+        connection: OpenConnection,
         idle_timeout: Option<Duration>,
     ) {
-        if sender.is_closed() {
+        if connection.sender.is_closed() {
             return;
         }
         let now = self.clock.now();
@@ -110,13 +160,13 @@
             announced.mul_f64(IDLE_SHARE)
         });
         let connection = IdleConnection {
-            sender,
+            connection,
             idle_since: now,
             usable_until: now + usable_for,
         };
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(address).or_default();
-        connections.retain(|c| !c.sender.is_closed() && now < c.usable_until);
+        connections.retain(|c| !c.connection.sender.is_closed() && now < c.usable_until);
         if connections.len() < IDLE_PER_SERVER_MAX {
             connections.push(connection);
         }
@@ -128,17 +178,28 @@
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.remove(&address);
     }
+
+    /// Closes the idle connections that do not lead through tunnels. Those that a host had
+    /// when it was cut off may hang.
+    fn close_idle_on_lost_paths(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        for connections in idle.values_mut() {
+            connections.retain(|c| matches!(c.connection.path, ConnectionPath::Tunnel { .. }));
+        }
+    }
 }
 
-/// Connects from a local address, or from any.
-async fn connect_from(source: Option<IpAddr>, address: SocketAddr) -> std::io::Result<TcpStream> {
-    let Some(source) = source else {
-        return TcpStream::connect(address).await;
-    };
-    let socket = match source {
-        IpAddr::V4(_) => TcpSocket::new_v4()?,
-        IpAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.bind(SocketAddr::new(source, 0))?;
-    socket.connect(address).await
+async fn start_connection<S>(address: SocketAddr, stream: S) -> std::io::Result<RequestSender>
+where
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
+{
+    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("server connection: connection to {address} failed: {error}.");
+        }
+    });
+    Ok(sender)
 }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -13,7 +13,7 @@
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
     RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
-    SlotBroker, SlotDecision, SlotRequest, ZoneRoster, servers_for_zone,
+    SlotBroker, SlotDecision, SlotRequest, ZoneRoster, choose_tunnel_hosts, servers_for_zone,
 };
 use chicoryladder_group::{spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
@@ -32,6 +32,10 @@
 /// The silence after which a host no longer counts as running.
 const HOST_SILENT_AFTER: Duration = Duration::from_secs(3);
 
+/// The silence after which a host is not named as one that opens tunnels: more than two
+/// intervals of its syncs.
+const TUNNEL_HOST_SILENCE_MAX: Duration = Duration::from_secs(1);
+
 /// The wait for more store hosts before the job group is bootstrapped with fewer.
 const BOOTSTRAP_WAIT: Duration = Duration::from_secs(4);
 
@@ -116,6 +120,8 @@
     zone: ZoneName,
     pub(crate) last_sync_at: Instant,
     plan: PlanVersion,
+    /// Whether the host opens tunnels to servers for others.
+    offers_tunnels: bool,
     store: Option<StoreReport>,
 }
 
@@ -465,6 +471,7 @@
             reserves: self.refill_reserves(request, now),
             roster: self.roster_update(request),
             quarantine: self.quarantine_update(request, now),
+            tunnel_hosts: self.tunnel_hosts(request, now),
             store,
         }
     }
@@ -511,6 +518,7 @@
             zone: request.zone.clone(),
             last_sync_at: now,
             plan: request.plan,
+            offers_tunnels: request.tunnels.offers,
             store: request.store.clone(),
         };
         if request.role == HostRole::Store {
@@ -553,6 +561,21 @@
         })
     }
 
+    /// Some entry hosts that offer tunnels, if a host needs them.
+    fn tunnel_hosts(&self, request: &SyncRequest, now: Instant) -> Option<Vec<RosterMember>> {
+        if !request.tunnels.needs {
+            return None;
+        }
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < TUNNEL_HOST_SILENCE_MAX;
+        let hosts = self.hosts.values();
+        let offering = hosts.filter(|host| host.offers_tunnels && is_recent(host.last_sync_at));
+        let members = offering.map(|host| RosterMember {
+            address: host.address,
+            zone: host.zone.clone(),
+        });
+        Some(choose_tunnel_hosts(request.address, members))
+    }
+
     fn refill_reserves(&mut self, request: &SyncRequest, now: Instant) -> Vec<(TeamName, u32)> {
         if request.role != HostRole::Entry {
             return Vec::new();
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -554,6 +554,7 @@
                 return None;
             }
             Err(failure) => {
+                let failure = failure.attribute(connection).await;
                 self.end_failed_attempt(state, lease, failure);
                 return None;
             }
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -6,18 +6,19 @@
 use super::service::EntryService;
 use crate::connection_pool::ConnectionPool;
 use crate::event_log::EventLog;
-use crate::fleet_view::{FleetView, SyncReporter, ViewChange, run_sync};
+use crate::fleet_view::{FleetView, SyncReporter, TunnelReporter, ViewChange, run_sync};
 use crate::leader_client::LeaderClient;
-use crate::message::{Call, HostRole, Notice, ReserveCall, encode};
+use crate::message::{Call, HostRole, Notice, ReserveCall, TunnelReport, encode};
 use crate::metrics::{GaugeReader, MetricsService, RoleMetrics};
 use crate::ports::{CallerDialect, ServerDialect};
 use crate::process::{ProcessBase, ProcessError};
+use crate::server_dialer::ServerDialer;
 use crate::server_marks::ServerMarks;
 use crate::server_run::ServerRunner;
 use crate::slot_client::SlotClient;
 use bytes::Bytes;
 use chicoryladder_gateway::{AnswerBody, HttpListener, HttpService, ListenerLimits};
-use chicoryladder_rpc::{PeerIdentity, RpcHandler};
+use chicoryladder_rpc::{PeerIdentity, RpcHandler, RpcServer};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -26,9 +27,11 @@
 use hyper::{Request, Response};
 use serde_json::json;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
 /// The maximum size of a request head. Plans set lower limits.
@@ -62,6 +65,7 @@
     draining: Arc<AtomicBool>,
     drain_timeout: Duration,
     callers: HttpListener,
+    peers: RpcServer,
     log: EventLog,
     tasks: JoinSet<()>,
 }
@@ -91,13 +95,17 @@
         let control_client = client.clone();
         let gauge_sources = (slots.clone(), view.clone());
         let draining = Arc::new(AtomicBool::new(false));
+        let dialer = ServerDialer::new(&base, view.clone(), log.clone());
         let handler = EntryHandler {
             slots: slots.clone(),
             view: view.clone(),
+            dialer: dialer.clone(),
+            log: log.clone(),
         };
-        base.serve(Arc::new(handler)).await?;
+        let peers = base.serve(Arc::new(handler)).await?;
         let mut tasks = JoinSet::new();
-        let reporter = reporter(&slots, &marks, &log);
+        let tunnels = tunnel_reporter(&dialer, &draining);
+        let reporter = reporter(&slots, &marks, &log, tunnels);
         tasks.spawn(run_sync(base.clone(), client, view.clone(), reporter));
         let matcher = RequestMatcher {
             view: view.clone(),
@@ -106,7 +114,7 @@
             started_at: base.clock.now(),
         };
         let runner = ServerRunner {
-            pool: ConnectionPool::new(base.clock.clone(), base.settings.listen.servers_from),
+            pool: ConnectionPool::new(base.clock.clone(), dialer),
             dialect: servers,
             marks,
         };
@@ -167,6 +175,7 @@
             draining,
             drain_timeout: base.settings.bounds.drain_timeout,
             callers,
+            peers,
             log,
             tasks,
         })
@@ -184,9 +193,10 @@
         let left = self
             .drain_timeout
             .saturating_sub(READINESS_NOTICE + DRAIN_RESERVE);
-        let drained = tokio::time::timeout(left, self.callers.drain())
-            .await
-            .is_ok();
+        let draining = async {
+            tokio::join!(self.callers.drain(), self.peers.drain_tunnels());
+        };
+        let drained = tokio::time::timeout(left, draining).await.is_ok();
         self.log.note("stopped", &json!({ "drained": drained }));
         // The event log is written asynchronously.
         tokio::time::sleep(DRAIN_RESERVE / 2).await;
@@ -225,7 +235,12 @@
     })
 }
 
-fn reporter(slots: &SlotClient, marks: &ServerMarks, log: &EventLog) -> SyncReporter {
+fn reporter(
+    slots: &SlotClient,
+    marks: &ServerMarks,
+    log: &EventLog,
+    tunnels: TunnelReporter,
+) -> SyncReporter {
     let slots = slots.clone();
     let marks = marks.clone();
     let log = log.clone();
@@ -233,12 +248,25 @@
         role: HostRole::Entry,
         active: Box::new(move || slots.active()),
         store: Box::new(|| None),
+        tunnels,
         marks: Some(marks),
         on_hosts: Box::new(|_| {}),
         on_change: Box::new(move |change| log_view_change(&log, change)),
     }
 }
 
+/// Reports whether this host opens tunnels, and needs some.
+fn tunnel_reporter(dialer: &ServerDialer, draining: &Arc<AtomicBool>) -> TunnelReporter {
+    let (dialer, draining) = (dialer.clone(), draining.clone());
+    Box::new(move |now| {
+        let paths = dialer.paths();
+        TunnelReport {
+            offers: !paths.is_cut_off() && !draining.load(Ordering::Relaxed),
+            needs: paths.needs_tunnels(now),
+        }
+    })
+}
+
 /// Logs a change of the process's view of the fleet.
 pub(crate) fn log_view_change(log: &EventLog, change: ViewChange) {
     match change {
@@ -251,6 +279,8 @@
 struct EntryHandler {
     slots: SlotClient,
     view: FleetView,
+    dialer: ServerDialer,
+    log: EventLog,
 }
 
 impl RpcHandler for EntryHandler {
@@ -276,6 +306,25 @@
             Err(error) => log::warn!("entry: failed to decode a notice: {error}."),
         }
     }
+
+    fn connect_tunnel(
+        &self,
+        peer: Arc<PeerIdentity>,
+        target: SocketAddr,
+    ) -> BoxFuture<'static, Option<TcpStream>> {
+        let (dialer, log) = (self.dialer.clone(), self.log.clone());
+        async move {
+            let connection = dialer.connect_for_peer(target).await;
+            let fields = json!({
+                "for": peer.host,
+                "address": target,
+                "opened": connection.is_some(),
+            });
+            log.routine("tunnel", &fields);
+            connection
+        }
+        .boxed()
+    }
 }
 
 /// Answers readiness probes of the load balancer.
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Whether the connection may have been lost with the path to the server.
+    fn suggests_lost_path(self, framing: BodyFraming) -> bool {
+        self == Self::ServerSilent || self.suggests_crash(framing)
+    }
+
     /// Whether the server may have crashed while it ran the request.
     fn suggests_crash(self, framing: BodyFraming) -> bool {
         match self {
@@ -210,7 +215,7 @@
             };
             let end = run.answer_end(self.sequencer.last_event());
             self.context.forwarder.count_answer_end(&end);
-            self.end_broken_run(run, cause);
+            self.end_broken_run(run, cause).await;
             match self.fail_over(cause, &end).await {
                 Some(resumed) => run = resumed,
                 None => return Some(self.truncate(cause, &end)),
@@ -284,14 +289,23 @@
 
     /// Closes the connection to the server and returns its slot, before another server
     /// gets the stream.
-    fn end_broken_run(&mut self, run: RelayedRun, cause: BreakCause) {
+    async fn end_broken_run(&mut self, run: RelayedRun, cause: BreakCause) {
         let RelayedRun {
-            mut lease, framing, ..
+            body,
+            connection,
+            mut lease,
+            framing,
+            ..
         } = run;
+        drop(body);
+        self.context.state.avoid_server(&lease.server);
+        if cause.suggests_lost_path(framing) && connection.close_broken().await {
+            lease.end(RunOutcome::PathLost);
+            return;
+        }
         if cause.suggests_crash(framing) {
             lease.record_crash();
         }
-        self.context.state.avoid_server(&lease.server);
         lease.end(RunOutcome::Failed);
     }
 
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -7,7 +7,7 @@
 use crate::leader_client::LeaderClient;
 use crate::message::{
     Call, ControlAnswer, ControlCall, Encoded, HostRole, QuarantineUpdate, ReserveAnswer,
-    RosterUpdate, StoreReport, StoreView, SyncAnswer, SyncRequest,
+    RosterUpdate, StoreReport, StoreView, SyncAnswer, SyncRequest, TunnelReport,
 };
 use crate::process::ProcessBase;
 use crate::server_marks::{ServerMarks, ServerReports};
@@ -117,6 +117,8 @@
     servers: Arc<Vec<ServerCheckIn>>,
     reserves: ReserveState,
     quarantine: QuarantineState,
+    /// The entry hosts that offer tunnels, and when the list was received.
+    tunnel_hosts: Option<(Instant, Vec<RosterMember>)>,
     store: StoreView,
     /// Whether the last sync reached the leader.
     has_leader: bool,
@@ -184,6 +186,19 @@
         self.state().reserves.roster.clone()
     }
 
+    /// Entry hosts that offered tunnels when this host last asked.
+    pub(crate) fn tunnel_hosts(&self) -> Vec<RosterMember> {
+        let state = self.state();
+        let listed = state.tunnel_hosts.as_ref();
+        listed.map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+
+    /// The age of the list of tunnel hosts; `None` if there is none.
+    pub(crate) fn tunnel_hosts_age(&self, now: Instant) -> Option<Duration> {
+        let received_at = self.state().tunnel_hosts.as_ref()?.0;
+        Some(now.saturating_duration_since(received_at))
+    }
+
     /// The prompt segments in quarantine.
     pub(crate) fn quarantined(&self, now: Instant) -> Vec<QuarantinedSegments> {
         self.state().quarantine.current(now)
@@ -274,6 +289,7 @@
             roster: state.reserves.number,
             quarantine: state.quarantine.number,
             quarantined: state.quarantine.unreported.clone(),
+            tunnels: (reporter.tunnels)(now),
             store,
         }
     }
@@ -317,6 +333,9 @@
         for (team, count) in reply.reserves {
             state.reserves.held.add(team, count);
         }
+        if let Some(hosts) = reply.tunnel_hosts {
+            state.tunnel_hosts = Some((now, hosts));
+        }
         state.store = reply.store;
         state.fresh_at = state.fresh_at.max(Some(sent_at));
         drop(state);
@@ -346,6 +365,9 @@
 /// Called with the addresses of the control hosts.
 type HostsListener = Box<dyn Fn(&[SocketAddr]) + Send + Sync>;
 
+/// Returns what a host offers and needs to reach servers through tunnels.
+pub(crate) type TunnelReporter = Box<dyn Fn(Instant) -> TunnelReport + Send + Sync>;
+
 /// The sources of the state that a process reports at each sync, and the callbacks on
 /// the replies.
 pub(crate) struct SyncReporter {
@@ -354,6 +376,8 @@
     pub(crate) active: Box<dyn Fn() -> Vec<ActiveRun> + Send + Sync>,
     /// Returns the report of a store host about its seat; `None` on other hosts.
     pub(crate) store: Box<dyn Fn() -> Option<StoreReport> + Send + Sync>,
+    /// Returns what the host offers and needs in tunnels.
+    pub(crate) tunnels: TunnelReporter,
     /// What servers said in their responses; `None` on hosts that send to none.
     pub(crate) marks: Option<ServerMarks>,
     /// Called with the addresses of the control hosts after each sync.
@@ -380,6 +404,7 @@
             role: HostRole::Control,
             active: Box::new(Vec::new),
             store: Box::new(|| None),
+            tunnels: Box::new(|_| TunnelReport::default()),
             marks: None,
             on_hosts: Box::new(|_| {}),
             on_change: Box::new(|_| {}),
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -200,9 +200,19 @@
     pub(crate) quarantine: (u64, u64),
     /// What the leader before had in quarantine, if this leader did not know it.
     pub(crate) quarantined: Vec<QuarantinedSegments>,
+    pub(crate) tunnels: TunnelReport,
     pub(crate) store: Option<StoreReport>,
 }
 
+/// What a host offers and needs to reach servers through tunnels.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TunnelReport {
+    /// Whether the host opens tunnels for others: it reaches servers itself.
+    pub(crate) offers: bool,
+    /// Whether the host needs tunnels.
+    pub(crate) needs: bool,
+}
+
 /// The state of the job group that all hosts need.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct StoreView {
@@ -231,6 +241,8 @@
     pub(crate) roster: Option<RosterUpdate>,
     /// The prompt segments in quarantine, if they differ from those that the host holds.
     pub(crate) quarantine: Option<QuarantineUpdate>,
+    /// Some entry hosts that offer tunnels, if the host needs them.
+    pub(crate) tunnel_hosts: Option<Vec<RosterMember>>,
     pub(crate) store: StoreView,
 }
 
--- a/crates/roles/src/metrics.rs
+++ b/crates/roles/src/metrics.rs
@@ -106,6 +106,7 @@
             RunOutcome::WrongServer => "wrong_server",
             RunOutcome::Failed => "server_failed",
             RunOutcome::Leaving => "server_leaving",
+            RunOutcome::PathLost => "path_lost",
         };
         self.retries.add(1, &[KeyValue::new("reason", reason)]);
     }
--- a/crates/roles/src/process.rs
+++ b/crates/roles/src/process.rs
@@ -67,12 +67,15 @@
     /// # Errors
     ///
     /// Fails if the address cannot be bound.
-    pub(crate) async fn serve(&self, handler: Arc<dyn RpcHandler>) -> Result<(), ProcessError> {
+    pub(crate) async fn serve(
+        &self,
+        handler: Arc<dyn RpcHandler>,
+    ) -> Result<RpcServer, ProcessError> {
         let listen = &self.settings.listen;
         let address = listen.peers_bind.unwrap_or(listen.peers);
         let failed = |source| ListenError { address, source };
-        RpcServer::start(address, handler).await.map_err(failed)?;
-        Ok(())
+        let server = RpcServer::start(address, handler);
+        Ok(server.await.map_err(failed)?)
     }
 
     /// The peer addresses of the seeds in the settings. All processes of a fleet use the
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -1,6 +1,6 @@
 //! A single attempt to run a request on a backend server.
 
-use crate::connection_pool::{ConnectionPool, RequestSender};
+use crate::connection_pool::{ConnectionPath, ConnectionPool, OpenConnection};
 use crate::ports::{AnswerHead, ServerDialect};
 use crate::server_marks::{ServerIdentity, ServerMarks};
 use bytes::Bytes;
@@ -73,6 +73,24 @@
             ..Self::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause)
         }
     }
+
+    /// Attributes the failure of a response that was being read to the server or to the path
+    /// to it, and closes the connection.
+    pub(crate) async fn attribute(self, connection: PooledConnection) -> Self {
+        if self.outcome == RunOutcome::Failed && connection.close_broken().await {
+            return self.of_path();
+        }
+        self
+    }
+
+    /// The same failure, due to the path to the server rather than to the server.
+    fn of_path(self) -> Self {
+        Self {
+            outcome: RunOutcome::PathLost,
+            connection_lost: false,
+            ..self
+        }
+    }
 }
 
 /// A server's response, with its body not yet read.
@@ -87,7 +105,7 @@
 /// A connection whose response is being read.
 pub(crate) struct PooledConnection {
     address: SocketAddr,
-    sender: RequestSender,
+    connection: OpenConnection,
     idle_timeout: Option<Duration>,
     /// Whether the connection outlasts the response.
     is_reusable: bool,
@@ -100,9 +118,23 @@
     pub(crate) fn return_to_pool(self) {
         if self.is_reusable {
             self.pool
-                .put_idle(self.address, self.sender, self.idle_timeout);
+                .put_idle(self.address, self.connection, self.idle_timeout);
         }
     }
+
+    /// Closes the connection after its response broke off or fell silent. Returns whether
+    /// that is due to the path to the server, which other hosts reach.
+    pub(crate) async fn close_broken(self) -> bool {
+        let Self {
+            address,
+            connection,
+            pool,
+            ..
+        } = self;
+        let path = connection.path.clone();
+        drop(connection);
+        pool.is_path_lost(address, &path).await
+    }
 }
 
 /// Sends requests to servers. Clones share the connection pool.
@@ -117,24 +149,39 @@
     /// Sends a request and waits for the head of its response. Nothing is sent to a server
     /// that said before that it leaves.
     pub(crate) async fn send(&self, request: &ServerRequest) -> Result<ServerAnswer, RunFailure> {
-        let timeout = tokio::time::timeout(request.head_timeout, self.try_send(request));
-        if let Ok(result) = timeout.await {
-            return result;
+        let mut path = None;
+        let sending = self.try_send(request, &mut path);
+        let (failure, is_silent) = match tokio::time::timeout(request.head_timeout, sending).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(failure)) => (failure, false),
+            Err(_) => {
+                self.pool.close_idle(request.address);
+                let cause = "no answer began in time";
+                let failure = RunFailure::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause);
+                (failure, true)
+            }
+        };
+        if let Some(path) = path
+            && (is_silent || failure.connection_lost)
+            && self.pool.is_path_lost(request.address, &path).await
+        {
+            return Err(failure.of_path());
         }
-        self.pool.close_idle(request.address);
-        Err(RunFailure::new(
-            RunVerdict::MayHaveRun,
-            RunOutcome::Failed,
-            "no answer began in time",
-        ))
+        Err(failure)
     }
 
-    async fn try_send(&self, request: &ServerRequest) -> Result<ServerAnswer, RunFailure> {
+    /// Sends a request, and sets the path of the connection on which it is sent.
+    async fn try_send(
+        &self,
+        request: &ServerRequest,
+        path: &mut Option<ConnectionPath>,
+    ) -> Result<ServerAnswer, RunFailure> {
         let mut message = http_request(request)?;
         self.check_leaving(request)?;
-        if let Some(mut sender) = self.pool.take_idle(request.address, request.at_most_once) {
-            match sender.try_send_request(message).await {
-                Ok(response) => return self.read(request, sender, response),
+        if let Some(mut idle) = self.pool.take_idle(request.address, request.at_most_once) {
+            *path = Some(idle.path.clone());
+            match idle.sender.try_send_request(message).await {
+                Ok(response) => return self.read(request, idle, response),
                 Err(mut error) => match error.take_message() {
                     // Nothing was written, so another connection may be tried.
                     Some(unsent) => message = unsent,
@@ -142,7 +189,7 @@
                 },
             }
         }
-        let Ok(mut sender) = self.pool.open(request.address).await else {
+        let Ok(mut connection) = self.pool.open(request.address).await else {
             self.pool.close_idle(request.address);
             return Err(RunFailure::new(
                 RunVerdict::NotRun,
@@ -152,8 +199,9 @@
         };
         // The server may have said so while the connection was opened.
         self.check_leaving(request)?;
-        match sender.try_send_request(message).await {
-            Ok(response) => self.read(request, sender, response),
+        *path = Some(connection.path.clone());
+        match connection.sender.try_send_request(message).await {
+            Ok(response) => self.read(request, connection, response),
             Err(mut error) => match error.take_message() {
                 Some(_) => Err(RunFailure::new(
                     RunVerdict::NotRun,
@@ -179,7 +227,7 @@
     fn read(
         &self,
         request: &ServerRequest,
-        sender: RequestSender,
+        connection: OpenConnection,
         response: hyper::Response<Incoming>,
     ) -> Result<ServerAnswer, RunFailure> {
         let framing = BodyFraming::of(&response);
@@ -225,7 +273,7 @@
         }
         let connection = PooledConnection {
             address: request.address,
-            sender,
+            connection,
             idle_timeout: head.idle_timeout,
             is_reusable: framing != BodyFraming::UntilClose,
             pool: self.pool.clone(),
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -11,13 +11,14 @@
 use crate::membership_repair::{MembershipRepair, apply_change};
 use crate::message::{
     BatchCall, BatchReply, BootstrapAnswer, BootstrapCall, Call, ControlAnswer, GroupReply,
-    HostRole, JoinAnswer, Notice, StoreReport, encode,
+    HostRole, JoinAnswer, Notice, StoreReport, TunnelReport, encode,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::ports::ServerDialect;
 use crate::process::{ProcessBase, ProcessError};
 use crate::seat_manager::{SeatCell, SeatManager, SeatSource};
 use crate::seat_opener::SeatOpener;
+use crate::server_dialer::ServerDialer;
 use crate::server_marks::ServerMarks;
 use crate::server_run::ServerRunner;
 use crate::slot_client::SlotClient;
@@ -106,8 +107,9 @@
         let log = EventLog::start("store")?;
         let metrics = Arc::new(RoleMetrics::new()?);
         let marks = ServerMarks::new(base.clock.clone(), log.clone(), metrics.clone());
+        let dialer = ServerDialer::new(&base, view.clone(), log.clone());
         let runner = ServerRunner {
-            pool: ConnectionPool::new(base.clock.clone(), base.settings.listen.servers_from),
+            pool: ConnectionPool::new(base.clock.clone(), dialer),
             dialect: servers,
             marks: marks.clone(),
         };
@@ -383,6 +385,7 @@
 fn reporter(shared: &Arc<StoreShared>) -> SyncReporter {
     let slots = shared.slots.clone();
     let log = shared.log.clone();
+    let dialer = shared.runner.pool.dialer().clone();
     let shared = shared.clone();
     let first_start = shared.base.settings.control.first_start;
     SyncReporter {
@@ -393,6 +396,10 @@
             Box::new(move |hosts| addresses.save_hosts(hosts))
         },
         marks: Some(shared.runner.marks.clone()),
+        tunnels: Box::new(move |now| TunnelReport {
+            offers: false,
+            needs: dialer.paths().needs_tunnels(now),
+        }),
         store: Box::new(move || Some(shared.report(first_start))),
         on_change: Box::new(move |change| log_view_change(&log, change)),
     }
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -113,14 +113,23 @@
     loop {
         let frame = match tokio::time::timeout(SILENCE_MAX, body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => {
-                if !is_malformed(&error) {
-                    lease.record_crash();
+            Ok(Some(Err(error))) if is_malformed(&error) => {
+                return run_broken("the server broke off");
+            }
+            Ok(Some(Err(_))) => {
+                if response.connection.close_broken().await {
+                    return path_lost();
                 }
+                lease.record_crash();
                 return run_broken("the server broke off");
             }
             Ok(None) => break,
-            Err(_) => return run_broken("the server fell silent"),
+            Err(_) => {
+                if response.connection.close_broken().await {
+                    return path_lost();
+                }
+                return run_broken("the server fell silent");
+            }
         };
         lease.record_data(clock.now());
         if let Ok(chunk) = frame.into_data()
@@ -140,6 +149,11 @@
     (ItemEnd::Complete, RunOutcome::Served, "complete")
 }
 
+fn path_lost() -> RunEnd {
+    let cause = "the path to the server was lost";
+    (ItemEnd::Broken, RunOutcome::PathLost, cause)
+}
+
 fn run_broken(cause: &'static str) -> RunEnd {
     (ItemEnd::Broken, RunOutcome::Failed, cause)
 }
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::{ConnectionTask, OutboundCall, OutboundMessage};
 use crate::identity::PeerIdentity;
+use crate::tunnel::{TunnelError, TunnelStream, open_tunnel};
 use bytes::Bytes;
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
@@ -121,6 +122,20 @@
         }
     }
 
+    /// Opens a tunnel to `target` through a peer, on a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer cannot be reached, or does not reach the target. It has no time
+    /// limit of its own.
+    pub async fn open_tunnel(
+        &self,
+        peer: SocketAddr,
+        target: SocketAddr,
+    ) -> Result<TunnelStream, TunnelError> {
+        open_tunnel(&self.shared.identity, peer, target).await
+    }
+
     /// Sends a notice, without delivery guarantee.
     pub fn notify(&self, peer: SocketAddr, payload: impl Into<Bytes>) {
         if !self.send(peer, OutboundMessage::Notice(payload.into())) {
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -28,6 +28,13 @@
     Probe = 4,
     /// The reply to a probe.
     ProbeReply = 5,
+    /// Requests a tunnel to the address in the payload. The connection carries nothing else
+    /// from then on.
+    Tunnel = 6,
+    /// The tunnel is open; the bytes of the target follow.
+    TunnelOpened = 7,
+    /// The tunnel was not opened.
+    TunnelDeclined = 8,
 }
 
 /// One frame.
@@ -67,6 +74,9 @@
             3 => FrameKind::Notice,
             4 => FrameKind::Probe,
             5 => FrameKind::ProbeReply,
+            6 => FrameKind::Tunnel,
+            7 => FrameKind::TunnelOpened,
+            8 => FrameKind::TunnelDeclined,
             _ => return None,
         };
         let number = bytes.get_u64();
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -11,13 +11,17 @@
 //! An established connection can stop delivering data without being closed while
 //! new connections still work. Connections in use are therefore probed, and
 //! replaced when a probe is not answered in time.
+//!
+//! A process may open connections to third addresses for its peers, see [`TunnelStream`].
 
 mod client;
 mod connection;
 mod frame;
 mod identity;
 mod server;
+mod tunnel;
 
 pub use client::{RpcClient, RpcError};
 pub use identity::PeerIdentity;
 pub use server::{RpcHandler, RpcServer};
+pub use tunnel::{TunnelError, TunnelStream};
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -2,9 +2,10 @@
 
 use crate::frame::{FrameKind, RpcFrame, codec};
 use crate::identity::PeerIdentity;
+use crate::tunnel::{TunnelTracker, serve_tunnel};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +31,16 @@
 
     /// Handles a notice.
     fn notice(&self, peer: &PeerIdentity, payload: Bytes);
+
+    /// Connects to the target of a tunnel; `None` if it cannot be reached, or this process
+    /// opens no tunnels.
+    fn connect_tunnel(
+        &self,
+        _peer: Arc<PeerIdentity>,
+        _target: SocketAddr,
+    ) -> BoxFuture<'static, Option<TcpStream>> {
+        std::future::ready(None).boxed()
+    }
 }
 
 /// A running server for calls and notices.
@@ -37,6 +48,7 @@
     /// The address that the server is bound to.
     pub address: SocketAddr,
     task: JoinHandle<()>,
+    tunnels: TunnelTracker,
 }
 
 impl RpcServer {
@@ -48,8 +60,18 @@
     pub async fn start(address: SocketAddr, handler: Arc<dyn RpcHandler>) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let task = tokio::spawn(accept(listener, handler));
-        Ok(Self { address, task })
+        let tunnels = TunnelTracker::new();
+        let task = tokio::spawn(accept(listener, handler, tunnels.clone()));
+        Ok(Self {
+            address,
+            task,
+            tunnels,
+        })
+    }
+
+    /// Declines new tunnels, and waits until each one has finished its response.
+    pub async fn drain_tunnels(&self) {
+        self.tunnels.drain().await;
     }
 
     /// Closes the port and its connections.
@@ -58,14 +80,14 @@
     }
 }
 
-async fn accept(listener: TcpListener, handler: Arc<dyn RpcHandler>) {
+async fn accept(listener: TcpListener, handler: Arc<dyn RpcHandler>, tunnels: TunnelTracker) {
     // Aborting this task drops the set, which closes the connections.
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                    connections.spawn(serve(stream, handler.clone()));
+                    connections.spawn(serve(stream, handler.clone(), tunnels.clone()));
                 }
                 Err(error) => {
                     log::warn!("rpc: cannot accept a connection: {error}.");
@@ -77,13 +99,17 @@
     }
 }
 
-async fn serve(stream: TcpStream, handler: Arc<dyn RpcHandler>) {
-    if let Err(error) = serve_frames(stream, handler).await {
+async fn serve(stream: TcpStream, handler: Arc<dyn RpcHandler>, tunnels: TunnelTracker) {
+    if let Err(error) = serve_frames(stream, handler, &tunnels).await {
         log::debug!("rpc: connection ended with an error: {error}.");
     }
 }
 
-async fn serve_frames(stream: TcpStream, handler: Arc<dyn RpcHandler>) -> io::Result<()> {
+async fn serve_frames(
+    stream: TcpStream,
+    handler: Arc<dyn RpcHandler>,
+    tunnels: &TunnelTracker,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut stream = Framed::new(stream, codec());
     let (reply_sender, mut replies) = mpsc::unbounded_channel::<RpcFrame>();
@@ -97,6 +123,16 @@
                 };
                 let invalid = || io::Error::from(io::ErrorKind::InvalidData);
                 let frame = RpcFrame::decode(bytes?.freeze()).ok_or_else(invalid)?;
+                if frame.kind == FrameKind::Tunnel {
+                    let peer = peer.ok_or_else(invalid)?;
+                    let target = postcard::from_bytes(&frame.payload).map_err(io::Error::other)?;
+                    let target = if tunnels.is_draining() {
+                        None
+                    } else {
+                        handler.connect_tunnel(peer, target).await
+                    };
+                    return serve_tunnel(stream, target, tunnels).await;
+                }
                 process_frame(frame, &mut peer, &handler, &reply_sender)?
             }
         };
@@ -143,7 +179,11 @@
                 }
             });
         }
-        FrameKind::Reply | FrameKind::ProbeReply => {}
+        FrameKind::Reply
+        | FrameKind::ProbeReply
+        | FrameKind::Tunnel
+        | FrameKind::TunnelOpened
+        | FrameKind::TunnelDeclined => {}
     }
     Ok(None)
 }
--- /dev/null
+++ b/crates/rpc/src/tunnel.rs
@@ -0,0 +1,338 @@
+//! Tunnels: TCP connections to a third address through a peer.
+//!
+//! The bytes towards the target are forwarded as they are. Those from the target are framed, so
+//! that the client can tell an orderly end of the target's stream, a lost target, and a lost
+//! peer: an end of the peer's process would otherwise look like the end of a response that has
+//! no length.
+
+use crate::frame::{FrameKind, RpcFrame, codec};
+use crate::identity::PeerIdentity;
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::watch;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// The length of the header of a chunk: a big-endian number of bytes.
+const HEADER_BYTES: usize = 4;
+
+/// The largest chunk, in bytes.
+const CHUNK_MAX_BYTES: usize = 16 * 1024;
+
+/// The header that tells the orderly end of the target's stream.
+const END_MARK: u32 = 0;
+
+/// The header that tells that the connection to the target was lost.
+const LOST_MARK: u32 = u32::MAX;
+
+/// How long no bytes may pass a tunnel before it is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
+
+/// The silence after bytes from the target for which a tunnel may be between two responses,
+/// so that it need not outlast a shutdown.
+const RESPONSE_GAP_MAX: Duration = Duration::from_secs(2);
+
+/// Why a tunnel could not be opened.
+#[derive(Debug, thiserror::Error)]
+pub enum TunnelError {
+    /// The peer cannot be reached.
+    #[error("the peer cannot be reached: {0}")]
+    Peer(#[from] io::Error),
+    /// The peer reached no target, or opens no tunnels.
+    #[error("the peer did not open the tunnel")]
+    Declined,
+}
+
+/// Opens a tunnel to `target` through `peer`.
+pub(crate) async fn open_tunnel(
+    identity: &PeerIdentity,
+    peer: SocketAddr,
+    target: SocketAddr,
+) -> Result<TunnelStream, TunnelError> {
+    let stream = TcpStream::connect(peer).await?;
+    stream.set_nodelay(true)?;
+    let mut stream = Framed::new(stream, codec());
+    let hello = postcard::to_stdvec(identity).map_err(io::Error::other)?;
+    let hello = RpcFrame::new(FrameKind::Hello, 0, hello.into());
+    stream.feed(hello.encode()).await?;
+    let target = postcard::to_stdvec(&target).map_err(io::Error::other)?;
+    let request = RpcFrame::new(FrameKind::Tunnel, 0, target.into());
+    stream.send(request.encode()).await?;
+    let reply = stream.next().await.ok_or(TunnelError::Declined)??;
+    let reply = RpcFrame::decode(reply.freeze());
+    if reply.is_none_or(|reply| reply.kind != FrameKind::TunnelOpened) {
+        return Err(TunnelError::Declined);
+    }
+    let parts = stream.into_parts();
+    if !parts.read_buf.is_empty() {
+        // The target sent bytes before it got a request.
+        return Err(TunnelError::Declined);
+    }
+    Ok(TunnelStream {
+        stream: parts.io,
+        header: [0; HEADER_BYTES],
+        header_filled: 0,
+        chunk_left: 0,
+        has_ended: false,
+        peer_lost: Arc::default(),
+    })
+}
+
+/// The client's end of a tunnel.
+#[derive(Debug)]
+pub struct TunnelStream {
+    stream: TcpStream,
+    header: [u8; HEADER_BYTES],
+    header_filled: usize,
+    /// The bytes that are left of the current chunk.
+    chunk_left: usize,
+    has_ended: bool,
+    peer_lost: Arc<AtomicBool>,
+}
+
+impl TunnelStream {
+    /// A flag that is set once the connection to the peer is lost, which says nothing of
+    /// the target.
+    #[must_use]
+    pub fn peer_lost(&self) -> Arc<AtomicBool> {
+        self.peer_lost.clone()
+    }
+
+    fn lose_peer<T>(&self, error: io::Error) -> Poll<io::Result<T>> {
+        self.peer_lost.store(true, Ordering::Relaxed);
+        Poll::Ready(Err(error))
+    }
+
+    /// Reads the rest of a header. Returns whether another chunk follows.
+    fn poll_header(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        while self.header_filled < HEADER_BYTES {
+            let mut rest = ReadBuf::new(&mut self.header[self.header_filled..]);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut rest));
+            let count = rest.filled().len();
+            match read {
+                Ok(()) if count > 0 => self.header_filled += count,
+                Ok(()) => return self.lose_peer(io::ErrorKind::UnexpectedEof.into()),
+                Err(error) => return self.lose_peer(error),
+            }
+        }
+        self.header_filled = 0;
+        match u32::from_be_bytes(self.header) {
+            END_MARK => {
+                self.has_ended = true;
+                Poll::Ready(Ok(false))
+            }
+            LOST_MARK => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+            length => {
+                self.chunk_left = usize::try_from(length).unwrap_or(usize::MAX);
+                Poll::Ready(Ok(true))
+            }
+        }
+    }
+}
+
+impl AsyncRead for TunnelStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.has_ended {
+            return Poll::Ready(Ok(()));
+        }
+        if self.chunk_left == 0 && !ready!(self.poll_header(context))? {
+            return Poll::Ready(Ok(()));
+        }
+        let most = self.chunk_left.min(buffer.remaining());
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(most));
+        let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut part));
+        let count = part.filled().len();
+        match read {
+            Ok(()) if count > 0 => {
+                buffer.advance(count);
+                self.chunk_left -= count;
+                Poll::Ready(Ok(()))
+            }
+            Ok(()) => self.lose_peer(io::ErrorKind::UnexpectedEof.into()),
+            Err(error) => self.lose_peer(error),
+        }
+    }
+}
+
+impl AsyncWrite for TunnelStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+/// The tunnels through this process.
+#[derive(Clone, Debug)]
+pub(crate) struct TunnelTracker {
+    active: Arc<AtomicUsize>,
+    draining: watch::Sender<bool>,
+}
+
+impl TunnelTracker {
+    pub(crate) fn new() -> Self {
+        Self {
+            active: Arc::default(),
+            draining: watch::Sender::new(false),
+        }
+    }
+
+    /// Declines new tunnels, and waits until each one has finished its response.
+    pub(crate) async fn drain(&self) {
+        const POLL_INTERVAL: Duration = Duration::from_millis(20);
+        self.draining.send_replace(true);
+        while self.active.load(Ordering::Relaxed) > 0 {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        *self.draining.borrow()
+    }
+
+    fn enter(&self) -> ActiveTunnel {
+        self.active.fetch_add(1, Ordering::Relaxed);
+        ActiveTunnel {
+            active: self.active.clone(),
+        }
+    }
+}
+
+/// Counts a tunnel as active until it is dropped.
+struct ActiveTunnel {
+    active: Arc<AtomicUsize>,
+}
+
+impl Drop for ActiveTunnel {
+    fn drop(&mut self) {
+        self.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Replies to the request for a tunnel, and forwards its bytes until it ends. `target` is
+/// `None` if it could not be reached.
+pub(crate) async fn serve_tunnel(
+    mut stream: Framed<TcpStream, LengthDelimitedCodec>,
+    target: Option<TcpStream>,
+    tracker: &TunnelTracker,
+) -> io::Result<()> {
+    let Some(mut target) = target else {
+        let declined = RpcFrame::new(FrameKind::TunnelDeclined, 0, Bytes::new());
+        return stream.send(declined.encode()).await;
+    };
+    let _active = tracker.enter();
+    let opened = RpcFrame::new(FrameKind::TunnelOpened, 0, Bytes::new());
+    stream.send(opened.encode()).await?;
+    let parts = stream.into_parts();
+    let mut client = parts.io;
+    target.write_all(&parts.read_buf).await?;
+    let (from_client, to_client) = client.split();
+    let (from_target, to_target) = target.split();
+    let mut draining = tracker.draining.subscribe();
+    let activity = TunnelActivity::default();
+    tokio::select! {
+        // An end on the client's side ends the target's work at once.
+        _ = forward_requests(from_client, to_target, &activity) => Ok(()),
+        ended = forward_responses(from_target, to_client, &activity) => ended,
+        () = activity.wait_for_gap(&mut draining) => Ok(()),
+    }
+}
+
+/// Which way the latest bytes went.
+#[derive(Default)]
+struct TunnelActivity {
+    awaits_response: AtomicBool,
+    chunks: AtomicUsize,
+}
+
+impl TunnelActivity {
+    fn record(&self, is_request: bool) {
+        self.awaits_response.store(is_request, Ordering::Relaxed);
+        self.chunks.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Waits until the tunnel is between two responses while the process drains, or idle for
+    /// too long.
+    async fn wait_for_gap(&self, draining: &mut watch::Receiver<bool>) {
+        loop {
+            let chunks = self.chunks.load(Ordering::Relaxed);
+            let is_draining = *draining.borrow();
+            if is_draining {
+                tokio::time::sleep(RESPONSE_GAP_MAX).await;
+            } else {
+                // Either an idle tunnel or a change is handled below.
+                let _ = tokio::time::timeout(IDLE_TIMEOUT, draining.changed()).await;
+            }
+            let is_silent = chunks == self.chunks.load(Ordering::Relaxed);
+            let is_between = !self.awaits_response.load(Ordering::Relaxed);
+            let was_idle = !is_draining && !*draining.borrow();
+            if is_silent && (was_idle || (is_draining && is_between)) {
+                return;
+            }
+        }
+    }
+}
+
+async fn forward_requests(
+    mut client: ReadHalf<'_>,
+    mut target: WriteHalf<'_>,
+    activity: &TunnelActivity,
+) -> io::Result<()> {
+    let mut buffer = vec![0; CHUNK_MAX_BYTES];
+    let mut is_writable = true;
+    loop {
+        let count = client.read(&mut buffer).await?;
+        if count == 0 {
+            return Ok(());
+        }
+        activity.record(true);
+        // A target that takes no more bytes may have responded already.
+        is_writable = is_writable && target.write_all(&buffer[..count]).await.is_ok();
+    }
+}
+
+async fn forward_responses(
+    mut target: ReadHalf<'_>,
+    mut client: WriteHalf<'_>,
+    activity: &TunnelActivity,
+) -> io::Result<()> {
+    let mut buffer = vec![0; HEADER_BYTES + CHUNK_MAX_BYTES];
+    loop {
+        let mark = match target.read(&mut buffer[HEADER_BYTES..]).await {
+            Ok(0) => END_MARK,
+            Err(_) => LOST_MARK,
+            Ok(count) => {
+                activity.record(false);
+                let length = u32::try_from(count).map_err(io::Error::other)?;
+                buffer[..HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
+                client.write_all(&buffer[..HEADER_BYTES + count]).await?;
+                continue;
+            }
+        };
+        client.write_all(&mark.to_be_bytes()).await?;
+        return client.shutdown().await;
+    }
+}
--- /dev/null
+++ b/crates/rpc/tests/tunnel.rs
@@ -0,0 +1,181 @@
+//! Tunnels through a peer, over TCP sockets.
+
+use bytes::Bytes;
+use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelStream};
+use chicoryladder_types::SystemClock;
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Connects tunnels to any target.
+struct Connector;
+
+impl RpcHandler for Connector {
+    fn call(&self, _: Arc<PeerIdentity>, _: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        std::future::ready(None).boxed()
+    }
+
+    fn notice(&self, _: &PeerIdentity, _: Bytes) {}
+
+    fn connect_tunnel(
+        &self,
+        _: Arc<PeerIdentity>,
+        target: SocketAddr,
+    ) -> BoxFuture<'static, Option<TcpStream>> {
+        async move { TcpStream::connect(target).await.ok() }.boxed()
+    }
+}
+
+fn client() -> RpcClient {
+    let identity = PeerIdentity {
+        host: HostName::try_from("entry-1").expect("a valid name"),
+        zone: ZoneName::try_from("zone-a").expect("a valid name"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: 7,
+    };
+    RpcClient::new(identity, Arc::new(SystemClock))
+}
+
+async fn peer() -> RpcServer {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = RpcServer::start(address, Arc::new(Connector)).await;
+    server.expect("a free loopback port")
+}
+
+/// A tunnel with its peer, and the target's end of it.
+async fn tunnel() -> (RpcServer, TunnelStream, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let peer = peer().await;
+    let client = client();
+    let (tunnel, accepted) =
+        tokio::join!(client.open_tunnel(peer.address, address), listener.accept());
+    let (target, _) = accepted.expect("a connection");
+    (peer, tunnel.expect("a tunnel"), target)
+}
+
+async fn read_all(tunnel: &mut TunnelStream) -> (Vec<u8>, std::io::Result<usize>) {
+    let mut bytes = Vec::new();
+    let read = tokio::time::timeout(TIMEOUT, tunnel.read_to_end(&mut bytes)).await;
+    (bytes, read.expect("the tunnel ends"))
+}
+
+#[tokio::test]
+async fn bytes_pass_both_ways_and_an_orderly_end_arrives_as_one() {
+    let (_peer, mut tunnel, mut target) = tunnel().await;
+    let request: Vec<u8> = (0..200_000u32).map(|n| n.to_le_bytes()[0]).collect();
+    let sent = request.clone();
+    let answering = tokio::spawn(async move {
+        let mut received = vec![0; sent.len()];
+        target.read_exact(&mut received).await.expect("the request");
+        target.write_all(&received).await.expect("it is open");
+    });
+    let (mut from_tunnel, mut to_tunnel) = tokio::io::split(&mut tunnel);
+    let mut response = Vec::new();
+    let writing = to_tunnel.write_all(&request);
+    let reading = from_tunnel.read_to_end(&mut response);
+    let (written, read) = tokio::join!(writing, reading);
+    written.expect("the tunnel is open");
+    read.expect("an orderly end");
+    answering.await.expect("no panic");
+    assert!(response == request);
+}
+
+#[tokio::test]
+async fn a_lost_peer_does_not_look_like_the_end_of_the_response() {
+    let (peer, mut tunnel, mut target) = tunnel().await;
+    target
+        .write_all(b"the first half")
+        .await
+        .expect("it is open");
+    let mut first = [0; 14];
+    tunnel.read_exact(&mut first).await.expect("the first half");
+    peer.stop();
+    let (rest, end) = read_all(&mut tunnel).await;
+    assert!(rest.is_empty());
+    assert_eq!(
+        end.map_err(|error| error.kind()),
+        Err(ErrorKind::UnexpectedEof)
+    );
+    assert!(tunnel.peer_lost().load(Ordering::Relaxed));
+}
+
+#[tokio::test]
+async fn a_reset_by_the_target_arrives_as_one() {
+    let (_peer, mut tunnel, target) = tunnel().await;
+    target.set_zero_linger().expect("a socket option");
+    drop(target);
+    let (_, end) = read_all(&mut tunnel).await;
+    assert_eq!(
+        end.map_err(|error| error.kind()),
+        Err(ErrorKind::ConnectionReset)
+    );
+    assert!(!tunnel.peer_lost().load(Ordering::Relaxed));
+}
+
+#[tokio::test]
+async fn the_target_sees_at_once_that_the_client_has_left() {
+    let (_peer, mut tunnel, mut target) = tunnel().await;
+    tunnel.write_all(b"a request").await.expect("it is open");
+    let mut request = [0; 9];
+    target.read_exact(&mut request).await.expect("the request");
+    drop(tunnel);
+    let end = tokio::time::timeout(TIMEOUT, target.read(&mut request)).await;
+    assert_eq!(end.expect("the connection ends").unwrap_or_default(), 0);
+}
+
+#[tokio::test]
+async fn a_response_that_the_target_gives_before_it_stops_reading_arrives() {
+    let (_peer, mut tunnel, mut target) = tunnel().await;
+    tunnel.write_all(b"a request").await.expect("it is open");
+    let mut request = [0; 9];
+    target.read_exact(&mut request).await.expect("the request");
+    target.write_all(b"rejected").await.expect("it is open");
+    target.shutdown().await.expect("it is open");
+    let (response, end) = read_all(&mut tunnel).await;
+    assert_eq!(response, b"rejected");
+    end.expect("an orderly end");
+}
+
+#[tokio::test]
+async fn a_target_that_refuses_connections_declines_the_tunnel() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let closed = listener.local_addr().expect("an address");
+    drop(listener);
+    let peer = peer().await;
+    let opened = client().open_tunnel(peer.address, closed).await;
+    assert!(opened.is_err());
+}
+
+#[tokio::test]
+async fn a_peer_that_drains_finishes_responses_and_declines_new_tunnels() {
+    let (peer, mut tunnel, mut target) = tunnel().await;
+    tunnel.write_all(b"a request").await.expect("it is open");
+    let mut request = [0; 9];
+    target.read_exact(&mut request).await.expect("the request");
+    let address = peer.address;
+    let draining = tokio::spawn(async move { peer.drain_tunnels().await });
+    // Longer than the gap that may be between two responses.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(!draining.is_finished(), "a request awaits its response");
+    let target_address = target.local_addr().expect("an address");
+    let opened = client().open_tunnel(address, target_address).await;
+    assert!(opened.is_err());
+    target.write_all(b"a response").await.expect("it is open");
+    let mut response = [0; 10];
+    tunnel
+        .read_exact(&mut response)
+        .await
+        .expect("the response");
+    let drained = tokio::time::timeout(TIMEOUT, draining).await;
+    drained.expect("the tunnel is idle").expect("no panic");
+}
