Try tunnel hosts of every zone, and none that fails to reach servers itself

Cause: the three tunnel hosts tried for a connection were all of the own zone, where they were cut off as well; and a host that had never been helped had recorded no detour, so it went on to offer tunnels. Evidence: edge-fish-hall-14 logged no path_lost, and each of its attempts failed within 10 ms.

Now hosts of each zone are tried in turn, and a host that failed to reach two servers in a row offers none until it reaches one.

--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -261,7 +261,7 @@
     Box::new(move |now| {
         let paths = dialer.paths();
         TunnelReport {
-            offers: !paths.is_cut_off() && !draining.load(Ordering::Relaxed),
+            offers: paths.offers_tunnels() && !draining.load(Ordering::Relaxed),
             needs: paths.needs_tunnels(now),
         }
     })
--- a/crates/roles/src/server_dialer.rs
+++ b/crates/roles/src/server_dialer.rs
@@ -14,6 +14,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -104,6 +105,7 @@
             Ok(Err(error)) => Some(error),
             Err(_) => None,
         };
+        self.paths().record_unreached(server);
         let tunnel = self.open_tunnel(server);
         tokio::pin!(tunnel);
         let Some(error) = failure else {
@@ -222,18 +224,19 @@
         }
         let identity = self.rpc.identity();
         let listed = self.view.tunnel_hosts();
-        let (own_zone, others): (Vec<_>, Vec<_>) = listed
-            .into_iter()
-            .partition(|host| host.zone == identity.zone);
-        let addresses = |hosts: Vec<chicoryladder_broker::RosterMember>| -> Vec<SocketAddr> {
-            hosts.into_iter().map(|host| host.address).collect()
-        };
-        let (mut own_zone, others) = (addresses(own_zone), addresses(others));
-        if own_zone.is_empty() && others.is_empty() {
-            own_zone = self.view.zone_roster().hosts;
-            own_zone.retain(|host| *host != identity.address);
+        let mut zones: BTreeMap<(bool, ZoneName), Vec<SocketAddr>> = BTreeMap::new();
+        for host in listed {
+            let is_remote = host.zone != identity.zone;
+            let zone = zones.entry((is_remote, host.zone)).or_default();
+            zone.push(host.address);
+        }
+        if zones.is_empty() {
+            let mut hosts = self.view.zone_roster().hosts;
+            hosts.retain(|host| *host != identity.address);
+            zones.insert((false, identity.zone.clone()), hosts);
         }
-        self.paths().choose_hosts(&[&own_zone, &others], now)
+        let groups: Vec<&[SocketAddr]> = zones.values().map(Vec::as_slice).collect();
+        self.paths().choose_hosts(&groups, now)
     }
 }
 
--- a/crates/roles/src/server_paths.rs
+++ b/crates/roles/src/server_paths.rs
@@ -1,6 +1,6 @@
 //! Which servers a host reaches itself, and which only through tunnels of other hosts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -14,7 +14,8 @@
 /// The time after which a detour that was not used is forgotten.
 const DETOUR_EXPIRY: Duration = Duration::from_secs(30);
 
-/// The number of servers without an own path from which a host opens no tunnels for others.
+/// The number of servers without an own path from which a host is cut off, and opens no tunnels
+/// for others.
 const CUT_OFF_SERVERS: usize = 2;
 
 /// The time for which a tunnel host that failed is tried after the others.
@@ -47,6 +48,9 @@
 pub struct ServerPaths {
     /// The servers that are reached through tunnels only.
     detours: HashMap<SocketAddr, ServerDetour>,
+    /// The servers that the host failed to reach itself since it last reached one, up to
+    /// [`CUT_OFF_SERVERS`]. They may be lost as well.
+    unreached: HashSet<SocketAddr>,
     failed_hosts: HashMap<SocketAddr, Instant>,
     /// When a tunnel host was last needed.
     needed_at: Option<Instant>,
@@ -72,9 +76,17 @@
 
     /// Records that the host reached a server itself. Returns whether that ends a detour.
     pub fn record_direct(&mut self, server: SocketAddr) -> bool {
+        self.unreached.clear();
         self.detours.remove(&server).is_some()
     }
 
+    /// Records that the host did not reach a server itself.
+    pub fn record_unreached(&mut self, server: SocketAddr) {
+        if self.unreached.len() < CUT_OFF_SERVERS {
+            self.unreached.insert(server);
+        }
+    }
+
     /// Records that a server was reached through a tunnel while the host's own path failed.
     /// Returns whether that begins a detour.
     pub fn record_detour(&mut self, server: SocketAddr, now: Instant) -> bool {
@@ -105,12 +117,19 @@
         self.detours.len()
     }
 
-    /// Whether the host reaches so few servers itself that it opens no tunnels for others.
+    /// Whether several servers are reached through tunnels only.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
         self.detours.len() >= CUT_OFF_SERVERS
     }
 
+    /// Whether the host reaches servers itself, so that it can open tunnels for others. If
+    /// nobody has reached the servers for it, it may be cut off all the same.
+    #[must_use]
+    pub fn offers_tunnels(&self) -> bool {
+        !self.is_cut_off() && self.unreached.len() < CUT_OFF_SERVERS
+    }
+
     /// Records that a tunnel host is needed.
     pub fn record_need(&mut self, now: Instant) {
         self.needed_at = Some(now);
@@ -128,16 +147,21 @@
         self.failed_hosts.insert(host, now);
     }
 
-    /// The hosts through which to try to open a connection, in order: those that failed lately
-    /// last, and otherwise in turn among each of `groups`.
+    /// The hosts through which to try to open a connection, in order: one of each of the groups
+    /// in turn, since all hosts of a zone may be cut off at once, and those that failed lately
+    /// last.
     pub fn choose_hosts(&mut self, groups: &[&[SocketAddr]], now: Instant) -> Vec<SocketAddr> {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < HOST_FAILURE_PERIOD;
         self.failed_hosts.retain(|_, at| is_recent(at));
         self.choices = self.choices.wrapping_add(1);
         let mut hosts = Vec::new();
-        for group in groups.iter().filter(|group| !group.is_empty()) {
-            let (before, first) = group.split_at(self.choices % group.len());
-            hosts.extend(first.iter().chain(before).copied());
+        let longest = groups.iter().map(|group| group.len()).max();
+        for position in 0..longest.unwrap_or_default() {
+            let in_turn = |group: &&[SocketAddr]| {
+                let is_within = position < group.len();
+                is_within.then(|| group[(self.choices + position) % group.len()])
+            };
+            hosts.extend(groups.iter().filter_map(in_turn));
         }
         hosts.sort_by_key(|host| self.failed_hosts.contains_key(host));
         hosts.truncate(HOSTS_PER_CONNECTION);
--- a/crates/roles/tests/server_paths.rs
+++ b/crates/roles/tests/server_paths.rs
@@ -42,11 +42,43 @@
     let mut paths = ServerPaths::default();
     let now = Instant::now();
     paths.record_detour(address(1), now);
-    assert!(!paths.is_cut_off());
+    assert!(paths.offers_tunnels());
     paths.record_detour(address(2), now);
-    assert!(paths.is_cut_off());
+    assert!(!paths.offers_tunnels());
     paths.record_direct(address(1));
-    assert!(!paths.is_cut_off());
+    assert!(paths.offers_tunnels());
+}
+
+/// Guards against hosts of a zone that is cut off whole, which offered tunnels to one another
+/// for as long as nobody had reached a server for them.
+#[test]
+fn a_host_that_failed_to_reach_two_servers_in_a_row_offers_no_tunnels() {
+    let mut paths = ServerPaths::default();
+    paths.record_unreached(address(1));
+    paths.record_unreached(address(1));
+    assert!(paths.offers_tunnels());
+    paths.record_unreached(address(2));
+    assert!(!paths.offers_tunnels());
+    paths.record_direct(address(3));
+    assert!(paths.offers_tunnels());
+}
+
+/// Guards against a zone whose hosts are all cut off, and that try only one another.
+#[test]
+fn every_zone_is_among_the_first_tunnel_hosts() {
+    let mut paths = ServerPaths::default();
+    let zones = [
+        [address(1), address(2), address(3)],
+        [address(4), address(5), address(6)],
+        [address(7), address(8), address(9)],
+    ];
+    let groups = [&zones[0][..], &zones[1][..], &zones[2][..]];
+    for _ in 0..10 {
+        let hosts = paths.choose_hosts(&groups, Instant::now());
+        assert!(zones[0].contains(&hosts[0]), "{hosts:?}");
+        let has_one = |zone: &[SocketAddr; 3]| zone.iter().any(|host| hosts.contains(host));
+        assert!(zones.iter().all(has_one), "{hosts:?}");
+    }
 }
 
 #[test]
