Take the path to servers from hosts in the soak

Beside one fault in four, an entry or store host loses or regains its path to all servers. The draws have a generator of their own, so that the faults of earlier seeds stay as they were.

--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -62,6 +62,9 @@
 const LIMIT_ALLOWED: usize = 41;
 const MIXED_STREAMS_ALLOWED: usize = 2;
 
+/// The share of faults beside which a host loses or regains its path to all servers.
+const STRANDING_SHARE: f64 = 0.25;
+
 /// A fault to inject.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -321,6 +324,8 @@
 /// Runs the soak test with one seed.
 async fn run_seed(seed: u64, length: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    // A generator of its own leaves the other faults of a seed as they were.
+    let mut stranding = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
     let mut fleet = ProcessFleet::start().await;
     let observations = Observations::default();
     let deadline = Instant::now() + length;
@@ -342,12 +347,20 @@
         let interrupted = inject_fault(&mut fleet, fault, &mut rng, &mut wiped_at).await;
         let interrupted = interrupted.map(|host| (host, Instant::now()));
         lock(&observations.interruptions).extend(interrupted);
+        if stranding.random_bool(STRANDING_SHARE) {
+            let host = toggle_server_path(&mut fleet, &mut stranding);
+            injected.push(format!("toggled the server path of {host}"));
+            lock(&observations.interruptions).push((host, Instant::now()));
+        }
         let pause = rng.random_range(100..900);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         fleet.faults.heal();
     }
     while callers.join_next().await.is_some() {}
     fleet.faults.heal();
+    for name in fleet.hosts_without_path() {
+        fleet.restart_with_path(&name, true);
+    }
     check_final_state(&fleet, &jobs, acknowledged, &observations).await;
     check_departures(&fleet, &observations);
     check_limit(&fleet, &observations, &limited);
@@ -482,6 +495,17 @@
     None
 }
 
+/// Takes the path to all servers from an entry or store host, or gives it back. Returns the
+/// host, which starts again.
+fn toggle_server_path(fleet: &mut ProcessFleet, rng: &mut ChaCha8Rng) -> String {
+    let role = [Role::Entry, Role::Store][rng.random_range(0..2)];
+    let names = fleet.host_names(role);
+    let name = names[rng.random_range(0..names.len())].clone();
+    let is_stranded = fleet.hosts_without_path().contains(&name);
+    fleet.restart_with_path(&name, is_stranded);
+    name
+}
+
 /// Checks the final state: every item of every job has one correct result, no plan is
 /// older than the acknowledged one, no request ran more often than allowed, and no key
 /// reached a server.
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -173,6 +173,15 @@
         self.start_process(name, false);
     }
 
+    /// The hosts that were started without a path to servers.
+    pub(crate) fn hosts_without_path(&self) -> Vec<String> {
+        let stranded = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| host.servers_from.is_some());
+        stranded.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Starts the process of a host.
     pub(crate) fn start_process(&mut self, name: &str, first_start: bool) {
         let settings = self.folder.path().join(format!("{name}.ini"));
