--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -17,7 +17,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -84,14 +84,22 @@
 #[derive(Clone)]
 pub struct ServerClient {
     client: Arc<Mutex<PooledClient>>,
+    source: Option<IpAddr>,
 }
 
 impl ServerClient {
     /// Creates a client with its own connection pool.
     #[must_use]
     pub fn new() -> Self {
+        Self::from_address(None)
+    }
+
+    /// Creates a client whose connections begin at a local address, or at any.
+    #[must_use]
+    pub fn from_address(source: Option<IpAddr>) -> Self {
         Self {
-            client: Arc::new(Mutex::new(new_pooled_client())),
+            client: Arc::new(Mutex::new(new_pooled_client(source))),
+            source,
         }
     }
 
@@ -113,7 +121,7 @@
         let response = tokio::time::timeout(request.first_byte_timeout, sending)
             .await
             .map_err(|_| {
-                *self.lock_client() = new_pooled_client();
+                *self.lock_client() = new_pooled_client(self.source);
                 timed_out(request.first_byte_timeout)
             })?
             .map_err(|error| connection_failure(&error))?;
@@ -126,10 +134,11 @@
 }
 
 /// Creates a client with an empty connection pool.
-fn new_pooled_client() -> PooledClient {
+fn new_pooled_client(source: Option<IpAddr>) -> PooledClient {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
+    connector.set_local_address(source);
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -102,7 +102,7 @@
         let runner = AttemptRunner {
             replica: self.replica.clone(),
             routing: self.routing.clone(),
-            client: ServerClient::new(),
+            client: ServerClient::from_address(self.settings.listen.servers_from),
             clock: self.clock.clone(),
             ids: self.ids.clone(),
         };
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -6,7 +6,7 @@
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -83,6 +83,9 @@
     pub operators: SocketAddr,
     /// The address for other entry hosts.
     pub peers: SocketAddr,
+    /// The local address of connections to backend servers; the operating system chooses
+    /// one if it is absent.
+    pub servers_from: Option<IpAddr>,
 }
 
 /// How the host finds and authenticates other entry hosts.
--- a/crates/settings/src/host/read.rs
+++ b/crates/settings/src/host/read.rs
@@ -125,6 +125,7 @@
         let servers = section.required("servers");
         let operators = section.required("operators");
         let peers = section.required("peers");
+        let servers_from = section.optional("servers_from");
         report_shared_addresses(
             &mut section,
             &[
@@ -140,6 +141,7 @@
             servers: servers?,
             operators: operators?,
             peers: peers?,
+            servers_from,
         })
     }
 
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -10,6 +10,7 @@
 use chicoryladder_settings::HostSettings;
 use chicoryladder_standin::{EngineHandle, EngineOptions, EngineServer};
 use chicoryladder_standin::{PlainHandle, PlainOptions, PlainServer};
+use std::collections::HashSet;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -49,6 +50,8 @@
     folder: TempDir,
     ports: Vec<HostPorts>,
     hosts: Vec<Option<EntryHost>>,
+    /// The hosts whose connections to servers begin at an address that they do not have.
+    stranded: HashSet<usize>,
 }
 
 impl FleetFixture {
@@ -63,6 +66,7 @@
             folder,
             ports,
             hosts: (0..count).map(|_| None).collect(),
+            stranded: HashSet::new(),
         };
         for host in 0..count {
             fleet.start_host(host).await;
@@ -106,6 +110,14 @@
         self.hosts[host] = Some(start_with_free_ports(settings).await);
     }
 
+    /// Starts a host again without a path to any server.
+    pub(crate) async fn strand_host(&mut self, host: usize) {
+        self.kill_host(host).await;
+        self.stranded.insert(host);
+        self.start_host(host).await;
+        self.wait_ready(host).await;
+    }
+
     /// Stops a host without a shutdown, like a crash.
     pub(crate) async fn kill_host(&mut self, host: usize) {
         self.hosts[host].take().unwrap().kill().await;
@@ -268,12 +280,18 @@
     fn settings(&self, host: usize) -> String {
         let ports = self.ports[host];
         let zone = ZONES[host % ZONES.len()];
+        let servers_from = if self.stranded.contains(&host) {
+            "servers_from = 192.0.2.1\n"
+        } else {
+            ""
+        };
         let path = |name: &str| -> PathBuf { self.folder.path().join(name) };
         let mut text = format!(
             "[host]\nname = host-{host}\nzone = {zone}\n\
-             [listen]\ncallers = {}\nservers = {}\noperators = {}\npeers = {}\n\
+             [listen]\n{}callers = {}\nservers = {}\noperators = {}\npeers = {}\n\
              [operators]\ntoken_file = {}\n\
              [peers]\nsecret_file = {}\nseeds = {}\n[voters]\n",
+            servers_from,
             ports.callers,
             ports.servers,
             ports.operators,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,3 +20,4 @@
 mod quarantine;
 mod replicated_state;
 mod shutdown;
+mod stranded;
