--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -93,7 +93,6 @@
         let marks = ServerMarks::new(base.clock.clone(), log.clone(), metrics.clone());
         let slots = SlotClient::new(base.clone(), client.clone(), view.clone(), marks.clone());
         let control_client = client.clone();
-        let gauge_sources = (slots.clone(), view.clone());
         let draining = Arc::new(AtomicBool::new(false));
         let dialer = ServerDialer::new(&base, view.clone(), log.clone());
         let handler = EntryHandler {
@@ -102,6 +101,7 @@
             dialer: dialer.clone(),
             log: log.clone(),
         };
+        let gauge_sources = (slots.clone(), view.clone(), dialer.clone());
         let peers = base.serve(Arc::new(handler)).await?;
         let mut tasks = JoinSet::new();
         let tunnels = tunnel_reporter(&dialer, &draining);
@@ -220,11 +220,17 @@
     Ok(())
 }
 
-fn gauges((slots, view): &(SlotClient, FleetView), base: &ProcessBase) -> GaugeReader {
+fn gauges(
+    (slots, view, dialer): &(SlotClient, FleetView, ServerDialer),
+    base: &ProcessBase,
+) -> GaugeReader {
     let (slots, view, clock) = (slots.clone(), view.clone(), base.clock.clone());
+    let dialer = dialer.clone();
     Box::new(move || {
         let age = view.age(clock.now());
+        let detours = u32::try_from(dialer.paths().detours()).unwrap_or(u32::MAX);
         vec![
+            ("servers_detoured", f64::from(detours)),
             ("runs", slots.active_count()),
             ("without_broker", f64::from(u8::from(slots.is_brokerless()))),
             (
