Let daemons reach servers through each other

A daemon knew no way to a server but its own connection.

The choice of paths and the dialer move to a package of their own, crates/dialer, which the roles and the daemon share; each tells it which hosts open tunnels. Daemons take them from their settings ([listen] tunnels, [peers] tunnels) and authenticate requests for tunnels by the peer secret, with the time of the request. Without these keys a daemon does as before. A connection that broke on a lost path is no crash of the server.

--- a/crates/roles/src/server_dialer.rs
+++ b/crates/dialer/src/dialer.rs
@@ -5,16 +5,12 @@
 //! round trips. That a tunnel reaches a server which the host itself does not reach tells a
 //! lost path from a lost server.
 
-use crate::event_log::EventLog;
-use crate::fleet_view::FleetView;
-use crate::process::ProcessBase;
-use crate::server_paths::{FirstPath, ServerPaths};
+use crate::paths::{FirstPath, ServerPaths};
 use chicoryladder_rpc::{RpcClient, TunnelError, TunnelStream};
 use chicoryladder_types::prelude::*;
 use futures_util::StreamExt;
+use futures_util::future::BoxFuture;
 use futures_util::stream::FuturesUnordered;
-use serde_json::json;
-use std::collections::BTreeMap;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -38,48 +34,91 @@
 /// The timeout of a connection that this host opens for another one.
 const TUNNEL_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// The age from which the list of tunnel hosts is renewed before it is used.
-const HOSTS_AGE_MAX: Duration = Duration::from_secs(1);
+/// Tells which hosts open tunnels.
+pub trait TunnelHosts: Send + Sync {
+    /// The hosts that open tunnels, by zone, that of this host first. The list may be renewed
+    /// first; that takes no longer than a few round trips.
+    fn zones(&self) -> BoxFuture<'_, Vec<Vec<SocketAddr>>>;
+}
+
+/// A lost path to a server.
+#[derive(Debug)]
+pub struct PathLoss<'a> {
+    /// The server.
+    pub server: SocketAddr,
+    /// Why the host's own path failed.
+    pub cause: &'a io::Error,
+    /// The host through which the server was reached.
+    pub through: SocketAddr,
+    /// The number of servers that are reached through tunnels only.
+    pub detours: usize,
+}
 
-/// The time that the renewal of the list may take.
-const HOSTS_REFRESH_MAX: Duration = Duration::from_millis(50);
+/// Learns of lost and restored paths.
+pub trait PathObserver: Send + Sync {
+    /// A server was reached through a tunnel that the host's own path does not reach.
+    fn path_lost(&self, loss: &PathLoss<'_>);
+
+    /// The host's own path reaches a server again.
+    fn path_restored(&self, server: SocketAddr);
+}
 
 /// A connection to a server.
-pub(crate) enum ServerStream {
+#[derive(Debug)]
+pub enum ServerStream {
+    /// On the host's own path.
     Direct(TcpStream),
+    /// Through a tunnel of the named host.
     Tunnel(SocketAddr, TunnelStream),
 }
 
-/// Opens connections to servers; clones share what they learn of paths.
-#[derive(Clone)]
-pub(crate) struct ServerDialer {
+struct DialerShared {
     rpc: RpcClient,
     clock: Arc<dyn ClockSource>,
     /// The local address of connections on the host's own path; `None` for any.
     source: Option<IpAddr>,
-    view: FleetView,
-    log: EventLog,
-    paths: Arc<Mutex<ServerPaths>>,
+    hosts: Arc<dyn TunnelHosts>,
+    observer: Arc<dyn PathObserver>,
+    paths: Mutex<ServerPaths>,
+}
+
+/// Opens connections to servers; clones share what they learn of paths.
+#[derive(Clone)]
+pub struct ServerDialer {
+    shared: Arc<DialerShared>,
 }
 
 impl ServerDialer {
-    pub(crate) fn new(base: &ProcessBase, view: FleetView, log: EventLog) -> Self {
+    /// Creates a dialer whose connections begin at the local address `source`, or at any.
+    #[must_use]
+    pub fn new(
+        rpc: RpcClient,
+        clock: Arc<dyn ClockSource>,
+        source: Option<IpAddr>,
+        hosts: Arc<dyn TunnelHosts>,
+        observer: Arc<dyn PathObserver>,
+    ) -> Self {
+        let shared = DialerShared {
+            rpc,
+            clock,
+            source,
+            hosts,
+            observer,
+            paths: Mutex::default(),
+        };
         Self {
-            rpc: base.rpc.clone(),
-            clock: base.clock.clone(),
-            source: base.settings.listen.servers_from,
-            view,
-            log,
-            paths: Arc::default(),
+            shared: Arc::new(shared),
         }
     }
 
-    pub(crate) fn paths(&self) -> MutexGuard<'_, ServerPaths> {
-        self.paths.lock().unwrap_or_else(PoisonError::into_inner)
+    /// What is known of the host's paths.
+    pub fn paths(&self) -> MutexGuard<'_, ServerPaths> {
+        let paths = self.shared.paths.lock();
+        paths.unwrap_or_else(PoisonError::into_inner)
     }
 
     fn now(&self) -> Instant {
-        self.clock.now()
+        self.shared.clock.now()
     }
 
     /// Opens a connection to a server.
@@ -88,10 +127,10 @@
     ///
     /// Fails if no path leads to the server: it is lost, or this host and all tunnel hosts are
     /// cut off from it.
-    pub(crate) async fn open(&self, server: SocketAddr) -> io::Result<ServerStream> {
+    pub async fn open(&self, server: SocketAddr) -> io::Result<ServerStream> {
         let first = self.paths().first_path(server, self.now());
         let direct = async {
-            let connecting = connect_from(self.source, server);
+            let connecting = connect_from(self.shared.source, server);
             tokio::time::timeout(CONNECT_TIMEOUT, connecting).await?
         };
         tokio::pin!(direct);
@@ -135,8 +174,7 @@
 
     fn use_direct(&self, server: SocketAddr, stream: TcpStream) -> ServerStream {
         if self.paths().record_direct(server) {
-            self.log
-                .note("path_restored", &json!({ "address": server }));
+            self.shared.observer.path_restored(server);
         }
         ServerStream::Direct(stream)
     }
@@ -153,23 +191,22 @@
         let detours = paths.detours();
         drop(paths);
         if is_new {
-            let fields = json!({
-                "address": server,
-                "cause": cause.to_string(),
-                "through": host,
-                "detours": detours,
+            self.shared.observer.path_lost(&PathLoss {
+                server,
+                cause,
+                through: host,
+                detours,
             });
-            self.log.note("path_lost", &fields);
         }
         ServerStream::Tunnel(host, stream)
     }
 
     /// Opens a connection to a server for another host, on this host's own path only.
-    pub(crate) async fn connect_for_peer(&self, server: SocketAddr) -> Option<TcpStream> {
+    pub async fn connect_for_peer(&self, server: SocketAddr) -> Option<TcpStream> {
         if self.paths().is_detoured(server) {
             return None;
         }
-        let connecting = connect_from(self.source, server);
+        let connecting = connect_from(self.shared.source, server);
         let connected = tokio::time::timeout(TUNNEL_CONNECT_TIMEOUT, connecting).await;
         connected.ok()?.ok()
     }
@@ -177,8 +214,11 @@
     /// Opens a tunnel through the first host that reaches the server. A host that does not
     /// answer soon is tried beside the next one.
     async fn open_tunnel(&self, server: SocketAddr) -> Option<(SocketAddr, TunnelStream)> {
-        let hosts = self.choose_hosts().await;
-        let mut hosts = hosts.into_iter();
+        let now = self.now();
+        self.paths().record_need(now);
+        let zones = self.shared.hosts.zones().await;
+        let groups: Vec<&[SocketAddr]> = zones.iter().map(Vec::as_slice).collect();
+        let mut hosts = self.paths().choose_hosts(&groups, now).into_iter();
         let mut attempts = FuturesUnordered::new();
         let mut waiting: Vec<SocketAddr> = Vec::new();
         let deadline = tokio::time::sleep(TUNNEL_TIMEOUT);
@@ -187,7 +227,8 @@
         loop {
             if let Some(host) = hosts.next() {
                 waiting.push(host);
-                attempts.push(async move { (host, self.rpc.open_tunnel(host, server).await) });
+                attempts
+                    .push(async move { (host, self.shared.rpc.open_tunnel(host, server).await) });
             } else if attempts.is_empty() {
                 break;
             }
@@ -213,31 +254,6 @@
         drop(paths);
         opened
     }
-
-    /// The hosts through which to try a tunnel, those of this host's zone first.
-    async fn choose_hosts(&self) -> Vec<SocketAddr> {
-        let now = self.now();
-        self.paths().record_need(now);
-        let age = self.view.tunnel_hosts_age(now);
-        if age.is_none_or(|age| age > HOSTS_AGE_MAX) && self.view.has_leader() {
-            self.view.refresh(HOSTS_REFRESH_MAX).await;
-        }
-        let identity = self.rpc.identity();
-        let listed = self.view.tunnel_hosts();
-        let mut zones: BTreeMap<(bool, ZoneName), Vec<SocketAddr>> = BTreeMap::new();
-        for host in listed {
-            let is_remote = host.zone != identity.zone;
-            let zone = zones.entry((is_remote, host.zone)).or_default();
-            zone.push(host.address);
-        }
-        if zones.is_empty() {
-            let mut hosts = self.view.zone_roster().hosts;
-            hosts.retain(|host| *host != identity.address);
-            zones.insert((false, identity.zone.clone()), hosts);
-        }
-        let groups: Vec<&[SocketAddr]> = zones.values().map(Vec::as_slice).collect();
-        self.paths().choose_hosts(&groups, now)
-    }
 }
 
 /// Connects from a local address, or from any.
--- a/crates/roles/tests/server_paths.rs
+++ b/crates/dialer/tests/paths.rs
@@ -1,6 +1,6 @@
 //! Which path to a server a host takes, without network.
 
-use chicoryladder_roles::{FirstPath, ServerPaths};
+use chicoryladder_dialer::{FirstPath, ServerPaths};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod operators;
 mod ports;
 mod server_client;
+mod server_connector;
 mod servers;
 mod stream_end;
 
@@ -39,5 +40,6 @@
     OperatorPort, PlatformPort, ServerPort, SubmitRequest,
 };
 pub use server_client::{ServerClient, ServerFailure, ServerRequest, says_leaving};
+pub use server_connector::{ServerBytes, ServerConnector};
 pub use servers::ServerService;
 pub use stream_end::{StreamEnd, StreamOptions, watch_stream};
--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -7,6 +7,7 @@
 //! other failure it may have run.
 
 use crate::completeness::is_malformed;
+use crate::server_connector::{HyperConnector, ServerConnector, TcpConnector};
 use bytes::Bytes;
 use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
@@ -14,16 +15,12 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::{Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-/// The maximum time to open a connection to a backend server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// The time after which an idle connection is closed.
 const IDLE_CONNECTION_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -74,7 +71,7 @@
     }
 }
 
-type PooledClient = Client<HttpConnector, Full<Bytes>>;
+type PooledClient = Client<HyperConnector, Full<Bytes>>;
 
 /// Sends requests to backend servers; clones share connections.
 ///
@@ -84,25 +81,32 @@
 #[derive(Clone)]
 pub struct ServerClient {
     client: Arc<Mutex<PooledClient>>,
-    source: Option<IpAddr>,
+    connector: Arc<dyn ServerConnector>,
 }
 
 impl ServerClient {
-    /// Creates a client with its own connection pool.
+    /// Creates a client with its own connection pool, which opens connections itself.
     #[must_use]
     pub fn new() -> Self {
-        Self::from_address(None)
+        Self::with_connector(Arc::new(TcpConnector))
     }
 
-    /// Creates a client whose connections begin at a local address, or at any.
+    /// Creates a client with its own connection pool, whose connections a connector opens.
     #[must_use]
-    pub fn from_address(source: Option<IpAddr>) -> Self {
+    pub fn with_connector(connector: Arc<dyn ServerConnector>) -> Self {
         Self {
-            client: Arc::new(Mutex::new(new_pooled_client(source))),
-            source,
+            client: Arc::new(Mutex::new(new_pooled_client(connector.clone()))),
+            connector,
         }
     }
 
+    /// Whether other hosts reach a server that this one does not reach itself, so that a lost
+    /// connection says nothing of the server.
+    #[must_use]
+    pub fn is_path_lost(&self, server: SocketAddr) -> bool {
+        self.connector.is_path_lost(server)
+    }
+
     fn lock_client(&self) -> MutexGuard<'_, PooledClient> {
         self.client.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -121,7 +125,7 @@
         let response = tokio::time::timeout(request.first_byte_timeout, sending)
             .await
             .map_err(|_| {
-                *self.lock_client() = new_pooled_client(self.source);
+                *self.lock_client() = new_pooled_client(self.connector.clone());
                 timed_out(request.first_byte_timeout)
             })?
             .map_err(|error| connection_failure(&error))?;
@@ -134,15 +138,11 @@
 }
 
 /// Creates a client with an empty connection pool.
-fn new_pooled_client(source: Option<IpAddr>) -> PooledClient {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-    connector.set_nodelay(true);
-    connector.set_local_address(source);
+fn new_pooled_client(connector: Arc<dyn ServerConnector>) -> PooledClient {
     Client::builder(TokioExecutor::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_CONNECTION_TIMEOUT)
-        .build(connector)
+        .build(HyperConnector::new(connector))
 }
 
 impl Default for ServerClient {
--- a/crates/host/src/entry_host.rs
+++ b/crates/host/src/entry_host.rs
@@ -10,6 +10,7 @@
 use crate::replica::{ReplicaError, ReplicaHandle};
 use chicoryladder_gateway::{HttpListener, ListenError};
 use chicoryladder_link::{LinkCounts, LinkError, SecretError};
+use chicoryladder_rpc::RpcServer;
 use chicoryladder_settings::{HostSettings, ShutdownSettings};
 use chicoryladder_types::{FleetRevision, SystemClock};
 use std::net::SocketAddr;
@@ -73,6 +74,7 @@
     pub addresses: HostAddresses,
     drain: DrainFlag,
     batch: DispatcherHandle,
+    tunnels: Option<RpcServer>,
     shutdown: ShutdownSettings,
     replica: ReplicaHandle,
     peers: PeerDirectory,
@@ -122,12 +124,18 @@
             self.servers.drain().await;
             self.operators.drain().await;
             self.batch.drained().await;
+            if let Some(tunnels) = &self.tunnels {
+                tunnels.drain_tunnels().await;
+            }
         };
         match tokio::time::timeout(self.shutdown.drain_timeout, draining).await {
             Ok(()) => log::info!("host: drained; all requests have completed."),
             Err(_) => log::warn!("host: drain timeout expired; aborting the remaining requests."),
         }
         self.replica.transfer_leadership().await;
+        if let Some(tunnels) = self.tunnels.take() {
+            tunnels.stop();
+        }
         self.tasks.shutdown().await;
         self.peers.wait_closed().await;
     }
@@ -137,6 +145,9 @@
         self.callers.abort();
         self.servers.abort();
         self.operators.abort();
+        if let Some(tunnels) = self.tunnels.take() {
+            tunnels.stop();
+        }
         self.tasks.shutdown().await;
         self.peers.wait_closed().await;
     }
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -18,8 +18,9 @@
 use crate::tombstones::{
     FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
 };
+use crate::tunnels::HostTunnels;
 use chicoryladder_gateway::{
-    HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient,
+    HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient, ServerConnector,
 };
 use chicoryladder_link::{InboundMessage, LinkIdentity, LinkTiming, PeerLink, PeerSecret};
 use chicoryladder_settings::HostSettings;
@@ -48,7 +49,10 @@
     let shared_secret = read_text(&settings.peers.secret_file)?;
     let operator_token = read_text(&settings.operators.token_file)?;
     let (link, messages) = start_link(&settings, &shared_secret, clock.clone()).await?;
-    let components = HostComponents::start(settings, clock, ids, metrics, link, messages)?;
+    let incarnation = incarnation(clock.since_epoch());
+    let tunnels = HostTunnels::start(&settings, &shared_secret, incarnation, clock.clone()).await?;
+    let components =
+        HostComponents::start(settings, clock, ids, metrics, (link, messages), tunnels)?;
     components.listen(shared_secret, operator_token).await
 }
 
@@ -79,6 +83,7 @@
     clock: &'a Arc<dyn ClockSource>,
     ids: &'a Arc<RandomIds>,
     drain: &'a DrainFlag,
+    connector: &'a Arc<dyn ServerConnector>,
 }
 
 impl BatchComponents<'_> {
@@ -102,7 +107,7 @@
         let runner = AttemptRunner {
             replica: self.replica.clone(),
             routing: self.routing.clone(),
-            client: ServerClient::from_address(self.settings.listen.servers_from),
+            client: ServerClient::with_connector(self.connector.clone()),
             clock: self.clock.clone(),
             ids: self.ids.clone(),
         };
@@ -128,6 +133,7 @@
     quarantine: QuarantineHandle,
     drain: DrainFlag,
     batch: DispatcherHandle,
+    tunnels: HostTunnels,
     tasks: JoinSet<()>,
 }
 
@@ -137,8 +143,8 @@
         clock: Arc<dyn ClockSource>,
         ids: Arc<RandomIds>,
         metrics: Arc<HostMetrics>,
-        link: PeerLink,
-        messages: mpsc::Receiver<InboundMessage>,
+        (link, messages): (PeerLink, mpsc::Receiver<InboundMessage>),
+        tunnels: HostTunnels,
     ) -> Result<Self, HostError> {
         let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
         let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
@@ -196,6 +202,7 @@
             clock: &clock,
             ids: &ids,
             drain: &drain,
+            connector: &tunnels.connector,
         };
         let batch = batch_components.start(&mut tasks);
         Ok(Self {
@@ -212,6 +219,7 @@
             quarantine,
             drain,
             batch,
+            tunnels,
             tasks,
         })
     }
@@ -248,6 +256,7 @@
             addresses,
             drain: self.drain,
             batch: self.batch,
+            tunnels: self.tunnels.listener,
             shutdown: self.settings.shutdown,
             replica: self.replica,
             peers: self.directory,
--- a/crates/host/src/entry_host/components/services.rs
+++ b/crates/host/src/entry_host/components/services.rs
@@ -45,7 +45,7 @@
                 replica: self.replica.clone(),
                 clock: self.clock.clone(),
             },
-            client: ServerClient::from_address(self.settings.listen.servers_from),
+            client: ServerClient::with_connector(self.tunnels.connector.clone()),
             clock: self.clock.clone(),
             metrics: self.metrics.clone(),
         }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -26,6 +26,7 @@
 mod retries;
 mod routing;
 mod tombstones;
+mod tunnels;
 
 pub use entry_host::{EntryHost, HostAddresses, HostError};
 pub use ids::RandomIds;
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -110,6 +110,7 @@
             let grant = self.acquire(&plan, &excluded, deadline, verdict).await?;
             excluded.push(grant.name.clone());
             let crash = possible_crash(&grant);
+            let address = grant.address;
             let now = self.clock.now();
             let attempts = excluded.len() - unreachable;
             let timeouts = attempt_timeouts(&plan, attempts, deadline, now);
@@ -118,7 +119,7 @@
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
             };
-            if is_server_lost(&failure) {
+            if is_server_lost(&failure) && !self.client.is_path_lost(address) {
                 watch.report_crash(crash);
             }
             verdict = verdict.join(failure.verdict);
@@ -262,6 +263,7 @@
         let parts = answer.parts;
         let is_success = parts.status.is_success();
         let mut grant = answer.grant;
+        let client = self.client.clone();
         let metrics = self.metrics.clone();
         let boards = self.boards.clone();
         let clock = self.clock.clone();
@@ -291,6 +293,7 @@
                         watch.report_completion(possible_crash(&grant), took);
                     }
                     StreamEnd::Complete => watch.report_answer(),
+                    StreamEnd::Truncated if client.is_path_lost(grant.address) => {}
                     StreamEnd::Truncated => watch.report_crash(possible_crash(&grant)),
                     StreamEnd::Stalled
                     | StreamEnd::Malformed
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -3,8 +3,8 @@
 //! A connection carries one request at a time and is reused for the next. Any
 //! irregularity closes it: bytes that arrive without a request belong to none.
 
-use crate::server_dialer::{ServerDialer, ServerStream};
 use bytes::Bytes;
+use chicoryladder_dialer::{ServerDialer, ServerStream};
 use chicoryladder_types::prelude::*;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -12,13 +12,14 @@
 use crate::metrics::{GaugeReader, MetricsService, RoleMetrics};
 use crate::ports::{CallerDialect, ServerDialect};
 use crate::process::{ProcessBase, ProcessError};
-use crate::server_dialer::ServerDialer;
 use crate::server_marks::ServerMarks;
 use crate::server_run::ServerRunner;
 use crate::slot_client::SlotClient;
+use crate::tunnels::server_dialer;
 use bytes::Bytes;
+use chicoryladder_dialer::ServerDialer;
 use chicoryladder_gateway::{AnswerBody, HttpListener, HttpService, ListenerLimits};
-use chicoryladder_rpc::{PeerIdentity, RpcHandler, RpcServer};
+use chicoryladder_rpc::{PeerIdentity, RpcHandler, RpcServer, TunnelRequest};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -27,7 +28,6 @@
 use hyper::{Request, Response};
 use serde_json::json;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -94,7 +94,7 @@
         let slots = SlotClient::new(base.clone(), client.clone(), view.clone(), marks.clone());
         let control_client = client.clone();
         let draining = Arc::new(AtomicBool::new(false));
-        let dialer = ServerDialer::new(&base, view.clone(), log.clone());
+        let dialer = server_dialer(&base, &view, &log);
         let handler = EntryHandler {
             slots: slots.clone(),
             view: view.clone(),
@@ -316,14 +316,14 @@
     fn connect_tunnel(
         &self,
         peer: Arc<PeerIdentity>,
-        target: SocketAddr,
+        request: TunnelRequest,
     ) -> BoxFuture<'static, Option<TcpStream>> {
         let (dialer, log) = (self.dialer.clone(), self.log.clone());
         async move {
-            let connection = dialer.connect_for_peer(target).await;
+            let connection = dialer.connect_for_peer(request.target).await;
             let fields = json!({
                 "for": peer.host,
-                "address": target,
+                "address": request.target,
                 "opened": connection.is_some(),
             });
             log.routine("tunnel", &fields);
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -18,10 +18,10 @@
 use crate::process::{ProcessBase, ProcessError};
 use crate::seat_manager::{SeatCell, SeatManager, SeatSource};
 use crate::seat_opener::SeatOpener;
-use crate::server_dialer::ServerDialer;
 use crate::server_marks::ServerMarks;
 use crate::server_run::ServerRunner;
 use crate::slot_client::SlotClient;
+use crate::tunnels::server_dialer;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchAnswer, BatchCommand, BatchMachine};
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
@@ -107,7 +107,7 @@
         let log = EventLog::start("store")?;
         let metrics = Arc::new(RoleMetrics::new()?);
         let marks = ServerMarks::new(base.clock.clone(), log.clone(), metrics.clone());
-        let dialer = ServerDialer::new(&base, view.clone(), log.clone());
+        let dialer = server_dialer(&base, &view, &log);
         let runner = ServerRunner {
             pool: ConnectionPool::new(base.clock.clone(), dialer),
             dialect: servers,
--- /dev/null
+++ b/crates/roles/src/tunnels.rs
@@ -0,0 +1,88 @@
+//! How the processes of a fleet find hosts that open tunnels, and log lost paths.
+
+use crate::event_log::EventLog;
+use crate::fleet_view::FleetView;
+use crate::process::ProcessBase;
+use chicoryladder_dialer::{PathLoss, PathObserver, ServerDialer, TunnelHosts};
+use chicoryladder_types::prelude::*;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The age from which the list of tunnel hosts is renewed before it is used.
+const HOSTS_AGE_MAX: Duration = Duration::from_secs(1);
+
+/// The time that the renewal of the list may take.
+const HOSTS_REFRESH_MAX: Duration = Duration::from_millis(50);
+
+/// Creates the dialer of a process.
+pub(crate) fn server_dialer(base: &ProcessBase, view: &FleetView, log: &EventLog) -> ServerDialer {
+    let hosts = ListedHosts {
+        base: base.clone(),
+        view: view.clone(),
+    };
+    let observer = PathLog { log: log.clone() };
+    ServerDialer::new(
+        base.rpc.clone(),
+        base.clock.clone(),
+        base.settings.listen.servers_from,
+        Arc::new(hosts),
+        Arc::new(observer),
+    )
+}
+
+/// The hosts that the leader of the control group names.
+struct ListedHosts {
+    base: ProcessBase,
+    view: FleetView,
+}
+
+impl TunnelHosts for ListedHosts {
+    fn zones(&self) -> BoxFuture<'_, Vec<Vec<SocketAddr>>> {
+        async move {
+            let age = self.view.tunnel_hosts_age(self.base.clock.now());
+            if age.is_none_or(|age| age > HOSTS_AGE_MAX) && self.view.has_leader() {
+                self.view.refresh(HOSTS_REFRESH_MAX).await;
+            }
+            let identity = self.base.rpc.identity();
+            let mut zones: BTreeMap<(bool, ZoneName), Vec<SocketAddr>> = BTreeMap::new();
+            for host in self.view.tunnel_hosts() {
+                let is_remote = host.zone != identity.zone;
+                let zone = zones.entry((is_remote, host.zone)).or_default();
+                zone.push(host.address);
+            }
+            if zones.is_empty() {
+                let mut hosts = self.view.zone_roster().hosts;
+                hosts.retain(|host| *host != identity.address);
+                return vec![hosts];
+            }
+            zones.into_values().collect()
+        }
+        .boxed()
+    }
+}
+
+struct PathLog {
+    log: EventLog,
+}
+
+impl PathObserver for PathLog {
+    fn path_lost(&self, loss: &PathLoss<'_>) {
+        let fields = json!({
+            "address": loss.server,
+            "cause": loss.cause.to_string(),
+            "through": loss.through,
+            "detours": loss.detours,
+        });
+        self.log.note("path_lost", &fields);
+    }
+
+    fn path_restored(&self, server: SocketAddr) {
+        self.log
+            .note("path_restored", &json!({ "address": server }));
+    }
+}
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -3,6 +3,7 @@
 use crate::connection::{ConnectionTask, OutboundCall, OutboundMessage};
 use crate::identity::PeerIdentity;
 use crate::tunnel::{TunnelError, TunnelStream, open_tunnel};
+use crate::tunnel_request::{TunnelRequest, TunnelSecret};
 use bytes::Bytes;
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
@@ -32,6 +33,7 @@
     identity: Arc<PeerIdentity>,
     clock: Arc<dyn ClockSource>,
     runtime: Handle,
+    tunnel_secret: Option<TunnelSecret>,
     peers: Mutex<HashMap<SocketAddr, mpsc::Sender<OutboundMessage>>>,
 }
 
@@ -49,10 +51,21 @@
     /// Must be called within a Tokio runtime, which then runs the connections.
     #[must_use]
     pub fn new(identity: PeerIdentity, clock: Arc<dyn ClockSource>) -> Self {
+        Self::with_tunnel_secret(identity, clock, None)
+    }
+
+    /// Like [`Self::new`], with the secret by which requests for tunnels are authenticated.
+    #[must_use]
+    pub fn with_tunnel_secret(
+        identity: PeerIdentity,
+        clock: Arc<dyn ClockSource>,
+        tunnel_secret: Option<TunnelSecret>,
+    ) -> Self {
         let shared = ClientShared {
             identity: Arc::new(identity),
             clock,
             runtime: Handle::current(),
+            tunnel_secret,
             peers: Mutex::default(),
         };
         Self {
@@ -133,7 +146,11 @@
         peer: SocketAddr,
         target: SocketAddr,
     ) -> Result<TunnelStream, TunnelError> {
-        open_tunnel(&self.shared.identity, peer, target).await
+        let identity = &self.shared.identity;
+        let secret = self.shared.tunnel_secret.as_ref();
+        let since_epoch = self.shared.clock.since_epoch();
+        let request = TunnelRequest::new(identity, target, secret, since_epoch);
+        open_tunnel(identity, peer, &request).await
     }
 
     /// Sends a notice, without delivery guarantee.
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -28,7 +28,7 @@
     Probe = 4,
     /// The reply to a probe.
     ProbeReply = 5,
-    /// Requests a tunnel to the address in the payload. The connection carries nothing else
+    /// Requests the tunnel in the payload. The connection carries nothing else
     /// from then on.
     Tunnel = 6,
     /// The tunnel is open; the bytes of the target follow.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -20,8 +20,10 @@
 mod identity;
 mod server;
 mod tunnel;
+mod tunnel_request;
 
 pub use client::{RpcClient, RpcError};
 pub use identity::PeerIdentity;
 pub use server::{RpcHandler, RpcServer};
 pub use tunnel::{TunnelError, TunnelStream};
+pub use tunnel_request::{TunnelRequest, TunnelSecret};
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -3,6 +3,7 @@
 use crate::frame::{FrameKind, RpcFrame, codec};
 use crate::identity::PeerIdentity;
 use crate::tunnel::{TunnelTracker, serve_tunnel};
+use crate::tunnel_request::TunnelRequest;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -37,7 +38,7 @@
     fn connect_tunnel(
         &self,
         _peer: Arc<PeerIdentity>,
-        _target: SocketAddr,
+        _request: TunnelRequest,
     ) -> BoxFuture<'static, Option<TcpStream>> {
         std::future::ready(None).boxed()
     }
@@ -125,11 +126,11 @@
                 let frame = RpcFrame::decode(bytes?.freeze()).ok_or_else(invalid)?;
                 if frame.kind == FrameKind::Tunnel {
                     let peer = peer.ok_or_else(invalid)?;
-                    let target = postcard::from_bytes(&frame.payload).map_err(io::Error::other)?;
+                    let request = postcard::from_bytes(&frame.payload).map_err(io::Error::other)?;
                     let target = if tunnels.is_draining() {
                         None
                     } else {
-                        handler.connect_tunnel(peer, target).await
+                        handler.connect_tunnel(peer, request).await
                     };
                     return serve_tunnel(stream, target, tunnels).await;
                 }
--- a/crates/rpc/src/tunnel.rs
+++ b/crates/rpc/src/tunnel.rs
@@ -7,6 +7,7 @@
 
 use crate::frame::{FrameKind, RpcFrame, codec};
 use crate::identity::PeerIdentity;
+use crate::tunnel_request::TunnelRequest;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::io;
@@ -52,11 +53,11 @@
     Declined,
 }
 
-/// Opens a tunnel to `target` through `peer`.
+/// Opens a tunnel through `peer`.
 pub(crate) async fn open_tunnel(
     identity: &PeerIdentity,
     peer: SocketAddr,
-    target: SocketAddr,
+    request: &TunnelRequest,
 ) -> Result<TunnelStream, TunnelError> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
@@ -64,8 +65,8 @@
     let hello = postcard::to_stdvec(identity).map_err(io::Error::other)?;
     let hello = RpcFrame::new(FrameKind::Hello, 0, hello.into());
     stream.feed(hello.encode()).await?;
-    let target = postcard::to_stdvec(&target).map_err(io::Error::other)?;
-    let request = RpcFrame::new(FrameKind::Tunnel, 0, target.into());
+    let request = postcard::to_stdvec(request).map_err(io::Error::other)?;
+    let request = RpcFrame::new(FrameKind::Tunnel, 0, request.into());
     stream.send(request.encode()).await?;
     let reply = stream.next().await.ok_or(TunnelError::Declined)??;
     let reply = RpcFrame::decode(reply.freeze());
--- a/crates/rpc/tests/tunnel.rs
+++ b/crates/rpc/tests/tunnel.rs
@@ -1,7 +1,9 @@
 //! Tunnels through a peer, over TCP sockets.
 
 use bytes::Bytes;
-use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelStream};
+use chicoryladder_rpc::{
+    PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelRequest, TunnelSecret, TunnelStream,
+};
 use chicoryladder_types::SystemClock;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -29,9 +31,9 @@
     fn connect_tunnel(
         &self,
         _: Arc<PeerIdentity>,
-        target: SocketAddr,
+        request: TunnelRequest,
     ) -> BoxFuture<'static, Option<TcpStream>> {
-        async move { TcpStream::connect(target).await.ok() }.boxed()
+        async move { TcpStream::connect(request.target).await.ok() }.boxed()
     }
 }
 
@@ -179,3 +181,60 @@
     let drained = tokio::time::timeout(TIMEOUT, draining).await;
     drained.expect("the tunnel is idle").expect("no panic");
 }
+
+/// Opens tunnels for hosts that know a secret.
+struct GuardedConnector(TunnelSecret);
+
+impl RpcHandler for GuardedConnector {
+    fn call(&self, _: Arc<PeerIdentity>, _: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        std::future::ready(None).boxed()
+    }
+
+    fn notice(&self, _: &PeerIdentity, _: Bytes) {}
+
+    fn connect_tunnel(
+        &self,
+        peer: Arc<PeerIdentity>,
+        request: TunnelRequest,
+    ) -> BoxFuture<'static, Option<TcpStream>> {
+        let is_authentic = request.is_authentic(&peer, &self.0, SystemClock.since_epoch());
+        let is_replay = request.is_authentic(
+            &peer,
+            &self.0,
+            SystemClock.since_epoch() + Duration::from_secs(40),
+        );
+        async move {
+            assert!(!is_replay, "an old request is refused");
+            let connecting = TcpStream::connect(request.target);
+            if is_authentic {
+                connecting.await.ok()
+            } else {
+                None
+            }
+        }
+        .boxed()
+    }
+}
+
+#[tokio::test]
+async fn only_hosts_that_know_the_secret_get_tunnels() {
+    let target = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = target.local_addr().map(|address| (target, address));
+    let (_listener, address) = target.expect("an address");
+    let handler = GuardedConnector(TunnelSecret::new("a secret of all hosts"));
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    let peer = RpcServer::start(any_port, Arc::new(handler)).await;
+    let peer = peer.expect("a free loopback port");
+    let secrets = [
+        (Some("a secret of all hosts"), true),
+        (Some("another secret of hosts"), false),
+        (None, false),
+    ];
+    for (secret, is_opened) in secrets {
+        let identity = client().identity().clone();
+        let secret = secret.map(TunnelSecret::new);
+        let client = RpcClient::with_tunnel_secret(identity, Arc::new(SystemClock), secret);
+        let opened = client.open_tunnel(peer.address, address).await;
+        assert_eq!(opened.is_ok(), is_opened);
+    }
+}
--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -83,6 +83,9 @@
     pub operators: SocketAddr,
     /// The address for other entry hosts.
     pub peers: SocketAddr,
+    /// The address at which other hosts request tunnels to backend servers; none are opened
+    /// for them if it is absent.
+    pub tunnels: Option<SocketAddr>,
     /// The local address of connections to backend servers; the operating system chooses
     /// one if it is absent.
     pub servers_from: Option<IpAddr>,
@@ -95,6 +98,9 @@
     pub secret_file: PathBuf,
     /// Peer addresses to contact first; other hosts are discovered through them.
     pub seeds: Vec<SocketAddr>,
+    /// The addresses at which hosts open tunnels to backend servers, in case this host has no
+    /// path to one. That of this host itself is left out.
+    pub tunnels: Vec<SocketAddr>,
 }
 
 /// Where a host with a disk keeps its state.
--- a/crates/settings/src/host/read.rs
+++ b/crates/settings/src/host/read.rs
@@ -125,6 +125,7 @@
         let servers = section.required("servers");
         let operators = section.required("operators");
         let peers = section.required("peers");
+        let tunnels = section.optional("tunnels");
         let servers_from = section.optional("servers_from");
         report_shared_addresses(
             &mut section,
@@ -133,6 +134,7 @@
                 ("servers", servers),
                 ("operators", operators),
                 ("peers", peers),
+                ("tunnels", tunnels),
             ],
         );
         section.finish();
@@ -141,6 +143,7 @@
             servers: servers?,
             operators: operators?,
             peers: peers?,
+            tunnels,
             servers_from,
         })
     }
@@ -149,10 +152,12 @@
         let mut section = self.sections.required("peers")?;
         let secret_file = section.required("secret_file");
         let seeds = section.optional::<ValueList<SocketAddr>>("seeds");
+        let tunnels = section.optional::<ValueList<SocketAddr>>("tunnels");
         section.finish();
         Some(PeerSettings {
             secret_file: secret_file?,
             seeds: seeds.map(|list| list.0).unwrap_or_default(),
+            tunnels: tunnels.map(|list| list.0).unwrap_or_default(),
         })
     }
 
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -42,6 +42,7 @@
     pub(crate) servers: SocketAddr,
     pub(crate) operators: SocketAddr,
     pub(crate) peers: SocketAddr,
+    pub(crate) tunnels: SocketAddr,
 }
 
 /// A fleet of entry hosts, spread round robin over three zones. The first three
@@ -288,10 +289,11 @@
         let path = |name: &str| -> PathBuf { self.folder.path().join(name) };
         let mut text = format!(
             "[host]\nname = host-{host}\nzone = {zone}\n\
-             [listen]\n{}callers = {}\nservers = {}\noperators = {}\npeers = {}\n\
+             [listen]\n{}tunnels = {}\ncallers = {}\nservers = {}\noperators = {}\npeers = {}\n\
              [operators]\ntoken_file = {}\n\
-             [peers]\nsecret_file = {}\nseeds = {}\n[voters]\n",
+             [peers]\nsecret_file = {}\nseeds = {}\ntunnels = {}\n[voters]\n",
             servers_from,
+            ports.tunnels,
             ports.callers,
             ports.servers,
             ports.operators,
@@ -299,6 +301,7 @@
             path("token").display(),
             path("secret").display(),
             self.seeds(),
+            self.tunnels(),
         );
         let voters = self.ports.iter().take(3).enumerate();
         for (seat, ports) in voters {
@@ -312,6 +315,11 @@
         text
     }
 
+    fn tunnels(&self) -> String {
+        let addresses = self.ports.iter().map(|ports| ports.tunnels.to_string());
+        addresses.collect::<Vec<_>>().join(", ")
+    }
+
     fn seeds(&self) -> String {
         let addresses = self.ports.iter().map(|ports| ports.peers.to_string());
         addresses.collect::<Vec<_>>().join(", ")
@@ -349,6 +357,7 @@
             servers: free_address(),
             operators: free_address(),
             peers: free_address(),
+            tunnels: free_address(),
         }
     }
 }
