--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -3,7 +3,8 @@
 //! [`assignment`] chooses the server of a request or the item that it preempts,
 //! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
-//! of hosts, which [`path_reports`] tells from those of hosts without a path, and [`crashes`] refuses the requests under which servers crash.
+//! of hosts, [`path_reports`] tells these from the reports of hosts without a path, and
+//! [`crashes`] refuses the requests under which servers crash.
 
 mod assignment;
 mod crashes;
@@ -92,7 +93,7 @@
     tokens: u64,
     limit: BelievedLimit,
     contacts: ContactHistory,
-    /// The host whose report led to the latest suspension.
+    /// The host that did not reach the server, if the suspension is due to that.
     suspended_by: Option<RequesterId>,
 }
 
--- a/crates/broker/src/slots/failures.rs
+++ b/crates/broker/src/slots/failures.rs
@@ -60,6 +60,7 @@
         let pause = match report.outcome {
             RunOutcome::Served => {
                 record.lift_suspension();
+                entry.suspended_by = None;
                 return;
             }
             RunOutcome::Stopped | RunOutcome::Leaving | RunOutcome::PathLost => return,
@@ -78,7 +79,8 @@
             }
         };
         record.suspended_until = Some(now + pause);
-        entry.suspended_by = Some(grant.requester.clone());
+        let may_be_path = matches!(report.outcome, RunOutcome::Unreachable | RunOutcome::Failed);
+        entry.suspended_by = may_be_path.then(|| grant.requester.clone());
         if report.outcome == RunOutcome::Shed {
             return;
         }
--- a/crates/broker/tests/all/cut_off_hosts.rs
+++ b/crates/broker/tests/all/cut_off_hosts.rs
@@ -53,7 +53,6 @@
 struct Attempt {
     host: usize,
     server: String,
-    sent_at: Instant,
     ends_at: Instant,
     outcome: RunOutcome,
     tried: Vec<String>,
@@ -83,14 +82,8 @@
 
 impl Simulation {
     fn new(fault: PathFault) -> Self {
-        let names: Vec<String> = (0..SERVERS).map(|n| format!("s{n}")).collect();
-        let servers: Vec<(&str, &str)> = names
-            .iter()
-            .zip(ZONES.iter().cycle())
-            .map(|(name, zone)| (name.as_str(), *zone))
-            .collect();
         Self {
-            fixture: BrokerFixture::new(&servers, Vec::new()),
+            fixture: BrokerFixture::with_servers(SERVERS, &ZONES),
             cut_off: HashSet::new(),
             dark_servers: HashSet::new(),
             fault,
@@ -175,7 +168,6 @@
         let attempt = Attempt {
             host,
             server,
-            sent_at: self.fixture.now,
             ends_at: self.fixture.now + takes,
             outcome,
             tried,
@@ -190,7 +182,6 @@
         for ticket in due {
             let attempt = self.attempts.remove(&ticket).expect("it is listed");
             let is_served = attempt.outcome == RunOutcome::Served;
-            assert!(attempt.sent_at <= now);
             let report = RunReport {
                 first_answer: is_served.then_some(FIRST_ANSWER),
                 ..run_report(ticket, attempt.outcome)
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -50,14 +50,8 @@
 
 impl Simulation {
     fn new() -> Self {
-        let names: Vec<String> = (0..SERVERS).map(|n| format!("s{n}")).collect();
-        let servers: Vec<(&str, &str)> = names
-            .iter()
-            .zip(ZONES.iter().cycle())
-            .map(|(name, zone)| (name.as_str(), *zone))
-            .collect();
         Self {
-            fixture: BrokerFixture::new(&servers, Vec::new()),
+            fixture: BrokerFixture::with_servers(SERVERS, &ZONES),
             runs: BTreeMap::new(),
             kinds: BTreeMap::new(),
             sent: BTreeMap::new(),
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Like [`Self::new`], with servers `s0` and so on, spread over zones round robin.
+    pub(crate) fn with_servers(count: usize, zones: &[&str]) -> Self {
+        let names: Vec<String> = (0..count).map(|number| format!("s{number}")).collect();
+        let names = names.iter().map(String::as_str);
+        let servers: Vec<(&str, &str)> = names.zip(zones.iter().copied().cycle()).collect();
+        Self::new(&servers, Vec::new())
+    }
+
     pub(crate) fn slot_request(&mut self, kind: WorkKind) -> SlotRequest {
         let ticket = self.next_ticket;
         self.next_ticket += 1;
--- a/crates/dialer/src/dialer.rs
+++ b/crates/dialer/src/dialer.rs
@@ -129,46 +129,43 @@
     /// cut off from it.
     pub async fn open(&self, server: SocketAddr) -> io::Result<ServerStream> {
         let first = self.paths().first_path(server, self.now());
-        let direct = async {
-            let connecting = connect_from(self.shared.source, server);
-            tokio::time::timeout(CONNECT_TIMEOUT, connecting).await?
-        };
-        tokio::pin!(direct);
         if first == FirstPath::Tunnel
             && let Some((host, stream)) = self.open_tunnel(server).await
         {
             return Ok(ServerStream::Tunnel(host, stream));
         }
-        let failure = match tokio::time::timeout(DIRECT_HEAD_START, &mut direct).await {
-            Ok(Ok(stream)) => return Ok(self.use_direct(server, stream)),
-            Ok(Err(error)) => Some(error),
-            Err(_) => None,
+        let direct = async {
+            let connecting = connect_from(self.shared.source, server);
+            tokio::time::timeout(CONNECT_TIMEOUT, connecting).await?
         };
-        self.paths().record_unreached(server);
+        tokio::pin!(direct);
         let tunnel = self.open_tunnel(server);
         tokio::pin!(tunnel);
-        let Some(error) = failure else {
-            return tokio::select! {
+        let early = tokio::time::timeout(DIRECT_HEAD_START, &mut direct).await;
+        if !matches!(early, Ok(Ok(_))) {
+            self.paths().record_unreached(server);
+        }
+        let failure = match early {
+            Ok(Ok(stream)) => return Ok(self.use_direct(server, stream)),
+            Ok(Err(failure)) => failure,
+            Err(_) => tokio::select! {
                 biased;
                 connected = &mut direct => match connected {
-                    Ok(stream) => Ok(self.use_direct(server, stream)),
-                    Err(error) => match tunnel.await {
-                        Some((host, stream)) => Ok(self.use_detour(server, host, stream, &error)),
-                        None => Err(error),
-                    },
+                    Ok(stream) => return Ok(self.use_direct(server, stream)),
+                    Err(failure) => failure,
                 },
-                opened = &mut tunnel => match opened {
-                    Some((host, stream)) => {
-                        let error = io::ErrorKind::TimedOut.into();
-                        Ok(self.use_detour(server, host, stream, &error))
-                    }
-                    None => direct.await.map(|stream| self.use_direct(server, stream)),
-                },
-            };
+                opened = &mut tunnel => {
+                    let Some((host, stream)) = opened else {
+                        return direct.await.map(|stream| self.use_direct(server, stream));
+                    };
+                    let silence = io::ErrorKind::TimedOut.into();
+                    return Ok(self.use_detour(server, host, stream, &silence));
+                }
+            },
         };
         match tunnel.await {
-            Some((host, stream)) => Ok(self.use_detour(server, host, stream, &error)),
-            None => Err(error),
+            Some((host, stream)) => Ok(self.use_detour(server, host, stream, &failure)),
+            None => Err(failure),
         }
     }
 
--- a/crates/dialer/tests/dialer.rs
+++ b/crates/dialer/tests/dialer.rs
@@ -21,16 +21,6 @@
 }
 
 impl RpcHandler for TunnelHost {
-    fn call(
-        &self,
-        _: Arc<PeerIdentity>,
-        _: bytes::Bytes,
-    ) -> BoxFuture<'static, Option<bytes::Bytes>> {
-        std::future::ready(None).boxed()
-    }
-
-    fn notice(&self, _: &PeerIdentity, _: bytes::Bytes) {}
-
     fn connect_tunnel(
         &self,
         _: Arc<PeerIdentity>,
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -51,8 +51,7 @@
     let (link, messages) = start_link(&settings, &shared_secret, clock.clone()).await?;
     let incarnation = incarnation(clock.since_epoch());
     let tunnels = HostTunnels::start(&settings, &shared_secret, incarnation, clock.clone()).await?;
-    let components =
-        HostComponents::start(settings, clock, ids, metrics, (link, messages), tunnels)?;
+    let components = HostComponents::start(settings, clock, ids, metrics, link, messages, tunnels)?;
     components.listen(shared_secret, operator_token).await
 }
 
@@ -143,7 +142,8 @@
         clock: Arc<dyn ClockSource>,
         ids: Arc<RandomIds>,
         metrics: Arc<HostMetrics>,
-        (link, messages): (PeerLink, mpsc::Receiver<InboundMessage>),
+        link: PeerLink,
+        messages: mpsc::Receiver<InboundMessage>,
         tunnels: HostTunnels,
     ) -> Result<Self, HostError> {
         let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
--- a/crates/host/src/tunnels.rs
+++ b/crates/host/src/tunnels.rs
@@ -9,7 +9,6 @@
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use hyper::body::Bytes;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -130,12 +129,6 @@
 }
 
 impl RpcHandler for TunnelHandler {
-    fn call(&self, _: Arc<PeerIdentity>, _: Bytes) -> BoxFuture<'static, Option<Bytes>> {
-        std::future::ready(None).boxed()
-    }
-
-    fn notice(&self, _: &PeerIdentity, _: Bytes) {}
-
     fn connect_tunnel(
         &self,
         peer: Arc<PeerIdentity>,
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -120,31 +120,40 @@
         Ok(OpenConnection { sender, path })
     }
 
-    /// Whether a connection to a server was lost, or fell silent, since the path to the server
-    /// was lost: another host reaches it.
-    pub(crate) async fn is_path_lost(&self, address: SocketAddr, path: &ConnectionPath) -> bool {
+    /// Whether the path of a connection is known to be lost: other hosts reach the server, or
+    /// the host has lost its paths to several servers, or the connection to the tunnel host.
+    pub(crate) fn knows_lost_path(&self, address: SocketAddr, path: &ConnectionPath) -> bool {
+        let mut paths = self.dialer.paths();
         match path {
+            ConnectionPath::Direct => paths.is_detoured(address) || paths.is_cut_off(),
             ConnectionPath::Tunnel { host, host_lost } => {
                 let is_lost = host_lost.load(Ordering::Relaxed);
                 if is_lost {
-                    let now = self.clock.now();
-                    self.dialer.paths().record_host_failure(*host, now);
+                    paths.record_host_failure(*host, self.clock.now());
                 }
                 is_lost
             }
-            ConnectionPath::Direct if self.dialer.paths().is_detoured(address) => true,
-            ConnectionPath::Direct => {
-                let opening = tokio::time::timeout(PATH_CHECK_TIMEOUT, self.open(address));
-                let Ok(Ok(connection)) = opening.await else {
-                    return false;
-                };
-                let is_detour = matches!(connection.path, ConnectionPath::Tunnel { .. });
-                self.put_idle(address, connection, None);
-                is_detour
-            }
         }
     }
 
+    /// Like [`Self::knows_lost_path`], but finds out if it is not known whether the host's own
+    /// path is lost.
+    pub(crate) async fn is_path_lost(&self, address: SocketAddr, path: &ConnectionPath) -> bool {
+        if self.knows_lost_path(address, path) {
+            return true;
+        }
+        if matches!(path, ConnectionPath::Tunnel { .. }) {
+            return false;
+        }
+        let opening = tokio::time::timeout(PATH_CHECK_TIMEOUT, self.open(address));
+        let Ok(Ok(connection)) = opening.await else {
+            return false;
+        };
+        let is_detour = matches!(connection.path, ConnectionPath::Tunnel { .. });
+        self.put_idle(address, connection, None);
+        is_detour
+    }
+
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn put_idle(
         &self,
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -77,10 +77,13 @@
     /// Attributes the failure of a response that was being read to the server or to the path
     /// to it, and closes the connection.
     pub(crate) async fn attribute(self, connection: PooledConnection) -> Self {
-        if self.outcome == RunOutcome::Failed && connection.close_broken().await {
-            return self.of_path();
-        }
-        self
+        let is_path_lost = if self.connection_lost {
+            connection.close_broken().await
+        } else {
+            // The caller may have no time left for a check.
+            connection.knows_lost_path()
+        };
+        if is_path_lost { self.of_path() } else { self }
     }
 
     /// The same failure, due to the path to the server rather than to the server.
@@ -122,6 +125,12 @@
         }
     }
 
+    /// Whether the path to the server is known to be lost.
+    fn knows_lost_path(&self) -> bool {
+        self.pool
+            .knows_lost_path(self.address, &self.connection.path)
+    }
+
     /// Closes the connection after its response broke off or fell silent. Returns whether
     /// that is due to the path to the server, which other hosts reach.
     pub(crate) async fn close_broken(self) -> bool {
@@ -151,23 +160,31 @@
     pub(crate) async fn send(&self, request: &ServerRequest) -> Result<ServerAnswer, RunFailure> {
         let mut path = None;
         let sending = self.try_send(request, &mut path);
-        let (failure, is_silent) = match tokio::time::timeout(request.head_timeout, sending).await {
-            Ok(Ok(answer)) => return Ok(answer),
-            Ok(Err(failure)) => (failure, false),
-            Err(_) => {
-                self.pool.close_idle(request.address);
+        let result = tokio::time::timeout(request.head_timeout, sending).await;
+        let (address, pool) = (request.address, &self.pool);
+        let (failure, is_path_lost) = match (result, &path) {
+            (Ok(Ok(answer)), _) => return Ok(answer),
+            (Ok(Err(failure)), Some(path)) if failure.connection_lost => {
+                (failure, pool.is_path_lost(address, path).await)
+            }
+            (Ok(Err(failure)), _) => (failure, false),
+            (Err(_), path) => {
+                pool.close_idle(address);
                 let cause = "no answer began in time";
                 let failure = RunFailure::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause);
-                (failure, true)
+                // The caller may have no time left for a check.
+                let path = path.as_ref();
+                (
+                    failure,
+                    path.is_some_and(|path| pool.knows_lost_path(address, path)),
+                )
             }
         };
-        if let Some(path) = path
-            && (is_silent || failure.connection_lost)
-            && self.pool.is_path_lost(request.address, &path).await
-        {
-            return Err(failure.of_path());
-        }
-        Err(failure)
+        Err(if is_path_lost {
+            failure.of_path()
+        } else {
+            failure
+        })
     }
 
     /// Sends a request, and sets the path of the connection on which it is sent.
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -25,13 +25,15 @@
 /// The maximum time to flush replies to a peer.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Handles the messages of peers.
+/// Handles the messages of peers. What is not implemented is ignored.
 pub trait RpcHandler: Send + Sync {
     /// Handles a call; with `None` no reply is sent, and the caller times out.
-    fn call(&self, peer: Arc<PeerIdentity>, payload: Bytes) -> BoxFuture<'static, Option<Bytes>>;
+    fn call(&self, _peer: Arc<PeerIdentity>, _payload: Bytes) -> BoxFuture<'static, Option<Bytes>> {
+        std::future::ready(None).boxed()
+    }
 
     /// Handles a notice.
-    fn notice(&self, peer: &PeerIdentity, payload: Bytes);
+    fn notice(&self, _peer: &PeerIdentity, _payload: Bytes) {}
 
     /// Connects to the target of a tunnel; `None` if it cannot be reached, or this process
     /// opens no tunnels.
--- a/crates/rpc/tests/tunnel.rs
+++ b/crates/rpc/tests/tunnel.rs
@@ -1,6 +1,5 @@
 //! Tunnels through a peer, over TCP sockets.
 
-use bytes::Bytes;
 use chicoryladder_rpc::{
     PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelRequest, TunnelSecret, TunnelStream,
 };
@@ -22,12 +21,6 @@
 struct Connector;
 
 impl RpcHandler for Connector {
-    fn call(&self, _: Arc<PeerIdentity>, _: Bytes) -> BoxFuture<'static, Option<Bytes>> {
-        std::future::ready(None).boxed()
-    }
-
-    fn notice(&self, _: &PeerIdentity, _: Bytes) {}
-
     fn connect_tunnel(
         &self,
         _: Arc<PeerIdentity>,
@@ -186,12 +179,6 @@
 struct GuardedConnector(TunnelSecret);
 
 impl RpcHandler for GuardedConnector {
-    fn call(&self, _: Arc<PeerIdentity>, _: Bytes) -> BoxFuture<'static, Option<Bytes>> {
-        std::future::ready(None).boxed()
-    }
-
-    fn notice(&self, _: &PeerIdentity, _: Bytes) {}
-
     fn connect_tunnel(
         &self,
         peer: Arc<PeerIdentity>,
