Send no further request through a host that is about to stop

Found while reading the change: callers of a cut-off host lost requests in flight when a host that opened tunnels for it was stopped as planned.

Cause: kept tunnels were reused under load, so that the stopping host still had requests on them at its drain timeout, and ended them with its process. A gap of 2 s between responses was also taken for the end of one, which would cut a slow but sound stream.

The stopping host now sends a mark between chunks. The client takes such tunnels out of its pool and puts none back; requests in flight end whole. Clients of daemons replace their pool, as they do after a silence. The host ends when its clients have closed the tunnels, or at the drain timeout.

The test of rpc on drains asserted the gap; its replacement asserts that a response with a pause is whole, that the client is told, and that the drain ends once the tunnel is closed.

--- a/crates/dialer/src/dialer.rs
+++ b/crates/dialer/src/dialer.rs
@@ -117,6 +117,12 @@
         paths.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The number of tunnels so far whose hosts said that they are about to stop.
+    #[must_use]
+    pub fn closing_tunnels(&self) -> usize {
+        self.shared.rpc.closing_tunnels()
+    }
+
     fn now(&self) -> Instant {
         self.shared.clock.now()
     }
--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -73,14 +73,29 @@
 
 type PooledClient = Client<HyperConnector, Full<Bytes>>;
 
+struct ClientPool {
+    client: PooledClient,
+    /// The closing connections so far when the pool was created.
+    closing_connections: usize,
+}
+
+impl ClientPool {
+    fn new(connector: &Arc<dyn ServerConnector>) -> Self {
+        Self {
+            closing_connections: connector.closing_connections(),
+            client: new_pooled_client(connector.clone()),
+        }
+    }
+}
+
 /// Sends requests to backend servers; clones share connections.
 ///
-/// When a request times out, the connection pool is replaced, so that all idle
-/// connections are dropped: the cause may affect all of them, and opening a new
-/// connection is cheap.
+/// When a request times out, or some connections should get no further request, the
+/// connection pool is replaced, so that all idle connections are dropped: the cause may affect
+/// all of them, and opening a new connection is cheap.
 #[derive(Clone)]
 pub struct ServerClient {
-    client: Arc<Mutex<PooledClient>>,
+    pool: Arc<Mutex<ClientPool>>,
     connector: Arc<dyn ServerConnector>,
 }
 
@@ -95,7 +110,7 @@
     #[must_use]
     pub fn with_connector(connector: Arc<dyn ServerConnector>) -> Self {
         Self {
-            client: Arc::new(Mutex::new(new_pooled_client(connector.clone()))),
+            pool: Arc::new(Mutex::new(ClientPool::new(&connector))),
             connector,
         }
     }
@@ -107,8 +122,16 @@
         self.connector.is_path_lost(server)
     }
 
-    fn lock_client(&self) -> MutexGuard<'_, PooledClient> {
-        self.client.lock().unwrap_or_else(PoisonError::into_inner)
+    fn pool(&self) -> MutexGuard<'_, ClientPool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn client(&self) -> PooledClient {
+        let mut pool = self.pool();
+        if pool.closing_connections != self.connector.closing_connections() {
+            *pool = ClientPool::new(&self.connector);
+        }
+        pool.client.clone()
     }
 
     /// Sends a request and waits for the header fields of the response.
@@ -120,12 +143,12 @@
     /// or if the server refuses the request.
     pub async fn send(&self, request: &ServerRequest) -> Result<Response<Incoming>, ServerFailure> {
         let message = http_request(request)?;
-        let client = self.lock_client().clone();
+        let client = self.client();
         let sending = client.request(message);
         let response = tokio::time::timeout(request.first_byte_timeout, sending)
             .await
             .map_err(|_| {
-                *self.lock_client() = new_pooled_client(self.connector.clone());
+                *self.pool() = ClientPool::new(&self.connector);
                 timed_out(request.first_byte_timeout)
             })?
             .map_err(|error| connection_failure(&error))?;
--- a/crates/gateway/src/server_connector.rs
+++ b/crates/gateway/src/server_connector.rs
@@ -30,6 +30,10 @@
 
     /// Whether other hosts reach a server that this one does not reach itself.
     fn is_path_lost(&self, server: SocketAddr) -> bool;
+
+    /// The number of connections so far on which no further request should be sent. While it
+    /// is unchanged, all kept connections may be used.
+    fn closing_connections(&self) -> usize;
 }
 
 /// Opens connections over TCP.
@@ -50,6 +54,10 @@
     fn is_path_lost(&self, _: SocketAddr) -> bool {
         false
     }
+
+    fn closing_connections(&self) -> usize {
+        0
+    }
 }
 
 /// Lets the HTTP client open its connections by a [`ServerConnector`].
--- a/crates/host/src/tunnels.rs
+++ b/crates/host/src/tunnels.rs
@@ -119,6 +119,10 @@
     fn is_path_lost(&self, server: SocketAddr) -> bool {
         self.dialer.paths().is_detoured(server)
     }
+
+    fn closing_connections(&self) -> usize {
+        self.dialer.closing_tunnels()
+    }
 }
 
 /// Opens connections for hosts that know the shared secret.
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use chicoryladder_dialer::{ServerDialer, ServerStream};
+use chicoryladder_rpc::TunnelHealth;
 use chicoryladder_types::prelude::*;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite};
 
@@ -42,11 +42,17 @@
     Direct,
     Tunnel {
         host: SocketAddr,
-        /// Set once the connection to `host` is lost.
-        host_lost: Arc<AtomicBool>,
+        health: Arc<TunnelHealth>,
     },
 }
 
+impl ConnectionPath {
+    /// Whether no further request should take it, as its tunnel host is about to stop.
+    fn is_closing(&self) -> bool {
+        matches!(self, Self::Tunnel { health, .. } if health.is_closing())
+    }
+}
+
 /// A connection that no request uses.
 pub(crate) struct OpenConnection {
     pub(crate) sender: RequestSender,
@@ -64,7 +70,14 @@
 pub(crate) struct ConnectionPool {
     clock: Arc<dyn ClockSource>,
     dialer: ServerDialer,
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    idle: Arc<Mutex<IdleConnections>>,
+}
+
+#[derive(Default)]
+struct IdleConnections {
+    by_server: HashMap<SocketAddr, Vec<IdleConnection>>,
+    /// The closing tunnels so far when those among the connections were last closed.
+    closing_tunnels: usize,
 }
 
 impl ConnectionPool {
@@ -80,13 +93,26 @@
         &self.dialer
     }
 
+    /// The idle connections, without those through hosts that are about to stop.
+    fn idle(&self) -> MutexGuard<'_, IdleConnections> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let closing_tunnels = self.dialer.closing_tunnels();
+        if idle.closing_tunnels != closing_tunnels {
+            idle.closing_tunnels = closing_tunnels;
+            for connections in idle.by_server.values_mut() {
+                connections.retain(|c| !c.connection.path.is_closing());
+            }
+        }
+        idle
+    }
+
     /// Takes the most recently used idle connection to a server.
     ///
     /// With `fresh`, only one that was idle for less than [`FRESH_MAX_AGE`].
     pub(crate) fn take_idle(&self, address: SocketAddr, fresh: bool) -> Option<OpenConnection> {
         let now = self.clock.now();
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(&address)?;
+        let mut idle = self.idle();
+        let connections = idle.by_server.get_mut(&address)?;
         connections.retain(|c| !c.connection.sender.is_closed() && now < c.usable_until);
         let last = connections.last()?;
         let is_fresh = now.saturating_duration_since(last.idle_since) < FRESH_MAX_AGE;
@@ -109,8 +135,8 @@
                 ConnectionPath::Direct,
             ),
             ServerStream::Tunnel(host, stream) => {
-                let host_lost = stream.peer_lost();
-                let path = ConnectionPath::Tunnel { host, host_lost };
+                let health = stream.health();
+                let path = ConnectionPath::Tunnel { host, health };
                 (start_connection(address, stream).await?, path)
             }
         };
@@ -126,8 +152,8 @@
         let mut paths = self.dialer.paths();
         match path {
             ConnectionPath::Direct => paths.is_detoured(address) || paths.is_cut_off(),
-            ConnectionPath::Tunnel { host, host_lost } => {
-                let is_lost = host_lost.load(Ordering::Relaxed);
+            ConnectionPath::Tunnel { host, health } => {
+                let is_lost = health.is_lost();
                 if is_lost {
                     paths.record_host_failure(*host, self.clock.now());
                 }
@@ -161,7 +187,7 @@
         connection: OpenConnection,
         idle_timeout: Option<Duration>,
     ) {
-        if connection.sender.is_closed() {
+        if connection.sender.is_closed() || connection.path.is_closing() {
             return;
         }
         let now = self.clock.now();
@@ -173,26 +199,25 @@
             idle_since: now,
             usable_until: now + usable_for,
         };
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(address).or_default();
+        let mut idle = self.idle();
+        let connections = idle.by_server.entry(address).or_default();
         connections.retain(|c| !c.connection.sender.is_closed() && now < c.usable_until);
         if connections.len() < IDLE_PER_SERVER_MAX {
             connections.push(connection);
         }
-        idle.retain(|_, connections| !connections.is_empty());
+        idle.by_server
+            .retain(|_, connections| !connections.is_empty());
     }
 
     /// Closes the idle connections to a server that appears to have failed.
     pub(crate) fn close_idle(&self, address: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&address);
+        self.idle().by_server.remove(&address);
     }
 
     /// Closes the idle connections that do not lead through tunnels. Those that a host had
     /// when it was cut off may hang.
     fn close_idle_on_lost_paths(&self) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        for connections in idle.values_mut() {
+        for connections in self.idle().by_server.values_mut() {
             connections.retain(|c| matches!(c.connection.path, ConnectionPath::Tunnel { .. }));
         }
     }
--- a/crates/rpc/src/client.rs
+++ b/crates/rpc/src/client.rs
@@ -8,6 +8,7 @@
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::runtime::Handle;
@@ -34,6 +35,7 @@
     clock: Arc<dyn ClockSource>,
     runtime: Handle,
     tunnel_secret: Option<TunnelSecret>,
+    closing_tunnels: Arc<AtomicUsize>,
     peers: Mutex<HashMap<SocketAddr, mpsc::Sender<OutboundMessage>>>,
 }
 
@@ -66,6 +68,7 @@
             clock,
             runtime: Handle::current(),
             tunnel_secret,
+            closing_tunnels: Arc::default(),
             peers: Mutex::default(),
         };
         Self {
@@ -150,7 +153,20 @@
         let secret = self.shared.tunnel_secret.as_ref();
         let since_epoch = self.shared.clock.since_epoch();
         let request = TunnelRequest::new(identity, target, secret, since_epoch);
-        open_tunnel(identity, peer, &request).await
+        open_tunnel(
+            identity,
+            peer,
+            &request,
+            self.shared.closing_tunnels.clone(),
+        )
+        .await
+    }
+
+    /// The number of tunnels so far whose peers said that they are about to stop. While it is
+    /// unchanged, no kept tunnel has to be looked at.
+    #[must_use]
+    pub fn closing_tunnels(&self) -> usize {
+        self.shared.closing_tunnels.load(Ordering::Relaxed)
     }
 
     /// Sends a notice, without delivery guarantee.
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -25,5 +25,5 @@
 pub use client::{RpcClient, RpcError};
 pub use identity::PeerIdentity;
 pub use server::{RpcHandler, RpcServer};
-pub use tunnel::{TunnelError, TunnelStream};
+pub use tunnel::{TunnelError, TunnelHealth, TunnelStream};
 pub use tunnel_request::{TunnelRequest, TunnelSecret};
--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -72,7 +72,8 @@
         })
     }
 
-    /// Declines new tunnels, and waits until each one has finished its response.
+    /// Declines new tunnels, tells the clients of the others, and waits until these have closed
+    /// them.
     pub async fn drain_tunnels(&self) {
         self.tunnels.drain().await;
     }
--- a/crates/rpc/src/tunnel.rs
+++ b/crates/rpc/src/tunnel.rs
@@ -3,7 +3,8 @@
 //! The bytes towards the target are forwarded as they are. Those from the target are framed, so
 //! that the client can tell an orderly end of the target's stream, a lost target, and a lost
 //! peer: an end of the peer's process would otherwise look like the end of a response that has
-//! no length.
+//! no length. A peer that is about to stop says so in a mark between chunks, so that the client
+//! sends no further request on the tunnel.
 
 use crate::frame::{FrameKind, RpcFrame, codec};
 use crate::identity::PeerIdentity;
@@ -35,13 +36,12 @@
 /// The header that tells that the connection to the target was lost.
 const LOST_MARK: u32 = u32::MAX;
 
+/// The header that tells that the peer is about to stop.
+const CLOSING_MARK: u32 = u32::MAX - 1;
+
 /// How long no bytes may pass a tunnel before it is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(90);
 
-/// The silence after bytes from the target for which a tunnel may be between two responses,
-/// so that it need not outlast a shutdown.
-const RESPONSE_GAP_MAX: Duration = Duration::from_secs(2);
-
 /// Why a tunnel could not be opened.
 #[derive(Debug, thiserror::Error)]
 pub enum TunnelError {
@@ -58,6 +58,7 @@
     identity: &PeerIdentity,
     peer: SocketAddr,
     request: &TunnelRequest,
+    closing_tunnels: Arc<AtomicUsize>,
 ) -> Result<TunnelStream, TunnelError> {
     let stream = TcpStream::connect(peer).await?;
     stream.set_nodelay(true)?;
@@ -84,10 +85,32 @@
         header_filled: 0,
         chunk_left: 0,
         has_ended: false,
-        peer_lost: Arc::default(),
+        health: Arc::default(),
+        closing_tunnels,
     })
 }
 
+/// What the client's end of a tunnel knows of the peer.
+#[derive(Debug, Default)]
+pub struct TunnelHealth {
+    is_lost: AtomicBool,
+    is_closing: AtomicBool,
+}
+
+impl TunnelHealth {
+    /// Whether the connection to the peer is lost, which says nothing of the target.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.is_lost.load(Ordering::Relaxed)
+    }
+
+    /// Whether the peer is about to stop, so that no further request should be sent.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.is_closing.load(Ordering::Relaxed)
+    }
+}
+
 /// The client's end of a tunnel.
 #[derive(Debug)]
 pub struct TunnelStream {
@@ -97,24 +120,25 @@
     /// The bytes that are left of the current chunk.
     chunk_left: usize,
     has_ended: bool,
-    peer_lost: Arc<AtomicBool>,
+    health: Arc<TunnelHealth>,
+    /// The number of tunnels of this process that were closing so far.
+    closing_tunnels: Arc<AtomicUsize>,
 }
 
 impl TunnelStream {
-    /// A flag that is set once the connection to the peer is lost, which says nothing of
-    /// the target.
+    /// What is known of the peer, also after the stream is given away.
     #[must_use]
-    pub fn peer_lost(&self) -> Arc<AtomicBool> {
-        self.peer_lost.clone()
+    pub fn health(&self) -> Arc<TunnelHealth> {
+        self.health.clone()
     }
 
     fn lose_peer<T>(&self, error: io::Error) -> Poll<io::Result<T>> {
-        self.peer_lost.store(true, Ordering::Relaxed);
+        self.health.is_lost.store(true, Ordering::Relaxed);
         Poll::Ready(Err(error))
     }
 
-    /// Reads the rest of a header. Returns whether another chunk follows.
-    fn poll_header(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
+    /// Reads the rest of a header.
+    fn poll_header(&mut self, context: &mut Context<'_>) -> Poll<io::Result<u32>> {
         while self.header_filled < HEADER_BYTES {
             let mut rest = ReadBuf::new(&mut self.header[self.header_filled..]);
             let read = ready!(Pin::new(&mut self.stream).poll_read(context, &mut rest));
@@ -126,17 +150,23 @@
             }
         }
         self.header_filled = 0;
-        match u32::from_be_bytes(self.header) {
-            END_MARK => {
-                self.has_ended = true;
-                Poll::Ready(Ok(false))
-            }
-            LOST_MARK => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
-            length => {
-                self.chunk_left = usize::try_from(length).unwrap_or(usize::MAX);
-                Poll::Ready(Ok(true))
+        Poll::Ready(Ok(u32::from_be_bytes(self.header)))
+    }
+
+    /// Reads marks up to the next chunk. Returns whether one follows.
+    fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
+        while self.chunk_left == 0 && !self.has_ended {
+            match ready!(self.poll_header(context))? {
+                END_MARK => self.has_ended = true,
+                LOST_MARK => return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
+                CLOSING_MARK => {
+                    self.health.is_closing.store(true, Ordering::Relaxed);
+                    self.closing_tunnels.fetch_add(1, Ordering::Relaxed);
+                }
+                length => self.chunk_left = usize::try_from(length).unwrap_or(usize::MAX),
             }
         }
+        Poll::Ready(Ok(!self.has_ended))
     }
 }
 
@@ -146,10 +176,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.has_ended {
-            return Poll::Ready(Ok(()));
-        }
-        if self.chunk_left == 0 && !ready!(self.poll_header(context))? {
+        if !ready!(self.poll_chunk(context))? {
             return Poll::Ready(Ok(()));
         }
         let most = self.chunk_left.min(buffer.remaining());
@@ -201,7 +228,8 @@
         }
     }
 
-    /// Declines new tunnels, and waits until each one has finished its response.
+    /// Declines new tunnels, tells the clients of the others, and waits until these have closed
+    /// them.
     pub(crate) async fn drain(&self) {
         const POLL_INTERVAL: Duration = Duration::from_millis(20);
         self.draining.send_replace(true);
@@ -252,55 +280,33 @@
     target.write_all(&parts.read_buf).await?;
     let (from_client, to_client) = client.split();
     let (from_target, to_target) = target.split();
-    let mut draining = tracker.draining.subscribe();
-    let activity = TunnelActivity::default();
+    let draining = tracker.draining.subscribe();
+    let chunks = AtomicUsize::new(0);
     tokio::select! {
         // An end on the client's side ends the target's work at once.
-        _ = forward_requests(from_client, to_target, &activity) => Ok(()),
-        ended = forward_responses(from_target, to_client, &activity) => ended,
-        () = activity.wait_for_gap(&mut draining) => Ok(()),
+        _ = forward_requests(from_client, to_target, &chunks) => Ok(()),
+        ended = forward_responses(from_target, to_client, &chunks, draining) => ended,
+        () = wait_until_idle(&chunks) => Ok(()),
     }
 }
 
-/// Which way the latest bytes went.
-#[derive(Default)]
-struct TunnelActivity {
-    awaits_response: AtomicBool,
-    chunks: AtomicUsize,
-}
-
-impl TunnelActivity {
-    fn record(&self, is_request: bool) {
-        self.awaits_response.store(is_request, Ordering::Relaxed);
-        self.chunks.fetch_add(1, Ordering::Relaxed);
-    }
-
-    /// Waits until the tunnel is between two responses while the process drains, or idle for
-    /// too long.
-    async fn wait_for_gap(&self, draining: &mut watch::Receiver<bool>) {
-        loop {
-            let chunks = self.chunks.load(Ordering::Relaxed);
-            let is_draining = *draining.borrow();
-            if is_draining {
-                tokio::time::sleep(RESPONSE_GAP_MAX).await;
-            } else {
-                // Either an idle tunnel or a change is handled below.
-                let _ = tokio::time::timeout(IDLE_TIMEOUT, draining.changed()).await;
-            }
-            let is_silent = chunks == self.chunks.load(Ordering::Relaxed);
-            let is_between = !self.awaits_response.load(Ordering::Relaxed);
-            let was_idle = !is_draining && !*draining.borrow();
-            if is_silent && (was_idle || (is_draining && is_between)) {
-                return;
-            }
+/// Waits until no chunk passed for [`IDLE_TIMEOUT`].
+async fn wait_until_idle(chunks: &AtomicUsize) {
+    let mut seen = chunks.load(Ordering::Relaxed);
+    loop {
+        tokio::time::sleep(IDLE_TIMEOUT).await;
+        let passed = chunks.load(Ordering::Relaxed);
+        if passed == seen {
+            return;
         }
+        seen = passed;
     }
 }
 
 async fn forward_requests(
     mut client: ReadHalf<'_>,
     mut target: WriteHalf<'_>,
-    activity: &TunnelActivity,
+    chunks: &AtomicUsize,
 ) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_MAX_BYTES];
     let mut is_writable = true;
@@ -309,24 +315,42 @@
         if count == 0 {
             return Ok(());
         }
-        activity.record(true);
+        chunks.fetch_add(1, Ordering::Relaxed);
         // A target that takes no more bytes may have responded already.
         is_writable = is_writable && target.write_all(&buffer[..count]).await.is_ok();
     }
 }
 
+async fn wait_for_drain(draining: &mut watch::Receiver<bool>) {
+    if draining.wait_for(|is_draining| *is_draining).await.is_err() {
+        // The process ends without a drain.
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn forward_responses(
     mut target: ReadHalf<'_>,
     mut client: WriteHalf<'_>,
-    activity: &TunnelActivity,
+    chunks: &AtomicUsize,
+    mut draining: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; HEADER_BYTES + CHUNK_MAX_BYTES];
+    let mut is_announced = false;
     loop {
-        let mark = match target.read(&mut buffer[HEADER_BYTES..]).await {
-            Ok(0) => END_MARK,
-            Err(_) => LOST_MARK,
-            Ok(count) => {
-                activity.record(false);
+        let read = tokio::select! {
+            () = wait_for_drain(&mut draining), if !is_announced => None,
+            read = target.read(&mut buffer[HEADER_BYTES..]) => Some(read),
+        };
+        let mark = match read {
+            None => {
+                is_announced = true;
+                client.write_all(&CLOSING_MARK.to_be_bytes()).await?;
+                continue;
+            }
+            Some(Ok(0)) => END_MARK,
+            Some(Err(_)) => LOST_MARK,
+            Some(Ok(count)) => {
+                chunks.fetch_add(1, Ordering::Relaxed);
                 let length = u32::try_from(count).map_err(io::Error::other)?;
                 buffer[..HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
                 client.write_all(&buffer[..HEADER_BYTES + count]).await?;
--- a/crates/rpc/tests/tunnel.rs
+++ b/crates/rpc/tests/tunnel.rs
@@ -10,7 +10,6 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -101,7 +100,7 @@
         end.map_err(|error| error.kind()),
         Err(ErrorKind::UnexpectedEof)
     );
-    assert!(tunnel.peer_lost().load(Ordering::Relaxed));
+    assert!(tunnel.health().is_lost());
 }
 
 #[tokio::test]
@@ -114,7 +113,7 @@
         end.map_err(|error| error.kind()),
         Err(ErrorKind::ConnectionReset)
     );
-    assert!(!tunnel.peer_lost().load(Ordering::Relaxed));
+    assert!(!tunnel.health().is_lost());
 }
 
 #[tokio::test]
@@ -151,28 +150,30 @@
     assert!(opened.is_err());
 }
 
+/// Guards against a stop that cuts a response, however slow, or that gets new requests.
 #[tokio::test]
-async fn a_peer_that_drains_finishes_responses_and_declines_new_tunnels() {
+async fn a_peer_that_drains_finishes_responses_and_asks_for_no_further_requests() {
     let (peer, mut tunnel, mut target) = tunnel().await;
     tunnel.write_all(b"a request").await.expect("it is open");
     let mut request = [0; 9];
     target.read_exact(&mut request).await.expect("the request");
     let address = peer.address;
     let draining = tokio::spawn(async move { peer.drain_tunnels().await });
-    // Longer than the gap that may be between two responses.
-    tokio::time::sleep(Duration::from_millis(2_500)).await;
-    assert!(!draining.is_finished(), "a request awaits its response");
+    target.write_all(b"first").await.expect("it is open");
+    let mut part = [0; 5];
+    tunnel.read_exact(&mut part).await.expect("a part");
+    tokio::time::sleep(Duration::from_millis(500)).await;
     let target_address = target.local_addr().expect("an address");
     let opened = client().open_tunnel(address, target_address).await;
     assert!(opened.is_err());
-    target.write_all(b"a response").await.expect("it is open");
-    let mut response = [0; 10];
-    tunnel
-        .read_exact(&mut response)
-        .await
-        .expect("the response");
+    target.write_all(b"other").await.expect("it is open");
+    tunnel.read_exact(&mut part).await.expect("the rest");
+    assert_eq!(&part, b"other");
+    assert!(tunnel.health().is_closing());
+    assert!(!draining.is_finished());
+    drop(tunnel);
     let drained = tokio::time::timeout(TIMEOUT, draining).await;
-    drained.expect("the tunnel is idle").expect("no panic");
+    drained.expect("the tunnel is closed").expect("no panic");
 }
 
 /// Opens tunnels for hosts that know a secret.
--- a/tests/fleet/stranded.rs
+++ b/tests/fleet/stranded.rs
@@ -3,7 +3,7 @@
 use crate::servers::CHECK_IN_INTERVAL;
 use crate::world::{ProcessFleet, Role};
 use futures_util::future::join_all;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The requests that each entry host gets.
 const REQUESTS: usize = 60;
@@ -11,6 +11,9 @@
 /// The interval between two requests to the same host.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
+/// The time that a host which stops takes at most (`drain_timeout_s`).
+const DRAIN_TIME: Duration = Duration::from_secs(8);
+
 /// Sends requests of all kinds to an entry host; returns how many are served at the first
 /// attempt.
 async fn count_served(fleet: &ProcessFleet, entry: &str) -> usize {
@@ -55,6 +58,39 @@
     }
 }
 
+/// Guards against a tunnel host that gets requests on kept tunnels until it ends, and cuts
+/// those in flight.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_tunnel_host_that_stops_cuts_no_request() {
+    let mut fleet = ProcessFleet::start().await;
+    let entries = fleet.host_names(Role::Entry);
+    fleet.restart_with_path(&entries[0], false);
+    wait_until_ready(&fleet).await;
+    let fleet = &fleet;
+    let entry = &entries[0];
+    let stopping = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        fleet.send_signal(&entries[1], "TERM");
+    };
+    let callers = (0..8).map(|caller| async move {
+        let started = Instant::now();
+        let mut failed = Vec::new();
+        for number in 0.. {
+            if started.elapsed() > DRAIN_TIME + Duration::from_secs(2) {
+                break;
+            }
+            let id = format!("stop-{caller}-{number}");
+            let answer = fleet.caller_request(entry, "/walk/12", &id).send().await;
+            if !answer.is_some_and(|answer| answer.status.is_success() && answer.complete) {
+                failed.push(id);
+            }
+        }
+        failed
+    });
+    let (failed, ()) = tokio::join!(join_all(callers), stopping);
+    assert!(failed.iter().all(Vec::is_empty), "{failed:?}");
+}
+
 /// Guards against items that wait for as long as the store host that runs them has no path to
 /// servers.
 #[tokio::test(flavor = "multi_thread")]
