Change the paths of hosts in the soak at the starts that its faults make

The fault is not of lost paths: the soak had started entry hosts anew for each change of a path, which doubled the streams that break and are taken up. Checks and bounds are unchanged.

--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -163,14 +163,19 @@
         self.seeds = seeds.to_vec();
     }
 
-    /// Starts a host again, with or without a path to servers: from an address that the
-    /// machine does not have, no connection to a server can be opened.
+    /// Starts a host again, with or without a path to servers: from an address that the machine
+    /// does not have, no connection to a server can be opened.
     pub(crate) fn restart_with_path(&mut self, name: &str, reaches_servers: bool) {
-        const FOREIGN_ADDRESS: Ipv4Addr = Ipv4Addr::new(192, 0, 2, 1);
         self.kill(name);
+        self.set_server_path(name, reaches_servers);
+        self.start_process(name, false);
+    }
+
+    /// Sets whether a host has a path to servers from its next start on.
+    pub(crate) fn set_server_path(&mut self, name: &str, reaches_servers: bool) {
+        const FOREIGN_ADDRESS: Ipv4Addr = Ipv4Addr::new(192, 0, 2, 1);
         let host = self.hosts.get_mut(name).expect("a host");
         host.servers_from = (!reaches_servers).then_some(FOREIGN_ADDRESS);
-        self.start_process(name, false);
     }
 
     /// The hosts that were started without a path to servers.
