Take the silence of a tunnel for a fault of its path, not of the server

Found while reading: behind a tunnel host that stands still, each request of a cut-off host waited for its answer in vain, was reported as a failure of the server, and suspended it for all hosts; the next one took the next kept tunnel through the same host.

A silent tunnel says nothing of the server, which hosts with a path of their own judge. The tunnel host is tried last for a second, and kept tunnels through it are closed.

--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -36,6 +36,15 @@
 /// The sending half of a connection.
 pub(crate) type RequestSender = SendRequest<Full<Bytes>>;
 
+/// How a connection failed in the middle of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionEnd {
+    /// It was lost.
+    Lost,
+    /// No bytes arrived in time.
+    Silent,
+}
+
 /// The path that a connection takes to its server.
 #[derive(Clone, Debug)]
 pub(crate) enum ConnectionPath {
@@ -146,16 +155,27 @@
         Ok(OpenConnection { sender, path })
     }
 
-    /// Whether the path of a connection is known to be lost: other hosts reach the server, or
-    /// the host has lost its paths to several servers, or the connection to the tunnel host.
-    pub(crate) fn knows_lost_path(&self, address: SocketAddr, path: &ConnectionPath) -> bool {
-        let mut paths = self.dialer.paths();
+    /// Whether a connection to a server is known to have ended with its path: other hosts
+    /// reach the server, the host has lost its paths to several servers, or the tunnel host
+    /// is lost. The silence of a tunnel says nothing of the server, since its host may stand
+    /// still.
+    pub(crate) fn knows_lost_path(
+        &self,
+        address: SocketAddr,
+        path: &ConnectionPath,
+        end: ConnectionEnd,
+    ) -> bool {
         match path {
-            ConnectionPath::Direct => paths.is_detoured(address) || paths.is_cut_off(),
+            ConnectionPath::Direct => {
+                let paths = self.dialer.paths();
+                paths.is_detoured(address) || paths.is_cut_off()
+            }
             ConnectionPath::Tunnel { host, health } => {
-                let is_lost = health.is_lost();
+                let is_lost = health.is_lost() || end == ConnectionEnd::Silent;
                 if is_lost {
-                    paths.record_host_failure(*host, self.clock.now());
+                    let now = self.clock.now();
+                    self.dialer.paths().record_host_failure(*host, now);
+                    self.close_idle_through(*host);
                 }
                 is_lost
             }
@@ -164,8 +184,13 @@
 
     /// Like [`Self::knows_lost_path`], but finds out if it is not known whether the host's own
     /// path is lost.
-    pub(crate) async fn is_path_lost(&self, address: SocketAddr, path: &ConnectionPath) -> bool {
-        if self.knows_lost_path(address, path) {
+    pub(crate) async fn is_path_lost(
+        &self,
+        address: SocketAddr,
+        path: &ConnectionPath,
+        end: ConnectionEnd,
+    ) -> bool {
+        if self.knows_lost_path(address, path, end) {
             return true;
         }
         if matches!(path, ConnectionPath::Tunnel { .. }) {
@@ -214,6 +239,17 @@
         self.idle().by_server.remove(&address);
     }
 
+    /// Closes the idle connections through a tunnel host.
+    fn close_idle_through(&self, lost: SocketAddr) {
+        let is_through = |path: &ConnectionPath| match path {
+            ConnectionPath::Direct => false,
+            ConnectionPath::Tunnel { host, .. } => *host == lost,
+        };
+        for connections in self.idle().by_server.values_mut() {
+            connections.retain(|c| !is_through(&c.connection.path));
+        }
+    }
+
     /// Closes the idle connections that do not lead through tunnels. Those that a host had
     /// when it was cut off may hang.
     fn close_idle_on_lost_paths(&self) {
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -7,6 +7,7 @@
 //! truncated if it ends within an event.
 
 use super::forward::{AnswerEnd, RequestForwarder, RequestState};
+use crate::connection_pool::ConnectionEnd;
 use crate::event_stream::{EventSequencer, SequenceFault};
 use crate::server_run::{PooledConnection, ServerAnswer};
 use crate::slot_client::SlotLease;
@@ -61,9 +62,12 @@
         }
     }
 
-    /// Whether the connection may have been lost with the path to the server.
-    fn suggests_lost_path(self, framing: BodyFraming) -> bool {
-        self == Self::ServerSilent || self.suggests_crash(framing)
+    /// How the connection ended, if the path to the server may have been lost.
+    fn connection_end(self, framing: BodyFraming) -> Option<ConnectionEnd> {
+        if self == Self::ServerSilent {
+            return Some(ConnectionEnd::Silent);
+        }
+        self.suggests_crash(framing).then_some(ConnectionEnd::Lost)
     }
 
     /// Whether the server may have crashed while it ran the request.
@@ -299,7 +303,9 @@
         } = run;
         drop(body);
         self.context.state.avoid_server(&lease.server);
-        if cause.suggests_lost_path(framing) && connection.close_broken().await {
+        if let Some(end) = cause.connection_end(framing)
+            && connection.close_broken(end).await
+        {
             lease.end(RunOutcome::PathLost);
             return;
         }
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -1,6 +1,6 @@
 //! A single attempt to run a request on a backend server.
 
-use crate::connection_pool::{ConnectionPath, ConnectionPool, OpenConnection};
+use crate::connection_pool::{ConnectionEnd, ConnectionPath, ConnectionPool, OpenConnection};
 use crate::ports::{AnswerHead, ServerDialect};
 use crate::server_marks::{ServerIdentity, ServerMarks};
 use bytes::Bytes;
@@ -74,20 +74,22 @@
         }
     }
 
-    /// Attributes the failure of a response that was being read to the server or to the path
-    /// to it, and closes the connection.
+    /// Closes the connection of a response that could not be read to its end, and attributes
+    /// the failure to the server or to the path to it.
     pub(crate) async fn attribute(self, connection: PooledConnection) -> Self {
-        let is_path_lost = if self.connection_lost {
-            connection.close_broken().await
-        } else {
-            // The caller may have no time left for a check.
-            connection.knows_lost_path()
-        };
-        if is_path_lost { self.of_path() } else { self }
+        if !self.connection_lost {
+            return self;
+        }
+        let is_path_lost = connection.close_broken(ConnectionEnd::Lost).await;
+        self.attribute_to_path(is_path_lost)
     }
 
-    /// The same failure, due to the path to the server rather than to the server.
-    fn of_path(self) -> Self {
+    /// The same failure, due to the path to the server rather than to the server if
+    /// `is_path_lost`.
+    fn attribute_to_path(self, is_path_lost: bool) -> Self {
+        if !is_path_lost {
+            return self;
+        }
         Self {
             outcome: RunOutcome::PathLost,
             connection_lost: false,
@@ -125,15 +127,9 @@
         }
     }
 
-    /// Whether the path to the server is known to be lost.
-    fn knows_lost_path(&self) -> bool {
-        self.pool
-            .knows_lost_path(self.address, &self.connection.path)
-    }
-
     /// Closes the connection after its response broke off or fell silent. Returns whether
     /// that is due to the path to the server, which other hosts reach.
-    pub(crate) async fn close_broken(self) -> bool {
+    pub(crate) async fn close_broken(self, end: ConnectionEnd) -> bool {
         let Self {
             address,
             connection,
@@ -142,7 +138,7 @@
         } = self;
         let path = connection.path.clone();
         drop(connection);
-        pool.is_path_lost(address, &path).await
+        pool.is_path_lost(address, &path, end).await
     }
 }
 
@@ -162,29 +158,23 @@
         let sending = self.try_send(request, &mut path);
         let result = tokio::time::timeout(request.head_timeout, sending).await;
         let (address, pool) = (request.address, &self.pool);
-        let (failure, is_path_lost) = match (result, &path) {
-            (Ok(Ok(answer)), _) => return Ok(answer),
-            (Ok(Err(failure)), Some(path)) if failure.connection_lost => {
-                (failure, pool.is_path_lost(address, path).await)
-            }
-            (Ok(Err(failure)), _) => (failure, false),
-            (Err(_), path) => {
-                pool.close_idle(address);
-                let cause = "no answer began in time";
-                let failure = RunFailure::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause);
-                // The caller may have no time left for a check.
-                let path = path.as_ref();
-                (
-                    failure,
-                    path.is_some_and(|path| pool.knows_lost_path(address, path)),
-                )
-            }
+        let Ok(result) = result else {
+            pool.close_idle(address);
+            let cause = "no answer began in time";
+            let failure = RunFailure::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause);
+            // The caller may have no time left for a check of the path.
+            let end = ConnectionEnd::Silent;
+            let is_lost = |path| pool.knows_lost_path(address, path, end);
+            let is_path_lost = path.as_ref().is_some_and(is_lost);
+            return Err(failure.attribute_to_path(is_path_lost));
         };
-        Err(if is_path_lost {
-            failure.of_path()
-        } else {
-            failure
-        })
+        match (result, path) {
+            (Err(failure), Some(path)) if failure.connection_lost => {
+                let is_path_lost = pool.is_path_lost(address, &path, ConnectionEnd::Lost);
+                Err(failure.attribute_to_path(is_path_lost.await))
+            }
+            (result, _) => result,
+        }
     }
 
     /// Sends a request, and sets the path of the connection on which it is sent.
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -1,5 +1,6 @@
 //! One run of a batch item on a backend server.
 
+use crate::connection_pool::ConnectionEnd;
 use crate::event_stream::EventParser;
 use crate::ports::RunContext;
 use crate::server_run::{ServerRequest, ServerRunner};
@@ -117,7 +118,7 @@
                 return run_broken("the server broke off");
             }
             Ok(Some(Err(_))) => {
-                if response.connection.close_broken().await {
+                if response.connection.close_broken(ConnectionEnd::Lost).await {
                     return path_lost();
                 }
                 lease.record_crash();
@@ -125,7 +126,11 @@
             }
             Ok(None) => break,
             Err(_) => {
-                if response.connection.close_broken().await {
+                if response
+                    .connection
+                    .close_broken(ConnectionEnd::Silent)
+                    .await
+                {
                     return path_lost();
                 }
                 return run_broken("the server fell silent");
