Ask again for tunnel hosts if a sync was under way

The first request of a cut-off host failed to open a connection and was reported as Unreachable, in one of two runs of a test of whole fleets: the list of tunnel hosts was asked for, but the sync that was waited for had been sent before. Now a second one follows if it brought no list.

--- a/crates/roles/src/tunnels.rs
+++ b/crates/roles/src/tunnels.rs
@@ -16,7 +16,11 @@
 /// The age from which the list of tunnel hosts is renewed before it is used.
 const HOSTS_AGE_MAX: Duration = Duration::from_secs(1);
 
-/// The time that the renewal of the list may take.
+/// The number of syncs for a renewal. The first one may have been under way already, without
+/// asking for the list.
+const REFRESHES_MAX: usize = 2;
+
+/// The time that one sync of a renewal may take.
 const HOSTS_REFRESH_MAX: Duration = Duration::from_millis(50);
 
 /// Creates the dialer of a process.
@@ -44,8 +48,11 @@
 impl TunnelHosts for ListedHosts {
     fn zones(&self) -> BoxFuture<'_, Vec<Vec<SocketAddr>>> {
         async move {
-            let age = self.view.tunnel_hosts_age(self.base.clock.now());
-            if age.is_none_or(|age| age > HOSTS_AGE_MAX) && self.view.has_leader() {
+            for _ in 0..REFRESHES_MAX {
+                let age = self.view.tunnel_hosts_age(self.base.clock.now());
+                if age.is_some_and(|age| age <= HOSTS_AGE_MAX) || !self.view.has_leader() {
+                    break;
+                }
                 self.view.refresh(HOSTS_REFRESH_MAX).await;
             }
             let identity = self.base.rpc.identity();
