Count a host as cut off only while it reaches no server itself

Found while reading: a host that was cut off once could count as cut off for good, as the servers that it had not reached were replaced meanwhile and never tried again. It then took every silence for a lost path and opened no tunnels. Now the servers that only tunnels reached count from the last connection on the own path on.

a_host_that_reaches_another_server_is_no_longer_cut_off failed before and passes.

--- a/crates/dialer/src/paths.rs
+++ b/crates/dialer/src/paths.rs
@@ -51,6 +51,8 @@
     /// The servers that the host failed to reach itself since it last reached one, up to
     /// [`CUT_OFF_SERVERS`]. They may be lost as well.
     unreached: HashSet<SocketAddr>,
+    /// The servers among them that a tunnel reached, with the same bound.
+    bypassed: HashSet<SocketAddr>,
     failed_hosts: HashMap<SocketAddr, Instant>,
     /// When a tunnel host was last needed.
     needed_at: Option<Instant>,
@@ -77,6 +79,7 @@
     /// Records that the host reached a server itself. Returns whether that ends a detour.
     pub fn record_direct(&mut self, server: SocketAddr) -> bool {
         self.unreached.clear();
+        self.bypassed.clear();
         self.detours.remove(&server).is_some()
     }
 
@@ -90,6 +93,9 @@
     /// Records that a server was reached through a tunnel while the host's own path failed.
     /// Returns whether that begins a detour.
     pub fn record_detour(&mut self, server: SocketAddr, now: Instant) -> bool {
+        if self.bypassed.len() < CUT_OFF_SERVERS {
+            self.bypassed.insert(server);
+        }
         let is_used =
             |detour: &ServerDetour| now.saturating_duration_since(detour.used_at) < DETOUR_EXPIRY;
         self.detours.retain(|_, detour| is_used(detour));
@@ -117,10 +123,10 @@
         self.detours.len()
     }
 
-    /// Whether several servers are reached through tunnels only.
+    /// Whether the host reached no server itself lately, while tunnels reached several.
     #[must_use]
     pub fn is_cut_off(&self) -> bool {
-        self.detours.len() >= CUT_OFF_SERVERS
+        self.bypassed.len() >= CUT_OFF_SERVERS
     }
 
     /// Whether the host reaches servers itself, so that it can open tunnels for others. If
--- a/crates/dialer/tests/paths.rs
+++ b/crates/dialer/tests/paths.rs
@@ -49,6 +49,22 @@
     assert!(paths.offers_tunnels());
 }
 
+/// Guards against a host that counts as cut off for good, since servers that it did not reach have
+/// left meanwhile: nothing it saw of servers counted any more, and it opened no tunnels.
+#[test]
+fn a_host_that_reaches_another_server_is_no_longer_cut_off() {
+    let mut paths = ServerPaths::default();
+    let now = Instant::now();
+    for number in 1..=3 {
+        paths.record_unreached(address(number));
+        paths.record_detour(address(number), now);
+    }
+    assert!(paths.is_cut_off() && !paths.offers_tunnels());
+    paths.record_direct(address(4));
+    assert!(!paths.is_cut_off() && paths.offers_tunnels());
+    assert!(paths.is_detoured(address(1)));
+}
+
 /// Guards against hosts of a zone that is cut off whole, which offered tunnels to one another
 /// for as long as nobody had reached a server for them.
 #[test]
