--- a/crates/broker/src/slots/failures.rs
+++ b/crates/broker/src/slots/failures.rs
@@ -50,7 +50,7 @@
         if let Some(at) = contact_of(report, grant, now) {
             self.record_contact(grant, at, now);
         }
-        if !self.is_evidence(grant, report.outcome, now) {
+        if !self.weigh_failure(grant, report.outcome, now) {
             return;
         }
         let Some(entry) = self.servers.get_mut(grant.server) else {
@@ -107,8 +107,9 @@
         }
     }
 
-    /// Whether a failure says something of the server, and not of the host that reports it.
-    fn is_evidence(&mut self, grant: &SlotGrant, outcome: RunOutcome, now: Instant) -> bool {
+    /// Records what a failure tells of the host that reports it. Returns whether it says something
+    /// of the server; an outcome that is no failure does.
+    fn weigh_failure(&mut self, grant: &SlotGrant, outcome: RunOutcome, now: Instant) -> bool {
         let requester = &grant.requester;
         match outcome {
             RunOutcome::Unreachable => {}
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -48,8 +48,9 @@
 ) -> Result<EntryHost, HostError> {
     let shared_secret = read_text(&settings.peers.secret_file)?;
     let operator_token = read_text(&settings.operators.token_file)?;
-    let (link, messages) = start_link(&settings, &shared_secret, clock.clone()).await?;
     let incarnation = incarnation(clock.since_epoch());
+    let starting_link = start_link(&settings, &shared_secret, incarnation, clock.clone());
+    let (link, messages) = starting_link.await?;
     let tunnels = HostTunnels::start(&settings, &shared_secret, incarnation, clock.clone()).await?;
     let components = HostComponents::start(settings, clock, ids, metrics, link, messages, tunnels)?;
     components.listen(shared_secret, operator_token).await
@@ -58,12 +59,13 @@
 async fn start_link(
     settings: &HostSettings,
     shared_secret: &str,
+    incarnation: u64,
     clock: Arc<dyn ClockSource>,
 ) -> Result<(PeerLink, mpsc::Receiver<InboundMessage>), HostError> {
     let identity = LinkIdentity {
         host: settings.host.name.clone(),
         zone: settings.host.zone.clone(),
-        incarnation: incarnation(clock.since_epoch()),
+        incarnation,
     };
     let secret = PeerSecret::try_from(shared_secret)?;
     let timing = LinkTiming::default();
