Keep limits that hosts report before the server checks in

Cause: a new leader whose process has just started lists no servers. Hosts report all limits with their first call to it, and the broker dropped reports on servers that had not checked in; the next report of a limit follows a second later, with a new answer of the server. Ruled out: load (the machine was idle otherwise) and a lost call. Change: the broker keeps the newest report on an incarnation that has not checked in, bounded in number and time, and applies it at the check-in with its age. Conclusion: the class is an order of messages taken for granted between senders that do not know of one another.

--- a/crates/broker/src/server_limits.rs
+++ b/crates/broker/src/server_limits.rs
@@ -5,6 +5,10 @@
 //! send. Reports carry the age of the response, since those of two hosts may arrive in
 //! another order than the server wrote the responses.
 
+mod early_reports;
+
+pub(crate) use early_reports::EarlyReports;
+
 use crate::pacing::RequestPacer;
 use crate::request::WorkKind;
 use chicoryladder_types::prelude::*;
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -20,7 +20,7 @@
 use crate::request::{
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
-use crate::server_limits::BelievedLimit;
+use crate::server_limits::{BelievedLimit, EarlyReports};
 use crate::streams::StreamVersions;
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
@@ -98,6 +98,10 @@
 }
 
 impl ServerEntry {
+    fn incarnation(&self) -> u64 {
+        self.record.check_in.incarnation
+    }
+
     fn running(&self) -> u32 {
         self.running_online + self.running_batch
     }
@@ -135,6 +139,7 @@
     crashes: CrashLedger,
     streams: StreamVersions,
     path_reports: PathReports,
+    early_limits: EarlyReports,
     requesters: HashMap<RequesterId, Instant>,
     /// The requester that runs batch items.
     batch_requester: Option<RequesterId>,
@@ -152,6 +157,7 @@
             crashes: CrashLedger::default(),
             streams: StreamVersions::default(),
             path_reports: PathReports::default(),
+            early_limits: EarlyReports::default(),
             settings,
             services: BTreeMap::new(),
             servers: SlotMap::with_key(),
@@ -231,6 +237,7 @@
             entry.contacts = ContactHistory::default();
             self.path_reports.forget_server(key);
             self.remove_grants_of(key);
+            self.apply_early_limit(key, now);
             if service_changed {
                 for pool in self.services.values_mut() {
                     pool.servers.retain(|known| *known != key);
@@ -460,6 +467,8 @@
         self.remove_lost_requesters(now);
         self.mark_lost_servers(now);
         self.remove_expired_servers(now);
+        let remove_after = self.settings.remove_after;
+        self.early_limits.remove_expired(remove_after, now);
         self.refuse_unservable();
         self.expire_waiting(now);
         self.supersede_for_waiting(now);
@@ -525,6 +534,7 @@
             suspended_by: None,
         });
         self.by_name.insert(name, key);
+        self.apply_early_limit(key, now);
         let pool = self.pool(&service);
         pool.servers.push(key);
         pool.versions.record(&version, now);
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -2,6 +2,7 @@
 
 use super::{NO_SERVER_RETRY, RETRY_AFTER_MAX, SlotBroker};
 use crate::directory::{ServerPhase, ServerRecord};
+use crate::grants::ServerKey;
 use crate::request::{SlotRefusalReason, SlotRequest};
 use crate::server_limits::LimitReport;
 use crate::streams::{StreamPart, StreamReport};
@@ -10,14 +11,28 @@
 
 impl SlotBroker {
     /// Records the limit that a server names, as a host reports it. Returns whether the
-    /// limit changed. A report on another incarnation changes nothing.
+    /// limit changed. A report on an incarnation that has not checked in yet takes effect
+    /// when it does; one on an earlier incarnation changes nothing.
     pub fn record_limit(&mut self, report: &LimitReport, now: Instant) -> bool {
         let key = self.by_name.get(&report.server);
-        let Some(entry) = key.and_then(|key| self.servers.get_mut(*key)) else {
+        let entry = key.and_then(|key| self.servers.get_mut(*key));
+        let Some(entry) = entry.filter(|entry| entry.incarnation() >= report.incarnation) else {
+            self.early_limits.insert(report, now);
             return false;
         };
-        let is_known = entry.record.check_in.incarnation == report.incarnation;
-        is_known && entry.limit.apply(report, now)
+        entry.incarnation() == report.incarnation && entry.limit.apply(report, now)
+    }
+
+    /// Applies what hosts reported on a server before it checked in.
+    pub(super) fn apply_early_limit(&mut self, key: ServerKey, now: Instant) {
+        let Some(entry) = self.servers.get_mut(key) else {
+            return;
+        };
+        let check_in = &entry.record.check_in;
+        let (name, incarnation) = (&check_in.name, check_in.incarnation);
+        if let Some(report) = self.early_limits.take(name, incarnation, now) {
+            entry.limit.apply(&report, now);
+        }
     }
 
     /// The number of servers with a limit.
