Draw no further conclusion from runs of a crash whose cause is known

What callers saw: sound requests were refused as quarantined, by a segment that nearly all requests share. Cause: the reports on the runs of one crash arrive one after the other. A segment behind a shared one was found as the cause and explained the crash, but the next report on the same crash, of a sound run beside it, led to a conclusion anew: the shared segment alone has as many crashes, is in that run too, and replaced the hold that was right. Change: a run that is reported after its crash is explained counts for nothing, as before, and leads to no conclusion either. Result: the new test, without network, failed before (a request with the shared segment was refused) and passes; the simulations of crashing segments pass.

--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -1,7 +1,9 @@
 //! Simulations of servers that crash: under requests that share a prompt segment, among
 //! sound requests that share their other segments, and under any request.
 
-use crate::support::{BrokerFixture, check_in, fingerprint, requester, run_report, segment};
+use crate::support::{
+    BrokerFixture, check_in, fingerprint, granted, requester, run_report, segment,
+};
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, CrashedRun, ProvenWork, RunOutcome, RunReport, SlotDecision,
     SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
@@ -640,3 +642,32 @@
     });
     assert!(refused);
 }
+
+/// Pattern: a segment behind one that all requests share ends servers, and the reports on the
+/// runs of a crash arrive one after the other. Guards against a hold of the shared segment by
+/// the runs that are reported after the cause is found.
+#[test]
+fn runs_reported_after_the_cause_is_found_lead_to_no_further_hold() {
+    const SHARED: u64 = 1;
+    let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+    let request = |fixture: &mut BrokerFixture, second: u64| {
+        let mut request = fixture.slot_request(WorkKind::Online);
+        let own = 100 + request.ticket;
+        request.prompt = vec![segment(SHARED, 10), segment(second, 10), segment(own, 10)];
+        request
+    };
+    for number in 0..3 {
+        let crashing = request(&mut fixture, CRASHING);
+        let beside = request(&mut fixture, 5);
+        for lost in [&crashing, &beside] {
+            let crashed = crashed_run(lost, &format!("gone-{number}"));
+            fixture.broker.record_crash(&crashed, fixture.now);
+        }
+        fixture.now += Duration::from_secs(1);
+    }
+    for _ in 0..4 {
+        let sound = request(&mut fixture, 5);
+        let events = fixture.submit(sound);
+        assert!(granted(&events).is_some(), "{events:?}");
+    }
+}
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -275,11 +275,12 @@
             counts = ledger.evidence.counts(traits);
             exonerated = ledger.evidence.explain(crash, &segments);
         } else {
-            if !ledger.evidence.record(crash, traits, now) {
-                exonerated.push((traits.request, crash.clone()));
-            }
+            let is_counted = ledger.evidence.record(crash, traits, now);
             counts = ledger.evidence.counts(traits);
-            if let Some(hold) = ledger.evidence.conclude(traits, now) {
+            if !is_counted {
+                // The cause of the crash is known; what it shares with this run is not new.
+                exonerated.push((traits.request, crash.clone()));
+            } else if let Some(hold) = ledger.evidence.conclude(traits, now) {
                 self.changes
                     .push(hold.change(service, QuarantineStep::Held, now));
                 self.version += 1;
