Weigh what else explains the crashes of a request, and clear it when it completes

What callers saw: sound requests that many callers send in the same words (team, route, path and body) were refused as quarantined for a minute. Cause: a request was quarantined at its second crash. A popular request is in flight on many servers, so it is there whenever two of them end, and nothing spoke for it: completed runs cleared segments only, another request or segment that was in flight at the same crashes was not weighed, and the first report on a crash decided before those on the runs beside it arrived. Change: a completed run, or one that has gone on for two seconds, clears its request. Where another request, or a segment that it does not have, was in flight at all of its crashes, it takes five incidents. For 50 ms after a crash it is neither started nor refused, but waits, and lets others pass. Result: three new tests without network failed before (refused after two crashes amid 40 completions; refused at the third crash that a segment explains; refused between two reports) and pass, and a_crashing_request_is_told_from_one_that_completes keeps the bound of two servers. Conclusion: class, evidence for one cause taken without looking at the other causes present.

--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -1,7 +1,7 @@
 //! The slots that are granted, and reports on their runs.
 
 use crate::request::{RequesterId, WorkKind};
-use chicoryladder_policy::quarantine::{RequestTraits, SegmentFingerprint, ServerCrash};
+use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerLoad, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -65,10 +65,7 @@
     /// The request for which the slot was granted.
     Requested,
     /// Another request that ran in the slot.
-    Other {
-        /// The segments of its prompt that other requests may share.
-        segments: Vec<SegmentFingerprint>,
-    },
+    Other(RequestTraits),
 }
 
 /// A run whose server was lost while the request was in flight.
@@ -109,8 +106,8 @@
     pub(crate) tokens: u64,
     pub(crate) charged_team: Option<TeamName>,
     pub(crate) granted_at: Instant,
-    /// The segments of the prompt that other requests may share.
-    pub(crate) segments: Vec<SegmentFingerprint>,
+    /// The request; `None` if an earlier broker granted the slot.
+    pub(crate) traits: Option<RequestTraits>,
     /// Set once the run is preempted; its slot is then available to others.
     pub(crate) stopping: bool,
 }
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -22,6 +22,8 @@
     pub(crate) requester: RequesterId,
     pub(crate) request: SlotRequest,
     pub(crate) until: Instant,
+    /// Whether it was not known at its arrival what else was in flight at its crashes.
+    pub(crate) was_undecided: bool,
 }
 
 /// The position in a queue: rank, then order of arrival.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -358,6 +358,7 @@
         let waiting = WaitingRequest {
             requester: requester.clone(),
             until: now + wait_max,
+            was_undecided: self.is_undecided(&request, now),
             request,
         };
         let pool = self.pool(&waiting.request.service);
@@ -450,7 +451,7 @@
                     tokens: run.tokens,
                     charged_team: None,
                     granted_at: now,
-                    segments: Vec::new(),
+                    traits: None,
                     stopping: false,
                 });
             }
@@ -470,6 +471,7 @@
         let remove_after = self.settings.remove_after;
         self.early_limits.remove_expired(remove_after, now);
         self.refuse_unservable();
+        self.refuse_decided(now);
         self.expire_waiting(now);
         self.supersede_for_waiting(now);
         self.dispatch_all(now);
@@ -627,10 +629,13 @@
                 if self.try_grant(&waiting.requester, &waiting.request, now) {
                     continue;
                 }
-                // Servers of other versions may have slots for those behind it.
-                let is_bound = waiting.request.required_version().is_some();
+                // Servers of other versions may have slots for those behind it, and a slot is
+                // free for them if it only waits for a decision.
+                let request = &waiting.request;
+                let is_passable =
+                    request.required_version().is_some() || self.is_undecided(request, now);
                 not_granted.push((position, waiting));
-                if !is_bound {
+                if !is_passable {
                     break;
                 }
             }
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -4,9 +4,7 @@
 use super::eligibility::has_version;
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
 use crate::placement::{prompt_prefixes, record_prompt, server_cost};
-use crate::request::{
-    BrokerEvent, RequesterId, SlotDecision, SlotRequest, WorkKind, shared_segments,
-};
+use crate::request::{BrokerEvent, RequesterId, SlotDecision, SlotRequest, WorkKind};
 use chicoryladder_types::prelude::*;
 use std::time::Instant;
 
@@ -26,6 +24,9 @@
         request: &SlotRequest,
         now: Instant,
     ) -> bool {
+        if self.is_undecided(request, now) {
+            return false;
+        }
         let free = self.free_server(request, now);
         let is_same_zone = free.is_some_and(|key| self.is_in_zone(key, &request.zone));
         let victim = match request.kind {
@@ -160,7 +161,7 @@
             tokens: request.tokens,
             charged_team: request.charged_team.clone(),
             granted_at: now,
-            segments: shared_segments(&request.prompt),
+            traits: Some(request.traits()),
             stopping: false,
         });
     }
--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -7,7 +7,8 @@
     BrokerEvent, RequesterId, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 use chicoryladder_policy::quarantine::{
-    Admission, CrashCounts, QuarantineCause, QuarantinedSegments, SegmentFingerprint, ServerCrash,
+    Admission, CrashCounts, ProvenRun, QuarantineCause, QuarantinedSegments, RequestTraits,
+    ServerCrash,
 };
 use chicoryladder_types::{ServerGeneration, ServiceName};
 use std::time::{Duration, Instant};
@@ -30,7 +31,7 @@
         completed: &ProvenWork,
         now: Instant,
     ) {
-        let Some(segments) = proven_segments(grant, completed) else {
+        let Some(run) = proven_run(grant, completed) else {
             return;
         };
         let Some(entry) = self.servers.get(grant.server) else {
@@ -43,7 +44,7 @@
         };
         let sent_at = grant.granted_at;
         self.crashes
-            .record_completion(&check_in.service, &server, segments, sent_at, now);
+            .record_completion(&check_in.service, &server, run, sent_at, now);
         self.emit_quarantine_changes();
     }
 
@@ -58,9 +59,9 @@
             return;
         };
         let entry = self.servers.get(grant.server);
-        if let (Some(entry), Some(segments)) = (entry, proven_segments(grant, &run.proven)) {
+        if let (Some(entry), Some(proven)) = (entry, proven_run(grant, &run.proven)) {
             let service = &entry.record.check_in.service;
-            self.crashes.record_progress(service, segments, now);
+            self.crashes.record_progress(service, proven, now);
             self.emit_quarantine_changes();
         }
     }
@@ -87,6 +88,20 @@
         }
     }
 
+    /// Whether a request has to wait until it is known what else was in flight at its crashes.
+    pub(super) fn is_undecided(&self, request: &SlotRequest, now: Instant) -> bool {
+        let (service, fingerprint) = (&request.service, request.fingerprint);
+        request.kind == WorkKind::Online && self.crashes.is_undecided(service, fingerprint, now)
+    }
+
+    /// Refuses the waiting requests that are quarantined now that it is known what else was
+    /// in flight at their crashes.
+    pub(super) fn refuse_decided(&mut self, now: Instant) {
+        for service in self.crashes.take_decisions(now) {
+            self.refuse_quarantined(&service, now);
+        }
+    }
+
     /// Refuses the waiting requests of a service that must not run any more.
     fn refuse_quarantined(&mut self, service: &ServiceName, now: Instant) {
         let Some(pool) = self.services.get_mut(service) else {
@@ -96,8 +111,17 @@
         let mut refused = Vec::new();
         for queue in [&mut pool.online, &mut pool.batch] {
             let quarantine = |(position, waiting): (&QueuePosition, &WaitingRequest)| {
-                let segments = shared_segments(&waiting.request.prompt);
-                let quarantine = crashes.segment_quarantine(service, &segments, now)?;
+                let request = &waiting.request;
+                let own = crashes
+                    .request_quarantine(service, request.fingerprint, now)
+                    .filter(|_| waiting.was_undecided);
+                let quarantine = match own {
+                    Some(left) => (QuarantineCause::Request, left),
+                    None => {
+                        let segments = shared_segments(&request.prompt);
+                        crashes.segment_quarantine(service, &segments, now)?
+                    }
+                };
                 Some((*position, quarantine))
             };
             let quarantined: Vec<_> = queue.iter().filter_map(quarantine).collect();
@@ -135,14 +159,18 @@
     }
 }
 
-/// The segments of the work that a run has proven harmless; `None` if it has not.
-fn proven_segments<'a>(
-    grant: &'a SlotGrant,
-    proven: &'a ProvenWork,
-) -> Option<&'a [SegmentFingerprint]> {
+/// The work that a run has proven harmless; `None` if it has not.
+fn proven_run<'a>(grant: &'a SlotGrant, proven: &'a ProvenWork) -> Option<ProvenRun<'a>> {
+    const UNKNOWN: ProvenRun<'static> = ProvenRun {
+        request: None,
+        segments: &[],
+    };
     match proven {
         ProvenWork::None => None,
-        ProvenWork::Requested => Some(&grant.segments),
-        ProvenWork::Other { segments } => Some(segments),
+        ProvenWork::Requested => {
+            let traits = grant.traits.as_ref();
+            Some(traits.map_or(UNKNOWN, RequestTraits::proven_run))
+        }
+        ProvenWork::Other(traits) => Some(traits.proven_run()),
     }
 }
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -2,7 +2,7 @@
 //! sound requests that share their other segments, and under any request.
 
 use crate::support::{
-    BrokerFixture, check_in, fingerprint, granted, requester, run_report, segment,
+    BrokerFixture, check_in, fingerprint, granted, refused_after, requester, run_report, segment,
 };
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, CrashedRun, ProvenWork, RunOutcome, RunReport, SlotDecision,
@@ -643,6 +643,83 @@
     assert!(refused);
 }
 
+/// Pattern: many callers send the same request, as with a fixed prompt, and it completes all the
+/// time, while servers end for other reasons now and then. Guards against its quarantine for a
+/// minute by the second of them.
+#[test]
+fn a_request_that_completes_is_not_refused_for_servers_that_end() {
+    let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+    let same = |fixture: &mut BrokerFixture| SlotRequest {
+        fingerprint: fingerprint(0),
+        ..fixture.slot_request(WorkKind::Online)
+    };
+    for round in 0..6 {
+        for _ in 0..20 {
+            let request = same(&mut fixture);
+            let ticket = request.ticket;
+            let events = fixture.submit(request);
+            assert!(granted(&events).is_some(), "round {round}: {events:?}");
+            fixture.now += RUN;
+            fixture.report(&RunReport {
+                completed: ProvenWork::Requested,
+                ..run_report(ticket, RunOutcome::Served)
+            });
+        }
+        let lost = same(&mut fixture);
+        fixture.submit(lost.clone());
+        let crashed = crashed_run(&lost, &format!("s{round}"));
+        fixture.broker.record_crash(&crashed, fixture.now);
+        fixture.release(lost.ticket, RunOutcome::Failed);
+        fixture.now += Duration::from_secs(1);
+    }
+}
+
+/// Pattern: the same sound request runs on each server while requests with a crashing segment end
+/// them one after the other, before any run completes. Guards against a quarantine of the
+/// sound one, which was in flight at each crash.
+#[test]
+fn a_request_is_not_refused_for_crashes_that_another_cause_explains() {
+    let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+    for number in 0..6 {
+        let mut sound = fixture.slot_request(WorkKind::Online);
+        sound.fingerprint = fingerprint(1_000);
+        let mut crashing = fixture.slot_request(WorkKind::Online);
+        crashing.prompt = vec![segment(CRASHING, 10), segment(number, 10)];
+        let events = fixture.submit(sound.clone());
+        assert!(granted(&events).is_some(), "crash {number}: {events:?}");
+        for lost in [&sound, &crashing] {
+            let crashed = crashed_run(lost, &format!("s{number}"));
+            fixture.broker.record_crash(&crashed, fixture.now);
+        }
+        fixture.now += Duration::from_millis(100);
+    }
+}
+
+/// Guards against a request that crashes each server and is not refused at its second crash,
+/// since a request that completes elsewhere was in flight at both.
+#[test]
+fn a_crashing_request_is_told_from_one_that_completes() {
+    let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+    let sound = SlotRequest {
+        fingerprint: fingerprint(1_000),
+        ..fixture.slot_request(WorkKind::Online)
+    };
+    let crashing = fixture.slot_request(WorkKind::Online);
+    for number in 0..2 {
+        for lost in [&sound, &crashing] {
+            let crashed = crashed_run(lost, &format!("gone-{number}"));
+            fixture.broker.record_crash(&crashed, fixture.now);
+        }
+        fixture.now += Duration::from_secs(1);
+    }
+    fixture.submit(sound.clone());
+    fixture.report(&RunReport {
+        completed: ProvenWork::Requested,
+        ..run_report(sound.ticket, RunOutcome::Served)
+    });
+    assert_eq!(granted(&fixture.submit(crashing)), None);
+}
+
 /// Pattern: a segment behind one that all requests share ends servers, and the reports on the
 /// runs of a crash arrive one after the other. Guards against a hold of the shared segment by
 /// the runs that are reported after the cause is found.
@@ -671,3 +748,40 @@
         assert!(granted(&events).is_some(), "{events:?}");
     }
 }
+
+/// Pattern: two requests were in flight at both crashes, and the reports on one of them arrive
+/// some milliseconds later, while the other comes again. Guards against a refusal for a minute by
+/// the order of reports; a request that nothing else explains is refused once that is known.
+#[test]
+fn a_request_waits_until_its_crashes_are_reported_in_full() {
+    for is_explained in [true, false] {
+        let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+        let sound = fixture.slot_request(WorkKind::Online);
+        let crashing = fixture.slot_request(WorkKind::Online);
+        for number in 0..2 {
+            let server = format!("gone-{number}");
+            let crashed = crashed_run(&sound, &server);
+            fixture.broker.record_crash(&crashed, fixture.now);
+            if number == 1 {
+                let events = fixture.submit(sound.clone());
+                assert!(events.is_empty(), "{events:?}");
+                fixture.tick(STEP);
+            }
+            if is_explained {
+                let crashed = crashed_run(&crashing, &server);
+                fixture.broker.record_crash(&crashed, fixture.now);
+                // Others are not held up by the request that waits.
+                assert!(number == 0 || granted(&fixture.request_online()).is_some());
+            }
+            if number == 0 {
+                fixture.now += Duration::from_secs(1);
+            }
+        }
+        let mut events = fixture.broker.take_events();
+        for _ in 0..10 {
+            events.extend(fixture.tick(STEP));
+        }
+        assert_eq!(granted(&events).is_some(), is_explained, "{events:?}");
+        assert_eq!(refused_after(&events).is_none(), is_explained, "{events:?}");
+    }
+}
--- a/crates/host/src/quarantine/task.rs
+++ b/crates/host/src/quarantine/task.rs
@@ -4,8 +4,8 @@
 use super::report::{CompletionReport, CrashReport};
 use crate::peers::{PeerDirectory, PeerMessage};
 use chicoryladder_policy::quarantine::{
-    CrashLedger, CrashReport as TableReport, QuarantineCause, QuarantineTable, RequestFingerprint,
-    RequestTraits, SegmentStatus, SuspectStatus, SuspectUpdate,
+    CrashLedger, CrashReport as TableReport, ProvenRun, QuarantineCause, QuarantineTable,
+    RequestFingerprint, RequestTraits, SegmentStatus, SuspectStatus, SuspectUpdate,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -163,9 +163,13 @@
 
     fn apply_completion(&mut self, report: &CompletionReport, now: Instant) {
         let sent_at = now.checked_sub(report.took).unwrap_or(now);
-        let (pool, segments) = (&report.pool, &report.segments);
+        let run = ProvenRun {
+            // Requests are kept in the table.
+            request: None,
+            segments: &report.segments,
+        };
         self.ledger
-            .record_completion(pool, &report.server, segments, sent_at, now);
+            .record_completion(&report.pool, &report.server, run, sent_at, now);
     }
 
     fn rebroadcast(&mut self) {
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -23,7 +23,7 @@
 
 use super::{RequestFingerprint, ServerCrash};
 use chicoryladder_types::ServiceName;
-use evidence::CrashEvidence;
+use evidence::{CrashEvidence, RequestStanding};
 use hold::SegmentHold;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -49,6 +49,26 @@
     pub segments: Vec<SegmentFingerprint>,
 }
 
+/// A run that did not crash its server.
+#[derive(Clone, Copy, Debug)]
+pub struct ProvenRun<'a> {
+    /// The request; `None` if it is not known.
+    pub request: Option<RequestFingerprint>,
+    /// The segments of its prompt that other requests may share.
+    pub segments: &'a [SegmentFingerprint],
+}
+
+impl RequestTraits {
+    /// The run of a request with these traits, as proof that they crash no server.
+    #[must_use]
+    pub fn proven_run(&self) -> ProvenRun<'_> {
+        ProvenRun {
+            request: Some(self.request),
+            segments: &self.segments,
+        }
+    }
+}
+
 /// What a reported crash shows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashFinding {
@@ -211,7 +231,9 @@
         let Some(ledger) = self.services.get_mut(service) else {
             return Admission::Admitted;
         };
-        if let Some(retry_after) = ledger.evidence.request_quarantine(traits.request, now) {
+        if let RequestStanding::Quarantined(retry_after) =
+            ledger.evidence.standing(traits.request, now)
+        {
             let cause = QuarantineCause::Request;
             return Admission::Refused { cause, retry_after };
         }
@@ -232,6 +254,43 @@
         })
     }
 
+    /// Whether a request has to wait until it is known what else was in flight at its crashes.
+    #[must_use]
+    pub fn is_undecided(
+        &self,
+        service: &ServiceName,
+        request: RequestFingerprint,
+        now: Instant,
+    ) -> bool {
+        self.services.get(service).is_some_and(|ledger| {
+            ledger.evidence.standing(request, now) == RequestStanding::Undecided
+        })
+    }
+
+    /// The services whose requests may have been decided on since the last call.
+    pub fn take_decisions(&mut self, now: Instant) -> Vec<ServiceName> {
+        let services = self.services.iter_mut();
+        let decided = services.filter_map(|(service, ledger)| {
+            let is_decided = ledger.evidence.take_decision(now);
+            is_decided.then(|| service.clone())
+        });
+        decided.collect()
+    }
+
+    /// For how long a request is refused for its own crashes, if it is.
+    #[must_use]
+    pub fn request_quarantine(
+        &self,
+        service: &ServiceName,
+        request: RequestFingerprint,
+        now: Instant,
+    ) -> Option<Duration> {
+        match self.services.get(service)?.evidence.standing(request, now) {
+            RequestStanding::Quarantined(left) => Some(left),
+            RequestStanding::Clear | RequestStanding::Undecided => None,
+        }
+    }
+
     /// Why and for how long a request is refused for its segments, if it is. Unlike
     /// [`Self::admit`], this begins no trial.
     #[must_use]
@@ -332,35 +391,24 @@
         &mut self,
         service: &ServiceName,
         server: &ServerCrash,
-        segments: &[SegmentFingerprint],
+        run: ProvenRun<'_>,
         sent_at: Instant,
         now: Instant,
     ) {
         let ledger = self.services.entry(service.clone()).or_default();
-        ledger
-            .evidence
-            .record_completion(server, segments, sent_at, now);
+        ledger.evidence.record_completion(server, run, sent_at, now);
         for hold in &mut ledger.holds {
-            hold.clear(segments);
+            hold.clear(run.segments);
         }
         self.lift_unfounded(service, now);
     }
 
-    /// Records that a run with these segments has gone on long enough not to crash its
-    /// server.
-    pub fn record_progress(
-        &mut self,
-        service: &ServiceName,
-        segments: &[SegmentFingerprint],
-        now: Instant,
-    ) {
-        if !self.is_suspect(service, segments) {
-            return;
-        }
+    /// Records that a run has gone on long enough not to crash its server.
+    pub fn record_progress(&mut self, service: &ServiceName, run: ProvenRun<'_>, now: Instant) {
         if let Some(ledger) = self.services.get_mut(service) {
-            ledger.evidence.record_progress(segments);
+            ledger.evidence.clear(run);
             for hold in &mut ledger.holds {
-                hold.clear(segments);
+                hold.clear(run.segments);
             }
         }
         self.lift_unfounded(service, now);
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -1,7 +1,7 @@
 //! The crashes of a service's servers, and the completed runs that speak against them.
 
 use super::hold::SegmentHold;
-use super::{CrashCounts, RequestTraits, SegmentCrashCount, SegmentFingerprint};
+use super::{CrashCounts, ProvenRun, RequestTraits, SegmentCrashCount, SegmentFingerprint};
 use crate::quarantine::{RequestFingerprint, ServerCrash};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -22,7 +22,8 @@
 /// The number of crashes at which a request is quarantined, while few other runs are lost.
 const REQUEST_CRASHES: usize = 2;
 
-/// The number of crashes at which a request is quarantined, whatever else is lost.
+/// The number of crashes at which a request is quarantined, whatever else is lost or explains
+/// them.
 const REQUEST_CRASHES_MAX: usize = 5;
 
 /// The number of crashes, in different requests, from which a segment is held, while few
@@ -95,25 +96,81 @@
     segments: HashMap<SegmentFingerprint, SegmentCrashes>,
     completions: RecentCounts<HashMap<SegmentFingerprint, u32>>,
     all_completions: RecentCounts<usize>,
+    /// When the standing of requests at the latest crash is decided.
+    undecided_until: Option<Instant>,
+}
+
+/// How a request is to be treated for its own crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestStanding {
+    /// It may run.
+    Clear,
+    /// It must wait: reports on other runs of its latest crash may still be on their way, and
+    /// explain its crashes.
+    Undecided,
+    /// It is refused for the time that is left.
+    Quarantined(Duration),
 }
 
 impl CrashEvidence {
-    /// The time until a request may run again, if it is quarantined.
-    pub(super) fn request_quarantine(
+    /// How a request is to be treated for its own crashes.
+    pub(super) fn standing(&self, request: RequestFingerprint, now: Instant) -> RequestStanding {
+        let Some(crashes) = self.requests.get(&request) else {
+            return RequestStanding::Clear;
+        };
+        let suffice = if self.has_other_cause(request, crashes) {
+            self.incidents(crashes.iter()) >= REQUEST_CRASHES_MAX
+        } else {
+            let loss_rate = self.loss_rate_without(crashes.iter());
+            let required = required_crashes(REQUEST_CRASHES, loss_rate);
+            crashes.len() >= required.min(REQUEST_CRASHES_MAX)
+        };
+        let records = crashes.iter().filter_map(|crash| self.crashes.get(crash));
+        let latest = records.map(|record| record.at).max();
+        let Some(latest) = latest.filter(|_| suffice) else {
+            return RequestStanding::Clear;
+        };
+        let age = now.saturating_duration_since(latest);
+        if age < INCIDENT_LENGTH {
+            return RequestStanding::Undecided;
+        }
+        match EVIDENCE_WINDOW.saturating_sub(age) {
+            Duration::ZERO => RequestStanding::Clear,
+            left => RequestStanding::Quarantined(left),
+        }
+    }
+
+    /// Whether the standing of requests may have been decided since the last call.
+    pub(super) fn take_decision(&mut self, now: Instant) -> bool {
+        self.undecided_until
+            .take_if(|until| now >= *until)
+            .is_some()
+    }
+
+    /// Whether another request, or a segment that this one does not have, was in flight at all
+    /// of its crashes and explains them as well.
+    fn has_other_cause(
         &self,
         request: RequestFingerprint,
-        now: Instant,
-    ) -> Option<Duration> {
-        let crashes = self.requests.get(&request)?;
-        let loss_rate = self.loss_rate_without(crashes.iter());
-        let required = required_crashes(REQUEST_CRASHES, loss_rate);
-        if crashes.len() < required.min(REQUEST_CRASHES_MAX) {
-            return None;
-        }
+        crashes: &BTreeSet<ServerCrash>,
+    ) -> bool {
         let records = crashes.iter().filter_map(|crash| self.crashes.get(crash));
-        let until = records.map(|record| record.at).max()? + EVIDENCE_WINDOW;
-        let left = until.saturating_duration_since(now);
-        (!left.is_zero()).then_some(left)
+        let Some(record) = records.min_by_key(|record| record.runs.len()) else {
+            return false;
+        };
+        let is_own = |run: &&RequestTraits| run.request == request;
+        let own = record.runs.iter().find(is_own);
+        let own_segments = own.map_or(&[][..], |run| &run.segments);
+        let mut others = record.runs.iter().filter(|run| !is_own(run));
+        others.any(|run| {
+            let explains_all = self.requests.get(&run.request);
+            let mut segments = run.segments.iter().filter(|s| !own_segments.contains(s));
+            explains_all.is_some_and(|other| crashes.is_subset(other))
+                || segments.any(|segment| {
+                    let other = self.segments.get(segment);
+                    other.is_some_and(|other| crashes.iter().all(|c| other.contains_key(c)))
+                })
+        })
     }
 
     /// Records a crash for one of the runs that were in flight. Returns whether it counts
@@ -126,6 +183,7 @@
     ) -> bool {
         self.rotate_counts(now);
         if !self.crashes.contains_key(crash) {
+            self.undecided_until = Some(now + INCIDENT_LENGTH);
             self.order.push_back(crash.clone());
             if self.order.len() > CRASHES_MAX
                 && let Some(oldest) = self.order.pop_front()
@@ -244,7 +302,12 @@
             return 0;
         };
         let requests: HashSet<&RequestFingerprint> = crashes.values().collect();
-        let records = crashes.keys().filter_map(|crash| self.crashes.get(crash));
+        requests.len().min(self.incidents(crashes.keys()))
+    }
+
+    /// The number of crashes, counting those within [`INCIDENT_LENGTH`] once.
+    fn incidents<'a>(&self, crashes: impl Iterator<Item = &'a ServerCrash>) -> usize {
+        let records = crashes.filter_map(|crash| self.crashes.get(crash));
         let mut times: Vec<Instant> = records.map(|record| record.at).collect();
         times.sort_unstable();
         let mut incidents = 0;
@@ -255,7 +318,7 @@
                 ends_at = Some(at + INCIDENT_LENGTH);
             }
         }
-        requests.len().min(incidents)
+        incidents
     }
 
     /// The number of crashes at which a segment is held. By chance, several crashes in a row
@@ -281,31 +344,34 @@
         as_float(lost) / as_float((lost + completed).max(1))
     }
 
-    /// Records that a run with these segments has gone on long enough not to crash its
-    /// server.
-    pub(super) fn record_progress(&mut self, segments: &[SegmentFingerprint]) {
-        for segment in segments {
+    /// Drops the crashes that count against a request and its segments, since a run of it
+    /// crashed no server.
+    pub(super) fn clear(&mut self, run: ProvenRun<'_>) {
+        if let Some(request) = run.request {
+            self.requests.remove(&request);
+        }
+        for segment in run.segments {
             self.segments.remove(segment);
         }
     }
 
-    /// Records a completed run: its segments are sound, and so is the server.
+    /// Records a completed run: its request and segments are sound, and so is the server.
     pub(super) fn record_completion(
         &mut self,
         server: &ServerCrash,
-        segments: &[SegmentFingerprint],
+        run: ProvenRun<'_>,
         sent_at: Instant,
         now: Instant,
     ) {
         self.rotate_counts(now);
         self.all_completions.current += 1;
         let counts = &mut self.completions.current;
-        for segment in segments {
+        for segment in run.segments {
             if counts.len() < COUNTED_SEGMENTS_MAX || counts.contains_key(segment) {
                 *counts.entry(*segment).or_default() += 1;
             }
-            self.segments.remove(segment);
         }
+        self.clear(run);
         let crashed_at = self.crashes.get(server).map(|record| record.at);
         if crashed_at.is_some_and(|at| at < sent_at) {
             self.order.retain(|crash| crash != server);
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -580,8 +580,8 @@
 
     fn work(&self) -> ProvenWork {
         let other = self.other_work.as_ref();
-        other.map_or(ProvenWork::Requested, |traits| ProvenWork::Other {
-            segments: traits.segments.clone(),
+        other.map_or(ProvenWork::Requested, |traits| {
+            ProvenWork::Other(traits.clone())
         })
     }
 
