--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -115,13 +115,11 @@
                 let own = crashes
                     .request_quarantine(service, request.fingerprint, now)
                     .filter(|_| waiting.was_undecided);
-                let quarantine = match own {
-                    Some(left) => (QuarantineCause::Request, left),
-                    None => {
-                        let segments = shared_segments(&request.prompt);
-                        crashes.segment_quarantine(service, &segments, now)?
-                    }
-                };
+                let quarantine = own.map(|left| (QuarantineCause::Request, left));
+                let quarantine = quarantine.or_else(|| {
+                    let segments = shared_segments(&request.prompt);
+                    crashes.segment_quarantine(service, &segments, now)
+                })?;
                 Some((*position, quarantine))
             };
             let quarantined: Vec<_> = queue.iter().filter_map(quarantine).collect();
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -66,6 +66,9 @@
 pub(crate) struct OpenConnection {
     pub(crate) sender: RequestSender,
     pub(crate) path: ConnectionPath,
+    /// The incarnation of the server at its other end, once the server has named it. A
+    /// connection does not outlast it.
+    pub(crate) incarnation: Option<u64>,
 }
 
 struct IdleConnection {
@@ -152,7 +155,11 @@
         if !was_cut_off && self.dialer.paths().is_cut_off() {
             self.close_idle_on_lost_paths();
         }
-        Ok(OpenConnection { sender, path })
+        Ok(OpenConnection {
+            sender,
+            path,
+            incarnation: None,
+        })
     }
 
     /// Whether a connection to a server is known to have ended with its path: other hosts
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -138,6 +138,11 @@
         })
     }
 
+    /// Records the version of the server that ran the stream last.
+    pub(super) fn bind_version(&mut self, version: &SoftwareVersion) {
+        self.version = Some(version.clone());
+    }
+
     fn is_repeatable(&self) -> bool {
         let route = self.route();
         match route.kind {
@@ -503,6 +508,7 @@
                 .request_headers(&request.headers, &context),
             body: request.body.clone(),
             at_most_once: !state.is_repeatable(),
+            continues_run: context.last_event.is_some(),
             head_timeout: if may_resend {
                 resend_after.min(left)
             } else {
@@ -657,7 +663,7 @@
                     lease.record_load(answer.head.load);
                     state.runs += 1;
                     self.log_resumed(state, &lease, last_event);
-                    state.version = Some(lease.version.clone());
+                    state.bind_version(&lease.version);
                     return Some((answer, lease));
                 }
                 Ok(answer) => {
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -247,16 +247,17 @@
     log: &EventLog,
     tunnels: TunnelReporter,
 ) -> SyncReporter {
-    let slots = slots.clone();
     let marks = marks.clone();
     let log = log.clone();
+    let (active, restarted) = (slots.clone(), slots.clone());
     SyncReporter {
         role: HostRole::Entry,
-        active: Box::new(move || slots.active()),
+        active: Box::new(move || active.active()),
         store: Box::new(|| None),
         tunnels,
         marks: Some(marks),
         on_hosts: Box::new(|_| {}),
+        on_directory: Box::new(move || restarted.note_restarts()),
         on_change: Box::new(move |change| log_view_change(&log, change)),
     }
 }
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -303,6 +303,7 @@
         } = run;
         drop(body);
         self.context.state.avoid_server(&lease.server);
+        self.context.state.bind_version(&lease.version);
         if let Some(end) = cause.connection_end(framing)
             && connection.close_broken(end).await
         {
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -146,9 +146,9 @@
         self.state().plan.clone()
     }
 
-    /// The term of the leader that the directory is from.
-    fn term(&self) -> u64 {
-        self.state().directory.0
+    /// The term of the leader that the directory is from, and the version of the directory.
+    fn directory(&self) -> (u64, u64) {
+        self.state().directory
     }
 
     /// Whether the last sync reached the leader.
@@ -382,6 +382,8 @@
     pub(crate) marks: Option<ServerMarks>,
     /// Called with the addresses of the control hosts after each sync.
     pub(crate) on_hosts: HostsListener,
+    /// Called when the directory of servers has changed.
+    pub(crate) on_directory: Box<dyn Fn() + Send + Sync>,
     /// Called when a new plan takes effect or the leader is lost or found.
     pub(crate) on_change: Box<dyn Fn(ViewChange) + Send + Sync>,
 }
@@ -407,6 +409,7 @@
             tunnels: Box::new(|_| TunnelReport::default()),
             marks: None,
             on_hosts: Box::new(|_| {}),
+            on_directory: Box::new(|| {}),
             on_change: Box::new(|_| {}),
         }
     }
@@ -445,11 +448,15 @@
                 (reporter.on_change)(ViewChange::LeaderFound);
             }
             let own_address = base.rpc.identity().address;
-            let term = view.term();
+            let (term, version) = view.directory();
             if let Some(version) = view.apply(*reply, own_address, sent_at, base.clock.now()) {
                 (reporter.on_change)(ViewChange::Plan(version));
             }
-            if let Some(marks) = reporter.marks.as_ref().filter(|_| view.term() != term) {
+            let (new_term, new_version) = view.directory();
+            if (new_term, new_version) != (term, version) {
+                (reporter.on_directory)();
+            }
+            if let Some(marks) = reporter.marks.as_ref().filter(|_| new_term != term) {
                 // The reports of this sync may have gone to the leader before.
                 marks.forget_broker();
                 view.request_sync();
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -156,6 +156,12 @@
     /// Returns the size of a batch item.
     fn item_shape(&self, item: &ItemSpec) -> PromptShape;
 
+    /// The path of the call that asks a server for its state.
+    fn state_path(&self) -> &'static str;
+
+    /// Reads the incarnation of a server from its state; `None` if it names none.
+    fn read_incarnation(&self, state: &[u8]) -> Option<u64>;
+
     /// Reads the head of a response.
     fn read_answer(&self, head: &response::Parts) -> AnswerHead;
 
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -8,14 +8,23 @@
 use chicoryladder_gateway::{BodyFraming, is_malformed};
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::HOST;
 use hyper::http::response;
 use hyper::{HeaderMap, Method, Request};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The timeout for the state of a server, after which its connection is given up.
+const STATE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// The maximum size of the state of a server, in bytes.
+const STATE_MAX_BYTES: usize = 64 * 1024;
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
 /// A request to a backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct ServerRequest {
@@ -29,6 +38,9 @@
     /// Whether the request may run at most once, so that a connection which the server
     /// may be closing must not be used.
     pub(crate) at_most_once: bool,
+    /// Whether the request goes on after the events of an earlier run, so that only the
+    /// intended incarnation of the server may run it: the next one may have another version.
+    pub(crate) continues_run: bool,
     /// The timeout for the head of the response.
     pub(crate) head_timeout: Duration,
 }
@@ -187,13 +199,15 @@
         self.check_leaving(request)?;
         if let Some(mut idle) = self.pool.take_idle(request.address, request.at_most_once) {
             *path = Some(idle.path.clone());
-            match idle.sender.try_send_request(message).await {
-                Ok(response) => return self.read(request, idle, response),
-                Err(mut error) => match error.take_message() {
-                    // Nothing was written, so another connection may be tried.
-                    Some(unsent) => message = unsent,
-                    None => return Err(broken_response(error.error())),
-                },
+            if self.check_incarnation(request, &mut idle).await? {
+                match idle.sender.try_send_request(message).await {
+                    Ok(response) => return self.read(request, idle, response),
+                    Err(mut error) => match error.take_message() {
+                        // Nothing was written, so another connection may be tried.
+                        Some(unsent) => message = unsent,
+                        None => return Err(broken_response(error.error())),
+                    },
+                }
             }
         }
         let Ok(mut connection) = self.pool.open(request.address).await else {
@@ -204,17 +218,16 @@
                 "no connection could be opened",
             ));
         };
+        *path = Some(connection.path.clone());
+        if !self.check_incarnation(request, &mut connection).await? {
+            return Err(failed_unused());
+        }
         // The server may have said so while the connection was opened.
         self.check_leaving(request)?;
-        *path = Some(connection.path.clone());
         match connection.sender.try_send_request(message).await {
             Ok(response) => self.read(request, connection, response),
             Err(mut error) => match error.take_message() {
-                Some(_) => Err(RunFailure::new(
-                    RunVerdict::NotRun,
-                    RunOutcome::Unreachable,
-                    "the connection closed before the request was written",
-                )),
+                Some(_) => Err(failed_unused()),
                 None => Err(broken_response(error.error())),
             },
         }
@@ -231,6 +244,56 @@
         Ok(())
     }
 
+    /// Makes sure that a request which continues an earlier run reaches the intended incarnation
+    /// of its server. A server that has started again is known by its name and address until
+    /// it checks in. Returns whether the connection is still usable; one whose server names no
+    /// incarnation is.
+    async fn check_incarnation(
+        &self,
+        request: &ServerRequest,
+        connection: &mut OpenConnection,
+    ) -> Result<bool, RunFailure> {
+        let expected = request.server.incarnation;
+        if !request.continues_run || connection.incarnation == Some(expected) {
+            return Ok(true);
+        }
+        let asking = self.read_state(request, connection);
+        let asked = tokio::time::timeout(STATE_TIMEOUT, asking).await;
+        let state = match asked.unwrap_or_else(|elapsed| Err(elapsed.into())) {
+            Ok(state) => state,
+            Err(error) => {
+                let address = request.address;
+                log::debug!("server run: failed to read the state of {address}: {error}.");
+                return Ok(false);
+            }
+        };
+        connection.incarnation = self.dialect.read_incarnation(&state);
+        match connection.incarnation {
+            Some(actual) if actual != expected => Err(RunFailure::new(
+                RunVerdict::NotRun,
+                RunOutcome::WrongServer,
+                "the server has started again",
+            )),
+            _ => Ok(true),
+        }
+    }
+
+    /// Asks a server for its state.
+    async fn read_state(
+        &self,
+        request: &ServerRequest,
+        connection: &mut OpenConnection,
+    ) -> Result<Bytes, BoxError> {
+        let message = Request::get(self.dialect.state_path())
+            .header(HOST, request.address.to_string())
+            .body(Full::new(Bytes::new()))?;
+        let response = connection.sender.send_request(message).await?;
+        let body = Limited::new(response.into_body(), STATE_MAX_BYTES);
+        let state = body.collect().await?.to_bytes();
+        connection.sender.ready().await?;
+        Ok(state)
+    }
+
     fn read(
         &self,
         request: &ServerRequest,
@@ -295,6 +358,15 @@
     }
 }
 
+/// The failure of a connection before a request was written on it.
+fn failed_unused() -> RunFailure {
+    RunFailure::new(
+        RunVerdict::NotRun,
+        RunOutcome::Unreachable,
+        "the connection failed before the request was written",
+    )
+}
+
 /// The failure of a response whose head could not be read.
 fn broken_response(error: &hyper::Error) -> RunFailure {
     if is_malformed(error) {
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -9,7 +9,7 @@
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
     ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    ServerCheckIn, SlotDecision, SlotRefusalReason, SlotRequest, StreamPart, WorkKind,
+    ServerCheckIn, SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
     shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
@@ -19,7 +19,7 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
@@ -62,7 +62,10 @@
 
 struct RunHandle {
     run: ActiveRun,
+    incarnation: u64,
     stop: Arc<Notify>,
+    /// The version that the server turned out to run, once it is known to have started again.
+    successor: Arc<OnceLock<SoftwareVersion>>,
 }
 
 struct SlotShared {
@@ -126,6 +129,27 @@
         f64::from(count)
     }
 
+    /// Notes for the active runs which of their servers have started again since their slots
+    /// were granted.
+    pub(crate) fn note_restarts(&self) {
+        let servers = self.shared.view.servers();
+        let runs = self.runs();
+        let mut by_server: HashMap<&ServerName, Vec<&RunHandle>> = HashMap::new();
+        for handle in runs.values() {
+            by_server
+                .entry(&handle.run.server)
+                .or_default()
+                .push(handle);
+        }
+        for server in servers.iter() {
+            let handles = by_server.get(&server.name).into_iter().flatten();
+            for handle in handles.filter(|handle| handle.incarnation < server.incarnation) {
+                // An incarnation that is noted already stays: the run's connection is of it.
+                let _ = handle.successor.set(server.version.clone());
+            }
+        }
+    }
+
     /// Signals a run to stop.
     pub(crate) fn stop(&self, ticket: u64) {
         if let Some(handle) = self.runs().get(&ticket) {
@@ -293,6 +317,7 @@
             streams.bind(stream, &version, !brokerless, now);
         }
         let stop = Arc::new(Notify::new());
+        let successor = Arc::default();
         let run = ActiveRun {
             ticket: slot_request.ticket,
             server: server.clone(),
@@ -303,7 +328,9 @@
         };
         let handle = RunHandle {
             run,
+            incarnation,
             stop: stop.clone(),
+            successor: Arc::clone(&successor),
         };
         self.runs().insert(slot_request.ticket, handle);
         SlotLease {
@@ -313,6 +340,8 @@
             address,
             brokerless,
             stop,
+            successor,
+            stream: slot_request.stream_id(),
             ticket: slot_request.ticket,
             service: slot_request.service.clone(),
             traits: slot_request.traits(),
@@ -517,6 +546,8 @@
     /// Whether this host chose the server without the broker.
     pub(crate) brokerless: bool,
     stop: Arc<Notify>,
+    successor: Arc<OnceLock<SoftwareVersion>>,
+    stream: Option<StreamId>,
     ticket: u64,
     pub(crate) service: ServiceName,
     /// The work for which the slot was requested.
@@ -587,6 +618,7 @@
 
     /// Records that a part of the response has arrived.
     pub(crate) fn record_data(&mut self, now: Instant) {
+        self.follow_restart(now);
         let first_data_at = *self.first_data_at.get_or_insert(now);
         let is_proven = now.saturating_duration_since(first_data_at) >= PROVEN_AFTER;
         if is_proven && !self.is_proven {
@@ -598,6 +630,25 @@
         }
     }
 
+    /// Binds the stream to the version of the server's next incarnation, if that is known by
+    /// now: connections end with the incarnation, so the one that still brings data is of the
+    /// next.
+    fn follow_restart(&mut self, now: Instant) {
+        let Some(version) = self.successor.get() else {
+            return;
+        };
+        if *version != self.version {
+            self.version = version.clone();
+            if let Some(stream) = self.stream {
+                let mut streams = self.client.shared.marks.streams();
+                streams.bind(stream, version, false, now);
+                drop(streams);
+                // The broker has the earlier version, and callers may take the stream up.
+                self.client.shared.view.request_sync();
+            }
+        }
+    }
+
     /// Uses the slot for other work than it was requested for.
     pub(crate) fn run_instead(&mut self, traits: RequestTraits) {
         if traits != self.traits {
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -396,6 +396,8 @@
             Box::new(move |hosts| addresses.save_hosts(hosts))
         },
         marks: Some(shared.runner.marks.clone()),
+        // Store hosts get no directory.
+        on_directory: Box::new(|| {}),
         tunnels: Box::new(move |now| TunnelReport {
             offers: false,
             needs: dialer.paths().needs_tunnels(now),
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -182,6 +182,7 @@
         headers: runner.dialect.item_headers(spec, host, &context),
         body: spec.body.clone().into(),
         at_most_once: false,
+        continues_run: item.progress.last_event.is_some(),
         head_timeout: SILENCE_MAX,
     }
 }
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -32,6 +32,9 @@
 /// The path suffix at which a server never responds.
 pub(crate) const STALL_PATH: &str = "/silent";
 
+/// The path of the call that asks a server for its state.
+const STATE_PATH: &str = "/report";
+
 /// The header field by which a server says that it leaves.
 pub(crate) const LEAVING_FIELD: &str = "server-leaving";
 
@@ -93,6 +96,8 @@
     /// The limit on requests a second that every response names; 0 for none.
     limit: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<AbortHandle>>>,
+    /// Whether its check-ins do not leave it.
+    check_ins_held: Arc<AtomicBool>,
     /// The version of its software, in check-ins.
     version: Arc<Mutex<&'static str>>,
     /// Whether a control host has acknowledged a check-in as draining.
@@ -122,6 +127,7 @@
             leaving_in_answers: Arc::default(),
             limit: Arc::default(),
             connections: Arc::default(),
+            check_ins_held: Arc::default(),
             version: Arc::new(Mutex::new("v1")),
             leaving_acknowledged: Arc::default(),
         };
@@ -164,10 +170,17 @@
         self.incarnation.load(Ordering::Relaxed)
     }
 
-    /// Returns as a new incarnation, under the same name and at the same address.
+    /// Returns as a new incarnation, under the same name and at the same address. The
+    /// connections of the earlier one end with it.
     pub(crate) fn restart(&self) {
         self.leaving_in_answers.store(false, Ordering::Relaxed);
         self.incarnation.fetch_add(1, Ordering::Relaxed);
+        self.break_connections();
+    }
+
+    /// Holds check-ins back, or sends them again.
+    pub(crate) fn hold_check_ins(&self, held: bool) {
+        self.check_ins_held.store(held, Ordering::Relaxed);
     }
 
     fn connections(&self) -> MutexGuard<'_, Vec<AbortHandle>> {
@@ -207,6 +220,9 @@
 
     async fn check_in(self, control: Vec<SocketAddr>) {
         for sequence in 1u64.. {
+            while self.check_ins_held.load(Ordering::Relaxed) {
+                tokio::time::sleep(EVENT_INTERVAL).await;
+            }
             let leaving = self.leaving.load(Ordering::Relaxed);
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
@@ -234,6 +250,10 @@
     /// Answers a request; an error closes the connection, like a crash.
     async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<AnswerBody>> {
         let (head, body) = request.into_parts();
+        if head.uri.path() == STATE_PATH {
+            let state = json!({ "stage": "mixed", "born": self.incarnation() }).to_string();
+            return Ok(Response::new(Full::new(state.into()).boxed_unsync()));
+        }
         let text = |name: &str| text(&head.headers, name);
         let id = text("x-request-id").unwrap_or_default();
         if text("x-expect-instance").as_deref() != Some(&self.name) {
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -5,7 +5,7 @@
 //! `FLEET_SOAK_SEEDS` sets the seeds (a range such as `10..60`, or a list), and
 //! `FLEET_SOAK_SECONDS` the duration per seed. By default, `SHORT_SEED` and the seeds in
 //! `REGRESSIONS`, which failed before, run for `SHORT_SECONDS` each, with the faults that they
-//! had then: only seeds that are set by hand take the paths to servers from hosts.
+//! had then.
 
 use crate::client::{Answer, Call};
 use crate::servers::{LEAVING_FIELD, LIMIT_FIELD, Run, Server, event_data, stream_text};
@@ -20,16 +20,28 @@
 use std::time::{Duration, Instant};
 use tokio::task::JoinSet;
 
-/// Seeds that failed before, with the causes.
-const REGRESSIONS: &[(u64, &str)] = &[
+/// Seeds that failed before, with the share of starts without a path to servers and the causes.
+const REGRESSIONS: &[(u64, f64, &str)] = &[
     (
         302,
+        0.0,
         "a control host that a new leader listed alone never asked the seeds again",
     ),
     (
         5007,
+        0.0,
         "a new leader knew no limits of servers until they named them again",
     ),
+    (
+        70_105,
+        STRANDED_SHARE,
+        "streams went on at a server that had started again with another version",
+    ),
+    (
+        72_011,
+        STRANDED_SHARE,
+        "streams begun at such a server went on at the version that it had before",
+    ),
 ];
 
 /// The default seed and duration, as run in CI.
@@ -574,25 +586,30 @@
     }
 }
 
-fn seeds() -> Vec<u64> {
+/// The seeds, with the share of starts without a path to servers.
+fn seeds() -> Vec<(u64, f64)> {
     let Ok(text) = std::env::var("FLEET_SOAK_SEEDS") else {
-        let regressions = REGRESSIONS.iter().map(|(seed, _)| *seed);
-        return std::iter::once(SHORT_SEED).chain(regressions).collect();
+        let regressions = REGRESSIONS.iter().map(|(seed, share, _)| (*seed, *share));
+        return std::iter::once((SHORT_SEED, 0.0))
+            .chain(regressions)
+            .collect();
     };
     let number = |text: &str| text.trim().parse().expect("a seed is a number");
-    match text.split_once("..") {
+    let seeds: Vec<u64> = match text.split_once("..") {
         Some((first, end)) => (number(first)..number(end)).collect(),
         None => text.split(',').map(number).collect(),
-    }
+    };
+    seeds
+        .into_iter()
+        .map(|seed| (seed, STRANDED_SHARE))
+        .collect()
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn random_faults_violate_no_guarantee() {
     let seconds = std::env::var("FLEET_SOAK_SECONDS").ok();
     let seconds = seconds.map_or(SHORT_SECONDS, |text| text.parse().expect("a number"));
-    for seed in seeds() {
-        let by_hand = std::env::var("FLEET_SOAK_SEEDS").is_ok();
-        let stranded_share = if by_hand { STRANDED_SHARE } else { 0.0 };
+    for (seed, stranded_share) in seeds() {
         run_seed(seed, Duration::from_secs(seconds), stranded_share).await;
     }
 }
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -78,8 +78,13 @@
     gone_on
 }
 
-/// Begins streams at an entry host that is killed under them.
-async fn break_streams(fleet: &mut ProcessFleet, entry: &str, name: &str) -> Vec<(String, Answer)> {
+/// Begins streams at an entry host that is killed under them after `time`.
+async fn break_streams(
+    fleet: &mut ProcessFleet,
+    entry: &str,
+    name: &str,
+    time: Duration,
+) -> Vec<(String, Answer)> {
     let ids: Vec<String> = (0..STREAMS)
         .map(|number| format!("{name}-{number}"))
         .collect();
@@ -91,7 +96,7 @@
         .into_iter()
         .map(|call| tokio::spawn(async move { call.send().await }));
     let sending: Vec<_> = sending.collect();
-    tokio::time::sleep(BEGIN_TIME).await;
+    tokio::time::sleep(time).await;
     fleet.kill(entry);
     let mut broken = Vec::new();
     for (id, call) in ids.into_iter().zip(sending) {
@@ -111,7 +116,7 @@
 async fn streams_taken_up_after_the_death_of_an_entry_host_keep_their_version() {
     let mut fleet = mixed_fleet().await;
     let entries = fleet.host_names(Role::Entry);
-    let broken = break_streams(&mut fleet, &entries[0], "dead").await;
+    let broken = break_streams(&mut fleet, &entries[0], "dead", BEGIN_TIME).await;
     let gone_on = take_up(&fleet, &entries[2], &broken).await;
     assert!(
         gone_on >= STREAMS / 2,
@@ -119,6 +124,51 @@
     );
 }
 
+/// Guards against streams that callers take up at a server which has started again under its
+/// name with another version, and has not checked in since.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_not_taken_up_at_a_server_that_started_again_unnoticed() {
+    let mut fleet = ProcessFleet::start().await;
+    let entries = fleet.host_names(Role::Entry);
+    let broken = break_streams(&mut fleet, &entries[0], "again", BEGIN_TIME).await;
+    let restarted = &engines(&fleet)[2];
+    restarted.hold_check_ins(true);
+    restarted.restart_as("v2");
+    let gone_on = take_up(&fleet, &entries[2], &broken).await;
+    assert!(
+        gone_on >= STREAMS / 2,
+        "{gone_on} of {STREAMS} streams went on"
+    );
+}
+
+/// Guards against streams that begin at such a server and then go on at the version that it
+/// had before.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_begun_at_a_server_that_started_again_keep_its_version() {
+    let mut fleet = ProcessFleet::start().await;
+    let entries = fleet.host_names(Role::Entry);
+    let servers = engines(&fleet);
+    let restarted = &servers[2];
+    restarted.hold_check_ins(true);
+    restarted.restart_as("v2");
+    let checked_in = restarted.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(CHECK_IN_INTERVAL).await;
+        checked_in.hold_check_ins(false);
+    });
+    // The check-in, the directory and the report that follows from it each take a sync at most.
+    let time = BEGIN_TIME * 2;
+    let broken = break_streams(&mut fleet, &entries[0], "unnoticed", time).await;
+    let of_restarted = broken.into_iter().filter(|(id, _)| {
+        let runs = fleet.runs.runs_of(id);
+        runs.first().is_some_and(|run| run.version == "v2")
+    });
+    let of_restarted: Vec<_> = of_restarted.collect();
+    let gone_on = take_up(&fleet, &entries[2], &of_restarted).await;
+    let begun = of_restarted.len();
+    assert!(gone_on > 0, "{gone_on} of {begun} streams went on");
+}
+
 /// Guards against streams whose version is lost with the leader of the control group: the
 /// host that relayed them tells the next one.
 #[tokio::test(flavor = "multi_thread")]
