Seek the cause of a crash among all runs that it lost

What callers saw: nearly all sound requests were refused, as a segment that all requests share was held and then quarantined for 30 s. Cause: a conclusion was drawn from each report. The reports on the runs of one crash arrive one after the other from several hosts, so the first one, of a sound run, had only the shared segment to explain three crashes; the run with the crashing segment was reported 7 ms later. Change: while a segment of another run was in flight at all other crashes of a cause, the decision waits until 50 ms after the crash. Then all runs of the crash are weighed together, and of causes that are as good, that which the fewest lost runs have is held. Daemons use the same function. Conclusion: class, a decision on partial evidence whose rest is known to be on its way.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -471,7 +471,7 @@
         let remove_after = self.settings.remove_after;
         self.early_limits.remove_expired(remove_after, now);
         self.refuse_unservable();
-        self.refuse_decided(now);
+        self.decide_on_crashes(now);
         self.expire_waiting(now);
         self.supersede_for_waiting(now);
         self.dispatch_all(now);
--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -94,10 +94,15 @@
         request.kind == WorkKind::Online && self.crashes.is_undecided(service, fingerprint, now)
     }
 
-    /// Refuses the waiting requests that are quarantined now that it is known what else was
-    /// in flight at their crashes.
-    pub(super) fn refuse_decided(&mut self, now: Instant) {
-        for service in self.crashes.take_decisions(now) {
+    /// Draws conclusions from crashes whose runs are all reported by now, and refuses the waiting
+    /// requests that may no longer run.
+    pub(super) fn decide_on_crashes(&mut self, now: Instant) {
+        let decisions = self.crashes.decide(now);
+        if decisions.services.is_empty() {
+            return;
+        }
+        self.emit_quarantine_changes();
+        for service in decisions.services {
             self.refuse_quarantined(&service, now);
         }
     }
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -785,3 +785,35 @@
         assert_eq!(refused_after(&events).is_none(), is_explained, "{events:?}");
     }
 }
+
+/// Pattern: all servers end under requests with a crashing segment before any run completes, and
+/// of each crash the sound runs are reported first. Guards against a hold of the segment that all
+/// requests share, or of the one that the sound ones share.
+#[test]
+fn a_cause_is_sought_among_all_runs_of_a_crash() {
+    const SHARED: u64 = 1;
+    const SOUND: u64 = 5;
+    let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+    let request = |fixture: &mut BrokerFixture, second: u64| {
+        let mut request = fixture.slot_request(WorkKind::Online);
+        let own = 100 + request.ticket;
+        request.prompt = vec![segment(SHARED, 10), segment(second, 10), segment(own, 10)];
+        request
+    };
+    for number in 0..3 {
+        for second in [SOUND, SOUND, CRASHING] {
+            let lost = request(&mut fixture, second);
+            let crashed = crashed_run(&lost, &format!("gone-{number}"));
+            fixture.broker.record_crash(&crashed, fixture.now);
+            fixture.tick(STEP);
+        }
+        fixture.tick(Duration::from_millis(100));
+    }
+    for _ in 0..4 {
+        let sound = request(&mut fixture, SOUND);
+        let events = fixture.submit(sound);
+        assert!(granted(&events).is_some(), "{events:?}");
+    }
+    let crashing = request(&mut fixture, CRASHING);
+    assert_eq!(granted(&fixture.submit(crashing)), None);
+}
--- a/crates/host/src/quarantine/task.rs
+++ b/crates/host/src/quarantine/task.rs
@@ -5,7 +5,7 @@
 use crate::peers::{PeerDirectory, PeerMessage};
 use chicoryladder_policy::quarantine::{
     CrashLedger, CrashReport as TableReport, ProvenRun, QuarantineCause, QuarantineTable,
-    RequestFingerprint, RequestTraits, SegmentStatus, SuspectStatus, SuspectUpdate,
+    RequestFingerprint, RequestTraits, SegmentStatus, ServerCrash, SuspectStatus, SuspectUpdate,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -68,6 +68,8 @@
 
     fn handle(&mut self, event: QuarantineEvent) {
         let now = self.parts.clock.now();
+        let decisions = self.ledger.decide(now);
+        self.clear_exonerated(&decisions.exonerated, now);
         match event {
             QuarantineEvent::Check(traits, pool, sender) => {
                 // The channel is closed if the requester no longer waits.
@@ -143,11 +145,18 @@
             traits,
         } = report;
         let finding = self.ledger.record_crash(pool, crash, traits, now);
-        let cleared = finding.exonerated.iter();
+        self.clear_exonerated(&finding.exonerated, now);
+    }
+
+    /// Clears requests of crashes that have another cause.
+    fn clear_exonerated(&mut self, exonerated: &[(RequestFingerprint, ServerCrash)], now: Instant) {
+        let cleared = exonerated.iter();
         let updates =
             cleared.filter_map(|(request, crash)| self.table.clear_crash(*request, crash, now));
         let updates: Vec<SuspectUpdate> = updates.collect();
-        self.broadcast_suspects(updates);
+        if !updates.is_empty() {
+            self.broadcast_suspects(updates);
+        }
     }
 
     /// Records a completed run of this host. Other hosts need it only if they may hold a
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -19,7 +19,7 @@
 
 pub use fingerprint::RequestFingerprint;
 pub use ledger::{
-    Admission, CrashCounts, CrashFinding, CrashLedger, ProvenRun, QuarantineCause,
+    Admission, CrashCounts, CrashDecisions, CrashFinding, CrashLedger, ProvenRun, QuarantineCause,
     QuarantineChange, QuarantineStep, QuarantinedSegments, RequestTraits, SegmentCrashCount,
     SegmentFingerprint, SegmentStatus,
 };
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -78,6 +78,15 @@
     pub exonerated: Vec<(RequestFingerprint, ServerCrash)>,
 }
 
+/// What was decided on crashes some time after they became known.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CrashDecisions {
+    /// The services for whose requests something may have changed.
+    pub services: Vec<ServiceName>,
+    /// Requests that did not cause crashes which counted against them.
+    pub exonerated: Vec<(RequestFingerprint, ServerCrash)>,
+}
+
 /// The crashes that count against a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CrashCounts {
@@ -267,14 +276,26 @@
         })
     }
 
-    /// The services whose requests may have been decided on since the last call.
-    pub fn take_decisions(&mut self, now: Instant) -> Vec<ServiceName> {
-        let services = self.services.iter_mut();
-        let decided = services.filter_map(|(service, ledger)| {
-            let is_decided = ledger.evidence.take_decision(now);
-            is_decided.then(|| service.clone())
-        });
-        decided.collect()
+    /// Draws conclusions from the crashes whose runs are all reported by now.
+    pub fn decide(&mut self, now: Instant) -> CrashDecisions {
+        let mut decisions = CrashDecisions::default();
+        for (service, ledger) in &mut self.services {
+            let decided = ledger.evidence.take_decided(now);
+            if decided.is_empty() {
+                continue;
+            }
+            decisions.services.push(service.clone());
+            for crash in decided {
+                let Some(hold) = ledger.evidence.conclude_crash(&crash, now) else {
+                    continue;
+                };
+                self.changes
+                    .push(hold.change(service, QuarantineStep::Held, now));
+                self.version += 1;
+                decisions.exonerated.extend(ledger.begin_hold(hold));
+            }
+        }
+        decisions
     }
 
     /// For how long a request is refused for its own crashes, if it is.
@@ -339,16 +360,11 @@
             if !is_counted {
                 // The cause of the crash is known; what it shares with this run is not new.
                 exonerated.push((traits.request, crash.clone()));
-            } else if let Some(hold) = ledger.evidence.conclude(traits, now) {
+            } else if let Some(hold) = ledger.evidence.conclude_early(crash, traits, now) {
                 self.changes
                     .push(hold.change(service, QuarantineStep::Held, now));
                 self.version += 1;
-                for crash in hold.crashes() {
-                    exonerated.extend(ledger.evidence.explain(crash, &hold.segments));
-                }
-                // Fewer segments are as good an explanation.
-                ledger.holds.retain(|known| !known.matches_all_of(&hold));
-                ledger.add_hold(hold);
+                exonerated.extend(ledger.begin_hold(hold));
             }
         }
         self.lift_unfounded(service, now);
@@ -480,6 +496,19 @@
     /// The maximum number of holds of a service; the oldest is dropped first.
     const HOLDS_MAX: usize = 256;
 
+    /// Begins a hold, which explains its crashes. Returns the requests and crashes that no
+    /// longer count against them.
+    fn begin_hold(&mut self, hold: SegmentHold) -> Vec<(RequestFingerprint, ServerCrash)> {
+        let mut exonerated = Vec::new();
+        for crash in hold.crashes() {
+            exonerated.extend(self.evidence.explain(crash, &hold.segments));
+        }
+        // Fewer segments are as good an explanation.
+        self.holds.retain(|known| !known.matches_all_of(&hold));
+        self.add_hold(hold);
+        exonerated
+    }
+
     fn admit_segments(&mut self, segments: &[SegmentFingerprint], now: Instant) -> Admission {
         if let Some((cause, retry_after)) = self.segment_quarantine(segments, now) {
             return Admission::Refused { cause, retry_after };
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -3,6 +3,7 @@
 use super::hold::SegmentHold;
 use super::{CrashCounts, ProvenRun, RequestTraits, SegmentCrashCount, SegmentFingerprint};
 use crate::quarantine::{RequestFingerprint, ServerCrash};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -96,8 +97,8 @@
     segments: HashMap<SegmentFingerprint, SegmentCrashes>,
     completions: RecentCounts<HashMap<SegmentFingerprint, u32>>,
     all_completions: RecentCounts<usize>,
-    /// When the standing of requests at the latest crash is decided.
-    undecided_until: Option<Instant>,
+    /// The crashes that others of their runs may still be reported for.
+    undecided: VecDeque<ServerCrash>,
 }
 
 /// How a request is to be treated for its own crashes.
@@ -140,11 +141,15 @@
         }
     }
 
-    /// Whether the standing of requests may have been decided since the last call.
-    pub(super) fn take_decision(&mut self, now: Instant) -> bool {
-        self.undecided_until
-            .take_if(|until| now >= *until)
-            .is_some()
+    /// Takes the crashes whose runs are all reported by now.
+    pub(super) fn take_decided(&mut self, now: Instant) -> Vec<ServerCrash> {
+        let is_decided = |crash: &ServerCrash| {
+            let record = self.crashes.get(crash);
+            record.is_none_or(|r| now.saturating_duration_since(r.at) >= INCIDENT_LENGTH)
+        };
+        let count = self.undecided.iter().take_while(|crash| is_decided(crash));
+        let count = count.count();
+        self.undecided.drain(..count).collect()
     }
 
     /// Whether another request, or a segment that this one does not have, was in flight at all
@@ -183,7 +188,7 @@
     ) -> bool {
         self.rotate_counts(now);
         if !self.crashes.contains_key(crash) {
-            self.undecided_until = Some(now + INCIDENT_LENGTH);
+            self.undecided.push_back(crash.clone());
             self.order.push_back(crash.clone());
             if self.order.len() > CRASHES_MAX
                 && let Some(oldest) = self.order.pop_front()
@@ -267,8 +272,48 @@
         }
     }
 
-    /// The hold to which the crashes of a run lead, if they suffice.
-    pub(super) fn conclude(&self, traits: &RequestTraits, now: Instant) -> Option<SegmentHold> {
+    /// The hold to which a crash leads, if its segments' crashes suffice. Of several
+    /// explanations that are as good, the one that fewest of the lost runs have is the least
+    /// likely by chance.
+    pub(super) fn conclude_crash(&self, crash: &ServerCrash, now: Instant) -> Option<SegmentHold> {
+        let record = self.crashes.get(crash)?;
+        let runs = record.runs.iter().filter(|_| !record.is_explained);
+        let holds = runs.filter_map(|run| self.conclude(run, now));
+        let best = holds.max_by_key(|(excess, hold)| (*excess, Reverse(self.lost_with(hold))));
+        best.map(|(_, hold)| hold)
+    }
+
+    /// The hold to which the crashes of a run lead at once: no segment of another run, which
+    /// may not be reported yet, was in flight at all other crashes of it.
+    pub(super) fn conclude_early(
+        &self,
+        crash: &ServerCrash,
+        traits: &RequestTraits,
+        now: Instant,
+    ) -> Option<SegmentHold> {
+        let (_, hold) = self.conclude(traits, now)?;
+        let earlier: Vec<&ServerCrash> = hold.crashes().filter(|c| *c != crash).collect();
+        let records = earlier.iter().filter_map(|crash| self.crashes.get(*crash));
+        let record = records.min_by_key(|record| record.runs.len())?;
+        let segments = record.runs.iter().flat_map(|run| &run.segments);
+        let mut others = segments.filter(|segment| !traits.segments.contains(segment));
+        let may_explain = |segment: &SegmentFingerprint| {
+            let crashes = self.segments.get(segment);
+            crashes.is_some_and(|crashes| earlier.iter().all(|c| crashes.contains_key(*c)))
+        };
+        (!others.any(may_explain)).then_some(hold)
+    }
+
+    /// The runs with the segments of a hold that were lost at its crashes.
+    fn lost_with(&self, hold: &SegmentHold) -> usize {
+        let records = hold.crashes().filter_map(|crash| self.crashes.get(crash));
+        let runs = records.flat_map(|record| &record.runs);
+        runs.filter(|run| hold.matches(&run.segments)).count()
+    }
+
+    /// The hold to which the crashes of a run lead, if they suffice, and by how many they exceed
+    /// the requirement.
+    fn conclude(&self, traits: &RequestTraits, now: Instant) -> Option<(usize, SegmentHold)> {
         let candidates = traits.segments.iter().filter_map(|segment| {
             let crashes = self.segments.get(segment)?;
             let required = self.required_segment_crashes(*segment);
@@ -286,7 +331,7 @@
         let first_crash_at = records.map(|record| record.at).min().unwrap_or(now);
         let crashes = crashes.keys().cloned().collect();
         let hold = SegmentHold::new(segments, crashes, *required, first_crash_at, now);
-        Some(hold)
+        Some((*best, hold))
     }
 
     /// Whether the crashes still suffice for a hold.
