Let stand-in servers that crash be down for a while, with all their runs

Cause: the stand-in of the fleet tests lost only the request that crashed it, and answered the next one at once; since it lost all, and was still back at once. Servers of the platform are back after some seconds. Change: a stand-in that crashes ends all its connections and check-ins, and comes back as a new incarnation after 500 ms. No check changes.

--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -26,6 +26,9 @@
 /// The interval between two events of a stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// The time for which a server that crashed is down.
+const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// The path suffix at which a server closes the connection instead of responding.
 pub(crate) const CRASH_PATH: &str = "/crash";
 
@@ -98,6 +101,8 @@
     connections: Arc<Mutex<Vec<AbortHandle>>>,
     /// Whether its check-ins do not leave it.
     check_ins_held: Arc<AtomicBool>,
+    /// Whether its process has crashed and not started again yet.
+    is_down: Arc<AtomicBool>,
     /// The version of its software, in check-ins.
     version: Arc<Mutex<&'static str>>,
     /// Whether a control host has acknowledged a check-in as draining.
@@ -128,6 +133,7 @@
             limit: Arc::default(),
             connections: Arc::default(),
             check_ins_held: Arc::default(),
+            is_down: Arc::default(),
             version: Arc::new(Mutex::new("v1")),
             leaving_acknowledged: Arc::default(),
         };
@@ -178,6 +184,20 @@
         self.break_connections();
     }
 
+    /// Ends as a process does, and returns as a new incarnation after [`RESTART_TIME`].
+    fn crash(&self) {
+        if self.is_down.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let server = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_TIME).await;
+            server.restart();
+            server.is_down.store(false, Ordering::Relaxed);
+        });
+        self.break_connections();
+    }
+
     /// Holds check-ins back, or sends them again.
     pub(crate) fn hold_check_ins(&self, held: bool) {
         self.check_ins_held.store(held, Ordering::Relaxed);
@@ -206,6 +226,9 @@
             let Ok((stream, _)) = listener.accept().await else {
                 continue;
             };
+            if self.is_down.load(Ordering::Relaxed) {
+                continue;
+            }
             let server = self.clone();
             let service = service_fn(move |request| {
                 let server = server.clone();
@@ -220,7 +243,8 @@
 
     async fn check_in(self, control: Vec<SocketAddr>) {
         for sequence in 1u64.. {
-            while self.check_ins_held.load(Ordering::Relaxed) {
+            let is_silent = [&self.check_ins_held, &self.is_down];
+            while is_silent.iter().any(|cause| cause.load(Ordering::Relaxed)) {
                 tokio::time::sleep(EVENT_INTERVAL).await;
             }
             let leaving = self.leaving.load(Ordering::Relaxed);
@@ -273,7 +297,7 @@
             last_event: text("last-event-id").and_then(|last| last.parse().ok()),
         });
         if crashes_on_prompt(&text("x-prompt-prefix").unwrap_or_default()) {
-            self.restart();
+            self.crash();
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         if head.uri.path().ends_with(STALL_PATH) {
