Know requests of daemons by the words that they share

Cause: segments followed from markup, from messages and blank lines. Change: pairs of adjacent words are segments beside messages and paragraphs, of the whole body. The 48 pairs with the smallest hashes are kept, so that a shared part keeps its share of them in texts of any length. Ruled out: fastcdc and its like, whose smallest chunks are 64 bytes; chunks that end at words chosen by their hash miss short shared texts.

--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -16,6 +16,7 @@
 mod ledger;
 mod table;
 mod trial;
+mod words;
 
 pub use fingerprint::RequestFingerprint;
 pub use ledger::{
@@ -25,3 +26,4 @@
 };
 pub use table::{CrashReport, QuarantineTable, ServerCrash, SuspectStatus, SuspectUpdate};
 pub use trial::{TrialCoordinator, TrialDecision};
+pub use words::word_segments;
--- a/tests/all/quarantine.rs
+++ b/tests/all/quarantine.rs
@@ -85,33 +85,28 @@
     engines.iter().map(contains).sum()
 }
 
-/// Guards against requests that differ, but share a message under which servers crash, and
-/// that crash one server after the other.
-#[tokio::test(flavor = "multi_thread")]
-async fn requests_that_share_a_crashing_message_stop_reaching_servers() {
+/// The body of a request for a completion of messages.
+fn messages_body(messages: &serde_json::Value) -> String {
+    let mut body: serde_json::Value = serde_json::from_str(&chat_body(1, false)).unwrap();
+    body["messages"] = messages.clone();
+    body.to_string()
+}
+
+/// Sends crashing requests and sound ones in turn, one after the other, and checks that the
+/// crashing ones soon stop reaching servers and that all sound ones are served.
+async fn check_contained(crashing: impl Fn(usize) -> String, sound: impl Fn(usize) -> String) {
     let fleet = FleetFixture::with_document(3).await;
     let engines = Arc::new(start_engines(&fleet, 8).await);
     let key = fleet.grant_key(0, "curepipe").await.text;
     wait_until_key_known(&fleet, 3, &key).await;
     let recovering = tokio::spawn(recover_crashed(engines.clone()));
-    let body = |system: &str, question: usize| {
-        let messages = json!([
-            {"role": "system", "content": system},
-            {"role": "user", "content": format!("Question {question}.")},
-        ]);
-        let mut body: serde_json::Value = serde_json::from_str(&chat_body(1, false)).unwrap();
-        body["messages"] = messages;
-        body.to_string()
-    };
     let mut lost = Vec::new();
     for round in 0..30 {
         let callers = fleet.ports(round % 3).callers;
-        let crashing = format!("A {POISON} in the shared instructions.");
-        let request = HttpRequest::post(callers, CHAT, body(&crashing, round)).with_key(&key);
+        let request = HttpRequest::post(callers, CHAT, crashing(round)).with_key(&key);
         let answer = send(request).await.unwrap();
         assert_ne!(answer.status, 200);
-        let sound = body("Be brief.", round);
-        let request = HttpRequest::post(callers, CHAT, sound).with_key(&key);
+        let request = HttpRequest::post(callers, CHAT, sound(round)).with_key(&key);
         let answer = send(request).await.unwrap();
         if answer.status != 200 {
             lost.push((round, answer.status, answer.text()));
@@ -123,6 +118,76 @@
     assert!(lost.is_empty(), "{lost:?}");
 }
 
+/// Guards against requests that differ, but share a message under which servers crash, and
+/// that crash one server after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_crashing_message_stop_reaching_servers() {
+    let body = |system: &str, question: usize| {
+        messages_body(&json!([
+            {"role": "system", "content": system},
+            {"role": "user", "content": format!("Question {question}.")},
+        ]))
+    };
+    let crashing = format!("A {POISON} in the shared instructions.");
+    check_contained(
+        |round| body(&crashing, round),
+        |round| body("Be brief.", round),
+    )
+    .await;
+}
+
+/// Guards against the same with the first line of the only message, without a blank line.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_crashing_line_stop_reaching_servers() {
+    let body = |line: &str, round: usize| {
+        let content = format!("{line}\nPlan walk {round} along the shore.");
+        messages_body(&json!([{"role": "user", "content": content}]))
+    };
+    let crashing = format!("Follow the {POISON} of the park.");
+    check_contained(
+        |round| body(&crashing, round),
+        |round| body("Follow the map of the park.", round),
+    )
+    .await;
+}
+
+/// Guards against the same with some words within the only message, whose other words change.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_crashing_words_stop_reaching_servers() {
+    let body = |words: &str, round: usize| {
+        let content = format!("Walk {round}: under rules of {words}, plan walk {round}.");
+        messages_body(&json!([{"role": "user", "content": content}]))
+    };
+    check_contained(
+        |round| body(&format!("the {POISON} club"), round),
+        |round| body("the ramblers", round),
+    )
+    .await;
+}
+
+/// Guards against the same within a tool definition, beside a long message of its own.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_share_a_crashing_tool_stop_reaching_servers() {
+    let body = |tool: &str, round: usize| {
+        let own: Vec<String> = (0..60)
+            .map(|word| format!("w{}", word * 977 + round))
+            .collect();
+        let mut body: serde_json::Value = serde_json::from_str(&messages_body(&json!([
+            {"role": "user", "content": own.join(" ")},
+        ])))
+        .unwrap();
+        body["tools"] = json!([{"type": "function", "function": {
+            "name": "find", "description": format!("Finds {tool} near a place by its name."),
+        }}]);
+        body.to_string()
+    };
+    check_contained(
+        |round| body(&format!("each {POISON} path"), round),
+        |round| body("quiet paths", round),
+    )
+    .await;
+}
+
 /// Restarts each engine some time after each of its crashes.
 async fn recover_crashed(engines: Arc<Vec<EngineHandle>>) {
     let mut recovered = vec![0; engines.len()];
