Reserve the loopback subnet of each fleet that tests start

Change: a listener marks the subnet as taken for as long as the fleet lives; the next one tries others.

--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -8,10 +8,10 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 use tempfile::TempDir;
 
@@ -30,8 +30,39 @@
 /// The time within which a withdrawn key must stop working (`key_withdrawal_ms`).
 pub(crate) const KEY_WITHDRAWAL: Duration = Duration::from_secs(4);
 
-/// The third byte of the addresses of the next fleet of this test process.
-static NEXT_SUBNET: AtomicU8 = AtomicU8::new(1);
+/// The port that marks a subnet as taken, also by tests in other processes.
+const SUBNET_PORT: u16 = 7709;
+
+/// The number of the subnet that the next fleet of this test process tries first.
+static NEXT_SUBNET: AtomicUsize = AtomicUsize::new(1);
+
+/// A loopback subnet that no other fleet on this machine uses.
+struct Subnet {
+    /// The second and third byte of its addresses.
+    bytes: (u8, u8),
+    /// Held as long as the subnet is used.
+    _mark: TcpListener,
+}
+
+impl Subnet {
+    fn reserve() -> Self {
+        const SECOND_BYTES: usize = 200;
+        const THIRD_BYTES: usize = 250;
+        let first = usize::try_from(std::process::id()).expect("it fits");
+        for _ in 0..SECOND_BYTES * THIRD_BYTES {
+            let number = NEXT_SUBNET.fetch_add(1, Ordering::Relaxed);
+            let byte = |number: usize, least: usize| u8::try_from(number + least).expect("a byte");
+            let second = byte((first + number / THIRD_BYTES) % SECOND_BYTES, 20);
+            let third = byte(number % THIRD_BYTES, 1);
+            let address = Ipv4Addr::new(127, second, third, 1);
+            if let Ok(mark) = TcpListener::bind((address, SUBNET_PORT)) {
+                let bytes = (second, third);
+                return Self { bytes, _mark: mark };
+            }
+        }
+        panic!("no loopback subnet is free");
+    }
+}
 
 /// The role of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,8 +99,7 @@
 /// A fleet of processes with their proxies and stand-in servers.
 pub(crate) struct ProcessFleet {
     folder: TempDir,
-    /// The second and third byte of the addresses.
-    subnet: (u8, u8),
+    subnet: Subnet,
     /// The hosts that the settings name as seeds of the control group.
     seeds: Vec<(Role, u8)>,
     hosts: BTreeMap<String, Host>,
@@ -91,10 +121,7 @@
     pub(crate) async fn start_with_seeds(seeds: &[(Role, u8)]) -> Self {
         let mut fleet = Self {
             folder: TempDir::new().expect("a folder"),
-            subnet: (
-                u8::try_from(std::process::id() % 200).expect("a byte") + 20,
-                NEXT_SUBNET.fetch_add(1, Ordering::Relaxed),
-            ),
+            subnet: Subnet::reserve(),
             seeds: seeds.to_vec(),
             hosts: BTreeMap::new(),
             faults: LinkFaults::default(),
@@ -155,7 +182,8 @@
             Role::Store => 20,
             Role::Entry => 30,
         };
-        Ipv4Addr::new(127, self.subnet.0, self.subnet.1, first + number)
+        let (second, third) = self.subnet.bytes;
+        Ipv4Addr::new(127, second, third, first + number)
     }
 
     /// Sets the seeds in the settings of processes that start later.
@@ -590,7 +618,7 @@
         let folder = std::env::temp_dir().join(format!("fleet-logs-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         for name in self.hosts.keys() {
-            let file = folder.join(format!("{name}-{}.log", self.subnet.1));
+            let file = folder.join(format!("{name}-{}.log", self.subnet.bytes.1));
             std::fs::write(file, self.read_log(name)).expect("a file");
         }
         eprintln!("logs saved in {}", folder.display());
