Let no stand-in say that it leaves after it has started again

What remains: a server that starts again unnoticed and leaves at once is marked by its earlier incarnation.

--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -182,9 +182,13 @@
     /// Returns as a new incarnation, under the same name and at the same address. The
     /// connections of the earlier one end with it.
     pub(crate) fn restart(&self) {
+        self.begin_incarnation();
+        self.break_connections();
+    }
+
+    fn begin_incarnation(&self) {
         self.leaving_in_answers.store(false, Ordering::Relaxed);
         self.incarnation.fetch_add(1, Ordering::Relaxed);
-        self.break_connections();
     }
 
     /// Lets crashes under a prompt end all runs and the listener for [`RESTART_TIME`].
@@ -195,7 +199,7 @@
     /// Returns as a new incarnation; at once if only the run at hand ends with the earlier one.
     fn crash(&self) {
         if !self.crashes_whole.load(Ordering::Relaxed) {
-            self.incarnation.fetch_add(1, Ordering::Relaxed);
+            self.begin_incarnation();
             return;
         }
         if self.is_down.swap(true, Ordering::Relaxed) {
