Write colors into logs only on a terminal

Cause: the choice of the library looks at TERM, not at where standard error leads. Change: colors only if standard error is a terminal. log_files_hold_no_escape_sequences failed before and passes.

--- a/src/logging.rs
+++ b/src/logging.rs
@@ -2,12 +2,13 @@
 
 use log::LevelFilter;
 use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode};
+use std::io::IsTerminal;
 
 /// Libraries whose messages are left out, as they would crowd out those of the
 /// fleet.
 const IGNORED_LIBRARIES: &[&str] = &["hyper", "mio", "want", "opentelemetry"];
 
-/// Starts logging to standard error at the given level.
+/// Starts logging to standard error at the given level, with colors only on a terminal.
 ///
 /// Each message begins with the component that it comes from.
 ///
@@ -23,5 +24,10 @@
         config.add_filter_ignore_str(library);
     }
     let config = config.build();
-    TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Auto)
+    let colors = if std::io::stderr().is_terminal() {
+        ColorChoice::Auto
+    } else {
+        ColorChoice::Never
+    };
+    TermLogger::init(level, config, TerminalMode::Stderr, colors)
 }
--- a/tests/fleet/calm.rs
+++ b/tests/fleet/calm.rs
@@ -181,3 +181,14 @@
         })
         .await;
 }
+
+/// Guards against colors for terminals in log files, which hide lines from searches.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_files_hold_no_escape_sequences() {
+    let fleet = ProcessFleet::start().await;
+    for file in fleet.log_files() {
+        let log = std::fs::read_to_string(&file).expect("a log");
+        assert!(log.contains("[INFO]"), "{log}");
+        assert!(!log.contains('\u{1b}'), "{}: {log}", file.display());
+    }
+}
