Take no copy of an earlier answer for the state of a server

Where the state was asked for, the copy was taken as a state that names no incarnation, and the request went on to a server of another version. Change: an answer that bears the id of a request is no state; its connection is given up.

--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -287,8 +287,11 @@
         let message = Request::get(self.dialect.state_path())
             .header(HOST, request.address.to_string())
             .body(Full::new(Bytes::new()))?;
-        let response = connection.sender.send_request(message).await?;
-        let body = Limited::new(response.into_body(), STATE_MAX_BYTES);
+        let (parts, body) = connection.sender.send_request(message).await?.into_parts();
+        if self.dialect.read_answer(&parts).id.is_some() {
+            return Err("an answer to another request came instead".into());
+        }
+        let body = Limited::new(body, STATE_MAX_BYTES);
         let state = body.collect().await?.to_bytes();
         connection.sender.ready().await?;
         Ok(state)
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -103,6 +103,8 @@
     check_ins_held: Arc<AtomicBool>,
     /// Whether its process has crashed and not started again yet.
     is_down: Arc<AtomicBool>,
+    /// Whether a copy of an earlier answer comes where its state is due.
+    sends_copies: Arc<AtomicBool>,
     /// Whether a crash under a prompt ends all runs, not only the one of that prompt.
     crashes_whole: Arc<AtomicBool>,
     /// The version of its software, in check-ins.
@@ -136,6 +138,7 @@
             connections: Arc::default(),
             check_ins_held: Arc::default(),
             is_down: Arc::default(),
+            sends_copies: Arc::default(),
             crashes_whole: Arc::default(),
             version: Arc::new(Mutex::new("v1")),
             leaving_acknowledged: Arc::default(),
@@ -191,6 +194,11 @@
         self.incarnation.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Sends a copy of an earlier answer where its state is due.
+    pub(crate) fn send_copies(&self) {
+        self.sends_copies.store(true, Ordering::Relaxed);
+    }
+
     /// Lets crashes under a prompt end all runs and the listener for [`RESTART_TIME`].
     pub(crate) fn crash_whole(&self) {
         self.crashes_whole.store(true, Ordering::Relaxed);
@@ -291,6 +299,13 @@
     async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<AnswerBody>> {
         let (head, body) = request.into_parts();
         if head.uri.path() == STATE_PATH {
+            if self.sends_copies.load(Ordering::Relaxed) {
+                let copy = Response::builder()
+                    .header("x-request-id", "an-earlier-request")
+                    .header("x-server-stamp", self.stamp())
+                    .body(Full::new("an earlier answer".into()).boxed_unsync());
+                return Ok(copy.expect("a valid response"));
+            }
             let state = json!({ "stage": "mixed", "born": self.incarnation() }).to_string();
             return Ok(Response::new(Full::new(state.into()).boxed_unsync()));
         }
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -141,7 +141,21 @@
     );
 }
 
-/// Guards against streams that begin at such a server and then go on at the version that it
+/// Guards against a late copy of an earlier answer that is taken for the state of a server.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_an_answer_is_no_state_of_a_server() {
+    let mut fleet = ProcessFleet::start().await;
+    let entries = fleet.host_names(Role::Entry);
+    let broken = break_streams(&mut fleet, &entries[0], "copies", BEGIN_TIME).await;
+    let restarted = &engines(&fleet)[2];
+    restarted.hold_check_ins(true);
+    restarted.restart_as("v2");
+    restarted.send_copies();
+    let gone_on = take_up(&fleet, &entries[2], &broken).await;
+    assert!(gone_on > 0);
+}
+
+/// Guards against streams that begin at a server which started again unnoticed, and then go on at the version that it
 /// had before.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_begun_at_a_server_that_started_again_keep_its_version() {
