--- a/crates/rpc/src/server.rs
+++ b/crates/rpc/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::{FrameKind, RpcFrame, codec};
 use crate::identity::PeerIdentity;
-use crate::tunnel::{TunnelTracker, serve_tunnel};
+use crate::tunnel::{TunnelTracker, decline_tunnel, serve_tunnel};
 use crate::tunnel_request::TunnelRequest;
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -16,6 +16,10 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::codec::Framed;
 
+/// The maximum number of tunnels through a process at one time. Each takes two sockets and two
+/// buffers of 16 KiB.
+const TUNNELS_MAX: usize = 512;
+
 /// The delay before accepting again after `accept` failed.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
 
@@ -61,9 +65,23 @@
     ///
     /// Fails if the address cannot be listened on.
     pub async fn start(address: SocketAddr, handler: Arc<dyn RpcHandler>) -> io::Result<Self> {
+        Self::start_with_tunnels(address, handler, TUNNELS_MAX).await
+    }
+
+    /// Like [`Self::start`], with the maximum number of tunnels at one time. Further ones are
+    /// declined.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address cannot be listened on.
+    pub async fn start_with_tunnels(
+        address: SocketAddr,
+        handler: Arc<dyn RpcHandler>,
+        tunnels_max: usize,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let tunnels = TunnelTracker::new();
+        let tunnels = TunnelTracker::new(tunnels_max);
         let task = tokio::spawn(accept(listener, handler, tunnels.clone()));
         Ok(Self {
             address,
@@ -130,12 +148,11 @@
                 if frame.kind == FrameKind::Tunnel {
                     let peer = peer.ok_or_else(invalid)?;
                     let request = postcard::from_bytes(&frame.payload).map_err(io::Error::other)?;
-                    let target = if tunnels.is_draining() {
-                        None
-                    } else {
-                        handler.connect_tunnel(peer, request).await
+                    let Some(active) = tunnels.enter() else {
+                        return decline_tunnel(stream).await;
                     };
-                    return serve_tunnel(stream, target, tunnels).await;
+                    let target = handler.connect_tunnel(peer, request).await;
+                    return serve_tunnel(stream, target, active, tunnels).await;
                 }
                 process_frame(frame, &mut peer, &handler, &reply_sender)?
             }
--- a/crates/rpc/src/tunnel.rs
+++ b/crates/rpc/src/tunnel.rs
@@ -217,13 +217,15 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TunnelTracker {
     active: Arc<AtomicUsize>,
+    max: usize,
     draining: watch::Sender<bool>,
 }
 
 impl TunnelTracker {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(max: usize) -> Self {
         Self {
             active: Arc::default(),
+            max,
             draining: watch::Sender::new(false),
         }
     }
@@ -238,20 +240,19 @@
         }
     }
 
-    pub(crate) fn is_draining(&self) -> bool {
-        *self.draining.borrow()
-    }
-
-    fn enter(&self) -> ActiveTunnel {
-        self.active.fetch_add(1, Ordering::Relaxed);
-        ActiveTunnel {
+    /// Counts a tunnel that is about to open; `None` if there are too many, or the process is
+    /// about to stop.
+    pub(crate) fn enter(&self) -> Option<ActiveTunnel> {
+        let before = self.active.fetch_add(1, Ordering::Relaxed);
+        let active = ActiveTunnel {
             active: self.active.clone(),
-        }
+        };
+        (before < self.max && !*self.draining.borrow()).then_some(active)
     }
 }
 
 /// Counts a tunnel as active until it is dropped.
-struct ActiveTunnel {
+pub(crate) struct ActiveTunnel {
     active: Arc<AtomicUsize>,
 }
 
@@ -261,18 +262,25 @@
     }
 }
 
+/// Replies to the request for a tunnel that is not opened.
+pub(crate) async fn decline_tunnel(
+    mut stream: Framed<TcpStream, LengthDelimitedCodec>,
+) -> io::Result<()> {
+    let declined = RpcFrame::new(FrameKind::TunnelDeclined, 0, Bytes::new());
+    stream.send(declined.encode()).await
+}
+
 /// Replies to the request for a tunnel, and forwards its bytes until it ends. `target` is
 /// `None` if it could not be reached.
 pub(crate) async fn serve_tunnel(
     mut stream: Framed<TcpStream, LengthDelimitedCodec>,
     target: Option<TcpStream>,
+    _active: ActiveTunnel,
     tracker: &TunnelTracker,
 ) -> io::Result<()> {
     let Some(mut target) = target else {
-        let declined = RpcFrame::new(FrameKind::TunnelDeclined, 0, Bytes::new());
-        return stream.send(declined.encode()).await;
+        return decline_tunnel(stream).await;
     };
-    let _active = tracker.enter();
     let opened = RpcFrame::new(FrameKind::TunnelOpened, 0, Bytes::new());
     stream.send(opened.encode()).await?;
     let parts = stream.into_parts();
--- a/crates/rpc/tests/tunnel.rs
+++ b/crates/rpc/tests/tunnel.rs
@@ -226,3 +226,27 @@
         assert_eq!(opened.is_ok(), is_opened);
     }
 }
+
+/// Guards against a host that runs out of sockets and memory by the tunnels of others.
+#[tokio::test]
+async fn tunnels_beyond_the_maximum_are_declined() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = listener.local_addr().expect("an address");
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let peer = RpcServer::start_with_tunnels(address, Arc::new(Connector), 2).await;
+    let peer = peer.expect("a free loopback port");
+    let client = client();
+    let first = client.open_tunnel(peer.address, target).await;
+    let second = client.open_tunnel(peer.address, target).await;
+    assert!(first.is_ok() && second.is_ok());
+    assert!(client.open_tunnel(peer.address, target).await.is_err());
+    drop(first);
+    let reopened = async {
+        while client.open_tunnel(peer.address, target).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(TIMEOUT, reopened)
+        .await
+        .expect("a tunnel ended");
+}
