--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -1,9 +1,13 @@
 //! The crashes of a service's servers, and the completed runs that speak against them.
 
+mod conclusion;
+mod standing;
+
+pub(super) use standing::RequestStanding;
+
 use super::hold::SegmentHold;
 use super::{CrashCounts, ProvenRun, RequestTraits, SegmentCrashCount, SegmentFingerprint};
 use crate::quarantine::{RequestFingerprint, ServerCrash};
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
 
@@ -20,13 +24,6 @@
 /// The maximum number of runs that are kept for a crash.
 const RUNS_PER_CRASH_MAX: usize = 64;
 
-/// The number of crashes at which a request is quarantined, while few other runs are lost.
-const REQUEST_CRASHES: usize = 2;
-
-/// The number of crashes at which a request is quarantined, whatever else is lost or explains
-/// them.
-const REQUEST_CRASHES_MAX: usize = 5;
-
 /// The number of crashes, in different requests, from which a segment is held, while few
 /// other runs are lost and no run with the segment completed recently.
 const SEGMENT_CRASHES: usize = 3;
@@ -101,83 +98,7 @@
     undecided: VecDeque<ServerCrash>,
 }
 
-/// How a request is to be treated for its own crashes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum RequestStanding {
-    /// It may run.
-    Clear,
-    /// It must wait: reports on other runs of its latest crash may still be on their way, and
-    /// explain its crashes.
-    Undecided,
-    /// It is refused for the time that is left.
-    Quarantined(Duration),
-}
-
 impl CrashEvidence {
-    /// How a request is to be treated for its own crashes.
-    pub(super) fn standing(&self, request: RequestFingerprint, now: Instant) -> RequestStanding {
-        let Some(crashes) = self.requests.get(&request) else {
-            return RequestStanding::Clear;
-        };
-        let suffice = if self.has_other_cause(request, crashes) {
-            self.incidents(crashes.iter()) >= REQUEST_CRASHES_MAX
-        } else {
-            let loss_rate = self.loss_rate_without(crashes.iter());
-            let required = required_crashes(REQUEST_CRASHES, loss_rate);
-            crashes.len() >= required.min(REQUEST_CRASHES_MAX)
-        };
-        let records = crashes.iter().filter_map(|crash| self.crashes.get(crash));
-        let latest = records.map(|record| record.at).max();
-        let Some(latest) = latest.filter(|_| suffice) else {
-            return RequestStanding::Clear;
-        };
-        let age = now.saturating_duration_since(latest);
-        if age < INCIDENT_LENGTH {
-            return RequestStanding::Undecided;
-        }
-        match EVIDENCE_WINDOW.saturating_sub(age) {
-            Duration::ZERO => RequestStanding::Clear,
-            left => RequestStanding::Quarantined(left),
-        }
-    }
-
-    /// Takes the crashes whose runs are all reported by now.
-    pub(super) fn take_decided(&mut self, now: Instant) -> Vec<ServerCrash> {
-        let is_decided = |crash: &ServerCrash| {
-            let record = self.crashes.get(crash);
-            record.is_none_or(|r| now.saturating_duration_since(r.at) >= INCIDENT_LENGTH)
-        };
-        let count = self.undecided.iter().take_while(|crash| is_decided(crash));
-        let count = count.count();
-        self.undecided.drain(..count).collect()
-    }
-
-    /// Whether another request, or a segment that this one does not have, was in flight at all
-    /// of its crashes and explains them as well.
-    fn has_other_cause(
-        &self,
-        request: RequestFingerprint,
-        crashes: &BTreeSet<ServerCrash>,
-    ) -> bool {
-        let records = crashes.iter().filter_map(|crash| self.crashes.get(crash));
-        let Some(record) = records.min_by_key(|record| record.runs.len()) else {
-            return false;
-        };
-        let is_own = |run: &&RequestTraits| run.request == request;
-        let own = record.runs.iter().find(is_own);
-        let own_segments = own.map_or(&[][..], |run| &run.segments);
-        let mut others = record.runs.iter().filter(|run| !is_own(run));
-        others.any(|run| {
-            let explains_all = self.requests.get(&run.request);
-            let mut segments = run.segments.iter().filter(|s| !own_segments.contains(s));
-            explains_all.is_some_and(|other| crashes.is_subset(other))
-                || segments.any(|segment| {
-                    let other = self.segments.get(segment);
-                    other.is_some_and(|other| crashes.iter().all(|c| other.contains_key(c)))
-                })
-        })
-    }
-
     /// Records a crash for one of the runs that were in flight. Returns whether it counts
     /// against the run: the cause may be known already.
     pub(super) fn record(
@@ -272,68 +193,6 @@
         }
     }
 
-    /// The hold to which a crash leads, if its segments' crashes suffice. Of several
-    /// explanations that are as good, the one that fewest of the lost runs have is the least
-    /// likely by chance.
-    pub(super) fn conclude_crash(&self, crash: &ServerCrash, now: Instant) -> Option<SegmentHold> {
-        let record = self.crashes.get(crash)?;
-        let runs = record.runs.iter().filter(|_| !record.is_explained);
-        let holds = runs.filter_map(|run| self.conclude(run, now));
-        let best = holds.max_by_key(|(excess, hold)| (*excess, Reverse(self.lost_with(hold))));
-        best.map(|(_, hold)| hold)
-    }
-
-    /// The hold to which the crashes of a run lead at once: no segment of another run, which
-    /// may not be reported yet, was in flight at all other crashes of it.
-    pub(super) fn conclude_early(
-        &self,
-        crash: &ServerCrash,
-        traits: &RequestTraits,
-        now: Instant,
-    ) -> Option<SegmentHold> {
-        let (_, hold) = self.conclude(traits, now)?;
-        let earlier: Vec<&ServerCrash> = hold.crashes().filter(|c| *c != crash).collect();
-        let records = earlier.iter().filter_map(|crash| self.crashes.get(*crash));
-        let record = records.min_by_key(|record| record.runs.len())?;
-        let segments = record.runs.iter().flat_map(|run| &run.segments);
-        let mut others = segments.filter(|segment| !traits.segments.contains(segment));
-        let may_explain = |segment: &SegmentFingerprint| {
-            let crashes = self.segments.get(segment);
-            crashes.is_some_and(|crashes| earlier.iter().all(|c| crashes.contains_key(*c)))
-        };
-        (!others.any(may_explain)).then_some(hold)
-    }
-
-    /// The runs with the segments of a hold that were lost at its crashes.
-    fn lost_with(&self, hold: &SegmentHold) -> usize {
-        let records = hold.crashes().filter_map(|crash| self.crashes.get(crash));
-        let runs = records.flat_map(|record| &record.runs);
-        runs.filter(|run| hold.matches(&run.segments)).count()
-    }
-
-    /// The hold to which the crashes of a run lead, if they suffice, and by how many they exceed
-    /// the requirement.
-    fn conclude(&self, traits: &RequestTraits, now: Instant) -> Option<(usize, SegmentHold)> {
-        let candidates = traits.segments.iter().filter_map(|segment| {
-            let crashes = self.segments.get(segment)?;
-            let required = self.required_segment_crashes(*segment);
-            let excess = self.crash_count(*segment).checked_sub(required)?;
-            Some((excess, *segment, required, crashes))
-        });
-        let candidates: Vec<_> = candidates.collect();
-        let (best, _, required, crashes) = candidates.iter().max_by_key(|(excess, ..)| *excess)?;
-        let is_as_good = |(excess, _, _, other): &&(usize, _, _, &SegmentCrashes)| {
-            excess == best && other.keys().eq(crashes.keys())
-        };
-        let segments = candidates.iter().filter(is_as_good);
-        let segments = segments.map(|(_, segment, ..)| *segment).collect();
-        let records = crashes.keys().filter_map(|crash| self.crashes.get(crash));
-        let first_crash_at = records.map(|record| record.at).min().unwrap_or(now);
-        let crashes = crashes.keys().cloned().collect();
-        let hold = SegmentHold::new(segments, crashes, *required, first_crash_at, now);
-        Some((*best, hold))
-    }
-
     /// Whether the crashes still suffice for a hold.
     pub(super) fn supports(&self, hold: &SegmentHold) -> bool {
         let mut segments = hold.segments.iter();
