Revert the words of requests as segments

Cause: all requests share the words of the format and the model, so that where all servers break off before any answer is complete, shared words explain all crashes. The class is that of the soak with whole crashes: how many requests have a segment is not weighed. Ruled out: load alone (the refusals are the quarantine's, by the report of the load generator).

--- a/crates/host/src/prompt.rs
+++ b/crates/host/src/prompt.rs
@@ -1,7 +1,7 @@
 //! Extraction of routing data from prompts.
 
 use crate::routing::WorkTarget;
-use chicoryladder_policy::quarantine::{SegmentFingerprint, word_segments};
+use chicoryladder_policy::quarantine::SegmentFingerprint;
 use chicoryladder_policy::routing::PrefixHash;
 use chicoryladder_types::ModelName;
 use chicoryladder_types::prelude::*;
@@ -50,20 +50,13 @@
     messages: Vec<&'a RawValue>,
 }
 
-/// The segments of a request that others may share, whatever precedes them: its messages but
-/// for the last one, the paragraphs of the last one but for its last, and pairs of words
-/// anywhere in the body. Empty for requests to a service.
+/// The segments of a prompt that other requests may share, whatever precedes them: its
+/// messages but for the last one, and the paragraphs of the last one but for its last.
+/// Empty for requests to a service, and for a body without messages.
 pub(crate) fn shared_segments(target: &WorkTarget, body: &[u8]) -> Vec<SegmentFingerprint> {
     let WorkTarget::Model(model) = target else {
         return Vec::new();
     };
-    let mut segments = message_segments(model, body);
-    segments.extend(word_segments(body, model_hash(model, b"words")));
-    segments
-}
-
-/// The messages but for the last one, and the paragraphs of the last one but for its last.
-fn message_segments(model: &ModelName, body: &[u8]) -> Vec<SegmentFingerprint> {
     let prompt = serde_json::from_slice(body).unwrap_or(PromptMessages {
         messages: Vec::new(),
     });
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -16,7 +16,6 @@
 mod ledger;
 mod table;
 mod trial;
-mod words;
 
 pub use fingerprint::RequestFingerprint;
 pub use ledger::{
@@ -26,4 +25,3 @@
 };
 pub use table::{CrashReport, QuarantineTable, ServerCrash, SuspectStatus, SuspectUpdate};
 pub use trial::{TrialCoordinator, TrialDecision};
-pub use words::word_segments;
