--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -720,22 +720,27 @@
     assert_eq!(granted(&fixture.submit(crashing)), None);
 }
 
+/// A segment that all requests of a test share, and one that the sound ones share.
+const SHARED: u64 = 1;
+const SOUND: u64 = 5;
+
+/// A request whose prompt has the shared segment, the given one, and one of its own.
+fn request_with(fixture: &mut BrokerFixture, second: u64) -> SlotRequest {
+    let mut request = fixture.slot_request(WorkKind::Online);
+    let own = 100 + request.ticket;
+    request.prompt = vec![segment(SHARED, 10), segment(second, 10), segment(own, 10)];
+    request
+}
+
 /// Pattern: a segment behind one that all requests share ends servers, and the reports on the
 /// runs of a crash arrive one after the other. Guards against a hold of the shared segment by
 /// the runs that are reported after the cause is found.
 #[test]
 fn runs_reported_after_the_cause_is_found_lead_to_no_further_hold() {
-    const SHARED: u64 = 1;
     let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
-    let request = |fixture: &mut BrokerFixture, second: u64| {
-        let mut request = fixture.slot_request(WorkKind::Online);
-        let own = 100 + request.ticket;
-        request.prompt = vec![segment(SHARED, 10), segment(second, 10), segment(own, 10)];
-        request
-    };
     for number in 0..3 {
-        let crashing = request(&mut fixture, CRASHING);
-        let beside = request(&mut fixture, 5);
+        let crashing = request_with(&mut fixture, CRASHING);
+        let beside = request_with(&mut fixture, SOUND);
         for lost in [&crashing, &beside] {
             let crashed = crashed_run(lost, &format!("gone-{number}"));
             fixture.broker.record_crash(&crashed, fixture.now);
@@ -743,7 +748,7 @@
         fixture.now += Duration::from_secs(1);
     }
     for _ in 0..4 {
-        let sound = request(&mut fixture, 5);
+        let sound = request_with(&mut fixture, SOUND);
         let events = fixture.submit(sound);
         assert!(granted(&events).is_some(), "{events:?}");
     }
@@ -791,18 +796,10 @@
 /// requests share, or of the one that the sound ones share.
 #[test]
 fn a_cause_is_sought_among_all_runs_of_a_crash() {
-    const SHARED: u64 = 1;
-    const SOUND: u64 = 5;
     let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
-    let request = |fixture: &mut BrokerFixture, second: u64| {
-        let mut request = fixture.slot_request(WorkKind::Online);
-        let own = 100 + request.ticket;
-        request.prompt = vec![segment(SHARED, 10), segment(second, 10), segment(own, 10)];
-        request
-    };
     for number in 0..3 {
         for second in [SOUND, SOUND, CRASHING] {
-            let lost = request(&mut fixture, second);
+            let lost = request_with(&mut fixture, second);
             let crashed = crashed_run(&lost, &format!("gone-{number}"));
             fixture.broker.record_crash(&crashed, fixture.now);
             fixture.tick(STEP);
@@ -810,10 +807,10 @@
         fixture.tick(Duration::from_millis(100));
     }
     for _ in 0..4 {
-        let sound = request(&mut fixture, SOUND);
+        let sound = request_with(&mut fixture, SOUND);
         let events = fixture.submit(sound);
         assert!(granted(&events).is_some(), "{events:?}");
     }
-    let crashing = request(&mut fixture, CRASHING);
+    let crashing = request_with(&mut fixture, CRASHING);
     assert_eq!(granted(&fixture.submit(crashing)), None);
 }
