Move the state of membership repair to the group crate

It performs no I/O and decides for both groups, so its tests belong beside those of plan_repair, where a series of stops can be played without processes. No behaviour changes; messages keep their encoding.

--- a/crates/roles/src/membership_repair.rs
+++ b/crates/group/src/membership_repair.rs
@@ -1,15 +1,12 @@
 //! Membership repair: the leader of a group replaces failed and retiring voters and
 //! gives seats to standby hosts.
 
-use crate::event_log::EventLog;
-use crate::message::{JoinAnswer, JoinRequest};
+use crate::repair::{MemberView, RepairLimits, RepairView, StandbyHost, plan_repair};
+use crate::seat_request::{JoinAnswer, JoinRequest};
+use crate::status::GroupStatus;
 use chicoryladder_consensus::{MemberRole, MembershipChange};
-use chicoryladder_group::{
-    GroupHandle, GroupStatus, MemberView, RepairLimits, RepairView, StandbyHost, plan_repair,
-};
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
-use serde_json::json;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -31,25 +28,10 @@
     requested_at: Instant,
 }
 
-/// Applies a change of a group's membership and records its outcome in the event log.
-pub(crate) async fn apply_change<M: Send + 'static>(
-    group: &GroupHandle<M>,
-    change: MembershipChange,
-    log: &EventLog,
-) {
-    let described = format!("{change:?}");
-    let outcome = group.change_membership(change).await;
-    let result = outcome.map_or_else(|failure| failure.to_string(), |()| "done".to_owned());
-    log.note(
-        "membership_changes",
-        &json!({ "change": described, "result": result }),
-    );
-}
-
 /// The state that the repair of a group's membership depends on: standby hosts, zones
 /// of hosts, and when each member was first seen.
 #[derive(Debug, Default)]
-pub(crate) struct MembershipRepair {
+pub struct MembershipRepair {
     standbys: HashMap<SocketAddr, StandbyRecord>,
     zones: HashMap<SocketAddr, ZoneName>,
     first_seen: HashMap<SeatId, Instant>,
@@ -57,12 +39,13 @@
 
 impl MembershipRepair {
     /// Drops the standbys and times of an earlier leadership.
-    pub(crate) fn restart(&mut self) {
+    pub fn restart(&mut self) {
         self.standbys.clear();
         self.first_seen.clear();
     }
 
-    pub(crate) fn record_zone(&mut self, address: SocketAddr, zone: &ZoneName) {
+    /// Records the zone of a host, which decides where voters are placed.
+    pub fn record_zone(&mut self, address: SocketAddr, zone: &ZoneName) {
         self.zones.insert(address, zone.clone());
     }
 
@@ -70,7 +53,7 @@
     ///
     /// A standby host gets its seat once the group has added it as a learner. It gets the
     /// same seat again if it repeats the request before the seat has made contact.
-    pub(crate) fn handle_join(
+    pub fn handle_join(
         &mut self,
         status: &GroupStatus,
         request: &JoinRequest,
@@ -102,7 +85,7 @@
     }
 
     /// The next change of the membership, if one is due.
-    pub(crate) fn next_change(
+    pub fn next_change(
         &mut self,
         status: &GroupStatus,
         retiring: &HashSet<SocketAddr>,
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -10,10 +10,10 @@
 use crate::event_log::EventLog;
 use crate::fleet_view::FleetView;
 use crate::leader_client::LeaderClient;
-use crate::membership_repair::apply_change;
+use crate::membership_change::apply_change;
 use crate::message::{
-    BootstrapAnswer, BootstrapCall, Call, ControlAnswer, ControlCall, GroupReply, HostRole,
-    JoinAnswer, JoinRequest, Notice, SlotCall, encode,
+    BootstrapAnswer, BootstrapCall, Call, ControlAnswer, ControlCall, GroupReply, HostRole, Notice,
+    SlotCall, encode,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::process::{ProcessBase, ProcessError};
@@ -27,7 +27,9 @@
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
-use chicoryladder_group::{BootstrapMembers, GroupHandle, GroupStatus, ProposeFailure};
+use chicoryladder_group::{
+    BootstrapMembers, GroupHandle, GroupStatus, JoinAnswer, JoinRequest, ProposeFailure,
+};
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{CrashCounts, QuarantineChange, SegmentCrashCount};
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -4,7 +4,6 @@
 //! reports of hosts and servers, which arrive within a second or two.
 
 use super::machine::{ControlMachine, StoredPlan};
-use crate::membership_repair::MembershipRepair;
 use crate::message::{
     Encoded, EncodedDirectory, HostRole, QuarantineUpdate, RosterUpdate, StoreReport, StoreView,
     SyncAnswer, SyncRequest,
@@ -15,7 +14,7 @@
     RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
     SlotBroker, SlotDecision, SlotRequest, ZoneRoster, choose_tunnel_hosts, servers_for_zone,
 };
-use chicoryladder_group::{spread_over_zones, zone_voters_max};
+use chicoryladder_group::{MembershipRepair, spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
 use chicoryladder_policy::quarantine::{QuarantineChange, QuarantinedSegments};
 use chicoryladder_types::prelude::*;
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -18,7 +18,7 @@
 mod fleet_view;
 mod known_hosts;
 mod leader_client;
-mod membership_repair;
+mod membership_change;
 mod message;
 mod metrics;
 mod plan_notices;
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -8,7 +8,7 @@
     SlotRequest, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
-use chicoryladder_group::GroupStatus;
+use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::QuarantinedSegments;
 use chicoryladder_types::SeatId;
@@ -145,15 +145,6 @@
     pub(crate) reports: ServerReports,
 }
 
-/// The request of a host for a seat, or to check that its seat is still a member.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) struct JoinRequest {
-    pub(crate) address: SocketAddr,
-    pub(crate) zone: ZoneName,
-    /// The seat of the host, which may have been removed; `None` to request one.
-    pub(crate) seat: Option<SeatId>,
-}
-
 /// The role of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum HostRole {
@@ -315,19 +306,6 @@
     Seat(JoinAnswer),
 }
 
-/// The reply to a [`JoinRequest`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub(crate) enum JoinAnswer {
-    /// The host holds this seat from now on.
-    Granted(SeatId),
-    /// No seat is available now; the host stays on standby.
-    Wait,
-    /// The host's seat is a member of the group.
-    Member,
-    /// The host's seat was removed permanently.
-    Removed,
-}
-
 /// A call to the job group.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum BatchCall {
--- a/crates/roles/src/process.rs
+++ b/crates/roles/src/process.rs
@@ -1,10 +1,11 @@
 //! The settings, clock and RPC client of a process, and operations that all roles share.
 
 use crate::leader_client::LeaderClient;
-use crate::message::{JoinRequest, Notice, encode};
+use crate::message::{Notice, encode};
 use crate::seat_opener::random_u64;
 use chicoryladder_broker::RequesterId;
 use chicoryladder_gateway::ListenError;
+use chicoryladder_group::JoinRequest;
 use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcHandler, RpcServer};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::SeatId;
--- a/crates/roles/src/seat_manager.rs
+++ b/crates/roles/src/seat_manager.rs
@@ -2,11 +2,10 @@
 //! and requests another one after it was removed.
 
 use crate::event_log::EventLog;
-use crate::message::JoinAnswer;
 use crate::process::RETRY_PAUSE;
 use crate::seat_opener::SeatOpener;
 use chicoryladder_consensus::{SeatEnvelope, StateMachine};
-use chicoryladder_group::{BootstrapMembers, GroupHandle, GroupStatus};
+use chicoryladder_group::{BootstrapMembers, GroupHandle, GroupStatus, JoinAnswer};
 use chicoryladder_types::{SeatId, TermNumber};
 use futures_util::future::BoxFuture;
 use serde_json::json;
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -8,10 +8,10 @@
 use crate::event_log::EventLog;
 use crate::fleet_view::{FleetView, SyncReporter, run_sync};
 use crate::leader_client::LeaderClient;
-use crate::membership_repair::{MembershipRepair, apply_change};
+use crate::membership_change::apply_change;
 use crate::message::{
     BatchCall, BatchReply, BootstrapAnswer, BootstrapCall, Call, ControlAnswer, GroupReply,
-    HostRole, JoinAnswer, Notice, StoreReport, TunnelReport, encode,
+    HostRole, Notice, StoreReport, TunnelReport, encode,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::ports::ServerDialect;
@@ -25,7 +25,9 @@
 use bytes::Bytes;
 use chicoryladder_batch::{BatchAnswer, BatchCommand, BatchMachine};
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
-use chicoryladder_group::{BootstrapMembers, GroupHandle, GroupStatus, ProposeFailure};
+use chicoryladder_group::{
+    BootstrapMembers, GroupHandle, GroupStatus, JoinAnswer, MembershipRepair, ProposeFailure,
+};
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
