Tell a host that its seat is gone only once the removal is committed

A host that asked about its seat was told that it is gone, and deletes its files then, some milliseconds before the removal was committed; a retiring host counted as drained as early. Another leader could undo the removal and need the seat again.

Cause: GroupStatus::members is the membership of the last entry, committed or not. The status says now whether that entry is committed, and both decisions wait for it.

Test: seat_counts_as_removed_once_the_removal_is_committed; it asserts the reply before and after the commit.

--- a/crates/consensus/src/seat.rs
+++ b/crates/consensus/src/seat.rs
@@ -264,6 +264,12 @@
         self.membership.current()
     }
 
+    /// Whether the last membership change in the log is committed.
+    #[must_use]
+    pub fn is_membership_committed(&self) -> bool {
+        !self.membership.is_pending(self.commit)
+    }
+
     /// The time of the next call to [`RaftSeat::tick`] that has an effect.
     #[must_use]
     pub fn wake_at(&self) -> Instant {
--- a/crates/group/src/membership_repair.rs
+++ b/crates/group/src/membership_repair.rs
@@ -61,11 +61,10 @@
     ) -> JoinAnswer {
         self.record_zone(request.address, &request.zone);
         if let Some(seat) = request.seat {
-            let is_member = status.members.iter().any(|member| member.seat == seat);
-            return if is_member {
-                JoinAnswer::Member
-            } else {
+            return if status.has_removed(seat) {
                 JoinAnswer::Removed
+            } else {
+                JoinAnswer::Member
             };
         }
         let member = status.members.iter().find(|m| m.address == request.address);
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -35,8 +35,10 @@
     pub lease_until: Option<Instant>,
     /// The last entry applied.
     pub applied: LogIndex,
-    /// The members.
+    /// The members as of the last entry in the log.
     pub members: Vec<MemberStatus>,
+    /// Whether the last membership change is committed.
+    pub membership_committed: bool,
     /// The id for the next seat to be added.
     pub next_seat: SeatId,
     /// Whether the seat stopped after a storage failure.
@@ -58,6 +60,14 @@
         ]
     }
 
+    /// Whether the group has removed a seat for good. While a membership change is not
+    /// committed, another leader may still undo it.
+    #[must_use]
+    pub fn has_removed(&self, seat: SeatId) -> bool {
+        let is_member = self.members.iter().any(|member| member.seat == seat);
+        self.membership_committed && !is_member
+    }
+
     /// Whether the local seat is the leader and holds its lease at the given instant.
     #[must_use]
     pub fn holds_lease(&self, now: Instant) -> bool {
--- a/crates/group/src/thread.rs
+++ b/crates/group/src/thread.rs
@@ -306,6 +306,7 @@
             lease_until: seat.lease_until(now),
             applied: replica.applied(),
             members: seat.membership().members().map(member).collect(),
+            membership_committed: seat.is_membership_committed(),
             next_seat: seat.membership().next_seat(),
             stopped: false,
         };
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -358,7 +358,12 @@
             first_start,
             leading_term: leads.then_some(status.term.0),
             members: if leads { members.collect() } else { Vec::new() },
-            retiring: self.view.store().retiring,
+            // Before the removal of a retiring host is committed, it may still be undone.
+            retiring: if status.membership_committed {
+                self.view.store().retiring
+            } else {
+                Vec::new()
+            },
         }
     }
 
