Hand the seat of a stopping host to a host on standby

Two old hosts get SIGTERM, 1.5 s apart; from then on each read and each change of the plan is answered 503, for good.

Cause: a host that stops handed over its leadership but not its seat. The leader replaces a voter after 2.5 s of silence, so the group of three lived on two voters although a successor waited, and the next planned stop took its quorum.

Ruled out: requests that don't reach the leader (a pause of 3 s between the stops held), a change of the leader (there was none). The level group_standbys tells from now on how many hosts wait for a seat.

Why it works: a stopping voter asks the leader to replace it and keeps its vote until another host has taken its place. The successor is added, caught up and promoted before the old seat is removed, one change at a time. Without a host on standby the stop is as before. A voter beyond the target, left by a host that starts again in between, is removed.

--- a/crates/group/src/membership_repair.rs
+++ b/crates/group/src/membership_repair.rs
@@ -22,26 +22,43 @@
 /// The time for which a host stays on standby after it requested a seat.
 const STANDBY_TTL: Duration = Duration::from_millis(1_200);
 
+/// The time for which a host counts as stopping after it last asked to be replaced. It
+/// exceeds [`REPLACE_AFTER`], so that a replacement under way when the host ends goes on.
+const STOPPING_TTL: Duration = Duration::from_secs(3);
+
 #[derive(Debug)]
 struct StandbyRecord {
     zone: ZoneName,
     requested_at: Instant,
 }
 
-/// The state that the repair of a group's membership depends on: standby hosts, zones
-/// of hosts, and when each member was first seen.
+impl StandbyRecord {
+    fn is_current(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.requested_at) < STANDBY_TTL
+    }
+}
+
+/// The state that the repair of a group's membership depends on: standby hosts, stopping
+/// hosts, zones of hosts, and when each member was first seen.
 #[derive(Debug, Default)]
 pub struct MembershipRepair {
     standbys: HashMap<SocketAddr, StandbyRecord>,
+    /// When each stopping host last asked to be replaced.
+    stopping: HashMap<SocketAddr, Instant>,
     zones: HashMap<SocketAddr, ZoneName>,
     first_seen: HashMap<SeatId, Instant>,
+    /// When this leadership began. Standby hosts repeat their requests, so that they are
+    /// all known a [`STANDBY_TTL`] later.
+    began_at: Option<Instant>,
 }
 
 impl MembershipRepair {
-    /// Drops the standbys and times of an earlier leadership.
-    pub fn restart(&mut self) {
+    /// Drops the standbys, stopping hosts and times of an earlier leadership.
+    pub fn restart(&mut self, now: Instant) {
         self.standbys.clear();
+        self.stopping.clear();
         self.first_seen.clear();
+        self.began_at = Some(now);
     }
 
     /// Records the zone of a host, which decides where voters are placed.
@@ -60,6 +77,8 @@
         now: Instant,
     ) -> JoinAnswer {
         self.record_zone(request.address, &request.zone);
+        // The host has started again.
+        self.stopping.remove(&request.address);
         if let Some(seat) = request.seat {
             return if status.has_removed(seat) {
                 JoinAnswer::Removed
@@ -83,6 +102,64 @@
         JoinAnswer::Wait
     }
 
+    /// Replies to a host that stops and gives up its seat, which keeps its role until another
+    /// host has taken its place.
+    ///
+    /// [`JoinAnswer::Removed`] means that the seat is gone, [`JoinAnswer::Wait`] that the
+    /// host has to ask again, and [`JoinAnswer::Member`] that no host can take its place.
+    pub fn handle_leave(
+        &mut self,
+        status: &GroupStatus,
+        request: &JoinRequest,
+        voters: usize,
+        now: Instant,
+    ) -> JoinAnswer {
+        self.record_zone(request.address, &request.zone);
+        if request.seat.is_none_or(|seat| status.has_removed(seat)) {
+            self.stopping.remove(&request.address);
+            return JoinAnswer::Removed;
+        }
+        self.stopping.insert(request.address, now);
+        if self.can_replace(status, request.address, voters, now) {
+            JoinAnswer::Wait
+        } else {
+            JoinAnswer::Member
+        }
+    }
+
+    /// Whether the seat of a stopping host can be given up, now or soon.
+    fn can_replace(
+        &self,
+        status: &GroupStatus,
+        address: SocketAddr,
+        voters: usize,
+        now: Instant,
+    ) -> bool {
+        let is_settled = self.began_at.is_some_and(|at| now >= at + STANDBY_TTL);
+        if !is_settled || !status.membership_committed {
+            return true;
+        }
+        let of_role = |role| status.members.iter().filter(move |m| m.role == role);
+        let is_learner = of_role(MemberRole::Learner).any(|m| m.address == address);
+        if is_learner || of_role(MemberRole::Voter).count() > voters {
+            return true;
+        }
+        let stays = |host: &SocketAddr| *host != address && !self.stopping.contains_key(host);
+        let learners = of_role(MemberRole::Learner).map(|member| &member.address);
+        let current = self
+            .standbys
+            .iter()
+            .filter(|(_, record)| record.is_current(now));
+        learners.chain(current.map(|(host, _)| host)).any(stays)
+    }
+
+    /// The number of hosts that requested a seat within the last [`STANDBY_TTL`].
+    #[must_use]
+    pub fn standby_count(&self, now: Instant) -> usize {
+        let is_current = |record: &&StandbyRecord| record.is_current(now);
+        self.standbys.values().filter(is_current).count()
+    }
+
     /// The next change of the membership, if one is due.
     pub fn next_change(
         &mut self,
@@ -91,9 +168,12 @@
         voters: usize,
         now: Instant,
     ) -> Option<MembershipChange> {
-        self.standbys
-            .retain(|_, record| now.saturating_duration_since(record.requested_at) < STANDBY_TTL);
-        let view = self.view(status, retiring, now);
+        self.standbys.retain(|_, record| record.is_current(now));
+        self.stopping
+            .retain(|_, asked_at| now.saturating_duration_since(*asked_at) < STOPPING_TTL);
+        let stopping = self.stopping.keys().copied();
+        let leaving: HashSet<SocketAddr> = stopping.chain(retiring.iter().copied()).collect();
+        let view = self.view(status, &leaving, now);
         let limits = RepairLimits {
             voters,
             replace_after: REPLACE_AFTER,
@@ -112,7 +192,7 @@
     fn view(
         &mut self,
         status: &GroupStatus,
-        retiring: &HashSet<SocketAddr>,
+        leaving: &HashSet<SocketAddr>,
         now: Instant,
     ) -> RepairView {
         let mut members = Vec::new();
@@ -126,14 +206,14 @@
                 silent_for: now.saturating_duration_since(silent_since),
                 had_contact: member.last_contact_at.is_some(),
                 caught_up: member.caught_up,
-                retiring: retiring.contains(&member.address),
+                retiring: leaving.contains(&member.address),
                 zone: self.zones.get(&member.address).cloned(),
             });
         }
         let standby = |(address, record): (&SocketAddr, &StandbyRecord)| StandbyHost {
             address: *address,
             zone: record.zone.clone(),
-            retiring: retiring.contains(address),
+            retiring: leaving.contains(address),
         };
         RepairView {
             leader: status.seat,
--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -34,7 +34,7 @@
     pub had_contact: bool,
     /// Whether it is responsive and lacks at most the entries in flight.
     pub caught_up: bool,
-    /// Whether an operator requested that the host be drained.
+    /// Whether the host is about to leave: it stops, or an operator drains it.
     pub retiring: bool,
     /// The availability zone of the host, if known.
     pub zone: Option<ZoneName>,
@@ -47,7 +47,7 @@
     pub address: SocketAddr,
     /// The availability zone of the host.
     pub zone: ZoneName,
-    /// Whether an operator requested that the host be drained.
+    /// Whether the host is about to leave: it stops, or an operator drains it.
     pub retiring: bool,
 }
 
@@ -81,6 +81,7 @@
     repair
         .remove_lost_disk()
         .or_else(|| repair.remove_replaced())
+        .or_else(|| repair.remove_surplus_voter())
         .or_else(|| repair.promote())
         .or_else(|| repair.add_learner())
         .or_else(|| repair.remove_surplus_learner())
@@ -162,6 +163,17 @@
         None
     }
 
+    /// Removes the newest voter beyond the target number: the voter that it was to replace
+    /// has stayed. A voter that does not respond may be that one, and has to fail first.
+    fn remove_surplus_voter(&self) -> Option<MembershipChange> {
+        let is_staying = |m: &MemberView| self.is_responsive(m) && !self.is_leaving(m);
+        if self.voters().count() <= self.limits.voters || !self.voters().all(is_staying) {
+            return None;
+        }
+        let others = self.voters().filter(|m| m.seat != self.view.leader);
+        self.remove(others.max_by_key(|member| member.seat)?)
+    }
+
     /// Whether a voter is replaced although it works: its host retires, or its zone holds
     /// too many voters.
     fn is_leaving(&self, member: &MemberView) -> bool {
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -337,3 +337,24 @@
     };
     assert_eq!(next_change(members, vec![standby(4)]), None);
 }
+
+/// A host that had asked to be replaced may start again after its successor became a voter.
+/// An even number of voters tolerates no more losses, and fewer zones.
+#[test]
+fn newest_voter_beyond_the_target_is_removed_once_all_others_respond() {
+    let mut members = three();
+    members.push(voter(4, 4));
+    assert_eq!(next_change(members.clone(), Vec::new()), Some(remove(4)));
+    members[1].silent_for = Duration::from_secs(1);
+    assert_eq!(next_change(members.clone(), Vec::new()), None);
+    members[1] = unresponsive(voter(2, 2));
+    assert_eq!(next_change(members, Vec::new()), Some(remove(2)));
+}
+
+/// The leader of a retiring host is replaced by a leader elsewhere, not by removing the voter
+/// that has come for it.
+#[test]
+fn voter_that_replaces_a_retiring_leader_stays() {
+    let members = vec![retiring(voter(1, 1)), voter(2, 2), voter(3, 3), voter(4, 4)];
+    assert_eq!(next_change(members, Vec::new()), None);
+}
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -17,6 +17,7 @@
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::process::{ProcessBase, ProcessError};
+use crate::seat_handover::SeatHandover;
 use crate::seat_manager::{SeatCell, SeatManager, SeatSource};
 use crate::seat_opener::SeatOpener;
 use crate::server_marks::ServerReports;
@@ -43,7 +44,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
 /// The id of the control group.
 pub(crate) const CONTROL_GROUP: GroupId = GroupId(0);
@@ -77,6 +78,9 @@
 pub struct ControlHost {
     shared: Arc<ControlShared>,
     listener: HttpListener,
+    opener: SeatOpener,
+    /// The task that obtains a seat.
+    seat_task: AbortHandle,
     tasks: JoinSet<()>,
 }
 
@@ -138,7 +142,7 @@
             clock: shared.base.clock.clone(),
         };
         let mut tasks = JoinSet::new();
-        tasks.spawn(manage_seat(shared.clone(), opener));
+        let seat_task = tasks.spawn(manage_seat(shared.clone(), opener.clone()));
         tasks.spawn(lead(shared.clone()));
         tasks.spawn(crate::fleet_view::run_sync(
             shared.base.clone(),
@@ -165,17 +169,27 @@
         Ok(Self {
             shared,
             listener,
+            opener,
+            seat_task,
             tasks,
         })
     }
 
-    /// Transfers the leadership, drains the calls in flight and stops.
+    /// Transfers the leadership and the seat, drains the calls in flight and stops.
     pub async fn shutdown(mut self) {
         self.shared.log.note("stopping", &json!({}));
-        if let Some(group) = self.shared.group() {
-            group.transfer_leadership();
-        }
-        drain_relay(self.listener).await;
+        self.seat_task.abort();
+        let handover = SeatHandover {
+            cell: &self.shared.seat,
+            source: &ControlSeatSource {
+                shared: self.shared.clone(),
+                bootstrap_members: Arc::default(),
+            },
+            opener: &self.opener,
+            log: &self.shared.log,
+            timeout: self.shared.base.settings.bounds.drain_timeout / 2,
+        };
+        tokio::join!(handover.run(), drain_relay(self.listener));
         self.tasks.shutdown().await;
     }
 }
@@ -401,6 +415,9 @@
             ControlCall::Join(request) => {
                 GroupReply::Answer(ControlAnswer::Seat(self.join(&request)))
             }
+            ControlCall::LeaveSeat(request) => {
+                GroupReply::Answer(ControlAnswer::Seat(self.leave_seat(&request)))
+            }
         }
     }
 
@@ -646,6 +663,14 @@
         let now = self.now();
         self.state().repair.handle_join(&status, request, now)
     }
+
+    fn leave_seat(&self, request: &JoinRequest) -> JoinAnswer {
+        let voters = self.base.settings.control.voters();
+        let status = self.status();
+        let now = self.now();
+        let mut state = self.state();
+        state.repair.handle_leave(&status, request, voters, now)
+    }
 }
 
 /// Handles the calls and notices of other hosts.
@@ -734,40 +759,52 @@
 }
 
 /// Obtains the seat of a control host in the control group.
-struct ControlSeatSource<'a> {
-    base: &'a ProcessBase,
-    client: &'a LeaderClient,
+struct ControlSeatSource {
+    shared: Arc<ControlShared>,
     /// Unset until the bootstrap members are decided.
-    bootstrap_members: &'a OnceLock<BootstrapMembers>,
+    bootstrap_members: Arc<OnceLock<BootstrapMembers>>,
+}
+
+impl ControlSeatSource {
+    /// Sends a request about a seat to the host that leads according to this process.
+    async fn call_leader(&self, call: ControlCall) -> Option<JoinAnswer> {
+        let client = &self.shared.client;
+        let call = Call::Control(call);
+        let answer = client.call_once(&call, RELAY_TIMEOUT, RELAY_TIMEOUT).await;
+        match answer {
+            Ok(ControlAnswer::Seat(answer)) => Some(answer),
+            Ok(_) | Err(_) => None,
+        }
+    }
 }
 
-impl SeatSource for ControlSeatSource<'_> {
+impl SeatSource for ControlSeatSource {
     fn bootstrap_members(&self) -> Option<BootstrapMembers> {
         self.bootstrap_members.get().cloned()
     }
 
     fn request_seat(&self, seat: Option<SeatId>) -> BoxFuture<'_, Option<JoinAnswer>> {
-        let call = Call::Control(ControlCall::Join(self.base.join_request(seat)));
+        let request = self.shared.base.join_request(seat);
+        self.call_leader(ControlCall::Join(request)).boxed()
+    }
+
+    fn leave_seat(&self, seat: SeatId) -> BoxFuture<'_, Option<JoinAnswer>> {
+        let request = self.shared.base.join_request(Some(seat));
         async move {
-            match self
-                .client
-                .call_once(&call, RELAY_TIMEOUT, RELAY_TIMEOUT)
-                .await
-            {
-                Ok(ControlAnswer::Seat(answer)) => Some(answer),
-                Ok(_) | Err(_) => None,
+            if self.shared.leads() {
+                return Some(self.shared.leave_seat(&request));
             }
+            self.call_leader(ControlCall::LeaveSeat(request)).await
         }
         .boxed()
     }
 }
 
 async fn manage_seat(shared: Arc<ControlShared>, opener: SeatOpener) {
-    let bootstrap_members = OnceLock::new();
+    let bootstrap_members = Arc::new(OnceLock::new());
     let source = ControlSeatSource {
-        base: &shared.base,
-        client: &shared.client,
-        bootstrap_members: &bootstrap_members,
+        shared: shared.clone(),
+        bootstrap_members: bootstrap_members.clone(),
     };
     let first_start = shared.base.settings.control.first_start;
     let deciding = async {
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -218,7 +218,7 @@
     ) {
         self.term = Some(term);
         self.broker = SlotBroker::new(self.settings);
-        self.repair.restart();
+        self.repair.restart(now);
         self.hosts.clear();
         self.pending.clear();
         self.leads_since = now;
@@ -323,6 +323,7 @@
             ("hosts", count(self.hosts.len())),
             ("servers", count(self.broker.servers().len())),
             ("servers_limited", count(self.broker.limited_servers())),
+            ("group_standbys", count(self.repair.standby_count(now))),
         ];
         let (mut running, mut slots, mut online, mut batch) = (0, 0, 0, 0);
         for service in &self.plan.raw().services {
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -24,6 +24,7 @@
 mod plan_notices;
 pub mod ports;
 mod process;
+mod seat_handover;
 mod seat_manager;
 mod seat_opener;
 mod server_marks;
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -116,6 +116,8 @@
     RetireState { host: HostName },
     /// Requests a seat in the control group.
     Join(JoinRequest),
+    /// Asks for the replacement of a stopping host in the control group.
+    LeaveSeat(JoinRequest),
 }
 
 impl ControlCall {
@@ -131,6 +133,7 @@
             Self::BeginRetire { .. } => "begin_retire",
             Self::RetireState { .. } => "retire_state",
             Self::Join(_) => "join",
+            Self::LeaveSeat(_) => "leave_seat",
         }
     }
 }
@@ -302,7 +305,7 @@
     UnknownHost,
     /// Too few store hosts would remain.
     TooFewHosts,
-    /// Reply to [`ControlCall::Join`].
+    /// Reply to [`ControlCall::Join`] and [`ControlCall::LeaveSeat`].
     Seat(JoinAnswer),
 }
 
@@ -325,6 +328,8 @@
     },
     /// Requests a seat in the job group.
     Join(JoinRequest),
+    /// Asks for the replacement of a stopping host in the job group.
+    LeaveSeat(JoinRequest),
 }
 
 /// The reply of the leader of the job group.
@@ -336,7 +341,7 @@
     Page(Option<JobPage>),
     /// Reply to [`BatchCall::Body`].
     Body(Option<Vec<u8>>),
-    /// Reply to [`BatchCall::Join`].
+    /// Reply to [`BatchCall::Join`] and [`BatchCall::LeaveSeat`].
     Seat(JoinAnswer),
 }
 
--- a/crates/roles/src/seat_manager.rs
+++ b/crates/roles/src/seat_manager.rs
@@ -54,7 +54,7 @@
         }
     }
 
-    fn set(&self, handle: Option<GroupHandle<M>>) {
+    pub(crate) fn set(&self, handle: Option<GroupHandle<M>>) {
         *self.group.write().unwrap_or_else(PoisonError::into_inner) = handle;
     }
 }
@@ -66,6 +66,9 @@
 
     /// Requests a seat from the leader, or checks that the given one is still a member.
     fn request_seat(&self, seat: Option<SeatId>) -> BoxFuture<'_, Option<JoinAnswer>>;
+
+    /// Asks the leader, which may be this process, to replace the given seat.
+    fn leave_seat(&self, seat: SeatId) -> BoxFuture<'_, Option<JoinAnswer>>;
 }
 
 /// Manages the seat of a process for as long as the process runs.
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -16,6 +16,7 @@
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::ports::ServerDialect;
 use crate::process::{ProcessBase, ProcessError};
+use crate::seat_handover::SeatHandover;
 use crate::seat_manager::{SeatCell, SeatManager, SeatSource};
 use crate::seat_opener::SeatOpener;
 use crate::server_marks::ServerMarks;
@@ -26,7 +27,8 @@
 use chicoryladder_batch::{BatchAnswer, BatchCommand, BatchMachine};
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
 use chicoryladder_group::{
-    BootstrapMembers, GroupHandle, GroupStatus, JoinAnswer, MembershipRepair, ProposeFailure,
+    BootstrapMembers, GroupHandle, GroupStatus, JoinAnswer, JoinRequest, MembershipRepair,
+    ProposeFailure,
 };
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
@@ -41,7 +43,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::task::JoinSet;
+use tokio::task::{AbortHandle, JoinSet};
 
 /// The id of the job group.
 const JOB_GROUP: GroupId = GroupId(1);
@@ -53,14 +55,14 @@
 /// while a change is in progress, which takes longer if a new member has to catch up.
 const REPAIR_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The time for which a stopping leader waits for its successor to take over.
-const TRANSFER_TIME: Duration = Duration::from_millis(600);
-
 /// A running store host.
 pub struct StoreHost {
     shared: Arc<StoreShared>,
     /// Accepts the calls of operators and servers, if the settings give an address.
     relay: Option<HttpListener>,
+    opener: SeatOpener,
+    /// The task that obtains a seat.
+    seat_task: AbortHandle,
     tasks: JoinSet<()>,
 }
 
@@ -148,7 +150,7 @@
             shared.view.clone(),
             reporter,
         ));
-        tasks.spawn(manage_seat(shared.clone(), opener));
+        let seat_task = tasks.spawn(manage_seat(shared.clone(), opener.clone()));
         tasks.spawn(lead(shared.clone()));
         serve_metrics(&shared, &mut tasks).await?;
         let relay = match base.settings.listen.control {
@@ -161,22 +163,29 @@
         Ok(Self {
             shared,
             relay,
+            opener,
+            seat_task,
             tasks,
         })
     }
 
-    /// Transfers the leadership, drains the relayed calls and stops.
+    /// Transfers the leadership and the seat, drains the relayed calls and stops.
     pub async fn shutdown(mut self) {
         self.shared.log.note("stopping", &json!({}));
-        if let Some(group) = self.shared.group()
-            && group.status().leads
-        {
-            group.transfer_leadership();
-            tokio::time::sleep(TRANSFER_TIME).await;
-        }
-        if let Some(relay) = self.relay {
-            drain_relay(relay).await;
-        }
+        self.seat_task.abort();
+        let handover = SeatHandover {
+            cell: &self.shared.seat,
+            source: &StoreSeatSource(self.shared.clone()),
+            opener: &self.opener,
+            log: &self.shared.log,
+            timeout: self.shared.base.settings.bounds.drain_timeout / 2,
+        };
+        let draining = async {
+            if let Some(relay) = self.relay {
+                drain_relay(relay).await;
+            }
+        };
+        tokio::join!(handover.run(), draining);
         self.tasks.shutdown().await;
     }
 }
@@ -213,7 +222,10 @@
         gauges: Box::new(move || {
             let now = gauge_source.now();
             let mut gauges = gauge_source.status().gauges(now);
+            let standbys = gauge_source.repair().standby_count(now);
+            let standbys = u32::try_from(standbys).unwrap_or(u32::MAX);
             gauges.extend([
+                ("group_standbys", f64::from(standbys)),
                 ("runs", gauge_source.slots.active_count()),
                 ("items_waiting", gauge_source.leader().items_waiting(now)),
             ]);
@@ -313,6 +325,13 @@
         });
     }
 
+    pub(super) fn leave_seat(&self, request: &JoinRequest) -> JoinAnswer {
+        let voters = self.base.settings.control.voters();
+        let status = self.status();
+        let now = self.now();
+        self.repair().handle_leave(&status, request, voters, now)
+    }
+
     /// Whether a check for membership changes is due; if so, the next one is due a
     /// [`REPAIR_INTERVAL`] later.
     fn take_repair_turn(&self) -> bool {
@@ -473,23 +492,36 @@
     }
 
     fn request_seat(&self, seat: Option<SeatId>) -> BoxFuture<'_, Option<JoinAnswer>> {
-        self.0.update_job_hosts();
-        let call = Call::Batch(BatchCall::Join(self.0.base.join_request(seat)));
+        let request = self.0.base.join_request(seat);
+        self.call_leader(BatchCall::Join(request)).boxed()
+    }
+
+    fn leave_seat(&self, seat: SeatId) -> BoxFuture<'_, Option<JoinAnswer>> {
+        let request = self.0.base.join_request(Some(seat));
         async move {
-            match self
-                .0
-                .job_client
-                .call_once(&call, JOIN_TIMEOUT, JOIN_TIMEOUT)
-                .await
-            {
-                Ok(BatchReply::Seat(answer)) => Some(answer),
-                Ok(_) | Err(_) => None,
+            if self.0.leads() {
+                return Some(self.0.leave_seat(&request));
             }
+            self.call_leader(BatchCall::LeaveSeat(request)).await
         }
         .boxed()
     }
 }
 
+impl StoreSeatSource {
+    /// Sends a request about a seat to the host that leads according to this process.
+    async fn call_leader(&self, call: BatchCall) -> Option<JoinAnswer> {
+        self.0.update_job_hosts();
+        let client = &self.0.job_client;
+        let call = Call::Batch(call);
+        let answer = client.call_once(&call, JOIN_TIMEOUT, JOIN_TIMEOUT).await;
+        match answer {
+            Ok(BatchReply::Seat(answer)) => Some(answer),
+            Ok(_) | Err(_) => None,
+        }
+    }
+}
+
 async fn manage_seat(shared: Arc<StoreShared>, opener: SeatOpener) {
     let source = StoreSeatSource(shared.clone());
     let manager = SeatManager {
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -165,6 +165,9 @@
                 let answer = self.repair().handle_join(&status, &request, now);
                 GroupReply::Answer(BatchReply::Seat(answer))
             }
+            BatchCall::LeaveSeat(request) => {
+                GroupReply::Answer(BatchReply::Seat(self.leave_seat(&request)))
+            }
         }
     }
 
@@ -246,7 +249,7 @@
     };
     let count = items.len();
     let now = shared.now();
-    shared.repair().restart();
+    shared.repair().restart(now);
     shared.leader().begin(status.term, items, now);
     let fields = json!({ "term": status.term.0, "open_items": count });
     shared.log.note("leadership_begins", &fields);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod first_contact;
 mod limited;
+mod planned_stops;
 mod proxy;
 mod servers;
 mod shared_segments;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -343,6 +343,13 @@
         }
     }
 
+    /// Removes a host for good, with its disk.
+    pub(crate) fn remove_host(&mut self, name: &str) {
+        self.kill(name);
+        self.delete_data(name);
+        self.hosts.remove(name);
+    }
+
     /// Deletes the data folder of a host whose process does not run.
     pub(crate) fn delete_data(&self, name: &str) {
         std::fs::remove_dir_all(self.data(name)).expect("the folder exists");
@@ -389,6 +396,14 @@
         answer.expect("an answer").text()
     }
 
+    /// A level in the metrics of a host, such as `group_standbys`.
+    pub(crate) async fn level(&self, host: &str, name: &str) -> Option<f64> {
+        let metrics = self.metrics(host).await;
+        let label = format!("name=\"{name}\"");
+        let line = metrics.lines().find(|line| line.contains(&label))?;
+        line.rsplit(' ').next()?.parse().ok()
+    }
+
     /// The host with the highest term among those whose last logged change of leadership
     /// is that they became leader.
     pub(crate) fn leader(&self, role: Role) -> Option<String> {
