Give each job one owner, by which it is submitted and read

Cause: the owner was what the route demanded at submission (a public route: nobody), while reads, bodies and ends identify the caller by what the plan demands. A plan that changes one of the two strands the job.

Two more cases of the same cause failed in tests on the code before: jobs submitted without a key (401 without a key, 404 with one), and jobs from before a plan that removes all teams or brings the first ones (404).

Why it works: the owner is the team of the key that submits, also on a public route. A job without such a key is open to all callers that know its id, and so are all jobs under a plan without teams. One rule, JobOwner::admits, serves reads, bodies and ends. The replicated commands are as before, so members of both builds apply them alike.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -15,4 +15,4 @@
     OutputStart, ProgressDelta, RunProgress, SubmitAnswer,
 };
 pub use schedule::{ItemKey, ItemSchedule, ScheduledItem};
-pub use spec::{ItemSpec, JobSpec};
+pub use spec::{ItemSpec, JobOwner, JobSpec};
--- a/crates/batch/src/machine.rs
+++ b/crates/batch/src/machine.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine of batch jobs.
 
-use crate::spec::{ItemSpec, JobSpec};
+use crate::spec::{ItemSpec, JobOwner, JobSpec};
 use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{LogIndex, RouteName, SoftwareVersion};
@@ -212,7 +212,7 @@
     /// Returns the results of a job from a position on, up to about `max_bytes` of
     /// text, but at least one result if there is any.
     ///
-    /// Returns `None` if the team has no such job.
+    /// Returns `None` if there is no such job or the team may not access it.
     #[must_use]
     pub fn page(
         &self,
@@ -260,6 +260,12 @@
         })
     }
 
+    /// Returns who may access a job; `None` if there is no such job.
+    #[must_use]
+    pub fn owner(&self, job: &str) -> Option<JobOwner> {
+        self.jobs.get(job).map(|record| record.job_spec.owner())
+    }
+
     /// Returns all items without a result.
     #[must_use]
     pub fn open_items(&self) -> Vec<OpenItem> {
@@ -305,7 +311,7 @@
 
     fn job_of(&self, team: Option<&TeamName>, job: &str) -> Option<&JobRecord> {
         let record = self.jobs.get(job)?;
-        (record.job_spec.team.as_ref() == team).then_some(record)
+        record.job_spec.owner().admits(team).then_some(record)
     }
 
     fn waiting_tokens(&self, team: Option<&TeamName>, route: &RouteName) -> u64 {
--- a/crates/batch/src/spec.rs
+++ b/crates/batch/src/spec.rs
@@ -20,12 +20,33 @@
     pub tokens: u64,
 }
 
+/// Who may read and end a job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum JobOwner {
+    /// The team with this name.
+    Team(TeamName),
+    /// Every caller that knows the id of the job: it was submitted without a key.
+    Anyone,
+}
+
+impl JobOwner {
+    /// Whether a caller of the given team may access the job; `None` is a caller without a
+    /// team.
+    #[must_use]
+    pub fn admits(&self, team: Option<&TeamName>) -> bool {
+        match self {
+            Self::Team(owner) => team == Some(owner),
+            Self::Anyone => true,
+        }
+    }
+}
+
 /// A batch job.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
     /// The id that the caller assigned.
     pub id: String,
-    /// The team that owns the job; `None` if callers need no key.
+    /// The team that owns the job; `None` if it was submitted without a key.
     pub team: Option<TeamName>,
     /// The route that accepted the job.
     pub route: RouteName,
@@ -44,3 +65,11 @@
     /// The items, in order.
     pub items: Vec<ItemSpec>,
 }
+
+impl JobSpec {
+    /// Who may read and end the job.
+    #[must_use]
+    pub fn owner(&self) -> JobOwner {
+        self.team.clone().map_or(JobOwner::Anyone, JobOwner::Team)
+    }
+}
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -1,8 +1,8 @@
 //! Tests of the batch state machine and the item schedule.
 
 use chicoryladder_batch::{
-    BatchAnswer, BatchCommand, BatchMachine, ItemOutcome, ItemSchedule, ItemSpec, JobSpec,
-    OpenItem, ProgressDelta, RunProgress, SubmitAnswer,
+    BatchAnswer, BatchCommand, BatchMachine, ItemOutcome, ItemSchedule, ItemSpec, JobOwner,
+    JobSpec, OpenItem, ProgressDelta, RunProgress, SubmitAnswer,
 };
 use chicoryladder_consensus::StateMachine;
 use chicoryladder_types::{LogIndex, RouteName, ServiceName, SoftwareVersion, TeamName};
@@ -496,3 +496,25 @@
     assert_eq!(item.open.job_spec.id, "engine");
     assert!(schedule.start_next(now, &engine(), &version()).is_none());
 }
+
+/// A job of a public route is stored without an owner. It was accepted, but every key of a
+/// team was answered that there is no such job.
+#[test]
+fn a_job_without_an_owner_is_visible_to_every_team() {
+    let mut group = TestGroup::default();
+    let unowned = JobSpec {
+        team: None,
+        ..job("j", &["a"])
+    };
+    group.submit(unowned, 0);
+    group.submit(job("owned", &["a"]), 0);
+    let machine = &group.machine;
+    for caller in [None, Some(&team())] {
+        assert!(machine.page(caller, "j", 0, usize::MAX).is_some());
+        assert!(machine.item_spec(caller, "j", "a").is_some());
+    }
+    assert_eq!(machine.owner("j"), Some(JobOwner::Anyone));
+    assert_eq!(machine.owner("owned"), Some(JobOwner::Team(team())));
+    assert_eq!(machine.owner("other"), None);
+    assert!(machine.page(None, "owned", 0, usize::MAX).is_none());
+}
--- a/crates/roles/src/entry/jobs.rs
+++ b/crates/roles/src/entry/jobs.rs
@@ -1,14 +1,13 @@
 //! Batch job calls, which an entry host passes to the leader of the job group.
 
-use super::matching::MatchedRequest;
+use super::matching::{JobCaller, MatchedRequest};
 use crate::event_log::EventLog;
 use crate::fleet_view::FleetView;
 use crate::leader_client::{LeaderClient, LeaderError};
 use crate::message::{BatchCall, BatchReply, Call};
 use crate::ports::{CallerDialect, CallerHead, JobCall};
-use chicoryladder_batch::{BatchAnswer, BatchCommand, JobSpec, SubmitAnswer};
+use chicoryladder_batch::{BatchAnswer, BatchCommand, JobOwner, JobSpec, SubmitAnswer};
 use chicoryladder_gateway::{AnswerBody, bytes_body};
-use chicoryladder_plan::PlanTeam;
 use chicoryladder_types::prelude::*;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -80,7 +79,12 @@
             BatchReply::Changed(BatchAnswer::Submitted(answer)) => {
                 self.log.note(
                     "job_submitted",
-                    &json!({ "request": id, "answer": format!("{answer:?}") }),
+                    &json!({
+                        "request": id,
+                        "team": matched.team.as_ref().map(|team| &team.name),
+                        "public": route.public,
+                        "answer": format!("{answer:?}"),
+                    }),
                 );
                 match answer {
                     SubmitAnswer::Accepted | SubmitAnswer::Repeated => {
@@ -101,11 +105,10 @@
     pub(super) async fn call(
         &self,
         call: &JobCall,
-        team: Option<&PlanTeam>,
+        caller: JobCaller,
         dialect: &dyn CallerDialect,
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
-        let team = team.map(|team| team.name.clone());
-        let unknown = || RequestRefusal::not_run(RefusalReason::UnknownJob, "there is no such job");
+        let team = self.acting_team(call.job(), caller).await?;
         match call.clone() {
             JobCall::Page { job, after } => {
                 match self
@@ -118,7 +121,7 @@
                         response.headers_mut().insert(CONTENT_TYPE, kind);
                         Ok(response)
                     }
-                    BatchReply::Page(None) => Err(unknown()),
+                    BatchReply::Page(None) => Err(unknown_job()),
                     _ => Err(outcome_unknown()),
                 }
             }
@@ -128,7 +131,7 @@
                     .await?
                 {
                     BatchReply::Body(Some(body)) => Ok(Response::new(bytes_body(body))),
-                    BatchReply::Body(None) => Err(unknown()),
+                    BatchReply::Body(None) => Err(unknown_job()),
                     _ => Err(outcome_unknown()),
                 }
             }
@@ -144,13 +147,35 @@
                 );
                 match reply {
                     BatchReply::Changed(BatchAnswer::Done) => Ok(empty_response(StatusCode::OK)),
-                    BatchReply::Changed(_) => Err(unknown()),
+                    BatchReply::Changed(_) => Err(unknown_job()),
                     _ => Err(outcome_unknown()),
                 }
             }
         }
     }
 
+    /// The team in whose name a call about a job is made; `None` if the job belongs to nobody.
+    async fn acting_team(
+        &self,
+        job: &str,
+        caller: JobCaller,
+    ) -> Result<Option<TeamName>, RequestRefusal> {
+        let refusal = match caller {
+            JobCaller::Team(team) => return Ok(Some(team.name.clone())),
+            JobCaller::Keyless => None,
+            JobCaller::Unknown(refusal) => Some(refusal),
+        };
+        let job = job.to_owned();
+        match (self.call_leader(BatchCall::Owner { job }).await?, refusal) {
+            (BatchReply::Owner(Some(JobOwner::Anyone)), _) => Ok(None),
+            (BatchReply::Owner(_), Some(refusal)) => Err(refusal),
+            // A plan without teams protects no job of a team either.
+            (BatchReply::Owner(Some(JobOwner::Team(owner))), None) => Ok(Some(owner)),
+            (BatchReply::Owner(None), None) => Err(unknown_job()),
+            _ => Err(outcome_unknown()),
+        }
+    }
+
     /// Calls the leader of the job group. Every call is idempotent and may be resent.
     async fn call_leader(&self, call: BatchCall) -> Result<BatchReply, RequestRefusal> {
         let store = self.view.store();
@@ -180,6 +205,10 @@
     team.unwrap_or(matched.route.rank)
 }
 
+fn unknown_job() -> RequestRefusal {
+    RequestRefusal::not_run(RefusalReason::UnknownJob, "there is no such job")
+}
+
 /// The refusal of a call that may or may not have taken effect.
 fn outcome_unknown() -> RequestRefusal {
     let detail = "the leader of the job group was lost during the call";
--- a/crates/roles/src/entry/matching.rs
+++ b/crates/roles/src/entry/matching.rs
@@ -33,6 +33,17 @@
     pub(super) team: Option<PlanTeam>,
 }
 
+/// The caller of a job call.
+pub(super) enum JobCaller {
+    /// The caller has the key of this team.
+    Team(PlanTeam),
+    /// The plan has no teams and demands no keys.
+    Keyless,
+    /// The caller has no key of a team. It may access jobs that belong to nobody, and is
+    /// refused access to others for this reason.
+    Unknown(RequestRefusal),
+}
+
 /// Matches requests under the plan of a view.
 #[derive(Clone)]
 pub(super) struct RequestMatcher {
@@ -92,11 +103,35 @@
         second
     }
 
-    /// The team of the key that came with a call about a batch job.
-    pub(super) async fn team_of_key(
+    /// The caller of a call about a batch job.
+    pub(super) async fn job_caller(&self, head: &CallerHead) -> Result<JobCaller, RequestRefusal> {
+        match self.team_of_key(head).await {
+            Ok(Some(team)) => Ok(JobCaller::Team(team)),
+            Ok(None) => Ok(JobCaller::Keyless),
+            Err(refusal) if lacks_team(&refusal) => Ok(JobCaller::Unknown(refusal)),
+            Err(refusal) => Err(refusal),
+        }
+    }
+
+    /// The team that submits a job. A public route needs no key, but the job belongs to the
+    /// team of the key that comes with it.
+    pub(super) async fn submitter(
         &self,
+        matched: &MatchedRequest,
         head: &CallerHead,
     ) -> Result<Option<PlanTeam>, RequestRefusal> {
+        if !matched.route.public || head.key.is_none() {
+            return Ok(matched.team.clone());
+        }
+        match self.team_of_key(head).await {
+            Err(refusal) if lacks_team(&refusal) => Ok(None),
+            team => team,
+        }
+    }
+
+    /// The team of the key that came with a call about a batch job; `None` if the plan has no
+    /// teams.
+    async fn team_of_key(&self, head: &CallerHead) -> Result<Option<PlanTeam>, RequestRefusal> {
         let resolve = || {
             let plan = self.view.plan();
             if plan.has_teams() {
@@ -152,3 +187,11 @@
         team.ok_or_else(|| refused(RefusalReason::UnknownKey, "no team holds the key"))
     }
 }
+
+/// Whether a request was refused because it came without the key of a team.
+fn lacks_team(refusal: &RequestRefusal) -> bool {
+    matches!(
+        refusal.reason,
+        RefusalReason::MissingKey | RefusalReason::UnknownKey
+    )
+}
--- a/crates/roles/src/entry/service.rs
+++ b/crates/roles/src/entry/service.rs
@@ -60,12 +60,14 @@
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
         let host = host_of(parts);
         if let Some(call) = self.dialect.read_job_call(parts) {
-            let team = self.matcher.team_of_key(head).await?;
-            return self.jobs.call(&call, team.as_ref(), &*self.dialect).await;
+            let caller = self.matcher.job_caller(head).await?;
+            return self.jobs.call(&call, caller, &*self.dialect).await;
         }
         let matched = self.matcher.resolve(&host, parts.uri.path(), head).await?;
         let body = self.read_body(&matched, body).await?;
         if matched.route.kind == RouteKind::Batch && parts.method == Method::POST {
+            let team = self.matcher.submitter(&matched, head).await?;
+            let matched = MatchedRequest { team, ..matched };
             return self
                 .jobs
                 .submit(&matched, &host, head, &body, &*self.dialect)
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -2,7 +2,7 @@
 
 use crate::server_marks::ServerReports;
 use bytes::Bytes;
-use chicoryladder_batch::{BatchCommand, JobPage};
+use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
 use chicoryladder_broker::{
     ActiveRun, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision,
     SlotRequest, ZoneRoster,
@@ -330,6 +330,8 @@
     Join(JoinRequest),
     /// Asks for the replacement of a stopping host in the job group.
     LeaveSeat(JoinRequest),
+    /// Reads who may access a job.
+    Owner { job: String },
 }
 
 /// The reply of the leader of the job group.
@@ -343,6 +345,8 @@
     Body(Option<Vec<u8>>),
     /// Reply to [`BatchCall::Join`] and [`BatchCall::LeaveSeat`].
     Seat(JoinAnswer),
+    /// Reply to [`BatchCall::Owner`]; `None` if there is no such job.
+    Owner(Option<JobOwner>),
 }
 
 /// The reply of any member of a group to a call for its leader.
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -62,6 +62,16 @@
     },
 }
 
+impl JobCall {
+    /// The id of the job.
+    #[must_use]
+    pub fn job(&self) -> &str {
+        match self {
+            Self::Page { job, .. } | Self::Body { job, .. } | Self::End { job } => job,
+        }
+    }
+}
+
 /// The context of a run, sent to the backend server in addition to the caller's
 /// request.
 #[derive(Clone, Copy, Debug)]
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -5,8 +5,8 @@
 use crate::message::{BatchCall, BatchReply, GroupReply};
 use crate::slot_client::{SlotError, SlotLease};
 use chicoryladder_batch::{
-    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, OpenItem, OutputStart,
-    ProgressDelta, RunProgress, ScheduledItem, SubmitAnswer,
+    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, JobOwner, OpenItem,
+    OutputStart, ProgressDelta, RunProgress, ScheduledItem, SubmitAnswer,
 };
 use chicoryladder_broker::{SlotRefusalReason, SlotRequest, StreamPart, WorkKind, shared_segments};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
@@ -139,7 +139,15 @@
             return self.not_leader();
         }
         match call {
+            BatchCall::Change(BatchCommand::End { job, team }) => self.end_job(job, team).await,
             BatchCall::Change(command) => self.change(command).await,
+            BatchCall::Owner { job } => {
+                let query = move |machine: &BatchMachine| machine.owner(&job);
+                self.read(query).await.map_or_else(
+                    || self.not_leader(),
+                    |owner| GroupReply::Answer(BatchReply::Owner(owner)),
+                )
+            }
             BatchCall::Page { team, job, after } => {
                 let query = move |machine: &BatchMachine| {
                     machine.page(team.as_ref(), &job, after, PAGE_MAX_BYTES)
@@ -171,6 +179,23 @@
         }
     }
 
+    /// Ends a job that the team may access. The command names the owner, as all builds apply
+    /// it by that.
+    async fn end_job(
+        self: &Arc<Self>,
+        job: String,
+        team: Option<TeamName>,
+    ) -> GroupReply<BatchReply> {
+        let queried = job.clone();
+        let owner = self.read(move |machine| machine.owner(&queried)).await;
+        let team = match owner {
+            Some(Some(JobOwner::Anyone)) => None,
+            Some(_) => team,
+            None => return self.not_leader(),
+        };
+        self.change(BatchCommand::End { job, team }).await
+    }
+
     async fn change(self: &Arc<Self>, command: BatchCommand) -> GroupReply<BatchReply> {
         let now = self.now();
         let answer = match self.propose(&command).await {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod limited;
 mod planned_stops;
 mod proxy;
+mod public_jobs;
 mod servers;
 mod shared_segments;
 mod soak;
