Continue a stream nobody knows only where no other version can have begun it

Cause: a stream that nobody knows went on if all servers had one version.

Why it works: the control group records each version of a service before streams begin at it beside another one, and until no stream of it can go on; a new broker starts from these records. Hosts get them with the directory. A new version begins streams 1 s after it is listed, and a host concludes from its list only while its view is younger, so it knows every version that can have begun a stream.

Members of the build before skip the new command. mixed_fleet waits for the notice, as its streams are meant to begin at both versions; its tests assert what they did.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -10,6 +10,8 @@
 use crate::request::SlotRequest;
 use crate::roster::ZoneRoster;
 use crate::server_limits::NamedLimits;
+use crate::streams::StreamPart;
+use crate::versions::VersionList;
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -49,6 +51,8 @@
     pub own_runs: &'a HashMap<ServerName, u32>,
     /// The servers to which a connection recently failed.
     pub unreachable: &'a HashSet<ServerName>,
+    /// The versions of the servers; `None` if the broker did not list them.
+    pub versions: Option<&'a VersionList>,
     /// The servers that said in their responses that they leave.
     pub leaving: &'a LeavingServers,
     /// The limits that servers named in their responses.
@@ -83,6 +87,7 @@
             && request
                 .required_version()
                 .is_none_or(|version| *version == server.version)
+            && self.may_begin(server, request)
             && !request.avoid.contains(&server.name)
             && !self.unreachable.contains(&server.name)
             && !self.leaving.is_leaving(&server.name, server.incarnation)
@@ -90,6 +95,14 @@
             && self.runs_at(server) < server.slots
     }
 
+    /// Whether the request is not for the beginning of a stream, or it may begin at the version
+    /// of the server.
+    fn may_begin(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
+        let is_beginning = matches!(request.stream, Some(StreamPart::Beginning(_)));
+        let may_begin = |list: &VersionList| list.may_begin(&server.service, &server.version);
+        !is_beginning || self.versions.is_none_or(may_begin)
+    }
+
     fn is_within_limit(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
         let hosts = if server.zone == request.zone {
             u32::try_from(self.roster.hosts.len()).unwrap_or(u32::MAX)
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -29,6 +29,7 @@
 mod slots;
 mod streams;
 mod tunnel_hosts;
+mod versions;
 
 pub use brokerless::{BrokerlessView, servers_for_zone};
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
@@ -47,3 +48,4 @@
 pub use slots::{BrokerSettings, SlotBroker};
 pub use streams::{StreamId, StreamPart, StreamReport, StreamVersions};
 pub use tunnel_hosts::choose_tunnel_hosts;
+pub use versions::{ListedVersion, VERSION_NOTICE, VersionList, VersionRecord, VersionStep};
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -2,7 +2,7 @@
 
 use crate::grants::ServerKey;
 use crate::request::{RequesterId, SlotRequest, WorkKind};
-use crate::streams::SeenVersions;
+use crate::versions::SeenVersions;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -3,6 +3,7 @@
 use crate::grants::RunOutcome;
 use crate::server_limits::ServerLimit;
 use crate::streams::{StreamId, StreamPart};
+use crate::versions::VersionRecord;
 use chicoryladder_policy::quarantine::{
     QuarantineCause, QuarantineChange, RequestFingerprint, RequestTraits, SegmentFingerprint,
 };
@@ -194,6 +195,9 @@
     Quarantine(QuarantineChange),
     /// Reports that a server gets no work for a time.
     Suspended(ServerSuspension),
+    /// Asks for a durable record of a step in the use of a version; the step is applied once
+    /// it is recorded.
+    VersionStep(VersionRecord),
     /// Reports that a host reaches so few servers that its reports on them do not count.
     CutOff {
         /// The host.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -3,8 +3,9 @@
 //! [`assignment`] chooses the server of a request or the item that it preempts,
 //! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
-//! of hosts, [`path_reports`] tells these from the reports of hosts without a path, and
-//! [`crashes`] refuses the requests under which servers crash.
+//! of hosts, [`path_reports`] tells these from the reports of hosts without a path,
+//! [`version_steps`] tells at which versions streams may begin, and [`crashes`] refuses the
+//! requests under which servers crash.
 
 mod assignment;
 mod crashes;
@@ -12,6 +13,7 @@
 mod expiry;
 mod failures;
 mod path_reports;
+mod version_steps;
 
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
@@ -146,6 +148,10 @@
     events: Vec<BrokerEvent>,
     arrivals: u64,
     directory_version: u64,
+    versions_number: u64,
+    /// From when on no stream can be of a version that this broker does not know; `None` if
+    /// it has known them all from the start.
+    versions_complete_at: Option<Instant>,
 }
 
 impl SlotBroker {
@@ -168,6 +174,8 @@
             events: Vec::new(),
             arrivals: 0,
             directory_version: 0,
+            versions_number: 0,
+            versions_complete_at: None,
         }
     }
 
@@ -246,7 +254,7 @@
             }
         }
         if outcome != CheckInOutcome::Stale {
-            self.pool(&service).versions.record(&version, now);
+            self.record_version(&service, &version, now);
         }
         if matches!(outcome, CheckInOutcome::Added | CheckInOutcome::Leaving) {
             self.directory_version += 1;
@@ -474,6 +482,7 @@
         self.decide_on_crashes(now);
         self.expire_waiting(now);
         self.supersede_for_waiting(now);
+        self.report_version_steps(now);
         self.dispatch_all(now);
     }
 
@@ -537,9 +546,8 @@
         });
         self.by_name.insert(name, key);
         self.apply_early_limit(key, now);
-        let pool = self.pool(&service);
-        pool.servers.push(key);
-        pool.versions.record(&version, now);
+        self.pool(&service).servers.push(key);
+        self.record_version(&service, &version, now);
         self.directory_version += 1;
     }
 
@@ -632,8 +640,9 @@
                 // Servers of other versions may have slots for those behind it, and a slot is
                 // free for them if it only waits for a decision.
                 let request = &waiting.request;
-                let is_passable =
-                    request.required_version().is_some() || self.is_undecided(request, now);
+                let is_passable = request.required_version().is_some()
+                    || self.waits_for_version(request)
+                    || self.is_undecided(request, now);
                 not_granted.push((position, waiting));
                 if !is_passable {
                     break;
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -1,7 +1,6 @@
 //! The choice of a server for a request: a free slot, or that of a preempted batch item.
 
 use super::SlotBroker;
-use super::eligibility::has_version;
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
 use crate::placement::{prompt_prefixes, record_prompt, server_cost};
 use crate::request::{BrokerEvent, RequesterId, SlotDecision, SlotRequest, WorkKind};
@@ -71,7 +70,7 @@
                 .engine_tokens
                 .is_none_or(|max| entry.tokens + request.tokens <= max);
             let usable = self.accepts_work(&entry.record, now)
-                && has_version(&entry.record, request.required_version())
+                && self.admits_version(&entry.record, request)
                 && !request.avoid.contains(&entry.record.check_in.name);
             // Without online requests, only an item can end a server's probation.
             let headroom = if entry.is_on_probation() { 0 } else { headroom };
@@ -101,7 +100,7 @@
                 && entry.is_some_and(|entry| {
                     entry.record.check_in.service == request.service
                         && self.accepts_work(&entry.record, now)
-                        && has_version(&entry.record, request.required_version())
+                        && self.admits_version(&entry.record, request)
                         && entry.limit.admits(request.kind, now)
                         && !request.avoid.contains(&entry.record.check_in.name)
                 })
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -80,12 +80,47 @@
         };
         if version.is_none() {
             let bound = stream.and_then(|stream| self.streams.version(stream, now));
-            let sole = || self.services.get(&request.service)?.versions.sole(now);
+            let is_complete = self.versions_complete_at.is_none_or(|at| now >= at);
+            let pool = self.services.get(&request.service);
+            let sole = || pool.filter(|_| is_complete)?.versions.sole(now);
             *version = bound.or_else(sole).cloned();
         }
         version.is_some()
     }
 
+    /// Whether a server has the version that a request requires, or a stream may begin at its
+    /// version.
+    pub(super) fn admits_version(&self, record: &ServerRecord, request: &SlotRequest) -> bool {
+        let version = &record.check_in.version;
+        match &request.stream {
+            Some(StreamPart::Beginning(_)) => {
+                let pool = self.services.get(&record.check_in.service);
+                pool.is_some_and(|pool| pool.versions.may_begin(version))
+            }
+            Some(StreamPart::Rest { .. }) | None => has_version(record, request.required_version()),
+        }
+    }
+
+    /// Whether a request may have to wait although servers are free, since streams may not
+    /// begin at some of the versions yet.
+    pub(super) fn waits_for_version(&self, request: &SlotRequest) -> bool {
+        let is_beginning = matches!(request.stream, Some(StreamPart::Beginning(_)));
+        let pool = self.services.get(&request.service);
+        is_beginning && pool.is_some_and(|pool| pool.versions.has_held())
+    }
+
+    /// Records that a server of a service has a version.
+    pub(super) fn record_version(
+        &mut self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        now: Instant,
+    ) {
+        if self.pool(service).versions.record(version, now) {
+            self.note_versions();
+        }
+    }
+
     /// Records the version that a stream is bound to, as a host reports it.
     pub fn record_stream(&mut self, report: &StreamReport, now: Instant) {
         self.streams.apply(report, now);
@@ -117,6 +152,6 @@
 }
 
 /// Whether a server has the given version, if there is one.
-pub(super) fn has_version(record: &ServerRecord, version: Option<&SoftwareVersion>) -> bool {
+fn has_version(record: &ServerRecord, version: Option<&SoftwareVersion>) -> bool {
     version.is_none_or(|version| *version == record.check_in.version)
 }
--- a/crates/broker/src/streams.rs
+++ b/crates/broker/src/streams.rs
@@ -6,7 +6,7 @@
 use chicoryladder_types::SoftwareVersion;
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// Identifies a stream by the attempt of its caller that brought the first event.
@@ -39,7 +39,7 @@
 
 /// The time for which the version of a stream is remembered after its last run began. The
 /// caller of an older stream has given up.
-const STREAM_MEMORY: Duration = Duration::from_secs(30);
+pub(crate) const STREAM_MEMORY: Duration = Duration::from_secs(30);
 
 /// The maximum number of streams that are remembered; the oldest are dropped first.
 const STREAMS_MAX: usize = 65_536;
@@ -153,30 +153,3 @@
         }
     }
 }
-
-/// The versions of the servers of a service, by when each was last seen.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct SeenVersions {
-    seen_at: BTreeMap<SoftwareVersion, Instant>,
-}
-
-impl SeenVersions {
-    pub(crate) fn record(&mut self, version: &SoftwareVersion, now: Instant) {
-        if let Some(seen_at) = self.seen_at.get_mut(version) {
-            *seen_at = now;
-            return;
-        }
-        let is_recent = |seen_at: &Instant| now.saturating_duration_since(*seen_at) < STREAM_MEMORY;
-        self.seen_at.retain(|_, seen_at| is_recent(seen_at));
-        self.seen_at.insert(version.clone(), now);
-    }
-
-    /// The only version that can have begun a stream; `None` if there are several.
-    pub(crate) fn sole(&self, now: Instant) -> Option<&SoftwareVersion> {
-        let recent = self.seen_at.iter();
-        let mut recent =
-            recent.filter(|(_, seen_at)| now.saturating_duration_since(**seen_at) < STREAM_MEMORY);
-        let (version, _) = recent.next()?;
-        recent.next().is_none().then_some(version)
-    }
-}
--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -20,6 +20,7 @@
     for _ in 0..count {
         let request = fixture.slot_request(WorkKind::Online);
         let view = BrokerlessView {
+            versions: None,
             servers,
             own_runs: &own_runs,
             unreachable: &unreachable,
@@ -76,6 +77,7 @@
     let mut first = HashSet::new();
     for _ in 0..40 {
         let view = BrokerlessView {
+            versions: None,
             servers: &servers,
             own_runs: &own_runs,
             unreachable: &unreachable,
--- a/crates/broker/tests/all/bursts.rs
+++ b/crates/broker/tests/all/bursts.rs
@@ -75,7 +75,9 @@
                 } => self.handle_decision(ticket, &decision),
                 BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => panic!("unexpected: {change:?}"),
-                BrokerEvent::Suspended(_) | BrokerEvent::CutOff { .. } => {}
+                BrokerEvent::Suspended(_)
+                | BrokerEvent::CutOff { .. }
+                | BrokerEvent::VersionStep(_) => {}
             }
         }
         self.statistics.max_running = self.statistics.max_running.max(self.runs.len());
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -253,7 +253,9 @@
                 } => self.decide(ticket, &decision),
                 BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => self.outcomes.steps.push(change.step),
-                BrokerEvent::Suspended(_) | BrokerEvent::CutOff { .. } => {}
+                BrokerEvent::Suspended(_)
+                | BrokerEvent::CutOff { .. }
+                | BrokerEvent::VersionStep(_) => {}
             }
         }
     }
--- a/crates/broker/tests/all/departures.rs
+++ b/crates/broker/tests/all/departures.rs
@@ -81,6 +81,7 @@
     let request = fixture.slot_request(WorkKind::Online);
     let choose = |servers: &[ServerCheckIn], leaving: &LeavingServers| {
         let view = BrokerlessView {
+            versions: None,
             servers,
             own_runs: &HashMap::new(),
             unreachable: &HashSet::new(),
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -93,7 +93,8 @@
                 BrokerEvent::Stop { ticket, .. } => self.end(ticket, RunOutcome::Stopped),
                 BrokerEvent::Quarantine(_)
                 | BrokerEvent::Suspended(_)
-                | BrokerEvent::CutOff { .. } => {}
+                | BrokerEvent::CutOff { .. }
+                | BrokerEvent::VersionStep(_) => {}
             }
         }
     }
@@ -284,6 +285,7 @@
             let mut request = fixture.slot_request(WorkKind::Online);
             request.zone = crate::support::zone(zone);
             let view = BrokerlessView {
+                versions: None,
                 servers: std::slice::from_ref(&server),
                 own_runs: &HashMap::new(),
                 unreachable: &HashSet::new(),
--- a/crates/broker/tests/all/mixed_versions.rs
+++ b/crates/broker/tests/all/mixed_versions.rs
@@ -2,11 +2,14 @@
 //! hosts die and servers crash under many streams at once, so that callers and hosts take the
 //! streams up at a time at which other versions have more free slots.
 
-use crate::support::{BrokerFixture, check_in, granted, refused_after, requester, zone};
+use crate::support::{
+    BrokerFixture, ENGINE, check_in, granted, plan, refused_after, requester, settings, zone,
+};
 use chicoryladder_broker::{
-    BrokerEvent, ServerCheckIn, SlotRequest, StreamId, StreamPart, StreamVersions, WorkKind,
+    BrokerEvent, ServerCheckIn, SlotBroker, SlotRequest, StreamId, StreamPart, StreamVersions,
+    VERSION_NOTICE, VersionRecord, VersionStep, WorkKind,
 };
-use chicoryladder_types::SoftwareVersion;
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 use std::time::{Duration, Instant};
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -26,6 +29,10 @@
 /// A broker with servers of several versions, as many of each as given.
 fn mixed_fixture(versions: &[(&str, usize)]) -> BrokerFixture {
     let mut fixture = BrokerFixture::new(&[], Vec::new());
+    for (version, _) in versions {
+        let record = record(version, VersionStep::InUse);
+        fixture.broker.confirm_version(&record, fixture.now);
+    }
     for (version, count) in versions {
         for number in 0..*count {
             let name = format!("{version}-{number}");
@@ -38,6 +45,14 @@
     fixture
 }
 
+fn record(version: &str, step: VersionStep) -> VersionRecord {
+    VersionRecord {
+        service: ServiceName::try_from(ENGINE).expect("it is valid"),
+        version: SoftwareVersion::from(version),
+        step,
+    }
+}
+
 fn attempt(number: u64) -> StreamId {
     StreamId::of_attempt(&format!("attempt-{number}"))
 }
@@ -168,3 +183,147 @@
     streams.report_all(later);
     assert!(streams.take_reports(later).is_empty());
 }
+
+/// The steps that the broker asks to record.
+fn steps(events: &[BrokerEvent]) -> Vec<VersionRecord> {
+    let step = |event: &BrokerEvent| match event {
+        BrokerEvent::VersionStep(record) => Some(record.clone()),
+        _ => None,
+    };
+    events.iter().filter_map(step).collect()
+}
+
+/// Lets time pass, and records each step that the broker asks for.
+fn run(fixture: &mut BrokerFixture, time: Duration) -> Vec<VersionRecord> {
+    const STEP: Duration = Duration::from_millis(50);
+    let until = fixture.now + time;
+    let mut recorded = Vec::new();
+    while fixture.now < until {
+        for record in steps(&fixture.tick(STEP)) {
+            fixture.broker.confirm_version(&record, fixture.now);
+            recorded.push(record);
+        }
+    }
+    recorded
+}
+
+/// A new broker without servers, which takes over what an earlier one recorded.
+fn next_broker(fixture: &mut BrokerFixture, records: &[VersionRecord], is_complete: bool) {
+    fixture.broker = SlotBroker::new(settings());
+    fixture.broker.set_plan(&plan(Vec::new()), fixture.now);
+    let now = fixture.now;
+    fixture.broker.restore_versions(records, is_complete, now);
+}
+
+/// A new broker took the only version among the servers that were left for the one that had
+/// begun a stream, after the servers of the version before had just left.
+#[test]
+fn a_new_broker_does_not_join_streams_of_a_version_that_has_just_left() {
+    let mut fixture = mixed_fixture(&[("v1", 2), ("v2", 2)]);
+    let records = ["v1", "v2"].map(|version| record(version, VersionStep::InUse));
+    next_broker(&mut fixture, &records, true);
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 1), now);
+    let request = taken_up(&mut fixture, 1, "a");
+    let events = submit_from(&mut fixture, "entry-2", request);
+    assert!(refused_after(&events).is_some(), "{events:?}");
+    // Hosts that choose by themselves are told of it as well.
+    let service = ServiceName::try_from(ENGINE).expect("it is valid");
+    assert_eq!(fixture.broker.version_list().sole(&service), None);
+    // Once no stream of the version can go on, the other one is the only one left.
+    run(&mut fixture, Duration::from_secs(15));
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 2), now);
+    let recorded = run(&mut fixture, Duration::from_secs(16));
+    assert_eq!(recorded, [record("v1", VersionStep::Gone)]);
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 3), now);
+    let request = taken_up(&mut fixture, 2, "a");
+    assert!(granted(&submit_from(&mut fixture, "entry-2", request)).is_some());
+}
+
+/// The same after brokers of a build that recorded no versions.
+#[test]
+fn a_new_broker_without_records_joins_no_streams_until_they_are_too_old() {
+    let mut fixture = mixed_fixture(&[]);
+    next_broker(&mut fixture, &[], false);
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 1), now);
+    let request = taken_up(&mut fixture, 1, "a");
+    let events = submit_from(&mut fixture, "entry-2", request);
+    assert!(refused_after(&events).is_some(), "{events:?}");
+    let request = beginning(&mut fixture, 2);
+    assert!(granted(&submit_from(&mut fixture, "entry-1", request)).is_some());
+    run(&mut fixture, Duration::from_secs(31));
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 2), now);
+    let request = taken_up(&mut fixture, 3, "a");
+    assert!(granted(&submit_from(&mut fixture, "entry-2", request)).is_some());
+}
+
+/// A host that was out of step for a moment knew only the version before, and took it for the
+/// one that had begun a stream elsewhere. It concludes nothing once its view is as old as the
+/// notice, so no stream may begin at a new version before.
+#[test]
+fn streams_begin_at_a_new_version_only_after_all_recent_views_list_it() {
+    let mut fixture = mixed_fixture(&[("v1", 1)]);
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 1), now);
+    let listed_before = fixture.broker.version_list();
+    let notified = run(&mut fixture, VERSION_NOTICE);
+    assert_eq!(notified, [record("v2", VersionStep::Announced)]);
+    let service = ServiceName::try_from(ENGINE).expect("it is valid");
+    let list = fixture.broker.version_list();
+    assert_eq!(list.sole(&service), None);
+    assert!(!list.may_begin(&service, &SoftwareVersion::from("v2")));
+    assert!(!listed_before.may_begin(&service, &SoftwareVersion::from("v2")));
+    for number in 0..12 {
+        let request = beginning(&mut fixture, number);
+        let server = granted(&submit_from(&mut fixture, "entry-1", request));
+        assert!(server.is_none_or(|server| version_of(&server) == "v1"));
+    }
+    // Other requests use the free slots meanwhile.
+    let request = fixture.slot_request(WorkKind::Online);
+    let server = granted(&submit_from(&mut fixture, "entry-1", request));
+    assert_eq!(server.as_deref(), Some("v2-0"));
+    let used = run(&mut fixture, Duration::from_millis(200));
+    assert_eq!(used, [record("v2", VersionStep::InUse)]);
+    let request = beginning(&mut fixture, 12);
+    let server = granted(&submit_from(&mut fixture, "entry-1", request));
+    assert_eq!(server.as_deref(), Some("v2-0"));
+}
+
+/// The first version of a service waits for nothing, as no stream can be joined with it, and
+/// neither does one that an earlier broker has put into use.
+#[test]
+fn the_first_version_and_versions_in_use_begin_streams_at_once() {
+    let mut fixture = mixed_fixture(&[]);
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v1-0", "a", 1), now);
+    let request = beginning(&mut fixture, 1);
+    assert!(granted(&submit_from(&mut fixture, "entry-1", request)).is_some());
+    let recorded = run(&mut fixture, Duration::from_millis(50));
+    assert_eq!(recorded, [record("v1", VersionStep::InUse)]);
+    let records = [
+        record("v1", VersionStep::InUse),
+        record("v2", VersionStep::InUse),
+    ];
+    next_broker(&mut fixture, &records, true);
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 1), now);
+    let request = beginning(&mut fixture, 2);
+    assert!(granted(&submit_from(&mut fixture, "entry-1", request)).is_some());
+}
+
+/// A step that could not be recorded is asked for again, and takes no effect meanwhile.
+#[test]
+fn a_step_that_was_not_recorded_is_asked_for_again() {
+    let mut fixture = mixed_fixture(&[("v1", 1)]);
+    let now = fixture.now;
+    fixture.broker.check_in(versioned("v2-0", "a", 1), now);
+    let asked = steps(&fixture.tick(Duration::from_millis(50)));
+    assert_eq!(asked, [record("v2", VersionStep::Announced)]);
+    assert!(steps(&fixture.tick(VERSION_NOTICE * 2)).is_empty());
+    fixture.broker.retry_version(&asked[0]);
+    assert_eq!(steps(&fixture.tick(Duration::from_millis(50))), asked);
+}
--- a/crates/roles/src/control.rs
+++ b/crates/roles/src/control.rs
@@ -12,5 +12,6 @@
 mod relay;
 
 pub use host::ControlHost;
+pub use machine::ControlMachine;
 pub use port::{ControlFailure, ControlPort, ControlService, ServerHint};
 pub(crate) use relay::{ControlRelay, drain_relay};
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -25,6 +25,7 @@
 use chicoryladder_broker::{
     BrokerSettings, CheckInOutcome, CrashedRun, DepartureReport, DepartureSource, RateTolerance,
     RequesterId, RosterSettings, ServerCheckIn, ServerLimit, ServerPhase, ServerSuspension,
+    VersionRecord,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
@@ -36,7 +37,7 @@
 use chicoryladder_rpc::{PeerIdentity, RpcHandler};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{GroupId, SeatId};
+use chicoryladder_types::{GroupId, SeatId, TermNumber};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use serde_json::json;
@@ -263,7 +264,7 @@
     }
 
     /// Processes the pending events of the broker, and sends and logs what they ask for.
-    fn process_broker_events(&self, state: &mut LeaderState) {
+    fn process_broker_events(self: &Arc<Self>, state: &mut LeaderState) {
         for action in state.process_broker_events(self.now()) {
             match action {
                 BrokerAction::Stop { address, ticket } => {
@@ -275,10 +276,44 @@
                     let fields = json!({ "host": host, "restored": restored });
                     self.log.note("host_cut_off", &fields);
                 }
+                BrokerAction::RecordVersion(record) => self.record_version(state.term, record),
             }
         }
     }
 
+    /// Records a step in the use of a version durably, and applies it once that is done.
+    fn record_version(self: &Arc<Self>, term: Option<TermNumber>, record: VersionRecord) {
+        let shared = self.clone();
+        tokio::spawn(async move {
+            let command = ControlCommand::RecordVersion(record.clone());
+            let result = shared.propose(&command).await;
+            let now = shared.now();
+            let mut state = shared.state();
+            if state.term != term {
+                return;
+            }
+            let failure = match result {
+                Ok(()) => {
+                    state.broker.confirm_version(&record, now);
+                    shared.process_broker_events(&mut state);
+                    None
+                }
+                Err(failure) => {
+                    state.broker.retry_version(&record);
+                    Some(failure.to_string())
+                }
+            };
+            drop(state);
+            let fields = json!({
+                "service": record.service,
+                "version": record.version,
+                "step": format!("{:?}", record.step),
+                "failure": failure,
+            });
+            shared.log.note("server_version", &fields);
+        });
+    }
+
     /// Logs a reported crash with what counts against the request and its segments so far.
     fn log_crash(&self, requester: &RequesterId, run: &CrashedRun, counts: &CrashCounts) {
         let segment = |segment: &SegmentCrashCount| {
@@ -495,7 +530,7 @@
         state.stored.is_some() || led_for >= FULL_GROUP_WAIT
     }
 
-    async fn check_in(&self, check_in: ServerCheckIn) -> GroupReply<ControlAnswer> {
+    async fn check_in(self: &Arc<Self>, check_in: ServerCheckIn) -> GroupReply<ControlAnswer> {
         let now = self.now();
         let (name, incarnation) = (check_in.name.clone(), check_in.incarnation);
         let is_leaving = check_in.phase == ServerPhase::Leaving;
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -12,7 +12,8 @@
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
     RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
-    SlotBroker, SlotDecision, SlotRequest, ZoneRoster, choose_tunnel_hosts, servers_for_zone,
+    SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, ZoneRoster,
+    choose_tunnel_hosts, servers_for_zone,
 };
 use chicoryladder_group::{MembershipRepair, spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
@@ -70,8 +71,10 @@
 #[derive(Default)]
 struct DirectorySnapshot {
     version: u64,
+    versions_number: u64,
     next_at: Option<Instant>,
     servers: Vec<ServerCheckIn>,
+    versions: VersionList,
     all: Option<EncodedDirectory>,
     by_zone: HashMap<ZoneName, Option<EncodedDirectory>>,
 }
@@ -80,25 +83,30 @@
     /// Takes a new snapshot if the directory has changed and the last one is old enough.
     fn refresh(&mut self, broker: &SlotBroker, now: Instant) {
         let version = broker.directory_version();
-        if version == self.version || self.next_at.is_some_and(|at| now < at) {
+        // A host whose view is recent has to know each version.
+        let has_other_versions = broker.versions_number() != self.versions_number;
+        let is_early = self.next_at.is_some_and(|at| now < at);
+        if version == self.version || (is_early && !has_other_versions) {
             return;
         }
-        let servers = broker.servers();
+        let (servers, versions) = (broker.servers(), broker.version_list());
         let count = u32::try_from(servers.len()).unwrap_or(u32::MAX);
         let interval = DIRECTORY_INTERVAL_PER_SERVER.saturating_mul(count);
         *self = Self {
             version,
+            versions_number: broker.versions_number(),
             next_at: Some(now + interval.min(DIRECTORY_INTERVAL_MAX)),
-            all: Encoded::new("directory", &servers),
+            all: EncodedDirectory::new(&servers, &versions),
             by_zone: HashMap::new(),
             servers,
+            versions,
         };
     }
 
     /// The servers that entry hosts of a zone need.
     fn of_zone(&mut self, zone: &ZoneName) -> Option<EncodedDirectory> {
-        let servers = &self.servers;
-        let encode = || Encoded::new("directory", &servers_for_zone(servers, zone));
+        let (servers, versions) = (&self.servers, &self.versions);
+        let encode = || EncodedDirectory::new(&servers_for_zone(servers, zone), versions);
         let known = self.by_zone.entry(zone.clone());
         known.or_insert_with(encode).clone()
     }
@@ -137,6 +145,8 @@
         host: HostName,
         restored: Vec<ServerName>,
     },
+    /// A step in the use of a version has to be recorded.
+    RecordVersion(VersionRecord),
 }
 
 /// The state of the control group's leader.
@@ -231,6 +241,9 @@
         self.directory = DirectorySnapshot::default();
         self.departed = machine.departures().iter().cloned().collect();
         self.departing.clear();
+        let records = machine.versions();
+        let is_complete = term == FIRST_TERM || !records.is_empty();
+        self.broker.restore_versions(records, is_complete, now);
         for server in earlier.servers.iter() {
             self.broker.restore_server(server.clone(), now);
         }
@@ -390,6 +403,9 @@
                         let host = requester.host;
                         actions.push(BrokerAction::LogCutOff { host, restored });
                     }
+                    BrokerEvent::VersionStep(record) => {
+                        actions.push(BrokerAction::RecordVersion(record));
+                    }
                 }
             }
         }
--- a/crates/roles/src/control/machine.rs
+++ b/crates/roles/src/control/machine.rs
@@ -1,5 +1,6 @@
 //! The replicated state of the control group.
 
+use chicoryladder_broker::{VersionRecord, VersionStep};
 use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_types::prelude::*;
@@ -31,6 +32,8 @@
     BeginRetire { host: HostName, address: SocketAddr },
     /// Records that a store host is drained.
     CompleteRetire { host: HostName },
+    /// Records a step in the use of a software version of servers.
+    RecordVersion(VersionRecord),
 }
 
 /// The state of a retiring store host.
@@ -49,11 +52,13 @@
 
 /// The replicated state of the control group.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub(crate) struct ControlMachine {
+pub struct ControlMachine {
     plan: Option<Arc<StoredPlan>>,
     departures: VecDeque<(ServerName, u64)>,
     store_bootstrap_members: Option<BTreeMap<SeatId, SocketAddr>>,
     retirements: BTreeMap<HostName, RetireRecord>,
+    /// The versions of the servers of each service. Snapshots of earlier builds end before it.
+    versions: Vec<VersionRecord>,
 }
 
 impl ControlMachine {
@@ -73,6 +78,20 @@
         &self.retirements
     }
 
+    pub(crate) fn versions(&self) -> &[VersionRecord] {
+        &self.versions
+    }
+
+    fn record_version(&mut self, record: VersionRecord) {
+        let is_other = |known: &VersionRecord| {
+            known.service != record.service || known.version != record.version
+        };
+        self.versions.retain(is_other);
+        if record.step != VersionStep::Gone {
+            self.versions.push(record);
+        }
+    }
+
     fn version(&self) -> PlanVersion {
         let stored = self.plan.as_ref();
         stored.map_or(PlanVersion::default(), |stored| stored.plan.version)
@@ -107,6 +126,7 @@
                     record.is_drained = true;
                 }
             }
+            ControlCommand::RecordVersion(record) => self.record_version(record),
         }
     }
 }
@@ -129,9 +149,22 @@
     }
 
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
-        *self = postcard::from_bytes(snapshot).map_err(|error| RestoreError {
+        let failed = |error: postcard::Error| RestoreError {
             detail: error.to_string(),
-        })?;
+        };
+        let (earlier, rest) = postcard::take_from_bytes(snapshot).map_err(failed)?;
+        let (plan, departures, store_bootstrap_members, retirements) = earlier;
+        let versions = match rest {
+            [] => Vec::new(),
+            rest => postcard::from_bytes(rest).map_err(failed)?,
+        };
+        *self = Self {
+            plan,
+            departures,
+            store_bootstrap_members,
+            retirements,
+            versions,
+        };
         Ok(())
     }
 }
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -13,12 +13,12 @@
 use crate::server_marks::{ServerMarks, ServerReports};
 use chicoryladder_broker::{
     ActiveRun, HeldReserves, HolderRing, ReserveTerms, RosterMember, SELF_REFILL_AFTER,
-    ServerCheckIn, ZoneRoster,
+    ServerCheckIn, VERSION_NOTICE, VersionList, ZoneRoster,
 };
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
 use chicoryladder_policy::quarantine::{QuarantinedSegments, SegmentFingerprint};
-use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -115,6 +115,8 @@
     fresh_at: Option<Instant>,
     directory: (u64, u64),
     servers: Arc<Vec<ServerCheckIn>>,
+    /// The versions of the servers; `None` if the leader did not list them.
+    versions: Option<Arc<VersionList>>,
     reserves: ReserveState,
     quarantine: QuarantineState,
     /// The entry hosts that offer tunnels, and when the list was received.
@@ -176,6 +178,23 @@
         self.state().servers.clone()
     }
 
+    /// The versions of the servers; `None` if the leader did not list them.
+    pub(crate) fn versions(&self) -> Option<Arc<VersionList>> {
+        self.state().versions.clone()
+    }
+
+    /// The only version of a service that can have begun a stream, if the view is recent
+    /// enough to tell.
+    pub(crate) fn sole_version(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> Option<SoftwareVersion> {
+        let is_recent = self.age(now).is_some_and(|age| age < VERSION_NOTICE);
+        let versions = self.versions().filter(|_| is_recent)?;
+        versions.sole(service).cloned()
+    }
+
     /// The entry hosts of all zones, on control hosts.
     pub(crate) fn entry_hosts(&self) -> Vec<RosterMember> {
         self.state().reserves.members.clone()
@@ -312,9 +331,10 @@
         }
         if let Some((number, encoded)) = reply.directory {
             match encoded.decode() {
-                Ok(servers) => {
+                Ok(directory) => {
                     state.directory = number;
-                    state.servers = Arc::new(servers);
+                    state.servers = Arc::new(directory.servers);
+                    state.versions = directory.versions.map(Arc::new);
                 }
                 Err(error) => {
                     log::error!("view: failed to decode the directory of servers: {error}.");
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -33,7 +33,9 @@
 mod store;
 mod tunnels;
 
-pub use control::{ControlFailure, ControlHost, ControlPort, ControlService, ServerHint};
+pub use control::{
+    ControlFailure, ControlHost, ControlMachine, ControlPort, ControlService, ServerHint,
+};
 pub use entry::EntryHost;
 pub use event_log::{EventLog, EventPriority};
 pub use event_stream::{EventParser, EventSequencer, SequenceFault, StreamEvent};
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -5,7 +5,7 @@
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
 use chicoryladder_broker::{
     ActiveRun, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision,
-    SlotRequest, ZoneRoster,
+    SlotRequest, VersionList, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
@@ -262,8 +262,36 @@
     }
 }
 
-/// The servers of a directory.
-pub(crate) type EncodedDirectory = Encoded<Vec<ServerCheckIn>>;
+/// The servers of a directory and their versions.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerDirectory {
+    pub(crate) servers: Vec<ServerCheckIn>,
+    /// The versions; leaders of earlier builds send none.
+    pub(crate) versions: Option<VersionList>,
+}
+
+/// An encoded [`ServerDirectory`]: the servers, followed by the versions. Earlier builds read
+/// the servers alone.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct EncodedDirectory(Encoded<Vec<ServerCheckIn>>);
+
+impl EncodedDirectory {
+    /// Encodes a directory; returns `None` and logs if that fails.
+    pub(crate) fn new(servers: &[ServerCheckIn], versions: &VersionList) -> Option<Self> {
+        let bytes = encode("directory", &(servers, versions))?;
+        let kind = PhantomData;
+        Some(Self(Encoded { bytes, kind }))
+    }
+
+    pub(crate) fn decode(&self) -> Result<ServerDirectory, postcard::Error> {
+        let (servers, rest) = postcard::take_from_bytes(&self.0.bytes)?;
+        let versions = match rest {
+            [] => None,
+            rest => Some(postcard::from_bytes(rest)?),
+        };
+        Ok(ServerDirectory { servers, versions })
+    }
+}
 
 /// The entry hosts that a host needs to know.
 #[derive(Clone, Debug, Serialize, Deserialize)]
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -9,8 +9,7 @@
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
     ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    ServerCheckIn, SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
-    shared_segments,
+    SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind, shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
@@ -41,9 +40,6 @@
 /// crash its server.
 const PROVEN_AFTER: Duration = Duration::from_secs(2);
 
-/// The age of the view up to which its directory tells whether all servers have one version.
-const SOLE_VERSION_AGE_MAX: Duration = Duration::from_secs(3);
-
 /// The time for which a server that could not be reached is excluded from local
 /// choices.
 const UNREACHABLE_PERIOD: Duration = Duration::from_secs(2);
@@ -217,23 +213,14 @@
         *version = self.shared.marks.streams().version(*stream, now).cloned();
     }
 
-    /// Binds the rest of a stream that this host does not know to the only version that the
-    /// servers of its directory have, if it is recent. Returns whether the version is known.
+    /// Binds the rest of a stream that this host does not know to the only version that can
+    /// have begun it, if there is one. Returns whether the version is known.
     fn bind_sole_version(&self, slot_request: &mut SlotRequest, now: Instant) -> bool {
         let Some(StreamPart::Rest { version, .. }) = &mut slot_request.stream else {
             return true;
         };
-        let view = &self.shared.view;
-        let is_recent = view.age(now).is_some_and(|age| age < SOLE_VERSION_AGE_MAX);
-        if version.is_none() && is_recent {
-            let servers = view.servers();
-            let of_service = |server: &&ServerCheckIn| server.service == slot_request.service;
-            let mut versions = servers.iter().filter(of_service).map(|s| &s.version);
-            if let Some(first) = versions.next()
-                && versions.all(|other| other == first)
-            {
-                *version = Some(first.clone());
-            }
+        if version.is_none() {
+            *version = self.shared.view.sole_version(&slot_request.service, now);
         }
         version.is_some()
     }
@@ -384,6 +371,7 @@
             });
         }
         let servers = shared.view.servers();
+        let versions = shared.view.versions();
         let roster = shared.view.zone_roster();
         let leaving = shared.marks.leaving();
         let mut limits = shared.marks.limits();
@@ -391,6 +379,7 @@
             servers: &servers,
             own_runs: &self.count_own_runs(),
             unreachable: &self.recently_unreachable(now),
+            versions: versions.as_deref(),
             leaving: &leaving,
             limits: &limits,
             roster: &roster,
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -12,6 +12,9 @@
 /// The time after which all long streams have brought events.
 const BEGIN_TIME: Duration = Duration::from_millis(700);
 
+/// The time from the first check-in of a version until streams begin at it.
+const VERSION_NOTICE: Duration = Duration::from_secs(1);
+
 /// The streams that are begun together.
 const STREAMS: usize = 12;
 
@@ -25,7 +28,7 @@
 async fn mixed_fleet() -> ProcessFleet {
     let fleet = ProcessFleet::start().await;
     engines(&fleet)[2].restart_as("v2");
-    tokio::time::sleep(CHECK_IN_INTERVAL * 3).await;
+    tokio::time::sleep(CHECK_IN_INTERVAL * 3 + VERSION_NOTICE).await;
     fleet
 }
 
@@ -214,6 +217,54 @@
     );
 }
 
+/// A new leader took the only version of the servers that were left for the one that had begun
+/// a stream, after the entry host was lost that knew better.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_version_that_left_are_not_joined_under_a_new_leader() {
+    let mut fleet = ProcessFleet::start().await;
+    let entries = fleet.host_names(Role::Entry);
+    let leader = fleet.leader(Role::Control).expect("a leader");
+    let broken = break_streams(&mut fleet, &entries[0], "left", BEGIN_TIME).await;
+    for engine in engines(&fleet) {
+        engine.restart_as("v2");
+    }
+    // The check-ins, and the directory that follows from them.
+    tokio::time::sleep(CHECK_IN_INTERVAL * 3).await;
+    fleet.kill(&leader);
+    fleet
+        .wait_until("another host leads", || async {
+            fleet
+                .leader(Role::Control)
+                .is_some_and(|next| next != leader)
+        })
+        .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let gone_on = take_up(&fleet, &entries[2], &broken).await;
+    assert_eq!(
+        gone_on, 0,
+        "no server is left of the version that began them"
+    );
+}
+
+/// An entry host that was out of step while servers of a new version joined knew only the one
+/// before, and continued streams at it that the new one had begun elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_new_version_are_not_joined_at_a_host_out_of_step() {
+    let mut fleet = ProcessFleet::start().await;
+    let entries = fleet.host_names(Role::Entry);
+    for control in fleet.host_names(Role::Control) {
+        fleet.faults.cut(&entries[2], &control);
+        fleet.faults.cut(&control, &entries[2]);
+    }
+    engines(&fleet)[0].restart_as("v2");
+    // Streams begin at the new version from here on.
+    tokio::time::sleep(VERSION_NOTICE + CHECK_IN_INTERVAL).await;
+    let broken = break_streams(&mut fleet, &entries[0], "ahead", BEGIN_TIME).await;
+    let is_new = |(id, _): &(String, Answer)| versions_of(&fleet, id).first() == Some(&"v2");
+    assert!(broken.iter().any(is_new), "no stream began at v2");
+    take_up(&fleet, &entries[2], &broken).await;
+}
+
 /// Guards against streams that go on at another version within one response, after their
 /// engine crashed.
 #[tokio::test(flavor = "multi_thread")]
