--- a/crates/batch/src/machine.rs
+++ b/crates/batch/src/machine.rs
@@ -158,7 +158,7 @@
             ItemState::Waiting { spec, .. } => spec.tokens,
             ItemState::Ended { .. } => 0,
         };
-        self.items.iter().map(tokens).sum()
+        self.items.iter().map(tokens).fold(0, u64::saturating_add)
     }
 }
 
@@ -319,7 +319,8 @@
             record.job_spec.team.as_ref() == team && record.job_spec.route == *route
         };
         let jobs = self.jobs.values().filter(of_route);
-        jobs.map(JobRecord::waiting_tokens).sum()
+        let waiting = jobs.map(JobRecord::waiting_tokens);
+        waiting.fold(0, u64::saturating_add)
     }
 
     fn run(&mut self, command: BatchCommand) -> BatchAnswer {
@@ -358,9 +359,10 @@
         if self.jobs.contains_key(&job.id) {
             return SubmitAnswer::Repeated;
         }
-        let tokens: u64 = job.items.iter().map(|item| item.tokens).sum();
+        let tokens = job.items.iter().map(|item| item.tokens);
+        let tokens = tokens.fold(0, u64::saturating_add);
         let waiting = self.waiting_tokens(job.team.as_ref(), &job.route);
-        if waiting_tokens_max > 0 && waiting + tokens > waiting_tokens_max {
+        if waiting_tokens_max > 0 && waiting.saturating_add(tokens) > waiting_tokens_max {
             return SubmitAnswer::NoRoom;
         }
         let waiting = |spec| ItemState::Waiting {
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -16,6 +16,10 @@
     pub struct ItemKey;
 }
 
+/// The longest time from now to a deadline that is computed. Jobs of earlier builds may have
+/// longer ones.
+const SPAN_MAX: Duration = Duration::from_secs(10 * 365 * 24 * 60 * 60);
+
 /// The weight of a new sample in the moving average of run times.
 const AVERAGE_WEIGHT: f64 = 0.05;
 
@@ -88,8 +92,8 @@
     pub fn add(&mut self, open: OpenItem, submitted_at: Instant) {
         let job = open.job_spec.id.clone();
         let key = self.items.insert(ScheduledItem {
-            due_at: submitted_at + open.job_spec.due_in,
-            give_up_at: submitted_at + open.job_spec.give_up_in,
+            due_at: submitted_at + open.job_spec.due_in.min(SPAN_MAX),
+            give_up_at: submitted_at + open.job_spec.give_up_in.min(SPAN_MAX),
             recorded: (open.progress.last_event, open.progress.text.len()),
             progress: open.progress.clone(),
             version: open.version.clone(),
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -518,3 +518,19 @@
     assert_eq!(machine.owner("other"), None);
     assert!(machine.page(None, "owned", 0, usize::MAX).is_none());
 }
+
+/// A job that an earlier build has accepted may name any time. Its deadline could not be
+/// computed, so that every leader of the job group failed as it began.
+#[test]
+fn a_job_without_a_computable_deadline_is_scheduled() {
+    let mut schedule = ItemSchedule::default();
+    let now = Instant::now();
+    let mut item = open("endless", 18);
+    item.job_spec = Arc::new(JobSpec {
+        due_in: Duration::MAX,
+        give_up_in: Duration::MAX,
+        ..job("endless", &[])
+    });
+    schedule.add(item, now);
+    assert_eq!(schedule.ready_count(now), 1);
+}
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -122,9 +122,10 @@
         let slots = if is_engine {
             check_in.slots
         } else {
-            check_in.slots * PLAIN_SLOT_FACTOR
+            check_in.slots.saturating_mul(PLAIN_SLOT_FACTOR)
         };
-        let is_cold = now < self.record.checked_in_at + check_in.warmup_remaining;
+        let checked_in_for = now.saturating_duration_since(self.record.checked_in_at);
+        let is_cold = checked_in_for < check_in.warmup_remaining;
         if is_cold { slots.div_ceil(2) } else { slots }
     }
 }
@@ -566,7 +567,8 @@
         let is_engine = pool.engine_tokens.is_some();
         let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
         let open = entries.filter(|entry| self.accepts_work(&entry.record, now));
-        open.map(|entry| entry.capacity(is_engine, now)).sum()
+        let capacities = open.map(|entry| entry.capacity(is_engine, now));
+        capacities.fold(0, u32::saturating_add)
     }
 
     fn insert_grant(&mut self, grant: SlotGrant) {
@@ -575,7 +577,7 @@
         let tokens = grant.tokens;
         self.grants.insert(grant);
         if let Some(entry) = self.servers.get_mut(server) {
-            entry.tokens += tokens;
+            entry.tokens = entry.tokens.saturating_add(tokens);
             match kind {
                 WorkKind::Online => entry.running_online += 1,
                 WorkKind::Batch => entry.running_batch += 1,
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -68,7 +68,7 @@
             let free = capacity.saturating_sub(entry.running());
             let fits = pool
                 .engine_tokens
-                .is_none_or(|max| entry.tokens + request.tokens <= max);
+                .is_none_or(|max| entry.tokens.saturating_add(request.tokens) <= max);
             let usable = self.accepts_work(&entry.record, now)
                 && self.admits_version(&entry.record, request)
                 && !request.avoid.contains(&entry.record.check_in.name);
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -1,11 +1,11 @@
 //! Grants, queueing, preemption and refusals.
 
 use crate::support::{
-    APP, BrokerFixture, check_in, granted, refused_after, requester, segment, stopped, team,
-    team_name, zone,
+    APP, BrokerFixture, ENGINE, check_in, granted, refused_after, requester, segment, stopped,
+    team, team_name, zone,
 };
 use chicoryladder_broker::{
-    ActiveRun, CheckInOutcome, ProvenWork, RunOutcome, RunReport, WorkKind,
+    ActiveRun, CheckInOutcome, ProvenWork, RunOutcome, RunReport, ServerCheckIn, WorkKind,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -379,3 +379,24 @@
     assert!(granted(&events).is_some() && stopped(&events).is_none());
     assert!((0..5).all(|_| request_from(&mut fixture, "store-2")));
 }
+
+/// A check-in that an earlier build has accepted may claim any warm-up time and number of
+/// slots. The broker failed at the computation, for each request and after each restart.
+#[test]
+fn a_server_that_claims_an_endless_warm_up_is_no_danger_to_the_broker() {
+    let mut fixture = BrokerFixture::with_servers(1, &["a"]);
+    let odd = ServerCheckIn {
+        warmup_remaining: Duration::MAX,
+        slots: u32::MAX,
+        ..check_in("odd", "b", 1)
+    };
+    fixture.broker.restore_server(odd, fixture.now);
+    for _ in 0..4 {
+        assert!(granted(&fixture.request_online()).is_some());
+    }
+    fixture.tick(Duration::from_millis(100));
+    let service = ServiceName::try_from(ENGINE).expect("it is valid");
+    let (running, slots, ..) = fixture.broker.load_of(&service, fixture.now);
+    assert_eq!(running, 4);
+    assert!(slots >= 8);
+}
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -26,6 +26,9 @@
 /// so that a request does not race with the server's close.
 const IDLE_SHARE: f64 = 0.6;
 
+/// The longest idle timeout that is believed.
+const IDLE_TIMEOUT_MAX: Duration = Duration::from_secs(60 * 60);
+
 /// The idle time after which a connection is not reused for a request that may run at
 /// most once.
 const FRESH_MAX_AGE: Duration = Duration::from_millis(1_500);
@@ -224,7 +227,7 @@
         }
         let now = self.clock.now();
         let usable_for = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |announced| {
-            announced.mul_f64(IDLE_SHARE)
+            announced.min(IDLE_TIMEOUT_MAX).mul_f64(IDLE_SHARE)
         });
         let connection = IdleConnection {
             connection,
--- a/crates/roles/src/event_stream.rs
+++ b/crates/roles/src/event_stream.rs
@@ -144,7 +144,7 @@
         self.parser.push(bytes);
         while let Some(event) = self.parser.next_event() {
             if let (Some(last), Some(id)) = (self.last_event, event.id)
-                && id != last + 1
+                && last.checked_add(1) != Some(id)
             {
                 self.fault = Some(SequenceFault::OutOfSequence);
                 return output.freeze();
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -205,7 +205,8 @@
                 return Err("an event has no id");
             };
             let mut progress = self.progress();
-            if progress.last_event.is_some_and(|last| id != last + 1) {
+            let follows = |last: u64| last.checked_add(1) == Some(id);
+            if !progress.last_event.is_none_or(follows) {
                 return Err("an event is missing or came twice");
             }
             if progress.last_event.is_some() {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod explain;
 mod first_contact;
 mod limited;
+mod odd_entries;
 mod planned_stops;
 mod proxy;
 mod public_jobs;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -343,6 +343,14 @@
         }
     }
 
+    /// Whether the process of a host runs.
+    pub(crate) fn is_running(&self, name: &str) -> bool {
+        let child = self.hosts[name].child.as_ref();
+        let stat = child.map(|child| std::fs::read_to_string(format!("/proc/{}/stat", child.id())));
+        // The state follows the name of the program; Z is a process that has ended.
+        stat.is_some_and(|stat| stat.is_ok_and(|stat| !stat.contains(") Z ")))
+    }
+
     /// Removes a host for good, with its disk.
     pub(crate) fn remove_host(&mut self, name: &str) {
         self.kill(name);
