Sync what a log was opened with before anything builds on it

With one lost disk all jobs are gone.

Cause: what the process before had written but not synced is read from the cache of the file system, and taken for durable. The next writes go to a new segment, and only that is synced.

Why it works: a storage syncs the files that it has loaded, and the folder, before load() returns. Segments before a gap in the numbers are the rest of a deletion; if entries are missing after the gap, the log is corrupt as before. A write costs no sync more.

The daemon's job files had the same fault; they count as unsynced now when they are opened. That is by reading, without a test.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -34,5 +34,7 @@
     SeatEvent, SeatRole,
 };
 pub use settings::SeatSettings;
-pub use storage::{FileStorage, LogStorage, MemoryDisk, MemoryStorage, StorageError, StoredState};
+pub use storage::{
+    FileStorage, LogStorage, MemoryDisk, MemoryStorage, StorageError, StorageFolder, StoredState,
+};
 pub use tail::{SnapshotPosition, TailAnswer, TailContent, TailRequest};
--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -6,10 +6,12 @@
 //! so the seat must stop.
 
 mod file;
+mod folder;
 mod frame;
 mod memory;
 
 pub use file::FileStorage;
+pub use folder::StorageFolder;
 pub use memory::{MemoryDisk, MemoryStorage};
 
 use crate::{HardState, LogEntry, SnapshotRecord};
--- a/crates/consensus/src/storage/file.rs
+++ b/crates/consensus/src/storage/file.rs
@@ -6,15 +6,14 @@
 //! synced and renamed. The directory is synced after a file was created, renamed or
 //! deleted.
 
+use super::folder::{DirectoryFolder, StorageFolder};
 use super::frame::{FrameError, HEADER_BYTES, encode_frame, frame_end, read_frame};
 use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
 use crate::{GroupMembership, HardState, LogEntry, SnapshotRecord};
 use bytes::Bytes;
 use chicoryladder_types::{LogIndex, TermNumber};
 use serde::{Deserialize, Serialize};
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
-use std::os::unix::fs::FileExt;
+use std::io;
 use std::path::{Path, PathBuf};
 
 /// The size from which on the next write starts a new segment.
@@ -44,9 +43,12 @@
 /// Storage in files in one directory.
 #[derive(Debug)]
 pub struct FileStorage {
+    /// The path that errors name.
     directory: PathBuf,
+    folder: Box<dyn StorageFolder>,
     segments: Vec<SegmentRecord>,
-    segment_file: Option<File>,
+    /// Whether the last segment was begun by this process, which appends to no other.
+    is_writing: bool,
     segment_bytes: u64,
     hard_state: HardState,
     pending: Vec<StorageRecord>,
@@ -61,23 +63,32 @@
     /// Fails if the directory cannot be created or synced.
     pub fn open(directory: impl Into<PathBuf>) -> Result<Self, StorageError> {
         let directory = directory.into();
-        fs::create_dir_all(&directory).map_err(|source| io_error(&directory, source))?;
-        if let Some(parent) = directory.parent().filter(|p| p.is_dir()) {
-            sync_directory(parent)?;
-        }
-        Ok(Self {
+        let folder = DirectoryFolder::open(directory.clone());
+        let folder = folder.map_err(|source| io_error(&directory, source))?;
+        Ok(Self::in_folder(directory, Box::new(folder)))
+    }
+
+    /// Opens the storage in a folder; errors name it by `directory`.
+    #[must_use]
+    pub fn in_folder(directory: PathBuf, folder: Box<dyn StorageFolder>) -> Self {
+        Self {
             directory,
+            folder,
             segments: Vec::new(),
-            segment_file: None,
+            is_writing: false,
             segment_bytes: 0,
             hard_state: HardState::default(),
             pending: Vec::new(),
             failed: false,
-        })
+        }
     }
 
-    fn path(&self, prefix: &str, number: u64) -> PathBuf {
-        self.directory.join(format!("{prefix}{number:020}"))
+    fn path(&self, name: &str) -> PathBuf {
+        self.directory.join(name)
+    }
+
+    fn io_error(&self, name: &str, source: io::Error) -> StorageError {
+        io_error(&self.path(name), source)
     }
 
     fn record(&mut self, record: StorageRecord) -> Result<(), StorageError> {
@@ -102,14 +113,12 @@
     }
 
     fn file_numbers(&self, prefix: &str) -> Result<Vec<u64>, StorageError> {
-        let listing = fs::read_dir(&self.directory).map_err(|e| io_error(&self.directory, e))?;
-        let mut numbers = Vec::new();
-        for item in listing {
-            let item = item.map_err(|e| io_error(&self.directory, e))?;
-            let name = item.file_name();
-            let number = name.to_str().and_then(|n| n.strip_prefix(prefix));
-            numbers.extend(number.and_then(|n| n.parse::<u64>().ok()));
-        }
+        let names = self.folder.names().map_err(|e| self.io_error("", e))?;
+        let numbers = names.iter().filter_map(|name| {
+            let number = name.strip_prefix(prefix)?;
+            number.parse::<u64>().ok()
+        });
+        let mut numbers: Vec<u64> = numbers.collect();
         numbers.sort_unstable();
         Ok(numbers)
     }
@@ -118,9 +127,10 @@
         let Some(number) = self.file_numbers(SNAPSHOT_PREFIX)?.pop() else {
             return Ok(None);
         };
-        let path = self.path(SNAPSHOT_PREFIX, number);
-        let bytes = fs::read(&path).map_err(|e| io_error(&path, e))?;
-        let corrupt = || corruption(&path, 0, "snapshot checksum mismatch");
+        let name = file_name(SNAPSHOT_PREFIX, number);
+        let bytes = self.folder.read(&name);
+        let bytes = bytes.map_err(|e| self.io_error(&name, e))?;
+        let corrupt = || corruption(&self.path(&name), 0, "snapshot checksum mismatch");
         let bytes = Bytes::from(bytes);
         let (payload, data) = read_frame(&bytes).map_err(|_| corrupt())?;
         let head: SnapshotHead = postcard::from_bytes(payload).map_err(|_| corrupt())?;
@@ -135,34 +145,95 @@
         }))
     }
 
-    fn load_segments(&mut self, state: &mut StoredState) -> Result<(), StorageError> {
-        let numbers = self.file_numbers(SEGMENT_PREFIX)?;
-        let last = numbers.last().copied();
+    /// Loads the segments after the last gap. A loss of power may undo a part of the deletion of
+    /// older ones; if the gap has another cause, entries are missing.
+    ///
+    /// Returns the segments before the gap.
+    fn load_segments(&mut self, state: &mut StoredState) -> Result<Vec<u64>, StorageError> {
+        let mut leftovers = self.file_numbers(SEGMENT_PREFIX)?;
+        let last = leftovers.last().copied();
+        let gap = leftovers
+            .windows(2)
+            .rposition(|pair| pair[0] + 1 != pair[1]);
+        let numbers = leftovers.split_off(gap.map_or(0, |before| before + 1));
         for number in numbers {
-            let path = self.path(SEGMENT_PREFIX, number);
-            let previous = self.segments.last();
-            if previous.is_some_and(|previous| previous.number + 1 != number) {
-                return Err(corruption(&path, 0, "the preceding segment is missing"));
-            }
-            let last_entry = load_segment(&path, Some(number) == last, state)?;
+            let last_entry = self.load_segment(number, Some(number) == last, state)?;
             self.segments.push(SegmentRecord { number, last_entry });
         }
-        Ok(())
+        Ok(leftovers)
+    }
+
+    /// Makes the loaded files durable. The process before may have been killed before it had
+    /// synced its last write, and this one builds on it, in another file.
+    fn sync_loaded(&mut self, snapshot: Option<LogIndex>) -> Result<(), StorageError> {
+        let segments = self.segments.iter();
+        let segments = segments.map(|segment| file_name(SEGMENT_PREFIX, segment.number));
+        let snapshot = snapshot.map(|index| file_name(SNAPSHOT_PREFIX, index.0));
+        for name in segments.chain(snapshot) {
+            let synced = self.folder.sync_file(&name);
+            synced.map_err(StorageError::SyncFailed)?;
+        }
+        self.folder.sync().map_err(StorageError::SyncFailed)
+    }
+
+    /// Replays one segment and returns its highest entry index.
+    fn load_segment(
+        &mut self,
+        number: u64,
+        is_last: bool,
+        state: &mut StoredState,
+    ) -> Result<LogIndex, StorageError> {
+        let name = file_name(SEGMENT_PREFIX, number);
+        let path = self.path(&name);
+        let bytes = self.folder.read(&name);
+        let bytes = bytes.map_err(|e| self.io_error(&name, e))?;
+        let mut rest = bytes.as_slice();
+        let mut last_entry = LogIndex::default();
+        while !rest.is_empty() {
+            let offset = (bytes.len() - rest.len()) as u64;
+            let payload = match read_frame(rest) {
+                Ok((payload, after)) => {
+                    rest = after;
+                    payload
+                }
+                Err(FrameError::Torn) if is_last => {
+                    self.truncate_segment(&name, offset)?;
+                    break;
+                }
+                Err(_) => return Err(corruption(&path, offset, "invalid frame")),
+            };
+            let records: Vec<StorageRecord> = postcard::from_bytes(payload)
+                .map_err(|_| corruption(&path, offset, "undecodable frame payload"))?;
+            for record in records {
+                last_entry = last_entry.max(entry_index(&record));
+                replay(state, record);
+            }
+        }
+        Ok(last_entry)
+    }
+
+    /// Truncates a segment at a torn frame, whose sync never completed.
+    fn truncate_segment(&mut self, name: &str, length: u64) -> Result<(), StorageError> {
+        log::warn!(
+            "replica: removing a torn write at the end of a log segment, from byte {length} on."
+        );
+        let truncated = self.folder.truncate(name, length);
+        truncated.map_err(|e| self.io_error(name, e))?;
+        self.folder
+            .sync_file(name)
+            .map_err(StorageError::SyncFailed)
     }
 
     fn ensure_segment(&mut self) -> Result<(), StorageError> {
-        if self.segment_file.is_some() && self.segment_bytes < SEGMENT_MAX_BYTES {
+        if self.is_writing && self.segment_bytes < SEGMENT_MAX_BYTES {
             return Ok(());
         }
         let number = self.segments.last().map_or(1, |last| last.number + 1);
-        let path = self.path(SEGMENT_PREFIX, number);
-        let file = OpenOptions::new()
-            .create_new(true)
-            .append(true)
-            .open(&path)
-            .map_err(|e| io_error(&path, e))?;
-        sync_directory(&self.directory)?;
-        self.segment_file = Some(file);
+        let name = file_name(SEGMENT_PREFIX, number);
+        let created = self.folder.create(&name);
+        created.map_err(|e| self.io_error(&name, e))?;
+        self.folder.sync().map_err(StorageError::SyncFailed)?;
+        self.is_writing = true;
         self.segment_bytes = 0;
         let last_entry = LogIndex::default();
         self.segments.push(SegmentRecord { number, last_entry });
@@ -178,11 +249,12 @@
         }
         let records = std::mem::take(&mut self.pending);
         let frame = encode(&self.directory, &records)?;
-        if let Some(file) = &mut self.segment_file {
-            file.write_all(&frame)
-                .map_err(|e| io_error(&self.directory, e))?;
-            file.sync_data().map_err(StorageError::SyncFailed)?;
-        }
+        let number = self.segments.last().map_or(1, |last| last.number);
+        let name = file_name(SEGMENT_PREFIX, number);
+        let appended = self.folder.append(&name, &frame);
+        appended.map_err(|e| self.io_error(&name, e))?;
+        let synced = self.folder.sync_file(&name);
+        synced.map_err(StorageError::SyncFailed)?;
         self.segment_bytes += frame.len() as u64;
         if let Some(segment) = self.segments.last_mut() {
             let highest = records.iter().map(entry_index).max().unwrap_or_default();
@@ -191,9 +263,8 @@
         Ok(())
     }
 
-    fn write_snapshot(&self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
-        let path = self.path(SNAPSHOT_PREFIX, snapshot.index.0);
-        let temp_path = self.directory.join(SNAPSHOT_TEMP_NAME);
+    fn write_snapshot(&mut self, snapshot: &SnapshotRecord) -> Result<(), StorageError> {
+        let name = file_name(SNAPSHOT_PREFIX, snapshot.index.0);
         let head = SnapshotHead {
             index: snapshot.index,
             term: snapshot.term,
@@ -201,15 +272,19 @@
             data_bytes: snapshot.data.len() as u64,
             data_crc: crc32fast::hash(&snapshot.data),
         };
-        let frame = encode(&path, &head)?;
-        let mut file = File::create(&temp_path).map_err(|e| io_error(&temp_path, e))?;
-        file.write_all(&frame)
-            .map_err(|e| io_error(&temp_path, e))?;
-        file.write_all(&snapshot.data)
-            .map_err(|e| io_error(&temp_path, e))?;
-        file.sync_all().map_err(StorageError::SyncFailed)?;
-        fs::rename(&temp_path, &path).map_err(|e| io_error(&path, e))?;
-        sync_directory(&self.directory)
+        let frame = encode(&self.path(&name), &head)?;
+        let temp_path = self.path(SNAPSHOT_TEMP_NAME);
+        let failed = |e| io_error(&temp_path, e);
+        let folder = &mut self.folder;
+        folder.create(SNAPSHOT_TEMP_NAME).map_err(failed)?;
+        let parts = [&frame, &*snapshot.data];
+        for part in parts {
+            folder.append(SNAPSHOT_TEMP_NAME, part).map_err(failed)?;
+        }
+        let synced = folder.sync_file(SNAPSHOT_TEMP_NAME);
+        synced.map_err(StorageError::SyncFailed)?;
+        folder.rename(SNAPSHOT_TEMP_NAME, &name).map_err(failed)?;
+        folder.sync().map_err(StorageError::SyncFailed)
     }
 
     /// Deletes older snapshots and the segments that a snapshot covers. The segment that
@@ -227,12 +302,13 @@
             self.delete(SEGMENT_PREFIX, first.number)?;
             self.segments.remove(0);
         }
-        sync_directory(&self.directory)
+        self.folder.sync().map_err(StorageError::SyncFailed)
     }
 
-    fn delete(&self, prefix: &str, number: u64) -> Result<(), StorageError> {
-        let path = self.path(prefix, number);
-        fs::remove_file(&path).map_err(|e| io_error(&path, e))
+    fn delete(&mut self, prefix: &str, number: u64) -> Result<(), StorageError> {
+        let name = file_name(prefix, number);
+        let removed = self.folder.remove(&name);
+        removed.map_err(|e| self.io_error(&name, e))
     }
 }
 
@@ -243,11 +319,15 @@
             ..StoredState::default()
         };
         self.segments.clear();
-        self.load_segments(&mut state)?;
+        let leftovers = self.load_segments(&mut state)?;
         self.hard_state = state.hard_state;
         if !reconcile(&mut state) {
             return Err(corruption(&self.directory, 0, "log entries are missing"));
         }
+        for number in leftovers {
+            self.delete(SEGMENT_PREFIX, number)?;
+        }
+        self.sync_loaded(state.snapshot.as_ref().map(|snapshot| snapshot.index))?;
         Ok(state)
     }
 
@@ -282,20 +362,18 @@
         offset: u64,
         length: usize,
     ) -> Result<Option<Vec<u8>>, StorageError> {
-        let path = self.path(SNAPSHOT_PREFIX, index.0);
-        let file = match File::open(&path) {
-            Ok(file) => file,
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
-            Err(error) => return Err(io_error(&path, error)),
-        };
-        let failed = |error| io_error(&path, error);
+        let name = file_name(SNAPSHOT_PREFIX, index.0);
         let mut header = [0; HEADER_BYTES];
-        file.read_exact_at(&mut header, 0).map_err(failed)?;
+        match self.folder.read_at(&name, 0, &mut header) {
+            Ok(()) => {}
+            Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
+            Err(error) => return Err(self.io_error(&name, error)),
+        }
         let data_start = frame_end(&header)
-            .ok_or_else(|| corruption(&path, 0, "the snapshot header is invalid"))?;
+            .ok_or_else(|| corruption(&self.path(&name), 0, "the snapshot header is invalid"))?;
         let mut part = vec![0; length];
-        file.read_exact_at(&mut part, data_start + offset)
-            .map_err(failed)?;
+        let read = self.folder.read_at(&name, data_start + offset, &mut part);
+        read.map_err(|e| self.io_error(&name, e))?;
         Ok(Some(part))
     }
 
@@ -309,36 +387,8 @@
     }
 }
 
-/// Replays one segment and returns its highest entry index.
-fn load_segment(
-    path: &Path,
-    is_last: bool,
-    state: &mut StoredState,
-) -> Result<LogIndex, StorageError> {
-    let bytes = fs::read(path).map_err(|e| io_error(path, e))?;
-    let mut rest = bytes.as_slice();
-    let mut last_entry = LogIndex::default();
-    while !rest.is_empty() {
-        let offset = (bytes.len() - rest.len()) as u64;
-        let payload = match read_frame(rest) {
-            Ok((payload, after)) => {
-                rest = after;
-                payload
-            }
-            Err(FrameError::Torn) if is_last => {
-                truncate_file(path, offset)?;
-                break;
-            }
-            Err(_) => return Err(corruption(path, offset, "invalid frame")),
-        };
-        let records: Vec<StorageRecord> = postcard::from_bytes(payload)
-            .map_err(|_| corruption(path, offset, "undecodable frame payload"))?;
-        for record in records {
-            last_entry = last_entry.max(entry_index(&record));
-            replay(state, record);
-        }
-    }
-    Ok(last_entry)
+fn file_name(prefix: &str, number: u64) -> String {
+    format!("{prefix}{number:020}")
 }
 
 fn entry_index(record: &StorageRecord) -> LogIndex {
@@ -369,21 +419,3 @@
         detail,
     }
 }
-
-fn sync_directory(directory: &Path) -> Result<(), StorageError> {
-    let file = File::open(directory).map_err(|e| io_error(directory, e))?;
-    file.sync_all().map_err(StorageError::SyncFailed)
-}
-
-/// Truncates a segment at a torn frame, whose sync never completed.
-fn truncate_file(path: &Path, length: u64) -> Result<(), StorageError> {
-    log::warn!(
-        "replica: removing a torn write at the end of a log segment, from byte {length} on."
-    );
-    let file = OpenOptions::new()
-        .write(true)
-        .open(path)
-        .map_err(|e| io_error(path, e))?;
-    file.set_len(length).map_err(|e| io_error(path, e))?;
-    file.sync_all().map_err(StorageError::SyncFailed)
-}
--- a/crates/jobs/src/store/file.rs
+++ b/crates/jobs/src/store/file.rs
@@ -221,7 +221,11 @@
     let file = OpenOptions::new().read(true).write(true).open(path)?;
     let size = file.metadata()?.len();
     let mut reader = BufReader::new(&file);
-    let mut scanned = JobFile::default();
+    let mut scanned = JobFile {
+        // The process before may have been killed before it had synced its last records.
+        unsynced: true,
+        ..JobFile::default()
+    };
     while let Some((header, kind)) = read_record(&mut reader, size - scanned.length)? {
         let offset = scanned.length + HEADER_BYTES as u64;
         let length = header.length;
