Name the observation of a version apart from its record, and wait for leaders in one place

Found while reading the change: record_version meant three things, and three tests waited for the next leader in the same words.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -255,7 +255,7 @@
             }
         }
         if outcome != CheckInOutcome::Stale {
-            self.record_version(&service, &version, now);
+            self.observe_version(&service, &version, now);
         }
         if matches!(outcome, CheckInOutcome::Added | CheckInOutcome::Leaving) {
             self.directory_version += 1;
@@ -548,7 +548,7 @@
         self.by_name.insert(name, key);
         self.apply_early_limit(key, now);
         self.pool(&service).servers.push(key);
-        self.record_version(&service, &version, now);
+        self.observe_version(&service, &version, now);
         self.directory_version += 1;
     }
 
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -109,18 +109,6 @@
         is_beginning && pool.is_some_and(|pool| pool.versions.has_held())
     }
 
-    /// Records that a server of a service has a version.
-    pub(super) fn record_version(
-        &mut self,
-        service: &ServiceName,
-        version: &SoftwareVersion,
-        now: Instant,
-    ) {
-        if self.pool(service).versions.record(version, now) {
-            self.note_versions();
-        }
-    }
-
     /// Records the version that a stream is bound to, as a host reports it.
     pub fn record_stream(&mut self, report: &StreamReport, now: Instant) {
         self.streams.apply(report, now);
--- a/crates/broker/src/slots/version_steps.rs
+++ b/crates/broker/src/slots/version_steps.rs
@@ -4,6 +4,7 @@
 use crate::request::BrokerEvent;
 use crate::streams::STREAM_MEMORY;
 use crate::versions::{ListedVersion, VersionList, VersionRecord};
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 use std::time::Instant;
 
 impl SlotBroker {
@@ -33,6 +34,18 @@
         self.pool(&record.service).versions.retry(&record.version);
     }
 
+    /// Records that a server of a service has a version.
+    pub(super) fn observe_version(
+        &mut self,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        now: Instant,
+    ) {
+        if self.pool(service).versions.record(version, now) {
+            self.note_versions();
+        }
+    }
+
     /// Reports the steps that are due.
     pub(super) fn report_version_steps(&mut self, now: Instant) {
         for (service, pool) in &mut self.services {
--- a/tests/fleet/trouble.rs
+++ b/tests/fleet/trouble.rs
@@ -38,13 +38,7 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     assert!(served >= 28, "{served} of 30");
-    fleet
-        .wait_until("another host leads", || async {
-            fleet
-                .leader(Role::Control)
-                .is_some_and(|next| next != leader)
-        })
-        .await;
+    fleet.wait_for_next_leader(Role::Control, &leader).await;
     let plan = fleet.next_plan(&["k1"]);
     fleet.apply_plan(&plan).await;
 }
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -200,13 +200,7 @@
         .map(|id| fleet.caller_request(&entries[0], "/rules/20", id));
     let answers = join_all(calls.map(|call| async move { call.send().await })).await;
     fleet.kill(&leader);
-    fleet
-        .wait_until("another host leads", || async {
-            fleet
-                .leader(Role::Control)
-                .is_some_and(|next| next != leader)
-        })
-        .await;
+    fleet.wait_for_next_leader(Role::Control, &leader).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let answers = answers.into_iter().map(|answer| answer.expect("an answer"));
     let broken: Vec<(String, Answer)> = ids.into_iter().zip(answers).collect();
@@ -231,13 +225,7 @@
     // The check-ins, and the directory that follows from them.
     tokio::time::sleep(CHECK_IN_INTERVAL * 3).await;
     fleet.kill(&leader);
-    fleet
-        .wait_until("another host leads", || async {
-            fleet
-                .leader(Role::Control)
-                .is_some_and(|next| next != leader)
-        })
-        .await;
+    fleet.wait_for_next_leader(Role::Control, &leader).await;
     tokio::time::sleep(Duration::from_secs(1)).await;
     let gone_on = take_up(&fleet, &entries[2], &broken).await;
     assert_eq!(
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -431,6 +431,14 @@
         leaders.max().map(|(_, name)| name.clone())
     }
 
+    /// Waits until a host other than the given one leads a group.
+    pub(crate) async fn wait_for_next_leader(&self, role: Role, before: &str) {
+        self.wait_until("another host leads", || async {
+            self.leader(role).is_some_and(|next| next != before)
+        })
+        .await;
+    }
+
     /// The next version of the plan, with routes of each kind and one team that has the
     /// given keys.
     pub(crate) fn next_plan(&mut self, keys: &[&str]) -> Value {
