--- a/crates/consensus/tests/all/power_loss.rs
+++ b/crates/consensus/tests/all/power_loss.rs
@@ -142,7 +142,7 @@
         for _ in 0..STEPS {
             let is_killed = self.random.random_bool(0.3);
             if is_killed {
-                let operations = self.random.random_range(1..=8);
+                let operations = self.random.random_range(1..=20);
                 self.disk.kill_within(operations);
             }
             let (attempted, is_acknowledged) = self.write();
