Tell in the log where a stream goes on, or why it does not

Three hypotheses of docs/incidents/silent-servers.md could not be told apart: the lines `sent` and `stream_resumed` named neither service nor plan, a request that was matched again under a newer plan wrote no line, and the reason why no other server went on with a stream was dropped. New events `rematched` and `stream_not_resumed`. No decision changes.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -14,7 +14,7 @@
 use chicoryladder_gateway::{
     AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream, is_malformed,
 };
-use chicoryladder_plan::{PlanRoute, RouteKind};
+use chicoryladder_plan::{PlanRoute, PlanVersion, RouteKind};
 use chicoryladder_policy::quarantine::{QuarantineCause, RequestFingerprint};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{RouteName, ServiceName, SoftwareVersion};
@@ -325,8 +325,10 @@
         let fields = json!({
             "request": state.request.id,
             "route": state.route().name,
+            "service": lease.service,
             "server": lease.server,
             "version": lease.version,
+            "plan": state.matched.plan.version().0,
             "takes_up": state.request.head.resumed_attempt,
             "address": lease.address,
             "waited_ms": waited.as_millis(),
@@ -433,14 +435,36 @@
         let host = state.route().host.clone();
         let path = state.request.path.clone();
         let path = path.split('?').next().unwrap_or_default();
-        state.matched = self
-            .matcher
-            .resolve(&host, path, &state.request.head)
-            .await?;
+        let plan_before = state.matched.plan.version();
+        let matched = self.matcher.resolve(&host, path, &state.request.head).await;
+        self.log_rematch(state, plan_before, &matched);
+        state.matched = matched?;
         state.service = choose_service(state.route(), state.request.first_attempt());
         Ok(())
     }
 
+    fn log_rematch(
+        &self,
+        state: &RequestState,
+        plan_before: PlanVersion,
+        matched: &Result<MatchedRequest, RequestRefusal>,
+    ) {
+        let found = matched.as_ref().ok();
+        let service = found.map(|m| choose_service(&m.route, state.request.first_attempt()));
+        let fields = json!({
+            "request": state.request.id,
+            "plan_before": plan_before.0,
+            "plan": found.map(|matched| matched.plan.version().0),
+            "route_before": state.route().name,
+            "route": found.map(|matched| &matched.route.name),
+            "service_before": state.service,
+            "service": service,
+            "refused": matched.as_ref().err().map(|refusal| refusal.reason.as_str()),
+            "runs": state.runs,
+        });
+        self.log.note("rematched", &fields);
+    }
+
     fn build_slot_request(
         &self,
         state: &RequestState,
@@ -650,12 +674,16 @@
         loop {
             let now = self.clock.now();
             if !state.may_retry(now) {
+                self.log_not_resumed(state, last_event, &state.failure_refusal());
                 return None;
             }
             let mut lease = match self.acquire_slot(state, last_event, now).await {
                 Ok(Some(lease)) => lease,
                 Ok(None) => continue,
-                Err(_) => return None,
+                Err(refusal) => {
+                    self.log_not_resumed(state, last_event, &refusal);
+                    return None;
+                }
             };
             let request = self.server_request(state, &lease, last_event, self.clock.now());
             match self.runner.send(&request).await {
@@ -679,14 +707,40 @@
     fn log_resumed(&self, state: &RequestState, lease: &SlotLease, last_event: Option<u64>) {
         let fields = json!({
             "request": state.request.id,
+            "service": lease.service,
             "server": lease.server,
             "version": lease.version,
             "version_before": state.version,
             "last_event": last_event,
+            "plan": state.matched.plan.version().0,
         });
         self.log.note("stream_resumed", &fields);
     }
 
+    /// Logs why no other server goes on with a stream.
+    fn log_not_resumed(
+        &self,
+        state: &RequestState,
+        last_event: Option<u64>,
+        refusal: &RequestRefusal,
+    ) {
+        let now = self.clock.now();
+        let fields = json!({
+            "request": state.request.id,
+            "service": state.service,
+            "version": state.version,
+            "last_event": last_event,
+            "reason": refusal.reason.as_str(),
+            "detail": refusal.detail,
+            "runs": state.runs,
+            "asks": state.slot_requests,
+            "plan": state.matched.plan.version().0,
+            "view_age_ms": self.matcher.view.age(now).map(|age| age.as_millis()),
+            "left_ms": state.answer_by.saturating_duration_since(now).as_millis(),
+        });
+        self.log.note("stream_not_resumed", &fields);
+    }
+
     /// Ends an attempt that got no complete response.
     fn end_failed_attempt(
         &self,
