Play silent servers and changing plans with real processes, listed as red

Stand-in servers can stand still now, end a stream at its time limit, and form a second service that writes other data.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod endless;
 mod explain;
 mod first_contact;
+mod hushed;
 mod limited;
 mod odd_entries;
 mod planned_stops;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -18,6 +18,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 /// The interval between two check-ins, as set for the processes of the fleet.
@@ -35,6 +36,13 @@
 /// The path suffix at which a server never responds.
 pub(crate) const STALL_PATH: &str = "/silent";
 
+/// The path suffix at which a server ends its stream in order when the time limit of the request
+/// has passed, although more events would follow.
+pub(crate) const LIMITED_PATH: &str = "/limited";
+
+/// A second service whose servers answer with streams.
+pub(crate) const OTHER_ENGINE_SERVICE: &str = "engine-b";
+
 /// The path of the call that asks a server for its state.
 const STATE_PATH: &str = "/report";
 
@@ -103,6 +111,8 @@
     check_ins_held: Arc<AtomicBool>,
     /// Whether its process has crashed and not started again yet.
     is_down: Arc<AtomicBool>,
+    /// Whether its process stands still: connections stay open, and nothing is written.
+    is_paused: Arc<watch::Sender<bool>>,
     /// Whether a copy of an earlier answer comes where its state is due.
     sends_copies: Arc<AtomicBool>,
     /// Whether a crash under a prompt ends all runs, not only the one of that prompt.
@@ -138,6 +148,7 @@
             connections: Arc::default(),
             check_ins_held: Arc::default(),
             is_down: Arc::default(),
+            is_paused: Arc::default(),
             sends_copies: Arc::default(),
             crashes_whole: Arc::default(),
             version: Arc::new(Mutex::new("v1")),
@@ -222,6 +233,22 @@
         self.break_connections();
     }
 
+    /// Lets the process stand still for `time`; afterwards it goes on as a sound server.
+    pub(crate) fn pause_for(&self, time: Duration) {
+        self.is_paused.send_replace(true);
+        let is_paused = self.is_paused.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(time).await;
+            is_paused.send_replace(false);
+        });
+    }
+
+    async fn wait_while_paused(&self) {
+        let mut is_paused = self.is_paused.subscribe();
+        // The sender lives as long as this server.
+        let _ = is_paused.wait_for(|is_paused| !is_paused).await;
+    }
+
     /// Holds check-ins back, or sends them again.
     pub(crate) fn hold_check_ins(&self, held: bool) {
         self.check_ins_held.store(held, Ordering::Relaxed);
@@ -271,6 +298,7 @@
             while is_silent.iter().any(|cause| cause.load(Ordering::Relaxed)) {
                 tokio::time::sleep(EVENT_INTERVAL).await;
             }
+            self.wait_while_paused().await;
             let leaving = self.leaving.load(Ordering::Relaxed);
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
@@ -297,6 +325,8 @@
 
     /// Answers a request; an error closes the connection, like a crash.
     async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<AnswerBody>> {
+        let started_at = Instant::now();
+        self.wait_while_paused().await;
         let (head, body) = request.into_parts();
         if head.uri.path() == STATE_PATH {
             if self.sends_copies.load(Ordering::Relaxed) {
@@ -347,23 +377,52 @@
         if limit > 0 {
             response = response.header(LIMIT_FIELD, limit);
         }
-        let answer = if self.service == "engine" {
+        let answer = if self.service.starts_with("engine") {
             let first = text("last-event-id").and_then(|last| last.parse::<u64>().ok());
             let path = head.uri.path();
-            let count = path.rsplit('/').next().and_then(|last| last.parse().ok());
+            let count = path.split('/').find_map(|segment| segment.parse().ok());
+            let limit = text("x-deadline-ms").and_then(|limit| limit.parse().ok());
+            let limit = limit.filter(|_| path.ends_with(LIMITED_PATH));
+            let ends_at = limit.map(|limit| started_at + Duration::from_millis(limit));
+            let first = first.map_or(0, |last| last + 1);
             response
                 .header("content-type", "text/event-stream")
-                .body(events(
-                    id,
-                    first.map_or(0, |last| last + 1),
-                    count.unwrap_or(5),
-                ))
+                .body(self.events(id, first, count.unwrap_or(5), ends_at))
         } else {
             let echo = format!("{id}:{}", body.to_bytes().len());
             response.body(Full::new(echo.into()).boxed_unsync())
         };
         Ok(answer.expect("a valid response"))
     }
+
+    /// The events of a stream from number `first` on, up to a time limit. Servers of [`OTHER_ENGINE_SERVICE`] write
+    /// other data than those of the first engine service.
+    fn events(&self, id: String, first: u64, count: u64, ends_at: Option<Instant>) -> AnswerBody {
+        let server = self.clone();
+        let id = if self.service == OTHER_ENGINE_SERVICE {
+            format!("{id}-{OTHER_ENGINE_SERVICE}")
+        } else {
+            id
+        };
+        let stream = unfold(first, move |number| {
+            let event = event_text(&id, number);
+            let server = server.clone();
+            async move {
+                if number >= count {
+                    return None;
+                }
+                let next_at = Instant::now() + EVENT_INTERVAL;
+                let until = ends_at.map_or(next_at, |ends_at| ends_at.min(next_at));
+                tokio::time::sleep_until(until.into()).await;
+                if until < next_at {
+                    return None;
+                }
+                server.wait_while_paused().await;
+                Some((Ok(Frame::data(Bytes::from(event))), number + 1))
+            }
+        });
+        StreamBody::new(stream).boxed_unsync()
+    }
 }
 
 /// The data of one event.
@@ -384,20 +443,6 @@
     format!("id: {number}\ndata: {}\n\n", event_data(id, number))
 }
 
-fn events(id: String, first: u64, count: u64) -> AnswerBody {
-    let stream = unfold(first, move |number| {
-        let event = event_text(&id, number);
-        async move {
-            if number >= count {
-                return None;
-            }
-            tokio::time::sleep(EVENT_INTERVAL).await;
-            Some((Ok(Frame::data(Bytes::from(event))), number + 1))
-        }
-    });
-    StreamBody::new(stream).boxed_unsync()
-}
-
 fn text(fields: &HeaderMap, name: &str) -> Option<String> {
     Some(fields.get(name)?.to_str().ok()?.to_owned())
 }
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -2,7 +2,7 @@
 
 use crate::client::{Answer, Call};
 use crate::proxy::{LinkFaults, run_proxy};
-use crate::servers::{CHECK_IN_INTERVAL, RunLog, Server};
+use crate::servers::{CHECK_IN_INTERVAL, OTHER_ENGINE_SERVICE, RunLog, Server};
 use crate::unframed::UNFRAMED_SERVICE;
 use hyper::Method;
 use serde_json::{Value, json};
@@ -606,6 +606,30 @@
         self.apply_plan(&plan).await;
     }
 
+    /// Starts servers of [`OTHER_ENGINE_SERVICE`], and applies a plan that has the service.
+    pub(crate) async fn add_other_engines(&mut self, count: usize) {
+        for number in 1..=count {
+            let control = self.addresses(Role::Control, CONTROL_PORT);
+            let name = format!("other-{number}");
+            let zone = format!("zone-{number}");
+            let runs = self.runs.clone();
+            let server = Server::start(&name, OTHER_ENGINE_SERVICE, &zone, control, runs).await;
+            self.servers.push(server);
+        }
+        let plan = self.next_plan_with_engines();
+        self.apply_plan(&plan).await;
+    }
+
+    /// The next version of the plan, with both services whose servers answer with streams.
+    pub(crate) fn next_plan_with_engines(&mut self) -> Value {
+        let mut plan = self.next_plan(&["k1"]);
+        let services = plan["services"].as_array_mut().expect("a list");
+        let mut other = services[0].clone();
+        other["name"] = json!(OTHER_ENGINE_SERVICE);
+        services.push(other);
+        plan
+    }
+
     /// Reads all results of a job; `None` if the host doesn't return them.
     pub(crate) async fn read_results(
         &self,
