--- a/tests/fleet/hushed.rs
+++ b/tests/fleet/hushed.rs
@@ -133,9 +133,11 @@
     expected.sort();
     fleet
         .wait_until("all items are whole", || async {
-            let mut results = fleet.read_results(&entry, "hushed-job").await;
-            results.iter_mut().for_each(|results| results.sort());
-            results.is_some_and(|results| results == expected)
+            let results = fleet.read_results(&entry, "hushed-job").await;
+            results.is_some_and(|mut results| {
+                results.sort();
+                results == expected
+            })
         })
         .await;
 }
