Keep a stream at the route and service that it began with

Callers got events of two services in one response, framed as complete, where the route of a stream had moved while its server was silent; streams whose route had left the plan were cut.

Cause: a request whose slot was requested under a plan no longer in force was matched again, also when a part of its response had reached the caller. So a stream that only looked for another server got the service of the newest plan, or a refusal. Evidence: the new lines `rematched` (service_before engine, service engine-b) and `stream_resumed` (service engine-b) of a_resumed_stream_stays_at_the_service_that_began_it, and `rematched` (refused unknown_route) before `stream_not_resumed` of a_resumed_stream_outlives_its_route.

A stream that has begun keeps its match: it asks under the newest plan that the host knows, for its own service. The caller sent it before the change, so both plans allow it.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -98,7 +98,7 @@
     avoid: Vec<ServerName>,
     last_failure: Option<RunFailure>,
     service: ServiceName,
-    /// The version of the server whose response is relayed.
+    /// The version of the server whose response is relayed; `None` before it begins.
     version: Option<SoftwareVersion>,
     /// Identifies the request when the caller sends it again.
     pub(super) fingerprint: RequestFingerprint,
@@ -138,6 +138,11 @@
         })
     }
 
+    /// Whether a part of the response may have reached the caller.
+    fn has_begun(&self) -> bool {
+        self.version.is_some()
+    }
+
     /// Records the version of the server that ran the stream last.
     pub(super) fn bind_version(&mut self, version: &SoftwareVersion) {
         self.version = Some(version.clone());
@@ -355,8 +360,19 @@
         self.log.note("attempt_failed", &fields);
     }
 
-    /// Acquires a slot. Returns `None` if the plan has changed and the request was
-    /// matched again.
+    /// The plan under which a slot is requested. A stream keeps the route, service and team that
+    /// it began with, whatever a newer plan says of them.
+    fn slot_plan(&self, state: &RequestState) -> PlanVersion {
+        let matched = state.matched.plan.version();
+        if state.has_begun() {
+            matched.max(self.matcher.view.plan().version())
+        } else {
+            matched
+        }
+    }
+
+    /// Acquires a slot. Returns `None` if the plan has changed and the request has to ask
+    /// again.
     async fn acquire_slot(
         &self,
         state: &mut RequestState,
@@ -365,12 +381,16 @@
     ) -> Result<Option<SlotLease>, RequestRefusal> {
         state.slot_requests += 1;
         let request = self.build_slot_request(state, last_event, now);
-        let plan = state.matched.plan.version();
+        let plan = self.slot_plan(state);
         match self.slots.request_slot(plan, request).await {
             Ok(lease) => {
                 state.charged = true;
                 Ok(Some(lease))
             }
+            Err(SlotError::StalePlan) if state.has_begun() => {
+                self.matcher.refresh().await;
+                Ok(None)
+            }
             Err(SlotError::StalePlan) => {
                 self.rematch(state).await?;
                 Ok(None)
