End a silent run only once another server answers

Streams whose servers all fell silent for 2.2 s ended without their end, although each server went on and the callers had time left.

Cause: a gap of three targets without an event was taken for the loss of the server. The run was ended first, and only then another server was looked for; where none had a slot or answered, the caller's stream was cut. Evidence: `stream_interrupted` with "the server fell silent", then `stream_not_resumed` and `stream_broken` with seconds left.

Now the silent server is still read from while the host looks for another one: it asks for a slot, and then asks that server for its state. Whichever comes first decides, an event of the silent server or an answer of another one; only then the silent run is ended and the stream sent on, so that no two servers run it. If none is found, the next search follows a gap target later. A run that may not be repeated any more is never ended for its silence.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -2,6 +2,7 @@
 
 use super::matching::{MatchedRequest, RequestMatcher};
 use super::relay::{EventRelay, RelayContext, relay_body};
+use crate::connection_pool::OpenConnection;
 use crate::event_log::EventLog;
 use crate::metrics::RoleMetrics;
 use crate::ports::{CallerHead, RunContext};
@@ -70,6 +71,13 @@
     pub(super) server: ServerName,
 }
 
+/// A server that is ready to go on with a stream.
+pub(super) struct StreamSuccessor {
+    lease: SlotLease,
+    /// A connection on which the server has just answered.
+    connection: OpenConnection,
+}
+
 /// Forwards requests to backend servers.
 pub(super) struct RequestForwarder {
     pub(super) slots: SlotClient,
@@ -238,7 +246,7 @@
         }
     }
 
-    fn sleep_until(&self, at: Instant) -> tokio::time::Sleep {
+    pub(super) fn sleep_until(&self, at: Instant) -> tokio::time::Sleep {
         let left = at.saturating_duration_since(self.clock.now());
         tokio::time::sleep(left)
     }
@@ -685,41 +693,106 @@
         response
     }
 
+    /// Finds another server that answers, to go on with a stream whose server is silent.
+    /// Nothing runs there yet.
+    pub(super) async fn find_successor(
+        &self,
+        state: &mut RequestState,
+        last_event: Option<u64>,
+    ) -> Option<StreamSuccessor> {
+        let lease = self.acquire_resuming_slot(state, last_event).await?;
+        let request = self.server_request(state, &lease, last_event, self.clock.now());
+        match self.runner.prepare(&request).await {
+            Ok(connection) => Some(StreamSuccessor { lease, connection }),
+            Err(failure) => {
+                self.end_failed_attempt(state, lease, failure);
+                None
+            }
+        }
+    }
+
+    /// Resumes a stream after `last_event` on the server that was found, or on another one if it
+    /// has been lost since.
+    pub(super) async fn resume_at(
+        &self,
+        state: &mut RequestState,
+        successor: StreamSuccessor,
+        last_event: Option<u64>,
+    ) -> Option<(ServerAnswer, SlotLease)> {
+        let StreamSuccessor { lease, connection } = successor;
+        let request = self.server_request(state, &lease, last_event, self.clock.now());
+        let sent = self.runner.send_on(&request, connection).await;
+        match self.take_resumed(state, lease, sent, last_event) {
+            Some(resumed) => Some(resumed),
+            None => self.resume(state, last_event).await,
+        }
+    }
+
     /// Resumes a stream after `last_event` on another server.
     pub(super) async fn resume(
         &self,
         state: &mut RequestState,
         last_event: Option<u64>,
     ) -> Option<(ServerAnswer, SlotLease)> {
+        loop {
+            let lease = self.acquire_resuming_slot(state, last_event).await?;
+            let request = self.server_request(state, &lease, last_event, self.clock.now());
+            let sent = self.runner.send(&request).await;
+            let resumed = self.take_resumed(state, lease, sent, last_event);
+            if resumed.is_some() {
+                return resumed;
+            }
+        }
+    }
+
+    /// Acquires a slot for the rest of a stream; `None` if there is none.
+    async fn acquire_resuming_slot(
+        &self,
+        state: &mut RequestState,
+        last_event: Option<u64>,
+    ) -> Option<SlotLease> {
         loop {
             let now = self.clock.now();
             if !state.may_retry(now) {
                 self.log_not_resumed(state, last_event, &state.failure_refusal());
                 return None;
             }
-            let mut lease = match self.acquire_slot(state, last_event, now).await {
-                Ok(Some(lease)) => lease,
-                Ok(None) => continue,
+            match self.acquire_slot(state, last_event, now).await {
+                Ok(Some(lease)) => return Some(lease),
+                Ok(None) => {}
                 Err(refusal) => {
                     self.log_not_resumed(state, last_event, &refusal);
                     return None;
                 }
-            };
-            let request = self.server_request(state, &lease, last_event, self.clock.now());
-            match self.runner.send(&request).await {
-                Ok(answer) if answer.parts.status.is_success() => {
-                    lease.record_load(answer.head.load);
-                    state.runs += 1;
-                    self.log_resumed(state, &lease, last_event);
-                    state.bind_version(&lease.version);
-                    return Some((answer, lease));
-                }
-                Ok(answer) => {
-                    state.runs += 1;
-                    state.avoid_server(&lease.server);
-                    lease.end(outcome_of(answer.parts.status));
-                }
-                Err(failure) => self.end_failed_attempt(state, lease, failure),
+            }
+        }
+    }
+
+    /// Takes the answer of a server that was asked for the rest of a stream, unless it failed.
+    fn take_resumed(
+        &self,
+        state: &mut RequestState,
+        mut lease: SlotLease,
+        sent: Result<ServerAnswer, RunFailure>,
+        last_event: Option<u64>,
+    ) -> Option<(ServerAnswer, SlotLease)> {
+        match sent {
+            Ok(answer) if answer.parts.status.is_success() => {
+                lease.record_load(answer.head.load);
+                state.runs += 1;
+                self.log_resumed(state, &lease, last_event);
+                state.bind_version(&lease.version);
+                Some((answer, lease))
+            }
+            Ok(answer) => {
+                state.runs += 1;
+                state.avoid_server(&lease.server);
+                lease.end(outcome_of(answer.parts.status));
+                None
+            }
+            Err(failure) => {
+                self.end_failed_attempt(state, lease, failure);
+                None
             }
         }
     }
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -6,7 +6,7 @@
 //! never look complete. A response whose only end mark is the end of its connection is
 //! truncated if it ends within an event.
 
-use super::forward::{AnswerEnd, RequestForwarder, RequestState};
+use super::forward::{AnswerEnd, RequestForwarder, RequestState, StreamSuccessor};
 use crate::connection_pool::ConnectionEnd;
 use crate::event_stream::{EventSequencer, SequenceFault};
 use crate::server_run::{PooledConnection, ServerAnswer};
@@ -23,10 +23,10 @@
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_TYPE;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// The time without a whole event, in gap targets of the route, after which a resumable
-/// stream fails over to another server.
+/// The time without a whole event, in gap targets of the route, after which another server is
+/// searched for to go on with a resumable stream.
 const GAP_MAX_TARGETS: u32 = 3;
 
 /// The maximum size of one event, in bytes.
@@ -93,14 +93,20 @@
     pub(super) resumable: bool,
 }
 
+impl RelayContext {
+    /// The sequencer of a run that goes on after an event, if the stream may be resumed.
+    fn sequencer(&self, last_event: Option<u64>) -> Option<EventSequencer> {
+        self.resumable
+            .then(|| EventSequencer::resume_after(last_event))
+    }
+}
+
 /// Relays one response.
 pub(super) struct EventRelay {
     context: RelayContext,
     status: StatusCode,
     /// The run that is relayed; `None` once the response has ended.
     run: Option<RelayedRun>,
-    /// The events of a resumable stream.
-    sequencer: EventSequencer,
 }
 
 /// A run whose response is being read. Dropping it closes the connection, which ends the
@@ -110,6 +116,8 @@
     framing: BodyFraming,
     /// The position in the server's events; `None` if the response has none.
     boundary: Option<EventBoundary>,
+    /// The events of a resumable stream; `None` for any other response.
+    sequencer: Option<EventSequencer>,
     connection: PooledConnection,
     lease: SlotLease,
     /// The part of the body that was read before.
@@ -122,7 +130,13 @@
 
 impl RelayedRun {
     /// A response without a type has events if its route is for streams.
-    fn new(answer: ServerAnswer, lease: SlotLease, kind: RouteKind, prefix: Bytes) -> Self {
+    fn new(
+        answer: ServerAnswer,
+        lease: SlotLease,
+        kind: RouteKind,
+        sequencer: Option<EventSequencer>,
+        prefix: Bytes,
+    ) -> Self {
         let fields = &answer.parts.headers;
         let is_untyped_stream = kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE);
         let has_events = is_untyped_stream || is_event_stream(fields);
@@ -130,6 +144,7 @@
             body: answer.body,
             framing: answer.framing,
             boundary: has_events.then(EventBoundary::default),
+            sequencer,
             connection: answer.connection,
             lease,
             prefix,
@@ -138,6 +153,44 @@
         }
     }
 
+    /// Takes a frame that was waited for from `since` to `now`. Returns `None` if there is
+    /// nothing to relay yet.
+    fn take_frame(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        since: Instant,
+        now: Instant,
+    ) -> Option<RelayStep> {
+        match frame {
+            Some(Ok(frame)) => {
+                let chunk = frame.into_data().ok()?;
+                self.take_chunk(chunk, now.saturating_duration_since(since), now)
+            }
+            Some(Err(error)) if is_malformed(&error) => {
+                Some(RelayStep::Broken(BreakCause::Malformed))
+            }
+            Some(Err(_)) => Some(RelayStep::Broken(BreakCause::ConnectionLost)),
+            None => Some(RelayStep::End),
+        }
+    }
+
+    /// Takes a chunk: complete events in sequence may be relayed, or the chunk itself if the
+    /// stream is not resumable.
+    fn take_chunk(&mut self, chunk: Bytes, waited: Duration, now: Instant) -> Option<RelayStep> {
+        self.lease.record_data(now);
+        if let Some(cause) = self.record_chunk(&chunk, waited) {
+            return Some(RelayStep::Broken(cause));
+        }
+        let Some(sequencer) = &mut self.sequencer else {
+            return (!chunk.is_empty()).then_some(RelayStep::Data(chunk));
+        };
+        let events = sequencer.push(&chunk);
+        if !events.is_empty() {
+            return Some(RelayStep::Data(events));
+        }
+        self.sequence_fault().map(RelayStep::Broken)
+    }
+
     /// Records a chunk that arrived after a wait for it. Returns why the response can't go on,
     /// if it is too long.
     fn record_chunk(&mut self, chunk: &[u8], waited: Duration) -> Option<BreakCause> {
@@ -155,28 +208,51 @@
         (boundary.event_bytes() > EVENT_MAX_BYTES).then_some(BreakCause::EventTooLong)
     }
 
+    fn sequence_fault(&self) -> Option<BreakCause> {
+        let fault = self.sequencer.as_ref().and_then(EventSequencer::fault)?;
+        Some(match fault {
+            SequenceFault::OutOfSequence => BreakCause::EventSequence,
+            SequenceFault::EventTooLong => BreakCause::EventTooLong,
+        })
+    }
+
     fn is_within_event(&self) -> bool {
         let boundary = self.boundary.as_ref();
         boundary.is_some_and(EventBoundary::is_within_event)
     }
 
-    fn answer_end(&self, last_event: Option<u64>) -> AnswerEnd {
+    fn last_event(&self) -> Option<u64> {
+        self.sequencer.as_ref().and_then(EventSequencer::last_event)
+    }
+
+    fn answer_end(&self) -> AnswerEnd {
         AnswerEnd {
             framing: self.framing,
             within_event: self.boundary.as_ref().map(EventBoundary::is_within_event),
-            last_event,
+            last_event: self.last_event(),
             server: self.lease.server.clone(),
         }
     }
 }
 
-/// The result of one read from the response.
+/// The result of waiting for the response.
 enum RelayStep {
-    Chunk(Bytes),
+    /// Bytes that may be relayed.
+    Data(Bytes),
     End,
+    /// No whole event arrived within the maximum gap.
+    Silent,
     Broken(BreakCause),
 }
 
+/// How the search for another server ended. The silent one is read from meanwhile.
+enum SearchEnd {
+    /// The silent server went on.
+    Step(RelayStep),
+    Found(Box<StreamSuccessor>),
+    NotFound,
+}
+
 /// Builds the response body of a relay.
 pub(super) fn relay_body(relay: EventRelay) -> AnswerBody {
     let frames = unfold(relay, |mut relay| async {
@@ -193,10 +269,17 @@
         lease: SlotLease,
         prefix: Bytes,
     ) -> Self {
+        let first_event_after = context.state.request.head.last_event;
+        let sequencer = context.sequencer(first_event_after);
         Self {
-            sequencer: EventSequencer::resume_after(context.state.request.head.last_event),
             status: answer.parts.status,
-            run: Some(RelayedRun::new(answer, lease, context.state.kind(), prefix)),
+            run: Some(RelayedRun::new(
+                answer,
+                lease,
+                context.state.kind(),
+                sequencer,
+                prefix,
+            )),
             context,
         }
     }
@@ -204,22 +287,32 @@
     async fn next_frame(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
         let mut run = self.run.take()?;
         loop {
-            let cause = match self.read(&mut run).await {
-                RelayStep::Chunk(chunk) => {
-                    let bytes = self.take_events(chunk);
-                    if bytes.is_empty() {
+            let step = match self.read(&mut run).await {
+                RelayStep::Silent => match self.search_under_silence(&mut run).await {
+                    SearchEnd::Step(step) => step,
+                    SearchEnd::NotFound => continue,
+                    SearchEnd::Found(successor) => {
+                        let end = self.interrupt(run, BreakCause::ServerSilent).await;
+                        match self.continue_at(*successor, &end).await {
+                            Some(resumed) => run = resumed,
+                            None => return Some(self.truncate(BreakCause::ServerSilent, &end)),
+                        }
                         continue;
                     }
+                },
+                step => step,
+            };
+            let cause = match step {
+                RelayStep::Data(bytes) => {
                     self.run = Some(run);
                     return Some(Ok(Frame::data(bytes)));
                 }
                 RelayStep::End if run.is_within_event() => BreakCause::EndedWithinEvent,
                 RelayStep::End => return self.end(run),
                 RelayStep::Broken(cause) => cause,
+                RelayStep::Silent => continue,
             };
-            let end = run.answer_end(self.sequencer.last_event());
-            self.context.forwarder.count_answer_end(&end);
-            self.end_broken_run(run, cause).await;
+            let end = self.interrupt(run, cause).await;
             match self.fail_over(cause, &end).await {
                 Some(resumed) => run = resumed,
                 None => return Some(self.truncate(cause, &end)),
@@ -227,72 +320,93 @@
         }
     }
 
-    /// Reads the next chunk, within the maximum gap and the request's deadline.
+    /// Reads until there is something to relay, within the maximum gap and the request's
+    /// deadline.
     async fn read(&self, run: &mut RelayedRun) -> RelayStep {
-        match self.sequencer.fault() {
-            Some(SequenceFault::OutOfSequence) => {
-                return RelayStep::Broken(BreakCause::EventSequence);
-            }
-            Some(SequenceFault::EventTooLong) => {
-                return RelayStep::Broken(BreakCause::EventTooLong);
-            }
-            None => {}
-        }
-        let now = self.context.forwarder.clock.now();
-        if run.body_bytes > 0 {
-            run.lease.record_data(now);
+        if let Some(cause) = run.sequence_fault() {
+            return RelayStep::Broken(cause);
         }
+        let clock = &self.context.forwarder.clock;
         if !run.prefix.is_empty() {
             let prefix = std::mem::take(&mut run.prefix);
-            let cause = run.record_chunk(&prefix, Duration::ZERO);
-            return cause.map_or(RelayStep::Chunk(prefix), RelayStep::Broken);
+            if let Some(step) = run.take_chunk(prefix, Duration::ZERO, clock.now()) {
+                return step;
+            }
         }
-        let left = self.context.state.answer_by.saturating_duration_since(now);
-        let max_wait = self.max_gap().saturating_sub(run.waited).min(left);
-        let deadline = tokio::time::sleep(max_wait);
-        tokio::pin!(deadline);
         loop {
-            let read = tokio::select! {
-                frame = run.body.frame() => Ok(frame),
-                () = &mut deadline => Err(()),
-            };
-            let frame = match read {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) if is_malformed(&error) => {
-                    return RelayStep::Broken(BreakCause::Malformed);
+            let since = clock.now();
+            let left = self
+                .context
+                .state
+                .answer_by
+                .saturating_duration_since(since);
+            let max_wait = self.max_gap(since).saturating_sub(run.waited).min(left);
+            match tokio::time::timeout(max_wait, run.body.frame()).await {
+                Ok(frame) => {
+                    if let Some(step) = run.take_frame(frame, since, clock.now()) {
+                        return step;
+                    }
                 }
-                Ok(Some(Err(_))) => return RelayStep::Broken(BreakCause::ConnectionLost),
-                Ok(None) => return RelayStep::End,
-                Err(()) if max_wait < left => return RelayStep::Broken(BreakCause::ServerSilent),
-                Err(()) => return RelayStep::Broken(BreakCause::DeadlinePassed),
-            };
-            if let Ok(chunk) = frame.into_data() {
-                let read_at = self.context.forwarder.clock.now();
-                let waited = read_at.saturating_duration_since(now);
-                let cause = run.record_chunk(&chunk, waited);
-                return cause.map_or(RelayStep::Chunk(chunk), RelayStep::Broken);
+                Err(_) if max_wait < left => {
+                    run.waited += clock.now().saturating_duration_since(since);
+                    return RelayStep::Silent;
+                }
+                Err(_) => return RelayStep::Broken(BreakCause::DeadlinePassed),
             }
         }
     }
 
-    fn max_gap(&self) -> Duration {
-        let route = &self.context.state.matched.route;
-        let gap = route.gap_target.filter(|_| self.context.resumable);
+    /// The longest wait for a whole event until another server is searched for.
+    fn max_gap(&self, now: Instant) -> Duration {
+        let state = &self.context.state;
+        let is_replaceable = self.context.resumable && state.may_retry(now);
+        let gap = state.matched.route.gap_target.filter(|_| is_replaceable);
         gap.map_or(Duration::MAX, |gap| gap * GAP_MAX_TARGETS)
     }
 
-    /// Returns the bytes that may be relayed after a chunk: complete events in sequence,
-    /// or the chunk itself if the stream is not resumable.
-    fn take_events(&mut self, chunk: Bytes) -> Bytes {
-        if self.context.resumable {
-            self.sequencer.push(&chunk)
-        } else {
-            chunk
+    /// Searches for another server that answers, while the silent one may still go on: silence
+    /// tells neither that it is lost, nor that any other server is better off.
+    async fn search_under_silence(&mut self, run: &mut RelayedRun) -> SearchEnd {
+        let RelayContext {
+            forwarder, state, ..
+        } = &mut self.context;
+        let clock = forwarder.clock.clone();
+        state.avoid_server(&run.lease.server);
+        state.bind_version(&run.lease.version);
+        let gap_target = state.matched.route.gap_target.unwrap_or_default();
+        let deadline = forwarder.sleep_until(state.answer_by);
+        let search = forwarder.find_successor(state, run.last_event());
+        tokio::pin!(search, deadline);
+        loop {
+            let since = clock.now();
+            tokio::select! {
+                biased;
+                frame = run.body.frame() => {
+                    if let Some(step) = run.take_frame(frame, since, clock.now()) {
+                        return SearchEnd::Step(step);
+                    }
+                }
+                found = &mut search => {
+                    // The next search follows if the server stays silent for another target.
+                    run.waited = gap_target * (GAP_MAX_TARGETS - 1);
+                    return found.map_or(SearchEnd::NotFound, |found| SearchEnd::Found(found.into()));
+                }
+                () = &mut deadline => {
+                    return SearchEnd::Step(RelayStep::Broken(BreakCause::DeadlinePassed));
+                }
+            }
         }
     }
 
-    /// Closes the connection to the server and returns its slot, before another server
-    /// gets the stream.
+    /// Ends a run whose response does not go on, before another server gets the stream.
+    async fn interrupt(&mut self, run: RelayedRun, cause: BreakCause) -> AnswerEnd {
+        let end = run.answer_end();
+        self.context.forwarder.count_answer_end(&end);
+        self.end_broken_run(run, cause).await;
+        end
+    }
+
+    /// Closes the connection to the server and returns its slot.
     async fn end_broken_run(&mut self, run: RelayedRun, cause: BreakCause) {
         let RelayedRun {
             body,
@@ -322,26 +436,50 @@
         if !self.context.resumable || !self.context.state.may_retry(now) {
             return None;
         }
-        let forwarder = self.context.forwarder.clone();
-        forwarder.record_interruption(&self.context.state, cause.as_str(), end);
-        let last_event = self.sequencer.last_event();
-        let resumed = forwarder.resume(&mut self.context.state, last_event).await;
-        let (answer, lease) = resumed?;
-        self.sequencer = EventSequencer::resume_after(last_event);
+        let RelayContext {
+            forwarder, state, ..
+        } = &mut self.context;
+        forwarder.record_interruption(state, cause.as_str(), end);
+        let resumed = forwarder.resume(state, end.last_event).await;
+        Some(self.resumed_run(resumed?, end.last_event))
+    }
+
+    /// Resumes the stream at the server that was found while the one before was silent.
+    async fn continue_at(
+        &mut self,
+        successor: StreamSuccessor,
+        end: &AnswerEnd,
+    ) -> Option<RelayedRun> {
+        let RelayContext {
+            forwarder, state, ..
+        } = &mut self.context;
+        let cause = BreakCause::ServerSilent.as_str();
+        forwarder.record_interruption(state, cause, end);
+        let resumed = forwarder.resume_at(state, successor, end.last_event).await;
+        Some(self.resumed_run(resumed?, end.last_event))
+    }
+
+    fn resumed_run(
+        &self,
+        (answer, lease): (ServerAnswer, SlotLease),
+        last_event: Option<u64>,
+    ) -> RelayedRun {
+        let sequencer = self.context.sequencer(last_event);
         let kind = self.context.state.kind();
-        Some(RelayedRun::new(answer, lease, kind, Bytes::new()))
+        RelayedRun::new(answer, lease, kind, sequencer, Bytes::new())
     }
 
     /// Ends the response. Returns what follows the last event, such as a comment.
     fn end(&mut self, mut run: RelayedRun) -> Option<Result<Frame<Bytes>, BodyError>> {
-        let end = run.answer_end(self.sequencer.last_event());
+        let end = run.answer_end();
         let state = &self.context.state;
         let forwarder = &self.context.forwarder;
         forwarder.record_served(state, &run.lease, self.status, state.runs, &end);
         run.connection.return_to_pool();
         run.lease.record_completion();
         run.lease.end(RunOutcome::Served);
-        let rest = self.sequencer.take_rest();
+        let rest = run.sequencer.as_mut().map(EventSequencer::take_rest);
+        let rest = rest.unwrap_or_default();
         (!rest.is_empty()).then(|| Ok(Frame::data(rest)))
     }
 
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -154,6 +154,15 @@
     }
 }
 
+/// When a server is asked for its state before a request is sent to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StateQuery {
+    /// If the request needs an incarnation that the connection is not known to have.
+    AsNeeded,
+    /// Always, to find out whether the server answers at all.
+    Always,
+}
+
 /// What was found out of the server at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum IncarnationCheck {
@@ -177,8 +186,25 @@
     /// Sends a request and waits for the head of its response. Nothing is sent to a server
     /// that said before that it leaves.
     pub(crate) async fn send(&self, request: &ServerRequest) -> Result<ServerAnswer, RunFailure> {
+        self.send_within_timeout(request, None).await
+    }
+
+    /// Like [`Self::send`], on the connection that [`Self::prepare`] has returned.
+    pub(crate) async fn send_on(
+        &self,
+        request: &ServerRequest,
+        prepared: OpenConnection,
+    ) -> Result<ServerAnswer, RunFailure> {
+        self.send_within_timeout(request, Some(prepared)).await
+    }
+
+    async fn send_within_timeout(
+        &self,
+        request: &ServerRequest,
+        prepared: Option<OpenConnection>,
+    ) -> Result<ServerAnswer, RunFailure> {
         let mut path = None;
-        let sending = self.try_send(request, &mut path);
+        let sending = self.try_send(request, prepared, &mut path);
         let result = tokio::time::timeout(request.head_timeout, sending).await;
         let (address, pool) = (request.address, &self.pool);
         let Ok(result) = result else {
@@ -200,18 +226,59 @@
         }
     }
 
+    /// Finds a connection to the server of a request on which the server answers. The request
+    /// itself is not sent.
+    pub(crate) async fn prepare(
+        &self,
+        request: &ServerRequest,
+    ) -> Result<OpenConnection, RunFailure> {
+        self.check_leaving(request)?;
+        let idle = self.pool.take_idle(request.address, request.at_most_once);
+        if let Some(idle) = idle
+            && let Some(prepared) = self.wait_for_answer(request, idle).await?
+        {
+            return Ok(prepared);
+        }
+        let opened = self.open(request, &mut None).await?;
+        let prepared = self.wait_for_answer(request, opened).await?;
+        prepared.ok_or_else(failed_unused)
+    }
+
+    /// Asks a server for its state, and returns the connection to use once it has answered.
+    async fn wait_for_answer(
+        &self,
+        request: &ServerRequest,
+        mut connection: OpenConnection,
+    ) -> Result<Option<OpenConnection>, RunFailure> {
+        let query = StateQuery::Always;
+        match self
+            .check_incarnation(request, &mut connection, query)
+            .await?
+        {
+            IncarnationCheck::Usable => Ok(Some(connection)),
+            IncarnationCheck::Ended => self.open(request, &mut None).await.map(Some),
+            IncarnationCheck::Failed => Ok(None),
+        }
+    }
+
     /// Sends a request, and sets the path of the connection on which it is sent.
     async fn try_send(
         &self,
         request: &ServerRequest,
+        prepared: Option<OpenConnection>,
         path: &mut Option<ConnectionPath>,
     ) -> Result<ServerAnswer, RunFailure> {
         let mut message = http_request(request)?;
         let mut is_checked = false;
         self.check_leaving(request)?;
+        if let Some(prepared) = prepared {
+            *path = Some(prepared.path.clone());
+            return self.write(request, prepared, message).await;
+        }
         if let Some(mut idle) = self.pool.take_idle(request.address, request.at_most_once) {
             *path = Some(idle.path.clone());
-            match self.check_incarnation(request, &mut idle).await? {
+            let query = StateQuery::AsNeeded;
+            match self.check_incarnation(request, &mut idle, query).await? {
                 IncarnationCheck::Usable => match idle.sender.try_send_request(message).await {
                     Ok(response) => return self.read(request, idle, response),
                     Err(mut error) => match error.take_message() {
@@ -226,7 +293,11 @@
         }
         let mut connection = self.open(request, path).await?;
         if !is_checked {
-            match self.check_incarnation(request, &mut connection).await? {
+            let query = StateQuery::AsNeeded;
+            match self
+                .check_incarnation(request, &mut connection, query)
+                .await?
+            {
                 IncarnationCheck::Usable => {}
                 IncarnationCheck::Ended => connection = self.open(request, path).await?,
                 IncarnationCheck::Failed => return Err(failed_unused()),
@@ -234,6 +305,16 @@
         }
         // The server may have said so while the connection was opened.
         self.check_leaving(request)?;
+        self.write(request, connection, message).await
+    }
+
+    /// Sends a request on a connection that nothing else uses.
+    async fn write(
+        &self,
+        request: &ServerRequest,
+        mut connection: OpenConnection,
+        message: Request<Full<Bytes>>,
+    ) -> Result<ServerAnswer, RunFailure> {
         match connection.sender.try_send_request(message).await {
             Ok(response) => self.read(request, connection, response),
             Err(mut error) => match error.take_message() {
@@ -278,9 +359,11 @@
         &self,
         request: &ServerRequest,
         connection: &mut OpenConnection,
+        query: StateQuery,
     ) -> Result<IncarnationCheck, RunFailure> {
         let expected = request.server.incarnation;
-        if !request.continues_run || connection.incarnation == Some(expected) {
+        let is_expected = connection.incarnation == Some(expected);
+        if query == StateQuery::AsNeeded && (!request.continues_run || is_expected) {
             return Ok(IncarnationCheck::Usable);
         }
         let asking = self.read_state(request, connection);
@@ -295,7 +378,7 @@
         };
         connection.incarnation = self.dialect.read_incarnation(&state);
         match connection.incarnation {
-            Some(actual) if actual != expected => Err(RunFailure::new(
+            Some(actual) if request.continues_run && actual != expected => Err(RunFailure::new(
                 RunVerdict::NotRun,
                 RunOutcome::WrongServer,
                 "the server has started again",
--- a/tests/fleet/hushed.rs
+++ b/tests/fleet/hushed.rs
@@ -79,6 +79,25 @@
     }
 }
 
+/// Guards against streams that wait to their end for a server that stays silent, although another
+/// one answers again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_leaves_a_server_that_stays_silent_once_another_one_answers() {
+    let fleet = ProcessFleet::start().await;
+    let stream = begin_stream(&fleet, "left");
+    tokio::time::sleep(BEGIN_TIME).await;
+    let running = fleet.runs.runs_of("left")[0].server.clone();
+    for server in engines(&fleet) {
+        let stays_silent = server.name == running;
+        server.pause_for(if stays_silent { SILENCE * 4 } else { SILENCE });
+    }
+    let answer = finish(stream).await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.text(), stream_text("left", EVENTS));
+    let runs = fleet.runs.runs_of("left");
+    assert_eq!(runs.len(), 2, "{runs:?}");
+}
+
 /// Guards against streams that go on at the service to which their route has moved since, so that
 /// callers get pieces of two runs.
 #[tokio::test(flavor = "multi_thread")]
