Take no end of a stream at its time limit for complete

Cause: a server stops at the time limit that it is given, and may end its response in order. The entry host gives it the time that is left and has a timer of its own for the same moment; real timers fire late, so the server's end was often read first and counted as the end of the stream. A plan that lowers `timeout-ms` while servers are silent lets many streams reach their limit at once.

An end without a mark of its own (a length) that comes when the time is up, less the millisecond by which limits are rounded down, counts as a broken stream: nobody can tell it from a stop.

--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -29,6 +29,9 @@
 /// searched for to go on with a resumable stream.
 const GAP_MAX_TARGETS: u32 = 3;
 
+/// Time limits are told to servers in whole units, rounded down.
+const TIME_LIMIT_UNIT: Duration = Duration::from_millis(1);
+
 /// The maximum size of one event, in bytes.
 const EVENT_MAX_BYTES: usize = 1024 * 1024;
 
@@ -308,6 +311,7 @@
                     return Some(Ok(Frame::data(bytes)));
                 }
                 RelayStep::End if run.is_within_event() => BreakCause::EndedWithinEvent,
+                RelayStep::End if self.is_stopped_by_limit(&run) => BreakCause::DeadlinePassed,
                 RelayStep::End => return self.end(run),
                 RelayStep::Broken(cause) => cause,
                 RelayStep::Silent => continue,
@@ -398,6 +402,14 @@
         }
     }
 
+    /// Whether the end of a stream may be that of its server's time rather than of its events:
+    /// a server stops at the time limit that it was given, and may end its response in order.
+    fn is_stopped_by_limit(&self, run: &RelayedRun) -> bool {
+        let now = self.context.forwarder.clock.now();
+        let is_marked = run.boundary.is_none() || run.framing == BodyFraming::Length;
+        !is_marked && now + TIME_LIMIT_UNIT >= self.context.state.answer_by
+    }
+
     /// Ends a run whose response does not go on, before another server gets the stream.
     async fn interrupt(&mut self, run: RelayedRun, cause: BreakCause) -> AnswerEnd {
         let end = run.answer_end();
--- a/tests/fleet/hushed.rs
+++ b/tests/fleet/hushed.rs
@@ -161,20 +161,39 @@
         .await;
 }
 
+/// Sends requests one after another for streams that need more time than they have, and whose
+/// servers end them in order at their time limit.
+async fn send_limited_streams(fleet: &ProcessFleet, count: usize) -> Vec<Answer> {
+    let entry = &fleet.host_names(Role::Entry)[0];
+    let path = format!("/walk/{EVENTS}{LIMITED_PATH}");
+    let mut answers = Vec::new();
+    for number in 0..count {
+        let call = Call::new(fleet.callers_address(entry), Method::POST, &path)
+            .field("x-request-id", &format!("limited-{number}"))
+            .field("x-deadline-ms", "200")
+            .key("k1");
+        answers.push(call.send().await.expect("an answer"));
+    }
+    answers
+}
+
 /// Guards against streams that end as complete where their server stopped at its time limit just
 /// before the timer of the entry host.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_its_server_ends_at_the_time_limit_is_not_complete() {
     let fleet = ProcessFleet::start().await;
-    let entry = fleet.host_names(Role::Entry)[0].clone();
-    for number in 0..40 {
-        let path = format!("/walk/{EVENTS}{LIMITED_PATH}");
-        let call = Call::new(fleet.callers_address(&entry), Method::POST, &path);
-        let call = call
-            .field("x-request-id", &format!("limited-{number}"))
-            .field("x-deadline-ms", "200")
-            .key("k1");
-        let answer = call.send().await.expect("an answer");
-        assert!(!answer.complete, "stream {number}: {answer:?}");
+    let answers = send_limited_streams(&fleet, 40).await;
+    let mut streams = answers.iter().filter(|answer| answer.status.is_success());
+    assert!(streams.all(|answer| !answer.complete), "{answers:?}");
+}
+
+/// Guards against sound servers that get no more work since callers' time ran out while they
+/// wrote streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_that_outlast_their_time_say_nothing_against_their_servers() {
+    let fleet = ProcessFleet::start().await;
+    let answers = send_limited_streams(&fleet, 40).await;
+    for (number, answer) in answers.iter().enumerate() {
+        assert!(answer.status.is_success(), "stream {number}: {answer:?}");
     }
 }
