Say nothing against a server whose caller's time ran out

Callers got 503 no_server although all servers were sound: after six streams that needed more time than they had, every server was suspended (three servers, one stream after another).

Cause: a run whose stream was cut at the deadline of its request was reported as failed, and failures in a row suspend a server for longer and longer. Evidence: `server_suspended` lines with outcome Failed for engines that wrote an event each 15 ms.

A run that wrote events up to the deadline, with no gap of three targets before it, is reported as stopped, which is no failure. One that was silent still counts as failed.

streams_that_outlast_their_time_say_nothing_against_their_servers failed before (stream 6 of 40 was refused).

--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -351,11 +351,14 @@
                         return step;
                     }
                 }
-                Err(_) if max_wait < left => {
+                Err(_) => {
                     run.waited += clock.now().saturating_duration_since(since);
-                    return RelayStep::Silent;
+                    return if max_wait < left {
+                        RelayStep::Silent
+                    } else {
+                        RelayStep::Broken(BreakCause::DeadlinePassed)
+                    };
                 }
-                Err(_) => return RelayStep::Broken(BreakCause::DeadlinePassed),
             }
         }
     }
@@ -420,6 +423,7 @@
 
     /// Closes the connection to the server and returns its slot.
     async fn end_broken_run(&mut self, run: RelayedRun, cause: BreakCause) {
+        let outcome = self.broken_outcome(&run, cause);
         let RelayedRun {
             body,
             connection,
@@ -439,7 +443,20 @@
         if cause.suggests_crash(framing) {
             lease.record_crash();
         }
-        lease.end(RunOutcome::Failed);
+        lease.end(outcome);
+    }
+
+    /// The outcome of a run whose response was not completed. A server that wrote events up to
+    /// the deadline has not failed: the request had less time than it needed.
+    fn broken_outcome(&self, run: &RelayedRun, cause: BreakCause) -> RunOutcome {
+        let events = run.boundary.as_ref().map_or(0, EventBoundary::events);
+        let gap_target = self.context.state.matched.route.gap_target;
+        let is_in_progress = gap_target.is_some_and(|gap| run.waited < gap * GAP_MAX_TARGETS);
+        if cause == BreakCause::DeadlinePassed && events > 0 && is_in_progress {
+            RunOutcome::Stopped
+        } else {
+            RunOutcome::Failed
+        }
     }
 
     /// Resumes the stream after the last complete event on another server.
