Keep a silent server before the first event, too, until another one answers

Callers whose servers were silent before the first event got 502 no_server, although the servers went on in time.

Cause: after two latency targets without a head, the connection was closed, and only then another slot was asked for; where all servers were silent there was none (12 streams, servers silent for 3.2 s: "no server of the service is known"). Resumed runs gave up their server in the same way.

A stream that may be resumed now keeps waiting for the head while another server is searched for, by the same steps as in the middle of a stream: a slot, then an answer to the question for its state. Other requests are sent again as before: their servers need not know that question.

a_stream_is_not_refused_while_all_servers_are_silent failed before. The fleet tests of hushed, broken_streams, versions and endless pass.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -207,7 +207,9 @@
 
     /// Excludes a server from further attempts.
     pub(super) fn avoid_server(&mut self, server: &ServerName) {
-        self.avoid.push(server.clone());
+        if !self.avoid.contains(server) {
+            self.avoid.push(server.clone());
+        }
     }
 
     /// Records a failed attempt and excludes its server from further ones.
@@ -301,7 +303,7 @@
             });
         }
         let last_event = state.request.head.last_event;
-        let Some(mut lease) = self.acquire_slot(state, last_event, now).await? else {
+        let Some(lease) = self.acquire_slot(state, last_event, now).await? else {
             return Ok(None);
         };
         let now = self.clock.now();
@@ -312,23 +314,65 @@
             let refusal = RequestRefusal::new(RefusalReason::KeyViewStale, state.verdict(), detail);
             return Err(refusal);
         }
-        let request = self.server_request(state, &lease, None, now);
-        self.log_sent(state, &lease, now);
-        // The request may run from here on, even if this future is dropped.
-        state.runs += 1;
-        let sent = self.runner.send(&request).await;
-        state.runs -= 1;
-        match sent {
-            Ok(answer) => {
-                let elapsed = self.clock.now().saturating_duration_since(now);
-                lease.record_first_answer(elapsed);
-                lease.record_load(answer.head.load);
-                Ok(Some((answer, lease)))
+        Ok(self.run_on(state, lease, None, last_event).await)
+    }
+
+    /// Sends a request to the server of a slot, on a prepared connection if there is one. While
+    /// the server of a stream is silent, another one that answers is searched for, and gets the
+    /// request once it is found. Returns `None` after a failure.
+    async fn run_on(
+        &self,
+        state: &mut RequestState,
+        mut lease: SlotLease,
+        mut prepared: Option<OpenConnection>,
+        last_event: Option<u64>,
+    ) -> Option<(ServerAnswer, SlotLease)> {
+        loop {
+            let now = self.clock.now();
+            let request = self.server_request(state, &lease, last_event, now);
+            self.log_sent(state, &lease, now);
+            let mut successor = None;
+            // The request may run from here on, even if this future is dropped.
+            state.runs += 1;
+            let search = self.search_while_silent(state, &lease, last_event, &mut successor);
+            let sent = self.runner.send_until(&request, prepared.take(), search);
+            let sent = sent.await;
+            state.runs -= 1;
+            match sent {
+                Ok(answer) => {
+                    let elapsed = self.clock.now().saturating_duration_since(now);
+                    lease.record_first_answer(elapsed);
+                    lease.record_load(answer.head.load);
+                    return Some((answer, lease));
+                }
+                Err(failure) => self.end_failed_attempt(state, lease, failure),
             }
-            Err(failure) => {
-                self.end_failed_attempt(state, lease, failure);
-                Ok(None)
+            let next = successor?;
+            lease = next.lease;
+            prepared = Some(next.connection);
+        }
+    }
+
+    /// Resolves once a successor is found for the server of a stream that has not answered for
+    /// [`RESEND_AFTER_TARGETS`]. The search for it is repeated at that interval.
+    async fn search_while_silent(
+        &self,
+        state: &mut RequestState,
+        lease: &SlotLease,
+        last_event: Option<u64>,
+        successor: &mut Option<StreamSuccessor>,
+    ) {
+        if state.kind() != RouteKind::Stream || !state.is_repeatable() {
+            return std::future::pending().await;
+        }
+        let interval = state.route().latency_target * RESEND_AFTER_TARGETS;
+        state.avoid_server(&lease.server);
+        while successor.is_none() {
+            tokio::time::sleep(interval).await;
+            if !state.may_retry(self.clock.now()) {
+                return std::future::pending().await;
             }
+            *successor = self.find_successor(state, last_event).await;
         }
     }
 
@@ -546,7 +590,10 @@
             time_left: left,
             last_event: last_event.or(request.head.last_event),
         };
-        let may_resend = state.is_repeatable() && state.runs + 1 < state.route().max_attempts;
+        // A silent stream keeps its server until another one is found that answers.
+        let is_stream = state.kind() == RouteKind::Stream;
+        let has_attempts = state.runs + 1 < state.route().max_attempts;
+        let may_resend = state.is_repeatable() && has_attempts && !is_stream;
         let resend_after = state.route().latency_target * RESEND_AFTER_TARGETS;
         ServerRequest {
             server: lease.identity(),
@@ -720,9 +767,9 @@
         last_event: Option<u64>,
     ) -> Option<(ServerAnswer, SlotLease)> {
         let StreamSuccessor { lease, connection } = successor;
-        let request = self.server_request(state, &lease, last_event, self.clock.now());
-        let sent = self.runner.send_on(&request, connection).await;
-        match self.take_resumed(state, lease, sent, last_event) {
+        let prepared = Some(connection);
+        let sent = self.run_on(state, lease, prepared, last_event).await;
+        match self.take_resumed(state, sent, last_event) {
             Some(resumed) => Some(resumed),
             None => self.resume(state, last_event).await,
         }
@@ -736,9 +783,8 @@
     ) -> Option<(ServerAnswer, SlotLease)> {
         loop {
             let lease = self.acquire_resuming_slot(state, last_event).await?;
-            let request = self.server_request(state, &lease, last_event, self.clock.now());
-            let sent = self.runner.send(&request).await;
-            let resumed = self.take_resumed(state, lease, sent, last_event);
+            let sent = self.run_on(state, lease, None, last_event).await;
+            let resumed = self.take_resumed(state, sent, last_event);
             if resumed.is_some() {
                 return resumed;
             }
@@ -772,29 +818,19 @@
     fn take_resumed(
         &self,
         state: &mut RequestState,
-        mut lease: SlotLease,
-        sent: Result<ServerAnswer, RunFailure>,
+        sent: Option<(ServerAnswer, SlotLease)>,
         last_event: Option<u64>,
     ) -> Option<(ServerAnswer, SlotLease)> {
-        match sent {
-            Ok(answer) if answer.parts.status.is_success() => {
-                lease.record_load(answer.head.load);
-                state.runs += 1;
-                self.log_resumed(state, &lease, last_event);
-                state.bind_version(&lease.version);
-                Some((answer, lease))
-            }
-            Ok(answer) => {
-                state.runs += 1;
-                state.avoid_server(&lease.server);
-                lease.end(outcome_of(answer.parts.status));
-                None
-            }
-            Err(failure) => {
-                self.end_failed_attempt(state, lease, failure);
-                None
-            }
+        let (answer, lease) = sent?;
+        state.runs += 1;
+        if !answer.parts.status.is_success() {
+            state.avoid_server(&lease.server);
+            lease.end(outcome_of(answer.parts.status));
+            return None;
         }
+        self.log_resumed(state, &lease, last_event);
+        state.bind_version(&lease.version);
+        Some((answer, lease))
     }
 
     fn log_resumed(&self, state: &RequestState, lease: &SlotLease, last_event: Option<u64>) {
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -345,20 +345,16 @@
                 .answer_by
                 .saturating_duration_since(since);
             let max_wait = self.max_gap(since).saturating_sub(run.waited).min(left);
-            match tokio::time::timeout(max_wait, run.body.frame()).await {
-                Ok(frame) => {
-                    if let Some(step) = run.take_frame(frame, since, clock.now()) {
-                        return step;
-                    }
-                }
-                Err(_) => {
-                    run.waited += clock.now().saturating_duration_since(since);
-                    return if max_wait < left {
-                        RelayStep::Silent
-                    } else {
-                        RelayStep::Broken(BreakCause::DeadlinePassed)
-                    };
-                }
+            let Ok(frame) = tokio::time::timeout(max_wait, run.body.frame()).await else {
+                run.waited += clock.now().saturating_duration_since(since);
+                return if max_wait < left {
+                    RelayStep::Silent
+                } else {
+                    RelayStep::Broken(BreakCause::DeadlinePassed)
+                };
+            };
+            if let Some(step) = run.take_frame(frame, since, clock.now()) {
+                return step;
             }
         }
     }
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -186,28 +186,27 @@
     /// Sends a request and waits for the head of its response. Nothing is sent to a server
     /// that said before that it leaves.
     pub(crate) async fn send(&self, request: &ServerRequest) -> Result<ServerAnswer, RunFailure> {
-        self.send_within_timeout(request, None).await
+        self.send_until(request, None, std::future::pending()).await
     }
 
-    /// Like [`Self::send`], on the connection that [`Self::prepare`] has returned.
-    pub(crate) async fn send_on(
-        &self,
-        request: &ServerRequest,
-        prepared: OpenConnection,
-    ) -> Result<ServerAnswer, RunFailure> {
-        self.send_within_timeout(request, Some(prepared)).await
-    }
-
-    async fn send_within_timeout(
+    /// Like [`Self::send`], on the connection that [`Self::prepare`] has returned, if any. The
+    /// request is given up early once `give_up` resolves.
+    pub(crate) async fn send_until(
         &self,
         request: &ServerRequest,
         prepared: Option<OpenConnection>,
+        give_up: impl Future<Output = ()>,
     ) -> Result<ServerAnswer, RunFailure> {
         let mut path = None;
         let sending = self.try_send(request, prepared, &mut path);
-        let result = tokio::time::timeout(request.head_timeout, sending).await;
+        let result = tokio::select! {
+            biased;
+            result = sending => Some(result),
+            () = give_up => None,
+            () = tokio::time::sleep(request.head_timeout) => None,
+        };
         let (address, pool) = (request.address, &self.pool);
-        let Ok(result) = result else {
+        let Some(result) = result else {
             pool.close_idle(address);
             let cause = "no answer began in time";
             let failure = RunFailure::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause);
--- a/tests/fleet/hushed.rs
+++ b/tests/fleet/hushed.rs
@@ -79,6 +79,28 @@
     }
 }
 
+/// Guards against streams that are refused since their servers were silent before the first event,
+/// although the servers go on in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_not_refused_while_all_servers_are_silent() {
+    /// A silence that exceeds the time after which a request may go to another server: two
+    /// latency targets of a second.
+    const LONG_SILENCE: Duration = Duration::from_millis(3_200);
+    let fleet = ProcessFleet::start().await;
+    for server in engines(&fleet) {
+        server.pause_for(LONG_SILENCE);
+    }
+    let streams: Vec<_> = (0..12)
+        .map(|number| begin_stream(&fleet, &format!("waiting-{number}")))
+        .collect();
+    for (number, stream) in streams.into_iter().enumerate() {
+        let answer = finish(stream).await;
+        assert!(answer.complete, "stream {number}: {answer:?}");
+        let id = format!("waiting-{number}");
+        assert_eq!(answer.text(), stream_text(&id, EVENTS));
+    }
+}
+
 /// Guards against streams that wait to their end for a server that stays silent, although another
 /// one answers again.
 #[tokio::test(flavor = "multi_thread")]
