Take no buffered stream and no item for complete at the time limit

a_buffered_stream_that_its_server_ends_at_the_time_limit_is_not_complete failed before (second of 20 streams). The rule has a test without processes; no test plays an item of 60 s.

--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -10,6 +10,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap, TRANSFER_ENCODING};
 use serde::de::IgnoredAny;
 use std::io::ErrorKind;
+use std::time::Duration;
 
 /// How the end of a body is marked.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +61,17 @@
     error.is_parse() || is_invalid
 }
 
+/// Time limits are told to servers in whole units, rounded down.
+const TIME_LIMIT_UNIT: Duration = Duration::from_millis(1);
+
+/// Whether the end of an event stream may be that of its server's time rather than that of its
+/// events, with `left` of the time that the server was given: a server stops at its time limit,
+/// and may end the response in order.
+#[must_use]
+pub fn may_end_by_time_limit(framing: BodyFraming, left: Duration) -> bool {
+    framing != BodyFraming::Length && left <= TIME_LIMIT_UNIT
+}
+
 /// Whether header fields declare a stream of server-sent events.
 #[must_use]
 pub fn is_event_stream(fields: &HeaderMap) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 pub use callers::{CallerService, IdSource};
 pub use completeness::{
     BodyFraming, EventBoundary, check_whole_body, is_event_stream, is_malformed,
+    may_end_by_time_limit,
 };
 pub use credentials::{bearer_key, forwarded_headers, forwarded_query};
 pub use listener::{HttpListener, HttpService, ListenError, ListenerLimits};
--- a/crates/gateway/tests/all/completeness.rs
+++ b/crates/gateway/tests/all/completeness.rs
@@ -1,7 +1,7 @@
 //! Tests of the end of bodies: their framing, and events that are cut off.
 
 use bytes::Bytes;
-use chicoryladder_gateway::{BodyFraming, EventBoundary, check_whole_body};
+use chicoryladder_gateway::{BodyFraming, EventBoundary, check_whole_body, may_end_by_time_limit};
 use futures_util::stream;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -9,6 +9,7 @@
 use hyper::body::Frame;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
 use std::convert::Infallible;
+use std::time::Duration;
 
 type TestBody = UnsyncBoxBody<Bytes, Infallible>;
 
@@ -103,3 +104,15 @@
     }
     assert!(is_whole(close, "text/plain", "any text"));
 }
+
+/// Guards against streams and texts of items that count as complete where their server stopped at
+/// its time limit.
+#[test]
+fn only_a_length_tells_the_end_of_a_stream_from_the_end_of_its_time() {
+    for framing in [BodyFraming::Chunks, BodyFraming::UntilClose] {
+        assert!(may_end_by_time_limit(framing, Duration::ZERO));
+        assert!(may_end_by_time_limit(framing, Duration::from_micros(700)));
+        assert!(!may_end_by_time_limit(framing, Duration::from_millis(2)));
+    }
+    assert!(!may_end_by_time_limit(BodyFraming::Length, Duration::ZERO));
+}
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -14,6 +14,7 @@
 };
 use chicoryladder_gateway::{
     AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream, is_malformed,
+    may_end_by_time_limit,
 };
 use chicoryladder_plan::{PlanRoute, PlanVersion, RouteKind};
 use chicoryladder_policy::quarantine::{QuarantineCause, RequestFingerprint};
@@ -631,9 +632,7 @@
         if status.is_success() && (is_stream || is_long) {
             return Some(Ok(self.relay(state, answer, lease, Bytes::new())));
         }
-        let now = self.clock.now();
         let retryable = state.runs + 1 < state.route().max_attempts && state.is_repeatable();
-        let left = state.answer_by.saturating_duration_since(now);
         let ServerAnswer {
             parts,
             head,
@@ -641,7 +640,9 @@
             body,
             connection,
         } = answer;
-        let bytes = match read_whole_body(body, framing, &parts.headers, left).await {
+        let fields = &parts.headers;
+        let reading = read_whole_body(body, framing, fields, state.answer_by, &*self.clock);
+        let bytes = match reading.await {
             Ok(BufferedBody::Whole(bytes)) => bytes,
             Ok(BufferedBody::Partial(prefix, body)) if status.is_success() => {
                 let answer = ServerAnswer {
@@ -1003,8 +1004,10 @@
     mut body: Incoming,
     framing: BodyFraming,
     fields: &HeaderMap,
-    timeout: Duration,
+    answer_by: Instant,
+    clock: &dyn ClockSource,
 ) -> Result<BufferedBody, RunFailure> {
+    let timeout = answer_by.saturating_duration_since(clock.now());
     let reading = async {
         let mut prefix = BytesMut::new();
         while let Some(frame) = body.frame().await {
@@ -1018,22 +1021,29 @@
         Ok(BufferedBody::Whole(prefix.freeze()))
     };
     match tokio::time::timeout(timeout, reading).await {
-        Ok(Ok(BufferedBody::Whole(bytes))) => check_whole_body(framing, fields, &bytes)
-            .map(|()| BufferedBody::Whole(bytes))
-            .map_err(RunFailure::connection_lost),
+        Ok(Ok(BufferedBody::Whole(bytes))) => {
+            let left = answer_by.saturating_duration_since(clock.now());
+            if is_event_stream(fields) && may_end_by_time_limit(framing, left) {
+                return Err(late_answer());
+            }
+            check_whole_body(framing, fields, &bytes)
+                .map(|()| BufferedBody::Whole(bytes))
+                .map_err(RunFailure::connection_lost)
+        }
         Ok(Ok(partial)) => Ok(partial),
         Ok(Err(error)) if is_malformed(&error) => Err(RunFailure::malformed(
             "the server sent bytes that are no answer",
         )),
         Ok(Err(_)) => Err(RunFailure::connection_lost("the answer broke off")),
-        Err(_) => Err(RunFailure::new(
-            RunVerdict::MayHaveRun,
-            RunOutcome::Failed,
-            "the answer was not complete in time",
-        )),
+        Err(_) => Err(late_answer()),
     }
 }
 
+fn late_answer() -> RunFailure {
+    let cause = "the answer was not complete in time";
+    RunFailure::new(RunVerdict::MayHaveRun, RunOutcome::Failed, cause)
+}
+
 fn content_length(parts: &response::Parts) -> Option<u64> {
     let announced = parts.headers.get(CONTENT_LENGTH)?;
     announced.to_str().ok()?.parse().ok()
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -15,6 +15,7 @@
 use chicoryladder_broker::RunOutcome;
 use chicoryladder_gateway::{
     AnswerBody, BodyError, BodyFraming, EventBoundary, is_event_stream, is_malformed,
+    may_end_by_time_limit,
 };
 use chicoryladder_plan::RouteKind;
 use futures_util::stream::unfold;
@@ -29,9 +30,6 @@
 /// searched for to go on with a resumable stream.
 const GAP_MAX_TARGETS: u32 = 3;
 
-/// Time limits are told to servers in whole units, rounded down.
-const TIME_LIMIT_UNIT: Duration = Duration::from_millis(1);
-
 /// The maximum size of one event, in bytes.
 const EVENT_MAX_BYTES: usize = 1024 * 1024;
 
@@ -311,7 +309,7 @@
                     return Some(Ok(Frame::data(bytes)));
                 }
                 RelayStep::End if run.is_within_event() => BreakCause::EndedWithinEvent,
-                RelayStep::End if self.is_stopped_by_limit(&run) => BreakCause::DeadlinePassed,
+                RelayStep::End if self.may_end_by_time_limit(&run) => BreakCause::DeadlinePassed,
                 RelayStep::End => return self.end(run),
                 RelayStep::Broken(cause) => cause,
                 RelayStep::Silent => continue,
@@ -401,12 +399,10 @@
         }
     }
 
-    /// Whether the end of a stream may be that of its server's time rather than of its events:
-    /// a server stops at the time limit that it was given, and may end its response in order.
-    fn is_stopped_by_limit(&self, run: &RelayedRun) -> bool {
+    fn may_end_by_time_limit(&self, run: &RelayedRun) -> bool {
         let now = self.context.forwarder.clock.now();
-        let is_marked = run.boundary.is_none() || run.framing == BodyFraming::Length;
-        !is_marked && now + TIME_LIMIT_UNIT >= self.context.state.answer_by
+        let left = self.context.state.answer_by.saturating_duration_since(now);
+        run.boundary.is_some() && may_end_by_time_limit(run.framing, left)
     }
 
     /// Ends a run whose response does not go on, before another server gets the stream.
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -7,7 +7,7 @@
 use crate::slot_client::SlotLease;
 use chicoryladder_batch::{RunProgress, ScheduledItem};
 use chicoryladder_broker::RunOutcome;
-use chicoryladder_gateway::{BodyFraming, is_malformed};
+use chicoryladder_gateway::{BodyFraming, is_malformed, may_end_by_time_limit};
 use chicoryladder_types::prelude::*;
 use http_body_util::BodyExt;
 use hyper::{Method, StatusCode};
@@ -149,6 +149,10 @@
         }
         return run_broken("the server ended within an event");
     }
+    let elapsed = clock.now().saturating_duration_since(started_at);
+    if may_end_by_time_limit(response.framing, RUN_MAX.saturating_sub(elapsed)) {
+        return run_broken("the run reached its time limit");
+    }
     response.connection.return_to_pool();
     lease.record_completion();
     (ItemEnd::Complete, RunOutcome::Served, "complete")
--- a/tests/fleet/hushed.rs
+++ b/tests/fleet/hushed.rs
@@ -185,9 +185,9 @@
 
 /// Sends requests one after another for streams that need more time than they have, and whose
 /// servers end them in order at their time limit.
-async fn send_limited_streams(fleet: &ProcessFleet, count: usize) -> Vec<Answer> {
+async fn send_limited_streams(fleet: &ProcessFleet, route: &str, count: usize) -> Vec<Answer> {
     let entry = &fleet.host_names(Role::Entry)[0];
-    let path = format!("/walk/{EVENTS}{LIMITED_PATH}");
+    let path = format!("/{route}/{EVENTS}{LIMITED_PATH}");
     let mut answers = Vec::new();
     for number in 0..count {
         let call = Call::new(fleet.callers_address(entry), Method::POST, &path)
@@ -204,7 +204,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_that_its_server_ends_at_the_time_limit_is_not_complete() {
     let fleet = ProcessFleet::start().await;
-    let answers = send_limited_streams(&fleet, 40).await;
+    let answers = send_limited_streams(&fleet, "walk", 40).await;
     let mut streams = answers.iter().filter(|answer| answer.status.is_success());
     assert!(streams.all(|answer| !answer.complete), "{answers:?}");
 }
@@ -214,8 +214,24 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_that_outlast_their_time_say_nothing_against_their_servers() {
     let fleet = ProcessFleet::start().await;
-    let answers = send_limited_streams(&fleet, 40).await;
+    let answers = send_limited_streams(&fleet, "walk", 40).await;
     for (number, answer) in answers.iter().enumerate() {
         assert!(answer.status.is_success(), "stream {number}: {answer:?}");
     }
 }
+
+/// Guards against streams that end as complete at their server's time limit on routes whose
+/// responses are read to their end before they are passed on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_buffered_stream_that_its_server_ends_at_the_time_limit_is_not_complete() {
+    let mut fleet = ProcessFleet::start().await;
+    let mut plan = fleet.next_plan(&["k1"]);
+    route(&mut plan, "walk")["type"] = json!("idempotent");
+    fleet.apply_plan(&plan).await;
+    for answer in send_limited_streams(&fleet, "walk", 20).await {
+        assert!(
+            !answer.status.is_success() || !answer.complete,
+            "{answer:?}"
+        );
+    }
+}
