Let no refusal under a newer plan say that a request has not run after it has

By reading, without a test of its own: an idempotent request whose first run failed and that is matched again under a newer plan was refused with the verdict of the match alone. Where the view of the keys was too old, that was 503 with "not run", although the request had run. The verdict of earlier runs is joined to it now, as for all other refusals of a request.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -510,6 +510,11 @@
         let path = path.split('?').next().unwrap_or_default();
         let plan_before = state.matched.plan.version();
         let matched = self.matcher.resolve(&host, path, &state.request.head).await;
+        // An earlier attempt may have run.
+        let matched = matched.map_err(|refusal| RequestRefusal {
+            verdict: refusal.verdict.join(state.verdict()),
+            ..refusal
+        });
         self.log_rematch(state, plan_before, &matched);
         state.matched = matched?;
         state.service = choose_service(state.route(), state.request.first_attempt());
