Let the soak play silent servers and changing plans

In each seed, one, some or all servers of a service stand still for 0.3 to 2.5 s, each service in a series of its own, and an operator applies plans in quick succession beside the other faults: time-outs of routes, the idle time-out of callers, routes that move between two engine services or are split by weight, a route that leaves and comes back. Both are drawn by generators of their own, so the other draws of a seed stay as they were.

A seed begins with 6 s in which nothing else happens: no fault, no departure and no crash. In it, requests that break off before the least time-out of their route in the plans that may be in force are counted, and more than 3 fail the seed, except at the host that has no path to servers. Streams and items must be the whole text of one service. A refusal as improper fails the seed, except a 404 on a route that a possible plan lacks. Half of the resumable streams, of which six a host rather than four are under way, and the streams that run once, but for crashing ones, ask servers to end them in order at their time limit.

The operator, no longer the loop of faults, sends the plans; the loop still waits for an acknowledgement between faults. A run's time is that at which the request reached the server, since a silent one begins later: the checks on departures and limits ask when requests reached it.

--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -62,6 +62,7 @@
     pub(crate) server: String,
     pub(crate) incarnation: u64,
     pub(crate) team: Option<String>,
+    /// When the request reached the server, which may have stood still until the run.
     pub(crate) at: Instant,
     pub(crate) had_key: bool,
     /// The version of the server's software.
@@ -96,7 +97,7 @@
 #[derive(Clone)]
 pub(crate) struct Server {
     pub(crate) name: String,
-    service: &'static str,
+    pub(crate) service: &'static str,
     zone: String,
     address: SocketAddr,
     incarnation: Arc<AtomicU64>,
@@ -352,7 +353,7 @@
             server: self.name.clone(),
             incarnation: self.incarnation(),
             team: text("x-tenant"),
-            at: Instant::now(),
+            at: started_at,
             had_key: head.headers.contains_key("authorization"),
             version: self.version(),
             last_event: text("last-event-id").and_then(|last| last.parse().ok()),
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -7,18 +7,30 @@
 //! `REGRESSIONS`, which failed before, run for `SHORT_SECONDS` each, with the faults that they
 //! had then. With `FLEET_SOAK_CRASHES=whole`, a crash under a prompt ends all runs of the server
 //! and keeps it down for a while, rather than the run of that prompt alone.
+//!
+//! In each seed, servers stand still for a while again and again, and an operator changes the
+//! plan in quick succession. For `CALM_TIME` at first, nothing else happens.
+
+mod plans;
+mod silences;
 
 use crate::client::{Answer, Call};
-use crate::servers::{LEAVING_FIELD, LIMIT_FIELD, Run, Server, event_data, stream_text};
+use crate::servers::{
+    LEAVING_FIELD, LIMIT_FIELD, LIMITED_PATH, OTHER_ENGINE_SERVICE, Run, Server, event_data,
+    stream_text,
+};
 use crate::unframed::CRASHING_SEGMENT;
 use crate::versions::last_event;
 use crate::world::{ProcessFleet, Role};
+use plans::{Operator, PlanLog};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use silences::{FailedRequest, check_failures, record_failure, run_silences};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 
 /// Seeds that failed before, with the share of starts without a path to servers and the causes.
@@ -49,6 +61,9 @@
 const SHORT_SEED: u64 = 1;
 const SHORT_SECONDS: u64 = 8;
 
+/// The time at the beginning of a seed in which servers are only silent, and the plan changes.
+const CALM_TIME: Duration = Duration::from_secs(6);
+
 /// The number of events per stream, per resumable stream, and per batch item.
 const STREAM_EVENTS: u64 = 12;
 const RESUMABLE_EVENTS: u64 = 60;
@@ -133,6 +148,8 @@
     limits: Arc<Mutex<Vec<(String, Instant)>>>,
     /// The entry hosts that were paused or restarted, which may forget departures.
     interruptions: Arc<Mutex<Vec<(String, Instant)>>>,
+    /// The requests that were refused as improper or broke off.
+    failed: Arc<Mutex<Vec<FailedRequest>>>,
 }
 
 impl Observations {
@@ -145,10 +162,12 @@
     value.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Sends requests of every kind to every entry host until `deadline`.
+/// Sends requests of every kind to every entry host until `deadline`; those that crash servers
+/// once the calm is over.
 fn start_callers(
     fleet: &ProcessFleet,
     observations: &Observations,
+    calm_until: Instant,
     deadline: Instant,
     tasks: &mut JoinSet<()>,
 ) {
@@ -158,10 +177,11 @@
         let next_entry = entries[(index + 1) % entries.len()].clone();
         // Many long streams are under way whenever an entry host or a server fails.
         let kinds = ["walk", "ping", "charge", "crash"];
-        let kinds = kinds.into_iter().chain(["rules"; 4]);
+        let kinds = kinds.into_iter().chain(["rules"; 6]);
         for (caller, kind) in kinds.enumerate() {
             let path = match kind {
-                "walk" => format!("/{kind}/{STREAM_EVENTS}"),
+                "walk" => format!("/{kind}/{STREAM_EVENTS}{LIMITED_PATH}"),
+                "rules" if caller % 2 == 0 => format!("/{kind}/{RESUMABLE_EVENTS}{LIMITED_PATH}"),
                 "rules" => format!("/{kind}/{RESUMABLE_EVENTS}"),
                 "crash" => format!("/walk/{STREAM_EVENTS}"),
                 _ => format!("/{kind}/1"),
@@ -170,6 +190,9 @@
             let next_address = fleet.callers_address(&next_entry);
             let (observations, entry) = (observations.clone(), entry.clone());
             tasks.spawn(async move {
+                if kind == "crash" {
+                    tokio::time::sleep_until(calm_until.into()).await;
+                }
                 for number in 0u32.. {
                     if Instant::now() > deadline {
                         return;
@@ -181,7 +204,9 @@
                     if kind == "crash" {
                         call = call.body(format!("crashing question {number}"));
                     }
+                    let sent_at = Instant::now();
                     let answer = call.clone().field("x-request-id", &id).send().await;
+                    record_failure(&observations, &entry, kind, &id, sent_at, answer.as_ref());
                     record_fields(&observations, &entry, answer.as_ref());
                     check_answer(&observations, kind, &id, answer.as_ref());
                     if kind == "rules" {
@@ -233,8 +258,9 @@
 
 /// Lets one server at a time say in its responses that it leaves, and restarts it, perhaps with
 /// another software version.
-async fn run_departures(servers: Vec<Server>, seed: u64, deadline: Instant) {
+async fn run_departures(servers: Vec<Server>, seed: u64, calm_until: Instant, deadline: Instant) {
     let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    tokio::time::sleep_until(calm_until.into()).await;
     while Instant::now() < deadline {
         let server = &servers[rng.random_range(0..servers.len())];
         server.start_leaving_in_answers();
@@ -332,21 +358,37 @@
     let Some(answer) = answer.filter(|answer| answer.status.is_success()) else {
         return;
     };
+    let streams = |count| by_service(id).map(|id| stream_text(&id, count)).to_vec();
     let expected = match kind {
-        "walk" | "crash" => stream_text(id, STREAM_EVENTS),
-        "rules" => stream_text(id, RESUMABLE_EVENTS),
-        _ => format!("{id}:10"),
+        "walk" | "crash" => streams(STREAM_EVENTS),
+        "rules" => streams(RESUMABLE_EVENTS),
+        _ => vec![format!("{id}:10")],
     };
     let text = answer.text();
-    if answer.complete && text != expected {
+    if answer.complete && !expected.contains(&text) {
         observations.record_violation(format!("{id} got the wrong response {text:?}"));
     }
-    if !answer.complete && !expected.starts_with(&text) {
+    if !answer.complete && !expected.iter().any(|whole| whole.starts_with(&text)) {
         observations.record_violation(format!("{id} was truncated to the wrong prefix {text:?}"));
     }
     *lock(&observations.served) += u32::from(answer.complete);
 }
 
+/// What the servers of each engine service write as the id in the events of a request.
+fn by_service(id: &str) -> [String; 2] {
+    [id.to_owned(), format!("{id}-{OTHER_ENGINE_SERVICE}")]
+}
+
+/// The servers of a fleet by service.
+fn servers_by_service(fleet: &ProcessFleet) -> Vec<Vec<Server>> {
+    let mut services: BTreeMap<&str, Vec<Server>> = BTreeMap::new();
+    for server in &fleet.servers {
+        let servers = services.entry(server.service).or_default();
+        servers.push(server.clone());
+    }
+    services.into_values().collect()
+}
+
 /// Runs the soak test with one seed.
 async fn run_seed(seed: u64, length: Duration, stranded_share: f64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -355,29 +397,40 @@
         rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(32)),
         stranded_share,
     };
+    let mut silences = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     let mut fleet = ProcessFleet::start().await;
-    if stranded_share > 0.0 {
-        let stranded = draw_host(&fleet, Role::Entry, &mut paths.rng);
-        fleet.restart_with_path(&stranded, false);
-    }
+    let mut servers = fleet.servers.clone();
     let observations = Observations::default();
-    let deadline = Instant::now() + length;
+    let plan_changes = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    let operator = Operator::start(&mut fleet, plan_changes, observations.clone()).await;
+    let (plans, mut acknowledged) = (operator.log(), operator.acknowledged());
+    let stranded = (stranded_share > 0.0).then(|| draw_host(&fleet, Role::Entry, &mut paths.rng));
+    if let Some(stranded) = &stranded {
+        fleet.restart_with_path(stranded, false);
+    }
+    let calm = Instant::now()..Instant::now() + CALM_TIME;
+    let deadline = calm.end + length;
     let mut callers = JoinSet::new();
-    start_callers(&fleet, &observations, deadline, &mut callers);
-    let mut servers = fleet.servers.clone();
+    start_callers(&fleet, &observations, calm.end, deadline, &mut callers);
+    callers.spawn(operator.run(deadline));
+    for servers in servers_by_service(&fleet) {
+        let silences = ChaCha8Rng::from_rng(&mut silences);
+        callers.spawn(run_silences(servers, silences, deadline));
+    }
     let limited = servers.pop().expect("a server");
     limited.name_limit(LIMIT);
     if std::env::var("FLEET_SOAK_CRASHES").is_ok_and(|crashes| crashes == "whole") {
         fleet.servers.iter().for_each(Server::crash_whole);
     }
-    callers.spawn(run_departures(servers, seed, deadline));
+    callers.spawn(run_departures(servers, seed, calm.end, deadline));
     let mut jobs: BTreeMap<String, Vec<String>> = BTreeMap::new();
-    let mut acknowledged = 0;
+    submit_job(&fleet, &mut jobs).await;
+    tokio::time::sleep_until(calm.end.into()).await;
     let mut wiped_at: HashMap<&str, Instant> = HashMap::new();
     let mut injected = Vec::new();
     while Instant::now() < deadline {
         submit_job(&fleet, &mut jobs).await;
-        acknowledged = change_plan(&mut fleet, acknowledged, &observations).await;
+        wait_for_acknowledgement(&mut acknowledged).await;
         let fault = draw_fault(&mut rng);
         injected.push(format!("{fault:?}"));
         let interrupted =
@@ -393,7 +446,9 @@
     for name in fleet.hosts_without_path() {
         fleet.restart_with_path(&name, true);
     }
+    let acknowledged = *acknowledged.borrow();
     check_final_state(&fleet, &jobs, acknowledged, &observations).await;
+    let broken = check_failures(&observations, &plans, &calm, stranded.as_deref());
     check_departures(&fleet, &observations);
     check_limit(&fleet, &observations, &limited);
     check_versions(&fleet, &observations);
@@ -408,7 +463,7 @@
     let taken_up = runs.iter().filter(|run| run.id.ends_with(TAKEN_UP));
     println!(
         "seed {seed}: {served} served, {} jobs, {} faults, {} runs of streams taken up, {} at the \
-         limited server",
+         limited server, {broken} broken off in the calm",
         jobs.len(),
         injected.len(),
         taken_up.count(),
@@ -428,31 +483,11 @@
     }
 }
 
-/// Replaces the plan and checks that no control host returns a version older than the
-/// last acknowledged one; returns the latter.
-async fn change_plan(
-    fleet: &mut ProcessFleet,
-    acknowledged: u64,
-    observations: &Observations,
-) -> u64 {
-    let plan = fleet.next_plan(&["k1"]);
-    let version = plan["version"].as_u64().expect("a version");
-    let apply = tokio::time::timeout(Duration::from_millis(1_500), fleet.apply_plan(&plan));
-    let acknowledged = if apply.await.is_ok() {
-        version
-    } else {
-        acknowledged
-    };
-    for name in fleet.host_names(Role::Control) {
-        let reading = tokio::time::timeout(Duration::from_millis(300), fleet.read_version(&name));
-        if let Ok(Some(read)) = reading.await
-            && read < acknowledged
-        {
-            observations
-                .record_violation(format!("{name} read version {read} after {acknowledged}"));
-        }
-    }
-    acknowledged
+/// Waits until the operator's next plan is acknowledged, or for a while if none is.
+async fn wait_for_acknowledgement(acknowledged: &mut watch::Receiver<u64>) {
+    acknowledged.mark_unchanged();
+    // The operator may have ended.
+    let _ = tokio::time::timeout(Duration::from_millis(1_500), acknowledged.changed()).await;
 }
 
 /// Injects a fault. Returns the host that it paused or restarted.
@@ -551,8 +586,11 @@
             .await;
         let results = fleet.read_results(&entry, job).await.unwrap_or_default();
         for (id, text) in &results {
-            let expected: Vec<String> = (0..ITEM_EVENTS).map(|n| event_data(id, n)).collect();
-            if *text != expected.join("\n") || !items.contains(id) {
+            let whole = by_service(id).map(|id| {
+                let events = (0..ITEM_EVENTS).map(|n| event_data(&id, n));
+                events.collect::<Vec<_>>().join("\n")
+            });
+            if !whole.contains(text) || !items.contains(id) {
                 observations
                     .record_violation(format!("{job} has a wrong result for {id}: {text:?}"));
             }
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -96,6 +96,38 @@
     text.write_fmt(more).expect("writing to a string succeeds");
 }
 
+/// Sends a plan to control hosts in turn until one acknowledges it.
+pub(crate) async fn send_plan(addresses: &[SocketAddr], plan: &Value) {
+    let started = Instant::now();
+    for address in addresses.iter().cycle() {
+        let call = Call::new(*address, Method::POST, "/config/replace").body(plan.to_string());
+        if call
+            .send()
+            .await
+            .is_some_and(|answer| answer.status.is_success())
+        {
+            return;
+        }
+        assert!(
+            started.elapsed() < WAIT_TIMEOUT,
+            "no control host acknowledged the plan within {WAIT_TIMEOUT:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Reads the plan version at a control host; `None` if it can't confirm that the version is
+/// current.
+pub(crate) async fn read_plan_version(address: SocketAddr) -> Option<u64> {
+    let mut call = Call::new(address, Method::GET, "/config/get");
+    call.timeout = Duration::from_secs(3);
+    let answer = call
+        .send()
+        .await
+        .filter(|answer| answer.status.is_success())?;
+    answer.json()["version"].as_u64()
+}
+
 /// A fleet of processes with their proxies and stand-in servers.
 pub(crate) struct ProcessFleet {
     folder: TempDir,
@@ -472,35 +504,13 @@
 
     /// Sends a plan to the control hosts in turn until one acknowledges it.
     pub(crate) async fn apply_plan(&self, plan: &Value) {
-        let addresses = self.addresses(Role::Control, CONTROL_PORT);
-        let started = Instant::now();
-        for address in addresses.iter().cycle() {
-            let call = Call::new(*address, Method::POST, "/config/replace").body(plan.to_string());
-            if call
-                .send()
-                .await
-                .is_some_and(|answer| answer.status.is_success())
-            {
-                return;
-            }
-            assert!(
-                started.elapsed() < WAIT_TIMEOUT,
-                "no control host acknowledged the plan within {WAIT_TIMEOUT:?}"
-            );
-            tokio::time::sleep(Duration::from_millis(100)).await;
-        }
+        send_plan(&self.addresses(Role::Control, CONTROL_PORT), plan).await;
     }
 
     /// Reads the plan version at one control host; `None` if it can't confirm that the
     /// version is current.
     pub(crate) async fn read_version(&self, name: &str) -> Option<u64> {
-        let mut call = Call::new(self.control_address(name), Method::GET, "/config/get");
-        call.timeout = Duration::from_secs(3);
-        let answer = call
-            .send()
-            .await
-            .filter(|answer| answer.status.is_success())?;
-        answer.json()["version"].as_u64()
+        read_plan_version(self.control_address(name)).await
     }
 
     /// Whether all entry hosts answer readiness probes with success.
