Let the items of jobs follow their route to another service

Items that had not begun when their route moved to another service were never run once the servers of the service before had left: 58 of 100, with idle servers beside.

Cause: a job keeps the service that its route led to when it was accepted, and slots were requested of that service only, whatever the plan in force says.

Items without output follow their route with each plan. Those with output stay where it was written, as another service would not go on with the same text; if that service has no servers any more, they begin anew at the new one. A new leader does not know which service wrote a text, so it begins those anew whose route has moved since the job was accepted, and waits for its first view of the plan to know. A host without the broker no longer calls a service empty.

Not covered: a route that moves away and back between two leaders, while another service writes.

--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -6,6 +6,7 @@
 //! from it.
 
 use crate::machine::{OpenItem, OutputStart, ProgressDelta, RunProgress};
+use crate::spec::JobSpec;
 use chicoryladder_types::{ServiceName, SoftwareVersion};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::HashMap;
@@ -50,6 +51,9 @@
 pub struct ScheduledItem {
     /// The item and its job.
     pub open: OpenItem,
+    /// The service whose servers run it. An item without output follows its route; one with
+    /// output stays, as another service would not go on with the same text.
+    pub service: ServiceName,
     /// The output that its runs have produced so far.
     pub progress: RunProgress,
     /// The time at which its result is due.
@@ -94,6 +98,7 @@
         let key = self.items.insert(ScheduledItem {
             due_at: submitted_at + open.job_spec.due_in.min(SPAN_MAX),
             give_up_at: submitted_at + open.job_spec.give_up_in.min(SPAN_MAX),
+            service: open.job_spec.service.clone(),
             recorded: (open.progress.last_event, open.progress.text.len()),
             progress: open.progress.clone(),
             version: open.version.clone(),
@@ -161,7 +166,7 @@
     ) -> Option<ItemKey> {
         self.next_matching(now, |_, item| {
             let fits_version = item.required_version().is_none_or(|v| v == version);
-            item.open.job_spec.service == *service && fits_version
+            item.service == *service && fits_version
         })
     }
 
@@ -204,6 +209,50 @@
         }
     }
 
+    /// Lets the items without output follow their routes. `target` returns the service that the
+    /// route of a job leads to; `None` if it leads nowhere, and the items stay.
+    pub fn follow_routes(&mut self, target: impl Fn(&JobSpec) -> Option<ServiceName>) {
+        for keys in self.by_job.values() {
+            let mut service = None;
+            for key in keys {
+                let Some(item) = self.items.get_mut(*key) else {
+                    continue;
+                };
+                let service = service.get_or_insert_with(|| target(&item.open.job_spec));
+                let is_movable =
+                    item.phase == ItemPhase::Waiting && item.progress.last_event.is_none();
+                if let Some(service) = service.as_ref().filter(|_| is_movable) {
+                    item.service = service.clone();
+                }
+            }
+        }
+    }
+
+    /// Discards the output of the items whose routes lead to another service than the one of
+    /// their job: a new leader does not know which of the two wrote it.
+    pub fn discard_unattributed(&mut self, target: impl Fn(&JobSpec) -> Option<ServiceName>) {
+        let is_moved = |item: &ScheduledItem| {
+            target(&item.open.job_spec).is_some_and(|service| service != item.service)
+        };
+        let with_output = self.items.iter();
+        let with_output = with_output.filter(|(_, item)| item.progress.last_event.is_some());
+        let moved = with_output.filter(|(_, item)| is_moved(item));
+        let moved: Vec<ItemKey> = moved.map(|(key, _)| key).collect();
+        for key in moved {
+            self.discard_output(key);
+        }
+    }
+
+    /// Moves a waiting item to another service and discards its output, as the service that
+    /// wrote it has no servers any more.
+    pub fn move_to(&mut self, key: ItemKey, service: &ServiceName) {
+        self.discard_output(key);
+        let item = self.items.get_mut(key);
+        if let Some(item) = item.filter(|item| item.phase == ItemPhase::Waiting) {
+            item.service = service.clone();
+        }
+    }
+
     /// Discards the output of a waiting item, as no server has the version that wrote it.
     pub fn discard_output(&mut self, key: ItemKey) {
         let item = self.items.get_mut(key);
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -534,3 +534,76 @@
     schedule.add(item, now);
     assert_eq!(schedule.ready_count(now), 1);
 }
+
+fn service(name: &str) -> ServiceName {
+    ServiceName::try_from(name).expect("it is valid")
+}
+
+/// A schedule with two items of one job, the first of which has output.
+fn schedule_with_output(now: Instant) -> (ItemSchedule, JobSpec) {
+    let job_spec = job("moved", &["a", "b"]);
+    let mut schedule = ItemSchedule::default();
+    let outputs = [Some(4), None];
+    for ((spec, number), last_event) in job_spec.items.iter().zip(0..).zip(outputs) {
+        let text = last_event.map_or_else(String::new, |_| "some text".to_owned());
+        let open = OpenItem {
+            job_spec: Arc::new(job_spec.clone()),
+            item: number,
+            spec: Arc::new(spec.clone()),
+            failures: 0,
+            progress: RunProgress { text, last_event },
+            version: Some(version()),
+        };
+        schedule.add(open, now);
+    }
+    (schedule, job_spec)
+}
+
+fn next_item(schedule: &ItemSchedule, now: Instant, name: &str) -> Option<String> {
+    let key = schedule.next_for_server(now, &service(name), &version())?;
+    Some(schedule.get(key)?.open.spec.id.clone())
+}
+
+/// Guards against items that wait for ever for a service that their route has left.
+#[test]
+fn items_without_output_follow_their_route() {
+    let now = Instant::now();
+    let (mut schedule, _) = schedule_with_output(now);
+    schedule.follow_routes(|_| Some(service("other")));
+    assert_eq!(
+        next_item(&schedule, now, "engine").as_deref(),
+        Some("a"),
+        "it has output"
+    );
+    assert_eq!(next_item(&schedule, now, "other").as_deref(), Some("b"));
+    schedule.follow_routes(|_| None);
+    assert_eq!(next_item(&schedule, now, "other").as_deref(), Some("b"));
+}
+
+/// Guards against texts of which two services wrote a part each.
+#[test]
+fn an_item_that_leaves_an_empty_service_begins_anew() {
+    let now = Instant::now();
+    let (mut schedule, _) = schedule_with_output(now);
+    let key = schedule.next_for_server(now, &service("engine"), &version());
+    let key = key.expect("an item");
+    schedule.move_to(key, &service("other"));
+    let moved = schedule.get(key).expect("the item");
+    assert_eq!(moved.progress, RunProgress::default());
+    assert_eq!(moved.service, service("other"));
+    schedule.start(key, &version());
+    let start = schedule.take_output_start(key);
+    assert!(start.is_some(), "the recorded output is discarded, too");
+}
+
+/// Guards against new leaders that go on with a text at a service that did not write it.
+#[test]
+fn a_new_leader_begins_output_of_moved_routes_anew() {
+    let now = Instant::now();
+    let (mut schedule, _) = schedule_with_output(now);
+    schedule.discard_unattributed(|job| Some(job.service.clone()));
+    let key = schedule.next_key(now).expect("an item");
+    assert_eq!(schedule.get(key).expect("it").progress.last_event, Some(4));
+    schedule.discard_unattributed(|_| Some(service("other")));
+    assert_eq!(schedule.get(key).expect("it").progress.last_event, None);
+}
--- a/crates/plan/src/checked.rs
+++ b/crates/plan/src/checked.rs
@@ -2,7 +2,7 @@
 
 use crate::error::PlanError;
 use crate::raw::{CallerLimits, PlanVersion, RawPlan, RawRoute, RawService, RawTeam};
-use chicoryladder_types::{ServiceName, TeamName};
+use chicoryladder_types::{RouteName, ServiceName, TeamName};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -80,6 +80,13 @@
         None
     }
 
+    /// Returns the route of the given name.
+    #[must_use]
+    pub fn route_named(&self, name: &RouteName) -> Option<&PlanRoute> {
+        let mut routes = self.routes.values().flat_map(HashMap::values);
+        routes.find(|route| route.name == *name)
+    }
+
     /// Returns the service of the given name.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&PlanService> {
--- a/crates/plan/src/raw.rs
+++ b/crates/plan/src/raw.rs
@@ -77,6 +77,15 @@
     pub waiting_tokens_max: u64,
 }
 
+impl RawRoute {
+    /// The service that runs the items of jobs: the one with the greatest weight.
+    #[must_use]
+    pub fn job_service(&self) -> Option<&ServiceName> {
+        let target = self.targets.iter().max_by_key(|target| target.weight);
+        target.map(|target| &target.service)
+    }
+}
+
 /// The capacity of each engine of a service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineCapacity {
--- a/crates/roles/src/entry/jobs.rs
+++ b/crates/roles/src/entry/jobs.rs
@@ -56,15 +56,15 @@
             .clone()
             .ok_or_else(|| bad("the job has no id".to_owned()))?;
         let route = &matched.route;
-        let target = route.targets.iter().max_by_key(|target| target.weight);
-        let target = target.ok_or_else(|| bad("the route leads nowhere".to_owned()))?;
+        let service = route.job_service();
+        let service = service.ok_or_else(|| bad("the route leads nowhere".to_owned()))?;
         let due_in = route.completion_target.unwrap_or(DEFAULT_COMPLETION_TARGET);
         let job = JobSpec {
             id: id.clone(),
             team: matched.team.as_ref().map(|team| team.name.clone()),
             route: route.name.clone(),
             host: host.to_owned(),
-            service: target.service.clone(),
+            service: service.clone(),
             rank: rank(matched),
             due_in,
             give_up_in: route.give_up_after.unwrap_or(due_in),
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -192,8 +192,9 @@
             }
         }
         if slot_request.kind == WorkKind::Batch {
+            // Without the broker, nothing is known of the servers.
             return Err(SlotError::Refused {
-                reason: SlotRefusalReason::NoServer,
+                reason: SlotRefusalReason::NoSlot(PoolLoad::default()),
                 retry_after: BROKERLESS_RETRY,
             });
         }
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -5,14 +5,15 @@
 use crate::message::{BatchCall, BatchReply, GroupReply};
 use crate::slot_client::{SlotError, SlotLease};
 use chicoryladder_batch::{
-    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, JobOwner, OpenItem,
+    BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, JobOwner, JobSpec, OpenItem,
     OutputStart, ProgressDelta, RunProgress, ScheduledItem, SubmitAnswer,
 };
 use chicoryladder_broker::{SlotRefusalReason, SlotRequest, StreamPart, WorkKind, shared_segments};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
+use chicoryladder_plan::{PlanVersion, RouteKind, ServicePlan};
 use chicoryladder_policy::quarantine::RequestFingerprint;
-use chicoryladder_types::TermNumber;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, TermNumber};
 use serde_json::json;
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -57,6 +58,8 @@
     next_request_at: Option<Instant>,
     runs: HashMap<ItemKey, RunningItem>,
     next_record_at: Option<Instant>,
+    /// The plan whose routes the items follow.
+    followed_plan: Option<PlanVersion>,
     /// When this leader first saw each job.
     first_seen_at: HashMap<String, Instant>,
     next_cleanup_at: Option<Instant>,
@@ -71,18 +74,31 @@
             next_request_at: None,
             runs: HashMap::new(),
             next_record_at: None,
+            followed_plan: None,
             first_seen_at: HashMap::new(),
             next_cleanup_at: None,
         }
     }
 
     /// Begins a leadership with the items that have no result yet.
-    fn begin(&mut self, term: TermNumber, items: Vec<OpenItem>, now: Instant) {
+    fn begin(&mut self, term: TermNumber, items: Vec<OpenItem>, plan: &ServicePlan, now: Instant) {
         self.end();
         self.term = Some(term);
         for item in items {
             self.schedule.add(item, now);
         }
+        self.schedule
+            .discard_unattributed(|job| service_of_route(plan, job));
+    }
+
+    /// Lets the items without output follow the routes of a plan, once for each version.
+    fn follow_plan(&mut self, plan: &ServicePlan) {
+        let version = Some(plan.version());
+        if self.followed_plan != version {
+            self.followed_plan = version;
+            self.schedule
+                .follow_routes(|job| service_of_route(plan, job));
+        }
     }
 
     /// Ends a leadership and aborts its runs.
@@ -91,6 +107,7 @@
             run.task.abort();
         }
         self.term = None;
+        self.followed_plan = None;
         self.schedule = ItemSchedule::default();
         self.requested.clear();
         self.first_seen_at.clear();
@@ -269,13 +286,18 @@
 const LEADER_TICK: Duration = Duration::from_millis(50);
 
 async fn begin_leadership(shared: &StoreShared, status: &GroupStatus) {
+    if shared.view.fresh_at().is_none() {
+        // The plan tells which output may be gone on with.
+        return;
+    }
     let Some(items) = shared.read(BatchMachine::open_items).await else {
         return;
     };
     let count = items.len();
     let now = shared.now();
+    let plan = shared.view.plan();
     shared.repair().restart(now);
-    shared.leader().begin(status.term, items, now);
+    shared.leader().begin(status.term, items, &plan, now);
     let fields = json!({ "term": status.term.0, "open_items": count });
     shared.log.note("leadership_begins", &fields);
 }
@@ -288,6 +310,7 @@
         return;
     }
     leader.next_request_at = None;
+    leader.follow_plan(&shared.view.plan());
     let wanted = leader.schedule.ready_count(now).min(PENDING_REQUESTS_MAX);
     let new_requests = wanted.saturating_sub(leader.requested.len());
     let Some(term) = leader.term else {
@@ -358,11 +381,47 @@
             drop(leader);
             shared.work_due.notify_one();
         }
+        Some(Err(SlotError::Refused {
+            reason: SlotRefusalReason::NoServer,
+            ..
+        })) => {
+            move_from_empty_service(&shared, &mut leader, requested);
+            leader.next_request_at = Some(now + REFUSED_PAUSE);
+        }
         Some(Err(_)) => leader.next_request_at = Some(now + REFUSED_PAUSE),
         None => {}
     }
 }
 
+/// The service that the route of a job leads to; `None` if the plan has no such route for jobs.
+fn service_of_route(plan: &ServicePlan, job: &JobSpec) -> Option<ServiceName> {
+    let route = plan.route_named(&job.route);
+    let route = route.filter(|route| route.kind == RouteKind::Batch)?;
+    route.job_service().cloned()
+}
+
+/// Moves an item whose service has no servers to the one that its route leads to.
+fn move_from_empty_service(shared: &StoreShared, leader: &mut JobLeader, key: ItemKey) {
+    let Some(item) = leader.schedule.get(key) else {
+        return;
+    };
+    let plan = shared.view.plan();
+    let service = service_of_route(&plan, &item.open.job_spec);
+    let Some(service) = service.filter(|service| *service != item.service) else {
+        return;
+    };
+    let fields = json!({
+        "job": item.open.job_spec.id,
+        "item": item.open.spec.id,
+        "service_before": item.service,
+        "service": service,
+        "last_event": item.progress.last_event,
+        "plan": plan.version().0,
+    });
+    shared.log.note("item_moved", &fields);
+    leader.schedule.move_to(key, &service);
+}
+
 /// Starts the item that is next for the server of a slot. The broker has decided only on the requested one, so any
 /// other one is postponed if a segment of its prompt is in quarantine.
 fn start_next(
@@ -379,7 +438,7 @@
         let quarantine = if requested == key {
             None
         } else {
-            let service = &item.open.job_spec.service;
+            let service = &item.service;
             let shape = shared.runner.dialect.item_shape(&item.open.spec);
             let segments = shared_segments(&shape.segments);
             shared.view.quarantine_of(service, &segments, now)
@@ -397,7 +456,7 @@
     let shape = shared.runner.dialect.item_shape(&item.open.spec);
     SlotRequest {
         ticket: 0,
-        service: item.open.job_spec.service.clone(),
+        service: item.service.clone(),
         kind: WorkKind::Batch,
         rank: item.open.job_spec.rank,
         zone: shared.base.settings.host.zone.clone(),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod first_contact;
 mod hushed;
 mod limited;
+mod moved_jobs;
 mod odd_entries;
 mod planned_stops;
 mod proxy;
