Discard reserves of an earlier limit when a plan lowers it

A team whose limit was lowered from 200 to 2 requests a second had 108 requests run within 5 s when the broker was lost 15 s later; 33.2 are allowed.

Cause: an entry host keeps what the broker granted until it is spent, whatever plan comes into force since. The capacity of the bucket is computed as if hosts held the reserve of the new plan.

A host that gets a plan which lowers a team's rate or burst, or names the team no more, discards what was granted to the team before, in the same step; with its next sync it reports none, and the broker grants what the new limit allows. A raised limit keeps what was granted.

--- a/crates/broker/src/reserves.rs
+++ b/crates/broker/src/reserves.rs
@@ -59,6 +59,16 @@
         }
     }
 
+    /// Discards what the broker granted under an earlier plan to teams whose limit a newer one
+    /// lowers. The broker grants anew what the limit in force allows.
+    pub fn discard_lowered(&mut self, mut is_lowered: impl FnMut(&TeamName) -> bool) {
+        for (team, reserve) in &mut self.teams {
+            if is_lowered(team) {
+                reserve.granted = 0;
+            }
+        }
+    }
+
     /// Discards the reserves of teams that another host holds now.
     pub fn retain(&mut self, mut is_held: impl FnMut(&TeamName) -> bool) {
         self.teams.retain(|team, _| is_held(team));
--- a/crates/broker/tests/all/reserves.rs
+++ b/crates/broker/tests/all/reserves.rs
@@ -421,3 +421,26 @@
     assert_eq!(take(ms(3_700)), Err(None));
     assert_eq!(take(KEY_LEASE), Err(None));
 }
+
+/// Guards against reserves of an earlier, higher limit that are spent once the broker is lost.
+#[test]
+fn a_lowered_limit_ends_what_was_granted_before() {
+    let now = Instant::now();
+    let names = [team_name("lowered"), team_name("kept")];
+    let mut held = HeldReserves::default();
+    for name in &names {
+        held.add(name.clone(), 50);
+    }
+    held.discard_lowered(|team| *team == names[0]);
+    let terms = ReserveTerms {
+        rate: 2.0,
+        share: 1.0,
+        lease: KEY_LEASE,
+    };
+    let mut taken = |team: &TeamName| {
+        let takes = (0..100).map(|_| held.take(team, terms, now, now + STEP));
+        takes.filter(Result::is_ok).count()
+    };
+    assert_eq!(taken(&names[0]), 0);
+    assert_eq!(taken(&names[1]), 50);
+}
--- a/crates/plan/src/checked.rs
+++ b/crates/plan/src/checked.rs
@@ -99,6 +99,29 @@
         self.teams.get(name)
     }
 
+    /// Whether this plan allows a team a lower rate or burst than an earlier one did, or names
+    /// the team no more.
+    #[must_use]
+    pub fn lowers_limit(&self, earlier: &Self, team: &TeamName) -> bool {
+        // A rate of 0 is no limit.
+        let limit = |team: &PlanTeam| {
+            let rate = if team.rate > 0.0 {
+                team.rate
+            } else {
+                f64::INFINITY
+            };
+            (rate, team.burst)
+        };
+        let limits = (self.team(team).map(limit), earlier.team(team).map(limit));
+        match limits {
+            (Some((rate, burst)), Some((rate_before, burst_before))) => {
+                rate < rate_before || burst < burst_before
+            }
+            (None, Some(_)) => true,
+            (_, None) => false,
+        }
+    }
+
     /// The index of teams by API key.
     #[must_use]
     pub fn keys(&self) -> &TeamIndex {
--- a/crates/plan/tests/plan.rs
+++ b/crates/plan/tests/plan.rs
@@ -132,3 +132,27 @@
     raw.teams[0].keys.push("k1".to_owned());
     assert!(ServicePlan::try_from(raw).is_ok());
 }
+
+#[test]
+fn a_plan_lowers_the_limit_of_a_team_by_its_rate_or_burst_or_by_its_absence() {
+    let checked = |rate: f64, burst: f64| {
+        let mut raw = plan();
+        raw.teams[0].rate = rate;
+        raw.teams[0].burst = burst;
+        ServicePlan::try_from(raw).expect("it is valid")
+    };
+    let name = plan().teams[0].name.clone();
+    let before = checked(200.0, 200.0);
+    assert!(checked(2.0, 200.0).lowers_limit(&before, &name));
+    assert!(checked(200.0, 2.0).lowers_limit(&before, &name));
+    assert!(!checked(200.0, 200.0).lowers_limit(&before, &name));
+    assert!(!checked(300.0, 200.0).lowers_limit(&before, &name));
+    // A rate of 0 is no limit.
+    assert!(!checked(0.0, 200.0).lowers_limit(&before, &name));
+    assert!(before.lowers_limit(&checked(0.0, 200.0), &name));
+    let mut without = plan();
+    without.teams.remove(0);
+    let without = ServicePlan::try_from(without).expect("it is valid");
+    assert!(without.lowers_limit(&before, &name));
+    assert!(!before.lowers_limit(&without, &name));
+}
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -326,7 +326,10 @@
             let plan = decode_plan(encoded)?;
             if plan.version() > state.plan.version() {
                 new_version = Some(plan.version());
-                state.plan = Arc::new(plan);
+                let before = std::mem::replace(&mut state.plan, Arc::new(plan));
+                let plan = state.plan.clone();
+                let is_lowered = |team: &TeamName| plan.lowers_limit(&before, team);
+                state.reserves.held.discard_lowered(is_lowered);
             }
         }
         if let Some((number, encoded)) = reply.directory {
