Show streams taken up at another version after a search, listed as red

Callers that take a stream up get the rest of it from a server of another version than the one that began it.

Cause: each slot that is granted for the beginning of a stream binds the stream to the version of its server, at the broker and at the host. Since such a slot is also requested while the server that has the request is only silent. If that server goes on, the stream is its, but bound to the version of the server that was found. Evidence: `sent` to engine-1 (v1), `attempt_failed` with not-run at engine-3 (v2), then `sent` of the attempt that takes the stream up to engine-3.

--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -318,3 +318,40 @@
     }
     assert!(resumed > 0);
 }
+
+/// Guards against streams that callers take up at another version than the one that began them,
+/// since a server of it was searched for while theirs was silent before the first event.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_taken_up_after_a_search_keep_the_version_that_began_them() {
+    /// The time without a head after which another server is searched for, less a part.
+    const BEFORE_SEARCH: Duration = Duration::from_millis(1_600);
+    /// Ends while the server that was found is asked for its state.
+    const SILENCE: Duration = Duration::from_millis(2_300);
+    let mut fleet = mixed_fleet().await;
+    let entries = fleet.host_names(Role::Entry);
+    let servers = engines(&fleet);
+    servers[0].pause_for(SILENCE);
+    servers[1].pause_for(SILENCE);
+    let ids: Vec<String> = (0..STREAMS)
+        .map(|number| format!("sought-{number}"))
+        .collect();
+    let calls = ids.iter().map(|id| {
+        let call = fleet.caller_request(&entries[0], LONG_STREAM, id);
+        tokio::spawn(async move { call.send().await })
+    });
+    let calls: Vec<_> = calls.collect();
+    // The search finds the server of the other version, which does not answer at once.
+    tokio::time::sleep(BEFORE_SEARCH).await;
+    servers[2].pause_for(BEGIN_TIME * 2);
+    tokio::time::sleep(BEGIN_TIME * 2).await;
+    fleet.kill(&entries[0]);
+    let mut begun = Vec::new();
+    for (id, call) in ids.into_iter().zip(calls) {
+        let answer = call.await.expect("no panic");
+        let answer = answer.filter(|answer| last_event(answer).is_some());
+        begun.extend(answer.map(|answer| (id, answer)));
+    }
+    assert!(!begun.is_empty());
+    let gone_on = take_up(&fleet, &entries[2], &begun).await;
+    assert!(gone_on > 0, "{gone_on} of {} streams went on", begun.len());
+}
