Show a stream that is not searched for after five searches, listed as red

A stream whose server is lost without a word is cut at its deadline, although two other servers answer again for four seconds.

Cause: each search under silence counts as one of the six slot requests of a request, also if it finds no server. After the fifth the stream may not be resumed any more, whatever breaks it off. Evidence: `stream_not_resumed` with asks 2 to 6, half a second apart, and no line after them.

--- a/tests/fleet/hushed.rs
+++ b/tests/fleet/hushed.rs
@@ -120,6 +120,35 @@
     assert_eq!(runs.len(), 2, "{runs:?}");
 }
 
+/// Guards against streams that are cut since their server is lost, although others answer again:
+/// no more of them was searched for after the first searches had found none.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_a_server_that_answers_after_many_searches() {
+    /// The time for six searches, which find no server that answers.
+    const LONG_SILENCE: Duration = Duration::from_millis(4_500);
+    let mut fleet = ProcessFleet::start().await;
+    let mut plan = fleet.next_plan(&["k1"]);
+    route(&mut plan, "rules")["timeout-ms"] = json!(9_000);
+    fleet.apply_plan(&plan).await;
+    tokio::time::sleep(BEGIN_TIME).await;
+    let entry = &fleet.host_names(Role::Entry)[0];
+    let path = format!("/rules/{EVENTS}");
+    let call = Call::new(fleet.callers_address(entry), Method::POST, &path)
+        .field("x-request-id", "sought")
+        .field("x-deadline-ms", "9000")
+        .key("k1");
+    let stream = tokio::spawn(async move { call.send().await });
+    tokio::time::sleep(BEGIN_TIME).await;
+    let running = fleet.runs.runs_of("sought")[0].server.clone();
+    for server in engines(&fleet) {
+        let is_lost = server.name == running;
+        server.pause_for(LONG_SILENCE * if is_lost { 4 } else { 1 });
+    }
+    let answer = finish(stream).await;
+    assert!(answer.complete, "{answer:?}");
+    assert_eq!(answer.text(), stream_text("sought", EVENTS));
+}
+
 /// Guards against streams that go on at the service to which their route has moved since, so that
 /// callers get pieces of two runs.
 #[tokio::test(flavor = "multi_thread")]
