Show output that reaches an item of another leadership, listed as red

Each leadership of the job group has a schedule of its own, whose keys begin anew. A task of the leadership before, which is not aborted once its run has ended, may touch another item of the next schedule by its key: it removes it, marks it as committing for good, or gives it the output of its own item.

Shown for the schedule; not seen in a whole fleet.

--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -607,3 +607,25 @@
     schedule.discard_unattributed(|_| Some(service("other")));
     assert_eq!(schedule.get(key).expect("it").progress.last_event, None);
 }
+
+/// Guards against a run of an earlier leadership that ends late, and whose output becomes that of
+/// another item under the next leadership of the same process.
+#[test]
+fn output_of_an_earlier_schedule_reaches_no_item_of_the_next() {
+    let now = Instant::now();
+    let mut group = TestGroup::default();
+    group.submit(job("j1", &["1"]), 0);
+    let mut earlier = ItemSchedule::default();
+    earlier.add(open("j0", 60), now);
+    let late = earlier.start_next(now, &engine(), &version());
+    let late = late.expect("an item");
+    let mut next = ItemSchedule::default();
+    next.add(group.machine.open_items().remove(0), now);
+    next.mark_failed(late, with_event(&RunProgress::default(), 0), now);
+    let later = now + Duration::from_secs(3);
+    let key = next.start_next(later, &engine(), &version());
+    let key = key.expect("an item");
+    let item = next.get(key).expect("an item");
+    assert_eq!(item.open.job_spec.id, "j1");
+    assert_eq!(item.progress, RunProgress::default());
+}
