Search for another server only at the version of the silent one

A search for another server before the first event asked for a slot as the beginning of a stream, which binds the stream to the version of whatever server is found. If the silent server went on after all, callers that took the stream up got the rest from the other version.

While a run is under way, a search asks for the rest of its stream at the version of that run, and binds nothing new.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -107,7 +107,8 @@
     avoid: Vec<ServerName>,
     last_failure: Option<RunFailure>,
     service: ServiceName,
-    /// The version of the server whose response is relayed; `None` before it begins.
+    /// The version of the server whose response is relayed, or may be: while the request waits
+    /// for its head, another server is searched for at the same version. `None` otherwise.
     version: Option<SoftwareVersion>,
     /// Identifies the request when the caller sends it again.
     pub(super) fingerprint: RequestFingerprint,
@@ -139,7 +140,7 @@
         let is_named = head.last_event.is_none() || head.resumed_attempt.is_some();
         let stream = is_named.then(|| StreamId::of_attempt(self.request.first_attempt()));
         Some(match (last_event, stream) {
-            (None, Some(stream)) => StreamPart::Beginning(stream),
+            (None, Some(stream)) if !self.has_begun() => StreamPart::Beginning(stream),
             (_, stream) => StreamPart::Rest {
                 stream,
                 version: self.version.clone(),
@@ -147,7 +148,7 @@
         })
     }
 
-    /// Whether a part of the response may have reached the caller.
+    /// Whether a run of the request is under way that may become the caller's response.
     fn has_begun(&self) -> bool {
         self.version.is_some()
     }
@@ -341,10 +342,12 @@
             state.runs -= 1;
             match sent {
                 Ok(answer) => {
+            let version = state.version.clone();
                     let elapsed = self.clock.now().saturating_duration_since(now);
                     lease.record_first_answer(elapsed);
                     lease.record_load(answer.head.load);
                     return Some((answer, lease));
+            state.version = version;
                 }
                 Err(failure) => self.end_failed_attempt(state, lease, failure),
             }
@@ -375,6 +378,7 @@
             }
             *successor = self.find_successor(state, last_event).await;
         }
+        state.bind_version(&lease.version);
     }
 
     fn log_sent(&self, state: &RequestState, lease: &SlotLease, now: Instant) {
@@ -613,7 +617,7 @@
                 .request_headers(&request.headers, &context),
             body: request.body.clone(),
             at_most_once: !state.is_repeatable(),
-            continues_run: context.last_event.is_some(),
+            continues_run: context.last_event.is_some() || state.has_begun(),
             head_timeout: if may_resend {
                 resend_after.min(left)
             } else {
