Search for a server as long as the stream has time

After five searches without success a stream was not searched for any more and was cut at its deadline, although other servers answered again.

Cause: each search counted as one of the six slot requests of a request, a bound that is meant for servers that refuse to run it. Every server that did not answer a search was avoided for the rest of the request, too, and reported as unreachable, which suspends sound servers that are silent.

A search without success is not counted any more. It excludes only the server that did not answer the search before it, and says nothing against it. Searches are at least 100 ms apart, also on routes without a target.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -38,6 +38,9 @@
 /// repeatable request is sent to another server.
 const RESEND_AFTER_TARGETS: u32 = 2;
 
+/// The shortest interval between two searches for a server to go on with a silent stream.
+pub(super) const SEARCH_INTERVAL_MIN: Duration = Duration::from_millis(100);
+
 /// A request counts as a caller's retry after a refusal if its time left is below
 /// this share of the longest time left seen on its route.
 const RETRY_SHARE: f64 = 0.93;
@@ -105,6 +108,8 @@
     slot_requests: u32,
     charged: bool,
     avoid: Vec<ServerName>,
+    /// The server that did not answer the latest search. It may answer a later one.
+    unanswered: Option<ServerName>,
     last_failure: Option<RunFailure>,
     service: ServiceName,
     /// The version of the server whose response is relayed, or may be: while the request waits
@@ -271,6 +276,7 @@
             slot_requests: 0,
             charged: false,
             avoid: Vec::new(),
+            unanswered: None,
             last_failure: None,
             service,
             version: None,
@@ -336,18 +342,18 @@
             let mut successor = None;
             // The request may run from here on, even if this future is dropped.
             state.runs += 1;
+            let version = state.version.clone();
             let search = self.search_while_silent(state, &lease, last_event, &mut successor);
             let sent = self.runner.send_until(&request, prepared.take(), search);
             let sent = sent.await;
             state.runs -= 1;
+            state.version = version;
             match sent {
                 Ok(answer) => {
-            let version = state.version.clone();
                     let elapsed = self.clock.now().saturating_duration_since(now);
                     lease.record_first_answer(elapsed);
                     lease.record_load(answer.head.load);
                     return Some((answer, lease));
-            state.version = version;
                 }
                 Err(failure) => self.end_failed_attempt(state, lease, failure),
             }
@@ -370,7 +376,9 @@
             return std::future::pending().await;
         }
         let interval = state.route().latency_target * RESEND_AFTER_TARGETS;
+        let interval = interval.max(SEARCH_INTERVAL_MIN);
         state.avoid_server(&lease.server);
+        state.bind_version(&lease.version);
         while successor.is_none() {
             tokio::time::sleep(interval).await;
             if !state.may_retry(self.clock.now()) {
@@ -378,7 +386,6 @@
             }
             *successor = self.find_successor(state, last_event).await;
         }
-        state.bind_version(&lease.version);
     }
 
     fn log_sent(&self, state: &RequestState, lease: &SlotLease, now: Instant) {
@@ -577,7 +584,12 @@
             fingerprint: state.fingerprint,
             tokens: state.request.head.prompt.tokens,
             stream: state.stream_part(last_event),
-            avoid: state.avoid.clone(),
+            avoid: state
+                .avoid
+                .iter()
+                .chain(&state.unanswered)
+                .cloned()
+                .collect(),
             first_answer_within: within,
             wait_max: within.min(left),
         }
@@ -733,6 +745,7 @@
             slot_requests: state.slot_requests,
             charged: state.charged,
             avoid: std::mem::take(&mut state.avoid),
+            unanswered: state.unanswered.take(),
             last_failure: state.last_failure.take(),
             service: state.service.clone(),
             version: Some(lease.version.clone()),
@@ -751,18 +764,26 @@
     }
 
     /// Finds another server that answers, to go on with a stream whose server is silent.
-    /// Nothing runs there yet.
+    /// Nothing runs there yet, so a search without success is not counted.
     pub(super) async fn find_successor(
         &self,
         state: &mut RequestState,
         last_event: Option<u64>,
     ) -> Option<StreamSuccessor> {
-        let lease = self.acquire_resuming_slot(state, last_event).await?;
+        let asks = state.slot_requests;
+        let lease = self.acquire_resuming_slot(state, last_event).await;
+        state.slot_requests = asks;
+        let lease = lease?;
         let request = self.server_request(state, &lease, last_event, self.clock.now());
         match self.runner.prepare(&request).await {
-            Ok(connection) => Some(StreamSuccessor { lease, connection }),
+            Ok(connection) => {
+                state.slot_requests += 1;
+                Some(StreamSuccessor { lease, connection })
+            }
             Err(failure) => {
-                self.end_failed_attempt(state, lease, failure);
+                self.record_failure(state, &lease, &failure);
+                state.unanswered = Some(lease.server.clone());
+                lease.end(failure.outcome);
                 None
             }
         }
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -6,7 +6,9 @@
 //! never look complete. A response whose only end mark is the end of its connection is
 //! truncated if it ends within an event.
 
-use super::forward::{AnswerEnd, RequestForwarder, RequestState, StreamSuccessor};
+use super::forward::{
+    AnswerEnd, RequestForwarder, RequestState, SEARCH_INTERVAL_MIN, StreamSuccessor,
+};
 use crate::connection_pool::ConnectionEnd;
 use crate::event_stream::{EventSequencer, SequenceFault};
 use crate::server_run::{PooledConnection, ServerAnswer};
@@ -362,7 +364,9 @@
         let state = &self.context.state;
         let is_replaceable = self.context.resumable && state.may_retry(now);
         let gap = state.matched.route.gap_target.filter(|_| is_replaceable);
-        gap.map_or(Duration::MAX, |gap| gap * GAP_MAX_TARGETS)
+        gap.map_or(Duration::MAX, |gap| {
+            (gap * GAP_MAX_TARGETS).max(SEARCH_INTERVAL_MIN)
+        })
     }
 
     /// Searches for another server that answers, while the silent one may still go on: silence
@@ -375,6 +379,7 @@
         state.avoid_server(&run.lease.server);
         state.bind_version(&run.lease.version);
         let gap_target = state.matched.route.gap_target.unwrap_or_default();
+        let interval = gap_target.max(SEARCH_INTERVAL_MIN);
         let deadline = forwarder.sleep_until(state.answer_by);
         let search = forwarder.find_successor(state, run.last_event());
         tokio::pin!(search, deadline);
@@ -388,8 +393,8 @@
                     }
                 }
                 found = &mut search => {
-                    // The next search follows if the server stays silent for another target.
-                    run.waited = gap_target * (GAP_MAX_TARGETS - 1);
+                    // The next search follows if the server stays silent for another interval.
+                    run.waited = (gap_target * GAP_MAX_TARGETS).saturating_sub(interval);
                     return found.map_or(SearchEnd::NotFound, |found| SearchEnd::Found(found.into()));
                 }
                 () = &mut deadline => {
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -240,7 +240,11 @@
         }
         let opened = self.open(request, &mut None).await?;
         let prepared = self.wait_for_answer(request, opened).await?;
-        prepared.ok_or_else(failed_unused)
+        // Silence says nothing against a server to which nothing was sent.
+        prepared.ok_or_else(|| {
+            let cause = "the server did not tell its state";
+            RunFailure::new(RunVerdict::NotRun, RunOutcome::Stopped, cause)
+        })
     }
 
     /// Asks a server for its state, and returns the connection to use once it has answered.
