Give no key of an item to another one under the next leadership

Each leadership of the job group had a schedule of its own, whose keys began anew. Tasks that have left the list of runs are not aborted with a leadership: they still record a result or a failure when it is proposed, and then touched another item by their old key: removed it, gave it their own output, or marked it as committing for good.

The schedule of a process is cleared now, not replaced, so that an old key names nothing.

--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -92,6 +92,14 @@
 }
 
 impl ItemSchedule {
+    /// Removes all items. Their keys name no item that is added later, so that what a task of an
+    /// ended leadership still does has no effect.
+    pub fn clear(&mut self) {
+        self.items.clear();
+        self.by_job.clear();
+        self.average_run_seconds = INITIAL_RUN_SECONDS;
+    }
+
     /// Adds an item of a job that was submitted at `submitted_at`.
     pub fn add(&mut self, open: OpenItem, submitted_at: Instant) {
         let job = open.job_spec.id.clone();
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -615,11 +615,12 @@
     let now = Instant::now();
     let mut group = TestGroup::default();
     group.submit(job("j1", &["1"]), 0);
-    let mut earlier = ItemSchedule::default();
-    earlier.add(open("j0", 60), now);
-    let late = earlier.start_next(now, &engine(), &version());
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("j0", 60), now);
+    let late = schedule.start_next(now, &engine(), &version());
     let late = late.expect("an item");
-    let mut next = ItemSchedule::default();
+    schedule.clear();
+    let mut next = schedule;
     next.add(group.machine.open_items().remove(0), now);
     next.mark_failed(late, with_event(&RunProgress::default(), 0), now);
     let later = now + Duration::from_secs(3);
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -108,7 +108,7 @@
         }
         self.term = None;
         self.followed_plan = None;
-        self.schedule = ItemSchedule::default();
+        self.schedule.clear();
         self.requested.clear();
         self.first_seen_at.clear();
     }
