Schedule the jobs that are accepted or ended while a leadership begins

A new leader of the job group reads the items without a result, and then begins. A job that was accepted between the two was not in what it had read, and was not added either, since no leadership was under way: its items were not run until the next leader. A job that ended between the two was run.

From the beginning of the read on, accepted jobs are added to the schedule and ended ones noted; what was read is added to that, less both.

jobs_that_change_while_a_leadership_begins_are_scheduled_as_they_are needs the new code to build.

--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -9,7 +9,7 @@
 use crate::spec::JobSpec;
 use chicoryladder_types::{ServiceName, SoftwareVersion};
 use slotmap::{SlotMap, new_key_type};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 new_key_type! {
@@ -119,6 +119,19 @@
         self.by_job.entry(job).or_default().push(key);
     }
 
+    /// Adds the items that a new leader has read from the replicated log. Meanwhile, jobs may have
+    /// been added, which it may have read as well, and others have `ended`.
+    pub fn load(&mut self, items: Vec<OpenItem>, ended: &HashSet<String>, now: Instant) {
+        let is_added = |item: &OpenItem| {
+            let job = &item.job_spec.id;
+            !self.contains_job(job) && !ended.contains(job)
+        };
+        let items: Vec<OpenItem> = items.into_iter().filter(is_added).collect();
+        for item in items {
+            self.add(item, now);
+        }
+    }
+
     /// Whether the schedule has any item of the job.
     #[must_use]
     pub fn contains_job(&self, job: &str) -> bool {
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -6,6 +6,7 @@
 };
 use chicoryladder_consensus::StateMachine;
 use chicoryladder_types::{LogIndex, RouteName, ServiceName, SoftwareVersion, TeamName};
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -630,3 +631,28 @@
     assert_eq!(item.open.job_spec.id, "j1");
     assert_eq!(item.progress, RunProgress::default());
 }
+
+/// Guards against jobs that are accepted or ended while a leadership begins: the former were never
+/// run, the latter run all the same.
+#[test]
+fn jobs_that_change_while_a_leadership_begins_are_scheduled_as_they_are() {
+    let now = Instant::now();
+    let mut group = TestGroup::default();
+    for id in ["read", "both", "ended"] {
+        group.submit(job(id, &["1", "2"]), 0);
+    }
+    let items = group.machine.open_items();
+    let mut schedule = ItemSchedule::default();
+    let added = items.iter().filter(|item| item.job_spec.id == "both");
+    for item in added {
+        schedule.add(item.clone(), now);
+    }
+    schedule.add(open("added", 60), now);
+    let ended = HashSet::from(["ended".to_owned()]);
+    schedule.load(items, &ended, now);
+    assert_eq!(schedule.ready_count(now), 2 + 2 + 1);
+    for id in ["read", "both", "added"] {
+        assert!(schedule.contains_job(id), "{id}");
+    }
+    assert!(!schedule.contains_job("ended"));
+}
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -51,6 +51,8 @@
 pub(super) struct JobLeader {
     /// The term of this leadership; `None` while another host leads.
     pub(super) term: Option<TermNumber>,
+    /// The jobs that have ended since a new leadership began to read; `None` at other times.
+    ended_meanwhile: Option<HashSet<String>>,
     pub(super) schedule: ItemSchedule,
     /// The items that slots are requested for; each slot goes to the item that is most urgent
     /// when it is granted.
@@ -69,6 +71,7 @@
     pub(super) fn new() -> Self {
         Self {
             term: None,
+            ended_meanwhile: None,
             schedule: ItemSchedule::default(),
             requested: Vec::new(),
             next_request_at: None,
@@ -80,13 +83,17 @@
         }
     }
 
+    /// Prepares a leadership, before the items that have no result yet are read.
+    fn prepare(&mut self) {
+        self.end();
+        self.ended_meanwhile = Some(HashSet::new());
+    }
+
     /// Begins a leadership with the items that have no result yet.
     fn begin(&mut self, term: TermNumber, items: Vec<OpenItem>, plan: &ServicePlan, now: Instant) {
-        self.end();
+        let ended = self.ended_meanwhile.take().unwrap_or_default();
         self.term = Some(term);
-        for item in items {
-            self.schedule.add(item, now);
-        }
+        self.schedule.load(items, &ended, now);
         self.schedule
             .discard_unattributed(|job| service_of_route(plan, job));
     }
@@ -101,12 +108,18 @@
         }
     }
 
+    /// Whether jobs that are accepted now have to be added to the schedule.
+    fn takes_jobs(&self) -> bool {
+        self.term.is_some() || self.ended_meanwhile.is_some()
+    }
+
     /// Ends a leadership and aborts its runs.
     pub(super) fn end(&mut self) {
         for (_, run) in self.runs.drain() {
             run.task.abort();
         }
         self.term = None;
+        self.ended_meanwhile = None;
         self.followed_plan = None;
         self.schedule.clear();
         self.requested.clear();
@@ -141,6 +154,9 @@
     }
 
     fn stop_job(&mut self, job: &str) {
+        if let Some(ended) = &mut self.ended_meanwhile {
+            ended.insert(job.to_owned());
+        }
         for key in self.schedule.remove_job(job) {
             if let Some(run) = self.runs.remove(&key) {
                 run.task.abort();
@@ -226,7 +242,7 @@
                 let items = std::mem::take(&mut job_spec.items);
                 let job_spec = Arc::new(job_spec);
                 let mut leader = self.leader();
-                if leader.term.is_some() && !leader.schedule.contains_job(&job_spec.id) {
+                if leader.takes_jobs() && !leader.schedule.contains_job(&job_spec.id) {
                     for (spec, item) in items.into_iter().zip(0..) {
                         let open = OpenItem {
                             job_spec: job_spec.clone(),
@@ -290,7 +306,9 @@
         // The plan tells which output may be gone on with.
         return;
     }
+    shared.leader().prepare();
     let Some(items) = shared.read(BatchMachine::open_items).await else {
+        shared.leader().end();
         return;
     };
     let count = items.len();
