Believe a refusal on a kept connection only if it names the request

Reports of other operators: a server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that a server had run.

Callers saw, in the daemon: a charge (not idempotent) ran twice, and items of a job ran again and again. Causes: (a) a refusal without an id counted from plain services, whatever the connection had carried before; (b) all attempts at a request have one id, and where there is only one server they meet on the connection that carried the refusal, so that even a repeated refusal that names the request was believed.

Why it works: a refusal counts as `not-run` if it carries the id, or if it is the first response on its connection, where nothing else can be meant. Otherwise the request may have run. A connection is not reused after a refusal, so a refusal that names a request can't be repeated for a later attempt; nor after a mismatched response, since further ones may be out of step.

A plain service without ids that refuses on a kept connection now ends a request that may not be repeated as `may-have-run`; services that echo the id lose nothing.

--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -5,9 +5,15 @@
 //! as not run only if it could not be built, if its connection could not be opened,
 //! or if the server refused it with status 503 and the verdict `not-run`. After any
 //! other failure it may have run.
+//!
+//! A faulty server may repeat an earlier response on a kept connection. A refusal
+//! therefore counts only if it carries the id of the request, or if it is the first
+//! response on its connection. All attempts at a request have the same id, so that a
+//! connection is not reused after a refusal; nor is it after a mismatched response,
+//! since further ones may be out of step with their requests.
 
 use crate::completeness::is_malformed;
-use crate::server_connector::{HyperConnector, ServerConnector, TcpConnector};
+use crate::server_connector::{ConnectionUsage, HyperConnector, ServerConnector, TcpConnector};
 use bytes::Bytes;
 use chicoryladder_types::headers;
 use chicoryladder_types::prelude::*;
@@ -15,6 +21,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper_util::client::legacy::connect::{CaptureConnection, capture_connection};
 use hyper_util::client::legacy::{Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::net::SocketAddr;
@@ -142,7 +149,8 @@
     /// does not begin in time, if its request id is wrong or missing although required,
     /// or if the server refuses the request.
     pub async fn send(&self, request: &ServerRequest) -> Result<Response<Incoming>, ServerFailure> {
-        let message = http_request(request)?;
+        let mut message = http_request(request)?;
+        let connection = capture_connection(&mut message);
         let client = self.client();
         let sending = client.request(message);
         let response = tokio::time::timeout(request.first_byte_timeout, sending)
@@ -152,14 +160,18 @@
                 timed_out(request.first_byte_timeout)
             })?
             .map_err(|error| connection_failure(&error))?;
-        // The id is checked first: a response to another request must not be
-        // taken for a refusal of this one.
-        check_id(request, &response)?;
-        check_refusal(&response)?;
+        check_response(request, &response).inspect_err(|_| stop_reuse(&connection))?;
         Ok(response)
     }
 }
 
+/// Lets a connection carry no further request.
+fn stop_reuse(connection: &CaptureConnection) {
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.poison();
+    }
+}
+
 /// Creates a client with an empty connection pool.
 fn new_pooled_client(connector: Arc<dyn ServerConnector>) -> PooledClient {
     Client::builder(TokioExecutor::new())
@@ -218,20 +230,39 @@
     ServerFailure::new(RunVerdict::MayHaveRun, RetryReason::ConnectionLost, detail)
 }
 
+fn check_response(
+    request: &ServerRequest,
+    response: &Response<Incoming>,
+) -> Result<(), ServerFailure> {
+    let usage = response.extensions().get::<ConnectionUsage>();
+    let is_first = usage.is_some_and(ConnectionUsage::record_response);
+    // The id is checked first: a response to another request must not be
+    // taken for a refusal of this one.
+    check_id(request, response)?;
+    let names_request = response.headers().contains_key(headers::REQUEST_ID);
+    check_refusal(response, names_request || is_first)
+}
+
 /// Detects status 503 with the verdict `not-run`, with which a server declares that
-/// it did not start the request.
-fn check_refusal(response: &Response<Incoming>) -> Result<(), ServerFailure> {
+/// it did not start the request, and whether it can mean this request only.
+fn check_refusal(response: &Response<Incoming>, means_request: bool) -> Result<(), ServerFailure> {
     let verdict = response.headers().get(headers::SERVER_VERDICT);
     let not_run = verdict.is_some_and(|value| value == RunVerdict::NotRun.as_str());
-    if response.status() == StatusCode::SERVICE_UNAVAILABLE && not_run {
-        let detail = "the backend server refused the request before it ran";
-        let failure = ServerFailure::new(RunVerdict::NotRun, RetryReason::ServerRefused, detail);
-        return Err(ServerFailure {
-            is_leaving: says_leaving(response.headers(), headers::SERVER_LEAVING),
-            ..failure
-        });
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE || !not_run {
+        return Ok(());
     }
-    Ok(())
+    let (verdict, detail) = if means_request {
+        let detail = "the backend server refused the request before it ran";
+        (RunVerdict::NotRun, detail)
+    } else {
+        let detail = "a refusal without the id of the request came on a kept connection";
+        (RunVerdict::MayHaveRun, detail)
+    };
+    let failure = ServerFailure::new(verdict, RetryReason::ServerRefused, detail);
+    Err(ServerFailure {
+        is_leaving: says_leaving(response.headers(), headers::SERVER_LEAVING),
+        ..failure
+    })
 }
 
 /// Whether a server states in a response that it leaves: by the value `1` of the field
--- a/crates/gateway/src/server_connector.rs
+++ b/crates/gateway/src/server_connector.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -88,20 +89,35 @@
             let server = authority.and_then(|authority| authority.parse().ok());
             let server = server.ok_or(io::ErrorKind::InvalidInput)?;
             let bytes = connector.connect(server).await?;
-            Ok(TokioIo::new(HyperConnection { bytes }))
+            let usage = ConnectionUsage::default();
+            Ok(TokioIo::new(HyperConnection { bytes, usage }))
         }
         .boxed()
     }
 }
 
+/// Whether a connection has carried a response; each response has it as an extension.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ConnectionUsage {
+    has_responded: Arc<AtomicBool>,
+}
+
+impl ConnectionUsage {
+    /// Records a response and returns whether it is the first one on its connection.
+    pub(crate) fn record_response(&self) -> bool {
+        !self.has_responded.swap(true, Ordering::AcqRel)
+    }
+}
+
 /// A connection of the HTTP client.
 pub(crate) struct HyperConnection {
     bytes: Box<dyn ServerBytes>,
+    usage: ConnectionUsage,
 }
 
 impl Connection for HyperConnection {
     fn connected(&self) -> Connected {
-        Connected::new()
+        Connected::new().extra(self.usage.clone())
     }
 }
 
--- a/crates/gateway/tests/all/raw.rs
+++ b/crates/gateway/tests/all/raw.rs
@@ -1,6 +1,7 @@
 //! Raw TCP peers, so that tests can send and return arbitrary bytes.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -72,6 +73,50 @@
     }
 }
 
+/// Responds to the requests on a connection in turn with `responses`, and to all further ones
+/// with the last of them. Returns the address and the number of requests by connection.
+pub(crate) async fn scripted_server(responses: Vec<String>) -> (SocketAddr, RequestCounts) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let counts = RequestCounts::default();
+    let shared = counts.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(respond_in_turn(stream, responses.clone(), shared.clone()));
+        }
+    });
+    (address, counts)
+}
+
+/// The number of requests on each connection that has carried one.
+pub(crate) type RequestCounts = Arc<Mutex<Vec<usize>>>;
+
+async fn respond_in_turn(mut stream: TcpStream, responses: Vec<String>, counts: RequestCounts) {
+    let mut connection = None;
+    let mut turns = responses
+        .iter()
+        .chain(std::iter::repeat(&responses[responses.len() - 1]));
+    let mut request = [0; 16 * 1024];
+    while stream
+        .read(&mut request)
+        .await
+        .is_ok_and(|length| length > 0)
+    {
+        {
+            let mut counts = counts.lock().unwrap();
+            let connection = *connection.get_or_insert_with(|| {
+                counts.push(0);
+                counts.len() - 1
+            });
+            counts[connection] += 1;
+        }
+        let response = turns.next().unwrap();
+        if stream.write_all(response.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Returns an address that refuses connections.
 pub(crate) async fn closed_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
--- a/crates/gateway/tests/all/server_client.rs
+++ b/crates/gateway/tests/all/server_client.rs
@@ -1,6 +1,6 @@
 //! The verdict and reason of each kind of failed attempt.
 
-use crate::raw::{RawAnswer, closed_address, raw_server};
+use crate::raw::{RawAnswer, closed_address, raw_server, scripted_server};
 use chicoryladder_gateway::{ServerClient, ServerFailure, ServerRequest};
 use chicoryladder_types::prelude::*;
 use hyper::{HeaderMap, Method};
@@ -33,10 +33,14 @@
 }
 
 fn refusal(id: Option<RequestId>, verdict: &str) -> RawAnswer {
+    RawAnswer::Bytes(refusal_text(id, verdict))
+}
+
+fn refusal_text(id: Option<RequestId>, verdict: &str) -> String {
     let id = id.map_or_else(String::new, |id| format!("x-request-id: {id}\r\n"));
-    RawAnswer::Bytes(format!(
+    format!(
         "HTTP/1.1 503 Busy\r\n{id}chicoryladder-server-verdict: {verdict}\r\ncontent-length: 0\r\n\r\n"
-    ))
+    )
 }
 
 #[tokio::test]
@@ -113,3 +117,65 @@
     let engine = ServerClient::new().send(&request(address)).await;
     assert_eq!(engine.unwrap_err().reason, RetryReason::ResponseMismatched);
 }
+
+/// A connection is kept only once its response has been read, so several requests are sent
+/// until one meets a kept connection.
+const KEPT_CONNECTION_REQUESTS: u128 = 50;
+
+/// Sends requests with ids of their own to a plain service until one fails.
+async fn first_failure(address: SocketAddr) -> Option<ServerFailure> {
+    let client = ServerClient::new();
+    for id in 0..KEPT_CONNECTION_REQUESTS {
+        let plain = ServerRequest {
+            id: RequestId::new(id),
+            requires_id: false,
+            ..request(address)
+        };
+        if let Err(failure) = client.send(&plain).await {
+            return Some(failure);
+        }
+        tokio::task::yield_now().await;
+    }
+    None
+}
+
+/// Guards against a request that ran and is told as not run, since its server repeated an
+/// earlier refusal on a kept connection.
+#[tokio::test]
+async fn a_refusal_without_an_id_on_a_kept_connection_means_may_have_run() {
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".to_owned();
+    let responses = vec![answer, refusal_text(None, "not-run")];
+    let (address, _) = scripted_server(responses).await;
+    let failure = first_failure(address).await.unwrap();
+    assert_eq!(failure.verdict, RunVerdict::MayHaveRun);
+    assert_eq!(failure.reason, RetryReason::ServerRefused);
+}
+
+#[tokio::test]
+async fn a_refusal_without_an_id_on_a_new_connection_means_not_run() {
+    let (address, _) = scripted_server(vec![refusal_text(None, "not-run")]).await;
+    let failure = first_failure(address).await.unwrap();
+    assert_eq!(failure.verdict, RunVerdict::NotRun);
+    assert_eq!(failure.reason, RetryReason::ServerRefused);
+}
+
+/// Guards against an earlier refusal, or a response to another request, that a server repeats
+/// for the next request on the same connection.
+#[tokio::test]
+async fn a_connection_with_a_refusal_or_a_mismatched_response_is_not_reused() {
+    let mismatched = response_with_id(RequestId::new(8));
+    for response in [
+        refusal_text(None, "not-run"),
+        refusal_text(Some(ID), "not-run"),
+        mismatched,
+    ] {
+        let (address, counts) = scripted_server(vec![response]).await;
+        let client = ServerClient::new();
+        for _ in 0..KEPT_CONNECTION_REQUESTS {
+            assert!(client.send(&request(address)).await.is_err());
+            tokio::task::yield_now().await;
+        }
+        let counts = counts.lock().unwrap();
+        assert!(counts.iter().all(|count| *count == 1), "{counts:?}");
+    }
+}
--- a/tests/all/batch.rs
+++ b/tests/all/batch.rs
@@ -1,6 +1,6 @@
 //! Batch jobs: submission, cancellation, results, and failures of hosts and servers.
 
-mod caller;
+pub(crate) mod caller;
 mod faults;
 mod preemption;
 
--- a/tests/all/batch/caller.rs
+++ b/tests/all/batch/caller.rs
@@ -1,27 +1,27 @@
 //! A client of the batch API.
 
 use crate::fixture::{
-    FleetFixture, GrantedKey, HttpAnswer, HttpRequest, chat_body, eventually, send,
+    DOCUMENT, FleetFixture, GrantedKey, HttpAnswer, HttpRequest, chat_body, eventually, send,
 };
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
 /// A client that calls one host with one key.
-pub(super) struct BatchCaller {
+pub(crate) struct BatchCaller {
     address: SocketAddr,
     key: String,
 }
 
 impl BatchCaller {
-    pub(super) fn new(fleet: &FleetFixture, host: usize, key: &GrantedKey) -> Self {
+    pub(crate) fn new(fleet: &FleetFixture, host: usize, key: &GrantedKey) -> Self {
         Self {
             address: fleet.ports(host).callers,
             key: key.text.clone(),
         }
     }
 
-    pub(super) async fn try_submit(&self, name: &str, items: &str) -> HttpAnswer {
+    pub(crate) async fn try_submit(&self, name: &str, items: &str) -> HttpAnswer {
         let request = HttpRequest::post(self.address, "/v1/batches", items.to_owned())
             .with_key(&self.key)
             .with_field("chicoryladder-class", "digest")
@@ -30,14 +30,14 @@
     }
 
     /// Submits a job and returns its id.
-    pub(super) async fn submit(&self, name: &str, items: &str) -> String {
+    pub(crate) async fn submit(&self, name: &str, items: &str) -> String {
         let answer = self.try_submit(name, items).await;
         assert_eq!(answer.status, 200, "{}", answer.text());
         answer.json()["id"].as_str().unwrap().to_owned()
     }
 
     /// Waits until the host accepts the key.
-    pub(super) async fn wait_until_known(&self) {
+    pub(crate) async fn wait_until_known(&self) {
         let known = || async {
             let path = format!("/v1/batches/{:032x}", 0);
             let request = HttpRequest::get(self.address, &path).with_key(&self.key);
@@ -46,14 +46,14 @@
         eventually("the host accepts the key", known).await;
     }
 
-    pub(super) async fn status(&self, job: &str) -> Option<serde_json::Value> {
+    pub(crate) async fn status(&self, job: &str) -> Option<serde_json::Value> {
         let path = format!("/v1/batches/{job}");
         let request = HttpRequest::get(self.address, &path).with_key(&self.key);
         let answer = send(request).await.ok()?;
         (answer.status == 200).then(|| answer.json())
     }
 
-    pub(super) async fn wait_completed(&self, job: &str) {
+    pub(crate) async fn wait_completed(&self, job: &str) {
         let completed = || async {
             let status = self.status(job).await;
             status.is_some_and(|status| status["status"] == "completed")
@@ -61,7 +61,7 @@
         eventually("the job is completed", completed).await;
     }
 
-    pub(super) async fn cancel(&self, job: &str) -> serde_json::Value {
+    pub(crate) async fn cancel(&self, job: &str) -> serde_json::Value {
         let path = format!("/v1/batches/{job}/cancel");
         let request = HttpRequest::post(self.address, &path, "").with_key(&self.key);
         let answer = send(request).await.unwrap();
@@ -70,7 +70,7 @@
     }
 
     /// The result lines available so far.
-    pub(super) async fn results(&self, job: &str) -> Vec<serde_json::Value> {
+    pub(crate) async fn results(&self, job: &str) -> Vec<serde_json::Value> {
         let path = format!("/v1/batches/{job}/results");
         let request = HttpRequest::get(self.address, &path).with_key(&self.key);
         let answer = send(request).await.unwrap();
@@ -82,7 +82,7 @@
 
     /// The error code of each item, empty if it succeeded; panics if an item has
     /// more than one result.
-    pub(super) async fn outcomes(&self, job: &str) -> BTreeMap<String, String> {
+    pub(crate) async fn outcomes(&self, job: &str) -> BTreeMap<String, String> {
         let mut outcomes = BTreeMap::new();
         for line in self.results(job).await {
             let name = line["custom_id"].as_str().unwrap().to_owned();
@@ -95,12 +95,12 @@
 }
 
 /// The lines of a job with `count` chat items of `tokens` completion tokens each.
-pub(super) fn chat_items(count: usize, tokens: u32) -> String {
+pub(crate) fn chat_items(count: usize, tokens: u32) -> String {
     items(count, "/v1/chat/completions", |_| chat_body(tokens, false))
 }
 
 /// The lines of a job with `count` items, all for the path `url`.
-pub(super) fn items(count: usize, url: &str, body: impl Fn(usize) -> String) -> String {
+pub(crate) fn items(count: usize, url: &str, body: impl Fn(usize) -> String) -> String {
     let mut lines = String::new();
     for item in 0..count {
         let body = body(item);
@@ -112,3 +112,16 @@
     }
     lines
 }
+
+/// The example document, with charges also allowed in the batch class `digest`.
+pub(crate) fn charge_document() -> String {
+    DOCUMENT.replace(
+        "to = service rent-ledger\nclasses = receipt",
+        "to = service rent-ledger\nclasses = receipt, digest",
+    )
+}
+
+/// The body of the charge of an item.
+pub(crate) fn charge(item: usize) -> String {
+    format!(r#"{{"stall":{item},"rupees":120}}"#)
+}
--- a/tests/all/batch/faults.rs
+++ b/tests/all/batch/faults.rs
@@ -1,25 +1,13 @@
 //! Batch jobs when the dispatching host fails, when hosts restart, with an item that
 //! crashes servers, and with non-idempotent items.
 
-use super::caller::{BatchCaller, chat_items, items};
-use crate::fixture::{DOCUMENT, FleetFixture, eventually};
+use super::caller::{BatchCaller, charge, charge_document, chat_items, items};
+use crate::fixture::{FleetFixture, eventually};
 use chicoryladder_standin::FaultPlan;
 use std::time::Duration;
 
 const CHARGES: &str = "/services/rent-ledger/charges";
 
-/// The example document, with charges also allowed in the batch class `digest`.
-fn charge_document() -> String {
-    DOCUMENT.replace(
-        "to = service rent-ledger\nclasses = receipt",
-        "to = service rent-ledger\nclasses = receipt, digest",
-    )
-}
-
-fn charge(item: usize) -> String {
-    format!(r#"{{"stall":{item},"rupees":120}}"#)
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_completes_after_its_dispatching_host_is_lost() {
     let mut fleet = FleetFixture::with_document(3).await;
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -2,14 +2,17 @@
 
 mod http;
 mod ports;
+mod scripted_server;
 
 pub(crate) use http::{HttpAnswer, HttpRequest, send};
 pub(crate) use ports::free_address;
+pub(crate) use scripted_server::ScriptedServer;
 
 use chicoryladder_host::EntryHost;
 use chicoryladder_settings::HostSettings;
 use chicoryladder_standin::{EngineHandle, EngineOptions, EngineServer};
 use chicoryladder_standin::{PlainHandle, PlainOptions, PlainServer};
+use chicoryladder_types::{ServerAnnouncement, ServerGeneration, ServerLoad};
 use std::collections::HashSet;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -29,6 +32,9 @@
 /// How often an operation is sent while the fleet answers `no_quorum`.
 const CHANGE_ATTEMPTS: usize = 6;
 
+/// The interval between two announcements of a scripted server.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(100);
+
 const OPERATOR_TOKEN: &str = "operator-token-of-tests";
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -261,6 +267,41 @@
         server
     }
 
+    /// Announces a scripted server as one of a plain service, until the runtime of the test
+    /// ends, and waits until every running host lists it.
+    pub(crate) async fn announce_service(
+        &self,
+        server: &ScriptedServer,
+        name: &str,
+        service: &str,
+    ) {
+        let announcement = ServerAnnouncement {
+            name: name.try_into().unwrap(),
+            zone: "zone-a".try_into().unwrap(),
+            address: server.address,
+            generation: ServerGeneration(1),
+            slots: 16,
+            models: Vec::new(),
+            services: vec![service.try_into().unwrap()],
+            checks_fencing: false,
+            leaving: false,
+            load: ServerLoad::default(),
+        };
+        let text = serde_json::to_string(&announcement).unwrap();
+        let hosts = self.server_ports();
+        tokio::spawn(async move {
+            loop {
+                for host in &hosts {
+                    let path = "/servers/v1/announce";
+                    // A host that is stopped does not respond.
+                    let _ = send(HttpRequest::post(*host, path, text.clone())).await;
+                }
+                tokio::time::sleep(ANNOUNCE_PERIOD).await;
+            }
+        });
+        self.wait_for_server(name).await;
+    }
+
     /// Waits until every running host lists a backend server.
     async fn wait_for_server(&self, name: &str) {
         for (host, running) in self.hosts.iter().enumerate() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod batch;
 mod board;
 mod boundary;
+mod broken_responses;
 mod command_line;
 mod control;
 mod demo;
