Complete streamed items only by their end marker

Class of the reports of other operators (a stream that breaks off, or that its server ends at a time limit): in the daemon, an item that asks for a stream ended as succeeded with a short text where its server ended the stream in order between two events, without `data: [DONE]`.

Cause: the check of an item's body knows whether an event stream ends within an event, but not its end marker, which online streams need. And the marker counted anywhere in the last bytes, so that a stream that was cut off behind its text within an event passed for complete.

Evidence: on the code before, all items of a job at an engine that ends streams after 3 of 12 tokens succeeded with 3 tokens.

Why it works: a successful event stream of an item has to end with the marker; otherwise the attempt may have run and failed, and the item runs again if it may. The marker has to begin a line, for items and online streams alike.

Failed before, pass now: batch::faults::a_streamed_item_without_its_end_marker_runs_again, gateway an_end_marker_within_a_line_does_not_count.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -42,4 +42,4 @@
 pub use server_client::{ServerClient, ServerFailure, ServerRequest, says_leaving};
 pub use server_connector::{ServerBytes, ServerConnector};
 pub use servers::ServerService;
-pub use stream_end::{StreamEnd, StreamOptions, watch_stream};
+pub use stream_end::{StreamEnd, StreamOptions, ends_with_marker, watch_stream};
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -25,8 +25,9 @@
 /// The last event of an event stream.
 const END_MARKER: &[u8] = b"data: [DONE]";
 
-/// Number of bytes at the end of a stream that are searched for the end marker.
-const TAIL_BYTES: usize = END_MARKER.len() + 4;
+/// Number of bytes at the end of a stream that are searched for the end marker: line ends
+/// after it and the one before it included.
+const TAIL_BYTES: usize = END_MARKER.len() + 5;
 
 /// The maximum size of one event, in bytes.
 const EVENT_MAX_BYTES: usize = 1024 * 1024;
@@ -51,6 +52,13 @@
     CallerDisconnected,
 }
 
+/// Whether an event stream ends with the event that marks its end.
+#[must_use]
+pub fn ends_with_marker(stream: &[u8]) -> bool {
+    let before = stream.trim_ascii_end().strip_suffix(END_MARKER);
+    before.is_some_and(|before| matches!(before.last(), None | Some(b'\n' | b'\r')))
+}
+
 /// How a response stream is checked, and who is notified of its progress.
 pub struct StreamOptions {
     /// Bytes of the body that were already read; they are sent first.
@@ -182,7 +190,7 @@
     }
 
     fn has_marker(&self) -> bool {
-        self.tail.trim_ascii_end().ends_with(END_MARKER)
+        ends_with_marker(&self.tail)
     }
 
     fn end(&mut self) -> FramePoll {
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -195,3 +195,13 @@
     assert_eq!(received.end, StreamEnd::Complete);
     assert!(!received.failed);
 }
+
+/// Guards against a stream that was cut off behind the text of the end marker within an event,
+/// and that counts as complete.
+#[tokio::test]
+async fn an_end_marker_within_a_line_does_not_count() {
+    let text = format!("{HEAD}data: a\n\ndata: {{\"text\":\"data: [DONE]");
+    let received = watch(RawAnswer::Bytes(text), never()).await;
+    assert_eq!(received.end, StreamEnd::Truncated);
+    assert!(received.failed);
+}
--- a/crates/host/src/batch/attempt.rs
+++ b/crates/host/src/batch/attempt.rs
@@ -9,7 +9,8 @@
     DepartureReporter, RoutingHandle, ServerGrant, SlotRequest, WorkKind, WorkTarget,
 };
 use chicoryladder_gateway::{
-    BodyFraming, ServerClient, ServerFailure, ServerRequest, check_whole_body,
+    BodyFraming, ServerClient, ServerFailure, ServerRequest, check_whole_body, ends_with_marker,
+    is_event_stream,
 };
 use chicoryladder_jobs::{
     AttemptEnd, AttemptReport, BodyBytes, ItemRef, ItemRequest, JobCommand, JobOutcome,
@@ -20,6 +21,7 @@
 use chicoryladder_types::{ServerLoad, headers};
 use http_body_util::{BodyExt, Limited};
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Response};
 use std::sync::Arc;
 use std::time::Duration;
@@ -321,6 +323,17 @@
     fields
 }
 
+/// Checks a body that was read to its end without an error. A server may end a stream in
+/// order before it is complete, at a time limit of its own for example.
+fn check_answer(framing: BodyFraming, parts: &Parts, body: &[u8]) -> Result<(), &'static str> {
+    check_whole_body(framing, &parts.headers, body)?;
+    let needs_marker = parts.status.is_success() && is_event_stream(&parts.headers);
+    if needs_marker && !ends_with_marker(body) {
+        return Err("the stream has no end marker");
+    }
+    Ok(())
+}
+
 async fn read_answer(response: Response<hyper::body::Incoming>) -> ItemExchange {
     let status = response.status().as_u16();
     let load = reported_load(response.headers());
@@ -329,7 +342,7 @@
     let collected = match Limited::new(body, ANSWER_MAX_BYTES).collect().await {
         Ok(collected) => {
             let bytes = collected.to_bytes();
-            check_whole_body(framing, &parts.headers, &bytes)
+            check_answer(framing, &parts, &bytes)
                 .map(|()| bytes)
                 .map_err(str::to_owned)
         }
--- a/tests/all/batch/faults.rs
+++ b/tests/all/batch/faults.rs
@@ -2,7 +2,7 @@
 //! crashes servers, and with non-idempotent items.
 
 use super::caller::{BatchCaller, charge, charge_document, chat_items, items};
-use crate::fixture::{FleetFixture, eventually};
+use crate::fixture::{FleetFixture, chat_body, eventually};
 use chicoryladder_standin::FaultPlan;
 use std::time::Duration;
 
@@ -142,3 +142,25 @@
     assert!(outcomes.values().all(String::is_empty), "{outcomes:?}");
     assert!(ledger.runs().values().all(|count| *count == 1));
 }
+
+/// Guards against the text of a streamed item that its server ended in order, but early, and
+/// that counts as the whole output.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_streamed_item_without_its_end_marker_runs_again() {
+    let fleet = FleetFixture::with_document(1).await;
+    let engine = fleet.start_engine("engine-1", "zone-a").await;
+    engine.control().set_faults(FaultPlan {
+        truncates_after: Some(3),
+        ..FaultPlan::default()
+    });
+    let key = fleet.grant_key(0, "curepipe").await;
+    let caller = BatchCaller::new(&fleet, 0, &key);
+    let streamed = items(4, "/v1/chat/completions", |_| chat_body(12, true));
+    let job = caller.submit("lot", &streamed).await;
+    eventually("all items ran", || async { engine.counters().started >= 4 }).await;
+    engine.control().set_faults(FaultPlan::default());
+    caller.wait_completed(&job).await;
+    for line in caller.results(&job).await {
+        assert!(line.to_string().contains("[DONE]"), "{line}");
+    }
+}
