Forward only whole events of a stream to callers

Reports of other operators: a stream broke off, and clients found the error's text in the middle of their stream. The daemon resumes no stream, but callers saw something akin to it: where a stream was cut off within an event, the blank line before the error's event ended the part of the event, so that clients took it for a whole one ("data: on" for "data: one").

Evidence: with a stream cut off at each byte, on the code before the part "i" of "id: 1" counts as an event.

Why it works: only what ends with a whole event is forwarded, at once; the beginning of the next one waits, up to the greatest event, and is dropped if the stream breaks off. The error's event follows a whole event then. A line feed that belongs to the carriage return before it is no beginning of an event, so an event with such line ends doesn't wait for the next one.

Failed before, passes now: gateway an_error_follows_whole_events_only_wherever_a_stream_is_cut. a_whole_event_is_forwarded_at_once passed from the start.

--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -136,7 +136,8 @@
             self.after_return = *byte == b'\r';
             self.event_bytes += 1;
             match byte {
-                _ if ends_return => {}
+                _ if ends_return && self.has_fields => {}
+                _ if ends_return => self.event_bytes = 0,
                 b'\n' | b'\r' => self.end_line(),
                 b':' if self.line == LineContent::Nothing => self.line = LineContent::Comment,
                 _ if self.line == LineContent::Nothing => self.line = LineContent::Field,
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -5,6 +5,9 @@
 //! chunked body cleanly in the middle of a response. Event streams are
 //! therefore checked for their last event.
 //!
+//! Only whole events are forwarded, so that the event that reports an error never ends or
+//! continues one that was cut off.
+//!
 //! Bytes alone are no progress of an event stream: a server may send one now and then, or
 //! an event without end. Only the time spent waiting for the server counts, so that a
 //! slow caller does not end a stream.
@@ -12,7 +15,7 @@
 use crate::answer::refusal_json;
 use crate::body::{AnswerBody, BodyError};
 use crate::completeness::{EventBoundary, is_malformed};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use chicoryladder_types::prelude::*;
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
@@ -88,6 +91,7 @@
         body,
         prefix: options.prefix,
         boundary: options.has_events.then(EventBoundary::default),
+        unforwarded: BytesMut::new(),
         body_bytes: 0,
         needs_end_marker: options.needs_end_marker,
         progress_timeout: options.progress_timeout,
@@ -117,6 +121,8 @@
     body: Incoming,
     prefix: Bytes,
     boundary: Option<EventBoundary>,
+    /// The beginning of an event that is not whole yet.
+    unforwarded: BytesMut,
     body_bytes: u64,
     needs_end_marker: bool,
     progress_timeout: Duration,
@@ -149,7 +155,7 @@
             self.state = StreamState::Ended;
             return Poll::Ready(Some(Err(refusal.into())));
         }
-        let mut event = b"\n\nevent: error\ndata: ".to_vec();
+        let mut event = b"event: error\ndata: ".to_vec();
         event.extend_from_slice(&refusal_json(&refusal));
         event.extend_from_slice(b"\n\n");
         self.state = StreamState::Flushing(refusal);
@@ -181,12 +187,21 @@
         (boundary.event_bytes() > EVENT_MAX_BYTES).then_some("an event is too long")
     }
 
-    fn forward(&mut self, frame: Frame<Bytes>) -> FramePoll {
-        let fault = frame.data_ref().and_then(|chunk| self.record_chunk(chunk));
-        match fault {
-            None => Poll::Ready(Some(Ok(frame))),
-            Some(detail) => self.fail(StreamEnd::Malformed, truncated(detail)),
+    /// Forwards a chunk, of a body that needs an end marker only what ends with a whole
+    /// event. Returns `None` if there is nothing to forward yet.
+    fn forward(&mut self, chunk: Bytes) -> Option<FramePoll> {
+        if let Some(detail) = self.record_chunk(&chunk) {
+            return Some(self.fail(StreamEnd::Malformed, truncated(detail)));
         }
+        let whole = match &self.boundary {
+            Some(boundary) if self.needs_end_marker => {
+                self.unforwarded.extend_from_slice(&chunk);
+                let length = self.unforwarded.len() - boundary.event_bytes();
+                self.unforwarded.split_to(length).freeze()
+            }
+            _ => chunk,
+        };
+        (!whole.is_empty()).then(|| Poll::Ready(Some(Ok(Frame::data(whole)))))
     }
 
     fn has_marker(&self) -> bool {
@@ -200,7 +215,9 @@
         }
         self.state = StreamState::Ended;
         self.finish(StreamEnd::Complete);
-        Poll::Ready(None)
+        // The end marker may lack its blank line.
+        let rest = self.unforwarded.split().freeze();
+        Poll::Ready((!rest.is_empty()).then(|| Ok(Frame::data(rest))))
     }
 
     fn poll_open(&mut self, context: &mut Context<'_>) -> FramePoll {
@@ -209,21 +226,31 @@
         }
         if !self.prefix.is_empty() {
             let prefix = std::mem::take(&mut self.prefix);
-            return self.forward(Frame::data(prefix));
+            if let Some(forwarded) = self.forward(prefix) {
+                return forwarded;
+            }
         }
-        match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => self.forward(frame),
-            Poll::Ready(Some(Err(error))) => {
-                let detail = format!("the answer ended early: {error}");
-                let end = if is_malformed(&error) {
-                    StreamEnd::Malformed
-                } else {
-                    StreamEnd::Truncated
-                };
-                self.fail(end, truncated(detail))
+        loop {
+            match Pin::new(&mut self.body).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    // Trailers are not forwarded.
+                    let chunk = frame.into_data().unwrap_or_default();
+                    if let Some(forwarded) = self.forward(chunk) {
+                        return forwarded;
+                    }
+                }
+                Poll::Ready(Some(Err(error))) => {
+                    let detail = format!("the answer ended early: {error}");
+                    let end = if is_malformed(&error) {
+                        StreamEnd::Malformed
+                    } else {
+                        StreamEnd::Truncated
+                    };
+                    return self.fail(end, truncated(detail));
+                }
+                Poll::Ready(None) => return self.end(),
+                Poll::Pending => return self.poll_timer(context),
             }
-            Poll::Ready(None) => self.end(),
-            Poll::Pending => self.poll_timer(context),
         }
     }
 
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -2,7 +2,7 @@
 
 use crate::raw::{EVENT_TIMEOUT, RawAnswer, raw_server};
 use bytes::Bytes;
-use chicoryladder_gateway::{StreamEnd, StreamOptions, watch_stream};
+use chicoryladder_gateway::{EventBoundary, StreamEnd, StreamOptions, watch_stream};
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -196,6 +196,65 @@
     assert!(!received.failed);
 }
 
+/// The response of a server that was cut off after `length` bytes of its body.
+fn cut_stream(body: &str, length: usize) -> RawAnswer {
+    RawAnswer::Bytes(format!("{HEAD}{}", &body[..length]))
+}
+
+/// Guards against a part of an event that a caller takes for a whole one, or that has the
+/// text of the error in it.
+#[tokio::test]
+async fn an_error_follows_whole_events_only_wherever_a_stream_is_cut() {
+    for end in ["\n", "\r\n", "\r"] {
+        let events = [
+            "id: 1",
+            "data: one",
+            "",
+            ": comment",
+            "data: two",
+            "data: three",
+            "",
+        ];
+        let body: String = events.map(|line| format!("{line}{end}")).concat();
+        // A carriage return ends a line, also if a line feed follows.
+        let event_ends = [body.find(": comment").unwrap(), body.len()];
+        let event_ends = event_ends.map(|at| at + 1 - end.len());
+        for length in 0..body.len() {
+            let received = watch(cut_stream(&body, length), never()).await;
+            let (forwarded, error) = received.text.split_once("event: error\n").unwrap();
+            assert!(
+                error.starts_with("data: {") && error.ends_with("}\n\n"),
+                "{error}"
+            );
+            assert!(received.failed && received.end == StreamEnd::Truncated);
+            let mut boundary = EventBoundary::default();
+            boundary.push(forwarded.as_bytes());
+            assert!(!boundary.is_within_event(), "{length} bytes: {forwarded:?}");
+            let whole_events = event_ends.iter().filter(|at| length >= **at).count() as u64;
+            assert_eq!(
+                boundary.events(),
+                whole_events,
+                "{length} bytes: {forwarded:?}"
+            );
+            assert!(
+                body.starts_with(forwarded.trim_end()),
+                "{length} bytes: {forwarded:?}"
+            );
+        }
+    }
+}
+
+/// Guards against an event that waits for the next one before it is forwarded.
+#[tokio::test]
+async fn a_whole_event_is_forwarded_at_once() {
+    for end in ["\n", "\r\n", "\r"] {
+        let text = format!("{HEAD}data: a{end}{end}");
+        let received = watch(RawAnswer::BytesThenStall(text), never()).await;
+        let event = format!("data: a{end}{end}");
+        assert!(received.text.starts_with(&event), "{:?}", received.text);
+    }
+}
+
 /// Guards against a stream that was cut off behind the text of the end marker within an event,
 /// and that counts as complete.
 #[tokio::test]
