Take an error response in events that ends within an event as cut off

A response with an error status and events has no end marker. Where its server crashed within an event, and only the end of the connection marked its end, callers got it framed as whole.

The end of such a stream is checked as that of an item is: it must not lie within an event. Failed before, passes now: gateway an_error_response_that_ends_within_an_event_is_not_complete.

--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -213,6 +213,14 @@
             let detail = "the answer ended before its end marker";
             return self.fail(StreamEnd::Truncated, truncated(detail));
         }
+        let is_within_event = self
+            .boundary
+            .as_ref()
+            .is_some_and(EventBoundary::is_within_event);
+        if !self.needs_end_marker && is_within_event {
+            let detail = "the answer ended within an event";
+            return self.fail(StreamEnd::Truncated, truncated(detail));
+        }
         self.state = StreamState::Ended;
         self.finish(StreamEnd::Complete);
         // The end marker may lack its blank line.
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -39,21 +39,31 @@
 }
 
 async fn watch(answer: RawAnswer, stop: BoxFuture<'static, RequestRefusal>) -> ReceivedStream {
-    watch_with(answer, stop, true).await
+    watch_as(answer, stop, BodyKind::Events).await
 }
 
-async fn watch_with(
+/// What a body is declared to hold.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum BodyKind {
+    /// The events of a successful response.
+    Events,
+    /// The events of a response with an error status, which has no end marker.
+    ErrorEvents,
+    NoEvents,
+}
+
+async fn watch_as(
     answer: RawAnswer,
     stop: BoxFuture<'static, RequestRefusal>,
-    has_events: bool,
+    kind: BodyKind,
 ) -> ReceivedStream {
     let body = body_of(answer).await;
     let (sender, end) = oneshot::channel();
     let options = StreamOptions {
         on_first_chunk: Box::new(|| {}),
         prefix: Bytes::new(),
-        has_events,
-        needs_end_marker: has_events,
+        has_events: kind != BodyKind::NoEvents,
+        needs_end_marker: kind == BodyKind::Events,
         progress_timeout: PROGRESS_TIMEOUT,
         total_timeout: TOTAL_TIMEOUT,
         stop,
@@ -174,7 +184,7 @@
         count: u32::MAX,
         last: String::new(),
     };
-    let received = watch_with(answer, never(), false).await;
+    let received = watch_as(answer, never(), BodyKind::NoEvents).await;
     assert_eq!(received.end, StreamEnd::Stalled);
     assert!(received.failed);
 }
@@ -264,3 +274,17 @@
     assert_eq!(received.end, StreamEnd::Truncated);
     assert!(received.failed);
 }
+
+/// Guards against an error response in events that counts as complete although it was cut off.
+#[tokio::test]
+async fn an_error_response_that_ends_within_an_event_is_not_complete() {
+    for (body, expected) in [
+        ("data: one\n\ndata: tw", StreamEnd::Truncated),
+        ("data: one\n\n", StreamEnd::Complete),
+    ] {
+        let answer = RawAnswer::Bytes(format!("{HEAD}{body}"));
+        let received = watch_as(answer, never(), BodyKind::ErrorEvents).await;
+        assert_eq!(received.end, expected);
+        assert_eq!(received.failed, expected == StreamEnd::Truncated);
+    }
+}
