Let the only server finish a request that it is silent on

In the daemon, a request that may be repeated and whose only server needs most of the request's time was cut after a third of the time left, sent to the same server again, cut again, and refused as `server_silent` after three runs, though each of them would have been in time.

Cause: the time kept for another attempt is kept also where nothing else could run the request.

Evidence: an only server that takes 1.5 s for each request, of 2 s that callers have: 504, "no answer began within 872 ms: Each attempt at the request failed." A single silence of 1.5 s was outlasted on the code before, by the third attempt.

Why it works: when the wait is over, the host asks its routing whether another server could take the request. If none could, the attempt goes on. The connection alone may be silent, so the first attempt is sent once more, on a new connection to the same server, charged to the retry budget, and the first response counts. Where another server could take it, all is as before.

Failed before, passes now: silent_servers::a_request_is_not_cut_while_no_other_server_could_run_it. The two other tests passed from the start; one holds what a longer wait alone would have broken (silent connections to an only server).

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,7 +39,7 @@
     AdminAnswer, AdminRequest, ItemCounts, JobPort, JobView, OnlinePort, OnlineRequest,
     OperatorPort, PlatformPort, ServerPort, SubmitRequest,
 };
-pub use server_client::{ServerClient, ServerFailure, ServerRequest, says_leaving};
+pub use server_client::{ServerClient, ServerFailure, ServerRequest, no_answer, says_leaving};
 pub use server_connector::{ServerBytes, ServerConnector};
 pub use servers::ServerService;
 pub use stream_end::{StreamEnd, StreamOptions, ends_with_marker, watch_stream};
--- a/crates/gateway/src/server_client.rs
+++ b/crates/gateway/src/server_client.rs
@@ -156,13 +156,18 @@
         let response = tokio::time::timeout(request.first_byte_timeout, sending)
             .await
             .map_err(|_| {
-                *self.pool() = ClientPool::new(&self.connector);
-                timed_out(request.first_byte_timeout)
+                self.drop_idle_connections();
+                no_answer(request.first_byte_timeout)
             })?
             .map_err(|error| connection_failure(&error))?;
         check_response(request, &response).inspect_err(|_| stop_reuse(&connection))?;
         Ok(response)
     }
+
+    /// Drops all idle connections, since what silenced one may have silenced them all.
+    pub fn drop_idle_connections(&self) {
+        *self.pool() = ClientPool::new(&self.connector);
+    }
 }
 
 /// Lets a connection carry no further request.
@@ -209,7 +214,9 @@
     Ok(message)
 }
 
-fn timed_out(timeout: Duration) -> ServerFailure {
+/// The failure of an attempt to which no response began in time.
+#[must_use]
+pub fn no_answer(timeout: Duration) -> ServerFailure {
     let detail = format!("no answer began within {} ms", timeout.as_millis());
     ServerFailure::new(RunVerdict::MayHaveRun, RetryReason::ServerSilent, detail)
 }
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod outcome;
+mod send;
 
 pub(crate) use answer::reported_load;
 pub(crate) use outcome::failed_outcome;
@@ -29,6 +30,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::http::response::Parts;
 use outcome::{count_stream_end, is_server_lost, possible_crash, report_end, stream_outcome};
+use send::AttemptSender;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -114,7 +116,13 @@
             let now = self.clock.now();
             let attempts = excluded.len() - unreachable;
             let timeouts = attempt_timeouts(&plan, attempts, deadline, now);
-            let attempt = self.attempt(&request, &plan, grant, &mut watch, timeouts);
+            let sender = AttemptSender {
+                attempts: self,
+                plan: &plan,
+                excluded: &excluded,
+                timeouts,
+            };
+            let attempt = self.attempt(&request, &sender, grant, &mut watch);
             let failure = match attempt.await {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
@@ -174,11 +182,7 @@
         deadline: Instant,
         verdict: RunVerdict,
     ) -> Result<ServerGrant, RequestRefusal> {
-        let wanted = SlotRequest {
-            target: plan.target.clone(),
-            kind: WorkKind::Online(plan.queue.clone()),
-            excluded: excluded.to_vec(),
-        };
+        let wanted = slot_request(plan, excluded);
         let result = tokio::select! {
             result = self.routing.acquire(wanted, deadline) => result,
             refusal = self.revoked(plan) => Err(refusal),
@@ -189,11 +193,12 @@
     async fn attempt(
         &self,
         request: &OnlineRequest,
-        plan: &AttemptPlan,
+        sender: &AttemptSender<'_>,
         mut grant: ServerGrant,
         watch: &mut SuspectWatch,
-        timeouts: AttemptTimeouts,
     ) -> Result<Response<AnswerBody>, ServerFailure> {
+        let AttemptSender { plan, timeouts, .. } = *sender;
+        let sent_at = self.clock.now();
         let message = ServerRequest {
             address: grant.address,
             id: request.id,
@@ -202,10 +207,9 @@
             path_and_query: path_and_query(request),
             headers: request.headers.clone(),
             body: request.body.clone(),
-            first_byte_timeout: timeouts.first_byte,
+            first_byte_timeout: timeouts.deadline.saturating_duration_since(sent_at),
         };
-        let sent_at = self.clock.now();
-        let sent = self.client.send(&message).await;
+        let sent = sender.send(&message).await;
         grant.departure_reporter().read(request.id, &sent);
         let response = sent.inspect_err(|failure| {
             grant.outcome = failed_outcome(failure.reason);
@@ -367,10 +371,19 @@
     }
 }
 
+fn slot_request(plan: &AttemptPlan, excluded: &[ServerName]) -> SlotRequest {
+    SlotRequest {
+        target: plan.target.clone(),
+        kind: WorkKind::Online(plan.queue.clone()),
+        excluded: excluded.to_vec(),
+    }
+}
+
 /// The timeouts of one attempt.
 #[derive(Clone, Copy)]
 struct AttemptTimeouts {
-    /// The longest wait for the header fields of the response.
+    /// The longest wait for the header fields of the response while another server could run
+    /// the request.
     first_byte: Duration,
     /// The instant by which the response must be complete.
     deadline: Instant,
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -109,6 +109,8 @@
     /// Another host has dispatched an online request to the server.
     OnlineDispatched(ServerName),
     Capacity(oneshot::Sender<BatchCapacity>),
+    /// Whether a server that is not excluded could take the request.
+    CanServe(SlotRequest, oneshot::Sender<bool>),
     List(oneshot::Sender<Vec<ServerView>>),
 }
 
@@ -299,6 +301,14 @@
         })
     }
 
+    /// Returns whether a server that is not excluded could take the request, now or once it
+    /// has a free slot.
+    pub(crate) async fn can_serve(&self, request: SlotRequest) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.events.send(RoutingEvent::CanServe(request, sender));
+        receiver.await.unwrap_or_default()
+    }
+
     /// Returns the servers known to this host.
     pub(crate) async fn servers(&self) -> Vec<ServerView> {
         let (sender, receiver) = oneshot::channel();
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -114,6 +114,9 @@
                     occupied: self.batch_slots.count(),
                 });
             }
+            RoutingEvent::CanServe(request, sender) => {
+                let _ = sender.send(self.table.can_serve(&request, now));
+            }
             RoutingEvent::Requested(pending) => self.handle_request(pending, now),
             RoutingEvent::List(sender) => {
                 // The channel is closed if the requester no longer waits.
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -6,7 +6,7 @@
 
 pub(crate) use http::{HttpAnswer, HttpRequest, send};
 pub(crate) use ports::free_address;
-pub(crate) use scripted_server::ScriptedServer;
+pub(crate) use scripted_server::{ScriptedResponse, ScriptedServer};
 
 use chicoryladder_host::EntryHost;
 use chicoryladder_settings::HostSettings;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -21,4 +21,5 @@
 mod quarantine;
 mod replicated_state;
 mod shutdown;
+mod silent_servers;
 mod stranded;
