Check the end of long JSON texts that end with their connection

Reports of other operators (a short body, framed as whole), the part that can happen here: a JSON text of more than 4 MiB without length and chunks is forwarded before it is whole, and its end was not checked as that of a shorter one is. Where a crash cut it off, callers got its first part in chunks with a last chunk.

Evidence: a JSON text of 6 MiB without its last bracket reached the caller as complete.

Why it works: what is forwarded is scanned for strings, arrays and objects that are still open; if there are any at the end of the connection, the response breaks off, as streams do. Other kinds of content without a frame can't be checked, as completeness.rs tells.

Failed before, passes now: broken_responses::a_long_unframed_json_text_that_was_cut_off_is_not_whole. gateway an_unframed_json_text_is_complete_only_as_a_whole does not compile on the code before.

--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -86,13 +86,18 @@
             Ok(())
         };
     }
-    let is_unverified_json = framing == BodyFraming::UntilClose && is_json(fields);
-    if is_unverified_json && serde_json::from_slice::<IgnoredAny>(body).is_err() {
+    if is_unverified_json(framing, fields) && serde_json::from_slice::<IgnoredAny>(body).is_err() {
         return Err("the connection ended within a JSON text");
     }
     Ok(())
 }
 
+/// Whether only its content can tell that a JSON text is whole.
+#[must_use]
+pub fn is_unverified_json(framing: BodyFraming, fields: &HeaderMap) -> bool {
+    framing == BodyFraming::UntilClose && is_json(fields)
+}
+
 fn is_json(fields: &HeaderMap) -> bool {
     media_type(fields).is_some_and(|kind| {
         let kind = kind.to_ascii_lowercase();
@@ -179,3 +184,39 @@
         self.line = LineContent::Nothing;
     }
 }
+
+/// Tracks whether a JSON text that is too long to be parsed at once is whole: its strings,
+/// arrays and objects have to end.
+#[derive(Clone, Debug, Default)]
+pub struct JsonBoundary {
+    depth: u64,
+    is_in_string: bool,
+    after_backslash: bool,
+    has_content: bool,
+}
+
+impl JsonBoundary {
+    /// Reads the next bytes of the text.
+    pub fn push(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.has_content |= !byte.is_ascii_whitespace();
+            if self.is_in_string {
+                self.is_in_string = *byte != b'"' || self.after_backslash;
+                self.after_backslash = *byte == b'\\' && !self.after_backslash;
+                continue;
+            }
+            match byte {
+                b'"' => self.is_in_string = true,
+                b'[' | b'{' => self.depth += 1,
+                b']' | b'}' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+        }
+    }
+
+    /// Whether nothing that the bytes read so far began is open.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.has_content && !self.is_in_string && self.depth == 0
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,7 +30,8 @@
 pub use body::{AnswerBody, BodyError, bytes_body, empty_body};
 pub use callers::{CallerService, IdSource};
 pub use completeness::{
-    BodyFraming, EventBoundary, check_whole_body, is_event_stream, is_malformed,
+    BodyFraming, EventBoundary, JsonBoundary, check_whole_body, is_event_stream, is_malformed,
+    is_unverified_json,
 };
 pub use credentials::{bearer_key, forwarded_headers, forwarded_query};
 pub use listener::{HttpListener, HttpService, ListenError, ListenerLimits};
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -14,7 +14,7 @@
 
 use crate::answer::refusal_json;
 use crate::body::{AnswerBody, BodyError};
-use crate::completeness::{EventBoundary, is_malformed};
+use crate::completeness::{EventBoundary, JsonBoundary, is_malformed};
 use bytes::{Bytes, BytesMut};
 use chicoryladder_types::prelude::*;
 use futures_util::future::BoxFuture;
@@ -70,6 +70,8 @@
     pub has_events: bool,
     /// Whether the body has to end with the end marker of event streams.
     pub needs_end_marker: bool,
+    /// Whether the body is a JSON text whose end only its content can tell.
+    pub is_unverified_json: bool,
     /// The longest wait for the next whole event, or for the next chunk of a body without
     /// events.
     pub progress_timeout: Duration,
@@ -91,6 +93,7 @@
         body,
         prefix: options.prefix,
         boundary: options.has_events.then(EventBoundary::default),
+        json: options.is_unverified_json.then(JsonBoundary::default),
         unforwarded: BytesMut::new(),
         body_bytes: 0,
         needs_end_marker: options.needs_end_marker,
@@ -121,6 +124,7 @@
     body: Incoming,
     prefix: Bytes,
     boundary: Option<EventBoundary>,
+    json: Option<JsonBoundary>,
     /// The beginning of an event that is not whole yet.
     unforwarded: BytesMut,
     body_bytes: u64,
@@ -175,6 +179,9 @@
         let excess = self.tail.len().saturating_sub(TAIL_BYTES);
         self.tail.drain(..excess);
         self.body_bytes += chunk.len() as u64;
+        if let Some(json) = &mut self.json {
+            json.push(chunk);
+        }
         let Some(boundary) = &mut self.boundary else {
             self.waited = Duration::ZERO;
             return (self.body_bytes > ANSWER_MAX_BYTES).then_some("the answer is too long");
@@ -221,6 +228,10 @@
             let detail = "the answer ended within an event";
             return self.fail(StreamEnd::Truncated, truncated(detail));
         }
+        if self.json.as_ref().is_some_and(|json| !json.is_whole()) {
+            let detail = "the connection ended within a JSON text";
+            return self.fail(StreamEnd::Truncated, truncated(detail));
+        }
         self.state = StreamState::Ended;
         self.finish(StreamEnd::Complete);
         // The end marker may lack its blank line.
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -50,6 +50,8 @@
     /// The events of a response with an error status, which has no end marker.
     ErrorEvents,
     NoEvents,
+    /// A JSON text that ends with its connection.
+    UnframedJson,
 }
 
 async fn watch_as(
@@ -62,7 +64,8 @@
     let options = StreamOptions {
         on_first_chunk: Box::new(|| {}),
         prefix: Bytes::new(),
-        has_events: kind != BodyKind::NoEvents,
+        has_events: matches!(kind, BodyKind::Events | BodyKind::ErrorEvents),
+        is_unverified_json: kind == BodyKind::UnframedJson,
         needs_end_marker: kind == BodyKind::Events,
         progress_timeout: PROGRESS_TIMEOUT,
         total_timeout: TOTAL_TIMEOUT,
@@ -288,3 +291,19 @@
         assert_eq!(received.failed, expected == StreamEnd::Truncated);
     }
 }
+
+/// Guards against a JSON text, too long to be held back, that its connection cut off and that a
+/// caller gets as a whole one.
+#[tokio::test]
+async fn an_unframed_json_text_is_complete_only_as_a_whole() {
+    let text = r#" {"walks":["a \\\"} ]","b\\"],"length":[{"km":1.5}]} "#;
+    let whole = text.trim_end().len();
+    for length in 0..=text.len() {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
+        let answer = RawAnswer::Bytes(format!("{head}{}", &text[..length]));
+        let received = watch_as(answer, never(), BodyKind::UnframedJson).await;
+        assert_eq!(received.failed, length < whole, "{length} bytes");
+        let is_complete = received.end == StreamEnd::Complete;
+        assert_eq!(is_complete, length >= whole, "{length} bytes");
+    }
+}
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -19,7 +19,7 @@
 use answer::{AnswerRead, answer_fields, read_body};
 use chicoryladder_gateway::{
     AnswerBody, BodyFraming, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
-    StreamOptions, bytes_body, is_event_stream, watch_stream,
+    StreamOptions, bytes_body, is_event_stream, is_unverified_json, watch_stream,
 };
 use chicoryladder_policy::retry::{AttemptFailure, RetryDecision};
 use chicoryladder_policy::routing::ServerOutcome;
@@ -78,6 +78,7 @@
     body: Incoming,
     has_events: bool,
     needs_end_marker: bool,
+    is_unverified_json: bool,
     grant: ServerGrant,
 }
 
@@ -88,6 +89,7 @@
             body,
             has_events: true,
             needs_end_marker: parts.status.is_success(),
+            is_unverified_json: false,
             grant,
             parts,
         }
@@ -243,6 +245,7 @@
             }
             AnswerRead::Partial(prefix, body) => {
                 let answer = PartialAnswer {
+                    is_unverified_json: is_unverified_json(framing, &parts.headers),
                     parts,
                     prefix,
                     body,
@@ -285,6 +288,7 @@
             }),
             prefix: answer.prefix,
             needs_end_marker: answer.needs_end_marker,
+            is_unverified_json: answer.is_unverified_json,
             has_events: answer.has_events,
             progress_timeout: plan.timeout.min(PROGRESS_TIMEOUT),
             total_timeout: plan.timeout.saturating_sub(elapsed),
--- a/tests/all/broken_responses.rs
+++ b/tests/all/broken_responses.rs
@@ -2,7 +2,7 @@
 //! must be told neither that a request did not run nor that a response is whole.
 
 use crate::batch::caller::{BatchCaller, charge, charge_document, items};
-use crate::fixture::{FleetFixture, HttpRequest, ScriptedServer, send};
+use crate::fixture::{FleetFixture, HttpRequest, ScriptedResponse, ScriptedServer, send};
 use chicoryladder_types::headers;
 
 const CHARGES: &str = "/services/rent-ledger/charges";
@@ -77,3 +77,28 @@
         assert!(runs <= 1, "item {item} ran {runs} times");
     }
 }
+
+/// Guards against a long JSON text that a crash cut off, where only the end of the connection
+/// marks its end, and that a caller gets framed as whole.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_long_unframed_json_text_that_was_cut_off_is_not_whole() {
+    // Longer than what a host holds back until it is whole.
+    let walks = "7,".repeat(3 * 1024 * 1024);
+    for (end, is_cut) in [("7]", false), ("7", true)] {
+        let fleet = FleetFixture::with_document(1).await;
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
+        let bytes = format!("{head}[{walks}{end}");
+        let server = ScriptedServer::start(move |_| ScriptedResponse {
+            closes: true,
+            ..(true, bytes.clone()).into()
+        });
+        let server = server.await;
+        fleet
+            .announce_service(&server, "rules-1", "park-rules")
+            .await;
+        let request = HttpRequest::get(fleet.ports(0).callers, "/services/park-rules/curepipe");
+        let answer = send(request).await.unwrap();
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.truncated, is_cut);
+    }
+}
