--- a/tests/all/silent_servers.rs
+++ b/tests/all/silent_servers.rs
@@ -205,3 +205,48 @@
     let text = results[0].to_string();
     assert!(text.contains("new") && !text.contains("old"), "{text}");
 }
+
+/// Guards against an item that ran and runs again after its route has become one whose
+/// requests may not be repeated.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_is_not_repeated_once_its_route_is_not_idempotent() {
+    let document = item_document();
+    let fleet = FleetFixture::with_text(1, &document).await;
+    let key = fleet.grant_key(0, "curepipe").await;
+    let (breaks_off, silence) = watch::channel(false);
+    let is_first = AtomicBool::new(true);
+    let server = ScriptedServer::start(move |_| {
+        let response = ScriptedResponse::from((true, answer("{}")));
+        if !is_first.swap(false, Ordering::Relaxed) {
+            return response;
+        }
+        let mut silence = silence.clone();
+        ScriptedResponse {
+            silence: async move {
+                silence.wait_for(|ends| *ends).await.unwrap();
+            }
+            .boxed(),
+            bytes: String::new(),
+            closes: true,
+            ..response
+        }
+    });
+    let server = server.await;
+    fleet
+        .announce_service(&server, "rules-1", "park-rules")
+        .await;
+    let caller = BatchCaller::new(&fleet, 0, &key);
+    let lines = items(1, RULES, |_| "{}".to_owned());
+    let job = caller.submit("lot", &lines).await;
+    eventually("the item runs", || async { server.runs("{}") == 1 }).await;
+    // The route is the last one, and `idempotent` its last value.
+    let declaration = document.rfind("idempotent = yes").unwrap();
+    let revision = fleet
+        .change_document(0, &document[..declaration], 1, "second")
+        .await;
+    let in_force = || async { fleet.revision(0).await >= Some(revision) };
+    eventually("the document is in force", in_force).await;
+    breaks_off.send(true).unwrap();
+    caller.wait_completed(&job).await;
+    assert_eq!(server.runs("{}"), 1);
+}
