Let each charge of a test reach its server

A new host refuses a team's requests until it has tokens for it, so that the test of repeated refusals could have passed without a run. It waits for that now, and asserts how each charge ends.

--- a/tests/all/broken_responses.rs
+++ b/tests/all/broken_responses.rs
@@ -2,7 +2,9 @@
 //! must be told neither that a request did not run nor that a response is whole.
 
 use crate::batch::caller::{BatchCaller, charge, charge_document, items};
-use crate::fixture::{FleetFixture, HttpRequest, ScriptedResponse, ScriptedServer, send};
+use crate::fixture::{
+    FleetFixture, HttpRequest, ScriptedResponse, ScriptedServer, eventually, send,
+};
 use chicoryladder_types::headers;
 
 const CHARGES: &str = "/services/rent-ledger/charges";
@@ -40,9 +42,18 @@
             .announce_service(&server, "ledger-1", "rent-ledger")
             .await;
         let callers = fleet.ports(0).callers;
+        let send_charge = |body: String| {
+            let request = HttpRequest::post(callers, CHARGES, body);
+            send(request.with_key(&key.text))
+        };
+        let reaches_server = || async {
+            let answer = send_charge("first".to_owned()).await.unwrap();
+            answer.reason() == Some("server_failed")
+        };
+        eventually("a charge reaches the server", reaches_server).await;
         for charge in 0..8 {
-            let request = HttpRequest::post(callers, CHARGES, format!("charge-{charge}"));
-            let answer = send(request.with_key(&key.text)).await.unwrap();
+            let answer = send_charge(format!("charge-{charge}")).await.unwrap();
+            assert_eq!(answer.reason(), Some("server_failed"), "{}", answer.text());
             let runs = server.runs(&format!("charge-{charge}"));
             assert!(runs <= 1, "charge {charge} ran {runs} times");
             let not_run = answer.verdict() == Some("not-run");
