--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,8 +30,8 @@
 pub use body::{AnswerBody, BodyError, bytes_body, empty_body};
 pub use callers::{CallerService, IdSource};
 pub use completeness::{
-    BodyFraming, EventBoundary, check_whole_body, is_event_stream, is_malformed,
-    may_end_by_time_limit,
+    BodyFraming, EventBoundary, JsonBoundary, check_whole_body, is_event_stream, is_malformed,
+    is_unverified_json, may_end_by_time_limit,
 };
 pub use credentials::{bearer_key, forwarded_headers, forwarded_query};
 pub use listener::{HttpListener, HttpService, ListenError, ListenerLimits};
@@ -40,7 +40,7 @@
     AdminAnswer, AdminRequest, ItemCounts, JobPort, JobView, OnlinePort, OnlineRequest,
     OperatorPort, PlatformPort, ServerPort, SubmitRequest,
 };
-pub use server_client::{ServerClient, ServerFailure, ServerRequest, says_leaving};
+pub use server_client::{ServerClient, ServerFailure, ServerRequest, no_answer, says_leaving};
 pub use server_connector::{ServerBytes, ServerConnector};
 pub use servers::ServerService;
-pub use stream_end::{StreamEnd, StreamOptions, watch_stream};
+pub use stream_end::{StreamEnd, StreamOptions, ends_with_marker, watch_stream};
--- a/crates/gateway/src/stream_end.rs
+++ b/crates/gateway/src/stream_end.rs
@@ -5,14 +5,17 @@
 //! chunked body cleanly in the middle of a response. Event streams are
 //! therefore checked for their last event.
 //!
+//! Only whole events are forwarded, so that the event that reports an error never ends or
+//! continues one that was cut off.
+//!
 //! Bytes alone are no progress of an event stream: a server may send one now and then, or
 //! an event without end. Only the time spent waiting for the server counts, so that a
 //! slow caller does not end a stream.
 
 use crate::answer::refusal_json;
 use crate::body::{AnswerBody, BodyError};
-use crate::completeness::{EventBoundary, is_malformed};
-use bytes::Bytes;
+use crate::completeness::{EventBoundary, JsonBoundary, is_malformed};
+use bytes::{Bytes, BytesMut};
 use chicoryladder_types::prelude::*;
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
@@ -25,8 +28,9 @@
 /// The last event of an event stream.
 const END_MARKER: &[u8] = b"data: [DONE]";
 
-/// Number of bytes at the end of a stream that are searched for the end marker.
-const TAIL_BYTES: usize = END_MARKER.len() + 4;
+/// Number of bytes at the end of a stream that are searched for the end marker: line ends
+/// after it and the one before it included.
+const TAIL_BYTES: usize = END_MARKER.len() + 5;
 
 /// The maximum size of one event, in bytes.
 const EVENT_MAX_BYTES: usize = 1024 * 1024;
@@ -51,6 +55,13 @@
     CallerDisconnected,
 }
 
+/// Whether an event stream ends with the event that marks its end.
+#[must_use]
+pub fn ends_with_marker(stream: &[u8]) -> bool {
+    let before = stream.trim_ascii_end().strip_suffix(END_MARKER);
+    before.is_some_and(|before| matches!(before.last(), None | Some(b'\n' | b'\r')))
+}
+
 /// How a response stream is checked, and who is notified of its progress.
 pub struct StreamOptions {
     /// Bytes of the body that were already read; they are sent first.
@@ -59,6 +70,8 @@
     pub has_events: bool,
     /// Whether the body has to end with the end marker of event streams.
     pub needs_end_marker: bool,
+    /// Whether the body is a JSON text whose end only its content can tell.
+    pub is_unverified_json: bool,
     /// The longest wait for the next whole event, or for the next chunk of a body without
     /// events.
     pub progress_timeout: Duration,
@@ -80,6 +93,8 @@
         body,
         prefix: options.prefix,
         boundary: options.has_events.then(EventBoundary::default),
+        json: options.is_unverified_json.then(JsonBoundary::default),
+        unforwarded: BytesMut::new(),
         body_bytes: 0,
         needs_end_marker: options.needs_end_marker,
         progress_timeout: options.progress_timeout,
@@ -109,6 +124,9 @@
     body: Incoming,
     prefix: Bytes,
     boundary: Option<EventBoundary>,
+    json: Option<JsonBoundary>,
+    /// The beginning of an event that is not whole yet.
+    unforwarded: BytesMut,
     body_bytes: u64,
     needs_end_marker: bool,
     progress_timeout: Duration,
@@ -141,7 +159,7 @@
             self.state = StreamState::Ended;
             return Poll::Ready(Some(Err(refusal.into())));
         }
-        let mut event = b"\n\nevent: error\ndata: ".to_vec();
+        let mut event = b"event: error\ndata: ".to_vec();
         event.extend_from_slice(&refusal_json(&refusal));
         event.extend_from_slice(b"\n\n");
         self.state = StreamState::Flushing(refusal);
@@ -161,6 +179,9 @@
         let excess = self.tail.len().saturating_sub(TAIL_BYTES);
         self.tail.drain(..excess);
         self.body_bytes += chunk.len() as u64;
+        if let Some(json) = &mut self.json {
+            json.push(chunk);
+        }
         let Some(boundary) = &mut self.boundary else {
             self.waited = Duration::ZERO;
             return (self.body_bytes > ANSWER_MAX_BYTES).then_some("the answer is too long");
@@ -173,16 +194,25 @@
         (boundary.event_bytes() > EVENT_MAX_BYTES).then_some("an event is too long")
     }
 
-    fn forward(&mut self, frame: Frame<Bytes>) -> FramePoll {
-        let fault = frame.data_ref().and_then(|chunk| self.record_chunk(chunk));
-        match fault {
-            None => Poll::Ready(Some(Ok(frame))),
-            Some(detail) => self.fail(StreamEnd::Malformed, truncated(detail)),
+    /// Forwards a chunk, of a body that needs an end marker only what ends with a whole
+    /// event. Returns `None` if there is nothing to forward yet.
+    fn forward(&mut self, chunk: Bytes) -> Option<FramePoll> {
+        if let Some(detail) = self.record_chunk(&chunk) {
+            return Some(self.fail(StreamEnd::Malformed, truncated(detail)));
         }
+        let whole = match &self.boundary {
+            Some(boundary) if self.needs_end_marker => {
+                self.unforwarded.extend_from_slice(&chunk);
+                let length = self.unforwarded.len() - boundary.event_bytes();
+                self.unforwarded.split_to(length).freeze()
+            }
+            _ => chunk,
+        };
+        (!whole.is_empty()).then(|| Poll::Ready(Some(Ok(Frame::data(whole)))))
     }
 
     fn has_marker(&self) -> bool {
-        self.tail.trim_ascii_end().ends_with(END_MARKER)
+        ends_with_marker(&self.tail)
     }
 
     fn end(&mut self) -> FramePoll {
@@ -190,9 +220,23 @@
             let detail = "the answer ended before its end marker";
             return self.fail(StreamEnd::Truncated, truncated(detail));
         }
+        let is_within_event = self
+            .boundary
+            .as_ref()
+            .is_some_and(EventBoundary::is_within_event);
+        if !self.needs_end_marker && is_within_event {
+            let detail = "the answer ended within an event";
+            return self.fail(StreamEnd::Truncated, truncated(detail));
+        }
+        if self.json.as_ref().is_some_and(|json| !json.is_whole()) {
+            let detail = "the connection ended within a JSON text";
+            return self.fail(StreamEnd::Truncated, truncated(detail));
+        }
         self.state = StreamState::Ended;
         self.finish(StreamEnd::Complete);
-        Poll::Ready(None)
+        // The end marker may lack its blank line.
+        let rest = self.unforwarded.split().freeze();
+        Poll::Ready((!rest.is_empty()).then(|| Ok(Frame::data(rest))))
     }
 
     fn poll_open(&mut self, context: &mut Context<'_>) -> FramePoll {
@@ -201,21 +245,31 @@
         }
         if !self.prefix.is_empty() {
             let prefix = std::mem::take(&mut self.prefix);
-            return self.forward(Frame::data(prefix));
+            if let Some(forwarded) = self.forward(prefix) {
+                return forwarded;
+            }
         }
-        match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => self.forward(frame),
-            Poll::Ready(Some(Err(error))) => {
-                let detail = format!("the answer ended early: {error}");
-                let end = if is_malformed(&error) {
-                    StreamEnd::Malformed
-                } else {
-                    StreamEnd::Truncated
-                };
-                self.fail(end, truncated(detail))
+        loop {
+            match Pin::new(&mut self.body).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    // Trailers are not forwarded.
+                    let chunk = frame.into_data().unwrap_or_default();
+                    if let Some(forwarded) = self.forward(chunk) {
+                        return forwarded;
+                    }
+                }
+                Poll::Ready(Some(Err(error))) => {
+                    let detail = format!("the answer ended early: {error}");
+                    let end = if is_malformed(&error) {
+                        StreamEnd::Malformed
+                    } else {
+                        StreamEnd::Truncated
+                    };
+                    return self.fail(end, truncated(detail));
+                }
+                Poll::Ready(None) => return self.end(),
+                Poll::Pending => return self.poll_timer(context),
             }
-            Poll::Ready(None) => self.end(),
-            Poll::Pending => self.poll_timer(context),
         }
     }
 
--- a/crates/gateway/tests/all/stream_end.rs
+++ b/crates/gateway/tests/all/stream_end.rs
@@ -2,7 +2,7 @@
 
 use crate::raw::{EVENT_TIMEOUT, RawAnswer, raw_server};
 use bytes::Bytes;
-use chicoryladder_gateway::{StreamEnd, StreamOptions, watch_stream};
+use chicoryladder_gateway::{EventBoundary, StreamEnd, StreamOptions, watch_stream};
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -39,21 +39,34 @@
 }
 
 async fn watch(answer: RawAnswer, stop: BoxFuture<'static, RequestRefusal>) -> ReceivedStream {
-    watch_with(answer, stop, true).await
+    watch_as(answer, stop, BodyKind::Events).await
 }
 
-async fn watch_with(
+/// What a body is declared to hold.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum BodyKind {
+    /// The events of a successful response.
+    Events,
+    /// The events of a response with an error status, which has no end marker.
+    ErrorEvents,
+    NoEvents,
+    /// A JSON text that ends with its connection.
+    UnframedJson,
+}
+
+async fn watch_as(
     answer: RawAnswer,
     stop: BoxFuture<'static, RequestRefusal>,
-    has_events: bool,
+    kind: BodyKind,
 ) -> ReceivedStream {
     let body = body_of(answer).await;
     let (sender, end) = oneshot::channel();
     let options = StreamOptions {
         on_first_chunk: Box::new(|| {}),
         prefix: Bytes::new(),
-        has_events,
-        needs_end_marker: has_events,
+        has_events: matches!(kind, BodyKind::Events | BodyKind::ErrorEvents),
+        is_unverified_json: kind == BodyKind::UnframedJson,
+        needs_end_marker: kind == BodyKind::Events,
         progress_timeout: PROGRESS_TIMEOUT,
         total_timeout: TOTAL_TIMEOUT,
         stop,
@@ -174,7 +187,7 @@
         count: u32::MAX,
         last: String::new(),
     };
-    let received = watch_with(answer, never(), false).await;
+    let received = watch_as(answer, never(), BodyKind::NoEvents).await;
     assert_eq!(received.end, StreamEnd::Stalled);
     assert!(received.failed);
 }
@@ -195,3 +208,102 @@
     assert_eq!(received.end, StreamEnd::Complete);
     assert!(!received.failed);
 }
+
+/// The response of a server that was cut off after `length` bytes of its body.
+fn cut_stream(body: &str, length: usize) -> RawAnswer {
+    RawAnswer::Bytes(format!("{HEAD}{}", &body[..length]))
+}
+
+/// Guards against a part of an event that a caller takes for a whole one, or that has the
+/// text of the error in it.
+#[tokio::test]
+async fn an_error_follows_whole_events_only_wherever_a_stream_is_cut() {
+    for end in ["\n", "\r\n", "\r"] {
+        let events = [
+            "id: 1",
+            "data: one",
+            "",
+            ": comment",
+            "data: two",
+            "data: three",
+            "",
+        ];
+        let body: String = events.map(|line| format!("{line}{end}")).concat();
+        // A carriage return ends a line, also if a line feed follows.
+        let event_ends = [body.find(": comment").unwrap(), body.len()];
+        let event_ends = event_ends.map(|at| at + 1 - end.len());
+        for length in 0..body.len() {
+            let received = watch(cut_stream(&body, length), never()).await;
+            let (forwarded, error) = received.text.split_once("event: error\n").unwrap();
+            assert!(
+                error.starts_with("data: {") && error.ends_with("}\n\n"),
+                "{error}"
+            );
+            assert!(received.failed && received.end == StreamEnd::Truncated);
+            let mut boundary = EventBoundary::default();
+            boundary.push(forwarded.as_bytes());
+            assert!(!boundary.is_within_event(), "{length} bytes: {forwarded:?}");
+            let whole_events = event_ends.iter().filter(|at| length >= **at).count() as u64;
+            assert_eq!(
+                boundary.events(),
+                whole_events,
+                "{length} bytes: {forwarded:?}"
+            );
+            assert!(
+                body.starts_with(forwarded.trim_end()),
+                "{length} bytes: {forwarded:?}"
+            );
+        }
+    }
+}
+
+/// Guards against an event that waits for the next one before it is forwarded.
+#[tokio::test]
+async fn a_whole_event_is_forwarded_at_once() {
+    for end in ["\n", "\r\n", "\r"] {
+        let text = format!("{HEAD}data: a{end}{end}");
+        let received = watch(RawAnswer::BytesThenStall(text), never()).await;
+        let event = format!("data: a{end}{end}");
+        assert!(received.text.starts_with(&event), "{:?}", received.text);
+    }
+}
+
+/// Guards against a stream that was cut off behind the text of the end marker within an event,
+/// and that counts as complete.
+#[tokio::test]
+async fn an_end_marker_within_a_line_does_not_count() {
+    let text = format!("{HEAD}data: a\n\ndata: {{\"text\":\"data: [DONE]");
+    let received = watch(RawAnswer::Bytes(text), never()).await;
+    assert_eq!(received.end, StreamEnd::Truncated);
+    assert!(received.failed);
+}
+
+/// Guards against an error response in events that counts as complete although it was cut off.
+#[tokio::test]
+async fn an_error_response_that_ends_within_an_event_is_not_complete() {
+    for (body, expected) in [
+        ("data: one\n\ndata: tw", StreamEnd::Truncated),
+        ("data: one\n\n", StreamEnd::Complete),
+    ] {
+        let answer = RawAnswer::Bytes(format!("{HEAD}{body}"));
+        let received = watch_as(answer, never(), BodyKind::ErrorEvents).await;
+        assert_eq!(received.end, expected);
+        assert_eq!(received.failed, expected == StreamEnd::Truncated);
+    }
+}
+
+/// Guards against a JSON text, too long to be held back, that its connection cut off and that a
+/// caller gets as a whole one.
+#[tokio::test]
+async fn an_unframed_json_text_is_complete_only_as_a_whole() {
+    let text = r#" {"walks":["a \\\"} ]","b\\"],"length":[{"km":1.5}]} "#;
+    let whole = text.trim_end().len();
+    for length in 0..=text.len() {
+        let head = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n";
+        let answer = RawAnswer::Bytes(format!("{head}{}", &text[..length]));
+        let received = watch_as(answer, never(), BodyKind::UnframedJson).await;
+        assert_eq!(received.failed, length < whole, "{length} bytes");
+        let is_complete = received.end == StreamEnd::Complete;
+        assert_eq!(is_complete, length >= whole, "{length} bytes");
+    }
+}
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod outcome;
+mod send;
 
 pub(crate) use answer::reported_load;
 pub(crate) use outcome::failed_outcome;
@@ -18,7 +19,7 @@
 use answer::{AnswerRead, answer_fields, read_body};
 use chicoryladder_gateway::{
     AnswerBody, BodyFraming, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
-    StreamOptions, bytes_body, is_event_stream, watch_stream,
+    StreamOptions, bytes_body, is_event_stream, is_unverified_json, watch_stream,
 };
 use chicoryladder_policy::retry::{AttemptFailure, RetryDecision};
 use chicoryladder_policy::routing::ServerOutcome;
@@ -29,6 +30,7 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::http::response::Parts;
 use outcome::{count_stream_end, is_server_lost, possible_crash, report_end, stream_outcome};
+use send::AttemptSender;
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -76,6 +78,7 @@
     body: Incoming,
     has_events: bool,
     needs_end_marker: bool,
+    is_unverified_json: bool,
     grant: ServerGrant,
 }
 
@@ -86,6 +89,7 @@
             body,
             has_events: true,
             needs_end_marker: parts.status.is_success(),
+            is_unverified_json: false,
             grant,
             parts,
         }
@@ -114,7 +118,13 @@
             let now = self.clock.now();
             let attempts = excluded.len() - unreachable;
             let timeouts = attempt_timeouts(&plan, attempts, deadline, now);
-            let attempt = self.attempt(&request, &plan, grant, &mut watch, timeouts);
+            let sender = AttemptSender {
+                attempts: self,
+                plan: &plan,
+                excluded: &excluded,
+                timeouts,
+            };
+            let attempt = self.attempt(&request, &sender, grant, &mut watch);
             let failure = match attempt.await {
                 Ok(response) => return Ok(response),
                 Err(failure) => failure,
@@ -174,11 +184,7 @@
         deadline: Instant,
         verdict: RunVerdict,
     ) -> Result<ServerGrant, RequestRefusal> {
-        let wanted = SlotRequest {
-            target: plan.target.clone(),
-            kind: WorkKind::Online(plan.queue.clone()),
-            excluded: excluded.to_vec(),
-        };
+        let wanted = slot_request(plan, excluded);
         let result = tokio::select! {
             result = self.routing.acquire(wanted, deadline) => result,
             refusal = self.revoked(plan) => Err(refusal),
@@ -189,11 +195,12 @@
     async fn attempt(
         &self,
         request: &OnlineRequest,
-        plan: &AttemptPlan,
+        sender: &AttemptSender<'_>,
         mut grant: ServerGrant,
         watch: &mut SuspectWatch,
-        timeouts: AttemptTimeouts,
     ) -> Result<Response<AnswerBody>, ServerFailure> {
+        let AttemptSender { plan, timeouts, .. } = *sender;
+        let sent_at = self.clock.now();
         let message = ServerRequest {
             address: grant.address,
             id: request.id,
@@ -202,10 +209,9 @@
             path_and_query: path_and_query(request),
             headers: request.headers.clone(),
             body: request.body.clone(),
-            first_byte_timeout: timeouts.first_byte,
+            first_byte_timeout: timeouts.deadline.saturating_duration_since(sent_at),
         };
-        let sent_at = self.clock.now();
-        let sent = self.client.send(&message).await;
+        let sent = sender.send(&message).await;
         grant.departure_reporter().read(request.id, &sent);
         let response = sent.inspect_err(|failure| {
             grant.outcome = failed_outcome(failure.reason);
@@ -239,6 +245,7 @@
             }
             AnswerRead::Partial(prefix, body) => {
                 let answer = PartialAnswer {
+                    is_unverified_json: is_unverified_json(framing, &parts.headers),
                     parts,
                     prefix,
                     body,
@@ -281,6 +288,7 @@
             }),
             prefix: answer.prefix,
             needs_end_marker: answer.needs_end_marker,
+            is_unverified_json: answer.is_unverified_json,
             has_events: answer.has_events,
             progress_timeout: plan.timeout.min(PROGRESS_TIMEOUT),
             total_timeout: plan.timeout.saturating_sub(elapsed),
@@ -367,10 +375,19 @@
     }
 }
 
+fn slot_request(plan: &AttemptPlan, excluded: &[ServerName]) -> SlotRequest {
+    SlotRequest {
+        target: plan.target.clone(),
+        kind: WorkKind::Online(plan.queue.clone()),
+        excluded: excluded.to_vec(),
+    }
+}
+
 /// The timeouts of one attempt.
 #[derive(Clone, Copy)]
 struct AttemptTimeouts {
-    /// The longest wait for the header fields of the response.
+    /// The longest wait for the header fields of the response while another server could run
+    /// the request.
     first_byte: Duration,
     /// The instant by which the response must be complete.
     deadline: Instant,
