Take no refusal without an id on a connection that has answered before

Callers of at-most-once requests could get 'not run, try again' for a request that a server ran, and an entry host sent such a request to a second server, which ran it, too: in the new test, the first at-most-once request to meet a copied refusal ran twice.

Cause: a response with `not_run`, or of the wrong server, but without an id was taken as a statement on the request at hand. On a kept connection it may be a late copy of an earlier refusal; the server has the request and runs it. Ruled out: a copy that names another request (the id is checked first, and nothing else of its head is recorded), and one that names the same request (a connection that brought a refusal is closed, and a request is not sent again to a server that refused it; an item may be, and may run more than once).

A connection now records that a response has arrived on it, and from then on a response without an id belongs to no request: the request may have run. The first response on a connection can't be a copy, so its refusal still counts.

--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -72,6 +72,9 @@
     /// The incarnation of the server at its other end, once the server has named it. A
     /// connection does not outlast it.
     pub(crate) incarnation: Option<u64>,
+    /// Whether a response has arrived on it. A copy of that response, or one that is late, may
+    /// come where the next response is due.
+    pub(crate) has_answered: bool,
 }
 
 struct IdleConnection {
@@ -162,6 +165,7 @@
             sender,
             path,
             incarnation: None,
+            has_answered: false,
         })
     }
 
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -110,6 +110,12 @@
 }
 
 impl AnswerHead {
+    /// Whether the response states that the request has not run on the intended server.
+    #[must_use]
+    pub fn refuses(&self) -> bool {
+        self.not_run || self.wrong_server
+    }
+
     /// Whether the response states that the server a request was sent to leaves. A response
     /// to another request, or of another server at the address, says nothing about it.
     #[must_use]
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -132,8 +132,9 @@
 impl PooledConnection {
     /// Returns the connection for reuse, if it outlasts the response. Call only after the
     /// response was read completely.
-    pub(crate) fn return_to_pool(self) {
+    pub(crate) fn return_to_pool(mut self) {
         if self.is_reusable {
+            self.connection.has_answered = true;
             self.pool
                 .put_idle(self.address, self.connection, self.idle_timeout);
         }
@@ -315,6 +316,7 @@
             .header(HOST, request.address.to_string())
             .body(Full::new(Bytes::new()))?;
         let (parts, body) = connection.sender.send_request(message).await?.into_parts();
+        connection.has_answered = true;
         let id = self.dialect.read_answer(&parts).id;
         if id.is_some_and(|id| !id.is_empty()) {
             return Err("an answer to another request came instead".into());
@@ -333,12 +335,17 @@
         let (parts, body) = response.into_parts();
         let head = self.dialect.read_answer(&parts);
         // Check the id first: the response to another request says nothing about this
-        // one.
-        if head.id.as_deref().is_some_and(|id| id != request.id) {
+        // one. Without an id, only the first response on a connection is surely its own.
+        let cause = match head.id.as_deref() {
+            Some(id) if id != request.id => Some("the answer belongs to another request"),
+            None if connection.has_answered => Some("the answer may belong to another request"),
+            _ => None,
+        };
+        if let Some(cause) = cause {
             return Err(RunFailure::new(
                 RunVerdict::MayHaveRun,
                 RunOutcome::Failed,
-                "the answer belongs to another request",
+                cause,
             ));
         }
         if head.announces_departure(&request.id) {
@@ -349,7 +356,7 @@
             self.marks
                 .record_limit(&request.server, statement, &request.id);
         }
-        if head.not_run || head.wrong_server {
+        if head.refuses() {
             let outcome = if head.wrong_server {
                 RunOutcome::WrongServer
             } else {
--- a/tests/fleet/faulty.rs
+++ b/tests/fleet/faulty.rs
@@ -12,8 +12,11 @@
 pub(crate) const FAULTY_SERVICE: &str = "faulty";
 
 /// The path suffix at which a server that has answered a request on the connection runs the
-/// next one, but writes the refusal of an earlier one first. It names the earlier request, and
-/// says that the server leaves and has a limit.
+/// next one, but writes the refusal of an earlier one first.
+pub(crate) const COPIED_REFUSAL_PATH: &str = "/copied-refusal";
+
+/// Like [`COPIED_REFUSAL_PATH`], with a refusal that names an earlier request and says that the
+/// server leaves and has a limit.
 pub(crate) const COPIED_DEPARTURE_PATH: &str = "/copied-departure";
 
 /// The beginning of the last path segment at which the head of the response of a first run is
@@ -78,6 +81,10 @@
     };
     record(&id);
     let path = request.path.as_str();
+    if answered > 0 && path.ends_with(COPIED_REFUSAL_PATH) {
+        record(&format!("{id}{COPY_SUFFIX}"));
+        return (refusal(""), Connection::Kept);
+    }
     if answered > 0 && path.ends_with(COPIED_DEPARTURE_PATH) {
         record(&format!("{id}{COPY_SUFFIX}"));
         let fields = "x-request-id: an-earlier-request\r\nserver-leaving: 1\r\nserver-limit: 1\r\n";
--- a/tests/fleet/faulty_answers.rs
+++ b/tests/fleet/faulty_answers.rs
@@ -3,7 +3,8 @@
 
 use crate::client::Answer;
 use crate::faulty::{
-    COPIED_DEPARTURE_PATH, COPY_SUFFIX, CUT_FRAMINGS, CUT_HEAD_PREFIX, FAULTY_SERVICE,
+    COPIED_DEPARTURE_PATH, COPIED_REFUSAL_PATH, COPY_SUFFIX, CUT_FRAMINGS, CUT_HEAD_PREFIX,
+    FAULTY_SERVICE,
 };
 use crate::servers::stream_text;
 use crate::world::{ProcessFleet, Role};
@@ -72,6 +73,14 @@
     panic!("{copies} copies in {REQUESTS_MAX} requests");
 }
 
+/// Guards against an earlier refusal that a server sends once more and that callers, or other
+/// servers, get for the answer to a request which runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copied_refusal_says_nothing_of_the_next_request() {
+    let (fleet, entry) = start_fleet().await;
+    play_copies(&fleet, &entry, COPIED_REFUSAL_PATH).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_copied_refusal_of_a_named_request_says_nothing_of_its_server() {
     let (fleet, entry) = start_fleet().await;
