Take no copied refusal for the state of a server

A stream that a caller took up went on at another software version, in the new test at v2 after it had begun at v1.

Cause: before a stream goes on, the host asks the server for its state, to find out whether it has started again. A late copy of an earlier refusal has no id, so it passed for the answer. It names no incarnation, and a server that names none is taken for the intended one. Copies with an id were told apart before (a_copy_of_an_answer_is_no_state_of_a_server).

--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -316,9 +316,10 @@
             .header(HOST, request.address.to_string())
             .body(Full::new(Bytes::new()))?;
         let (parts, body) = connection.sender.send_request(message).await?.into_parts();
+        let head = self.dialect.read_answer(&parts);
+        let is_late_refusal = head.refuses() && connection.has_answered;
         connection.has_answered = true;
-        let id = self.dialect.read_answer(&parts).id;
-        if id.is_some_and(|id| !id.is_empty()) {
+        if head.id.is_some_and(|id| !id.is_empty()) || is_late_refusal {
             return Err("an answer to another request came instead".into());
         }
         let body = Limited::new(body, STATE_MAX_BYTES);
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -8,6 +8,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::http::response::Builder;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response};
 use hyper_util::rt::TokioIo;
@@ -116,6 +117,9 @@
     is_paused: Arc<watch::Sender<bool>>,
     /// Whether a copy of an earlier answer comes where its state is due.
     sends_copies: Arc<AtomicBool>,
+    /// Whether a copy of an earlier refusal comes where its state is due, on connections on
+    /// which it has answered.
+    sends_refusal_copies: Arc<AtomicBool>,
     /// Whether a crash under a prompt ends all runs, not only the one of that prompt.
     crashes_whole: Arc<AtomicBool>,
     /// The version of its software, in check-ins.
@@ -151,6 +155,7 @@
             is_down: Arc::default(),
             is_paused: Arc::default(),
             sends_copies: Arc::default(),
+            sends_refusal_copies: Arc::default(),
             crashes_whole: Arc::default(),
             version: Arc::new(Mutex::new("v1")),
             leaving_acknowledged: Arc::default(),
@@ -211,6 +216,12 @@
         self.sends_copies.store(true, Ordering::Relaxed);
     }
 
+    /// Sends a copy of an earlier refusal where its state is due, on connections on which it has
+    /// answered.
+    pub(crate) fn send_refusal_copies(&self) {
+        self.sends_refusal_copies.store(true, Ordering::Relaxed);
+    }
+
     /// Lets crashes under a prompt end all runs and the listener for [`RESTART_TIME`].
     pub(crate) fn crash_whole(&self) {
         self.crashes_whole.store(true, Ordering::Relaxed);
@@ -282,9 +293,11 @@
                 continue;
             }
             let server = self.clone();
+            let has_answered = AtomicBool::new(false);
             let service = service_fn(move |request| {
                 let server = server.clone();
-                async move { server.answer(request).await }
+                let has_answered = has_answered.swap(true, Ordering::Relaxed);
+                async move { server.answer(request, has_answered).await }
             });
             let connection = hyper::server::conn::http1::Builder::new();
             let serving = connection.serve_connection(TokioIo::new(stream), service);
@@ -325,7 +338,11 @@
     }
 
     /// Answers a request; an error closes the connection, like a crash.
-    async fn answer(&self, request: Request<Incoming>) -> io::Result<Response<AnswerBody>> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        has_answered: bool,
+    ) -> io::Result<Response<AnswerBody>> {
         let started_at = Instant::now();
         self.wait_while_paused().await;
         let (head, body) = request.into_parts();
@@ -337,6 +354,10 @@
                     .body(Full::new("an earlier answer".into()).boxed_unsync());
                 return Ok(copy.expect("a valid response"));
             }
+            if has_answered && self.sends_refusal_copies.load(Ordering::Relaxed) {
+                let copy = refusal(503).body(Full::new("busy".into()).boxed_unsync());
+                return Ok(copy.expect("a valid response"));
+            }
             let state = json!({ "stage": "mixed", "born": self.incarnation() }).to_string();
             return Ok(Response::new(Full::new(state.into()).boxed_unsync()));
         }
@@ -448,11 +469,13 @@
     Some(fields.get(name)?.to_str().ok()?.to_owned())
 }
 
+fn refusal(status: u16) -> Builder {
+    let response = Response::builder().status(status);
+    response.header("x-not-executed", "1")
+}
+
 fn plain(status: u16, id: &str, text: &'static str) -> Response<AnswerBody> {
     let body = Full::new(Bytes::from_static(text.as_bytes())).boxed_unsync();
-    let response = Response::builder()
-        .status(status)
-        .header("x-request-id", id)
-        .header("x-not-executed", "1");
+    let response = refusal(status).header("x-request-id", id);
     response.body(body).expect("a valid response")
 }
--- a/tests/fleet/versions.rs
+++ b/tests/fleet/versions.rs
@@ -158,6 +158,32 @@
     assert!(gone_on > 0);
 }
 
+/// Guards against a late copy of a refusal that is taken for the state of a server, so that a
+/// stream goes on at another version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_refusal_is_no_state_of_a_server() {
+    let mut fleet = ProcessFleet::start().await;
+    let entries = fleet.host_names(Role::Entry);
+    let broken = break_streams(&mut fleet, &entries[0], "refusals", BEGIN_TIME).await;
+    let restarted = &engines(&fleet)[2];
+    restarted.hold_check_ins(true);
+    restarted.restart_as("v2");
+    restarted.send_refusal_copies();
+    // Leaves connections on which the server has answered.
+    let ids: Vec<String> = (0..STREAMS)
+        .map(|number| format!("kept-{number}"))
+        .collect();
+    let calls = ids.iter().map(|id| {
+        let call = fleet.caller_request(&entries[2], "/rules/3", id);
+        async move { call.send().await }
+    });
+    join_all(calls).await;
+    let has_kept = ids.iter().any(|id| versions_of(&fleet, id).contains(&"v2"));
+    assert!(has_kept, "the restarted server ran nothing");
+    let gone_on = take_up(&fleet, &entries[2], &broken).await;
+    assert!(gone_on > 0);
+}
+
 /// Guards against streams that begin at a server which started again unnoticed, and then go on at the version that it
 /// had before.
 #[tokio::test(flavor = "multi_thread")]
