Go on with no answer that was never a stream

On a route for resumable streams, a caller got the beginning of a JSON text, and then, in the same response, the events of another server. The response ended as complete, with the first one's type.

Cause: whether a response may go on at another server was decided by the route alone. Now the response must have events, too; any other one that breaks off does so for the caller.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -629,7 +629,9 @@
         prefix: Bytes,
     ) -> Response<AnswerBody> {
         let mut headers = self.runner.dialect.answer_headers(&answer.parts.headers);
-        let resumable = state.route().kind == RouteKind::Stream && state.is_repeatable();
+        let resumable = state.kind() == RouteKind::Stream
+            && state.is_repeatable()
+            && announces_events(&answer.parts);
         // With a length, a response would look complete to the caller although it ends
         // within an event.
         if resumable || is_event_stream(&answer.parts.headers) {
--- a/tests/fleet/faulty.rs
+++ b/tests/fleet/faulty.rs
@@ -27,6 +27,9 @@
 /// cut. The framing of the response and the number of bytes before the cut follow.
 pub(crate) const CUT_HEAD_PREFIX: &str = "cut-";
 
+/// The last path segment at which a first run breaks off within a JSON text.
+pub(crate) const BROKEN_JSON: &str = "broken-json";
+
 /// The events before a stream breaks off.
 const EVENTS_BEFORE_BREAK: u64 = 3;
 
@@ -122,6 +125,13 @@
     {
         return (cut_head(&head, cut, rest), Connection::Closed);
     }
+    if name == BROKEN_JSON && runs_before == 0 {
+        let begun = "{\"plan\":[\"a walk\",\n\n\"a";
+        return (
+            format!("{head}{JSON}content-length: 99\r\n\r\n{begun}").into_bytes(),
+            Connection::Closed,
+        );
+    }
     if let Some(fault) = name.strip_prefix(RESUMED_PREFIX) {
         if runs_before == 0 {
             let whole = stream_text(&id, EVENTS_BEFORE_BREAK).len();
--- a/tests/fleet/faulty_answers.rs
+++ b/tests/fleet/faulty_answers.rs
@@ -3,8 +3,8 @@
 
 use crate::client::Answer;
 use crate::faulty::{
-    COPIED_DEPARTURE_PATH, COPIED_REFUSAL_PATH, COPY_SUFFIX, CUT_FRAMINGS, CUT_HEAD_PREFIX,
-    FAULTY_SERVICE, RESUMED_FAULTS, RESUMED_PREFIX,
+    BROKEN_JSON, COPIED_DEPARTURE_PATH, COPIED_REFUSAL_PATH, COPY_SUFFIX, CUT_FRAMINGS,
+    CUT_HEAD_PREFIX, FAULTY_SERVICE, RESUMED_FAULTS, RESUMED_PREFIX,
 };
 use crate::servers::stream_text;
 use crate::world::{ProcessFleet, Role};
@@ -124,6 +124,17 @@
     assert!(failed.is_empty(), "{failed:#?}");
 }
 
+/// Guards against an answer without events that broke off, and that a stream of another server
+/// follows in the same response.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_no_stream_is_not_gone_on_with() {
+    let (fleet, entry) = start_fleet().await;
+    let path = format!("/faulty-rules/{EVENTS}/{BROKEN_JSON}");
+    let answer = send(&fleet, &entry, &path, "json").await;
+    assert!(!answer.complete, "{answer:?}");
+    assert!(!answer.text().contains("data:"), "{answer:?}");
+}
+
 /// The routes for streams and for other answers, each with and without repeats.
 const ROUTES: &[&str] = &["ping", "charge", "rules", "walk"];
 
