Take no event stream without events for complete

Callers got a 200 with an empty body, framed as whole: a server had written the head of a stream without length or chunks (also of HTTP/1.0) and closed the connection. So it was on idempotent and at-most-once routes, and on both kinds of routes for streams.

Cause: an event stream that ends with its connection was complete unless it ended within an event, and nothing at all is not within one. A crash after the head looks the same. Such a stream now needs an event, for the daemon's check of bodies, too. A stream from its start that is relayed needs one with any framing; one that a caller takes up may still be empty if its end is marked. Heads with a length or chunks were told apart before, and so is a head that is cut.

--- a/crates/gateway/src/completeness.rs
+++ b/crates/gateway/src/completeness.rs
@@ -71,7 +71,8 @@
 /// # Errors
 ///
 /// Fails with the cause if the body is incomplete: if an event stream ends within an
-/// event, or if a JSON text that ended with its connection is not whole.
+/// event, or if what ended with its connection is an event stream without events or a JSON
+/// text that is not whole.
 pub fn check_whole_body(
     framing: BodyFraming,
     fields: &HeaderMap,
@@ -82,6 +83,8 @@
         boundary.push(body);
         return if boundary.is_within_event() {
             Err("the server ended within an event")
+        } else if framing == BodyFraming::UntilClose && boundary.events() == 0 {
+            Err("the connection ended before the first event")
         } else {
             Ok(())
         };
--- a/crates/gateway/tests/all/completeness.rs
+++ b/crates/gateway/tests/all/completeness.rs
@@ -103,3 +103,15 @@
     }
     assert!(is_whole(close, "text/plain", "any text"));
 }
+
+/// Guards against event streams of which a crash left only the head, and that count as complete.
+#[test]
+fn an_event_stream_that_its_connection_ends_has_events() {
+    let kind = HeaderValue::from_static("text/event-stream");
+    let fields = HeaderMap::from_iter([(CONTENT_TYPE, kind)]);
+    for body in ["", "\n", ": a comment\n\n"] {
+        let is_whole = |framing| check_whole_body(framing, &fields, body.as_bytes()).is_ok();
+        assert!(!is_whole(BodyFraming::UntilClose), "{body:?}");
+        assert!(is_whole(BodyFraming::Chunks) && is_whole(BodyFraming::Length));
+    }
+}
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -301,9 +301,17 @@
         if run.is_within_event() || self.sequencer.is_within_event() {
             return Some(BreakCause::EndedWithinEvent);
         }
-        let goes_on = self.sequencer.last_event().is_some();
-        let is_early = run.has_no_events() && goes_on && !self.may_be_empty(run);
-        is_early.then_some(BreakCause::NoEvents)
+        if !run.has_no_events() {
+            return None;
+        }
+        if self.sequencer.last_event().is_some() {
+            return (!self.may_be_empty(run)).then_some(BreakCause::NoEvents);
+        }
+        Some(match run.framing {
+            // The server may have crashed after the head.
+            BodyFraming::UntilClose => BreakCause::ConnectionLost,
+            BodyFraming::Length | BodyFraming::Chunks => BreakCause::NoEvents,
+        })
     }
 
     /// Whether nothing may follow the last event. A response with a length is no stream that a
--- a/tests/fleet/faulty.rs
+++ b/tests/fleet/faulty.rs
@@ -212,12 +212,15 @@
     response.into_bytes()
 }
 
+/// The name of a cut after the whole head, before the first byte of the body.
+pub(crate) const WHOLE_HEAD: &str = "whole";
+
 /// The heads that can be cut, by their names: with a length, in chunks, and without either,
 /// also of HTTP/1.0.
 pub(crate) const CUT_FRAMINGS: &[&str] = &["length", "chunks", "close", "old"];
 
-/// The first bytes of a head; `cut` names its framing and their number. At least the
-/// last byte is missing.
+/// The first bytes of a head; `cut` names its framing and their number. At most the last byte
+/// is missing, or none if `cut` says `whole`.
 fn cut_head(head: &str, cut: &str, body: &str) -> Vec<u8> {
     let (framing, bytes) = cut.rsplit_once('-').expect("a framing and a number");
     let fields = match framing {
@@ -229,7 +232,9 @@
     if framing == "old" {
         head = head.replace("HTTP/1.1", "HTTP/1.0");
     }
-    let bytes: usize = bytes.parse().expect("a number");
-    head.truncate(bytes.min(head.len() - 1));
+    if bytes != WHOLE_HEAD {
+        let bytes: usize = bytes.parse().expect("a number");
+        head.truncate(bytes.min(head.len() - 1));
+    }
     head.into_bytes()
 }
--- a/tests/fleet/faulty_answers.rs
+++ b/tests/fleet/faulty_answers.rs
@@ -4,7 +4,7 @@
 use crate::client::Answer;
 use crate::faulty::{
     BROKEN_JSON, COPIED_DEPARTURE_PATH, COPIED_REFUSAL_PATH, COPY_SUFFIX, CUT_FRAMINGS,
-    CUT_HEAD_PREFIX, FAULTY_SERVICE, RESUMED_FAULTS, RESUMED_PREFIX,
+    CUT_HEAD_PREFIX, FAULTY_SERVICE, RESUMED_FAULTS, RESUMED_PREFIX, WHOLE_HEAD,
 };
 use crate::servers::stream_text;
 use crate::world::{ProcessFleet, Role};
@@ -183,3 +183,18 @@
     }
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards against streams whose server stops after the head, and that callers get as complete
+/// and empty.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_without_events_is_no_stream() {
+    let (fleet, entry) = start_fleet().await;
+    let mut failed = Vec::new();
+    for framing in CUT_FRAMINGS {
+        for route in ROUTES {
+            let cut = format!("{framing}-{WHOLE_HEAD}");
+            failed.extend(play_cut(&fleet, &entry, route, &cut).await);
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
