Count no item as complete by a run without events

Results of jobs held three of seven events as if they were whole: the run before had broken off, and the server that took the item up answered with a 204, with an empty body of length 0 or in chunks, or only with a head.

Cause: a run that ended in order completed the item if there was output of any run. A run without events says nothing of that output: the next event may be missing, and the leader knows no more of an earlier run than its last event. Ruled out, in the same test: errors as JSON, with and without a type, and events out of sequence or without an id.

A run now needs a 200 with events. If none follows those of earlier runs, the output is discarded and the item begins anew, as only a run from the start tells where it ends (`end` is `Empty` in `item_run`). An item whose last event was recorded just before its run broke off costs one more run.

--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -464,6 +464,12 @@
         ItemEnd::Impossible => give_up(&shared, key, &item).await,
         ItemEnd::Stopped => shared.leader().schedule.mark_stopped(key, run.progress),
         ItemEnd::Broken => shared.leader().schedule.mark_failed(key, run.progress, now),
+        ItemEnd::Empty => {
+            let mut leader = shared.leader();
+            leader.schedule.mark_failed(key, run.progress, now);
+            // Only a run from the start tells where the output ends.
+            leader.schedule.discard_output(key);
+        }
         ItemEnd::Failed => {
             let failures = shared.leader().schedule.count_failure(key);
             if failures >= item.open.job_spec.max_attempts {
@@ -506,7 +512,7 @@
     });
     match run.end {
         ItemEnd::Complete | ItemEnd::Stopped => shared.log.routine("item_run", &fields),
-        ItemEnd::Broken | ItemEnd::Failed | ItemEnd::Impossible => {
+        ItemEnd::Broken | ItemEnd::Empty | ItemEnd::Failed | ItemEnd::Impossible => {
             shared.log.note("item_run", &fields);
         }
     }
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -1,7 +1,7 @@
 //! One run of a batch item on a backend server.
 
 use crate::connection_pool::ConnectionEnd;
-use crate::event_stream::EventParser;
+use crate::event_stream::{EventParser, announces_events};
 use crate::ports::RunContext;
 use crate::server_run::{ServerRequest, ServerRunner};
 use crate::slot_client::SlotLease;
@@ -30,6 +30,8 @@
     Stopped,
     /// The run was interrupted; this does not count as a failure of the item.
     Broken,
+    /// No event followed those of earlier runs, of which the last may be missing.
+    Empty,
     /// The server responded that the run failed.
     Failed,
     /// The server responded that the item can never succeed.
@@ -110,6 +112,10 @@
         };
         return (end, outcome, "the server answered that it failed");
     }
+    if !announces_events(&response.parts) {
+        return run_broken("the answer is no stream of events");
+    }
+    let last_event_before = reader.progress().last_event;
     let mut body = response.body;
     loop {
         let frame = match tokio::time::timeout(SILENCE_MAX, body.frame()).await {
@@ -149,6 +155,13 @@
         }
         return run_broken("the server ended within an event");
     }
+    if reader.progress().last_event == last_event_before {
+        let outcome = match response.framing {
+            BodyFraming::Chunks => RunOutcome::Served,
+            BodyFraming::Length | BodyFraming::UntilClose => RunOutcome::Failed,
+        };
+        return (ItemEnd::Empty, outcome, "the server ended without events");
+    }
     response.connection.return_to_pool();
     lease.record_completion();
     (ItemEnd::Complete, RunOutcome::Served, "complete")
--- a/tests/fleet/faulty_answers.rs
+++ b/tests/fleet/faulty_answers.rs
@@ -6,8 +6,9 @@
     BROKEN_JSON, COPIED_DEPARTURE_PATH, COPIED_REFUSAL_PATH, COPY_SUFFIX, CUT_FRAMINGS,
     CUT_HEAD_PREFIX, FAULTY_SERVICE, RESUMED_FAULTS, RESUMED_PREFIX, WHOLE_HEAD,
 };
-use crate::servers::stream_text;
+use crate::servers::{event_data, stream_text};
 use crate::world::{ProcessFleet, Role};
+use std::cell::RefCell;
 use std::time::Duration;
 
 /// The faulty servers. After a failure, a server is suspended, so that others are needed.
@@ -135,6 +136,47 @@
     assert!(!answer.text().contains("data:"), "{answer:?}");
 }
 
+/// Guards against items that count as complete although the server which took them up sent
+/// no more events.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_goes_on_only_with_its_events() {
+    let (fleet, entry) = start_fleet().await;
+    let id = |fault: &str| format!("item-{fault}");
+    for fault in RESUMED_FAULTS {
+        let path = format!("/faulty-digest/{EVENTS}/{RESUMED_PREFIX}{fault}");
+        let body = ProcessFleet::items_body(&[id(fault)], &path);
+        let job = format!("job-{fault}");
+        fleet
+            .wait_until("the job is accepted", || async {
+                let submit = "/faulty-digest/submit";
+                let answer = fleet.submit_body(&entry, submit, &job, body.clone()).await;
+                answer.is_some_and(|answer| answer.status.as_u16() == 202)
+            })
+            .await;
+    }
+    let mut failed = Vec::new();
+    for fault in RESUMED_FAULTS {
+        let id = id(fault);
+        let job = format!("job-{fault}");
+        let results = RefCell::new(Vec::new());
+        fleet
+            .wait_until("the item has a result", || async {
+                let read = fleet.read_results(&entry, &job).await;
+                results.replace(read.unwrap_or_default());
+                !results.borrow().is_empty()
+            })
+            .await;
+        let texts: Vec<String> = (0..EVENTS).map(|number| event_data(&id, number)).collect();
+        let expected = [(id.clone(), texts.join("\n"))];
+        let results = results.into_inner();
+        let runs = fleet.runs.runs_of(&id).len();
+        if results != expected || runs < 2 {
+            failed.push(format!("{fault}: {runs} runs, {results:?}"));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
 /// The routes for streams and for other answers, each with and without repeats.
 const ROUTES: &[&str] = &["ping", "charge", "rules", "walk"];
 
