--- a/crates/gateway/tests/all/completeness.rs
+++ b/crates/gateway/tests/all/completeness.rs
@@ -116,3 +116,15 @@
     }
     assert!(!may_end_by_time_limit(BodyFraming::Length, Duration::ZERO));
 }
+
+/// Guards against event streams of which a crash left only the head, and that count as complete.
+#[test]
+fn an_event_stream_that_its_connection_ends_has_events() {
+    let kind = HeaderValue::from_static("text/event-stream");
+    let fields = HeaderMap::from_iter([(CONTENT_TYPE, kind)]);
+    for body in ["", "\n", ": a comment\n\n"] {
+        let is_whole = |framing| check_whole_body(framing, &fields, body.as_bytes()).is_ok();
+        assert!(!is_whole(BodyFraming::UntilClose), "{body:?}");
+        assert!(is_whole(BodyFraming::Chunks) && is_whole(BodyFraming::Length));
+    }
+}
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -4,6 +4,7 @@
 use super::relay::{EventRelay, RelayContext, relay_body};
 use crate::connection_pool::OpenConnection;
 use crate::event_log::EventLog;
+use crate::event_stream::announces_events;
 use crate::metrics::RoleMetrics;
 use crate::ports::{CallerHead, RunContext};
 use crate::server_run::{RunFailure, ServerAnswer, ServerRequest, ServerRunner};
@@ -725,7 +726,9 @@
         prefix: Bytes,
     ) -> Response<AnswerBody> {
         let mut headers = self.runner.dialect.answer_headers(&answer.parts.headers);
-        let resumable = state.route().kind == RouteKind::Stream && state.is_repeatable();
+        let resumable = state.kind() == RouteKind::Stream
+            && state.is_repeatable()
+            && announces_events(&answer.parts);
         // With a length, a response would look complete to the caller although it ends
         // within an event.
         if resumable || is_event_stream(&answer.parts.headers) {
@@ -853,8 +856,14 @@
         last_event: Option<u64>,
     ) -> Option<(ServerAnswer, SlotLease)> {
         let (answer, lease) = sent?;
+        let is_success = answer.parts.status.is_success();
+        if is_success && !announces_events(&answer.parts) {
+            let failure = RunFailure::malformed("the answer is no stream of events");
+            self.end_failed_attempt(state, lease, failure);
+            return None;
+        }
         state.runs += 1;
-        if !answer.parts.status.is_success() {
+        if !is_success {
             state.avoid_server(&lease.server);
             lease.end(outcome_of(answer.parts.status));
             return None;
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -43,9 +43,11 @@
 enum BreakCause {
     ConnectionLost,
     EndedWithinEvent,
+    NoEvents,
     ServerSilent,
     DeadlinePassed,
     EventSequence,
+    EventWithoutId,
     EventTooLong,
     AnswerTooLong,
     Malformed,
@@ -56,9 +58,11 @@
         match self {
             Self::ConnectionLost => "the server broke off",
             Self::EndedWithinEvent => "the server ended within an event",
+            Self::NoEvents => "the server ended without events",
             Self::ServerSilent => "the server fell silent",
             Self::DeadlinePassed => "the request ran out of time",
             Self::EventSequence => "an event is missing or came twice",
+            Self::EventWithoutId => "an event has no id",
             Self::EventTooLong => "an event is too long",
             Self::AnswerTooLong => "the answer is too long",
             Self::Malformed => "the server sent bytes that are no answer",
@@ -78,9 +82,11 @@
         match self {
             Self::ConnectionLost => true,
             Self::EndedWithinEvent => framing == BodyFraming::UntilClose,
-            Self::ServerSilent
+            Self::NoEvents
+            | Self::ServerSilent
             | Self::DeadlinePassed
             | Self::EventSequence
+            | Self::EventWithoutId
             | Self::EventTooLong
             | Self::AnswerTooLong
             | Self::Malformed => false,
@@ -110,6 +116,8 @@
     status: StatusCode,
     /// The run that is relayed; `None` once the response has ended.
     run: Option<RelayedRun>,
+    /// Whether an earlier run broke off within an event; `None` if there was none.
+    broke_within_event: Option<bool>,
 }
 
 /// A run whose response is being read. Dropping it closes the connection, which ends the
@@ -141,8 +149,9 @@
         prefix: Bytes,
     ) -> Self {
         let fields = &answer.parts.headers;
-        let is_untyped_stream = kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE);
-        let has_events = is_untyped_stream || is_event_stream(fields);
+        let is_stream = is_event_stream(fields)
+            || (kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE));
+        let has_events = is_stream && answer.parts.status != StatusCode::NO_CONTENT;
         Self {
             body: answer.body,
             framing: answer.framing,
@@ -215,13 +224,21 @@
         let fault = self.sequencer.as_ref().and_then(EventSequencer::fault)?;
         Some(match fault {
             SequenceFault::OutOfSequence => BreakCause::EventSequence,
+            SequenceFault::WithoutId => BreakCause::EventWithoutId,
             SequenceFault::EventTooLong => BreakCause::EventTooLong,
         })
     }
 
     fn is_within_event(&self) -> bool {
         let boundary = self.boundary.as_ref();
+        let sequencer = self.sequencer.as_ref();
         boundary.is_some_and(EventBoundary::is_within_event)
+            || sequencer.is_some_and(EventSequencer::is_within_event)
+    }
+
+    fn has_no_events(&self) -> bool {
+        let boundary = self.boundary.as_ref();
+        boundary.is_some_and(|boundary| boundary.events() == 0)
     }
 
     fn last_event(&self) -> Option<u64> {
@@ -283,6 +300,7 @@
                 sequencer,
                 prefix,
             )),
+            broke_within_event: None,
             context,
         }
     }
@@ -310,9 +328,10 @@
                     self.run = Some(run);
                     return Some(Ok(Frame::data(bytes)));
                 }
-                RelayStep::End if run.is_within_event() => BreakCause::EndedWithinEvent,
-                RelayStep::End if self.may_end_by_time_limit(&run) => BreakCause::DeadlinePassed,
-                RelayStep::End => return self.end(run),
+                RelayStep::End => match self.find_early_end(&run) {
+                    Some(cause) => cause,
+                    None => return self.end(run),
+                },
                 RelayStep::Broken(cause) => cause,
                 RelayStep::Silent => continue,
             };
@@ -404,6 +423,43 @@
         }
     }
 
+    /// Why a response that its server ended in order is incomplete, if it is.
+    fn find_early_end(&self, run: &RelayedRun) -> Option<BreakCause> {
+        if run.is_within_event() {
+            return Some(BreakCause::EndedWithinEvent);
+        }
+        if self.may_end_by_time_limit(run) {
+            return Some(BreakCause::DeadlinePassed);
+        }
+        if !run.has_no_events() {
+            return None;
+        }
+        if run.last_event().is_some() {
+            return (!self.may_be_empty(run)).then_some(BreakCause::NoEvents);
+        }
+        Some(match run.framing {
+            // The server may have crashed after the head.
+            BodyFraming::UntilClose => BreakCause::ConnectionLost,
+            BodyFraming::Length | BodyFraming::Chunks => BreakCause::NoEvents,
+        })
+    }
+
+    /// Whether nothing may follow the last event. A response with a length is no stream that a
+    /// server goes on with, and one without framing may have been cut off.
+    fn may_be_empty(&self, run: &RelayedRun) -> bool {
+        match run.framing {
+            BodyFraming::Chunks => self.broke_within_event != Some(true),
+            BodyFraming::Length => self.broke_within_event.is_none(),
+            BodyFraming::UntilClose => false,
+        }
+    }
+
+    /// Records whether the stream goes on for certain, since a run broke off within an event.
+    fn record_break(&mut self, run: &RelayedRun) {
+        let is_certain = run.has_no_events() && self.broke_within_event == Some(true);
+        self.broke_within_event = Some(is_certain || run.is_within_event());
+    }
+
     fn may_end_by_time_limit(&self, run: &RelayedRun) -> bool {
         let now = self.context.forwarder.clock.now();
         let left = self.context.state.answer_by.saturating_duration_since(now);
@@ -413,6 +469,7 @@
     /// Ends a run whose response does not go on, before another server gets the stream.
     async fn interrupt(&mut self, run: RelayedRun, cause: BreakCause) -> AnswerEnd {
         let end = run.answer_end();
+        self.record_break(&run);
         self.context.forwarder.count_answer_end(&end);
         self.end_broken_run(run, cause).await;
         end
