Move the search for a successor to a module of its own, and count its asks and silences exactly

Found on reading the change again. forward.rs had grown by the search and the resumption of streams, which now stand in forward/successor.rs. A search that ended early, as the silent server went on, still cost one of the six slot requests of its request; a slot request is counted where a server gets the request now. A server that was silent up to the deadline, with a search in between, was reported as one that had written events; the silence is counted on over searches.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -1,5 +1,9 @@
 //! Forwarding of a caller's request to backend servers, with retries.
 
+mod successor;
+
+pub(super) use successor::{SEARCH_INTERVAL_MIN, StreamSuccessor};
+
 use super::matching::{MatchedRequest, RequestMatcher};
 use super::relay::{EventRelay, RelayContext, relay_body};
 use crate::connection_pool::OpenConnection;
@@ -39,9 +43,6 @@
 /// repeatable request is sent to another server.
 const RESEND_AFTER_TARGETS: u32 = 2;
 
-/// The shortest interval between two searches for a server to go on with a silent stream.
-pub(super) const SEARCH_INTERVAL_MIN: Duration = Duration::from_millis(100);
-
 /// A request counts as a caller's retry after a refusal if its time left is below
 /// this share of the longest time left seen on its route.
 const RETRY_SHARE: f64 = 0.93;
@@ -76,13 +77,6 @@
     pub(super) server: ServerName,
 }
 
-/// A server that is ready to go on with a stream.
-pub(super) struct StreamSuccessor {
-    lease: SlotLease,
-    /// A connection on which the server has just answered.
-    connection: OpenConnection,
-}
-
 /// Forwards requests to backend servers.
 pub(super) struct RequestForwarder {
     pub(super) slots: SlotClient,
@@ -311,6 +305,7 @@
                 state.deadline_refusal()
             });
         }
+        state.slot_requests += 1;
         let last_event = state.request.head.last_event;
         let Some(lease) = self.acquire_slot(state, last_event, now).await? else {
             return Ok(None);
@@ -364,31 +359,6 @@
         }
     }
 
-    /// Resolves once a successor is found for the server of a stream that has not answered for
-    /// [`RESEND_AFTER_TARGETS`]. The search for it is repeated at that interval.
-    async fn search_while_silent(
-        &self,
-        state: &mut RequestState,
-        lease: &SlotLease,
-        last_event: Option<u64>,
-        successor: &mut Option<StreamSuccessor>,
-    ) {
-        if state.kind() != RouteKind::Stream || !state.is_repeatable() {
-            return std::future::pending().await;
-        }
-        let interval = state.route().latency_target * RESEND_AFTER_TARGETS;
-        let interval = interval.max(SEARCH_INTERVAL_MIN);
-        state.avoid_server(&lease.server);
-        state.bind_version(&lease.version);
-        while successor.is_none() {
-            tokio::time::sleep(interval).await;
-            if !state.may_retry(self.clock.now()) {
-                return std::future::pending().await;
-            }
-            *successor = self.find_successor(state, last_event).await;
-        }
-    }
-
     fn log_sent(&self, state: &RequestState, lease: &SlotLease, now: Instant) {
         let waited = now.saturating_duration_since(state.request.arrived_at);
         let left = state.answer_by.saturating_duration_since(now);
@@ -444,7 +414,6 @@
         last_event: Option<u64>,
         now: Instant,
     ) -> Result<Option<SlotLease>, RequestRefusal> {
-        state.slot_requests += 1;
         let request = self.build_slot_request(state, last_event, now);
         let plan = self.slot_plan(state);
         match self.slots.request_slot(plan, request).await {
@@ -766,150 +735,6 @@
         response
     }
 
-    /// Finds another server that answers, to go on with a stream whose server is silent.
-    /// Nothing runs there yet, so a search without success is not counted.
-    pub(super) async fn find_successor(
-        &self,
-        state: &mut RequestState,
-        last_event: Option<u64>,
-    ) -> Option<StreamSuccessor> {
-        let asks = state.slot_requests;
-        let lease = self.acquire_resuming_slot(state, last_event).await;
-        state.slot_requests = asks;
-        let lease = lease?;
-        let request = self.server_request(state, &lease, last_event, self.clock.now());
-        match self.runner.prepare(&request).await {
-            Ok(connection) => {
-                state.slot_requests += 1;
-                Some(StreamSuccessor { lease, connection })
-            }
-            Err(failure) => {
-                self.record_failure(state, &lease, &failure);
-                state.unanswered = Some(lease.server.clone());
-                lease.end(failure.outcome);
-                None
-            }
-        }
-    }
-
-    /// Resumes a stream after `last_event` on the server that was found, or on another one if it
-    /// has been lost since.
-    pub(super) async fn resume_at(
-        &self,
-        state: &mut RequestState,
-        successor: StreamSuccessor,
-        last_event: Option<u64>,
-    ) -> Option<(ServerAnswer, SlotLease)> {
-        let StreamSuccessor { lease, connection } = successor;
-        let prepared = Some(connection);
-        let sent = self.run_on(state, lease, prepared, last_event).await;
-        match self.take_resumed(state, sent, last_event) {
-            Some(resumed) => Some(resumed),
-            None => self.resume(state, last_event).await,
-        }
-    }
-
-    /// Resumes a stream after `last_event` on another server.
-    pub(super) async fn resume(
-        &self,
-        state: &mut RequestState,
-        last_event: Option<u64>,
-    ) -> Option<(ServerAnswer, SlotLease)> {
-        loop {
-            let lease = self.acquire_resuming_slot(state, last_event).await?;
-            let sent = self.run_on(state, lease, None, last_event).await;
-            let resumed = self.take_resumed(state, sent, last_event);
-            if resumed.is_some() {
-                return resumed;
-            }
-        }
-    }
-
-    /// Acquires a slot for the rest of a stream; `None` if there is none.
-    async fn acquire_resuming_slot(
-        &self,
-        state: &mut RequestState,
-        last_event: Option<u64>,
-    ) -> Option<SlotLease> {
-        loop {
-            let now = self.clock.now();
-            if !state.may_retry(now) {
-                self.log_not_resumed(state, last_event, &state.failure_refusal());
-                return None;
-            }
-            match self.acquire_slot(state, last_event, now).await {
-                Ok(Some(lease)) => return Some(lease),
-                Ok(None) => {}
-                Err(refusal) => {
-                    self.log_not_resumed(state, last_event, &refusal);
-                    return None;
-                }
-            }
-        }
-    }
-
-    /// Takes the answer of a server that was asked for the rest of a stream, unless it failed.
-    fn take_resumed(
-        &self,
-        state: &mut RequestState,
-        sent: Option<(ServerAnswer, SlotLease)>,
-        last_event: Option<u64>,
-    ) -> Option<(ServerAnswer, SlotLease)> {
-        let (answer, lease) = sent?;
-        let is_success = answer.parts.status.is_success();
-        if is_success && !announces_events(&answer.parts) {
-            let failure = RunFailure::malformed("the answer is no stream of events");
-            self.end_failed_attempt(state, lease, failure);
-            return None;
-        }
-        state.runs += 1;
-        if !is_success {
-            state.avoid_server(&lease.server);
-            lease.end(outcome_of(answer.parts.status));
-            return None;
-        }
-        self.log_resumed(state, &lease, last_event);
-        state.bind_version(&lease.version);
-        Some((answer, lease))
-    }
-
-    fn log_resumed(&self, state: &RequestState, lease: &SlotLease, last_event: Option<u64>) {
-        let fields = json!({
-            "request": state.request.id,
-            "service": lease.service,
-            "server": lease.server,
-            "version": lease.version,
-            "version_before": state.version,
-            "last_event": last_event,
-            "plan": state.matched.plan.version().0,
-        });
-        self.log.note("stream_resumed", &fields);
-    }
-
-    /// Logs why no other server goes on with a stream.
-    fn log_not_resumed(
-        &self,
-        state: &RequestState,
-        last_event: Option<u64>,
-        refusal: &RequestRefusal,
-    ) {
-        let now = self.clock.now();
-        let fields = json!({
-            "request": state.request.id,
-            "service": state.service,
-            "version": state.version,
-            "last_event": last_event,
-            "reason": refusal.reason.as_str(),
-            "detail": refusal.detail,
-            "runs": state.runs,
-            "asks": state.slot_requests,
-            "plan": state.matched.plan.version().0,
-            "view_age_ms": self.matcher.view.age(now).map(|age| age.as_millis()),
-            "left_ms": state.answer_by.saturating_duration_since(now).as_millis(),
-        });
-        self.log.note("stream_not_resumed", &fields);
-    }
-
     /// Ends an attempt that got no complete response.
     fn end_failed_attempt(
         &self,
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -137,6 +137,8 @@
     body_bytes: u64,
     /// How long the server was waited for since the last whole event.
     waited: Duration,
+    /// What `waited` was when the last search for another server ended, if there was one.
+    searched_at: Option<Duration>,
 }
 
 impl RelayedRun {
@@ -162,6 +164,7 @@
             prefix,
             body_bytes: 0,
             waited: Duration::ZERO,
+            searched_at: None,
         }
     }
 
@@ -209,15 +212,21 @@
         self.body_bytes += chunk.len() as u64;
         self.waited += waited;
         let Some(boundary) = &mut self.boundary else {
-            self.waited = Duration::ZERO;
+            self.record_progress();
             return (self.body_bytes > ANSWER_MAX_BYTES).then_some(BreakCause::AnswerTooLong);
         };
         let events = boundary.events();
         boundary.push(chunk);
+        let is_too_long = boundary.event_bytes() > EVENT_MAX_BYTES;
         if boundary.events() > events {
-            self.waited = Duration::ZERO;
+            self.record_progress();
         }
-        (boundary.event_bytes() > EVENT_MAX_BYTES).then_some(BreakCause::EventTooLong)
+        is_too_long.then_some(BreakCause::EventTooLong)
+    }
+
+    fn record_progress(&mut self) {
+        self.waited = Duration::ZERO;
+        self.searched_at = None;
     }
 
     fn sequence_fault(&self) -> Option<BreakCause> {
@@ -363,7 +372,8 @@
                 .state
                 .answer_by
                 .saturating_duration_since(since);
-            let max_wait = self.max_gap(since).saturating_sub(run.waited).min(left);
+            let search_after = self.search_after(run, since);
+            let max_wait = search_after.saturating_sub(run.waited).min(left);
             let Ok(frame) = tokio::time::timeout(max_wait, run.body.frame()).await else {
                 run.waited += clock.now().saturating_duration_since(since);
                 return if max_wait < left {
@@ -378,14 +388,18 @@
         }
     }
 
-    /// The longest wait for a whole event until another server is searched for.
-    fn max_gap(&self, now: Instant) -> Duration {
+    /// The time without a whole event after which another server is searched for.
+    fn search_after(&self, run: &RelayedRun, now: Instant) -> Duration {
         let state = &self.context.state;
         let is_replaceable = self.context.resumable && state.may_retry(now);
-        let gap = state.matched.route.gap_target.filter(|_| is_replaceable);
-        gap.map_or(Duration::MAX, |gap| {
-            (gap * GAP_MAX_TARGETS).max(SEARCH_INTERVAL_MIN)
-        })
+        let Some(gap) = state.matched.route.gap_target.filter(|_| is_replaceable) else {
+            return Duration::MAX;
+        };
+        let (searched_at, gaps) = match run.searched_at {
+            Some(searched_at) => (searched_at, 1),
+            None => (Duration::ZERO, GAP_MAX_TARGETS),
+        };
+        searched_at + (gap * gaps).max(SEARCH_INTERVAL_MIN)
     }
 
     /// Searches for another server that answers, while the silent one may still go on: silence
@@ -397,8 +411,6 @@
         let clock = forwarder.clock.clone();
         state.avoid_server(&run.lease.server);
         state.bind_version(&run.lease.version);
-        let gap_target = state.matched.route.gap_target.unwrap_or_default();
-        let interval = gap_target.max(SEARCH_INTERVAL_MIN);
         let deadline = forwarder.sleep_until(state.answer_by);
         let search = forwarder.find_successor(state, run.last_event());
         tokio::pin!(search, deadline);
@@ -412,8 +424,8 @@
                     }
                 }
                 found = &mut search => {
-                    // The next search follows if the server stays silent for another interval.
-                    run.waited = (gap_target * GAP_MAX_TARGETS).saturating_sub(interval);
+                    run.waited += clock.now().saturating_duration_since(since);
+                    run.searched_at = Some(run.waited);
                     return found.map_or(SearchEnd::NotFound, |found| SearchEnd::Found(found.into()));
                 }
                 () = &mut deadline => {
