End a stream at its deadline however much of it can be read

Streams that wrote events without a pause did not end at their deadline, nor at any other time. Found by endless::a_body_without_end_is_broken_off, which failed once beside load: an endless body was cut by its size, after 6 s instead of 5.

The time left is checked before each read now, and in the search. What is within reach at the deadline is not read any more.

a_stream_without_end_ends_at_its_deadline failed before (no end within 10 s).

--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -367,11 +367,12 @@
         }
         loop {
             let since = clock.now();
-            let left = self
-                .context
-                .state
-                .answer_by
-                .saturating_duration_since(since);
+            let answer_by = self.context.state.answer_by;
+            let left = answer_by.saturating_duration_since(since);
+            // A server that always has more to read would never let a timer come first.
+            if left.is_zero() {
+                return RelayStep::Broken(BreakCause::DeadlinePassed);
+            }
             let search_after = self.search_after(run, since);
             let max_wait = search_after.saturating_sub(run.waited).min(left);
             let Ok(frame) = tokio::time::timeout(max_wait, run.body.frame()).await else {
@@ -411,11 +412,15 @@
         let clock = forwarder.clock.clone();
         state.avoid_server(&run.lease.server);
         state.bind_version(&run.lease.version);
-        let deadline = forwarder.sleep_until(state.answer_by);
+        let answer_by = state.answer_by;
+        let deadline = forwarder.sleep_until(answer_by);
         let search = forwarder.find_successor(state, run.last_event());
         tokio::pin!(search, deadline);
         loop {
             let since = clock.now();
+            if since >= answer_by {
+                return SearchEnd::Step(RelayStep::Broken(BreakCause::DeadlinePassed));
+            }
             tokio::select! {
                 biased;
                 frame = run.body.frame() => {
--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -2,10 +2,13 @@
 //! ones.
 
 use crate::broken_streams::{send, start_fleet};
+use crate::client::Call;
 use crate::servers::stream_text;
 use crate::unframed::{
-    ENDLESS_BODY_PATH, ENDLESS_EVENT_PATH, ENDLESS_HEAD_PATH, SLOW_PATH, TRICKLE_PATH,
+    ENDLESS_BODY_PATH, ENDLESS_EVENT_PATH, ENDLESS_EVENTS_PATH, ENDLESS_HEAD_PATH, SLOW_PATH,
+    TRICKLE_PATH,
 };
+use hyper::Method;
 use std::time::{Duration, Instant};
 
 /// The time within which a response that can't be an answer has to end, at most: the time
@@ -90,3 +93,22 @@
     assert_eq!(answer.text(), stream_text("slow", 3));
     assert_eq!(fleet.runs.runs_of("slow").len(), 1);
 }
+
+/// Guards against streams that outlast their time as long as more of them can be read at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_end_ends_at_its_deadline() {
+    const TIME_LEFT: Duration = Duration::from_millis(500);
+    let (fleet, entry) = start_fleet().await;
+    for route in ["raw-walk", "raw-rules"] {
+        let path = format!("/{route}/1{ENDLESS_EVENTS_PATH}");
+        let call = Call::new(fleet.callers_address(&entry), Method::POST, &path)
+            .field("x-request-id", route)
+            .field("x-deadline-ms", &TIME_LEFT.as_millis().to_string())
+            .key("k1");
+        let started = Instant::now();
+        let answer = call.send().await.expect("an answer");
+        assert!(!answer.complete, "{route}");
+        let elapsed = started.elapsed();
+        assert!(elapsed < TIME_LEFT * 4, "{route}: {elapsed:?}");
+    }
+}
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -48,6 +48,9 @@
 /// The path suffix at which an event of a stream never ends.
 pub(crate) const ENDLESS_EVENT_PATH: &str = "/endless-event";
 
+/// The path suffix at which events follow each other without a pause and without end.
+pub(crate) const ENDLESS_EVENTS_PATH: &str = "/endless-events";
+
 /// The path suffix at which the first run of a stream sends a byte of a comment now and then
 /// after some events.
 pub(crate) const TRICKLE_PATH: &str = "/trickle";
@@ -244,6 +247,9 @@
             failed => failed,
         });
     }
+    if path.ends_with(ENDLESS_EVENTS_PATH) {
+        return Some(write_events_endlessly(stream).await);
+    }
     if path.ends_with(TRICKLE_PATH) {
         return Some(trickle(stream, text).await);
     }
@@ -253,6 +259,16 @@
     None
 }
 
+/// Writes events until the other end closes the connection.
+async fn write_events_endlessly(stream: &mut TcpStream) -> io::Result<()> {
+    for number in 0u64.. {
+        let padding = "a".repeat(ENDLESS_WRITE_BYTES);
+        let event = format!("id: {number}\ndata: {padding}\n\n");
+        stream.write_all(event.as_bytes()).await?;
+    }
+    Ok(())
+}
+
 /// Writes some events, and then a byte of a comment now and then.
 async fn trickle(stream: &mut TcpStream, text: &str) -> io::Result<()> {
     let events = usize::try_from(EVENTS_BEFORE_CUT).expect("it fits");
