Keep items at the service that accepted them as long as it has servers

An item that was running at the service in between when the route moved back stayed with that service for good, also if it cannot run it.

--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -51,8 +51,7 @@
 pub struct ScheduledItem {
     /// The item and its job.
     pub open: OpenItem,
-    /// The service whose servers run it. An item without output follows its route; one with
-    /// output stays, as another service would not go on with the same text.
+    /// The service whose servers run it: the one that accepted the job, as long as it has servers.
     pub service: ServiceName,
     /// The output that its runs have produced so far.
     pub progress: RunProgress,
@@ -230,25 +229,6 @@
         }
     }
 
-    /// Lets the items without output follow their routes. `target` returns the service that the
-    /// route of a job leads to; `None` if it leads nowhere, and the items stay.
-    pub fn follow_routes(&mut self, target: impl Fn(&JobSpec) -> Option<ServiceName>) {
-        for keys in self.by_job.values() {
-            let mut service = None;
-            for key in keys {
-                let Some(item) = self.items.get_mut(*key) else {
-                    continue;
-                };
-                let service = service.get_or_insert_with(|| target(&item.open.job_spec));
-                let is_movable =
-                    item.phase == ItemPhase::Waiting && item.progress.last_event.is_none();
-                if let Some(service) = service.as_ref().filter(|_| is_movable) {
-                    item.service = service.clone();
-                }
-            }
-        }
-    }
-
     /// Discards the output of the items whose routes lead to another service than the one of
     /// their job: a new leader does not know which of the two wrote it.
     pub fn discard_unattributed(&mut self, target: impl Fn(&JobSpec) -> Option<ServiceName>) {
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -10,7 +10,7 @@
 };
 use chicoryladder_broker::{SlotRefusalReason, SlotRequest, StreamPart, WorkKind, shared_segments};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
-use chicoryladder_plan::{PlanVersion, RouteKind, ServicePlan};
+use chicoryladder_plan::{RouteKind, ServicePlan};
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServiceName, TermNumber};
@@ -60,8 +60,6 @@
     next_request_at: Option<Instant>,
     runs: HashMap<ItemKey, RunningItem>,
     next_record_at: Option<Instant>,
-    /// The plan whose routes the items follow.
-    followed_plan: Option<PlanVersion>,
     /// When this leader first saw each job.
     first_seen_at: HashMap<String, Instant>,
     next_cleanup_at: Option<Instant>,
@@ -77,7 +75,6 @@
             next_request_at: None,
             runs: HashMap::new(),
             next_record_at: None,
-            followed_plan: None,
             first_seen_at: HashMap::new(),
             next_cleanup_at: None,
         }
@@ -98,16 +95,6 @@
             .discard_unattributed(|job| service_of_route(plan, job));
     }
 
-    /// Lets the items without output follow the routes of a plan, once for each version.
-    fn follow_plan(&mut self, plan: &ServicePlan) {
-        let version = Some(plan.version());
-        if self.followed_plan != version {
-            self.followed_plan = version;
-            self.schedule
-                .follow_routes(|job| service_of_route(plan, job));
-        }
-    }
-
     /// Whether jobs that are accepted now have to be added to the schedule.
     fn takes_jobs(&self) -> bool {
         self.term.is_some() || self.ended_meanwhile.is_some()
@@ -120,7 +107,6 @@
         }
         self.term = None;
         self.ended_meanwhile = None;
-        self.followed_plan = None;
         self.schedule.clear();
         self.requested.clear();
         self.first_seen_at.clear();
@@ -328,7 +314,6 @@
         return;
     }
     leader.next_request_at = None;
-    leader.follow_plan(&shared.view.plan());
     let wanted = leader.schedule.ready_count(now).min(PENDING_REQUESTS_MAX);
     let new_requests = wanted.saturating_sub(leader.requested.len());
     let Some(term) = leader.term else {
