Read the terms of cold servers, homes, features and machine limits

Cause: the plan and the settings tell of servers that are cold after their start, of areas to which requests are confined, and of what a deployment calls for; none of it was read.

Settings have the sections zones, features and limits, and the bounds on draining a zone and on cold servers.

Measured: tests of settings, plan, platform and roles pass, among them one that reads plans as the build before writes them, and one that reads those of this build as that one does.

--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -9,7 +9,7 @@
 };
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{RouteName, ServiceName, SoftwareVersion};
+use chicoryladder_types::{RouteName, ServiceName, SoftwareVersion, Tail};
 use std::time::{Duration, Instant};
 
 pub(crate) const ENGINE: &str = "engine";
@@ -69,6 +69,7 @@
         services: vec![service(ENGINE, Some(engine)), service(APP, None)],
         teams,
         limits: CallerLimits::default(),
+        terms: Tail::default(),
     };
     ServicePlan::try_from(raw).expect("it is valid")
 }
--- a/crates/plan/src/checked.rs
+++ b/crates/plan/src/checked.rs
@@ -1,9 +1,9 @@
 //! Validation and indexing of plans.
 
 use crate::error::PlanError;
-use crate::raw::{CallerLimits, PlanVersion, RawPlan, RawRoute, RawService, RawTeam};
-use chicoryladder_types::{RouteName, ServiceName, TeamName};
-use std::collections::HashMap;
+use crate::raw::{CallerLimits, ColdTerms, PlanVersion, RawPlan, RawRoute, RawService, RawTeam};
+use chicoryladder_types::{AreaName, RouteName, ServiceName, TeamName};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// A route of a validated plan.
@@ -99,6 +99,27 @@
         self.teams.get(name)
     }
 
+    /// How many requests a cold server of a service bears; `None` if its servers are never
+    /// cold.
+    #[must_use]
+    pub fn cold_terms(&self, service: &ServiceName) -> Option<ColdTerms> {
+        self.raw.terms.0.cold.get(service).copied()
+    }
+
+    /// The areas in which a request of a route and a team may run, and to which its body may
+    /// be sent; `None` if neither has homes. If both have some, both bind.
+    #[must_use]
+    pub fn homes(&self, route: &RouteName, team: Option<&TeamName>) -> Option<BTreeSet<AreaName>> {
+        let terms = &self.raw.terms.0;
+        let of_route = terms.route_homes.get(route);
+        let of_team = team.and_then(|team| terms.team_homes.get(team));
+        match (of_route, of_team) {
+            (Some(route), Some(team)) => Some(route.intersection(team).cloned().collect()),
+            (Some(homes), None) | (None, Some(homes)) => Some(homes.clone()),
+            (None, None) => None,
+        }
+    }
+
     /// Whether this plan allows a team a lower rate or burst than an earlier one did, or names
     /// the team no more.
     #[must_use]
@@ -133,6 +154,7 @@
     type Error = PlanError;
 
     fn try_from(raw: RawPlan) -> Result<Self, PlanError> {
+        check_terms(&raw)?;
         let services = index_services(&raw)?;
         let routes = index_routes(&raw, &services)?;
         let (teams, keys) = index_teams(&raw)?;
@@ -146,6 +168,14 @@
     }
 }
 
+fn check_terms(raw: &RawPlan) -> Result<(), PlanError> {
+    let is_valid = |terms: &ColdTerms| terms.per_second.is_finite() && terms.per_second > 0.0;
+    let invalid = raw.terms.0.cold.iter().find(|(_, terms)| !is_valid(terms));
+    invalid.map_or(Ok(()), |(service, _)| {
+        Err(PlanError::BadColdRate(service.clone()))
+    })
+}
+
 fn host_key(host: &str) -> String {
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     name.to_ascii_lowercase()
--- a/crates/plan/src/error.rs
+++ b/crates/plan/src/error.rs
@@ -49,4 +49,7 @@
     /// A rate or burst is negative or not finite.
     #[error("the rate or burst of team {0} is negative or not finite")]
     BadRate(TeamName),
+    /// The rate of requests that a cold server bears is not a positive number.
+    #[error("the rate of a cold server of service {0} is not a positive number")]
+    BadColdRate(ServiceName),
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -11,6 +11,6 @@
 pub use checked::{PlanRoute, PlanService, PlanTeam, ServicePlan, TeamIndex};
 pub use error::PlanError;
 pub use raw::{
-    CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawRoute, RawService, RawTeam, RouteKind,
-    RouteTarget,
+    CallerLimits, ColdTerms, EngineCapacity, PlanTerms, PlanVersion, RawPlan, RawRoute, RawService,
+    RawTeam, RouteKind, RouteTarget,
 };
--- a/crates/plan/src/raw.rs
+++ b/crates/plan/src/raw.rs
@@ -1,7 +1,8 @@
 //! A plan as parsed, before validation.
 
-use chicoryladder_types::{RouteName, ServiceName, TeamName};
+use chicoryladder_types::{AreaName, RouteName, ServiceName, Tail, TeamName};
 use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -145,6 +146,26 @@
     }
 }
 
+/// How many requests a server bears that has just started.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdTerms {
+    /// How long a server stays cold after its start.
+    pub duration: Duration,
+    /// The requests a second that a cold server bears.
+    pub per_second: f64,
+}
+
+/// The parts of a plan that were added after the first ones.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PlanTerms {
+    /// The services whose servers are cold after their start.
+    pub cold: BTreeMap<ServiceName, ColdTerms>,
+    /// The areas to which the requests of a route are confined; no entry means all areas.
+    pub route_homes: BTreeMap<RouteName, BTreeSet<AreaName>>,
+    /// The areas to which the requests of a team are confined; no entry means all areas.
+    pub team_homes: BTreeMap<TeamName, BTreeSet<AreaName>>,
+}
+
 /// A complete plan as parsed.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RawPlan {
@@ -158,4 +179,6 @@
     pub teams: Vec<RawTeam>,
     /// The limits on callers.
     pub limits: CallerLimits,
+    /// What earlier builds do not know.
+    pub terms: Tail<PlanTerms>,
 }
--- a/crates/plan/tests/plan.rs
+++ b/crates/plan/tests/plan.rs
@@ -4,7 +4,7 @@
     CallerLimits, PlanError, PlanVersion, RawPlan, RawRoute, RawService, RawTeam, RouteKind,
     RouteTarget, ServicePlan,
 };
-use chicoryladder_types::{RouteName, ServiceName, TeamName};
+use chicoryladder_types::{RouteName, ServiceName, Tail, TeamName};
 use std::time::Duration;
 
 fn route(name: &str, prefix: &str, service: &str) -> RawRoute {
@@ -59,6 +59,7 @@
         services: vec![service("app")],
         teams: vec![team("curepipe", &["k1", "k2"]), team("flic", &["k3"])],
         limits: CallerLimits::default(),
+        terms: Tail::default(),
     }
 }
 
--- a/crates/roles/src/control/machine.rs
+++ b/crates/roles/src/control/machine.rs
@@ -2,9 +2,11 @@
 
 use chicoryladder_broker::{VersionRecord, VersionStep};
 use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
-use chicoryladder_plan::{PlanVersion, RawPlan};
+use chicoryladder_plan::{
+    CallerLimits, PlanTerms, PlanVersion, RawPlan, RawRoute, RawService, RawTeam,
+};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{LogIndex, SeatId};
+use chicoryladder_types::{LogIndex, SeatId, Tail};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -44,14 +46,47 @@
 }
 
 /// The plan in force and the document that it was read from.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) struct StoredPlan {
     pub(crate) document: Vec<u8>,
     pub(crate) plan: RawPlan,
 }
 
+/// A stored plan as in snapshots, where other fields follow it: without its terms.
+type StoredPlanFields<D, R, S, T> = (D, (PlanVersion, R, S, T, CallerLimits));
+
+fn stored_plan_fields(
+    stored: &StoredPlan,
+) -> StoredPlanFields<&[u8], &[RawRoute], &[RawService], &[RawTeam]> {
+    let StoredPlan { document, plan } = stored;
+    let parts = (
+        plan.version,
+        plan.routes.as_slice(),
+        plan.services.as_slice(),
+        plan.teams.as_slice(),
+        plan.limits,
+    );
+    (document, parts)
+}
+
+fn restored_plan(
+    (document, parts): StoredPlanFields<Vec<u8>, Vec<RawRoute>, Vec<RawService>, Vec<RawTeam>>,
+    terms: PlanTerms,
+) -> StoredPlan {
+    let (version, routes, services, teams, limits) = parts;
+    let plan = RawPlan {
+        version,
+        routes,
+        services,
+        teams,
+        limits,
+        terms: Tail(terms),
+    };
+    StoredPlan { document, plan }
+}
+
 /// The replicated state of the control group.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ControlMachine {
     plan: Option<Arc<StoredPlan>>,
     departures: VecDeque<(ServerName, u64)>,
@@ -131,6 +166,16 @@
     }
 }
 
+/// Takes the next part of a snapshot; one of an earlier build ends before it.
+fn take_or_default<'a, T: Default + Deserialize<'a>>(
+    rest: &'a [u8],
+) -> Result<(T, &'a [u8]), postcard::Error> {
+    if rest.is_empty() {
+        return Ok((T::default(), rest));
+    }
+    postcard::take_from_bytes(rest)
+}
+
 impl StateMachine for ControlMachine {
     fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8> {
         match postcard::from_bytes(command) {
@@ -143,7 +188,16 @@
     }
 
     fn snapshot(&self) -> Result<Vec<u8>, SnapshotError> {
-        postcard::to_stdvec(self).map_err(|error| SnapshotError {
+        let stored = self.plan.as_deref();
+        let fields = (
+            stored.map(stored_plan_fields),
+            &self.departures,
+            &self.store_bootstrap_members,
+            &self.retirements,
+            &self.versions,
+            stored.map(|stored| &stored.plan.terms.0),
+        );
+        postcard::to_stdvec(&fields).map_err(|error| SnapshotError {
             detail: error.to_string(),
         })
     }
@@ -154,12 +208,11 @@
         };
         let (earlier, rest) = postcard::take_from_bytes(snapshot).map_err(failed)?;
         let (plan, departures, store_bootstrap_members, retirements) = earlier;
-        let versions = match rest {
-            [] => Vec::new(),
-            rest => postcard::from_bytes(rest).map_err(failed)?,
-        };
+        let (versions, rest) = take_or_default(rest).map_err(failed)?;
+        let (terms, _) = take_or_default::<Option<PlanTerms>>(rest).map_err(failed)?;
+        let plan = Option::map(plan, |plan| restored_plan(plan, terms.unwrap_or_default()));
         *self = Self {
-            plan,
+            plan: plan.map(Arc::new),
             departures,
             store_bootstrap_members,
             retirements,
--- a/crates/roles/tests/control_snapshots.rs
+++ b/crates/roles/tests/control_snapshots.rs
@@ -1,8 +1,11 @@
 //! Snapshots of the control group's state, which builds before and after this one read.
 
 use chicoryladder_consensus::StateMachine;
+use chicoryladder_plan::{ColdTerms, PlanTerms, RawPlan};
 use chicoryladder_roles::ControlMachine;
+use chicoryladder_types::{ServiceName, Tail};
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 /// What earlier builds write: the plan, departures, bootstrap members of the job group and
 /// retirements.
@@ -32,3 +35,33 @@
     restored.restore(&snapshot).expect("its own snapshot");
     assert_eq!(restored, machine);
 }
+
+/// A plan in a message of the build before has no terms, and that build ignores those of this
+/// one: hosts of two builds send plans to each other during an upgrade.
+#[test]
+fn plans_are_read_by_the_build_before_and_from_it() {
+    let service = ServiceName::try_from("engine").expect("it is valid");
+    let cold = ColdTerms {
+        duration: Duration::from_secs(3),
+        per_second: 6.2,
+    };
+    let plan = RawPlan {
+        terms: Tail(PlanTerms {
+            cold: BTreeMap::from([(service, cold)]),
+            ..PlanTerms::default()
+        }),
+        ..RawPlan::default()
+    };
+    let written = postcard::to_stdvec(&plan).expect("it is valid");
+    assert_eq!(postcard::from_bytes(&written), Ok(plan.clone()));
+    let earlier = (
+        plan.version,
+        &plan.routes,
+        &plan.services,
+        &plan.teams,
+        plan.limits,
+    );
+    let earlier = postcard::to_stdvec(&earlier).expect("it is valid");
+    assert!(written.starts_with(&earlier));
+    assert_eq!(postcard::from_bytes(&earlier), Ok(RawPlan::default()));
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -25,5 +25,6 @@
     OperatorSettings, PeerSettings, ShutdownSettings,
 };
 pub use process::{
-    ControlSettings, ProcessAddresses, ProcessIdentity, ProcessSettings, ServiceBounds,
+    ControlSettings, FeatureSet, MachineLimits, ProcessAddresses, ProcessIdentity, ProcessSettings,
+    ServiceBounds,
 };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -3,7 +3,9 @@
 mod read;
 
 use crate::fault::SettingsError;
+use chicoryladder_types::AreaName;
 use chicoryladder_types::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -21,6 +23,43 @@
     pub data_folder: Option<PathBuf>,
     /// Section `[promises]`.
     pub bounds: ServiceBounds,
+    /// Section `[zones]`: the area of each availability zone; empty if it is not told.
+    pub areas: BTreeMap<ZoneName, AreaName>,
+    /// Section `[features]`.
+    pub features: FeatureSet,
+    /// Section `[limits]`.
+    pub machine: MachineLimits,
+}
+
+/// The optional parts of the fleet that a deployment calls for.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FeatureSet {
+    names: BTreeSet<String>,
+}
+
+impl FeatureSet {
+    /// Whether requests compete for the room of servers, and callers and servers may read
+    /// slowly.
+    #[must_use]
+    pub fn pressure(&self) -> bool {
+        self.names.contains("pressure")
+    }
+}
+
+impl FromIterator<String> for FeatureSet {
+    fn from_iter<I: IntoIterator<Item = String>>(names: I) -> Self {
+        let names = names.into_iter().collect();
+        Self { names }
+    }
+}
+
+/// What the machine gives to the process; `None` is no limit.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MachineLimits {
+    /// The memory of the process, in bytes.
+    pub memory_bytes: Option<u64>,
+    /// The number of file descriptors.
+    pub descriptors: Option<u64>,
 }
 
 impl ProcessSettings {
@@ -126,4 +165,10 @@
     pub rate_window: Duration,
     /// How long the state and results of an ended job can still be read.
     pub job_retention: Duration,
+    /// The maximum time until the servers of a drained zone get no request.
+    pub zone_drain: Duration,
+    /// The requests a second to a cold server beyond its rate, as a multiple of the rate.
+    pub cold_overshoot: f64,
+    /// The requests a second to a cold server beyond `cold_overshoot`.
+    pub cold_slack: f64,
 }
--- a/crates/settings/src/process/read.rs
+++ b/crates/settings/src/process/read.rs
@@ -1,9 +1,15 @@
 //! Parses process settings.
 
-use super::{ControlSettings, ProcessAddresses, ProcessIdentity, ProcessSettings, ServiceBounds};
+use super::{
+    ControlSettings, FeatureSet, MachineLimits, ProcessAddresses, ProcessIdentity, ProcessSettings,
+    ServiceBounds,
+};
 use crate::fault::SettingsReport;
 use crate::ini::{SectionTable, split_sections};
-use crate::value::{AmountValue, MillisValue, ValueList, WholeNumber};
+use crate::value::{AmountValue, MillisValue, ValueList, WholeNumber, ZoneArea};
+use chicoryladder_types::AreaName;
+use chicoryladder_types::prelude::*;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -34,13 +40,34 @@
 /// The default rate window, which covers several refills of a token bucket.
 const DEFAULT_RATE_WINDOW: Duration = Duration::from_secs(5);
 
+/// The default bound on draining a zone.
+const DEFAULT_ZONE_DRAIN: Duration = Duration::from_secs(5);
+
+/// The default excess over the rate of a cold server. Requests that were granted evenly may
+/// arrive unevenly.
+const DEFAULT_COLD_OVERSHOOT: f64 = 1.5;
+
+/// The default number of requests a second beyond that.
+const DEFAULT_COLD_SLACK: f64 = 5.0;
+
 /// The default number of tolerated losses, for consensus groups of three voters.
 const DEFAULT_TOLERATED_LOSSES: u64 = 1;
 
 /// A number of tolerated losses; the maximum of four requires nine voters.
 type LossCount = WholeNumber<0, 4>;
 
-const SECTIONS: &[&str] = &["host", "listen", "control", "data", "promises"];
+const SECTIONS: &[&str] = &[
+    "host", "listen", "control", "data", "promises", "zones", "features", "limits",
+];
+
+/// The bytes of a megabyte in settings.
+const MEGABYTE: u64 = 1_000_000;
+
+/// The memory of a machine, in megabytes: 16 MB to 16 TB.
+type MegabyteCount = WholeNumber<16, 16_000_000>;
+
+/// A number of file descriptors.
+type DescriptorCount = WholeNumber<64, 16_000_000>;
 
 impl ProcessSettings {
     /// Parses settings; `name` identifies `text` in reports.
@@ -74,12 +101,18 @@
         let control = self.control();
         let data_folder = self.data();
         let bounds = self.bounds();
+        let areas = self.areas();
+        let features = self.features();
+        let machine = self.machine();
         Some(ProcessSettings {
             host: host?,
             listen: listen?,
             control: control?,
             data_folder,
             bounds,
+            areas,
+            features,
+            machine,
         })
     }
 
@@ -138,6 +171,38 @@
         folder
     }
 
+    fn areas(&mut self) -> BTreeMap<ZoneName, AreaName> {
+        let Some(mut section) = self.sections.optional("zones") else {
+            return BTreeMap::new();
+        };
+        let areas: Option<ValueList<ZoneArea>> = section.optional("areas");
+        section.finish();
+        let areas = areas.into_iter().flat_map(|list| list.0);
+        areas.map(|ZoneArea { zone, area }| (zone, area)).collect()
+    }
+
+    fn features(&mut self) -> FeatureSet {
+        let Some(mut section) = self.sections.optional("features") else {
+            return FeatureSet::default();
+        };
+        let names: Option<ValueList<String>> = section.optional("names");
+        section.finish();
+        names.into_iter().flat_map(|list| list.0).collect()
+    }
+
+    fn machine(&mut self) -> MachineLimits {
+        let Some(mut section) = self.sections.optional("limits") else {
+            return MachineLimits::default();
+        };
+        let memory: Option<MegabyteCount> = section.optional("memory_mb");
+        let descriptors: Option<DescriptorCount> = section.optional("descriptors");
+        section.finish();
+        MachineLimits {
+            memory_bytes: memory.map(|memory| memory.0 * MEGABYTE),
+            descriptors: descriptors.map(|descriptors| descriptors.0),
+        }
+    }
+
     fn bounds(&mut self) -> ServiceBounds {
         let mut bounds = ServiceBounds {
             key_withdrawal: DEFAULT_KEY_WITHDRAWAL,
@@ -149,6 +214,9 @@
             rate_overshoot: 0.0,
             rate_window: DEFAULT_RATE_WINDOW,
             job_retention: DEFAULT_JOB_RETENTION,
+            zone_drain: DEFAULT_ZONE_DRAIN,
+            cold_overshoot: DEFAULT_COLD_OVERSHOOT,
+            cold_slack: DEFAULT_COLD_SLACK,
         };
         let Some(mut section) = self.sections.optional("promises") else {
             return bounds;
@@ -160,6 +228,7 @@
         millis("plan_applies_ms", &mut bounds.plan_applies);
         millis("server_drain_ms", &mut bounds.server_drain);
         millis("check_in_interval_ms", &mut bounds.check_in_interval);
+        millis("zone_drain_ms", &mut bounds.zone_drain);
         let mut seconds = |key, value: &mut Duration| {
             let amount: Option<AmountValue> = section.optional(key);
             if let Some(AmountValue(amount)) = amount {
@@ -173,6 +242,11 @@
         let overshoot = section.or_default("rate_overshoot", AmountValue(0.0));
         bounds.rate_slack = slack.0;
         bounds.rate_overshoot = overshoot.0;
+        let mut amount = |key, value: &mut f64| {
+            *value = section.or_default(key, AmountValue(*value)).0;
+        };
+        amount("cold_overshoot", &mut bounds.cold_overshoot);
+        amount("cold_slack", &mut bounds.cold_slack);
         section.finish();
         bounds
     }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -1,8 +1,8 @@
 //! Parsers for the values of entries.
 
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ModelName, ServiceName};
-use std::fmt::Display;
+use chicoryladder_types::{AreaName, ModelName, ServiceName};
+use std::fmt::{self, Display};
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -67,6 +67,40 @@
     }
 }
 
+impl SettingValue for String {
+    const EXPECTED: &'static str = "TEXT";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        Ok(text.to_owned())
+    }
+}
+
+/// The area of an availability zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ZoneArea {
+    pub(crate) zone: ZoneName,
+    pub(crate) area: AreaName,
+}
+
+impl Display for ZoneArea {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}", self.zone, self.area)
+    }
+}
+
+impl SettingValue for ZoneArea {
+    const EXPECTED: &'static str = "ZONE:AREA";
+
+    fn parse(text: &str) -> Result<Self, String> {
+        let Some((zone, area)) = text.split_once(':') else {
+            return Err(format!("`{text}` has no colon between zone and area"));
+        };
+        let zone = ZoneName::try_from(zone.trim()).map_err(|error| error.to_string())?;
+        let area = AreaName::try_from(area.trim()).map_err(|error| error.to_string())?;
+        Ok(Self { zone, area })
+    }
+}
+
 impl SettingValue for bool {
     const EXPECTED: &'static str = "yes | no";
 
--- a/crates/settings/tests/process.rs
+++ b/crates/settings/tests/process.rs
@@ -27,6 +27,17 @@
 rate_slack = 20
 rate_overshoot = 0.1
 rate_window_s = 5
+cold_overshoot = 1.25
+
+[zones]
+areas = zone-a:east, zone-b:west
+
+[features]
+names = base, pressure
+
+[limits]
+memory_mb = 120
+descriptors = 3075
 ";
 
 #[test]
@@ -44,6 +55,13 @@
     assert_eq!(bounds.key_withdrawal, Duration::from_secs(4));
     assert_eq!(bounds.drain_timeout, Duration::from_millis(7_500));
     assert!((bounds.rate_overshoot - 0.1).abs() < 1e-9);
+    assert!((bounds.cold_overshoot - 1.25).abs() < 1e-9);
+    let areas = settings.areas.iter();
+    let areas: Vec<_> = areas.map(|(z, a)| (z.as_str(), a.as_str())).collect();
+    assert_eq!(areas, [("zone-a", "east"), ("zone-b", "west")]);
+    assert!(settings.features.pressure());
+    assert_eq!(settings.machine.memory_bytes, Some(120_000_000));
+    assert_eq!(settings.machine.descriptors, Some(3_075));
 }
 
 #[test]
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,6 +15,7 @@
 mod reason;
 mod refusal;
 mod software;
+mod tail;
 mod verdict;
 
 pub use announcement::{LoadError, ServerAnnouncement, ServerLoad};
@@ -25,10 +26,11 @@
     SeatId, ServerGeneration, TermNumber,
 };
 pub use names::{
-    ClassName, HostName, ModelName, NameError, RouteName, ServerName, ServiceName, TeamName,
-    ZoneName,
+    AreaName, ClassName, HostName, ModelName, NameError, RouteName, ServerName, ServiceName,
+    TeamName, ZoneName,
 };
 pub use reason::{RefusalReason, RetryReason};
 pub use refusal::RequestRefusal;
 pub use software::SoftwareVersion;
+pub use tail::Tail;
 pub use verdict::RunVerdict;
--- a/crates/types/src/names.rs
+++ b/crates/types/src/names.rs
@@ -108,6 +108,8 @@
     HostName, "host name";
     /// The name of an availability zone.
     ZoneName, "zone name";
+    /// The name of an area: one or more availability zones near each other.
+    AreaName, "area name";
     /// The name of a team.
     TeamName, "team name";
     /// The name of a class of requests or jobs.
