Let a leader that joined its group late keep its lead after a restart

What callers saw: after all hosts lost power, requests were refused for 0.6 s longer than needed, and most of two seconds were served late.

A new leader took the memberships of before its own seat was added for its removal and stepped down 3 ms after its election; the next one took another election timeout. Hosts that lost their disk get new seats, so this met most fleets that had repaired a seat before.

Change: only the newest committed membership counts.

--- a/crates/consensus/src/seat.rs
+++ b/crates/consensus/src/seat.rs
@@ -360,9 +360,13 @@
         let entries = self.log.slice(from, self.commit, usize::MAX);
         let last = entries.last().map_or(self.delivered, |entry| entry.index);
         self.delivered = last;
-        let removed = entries.iter().any(|e| {
-            matches!(&e.payload, EntryPayload::Membership(m) if m.role(self.settings.seat).is_none())
+        // After a restart, entries from before this seat was added are delivered again; only the
+        // newest membership tells whether it was removed.
+        let newest = entries.iter().rev().find_map(|entry| match &entry.payload {
+            EntryPayload::Membership(membership) => Some(membership),
+            _ => None,
         });
+        let removed = newest.is_some_and(|m| m.role(self.settings.seat).is_none());
         self.actions.push(SeatAction::Commit(entries));
         // Entries that are not durable on this seat yet are not removed from memory.
         let durable = self.durability.durable_index().min(last);
--- a/crates/consensus/tests/all/membership.rs
+++ b/crates/consensus/tests/all/membership.rs
@@ -97,3 +97,42 @@
     let last = MembershipError::LastVoter(SeatId(1));
     assert_eq!(refused, Err(last.into()));
 }
+
+/// Pattern: hosts lost their disks and got new seats, and later all hosts lose power. After the
+/// restart the log is delivered from its start, with memberships of before the new seats.
+/// Guards against a new leader that takes one of these for its own removal and steps down.
+#[test]
+fn a_seat_that_joined_late_keeps_its_lead_after_a_restart_of_all_seats() {
+    let mut led_by_late_seat = 0;
+    for seed in 1..=60 {
+        let mut cluster = TestCluster::new(seed, 3, LinkFaults::RELIABLE);
+        cluster.snapshot_interval = 1_000_000;
+        cluster.write(1, 1);
+        let late = SeatId(5);
+        for seat in [4, 5] {
+            cluster.change(&add(seat, seat)).expect("added");
+            cluster.add_seat(SeatId(seat), GroupMembership::default());
+            cluster.run(ELECTION_TIMEOUT * 2);
+            let promote = MembershipChange::Promote(SeatId(seat));
+            cluster.change(&promote).expect("it has caught up");
+        }
+        cluster.run(ELECTION_TIMEOUT);
+        let seats: Vec<SeatId> = (1..=5).map(SeatId).collect();
+        for seat in &seats {
+            cluster.crash(*seat);
+        }
+        for seat in &seats {
+            cluster.restart(*seat);
+        }
+        let first = loop {
+            cluster.step();
+            if let Some(leader) = cluster.leader() {
+                break leader;
+            }
+        };
+        cluster.run(ELECTION_TIMEOUT * 2);
+        assert_eq!(cluster.leader(), Some(first), "seed {seed}");
+        led_by_late_seat += u32::from(first == late);
+    }
+    assert!(led_by_late_seat > 0, "the late seat never led");
+}
