Give no slots on servers of drained zones

Cause: operators can order that nothing more is sent to the servers of a zone; the broker knew no such state.

Change: SlotBroker::set_drained_zones takes the drained zones. Whether a server accepts work depends on them, and with it free slots, preemption of items, queued requests and the rates that predict waits. Drained servers count as absent when a service or version has to have one, so that requests are refused at once. A withdrawn drain is remembered in undrained_at, for the pacing of servers that may have become cold; a new broker takes the time over by restore_undrained. Each change gives the directory a new version.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -4,8 +4,9 @@
 //! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
 //! of hosts, [`path_reports`] tells these from the reports of hosts without a path,
-//! [`version_steps`] tells at which versions streams may begin, and [`crashes`] refuses the
-//! requests under which servers crash.
+//! [`version_steps`] tells at which versions streams may begin, [`crashes`] refuses the
+//! requests under which servers crash, and [`zone_drains`] holds the zones whose servers get
+//! no work.
 
 mod assignment;
 mod crashes;
@@ -14,6 +15,7 @@
 mod failures;
 mod path_reports;
 mod version_steps;
+mod zone_drains;
 
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
@@ -31,7 +33,7 @@
 use failures::ContactHistory;
 use path_reports::PathReports;
 use slotmap::SlotMap;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 /// The number of requests sent per slot of a service without engines. The second
@@ -153,6 +155,12 @@
     /// From when on no stream can be of a version that this broker does not know; `None` if
     /// it has known them all from the start.
     versions_complete_at: Option<Instant>,
+    /// The zones whose servers get no work, by order of operators.
+    drained_zones: BTreeSet<ZoneName>,
+    /// When the last drain of each zone was withdrawn. The servers of the zone may have become
+    /// cold meanwhile.
+    undrained_at: BTreeMap<ZoneName, Instant>,
+    drains_number: u64,
 }
 
 impl SlotBroker {
@@ -177,6 +185,9 @@
             directory_version: 0,
             versions_number: 0,
             versions_complete_at: None,
+            drained_zones: BTreeSet::new(),
+            undrained_at: BTreeMap::new(),
+            drains_number: 0,
         }
     }
 
@@ -202,7 +213,7 @@
     }
 
     /// The servers that are not lost, for hosts that cannot reach the broker and for
-    /// the next broker.
+    /// the next broker; those of drained zones included.
     #[must_use]
     pub fn servers(&self) -> Vec<ServerCheckIn> {
         let listed = self.servers.values().filter(|entry| !entry.record.is_lost);
@@ -553,11 +564,11 @@
     }
 
     /// Whether a server may be given new work. One that is silent and could not be reached
-    /// gets none until it checks in again.
+    /// gets none until it checks in again, and one in a drained zone gets none.
     fn accepts_work(&self, record: &ServerRecord, now: Instant) -> bool {
         let is_unreachable =
             record.failures > 0 && record.is_overdue(self.settings.overdue_after(), now);
-        record.is_open(now) && !is_unreachable
+        record.is_open(now) && !is_unreachable && !self.is_drained(&record.check_in)
     }
 
     fn open_slots(&self, service: &ServiceName, now: Instant) -> u32 {
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -42,6 +42,7 @@
         limits.flatten().count()
     }
 
+    /// Whether a server of a service is ready for work and in no drained zone.
     pub(super) fn has_servers(
         &self,
         service: &ServiceName,
@@ -54,7 +55,7 @@
         entries.any(|entry| {
             let record = &entry.record;
             let is_ready = record.check_in.phase == ServerPhase::Ready && !record.is_lost;
-            is_ready && has_version(record, version)
+            is_ready && !self.is_drained(&record.check_in) && has_version(record, version)
         })
     }
 
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -107,7 +107,7 @@
     }
 
     /// Refuses the online requests that wait for a service, or for a version of it, whose
-    /// last server has left or was lost, as new ones are.
+    /// last server has left, was lost or is drained, as new ones are.
     pub(super) fn refuse_unservable(&mut self) {
         let mut unservable = Vec::new();
         for (name, pool) in self.services.iter().filter(|(_, p)| !p.online.is_empty()) {
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -14,3 +14,4 @@
 mod slots;
 mod support;
 mod tunnel_hosts;
+mod zone_drains;
