Drain zones by order of operators

Cause: operators need to end new work on the servers of a zone, by an order that survives leaders and power losses; the control group had no such order.

Change: POST /drain/ZONE/begin and /finish, relayed by control and store hosts with the address of the caller, which listeners now put into the extensions of requests. An order is acknowledged once it is applied on the leader, and logged even if it changes nothing, so that the last one wins. A new leader gives its broker the drains before any server. Directories of entry hosts leave drained servers out and are sent at once; control hosts get all servers. Withdrawn drains stay recorded with their time. GET /drain/get lists the drains. Zones are those of [zones], or without them those of known hosts and servers. Events, the gauge zones_drained, and a warning if all zones with servers are drained.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,7 +34,7 @@
     is_unverified_json, may_end_by_time_limit,
 };
 pub use credentials::{bearer_key, forwarded_headers, forwarded_query};
-pub use listener::{HttpListener, HttpService, ListenError, ListenerLimits};
+pub use listener::{HttpListener, HttpService, ListenError, ListenerLimits, RemoteAddress};
 pub use operators::OperatorService;
 pub use ports::{
     AdminAnswer, AdminRequest, ItemCounts, JobPort, JobView, OnlinePort, OnlineRequest,
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -27,6 +27,11 @@
 /// The smallest read buffer that hyper accepts, in bytes.
 const READ_BUFFER_MIN_BYTES: usize = 8192;
 
+/// The remote address of the connection on which a request arrived, an extension of the
+/// request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RemoteAddress(pub SocketAddr);
+
 /// Handles the HTTP requests that arrive on one port.
 pub trait HttpService: Send + Sync {
     /// Handles one request.
@@ -138,8 +143,9 @@
         loop {
             tokio::select! {
                 accepted = self.socket.accept() => match accepted {
-                    Ok((stream, _)) => {
-                        connections.spawn(self.connection(stream, &graceful));
+                    Ok((stream, remote)) => {
+                        let remote = RemoteAddress(remote);
+                        connections.spawn(self.connection(stream, remote, &graceful));
                     }
                     Err(error) => {
                         log::warn!("{}: cannot accept a connection: {error}.", self.component);
@@ -158,6 +164,7 @@
     fn connection(
         &self,
         stream: TcpStream,
+        remote: RemoteAddress,
         graceful: &GracefulShutdown,
     ) -> impl Future<Output = ()> + Send + 'static {
         // Nagle's algorithm would delay small chunks of streams until earlier ones
@@ -167,7 +174,8 @@
         let closing = self.closing.clone();
         let switch = ResetSwitch::default();
         let stream = CallerStream::new(stream, switch.clone());
-        let handler = service_fn(move |request| {
+        let handler = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(remote);
             let handling = handle(service.clone(), request, switch.clone());
             let closing = closing.clone();
             async move {
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -1,6 +1,8 @@
 //! The control host: RPC handler, leader task and membership repair of the control
 //! group.
 
+mod zone_drains;
+
 use super::leader::{BrokerAction, EarlierView, LeaderState};
 use super::machine::{ControlCommand, ControlMachine};
 use super::port::{ControlFailure, ControlService};
@@ -371,13 +373,14 @@
         group.propose(command).await.map(|_| ())
     }
 
-    /// Applies changes of the replicated state to the leader's state.
-    async fn refresh(&self) {
+    /// Applies changes of the replicated state to the leader's state. Returns whether that
+    /// could be read.
+    async fn refresh(&self) -> bool {
         let Some(group) = self.group() else {
-            return;
+            return false;
         };
         let Ok(machine) = group.read(ControlMachine::clone).await else {
-            return;
+            return false;
         };
         let now = self.now();
         let mut state = self.state();
@@ -387,6 +390,7 @@
             self.log
                 .note("plan_in_force", &json!({ "version": version.0 }));
         }
+        true
     }
 
     async fn handle_call(self: Arc<Self>, call: ControlCall) -> GroupReply<ControlAnswer> {
@@ -453,6 +457,12 @@
             ControlCall::LeaveSeat(request) => {
                 GroupReply::Answer(ControlAnswer::Seat(self.leave_seat(&request)))
             }
+            ControlCall::SetZoneDrain {
+                zone,
+                step,
+                asked_by,
+            } => self.set_zone_drain(zone, step, asked_by).await,
+            ControlCall::ZoneDrains => self.zone_drains().await,
         }
     }
 
@@ -890,6 +900,7 @@
             let mut state = shared.state();
             state.tick(now);
             shared.process_broker_events(&mut state);
+            shared.warn_of_drains(&mut state);
             let outdated = state.take_plan_notices();
             drop(state);
             for host in outdated {
@@ -923,8 +934,12 @@
             "servers": earlier.servers.len(),
             "entry_hosts": earlier.entry_hosts.len(),
             "quarantined": earlier.quarantined.len(),
+            "zones_drained": machine.drained_zones(),
         });
-        shared.state().begin(status.term, &machine, &earlier, now);
+        let since_epoch = shared.base.clock.since_epoch();
+        shared
+            .state()
+            .begin(status.term, &machine, &earlier, since_epoch, now);
         shared.log.note("leadership_begins", &fields);
     }
 }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -3,7 +3,10 @@
 //! Each leadership rebuilds this state from the replicated state machine and from the
 //! reports of hosts and servers, which arrive within a second or two.
 
+mod zone_drains;
+
 use super::machine::{ControlMachine, StoredPlan};
+use super::zone_drains::ZoneDrains;
 use crate::message::{
     Encoded, EncodedDirectory, HostRole, QuarantineUpdate, RosterUpdate, StoreReport, StoreView,
     SyncAnswer, SyncRequest,
@@ -20,7 +23,8 @@
 use chicoryladder_policy::quarantine::{QuarantineChange, QuarantinedSegments};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{SeatId, TermNumber};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::borrow::Cow;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -72,8 +76,10 @@
 struct DirectorySnapshot {
     version: u64,
     versions_number: u64,
+    drains_number: u64,
     next_at: Option<Instant>,
     servers: Vec<ServerCheckIn>,
+    drained_zones: BTreeSet<ZoneName>,
     versions: VersionList,
     all: Option<EncodedDirectory>,
     by_zone: HashMap<ZoneName, Option<EncodedDirectory>>,
@@ -83,10 +89,11 @@
     /// Takes a new snapshot if the directory has changed and the last one is old enough.
     fn refresh(&mut self, broker: &SlotBroker, now: Instant) {
         let version = broker.directory_version();
-        // A host whose view is recent has to know each version.
-        let has_other_versions = broker.versions_number() != self.versions_number;
+        // A host whose view is recent has to know each version and each drained zone.
+        let is_due = broker.versions_number() != self.versions_number
+            || broker.drains_number() != self.drains_number;
         let is_early = self.next_at.is_some_and(|at| now < at);
-        if version == self.version || (is_early && !has_other_versions) {
+        if version == self.version || (is_early && !is_due) {
             return;
         }
         let (servers, versions) = (broker.servers(), broker.version_list());
@@ -95,18 +102,29 @@
         *self = Self {
             version,
             versions_number: broker.versions_number(),
+            drains_number: broker.drains_number(),
             next_at: Some(now + interval.min(DIRECTORY_INTERVAL_MAX)),
             all: EncodedDirectory::new(&servers, &versions),
             by_zone: HashMap::new(),
+            drained_zones: broker.drained_zones().clone(),
             servers,
             versions,
         };
     }
 
-    /// The servers that entry hosts of a zone need.
+    /// The servers that entry hosts of a zone need: none of drained zones, so that a host
+    /// without the broker sends to none of these.
     fn of_zone(&mut self, zone: &ZoneName) -> Option<EncodedDirectory> {
-        let (servers, versions) = (&self.servers, &self.versions);
-        let encode = || EncodedDirectory::new(&servers_for_zone(servers, zone), versions);
+        let (servers, drained) = (&self.servers, &self.drained_zones);
+        let encode = || {
+            let servers = if drained.is_empty() {
+                Cow::Borrowed(servers)
+            } else {
+                let is_used = |server: &&ServerCheckIn| !drained.contains(&server.zone);
+                Cow::Owned(servers.iter().filter(is_used).cloned().collect())
+            };
+            EncodedDirectory::new(&servers_for_zone(&servers, zone), &self.versions)
+        };
         let known = self.by_zone.entry(zone.clone());
         known.or_insert_with(encode).clone()
     }
@@ -127,6 +145,8 @@
     zone: ZoneName,
     pub(crate) last_sync_at: Instant,
     plan: PlanVersion,
+    /// The leader's term and the version of the directory that the host was sent last.
+    directory: (u64, u64),
     /// Whether the host opens tunnels to servers for others.
     offers_tunnels: bool,
     store: Option<StoreReport>,
@@ -162,6 +182,11 @@
     notices: PlanNotices,
     views: SharedViews,
     directory: DirectorySnapshot,
+    drains: ZoneDrains,
+    /// The version of the broker's directory at the last change of the drains.
+    drained_directory: Option<u64>,
+    /// Whether all zones with servers were drained at the last check.
+    is_wholly_drained: bool,
     pub(crate) repair: MembershipRepair,
     pub(crate) hosts: HashMap<HostName, HostRecord>,
     pub(crate) store_bootstrap_members: Option<BTreeMap<SeatId, SocketAddr>>,
@@ -199,6 +224,9 @@
             notices: PlanNotices::default(),
             views: SharedViews::default(),
             directory: DirectorySnapshot::default(),
+            drains: ZoneDrains::default(),
+            drained_directory: None,
+            is_wholly_drained: false,
             repair: MembershipRepair::default(),
             hosts: HashMap::new(),
             store_bootstrap_members: None,
@@ -218,16 +246,18 @@
     }
 
     /// Begins a leadership from the replicated state and from what this host synced with
-    /// the leader before.
+    /// the leader before. `since_epoch` is the wall-clock time.
     pub(crate) fn begin(
         &mut self,
         term: TermNumber,
         machine: &ControlMachine,
         earlier: &EarlierView,
+        since_epoch: Duration,
         now: Instant,
     ) {
         self.term = Some(term);
         self.broker = SlotBroker::new(self.settings);
+        self.restore_drains(machine.zone_drains(), since_epoch, now);
         self.repair.restart(now);
         self.hosts.clear();
         self.pending.clear();
@@ -298,6 +328,7 @@
             (host.clone(), (record.address, record.is_drained))
         };
         self.retiring = machine.retirements().iter().map(retirement).collect();
+        self.apply_drains(machine.zone_drains(), now);
         let stored = machine.plan();
         let version = |stored: &Option<Arc<StoredPlan>>| stored.as_ref().map(|s| s.plan.version);
         if version(&stored) == version(&self.stored) {
@@ -337,6 +368,7 @@
             ("servers", count(self.broker.servers().len())),
             ("servers_limited", count(self.broker.limited_servers())),
             ("group_standbys", count(self.repair.standby_count(now))),
+            ("zones_drained", count(self.broker.drained_zones().len())),
         ];
         let (mut running, mut slots, mut online, mut batch) = (0, 0, 0, 0);
         for service in &self.plan.raw().services {
@@ -461,12 +493,12 @@
         members: &[SocketAddr],
         now: Instant,
     ) -> SyncAnswer {
+        self.directory.refresh(&self.broker, now);
         self.record_host(request, now);
         self.broker.restore_quarantine(&request.quarantined, now);
         self.broker
             .reconcile(&request.requester, &request.active, now);
         let term = self.term.unwrap_or_default().0;
-        self.directory.refresh(&self.broker, now);
         let number = (term, self.directory.version);
         let directory = match request.role {
             _ if number == request.directory => None,
@@ -511,10 +543,16 @@
         &self.views
     }
 
-    /// The addresses of the next hosts to tell that a new plan is in force.
+    /// The addresses of the next hosts to tell that a new plan or drain is in force.
     pub(crate) fn take_plan_notices(&mut self) -> Vec<SocketAddr> {
         let (hosts, version) = (&self.hosts, self.plan.version());
-        let is_outdated = |name: &HostName| hosts.get(name).is_some_and(|h| h.plan < version);
+        let (term, drained) = (self.term.unwrap_or_default(), self.drained_directory);
+        let is_outdated = |name: &HostName| {
+            let host = hosts.get(name);
+            host.is_some_and(|host| {
+                host.plan < version || Self::holds_earlier_drains(term, drained, host)
+            })
+        };
         let outdated = self.notices.take(is_outdated);
         let records = outdated.iter().filter_map(|name| hosts.get(name));
         records.map(|host| host.address).collect()
@@ -534,6 +572,7 @@
             zone: request.zone.clone(),
             last_sync_at: now,
             plan: request.plan,
+            directory: (self.term.unwrap_or_default().0, self.directory.version),
             offers_tunnels: request.tunnels.offers,
             store: request.store.clone(),
         };
--- a/crates/roles/src/control/machine.rs
+++ b/crates/roles/src/control/machine.rs
@@ -1,5 +1,6 @@
 //! The replicated state of the control group.
 
+use super::zone_drains::{ZoneDrainOrder, ZoneDrains};
 use chicoryladder_broker::{VersionRecord, VersionStep};
 use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
 use chicoryladder_plan::{
@@ -8,7 +9,7 @@
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{LogIndex, SeatId, Tail};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -36,6 +37,8 @@
     CompleteRetire { host: HostName },
     /// Records a step in the use of a software version of servers.
     RecordVersion(VersionRecord),
+    /// Drains a zone or withdraws that.
+    SetZoneDrain(ZoneDrainOrder),
 }
 
 /// The state of a retiring store host.
@@ -71,7 +74,7 @@
 
 fn restored_plan(
     (document, parts): StoredPlanFields<Vec<u8>, Vec<RawRoute>, Vec<RawService>, Vec<RawTeam>>,
-    terms: PlanTerms,
+    plan_terms: PlanTerms,
 ) -> StoredPlan {
     let (version, routes, services, teams, limits) = parts;
     let plan = RawPlan {
@@ -80,7 +83,7 @@
         services,
         teams,
         limits,
-        terms: Tail(terms),
+        terms: Tail(plan_terms),
     };
     StoredPlan { document, plan }
 }
@@ -94,6 +97,8 @@
     retirements: BTreeMap<HostName, RetireRecord>,
     /// The versions of the servers of each service. Snapshots of earlier builds end before it.
     versions: Vec<VersionRecord>,
+    /// Snapshots of earlier builds end before it.
+    zone_drains: ZoneDrains,
 }
 
 impl ControlMachine {
@@ -117,6 +122,16 @@
         &self.versions
     }
 
+    pub(crate) fn zone_drains(&self) -> &ZoneDrains {
+        &self.zone_drains
+    }
+
+    /// The zones to whose servers nothing is sent.
+    #[must_use]
+    pub fn drained_zones(&self) -> BTreeSet<ZoneName> {
+        self.zone_drains.drained_zones()
+    }
+
     fn record_version(&mut self, record: VersionRecord) {
         let is_other = |known: &VersionRecord| {
             known.service != record.service || known.version != record.version
@@ -162,6 +177,7 @@
                 }
             }
             ControlCommand::RecordVersion(record) => self.record_version(record),
+            ControlCommand::SetZoneDrain(order) => self.zone_drains.apply(order),
         }
     }
 }
@@ -196,6 +212,7 @@
             &self.retirements,
             &self.versions,
             stored.map(|stored| &stored.plan.terms.0),
+            &self.zone_drains,
         );
         postcard::to_stdvec(&fields).map_err(|error| SnapshotError {
             detail: error.to_string(),
@@ -209,7 +226,8 @@
         let (earlier, rest) = postcard::take_from_bytes(snapshot).map_err(failed)?;
         let (plan, departures, store_bootstrap_members, retirements) = earlier;
         let (versions, rest) = take_or_default(rest).map_err(failed)?;
-        let (terms, _) = take_or_default::<Option<PlanTerms>>(rest).map_err(failed)?;
+        let (terms, rest) = take_or_default::<Option<PlanTerms>>(rest).map_err(failed)?;
+        let (zone_drains, _) = take_or_default(rest).map_err(failed)?;
         let plan = Option::map(plan, |plan| restored_plan(plan, terms.unwrap_or_default()));
         *self = Self {
             plan: plan.map(Arc::new),
@@ -217,6 +235,7 @@
             store_bootstrap_members,
             retirements,
             versions,
+            zone_drains,
         };
         Ok(())
     }
--- a/crates/roles/src/control/port.rs
+++ b/crates/roles/src/control/port.rs
@@ -1,5 +1,6 @@
 //! The interface of a control host for operators and backend servers.
 
+use super::zone_drains::{ZoneDrain, ZoneDrainStep};
 use chicoryladder_broker::ServerCheckIn;
 use chicoryladder_gateway::HttpService;
 use chicoryladder_plan::ServicePlan;
@@ -20,6 +21,9 @@
     /// Too few store hosts would remain.
     #[error("too few hosts would be left")]
     TooFewHosts,
+    /// There is no such zone.
+    #[error("there is no such zone")]
+    UnknownZone,
 }
 
 /// Where a server should check in next.
@@ -60,6 +64,18 @@
 
     /// Whether a retiring store host is drained.
     fn is_retired(&self, host: HostName) -> BoxFuture<'_, Result<bool, ControlFailure>>;
+
+    /// Drains a zone or withdraws that; returns once the order is durable and in force.
+    /// `asked_by` is the address from which the order came.
+    fn set_zone_drain(
+        &self,
+        zone: ZoneName,
+        step: ZoneDrainStep,
+        asked_by: Option<SocketAddr>,
+    ) -> BoxFuture<'_, Result<(), ControlFailure>>;
+
+    /// Reads which zones are drained.
+    fn zone_drains(&self) -> BoxFuture<'_, Result<Vec<ZoneDrain>, ControlFailure>>;
 }
 
 /// Builds the HTTP service of a control host on its port.
--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -4,6 +4,7 @@
 //! reach a responsive host while others are down or frozen.
 
 use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
+use super::zone_drains::{ZoneDrain, ZoneDrainStep};
 use crate::event_log::{EventLog, EventPriority};
 use crate::leader_client::LeaderClient;
 use crate::message::{Call, ControlAnswer, ControlCall};
@@ -126,6 +127,7 @@
             ControlAnswer::Done => Ok(()),
             ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
             ControlAnswer::TooFewHosts => Err(ControlFailure::TooFewHosts),
+            ControlAnswer::UnknownZone => Err(ControlFailure::UnknownZone),
             _ => Err(ControlFailure::Unavailable),
         }
     }
@@ -190,6 +192,30 @@
         }
         .boxed()
     }
+
+    fn set_zone_drain(
+        &self,
+        zone: ZoneName,
+        step: ZoneDrainStep,
+        asked_by: Option<SocketAddr>,
+    ) -> BoxFuture<'_, Result<(), ControlFailure>> {
+        let call = ControlCall::SetZoneDrain {
+            zone,
+            step,
+            asked_by,
+        };
+        self.relay_for_ack(call).boxed()
+    }
+
+    fn zone_drains(&self) -> BoxFuture<'_, Result<Vec<ZoneDrain>, ControlFailure>> {
+        async move {
+            match self.relay(ControlCall::ZoneDrains).await? {
+                ControlAnswer::ZoneDrains(drained) => Ok(drained),
+                _ => Err(ControlFailure::Unavailable),
+            }
+        }
+        .boxed()
+    }
 }
 
 /// Stops accepting calls and lets those in flight complete within the time that their
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -35,6 +35,7 @@
 
 pub use control::{
     ControlFailure, ControlHost, ControlMachine, ControlPort, ControlService, ServerHint,
+    ZoneDrain, ZoneDrainStep,
 };
 pub use entry::EntryHost;
 pub use event_log::{EventLog, EventPriority};
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between the processes of a fleet, encoded with postcard.
 
+use crate::control::{ZoneDrain, ZoneDrainStep};
 use crate::server_marks::ServerReports;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
@@ -118,6 +119,15 @@
     Join(JoinRequest),
     /// Asks for the replacement of a stopping host in the control group.
     LeaveSeat(JoinRequest),
+    /// Drains a zone or withdraws that.
+    SetZoneDrain {
+        zone: ZoneName,
+        step: ZoneDrainStep,
+        /// The address from which the order came, if known.
+        asked_by: Option<SocketAddr>,
+    },
+    /// Reads which zones are drained.
+    ZoneDrains,
 }
 
 impl ControlCall {
@@ -134,6 +144,8 @@
             Self::RetireState { .. } => "retire_state",
             Self::Join(_) => "join",
             Self::LeaveSeat(_) => "leave_seat",
+            Self::SetZoneDrain { .. } => "set_zone_drain",
+            Self::ZoneDrains => "zone_drains",
         }
     }
 }
@@ -335,6 +347,10 @@
     TooFewHosts,
     /// Reply to [`ControlCall::Join`] and [`ControlCall::LeaveSeat`].
     Seat(JoinAnswer),
+    /// There is no such zone.
+    UnknownZone,
+    /// Reply to [`ControlCall::ZoneDrains`].
+    ZoneDrains(Vec<ZoneDrain>),
 }
 
 /// A call to the job group.
