--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -24,3 +24,4 @@
 mod unframed;
 mod versions;
 mod world;
+mod zone_drains;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -139,6 +139,8 @@
     pub(crate) runs: RunLog,
     pub(crate) servers: Vec<Server>,
     version: u64,
+    /// Whether the settings of processes that start later name the zones.
+    pub(crate) names_zones: bool,
 }
 
 impl ProcessFleet {
@@ -160,6 +162,7 @@
             runs: RunLog::default(),
             servers: Vec::new(),
             version: 0,
+            names_zones: false,
         };
         for number in 1..=3 {
             for role in [Role::Control, Role::Store, Role::Entry] {
@@ -325,6 +328,10 @@
                 CHECK_IN_INTERVAL.as_millis(),
             ),
         );
+        if self.names_zones {
+            let areas = "zone-1:north, zone-2:north, zone-3:north";
+            append(&mut text, format_args!("\n[zones]\nareas = {areas}\n"));
+        }
         text
     }
 
@@ -539,7 +546,7 @@
         true
     }
 
-    async fn accepts_jobs(&self) -> bool {
+    pub(crate) async fn accepts_jobs(&self) -> bool {
         let entry = &self.host_names(Role::Entry)[0];
         let answer = self.submit(entry, "probe-job", &[], 1).await;
         answer.is_some_and(|answer| answer.status.as_u16() == 202)
