Pace cold servers from all hosts together

Cause: plans state how many requests a second a cold server bears, and nothing kept to it: a cold server counted half of its slots, each of which turns over several times a second.

Change: the broker paces servers of services with such terms while a check-in, a response (X-Cold-Ms, reported as a limit) or the withdrawn drain of their zone (mark_zone_cold) says that they are cold. The bound on arrivals in a second is divided into the broker's rate and burst, a part for all hosts without the broker, and a spare request. A new broker begins with an empty bucket; the directory carries the time that is left. Hosts without the broker share their part by the roster: all of a small fleet, or some hosts of the server's zone. Services without terms are served as before. The leader has the gauge servers_cold and writes server_cold once per change.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -5,6 +5,7 @@
 //! When the broker is unreachable, other zones may be as well, so servers of the host's
 //! own zone are preferred while one of them has a free slot.
 
+use crate::cold_servers::ColdServerView;
 use crate::departures::LeavingServers;
 use crate::directory::{ServerCheckIn, ServerPhase};
 use crate::request::SlotRequest;
@@ -57,6 +58,8 @@
     pub leaving: &'a LeavingServers,
     /// The limits that servers named in their responses.
     pub limits: &'a NamedLimits,
+    /// What this host knows of cold servers of the requested service.
+    pub cold: ColdServerView<'a>,
     /// The entry hosts of this host's zone.
     pub roster: &'a ZoneRoster,
     /// The time of the choice.
@@ -92,6 +95,7 @@
             && !self.unreachable.contains(&server.name)
             && !self.leaving.is_leaving(&server.name, server.incarnation)
             && self.is_within_limit(server, request)
+            && self.is_within_cold_rate(server, request)
             && self.runs_at(server) < server.slots
     }
 
@@ -114,6 +118,13 @@
             .admits_alone(&server.name, server.incarnation, share, self.now)
     }
 
+    fn is_within_cold_rate(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
+        let limit = self.limits.limit(&server.name, server.incarnation);
+        let in_zone = server.zone == request.zone;
+        self.cold
+            .admits(server, limit, self.roster, in_zone, self.now)
+    }
+
     fn runs_at(&self, server: &ServerCheckIn) -> u32 {
         self.own_runs.get(&server.name).copied().unwrap_or_default()
     }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -15,6 +15,7 @@
 //! [`SlotBroker::take_events`] returns the messages to send.
 
 mod brokerless;
+mod cold_servers;
 mod departures;
 mod directory;
 mod grants;
@@ -32,6 +33,9 @@
 mod versions;
 
 pub use brokerless::{BrokerlessView, servers_for_zone};
+pub use cold_servers::{
+    ColdChange, ColdPace, ColdServerView, ColdSource, ColdTolerance, SentTimes,
+};
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -1,5 +1,6 @@
 //! The request queues of a service and the average duration of its runs.
 
+use crate::cold_servers::ColdPace;
 use crate::grants::ServerKey;
 use crate::request::{RequesterId, SlotRequest, WorkKind};
 use crate::versions::SeenVersions;
@@ -60,6 +61,8 @@
     pub(crate) versions: SeenVersions,
     /// The token capacity of an engine's memory; `None` for services without engines.
     pub(crate) engine_tokens: Option<u64>,
+    /// The pace of cold servers; `None` if the service's servers are never cold.
+    pub(crate) cold_pace: Option<ColdPace>,
 }
 
 impl ServicePool {
@@ -74,6 +77,7 @@
             },
             versions: SeenVersions::default(),
             engine_tokens: None,
+            cold_pace: None,
         }
     }
 
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -1,5 +1,6 @@
 //! Slot requests to the broker and its decisions.
 
+use crate::cold_servers::ColdChange;
 use crate::grants::RunOutcome;
 use crate::server_limits::ServerLimit;
 use crate::streams::{StreamId, StreamPart};
@@ -193,6 +194,8 @@
     },
     /// Reports that the quarantine of a prompt segment changed.
     Quarantine(QuarantineChange),
+    /// Reports that a server became cold or ceased to be.
+    Cold(ColdChange),
     /// Reports that a server gets no work for a time.
     Suspended(ServerSuspension),
     /// Asks for a durable record of a step in the use of a version; the step is applied once
--- a/crates/broker/src/server_limits.rs
+++ b/crates/broker/src/server_limits.rs
@@ -89,6 +89,17 @@
     Unreadable,
 }
 
+impl LimitStatement {
+    /// The stricter of this statement and a limit that also holds.
+    #[must_use]
+    pub fn and_limit(self, limit: ServerLimit) -> Self {
+        match self {
+            Self::Limited(named) => Self::Limited(named.min(limit)),
+            Self::Unlimited | Self::Unreadable => Self::Limited(limit),
+        }
+    }
+}
+
 /// The report of a host to the broker on the limit that a server names.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitReport {
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -4,10 +4,11 @@
 //! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
 //! of hosts, [`path_reports`] tells these from the reports of hosts without a path,
-//! [`version_steps`] tells at which versions streams may begin, and [`crashes`] refuses the
-//! requests under which servers crash.
+//! [`version_steps`] tells at which versions streams may begin, [`crashes`] refuses the
+//! requests under which servers crash, and [`coldness`] tells which servers are cold.
 
 mod assignment;
+mod coldness;
 mod crashes;
 mod eligibility;
 mod expiry;
@@ -15,6 +16,7 @@
 mod path_reports;
 mod version_steps;
 
+use crate::cold_servers::{ColdState, ColdTolerance};
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
 use crate::pool::{ServicePool, WaitingRequest, predicted_wait};
@@ -78,6 +80,8 @@
     pub requester_lost_after: Duration,
     /// The excess over rates and bursts that may be admitted.
     pub tolerance: RateTolerance,
+    /// The excess over the rate of cold servers that may arrive.
+    pub cold_tolerance: ColdTolerance,
 }
 
 impl BrokerSettings {
@@ -94,6 +98,7 @@
     running_batch: u32,
     tokens: u64,
     limit: BelievedLimit,
+    cold: ColdState,
     contacts: ContactHistory,
     /// The host that did not reach the server, if the suspension is due to that.
     suspended_by: Option<RequesterId>,
@@ -112,8 +117,8 @@
         self.record.failures >= PROBATION_FAILURES
     }
 
-    /// The number of requests that the server may run; halved during warm-up, and one on
-    /// probation.
+    /// The number of requests that the server may run; one on probation, and halved during
+    /// warm-up unless the service has terms on cold servers, by which they are paced.
     fn capacity(&self, is_engine: bool, now: Instant) -> u32 {
         if self.is_on_probation() {
             return 1;
@@ -125,7 +130,7 @@
             check_in.slots.saturating_mul(PLAIN_SLOT_FACTOR)
         };
         let checked_in_for = now.saturating_duration_since(self.record.checked_in_at);
-        let is_cold = checked_in_for < check_in.warmup_remaining;
+        let is_cold = checked_in_for < check_in.warmup_remaining && !self.cold.has_terms();
         if is_cold { slots.div_ceil(2) } else { slots }
     }
 }
@@ -143,6 +148,8 @@
     streams: StreamVersions,
     path_reports: PathReports,
     early_limits: EarlyReports,
+    /// When the drains of zones were withdrawn whose servers may be cold since.
+    cold_zones: HashMap<ZoneName, Instant>,
     requesters: HashMap<RequesterId, Instant>,
     /// The requester that runs batch items.
     batch_requester: Option<RequesterId>,
@@ -165,6 +172,7 @@
             streams: StreamVersions::default(),
             path_reports: PathReports::default(),
             early_limits: EarlyReports::default(),
+            cold_zones: HashMap::new(),
             settings,
             services: BTreeMap::new(),
             servers: SlotMap::with_key(),
@@ -187,6 +195,7 @@
             pool.engine_tokens = service.engine.map(|engine| engine.memory_tokens);
         }
         self.rates.set_plan(plan, now);
+        self.set_cold_terms(plan, now);
     }
 
     /// The rate limits of the teams.
@@ -255,6 +264,7 @@
             }
         }
         if outcome != CheckInOutcome::Stale {
+            self.record_cold_check_in(key, now);
             self.observe_version(&service, &version, now);
         }
         if matches!(outcome, CheckInOutcome::Added | CheckInOutcome::Leaving) {
@@ -451,6 +461,7 @@
                     && let Some(entry) = self.servers.get_mut(key)
                 {
                     entry.limit.charge(now);
+                    entry.cold.charge(now);
                 }
                 self.insert_grant(SlotGrant {
                     requester: requester.clone(),
@@ -479,6 +490,7 @@
         self.remove_expired_servers(now);
         let remove_after = self.settings.remove_after;
         self.early_limits.remove_expired(remove_after, now);
+        self.refresh_all_cold(now);
         self.refuse_unservable();
         self.decide_on_crashes(now);
         self.expire_waiting(now);
@@ -542,12 +554,14 @@
             running_batch: 0,
             tokens: 0,
             limit: BelievedLimit::default(),
+            cold: ColdState::default(),
             contacts: ContactHistory::default(),
             suspended_by: None,
         });
         self.by_name.insert(name, key);
         self.apply_early_limit(key, now);
         self.pool(&service).servers.push(key);
+        self.record_cold_check_in(key, now);
         self.observe_version(&service, &version, now);
         self.directory_version += 1;
     }
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -74,13 +74,17 @@
                 && !request.avoid.contains(&entry.record.check_in.name);
             // Without online requests, only an item can end a server's probation.
             let headroom = if entry.is_on_probation() { 0 } else { headroom };
-            let within_limit = entry.limit.admits(request.kind, now);
+            let limit = entry.limit.get();
+            let within_limit = entry.limit.admits(request.kind, now)
+                && entry.cold.admits(request.kind, limit, now);
             if free <= headroom || !fits || !usable || !within_limit {
                 continue;
             }
             let record = &entry.record;
             let used_slots = f64::from(entry.running()) / f64::from(capacity.max(1));
-            let used_share = used_slots.max(entry.limit.used_share(now));
+            let used_share = used_slots
+                .max(entry.limit.used_share(now))
+                .max(entry.cold.used_share(limit, now));
             let cost = server_cost(record, used_share, request, &prefixes, overdue_after, now);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *key));
@@ -102,6 +106,7 @@
                         && self.accepts_work(&entry.record, now)
                         && self.admits_version(&entry.record, request)
                         && entry.limit.admits(request.kind, now)
+                        && entry.cold.admits(request.kind, entry.limit.get(), now)
                         && !request.avoid.contains(&entry.record.check_in.name)
                 })
         });
@@ -134,6 +139,7 @@
             return;
         };
         entry.limit.charge(now);
+        entry.cold.charge(now);
         record_prompt(&mut entry.record, &request.prompt, now);
         let check_in = &entry.record.check_in;
         if let Some(stream) = request.stream_id() {
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -14,13 +14,18 @@
     /// limit changed. A report on an incarnation that has not checked in yet takes effect
     /// when it does; one on an earlier incarnation changes nothing.
     pub fn record_limit(&mut self, report: &LimitReport, now: Instant) -> bool {
-        let key = self.by_name.get(&report.server);
-        let entry = key.and_then(|key| self.servers.get_mut(*key));
+        let key = self.by_name.get(&report.server).copied();
+        let entry = key.and_then(|key| self.servers.get_mut(key));
         let Some(entry) = entry.filter(|entry| entry.incarnation() >= report.incarnation) else {
             self.early_limits.insert(report, now);
             return false;
         };
-        entry.incarnation() == report.incarnation && entry.limit.apply(report, now)
+        let changed = entry.incarnation() == report.incarnation && entry.limit.apply(report, now);
+        if let Some(key) = key.filter(|_| changed) {
+            // A response that says that its server is cold is reported as a limit.
+            self.refresh_cold(key, now);
+        }
+        changed
     }
 
     /// Applies what hosts reported on a server before it checked in.
@@ -114,8 +119,8 @@
         self.streams.apply(report, now);
     }
 
-    /// The requests a second that the servers of a service can take up, by their slots and
-    /// by the limits that they name; of one version only if it is given.
+    /// The requests a second that the servers of a service can take up, by their slots,
+    /// by the limits that they name and by their rates while they are cold; of one version only if it is given.
     pub(super) fn request_rate(
         &self,
         service: &ServiceName,
@@ -133,7 +138,9 @@
         let rates = open.map(|entry| {
             let by_slots = f64::from(entry.capacity(is_engine, now)) / pool.averages.hold_seconds;
             let limit = entry.limit.get();
-            limit.map_or(by_slots, |limit| by_slots.min(limit.per_second()))
+            let by_limit = limit.map_or(by_slots, |limit| by_slots.min(limit.per_second()));
+            let pace = entry.cold.pace(limit, now);
+            pace.map_or(by_limit, |pace| by_limit.min(pace.per_second()))
         });
         rates.sum()
     }
--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{BrokerFixture, check_in};
 use chicoryladder_broker::{
-    BrokerlessView, LeavingServers, NamedLimits, ServerCheckIn, ServerPhase, WorkKind, ZoneRoster,
+    BrokerlessView, ColdServerView, LeavingServers, NamedLimits, ServerCheckIn, ServerPhase,
+    WorkKind, ZoneRoster,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -26,6 +27,7 @@
             unreachable: &unreachable,
             leaving: &LeavingServers::default(),
             limits: &NamedLimits::default(),
+            cold: ColdServerView::default(),
             roster: &ZoneRoster::default(),
             now: fixture.now,
         };
@@ -83,6 +85,7 @@
             unreachable: &unreachable,
             leaving: &LeavingServers::default(),
             limits: &NamedLimits::default(),
+            cold: ColdServerView::default(),
             roster: &ZoneRoster::default(),
             now: fixture.now,
         };
--- a/crates/broker/tests/all/bursts.rs
+++ b/crates/broker/tests/all/bursts.rs
@@ -76,6 +76,7 @@
                 BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => panic!("unexpected: {change:?}"),
                 BrokerEvent::Suspended(_)
+                | BrokerEvent::Cold(_)
                 | BrokerEvent::CutOff { .. }
                 | BrokerEvent::VersionStep(_) => {}
             }
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -254,6 +254,7 @@
                 BrokerEvent::Stop { ticket, .. } => self.stop(ticket),
                 BrokerEvent::Quarantine(change) => self.outcomes.steps.push(change.step),
                 BrokerEvent::Suspended(_)
+                | BrokerEvent::Cold(_)
                 | BrokerEvent::CutOff { .. }
                 | BrokerEvent::VersionStep(_) => {}
             }
--- a/crates/broker/tests/all/departures.rs
+++ b/crates/broker/tests/all/departures.rs
@@ -4,7 +4,8 @@
 
 use crate::support::{BrokerFixture, check_in, granted, refused_after};
 use chicoryladder_broker::{
-    BrokerlessView, LeavingServers, NamedLimits, RunOutcome, ServerCheckIn, WorkKind, ZoneRoster,
+    BrokerlessView, ColdServerView, LeavingServers, NamedLimits, RunOutcome, ServerCheckIn,
+    WorkKind, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -87,6 +88,7 @@
             unreachable: &HashSet::new(),
             leaving,
             limits: &NamedLimits::default(),
+            cold: ColdServerView::default(),
             roster: &ZoneRoster::default(),
             now: Instant::now(),
         };
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -4,8 +4,8 @@
 
 use crate::support::{BrokerFixture, check_in, granted, refused_after, run_report};
 use chicoryladder_broker::{
-    BrokerEvent, BrokerlessView, LeavingServers, LimitReport, LimitStatement, NamedLimits,
-    RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneRoster,
+    BrokerEvent, BrokerlessView, ColdServerView, LeavingServers, LimitReport, LimitStatement,
+    NamedLimits, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -93,6 +93,7 @@
                 BrokerEvent::Stop { ticket, .. } => self.end(ticket, RunOutcome::Stopped),
                 BrokerEvent::Quarantine(_)
                 | BrokerEvent::Suspended(_)
+                | BrokerEvent::Cold(_)
                 | BrokerEvent::CutOff { .. }
                 | BrokerEvent::VersionStep(_) => {}
             }
@@ -291,6 +292,7 @@
                 unreachable: &HashSet::new(),
                 leaving: &LeavingServers::default(),
                 limits,
+                cold: ColdServerView::default(),
                 roster: &roster,
                 now,
             };
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod brokerless;
 mod bursts;
+mod cold_servers;
 mod crashing_segments;
 mod cut_off_hosts;
 mod departures;
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -1,8 +1,9 @@
 //! A broker with servers and requesters for tests.
 
 use chicoryladder_broker::{
-    BrokerEvent, BrokerSettings, PromptSegment, ProvenWork, RateTolerance, RequesterId, RunOutcome,
-    RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision, SlotRequest, WorkKind,
+    BrokerEvent, BrokerSettings, ColdTolerance, PromptSegment, ProvenWork, RateTolerance,
+    RequesterId, RunOutcome, RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision,
+    SlotRequest, WorkKind,
 };
 use chicoryladder_plan::{
     CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawService, RawTeam, ServicePlan,
@@ -25,6 +26,10 @@
             requests: 10.0,
             ..RateTolerance::default()
         },
+        cold_tolerance: ColdTolerance {
+            overshoot: 1.5,
+            slack: 5.0,
+        },
     }
 }
 
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -23,9 +23,9 @@
 use crate::server_marks::ServerReports;
 use bytes::Bytes;
 use chicoryladder_broker::{
-    BrokerSettings, CheckInOutcome, CrashedRun, DepartureReport, DepartureSource, RateTolerance,
-    RequesterId, RosterSettings, ServerCheckIn, ServerLimit, ServerPhase, ServerSuspension,
-    VersionRecord,
+    BrokerSettings, CheckInOutcome, ColdChange, ColdSource, ColdTolerance, CrashedRun,
+    DepartureReport, DepartureSource, RateTolerance, RequesterId, RosterSettings, ServerCheckIn,
+    ServerLimit, ServerPhase, ServerSuspension, VersionRecord,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
@@ -226,6 +226,10 @@
             share: settings.bounds.rate_overshoot,
             window: settings.bounds.rate_window,
         },
+        cold_tolerance: ColdTolerance {
+            overshoot: settings.bounds.cold_overshoot,
+            slack: settings.bounds.cold_slack,
+        },
     }
 }
 
@@ -272,6 +276,7 @@
                 }
                 BrokerAction::LogQuarantine(change) => self.log_quarantine(&change),
                 BrokerAction::LogSuspension(suspension) => self.log_suspension(&suspension),
+                BrokerAction::LogCold(change) => self.log_cold(&change),
                 BrokerAction::LogCutOff { host, restored } => {
                     let fields = json!({ "host": host, "restored": restored });
                     self.log.note("host_cut_off", &fields);
@@ -364,6 +369,17 @@
         self.log.routine("server_suspended", &fields);
     }
 
+    fn log_cold(&self, change: &ColdChange) {
+        let fields = json!({
+            "server": change.server,
+            "born": change.incarnation,
+            "cold": change.source.is_some(),
+            "source": change.source.map(ColdSource::as_str),
+            "remaining_ms": change.remaining.as_millis(),
+        });
+        self.log.note("server_cold", &fields);
+    }
+
     async fn propose(&self, command: &ControlCommand) -> Result<(), ProposeFailure> {
         let group = self.group().ok_or(ProposeFailure::NotLeader)?;
         let command = postcard::to_stdvec(command)
@@ -914,7 +930,7 @@
     if let Ok(machine) = group.read(ControlMachine::clone).await {
         let now = shared.now();
         let earlier = EarlierView {
-            servers: shared.view.servers(),
+            servers: shared.view.servers_at(now),
             entry_hosts: shared.view.entry_hosts(),
             quarantined: shared.view.quarantined(now),
         };
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -10,7 +10,7 @@
 };
 use crate::plan_notices::PlanNotices;
 use chicoryladder_broker::{
-    BrokerEvent, BrokerSettings, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
+    BrokerEvent, BrokerSettings, ColdChange, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
     RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
     SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, ZoneRoster,
     choose_tunnel_hosts, servers_for_zone,
@@ -89,7 +89,7 @@
         if version == self.version || (is_early && !has_other_versions) {
             return;
         }
-        let (servers, versions) = (broker.servers(), broker.version_list());
+        let (servers, versions) = (broker.servers_at(now), broker.version_list());
         let count = u32::try_from(servers.len()).unwrap_or(u32::MAX);
         let interval = DIRECTORY_INTERVAL_PER_SERVER.saturating_mul(count);
         *self = Self {
@@ -140,6 +140,8 @@
     LogQuarantine(QuarantineChange),
     /// A server gets no work for a time.
     LogSuspension(ServerSuspension),
+    /// A server became cold or ceased to be.
+    LogCold(ColdChange),
     /// A host reaches few servers; the suspensions of these by its reports ended.
     LogCutOff {
         host: HostName,
@@ -336,6 +338,7 @@
             ("hosts", count(self.hosts.len())),
             ("servers", count(self.broker.servers().len())),
             ("servers_limited", count(self.broker.limited_servers())),
+            ("servers_cold", count(self.broker.cold_servers(now))),
             ("group_standbys", count(self.repair.standby_count(now))),
         ];
         let (mut running, mut slots, mut online, mut batch) = (0, 0, 0, 0);
@@ -396,6 +399,7 @@
                     BrokerEvent::Suspended(suspension) => {
                         actions.push(BrokerAction::LogSuspension(suspension));
                     }
+                    BrokerEvent::Cold(change) => actions.push(BrokerAction::LogCold(change)),
                     BrokerEvent::CutOff {
                         requester,
                         restored,
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -600,6 +600,7 @@
             body: request.body.clone(),
             at_most_once: !state.is_repeatable(),
             continues_run: context.last_event.is_some() || state.has_begun(),
+            cold_limit: lease.cold_limit(),
             head_timeout: if may_resend {
                 resend_after.min(left)
             } else {
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -114,6 +114,8 @@
     plan: Arc<ServicePlan>,
     fresh_at: Option<Instant>,
     directory: (u64, u64),
+    /// When the directory was received.
+    directory_at: Option<Instant>,
     servers: Arc<Vec<ServerCheckIn>>,
     /// The versions of the servers; `None` if the leader did not list them.
     versions: Option<Arc<VersionList>>,
@@ -178,6 +180,31 @@
         self.state().servers.clone()
     }
 
+    /// When the directory of servers was received.
+    pub(crate) fn directory_at(&self) -> Option<Instant> {
+        self.state().directory_at
+    }
+
+    /// Like [`Self::servers`], with the time for which servers of services with terms on cold
+    /// servers stay cold from now on.
+    pub(crate) fn servers_at(&self, now: Instant) -> Arc<Vec<ServerCheckIn>> {
+        let state = self.state();
+        let (servers, plan) = (state.servers.clone(), state.plan.clone());
+        let age = state
+            .directory_at
+            .map(|at| now.saturating_duration_since(at));
+        drop(state);
+        let aged = servers.iter().map(|server| {
+            let passed = plan.cold_terms(&server.service).and(age);
+            let remaining = server.warmup_remaining;
+            ServerCheckIn {
+                warmup_remaining: remaining.saturating_sub(passed.unwrap_or_default()),
+                ..server.clone()
+            }
+        });
+        Arc::new(aged.collect())
+    }
+
     /// The versions of the servers; `None` if the leader did not list them.
     pub(crate) fn versions(&self) -> Option<Arc<VersionList>> {
         self.state().versions.clone()
@@ -336,6 +363,7 @@
             match encoded.decode() {
                 Ok(directory) => {
                     state.directory = number;
+                    state.directory_at = Some(now);
                     state.servers = Arc::new(directory.servers);
                     state.versions = directory.versions.map(Arc::new);
                 }
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -4,7 +4,7 @@
 //! below and builds responses from them.
 
 use chicoryladder_batch::{ItemSpec, JobPage};
-use chicoryladder_broker::{LimitStatement, PromptSegment, ServerPhase};
+use chicoryladder_broker::{LimitStatement, PromptSegment, ServerLimit, ServerPhase};
 use chicoryladder_gateway::AnswerBody;
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
@@ -103,6 +103,8 @@
     pub phase: ServerPhase,
     /// The limit on requests that the server names.
     pub limit: LimitStatement,
+    /// How much longer the server is cold; `None` if it does not say so.
+    pub cold_remaining: Option<Duration>,
     /// The load that the server reports.
     pub load: Option<ServerLoad>,
     /// How long the server keeps an idle connection open.
@@ -124,10 +126,18 @@
     }
 
     /// What the response states of the limit of the server that a request was sent to;
-    /// `None` if it says nothing about that server.
+    /// `None` if it says nothing about that server. `cold_limit` is the rate of the service's
+    /// cold servers, which holds if the server says that it is cold.
     #[must_use]
-    pub fn limit_statement(&self, request: &str) -> Option<LimitStatement> {
-        self.is_own(request).then_some(self.limit)
+    pub fn limit_statement(
+        &self,
+        request: &str,
+        cold_limit: Option<ServerLimit>,
+    ) -> Option<LimitStatement> {
+        let is_cold = self.cold_remaining.is_some_and(|left| !left.is_zero());
+        let cold_limit = cold_limit.filter(|_| is_cold);
+        let statement = cold_limit.map_or(self.limit, |limit| self.limit.and_limit(limit));
+        self.is_own(request).then_some(statement)
     }
 
     /// Whether the intended server responded, and to this request.
--- a/crates/roles/src/server_marks.rs
+++ b/crates/roles/src/server_marks.rs
@@ -9,7 +9,7 @@
 use crate::metrics::RoleMetrics;
 use chicoryladder_broker::{
     DepartureReport, DepartureSource, LeavingServers, LimitReport, LimitStatement, NamedLimits,
-    ServerLimit, StreamReport, StreamVersions,
+    SentTimes, ServerLimit, StreamReport, StreamVersions,
 };
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -27,6 +27,8 @@
 struct MarksShared {
     leaving: Mutex<LeavingServers>,
     limits: Mutex<NamedLimits>,
+    /// When this process last sent to servers that may be cold.
+    sent: Mutex<SentTimes>,
     streams: Mutex<StreamVersions>,
     /// The broker that the last reports went to.
     reported_to: Mutex<Option<SocketAddr>>,
@@ -50,6 +52,7 @@
         let shared = MarksShared {
             leaving: Mutex::default(),
             limits: Mutex::default(),
+            sent: Mutex::default(),
             streams: Mutex::default(),
             reported_to: Mutex::default(),
             clock,
@@ -71,6 +74,11 @@
         limits.unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn sent(&self) -> MutexGuard<'_, SentTimes> {
+        let sent = self.shared.sent.lock();
+        sent.unwrap_or_else(PoisonError::into_inner)
+    }
+
     pub(crate) fn streams(&self) -> MutexGuard<'_, StreamVersions> {
         let streams = self.shared.streams.lock();
         streams.unwrap_or_else(PoisonError::into_inner)
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -4,7 +4,7 @@
 use crate::ports::{AnswerHead, ServerDialect};
 use crate::server_marks::{ServerIdentity, ServerMarks};
 use bytes::Bytes;
-use chicoryladder_broker::RunOutcome;
+use chicoryladder_broker::{RunOutcome, ServerLimit};
 use chicoryladder_gateway::{BodyFraming, is_malformed};
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
@@ -43,6 +43,8 @@
     pub(crate) continues_run: bool,
     /// The timeout for the head of the response.
     pub(crate) head_timeout: Duration,
+    /// The rate of the service's servers while they are cold; `None` if they never are.
+    pub(crate) cold_limit: Option<ServerLimit>,
 }
 
 /// Why an attempt failed.
@@ -439,7 +441,7 @@
             self.marks
                 .mark_leaving(&request.server, request.address, &request.id);
         }
-        if let Some(statement) = head.limit_statement(&request.id) {
+        if let Some(statement) = head.limit_statement(&request.id, request.cold_limit) {
             self.marks
                 .record_limit(&request.server, statement, &request.id);
         }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -8,8 +8,9 @@
 use crate::process::ProcessBase;
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
-    ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind, shared_segments,
+    ActiveRun, BrokerlessView, ColdPace, ColdServerView, ColdTolerance, CrashedRun, PoolLoad,
+    ProvenWork, RunOutcome, RunReport, ServerLimit, SlotDecision, SlotRefusalReason, SlotRequest,
+    StreamId, StreamPart, WorkKind, shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
@@ -270,6 +271,7 @@
                 limits.adopt(&server.name, incarnation, limit, now);
                 limits.record_sent(&server.name, now);
                 drop(limits);
+                self.record_sent(&slot_request.service, &server.name, now);
                 Ok(self.lease(slot_request, server, version, address, false))
             }
             ControlAnswer::Slot(SlotDecision::Refused {
@@ -374,7 +376,9 @@
         let servers = shared.view.servers();
         let versions = shared.view.versions();
         let roster = shared.view.zone_roster();
+        let pace = self.cold_pace(&slot_request.service);
         let leaving = shared.marks.leaving();
+        let mut sent = shared.marks.sent();
         let mut limits = shared.marks.limits();
         let view = BrokerlessView {
             servers: &servers,
@@ -383,6 +387,12 @@
             versions: versions.as_deref(),
             leaving: &leaving,
             limits: &limits,
+            cold: ColdServerView {
+                pace,
+                directory_at: shared.view.directory_at(),
+                host: Some(shared.base.rpc.identity().address),
+                sent: Some(&sent),
+            },
             roster: &roster,
             now,
         };
@@ -390,7 +400,11 @@
             return Err(refused(SlotRefusalReason::NoSlot(PoolLoad::default())));
         };
         limits.record_sent(&check_in.name, now);
+        if pace.is_some() {
+            sent.record(&check_in.name, now);
+        }
         drop(limits);
+        drop(sent);
         drop(leaving);
         let server = ServerIdentity {
             name: check_in.name,
@@ -405,6 +419,24 @@
         ))
     }
 
+    /// The pace of the cold servers of a service; `None` if its servers are never cold.
+    fn cold_pace(&self, service: &ServiceName) -> Option<ColdPace> {
+        let bounds = &self.shared.base.settings.bounds;
+        let tolerance = ColdTolerance {
+            overshoot: bounds.cold_overshoot,
+            slack: bounds.cold_slack,
+        };
+        let terms = self.shared.view.plan().cold_terms(service)?;
+        ColdPace::new(terms, tolerance)
+    }
+
+    /// Records that this host sends to a server that may be cold.
+    fn record_sent(&self, service: &ServiceName, server: &ServerName, now: Instant) {
+        if self.shared.view.plan().cold_terms(service).is_some() {
+            self.shared.marks.sent().record(server, now);
+        }
+    }
+
     /// Takes one request from the zone's reserve of a team, at the host that holds it.
     async fn take_reserve(&self, team: &TeamName) -> ReserveAnswer {
         let spent = ReserveAnswer::Spent { retry_after: None };
@@ -561,6 +593,11 @@
         }
     }
 
+    /// The rate of the server while it is cold; `None` if it never is.
+    pub(crate) fn cold_limit(&self) -> Option<ServerLimit> {
+        self.client.cold_pace(&self.service).map(ColdPace::limit)
+    }
+
     /// Returns the signal that is notified when the slot is needed for other work.
     pub(crate) fn stop_signal(&self) -> Arc<Notify> {
         self.stop.clone()
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -201,6 +201,7 @@
         at_most_once: false,
         continues_run: item.progress.last_event.is_some(),
         head_timeout: SILENCE_MAX,
+        cold_limit: lease.cold_limit(),
     }
 }
 
