Test cold servers with processes

Cause: the pacing of cold servers was tested without a network only, so that nothing showed that plan, check-ins, answers, directory and rosters reach those who decide.

Change: the servers of the fleet tests state in check-ins or in answers that they are cold. cold:: sends far more than all of them bear, with a leader, after its loss, and without one.

--- a/tests/fleet/limited.rs
+++ b/tests/fleet/limited.rs
@@ -30,7 +30,11 @@
 }
 
 /// Sends requests to all entry hosts, eight at a time, and returns how many were served.
-async fn send_streams(fleet: &ProcessFleet, name: &str, time: Duration) -> (usize, usize) {
+pub(crate) async fn send_streams(
+    fleet: &ProcessFleet,
+    name: &str,
+    time: Duration,
+) -> (usize, usize) {
     let entries = fleet.host_names(Role::Entry);
     let end = Instant::now() + time;
     let (mut sent, mut served) = (0, 0);
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod broken_streams;
 mod calm;
 mod client;
+mod cold;
 mod departures;
 mod endless;
 mod explain;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -51,6 +51,12 @@
 /// The header field by which a server says that it leaves.
 pub(crate) const LEAVING_FIELD: &str = "server-leaving";
 
+/// The header field by which a server says how many milliseconds longer it stays cold.
+pub(crate) const COLD_FIELD: &str = "x-cold-ms";
+
+/// How much longer cold servers say that they stay cold, in milliseconds.
+pub(crate) const COLD_MS: u64 = 20_000;
+
 /// The header field by which a server limits its requests a second.
 pub(crate) const LIMIT_FIELD: &str = "server-limit";
 
@@ -109,6 +115,10 @@
     leaving_in_answers: Arc<AtomicBool>,
     /// The limit on requests a second that every response names; 0 for none.
     limit: Arc<AtomicU64>,
+    /// Whether its check-ins say that it stays cold for a while.
+    cold_in_check_ins: Arc<AtomicBool>,
+    /// Whether its responses say so.
+    cold_in_answers: Arc<AtomicBool>,
     connections: Arc<Mutex<Vec<AbortHandle>>>,
     /// Whether its check-ins do not leave it.
     check_ins_held: Arc<AtomicBool>,
@@ -151,6 +161,8 @@
             leaving: Arc::default(),
             leaving_in_answers: Arc::default(),
             limit: Arc::default(),
+            cold_in_check_ins: Arc::default(),
+            cold_in_answers: Arc::default(),
             connections: Arc::default(),
             check_ins_held: Arc::default(),
             is_down: Arc::default(),
@@ -191,6 +203,13 @@
         self.limit.store(per_second, Ordering::Relaxed);
     }
 
+    /// Says in check-ins, or in responses, from now on whether the server is cold.
+    pub(crate) fn state_cold(&self, in_check_ins: bool, in_answers: bool) {
+        self.cold_in_check_ins
+            .store(in_check_ins, Ordering::Relaxed);
+        self.cold_in_answers.store(in_answers, Ordering::Relaxed);
+    }
+
     /// The version of the server's software.
     pub(crate) fn version(&self) -> &'static str {
         *self.version.lock().unwrap_or_else(PoisonError::into_inner)
@@ -315,9 +334,11 @@
             }
             self.wait_while_paused().await;
             let leaving = self.leaving.load(Ordering::Relaxed);
+            let is_cold = self.cold_in_check_ins.load(Ordering::Relaxed);
+            let cold_ms = if is_cold { COLD_MS } else { 0 };
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
-                "version": self.version(), "slots": SLOTS, "cold-remaining-ms": 0, "sequence": sequence,
+                "version": self.version(), "slots": SLOTS, "cold-remaining-ms": cold_ms, "sequence": sequence,
                 "state": if leaving { "draining" } else { "ready" }, "born": self.incarnation(),
             });
             let path = format!("/instances/{}/heartbeat", self.name);
@@ -400,6 +421,9 @@
         if limit > 0 {
             response = response.header(LIMIT_FIELD, limit);
         }
+        if self.cold_in_answers.load(Ordering::Relaxed) {
+            response = response.header(COLD_FIELD, COLD_MS);
+        }
         let answer = if self.service.starts_with("engine") {
             let first = text("last-event-id").and_then(|last| last.parse::<u64>().ok());
             let path = head.uri.path();
