--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -5,10 +5,11 @@
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
 //! of hosts, [`path_reports`] tells these from the reports of hosts without a path,
 //! [`version_steps`] tells at which versions streams may begin, [`crashes`] refuses the
-//! requests under which servers crash, and [`zone_drains`] holds the zones whose servers get
-//! no work.
+//! requests under which servers crash, [`zone_drains`] holds the zones whose servers get no
+//! work, and [`coldness`] tells which servers are cold.
 
 mod assignment;
+mod coldness;
 mod crashes;
 mod eligibility;
 mod expiry;
@@ -17,6 +18,7 @@
 mod version_steps;
 mod zone_drains;
 
+use crate::cold_servers::{ColdState, ColdTolerance};
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
 use crate::pool::{ServicePool, WaitingRequest, predicted_wait};
@@ -80,6 +82,8 @@
     pub requester_lost_after: Duration,
     /// The excess over rates and bursts that may be admitted.
     pub tolerance: RateTolerance,
+    /// The excess over the rate of cold servers that may arrive.
+    pub cold_tolerance: ColdTolerance,
 }
 
 impl BrokerSettings {
@@ -96,6 +100,7 @@
     running_batch: u32,
     tokens: u64,
     limit: BelievedLimit,
+    cold: ColdState,
     contacts: ContactHistory,
     /// The host that did not reach the server, if the suspension is due to that.
     suspended_by: Option<RequesterId>,
@@ -114,8 +119,8 @@
         self.record.failures >= PROBATION_FAILURES
     }
 
-    /// The number of requests that the server may run; halved during warm-up, and one on
-    /// probation.
+    /// The number of requests that the server may run; one on probation, and halved during
+    /// warm-up unless the service has terms on cold servers, by which they are paced.
     fn capacity(&self, is_engine: bool, now: Instant) -> u32 {
         if self.is_on_probation() {
             return 1;
@@ -127,7 +132,7 @@
             check_in.slots.saturating_mul(PLAIN_SLOT_FACTOR)
         };
         let checked_in_for = now.saturating_duration_since(self.record.checked_in_at);
-        let is_cold = checked_in_for < check_in.warmup_remaining;
+        let is_cold = checked_in_for < check_in.warmup_remaining && !self.cold.has_terms();
         if is_cold { slots.div_ceil(2) } else { slots }
     }
 }
@@ -145,6 +150,8 @@
     streams: StreamVersions,
     path_reports: PathReports,
     early_limits: EarlyReports,
+    /// When the drains of zones were withdrawn whose servers may be cold since.
+    cold_zones: HashMap<ZoneName, Instant>,
     requesters: HashMap<RequesterId, Instant>,
     /// The requester that runs batch items.
     batch_requester: Option<RequesterId>,
@@ -157,9 +164,6 @@
     versions_complete_at: Option<Instant>,
     /// The zones whose servers get no work, by order of operators.
     drained_zones: BTreeSet<ZoneName>,
-    /// When the last drain of each zone was withdrawn. The servers of the zone may have become
-    /// cold meanwhile.
-    undrained_at: BTreeMap<ZoneName, Instant>,
     drains_number: u64,
 }
 
@@ -173,6 +177,7 @@
             streams: StreamVersions::default(),
             path_reports: PathReports::default(),
             early_limits: EarlyReports::default(),
+            cold_zones: HashMap::new(),
             settings,
             services: BTreeMap::new(),
             servers: SlotMap::with_key(),
@@ -186,7 +191,6 @@
             versions_number: 0,
             versions_complete_at: None,
             drained_zones: BTreeSet::new(),
-            undrained_at: BTreeMap::new(),
             drains_number: 0,
         }
     }
@@ -198,6 +202,7 @@
             pool.engine_tokens = service.engine.map(|engine| engine.memory_tokens);
         }
         self.rates.set_plan(plan, now);
+        self.set_cold_terms(plan, now);
     }
 
     /// The rate limits of the teams.
@@ -266,6 +271,7 @@
             }
         }
         if outcome != CheckInOutcome::Stale {
+            self.record_cold_check_in(key, now);
             self.observe_version(&service, &version, now);
         }
         if matches!(outcome, CheckInOutcome::Added | CheckInOutcome::Leaving) {
@@ -462,6 +468,7 @@
                     && let Some(entry) = self.servers.get_mut(key)
                 {
                     entry.limit.charge(now);
+                    entry.cold.charge(now);
                 }
                 self.insert_grant(SlotGrant {
                     requester: requester.clone(),
@@ -490,6 +497,7 @@
         self.remove_expired_servers(now);
         let remove_after = self.settings.remove_after;
         self.early_limits.remove_expired(remove_after, now);
+        self.refresh_all_cold(now);
         self.refuse_unservable();
         self.decide_on_crashes(now);
         self.expire_waiting(now);
@@ -553,12 +561,14 @@
             running_batch: 0,
             tokens: 0,
             limit: BelievedLimit::default(),
+            cold: ColdState::default(),
             contacts: ContactHistory::default(),
             suspended_by: None,
         });
         self.by_name.insert(name, key);
         self.apply_early_limit(key, now);
         self.pool(&service).servers.push(key);
+        self.record_cold_check_in(key, now);
         self.observe_version(&service, &version, now);
         self.directory_version += 1;
     }
--- a/crates/broker/src/slots/zone_drains.rs
+++ b/crates/broker/src/slots/zone_drains.rs
@@ -14,9 +14,9 @@
             return;
         }
         let drained_before = std::mem::replace(&mut self.drained_zones, zones.clone());
-        self.undrained_at.retain(|zone, _| !zones.contains(zone));
+        self.cold_zones.retain(|zone, _| !zones.contains(zone));
         for zone in drained_before.difference(zones) {
-            self.undrained_at.insert(zone.clone(), now);
+            self.mark_zone_cold(zone, now, now);
         }
         self.drains_number += 1;
         self.directory_version += 1;
@@ -25,9 +25,9 @@
     }
 
     /// Records that an earlier broker's drain of a zone was withdrawn at the given time.
-    pub fn restore_undrained(&mut self, zone: &ZoneName, at: Instant) {
+    pub fn restore_undrained(&mut self, zone: &ZoneName, at: Instant, now: Instant) {
         if !self.drained_zones.contains(zone) {
-            self.undrained_at.insert(zone.clone(), at);
+            self.mark_zone_cold(zone, at, now);
         }
     }
 
@@ -35,7 +35,7 @@
     /// drained.
     #[must_use]
     pub fn undrained_at(&self, zone: &ZoneName) -> Option<Instant> {
-        self.undrained_at.get(zone).copied()
+        self.cold_zones.get(zone).copied()
     }
 
     /// The zones whose servers get no work.
--- a/crates/broker/tests/all/zone_drains.rs
+++ b/crates/broker/tests/all/zone_drains.rs
@@ -1,9 +1,12 @@
 //! Drained zones: their servers get no work, and what cannot run elsewhere is refused at once.
 
-use crate::support::{BrokerFixture, check_in, granted, refused_after, requester, stopped, zone};
+use crate::support::{
+    BrokerFixture, check_in, granted, plan, refused_after, requester, stopped, zone,
+};
 use chicoryladder_broker::{
     BrokerEvent, RunOutcome, SlotDecision, SlotRefusalReason, StreamId, StreamPart, WorkKind,
 };
+use chicoryladder_plan::{ColdTerms, ServicePlan};
 use chicoryladder_types::SoftwareVersion;
 use chicoryladder_types::prelude::*;
 use std::collections::BTreeSet;
@@ -204,8 +207,12 @@
     let at = fixture.now;
     fixture.now += Duration::from_secs(2);
     drain(&mut fixture, &["b"]);
-    fixture.broker.restore_undrained(&zone("a"), at);
-    fixture.broker.restore_undrained(&zone("b"), at);
+    fixture
+        .broker
+        .restore_undrained(&zone("a"), at, fixture.now);
+    fixture
+        .broker
+        .restore_undrained(&zone("b"), at, fixture.now);
     assert_eq!(fixture.broker.undrained_at(&zone("a")), Some(at));
     assert_eq!(fixture.broker.undrained_at(&zone("b")), None);
     let request = fixture.slot_request(WorkKind::Online);
@@ -218,3 +225,27 @@
         Some("s0")
     );
 }
+
+/// Guards against servers that became cold while their zone was drained and are flooded once it
+/// is not: their last check-in says that they are warm.
+#[test]
+fn servers_of_a_zone_are_paced_after_its_drain_was_withdrawn() {
+    let mut fixture = BrokerFixture::with_servers(1, &["a"]);
+    let mut raw = plan(Vec::new()).raw().clone();
+    let terms = ColdTerms {
+        duration: Duration::from_secs(3),
+        per_second: 6.2,
+    };
+    let engine = raw.services[0].name.clone();
+    raw.terms.0.cold.insert(engine, terms);
+    let cold_plan = ServicePlan::try_from(raw).expect("it is valid");
+    fixture.broker.set_plan(&cold_plan, fixture.now);
+    drain(&mut fixture, &["a"]);
+    fixture.now += Duration::from_secs(1);
+    drain(&mut fixture, &[]);
+    assert_eq!(fixture.broker.cold_servers(fixture.now), 1);
+    assert_eq!(granted(&fixture.request_online()), None);
+    fixture.now += Duration::from_secs(3);
+    assert_eq!(fixture.broker.cold_servers(fixture.now), 0);
+    assert_eq!(granted(&fixture.request_online()).as_deref(), Some("s0"));
+}
--- a/crates/roles/src/control/leader/zone_drains.rs
+++ b/crates/roles/src/control/leader/zone_drains.rs
@@ -26,8 +26,8 @@
         self.is_wholly_drained = false;
         self.broker.set_drained_zones(&drains.drained_zones(), now);
         for (zone, age) in drains.withdrawn(since_epoch) {
-            self.broker
-                .restore_undrained(&zone, now.checked_sub(age).unwrap_or(now));
+            let at = now.checked_sub(age).unwrap_or(now);
+            self.broker.restore_undrained(&zone, at, now);
         }
     }
 
