Weigh the speed and the memory of servers in slot decisions

Cause: the choice of a server took no account of its speed, and counted on up to 4,096 prefixes per server whatever its memory had room for. Slow servers got as many requests as others, and prompts were read again.

Change: for services whose servers state how long work takes, and for all services under the feature `pressure`, the broker compares the expected time to the first part of the answer. It believes a pace per server (stated figures by age, and observed times), the contents of a cache by tokens that is bounded by the memory beside the runs, and a linear model of the time to answer per service. Tokens of granted requests count at once.

--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -1,5 +1,6 @@
 //! The slots that are granted, and reports on their runs.
 
+use crate::placement::ServerExpectation;
 use crate::request::{RequesterId, WorkKind};
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
@@ -110,6 +111,9 @@
     pub(crate) traits: Option<RequestTraits>,
     /// Set once the run is preempted; its slot is then available to others.
     pub(crate) stopping: bool,
+    /// What was expected of the server, until its answer begins; `None` if that was not
+    /// weighed.
+    pub(crate) expected: Option<ServerExpectation>,
 }
 
 /// All granted slots.
@@ -148,6 +152,15 @@
         self.grants.get(*key)
     }
 
+    pub(crate) fn get_by_ticket_mut(
+        &mut self,
+        requester: &RequesterId,
+        ticket: u64,
+    ) -> Option<&mut SlotGrant> {
+        let key = self.by_ticket.get(requester)?.get(&ticket)?;
+        self.grants.get_mut(*key)
+    }
+
     pub(crate) fn contains(&self, requester: &RequesterId, ticket: u64) -> bool {
         let tickets = self.by_ticket.get(requester);
         tickets.is_some_and(|tickets| tickets.contains_key(&ticket))
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -14,6 +14,7 @@
 //! The crate does no I/O and reads no clock: callers pass the time in, and
 //! [`SlotBroker::take_events`] returns the messages to send.
 
+mod answer_model;
 mod brokerless;
 mod departures;
 mod directory;
@@ -21,11 +22,13 @@
 mod pacing;
 mod placement;
 mod pool;
+mod prompt_cache;
 mod rate;
 mod request;
 mod reserves;
 mod roster;
 mod server_limits;
+mod server_pace;
 mod slots;
 mod streams;
 mod tunnel_hosts;
@@ -37,15 +40,16 @@
 pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
 pub use rate::{RateLedger, RateTolerance};
 pub use request::{
-    BrokerEvent, PoolLoad, PromptSegment, RequesterId, ServerSuspension, SlotDecision,
-    SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
+    BrokerEvent, ExpectedAnswer, PoolLoad, PromptSegment, RequesterId, ServerSuspension,
+    SlotDecision, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 pub use reserves::{HeldReserves, ReserveTerms, SELF_REFILL_AFTER};
 pub use roster::{
     EntryRoster, HolderRing, ReserveHolders, RosterMember, RosterSettings, ZoneRoster,
 };
 pub use server_limits::{InvalidLimit, LimitReport, LimitStatement, NamedLimits, ServerLimit};
-pub use slots::{BrokerSettings, SlotBroker};
+pub use server_pace::{AnswerReport, InvalidWorkPercent, WorkPercent};
+pub use slots::{BrokerSettings, PromptTokenCount, SlotBroker};
 pub use streams::{StreamId, StreamPart, StreamReport, StreamVersions};
 pub use tunnel_hosts::choose_tunnel_hosts;
 pub use versions::{ListedVersion, VERSION_NOTICE, VersionList, VersionRecord, VersionStep};
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -1,5 +1,6 @@
 //! The request queues of a service and the average duration of its runs.
 
+use crate::answer_model::AnswerModel;
 use crate::grants::ServerKey;
 use crate::request::{RequesterId, SlotRequest, WorkKind};
 use crate::versions::SeenVersions;
@@ -60,6 +61,10 @@
     pub(crate) versions: SeenVersions,
     /// The token capacity of an engine's memory; `None` for services without engines.
     pub(crate) engine_tokens: Option<u64>,
+    /// Whether a server has stated how long work takes on it.
+    pub(crate) states_work: bool,
+    /// The time to the first part of an answer, if the servers are weighed.
+    pub(crate) answers: AnswerModel,
 }
 
 impl ServicePool {
@@ -74,6 +79,8 @@
             },
             versions: SeenVersions::default(),
             engine_tokens: None,
+            states_work: false,
+            answers: AnswerModel::default(),
         }
     }
 
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -8,7 +8,7 @@
     QuarantineCause, QuarantineChange, RequestFingerprint, RequestTraits, SegmentFingerprint,
 };
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServiceName, SoftwareVersion};
+use chicoryladder_types::{ServiceName, SoftwareVersion, Tail};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -145,6 +145,21 @@
     Quarantined(QuarantineCause),
 }
 
+/// What a decision expected of the server that it chose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExpectedAnswer {
+    /// The time to the first part of the answer.
+    pub first_answer: Duration,
+    /// The tokens of the prompt.
+    pub tokens: u32,
+    /// The tokens of the prompt that the server was believed to hold.
+    pub cached: u32,
+    /// The time that work was believed to take there, in percent of usual.
+    pub pace_percent: u32,
+    /// The age of the figure that the server stated last, while it counts.
+    pub stated_age: Option<Duration>,
+}
+
 /// The decision on a slot request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SlotDecision {
@@ -162,6 +177,8 @@
         version: SoftwareVersion,
         /// The limit on requests that the server names, as the broker knows it.
         limit: Option<ServerLimit>,
+        /// What the decision expected; `None` if it did not weigh the speed of servers.
+        expected: Tail<Option<ExpectedAnswer>>,
     },
     /// No slot is granted.
     Refused {
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -1,7 +1,8 @@
 //! The slot broker, which grants, queues, refuses and preempts.
 //!
 //! [`assignment`] chooses the server of a request or the item that it preempts,
-//! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
+//! [`expectations`] estimates how long each server takes to answer, [`eligibility`] tells
+//! which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
 //! of hosts, [`path_reports`] tells these from the reports of hosts without a path,
 //! [`version_steps`] tells at which versions streams may begin, and [`crashes`] refuses the
@@ -10,6 +11,7 @@
 mod assignment;
 mod crashes;
 mod eligibility;
+mod expectations;
 mod expiry;
 mod failures;
 mod path_reports;
@@ -23,11 +25,14 @@
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
 use crate::server_limits::{BelievedLimit, EarlyReports};
+use crate::server_pace::WorkPercent;
 use crate::streams::StreamVersions;
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+pub use expectations::PromptTokenCount;
+use expectations::ServerBelief;
 use failures::ContactHistory;
 use path_reports::PathReports;
 use slotmap::SlotMap;
@@ -78,6 +83,9 @@
     pub requester_lost_after: Duration,
     /// The excess over rates and bursts that may be admitted.
     pub tolerance: RateTolerance,
+    /// Whether the speed and memory of all servers are weighed, also of those that do not
+    /// state how long work takes on them.
+    pub pressure: bool,
 }
 
 impl BrokerSettings {
@@ -94,6 +102,7 @@
     running_batch: u32,
     tokens: u64,
     limit: BelievedLimit,
+    belief: ServerBelief,
     contacts: ContactHistory,
     /// The host that did not reach the server, if the suspension is due to that.
     suspended_by: Option<RequesterId>,
@@ -153,6 +162,7 @@
     /// From when on no stream can be of a version that this broker does not know; `None` if
     /// it has known them all from the start.
     versions_complete_at: Option<Instant>,
+    prompt_tokens: PromptTokenCount,
 }
 
 impl SlotBroker {
@@ -177,6 +187,7 @@
             directory_version: 0,
             versions_number: 0,
             versions_complete_at: None,
+            prompt_tokens: PromptTokenCount::default(),
         }
     }
 
@@ -243,6 +254,7 @@
         let opens = (!was_open || was_overdue) && entry.record.is_open(now);
         if is_restarted {
             entry.limit = BelievedLimit::default();
+            entry.belief = ServerBelief::default();
             entry.contacts = ContactHistory::default();
             self.path_reports.forget_server(key);
             self.remove_grants_of(key);
@@ -398,8 +410,20 @@
 
     /// Releases a slot, or cancels the request if no slot has been granted.
     pub fn release(&mut self, requester: &RequesterId, report: &RunReport, now: Instant) {
+        self.release_stated(requester, report, None, now);
+    }
+
+    /// Like [`Self::release`], with the time that work takes on the server as its answer
+    /// stated it.
+    pub fn release_stated(
+        &mut self,
+        requester: &RequesterId,
+        report: &RunReport,
+        work: Option<WorkPercent>,
+        now: Instant,
+    ) {
         self.requesters.insert(requester.clone(), now);
-        let Some(grant) = self.grants.remove(requester, report.ticket) else {
+        let Some(mut grant) = self.grants.remove(requester, report.ticket) else {
             self.withdraw(requester, report.ticket);
             return;
         };
@@ -407,6 +431,7 @@
             self.refund(grant.charged_team.as_ref());
         }
         self.subtract_run(&grant);
+        self.learn_from_end(&mut grant, report, work, now);
         self.record_completion(&grant, &report.completed, now);
         let Some(entry) = self.servers.get(grant.server) else {
             return;
@@ -462,6 +487,7 @@
                     granted_at: now,
                     traits: None,
                     stopping: false,
+                    expected: None,
                 });
             }
         }
@@ -542,6 +568,7 @@
             running_batch: 0,
             tokens: 0,
             limit: BelievedLimit::default(),
+            belief: ServerBelief::default(),
             contacts: ContactHistory::default(),
             suspended_by: None,
         });
@@ -583,6 +610,7 @@
                 WorkKind::Batch => entry.running_batch += 1,
             }
         }
+        self.shrink_cache(server);
     }
 
     fn remove_grant(&mut self, requester: &RequesterId, ticket: u64) {
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -2,8 +2,9 @@
 
 use super::SlotBroker;
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
-use crate::placement::{prompt_prefixes, record_prompt, server_cost};
+use crate::placement::{PlacementQuery, prompt_prefixes, record_prompt, server_cost};
 use crate::request::{BrokerEvent, RequesterId, SlotDecision, SlotRequest, WorkKind};
+use chicoryladder_types::Tail;
 use chicoryladder_types::prelude::*;
 use std::time::Instant;
 
@@ -59,6 +60,13 @@
         };
         let overdue_after = self.settings.overdue_after();
         let prefixes = prompt_prefixes(&request.prompt);
+        let query = PlacementQuery {
+            zone: &request.zone,
+            prefixes: &prefixes,
+            overdue_after,
+            now,
+        };
+        let weighs_servers = self.weighs_servers(pool);
         let mut best: Option<(f64, ServerKey)> = None;
         for key in &pool.servers {
             let Some(entry) = self.servers.get(*key) else {
@@ -81,7 +89,11 @@
             let record = &entry.record;
             let used_slots = f64::from(entry.running()) / f64::from(capacity.max(1));
             let used_share = used_slots.max(entry.limit.used_share(now));
-            let cost = server_cost(record, used_share, request, &prefixes, overdue_after, now);
+            let cost = if weighs_servers {
+                pool.expected_cost(entry, used_share, &query)
+            } else {
+                server_cost(record, used_share, &query)
+            };
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *key));
             }
@@ -130,11 +142,15 @@
         key: ServerKey,
         now: Instant,
     ) {
+        let prefixes = prompt_prefixes(&request.prompt);
+        let expected = self.charge_expectation(key, &request.service, &prefixes, now);
         let Some(entry) = self.servers.get_mut(key) else {
             return;
         };
         entry.limit.charge(now);
-        record_prompt(&mut entry.record, &request.prompt, now);
+        if expected.is_none() {
+            record_prompt(&mut entry.record, &prefixes, now);
+        }
         let check_in = &entry.record.check_in;
         if let Some(stream) = request.stream_id() {
             self.streams.bind(stream, &check_in.version, true, now);
@@ -146,6 +162,10 @@
             zone: check_in.zone.clone(),
             version: check_in.version.clone(),
             limit: entry.limit.get(),
+            expected: Tail(expected.map(|expected| {
+                let stated_age = entry.belief.pace.stated_age(now);
+                expected.stated(stated_age)
+            })),
         };
         self.events.push(BrokerEvent::Decided {
             requester: requester.clone(),
@@ -162,6 +182,7 @@
             granted_at: now,
             traits: Some(request.traits()),
             stopping: false,
+            expected,
         });
     }
 }
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -226,6 +226,7 @@
             share: settings.bounds.rate_overshoot,
             window: settings.bounds.rate_window,
         },
+        pressure: settings.features.pressure(),
     }
 }
 
