--- a/crates/roles/src/control/machine.rs
+++ b/crates/roles/src/control/machine.rs
@@ -71,7 +71,7 @@
 
 fn restored_plan(
     (document, parts): StoredPlanFields<Vec<u8>, Vec<RawRoute>, Vec<RawService>, Vec<RawTeam>>,
-    terms: PlanTerms,
+    plan_terms: PlanTerms,
 ) -> StoredPlan {
     let (version, routes, services, teams, limits) = parts;
     let plan = RawPlan {
@@ -80,7 +80,7 @@
         services,
         teams,
         limits,
-        terms: Tail(terms),
+        terms: Tail(plan_terms),
     };
     StoredPlan { document, plan }
 }
