Bring the work time that servers state to the broker

Cause: the broker weighs how long work takes on a server, but hosts dropped the fourth figure of the load header.

Change: hosts read the figure (percent of usual, 1 to 10,000; an unreadable one costs nothing else) and send it at the end of `Notice::Release`. As a run lasts longer than the figure means something, answers that have begun are also reported at the end of the next slot call, at most 64. Both are tails, which earlier builds ignore. The leader has the gauges `prompt_tokens_requested`, `prompt_tokens_expected_cached` and `servers_slow`; the `sent` line of entry hosts tells what the decision expected and the age of the stated figure.

Measured: `cargo test -p chicoryladder-broker -p chicoryladder-roles -p chicoryladder-platform` passes, among it that releases are read by and from the earlier build.

--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -470,6 +470,9 @@
         if !state.accepts_plan(call.plan, grace, now) {
             return std::future::ready(GroupReply::Answer(ControlAnswer::StalePlan)).boxed();
         }
+        for report in &call.answers.0 {
+            state.broker.record_answer(&call.requester, report, now);
+        }
         let decision = state.request_slot(&call.requester, call.slot_request, now);
         self.process_broker_events(&mut state);
         drop(state);
@@ -753,6 +756,7 @@
                 requester,
                 report,
                 crashed,
+                work,
             }) => {
                 let now = self.0.now();
                 let mut state = self.0.state();
@@ -761,7 +765,7 @@
                         let counts = state.broker.record_crash(&run, now);
                         self.0.log_crash(&requester, &run, &counts);
                     }
-                    state.release(&requester, &report, now);
+                    state.release(&requester, &report, work.0, now);
                     self.0.process_broker_events(&mut state);
                 }
             }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -12,7 +12,7 @@
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
     RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
-    SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, ZoneRoster,
+    SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, WorkPercent, ZoneRoster,
     choose_tunnel_hosts, servers_for_zone,
 };
 use chicoryladder_group::{MembershipRepair, spread_over_zones, zone_voters_max};
@@ -336,6 +336,7 @@
             ("hosts", count(self.hosts.len())),
             ("servers", count(self.broker.servers().len())),
             ("servers_limited", count(self.broker.limited_servers())),
+            ("servers_slow", count(self.broker.slow_servers(now))),
             ("group_standbys", count(self.repair.standby_count(now))),
         ];
         let (mut running, mut slots, mut online, mut batch) = (0, 0, 0, 0);
@@ -346,6 +347,15 @@
             online += load.2;
             batch += load.3;
         }
+        let tokens = self.broker.prompt_tokens();
+        #[expect(clippy::cast_precision_loss)]
+        gauges.extend([
+            ("prompt_tokens_requested", tokens.requested as f64),
+            (
+                "prompt_tokens_expected_cached",
+                tokens.expected_cached as f64,
+            ),
+        ]);
         gauges.extend([
             ("slots_used", f64::from(running)),
             ("slots_open", f64::from(slots)),
@@ -448,9 +458,15 @@
         self.departing.insert(departure)
     }
 
-    pub(crate) fn release(&mut self, requester: &RequesterId, report: &RunReport, now: Instant) {
+    pub(crate) fn release(
+        &mut self,
+        requester: &RequesterId,
+        report: &RunReport,
+        work: Option<WorkPercent>,
+        now: Instant,
+    ) {
         self.pending.remove(&(requester.clone(), report.ticket));
-        self.broker.release(requester, report, now);
+        self.broker.release_stated(requester, report, work, now);
     }
 
     /// Handles a sync: records the state of a host and replies with newer state. `members`
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -349,6 +349,7 @@
                     let elapsed = self.clock.now().saturating_duration_since(now);
                     lease.record_first_answer(elapsed);
                     lease.record_load(answer.head.load);
+                    lease.record_work(answer.head.work, answer.parts.status.is_success());
                     return Some((answer, lease));
                 }
                 Err(failure) => self.end_failed_attempt(state, lease, failure),
@@ -362,7 +363,7 @@
     fn log_sent(&self, state: &RequestState, lease: &SlotLease, now: Instant) {
         let waited = now.saturating_duration_since(state.request.arrived_at);
         let left = state.answer_by.saturating_duration_since(now);
-        let fields = json!({
+        let mut fields = json!({
             "request": state.request.id,
             "route": state.route().name,
             "service": lease.service,
@@ -375,6 +376,15 @@
             "left_ms": left.as_millis(),
             "without_broker": lease.brokerless,
         });
+        if let Some(expected) = lease.expected {
+            fields["expected"] = json!({
+                "first_answer_ms": expected.first_answer.as_millis(),
+                "tokens": expected.tokens,
+                "cached_tokens": expected.cached,
+                "pace_percent": expected.pace_percent,
+                "stated_age_ms": expected.stated_age.map(|age| age.as_millis()),
+            });
+        }
         self.log.routine("sent", &fields);
     }
 
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -4,15 +4,15 @@
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
 use chicoryladder_broker::{
-    ActiveRun, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision,
-    SlotRequest, VersionList, ZoneRoster,
+    ActiveRun, AnswerReport, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn,
+    SlotDecision, SlotRequest, VersionList, WorkPercent, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::QuarantinedSegments;
-use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{SeatId, Tail};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -31,6 +31,8 @@
         report: RunReport,
         /// The run, if the connection to the server broke while it ran the request.
         crashed: Option<Box<CrashedRun>>,
+        /// How long work takes on the server, as its answer stated it.
+        work: Tail<Option<WorkPercent>>,
     },
     /// To a requester: a run has to stop, since its slot is needed for other work.
     Stop { ticket: u64 },
@@ -146,6 +148,9 @@
     pub(crate) slot_request: SlotRequest,
     /// What the host learned of servers and streams since the last call.
     pub(crate) reports: ServerReports,
+    /// The runs of the host whose answers have begun since the last call, of servers that state
+    /// how long work takes.
+    pub(crate) answers: Tail<Vec<AnswerReport>>,
 }
 
 /// The role of a host.
@@ -410,3 +415,60 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use chicoryladder_broker::{ProvenWork, RunOutcome};
+
+    /// The notices of the build before stated work, up to the release of a slot.
+    #[derive(Debug, Serialize, Deserialize)]
+    enum EarlierNotice {
+        Seat(SeatEnvelope),
+        Release {
+            requester: RequesterId,
+            report: RunReport,
+            crashed: Option<Box<CrashedRun>>,
+        },
+    }
+
+    /// Guards against slots that stay occupied during an upgrade, since the notice that
+    /// releases them is not understood by hosts of the other build.
+    #[test]
+    fn releases_are_read_by_and_from_earlier_builds() {
+        let requester = RequesterId {
+            host: HostName::try_from("entry-1").expect("it is valid"),
+            incarnation: 1,
+        };
+        let report = RunReport {
+            ticket: 7,
+            outcome: RunOutcome::Served,
+            load: None,
+            first_answer: Some(Duration::from_millis(40)),
+            refund: false,
+            completed: ProvenWork::Requested,
+        };
+        let earlier = EarlierNotice::Release {
+            requester: requester.clone(),
+            report: report.clone(),
+            crashed: None,
+        };
+        let bytes = postcard::to_stdvec(&earlier).expect("it encodes");
+        let read: Notice = postcard::from_bytes(&bytes).expect("it decodes");
+        assert!(
+            matches!(read, Notice::Release { work: Tail(None), report: read, .. } if read == report)
+        );
+        let work = WorkPercent::try_from(182.0).expect("it is valid");
+        let notice = Notice::Release {
+            requester,
+            report: report.clone(),
+            crashed: None,
+            work: Tail(Some(work)),
+        };
+        let bytes = postcard::to_stdvec(&notice).expect("it encodes");
+        let read: Notice = postcard::from_bytes(&bytes).expect("it decodes");
+        assert!(matches!(read, Notice::Release { work: Tail(Some(read)), .. } if read == work));
+        let read: EarlierNotice = postcard::from_bytes(&bytes).expect("it decodes");
+        assert!(matches!(read, EarlierNotice::Release { report: read, .. } if read == report));
+    }
+}
--- a/crates/roles/src/ports.rs
+++ b/crates/roles/src/ports.rs
@@ -4,7 +4,7 @@
 //! below and builds responses from them.
 
 use chicoryladder_batch::{ItemSpec, JobPage};
-use chicoryladder_broker::{LimitStatement, PromptSegment, ServerPhase};
+use chicoryladder_broker::{LimitStatement, PromptSegment, ServerPhase, WorkPercent};
 use chicoryladder_gateway::AnswerBody;
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
@@ -105,6 +105,8 @@
     pub limit: LimitStatement,
     /// The load that the server reports.
     pub load: Option<ServerLoad>,
+    /// How long work takes on the server at present, as it states it.
+    pub work: Option<WorkPercent>,
     /// How long the server keeps an idle connection open.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -8,13 +8,14 @@
 use crate::process::ProcessBase;
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
-    ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind, shared_segments,
+    ActiveRun, AnswerReport, BrokerlessView, CrashedRun, ExpectedAnswer, PoolLoad, ProvenWork,
+    RunOutcome, RunReport, SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart,
+    WorkKind, WorkPercent, shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName, SoftwareVersion};
+use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName, SoftwareVersion, Tail};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -30,6 +31,10 @@
 /// Several round trips between zones; a request that waits longer misses its latency target.
 const BROKER_SILENCE_MAX: Duration = Duration::from_millis(110);
 
+/// The most answers reported with one slot request: more than a host receives between two
+/// requests under load.
+const BEGUN_ANSWERS_MAX: usize = 64;
+
 /// The suggested retry delay when no slot was found while the broker is unreachable.
 const BROKERLESS_RETRY: Duration = Duration::from_millis(700);
 
@@ -69,6 +74,8 @@
     client: LeaderClient,
     view: FleetView,
     marks: ServerMarks,
+    /// Answers to report with the next slot request.
+    answers: BegunAnswers,
     runs: Mutex<HashMap<u64, RunHandle>>,
     next_ticket: AtomicU64,
     /// When each server was last found unreachable.
@@ -78,6 +85,26 @@
     broker_lost_at: Mutex<Option<Instant>>,
 }
 
+/// The answers that have begun since the last slot request.
+#[derive(Debug, Default)]
+struct BegunAnswers(Mutex<Vec<AnswerReport>>);
+
+impl BegunAnswers {
+    /// Adds a report. It is left out if there are too many, as without slot requests; the end
+    /// of the run is reported anyway.
+    fn add(&self, report: AnswerReport) {
+        let mut reports = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if reports.len() < BEGUN_ANSWERS_MAX {
+            reports.push(report);
+        }
+    }
+
+    fn take(&self) -> Vec<AnswerReport> {
+        let mut reports = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut reports)
+    }
+}
+
 /// Acquires slots. Clones share the active runs.
 #[derive(Clone)]
 pub(crate) struct SlotClient {
@@ -96,6 +123,7 @@
             client,
             view,
             marks,
+            answers: BegunAnswers::default(),
             runs: Mutex::default(),
             next_ticket: AtomicU64::new(1),
             unreachable_at: Mutex::default(),
@@ -244,6 +272,7 @@
             plan,
             slot_request: slot_request.clone(),
             reports: pending.reports.reports().clone(),
+            answers: Tail(self.shared.answers.take()),
         };
         let call = Call::Control(ControlCall::RequestSlot(Box::new(call)));
         let timeout = slot_request.wait_max + BROKER_REPLY_MARGIN;
@@ -259,6 +288,7 @@
                 address,
                 version,
                 limit,
+                expected,
                 ..
             }) => {
                 let server = ServerIdentity {
@@ -270,7 +300,9 @@
                 limits.adopt(&server.name, incarnation, limit, now);
                 limits.record_sent(&server.name, now);
                 drop(limits);
-                Ok(self.lease(slot_request, server, version, address, false))
+                let mut lease = self.lease(slot_request, server, version, address, false);
+                lease.expected = expected.0;
+                Ok(lease)
             }
             ControlAnswer::Slot(SlotDecision::Refused {
                 reason,
@@ -327,6 +359,7 @@
             version,
             address,
             brokerless,
+            expected: None,
             stop,
             successor,
             stream: slot_request.stream_id(),
@@ -338,6 +371,7 @@
             is_proven: false,
             client: self.clone(),
             report: None,
+            work: None,
             crashed: None,
         }
     }
@@ -473,6 +507,7 @@
         &self,
         leader: Option<SocketAddr>,
         report: RunReport,
+        work: Option<WorkPercent>,
         crashed: Option<Box<CrashedRun>>,
     ) {
         self.runs().remove(&report.ticket);
@@ -485,6 +520,7 @@
             requester: self.shared.base.requester(),
             report,
             crashed,
+            work: Tail(work),
         };
         self.shared.base.notify(leader, &notice);
     }
@@ -510,7 +546,7 @@
     fn drop(&mut self) {
         if !self.answered {
             let report = stopped_report(self.ticket);
-            self.client.release(Some(self.leader), report, None);
+            self.client.release(Some(self.leader), report, None, None);
         }
     }
 }
@@ -535,6 +571,8 @@
     pub(crate) address: SocketAddr,
     /// Whether this host chose the server without the broker.
     pub(crate) brokerless: bool,
+    /// What the decision expected of the server, if it weighed that.
+    pub(crate) expected: Option<ExpectedAnswer>,
     stop: Arc<Notify>,
     successor: Arc<OnceLock<SoftwareVersion>>,
     stream: Option<StreamId>,
@@ -549,6 +587,8 @@
     is_proven: bool,
     client: SlotClient,
     report: Option<RunReport>,
+    /// How long work takes on the server, as its answer stated it.
+    work: Option<WorkPercent>,
     crashed: Option<Box<CrashedRun>>,
 }
 
@@ -571,6 +611,23 @@
         self.report_mut().first_answer = Some(elapsed);
     }
 
+    /// Records how long work takes on the server, if its answer stated that. The figure soon
+    /// means little, so one of a successful answer goes to the broker with the next call rather
+    /// than at the end of the run.
+    pub(crate) fn record_work(&mut self, work: Option<WorkPercent>, is_success: bool) {
+        self.work = work.or(self.work);
+        let first_answer = self.report.as_ref().and_then(|report| report.first_answer);
+        if let (Some(_), Some(first_answer), true) = (work, first_answer, is_success)
+            && !self.brokerless
+        {
+            self.client.shared.answers.add(AnswerReport {
+                ticket: self.ticket,
+                first_answer,
+                work,
+            });
+        }
+    }
+
     /// Records the load that the server reported, if it did.
     pub(crate) fn record_load(&mut self, load: Option<ServerLoad>) {
         let report = self.report_mut();
@@ -670,6 +727,7 @@
         let report = self.report_mut().clone();
         self.client.record_outcome(&self.server, report.outcome);
         let leader = self.client.shared.client.leader();
-        self.client.release(leader, report, self.crashed.take());
+        let crashed = self.crashed.take();
+        self.client.release(leader, report, self.work, crashed);
     }
 }
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -103,6 +103,7 @@
     };
     lease.record_first_answer(clock.now().saturating_duration_since(started_at));
     lease.record_load(response.head.load);
+    lease.record_work(response.head.work, response.parts.status.is_success());
     let status = response.parts.status;
     if !status.is_success() {
         let (end, outcome) = match status {
