--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -21,6 +21,7 @@
 mod soak;
 mod stranded;
 mod trouble;
+mod uneven;
 mod unframed;
 mod versions;
 mod world;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -109,6 +109,8 @@
     leaving_in_answers: Arc<AtomicBool>,
     /// The limit on requests a second that every response names; 0 for none.
     limit: Arc<AtomicU64>,
+    /// The time that work takes, in percent of usual, which every response states; 0 for none.
+    work: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<AbortHandle>>>,
     /// Whether its check-ins do not leave it.
     check_ins_held: Arc<AtomicBool>,
@@ -151,6 +153,7 @@
             leaving: Arc::default(),
             leaving_in_answers: Arc::default(),
             limit: Arc::default(),
+            work: Arc::default(),
             connections: Arc::default(),
             check_ins_held: Arc::default(),
             is_down: Arc::default(),
@@ -191,6 +194,11 @@
         self.limit.store(per_second, Ordering::Relaxed);
     }
 
+    /// States in every response from now on how long work takes, in percent of usual.
+    pub(crate) fn state_work(&self, percent: u64) {
+        self.work.store(percent, Ordering::Relaxed);
+    }
+
     /// The version of the server's software.
     pub(crate) fn version(&self) -> &'static str {
         *self.version.lock().unwrap_or_else(PoisonError::into_inner)
@@ -400,6 +408,10 @@
         if limit > 0 {
             response = response.header(LIMIT_FIELD, limit);
         }
+        let work = self.work.load(Ordering::Relaxed);
+        if work > 0 {
+            response = response.header("x-server-load", format!("1,0,8,{work}"));
+        }
         let answer = if self.service.starts_with("engine") {
             let first = text("last-event-id").and_then(|last| last.parse::<u64>().ok());
             let path = head.uri.path();
