Log what the decision on an item expected

Cause: the `sent` line tells what a decision expected for requests, but items of jobs have no such line.

Change: the `item_run` line of store hosts carries the same `expected`.

--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -12,7 +12,7 @@
 use crate::metrics::RoleMetrics;
 use crate::ports::{CallerHead, RunContext};
 use crate::server_run::{RunFailure, ServerAnswer, ServerRequest, ServerRunner};
-use crate::slot_client::{SlotClient, SlotError, SlotLease};
+use crate::slot_client::{SlotClient, SlotError, SlotLease, expected_fields};
 use bytes::{Bytes, BytesMut};
 use chicoryladder_broker::{
     RunOutcome, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
@@ -376,14 +376,8 @@
             "left_ms": left.as_millis(),
             "without_broker": lease.brokerless,
         });
-        if let Some(expected) = lease.expected {
-            fields["expected"] = json!({
-                "first_answer_ms": expected.first_answer.as_millis(),
-                "tokens": expected.tokens,
-                "cached_tokens": expected.cached,
-                "pace_percent": expected.pace_percent,
-                "stated_age_ms": expected.stated_age.map(|age| age.as_millis()),
-            });
+        if let Some(expected) = &lease.expected {
+            fields["expected"] = expected_fields(expected);
         }
         self.log.routine("sent", &fields);
     }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -562,6 +562,17 @@
     }
 }
 
+/// What the decision on a slot expected, for the event log.
+pub(crate) fn expected_fields(expected: &ExpectedAnswer) -> serde_json::Value {
+    serde_json::json!({
+        "first_answer_ms": expected.first_answer.as_millis(),
+        "tokens": expected.tokens,
+        "cached_tokens": expected.cached,
+        "pace_percent": expected.pace_percent,
+        "stated_age_ms": expected.stated_age.map(|age| age.as_millis()),
+    })
+}
+
 /// A slot on a server, released when it is dropped.
 pub(crate) struct SlotLease {
     pub(crate) server: ServerName,
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -3,7 +3,7 @@
 use super::host::StoreShared;
 use super::run::{ItemEnd, ItemRun, LiveProgress, run_item};
 use crate::message::{BatchCall, BatchReply, GroupReply};
-use crate::slot_client::{SlotError, SlotLease};
+use crate::slot_client::{SlotError, SlotLease, expected_fields};
 use chicoryladder_batch::{
     BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, JobOwner, JobSpec, OpenItem,
     OutputStart, ProgressDelta, RunProgress, ScheduledItem, SubmitAnswer,
@@ -562,7 +562,7 @@
     run: &ItemRun,
     elapsed: Duration,
 ) {
-    let fields = json!({
+    let mut fields = json!({
         "job": item.open.job_spec.id,
         "item": item.open.spec.id,
         "server": server,
@@ -572,6 +572,9 @@
         "last_event": run.progress.last_event,
         "took_ms": elapsed.as_millis(),
     });
+    if let Some(expected) = &run.expected {
+        fields["expected"] = expected_fields(expected);
+    }
     match run.end {
         ItemEnd::Complete | ItemEnd::Stopped => shared.log.routine("item_run", &fields),
         ItemEnd::Broken | ItemEnd::Empty | ItemEnd::Failed | ItemEnd::Impossible => {
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -6,7 +6,7 @@
 use crate::server_run::{ServerRequest, ServerRunner};
 use crate::slot_client::SlotLease;
 use chicoryladder_batch::{RunProgress, ScheduledItem};
-use chicoryladder_broker::RunOutcome;
+use chicoryladder_broker::{ExpectedAnswer, RunOutcome};
 use chicoryladder_gateway::{BodyFraming, is_malformed, may_end_by_time_limit};
 use chicoryladder_types::prelude::*;
 use http_body_util::BodyExt;
@@ -44,6 +44,8 @@
     pub(super) end: ItemEnd,
     pub(super) progress: RunProgress,
     pub(super) cause: &'static str,
+    /// What the decision on its slot expected, if it weighed the servers.
+    pub(super) expected: Option<ExpectedAnswer>,
 }
 
 /// The progress of an active run, shared with the leader, which records it.
@@ -68,11 +70,13 @@
         ended = running => ended,
         () = stop.notified() => (ItemEnd::Stopped, RunOutcome::Stopped, "its slot was needed"),
     };
+    let expected = lease.expected;
     lease.end(outcome);
     ItemRun {
         end,
         progress: reader.progress().clone(),
         cause,
+        expected,
     }
 }
 
