--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -1,5 +1,6 @@
 //! The request queues of a service and the average duration of its runs.
 
+use crate::answer_model::AnswerModel;
 use crate::cold_servers::ColdPace;
 use crate::grants::ServerKey;
 use crate::request::{RequesterId, SlotRequest, WorkKind};
@@ -63,6 +64,10 @@
     pub(crate) engine_tokens: Option<u64>,
     /// The pace of cold servers; `None` if the service's servers are never cold.
     pub(crate) cold_pace: Option<ColdPace>,
+    /// Whether a server has stated how long work takes on it.
+    pub(crate) states_work: bool,
+    /// The time to the first part of an answer, if the servers are weighed.
+    pub(crate) answers: AnswerModel,
 }
 
 impl ServicePool {
@@ -78,6 +83,8 @@
             versions: SeenVersions::default(),
             engine_tokens: None,
             cold_pace: None,
+            states_work: false,
+            answers: AnswerModel::default(),
         }
     }
 
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -1,7 +1,8 @@
 //! The slot broker, which grants, queues, refuses and preempts.
 //!
 //! [`assignment`] chooses the server of a request or the item that it preempts,
-//! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
+//! [`expectations`] estimates how long each server takes to answer, [`eligibility`] tells
+//! which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
 //! of hosts, [`path_reports`] tells these from the reports of hosts without a path,
 //! [`version_steps`] tells at which versions streams may begin, [`crashes`] refuses the
@@ -12,6 +13,7 @@
 mod coldness;
 mod crashes;
 mod eligibility;
+mod expectations;
 mod expiry;
 mod failures;
 mod path_reports;
@@ -27,11 +29,14 @@
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
 };
 use crate::server_limits::{BelievedLimit, EarlyReports};
+use crate::server_pace::WorkPercent;
 use crate::streams::StreamVersions;
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+pub use expectations::PromptTokenCount;
+use expectations::ServerBelief;
 use failures::ContactHistory;
 use path_reports::PathReports;
 use slotmap::SlotMap;
@@ -84,6 +89,9 @@
     pub tolerance: RateTolerance,
     /// The excess over the rate of cold servers that may arrive.
     pub cold_tolerance: ColdTolerance,
+    /// Whether the speed and memory of all servers are weighed, also of those that do not
+    /// state how long work takes on them.
+    pub pressure: bool,
 }
 
 impl BrokerSettings {
@@ -101,6 +109,7 @@
     tokens: u64,
     limit: BelievedLimit,
     cold: ColdState,
+    belief: ServerBelief,
     contacts: ContactHistory,
     /// The host that did not reach the server, if the suspension is due to that.
     suspended_by: Option<RequesterId>,
@@ -165,6 +174,7 @@
     /// The zones whose servers get no work, by order of operators.
     drained_zones: BTreeSet<ZoneName>,
     drains_number: u64,
+    prompt_tokens: PromptTokenCount,
 }
 
 impl SlotBroker {
@@ -192,6 +202,7 @@
             versions_complete_at: None,
             drained_zones: BTreeSet::new(),
             drains_number: 0,
+            prompt_tokens: PromptTokenCount::default(),
         }
     }
 
@@ -259,6 +270,7 @@
         let opens = (!was_open || was_overdue) && entry.record.is_open(now);
         if is_restarted {
             entry.limit = BelievedLimit::default();
+            entry.belief = ServerBelief::default();
             entry.contacts = ContactHistory::default();
             self.path_reports.forget_server(key);
             self.remove_grants_of(key);
@@ -415,8 +427,20 @@
 
     /// Releases a slot, or cancels the request if no slot has been granted.
     pub fn release(&mut self, requester: &RequesterId, report: &RunReport, now: Instant) {
+        self.release_stated(requester, report, None, now);
+    }
+
+    /// Like [`Self::release`], with the time that work takes on the server as its answer
+    /// stated it.
+    pub fn release_stated(
+        &mut self,
+        requester: &RequesterId,
+        report: &RunReport,
+        work: Option<WorkPercent>,
+        now: Instant,
+    ) {
         self.requesters.insert(requester.clone(), now);
-        let Some(grant) = self.grants.remove(requester, report.ticket) else {
+        let Some(mut grant) = self.grants.remove(requester, report.ticket) else {
             self.withdraw(requester, report.ticket);
             return;
         };
@@ -424,6 +448,7 @@
             self.refund(grant.charged_team.as_ref());
         }
         self.subtract_run(&grant);
+        self.learn_from_end(&mut grant, report, work, now);
         self.record_completion(&grant, &report.completed, now);
         let Some(entry) = self.servers.get(grant.server) else {
             return;
@@ -480,6 +505,7 @@
                     granted_at: now,
                     traits: None,
                     stopping: false,
+                    expected: None,
                 });
             }
         }
@@ -562,6 +588,7 @@
             tokens: 0,
             limit: BelievedLimit::default(),
             cold: ColdState::default(),
+            belief: ServerBelief::default(),
             contacts: ContactHistory::default(),
             suspended_by: None,
         });
@@ -604,6 +631,7 @@
                 WorkKind::Batch => entry.running_batch += 1,
             }
         }
+        self.shrink_cache(server);
     }
 
     fn remove_grant(&mut self, requester: &RequesterId, ticket: u64) {
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -30,6 +30,7 @@
             overshoot: 1.5,
             slack: 5.0,
         },
+        pressure: false,
     }
 }
 
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -15,7 +15,7 @@
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, ColdChange, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
     RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
-    SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, ZoneRoster,
+    SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, WorkPercent, ZoneRoster,
     choose_tunnel_hosts, servers_for_zone,
 };
 use chicoryladder_group::{MembershipRepair, spread_over_zones, zone_voters_max};
@@ -370,6 +370,7 @@
             ("servers", count(self.broker.servers().len())),
             ("servers_limited", count(self.broker.limited_servers())),
             ("servers_cold", count(self.broker.cold_servers(now))),
+            ("servers_slow", count(self.broker.slow_servers(now))),
             ("group_standbys", count(self.repair.standby_count(now))),
             ("zones_drained", count(self.broker.drained_zones().len())),
         ];
@@ -381,6 +382,15 @@
             online += load.2;
             batch += load.3;
         }
+        let tokens = self.broker.prompt_tokens();
+        #[expect(clippy::cast_precision_loss)]
+        gauges.extend([
+            ("prompt_tokens_requested", tokens.requested as f64),
+            (
+                "prompt_tokens_expected_cached",
+                tokens.expected_cached as f64,
+            ),
+        ]);
         gauges.extend([
             ("slots_used", f64::from(running)),
             ("slots_open", f64::from(slots)),
@@ -484,9 +494,15 @@
         self.departing.insert(departure)
     }
 
-    pub(crate) fn release(&mut self, requester: &RequesterId, report: &RunReport, now: Instant) {
+    pub(crate) fn release(
+        &mut self,
+        requester: &RequesterId,
+        report: &RunReport,
+        work: Option<WorkPercent>,
+        now: Instant,
+    ) {
         self.pending.remove(&(requester.clone(), report.ticket));
-        self.broker.release(requester, report, now);
+        self.broker.release_stated(requester, report, work, now);
     }
 
     /// Handles a sync: records the state of a host and replies with newer state. `members`
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -12,7 +12,7 @@
 use crate::metrics::RoleMetrics;
 use crate::ports::{CallerHead, RunContext};
 use crate::server_run::{RunFailure, ServerAnswer, ServerRequest, ServerRunner};
-use crate::slot_client::{SlotClient, SlotError, SlotLease};
+use crate::slot_client::{SlotClient, SlotError, SlotLease, expected_fields};
 use bytes::{Bytes, BytesMut};
 use chicoryladder_broker::{
     RunOutcome, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
@@ -349,6 +349,7 @@
                     let elapsed = self.clock.now().saturating_duration_since(now);
                     lease.record_first_answer(elapsed);
                     lease.record_load(answer.head.load);
+                    lease.record_work(answer.head.work, answer.parts.status.is_success());
                     return Some((answer, lease));
                 }
                 Err(failure) => self.end_failed_attempt(state, lease, failure),
@@ -362,7 +363,7 @@
     fn log_sent(&self, state: &RequestState, lease: &SlotLease, now: Instant) {
         let waited = now.saturating_duration_since(state.request.arrived_at);
         let left = state.answer_by.saturating_duration_since(now);
-        let fields = json!({
+        let mut fields = json!({
             "request": state.request.id,
             "route": state.route().name,
             "service": lease.service,
@@ -375,6 +376,9 @@
             "left_ms": left.as_millis(),
             "without_broker": lease.brokerless,
         });
+        if let Some(expected) = &lease.expected {
+            fields["expected"] = expected_fields(expected);
+        }
         self.log.routine("sent", &fields);
     }
 
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -119,6 +119,8 @@
     cold_in_check_ins: Arc<AtomicBool>,
     /// Whether its responses say so.
     cold_in_answers: Arc<AtomicBool>,
+    /// The time that work takes, in percent of usual, which every response states; 0 for none.
+    work: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<AbortHandle>>>,
     /// Whether its check-ins do not leave it.
     check_ins_held: Arc<AtomicBool>,
@@ -163,6 +165,7 @@
             limit: Arc::default(),
             cold_in_check_ins: Arc::default(),
             cold_in_answers: Arc::default(),
+            work: Arc::default(),
             connections: Arc::default(),
             check_ins_held: Arc::default(),
             is_down: Arc::default(),
@@ -210,6 +213,11 @@
         self.cold_in_answers.store(in_answers, Ordering::Relaxed);
     }
 
+    /// States in every response from now on how long work takes, in percent of usual.
+    pub(crate) fn state_work(&self, percent: u64) {
+        self.work.store(percent, Ordering::Relaxed);
+    }
+
     /// The version of the server's software.
     pub(crate) fn version(&self) -> &'static str {
         *self.version.lock().unwrap_or_else(PoisonError::into_inner)
@@ -424,6 +432,10 @@
         if self.cold_in_answers.load(Ordering::Relaxed) {
             response = response.header(COLD_FIELD, COLD_MS);
         }
+        let work = self.work.load(Ordering::Relaxed);
+        if work > 0 {
+            response = response.header("x-server-load", format!("1,0,8,{work}"));
+        }
         let answer = if self.service.starts_with("engine") {
             let first = text("last-event-id").and_then(|last| last.parse::<u64>().ok());
             let path = head.uri.path();
