Order and admit online requests by their targets under pressure

Cause: returned callers may queue for half of their time in order of arrival, so under overload every request waits behind them and is late.

Change: with the feature `pressure`, requests in time go before late ones within a rank, teams share each class equally, a fresh request that would be late is refused at once, and refused callers are booked into the capacity that is expected to be free. Hosts send the terms of the caller at the end of SlotCall; SlotRequest is unchanged. The leader has gauges online_late_waiting and returns_booked.

--- /dev/null
+++ b/crates/broker/src/admission/fair_clock.rs
@@ -0,0 +1,38 @@
+//! Start-time fair queueing among the teams of a rank and class.
+
+use chicoryladder_types::prelude::*;
+use std::collections::HashMap;
+
+/// The number of teams above which those that have nothing queued are forgotten.
+const KNOWN_TEAMS_MAX: usize = 512;
+
+/// The virtual time of a queue. Each request advances the time of its team by one, and the
+/// request with the least start tag is served first: a team that queues many requests waits
+/// behind its own, and one that had none queued goes to the front. Requests without a team
+/// share one place among the teams.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FairClock {
+    /// The greatest start tag of the requests served so far.
+    virtual_time: u64,
+    /// The finish tag of the last request of each team.
+    finish_tags: HashMap<Option<TeamName>, u64>,
+}
+
+impl FairClock {
+    pub(super) fn start_tag(&self, team: Option<&TeamName>) -> u64 {
+        let finish_tag = self.finish_tags.get(&team.cloned());
+        finish_tag.map_or(self.virtual_time, |tag| self.virtual_time.max(*tag))
+    }
+
+    pub(super) fn record_queued(&mut self, team: Option<&TeamName>, start_tag: u64) {
+        self.finish_tags.insert(team.cloned(), start_tag + 1);
+        if self.finish_tags.len() > KNOWN_TEAMS_MAX {
+            let virtual_time = self.virtual_time;
+            self.finish_tags.retain(|_, tag| *tag > virtual_time);
+        }
+    }
+
+    pub(super) fn record_granted(&mut self, start_tag: u64) {
+        self.virtual_time = self.virtual_time.max(start_tag);
+    }
+}
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -14,6 +14,7 @@
 //! The crate does no I/O and reads no clock: callers pass the time in, and
 //! [`SlotBroker::take_events`] returns the messages to send.
 
+mod admission;
 mod brokerless;
 mod departures;
 mod directory;
@@ -31,6 +32,7 @@
 mod tunnel_hosts;
 mod versions;
 
+pub use admission::CallerTerms;
 pub use brokerless::{BrokerlessView, servers_for_zone};
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -1,5 +1,6 @@
 //! The request queues of a service and the average duration of its runs.
 
+use crate::admission::{CallerTerms, QueuePosition, ServiceAdmission};
 use crate::grants::ServerKey;
 use crate::request::{RequesterId, SlotRequest, WorkKind};
 use crate::versions::SeenVersions;
@@ -21,14 +22,16 @@
 pub(crate) struct WaitingRequest {
     pub(crate) requester: RequesterId,
     pub(crate) request: SlotRequest,
+    /// Until when it is worth serving.
     pub(crate) until: Instant,
+    /// Until when it can be served in time.
+    pub(crate) in_time_until: Instant,
+    /// What its host told of the caller, under the feature `pressure`.
+    pub(crate) terms: Option<CallerTerms>,
     /// Whether it was not known at its arrival what else was in flight at its crashes.
     pub(crate) was_undecided: bool,
 }
 
-/// The position in a queue: rank, then order of arrival.
-pub(crate) type QueuePosition = (u32, u64);
-
 /// Moving averages over the runs of a service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunAverages {
@@ -56,6 +59,7 @@
     pub(crate) online: BTreeMap<QueuePosition, WaitingRequest>,
     pub(crate) batch: BTreeMap<QueuePosition, WaitingRequest>,
     pub(crate) averages: RunAverages,
+    pub(crate) admission: ServiceAdmission,
     /// The versions of the servers.
     pub(crate) versions: SeenVersions,
     /// The token capacity of an engine's memory; `None` for services without engines.
@@ -72,6 +76,7 @@
                 hold_seconds: INITIAL_HOLD_SECONDS,
                 first_answer_seconds: INITIAL_FIRST_ANSWER_SECONDS,
             },
+            admission: ServiceAdmission::default(),
             versions: SeenVersions::default(),
             engine_tokens: None,
         }
@@ -86,7 +91,8 @@
 
     /// The number of queued online requests ahead of a new one of the given rank.
     pub(crate) fn queued_ahead(&self, rank: u32) -> usize {
-        self.online.range(..=(rank, u64::MAX)).count()
+        let last = QueuePosition::behind_rank(rank);
+        self.online.range(..=last).count()
     }
 }
 
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -4,6 +4,7 @@
 //! [`eligibility`] tells which servers may run a request at all, [`expiry`] reclaims what
 //! hosts and servers leave behind that are lost, [`failures`] suspends servers by the reports
 //! of hosts, [`path_reports`] tells these from the reports of hosts without a path,
+//! [`pressure`] admits and orders requests under overload,
 //! [`version_steps`] tells at which versions streams may begin, and [`crashes`] refuses the
 //! requests under which servers crash.
 
@@ -13,8 +14,10 @@
 mod expiry;
 mod failures;
 mod path_reports;
+mod pressure;
 mod version_steps;
 
+use crate::admission::{CallerTerms, QueuePosition};
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
 use crate::pool::{ServicePool, WaitingRequest, predicted_wait};
@@ -78,6 +81,8 @@
     pub requester_lost_after: Duration,
     /// The excess over rates and bursts that may be admitted.
     pub tolerance: RateTolerance,
+    /// Whether requests compete for slots by their targets and teams (feature `pressure`).
+    pub pressure: bool,
 }
 
 impl BrokerSettings {
@@ -293,13 +298,21 @@
         Some(self.servers.get(*key)?.record.check_in.incarnation)
     }
 
-    /// Requests a slot. The decision is emitted as an event, at once or later.
-    pub fn request_slot(
+    /// Requests a slot for a caller of which nothing more is known.
+    pub fn request_slot(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
+        self.request_slot_for(requester, request, None, now);
+    }
+
+    /// Requests a slot. The decision is emitted as an event, at once or later. The terms of the
+    /// caller only count under the feature `pressure`.
+    pub fn request_slot_for(
         &mut self,
         requester: &RequesterId,
         mut request: SlotRequest,
+        terms: Option<CallerTerms>,
         now: Instant,
     ) {
+        let terms = terms.filter(|_| self.settings.pressure && request.kind == WorkKind::Online);
         self.requesters.insert(requester.clone(), now);
         if request.kind == WorkKind::Batch {
             self.supersede_batch_requester(requester, now);
@@ -331,10 +344,16 @@
             self.refuse(requester, request.ticket, reason, retry_after);
             return;
         }
+        if self.settings.pressure {
+            self.prepare_under_pressure(&request, terms.as_ref(), now);
+        }
         if self.try_grant(requester, &request, now) {
             return;
         }
-        self.enqueue_or_refuse(requester, request, now);
+        match terms {
+            Some(terms) => self.enqueue_by_target(requester, request, terms, now),
+            None => self.enqueue_or_refuse(requester, request, now),
+        }
     }
 
     fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
@@ -362,11 +381,12 @@
                 return;
             }
         }
-        self.arrivals += 1;
-        let position = (request.rank, self.arrivals);
+        let position = self.next_position(&request);
         let waiting = WaitingRequest {
             requester: requester.clone(),
             until: now + wait_max,
+            in_time_until: now + wait_max,
+            terms: None,
             was_undecided: self.is_undecided(&request, now),
             request,
         };
@@ -374,6 +394,16 @@
         pool.queue(waiting.request.kind).insert(position, waiting);
     }
 
+    fn next_position(&mut self, request: &SlotRequest) -> QueuePosition {
+        self.arrivals += 1;
+        let position = QueuePosition::by_arrival(request.rank, self.arrivals);
+        if self.settings.pressure && request.kind == WorkKind::Online {
+            self.take_share(&request.service, position, request.charged_team.as_ref())
+        } else {
+            position
+        }
+    }
+
     /// Cancels a request that is still queued.
     pub fn withdraw(&mut self, requester: &RequesterId, ticket: u64) {
         let is_match = |waiting: &WaitingRequest| {
@@ -482,6 +512,7 @@
         self.refuse_unservable();
         self.decide_on_crashes(now);
         self.expire_waiting(now);
+        self.demote_waiting(now);
         self.supersede_for_waiting(now);
         self.report_version_steps(now);
         self.dispatch_all(now);
@@ -636,7 +667,11 @@
                 let Some((position, waiting)) = first else {
                     break;
                 };
+                let Some(waiting) = self.recheck_waiting(position, waiting, now) else {
+                    continue;
+                };
                 if self.try_grant(&waiting.requester, &waiting.request, now) {
+                    self.pool(service).admission.record_granted(position);
                     continue;
                 }
                 // Servers of other versions may have slots for those behind it, and a slot is
@@ -682,10 +717,14 @@
 /// Adds a jitter of up to the same delay, derived from the ticket, so that refused requests
 /// do not retry simultaneously.
 fn jittered_delay(wait: Duration, ticket: u64) -> Duration {
+    let wait = wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+    wait.mul_f64(1.0 + jitter_of(ticket)).min(RETRY_AFTER_MAX)
+}
+
+/// A number from 0 to 1 that differs between successive tickets.
+fn jitter_of(ticket: u64) -> f64 {
     /// The multiplier of Fibonacci hashing, which disperses consecutive tickets.
     const HASH_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
     let mixed = ticket.wrapping_mul(HASH_MULTIPLIER) >> 40;
-    let share = f64::from(u32::try_from(mixed).unwrap_or(u32::MAX)) / f64::from(1u32 << 24);
-    let wait = wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
-    wait.mul_f64(1.0 + share).min(RETRY_AFTER_MAX)
+    f64::from(u32::try_from(mixed).unwrap_or(u32::MAX)) / f64::from(1u32 << 24)
 }
--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -1,8 +1,9 @@
 //! Requests under which servers crash: what is recorded, and which requests are refused.
 
 use super::SlotBroker;
+use crate::admission::QueuePosition;
 use crate::grants::{ActiveRun, CrashedRun, ProvenWork, SlotGrant};
-use crate::pool::{QueuePosition, WaitingRequest};
+use crate::pool::WaitingRequest;
 use crate::request::{
     BrokerEvent, RequesterId, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -140,15 +140,19 @@
             }
         }
         for waiting in expired {
-            let ticket = waiting.request.ticket;
-            let wait =
-                Duration::from_secs_f64(self.pool(&waiting.request.service).averages.hold_seconds);
-            let retry_after = jittered_delay(wait, ticket);
-            let load = self.pool_load(&waiting.request.service, now);
-            self.refuse_waiting(&waiting, SlotRefusalReason::NoSlot(load), retry_after);
+            self.refuse_expired(&waiting, now);
         }
     }
 
+    pub(super) fn refuse_expired(&mut self, waiting: &WaitingRequest, now: Instant) {
+        let ticket = waiting.request.ticket;
+        let wait =
+            Duration::from_secs_f64(self.pool(&waiting.request.service).averages.hold_seconds);
+        let retry_after = jittered_delay(wait, ticket);
+        let load = self.pool_load(&waiting.request.service, now);
+        self.refuse_waiting(waiting, SlotRefusalReason::NoSlot(load), retry_after);
+    }
+
     pub(super) fn refuse_waiting(
         &mut self,
         waiting: &WaitingRequest,
--- /dev/null
+++ b/crates/broker/src/slots/pressure.rs
@@ -0,0 +1,263 @@
+//! The queue of online requests under the feature `pressure`: which requests are queued, in
+//! which order, and what becomes of those that miss their target while they wait.
+
+use super::{SlotBroker, jitter_of};
+use crate::admission::{CallerTerms, QueueAhead, QueuePosition, ServiceRates, WaitLimits};
+use crate::pool::WaitingRequest;
+use crate::request::{RequesterId, SlotRefusalReason, SlotRequest, WorkKind};
+use chicoryladder_types::ServiceName;
+use chicoryladder_types::prelude::*;
+use std::time::{Duration, Instant};
+
+impl SlotBroker {
+    /// Counts an arrival, and grants free slots to the queued requests that go before it.
+    pub(super) fn prepare_under_pressure(
+        &mut self,
+        request: &SlotRequest,
+        terms: Option<&CallerTerms>,
+        now: Instant,
+    ) {
+        let pool = self.pool(&request.service);
+        if let Some(terms) = terms {
+            pool.admission.record_arrival(request.rank, terms, now);
+        }
+        let position = match request.kind {
+            WorkKind::Online => {
+                let team = terms.map_or(request.charged_team.as_ref(), |terms| terms.team.as_ref());
+                let is_late = terms.is_some_and(|terms| terms.target_left.is_zero());
+                QueuePosition {
+                    rank: request.rank,
+                    is_late,
+                    tag: pool.admission.start_tag(request.rank, is_late, team),
+                    arrival: u64::MAX,
+                }
+            }
+            WorkKind::Batch => QueuePosition::behind_rank(u32::MAX),
+        };
+        if pool.online.range(..position).next().is_some() {
+            self.dispatch(&request.service, now);
+        }
+    }
+
+    /// Queues a request that got no slot at once in the first class that admits it, or refuses
+    /// it.
+    pub(super) fn enqueue_by_target(
+        &mut self,
+        requester: &RequesterId,
+        request: SlotRequest,
+        terms: CallerTerms,
+        now: Instant,
+    ) {
+        let rates = self.service_rates(&request, now);
+        let limits = self.wait_limits(&request, &terms);
+        let waiting = WaitingRequest {
+            requester: requester.clone(),
+            until: now + limits.late,
+            in_time_until: now + limits.in_time,
+            was_undecided: self.is_undecided(&request, now),
+            terms: Some(terms),
+            request,
+        };
+        let Some(terms) = &waiting.terms else {
+            return;
+        };
+        let (service, rank) = (&waiting.request.service, waiting.request.rank);
+        let ahead = self.queued_ahead_of(service, rank, false, terms.team.as_ref());
+        let admission = &mut self.pool(service).admission;
+        if admission.admits_in_time(rank, terms, limits, ahead, rates, now) {
+            self.enqueue_in_class(waiting, false);
+        } else if terms.returned {
+            self.enqueue_late(waiting, now);
+        } else {
+            self.refuse_until_room(&waiting, rates, now);
+        }
+    }
+
+    /// Rechecks a request that is about to get a slot. One that has missed its target moves to
+    /// the late class, and one that is past its time limit is refused.
+    pub(super) fn recheck_waiting(
+        &mut self,
+        position: QueuePosition,
+        waiting: WaitingRequest,
+        now: Instant,
+    ) -> Option<WaitingRequest> {
+        if !self.settings.pressure || waiting.request.kind != WorkKind::Online {
+            return Some(waiting);
+        }
+        if waiting.until <= now {
+            self.refuse_expired(&waiting, now);
+            return None;
+        }
+        if !position.is_late && waiting.in_time_until <= now {
+            self.enqueue_late(waiting, now);
+            return None;
+        }
+        Some(waiting)
+    }
+
+    /// Moves the requests that have missed their targets to the late class.
+    pub(super) fn demote_waiting(&mut self, now: Instant) {
+        if !self.settings.pressure {
+            return;
+        }
+        let mut demoted = Vec::new();
+        for pool in self.services.values_mut() {
+            let missed: Vec<QueuePosition> = pool
+                .online
+                .iter()
+                .filter(|(position, waiting)| !position.is_late && waiting.in_time_until <= now)
+                .map(|(position, _)| *position)
+                .collect();
+            demoted.extend(missed.iter().filter_map(|at| pool.online.remove(at)));
+        }
+        for waiting in demoted {
+            self.enqueue_late(waiting, now);
+        }
+    }
+
+    /// The online requests of all services that can no longer meet their targets.
+    #[must_use]
+    pub fn late_waiting(&self) -> usize {
+        let queues = self.services.values().map(|pool| &pool.online);
+        let positions = queues.flat_map(|queue| queue.keys());
+        positions.filter(|position| position.is_late).count()
+    }
+
+    /// The refused callers that were told to return later than now.
+    #[must_use]
+    pub fn returns_booked(&self, now: Instant) -> u32 {
+        let pools = self.services.values();
+        pools.map(|pool| pool.admission.returns_booked(now)).sum()
+    }
+
+    /// The position of a request with the fair share of its team.
+    pub(super) fn take_share(
+        &mut self,
+        service: &ServiceName,
+        position: QueuePosition,
+        team: Option<&TeamName>,
+    ) -> QueuePosition {
+        let QueuePosition { rank, is_late, .. } = position;
+        let pool = self.pool(service);
+        let first = QueuePosition {
+            tag: 0,
+            arrival: 0,
+            ..position
+        };
+        let last = QueuePosition {
+            tag: u64::MAX,
+            arrival: u64::MAX,
+            ..position
+        };
+        if pool.online.range(first..=last).next().is_none() {
+            pool.admission.reset_shares(rank, is_late);
+        }
+        let tag = pool.admission.start_tag(rank, is_late, team);
+        let position = QueuePosition { tag, ..position };
+        pool.admission.record_queued(position, team);
+        position
+    }
+
+    /// Queues a request that cannot be in time, if it can be served by its time limit.
+    fn enqueue_late(&mut self, waiting: WaitingRequest, now: Instant) {
+        let request = &waiting.request;
+        let rates = self.service_rates(request, now);
+        let left = waiting.until.saturating_duration_since(now);
+        let limits = WaitLimits {
+            in_time: Duration::ZERO,
+            late: left,
+        };
+        let team = team_of(&waiting).cloned();
+        let ahead = self.queued_ahead_of(&request.service, request.rank, true, team.as_ref());
+        let admission = &mut self.pool(&request.service).admission;
+        if admission.admits_late(ahead.all, limits, rates, now) {
+            self.enqueue_in_class(waiting, true);
+        } else {
+            self.refuse_until_room(&waiting, rates, now);
+        }
+    }
+
+    fn enqueue_in_class(&mut self, waiting: WaitingRequest, is_late: bool) {
+        self.arrivals += 1;
+        let position = QueuePosition {
+            is_late,
+            ..QueuePosition::by_arrival(waiting.request.rank, self.arrivals)
+        };
+        let service = waiting.request.service.clone();
+        let position = self.take_share(&service, position, team_of(&waiting));
+        self.pool(&service).online.insert(position, waiting);
+    }
+
+    /// Refuses a request and tells its caller when there is likely to be room.
+    fn refuse_until_room(&mut self, waiting: &WaitingRequest, rates: ServiceRates, now: Instant) {
+        let request = &waiting.request;
+        let Some(terms) = &waiting.terms else {
+            self.refuse_expired(waiting, now);
+            return;
+        };
+        let pool = self.pool(&request.service);
+        let queued = pool.online.len();
+        let jitter = jitter_of(request.ticket);
+        // The terms are those of the arrival; what is left of the time has shrunk since.
+        let hold = Duration::from_secs_f64(pool.averages.hold_seconds);
+        let run = hold.min(terms.time_left / 2);
+        let terms = CallerTerms {
+            time_left: waiting.until.saturating_duration_since(now) + run,
+            ..terms.clone()
+        };
+        let admission = &mut pool.admission;
+        let retry_after = admission.return_after(&terms, queued, rates, jitter, now);
+        let load = self.pool_load(&request.service, now);
+        self.refuse_waiting(waiting, SlotRefusalReason::NoSlot(load), retry_after);
+    }
+
+    fn service_rates(&self, request: &SlotRequest, now: Instant) -> ServiceRates {
+        let all = self.request_rate(&request.service, None, now);
+        let own = match request.required_version() {
+            Some(version) => self.request_rate(&request.service, Some(version), now),
+            None => all,
+        };
+        ServiceRates { all, own }
+    }
+
+    fn wait_limits(&mut self, request: &SlotRequest, terms: &CallerTerms) -> WaitLimits {
+        let averages = self.pool(&request.service).averages;
+        WaitLimits::new(
+            terms,
+            Duration::from_secs_f64(averages.first_answer_seconds),
+            Duration::from_secs_f64(averages.hold_seconds),
+        )
+    }
+
+    /// The queued requests that would go before one of a team that is queued now.
+    fn queued_ahead_of(
+        &mut self,
+        service: &ServiceName,
+        rank: u32,
+        is_late: bool,
+        team: Option<&TeamName>,
+    ) -> QueueAhead {
+        let pool = self.pool(service);
+        let position = QueuePosition {
+            rank,
+            is_late,
+            tag: pool.admission.start_tag(rank, is_late, team),
+            arrival: u64::MAX,
+        };
+        let mut ahead = QueueAhead { all: 0, of_team: 0 };
+        for (other, waiting) in pool.online.range(..position) {
+            ahead.all += 1;
+            let is_same_class = other.rank == rank && other.is_late == is_late;
+            ahead.of_team += usize::from(is_same_class && team_of(waiting) == team);
+        }
+        ahead
+    }
+}
+
+/// The team with which a queued request shares the servers.
+fn team_of(waiting: &WaitingRequest) -> Option<&TeamName> {
+    match &waiting.terms {
+        Some(terms) => terms.team.as_ref(),
+        None => waiting.request.charged_team.as_ref(),
+    }
+}
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod limited_servers;
 mod mixed_versions;
 mod named_limits;
+mod overload;
 mod rates;
 mod reserves;
 mod slots;
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -25,6 +25,7 @@
             requests: 10.0,
             ..RateTolerance::default()
         },
+        pressure: false,
     }
 }
 
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -226,6 +226,7 @@
             share: settings.bounds.rate_overshoot,
             window: settings.bounds.rate_window,
         },
+        pressure: settings.features.pressure(),
     }
 }
 
@@ -469,7 +470,7 @@
         if !state.accepts_plan(call.plan, grace, now) {
             return std::future::ready(GroupReply::Answer(ControlAnswer::StalePlan)).boxed();
         }
-        let decision = state.request_slot(&call.requester, call.slot_request, now);
+        let decision = state.request_slot(&call.requester, call.slot_request, call.terms.0, now);
         self.process_broker_events(&mut state);
         drop(state);
         let shared = self.clone();
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -10,7 +10,7 @@
 };
 use crate::plan_notices::PlanNotices;
 use chicoryladder_broker::{
-    BrokerEvent, BrokerSettings, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
+    BrokerEvent, BrokerSettings, CallerTerms, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
     RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
     SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, ZoneRoster,
     choose_tunnel_hosts, servers_for_zone,
@@ -351,6 +351,8 @@
             ("slots_open", f64::from(slots)),
             ("online_waiting", count(online)),
             ("batch_waiting", count(batch)),
+            ("online_late_waiting", count(self.broker.late_waiting())),
+            ("returns_booked", f64::from(self.broker.returns_booked(now))),
         ]);
         gauges
     }
@@ -360,12 +362,14 @@
         &mut self,
         requester: &RequesterId,
         slot_request: SlotRequest,
+        terms: Option<CallerTerms>,
         now: Instant,
     ) -> oneshot::Receiver<SlotDecision> {
         let (sender, receiver) = oneshot::channel();
         let ticket = slot_request.ticket;
         self.pending.insert((requester.clone(), ticket), sender);
-        self.broker.request_slot(requester, slot_request, now);
+        self.broker
+            .request_slot_for(requester, slot_request, terms, now);
         receiver
     }
 
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -15,7 +15,7 @@
 use crate::slot_client::{SlotClient, SlotError, SlotLease};
 use bytes::{Bytes, BytesMut};
 use chicoryladder_broker::{
-    RunOutcome, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
+    CallerTerms, RunOutcome, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
 };
 use chicoryladder_gateway::{
     AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream, is_malformed,
@@ -88,6 +88,8 @@
     pub(super) metrics: Arc<RoleMetrics>,
     /// The longest time left that a caller has announced, per route.
     pub(super) longest_timeouts: Mutex<HashMap<RouteName, Duration>>,
+    /// Whether the broker learns what the caller needs (feature `pressure`).
+    pub(super) pressure: bool,
 }
 
 /// The state of a request while it is forwarded.
@@ -415,8 +417,9 @@
         now: Instant,
     ) -> Result<Option<SlotLease>, RequestRefusal> {
         let request = self.build_slot_request(state, last_event, now);
+        let terms = self.caller_terms(state, last_event, now);
         let plan = self.slot_plan(state);
-        match self.slots.request_slot(plan, request).await {
+        match self.slots.request_slot(plan, request, terms).await {
             Ok(lease) => {
                 state.charged = true;
                 Ok(Some(lease))
@@ -524,6 +527,36 @@
         self.log.note("rematched", &fields);
     }
 
+    /// What the broker needs to know of the caller under the feature `pressure`. The slot
+    /// request itself stays as it is for brokers without the feature.
+    fn caller_terms(
+        &self,
+        state: &RequestState,
+        last_event: Option<u64>,
+        now: Instant,
+    ) -> Option<CallerTerms> {
+        if !self.pressure {
+            return None;
+        }
+        let left = state.answer_by.saturating_duration_since(now);
+        let waited = now.saturating_duration_since(state.request.arrived_at);
+        // The caller of a stream that goes on has its first answer, and waits for the next
+        // event.
+        let goes_on = state.has_begun() || last_event.is_some();
+        let target_left = if goes_on {
+            left / 2
+        } else {
+            state.route().latency_target.saturating_sub(waited)
+        };
+        let team = state.matched.team.as_ref();
+        Some(CallerTerms {
+            team: team.map(|team| team.name.clone()),
+            returned: state.is_caller_retry || state.runs > 0 || goes_on,
+            target_left,
+            time_left: left.saturating_sub(SEND_TIME_MIN),
+        })
+    }
+
     fn build_slot_request(
         &self,
         state: &RequestState,
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -127,6 +127,7 @@
             log: log.clone(),
             metrics: metrics.clone(),
             longest_timeouts: Mutex::new(HashMap::new()),
+            pressure: base.settings.features.pressure(),
         };
         let jobs = JobGateway {
             client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -4,15 +4,15 @@
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
 use chicoryladder_broker::{
-    ActiveRun, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn, SlotDecision,
-    SlotRequest, VersionList, ZoneRoster,
+    ActiveRun, CallerTerms, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn,
+    SlotDecision, SlotRequest, VersionList, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::QuarantinedSegments;
-use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{SeatId, Tail};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -146,6 +146,9 @@
     pub(crate) slot_request: SlotRequest,
     /// What the host learned of servers and streams since the last call.
     pub(crate) reports: ServerReports,
+    /// What the host knows of the caller, if it has the feature `pressure`. Hosts of earlier
+    /// builds send nothing.
+    pub(crate) terms: Tail<Option<CallerTerms>>,
 }
 
 /// The role of a host.
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -8,11 +8,13 @@
 use crate::process::ProcessBase;
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
-    ActiveRun, BrokerlessView, CrashedRun, PoolLoad, ProvenWork, RunOutcome, RunReport,
-    SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind, shared_segments,
+    ActiveRun, BrokerlessView, CallerTerms, CrashedRun, PoolLoad, ProvenWork, RunOutcome,
+    RunReport, SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
+    shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
+use chicoryladder_types::Tail;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName, SoftwareVersion};
 use std::collections::{HashMap, HashSet};
@@ -175,18 +177,20 @@
         self.shared.view.request_sync();
     }
 
-    /// Acquires a slot and sets the ticket of `slot_request`.
+    /// Acquires a slot and sets the ticket of `slot_request`. The terms of the caller go to the
+    /// broker under the feature `pressure`.
     pub(crate) async fn request_slot(
         &self,
         plan: PlanVersion,
         mut slot_request: SlotRequest,
+        terms: Option<CallerTerms>,
     ) -> Result<SlotLease, SlotError> {
         slot_request.ticket = self.shared.next_ticket.fetch_add(1, Ordering::Relaxed);
         self.bind_known_stream(&mut slot_request);
         if !self.is_brokerless()
             && let Some(leader) = self.shared.client.leader()
         {
-            match self.call_broker(leader, plan, &slot_request).await {
+            match self.call_broker(leader, plan, &slot_request, terms).await {
                 Ok(result) => return result,
                 Err(LeaderError::NoLeader | LeaderError::OutcomeUnknown) => self.mark_broker_lost(),
             }
@@ -231,6 +235,7 @@
         leader: SocketAddr,
         plan: PlanVersion,
         slot_request: &SlotRequest,
+        terms: Option<CallerTerms>,
     ) -> Result<Result<SlotLease, SlotError>, LeaderError> {
         let pending = PendingRequest {
             client: self.clone(),
@@ -239,14 +244,17 @@
             answered: false,
             reports: self.shared.marks.take_reports(Some(leader)),
         };
+        let time_left = terms.as_ref().map(|terms| terms.time_left);
+        let wait_max = time_left.unwrap_or_default().max(slot_request.wait_max);
         let call = SlotCall {
             requester: self.shared.base.requester(),
             plan,
             slot_request: slot_request.clone(),
             reports: pending.reports.reports().clone(),
+            terms: Tail(terms),
         };
         let call = Call::Control(ControlCall::RequestSlot(Box::new(call)));
-        let timeout = slot_request.wait_max + BROKER_REPLY_MARGIN;
+        let timeout = wait_max + BROKER_REPLY_MARGIN;
         let calling = self
             .shared
             .client
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -338,7 +338,7 @@
     let lease = match slot_request {
         Some(slot_request) => {
             let plan = shared.view.plan().version();
-            Some(shared.slots.request_slot(plan, slot_request).await)
+            Some(shared.slots.request_slot(plan, slot_request, None).await)
         }
         None => None,
     };
