Read answers ahead of slow callers under pressure

Cause: a relayed answer is read from the server only as fast as its caller reads, and servers cut off answers that stay unread.

Change: with the feature `pressure`, a task reads each relayed answer into a buffer of 256 KiB at most, in which each chunk also costs 128 bytes. The slot is held until the caller has read the answer, as before.

--- a/crates/roles/src/entry.rs
+++ b/crates/roles/src/entry.rs
@@ -9,6 +9,7 @@
 mod host;
 mod jobs;
 mod matching;
+mod read_ahead;
 mod relay;
 mod service;
 
--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use super::forward::{
     AnswerEnd, RequestForwarder, RequestState, SEARCH_INTERVAL_MIN, StreamSuccessor,
 };
+use super::read_ahead::AnswerReader;
 use crate::connection_pool::ConnectionEnd;
 use crate::event_stream::{EventSequencer, SequenceFault};
 use crate::server_run::{PooledConnection, ServerAnswer};
@@ -23,7 +24,7 @@
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::StatusCode;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Frame;
 use hyper::header::CONTENT_TYPE;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -123,7 +124,7 @@
 /// A run whose response is being read. Dropping it closes the connection, which ends the
 /// run on the server.
 struct RelayedRun {
-    body: Incoming,
+    body: AnswerReader,
     framing: BodyFraming,
     /// The position in the server's events; `None` if the response has none.
     boundary: Option<EventBoundary>,
@@ -146,19 +147,20 @@
     fn new(
         answer: ServerAnswer,
         lease: SlotLease,
-        kind: RouteKind,
-        sequencer: Option<EventSequencer>,
+        context: &RelayContext,
+        last_event: Option<u64>,
         prefix: Bytes,
     ) -> Self {
+        let kind = context.state.kind();
         let fields = &answer.parts.headers;
         let is_stream = is_event_stream(fields)
             || (kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE));
         let has_events = is_stream && answer.parts.status != StatusCode::NO_CONTENT;
         Self {
-            body: answer.body,
+            body: AnswerReader::new(answer.body, context.forwarder.pressure),
             framing: answer.framing,
             boundary: has_events.then(EventBoundary::default),
-            sequencer,
+            sequencer: context.sequencer(last_event),
             connection: answer.connection,
             lease,
             prefix,
@@ -299,14 +301,13 @@
         prefix: Bytes,
     ) -> Self {
         let first_event_after = context.state.request.head.last_event;
-        let sequencer = context.sequencer(first_event_after);
         Self {
             status: answer.parts.status,
             run: Some(RelayedRun::new(
                 answer,
                 lease,
-                context.state.kind(),
-                sequencer,
+                &context,
+                first_event_after,
                 prefix,
             )),
             broke_within_event: None,
@@ -564,9 +565,7 @@
         (answer, lease): (ServerAnswer, SlotLease),
         last_event: Option<u64>,
     ) -> RelayedRun {
-        let sequencer = self.context.sequencer(last_event);
-        let kind = self.context.state.kind();
-        RelayedRun::new(answer, lease, kind, sequencer, Bytes::new())
+        RelayedRun::new(answer, lease, &self.context, last_event, Bytes::new())
     }
 
     /// Ends the response. Returns what follows the last event, such as a comment.
