--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -14,6 +14,7 @@
 //! The crate does no I/O and reads no clock: callers pass the time in, and
 //! [`SlotBroker::take_events`] returns the messages to send.
 
+mod admission;
 mod answer_model;
 mod brokerless;
 mod cold_servers;
@@ -35,6 +36,7 @@
 mod tunnel_hosts;
 mod versions;
 
+pub use admission::CallerTerms;
 pub use brokerless::{BrokerlessView, servers_for_zone};
 pub use cold_servers::{
     ColdChange, ColdPace, ColdServerView, ColdSource, ColdTolerance, SentTimes,
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -499,7 +499,7 @@
         for report in &call.answers.0 {
             state.broker.record_answer(&call.requester, report, now);
         }
-        let decision = state.request_slot(&call.requester, call.slot_request, now);
+        let decision = state.request_slot(&call.requester, call.slot_request, call.terms.0, now);
         self.process_broker_events(&mut state);
         drop(state);
         let shared = self.clone();
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -13,10 +13,10 @@
 };
 use crate::plan_notices::PlanNotices;
 use chicoryladder_broker::{
-    BrokerEvent, BrokerSettings, ColdChange, EntryRoster, ProvenWork, RequesterId, ReserveHolders,
-    RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn, ServerSuspension,
-    SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord, WorkPercent, ZoneRoster,
-    choose_tunnel_hosts, servers_for_zone,
+    BrokerEvent, BrokerSettings, CallerTerms, ColdChange, EntryRoster, ProvenWork, RequesterId,
+    ReserveHolders, RosterMember, RosterSettings, RunOutcome, RunReport, ServerCheckIn,
+    ServerSuspension, SlotBroker, SlotDecision, SlotRequest, VersionList, VersionRecord,
+    WorkPercent, ZoneRoster, choose_tunnel_hosts, servers_for_zone,
 };
 use chicoryladder_group::{MembershipRepair, spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
@@ -396,6 +396,8 @@
             ("slots_open", f64::from(slots)),
             ("online_waiting", count(online)),
             ("batch_waiting", count(batch)),
+            ("online_late_waiting", count(self.broker.late_waiting())),
+            ("returns_booked", f64::from(self.broker.returns_booked(now))),
         ]);
         gauges
     }
@@ -405,12 +407,14 @@
         &mut self,
         requester: &RequesterId,
         slot_request: SlotRequest,
+        terms: Option<CallerTerms>,
         now: Instant,
     ) -> oneshot::Receiver<SlotDecision> {
         let (sender, receiver) = oneshot::channel();
         let ticket = slot_request.ticket;
         self.pending.insert((requester.clone(), ticket), sender);
-        self.broker.request_slot(requester, slot_request, now);
+        self.broker
+            .request_slot_for(requester, slot_request, terms, now);
         receiver
     }
 
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
 use chicoryladder_broker::{
-    ActiveRun, AnswerReport, CrashedRun, RequesterId, RosterMember, RunReport, ServerCheckIn,
-    SlotDecision, SlotRequest, VersionList, WorkPercent, ZoneRoster,
+    ActiveRun, AnswerReport, CallerTerms, CrashedRun, RequesterId, RosterMember, RunReport,
+    ServerCheckIn, SlotDecision, SlotRequest, VersionList, WorkPercent, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
@@ -163,6 +163,9 @@
     /// The runs of the host whose answers have begun since the last call, of servers that state
     /// how long work takes.
     pub(crate) answers: Tail<Vec<AnswerReport>>,
+    /// What the host knows of the caller, if it has the feature `pressure`. Hosts of earlier
+    /// builds send nothing.
+    pub(crate) terms: Tail<Option<CallerTerms>>,
 }
 
 /// The role of a host.
@@ -435,7 +438,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use chicoryladder_broker::{ProvenWork, RunOutcome};
+    use chicoryladder_broker::{ProvenWork, RunOutcome, WorkKind};
+    use chicoryladder_policy::quarantine::RequestFingerprint;
+    use chicoryladder_types::{RouteName, ServiceName};
 
     /// The notices of the build before stated work, up to the release of a slot.
     #[derive(Debug, Serialize, Deserialize)]
@@ -487,4 +492,57 @@
         let read: EarlierNotice = postcard::from_bytes(&bytes).expect("it decodes");
         assert!(matches!(read, EarlierNotice::Release { report: read, .. } if read == report));
     }
+
+    /// The fields of a [`SlotCall`] of earlier builds.
+    type EarlierSlotCall = (RequesterId, PlanVersion, SlotRequest, ServerReports);
+
+    fn slot_call() -> SlotCall {
+        let route = RouteName::try_from("chat").expect("it is valid");
+        SlotCall {
+            requester: RequesterId {
+                host: HostName::try_from("entry-1").expect("it is valid"),
+                incarnation: 1,
+            },
+            plan: PlanVersion(1),
+            slot_request: SlotRequest {
+                ticket: 1,
+                service: ServiceName::try_from("engine").expect("it is valid"),
+                kind: WorkKind::Online,
+                rank: 0,
+                zone: ZoneName::try_from("a").expect("it is valid"),
+                charged_team: None,
+                prompt: Vec::new(),
+                fingerprint: RequestFingerprint::new(None, &route, "/chat", b"body"),
+                tokens: 1,
+                stream: None,
+                avoid: Vec::new(),
+                first_answer_within: Duration::from_millis(300),
+                wait_max: Duration::from_millis(300),
+            },
+            reports: ServerReports::default(),
+            answers: Tail::default(),
+            terms: Tail(Some(CallerTerms {
+                team: Some(TeamName::try_from("t").expect("it is valid")),
+                returned: true,
+                target_left: Duration::from_millis(300),
+                time_left: Duration::from_secs(4),
+            })),
+        }
+    }
+
+    /// During an upgrade, slots are requested between builds with and without the terms of
+    /// callers; a call that cannot be decoded would be lost.
+    #[test]
+    fn slot_calls_are_read_by_earlier_builds_and_from_them() {
+        let call = slot_call();
+        let bytes = postcard::to_stdvec(&call).expect("it is encoded");
+        let earlier: EarlierSlotCall = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert_eq!(earlier.2, call.slot_request);
+        let same: SlotCall = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert_eq!(same.terms, call.terms);
+        let bytes = postcard::to_stdvec(&earlier).expect("it is encoded");
+        let later: SlotCall = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert_eq!(later.terms, Tail(None));
+        assert_eq!(later.slot_request, call.slot_request);
+    }
 }
--- a/crates/types/src/tail.rs
+++ b/crates/types/src/tail.rs
@@ -2,11 +2,12 @@
 
 use serde::{Deserialize, Deserializer, Serialize};
 
-/// The last field of a message or record that was added after the others.
+/// A last field of a message or record that was added after the others.
 ///
 /// Postcard has neither names nor optional fields. Readers of earlier builds ignore the bytes
 /// behind the fields that they know, and what writers of earlier builds leave out is read as
-/// the default value. Nothing may follow a tail in the encoded bytes.
+/// the default value. Nothing but further tails may follow one in the encoded
+/// bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize)]
 #[serde(transparent)]
 pub struct Tail<T>(pub T);
