Let requests compete by their targets where servers state their work

Cause: admission by targets needed the feature pressure, which a deployment of uneven servers does not call for. Its servers state how long work takes on them, so its room varies as well.

Change: requests for a service whose servers state that compete by their targets and teams; entry hosts send what callers need once a server has stated it.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -332,7 +332,7 @@
     }
 
     /// Requests a slot. The decision is emitted as an event, at once or later. The terms of the
-    /// caller only count under the feature `pressure`.
+    /// caller only count where [`Self::uses_targets`] holds.
     pub fn request_slot_for(
         &mut self,
         requester: &RequesterId,
@@ -340,7 +340,8 @@
         terms: Option<CallerTerms>,
         now: Instant,
     ) {
-        let terms = terms.filter(|_| self.settings.pressure && request.kind == WorkKind::Online);
+        let uses_targets = self.uses_targets(&request.service);
+        let terms = terms.filter(|_| uses_targets && request.kind == WorkKind::Online);
         self.requesters.insert(requester.clone(), now);
         if request.kind == WorkKind::Batch {
             self.supersede_batch_requester(requester, now);
@@ -372,7 +373,7 @@
             self.refuse(requester, request.ticket, reason, retry_after);
             return;
         }
-        if self.settings.pressure {
+        if uses_targets {
             self.prepare_under_pressure(&request, terms.as_ref(), now);
         }
         if self.try_grant(requester, &request, now) {
@@ -425,7 +426,7 @@
     fn next_position(&mut self, request: &SlotRequest) -> QueuePosition {
         self.arrivals += 1;
         let position = QueuePosition::by_arrival(request.rank, self.arrivals);
-        if self.settings.pressure && request.kind == WorkKind::Online {
+        if self.uses_targets(&request.service) && request.kind == WorkKind::Online {
             self.take_share(&request.service, position, request.charged_team.as_ref())
         } else {
             position
--- a/crates/broker/src/slots/pressure.rs
+++ b/crates/broker/src/slots/pressure.rs
@@ -1,4 +1,4 @@
-//! The queue of online requests under the feature `pressure`: which requests are queued, in
+//! The queue of online requests that compete by their targets: which requests are queued, in
 //! which order, and what becomes of those that miss their target while they wait.
 
 use super::{SlotBroker, jitter_of};
@@ -10,6 +10,14 @@
 use std::time::{Duration, Instant};
 
 impl SlotBroker {
+    /// Whether the online requests for a service compete by their targets and teams: by the
+    /// feature `pressure`, or because its servers state how long work takes on them, so that
+    /// its room varies.
+    pub(super) fn uses_targets(&self, service: &ServiceName) -> bool {
+        let pool = self.services.get(service);
+        self.settings.pressure || pool.is_some_and(|pool| pool.states_work)
+    }
+
     /// Counts an arrival, and grants free slots to the queued requests that go before it.
     pub(super) fn prepare_under_pressure(
         &mut self,
@@ -81,7 +89,8 @@
         waiting: WaitingRequest,
         now: Instant,
     ) -> Option<WaitingRequest> {
-        if !self.settings.pressure || waiting.request.kind != WorkKind::Online {
+        let request = &waiting.request;
+        if request.kind != WorkKind::Online || !self.uses_targets(&request.service) {
             return Some(waiting);
         }
         if waiting.until <= now {
@@ -97,11 +106,10 @@
 
     /// Moves the requests that have missed their targets to the late class.
     pub(super) fn demote_waiting(&mut self, now: Instant) {
-        if !self.settings.pressure {
-            return;
-        }
         let mut demoted = Vec::new();
-        for pool in self.services.values_mut() {
+        let pressure = self.settings.pressure;
+        let pools = self.services.values_mut();
+        for pool in pools.filter(|pool| pressure || pool.states_work) {
             let missed: Vec<QueuePosition> = pool
                 .online
                 .iter()
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -531,15 +531,15 @@
         self.log.note("rematched", &fields);
     }
 
-    /// What the broker needs to know of the caller under the feature `pressure`. The slot
-    /// request itself stays as it is for brokers without the feature.
+    /// What the broker needs to know of the caller where requests compete by their targets. The
+    /// slot request itself stays as it is for other brokers.
     fn caller_terms(
         &self,
         state: &RequestState,
         last_event: Option<u64>,
         now: Instant,
     ) -> Option<CallerTerms> {
-        if !self.pressure {
+        if !self.pressure && !self.slots.knows_work() {
             return None;
         }
         let left = state.answer_by.saturating_duration_since(now);
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -19,7 +19,7 @@
 use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName, SoftwareVersion, Tail};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -77,6 +77,8 @@
     marks: ServerMarks,
     /// Answers to report with the next slot request.
     answers: BegunAnswers,
+    /// Whether a server has stated how long work takes on it.
+    knows_work: AtomicBool,
     runs: Mutex<HashMap<u64, RunHandle>>,
     next_ticket: AtomicU64,
     /// When each server was last found unreachable.
@@ -127,6 +129,7 @@
             answers: BegunAnswers::default(),
             runs: Mutex::default(),
             next_ticket: AtomicU64::new(1),
+            knows_work: AtomicBool::new(false),
             unreachable_at: Mutex::default(),
             broker_lost_at: Mutex::new(None),
         };
@@ -175,6 +178,12 @@
         }
     }
 
+    /// Whether a server has stated how long work takes on it, so that the broker weighs what
+    /// callers need.
+    pub(crate) fn knows_work(&self) -> bool {
+        self.shared.knows_work.load(Ordering::Relaxed)
+    }
+
     /// Signals a run to stop.
     pub(crate) fn stop(&self, ticket: u64) {
         if let Some(handle) = self.runs().get(&ticket) {
@@ -670,6 +679,9 @@
     /// than at the end of the run.
     pub(crate) fn record_work(&mut self, work: Option<WorkPercent>, is_success: bool) {
         self.work = work.or(self.work);
+        if work.is_some() {
+            self.client.shared.knows_work.store(true, Ordering::Relaxed);
+        }
         let first_answer = self.report.as_ref().and_then(|report| report.first_answer);
         if let (Some(_), Some(first_answer), true) = (work, first_answer, is_success)
             && !self.brokerless
