Test crowds outside the limits against real processes

Clients that send bodies which stop short, never end or come in chunks of one byte made processes run out of memory. These tests play a crowd of 60 connections (4 for pipelined requests) of one client with a valid key against an entry, a control and a store process (110 MB, 72 descriptors) and against an all-in-one daemon (160 MB, 76 descriptors). They check that the process lives, its peak memory, its open descriptors, and that one ordinary request is answered afterwards. Crowd and bounds are fixed with this commit.

The settings of the daemon gain the section [limits] of process settings, which has no effect yet, so that the tests fail for the fault and not for the section.

--- a/crates/settings/src/host.rs
+++ b/crates/settings/src/host.rs
@@ -3,6 +3,7 @@
 mod read;
 
 use crate::fault::SettingsError;
+use crate::machine::MachineLimits;
 use chicoryladder_types::SeatId;
 use chicoryladder_types::prelude::*;
 use std::collections::BTreeMap;
@@ -31,6 +32,8 @@
     pub shutdown: ShutdownSettings,
     /// Section `[keys]`.
     pub keys: KeySettings,
+    /// Section `[limits]`.
+    pub machine: MachineLimits,
 }
 
 impl HostSettings {
--- a/crates/settings/src/host/read.rs
+++ b/crates/settings/src/host/read.rs
@@ -6,6 +6,7 @@
 };
 use crate::fault::SettingsReport;
 use crate::ini::{SectionReader, SectionTable, split_sections};
+use crate::machine::MachineLimits;
 use crate::value::{MillisValue, SettingValue, ValueList, WholeNumber};
 use chicoryladder_types::SeatId;
 use std::collections::BTreeMap;
@@ -36,6 +37,7 @@
     "callers",
     "shutdown",
     "keys",
+    "limits",
 ];
 
 impl HostSettings {
@@ -93,6 +95,7 @@
         let callers = self.callers();
         let shutdown = self.shutdown();
         let keys = self.keys();
+        let machine = MachineLimits::read(&mut self.sections);
         Some(HostSettings {
             host: host?,
             listen: listen?,
@@ -103,6 +106,7 @@
             callers,
             shutdown,
             keys,
+            machine,
         })
     }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,6 +12,7 @@
 mod fleet;
 mod host;
 mod ini;
+mod machine;
 mod process;
 mod value;
 
@@ -24,7 +25,7 @@
     CallerLimits, DataSettings, HostIdentity, HostSettings, KeySettings, ListenAddresses,
     OperatorSettings, PeerSettings, ShutdownSettings,
 };
+pub use machine::MachineLimits;
 pub use process::{
-    ControlSettings, FeatureSet, MachineLimits, ProcessAddresses, ProcessIdentity, ProcessSettings,
-    ServiceBounds,
+    ControlSettings, FeatureSet, ProcessAddresses, ProcessIdentity, ProcessSettings, ServiceBounds,
 };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -3,6 +3,7 @@
 mod read;
 
 use crate::fault::SettingsError;
+use crate::machine::MachineLimits;
 use chicoryladder_types::AreaName;
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -53,15 +54,6 @@
     }
 }
 
-/// What the machine gives to the process; `None` is no limit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MachineLimits {
-    /// The memory of the process, in bytes.
-    pub memory_bytes: Option<u64>,
-    /// The number of file descriptors.
-    pub descriptors: Option<u64>,
-}
-
 impl ProcessSettings {
     /// Reads a settings file; relative paths in it are relative to its folder.
     ///
--- a/crates/settings/src/process/read.rs
+++ b/crates/settings/src/process/read.rs
@@ -1,11 +1,11 @@
 //! Parses process settings.
 
 use super::{
-    ControlSettings, FeatureSet, MachineLimits, ProcessAddresses, ProcessIdentity, ProcessSettings,
-    ServiceBounds,
+    ControlSettings, FeatureSet, ProcessAddresses, ProcessIdentity, ProcessSettings, ServiceBounds,
 };
 use crate::fault::SettingsReport;
 use crate::ini::{SectionTable, split_sections};
+use crate::machine::MachineLimits;
 use crate::value::{AmountValue, MillisValue, ValueList, WholeNumber, ZoneArea};
 use chicoryladder_types::AreaName;
 use chicoryladder_types::prelude::*;
@@ -60,15 +60,6 @@
     "host", "listen", "control", "data", "promises", "zones", "features", "limits",
 ];
 
-/// The bytes of a megabyte in settings.
-const MEGABYTE: u64 = 1_000_000;
-
-/// The memory of a machine, in megabytes: 16 MB to 16 TB.
-type MegabyteCount = WholeNumber<16, 16_000_000>;
-
-/// A number of file descriptors.
-type DescriptorCount = WholeNumber<64, 16_000_000>;
-
 impl ProcessSettings {
     /// Parses settings; `name` identifies `text` in reports.
     ///
@@ -191,16 +182,7 @@
     }
 
     fn machine(&mut self) -> MachineLimits {
-        let Some(mut section) = self.sections.optional("limits") else {
-            return MachineLimits::default();
-        };
-        let memory: Option<MegabyteCount> = section.optional("memory_mb");
-        let descriptors: Option<DescriptorCount> = section.optional("descriptors");
-        section.finish();
-        MachineLimits {
-            memory_bytes: memory.map(|memory| memory.0 * MEGABYTE),
-            descriptors: descriptors.map(|descriptors| descriptors.0),
-        }
+        MachineLimits::read(&mut self.sections)
     }
 
     fn bounds(&mut self) -> ServiceBounds {
--- a/crates/settings/tests/host.rs
+++ b/crates/settings/tests/host.rs
@@ -1,6 +1,6 @@
 //! Host settings: defaults, paths and fault reports.
 
-use chicoryladder_settings::{HostSettings, SettingsReport};
+use chicoryladder_settings::{HostSettings, MachineLimits, SettingsReport};
 use chicoryladder_types::SeatId;
 use miette::{GraphicalReportHandler, GraphicalTheme};
 use std::path::Path;
@@ -68,6 +68,15 @@
     assert_eq!(settings.keys.lease, Duration::from_secs(5));
     assert_eq!(settings.data, None);
     assert!(settings.peers.seeds.is_empty());
+    assert_eq!(settings.machine, MachineLimits::default());
+}
+
+#[test]
+fn the_limits_of_the_machine_are_read() {
+    let text = format!("{MINIMAL}\n[limits]\nmemory_mb = 110\ndescriptors = 1024\n");
+    let settings = HostSettings::parse("host.ini", &text).expect("the text has no fault");
+    assert_eq!(settings.machine.memory_bytes, Some(110_000_000));
+    assert_eq!(settings.machine.descriptors, Some(1_024));
 }
 
 #[test]
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -13,6 +13,9 @@
 mod broken_responses;
 mod command_line;
 mod control;
+#[path = "../shared/crowd.rs"]
+mod crowd;
+mod crowds;
 mod demo;
 mod end_to_end;
 mod faults;
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -3,6 +3,9 @@
 mod broken_streams;
 mod calm;
 mod client;
+#[path = "../shared/crowd.rs"]
+mod crowd;
+mod crowds;
 mod departures;
 mod endless;
 mod explain;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -89,6 +89,8 @@
     child: Option<Child>,
     /// The local address of its connections to servers, if it is set.
     servers_from: Option<Ipv4Addr>,
+    /// Its `memory_mb` and `descriptors`, if they are set.
+    machine: Option<(u64, u64)>,
 }
 
 fn append(text: &mut String, more: std::fmt::Arguments<'_>) {
@@ -199,6 +201,7 @@
             zone: format!("zone-{}", (number - 1) % 3 + 1),
             child: None,
             servers_from: None,
+            machine: None,
         };
         let listen = SocketAddr::from((host.ip, PEERS_PORT));
         let target = SocketAddr::from((host.ip, PEERS_BIND_PORT));
@@ -238,6 +241,13 @@
         host.servers_from = (!reaches_servers).then_some(FOREIGN_ADDRESS);
     }
 
+    /// Starts a host again with the given `memory_mb` and `descriptors`.
+    pub(crate) fn restart_with_machine(&mut self, name: &str, machine: (u64, u64)) {
+        self.kill(name);
+        self.hosts.get_mut(name).expect("a host").machine = Some(machine);
+        self.start_process(name, false);
+    }
+
     /// The hosts that were started without a path to servers.
     pub(crate) fn hosts_without_path(&self) -> Vec<String> {
         let stranded = self
@@ -325,6 +335,12 @@
                 CHECK_IN_INTERVAL.as_millis(),
             ),
         );
+        if let Some((memory, descriptors)) = host.machine {
+            append(
+                &mut text,
+                format_args!("\n[limits]\nmemory_mb = {memory}\ndescriptors = {descriptors}\n"),
+            );
+        }
         text
     }
 
@@ -355,6 +371,11 @@
         }
     }
 
+    /// The id of the process of a host.
+    pub(crate) fn process_id(&self, name: &str) -> u32 {
+        self.hosts[name].child.as_ref().expect("a process").id()
+    }
+
     /// The largest resident set of the process of a host, in bytes.
     pub(crate) fn peak_memory(&self, name: &str) -> usize {
         let child = self.hosts[name].child.as_ref().expect("a process");
