Bound what clients occupy in a process

Cause: bodies were collected as lists of chunks, where each chunk kept a slice of a read buffer and a list entry, and nothing bounded the sum over connections.

Change: MachineBounds holds one MemoryAccount and the table of connections of a process, and is derived from [limits] memory_mb and descriptors. All listeners admit connections through it. All request bodies go through one reader, which copies them into blocks of one size, charged before they are kept and released with the last reference to the body. When the account is full, the body that has stalled for the longest time is given up, otherwise the new one is refused as `overloaded` (503, not run, Retry-After). Answers are charged until the client has read them. Bodies have a bound on time without progress and a minimum pace, heads and unread answers a time limit. Levels for metrics, and a log line a second that names who was refused. RefusalReason::Overloaded stands last, since hosts encode the position.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::text_answer;
 use crate::body::AnswerBody;
-use crate::body_reader::read_body;
+use crate::body_reader::{BodyLimits, read_body};
 use crate::caller_requests::online_request;
 use crate::job_requests::JobRequests;
 use crate::listener::HttpService;
@@ -104,7 +104,11 @@
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
         let received = self.clock.now();
         let (parts, body) = request.into_parts();
-        let body = read_body(body, self.body_max_bytes, self.body_timeout).await?;
+        let limits = BodyLimits {
+            max_bytes: self.body_max_bytes,
+            timeout: self.body_timeout,
+        };
+        let body = read_body(&parts.extensions, body, limits).await?;
         let request = online_request(id, &parts, body, received)?;
         self.online.serve(request).await
     }
--- a/crates/gateway/src/job_requests.rs
+++ b/crates/gateway/src/job_requests.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::json_answer;
 use crate::body::AnswerBody;
-use crate::body_reader::read_body;
+use crate::body_reader::{BodyLimits, read_body};
 use crate::caller_requests::{idempotency_key, selected_class};
 use crate::credentials::bearer_key;
 use crate::ports::{JobPort, SubmitRequest};
@@ -10,7 +10,8 @@
 use chicoryladder_types::prelude::*;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Response};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response};
 use std::time::Duration;
 
 /// Routes the requests of the batch API.
@@ -39,7 +40,7 @@
         let (parts, body) = request.into_parts();
         let key = bearer_key(&parts.headers);
         match action {
-            JobAction::Submit => self.submit(id, &parts.headers, body).await,
+            JobAction::Submit => self.submit(id, &parts, body).await,
             JobAction::Status(job) => {
                 let view = self.jobs.status(key, job).await?;
                 Ok(json_answer(200, &view))
@@ -74,12 +75,17 @@
     async fn submit(
         &self,
         id: RequestId,
-        fields: &HeaderMap,
+        parts: &Parts,
         body: Incoming,
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let fields = &parts.headers;
         let class = selected_class(fields)?;
         let idempotency_key = idempotency_key(fields)?;
-        let body = read_body(body, self.body_max_bytes, self.body_timeout).await?;
+        let limits = BodyLimits {
+            max_bytes: self.body_max_bytes,
+            timeout: self.body_timeout,
+        };
+        let body = read_body(&parts.extensions, body, limits).await?;
         let request = SubmitRequest {
             id,
             key: bearer_key(fields).map(str::to_owned),
--- a/crates/gateway/src/listener.rs
+++ b/crates/gateway/src/listener.rs
@@ -3,6 +3,10 @@
 use crate::answer::refusal_answer;
 use crate::body::AnswerBody;
 use crate::caller_stream::{CallerStream, ResetSwitch};
+use crate::charged_answer::ChargedAnswer;
+use crate::client_connection::ConnectionPhase;
+use crate::machine_bounds::{ClientConnection, MachineBounds};
+use crate::overload::overloaded;
 use chicoryladder_types::prelude::*;
 use futures_util::future::BoxFuture;
 use http_body_util::BodyExt;
@@ -67,7 +71,8 @@
 impl HttpListener {
     /// Listens on `address` and passes requests to `service`.
     ///
-    /// `component` is the prefix of the listener's log lines.
+    /// `component` is the prefix of the listener's log lines. Connections and what they hold
+    /// count towards `bounds`.
     ///
     /// # Errors
     ///
@@ -76,6 +81,7 @@
         component: &'static str,
         address: SocketAddr,
         limits: ListenerLimits,
+        bounds: MachineBounds,
         service: Arc<dyn HttpService>,
     ) -> Result<Self, ListenError> {
         let failed = |source| ListenError { address, source };
@@ -87,6 +93,7 @@
             component,
             socket,
             limits,
+            bounds,
             service,
             closing: closing.clone(),
             stopped,
@@ -125,6 +132,7 @@
     component: &'static str,
     socket: TcpListener,
     limits: ListenerLimits,
+    bounds: MachineBounds,
     service: Arc<dyn HttpService>,
     closing: Arc<AtomicBool>,
     stopped: watch::Receiver<bool>,
@@ -138,8 +146,11 @@
         loop {
             tokio::select! {
                 accepted = self.socket.accept() => match accepted {
-                    Ok((stream, _)) => {
-                        connections.spawn(self.connection(stream, &graceful));
+                    Ok((stream, peer)) => {
+                        // A connection that is not admitted closes.
+                        if let Some(client) = self.bounds.admit(peer.ip()) {
+                            connections.spawn(self.connection(stream, client, &graceful));
+                        }
                     }
                     Err(error) => {
                         log::warn!("{}: cannot accept a connection: {error}.", self.component);
@@ -158,6 +169,7 @@
     fn connection(
         &self,
         stream: TcpStream,
+        client: ClientConnection,
         graceful: &GracefulShutdown,
     ) -> impl Future<Output = ()> + Send + 'static {
         // Nagle's algorithm would delay small chunks of streams until earlier ones
@@ -166,9 +178,13 @@
         let service = self.service.clone();
         let closing = self.closing.clone();
         let switch = ResetSwitch::default();
-        let stream = CallerStream::new(stream, switch.clone());
-        let handler = service_fn(move |request| {
-            let handling = handle(service.clone(), request, switch.clone());
+        let stream = CallerStream::new(stream, switch.clone(), client.clone());
+        let state = client.state.clone();
+        let handler = service_fn(move |mut request: Request<Incoming>| {
+            client.enter(ConnectionPhase::Answer);
+            request.extensions_mut().insert(client.clone());
+            let client = client.clone();
+            let handling = handle(service.clone(), request, client.clone(), switch.clone());
             let closing = closing.clone();
             async move {
                 let mut response = handling.await?;
@@ -176,7 +192,7 @@
                     let value = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, value);
                 }
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| ChargedAnswer::wrap(body, client)))
             }
         });
         let connection = hyper::server::conn::http1::Builder::new()
@@ -187,8 +203,11 @@
         let watched = graceful.watch(connection);
         let component = self.component;
         async move {
-            if let Err(error) = watched.await {
-                log::debug!("{component}: connection ended with an error: {error}.");
+            tokio::select! {
+                ended = watched => if let Err(error) = ended {
+                    log::debug!("{component}: connection ended with an error: {error}.");
+                },
+                () = state.closed.notified() => {}
             }
         }
     }
@@ -197,10 +216,16 @@
 async fn handle(
     service: Arc<dyn HttpService>,
     request: Request<Incoming>,
+    client: ClientConnection,
     switch: ResetSwitch,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let knows_chunks = request.version() > Version::HTTP_10;
-    let result = service.call(request).await;
+    let result = if client.bounds.refuses_requests() {
+        client.bounds.note_refused_request(client.state.address);
+        Err(overloaded())
+    } else {
+        service.call(request).await
+    };
     let response = result.unwrap_or_else(|refusal| refusal_answer(&refusal));
     if knows_chunks {
         return Ok(response);
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::typed_answer;
 use crate::body::AnswerBody;
-use crate::body_reader::read_body;
+use crate::body_reader::{BodyLimits, read_body};
 use crate::credentials::bearer_key;
 use crate::listener::HttpService;
 use crate::ports::{AdminRequest, OperatorPort};
@@ -18,11 +18,11 @@
 /// The path prefix of the administration API.
 const ADMIN_ROOT: &str = "/admin/v1/";
 
-/// The maximum size of the body of an operator's request, in bytes.
-const ADMIN_BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
-
-/// The maximum time for the body of an operator's request to arrive.
-const ADMIN_BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// The limits on the body of an operator's request.
+const ADMIN_BODY_LIMITS: BodyLimits = BodyLimits {
+    max_bytes: 8 * 1024 * 1024,
+    timeout: Duration::from_secs(10),
+};
 
 /// The path of the status board page.
 const BOARD_PATH: &str = "/board";
@@ -67,8 +67,8 @@
             return Err(RequestRefusal::not_run(RefusalReason::UnknownRoute, detail));
         };
         let method = request.method().clone();
-        let body = request.into_body();
-        let body = read_body(body, ADMIN_BODY_MAX_BYTES, ADMIN_BODY_TIMEOUT).await?;
+        let (parts, body) = request.into_parts();
+        let body = read_body(&parts.extensions, body, ADMIN_BODY_LIMITS).await?;
         let request = AdminRequest {
             method,
             path: admin_path.to_owned(),
--- a/crates/gateway/src/servers.rs
+++ b/crates/gateway/src/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::answer::json_answer;
 use crate::body::AnswerBody;
-use crate::body_reader::read_body;
+use crate::body_reader::{BodyLimits, read_body};
 use crate::listener::HttpService;
 use crate::ports::ServerPort;
 use chicoryladder_types::ServerAnnouncement;
@@ -15,11 +15,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The maximum size of an announcement, in bytes.
-const ANNOUNCEMENT_MAX_BYTES: usize = 64 * 1024;
-
-/// The maximum time for an announcement to arrive.
-const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
+/// The limits on an announcement.
+const ANNOUNCEMENT_LIMITS: BodyLimits = BodyLimits {
+    max_bytes: 64 * 1024,
+    timeout: Duration::from_secs(5),
+};
 
 /// Handles requests on the TCP port for backend servers.
 pub struct ServerService {
@@ -66,8 +66,8 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
-        let body = request.into_body();
-        let body = read_body(body, ANNOUNCEMENT_MAX_BYTES, ANNOUNCEMENT_TIMEOUT).await?;
+        let (parts, body) = request.into_parts();
+        let body = read_body(&parts.extensions, body, ANNOUNCEMENT_LIMITS).await?;
         let announcement: ServerAnnouncement = serde_json::from_slice(&body).map_err(|error| {
             let detail = format!("the announcement is malformed: {error}");
             RequestRefusal::not_run(RefusalReason::BadRequest, detail)
--- a/crates/gateway/tests/all/bad_input.rs
+++ b/crates/gateway/tests/all/bad_input.rs
@@ -4,9 +4,10 @@
 use crate::raw::exchange;
 use bytes::Bytes;
 use chicoryladder_gateway::{
-    AnswerBody, CallerService, HttpListener, JobPort, JobView, ListenerLimits, OnlinePort,
-    OnlineRequest, PlatformPort, SubmitRequest, bytes_body, text_answer,
+    AnswerBody, CallerService, HttpListener, JobPort, JobView, ListenerLimits, MachineBounds,
+    OnlinePort, OnlineRequest, PlatformPort, SubmitRequest, bytes_body, text_answer,
 };
+use chicoryladder_settings::MachineLimits;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{JobId, SystemClock};
 use futures_util::FutureExt;
@@ -87,7 +88,8 @@
         header_timeout: Duration::from_millis(200),
     };
     let address = "127.0.0.1:0".parse().unwrap();
-    let listener = HttpListener::start("test", address, limits, Arc::new(service)).await;
+    let bounds = MachineBounds::new(MachineLimits::default(), Arc::new(SystemClock));
+    let listener = HttpListener::start("test", address, limits, bounds, Arc::new(service)).await;
     let listener = listener.unwrap();
     let address = listener.address;
     // The listener serves until the runtime of the test ends.
--- a/crates/gateway/tests/all/broken_body.rs
+++ b/crates/gateway/tests/all/broken_body.rs
@@ -2,8 +2,11 @@
 
 use crate::raw::EVENT_TIMEOUT;
 use bytes::Bytes;
-use chicoryladder_gateway::{AnswerBody, BodyError, HttpListener, HttpService, ListenerLimits};
-use chicoryladder_types::RequestRefusal;
+use chicoryladder_gateway::{
+    AnswerBody, BodyError, HttpListener, HttpService, ListenerLimits, MachineBounds,
+};
+use chicoryladder_settings::MachineLimits;
+use chicoryladder_types::{RequestRefusal, SystemClock};
 use futures_util::future::BoxFuture;
 use futures_util::{FutureExt, StreamExt, stream};
 use http_body_util::{BodyExt, StreamBody};
@@ -43,7 +46,8 @@
     };
     let address = "127.0.0.1:0".parse().unwrap();
     let service = Arc::new(ChunkService);
-    let listener = HttpListener::start("test", address, limits, service).await;
+    let bounds = MachineBounds::new(MachineLimits::default(), Arc::new(SystemClock));
+    let listener = HttpListener::start("test", address, limits, bounds, service).await;
     let listener = listener.unwrap();
     let address = listener.address;
     // The listener serves until the runtime of the test ends.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod broken_body;
 mod completeness;
 mod credentials;
+mod crowded;
 mod cut_responses;
 mod raw;
 mod server_client;
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -20,7 +20,8 @@
 };
 use crate::tunnels::HostTunnels;
 use chicoryladder_gateway::{
-    HttpListener, HttpService, ListenerLimits, OperatorService, ServerClient, ServerConnector,
+    HttpListener, HttpService, ListenerLimits, MachineBounds, OperatorService, ServerClient,
+    ServerConnector,
 };
 use chicoryladder_link::{InboundMessage, LinkIdentity, LinkTiming, PeerLink, PeerSecret};
 use chicoryladder_settings::HostSettings;
@@ -125,6 +126,7 @@
     clock: Arc<dyn ClockSource>,
     ids: Arc<RandomIds>,
     metrics: Arc<HostMetrics>,
+    bounds: MachineBounds,
     directory: PeerDirectory,
     replica: ReplicaHandle,
     routing: RoutingHandle,
@@ -207,11 +209,14 @@
             connector: &tunnels.connector,
         };
         let batch = batch_components.start(&mut tasks);
+        let bounds = MachineBounds::new(settings.machine, clock.clone());
+        metrics.observe(&bounds);
         Ok(Self {
             settings,
             clock,
             ids,
             metrics,
+            bounds,
             directory,
             replica,
             routing,
@@ -279,7 +284,8 @@
             header_max_bytes: clamp_bytes(self.settings.callers.header_max_bytes),
             header_timeout: HEADER_TIMEOUT,
         };
-        Ok(HttpListener::start(part, address, limits, service).await?)
+        let bounds = self.bounds.clone();
+        Ok(HttpListener::start(part, address, limits, bounds, service).await?)
     }
 }
 
--- a/crates/host/src/entry_host/components/services.rs
+++ b/crates/host/src/entry_host/components/services.rs
@@ -48,6 +48,7 @@
             client: ServerClient::with_connector(self.tunnels.connector.clone()),
             clock: self.clock.clone(),
             metrics: self.metrics.clone(),
+            bounds: self.bounds.clone(),
         }
     }
 
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -1,8 +1,9 @@
 //! Metrics of one host, as OpenTelemetry instruments.
 
+use chicoryladder_gateway::MachineBounds;
 use chicoryladder_types::prelude::*;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 use std::time::Duration;
@@ -19,6 +20,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     answer_seconds: Histogram<f64>,
+    meter: Meter,
     // Dropping the provider would shut down the instruments.
     _provider: SdkMeterProvider,
 }
@@ -51,12 +53,26 @@
                 .f64_histogram("answer_seconds")
                 .with_boundaries(ANSWER_SECONDS_BOUNDARIES.to_vec())
                 .build(),
+            meter,
             _provider: provider,
         };
         metrics.initialize_reason_series();
         Ok(metrics)
     }
 
+    /// Exports what clients occupy, as gauges.
+    pub fn observe(&self, bounds: &MachineBounds) {
+        let bounds = bounds.clone();
+        let gauge = self.meter.f64_observable_gauge("level");
+        let read = move |observer: &dyn AsyncInstrument<f64>| {
+            for (name, value) in bounds.levels() {
+                observer.observe(value, &[KeyValue::new("name", name)]);
+            }
+        };
+        // The provider keeps the callback.
+        let _ = gauge.with_callback(read).build();
+    }
+
     /// Counts a request that was served.
     pub fn count_served(&self, class: &ClassName, elapsed: Duration) {
         let class = KeyValue::new("class", class.to_string());
@@ -98,3 +114,21 @@
 fn reason_label(text: &'static str) -> KeyValue {
     KeyValue::new("reason", text)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use chicoryladder_settings::MachineLimits;
+    use chicoryladder_types::SystemClock;
+    use std::sync::Arc;
+
+    /// Guards against levels that the registry drops with their instrument.
+    #[test]
+    fn levels_of_clients_are_rendered() {
+        let metrics = HostMetrics::new().expect("an exporter");
+        let bounds = MachineBounds::new(MachineLimits::default(), Arc::new(SystemClock));
+        metrics.observe(&bounds);
+        let text = metrics.render();
+        assert!(text.contains("client_connections_max"), "{text}");
+    }
+}
--- a/crates/host/src/online.rs
+++ b/crates/host/src/online.rs
@@ -11,7 +11,7 @@
 use crate::replica::ReplicaHandle;
 use crate::retries::RetryRules;
 use crate::routing::{QueueParameters, RoutingHandle, WorkTarget};
-use chicoryladder_gateway::{AnswerBody, OnlinePort, OnlineRequest, ServerClient};
+use chicoryladder_gateway::{AnswerBody, MachineBounds, OnlinePort, OnlineRequest, ServerClient};
 use chicoryladder_policy::quarantine::{RequestFingerprint, RequestTraits};
 use chicoryladder_settings::{ClassTarget, RouteTarget};
 use chicoryladder_state::FleetView;
@@ -38,6 +38,7 @@
     pub(crate) client: ServerClient,
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) metrics: Arc<HostMetrics>,
+    pub(crate) bounds: MachineBounds,
 }
 
 impl OnlinePort for OnlineService {
@@ -170,6 +171,7 @@
             boards: &self.boards,
             keys: &self.keys,
             replica: &self.replica,
+            bounds: &self.bounds,
         }
     }
 }
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -18,8 +18,9 @@
 };
 use answer::{AnswerRead, answer_fields, read_body};
 use chicoryladder_gateway::{
-    AnswerBody, BodyFraming, OnlineRequest, ServerClient, ServerFailure, ServerRequest, StreamEnd,
-    StreamOptions, bytes_body, is_event_stream, is_unverified_json, watch_stream,
+    AnswerBody, BodyFraming, MachineBounds, OnlineRequest, ServerClient, ServerFailure,
+    ServerRequest, StreamEnd, StreamOptions, bytes_body, is_event_stream, is_unverified_json,
+    watch_stream,
 };
 use chicoryladder_policy::retry::{AttemptFailure, RetryDecision};
 use chicoryladder_policy::routing::ServerOutcome;
@@ -64,6 +65,7 @@
     pub(crate) boards: &'a BoardHandle,
     pub(crate) keys: &'a KeyChecker,
     pub(crate) replica: &'a ReplicaHandle,
+    pub(crate) bounds: &'a MachineBounds,
 }
 
 /// Marks a response whose body is still being received from the server.
@@ -226,7 +228,8 @@
         let remaining = timeouts
             .deadline
             .saturating_duration_since(self.clock.now());
-        let read = read_body(body, framing, &parts.headers, remaining).await;
+        let held = self.bounds.hold_answer();
+        let read = read_body(body, held, framing, &parts.headers, remaining).await;
         let read = read.inspect_err(|failure| {
             grant.outcome = failed_outcome(failure.reason);
         })?;
--- a/crates/host/src/online_attempt/answer.rs
+++ b/crates/host/src/online_attempt/answer.rs
@@ -1,7 +1,8 @@
 //! Responses of backend servers: header fields and buffered bodies.
 
-use bytes::BytesMut;
-use chicoryladder_gateway::{BodyFraming, ServerFailure, check_whole_body, is_malformed};
+use chicoryladder_gateway::{
+    BodyFraming, HeldAnswer, ServerFailure, check_whole_body, is_malformed,
+};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerLoad, headers};
 use http_body_util::BodyExt;
@@ -56,22 +57,22 @@
 /// Fails if the body is truncated or does not end within `remaining`.
 pub(super) async fn read_body(
     mut body: Incoming,
+    mut prefix: HeldAnswer,
     framing: BodyFraming,
     fields: &HeaderMap,
     remaining: Duration,
 ) -> Result<AnswerRead, ServerFailure> {
     let reading = async {
-        let mut prefix = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| body_failure(&error))?;
             if let Some(chunk) = frame.data_ref() {
-                prefix.extend_from_slice(chunk);
+                prefix.push(chunk);
             }
-            if prefix.len() > BUFFERED_ANSWER_MAX_BYTES {
+            if prefix.bytes().len() > BUFFERED_ANSWER_MAX_BYTES {
                 return Ok(AnswerRead::Partial(prefix.freeze(), body));
             }
         }
-        check_whole_body(framing, fields, &prefix).map_err(truncated)?;
+        check_whole_body(framing, fields, prefix.bytes()).map_err(truncated)?;
         Ok(AnswerRead::Complete(prefix.freeze()))
     };
     let read = tokio::time::timeout(remaining, reading).await;
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -208,10 +208,20 @@
         gauges: Box::new(move || {
             let mut gauges = gauge_source.status().gauges(gauge_source.now());
             gauges.extend(gauge_source.state().gauges(gauge_source.now()));
+            gauges.extend(gauge_source.base.machine.levels());
             gauges
         }),
     };
-    serve(tasks, "metrics", address, RELAY_LIMITS, Arc::new(service)).await
+    let machine = shared.base.machine.reserved();
+    serve(
+        tasks,
+        "metrics",
+        address,
+        RELAY_LIMITS,
+        machine,
+        Arc::new(service),
+    )
+    .await
 }
 
 fn broker_settings(settings: &ProcessSettings) -> BrokerSettings {
--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -73,8 +73,10 @@
         address: SocketAddr,
         service: &dyn ControlService,
     ) -> Result<HttpListener, ProcessError> {
+        let machine = self.base.machine.clone();
         let service = service.control(Arc::new(self));
-        Ok(HttpListener::start("control", address, RELAY_LIMITS, service).await?)
+        let listener = HttpListener::start("control", address, RELAY_LIMITS, machine, service);
+        Ok(listener.await?)
     }
 
     fn leader(&self) -> Option<SocketAddr> {
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -13,13 +13,13 @@
 use crate::ports::{CallerHead, RunContext};
 use crate::server_run::{RunFailure, ServerAnswer, ServerRequest, ServerRunner};
 use crate::slot_client::{SlotClient, SlotError, SlotLease};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use chicoryladder_broker::{
     RunOutcome, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
 };
 use chicoryladder_gateway::{
-    AnswerBody, BodyFraming, bytes_body, check_whole_body, is_event_stream, is_malformed,
-    may_end_by_time_limit,
+    AnswerBody, BodyFraming, HeldAnswer, MachineBounds, bytes_body, check_whole_body,
+    is_event_stream, is_malformed, may_end_by_time_limit,
 };
 use chicoryladder_plan::{PlanRoute, PlanVersion, RouteKind};
 use chicoryladder_policy::quarantine::{QuarantineCause, RequestFingerprint};
@@ -86,6 +86,7 @@
     pub(super) zone: ZoneName,
     pub(super) log: EventLog,
     pub(super) metrics: Arc<RoleMetrics>,
+    pub(super) machine: MachineBounds,
     /// The longest time left that a caller has announced, per route.
     pub(super) longest_timeouts: Mutex<HashMap<RouteName, Duration>>,
 }
@@ -632,7 +633,8 @@
             connection,
         } = answer;
         let fields = &parts.headers;
-        let reading = read_whole_body(body, framing, fields, state.answer_by, &*self.clock);
+        let held = self.machine.hold_answer();
+        let reading = read_whole_body(body, held, framing, fields, state.answer_by, &*self.clock);
         let bytes = match reading.await {
             Ok(BufferedBody::Whole(bytes)) => bytes,
             Ok(BufferedBody::Partial(prefix, body)) if status.is_success() => {
@@ -866,6 +868,7 @@
 /// that exceeds [`BUFFERED_ANSWER_MAX_BYTES`].
 async fn read_whole_body(
     mut body: Incoming,
+    mut prefix: HeldAnswer,
     framing: BodyFraming,
     fields: &HeaderMap,
     answer_by: Instant,
@@ -873,12 +876,11 @@
 ) -> Result<BufferedBody, RunFailure> {
     let timeout = answer_by.saturating_duration_since(clock.now());
     let reading = async {
-        let mut prefix = BytesMut::new();
         while let Some(frame) = body.frame().await {
             if let Ok(chunk) = frame?.into_data() {
-                prefix.extend_from_slice(&chunk);
+                prefix.push(&chunk);
             }
-            if prefix.len() as u64 > BUFFERED_ANSWER_MAX_BYTES {
+            if prefix.bytes().len() as u64 > BUFFERED_ANSWER_MAX_BYTES {
                 return Ok(BufferedBody::Partial(prefix.freeze(), body));
             }
         }
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -18,7 +18,7 @@
 use crate::tunnels::server_dialer;
 use bytes::Bytes;
 use chicoryladder_dialer::ServerDialer;
-use chicoryladder_gateway::{AnswerBody, HttpListener, HttpService, ListenerLimits};
+use chicoryladder_gateway::{AnswerBody, HttpListener, HttpService, ListenerLimits, MachineBounds};
 use chicoryladder_rpc::{PeerIdentity, RpcHandler, RpcServer, TunnelRequest};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::prelude::*;
@@ -28,18 +28,19 @@
 use hyper::{Request, Response};
 use serde_json::json;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 
-/// The maximum size of a request head. Plans set lower limits.
-const HEAD_MAX_BYTES: usize = 64 * 1024;
-
-/// The time for which a connection may be idle. It exceeds the value of any plan, so
-/// that callers close first.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+/// The limits on connections. Plans set lower limits on heads; the time for which a connection
+/// may be idle exceeds the value of any plan, so that callers close first.
+const CALLER_LIMITS: ListenerLimits = ListenerLimits {
+    header_max_bytes: 64 * 1024,
+    header_timeout: Duration::from_secs(75),
+};
 
 /// The maximum age of the view at which the host is ready. It is longer than a leader
 /// election takes.
@@ -126,6 +127,7 @@
             zone: base.settings.host.zone.clone(),
             log: log.clone(),
             metrics: metrics.clone(),
+            machine: base.machine.clone(),
             longest_timeouts: Mutex::new(HashMap::new()),
         };
         let jobs = JobGateway {
@@ -143,10 +145,6 @@
             metrics: metrics.clone(),
             draining: draining.clone(),
         };
-        let limits = ListenerLimits {
-            header_max_bytes: HEAD_MAX_BYTES,
-            header_timeout: IDLE_TIMEOUT,
-        };
         let readiness = ReadinessService {
             dialect: callers,
             view,
@@ -154,22 +152,15 @@
             clock: base.clock.clone(),
             draining: draining.clone(),
         };
-        let readiness = Arc::new(readiness);
-        serve(
-            &mut tasks,
-            "readiness",
-            readiness_address,
-            limits,
-            readiness,
-        )
-        .await?;
-        if let Some(address) = base.settings.listen.metrics {
-            let gauges = gauges(&gauge_sources, &base);
-            let service = Arc::new(MetricsService { metrics, gauges });
-            serve(&mut tasks, "metrics", address, limits, service).await?;
-        }
+        let gauges = gauges(&gauge_sources, &base);
+        let metrics = MetricsService { metrics, gauges };
+        let readiness = (readiness_address, Arc::new(readiness));
+        open_reserved_ports(&mut tasks, &base, readiness, metrics).await?;
+        let machine = base.machine.clone();
+        let service = Arc::new(service);
         let callers =
-            HttpListener::start("callers", caller_address, limits, Arc::new(service)).await?;
+            HttpListener::start("callers", caller_address, CALLER_LIMITS, machine, service);
+        let callers = callers.await?;
         log.note("started", &json!({ "host": base.settings.host.name }));
         Ok(Self {
             draining,
@@ -204,15 +195,48 @@
     }
 }
 
+/// Opens the ports of probes and metrics.
+async fn open_reserved_ports(
+    tasks: &mut JoinSet<()>,
+    base: &ProcessBase,
+    (readiness_address, readiness): (SocketAddr, Arc<ReadinessService>),
+    metrics: MetricsService,
+) -> Result<(), ProcessError> {
+    let (limits, machine) = (CALLER_LIMITS, base.machine.reserved());
+    let open = machine.clone();
+    serve(
+        tasks,
+        "readiness",
+        readiness_address,
+        limits,
+        open,
+        readiness,
+    )
+    .await?;
+    if let Some(address) = base.settings.listen.metrics {
+        serve(
+            tasks,
+            "metrics",
+            address,
+            limits,
+            machine,
+            Arc::new(metrics),
+        )
+        .await?;
+    }
+    Ok(())
+}
+
 /// Starts an HTTP listener that runs until `tasks` is shut down.
 pub(crate) async fn serve(
     tasks: &mut JoinSet<()>,
     part: &'static str,
-    address: std::net::SocketAddr,
+    address: SocketAddr,
     limits: ListenerLimits,
+    machine: MachineBounds,
     service: Arc<dyn HttpService>,
 ) -> Result<(), ProcessError> {
-    let listener = HttpListener::start(part, address, limits, service).await?;
+    let listener = HttpListener::start(part, address, limits, machine, service).await?;
     tasks.spawn(async move {
         let _listener = listener;
         std::future::pending::<()>().await;
@@ -226,10 +250,11 @@
 ) -> GaugeReader {
     let (slots, view, clock) = (slots.clone(), view.clone(), base.clock.clone());
     let dialer = dialer.clone();
+    let machine = base.machine.clone();
     Box::new(move || {
         let age = view.age(clock.now());
         let detours = u32::try_from(dialer.paths().detours()).unwrap_or(u32::MAX);
-        vec![
+        let mut gauges = vec![
             ("servers_detoured", f64::from(detours)),
             ("runs", slots.active_count()),
             ("without_broker", f64::from(u8::from(slots.is_brokerless()))),
@@ -237,7 +262,9 @@
                 "view_age_seconds",
                 age.map_or(-1.0, |age| age.as_secs_f64()),
             ),
-        ]
+        ];
+        gauges.extend(machine.levels());
+        gauges
     })
 }
 
--- a/crates/roles/src/entry/service.rs
+++ b/crates/roles/src/entry/service.rs
@@ -6,13 +6,11 @@
 use crate::event_log::EventLog;
 use crate::metrics::RoleMetrics;
 use crate::ports::{CallerDialect, CallerHead};
-use bytes::Bytes;
-use chicoryladder_gateway::{AnswerBody, HttpService};
+use chicoryladder_gateway::{AnswerBody, BodyLimits, HttpService, read_body};
 use chicoryladder_plan::RouteKind;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::http::request;
@@ -64,7 +62,11 @@
             return self.jobs.call(&call, caller, &*self.dialect).await;
         }
         let matched = self.matcher.resolve(&host, parts.uri.path(), head).await?;
-        let body = self.read_body(&matched, body).await?;
+        let limits = BodyLimits {
+            max_bytes: matched.plan.limits().body_max_bytes,
+            timeout: matched.route.timeout,
+        };
+        let body = read_body(&parts.extensions, body, limits).await?;
         if matched.route.kind == RouteKind::Batch && parts.method == Method::POST {
             let team = self.matcher.submitter(&matched, head).await?;
             let matched = MatchedRequest { team, ..matched };
@@ -85,30 +87,6 @@
         self.forwarder.clone().forward(matched, request).await
     }
 
-    async fn read_body(
-        &self,
-        matched: &MatchedRequest,
-        body: Incoming,
-    ) -> Result<Bytes, RequestRefusal> {
-        let limits = matched.plan.limits();
-        let reading = Limited::new(body, limits.body_max_bytes).collect();
-        match tokio::time::timeout(matched.route.timeout, reading).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                let detail = format!("the body has more than {} bytes", limits.body_max_bytes);
-                Err(RequestRefusal::not_run(RefusalReason::BodyTooLarge, detail))
-            }
-            Ok(Err(error)) => {
-                let detail = format!("the body could not be read: {error}");
-                Err(RequestRefusal::not_run(RefusalReason::BadRequest, detail))
-            }
-            Err(_) => {
-                let detail = "the body did not arrive in time";
-                Err(RequestRefusal::not_run(RefusalReason::SlowBody, detail))
-            }
-        }
-    }
-
     fn record_refusal(
         &self,
         parts: &request::Parts,
--- a/crates/roles/src/process.rs
+++ b/crates/roles/src/process.rs
@@ -4,7 +4,7 @@
 use crate::message::{Notice, encode};
 use crate::seat_opener::random_u64;
 use chicoryladder_broker::RequesterId;
-use chicoryladder_gateway::ListenError;
+use chicoryladder_gateway::{ListenError, MachineBounds};
 use chicoryladder_group::JoinRequest;
 use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcHandler, RpcServer};
 use chicoryladder_settings::ProcessSettings;
@@ -38,6 +38,8 @@
     pub(crate) settings: Arc<ProcessSettings>,
     pub(crate) clock: Arc<dyn ClockSource>,
     pub(crate) rpc: RpcClient,
+    /// What the clients of this process may occupy.
+    pub(crate) machine: MachineBounds,
 }
 
 impl ProcessBase {
@@ -58,6 +60,7 @@
         };
         Ok(Self {
             rpc: RpcClient::new(identity, clock.clone()),
+            machine: MachineBounds::new(settings.machine, clock.clone()),
             settings: Arc::new(settings),
             clock,
         })
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -229,10 +229,20 @@
                 ("runs", gauge_source.slots.active_count()),
                 ("items_waiting", gauge_source.leader().items_waiting(now)),
             ]);
+            gauges.extend(gauge_source.base.machine.levels());
             gauges
         }),
     };
-    serve(tasks, "metrics", address, limits, Arc::new(service)).await
+    let machine = shared.base.machine.reserved();
+    serve(
+        tasks,
+        "metrics",
+        address,
+        limits,
+        machine,
+        Arc::new(service),
+    )
+    .await
 }
 
 impl StoreShared {
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -103,6 +103,9 @@
         DeadlineUnmet => "deadline_unmet", 504;
         /// The backend server stopped sending data.
         ServerSilent => "server_silent", 504;
+        // Messages between hosts encode the position of a reason: new ones come last.
+        /// The host has no room for the request.
+        Overloaded => "overloaded", 503;
     }
 }
 
