--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -21,6 +21,7 @@
 mod public_jobs;
 mod servers;
 mod shared_segments;
+mod small_machine;
 mod soak;
 mod stranded;
 mod trouble;
