--- a/crates/gateway/tests/all/crowded.rs
+++ b/crates/gateway/tests/all/crowded.rs
@@ -276,3 +276,43 @@
     drop(unread);
     wait_for_level(&bounds, 0).await;
 }
+
+/// Guards against a head that takes as long as a connection may be idle.
+#[tokio::test]
+async fn a_head_that_stops_short_ends_its_connection() {
+    let (address, _) = start(110, 1_024).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(b"POST / HTTP/1.1\r\nhos").await.unwrap();
+    let started = Instant::now();
+    assert_eq!(read_rest(&mut stream).await, "");
+    // Callers inside the limits take 3 s; the idle time of this listener is 20 s.
+    assert!((3..18).contains(&started.elapsed().as_secs()));
+}
+
+/// Guards against a body that goes on for the whole time of its route, a byte at a time.
+#[tokio::test]
+async fn a_body_that_trickles_is_refused_as_slow() {
+    let (address, _) = start(110, 1_024).await;
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let started = Instant::now();
+    stream.write_all(head(1_000).as_bytes()).await.unwrap();
+    let (mut reader, mut writer) = stream.split();
+    let sending = async {
+        // The listener closes the connection in between.
+        while writer.write_all(b"x").await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+    };
+    let mut answer = vec![0; 1_024];
+    let count = tokio::select! {
+        () = sending => panic!("no answer"),
+        count = reader.read(&mut answer) => count.unwrap(),
+    };
+    let answer = String::from_utf8_lossy(&answer[..count]).into_owned();
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+    assert!(
+        answer.contains("chicoryladder-verdict: not-run"),
+        "{answer}"
+    );
+    assert!((3..18).contains(&started.elapsed().as_secs()));
+}
