--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,9 @@
 mod calm;
 mod client;
 mod cold;
+#[path = "../shared/crowd.rs"]
+mod crowd;
+mod crowds;
 mod departures;
 mod endless;
 mod explain;
@@ -19,6 +22,7 @@
 mod public_jobs;
 mod servers;
 mod shared_segments;
+mod small_machine;
 mod soak;
 mod stranded;
 mod trouble;
