Let hosts without the broker send to cold servers between directories

Cause: a host waited one interval after each directory before it sent to a cold server by itself. The interval is 1.6 s in a fleet of 30 hosts, and directories may come every 0.7 s while many servers check in, so a host whose slot requests fail but whose syncs succeed sent nothing to cold servers at all.

Change: only the first directory since the start of the process counts, as docs/design/cold-servers.md says; later sends are recorded by the host itself.

--- a/crates/broker/src/cold_servers.rs
+++ b/crates/broker/src/cold_servers.rs
@@ -363,6 +363,8 @@
     pub pace: Option<ColdPace>,
     /// When this host got the directory of servers.
     pub directory_at: Option<Instant>,
+    /// When this host got its first directory since its process started.
+    pub first_directory_at: Option<Instant>,
     /// The peer address of this host.
     pub host: Option<SocketAddr>,
     /// When this host last sent to each server; `None` if it never did.
@@ -391,10 +393,10 @@
             return true;
         }
         let interval = self.interval(pace, server, roster, in_zone);
-        // A process that has just started does not know what it sent before. It cannot have
-        // chosen servers since it got the directory.
+        // A process that has just started does not know what the one before it sent. Later
+        // directories may come more often than the interval, so only the first one counts.
         let sent_at = self.sent.and_then(|sent| sent.get(&server.name));
-        let since = sent_at.max(self.directory_at);
+        let since = sent_at.max(self.first_directory_at);
         interval
             .zip(since)
             .is_some_and(|(interval, since)| now.saturating_duration_since(since) >= interval)
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -96,6 +96,7 @@
     directory: Vec<ServerCheckIn>,
     directory_version: u64,
     directory_at: Option<Instant>,
+    first_directory_at: Option<Instant>,
     roster: ZoneRoster,
     is_cut_off: bool,
     next_sync: Instant,
@@ -168,6 +169,7 @@
             directory: Vec::new(),
             directory_version: 0,
             directory_at: None,
+            first_directory_at: None,
             roster: ZoneRoster::default(),
             is_cut_off: false,
             next_sync: self.fixture.now,
@@ -243,6 +245,7 @@
                 host.directory_version = broker.directory_version();
                 host.directory = broker.servers_at(now);
                 host.directory_at = Some(now);
+                host.first_directory_at.get_or_insert(now);
             }
         }
         self.process();
@@ -278,6 +281,7 @@
             cold: ColdServerView {
                 pace: Some(pace()),
                 directory_at: known.directory_at,
+                first_directory_at: known.first_directory_at,
                 host: Some(known.address),
                 sent: Some(&known.sent),
             },
@@ -486,6 +490,26 @@
     }
 }
 
+/// Guards against hosts that never send to cold servers while the broker is too slow for slot
+/// requests but goes on sending them directories, as when many servers start after a power loss.
+#[test]
+fn hosts_that_get_new_directories_use_their_part_of_the_bound() {
+    let mut simulation = Simulation::new(4, 30, 6);
+    simulation.advance(Duration::from_secs(2), 0.0);
+    simulation.stop_broker();
+    simulation.sent = [0; 2];
+    for _ in 0..10 {
+        let now = simulation.fixture.now;
+        for host in &mut simulation.hosts {
+            host.directory_at = Some(now);
+        }
+        simulation.advance(Duration::from_secs(1), 40.0);
+    }
+    simulation.assert_bound("with new directories");
+    let sent = simulation.sent[0];
+    assert!((90..=186 + 30).contains(&sent), "the hosts sent {sent}");
+}
+
 /// Guards against requests that wait at cold servers beyond the time in which they are served,
 /// and against an order other than that of the queue.
 #[test]
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -116,6 +116,8 @@
     directory: (u64, u64),
     /// When the directory was received.
     directory_at: Option<Instant>,
+    /// When the first directory was received.
+    first_directory_at: Option<Instant>,
     servers: Arc<Vec<ServerCheckIn>>,
     /// The versions of the servers; `None` if the leader did not list them.
     versions: Option<Arc<VersionList>>,
@@ -185,6 +187,11 @@
         self.state().directory_at
     }
 
+    /// When the first directory was received since the process started.
+    pub(crate) fn first_directory_at(&self) -> Option<Instant> {
+        self.state().first_directory_at
+    }
+
     /// Like [`Self::servers`], with the time for which servers of services with terms on cold
     /// servers stay cold from now on.
     pub(crate) fn servers_at(&self, now: Instant) -> Arc<Vec<ServerCheckIn>> {
@@ -364,6 +371,7 @@
                 Ok(directory) => {
                     state.directory = number;
                     state.directory_at = Some(now);
+                    state.first_directory_at.get_or_insert(now);
                     state.servers = Arc::new(directory.servers);
                     state.versions = directory.versions.map(Arc::new);
                 }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -430,6 +430,7 @@
             cold: ColdServerView {
                 pace,
                 directory_at: shared.view.directory_at(),
+                first_directory_at: shared.view.first_directory_at(),
                 host: Some(shared.base.rpc.identity().address),
                 sent: Some(&sent),
             },
