Charge grants to an incarnation before to a cold server

Cause: when a server started again under its name and checked in as cold, the broker removed the grants of the incarnation before and only then counted the requests of the last 1.1 s. Requests that were still on their way to the same address did not count against the bound of the new incarnation.

Change: the grants are removed after the pacing has begun.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -277,7 +277,6 @@
             entry.belief = ServerBelief::default();
             entry.contacts = ContactHistory::default();
             self.path_reports.forget_server(key);
-            self.remove_grants_of(key);
             self.apply_early_limit(key, now);
             if service_changed {
                 for pool in self.services.values_mut() {
@@ -290,6 +289,11 @@
             self.record_cold_check_in(key, now);
             self.observe_version(&service, &version, now);
         }
+        if is_restarted {
+            // The requests of the latest grants may still reach the new incarnation, so they
+            // are counted above if that is cold.
+            self.remove_grants_of(key);
+        }
         if matches!(outcome, CheckInOutcome::Added | CheckInOutcome::Leaving) {
             self.directory_version += 1;
         }
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -626,6 +626,23 @@
     assert!(grants_at_once(&mut fixture) >= 1);
 }
 
+/// Guards against the same when a server starts again under its name and address: requests
+/// that are on their way to the incarnation before may reach the new one.
+#[test]
+fn grants_of_the_second_before_count_against_a_server_that_starts_again() {
+    let mut fixture = warm_fixture(1);
+    assert_eq!(grants_at_once(&mut fixture), 8);
+    let restarted = ServerCheckIn {
+        incarnation: 2,
+        ..cold_check_in(0, 1, TERMS.duration)
+    };
+    fixture.broker.check_in(restarted, fixture.now);
+    fixture.tick(Duration::from_millis(950));
+    assert_eq!(grants_at_once(&mut fixture), 0);
+    fixture.tick(Duration::from_millis(500));
+    assert!(grants_at_once(&mut fixture) >= 1);
+}
+
 /// Guards against a response that tells of coldness and is ignored until the next check-in,
 /// and against a check-in from before that ends it.
 #[test]
