Acknowledge repeated withdrawals for zones that left the settings

Cause: a drain of a zone that is no longer in [zones] can be withdrawn, but once that is in force the zone counted as unknown. If the acknowledgement was lost, the repeated order got 404, which tells operators that nothing is in force, instead of the acknowledgement of an idempotent order.

Change: a withdrawal is accepted for any zone with a record of an order. A drain of such a zone is refused with 404 as before.

--- a/crates/roles/src/control/host/zone_drains.rs
+++ b/crates/roles/src/control/host/zone_drains.rs
@@ -21,7 +21,8 @@
         asked_by: Option<SocketAddr>,
     ) -> GroupReply<ControlAnswer> {
         let now = self.now();
-        let is_zone = self.state().is_zone(&zone, &self.base.settings.areas, now);
+        let areas = &self.base.settings.areas;
+        let is_zone = self.state().is_zone(&zone, step, areas, now);
         let mut fields = json!({ "zone": zone, "step": step.as_str(), "asked_by": asked_by });
         let refuse = |cause: &str| {
             let mut fields = fields.clone();
--- a/crates/roles/src/control/leader/zone_drains.rs
+++ b/crates/roles/src/control/leader/zone_drains.rs
@@ -1,6 +1,6 @@
 //! How drains of zones take effect on the leader.
 
-use super::super::zone_drains::ZoneDrains;
+use super::super::zone_drains::{ZoneDrainStep, ZoneDrains};
 use super::{HostRecord, LeaderState};
 use crate::message::HostRole;
 use chicoryladder_types::prelude::*;
@@ -57,14 +57,17 @@
 
     /// Whether a zone exists: by the settings, or without any by the zones of the hosts and
     /// servers; `None` if this leader does not know all of them yet. The drain of a zone that
-    /// has left the settings can still be withdrawn.
+    /// has left the settings can still be withdrawn, also by an order that is repeated since its
+    /// acknowledgement was lost.
     pub(crate) fn is_zone(
         &self,
         zone: &ZoneName,
+        step: ZoneDrainStep,
         areas: &BTreeMap<ZoneName, AreaName>,
         now: Instant,
     ) -> Option<bool> {
-        if areas.contains_key(zone) || self.drains.is_drained(zone) {
+        let was_drained = step == ZoneDrainStep::Finish && self.drains.was_ordered(zone);
+        if areas.contains_key(zone) || self.drains.is_drained(zone) || was_drained {
             return Some(true);
         }
         if !areas.is_empty() {
@@ -85,3 +88,59 @@
         !std::mem::replace(&mut self.is_wholly_drained, is_drained) && is_drained
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::super::zone_drains::ZoneDrainOrder;
+    use super::*;
+    use chicoryladder_broker::{BrokerSettings, ColdTolerance, RateTolerance, RosterSettings};
+
+    const MINUTE: Duration = Duration::from_secs(60);
+
+    fn leader(now: Instant) -> LeaderState {
+        let settings = BrokerSettings {
+            check_in_interval: Duration::from_millis(1_200),
+            lost_after: Duration::from_secs(3),
+            remove_after: MINUTE,
+            requester_lost_after: MINUTE,
+            tolerance: RateTolerance {
+                requests: 1.0,
+                share: 1.0,
+                window: Duration::from_secs(1),
+            },
+            cold_tolerance: ColdTolerance::default(),
+            pressure: false,
+        };
+        let roster = RosterSettings {
+            detached_after: MINUTE,
+            remove_after: MINUTE,
+        };
+        LeaderState::new(settings, roster, now)
+    }
+
+    /// Guards against a withdrawal whose acknowledgement was lost and that gets 404 for ever
+    /// when it is repeated, although it is in force. A drain of the same zone is refused.
+    #[test]
+    fn a_withdrawal_is_repeated_for_a_zone_that_has_left_the_settings() {
+        let now = Instant::now();
+        let mut leader = leader(now);
+        let zone = |name: &str| ZoneName::try_from(name).expect("it is valid");
+        let area = AreaName::try_from("north").expect("it is valid");
+        let areas = BTreeMap::from([(zone("a"), area)]);
+        let gone = zone("gone");
+        let (begin, finish) = (ZoneDrainStep::Begin, ZoneDrainStep::Finish);
+        assert_eq!(leader.is_zone(&gone, finish, &areas, now), Some(false));
+        let mut drains = ZoneDrains::default();
+        for step in [begin, finish] {
+            drains.apply(ZoneDrainOrder {
+                zone: gone.clone(),
+                step,
+                asked_by: None,
+                at_ms: 0,
+            });
+            leader.apply_drains(&drains, now);
+            assert_eq!(leader.is_zone(&gone, finish, &areas, now), Some(true));
+        }
+        assert_eq!(leader.is_zone(&gone, begin, &areas, now), Some(false));
+    }
+}
--- a/crates/roles/src/control/zone_drains.rs
+++ b/crates/roles/src/control/zone_drains.rs
@@ -88,6 +88,11 @@
         record.is_some_and(|record| record.is_drained)
     }
 
+    /// Whether the zone was drained at any time.
+    pub(crate) fn was_ordered(&self, zone: &ZoneName) -> bool {
+        self.records.contains_key(zone)
+    }
+
     pub(crate) fn drained(&self) -> Vec<ZoneDrain> {
         let drained = self.records.iter().filter(|(_, record)| record.is_drained);
         let listed = drained.map(|(zone, record)| ZoneDrain {
