Confirm no drain that another leadership may not know

Cause: a leader acknowledged an order once it had read the state machine after the commit. If its leadership ended and another began at the same host in the meantime, the order went to the broker of the leadership before, or to none, while the next one may have read its copy of the state just before the commit. The order was then acknowledged but not in force until something else changed the replicated state. Found by review; the interleaving has no test.

Change: the order is acknowledged only if the leadership is the one that took it; otherwise the outcome is unknown, and the repeated order applies it.

--- a/crates/roles/src/control/host/zone_drains.rs
+++ b/crates/roles/src/control/host/zone_drains.rs
@@ -21,8 +21,11 @@
         asked_by: Option<SocketAddr>,
     ) -> GroupReply<ControlAnswer> {
         let now = self.now();
-        let areas = &self.base.settings.areas;
-        let is_zone = self.state().is_zone(&zone, step, areas, now);
+        let (term, is_zone) = {
+            let state = self.state();
+            let is_zone = state.is_zone(&zone, step, &self.base.settings.areas, now);
+            (state.term, is_zone)
+        };
         let mut fields = json!({ "zone": zone, "step": step.as_str(), "asked_by": asked_by });
         let refuse = |cause: &str| {
             let mut fields = fields.clone();
@@ -57,14 +60,17 @@
                 return GroupReply::OutcomeUnknown;
             }
         }
-        if !self.refresh().await {
-            // The order is in the log, but this leader has not applied it. A repeated order
-            // will, or the next leader.
+        let is_read = self.refresh().await;
+        let mut state = self.state();
+        if !is_read || term.is_none() || state.term != term {
+            drop(state);
+            // The order is in the log, but this leader has not applied it, or a leadership
+            // that began meanwhile may rest on a copy of the state from before the order. A
+            // repeated order applies it, or the next leader.
             fields["cause"] = json!("the order could not be applied");
             self.log.note("zone_drain_undecided", &fields);
             return GroupReply::OutcomeUnknown;
         }
-        let mut state = self.state();
         self.process_broker_events(&mut state);
         fields["zones_drained"] = json!(state.broker.drained_zones());
         drop(state);
