Let hosts without the broker forget that an answer called a server cold

Cause: an answer with X-Cold-Ms is kept as a limit until an answer without it. A host that is cut off and has no share of the server gets no such answer, so it did not use the server again until it reached the broker. In a zone of 30 hosts that holds for 25 of them at each server, long after it was warm.

Change: a host that chooses by itself takes a limit as a sign of coldness for the duration in the terms (10 s at least). The share of the limit still holds.

Result: 5 of 30 hosts could send after the 30 s of the terms before, and all 30 can now; 5 as before within them.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -119,7 +119,10 @@
     }
 
     fn is_within_cold_rate(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
-        let limit = self.limits.limit(&server.name, server.incarnation);
+        let age_max = self.cold.answer_age_max();
+        let limit = self
+            .limits
+            .recent_limit(&server.name, server.incarnation, age_max, self.now);
         let in_zone = server.zone == request.zone;
         self.cold
             .admits(server, limit, self.roster, in_zone, self.now)
--- a/crates/broker/src/cold_servers.rs
+++ b/crates/broker/src/cold_servers.rs
@@ -61,6 +61,10 @@
 /// same end arrive with varying delays.
 const NEWS_MIN: Duration = Duration::from_millis(500);
 
+/// The least time for which a host without the broker believes an answer that says that its
+/// server is cold: plans may state no time after a start, and servers may still become cold.
+const ANSWER_AGE_MIN: Duration = Duration::from_secs(10);
+
 /// The excess over the rate of a cold server that may arrive within a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ColdTolerance {
@@ -372,6 +376,13 @@
 }
 
 impl ColdServerView<'_> {
+    /// The age up to which an answer says that a server is cold. A host without a share of the
+    /// server gets no answer that would tell otherwise.
+    pub(crate) fn answer_age_max(&self) -> Duration {
+        let duration = self.pace.map(ColdPace::duration).unwrap_or_default();
+        duration.max(ANSWER_AGE_MIN)
+    }
+
     /// Whether this host may send a request to a server, which is in the zone of the roster if
     /// `in_zone`. `limit` is the one that responses of the server name.
     pub(crate) fn admits(
--- a/crates/broker/src/server_limits.rs
+++ b/crates/broker/src/server_limits.rs
@@ -227,6 +227,19 @@
         known.limit.filter(|_| known.incarnation == incarnation)
     }
 
+    /// Like [`Self::limit`], if a response named it or the broker told it within `age_max`.
+    pub(crate) fn recent_limit(
+        &self,
+        server: &ServerName,
+        incarnation: u64,
+        age_max: Duration,
+        now: Instant,
+    ) -> Option<ServerLimit> {
+        let known = self.limits.get(server)?;
+        let age = now.saturating_duration_since(known.read_at);
+        self.limit(server, incarnation).filter(|_| age < age_max)
+    }
+
     /// Takes over what the broker believed when it granted a slot on a server. A response
     /// that was read about that time may be newer.
     pub fn adopt(
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -8,8 +8,8 @@
 };
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerlessView, ColdPace, ColdServerView, ColdSource, ColdTolerance,
-    LeavingServers, LimitReport, NamedLimits, ProvenWork, RunOutcome, SentTimes, ServerCheckIn,
-    ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
+    LeavingServers, LimitReport, LimitStatement, NamedLimits, ProvenWork, RunOutcome, SentTimes,
+    ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, ServicePlan};
 use chicoryladder_types::prelude::*;
@@ -510,6 +510,51 @@
     assert!((90..=186 + 30).contains(&sent), "the hosts sent {sent}");
 }
 
+/// Guards against a host that is cut off and never sends to a server again, since an answer said
+/// that it was cold and other hosts have the shares of it: only an answer would tell otherwise.
+#[test]
+fn a_host_without_a_share_does_not_hold_a_server_cold_for_ever() {
+    let mut fixture = warm_fixture(0);
+    let now = fixture.now;
+    let address = |number: usize| format!("10.0.0.{number}:1").parse().expect("it is valid");
+    let hosts: Vec<SocketAddr> = (0..30).map(address).collect();
+    let roster = ZoneRoster {
+        hosts: hosts.clone(),
+        fleet_hosts: 30,
+    };
+    let server = cold_check_in(0, 1, Duration::ZERO);
+    let mut limits = NamedLimits::default();
+    let limit = LimitStatement::Limited(pace().limit());
+    limits.record(&server.name, server.incarnation, limit, now);
+    let mut request = fixture.slot_request(WorkKind::Online);
+    request.zone = server.zone.clone();
+    let senders_after = |elapsed: Duration| {
+        let is_sender = |host: &&SocketAddr| {
+            let view = BrokerlessView {
+                servers: std::slice::from_ref(&server),
+                own_runs: &HashMap::new(),
+                unreachable: &HashSet::new(),
+                versions: None,
+                leaving: &LeavingServers::default(),
+                limits: &limits,
+                cold: ColdServerView {
+                    pace: Some(pace()),
+                    directory_at: Some(now),
+                    first_directory_at: Some(now),
+                    host: Some(**host),
+                    sent: None,
+                },
+                roster: &roster,
+                now: now + elapsed,
+            };
+            view.choose(&request).is_some()
+        };
+        hosts.iter().filter(is_sender).count()
+    };
+    assert_eq!(senders_after(TERMS.duration.saturating_sub(STEP)), 5);
+    assert_eq!(senders_after(TERMS.duration + STEP), 30);
+}
+
 /// Guards against requests that wait at cold servers beyond the time in which they are served,
 /// and against an order other than that of the queue.
 #[test]
