Test that a seat grants no pre-vote after its campaign began

The line could be lost unnoticed.

Change: a test of one seat, without a simulated network.

Result: it fails without the line and passes with it.

--- a/crates/consensus/tests/all/elections.rs
+++ b/crates/consensus/tests/all/elections.rs
@@ -3,9 +3,12 @@
 use crate::cluster::{ELECTION_TIMEOUT, STEP, TestCluster};
 use crate::kv::KvCommand;
 use crate::network::LinkFaults;
-use chicoryladder_consensus::SeatRole;
-use chicoryladder_types::SeatId;
-use std::time::Duration;
+use chicoryladder_consensus::{
+    BatchNumber, GroupMembership, RaftSeat, SeatAction, SeatEvent, SeatMessage, SeatRole,
+    SeatSettings, StoredState, VoteReply, VoteRequest,
+};
+use chicoryladder_types::{GroupId, LogIndex, SeatId, TermNumber};
+use std::time::{Duration, Instant};
 
 #[test]
 fn three_seats_elect_one_leader() {
@@ -83,6 +86,56 @@
     }
 }
 
+/// Pattern: two seats ask for pre-votes at the same time. Guards against a candidate that grants
+/// the other one a pre-vote right after its own campaign began and is deposed by it; in the
+/// simulation above, the other rules cover that.
+#[test]
+fn a_seat_grants_no_pre_vote_right_after_its_campaign_began() {
+    let (own, voter, rival) = (SeatId(1), SeatId(2), SeatId(3));
+    let address = |seat: SeatId| ([10, 0, 0, 1], u16::try_from(seat.0).expect("it fits")).into();
+    let voters = [own, voter, rival].map(|seat| (seat, address(seat)));
+    let settings = SeatSettings::new(GroupId(1), own);
+    let timeout = settings.election_timeout;
+    let start = Instant::now();
+    let membership = GroupMembership::of_voters(voters);
+    let mut seat = RaftSeat::new(settings, membership, StoredState::default(), 1, start);
+    let now = start + timeout * 2;
+    seat.step(SeatEvent::Tick, now);
+    let granted = VoteReply {
+        term: TermNumber(1),
+        granted: true,
+    };
+    let pre_vote_reply = SeatEvent::Receive {
+        from: voter,
+        message: SeatMessage::PreVoteReply(granted),
+    };
+    seat.step(pre_vote_reply, now);
+    let mut reply_at = |now: Instant| {
+        let request = VoteRequest {
+            term: TermNumber(2),
+            last_index: LogIndex::default(),
+            last_term: TermNumber::default(),
+            transfer: false,
+        };
+        let pre_vote = SeatEvent::Receive {
+            from: rival,
+            message: SeatMessage::PreVote(request),
+        };
+        let mut actions = seat.step(pre_vote, now);
+        actions.extend(seat.step(SeatEvent::Persisted(BatchNumber(u64::MAX)), now));
+        let replies = actions.into_iter().filter_map(|action| match action {
+            SeatAction::Send(envelope) => match envelope.message {
+                SeatMessage::PreVoteReply(reply) => Some(reply.granted),
+                _ => None,
+            },
+            _ => None,
+        });
+        replies.collect::<Vec<bool>>()
+    };
+    assert_eq!(reply_at(now), [false]);
+    assert_eq!(reply_at(now + timeout / 2), [true]);
+}
+
 fn is_first_leader_deposed(seed: u64, faults: LinkFaults) -> bool {
     let mut cluster = TestCluster::new(seed, 5, faults);
     let ahead = cluster.wait_for_leader();
