--- a/crates/broker/src/cold_servers.rs
+++ b/crates/broker/src/cold_servers.rs
@@ -61,6 +61,10 @@
 /// same end arrive with varying delays.
 const NEWS_MIN: Duration = Duration::from_millis(500);
 
+/// The least time for which a host without the broker believes an answer that says that its
+/// server is cold: plans may state no time after a start, and servers may still become cold.
+const ANSWER_AGE_MIN: Duration = Duration::from_secs(10);
+
 /// The excess over the rate of a cold server that may arrive within a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ColdTolerance {
@@ -363,6 +367,8 @@
     pub pace: Option<ColdPace>,
     /// When this host got the directory of servers.
     pub directory_at: Option<Instant>,
+    /// When this host got its first directory since its process started.
+    pub first_directory_at: Option<Instant>,
     /// The peer address of this host.
     pub host: Option<SocketAddr>,
     /// When this host last sent to each server; `None` if it never did.
@@ -370,6 +376,13 @@
 }
 
 impl ColdServerView<'_> {
+    /// The age up to which an answer says that a server is cold. A host without a share of the
+    /// server gets no answer that would tell otherwise.
+    pub(crate) fn answer_age_max(&self) -> Duration {
+        let duration = self.pace.map(ColdPace::duration).unwrap_or_default();
+        duration.max(ANSWER_AGE_MIN)
+    }
+
     /// Whether this host may send a request to a server, which is in the zone of the roster if
     /// `in_zone`. `limit` is the one that responses of the server name.
     pub(crate) fn admits(
@@ -391,10 +404,10 @@
             return true;
         }
         let interval = self.interval(pace, server, roster, in_zone);
-        // A process that has just started does not know what it sent before. It cannot have
-        // chosen servers since it got the directory.
+        // A process that has just started does not know what the one before it sent. Later
+        // directories may come more often than the interval, so only the first one counts.
         let sent_at = self.sent.and_then(|sent| sent.get(&server.name));
-        let since = sent_at.max(self.directory_at);
+        let since = sent_at.max(self.first_directory_at);
         interval
             .zip(since)
             .is_some_and(|(interval, since)| now.saturating_duration_since(since) >= interval)
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -8,8 +8,8 @@
 };
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerlessView, ColdPace, ColdServerView, ColdSource, ColdTolerance,
-    LeavingServers, LimitReport, NamedLimits, ProvenWork, RunOutcome, SentTimes, ServerCheckIn,
-    ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
+    LeavingServers, LimitReport, LimitStatement, NamedLimits, ProvenWork, RunOutcome, SentTimes,
+    ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, ServicePlan};
 use chicoryladder_types::prelude::*;
@@ -96,6 +96,7 @@
     directory: Vec<ServerCheckIn>,
     directory_version: u64,
     directory_at: Option<Instant>,
+    first_directory_at: Option<Instant>,
     roster: ZoneRoster,
     is_cut_off: bool,
     next_sync: Instant,
@@ -168,6 +169,7 @@
             directory: Vec::new(),
             directory_version: 0,
             directory_at: None,
+            first_directory_at: None,
             roster: ZoneRoster::default(),
             is_cut_off: false,
             next_sync: self.fixture.now,
@@ -243,6 +245,7 @@
                 host.directory_version = broker.directory_version();
                 host.directory = broker.servers_at(now);
                 host.directory_at = Some(now);
+                host.first_directory_at.get_or_insert(now);
             }
         }
         self.process();
@@ -278,6 +281,7 @@
             cold: ColdServerView {
                 pace: Some(pace()),
                 directory_at: known.directory_at,
+                first_directory_at: known.first_directory_at,
                 host: Some(known.address),
                 sent: Some(&known.sent),
             },
@@ -486,6 +490,71 @@
     }
 }
 
+/// Guards against hosts that never send to cold servers while the broker is too slow for slot
+/// requests but goes on sending them directories, as when many servers start after a power loss.
+#[test]
+fn hosts_that_get_new_directories_use_their_part_of_the_bound() {
+    let mut simulation = Simulation::new(4, 30, 6);
+    simulation.advance(Duration::from_secs(2), 0.0);
+    simulation.stop_broker();
+    simulation.sent = [0; 2];
+    for _ in 0..10 {
+        let now = simulation.fixture.now;
+        for host in &mut simulation.hosts {
+            host.directory_at = Some(now);
+        }
+        simulation.advance(Duration::from_secs(1), 40.0);
+    }
+    simulation.assert_bound("with new directories");
+    let sent = simulation.sent[0];
+    assert!((90..=186 + 30).contains(&sent), "the hosts sent {sent}");
+}
+
+/// Guards against a host that is cut off and never sends to a server again, since an answer said
+/// that it was cold and other hosts have the shares of it: only an answer would tell otherwise.
+#[test]
+fn a_host_without_a_share_does_not_hold_a_server_cold_for_ever() {
+    let mut fixture = warm_fixture(0);
+    let now = fixture.now;
+    let address = |number: usize| format!("10.0.0.{number}:1").parse().expect("it is valid");
+    let hosts: Vec<SocketAddr> = (0..30).map(address).collect();
+    let roster = ZoneRoster {
+        hosts: hosts.clone(),
+        fleet_hosts: 30,
+    };
+    let server = cold_check_in(0, 1, Duration::ZERO);
+    let mut limits = NamedLimits::default();
+    let limit = LimitStatement::Limited(pace().limit());
+    limits.record(&server.name, server.incarnation, limit, now);
+    let mut request = fixture.slot_request(WorkKind::Online);
+    request.zone = server.zone.clone();
+    let senders_after = |elapsed: Duration| {
+        let is_sender = |host: &&SocketAddr| {
+            let view = BrokerlessView {
+                servers: std::slice::from_ref(&server),
+                own_runs: &HashMap::new(),
+                unreachable: &HashSet::new(),
+                versions: None,
+                leaving: &LeavingServers::default(),
+                limits: &limits,
+                cold: ColdServerView {
+                    pace: Some(pace()),
+                    directory_at: Some(now),
+                    first_directory_at: Some(now),
+                    host: Some(**host),
+                    sent: None,
+                },
+                roster: &roster,
+                now: now + elapsed,
+            };
+            view.choose(&request).is_some()
+        };
+        hosts.iter().filter(is_sender).count()
+    };
+    assert_eq!(senders_after(TERMS.duration.saturating_sub(STEP)), 5);
+    assert_eq!(senders_after(TERMS.duration + STEP), 30);
+}
+
 /// Guards against requests that wait at cold servers beyond the time in which they are served,
 /// and against an order other than that of the queue.
 #[test]
@@ -602,6 +671,23 @@
     assert!(grants_at_once(&mut fixture) >= 1);
 }
 
+/// Guards against the same when a server starts again under its name and address: requests
+/// that are on their way to the incarnation before may reach the new one.
+#[test]
+fn grants_of_the_second_before_count_against_a_server_that_starts_again() {
+    let mut fixture = warm_fixture(1);
+    assert_eq!(grants_at_once(&mut fixture), 8);
+    let restarted = ServerCheckIn {
+        incarnation: 2,
+        ..cold_check_in(0, 1, TERMS.duration)
+    };
+    fixture.broker.check_in(restarted, fixture.now);
+    fixture.tick(Duration::from_millis(950));
+    assert_eq!(grants_at_once(&mut fixture), 0);
+    fixture.tick(Duration::from_millis(500));
+    assert!(grants_at_once(&mut fixture) >= 1);
+}
+
 /// Guards against a response that tells of coldness and is ignored until the next check-in,
 /// and against a check-in from before that ends it.
 #[test]
