Reclaim what is granted to lost hosts, and refuse what they queued

Cause: only the slots of known requesters are reclaimed. A silent host is forgotten after 2.5 s, but under pressure its requests stay queued until their time limits. A slot that such a request then got was occupied until its server started again.

Change: a grant makes its requester known again, so that the slot is reclaimed after the usual silence. Under pressure, the queued online requests of a host are refused when it counts as lost. Without the feature, the decisions are as before.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -653,6 +653,10 @@
         let server = grant.server;
         let kind = grant.kind;
         let tokens = grant.tokens;
+        // A request may be queued for longer than its silent requester is known, and only the
+        // slots of known requesters are reclaimed.
+        let requester = grant.requester.clone();
+        self.requesters.entry(requester).or_insert(grant.granted_at);
         self.grants.insert(grant);
         if let Some(entry) = self.servers.get_mut(server) {
             entry.tokens = entry.tokens.saturating_add(tokens);
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -69,6 +69,26 @@
             for (ticket, _) in self.grants.tickets_of(&requester) {
                 self.remove_grant(&requester, ticket);
             }
+            if self.settings.pressure {
+                self.refuse_waiting_of(&requester, now);
+            }
+        }
+    }
+
+    /// Refuses the queued online requests of a lost requester. Under pressure they may be queued
+    /// for longer than a requester is known, and would take slots that nobody uses.
+    fn refuse_waiting_of(&mut self, requester: &RequesterId, now: Instant) {
+        let mut refused = Vec::new();
+        for pool in self.services.values_mut() {
+            let of_requester = pool
+                .online
+                .iter()
+                .filter(|(_, w)| w.requester == *requester);
+            let positions: Vec<_> = of_requester.map(|(position, _)| *position).collect();
+            refused.extend(positions.iter().filter_map(|at| pool.online.remove(at)));
+        }
+        for waiting in refused {
+            self.refuse_expired(&waiting, now);
         }
     }
 
--- a/crates/broker/tests/all/overload.rs
+++ b/crates/broker/tests/all/overload.rs
@@ -652,3 +652,116 @@
         );
     }
 }
+
+/// The requests of two hosts for the slots of one server: the first host takes all of them, the
+/// second one is silent from then on while its request is queued.
+struct SilentHost {
+    simulation: OverloadSimulation,
+    occupied: Vec<ActiveRun>,
+    queued: u64,
+}
+
+impl SilentHost {
+    fn new(pressure: bool) -> Self {
+        let mut simulation = OverloadSimulation::new(pressure);
+        for number in 1..SERVERS {
+            let name = ServerName::try_from(format!("s{number}").as_str()).expect("it is valid");
+            simulation.broker.mark_leaving(&name, None);
+        }
+        let terms = CallerTerms {
+            team: None,
+            returned: true,
+            target_left: TIME_LIMIT,
+            time_left: TIME_LIMIT,
+        };
+        let mut occupied = Vec::new();
+        let mut ticket = 0;
+        for number in 0..=SLOTS {
+            let mut request = simulation.request(WorkKind::Online);
+            request.first_answer_within = TIME_LIMIT;
+            request.wait_max = TIME_LIMIT;
+            ticket = request.ticket;
+            let mut host = "entry-2";
+            if number < SLOTS {
+                host = "entry-1";
+                occupied.push(ActiveRun {
+                    ticket,
+                    server: ServerName::try_from("s0").expect("it is valid"),
+                    kind: WorkKind::Online,
+                    tokens: 100,
+                    brokerless: false,
+                    proven: ProvenWork::None,
+                });
+            }
+            simulation.broker.request_slot_for(
+                &requester(host),
+                request,
+                Some(terms.clone()),
+                simulation.now,
+            );
+        }
+        simulation.broker.take_events();
+        Self {
+            simulation,
+            occupied,
+            queued: ticket,
+        }
+    }
+
+    /// Lets 2.8 s pass, in which only the first host and the server are heard of.
+    fn pass(&mut self) {
+        let simulation = &mut self.simulation;
+        for _ in 0..4 {
+            simulation.now += Duration::from_millis(700);
+            simulation.sequence += 1;
+            let check_in = check_in("s0", "a", simulation.sequence);
+            simulation.broker.check_in(check_in, simulation.now);
+            let entry = requester("entry-1");
+            simulation
+                .broker
+                .reconcile(&entry, &self.occupied, simulation.now);
+            simulation.broker.tick(simulation.now);
+        }
+    }
+
+    /// Ends a run of the first host. Returns the decisions on the request of the second one so
+    /// far: whether a slot was granted.
+    fn free_slot(&mut self) -> Vec<bool> {
+        let ended = self.occupied.remove(0);
+        self.simulation
+            .release("entry-1", ended.ticket, RunOutcome::Served, None);
+        let events = self.simulation.broker.take_events();
+        let decisions = events.iter().filter_map(|event| match event {
+            BrokerEvent::Decided {
+                ticket, decision, ..
+            } if *ticket == self.queued => Some(matches!(decision, SlotDecision::Granted { .. })),
+            _ => None,
+        });
+        decisions.collect()
+    }
+}
+
+/// Under pressure, requests may be queued for longer than a silent host is known. They must not
+/// take slots that nobody uses.
+#[test]
+fn queued_requests_of_a_lost_host_get_no_slot() {
+    let mut host = SilentHost::new(true);
+    host.pass();
+    assert_eq!(host.free_slot(), [false]);
+}
+
+/// A slot that a lost host gets nevertheless must not stay occupied for good: only the slots of
+/// known hosts are reclaimed.
+#[test]
+fn a_slot_that_is_granted_to_a_lost_host_is_reclaimed() {
+    let mut host = SilentHost::new(false);
+    host.pass();
+    assert_eq!(host.free_slot(), [true]);
+    host.pass();
+    let service = ServiceName::try_from(ENGINE).expect("it is valid");
+    let (running, ..) = host
+        .simulation
+        .broker
+        .load_of(&service, host.simulation.now);
+    assert_eq!(running, SLOTS - 1);
+}
