Do not charge teams for requests that leave the queue unserved

Cause: a queued request advanced the finish tag of its team for good, also if it was withdrawn, refused, expired or moved to the late class. While the class was never empty, the next requests of the team waited behind those of all others, although the team had got nothing, and missed their targets in turn.

Change: a request that leaves the queue without a slot takes its charge back.

Result: the new tests failed before the change (a request of a team with 10 withdrawn ones got its slot after all 5 of another team; now second).

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Records that a queued request of a team left the queue without a slot.
+    pub(crate) fn record_unserved(&mut self, position: QueuePosition, team: Option<&TeamName>) {
+        let key = (position.rank, position.is_late);
+        if let Some(clock) = self.clocks.get_mut(&key) {
+            clock.record_unserved(team);
+        }
+    }
+
     /// Forgets the shares of a class in which nothing is queued. Teams that took more than
     /// their share while nobody competed owe nothing for it.
     pub(crate) fn reset_shares(&mut self, rank: u32, is_late: bool) {
--- a/crates/broker/src/admission/fair_clock.rs
+++ b/crates/broker/src/admission/fair_clock.rs
@@ -32,7 +32,42 @@
         }
     }
 
+    /// Takes back the charge of a request that left the queue unserved. Those of its team that
+    /// stay queued keep their tags; the next one gets an earlier tag.
+    pub(super) fn record_unserved(&mut self, team: Option<&TeamName>) {
+        if let Some(tag) = self.finish_tags.get_mut(&team.cloned()) {
+            *tag = tag.saturating_sub(1);
+        }
+    }
+
     pub(super) fn record_granted(&mut self, start_tag: u64) {
         self.virtual_time = self.virtual_time.max(start_tag);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A team whose callers give up, or whose requests miss their targets in the queue, would
+    /// otherwise wait behind all others for work that it never got.
+    #[test]
+    fn requests_that_leave_the_queue_unserved_are_not_charged() {
+        let [left, served] = ["left", "served"].map(|name| TeamName::try_from(name).ok());
+        let mut clock = FairClock::default();
+        for _ in 0..100 {
+            let tag = clock.start_tag(left.as_ref());
+            clock.record_queued(left.as_ref(), tag);
+        }
+        for _ in 0..10 {
+            let tag = clock.start_tag(served.as_ref());
+            clock.record_queued(served.as_ref(), tag);
+            clock.record_granted(tag);
+        }
+        for _ in 0..100 {
+            clock.record_unserved(left.as_ref());
+        }
+        assert_eq!(clock.start_tag(left.as_ref()), 9);
+        assert_eq!(clock.start_tag(served.as_ref()), 10);
+    }
+}
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -6,6 +6,7 @@
 use crate::grants::ServerKey;
 use crate::request::{RequesterId, SlotRequest, WorkKind};
 use crate::versions::SeenVersions;
+use chicoryladder_types::prelude::*;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -34,6 +35,16 @@
     pub(crate) was_undecided: bool,
 }
 
+impl WaitingRequest {
+    /// The team with which the request shares the servers.
+    pub(crate) fn team(&self) -> Option<&TeamName> {
+        match &self.terms {
+            Some(terms) => terms.team.as_ref(),
+            None => self.request.charged_team.as_ref(),
+        }
+    }
+}
+
 /// Moving averages over the runs of a service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RunAverages {
@@ -100,6 +111,31 @@
         }
     }
 
+    /// Removes a queued request that gets no slot.
+    pub(crate) fn remove_unserved(
+        &mut self,
+        kind: WorkKind,
+        position: QueuePosition,
+    ) -> Option<WaitingRequest> {
+        let waiting = self.queue(kind).remove(&position)?;
+        if kind == WorkKind::Online {
+            self.admission.record_unserved(position, waiting.team());
+        }
+        Some(waiting)
+    }
+
+    /// Removes queued requests that get no slot.
+    pub(crate) fn remove_all_unserved(
+        &mut self,
+        kind: WorkKind,
+        positions: &[QueuePosition],
+    ) -> Vec<WaitingRequest> {
+        let removed = positions.iter();
+        removed
+            .filter_map(|position| self.remove_unserved(kind, *position))
+            .collect()
+    }
+
     /// The number of queued online requests ahead of a new one of the given rank.
     pub(crate) fn queued_ahead(&self, rank: u32) -> usize {
         let last = QueuePosition::behind_rank(rank);
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -439,13 +439,14 @@
         };
         let mut withdrawn = None;
         for pool in self.services.values_mut() {
-            for queue in [&mut pool.online, &mut pool.batch] {
+            for kind in [WorkKind::Online, WorkKind::Batch] {
+                let queue = pool.queue(kind);
                 let position = queue
                     .iter()
                     .find(|(_, w)| is_match(w))
                     .map(|(position, _)| *position);
                 if let Some(position) = position {
-                    withdrawn = queue.remove(&position);
+                    withdrawn = pool.remove_unserved(kind, position);
                 }
             }
         }
--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -115,7 +115,7 @@
         };
         let crashes = &self.crashes;
         let mut refused = Vec::new();
-        for queue in [&mut pool.online, &mut pool.batch] {
+        for kind in [WorkKind::Online, WorkKind::Batch] {
             let quarantine = |(position, waiting): (&QueuePosition, &WaitingRequest)| {
                 let request = &waiting.request;
                 let own = crashes
@@ -128,9 +128,10 @@
                 })?;
                 Some((*position, quarantine))
             };
-            let quarantined: Vec<_> = queue.iter().filter_map(quarantine).collect();
+            let quarantined: Vec<_> = pool.queue(kind).iter().filter_map(quarantine).collect();
             for (position, quarantine) in quarantined {
-                refused.extend(queue.remove(&position).map(|waiting| (waiting, quarantine)));
+                let waiting = pool.remove_unserved(kind, position);
+                refused.extend(waiting.map(|waiting| (waiting, quarantine)));
             }
         }
         for (waiting, (cause, retry_after)) in refused {
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -85,7 +85,7 @@
                 .iter()
                 .filter(|(_, w)| w.requester == *requester);
             let positions: Vec<_> = of_requester.map(|(position, _)| *position).collect();
-            refused.extend(positions.iter().filter_map(|at| pool.online.remove(at)));
+            refused.extend(pool.remove_all_unserved(WorkKind::Online, &positions));
         }
         for waiting in refused {
             self.refuse_expired(&waiting, now);
@@ -141,7 +141,8 @@
             }));
         }
         for (service, position, reason, retry_after) in unservable {
-            if let Some(waiting) = self.pool(&service).online.remove(&position) {
+            let pool = self.pool(&service);
+            if let Some(waiting) = pool.remove_unserved(WorkKind::Online, position) {
                 self.refuse_waiting(&waiting, reason, retry_after);
             }
         }
@@ -150,13 +151,14 @@
     pub(super) fn expire_waiting(&mut self, now: Instant) {
         let mut expired = Vec::new();
         for pool in self.services.values_mut() {
-            for queue in [&mut pool.online, &mut pool.batch] {
-                let due: Vec<_> = queue
+            for kind in [WorkKind::Online, WorkKind::Batch] {
+                let due: Vec<_> = pool
+                    .queue(kind)
                     .iter()
                     .filter(|(_, waiting)| waiting.until <= now)
                     .map(|(position, _)| *position)
                     .collect();
-                expired.extend(due.iter().filter_map(|position| queue.remove(position)));
+                expired.extend(pool.remove_all_unserved(kind, &due));
             }
         }
         for waiting in expired {
--- a/crates/broker/src/slots/pressure.rs
+++ b/crates/broker/src/slots/pressure.rs
@@ -84,11 +84,17 @@
         if !self.settings.pressure || waiting.request.kind != WorkKind::Online {
             return Some(waiting);
         }
-        if waiting.until <= now {
+        let is_expired = waiting.until <= now;
+        let is_missed = !position.is_late && waiting.in_time_until <= now;
+        if is_expired || is_missed {
+            let admission = &mut self.pool(&waiting.request.service).admission;
+            admission.record_unserved(position, waiting.team());
+        }
+        if is_expired {
             self.refuse_expired(&waiting, now);
             return None;
         }
-        if !position.is_late && waiting.in_time_until <= now {
+        if is_missed {
             self.enqueue_late(waiting, now);
             return None;
         }
@@ -108,7 +114,7 @@
                 .filter(|(position, waiting)| !position.is_late && waiting.in_time_until <= now)
                 .map(|(position, _)| *position)
                 .collect();
-            demoted.extend(missed.iter().filter_map(|at| pool.online.remove(at)));
+            demoted.extend(pool.remove_all_unserved(WorkKind::Online, &missed));
         }
         for waiting in demoted {
             self.enqueue_late(waiting, now);
@@ -167,7 +173,7 @@
             in_time: Duration::ZERO,
             late: left,
         };
-        let team = team_of(&waiting).cloned();
+        let team = waiting.team().cloned();
         let ahead = self.queued_ahead_of(&request.service, request.rank, true, team.as_ref());
         let admission = &mut self.pool(&request.service).admission;
         if admission.admits_late(ahead.all, limits, rates, now) {
@@ -184,7 +190,7 @@
             ..QueuePosition::by_arrival(waiting.request.rank, self.arrivals)
         };
         let service = waiting.request.service.clone();
-        let position = self.take_share(&service, position, team_of(&waiting));
+        let position = self.take_share(&service, position, waiting.team());
         self.pool(&service).online.insert(position, waiting);
     }
 
@@ -248,16 +254,8 @@
         for (other, waiting) in pool.online.range(..position) {
             ahead.all += 1;
             let is_same_class = other.rank == rank && other.is_late == is_late;
-            ahead.of_team += usize::from(is_same_class && team_of(waiting) == team);
+            ahead.of_team += usize::from(is_same_class && waiting.team() == team);
         }
         ahead
     }
 }
-
-/// The team with which a queued request shares the servers.
-fn team_of(waiting: &WaitingRequest) -> Option<&TeamName> {
-    match &waiting.terms {
-        Some(terms) => terms.team.as_ref(),
-        None => waiting.request.charged_team.as_ref(),
-    }
-}
--- a/crates/broker/tests/all/overload.rs
+++ b/crates/broker/tests/all/overload.rs
@@ -765,3 +765,59 @@
         .load_of(&service, host.simulation.now);
     assert_eq!(running, SLOTS - 1);
 }
+
+/// A team whose callers gave up while they were queued must not wait behind the others for what
+/// it never got.
+#[test]
+fn withdrawn_requests_do_not_count_as_a_share() {
+    let mut simulation = OverloadSimulation::new(true);
+    for number in 1..SERVERS {
+        let name = ServerName::try_from(format!("s{number}").as_str()).expect("it is valid");
+        simulation.broker.mark_leaving(&name, None);
+    }
+    let entry = requester("entry-1");
+    let request_of = |simulation: &mut OverloadSimulation, team: &str| {
+        let request = simulation.request(WorkKind::Online);
+        let ticket = request.ticket;
+        let terms = CallerTerms {
+            team: Some(team_name(team)),
+            returned: true,
+            target_left: TIME_LIMIT,
+            time_left: TIME_LIMIT,
+        };
+        simulation
+            .broker
+            .request_slot_for(&entry, request, Some(terms), simulation.now);
+        ticket
+    };
+    for _ in 0..SLOTS {
+        request_of(&mut simulation, "others");
+    }
+    // The class of the queue is never empty, so its shares are not reset.
+    let first = request_of(&mut simulation, "others");
+    let withdrawn: Vec<u64> = (0..10)
+        .map(|_| request_of(&mut simulation, "left"))
+        .collect();
+    for ticket in withdrawn {
+        simulation.broker.withdraw(&entry, ticket);
+    }
+    let others: Vec<u64> = (0..5)
+        .map(|_| request_of(&mut simulation, "others"))
+        .collect();
+    let last = request_of(&mut simulation, "left");
+    simulation.broker.take_events();
+    for ticket in 1..=u64::from(SLOTS) {
+        simulation.release("entry-1", ticket, RunOutcome::Served, None);
+    }
+    let events = simulation.broker.take_events();
+    let granted = events.iter().filter_map(|event| match event {
+        BrokerEvent::Decided {
+            ticket,
+            decision: SlotDecision::Granted { .. },
+            ..
+        } => Some(*ticket),
+        _ => None,
+    });
+    let granted: Vec<u64> = granted.collect();
+    assert_eq!(granted[..3], [first, last, others[0]], "{granted:?}");
+}
