Leave a margin in the predicted wait of returned requests

Cause: a returned request was queued if its predicted wait ended at its time limit at the latest. Requests were therefore queued up to the point where any error of the prediction made them miss their limits, and refused only then. The estimate of the service rate does not lag while servers turn slow (mean as measured), but it varies: from 372 to 590 requests a second where 445 were taken up, and a request is queued whenever it is high.

Change: returned requests are queued if their predicted wait is within 0.8 of their time, as fresh ones are.

The new assertion fails without the change.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -20,7 +20,8 @@
 use team_demand::TeamDemand;
 
 /// The part of its time in which a request must be predicted to be served. With all of it, one
-/// in nine refusals of fresh requests under steady overload came after a missed target.
+/// in nine refusals of fresh requests under steady overload came after a missed target, and one
+/// in three refusals of returned ones in a burst at their time limits.
 const PREDICTED_WAIT_SHARE: f64 = 0.8;
 
 /// What the host of an online request knows of its caller. Hosts of earlier builds and those
@@ -200,7 +201,7 @@
         let forecast = self.history.forecast(now);
         let work = count(ahead) + rates.all / rates.own;
         let wait = self.calendar.spare_wait(forecast, work, rates.all);
-        wait.is_some_and(|wait| wait <= limits.late)
+        wait.is_some_and(|wait| wait <= limits.late.mul_f64(PREDICTED_WAIT_SHARE))
     }
 
     /// The time after which a refused caller should return, at most a third of the time that it
--- a/crates/broker/tests/all/overload.rs
+++ b/crates/broker/tests/all/overload.rs
@@ -475,6 +475,9 @@
     assert_eq!(on.refused_while_idle, 0);
     println!("slow refusals {:?} of {:?}", on.slow_refusals, on.refusals);
     assert!(on.slow_refusals[0] * 10 <= on.refusals[0]);
+    // Returned callers whose wait is predicted to end at their time limits wait for nothing if
+    // the prediction errs at all.
+    assert!(on.slow_refusals[1] * 5 <= on.refusals[1]);
     assert!(on.batch_completed * 10 >= off.batch_completed * 9);
     assert!(burst.late > 0, "{burst:?}");
 }
