Release the slot once the server's answer is read ahead

Cause: the slot of a run was released when its caller had read the answer, although the server had written all of it: slow callers occupied slots that were free, and the broker took their reading time for that of the run. Besides, the end of the buffer's channel counted as the end of the answer, so an answer whose reading task was gone (panic, runtime that shuts down) would have looked complete. And a chunk in the buffer that the server had sent before it started again bound the stream to the version of its next incarnation.

Change: the reading task releases the slot when it has read an answer to its end, if that is marked and the events are whole; any other answer is judged by the relay as before. The end of an answer is an entry of the buffer, and a buffer without it is an answer that broke off. Each frame carries whether a restart of its server was known when it was read.

Not covered: whether a sequence fault in the events is blamed on the server if its slot was released before.

--- a/crates/roles/src/entry/relay.rs
+++ b/crates/roles/src/entry/relay.rs
@@ -9,11 +9,11 @@
 use super::forward::{
     AnswerEnd, RequestForwarder, RequestState, SEARCH_INTERVAL_MIN, StreamSuccessor,
 };
-use super::read_ahead::AnswerReader;
+use super::read_ahead::{AnswerReader, FrameResult, ReadError, ReadObserver};
 use crate::connection_pool::ConnectionEnd;
 use crate::event_stream::{EventSequencer, SequenceFault};
 use crate::server_run::{PooledConnection, ServerAnswer};
-use crate::slot_client::SlotLease;
+use crate::slot_client::{EarlyRelease, SlotLease};
 use bytes::Bytes;
 use chicoryladder_broker::RunOutcome;
 use chicoryladder_gateway::{
@@ -21,6 +21,7 @@
     may_end_by_time_limit,
 };
 use chicoryladder_plan::RouteKind;
+use chicoryladder_types::prelude::*;
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::StatusCode;
@@ -52,6 +53,7 @@
     EventTooLong,
     AnswerTooLong,
     Malformed,
+    ReaderLost,
 }
 
 impl BreakCause {
@@ -67,6 +69,7 @@
             Self::EventTooLong => "an event is too long",
             Self::AnswerTooLong => "the answer is too long",
             Self::Malformed => "the server sent bytes that are no answer",
+            Self::ReaderLost => "this host stopped reading the answer",
         }
     }
 
@@ -90,7 +93,8 @@
             | Self::EventWithoutId
             | Self::EventTooLong
             | Self::AnswerTooLong
-            | Self::Malformed => false,
+            | Self::Malformed
+            | Self::ReaderLost => false,
         }
     }
 }
@@ -142,11 +146,42 @@
     searched_at: Option<Duration>,
 }
 
+/// Releases the slot of a run once its response is read ahead to its end, if the response is
+/// complete. All others are judged by the relay.
+struct SlotObserver {
+    release: EarlyRelease,
+    framing: BodyFraming,
+    boundary: Option<EventBoundary>,
+    answer_by: Instant,
+    clock: Arc<dyn ClockSource>,
+}
+
+impl ReadObserver for SlotObserver {
+    fn observe_chunk(&mut self, chunk: &Bytes) -> bool {
+        if let Some(boundary) = &mut self.boundary {
+            boundary.push(chunk);
+        }
+        self.release.knows_restart()
+    }
+
+    fn observe_end(self) {
+        let left = self.answer_by.saturating_duration_since(self.clock.now());
+        let has_whole_events = self.boundary.is_none_or(|boundary| {
+            boundary.events() > 0
+                && !boundary.is_within_event()
+                && !may_end_by_time_limit(self.framing, left)
+        });
+        if self.framing != BodyFraming::UntilClose && has_whole_events {
+            self.release.release();
+        }
+    }
+}
+
 impl RelayedRun {
     /// A response without a type has events if its route is for streams.
     fn new(
         answer: ServerAnswer,
-        lease: SlotLease,
+        mut lease: SlotLease,
         context: &RelayContext,
         last_event: Option<u64>,
         prefix: Bytes,
@@ -156,10 +191,24 @@
         let is_stream = is_event_stream(fields)
             || (kind == RouteKind::Stream && !fields.contains_key(CONTENT_TYPE));
         let has_events = is_stream && answer.parts.status != StatusCode::NO_CONTENT;
+        let boundary = has_events.then(EventBoundary::default);
+        let observer = context.forwarder.pressure.then(|| {
+            let mut boundary = boundary.clone();
+            if let Some(boundary) = &mut boundary {
+                boundary.push(&prefix);
+            }
+            SlotObserver {
+                release: lease.early_release(),
+                framing: answer.framing,
+                boundary,
+                answer_by: context.state.answer_by,
+                clock: context.forwarder.clock.clone(),
+            }
+        });
         Self {
-            body: AnswerReader::new(answer.body, context.forwarder.pressure),
+            body: AnswerReader::new(answer.body, observer),
             framing: answer.framing,
-            boundary: has_events.then(EventBoundary::default),
+            boundary,
             sequencer: context.sequencer(last_event),
             connection: answer.connection,
             lease,
@@ -174,27 +223,35 @@
     /// nothing to relay yet.
     fn take_frame(
         &mut self,
-        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        frame: FrameResult<hyper::Error>,
         since: Instant,
         now: Instant,
     ) -> Option<RelayStep> {
         match frame {
-            Some(Ok(frame)) => {
-                let chunk = frame.into_data().ok()?;
-                self.take_chunk(chunk, now.saturating_duration_since(since), now)
+            Some(Ok(read)) => {
+                let chunk = read.frame.into_data().ok()?;
+                let waited = now.saturating_duration_since(since);
+                self.take_chunk(chunk, waited, read.follows_restart, now)
             }
-            Some(Err(error)) if is_malformed(&error) => {
+            Some(Err(ReadError::Body(error))) if is_malformed(&error) => {
                 Some(RelayStep::Broken(BreakCause::Malformed))
             }
-            Some(Err(_)) => Some(RelayStep::Broken(BreakCause::ConnectionLost)),
+            Some(Err(ReadError::ReaderLost)) => Some(RelayStep::Broken(BreakCause::ReaderLost)),
+            Some(Err(ReadError::Body(_))) => Some(RelayStep::Broken(BreakCause::ConnectionLost)),
             None => Some(RelayStep::End),
         }
     }
 
     /// Takes a chunk: complete events in sequence may be relayed, or the chunk itself if the
     /// stream is not resumable.
-    fn take_chunk(&mut self, chunk: Bytes, waited: Duration, now: Instant) -> Option<RelayStep> {
-        self.lease.record_data(now);
+    fn take_chunk(
+        &mut self,
+        chunk: Bytes,
+        waited: Duration,
+        follows_restart: bool,
+        now: Instant,
+    ) -> Option<RelayStep> {
+        self.lease.record_data(follows_restart, now);
         if let Some(cause) = self.record_chunk(&chunk, waited) {
             return Some(RelayStep::Broken(cause));
         }
@@ -362,7 +419,7 @@
         let clock = &self.context.forwarder.clock;
         if !run.prefix.is_empty() {
             let prefix = std::mem::take(&mut run.prefix);
-            if let Some(step) = run.take_chunk(prefix, Duration::ZERO, clock.now()) {
+            if let Some(step) = run.take_chunk(prefix, Duration::ZERO, true, clock.now()) {
                 return step;
             }
         }
@@ -524,7 +581,8 @@
         let events = run.boundary.as_ref().map_or(0, EventBoundary::events);
         let gap_target = self.context.state.matched.route.gap_target;
         let is_in_progress = gap_target.is_some_and(|gap| run.waited < gap * GAP_MAX_TARGETS);
-        if cause == BreakCause::DeadlinePassed && events > 0 && is_in_progress {
+        let is_out_of_time = cause == BreakCause::DeadlinePassed && events > 0 && is_in_progress;
+        if is_out_of_time || cause == BreakCause::ReaderLost {
             RunOutcome::Stopped
         } else {
             RunOutcome::Failed
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -19,7 +19,7 @@
 use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName, SoftwareVersion, Tail};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
@@ -381,6 +381,7 @@
             report: None,
             work: None,
             crashed: None,
+            is_released: Arc::default(),
         }
     }
 
@@ -639,6 +640,33 @@
     /// How long work takes on the server, as its answer stated it.
     work: Option<WorkPercent>,
     crashed: Option<Box<CrashedRun>>,
+    /// Whether the slot has been released.
+    is_released: Arc<AtomicBool>,
+}
+
+/// Releases the slot of a run that its server has completed, while the caller still reads what
+/// is buffered of the response. The lease then ends without effect.
+pub(crate) struct EarlyRelease {
+    client: SlotClient,
+    report: RunReport,
+    work: Option<WorkPercent>,
+    successor: Arc<OnceLock<SoftwareVersion>>,
+    is_released: Arc<AtomicBool>,
+}
+
+impl EarlyRelease {
+    /// Whether the server is known to have started again since the slot was granted.
+    pub(crate) fn knows_restart(&self) -> bool {
+        self.successor.get().is_some()
+    }
+
+    /// Releases the slot, unless the lease has ended.
+    pub(crate) fn release(self) {
+        if !self.is_released.swap(true, Ordering::Relaxed) {
+            let leader = self.client.shared.client.leader();
+            self.client.release(leader, self.report, self.work, None);
+        }
+    }
 }
 
 impl SlotLease {
@@ -710,6 +738,23 @@
         self.report_mut().completed = self.work();
     }
 
+    /// The release of the slot once the response is read to its end.
+    pub(crate) fn early_release(&mut self) -> EarlyRelease {
+        let report = RunReport {
+            outcome: RunOutcome::Served,
+            refund: false,
+            completed: self.work(),
+            ..self.report_mut().clone()
+        };
+        EarlyRelease {
+            client: self.client.clone(),
+            report,
+            work: self.work,
+            successor: Arc::clone(&self.successor),
+            is_released: Arc::clone(&self.is_released),
+        }
+    }
+
     fn work(&self) -> ProvenWork {
         let other = self.other_work.as_ref();
         other.map_or(ProvenWork::Requested, |traits| {
@@ -717,9 +762,12 @@
         })
     }
 
-    /// Records that a part of the response has arrived.
-    pub(crate) fn record_data(&mut self, now: Instant) {
-        self.follow_restart(now);
+    /// Records that a part of the response has arrived. `follows_restart` tells whether it was
+    /// read once a restart of the server was known, if one is.
+    pub(crate) fn record_data(&mut self, follows_restart: bool, now: Instant) {
+        if follows_restart {
+            self.follow_restart(now);
+        }
         let first_data_at = *self.first_data_at.get_or_insert(now);
         let is_proven = now.saturating_duration_since(first_data_at) >= PROVEN_AFTER;
         if is_proven && !self.is_proven {
@@ -782,6 +830,8 @@
         self.client.record_outcome(&self.server, report.outcome);
         let leader = self.client.shared.client.leader();
         let crashed = self.crashed.take();
-        self.client.release(leader, report, self.work, crashed);
+        if !self.is_released.swap(true, Ordering::Relaxed) {
+            self.client.release(leader, report, self.work, crashed);
+        }
     }
 }
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -147,7 +147,7 @@
                 return run_broken("the server fell silent");
             }
         };
-        lease.record_data(clock.now());
+        lease.record_data(true, clock.now());
         if let Ok(chunk) = frame.into_data()
             && let Err(cause) = reader.read_chunk(&chunk)
         {
