Respect the memory of servers without the broker

Change: under the feature, such a host sends a request only to a server whose memory has room for it beside this host's own runs. It does not know of the runs of other hosts.

Result: the new test covers the bound on both sides.

--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -43,6 +43,23 @@
     servers.iter().filter(is_needed).cloned().collect()
 }
 
+/// What a host knows of the memory of a service's servers, which its own runs share.
+#[derive(Clone, Debug, Default)]
+pub struct EngineMemory {
+    /// The tokens that fit into the memory of a server; `None` if this does not count.
+    pub tokens_max: Option<u64>,
+    /// The tokens of this host's active runs on each server.
+    pub own_tokens: HashMap<ServerName, u64>,
+}
+
+impl EngineMemory {
+    fn fits(&self, server: &ServerName, tokens: u64) -> bool {
+        let used = self.own_tokens.get(server).copied().unwrap_or_default();
+        self.tokens_max
+            .is_none_or(|max| used.saturating_add(tokens) <= max)
+    }
+}
+
 /// The local state from which a host selects a server without the broker.
 #[derive(Clone, Copy, Debug)]
 pub struct BrokerlessView<'a> {
@@ -50,6 +67,8 @@
     pub servers: &'a [ServerCheckIn],
     /// The number of active runs of this host on each server.
     pub own_runs: &'a HashMap<ServerName, u32>,
+    /// The memory of the requested service's servers.
+    pub memory: &'a EngineMemory,
     /// The servers to which a connection recently failed.
     pub unreachable: &'a HashSet<ServerName>,
     /// The versions of the servers; `None` if the broker did not list them.
@@ -97,6 +116,7 @@
             && self.is_within_limit(server, request)
             && self.is_within_cold_rate(server, request)
             && self.runs_at(server) < server.slots
+            && self.memory.fits(&server.name, request.tokens)
     }
 
     /// Whether the request is not for the beginning of a stream, or it may begin at the version
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -37,7 +37,7 @@
 mod versions;
 
 pub use admission::CallerTerms;
-pub use brokerless::{BrokerlessView, servers_for_zone};
+pub use brokerless::{BrokerlessView, EngineMemory, servers_for_zone};
 pub use cold_servers::{
     ColdChange, ColdPace, ColdServerView, ColdSource, ColdTolerance, SentTimes,
 };
--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -2,8 +2,8 @@
 
 use crate::support::{BrokerFixture, check_in};
 use chicoryladder_broker::{
-    BrokerlessView, ColdServerView, LeavingServers, NamedLimits, ServerCheckIn, ServerPhase,
-    WorkKind, ZoneRoster,
+    BrokerlessView, ColdServerView, EngineMemory, LeavingServers, NamedLimits, ServerCheckIn,
+    ServerPhase, WorkKind, ZoneRoster,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -21,6 +21,7 @@
     for _ in 0..count {
         let request = fixture.slot_request(WorkKind::Online);
         let view = BrokerlessView {
+            memory: &EngineMemory::default(),
             versions: None,
             servers,
             own_runs: &own_runs,
@@ -79,6 +80,7 @@
     let mut first = HashSet::new();
     for _ in 0..40 {
         let view = BrokerlessView {
+            memory: &EngineMemory::default(),
             versions: None,
             servers: &servers,
             own_runs: &own_runs,
@@ -120,3 +122,36 @@
     // A zone without servers of a service needs those of the others.
     assert_eq!(servers_for_zone(&servers, &zone("f")).len(), servers.len());
 }
+
+/// An engine crashes if the requests that it holds exceed its memory, and without the broker
+/// nobody else counts them.
+#[test]
+fn servers_without_memory_for_a_request_are_not_selected() {
+    let servers = [check_in("a1", "a", 1), check_in("b1", "b", 1)];
+    let mut fixture = BrokerFixture::new(&[], Vec::new());
+    let mut request = fixture.slot_request(WorkKind::Online);
+    request.tokens = 300;
+    let choose = |own_tokens: u64| {
+        let a1 = servers[0].name.clone();
+        let memory = EngineMemory {
+            tokens_max: Some(1_000),
+            own_tokens: HashMap::from([(a1.clone(), own_tokens)]),
+        };
+        let view = BrokerlessView {
+            memory: &memory,
+            versions: None,
+            servers: &servers,
+            own_runs: &HashMap::from([(a1, 1)]),
+            unreachable: &HashSet::new(),
+            leaving: &LeavingServers::default(),
+            limits: &NamedLimits::default(),
+            cold: ColdServerView::default(),
+            roster: &ZoneRoster::default(),
+            now: fixture.now,
+        };
+        let chosen = view.choose(&request);
+        chosen.map(|server| server.name.to_string())
+    };
+    assert_eq!(choose(700).as_deref(), Some("a1"));
+    assert_eq!(choose(701).as_deref(), Some("b1"));
+}
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -8,8 +8,8 @@
 };
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerlessView, ColdPace, ColdServerView, ColdSource, ColdTolerance,
-    LeavingServers, LimitReport, NamedLimits, ProvenWork, RunOutcome, SentTimes, ServerCheckIn,
-    ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
+    EngineMemory, LeavingServers, LimitReport, NamedLimits, ProvenWork, RunOutcome, SentTimes,
+    ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, ServicePlan};
 use chicoryladder_types::prelude::*;
@@ -269,6 +269,7 @@
         }
         let known = &self.hosts[host];
         let view = BrokerlessView {
+            memory: &EngineMemory::default(),
             servers: &known.directory,
             own_runs: &own_runs,
             unreachable: &HashSet::new(),
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -4,8 +4,9 @@
 
 use crate::support::{BrokerFixture, check_in, granted, refused_after, run_report};
 use chicoryladder_broker::{
-    BrokerEvent, BrokerlessView, ColdServerView, LeavingServers, LimitReport, LimitStatement,
-    NamedLimits, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneRoster,
+    BrokerEvent, BrokerlessView, ColdServerView, EngineMemory, LeavingServers, LimitReport,
+    LimitStatement, NamedLimits, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind,
+    ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -286,6 +287,7 @@
             let mut request = fixture.slot_request(WorkKind::Online);
             request.zone = crate::support::zone(zone);
             let view = BrokerlessView {
+                memory: &EngineMemory::default(),
                 versions: None,
                 servers: std::slice::from_ref(&server),
                 own_runs: &HashMap::new(),
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -9,9 +9,9 @@
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
 use chicoryladder_broker::{
     ActiveRun, AnswerReport, BrokerlessView, CallerTerms, ColdPace, ColdServerView, ColdTolerance,
-    CrashedRun, ExpectedAnswer, PoolLoad, ProvenWork, RunOutcome, RunReport, ServerLimit,
-    SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind, WorkPercent,
-    shared_segments,
+    CrashedRun, EngineMemory, ExpectedAnswer, PoolLoad, ProvenWork, RunOutcome, RunReport,
+    ServerLimit, SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
+    WorkPercent, shared_segments,
 };
 use chicoryladder_plan::PlanVersion;
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
@@ -424,6 +424,7 @@
         let view = BrokerlessView {
             servers: &servers,
             own_runs: &self.count_own_runs(),
+            memory: &self.engine_memory(&slot_request.service),
             unreachable: &self.recently_unreachable(now),
             versions: versions.as_deref(),
             leaving: &leaving,
@@ -542,6 +543,27 @@
         loads
     }
 
+    /// The memory of the servers of a service, which counts under the feature `pressure`.
+    fn engine_memory(&self, service: &ServiceName) -> EngineMemory {
+        if !self.shared.base.settings.features.pressure() {
+            return EngineMemory::default();
+        }
+        let plan = self.shared.view.plan();
+        let mut services = plan.raw().services.iter();
+        let terms = services.find(|terms| terms.name == *service);
+        let engine = terms.and_then(|terms| terms.engine.as_ref());
+        let mut memory = EngineMemory {
+            tokens_max: engine.map(|engine| engine.memory_tokens),
+            own_tokens: HashMap::new(),
+        };
+        for handle in self.runs().values() {
+            let tokens = memory.own_tokens.entry(handle.run.server.clone());
+            let tokens = tokens.or_default();
+            *tokens = tokens.saturating_add(handle.run.tokens);
+        }
+        memory
+    }
+
     fn release(
         &self,
         leader: Option<SocketAddr>,
