--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -444,13 +444,14 @@
         };
         let mut withdrawn = None;
         for pool in self.services.values_mut() {
-            for queue in [&mut pool.online, &mut pool.batch] {
+            for kind in [WorkKind::Online, WorkKind::Batch] {
+                let queue = pool.queue(kind);
                 let position = queue
                     .iter()
                     .find(|(_, w)| is_match(w))
                     .map(|(position, _)| *position);
                 if let Some(position) = position {
-                    withdrawn = queue.remove(&position);
+                    withdrawn = pool.remove_unserved(kind, position);
                 }
             }
         }
@@ -658,6 +659,10 @@
         let server = grant.server;
         let kind = grant.kind;
         let tokens = grant.tokens;
+        // A request may be queued for longer than its silent requester is known, and only the
+        // slots of known requesters are reclaimed.
+        let requester = grant.requester.clone();
+        self.requesters.entry(requester).or_insert(grant.granted_at);
         self.grants.insert(grant);
         if let Some(entry) = self.servers.get_mut(server) {
             entry.tokens = entry.tokens.saturating_add(tokens);
--- a/crates/broker/src/slots/pressure.rs
+++ b/crates/broker/src/slots/pressure.rs
@@ -93,11 +93,17 @@
         if request.kind != WorkKind::Online || !self.uses_targets(&request.service) {
             return Some(waiting);
         }
-        if waiting.until <= now {
+        let is_expired = waiting.until <= now;
+        let is_missed = !position.is_late && waiting.in_time_until <= now;
+        if is_expired || is_missed {
+            let admission = &mut self.pool(&waiting.request.service).admission;
+            admission.record_unserved(position, waiting.team());
+        }
+        if is_expired {
             self.refuse_expired(&waiting, now);
             return None;
         }
-        if !position.is_late && waiting.in_time_until <= now {
+        if is_missed {
             self.enqueue_late(waiting, now);
             return None;
         }
@@ -116,7 +122,7 @@
                 .filter(|(position, waiting)| !position.is_late && waiting.in_time_until <= now)
                 .map(|(position, _)| *position)
                 .collect();
-            demoted.extend(missed.iter().filter_map(|at| pool.online.remove(at)));
+            demoted.extend(pool.remove_all_unserved(WorkKind::Online, &missed));
         }
         for waiting in demoted {
             self.enqueue_late(waiting, now);
@@ -175,7 +181,7 @@
             in_time: Duration::ZERO,
             late: left,
         };
-        let team = team_of(&waiting).cloned();
+        let team = waiting.team().cloned();
         let ahead = self.queued_ahead_of(&request.service, request.rank, true, team.as_ref());
         let admission = &mut self.pool(&request.service).admission;
         if admission.admits_late(ahead.all, limits, rates, now) {
@@ -192,7 +198,7 @@
             ..QueuePosition::by_arrival(waiting.request.rank, self.arrivals)
         };
         let service = waiting.request.service.clone();
-        let position = self.take_share(&service, position, team_of(&waiting));
+        let position = self.take_share(&service, position, waiting.team());
         self.pool(&service).online.insert(position, waiting);
     }
 
@@ -256,16 +262,8 @@
         for (other, waiting) in pool.online.range(..position) {
             ahead.all += 1;
             let is_same_class = other.rank == rank && other.is_late == is_late;
-            ahead.of_team += usize::from(is_same_class && team_of(waiting) == team);
+            ahead.of_team += usize::from(is_same_class && waiting.team() == team);
         }
         ahead
     }
 }
-
-/// The team with which a queued request shares the servers.
-fn team_of(waiting: &WaitingRequest) -> Option<&TeamName> {
-    match &waiting.terms {
-        Some(terms) => terms.team.as_ref(),
-        None => waiting.request.charged_team.as_ref(),
-    }
-}
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -8,8 +8,8 @@
 };
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerlessView, ColdPace, ColdServerView, ColdSource, ColdTolerance,
-    LeavingServers, LimitReport, LimitStatement, NamedLimits, ProvenWork, RunOutcome, SentTimes,
-    ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
+    EngineMemory, LeavingServers, LimitReport, LimitStatement, NamedLimits, ProvenWork, RunOutcome,
+    SentTimes, ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, ServicePlan};
 use chicoryladder_types::prelude::*;
@@ -272,6 +272,7 @@
         }
         let known = &self.hosts[host];
         let view = BrokerlessView {
+            memory: &EngineMemory::default(),
             servers: &known.directory,
             own_runs: &own_runs,
             unreachable: &HashSet::new(),
@@ -544,6 +545,7 @@
                     host: Some(**host),
                     sent: None,
                 },
+                memory: &EngineMemory::default(),
                 roster: &roster,
                 now: now + elapsed,
             };
--- a/crates/gateway/src/held_answer.rs
+++ b/crates/gateway/src/held_answer.rs
@@ -12,6 +12,18 @@
     charge: MemoryCharge,
 }
 
+/// A part of an answer that waits for its caller, charged to the account of the process.
+pub(crate) struct HeldPart {
+    pub(crate) part: Bytes,
+    pub(crate) _charge: MemoryCharge,
+}
+
+impl AsRef<[u8]> for HeldPart {
+    fn as_ref(&self) -> &[u8] {
+        &self.part
+    }
+}
+
 impl HeldAnswer {
     pub(crate) fn new(bounds: MachineBounds) -> Self {
         Self {
--- a/crates/gateway/src/machine_bounds.rs
+++ b/crates/gateway/src/machine_bounds.rs
@@ -1,8 +1,9 @@
 //! The bounds of a process on what its clients may occupy: memory and connections.
 
 use crate::client_connection::{ConnectionPhase, ConnectionState};
-use crate::held_answer::HeldAnswer;
+use crate::held_answer::{HeldAnswer, HeldPart};
 use crate::memory_account::{HolderSize, MemoryAccount, MemoryCharge};
+use bytes::Bytes;
 use chicoryladder_settings::MachineLimits;
 use chicoryladder_types::prelude::*;
 use std::collections::HashMap;
@@ -154,6 +155,16 @@
         &self.memory
     }
 
+    /// Charges a part of an answer that is kept until its caller reads it, until the last
+    /// reference to it is dropped.
+    #[must_use]
+    pub fn charge_part(&self, part: Bytes) -> Bytes {
+        Bytes::from_owner(HeldPart {
+            _charge: self.charge_answer(part.len()),
+            part,
+        })
+    }
+
     /// A buffer for an answer that is read before it is passed on.
     #[must_use]
     pub fn hold_answer(&self) -> HeldAnswer {
