Let a connection exclude tunnel hosts, and a slot exclude jobs

Cause: the body of a request with homes may not pass through hosts of other areas, and an item may not use a slot outside of the homes of its job. The dialer took any tunnel host, and the schedule any item. Change: ServerDialer::open_through takes a HostFilter, and ItemSchedule::next_allowed a condition on the job.

--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -183,10 +183,22 @@
         now: Instant,
         service: &ServiceName,
         version: &SoftwareVersion,
+    ) -> Option<ItemKey> {
+        self.next_allowed(now, service, version, |_| true)
+    }
+
+    /// Like [`Self::next_for_server`], among the items of the jobs that may run on the server.
+    #[must_use]
+    pub fn next_allowed(
+        &self,
+        now: Instant,
+        service: &ServiceName,
+        version: &SoftwareVersion,
+        is_allowed: impl Fn(&JobSpec) -> bool,
     ) -> Option<ItemKey> {
         self.next_matching(now, |_, item| {
             let fits_version = item.required_version().is_none_or(|v| v == version);
-            item.service == *service && fits_version
+            item.service == *service && fits_version && is_allowed(&item.open.job_spec)
         })
     }
 
--- a/crates/dialer/src/dialer.rs
+++ b/crates/dialer/src/dialer.rs
@@ -34,6 +34,12 @@
 /// The timeout of a connection that this host opens for another one.
 const TUNNEL_CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// Tells through which hosts a connection may lead.
+pub trait HostFilter: Send + Sync {
+    /// Whether a tunnel may lead through a host.
+    fn allows(&self, host: SocketAddr) -> bool;
+}
+
 /// Tells which hosts open tunnels.
 pub trait TunnelHosts: Send + Sync {
     /// The hosts that open tunnels, by zone, that of this host first. The list may be renewed
@@ -134,9 +140,22 @@
     /// Fails if no path leads to the server: it is lost, or this host and all tunnel hosts are
     /// cut off from it.
     pub async fn open(&self, server: SocketAddr) -> io::Result<ServerStream> {
+        self.open_through(server, None).await
+    }
+
+    /// Like [`Self::open`], with tunnels through the hosts that a filter lets pass.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no path leads to the server.
+    pub async fn open_through(
+        &self,
+        server: SocketAddr,
+        filter: Option<&dyn HostFilter>,
+    ) -> io::Result<ServerStream> {
         let first = self.paths().first_path(server, self.now());
         if first == FirstPath::Tunnel
-            && let Some((host, stream)) = self.open_tunnel(server).await
+            && let Some((host, stream)) = self.open_tunnel(server, filter).await
         {
             return Ok(ServerStream::Tunnel(host, stream));
         }
@@ -145,7 +164,7 @@
             tokio::time::timeout(CONNECT_TIMEOUT, connecting).await?
         };
         tokio::pin!(direct);
-        let tunnel = self.open_tunnel(server);
+        let tunnel = self.open_tunnel(server, filter);
         tokio::pin!(tunnel);
         let early = tokio::time::timeout(DIRECT_HEAD_START, &mut direct).await;
         if !matches!(early, Ok(Ok(_))) {
@@ -216,10 +235,20 @@
 
     /// Opens a tunnel through the first host that reaches the server. A host that does not
     /// answer soon is tried beside the next one.
-    async fn open_tunnel(&self, server: SocketAddr) -> Option<(SocketAddr, TunnelStream)> {
+    async fn open_tunnel(
+        &self,
+        server: SocketAddr,
+        filter: Option<&dyn HostFilter>,
+    ) -> Option<(SocketAddr, TunnelStream)> {
         let now = self.now();
         self.paths().record_need(now);
-        let zones = self.shared.hosts.zones().await;
+        let mut zones = self.shared.hosts.zones().await;
+        if let Some(filter) = filter {
+            for hosts in &mut zones {
+                hosts.retain(|host| filter.allows(*host));
+            }
+            zones.retain(|hosts| !hosts.is_empty());
+        }
         let groups: Vec<&[SocketAddr]> = zones.iter().map(Vec::as_slice).collect();
         let mut hosts = self.paths().choose_hosts(&groups, now).into_iter();
         let mut attempts = FuturesUnordered::new();
--- a/crates/dialer/src/lib.rs
+++ b/crates/dialer/src/lib.rs
@@ -8,5 +8,5 @@
 mod dialer;
 mod paths;
 
-pub use dialer::{PathLoss, PathObserver, ServerDialer, ServerStream, TunnelHosts};
+pub use dialer::{HostFilter, PathLoss, PathObserver, ServerDialer, ServerStream, TunnelHosts};
 pub use paths::{FirstPath, ServerPaths};
--- a/crates/dialer/tests/dialer.rs
+++ b/crates/dialer/tests/dialer.rs
@@ -1,7 +1,9 @@
 //! Connections on lost and sound paths, over loopback. From an address that the machine does not
 //! have, no connection can be opened.
 
-use chicoryladder_dialer::{PathLoss, PathObserver, ServerDialer, ServerStream, TunnelHosts};
+use chicoryladder_dialer::{
+    HostFilter, PathLoss, PathObserver, ServerDialer, ServerStream, TunnelHosts,
+};
 use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelRequest};
 use chicoryladder_types::SystemClock;
 use chicoryladder_types::prelude::*;
@@ -140,3 +142,27 @@
     assert_eq!(fixture.tunnel_requests(), 1);
     assert!(fixture.losses().is_empty());
 }
+
+struct NoHosts;
+
+impl HostFilter for NoHosts {
+    fn allows(&self, _: SocketAddr) -> bool {
+        false
+    }
+}
+
+/// Guards against the body of a request with homes that passes through a host of another area.
+#[tokio::test]
+async fn no_tunnel_leads_through_a_host_that_the_filter_excludes() {
+    let fixture = Fixture::start(Some(FOREIGN_ADDRESS)).await;
+    // The second time, the path is known to be lost, and a tunnel is tried first.
+    for _ in 0..2 {
+        let dialer = &fixture.dialer;
+        let opened = dialer.open_through(fixture.server(0), Some(&NoHosts)).await;
+        assert!(opened.is_err(), "{opened:?}");
+        assert_eq!(fixture.tunnel_requests(), 0);
+        dialer
+            .paths()
+            .record_detour(fixture.server(0), std::time::Instant::now());
+    }
+}
