Confine requests with homes to the servers and hosts of allowed areas

Cause: a plan may confine the requests of a route or a team to areas, and nothing obeyed that. Change: a slot request carries its homes, in a Tail of SlotCall, and the broker consults them where it consults versions: free servers, preemption, the queue, refusals at once (NoHomeServer) and the predicted wait. Hosts without the broker do the same. A host checks the zone of each granted server and gives the slot back if a leader of an earlier build granted one elsewhere. Tunnels and idle connections through hosts of other areas are not used for such requests. A job with homes is refused if the settings name an area in which its bodies may not be stored, and a slot goes to an item that is allowed on its server.

--- a/crates/broker/examples/slot_decisions.rs
+++ b/crates/broker/examples/slot_decisions.rs
@@ -3,6 +3,7 @@
 use chicoryladder_broker::{
     BrokerSettings, ColdTolerance, PromptSegment, ProvenWork, RateTolerance, RequesterId,
     RunOutcome, RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotRequest, WorkKind,
+    ZoneAreas,
 };
 use chicoryladder_plan::{
     CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawService, ServicePlan,
@@ -21,18 +22,23 @@
 const WARM_UP: u64 = 20_000;
 const DECISIONS: u64 = 20_000;
 
-fn main() -> Result<(), Box<dyn Error>> {
-    let weighed = std::env::args().any(|argument| argument == "weighed");
-    let start = Instant::now();
-    let mut broker = SlotBroker::new(BrokerSettings {
+fn settings(pressure: bool) -> BrokerSettings {
+    BrokerSettings {
         check_in_interval: Duration::from_secs(1),
         lost_after: Duration::from_secs(5),
         remove_after: Duration::from_secs(30),
         requester_lost_after: Duration::from_secs(2),
         tolerance: RateTolerance::default(),
         cold_tolerance: ColdTolerance::default(),
-        pressure: weighed,
-    });
+        pressure,
+        areas: ZoneAreas::default(),
+    }
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let weighed = std::env::args().any(|argument| argument == "weighed");
+    let start = Instant::now();
+    let mut broker = SlotBroker::new(settings(weighed));
     let service = ServiceName::try_from("engine")?;
     let engine = EngineCapacity {
         slots: 8,
@@ -97,6 +103,7 @@
             avoid: Vec::new(),
             first_answer_within: Duration::from_secs(1),
             wait_max: Duration::from_secs(1),
+            homes: None,
         };
         let began = Instant::now();
         broker.request_slot(&requester, request, now);
--- a/crates/broker/src/brokerless.rs
+++ b/crates/broker/src/brokerless.rs
@@ -8,6 +8,7 @@
 use crate::cold_servers::ColdServerView;
 use crate::departures::LeavingServers;
 use crate::directory::{ServerCheckIn, ServerPhase};
+use crate::homes::ZoneAreas;
 use crate::request::SlotRequest;
 use crate::roster::ZoneRoster;
 use crate::server_limits::NamedLimits;
@@ -60,6 +61,8 @@
     pub limits: &'a NamedLimits,
     /// What this host knows of cold servers of the requested service.
     pub cold: ColdServerView<'a>,
+    /// The areas of zones, for requests with homes.
+    pub areas: &'a ZoneAreas,
     /// The entry hosts of this host's zone.
     pub roster: &'a ZoneRoster,
     /// The time of the choice.
@@ -84,6 +87,11 @@
         })
     }
 
+    fn is_allowed_home(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
+        self.areas
+            .allows_server(request.homes.as_ref(), &server.zone)
+    }
+
     fn is_usable(&self, server: &ServerCheckIn, request: &SlotRequest) -> bool {
         server.service == request.service
             && server.phase == ServerPhase::Ready
@@ -91,6 +99,7 @@
                 .required_version()
                 .is_none_or(|version| *version == server.version)
             && self.may_begin(server, request)
+            && self.is_allowed_home(server, request)
             && !request.avoid.contains(&server.name)
             && !self.unreachable.contains(&server.name)
             && !self.leaving.is_leaving(&server.name, server.incarnation)
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -21,6 +21,7 @@
 mod departures;
 mod directory;
 mod grants;
+mod homes;
 mod pacing;
 mod placement;
 mod pool;
@@ -44,6 +45,7 @@
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
+pub use homes::ZoneAreas;
 pub use rate::{RateLedger, RateTolerance};
 pub use request::{
     BrokerEvent, ExpectedAnswer, PoolLoad, PromptSegment, RequesterId, ServerSuspension,
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -105,6 +105,15 @@
         let last = QueuePosition::behind_rank(rank);
         self.online.range(..=last).count()
     }
+
+    /// The number of queued online requests ahead of a new one that have the same homes.
+    pub(crate) fn homed_ahead(&self, request: &SlotRequest) -> usize {
+        let last = QueuePosition::behind_rank(request.rank);
+        let ahead = self.online.range(..=last);
+        ahead
+            .filter(|(_, waiting)| waiting.request.homes == request.homes)
+            .count()
+    }
 }
 
 /// The expected wait of a request behind `ahead` others, of which servers take up
--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -9,8 +9,9 @@
     QuarantineCause, QuarantineChange, RequestFingerprint, RequestTraits, SegmentFingerprint,
 };
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServiceName, SoftwareVersion, Tail};
+use chicoryladder_types::{AreaName, ServiceName, SoftwareVersion, Tail};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -70,6 +71,10 @@
     pub first_answer_within: Duration,
     /// The longest time that the requester waits for a slot.
     pub wait_max: Duration,
+    /// The areas whose servers may run the request; `None` for all. Messages carry it beside
+    /// the request, which earlier builds read as it was.
+    #[serde(skip)]
+    pub homes: Option<BTreeSet<AreaName>>,
 }
 
 impl SlotRequest {
@@ -144,6 +149,9 @@
     /// Earlier runs of the request, or of others with the same prompt segment, crashed their
     /// servers.
     Quarantined(QuarantineCause),
+    /// The request has homes, and no known server of the service is in one of them. Earlier
+    /// builds do not get this reason, since they name no homes.
+    NoHomeServer,
 }
 
 /// What a decision expected of the server that it chose.
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -26,6 +26,7 @@
 use crate::cold_servers::{ColdState, ColdTolerance};
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
+use crate::homes::ZoneAreas;
 use crate::pool::{ServicePool, WaitingRequest, predicted_wait};
 use crate::rate::{RateLedger, RateTolerance};
 use crate::request::{
@@ -78,7 +79,7 @@
 const NO_SERVER_RETRY: Duration = Duration::from_millis(500);
 
 /// The timeouts and tolerances of a broker.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct BrokerSettings {
     /// The interval between check-ins of a server.
     pub check_in_interval: Duration,
@@ -96,6 +97,8 @@
     /// of all servers are weighed, also of those that do not state how long work takes on them
     /// (feature `pressure`).
     pub pressure: bool,
+    /// The areas of zones, for requests with homes.
+    pub areas: ZoneAreas,
 }
 
 impl BrokerSettings {
@@ -385,15 +388,17 @@
     }
 
     fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
-        let all_rate = self.request_rate(&request.service, None, now);
-        let own_rate = match request.required_version() {
-            Some(version) => self.request_rate(&request.service, Some(version), now),
-            None => all_rate,
-        };
+        let all_rate = self.request_rate(&request.service, None, None, now);
+        let own_rate = self.own_rate(&request, all_rate, now);
         let pool = self.pool(&request.service);
         let mut wait_max = request.wait_max;
         if request.kind == WorkKind::Online {
-            let wait = predicted_wait(pool.queued_ahead(request.rank), all_rate, own_rate);
+            let mut wait = predicted_wait(pool.queued_ahead(request.rank), all_rate, own_rate);
+            if request.homes.is_some() {
+                // The requests of the same homes share fewer servers than all those ahead.
+                let ahead = pool.homed_ahead(&request);
+                wait = wait.max(predicted_wait(ahead, own_rate, own_rate));
+            }
             let first_answer = Duration::from_secs_f64(pool.averages.first_answer_seconds);
             wait_max = wait_max.min(request.first_answer_within.saturating_sub(first_answer));
             if wait > wait_max {
@@ -722,10 +727,11 @@
                     self.pool(service).admission.record_granted(position);
                     continue;
                 }
-                // Servers of other versions may have slots for those behind it, and a slot is
+                // Servers of other versions or areas may have slots for those behind it, and a slot is
                 // free for them if it only waits for a decision.
                 let request = &waiting.request;
                 let is_passable = request.required_version().is_some()
+                    || request.homes.is_some()
                     || self.waits_for_version(request)
                     || self.is_undecided(request, now);
                 not_granted.push((position, waiting));
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -79,6 +79,7 @@
                 .is_none_or(|max| entry.tokens.saturating_add(request.tokens) <= max);
             let usable = self.accepts_work(&entry.record, now)
                 && self.admits_version(&entry.record, request)
+                && self.is_allowed_home(&entry.record, request)
                 && !request.avoid.contains(&entry.record.check_in.name);
             // Without online requests, only an item can end a server's probation.
             let headroom = if entry.is_on_probation() { 0 } else { headroom };
@@ -117,6 +118,7 @@
                     entry.record.check_in.service == request.service
                         && self.accepts_work(&entry.record, now)
                         && self.admits_version(&entry.record, request)
+                        && self.is_allowed_home(&entry.record, request)
                         && entry.limit.admits(request.kind, now)
                         && entry.cold.admits(request.kind, entry.limit.get(), now)
                         && !request.avoid.contains(&entry.record.check_in.name)
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -1,4 +1,5 @@
-//! Which servers may run a request at all, by their versions and by the limits they name.
+//! Which servers may run a request at all, by their versions, by the limits they name, and by
+//! the homes of the request.
 
 use super::{NO_SERVER_RETRY, RETRY_AFTER_MAX, SlotBroker};
 use crate::directory::{ServerPhase, ServerRecord};
@@ -6,7 +7,8 @@
 use crate::request::{SlotRefusalReason, SlotRequest};
 use crate::server_limits::LimitReport;
 use crate::streams::{StreamPart, StreamReport};
-use chicoryladder_types::{ServiceName, SoftwareVersion};
+use chicoryladder_types::{AreaName, ServiceName, SoftwareVersion};
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 impl SlotBroker {
@@ -47,11 +49,13 @@
         limits.flatten().count()
     }
 
-    /// Whether a server of a service is ready for work and in no drained zone.
+    /// Whether a server of a service is ready for work, in no drained zone, and in one of the
+    /// homes if there are any.
     pub(super) fn has_servers(
         &self,
         service: &ServiceName,
         version: Option<&SoftwareVersion>,
+        homes: Option<&BTreeSet<AreaName>>,
     ) -> bool {
         let Some(pool) = self.services.get(service) else {
             return false;
@@ -60,7 +64,13 @@
         entries.any(|entry| {
             let record = &entry.record;
             let is_ready = record.check_in.phase == ServerPhase::Ready && !record.is_lost;
-            is_ready && !self.is_drained(&record.check_in) && has_version(record, version)
+            is_ready
+                && !self.is_drained(&record.check_in)
+                && has_version(record, version)
+                && self
+                    .settings
+                    .areas
+                    .allows_server(homes, &record.check_in.zone)
         })
     }
 
@@ -70,11 +80,15 @@
         request: &SlotRequest,
     ) -> Option<(SlotRefusalReason, Duration)> {
         let service = &request.service;
-        if !self.has_servers(service, None) {
+        if !self.has_servers(service, None, None) {
             return Some((SlotRefusalReason::NoServer, NO_SERVER_RETRY));
         }
+        let homes = request.homes.as_ref();
+        if homes.is_some() && !self.has_servers(service, None, homes) {
+            return Some((SlotRefusalReason::NoHomeServer, NO_SERVER_RETRY));
+        }
         let version = request.required_version();
-        let is_gone = version.is_some() && !self.has_servers(service, version);
+        let is_gone = version.is_some() && !self.has_servers(service, version, homes);
         is_gone.then_some((SlotRefusalReason::VersionGone, RETRY_AFTER_MAX))
     }
 
@@ -107,6 +121,14 @@
         }
     }
 
+    /// Whether a server is in a zone whose servers the homes of a request allow.
+    pub(super) fn is_allowed_home(&self, record: &ServerRecord, request: &SlotRequest) -> bool {
+        let homes = request.homes.as_ref();
+        self.settings
+            .areas
+            .allows_server(homes, &record.check_in.zone)
+    }
+
     /// Whether a request may have to wait although servers are free, since streams may not
     /// begin at some of the versions yet.
     pub(super) fn waits_for_version(&self, request: &SlotRequest) -> bool {
@@ -121,11 +143,13 @@
     }
 
     /// The requests a second that the servers of a service can take up, by their slots,
-    /// by the limits that they name and by their rates while they are cold; of one version only if it is given.
+    /// by the limits that they name and by their rates while they are cold; of one version or
+    /// of some homes only if they are given.
     pub(super) fn request_rate(
         &self,
         service: &ServiceName,
         version: Option<&SoftwareVersion>,
+        homes: Option<&BTreeSet<AreaName>>,
         now: Instant,
     ) -> f64 {
         let Some(pool) = self.services.get(service) else {
@@ -134,7 +158,13 @@
         let is_engine = pool.engine_tokens.is_some();
         let entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
         let open = entries.filter(|entry| {
-            self.accepts_work(&entry.record, now) && has_version(&entry.record, version)
+            let record = &entry.record;
+            self.accepts_work(record, now)
+                && has_version(record, version)
+                && self
+                    .settings
+                    .areas
+                    .allows_server(homes, &record.check_in.zone)
         });
         let rates = open.map(|entry| {
             let by_slots = f64::from(entry.capacity(is_engine, now)) / pool.averages.hold_seconds;
@@ -145,6 +175,15 @@
         });
         rates.sum()
     }
+
+    /// The part of `all_rate` that falls to the servers which may run a request.
+    pub(super) fn own_rate(&self, request: &SlotRequest, all_rate: f64, now: Instant) -> f64 {
+        let (version, homes) = (request.required_version(), request.homes.as_ref());
+        if version.is_none() && homes.is_none() {
+            return all_rate;
+        }
+        self.request_rate(&request.service, version, homes, now)
+    }
 }
 
 /// Whether a server has the given version, if there is one.
--- a/crates/broker/src/slots/expiry.rs
+++ b/crates/broker/src/slots/expiry.rs
@@ -106,13 +106,15 @@
         }
     }
 
-    /// Refuses the online requests that wait for a service, or for a version of it, whose
-    /// last server has left, was lost or is drained, as new ones are.
+    /// Refuses the online requests that wait for a service, or for a version or homes of it,
+    /// whose last server has left, was lost or is drained, as new ones are.
     pub(super) fn refuse_unservable(&mut self) {
         let mut unservable = Vec::new();
         for (name, pool) in self.services.iter().filter(|(_, p)| !p.online.is_empty()) {
-            let has_servers = self.has_servers(name, None);
-            let bound = |request: &SlotRequest| request.required_version().is_some();
+            let has_servers = self.has_servers(name, None, None);
+            let bound = |request: &SlotRequest| {
+                request.required_version().is_some() || request.homes.is_some()
+            };
             let waiting = pool.online.iter();
             let checked = waiting.filter(|(_, w)| !has_servers || bound(&w.request));
             unservable.extend(checked.filter_map(|(position, waiting)| {
--- a/crates/broker/src/slots/pressure.rs
+++ b/crates/broker/src/slots/pressure.rs
@@ -212,11 +212,8 @@
     }
 
     fn service_rates(&self, request: &SlotRequest, now: Instant) -> ServiceRates {
-        let all = self.request_rate(&request.service, None, now);
-        let own = match request.required_version() {
-            Some(version) => self.request_rate(&request.service, Some(version), now),
-            None => all,
-        };
+        let all = self.request_rate(&request.service, None, None, now);
+        let own = self.own_rate(request, all, now);
         ServiceRates { all, own }
     }
 
--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -3,7 +3,7 @@
 use crate::support::{BrokerFixture, check_in};
 use chicoryladder_broker::{
     BrokerlessView, ColdServerView, LeavingServers, NamedLimits, ServerCheckIn, ServerPhase,
-    WorkKind, ZoneRoster,
+    WorkKind, ZoneAreas, ZoneRoster,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -21,6 +21,7 @@
     for _ in 0..count {
         let request = fixture.slot_request(WorkKind::Online);
         let view = BrokerlessView {
+            areas: &ZoneAreas::default(),
             versions: None,
             servers,
             own_runs: &own_runs,
@@ -79,6 +80,7 @@
     let mut first = HashSet::new();
     for _ in 0..40 {
         let view = BrokerlessView {
+            areas: &ZoneAreas::default(),
             versions: None,
             servers: &servers,
             own_runs: &own_runs,
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -9,7 +9,7 @@
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerlessView, ColdPace, ColdServerView, ColdSource, ColdTolerance,
     LeavingServers, LimitReport, NamedLimits, ProvenWork, RunOutcome, SentTimes, ServerCheckIn,
-    ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
+    ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneAreas, ZoneRoster,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, ServicePlan};
 use chicoryladder_types::prelude::*;
@@ -269,6 +269,7 @@
         }
         let known = &self.hosts[host];
         let view = BrokerlessView {
+            areas: &ZoneAreas::default(),
             servers: &known.directory,
             own_runs: &own_runs,
             unreachable: &HashSet::new(),
--- a/crates/broker/tests/all/departures.rs
+++ b/crates/broker/tests/all/departures.rs
@@ -5,7 +5,7 @@
 use crate::support::{BrokerFixture, check_in, granted, refused_after};
 use chicoryladder_broker::{
     BrokerlessView, ColdServerView, LeavingServers, NamedLimits, RunOutcome, ServerCheckIn,
-    WorkKind, ZoneRoster,
+    WorkKind, ZoneAreas, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -82,6 +82,7 @@
     let request = fixture.slot_request(WorkKind::Online);
     let choose = |servers: &[ServerCheckIn], leaving: &LeavingServers| {
         let view = BrokerlessView {
+            areas: &ZoneAreas::default(),
             versions: None,
             servers,
             own_runs: &HashMap::new(),
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -5,7 +5,7 @@
 use crate::support::{BrokerFixture, check_in, granted, refused_after, run_report};
 use chicoryladder_broker::{
     BrokerEvent, BrokerlessView, ColdServerView, LeavingServers, LimitReport, LimitStatement,
-    NamedLimits, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneRoster,
+    NamedLimits, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind, ZoneAreas, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -286,6 +286,7 @@
             let mut request = fixture.slot_request(WorkKind::Online);
             request.zone = crate::support::zone(zone);
             let view = BrokerlessView {
+                areas: &ZoneAreas::default(),
                 versions: None,
                 servers: std::slice::from_ref(&server),
                 own_runs: &HashMap::new(),
--- a/crates/broker/tests/all/overload.rs
+++ b/crates/broker/tests/all/overload.rs
@@ -154,6 +154,7 @@
             avoid: Vec::new(),
             first_answer_within: TARGET,
             wait_max: TARGET,
+            homes: None,
         }
     }
 
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -3,7 +3,7 @@
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, ColdTolerance, PromptSegment, ProvenWork, RateTolerance,
     RequesterId, RunOutcome, RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision,
-    SlotRequest, WorkKind,
+    SlotRequest, WorkKind, ZoneAreas,
 };
 use chicoryladder_plan::{
     CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawService, RawTeam, ServicePlan,
@@ -31,6 +31,7 @@
             slack: 5.0,
         },
         pressure: false,
+        areas: ZoneAreas::default(),
     }
 }
 
@@ -143,6 +144,7 @@
             avoid: Vec::new(),
             first_answer_within: Duration::from_millis(300),
             wait_max: Duration::from_millis(300),
+            homes: None,
         }
     }
 
--- a/crates/roles/src/connection_pool.rs
+++ b/crates/roles/src/connection_pool.rs
@@ -4,7 +4,7 @@
 //! irregularity closes it: bytes that arrive without a request belong to none.
 
 use bytes::Bytes;
-use chicoryladder_dialer::{ServerDialer, ServerStream};
+use chicoryladder_dialer::{HostFilter, ServerDialer, ServerStream};
 use chicoryladder_rpc::TunnelHealth;
 use chicoryladder_types::prelude::*;
 use http_body_util::Full;
@@ -59,6 +59,14 @@
 }
 
 impl ConnectionPath {
+    /// Whether a request may take it that passes only through some tunnel hosts.
+    fn is_allowed(&self, filter: Option<&dyn HostFilter>) -> bool {
+        match (self, filter) {
+            (Self::Tunnel { host, .. }, Some(filter)) => filter.allows(*host),
+            (Self::Direct, _) | (_, None) => true,
+        }
+    }
+
     /// Whether no further request should take it, as its tunnel host is about to stop.
     fn is_closing(&self) -> bool {
         matches!(self, Self::Tunnel { health, .. } if health.is_closing())
@@ -126,28 +134,40 @@
 
     /// Takes the most recently used idle connection to a server.
     ///
-    /// With `fresh`, only one that was idle for less than [`FRESH_MAX_AGE`].
-    pub(crate) fn take_idle(&self, address: SocketAddr, fresh: bool) -> Option<OpenConnection> {
+    /// With `fresh`, only one that was idle for less than [`FRESH_MAX_AGE`]; with a filter, only
+    /// one that leads through no tunnel host beyond it.
+    pub(crate) fn take_idle(
+        &self,
+        address: SocketAddr,
+        fresh: bool,
+        filter: Option<&dyn HostFilter>,
+    ) -> Option<OpenConnection> {
         let now = self.clock.now();
         let mut idle = self.idle();
         let connections = idle.by_server.get_mut(&address)?;
         connections.retain(|c| !c.connection.sender.is_closed() && now < c.usable_until);
-        let last = connections.last()?;
+        let is_allowed = |idle: &IdleConnection| idle.connection.path.is_allowed(filter);
+        let position = connections.iter().rposition(is_allowed)?;
+        let last = &connections[position];
         let is_fresh = now.saturating_duration_since(last.idle_since) < FRESH_MAX_AGE;
         if !last.connection.sender.is_ready() || (fresh && !is_fresh) {
             return None;
         }
-        connections.pop().map(|idle| idle.connection)
+        Some(connections.remove(position).connection)
     }
 
-    /// Opens a connection.
+    /// Opens a connection; with a filter, through no tunnel host beyond it.
     ///
     /// # Errors
     ///
     /// Fails if no path leads to the server.
-    pub(crate) async fn open(&self, address: SocketAddr) -> std::io::Result<OpenConnection> {
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+        filter: Option<&dyn HostFilter>,
+    ) -> std::io::Result<OpenConnection> {
         let was_cut_off = self.dialer.paths().is_cut_off();
-        let (sender, path) = match self.dialer.open(address).await? {
+        let (sender, path) = match self.dialer.open_through(address, filter).await? {
             ServerStream::Direct(stream) => (
                 start_connection(address, stream).await?,
                 ConnectionPath::Direct,
@@ -210,7 +230,7 @@
         if matches!(path, ConnectionPath::Tunnel { .. }) {
             return false;
         }
-        let opening = tokio::time::timeout(PATH_CHECK_TIMEOUT, self.open(address));
+        let opening = tokio::time::timeout(PATH_CHECK_TIMEOUT, self.open(address, None));
         let Ok(Ok(connection)) = opening.await else {
             return false;
         };
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -27,7 +27,7 @@
 use chicoryladder_broker::{
     BrokerSettings, CheckInOutcome, ColdChange, ColdSource, ColdTolerance, CrashedRun,
     DepartureReport, DepartureSource, RateTolerance, RequesterId, RosterSettings, ServerCheckIn,
-    ServerLimit, ServerPhase, ServerSuspension, VersionRecord,
+    ServerLimit, ServerPhase, ServerSuspension, SlotRequest, VersionRecord, ZoneAreas,
 };
 use chicoryladder_consensus::MemberRole;
 use chicoryladder_gateway::HttpListener;
@@ -233,6 +233,7 @@
             slack: settings.bounds.cold_slack,
         },
         pressure: settings.features.pressure(),
+        areas: ZoneAreas::new(&settings.areas),
     }
 }
 
@@ -499,7 +500,11 @@
         for report in &call.answers.0 {
             state.broker.record_answer(&call.requester, report, now);
         }
-        let decision = state.request_slot(&call.requester, call.slot_request, call.terms.0, now);
+        let slot_request = SlotRequest {
+            homes: call.homes.0,
+            ..call.slot_request
+        };
+        let decision = state.request_slot(&call.requester, slot_request, call.terms.0, now);
         self.process_broker_events(&mut state);
         drop(state);
         let shared = self.clone();
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -218,7 +218,7 @@
     ) -> Self {
         Self {
             term: None,
-            broker: SlotBroker::new(settings),
+            broker: SlotBroker::new(settings.clone()),
             plan: Arc::default(),
             stored: None,
             encoded: None,
@@ -258,7 +258,7 @@
         now: Instant,
     ) {
         self.term = Some(term);
-        self.broker = SlotBroker::new(self.settings);
+        self.broker = SlotBroker::new(self.settings.clone());
         self.restore_drains(machine.zone_drains(), since_epoch, now);
         self.repair.restart(now);
         self.hosts.clear();
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -479,6 +479,12 @@
                         "the version that began the stream is not known, and servers have several"
                             .to_owned(),
                     ),
+                    SlotRefusalReason::NoHomeServer => (
+                        RefusalReason::NoServer,
+                        "no server of the service is known in an area that the route and the \
+                         team allow"
+                            .to_owned(),
+                    ),
                     SlotRefusalReason::NoServer => (
                         RefusalReason::NoServer,
                         "no server of the service is known".to_owned(),
@@ -599,6 +605,7 @@
                 .collect(),
             first_answer_within: within,
             wait_max: within.min(left),
+            homes: state.matched.homes(),
         }
     }
 
@@ -638,6 +645,7 @@
             at_most_once: !state.is_repeatable(),
             continues_run: context.last_event.is_some() || state.has_begun(),
             cold_limit: lease.cold_limit(),
+            tunnel_filter: self.slots.tunnel_filter(state.matched.homes()),
             head_timeout: if may_resend {
                 resend_after.min(left)
             } else {
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -129,11 +129,7 @@
             longest_timeouts: Mutex::new(HashMap::new()),
             pressure: base.settings.features.pressure(),
         };
-        let jobs = JobGateway {
-            client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
-            view: view.clone(),
-            log: log.clone(),
-        };
+        let jobs = JobGateway::new(&base, &view, &log);
         let service = EntryService {
             dialect: callers.clone(),
             matcher,
--- a/crates/roles/src/entry/jobs.rs
+++ b/crates/roles/src/entry/jobs.rs
@@ -6,12 +6,16 @@
 use crate::leader_client::{LeaderClient, LeaderError};
 use crate::message::{BatchCall, BatchReply, Call};
 use crate::ports::{CallerDialect, CallerHead, JobCall};
+use crate::process::ProcessBase;
 use chicoryladder_batch::{BatchAnswer, BatchCommand, JobOwner, JobSpec, SubmitAnswer};
+use chicoryladder_broker::ZoneAreas;
 use chicoryladder_gateway::{AnswerBody, bytes_body};
+use chicoryladder_types::AreaName;
 use chicoryladder_types::prelude::*;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The timeout of one attempt at a call.
@@ -34,12 +38,26 @@
 /// Forwards calls about batch jobs to the job group.
 #[derive(Clone)]
 pub(super) struct JobGateway {
-    pub(super) client: LeaderClient,
-    pub(super) view: FleetView,
-    pub(super) log: EventLog,
+    client: LeaderClient,
+    view: FleetView,
+    log: EventLog,
+    /// The areas of zones, for jobs with homes.
+    areas: ZoneAreas,
+    /// The zone of this host.
+    zone: ZoneName,
 }
 
 impl JobGateway {
+    pub(super) fn new(base: &ProcessBase, view: &FleetView, log: &EventLog) -> Self {
+        Self {
+            client: LeaderClient::new(base.rpc.clone(), base.clock.clone(), Vec::new()),
+            view: view.clone(),
+            log: log.clone(),
+            areas: ZoneAreas::new(&base.settings.areas),
+            zone: base.settings.host.zone.clone(),
+        }
+    }
+
     /// Submits a job. Once the response confirms it, the job is stored durably.
     pub(super) async fn submit(
         &self,
@@ -50,6 +68,9 @@
         dialect: &dyn CallerDialect,
     ) -> Result<Response<AnswerBody>, RequestRefusal> {
         let bad = |detail: String| RequestRefusal::not_run(RefusalReason::BadRequest, detail);
+        if let Some(homes) = matched.homes() {
+            check_storage(&self.areas, &homes, &self.zone)?;
+        }
         let items = dialect.read_items(body).map_err(bad)?;
         let id = head
             .id
@@ -200,6 +221,27 @@
     }
 }
 
+/// Refuses a job with homes whose bodies may be stored in an area that is not allowed. Store
+/// hosts are in any zone of the settings, and a seat of the job group may move to each of them.
+fn check_storage(
+    areas: &ZoneAreas,
+    homes: &BTreeSet<AreaName>,
+    zone: &ZoneName,
+) -> Result<(), RequestRefusal> {
+    let detail = if areas.is_empty() {
+        "the route or the team of the job has homes, and the settings name no area of any zone"
+            .to_owned()
+    } else if let Some((zone, area)) = areas.foreign_zone(homes, zone) {
+        format!(
+            "the bodies of the job would be stored in all areas, and area {area} (zone {zone}) is \
+             not one that its route and team allow"
+        )
+    } else {
+        return Ok(());
+    };
+    Err(RequestRefusal::not_run(RefusalReason::BadRequest, detail))
+}
+
 fn rank(matched: &MatchedRequest) -> u32 {
     let team = matched.team.as_ref().and_then(|team| team.rank);
     team.unwrap_or(matched.route.rank)
@@ -220,3 +262,41 @@
     *response.status_mut() = status;
     response
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeMap;
+
+    fn zone(name: &str) -> ZoneName {
+        ZoneName::try_from(name).expect("it is valid")
+    }
+
+    fn area(name: &str) -> AreaName {
+        AreaName::try_from(name).expect("it is valid")
+    }
+
+    fn areas(zones: &[(&str, &str)]) -> ZoneAreas {
+        let zones = zones.iter().map(|(name, of)| (zone(name), area(of)));
+        ZoneAreas::new(&zones.collect::<BTreeMap<_, _>>())
+    }
+
+    /// Guards against bodies that are stored in an area that is neither a home nor that of the
+    /// entry host, and against jobs that are refused although every store host is in one.
+    #[test]
+    fn a_job_is_refused_if_it_would_be_stored_in_an_area_that_is_not_allowed() {
+        let two = areas(&[("a", "north"), ("b", "north"), ("c", "south")]);
+        let home = BTreeSet::from([area("north")]);
+        let refusal = check_storage(&two, &home, &zone("a")).expect_err("it is refused");
+        assert_eq!(refusal.verdict, RunVerdict::NotRun);
+        assert!(refusal.detail.contains("south"), "{}", refusal.detail);
+        assert!(check_storage(&two, &home, &zone("c")).is_ok());
+        let both = BTreeSet::from([area("north"), area("south")]);
+        assert!(check_storage(&two, &both, &zone("a")).is_ok());
+        let one = areas(&[("a", "north"), ("b", "north")]);
+        assert!(check_storage(&one, &home, &zone("a")).is_ok());
+        // Hosts in zones that the settings do not name are in no area.
+        assert!(check_storage(&one, &home, &zone("d")).is_ok());
+        assert!(check_storage(&areas(&[]), &home, &zone("a")).is_err());
+    }
+}
--- a/crates/roles/src/entry/matching.rs
+++ b/crates/roles/src/entry/matching.rs
@@ -4,7 +4,9 @@
 use crate::ports::CallerHead;
 use chicoryladder_plan::{PlanRoute, PlanTeam, ServicePlan};
 use chicoryladder_policy::returns::return_after_start;
+use chicoryladder_types::AreaName;
 use chicoryladder_types::prelude::*;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,6 +35,14 @@
     pub(super) team: Option<PlanTeam>,
 }
 
+impl MatchedRequest {
+    /// The areas to which the request is confined; `None` if it has no homes.
+    pub(super) fn homes(&self) -> Option<BTreeSet<AreaName>> {
+        let team = self.team.as_ref().map(|team| &team.name);
+        self.plan.homes(&self.route.name, team)
+    }
+}
+
 /// The caller of a job call.
 pub(super) enum JobCaller {
     /// The caller has the key of this team.
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -13,10 +13,10 @@
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::QuarantinedSegments;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{SeatId, Tail};
+use chicoryladder_types::{AreaName, SeatId, Tail};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -166,6 +166,9 @@
     /// What the host knows of the caller, if it has the feature `pressure`. Hosts of earlier
     /// builds send nothing.
     pub(crate) terms: Tail<Option<CallerTerms>>,
+    /// The areas whose servers may run the request, if it has homes. A leader of an earlier
+    /// build does not read them, so the host checks the server that it is granted.
+    pub(crate) homes: Tail<Option<BTreeSet<AreaName>>>,
 }
 
 /// The role of a host.
@@ -518,6 +521,7 @@
                 avoid: Vec::new(),
                 first_answer_within: Duration::from_millis(300),
                 wait_max: Duration::from_millis(300),
+                homes: None,
             },
             reports: ServerReports::default(),
             answers: Tail::default(),
@@ -527,11 +531,14 @@
                 target_left: Duration::from_millis(300),
                 time_left: Duration::from_secs(4),
             })),
+            homes: Tail(Some(BTreeSet::from([
+                AreaName::try_from("north").expect("it is valid")
+            ]))),
         }
     }
 
     /// During an upgrade, slots are requested between builds with and without the terms of
-    /// callers; a call that cannot be decoded would be lost.
+    /// callers and homes; a call that cannot be decoded would be lost.
     #[test]
     fn slot_calls_are_read_by_earlier_builds_and_from_them() {
         let call = slot_call();
@@ -540,9 +547,11 @@
         assert_eq!(earlier.2, call.slot_request);
         let same: SlotCall = postcard::from_bytes(&bytes).expect("it is decoded");
         assert_eq!(same.terms, call.terms);
+        assert_eq!(same.homes, call.homes);
         let bytes = postcard::to_stdvec(&earlier).expect("it is encoded");
         let later: SlotCall = postcard::from_bytes(&bytes).expect("it is decoded");
         assert_eq!(later.terms, Tail(None));
+        assert_eq!(later.homes, Tail(None));
         assert_eq!(later.slot_request, call.slot_request);
     }
 }
--- a/crates/roles/src/server_run.rs
+++ b/crates/roles/src/server_run.rs
@@ -5,6 +5,7 @@
 use crate::server_marks::{ServerIdentity, ServerMarks};
 use bytes::Bytes;
 use chicoryladder_broker::{RunOutcome, ServerLimit};
+use chicoryladder_dialer::HostFilter;
 use chicoryladder_gateway::{BodyFraming, is_malformed};
 use chicoryladder_types::ServerLoad;
 use chicoryladder_types::prelude::*;
@@ -26,7 +27,7 @@
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
 /// A request to a backend server.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct ServerRequest {
     pub(crate) server: ServerIdentity,
     pub(crate) address: SocketAddr,
@@ -45,6 +46,8 @@
     pub(crate) head_timeout: Duration,
     /// The rate of the service's servers while they are cold; `None` if they never are.
     pub(crate) cold_limit: Option<ServerLimit>,
+    /// The tunnel hosts through which the request may pass; `None` for all.
+    pub(crate) tunnel_filter: Option<Arc<dyn HostFilter>>,
 }
 
 /// Why an attempt failed.
@@ -235,7 +238,11 @@
         request: &ServerRequest,
     ) -> Result<OpenConnection, RunFailure> {
         self.check_leaving(request)?;
-        let idle = self.pool.take_idle(request.address, request.at_most_once);
+        let idle = self.pool.take_idle(
+            request.address,
+            request.at_most_once,
+            request.tunnel_filter.as_deref(),
+        );
         if let Some(idle) = idle
             && let Some(prepared) = self.wait_for_answer(request, idle).await?
         {
@@ -281,7 +288,11 @@
             *path = Some(prepared.path.clone());
             return self.write(request, prepared, message).await;
         }
-        if let Some(mut idle) = self.pool.take_idle(request.address, request.at_most_once) {
+        if let Some(mut idle) = self.pool.take_idle(
+            request.address,
+            request.at_most_once,
+            request.tunnel_filter.as_deref(),
+        ) {
             *path = Some(idle.path.clone());
             let query = StateQuery::AsNeeded;
             match self.check_incarnation(request, &mut idle, query).await? {
@@ -335,11 +346,20 @@
         request: &ServerRequest,
         path: &mut Option<ConnectionPath>,
     ) -> Result<OpenConnection, RunFailure> {
-        let Ok(connection) = self.pool.open(request.address).await else {
+        let filter = request.tunnel_filter.as_deref();
+        let Ok(connection) = self.pool.open(request.address, filter).await else {
             self.pool.close_idle(request.address);
+            // Other requests may take tunnels that this one may not, so a lost path that they
+            // found says nothing of the server.
+            let is_detoured = self.pool.dialer().paths().is_detoured(request.address);
+            let outcome = if filter.is_some() && is_detoured {
+                RunOutcome::Stopped
+            } else {
+                RunOutcome::Unreachable
+            };
             return Err(RunFailure::new(
                 RunVerdict::NotRun,
-                RunOutcome::Unreachable,
+                outcome,
                 "no connection could be opened",
             ));
         };
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -7,17 +7,22 @@
 };
 use crate::process::ProcessBase;
 use crate::server_marks::{PendingReports, ServerIdentity, ServerMarks};
+use crate::tunnels::HomeTunnels;
+use chicoryladder_batch::JobSpec;
 use chicoryladder_broker::{
     ActiveRun, AnswerReport, BrokerlessView, CallerTerms, ColdPace, ColdServerView, ColdTolerance,
     CrashedRun, ExpectedAnswer, PoolLoad, ProvenWork, RunOutcome, RunReport, ServerLimit,
-    SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind, WorkPercent,
-    shared_segments,
+    ServerPhase, SlotDecision, SlotRefusalReason, SlotRequest, StreamId, StreamPart, WorkKind,
+    WorkPercent, ZoneAreas, shared_segments,
 };
-use chicoryladder_plan::PlanVersion;
+use chicoryladder_dialer::HostFilter;
+use chicoryladder_plan::{PlanVersion, ServicePlan};
 use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServerGeneration, ServerLoad, ServiceName, SoftwareVersion, Tail};
-use std::collections::{HashMap, HashSet};
+use chicoryladder_types::{
+    AreaName, ServerGeneration, ServerLoad, ServiceName, SoftwareVersion, Tail,
+};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
@@ -84,6 +89,14 @@
     /// When the broker last failed to reply. It counts as unreachable until a later sync
     /// succeeds.
     broker_lost_at: Mutex<Option<Instant>>,
+    /// The areas of zones, for requests with homes.
+    areas: ZoneAreas,
+}
+
+/// Where a server is.
+struct ServerPlace {
+    address: SocketAddr,
+    zone: ZoneName,
 }
 
 /// The answers that have begun since the last slot request.
@@ -119,7 +132,9 @@
         view: FleetView,
         marks: ServerMarks,
     ) -> Self {
+        let areas = ZoneAreas::new(&base.settings.areas);
         let shared = SlotShared {
+            areas,
             base,
             client,
             view,
@@ -280,6 +295,7 @@
             reports: pending.reports.reports().clone(),
             answers: Tail(self.shared.answers.take()),
             terms: Tail(terms),
+            homes: Tail(slot_request.homes.clone()),
         };
         let call = Call::Control(ControlCall::RequestSlot(Box::new(call)));
         let timeout = wait_max + BROKER_REPLY_MARGIN;
@@ -293,11 +309,15 @@
                 server,
                 incarnation,
                 address,
+                zone,
                 version,
                 limit,
                 expected,
-                ..
             }) => {
+                if !self.is_allowed(slot_request, &zone) {
+                    pending.mark_answered();
+                    return Ok(Err(self.give_back(leader, slot_request, &server, &zone)));
+                }
                 let server = ServerIdentity {
                     name: server,
                     incarnation,
@@ -308,7 +328,8 @@
                 limits.record_sent(&server.name, now);
                 drop(limits);
                 self.record_sent(&slot_request.service, &server.name, now);
-                let mut lease = self.lease(slot_request, server, version, address, false);
+                let place = ServerPlace { address, zone };
+                let mut lease = self.lease(slot_request, server, version, place, false);
                 lease.expected = expected.0;
                 Ok(lease)
             }
@@ -326,12 +347,60 @@
         Ok(result)
     }
 
+    /// Whether the servers of a zone may run a request.
+    fn is_allowed(&self, slot_request: &SlotRequest, zone: &ZoneName) -> bool {
+        let homes = slot_request.homes.as_ref();
+        self.shared.areas.allows_server(homes, zone)
+    }
+
+    /// Releases a slot outside of the homes of a request, which a leader of an earlier build
+    /// grants, as it does not know of homes.
+    fn give_back(
+        &self,
+        leader: SocketAddr,
+        slot_request: &SlotRequest,
+        server: &ServerName,
+        zone: &ZoneName,
+    ) -> SlotError {
+        let ticket = slot_request.ticket;
+        log::info!(
+            "slot client: slot {ticket} on {server} in zone {zone} is released, since the zone is \
+             in no home of the request."
+        );
+        self.release(Some(leader), stopped_report(ticket), None, None);
+        SlotError::Refused {
+            reason: SlotRefusalReason::NoHomeServer,
+            retry_after: BROKERLESS_RETRY,
+        }
+    }
+
+    /// The hosts through whose tunnels the body of a request with homes may pass.
+    pub(crate) fn tunnel_filter(
+        &self,
+        homes: Option<BTreeSet<AreaName>>,
+    ) -> Option<Arc<dyn HostFilter>> {
+        let filter = HomeTunnels {
+            homes: homes?,
+            areas: self.shared.areas.clone(),
+            own_zone: self.shared.base.settings.host.zone.clone(),
+            view: self.shared.view.clone(),
+        };
+        Some(Arc::new(filter))
+    }
+
+    /// The areas to which the items of a job are confined, by the plan in force; `None` if it
+    /// has no homes.
+    pub(crate) fn job_homes(&self, job: &JobSpec) -> Option<BTreeSet<AreaName>> {
+        let plan = self.shared.view.plan();
+        plan.homes(&job.route, job.team.as_ref())
+    }
+
     fn lease(
         &self,
         slot_request: &SlotRequest,
         server: ServerIdentity,
         version: SoftwareVersion,
-        address: SocketAddr,
+        place: ServerPlace,
         brokerless: bool,
     ) -> SlotLease {
         let ServerIdentity {
@@ -365,7 +434,8 @@
             server,
             incarnation,
             version,
-            address,
+            address: place.address,
+            zone: place.zone,
             brokerless,
             expected: None,
             stop,
@@ -405,6 +475,9 @@
         if !self.bind_sole_version(&mut slot_request, now) {
             return Err(refused(SlotRefusalReason::VersionUnknown));
         }
+        if self.lacks_home_server(&slot_request) {
+            return Err(refused(SlotRefusalReason::NoHomeServer));
+        }
         if let Some(team) = &slot_request.charged_team
             && let ReserveAnswer::Spent { retry_after } = self.take_reserve(team).await
         {
@@ -433,6 +506,7 @@
                 host: Some(shared.base.rpc.identity().address),
                 sent: Some(&sent),
             },
+            areas: &shared.areas,
             roster: &roster,
             now,
         };
@@ -454,11 +528,27 @@
             &slot_request,
             server,
             check_in.version,
-            check_in.address,
+            ServerPlace {
+                address: check_in.address,
+                zone: check_in.zone,
+            },
             true,
         ))
     }
 
+    /// Whether this host knows no ready server of the service in the homes of a request.
+    fn lacks_home_server(&self, slot_request: &SlotRequest) -> bool {
+        if slot_request.homes.is_none() {
+            return false;
+        }
+        let servers = self.shared.view.servers();
+        !servers.iter().any(|server| {
+            server.service == slot_request.service
+                && server.phase == ServerPhase::Ready
+                && self.is_allowed(slot_request, &server.zone)
+        })
+    }
+
     /// The pace of the cold servers of a service; `None` if its servers are never cold.
     fn cold_pace(&self, service: &ServiceName) -> Option<ColdPace> {
         let bounds = &self.shared.base.settings.bounds;
@@ -618,6 +708,8 @@
     /// The version of the server's software.
     pub(crate) version: SoftwareVersion,
     pub(crate) address: SocketAddr,
+    /// The zone of the server.
+    pub(crate) zone: ZoneName,
     /// Whether this host chose the server without the broker.
     pub(crate) brokerless: bool,
     /// What the decision expected of the server, if it weighed that.
@@ -655,6 +747,18 @@
         self.client.cold_pace(&self.service).map(ColdPace::limit)
     }
 
+    /// The hosts through whose tunnels the body of an item may pass; `None` for all.
+    pub(crate) fn tunnel_filter(&self, job: &JobSpec) -> Option<Arc<dyn HostFilter>> {
+        self.client.tunnel_filter(self.client.job_homes(job))
+    }
+
+    /// Whether the items of a job may run on the server of the slot under a plan.
+    pub(crate) fn allows_job(&self, plan: &ServicePlan, job: &JobSpec) -> bool {
+        let homes = plan.homes(&job.route, job.team.as_ref());
+        let areas = &self.client.shared.areas;
+        areas.allows_server(homes.as_ref(), &self.zone)
+    }
+
     /// Returns the signal that is notified when the slot is needed for other work.
     pub(crate) fn stop_signal(&self) -> Arc<Notify> {
         self.stop.clone()
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -335,6 +335,7 @@
         let item = leader.schedule.get(requested);
         item.map(|item| build_slot_request(&shared, item))
     };
+    let has_homes = slot_request.as_ref().is_some_and(|r| r.homes.is_some());
     let lease = match slot_request {
         Some(slot_request) => {
             let plan = shared.view.plan().version();
@@ -391,7 +392,18 @@
             move_from_empty_service(&shared, &mut leader, requested);
             leader.next_request_at = Some(now + REFUSED_PAUSE);
         }
-        Some(Err(_)) => leader.next_request_at = Some(now + REFUSED_PAUSE),
+        Some(Err(SlotError::Refused {
+            reason: SlotRefusalReason::NoHomeServer,
+            retry_after,
+        })) => leader.schedule.postpone(requested, now + retry_after),
+        Some(Err(_)) => {
+            leader.next_request_at = Some(now + REFUSED_PAUSE);
+            if has_homes {
+                // The next slots are requested for items that may run elsewhere, if there are
+                // some.
+                leader.schedule.postpone(requested, now + REFUSED_PAUSE * 2);
+            }
+        }
         None => {}
     }
 }
@@ -435,8 +447,11 @@
     now: Instant,
 ) -> Option<(ItemKey, ScheduledItem)> {
     let (service, version) = (&lease.service, &lease.version);
+    let plan = shared.view.plan();
     loop {
-        let key = leader.schedule.next_for_server(now, service, version)?;
+        let is_allowed = |job: &JobSpec| lease.allows_job(&plan, job);
+        let schedule = &leader.schedule;
+        let key = schedule.next_allowed(now, service, version, is_allowed)?;
         let item = leader.schedule.get(key)?.clone();
         let quarantine = if requested == key {
             None
@@ -474,6 +489,7 @@
         avoid: Vec::new(),
         first_answer_within: SLOT_WAIT,
         wait_max: SLOT_WAIT,
+        homes: shared.slots.job_homes(&item.open.job_spec),
     }
 }
 
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -207,6 +207,7 @@
         continues_run: item.progress.last_event.is_some(),
         head_timeout: SILENCE_MAX,
         cold_limit: lease.cold_limit(),
+        tunnel_filter: lease.tunnel_filter(&item.open.job_spec),
     }
 }
 
--- a/crates/roles/src/tunnels.rs
+++ b/crates/roles/src/tunnels.rs
@@ -3,12 +3,14 @@
 use crate::event_log::EventLog;
 use crate::fleet_view::FleetView;
 use crate::process::ProcessBase;
-use chicoryladder_dialer::{PathLoss, PathObserver, ServerDialer, TunnelHosts};
+use chicoryladder_broker::ZoneAreas;
+use chicoryladder_dialer::{HostFilter, PathLoss, PathObserver, ServerDialer, TunnelHosts};
+use chicoryladder_types::AreaName;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,6 +75,27 @@
     }
 }
 
+/// The hosts through whose tunnels the body of a request with homes may pass. One whose zone is
+/// not known is none of them.
+pub(crate) struct HomeTunnels {
+    pub(crate) homes: BTreeSet<AreaName>,
+    pub(crate) areas: ZoneAreas,
+    pub(crate) own_zone: ZoneName,
+    pub(crate) view: FleetView,
+}
+
+impl HostFilter for HomeTunnels {
+    fn allows(&self, host: SocketAddr) -> bool {
+        let listed = self.view.tunnel_hosts();
+        match listed.iter().find(|member| member.address == host) {
+            Some(member) => self
+                .areas
+                .allows_host(&self.homes, &self.own_zone, &member.zone),
+            None => self.view.zone_roster().hosts.contains(&host),
+        }
+    }
+}
+
 struct PathLog {
     log: EventLog,
 }
