--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -10,6 +10,7 @@
 mod faulty;
 mod faulty_answers;
 mod first_contact;
+mod homes;
 mod hushed;
 mod limited;
 mod moved_jobs;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -141,6 +141,8 @@
     version: u64,
     /// Whether the settings of processes that start later name the zones.
     pub(crate) names_zones: bool,
+    /// The area of each zone, where they do.
+    pub(crate) areas: &'static str,
 }
 
 impl ProcessFleet {
@@ -163,6 +165,7 @@
             servers: Vec::new(),
             version: 0,
             names_zones: false,
+            areas: "zone-1:north, zone-2:north, zone-3:north",
         };
         for number in 1..=3 {
             for role in [Role::Control, Role::Store, Role::Entry] {
@@ -329,7 +332,7 @@
             ),
         );
         if self.names_zones {
-            let areas = "zone-1:north, zone-2:north, zone-3:north";
+            let areas = self.areas;
             append(&mut text, format_args!("\n[zones]\nareas = {areas}\n"));
         }
         text
--- a/tests/fleet/zone_drains.rs
+++ b/tests/fleet/zone_drains.rs
@@ -96,7 +96,7 @@
     drained.map(|run| run.id).collect()
 }
 
-fn restart_all(fleet: &mut ProcessFleet) {
+pub(crate) fn restart_all(fleet: &mut ProcessFleet) {
     let roles = [Role::Control, Role::Store, Role::Entry];
     let names: Vec<String> = roles
         .iter()
@@ -110,7 +110,7 @@
     }
 }
 
-async fn wait_until_serving(fleet: &ProcessFleet) {
+pub(crate) async fn wait_until_serving(fleet: &ProcessFleet) {
     fleet
         .wait_until("every entry host serves", || async {
             fleet.all_report_ready().await && {
