Log and count refusals for homes, and test the check of granted slots

Cause: a refusal for want of a server at home could not be told from others in the event log and the metrics, and no test covered a leader that does not know homes. Change: event home_refused and counter home_refusals by cause; tests of SlotClient with a stand-in leader that grants a slot elsewhere, and of a host without the broker. By hand: the first fails without the check.

--- a/crates/roles/src/metrics.rs
+++ b/crates/roles/src/metrics.rs
@@ -28,6 +28,7 @@
     retries: Counter<u64>,
     answer_ends: Counter<u64>,
     servers_leaving: Counter<u64>,
+    home_refusals: Counter<u64>,
     answer_seconds: Histogram<f64>,
     level_gauge: Gauge<f64>,
     // Dropping the provider would shut the instruments down.
@@ -52,6 +53,7 @@
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
             answer_ends: meter.u64_counter("answer_ends").build(),
+            home_refusals: meter.u64_counter("home_refusals").build(),
             servers_leaving: meter.u64_counter("servers_leaving").build(),
             answer_seconds: meter
                 .f64_histogram("answer_seconds")
@@ -75,6 +77,12 @@
         self.servers_leaving.add(1, &[label]);
     }
 
+    /// Counts a slot request that is refused since no server in its homes is known, or one
+    /// elsewhere was granted.
+    pub(crate) fn count_home_refusal(&self, cause: &'static str) {
+        self.home_refusals.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts the end of a server's response by its framing and position in its events.
     pub(crate) fn count_answer_end(&self, framing: BodyFraming, within_event: Option<bool>) {
         let position = match within_event {
--- a/crates/roles/src/server_marks.rs
+++ b/crates/roles/src/server_marks.rs
@@ -9,7 +9,7 @@
 use crate::metrics::RoleMetrics;
 use chicoryladder_broker::{
     DepartureReport, DepartureSource, LeavingServers, LimitReport, LimitStatement, NamedLimits,
-    SentTimes, ServerLimit, StreamReport, StreamVersions,
+    SentTimes, ServerLimit, SlotRequest, StreamReport, StreamVersions,
 };
 use chicoryladder_types::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -64,6 +64,27 @@
         }
     }
 
+    /// Logs and counts a slot request with homes that is refused: no server at home is known, or
+    /// one elsewhere was granted.
+    pub(crate) fn record_home_refusal(
+        &self,
+        slot_request: &SlotRequest,
+        cause: &'static str,
+        granted: Option<(&ServerName, &ZoneName)>,
+    ) {
+        self.shared.metrics.count_home_refusal(cause);
+        let fields = json!({
+            "ticket": slot_request.ticket,
+            "service": slot_request.service,
+            "request_hash": slot_request.fingerprint.to_string(),
+            "homes": slot_request.homes,
+            "cause": cause,
+            "server": granted.map(|(server, _)| server),
+            "zone": granted.map(|(_, zone)| zone),
+        });
+        self.shared.log.note("home_refused", &fields);
+    }
+
     pub(crate) fn leaving(&self) -> MutexGuard<'_, LeavingServers> {
         let leaving = self.shared.leaving.lock();
         leaving.unwrap_or_else(PoisonError::into_inner)
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -1,5 +1,8 @@
 //! Acquisition of slots from the broker, or by a local choice while it is unreachable.
 
+#[cfg(test)]
+mod tests;
+
 use crate::fleet_view::{FleetView, key_lease};
 use crate::leader_client::{LeaderClient, LeaderError};
 use crate::message::{
@@ -336,10 +339,16 @@
             ControlAnswer::Slot(SlotDecision::Refused {
                 reason,
                 retry_after,
-            }) => Err(SlotError::Refused {
-                reason,
-                retry_after,
-            }),
+            }) => {
+                if reason == SlotRefusalReason::NoHomeServer {
+                    let marks = &self.shared.marks;
+                    marks.record_home_refusal(slot_request, "none_known", None);
+                }
+                Err(SlotError::Refused {
+                    reason,
+                    retry_after,
+                })
+            }
             ControlAnswer::StalePlan => Err(SlotError::StalePlan),
             _ => return Err(LeaderError::OutcomeUnknown),
         };
@@ -363,9 +372,10 @@
         zone: &ZoneName,
     ) -> SlotError {
         let ticket = slot_request.ticket;
-        log::info!(
-            "slot client: slot {ticket} on {server} in zone {zone} is released, since the zone is \
-             in no home of the request."
+        self.shared.marks.record_home_refusal(
+            slot_request,
+            "granted_elsewhere",
+            Some((server, zone)),
         );
         self.release(Some(leader), stopped_report(ticket), None, None);
         SlotError::Refused {
@@ -476,6 +486,8 @@
             return Err(refused(SlotRefusalReason::VersionUnknown));
         }
         if self.lacks_home_server(&slot_request) {
+            let marks = &shared.marks;
+            marks.record_home_refusal(&slot_request, "none_known_without_broker", None);
             return Err(refused(SlotRefusalReason::NoHomeServer));
         }
         if let Some(team) = &slot_request.charged_team
