Count the requests of the same homes in the predicted wait under pressure

Cause: under the feature pressure, requests with homes ahead of one counted as if the whole fleet took them up. They were queued and refused at their time limit instead of at once. Change: QueueAhead counts those of the same homes, against the rate of the servers at home.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -73,12 +73,14 @@
 }
 
 /// How the requests of a queue compare with a new one.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct QueueAhead {
     /// The requests ahead of it.
     pub(crate) all: usize,
     /// Those of its team, rank and class.
     pub(crate) of_team: usize,
+    /// Those with the same homes, which share the servers at home; 0 if it has none.
+    pub(crate) of_homes: usize,
 }
 
 /// The requests a second that servers can take up.
@@ -173,7 +175,7 @@
             .demand
             .team_rate(rank, terms.team.as_ref(), rates.all, now);
         let wait = (count(ahead.all) / rank_rate).max(count(ahead.of_team) / team_rate);
-        let wait = wait + rates.own.recip();
+        let wait = wait.max(count(ahead.of_homes) / rates.own) + rates.own.recip();
         !limits.in_time.is_zero() && wait <= limits.in_time.as_secs_f64() * PREDICTED_WAIT_SHARE
     }
 
@@ -181,7 +183,7 @@
     /// its time limit from what requests in time leave.
     pub(crate) fn admits_late(
         &mut self,
-        ahead: usize,
+        ahead: QueueAhead,
         limits: WaitLimits,
         rates: ServiceRates,
         now: Instant,
@@ -190,7 +192,8 @@
             return false;
         }
         let forecast = self.history.forecast(now);
-        let work = count(ahead) + rates.all / rates.own;
+        let share = rates.all / rates.own;
+        let work = count(ahead.all).max(count(ahead.of_homes) * share) + share;
         let wait = self.calendar.spare_wait(forecast, work, rates.all);
         wait.is_some_and(|wait| wait <= limits.late)
     }
--- a/crates/broker/src/slots/pressure.rs
+++ b/crates/broker/src/slots/pressure.rs
@@ -62,7 +62,7 @@
             return;
         };
         let (service, rank) = (&waiting.request.service, waiting.request.rank);
-        let ahead = self.queued_ahead_of(service, rank, false, terms.team.as_ref());
+        let ahead = self.queued_ahead_of(&waiting.request, false, terms.team.as_ref());
         let admission = &mut self.pool(service).admission;
         if admission.admits_in_time(rank, terms, limits, ahead, rates, now) {
             self.enqueue_in_class(waiting, false);
@@ -168,9 +168,9 @@
             late: left,
         };
         let team = team_of(&waiting).cloned();
-        let ahead = self.queued_ahead_of(&request.service, request.rank, true, team.as_ref());
+        let ahead = self.queued_ahead_of(request, true, team.as_ref());
         let admission = &mut self.pool(&request.service).admission;
-        if admission.admits_late(ahead.all, limits, rates, now) {
+        if admission.admits_late(ahead, limits, rates, now) {
             self.enqueue_in_class(waiting, true);
         } else {
             self.refuse_until_room(&waiting, rates, now);
@@ -229,23 +229,25 @@
     /// The queued requests that would go before one of a team that is queued now.
     fn queued_ahead_of(
         &mut self,
-        service: &ServiceName,
-        rank: u32,
+        request: &SlotRequest,
         is_late: bool,
         team: Option<&TeamName>,
     ) -> QueueAhead {
-        let pool = self.pool(service);
+        let (rank, homes) = (request.rank, request.homes.as_ref());
+        let pool = self.pool(&request.service);
         let position = QueuePosition {
             rank,
             is_late,
             tag: pool.admission.start_tag(rank, is_late, team),
             arrival: u64::MAX,
         };
-        let mut ahead = QueueAhead { all: 0, of_team: 0 };
+        let mut ahead = QueueAhead::default();
         for (other, waiting) in pool.online.range(..position) {
             ahead.all += 1;
             let is_same_class = other.rank == rank && other.is_late == is_late;
             ahead.of_team += usize::from(is_same_class && team_of(waiting) == team);
+            let has_homes = homes.is_some() && waiting.request.homes.as_ref() == homes;
+            ahead.of_homes += usize::from(has_homes);
         }
         ahead
     }
--- a/crates/broker/tests/all/homes.rs
+++ b/crates/broker/tests/all/homes.rs
@@ -184,6 +184,68 @@
     assert_eq!(queued.count(), 4);
 }
 
+/// Lets 80 callers ask for slots at once under the feature `pressure`, half of them for the second
+/// time; returns how many are queued, and how many of those get a slot.
+fn queue_under_pressure(zones: &[&str], homes: Option<&str>) -> (usize, usize) {
+    let mut fixture = fixture(zones, true);
+    let mut running = Vec::new();
+    let mut queued = 0;
+    for number in 0..80 {
+        let mut request = fixture.slot_request(WorkKind::Online);
+        request.homes = homes.map(|home| BTreeSet::from([area(home)]));
+        let ticket = request.ticket;
+        let terms = CallerTerms {
+            team: None,
+            returned: number % 2 == 1,
+            target_left: Duration::from_secs(1),
+            time_left: Duration::from_secs(2),
+        };
+        let id = requester("entry-1");
+        let broker = &mut fixture.broker;
+        broker.request_slot_for(&id, request, Some(terms), fixture.now);
+        let events = broker.take_events();
+        if granted(&events).is_some() {
+            running.push((ticket, fixture.now));
+        }
+        queued += usize::from(events.is_empty());
+    }
+    let mut served = 0;
+    for _ in 0..300 {
+        let mut events = fixture.tick(Duration::from_millis(10));
+        let now = fixture.now;
+        let ended = running.extract_if(.., |(_, since)| now - *since >= Duration::from_millis(500));
+        let ended: Vec<_> = ended.collect();
+        for (ticket, _) in ended {
+            events.extend(fixture.release(ticket, RunOutcome::Served));
+        }
+        for event in events {
+            if let BrokerEvent::Decided {
+                ticket,
+                decision: SlotDecision::Granted { .. },
+                ..
+            } = event
+            {
+                running.push((ticket, now));
+                served += 1;
+            }
+        }
+    }
+    (queued, served)
+}
+
+/// Guards against the same under the feature `pressure`. The queue may be longer than that of a
+/// fleet of the servers at home alone by what they take up at once, since the forecast of late
+/// requests knows no areas.
+#[test]
+fn requests_with_homes_are_queued_nearly_as_if_there_were_no_other_servers() {
+    let fleet = ["c", "a", "a", "a", "a", "a", "a", "a"];
+    let (queued, served) = queue_under_pressure(&fleet, Some("south"));
+    let (queued_alone, served_alone) = queue_under_pressure(&["c"], None);
+    let counts = format!("{served} of {queued}, {served_alone} of {queued_alone} alone");
+    assert!(served >= served_alone, "{counts}");
+    assert!(queued <= queued_alone + SLOTS, "{counts}");
+}
+
 /// Guards against an online request that preempts an item in another area and takes its slot,
 /// and against an item that gets one there.
 #[test]
