--- a/crates/broker/tests/all/brokerless.rs
+++ b/crates/broker/tests/all/brokerless.rs
@@ -3,7 +3,7 @@
 use crate::support::{BrokerFixture, check_in};
 use chicoryladder_broker::{
     BrokerlessView, ColdServerView, EngineMemory, LeavingServers, NamedLimits, ServerCheckIn,
-    ServerPhase, WorkKind, ZoneRoster,
+    ServerPhase, WorkKind, ZoneAreas, ZoneRoster,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -22,6 +22,7 @@
         let request = fixture.slot_request(WorkKind::Online);
         let view = BrokerlessView {
             memory: &EngineMemory::default(),
+            areas: &ZoneAreas::default(),
             versions: None,
             servers,
             own_runs: &own_runs,
@@ -81,6 +82,7 @@
     for _ in 0..40 {
         let view = BrokerlessView {
             memory: &EngineMemory::default(),
+            areas: &ZoneAreas::default(),
             versions: None,
             servers: &servers,
             own_runs: &own_runs,
@@ -140,6 +142,7 @@
         let view = BrokerlessView {
             memory: &memory,
             versions: None,
+            areas: &ZoneAreas::default(),
             servers: &servers,
             own_runs: &HashMap::from([(a1, 1)]),
             unreachable: &HashSet::new(),
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -9,7 +9,8 @@
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerlessView, ColdPace, ColdServerView, ColdSource, ColdTolerance,
     EngineMemory, LeavingServers, LimitReport, LimitStatement, NamedLimits, ProvenWork, RunOutcome,
-    SentTimes, ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneRoster,
+    SentTimes, ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneAreas,
+    ZoneRoster,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, ServicePlan};
 use chicoryladder_types::prelude::*;
@@ -273,6 +274,7 @@
         let known = &self.hosts[host];
         let view = BrokerlessView {
             memory: &EngineMemory::default(),
+            areas: &ZoneAreas::default(),
             servers: &known.directory,
             own_runs: &own_runs,
             unreachable: &HashSet::new(),
@@ -545,6 +547,7 @@
                     host: Some(**host),
                     sent: None,
                 },
+                areas: &ZoneAreas::default(),
                 memory: &EngineMemory::default(),
                 roster: &roster,
                 now: now + elapsed,
--- a/crates/broker/tests/all/departures.rs
+++ b/crates/broker/tests/all/departures.rs
@@ -5,7 +5,7 @@
 use crate::support::{BrokerFixture, check_in, granted, refused_after};
 use chicoryladder_broker::{
     BrokerlessView, ColdServerView, EngineMemory, LeavingServers, NamedLimits, RunOutcome,
-    ServerCheckIn, WorkKind, ZoneRoster,
+    ServerCheckIn, WorkKind, ZoneAreas, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{HashMap, HashSet};
@@ -83,6 +83,7 @@
     let choose = |servers: &[ServerCheckIn], leaving: &LeavingServers| {
         let view = BrokerlessView {
             memory: &EngineMemory::default(),
+            areas: &ZoneAreas::default(),
             versions: None,
             servers,
             own_runs: &HashMap::new(),
--- a/crates/broker/tests/all/limited_servers.rs
+++ b/crates/broker/tests/all/limited_servers.rs
@@ -6,7 +6,7 @@
 use chicoryladder_broker::{
     BrokerEvent, BrokerlessView, ColdServerView, EngineMemory, LeavingServers, LimitReport,
     LimitStatement, NamedLimits, RunOutcome, RunReport, ServerLimit, SlotDecision, WorkKind,
-    ZoneRoster,
+    ZoneAreas, ZoneRoster,
 };
 use chicoryladder_types::prelude::*;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -288,6 +288,7 @@
             request.zone = crate::support::zone(zone);
             let view = BrokerlessView {
                 memory: &EngineMemory::default(),
+                areas: &ZoneAreas::default(),
                 versions: None,
                 servers: std::slice::from_ref(&server),
                 own_runs: &HashMap::new(),
--- a/crates/roles/src/control/leader/zone_drains.rs
+++ b/crates/roles/src/control/leader/zone_drains.rs
@@ -93,7 +93,9 @@
 mod tests {
     use super::super::super::zone_drains::ZoneDrainOrder;
     use super::*;
-    use chicoryladder_broker::{BrokerSettings, ColdTolerance, RateTolerance, RosterSettings};
+    use chicoryladder_broker::{
+        BrokerSettings, ColdTolerance, RateTolerance, RosterSettings, ZoneAreas,
+    };
 
     const MINUTE: Duration = Duration::from_secs(60);
 
@@ -110,6 +112,7 @@
             },
             cold_tolerance: ColdTolerance::default(),
             pressure: false,
+            areas: ZoneAreas::default(),
         };
         let roster = RosterSettings {
             detached_after: MINUTE,
