Search the servers once for queued streams with the same needs

Cause: a queued request that is bound to a version, or that waits for versions at which streams may begin, lets those behind it pass. During a rollout under overload, the broker would have come to a halt.

Change: a pass ends once no server has a free slot or an item to preempt, and a request that needs at least what another one did not get since the last grant is passed over without a search. The decisions are the same.

--- a/crates/broker/src/request.rs
+++ b/crates/broker/src/request.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Whether the request is for the beginning of a stream.
+    pub(crate) fn begins_stream(&self) -> bool {
+        matches!(self.stream, Some(StreamPart::Beginning(_)))
+    }
+
     /// The stream that the request is a part of, if it is known.
     #[must_use]
     pub fn stream_id(&self) -> Option<StreamId> {
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -36,8 +36,8 @@
 use crate::streams::StreamVersions;
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
-use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, SoftwareVersion};
 pub use expectations::PromptTokenCount;
 use expectations::ServerBelief;
 use failures::ContactHistory;
@@ -715,6 +715,7 @@
     fn dispatch(&mut self, service: &ServiceName, now: Instant) {
         for kind in [WorkKind::Online, WorkKind::Batch] {
             let mut not_granted = Vec::new();
+            let mut unmet = UnmetNeeds::default();
             loop {
                 let first = self.pool(service).queue(kind).pop_first();
                 let Some((position, waiting)) = first else {
@@ -723,18 +724,25 @@
                 let Some(waiting) = self.recheck_waiting(position, waiting, now) else {
                     continue;
                 };
-                if self.try_grant(&waiting.requester, &waiting.request, now) {
+                let is_unmet = unmet.include(&waiting.request);
+                if !is_unmet && self.try_grant(&waiting.requester, &waiting.request, now) {
                     self.pool(service).admission.record_granted(position);
+                    // A preemption may have left room in the memory of a server.
+                    unmet = UnmetNeeds::default();
                     continue;
                 }
                 // Servers of other versions may have slots for those behind it, and a slot is
                 // free for them if it only waits for a decision.
                 let request = &waiting.request;
+                let is_undecided = self.is_undecided(request, now);
                 let is_passable = request.required_version().is_some()
                     || self.waits_for_version(request)
-                    || self.is_undecided(request, now);
+                    || is_undecided;
+                if !is_undecided && !is_unmet {
+                    unmet.add(request);
+                }
                 not_granted.push((position, waiting));
-                if !is_passable {
+                if !is_passable || (!is_unmet && !self.has_room(service, kind, now)) {
                     break;
                 }
             }
@@ -767,6 +775,51 @@
     }
 }
 
+/// What queued requests need of servers that have no slot for it, in one pass over a queue. Until
+/// the next grant, others with the same needs get none either. Without
+/// this, each pass would search all servers for each of the streams that are queued.
+#[derive(Debug, Default)]
+struct UnmetNeeds(Vec<UnmetNeed>);
+
+#[derive(Debug)]
+struct UnmetNeed {
+    version: Option<SoftwareVersion>,
+    is_beginning: bool,
+    /// The least tokens for which there was no slot.
+    tokens: u64,
+}
+
+impl UnmetNeed {
+    fn is_of(&self, request: &SlotRequest) -> bool {
+        self.version.as_ref() == request.required_version()
+            && self.is_beginning == request.begins_stream()
+    }
+}
+
+impl UnmetNeeds {
+    /// Adds the needs of a request that got no slot, unless it avoids servers that others may
+    /// use.
+    fn add(&mut self, request: &SlotRequest) {
+        if !request.avoid.is_empty() {
+            return;
+        }
+        match self.0.iter_mut().find(|need| need.is_of(request)) {
+            Some(need) => need.tokens = need.tokens.min(request.tokens),
+            None => self.0.push(UnmetNeed {
+                version: request.required_version().cloned(),
+                is_beginning: request.begins_stream(),
+                tokens: request.tokens,
+            }),
+        }
+    }
+
+    /// Whether a request needs at least what another one did not get.
+    fn include(&self, request: &SlotRequest) -> bool {
+        let mut needs = self.0.iter();
+        needs.any(|need| need.is_of(request) && need.tokens <= request.tokens)
+    }
+}
+
 /// Adds a jitter of up to the same delay, derived from the ticket, so that refused requests
 /// do not retry simultaneously.
 fn jittered_delay(wait: Duration, ticket: u64) -> Duration {
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -4,8 +4,8 @@
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
 use crate::placement::{PlacementQuery, prompt_prefixes, record_prompt, server_cost};
 use crate::request::{BrokerEvent, RequesterId, SlotDecision, SlotRequest, WorkKind};
-use chicoryladder_types::Tail;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, Tail};
 use std::time::Instant;
 
 /// The number of slots per engine that batch items leave free, so that an online
@@ -45,6 +45,20 @@
         true
     }
 
+    /// Whether a server may have a slot for queued work, whatever else the work needs.
+    pub(super) fn has_room(&self, service: &ServiceName, kind: WorkKind, now: Instant) -> bool {
+        let Some(pool) = self.services.get(service) else {
+            return false;
+        };
+        let is_engine = pool.engine_tokens.is_some();
+        let mut entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
+        entries.any(|entry| {
+            let is_free = entry.running() < entry.capacity(is_engine, now);
+            let is_preemptible = kind == WorkKind::Online && entry.running_batch > 0;
+            (is_free || is_preemptible) && self.accepts_work(&entry.record, now)
+        })
+    }
+
     fn is_in_zone(&self, key: ServerKey, zone: &ZoneName) -> bool {
         let entry = self.servers.get(key);
         entry.is_some_and(|entry| entry.record.check_in.zone == *zone)
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -110,9 +110,8 @@
     /// Whether a request may have to wait although servers are free, since streams may not
     /// begin at some of the versions yet.
     pub(super) fn waits_for_version(&self, request: &SlotRequest) -> bool {
-        let is_beginning = matches!(request.stream, Some(StreamPart::Beginning(_)));
         let pool = self.services.get(&request.service);
-        is_beginning && pool.is_some_and(|pool| pool.versions.has_held())
+        request.begins_stream() && pool.is_some_and(|pool| pool.versions.has_held())
     }
 
     /// Records the version that a stream is bound to, as a host reports it.
--- a/crates/broker/tests/all/mixed_versions.rs
+++ b/crates/broker/tests/all/mixed_versions.rs
@@ -6,8 +6,8 @@
     BrokerFixture, ENGINE, check_in, granted, plan, refused_after, requester, settings, zone,
 };
 use chicoryladder_broker::{
-    BrokerEvent, ServerCheckIn, SlotBroker, SlotRequest, StreamId, StreamPart, StreamVersions,
-    VERSION_NOTICE, VersionRecord, VersionStep, WorkKind,
+    BrokerEvent, RunOutcome, ServerCheckIn, SlotBroker, SlotDecision, SlotRequest, StreamId,
+    StreamPart, StreamVersions, VERSION_NOTICE, VersionRecord, VersionStep, WorkKind,
 };
 use chicoryladder_types::{ServiceName, SoftwareVersion};
 use std::time::{Duration, Instant};
@@ -327,3 +327,74 @@
     fixture.broker.retry_version(&asked[0]);
     assert_eq!(steps(&fixture.tick(Duration::from_millis(50))), asked);
 }
+
+/// The time that 100 slots take to be released and granted again while 1,000 streams are queued,
+/// for one version if `is_bound`. Another version has free slots if `has_free`.
+fn time_of_releases(is_bound: bool, has_free: bool) -> Duration {
+    let mut fixture = mixed_fixture(&[("v1", 60), ("v2", usize::from(has_free))]);
+    let streams = 60 * 8 + 1_000;
+    let mut running = Vec::new();
+    for number in 0..streams {
+        let mut request = fixture.slot_request(WorkKind::Online);
+        request.first_answer_within = Duration::from_secs(600);
+        request.wait_max = Duration::from_secs(600);
+        request.stream = is_bound.then(|| StreamPart::Rest {
+            stream: Some(attempt(number)),
+            version: Some(SoftwareVersion::from("v1")),
+        });
+        let ticket = request.ticket;
+        let events = fixture.submit(request);
+        running.extend(granted(&events).map(|_| ticket));
+    }
+    assert_eq!(running.len(), 60 * 8);
+    let began = Instant::now();
+    for ticket in running.iter().take(100) {
+        let events = fixture.release(*ticket, RunOutcome::Served);
+        assert!(granted(&events).is_some_and(|server| server.starts_with("v1")));
+    }
+    began.elapsed()
+}
+
+/// Each free slot must not cost a search of all servers for each of the streams that wait for
+/// the same version, or the broker comes to a halt under overload.
+#[test]
+fn queued_streams_of_one_version_do_not_multiply_the_work() {
+    let unbound = time_of_releases(false, false);
+    for has_free in [false, true] {
+        let bound = time_of_releases(true, has_free);
+        println!("unbound {unbound:?}, bound {bound:?}");
+        // A search for each of them takes 500 times as long as one search.
+        let bound_max = unbound * 60 + Duration::from_millis(100);
+        assert!(bound < bound_max, "{bound:?}, {unbound:?}");
+    }
+}
+
+/// A stream that was passed over must not hold up one of the same version that needs less
+/// memory.
+#[test]
+fn a_smaller_stream_of_the_same_version_gets_the_slot() {
+    let mut fixture = mixed_fixture(&[("v1", 1)]);
+    let mut tickets = Vec::new();
+    for tokens in [60_000, 40_000, 45_000, 50_000, 5_000] {
+        let mut request = fixture.slot_request(WorkKind::Online);
+        request.first_answer_within = Duration::from_secs(600);
+        request.wait_max = Duration::from_secs(600);
+        request.tokens = tokens;
+        request.stream = Some(StreamPart::Rest {
+            stream: None,
+            version: Some(SoftwareVersion::from("v1")),
+        });
+        tickets.push(request.ticket);
+        fixture.submit(request);
+    }
+    let of_ticket = |ticket: u64, events: &[BrokerEvent]| {
+        events.iter().any(|event| {
+            matches!(event, BrokerEvent::Decided { ticket: decided, decision, .. }
+                if *decided == ticket && matches!(decision, SlotDecision::Granted { .. }))
+        })
+    };
+    let events = fixture.release(tickets[1], RunOutcome::Served);
+    assert!(!of_ticket(tickets[2], &events));
+    assert!(!of_ticket(tickets[3], &events));
+    assert!(of_ticket(tickets[4], &events));
+}
