Bear reports of times beyond the range of the clock

Cause: the time to the first part of an answer was added to the time of the grant without a check, in the estimate of the pace and in the record of contacts, so that one malformed report would end the process of each leader in turn.

Change: the addition is checked. A stated figure then counts as stated now, a contact as none.

--- a/crates/broker/src/slots/expectations.rs
+++ b/crates/broker/src/slots/expectations.rs
@@ -200,8 +200,10 @@
         };
         if let Some(work) = work {
             pool.states_work = true;
-            let stated_at = run.granted_at + first_answer;
-            entry.belief.pace.record_stated(work, stated_at.min(now));
+            // The time comes from a message; a time that is too long must not end the process.
+            let stated_at = run.granted_at.checked_add(first_answer);
+            let stated_at = stated_at.map_or(now, |at| at.min(now));
+            entry.belief.pace.record_stated(work, stated_at);
         }
         let Some(expected) = run.expected else {
             return;
--- a/crates/broker/src/slots/failures.rs
+++ b/crates/broker/src/slots/failures.rs
@@ -40,7 +40,10 @@
         | RunOutcome::WrongServer
         | RunOutcome::Failed
         | RunOutcome::Leaving
-        | RunOutcome::PathLost => report.first_answer.map(|after| grant.granted_at + after),
+        | RunOutcome::PathLost => {
+            let after = report.first_answer?;
+            grant.granted_at.checked_add(after)
+        }
     }
 }
 
--- a/crates/broker/tests/all/overload.rs
+++ b/crates/broker/tests/all/overload.rs
@@ -6,7 +6,7 @@
 };
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerSettings, CallerTerms, ProvenWork, RunOutcome, RunReport,
-    SlotBroker, SlotDecision, SlotRequest, WorkKind,
+    SlotBroker, SlotDecision, SlotRequest, WorkKind, WorkPercent,
 };
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
@@ -824,3 +824,26 @@
     let granted: Vec<u64> = granted.collect();
     assert_eq!(granted[..3], [first, last, others[0]], "{granted:?}");
 }
+
+/// A time in a report that is beyond what the clock can hold must not end the leader's process.
+#[test]
+fn reports_of_endless_times_are_borne() {
+    for pressure in [false, true] {
+        let mut simulation = OverloadSimulation::new(pressure);
+        for outcome in [RunOutcome::Served, RunOutcome::Failed] {
+            let request = simulation.request(WorkKind::Online);
+            let entry = requester("entry-1");
+            let report = RunReport {
+                first_answer: Some(Duration::MAX),
+                ..run_report(request.ticket, outcome)
+            };
+            simulation
+                .broker
+                .request_slot_for(&entry, request, None, simulation.now);
+            let work = WorkPercent::try_from(150.0).ok();
+            simulation
+                .broker
+                .release_stated(&entry, &report, work, simulation.now);
+        }
+    }
+}
