Test that a caller that leaves ends a run that is read ahead

The connection to the server closes once the body is dropped. The test covers a reader that waits for the server and one that waits for room in the buffer; it passes without a change.

--- a/crates/roles/src/entry/read_ahead.rs
+++ b/crates/roles/src/entry/read_ahead.rs
@@ -283,6 +283,31 @@
         assert!(matches!(last, Some(Err(ReadError::ReaderLost))));
     }
 
+    /// A caller that leaves must end the run on the server, whether its reader waits for the server
+    /// or for room in the buffer: the connection closes once the body is dropped.
+    #[tokio::test]
+    async fn a_dropped_buffer_drops_the_body() {
+        for is_endless in [false, true] {
+            let kept = Arc::new(());
+            let held = kept.clone();
+            let chunk = || Ok::<_, io::Error>(Frame::data(Bytes::from(vec![0; 64 * 1024])));
+            let frames = futures_util::stream::repeat_with(chunk);
+            let frames = frames.take(if is_endless { 10_000 } else { 1 });
+            let frames = frames.chain(futures_util::stream::pending());
+            let body = StreamBody::new(frames.inspect(move |_| {
+                let _ = &held;
+            }));
+            let observed = Observed::default();
+            let buffer = ReadAhead::start(body, observed.clone());
+            settle().await;
+            assert_eq!(Arc::strong_count(&kept), 2);
+            drop(buffer);
+            settle().await;
+            assert_eq!(Arc::strong_count(&kept), 1);
+            assert_eq!(observed.ends.load(Ordering::Relaxed), 0);
+        }
+    }
+
     /// A slot must not stay occupied by a run that its server has completed because the caller
     /// reads slowly, and not be released while the server still writes.
     #[tokio::test]
