Tell hosts when a server is no longer cold

Cause: a new directory was taken when a server became cold, but not when it ceased to be. A host that started later got the directory of then, with the time left of then. Alone it paced warm servers, and a control host that led next paced all of them from empty buckets until their check-ins, up to 1.2 s.

Change: the end of coldness that hosts were told of is news as well, once for each server.

Result: the directory version stayed the same before when the time ran out or a check-in ended it (new test, failed), and now changes once.

--- a/crates/broker/src/cold_servers.rs
+++ b/crates/broker/src/cold_servers.rs
@@ -321,11 +321,11 @@
         is_change
     }
 
-    /// Whether hosts have to be told that the server is cold, or for longer than they know.
+    /// Whether hosts have to be told that the server is cold, or for longer than they know, or
+    /// that it is no longer cold. Hosts that start later get the directory that was taken last.
     pub(crate) fn take_news(&mut self, now: Instant) -> bool {
         let Some(remaining) = self.remaining(now).filter(|left| !left.is_zero()) else {
-            self.told_until = None;
-            return false;
+            return self.told_until.take().is_some();
         };
         let until = now + remaining;
         let is_news = self.told_until.is_none_or(|told| until > told + NEWS_MIN);
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -638,6 +638,42 @@
     assert!(grants_at_once(&mut fixture) >= 5);
 }
 
+/// Guards against hosts that start long after a server became warm and take it for cold, since
+/// the directory is still the one of then: one that leads next would pace all servers.
+#[test]
+fn hosts_are_told_that_a_server_is_no_longer_cold() {
+    for by_check_in in [false, true] {
+        let mut fixture = warm_fixture(1);
+        let now = fixture.now;
+        fixture
+            .broker
+            .check_in(cold_check_in(0, 2, TERMS.duration), now);
+        let version = fixture.broker.directory_version();
+        if by_check_in {
+            let warm = cold_check_in(0, 3, Duration::ZERO);
+            fixture.broker.check_in(warm, now);
+        } else {
+            // Check-ins keep the server listed, and none of them is news.
+            let mut sequence = 3;
+            while fixture.now + CHECK_IN_INTERVAL < now + TERMS.duration {
+                fixture.tick(CHECK_IN_INTERVAL);
+                let left = (now + TERMS.duration).saturating_duration_since(fixture.now);
+                let check_in = cold_check_in(0, sequence, left);
+                fixture.broker.check_in(check_in, fixture.now);
+                sequence += 1;
+            }
+            assert_eq!(fixture.broker.directory_version(), version);
+            fixture.tick(CHECK_IN_INTERVAL);
+        }
+        let told = fixture.broker.directory_version();
+        assert_ne!(told, version, "by a check-in: {by_check_in}");
+        let left = fixture.broker.servers_at(fixture.now)[0].warmup_remaining;
+        assert_eq!(left, Duration::ZERO);
+        fixture.tick(STEP);
+        assert_eq!(fixture.broker.directory_version(), told);
+    }
+}
+
 /// Guards against coldness that is reported at every check-in, or never ends.
 #[test]
 fn a_server_is_reported_once_as_cold_and_once_as_cold_no_more() {
