Tell queued requests with homes from others when searches are saved

Cause: a pass over a queue does not search again for requests that need at least what another one did not get.

Change: homes are part of the needs.

--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -38,7 +38,7 @@
 use chicoryladder_plan::{PlanTeam, ServicePlan};
 use chicoryladder_policy::quarantine::CrashLedger;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServiceName, SoftwareVersion};
+use chicoryladder_types::{AreaName, ServiceName, SoftwareVersion};
 pub use expectations::PromptTokenCount;
 use expectations::ServerBelief;
 use failures::ContactHistory;
@@ -741,8 +741,8 @@
                     unmet = UnmetNeeds::default();
                     continue;
                 }
-                // Servers of other versions or areas may have slots for those behind it, and a slot is
-                // free for them if it only waits for a decision.
+                // Servers of other versions or areas may have slots for those behind it, and a
+                // slot is free for them if it only waits for a decision.
                 let request = &waiting.request;
                 let is_undecided = self.is_undecided(request, now);
                 let is_passable = request.required_version().is_some()
@@ -787,8 +787,8 @@
 }
 
 /// What queued requests need of servers that have no slot for it, in one pass over a queue. Until
-/// the next grant, others with the same needs get none either. Without
-/// this, each pass would search all servers for each of the streams that are queued.
+/// the next grant, others with the same needs get none either. Without this, each pass would
+/// search all servers for each of the streams that are queued.
 #[derive(Debug, Default)]
 struct UnmetNeeds(Vec<UnmetNeed>);
 
@@ -796,6 +796,7 @@
 struct UnmetNeed {
     version: Option<SoftwareVersion>,
     is_beginning: bool,
+    homes: Option<BTreeSet<AreaName>>,
     /// The least tokens for which there was no slot.
     tokens: u64,
 }
@@ -804,6 +805,7 @@
     fn is_of(&self, request: &SlotRequest) -> bool {
         self.version.as_ref() == request.required_version()
             && self.is_beginning == request.begins_stream()
+            && self.homes == request.homes
     }
 }
 
@@ -819,6 +821,7 @@
             None => self.0.push(UnmetNeed {
                 version: request.required_version().cloned(),
                 is_beginning: request.begins_stream(),
+                homes: request.homes.clone(),
                 tokens: request.tokens,
             }),
         }
