--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -314,6 +314,24 @@
         .clone()
 }
 
+/// Guards against a slot that goes to the most urgent item although its job may not run on the
+/// server, and against one that is given to no item for that reason.
+#[test]
+fn a_slot_goes_to_the_most_urgent_item_that_is_allowed_on_its_server() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    schedule.add(open("elsewhere", 10), now);
+    schedule.add(open("allowed", 30), now);
+    let next = |forbidden: &[&str]| {
+        let is_allowed = |job: &JobSpec| !forbidden.contains(&job.id.as_str());
+        let key = schedule.next_allowed(now, &engine(), &version(), is_allowed)?;
+        Some(schedule.get(key)?.open.job_spec.id.clone())
+    };
+    assert_eq!(next(&[]).as_deref(), Some("elsewhere"));
+    assert_eq!(next(&["elsewhere"]).as_deref(), Some("allowed"));
+    assert_eq!(next(&["elsewhere", "allowed"]), None);
+}
+
 /// More items are waiting than can be completed in time.
 #[test]
 fn items_that_can_meet_their_target_run_before_those_that_cannot() {
