Wait for a leader in the tests of drains and cold servers

The log of a leader that has just begun may not be written when the order is acknowledged; zone_drains failed so in 1 of 10 runs, at a load of 24.

--- a/tests/fleet/cold.rs
+++ b/tests/fleet/cold.rs
@@ -53,7 +53,7 @@
     tokio::time::sleep(REPORT_TIME).await;
     let since = Instant::now();
     let (_, served) = send_streams(&fleet, "paced", Duration::from_secs(4)).await;
-    let leader = fleet.leader(Role::Control).expect("a leader");
+    let leader = fleet.wait_for_leader(Role::Control).await;
     fleet.kill(&leader);
     send_streams(&fleet, "next-leader", Duration::from_secs(4)).await;
     for name in fleet.host_names(Role::Control) {
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -494,6 +494,13 @@
         leaders.max().map(|(_, name)| name.clone())
     }
 
+    /// Waits until a host leads, and returns its name.
+    pub(crate) async fn wait_for_leader(&self, role: Role) -> String {
+        self.wait_until("a host leads", || async { self.leader(role).is_some() })
+            .await;
+        self.leader(role).expect("a leader")
+    }
+
     /// Waits until a host other than the given one leads a group.
     pub(crate) async fn wait_for_next_leader(&self, role: Role, before: &str) {
         self.wait_until("another host leads", || async {
--- a/tests/fleet/zone_drains.rs
+++ b/tests/fleet/zone_drains.rs
@@ -152,7 +152,7 @@
     let ordered_at = Instant::now();
     let acknowledged_at = order_until_acknowledged(&fleet, ZONE, "begin").await;
     assert!(acknowledged_at - ordered_at < ACKNOWLEDGE_MAX);
-    let leader = fleet.leader(Role::Control).expect("a leader");
+    let leader = fleet.wait_for_leader(Role::Control).await;
     let recorded = drains(&fleet, &leader).await.expect("a list");
     assert_eq!(recorded[0]["zone"], ZONE);
     assert!(recorded[0]["asked_by"].is_string(), "{recorded}");
