--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -157,8 +157,6 @@
     pub rate_window: Duration,
     /// How long the state and results of an ended job can still be read.
     pub job_retention: Duration,
-    /// The maximum time until the servers of a drained zone get no request.
-    pub zone_drain: Duration,
     /// The requests a second to a cold server beyond its rate, as a multiple of the rate.
     pub cold_overshoot: f64,
     /// The requests a second to a cold server beyond `cold_overshoot`.
--- a/crates/settings/src/process/read.rs
+++ b/crates/settings/src/process/read.rs
@@ -40,9 +40,6 @@
 /// The default rate window, which covers several refills of a token bucket.
 const DEFAULT_RATE_WINDOW: Duration = Duration::from_secs(5);
 
-/// The default bound on draining a zone.
-const DEFAULT_ZONE_DRAIN: Duration = Duration::from_secs(5);
-
 /// The default excess over the rate of a cold server. Requests that were granted evenly may
 /// arrive unevenly.
 const DEFAULT_COLD_OVERSHOOT: f64 = 1.5;
@@ -196,7 +193,6 @@
             rate_overshoot: 0.0,
             rate_window: DEFAULT_RATE_WINDOW,
             job_retention: DEFAULT_JOB_RETENTION,
-            zone_drain: DEFAULT_ZONE_DRAIN,
             cold_overshoot: DEFAULT_COLD_OVERSHOOT,
             cold_slack: DEFAULT_COLD_SLACK,
         };
@@ -210,7 +206,6 @@
         millis("plan_applies_ms", &mut bounds.plan_applies);
         millis("server_drain_ms", &mut bounds.server_drain);
         millis("check_in_interval_ms", &mut bounds.check_in_interval);
-        millis("zone_drain_ms", &mut bounds.zone_drain);
         let mut seconds = |key, value: &mut Duration| {
             let amount: Option<AmountValue> = section.optional(key);
             if let Some(AmountValue(amount)) = amount {
--- a/tests/fleet/zone_drains.rs
+++ b/tests/fleet/zone_drains.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 /// The time from the acknowledgement of a drain after which nothing is sent to the zone
-/// (`zone_drain_ms`).
+///.
 const DRAIN_TIME: Duration = Duration::from_secs(5);
 
 /// The time within which an order has to be acknowledged while the control group is stable.
