--- a/tests/fleet/zone_drains.rs
+++ b/tests/fleet/zone_drains.rs
@@ -7,8 +7,7 @@
 use serde_json::Value;
 use std::time::{Duration, Instant};
 
-/// The time from the acknowledgement of a drain after which nothing is sent to the zone
-///.
+/// The time from the acknowledgement of a drain after which nothing is sent to the zone.
 const DRAIN_TIME: Duration = Duration::from_secs(5);
 
 /// The time within which an order has to be acknowledged while the control group is stable.
