--- a/crates/broker/tests/all/homes.rs
+++ b/crates/broker/tests/all/homes.rs
@@ -1,7 +1,8 @@
 //! Requests with homes: they run only in areas that their route and team allow.
 
 use crate::support::{
-    BrokerFixture, check_in, granted, plan, refused_after, requester, settings, stopped, zone,
+    BrokerFixture, check_in, granted, plan, refusal, refused_after, requester, settings, stopped,
+    zone,
 };
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, BrokerlessView, CallerTerms, ColdServerView, EngineMemory,
@@ -54,16 +55,6 @@
     fixture.submit(request)
 }
 
-fn refusal(events: &[BrokerEvent]) -> Option<SlotRefusalReason> {
-    events.iter().find_map(|event| match event {
-        BrokerEvent::Decided {
-            decision: SlotDecision::Refused { reason, .. },
-            ..
-        } => Some(*reason),
-        _ => None,
-    })
-}
-
 /// Guards against first attempts and retries in another area, although the caller is there and
 /// the servers at home are full.
 #[test]
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -3,7 +3,7 @@
 use chicoryladder_broker::{
     BrokerEvent, BrokerSettings, ColdTolerance, PromptSegment, ProvenWork, RateTolerance,
     RequesterId, RunOutcome, RunReport, ServerCheckIn, ServerPhase, SlotBroker, SlotDecision,
-    SlotRequest, WorkKind, ZoneAreas,
+    SlotRefusalReason, SlotRequest, WorkKind, ZoneAreas,
 };
 use chicoryladder_plan::{
     CallerLimits, EngineCapacity, PlanVersion, RawPlan, RawService, RawTeam, ServicePlan,
@@ -230,3 +230,14 @@
         _ => None,
     })
 }
+
+/// The reason of the first refusal among events.
+pub(crate) fn refusal(events: &[BrokerEvent]) -> Option<SlotRefusalReason> {
+    events.iter().find_map(|event| match event {
+        BrokerEvent::Decided {
+            decision: SlotDecision::Refused { reason, .. },
+            ..
+        } => Some(*reason),
+        _ => None,
+    })
+}
--- a/crates/broker/tests/all/zone_drains.rs
+++ b/crates/broker/tests/all/zone_drains.rs
@@ -1,10 +1,10 @@
 //! Drained zones: their servers get no work, and what cannot run elsewhere is refused at once.
 
 use crate::support::{
-    BrokerFixture, check_in, granted, plan, refused_after, requester, stopped, zone,
+    BrokerFixture, check_in, granted, plan, refusal, refused_after, requester, stopped, zone,
 };
 use chicoryladder_broker::{
-    BrokerEvent, RunOutcome, SlotDecision, SlotRefusalReason, StreamId, StreamPart, WorkKind,
+    BrokerEvent, RunOutcome, SlotRefusalReason, StreamId, StreamPart, WorkKind,
 };
 use chicoryladder_plan::{ColdTerms, ServicePlan};
 use chicoryladder_types::SoftwareVersion;
@@ -25,16 +25,6 @@
     fixture.broker.take_events()
 }
 
-fn refusal(events: &[BrokerEvent]) -> Option<SlotRefusalReason> {
-    events.iter().find_map(|event| match event {
-        BrokerEvent::Decided {
-            decision: SlotDecision::Refused { reason, .. },
-            ..
-        } => Some(*reason),
-        _ => None,
-    })
-}
-
 /// Guards against first attempts and retries in a drained zone, although it is the caller's
 /// own and the others are full.
 #[test]
--- a/crates/gateway/src/body_reader.rs
+++ b/crates/gateway/src/body_reader.rs
@@ -94,7 +94,8 @@
             started: now,
             progress: now,
         };
-        // An eviction that an earlier body of the connection did not notice is not meant for this one.
+        // An eviction that an earlier body of the connection did not notice is not meant for this
+        // one.
         let _ = connection.state.body_evicted.notified().now_or_never();
         connection.enter(ConnectionPhase::Body);
         let account = connection.bounds.memory().clone();
