--- a/crates/broker/tests/all/mixed_versions.rs
+++ b/crates/broker/tests/all/mixed_versions.rs
@@ -355,13 +355,20 @@
     began.elapsed()
 }
 
+/// The least of several measurements: other tests on the machine only add to a time.
+fn least_time_of_releases(is_bound: bool, has_free: bool) -> Duration {
+    const MEASUREMENTS: usize = 4;
+    let times = (0..MEASUREMENTS).map(|_| time_of_releases(is_bound, has_free));
+    times.min().unwrap_or_default()
+}
+
 /// Each free slot must not cost a search of all servers for each of the streams that wait for
 /// the same version, or the broker comes to a halt under overload.
 #[test]
 fn queued_streams_of_one_version_do_not_multiply_the_work() {
-    let unbound = time_of_releases(false, false);
+    let unbound = least_time_of_releases(false, false);
     for has_free in [false, true] {
-        let bound = time_of_releases(true, has_free);
+        let bound = least_time_of_releases(true, has_free);
         println!("unbound {unbound:?}, bound {bound:?}");
         // A search for each of them takes 500 times as long as one search.
         let bound_max = unbound * 60 + Duration::from_millis(100);
