Weigh placement only where a deployment calls for it

Suspected: work gathers on fast servers.

Change: the feature weighed-placement switches it on, which no deployment names. Targets and teams stay as they are.

Measured: tests of the broker, the roles and the settings pass, and the fleet test of uneven servers, which names the feature.

--- a/crates/broker/examples/slot_decisions.rs
+++ b/crates/broker/examples/slot_decisions.rs
@@ -31,6 +31,7 @@
         tolerance: RateTolerance::default(),
         cold_tolerance: ColdTolerance::default(),
         pressure,
+        weighs_placement: pressure,
         areas: ZoneAreas::default(),
     }
 }
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -93,10 +93,12 @@
     pub tolerance: RateTolerance,
     /// The excess over the rate of cold servers that may arrive.
     pub cold_tolerance: ColdTolerance,
-    /// Whether requests compete for slots by their targets and teams, and the speed and memory
-    /// of all servers are weighed, also of those that do not state how long work takes on them
-    /// (feature `pressure`).
+    /// Whether requests compete for slots by their targets and teams (feature `pressure`).
     pub pressure: bool,
+    /// Whether the speed of servers and what they hold of a prompt are weighed (feature
+    /// `weighed-placement`), for services whose servers state how long work takes on them, and
+    /// for all under `pressure`.
+    pub weighs_placement: bool,
     /// The areas of zones, for requests with homes.
     pub areas: ZoneAreas,
 }
--- a/crates/broker/src/slots/expectations.rs
+++ b/crates/broker/src/slots/expectations.rs
@@ -114,7 +114,7 @@
 impl SlotBroker {
     /// Whether the speed and memory of the servers of a pool are weighed.
     pub(super) fn weighs_servers(&self, pool: &ServicePool) -> bool {
-        self.settings.pressure || pool.states_work
+        self.settings.weighs_placement && (self.settings.pressure || pool.states_work)
     }
 
     /// Records that a request is sent to a server. Returns what is expected of it there if the
--- a/crates/broker/tests/all/placement.rs
+++ b/crates/broker/tests/all/placement.rs
@@ -448,6 +448,23 @@
     fixture
 }
 
+/// Guards against deployments that are placed otherwise than before although they do not call
+/// for the feature `weighed-placement`.
+#[test]
+fn without_the_feature_no_server_is_weighed() {
+    let mut fixture = fixture_with(true, &[]);
+    fixture.broker = SlotBroker::new(BrokerSettings {
+        pressure: true,
+        weighs_placement: false,
+        ..settings()
+    });
+    fixture.broker.set_plan(&plan(Vec::new()), fixture.now);
+    let check_in = check_in("s0", "a", 1);
+    fixture.broker.check_in(check_in, fixture.now);
+    let (_, _, expected) = place(&mut fixture, WorkKind::Online, prompt(1));
+    assert_eq!(expected, None);
+}
+
 /// Requests a slot for a prompt; returns its ticket, the server, and what was expected of it.
 fn place(
     fixture: &mut BrokerFixture,
--- a/crates/broker/tests/all/support.rs
+++ b/crates/broker/tests/all/support.rs
@@ -31,6 +31,7 @@
             slack: 5.0,
         },
         pressure: false,
+        weighs_placement: true,
         areas: ZoneAreas::default(),
     }
 }
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -243,6 +243,7 @@
             slack: settings.bounds.cold_slack,
         },
         pressure: settings.features.pressure(),
+        weighs_placement: settings.features.weighed_placement(),
         areas: ZoneAreas::new(&settings.areas),
     }
 }
--- a/crates/roles/src/control/leader/zone_drains.rs
+++ b/crates/roles/src/control/leader/zone_drains.rs
@@ -112,6 +112,7 @@
             },
             cold_tolerance: ColdTolerance::default(),
             pressure: false,
+            weighs_placement: false,
             areas: ZoneAreas::default(),
         };
         let roster = RosterSettings {
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -45,6 +45,13 @@
     pub fn pressure(&self) -> bool {
         self.names.contains("pressure")
     }
+
+    /// Whether servers are chosen by their speed and by what they hold of a prompt, where these
+    /// are known.
+    #[must_use]
+    pub fn weighed_placement(&self) -> bool {
+        self.names.contains("weighed-placement")
+    }
 }
 
 impl FromIterator<String> for FeatureSet {
--- a/tests/fleet/uneven.rs
+++ b/tests/fleet/uneven.rs
@@ -14,7 +14,7 @@
 /// that are lost on the way: the decisions after the first answers have to expect both.
 #[tokio::test(flavor = "multi_thread")]
 async fn decisions_follow_what_servers_state_and_hold() {
-    let fleet = ProcessFleet::start().await;
+    let fleet = ProcessFleet::start_with_features("weighed-placement").await;
     let entry = fleet.host_names(Role::Entry)[0].clone();
     let engines = || {
         fleet
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -141,6 +141,8 @@
     pub(crate) runs: RunLog,
     pub(crate) servers: Vec<Server>,
     version: u64,
+    /// The features that the settings name; empty if none.
+    features: &'static str,
     /// Whether the settings of processes that start later name the zones.
     pub(crate) names_zones: bool,
     /// The area of each zone, where they do.
@@ -151,12 +153,21 @@
     /// Starts three control, three store and three entry hosts in three zones, an engine
     /// and a plain server per zone, and applies a plan.
     pub(crate) async fn start() -> Self {
+        Self::start_with_features("").await
+    }
+
+    /// Like `start`, with settings that name the given features.
+    pub(crate) async fn start_with_features(features: &'static str) -> Self {
         let seeds = [1, 2, 3].map(|number| (Role::Control, number));
-        Self::start_with_seeds(&seeds).await
+        Self::start_with(&seeds, features).await
     }
 
     /// Like `start`, with settings that name the given hosts as seeds.
     pub(crate) async fn start_with_seeds(seeds: &[(Role, u8)]) -> Self {
+        Self::start_with(seeds, "").await
+    }
+
+    async fn start_with(seeds: &[(Role, u8)], features: &'static str) -> Self {
         let mut fleet = Self {
             folder: TempDir::new().expect("a folder"),
             subnet: Subnet::reserve(),
@@ -166,6 +177,7 @@
             runs: RunLog::default(),
             servers: Vec::new(),
             version: 0,
+            features,
             names_zones: false,
             areas: "zone-1:north, zone-2:north, zone-3:north",
         };
@@ -341,6 +353,13 @@
                 CHECK_IN_INTERVAL.as_millis(),
             ),
         );
+        if !self.features.is_empty() {
+            let features = self.features;
+            append(
+                &mut text,
+                format_args!("\n[features]\nnames = {features}\n"),
+            );
+        }
         if self.names_zones {
             let areas = self.areas;
             append(&mut text, format_args!("\n[zones]\nareas = {areas}\n"));
