Say in comments where requests compete by their targets

They do so under the feature pressure, and for services whose servers state how long work takes; comments named the feature alone.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -24,8 +24,8 @@
 /// in three refusals of returned ones in a burst at their time limits.
 const PREDICTED_WAIT_SHARE: f64 = 0.8;
 
-/// What the host of an online request knows of its caller. Hosts of earlier builds and those
-/// without the feature `pressure` send none.
+/// What the host of an online request knows of its caller. Hosts of earlier builds send none,
+/// nor do those without the feature `pressure` until a server has stated how long work takes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerTerms {
     /// The team, whether or not the request is charged to its rate.
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -29,7 +29,7 @@
     pub(crate) until: Instant,
     /// Until when it can be served in time.
     pub(crate) in_time_until: Instant,
-    /// What its host told of the caller, under the feature `pressure`.
+    /// What its host told of the caller, where requests compete by their targets.
     pub(crate) terms: Option<CallerTerms>,
     /// Whether it was not known at its arrival what else was in flight at its crashes.
     pub(crate) was_undecided: bool,
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -93,7 +93,8 @@
     pub tolerance: RateTolerance,
     /// The excess over the rate of cold servers that may arrive.
     pub cold_tolerance: ColdTolerance,
-    /// Whether requests compete for slots by their targets and teams (feature `pressure`).
+    /// Whether requests compete for slots by their targets and teams (feature `pressure`), also
+    /// for services whose servers do not state how long work takes on them.
     pub pressure: bool,
     /// Whether the speed of servers and what they hold of a prompt are weighed (feature
     /// `weighed-placement`), for services whose servers state how long work takes on them, and
--- a/crates/roles/src/entry/forward.rs
+++ b/crates/roles/src/entry/forward.rs
@@ -89,7 +89,8 @@
     pub(super) machine: MachineBounds,
     /// The longest time left that a caller has announced, per route.
     pub(super) longest_timeouts: Mutex<HashMap<RouteName, Duration>>,
-    /// Whether the broker learns what the caller needs (feature `pressure`).
+    /// Whether the broker learns what callers need before a server has stated how long work
+    /// takes, and answers are read ahead of slow callers (feature `pressure`).
     pub(super) pressure: bool,
 }
 
