Let a restarted leader take its lead up again at once

Cause: each restarted seat protects the lease of a leader that it may have confirmed, for a whole election timeout. But the only leader in question had restarted, too, and its lease ended with its process.

A leader stores its term in a file of its own. If it restarts with that term as the stored one, it asks for votes in the next term at once, as in a handover. Not in later terms, where other leaders may hold leases. Builds before neither read nor write the file.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -284,6 +284,7 @@
                 PersistStep::HardState(state) => self.storage.set_hard_state(state)?,
                 PersistStep::Truncate(from) => self.storage.truncate_suffix(from)?,
                 PersistStep::Append(entries) => self.storage.append(&entries)?,
+                PersistStep::Leadership(term) => self.storage.set_leadership(term)?,
                 PersistStep::Snapshot(snapshot) => self.storage.save_snapshot(&snapshot)?,
             }
         }
--- a/crates/consensus/src/seat.rs
+++ b/crates/consensus/src/seat.rs
@@ -12,7 +12,8 @@
 //! - a leader serves reads only within its lease, and steps down if no quorum
 //!   confirmed it for an election timeout ([`leading`]);
 //! - a seat that heard from a leader grants no vote for an election timeout, also
-//!   after a restart, unless that leader requested the election ([`election`]).
+//!   after a restart, unless that leader requested the election ([`election`]) or
+//!   restarted itself ([`resumption`]).
 
 mod action;
 mod durability;
@@ -21,6 +22,7 @@
 mod leading;
 mod lease;
 mod progress;
+mod resumption;
 mod snapshots;
 
 pub use action::{
@@ -44,6 +46,7 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use resumption::LeaderResumption;
 use std::time::{Duration, Instant};
 
 /// The number of random bits in the origin of the stamps.
@@ -91,6 +94,8 @@
     last_contact: Option<Instant>,
     /// When the seat last learned of an election, voted, or was elected.
     last_election: Option<Instant>,
+    /// The attempt of a restarted leader to take its lead up again.
+    resumption: Option<LeaderResumption>,
     freshness: FreshnessRecord,
     incoming: Option<IncomingSnapshot>,
     durability: DurabilityQueue,
@@ -119,6 +124,7 @@
             hard_state,
             snapshot,
             entries,
+            led_term,
         } = stored;
         let is_new = hard_state == HardState::default() && snapshot.is_none() && entries.is_empty();
         let (base_index, base_term, base) = match &snapshot {
@@ -148,6 +154,7 @@
             // The seat may have confirmed a leader's lease just before it stopped.
             last_contact: (!is_new).then_some(now),
             last_election: None,
+            resumption: None,
             freshness: FreshnessRecord::default(),
             incoming: None,
             durability,
@@ -157,6 +164,8 @@
         seat.reset_election_deadline(now);
         if seat.is_only_voter() {
             seat.election_deadline = now;
+        } else {
+            seat.prepare_resumption(led_term, now);
         }
         seat
     }
@@ -188,9 +197,11 @@
 
     /// Handles expired timers.
     pub fn tick(&mut self, now: Instant) {
-        match self.role {
-            RoleState::Leader(_) => self.tick_leader(now),
-            _ => self.tick_election(now),
+        if let RoleState::Leader(_) = self.role {
+            self.tick_leader(now);
+        } else {
+            self.tick_resumption(now);
+            self.tick_election(now);
         }
     }
 
@@ -273,10 +284,12 @@
     /// The time of the next call to [`RaftSeat::tick`] that has an effect.
     #[must_use]
     pub fn wake_at(&self) -> Instant {
-        match &self.role {
-            RoleState::Leader(state) => state.heartbeat_deadline,
-            _ => self.election_deadline,
+        if let RoleState::Leader(state) = &self.role {
+            return state.heartbeat_deadline;
         }
+        let deadline = self.election_deadline;
+        let resumption = self.resumption.as_ref();
+        resumption.map_or(deadline, |resumption| resumption.due_at.min(deadline))
     }
 
     fn seat(&self) -> SeatId {
--- a/crates/consensus/src/seat/action.rs
+++ b/crates/consensus/src/seat/action.rs
@@ -32,6 +32,8 @@
     Truncate(LogIndex),
     /// Append entries.
     Append(Vec<LogEntry>),
+    /// Store that the seat became the leader of this term.
+    Leadership(TermNumber),
     /// Store a snapshot and remove the entries that it covers.
     Snapshot(SnapshotRecord),
 }
--- a/crates/consensus/src/seat/election.rs
+++ b/crates/consensus/src/seat/election.rs
@@ -67,14 +67,19 @@
         }
     }
 
-    fn campaign(&mut self, transfer: bool, now: Instant) {
+    pub(super) fn campaign(&mut self, transfer: bool, now: Instant) {
         self.last_election = Some(now);
         let term = self.term().next();
         let vote = Some(self.seat());
         self.set_hard_state(HardState { term, vote });
         self.leader = None;
         self.role = RoleState::Candidate(VoteTally::default());
-        let request = self.vote_request(term, transfer);
+        self.request_votes(transfer);
+    }
+
+    /// Requests the votes of all others for the current term.
+    pub(super) fn request_votes(&mut self, transfer: bool) {
+        let request = self.vote_request(self.term(), transfer);
         for peer in self.peers() {
             self.send_durable(peer, SeatMessage::Vote(request.clone()));
         }
--- a/crates/consensus/src/seat/leading.rs
+++ b/crates/consensus/src/seat/leading.rs
@@ -1,6 +1,6 @@
 //! The leader role: proposals, replication, commitment and leadership transfer.
 
-use super::action::{ProposeError, ProposedEntry};
+use super::action::{PersistStep, ProposeError, ProposedEntry};
 use super::progress::PeerProgress;
 use super::{RaftSeat, RoleState};
 use crate::{
@@ -50,6 +50,8 @@
             announced_commit: self.commit,
             transfer: None,
         }));
+        self.resumption = None;
+        self.durability.stage(PersistStep::Leadership(term));
         self.append_payload(EntryPayload::NoOp);
         self.refresh_peers();
     }
--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -15,7 +15,7 @@
 pub use memory::{MemoryDisk, MemoryStorage};
 
 use crate::{HardState, LogEntry, SnapshotRecord};
-use chicoryladder_types::LogIndex;
+use chicoryladder_types::{LogIndex, TermNumber};
 use std::io;
 use std::path::PathBuf;
 
@@ -60,6 +60,8 @@
     pub snapshot: Option<SnapshotRecord>,
     /// The contiguous entries after the snapshot.
     pub entries: Vec<LogEntry>,
+    /// The last term that the seat led; older builds did not store it.
+    pub led_term: Option<TermNumber>,
 }
 
 /// The durable storage of one seat.
@@ -78,6 +80,13 @@
     /// Fails if the storage failed earlier.
     fn set_hard_state(&mut self, state: HardState) -> Result<(), StorageError>;
 
+    /// Stores that the seat became the leader of a term.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that cannot be stored, or the storage failed earlier.
+    fn set_leadership(&mut self, term: TermNumber) -> Result<(), StorageError>;
+
     /// Appends entries that follow the last one.
     ///
     /// # Errors
--- a/crates/consensus/src/storage/file.rs
+++ b/crates/consensus/src/storage/file.rs
@@ -23,6 +23,10 @@
 const SNAPSHOT_PREFIX: &str = "snapshot-";
 const SNAPSHOT_TEMP_NAME: &str = "draft-of-snapshot";
 
+/// The file with the last term that the seat led. It is not a record in a segment, which builds
+/// before could not read.
+const LEADERSHIP_NAME: &str = "leadership";
+
 #[derive(Debug)]
 struct SegmentRecord {
     number: u64,
@@ -287,6 +291,14 @@
         folder.sync().map_err(StorageError::SyncFailed)
     }
 
+    /// Reads the last term that the seat led. The file is no part of the log: without a whole
+    /// one, the seat only waits for an election.
+    fn load_leadership(&self) -> Option<TermNumber> {
+        let bytes = self.folder.read(LEADERSHIP_NAME).ok()?;
+        let (payload, _) = read_frame(&bytes).ok()?;
+        postcard::from_bytes(payload).ok()
+    }
+
     /// Deletes older snapshots and the segments that a snapshot covers. The segment that
     /// is being written is kept, since it holds the current term and vote.
     fn delete_covered(&mut self, index: LogIndex) -> Result<(), StorageError> {
@@ -316,6 +328,7 @@
     fn load(&mut self) -> Result<StoredState, StorageError> {
         let mut state = StoredState {
             snapshot: self.load_snapshot()?,
+            led_term: self.load_leadership(),
             ..StoredState::default()
         };
         self.segments.clear();
@@ -337,6 +350,19 @@
         Ok(())
     }
 
+    fn set_leadership(&mut self, term: TermNumber) -> Result<(), StorageError> {
+        self.guard(|storage| {
+            let frame = encode(&storage.path(LEADERSHIP_NAME), &term)?;
+            let folder = &mut storage.folder;
+            let created = folder.create(LEADERSHIP_NAME);
+            let written = created.and_then(|()| folder.append(LEADERSHIP_NAME, &frame));
+            written.map_err(|e| storage.io_error(LEADERSHIP_NAME, e))?;
+            let synced = storage.folder.sync_file(LEADERSHIP_NAME);
+            let synced = synced.and_then(|()| storage.folder.sync());
+            synced.map_err(StorageError::SyncFailed)
+        })
+    }
+
     fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
         for entry in entries {
             self.record(StorageRecord::Append(entry.clone()))?;
--- a/crates/consensus/src/storage/memory.rs
+++ b/crates/consensus/src/storage/memory.rs
@@ -2,7 +2,7 @@
 
 use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
 use crate::{HardState, LogEntry, SnapshotRecord};
-use chicoryladder_types::LogIndex;
+use chicoryladder_types::{LogIndex, TermNumber};
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -79,6 +79,12 @@
         self.record([StorageRecord::HardState(state)])
     }
 
+    fn set_leadership(&mut self, term: TermNumber) -> Result<(), StorageError> {
+        self.record([])?;
+        self.disk.lock().durable.led_term = Some(term);
+        Ok(())
+    }
+
     fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
         self.record(entries.iter().cloned().map(StorageRecord::Append))
     }
--- a/crates/consensus/tests/all/faulty_storage.rs
+++ b/crates/consensus/tests/all/faulty_storage.rs
@@ -3,7 +3,7 @@
 use chicoryladder_consensus::{
     HardState, LogEntry, LogStorage, MemoryStorage, SnapshotRecord, StorageError, StoredState,
 };
-use chicoryladder_types::LogIndex;
+use chicoryladder_types::{LogIndex, TermNumber};
 use std::io;
 
 /// Storage that reports each sync as successful without syncing.
@@ -26,6 +26,10 @@
         self.inner.set_hard_state(state)
     }
 
+    fn set_leadership(&mut self, term: TermNumber) -> Result<(), StorageError> {
+        self.inner.set_leadership(term)
+    }
+
     fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
         self.inner.append(entries)
     }
@@ -67,6 +71,10 @@
         self.inner.set_hard_state(state)
     }
 
+    fn set_leadership(&mut self, term: TermNumber) -> Result<(), StorageError> {
+        self.inner.set_leadership(term)
+    }
+
     fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
         self.inner.append(entries)
     }
--- a/crates/consensus/tests/all/membership.rs
+++ b/crates/consensus/tests/all/membership.rs
@@ -117,6 +117,14 @@
             cluster.change(&promote).expect("it has caught up");
         }
         cluster.run(ELECTION_TIMEOUT);
+        // A restarted leader takes its lead up again, so the late seat has to lead before.
+        if seed % 2 == 0 {
+            let leader = cluster.leader().expect("a leader");
+            let now = cluster.now(leader);
+            let replica = cluster.replica(leader).expect("a leader");
+            replica.transfer(Some(late), now).expect("a transfer");
+            cluster.run(ELECTION_TIMEOUT);
+        }
         let seats: Vec<SeatId> = (1..=5).map(SeatId).collect();
         for seat in &seats {
             cluster.crash(*seat);
