Close callers' connections while the load balancer avoids the host

Cause: only a host that drains sent `connection: close`. A host that has answered two probes in a row as unready is out of rotation, and closes the connections of its callers, too; their next ones reach hosts that are ready.

Test: an_isolated_host_closes_the_connections_of_its_callers; it fails if only drains close connections.

--- a/crates/roles/src/entry.rs
+++ b/crates/roles/src/entry.rs
@@ -11,6 +11,7 @@
 mod matching;
 mod read_ahead;
 mod relay;
+mod rotation;
 mod service;
 
 pub use host::EntryHost;
--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -3,6 +3,7 @@
 use super::forward::RequestForwarder;
 use super::jobs::JobGateway;
 use super::matching::RequestMatcher;
+use super::rotation::RotationState;
 use super::service::EntryService;
 use crate::connection_pool::ConnectionPool;
 use crate::event_log::EventLog;
@@ -29,7 +30,6 @@
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -63,7 +63,7 @@
 
 /// A running entry host.
 pub struct EntryHost {
-    draining: Arc<AtomicBool>,
+    rotation: Arc<RotationState>,
     drain_timeout: Duration,
     callers: HttpListener,
     peers: RpcServer,
@@ -94,7 +94,7 @@
         let marks = ServerMarks::new(base.clock.clone(), log.clone(), metrics.clone());
         let slots = SlotClient::new(base.clone(), client.clone(), view.clone(), marks.clone());
         let control_client = client.clone();
-        let draining = Arc::new(AtomicBool::new(false));
+        let rotation = Arc::new(RotationState::default());
         let dialer = server_dialer(&base, &view, &log);
         let handler = EntryHandler {
             slots: slots.clone(),
@@ -105,7 +105,7 @@
         let gauge_sources = (slots.clone(), view.clone(), dialer.clone());
         let peers = base.serve(Arc::new(handler)).await?;
         let mut tasks = JoinSet::new();
-        let tunnels = tunnel_reporter(&dialer, &draining);
+        let tunnels = tunnel_reporter(&dialer, &rotation);
         let reporter = reporter(&slots, &marks, &log, tunnels);
         tasks.spawn(run_sync(base.clone(), client, view.clone(), reporter));
         let matcher = RequestMatcher {
@@ -140,14 +140,14 @@
             clock: base.clock.clone(),
             log: log.clone(),
             metrics: metrics.clone(),
-            draining: draining.clone(),
+            rotation: rotation.clone(),
         };
         let readiness = ReadinessService {
             dialect: callers,
             view,
             control: control_client,
             clock: base.clock.clone(),
-            draining: draining.clone(),
+            rotation: rotation.clone(),
         };
         let gauges = gauges(&gauge_sources, &base);
         let metrics = MetricsService { metrics, gauges };
@@ -160,7 +160,7 @@
         let callers = callers.await?;
         log.note("started", &json!({ "host": base.settings.host.name }));
         Ok(Self {
-            draining,
+            rotation,
             drain_timeout: base.settings.bounds.drain_timeout,
             callers,
             peers,
@@ -175,7 +175,7 @@
     /// balancer has noticed, and accepted requests are completed within the drain
     /// timeout.
     pub async fn shutdown(mut self) {
-        self.draining.store(true, Ordering::Relaxed);
+        self.rotation.drain();
         self.log.note("stopping", &json!({}));
         tokio::time::sleep(READINESS_NOTICE.min(self.drain_timeout / 2)).await;
         let left = self
@@ -287,12 +287,12 @@
 }
 
 /// Reports whether this host opens tunnels, and needs some.
-fn tunnel_reporter(dialer: &ServerDialer, draining: &Arc<AtomicBool>) -> TunnelReporter {
-    let (dialer, draining) = (dialer.clone(), draining.clone());
+fn tunnel_reporter(dialer: &ServerDialer, rotation: &Arc<RotationState>) -> TunnelReporter {
+    let (dialer, rotation) = (dialer.clone(), rotation.clone());
     Box::new(move |now| {
         let paths = dialer.paths();
         TunnelReport {
-            offers: paths.offers_tunnels() && !draining.load(Ordering::Relaxed),
+            offers: paths.offers_tunnels() && !rotation.is_draining(),
             needs: paths.needs_tunnels(now),
         }
     })
@@ -364,7 +364,7 @@
     view: FleetView,
     control: LeaderClient,
     clock: Arc<dyn ClockSource>,
-    draining: Arc<AtomicBool>,
+    rotation: Arc<RotationState>,
 }
 
 impl HttpService for ReadinessService {
@@ -375,7 +375,8 @@
         let age = self.view.age(self.clock.now());
         let isolated = || self.control.is_isolated(ISOLATION_PERIOD);
         let fresh = age.is_some_and(|age| age < ISOLATED_AGE || (age < READY_AGE && !isolated()));
-        let ready = fresh && !self.draining.load(Ordering::Relaxed);
+        let ready = fresh && !self.rotation.is_draining();
+        self.rotation.record_probe(ready);
         std::future::ready(Ok(self.dialect.readiness(ready))).boxed()
     }
 }
--- a/crates/roles/src/entry/service.rs
+++ b/crates/roles/src/entry/service.rs
@@ -3,6 +3,7 @@
 use super::forward::{ForwardRequest, RequestForwarder};
 use super::jobs::JobGateway;
 use super::matching::{MatchedRequest, RequestMatcher};
+use super::rotation::RotationState;
 use crate::event_log::EventLog;
 use crate::metrics::RoleMetrics;
 use crate::ports::{CallerDialect, CallerHead};
@@ -17,7 +18,6 @@
 use hyper::{Method, Request, Response};
 use serde_json::json;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 /// Serves callers' requests.
@@ -29,7 +29,7 @@
     pub(super) clock: Arc<dyn ClockSource>,
     pub(super) log: EventLog,
     pub(super) metrics: Arc<RoleMetrics>,
-    pub(super) draining: Arc<AtomicBool>,
+    pub(super) rotation: Arc<RotationState>,
 }
 
 impl EntryService {
@@ -42,7 +42,7 @@
             self.record_refusal(&parts, &head, &refusal, arrived_at);
             self.dialect.refusal(&refusal)
         });
-        if self.draining.load(Ordering::Relaxed) {
+        if self.rotation.closes_connections() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -15,6 +15,7 @@
 mod first_contact;
 mod homes;
 mod hushed;
+mod isolated;
 mod limited;
 mod moved_jobs;
 mod odd_entries;
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -476,6 +476,10 @@
         SocketAddr::from((self.hosts[name].ip, CALLERS_PORT))
     }
 
+    pub(crate) fn readiness_address(&self, name: &str) -> SocketAddr {
+        SocketAddr::from((self.hosts[name].ip, READINESS_PORT))
+    }
+
     pub(crate) fn control_address(&self, name: &str) -> SocketAddr {
         SocketAddr::from((self.hosts[name].ip, CONTROL_PORT))
     }
