Repeat a pre-vote without a quorum sooner

Where the last leader lost its disk and all hosts restart, a seat that asked for pre-votes before the last one had started waited for another one or two election timeouts.

A pre-vote disturbs no leader, so it is repeated after a quarter to a half of the election timeout.

Test: a_group_that_lost_its_leader_elects_soon_after_the_last_start, which failed before.

--- a/crates/consensus/src/seat/election.rs
+++ b/crates/consensus/src/seat/election.rs
@@ -6,8 +6,13 @@
 use chicoryladder_types::{SeatId, TermNumber};
 use rand::RngExt;
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::time::Instant;
 
+/// The time after which a pre-vote without a quorum is repeated, as a share of the election
+/// timeout.
+const PRE_VOTE_RETRY: Range<f64> = 0.25..0.5;
+
 /// The votes collected so far.
 #[derive(Debug, Default)]
 pub(super) struct VoteTally {
@@ -58,6 +63,10 @@
             self.campaign(false, now);
             return;
         }
+        // A pre-vote disturbs no leader, and others may grant it soon: they may have started
+        // later, or heard from the leader for longer.
+        let retry_share = self.rng.random_range(PRE_VOTE_RETRY);
+        self.election_deadline = now + self.settings.election_timeout.mul_f64(retry_share);
         let mut tally = VoteTally::default();
         tally.granted.insert(self.seat());
         self.role = RoleState::PreCandidate(tally);
--- a/crates/consensus/tests/all/elections.rs
+++ b/crates/consensus/tests/all/elections.rs
@@ -188,6 +188,37 @@
     }
 }
 
+/// Pattern: the leader loses its disk and all hosts lose power, and they start one after the
+/// other. Guards against a group that waits for a second election timeout because the first
+/// seat asked for pre-votes before the last one had started.
+#[test]
+fn a_group_that_lost_its_leader_elects_soon_after_the_last_start() {
+    let mut waits = Vec::new();
+    for seed in 1..=100 {
+        let mut cluster = TestCluster::new(seed, 5, LinkFaults::RELIABLE);
+        let leader = cluster.wait_for_leader();
+        cluster.write(1, 1);
+        let others = (1..=5).map(SeatId).filter(|seat| *seat != leader);
+        let others: Vec<SeatId> = others.collect();
+        for seat in (1..=5).map(SeatId) {
+            cluster.crash(seat);
+        }
+        // The hosts start within a little more than an election timeout.
+        for seat in &others {
+            cluster.run(ELECTION_TIMEOUT * 3 / 8);
+            cluster.restart(*seat);
+        }
+        let started = cluster.elapsed;
+        cluster.wait_for_leader();
+        waits.push(cluster.elapsed.saturating_sub(started));
+    }
+    waits.sort_unstable();
+    // Three of five seats protect the lease of the leader before until an election timeout after
+    // the second last start; the rest is the time between two pre-votes and the election.
+    let longest = waits[waits.len() * 9 / 10];
+    assert!(longest <= ELECTION_TIMEOUT * 5 / 4, "{waits:?}");
+}
+
 /// Guards against a restarted seat that is elected at once while the lease of a leader that is
 /// cut off still runs.
 #[test]
