Know the zones of the members of the job group

After a store host was retired, three of five voters of the job group were in one zone. Once that zone was cut off, callers in all other zones could submit no jobs for 5.7 s, and losing the zone would have lost all jobs.

Cause: the leader learnt zones only from hosts that ask for a seat. Bootstrap members never do, so no zone seemed to have voters, a new seat went to the lowest address, and no zone ever seemed crowded. Each message of a member brings the zone of its host; the leader records it, and its own.

Test: a_retiring_store_host_is_replaced_by_one_in_its_zone, which failed before.

--- a/crates/group/src/membership_repair.rs
+++ b/crates/group/src/membership_repair.rs
@@ -63,7 +63,10 @@
 
     /// Records the zone of a host, which decides where voters are placed.
     pub fn record_zone(&mut self, address: SocketAddr, zone: &ZoneName) {
-        self.zones.insert(address, zone.clone());
+        // Each message of a member brings its zone.
+        if self.zones.get(&address) != Some(zone) {
+            self.zones.insert(address, zone.clone());
+        }
     }
 
     /// Replies to a host that requests a seat or checks that it still has one.
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -483,6 +483,9 @@
     fn notice(&self, peer: &PeerIdentity, payload: Bytes) {
         match postcard::from_bytes(&payload) {
             Ok(Notice::Seat(envelope)) => {
+                // A bootstrap member never requests its seat, so that its zone is known only
+                // from its messages.
+                self.0.repair().record_zone(peer.address, &peer.zone);
                 self.0.seat.deliver(envelope, peer.address);
             }
             Ok(Notice::Stop { ticket }) => self.0.slots.stop(ticket),
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -300,7 +300,11 @@
     let count = items.len();
     let now = shared.now();
     let plan = shared.view.plan();
-    shared.repair().restart(now);
+    let own = shared.base.rpc.identity();
+    let mut repair = shared.repair();
+    repair.restart(now);
+    repair.record_zone(own.address, &own.zone);
+    drop(repair);
     shared.leader().begin(status.term, items, &plan, now);
     let fields = json!({ "term": status.term.0, "open_items": count });
     shared.log.note("leadership_begins", &fields);
--- a/tests/fleet/trouble.rs
+++ b/tests/fleet/trouble.rs
@@ -267,6 +267,45 @@
         .await;
 }
 
+/// Guards against a job group with a quorum in one zone: its leader did not know the zones of
+/// the bootstrap members, and replaced a retiring one by the host with the lowest address. A cut
+/// of that zone then stops all jobs, and its loss loses them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_retiring_store_host_is_replaced_by_one_in_its_zone() {
+    use crate::client::Call;
+    use hyper::Method;
+    let mut fleet = ProcessFleet::start().await;
+    let control = fleet.control_address(&fleet.host_names(Role::Control)[0]);
+    // Of the zones 1, 2 and 3; the address of the first is the lowest.
+    for number in [4, 5, 6] {
+        fleet.add_host(Role::Store, number, false);
+    }
+    let leader = fleet.wait_for_leader(Role::Store).await;
+    let standbys = || async { fleet.level(&leader, "group_standbys").await == Some(3.0) };
+    fleet.wait_until("three hosts stand by", standbys).await;
+    let retiring = if leader == "store-3" {
+        "store-2"
+    } else {
+        "store-3"
+    };
+    let path = format!("/retire/{retiring}/begin");
+    let begin = Call::new(control, Method::POST, &path).body("{\"duration-s\":10}");
+    let accepted = || async {
+        let answer = begin.send().await;
+        answer.is_some_and(|answer| answer.status.is_success())
+    };
+    fleet.wait_until("the order is accepted", accepted).await;
+    let opened = |name: &str| fleet.read_log(name).contains("\"seat_opened\"");
+    let is_replaced = || async { ["store-4", "store-5", "store-6"].iter().any(|n| opened(n)) };
+    fleet.wait_until("the host is replaced", is_replaced).await;
+    let expected = if retiring == "store-3" {
+        "store-6"
+    } else {
+        "store-5"
+    };
+    assert!(opened(expected), "the host of another zone got the seat");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_store_host_is_drained_once_a_replacement_is_available() {
     use crate::client::Call;
