Count a server as cold that starts without saying for how long

Cause: a check-in without the time left was read as one that states 0, so a new incarnation got all it has slots for. A check-in now carries whether it omits the time, behind its earlier fields, so that control hosts of the build before read it as they did. The broker counts a new incarnation that omits it as cold for the duration in the terms of its service. Later check-ins of the same kind change nothing, and a stated 0 ends it. Without terms, nothing changes.

Seen failing with the mechanism off: the fleet test servers_that_start_without_a_word_on_coldness_are_paced and three tests of the broker.

--- a/crates/broker/src/cold_servers.rs
+++ b/crates/broker/src/cold_servers.rs
@@ -157,6 +157,8 @@
     Answer,
     /// The withdrawn drain of its zone.
     Drain,
+    /// Its start: the first check-in of its incarnation did not say how long it stays cold.
+    Start,
 }
 
 impl ColdSource {
@@ -167,6 +169,7 @@
             Self::CheckIn => "check_in",
             Self::Answer => "answer",
             Self::Drain => "drain",
+            Self::Start => "start",
         }
     }
 }
@@ -190,6 +193,9 @@
     pace: Option<ColdPace>,
     /// Until when it is cold by its latest check-in.
     stated_until: Option<Instant>,
+    /// When its incarnation checked in first, if no check-in has said since how long it stays
+    /// cold.
+    started_at: Option<Instant>,
     /// When the drain of its zone was withdrawn.
     zone_restored_at: Option<Instant>,
     /// When all requests of a burst may be sent, unless others are sent before; `None` unless
@@ -219,8 +225,25 @@
         self.has_terms() || self.was_cold
     }
 
-    pub(crate) fn record_check_in(&mut self, remaining: Duration, now: Instant) {
-        self.stated_until = Some(now + remaining.min(REMAINING_MAX));
+    /// Records what a check-in states. One that states nothing leaves what is known of its
+    /// incarnation, unless it `is_first`.
+    pub(crate) fn record_check_in(
+        &mut self,
+        stated: Option<Duration>,
+        is_first: bool,
+        now: Instant,
+    ) {
+        match stated {
+            Some(remaining) => {
+                self.stated_until = Some(now + remaining.min(REMAINING_MAX));
+                self.started_at = None;
+            }
+            None if is_first => {
+                self.stated_until = None;
+                self.started_at = Some(now);
+            }
+            None => {}
+        }
     }
 
     pub(crate) fn set_zone_restored(&mut self, at: Option<Instant>) {
@@ -237,6 +260,9 @@
         if self.stated_until.as_ref().is_some_and(is_ahead) {
             return Some(ColdSource::CheckIn);
         }
+        if self.starting_until().as_ref().is_some_and(is_ahead) {
+            return Some(ColdSource::Start);
+        }
         (limit == Some(pace.limit)).then_some(ColdSource::Answer)
     }
 
@@ -244,6 +270,7 @@
     pub(crate) fn remaining(&self, now: Instant) -> Option<Duration> {
         self.pace?;
         let until = self.drained_until().max(self.stated_until);
+        let until = until.max(self.starting_until());
         let remaining = until.map(|until| until.saturating_duration_since(now));
         Some(remaining.unwrap_or_default())
     }
@@ -252,6 +279,10 @@
         Some(self.zone_restored_at? + self.pace?.duration)
     }
 
+    fn starting_until(&self) -> Option<Instant> {
+        Some(self.started_at? + self.pace?.duration)
+    }
+
     /// The pace to keep, if the server is cold or names a limit that is as strict: a response
     /// that says that the server is cold may also name a stricter limit.
     pub(crate) fn pace(&self, limit: Option<ServerLimit>, now: Instant) -> Option<ColdPace> {
--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -1,7 +1,7 @@
 //! The directory of backend servers, built from their check-ins.
 
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServiceName, SoftwareVersion};
+use chicoryladder_types::{ServiceName, SoftwareVersion, Tail};
 use rustc_hash::FxHashMap;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -43,6 +43,33 @@
     pub warmup_remaining: Duration,
 }
 
+/// A check-in as it arrived from a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReceivedCheckIn {
+    /// The state that the server reports.
+    pub check_in: ServerCheckIn,
+    /// Whether the server did not say how long it stays cold; `warmup_remaining` is zero then.
+    /// Hosts of earlier builds do not tell.
+    pub omits_warmup: Tail<bool>,
+}
+
+impl ReceivedCheckIn {
+    /// How much longer the server stays cold, if it said so.
+    pub(crate) fn stated_warmup(&self) -> Option<Duration> {
+        (!self.omits_warmup.0).then_some(self.check_in.warmup_remaining)
+    }
+}
+
+impl From<ServerCheckIn> for ReceivedCheckIn {
+    /// A check-in that says how long the server stays cold.
+    fn from(check_in: ServerCheckIn) -> Self {
+        Self {
+            check_in,
+            omits_warmup: Tail(false),
+        }
+    }
+}
+
 /// The effect of a check-in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CheckInOutcome {
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -43,7 +43,7 @@
     ColdChange, ColdPace, ColdServerView, ColdSource, ColdTolerance, SentTimes,
 };
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
-pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
+pub use directory::{CheckInOutcome, ReceivedCheckIn, ServerCheckIn, ServerPhase, ServerRecord};
 pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
 pub use homes::ZoneAreas;
 pub use rate::{RateLedger, RateTolerance};
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -24,7 +24,7 @@
 
 use crate::admission::{CallerTerms, QueuePosition};
 use crate::cold_servers::{ColdState, ColdTolerance};
-use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
+use crate::directory::{CheckInOutcome, ReceivedCheckIn, ServerCheckIn, ServerPhase, ServerRecord};
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
 use crate::homes::ZoneAreas;
 use crate::pool::{ServicePool, WaitingRequest, predicted_wait};
@@ -250,18 +250,27 @@
     /// received now, since no broker has accepted check-ins in the meantime.
     pub fn restore_server(&mut self, check_in: ServerCheckIn, now: Instant) {
         if !self.by_name.contains_key(&check_in.name) {
-            self.add_server(check_in, now);
+            self.add_server(check_in.into(), now);
         }
     }
 
-    /// Processes a check-in of a server.
-    pub fn check_in(&mut self, check_in: ServerCheckIn, now: Instant) -> CheckInOutcome {
+    /// Processes a check-in of a server. A new incarnation that does not say how long it stays
+    /// cold counts as cold for the duration in the terms of its service.
+    pub fn check_in(
+        &mut self,
+        received: impl Into<ReceivedCheckIn>,
+        now: Instant,
+    ) -> CheckInOutcome {
+        let received = received.into();
+        let stated = received.stated_warmup();
+        let check_in = &received.check_in;
         let Some(key) = self.by_name.get(&check_in.name).copied() else {
             let service = check_in.service.clone();
-            self.add_server(check_in, now);
+            self.add_server(received, now);
             self.dispatch(&service, now);
             return CheckInOutcome::Added;
         };
+        let check_in = received.check_in;
         let service = check_in.service.clone();
         let version = check_in.version.clone();
         let Some(entry) = self.servers.get_mut(key) else {
@@ -292,7 +301,7 @@
             }
         }
         if outcome != CheckInOutcome::Stale {
-            self.record_cold_check_in(key, now);
+            self.record_cold_check_in(key, stated, is_restarted, now);
             self.observe_version(&service, &version, now);
         }
         if is_restarted {
@@ -621,7 +630,9 @@
             .or_insert_with(ServicePool::new)
     }
 
-    fn add_server(&mut self, check_in: ServerCheckIn, now: Instant) {
+    fn add_server(&mut self, received: ReceivedCheckIn, now: Instant) {
+        let stated = received.stated_warmup();
+        let check_in = received.check_in;
         let name = check_in.name.clone();
         let service = check_in.service.clone();
         let version = check_in.version.clone();
@@ -639,7 +650,7 @@
         self.by_name.insert(name, key);
         self.apply_early_limit(key, now);
         self.pool(&service).servers.push(key);
-        self.record_cold_check_in(key, now);
+        self.record_cold_check_in(key, stated, true, now);
         self.observe_version(&service, &version, now);
         self.directory_version += 1;
     }
--- a/crates/broker/src/slots/coldness.rs
+++ b/crates/broker/src/slots/coldness.rs
@@ -7,7 +7,7 @@
 use crate::request::BrokerEvent;
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 impl SlotBroker {
     /// Counts the servers of a zone as cold from `at`, when its drain was withdrawn, for the
@@ -62,8 +62,15 @@
         self.refresh_all_cold(now);
     }
 
-    /// Applies what the latest check-in of a server says of its coldness.
-    pub(super) fn record_cold_check_in(&mut self, key: ServerKey, now: Instant) {
+    /// Applies what the latest check-in of a server states of its coldness, if anything.
+    /// `is_first` tells that no check-in of its incarnation was known.
+    pub(super) fn record_cold_check_in(
+        &mut self,
+        key: ServerKey,
+        stated: Option<Duration>,
+        is_first: bool,
+        now: Instant,
+    ) {
         let Some(entry) = self.servers.get_mut(key) else {
             return;
         };
@@ -72,7 +79,7 @@
         let restored_at = self.cold_zones.get(&check_in.zone).copied();
         entry.cold.set_pace(pool.and_then(|pool| pool.cold_pace));
         entry.cold.set_zone_restored(restored_at);
-        entry.cold.record_check_in(check_in.warmup_remaining, now);
+        entry.cold.record_check_in(stated, is_first, now);
         self.refresh_cold(key, now);
     }
 
--- a/crates/broker/tests/all/cold_servers.rs
+++ b/crates/broker/tests/all/cold_servers.rs
@@ -8,9 +8,9 @@
 };
 use chicoryladder_broker::{
     ActiveRun, BrokerEvent, BrokerlessView, ColdPace, ColdServerView, ColdSource, ColdTolerance,
-    EngineMemory, LeavingServers, LimitReport, LimitStatement, NamedLimits, ProvenWork, RunOutcome,
-    SentTimes, ServerCheckIn, ServerLimit, SlotBroker, SlotDecision, WorkKind, ZoneAreas,
-    ZoneRoster,
+    EngineMemory, LeavingServers, LimitReport, LimitStatement, NamedLimits, ProvenWork,
+    ReceivedCheckIn, RunOutcome, SentTimes, ServerCheckIn, ServerLimit, SlotBroker, SlotDecision,
+    WorkKind, ZoneAreas, ZoneRoster,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, ServicePlan};
 use chicoryladder_types::prelude::*;
@@ -778,6 +778,85 @@
     assert_eq!(grants_at_once(&mut fixture), 7);
 }
 
+/// A check-in that does not say how long the server stays cold.
+fn unstated_check_in(incarnation: u64, sequence: u64) -> ReceivedCheckIn {
+    ReceivedCheckIn {
+        check_in: ServerCheckIn {
+            incarnation,
+            ..cold_check_in(0, sequence, Duration::ZERO)
+        },
+        omits_warmup: Tail(true),
+    }
+}
+
+/// Guards against a server that starts, does not say how long it stays cold, and is sent all it
+/// has slots for; against later check-ins of the same kind that end its coldness or begin it
+/// again; and against a plan that comes after the server and does not concern it.
+#[test]
+fn a_new_incarnation_that_states_nothing_is_cold_for_the_time_of_the_plan() {
+    for is_restart in [false, true] {
+        let mut fixture = BrokerFixture::new(&[], Vec::new());
+        if is_restart {
+            fixture = warm_fixture(1);
+        }
+        let start = fixture.now;
+        fixture.broker.check_in(unstated_check_in(2, 1), start);
+        fixture.broker.set_plan(&cold_plan(), start);
+        let cold = ("s0".to_owned(), Some(ColdSource::Start));
+        assert_eq!(changes(&fixture.broker.take_events()), [cold]);
+        assert_eq!(grants_at_once(&mut fixture), 0, "restart: {is_restart}");
+        let left = fixture.broker.servers_at(start)[0].warmup_remaining;
+        assert_eq!(left, TERMS.duration);
+        let mut sequence = 2;
+        while fixture.now + CHECK_IN_INTERVAL < start + TERMS.duration {
+            fixture.tick(CHECK_IN_INTERVAL);
+            let check_in = unstated_check_in(2, sequence);
+            fixture.broker.check_in(check_in, fixture.now);
+            assert_eq!(fixture.broker.cold_servers(fixture.now), 1);
+            sequence += 1;
+        }
+        fixture.tick(CHECK_IN_INTERVAL);
+        let check_in = unstated_check_in(2, sequence);
+        fixture.broker.check_in(check_in, fixture.now);
+        assert_eq!(fixture.broker.cold_servers(fixture.now), 0);
+    }
+}
+
+/// Guards against a server that counts as cold although it says that it is warm, after a
+/// check-in that states nothing or before one.
+#[test]
+fn a_stated_coldness_goes_before_that_of_a_start() {
+    let mut fixture = warm_fixture(0);
+    let now = fixture.now;
+    fixture.broker.check_in(unstated_check_in(2, 1), now);
+    assert_eq!(fixture.broker.cold_servers(now), 1);
+    let mut warm = unstated_check_in(2, 2);
+    warm.omits_warmup = Tail(false);
+    fixture.broker.check_in(warm, now);
+    assert_eq!(fixture.broker.cold_servers(now), 0);
+    fixture.broker.check_in(unstated_check_in(2, 3), now);
+    assert_eq!(fixture.broker.cold_servers(now), 0);
+}
+
+/// Guards against a broker that takes over and counts all servers that state nothing as cold
+/// again, although its directory says how long they stay cold.
+#[test]
+fn a_new_broker_keeps_the_coldness_of_servers_that_state_nothing() {
+    let mut fixture = warm_fixture(0);
+    let start = fixture.now;
+    fixture.broker.check_in(unstated_check_in(2, 1), start);
+    fixture.tick(Duration::from_secs(2));
+    let mut next = BrokerFixture::new(&[], Vec::new());
+    next.now = fixture.now;
+    next.broker.set_plan(&cold_plan(), next.now);
+    for server in fixture.broker.servers_at(fixture.now) {
+        next.broker.restore_server(server, next.now);
+    }
+    next.broker.check_in(unstated_check_in(2, 2), next.now);
+    let left = next.broker.servers_at(next.now)[0].warmup_remaining;
+    assert_eq!(left + Duration::from_secs(2), TERMS.duration);
+}
+
 /// Guards against servers that are sent all they have slots for when the drain of their zone
 /// is withdrawn, since their last check-ins are from before.
 #[test]
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -26,7 +26,7 @@
 use bytes::Bytes;
 use chicoryladder_broker::{
     BrokerSettings, CheckInOutcome, ColdChange, ColdSource, ColdTolerance, CrashedRun,
-    DepartureReport, DepartureSource, RateTolerance, RequesterId, RosterSettings, ServerCheckIn,
+    DepartureReport, DepartureSource, RateTolerance, ReceivedCheckIn, RequesterId, RosterSettings,
     ServerLimit, ServerPhase, ServerSuspension, SlotRequest, VersionRecord, ZoneAreas,
 };
 use chicoryladder_consensus::MemberRole;
@@ -576,14 +576,15 @@
         state.stored.is_some() || led_for >= FULL_GROUP_WAIT
     }
 
-    async fn check_in(self: &Arc<Self>, check_in: ServerCheckIn) -> GroupReply<ControlAnswer> {
+    async fn check_in(self: &Arc<Self>, received: ReceivedCheckIn) -> GroupReply<ControlAnswer> {
         let now = self.now();
+        let check_in = &received.check_in;
         let (name, incarnation) = (check_in.name.clone(), check_in.incarnation);
         let is_leaving = check_in.phase == ServerPhase::Leaving;
         let (address, version) = (check_in.address, check_in.version.clone());
         let outcome = {
             let mut state = self.state();
-            let outcome = state.broker.check_in(check_in, now);
+            let outcome = state.broker.check_in(received, now);
             if state.departed.contains(&(name.clone(), incarnation)) {
                 state.broker.mark_leaving(&name, Some(incarnation));
             }
--- a/crates/roles/src/control/port.rs
+++ b/crates/roles/src/control/port.rs
@@ -1,7 +1,7 @@
 //! The interface of a control host for operators and backend servers.
 
 use super::zone_drains::{ZoneDrain, ZoneDrainStep};
-use chicoryladder_broker::ServerCheckIn;
+use chicoryladder_broker::ReceivedCheckIn;
 use chicoryladder_gateway::HttpService;
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
@@ -49,7 +49,7 @@
     /// Records a check-in of a server; returns once it has taken effect.
     fn check_in(
         &self,
-        check_in: ServerCheckIn,
+        check_in: ReceivedCheckIn,
     ) -> BoxFuture<'_, Result<ServerHint, ControlFailure>>;
 
     /// Records that a server is leaving; without `incarnation`, the one known to the leader.
--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -9,7 +9,7 @@
 use crate::leader_client::LeaderClient;
 use crate::message::{Call, ControlAnswer, ControlCall};
 use crate::process::{ProcessBase, ProcessError};
-use chicoryladder_broker::ServerCheckIn;
+use chicoryladder_broker::ReceivedCheckIn;
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
@@ -158,7 +158,7 @@
 
     fn check_in(
         &self,
-        check_in: ServerCheckIn,
+        check_in: ReceivedCheckIn,
     ) -> BoxFuture<'_, Result<ServerHint, ControlFailure>> {
         async move {
             self.relay_for_ack(ControlCall::CheckIn(Box::new(check_in)))
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
 use chicoryladder_broker::{
-    ActiveRun, AnswerReport, CallerTerms, CrashedRun, RequesterId, RosterMember, RunReport,
-    ServerCheckIn, SlotDecision, SlotRequest, VersionList, WorkPercent, ZoneRoster,
+    ActiveRun, AnswerReport, CallerTerms, CrashedRun, ReceivedCheckIn, RequesterId, RosterMember,
+    RunReport, ServerCheckIn, SlotDecision, SlotRequest, VersionList, WorkPercent, ZoneRoster,
 };
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
@@ -107,7 +107,7 @@
     /// Reads the plan in force as the document that the operator sent.
     ReadPlan,
     /// Forwards the check-in of a backend server.
-    CheckIn(Box<ServerCheckIn>),
+    CheckIn(Box<ReceivedCheckIn>),
     /// Forwards the announcement of a backend server that it is leaving.
     Leave {
         name: ServerName,
@@ -441,9 +441,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use chicoryladder_broker::{ProvenWork, RunOutcome, WorkKind};
+    use chicoryladder_broker::{ProvenWork, RunOutcome, ServerPhase, WorkKind};
     use chicoryladder_policy::quarantine::RequestFingerprint;
-    use chicoryladder_types::{RouteName, ServiceName};
+    use chicoryladder_types::{RouteName, ServiceName, SoftwareVersion};
 
     /// The notices of the build before stated work, up to the release of a slot.
     #[derive(Debug, Serialize, Deserialize)]
@@ -537,6 +537,36 @@
         }
     }
 
+    /// During an upgrade, check-ins are relayed between builds that tell whether a server omits
+    /// how long it stays cold, and builds that do not; one that cannot be decoded would be lost.
+    #[test]
+    fn check_ins_are_read_by_earlier_builds_and_from_them() {
+        let check_in = ServerCheckIn {
+            name: ServerName::try_from("s1").expect("it is valid"),
+            incarnation: 1,
+            sequence: 2,
+            service: ServiceName::try_from("engine").expect("it is valid"),
+            address: SocketAddr::from(([127, 0, 0, 1], 80)),
+            zone: ZoneName::try_from("a").expect("it is valid"),
+            version: SoftwareVersion::from("v1"),
+            slots: 8,
+            phase: ServerPhase::Ready,
+            warmup_remaining: Duration::ZERO,
+        };
+        let received = ReceivedCheckIn {
+            check_in: check_in.clone(),
+            omits_warmup: Tail(true),
+        };
+        let bytes = postcard::to_stdvec(&received).expect("it is encoded");
+        let earlier: ServerCheckIn = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert_eq!(earlier, check_in);
+        let same: ReceivedCheckIn = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert_eq!(same, received);
+        let bytes = postcard::to_stdvec(&check_in).expect("it is encoded");
+        let later: ReceivedCheckIn = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert_eq!(later, check_in.into());
+    }
+
     /// During an upgrade, slots are requested between builds with and without the terms of
     /// callers and homes; a call that cannot be decoded would be lost.
     #[test]
--- a/tests/fleet/cold.rs
+++ b/tests/fleet/cold.rs
@@ -97,3 +97,21 @@
     let most = most_in_a_second(&fleet, since);
     assert!(most.iter().any(|(_, most)| *most > BOUND), "{most:?}");
 }
+
+/// Guards against servers that start again, do not say how long they stay cold, and get all
+/// they have slots for.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_start_without_a_word_on_coldness_are_paced() {
+    let mut fleet = ProcessFleet::start().await;
+    apply_cold_terms(&mut fleet).await;
+    for server in &fleet.servers {
+        server.omit_coldness();
+        server.restart();
+    }
+    tokio::time::sleep(2 * REPORT_TIME).await;
+    let since = Instant::now();
+    let (_, served) = send_streams(&fleet, "started", Duration::from_secs(4)).await;
+    let most = most_in_a_second(&fleet, since);
+    assert!(most.iter().all(|(_, most)| *most <= BOUND), "{most:?}");
+    assert!(served > 0, "cold servers are not used");
+}
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -117,6 +117,8 @@
     limit: Arc<AtomicU64>,
     /// Whether its check-ins say that it stays cold for a while.
     cold_in_check_ins: Arc<AtomicBool>,
+    /// Whether its check-ins do not say how long it stays cold.
+    omits_coldness: Arc<AtomicBool>,
     /// Whether its responses say so.
     cold_in_answers: Arc<AtomicBool>,
     /// The time that work takes, in percent of usual, which every response states; 0 for none.
@@ -164,6 +166,7 @@
             leaving_in_answers: Arc::default(),
             limit: Arc::default(),
             cold_in_check_ins: Arc::default(),
+            omits_coldness: Arc::default(),
             cold_in_answers: Arc::default(),
             work: Arc::default(),
             connections: Arc::default(),
@@ -206,6 +209,11 @@
         self.limit.store(per_second, Ordering::Relaxed);
     }
 
+    /// Leaves out of check-ins from now on how long the server stays cold.
+    pub(crate) fn omit_coldness(&self) {
+        self.omits_coldness.store(true, Ordering::Relaxed);
+    }
+
     /// Says in check-ins, or in responses, from now on whether the server is cold.
     pub(crate) fn state_cold(&self, in_check_ins: bool, in_answers: bool) {
         self.cold_in_check_ins
@@ -344,11 +352,14 @@
             let leaving = self.leaving.load(Ordering::Relaxed);
             let is_cold = self.cold_in_check_ins.load(Ordering::Relaxed);
             let cold_ms = if is_cold { COLD_MS } else { 0 };
-            let body = json!({
+            let mut body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
-                "version": self.version(), "slots": SLOTS, "cold-remaining-ms": cold_ms, "sequence": sequence,
+                "version": self.version(), "slots": SLOTS, "sequence": sequence,
                 "state": if leaving { "draining" } else { "ready" }, "born": self.incarnation(),
             });
+            if !self.omits_coldness.load(Ordering::Relaxed) {
+                body["cold-remaining-ms"] = json!(cold_ms);
+            }
             let path = format!("/instances/{}/heartbeat", self.name);
             for address in &control {
                 let mut call = Call::new(*address, Method::POST, &path).body(body.to_string());
