Keep the drains of zones in the log of the all-in-one daemon

Cause: orders to drain a zone existed for the roles only; the daemon had no state for them. The state of the roles moves to crates/types unchanged, and the fleet machine keeps it as well. An order has an operation id: hosts resend a proposal without an outcome, and a copy that is committed late would otherwise drain a zone again whose drain was withdrawn meanwhile.

Hosts of earlier builds cannot decode the command and ignore it.

Nothing changes for callers yet.

--- a/crates/host/src/admin/fleet.rs
+++ b/crates/host/src/admin/fleet.rs
@@ -132,6 +132,7 @@
         | FleetOutcome::Withdrawn { .. }
         | FleetOutcome::Claimed(_)
         | FleetOutcome::Settled
+        | FleetOutcome::ZoneDrainSet
         | FleetOutcome::AlreadyApplied => {
             (RefusalReason::BadRequest, "unexpected outcome".to_owned())
         }
--- a/crates/roles/src/control.rs
+++ b/crates/roles/src/control.rs
@@ -10,10 +10,8 @@
 mod machine;
 mod port;
 mod relay;
-mod zone_drains;
 
 pub use host::ControlHost;
 pub use machine::ControlMachine;
 pub use port::{ControlFailure, ControlPort, ControlService, ServerHint};
 pub(crate) use relay::{ControlRelay, drain_relay};
-pub use zone_drains::{ZoneDrain, ZoneDrainStep};
--- a/crates/roles/src/control/host/zone_drains.rs
+++ b/crates/roles/src/control/host/zone_drains.rs
@@ -1,11 +1,11 @@
 //! The orders of operators to drain zones.
 
 use super::super::machine::ControlCommand;
-use super::super::zone_drains::{ZoneDrainOrder, ZoneDrainStep};
 use super::{ControlMachine, ControlShared, LeaderState};
 use crate::message::{ControlAnswer, GroupReply};
 use chicoryladder_group::ProposeFailure;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ZoneDrainOrder, ZoneDrainStep};
 use serde_json::json;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -6,7 +6,6 @@
 mod zone_drains;
 
 use super::machine::{ControlMachine, StoredPlan};
-use super::zone_drains::ZoneDrains;
 use crate::message::{
     Encoded, EncodedDirectory, HostRole, QuarantineUpdate, RosterUpdate, StoreReport, StoreView,
     SyncAnswer, SyncRequest,
@@ -22,7 +21,7 @@
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
 use chicoryladder_policy::quarantine::{QuarantineChange, QuarantinedSegments};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{SeatId, TermNumber};
+use chicoryladder_types::{SeatId, TermNumber, ZoneDrains};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
--- a/crates/roles/src/control/leader/zone_drains.rs
+++ b/crates/roles/src/control/leader/zone_drains.rs
@@ -1,10 +1,9 @@
 //! How drains of zones take effect on the leader.
 
-use super::super::zone_drains::{ZoneDrainStep, ZoneDrains};
 use super::{HostRecord, LeaderState};
 use crate::message::HostRole;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{AreaName, TermNumber};
+use chicoryladder_types::{AreaName, TermNumber, ZoneDrainStep, ZoneDrains};
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -91,11 +90,11 @@
 
 #[cfg(test)]
 mod tests {
-    use super::super::super::zone_drains::ZoneDrainOrder;
     use super::*;
     use chicoryladder_broker::{
         BrokerSettings, ColdTolerance, RateTolerance, RosterSettings, ZoneAreas,
     };
+    use chicoryladder_types::ZoneDrainOrder;
 
     const MINUTE: Duration = Duration::from_secs(60);
 
--- a/crates/roles/src/control/machine.rs
+++ b/crates/roles/src/control/machine.rs
@@ -1,13 +1,12 @@
 //! The replicated state of the control group.
 
-use super::zone_drains::{ZoneDrainOrder, ZoneDrains};
 use chicoryladder_broker::{VersionRecord, VersionStep};
 use chicoryladder_consensus::{RestoreError, SnapshotError, StateMachine};
 use chicoryladder_plan::{
     CallerLimits, PlanTerms, PlanVersion, RawPlan, RawRoute, RawService, RawTeam,
 };
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{LogIndex, SeatId, Tail};
+use chicoryladder_types::{LogIndex, SeatId, Tail, ZoneDrainOrder, ZoneDrains};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
--- a/crates/roles/src/control/port.rs
+++ b/crates/roles/src/control/port.rs
@@ -1,10 +1,10 @@
 //! The interface of a control host for operators and backend servers.
 
-use super::zone_drains::{ZoneDrain, ZoneDrainStep};
 use chicoryladder_broker::ReceivedCheckIn;
 use chicoryladder_gateway::HttpService;
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ZoneDrain, ZoneDrainStep};
 use futures_util::future::BoxFuture;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -4,7 +4,6 @@
 //! reach a responsive host while others are down or frozen.
 
 use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
-use super::zone_drains::{ZoneDrain, ZoneDrainStep};
 use crate::event_log::{EventLog, EventPriority};
 use crate::leader_client::LeaderClient;
 use crate::message::{Call, ControlAnswer, ControlCall};
@@ -13,6 +12,7 @@
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ZoneDrain, ZoneDrainStep};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use serde_json::json;
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -33,9 +33,9 @@
 mod store;
 mod tunnels;
 
+pub use chicoryladder_types::{ZoneDrain, ZoneDrainStep};
 pub use control::{
     ControlFailure, ControlHost, ControlMachine, ControlPort, ControlService, ServerHint,
-    ZoneDrain, ZoneDrainStep,
 };
 pub use entry::EntryHost;
 pub use event_log::{EventLog, EventPriority};
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -1,6 +1,5 @@
 //! Messages between the processes of a fleet, encoded with postcard.
 
-use crate::control::{ZoneDrain, ZoneDrainStep};
 use crate::server_marks::ServerReports;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
@@ -13,7 +12,7 @@
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::QuarantinedSegments;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{AreaName, SeatId, Tail};
+use chicoryladder_types::{AreaName, SeatId, Tail, ZoneDrain, ZoneDrainStep};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
--- a/crates/state/src/command.rs
+++ b/crates/state/src/command.rs
@@ -3,7 +3,7 @@
 use crate::claims::{ClaimOutcome, ClaimRequest, SettleRequest};
 use crate::keys::{KeyId, KeySalt, SecretHash};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{FleetRevision, OperationId};
+use chicoryladder_types::{FleetRevision, OperationId, ZoneDrainOrder};
 use serde::{Deserialize, Serialize};
 
 /// A change of the fleet state, as encoded in the replicated log.
@@ -19,6 +19,10 @@
     ClaimRequest(ClaimRequest),
     /// Records how a claimed request ended.
     SettleRequest(SettleRequest),
+    // The log encodes the position of a command: new ones come last. Hosts of earlier builds
+    // cannot decode this one and ignore it.
+    /// Drains a zone or withdraws that.
+    SetZoneDrain(SetZoneDrain),
 }
 
 /// Replaces the fleet document if its revision is still `expected_revision`.
@@ -57,6 +61,16 @@
     pub key_id: KeyId,
 }
 
+/// Drains a zone or withdraws that.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetZoneDrain {
+    /// The order.
+    pub order: ZoneDrainOrder,
+    /// Identifies the operation: a copy of it that is committed late must not take effect over
+    /// an order that came in between.
+    pub operation_id: OperationId,
+}
+
 /// An error in encoding or decoding a command.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("cannot encode or decode a fleet command: {0}")]
@@ -90,6 +104,7 @@
         match self {
             Self::ApplyDocument(command) => Some(&command.operation_id),
             Self::GrantKey(command) => Some(&command.operation_id),
+            Self::SetZoneDrain(command) => Some(&command.operation_id),
             Self::WithdrawKey(_) | Self::ClaimRequest(_) | Self::SettleRequest(_) => None,
         }
     }
@@ -148,6 +163,8 @@
     Settled,
     /// The log entry had already been applied.
     AlreadyApplied,
+    /// The order on the drain of a zone is in force.
+    ZoneDrainSet,
 }
 
 /// The reason why a key was not granted.
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -38,6 +38,12 @@
                 hasher.update(b"settle");
                 hasher.update(&command.request.bits().to_le_bytes());
             }
+            FleetCommand::SetZoneDrain(command) => {
+                hasher.update(b"drain");
+                hasher.update(command.order.step.as_str().as_bytes());
+                hasher.update(&[0]);
+                hasher.update(command.order.zone.as_str().as_bytes());
+            }
         }
         Self(*hasher.finalize().as_bytes())
     }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,5 +1,5 @@
-//! Replicated fleet state: the fleet document, API keys and the records of
-//! at-most-once requests.
+//! Replicated fleet state: the fleet document, API keys, the drains of zones and
+//! the records of at-most-once requests.
 //!
 //! [`FleetMachine`] is the deterministic state machine that applies the
 //! committed fleet commands of the consensus group. It reads no clock and generates
@@ -24,7 +24,8 @@
     RecordedAnswer, RequestDigest, SettleRequest,
 };
 pub use command::{
-    ApplyDocument, CommandError, FleetCommand, FleetOutcome, GrantKey, KeyRefusal, WithdrawKey,
+    ApplyDocument, CommandError, FleetCommand, FleetOutcome, GrantKey, KeyRefusal, SetZoneDrain,
+    WithdrawKey,
 };
 pub use keys::{KeyError, KeyGrant, KeyId, KeyRecord, KeySalt, KeyState, KeyText, SecretHash};
 pub use machine::{FleetMachine, SnapshotError};
--- a/crates/state/src/machine.rs
+++ b/crates/state/src/machine.rs
@@ -14,7 +14,7 @@
 use crate::view::FleetView;
 use chicoryladder_settings::FleetDocument;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{FleetRevision, LogIndex, OperationId};
+use chicoryladder_types::{FleetRevision, LogIndex, OperationId, ZoneDrains};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -46,6 +46,7 @@
     history: OutcomeHistory,
     claims: ClaimRegistry,
     tombstones: Arc<KeyTombstones>,
+    drains: Arc<ZoneDrains>,
 }
 
 impl FleetMachine {
@@ -83,6 +84,10 @@
                 self.claims.settle(settle);
                 FleetOutcome::Settled
             }
+            FleetCommand::SetZoneDrain(command) => {
+                Arc::make_mut(&mut self.drains).apply(command.order.clone());
+                FleetOutcome::ZoneDrainSet
+            }
         };
         self.history.record(command, &outcome);
         outcome
@@ -115,6 +120,7 @@
             applied: self.applied,
             keys: Arc::clone(&self.keys),
             tombstones: Arc::clone(&self.tombstones),
+            drains: Arc::clone(&self.drains),
         }
     }
 
--- a/crates/state/src/machine/snapshot.rs
+++ b/crates/state/src/machine/snapshot.rs
@@ -5,7 +5,7 @@
 use crate::history::OutcomeHistory;
 use crate::keys::{KeyRegistry, KeyState};
 use chicoryladder_settings::FleetDocument;
-use chicoryladder_types::{FleetRevision, LogIndex};
+use chicoryladder_types::{FleetRevision, LogIndex, ZoneDrains};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -67,7 +67,12 @@
             history: self.history.clone(),
             claims: self.claims.clone(),
         };
-        Ok(postcard::to_stdvec(&content)?)
+        let mut bytes = postcard::to_stdvec(&content)?;
+        // Behind what earlier builds read. Snapshots without drains are the same as theirs.
+        if *self.drains != ZoneDrains::default() {
+            bytes.extend(postcard::to_stdvec(&*self.drains)?);
+        }
+        Ok(bytes)
     }
 
     /// Replaces the replicated state with that of a snapshot. Withdrawals that this
@@ -83,7 +88,11 @@
             Some(&format) => return Err(SnapshotError::UnknownFormat(format)),
             None => return Err(postcard::Error::DeserializeUnexpectedEnd.into()),
         }
-        let content: SnapshotContent = postcard::from_bytes(bytes)?;
+        let (content, rest): (SnapshotContent, _) = postcard::take_from_bytes(bytes)?;
+        let drains = match rest {
+            [] => ZoneDrains::default(),
+            rest => postcard::from_bytes(rest)?,
+        };
         if content.applied < self.applied {
             return Err(SnapshotError::Older {
                 offered: content.applied,
@@ -99,6 +108,7 @@
         self.keys = content.keys;
         self.history = content.history;
         self.claims = content.claims;
+        self.drains = Arc::new(drains);
         self.remove_logged_tombstones();
         Ok(())
     }
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -5,7 +5,7 @@
 use crate::tombstones::KeyTombstones;
 use chicoryladder_settings::FleetDocument;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{FleetRevision, LogIndex};
+use chicoryladder_types::{FleetRevision, LogIndex, ZoneDrains};
 use std::sync::Arc;
 
 /// The fleet state at one log position, including key withdrawals that this host
@@ -20,6 +20,8 @@
     pub revision: FleetRevision,
     /// The log position of the view.
     pub applied: LogIndex,
+    /// The drains of zones.
+    pub drains: Arc<ZoneDrains>,
     pub(crate) keys: Arc<KeyRegistry>,
     pub(crate) tombstones: Arc<KeyTombstones>,
 }
--- a/crates/state/tests/all/main.rs
+++ b/crates/state/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod propagation;
 mod races;
 mod support;
+mod zone_drains;
--- a/crates/state/tests/all/support.rs
+++ b/crates/state/tests/all/support.rs
@@ -3,9 +3,13 @@
 use chicoryladder_settings::FleetDocument;
 use chicoryladder_state::{
     ApplyDocument, FleetCommand, FleetMachine, FleetOutcome, GrantKey, KeyGrant, KeyId, KeySalt,
-    WithdrawKey,
+    SetZoneDrain, WithdrawKey,
 };
-use chicoryladder_types::{FleetRevision, HostName, LogIndex, OperationId, TeamName};
+use chicoryladder_types::{
+    FleetRevision, HostName, LogIndex, OperationId, TeamName, ZoneDrainOrder, ZoneDrainStep,
+    ZoneName,
+};
+use std::net::SocketAddr;
 
 pub(crate) const SHARED_SECRET: &[u8] = b"a secret that all entry hosts share";
 
@@ -65,6 +69,23 @@
     })
 }
 
+pub(crate) fn zone(name: &str) -> ZoneName {
+    ZoneName::try_from(name).expect("a valid zone name")
+}
+
+/// An order that came from the given port, at that many milliseconds since the Unix epoch.
+pub(crate) fn drain(id: &str, name: &str, step: ZoneDrainStep, port: u16) -> FleetCommand {
+    FleetCommand::SetZoneDrain(SetZoneDrain {
+        order: ZoneDrainOrder {
+            zone: zone(name),
+            step,
+            asked_by: Some(SocketAddr::from(([127, 0, 0, 1], port))),
+            at_ms: port.into(),
+        },
+        operation_id: operation(id),
+    })
+}
+
 /// A machine with its log position.
 #[derive(Default)]
 pub(crate) struct MachineDriver {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,6 +17,7 @@
 mod software;
 mod tail;
 mod verdict;
+mod zone_drains;
 
 pub use announcement::{LoadError, ServerAnnouncement, ServerLoad};
 pub use cache_event::{CacheChange, CacheEvent, CacheReport};
@@ -34,3 +35,4 @@
 pub use software::SoftwareVersion;
 pub use tail::Tail;
 pub use verdict::RunVerdict;
+pub use zone_drains::{ZoneDrain, ZoneDrainOrder, ZoneDrainStep, ZoneDrains};
--- a/crates/roles/src/control/zone_drains.rs
+++ b/crates/types/src/zone_drains.rs
@@ -1,6 +1,6 @@
 //! The drains of zones that operators ordered, as part of the replicated state.
 
-use chicoryladder_types::prelude::*;
+use crate::ZoneName;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -17,7 +17,8 @@
 
 impl ZoneDrainStep {
     /// The name of the step in the event log.
-    pub(crate) fn as_str(self) -> &'static str {
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
         match self {
             Self::Begin => "begin",
             Self::Finish => "finish",
@@ -38,12 +39,15 @@
 
 /// An order for a zone, as a command for the replicated state.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ZoneDrainOrder {
-    pub(crate) zone: ZoneName,
-    pub(crate) step: ZoneDrainStep,
-    pub(crate) asked_by: Option<SocketAddr>,
-    /// The time at the leader, in milliseconds since the Unix epoch.
-    pub(crate) at_ms: u64,
+pub struct ZoneDrainOrder {
+    /// The zone.
+    pub zone: ZoneName,
+    /// What is ordered.
+    pub step: ZoneDrainStep,
+    /// The address from which the order came, if known.
+    pub asked_by: Option<SocketAddr>,
+    /// The time at the host that proposes the order, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
 }
 
 /// The last order that changed the state of a zone.
@@ -57,7 +61,7 @@
 /// The drains of all zones. Withdrawn ones are kept, so that a new leader knows when that
 /// was: servers of the zone may be cold for a time afterwards.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ZoneDrains {
+pub struct ZoneDrains {
     /// The number of changes so far, which orders copies of this state.
     changes: u64,
     records: BTreeMap<ZoneName, DrainRecord>,
@@ -65,7 +69,7 @@
 
 impl ZoneDrains {
     /// Carries out an order. One that changes nothing leaves the record of the earlier one.
-    pub(crate) fn apply(&mut self, order: ZoneDrainOrder) {
+    pub fn apply(&mut self, order: ZoneDrainOrder) {
         let is_drained = order.step == ZoneDrainStep::Begin;
         if self.is_drained(&order.zone) == is_drained {
             return;
@@ -79,21 +83,28 @@
         self.records.insert(order.zone, record);
     }
 
-    pub(crate) fn changes(&self) -> u64 {
+    /// The number of changes so far, by which copies of this state are ordered.
+    #[must_use]
+    pub fn changes(&self) -> u64 {
         self.changes
     }
 
-    pub(crate) fn is_drained(&self, zone: &ZoneName) -> bool {
+    /// Whether the zone is drained.
+    #[must_use]
+    pub fn is_drained(&self, zone: &ZoneName) -> bool {
         let record = self.records.get(zone);
         record.is_some_and(|record| record.is_drained)
     }
 
     /// Whether the zone was drained at any time.
-    pub(crate) fn was_ordered(&self, zone: &ZoneName) -> bool {
+    #[must_use]
+    pub fn was_ordered(&self, zone: &ZoneName) -> bool {
         self.records.contains_key(zone)
     }
 
-    pub(crate) fn drained(&self) -> Vec<ZoneDrain> {
+    /// The drained zones, in the order of their names.
+    #[must_use]
+    pub fn drained(&self) -> Vec<ZoneDrain> {
         let drained = self.records.iter().filter(|(_, record)| record.is_drained);
         let listed = drained.map(|(zone, record)| ZoneDrain {
             zone: zone.clone(),
@@ -103,13 +114,16 @@
         listed.collect()
     }
 
-    pub(crate) fn drained_zones(&self) -> BTreeSet<ZoneName> {
+    /// The names of the drained zones.
+    #[must_use]
+    pub fn drained_zones(&self) -> BTreeSet<ZoneName> {
         self.drained().into_iter().map(|drain| drain.zone).collect()
     }
 
     /// The zones whose drains were withdrawn, with the time since then. Clocks of hosts
     /// differ, so a withdrawal in the future counts as one that happens now.
-    pub(crate) fn withdrawn(&self, since_epoch: Duration) -> Vec<(ZoneName, Duration)> {
+    #[must_use]
+    pub fn withdrawn(&self, since_epoch: Duration) -> Vec<(ZoneName, Duration)> {
         let withdrawn = self.records.iter().filter(|(_, record)| !record.is_drained);
         let aged = withdrawn.map(|(zone, record)| {
             let at = Duration::from_millis(record.changed_at_ms);
