Leave servers of drained zones out of the daemon's choice of servers

Cause: the table of servers had no notion of a drained zone. The one function that tells whether a server gets new work now asks for it, so the choice, the prefix cache, waits and retries follow. The bound on ejections counts only servers that are not drained: with two of four drained, both others could be ejected, and every request was refused.

Callers see nothing until a host sets the zones.

--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -6,7 +6,7 @@
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerAnnouncement, ServerLoad};
 use slotmap::{SlotMap, new_key_type};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 /// The maximum number of prompt prefixes with a server hint.
@@ -72,6 +72,8 @@
     pub(super) targets: HashMap<WorkTarget, TargetServers>,
     pub(super) hints: PrefixHints,
     names: HashMap<ServerName, ServerKey>,
+    /// The zones whose servers get no new work.
+    drained_zones: BTreeSet<ZoneName>,
 }
 
 impl ServerTable {
@@ -86,6 +88,7 @@
             targets: HashMap::new(),
             hints: PrefixHints::new(PREFIX_HINTS_MAX),
             names: HashMap::new(),
+            drained_zones: BTreeSet::new(),
         }
     }
 
@@ -95,6 +98,56 @@
         self.hosts = hosts.max(1);
     }
 
+    /// Sets the zones whose servers get no new work. Requests on them go on.
+    pub fn set_drained_zones(&mut self, zones: BTreeSet<ZoneName>) {
+        self.drained_zones = zones;
+    }
+
+    /// The zones whose servers get no new work.
+    #[must_use]
+    pub fn drained_zones(&self) -> &BTreeSet<ZoneName> {
+        &self.drained_zones
+    }
+
+    /// Whether the server is in a drained zone.
+    #[must_use]
+    pub fn is_drained(&self, key: ServerKey) -> bool {
+        self.servers
+            .get(key)
+            .is_some_and(|record| self.is_in_drained_zone(record))
+    }
+
+    fn is_in_drained_zone(&self, record: &ServerRecord) -> bool {
+        self.drained_zones.contains(&record.announcement.zone)
+    }
+
+    /// Whether servers are ready for work, all of them in drained zones.
+    #[must_use]
+    pub fn is_wholly_drained(&self, now: Instant) -> bool {
+        if self.drained_zones.is_empty() {
+            return false;
+        }
+        let records = self.servers.values();
+        let mut ready = records
+            .filter(|record| self.is_ready(record, now))
+            .peekable();
+        ready.peek().is_some() && ready.all(|record| self.is_in_drained_zone(record))
+    }
+
+    /// Whether servers that are ready for work offer the target, all of them in drained zones.
+    #[must_use]
+    pub fn is_target_drained(&self, target: &WorkTarget, now: Instant) -> bool {
+        let Some(servers) = self.targets.get(target) else {
+            return false;
+        };
+        let keys = servers.local.iter().chain(&servers.remote);
+        let records = keys.filter_map(|key| self.servers.get(*key));
+        let mut ready = records
+            .filter(|record| self.is_ready(record, now))
+            .peekable();
+        ready.peek().is_some() && ready.all(|record| self.is_in_drained_zone(record))
+    }
+
     /// Applies an announcement that the server sent at `at`. It can be outdated if
     /// other hosts relayed it.
     pub fn announce(&mut self, announcement: &ServerAnnouncement, at: Instant) -> AnnounceOutcome {
@@ -244,13 +297,21 @@
     #[must_use]
     pub fn is_open(&self, key: ServerKey, now: Instant) -> bool {
         self.servers.get(key).is_some_and(|record| {
-            let age = now.saturating_duration_since(record.renewed_at);
-            !record.leaving && age < self.times.server_lease && record.health.accepts_requests(now)
+            self.is_ready(record, now)
+                && record.health.accepts_requests(now)
+                && !self.is_in_drained_zone(record)
         })
     }
 
+    /// Whether the server is announced and does not leave.
+    fn is_ready(&self, record: &ServerRecord, now: Instant) -> bool {
+        let age = now.saturating_duration_since(record.renewed_at);
+        !record.leaving && age < self.times.server_lease
+    }
+
     /// Returns whether at most half of the servers of each target would be ejected.
-    /// Without this bound, a common cause could eject every server of a target.
+    /// Without this bound, a common cause could eject every server of a target. Servers of
+    /// drained zones do not count, since they take no work for the ejected ones.
     fn may_eject(&self, key: ServerKey) -> bool {
         let Some(record) = self.servers.get(key) else {
             return false;
@@ -262,7 +323,8 @@
         let within_bound = |target: &WorkTarget| {
             let servers = self.targets.get(target);
             servers.is_none_or(|servers| {
-                let keys = || servers.local.iter().chain(&servers.remote);
+                let all = || servers.local.iter().chain(&servers.remote);
+                let keys = || all().filter(|key| !self.is_drained(**key));
                 (keys().filter(ejected).count() + 1) * 2 <= keys().count()
             })
         };
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -8,7 +8,7 @@
 use chicoryladder_types::{ModelName, ServerAnnouncement, ServerGeneration, ServerLoad};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::time::{Duration, Instant};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -299,3 +299,74 @@
         RouteChoice::Server(other)
     );
 }
+
+/// Guards against requests that reach a server of a drained zone although others are full, in
+/// the host's own zone or another, or by a prompt prefix that such a server caches.
+#[test]
+fn servers_of_a_drained_zone_get_no_work_until_the_drain_is_withdrawn() {
+    let prefix = PrefixHash(7);
+    for drained in ["a", "b"] {
+        let mut fixture = Fixture::new(&[("a", 2), ("a", 2), ("b", 2), ("b", 2)]);
+        let zone_of = |index: usize| if index < 2 { "a" } else { "b" };
+        for index in (0..4).filter(|index| zone_of(*index) == drained) {
+            let key = fixture.key(index);
+            fixture.table.record_prefix(prefix, key);
+        }
+        fixture
+            .table
+            .set_drained_zones(BTreeSet::from([zone(drained)]));
+        assert!(!fixture.table.is_wholly_drained(fixture.now));
+        let mut used = Vec::new();
+        while let RouteChoice::Server(key) = fixture.choose_with(&[prefix], &[]) {
+            fixture.table.start(key);
+            used.push(fixture.index(key));
+        }
+        assert_eq!(used.len(), 4, "{drained}: {used:?}");
+        assert!(used.iter().all(|index| zone_of(*index) != drained));
+        assert_eq!(fixture.choose(), RouteChoice::Busy);
+        fixture.table.set_drained_zones(BTreeSet::new());
+        assert!(
+            fixture
+                .start()
+                .is_some_and(|index| zone_of(index) == drained)
+        );
+    }
+}
+
+/// Guards against requests that wait for servers that get no work, and against a drain of all
+/// zones that is not told apart from servers that are gone.
+#[test]
+fn a_target_whose_servers_are_all_drained_has_no_server() {
+    let mut fixture = Fixture::new(&[("a", 1), ("b", 1)]);
+    let zones = ["a", "b"].map(zone);
+    assert!(!fixture.table.is_wholly_drained(fixture.now));
+    fixture.table.set_drained_zones(BTreeSet::from(zones));
+    assert_eq!(fixture.choose(), RouteChoice::NoServer);
+    assert!(!fixture.table.serves(&model(), fixture.now));
+    assert!(fixture.table.is_wholly_drained(fixture.now));
+    assert!(fixture.table.is_target_drained(&model(), fixture.now));
+    // A server that announces itself later is not used either.
+    fixture
+        .table
+        .announce(&announcement(2, "b", 1), fixture.now);
+    assert_eq!(fixture.choose(), RouteChoice::NoServer);
+    fixture.now += RouteTimes::default().server_lease;
+    assert!(!fixture.table.is_wholly_drained(fixture.now));
+    assert!(!fixture.table.is_target_drained(&model(), fixture.now));
+}
+
+/// Guards against the last servers in use being ejected together, because drained servers
+/// count as ones that could take their work.
+#[test]
+fn drained_servers_do_not_allow_more_ejections() {
+    let mut fixture = Fixture::new(&[("a", 1), ("a", 1), ("b", 1), ("b", 1)]);
+    fixture.table.set_drained_zones(BTreeSet::from([zone("b")]));
+    for index in [0, 1] {
+        let key = fixture.key(index);
+        for _ in 0..20 {
+            fixture.table.start(key);
+            fixture.finish(index, ServerOutcome::Failed);
+        }
+    }
+    assert!(matches!(fixture.choose(), RouteChoice::Server(_)));
+}
