Apply the drains of zones on each host of the daemon

A task passes the drained zones of the replica's view on to the routing task. Two sends come long after the slot was granted and ask again whether the server is drained: a request that is sent once more to its silent server, and an item whose start is committed first. Log lines tell of each change and warn when all zones with servers are drained. The metrics zones_drained and zone_drained show the state.

The check before an item whose start is committed has no test.

--- a/crates/host/src/batch/attempt.rs
+++ b/crates/host/src/batch/attempt.rs
@@ -97,7 +97,7 @@
             Ok(placed) => placed,
             Err(end) => return finished(attempt, end),
         };
-        match self.start(&item).await {
+        match self.start(&item, &placed.grant.name).await {
             Ok(()) => finished(attempt, self.send(&item, placed).await),
             Err(StartRefusal::Ended(end)) => finished(attempt, end),
             Err(StartRefusal::NotHeld) => FinishedRun {
@@ -134,8 +134,9 @@
     }
 
     /// Checks that the item may start: its lease must be valid, and the start of a
-    /// non-idempotent item must be committed as well.
-    async fn start(&self, item: &QueuedItem) -> Result<(), StartRefusal> {
+    /// non-idempotent item must be committed as well. That may take so long that the zone of
+    /// the server is drained meanwhile.
+    async fn start(&self, item: &QueuedItem, server: &ServerName) -> Result<(), StartRefusal> {
         let not_run = StartRefusal::Ended(yielded(RunVerdict::NotRun));
         if item.grant.idempotent {
             return if self.may_start(item) {
@@ -153,7 +154,11 @@
             Ok(JobOutcome::Started { attempts }) if attempts.is_empty() => {
                 Err(StartRefusal::NotHeld)
             }
-            Ok(JobOutcome::Started { .. }) if self.may_start(item) => Ok(()),
+            Ok(JobOutcome::Started { .. })
+                if !self.routing.is_drained(server.clone()).await && self.may_start(item) =>
+            {
+                Ok(())
+            }
             // The start may be committed, but this host will not run the item.
             _ => Err(not_run),
         }
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -14,7 +14,7 @@
 use crate::platform::DrainFlag;
 use crate::quarantine::{QuarantineHandle, QuarantineTask, QuarantineTaskParts};
 use crate::replica::{ReplicaDisk, ReplicaHandle, ReplicaInbox, ReplicaSettings, ReplicaTask};
-use crate::routing::{RoutingHandle, RoutingLocation, RoutingNotice};
+use crate::routing::{DrainWatcher, RoutingHandle, RoutingLocation, RoutingNotice};
 use crate::tombstones::{
     FileTombstones, NoTombstones, TombstoneHandle, TombstoneStore, TombstoneTask,
 };
@@ -170,6 +170,11 @@
             clock: clock.clone(),
         });
         tasks.spawn(quarantine_task.run());
+        let drain_watcher = DrainWatcher {
+            replica: replica.clone(),
+            routing: routing.clone(),
+        };
+        tasks.spawn(drain_watcher.run());
         let store = tombstone_store(&settings);
         let (tombstone_task, tombstones) =
             TombstoneTask::open(replica.clone(), directory.clone(), store)
@@ -211,6 +216,8 @@
         let batch = batch_components.start(&mut tasks);
         let bounds = MachineBounds::new(settings.machine, clock.clone());
         metrics.observe(&bounds);
+        let observed = replica.clone();
+        metrics.observe_zone_drains(move || observed.view().drains.drained_zones());
         Ok(Self {
             settings,
             clock,
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::{AsyncInstrument, Counter, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The bucket boundaries of the response time histogram, in seconds.
@@ -73,6 +74,26 @@
         let _ = gauge.with_callback(read).build();
     }
 
+    /// Exports which zones are drained: their number, and 1 for each of them by its name.
+    pub fn observe_zone_drains(
+        &self,
+        drained_zones: impl Fn() -> BTreeSet<ZoneName> + Clone + Send + Sync + 'static,
+    ) {
+        let drained = drained_zones.clone();
+        let count = move |observer: &dyn AsyncInstrument<u64>| {
+            observer.observe(u64::try_from(drained().len()).unwrap_or(u64::MAX), &[]);
+        };
+        let list = move |observer: &dyn AsyncInstrument<u64>| {
+            for zone in drained_zones() {
+                observer.observe(1, &[KeyValue::new("zone", zone.to_string())]);
+            }
+        };
+        let gauge = |name| self.meter.u64_observable_gauge(name);
+        // The provider keeps the callbacks.
+        let _ = gauge("zones_drained").with_callback(count).build();
+        let _ = gauge("zone_drained").with_callback(list).build();
+    }
+
     /// Counts a request that was served.
     pub fn count_served(&self, class: &ClassName, elapsed: Duration) {
         let class = KeyValue::new("class", class.to_string());
@@ -120,7 +141,35 @@
     use super::*;
     use chicoryladder_settings::MachineLimits;
     use chicoryladder_types::SystemClock;
-    use std::sync::Arc;
+    use std::sync::{Arc, Mutex};
+
+    /// Guards against a drain that no metric shows, and one that is shown after its withdrawal.
+    #[test]
+    fn drained_zones_are_rendered_until_their_drain_is_withdrawn() {
+        let metrics = HostMetrics::new().expect("an exporter");
+        let zones = Arc::new(Mutex::new(BTreeSet::new()));
+        let observed = zones.clone();
+        metrics.observe_zone_drains(move || observed.lock().expect("no panic").clone());
+        let lines = || {
+            let text = metrics.render();
+            let gauges = text.lines().filter(|line| line.starts_with("zone"));
+            let without_scope = |line: &str| {
+                let name = line.split('{').next().unwrap_or_default();
+                let is_zone_a = line.contains("zone=\"zone-a\"");
+                let value = line.rsplit(' ').next().unwrap_or_default();
+                (name.to_owned(), is_zone_a, value.to_owned())
+            };
+            gauges.map(without_scope).collect::<Vec<_>>()
+        };
+        let count = |value: &str| ("zones_drained".to_owned(), false, value.to_owned());
+        assert_eq!(lines(), [count("0")]);
+        let zone = ZoneName::try_from("zone-a").expect("it is valid");
+        zones.lock().expect("no panic").insert(zone);
+        let listed = ("zone_drained".to_owned(), true, "1".to_owned());
+        assert_eq!(lines(), [listed, count("1")]);
+        zones.lock().expect("no panic").clear();
+        assert_eq!(lines(), [count("0")]);
+    }
 
     /// Guards against levels that the registry drops with their instrument.
     #[test]
--- a/crates/host/src/online_attempt/send.rs
+++ b/crates/host/src/online_attempt/send.rs
@@ -42,7 +42,7 @@
         if self.attempts.routing.can_serve(wanted).await {
             return Err(no_answer(first_byte));
         }
-        if !self.may_send_again() {
+        if self.is_drained().await || !self.may_send_again() {
             return sending.await;
         }
         self.attempts.metrics.count_retry(RetryReason::ServerSilent);
@@ -64,6 +64,14 @@
         }
     }
 
+    /// Whether the zone of the server has been drained since the attempt began.
+    async fn is_drained(&self) -> bool {
+        match self.excluded.last() {
+            Some(server) => self.attempts.routing.is_drained(server.clone()).await,
+            None => false,
+        }
+    }
+
     /// Whether the first attempt may be sent once more; this is charged to the retry budget.
     fn may_send_again(&self) -> bool {
         let failure = AttemptFailure {
--- a/crates/host/src/routing.rs
+++ b/crates/host/src/routing.rs
@@ -9,6 +9,7 @@
 
 mod batch_slots;
 mod dispatch_host;
+mod drain_watcher;
 mod handle;
 mod queues;
 mod server_load;
@@ -16,6 +17,7 @@
 mod task;
 
 pub(crate) use chicoryladder_policy::routing::WorkTarget;
+pub(crate) use drain_watcher::DrainWatcher;
 pub(crate) use handle::{
     DepartureReporter, QueueParameters, RoutingHandle, RoutingLocation, RoutingNotice, ServerGrant,
     SlotEvent, SlotRequest, WorkKind,
--- a/crates/host/src/routing/handle.rs
+++ b/crates/host/src/routing/handle.rs
@@ -9,6 +9,7 @@
 use chicoryladder_types::{ServerAnnouncement, ServerGeneration, ServerLoad, headers};
 use hyper::Response;
 use hyper::body::Incoming;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -111,6 +112,10 @@
     Capacity(oneshot::Sender<BatchCapacity>),
     /// Whether a server that is not excluded could take the request.
     CanServe(SlotRequest, oneshot::Sender<bool>),
+    /// The zones whose servers get no new work.
+    DrainedZones(BTreeSet<ZoneName>),
+    /// Whether a server is in a drained zone.
+    IsDrained(ServerName, oneshot::Sender<bool>),
     List(oneshot::Sender<Vec<ServerView>>),
 }
 
@@ -309,6 +314,19 @@
         receiver.await.unwrap_or_default()
     }
 
+    /// Sets the zones whose servers get no new work.
+    pub(crate) fn set_drained_zones(&self, zones: BTreeSet<ZoneName>) {
+        let _ = self.events.send(RoutingEvent::DrainedZones(zones));
+    }
+
+    /// Returns whether nothing may be sent to a server since its zone is drained. Asked before
+    /// a request is sent long after its slot was granted.
+    pub(crate) async fn is_drained(&self, server: ServerName) -> bool {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.events.send(RoutingEvent::IsDrained(server, sender));
+        receiver.await.unwrap_or_default()
+    }
+
     /// Returns the servers known to this host.
     pub(crate) async fn servers(&self) -> Vec<ServerView> {
         let (sender, receiver) = oneshot::channel();
@@ -317,6 +335,17 @@
     }
 }
 
+/// Returns the refusal of a request whose servers are all in drained zones.
+pub(super) fn only_drained_servers(target: &WorkTarget) -> RequestRefusal {
+    let detail = match target {
+        WorkTarget::Model(name) => format!("all servers of the model {name} are in drained zones"),
+        WorkTarget::Service(name) => {
+            format!("all servers of the service {name} are in drained zones")
+        }
+    };
+    RequestRefusal::not_run(RefusalReason::NoServer, detail).with_retry_after(NO_SERVER_RETRY_AFTER)
+}
+
 /// Returns the refusal of a request that no known server can take.
 pub(super) fn no_server(target: &WorkTarget) -> RequestRefusal {
     let detail = match target {
--- a/crates/host/src/routing/table.rs
+++ b/crates/host/src/routing/table.rs
@@ -1,7 +1,9 @@
 //! The backend servers known to a host, with the load and the dispatch host of each.
 
 use super::dispatch_host::dispatch_host_of;
-use super::handle::{RoutingLocation, SlotEvent, SlotNotice, SlotRequest, WorkKind};
+use super::handle::{
+    RoutingLocation, SlotEvent, SlotNotice, SlotRequest, WorkKind, no_server, only_drained_servers,
+};
 use super::server_load::LoadEstimate;
 use chicoryladder_policy::routing::{
     RouteChoice, RouteQuery, RouteTimes, ServerKey, ServerRecord, ServerTable,
@@ -111,6 +113,20 @@
         self.candidates(request, now).next().is_some()
     }
 
+    /// Returns the refusal of a request that no server can take.
+    pub(super) fn refusal(&self, request: &SlotRequest, now: Instant) -> RequestRefusal {
+        if self.servers.is_target_drained(&request.target, now) {
+            only_drained_servers(&request.target)
+        } else {
+            no_server(&request.target)
+        }
+    }
+
+    /// Returns whether servers are ready for work, all of them in drained zones.
+    pub(super) fn is_wholly_drained(&self, now: Instant) -> bool {
+        self.servers.is_wholly_drained(now)
+    }
+
     /// Chooses a server with a free slot for the request.
     pub(super) fn choose(&mut self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
         match &request.kind {
--- a/crates/host/src/routing/task.rs
+++ b/crates/host/src/routing/task.rs
@@ -1,11 +1,12 @@
 //! The event loop of the routing task.
 
 mod preemption;
+mod zone_drains;
 
 use super::batch_slots::BatchSlots;
 use super::handle::{
     BatchCapacity, GrantSender, PendingSlot, ReleasedSlot, RoutingEvent, RoutingLocation,
-    RoutingNotice, ServerGrant, SlotEvent, SlotNotice, SlotRequest, WorkKind, no_server,
+    RoutingNotice, ServerGrant, SlotEvent, SlotNotice, SlotRequest, WorkKind,
 };
 use super::queues::{TargetQueue, TargetQueues, WaitingRequest};
 use super::table::RoutingTable;
@@ -49,6 +50,8 @@
     online: TargetQueues,
     batch: VecDeque<WaitingItem>,
     batch_slots: BatchSlots,
+    /// Whether all zones with servers were drained when that was last looked at.
+    is_wholly_drained: bool,
 }
 
 impl RoutingTask {
@@ -66,6 +69,7 @@
             online: TargetQueues::new(),
             batch: VecDeque::new(),
             batch_slots: BatchSlots::default(),
+            is_wholly_drained: false,
         }
     }
 
@@ -117,6 +121,10 @@
             RoutingEvent::CanServe(request, sender) => {
                 let _ = sender.send(self.table.can_serve(&request, now));
             }
+            RoutingEvent::DrainedZones(zones) => self.set_drained_zones(zones, now),
+            RoutingEvent::IsDrained(name, sender) => {
+                let _ = sender.send(self.is_drained(&name));
+            }
             RoutingEvent::Requested(pending) => self.handle_request(pending, now),
             RoutingEvent::List(sender) => {
                 // The channel is closed if the requester no longer waits.
@@ -136,7 +144,7 @@
             request.excluded.clear();
         }
         if !self.table.can_serve(&request, now) {
-            let _ = sender.send(Err(no_server(&request.target)));
+            let _ = sender.send(Err(self.table.refusal(&request, now)));
             return;
         }
         let WorkKind::Online(parameters) = request.kind.clone() else {
@@ -224,11 +232,17 @@
     fn sweep(&mut self) {
         let now = self.clock.now();
         self.table.remove_expired(now);
+        self.warn_of_drains(now);
+        self.refuse_unserved(now);
+    }
+
+    /// Refuses queued requests that no server can take.
+    fn refuse_unserved(&mut self, now: Instant) {
         let table = &self.table;
         for queue in self.online.values_mut() {
             queue.sweep(|request| {
                 let lost = !table.can_serve(request, now);
-                lost.then(|| no_server(&request.target))
+                lost.then(|| table.refusal(request, now))
             });
         }
         self.online.retain(|_, queue| !queue.is_empty());
@@ -290,7 +304,9 @@
             if let Some(key) = self.table.choose(&item.request, now) {
                 self.grant(key, &item.request, item.sender, now);
             } else if item.deadline <= now || !self.table.can_serve(&item.request, now) {
-                let _ = item.sender.send(Err(no_server(&item.request.target)));
+                let _ = item
+                    .sender
+                    .send(Err(self.table.refusal(&item.request, now)));
             } else {
                 self.batch.push_back(item);
             }
