Let operators drain zones of the all-in-one daemon

chicoryladder zone drain, undrain and list, and GET and PUT under /admin/v1/zones. The order is in the log before it is acknowledged, and the answer waits up to half a second for the hosts that have not applied it; it names them. An unknown zone is refused with unknown_zone and the zones that exist. For 3 s after its start a host answers 503 instead, since it may not know all of them. The list shows the address from which a drain was ordered, and when.

Measured (tests/all, four hosts, two engines): nothing reaches the drained zone from 5 s after the acknowledgement, neither requests nor items of a job; with both zones drained, each host refuses as not run with a Retry-After; a restart of all hosts keeps the drains; after the withdrawal the zone is used again.

The tests of the command line would not have compiled an order before: there was no such command.

--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -4,7 +4,7 @@
 use crate::body::AnswerBody;
 use crate::body_reader::{BodyLimits, read_body};
 use crate::credentials::bearer_key;
-use crate::listener::HttpService;
+use crate::listener::{HttpService, RemoteAddress};
 use crate::ports::{AdminRequest, OperatorPort};
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -73,6 +73,10 @@
             method,
             path: admin_path.to_owned(),
             body,
+            remote: parts
+                .extensions
+                .get::<RemoteAddress>()
+                .map(|remote| remote.0),
         };
         self.port.admin(request).await
     }
--- a/crates/gateway/src/ports.rs
+++ b/crates/gateway/src/ports.rs
@@ -8,6 +8,7 @@
 use futures_util::future::BoxFuture;
 use hyper::{HeaderMap, Method, Response};
 use serde::Serialize;
+use std::net::SocketAddr;
 use std::time::Instant;
 
 /// An online request from a caller, with its complete body and validated header
@@ -146,6 +147,8 @@
     pub path: String,
     /// The complete body.
     pub body: Bytes,
+    /// The address of the operator's connection, if known.
+    pub remote: Option<SocketAddr>,
 }
 
 /// The result of an operator's request.
--- a/crates/host/src/admin.rs
+++ b/crates/host/src/admin.rs
@@ -5,6 +5,7 @@
 mod members;
 mod propagation;
 mod seats;
+mod zones;
 
 use crate::board::BoardHandle;
 use crate::ids::RandomIds;
@@ -20,6 +21,7 @@
 use hyper::Method;
 use serde::Deserialize;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// Serves the administration API to operators.
 pub(crate) struct AdminService {
@@ -34,6 +36,8 @@
     pub(crate) shared_secret: String,
     pub(crate) metrics: Arc<HostMetrics>,
     pub(crate) clock: Arc<dyn ClockSource>,
+    /// When the host started.
+    pub(crate) started_at: Instant,
 }
 
 impl OperatorPort for AdminService {
@@ -58,11 +62,17 @@
             (&Method::GET, "members") => Ok(self.members()),
             (&Method::GET, "seats") => Ok(self.list_seats()),
             (&Method::POST, "seats") => self.change_seats(&request.body).await,
+            (&Method::GET, "zones") => Ok(self.list_zones().await),
             (&Method::GET, "servers") => Ok(self.list_servers().await),
-            (method, path) => match path.strip_prefix("keys/") {
-                Some(id) if method == Method::DELETE => self.withdraw_key(id).await,
-                _ => Err(unknown_path(method, path)),
+            (&Method::DELETE, path) => match path.strip_prefix("keys/") {
+                Some(id) => self.withdraw_key(id).await,
+                None => Err(unknown_path(&request.method, path)),
             },
+            (&Method::PUT, path) => match path.strip_prefix("zones/") {
+                Some(zone) => self.set_zone_drain(zone, &request).await,
+                None => Err(unknown_path(&request.method, path)),
+            },
+            (method, path) => Err(unknown_path(method, path)),
         }
     }
 }
--- a/crates/host/src/admin/propagation.rs
+++ b/crates/host/src/admin/propagation.rs
@@ -19,7 +19,17 @@
         &self,
         goal: impl Fn(&FleetView) -> PropagationGoal,
     ) -> PropagationReport {
-        let deadline = tokio::time::Instant::now() + PROPAGATION_TIMEOUT;
+        self.wait_for_propagation_within(goal, PROPAGATION_TIMEOUT)
+            .await
+    }
+
+    /// Like [`Self::wait_for_propagation`], for at most `time`.
+    pub(super) async fn wait_for_propagation_within(
+        &self,
+        goal: impl Fn(&FleetView) -> PropagationGoal,
+        time: Duration,
+    ) -> PropagationReport {
+        let deadline = tokio::time::Instant::now() + time;
         let mut changes = self.peers.position_changes();
         let mut request_at = tokio::time::Instant::now();
         loop {
--- a/crates/host/src/entry_host/components/services.rs
+++ b/crates/host/src/entry_host/components/services.rs
@@ -84,6 +84,7 @@
             shared_secret,
             metrics: self.metrics.clone(),
             clock: self.clock.clone(),
+            started_at: self.clock.now(),
         }
     }
 
--- a/crates/types/src/admin.rs
+++ b/crates/types/src/admin.rs
@@ -208,6 +208,55 @@
     pub leaving: bool,
 }
 
+/// An order to drain a zone or to withdraw that.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ZoneDrainRequest {
+    /// Whether nothing more is sent to the servers of the zone.
+    pub drained: bool,
+    /// Identifies the operation, so that a resend that arrives late does not undo a later
+    /// order; chosen by the host if absent.
+    #[serde(default)]
+    pub operation_id: Option<OperationId>,
+}
+
+/// The acknowledgement of an order on a zone, which is durable.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneDrainAnswer {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Whether the zone is drained, by the last order in the log.
+    pub drained: bool,
+    /// How far the order has propagated.
+    #[serde(flatten)]
+    pub propagation: PropagationReport,
+}
+
+/// All known availability zones.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZonesAnswer {
+    /// The zones, in the order of their names.
+    pub zones: Vec<ZoneEntry>,
+}
+
+/// The state of one availability zone, as known to the responding host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneEntry {
+    /// The name of the zone.
+    pub zone: ZoneName,
+    /// The number of known entry hosts in the zone.
+    pub hosts: u32,
+    /// The number of known backend servers in the zone.
+    pub servers: u32,
+    /// Whether nothing more is sent to the servers of the zone.
+    pub drained: bool,
+    /// The address from which the order to drain it came; absent if it is not drained.
+    pub asked_by: Option<SocketAddr>,
+    /// When that order was accepted, in milliseconds since the Unix epoch; absent if it is not
+    /// drained.
+    pub since_ms: Option<u64>,
+}
+
 /// A numbered status board. Boards with the same number have the same content on every
 /// host.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/types/src/reason.rs
+++ b/crates/types/src/reason.rs
@@ -106,6 +106,8 @@
         // Messages between hosts encode the position of a reason: new ones come last.
         /// The host has no room for the request.
         Overloaded => "overloaded", 503;
+        /// The named availability zone does not exist.
+        UnknownZone => "unknown_zone", 404;
     }
 }
 
--- a/src/client/answer.rs
+++ b/src/client/answer.rs
@@ -86,6 +86,7 @@
             "send the command again with the same operation id once voters can be reached"
         }
         Some(RefusalReason::UnknownJob) => "check the job id and that the key is of the same team",
+        Some(RefusalReason::UnknownZone) => "list the zones with `chicoryladder zone list`",
         Some(RefusalReason::RateExceeded | RefusalReason::QueueFull) => "try again later",
         _ => "see docs/operators/commands.md",
     }
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -17,6 +17,7 @@
 pub mod standin;
 pub mod status;
 pub mod team;
+pub mod zone;
 
 use crate::error::{CommandError, CommandExit};
 use bpaf::{Bpaf, ParseFailure};
@@ -66,6 +67,9 @@
     /// List the backend servers
     #[bpaf(command("servers"))]
     Servers(#[bpaf(external(servers::servers_options))] servers::ServersOptions),
+    /// Drain the servers of availability zones
+    #[bpaf(command("zone"))]
+    Zone(#[bpaf(external(zone::zone_options))] zone::ZoneOptions),
     /// Run online and batch work on three entry hosts in one process and inject faults
     #[bpaf(command("demo"))]
     Demo(#[bpaf(external(demo::demo_options))] demo::DemoOptions),
@@ -91,6 +95,7 @@
             Self::Members(options) => options.run().await,
             Self::Seats(options) => options.run().await,
             Self::Servers(options) => options.run().await,
+            Self::Zone(options) => options.run().await,
             Self::Demo(options) => options.run().await,
             Self::Load(options) => options.run().await,
             Self::Standin(options) => options.run().await,
--- a/tests/all/command_line.rs
+++ b/tests/all/command_line.rs
@@ -240,3 +240,79 @@
     let complete = run(DAEMON, folder.path(), &["check", "--settings", "host.ini"]);
     assert_eq!(code(&complete), 0, "{}", text(&complete.stderr));
 }
+
+/// Guards against an order that is sent for another zone or in the other direction, and against
+/// a resend under a new operation id.
+#[test]
+fn zone_orders_name_the_zone_the_direction_and_the_operation() {
+    let folder = workspace();
+    for (command, drained) in [("drain", true), ("undrain", false)] {
+        let answer = format!(
+            r#"{{"zone":"zone-a","drained":{drained},"in_force":true,
+            "hosts_not_heard":[],"zones_not_heard":[]}}"#
+        );
+        let host = FakeHost::start(vec![(200, &answer)]);
+        let arguments = [
+            "zone",
+            command,
+            "--operators",
+            &host.address,
+            "--operation-id=op-mine",
+            "zone-a",
+        ];
+        let output = run(CLI_PROGRAM, folder.path(), &arguments);
+        assert_eq!(code(&output), 0, "{}", text(&output.stderr));
+        let state = if drained { "drained" } else { "not drained" };
+        let expected = format!("zone zone-a is {state}, in force on every host");
+        assert!(text(&output.stdout).contains(&expected));
+        let requests = host.requests();
+        assert!(requests[0].starts_with("PUT /admin/v1/zones/zone-a "));
+        let order = format!(r#"{{"drained":{drained},"operation_id":"op-mine"}}"#);
+        assert!(requests[0].contains(&order), "{}", requests[0]);
+    }
+    let arguments = ["zone", "drain", "--operators=127.0.0.1:1", "zone-a"];
+    let output = run(CLI_PROGRAM, folder.path(), &arguments);
+    assert_eq!(code(&output), 6);
+    assert!(text(&output.stderr).contains("--operation-id op-"));
+}
+
+/// Guards against a list that hides who drained a zone and since when.
+#[test]
+fn zone_list_shows_who_drained_a_zone_as_text_and_json() {
+    let folder = workspace();
+    let listed = r#"{"zones":[
+        {"zone":"zone-a","hosts":1,"servers":2,"drained":true,
+            "asked_by":"10.0.0.9:5000","since_ms":1000},
+        {"zone":"zone-b","hosts":1,"servers":2,"drained":false,
+            "asked_by":null,"since_ms":null}]}"#;
+    let host = FakeHost::start(vec![(200, listed), (200, listed)]);
+    let mut arguments = vec!["zone", "list", "--operators", &host.address];
+    let output = run(CLI_PROGRAM, folder.path(), &arguments);
+    let shown = text(&output.stdout);
+    let line = shown.lines().find(|line| line.starts_with("zone-a"));
+    let line = line.expect("a line for the zone");
+    for part in ["drained", "10.0.0.9:5000", " s ago"] {
+        assert!(line.contains(part), "{part} is missing in {line}");
+    }
+    assert!(shown.contains("zone-b  in use"), "{shown}");
+    arguments.push("--output=json");
+    let output = run(CLI_PROGRAM, folder.path(), &arguments);
+    let zones: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(zones["zones"][0]["asked_by"], "10.0.0.9:5000");
+    assert_eq!(zones["zones"][0]["since_ms"], 1000);
+}
+
+/// Guards against an operator who mistypes a zone and is not told which zones exist.
+#[test]
+fn an_unknown_zone_exits_with_5_and_shows_the_zones() {
+    let folder = workspace();
+    let refusal = r#"{"error":{"message":"there is no zone zone-x; the zones are zone-a, zone-b",
+        "type":"invalid_request_error","code":"unknown_zone","verdict":"not-run"}}"#;
+    let host = FakeHost::start(vec![(404, refusal)]);
+    let arguments = ["zone", "drain", "--operators", &host.address, "zone-x"];
+    let output = run(CLI_PROGRAM, folder.path(), &arguments);
+    assert_eq!(code(&output), 5);
+    let report = text(&output.stderr);
+    assert!(report.contains("zone-a, zone-b"), "{report}");
+    assert!(report.contains("zone list"), "{report}");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -26,3 +26,4 @@
 mod shutdown;
 mod silent_servers;
 mod stranded;
+mod zone_drains;
