--- a/crates/state/tests/all/zone_drains.rs
+++ b/crates/state/tests/all/zone_drains.rs
@@ -83,3 +83,15 @@
     // The only shorter one that is restored is one from a build without drains.
     assert!(restored.count() <= 1);
 }
+
+/// Guards against a command that takes another position in the log's encoding: hosts of this
+/// build and of later ones would read another command.
+#[test]
+fn an_order_keeps_its_encoding() {
+    let order = drain("op-a", "zone-a", BEGIN, 5_000);
+    let bytes = order.to_bytes().expect("the command serializes");
+    let asked_by = Some(SocketAddr::from(([127, 0, 0, 1], 5_000)));
+    // The position of the command, the zone, the step, who asked, the time and the operation.
+    let parts = (5_u32, "zone-a", 0_u32, asked_by, 5_000_u64, "op-a");
+    assert_eq!(postcard::to_stdvec(&parts), Ok(bytes));
+}
