--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -4,15 +4,15 @@
 //! reach a responsive host while others are down or frozen.
 
 use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
-use super::zone_drains::{ZoneDrain, ZoneDrainStep};
 use crate::event_log::{EventLog, EventPriority};
 use crate::leader_client::LeaderClient;
 use crate::message::{Call, ControlAnswer, ControlCall};
 use crate::process::{ProcessBase, ProcessError};
-use chicoryladder_broker::ServerCheckIn;
+use chicoryladder_broker::ReceivedCheckIn;
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ZoneDrain, ZoneDrainStep};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use serde_json::json;
@@ -158,7 +158,7 @@
 
     fn check_in(
         &self,
-        check_in: ServerCheckIn,
+        check_in: ReceivedCheckIn,
     ) -> BoxFuture<'_, Result<ServerHint, ControlFailure>> {
         async move {
             self.relay_for_ack(ControlCall::CheckIn(Box::new(check_in)))
