Explain what the broker would decide on a request

An operator could not ask where a request would go without sending it. The steps of a decision changed the broker as they went: quarantine began trials, the rate took a token, the queue booked a return.

SlotBroker::explain_slot takes the broker by shared reference. The early refusal, the choice of a slot and the wait in the queue are now functions without side effects that both the decision and the explanation call; where a step keeps counts, the explanation uses a copy of them. The candidates list each server with the figures that decide, their ages and its obstacles, in the order of cost.

--- a/crates/broker/src/admission.rs
+++ b/crates/broker/src/admission.rs
@@ -118,7 +118,7 @@
 }
 
 /// The demand, the fair shares and the expected returns of one service.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceAdmission {
     history: DemandHistory,
     calendar: ReturnCalendar,
@@ -169,42 +169,45 @@
         self.clocks.remove(&(rank, is_late));
     }
 
-    /// Whether a request may be queued as one that will be in time.
-    pub(crate) fn admits_in_time(
-        &mut self,
+    /// The expected wait of a request that may be queued as one that will be in time; `None` if
+    /// it would not be.
+    pub(crate) fn wait_in_time(
+        &self,
         rank: u32,
         terms: &CallerTerms,
         limits: WaitLimits,
         ahead: QueueAhead,
         rates: ServiceRates,
         now: Instant,
-    ) -> bool {
+    ) -> Option<Duration> {
         let rank_rate = self.demand.rank_rate(rank, rates.all, now);
         let team_rate = self
             .demand
             .team_rate(rank, terms.team.as_ref(), rates.all, now);
         let wait = (count(ahead.all) / rank_rate).max(count(ahead.of_team) / team_rate);
         let wait = wait.max(count(ahead.of_homes) / rates.own) + rates.own.recip();
-        !limits.in_time.is_zero() && wait <= limits.in_time.as_secs_f64() * PREDICTED_WAIT_SHARE
+        let is_in_time = !limits.in_time.is_zero()
+            && wait <= limits.in_time.as_secs_f64() * PREDICTED_WAIT_SHARE;
+        is_in_time.then(|| Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
     }
 
-    /// Whether a request behind `ahead` others may be queued as a late one: it can be served by
-    /// its time limit from what requests in time leave.
-    pub(crate) fn admits_late(
+    /// The expected wait of a request behind `ahead` others that may be queued as a late one: it
+    /// can be served by its time limit from what requests in time leave. `None` if it cannot.
+    pub(crate) fn wait_late(
         &mut self,
         ahead: QueueAhead,
         limits: WaitLimits,
         rates: ServiceRates,
         now: Instant,
-    ) -> bool {
+    ) -> Option<Duration> {
         if rates.own <= 0.0 {
-            return false;
+            return None;
         }
         let forecast = self.history.forecast(now);
         let share = rates.all / rates.own;
         let work = count(ahead.all).max(count(ahead.of_homes) * share) + share;
         let wait = self.calendar.spare_wait(forecast, work, rates.all);
-        wait.is_some_and(|wait| wait <= limits.late.mul_f64(PREDICTED_WAIT_SHARE))
+        wait.filter(|wait| *wait <= limits.late.mul_f64(PREDICTED_WAIT_SHARE))
     }
 
     /// The time after which a refused caller should return, at most a third of the time that it
--- a/crates/broker/src/admission/calendar.rs
+++ b/crates/broker/src/admission/calendar.rs
@@ -30,7 +30,7 @@
 }
 
 /// The number of callers that were told to return in each bin.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct ReturnCalendar {
     booked: BTreeMap<u64, u32>,
 }
--- a/crates/broker/src/admission/forecast.rs
+++ b/crates/broker/src/admission/forecast.rs
@@ -41,7 +41,7 @@
 }
 
 /// The fresh arrivals of the last seconds.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct DemandHistory {
     epoch: Option<Instant>,
     /// The number of the last bin.
--- a/crates/broker/src/admission/team_demand.rs
+++ b/crates/broker/src/admission/team_demand.rs
@@ -31,7 +31,7 @@
 }
 
 /// The arrivals of each team in each rank.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct TeamDemand {
     arrivals: HashMap<(u32, Option<TeamName>), RecentArrivals>,
     cleaned_up_at: Option<Instant>,
--- a/crates/broker/src/cold_servers.rs
+++ b/crates/broker/src/cold_servers.rs
@@ -17,6 +17,7 @@
 use crate::server_limits::ServerLimit;
 use chicoryladder_plan::ColdTerms;
 use chicoryladder_types::prelude::*;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
@@ -149,7 +150,8 @@
 }
 
 /// From what the broker concludes that a server is cold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ColdSource {
     /// A check-in.
     CheckIn,
--- a/crates/broker/src/directory.rs
+++ b/crates/broker/src/directory.rs
@@ -1,5 +1,6 @@
 //! The directory of backend servers, built from their check-ins.
 
+use crate::explanation::ServerObstacle;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServiceName, SoftwareVersion};
 use rustc_hash::FxHashMap;
@@ -92,8 +93,19 @@
     /// Whether the server may be given new work.
     #[must_use]
     pub fn is_open(&self, now: Instant) -> bool {
-        let suspended = self.suspended_until.is_some_and(|until| now < until);
-        self.check_in.phase == ServerPhase::Ready && !suspended && !self.is_lost
+        self.closed_by(now).is_none()
+    }
+
+    /// Why the server may not be given new work, if it may not.
+    pub(crate) fn closed_by(&self, now: Instant) -> Option<ServerObstacle> {
+        if self.check_in.phase == ServerPhase::Leaving {
+            return Some(ServerObstacle::Leaving);
+        }
+        if self.is_lost {
+            return Some(ServerObstacle::Lost);
+        }
+        let is_suspended = self.suspended_until.is_some_and(|until| now < until);
+        is_suspended.then_some(ServerObstacle::Suspended)
     }
 
     /// Whether no check-in has arrived for longer than `overdue_after`.
--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -134,6 +134,10 @@
             .insert(ticket, key);
     }
 
+    pub(crate) fn by_key(&self, key: GrantKey) -> Option<&SlotGrant> {
+        self.grants.get(key)
+    }
+
     pub(crate) fn get_mut(&mut self, key: GrantKey) -> Option<&mut SlotGrant> {
         self.grants.get_mut(key)
     }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -20,6 +20,7 @@
 mod cold_servers;
 mod departures;
 mod directory;
+mod explanation;
 mod grants;
 mod homes;
 mod pacing;
@@ -44,6 +45,10 @@
 };
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
+pub use explanation::{
+    BindingLimits, CandidateFigures, ColdFigures, ExplainedOutcome, QuarantineStanding,
+    RateFigures, RefusedFor, ServerObstacle, SlotExplanation, SpeedFigures,
+};
 pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
 pub use homes::ZoneAreas;
 pub use rate::{RateLedger, RateTolerance};
--- a/crates/broker/src/placement.rs
+++ b/crates/broker/src/placement.rs
@@ -147,10 +147,26 @@
 /// The tokens of shared segments that the server has not cached. The last segment
 /// of a prompt is specific to the request and does not count.
 fn uncached_tokens(record: &ServerRecord, prefixes: &[PromptPrefix]) -> u32 {
+    let (_, uncached) = split_cached(record, prefixes);
+    uncached.iter().map(|prefix| prefix.tokens).sum()
+}
+
+/// The tokens of shared segments that the server has cached.
+pub(crate) fn cached_tokens(record: &ServerRecord, prefixes: &[PromptPrefix]) -> u32 {
+    let (cached, _) = split_cached(record, prefixes);
+    let tokens = cached.iter().map(|prefix| prefix.tokens);
+    tokens.fold(0, u32::saturating_add)
+}
+
+/// The shared segments that the server has cached, and the others.
+fn split_cached<'a>(
+    record: &ServerRecord,
+    prefixes: &'a [PromptPrefix],
+) -> (&'a [PromptPrefix], &'a [PromptPrefix]) {
     let shared = prefixes.split_last().map_or(&[][..], |(_, shared)| shared);
     let is_cached = |prefix: &&PromptPrefix| record.cached_segments.contains_key(&prefix.id);
     let cached = shared.iter().take_while(is_cached).count();
-    shared[cached..].iter().map(|prefix| prefix.tokens).sum()
+    shared.split_at(cached)
 }
 
 /// Records that a server caches the segments of a prompt. Drops the least recently used
--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -54,6 +54,15 @@
     pub(crate) first_answer_seconds: f64,
 }
 
+impl Default for RunAverages {
+    fn default() -> Self {
+        Self {
+            hold_seconds: INITIAL_HOLD_SECONDS,
+            first_answer_seconds: INITIAL_FIRST_ANSWER_SECONDS,
+        }
+    }
+}
+
 impl RunAverages {
     pub(crate) fn record_hold(&mut self, hold: Duration) {
         self.hold_seconds += (hold.as_secs_f64() - self.hold_seconds) * AVERAGE_WEIGHT;
@@ -91,10 +100,7 @@
             servers: Vec::new(),
             online: BTreeMap::new(),
             batch: BTreeMap::new(),
-            averages: RunAverages {
-                hold_seconds: INITIAL_HOLD_SECONDS,
-                first_answer_seconds: INITIAL_FIRST_ANSWER_SECONDS,
-            },
+            averages: RunAverages::default(),
             admission: ServiceAdmission::default(),
             versions: SeenVersions::default(),
             engine_tokens: None,
--- a/crates/broker/src/rate.rs
+++ b/crates/broker/src/rate.rs
@@ -71,6 +71,36 @@
     fn refill_rate(&self) -> f64 {
         self.rate * (1.0 - self.detached_share).max(0.0)
     }
+
+    /// The level at a time, if nothing is taken until then.
+    fn level_at(&self, capacity: f64, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        let refilled = self.level + self.refill_rate() * elapsed.as_secs_f64();
+        refilled.min(capacity)
+    }
+
+    /// The time until a level allows the next request; `None` if it does already.
+    fn wait_at(&self, level: f64) -> Option<Duration> {
+        if self.rate <= 0.0 || level >= 1.0 {
+            return None;
+        }
+        let refill_rate = self.refill_rate();
+        if refill_rate <= 0.0 {
+            return Some(Duration::MAX);
+        }
+        Some(Duration::from_secs_f64((1.0 - level) / refill_rate))
+    }
+}
+
+/// What the rate of a team allows at a time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RateStanding {
+    pub(crate) rate: f64,
+    pub(crate) burst: f64,
+    /// The requests that may be admitted at once.
+    pub(crate) level: f64,
+    /// The time until the next request may be admitted; `None` if one may be at once.
+    pub(crate) wait: Option<Duration>,
 }
 
 /// The token buckets of all teams.
@@ -159,21 +189,26 @@
     /// Returns the time after which the next token of the team is available.
     pub fn take(&mut self, team: &TeamName, now: Instant) -> Result<(), Duration> {
         self.refill(team, now);
-        let Some(bucket) = self.buckets.get_mut(team) else {
+        let Some(bucket) = self.buckets.get_mut(team).filter(|b| b.rate > 0.0) else {
             return Ok(());
         };
-        if bucket.rate <= 0.0 {
-            return Ok(());
-        }
-        if bucket.level >= 1.0 {
-            bucket.level -= 1.0;
-            return Ok(());
+        if let Some(wait) = bucket.wait_at(bucket.level) {
+            return Err(wait);
         }
-        let refill_rate = bucket.refill_rate();
-        if refill_rate <= 0.0 {
-            return Err(Duration::MAX);
-        }
-        Err(Duration::from_secs_f64((1.0 - bucket.level) / refill_rate))
+        bucket.level -= 1.0;
+        Ok(())
+    }
+
+    /// What the rate of a team allows now; `None` if it has no limit. Nothing is taken.
+    pub(crate) fn standing(&self, team: &TeamName, now: Instant) -> Option<RateStanding> {
+        let bucket = self.buckets.get(team).filter(|b| b.rate > 0.0)?;
+        let level = bucket.level_at(self.capacity(team), now);
+        Some(RateStanding {
+            rate: bucket.rate,
+            burst: bucket.burst,
+            level,
+            wait: bucket.wait_at(level),
+        })
     }
 
     /// Puts the token of a request that did not run back into the bucket.
@@ -229,9 +264,7 @@
     fn refill(&mut self, team: &TeamName, now: Instant) {
         let capacity = self.capacity(team);
         if let Some(bucket) = self.buckets.get_mut(team) {
-            let elapsed = now.saturating_duration_since(bucket.refilled_at);
-            let refilled = bucket.level + bucket.refill_rate() * elapsed.as_secs_f64();
-            bucket.level = refilled.min(capacity);
+            bucket.level = bucket.level_at(capacity, now);
             bucket.refilled_at = now;
         }
     }
--- a/crates/broker/src/server_limits.rs
+++ b/crates/broker/src/server_limits.rs
@@ -126,6 +126,11 @@
         self.pacer.map(|pacer| pacer.limit())
     }
 
+    /// When the response was read that the belief rests on.
+    pub(crate) fn read_at(self) -> Option<Instant> {
+        self.read_at
+    }
+
     /// Whether a request may be sent.
     pub(crate) fn admits(self, kind: WorkKind, now: Instant) -> bool {
         self.pacer.is_none_or(|pacer| pacer.admits(kind, now))
--- a/crates/broker/src/server_pace.rs
+++ b/crates/broker/src/server_pace.rs
@@ -129,6 +129,12 @@
         (age < STATED_AGE_MAX).then_some(age)
     }
 
+    /// The age of the last observation.
+    pub(crate) fn observed_age(&self, now: Instant) -> Option<Duration> {
+        let at = self.observed_at?;
+        Some(now.saturating_duration_since(at))
+    }
+
     /// The estimated pace.
     pub(crate) fn estimate(&self, now: Instant) -> f64 {
         let mut estimate = self.observed(now);
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -8,7 +8,8 @@
 //! [`pressure`] admits and orders requests under overload,
 //! [`version_steps`] tells at which versions streams may begin, [`crashes`] refuses the
 //! requests under which servers crash, [`zone_drains`] holds the zones whose servers get no
-//! work, and [`coldness`] tells which servers are cold.
+//! work, [`coldness`] tells which servers are cold, and [`explain`] tells what would be decided
+//! on a request.
 
 mod assignment;
 mod coldness;
@@ -16,6 +17,7 @@
 mod eligibility;
 mod expectations;
 mod expiry;
+mod explain;
 mod failures;
 mod path_reports;
 mod pressure;
@@ -25,9 +27,10 @@
 use crate::admission::{CallerTerms, QueuePosition};
 use crate::cold_servers::{ColdState, ColdTolerance};
 use crate::directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
+use crate::explanation::ServerObstacle;
 use crate::grants::{ActiveRun, GrantTable, RunOutcome, RunReport, ServerKey, SlotGrant};
 use crate::homes::ZoneAreas;
-use crate::pool::{ServicePool, WaitingRequest, predicted_wait};
+use crate::pool::{RunAverages, ServicePool, WaitingRequest, predicted_wait};
 use crate::rate::{RateLedger, RateTolerance};
 use crate::request::{
     BrokerEvent, PoolLoad, RequesterId, SlotDecision, SlotRefusalReason, SlotRequest, WorkKind,
@@ -356,33 +359,18 @@
         if request.kind == WorkKind::Batch {
             self.supersede_batch_requester(requester, now);
         }
-        if let Some((cause, retry_after)) = self.quarantine_of(&request, now) {
-            let reason = SlotRefusalReason::Quarantined(cause);
-            self.refuse(requester, request.ticket, reason, retry_after);
-            return;
-        }
-        if !self.bind_version(&mut request, now) {
-            let reason = SlotRefusalReason::VersionUnknown;
-            self.refuse(requester, request.ticket, reason, NO_SERVER_RETRY);
-            return;
-        }
-        if let Some(team) = &request.charged_team
-            && let Err(retry_after) = self.rates.take(team, now)
-        {
-            let retry_after = retry_after.max(RETRY_AFTER_MIN).min(RETRY_AFTER_MAX);
-            self.refuse(
-                requester,
-                request.ticket,
-                SlotRefusalReason::RateExceeded,
-                retry_after,
-            );
-            return;
+        let refusal = self.early_refusal(&mut request, now);
+        if !matches!(refusal, Some((SlotRefusalReason::Quarantined(_), _))) {
+            self.begin_trials(&request, now);
         }
-        if let Some((reason, retry_after)) = self.unservable(&request) {
-            self.refund(request.charged_team.as_ref());
+        if let Some((reason, retry_after)) = refusal {
             self.refuse(requester, request.ticket, reason, retry_after);
             return;
         }
+        if let Some(team) = &request.charged_team {
+            let taken = self.rates.take(team, now);
+            debug_assert!(taken.is_ok(), "the rate was checked before");
+        }
         if uses_targets {
             self.prepare_under_pressure(&request, terms.as_ref(), now);
         }
@@ -395,33 +383,67 @@
         }
     }
 
-    fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
+    /// Why a request is refused before a server is looked for, whatever it waits for. Binds the
+    /// rest of a stream to its version.
+    fn early_refusal(
+        &self,
+        request: &mut SlotRequest,
+        now: Instant,
+    ) -> Option<(SlotRefusalReason, Duration)> {
+        if let Some((cause, retry_after)) = self.quarantine_of(request, now) {
+            return Some((SlotRefusalReason::Quarantined(cause), retry_after));
+        }
+        if !self.bind_version(request, now) {
+            return Some((SlotRefusalReason::VersionUnknown, NO_SERVER_RETRY));
+        }
+        let charged_team = request.charged_team.as_ref();
+        let standing = charged_team.and_then(|team| self.rates.standing(team, now));
+        if let Some(wait) = standing.and_then(|standing| standing.wait) {
+            let retry_after = wait.max(RETRY_AFTER_MIN).min(RETRY_AFTER_MAX);
+            return Some((SlotRefusalReason::RateExceeded, retry_after));
+        }
+        self.unservable(request)
+    }
+
+    /// How long a request has to wait that is queued by its order of arrival.
+    fn ordered_wait(&self, request: &SlotRequest, now: Instant) -> OrderedWait {
+        let pool = self.services.get(&request.service);
+        let Some(pool) = pool.filter(|_| request.kind == WorkKind::Online) else {
+            return OrderedWait {
+                predicted: None,
+                longest: request.wait_max,
+            };
+        };
         let all_rate = self.request_rate(&request.service, None, None, now);
-        let own_rate = self.own_rate(&request, all_rate, now);
-        let pool = self.pool(&request.service);
-        let mut wait_max = request.wait_max;
-        if request.kind == WorkKind::Online {
-            let mut wait = predicted_wait(pool.queued_ahead(request.rank), all_rate, own_rate);
-            if request.homes.is_some() {
-                // The requests of the same homes share fewer servers than all those ahead.
-                let ahead = pool.homed_ahead(&request);
-                wait = wait.max(predicted_wait(ahead, own_rate, own_rate));
-            }
-            let first_answer = Duration::from_secs_f64(pool.averages.first_answer_seconds);
-            wait_max = wait_max.min(request.first_answer_within.saturating_sub(first_answer));
-            if wait > wait_max {
-                let retry_after = jittered_delay(wait, request.ticket);
-                let load = self.pool_load(&request.service, now);
-                self.refund(request.charged_team.as_ref());
-                self.refuse(
-                    requester,
-                    request.ticket,
-                    SlotRefusalReason::NoSlot(load),
-                    retry_after,
-                );
-                return;
-            }
+        let own_rate = self.own_rate(request, all_rate, now);
+        let mut wait = predicted_wait(pool.queued_ahead(request.rank), all_rate, own_rate);
+        if request.homes.is_some() {
+            // The requests of the same homes share fewer servers than all those ahead.
+            let ahead = pool.homed_ahead(request);
+            wait = wait.max(predicted_wait(ahead, own_rate, own_rate));
         }
+        let first_answer = Duration::from_secs_f64(pool.averages.first_answer_seconds);
+        let in_time = request.first_answer_within.saturating_sub(first_answer);
+        OrderedWait {
+            predicted: Some(wait),
+            longest: request.wait_max.min(in_time),
+        }
+    }
+
+    fn enqueue_or_refuse(&mut self, requester: &RequesterId, request: SlotRequest, now: Instant) {
+        let wait = self.ordered_wait(&request, now);
+        if let Some(retry_after) = wait.refused_until(request.ticket) {
+            let load = self.pool_load(&request.service, now);
+            self.refund(request.charged_team.as_ref());
+            self.refuse(
+                requester,
+                request.ticket,
+                SlotRefusalReason::NoSlot(load),
+                retry_after,
+            );
+            return;
+        }
+        let wait_max = wait.longest;
         let position = self.next_position(&request);
         let waiting = WaitingRequest {
             requester: requester.clone(),
@@ -612,6 +634,12 @@
         self.rates.top_up(team, held, now)
     }
 
+    /// The averages over the runs of a service.
+    fn averages(&self, service: &ServiceName) -> RunAverages {
+        let pool = self.services.get(service);
+        pool.map_or_else(RunAverages::default, |pool| pool.averages)
+    }
+
     fn pool(&mut self, service: &ServiceName) -> &mut ServicePool {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), ServicePool::new());
@@ -647,9 +675,19 @@
     /// Whether a server may be given new work. One that is silent and could not be reached
     /// gets none until it checks in again, and one in a drained zone gets none.
     fn accepts_work(&self, record: &ServerRecord, now: Instant) -> bool {
-        let is_unreachable =
-            record.failures > 0 && record.is_overdue(self.settings.overdue_after(), now);
-        record.is_open(now) && !is_unreachable && !self.is_drained(&record.check_in)
+        self.closed_by(record, now).is_none()
+    }
+
+    /// Why a server may not be given new work, if it may not.
+    fn closed_by(&self, record: &ServerRecord, now: Instant) -> Option<ServerObstacle> {
+        if let Some(obstacle) = record.closed_by(now) {
+            return Some(obstacle);
+        }
+        if record.failures > 0 && record.is_overdue(self.settings.overdue_after(), now) {
+            return Some(ServerObstacle::Silent);
+        }
+        self.is_drained(&record.check_in)
+            .then_some(ServerObstacle::Drained)
     }
 
     fn open_slots(&self, service: &ServiceName, now: Instant) -> u32 {
@@ -837,6 +875,24 @@
     }
 }
 
+/// The wait of a request that is queued by its order of arrival.
+#[derive(Clone, Copy, Debug)]
+struct OrderedWait {
+    /// The expected wait; `None` for items, which wait for as long as it takes.
+    predicted: Option<Duration>,
+    /// The longest wait after which the request is still worth serving.
+    longest: Duration,
+}
+
+impl OrderedWait {
+    /// The delay after which a request should be retried that would wait for too long; `None` if
+    /// it is queued.
+    fn refused_until(&self, ticket: u64) -> Option<Duration> {
+        let wait = self.predicted.filter(|wait| *wait > self.longest)?;
+        Some(jittered_delay(wait, ticket))
+    }
+}
+
 /// Adds a jitter of up to the same delay, derived from the ticket, so that refused requests
 /// do not retry simultaneously.
 fn jittered_delay(wait: Duration, ticket: u64) -> Duration {
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -1,8 +1,12 @@
 //! The choice of a server for a request: a free slot, or that of a preempted batch item.
+//!
+//! The choice changes nothing, so that [`SlotBroker::explain_slot`] makes the same one.
 
-use super::SlotBroker;
+use super::{ServerEntry, SlotBroker};
+use crate::explanation::ServerObstacle;
 use crate::grants::{GrantKey, ServerKey, SlotGrant};
-use crate::placement::{PlacementQuery, prompt_prefixes, record_prompt, server_cost};
+use crate::placement::{PlacementQuery, PromptPrefix, prompt_prefixes, record_prompt, server_cost};
+use crate::pool::ServicePool;
 use crate::request::{BrokerEvent, RequesterId, SlotDecision, SlotRequest, WorkKind};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServiceName, Tail};
@@ -12,6 +16,43 @@
 /// request need not wait for a preemption.
 const BATCH_HEADROOM: u32 = 1;
 
+/// Where a request gets its slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum SlotChoice {
+    /// A free slot of a server.
+    Free(ServerKey),
+    /// The slot of a batch item, which is preempted.
+    Preempted(GrantKey),
+}
+
+/// A server as a candidate for a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlotCandidate<'a> {
+    pub(super) entry: &'a ServerEntry,
+    /// The number of requests that the server may run.
+    pub(super) capacity: u32,
+    /// The number of slots that the request leaves free.
+    headroom: u32,
+    /// The tokens that fit in the memory of an engine.
+    memory: Option<u64>,
+}
+
+impl SlotCandidate<'_> {
+    /// The number of free slots.
+    pub(super) fn free(&self) -> u32 {
+        self.capacity.saturating_sub(self.entry.running())
+    }
+
+    /// The used share of the slots, or of a burst within the limits of the server.
+    pub(super) fn used_share(&self, now: Instant) -> f64 {
+        let entry = self.entry;
+        let used_slots = f64::from(entry.running()) / f64::from(self.capacity.max(1));
+        used_slots
+            .max(entry.limit.used_share(now))
+            .max(entry.cold.used_share(entry.limit.get(), now))
+    }
+}
+
 impl SlotBroker {
     /// Grants a slot if one is free or a batch item can be preempted.
     ///
@@ -24,8 +65,22 @@
         request: &SlotRequest,
         now: Instant,
     ) -> bool {
-        if self.is_undecided(request, now) {
+        let key = match self.choose_slot(request, now) {
+            Some(SlotChoice::Free(key)) => Some(key),
+            Some(SlotChoice::Preempted(victim)) => self.preempt(victim),
+            None => None,
+        };
+        let Some(key) = key else {
             return false;
+        };
+        self.grant(requester, request, key, now);
+        true
+    }
+
+    /// Chooses the slot of a request, if there is one.
+    pub(super) fn choose_slot(&self, request: &SlotRequest, now: Instant) -> Option<SlotChoice> {
+        if self.is_undecided(request, now) {
+            return None;
         }
         let free = self.free_server(request, now);
         let is_same_zone = free.is_some_and(|key| self.is_in_zone(key, &request.zone));
@@ -34,15 +89,16 @@
             WorkKind::Online | WorkKind::Batch => None,
         };
         let victim = victim.filter(|(_, in_zone)| *in_zone || free.is_none());
-        let key = match victim {
-            Some((victim, _)) => self.preempt(victim),
-            None => free,
-        };
-        let Some(key) = key else {
-            return false;
-        };
-        self.grant(requester, request, key, now);
-        true
+        let victim = victim.map(|(victim, _)| SlotChoice::Preempted(victim));
+        victim.or(free.map(SlotChoice::Free))
+    }
+
+    /// The server on which a choice runs the request.
+    pub(super) fn chosen_server(&self, choice: SlotChoice) -> Option<ServerKey> {
+        match choice {
+            SlotChoice::Free(key) => Some(key),
+            SlotChoice::Preempted(victim) => Some(self.grants.by_key(victim)?.server),
+        }
     }
 
     /// Whether a server may have a slot for queued work, whatever else the work needs.
@@ -67,52 +123,18 @@
     /// The server with a free slot and the lowest cost.
     fn free_server(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
         let pool = self.services.get(&request.service)?;
-        let is_engine = pool.engine_tokens.is_some();
-        let headroom = match request.kind {
-            WorkKind::Batch if is_engine => BATCH_HEADROOM,
-            WorkKind::Batch | WorkKind::Online => 0,
-        };
-        let overdue_after = self.settings.overdue_after();
         let prefixes = prompt_prefixes(&request.prompt);
-        let query = PlacementQuery {
-            zone: &request.zone,
-            prefixes: &prefixes,
-            overdue_after,
-            now,
-        };
-        let weighs_servers = self.weighs_servers(pool);
+        let query = self.placement_query(request, &prefixes, now);
         let mut best: Option<(f64, ServerKey)> = None;
         for key in &pool.servers {
             let Some(entry) = self.servers.get(*key) else {
                 continue;
             };
-            let capacity = entry.capacity(is_engine, now);
-            let free = capacity.saturating_sub(entry.running());
-            let fits = pool
-                .engine_tokens
-                .is_none_or(|max| entry.tokens.saturating_add(request.tokens) <= max);
-            let usable = self.accepts_work(&entry.record, now)
-                && self.admits_version(&entry.record, request)
-                && self.is_allowed_home(&entry.record, request)
-                && !request.avoid.contains(&entry.record.check_in.name);
-            // Without online requests, only an item can end a server's probation.
-            let headroom = if entry.is_on_probation() { 0 } else { headroom };
-            let limit = entry.limit.get();
-            let within_limit = entry.limit.admits(request.kind, now)
-                && entry.cold.admits(request.kind, limit, now);
-            if free <= headroom || !fits || !usable || !within_limit {
+            let candidate = Self::candidate(pool, entry, request.kind, now);
+            if self.obstacles(&candidate, request, now).next().is_some() {
                 continue;
             }
-            let record = &entry.record;
-            let used_slots = f64::from(entry.running()) / f64::from(capacity.max(1));
-            let used_share = used_slots
-                .max(entry.limit.used_share(now))
-                .max(entry.cold.used_share(limit, now));
-            let cost = if weighs_servers {
-                pool.expected_cost(entry, used_share, &query)
-            } else {
-                server_cost(record, used_share, &query)
-            };
+            let cost = self.placement_cost(pool, &candidate, &query);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *key));
             }
@@ -120,6 +142,96 @@
         best.map(|(_, key)| key)
     }
 
+    pub(super) fn placement_query<'a>(
+        &self,
+        request: &'a SlotRequest,
+        prefixes: &'a [PromptPrefix],
+        now: Instant,
+    ) -> PlacementQuery<'a> {
+        PlacementQuery {
+            zone: &request.zone,
+            prefixes,
+            overdue_after: self.settings.overdue_after(),
+            now,
+        }
+    }
+
+    pub(super) fn candidate<'a>(
+        pool: &ServicePool,
+        entry: &'a ServerEntry,
+        kind: WorkKind,
+        now: Instant,
+    ) -> SlotCandidate<'a> {
+        let is_engine = pool.engine_tokens.is_some();
+        let headroom = match kind {
+            // Without online requests, only an item can end a server's probation.
+            WorkKind::Batch if is_engine && !entry.is_on_probation() => BATCH_HEADROOM,
+            WorkKind::Batch | WorkKind::Online => 0,
+        };
+        SlotCandidate {
+            entry,
+            capacity: entry.capacity(is_engine, now),
+            headroom,
+            memory: pool.engine_tokens,
+        }
+    }
+
+    /// Why a server has no slot for a request at present; none if it has.
+    pub(super) fn obstacles<'a>(
+        &'a self,
+        candidate: &'a SlotCandidate<'a>,
+        request: &'a SlotRequest,
+        now: Instant,
+    ) -> impl Iterator<Item = ServerObstacle> + 'a {
+        let closed = self.closed_by(&candidate.entry.record, now);
+        let others = ServerObstacle::OF_REQUESTS.into_iter();
+        let others =
+            others.filter(move |obstacle| self.is_hindered(*obstacle, candidate, request, now));
+        closed.into_iter().chain(others)
+    }
+
+    fn is_hindered(
+        &self,
+        obstacle: ServerObstacle,
+        candidate: &SlotCandidate<'_>,
+        request: &SlotRequest,
+        now: Instant,
+    ) -> bool {
+        let entry = candidate.entry;
+        let record = &entry.record;
+        match obstacle {
+            ServerObstacle::NoFreeSlot => candidate.free() <= candidate.headroom,
+            ServerObstacle::NoMemory => candidate
+                .memory
+                .is_some_and(|max| entry.tokens.saturating_add(request.tokens) > max),
+            ServerObstacle::Version => !self.admits_version(record, request),
+            ServerObstacle::OutsideHomes => !self.is_allowed_home(record, request),
+            ServerObstacle::Avoided => request.avoid.contains(&record.check_in.name),
+            ServerObstacle::Limited => !entry.limit.admits(request.kind, now),
+            ServerObstacle::Cold => !entry.cold.admits(request.kind, entry.limit.get(), now),
+            ServerObstacle::Leaving
+            | ServerObstacle::Lost
+            | ServerObstacle::Suspended
+            | ServerObstacle::Silent
+            | ServerObstacle::Drained => self.closed_by(record, now) == Some(obstacle),
+        }
+    }
+
+    /// The cost of a request on a server.
+    pub(super) fn placement_cost(
+        &self,
+        pool: &ServicePool,
+        candidate: &SlotCandidate<'_>,
+        query: &PlacementQuery<'_>,
+    ) -> f64 {
+        let used_share = candidate.used_share(query.now);
+        if self.weighs_servers(pool) {
+            pool.expected_cost(candidate.entry, used_share, query)
+        } else {
+            server_cost(&candidate.entry.record, used_share, query)
+        }
+    }
+
     /// The batch item that an online request preempts, and whether it runs in the
     /// requester's zone. Items in that zone are preferred, then the most recently
     /// started.
--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -71,24 +71,35 @@
     /// servers crashed under it, but waits while other requests show that a segment of its
     /// prompt crashes servers.
     pub(super) fn quarantine_of(
-        &mut self,
+        &self,
         request: &SlotRequest,
         now: Instant,
     ) -> Option<(QuarantineCause, Duration)> {
+        match self.admission_of(request, now) {
+            Admission::Admitted | Admission::Trial => None,
+            Admission::Refused { cause, retry_after } => Some((cause, retry_after)),
+        }
+    }
+
+    /// Whether a request may run, by the crashes of it and of others with its segments.
+    pub(super) fn admission_of(&self, request: &SlotRequest, now: Instant) -> Admission {
         let service = &request.service;
-        let admission = match request.kind {
-            WorkKind::Online => self.crashes.admit(service, &request.traits(), now),
+        match request.kind {
+            WorkKind::Online => self.crashes.preview(service, &request.traits(), now),
             WorkKind::Batch => {
                 let segments = shared_segments(&request.prompt);
-                self.crashes.admit_segments(service, &segments, now)
+                self.crashes.preview_segments(service, &segments, now)
             }
-        };
-        match admission {
-            Admission::Admitted | Admission::Trial => None,
-            Admission::Refused { cause, retry_after } => Some((cause, retry_after)),
         }
     }
 
+    /// Records that a request is admitted, which defers the next trial of its segments.
+    pub(super) fn begin_trials(&mut self, request: &SlotRequest, now: Instant) {
+        let segments = shared_segments(&request.prompt);
+        self.crashes
+            .admit_segments(&request.service, &segments, now);
+    }
+
     /// Whether a request has to wait until it is known what else was in flight at its crashes.
     pub(super) fn is_undecided(&self, request: &SlotRequest, now: Instant) -> bool {
         let (service, fingerprint) = (&request.service, request.fingerprint);
--- a/crates/broker/src/slots/pressure.rs
+++ b/crates/broker/src/slots/pressure.rs
@@ -1,14 +1,33 @@
 //! The queue of online requests that compete by their targets: which requests are queued, in
 //! which order, and what becomes of those that miss their target while they wait.
 
-use super::{SlotBroker, jitter_of};
-use crate::admission::{CallerTerms, QueueAhead, QueuePosition, ServiceRates, WaitLimits};
+use super::{SlotBroker, jitter_of, jittered_delay};
+use crate::admission::{
+    CallerTerms, QueueAhead, QueuePosition, ServiceAdmission, ServiceRates, WaitLimits,
+};
 use crate::pool::WaitingRequest;
 use crate::request::{RequesterId, SlotRefusalReason, SlotRequest, WorkKind};
 use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
 use std::time::{Duration, Instant};
 
+/// What the queue does with a request that gets no slot at once.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum QueueVerdict {
+    /// The request is queued.
+    Queued {
+        /// Whether it can no longer meet its target.
+        is_late: bool,
+        /// The expected wait.
+        wait: Duration,
+    },
+    /// The request is refused.
+    Refused {
+        /// When the caller is likely to find room.
+        retry_after: Duration,
+    },
+}
+
 impl SlotBroker {
     /// Whether the online requests for a service compete by their targets and teams: by the
     /// feature `pressure`, or because its servers state how long work takes on them, so that
@@ -56,8 +75,11 @@
         terms: CallerTerms,
         now: Instant,
     ) {
-        let rates = self.service_rates(&request, now);
         let limits = self.wait_limits(&request, &terms);
+        let service = request.service.clone();
+        let verdict = self.with_admission(&service, |broker, admission| {
+            broker.decide_by_target(admission, &request, &terms, now)
+        });
         let waiting = WaitingRequest {
             requester: requester.clone(),
             until: now + limits.late,
@@ -66,18 +88,78 @@
             terms: Some(terms),
             request,
         };
-        let Some(terms) = &waiting.terms else {
-            return;
+        self.apply_verdict(waiting, verdict, now);
+    }
+
+    /// What the queue does with a request that gets no slot at once. `admission` is that of the
+    /// service, or a copy of it to find out what would be decided.
+    pub(super) fn decide_by_target(
+        &self,
+        admission: &mut ServiceAdmission,
+        request: &SlotRequest,
+        terms: &CallerTerms,
+        now: Instant,
+    ) -> QueueVerdict {
+        let rates = self.service_rates(request, now);
+        let limits = self.wait_limits(request, terms);
+        let ahead = self.queued_ahead_of(admission, request, false, terms.team.as_ref());
+        let wait = admission.wait_in_time(request.rank, terms, limits, ahead, rates, now);
+        if let Some(wait) = wait {
+            let is_late = false;
+            return QueueVerdict::Queued { is_late, wait };
+        }
+        if terms.returned {
+            let team = terms.team.as_ref();
+            return self.decide_late(admission, request, Some(terms), team, limits.late, now);
+        }
+        self.refuse_until_room(admission, request, Some(terms), limits.late, now)
+    }
+
+    /// What the queue does with a request that cannot be in time: it is queued if it can be
+    /// served by its time limit, of which `left` remains.
+    fn decide_late(
+        &self,
+        admission: &mut ServiceAdmission,
+        request: &SlotRequest,
+        terms: Option<&CallerTerms>,
+        team: Option<&TeamName>,
+        left: Duration,
+        now: Instant,
+    ) -> QueueVerdict {
+        let rates = self.service_rates(request, now);
+        let limits = WaitLimits {
+            in_time: Duration::ZERO,
+            late: left,
         };
-        let (service, rank) = (&waiting.request.service, waiting.request.rank);
-        let ahead = self.queued_ahead_of(&waiting.request, false, terms.team.as_ref());
-        let admission = &mut self.pool(service).admission;
-        if admission.admits_in_time(rank, terms, limits, ahead, rates, now) {
-            self.enqueue_in_class(waiting, false);
-        } else if terms.returned {
-            self.enqueue_late(waiting, now);
-        } else {
-            self.refuse_until_room(&waiting, rates, now);
+        let ahead = self.queued_ahead_of(admission, request, true, team);
+        match admission.wait_late(ahead, limits, rates, now) {
+            Some(wait) => {
+                let is_late = true;
+                QueueVerdict::Queued { is_late, wait }
+            }
+            None => self.refuse_until_room(admission, request, terms, left, now),
+        }
+    }
+
+    /// Lets a decision use the admission of a service, and the rest of the broker unchanged.
+    fn with_admission<T>(
+        &mut self,
+        service: &ServiceName,
+        decide: impl FnOnce(&Self, &mut ServiceAdmission) -> T,
+    ) -> T {
+        let mut admission = std::mem::take(&mut self.pool(service).admission);
+        let decision = decide(self, &mut admission);
+        self.pool(service).admission = admission;
+        decision
+    }
+
+    fn apply_verdict(&mut self, waiting: WaitingRequest, verdict: QueueVerdict, now: Instant) {
+        match verdict {
+            QueueVerdict::Queued { is_late, .. } => self.enqueue_in_class(waiting, is_late),
+            QueueVerdict::Refused { retry_after } => {
+                let load = self.pool_load(&waiting.request.service, now);
+                self.refuse_waiting(&waiting, SlotRefusalReason::NoSlot(load), retry_after);
+            }
         }
     }
 
@@ -174,21 +256,13 @@
 
     /// Queues a request that cannot be in time, if it can be served by its time limit.
     fn enqueue_late(&mut self, waiting: WaitingRequest, now: Instant) {
-        let request = &waiting.request;
-        let rates = self.service_rates(request, now);
         let left = waiting.until.saturating_duration_since(now);
-        let limits = WaitLimits {
-            in_time: Duration::ZERO,
-            late: left,
-        };
-        let team = waiting.team().cloned();
-        let ahead = self.queued_ahead_of(request, true, team.as_ref());
-        let admission = &mut self.pool(&request.service).admission;
-        if admission.admits_late(ahead, limits, rates, now) {
-            self.enqueue_in_class(waiting, true);
-        } else {
-            self.refuse_until_room(&waiting, rates, now);
-        }
+        let service = waiting.request.service.clone();
+        let verdict = self.with_admission(&service, |broker, admission| {
+            let (request, terms) = (&waiting.request, waiting.terms.as_ref());
+            broker.decide_late(admission, request, terms, waiting.team(), left, now)
+        });
+        self.apply_verdict(waiting, verdict, now);
     }
 
     fn enqueue_in_class(&mut self, waiting: WaitingRequest, is_late: bool) {
@@ -202,27 +276,33 @@
         self.pool(&service).online.insert(position, waiting);
     }
 
-    /// Refuses a request and tells its caller when there is likely to be room.
-    fn refuse_until_room(&mut self, waiting: &WaitingRequest, rates: ServiceRates, now: Instant) {
-        let request = &waiting.request;
-        let Some(terms) = &waiting.terms else {
-            self.refuse_expired(waiting, now);
-            return;
+    /// Refuses a request that has `left` until its time limit, and tells its caller when there
+    /// is likely to be room.
+    fn refuse_until_room(
+        &self,
+        admission: &mut ServiceAdmission,
+        request: &SlotRequest,
+        terms: Option<&CallerTerms>,
+        left: Duration,
+        now: Instant,
+    ) -> QueueVerdict {
+        let hold = Duration::from_secs_f64(self.averages(&request.service).hold_seconds);
+        let Some(terms) = terms else {
+            let retry_after = jittered_delay(hold, request.ticket);
+            return QueueVerdict::Refused { retry_after };
         };
-        let pool = self.pool(&request.service);
-        let queued = pool.online.len();
+        let pool = self.services.get(&request.service);
+        let queued = pool.map_or(0, |pool| pool.online.len());
         let jitter = jitter_of(request.ticket);
         // The terms are those of the arrival; what is left of the time has shrunk since.
-        let hold = Duration::from_secs_f64(pool.averages.hold_seconds);
         let run = hold.min(terms.time_left / 2);
         let terms = CallerTerms {
-            time_left: waiting.until.saturating_duration_since(now) + run,
+            time_left: left + run,
             ..terms.clone()
         };
-        let admission = &mut pool.admission;
+        let rates = self.service_rates(request, now);
         let retry_after = admission.return_after(&terms, queued, rates, jitter, now);
-        let load = self.pool_load(&request.service, now);
-        self.refuse_waiting(waiting, SlotRefusalReason::NoSlot(load), retry_after);
+        QueueVerdict::Refused { retry_after }
     }
 
     fn service_rates(&self, request: &SlotRequest, now: Instant) -> ServiceRates {
@@ -231,8 +311,8 @@
         ServiceRates { all, own }
     }
 
-    fn wait_limits(&mut self, request: &SlotRequest, terms: &CallerTerms) -> WaitLimits {
-        let averages = self.pool(&request.service).averages;
+    pub(super) fn wait_limits(&self, request: &SlotRequest, terms: &CallerTerms) -> WaitLimits {
+        let averages = self.averages(&request.service);
         WaitLimits::new(
             terms,
             Duration::from_secs_f64(averages.first_answer_seconds),
@@ -242,20 +322,23 @@
 
     /// The queued requests that would go before one of a team that is queued now.
     fn queued_ahead_of(
-        &mut self,
+        &self,
+        admission: &ServiceAdmission,
         request: &SlotRequest,
         is_late: bool,
         team: Option<&TeamName>,
     ) -> QueueAhead {
         let (rank, homes) = (request.rank, request.homes.as_ref());
-        let pool = self.pool(&request.service);
+        let mut ahead = QueueAhead::default();
+        let Some(pool) = self.services.get(&request.service) else {
+            return ahead;
+        };
         let position = QueuePosition {
             rank,
             is_late,
-            tag: pool.admission.start_tag(rank, is_late, team),
+            tag: admission.start_tag(rank, is_late, team),
             arrival: u64::MAX,
         };
-        let mut ahead = QueueAhead::default();
         for (other, waiting) in pool.online.range(..position) {
             ahead.all += 1;
             let is_same_class = other.rank == rank && other.is_late == is_late;
--- a/crates/broker/tests/all/main.rs
+++ b/crates/broker/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod cut_off_hosts;
 mod departures;
 mod directory;
+mod explanations;
 mod homes;
 mod limited_servers;
 mod mixed_versions;
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -237,16 +237,24 @@
         traits: &RequestTraits,
         now: Instant,
     ) -> Admission {
-        let Some(ledger) = self.services.get_mut(service) else {
-            return Admission::Admitted;
-        };
-        if let RequestStanding::Quarantined(retry_after) =
-            ledger.evidence.standing(traits.request, now)
-        {
+        let admission = self.preview(service, traits, now);
+        self.begin_trials(service, &traits.segments, admission, now);
+        admission
+    }
+
+    /// What [`Self::admit`] would decide. No trial begins.
+    #[must_use]
+    pub fn preview(
+        &self,
+        service: &ServiceName,
+        traits: &RequestTraits,
+        now: Instant,
+    ) -> Admission {
+        if let Some(retry_after) = self.request_quarantine(service, traits.request, now) {
             let cause = QuarantineCause::Request;
             return Admission::Refused { cause, retry_after };
         }
-        ledger.admit_segments(&traits.segments, now)
+        self.preview_segments(service, &traits.segments, now)
     }
 
     /// Like [`Self::admit`] for work that is not refused for its own crashes, but only for
@@ -257,12 +265,38 @@
         segments: &[SegmentFingerprint],
         now: Instant,
     ) -> Admission {
-        let ledger = self.services.get_mut(service);
+        let admission = self.preview_segments(service, segments, now);
+        self.begin_trials(service, segments, admission, now);
+        admission
+    }
+
+    /// What [`Self::admit_segments`] would decide. No trial begins.
+    #[must_use]
+    pub fn preview_segments(
+        &self,
+        service: &ServiceName,
+        segments: &[SegmentFingerprint],
+        now: Instant,
+    ) -> Admission {
+        let ledger = self.services.get(service);
         ledger.map_or(Admission::Admitted, |ledger| {
-            ledger.admit_segments(segments, now)
+            ledger.preview_segments(segments, now)
         })
     }
 
+    fn begin_trials(
+        &mut self,
+        service: &ServiceName,
+        segments: &[SegmentFingerprint],
+        admission: Admission,
+        now: Instant,
+    ) {
+        let ledger = self.services.get_mut(service);
+        if let Some(ledger) = ledger.filter(|_| admission == Admission::Trial) {
+            ledger.begin_trials(segments, now);
+        }
+    }
+
     /// Whether a request has to wait until it is known what else was in flight at its crashes.
     #[must_use]
     pub fn is_undecided(
@@ -509,18 +543,23 @@
         exonerated
     }
 
-    fn admit_segments(&mut self, segments: &[SegmentFingerprint], now: Instant) -> Admission {
+    fn preview_segments(&self, segments: &[SegmentFingerprint], now: Instant) -> Admission {
         if let Some((cause, retry_after)) = self.segment_quarantine(segments, now) {
             return Admission::Refused { cause, retry_after };
         }
-        let mut admission = Admission::Admitted;
+        if self.holds.iter().any(|hold| hold.matches(segments)) {
+            Admission::Trial
+        } else {
+            Admission::Admitted
+        }
+    }
+
+    fn begin_trials(&mut self, segments: &[SegmentFingerprint], now: Instant) {
         for hold in &mut self.holds {
             if hold.matches(segments) {
                 hold.begin_trial(now);
-                admission = Admission::Trial;
             }
         }
-        admission
     }
 
     fn segment_quarantine(
