Add the command chicoryladder where

It asks the operators' port of control or store hosts where a request or an item would go now, and prints the match, the decision, the limits that bind and the candidates with their figures, as text or JSON. Bad input is refused with its fault: exit code 2 for what the command line can tell, 3 for a key file, 5 for what the host refuses.

The new test with real processes asks all control and store hosts, from three zones and on four routes, and sends the request that was asked about: it reaches the server that was named, also while a zone is drained. An item that waits while all zones are drained is explained as refused for want of a server. It fails if the prompt is left out of the question: the request of zone-2 reached app-1, and app-2 was named.

--- a/src/access.rs
+++ b/src/access.rs
@@ -52,6 +52,38 @@
     }
 }
 
+/// Addresses of the operators' ports of control hosts, which need no token.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(control_access), ignore_rustdoc)]
+pub struct ControlAccess {
+    /// Operators' ports of control or store hosts, separated by commas and tried in order; default 127.0.0.1:7103
+    #[bpaf(
+        long("operators"),
+        env("CHICORYLADDER_OPERATORS"),
+        argument::<String>("ADDRESS"),
+        parse(parse_addresses),
+        fallback(vec![OPERATORS_DEFAULT])
+    )]
+    pub operators: Vec<SocketAddr>,
+}
+
+impl ControlAccess {
+    /// Creates a client of the operators' port that presents the key of a caller, if a file
+    /// with one is given.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the key file cannot be read.
+    pub fn client(&self, key_file: Option<&Path>) -> Result<ApiClient, CommandError> {
+        let credential = key_file.map(read_credential).transpose()?;
+        Ok(ApiClient {
+            addresses: self.operators.clone(),
+            credential: credential.unwrap_or_default(),
+            remedy: "check --operators and that the hosts are running".to_owned(),
+        })
+    }
+}
+
 /// Addresses of callers' ports and the caller's key.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(caller_access), ignore_rustdoc)]
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -17,6 +17,7 @@
 pub mod standin;
 pub mod status;
 pub mod team;
+pub mod where_to;
 
 use crate::error::{CommandError, CommandExit};
 use bpaf::{Bpaf, ParseFailure};
@@ -45,6 +46,9 @@
     /// Trace a request, job or item through the logs of processes
     #[bpaf(command("explain"))]
     Explain(#[bpaf(external(explain::explain_options))] explain::ExplainOptions),
+    /// Tell where a request or an item would go now, without sending it
+    #[bpaf(command("where"))]
+    Where(#[bpaf(external(where_to::where_options))] where_to::WhereOptions),
     /// Grant, withdraw and list callers' keys
     #[bpaf(command("key"))]
     Key(#[bpaf(external(key::key_options))] key::KeyOptions),
@@ -84,6 +88,7 @@
             Self::Get(options) => options.run().await,
             Self::Diff(options) => options.run().await,
             Self::Explain(options) => options.run(),
+            Self::Where(options) => options.run().await,
             Self::Key(options) => options.run().await,
             Self::Team(options) => options.run().await,
             Self::Job(options) => options.run().await,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -30,5 +30,6 @@
 mod uneven;
 mod unframed;
 mod versions;
+mod where_to;
 mod world;
 mod zone_drains;
