--- a/crates/broker/src/explanation.rs
+++ b/crates/broker/src/explanation.rs
@@ -8,11 +8,11 @@
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{AreaName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Why a server has no slot for a request at present.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ServerObstacle {
     /// The server finishes its runs and accepts no more.
@@ -284,10 +284,29 @@
     pub weighs_speed: bool,
     /// Whether requests compete for slots by their targets and teams.
     pub uses_targets: bool,
-    /// The servers of the service, those without obstacles first, by their costs.
+    /// The servers of the service.
+    #[serde(flatten)]
+    pub candidates: CandidateList,
+}
+
+/// The servers of a service as candidates for a request.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CandidateList {
+    /// The number of servers.
+    pub servers: usize,
+    /// The number of servers with each obstacle.
+    pub obstacles: BTreeMap<ServerObstacle, usize>,
+    /// The first servers, at most [`Self::LISTED_MAX`]: those without obstacles before the others,
+    /// by their costs. Those of equal cost are in the order in which the choice prefers them.
     pub candidates: Vec<CandidateFigures>,
 }
 
+impl CandidateList {
+    /// The most servers that are listed with their figures. The figures of thousands of servers
+    /// would take the leader and its link longer than many decisions.
+    pub const LISTED_MAX: usize = 64;
+}
+
 /// A time in whole milliseconds.
 pub(crate) fn whole_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -46,8 +46,8 @@
 pub use departures::{DepartureReport, DepartureSource, LeavingServers};
 pub use directory::{CheckInOutcome, ServerCheckIn, ServerPhase, ServerRecord};
 pub use explanation::{
-    BindingLimits, CandidateFigures, ColdFigures, ExplainedOutcome, QuarantineStanding,
-    RateFigures, RefusedFor, ServerObstacle, SlotExplanation, SpeedFigures,
+    BindingLimits, CandidateFigures, CandidateList, ColdFigures, ExplainedOutcome,
+    QuarantineStanding, RateFigures, RefusedFor, ServerObstacle, SlotExplanation, SpeedFigures,
 };
 pub use grants::{ActiveRun, CrashedRun, ProvenWork, RunOutcome, RunReport};
 pub use homes::ZoneAreas;
--- a/crates/broker/src/slots/explain.rs
+++ b/crates/broker/src/slots/explain.rs
@@ -9,8 +9,8 @@
 use super::pressure::QueueVerdict;
 use crate::admission::CallerTerms;
 use crate::explanation::{
-    BindingLimits, CandidateFigures, ColdFigures, ExplainedOutcome, QuarantineStanding,
-    RateFigures, RefusedFor, SlotExplanation, SpeedFigures, whole_ms,
+    BindingLimits, CandidateFigures, CandidateList, ColdFigures, ExplainedOutcome,
+    QuarantineStanding, RateFigures, RefusedFor, SlotExplanation, SpeedFigures, whole_ms,
 };
 use crate::grants::ServerKey;
 use crate::placement::{PlacementQuery, cached_tokens, prompt_prefixes};
@@ -18,6 +18,7 @@
 use crate::request::{SlotRequest, WorkKind};
 use chicoryladder_policy::quarantine::Admission;
 use chicoryladder_types::prelude::*;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 impl SlotBroker {
@@ -39,7 +40,7 @@
         let terms = terms.filter(|_| uses_targets && request.kind == WorkKind::Online);
         let outcome = self.outcome_of(&mut request, terms, now);
         let pool = self.services.get(&request.service);
-        let candidates = pool.map(|pool| self.candidate_figures(pool, &request, now));
+        let candidates = pool.map(|pool| self.candidate_list(pool, &request, now));
         SlotExplanation {
             outcome,
             limits: self.binding_limits(&request, now),
@@ -138,25 +139,37 @@
         }
     }
 
-    /// The servers of a pool, those without obstacles first, by their costs. Those of equal cost
-    /// are in the order in which the choice prefers them.
-    fn candidate_figures(
+    fn candidate_list(
         &self,
         pool: &ServicePool,
         request: &SlotRequest,
         now: Instant,
-    ) -> Vec<CandidateFigures> {
+    ) -> CandidateList {
         let prefixes = prompt_prefixes(&request.prompt);
         let query = self.placement_query(request, &prefixes, now);
-        let keys = pool.servers.iter();
-        let figures = keys.filter_map(|key| self.figures_of(*key, pool, request, &query));
-        let mut figures: Vec<CandidateFigures> = figures.collect();
-        figures.sort_by(|one, other| {
-            let is_hindered = |figures: &CandidateFigures| !figures.obstacles.is_empty();
-            let order = is_hindered(one).cmp(&is_hindered(other));
-            order.then(one.cost.total_cmp(&other.cost))
-        });
-        figures
+        let mut counts = BTreeMap::new();
+        let mut order: Vec<(bool, f64, ServerKey)> = Vec::new();
+        for key in &pool.servers {
+            let Some(entry) = self.servers.get(*key) else {
+                continue;
+            };
+            let candidate = Self::candidate(pool, entry, request.kind, now);
+            let mut is_hindered = false;
+            for obstacle in self.obstacles(&candidate, request, now) {
+                is_hindered = true;
+                *counts.entry(obstacle).or_insert(0) += 1;
+            }
+            let cost = self.placement_cost(pool, &candidate, &query);
+            order.push((is_hindered, cost, *key));
+        }
+        order.sort_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)));
+        let listed = order.iter().take(CandidateList::LISTED_MAX);
+        let figures = listed.filter_map(|(_, _, key)| self.figures_of(*key, pool, request, &query));
+        CandidateList {
+            servers: order.len(),
+            obstacles: counts,
+            candidates: figures.collect(),
+        }
     }
 
     fn figures_of(
--- a/crates/broker/tests/all/explanations.rs
+++ b/crates/broker/tests/all/explanations.rs
@@ -7,10 +7,10 @@
     team_name, zone,
 };
 use chicoryladder_broker::{
-    AnswerReport, BrokerEvent, BrokerSettings, CallerTerms, CandidateFigures, CrashedRun,
-    ExplainedOutcome, LimitReport, QuarantineStanding, RefusedFor, RunOutcome, RunReport,
-    ServerLimit, ServerObstacle, SlotBroker, SlotDecision, SlotExplanation, SlotRequest, StreamId,
-    StreamPart, WorkKind, WorkPercent, ZoneAreas,
+    AnswerReport, BrokerEvent, BrokerSettings, CallerTerms, CandidateFigures, CandidateList,
+    CrashedRun, ExplainedOutcome, LimitReport, QuarantineStanding, RefusedFor, RunOutcome,
+    RunReport, ServerLimit, ServerObstacle, SlotBroker, SlotDecision, SlotExplanation, SlotRequest,
+    StreamId, StreamPart, WorkKind, WorkPercent, ZoneAreas,
 };
 use chicoryladder_plan::{ColdTerms, PlanTerms, RawPlan, ServicePlan};
 use chicoryladder_policy::quarantine::ServerCrash;
@@ -234,7 +234,11 @@
                 *counts.refused.entry(reason.as_str()).or_default() += 1;
             }
         }
-        let obstacles = explained.candidates.iter().flat_map(|c| &c.obstacles);
+        let obstacles = explained
+            .candidates
+            .candidates
+            .iter()
+            .flat_map(|c| &c.obstacles);
         counts.obstacles.extend(obstacles.map(|o| o.as_str()));
     }
 
@@ -428,6 +432,7 @@
 /// The first candidate is the one that gets the request, unless an item is preempted.
 fn check_candidates(explained: &SlotExplanation) {
     let open = explained
+        .candidates
         .candidates
         .iter()
         .filter(|c| c.obstacles.is_empty());
@@ -508,7 +513,7 @@
 }
 
 fn candidate<'a>(explained: &'a SlotExplanation, name: &str) -> &'a CandidateFigures {
-    let mut candidates = explained.candidates.iter();
+    let mut candidates = explained.candidates.candidates.iter();
     let found = candidates.find(|candidate| candidate.server.as_str() == name);
     found.expect("the server is listed")
 }
@@ -587,3 +592,29 @@
     };
     assert_eq!(explained.outcome, refused);
 }
+
+/// Guards against answers that grow with the service: the leader would spend more on a question
+/// than on many requests.
+#[test]
+fn few_servers_are_listed_and_all_are_counted() {
+    let mut fixture = BrokerFixture::with_servers(200, &ZONES);
+    let drained = BTreeSet::from([zone("a")]);
+    fixture.broker.set_drained_zones(&drained, fixture.now);
+    let request = fixture.slot_request(WorkKind::Online);
+    let explained = explain(&fixture, &request);
+    let list = &explained.candidates;
+    assert_eq!(
+        (list.servers, list.candidates.len()),
+        (200, CandidateList::LISTED_MAX)
+    );
+    assert_eq!(
+        list.obstacles,
+        BTreeMap::from([(ServerObstacle::Drained, 67)])
+    );
+    check_outcome(
+        &explained,
+        decision_of(&fixture.submit(request.clone()), request.ticket),
+        false,
+    );
+    check_candidates(&explained);
+}
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -578,4 +578,35 @@
         assert_eq!(later.homes, Tail(None));
         assert_eq!(later.slot_request, call.slot_request);
     }
+
+    /// Guards against calls and replies that hosts of earlier builds read as others: postcard
+    /// encodes the position of a variant, so that new ones have to come last.
+    #[test]
+    fn calls_of_earlier_builds_keep_their_positions() {
+        let first = |bytes: Result<Vec<u8>, postcard::Error>| bytes.expect("it is encoded")[0];
+        assert_eq!(first(postcard::to_stdvec(&ControlCall::ZoneDrains)), 11);
+        let drains = ControlAnswer::ZoneDrains(Vec::new());
+        assert_eq!(first(postcard::to_stdvec(&drains)), 11);
+        let job = "job".to_owned();
+        assert_eq!(first(postcard::to_stdvec(&BatchCall::Owner { job })), 5);
+        assert_eq!(first(postcard::to_stdvec(&BatchReply::Owner(None))), 4);
+    }
+
+    /// Guards against an item that is explained without its homes, which the encoding of a slot
+    /// request leaves out.
+    #[test]
+    fn the_homes_of_an_item_survive_the_way_to_the_leader() {
+        let homes = BTreeSet::from([AreaName::try_from("north").expect("it is valid")]);
+        let slot = ItemSlot {
+            state: "waiting".to_owned(),
+            route: RouteName::try_from("digest").expect("it is valid"),
+            team: None,
+            slot_request: slot_call().slot_request,
+            homes: Some(homes.clone()),
+        };
+        let reply = BatchReply::ItemSlot(Some(Box::new(slot)));
+        let bytes = postcard::to_stdvec(&reply).expect("it is encoded");
+        let read: BatchReply = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert!(matches!(read, BatchReply::ItemSlot(Some(slot)) if slot.homes == Some(homes)));
+    }
 }
--- a/src/commands/where_to.rs
+++ b/src/commands/where_to.rs
@@ -316,8 +316,21 @@
         "FAILURES",
         "CHECK-IN",
     ];
-    let rows: Vec<Vec<String>> = slot.candidates.iter().map(cells).collect();
-    table(&headings, &rows)
+    let list = &slot.candidates;
+    let rows: Vec<Vec<String>> = list.candidates.iter().map(cells).collect();
+    let mut text = table(&headings, &rows);
+    if list.servers > list.candidates.len() {
+        let obstacles = list.obstacles.iter();
+        let obstacles = obstacles.map(|(obstacle, count)| format!("{count} {}", obstacle.as_str()));
+        let (listed, obstacles) = (list.candidates.len(), join(obstacles));
+        // Writing to a string cannot fail.
+        let _ = write!(
+            text,
+            "\n{listed} of {} servers; with obstacles, of all: {obstacles}",
+            list.servers
+        );
+    }
+    text
 }
 
 fn cells(candidate: &CandidateFigures) -> Vec<String> {
--- a/tests/fleet/where_to.rs
+++ b/tests/fleet/where_to.rs
@@ -169,6 +169,13 @@
     let errors = String::from_utf8_lossy(&output.stderr);
     assert!(errors.contains("has no item one"), "{errors}");
     check_refusals(&fleet, &control);
+    let leader = fleet.leader(Role::Control).expect("a leader");
+    let metrics = fleet.metrics(&leader).await;
+    for answer in ["sent", "refused", "unmatched", "invalid"] {
+        let label = format!("questions_total{{answer=\"{answer}\"");
+        assert!(metrics.contains(&label), "{answer}: {metrics}");
+    }
+    assert!(fleet.read_log(&leader).contains("\"request_explained\""));
 }
 
 /// Bad input gets a clear error, and a request that no server would get the refusal of its host.
