--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -21,6 +21,7 @@
 mod membership_change;
 mod message;
 mod metrics;
+mod online_attempt;
 mod plan_notices;
 pub mod ports;
 mod process;
@@ -35,7 +36,8 @@
 
 pub use chicoryladder_types::{ZoneDrain, ZoneDrainStep};
 pub use control::{
-    ControlFailure, ControlHost, ControlMachine, ControlPort, ControlService, ServerHint,
+    ControlFailure, ControlHost, ControlMachine, ControlPort, ControlService, MatchRefusal,
+    PlacementMatch, PlacementReport, QuestionError, ServerHint, TargetShare,
 };
 pub use entry::EntryHost;
 pub use event_log::{EventLog, EventPriority};
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between the processes of a fleet, encoded with postcard.
 
+use crate::control::{PlacementQuestion, QuestionError};
 use crate::server_marks::ServerReports;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
@@ -12,7 +13,7 @@
 use chicoryladder_plan::{PlanVersion, RawPlan};
 use chicoryladder_policy::quarantine::QuarantinedSegments;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{AreaName, SeatId, Tail, ZoneDrain, ZoneDrainStep};
+use chicoryladder_types::{AreaName, RouteName, SeatId, Tail, ZoneDrain, ZoneDrainStep};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -129,6 +130,8 @@
     },
     /// Reads which zones are drained.
     ZoneDrains,
+    /// Asks where a request or an item would go. Nothing changes.
+    Explain(Box<PlacementQuestion>),
 }
 
 impl ControlCall {
@@ -147,6 +150,7 @@
             Self::LeaveSeat(_) => "leave_seat",
             Self::SetZoneDrain { .. } => "set_zone_drain",
             Self::ZoneDrains => "zone_drains",
+            Self::Explain(_) => "explain",
         }
     }
 }
@@ -361,6 +365,11 @@
     UnknownZone,
     /// Reply to [`ControlCall::ZoneDrains`].
     ZoneDrains(Vec<ZoneDrain>),
+    /// Reply to [`ControlCall::Explain`]: the [`PlacementReport`](crate::PlacementReport) as
+    /// JSON, so that hosts of other builds pass on what they do not know.
+    Explained(Vec<u8>),
+    /// The question has no answer.
+    QuestionRefused(QuestionError),
 }
 
 /// A call to the job group.
@@ -386,6 +395,20 @@
     LeaveSeat(JoinRequest),
     /// Reads who may access a job.
     Owner { job: String },
+    /// Reads what the broker would be asked for an item.
+    ItemSlot { job: String, item: String },
+}
+
+/// What the broker would be asked for an item without a result.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct ItemSlot {
+    /// The state of the item in the schedule.
+    pub(crate) state: String,
+    pub(crate) route: RouteName,
+    pub(crate) team: Option<TeamName>,
+    pub(crate) slot_request: SlotRequest,
+    /// The homes of the request, which its encoding leaves out.
+    pub(crate) homes: Option<BTreeSet<AreaName>>,
 }
 
 /// The reply of the leader of the job group.
@@ -401,6 +424,8 @@
     Seat(JoinAnswer),
     /// Reply to [`BatchCall::Owner`]; `None` if there is no such job.
     Owner(Option<JobOwner>),
+    /// Reply to [`BatchCall::ItemSlot`]; `None` if there is no such item without a result.
+    ItemSlot(Option<Box<ItemSlot>>),
 }
 
 /// The reply of any member of a group to a call for its leader.
@@ -442,7 +467,7 @@
     use super::*;
     use chicoryladder_broker::{ProvenWork, RunOutcome, ServerPhase, WorkKind};
     use chicoryladder_policy::quarantine::RequestFingerprint;
-    use chicoryladder_types::{RouteName, ServiceName, SoftwareVersion};
+    use chicoryladder_types::{ServiceName, SoftwareVersion};
 
     /// The notices of the build before stated work, up to the release of a slot.
     #[derive(Debug, Serialize, Deserialize)]
@@ -583,4 +608,35 @@
         assert_eq!(later.homes, Tail(None));
         assert_eq!(later.slot_request, call.slot_request);
     }
+
+    /// Guards against calls and replies that hosts of earlier builds read as others: postcard
+    /// encodes the position of a variant, so that new ones have to come last.
+    #[test]
+    fn calls_of_earlier_builds_keep_their_positions() {
+        let first = |bytes: Result<Vec<u8>, postcard::Error>| bytes.expect("it is encoded")[0];
+        assert_eq!(first(postcard::to_stdvec(&ControlCall::ZoneDrains)), 11);
+        let drains = ControlAnswer::ZoneDrains(Vec::new());
+        assert_eq!(first(postcard::to_stdvec(&drains)), 11);
+        let job = "job".to_owned();
+        assert_eq!(first(postcard::to_stdvec(&BatchCall::Owner { job })), 5);
+        assert_eq!(first(postcard::to_stdvec(&BatchReply::Owner(None))), 4);
+    }
+
+    /// Guards against an item that is explained without its homes, which the encoding of a slot
+    /// request leaves out.
+    #[test]
+    fn the_homes_of_an_item_survive_the_way_to_the_leader() {
+        let homes = BTreeSet::from([AreaName::try_from("north").expect("it is valid")]);
+        let slot = ItemSlot {
+            state: "waiting".to_owned(),
+            route: RouteName::try_from("digest").expect("it is valid"),
+            team: None,
+            slot_request: slot_call().slot_request,
+            homes: Some(homes.clone()),
+        };
+        let reply = BatchReply::ItemSlot(Some(Box::new(slot)));
+        let bytes = postcard::to_stdvec(&reply).expect("it is encoded");
+        let read: BatchReply = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert!(matches!(read, BatchReply::ItemSlot(Some(slot)) if slot.homes == Some(homes)));
+    }
 }
