Charge messages between hosts to the account, and bound connections without a greeting

Cause: the port for other hosts is open to anyone who reaches it. A frame took room for its declared length, up to 64 MiB, whether or not the connection had identified itself, and neither frames nor such connections were counted anywhere.

Change: crates/rpc reads frames by a reader of its own. A connection may send 512 bytes for its greeting, within 5 s; an eighth of the descriptors, 16 to 512 connections, may be without one, and the oldest is closed for a new one, so that silent ones keep no host out. After that a frame is charged through the interface PeerBounds before it is kept, in steps while it arrives, and until its call is answered. A quarter of the account is there for hosts whatever clients hold; beyond it, long messages leave the last quarter to small holders. While there is no room, the connection is not read, so messages wait instead of being refused; one that makes no progress for 5 s, or exceeds three quarters of the account, ends its connection. Unchanged on the wire.

Ruled out: frames that are charged through the last reference to their bytes. Handlers decode a call at once and drop its bytes, while what they made of it stays until the answer.

Callers saw hosts exceed their memory, which the platform ends.

--- a/crates/dialer/tests/dialer.rs
+++ b/crates/dialer/tests/dialer.rs
@@ -4,7 +4,9 @@
 use chicoryladder_dialer::{
     HostFilter, PathLoss, PathObserver, ServerDialer, ServerStream, TunnelHosts,
 };
-use chicoryladder_rpc::{PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelRequest};
+use chicoryladder_rpc::{
+    PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelRequest, UncountedBounds,
+};
 use chicoryladder_types::SystemClock;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
@@ -65,7 +67,7 @@
     async fn start(source: Option<IpAddr>) -> Self {
         let host = Arc::new(TunnelHost::default());
         let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let peer = RpcServer::start(any_port, host.clone()).await;
+        let peer = RpcServer::start(any_port, host.clone(), Arc::new(UncountedBounds)).await;
         let peer = peer.expect("a free port");
         let identity = PeerIdentity {
             host: HostName::try_from("entry-1").expect("it is valid"),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod memory_account;
 mod operators;
 mod overload;
+mod peer_holder;
 mod ports;
 mod server_client;
 mod server_connector;
--- a/crates/gateway/src/machine_bounds.rs
+++ b/crates/gateway/src/machine_bounds.rs
@@ -3,6 +3,7 @@
 use crate::client_connection::{ConnectionPhase, ConnectionState};
 use crate::held_answer::{HeldAnswer, HeldPart};
 use crate::memory_account::{HolderSize, MemoryAccount, MemoryCharge};
+use crate::peer_holder::PeerHolder;
 use bytes::Bytes;
 use chicoryladder_settings::MachineLimits;
 use chicoryladder_types::prelude::*;
@@ -58,6 +59,20 @@
 /// The largest such part. Probes and metrics take a few connections, however large the machine is.
 const RESERVED_MAX: usize = 48;
 
+/// The divisor of the part of the account that other hosts always find, whatever clients hold:
+/// 7.7 MB with 110 MB. Their largest messages are bodies and jobs of 4 MiB; parts of snapshots
+/// have 256 KiB.
+const PEER_PART_DIVISOR: usize = 4;
+
+/// The largest charge for which other hosts may use the last quarter of the account, too: requests
+/// between hosts are short, and each step of a long message is larger.
+const PEER_SMALL_MAX_BYTES: usize = 16 * 1024;
+
+/// The bounds of the connections of other hosts that have not identified themselves. All hosts of
+/// a fleet may connect at once.
+const UNIDENTIFIED_MIN: usize = 16;
+const UNIDENTIFIED_MAX: usize = 512;
+
 /// What hyper may hold of a body beside its buffer: the read buffer, and a chunk that waits for
 /// the reader. A body cannot have more there than it has sent.
 pub(crate) const READ_AHEAD_BYTES: usize = 64 * 1024;
@@ -78,9 +93,23 @@
 pub struct MachineBounds {
     memory: Arc<MemoryAccount>,
     table: Arc<ConnectionTable>,
+    peers: Arc<PeerTotals>,
     is_reserved: bool,
 }
 
+/// What other hosts occupy.
+pub(crate) struct PeerTotals {
+    bytes: AtomicUsize,
+    closed: AtomicU64,
+    unidentified_max: usize,
+}
+
+impl PeerTotals {
+    pub(crate) fn release(&self, bytes: usize) {
+        self.bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+}
+
 /// The connections of clients at all ports of a process.
 struct ConnectionTable {
     clock: Arc<dyn ClockSource>,
@@ -162,6 +191,11 @@
         Self {
             memory: MemoryAccount::new(capacity),
             table: Arc::new(table),
+            peers: Arc::new(PeerTotals {
+                bytes: AtomicUsize::new(0),
+                closed: AtomicU64::new(0),
+                unidentified_max: (spare / 8).clamp(UNIDENTIFIED_MIN, UNIDENTIFIED_MAX),
+            }),
             is_reserved: false,
         }
     }
@@ -239,6 +273,8 @@
             ),
             ("client_requests_refused", count(&counts.requests_refused)),
             ("client_bodies_evicted", count(&counts.bodies_evicted)),
+            ("peer_bytes", size(self.peers.bytes.load(Ordering::Relaxed))),
+            ("peer_connections_closed", count(&self.peers.closed)),
         ]
     }
 
@@ -345,6 +381,38 @@
         charge
     }
 
+    /// Charges bytes of other hosts. A part of the account is theirs in any case, so that messages
+    /// between hosts arrive while clients fill it; beyond that they compete with clients.
+    pub(crate) fn charge_peer(&self, bytes: usize) -> Option<PeerHolder> {
+        let part = self.memory.capacity() / PEER_PART_DIVISOR;
+        let charge = if self.peers.bytes.load(Ordering::Relaxed) + bytes <= part {
+            self.charge_answer(bytes)
+        } else {
+            let size = if bytes <= PEER_SMALL_MAX_BYTES {
+                HolderSize::Small
+            } else {
+                HolderSize::Large
+            };
+            self.try_charge(bytes, size)?
+        };
+        self.peers.bytes.fetch_add(bytes, Ordering::Relaxed);
+        Some(PeerHolder {
+            totals: self.peers.clone(),
+            bytes,
+            _charge: charge,
+        })
+    }
+
+    pub(crate) fn unidentified_peers_max(&self) -> usize {
+        self.peers.unidentified_max
+    }
+
+    /// Counts and logs a connection of another host that was closed because of the bounds.
+    pub(crate) fn note_closed(&self, address: IpAddr, why: &str) {
+        self.peers.closed.fetch_add(1, Ordering::Relaxed);
+        self.log("closed a connection to the port for hosts", address, why);
+    }
+
     /// Counts and logs a request that found no room.
     pub(crate) fn note_refused_request(&self, address: IpAddr) {
         let refused = &self.table.counts.requests_refused;
--- a/crates/host/src/entry_host/components.rs
+++ b/crates/host/src/entry_host/components.rs
@@ -52,8 +52,22 @@
     let incarnation = incarnation(clock.since_epoch());
     let starting_link = start_link(&settings, &shared_secret, incarnation, clock.clone());
     let (link, messages) = starting_link.await?;
-    let tunnels = HostTunnels::start(&settings, &shared_secret, incarnation, clock.clone()).await?;
-    let components = HostComponents::start(settings, clock, ids, metrics, link, messages, tunnels)?;
+    let bounds = MachineBounds::new(settings.machine, clock.clone());
+    let peer_bounds = Arc::new(bounds.clone());
+    let tunnels = HostTunnels::start(
+        &settings,
+        &shared_secret,
+        incarnation,
+        clock.clone(),
+        peer_bounds,
+    );
+    let ports = HostPorts {
+        link,
+        messages,
+        tunnels: tunnels.await?,
+        bounds,
+    };
+    let components = HostComponents::start(settings, clock, ids, metrics, ports)?;
     components.listen(shared_secret, operator_token).await
 }
 
@@ -120,6 +134,14 @@
     }
 }
 
+/// The connections to other hosts, and the bounds that they share with clients.
+struct HostPorts {
+    link: PeerLink,
+    messages: mpsc::Receiver<InboundMessage>,
+    tunnels: HostTunnels,
+    bounds: MachineBounds,
+}
+
 /// The components of a host before its ports are open.
 struct HostComponents {
     settings: HostSettings,
@@ -146,10 +168,14 @@
         clock: Arc<dyn ClockSource>,
         ids: Arc<RandomIds>,
         metrics: Arc<HostMetrics>,
-        link: PeerLink,
-        messages: mpsc::Receiver<InboundMessage>,
-        tunnels: HostTunnels,
+        ports: HostPorts,
     ) -> Result<Self, HostError> {
+        let HostPorts {
+            link,
+            messages,
+            tunnels,
+            bounds,
+        } = ports;
         let contacts = settings.peers.seeds.iter().chain(settings.voters.values());
         let directory = PeerDirectory::new(link, clock.clone(), contacts.copied());
         let (replica_task, replica, inbox) = open_replica(&settings, &directory, &clock, &ids)?;
@@ -209,7 +235,6 @@
             connector: &tunnels.connector,
         };
         let batch = batch_components.start(&mut tasks);
-        let bounds = MachineBounds::new(settings.machine, clock.clone());
         metrics.observe(&bounds);
         Ok(Self {
             settings,
--- a/crates/host/src/tunnels.rs
+++ b/crates/host/src/tunnels.rs
@@ -6,6 +6,7 @@
     PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelRequest, TunnelSecret,
 };
 use chicoryladder_settings::HostSettings;
+use chicoryladder_types::PeerBounds;
 use chicoryladder_types::prelude::*;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
@@ -33,6 +34,7 @@
         shared_secret: &str,
         incarnation: u64,
         clock: Arc<dyn ClockSource>,
+        bounds: Arc<dyn PeerBounds>,
     ) -> Result<Self, ListenError> {
         let listen = &settings.listen;
         let identity = PeerIdentity {
@@ -59,7 +61,7 @@
                     clock,
                 };
                 let failed = |source| ListenError { address, source };
-                let server = RpcServer::start(address, Arc::new(handler));
+                let server = RpcServer::start(address, Arc::new(handler), bounds);
                 Some(server.await.map_err(failed)?)
             }
         };
--- a/crates/roles/src/process.rs
+++ b/crates/roles/src/process.rs
@@ -78,7 +78,7 @@
         let listen = &self.settings.listen;
         let address = listen.peers_bind.unwrap_or(listen.peers);
         let failed = |source| ListenError { address, source };
-        let server = RpcServer::start(address, handler);
+        let server = RpcServer::start(address, handler, Arc::new(self.machine.clone()));
         Ok(server.await.map_err(failed)?)
     }
 
--- a/crates/roles/src/slot_client/tests.rs
+++ b/crates/roles/src/slot_client/tests.rs
@@ -6,7 +6,7 @@
 use crate::metrics::RoleMetrics;
 use bytes::Bytes;
 use chicoryladder_policy::quarantine::RequestFingerprint;
-use chicoryladder_rpc::{PeerIdentity, RpcHandler, RpcServer};
+use chicoryladder_rpc::{PeerIdentity, RpcHandler, RpcServer, UncountedBounds};
 use chicoryladder_settings::ProcessSettings;
 use chicoryladder_types::{RouteName, SystemClock};
 use futures_util::FutureExt;
@@ -94,7 +94,7 @@
 async fn a_slot_outside_of_the_homes_is_given_back() {
     let handler = Arc::new(GrantingLeader::default());
     let any_port = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let leader = RpcServer::start(any_port, handler.clone()).await;
+    let leader = RpcServer::start(any_port, handler.clone(), Arc::new(UncountedBounds)).await;
     let leader = leader.expect("a free port");
     let client = client(leader.address);
     let call = async |ticket, homes| {
--- a/crates/rpc/src/frame.rs
+++ b/crates/rpc/src/frame.rs
@@ -8,10 +8,10 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// The maximum length of a frame, in bytes; the largest messages are batch jobs.
-const FRAME_MAX_BYTES: usize = 64 * 1024 * 1024;
+pub(crate) const FRAME_MAX_BYTES: usize = 64 * 1024 * 1024;
 
 /// The length of a frame's kind and number, in bytes.
-const HEADER_BYTES: usize = 9;
+pub(crate) const HEADER_BYTES: usize = 9;
 
 /// The kind of a frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rpc/tests/tunnel.rs
+++ b/crates/rpc/tests/tunnel.rs
@@ -2,6 +2,7 @@
 
 use chicoryladder_rpc::{
     PeerIdentity, RpcClient, RpcHandler, RpcServer, TunnelRequest, TunnelSecret, TunnelStream,
+    UncountedBounds,
 };
 use chicoryladder_types::SystemClock;
 use chicoryladder_types::prelude::*;
@@ -41,7 +42,7 @@
 
 async fn peer() -> RpcServer {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server = RpcServer::start(address, Arc::new(Connector)).await;
+    let server = RpcServer::start(address, Arc::new(Connector), Arc::new(UncountedBounds)).await;
     server.expect("a free loopback port")
 }
 
@@ -211,7 +212,7 @@
     let (_listener, address) = target.expect("an address");
     let handler = GuardedConnector(TunnelSecret::new("a secret of all hosts"));
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    let peer = RpcServer::start(any_port, Arc::new(handler)).await;
+    let peer = RpcServer::start(any_port, Arc::new(handler), Arc::new(UncountedBounds)).await;
     let peer = peer.expect("a free loopback port");
     let secrets = [
         (Some("a secret of all hosts"), true),
@@ -233,7 +234,9 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let target = listener.local_addr().expect("an address");
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let peer = RpcServer::start_with_tunnels(address, Arc::new(Connector), 2).await;
+    let peer =
+        RpcServer::start_with_tunnels(address, Arc::new(Connector), Arc::new(UncountedBounds), 2)
+            .await;
     let peer = peer.expect("a free loopback port");
     let client = client();
     let first = client.open_tunnel(peer.address, target).await;
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod headers;
 mod ids;
 mod names;
+mod peer_bounds;
 pub mod prelude;
 mod reason;
 mod refusal;
@@ -29,6 +30,7 @@
     AreaName, ClassName, HostName, ModelName, NameError, RouteName, ServerName, ServiceName,
     TeamName, ZoneName,
 };
+pub use peer_bounds::{PeerBounds, PeerCharge};
 pub use reason::{RefusalReason, RetryReason};
 pub use refusal::RequestRefusal;
 pub use software::SoftwareVersion;
--- a/tests/all/crowds.rs
+++ b/tests/all/crowds.rs
@@ -36,6 +36,9 @@
 /// A body in chunks of one byte; each is 6 bytes of traffic.
 const TINY_CHUNKS_BYTES: usize = 1024 * 1024;
 
+/// A message between hosts within the limit of their protocol.
+const LARGE_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
 /// The size of heads without an end.
 const SHORT_HEAD_BYTES: usize = 15 * 1024;
 
@@ -45,6 +48,7 @@
     child: Child,
     callers: SocketAddr,
     operators: SocketAddr,
+    tunnels: SocketAddr,
     key: String,
     _server: PlainHandle,
 }
@@ -61,11 +65,12 @@
         write("secret", "a secret of a single host");
         let (callers, servers) = (free_address(), free_address());
         let (operators, peers) = (free_address(), free_address());
+        let tunnels = free_address();
         let (memory, descriptors) = MACHINE;
         let settings = format!(
             "[host]\nname = host-0\nzone = zone-a\n\
              [listen]\ncallers = {callers}\nservers = {servers}\noperators = {operators}\n\
-             peers = {peers}\n\
+             peers = {peers}\ntunnels = {tunnels}\n\
              [operators]\ntoken_file = token\n\
              [peers]\nsecret_file = secret\n\
              [voters]\n1 = {peers}\n\
@@ -96,6 +101,7 @@
             child,
             callers,
             operators,
+            tunnels,
             key: String::new(),
             _server: server,
         };
@@ -264,3 +270,29 @@
     daemon.wait_for_answer().await;
     check_process("daemon", process, BOUNDS);
 }
+
+async fn check_tunnels(is_greeted: bool) {
+    let _turn = CrowdTurn::wait();
+    let daemon = DaemonProcess::start().await;
+    let traffic = CrowdTraffic::ShortFrame {
+        is_greeted,
+        bytes: LARGE_FRAME_BYTES,
+    };
+    let process = daemon.child.id();
+    let _crowd = ClientCrowd::send(daemon.tunnels, traffic).await;
+    check_process("daemon", process, BOUNDS);
+    daemon.wait_for_answer().await;
+    check_process("daemon", process, BOUNDS);
+}
+
+/// Guards against connections to the port for tunnels that never identify themselves.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_bears_connections_that_do_not_identify_themselves() {
+    check_tunnels(false).await;
+}
+
+/// Guards against large messages of other hosts that stop short.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_bears_messages_that_stop_short_of_their_end() {
+    check_tunnels(true).await;
+}
--- a/tests/fleet/crowds.rs
+++ b/tests/fleet/crowds.rs
@@ -210,6 +210,52 @@
     .await;
 }
 
+/// A message between hosts that is longer than most, and within the limit of their protocol.
+const LARGE_FRAME_BYTES: usize = 16 * 1024 * 1024;
+
+async fn check_peers_port(role: Role, traffic: CrowdTraffic) {
+    let _turn = CrowdTurn::wait();
+    let (fleet, name) = start_limited(role, MACHINE).await;
+    let entry = fleet.host_names(Role::Entry)[0].clone();
+    wait_for_answer(&fleet, &entry).await;
+    let process = fleet.process_id(&name);
+    let _crowd = ClientCrowd::send(fleet.peers_address(&name), traffic).await;
+    check_process(&name, process, BOUNDS);
+    wait_for_answer(&fleet, &entry).await;
+    check_process(&name, process, BOUNDS);
+}
+
+/// Guards against connections to the port for hosts that never identify themselves and send what
+/// a host may send.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_control_host_bears_connections_that_do_not_identify_themselves() {
+    let traffic = CrowdTraffic::ShortFrame {
+        is_greeted: false,
+        bytes: LARGE_FRAME_BYTES,
+    };
+    check_peers_port(Role::Control, traffic).await;
+}
+
+/// Guards against large messages of hosts that stop short, whose sum exceeds the memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_control_host_bears_messages_that_stop_short_of_their_end() {
+    let traffic = CrowdTraffic::ShortFrame {
+        is_greeted: true,
+        bytes: LARGE_FRAME_BYTES,
+    };
+    check_peers_port(Role::Control, traffic).await;
+}
+
+/// Guards against large messages at an entry host, whose port also opens tunnels.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_host_bears_messages_that_stop_short_of_their_end() {
+    let traffic = CrowdTraffic::ShortFrame {
+        is_greeted: true,
+        bytes: LARGE_FRAME_BYTES,
+    };
+    check_peers_port(Role::Entry, traffic).await;
+}
+
 /// Opens a connection, sends one ordinary call and reads the answer. The connection stays open.
 async fn open_idle(address: SocketAddr) -> TcpStream {
     let mut stream = TcpStream::connect(address)
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -476,6 +476,11 @@
         SocketAddr::from((self.hosts[name].ip, CALLERS_PORT))
     }
 
+    /// The port of a host for other hosts, without a faulty link in front.
+    pub(crate) fn peers_address(&self, name: &str) -> SocketAddr {
+        SocketAddr::from((self.hosts[name].ip, PEERS_BIND_PORT))
+    }
+
     pub(crate) fn control_address(&self, name: &str) -> SocketAddr {
         SocketAddr::from((self.hosts[name].ip, CONTROL_PORT))
     }
--- a/tests/shared/crowd.rs
+++ b/tests/shared/crowd.rs
@@ -55,6 +55,8 @@
     Pipelined { head: String },
     /// A head without its end, of the given size.
     ShortHead { head: String, bytes: usize },
+    /// A call of another host that stops just short of its end, after a greeting or without one.
+    ShortFrame { is_greeted: bool, bytes: usize },
 }
 
 impl CrowdTraffic {
@@ -62,6 +64,10 @@
     fn connections(&self) -> usize {
         match self {
             Self::Pipelined { .. } => 4,
+            // Hosts of the fleet are few beside clients.
+            Self::ShortFrame {
+                is_greeted: true, ..
+            } => 24,
             _ => CROWD_SIZE,
         }
     }
@@ -118,10 +124,50 @@
                 }
                 Ok(())
             }
+            Self::ShortFrame { is_greeted, bytes } => {
+                if *is_greeted {
+                    stream.write_all(&greeting_frame()).await?;
+                }
+                let head = frame_head(CALL_KIND, *bytes + SHORT_BY_BYTES);
+                stream.write_all(&head).await?;
+                let block = vec![b'x'; WRITE_BYTES];
+                let mut left = *bytes;
+                while left > 0 {
+                    let count = left.min(block.len());
+                    stream.write_all(&block[..count]).await?;
+                    left -= count;
+                }
+                Ok(())
+            }
         }
     }
 }
 
+/// The kinds of frames between hosts.
+const GREETING_KIND: u8 = 0;
+const CALL_KIND: u8 = 1;
+
+/// What a frame stops short by, in bytes.
+const SHORT_BY_BYTES: usize = 1024;
+
+/// The length, the kind and the number of a frame with a payload of the given size.
+fn frame_head(kind: u8, payload_bytes: usize) -> Vec<u8> {
+    let number = 1_u64.to_be_bytes();
+    let length = u32::try_from(1 + number.len() + payload_bytes).expect("a short frame");
+    let mut head = length.to_be_bytes().to_vec();
+    head.push(kind);
+    head.extend(number);
+    head
+}
+
+/// The greeting of a host `crowd` in `zone-a` at 127.0.0.1, port 1, in its first incarnation.
+fn greeting_frame() -> Vec<u8> {
+    let identity = b"\x05crowd\x06zone-a\x00\x7f\x00\x00\x01\x01\x01";
+    let mut frame = frame_head(GREETING_KIND, identity.len());
+    frame.extend(identity);
+    frame
+}
+
 async fn write_chunked_head(stream: &mut TcpStream, head: &str) -> io::Result<()> {
     let head = format!("{head}transfer-encoding: chunked\r\n\r\n");
     stream.write_all(head.as_bytes()).await
