Take no slots from items while the requester's zone has free ones

Cause: an online request takes the slot of an item in its own zone rather than a free one in another zone. Whether its zone had a free slot was read from the zone of the cheapest server, which is often another one once speed and memory are weighed. The search now tells whether the zone has a free slot. Without the feature nothing changes.

Test: items_keep_their_slots_while_their_zone_has_free_ones, which failed before.

--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -25,6 +25,15 @@
     Preempted(GrantKey),
 }
 
+/// A server with a free slot.
+#[derive(Clone, Copy, Debug)]
+struct FreeServer {
+    server: ServerKey,
+    /// Whether no item of the requester's zone has to give up its slot, since the zone has a
+    /// free one.
+    needs_no_item: bool,
+}
+
 /// A server as a candidate for a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct SlotCandidate<'a> {
@@ -83,14 +92,14 @@
             return None;
         }
         let free = self.free_server(request, now);
-        let is_same_zone = free.is_some_and(|key| self.is_in_zone(key, &request.zone));
+        let needs_no_item = free.is_some_and(|free| free.needs_no_item);
         let victim = match request.kind {
-            WorkKind::Online if !is_same_zone => self.preemption_victim(request, now),
+            WorkKind::Online if !needs_no_item => self.preemption_victim(request, now),
             WorkKind::Online | WorkKind::Batch => None,
         };
         let victim = victim.filter(|(_, in_zone)| *in_zone || free.is_none());
         let victim = victim.map(|(victim, _)| SlotChoice::Preempted(victim));
-        victim.or(free.map(SlotChoice::Free))
+        victim.or(free.map(|free| SlotChoice::Free(free.server)))
     }
 
     /// The server on which a choice runs the request.
@@ -121,11 +130,12 @@
     }
 
     /// The server with a free slot and the lowest cost.
-    fn free_server(&self, request: &SlotRequest, now: Instant) -> Option<ServerKey> {
+    fn free_server(&self, request: &SlotRequest, now: Instant) -> Option<FreeServer> {
         let pool = self.services.get(&request.service)?;
         let prefixes = prompt_prefixes(&request.prompt);
         let query = self.placement_query(request, &prefixes, now);
         let mut best: Option<(f64, ServerKey)> = None;
+        let mut zone_has_slot = false;
         for key in &pool.servers {
             let Some(entry) = self.servers.get(*key) else {
                 continue;
@@ -134,12 +144,24 @@
             if self.obstacles(&candidate, request, now).next().is_some() {
                 continue;
             }
+            zone_has_slot |= entry.record.check_in.zone == request.zone;
             let cost = self.placement_cost(pool, &candidate, &query);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *key));
             }
         }
-        best.map(|(_, key)| key)
+        let (_, server) = best?;
+        // A server of another zone may be the cheapest one by its speed and its cache although
+        // the zone has free slots.
+        let needs_no_item = if self.weighs_servers(pool) {
+            zone_has_slot
+        } else {
+            self.is_in_zone(server, &request.zone)
+        };
+        Some(FreeServer {
+            server,
+            needs_no_item,
+        })
     }
 
     pub(super) fn placement_query<'a>(
--- a/crates/broker/tests/all/placement.rs
+++ b/crates/broker/tests/all/placement.rs
@@ -2,7 +2,7 @@
 //! their speed and memory.
 
 use crate::support::{
-    BrokerFixture, check_in, granted, plan, requester, run_report, segment, settings,
+    BrokerFixture, check_in, granted, plan, requester, run_report, segment, settings, stopped,
 };
 use chicoryladder_broker::{
     AnswerReport, BrokerEvent, BrokerSettings, ExpectedAnswer, PromptSegment, RunOutcome,
@@ -645,3 +645,21 @@
     }
     assert_eq!(hash, 289_682_869_360_315_742);
 }
+
+/// Pattern: a wave of online requests beside items of jobs. A server of another zone is the
+/// cheapest one by its load although the own zone has free slots. Guards against items that lose
+/// their slots there for nothing, and start again elsewhere.
+#[test]
+fn items_keep_their_slots_while_their_zone_has_free_ones() {
+    let mut fixture = fixture_with(true, &["0"]);
+    for _ in 0..6 {
+        assert_eq!(granted(&fixture.request_batch()).as_deref(), Some("0"));
+    }
+    let other = check_in("1", "b", 1);
+    fixture.broker.check_in(other, fixture.now);
+    for _ in 0..2 {
+        let events = fixture.request_online();
+        assert_eq!(stopped(&events), None);
+        assert_eq!(granted(&events).as_deref(), Some("1"));
+    }
+}
