Count crashes apart whose runs were sent one after the other

Cause: quarantine::requests_that_share_a_crashing_message let nine runs crash engines, where eight may. The ledger counts crashes within 50 ms once, since several servers may lose power together. Crashing requests that come one after the other crash a server each few milliseconds, so that six crashes of three requests counted as two, and the segment was held only at the seventh. The crash of its first trial came within 50 ms of the hold and was taken for that of a run in flight before, so it began no quarantine, and a ninth run was admitted as a second trial.

Change: hosts report the time since a lost run was sent, as a tail of the crash report. Crashes within 50 ms count apart if the runs of each were sent after the crash before. One that does not fit into the sequence makes all within the 50 ms one incident again. A run that was sent since the latest incident of a hold is a trial, however soon it crashes its server. A host that knows a segment only as held also takes over the quarantine that other hosts tell it of; it ignored that, and let one more trial run.

Ruled out as the cause: completed runs that refute a crash, since a host does not know the new incarnation of the server yet.

The test of the quarantine that is taken over failed with that switched off.

Callers saw 9 of their requests crash servers before the others were refused as quarantined.

--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -8,8 +8,8 @@
     BrokerEvent, RequesterId, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 use chicoryladder_policy::quarantine::{
-    Admission, CrashCounts, ProvenRun, QuarantineCause, QuarantinedSegments, RequestTraits,
-    ServerCrash,
+    Admission, CrashCounts, LostRun, ProvenRun, QuarantineCause, QuarantinedSegments,
+    RequestTraits, ServerCrash,
 };
 use chicoryladder_types::{ServerGeneration, ServiceName};
 use std::time::{Duration, Instant};
@@ -18,8 +18,14 @@
     /// Records that a server was lost while it ran a request. Waiting requests that may no
     /// longer run are refused. Returns what counts against the request.
     pub fn record_crash(&mut self, run: &CrashedRun, now: Instant) -> CrashCounts {
-        let (service, traits) = (&run.service, &run.traits);
-        let finding = self.crashes.record_crash(service, &run.crash, traits, now);
+        let service = &run.service;
+        let lost = LostRun {
+            crash: &run.crash,
+            traits: &run.traits,
+            // Entry hosts do not report when they sent the request.
+            sent_at: None,
+        };
+        let finding = self.crashes.record_crash(service, lost, now);
         self.emit_quarantine_changes();
         self.refuse_quarantined(service, now);
         finding.counts
--- a/crates/host/src/online_attempt.rs
+++ b/crates/host/src/online_attempt.rs
@@ -132,7 +132,8 @@
                 Err(failure) => failure,
             };
             if is_server_lost(&failure) && !self.client.is_path_lost(address) {
-                watch.report_crash(crash);
+                let took = self.clock.now().saturating_duration_since(now);
+                watch.report_crash(crash, took);
             }
             verdict = verdict.join(failure.verdict);
             if failure.reason == RetryReason::ConnectFailed && unreachable < UNREACHABLE_SERVERS_MAX
@@ -305,7 +306,10 @@
                     }
                     StreamEnd::Complete => watch.report_answer(),
                     StreamEnd::Truncated if client.is_path_lost(grant.address) => {}
-                    StreamEnd::Truncated => watch.report_crash(possible_crash(&grant)),
+                    StreamEnd::Truncated => {
+                        let took = clock.now().saturating_duration_since(sent_at);
+                        watch.report_crash(possible_crash(&grant), took);
+                    }
                     StreamEnd::Stalled
                     | StreamEnd::Malformed
                     | StreamEnd::Stopped
--- a/crates/host/src/quarantine/report.rs
+++ b/crates/host/src/quarantine/report.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other about runs that matter to the quarantine.
 
 use chicoryladder_policy::quarantine::{RequestTraits, SegmentFingerprint, ServerCrash};
-use chicoryladder_types::ServiceName;
+use chicoryladder_types::{ServiceName, Tail};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -12,6 +12,8 @@
     pub(crate) pool: ServiceName,
     pub(crate) crash: ServerCrash,
     pub(crate) traits: RequestTraits,
+    /// The time since the request was sent; `None` from hosts of earlier builds.
+    pub(crate) took: Tail<Option<Duration>>,
 }
 
 /// A request that a server processed to its end.
--- a/crates/host/src/quarantine/task.rs
+++ b/crates/host/src/quarantine/task.rs
@@ -4,7 +4,7 @@
 use super::report::{CompletionReport, CrashReport};
 use crate::peers::{PeerDirectory, PeerMessage};
 use chicoryladder_policy::quarantine::{
-    CrashLedger, CrashReport as TableReport, ProvenRun, QuarantineCause, QuarantineTable,
+    CrashLedger, CrashReport as TableReport, LostRun, ProvenRun, QuarantineCause, QuarantineTable,
     RequestFingerprint, RequestTraits, SegmentStatus, ServerCrash, SuspectStatus, SuspectUpdate,
 };
 use chicoryladder_types::ServiceName;
@@ -143,8 +143,14 @@
             pool,
             crash,
             traits,
+            took,
         } = report;
-        let finding = self.ledger.record_crash(pool, crash, traits, now);
+        let run = LostRun {
+            crash,
+            traits,
+            sent_at: took.0.and_then(|took| now.checked_sub(took)),
+        };
+        let finding = self.ledger.record_crash(pool, run, now);
         self.clear_exonerated(&finding.exonerated, now);
     }
 
--- a/crates/host/src/quarantine/watch.rs
+++ b/crates/host/src/quarantine/watch.rs
@@ -4,8 +4,8 @@
 use super::{QuarantineHandle, RunAdmission, TrialGuard};
 use crate::limits::LimitHandle;
 use chicoryladder_policy::quarantine::{QuarantineCause, RequestTraits, ServerCrash};
-use chicoryladder_types::ServiceName;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{ServiceName, Tail};
 use std::time::{Duration, Instant};
 
 /// The time for which a permit is held after the trial has crashed its server, so
@@ -124,13 +124,14 @@
         self.report_answer();
     }
 
-    /// Reports that the server was lost during the attempt.
-    pub(crate) fn report_crash(&mut self, crash: ServerCrash) {
+    /// Reports that the server was lost during the attempt, `took` after the request was sent.
+    pub(crate) fn report_crash(&mut self, crash: ServerCrash, took: Duration) {
         let WatchedRequest { id, pool, traits } = self.request.clone();
         let report = CrashReport {
             pool,
             crash,
             traits,
+            took: Tail(Some(took)),
         };
         self.quarantine.report_crash(id, report);
         if let Some(trial) = self.trial.take() {
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -49,6 +49,17 @@
     pub segments: Vec<SegmentFingerprint>,
 }
 
+/// A run that was in flight on a server that was lost.
+#[derive(Clone, Copy, Debug)]
+pub struct LostRun<'a> {
+    /// The server and its incarnation.
+    pub crash: &'a ServerCrash,
+    /// The request.
+    pub traits: &'a RequestTraits,
+    /// When the request was sent to the server; `None` if that is not known.
+    pub sent_at: Option<Instant>,
+}
+
 /// A run that did not crash its server.
 #[derive(Clone, Copy, Debug)]
 pub struct ProvenRun<'a> {
@@ -331,10 +342,10 @@
     pub fn record_crash(
         &mut self,
         service: &ServiceName,
-        crash: &ServerCrash,
-        traits: &RequestTraits,
+        run: LostRun<'_>,
         now: Instant,
     ) -> CrashFinding {
+        let LostRun { crash, traits, .. } = run;
         let ledger = self.services.entry(service.clone()).or_default();
         ledger.evidence.expire(now);
         let explaining = ledger
@@ -344,18 +355,18 @@
         let counts;
         let mut exonerated = Vec::new();
         if let Some(hold) = explaining {
-            let is_new = hold.record_crash(crash, now);
+            let is_new = hold.record_crash(run, now);
             if is_new {
                 let change = hold.change(service, QuarantineStep::Quarantined, now);
                 self.changes.push(change);
                 self.version += 1;
             }
             let segments = hold.segments.clone();
-            ledger.evidence.record(crash, traits, now);
+            ledger.evidence.record(run, now);
             counts = ledger.evidence.counts(traits);
             exonerated = ledger.evidence.explain(crash, &segments);
         } else {
-            let is_counted = ledger.evidence.record(crash, traits, now);
+            let is_counted = ledger.evidence.record(run, now);
             counts = ledger.evidence.counts(traits);
             if !is_counted {
                 // The cause of the crash is known; what it shares with this run is not new.
@@ -465,18 +476,19 @@
         quarantined.collect()
     }
 
-    /// Takes over what another host has in quarantine.
+    /// Takes over what another host has in quarantine, also where the segments are only held
+    /// here: a trial crashed a server, although its report may be lost or late.
     pub fn restore(&mut self, quarantined: &[QuarantinedSegments], now: Instant) {
-        for entry in quarantined {
+        for entry in quarantined.iter().filter(|e| !e.segments.is_empty()) {
             let ledger = self.services.entry(entry.service.clone()).or_default();
-            let is_known = ledger
-                .holds
-                .iter()
-                .any(|hold| hold.segments == entry.segments);
-            if !is_known && !entry.segments.is_empty() {
+            let mut holds = ledger.holds.iter_mut();
+            let known = holds.find(|hold| hold.segments == entry.segments);
+            let is_changed = known.map(|hold| hold.restore(entry.left, now));
+            let is_changed = is_changed.unwrap_or_else(|| {
                 ledger.add_hold(SegmentHold::restored(entry, now));
-                self.version += 1;
-            }
+                true
+            });
+            self.version += u64::from(is_changed);
         }
     }
 
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -6,7 +6,9 @@
 pub(super) use standing::RequestStanding;
 
 use super::hold::SegmentHold;
-use super::{CrashCounts, ProvenRun, RequestTraits, SegmentCrashCount, SegmentFingerprint};
+use super::{
+    CrashCounts, LostRun, ProvenRun, RequestTraits, SegmentCrashCount, SegmentFingerprint,
+};
 use crate::quarantine::{RequestFingerprint, ServerCrash};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -15,7 +17,9 @@
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(60);
 
 /// Crashes of several servers within this time count once against a segment: they may have a
-/// common cause, such as a loss of power.
+/// common cause, such as a loss of power. They count apart if all their runs with the segment are
+/// known to have been sent after the crash before: requests that come one after the other may
+/// each crash a server within milliseconds.
 pub(super) const INCIDENT_LENGTH: Duration = Duration::from_millis(50);
 
 /// The maximum number of crashes that are kept; the oldest are dropped first.
@@ -79,8 +83,17 @@
     is_explained: bool,
 }
 
-/// The crashes of one segment, with a request that was in flight at each.
-type SegmentCrashes = BTreeMap<ServerCrash, RequestFingerprint>;
+/// The runs with a segment that a crash ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SegmentLoss {
+    /// One of their requests.
+    request: RequestFingerprint,
+    /// When the first of them was sent; `None` if that is not known of all.
+    sent_at: Option<Instant>,
+}
+
+/// The crashes of one segment.
+type SegmentCrashes = BTreeMap<ServerCrash, SegmentLoss>;
 
 /// The evidence of one service.
 #[derive(Debug, Default)]
@@ -101,12 +114,8 @@
 impl CrashEvidence {
     /// Records a crash for one of the runs that were in flight. Returns whether it counts
     /// against the run: the cause may be known already.
-    pub(super) fn record(
-        &mut self,
-        crash: &ServerCrash,
-        traits: &RequestTraits,
-        now: Instant,
-    ) -> bool {
+    pub(super) fn record(&mut self, run: LostRun<'_>, now: Instant) -> bool {
+        let LostRun { crash, traits, .. } = run;
         self.rotate_counts(now);
         if !self.crashes.contains_key(crash) {
             self.undecided.push_back(crash.clone());
@@ -135,7 +144,12 @@
         crashes.insert(crash.clone());
         for segment in &traits.segments {
             let crashes = self.segments.entry(*segment).or_default();
-            crashes.insert(crash.clone(), traits.request);
+            let sent_at = match crashes.get(crash) {
+                Some(loss) => loss.sent_at.min(run.sent_at),
+                None => run.sent_at,
+            };
+            let request = traits.request;
+            crashes.insert(crash.clone(), SegmentLoss { request, sent_at });
         }
         true
     }
@@ -200,27 +214,40 @@
     }
 
     /// The number of crashes that count against a segment. Crashes under the same request,
-    /// and those within [`INCIDENT_LENGTH`], count once.
+    /// and those that may have a common cause, count once.
     fn crash_count(&self, segment: SegmentFingerprint) -> usize {
         let Some(crashes) = self.segments.get(&segment) else {
             return 0;
         };
-        let requests: HashSet<&RequestFingerprint> = crashes.values().collect();
-        requests.len().min(self.incidents(crashes.keys()))
+        let requests: HashSet<RequestFingerprint> =
+            crashes.values().map(|loss| loss.request).collect();
+        let losses = crashes.iter().map(|(crash, loss)| (crash, loss.sent_at));
+        requests.len().min(self.incidents(losses))
     }
 
-    /// The number of crashes, counting those within [`INCIDENT_LENGTH`] once.
-    fn incidents<'a>(&self, crashes: impl Iterator<Item = &'a ServerCrash>) -> usize {
-        let records = crashes.filter_map(|crash| self.crashes.get(crash));
-        let mut times: Vec<Instant> = records.map(|record| record.at).collect();
+    /// The number of crashes, counting those once that may have a common cause: those within
+    /// [`INCIDENT_LENGTH`], unless the runs of each were sent after the crash before. Takes the
+    /// crashes with the time at which the first run was sent, if that is known.
+    fn incidents<'a>(
+        &self,
+        losses: impl Iterator<Item = (&'a ServerCrash, Option<Instant>)>,
+    ) -> usize {
+        let times = losses.filter_map(|(crash, sent_at)| {
+            let record = self.crashes.get(crash)?;
+            Some((record.at, sent_at))
+        });
+        let mut times: Vec<(Instant, Option<Instant>)> = times.collect();
         times.sort_unstable();
         let mut incidents = 0;
-        let mut ends_at = None;
-        for at in times {
-            if ends_at.is_none_or(|ends_at| at >= ends_at) {
-                incidents += 1;
-                ends_at = Some(at + INCIDENT_LENGTH);
-            }
+        let mut rest = times.as_slice();
+        while let Some((began_at, _)) = rest.first() {
+            let ends_at = *began_at + INCIDENT_LENGTH;
+            let (close, later) = rest.split_at(rest.partition_point(|(at, _)| *at < ends_at));
+            let is_sequence = close
+                .windows(2)
+                .all(|pair| pair[1].1.is_some_and(|sent_at| sent_at >= pair[0].0));
+            incidents += if is_sequence { close.len() } else { 1 };
+            rest = later;
         }
         incidents
     }
--- a/crates/policy/src/quarantine/ledger/evidence/standing.rs
+++ b/crates/policy/src/quarantine/ledger/evidence/standing.rs
@@ -35,7 +35,8 @@
             return RequestStanding::Clear;
         };
         let suffice = if self.has_other_cause(request, crashes) {
-            self.incidents(crashes.iter()) >= REQUEST_CRASHES_MAX
+            let crashes = crashes.iter().map(|crash| (crash, None));
+            self.incidents(crashes) >= REQUEST_CRASHES_MAX
         } else {
             let loss_rate = self.loss_rate_without(crashes.iter());
             let required = required_crashes(REQUEST_CRASHES, loss_rate);
--- a/crates/policy/src/quarantine/ledger/hold.rs
+++ b/crates/policy/src/quarantine/ledger/hold.rs
@@ -1,7 +1,7 @@
 //! The hold of a segment: trials first, then quarantine.
 
 use super::evidence::INCIDENT_LENGTH;
-use super::{QuarantineChange, QuarantineStep, QuarantinedSegments, SegmentFingerprint};
+use super::{LostRun, QuarantineChange, QuarantineStep, QuarantinedSegments, SegmentFingerprint};
 use crate::quarantine::ServerCrash;
 use chicoryladder_types::ServiceName;
 use std::collections::BTreeSet;
@@ -106,11 +106,24 @@
         self.next_trial_at = now + TRIAL_INTERVAL;
     }
 
+    /// Takes over the quarantine of another host, unless there is one here. Returns whether it
+    /// did.
+    pub(super) fn restore(&mut self, left: Duration, now: Instant) -> bool {
+        let is_due = self.quarantine_left(now).is_none() && !left.is_zero();
+        if is_due {
+            self.quarantined_until = now + left;
+            self.quarantines = self.quarantines.max(1);
+        }
+        is_due
+    }
+
     /// Records another crash. Returns whether it begins a quarantine: runs that were in
-    /// flight before do not prolong one.
-    pub(super) fn record_crash(&mut self, crash: &ServerCrash, now: Instant) -> bool {
-        let is_new = self.crashes.insert(crash.clone());
-        if !is_new || now < self.incident_at + INCIDENT_LENGTH {
+    /// flight before do not prolong one. A run that was sent since the latest incident is a
+    /// trial, however soon it crashes its server.
+    pub(super) fn record_crash(&mut self, run: LostRun<'_>, now: Instant) -> bool {
+        let is_new = self.crashes.insert(run.crash.clone());
+        let is_trial = run.sent_at.is_some_and(|at| at >= self.incident_at);
+        if !is_new || (!is_trial && now < self.incident_at + INCIDENT_LENGTH) {
             return false;
         }
         self.incident_at = now;
