Tell a new leader the crashes that its predecessor counted

Cause: a leader of the control group counts the crashes of requests and segments in its memory. Only segments in quarantine were told to the next one, so each new leader let a request crash two more servers, also one that was refused for a minute already.

Change: the reply to a sync lists the crashes that count but led to no quarantine of segments, with the runs, at most 64 of them. Hosts keep the latest list and what they reported since, and tell both to a new leader with the ages of the crashes, as they do with segments in quarantine. So a crash that a host reports while it knows no leader counts, too. A run counts once for a crash, however many hosts tell it. What completed under the old leader is not in its list, and what completed under the new one is left out when late hosts tell it; a host that had no contact for five seconds tells nothing older. Both fields are tails: hosts and leaders of the previous build neither send nor read them, and go on as before.

Callers saw 502 for a request that crashed servers under each new leader and was refused in between.

--- a/crates/broker/src/grants.rs
+++ b/crates/broker/src/grants.rs
@@ -2,7 +2,7 @@
 
 use crate::placement::ServerExpectation;
 use crate::request::{RequesterId, WorkKind};
-use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
+use chicoryladder_policy::quarantine::{OpenCrash, RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServerLoad, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -80,6 +80,18 @@
     pub traits: RequestTraits,
 }
 
+impl From<&CrashedRun> for OpenCrash {
+    /// The crash of this run alone, as just reported.
+    fn from(run: &CrashedRun) -> Self {
+        Self {
+            service: run.service.clone(),
+            crash: run.crash.clone(),
+            age: Duration::ZERO,
+            runs: vec![run.traits.clone()],
+        }
+    }
+}
+
 /// An active run of a requester.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ActiveRun {
--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -8,7 +8,7 @@
     BrokerEvent, RequesterId, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 use chicoryladder_policy::quarantine::{
-    Admission, CrashCounts, LostRun, ProvenRun, QuarantineCause, QuarantinedSegments,
+    Admission, CrashCounts, LostRun, OpenCrash, ProvenRun, QuarantineCause, QuarantinedSegments,
     RequestTraits, ServerCrash,
 };
 use chicoryladder_types::{ServerGeneration, ServiceName};
@@ -172,6 +172,18 @@
         self.crashes.restore(quarantined, now);
     }
 
+    /// The crashes that led to no quarantine of segments yet, for the broker that follows.
+    #[must_use]
+    pub fn open_crashes(&self, now: Instant) -> Vec<OpenCrash> {
+        self.crashes.open_crashes(now)
+    }
+
+    /// Takes over the crashes that led to no quarantine at an earlier broker. What it had in
+    /// quarantine is to be restored first.
+    pub fn restore_crashes(&mut self, open: &[OpenCrash], now: Instant) {
+        self.crashes.restore_crashes(open, now);
+    }
+
     fn emit_quarantine_changes(&mut self) {
         let changes = self.crashes.take_changes();
         let events = changes.into_iter().map(BrokerEvent::Quarantine);
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -873,3 +873,114 @@
     let events = fixture.submit(crashing);
     assert_eq!(granted(&events), None, "{events:?}");
 }
+
+/// A broker that follows another one, with what `hosts` hosts tell it of open crashes.
+fn successor(before: &BrokerFixture, hosts: usize) -> BrokerFixture {
+    let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+    let quarantined = before.broker.quarantined_segments(before.now);
+    let open = before.broker.open_crashes(before.now);
+    fixture.now = before.now;
+    for number in 0..SERVERS {
+        let zone = ZONES[number % ZONES.len()];
+        let check_in = check_in(&format!("s{number}"), zone, 2);
+        fixture.broker.check_in(check_in, fixture.now);
+    }
+    for _ in 0..hosts {
+        fixture.broker.restore_quarantine(&quarantined, fixture.now);
+        fixture.broker.restore_crashes(&open, fixture.now);
+    }
+    fixture.next_ticket = before.next_ticket;
+    fixture
+}
+
+/// Pattern: the leader changes after each run of a request that crashes its servers, or of
+/// requests that share a crashing segment. Guards against counts that are lost with a leader, so
+/// that each one lets them crash two more servers, and against counts that grow as several hosts
+/// report the same crash.
+#[test]
+fn crashes_count_across_changes_of_the_leader() {
+    for shares_segment in [false, true] {
+        let mut fixture = BrokerFixture::with_servers(SERVERS, &ZONES);
+        let mut runs = 0;
+        for number in 0..10 {
+            let mut crashing = request_with(&mut fixture, CRASHING);
+            if !shares_segment {
+                crashing.fingerprint = fingerprint(1_000);
+                crashing.prompt.clear();
+            }
+            if granted(&fixture.submit(crashing.clone())).is_some() {
+                runs += 1;
+                let crashed = crashed_run(&crashing, &format!("gone-{number}"));
+                fixture
+                    .broker
+                    .record_crash_after(&crashed, Some(CRASH_AFTER), fixture.now);
+                fixture.release(crashing.ticket, RunOutcome::Failed);
+            }
+            fixture.tick(Duration::from_millis(700));
+            fixture = successor(&fixture, 5);
+            fixture.tick(STEP);
+        }
+        let runs_max = if shares_segment { 5 } else { 2 };
+        assert!(runs <= runs_max, "{shares_segment}: {runs} runs");
+    }
+}
+
+/// Pattern: sound requests in the same words lose a server under one leader and another one under
+/// the next, and complete in between. Guards against their quarantine by the reports of hosts
+/// that do not know of the completed run.
+#[test]
+fn what_completed_since_is_not_held_against_a_request_by_late_reports() {
+    let mut earlier = BrokerFixture::with_servers(SERVERS, &ZONES);
+    let sound = request_with(&mut earlier, SOUND);
+    for number in 0..2 {
+        let crashed = crashed_run(&sound, &format!("gone-{number}"));
+        earlier.broker.record_crash(&crashed, earlier.now);
+        earlier.now += Duration::from_millis(300);
+    }
+    let open = earlier.broker.open_crashes(earlier.now);
+    assert_eq!(open.len(), 2);
+    let mut fixture = successor(&earlier, 0);
+    fixture.submit(sound.clone());
+    fixture.report(&RunReport {
+        completed: ProvenWork::Requested,
+        ..run_report(sound.ticket, RunOutcome::Served)
+    });
+    fixture.broker.restore_crashes(&open, fixture.now);
+    fixture.tick(Duration::from_millis(100));
+    let again = SlotRequest {
+        ticket: sound.ticket + 1,
+        ..sound
+    };
+    let events = fixture.submit(again);
+    assert!(granted(&events).is_some(), "{events:?}");
+}
+
+/// Pattern: requests with a crashing segment end servers under one leader, where sound requests
+/// complete in between, and servers end under sound requests under the next one. Guards against a
+/// hold of the segment that all share: what completed before does not count against it.
+#[test]
+fn segments_that_completed_under_an_earlier_leader_are_not_held_by_the_next() {
+    let mut earlier = BrokerFixture::with_servers(SERVERS, &ZONES);
+    for number in 0..2 {
+        let crashing = request_with(&mut earlier, CRASHING);
+        let crashed = crashed_run(&crashing, &format!("gone-{number}"));
+        earlier.broker.record_crash(&crashed, earlier.now);
+        let sound = request_with(&mut earlier, SOUND);
+        earlier.submit(sound.clone());
+        earlier.report(&RunReport {
+            completed: ProvenWork::Requested,
+            ..run_report(sound.ticket, RunOutcome::Served)
+        });
+        earlier.tick(Duration::from_millis(300));
+    }
+    let mut fixture = successor(&earlier, 3);
+    for number in 2..4 {
+        let lost = request_with(&mut fixture, SOUND);
+        let crashed = crashed_run(&lost, &format!("gone-{number}"));
+        fixture.broker.record_crash(&crashed, fixture.now);
+        fixture.tick(Duration::from_millis(300));
+    }
+    let sound = request_with(&mut fixture, SOUND);
+    let events = fixture.submit(sound);
+    assert!(granted(&events).is_some(), "{events:?}");
+}
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -19,9 +19,9 @@
 
 pub use fingerprint::RequestFingerprint;
 pub use ledger::{
-    Admission, CrashCounts, CrashDecisions, CrashFinding, CrashLedger, LostRun, ProvenRun,
-    QuarantineCause, QuarantineChange, QuarantineStep, QuarantinedSegments, RequestTraits,
-    SegmentCrashCount, SegmentFingerprint, SegmentStatus,
+    Admission, CrashCounts, CrashDecisions, CrashFinding, CrashLedger, LostRun, OpenCrash,
+    ProvenRun, QuarantineCause, QuarantineChange, QuarantineStep, QuarantinedSegments,
+    RequestTraits, SegmentCrashCount, SegmentFingerprint, SegmentStatus,
 };
 pub use table::{CrashReport, QuarantineTable, ServerCrash, SuspectStatus, SuspectUpdate};
 pub use trial::{TrialCoordinator, TrialDecision};
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -30,6 +30,10 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::{Duration, Instant};
 
+/// The maximum number of runs of open crashes that are told to other hosts: some kilobytes in
+/// each sync, and only for a minute after servers crashed.
+const OPEN_RUNS_MAX: usize = 64;
+
 /// Identifies the text of a prompt segment, whatever segments precede it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct SegmentFingerprint(pub u64);
@@ -225,6 +229,19 @@
     }
 }
 
+/// A crash that led to no quarantine of segments yet, as told to other hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenCrash {
+    /// The service of the server.
+    pub service: ServiceName,
+    /// The server and its incarnation.
+    pub crash: ServerCrash,
+    /// The time since the crash became known.
+    pub age: Duration,
+    /// The runs that it counts against.
+    pub runs: Vec<RequestTraits>,
+}
+
 #[derive(Debug, Default)]
 struct ServiceLedger {
     evidence: CrashEvidence,
@@ -499,6 +516,32 @@
         }
     }
 
+    /// The crashes that led to no quarantine of segments yet, for the host that leads next: those
+    /// with the fewest runs first, which tell most, up to [`OPEN_RUNS_MAX`] runs.
+    #[must_use]
+    pub fn open_crashes(&self, now: Instant) -> Vec<OpenCrash> {
+        let services = self.services.iter();
+        let mut open: Vec<OpenCrash> = services
+            .flat_map(|(service, ledger)| ledger.evidence.open_crashes(service, &ledger.holds, now))
+            .collect();
+        open.sort_by_key(|crash| (crash.runs.len(), crash.age));
+        let mut runs = 0;
+        let fits = |crash: &OpenCrash| {
+            runs += crash.runs.len();
+            runs <= OPEN_RUNS_MAX
+        };
+        open.into_iter().take_while(fits).collect()
+    }
+
+    /// Takes over crashes that other hosts know of. Each run counts once for a crash, however
+    /// often it is reported.
+    pub fn restore_crashes(&mut self, open: &[OpenCrash], now: Instant) {
+        for crash in open {
+            let ledger = self.services.entry(crash.service.clone()).or_default();
+            ledger.evidence.restore(crash, &ledger.holds, now);
+        }
+    }
+
     /// Counts the changes of the segments in quarantine.
     #[must_use]
     pub fn version(&self) -> u64 {
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -1,6 +1,7 @@
 //! The crashes of a service's servers, and the completed runs that speak against them.
 
 mod conclusion;
+mod handover;
 mod standing;
 
 pub(super) use standing::RequestStanding;
@@ -108,6 +109,8 @@
     requests: HashMap<RequestFingerprint, BTreeSet<ServerCrash>>,
     segments: HashMap<SegmentFingerprint, SegmentCrashes>,
     completions: RecentCounts<HashMap<SegmentFingerprint, u32>>,
+    /// The requests that were proven harmless recently.
+    proven: RecentCounts<HashSet<RequestFingerprint>>,
     all_completions: RecentCounts<usize>,
     /// The crashes that others of their runs may still be reported for.
     undecided: VecDeque<ServerCrash>,
@@ -149,11 +152,7 @@
         if !self.crashes.contains_key(crash) {
             self.undecided.push_back(crash.clone());
             self.order.push_back(crash.clone());
-            if self.order.len() > CRASHES_MAX
-                && let Some(oldest) = self.order.pop_front()
-            {
-                self.forget(&oldest);
-            }
+            self.drop_excess();
         }
         let entry = self.crashes.entry(crash.clone());
         let record = entry.or_insert_with(|| CrashRecord {
@@ -184,8 +183,18 @@
         true
     }
 
+    /// Drops the oldest crash if there are too many.
+    fn drop_excess(&mut self) {
+        if self.order.len() > CRASHES_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.forget(&oldest);
+        }
+    }
+
     fn rotate_counts(&mut self, now: Instant) {
         self.completions.rotate(COMPLETIONS_INTERVAL, now);
+        self.proven.rotate(COMPLETIONS_INTERVAL, now);
         self.all_completions.rotate(ALL_COMPLETIONS_INTERVAL, now);
     }
 
@@ -315,6 +324,9 @@
     pub(super) fn clear(&mut self, run: ProvenRun<'_>) {
         if let Some(request) = run.request {
             self.requests.remove(&request);
+            if self.proven.current.len() < COUNTED_SEGMENTS_MAX {
+                self.proven.current.insert(request);
+            }
         }
         for segment in run.segments {
             self.segments.remove(segment);
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -20,9 +20,9 @@
 };
 use chicoryladder_group::{MembershipRepair, spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
-use chicoryladder_policy::quarantine::{QuarantineChange, QuarantinedSegments};
+use chicoryladder_policy::quarantine::{OpenCrash, QuarantineChange, QuarantinedSegments};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{SeatId, TermNumber};
+use chicoryladder_types::{SeatId, Tail, TermNumber};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -62,6 +62,8 @@
     computed_at: Option<Instant>,
     control_hosts: Vec<SocketAddr>,
     store: StoreView,
+    /// The crashes that led to no quarantine of segments yet.
+    crashes: Vec<OpenCrash>,
 }
 
 /// The time for which a directory is sent unchanged, for each server in it. A large
@@ -135,6 +137,7 @@
     pub(crate) servers: Arc<Vec<ServerCheckIn>>,
     pub(crate) entry_hosts: Vec<RosterMember>,
     pub(crate) quarantined: Vec<QuarantinedSegments>,
+    pub(crate) crashes: Vec<OpenCrash>,
 }
 
 /// A host that reports to the leader.
@@ -283,6 +286,7 @@
             self.broker.mark_leaving(name, Some(*incarnation));
         }
         self.broker.restore_quarantine(&earlier.quarantined, now);
+        self.broker.restore_crashes(&earlier.crashes, now);
         self.roster = EntryRoster::new(self.roster_settings);
         self.roster.restore(&earlier.entry_hosts, now);
         self.holders_of = (0, PlanVersion::default());
@@ -520,6 +524,7 @@
         self.directory.refresh(&self.broker, now);
         self.record_host(request, now);
         self.broker.restore_quarantine(&request.quarantined, now);
+        self.broker.restore_crashes(&request.crashes.0, now);
         self.broker
             .reconcile(&request.requester, &request.active, now);
         let term = self.term.unwrap_or_default().0;
@@ -536,6 +541,7 @@
         let plan = self.encoded.clone().filter(|_| is_outdated);
         let views = self.views(members, now);
         let (hosts, store) = (views.control_hosts.clone(), views.store.clone());
+        let crashes = Tail(views.crashes.clone());
         SyncAnswer {
             hosts,
             plan,
@@ -545,6 +551,7 @@
             quarantine: self.quarantine_update(request, now),
             tunnel_hosts: self.tunnel_hosts(request, now),
             store,
+            crashes,
         }
     }
 
@@ -562,6 +569,7 @@
                 computed_at: Some(now),
                 control_hosts,
                 store: self.store_view(now),
+                crashes: self.broker.open_crashes(now),
             };
         }
         &self.views
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -4,6 +4,7 @@
 //! view is as fresh as the moment at which its sync request was sent, since the leader
 //! held its lease after that. A view never goes back to an older state.
 
+use crate::crash_reports::CrashReports;
 use crate::leader_client::LeaderClient;
 use crate::message::{
     Call, ControlAnswer, ControlCall, Encoded, HostRole, QuarantineUpdate, ReserveAnswer,
@@ -16,9 +17,9 @@
     ServerCheckIn, VERSION_NOTICE, VersionList, ZoneRoster,
 };
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
-use chicoryladder_policy::quarantine::{QuarantinedSegments, SegmentFingerprint};
+use chicoryladder_policy::quarantine::{OpenCrash, QuarantinedSegments, SegmentFingerprint};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ServiceName, SoftwareVersion};
+use chicoryladder_types::{ServiceName, SoftwareVersion, Tail};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -123,6 +124,7 @@
     versions: Option<Arc<VersionList>>,
     reserves: ReserveState,
     quarantine: QuarantineState,
+    crashes: CrashReports,
     /// The entry hosts that offer tunnels, and when the list was received.
     tunnel_hosts: Option<(Instant, Vec<RosterMember>)>,
     store: StoreView,
@@ -257,6 +259,16 @@
         self.state().quarantine.current(now)
     }
 
+    /// The crashes that led to no quarantine of segments yet, as far as this host knows.
+    pub(crate) fn open_crashes(&self, now: Instant) -> Vec<OpenCrash> {
+        self.state().crashes.current(now)
+    }
+
+    /// Keeps a crash that this host reports, for the case that the leader changes.
+    pub(crate) fn record_crash(&self, crash: OpenCrash, has_leader: bool, now: Instant) {
+        self.state().crashes.record(crash, has_leader, now);
+    }
+
     /// The quarantine of a request with these prompt segments, if it is in one.
     pub(crate) fn quarantine_of(
         &self,
@@ -344,6 +356,7 @@
             quarantined: state.quarantine.unreported.clone(),
             tunnels: (reporter.tunnels)(now),
             store,
+            crashes: Tail(state.crashes.unreported(now)),
         }
     }
 
@@ -384,6 +397,12 @@
         if let Some(update) = reply.roster {
             state.reserves.apply(update, own_address);
         }
+        // The number of a new leader's quarantine differs by its term.
+        let number = reply.quarantine.as_ref().map(|update| update.number);
+        let is_new_leader = number.is_some_and(|number| number.0 != state.quarantine.number.0);
+        state
+            .crashes
+            .apply(reply.crashes.0, is_new_leader, sent_at, now);
         // The leader has them by now.
         state.quarantine.unreported.clear();
         if let Some(update) = reply.quarantine {
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -12,6 +12,7 @@
 mod bootstrap;
 mod connection_pool;
 mod control;
+mod crash_reports;
 mod entry;
 mod event_log;
 mod event_stream;
@@ -37,6 +38,7 @@
     ControlFailure, ControlHost, ControlMachine, ControlPort, ControlService, ServerHint,
     ZoneDrain, ZoneDrainStep,
 };
+pub use crash_reports::CrashReports;
 pub use entry::EntryHost;
 pub use event_log::{EventLog, EventPriority};
 pub use event_stream::{EventParser, EventSequencer, SequenceFault, StreamEvent};
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -11,7 +11,7 @@
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
 use chicoryladder_plan::{PlanVersion, RawPlan};
-use chicoryladder_policy::quarantine::QuarantinedSegments;
+use chicoryladder_policy::quarantine::{OpenCrash, QuarantinedSegments};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{AreaName, SeatId, Tail};
 use serde::de::DeserializeOwned;
@@ -221,6 +221,9 @@
     pub(crate) quarantined: Vec<QuarantinedSegments>,
     pub(crate) tunnels: TunnelReport,
     pub(crate) store: Option<StoreReport>,
+    /// The crashes that the leader before knew of or that this host could not report, if this
+    /// leader may not know them.
+    pub(crate) crashes: Tail<Vec<OpenCrash>>,
 }
 
 /// What a host offers and needs to reach servers through tunnels.
@@ -263,6 +266,8 @@
     /// Some entry hosts that offer tunnels, if the host needs them.
     pub(crate) tunnel_hosts: Option<Vec<RosterMember>>,
     pub(crate) store: StoreView,
+    /// The crashes that led to no quarantine of segments yet.
+    pub(crate) crashes: Tail<Vec<OpenCrash>>,
 }
 
 /// A value that is encoded once for all hosts to which it goes. A large plan or directory
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -20,7 +20,7 @@
 };
 use chicoryladder_dialer::HostFilter;
 use chicoryladder_plan::{PlanVersion, ServicePlan};
-use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
+use chicoryladder_policy::quarantine::{OpenCrash, RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{
     AreaName, ServerGeneration, ServerLoad, ServiceName, SoftwareVersion, Tail,
@@ -685,6 +685,11 @@
         crashed: Option<(Box<CrashedRun>, Duration)>,
     ) {
         self.runs().remove(&report.ticket);
+        if let Some((run, _)) = &crashed {
+            let now = self.shared.base.clock.now();
+            let view = &self.shared.view;
+            view.record_crash(OpenCrash::from(run.as_ref()), leader.is_some(), now);
+        }
         let Some(leader) = leader else {
             // The next sync no longer lists the run, from which the broker learns of its
             // end.
