Test that crash reports and sync replies are read across builds

The tails of the last commits have to be ignored by hosts of the previous build and to default where they send none.

--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -449,8 +449,8 @@
 mod tests {
     use super::*;
     use chicoryladder_broker::{ProvenWork, RunOutcome, WorkKind};
-    use chicoryladder_policy::quarantine::RequestFingerprint;
-    use chicoryladder_types::{RouteName, ServiceName};
+    use chicoryladder_policy::quarantine::{RequestFingerprint, ServerCrash};
+    use chicoryladder_types::{RouteName, ServerGeneration, ServiceName};
 
     /// The notices of the build before stated work, up to the release of a slot.
     #[derive(Debug, Serialize, Deserialize)]
@@ -566,4 +566,38 @@
         assert_eq!(later.homes, Tail(None));
         assert_eq!(later.slot_request, call.slot_request);
     }
+    /// Guards against hosts that get no view during an upgrade, since replies of leaders of the
+    /// other build are not understood.
+    #[test]
+    fn replies_to_syncs_are_read_by_and_from_earlier_builds() {
+        let reply = |crashes| SyncAnswer {
+            hosts: Vec::new(),
+            plan: None,
+            directory: None,
+            reserves: Vec::new(),
+            roster: None,
+            quarantine: None,
+            tunnel_hosts: None,
+            store: StoreView::default(),
+            crashes: Tail(crashes),
+        };
+        let bytes = postcard::to_stdvec(&reply(Vec::new())).expect("it encodes");
+        // An earlier build writes all but the length of the list, which is the last byte.
+        let earlier = &bytes[..bytes.len() - 1];
+        let read: SyncAnswer = postcard::from_bytes(earlier).expect("it decodes");
+        assert_eq!(read.crashes, Tail(Vec::new()));
+        let crash = OpenCrash {
+            service: ServiceName::try_from("engine").expect("it is valid"),
+            crash: ServerCrash {
+                server: ServerName::try_from("i-1").expect("it is valid"),
+                generation: ServerGeneration(3),
+            },
+            age: Duration::from_secs(2),
+            runs: Vec::new(),
+        };
+        let bytes = postcard::to_stdvec(&reply(vec![crash.clone()])).expect("it encodes");
+        assert!(bytes.starts_with(earlier));
+        let read: SyncAnswer = postcard::from_bytes(&bytes).expect("it decodes");
+        assert_eq!(read.crashes, Tail(vec![crash]));
+    }
 }
