Tell the leader which suspects completed without a slot that it knows

The trace: a restart counted against a request in the words of many callers under one leader, and the next leader, which was told of it, counted another restart 60 ms after its begin. The runs that completed in the second between had been granted by the leader before, or without any, so their reports cleared nothing, while reports of crashes count without a slot.

Change: a host that completes a run against which it knows crashes drops them, and tells the run with its next sync, as a tail. The leader clears the request and its segments. Crashes are told one sync later, and the new leader no longer takes them from its own last view at once.

Failed before: runs_without_a_known_slot_speak_for_a_request, with the clearing switched off.

Not mended: the same trace had a second cause, two restarts under one leader 2.7 s apart, between which no run of the request completed as servers were silent.

Callers saw sound requests refused as quarantined for up to a minute.

--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -184,6 +184,14 @@
         self.crashes.restore_crashes(open, now);
     }
 
+    /// Records a completed run whose slot this broker may not know, as an earlier one granted it
+    /// or none did.
+    pub fn record_proven(&mut self, service: &ServiceName, traits: &RequestTraits, now: Instant) {
+        self.crashes
+            .record_progress(service, traits.proven_run(), now);
+        self.emit_quarantine_changes();
+    }
+
     fn emit_quarantine_changes(&mut self) {
         let changes = self.crashes.take_changes();
         let events = changes.into_iter().map(BrokerEvent::Quarantine);
--- a/crates/broker/tests/all/crashing_segments.rs
+++ b/crates/broker/tests/all/crashing_segments.rs
@@ -984,3 +984,25 @@
     let events = fixture.submit(sound);
     assert!(granted(&events).is_some(), "{events:?}");
 }
+
+/// Pattern: a server ends under a sound request in the same words under one leader, runs without
+/// slots of the next one complete, and a server ends under it there, too; hosts tell the first
+/// crash again later. Guards against the quarantine of the request (soak, seed 83030).
+#[test]
+fn runs_without_a_known_slot_speak_for_a_request() {
+    let mut earlier = BrokerFixture::with_servers(SERVERS, &ZONES);
+    let sound = request_with(&mut earlier, SOUND);
+    let crashed = crashed_run(&sound, "gone-0");
+    earlier.broker.record_crash(&crashed, earlier.now);
+    earlier.tick(Duration::from_secs(1));
+    let open = earlier.broker.open_crashes(earlier.now);
+    let mut fixture = successor(&earlier, 0);
+    let (service, traits, now) = (&sound.service, sound.traits(), fixture.now);
+    fixture.broker.record_proven(service, &traits, now);
+    fixture.broker.restore_crashes(&open, now);
+    let crashed = crashed_run(&sound, "gone-1");
+    fixture.broker.record_crash(&crashed, now);
+    fixture.tick(Duration::from_millis(100));
+    let events = fixture.submit(sound);
+    assert!(granted(&events).is_some(), "{events:?}");
+}
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -454,13 +454,13 @@
         self.lift_unfounded(service, now);
     }
 
-    /// Records that a run has gone on long enough not to crash its server.
+    /// Records that a run has gone on long enough not to crash its server, or completed without
+    /// a slot that is known here.
     pub fn record_progress(&mut self, service: &ServiceName, run: ProvenRun<'_>, now: Instant) {
-        if let Some(ledger) = self.services.get_mut(service) {
-            ledger.evidence.clear(run);
-            for hold in &mut ledger.holds {
-                hold.clear(run.segments);
-            }
+        let ledger = self.services.entry(service.clone()).or_default();
+        ledger.evidence.clear(run);
+        for hold in &mut ledger.holds {
+            hold.clear(run.segments);
         }
         self.lift_unfounded(service, now);
     }
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -111,6 +111,8 @@
     completions: RecentCounts<HashMap<SegmentFingerprint, u32>>,
     /// The requests that were proven harmless recently.
     proven: RecentCounts<HashSet<RequestFingerprint>>,
+    /// The segments of these requests.
+    proven_segments: RecentCounts<HashSet<SegmentFingerprint>>,
     all_completions: RecentCounts<usize>,
     /// The crashes that others of their runs may still be reported for.
     undecided: VecDeque<ServerCrash>,
@@ -195,6 +197,7 @@
     fn rotate_counts(&mut self, now: Instant) {
         self.completions.rotate(COMPLETIONS_INTERVAL, now);
         self.proven.rotate(COMPLETIONS_INTERVAL, now);
+        self.proven_segments.rotate(COMPLETIONS_INTERVAL, now);
         self.all_completions.rotate(ALL_COMPLETIONS_INTERVAL, now);
     }
 
@@ -329,6 +332,9 @@
             }
         }
         for segment in run.segments {
+            if self.proven_segments.current.len() < COUNTED_SEGMENTS_MAX {
+                self.proven_segments.current.insert(*segment);
+            }
             self.segments.remove(segment);
         }
     }
--- a/crates/policy/src/quarantine/ledger/evidence/handover.rs
+++ b/crates/policy/src/quarantine/ledger/evidence/handover.rs
@@ -89,11 +89,12 @@
             return;
         }
         let mut run = run.clone();
-        let completions = &self.completions;
-        run.segments.retain(|segment| {
-            let counts = [&completions.current, &completions.previous];
-            !counts.iter().any(|counts| counts.contains_key(segment))
-        });
+        let proven = [
+            &self.proven_segments.current,
+            &self.proven_segments.previous,
+        ];
+        run.segments
+            .retain(|segment| !proven.iter().any(|proven| proven.contains(segment)));
         self.lost_runs += 1;
         let crashes = self.requests.entry(run.request).or_default();
         crashes.insert(crash.clone());
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -973,14 +973,12 @@
             servers: shared.view.servers_at(now),
             entry_hosts: shared.view.entry_hosts(),
             quarantined: shared.view.quarantined(now),
-            crashes: shared.view.open_crashes(now),
         };
         let fields = json!({
             "term": status.term.0,
             "servers": earlier.servers.len(),
             "entry_hosts": earlier.entry_hosts.len(),
             "quarantined": earlier.quarantined.len(),
-            "open_crashes": earlier.crashes.len(),
             "zones_drained": machine.drained_zones(),
         });
         let since_epoch = shared.base.clock.since_epoch();
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -137,7 +137,6 @@
     pub(crate) servers: Arc<Vec<ServerCheckIn>>,
     pub(crate) entry_hosts: Vec<RosterMember>,
     pub(crate) quarantined: Vec<QuarantinedSegments>,
-    pub(crate) crashes: Vec<OpenCrash>,
 }
 
 /// A host that reports to the leader.
@@ -286,7 +285,6 @@
             self.broker.mark_leaving(name, Some(*incarnation));
         }
         self.broker.restore_quarantine(&earlier.quarantined, now);
-        self.broker.restore_crashes(&earlier.crashes, now);
         self.roster = EntryRoster::new(self.roster_settings);
         self.roster.restore(&earlier.entry_hosts, now);
         self.holders_of = (0, PlanVersion::default());
@@ -525,6 +523,9 @@
         self.record_host(request, now);
         self.broker.restore_quarantine(&request.quarantined, now);
         self.broker.restore_crashes(&request.crashes.0, now);
+        for (service, traits) in &request.proven.0 {
+            self.broker.record_proven(service, traits, now);
+        }
         self.broker
             .reconcile(&request.requester, &request.active, now);
         let term = self.term.unwrap_or_default().0;
--- a/crates/roles/src/crash_reports.rs
+++ b/crates/roles/src/crash_reports.rs
@@ -4,9 +4,12 @@
 //! A leader counts the crashes of requests and prompt segments in its memory, and each sync
 //! tells the hosts which ones still count. Crashes that completed runs refute, or that a segment
 //! in quarantine explains, are no longer among them. A new leader gets the latest list, and what
-//! the host reported since, with the second sync. Hosts of earlier builds tell nothing.
+//! the host reported since, with the second sync. The first one brings the completed runs that
+//! speak against these crashes and whose slots the new leader does not know. Hosts of earlier
+//! builds tell nothing.
 
-use chicoryladder_policy::quarantine::OpenCrash;
+use chicoryladder_policy::quarantine::{OpenCrash, RequestTraits};
+use chicoryladder_types::ServiceName;
 use std::time::{Duration, Instant};
 
 /// The crashes that led to no quarantine yet. Counts below the requirement end with a leader,
@@ -19,6 +22,9 @@
     reported: Vec<(Instant, OpenCrash)>,
     /// Those that the next sync reports, since the leader may not know them.
     unreported: Vec<(Instant, OpenCrash)>,
+    /// The completed runs of requests that count as suspects, which the next sync reports: the
+    /// leader may not know their slots.
+    proven: Vec<(Instant, (ServiceName, RequestTraits))>,
 }
 
 impl CrashReports {
@@ -45,6 +51,28 @@
         }
     }
 
+    /// Keeps a completed run if crashes that this host knows of count against it. They no longer
+    /// do here.
+    pub fn record_proven(&mut self, service: &ServiceName, traits: &RequestTraits, now: Instant) {
+        let mut is_suspect = false;
+        for list in [&mut self.known, &mut self.reported, &mut self.unreported] {
+            for (_, crash) in list.iter_mut().filter(|(_, c)| c.service == *service) {
+                is_suspect |= remove_proven(crash, traits);
+            }
+            list.retain(|(_, crash)| !crash.runs.is_empty());
+        }
+        if is_suspect && self.proven.len() < Self::CRASHES_MAX {
+            self.proven.push((now, (service.clone(), traits.clone())));
+        }
+    }
+
+    /// The completed runs that the next sync reports.
+    #[must_use]
+    pub fn proven(&self) -> Vec<(ServiceName, RequestTraits)> {
+        let proven = self.proven.iter().map(|(_, run)| run.clone());
+        proven.collect()
+    }
+
     /// Takes over what the leader knew when it replied to a sync that was sent at `sent_at`.
     pub fn apply(
         &mut self,
@@ -54,6 +82,7 @@
         now: Instant,
     ) {
         self.unreported.retain(|(at, _)| *at > sent_at);
+        self.proven.retain(|(at, _)| *at > sent_at);
         if is_new_leader {
             let unreported = self.current(now).into_iter().map(|crash| (now, crash));
             self.unreported = unreported.take(Self::CRASHES_MAX).collect();
@@ -80,6 +109,21 @@
     }
 }
 
+/// Removes what a completed run proves harmless from the runs of a crash. Returns whether there
+/// was any of it.
+fn remove_proven(crash: &mut OpenCrash, proven: &RequestTraits) -> bool {
+    let runs = crash.runs.len();
+    crash.runs.retain(|run| run.request != proven.request);
+    let mut is_changed = crash.runs.len() < runs;
+    for run in &mut crash.runs {
+        let segments = run.segments.len();
+        run.segments
+            .retain(|segment| !proven.segments.contains(segment));
+        is_changed |= run.segments.len() < segments;
+    }
+    is_changed
+}
+
 /// Crashes with their ages now, each once.
 fn aged<'a>(
     crashes: impl Iterator<Item = &'a (Instant, OpenCrash)>,
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -17,7 +17,9 @@
     ServerCheckIn, VERSION_NOTICE, VersionList, ZoneRoster,
 };
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
-use chicoryladder_policy::quarantine::{OpenCrash, QuarantinedSegments, SegmentFingerprint};
+use chicoryladder_policy::quarantine::{
+    OpenCrash, QuarantinedSegments, RequestTraits, SegmentFingerprint,
+};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServiceName, SoftwareVersion, Tail};
 use std::net::SocketAddr;
@@ -259,9 +261,14 @@
         self.state().quarantine.current(now)
     }
 
-    /// The crashes that led to no quarantine of segments yet, as far as this host knows.
-    pub(crate) fn open_crashes(&self, now: Instant) -> Vec<OpenCrash> {
-        self.state().crashes.current(now)
+    /// Keeps a completed run, for the case that the leader does not know its slot.
+    pub(crate) fn record_proven(
+        &self,
+        service: &ServiceName,
+        traits: &RequestTraits,
+        now: Instant,
+    ) {
+        self.state().crashes.record_proven(service, traits, now);
     }
 
     /// Keeps a crash that this host reports, for the case that the leader changes.
@@ -357,6 +364,7 @@
             tunnels: (reporter.tunnels)(now),
             store,
             crashes: Tail(state.crashes.unreported(now)),
+            proven: Tail(state.crashes.proven()),
         }
     }
 
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -11,9 +11,9 @@
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
 use chicoryladder_plan::{PlanVersion, RawPlan};
-use chicoryladder_policy::quarantine::{OpenCrash, QuarantinedSegments};
+use chicoryladder_policy::quarantine::{OpenCrash, QuarantinedSegments, RequestTraits};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{AreaName, SeatId, Tail};
+use chicoryladder_types::{AreaName, SeatId, ServiceName, Tail};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -224,6 +224,8 @@
     /// The crashes that the leader before knew of or that this host could not report, if this
     /// leader may not know them.
     pub(crate) crashes: Tail<Vec<OpenCrash>>,
+    /// Completed runs that speak against crashes, and whose slots the leader may not know.
+    pub(crate) proven: Tail<Vec<(ServiceName, RequestTraits)>>,
 }
 
 /// What a host offers and needs to reach servers through tunnels.
@@ -450,7 +452,7 @@
     use super::*;
     use chicoryladder_broker::{ProvenWork, RunOutcome, WorkKind};
     use chicoryladder_policy::quarantine::{RequestFingerprint, ServerCrash};
-    use chicoryladder_types::{RouteName, ServerGeneration, ServiceName};
+    use chicoryladder_types::{RouteName, ServerGeneration};
 
     /// The notices of the build before stated work, up to the release of a slot.
     #[derive(Debug, Serialize, Deserialize)]
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -894,8 +894,17 @@
         }));
     }
 
+    /// Keeps the completed run, for a leader that does not know its slot.
+    fn keep_proven(&self) {
+        let shared = &self.client.shared;
+        let traits = self.other_work.as_ref().unwrap_or(&self.traits);
+        let now = shared.base.clock.now();
+        shared.view.record_proven(&self.service, traits, now);
+    }
+
     /// Records that the server ran the request to its end and responded with success.
     pub(crate) fn record_completion(&mut self) {
+        self.keep_proven();
         self.report_mut().completed = self.work();
     }
 
--- a/crates/roles/tests/crash_reports.rs
+++ b/crates/roles/tests/crash_reports.rs
@@ -86,3 +86,23 @@
     reports.apply(Vec::new(), true, now, now);
     assert!(reports.unreported(now).is_empty());
 }
+
+/// Guards against a sound request that a new leader refuses, since it counts a crash under its
+/// predecessor and one of its own, but not the runs that completed in between without a slot
+/// that it knows (soak with moves and silences, seed 83030).
+#[test]
+fn completed_runs_of_suspects_are_told_with_the_next_sync() {
+    let start = Instant::now();
+    let mut reports = CrashReports::default();
+    reports.apply(vec![crash(1)], false, start, start);
+    let crash = crash(1);
+    let mut now = start + SYNC_INTERVAL;
+    reports.record_proven(&crash.service, &crash.runs[0], now);
+    // Further runs prove nothing new.
+    reports.record_proven(&crash.service, &crash.runs[0], now);
+    assert_eq!(reports.proven().len(), 1);
+    now += SYNC_INTERVAL;
+    reports.apply(Vec::new(), true, now, now);
+    assert!(reports.unreported(now).is_empty());
+    assert!(reports.proven().is_empty());
+}
