--- a/crates/broker/src/slots/crashes.rs
+++ b/crates/broker/src/slots/crashes.rs
@@ -8,8 +8,8 @@
     BrokerEvent, RequesterId, SlotRefusalReason, SlotRequest, WorkKind, shared_segments,
 };
 use chicoryladder_policy::quarantine::{
-    Admission, CrashCounts, ProvenRun, QuarantineCause, QuarantinedSegments, RequestTraits,
-    ServerCrash,
+    Admission, CrashCounts, LostRun, OpenCrash, ProvenRun, QuarantineCause, QuarantinedSegments,
+    RequestTraits, ServerCrash,
 };
 use chicoryladder_types::{ServerGeneration, ServiceName};
 use std::time::{Duration, Instant};
@@ -18,8 +18,23 @@
     /// Records that a server was lost while it ran a request. Waiting requests that may no
     /// longer run are refused. Returns what counts against the request.
     pub fn record_crash(&mut self, run: &CrashedRun, now: Instant) -> CrashCounts {
-        let (service, traits) = (&run.service, &run.traits);
-        let finding = self.crashes.record_crash(service, &run.crash, traits, now);
+        self.record_crash_after(run, None, now)
+    }
+
+    /// Like [`Self::record_crash`], with the time since the slot was granted.
+    pub fn record_crash_after(
+        &mut self,
+        run: &CrashedRun,
+        took: Option<Duration>,
+        now: Instant,
+    ) -> CrashCounts {
+        let service = &run.service;
+        let lost = LostRun {
+            crash: &run.crash,
+            traits: &run.traits,
+            sent_at: took.and_then(|took| now.checked_sub(took)),
+        };
+        let finding = self.crashes.record_crash(service, lost, now);
         self.emit_quarantine_changes();
         self.refuse_quarantined(service, now);
         finding.counts
@@ -168,6 +183,26 @@
         self.crashes.restore(quarantined, now);
     }
 
+    /// The crashes that led to no quarantine of segments yet, for the broker that follows.
+    #[must_use]
+    pub fn open_crashes(&self, now: Instant) -> Vec<OpenCrash> {
+        self.crashes.open_crashes(now)
+    }
+
+    /// Takes over the crashes that led to no quarantine at an earlier broker. What it had in
+    /// quarantine is to be restored first.
+    pub fn restore_crashes(&mut self, open: &[OpenCrash], now: Instant) {
+        self.crashes.restore_crashes(open, now);
+    }
+
+    /// Records a completed run whose slot this broker may not know, as an earlier one granted it
+    /// or none did.
+    pub fn record_proven(&mut self, service: &ServiceName, traits: &RequestTraits, now: Instant) {
+        self.crashes
+            .record_progress(service, traits.proven_run(), now);
+        self.emit_quarantine_changes();
+    }
+
     fn emit_quarantine_changes(&mut self) {
         let changes = self.crashes.take_changes();
         let events = changes.into_iter().map(BrokerEvent::Quarantine);
--- a/crates/policy/src/quarantine/ledger.rs
+++ b/crates/policy/src/quarantine/ledger.rs
@@ -30,6 +30,10 @@
 use std::fmt::{self, Display, Formatter};
 use std::time::{Duration, Instant};
 
+/// The maximum number of runs of open crashes that are told to other hosts: some kilobytes in
+/// each sync, and only for a minute after servers crashed.
+const OPEN_RUNS_MAX: usize = 64;
+
 /// Identifies the text of a prompt segment, whatever segments precede it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct SegmentFingerprint(pub u64);
@@ -49,6 +53,17 @@
     pub segments: Vec<SegmentFingerprint>,
 }
 
+/// A run that was in flight on a server that was lost.
+#[derive(Clone, Copy, Debug)]
+pub struct LostRun<'a> {
+    /// The server and its incarnation.
+    pub crash: &'a ServerCrash,
+    /// The request.
+    pub traits: &'a RequestTraits,
+    /// When the request was sent to the server; `None` if that is not known.
+    pub sent_at: Option<Instant>,
+}
+
 /// A run that did not crash its server.
 #[derive(Clone, Copy, Debug)]
 pub struct ProvenRun<'a> {
@@ -214,6 +229,19 @@
     }
 }
 
+/// A crash that led to no quarantine of segments yet, as told to other hosts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenCrash {
+    /// The service of the server.
+    pub service: ServiceName,
+    /// The server and its incarnation.
+    pub crash: ServerCrash,
+    /// The time since the crash became known.
+    pub age: Duration,
+    /// The runs that it counts against.
+    pub runs: Vec<RequestTraits>,
+}
+
 #[derive(Debug, Default)]
 struct ServiceLedger {
     evidence: CrashEvidence,
@@ -365,12 +393,15 @@
     pub fn record_crash(
         &mut self,
         service: &ServiceName,
-        crash: &ServerCrash,
-        traits: &RequestTraits,
+        run: LostRun<'_>,
         now: Instant,
     ) -> CrashFinding {
+        let LostRun { traits, .. } = run;
         let ledger = self.services.entry(service.clone()).or_default();
         ledger.evidence.expire(now);
+        let reported = run;
+        let crash = &ledger.evidence.crash_of(reported);
+        let run = LostRun { crash, ..reported };
         let explaining = ledger
             .holds
             .iter_mut()
@@ -378,18 +409,18 @@
         let counts;
         let mut exonerated = Vec::new();
         if let Some(hold) = explaining {
-            let is_new = hold.record_crash(crash, now);
+            let is_new = hold.record_crash(run, now);
             if is_new {
                 let change = hold.change(service, QuarantineStep::Quarantined, now);
                 self.changes.push(change);
                 self.version += 1;
             }
             let segments = hold.segments.clone();
-            ledger.evidence.record(crash, traits, now);
+            ledger.evidence.record(run, now);
             counts = ledger.evidence.counts(traits);
             exonerated = ledger.evidence.explain(crash, &segments);
         } else {
-            let is_counted = ledger.evidence.record(crash, traits, now);
+            let is_counted = ledger.evidence.record(run, now);
             counts = ledger.evidence.counts(traits);
             if !is_counted {
                 // The cause of the crash is known; what it shares with this run is not new.
@@ -401,6 +432,10 @@
                 exonerated.extend(ledger.begin_hold(hold));
             }
         }
+        ledger.evidence.record_alias(crash, reported);
+        if reported.crash != crash && exonerated.contains(&(traits.request, crash.clone())) {
+            exonerated.push((traits.request, reported.crash.clone()));
+        }
         self.lift_unfounded(service, now);
         CrashFinding { counts, exonerated }
     }
@@ -453,13 +488,13 @@
         self.lift_unfounded(service, now);
     }
 
-    /// Records that a run has gone on long enough not to crash its server.
+    /// Records that a run has gone on long enough not to crash its server, or completed without
+    /// a slot that is known here.
     pub fn record_progress(&mut self, service: &ServiceName, run: ProvenRun<'_>, now: Instant) {
-        if let Some(ledger) = self.services.get_mut(service) {
-            ledger.evidence.clear(run);
-            for hold in &mut ledger.holds {
-                hold.clear(run.segments);
-            }
+        let ledger = self.services.entry(service.clone()).or_default();
+        ledger.evidence.clear(run);
+        for hold in &mut ledger.holds {
+            hold.clear(run.segments);
         }
         self.lift_unfounded(service, now);
     }
@@ -499,18 +534,45 @@
         quarantined.collect()
     }
 
-    /// Takes over what another host has in quarantine.
+    /// Takes over what another host has in quarantine, also where the segments are only held
+    /// here: a trial crashed a server, although its report may be lost or late.
     pub fn restore(&mut self, quarantined: &[QuarantinedSegments], now: Instant) {
-        for entry in quarantined {
+        for entry in quarantined.iter().filter(|e| !e.segments.is_empty()) {
             let ledger = self.services.entry(entry.service.clone()).or_default();
-            let is_known = ledger
-                .holds
-                .iter()
-                .any(|hold| hold.segments == entry.segments);
-            if !is_known && !entry.segments.is_empty() {
+            let mut holds = ledger.holds.iter_mut();
+            let known = holds.find(|hold| hold.segments == entry.segments);
+            let is_changed = known.map(|hold| hold.restore(entry.left, now));
+            let is_changed = is_changed.unwrap_or_else(|| {
                 ledger.add_hold(SegmentHold::restored(entry, now));
-                self.version += 1;
-            }
+                true
+            });
+            self.version += u64::from(is_changed);
+        }
+    }
+
+    /// The crashes that led to no quarantine of segments yet, for the host that leads next: those
+    /// with the fewest runs first, which tell most, up to [`OPEN_RUNS_MAX`] runs.
+    #[must_use]
+    pub fn open_crashes(&self, now: Instant) -> Vec<OpenCrash> {
+        let services = self.services.iter();
+        let mut open: Vec<OpenCrash> = services
+            .flat_map(|(service, ledger)| ledger.evidence.open_crashes(service, &ledger.holds, now))
+            .collect();
+        open.sort_by_key(|crash| (crash.runs.len(), crash.age));
+        let mut runs = 0;
+        let fits = |crash: &OpenCrash| {
+            runs += crash.runs.len();
+            runs <= OPEN_RUNS_MAX
+        };
+        open.into_iter().take_while(fits).collect()
+    }
+
+    /// Takes over crashes that other hosts know of. Each run counts once for a crash, however
+    /// often it is reported.
+    pub fn restore_crashes(&mut self, open: &[OpenCrash], now: Instant) {
+        for crash in open {
+            let ledger = self.services.entry(crash.service.clone()).or_default();
+            ledger.evidence.restore(crash, &ledger.holds, now);
         }
     }
 
--- a/crates/policy/src/quarantine/ledger/evidence.rs
+++ b/crates/policy/src/quarantine/ledger/evidence.rs
@@ -1,12 +1,15 @@
 //! The crashes of a service's servers, and the completed runs that speak against them.
 
 mod conclusion;
+mod handover;
 mod standing;
 
 pub(super) use standing::RequestStanding;
 
 use super::hold::SegmentHold;
-use super::{CrashCounts, ProvenRun, RequestTraits, SegmentCrashCount, SegmentFingerprint};
+use super::{
+    CrashCounts, LostRun, ProvenRun, RequestTraits, SegmentCrashCount, SegmentFingerprint,
+};
 use crate::quarantine::{RequestFingerprint, ServerCrash};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::time::{Duration, Instant};
@@ -15,7 +18,9 @@
 const EVIDENCE_WINDOW: Duration = Duration::from_secs(60);
 
 /// Crashes of several servers within this time count once against a segment: they may have a
-/// common cause, such as a loss of power.
+/// common cause, such as a loss of power. They count apart if all their runs with the segment are
+/// known to have been sent after the crash before: requests that come one after the other may
+/// each crash a server within milliseconds.
 pub(super) const INCIDENT_LENGTH: Duration = Duration::from_millis(50);
 
 /// The maximum number of crashes that are kept; the oldest are dropped first.
@@ -75,12 +80,23 @@
 struct CrashRecord {
     at: Instant,
     runs: Vec<RequestTraits>,
+    /// The runs that were reported under another incarnation of the server.
+    aliases: Vec<(RequestFingerprint, ServerCrash)>,
     /// Whether held segments caused the crash.
     is_explained: bool,
 }
 
-/// The crashes of one segment, with a request that was in flight at each.
-type SegmentCrashes = BTreeMap<ServerCrash, RequestFingerprint>;
+/// The runs with a segment that a crash ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SegmentLoss {
+    /// One of their requests.
+    request: RequestFingerprint,
+    /// When the first of them was sent; `None` if that is not known of all.
+    sent_at: Option<Instant>,
+}
+
+/// The crashes of one segment.
+type SegmentCrashes = BTreeMap<ServerCrash, SegmentLoss>;
 
 /// The evidence of one service.
 #[derive(Debug, Default)]
@@ -93,34 +109,58 @@
     requests: HashMap<RequestFingerprint, BTreeSet<ServerCrash>>,
     segments: HashMap<SegmentFingerprint, SegmentCrashes>,
     completions: RecentCounts<HashMap<SegmentFingerprint, u32>>,
+    /// The requests that were proven harmless recently.
+    proven: RecentCounts<HashSet<RequestFingerprint>>,
+    /// The segments of these requests.
+    proven_segments: RecentCounts<HashSet<SegmentFingerprint>>,
     all_completions: RecentCounts<usize>,
     /// The crashes that others of their runs may still be reported for.
     undecided: VecDeque<ServerCrash>,
 }
 
 impl CrashEvidence {
+    /// The crash that ended a run. Hosts may know different incarnations of a server, and so
+    /// report one crash as several: a run that was in flight at a known crash of the server
+    /// ended with it.
+    pub(super) fn crash_of(&self, run: LostRun<'_>) -> ServerCrash {
+        let reported = run.crash;
+        let Some(sent_at) = run.sent_at.filter(|_| !self.crashes.contains_key(reported)) else {
+            return reported.clone();
+        };
+        let known = self
+            .crashes
+            .iter()
+            .filter(|(crash, record)| crash.server == reported.server && sent_at <= record.at);
+        let first = known.min_by_key(|(_, record)| record.at);
+        first.map_or(reported, |(crash, _)| crash).clone()
+    }
+
+    /// Notes under which incarnation a run of a crash was reported, if under another one.
+    pub(super) fn record_alias(&mut self, crash: &ServerCrash, run: LostRun<'_>) {
+        let record = self.crashes.get_mut(crash);
+        if let Some(record) = record.filter(|_| run.crash != crash)
+            && record.aliases.len() < RUNS_PER_CRASH_MAX
+        {
+            let alias = (run.traits.request, run.crash.clone());
+            record.aliases.push(alias);
+        }
+    }
+
     /// Records a crash for one of the runs that were in flight. Returns whether it counts
     /// against the run: the cause may be known already.
-    pub(super) fn record(
-        &mut self,
-        crash: &ServerCrash,
-        traits: &RequestTraits,
-        now: Instant,
-    ) -> bool {
+    pub(super) fn record(&mut self, run: LostRun<'_>, now: Instant) -> bool {
+        let LostRun { crash, traits, .. } = run;
         self.rotate_counts(now);
         if !self.crashes.contains_key(crash) {
             self.undecided.push_back(crash.clone());
             self.order.push_back(crash.clone());
-            if self.order.len() > CRASHES_MAX
-                && let Some(oldest) = self.order.pop_front()
-            {
-                self.forget(&oldest);
-            }
+            self.drop_excess();
         }
         let entry = self.crashes.entry(crash.clone());
         let record = entry.or_insert_with(|| CrashRecord {
             at: now,
             runs: Vec::new(),
+            aliases: Vec::new(),
             is_explained: false,
         });
         if record.is_explained {
@@ -135,13 +175,29 @@
         crashes.insert(crash.clone());
         for segment in &traits.segments {
             let crashes = self.segments.entry(*segment).or_default();
-            crashes.insert(crash.clone(), traits.request);
+            let sent_at = match crashes.get(crash) {
+                Some(loss) => loss.sent_at.min(run.sent_at),
+                None => run.sent_at,
+            };
+            let request = traits.request;
+            crashes.insert(crash.clone(), SegmentLoss { request, sent_at });
         }
         true
     }
 
+    /// Drops the oldest crash if there are too many.
+    fn drop_excess(&mut self) {
+        if self.order.len() > CRASHES_MAX
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.forget(&oldest);
+        }
+    }
+
     fn rotate_counts(&mut self, now: Instant) {
         self.completions.rotate(COMPLETIONS_INTERVAL, now);
+        self.proven.rotate(COMPLETIONS_INTERVAL, now);
+        self.proven_segments.rotate(COMPLETIONS_INTERVAL, now);
         self.all_completions.rotate(ALL_COMPLETIONS_INTERVAL, now);
     }
 
@@ -161,6 +217,11 @@
         }
         let is_cause = |run: &RequestTraits| cause.iter().all(|s| run.segments.contains(s));
         let mut others = Vec::new();
+        let aliases = record.aliases.iter().filter(|(request, _)| {
+            let mut runs = record.runs.iter();
+            runs.any(|run| run.request == *request && !is_cause(run))
+        });
+        others.extend(aliases.cloned());
         for run in &record.runs {
             if !is_cause(run) {
                 remove_crash(&mut self.requests, run.request, crash);
@@ -200,27 +261,40 @@
     }
 
     /// The number of crashes that count against a segment. Crashes under the same request,
-    /// and those within [`INCIDENT_LENGTH`], count once.
+    /// and those that may have a common cause, count once.
     fn crash_count(&self, segment: SegmentFingerprint) -> usize {
         let Some(crashes) = self.segments.get(&segment) else {
             return 0;
         };
-        let requests: HashSet<&RequestFingerprint> = crashes.values().collect();
-        requests.len().min(self.incidents(crashes.keys()))
+        let requests: HashSet<RequestFingerprint> =
+            crashes.values().map(|loss| loss.request).collect();
+        let losses = crashes.iter().map(|(crash, loss)| (crash, loss.sent_at));
+        requests.len().min(self.incidents(losses))
     }
 
-    /// The number of crashes, counting those within [`INCIDENT_LENGTH`] once.
-    fn incidents<'a>(&self, crashes: impl Iterator<Item = &'a ServerCrash>) -> usize {
-        let records = crashes.filter_map(|crash| self.crashes.get(crash));
-        let mut times: Vec<Instant> = records.map(|record| record.at).collect();
+    /// The number of crashes, counting those once that may have a common cause: those within
+    /// [`INCIDENT_LENGTH`], unless the runs of each were sent after the crash before. Takes the
+    /// crashes with the time at which the first run was sent, if that is known.
+    fn incidents<'a>(
+        &self,
+        losses: impl Iterator<Item = (&'a ServerCrash, Option<Instant>)>,
+    ) -> usize {
+        let times = losses.filter_map(|(crash, sent_at)| {
+            let record = self.crashes.get(crash)?;
+            Some((record.at, sent_at))
+        });
+        let mut times: Vec<(Instant, Option<Instant>)> = times.collect();
         times.sort_unstable();
         let mut incidents = 0;
-        let mut ends_at = None;
-        for at in times {
-            if ends_at.is_none_or(|ends_at| at >= ends_at) {
-                incidents += 1;
-                ends_at = Some(at + INCIDENT_LENGTH);
-            }
+        let mut rest = times.as_slice();
+        while let Some((began_at, _)) = rest.first() {
+            let ends_at = *began_at + INCIDENT_LENGTH;
+            let (close, later) = rest.split_at(rest.partition_point(|(at, _)| *at < ends_at));
+            let is_sequence = close
+                .windows(2)
+                .all(|pair| pair[1].1.is_some_and(|sent_at| sent_at >= pair[0].0));
+            incidents += if is_sequence { close.len() } else { 1 };
+            rest = later;
         }
         incidents
     }
@@ -253,8 +327,14 @@
     pub(super) fn clear(&mut self, run: ProvenRun<'_>) {
         if let Some(request) = run.request {
             self.requests.remove(&request);
+            if self.proven.current.len() < COUNTED_SEGMENTS_MAX {
+                self.proven.current.insert(request);
+            }
         }
         for segment in run.segments {
+            if self.proven_segments.current.len() < COUNTED_SEGMENTS_MAX {
+                self.proven_segments.current.insert(*segment);
+            }
             self.segments.remove(segment);
         }
     }
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -20,9 +20,9 @@
 };
 use chicoryladder_group::{MembershipRepair, spread_over_zones, zone_voters_max};
 use chicoryladder_plan::{PlanVersion, RawPlan, ServicePlan};
-use chicoryladder_policy::quarantine::{QuarantineChange, QuarantinedSegments};
+use chicoryladder_policy::quarantine::{OpenCrash, QuarantineChange, QuarantinedSegments};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{SeatId, TermNumber, ZoneDrains};
+use chicoryladder_types::{SeatId, Tail, TermNumber, ZoneDrains};
 use std::borrow::Cow;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -62,6 +62,8 @@
     computed_at: Option<Instant>,
     control_hosts: Vec<SocketAddr>,
     store: StoreView,
+    /// The crashes that led to no quarantine of segments yet.
+    crashes: Vec<OpenCrash>,
 }
 
 /// The time for which a directory is sent unchanged, for each server in it. A large
@@ -520,6 +522,10 @@
         self.directory.refresh(&self.broker, now);
         self.record_host(request, now);
         self.broker.restore_quarantine(&request.quarantined, now);
+        self.broker.restore_crashes(&request.crashes.0, now);
+        for (service, traits) in &request.proven.0 {
+            self.broker.record_proven(service, traits, now);
+        }
         self.broker
             .reconcile(&request.requester, &request.active, now);
         let term = self.term.unwrap_or_default().0;
@@ -536,6 +542,7 @@
         let plan = self.encoded.clone().filter(|_| is_outdated);
         let views = self.views(members, now);
         let (hosts, store) = (views.control_hosts.clone(), views.store.clone());
+        let crashes = Tail(views.crashes.clone());
         SyncAnswer {
             hosts,
             plan,
@@ -545,6 +552,7 @@
             quarantine: self.quarantine_update(request, now),
             tunnel_hosts: self.tunnel_hosts(request, now),
             store,
+            crashes,
         }
     }
 
@@ -562,6 +570,7 @@
                 computed_at: Some(now),
                 control_hosts,
                 store: self.store_view(now),
+                crashes: self.broker.open_crashes(now),
             };
         }
         &self.views
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -11,9 +11,11 @@
 use chicoryladder_consensus::SeatEnvelope;
 use chicoryladder_group::{GroupStatus, JoinAnswer, JoinRequest};
 use chicoryladder_plan::{PlanVersion, RawPlan};
-use chicoryladder_policy::quarantine::QuarantinedSegments;
+use chicoryladder_policy::quarantine::{OpenCrash, QuarantinedSegments, RequestTraits};
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{AreaName, RouteName, SeatId, Tail, ZoneDrain, ZoneDrainStep};
+use chicoryladder_types::{
+    AreaName, RouteName, SeatId, ServiceName, Tail, ZoneDrain, ZoneDrainStep,
+};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -34,6 +36,8 @@
         crashed: Option<Box<CrashedRun>>,
         /// How long work takes on the server, as its answer stated it.
         work: Tail<Option<WorkPercent>>,
+        /// The time since the slot was granted, if the connection broke.
+        took: Tail<Option<Duration>>,
     },
     /// To a requester: a run has to stop, since its slot is needed for other work.
     Stop { ticket: u64 },
@@ -222,6 +226,11 @@
     pub(crate) quarantined: Vec<QuarantinedSegments>,
     pub(crate) tunnels: TunnelReport,
     pub(crate) store: Option<StoreReport>,
+    /// The crashes that the leader before knew of or that this host could not report, if this
+    /// leader may not know them.
+    pub(crate) crashes: Tail<Vec<OpenCrash>>,
+    /// Completed runs that speak against crashes, and whose slots the leader may not know.
+    pub(crate) proven: Tail<Vec<(ServiceName, RequestTraits)>>,
 }
 
 /// What a host offers and needs to reach servers through tunnels.
@@ -264,6 +273,8 @@
     /// Some entry hosts that offer tunnels, if the host needs them.
     pub(crate) tunnel_hosts: Option<Vec<RosterMember>>,
     pub(crate) store: StoreView,
+    /// The crashes that led to no quarantine of segments yet.
+    pub(crate) crashes: Tail<Vec<OpenCrash>>,
 }
 
 /// A value that is encoded once for all hosts to which it goes. A large plan or directory
@@ -466,8 +477,8 @@
 mod tests {
     use super::*;
     use chicoryladder_broker::{ProvenWork, RunOutcome, ServerPhase, WorkKind};
-    use chicoryladder_policy::quarantine::RequestFingerprint;
-    use chicoryladder_types::{ServiceName, SoftwareVersion};
+    use chicoryladder_policy::quarantine::{RequestFingerprint, ServerCrash};
+    use chicoryladder_types::{ServerGeneration, SoftwareVersion};
 
     /// The notices of the build before stated work, up to the release of a slot.
     #[derive(Debug, Serialize, Deserialize)]
@@ -504,7 +515,7 @@
         let bytes = postcard::to_stdvec(&earlier).expect("it encodes");
         let read: Notice = postcard::from_bytes(&bytes).expect("it decodes");
         assert!(
-            matches!(read, Notice::Release { work: Tail(None), report: read, .. } if read == report)
+            matches!(read, Notice::Release { work: Tail(None), took: Tail(None), report: read, .. } if read == report)
         );
         let work = WorkPercent::try_from(182.0).expect("it is valid");
         let notice = Notice::Release {
@@ -512,10 +523,15 @@
             report: report.clone(),
             crashed: None,
             work: Tail(Some(work)),
+            took: Tail(Some(Duration::from_millis(40))),
         };
         let bytes = postcard::to_stdvec(&notice).expect("it encodes");
         let read: Notice = postcard::from_bytes(&bytes).expect("it decodes");
-        assert!(matches!(read, Notice::Release { work: Tail(Some(read)), .. } if read == work));
+        assert!(matches!(
+            read,
+            Notice::Release { work: Tail(Some(read)), took: Tail(Some(took)), .. }
+                if read == work && took == Duration::from_millis(40)
+        ));
         let read: EarlierNotice = postcard::from_bytes(&bytes).expect("it decodes");
         assert!(matches!(read, EarlierNotice::Release { report: read, .. } if read == report));
     }
@@ -639,4 +655,39 @@
         let read: BatchReply = postcard::from_bytes(&bytes).expect("it is decoded");
         assert!(matches!(read, BatchReply::ItemSlot(Some(slot)) if slot.homes == Some(homes)));
     }
+
+    /// Guards against hosts that get no view during an upgrade, since replies of leaders of the
+    /// other build are not understood.
+    #[test]
+    fn replies_to_syncs_are_read_by_and_from_earlier_builds() {
+        let reply = |crashes| SyncAnswer {
+            hosts: Vec::new(),
+            plan: None,
+            directory: None,
+            reserves: Vec::new(),
+            roster: None,
+            quarantine: None,
+            tunnel_hosts: None,
+            store: StoreView::default(),
+            crashes: Tail(crashes),
+        };
+        let bytes = postcard::to_stdvec(&reply(Vec::new())).expect("it encodes");
+        // An earlier build writes all but the length of the list, which is the last byte.
+        let earlier = &bytes[..bytes.len() - 1];
+        let read: SyncAnswer = postcard::from_bytes(earlier).expect("it decodes");
+        assert_eq!(read.crashes, Tail(Vec::new()));
+        let crash = OpenCrash {
+            service: ServiceName::try_from("engine").expect("it is valid"),
+            crash: ServerCrash {
+                server: ServerName::try_from("i-1").expect("it is valid"),
+                generation: ServerGeneration(3),
+            },
+            age: Duration::from_secs(2),
+            runs: Vec::new(),
+        };
+        let bytes = postcard::to_stdvec(&reply(vec![crash.clone()])).expect("it encodes");
+        assert!(bytes.starts_with(earlier));
+        let read: SyncAnswer = postcard::from_bytes(&bytes).expect("it decodes");
+        assert_eq!(read.crashes, Tail(vec![crash]));
+    }
 }
--- a/crates/roles/src/slot_client.rs
+++ b/crates/roles/src/slot_client.rs
@@ -20,7 +20,7 @@
 };
 use chicoryladder_dialer::HostFilter;
 use chicoryladder_plan::{PlanVersion, ServicePlan};
-use chicoryladder_policy::quarantine::{RequestTraits, ServerCrash};
+use chicoryladder_policy::quarantine::{OpenCrash, RequestTraits, ServerCrash};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{
     AreaName, ServerGeneration, ServerLoad, ServiceName, SoftwareVersion, Tail,
@@ -464,6 +464,7 @@
             service: slot_request.service.clone(),
             traits: slot_request.traits(),
             other_work: None,
+            leased_at: self.shared.base.clock.now(),
             first_data_at: None,
             is_proven: false,
             client: self.clone(),
@@ -681,19 +682,26 @@
         leader: Option<SocketAddr>,
         report: RunReport,
         work: Option<WorkPercent>,
-        crashed: Option<Box<CrashedRun>>,
+        crashed: Option<(Box<CrashedRun>, Duration)>,
     ) {
         self.runs().remove(&report.ticket);
+        if let Some((run, _)) = &crashed {
+            let now = self.shared.base.clock.now();
+            let view = &self.shared.view;
+            view.record_crash(OpenCrash::from(run.as_ref()), leader.is_some(), now);
+        }
         let Some(leader) = leader else {
             // The next sync no longer lists the run, from which the broker learns of its
             // end.
             return;
         };
+        let (crashed, took) = crashed.unzip();
         let notice = Notice::Release {
             requester: self.shared.base.requester(),
             report,
             crashed,
             work: Tail(work),
+            took: Tail(took),
         };
         self.shared.base.notify(leader, &notice);
     }
@@ -768,6 +776,8 @@
     traits: RequestTraits,
     /// The work that runs instead.
     other_work: Option<RequestTraits>,
+    /// When the slot was granted.
+    leased_at: Instant,
     first_data_at: Option<Instant>,
     /// Whether the response has arrived for [`PROVEN_AFTER`].
     is_proven: bool,
@@ -884,8 +894,17 @@
         }));
     }
 
+    /// Keeps the completed run, for a leader that does not know its slot.
+    fn keep_proven(&self) {
+        let shared = &self.client.shared;
+        let traits = self.other_work.as_ref().unwrap_or(&self.traits);
+        let now = shared.base.clock.now();
+        shared.view.record_proven(&self.service, traits, now);
+    }
+
     /// Records that the server ran the request to its end and responded with success.
     pub(crate) fn record_completion(&mut self) {
+        self.keep_proven();
         self.report_mut().completed = self.work();
     }
 
@@ -980,7 +999,9 @@
         let report = self.report_mut().clone();
         self.client.record_outcome(&self.server, report.outcome);
         let leader = self.client.shared.client.leader();
-        let crashed = self.crashed.take();
+        let now = self.client.shared.base.clock.now();
+        let took = now.saturating_duration_since(self.leased_at);
+        let crashed = self.crashed.take().map(|crashed| (crashed, took));
         if !self.is_released.swap(true, Ordering::Relaxed) {
             self.client.release(leader, report, self.work, crashed);
         }
