Drain zones, cool servers and confine a route in the soak test

The soak test played nothing of drained zones, cold servers and homes. Beside its other faults, operators now drain a zone of the home and the other zone and withdraw that, all servers are cold for 4 s after a start and for 2 s to 4 s in between, and the streams that may be resumed have a home of two of three zones. At the end of a seed, the remaining zone is drained and all processes are killed right after the acknowledgement.

Checked from what servers ran, without excuses for any host: nothing reaches a drained zone later than 5 s after the acknowledgement, a cold server gets at most 4 * 1.5 + 5 requests in any second (from 0.7 s after a control host acknowledged the check-in that told of it), requests with homes reach only servers there, and after the loss of power exactly the drains of the last acknowledged orders are listed. An order without an answer may still get into the log; the opposite order is sent 7 s later at the earliest, and a zone in doubt is not checked.

The seeds in REGRESSIONS are played as before, as are all seeds with FLEET_SOAK_ZONES=0, so that seeds that failed before can be repeated.

--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod calm;
 mod client;
 mod cold;
+mod cold_spells;
 #[path = "../shared/crowd.rs"]
 mod crowd;
 mod crowds;
--- a/tests/fleet/servers.rs
+++ b/tests/fleet/servers.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for backend servers that record every request they run.
 
 use crate::client::Call;
+use crate::cold_spells::{ColdSpell, ColdSpells};
 use crate::faulty::{self, FAULTY_SERVICE};
 use crate::unframed::{self, UNFRAMED_SERVICE, crashes_on_prompt};
 use bytes::Bytes;
@@ -106,7 +107,7 @@
 pub(crate) struct Server {
     pub(crate) name: String,
     pub(crate) service: &'static str,
-    zone: String,
+    pub(crate) zone: String,
     address: SocketAddr,
     incarnation: Arc<AtomicU64>,
     pub(crate) log: RunLog,
@@ -119,6 +120,8 @@
     cold_in_check_ins: Arc<AtomicBool>,
     /// Whether its responses say so.
     cold_in_answers: Arc<AtomicBool>,
+    /// The times in which it is cold for a while, as its check-ins and responses then say.
+    cold_spells: Arc<Mutex<ColdSpells>>,
     /// The time that work takes, in percent of usual, which every response states; 0 for none.
     work: Arc<AtomicU64>,
     connections: Arc<Mutex<Vec<AbortHandle>>>,
@@ -165,6 +168,7 @@
             limit: Arc::default(),
             cold_in_check_ins: Arc::default(),
             cold_in_answers: Arc::default(),
+            cold_spells: Arc::default(),
             work: Arc::default(),
             connections: Arc::default(),
             check_ins_held: Arc::default(),
@@ -213,6 +217,26 @@
         self.cold_in_answers.store(in_answers, Ordering::Relaxed);
     }
 
+    /// Is cold for `duration` after each start from now on, and says so.
+    pub(crate) fn set_cold_after_start(&self, duration: Duration) {
+        self.cold_spells().after_start = duration;
+    }
+
+    /// Is cold for `duration` from now on, and says so; no effect if it is cold already.
+    pub(crate) fn become_cold(&self, duration: Duration) {
+        self.cold_spells().begin(duration, Instant::now());
+    }
+
+    /// The times in which it was cold for a while.
+    pub(crate) fn all_cold_spells(&self) -> Vec<ColdSpell> {
+        self.cold_spells().all().to_vec()
+    }
+
+    fn cold_spells(&self) -> MutexGuard<'_, ColdSpells> {
+        let spells = self.cold_spells.lock();
+        spells.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// States in every response from now on how long work takes, in percent of usual.
     pub(crate) fn state_work(&self, percent: u64) {
         self.work.store(percent, Ordering::Relaxed);
@@ -237,6 +261,7 @@
     fn begin_incarnation(&self) {
         self.leaving_in_answers.store(false, Ordering::Relaxed);
         self.incarnation.fetch_add(1, Ordering::Relaxed);
+        self.cold_spells().restart(Instant::now());
     }
 
     /// Sends a copy of an earlier answer where its state is due.
@@ -343,7 +368,12 @@
             self.wait_while_paused().await;
             let leaving = self.leaving.load(Ordering::Relaxed);
             let is_cold = self.cold_in_check_ins.load(Ordering::Relaxed);
-            let cold_ms = if is_cold { COLD_MS } else { 0 };
+            let spell = self.cold_spells().current(Instant::now());
+            let cold_ms = if is_cold {
+                COLD_MS
+            } else {
+                spell.as_ref().map_or(0, remaining_ms)
+            };
             let body = json!({
                 "service": self.service, "address": self.address, "zone": self.zone,
                 "version": self.version(), "slots": SLOTS, "cold-remaining-ms": cold_ms, "sequence": sequence,
@@ -360,6 +390,9 @@
                 {
                     self.leaving_acknowledged
                         .fetch_or(leaving, Ordering::Relaxed);
+                    if let Some(spell) = &spell {
+                        self.cold_spells().record_told(spell, Instant::now());
+                    }
                     break;
                 }
             }
@@ -431,6 +464,8 @@
         }
         if self.cold_in_answers.load(Ordering::Relaxed) {
             response = response.header(COLD_FIELD, COLD_MS);
+        } else if let Some(spell) = self.cold_spells().current(Instant::now()) {
+            response = response.header(COLD_FIELD, remaining_ms(&spell));
         }
         let work = self.work.load(Ordering::Relaxed);
         if work > 0 {
@@ -484,6 +519,12 @@
     }
 }
 
+/// How much longer a server is cold, in milliseconds, rounded up.
+fn remaining_ms(spell: &ColdSpell) -> u64 {
+    let remaining = spell.until.saturating_duration_since(Instant::now());
+    u64::try_from(remaining.as_millis()).map_or(u64::MAX, |remaining| remaining + 1)
+}
+
 /// The data of one event.
 pub(crate) fn event_data(id: &str, number: u64) -> String {
     format!("{id}-{number}")
--- a/tests/fleet/soak.rs
+++ b/tests/fleet/soak.rs
@@ -2,6 +2,10 @@
 //! operators and jobs are active, and checks what callers and servers observed against
 //! the guarantees of the system.
 //!
+//! Besides, operators drain zones, servers become cold, and a route has homes; at the end, all
+//! processes lose power. The seeds in `REGRESSIONS` are played without this, as are all seeds with
+//! `FLEET_SOAK_ZONES=0`.
+//!
 //! `FLEET_SOAK_SEEDS` sets the seeds (a range such as `10..60`, or a list), and
 //! `FLEET_SOAK_SECONDS` the duration per seed. By default, `SHORT_SEED` and the seeds in
 //! `REGRESSIONS`, which failed before, run for `SHORT_SECONDS` each, with the faults that they
@@ -12,8 +16,12 @@
 //! changes the plan and moves routes in quick succession. After it, the other faults begin. With
 //! `FLEET_SOAK_MIXED=1`, silences and moves go on beside them.
 
+mod coldness;
+mod drains;
+mod homes;
 mod plans;
 mod silences;
+mod zone_faults;
 
 use crate::client::{Answer, Call};
 use crate::servers::{
@@ -27,12 +35,14 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
+use serde_json::Value;
 use silences::{FailedRequest, SILENCE_MAX, check_failures, record_failure, run_silences};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use zone_faults::{add_zone_terms, start_fleet_with_areas, start_zone_faults};
 
 /// Seeds that failed before, with the share of starts without a path to servers and the causes.
 const REGRESSIONS: &[(u64, f64, &str)] = &[
@@ -110,6 +120,15 @@
 /// The share of starts of hosts from which on they have no path to any server.
 const STRANDED_SHARE: f64 = 0.4;
 
+/// A seed, and which faults are played besides those of all seeds.
+#[derive(Clone, Copy, Debug)]
+struct SoakSeed {
+    seed: u64,
+    stranded_share: f64,
+    /// Whether zones are drained, servers become cold, a route has homes, and power is lost.
+    has_zone_faults: bool,
+}
+
 /// A fault to inject.
 #[derive(Clone, Copy, Debug)]
 enum Fault {
@@ -412,7 +431,12 @@
 }
 
 /// Runs the soak test with one seed.
-async fn run_seed(seed: u64, length: Duration, stranded_share: f64) {
+async fn run_seed(played: SoakSeed, length: Duration) {
+    let SoakSeed {
+        seed,
+        stranded_share,
+        has_zone_faults,
+    } = played;
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     // A generator of its own leaves the other faults of a seed as they were.
     let mut paths = PathDraws {
@@ -420,11 +444,21 @@
         stranded_share,
     };
     let mut silences = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
-    let mut fleet = ProcessFleet::start().await;
+    let mut fleet = if has_zone_faults {
+        start_fleet_with_areas().await
+    } else {
+        ProcessFleet::start().await
+    };
     let mut servers = fleet.servers.clone();
     let observations = Observations::default();
     let plan_changes = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
-    let operator = Operator::start(&mut fleet, plan_changes, observations.clone()).await;
+    let add_terms = |plan: &mut Value| {
+        if has_zone_faults {
+            add_zone_terms(plan);
+        }
+    };
+    let operator = Operator::start(&mut fleet, plan_changes, observations.clone(), add_terms).await;
+    let planned_at = Instant::now();
     let (plans, mut acknowledged) = (operator.log(), operator.acknowledged());
     let stranded = (stranded_share > 0.0).then(|| draw_host(&fleet, Role::Entry, &mut paths.rng));
     if let Some(stranded) = &stranded {
@@ -446,6 +480,15 @@
         let silences = ChaCha8Rng::from_rng(&mut silences);
         callers.spawn(run_silences(servers, silences, silent_until));
     }
+    let zone_faults = has_zone_faults.then(|| {
+        start_zone_faults(
+            &fleet,
+            seed,
+            &observations,
+            (calm.end, deadline),
+            &mut callers,
+        )
+    });
     let limited = servers.pop().expect("a server");
     limited.name_limit(LIMIT);
     if std::env::var("FLEET_SOAK_CRASHES").is_ok_and(|crashes| crashes == "whole") {
@@ -455,26 +498,25 @@
     let mut jobs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     submit_job(&fleet, &mut jobs).await;
     tokio::time::sleep_until(calm.end.into()).await;
-    let mut wiped_at: HashMap<&str, Instant> = HashMap::new();
-    let mut injected = Vec::new();
-    while Instant::now() < deadline {
-        submit_job(&fleet, &mut jobs).await;
-        wait_for_acknowledgement(&mut acknowledged).await;
-        let fault = draw_fault(&mut rng);
-        injected.push(format!("{fault:?}"));
-        let interrupted =
-            inject_fault(&mut fleet, fault, &mut rng, &mut paths, &mut wiped_at).await;
-        let interrupted = interrupted.map(|host| (host, Instant::now()));
-        lock(&observations.interruptions).extend(interrupted);
-        let pause = rng.random_range(100..900);
-        tokio::time::sleep(Duration::from_millis(pause)).await;
-        fleet.faults.heal();
-    }
+    let injected = inject_faults(
+        (&mut fleet, &mut jobs),
+        (&mut rng, &mut paths),
+        &observations,
+        &mut acknowledged,
+        deadline,
+    )
+    .await;
     while callers.join_next().await.is_some() {}
     fleet.faults.heal();
-    for name in fleet.hosts_without_path() {
-        fleet.restart_with_path(&name, true);
-    }
+    let zones_text = if let Some(zone_faults) = zone_faults {
+        let checking = zone_faults.check(&mut fleet, &observations, planned_at);
+        checking.await
+    } else {
+        for name in fleet.hosts_without_path() {
+            fleet.restart_with_path(&name, true);
+        }
+        String::new()
+    };
     let acknowledged = *acknowledged.borrow();
     check_final_state(&fleet, &jobs, acknowledged, &observations).await;
     let broken = check_failures(&observations, &plans, &calm, stranded.as_deref());
@@ -484,22 +526,58 @@
     let violations = lock(&observations.violations).clone();
     if !violations.is_empty() {
         fleet.save_logs();
-        panic!("seed {seed}: {violations:#?}\nafter {injected:#?}");
+        panic!("seed {seed}: {violations:#?}\nafter {injected:#?}{zones_text}");
     }
+    let counts = format!("{} jobs, {} faults", jobs.len(), injected.len());
+    let rest = format!("{broken} broken off in the calm{zones_text}");
+    report_seed(seed, &fleet, &observations, &limited, (&counts, &rest));
+}
+
+/// Prints what a seed that violated nothing amounts to.
+fn report_seed(
+    seed: u64,
+    fleet: &ProcessFleet,
+    observations: &Observations,
+    limited: &Server,
+    (counts, rest): (&str, &str),
+) {
     let served = *lock(&observations.served);
     assert!(served > 0, "seed {seed}: nothing was served");
     let runs = fleet.runs.all();
     let taken_up = runs.iter().filter(|run| run.id.ends_with(TAKEN_UP));
     println!(
-        "seed {seed}: {served} served, {} jobs, {} faults, {} runs of streams taken up, {} at the \
-         limited server, {broken} broken off in the calm",
-        jobs.len(),
-        injected.len(),
+        "seed {seed}: {served} served, {counts}, {} runs of streams taken up, {} at the limited \
+         server, {rest}",
         taken_up.count(),
         runs.iter().filter(|run| run.server == limited.name).count(),
     );
 }
 
+/// Injects faults until `deadline`, with a job before each. Returns their names.
+async fn inject_faults(
+    (fleet, jobs): (&mut ProcessFleet, &mut BTreeMap<String, Vec<String>>),
+    (rng, paths): (&mut ChaCha8Rng, &mut PathDraws),
+    observations: &Observations,
+    acknowledged: &mut watch::Receiver<u64>,
+    deadline: Instant,
+) -> Vec<String> {
+    let mut wiped_at: HashMap<&str, Instant> = HashMap::new();
+    let mut injected = Vec::new();
+    while Instant::now() < deadline {
+        submit_job(fleet, jobs).await;
+        wait_for_acknowledgement(acknowledged).await;
+        let fault = draw_fault(rng);
+        injected.push(format!("{fault:?}"));
+        let interrupted = inject_fault(fleet, fault, rng, paths, &mut wiped_at).await;
+        let interrupted = interrupted.map(|host| (host, Instant::now()));
+        lock(&observations.interruptions).extend(interrupted);
+        let pause = rng.random_range(100..900);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        fleet.faults.heal();
+    }
+    injected
+}
+
 async fn submit_job(fleet: &ProcessFleet, jobs: &mut BTreeMap<String, Vec<String>>) {
     let job = format!("job-{}", jobs.len());
     let items: Vec<String> = (0..4).map(|n| format!("{job}-item-{n}")).collect();
@@ -657,11 +735,18 @@
     }
 }
 
-/// The seeds, with the share of starts without a path to servers.
-fn seeds() -> Vec<(u64, f64)> {
+/// The seeds to play.
+fn seeds() -> Vec<SoakSeed> {
+    let with = |seed, stranded_share, has_zone_faults| SoakSeed {
+        seed,
+        stranded_share,
+        has_zone_faults,
+    };
+    let has_zone_faults = !std::env::var("FLEET_SOAK_ZONES").is_ok_and(|zones| zones == "0");
     let Ok(text) = std::env::var("FLEET_SOAK_SEEDS") else {
-        let regressions = REGRESSIONS.iter().map(|(seed, share, _)| (*seed, *share));
-        return std::iter::once((SHORT_SEED, 0.0))
+        let regressions = REGRESSIONS.iter();
+        let regressions = regressions.map(|(seed, share, _)| with(*seed, *share, false));
+        return std::iter::once(with(SHORT_SEED, 0.0, has_zone_faults))
             .chain(regressions)
             .collect();
     };
@@ -672,7 +757,7 @@
     };
     seeds
         .into_iter()
-        .map(|seed| (seed, STRANDED_SHARE))
+        .map(|seed| with(seed, STRANDED_SHARE, has_zone_faults))
         .collect()
 }
 
@@ -680,7 +765,7 @@
 async fn random_faults_violate_no_guarantee() {
     let seconds = std::env::var("FLEET_SOAK_SECONDS").ok();
     let seconds = seconds.map_or(SHORT_SECONDS, |text| text.parse().expect("a number"));
-    for (seed, stranded_share) in seeds() {
-        run_seed(seed, Duration::from_secs(seconds), stranded_share).await;
+    for seed in seeds() {
+        run_seed(seed, Duration::from_secs(seconds)).await;
     }
 }
--- a/tests/fleet/soak/plans.rs
+++ b/tests/fleet/soak/plans.rs
@@ -99,11 +99,13 @@
 }
 
 impl Operator {
-    /// Adds the servers of a second engine service, whose plan is the first of the operator.
+    /// Adds the servers of a second engine service, whose plan, with what `add_terms` adds, is the
+    /// first of the operator.
     pub(super) async fn start(
         fleet: &mut ProcessFleet,
         rng: ChaCha8Rng,
         observations: Observations,
+        add_terms: impl FnOnce(&mut Value),
     ) -> Self {
         fleet.add_other_engines(3).await;
         let control = fleet.host_names(Role::Control).into_iter().map(|name| {
@@ -121,6 +123,7 @@
             observations,
         };
         operator.plan = fleet.next_plan_with_engines();
+        add_terms(&mut operator.plan);
         operator.settled_routes = operator.plan["routes"].clone();
         operator.plan["limits"] = json!({
             "max-header-bytes": 16_384, "max-body-bytes": 4_194_304,
--- a/tests/fleet/world.rs
+++ b/tests/fleet/world.rs
@@ -159,15 +159,25 @@
     /// Like `start`, with settings that name the given features.
     pub(crate) async fn start_with_features(features: &'static str) -> Self {
         let seeds = [1, 2, 3].map(|number| (Role::Control, number));
-        Self::start_with(&seeds, features).await
+        Self::start_with(&seeds, features, None).await
+    }
+
+    /// Like `start`, with settings that name the zones with their areas.
+    pub(crate) async fn start_with_areas(areas: &'static str) -> Self {
+        let seeds = [1, 2, 3].map(|number| (Role::Control, number));
+        Self::start_with(&seeds, "", Some(areas)).await
     }
 
     /// Like `start`, with settings that name the given hosts as seeds.
     pub(crate) async fn start_with_seeds(seeds: &[(Role, u8)]) -> Self {
-        Self::start_with(seeds, "").await
+        Self::start_with(seeds, "", None).await
     }
 
-    async fn start_with(seeds: &[(Role, u8)], features: &'static str) -> Self {
+    async fn start_with(
+        seeds: &[(Role, u8)],
+        features: &'static str,
+        areas: Option<&'static str>,
+    ) -> Self {
         let mut fleet = Self {
             folder: TempDir::new().expect("a folder"),
             subnet: Subnet::reserve(),
@@ -178,8 +188,8 @@
             servers: Vec::new(),
             version: 0,
             features,
-            names_zones: false,
-            areas: "zone-1:north, zone-2:north, zone-3:north",
+            names_zones: areas.is_some(),
+            areas: areas.unwrap_or("zone-1:north, zone-2:north, zone-3:north"),
         };
         for number in 1..=3 {
             for role in [Role::Control, Role::Store, Role::Entry] {
--- a/tests/fleet/zone_drains.rs
+++ b/tests/fleet/zone_drains.rs
@@ -49,7 +49,7 @@
 }
 
 /// The zones that are drained, as a control host reads them.
-async fn drains(fleet: &ProcessFleet, host: &str) -> Option<Value> {
+pub(crate) async fn drains(fleet: &ProcessFleet, host: &str) -> Option<Value> {
     let call = Call::new(fleet.control_address(host), Method::GET, "/drain/get");
     let answer = call.send().await?;
     answer
