End a run of an item at its time limit, and go on in the next run

An item of a job whose answer takes more than 60 s never had a result at a server that keeps to no time limit. Callers saw the job stay open while servers worked on the item again and again.

Cause: each run is given 60 s, and the end of a stream after that time is not taken for the end of the answer, since servers may cut answers off at the limit. The next run asked for what follows the last event, got nothing, and the output was discarded, so that the item began anew: 71.6 s, 0 s, and the next run from the start.

The dispatcher now ends a run at its time limit itself. The item goes on with the next event, in a run that ends before its own limit. Nothing is counted against the server. An item whose last event comes right before the limit and its end after it still begins anew.

--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -17,9 +17,14 @@
 /// The maximum silence of an active run; an engine emits an event at every step.
 const SILENCE_MAX: Duration = Duration::from_secs(3);
 
-/// The time limit that a server is given for one run.
+/// The time limit that a server is given for one run, after which the run is ended. An answer of
+/// which a server that keeps to no limit writes more goes on in the next run, since the end of a
+/// stream after its limit would tell nothing: the server may have cut it off.
 const RUN_MAX: Duration = Duration::from_secs(60);
 
+/// The cause that is logged of a run that its time limit ended.
+const LIMIT_CAUSE: &str = "the run reached its time limit";
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ItemEnd {
@@ -69,6 +74,10 @@
     let (end, outcome, cause) = tokio::select! {
         ended = running => ended,
         () = stop.notified() => (ItemEnd::Stopped, RunOutcome::Stopped, "its slot was needed"),
+        () = tokio::time::sleep(RUN_MAX) => {
+            // Not the failure of the server.
+            (ItemEnd::Broken, RunOutcome::Stopped, LIMIT_CAUSE)
+        }
     };
     let expected = lease.expected;
     lease.end(outcome);
@@ -162,7 +171,7 @@
     }
     let elapsed = clock.now().saturating_duration_since(started_at);
     if may_end_by_time_limit(response.framing, RUN_MAX.saturating_sub(elapsed)) {
-        return run_broken("the run reached its time limit");
+        return run_broken(LIMIT_CAUSE);
     }
     if reader.progress().last_event == last_event_before {
         let outcome = match response.framing {
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -17,6 +17,7 @@
 mod homes;
 mod hushed;
 mod limited;
+mod long_items;
 mod moved_jobs;
 mod odd_entries;
 mod planned_stops;
