--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -17,9 +17,9 @@
 /// The maximum silence of an active run; an engine emits an event at every step.
 const SILENCE_MAX: Duration = Duration::from_secs(3);
 
-/// The time limit that a server is given for one run, after which the run is ended. An answer of
-/// which a server that keeps to no limit writes more goes on in the next run, since the end of a
-/// stream after its limit would tell nothing: the server may have cut it off.
+/// The time limit that a server is given for one run, after which the run is ended here, too. A
+/// longer answer goes on in the next run: the end of a stream after its limit would not tell whether
+/// the answer is whole, as servers may cut answers off at the limit.
 const RUN_MAX: Duration = Duration::from_secs(60);
 
 /// The cause that is logged of a run that its time limit ended.
--- a/tests/fleet/soak/drains.rs
+++ b/tests/fleet/soak/drains.rs
@@ -157,18 +157,27 @@
 }
 
 /// Checks that no request reached a server of a drained zone once the drain was in force. Hosts
-/// are never cut off from the control group for that long here, so no host is excused.
-pub(super) fn check_drains(fleet: &ProcessFleet, observations: &Observations, log: &DrainLog) {
+/// are never cut off from the control group for that long here, so no host is excused. Returns the
+/// number of drains that came into force before they were withdrawn.
+pub(super) fn check_drains(
+    fleet: &ProcessFleet,
+    observations: &Observations,
+    log: &DrainLog,
+) -> usize {
     let zone_of = |run: &Run| {
         let mut servers = fleet.servers.iter();
         let server = servers.find(|server| server.name == run.server);
         server.map(|server| server.zone.as_str())
     };
     let runs = fleet.runs.all();
+    let now = Instant::now();
+    let mut in_force = 0;
     for span in lock(&log.spans).iter() {
+        let ended_at = span.ended_at.unwrap_or(now);
+        in_force += usize::from(ended_at > span.begun_at + EVACUATION_TIME);
         let is_late = |run: &&Run| {
             run.at >= span.begun_at + EVACUATION_TIME
-                && span.ended_at.is_none_or(|ended_at| run.at < ended_at)
+                && run.at < ended_at
                 && zone_of(run) == Some(span.zone.as_str())
         };
         for run in runs.iter().filter(is_late) {
@@ -181,6 +190,7 @@
             ));
         }
     }
+    in_force
 }
 
 /// Drains another zone, kills and starts all processes right after the acknowledgement, and checks
--- a/tests/fleet/soak/zone_faults.rs
+++ b/tests/fleet/soak/zone_faults.rs
@@ -77,11 +77,12 @@
         let zones = [HOME_ZONES[0], HOME_ZONES[1], FOREIGN_ZONE];
         let zones = (self.last_zone, zones.as_slice());
         check_power_loss(fleet, zones, self.rng, &self.drains, observations).await;
-        check_drains(fleet, observations, &self.drains);
+        let in_force = check_drains(fleet, observations, &self.drains);
         check_homes(fleet, observations, planned_at);
         let (spells, most) = check_coldness(fleet, observations);
         format!(
-            ", {} drains, {spells} cold spells with at most {most} requests a second",
+            ", {} drains, {in_force} of them in force, {spells} cold spells with at most {most} \
+             requests a second",
             self.drains.count()
         )
     }
