--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod calm;
 mod client;
 mod cold;
+mod cold_spells;
 #[path = "../shared/crowd.rs"]
 mod crowd;
 mod crowds;
@@ -17,6 +18,7 @@
 mod hushed;
 mod isolated;
 mod limited;
+mod long_items;
 mod moved_jobs;
 mod odd_entries;
 mod planned_stops;
