Count the ejections in drained zones apart

Requests that were in flight in a drained zone may fail. The bound on ejections counted only the servers of other zones, so all servers of the drained zone could be ejected, and it served nothing when the drain was withdrawn (found by review).

Servers of drained zones and the others are each counted among themselves.

Test: servers_of_a_drained_zone_are_not_all_ejected, which failed before.

--- a/crates/policy/src/routing/table.rs
+++ b/crates/policy/src/routing/table.rs
@@ -310,8 +310,8 @@
     }
 
     /// Returns whether at most half of the servers of each target would be ejected.
-    /// Without this bound, a common cause could eject every server of a target. Servers of
-    /// drained zones do not count, since they take no work for the ejected ones.
+    /// Without this bound, a common cause could eject every server of a target. Those of drained
+    /// zones and the others are counted apart, since neither take the work of the others.
     fn may_eject(&self, key: ServerKey) -> bool {
         let Some(record) = self.servers.get(key) else {
             return false;
@@ -320,11 +320,12 @@
             let record = self.servers.get(**key);
             record.is_some_and(|record| !matches!(record.health, ServerHealth::Serving { .. }))
         };
+        let is_drained = self.is_in_drained_zone(record);
         let within_bound = |target: &WorkTarget| {
             let servers = self.targets.get(target);
             servers.is_none_or(|servers| {
                 let all = || servers.local.iter().chain(&servers.remote);
-                let keys = || all().filter(|key| !self.is_drained(**key));
+                let keys = || all().filter(|key| self.is_drained(**key) == is_drained);
                 (keys().filter(ejected).count() + 1) * 2 <= keys().count()
             })
         };
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -370,3 +370,20 @@
     }
     assert!(matches!(fixture.choose(), RouteChoice::Server(_)));
 }
+
+/// Guards against a zone whose servers were all ejected while it was drained, as the last requests
+/// there failed, and that serves nothing when the drain is withdrawn.
+#[test]
+fn servers_of_a_drained_zone_are_not_all_ejected() {
+    let mut fixture = Fixture::new(&[("a", 1), ("a", 1), ("b", 1), ("b", 1)]);
+    fixture.table.set_drained_zones(BTreeSet::from([zone("b")]));
+    for index in [2, 3] {
+        let key = fixture.key(index);
+        for _ in 0..20 {
+            fixture.table.start(key);
+            fixture.finish(index, ServerOutcome::Failed);
+        }
+    }
+    fixture.table.set_drained_zones(BTreeSet::from([zone("a")]));
+    assert!(matches!(fixture.choose(), RouteChoice::Server(_)));
+}
