--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -248,7 +248,8 @@
                 timeout: Duration::from_secs(1),
             });
             if answer.is_ok_and(|answer| answer.status() == 200) {
-                self.record.note("operator: the configuration is acknowledged");
+                self.record
+                    .note("operator: the configuration is acknowledged");
                 return Ok(());
             }
             if started.elapsed() > START_TIMEOUT {
@@ -323,7 +324,10 @@
 /// Ends a process that exceeds the memory of its machine, and starts an ended one again.
 fn watch(node: &mut Node, folder: &Path, subnet: (u8, u8), record: &Record) {
     let Some(child) = &mut node.child else {
-        if node.ended_at.is_some_and(|at| at.elapsed() >= RESTART_DELAY) {
+        if node
+            .ended_at
+            .is_some_and(|at| at.elapsed() >= RESTART_DELAY)
+        {
             match start_process(node, folder, subnet, false) {
                 Ok(()) => record.note(&format!("platform: {} starts again", node.name())),
                 Err(error) => record.note(&format!("platform: {error}")),
@@ -332,7 +336,10 @@
         return;
     };
     if let Ok(Some(status)) = child.try_wait() {
-        record.note(&format!("platform: {} ended by itself: {status}", node.name()));
+        record.note(&format!(
+            "platform: {} ended by itself: {status}",
+            node.name()
+        ));
         node.own_ends += 1;
         node.child = None;
         node.ended_at = Some(Instant::now());
@@ -360,7 +367,9 @@
 /// The memory of a process without its program and other files, in kilobytes.
 fn anonymous_kb(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"));
     let figure = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
     figure.unwrap_or(0)
 }
@@ -404,7 +413,10 @@
     });
     let data = match node.role {
         Role::Entry => String::new(),
-        _ => format!("[data]\nfolder = {}\n", folder.join(format!("data-{name}")).display()),
+        _ => format!(
+            "[data]\nfolder = {}\n",
+            folder.join(format!("data-{name}")).display()
+        ),
     };
     format!(
         "[host]\nname = {name}\nzone = {}\n\n\
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -183,7 +183,9 @@
 }
 
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes.windows(pattern.len()).position(|part| part == pattern)
+    bytes
+        .windows(pattern.len())
+        .position(|part| part == pattern)
 }
 
 /// Encodes bytes in base64.
--- a/review/standin-2/job_readers.rs
+++ b/review/standin-2/job_readers.rs
@@ -47,9 +47,19 @@
     );
     let who = ("key1", "held-job");
     let time = Duration::from_secs(4);
-    let accepted = call(entries[0], "POST", "/letters/job", who, body.as_bytes(), time);
+    let accepted = call(
+        entries[0],
+        "POST",
+        "/letters/job",
+        who,
+        body.as_bytes(),
+        time,
+    );
     let accepted = accepted.map_err(|error| error.to_string())?.status();
-    record.note(&format!("client: a job of {} bytes: {accepted}", body.len()));
+    record.note(&format!(
+        "client: a job of {} bytes: {accepted}",
+        body.len()
+    ));
     if accepted != 202 {
         return Err("the job was not accepted".to_owned());
     }
--- a/review/standin-2/replica.rs
+++ b/review/standin-2/replica.rs
@@ -90,7 +90,11 @@
             }
             next += 1;
         }
-        std::thread::sleep(if is_acknowledged { HEARTBEAT } else { HEARTBEAT / 6 });
+        std::thread::sleep(if is_acknowledged {
+            HEARTBEAT
+        } else {
+            HEARTBEAT / 6
+        });
     }
 }
 
@@ -104,7 +108,11 @@
     let mut writer = stream.try_clone()?;
     let mut reader = MessageReader::new(stream, None);
     while let Some(message) = reader.read(false)? {
-        if message.first_line.first().is_some_and(|method| method == "GET") {
+        if message
+            .first_line
+            .first()
+            .is_some_and(|method| method == "GET")
+        {
             let body = format!(
                 "{{\"stage\":\"mixed\",\"models\":[],\"busy\":false,\"sequence\":0,\"waiting\":0,\
                  \"running\":{},\"kv-used\":0,\"kv-total\":147261,\"handles\":0,\"born\":{born}}}",
--- a/review/standin-2/stored_jobs.rs
+++ b/review/standin-2/stored_jobs.rs
@@ -184,7 +184,14 @@
         let key = format!("key{}", number % TENANTS + 1);
         let path = format!("/lots/{job}?after=0");
         let entry = entries[turn % entries.len()];
-        let answer = call(entry, "GET", &path, (&key, "read"), b"", Duration::from_secs(2));
+        let answer = call(
+            entry,
+            "GET",
+            &path,
+            (&key, "read"),
+            b"",
+            Duration::from_secs(2),
+        );
         last = answer.map_or_else(|error| error.to_string(), |a| a.status().to_string());
         if last == "200" {
             missing.retain(|other| *other != job);
@@ -194,7 +201,9 @@
         turn += 1;
     }
     for job in &missing {
-        record.note(&format!("client: {job} cannot be read, the last answer was {last}"));
+        record.note(&format!(
+            "client: {job} cannot be read, the last answer was {last}"
+        ));
     }
     missing.len()
 }
