--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -285,6 +285,22 @@
         Ok(())
     }
 
+    /// Kills the process of a store machine; the platform starts it again.
+    pub fn kill_store(&self, number: u8) {
+        let mut nodes = lock(&self.nodes);
+        let of_store = nodes.iter_mut().filter(|node| node.role == Role::Store);
+        for node in of_store.filter(|node| node.number == number) {
+            let Some(mut child) = node.child.take() else {
+                continue;
+            };
+            let _ = child.kill();
+            let _ = child.wait();
+            node.ended_at = Some(Instant::now());
+            self.record
+                .note(&format!("trouble: {} is killed", node.name()));
+        }
+    }
+
     /// What became of the processes so far.
     pub fn ends(&self) -> Vec<NodeEnds> {
         let nodes = lock(&self.nodes);
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod job_readers;
 mod replica;
+mod restarted_stores;
 mod stored_jobs;
 
 use fleet::Record;
@@ -33,6 +34,7 @@
     };
     let result = match case.as_str() {
         "stored-jobs" => stored_jobs::run(&record, has_trouble),
+        "restarted-stores" => restarted_stores::run(&record, has_trouble),
         "job-readers" => job_readers::run(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
     };
