--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -76,7 +76,9 @@
     }
 
     fn address(&self, role: usize, number: u8, port: u16) -> SocketAddr {
-        format!("{}:{port}", self.ip(role, number)).parse().expect("an address")
+        format!("{}:{port}", self.ip(role, number))
+            .parse()
+            .expect("an address")
     }
 
     fn note(&self, text: &str) {
@@ -181,9 +183,10 @@
     }
 }
 
+/// The memory of a process without the pages of files, such as those of its program.
 fn resident_bytes(id: u32) -> u64 {
     let text = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let line = text.lines().find_map(|line| line.strip_prefix("RssAnon:"));
     let count = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
     count.unwrap_or(0) * 1024
 }
@@ -197,9 +200,13 @@
     timeout: Duration,
 ) -> Option<(u16, Vec<u8>)> {
     let deadline = Instant::now() + timeout;
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1).min(timeout)).ok()?;
+    let mut stream =
+        TcpStream::connect_timeout(&address, Duration::from_secs(1).min(timeout)).ok()?;
     stream.set_nodelay(true).ok()?;
-    let mut text = format!("{head} HTTP/1.1\r\nhost: rents.example\r\ncontent-length: {}\r\n", body.len());
+    let mut text = format!(
+        "{head} HTTP/1.1\r\nhost: rents.example\r\ncontent-length: {}\r\n",
+        body.len()
+    );
     for (name, value) in fields {
         text += &format!("{name}: {value}\r\n");
     }
@@ -213,14 +220,18 @@
         if let Some(end) = find(&bytes, b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
             let status = head.split(' ').nth(1)?.parse().ok()?;
-            let length = head.lines().find_map(|line| line.strip_prefix("content-length:"));
+            let length = head
+                .lines()
+                .find_map(|line| line.strip_prefix("content-length:"));
             let length: usize = length.map_or(Some(0), |length| length.trim().parse().ok())?;
             if bytes.len() >= end + 4 + length {
                 return Some((status, bytes[end + 4..end + 4 + length].to_vec()));
             }
         }
         let left = deadline.checked_duration_since(Instant::now())?;
-        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
+        stream
+            .set_read_timeout(Some(left.max(Duration::from_millis(1))))
+            .ok()?;
         match stream.read(&mut buffer) {
             Ok(0) | Err(_) => return None,
             Ok(count) => bytes.extend_from_slice(&buffer[..count]),
@@ -234,7 +245,11 @@
 
 fn plan() -> String {
     let tenants: Vec<String> = (0..TENANTS)
-        .map(|n| format!("{{\"name\":\"t{n}\",\"api-keys\":[\"k{n}\"],\"rate-per-s\":100,\"burst\":100}}"))
+        .map(|n| {
+            format!(
+                "{{\"name\":\"t{n}\",\"api-keys\":[\"k{n}\"],\"rate-per-s\":100,\"burst\":100}}"
+            )
+        })
         .collect();
     format!(
         "{{\"version\":1,\"routes\":[{{\"name\":\"r-letter\",\"host\":\"rents.example\",\
@@ -257,7 +272,9 @@
     let listener = TcpListener::bind(format!("127.{second}.{third}.200:0"))?;
     let address = listener.local_addr()?;
     let id = format!("i-{number}");
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |age| age.as_millis());
+    let born = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(1, |age| age.as_millis());
     let busy = Arc::new(AtomicUsize::new(0));
     let (serving, name) = (world.clone(), id.clone());
     thread::spawn(move || {
@@ -330,7 +347,11 @@
         reader.read_exact(&mut body)?;
         if first.starts_with("GET /report") {
             let state = format!("{{\"stage\":\"mixed\",\"born\":{born}}}");
-            write!(writer, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{state}", state.len())?;
+            write!(
+                writer,
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{state}",
+                state.len()
+            )?;
             continue;
         }
         let is_other = expected != name;
@@ -395,7 +416,13 @@
     for attempt in 0..4 {
         let node = ((job + attempt) % 3) as u8 + 1;
         let entry = world.address(2, node, 8405);
-        let answer = call(entry, "POST /letter/new", &fields, body.as_bytes(), CALL_TIMEOUT);
+        let answer = call(
+            entry,
+            "POST /letter/new",
+            &fields,
+            body.as_bytes(),
+            CALL_TIMEOUT,
+        );
         let status = answer.map(|(status, _)| status);
         world.note(&format!("{id} sent to entry-{node}: {status:?}"));
         if status == Some(202) {
@@ -412,7 +439,13 @@
     for node in 1..=3 {
         let entry = world.address(2, node, 8405);
         let head = format!("GET /lots/job-{job}?after=0");
-        let answer = call(entry, &head, &[("authorization", &key)], &[], Duration::from_secs(3));
+        let answer = call(
+            entry,
+            &head,
+            &[("authorization", &key)],
+            &[],
+            Duration::from_secs(3),
+        );
         if let Some((200, body)) = answer {
             let text = String::from_utf8_lossy(&body).into_owned();
             let next = text.split("\"next\":").nth(1)?.split(',').next()?;
@@ -425,7 +458,10 @@
 fn free_net() -> Option<(u8, u8)> {
     let first = std::process::id();
     (0..200u32).find_map(|offset| {
-        let net = (((first + offset) % 200 + 20) as u8, ((first / 200 + offset) % 250 + 1) as u8);
+        let net = (
+            ((first + offset) % 200 + 20) as u8,
+            ((first / 200 + offset) % 250 + 1) as u8,
+        );
         let free = TcpListener::bind(format!("127.{}.{}.11:8407", net.0, net.1));
         free.is_ok().then_some(net)
     })
@@ -465,7 +501,13 @@
     let plan = plan();
     let accepts_plan = || {
         let control = world.address(0, 1, 8407);
-        let answer = call(control, "POST /config/replace", &[], plan.as_bytes(), Duration::from_secs(1));
+        let answer = call(
+            control,
+            "POST /config/replace",
+            &[],
+            plan.as_bytes(),
+            Duration::from_secs(1),
+        );
         answer.is_some_and(|(status, _)| status == 200)
     };
     while !accepts_plan() {
@@ -484,7 +526,11 @@
     }
     let due_at = move |job: usize| {
         let (calm, burst) = (1.0 / CALM_RATE, 1.0 / (CALM_RATE * BURST));
-        let in_burst = if is_burst { (BURST_TIME.as_secs_f64() / burst) as usize } else { 0 };
+        let in_burst = if is_burst {
+            (BURST_TIME.as_secs_f64() / burst) as usize
+        } else {
+            0
+        };
         let seconds = job.min(in_burst) as f64 * burst + job.saturating_sub(in_burst) as f64 * calm;
         Duration::from_secs_f64(seconds)
     };
@@ -494,18 +540,20 @@
     let clients: Vec<_> = (0..64)
         .map(|_| {
             let (world, accepted, sent) = (world.clone(), accepted.clone(), sent.clone());
-            thread::spawn(move || loop {
-                let job = sent.fetch_add(1, Ordering::Relaxed);
-                let due = due_at(job);
-                if due > SUBMIT_TIME {
-                    return;
-                }
-                thread::sleep(due.saturating_sub(begun.elapsed()));
-                if begun.elapsed() > SUBMIT_TIME {
-                    return;
-                }
-                if submit(&world, job) {
-                    accepted.lock().unwrap().insert(job);
+            thread::spawn(move || {
+                loop {
+                    let job = sent.fetch_add(1, Ordering::Relaxed);
+                    let due = due_at(job);
+                    if due > SUBMIT_TIME {
+                        return;
+                    }
+                    thread::sleep(due.saturating_sub(begun.elapsed()));
+                    if begun.elapsed() > SUBMIT_TIME {
+                        return;
+                    }
+                    if submit(&world, job) {
+                        accepted.lock().unwrap().insert(job);
+                    }
                 }
             })
         })
@@ -515,7 +563,9 @@
         let memory: Vec<u64> = (1..=3u8)
             .map(|number| {
                 let processes = world.processes.lock().unwrap();
-                processes.get(&(1, number)).map_or(0, |child| resident_bytes(child.id()) >> 20)
+                processes
+                    .get(&(1, number))
+                    .map_or(0, |child| resident_bytes(child.id()) >> 20)
             })
             .collect();
         world.note(&format!(
@@ -550,14 +600,19 @@
     let ends = world.ends.lock().unwrap().clone();
     let often = ends.values().filter(|count| **count >= 3).count();
     world.note(&format!("processes that ended by themselves: {ends:?}"));
-    println!("accepted {} jobs; processes that ended by themselves: {ends:?}", accepted.len());
+    println!(
+        "accepted {} jobs; processes that ended by themselves: {ends:?}",
+        accepted.len()
+    );
     Ok(i32::from(often >= 2))
 }
 
 fn main() {
     let mut words = std::env::args().skip(1);
     let case = PathBuf::from(words.next().unwrap_or_else(|| ".".to_owned()));
-    let program = words.next().unwrap_or_else(|| "target/release/chicoryladderd".to_owned());
+    let program = words
+        .next()
+        .unwrap_or_else(|| "target/release/chicoryladderd".to_owned());
     let is_burst = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let program = fs::canonicalize(&program).unwrap_or_else(|_| PathBuf::from(program));
     let code = run(&case, program, is_burst).unwrap_or_else(|error| {
