--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -28,7 +28,9 @@
     SnapshotChunk, SnapshotReply, VoteReply, VoteRequest,
 };
 pub use observer::{ObserverRequest, ObserverSettings, TailObserver};
-pub use replica::{DroppedReason, GroupReplica, ProposalToken, ReplicaError, ReplicaOutput};
+pub use replica::{
+    DroppedReason, GroupReplica, LogUsage, ProposalToken, ReplicaError, ReplicaOutput,
+};
 pub use seat::{
     BatchNumber, PersistBatch, PersistStep, ProposeError, ProposedEntry, RaftSeat, SeatAction,
     SeatEvent, SeatRole,
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -77,6 +77,15 @@
     token: ProposalToken,
 }
 
+/// The size of what a start of the replica would read, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogUsage {
+    /// The entries that were applied since the snapshot.
+    pub entries: u64,
+    /// The snapshot.
+    pub snapshot: u64,
+}
+
 /// One replica of a group.
 pub struct GroupReplica<M> {
     seat: RaftSeat,
@@ -85,6 +94,7 @@
     pending: BTreeMap<LogIndex, PendingProposal>,
     tail: CommittedTail,
     snapshot_index: LogIndex,
+    log_usage: LogUsage,
     written: Option<crate::BatchNumber>,
     stopped: bool,
 }
@@ -111,11 +121,14 @@
             storage.save_snapshot(&first_snapshot(&initial, &machine)?)?;
         }
         let mut tail = CommittedTail::new(settings.tail_max_entries);
+        let mut log_usage = LogUsage::default();
         if let Some(snapshot) = &stored.snapshot {
             machine.restore(&snapshot.data)?;
             tail.reset(snapshot.index);
+            log_usage.snapshot = snapshot.data.len() as u64;
         }
         let snapshot_index = tail.applied();
+        log_start(&stored, log_usage.snapshot);
         let seat = RaftSeat::new(settings, initial, stored, seed, now);
         Ok(Self {
             seat,
@@ -124,6 +137,7 @@
             pending: BTreeMap::new(),
             tail,
             snapshot_index,
+            log_usage,
             written: None,
             stopped: false,
         })
@@ -301,6 +315,7 @@
     fn apply(&mut self, entry: LogEntry) -> Option<ReplicaOutput> {
         let index = entry.index;
         let term = entry.term;
+        self.log_usage.entries += entry.payload.approximate_bytes() as u64;
         let answer = match &entry.payload {
             EntryPayload::Command(command) => self.machine.apply(index, command),
             EntryPayload::NoOp | EntryPayload::Membership(_) => Vec::new(),
@@ -323,6 +338,10 @@
         self.machine.restore(&snapshot.data)?;
         self.tail.reset(snapshot.index);
         self.snapshot_index = snapshot.index;
+        self.log_usage = LogUsage {
+            entries: 0,
+            snapshot: snapshot.data.len() as u64,
+        };
         let later = self.pending.split_off(&snapshot.index.next());
         let covered = std::mem::replace(&mut self.pending, later);
         let reason = DroppedReason::Unknown;
@@ -345,7 +364,12 @@
 
     fn compact(&mut self) -> Result<(), SnapshotError> {
         self.snapshot_index = self.tail.applied();
-        self.seat.compact(self.machine.snapshot()?.into());
+        let data = self.machine.snapshot()?;
+        self.log_usage = LogUsage {
+            entries: 0,
+            snapshot: data.len() as u64,
+        };
+        self.seat.compact(data.into());
         Ok(())
     }
 
@@ -382,6 +406,12 @@
         self.tail.applied()
     }
 
+    /// The size of what a start would read now.
+    #[must_use]
+    pub fn log_usage(&self) -> LogUsage {
+        self.log_usage
+    }
+
     /// The state machine.
     #[must_use]
     pub fn machine(&self) -> &M {
@@ -400,6 +430,20 @@
     }
 }
 
+/// Logs what a start has read, all of which is in memory until the entries are known to be
+/// committed.
+fn log_start(stored: &StoredState, snapshot_bytes: u64) {
+    let entries = &stored.entries;
+    let sizes = entries
+        .iter()
+        .map(|entry| entry.payload.approximate_bytes());
+    log::info!(
+        "replica: read a snapshot of {snapshot_bytes} bytes and {} entries of {} bytes after it.",
+        entries.len(),
+        sizes.sum::<usize>(),
+    );
+}
+
 /// The snapshot before the first entry. It persists the membership of the bootstrap,
 /// so that later changes of the settings have no effect on it.
 fn first_snapshot(
--- a/crates/group/src/status.rs
+++ b/crates/group/src/status.rs
@@ -1,6 +1,6 @@
 //! The status of a group as known to the local process.
 
-use chicoryladder_consensus::MemberRole;
+use chicoryladder_consensus::{LogUsage, MemberRole};
 use chicoryladder_types::{LogIndex, SeatId, TermNumber};
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -35,6 +35,8 @@
     pub lease_until: Option<Instant>,
     /// The last entry applied.
     pub applied: LogIndex,
+    /// The size of what a start of the local seat would read.
+    pub log_usage: LogUsage,
     /// The members as of the last entry in the log.
     pub members: Vec<MemberStatus>,
     /// Whether the last membership change is committed.
@@ -56,6 +58,8 @@
             ("group_term", count(self.term.0)),
             ("group_applied", count(self.applied.0)),
             ("group_members", count(self.members.len() as u64)),
+            ("group_log_bytes", count(self.log_usage.entries)),
+            ("group_snapshot_bytes", count(self.log_usage.snapshot)),
             ("group_stopped", flag(self.stopped)),
         ]
     }
--- a/crates/group/src/thread.rs
+++ b/crates/group/src/thread.rs
@@ -305,6 +305,7 @@
             leader,
             lease_until: seat.lease_until(now),
             applied: replica.applied(),
+            log_usage: replica.log_usage(),
             members: seat.membership().members().map(member).collect(),
             membership_committed: seat.is_membership_committed(),
             next_seat: seat.membership().next_seat(),
