--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -353,15 +353,22 @@
     }
 
     fn compact_if_due(&mut self) -> Result<(), SnapshotError> {
-        let interval = self.seat.settings().snapshot_interval_entries;
-        let applied = self.tail.applied();
         let is_requested = self.seat.take_snapshot_request();
-        if is_requested || applied.0 - self.snapshot_index.0 >= interval {
+        if is_requested || self.is_compaction_due() {
             self.compact()?;
         }
         Ok(())
     }
 
+    fn is_compaction_due(&self) -> bool {
+        let settings = self.seat.settings();
+        let entries = self.tail.applied().0 - self.snapshot_index.0;
+        let interval_bytes = settings
+            .snapshot_interval_bytes
+            .max(self.log_usage.snapshot / 2);
+        entries >= settings.snapshot_interval_entries || self.log_usage.entries >= interval_bytes
+    }
+
     fn compact(&mut self) -> Result<(), SnapshotError> {
         self.snapshot_index = self.tail.applied();
         let data = self.machine.snapshot()?;
--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -12,6 +12,7 @@
 const WINDOW_MAX_ENTRIES: u64 = 4_096;
 const RETAINED_ENTRIES: u64 = 1_024;
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 4_096;
+const SNAPSHOT_INTERVAL_BYTES: u64 = 16 * 1024 * 1024;
 const APPLIED_MAX_BYTES: usize = 64 * 1024 * 1024;
 
 /// The timing and limits of one seat.
@@ -41,6 +42,11 @@
     pub retained_entries: u64,
     /// The number of applied entries between two snapshots.
     pub snapshot_interval_entries: u64,
+    /// The size of the entries applied between two snapshots, in bytes. A start holds these
+    /// entries in memory until they are known to be committed. If half of the last snapshot is
+    /// larger, its size counts instead, so that the snapshots of a large state are not written
+    /// more often than its entries.
+    pub snapshot_interval_bytes: u64,
     /// The size of the in-memory log, in bytes, above which applied entries are removed
     /// from it. A seat that needs older entries receives a snapshot.
     pub applied_max_bytes: usize,
@@ -63,6 +69,7 @@
             window_max_entries: WINDOW_MAX_ENTRIES,
             retained_entries: RETAINED_ENTRIES,
             snapshot_interval_entries: SNAPSHOT_INTERVAL_ENTRIES,
+            snapshot_interval_bytes: SNAPSHOT_INTERVAL_BYTES,
             applied_max_bytes: APPLIED_MAX_BYTES,
             tail_max_entries: TAIL_MAX_ENTRIES,
         }
--- a/crates/consensus/src/storage/file.rs
+++ b/crates/consensus/src/storage/file.rs
@@ -7,7 +7,7 @@
 //! deleted.
 
 use super::folder::{DirectoryFolder, StorageFolder};
-use super::frame::{FrameError, HEADER_BYTES, encode_frame, frame_end, read_frame};
+use super::frame::{FrameError, FrameReader, HEADER_BYTES, encode_frame, frame_end, read_frame};
 use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
 use crate::{GroupMembership, HardState, LogEntry, SnapshotRecord};
 use bytes::Bytes;
@@ -189,21 +189,16 @@
     ) -> Result<LogIndex, StorageError> {
         let name = file_name(SEGMENT_PREFIX, number);
         let path = self.path(&name);
-        let bytes = self.folder.read(&name);
-        let bytes = bytes.map_err(|e| self.io_error(&name, e))?;
-        let mut rest = bytes.as_slice();
+        let opened = FrameReader::open(&*self.folder, &name);
+        let mut frames = opened.map_err(|e| self.io_error(&name, e))?;
         let mut last_entry = LogIndex::default();
-        while !rest.is_empty() {
-            let offset = (bytes.len() - rest.len()) as u64;
-            let payload = match read_frame(rest) {
-                Ok((payload, after)) => {
-                    rest = after;
-                    payload
-                }
-                Err(FrameError::Torn) if is_last => {
-                    self.truncate_segment(&name, offset)?;
-                    break;
-                }
+        let torn_at = loop {
+            let offset = frames.offset();
+            let payload = match frames.next() {
+                Ok(Some(payload)) => payload,
+                Ok(None) => break None,
+                Err(FrameError::Torn) if is_last => break Some(offset),
+                Err(FrameError::Io(error)) => return Err(self.io_error(&name, error)),
                 Err(_) => return Err(corruption(&path, offset, "invalid frame")),
             };
             let records: Vec<StorageRecord> = postcard::from_bytes(payload)
@@ -212,6 +207,9 @@
                 last_entry = last_entry.max(entry_index(&record));
                 replay(state, record);
             }
+        };
+        if let Some(offset) = torn_at {
+            self.truncate_segment(&name, offset)?;
         }
         Ok(last_entry)
     }
--- a/crates/consensus/src/storage/folder.rs
+++ b/crates/consensus/src/storage/folder.rs
@@ -24,6 +24,13 @@
     /// Fails if there is no such file or it cannot be read.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
 
+    /// The size of a file, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no such file.
+    fn length(&self, name: &str) -> io::Result<u64>;
+
     /// Fills `buffer` from `offset` on.
     ///
     /// # Errors
@@ -124,6 +131,10 @@
         fs::read(self.path.join(name))
     }
 
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(fs::metadata(self.path.join(name))?.len())
+    }
+
     fn read_at(&self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()> {
         let file = File::open(self.path.join(name))?;
         file.read_exact_at(buffer, offset)
--- a/crates/consensus/src/storage/frame.rs
+++ b/crates/consensus/src/storage/frame.rs
@@ -5,6 +5,12 @@
 //! only after that sync succeeded. Hence an invalid frame followed by a valid one is
 //! corruption, whereas an invalid frame at the end is a torn write.
 
+use super::folder::StorageFolder;
+use std::io;
+
+/// The bytes that are read from a file at once, unless a frame is larger.
+const READ_BYTES: usize = 64 * 1024;
+
 /// The magic bytes at the start of each frame.
 const FRAME_MARKER: [u8; 4] = *b"CLF1";
 
@@ -12,12 +18,100 @@
 pub(super) const HEADER_BYTES: usize = 12;
 
 /// Why a frame could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) enum FrameError {
     /// The frame is incomplete or invalid, and no valid frame follows.
     Torn,
     /// The frame is invalid, but a valid frame follows.
     Corrupt,
+    /// The file could not be read.
+    Io(io::Error),
+}
+
+/// Reads the frames of a file one after the other, with one of them in memory.
+pub(super) struct FrameReader<'a> {
+    folder: &'a dyn StorageFolder,
+    name: &'a str,
+    file_bytes: u64,
+    /// The part of the file that was read last. The next frame begins at `start` of it.
+    buffer: Vec<u8>,
+    start: usize,
+    /// The offset of the next frame in the file.
+    offset: u64,
+}
+
+impl<'a> FrameReader<'a> {
+    pub(super) fn open(folder: &'a dyn StorageFolder, name: &'a str) -> io::Result<Self> {
+        Ok(Self {
+            folder,
+            name,
+            file_bytes: folder.length(name)?,
+            buffer: Vec::new(),
+            start: 0,
+            offset: 0,
+        })
+    }
+
+    /// The offset of the next frame, in bytes.
+    pub(super) fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Reads the payload of the next frame; `None` at the end of the file.
+    pub(super) fn next(&mut self) -> Result<Option<&[u8]>, FrameError> {
+        if self.offset == self.file_bytes {
+            return Ok(None);
+        }
+        self.fill(HEADER_BYTES).map_err(FrameError::Io)?;
+        let rest = self.buffer.get(self.start..).unwrap_or_default();
+        let frame_bytes = rest.first_chunk().and_then(frame_end);
+        let frame_bytes = frame_bytes.and_then(|bytes| usize::try_from(bytes).ok());
+        self.fill(frame_bytes.unwrap_or(HEADER_BYTES))
+            .map_err(FrameError::Io)?;
+        let rest = self.buffer.get(self.start..).unwrap_or_default();
+        if parse(rest).is_none() {
+            return Err(self.classify_invalid());
+        }
+        let frame_bytes = frame_bytes.unwrap_or(HEADER_BYTES);
+        let frame = self.start..self.start + frame_bytes;
+        self.start = frame.end;
+        self.offset += frame_bytes as u64;
+        Ok(self.buffer.get(frame).and_then(|f| f.get(HEADER_BYTES..)))
+    }
+
+    /// Reads until `length` bytes of the next frame are in the buffer, or the file ends.
+    fn fill(&mut self, length: usize) -> io::Result<()> {
+        let buffered = self.buffer.len() - self.start;
+        let left = self.file_bytes - self.offset;
+        let left = usize::try_from(left).unwrap_or(usize::MAX);
+        if buffered >= length.min(left) {
+            return Ok(());
+        }
+        let wanted = length.max(READ_BYTES).min(left);
+        // A buffer that grew for a large frame is not kept.
+        let mut buffer = Vec::with_capacity(wanted);
+        buffer.extend_from_slice(self.buffer.get(self.start..).unwrap_or_default());
+        buffer.resize(wanted, 0);
+        let read_from = self.offset + buffered as u64;
+        let unread = buffer.get_mut(buffered..).unwrap_or_default();
+        self.folder.read_at(self.name, read_from, unread)?;
+        self.buffer = buffer;
+        self.start = 0;
+        Ok(())
+    }
+
+    /// Whether a valid frame follows an invalid one, which the rest of the file tells.
+    fn classify_invalid(&mut self) -> FrameError {
+        if let Err(error) = self.fill(usize::MAX) {
+            return FrameError::Io(error);
+        }
+        let rest = self.buffer.get(self.start..).unwrap_or_default();
+        if frame_follows(rest) {
+            FrameError::Corrupt
+        } else {
+            FrameError::Torn
+        }
+    }
 }
 
 /// Encodes `payload` as a frame; `None` if it does not fit the 32-bit length.
--- a/crates/consensus/tests/all/model_disk.rs
+++ b/crates/consensus/tests/all/model_disk.rs
@@ -154,6 +154,10 @@
         Ok(self.state().file(name)?.content.clone())
     }
 
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(self.state().file(name)?.content.len() as u64)
+    }
+
     fn read_at(&self, name: &str, offset: u64, buffer: &mut [u8]) -> io::Result<()> {
         let content = self.read(name)?;
         let offset = usize::try_from(offset).expect("it fits");
--- a/crates/roles/src/seat_opener.rs
+++ b/crates/roles/src/seat_opener.rs
@@ -25,6 +25,10 @@
 /// job, so it is not taken often.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 2_048;
 
+/// The bytes of the entries applied between two snapshots. A start holds these entries beside the
+/// state, in the memory of the smallest hosts.
+const SNAPSHOT_INTERVAL_BYTES: u64 = 16 * 1024 * 1024;
+
 /// The bytes of applied entries kept in memory: about ten seconds of a busy job group,
 /// so that members that were briefly unreachable catch up without a snapshot.
 const APPLIED_MAX_BYTES: usize = 8 * 1024 * 1024;
@@ -125,6 +129,7 @@
             heartbeat_interval: HEARTBEAT_INTERVAL,
             election_timeout: ELECTION_TIMEOUT,
             snapshot_interval_entries: SNAPSHOT_INTERVAL_ENTRIES,
+            snapshot_interval_bytes: SNAPSHOT_INTERVAL_BYTES,
             retained_entries: RETAINED_ENTRIES,
             applied_max_bytes: APPLIED_MAX_BYTES,
             // Hosts without a seat query the leader instead of following the log.
