Leave the commands of the log in storage at a start

A start held each command of the log until it was known to be committed.

A start now keeps the newest 8 MiB of commands in memory, and of the others only where they are stored; each is read when it is applied or sent. Its memory depends on the largest entry, not on the log.

--- a/crates/consensus/src/entry.rs
+++ b/crates/consensus/src/entry.rs
@@ -9,6 +9,9 @@
 /// The serialized bytes of one command, shared between the log and the messages.
 pub type CommandBytes = Arc<[u8]>;
 
+/// The approximate size of an entry without its payload, in bytes.
+const FIXED_BYTES: usize = 24;
+
 /// The content of one log entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EntryPayload {
@@ -19,18 +22,42 @@
     Command(CommandBytes),
     /// The membership that takes effect with this entry.
     Membership(GroupMembership),
+    /// A command that is in storage only: a start does not load all of them. It is loaded
+    /// before it is applied or sent, and never serialized itself.
+    #[serde(skip)]
+    Stored(StoredCommand),
+}
+
+/// Where the log files have the record of a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoredCommand {
+    /// The number of the segment.
+    pub segment: u64,
+    /// The offset of the record in the segment, in bytes.
+    pub offset: u64,
+    /// The size of the record, in bytes.
+    pub length: usize,
 }
 
 impl EntryPayload {
     /// The approximate encoded size in a message, in bytes.
     #[must_use]
     pub fn approximate_bytes(&self) -> usize {
-        const FIXED_BYTES: usize = 24;
         const MEMBER_BYTES: usize = 40;
         match self {
             Self::NoOp => FIXED_BYTES,
             Self::Command(command) => FIXED_BYTES + command.len(),
             Self::Membership(membership) => FIXED_BYTES + MEMBER_BYTES * membership.len(),
+            Self::Stored(command) => FIXED_BYTES + command.length,
+        }
+    }
+
+    /// The approximate size in memory, in bytes.
+    #[must_use]
+    pub(crate) fn memory_bytes(&self) -> usize {
+        match self {
+            Self::Stored(_) => FIXED_BYTES,
+            Self::NoOp | Self::Command(_) | Self::Membership(_) => self.approximate_bytes(),
         }
     }
 }
--- a/crates/consensus/src/entry_log.rs
+++ b/crates/consensus/src/entry_log.rs
@@ -1,6 +1,6 @@
 //! The in-memory part of a seat's log.
 
-use crate::LogEntry;
+use crate::{EntryPayload, LogEntry};
 use chicoryladder_types::{LogIndex, TermNumber};
 use std::collections::VecDeque;
 
@@ -10,7 +10,7 @@
     base_index: LogIndex,
     base_term: TermNumber,
     entries: VecDeque<LogEntry>,
-    /// The approximate size of the entries, in bytes.
+    /// The approximate size of the entries in memory, in bytes.
     bytes: usize,
 }
 
@@ -18,7 +18,7 @@
     pub(crate) fn new(base_index: LogIndex, base_term: TermNumber, entries: Vec<LogEntry>) -> Self {
         let bytes = entries
             .iter()
-            .map(|entry| entry.payload.approximate_bytes())
+            .map(|entry| entry.payload.memory_bytes())
             .sum();
         Self {
             base_index,
@@ -55,7 +55,7 @@
 
     pub(crate) fn push(&mut self, entry: LogEntry) {
         debug_assert_eq!(entry.index, self.last_index().next());
-        self.bytes += entry.payload.approximate_bytes();
+        self.bytes += entry.payload.memory_bytes();
         self.entries.push_back(entry);
     }
 
@@ -65,7 +65,7 @@
         let kept = usize::try_from(kept).unwrap_or(usize::MAX);
         let dropped = self.entries.iter().skip(kept);
         self.bytes -= dropped
-            .map(|entry| entry.payload.approximate_bytes())
+            .map(|entry| entry.payload.memory_bytes())
             .sum::<usize>();
         self.entries.truncate(kept);
     }
@@ -76,12 +76,23 @@
             let Some(entry) = self.entries.pop_front() else {
                 return;
             };
-            self.bytes -= entry.payload.approximate_bytes();
+            self.bytes -= entry.payload.memory_bytes();
             self.base_index = entry.index;
             self.base_term = entry.term;
         }
     }
 
+    /// Removes the entries up to the last one, at most up to `index`, whose command is in
+    /// storage only.
+    pub(crate) fn drop_stored(&mut self, index: LogIndex) {
+        let is_stored = |entry: &&LogEntry| {
+            entry.index <= index && matches!(entry.payload, EntryPayload::Stored(_))
+        };
+        if let Some(last) = self.entries.iter().rfind(is_stored) {
+            self.compact_to(last.index);
+        }
+    }
+
     /// Removes the oldest entries, at most up to `index`, until the rest take no more
     /// than `max_bytes`.
     pub(crate) fn trim(&mut self, index: LogIndex, max_bytes: usize) {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -18,7 +18,7 @@
 mod storage;
 mod tail;
 
-pub use entry::{CommandBytes, EntryPayload, HardState, LogEntry, SnapshotRecord};
+pub use entry::{CommandBytes, EntryPayload, HardState, LogEntry, SnapshotRecord, StoredCommand};
 pub use machine::{RestoreError, SnapshotError, StateMachine};
 pub use membership::{
     GroupMembership, MemberRecord, MemberRole, MembershipChange, MembershipError,
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -259,10 +259,16 @@
         for action in self.seat.take_actions(now) {
             match action {
                 SeatAction::Persist(batch) => self.store(batch)?,
-                SeatAction::Send(envelope) => outputs.push(ReplicaOutput::Send(envelope)),
+                SeatAction::Send(mut envelope) => {
+                    self.load_commands(&mut envelope)?;
+                    outputs.push(ReplicaOutput::Send(envelope));
+                }
                 SeatAction::SendSnapshot { envelope, length } => chunks.push((envelope, length)),
                 SeatAction::Commit(entries) => {
-                    outputs.extend(entries.into_iter().filter_map(|entry| self.apply(entry)));
+                    for mut entry in entries {
+                        self.storage.load_command(&mut entry)?;
+                        outputs.extend(self.apply(entry));
+                    }
                 }
                 SeatAction::Restore(snapshot) => outputs.extend(self.restore(&snapshot)?),
             }
@@ -274,6 +280,16 @@
         Ok(outputs)
     }
 
+    /// Loads the commands of an append that are in storage only.
+    fn load_commands(&self, envelope: &mut SeatEnvelope) -> Result<(), StorageError> {
+        if let SeatMessage::Append(request) = &mut envelope.message {
+            for entry in &mut request.entries {
+                self.storage.load_command(entry)?;
+            }
+        }
+        Ok(())
+    }
+
     /// Reads the snapshot chunk of a message from storage. Returns `None` if the
     /// snapshot was replaced in the meantime.
     fn read_chunk(
@@ -318,7 +334,9 @@
         self.log_usage.entries += entry.payload.approximate_bytes() as u64;
         let answer = match &entry.payload {
             EntryPayload::Command(command) => self.machine.apply(index, command),
-            EntryPayload::NoOp | EntryPayload::Membership(_) => Vec::new(),
+            EntryPayload::NoOp | EntryPayload::Membership(_) | EntryPayload::Stored(_) => {
+                Vec::new()
+            }
         };
         self.tail.push(entry);
         let pending = self.pending.remove(&index)?;
@@ -437,8 +455,7 @@
     }
 }
 
-/// Logs what a start has read, all of which is in memory until the entries are known to be
-/// committed.
+/// Logs what a start has read.
 fn log_start(stored: &StoredState, snapshot_bytes: u64) {
     let entries = &stored.entries;
     let sizes = entries
--- a/crates/consensus/src/seat/snapshots.rs
+++ b/crates/consensus/src/seat/snapshots.rs
@@ -30,6 +30,8 @@
         let retained = self.settings.retained_entries;
         self.log
             .compact_to(LogIndex(index.0.saturating_sub(retained)));
+        // The storage deletes the files of the entries that the snapshot covers.
+        self.log.drop_stored(index);
         self.snapshot = Some(SnapshotHead::from(&snapshot));
         self.durability.stage(PersistStep::Snapshot(snapshot));
     }
--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -8,13 +8,14 @@
 mod file;
 mod folder;
 mod frame;
+mod loaded;
 mod memory;
 
 pub use file::FileStorage;
 pub use folder::StorageFolder;
 pub use memory::{MemoryDisk, MemoryStorage};
 
-use crate::{HardState, LogEntry, SnapshotRecord};
+use crate::{EntryPayload, HardState, LogEntry, SnapshotRecord};
 use chicoryladder_types::{LogIndex, TermNumber};
 use std::io;
 use std::path::PathBuf;
@@ -73,6 +74,17 @@
     /// Fails if a file cannot be read or is corrupt before its end.
     fn load(&mut self) -> Result<StoredState, StorageError>;
 
+    /// Loads the command of an entry that [`LogStorage::load`] left in storage. Does nothing
+    /// for other entries.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the command cannot be read or is corrupt.
+    fn load_command(&self, entry: &mut LogEntry) -> Result<(), StorageError> {
+        debug_assert!(!matches!(entry.payload, EntryPayload::Stored(_)));
+        Ok(())
+    }
+
     /// Stores the term and the vote.
     ///
     /// # Errors
@@ -138,6 +150,16 @@
     Truncate(LogIndex),
 }
 
+impl StorageRecord {
+    /// The index of the appended entry; the default for other records.
+    fn entry_index(&self) -> LogIndex {
+        match self {
+            Self::Append(entry) => entry.index,
+            Self::HardState(_) | Self::Truncate(_) => LogIndex::default(),
+        }
+    }
+}
+
 /// Replays one change.
 fn replay(state: &mut StoredState, record: StorageRecord) {
     match record {
--- a/crates/consensus/src/storage/file.rs
+++ b/crates/consensus/src/storage/file.rs
@@ -8,8 +8,9 @@
 
 use super::folder::{DirectoryFolder, StorageFolder};
 use super::frame::{FrameError, FrameReader, HEADER_BYTES, encode_frame, frame_end, read_frame};
-use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile, replay};
-use crate::{GroupMembership, HardState, LogEntry, SnapshotRecord};
+use super::loaded::LogLoader;
+use super::{LogStorage, StorageError, StorageRecord, StoredState, reconcile};
+use crate::{EntryPayload, GroupMembership, HardState, LogEntry, SnapshotRecord, StoredCommand};
 use bytes::Bytes;
 use chicoryladder_types::{LogIndex, TermNumber};
 use serde::{Deserialize, Serialize};
@@ -19,6 +20,10 @@
 /// The size from which on the next write starts a new segment.
 const SEGMENT_MAX_BYTES: u64 = 8 * 1024 * 1024;
 
+/// The size of the commands that a start keeps in memory. They are the ones that seats which lag
+/// are most likely to need.
+const LOADED_MAX_BYTES: usize = 8 * 1024 * 1024;
+
 const SEGMENT_PREFIX: &str = "segment-";
 const SNAPSHOT_PREFIX: &str = "snapshot-";
 const SNAPSHOT_TEMP_NAME: &str = "draft-of-snapshot";
@@ -57,6 +62,7 @@
     hard_state: HardState,
     pending: Vec<StorageRecord>,
     failed: bool,
+    loaded_max_bytes: usize,
 }
 
 impl FileStorage {
@@ -84,6 +90,16 @@
             hard_state: HardState::default(),
             pending: Vec::new(),
             failed: false,
+            loaded_max_bytes: LOADED_MAX_BYTES,
+        }
+    }
+
+    /// Sets the size of the commands that a start keeps in memory, in bytes.
+    #[must_use]
+    pub fn with_loaded_max_bytes(self, loaded_max_bytes: usize) -> Self {
+        Self {
+            loaded_max_bytes,
+            ..self
         }
     }
 
@@ -153,7 +169,7 @@
     /// older ones; if the gap has another cause, entries are missing.
     ///
     /// Returns the segments before the gap.
-    fn load_segments(&mut self, state: &mut StoredState) -> Result<Vec<u64>, StorageError> {
+    fn load_segments(&mut self, loader: &mut LogLoader) -> Result<Vec<u64>, StorageError> {
         let mut leftovers = self.file_numbers(SEGMENT_PREFIX)?;
         let last = leftovers.last().copied();
         let gap = leftovers
@@ -161,7 +177,7 @@
             .rposition(|pair| pair[0] + 1 != pair[1]);
         let numbers = leftovers.split_off(gap.map_or(0, |before| before + 1));
         for number in numbers {
-            let last_entry = self.load_segment(number, Some(number) == last, state)?;
+            let last_entry = self.load_segment(number, Some(number) == last, loader)?;
             self.segments.push(SegmentRecord { number, last_entry });
         }
         Ok(leftovers)
@@ -185,7 +201,7 @@
         &mut self,
         number: u64,
         is_last: bool,
-        state: &mut StoredState,
+        loader: &mut LogLoader,
     ) -> Result<LogIndex, StorageError> {
         let name = file_name(SEGMENT_PREFIX, number);
         let path = self.path(&name);
@@ -201,11 +217,21 @@
                 Err(FrameError::Io(error)) => return Err(self.io_error(&name, error)),
                 Err(_) => return Err(corruption(&path, offset, "invalid frame")),
             };
-            let records: Vec<StorageRecord> = postcard::from_bytes(payload)
-                .map_err(|_| corruption(&path, offset, "undecodable frame payload"))?;
-            for record in records {
-                last_entry = last_entry.max(entry_index(&record));
-                replay(state, record);
+            let undecodable = |_| corruption(&path, offset, "undecodable frame payload");
+            let (count, mut rest) =
+                postcard::take_from_bytes::<usize>(payload).map_err(undecodable)?;
+            for _ in 0..count {
+                let before = rest.len();
+                let record: StorageRecord;
+                (record, rest) = postcard::take_from_bytes(rest).map_err(undecodable)?;
+                last_entry = last_entry.max(record.entry_index());
+                let within_frame = HEADER_BYTES + payload.len() - before;
+                let place = StoredCommand {
+                    segment: number,
+                    offset: offset + within_frame as u64,
+                    length: before - rest.len(),
+                };
+                loader.replay(record, place);
             }
         };
         if let Some(offset) = torn_at {
@@ -259,7 +285,11 @@
         synced.map_err(StorageError::SyncFailed)?;
         self.segment_bytes += frame.len() as u64;
         if let Some(segment) = self.segments.last_mut() {
-            let highest = records.iter().map(entry_index).max().unwrap_or_default();
+            let highest = records
+                .iter()
+                .map(StorageRecord::entry_index)
+                .max()
+                .unwrap_or_default();
             segment.last_entry = segment.last_entry.max(highest);
         }
         Ok(())
@@ -324,13 +354,15 @@
 
 impl LogStorage for FileStorage {
     fn load(&mut self) -> Result<StoredState, StorageError> {
-        let mut state = StoredState {
+        let state = StoredState {
             snapshot: self.load_snapshot()?,
             led_term: self.load_leadership(),
             ..StoredState::default()
         };
         self.segments.clear();
-        let leftovers = self.load_segments(&mut state)?;
+        let mut loader = LogLoader::new(state, self.loaded_max_bytes);
+        let leftovers = self.load_segments(&mut loader)?;
+        let mut state = loader.state;
         self.hard_state = state.hard_state;
         if !reconcile(&mut state) {
             return Err(corruption(&self.directory, 0, "log entries are missing"));
@@ -342,6 +374,25 @@
         Ok(state)
     }
 
+    fn load_command(&self, entry: &mut LogEntry) -> Result<(), StorageError> {
+        let EntryPayload::Stored(place) = entry.payload else {
+            return Ok(());
+        };
+        let name = file_name(SEGMENT_PREFIX, place.segment);
+        let mut bytes = vec![0; place.length];
+        let read = self.folder.read_at(&name, place.offset, &mut bytes);
+        read.map_err(|e| self.io_error(&name, e))?;
+        match postcard::from_bytes(&bytes) {
+            Ok(StorageRecord::Append(stored))
+                if (stored.index, stored.term) == (entry.index, entry.term) =>
+            {
+                *entry = stored;
+                Ok(())
+            }
+            _ => Err(corruption(&self.path(&name), place.offset, "not the entry")),
+        }
+    }
+
     fn set_hard_state(&mut self, state: HardState) -> Result<(), StorageError> {
         self.record(StorageRecord::HardState(state))?;
         self.hard_state = state;
@@ -416,13 +467,6 @@
     format!("{prefix}{number:020}")
 }
 
-fn entry_index(record: &StorageRecord) -> LogIndex {
-    match record {
-        StorageRecord::Append(entry) => entry.index,
-        StorageRecord::HardState(_) | StorageRecord::Truncate(_) => LogIndex::default(),
-    }
-}
-
 fn encode(path: &Path, value: &(impl Serialize + ?Sized)) -> Result<Vec<u8>, StorageError> {
     let payload = postcard::to_stdvec(value).map_err(|e| io_error(path, io::Error::other(e)))?;
     let too_long = || io_error(path, io::ErrorKind::FileTooLarge.into());
--- a/crates/consensus/tests/all/cluster.rs
+++ b/crates/consensus/tests/all/cluster.rs
@@ -2,10 +2,11 @@
 
 use crate::faulty_storage::SyncSkippingStorage;
 use crate::kv::{KvCommand, KvMachine, KvState};
+use crate::model_disk::ModelDisk;
 use crate::network::{LinkFaults, TestNetwork};
 use chicoryladder_consensus::{
-    GroupMembership, GroupReplica, LogStorage, MembershipChange, MemoryDisk, MemoryStorage,
-    ProposalToken, ProposeError, ReplicaOutput, SeatMessage, SeatRole, SeatSettings,
+    FileStorage, GroupMembership, GroupReplica, LogStorage, MembershipChange, MemoryDisk,
+    MemoryStorage, ProposalToken, ProposeError, ReplicaOutput, SeatMessage, SeatRole, SeatSettings,
 };
 use chicoryladder_types::{GroupId, LogIndex, SeatId};
 use rand::RngExt;
@@ -23,11 +24,17 @@
 pub(crate) enum SyncRule {
     Durable,
     Skipped,
+    /// Durable, in files on a model of a disk, of whose commands a start loads few.
+    Files,
 }
 
+/// The commands that a start loads from files: about three of them.
+const LOADED_MAX_BYTES: usize = 40;
+
 pub(crate) struct TestSeat {
     pub(crate) replica: Option<GroupReplica<KvMachine>>,
     pub(crate) disk: MemoryDisk,
+    files: ModelDisk,
     pub(crate) paused: bool,
     /// The rate of the seat's clock, in percent of simulated time.
     pub(crate) clock_percent: u32,
@@ -93,6 +100,7 @@
         let record = TestSeat {
             replica: None,
             disk: MemoryDisk::default(),
+            files: ModelDisk::new(seat.0),
             paused: false,
             clock_percent: 100,
             initial,
@@ -111,6 +119,7 @@
         record.replica = None;
         record.paused = false;
         record.disk.discard_unsynced();
+        record.files.lose_power();
     }
 
     pub(crate) fn restart(&mut self, seat: SeatId) {
@@ -124,13 +133,16 @@
         settings.clock_drift_percent = 10;
         let now = self.now(seat);
         let seed = self.rng.random();
-        let skips_syncs = self.sync_rule == SyncRule::Skipped;
         let record = self.seats.get_mut(&seat).expect("a seat");
         let durable = MemoryStorage::new(record.disk.clone());
-        let storage: Box<dyn LogStorage> = if skips_syncs {
-            Box::new(SyncSkippingStorage::new(durable))
-        } else {
-            Box::new(durable)
+        let storage: Box<dyn LogStorage> = match self.sync_rule {
+            SyncRule::Durable => Box::new(durable),
+            SyncRule::Skipped => Box::new(SyncSkippingStorage::new(durable)),
+            SyncRule::Files => {
+                let folder = record.files.start_process();
+                let storage = FileStorage::in_folder("model".into(), folder);
+                Box::new(storage.with_loaded_max_bytes(LOADED_MAX_BYTES))
+            }
         };
         let machine = KvMachine::default();
         let initial = record.initial.clone();
@@ -206,7 +218,7 @@
                 .checksums
                 .entry(state.last_applied)
                 .or_insert(state.checksum);
-            if self.sync_rule == SyncRule::Durable {
+            if self.sync_rule != SyncRule::Skipped {
                 assert_eq!(
                     known, state.checksum,
                     "seat {seat} diverges at {}",
--- a/crates/consensus/tests/all/storage.rs
+++ b/crates/consensus/tests/all/storage.rs
@@ -253,3 +253,31 @@
         assert_eq!(read(&*storage, 6, 0, 10).expect("no fault"), None);
     }
 }
+
+/// A start kept all commands of the log in memory, which exceeded that of the host.
+#[test]
+fn commands_that_a_start_leaves_in_storage_are_loaded_as_written() {
+    const LOADED_COMMANDS: usize = 3;
+    let directory = tempfile::tempdir().expect("a directory");
+    write_ten_entries(directory.path());
+    let (mut storage, state) = open(directory.path());
+    assert_eq!(state.expect("loaded").entries.len(), 10);
+    storage.truncate_suffix(LogIndex(9)).expect("recorded");
+    let added: Vec<_> = (9..=12).map(|index| entry(index, 2)).collect();
+    storage.append(&added).expect("appended");
+    storage.sync().expect("synced");
+
+    let record_bytes = postcard::to_stdvec(&entry(1, 1)).expect("encoded").len() + 1;
+    let storage = FileStorage::open(directory.path()).expect("a directory");
+    let mut storage = storage.with_loaded_max_bytes(LOADED_COMMANDS * record_bytes);
+    let entries = storage.load().expect("loaded").entries;
+    let is_stored = |entry: &&LogEntry| matches!(entry.payload, EntryPayload::Stored(_));
+    let stored = entries.iter().filter(is_stored).count();
+    assert_eq!(stored, entries.len() - LOADED_COMMANDS);
+    for mut loaded in entries {
+        let (index, term) = (loaded.index.0, loaded.term.0);
+        storage.load_command(&mut loaded).expect("loaded");
+        assert_eq!(loaded, entry(index, term));
+        assert_eq!(term, if index < 9 { 1 } else { 2 });
+    }
+}
--- a/crates/consensus/tests/all/survival.rs
+++ b/crates/consensus/tests/all/survival.rs
@@ -1,6 +1,6 @@
 //! Acknowledged writes survive the failure of hosts, disks and processes.
 
-use crate::cluster::{ELECTION_TIMEOUT, TestCluster, address};
+use crate::cluster::{ELECTION_TIMEOUT, SyncRule, TestCluster, address};
 use crate::faulty_storage::FullDiskStorage;
 use crate::kv::{KvCommand, KvMachine};
 use crate::network::LinkFaults;
@@ -250,3 +250,49 @@
     cluster.restart(leader);
     assert_eq!(cluster.read(1), 6);
 }
+
+/// Guards against commands that a start left in storage and that are not applied, or not sent to
+/// a seat which lags.
+#[test]
+fn commands_that_a_start_left_in_storage_are_applied_and_sent() {
+    let mut cluster = TestCluster::with_rule(17, 3, LinkFaults::RELIABLE, SyncRule::Files);
+    cluster.write(1, 1);
+    let leader = cluster.wait_for_leader();
+    let others: Vec<SeatId> = (1..=3).map(SeatId).filter(|s| *s != leader).collect();
+    let [current, lagging] = others.as_slice() else {
+        panic!("two followers");
+    };
+    cluster.crash(*lagging);
+    // Fewer than there are between two snapshots.
+    for value in 2..30 {
+        cluster.write(1, value);
+    }
+    cluster.crash(leader);
+    cluster.crash(*current);
+    cluster.restart(*current);
+    cluster.restart(*lagging);
+    assert_eq!(cluster.read(1), 29);
+    assert!(cluster.snapshots_sent.is_empty());
+    cluster.write(2, 7);
+    cluster.run(ELECTION_TIMEOUT);
+    let expected = cluster.state(*current);
+    assert_eq!(cluster.state(*lagging), expected);
+}
+
+/// The same in a series of restarts, with snapshots in between.
+#[test]
+fn seats_on_files_agree_after_any_restarts() {
+    for seed in 0..20 {
+        let mut cluster = TestCluster::with_rule(seed, 3, LinkFaults::RELIABLE, SyncRule::Files);
+        for value in 1..120 {
+            cluster.write(1, value);
+            if value % 7 == 0 {
+                let seat = SeatId(u64::from(value / 7) % 3 + 1);
+                cluster.crash(seat);
+                cluster.run(ELECTION_TIMEOUT * (value % 5));
+                cluster.restart(seat);
+            }
+        }
+        assert_eq!(cluster.read(1), 119, "seed {seed}");
+    }
+}
--- a/crates/consensus/tests/start_memory.rs
+++ b/crates/consensus/tests/start_memory.rs
@@ -2,8 +2,8 @@
 //! peak is measured for the whole process.
 
 use chicoryladder_consensus::{
-    FileStorage, GroupMembership, GroupReplica, LogUsage, ProposalToken, RestoreError,
-    SeatSettings, SnapshotError, StateMachine,
+    FileStorage, GroupMembership, GroupReplica, ProposalToken, RestoreError, SeatSettings,
+    SnapshotError, StateMachine,
 };
 use chicoryladder_types::{GroupId, LogIndex, SeatId};
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 /// The size of a command: a large job.
 const COMMAND_BYTES: usize = 3 * 1024 * 1024;
 
-const COMMANDS: u64 = 64;
+const COMMANDS: u64 = 32;
 
 /// The applied entries that a running seat keeps in memory.
 const APPLIED_MAX_BYTES: usize = 8 * 1024 * 1024;
@@ -65,8 +65,18 @@
 }
 
 fn open(folder: &Path, now: Instant) -> GroupReplica<CountingMachine> {
+    let settings = SeatSettings::new(GroupId(0), SeatId(1));
+    open_with_interval(settings.snapshot_interval_bytes, folder, now)
+}
+
+fn open_with_interval(
+    snapshot_interval_bytes: u64,
+    folder: &Path,
+    now: Instant,
+) -> GroupReplica<CountingMachine> {
     let address = SocketAddr::from(([10, 0, 0, 1], 7700));
     let settings = SeatSettings {
+        snapshot_interval_bytes,
         applied_max_bytes: APPLIED_MAX_BYTES,
         // No observer follows.
         tail_max_entries: 0,
@@ -93,33 +103,41 @@
     }
 }
 
+/// Starts the seat of a folder, within its bound of memory, and lets it apply its log.
+fn check_start(folder: &Path, before: usize, now: Instant) {
+    reset_peak_memory();
+    let mut replica = open(folder, now);
+    for _ in 0..2 {
+        replica.tick(now);
+        replica.flush(now).expect("it is stored");
+    }
+    let grown = peak_memory().saturating_sub(before);
+    println!("the start took {grown} bytes");
+    assert!(grown <= LOG_MAX_BYTES, "the start took {grown} bytes");
+    assert_eq!(replica.machine().applied, COMMANDS);
+}
+
 /// A seat that was killed after some large entries exceeded its memory at each start: the log
-/// was compacted by the number of its entries only, and a start holds all of them.
+/// was compacted by the number of its entries only, and a start held all of them.
 #[test]
 fn a_start_after_large_entries_holds_a_bounded_part_of_them() {
-    let folder = tempfile::tempdir().expect("a folder");
     let before = peak_memory();
     let now = Instant::now();
+    let folder = tempfile::tempdir().expect("a folder");
     let mut replica = open(folder.path(), now);
     commit_commands(&mut replica, now);
-    let LogUsage { entries, .. } = replica.log_usage();
     drop(replica);
     let stored = disk_usage(folder.path());
+    println!("{stored} bytes on the disk");
     assert!(stored <= LOG_MAX_BYTES, "{stored} bytes on the disk");
+    check_start(folder.path(), before, now);
 
-    reset_peak_memory();
-    let mut replica = open(folder.path(), now);
-    let grown = peak_memory().saturating_sub(before);
-    println!("{stored} bytes on the disk, the start took {grown}");
-    assert!(grown <= LOG_MAX_BYTES, "the start took {grown} bytes");
-    for _ in 0..2 {
-        replica.tick(now);
-        replica.flush(now).expect("it is stored");
-    }
-    assert_eq!(replica.machine().applied, COMMANDS);
-    let again = replica.log_usage().entries;
-    assert!(
-        again >= entries,
-        "{again} of {entries} bytes were read back"
-    );
+    // The log that a build without a bound on its bytes has left.
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut replica = open_with_interval(u64::MAX, folder.path(), now);
+    commit_commands(&mut replica, now);
+    drop(replica);
+    let stored = disk_usage(folder.path()) as u64;
+    assert!(stored > COMMANDS * COMMAND_BYTES as u64);
+    check_start(folder.path(), before, now);
 }
