Tell a reset of a tunnel's target from its end while a request is written

What callers could see (reported of another system): a server that answers a long upload at once with a 200 without a length, sends a part and resets the connection; the caller gets the part as a complete answer.

Cause: a reset is reported to a socket once. The tunnel host writes the request and reads the answer independently; if the write gets the error, the read that follows finds the end of the stream, which was told to the client as an orderly one.

Change: the direction that writes tells the other one that the connection is lost; an end after that is a loss. A broken pipe is not: the server has ended its answer in order before it stopped to read.

--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod credentials;
 mod crowded;
 mod cut_responses;
+mod early_responses;
 mod raw;
 mod server_client;
 mod stream_end;
--- a/crates/gateway/tests/all/raw.rs
+++ b/crates/gateway/tests/all/raw.rs
@@ -25,6 +25,9 @@
         count: u32,
         last: String,
     },
+    /// Sends these bytes while the request is still being written, and resets the connection
+    /// after a pause.
+    ResetAfter(String, Duration),
     /// Closes the connection.
     Close,
 }
@@ -69,6 +72,11 @@
             }
             let _ = stream.write_all(last.as_bytes()).await;
         }
+        RawAnswer::ResetAfter(text, pause) => {
+            let _ = tokio::time::timeout(pause, stream.write_all(text.as_bytes())).await;
+            tokio::time::sleep(pause).await;
+            let _ = stream.set_zero_linger();
+        }
         RawAnswer::Close => {}
     }
 }
--- a/crates/rpc/src/tunnel.rs
+++ b/crates/rpc/src/tunnel.rs
@@ -289,15 +289,25 @@
     let (from_client, to_client) = client.split();
     let (from_target, to_target) = target.split();
     let draining = tracker.draining.subscribe();
-    let chunks = AtomicUsize::new(0);
+    let progress = TunnelProgress::default();
     tokio::select! {
         // An end on the client's side ends the target's work at once.
-        _ = forward_requests(from_client, to_target, &chunks) => Ok(()),
-        ended = forward_responses(from_target, to_client, &chunks, draining) => ended,
-        () = wait_until_idle(&chunks) => Ok(()),
+        _ = forward_requests(from_client, to_target, &progress) => Ok(()),
+        ended = forward_responses(from_target, to_client, &progress, draining) => ended,
+        () = wait_until_idle(&progress.chunks) => Ok(()),
     }
 }
 
+/// What the two directions of a tunnel tell each other.
+#[derive(Debug, Default)]
+struct TunnelProgress {
+    /// The number of chunks that passed so far, both ways.
+    chunks: AtomicUsize,
+    /// Whether a write found the connection to the target lost. The error is reported once, so
+    /// that a read after it finds an orderly end.
+    is_target_lost: AtomicBool,
+}
+
 /// Waits until no chunk passed for [`IDLE_TIMEOUT`].
 async fn wait_until_idle(chunks: &AtomicUsize) {
     let mut seen = chunks.load(Ordering::Relaxed);
@@ -314,7 +324,7 @@
 async fn forward_requests(
     mut client: ReadHalf<'_>,
     mut target: WriteHalf<'_>,
-    chunks: &AtomicUsize,
+    progress: &TunnelProgress,
 ) -> io::Result<()> {
     let mut buffer = vec![0; CHUNK_MAX_BYTES];
     let mut is_writable = true;
@@ -323,9 +333,14 @@
         if count == 0 {
             return Ok(());
         }
-        chunks.fetch_add(1, Ordering::Relaxed);
-        // A target that takes no more bytes may have responded already.
-        is_writable = is_writable && target.write_all(&buffer[..count]).await.is_ok();
+        progress.chunks.fetch_add(1, Ordering::Relaxed);
+        if is_writable && let Err(error) = target.write_all(&buffer[..count]).await {
+            // A target that takes no more bytes may have responded already. After an orderly
+            // end of its response, the pipe is broken.
+            is_writable = false;
+            let is_lost = error.kind() != io::ErrorKind::BrokenPipe;
+            progress.is_target_lost.store(is_lost, Ordering::Relaxed);
+        }
     }
 }
 
@@ -339,7 +354,7 @@
 async fn forward_responses(
     mut target: ReadHalf<'_>,
     mut client: WriteHalf<'_>,
-    chunks: &AtomicUsize,
+    progress: &TunnelProgress,
     mut draining: watch::Receiver<bool>,
 ) -> io::Result<()> {
     let mut buffer = vec![0; HEADER_BYTES + CHUNK_MAX_BYTES];
@@ -355,10 +370,11 @@
                 client.write_all(&CLOSING_MARK.to_be_bytes()).await?;
                 continue;
             }
+            Some(Ok(0)) if progress.is_target_lost.load(Ordering::Relaxed) => LOST_MARK,
             Some(Ok(0)) => END_MARK,
             Some(Err(_)) => LOST_MARK,
             Some(Ok(count)) => {
-                chunks.fetch_add(1, Ordering::Relaxed);
+                progress.chunks.fetch_add(1, Ordering::Relaxed);
                 let length = u32::try_from(count).map_err(io::Error::other)?;
                 buffer[..HEADER_BYTES].copy_from_slice(&length.to_be_bytes());
                 client.write_all(&buffer[..HEADER_BYTES + count]).await?;
--- a/crates/rpc/tests/tunnel.rs
+++ b/crates/rpc/tests/tunnel.rs
@@ -15,6 +15,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+/// The time for which a part of a response travels, and a reset.
+const RESET_PAUSE: Duration = Duration::from_millis(50);
+
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Connects tunnels to any target.
@@ -117,6 +120,47 @@
     assert!(!tunnel.health().is_lost());
 }
 
+/// Resets a tunnel's target after a part of its response, while the request is still being
+/// written. Returns the bytes that arrive and how they end.
+async fn reset_during_request(part_bytes: usize) -> (usize, std::io::Result<usize>) {
+    let (_peer, tunnel, mut target) = tunnel().await;
+    let (mut from_tunnel, mut to_tunnel) = tokio::io::split(tunnel);
+    let writing = tokio::spawn(async move {
+        // More than all buffers on the way hold.
+        let request = vec![7; 64 * 1024 * 1024];
+        // The peer ends the tunnel.
+        let _ = to_tunnel.write_all(&request).await;
+    });
+    let part = vec![8; part_bytes];
+    // What does not fit into the buffers is not sent.
+    let _ = tokio::time::timeout(RESET_PAUSE, target.write_all(&part)).await;
+    tokio::time::sleep(RESET_PAUSE).await;
+    target.set_zero_linger().expect("a socket option");
+    drop(target);
+    tokio::time::sleep(RESET_PAUSE).await;
+    let mut bytes = Vec::new();
+    let reading = from_tunnel.read_to_end(&mut bytes);
+    let end = tokio::time::timeout(TIMEOUT, reading).await;
+    writing.abort();
+    (bytes.len(), end.expect("the tunnel ends"))
+}
+
+/// Callers got a part of a response as a whole one: the write of the request saw the reset, and
+/// the read of the response took what followed for an orderly end.
+#[tokio::test]
+async fn a_reset_during_the_request_does_not_look_like_the_end_of_the_response() {
+    let mut orderly = Vec::new();
+    for part_bytes in [16, 64 * 1024, 16 * 1024 * 1024] {
+        for _ in 0..10 {
+            let (received, end) = reset_during_request(part_bytes).await;
+            if end.is_ok() {
+                orderly.push((part_bytes, received));
+            }
+        }
+    }
+    assert!(orderly.is_empty(), "orderly ends of 30: {orderly:?}");
+}
+
 #[tokio::test]
 async fn the_target_sees_at_once_that_the_client_has_left() {
     let (_peer, mut tunnel, mut target) = tunnel().await;
