End the run of an item whose output never ends

What callers could see (reported of another system for answers to callers): a server that sends without end fills the memory of the machine that called it. For callers it could not happen here (heads, bodies and events have bounds; the test of heads looks at the memory now, too). For items it could: events that are sound one by one, but never end, were kept as the output of the item, recorded in the log every half a second and held by all store hosts.

Cause: the size of one event had a bound, that of the output of an item had none.

Change: an output of 4 MiB or more ends the run. The output is discarded, as the server is faulty, and another one may run the item from its start.

--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -565,10 +565,10 @@
         ItemEnd::Impossible => give_up(&shared, key, &item).await,
         ItemEnd::Stopped => shared.leader().schedule.mark_stopped(key, run.progress),
         ItemEnd::Broken => shared.leader().schedule.mark_failed(key, run.progress, now),
-        ItemEnd::Empty => {
+        ItemEnd::Empty | ItemEnd::Overlong => {
             let mut leader = shared.leader();
             leader.schedule.mark_failed(key, run.progress, now);
-            // Only a run from the start tells where the output ends.
+            // Only a run from the start tells where the output ends, or whether it does.
             leader.schedule.discard_output(key);
         }
         ItemEnd::Failed => {
@@ -616,7 +616,11 @@
     }
     match run.end {
         ItemEnd::Complete | ItemEnd::Stopped => shared.log.routine("item_run", &fields),
-        ItemEnd::Broken | ItemEnd::Empty | ItemEnd::Failed | ItemEnd::Impossible => {
+        ItemEnd::Broken
+        | ItemEnd::Empty
+        | ItemEnd::Overlong
+        | ItemEnd::Failed
+        | ItemEnd::Impossible => {
             shared.log.note("item_run", &fields);
         }
     }
--- a/crates/roles/src/store/run.rs
+++ b/crates/roles/src/store/run.rs
@@ -22,6 +22,9 @@
 /// the answer is whole, as servers may cut answers off at the limit.
 const RUN_MAX: Duration = Duration::from_secs(60);
 
+/// The maximum size of the output of an item, in bytes. Each store host keeps it in memory.
+const OUTPUT_MAX_BYTES: usize = 4 * 1024 * 1024;
+
 /// The cause that is logged of a run that its time limit ended.
 const LIMIT_CAUSE: &str = "the run reached its time limit";
 
@@ -37,6 +40,8 @@
     Broken,
     /// No event followed those of earlier runs, of which the last may be missing.
     Empty,
+    /// The output exceeds the maximum size, so that a server which wrote it is faulty.
+    Overlong,
     /// The server responded that the run failed.
     Failed,
     /// The server responded that the item can never succeed.
@@ -158,9 +163,9 @@
         };
         lease.record_data(true, clock.now());
         if let Ok(chunk) = frame.into_data()
-            && let Err(cause) = reader.read_chunk(&chunk)
+            && let Err(ended) = reader.read_chunk(&chunk)
         {
-            return run_broken(cause);
+            return ended;
         }
     }
     if reader.parser.has_partial_event() || reader.progress().last_event.is_none() {
@@ -231,16 +236,20 @@
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn read_chunk(&mut self, chunk: &[u8]) -> Result<(), &'static str> {
+    fn read_chunk(&mut self, chunk: &[u8]) -> Result<(), RunEnd> {
         self.parser.push(chunk);
         while let Some(event) = self.parser.next_event() {
             let Some(id) = event.id else {
-                return Err("an event has no id");
+                return Err(run_broken("an event has no id"));
             };
             let mut progress = self.progress();
             let follows = |last: u64| last.checked_add(1) == Some(id);
             if !progress.last_event.is_none_or(follows) {
-                return Err("an event is missing or came twice");
+                return Err(run_broken("an event is missing or came twice"));
+            }
+            if progress.text.len() + event.data.len() >= OUTPUT_MAX_BYTES {
+                let cause = "the output of the item is too long";
+                return Err((ItemEnd::Overlong, RunOutcome::Failed, cause));
             }
             if progress.last_event.is_some() {
                 progress.text.push('\n');
@@ -249,7 +258,7 @@
             progress.last_event = Some(id);
         }
         if self.parser.exceeds_max_size() {
-            return Err("an event is too long");
+            return Err(run_broken("an event is too long"));
         }
         Ok(())
     }
--- a/tests/fleet/endless.rs
+++ b/tests/fleet/endless.rs
@@ -8,6 +8,7 @@
     ENDLESS_BODY_PATH, ENDLESS_EVENT_PATH, ENDLESS_EVENTS_PATH, ENDLESS_HEAD_PATH, SLOW_PATH,
     TRICKLE_PATH,
 };
+use crate::world::{ProcessFleet, Role};
 use hyper::Method;
 use std::time::{Duration, Instant};
 
@@ -46,6 +47,8 @@
     assert!(has_run > 3);
     let log = fleet.read_log(&entry);
     assert!(!log.contains("\"quarantined\""));
+    let peak = fleet.peak_memory(&entry);
+    assert!(peak < ANSWER_MAX_BYTES, "{peak} bytes");
 }
 
 /// Guards against a body without end that fills the memory of the host.
@@ -112,3 +115,35 @@
         assert!(elapsed < TIME_LEFT * 4, "{route}: {elapsed:?}");
     }
 }
+
+/// The memory of the smallest store hosts.
+const STORE_MAX_BYTES: usize = 130 * 1024 * 1024;
+
+/// Guards against an item whose events never end, and whose output fills the memory and the log
+/// of all store hosts.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_without_end_is_broken_off() {
+    const RUNS: usize = 3;
+    let (fleet, entry) = start_fleet().await;
+    let items = ["endless".to_owned()];
+    let body = ProcessFleet::items_body(&items, &format!("/raw-digest/1{ENDLESS_EVENTS_PATH}"));
+    fleet
+        .wait_until("the job is accepted", || async {
+            let submit = "/raw-digest/submit";
+            let answer = fleet.submit_body(&entry, submit, "job-endless", body.clone());
+            answer
+                .await
+                .is_some_and(|answer| answer.status.as_u16() == 202)
+        })
+        .await;
+    fleet
+        .wait_until("the item has run some times", || async {
+            fleet.runs.runs_of("endless").len() >= RUNS
+        })
+        .await;
+    for store in fleet.host_names(Role::Store) {
+        let peak = fleet.peak_memory(&store);
+        println!("{store}: {peak} bytes");
+        assert!(peak < STORE_MAX_BYTES, "{store}: {peak} bytes");
+    }
+}
--- a/tests/fleet/unframed.rs
+++ b/tests/fleet/unframed.rs
@@ -221,6 +221,9 @@
     let text = stream_text(&id, count.unwrap_or(5));
     let skipped = stream_text(&id, first).len();
     let before_cut = stream_text(&id, EVENTS_BEFORE_CUT);
+    if request.path.ends_with(ENDLESS_EVENTS_PATH) {
+        return write_events_endlessly(&mut stream, first).await;
+    }
     if first == 0
         && let Some(stream_end) = write_unsound(&mut stream, &request.path, &text).await
     {
@@ -274,9 +277,6 @@
             failed => failed,
         });
     }
-    if path.ends_with(ENDLESS_EVENTS_PATH) {
-        return Some(write_events_endlessly(stream).await);
-    }
     if path.ends_with(TRICKLE_PATH) {
         return Some(trickle(stream, text).await);
     }
@@ -286,9 +286,9 @@
     None
 }
 
-/// Writes events until the other end closes the connection.
-async fn write_events_endlessly(stream: &mut TcpStream) -> io::Result<()> {
-    for number in 0u64.. {
+/// Writes events from `first` on until the other end closes the connection.
+async fn write_events_endlessly(stream: &mut TcpStream, first: u64) -> io::Result<()> {
+    for number in first.. {
         let padding = "a".repeat(ENDLESS_WRITE_BYTES);
         let event = format!("id: {number}\ndata: {padding}\n\n");
         stream.write_all(event.as_bytes()).await?;
