Answer every request that a host has taken before it stops

Here: requests on connections that were open before the stop are not taken after the load balancer has noticed it, and those of up to 5 s are answered.

Cause: an entry host did not compare the time of a request with that of its stop.

Change: once others can serve it, a request with more time than the stop leaves is refused before it is passed on (503, not run, retry at once). One that came before gets the time that is left, and what is still waiting then gets a 504 before connections close.

--- a/crates/roles/src/entry/host.rs
+++ b/crates/roles/src/entry/host.rs
@@ -3,7 +3,7 @@
 use super::forward::RequestForwarder;
 use super::jobs::JobGateway;
 use super::matching::RequestMatcher;
-use super::rotation::RotationState;
+use super::rotation::{RotationState, StopPeriod};
 use super::service::EntryService;
 use crate::connection_pool::ConnectionPool;
 use crate::event_log::EventLog;
@@ -61,8 +61,12 @@
 /// The part of the drain timeout that is reserved for the shutdown after the drain.
 const DRAIN_RESERVE: Duration = Duration::from_millis(400);
 
+/// The part of the drain timeout in which the last answers are written.
+const ANSWER_RESERVE: Duration = Duration::from_millis(250);
+
 /// A running entry host.
 pub struct EntryHost {
+    clock: Arc<dyn ClockSource>,
     rotation: Arc<RotationState>,
     drain_timeout: Duration,
     callers: HttpListener,
@@ -160,6 +164,7 @@
         let callers = callers.await?;
         log.note("started", &json!({ "host": base.settings.host.name }));
         Ok(Self {
+            clock: base.clock.clone(),
             rotation,
             drain_timeout: base.settings.bounds.drain_timeout,
             callers,
@@ -172,12 +177,18 @@
     /// Stops the host gracefully.
     ///
     /// Readiness is withdrawn first, new connections are accepted until the load
-    /// balancer has noticed, and accepted requests are completed within the drain
+    /// balancer has noticed, and accepted requests are answered within the drain
     /// timeout.
     pub async fn shutdown(mut self) {
-        self.rotation.drain();
+        let now = self.clock.now();
+        let notice = READINESS_NOTICE.min(self.drain_timeout / 2);
+        let reserve = DRAIN_RESERVE + ANSWER_RESERVE;
+        self.rotation.drain(StopPeriod {
+            noticed_at: now + notice,
+            answer_by: now + self.drain_timeout.saturating_sub(reserve),
+        });
         self.log.note("stopping", &json!({}));
-        tokio::time::sleep(READINESS_NOTICE.min(self.drain_timeout / 2)).await;
+        tokio::time::sleep(notice).await;
         let left = self
             .drain_timeout
             .saturating_sub(READINESS_NOTICE + DRAIN_RESERVE);
--- a/crates/roles/src/entry/service.rs
+++ b/crates/roles/src/entry/service.rs
@@ -37,7 +37,10 @@
         let arrived_at = self.clock.now();
         let (parts, body) = request.into_parts();
         let head = self.dialect.read_head(&parts);
-        let result = self.serve(&parts, body, &head, arrived_at).await;
+        let result = tokio::select! {
+            result = self.serve(&parts, body, &head, arrived_at) => result,
+            refusal = self.wait_for_stop() => Err(refusal),
+        };
         let mut response = result.unwrap_or_else(|refusal| {
             self.record_refusal(&parts, &head, &refusal, arrived_at);
             self.dialect.refusal(&refusal)
@@ -49,6 +52,16 @@
         response
     }
 
+    /// Waits until a planned stop leaves no more time for an answer. Returns the answer to a
+    /// request that is still under way, which may have been passed on.
+    async fn wait_for_stop(&self) -> RequestRefusal {
+        let stop = self.rotation.wait_for_stop().await;
+        let left = stop.answer_by.saturating_duration_since(self.clock.now());
+        tokio::time::sleep(left).await;
+        let detail = "the host stopped before the request ended";
+        RequestRefusal::new(RefusalReason::DeadlineUnmet, RunVerdict::MayHaveRun, detail)
+    }
+
     async fn serve(
         &self,
         parts: &request::Parts,
@@ -67,6 +80,14 @@
             timeout: matched.route.timeout,
         };
         let body = read_body(&parts.extensions, body, limits).await?;
+        let time_limit = matched.route.timeout;
+        let time_limit = head
+            .time_left
+            .map_or(time_limit, |left| left.min(time_limit));
+        let time_left = match self.rotation.stop() {
+            Some(stop) => Some(stop.limit(time_limit, arrived_at, self.clock.now())?),
+            None => head.time_left,
+        };
         if matched.route.kind == RouteKind::Batch && parts.method == Method::POST {
             let team = self.matcher.submitter(&matched, head).await?;
             let matched = MatchedRequest { team, ..matched };
@@ -81,7 +102,10 @@
             path: path_of(parts),
             headers: parts.headers.clone(),
             body,
-            head: head.clone(),
+            head: CallerHead {
+                time_left,
+                ..head.clone()
+            },
             arrived_at,
         };
         self.forwarder.clone().forward(matched, request).await
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -18,6 +18,7 @@
 mod homes;
 mod hushed;
 mod isolated;
+mod late_requests;
 mod limited;
 mod long_items;
 mod moved_jobs;
