Write large changes of one sync in several frames

From 4 MiB on they are written in several frames, each with a sync of its own, and segments begin in between. A test that counts the frames holds; before, there was one of any size.

--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -231,6 +231,15 @@
 }
 
 impl StorageRecord {
+    /// The approximate encoded size, in bytes.
+    fn approximate_bytes(&self) -> usize {
+        const FIXED_BYTES: usize = 24;
+        match self {
+            Self::Append(entry) => entry.payload.approximate_bytes(),
+            Self::HardState(_) | Self::Truncate(_) => FIXED_BYTES,
+        }
+    }
+
     /// The index of the appended entry; the default for other records.
     fn entry_index(&self) -> LogIndex {
         match self {
--- a/crates/consensus/src/storage/file.rs
+++ b/crates/consensus/src/storage/file.rs
@@ -1,6 +1,6 @@
 //! Storage in checksummed files in one directory.
 //!
-//! Changes are appended to numbered segment files, one frame for each sync. A new
+//! Changes are appended to numbered segment files, mostly one frame for each sync. A new
 //! segment begins with the term and the vote, so that older segments can be deleted
 //! once a snapshot covers their entries. A snapshot is written to a temporary file in parts,
 //! synced and renamed. The directory is synced after a file was created, renamed or
@@ -24,6 +24,10 @@
 /// The size from which on the next write starts a new segment.
 const SEGMENT_MAX_BYTES: u64 = 8 * 1024 * 1024;
 
+/// The size from which on the changes of one sync are written in several frames, each with a sync
+/// of its own: a frame is in memory as a whole while it is written or read.
+const FRAME_MAX_BYTES: usize = 4 * 1024 * 1024;
+
 /// The size of the commands that a start keeps in memory. They are the ones that seats which lag
 /// are most likely to need.
 const LOADED_MAX_BYTES: usize = 8 * 1024 * 1024;
@@ -225,9 +229,10 @@
             .map_err(StorageError::SyncFailed)
     }
 
-    fn ensure_segment(&mut self) -> Result<(), StorageError> {
+    /// Begins a segment if the last one is full. Returns the record that a new one begins with.
+    fn ensure_segment(&mut self) -> Result<Option<StorageRecord>, StorageError> {
         if self.is_writing && self.segment_bytes < SEGMENT_MAX_BYTES {
-            return Ok(());
+            return Ok(None);
         }
         let number = self.segments.last().map_or(1, |last| last.number + 1);
         let name = file_name(SEGMENT_PREFIX, number);
@@ -238,18 +243,29 @@
         self.segment_bytes = 0;
         let last_entry = LogIndex::default();
         self.segments.push(SegmentRecord { number, last_entry });
-        let hard_state = StorageRecord::HardState(self.hard_state);
-        self.pending.insert(0, hard_state);
-        Ok(())
+        Ok(Some(StorageRecord::HardState(self.hard_state)))
     }
 
+    /// Writes the pending changes durably, in frames of a limited size.
     fn write_pending(&mut self) -> Result<(), StorageError> {
-        self.ensure_segment()?;
-        if self.pending.is_empty() {
-            return Ok(());
-        }
         let records = std::mem::take(&mut self.pending);
-        let frame = encode(&self.directory, &records)?;
+        let mut rest = records.as_slice();
+        loop {
+            let first = self.ensure_segment()?;
+            let (frame, later) = rest.split_at(frame_length(rest));
+            let frame: Vec<&StorageRecord> = first.iter().chain(frame).collect();
+            if !frame.is_empty() {
+                self.write_frame(&frame)?;
+            }
+            rest = later;
+            if rest.is_empty() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn write_frame(&mut self, records: &[&StorageRecord]) -> Result<(), StorageError> {
+        let frame = encode(&self.directory, records)?;
         let number = self.segments.last().map_or(1, |last| last.number);
         let name = file_name(SEGMENT_PREFIX, number);
         let appended = self.folder.append(&name, &frame);
@@ -258,12 +274,8 @@
         synced.map_err(StorageError::SyncFailed)?;
         self.segment_bytes += frame.len() as u64;
         if let Some(segment) = self.segments.last_mut() {
-            let highest = records
-                .iter()
-                .map(StorageRecord::entry_index)
-                .max()
-                .unwrap_or_default();
-            segment.last_entry = segment.last_entry.max(highest);
+            let highest = records.iter().map(|record| record.entry_index()).max();
+            segment.last_entry = segment.last_entry.max(highest.unwrap_or_default());
         }
         Ok(())
     }
@@ -448,6 +460,17 @@
     format!("{prefix}{number:020}")
 }
 
+/// The number of the first records that are written in one frame.
+fn frame_length(records: &[StorageRecord]) -> usize {
+    let mut bytes = 0;
+    let is_beyond = |record: &StorageRecord| {
+        bytes += record.approximate_bytes();
+        bytes > FRAME_MAX_BYTES
+    };
+    let beyond = records.iter().position(is_beyond);
+    beyond.map_or(records.len(), |count| count.max(1))
+}
+
 fn encode(path: &Path, value: &(impl Serialize + ?Sized)) -> Result<Vec<u8>, StorageError> {
     let payload = postcard::to_stdvec(value).map_err(|e| io_error(path, io::Error::other(e)))?;
     let too_long = || io_error(path, io::ErrorKind::FileTooLarge.into());
--- a/crates/consensus/src/storage/frame.rs
+++ b/crates/consensus/src/storage/frame.rs
@@ -1,8 +1,7 @@
 //! Frames of the log and snapshot files.
 //!
 //! A frame consists of a marker, the length of the payload, a CRC-32 of length and
-//! payload, and the payload. Each sync writes one frame, and the next frame is written
-//! only after that sync succeeded. Hence an invalid frame followed by a valid one is
+//! payload, and the payload. Each frame is synced before the next one is written. Hence an invalid frame followed by a valid one is
 //! corruption, whereas an invalid frame at the end is a torn write.
 
 use super::folder::StorageFolder;
--- a/crates/consensus/tests/all/storage.rs
+++ b/crates/consensus/tests/all/storage.rs
@@ -358,3 +358,33 @@
     let (_, state) = open(directory.path());
     assert_eq!(state.expect("loaded").snapshot, Some(head(6)));
 }
+
+/// The changes of one sync were written as one frame of any size, which a start had to hold.
+#[test]
+fn large_changes_of_one_sync_are_written_in_several_frames() {
+    const ENTRIES: u64 = 9;
+    const FRAME_MARKER: &[u8] = b"CLF1";
+    let directory = tempfile::tempdir().expect("a directory");
+    let (mut storage, _) = open(directory.path());
+    let command = vec![7; 1024 * 1024];
+    let entries: Vec<_> = (1..=ENTRIES)
+        .map(|index| LogEntry {
+            payload: EntryPayload::Command(command.clone().into()),
+            ..entry(index, 1)
+        })
+        .collect();
+    storage.append(&entries).expect("appended");
+    storage.sync().expect("synced");
+    let mut frames = 0;
+    for path in segments(directory.path()) {
+        let bytes = fs::read(path).expect("bytes");
+        let windows = bytes.windows(FRAME_MARKER.len());
+        frames += windows.filter(|window| *window == FRAME_MARKER).count();
+    }
+    assert!(frames >= 3, "{frames} frames");
+    let (_, state) = open(directory.path());
+    assert_eq!(
+        indexes(&state.expect("loaded")),
+        (1..=ENTRIES).collect::<Vec<_>>()
+    );
+}
