Open the seat of a daemon again after its disk failed

In the daemon a host whose log could not be written once went on as an observer for good, so that the group lost its quorum after two of them.

Change: a host whose write or sync failed is an observer until its seat can be opened, on the storage that knows what is durable, which is tried each second. Whether that may help is a question to the error, which the seats of the roles ask as well.

--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -72,6 +72,21 @@
     Stopped,
 }
 
+impl ReplicaError {
+    /// Whether the replica may be started again on its storage once the disk is sound. A failed
+    /// write leaves at most a torn frame at the end, and after a failed sync
+    /// [`LogStorage::recover`] discards what may not be durable.
+    #[must_use]
+    pub fn is_transient(&self) -> bool {
+        matches!(
+            self,
+            Self::Storage(
+                StorageError::DiskFull(_) | StorageError::SyncFailed(_) | StorageError::Io { .. }
+            )
+        )
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct PendingProposal {
     term: TermNumber,
--- a/crates/group/src/thread.rs
+++ b/crates/group/src/thread.rs
@@ -140,7 +140,7 @@
             };
             log::error!("group: the seat stopped: {error}.");
             self.stop_serving();
-            if !can_reopen(&error) || !self.refuse_for(REOPEN_DELAY) {
+            if !error.is_transient() || !self.refuse_for(REOPEN_DELAY) {
                 self.refuse_all();
                 return;
             }
@@ -389,17 +389,6 @@
     }
 }
 
-/// Whether the seat may go on once the disk is sound again. A failed write leaves at most a torn
-/// frame at the end, and after a failed sync the storage discards what may not be durable.
-fn can_reopen(error: &ReplicaError) -> bool {
-    matches!(
-        error,
-        ReplicaError::Storage(
-            StorageError::DiskFull(_) | StorageError::SyncFailed(_) | StorageError::Io { .. }
-        )
-    )
-}
-
 impl<M> Drop for GroupThread<M> {
     fn drop(&mut self) {
         log::debug!(
--- a/crates/host/src/replica/role.rs
+++ b/crates/host/src/replica/role.rs
@@ -2,8 +2,8 @@
 
 use super::state::GroupState;
 use chicoryladder_consensus::{
-    FileStorage, GroupMembership, GroupReplica, ObserverSettings, SeatSettings, SnapshotError,
-    StorageError, TailAnswer, TailObserver, TailRequest,
+    FileStorage, GroupMembership, GroupReplica, LogStorage, ObserverSettings, SeatSettings,
+    SnapshotError, StorageError, TailAnswer, TailObserver, TailRequest,
 };
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{GroupId, LogIndex, SeatId};
@@ -63,8 +63,14 @@
 }
 
 impl ReplicaRole {
-    /// Opens the seat stored on the disk, or starts an observer.
-    pub(super) fn open(settings: &ReplicaSettings, now: Instant) -> Result<Self, ReplicaError> {
+    /// Opens the seat stored on the disk, or starts an observer. `stopped` is the storage of the
+    /// seat if it had one in this process; `seed` must differ at each start.
+    pub(super) fn open(
+        settings: &ReplicaSettings,
+        stopped: Option<Box<dyn LogStorage>>,
+        seed: u64,
+        now: Instant,
+    ) -> Result<Self, ReplicaError> {
         let Some(disk) = &settings.disk else {
             let voters = settings.voters.values().copied().collect();
             return Ok(Self::observer(voters, now));
@@ -75,13 +81,16 @@
         } else {
             GroupMembership::default()
         };
-        let storage = FileStorage::open(disk.folder.join(LOG_FOLDER))?;
+        let storage = match stopped {
+            Some(storage) => storage,
+            None => Box::new(FileStorage::open(disk.folder.join(LOG_FOLDER))?),
+        };
         let replica = GroupReplica::start(
             SeatSettings::new(FLEET_GROUP, disk.seat),
             initial,
-            Box::new(storage),
+            storage,
             GroupState::open(Some(&disk.folder))?,
-            settings.seed,
+            seed,
             now,
         );
         Ok(Self::Seat(Box::new(replica?)))
--- a/crates/host/src/replica/task.rs
+++ b/crates/host/src/replica/task.rs
@@ -11,8 +11,9 @@
 use super::proposals::{OutcomeSender, ProposalTracker};
 use super::role::{ReplicaError, ReplicaRole, ReplicaSettings};
 use super::sources::tail_sources;
+use super::state::GroupState;
 use crate::peers::{PeerDirectory, PeerMessage};
-use chicoryladder_consensus::{ReplicaOutput, SeatRole};
+use chicoryladder_consensus::{GroupReplica, LogStorage, ReplicaOutput, SeatRole};
 use chicoryladder_jobs::UnixMillis;
 use chicoryladder_state::KeyTombstones;
 use chicoryladder_types::prelude::*;
@@ -31,12 +32,25 @@
 /// The time between two published views that differ only in freshness.
 const VIEW_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The pause before a seat whose disk failed is opened again.
+const REOPEN_PAUSE: Duration = Duration::from_secs(1);
+
+/// A seat whose disk failed.
+struct SuspendedSeat {
+    /// Its storage, until it is recovered.
+    storage: Option<Box<dyn LogStorage>>,
+    reopen_at: Instant,
+}
+
 /// The maximum number of events that share one sync of the log.
 const BATCH_MAX_EVENTS: usize = 256;
 
 /// Owns the state machines of one host and its role in the group.
 pub(crate) struct ReplicaTask {
     role: ReplicaRole,
+    suspended: Option<SuspendedSeat>,
+    /// How often the seat was opened again.
+    reopened: u64,
     settings: ReplicaSettings,
     peers: PeerDirectory,
     clock: Arc<dyn ClockSource>,
@@ -66,7 +80,7 @@
         clock: Arc<dyn ClockSource>,
     ) -> Result<(Self, ReplicaHandle, ReplicaInbox), ReplicaError> {
         let now = clock.now();
-        let role = ReplicaRole::open(&settings, now)?;
+        let role = ReplicaRole::open(&settings, None, settings.seed, now)?;
         let (sender, events) = mpsc::unbounded_channel();
         let (views, receiver) = watch::channel(ReplicaView {
             fleet: Arc::new(role.state().view()),
@@ -82,6 +96,8 @@
         };
         let task = Self {
             role,
+            suspended: None,
+            reopened: 0,
             proposals: ProposalTracker::new(settings.seed),
             settings,
             peers,
@@ -144,6 +160,7 @@
     /// Processes expired timers and the effects of the events handled so far.
     fn step(&mut self) {
         let now = self.clock.now();
+        self.reopen_seat(now);
         match &mut self.role {
             ReplicaRole::Seat(replica) => replica.tick(now),
             ReplicaRole::Observer(_) => self.follow_tail(now),
@@ -203,11 +220,54 @@
         };
         match synced {
             Ok(outputs) => self.execute(outputs),
-            Err(_) => self.become_observer(),
+            Err(error) => self.suspend_seat(&error),
         }
         if let Some(error) = self.role.state().jobs.failure() {
             log::error!("replica: the items of batch jobs cannot be stored: {error}.");
             self.become_observer();
+            log::error!("replica: replace the disk and add it under a new seat.");
+        }
+    }
+
+    /// Continues as an observer until the disk can be written again.
+    fn suspend_seat(&mut self, error: &chicoryladder_consensus::ReplicaError) {
+        let reopen_at = self.clock.now() + REOPEN_PAUSE;
+        let Some(replica) = self.become_observer() else {
+            return;
+        };
+        if error.is_transient() {
+            let storage = Some(replica.into_storage());
+            self.suspended = Some(SuspendedSeat { storage, reopen_at });
+        } else {
+            log::error!("replica: replace the disk and add it under a new seat.");
+        }
+    }
+
+    /// Opens the seat again, if one is suspended and it is time.
+    fn reopen_seat(&mut self, now: Instant) {
+        let Some(mut suspended) = self.suspended.take_if(|seat| now >= seat.reopen_at) else {
+            return;
+        };
+        self.reopened += 1;
+        let seed = self.settings.seed ^ self.reopened;
+        let opening = || {
+            if let Some(storage) = &mut suspended.storage {
+                storage.recover()?;
+            }
+            ReplicaRole::open(&self.settings, suspended.storage.take(), seed, now)
+        };
+        match run_blocking(opening) {
+            Ok(role) => {
+                log::info!("replica: the seat is open again.");
+                let tombstones = self.role.state().view().tombstones().clone();
+                self.role = role;
+                self.role.state_mut().fleet.merge_tombstones(&tombstones);
+            }
+            Err(error) => {
+                log::warn!("replica: the seat cannot be opened yet: {error}.");
+                suspended.reopen_at = now + REOPEN_PAUSE;
+                self.suspended = Some(suspended);
+            }
         }
     }
 
@@ -225,20 +285,23 @@
         }
     }
 
-    /// Continues as an observer after a disk failure; the seat sends nothing from
-    /// then on.
-    fn become_observer(&mut self) {
+    /// Continues as an observer after a disk failure; the seat, which is returned, sends nothing
+    /// from then on.
+    fn become_observer(&mut self) -> Option<Box<GroupReplica<GroupState>>> {
         if matches!(self.role, ReplicaRole::Observer(_)) {
-            return;
+            return None;
         }
-        log::error!(
-            "replica: continuing as an observer; replace the disk and add it under a new seat."
-        );
+        log::error!("replica: continuing as an observer.");
         let voters = self.settings.voters.values().copied().collect();
         let tombstones = self.role.state().view().tombstones().clone();
-        self.role = ReplicaRole::observer(voters, self.clock.now());
+        let observer = ReplicaRole::observer(voters, self.clock.now());
+        let role = std::mem::replace(&mut self.role, observer);
         self.role.state_mut().fleet.merge_tombstones(&tombstones);
         self.proposals.abandon_log();
+        match role {
+            ReplicaRole::Seat(replica) => Some(replica),
+            ReplicaRole::Observer(_) => None,
+        }
     }
 
     /// Publishes the state to the other tasks; its log position never decreases.
--- a/tests/all/fixture.rs
+++ b/tests/all/fixture.rs
@@ -111,6 +111,14 @@
         self.ports.iter().map(|ports| ports.servers).collect()
     }
 
+    /// The folder of the log of a host.
+    pub(crate) fn log_folder(&self, host: usize) -> PathBuf {
+        self.folder
+            .path()
+            .join(format!("data-{host}"))
+            .join("group-0")
+    }
+
     /// Starts a stopped host on its existing data folder.
     pub(crate) async fn start_host(&mut self, host: usize) {
         let settings = HostSettings::parse("test", &self.settings(host)).unwrap();
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod end_to_end;
 mod faults;
 mod fixture;
+mod full_disks;
 mod limits;
 mod quarantine;
 mod replicated_state;
