--- a/crates/consensus/src/state_decoder.rs
+++ b/crates/consensus/src/state_decoder.rs
@@ -70,8 +70,8 @@
         self.buffer.drain(..self.start);
         self.start = 0;
         let wanted = self.buffer.len().max(READ_BYTES);
-        let limited = (&mut *self.input).take(wanted as u64);
-        let read = { limited }.read_to_end(&mut self.buffer)?;
+        let mut limited = (&mut *self.input).take(wanted as u64);
+        let read = limited.read_to_end(&mut self.buffer)?;
         self.has_ended = read < wanted;
         Ok(())
     }
