--- a/crates/consensus/src/settings.rs
+++ b/crates/consensus/src/settings.rs
@@ -42,10 +42,9 @@
     pub retained_entries: u64,
     /// The number of applied entries between two snapshots.
     pub snapshot_interval_entries: u64,
-    /// The size of the entries applied between two snapshots, in bytes. A start holds these
-    /// entries in memory until they are known to be committed. If half of the last snapshot is
-    /// larger, its size counts instead, so that the snapshots of a large state are not written
-    /// more often than its entries.
+    /// The size of the entries applied between two snapshots, in bytes: what the log may take on
+    /// the disk, and what a start reads. Half the size of the last snapshot counts instead if it
+    /// is larger, so that a large state is not written more often than its entries.
     pub snapshot_interval_bytes: u64,
     /// The size of the in-memory log, in bytes, above which applied entries are removed
     /// from it. A seat that needs older entries receives a snapshot.
--- a/crates/roles/src/seat_opener.rs
+++ b/crates/roles/src/seat_opener.rs
@@ -27,8 +27,8 @@
 /// job, so it is not taken often.
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 2_048;
 
-/// The bytes of the entries applied between two snapshots. A start holds these entries beside the
-/// state, in the memory of the smallest hosts.
+/// The bytes of the entries applied between two snapshots, which bound the log on the disk and
+/// what a start reads.
 const SNAPSHOT_INTERVAL_BYTES: u64 = 16 * 1024 * 1024;
 
 /// The bytes of applied entries kept in memory: about ten seconds of a busy job group,
