--- a/crates/batch/src/machine.rs
+++ b/crates/batch/src/machine.rs
@@ -1,7 +1,9 @@
 //! The replicated state machine of batch jobs.
 
 use crate::spec::{ItemSpec, JobOwner, JobSpec};
-use chicoryladder_consensus::{RestoreError, SnapshotError, StateDecoder, StateMachine};
+use chicoryladder_consensus::{
+    RestoreError, SnapshotError, StateDecoder, StateMachine, encode_state,
+};
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{LogIndex, RouteName, SoftwareVersion};
 use serde::{Deserialize, Serialize};
@@ -481,10 +483,7 @@
     }
 
     fn snapshot(&self, output: &mut dyn Write) -> Result<(), SnapshotError> {
-        let written = postcard::to_io(self, output);
-        written.map(|_| ()).map_err(|error| SnapshotError {
-            detail: error.to_string(),
-        })
+        encode_state(self, output)
     }
 
     fn restore(&mut self, input: &mut dyn Read) -> Result<(), RestoreError> {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -39,7 +39,7 @@
     SeatEvent, SeatRole,
 };
 pub use settings::SeatSettings;
-pub use state_decoder::StateDecoder;
+pub use state_decoder::{StateDecoder, encode_state};
 pub use storage::{
     FileStorage, LogStorage, MemoryDisk, MemoryStorage, SnapshotReader, StateWriter, StorageError,
     StorageFolder, StoredState,
--- a/crates/consensus/src/state_decoder.rs
+++ b/crates/consensus/src/state_decoder.rs
@@ -1,12 +1,25 @@
-//! Decodes a snapshot in parts.
+//! Encodes a snapshot into a stream, and decodes it in parts.
 
-use crate::RestoreError;
+use crate::{RestoreError, SnapshotError};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 
 /// The bytes that are read at once, unless a value is larger.
 const READ_BYTES: usize = 64 * 1024;
 
+/// Writes a value of a snapshot.
+///
+/// # Errors
+///
+/// Fails if the value cannot be serialized or written.
+pub fn encode_state(value: &impl Serialize, output: &mut dyn Write) -> Result<(), SnapshotError> {
+    let written = postcard::to_io(value, output);
+    written.map(|_| ()).map_err(|error| SnapshotError {
+        detail: error.to_string(),
+    })
+}
+
 /// Decodes the values of a snapshot one after the other. About as much of the snapshot is in
 /// memory as its largest value takes.
 pub struct StateDecoder<'a> {
--- a/crates/consensus/src/storage/file/snapshots.rs
+++ b/crates/consensus/src/storage/file/snapshots.rs
@@ -189,7 +189,8 @@
         let corrupt = || corruption(&self.path(&name), 0, "snapshot checksum mismatch");
         let failed = |e| self.io_error(&name, e);
         let file_bytes = self.folder.length(&name).map_err(failed)?;
-        let data_start = self.state_start(&name)?.filter(|end| *end <= file_bytes);
+        let data_start = self.state_start(&name).map_err(failed)?;
+        let data_start = data_start.filter(|end| *end <= file_bytes);
         let data_start = data_start.ok_or_else(corrupt)?;
         let frame_bytes = usize::try_from(data_start).map_err(|_| corrupt())?;
         let mut frame = vec![0; frame_bytes];
@@ -226,12 +227,12 @@
     }
 
     /// The offset of the state in a snapshot file; `None` if the file has no frame.
-    fn state_start(&self, name: &str) -> Result<Option<u64>, StorageError> {
+    fn state_start(&self, name: &str) -> io::Result<Option<u64>> {
         let mut header = [0; HEADER_BYTES];
         match self.folder.read_at(name, 0, &mut header) {
             Ok(()) => Ok(frame_end(&header)),
             Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => Ok(None),
-            Err(error) => Err(self.io_error(name, error)),
+            Err(error) => Err(error),
         }
     }
 
@@ -243,12 +244,11 @@
         length: usize,
     ) -> Result<Option<Vec<u8>>, StorageError> {
         let name = file_name(SNAPSHOT_PREFIX, index.0);
-        match self.folder.length(&name) {
-            Ok(_) => {}
+        let data_start = match self.state_start(&name) {
+            Ok(data_start) => data_start,
             Err(error) if error.kind() == io::ErrorKind::NotFound => return Ok(None),
             Err(error) => return Err(self.io_error(&name, error)),
-        }
-        let data_start = self.state_start(&name)?;
+        };
         let invalid = || corruption(&self.path(&name), 0, "the snapshot header is invalid");
         let data_start = data_start.ok_or_else(invalid)?;
         let mut part = vec![0; length];
--- a/crates/consensus/tests/all/kv.rs
+++ b/crates/consensus/tests/all/kv.rs
@@ -1,6 +1,8 @@
 //! A key-value state machine for tests.
 
-use chicoryladder_consensus::{RestoreError, SnapshotError, StateDecoder, StateMachine};
+use chicoryladder_consensus::{
+    RestoreError, SnapshotError, StateDecoder, StateMachine, encode_state,
+};
 use chicoryladder_types::LogIndex;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -65,10 +67,7 @@
     }
 
     fn snapshot(&self, output: &mut dyn Write) -> Result<(), SnapshotError> {
-        let written = postcard::to_io(&self.0, output);
-        written.map(|_| ()).map_err(|error| SnapshotError {
-            detail: error.to_string(),
-        })
+        encode_state(&self.0, output)
     }
 
     fn restore(&mut self, input: &mut dyn Read) -> Result<(), RestoreError> {
--- a/crates/host/src/replica/state.rs
+++ b/crates/host/src/replica/state.rs
@@ -1,7 +1,9 @@
 //! The state machines of the group, combined into one.
 
 use super::command::{GroupCommand, GroupOutcome};
-use chicoryladder_consensus::{RestoreError, SnapshotError, StateDecoder, StateMachine};
+use chicoryladder_consensus::{
+    RestoreError, SnapshotError, StateDecoder, StateMachine, encode_state,
+};
 use chicoryladder_jobs::{BodyBytes, FileStore, ItemStore, JobMachine, MemoryStore, StoreError};
 use chicoryladder_state::{FleetMachine, FleetView};
 use chicoryladder_types::LogIndex;
@@ -81,8 +83,7 @@
             fleet: BodyBytes(self.fleet.snapshot().map_err(snapshot_error)?),
             jobs: BodyBytes(self.jobs.snapshot().map_err(snapshot_error)?),
         };
-        let written = postcard::to_io(&snapshot, output);
-        written.map(|_| ()).map_err(snapshot_error)
+        encode_state(&snapshot, output)
     }
 
     fn restore(&mut self, input: &mut dyn Read) -> Result<(), RestoreError> {
--- a/crates/roles/src/control/machine.rs
+++ b/crates/roles/src/control/machine.rs
@@ -1,7 +1,9 @@
 //! The replicated state of the control group.
 
 use chicoryladder_broker::{VersionRecord, VersionStep};
-use chicoryladder_consensus::{RestoreError, SnapshotError, StateDecoder, StateMachine};
+use chicoryladder_consensus::{
+    RestoreError, SnapshotError, StateDecoder, StateMachine, encode_state,
+};
 use chicoryladder_plan::{
     CallerLimits, PlanTerms, PlanVersion, RawPlan, RawRoute, RawService, RawTeam,
 };
@@ -215,10 +217,7 @@
             stored.map(|stored| &stored.plan.terms.0),
             &self.zone_drains,
         );
-        let written = postcard::to_io(&fields, output);
-        written.map(|_| ()).map_err(|error| SnapshotError {
-            detail: error.to_string(),
-        })
+        encode_state(&fields, output)
     }
 
     fn restore(&mut self, input: &mut dyn Read) -> Result<(), RestoreError> {
