Let the disk in memory fail its writes, for the tests of full disks

The test of full disks wrapped the storage in memory in one that passed each of eleven calls on, as the tests of the log do. The disk in memory, which could fail one sync already, fails all writes while it is told to.

--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -41,7 +41,7 @@
 pub use settings::SeatSettings;
 pub use state_decoder::{StateDecoder, encode_state};
 pub use storage::{
-    FileStorage, LogStorage, MemoryDisk, MemoryStorage, SnapshotReader, StateWriter, StorageError,
-    StorageFolder, StoredState,
+    DiskFault, FileStorage, LogStorage, MemoryDisk, MemoryStorage, SnapshotReader, StateWriter,
+    StorageError, StorageFolder, StoredState,
 };
 pub use tail::{SnapshotPosition, TailAnswer, TailContent, TailRequest};
--- a/crates/consensus/src/storage.rs
+++ b/crates/consensus/src/storage.rs
@@ -13,7 +13,7 @@
 
 pub use file::FileStorage;
 pub use folder::StorageFolder;
-pub use memory::{MemoryDisk, MemoryStorage};
+pub use memory::{DiskFault, MemoryDisk, MemoryStorage};
 
 use crate::{EntryPayload, HardState, LogEntry, SnapshotError, SnapshotHead, SnapshotPoint};
 use chicoryladder_types::{LogIndex, TermNumber};
--- a/crates/consensus/src/storage/memory.rs
+++ b/crates/consensus/src/storage/memory.rs
@@ -9,6 +9,15 @@
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+/// How all writes to a [`MemoryDisk`] fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskFault {
+    /// There is no room for them.
+    Full,
+    /// They cannot be made durable.
+    SyncFails,
+}
+
 #[derive(Debug, Default)]
 struct DiskContent {
     durable: StoredState,
@@ -18,6 +27,7 @@
     pending: Vec<StorageRecord>,
     /// Whether the next sync fails.
     fail_sync: bool,
+    fault: Option<DiskFault>,
     /// Whether a sync failed. The storage then rejects changes until
     /// [`MemoryDisk::discard_unsynced`].
     failed: bool,
@@ -44,6 +54,20 @@
         self.lock().fail_sync = true;
     }
 
+    /// Makes all writes fail from now on, or succeed again.
+    pub fn set_fault(&self, fault: Option<DiskFault>) {
+        self.lock().fault = fault;
+    }
+
+    fn check_fault(&self) -> Result<(), StorageError> {
+        let full = io::Error::from(io::ErrorKind::StorageFull);
+        match self.lock().fault {
+            None => Ok(()),
+            Some(DiskFault::Full) => Err(StorageError::DiskFull(full)),
+            Some(DiskFault::SyncFails) => Err(StorageError::SyncFailed(full)),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, DiskContent> {
         self.content.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -79,6 +103,7 @@
 
     fn replace_snapshot(&mut self, head: SnapshotHead, data: Vec<u8>) -> Result<(), StorageError> {
         self.record([])?;
+        self.disk.check_fault()?;
         let mut content = self.disk.lock();
         content.durable.snapshot = Some(head);
         content.snapshot_data = data;
@@ -89,6 +114,7 @@
 
 impl LogStorage for MemoryStorage {
     fn recover(&mut self) -> Result<(), StorageError> {
+        self.disk.check_fault()?;
         self.disk.discard_unsynced();
         self.received.clear();
         Ok(())
@@ -141,6 +167,7 @@
         data: &[u8],
     ) -> Result<(), StorageError> {
         self.record([])?;
+        self.disk.check_fault()?;
         if offset == 0 {
             self.received.clear();
         }
@@ -183,6 +210,7 @@
 
     fn sync(&mut self) -> Result<(), StorageError> {
         self.record([])?;
+        self.disk.check_fault()?;
         let mut content = self.disk.lock();
         if std::mem::take(&mut content.fail_sync) {
             content.failed = true;
--- a/crates/group/tests/full_disks.rs
+++ b/crates/group/tests/full_disks.rs
@@ -1,16 +1,14 @@
 //! Disks that are full, or fail, one after the other, under a group of three threads.
 
 use chicoryladder_consensus::{
-    GroupMembership, HardState, LogEntry, LogStorage, MemoryDisk, MemoryStorage, RestoreError,
-    SeatEnvelope, SeatSettings, SnapshotError, SnapshotHead, SnapshotPoint, StateMachine,
-    StateWriter, StorageError, StoredState,
+    DiskFault, GroupMembership, MemoryDisk, MemoryStorage, RestoreError, SeatEnvelope,
+    SeatSettings, SnapshotError, StateMachine,
 };
 use chicoryladder_group::{GroupHandle, GroupSettings, GroupThread, SeatTransport};
-use chicoryladder_types::{GroupId, LogIndex, SeatId, SystemClock, TermNumber};
+use chicoryladder_types::{GroupId, LogIndex, SeatId, SystemClock};
 use std::collections::BTreeMap;
-use std::io::{self, Read, Write};
+use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -20,106 +18,6 @@
 /// The time within which a change has to be acknowledged once all disks have room.
 const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(5);
 
-/// What a disk does with the next writes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum DiskFault {
-    None,
-    WritesFail,
-    SyncsFail,
-}
-
-/// A disk whose faults a test sets.
-#[derive(Clone, Default)]
-struct FaultyDisk {
-    disk: MemoryDisk,
-    fault: Arc<AtomicU8>,
-}
-
-impl FaultyDisk {
-    fn set(&self, fault: DiskFault) {
-        self.fault.store(fault as u8, Ordering::SeqCst);
-    }
-
-    fn check(&self) -> Result<(), StorageError> {
-        let full = || io::Error::from(io::ErrorKind::StorageFull);
-        match self.fault.load(Ordering::SeqCst) {
-            fault if fault == DiskFault::WritesFail as u8 => Err(StorageError::DiskFull(full())),
-            fault if fault == DiskFault::SyncsFail as u8 => Err(StorageError::SyncFailed(full())),
-            _ => Ok(()),
-        }
-    }
-}
-
-struct FaultyStorage {
-    disk: FaultyDisk,
-    inner: MemoryStorage,
-}
-
-impl LogStorage for FaultyStorage {
-    fn recover(&mut self) -> Result<(), StorageError> {
-        self.disk.check()?;
-        self.inner.recover()
-    }
-
-    fn load(&mut self) -> Result<StoredState, StorageError> {
-        self.inner.load()
-    }
-
-    fn set_hard_state(&mut self, state: HardState) -> Result<(), StorageError> {
-        self.inner.set_hard_state(state)
-    }
-
-    fn set_leadership(&mut self, term: TermNumber) -> Result<(), StorageError> {
-        self.inner.set_leadership(term)
-    }
-
-    fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
-        self.inner.append(entries)
-    }
-
-    fn truncate_suffix(&mut self, from: LogIndex) -> Result<(), StorageError> {
-        self.inner.truncate_suffix(from)
-    }
-
-    fn save_snapshot(
-        &mut self,
-        point: &SnapshotPoint,
-        write_state: &mut StateWriter<'_>,
-    ) -> Result<SnapshotHead, StorageError> {
-        self.disk.check()?;
-        self.inner.save_snapshot(point, write_state)
-    }
-
-    fn write_snapshot_part(
-        &mut self,
-        head: &SnapshotHead,
-        offset: u64,
-        data: &[u8],
-    ) -> Result<(), StorageError> {
-        self.disk.check()?;
-        self.inner.write_snapshot_part(head, offset, data)
-    }
-
-    fn install_snapshot(&mut self, head: &SnapshotHead) -> Result<(), StorageError> {
-        self.disk.check()?;
-        self.inner.install_snapshot(head)
-    }
-
-    fn read_snapshot(
-        &self,
-        index: LogIndex,
-        offset: u64,
-        length: usize,
-    ) -> Result<Option<Vec<u8>>, StorageError> {
-        self.inner.read_snapshot(index, offset, length)
-    }
-
-    fn sync(&mut self) -> Result<(), StorageError> {
-        self.disk.check()?;
-        self.inner.sync()
-    }
-}
-
 /// The sum of the applied numbers.
 #[derive(Default)]
 struct SumMachine {
@@ -167,7 +65,7 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, port))
 }
 
-fn start_seat(seat: SeatId, disk: &FaultyDisk, handles: &Handles) {
+fn start_seat(seat: SeatId, disk: &MemoryDisk, handles: &Handles) {
     let seats = (1..=3).map(SeatId);
     let disk = disk.clone();
     let settings = GroupSettings {
@@ -177,12 +75,7 @@
             ..SeatSettings::new(GroupId(0), seat)
         },
         bootstrap_members: GroupMembership::of_voters(seats.map(|seat| (seat, address(seat)))),
-        open_storage: Box::new(move || {
-            Ok(Box::new(FaultyStorage {
-                inner: MemoryStorage::new(disk.disk.clone()),
-                disk: disk.clone(),
-            }))
-        }),
+        open_storage: Box::new(move || Ok(Box::new(MemoryStorage::new(disk.clone())))),
         address: address(seat),
         seed: seat.0,
     };
@@ -223,20 +116,20 @@
 /// that.
 async fn play(fault: DiskFault) -> bool {
     let handles = Handles::default();
-    let disks: BTreeMap<SeatId, FaultyDisk> = (1..=3)
-        .map(|number| (SeatId(number), FaultyDisk::default()))
+    let disks: BTreeMap<SeatId, MemoryDisk> = (1..=3)
+        .map(|number| (SeatId(number), MemoryDisk::default()))
         .collect();
     for (seat, disk) in &disks {
         start_seat(*seat, disk, &handles);
     }
     assert!(acknowledge(&handles, 1, ACKNOWLEDGED_WITHIN).await);
     for disk in disks.values() {
-        disk.set(fault);
+        disk.set_fault(Some(fault));
         let until = Instant::now() + FULL_TIME;
         while Instant::now() < until {
             acknowledge(&handles, 1, Duration::from_millis(50)).await;
         }
-        disk.set(DiskFault::None);
+        disk.set_fault(None);
         // The next disk fails after this one has recovered.
         tokio::time::sleep(Duration::from_millis(1_500)).await;
     }
@@ -247,11 +140,11 @@
 /// quorum although all processes run.
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_are_acknowledged_after_disks_were_full_in_turn() {
-    assert!(play(DiskFault::WritesFail).await);
+    assert!(play(DiskFault::Full).await);
 }
 
 /// The same where the sync tells it: a seat whose sync had failed once never served again.
 #[tokio::test(flavor = "multi_thread")]
 async fn changes_are_acknowledged_after_syncs_failed_in_turn() {
-    assert!(play(DiskFault::SyncsFail).await);
+    assert!(play(DiskFault::SyncFails).await);
 }
