--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -113,7 +113,7 @@
         let host = Host { role, zone: zone.to_owned(), ip, child: None };
         self.hosts.insert(name.clone(), host);
         if let Some(links) = self.links.clone().filter(|_| role != "edge") {
-            links.listen(SocketAddrV4::new(ip, PEERS), SocketAddrV4::new(ip, PEERS_BIND));
+            links.listen(&name, SocketAddrV4::new(ip, PEERS), SocketAddrV4::new(ip, PEERS_BIND));
         }
         self.start(&name, bootstrap);
         name
--- a/review/stand-ins-3/late_job.rs
+++ b/review/stand-ins-3/late_job.rs
@@ -25,7 +25,7 @@
 pub fn run(record: &Record, trouble: bool) -> Result<bool, String> {
     let terms = || Terms { events: EVENTS, pause: Duration::from_millis(100) };
     let links = Arc::<Links>::default();
-    let (fleet, runs, _servers) = start_with(record, terms, CAP, Some(links.clone()))?;
+    let (fleet, runs, _servers) = start_with(record, terms, CAP, Some(links.clone()), 3)?;
     let submit = |edge: &str, job: &str, item: &str| {
         let body = job_body(&[item.to_owned()], 940);
         let path = format!("/digest/{job}");
--- a/review/stand-ins-3/links.rs
+++ b/review/stand-ins-3/links.rs
@@ -35,34 +35,39 @@
         *self.cut.lock().expect("no writer panicked") = Some(Cut { machine, from, until });
     }
 
-    fn is_cut(&self, machine: &str, at: Instant) -> bool {
+    fn is_cut(&self, ends: &[String; 2], at: Instant) -> bool {
         let cut = self.cut.lock().expect("no writer panicked");
-        cut.as_ref().is_some_and(|cut| cut.machine == machine && cut.from <= at && at < cut.until)
+        let cut = cut.as_ref().filter(|cut| cut.from <= at && at < cut.until);
+        cut.is_some_and(|cut| ends.contains(&cut.machine))
     }
 
-    pub fn listen(self: &Arc<Self>, listen: SocketAddrV4, target: SocketAddrV4) {
+    /// Starts a proxy before the peer port of a machine.
+    pub fn listen(self: &Arc<Self>, name: &str, listen: SocketAddrV4, target: SocketAddrV4) {
+        let name = name.to_owned();
         let listener = TcpListener::bind(listen).expect("the address of the proxy is free");
         let links = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let links = links.clone();
-                thread::spawn(move || links.pass(stream, target));
+                let (links, name) = (links.clone(), name.clone());
+                thread::spawn(move || links.pass(&name, stream, target));
             }
         });
     }
 
-    /// Passes a connection on. The first message names the machine that opened it.
-    fn pass(self: Arc<Self>, mut client: TcpStream, target: SocketAddrV4) {
+    /// Passes a connection to a machine on. The first message names the one that opened it.
+    fn pass(self: Arc<Self>, opened_to: &str, mut client: TcpStream, target: SocketAddrV4) {
         let opened = Instant::now();
         let mut first = vec![0; 64 * 1024];
         let Ok(count) = client.read(&mut first) else { return };
         first.truncate(count);
         let text = String::from_utf8_lossy(&first);
-        let machine = (1..=9).map(|number| format!("edge-{number}"));
-        let machine = machine.into_iter().find(|name| text.contains(name.as_str()));
-        let machine = machine.unwrap_or_default();
-        if self.is_cut(&machine, opened) {
-            while self.is_cut(&machine, Instant::now()) {
+        let names = ["edge", "core", "storage"];
+        let names = names.iter().flat_map(|role| (1..=9).map(move |n| format!("{role}-{n}")));
+        let found = names.filter_map(|name| text.find(name.as_str()).map(|at| (at, name)));
+        let opened_by = found.min().map(|(_, name)| name).unwrap_or_default();
+        let ends = Arc::new([opened_by, opened_to.to_owned()]);
+        if self.is_cut(&*ends, opened) {
+            while self.is_cut(&*ends, Instant::now()) {
                 thread::sleep(Duration::from_millis(5));
             }
             return;
@@ -73,16 +78,16 @@
         let (Ok(from_server), Ok(to_client)) = (server.try_clone(), client.try_clone()) else {
             return;
         };
-        let (links, name) = (self.clone(), machine.clone());
-        thread::spawn(move || links.forward(&name, from_server, to_client, Vec::new()));
-        self.forward(&machine, client, server, first);
+        let (links, same_ends) = (self.clone(), ends.clone());
+        thread::spawn(move || links.forward(&same_ends, from_server, to_client, Vec::new()));
+        self.forward(&ends, client, server, first);
     }
 
-    fn forward(&self, machine: &str, mut from: TcpStream, mut to: TcpStream, first: Vec<u8>) {
+    fn forward(&self, ends: &[String; 2], mut from: TcpStream, mut to: TcpStream, first: Vec<u8>) {
         let mut bytes = first;
         loop {
             if !bytes.is_empty() {
-                self.wait_for_repeat(machine);
+                self.wait_for_repeat(ends);
                 if to.write_all(&bytes).is_err() {
                     break;
                 }
@@ -97,9 +102,9 @@
     }
 
     /// Returns once bytes arrive that are sent now.
-    fn wait_for_repeat(&self, machine: &str) {
+    fn wait_for_repeat(&self, ends: &[String; 2]) {
         let mut interval = FIRST_REPEAT;
-        while self.is_cut(machine, Instant::now()) {
+        while self.is_cut(ends, Instant::now()) {
             thread::sleep(interval);
             interval *= 2;
         }
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod http;
+mod late_departure;
 mod late_job;
 mod links;
 mod retired_store;
@@ -18,6 +19,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new(&path);
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
+        "late-departure" => late_departure::run(&record, trouble),
         "late-job" => late_job::run(&record, trouble),
         "retired-store" => retired_store::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
--- a/review/stand-ins-3/servers.rs
+++ b/review/stand-ins-3/servers.rs
@@ -37,7 +37,9 @@
     pub terms: Terms,
     pub runs: Runs,
     /// Whether check-ins are sent.
-    pub checks_in: AtomicBool,
+    checks_in: AtomicBool,
+    is_running: AtomicBool,
+    connections: Mutex<Vec<TcpStream>>,
     sequence: AtomicU64,
 }
 
@@ -61,12 +63,20 @@
             terms,
             runs,
             checks_in: AtomicBool::new(true),
+            is_running: AtomicBool::new(true),
+            connections: Mutex::default(),
             sequence: AtomicU64::new(1),
         });
         let listener = TcpListener::bind(address).expect("the server's address is free");
         let serving = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if !serving.is_running.load(Ordering::Relaxed) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    serving.connections.lock().expect("no writer panicked").push(copy);
+                }
                 let serving = serving.clone();
                 thread::spawn(move || serving.serve(stream));
             }
@@ -91,11 +101,38 @@
         )
     }
 
+    /// Deregisters: at the given node first, and at the next ones until one acknowledges it within
+    /// a second. No check-ins follow. The pages show no body.
+    pub fn deregister(&self, nodes: &[SocketAddrV4]) -> Vec<Option<u16>> {
+        self.checks_in.store(false, Ordering::Relaxed);
+        let path = format!("/instances/{}/deregister", self.id);
+        let mut answers = Vec::new();
+        for node in nodes {
+            let reply = call(*node, "POST", &path, &[], "", Duration::from_secs(1));
+            answers.push(reply.map(|reply| reply.status));
+            if answers.last().is_some_and(|status| status.is_some_and(|status| status < 300)) {
+                break;
+            }
+        }
+        answers
+    }
+
+    /// Ends the server with its connections.
+    pub fn stop(&self) {
+        self.is_running.store(false, Ordering::Relaxed);
+        self.checks_in.store(false, Ordering::Relaxed);
+        for connection in self.connections.lock().expect("no writer panicked").drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        // The listener closes with the next connection.
+        let _ = TcpStream::connect(self.address);
+    }
+
     /// Checks in about every 1.2 s; without an acknowledgement within a second, at the next node.
     fn beat(&self, control: &[SocketAddrV4]) {
         let path = format!("/instances/{}/heartbeat", self.id);
         let mut node = 0;
-        loop {
+        while self.is_running.load(Ordering::Relaxed) {
             if self.checks_in.load(Ordering::Relaxed) {
                 for _ in 0..control.len() {
                     let address = control[node % control.len()];
--- a/review/stand-ins-3/world.rs
+++ b/review/stand-ins-3/world.rs
@@ -49,15 +49,16 @@
 
 /// Starts three machines of each class, three servers, and puts the first configuration.
 pub fn start(record: &Record, terms: fn() -> Terms) -> Result<World, String> {
-    start_with(record, terms, 0, None)
+    start_with(record, terms, 0, None, 3)
 }
 
-/// Like [`start`], with a limit on waiting tokens, and with links that can be cut.
+/// Like [`start`], with a limit on waiting tokens, links that can be cut, and a number of servers.
 pub fn start_with(
     record: &Record,
     terms: fn() -> Terms,
     cap: u64,
     links: Option<Arc<Links>>,
+    servers_count: u8,
 ) -> Result<World, String> {
     let mut fleet = Fleet::new("zone-a:north,zone-b:north,zone-c:north");
     fleet.links = links;
@@ -70,7 +71,7 @@
     record.note("3 core, 3 storage and 3 edge machines start, in 3 zones");
     let runs = Runs::default();
     let mut servers = Vec::new();
-    for number in 1..=3u8 {
+    for number in 1..=servers_count {
         let zone = ZONES[usize::from(number) - 1];
         let address = fleet.server_address(number);
         let control = fleet.control_addresses();
