--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -21,7 +21,7 @@
 /// Held by the fleet that uses a subnet.
 const MARK: u16 = 8400;
 
-/// The bounds of the site `lonja-rents`, in the keys of the template of settings.
+/// The bounds and the memory of the site `lonja-rents`, in the keys of the template of settings.
 const PROMISES: &str = "[promises]\ncheck_in_interval_ms = 1200\nkey_withdrawal_ms = 5000\n\
     plan_applies_ms = 2000\nserver_drain_ms = 2000\ndrain_timeout_s = 8\nrate_slack = 20\n\
     rate_overshoot = 0.1\nrate_window_s = 5\njob_retention_s = 120\n";
@@ -165,9 +165,9 @@
             _ => format!("[data]\nfolder = {}\n", self.data_folder(name).display()),
         };
         let memory = match *role {
-            "edge" => 260,
+            "edge" => 110,
             "core" => 256,
-            _ => 300,
+            _ => 130,
         };
         format!(
             "[host]\nname = {name}\nzone = {zone}\n\n[listen]\n{listen}\n[control]\n\
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -8,6 +8,7 @@
 mod links;
 mod retired_store;
 mod servers;
+mod starved_jobs;
 mod world;
 
 use fleet::Record;
@@ -22,6 +23,7 @@
         "late-departure" => late_departure::run(&record, trouble),
         "late-job" => late_job::run(&record, trouble),
         "retired-store" => retired_store::run(&record, trouble),
+        "starved-jobs" => starved_jobs::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
     }));
     let code = match outcome {
--- a/review/stand-ins-3/world.rs
+++ b/review/stand-ins-3/world.rs
@@ -9,6 +9,8 @@
 use std::time::{Duration, Instant};
 
 pub const HOST: &str = "ficu95.example";
+/// The key of the tenant with the highest priority.
+pub const FIRST_KEY: &str = "s989anu6wsjnbanfqasn";
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 fn route(name: &str, kind: &str, service: &str, attempts: u32, more: &str) -> String {
@@ -22,26 +24,36 @@
 
 /// The configuration of a small deployment.
 pub fn plan(version: u32, cap: u64) -> String {
+    let bulk = format!(",\"completion-target-ms\":18000,\"max-queue-s\":120,\"cap\":{cap}");
     let routes = [
         route("walk", "streaming", "engine", 1, ",\"resumable\":false,\"gap-target-ms\":400"),
         route("rules", "streaming", "engine", 2, ",\"resumable\":true,\"gap-target-ms\":400"),
-        route(
-            "digest",
-            "bulk",
-            "engine",
-            4,
-            &format!(",\"completion-target-ms\":18000,\"max-queue-s\":120,\"cap\":{cap}"),
-        ),
+        route("digest", "bulk", "engine", 4, &bulk),
+        route("letters", "bulk", "press", 4, &bulk),
     ];
+    let service = |name: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"health-path\":\"/healthz\",\"max-connections\":230,\
+             \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":8,\
+             \"kv-capacity-tokens\":147261,\"models\":[{{\"name\":\"m\"}}]}}}}"
+        )
+    };
+    let tenant = |name: &str, key: &str, priority: u32| {
+        format!(
+            "{{\"name\":\"{name}\",\"api-keys\":[\"{key}\"],\"priority\":{priority},\
+             \"rate-per-s\":58,\"burst\":58}}"
+        )
+    };
     format!(
-        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"engine\",\
-         \"health-path\":\"/healthz\",\"max-connections\":230,\"protocol\":\"h1\",\"tls\":false,\
-         \"engine\":{{\"slots\":8,\"kv-capacity-tokens\":147261,\"models\":[{{\"name\":\"m\"}}]}}}}],\
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{},{}],\
          \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\
          \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}},\
-         \"tenants\":[{{\"name\":\"huka270\",\"api-keys\":[\"{KEY}\"],\"priority\":1,\
-         \"rate-per-s\":58,\"burst\":58}}]}}",
-        routes.join(",")
+         \"tenants\":[{},{}]}}",
+        routes.join(","),
+        service("engine"),
+        service("press"),
+        tenant("huka270", KEY, 1),
+        tenant("tehu881", FIRST_KEY, 0),
     )
 }
 
@@ -99,7 +111,7 @@
     reply.is_some_and(|reply| reply.status == 200)
 }
 
-/// A client's call at an edge machine, with the tenant's key.
+/// A client's call at an edge machine, with the key of the tenant `huka270`.
 pub fn client(
     fleet: &Fleet,
     edge: &str,
@@ -109,7 +121,21 @@
     body: &str,
     timeout: Duration,
 ) -> Option<Reply> {
-    let key = format!("Bearer {KEY}");
+    client_with(KEY, fleet, edge, method, path, id, body, timeout)
+}
+
+#[expect(clippy::too_many_arguments, reason = "the parts of a request")]
+pub fn client_with(
+    key: &str,
+    fleet: &Fleet,
+    edge: &str,
+    method: &str,
+    path: &str,
+    id: &str,
+    body: &str,
+    timeout: Duration,
+) -> Option<Reply> {
+    let key = format!("Bearer {key}");
     let mut fields = vec![("Host", HOST), ("Authorization", key.as_str())];
     if !id.is_empty() {
         fields.push(("X-Request-Id", id));
@@ -134,12 +160,26 @@
 
 /// Submits a batch job, at one node after the other, until it is accepted.
 pub fn submit(fleet: &Fleet, record: &Record, job: &str, items: &[String], within: Duration) -> bool {
+    submit_with(KEY, "digest", fleet, record, job, items, within)
+}
+
+/// Like [`submit`], with a key, under a prefix.
+pub fn submit_with(
+    key: &str,
+    prefix: &str,
+    fleet: &Fleet,
+    record: &Record,
+    job: &str,
+    items: &[String],
+    within: Duration,
+) -> bool {
     let started = Instant::now();
     let edges = fleet.names("edge");
     for edge in edges.iter().cycle() {
-        let path = format!("/digest/{job}");
+        let path = format!("/{prefix}/{job}");
         let body = job_body(items, 940);
-        let reply = client(fleet, edge, "POST", &path, job, &body, Duration::from_secs(3));
+        let timeout = Duration::from_secs(3);
+        let reply = client_with(key, fleet, edge, "POST", &path, job, &body, timeout);
         let status = reply.map(|reply| reply.status);
         record.note(format!("POST {path} at {edge}: {status:?}"));
         if status == Some(202) {
