--- a/review/stand-ins-3/fleet.rs
+++ b/review/stand-ins-3/fleet.rs
@@ -208,6 +208,18 @@
         child.is_some_and(|child| child.try_wait().is_ok_and(|ended| ended.is_some()))
     }
 
+    /// The anonymous memory of the process of a machine, in MB of 2^20 bytes.
+    pub fn used_mb(&self, name: &str) -> u64 {
+        let Some(child) = self.hosts.get(name).and_then(|host| host.child.as_ref()) else {
+            return 0;
+        };
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap_or_default();
+        let kb = line.split_whitespace().nth(1).and_then(|kb| kb.parse::<u64>().ok());
+        kb.unwrap_or(0) / 1_024
+    }
+
     pub fn log(&self, name: &str) -> String {
         fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
     }
--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -1,6 +1,7 @@
 //! The scripts of the cases 11 to 15: each starts a small deployment, brings one disruption
 //! about, and checks one rule.
 
+mod ended_jobs;
 mod fleet;
 mod http;
 mod late_departure;
@@ -20,6 +21,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new(&path);
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
+        "ended-jobs" => ended_jobs::run(&record, trouble),
         "late-departure" => late_departure::run(&record, trouble),
         "late-job" => late_job::run(&record, trouble),
         "retired-store" => retired_store::run(&record, trouble),
--- a/review/stand-ins-3/world.rs
+++ b/review/stand-ins-3/world.rs
@@ -203,3 +203,17 @@
 pub fn completed(reply: &Reply) -> usize {
     reply.text().matches("\"completed\"").count()
 }
+
+/// The body of a batch job of 200 items, the most that a job has, and 3.8 MB.
+pub fn large_job_body(job: &str) -> String {
+    let text = "q83vEjRWeJA".repeat(1_698);
+    let item = |number: u32| {
+        let id = format!("{}{number:04x}", &job[..12]);
+        format!(
+            "{{\"id\":\"{id}\",\"path\":\"/digest/{id}\",\"headers\":{{\"X-Model\":\"m\",\
+             \"X-Token-Usage\":\"540,400\"}},\"body\":\"{text}AA\",\"token-count\":940}}"
+        )
+    };
+    let items: Vec<String> = (0..200).map(item).collect();
+    format!("{{\"requests\":[{}]}}", items.join(","))
+}
