--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# A batch job that was refused at every attempt runs later.
+# A late call takes a server that has started again out of use.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/review-cases
 [ -x "$program" ] && [ -x target/release/chicoryladderd ] || exit 2
-"$program" late-job review/12/record.txt
+"$program" late-departure review/12/record.txt
 exit $?
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# A late call takes a server that has started again out of use.
+# Batch jobs wait for good behind those of a service that has no server.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/review-cases
 [ -x "$program" ] && [ -x target/release/chicoryladderd ] || exit 2
-"$program" late-departure review/13/record.txt
+"$program" starved-jobs review/13/record.txt
 exit $?
--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Large batch jobs that are ended at once fill the memory of the storage machines.
+# A batch job that was refused at every attempt runs later.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-3/review-cases
 [ -x "$program" ] && [ -x target/release/chicoryladderd ] || exit 2
-"$program" ended-jobs review/15/record.txt
+"$program" late-job review/15/record.txt
 exit $?
