--- a/review/stand-ins-3/main.rs
+++ b/review/stand-ins-3/main.rs
@@ -1,5 +1,5 @@
-//! The scripts of the cases 11 to 15: each starts a small deployment, brings one disruption
-//! about, and checks one rule.
+//! The scripts of the cases 11 to 15, and `late-job` beside them: each starts a small deployment,
+//! brings one disruption about, and checks one rule.
 
 mod ended_jobs;
 mod fleet;
@@ -9,6 +9,7 @@
 mod links;
 mod retired_store;
 mod servers;
+mod stale_route;
 mod starved_jobs;
 mod world;
 
@@ -25,6 +26,7 @@
         "late-departure" => late_departure::run(&record, trouble),
         "late-job" => late_job::run(&record, trouble),
         "retired-store" => retired_store::run(&record, trouble),
+        "stale-route" => stale_route::run(&record, trouble),
         "starved-jobs" => starved_jobs::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
     }));
--- a/review/stand-ins-3/world.rs
+++ b/review/stand-ins-3/world.rs
@@ -24,11 +24,16 @@
 
 /// The configuration of a small deployment.
 pub fn plan(version: u32, cap: u64) -> String {
+    plan_with(version, cap, "engine")
+}
+
+/// Like [`plan`], with the service of the route for batch jobs under `/digest/`.
+pub fn plan_with(version: u32, cap: u64, digest_service: &str) -> String {
     let bulk = format!(",\"completion-target-ms\":18000,\"max-queue-s\":120,\"cap\":{cap}");
     let routes = [
         route("walk", "streaming", "engine", 1, ",\"resumable\":false,\"gap-target-ms\":400"),
         route("rules", "streaming", "engine", 2, ",\"resumable\":true,\"gap-target-ms\":400"),
-        route("digest", "bulk", "engine", 4, &bulk),
+        route("digest", "bulk", digest_service, 4, &bulk),
         route("letters", "bulk", "press", 4, &bulk),
     ];
     let service = |name: &str| {
