Keep a drained store host without a seat until it is gone

A store host whose retirement was completed became a voter of the job group again. After its removal and the loss of one other disk no accepted job could be read any more.

Cause: the leader of the control group listed a host as retiring only until CompleteRetire was recorded. The host went on asking for a seat, and the leader of the job group took it for a common standby.

Evidence: the logs of the new test on the code before. CompleteRetire at 0.54 s, AddLearner of the same address at 2.52 s, Promote at 2.67 s.

Change: retired hosts stay listed, by the recorded address and the one from which they report. A leader of the job group adds members only after a sync since its leadership began, as the leader before may have reported the host as drained. No report bars hosts while a membership change is under way. A stopping voter no longer waits for a standby that retires.

Why it works: a report that a host is barred is made under the lease, after the retirement was committed. Any later leader syncs after that, so its list holds the host.

--- a/crates/group/src/membership_repair.rs
+++ b/crates/group/src/membership_repair.rs
@@ -45,6 +45,8 @@
     standbys: HashMap<SocketAddr, StandbyRecord>,
     /// When each stopping host last asked to be replaced.
     stopping: HashMap<SocketAddr, Instant>,
+    /// The hosts that get no seat, as of the last check for changes.
+    retiring: HashSet<SocketAddr>,
     zones: HashMap<SocketAddr, ZoneName>,
     first_seen: HashMap<SeatId, Instant>,
     /// When this leadership began. Standby hosts repeat their requests, so that they are
@@ -53,10 +55,11 @@
 }
 
 impl MembershipRepair {
-    /// Drops the standbys, stopping hosts and times of an earlier leadership.
+    /// Drops the standbys, stopping and retiring hosts and times of an earlier leadership.
     pub fn restart(&mut self, now: Instant) {
         self.standbys.clear();
         self.stopping.clear();
+        self.retiring.clear();
         self.first_seen.clear();
         self.began_at = Some(now);
     }
@@ -147,7 +150,9 @@
         if is_learner || of_role(MemberRole::Voter).count() > voters {
             return true;
         }
-        let stays = |host: &SocketAddr| *host != address && !self.stopping.contains_key(host);
+        let stays = |host: &SocketAddr| {
+            *host != address && !self.stopping.contains_key(host) && !self.retiring.contains(host)
+        };
         let learners = of_role(MemberRole::Learner).map(|member| &member.address);
         let current = self
             .standbys
@@ -163,7 +168,8 @@
         self.standbys.values().filter(is_current).count()
     }
 
-    /// The next change of the membership, if one is due.
+    /// The next change of the membership, if one is due. The `retiring` hosts lose their seats
+    /// and get no others.
     pub fn next_change(
         &mut self,
         status: &GroupStatus,
@@ -174,6 +180,7 @@
         self.standbys.retain(|_, record| record.is_current(now));
         self.stopping
             .retain(|_, asked_at| now.saturating_duration_since(*asked_at) < STOPPING_TTL);
+        self.retiring.clone_from(retiring);
         let stopping = self.stopping.keys().copied();
         let leaving: HashSet<SocketAddr> = stopping.chain(retiring.iter().copied()).collect();
         let view = self.view(status, &leaving, now);
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -541,7 +541,11 @@
         let is_outdated = request.plan < self.plan.version();
         let plan = self.encoded.clone().filter(|_| is_outdated);
         let views = self.views(members, now);
-        let (hosts, store) = (views.control_hosts.clone(), views.store.clone());
+        let (hosts, mut store) = (views.control_hosts.clone(), views.store.clone());
+        if request.role != HostRole::Store {
+            // Only store hosts give seats of the job group.
+            store.retiring.clear();
+        }
         let crashes = Tail(views.crashes.clone());
         SyncAnswer {
             hosts,
@@ -701,15 +705,29 @@
             .values()
             .filter_map(|host| Some((host.store.as_ref()?.leading_term?, host.address)))
             .max();
-        let retiring = self.retiring.values().filter(|(_, is_empty)| !is_empty);
+        // A drained host has to stay without a seat for as long as it runs.
+        let hosts = self.retiring.iter();
+        let retiring =
+            hosts.flat_map(|(host, (address, _))| self.retired_addresses(host, *address));
         StoreView {
             bootstrap_members: self.store_bootstrap_members.clone(),
             leader: leader.map(|(_, address)| address),
             hosts: self.addresses(HostRole::Store, now),
-            retiring: retiring.map(|(address, _)| *address).collect(),
+            retiring: retiring.collect(),
         }
     }
 
+    /// The addresses at which a retiring host is reached: the one that is recorded, unless
+    /// another host has taken it over, and the one from which the host reports now.
+    fn retired_addresses(&self, host: &HostName, recorded: SocketAddr) -> BTreeSet<SocketAddr> {
+        let is_reused = |(name, other): (&HostName, &HostRecord)| {
+            name != host && other.address == recorded && other.role == HostRole::Store
+        };
+        let recorded = Some(recorded).filter(|_| !self.hosts.iter().any(is_reused));
+        let current = self.hosts.get(host).map(|record| record.address);
+        recorded.into_iter().chain(current).collect()
+    }
+
     /// The host that leads the job group, if known, and all store hosts.
     pub(crate) fn job_hosts(&self, now: Instant) -> (Option<SocketAddr>, Vec<SocketAddr>) {
         let view = self.store_view(now);
@@ -760,10 +778,17 @@
         let leaders = self.hosts.values().filter_map(|host| host.store.as_ref());
         let report = leaders.max_by_key(|report| report.leading_term)?;
         report.leading_term?;
-        let has_left = |(address, is_drained): &(SocketAddr, bool)| {
-            !is_drained && report.retiring.contains(address) && !report.members.contains(address)
+        let has_left = |(host, (recorded, is_drained)): &(&HostName, &(SocketAddr, bool))| {
+            let is_barred = |address: &SocketAddr| {
+                report.retiring.contains(address) && !report.members.contains(address)
+            };
+            !is_drained
+                && self
+                    .retired_addresses(host, *recorded)
+                    .iter()
+                    .all(is_barred)
         };
-        let drained = self.retiring.iter().find(|(_, record)| has_left(record));
+        let drained = self.retiring.iter().find(has_left);
         drained.map(|(host, _)| host.clone())
     }
 
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -251,7 +251,8 @@
     pub(crate) leader: Option<SocketAddr>,
     /// All store hosts that synced recently.
     pub(crate) hosts: Vec<SocketAddr>,
-    /// The store hosts that are being drained.
+    /// The store hosts that get no seat: they are being drained, or were. Hosts of other roles
+    /// are sent none.
     pub(crate) retiring: Vec<SocketAddr>,
 }
 
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -25,6 +25,7 @@
 use crate::tunnels::server_dialer;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchAnswer, BatchCommand, BatchMachine};
+use chicoryladder_consensus::MembershipChange;
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
 use chicoryladder_group::{
     BootstrapMembers, GroupHandle, GroupStatus, JoinAnswer, JoinRequest, MembershipRepair,
@@ -306,35 +307,54 @@
     /// Starts the next membership change, if one is due. A retiring leader first transfers
     /// its leadership once its replacement is a voter.
     pub(super) fn start_repair(&self, status: &GroupStatus) {
-        if self.is_repairing.load(Ordering::Relaxed) || !self.take_repair_turn() {
+        if !self.take_repair_turn() {
             return;
         }
-        let retiring: HashSet<SocketAddr> = self.view.store().retiring.into_iter().collect();
-        let voters = self.base.settings.control.voters();
-        let now = self.now();
-        let change = self.repair().next_change(status, &retiring, voters, now);
         let Some(group) = self.group() else {
             return;
         };
-        if retiring.contains(&self.base.rpc.identity().address) {
-            let is_replaced = status.members.iter().filter(|m| is_voter(m)).count() > voters;
-            if is_replaced {
-                group.transfer_leadership();
-                return;
-            }
+        // Set before the retiring hosts are read, so that a report made meanwhile does not
+        // bar a host from seats to which one is being given.
+        if self.is_repairing.swap(true, Ordering::SeqCst) {
+            return;
         }
-        let Some(change) = change else {
+        let Some(change) = self.next_change(status, &group) else {
+            self.is_repairing.store(false, Ordering::SeqCst);
             return;
         };
-        self.is_repairing.store(true, Ordering::Relaxed);
         let done = self.is_repairing.clone();
         let log = self.log.clone();
         tokio::spawn(async move {
             apply_change(&group, change, &log).await;
-            done.store(false, Ordering::Relaxed);
+            done.store(false, Ordering::SeqCst);
         });
     }
 
+    /// The next membership change. A retiring leader that is replaced hands over instead.
+    fn next_change(
+        &self,
+        status: &GroupStatus,
+        group: &GroupHandle<BatchMachine>,
+    ) -> Option<MembershipChange> {
+        let retiring: HashSet<SocketAddr> = self.view.store().retiring.into_iter().collect();
+        let voters = self.base.settings.control.voters();
+        let change = self
+            .repair()
+            .next_change(status, &retiring, voters, self.now());
+        if retiring.contains(&self.base.rpc.identity().address) {
+            let is_replaced = status.members.iter().filter(|m| is_voter(m)).count() > voters;
+            if is_replaced {
+                group.transfer_leadership();
+                return None;
+            }
+        }
+        // A host that the leader before reported as drained may be among the standbys.
+        let synced_at = self.view.fresh_at();
+        let is_informed = synced_at.is_some() && synced_at >= self.leader().began_at;
+        change
+            .filter(|change| is_informed || !matches!(change, MembershipChange::AddLearner { .. }))
+    }
+
     pub(super) fn leave_seat(&self, request: &JoinRequest) -> JoinAnswer {
         let voters = self.base.settings.control.voters();
         let status = self.status();
@@ -382,14 +402,17 @@
         let status = self.status();
         let leads = status.holds_lease(self.now());
         let members = status.members.iter().map(|member| member.address);
+        let retiring = self.view.store().retiring;
+        let is_repairing = self.is_repairing.load(Ordering::SeqCst);
         StoreReport {
             seat: group.map(|_| status.seat),
             first_start,
             leading_term: leads.then_some(status.term.0),
             members: if leads { members.collect() } else { Vec::new() },
-            // Before the removal of a retiring host is committed, it may still be undone.
-            retiring: if status.membership_committed {
-                self.view.store().retiring
+            // A removal that is not committed may still be undone, and a change under way may
+            // give a seat to a host that was not known to retire when it was decided on.
+            retiring: if status.membership_committed && !is_repairing {
+                retiring
             } else {
                 Vec::new()
             },
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -51,6 +51,8 @@
 pub(super) struct JobLeader {
     /// The term of this leadership; `None` while another host leads.
     pub(super) term: Option<TermNumber>,
+    /// When this leadership began.
+    pub(super) began_at: Option<Instant>,
     /// The jobs that have ended since a new leadership began to read; `None` at other times.
     ended_meanwhile: Option<HashSet<String>>,
     pub(super) schedule: ItemSchedule,
@@ -69,6 +71,7 @@
     pub(super) fn new() -> Self {
         Self {
             term: None,
+            began_at: None,
             ended_meanwhile: None,
             schedule: ItemSchedule::default(),
             requested: Vec::new(),
@@ -90,6 +93,7 @@
     fn begin(&mut self, term: TermNumber, items: Vec<OpenItem>, plan: &ServicePlan, now: Instant) {
         let ended = self.ended_meanwhile.take().unwrap_or_default();
         self.term = Some(term);
+        self.began_at = Some(now);
         self.schedule.load(items, &ended, now);
         self.schedule
             .discard_unattributed(|job| service_of_route(plan, job));
--- a/tests/fleet/trouble.rs
+++ b/tests/fleet/trouble.rs
@@ -6,6 +6,9 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+/// The time within which a host without a seat has asked for one, and a free one is given to it.
+const SEAT_REQUEST_TIME: Duration = Duration::from_secs(5);
+
 fn items(job: &str, count: u32) -> Vec<String> {
     (0..count).map(|n| format!("{job}-{n}")).collect()
 }
@@ -348,3 +351,44 @@
         .await;
     wait_until_complete(&fleet, "job-after", ids.len()).await;
 }
+
+/// Guards against a drained store host that is given a seat again, here as two voters are in one
+/// zone: the operator had been told that it may be removed together with its disk.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drained_store_host_gets_no_seat_again() {
+    use crate::client::Call;
+    use hyper::Method;
+    let mut fleet = ProcessFleet::start().await;
+    let control = fleet.control_address(&fleet.host_names(Role::Control)[0]);
+    // In the zone of the first store host.
+    fleet.add_host(Role::Store, 4, false);
+    let begin = Call::new(control, Method::POST, "/retire/store-3/begin");
+    let begin = begin.body("{\"duration-s\":10}");
+    let accepted = || async {
+        let answer = begin.send().await;
+        answer.is_some_and(|answer| answer.status.is_success())
+    };
+    fleet.wait_until("the order is accepted", accepted).await;
+    let state = Call::new(control, Method::GET, "/retire/store-3/get");
+    let is_drained = || async {
+        let state = state.send().await;
+        state.is_some_and(|state| state.text().contains("completed"))
+    };
+    fleet.wait_until("the host is drained", is_drained).await;
+    let seats = |fleet: &ProcessFleet| {
+        let log = fleet.read_log("store-3");
+        log.matches("\"seat_opened\"").count()
+    };
+    tokio::time::sleep(SEAT_REQUEST_TIME).await;
+    assert_eq!(seats(&fleet), 1, "its first seat is the only one");
+    // Nor does it get one from leaders that began afterwards.
+    for role in [Role::Control, Role::Store] {
+        let leader = fleet.wait_for_leader(role).await;
+        fleet.kill(&leader);
+        fleet.wait_for_next_leader(role, &leader).await;
+        fleet.start_process(&leader, false);
+    }
+    tokio::time::sleep(SEAT_REQUEST_TIME).await;
+    fleet.wait_until("the host is drained", is_drained).await;
+    assert_eq!(seats(&fleet), 1, "its first seat is the only one");
+}
