Keep a voter whose host's request for a seat arrives late

Cause: a host on standby has no seat, so its request names none. If it arrives after the host has become a voter, the leader takes the host for one that has lost its disk, as the address stands for the identity.

Change: requests count as a lost disk only once they have gone on for as long as a member may be silent, without contact with the member in between. A host without its disk has no such contact and repeats its requests.

--- a/crates/group/src/membership_repair.rs
+++ b/crates/group/src/membership_repair.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 struct StandbyRecord {
     zone: ZoneName,
+    /// When the host requested a seat for the first time without a gap of [`STANDBY_TTL`].
+    first_requested_at: Instant,
     requested_at: Instant,
 }
 
@@ -100,8 +102,11 @@
             self.standbys.remove(&request.address);
             return JoinAnswer::Granted(member.seat);
         }
+        let earlier = self.standbys.get(&request.address);
+        let earlier = earlier.filter(|record| record.is_current(now));
         let record = StandbyRecord {
             zone: request.zone.clone(),
+            first_requested_at: earlier.map_or(now, |record| record.first_requested_at),
             requested_at: now,
         };
         self.standbys.insert(request.address, record);
@@ -220,10 +225,17 @@
                 zone: self.zones.get(&member.address).cloned(),
             });
         }
-        let standby = |(address, record): (&SocketAddr, &StandbyRecord)| StandbyHost {
-            address: *address,
-            zone: record.zone.clone(),
-            retiring: leaving.contains(address),
+        let standby = |(address, record): (&SocketAddr, &StandbyRecord)| {
+            let members = status.members.iter().filter(|m| m.address == *address);
+            let contact = members.filter_map(|member| member.last_contact_at).max();
+            let since = contact.unwrap_or(record.first_requested_at);
+            let since = since.max(record.first_requested_at);
+            StandbyHost {
+                address: *address,
+                zone: record.zone.clone(),
+                retiring: leaving.contains(address),
+                requesting_for: record.requested_at.saturating_duration_since(since),
+            }
         };
         RepairView {
             leader: status.seat,
--- a/crates/group/src/repair.rs
+++ b/crates/group/src/repair.rs
@@ -49,6 +49,9 @@
     pub zone: ZoneName,
     /// Whether the host is about to leave: it stops, or an operator drains it.
     pub retiring: bool,
+    /// The time between its first and its last request, since the last contact with a member at
+    /// its address, if there is one.
+    pub requesting_for: Duration,
 }
 
 /// The input of [`plan_repair`].
@@ -113,9 +116,13 @@
     }
 
     /// Whether the host of a member requests a new seat, which means that it has lost its
-    /// disk.
+    /// disk. A request that was sent before the host became a member may arrive late, so only
+    /// requests count that go on while the member is silent.
     fn has_lost_disk(&self, member: &MemberView) -> bool {
-        let requests_seat = |standby: &StandbyHost| standby.address == member.address;
+        let requests_seat = |standby: &StandbyHost| {
+            standby.address == member.address
+                && standby.requesting_for >= self.limits.responsive_within
+        };
         // A learner without any contact may not know its seat yet.
         let has_started = member.role == MemberRole::Voter || member.had_contact;
         member.seat != self.view.leader
--- a/crates/group/tests/repair.rs
+++ b/crates/group/tests/repair.rs
@@ -56,6 +56,7 @@
         address: address(host),
         zone: ZoneName::try_from(format!("z{host}").as_str()).expect("it is valid"),
         retiring: false,
+        requesting_for: Duration::from_secs(1),
     }
 }
 
