Bind departures and orders to what their sender could know

A server left through a store host that was cut off, was answered there with 503 and at the next host with 200, and started again. 6.2 s later the held-up call took the new incarnation out of use for good; accepted jobs never ran, and online requests got 503.

Cause: a departure that names no incarnation applied to the one that the leader knew when the call arrived.

Evidence: server_leaves names the new incarnation as born.

Change: a host that relays such a departure reads the known incarnation first and sends the departure for that one. Orders to drain zones and to retire hosts are relayed likewise with a number that any decision on their subject takes away, a refusal too: a drain that had been withdrawn was begun again by a held-up order.

Why it works: a late copy of the query changes nothing, and a late copy of the call names what it is for. Builds side by side: an old leader carries the order out when asked for the number, an old relay sends it without.

--- a/crates/roles/src/control.rs
+++ b/crates/roles/src/control.rs
@@ -9,12 +9,14 @@
 mod host;
 mod leader;
 mod machine;
+mod order_numbers;
 mod port;
 mod question;
 mod relay;
 
 pub use host::ControlHost;
 pub use machine::ControlMachine;
+pub use order_numbers::{OrderNumber, OrderNumbers, OrderSubject};
 pub use port::{ControlFailure, ControlPort, ControlService, ServerHint};
 pub(crate) use question::PlacementQuestion;
 pub use question::{MatchRefusal, PlacementMatch, PlacementReport, QuestionError, TargetShare};
--- a/crates/roles/src/control/host.rs
+++ b/crates/roles/src/control/host.rs
@@ -6,6 +6,7 @@
 
 use super::leader::{BrokerAction, EarlierView, LeaderState};
 use super::machine::{ControlCommand, ControlMachine};
+use super::order_numbers::OrderSubject;
 use super::port::{ControlFailure, ControlService};
 use super::relay::{ControlRelay, LocalSeat, RELAY_LIMITS, RELAY_TIMEOUT, drain_relay};
 use crate::bootstrap::decide_bootstrap_members;
@@ -16,7 +17,7 @@
 use crate::membership_change::apply_change;
 use crate::message::{
     BootstrapAnswer, BootstrapCall, Call, ControlAnswer, ControlCall, GroupReply, HostRole, Notice,
-    SlotCall, encode,
+    OrderStage, SlotCall, encode,
 };
 use crate::metrics::{MetricsService, RoleMetrics};
 use crate::process::{ProcessBase, ProcessError};
@@ -470,9 +471,14 @@
                 }
             }
             ControlCall::CheckIn(check_in) => self.check_in(*check_in).await,
-            ControlCall::Leave { name, incarnation } => {
+            ControlCall::Leave {
+                name,
+                incarnation,
+                is_query,
+            } => {
                 let incarnation = incarnation.or_else(|| self.state().broker.incarnation(&name));
                 match incarnation {
+                    _ if is_query.0 => GroupReply::Answer(ControlAnswer::Incarnation(incarnation)),
                     Some(incarnation) => {
                         self.record_departure(name, incarnation, DepartureSource::Notice)
                             .await
@@ -480,7 +486,12 @@
                     None => GroupReply::Answer(ControlAnswer::Done),
                 }
             }
-            ControlCall::BeginRetire { host } => self.begin_retire(host).await,
+            ControlCall::BeginRetire { host, stage } => {
+                match self.screen_order(&OrderSubject::Host(host.clone()), stage.0) {
+                    Some(answer) => GroupReply::Answer(answer),
+                    None => self.begin_retire(host).await,
+                }
+            }
             ControlCall::RetireState { host } => {
                 let state = self.state();
                 GroupReply::Answer(match state.retiring.get(&host) {
@@ -498,7 +509,11 @@
                 zone,
                 step,
                 asked_by,
-            } => self.set_zone_drain(zone, step, asked_by).await,
+                stage,
+            } => match self.screen_order(&OrderSubject::Zone(zone.clone()), stage.0) {
+                Some(answer) => GroupReply::Answer(answer),
+                None => self.set_zone_drain(zone, step, asked_by).await,
+            },
             ControlCall::ZoneDrains => self.zone_drains().await,
             ControlCall::Explain(question) => self.explain(&question).await,
         }
@@ -717,6 +732,27 @@
         }
     }
 
+    /// The reply to an order that is not to be decided on: it asks for its number, or comes late.
+    fn screen_order(&self, subject: &OrderSubject, order: OrderStage) -> Option<ControlAnswer> {
+        let mut state = self.state();
+        match order {
+            OrderStage::Unnumbered => {
+                state.orders.advance(subject);
+                None
+            }
+            OrderStage::NumberWanted => {
+                Some(ControlAnswer::OrderNumber(state.orders.number(subject)))
+            }
+            OrderStage::Numbered(number) if state.orders.take(subject, number) => None,
+            OrderStage::Numbered(_) => {
+                drop(state);
+                let fields = json!({ "subject": format!("{subject:?}") });
+                self.log.note("stale_order", &fields);
+                Some(ControlAnswer::StaleOrder)
+            }
+        }
+    }
+
     async fn begin_retire(&self, host: HostName) -> GroupReply<ControlAnswer> {
         let voters = self.base.settings.control.voters();
         let now = self.now();
--- a/crates/roles/src/control/leader.rs
+++ b/crates/roles/src/control/leader.rs
@@ -7,6 +7,7 @@
 mod zone_drains;
 
 use super::machine::{ControlMachine, StoredPlan};
+use super::order_numbers::OrderNumbers;
 use crate::message::{
     Encoded, EncodedDirectory, HostRole, QuarantineUpdate, RosterUpdate, StoreReport, StoreView,
     SyncAnswer, SyncRequest,
@@ -200,6 +201,7 @@
     pub(crate) departed: HashSet<(ServerName, u64)>,
     /// Reported departures that are being recorded.
     pub(crate) departing: HashSet<(ServerName, u64)>,
+    pub(crate) orders: OrderNumbers,
     roster: EntryRoster,
     holders: ReserveHolders,
     /// The versions of the roster and the plan that `holders` was computed from.
@@ -237,6 +239,7 @@
             retiring: BTreeMap::new(),
             departed: HashSet::new(),
             departing: HashSet::new(),
+            orders: OrderNumbers::new(TermNumber::default()),
             roster: EntryRoster::new(roster_settings),
             holders: ReserveHolders::default(),
             holders_of: (0, PlanVersion::default()),
@@ -275,6 +278,7 @@
         self.directory = DirectorySnapshot::default();
         self.departed = machine.departures().iter().cloned().collect();
         self.departing.clear();
+        self.orders = OrderNumbers::new(term);
         let records = machine.versions();
         let is_complete = term == FIRST_TERM || !records.is_empty();
         self.broker.restore_versions(records, is_complete, now);
--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -7,13 +7,13 @@
 use super::port::{ControlFailure, ControlPort, ControlService, ServerHint};
 use crate::event_log::{EventLog, EventPriority};
 use crate::leader_client::LeaderClient;
-use crate::message::{Call, ControlAnswer, ControlCall};
+use crate::message::{Call, ControlAnswer, ControlCall, OrderStage};
 use crate::process::{ProcessBase, ProcessError};
 use chicoryladder_broker::ReceivedCheckIn;
 use chicoryladder_gateway::{HttpListener, ListenerLimits};
 use chicoryladder_plan::ServicePlan;
 use chicoryladder_types::prelude::*;
-use chicoryladder_types::{ZoneDrain, ZoneDrainStep};
+use chicoryladder_types::{Tail, ZoneDrain, ZoneDrainStep};
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
 use serde_json::json;
@@ -90,10 +90,18 @@
 
     /// Relays a call to the leader and records the outcome in the event log.
     pub(super) async fn relay(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
+        self.relay_within(call, RELAY_WAIT_MAX).await
+    }
+
+    async fn relay_within(
+        &self,
+        call: ControlCall,
+        wait_max: Duration,
+    ) -> Result<ControlAnswer, ControlFailure> {
         let name = call.name();
         let is_routine = matches!(call, ControlCall::CheckIn(_));
         let started_at = self.base.clock.now();
-        let result = self.reach_leader(call).await;
+        let result = self.reach_leader(call, wait_max).await;
         let took = self.base.clock.now().saturating_duration_since(started_at);
         let fields = json!({
             "call": name,
@@ -112,30 +120,90 @@
         result
     }
 
-    async fn reach_leader(&self, call: ControlCall) -> Result<ControlAnswer, ControlFailure> {
+    async fn reach_leader(
+        &self,
+        call: ControlCall,
+        wait_max: Duration,
+    ) -> Result<ControlAnswer, ControlFailure> {
         if let Some(seat) = self.seat.clone().filter(|seat| seat.leads())
             && let Some(answer) = seat.answer_locally(call.clone()).await
         {
             return Ok(answer);
         }
-        // Every call may be repeated: plan versions, incarnations and host names make
-        // them idempotent.
+        // Every call may be repeated, also late: plan versions, incarnations and the numbers
+        // of orders tell to what it applies.
         let answer = self
             .client
-            .call(&Call::Control(call), RELAY_TIMEOUT, RELAY_WAIT_MAX, true)
+            .call(&Call::Control(call), RELAY_TIMEOUT, wait_max, true)
             .await;
         answer.map_err(|_| ControlFailure::Unavailable)
     }
 
     async fn relay_for_ack(&self, call: ControlCall) -> Result<(), ControlFailure> {
-        match self.relay(call).await? {
-            ControlAnswer::Done => Ok(()),
-            ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
-            ControlAnswer::TooFewHosts => Err(ControlFailure::TooFewHosts),
-            ControlAnswer::UnknownZone => Err(ControlFailure::UnknownZone),
-            _ => Err(ControlFailure::Unavailable),
+        acknowledgement(&self.relay(call).await?)
+    }
+
+    /// Relays an order with the number that the leader gives for it, within the time for one
+    /// call. A leader of an earlier build carries the order out when it is asked for the number.
+    async fn relay_order(
+        &self,
+        order: impl Fn(OrderStage) -> ControlCall + Send,
+    ) -> Result<(), ControlFailure> {
+        let deadline = self.base.clock.now() + RELAY_WAIT_MAX;
+        let wait_max = || deadline.saturating_duration_since(self.base.clock.now());
+        let mut stage = OrderStage::NumberWanted;
+        while !wait_max().is_zero() {
+            stage = match self.relay_within(order(stage), wait_max()).await? {
+                ControlAnswer::OrderNumber(number) => OrderStage::Numbered(number),
+                ControlAnswer::StaleOrder => OrderStage::NumberWanted,
+                answer => return acknowledgement(&answer),
+            };
+        }
+        Err(ControlFailure::Unavailable)
+    }
+
+    /// The incarnation of a server that the leader knows; `Err` holds the result if a leader of
+    /// an earlier build recorded the departure instead.
+    async fn read_incarnation(
+        &self,
+        name: &ServerName,
+        wait_max: Duration,
+    ) -> Result<Option<u64>, Result<(), ControlFailure>> {
+        let query = ControlCall::Leave {
+            name: name.clone(),
+            incarnation: None,
+            is_query: Tail(true),
+        };
+        match self.relay_within(query, wait_max).await.map_err(Err)? {
+            ControlAnswer::Incarnation(incarnation) => Ok(incarnation),
+            answer => Err(acknowledgement(&answer)),
         }
     }
+
+    /// Relays the announcement that a server is leaving. One without an incarnation applies to
+    /// the one that the leader knows now, and not to one that it knows when a copy arrives late.
+    async fn relay_leave(
+        &self,
+        name: ServerName,
+        incarnation: Option<u64>,
+    ) -> Result<(), ControlFailure> {
+        let deadline = self.base.clock.now() + RELAY_WAIT_MAX;
+        let wait_max = || deadline.saturating_duration_since(self.base.clock.now());
+        let incarnation = match incarnation {
+            Some(incarnation) => incarnation,
+            None => match self.read_incarnation(&name, wait_max()).await {
+                Ok(Some(incarnation)) => incarnation,
+                Ok(None) => return Ok(()),
+                Err(result) => return result,
+            },
+        };
+        let call = ControlCall::Leave {
+            name,
+            incarnation: Some(incarnation),
+            is_query: Tail(false),
+        };
+        acknowledgement(&self.relay_within(call, wait_max()).await?)
+    }
 }
 
 impl ControlPort for ControlRelay {
@@ -178,13 +246,15 @@
         name: ServerName,
         incarnation: Option<u64>,
     ) -> BoxFuture<'_, Result<(), ControlFailure>> {
-        self.relay_for_ack(ControlCall::Leave { name, incarnation })
-            .boxed()
+        self.relay_leave(name, incarnation).boxed()
     }
 
     fn begin_retire(&self, host: HostName) -> BoxFuture<'_, Result<(), ControlFailure>> {
-        self.relay_for_ack(ControlCall::BeginRetire { host })
-            .boxed()
+        let order = move |stage| ControlCall::BeginRetire {
+            host: host.clone(),
+            stage: Tail(stage),
+        };
+        self.relay_order(order).boxed()
     }
 
     fn is_retired(&self, host: HostName) -> BoxFuture<'_, Result<bool, ControlFailure>> {
@@ -204,12 +274,13 @@
         step: ZoneDrainStep,
         asked_by: Option<SocketAddr>,
     ) -> BoxFuture<'_, Result<(), ControlFailure>> {
-        let call = ControlCall::SetZoneDrain {
-            zone,
+        let order = move |stage| ControlCall::SetZoneDrain {
+            zone: zone.clone(),
             step,
             asked_by,
+            stage: Tail(stage),
         };
-        self.relay_for_ack(call).boxed()
+        self.relay_order(order).boxed()
     }
 
     fn zone_drains(&self) -> BoxFuture<'_, Result<Vec<ZoneDrain>, ControlFailure>> {
@@ -223,6 +294,17 @@
     }
 }
 
+/// What a reply of the leader means to the operator or server that made the call.
+fn acknowledgement(answer: &ControlAnswer) -> Result<(), ControlFailure> {
+    match answer {
+        ControlAnswer::Done => Ok(()),
+        ControlAnswer::UnknownHost => Err(ControlFailure::UnknownHost),
+        ControlAnswer::TooFewHosts => Err(ControlFailure::TooFewHosts),
+        ControlAnswer::UnknownZone => Err(ControlFailure::UnknownZone),
+        _ => Err(ControlFailure::Unavailable),
+    }
+}
+
 /// Stops accepting calls and lets those in flight complete within the time that their
 /// callers wait.
 pub(crate) async fn drain_relay(listener: HttpListener) {
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -38,7 +38,8 @@
 pub use chicoryladder_types::{ZoneDrain, ZoneDrainStep};
 pub use control::{
     ControlFailure, ControlHost, ControlMachine, ControlPort, ControlService, MatchRefusal,
-    PlacementMatch, PlacementReport, QuestionError, ServerHint, TargetShare,
+    OrderNumber, OrderNumbers, OrderSubject, PlacementMatch, PlacementReport, QuestionError,
+    ServerHint, TargetShare,
 };
 pub use crash_reports::CrashReports;
 pub use entry::EntryHost;
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between the processes of a fleet, encoded with postcard.
 
-use crate::control::{PlacementQuestion, QuestionError};
+use crate::control::{OrderNumber, PlacementQuestion, QuestionError};
 use crate::server_marks::ServerReports;
 use bytes::Bytes;
 use chicoryladder_batch::{BatchCommand, JobOwner, JobPage};
@@ -116,9 +116,15 @@
     Leave {
         name: ServerName,
         incarnation: Option<u64>,
+        /// Asks for the known incarnation instead, if the announcement names none. Hosts of
+        /// earlier builds leave it to the leader to which incarnation it applies.
+        is_query: Tail<bool>,
     },
     /// Starts to retire a store host: its seat moves to another host.
-    BeginRetire { host: HostName },
+    BeginRetire {
+        host: HostName,
+        stage: Tail<OrderStage>,
+    },
     /// Reads whether a store host is drained.
     RetireState { host: HostName },
     /// Requests a seat in the control group.
@@ -131,6 +137,7 @@
         step: ZoneDrainStep,
         /// The address from which the order came, if known.
         asked_by: Option<SocketAddr>,
+        stage: Tail<OrderStage>,
     },
     /// Reads which zones are drained.
     ZoneDrains,
@@ -159,6 +166,18 @@
     }
 }
 
+/// How far the sending of an order has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum OrderStage {
+    /// A host of an earlier build sends the order without a number.
+    #[default]
+    Unnumbered,
+    /// Asks for the number with which the order has to come.
+    NumberWanted,
+    /// Carries the order out, if its number still holds.
+    Numbered(OrderNumber),
+}
+
 /// A request for a slot under a version of the plan.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SlotCall {
@@ -382,6 +401,13 @@
     Explained(Vec<u8>),
     /// The question has no answer.
     QuestionRefused(QuestionError),
+    /// Reply to [`ControlCall::Leave`] as a query: the known incarnation of the server.
+    Incarnation(Option<u64>),
+    /// Reply to [`OrderStage::NumberWanted`].
+    OrderNumber(OrderNumber),
+    /// Another order on the subject was decided since the number was read; this one has no
+    /// effect.
+    StaleOrder,
 }
 
 /// A call to the job group.
@@ -608,6 +634,41 @@
         assert_eq!(later, check_in.into());
     }
 
+    /// During an upgrade, departures and orders are relayed between builds that read first to
+    /// what they apply, and builds that do not; one that cannot be decoded would be lost.
+    #[test]
+    fn departures_and_orders_are_read_by_earlier_builds_and_from_them() {
+        let name = ServerName::try_from("s1").expect("it is valid");
+        let query = ControlCall::Leave {
+            name: name.clone(),
+            incarnation: None,
+            is_query: Tail(true),
+        };
+        let host = HostName::try_from("store-1").expect("it is valid");
+        let order = ControlCall::BeginRetire {
+            host,
+            stage: Tail(OrderStage::NumberWanted),
+        };
+        for call in [query, order] {
+            let bytes = postcard::to_stdvec(&call).expect("it is encoded");
+            // The last byte is the tail, which earlier builds neither send nor read.
+            let later: ControlCall =
+                postcard::from_bytes(&bytes[..bytes.len() - 1]).expect("it is decoded");
+            assert!(matches!(
+                later,
+                ControlCall::Leave {
+                    is_query: Tail(false),
+                    ..
+                } | ControlCall::BeginRetire {
+                    stage: Tail(OrderStage::Unnumbered),
+                    ..
+                }
+            ));
+            let same: ControlCall = postcard::from_bytes(&bytes).expect("it is decoded");
+            assert_eq!(postcard::to_stdvec(&same), Ok(bytes));
+        }
+    }
+
     /// During an upgrade, slots are requested between builds with and without the terms of
     /// callers and homes; a call that cannot be decoded would be lost.
     #[test]
--- a/tests/fleet/departures.rs
+++ b/tests/fleet/departures.rs
@@ -1,9 +1,10 @@
-//! Servers that say only in their responses that they leave.
+//! Servers that say only in their responses that they leave, or in a call before they do.
 
-use crate::client::Answer;
+use crate::client::{Answer, Call};
 use crate::servers::{LEAVING_FIELD, Server};
 use crate::world::{ProcessFleet, Role};
 use futures_util::future::join_all;
+use hyper::Method;
 use std::time::{Duration, Instant};
 
 /// The time within which a report of one host takes effect on all hosts: one sync.
@@ -121,3 +122,49 @@
     assert!(last > marked_at, "the job is too short");
     assert_eq!(runs_since(&fleet, &leaving, marked_at), 0);
 }
+
+/// Guards against a server that is out of use for good after a restart, as the call by which it
+/// left arrives at the leader late, and applied to the incarnation that the leader knew by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_departure_takes_no_restarted_server_out_of_use() {
+    let fleet = ProcessFleet::start().await;
+    let entry = fleet.host_names(Role::Entry)[0].clone();
+    let leader = fleet.wait_for_leader(Role::Control).await;
+    let controls = fleet.host_names(Role::Control);
+    let other = controls.iter().find(|name| **name != leader);
+    let server = fleet.servers[1].clone();
+    assert!(server.name.starts_with("app"));
+    let leave = |host: &str| {
+        let path = format!("/instances/{}/deregister", server.name);
+        let mut call = Call::new(fleet.control_address(host), Method::POST, &path);
+        call.timeout = Duration::from_secs(1);
+        async move { call.send().await.map(|answer| answer.status.as_u16()) }
+    };
+    fleet.faults.cut("store-2", &leader);
+    fleet.faults.cut(&leader, "store-2");
+    assert_ne!(leave("store-2").await, Some(200));
+    assert_eq!(leave(other.expect("a host")).await, Some(200));
+    server.restart();
+    let is_used_since = |since: Instant| {
+        let (fleet, entry, server) = (&fleet, &entry, &server);
+        async move {
+            send(fleet, entry, "/ping/1", "again").await;
+            runs_since(fleet, server, since) > 0
+        }
+    };
+    let restarted_at = Instant::now();
+    fleet
+        .wait_until("the new incarnation gets requests", || {
+            is_used_since(restarted_at)
+        })
+        .await;
+    // What was held up arrives.
+    fleet.faults.heal();
+    tokio::time::sleep(REPORT_TIME).await;
+    let healed_at = Instant::now();
+    fleet
+        .wait_until("the new incarnation still gets requests", || {
+            is_used_since(healed_at)
+        })
+        .await;
+}
--- a/tests/fleet/zone_drains.rs
+++ b/tests/fleet/zone_drains.rs
@@ -132,6 +132,24 @@
         .await;
 }
 
+/// Guards against a zone that is drained again after the drain was withdrawn, as an earlier order
+/// that was never acknowledged arrives at the leader late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_order_does_not_come_after_a_later_one() {
+    let fleet = ProcessFleet::start().await;
+    let leader = fleet.wait_for_leader(Role::Control).await;
+    fleet.faults.cut("store-2", &leader);
+    fleet.faults.cut(&leader, "store-2");
+    let held_up = order(&fleet, "store-2", ZONE, "begin").await;
+    assert!(held_up.is_none_or(|answer| !answer.status.is_success()));
+    // The operator gives the order up and makes sure that the zone is in use.
+    let withdrawn = order(&fleet, &leader, ZONE, "finish").await;
+    assert!(withdrawn.is_some_and(|answer| answer.status.is_success()));
+    fleet.faults.heal();
+    tokio::time::sleep(ACKNOWLEDGE_MAX).await;
+    assert_eq!(drains(&fleet, &leader).await, Some(serde_json::json!([])));
+}
+
 /// Guards against an order that is acknowledged and then lost, by the death of the leader or
 /// of all processes; against runs that a drain breaks off; and against a repeated order that
 /// changes anything.
