Refuse a submission only if no earlier attempt may still arrive

A job that was answered with 429 at each attempt ran later.

Cause: the entry host sends a submission again after an attempt without a reply, and passed the refusal of the later attempt on as "not run". The earlier one was still on its way and found room when it arrived.

Change: LeaderClient tells whether an earlier attempt got no reply. Such a submission is answered with 504 in place of 429, and the end of an unknown job with 504 in place of 404. job_submitted and job_ended log it.

--- a/crates/roles/src/control/host/explain.rs
+++ b/crates/roles/src/control/host/explain.rs
@@ -61,7 +61,7 @@
             item: item.to_owned(),
         });
         let answer = client.call(&call, JOB_LEADER_WAIT, JOB_LEADER_WAIT, true);
-        match answer.await {
+        match answer.await.map(|reply| reply.answer) {
             Ok(BatchReply::ItemSlot(Some(slot))) => Ok(slot),
             Ok(BatchReply::ItemSlot(None)) => Err(QuestionError::UnknownItem {
                 job: job.to_owned(),
--- a/crates/roles/src/control/relay.rs
+++ b/crates/roles/src/control/relay.rs
@@ -136,7 +136,8 @@
             .client
             .call(&Call::Control(call), RELAY_TIMEOUT, wait_max, true)
             .await;
-        answer.map_err(|_| ControlFailure::Unavailable)
+        let reply = answer.map_err(|_| ControlFailure::Unavailable)?;
+        Ok(reply.answer)
     }
 
     async fn relay_for_ack(&self, call: ControlCall) -> Result<(), ControlFailure> {
--- a/crates/roles/src/entry/jobs.rs
+++ b/crates/roles/src/entry/jobs.rs
@@ -3,7 +3,7 @@
 use super::matching::{JobCaller, MatchedRequest};
 use crate::event_log::EventLog;
 use crate::fleet_view::FleetView;
-use crate::leader_client::{LeaderClient, LeaderError};
+use crate::leader_client::{LeaderClient, LeaderError, LeaderReply};
 use crate::message::{BatchCall, BatchReply, Call};
 use crate::ports::{CallerDialect, CallerHead, JobCall};
 use crate::process::ProcessBase;
@@ -96,7 +96,8 @@
             job: Box::new(job),
             waiting_tokens_max: route.waiting_tokens_max,
         };
-        match self.call_leader(BatchCall::Change(command)).await? {
+        let reply = self.change(command).await?;
+        match reply.answer {
             BatchReply::Changed(BatchAnswer::Submitted(answer)) => {
                 self.log.note(
                     "job_submitted",
@@ -105,18 +106,10 @@
                         "team": matched.team.as_ref().map(|team| &team.name),
                         "public": route.public,
                         "answer": format!("{answer:?}"),
+                        "repeated": reply.is_repeated,
                     }),
                 );
-                match answer {
-                    SubmitAnswer::Accepted | SubmitAnswer::Repeated => {
-                        Ok(empty_response(StatusCode::ACCEPTED))
-                    }
-                    SubmitAnswer::NoRoom => {
-                        let detail = "the tokens of the team that wait leave no room";
-                        Err(RequestRefusal::not_run(RefusalReason::QueueFull, detail)
-                            .with_retry_after(QUEUE_FULL_RETRY))
-                    }
-                }
+                submit_response(answer, reply.is_repeated)
             }
             _ => Err(outcome_unknown()),
         }
@@ -132,10 +125,7 @@
         let team = self.acting_team(call.job(), caller).await?;
         match call.clone() {
             JobCall::Page { job, after } => {
-                match self
-                    .call_leader(BatchCall::Page { team, job, after })
-                    .await?
-                {
+                match self.read(BatchCall::Page { team, job, after }).await? {
                     BatchReply::Page(Some(page)) => {
                         let mut response = Response::new(bytes_body(dialect.write_page(&page)));
                         let kind = HeaderValue::from_static("application/json");
@@ -147,10 +137,7 @@
                 }
             }
             JobCall::Body { job, item } => {
-                match self
-                    .call_leader(BatchCall::Body { team, job, item })
-                    .await?
-                {
+                match self.read(BatchCall::Body { team, job, item }).await? {
                     BatchReply::Body(Some(body)) => Ok(Response::new(bytes_body(body))),
                     BatchReply::Body(None) => Err(unknown_job()),
                     _ => Err(outcome_unknown()),
@@ -161,13 +148,19 @@
                     job: job.clone(),
                     team,
                 };
-                let reply = self.call_leader(BatchCall::Change(command)).await?;
+                let reply = self.change(command).await?;
                 self.log.note(
                     "job_ended",
-                    &json!({ "job": job, "answer": format!("{reply:?}") }),
+                    &json!({
+                        "job": job,
+                        "answer": format!("{:?}", reply.answer),
+                        "repeated": reply.is_repeated,
+                    }),
                 );
-                match reply {
+                match reply.answer {
                     BatchReply::Changed(BatchAnswer::Done) => Ok(empty_response(StatusCode::OK)),
+                    // An earlier attempt may end the job if it is submitted meanwhile.
+                    BatchReply::Changed(_) if reply.is_repeated => Err(outcome_unknown()),
                     BatchReply::Changed(_) => Err(unknown_job()),
                     _ => Err(outcome_unknown()),
                 }
@@ -187,7 +180,7 @@
             JobCaller::Unknown(refusal) => Some(refusal),
         };
         let job = job.to_owned();
-        match (self.call_leader(BatchCall::Owner { job }).await?, refusal) {
+        match (self.read(BatchCall::Owner { job }).await?, refusal) {
             (BatchReply::Owner(Some(JobOwner::Anyone)), _) => Ok(None),
             (BatchReply::Owner(_), Some(refusal)) => Err(refusal),
             // A plan without teams protects no job of a team either.
@@ -197,8 +190,24 @@
         }
     }
 
+    /// Reads from the leader of the job group.
+    async fn read(&self, call: BatchCall) -> Result<BatchReply, RequestRefusal> {
+        Ok(self.call_leader(call).await?.answer)
+    }
+
+    /// Has the leader of the job group carry a command out.
+    async fn change(
+        &self,
+        command: BatchCommand,
+    ) -> Result<LeaderReply<BatchReply>, RequestRefusal> {
+        self.call_leader(BatchCall::Change(command)).await
+    }
+
     /// Calls the leader of the job group. Every call is idempotent and may be resent.
-    async fn call_leader(&self, call: BatchCall) -> Result<BatchReply, RequestRefusal> {
+    async fn call_leader(
+        &self,
+        call: BatchCall,
+    ) -> Result<LeaderReply<BatchReply>, RequestRefusal> {
         let store = self.view.store();
         self.client.set_hosts(&store.hosts);
         if self.client.leader().is_none() {
@@ -242,6 +251,23 @@
     Err(RequestRefusal::not_run(RefusalReason::BadRequest, detail))
 }
 
+/// The response to a submission. A refusal is certain only if no earlier attempt of the call may
+/// still arrive, and find room then.
+fn submit_response(
+    answer: SubmitAnswer,
+    is_repeated: bool,
+) -> Result<Response<AnswerBody>, RequestRefusal> {
+    match answer {
+        SubmitAnswer::Accepted | SubmitAnswer::Repeated => Ok(empty_response(StatusCode::ACCEPTED)),
+        SubmitAnswer::NoRoom if is_repeated => Err(outcome_unknown()),
+        SubmitAnswer::NoRoom => {
+            let detail = "the tokens of the team that wait leave no room";
+            Err(RequestRefusal::not_run(RefusalReason::QueueFull, detail)
+                .with_retry_after(QUEUE_FULL_RETRY))
+        }
+    }
+}
+
 fn rank(matched: &MatchedRequest) -> u32 {
     let team = matched.team.as_ref().and_then(|team| team.rank);
     team.unwrap_or(matched.route.rank)
@@ -281,6 +307,18 @@
         ZoneAreas::new(&zones.collect::<BTreeMap<_, _>>())
     }
 
+    /// A job that was refused with "not run" ran later: an earlier attempt of the same call was
+    /// held up on its way to the leader, and found room when it arrived.
+    #[test]
+    fn a_refusal_is_certain_only_without_an_earlier_attempt() {
+        let refusal = |is_repeated| {
+            let response = submit_response(SubmitAnswer::NoRoom, is_repeated);
+            response.expect_err("it is refused")
+        };
+        assert_eq!(refusal(false).verdict, RunVerdict::NotRun);
+        assert_eq!(refusal(true).verdict, RunVerdict::MayHaveRun);
+    }
+
     /// Guards against bodies that are stored in an area that is neither a home nor that of the
     /// entry host, and against jobs that are refused although every store host is in one.
     #[test]
--- a/crates/roles/src/leader_client.rs
+++ b/crates/roles/src/leader_client.rs
@@ -1,5 +1,8 @@
 //! A client for calls to the leader of a group, which it discovers itself.
 
+#[cfg(test)]
+mod tests;
+
 use crate::known_hosts::KnownHosts;
 use crate::message::{GroupReply, encode};
 use chicoryladder_rpc::{RpcClient, RpcError};
@@ -25,6 +28,14 @@
     OutcomeUnknown,
 }
 
+/// The reply of a leader to a call that may have been sent more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct LeaderReply<T> {
+    pub(crate) answer: T,
+    /// Whether an earlier attempt got no reply. It may have taken effect, or arrive yet.
+    pub(crate) is_repeated: bool,
+}
+
 /// Finds the leader of a group and calls it; clones share the known hosts.
 #[derive(Clone)]
 pub(crate) struct LeaderClient {
@@ -96,7 +107,7 @@
         timeout: Duration,
         max_wait: Duration,
         repeatable: bool,
-    ) -> Result<T, LeaderError> {
+    ) -> Result<LeaderReply<T>, LeaderError> {
         let deadline = self.clock.now() + max_wait;
         let mut outcome_unknown = false;
         loop {
@@ -109,7 +120,12 @@
                     .try_host(host, call, timeout.min(remaining), timeout)
                     .await
                 {
-                    Ok(answer) => return Ok(answer),
+                    Ok(answer) => {
+                        return Ok(LeaderReply {
+                            answer,
+                            is_repeated: outcome_unknown,
+                        });
+                    }
                     Err(LeaderError::NoLeader) => {}
                     Err(LeaderError::OutcomeUnknown) if repeatable => outcome_unknown = true,
                     Err(LeaderError::OutcomeUnknown) => return Err(LeaderError::OutcomeUnknown),
