Request slots for items with the same needs on their own

A service had lost its only server; 14 items that waited for it kept all jobs of lower rank from the idle servers of another service, in 40 s and for good.

Cause: the leader of the job group requests 12 slots at a time, for the items that go first whatever they need. A refused one is first again.

Evidence: the broker's queue of the idle service is empty while items_waiting counts its items. slots_requested and slot_needs_paused are new and tell this from the metrics.

Change: up to 12 slots are requested for each combination of service, required version and homes, and a refusal pauses that one alone. A refused item comes behind others with its needs for one wait. No slots are requested for items that no server's memory holds, and a slot goes only to items for which it has the memory.

--- a/crates/batch/src/lib.rs
+++ b/crates/batch/src/lib.rs
@@ -14,5 +14,5 @@
     BatchAnswer, BatchCommand, BatchMachine, ItemOutcome, ItemResult, JobPage, OpenItem,
     OutputStart, ProgressDelta, RunProgress, SubmitAnswer,
 };
-pub use schedule::{ItemKey, ItemSchedule, ScheduledItem};
+pub use schedule::{ItemKey, ItemSchedule, RequestTerms, ScheduledItem, SlotNeeds};
 pub use spec::{ItemSpec, JobOwner, JobSpec};
--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -7,9 +7,9 @@
 
 use crate::machine::{OpenItem, OutputStart, ProgressDelta, RunProgress};
 use crate::spec::JobSpec;
-use chicoryladder_types::{ServiceName, SoftwareVersion};
+use chicoryladder_types::{AreaName, ServiceName, SoftwareVersion};
 use slotmap::{SlotMap, new_key_type};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, HashSet};
 use std::time::{Duration, Instant};
 
 new_key_type! {
@@ -37,6 +37,49 @@
 /// is discarded: the servers of the version that wrote it may all be faulty.
 const FRUITLESS_RUNS_MAX: u32 = 8;
 
+/// Which servers may run an item. Items with other needs do not compete for the same servers, so
+/// slots are requested for each of the needs on its own.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SlotNeeds {
+    /// The service whose servers may run the item.
+    pub service: ServiceName,
+    /// The only version that may go on with its output.
+    pub version: Option<SoftwareVersion>,
+    /// The areas of the servers that may run it, if its job has homes.
+    pub homes: Option<BTreeSet<AreaName>>,
+}
+
+/// What decides for which items slots are requested next.
+pub struct RequestTerms<'a> {
+    /// The items that slots are requested for.
+    pub requested: &'a HashMap<ItemKey, SlotNeeds>,
+    /// The maximum number of requested slots for the same needs.
+    pub requested_max: usize,
+    /// The homes of a job.
+    pub homes: &'a dyn Fn(&JobSpec) -> Option<BTreeSet<AreaName>>,
+    /// The memory of the servers of a service, in tokens; `None` if they have no limit.
+    pub memory: &'a dyn Fn(&ServiceName) -> Option<u64>,
+    /// Whether no slots are requested for some needs at present.
+    pub is_paused: &'a dyn Fn(&SlotNeeds) -> bool,
+}
+
+/// The order in which slots are requested: whether the last request got none, the rank, whether
+/// the item will be late, and its due time.
+type RequestOrder = (bool, u32, bool, Instant);
+
+/// The most urgent items with the same needs.
+#[derive(Debug)]
+struct UrgentItems {
+    needs: SlotNeeds,
+    memory: Option<u64>,
+    /// The number of slots that may still be requested.
+    room: usize,
+    /// The number of slots that are requested.
+    requested: usize,
+    ready: usize,
+    urgent: BinaryHeap<(RequestOrder, ItemKey)>,
+}
+
 /// The state of an item in the schedule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ItemPhase {
@@ -69,6 +112,8 @@
     phase: ItemPhase,
     /// The end of the backoff.
     not_before: Instant,
+    /// The time up to which slots are requested for other items first.
+    deferred_until: Instant,
     consecutive_failures: u32,
 }
 
@@ -112,6 +157,7 @@
             recorded_version: open.version.clone(),
             phase: ItemPhase::Waiting,
             not_before: submitted_at,
+            deferred_until: submitted_at,
             consecutive_failures: 0,
             open,
         });
@@ -177,11 +223,57 @@
         self.next_matching(now, |_, _| true)
     }
 
-    /// Returns the key of the item to request a slot for next, if others are requested.
+    /// Returns the items to request slots for next, the most urgent ones for each of the needs.
+    /// Items that the memory of no server holds are not among them.
     #[must_use]
-    pub fn next_unrequested(&self, now: Instant, requested: &[ItemKey]) -> Option<ItemKey> {
-        self.next_matching(now, |key, _| !requested.contains(&key))
-            .or_else(|| self.next_key(now))
+    pub fn next_requests(
+        &self,
+        now: Instant,
+        terms: &RequestTerms<'_>,
+    ) -> Vec<(ItemKey, SlotNeeds)> {
+        let mut groups: Vec<UrgentItems> = Vec::new();
+        let mut places: HashMap<SlotNeeds, usize> = HashMap::new();
+        for keys in self.by_job.values() {
+            let mut items = keys
+                .iter()
+                .filter_map(|key| Some((*key, self.items.get(*key)?)));
+            let Some((_, first)) = items.clone().next() else {
+                continue;
+            };
+            let homes = (terms.homes)(&first.open.job_spec);
+            // Most items of a job have the same needs.
+            let mut last: Option<usize> = None;
+            let startable = items.by_ref().filter(|(_, item)| item.may_start(now));
+            for (key, item) in startable {
+                let is_same = last.is_some_and(|place| groups[place].is_for(item));
+                let place = last.filter(|_| is_same).unwrap_or_else(|| {
+                    let needs = item.slot_needs(homes.clone());
+                    *places.entry(needs).or_insert_with_key(|needs| {
+                        groups.push(UrgentItems::new(needs.clone(), terms));
+                        groups.len() - 1
+                    })
+                });
+                last = Some(place);
+                groups[place].offer(key, item, self.request_order(item, now), terms);
+            }
+        }
+        groups
+            .into_iter()
+            .flat_map(UrgentItems::into_requests)
+            .collect()
+    }
+
+    fn request_order(&self, item: &ScheduledItem, now: Instant) -> RequestOrder {
+        let (rank, is_late, due_at) = self.order(item, now);
+        (now < item.deferred_until, rank, is_late, due_at)
+    }
+
+    /// Has slots requested for other items with the same needs first until `until`, after a
+    /// request for the item got none. It still takes a slot that is granted for another one.
+    pub fn defer_request(&mut self, key: ItemKey, until: Instant) {
+        if let Some(item) = self.items.get_mut(key) {
+            item.deferred_until = until;
+        }
     }
 
     /// Returns the key of the item to run next on a server of the given service and version.
@@ -195,35 +287,37 @@
         self.next_allowed(now, service, version, |_| true)
     }
 
-    /// Like [`Self::next_for_server`], among the items of the jobs that may run on the server.
+    /// Like [`Self::next_for_server`], among the items that may run on the server.
     #[must_use]
     pub fn next_allowed(
         &self,
         now: Instant,
         service: &ServiceName,
         version: &SoftwareVersion,
-        is_allowed: impl Fn(&JobSpec) -> bool,
+        is_allowed: impl Fn(&OpenItem) -> bool,
     ) -> Option<ItemKey> {
         self.next_matching(now, |_, item| {
             let fits_version = item.required_version().is_none_or(|v| v == version);
-            item.service == *service && fits_version && is_allowed(&item.open.job_spec)
+            item.service == *service && fits_version && is_allowed(&item.open)
         })
     }
 
+    /// The order in which items run.
+    fn order(&self, item: &ScheduledItem, now: Instant) -> (u32, bool, Instant) {
+        let run = Duration::from_secs_f64(self.average_run_seconds);
+        let is_late = now + run > item.due_at;
+        (item.open.job_spec.rank, is_late, item.due_at)
+    }
+
     fn next_matching(
         &self,
         now: Instant,
         matches: impl Fn(ItemKey, &ScheduledItem) -> bool,
     ) -> Option<ItemKey> {
-        let run = Duration::from_secs_f64(self.average_run_seconds);
-        let order = |item: &ScheduledItem| {
-            let is_late = now + run > item.due_at;
-            (item.open.job_spec.rank, is_late, item.due_at)
-        };
         let startable = self.items.iter();
         let startable = startable.filter(|(key, item)| item.may_start(now) && matches(*key, item));
         startable
-            .min_by_key(|(_, item)| order(item))
+            .min_by_key(|(_, item)| self.order(item, now))
             .map(|(key, _)| key)
     }
 
@@ -423,7 +517,68 @@
     }
 }
 
+impl UrgentItems {
+    fn new(needs: SlotNeeds, terms: &RequestTerms<'_>) -> Self {
+        let requested = terms.requested.values();
+        let requested = requested.filter(|requested| **requested == needs).count();
+        let is_paused = (terms.is_paused)(&needs);
+        let room = terms.requested_max.saturating_sub(requested);
+        Self {
+            memory: (terms.memory)(&needs.service),
+            room: if is_paused { 0 } else { room },
+            requested,
+            ready: 0,
+            urgent: BinaryHeap::new(),
+            needs,
+        }
+    }
+
+    /// Whether an item of the same job has these needs.
+    fn is_for(&self, item: &ScheduledItem) -> bool {
+        item.service == self.needs.service && item.required_version() == self.needs.version.as_ref()
+    }
+
+    fn offer(
+        &mut self,
+        key: ItemKey,
+        item: &ScheduledItem,
+        order: RequestOrder,
+        terms: &RequestTerms<'_>,
+    ) {
+        if self
+            .memory
+            .is_some_and(|memory| item.open.spec.tokens > memory)
+        {
+            return;
+        }
+        self.ready += 1;
+        if self.room == 0 || terms.requested.contains_key(&key) {
+            return;
+        }
+        self.urgent.push((order, key));
+        if self.urgent.len() > self.room {
+            self.urgent.pop();
+        }
+    }
+
+    /// The items to request slots for. No more slots are requested than items are ready.
+    fn into_requests(self) -> impl Iterator<Item = (ItemKey, SlotNeeds)> {
+        let wanted = self.ready.saturating_sub(self.requested);
+        let needs = self.needs;
+        let urgent = self.urgent.into_sorted_vec().into_iter().take(wanted);
+        urgent.map(move |(_, key)| (key, needs.clone()))
+    }
+}
+
 impl ScheduledItem {
+    fn slot_needs(&self, homes: Option<BTreeSet<AreaName>>) -> SlotNeeds {
+        SlotNeeds {
+            service: self.service.clone(),
+            version: self.required_version().cloned(),
+            homes,
+        }
+    }
+
     /// The name of the state of the item, for operators.
     #[must_use]
     pub fn state_name(&self) -> &'static str {
--- a/crates/batch/tests/batch.rs
+++ b/crates/batch/tests/batch.rs
@@ -2,11 +2,11 @@
 
 use chicoryladder_batch::{
     BatchAnswer, BatchCommand, BatchMachine, ItemOutcome, ItemSchedule, ItemSpec, JobOwner,
-    JobSpec, OpenItem, ProgressDelta, RunProgress, SubmitAnswer,
+    JobSpec, OpenItem, ProgressDelta, RequestTerms, RunProgress, SlotNeeds, SubmitAnswer,
 };
 use chicoryladder_consensus::{StateMachine, snapshot_bytes};
 use chicoryladder_types::{LogIndex, RouteName, ServiceName, SoftwareVersion, TeamName};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -324,7 +324,7 @@
     schedule.add(open("elsewhere", 10), now);
     schedule.add(open("allowed", 30), now);
     let next = |forbidden: &[&str]| {
-        let is_allowed = |job: &JobSpec| !forbidden.contains(&job.id.as_str());
+        let is_allowed = |open: &OpenItem| !forbidden.contains(&open.job_spec.id.as_str());
         let key = schedule.next_allowed(now, &engine(), &version(), is_allowed)?;
         Some(schedule.get(key)?.open.job_spec.id.clone())
     };
@@ -673,3 +673,147 @@
     }
     assert!(!schedule.contains_job("ended"));
 }
+
+/// The maximum number of requested slots in the tests of what is requested.
+const REQUESTED_MAX: usize = 12;
+
+/// Requests slots once more; `paused` is a service without servers. Returns the jobs of the items.
+fn request_slots(
+    schedule: &ItemSchedule,
+    requested: &mut HashMap<chicoryladder_batch::ItemKey, SlotNeeds>,
+    paused: Option<&str>,
+    now: Instant,
+) -> Vec<String> {
+    let terms = RequestTerms {
+        requested,
+        requested_max: REQUESTED_MAX,
+        homes: &|_| None,
+        memory: &|_| Some(1_000),
+        is_paused: &|needs| Some(needs.service.to_string().as_str()) == paused,
+    };
+    let requests = schedule.next_requests(now, &terms);
+    let job_of = |key| schedule.get(key).expect("an item").open.job_spec.id.clone();
+    let jobs = requests.iter().map(|(key, _)| job_of(*key)).collect();
+    requested.extend(requests);
+    jobs
+}
+
+fn open_at(job_id: &str, service_name: &str, rank: u32, tokens: u64) -> OpenItem {
+    let mut job_spec = job(job_id, &[]);
+    job_spec.service = service(service_name);
+    job_spec.rank = rank;
+    OpenItem {
+        job_spec: Arc::new(job_spec),
+        spec: Arc::new(item("1", tokens)),
+        ..open(job_id, 18)
+    }
+}
+
+/// Items of a service without servers, which are refused again and again, kept items of lower
+/// rank from the idle servers of another service.
+#[test]
+fn slots_are_requested_for_each_service_on_its_own() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    for _ in 0..14 {
+        schedule.add(open_at("stuck", "gone", 0, 100), now);
+    }
+    for _ in 0..14 {
+        schedule.add(open_at("sound", "engine", 1, 100), now);
+    }
+    let mut requested = HashMap::new();
+    let jobs = request_slots(&schedule, &mut requested, None, now);
+    let count = |jobs: &[String], name: &str| jobs.iter().filter(|job| *job == name).count();
+    assert_eq!(count(&jobs, "stuck"), REQUESTED_MAX);
+    assert_eq!(count(&jobs, "sound"), REQUESTED_MAX);
+    assert!(request_slots(&schedule, &mut requested, None, now).is_empty());
+    // All are refused, and none is requested for the service for a while.
+    requested.clear();
+    let jobs = request_slots(&schedule, &mut requested, Some("gone"), now);
+    assert_eq!(
+        (count(&jobs, "stuck"), count(&jobs, "sound")),
+        (0, REQUESTED_MAX)
+    );
+}
+
+/// Items whose output only servers of a full version may go on with kept others from the slots of
+/// the servers of another version.
+#[test]
+fn slots_are_requested_for_each_required_version_on_its_own() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    for _ in 0..14 {
+        let begun = OpenItem {
+            progress: RunProgress {
+                text: "one".to_owned(),
+                last_event: Some(0),
+            },
+            version: Some(SoftwareVersion::from("v2")),
+            ..open_at("begun", "engine", 0, 100)
+        };
+        schedule.add(begun, now);
+        schedule.add(open_at("new", "engine", 1, 100), now);
+    }
+    let jobs = request_slots(&schedule, &mut HashMap::new(), None, now);
+    assert_eq!(
+        jobs.iter().filter(|job| *job == "new").count(),
+        REQUESTED_MAX
+    );
+}
+
+/// Items that the memory of no server holds kept all others from idle servers.
+#[test]
+fn no_slots_are_requested_for_items_that_no_memory_holds() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    for _ in 0..14 {
+        schedule.add(open_at("large", "engine", 0, 1_001), now);
+    }
+    schedule.add(open_at("usual", "engine", 1, 1_000), now);
+    let jobs = request_slots(&schedule, &mut HashMap::new(), None, now);
+    assert_eq!(jobs, ["usual"]);
+}
+
+/// Items that wait for more than others, such as memory, had their slots requested again before
+/// any others.
+#[test]
+fn slots_are_requested_for_others_after_a_refusal() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    for _ in 0..14 {
+        schedule.add(open_at("first", "engine", 0, 100), now);
+        schedule.add(open_at("second", "engine", 1, 100), now);
+    }
+    let mut requested = HashMap::new();
+    request_slots(&schedule, &mut requested, None, now);
+    let until = now + Duration::from_secs(2);
+    for key in requested.keys() {
+        schedule.defer_request(*key, until);
+    }
+    requested.clear();
+    let jobs = request_slots(&schedule, &mut requested, None, now);
+    let count = |name: &str| jobs.iter().filter(|job| *job == name).count();
+    assert_eq!((count("first"), count("second")), (2, REQUESTED_MAX - 2));
+    assert_eq!(
+        request_slots(&schedule, &mut HashMap::new(), None, until)[0],
+        "first"
+    );
+}
+
+/// Guards against more requests than there are items to run.
+#[test]
+fn no_more_slots_are_requested_than_items_are_ready() {
+    let now = Instant::now();
+    let mut schedule = ItemSchedule::default();
+    for _ in 0..3 {
+        schedule.add(open_at("few", "engine", 0, 100), now);
+    }
+    let mut requested = HashMap::new();
+    assert_eq!(request_slots(&schedule, &mut requested, None, now).len(), 3);
+    schedule
+        .start_next(now, &engine(), &version())
+        .expect("an item");
+    schedule.add(open_at("late", "engine", 0, 100), now);
+    // The slot of the item that runs by now goes to the new one.
+    assert!(request_slots(&schedule, &mut requested, None, now).is_empty());
+}
--- a/crates/roles/src/store/host.rs
+++ b/crates/roles/src/store/host.rs
@@ -225,10 +225,13 @@
             let mut gauges = gauge_source.status().gauges(now);
             let standbys = gauge_source.repair().standby_count(now);
             let standbys = u32::try_from(standbys).unwrap_or(u32::MAX);
+            let (requested, paused) = gauge_source.leader().slot_requests(now);
             gauges.extend([
                 ("group_standbys", f64::from(standbys)),
                 ("runs", gauge_source.slots.active_count()),
                 ("items_waiting", gauge_source.leader().items_waiting(now)),
+                ("slots_requested", requested),
+                ("slot_needs_paused", paused),
             ]);
             gauges.extend(gauge_source.base.machine.levels());
             gauges
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -6,7 +6,7 @@
 use crate::slot_client::{SlotError, SlotLease, expected_fields};
 use chicoryladder_batch::{
     BatchAnswer, BatchCommand, BatchMachine, ItemKey, ItemSchedule, JobOwner, JobSpec, OpenItem,
-    OutputStart, ProgressDelta, RunProgress, ScheduledItem, SubmitAnswer,
+    OutputStart, ProgressDelta, RequestTerms, RunProgress, ScheduledItem, SlotNeeds, SubmitAnswer,
 };
 use chicoryladder_broker::{SlotRefusalReason, SlotRequest, StreamPart, WorkKind, shared_segments};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
@@ -20,8 +20,8 @@
 use std::time::{Duration, Instant};
 use tokio::task::AbortHandle;
 
-/// The maximum number of pending slot requests. More would only wait in the broker's
-/// queue, where their order is fixed.
+/// The maximum number of pending slot requests for items with the same needs. More would only
+/// wait in the broker's queue, where their order is fixed.
 const PENDING_REQUESTS_MAX: usize = 12;
 
 /// The maximum wait of a slot request. The slot goes to the item that is most urgent
@@ -58,8 +58,9 @@
     pub(super) schedule: ItemSchedule,
     /// The items that slots are requested for; each slot goes to the item that is most urgent
     /// when it is granted.
-    requested: Vec<ItemKey>,
-    next_request_at: Option<Instant>,
+    requested: HashMap<ItemKey, SlotNeeds>,
+    /// The needs for which slots were refused, and until when none are requested for them.
+    paused: HashMap<SlotNeeds, Instant>,
     runs: HashMap<ItemKey, RunningItem>,
     next_record_at: Option<Instant>,
     /// When this leader first saw each job.
@@ -74,8 +75,8 @@
             began_at: None,
             ended_meanwhile: None,
             schedule: ItemSchedule::default(),
-            requested: Vec::new(),
-            next_request_at: None,
+            requested: HashMap::new(),
+            paused: HashMap::new(),
             runs: HashMap::new(),
             next_record_at: None,
             first_seen_at: HashMap::new(),
@@ -113,6 +114,7 @@
         self.ended_meanwhile = None;
         self.schedule.clear();
         self.requested.clear();
+        self.paused.clear();
         self.first_seen_at.clear();
     }
 
@@ -122,6 +124,14 @@
         f64::from(count)
     }
 
+    /// The number of slots that are requested, and of the needs for which none are requested at
+    /// present, for metrics.
+    pub(super) fn slot_requests(&self, now: Instant) -> (f64, f64) {
+        let count = |value: usize| f64::from(u32::try_from(value).unwrap_or(u32::MAX));
+        let paused = self.paused.values().filter(|until| now < **until).count();
+        (count(self.requested.len()), count(paused))
+    }
+
     /// The output of all items since it was recorded last, and the items whose output begins
     /// anew before that.
     fn take_deltas(&mut self) -> (Vec<OutputStart>, Vec<ProgressDelta>) {
@@ -320,28 +330,37 @@
     shared.log.note("leadership_begins", &fields);
 }
 
-/// Requests slots for the items that are ready, within [`PENDING_REQUESTS_MAX`].
+/// Requests slots for the items that are ready, within [`PENDING_REQUESTS_MAX`] for each of their
+/// needs. Items that can't run now keep no others from the slots of idle servers so.
 fn request_slots(shared: &Arc<StoreShared>) {
     let now = shared.now();
     let mut leader = shared.leader();
-    if leader.next_request_at.is_some_and(|at| now < at) {
-        return;
-    }
-    leader.next_request_at = None;
-    let wanted = leader.schedule.ready_count(now).min(PENDING_REQUESTS_MAX);
-    let new_requests = wanted.saturating_sub(leader.requested.len());
     let Some(term) = leader.term else {
         return;
     };
-    for _ in 0..new_requests {
-        let Some(key) = leader.schedule.next_unrequested(now, &leader.requested) else {
-            return;
-        };
-        leader.requested.push(key);
+    leader.paused.retain(|_, until| now < *until);
+    let plan = shared.view.plan();
+    let terms = RequestTerms {
+        requested: &leader.requested,
+        requested_max: PENDING_REQUESTS_MAX,
+        homes: &|job| plan.homes(&job.route, job.team.as_ref()),
+        memory: &|service| memory_of(&plan, service),
+        is_paused: &|needs| leader.paused.contains_key(needs),
+    };
+    let requests = leader.schedule.next_requests(now, &terms);
+    for (key, needs) in requests {
+        leader.requested.insert(key, needs);
         tokio::spawn(request_and_run(shared.clone(), term, key));
     }
 }
 
+/// The memory of a service's servers, in tokens; `None` if they are no engines.
+fn memory_of(plan: &ServicePlan, service: &ServiceName) -> Option<u64> {
+    let services = &plan.raw().services;
+    let service = services.iter().find(|known| known.name == *service)?;
+    service.engine.map(|engine| engine.memory_tokens)
+}
+
 /// Requests a slot and runs the item that is next when the slot is granted.
 async fn request_and_run(shared: Arc<StoreShared>, term: TermNumber, requested: ItemKey) {
     let slot_request = {
@@ -349,7 +368,6 @@
         let item = leader.schedule.get(requested);
         item.map(|item| build_slot_request(&shared, item))
     };
-    let has_homes = slot_request.as_ref().is_some_and(|r| r.homes.is_some());
     let lease = match slot_request {
         Some(slot_request) => {
             let plan = shared.view.plan().version();
@@ -359,16 +377,12 @@
     };
     let now = shared.now();
     let mut leader = shared.leader();
-    if leader.term == Some(term)
-        && let Some(position) = leader.requested.iter().position(|key| *key == requested)
-    {
-        leader.requested.swap_remove(position);
+    if leader.term != Some(term) {
+        return;
     }
+    let needs = leader.requested.remove(&requested);
     match lease {
         Some(Ok(mut lease)) => {
-            if leader.term != Some(term) {
-                return;
-            }
             let next = start_next(&shared, &mut leader, requested, &lease, now);
             let Some((key, item)) = next else {
                 return;
@@ -383,42 +397,55 @@
             drop(leader);
             shared.work_due.notify_one();
         }
-        Some(Err(SlotError::Refused {
-            reason: SlotRefusalReason::Quarantined(_),
-            retry_after,
-        })) => {
-            let pause = retry_after.min(QUARANTINE_RECHECK);
+        Some(Err(error)) => {
+            apply_refusal(&shared, &mut leader, requested, &error, now);
+            if let Some(needs) = needs.filter(|_| concerns_all(&error)) {
+                leader.paused.insert(needs, now + REFUSED_PAUSE);
+            }
+        }
+        None => {}
+    }
+}
+
+/// Whether a refusal holds for all items with the same needs.
+fn concerns_all(error: &SlotError) -> bool {
+    match error {
+        SlotError::StalePlan => true,
+        SlotError::Refused { reason, .. } => !matches!(
+            reason,
+            SlotRefusalReason::Quarantined(_) | SlotRefusalReason::VersionGone
+        ),
+    }
+}
+
+/// Applies a refused slot request to the item that it was made for.
+fn apply_refusal(
+    shared: &StoreShared,
+    leader: &mut JobLeader,
+    requested: ItemKey,
+    error: &SlotError,
+    now: Instant,
+) {
+    let SlotError::Refused {
+        reason,
+        retry_after,
+    } = error
+    else {
+        return;
+    };
+    match reason {
+        SlotRefusalReason::Quarantined(_) => {
+            let pause = (*retry_after).min(QUARANTINE_RECHECK);
             leader.schedule.postpone(requested, now + pause);
         }
-        Some(Err(SlotError::Refused {
-            reason: SlotRefusalReason::VersionGone,
-            ..
-        })) => {
-            log_discarded(&shared, leader.schedule.get(requested));
+        SlotRefusalReason::VersionGone => {
+            log_discarded(shared, leader.schedule.get(requested));
             leader.schedule.discard_output(requested);
-            drop(leader);
             shared.work_due.notify_one();
         }
-        Some(Err(SlotError::Refused {
-            reason: SlotRefusalReason::NoServer,
-            ..
-        })) => {
-            move_from_empty_service(&shared, &mut leader, requested);
-            leader.next_request_at = Some(now + REFUSED_PAUSE);
-        }
-        Some(Err(SlotError::Refused {
-            reason: SlotRefusalReason::NoHomeServer,
-            retry_after,
-        })) => leader.schedule.postpone(requested, now + retry_after),
-        Some(Err(_)) => {
-            leader.next_request_at = Some(now + REFUSED_PAUSE);
-            if has_homes {
-                // The next slots are requested for items that may run elsewhere, if there are
-                // some.
-                leader.schedule.postpone(requested, now + REFUSED_PAUSE * 2);
-            }
-        }
-        None => {}
+        SlotRefusalReason::NoServer => move_from_empty_service(shared, leader, requested),
+        // The item may need more than others with the same needs, such as memory.
+        _ => leader.schedule.defer_request(requested, now + SLOT_WAIT),
     }
 }
 
@@ -462,8 +489,15 @@
 ) -> Option<(ItemKey, ScheduledItem)> {
     let (service, version) = (&lease.service, &lease.version);
     let plan = shared.view.plan();
+    // The slot has memory for the requested item.
+    let granted = leader.schedule.get(requested);
+    let granted = granted.map(|item| item.open.spec.tokens);
+    let memory = memory_of(&plan, service).map(|memory| granted.unwrap_or(memory).min(memory));
     loop {
-        let is_allowed = |job: &JobSpec| lease.allows_job(&plan, job);
+        let is_allowed = |open: &OpenItem| {
+            lease.allows_job(&plan, &open.job_spec)
+                && memory.is_none_or(|memory| open.spec.tokens <= memory)
+        };
         let schedule = &leader.schedule;
         let key = schedule.next_allowed(now, service, version, is_allowed)?;
         let item = leader.schedule.get(key)?.clone();
@@ -495,7 +529,7 @@
         charged_team: None,
         prompt: shape.segments,
         fingerprint: item_fingerprint(item),
-        tokens: shape.tokens,
+        tokens: shape.tokens.max(item.open.spec.tokens),
         stream: item.required_version().map(|version| StreamPart::Rest {
             stream: None,
             version: Some(version.clone()),
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -30,6 +30,7 @@
 mod shared_segments;
 mod small_machine;
 mod soak;
+mod starved_jobs;
 mod stranded;
 mod trouble;
 mod uneven;
