Let queued requests pass one that can't use the free slots

What callers saw: requests stayed queued beside free slots.

Cause: the queues of a service are passed only by requests behind one that is bound to a version or to homes. A request that avoids a server after a failed run, or for which servers have a slot but not the memory, held up all behind it. One that no memory holds did so until its time was up.

Change: those behind a request that avoids servers may pass, and those behind one that waits for memory for half of its wait; after that, the memory is kept for it. A request that exceeds the memory of its service's servers is refused at once.

--- a/crates/broker/src/pool.rs
+++ b/crates/broker/src/pool.rs
@@ -36,6 +36,11 @@
 }
 
 impl WaitingRequest {
+    /// Whether less than half of the wait is over.
+    pub(crate) fn is_patient(&self, now: Instant) -> bool {
+        self.until.saturating_duration_since(now) > self.request.wait_max / 2
+    }
+
     /// The team with which the request shares the servers.
     pub(crate) fn team(&self) -> Option<&TeamName> {
         match &self.terms {
--- a/crates/broker/src/slots.rs
+++ b/crates/broker/src/slots.rs
@@ -793,14 +793,18 @@
                     unmet = UnmetNeeds::default();
                     continue;
                 }
-                // Servers of other versions or areas may have slots for those behind it, and a
-                // slot is free for them if it only waits for a decision.
+                // Servers of other versions or areas, or that it avoids, may have slots for those
+                // behind it, and a slot is free for them if it only waits for a decision. One
+                // that waits for memory lets others pass for half of its wait, so that the
+                // memory that it needs becomes free in the end.
                 let request = &waiting.request;
                 let is_undecided = self.is_undecided(request, now);
                 let is_passable = request.required_version().is_some()
                     || request.homes.is_some()
+                    || !request.avoid.is_empty()
                     || self.waits_for_version(request)
-                    || is_undecided;
+                    || is_undecided
+                    || (waiting.is_patient(now) && self.waits_for_memory(request, now));
                 if !is_undecided && !is_unmet {
                     unmet.add(request);
                 }
--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -125,6 +125,20 @@
         })
     }
 
+    /// Whether a server has a slot for queued work of a kind, but not the memory for a request.
+    pub(super) fn waits_for_memory(&self, request: &SlotRequest, now: Instant) -> bool {
+        let Some(pool) = self.services.get(&request.service) else {
+            return false;
+        };
+        let mut entries = pool.servers.iter().filter_map(|key| self.servers.get(*key));
+        entries.any(|entry| {
+            let candidate = Self::candidate(pool, entry, request.kind, now);
+            !self.is_hindered(ServerObstacle::NoFreeSlot, &candidate, request, now)
+                && self.is_hindered(ServerObstacle::NoMemory, &candidate, request, now)
+                && self.accepts_work(&entry.record, now)
+        })
+    }
+
     fn is_in_zone(&self, key: ServerKey, zone: &ZoneName) -> bool {
         let entry = self.servers.get(key);
         entry.is_some_and(|entry| entry.record.check_in.zone == *zone)
--- a/crates/broker/src/slots/eligibility.rs
+++ b/crates/broker/src/slots/eligibility.rs
@@ -4,7 +4,7 @@
 use super::{NO_SERVER_RETRY, RETRY_AFTER_MAX, SlotBroker};
 use crate::directory::{ServerPhase, ServerRecord};
 use crate::grants::ServerKey;
-use crate::request::{SlotRefusalReason, SlotRequest};
+use crate::request::{PoolLoad, SlotRefusalReason, SlotRequest};
 use crate::server_limits::LimitReport;
 use crate::streams::{StreamPart, StreamReport};
 use chicoryladder_types::{AreaName, ServiceName, SoftwareVersion};
@@ -83,6 +83,11 @@
         if !self.has_servers(service, None, None) {
             return Some((SlotRefusalReason::NoServer, NO_SERVER_RETRY));
         }
+        if self.exceeds_memory(request) {
+            // Earlier builds do not know a reason of its own.
+            let load = PoolLoad::default();
+            return Some((SlotRefusalReason::NoSlot(load), RETRY_AFTER_MAX));
+        }
         let homes = request.homes.as_ref();
         if homes.is_some() && !self.has_servers(service, None, homes) {
             return Some((SlotRefusalReason::NoHomeServer, NO_SERVER_RETRY));
@@ -92,6 +97,13 @@
         is_gone.then_some((SlotRefusalReason::VersionGone, RETRY_AFTER_MAX))
     }
 
+    /// Whether a request needs more memory than any server of its service has.
+    fn exceeds_memory(&self, request: &SlotRequest) -> bool {
+        let pool = self.services.get(&request.service);
+        let memory = pool.and_then(|pool| pool.engine_tokens);
+        memory.is_some_and(|memory| request.tokens > memory)
+    }
+
     /// Finds out the version that the rest of a stream is bound to. Returns whether it is
     /// known, or the request bound to none.
     pub(super) fn bind_version(&self, request: &mut SlotRequest, now: Instant) -> bool {
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -400,3 +400,62 @@
     assert_eq!(running, 4);
     assert!(slots >= 8);
 }
+
+/// A request that the memory of no server holds waited until its time was up, and kept those
+/// behind it from idle servers.
+#[test]
+fn a_request_that_no_memory_holds_is_refused_at_once() {
+    for kind in [WorkKind::Online, WorkKind::Batch] {
+        let mut fixture = BrokerFixture::new(TWO_ZONES, Vec::new());
+        let mut request = fixture.slot_request(kind);
+        request.tokens = 100_001;
+        assert!(
+            refused_after(&fixture.submit(request)).is_some(),
+            "{kind:?}"
+        );
+        let mut request = fixture.slot_request(kind);
+        request.tokens = 100_000;
+        assert!(granted(&fixture.submit(request)).is_some(), "{kind:?}");
+    }
+}
+
+/// A request that waited for memory kept smaller ones from free slots.
+#[test]
+fn a_request_that_waits_for_memory_lets_others_pass_for_half_of_its_wait() {
+    let mut fixture = BrokerFixture::new(&[("a1", "a")], Vec::new());
+    let submit = |fixture: &mut BrokerFixture, tokens| {
+        let mut request = fixture.slot_request(WorkKind::Batch);
+        request.tokens = tokens;
+        request.wait_max = Duration::from_secs(2);
+        fixture.submit(request)
+    };
+    for _ in 0..2 {
+        assert!(granted(&submit(&mut fixture, 50_000)).is_some());
+    }
+    for tokens in [60_000, 10_000, 45_000] {
+        assert!(submit(&mut fixture, tokens).is_empty());
+    }
+    assert!(
+        granted(&fixture.release(1, RunOutcome::Served)).is_some(),
+        "the second one"
+    );
+    fixture.tick(Duration::from_millis(1_100));
+    assert!(fixture.release(4, RunOutcome::Served).is_empty());
+    // The memory is kept free for the first one.
+    assert!(granted(&fixture.release(2, RunOutcome::Served)).is_some());
+}
+
+/// A request that avoids a server after a failed run kept others from its slots.
+#[test]
+fn a_request_that_avoids_a_server_lets_others_pass() {
+    let mut fixture = BrokerFixture::new(TWO_ZONES, Vec::new());
+    let of_second: Vec<u64> = (1..=16)
+        .filter(|_| granted(&fixture.request_online()).as_deref() == Some("b1"))
+        .collect();
+    let mut request = fixture.slot_request(WorkKind::Online);
+    request.avoid = vec![ServerName::try_from("b1").expect("it is valid")];
+    assert!(fixture.submit(request).is_empty());
+    assert!(fixture.request_online().is_empty());
+    let events = fixture.release(of_second[0], RunOutcome::Served);
+    assert_eq!(granted(&events).as_deref(), Some("b1"));
+}
