Run items on engines with one slot

Cause: items leave one slot of each engine free for online requests, also the only one.

Change: they leave none free where there is one. An online request preempts the item, as on other engines without a free slot.

The test failed before.

--- a/crates/broker/src/slots/assignment.rs
+++ b/crates/broker/src/slots/assignment.rs
@@ -13,7 +13,7 @@
 use std::time::Instant;
 
 /// The number of slots per engine that batch items leave free, so that an online
-/// request need not wait for a preemption.
+/// request need not wait for a preemption. Items take the only slot of an engine.
 const BATCH_HEADROOM: u32 = 1;
 
 /// Where a request gets its slot.
@@ -203,7 +203,9 @@
         let is_engine = pool.engine_tokens.is_some();
         let headroom = match kind {
             // Without online requests, only an item can end a server's probation.
-            WorkKind::Batch if is_engine && !entry.is_on_probation() => BATCH_HEADROOM,
+            WorkKind::Batch if is_engine && !entry.is_on_probation() => {
+                BATCH_HEADROOM.min(entry.record.check_in.slots.saturating_sub(1))
+            }
             WorkKind::Batch | WorkKind::Online => 0,
         };
         SlotCandidate {
--- a/crates/broker/tests/all/slots.rs
+++ b/crates/broker/tests/all/slots.rs
@@ -401,6 +401,21 @@
     assert!(slots >= 8);
 }
 
+/// Items were never run on engines with one slot, as one is left free for online requests.
+#[test]
+fn items_take_the_only_slot_of_an_engine() {
+    let mut fixture = BrokerFixture::new(&[], Vec::new());
+    let server = ServerCheckIn {
+        slots: 1,
+        ..check_in("a1", "a", 1)
+    };
+    fixture.broker.check_in(server, fixture.now);
+    assert!(granted(&fixture.request_batch()).is_some());
+    let events = fixture.request_online();
+    assert_eq!(granted(&events).as_deref(), Some("a1"));
+    assert_eq!(stopped(&events), Some(1));
+}
+
 /// A request that the memory of no server holds waited until its time was up, and kept those
 /// behind it from idle servers.
 #[test]
