Accept jobs by the plan in force

An entry host that had stood still for 2.3 s accepted a job 2.3 s after a new plan was confirmed; all items ran at the service that their route had left.

Cause: a submission was sent without the version of the plan by which its service, cap, rank and attempts were decided on, so that nothing compared that with the plan in force.

Evidence: the leader of the job group held the new plan; job_submitted and stale_submission log both versions now.

Change: submissions name their plan. The leader refuses one of an older plan than its own, which it refreshes first if it is old, and the entry host decides again by the newer one. A job that is stored already stays accepted. If an earlier attempt got no reply, a refusal is answered with 504.

Builds side by side: submissions without a plan are accepted as before, and older leaders do not read it.

--- a/crates/roles/src/entry/jobs.rs
+++ b/crates/roles/src/entry/jobs.rs
@@ -10,8 +10,9 @@
 use chicoryladder_batch::{BatchAnswer, BatchCommand, JobOwner, JobSpec, SubmitAnswer};
 use chicoryladder_broker::ZoneAreas;
 use chicoryladder_gateway::{AnswerBody, bytes_body};
-use chicoryladder_types::AreaName;
+use chicoryladder_plan::PlanVersion;
 use chicoryladder_types::prelude::*;
+use chicoryladder_types::{AreaName, Tail};
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::{Response, StatusCode};
 use serde_json::json;
@@ -35,6 +36,19 @@
 /// The completion target of a route that sets none.
 const DEFAULT_COMPLETION_TARGET: Duration = Duration::from_secs(3_600);
 
+/// The outcome of a submission that was not refused.
+pub(super) enum Submission {
+    /// The job is stored.
+    Accepted(Response<AnswerBody>),
+    /// The job was matched under a plan that is no longer in force.
+    StalePlan {
+        /// The plan in force.
+        in_force: PlanVersion,
+        /// Whether an earlier attempt got no reply.
+        is_repeated: bool,
+    },
+}
+
 /// Forwards calls about batch jobs to the job group.
 #[derive(Clone)]
 pub(super) struct JobGateway {
@@ -58,7 +72,8 @@
         }
     }
 
-    /// Submits a job. Once the response confirms it, the job is stored durably.
+    /// Submits a job by the plan that it was matched under. Once the response confirms it, the
+    /// job is stored durably.
     pub(super) async fn submit(
         &self,
         matched: &MatchedRequest,
@@ -66,7 +81,7 @@
         head: &CallerHead,
         body: &[u8],
         dialect: &dyn CallerDialect,
-    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+    ) -> Result<Submission, RequestRefusal> {
         let bad = |detail: String| RequestRefusal::not_run(RefusalReason::BadRequest, detail);
         if let Some(homes) = matched.homes() {
             check_storage(&self.areas, &homes, &self.zone)?;
@@ -96,8 +111,13 @@
             job: Box::new(job),
             waiting_tokens_max: route.waiting_tokens_max,
         };
-        let reply = self.change(command).await?;
+        let plan = matched.plan.version();
+        let reply = self.change(command, Some(plan)).await?;
         match reply.answer {
+            BatchReply::StalePlan(in_force) => Ok(Submission::StalePlan {
+                in_force,
+                is_repeated: reply.is_repeated,
+            }),
             BatchReply::Changed(BatchAnswer::Submitted(answer)) => {
                 self.log.note(
                     "job_submitted",
@@ -107,9 +127,10 @@
                         "public": route.public,
                         "answer": format!("{answer:?}"),
                         "repeated": reply.is_repeated,
+                        "plan": plan.0,
                     }),
                 );
-                submit_response(answer, reply.is_repeated)
+                submit_response(answer, reply.is_repeated).map(Submission::Accepted)
             }
             _ => Err(outcome_unknown()),
         }
@@ -148,7 +169,7 @@
                     job: job.clone(),
                     team,
                 };
-                let reply = self.change(command).await?;
+                let reply = self.change(command, None).await?;
                 self.log.note(
                     "job_ended",
                     &json!({
@@ -195,12 +216,14 @@
         Ok(self.call_leader(call).await?.answer)
     }
 
-    /// Has the leader of the job group carry a command out.
+    /// Has the leader of the job group carry a command out, which was decided on by a plan.
     async fn change(
         &self,
         command: BatchCommand,
+        plan: Option<PlanVersion>,
     ) -> Result<LeaderReply<BatchReply>, RequestRefusal> {
-        self.call_leader(BatchCall::Change(command)).await
+        self.call_leader(BatchCall::Change(command, Tail(plan)))
+            .await
     }
 
     /// Calls the leader of the job group. Every call is idempotent and may be resent.
@@ -278,7 +301,7 @@
 }
 
 /// The refusal of a call that may or may not have taken effect.
-fn outcome_unknown() -> RequestRefusal {
+pub(super) fn outcome_unknown() -> RequestRefusal {
     let detail = "the leader of the job group was lost during the call";
     RequestRefusal::new(RefusalReason::ServerSilent, RunVerdict::MayHaveRun, detail)
 }
--- a/crates/roles/src/entry/matching.rs
+++ b/crates/roles/src/entry/matching.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet_view::{FleetView, key_lease};
 use crate::ports::CallerHead;
-use chicoryladder_plan::{PlanRoute, PlanTeam, ServicePlan};
+use chicoryladder_plan::{PlanRoute, PlanTeam, PlanVersion, ServicePlan};
 use chicoryladder_policy::returns::return_after_start;
 use chicoryladder_types::AreaName;
 use chicoryladder_types::prelude::*;
@@ -13,13 +13,6 @@
 /// The age above which a view is refreshed before a request is refused on its basis.
 const REFUSAL_AGE: Duration = Duration::from_millis(50);
 
-/// The timeout of a refresh of the view.
-const REFRESH_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// The timeout of a refresh while no leader can be reached. A caller that is refused so soon
-/// can return and be served in time.
-const LEADERLESS_REFRESH_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// The maximum age of a view for a final refusal. An older one gives a retryable
 /// refusal instead.
 const FINAL_REFUSAL_AGE: Duration = Duration::from_secs(2);
@@ -72,15 +65,10 @@
 
     /// Waits for a newer view.
     pub(super) async fn refresh(&self) {
-        let timeout = if self.view.has_leader() {
-            REFRESH_TIMEOUT
-        } else {
-            LEADERLESS_REFRESH_TIMEOUT
-        };
-        self.view.refresh(timeout).await;
+        self.view.refresh_in_time().await;
     }
 
-    fn stale_view(&self) -> RequestRefusal {
+    pub(super) fn stale_view(&self) -> RequestRefusal {
         let elapsed = self.clock.now().saturating_duration_since(self.started_at);
         let first_view_in = match self.view.fresh_at() {
             Some(_) => None,
@@ -113,6 +101,23 @@
         second
     }
 
+    /// Matches a request under a plan that is at least of the given version.
+    pub(super) async fn resolve_since(
+        &self,
+        version: PlanVersion,
+        host: &str,
+        path: &str,
+        head: &CallerHead,
+    ) -> Result<MatchedRequest, RequestRefusal> {
+        if self.view.plan().version() < version {
+            self.refresh().await;
+        }
+        if self.view.plan().version() < version {
+            return Err(self.stale_view());
+        }
+        self.resolve(host, path, head).await
+    }
+
     /// The caller of a call about a batch job.
     pub(super) async fn job_caller(&self, head: &CallerHead) -> Result<JobCaller, RequestRefusal> {
         match self.team_of_key(head).await {
--- a/crates/roles/src/entry/service.rs
+++ b/crates/roles/src/entry/service.rs
@@ -1,7 +1,7 @@
 //! The HTTP service of an entry host.
 
 use super::forward::{ForwardRequest, RequestForwarder};
-use super::jobs::JobGateway;
+use super::jobs::{JobGateway, Submission, outcome_unknown};
 use super::matching::{MatchedRequest, RequestMatcher};
 use super::rotation::RotationState;
 use crate::event_log::EventLog;
@@ -20,6 +20,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+/// The maximum number of attempts at a submission whose plan is replaced meanwhile.
+const SUBMISSIONS_MAX: usize = 3;
+
 /// Serves callers' requests.
 pub(super) struct EntryService {
     pub(super) dialect: Arc<dyn CallerDialect>,
@@ -89,12 +92,8 @@
             None => head.time_left,
         };
         if matched.route.kind == RouteKind::Batch && parts.method == Method::POST {
-            let team = self.matcher.submitter(&matched, head).await?;
-            let matched = MatchedRequest { team, ..matched };
-            return self
-                .jobs
-                .submit(&matched, &host, head, &body, &*self.dialect)
-                .await;
+            let path = parts.uri.path();
+            return self.submit_job(matched, &host, path, head, &body).await;
         }
         let request = ForwardRequest {
             id: head.id.clone().ok_or_else(missing_id_refusal)?,
@@ -111,6 +110,45 @@
         self.forwarder.clone().forward(matched, request).await
     }
 
+    /// Submits a job, again by the plan in force if the host held an older one.
+    async fn submit_job(
+        &self,
+        mut matched: MatchedRequest,
+        host: &str,
+        path: &str,
+        head: &CallerHead,
+        body: &[u8],
+    ) -> Result<Response<AnswerBody>, RequestRefusal> {
+        let mut may_have_run = false;
+        for _ in 0..SUBMISSIONS_MAX {
+            let team = self.matcher.submitter(&matched, head).await;
+            let team = team.map_err(|refusal| uncertain(refusal, may_have_run))?;
+            let submitted = MatchedRequest { team, ..matched };
+            let result = self
+                .jobs
+                .submit(&submitted, host, head, body, &*self.dialect)
+                .await;
+            let result = result.map_err(|refusal| uncertain(refusal, may_have_run))?;
+            let (in_force, is_repeated) = match result {
+                Submission::Accepted(response) => return Ok(response),
+                Submission::StalePlan {
+                    in_force,
+                    is_repeated,
+                } => (in_force, is_repeated),
+            };
+            may_have_run |= is_repeated;
+            let resolving = self.matcher.resolve_since(in_force, host, path, head);
+            matched = resolving
+                .await
+                .map_err(|refusal| uncertain(refusal, may_have_run))?;
+            let body_max = matched.plan.limits().body_max_bytes;
+            if matched.route.kind != RouteKind::Batch || body.len() > body_max {
+                break;
+            }
+        }
+        Err(uncertain(self.matcher.stale_view(), may_have_run))
+    }
+
     fn record_refusal(
         &self,
         parts: &request::Parts,
@@ -145,6 +183,15 @@
     }
 }
 
+/// A refusal of a job of which an earlier attempt may still arrive, or not.
+fn uncertain(refusal: RequestRefusal, may_have_run: bool) -> RequestRefusal {
+    if may_have_run {
+        outcome_unknown()
+    } else {
+        refusal
+    }
+}
+
 fn missing_id_refusal() -> RequestRefusal {
     RequestRefusal::not_run(RefusalReason::BadRequest, "the request has no id")
 }
--- a/crates/roles/src/fleet_view.rs
+++ b/crates/roles/src/fleet_view.rs
@@ -39,6 +39,13 @@
 /// The pause after a sync that reached no leader.
 const SYNC_RETRY_PAUSE: Duration = Duration::from_millis(60);
 
+/// The timeout of a refresh of a view.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The timeout of a refresh while no leader can be reached. A caller that is refused so soon
+/// can return and be served in time.
+const LEADERLESS_REFRESH_TIMEOUT: Duration = Duration::from_millis(60);
+
 /// The share of the key withdrawal bound for which a view of the keys is trusted. The
 /// rest covers requests in flight and clock drift.
 const KEY_LEASE_SHARE: f64 = 0.75;
@@ -334,6 +341,16 @@
         let _ = tokio::time::timeout(max_wait, synced).await;
     }
 
+    /// Like [`Self::refresh`], for as long as a sync takes, or shorter while no leader is reached.
+    pub(crate) async fn refresh_in_time(&self) {
+        let max_wait = if self.has_leader() {
+            REFRESH_TIMEOUT
+        } else {
+            LEADERLESS_REFRESH_TIMEOUT
+        };
+        self.refresh(max_wait).await;
+    }
+
     fn request(
         &self,
         base: &ProcessBase,
--- a/crates/roles/src/message.rs
+++ b/crates/roles/src/message.rs
@@ -413,8 +413,9 @@
 /// A call to the job group.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) enum BatchCall {
-    /// Proposes a command for the replicated state.
-    Change(BatchCommand),
+    /// Proposes a command for the replicated state. A submission brings the version of the plan
+    /// by which it was decided on; hosts of earlier builds do not tell.
+    Change(BatchCommand, Tail<Option<PlanVersion>>),
     /// Reads a page of results.
     Page {
         team: Option<TeamName>,
@@ -464,6 +465,9 @@
     Owner(Option<JobOwner>),
     /// Reply to [`BatchCall::ItemSlot`]; `None` if there is no such item without a result.
     ItemSlot(Option<Box<ItemSlot>>),
+    /// The submission was decided on by an older plan than this one, which is in force; it had
+    /// no effect.
+    StalePlan(PlanVersion),
 }
 
 /// The reply of any member of a group to a call for its leader.
@@ -634,6 +638,29 @@
         assert_eq!(later, check_in.into());
     }
 
+    /// During an upgrade, commands are sent between builds with and without the plan by which
+    /// they were decided on; one that cannot be decoded would be lost.
+    #[test]
+    fn commands_are_read_by_earlier_builds_and_from_them() {
+        let command = BatchCommand::Remove {
+            job: "a".to_owned(),
+        };
+        let call = BatchCall::Change(command.clone(), Tail(Some(PlanVersion(300))));
+        let bytes = postcard::to_stdvec(&call).expect("it is encoded");
+        let earlier = postcard::to_stdvec(&(0u32, &command)).expect("it is encoded");
+        assert!(
+            bytes.starts_with(&earlier),
+            "what earlier builds read comes first"
+        );
+        let later = postcard::from_bytes(&earlier).expect("it is decoded");
+        assert!(matches!(later, BatchCall::Change(read, Tail(None)) if read == command));
+        let same = postcard::from_bytes(&bytes).expect("it is decoded");
+        assert!(matches!(
+            same,
+            BatchCall::Change(_, Tail(Some(PlanVersion(300))))
+        ));
+    }
+
     /// During an upgrade, departures and orders are relayed between builds that read first to
     /// what they apply, and builds that do not; one that cannot be decoded would be lost.
     #[test]
--- a/crates/roles/src/store/leader.rs
+++ b/crates/roles/src/store/leader.rs
@@ -10,7 +10,7 @@
 };
 use chicoryladder_broker::{SlotRefusalReason, SlotRequest, StreamPart, WorkKind, shared_segments};
 use chicoryladder_group::{GroupStatus, ProposeFailure};
-use chicoryladder_plan::{RouteKind, ServicePlan};
+use chicoryladder_plan::{PlanVersion, RouteKind, ServicePlan};
 use chicoryladder_policy::quarantine::RequestFingerprint;
 use chicoryladder_types::prelude::*;
 use chicoryladder_types::{ServiceName, TermNumber};
@@ -31,6 +31,10 @@
 /// The pause after a refused slot request.
 const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 
+/// The part of the time within which plans apply, for which the plan of a view is taken for the
+/// one in force: one in this number.
+const PLAN_AGE_DIVISOR: u32 = 2;
+
 /// The maximum size of the results in one page, in bytes, not counting the first one.
 const PAGE_MAX_BYTES: usize = 700 * 1024;
 
@@ -172,8 +176,11 @@
             return self.not_leader();
         }
         match call {
-            BatchCall::Change(BatchCommand::End { job, team }) => self.end_job(job, team).await,
-            BatchCall::Change(command) => self.change(command).await,
+            BatchCall::Change(BatchCommand::End { job, team }, _) => self.end_job(job, team).await,
+            BatchCall::Change(command, plan) => match self.stale_plan(&command, plan.0).await {
+                Some(in_force) => GroupReply::Answer(BatchReply::StalePlan(in_force)),
+                None => self.change(command).await,
+            },
             BatchCall::Owner { job } => {
                 let query = move |machine: &BatchMachine| machine.owner(&job);
                 self.read(query).await.map_or_else(
@@ -218,6 +225,35 @@
         }
     }
 
+    /// The plan in force, if it is newer than the one by which a new job was decided on. The host
+    /// that accepts the job may have stood still meanwhile, or the call may have been held up.
+    async fn stale_plan(
+        &self,
+        command: &BatchCommand,
+        decided_by: Option<PlanVersion>,
+    ) -> Option<PlanVersion> {
+        let (BatchCommand::Submit { job, .. }, Some(plan)) = (command, decided_by) else {
+            return None;
+        };
+        let max_age = self.base.settings.bounds.plan_applies / PLAN_AGE_DIVISOR;
+        if self.view.age(self.now()).is_none_or(|age| age > max_age) {
+            self.view.refresh_in_time().await;
+        }
+        let in_force = self.view.plan().version();
+        if plan >= in_force {
+            return None;
+        }
+        let id = job.id.clone();
+        let is_known = self.read(move |machine| machine.owner(&id).is_some()).await;
+        if is_known == Some(true) {
+            // An earlier attempt was accepted by its plan.
+            return None;
+        }
+        let fields = json!({ "job": job.id, "plan": plan.0, "in_force": in_force.0 });
+        self.log.note("stale_submission", &fields);
+        Some(in_force)
+    }
+
     /// Ends a job that the team may access. The command names the owner, as all builds apply
     /// it by that.
     async fn end_job(
