Read the specification of items only if slots may be requested for them

Cause: the choice of the items to request slots for reads the memory that an item needs, which is a cache miss for each of them, at each tick.

Change: an item that is less urgent than those chosen so far is passed over before that, once enough ready ones are counted.

--- a/crates/batch/src/schedule.rs
+++ b/crates/batch/src/schedule.rs
@@ -76,6 +76,7 @@
     room: usize,
     /// The number of slots that are requested.
     requested: usize,
+    /// The number of ready items, as far as it matters for how many slots may be requested.
     ready: usize,
     urgent: BinaryHeap<(RequestOrder, ItemKey)>,
 }
@@ -231,6 +232,11 @@
         now: Instant,
         terms: &RequestTerms<'_>,
     ) -> Vec<(ItemKey, SlotNeeds)> {
+        let order = self.order_at(now);
+        let request_order = |item: &ScheduledItem| {
+            let (rank, is_late, due_at) = order(item);
+            (now < item.deferred_until, rank, is_late, due_at)
+        };
         let mut groups: Vec<UrgentItems> = Vec::new();
         let mut places: HashMap<SlotNeeds, usize> = HashMap::new();
         for keys in self.by_job.values() {
@@ -254,7 +260,7 @@
                     })
                 });
                 last = Some(place);
-                groups[place].offer(key, item, self.request_order(item, now), terms);
+                groups[place].offer(key, item, request_order(item), terms);
             }
         }
         groups
@@ -263,11 +269,6 @@
             .collect()
     }
 
-    fn request_order(&self, item: &ScheduledItem, now: Instant) -> RequestOrder {
-        let (rank, is_late, due_at) = self.order(item, now);
-        (now < item.deferred_until, rank, is_late, due_at)
-    }
-
     /// Has slots requested for other items with the same needs first until `until`, after a
     /// request for the item got none. It still takes a slot that is granted for another one.
     pub fn defer_request(&mut self, key: ItemKey, until: Instant) {
@@ -302,11 +303,13 @@
         })
     }
 
-    /// The order in which items run.
-    fn order(&self, item: &ScheduledItem, now: Instant) -> (u32, bool, Instant) {
-        let run = Duration::from_secs_f64(self.average_run_seconds);
-        let is_late = now + run > item.due_at;
-        (item.open.job_spec.rank, is_late, item.due_at)
+    /// The order in which items run that start now.
+    fn order_at(&self, now: Instant) -> impl Fn(&ScheduledItem) -> (u32, bool, Instant) {
+        let ends_at = now + Duration::from_secs_f64(self.average_run_seconds);
+        move |item| {
+            let is_late = ends_at > item.due_at;
+            (item.open.job_spec.rank, is_late, item.due_at)
+        }
     }
 
     fn next_matching(
@@ -314,10 +317,11 @@
         now: Instant,
         matches: impl Fn(ItemKey, &ScheduledItem) -> bool,
     ) -> Option<ItemKey> {
+        let order = self.order_at(now);
         let startable = self.items.iter();
         let startable = startable.filter(|(key, item)| item.may_start(now) && matches(*key, item));
         startable
-            .min_by_key(|(_, item)| self.order(item, now))
+            .min_by_key(|(_, item)| order(item))
             .map(|(key, _)| key)
     }
 
@@ -545,14 +549,19 @@
         order: RequestOrder,
         terms: &RequestTerms<'_>,
     ) {
-        if self
-            .memory
-            .is_some_and(|memory| item.open.spec.tokens > memory)
-        {
+        let is_full = self.urgent.len() >= self.room;
+        let is_urgent = !is_full || self.urgent.peek().is_some_and(|last| (order, key) < *last);
+        // Most of many items end here, before their specification is read.
+        let is_counted = self.ready >= self.requested + self.room;
+        if !is_urgent && is_counted {
+            return;
+        }
+        let exceeds = |memory| item.open.spec.tokens > memory;
+        if self.memory.is_some_and(exceeds) {
             return;
         }
         self.ready += 1;
-        if self.room == 0 || terms.requested.contains_key(&key) {
+        if !is_urgent || terms.requested.contains_key(&key) {
             return;
         }
         self.urgent.push((order, key));
