--- a/tests/fleet/departures.rs
+++ b/tests/fleet/departures.rs
@@ -123,10 +123,18 @@
     assert_eq!(runs_since(&fleet, &leaving, marked_at), 0);
 }
 
-/// Guards against a server that is out of use for good after a restart, as the call by which it
-/// left arrives at the leader late, and applied to the incarnation that the leader knew by then.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_late_departure_takes_no_restarted_server_out_of_use() {
+/// How the call of a server that leaves comes late to the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LateCall {
+    /// The links between the host that takes it and the leader are cut.
+    HeldUp,
+    /// The host that takes it stands still.
+    Frozen,
+}
+
+/// Has a server leave at `store-2`, which can't pass the call on at once, then at another host,
+/// and start again. The new incarnation has to be used for good.
+async fn restart_beside_late_call(late: LateCall) {
     let fleet = ProcessFleet::start().await;
     let entry = fleet.host_names(Role::Entry)[0].clone();
     let leader = fleet.wait_for_leader(Role::Control).await;
@@ -140,8 +148,13 @@
         call.timeout = Duration::from_secs(1);
         async move { call.send().await.map(|answer| answer.status.as_u16()) }
     };
-    fleet.faults.cut("store-2", &leader);
-    fleet.faults.cut(&leader, "store-2");
+    match late {
+        LateCall::HeldUp => {
+            fleet.faults.cut("store-2", &leader);
+            fleet.faults.cut(&leader, "store-2");
+        }
+        LateCall::Frozen => fleet.send_signal("store-2", "STOP"),
+    }
     assert_ne!(leave("store-2").await, Some(200));
     assert_eq!(leave(other.expect("a host")).await, Some(200));
     server.restart();
@@ -158,13 +171,28 @@
             is_used_since(restarted_at)
         })
         .await;
-    // What was held up arrives.
-    fleet.faults.heal();
+    match late {
+        LateCall::HeldUp => fleet.faults.heal(),
+        LateCall::Frozen => fleet.send_signal("store-2", "CONT"),
+    }
     tokio::time::sleep(REPORT_TIME).await;
-    let healed_at = Instant::now();
+    let late_since = Instant::now();
     fleet
         .wait_until("the new incarnation still gets requests", || {
-            is_used_since(healed_at)
+            is_used_since(late_since)
         })
         .await;
 }
+
+/// Guards against a server that is out of use for good after a restart, as the call by which it
+/// left arrives at the leader late, and applied to the incarnation that the leader knew by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_departure_takes_no_restarted_server_out_of_use() {
+    restart_beside_late_call(LateCall::HeldUp).await;
+}
+
+/// Guards against the same after the host that took the call has stood still.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_departure_at_a_frozen_host_takes_no_restarted_server_out_of_use() {
+    restart_beside_late_call(LateCall::Frozen).await;
+}
